--- /dev/null
+++ b/structs/grant.go
@@ -0,0 +1,60 @@
+package structs
+
+// Grant is one zone's share of a row's MaxReplicas.
+//
+// The global group keeps, for each row, the sum of Held over all zones at or
+// below MaxReplicas whenever Held grows. Limit may fall below Held at any time:
+// the zone then unloads down to Limit and sends a GrantRelease, and only that
+// lowers Held. A zone never has more replicas than the Limit it last adopted,
+// but for those it is still unloading.
+type Grant struct {
+	Row  RowName `json:"row"`
+	Zone ZoneID  `json:"zone"`
+	// Limit is how many replicas the zone should have at most from now on.
+	Limit int `json:"limit"`
+	// Held is how many replicas the zone may still have, as far as the global
+	// group knows. Limit <= Held.
+	Held int `json:"held"`
+	// Sequence rises with every change of this grant; a release that names an
+	// older one is ignored.
+	Sequence uint64 `json:"sequence"`
+}
+
+// GrantRelease tells the global group that the zone adopted the grant with
+// Sequence and is down to Limit replicas.
+type GrantRelease struct {
+	Row      RowName
+	Zone     ZoneID
+	Sequence uint64
+	Limit    int
+}
+
+// GrantWish is a zone's statement of how many replicas it could use of a row;
+// the global group splits MaxReplicas by it.
+type GrantWish struct {
+	Row    RowName
+	Zone   ZoneID
+	Wanted int
+}
+
+// TableDelta carries all changes of the table and of one zone's grants after
+// SinceRevision up to Revision. When Full is set it carries everything and
+// replaces what the receiver had, but never lowers the receiver's revision.
+type TableDelta struct {
+	SinceRevision uint64
+	Revision      uint64
+	Full          bool
+	Rows          []Row
+	Deleted       []RowName
+	// Grants are those of the receiving zone.
+	Grants []Grant
+	// Elsewhere names, for each changed row, the zones with a positive Limit, so
+	// that a router can forward a request that its own zone may not serve.
+	Elsewhere []RowZones
+}
+
+// RowZones lists the zones that hold a positive grant limit for a row.
+type RowZones struct {
+	Row   RowName
+	Zones []ZoneID
+}
