--- /dev/null
+++ b/api/decode.go
@@ -0,0 +1,208 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// generation is a decoded request with what is needed to encode its answer.
+type generation struct {
+	request      structs.Request
+	chat         bool
+	stream       bool
+	includeUsage bool
+	promptTokens int
+}
+
+// maxKeyBytes bounds an idempotency key, because keys are kept in the zone log.
+const maxKeyBytes = 200
+
+// decoder turns HTTP requests into generations.
+type decoder struct {
+	options Options
+}
+
+func (d decoder) chat(_ context.Context, r *http.Request) (any, error) { return d.decode(r, true) }
+
+func (d decoder) completion(_ context.Context, r *http.Request) (any, error) {
+	return d.decode(r, false)
+}
+
+func (d decoder) decode(r *http.Request, chat bool) (generation, error) {
+	body, err := readBody(r, d.options.MaxBodyBytes)
+	if err != nil {
+		return generation{}, err
+	}
+	prompt, err := promptOf(body, chat)
+	if err != nil {
+		return generation{}, err
+	}
+	if body.Model == "" {
+		return generation{}, invalid("the request names no model", "set \"model\" to a name from /v1/models")
+	}
+	if body.N > 1 {
+		return generation{}, invalid("n is above 1", "send one request for each answer wanted")
+	}
+	request, err := d.request(r, body, prompt)
+	if err != nil {
+		return generation{}, err
+	}
+	return generation{
+		request:      request,
+		chat:         chat,
+		stream:       body.Stream,
+		includeUsage: body.StreamOptions != nil && body.StreamOptions.IncludeUsage,
+		promptTokens: len(strings.Fields(prompt)),
+	}, nil
+}
+
+func (d decoder) request(r *http.Request, body generationBody, prompt string) (structs.Request, error) {
+	now := d.options.Now()
+	deadline, err := deadlineOf(r, d.options.DefaultDeadline, d.options.MaxDeadline)
+	if err != nil {
+		return structs.Request{}, err
+	}
+	priority, err := priorityOf(r)
+	if err != nil {
+		return structs.Request{}, err
+	}
+	maxTokens, err := d.maxTokens(body)
+	if err != nil {
+		return structs.Request{}, err
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return structs.Request{}, invalid("the idempotency key is too long", "use a key of at most 200 bytes, such as a UUID")
+	}
+	return structs.Request{
+		ID:             structs.RequestID(uuid.NewString()),
+		Row:            structs.RowName(body.Model),
+		Prompt:         prompt,
+		MaxTokens:      maxTokens,
+		Priority:       priority,
+		Caller:         callerFrom(r.Context()),
+		ArrivedAt:      now,
+		DeadlineAt:     now.Add(deadline),
+		IdempotencyKey: key,
+		Forwarded:      r.Header.Get(HeaderForwarded) != "",
+	}, nil
+}
+
+func (d decoder) maxTokens(body generationBody) (int, error) {
+	wanted := body.MaxCompletionTokens
+	if wanted == 0 {
+		wanted = body.MaxTokens
+	}
+	if wanted == 0 {
+		return d.options.DefaultMaxTokens, nil
+	}
+	if wanted < 0 || wanted > d.options.MaxTokens {
+		return 0, invalid("max_tokens is out of range", "choose a value between 1 and the site's limit on answer length")
+	}
+	return wanted, nil
+}
+
+func readBody(r *http.Request, limit int64) (generationBody, error) {
+	var body generationBody
+	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return body, invalid("the body could not be read", "send the whole body before the connection times out")
+	}
+	if int64(len(raw)) > limit {
+		return body, invalid("the body is larger than this site takes", "shorten the prompt or ask the operators to raise limits.body_bytes")
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return body, invalid("the body is not the expected JSON: "+err.Error(), "send an OpenAI chat completion or completion request")
+	}
+	return body, nil
+}
+
+func promptOf(body generationBody, chat bool) (string, error) {
+	if chat {
+		return chatPrompt(body.Messages)
+	}
+	var prompt string
+	if err := json.Unmarshal(body.Prompt, &prompt); err != nil || prompt == "" {
+		return "", invalid("prompt is missing or is not a string", "set \"prompt\" to one non-empty string")
+	}
+	return prompt, nil
+}
+
+func chatPrompt(messages []chatMessage) (string, error) {
+	if len(messages) == 0 {
+		return "", invalid("the request has no messages", "add at least one message with a role and a content")
+	}
+	var builder strings.Builder
+	for _, message := range messages {
+		text, err := contentText(message.Content)
+		if err != nil {
+			return "", err
+		}
+		builder.WriteString(message.Role)
+		builder.WriteString(": ")
+		builder.WriteString(text)
+		builder.WriteByte('\n')
+	}
+	return builder.String(), nil
+}
+
+func contentText(content json.RawMessage) (string, error) {
+	var text string
+	if err := json.Unmarshal(content, &text); err == nil {
+		return text, nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(content, &parts); err != nil {
+		return "", invalid("a message's content is neither a string nor a list of parts", "send text content")
+	}
+	var builder strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return "", invalid("a message has a part of type "+part.Type, "send text parts only: the models served here read text")
+		}
+		builder.WriteString(part.Text)
+	}
+	return builder.String(), nil
+}
+
+func deadlineOf(r *http.Request, standard, longest time.Duration) (time.Duration, error) {
+	value := r.Header.Get(HeaderDeadline)
+	if value == "" {
+		return standard, nil
+	}
+	deadline, err := time.ParseDuration(value)
+	if err != nil || deadline <= 0 || deadline > longest {
+		return 0, invalid("the deadline "+value+" is not a duration within this site's limit",
+			"set "+HeaderDeadline+" to a duration such as 1500ms, at most "+longest.String())
+	}
+	return deadline, nil
+}
+
+// priorityNames maps the header's values to classes.
+var priorityNames = map[string]structs.Priority{
+	"":         structs.PriorityStandard,
+	"batch":    structs.PriorityBatch,
+	"standard": structs.PriorityStandard,
+	"live":     structs.PriorityLive,
+}
+
+func priorityOf(r *http.Request) (structs.Priority, error) {
+	value := r.Header.Get(HeaderPriority)
+	priority, known := priorityNames[value]
+	if !known {
+		return 0, invalid("the priority "+value+" is not known", "set "+HeaderPriority+" to batch, standard or live")
+	}
+	return priority, nil
+}
+
+func invalid(message, remedy string) *structs.Error {
+	return structs.NewError(structs.ErrorInvalid, message, remedy)
+}
--- /dev/null
+++ b/api/errors.go
@@ -0,0 +1,82 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// statusOf maps error kinds to HTTP statuses that OpenAI clients understand.
+var statusOf = map[structs.ErrorKind]int{
+	structs.ErrorInvalid:     http.StatusBadRequest,
+	structs.ErrorConflict:    http.StatusConflict,
+	structs.ErrorNotFound:    http.StatusNotFound,
+	structs.ErrorNotLeader:   http.StatusServiceUnavailable,
+	structs.ErrorUnavailable: http.StatusServiceUnavailable,
+	structs.ErrorOverloaded:  http.StatusTooManyRequests,
+	structs.ErrorDeadline:    http.StatusServiceUnavailable,
+	structs.ErrorLimit:       http.StatusTooManyRequests,
+	structs.ErrorDenied:      http.StatusUnauthorized,
+	structs.ErrorInternal:    http.StatusInternalServerError,
+}
+
+// errorAnswer makes the status and body of the answer to err.
+func errorAnswer(err error) (int, errorBody) {
+	typed := typedError(err)
+	status, known := statusOf[typed.Kind]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	detail := errorDetail{
+		Message:   typed.Error(),
+		Type:      string(typed.Kind),
+		Code:      string(typed.Kind),
+		Remedy:    typed.Remedy,
+		Execution: string(executionOf(err)),
+	}
+	return status, errorBody{Error: detail}
+}
+
+func typedError(err error) *structs.Error {
+	var typed *structs.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return structs.NewError(structs.ErrorInternal, err.Error(), "report this to the operators with the request ID")
+}
+
+// executionOf says whether the request ran: errors before the router are not_run.
+func executionOf(err error) structs.Execution {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal.Execution
+	}
+	return structs.ExecutionNotRun
+}
+
+// encodeError writes a refusal or error as JSON. It is go-kit's error encoder.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	status, body := errorAnswer(err)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderExecution, body.Error.Execution)
+	if wait := typedError(err).RetryAfter; wait > 0 {
+		header.Set("Retry-After", retryAfterSeconds(wait))
+	}
+	if body.Error.Execution == string(structs.ExecutionUnknown) {
+		header.Set(HeaderShouldRetry, "false")
+	}
+	w.WriteHeader(status)
+	// An error here means that the caller is gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func retryAfterSeconds(wait time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
--- /dev/null
+++ b/api/headers.go
@@ -0,0 +1,18 @@
+package api
+
+// The headers of the callers' interface.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderDeadline is a Go duration ("1500ms", "5s") from arrival.
+	HeaderDeadline = "Lotusferry-Deadline"
+	// HeaderPriority is batch, standard or live.
+	HeaderPriority = "Lotusferry-Priority"
+	// HeaderForwarded names the zone whose router forwarded the request.
+	HeaderForwarded = "Lotusferry-Forwarded"
+	// HeaderExecution says whether a refused request ran: a structs.Execution.
+	HeaderExecution = "Lotusferry-Execution"
+	// HeaderRequestID is the ID under which the router knows the request.
+	HeaderRequestID = "Lotusferry-Request-Id"
+	// HeaderShouldRetry is understood by the OpenAI clients: "false" stops their own retries.
+	HeaderShouldRetry = "X-Should-Retry"
+)
--- /dev/null
+++ b/config/flags.go
@@ -0,0 +1,49 @@
+package config
+
+import "github.com/lotusferry/lotusferry/structs"
+
+// Flags override the settings file. The tags are those of go-flags. An empty
+// flag leaves the file's value as it is.
+type Flags struct {
+	Daemon          string   `long:"daemon" description:"ID of this daemon" value-name:"ID"`
+	Zone            string   `long:"zone" description:"zone of this daemon" value-name:"ZONE"`
+	DataFolder      string   `long:"data-folder" description:"folder of all files of this daemon" value-name:"FOLDER"`
+	Development     bool     `long:"development" description:"no TLS and no keys, on loopback addresses only"`
+	ListenCallers   string   `long:"listen-callers" description:"address for callers" value-name:"IP:PORT"`
+	ListenOperators string   `long:"listen-operators" description:"address for operators" value-name:"IP:PORT"`
+	ListenInternal  string   `long:"listen-internal" description:"address for other daemons" value-name:"IP:PORT"`
+	Roles           []string `long:"role" description:"role of this daemon; may be repeated" choice:"router" choice:"controller"`
+	TLSCA           string   `long:"tls-ca" description:"CA certificate file" value-name:"FILE"`
+	TLSCertificate  string   `long:"tls-certificate" description:"certificate file of this daemon" value-name:"FILE"`
+	TLSKey          string   `long:"tls-key" description:"private key file of this daemon" value-name:"FILE"`
+	LogLevel        string   `long:"log-level" description:"debug, info, warn or error" value-name:"LEVEL"`
+	LogFormat       string   `long:"log-format" description:"logfmt or json" value-name:"FORMAT"`
+}
+
+func (f Flags) apply(c *Config) {
+	override(&c.Daemon, structs.DaemonID(f.Daemon))
+	override(&c.Zone, structs.ZoneID(f.Zone))
+	override(&c.DataFolder, f.DataFolder)
+	c.Development = c.Development || f.Development
+	override(&c.Listen.Callers, f.ListenCallers)
+	override(&c.Listen.Operators, f.ListenOperators)
+	override(&c.Listen.Internal, f.ListenInternal)
+	override(&c.TLS.CA, f.TLSCA)
+	override(&c.TLS.Certificate, f.TLSCertificate)
+	override(&c.TLS.Key, f.TLSKey)
+	override(&c.Log.Level, f.LogLevel)
+	override(&c.Log.Format, f.LogFormat)
+	if len(f.Roles) == 0 {
+		return
+	}
+	c.Roles = nil
+	for _, role := range f.Roles {
+		c.Roles = append(c.Roles, Role(role))
+	}
+}
+
+func override[T ~string](value *T, flag T) {
+	if flag != "" {
+		*value = flag
+	}
+}
--- /dev/null
+++ b/simulate/scheduler.go
@@ -0,0 +1,79 @@
+package simulate
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is one thing that happens at a virtual time.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+// eventHeap orders events by time, then by the order in which they were made.
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(value any) { *h = append(*h, value.(*event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	value := old[last]
+	old[last] = nil
+	*h = old[:last]
+	return value
+}
+
+// Scheduler is the queue of events and the virtual clock of one simulated site.
+type Scheduler struct {
+	now      time.Duration
+	sequence uint64
+	events   eventHeap
+	stopped  bool
+}
+
+// Now returns the virtual time since the start of the simulation.
+func (s *Scheduler) Now() time.Duration { return s.now }
+
+// At runs the function at the given virtual time, or now if that has passed.
+// Events of one time run in the order in which they were added.
+func (s *Scheduler) At(at time.Duration, run func()) {
+	if at < s.now {
+		at = s.now
+	}
+	s.sequence++
+	heap.Push(&s.events, &event{at: at, sequence: s.sequence, run: run})
+}
+
+// After runs the function once the given virtual time has passed.
+func (s *Scheduler) After(delay time.Duration, run func()) { s.At(s.now+delay, run) }
+
+// Stop makes Run return after the current event.
+func (s *Scheduler) Stop() { s.stopped = true }
+
+// Run runs events in order until the given virtual time, or until Stop.
+func (s *Scheduler) Run(until time.Duration) {
+	for !s.stopped && len(s.events) > 0 && s.events[0].at <= until {
+		next := heap.Pop(&s.events).(*event)
+		s.now = next.at
+		next.run()
+	}
+	if !s.stopped && s.now < until {
+		s.now = until
+	}
+}
--- a/structs/request.go
+++ b/structs/request.go
@@ -28,6 +28,9 @@
 	DeadlineAt time.Time
 	// IdempotencyKey makes the request run at most once; empty means repeatable.
 	IdempotencyKey string
+	// Embedding asks for the vector of the prompt instead of generated text: the
+	// answer is one token whose text is a JSON list of numbers.
+	Embedding bool
 	// Forwarded is set when another zone's router sent the request here; it is
 	// not forwarded again.
 	Forwarded bool
@@ -52,6 +55,8 @@
 	// ResumeFrom is the index of the first token wanted: a stream that broke is
 	// resumed elsewhere without a repeated or lost token.
 	ResumeFrom int `json:"resume_from"`
+	// Embedding asks for the vector of the prompt, as in Request.
+	Embedding bool `json:"embedding,omitempty"`
 	// Incarnation, when set, must be the engine's own.
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 }
