--- a/api/client.go
+++ b/api/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,11 +120,12 @@
 // certain not to have reached the router.
 func sendFailure(err error) *RefusedError {
 	if isDialError(err) {
-		return refused(structs.ErrorUnavailable, structs.ExecutionNotRun,
+		failure := refused(structs.ErrorUnavailable, structs.ExecutionNotRun,
 			"the router cannot be reached", "try another router of the site")
+		failure.transfer = ErrNotSent
+		return failure
 	}
-	return refused(structs.ErrorUnavailable, structs.ExecutionUnknown,
-		"the connection to the router broke before its answer", "ask again with the same idempotency key to learn the outcome")
+	return brokenAnswer()
 }
 
 func isDialError(err error) bool {
@@ -152,13 +154,17 @@
 	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Type == "" {
 		return nil, false
 	}
+	// The message that people read ends with the remedy.
+	message := strings.TrimSuffix(body.Error.Message, ": "+body.Error.Remedy)
 	return refused(structs.ErrorKind(body.Error.Type), structs.Execution(body.Error.Execution),
-		body.Error.Message, body.Error.Remedy), true
+		message, body.Error.Remedy), true
 }
 
 func brokenAnswer() *RefusedError {
-	return refused(structs.ErrorUnavailable, structs.ExecutionUnknown,
+	failure := refused(structs.ErrorUnavailable, structs.ExecutionUnknown,
 		"the answer broke off", "ask again with the same idempotency key to learn the outcome")
+	failure.transfer = ErrBroken
+	return failure
 }
 
 // clientAnswer reads the events of a streamed completion.
--- a/api/service.go
+++ b/api/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -26,10 +27,25 @@
 // RefusedError is the terminal answer to a request that got no full answer.
 type RefusedError struct {
 	Refusal structs.Refusal
+	// transfer is ErrNotSent, ErrBroken or nil when the router itself refused.
+	transfer error
 }
 
+// The transfer failures that a Client tells apart with errors.Is.
+var (
+	// ErrNotSent: no router received the request.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrBroken: the connection ended before the answer was whole.
+	ErrBroken = errors.New("the answer broke off")
+)
+
 // Error implements error with the message and the remedy.
 func (e *RefusedError) Error() string { return e.Refusal.Error.Error() }
 
-// Unwrap gives the typed error, so that structs.KindOf sees it.
-func (e *RefusedError) Unwrap() error { return &e.Refusal.Error }
+// Unwrap gives the typed error and the transfer failure, if any.
+func (e *RefusedError) Unwrap() []error {
+	if e.transfer == nil {
+		return []error{&e.Refusal.Error}
+	}
+	return []error{&e.Refusal.Error, e.transfer}
+}
--- /dev/null
+++ b/config/check_site.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Bounds of the site's numbers.
+const (
+	maximumZoneWeight     = 1000
+	maximumStoreLoads     = 10000
+	maximumStoreInFlight  = 10000
+	recommendedVoterFloor = 3
+)
+
+func (k *checker) site() {
+	site := k.config.Site
+	k.identifier("site.name", site.Name)
+	if site.Objective != structs.ObjectiveLatency && site.Objective != structs.ObjectiveIdle {
+		k.add("site.objective", site.Objective, "is not an objective", "Write latency or idle.")
+	}
+	if len(site.Zones) == 0 {
+		k.add("site.zones", "", "names no zone", "List every zone of the site.")
+	}
+	k.zones(site.Zones)
+	k.globalVoters(site)
+	k.ownMembership()
+	k.platformURL("site.machine_list", site.MachineList)
+	k.platformURL("site.weight_store", site.WeightStore)
+	if !(site.StoreLoadsPerSecond > 0 && site.StoreLoadsPerSecond <= maximumStoreLoads) {
+		k.add("site.store_loads_per_second", site.StoreLoadsPerSecond, "is out of range",
+			fmt.Sprintf("Write the weight store's limit, above 0 and at most %d.", maximumStoreLoads))
+	}
+	k.between("site.store_concurrent", site.StoreConcurrent, 1, maximumStoreInFlight)
+}
+
+// zones checks each zone. A daemon, and an internal address, belongs to one zone.
+func (k *checker) zones(zones []Zone) {
+	zoneSeen := map[structs.ZoneID]bool{}
+	everywhere := newMemberSet()
+	for index, zone := range zones {
+		key := fmt.Sprintf("site.zones[%d]", index)
+		k.identifier(key+".id", string(zone.ID))
+		if zoneSeen[zone.ID] {
+			k.add(key+".id", zone.ID, "stands twice", "Give each zone its own ID.")
+		}
+		zoneSeen[zone.ID] = true
+		k.between(key+".weight", zone.Weight, 1, maximumZoneWeight)
+		k.members(key+".controllers", zone.Controllers)
+		k.unique(key+".controllers", zone.Controllers, everywhere)
+		routerSeen := map[string]bool{}
+		for position, router := range zone.Routers {
+			routerKey := fmt.Sprintf("%s.routers[%d]", key, position)
+			k.address(routerKey, router, false)
+			if routerSeen[router] {
+				k.add(routerKey, router, "stands twice", "List each router once.")
+			}
+			routerSeen[router] = true
+		}
+	}
+}
+
+func (k *checker) globalVoters(site Site) {
+	const key = "site.global_voters"
+	k.members(key, site.GlobalVoters)
+	k.unique(key, site.GlobalVoters, newMemberSet())
+	controllers := map[structs.DaemonID]Member{}
+	zones := map[structs.DaemonID]structs.ZoneID{}
+	for _, zone := range site.Zones {
+		for _, member := range zone.Controllers {
+			controllers[member.Daemon] = member
+			zones[member.Daemon] = zone.ID
+		}
+	}
+	perZone := map[structs.ZoneID]int{}
+	for index, voter := range site.GlobalVoters {
+		controller, known := controllers[voter.Daemon]
+		memberKey := fmt.Sprintf("%s[%d]", key, index)
+		if !known {
+			k.add(memberKey+".daemon", voter.Daemon, "is no controller of any zone",
+				"Add it to the controllers of its zone, or take it out of the global voters.")
+			continue
+		}
+		perZone[zones[voter.Daemon]]++
+		if controller.Address != voter.Address {
+			k.add(memberKey+".address", voter.Address, "differs from the address under its zone",
+				"Write "+controller.Address+" in both places: a daemon has one internal address.")
+		}
+	}
+	k.zoneMajority(site, perZone)
+}
+
+// zoneMajority warns when the loss of one zone would stop edits.
+func (k *checker) zoneMajority(site Site, perZone map[structs.ZoneID]int) {
+	if len(site.Zones) < recommendedVoterFloor {
+		return
+	}
+	for _, zone := range site.ZoneIDs() {
+		if 2*perZone[zone] >= len(site.GlobalVoters) && perZone[zone] > 0 {
+			k.warn("site.global_voters", zone, "holds so many voters that edits stop when this zone is lost",
+				"Spread the global voters so that no zone holds half of them.")
+		}
+	}
+}
+
+func (k *checker) members(key string, members []Member) {
+	if len(members) == 0 {
+		k.add(key, "", "names no voter", "List an odd number of controllers, at best three or five.")
+		return
+	}
+	if len(members)%2 == 0 {
+		k.warn(key, len(members), "is an even number of voters, which survives no more losses than one voter fewer",
+			"Add or take out one voter.")
+	}
+	if len(members) < recommendedVoterFloor {
+		k.warn(key, len(members), "is too few voters to survive the loss of one",
+			"Use three or five voters.")
+	}
+	for index, member := range members {
+		memberKey := fmt.Sprintf("%s[%d]", key, index)
+		k.identifier(memberKey+".daemon", string(member.Daemon))
+		if member.Node == 0 {
+			k.add(memberKey+".node", member.Node, "is not a node ID",
+				"Write a number above 0 that no member of the group ever had.")
+		}
+		k.address(memberKey+".address", member.Address, false)
+	}
+}
+
+// memberSet remembers what members have taken.
+type memberSet struct {
+	daemons   map[structs.DaemonID]bool
+	addresses map[string]bool
+}
+
+func newMemberSet() memberSet {
+	return memberSet{daemons: map[structs.DaemonID]bool{}, addresses: map[string]bool{}}
+}
+
+// unique reports daemons and addresses that seen already has, and node IDs that
+// stand twice in the group.
+func (k *checker) unique(key string, members []Member, seen memberSet) {
+	nodes := map[uint64]bool{}
+	for index, member := range members {
+		memberKey := fmt.Sprintf("%s[%d]", key, index)
+		if seen.daemons[member.Daemon] {
+			k.add(memberKey+".daemon", member.Daemon, "stands twice", "Give each daemon its own ID and one zone.")
+		}
+		if seen.addresses[member.Address] {
+			k.add(memberKey+".address", member.Address, "stands twice", "Give each daemon its own internal address.")
+		}
+		if nodes[member.Node] {
+			k.add(memberKey+".node", member.Node, "stands twice in the group", "Give each member its own node ID.")
+		}
+		seen.daemons[member.Daemon] = true
+		seen.addresses[member.Address] = true
+		nodes[member.Node] = true
+	}
+}
+
+// ownMembership checks that the site file and this daemon agree on who it is.
+func (k *checker) ownMembership() {
+	c := k.config
+	for _, zone := range c.Site.Zones {
+		for _, member := range zone.Controllers {
+			if member.Daemon != c.Daemon {
+				continue
+			}
+			if zone.ID != c.Zone {
+				k.add("zone", c.Zone, "is not the zone under which the site lists this daemon",
+					"Write "+string(zone.ID)+", or move the daemon under site.zones.")
+			}
+			if !c.HasRole(RoleController) {
+				k.add("roles", c.Roles, "lacks controller, though the site lists this daemon as one",
+					"Add the role, or take the daemon out of the site's controllers.")
+			}
+			return
+		}
+	}
+	if c.HasRole(RoleController) {
+		k.warn("daemon", c.Daemon, "is a controller that the site does not list",
+			"Add it under site.zones, or add it to the running group as a new member.")
+	}
+}
--- /dev/null
+++ b/config/check_values.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lotusferry/lotusferry/keys"
+)
+
+// between checks a count.
+func (k *checker) between(key string, value, low, high int) {
+	if value < low || value > high {
+		k.add(key, value, "is out of range", fmt.Sprintf("Write a number from %d to %d.", low, high))
+	}
+}
+
+// within checks a duration.
+func (k *checker) within(key string, value, low, high time.Duration) {
+	if value < low || value > high {
+		k.add(key, value, "is out of range", fmt.Sprintf("Write a duration from %s to %s.", low, high))
+	}
+}
+
+// size checks a number of bytes.
+func (k *checker) size(key string, value, low, high int64) {
+	if value < low || value > high {
+		k.add(key, value, "is out of range", fmt.Sprintf("Write a number of bytes from %d to %d.", low, high))
+	}
+}
+
+// minimumElectionBeats is how many heartbeats a follower may miss at the least
+// before it starts an election.
+const minimumElectionBeats = 3
+
+func (k *checker) timing() {
+	timing := k.config.Timing
+	k.within("timing.tick_interval", timing.TickInterval, time.Millisecond, time.Second)
+	k.between("timing.heartbeat_ticks", timing.HeartbeatTicks, 1, 100)
+	k.between("timing.election_ticks", timing.ElectionTicks, 3, 1000)
+	if timing.ElectionTicks < minimumElectionBeats*timing.HeartbeatTicks {
+		k.add("timing.election_ticks", timing.ElectionTicks, "is too close to heartbeat_ticks: a late heartbeat would start an election",
+			fmt.Sprintf("Write at least %d times heartbeat_ticks.", minimumElectionBeats))
+	}
+	k.within("timing.report_interval", timing.ReportInterval, 10*time.Millisecond, 10*time.Second)
+	// A leaving runner gets no new work after 3 s; two reads of the list must fit in.
+	k.within("timing.machine_list_interval", timing.MachineListInterval, 10*time.Millisecond, 1500*time.Millisecond)
+	k.within("timing.plan_interval", timing.PlanInterval, 10*time.Millisecond, 10*time.Second)
+	k.within("timing.load_timeout", timing.LoadTimeout, time.Second, time.Hour)
+	k.within("timing.stop_timeout", timing.StopTimeout, time.Second, time.Hour)
+}
+
+func (k *checker) limits() {
+	limits := k.config.Limits
+	k.between("limits.queue_per_row", limits.QueuePerRow, 1, 1_000_000)
+	k.size("limits.body_bytes", limits.BodyBytes, 1<<10, 1<<30)
+	k.size("limits.operator_body_bytes", limits.OperatorBodyBytes, 1<<10, 1<<30)
+	k.within("limits.default_deadline", limits.DefaultDeadline, 100*time.Millisecond, 24*time.Hour)
+	k.within("limits.maximum_deadline", limits.MaximumDeadline, 100*time.Millisecond, 24*time.Hour)
+	if limits.DefaultDeadline > limits.MaximumDeadline {
+		k.add("limits.default_deadline", limits.DefaultDeadline, "is longer than limits.maximum_deadline",
+			"Shorten it, or raise limits.maximum_deadline.")
+	}
+	k.within("limits.claim_retention", limits.ClaimRetention, time.Minute, 30*24*time.Hour)
+	if limits.ClaimRetention < limits.MaximumDeadline {
+		k.add("limits.claim_retention", limits.ClaimRetention, "is shorter than limits.maximum_deadline: a resend could run twice",
+			"Keep claims at least as long as the longest deadline.")
+	}
+}
+
+func (k *checker) log() {
+	k.oneOf("log.level", k.config.Log.Level, "debug", "info", "warn", "error")
+	k.oneOf("log.format", k.config.Log.Format, "logfmt", "json")
+}
+
+func (k *checker) oneOf(key, value string, allowed ...string) {
+	for _, candidate := range allowed {
+		if value == candidate {
+			return
+		}
+	}
+	k.add(key, value, "is not known", fmt.Sprintf("Write one of %v.", allowed))
+}
+
+// keys checks the operators' and callers' API keys.
+func (k *checker) keys() {
+	c := k.config
+	if !c.Development && len(c.Operators) == 0 {
+		k.add("operators", "", "names no operator, so nobody could edit the table",
+			"Add the line that `lotusferryctl keys operator NAME` prints.")
+	}
+	if !c.Development && c.HasRole(RoleRouter) && len(c.Callers) == 0 {
+		k.add("callers", "", "names no caller, so every request would be denied",
+			"Add the line that `lotusferryctl keys caller NAME` prints.")
+	}
+	operators := newKeySet()
+	for index, operator := range c.Operators {
+		k.apiKey(fmt.Sprintf("operators[%d]", index), operator.Name, operator.Hash, operators)
+	}
+	callers := newKeySet()
+	for index, caller := range c.Callers {
+		key := fmt.Sprintf("callers[%d]", index)
+		k.apiKey(key, caller.Name, caller.Hash, callers)
+		k.oneOf(key+".priority", caller.Priority, "", "batch", "standard", "live")
+	}
+}
+
+// keySet remembers the names and hashes of one list of keys.
+type keySet struct{ names, hashes map[string]bool }
+
+func newKeySet() keySet {
+	return keySet{names: map[string]bool{}, hashes: map[string]bool{}}
+}
+
+func (k *checker) apiKey(key, name, hash string, seen keySet) {
+	k.identifier(key+".name", name)
+	if seen.names[name] {
+		k.add(key+".name", name, "stands twice", "Give each key its own name.")
+	}
+	seen.names[name] = true
+	if _, err := keys.ParseHash(hash); err != nil {
+		k.add(key+".hash", hash, "is not the hash of a key",
+			"Copy the hash that `lotusferryctl keys` prints; it begins with "+keys.HashPrefix+".")
+		return
+	}
+	if seen.hashes[hash] {
+		k.add(key+".hash", hash, "stands twice", "Make a key of its own for each name.")
+	}
+	seen.hashes[hash] = true
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,233 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// localFlags puts what depends on the machine into a folder of the test.
+func localFlags(c *qt.C) config.Flags {
+	folder := c.TempDir()
+	file := filepath.Join(folder, "tls.pem")
+	c.Assert(os.WriteFile(file, nil, 0o600), qt.IsNil)
+	return config.Flags{DataFolder: folder, TLSCA: file, TLSCertificate: file, TLSKey: file}
+}
+
+func examplePath(name string) string { return filepath.Join("..", "examples", name) }
+
+func TestExamplesAreGood(t *testing.T) {
+	tests := []struct {
+		file       string
+		zones      int
+		objective  structs.Objective
+		loads      float64
+		concurrent int
+	}{
+		{"padano.yaml", 3, structs.ObjectiveLatency, 2, 8},
+		{"meknes.yaml", 4, structs.ObjectiveIdle, 3, 11},
+	}
+	for _, test := range tests {
+		t.Run(test.file, func(t *testing.T) {
+			c := qt.New(t)
+			loaded, err := config.Load(examplePath(test.file), localFlags(c))
+			c.Assert(err, qt.IsNil)
+			c.Check(loaded.Check(), qt.HasLen, 0)
+			c.Check(loaded.Site.Zones, qt.HasLen, test.zones)
+			c.Check(loaded.Site.Objective, qt.Equals, test.objective)
+			c.Check(loaded.Site.StoreLoadsPerSecond, qt.Equals, test.loads)
+			c.Check(loaded.Site.StoreConcurrent, qt.Equals, test.concurrent)
+		})
+	}
+}
+
+func TestFlagsOverrideFile(t *testing.T) {
+	c := qt.New(t)
+	flags := localFlags(c)
+	flags.Daemon = "sala-b-2"
+	flags.Zone = "sala-b"
+	flags.ListenCallers = "10.20.2.12:7400"
+	flags.LogLevel = "debug"
+	flags.Roles = []string{"controller", "router"}
+	loaded, err := config.Load(examplePath("padano.yaml"), flags)
+	c.Assert(err, qt.IsNil)
+	c.Check(loaded.Daemon, qt.Equals, structs.DaemonID("sala-b-2"))
+	c.Check(loaded.Zone, qt.Equals, structs.ZoneID("sala-b"))
+	c.Check(loaded.Listen.Callers, qt.Equals, "10.20.2.12:7400")
+	c.Check(loaded.Listen.Internal, qt.Equals, "10.20.1.11:7402")
+	c.Check(loaded.Log.Level, qt.Equals, "debug")
+	c.Check(loaded.Roles, qt.DeepEquals, []config.Role{config.RoleController, config.RoleRouter})
+}
+
+func TestCheckReportsProblem(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*config.Config)
+		key    string
+		warns  bool
+	}{
+		{"no daemon", func(s *config.Config) { s.Daemon = "" }, "daemon", false},
+		{"slash in the daemon", func(s *config.Config) { s.Daemon = "a/b" }, "daemon", false},
+		{"zone not in the site", func(s *config.Config) { s.Zone = "sala-z" }, "zone", false},
+		{"zone of another daemon", func(s *config.Config) { s.Zone = "sala-b" }, "zone", false},
+		{"unlisted controller", func(s *config.Config) { s.Daemon = "sala-a-9" }, "daemon", true},
+		{"no role", func(s *config.Config) { s.Roles = nil }, "roles", false},
+		{"unknown role", func(s *config.Config) { s.Roles = append(s.Roles, "voter") }, "roles[2]", false},
+		{"role twice", func(s *config.Config) { s.Roles = append(s.Roles, config.RoleRouter) }, "roles[2]", false},
+		{"controller without the role", func(s *config.Config) { s.Roles = s.Roles[:1] }, "roles", false},
+		{"no data folder", func(s *config.Config) { s.DataFolder = "" }, "data_folder", false},
+		{"missing data folder", func(s *config.Config) { s.DataFolder += "/none" }, "data_folder", false},
+		{"data folder is a file", func(s *config.Config) { s.DataFolder = s.TLS.CA }, "data_folder", false},
+		{"data folder that cannot be written", func(s *config.Config) { s.DataFolder = "/proc" }, "data_folder", false},
+		{"host name", func(s *config.Config) { s.Listen.Callers = "localhost:7400" }, "listen.callers", false},
+		{"no port", func(s *config.Config) { s.Listen.Internal = "10.20.1.11" }, "listen.internal", false},
+		{"no address for the role", func(s *config.Config) { s.Listen.Callers = "" }, "listen.callers", false},
+		{"same port", func(s *config.Config) { s.Listen.Operators = s.Listen.Callers }, "listen.operators", false},
+		{"same port of every address", func(s *config.Config) { s.Listen.Internal = "0.0.0.0:7400" }, "listen.internal", false},
+		{"development on a real address", func(s *config.Config) { s.Development = true; s.TLS = config.TLS{} }, "listen.callers", false},
+		{"TLS in development", func(s *config.Config) { s.Development = true }, "tls.key", false},
+		{"TLS incomplete", func(s *config.Config) { s.TLS.Key = "" }, "tls.key", false},
+		{"TLS file missing", func(s *config.Config) { s.TLS.CA += ".none" }, "tls.ca", false},
+		{"objective unknown", func(s *config.Config) { s.Site.Objective = "cost" }, "site.objective", false},
+		{"no zone", func(s *config.Config) { s.Site.Zones = nil }, "site.zones", false},
+		{"zone twice", func(s *config.Config) { s.Site.Zones[1].ID = "sala-a" }, "site.zones[1].id", false},
+		{"zone without weight", func(s *config.Config) { s.Site.Zones[2].Weight = 0 }, "site.zones[2].weight", false},
+		{"node 0", func(s *config.Config) { s.Site.Zones[0].Controllers[1].Node = 0 }, "site.zones[0].controllers[1].node", false},
+		{"node twice", func(s *config.Config) { s.Site.Zones[0].Controllers[1].Node = 1 }, "site.zones[0].controllers[1].node", false},
+		{"daemon in two zones", func(s *config.Config) { s.Site.Zones[1].Controllers[0].Daemon = "sala-a-2" }, "site.zones[1].controllers[0].daemon", false},
+		{"address twice", func(s *config.Config) { s.Site.Zones[1].Controllers[0].Address = "10.20.1.12:7402" }, "site.zones[1].controllers[0].address", false},
+		{"unspecified member", func(s *config.Config) { s.Site.Zones[0].Controllers[2].Address = "0.0.0.0:7402" }, "site.zones[0].controllers[2].address", false},
+		{"even number of voters", func(s *config.Config) { s.Site.Zones[0].Controllers = s.Site.Zones[0].Controllers[:2] }, "site.zones[0].controllers", true},
+		{"single voter", func(s *config.Config) { s.Site.Zones[0].Controllers = s.Site.Zones[0].Controllers[:1] }, "site.zones[0].controllers", true},
+		{"router by name", func(s *config.Config) { s.Site.Zones[0].Routers[0] = "router:7400" }, "site.zones[0].routers[0]", false},
+		{"no global voter", func(s *config.Config) { s.Site.GlobalVoters = nil }, "site.global_voters", false},
+		{"unknown global voter", func(s *config.Config) { s.Site.GlobalVoters[0].Daemon = "x" }, "site.global_voters[0].daemon", false},
+		{"other address of a global voter", func(s *config.Config) { s.Site.GlobalVoters[0].Address = "10.20.1.11:9" }, "site.global_voters[0].address", false},
+		{"half of the voters in a zone", func(s *config.Config) { s.Site.GlobalVoters = s.Site.GlobalVoters[:2] }, "site.global_voters", true},
+		{"machine list by name", func(s *config.Config) { s.Site.MachineList = "http://machines/" }, "site.machine_list", false},
+		{"weight store of another kind", func(s *config.Config) { s.Site.WeightStore = "ftp://10.0.0.1" }, "site.weight_store", false},
+		{"no store rate", func(s *config.Config) { s.Site.StoreLoadsPerSecond = 0 }, "site.store_loads_per_second", false},
+		{"no store concurrency", func(s *config.Config) { s.Site.StoreConcurrent = 0 }, "site.store_concurrent", false},
+		{"no operator", func(s *config.Config) { s.Operators = nil }, "operators", false},
+		{"hash of another kind", func(s *config.Config) { s.Operators[0].Hash = "md5:00" }, "operators[0].hash", false},
+		{"no caller", func(s *config.Config) { s.Callers = nil }, "callers", false},
+		{"caller twice", func(s *config.Config) { s.Callers[1].Name = s.Callers[0].Name }, "callers[1].name", false},
+		{"key twice", func(s *config.Config) { s.Callers[1].Hash = s.Callers[0].Hash }, "callers[1].hash", false},
+		{"priority unknown", func(s *config.Config) { s.Callers[0].Priority = "urgent" }, "callers[0].priority", false},
+		{"tick out of range", func(s *config.Config) { s.Timing.TickInterval = 0 }, "timing.tick_interval", false},
+		{"election too soon", func(s *config.Config) { s.Timing.ElectionTicks = s.Timing.HeartbeatTicks }, "timing.election_ticks", false},
+		{"machine list read too seldom", func(s *config.Config) { s.Timing.MachineListInterval *= 4 }, "timing.machine_list_interval", false},
+		{"queue of none", func(s *config.Config) { s.Limits.QueuePerRow = 0 }, "limits.queue_per_row", false},
+		{"body too large", func(s *config.Config) { s.Limits.BodyBytes = 1 << 40 }, "limits.body_bytes", false},
+		{"deadline above its maximum", func(s *config.Config) { s.Limits.DefaultDeadline = s.Limits.MaximumDeadline * 2 }, "limits.default_deadline", false},
+		{"claims kept too short", func(s *config.Config) { s.Limits.ClaimRetention = s.Limits.MaximumDeadline / 2 }, "limits.claim_retention", false},
+		{"log level unknown", func(s *config.Config) { s.Log.Level = "loud" }, "log.level", false},
+		{"log format unknown", func(s *config.Config) { s.Log.Format = "xml" }, "log.format", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			settings, err := config.Load(examplePath("padano.yaml"), localFlags(c))
+			c.Assert(err, qt.IsNil)
+			test.change(&settings)
+			c.Check(find(settings.Check(), test.key, test.warns), qt.IsTrue, qt.Commentf("%v", settings.Check()))
+		})
+	}
+}
+
+// find reports whether a problem of the key, with a remedy, is there.
+func find(problems []config.Problem, key string, warning bool) bool {
+	for _, problem := range problems {
+		if problem.Key == key && problem.Warning == warning && problem.Problem != "" && strings.HasSuffix(problem.Remedy, ".") {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLoadReportsAllProblemsTogether(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "bad.yaml")
+	content := "daemon: a\ncolour: red\nlisten: {port: 1}\ntiming: {tick_interval: soon}\nsite: {objective: cost}\n"
+	c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+	_, err := config.Load(path, config.Flags{})
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	for _, part := range []string{"colour: is an unknown key (line 2)", "port: is an unknown key", "soon", `site.objective: "cost"`, "data_folder", "tls.ca"} {
+		c.Check(err, qt.ErrorMatches, `(?s).*`+escape(part)+`.*`)
+	}
+}
+
+func escape(text string) string {
+	return strings.NewReplacer("(", `\(`, ")", `\)`, ".", `\.`).Replace(text)
+}
+
+func TestLoadRefusesUnusableFile(t *testing.T) {
+	tests := []struct{ name, content string }{
+		{"not YAML", "daemon: [a"},
+		{"two documents", "daemon: a\n---\ndaemon: b\n"},
+		{"repeated key", "daemon: a\ndaemon: b\n"},
+		{"a list", "- a\n"},
+		{"too large", strings.Repeat("# long\n", 1<<20)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			path := filepath.Join(c.TempDir(), "bad.yaml")
+			c.Assert(os.WriteFile(path, []byte(test.content), 0o600), qt.IsNil)
+			_, err := config.Load(path, config.Flags{})
+			c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+			c.Check(err, qt.ErrorMatches, `(?s).*(file: |larger than).*`)
+		})
+	}
+	_, err := config.Load(filepath.Join(t.TempDir(), "none.yaml"), config.Flags{})
+	qt.Check(t, structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+}
+
+func TestCallerPriority(t *testing.T) {
+	tests := map[string]structs.Priority{
+		"":         structs.PriorityLive,
+		"live":     structs.PriorityLive,
+		"standard": structs.PriorityStandard,
+		"batch":    structs.PriorityBatch,
+	}
+	for name, want := range tests {
+		qt.Check(t, config.CallerKey{Priority: name}.HighestPriority(), qt.Equals, want, qt.Commentf(name))
+	}
+}
+
+// FuzzDecode checks that what decodes without a problem stays the same when it is
+// written and read again, and that Check takes anything.
+func FuzzDecode(f *testing.F) {
+	for _, name := range []string{"padano.yaml", "meknes.yaml"} {
+		content, err := os.ReadFile(examplePath(name))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Add([]byte("daemon: [a"))
+	f.Add([]byte("a: &x [*x]"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		settings, problems := config.Decode(content)
+		settings.DataFolder = "" // no file of the machine is looked at
+		settings.TLS = config.TLS{}
+		settings.Check()
+		if len(problems) > 0 {
+			return
+		}
+		written, err := yaml.Marshal(settings)
+		qt.Assert(t, err, qt.IsNil)
+		again, problems := config.Decode(written)
+		qt.Assert(t, problems, qt.HasLen, 0)
+		rewritten, err := yaml.Marshal(again)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(rewritten), qt.Equals, string(written))
+	})
+}
--- a/config/flags.go
+++ b/config/flags.go
@@ -12,7 +12,7 @@
 	ListenCallers   string   `long:"listen-callers" description:"address for callers" value-name:"IP:PORT"`
 	ListenOperators string   `long:"listen-operators" description:"address for operators" value-name:"IP:PORT"`
 	ListenInternal  string   `long:"listen-internal" description:"address for other daemons" value-name:"IP:PORT"`
-	Roles           []string `long:"role" description:"role of this daemon; may be repeated" choice:"router" choice:"controller"`
+	Roles           []string `long:"role" description:"role of this daemon, router or controller; may be repeated" value-name:"ROLE"`
 	TLSCA           string   `long:"tls-ca" description:"CA certificate file" value-name:"FILE"`
 	TLSCertificate  string   `long:"tls-certificate" description:"certificate file of this daemon" value-name:"FILE"`
 	TLSKey          string   `long:"tls-key" description:"private key file of this daemon" value-name:"FILE"`
--- a/config/load.go
+++ b/config/load.go
@@ -34,9 +34,8 @@
 	}
 	overrides.apply(&config)
 	problems = append(problems, config.Check()...)
-	refusing := Refusing(problems)
-	if len(refusing) > 0 {
-		return config, &InvalidError{Path: path, Problems: refusing}
+	if len(Refusing(problems)) > 0 {
+		return config, &InvalidError{Path: path, Problems: problems}
 	}
 	return config, nil
 }
--- a/config/problem.go
+++ b/config/problem.go
@@ -31,8 +31,8 @@
 	return line
 }
 
-// InvalidError reports every problem of a settings file together. Its kind is
-// structs.ErrorInvalid.
+// InvalidError reports every problem of a settings file together, warnings
+// included. Its kind is structs.ErrorInvalid.
 type InvalidError struct {
 	Path     string
 	Problems []Problem
--- /dev/null
+++ b/controller/core_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	modelSeeds     = 300
+	troubledSteps  = 900
+	calmSteps      = 900
+	wantedAtTheEnd = 1
+)
+
+// calmDown ends all faults with a demand for every row and room for it.
+func (m *model) calmDown() {
+	m.calm = true
+	m.leaving = map[structs.RunnerID]bool{}
+	for _, row := range modelRows {
+		m.demand[row.Name] = true
+		m.grant(row.Name, wantedAtTheEnd)
+	}
+	for _, e := range m.engines {
+		m.apply(zone.Command{Drain: &zone.DrainCommand{Runner: e.id}})
+	}
+}
+
+func (m *model) checkConverged() {
+	for _, row := range modelRows {
+		replicas := m.state.ReplicasOf(row.Name)
+		if len(replicas) != wantedAtTheEnd || replicas[0].State != structs.ReplicaReady {
+			m.fail("%s ends as %+v", row.Name, replicas)
+			continue
+		}
+		for _, e := range m.engines {
+			loaded := e.replicas[row.Name] != nil && e.replicas[row.Name].State == structs.ReplicaReady
+			if loaded != (e.id == replicas[0].Runner) {
+				m.fail("%s on %s differs from its record", row.Name, e.id)
+			}
+		}
+		if grant := m.state.Grant(row.Name); grant.Held != wantedAtTheEnd {
+			m.fail("%s holds %d", row.Name, grant.Held)
+		}
+	}
+}
+
+func TestLimitsHoldAndThePlanIsReached(t *testing.T) {
+	loads, failed := 0, 0
+	for seed := range uint64(modelSeeds) {
+		m := newModel(seed)
+		for range troubledSteps {
+			m.step()
+		}
+		m.calmDown()
+		for range calmSteps {
+			m.step()
+		}
+		m.checkConverged()
+		if m.fault != "" {
+			t.Fatalf("seed %d: %s", seed, m.fault)
+		}
+		loads += m.loads
+		failed += m.failed
+	}
+	qt.Assert(t, loads > modelSeeds && failed > modelSeeds, qt.IsTrue)
+	t.Logf("%d loads, %d failed loads", loads, failed)
+}
--- /dev/null
+++ b/controller/decider.go
@@ -0,0 +1,221 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// decider makes one set of decisions.
+type decider struct {
+	core      *Core
+	input     Input
+	decisions Decisions
+}
+
+func (d *decider) propose(command zone.Command) {
+	d.decisions.Commands = append(d.decisions.Commands, command)
+}
+
+// report returns the runner's report when it is of the incarnation.
+func (d *decider) report(runner structs.RunnerID, incarnation structs.Incarnation) (ReportSeen, bool) {
+	seen, ok := d.input.Reports[runner]
+	return seen, ok && seen.Report.Incarnation == incarnation
+}
+
+// registerRunners records what the machine list and the reports tell of runners.
+func (d *decider) registerRunners() {
+	machines := map[structs.RunnerID]structs.Machine{}
+	for _, machine := range d.input.Machines {
+		if machine.Zone == d.input.State.Zone() {
+			machines[machine.Runner] = machine
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(machines)) {
+		d.registerRunner(machines[id])
+	}
+}
+
+func (d *decider) registerRunner(machine structs.Machine) {
+	known, registered := d.input.State.Runner(machine.Runner)
+	info := known.RunnerInfo
+	seen, reported := d.input.Reports[machine.Runner]
+	if !reported && !registered {
+		return
+	}
+	if reported && seen.Report.Incarnation >= known.Incarnation {
+		info.Role = seen.Report.Role
+		info.Incarnation = seen.Report.Incarnation
+		info.MemoryBytes = seen.Report.MemoryBytes
+		info.Accelerators = seen.Report.Accelerators
+	}
+	info.ID = machine.Runner
+	info.Zone = machine.Zone
+	info.Address = machine.Address
+	info.Leaving = machine.State == structs.MachineLeaving
+	if !registered || info != known.RunnerInfo {
+		d.propose(zone.Command{Runner: &zone.RunnerCommand{Info: info}})
+	}
+}
+
+// snapshot makes the scheduler's view of the state.
+func (d *decider) snapshot() scheduler.Snapshot {
+	state := d.input.State
+	snapshot := scheduler.Snapshot{
+		Now:             d.input.Now,
+		Table:           state,
+		StoreLoadBudget: d.input.StoreBudget,
+		Settings:        d.core.options.Settings,
+		Interarrivals:   map[structs.RowName]*scheduler.Interarrivals{},
+	}
+	for _, runner := range state.Runners() {
+		snapshot.Runners = append(snapshot.Runners, d.runner(runner))
+	}
+	rows := map[structs.RowName]bool{}
+	for _, replica := range state.Replicas() {
+		snapshot.Replicas = append(snapshot.Replicas, d.replica(replica))
+		rows[replica.Row] = true
+		if replica.State == structs.ReplicaLoading && d.fromStore(replica) {
+			snapshot.StoreLoadsInFlight++
+		}
+	}
+	snapshot.Demand = d.core.demand.collect(d.input.Now, d.core.options.DemandAfter, rows)
+	for _, demand := range snapshot.Demand {
+		if use := d.core.demand.uses[demand.Row]; use != nil {
+			snapshot.Interarrivals[demand.Row] = &use.gaps
+		}
+	}
+	return snapshot
+}
+
+func (d *decider) runner(runner zone.Runner) scheduler.Runner {
+	options := d.core.options
+	seen, ok := d.report(runner.ID, runner.Incarnation)
+	heard := d.core.leadFrom
+	if ok && seen.ReceivedAt.After(heard) {
+		heard = seen.ReceivedAt
+	}
+	silence := d.input.Now.Sub(heard)
+	return scheduler.Runner{
+		ID:             runner.ID,
+		Role:           runner.Role,
+		Incarnation:    runner.Incarnation,
+		MemoryBytes:    runner.MemoryBytes,
+		MemoryReserved: d.input.State.MemoryReserved(runner.ID),
+		Leaving:        !runner.Accepting() || silence > options.VanishedAfter,
+		Lagging:        !ok || silence > options.LaggingAfter,
+		Cached:         seen.Report.Cached,
+	}
+}
+
+func (d *decider) replica(replica zone.Replica) scheduler.Replica {
+	view := scheduler.Replica{
+		Row:         replica.Row,
+		Base:        replica.Base,
+		Runner:      replica.Runner,
+		State:       replica.State,
+		MemoryBytes: replica.MemoryBytes,
+		Since:       replica.Since,
+	}
+	if seen, ok := d.report(replica.Runner, replica.Incarnation); ok {
+		if engine, shown := findReplica(seen.Report, replica); shown {
+			view.Busy = engine.Running + engine.Queued
+		}
+	}
+	return view
+}
+
+// fromStore reports whether the loading replica reads the weight store.
+func (d *decider) fromStore(replica zone.Replica) bool {
+	seen, ok := d.report(replica.Runner, replica.Incarnation)
+	if !ok {
+		return true
+	}
+	return !slices.ContainsFunc(seen.Report.Cached, func(entry structs.CachedRow) bool {
+		return entry.Row == replica.Row && entry.Tier != structs.TierStore
+	})
+}
+
+// applyPlan turns the plan into commands; the zone's state machine checks them.
+func (d *decider) applyPlan(plan scheduler.PlanResult) {
+	for _, unload := range plan.Unloads {
+		if replica, ok := d.input.State.Replica(unload.Runner, unload.Row); ok {
+			d.transition(replica, structs.ReplicaUnloading)
+		}
+	}
+	for _, load := range plan.Loads {
+		runner, _ := d.input.State.Runner(load.Runner)
+		d.propose(zone.Command{Reserve: &zone.ReserveCommand{
+			Row: load.Row, Runner: load.Runner, Incarnation: runner.Incarnation, At: d.input.Now,
+		}})
+	}
+}
+
+func (d *decider) transition(replica zone.Replica, to structs.ReplicaState) {
+	d.propose(zone.Command{Transition: &zone.TransitionCommand{
+		Row: replica.Row, Runner: replica.Runner, Order: replica.Order, To: to, At: d.input.Now,
+	}})
+}
+
+// release gives back what was lowered, once the zone is down to it.
+func (d *decider) release() {
+	state := d.input.State
+	lowered := state.LoweredGrants()
+	if len(lowered) == 0 {
+		clear(d.core.releases)
+	}
+	for _, grant := range lowered {
+		if state.CountOf(grant.Row) > grant.Limit {
+			continue
+		}
+		last := d.core.releases[grant.Row]
+		if last.sequence == grant.Sequence && d.recent(last.at) {
+			continue
+		}
+		d.core.releases[grant.Row] = sentRelease{grant.Sequence, d.input.Now}
+		d.decisions.Releases = append(d.decisions.Releases, structs.GrantRelease{
+			Row: grant.Row, Zone: state.Zone(), Sequence: grant.Sequence, Limit: grant.Limit,
+		})
+	}
+}
+
+func (d *decider) recent(at time.Time) bool {
+	return d.input.Now.Sub(at) < d.core.options.ResendAfter
+}
+
+// wish tells the global group how many replicas the rows could use. A row that
+// is wanted no more is wished away once; the global group forgets old wishes.
+func (d *decider) wish(wanted []scheduler.RowWanted) {
+	now := map[structs.RowName]bool{}
+	for _, row := range wanted {
+		now[row.Row] = true
+		last, known := d.core.wishes[row.Row]
+		if known && last.wanted == row.Replicas && d.recent(last.at) {
+			continue
+		}
+		d.core.wishes[row.Row] = sentWish{row.Replicas, d.input.Now}
+		d.sendWish(row.Row, row.Replicas)
+	}
+	for _, row := range slices.Sorted(maps.Keys(d.core.wishes)) {
+		if !now[row] {
+			delete(d.core.wishes, row)
+			d.sendWish(row, 0)
+		}
+	}
+}
+
+func (d *decider) sendWish(row structs.RowName, wanted int) {
+	wish := structs.GrantWish{Row: row, Zone: d.input.State.Zone(), Wanted: wanted}
+	d.decisions.Wishes = append(d.decisions.Wishes, wish)
+}
+
+func (d *decider) expireClaims() {
+	at, ok := d.input.State.NextClaimExpiry()
+	if ok && !at.After(d.input.Now) {
+		d.propose(zone.Command{ClaimExpire: &zone.ClaimExpireCommand{Now: d.input.Now}})
+	}
+}
--- /dev/null
+++ b/controller/model_test.go
@@ -0,0 +1,357 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	modelTick     = 100 * time.Millisecond
+	engineMemory  = 120
+	modelRunners  = 4
+	routerDelay   = 500 * time.Millisecond
+	modelMaxDelay = 3 * time.Second
+)
+
+var modelRows = []structs.Row{
+	{Name: "large", Kind: structs.RowModel, MemoryBytes: 60, Role: "answers", Weight: 1, Priority: 1},
+	{Name: "kept", Kind: structs.RowModel, MemoryBytes: 30, Role: "answers", Weight: 1, Priority: 1, MinReplicas: 1},
+	{Name: "small", Kind: structs.RowModel, MemoryBytes: 40, Role: "answers", Weight: 5, Priority: 2},
+	{Name: "tuned", Kind: structs.RowAdapter, Base: "small", MemoryBytes: 10, Role: "answers", Weight: 1, Priority: 1},
+}
+
+// engine is a model of an engine: a fence, and replicas that change in time.
+type engine struct {
+	id          structs.RunnerID
+	incarnation structs.Incarnation
+	fence       structs.Fence
+	replicas    map[structs.RowName]*engineReplica
+}
+
+type engineReplica struct {
+	structs.EngineReplica
+	memory   int64
+	changeAt time.Time
+}
+
+func (e *engine) restart() {
+	e.incarnation++
+	e.fence = structs.Fence{}
+	e.replicas = map[structs.RowName]*engineReplica{}
+}
+
+type flight[T any] struct {
+	at   time.Time
+	load T
+}
+
+// model drives a Core against engines over a network that loses, doubles,
+// delays and reorders, with leaders that crash between any two steps.
+type model struct {
+	random  *rand.Rand
+	now     time.Time
+	calm    bool
+	state   *zone.State
+	index   uint64
+	core    *Core
+	epoch   structs.Epoch
+	engines []*engine
+	orders  []flight[structs.Order]
+	reports []flight[ReportSeen]
+	seen    map[structs.RunnerID]ReportSeen
+	leaving map[structs.RunnerID]bool
+	grants  map[structs.RowName]*structs.Grant
+	demand  map[structs.RowName]bool
+	fault   string
+	loads   int
+	failed  int
+}
+
+func newModel(seed uint64) *model {
+	m := &model{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		state:   zone.New("z"),
+		seen:    map[structs.RunnerID]ReportSeen{},
+		leaving: map[structs.RunnerID]bool{},
+		grants:  map[structs.RowName]*structs.Grant{},
+		demand:  map[structs.RowName]bool{},
+	}
+	delta := &structs.TableDelta{Revision: 1, Full: true, Rows: modelRows}
+	for _, row := range modelRows {
+		grant := structs.Grant{Row: row.Name, Zone: "z", Limit: 2, Held: 2, Sequence: 1}
+		m.grants[row.Name] = &grant
+		delta.Grants = append(delta.Grants, grant)
+	}
+	m.apply(zone.Command{Adopt: delta})
+	for i := range modelRunners {
+		e := &engine{id: structs.RunnerID(fmt.Sprintf("runner-%d", i))}
+		e.restart()
+		m.engines = append(m.engines, e)
+	}
+	m.lead()
+	return m
+}
+
+func (m *model) apply(command zone.Command) zone.Result {
+	m.index++
+	return m.state.Apply(m.index, command)
+}
+
+func (m *model) lead() {
+	m.epoch++
+	m.index++ // The new leader's first entry.
+	m.core = New(Options{})
+	m.seen = map[structs.RunnerID]ReportSeen{}
+}
+
+// chance is true once in n times, and never in the calm at the end.
+func (m *model) chance(n int) bool { return !m.calm && m.random.IntN(n) == 0 }
+
+func (m *model) delay() time.Duration {
+	if m.chance(4) {
+		return time.Duration(m.random.Int64N(int64(modelMaxDelay)))
+	}
+	return 0
+}
+
+func (m *model) fail(format string, values ...any) {
+	if m.fault == "" {
+		m.fault = m.now.Format("05.0 ") + fmt.Sprintf(format, values...)
+	}
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(modelTick)
+	m.disturb()
+	for _, e := range m.engines {
+		m.advance(e)
+		if m.random.IntN(3) == 0 && !m.chance(3) {
+			m.reports = append(m.reports, flight[ReportSeen]{m.now.Add(m.delay()), m.report(e)})
+		}
+	}
+	m.reports = deliver(m.reports, m.now, func(seen ReportSeen) { m.seen[seen.Report.Runner] = seen })
+	m.orders = deliver(m.orders, m.now, m.execute)
+	m.decide()
+	m.check()
+}
+
+func deliver[T any](flights []flight[T], now time.Time, receive func(T)) []flight[T] {
+	var rest []flight[T]
+	for _, one := range flights {
+		if one.at.After(now) {
+			rest = append(rest, one)
+		} else {
+			receive(one.load)
+		}
+	}
+	return rest
+}
+
+func (m *model) disturb() {
+	for _, row := range modelRows {
+		if m.chance(40) {
+			m.demand[row.Name] = !m.demand[row.Name]
+		}
+		if m.chance(80) {
+			m.grant(row.Name, m.random.IntN(4))
+		}
+	}
+	e := m.engines[m.random.IntN(modelRunners)]
+	switch {
+	case m.chance(100):
+		e.restart()
+	case m.chance(100):
+		m.leaving[e.id] = !m.leaving[e.id]
+	case m.chance(100):
+		m.apply(zone.Command{Drain: &zone.DrainCommand{Runner: e.id, Draining: m.random.IntN(2) == 0}})
+	case m.chance(30):
+		m.lead()
+	}
+}
+
+// grant plays the global group: what is held only grows here.
+func (m *model) grant(row structs.RowName, limit int) {
+	grant := m.grants[row]
+	grant.Limit = limit
+	grant.Held = max(grant.Held, limit)
+	m.changeGrant(grant)
+}
+
+func (m *model) changeGrant(grant *structs.Grant) {
+	grant.Sequence++
+	revision := m.state.TableRevision()
+	m.apply(zone.Command{Adopt: &structs.TableDelta{
+		SinceRevision: revision, Revision: revision + 1, Grants: []structs.Grant{*grant},
+	}})
+}
+
+func (m *model) release(release structs.GrantRelease) {
+	grant := m.grants[release.Row]
+	if grant.Sequence == release.Sequence {
+		grant.Held = release.Limit
+		m.changeGrant(grant)
+	}
+}
+
+// advance ends loads and unloads whose time has come, and moves requests.
+func (m *model) advance(e *engine) {
+	for _, row := range modelRows {
+		replica := e.replicas[row.Name]
+		if replica == nil {
+			continue
+		}
+		done := !m.now.Before(replica.changeAt)
+		switch {
+		case done && replica.State == structs.ReplicaUnloading:
+			delete(e.replicas, row.Name)
+		case done && replica.State == structs.ReplicaLoading:
+			replica.State = structs.ReplicaReady
+		case replica.Running > 0 && m.random.IntN(4) == 0:
+			replica.Running = 0
+		case m.routable(e.id, row.Name) && m.demand[row.Name] && replica.State == structs.ReplicaReady && m.random.IntN(4) == 0:
+			replica.Running = 1
+		case replica.State == structs.ReplicaReady && m.chance(1000):
+			delete(e.replicas, row.Name) // The engine lost it.
+		}
+	}
+}
+
+// routable tells whether a router may still believe that the replica is ready.
+func (m *model) routable(runner structs.RunnerID, row structs.RowName) bool {
+	replica, ok := m.state.Replica(runner, row)
+	if !ok || replica.State == structs.ReplicaReady {
+		return ok
+	}
+	return replica.State == structs.ReplicaUnloading && m.now.Sub(replica.Since) < routerDelay
+}
+
+func (m *model) report(e *engine) ReportSeen {
+	report := structs.EngineReport{
+		Runner: e.id, Incarnation: e.incarnation, Role: "answers", Fence: e.fence, MemoryBytes: engineMemory,
+	}
+	for _, row := range modelRows {
+		if replica := e.replicas[row.Name]; replica != nil {
+			report.Replicas = append(report.Replicas, replica.EngineReplica)
+		}
+	}
+	return ReportSeen{report, m.now}
+}
+
+// execute delivers an order to its engine, and the reply to the leader.
+func (m *model) execute(order structs.Order) {
+	var e *engine
+	for _, candidate := range m.engines {
+		if candidate.id == order.Runner {
+			e = candidate
+		}
+	}
+	if order.Incarnation != e.incarnation || order.Fence.Before(e.fence) {
+		return
+	}
+	if e.fence.Before(order.Fence) {
+		e.fence = order.Fence
+		m.carryOut(e, order)
+	}
+	if !m.chance(3) && order.Fence.Epoch == m.epoch {
+		m.core.ObserveReply(e.id, structs.OrderReply{Accepted: true, Fence: e.fence, Incarnation: e.incarnation})
+	}
+}
+
+func (m *model) carryOut(e *engine, order structs.Order) {
+	replica := e.replicas[order.Row]
+	changeAt := m.now.Add(time.Duration(m.random.Int64N(int64(2 * time.Second))))
+	if order.Kind == structs.OrderUnload {
+		if replica == nil {
+			return
+		}
+		if replica.Running > 0 {
+			m.fail("%s unloads %s with a request in progress", e.id, order.Row)
+		}
+		replica.State, replica.Fence, replica.changeAt = structs.ReplicaUnloading, order.Fence, changeAt
+		return
+	}
+	base := e.replicas[order.Base]
+	if m.chance(5) || (order.Base != "" && (base == nil || base.State != structs.ReplicaReady)) {
+		m.failed++
+		return
+	}
+	m.loads++
+	if replica == nil {
+		replica = &engineReplica{memory: order.MemoryBytes, changeAt: changeAt}
+		replica.Row, replica.State = order.Row, structs.ReplicaLoading
+		e.replicas[order.Row] = replica
+	}
+	replica.Fence = order.Fence
+}
+
+func (m *model) decide() {
+	rows := []structs.RowDemand{}
+	for _, row := range modelRows {
+		if m.demand[row.Name] {
+			rows = append(rows, structs.RowDemand{Row: row.Name, Waiting: 3, Arrived: 1, Highest: row.Priority})
+		}
+	}
+	m.core.ObserveDemand(m.now, structs.DemandReport{Daemon: "router", Rows: rows})
+	input := Input{
+		Now: m.now, Epoch: m.epoch, LeaseValid: !m.chance(20), State: m.state, Reports: m.seen, StoreBudget: 2,
+	}
+	for _, e := range m.engines {
+		machine := structs.Machine{Runner: e.id, Zone: "z", Address: "127.0.0.1:1", State: structs.MachineLive}
+		if m.leaving[e.id] {
+			machine.State = structs.MachineLeaving
+		}
+		input.Machines = append(input.Machines, machine)
+	}
+	m.carry(m.core.Decide(input), input.LeaseValid)
+}
+
+func (m *model) carry(decisions Decisions, lease bool) {
+	if !lease && len(decisions.Commands)+len(decisions.Orders) > 0 {
+		m.fail("decisions without a lease")
+	}
+	for _, order := range decisions.Orders {
+		for copies := m.random.IntN(3); !m.chance(5) && copies >= 0; copies-- {
+			m.orders = append(m.orders, flight[structs.Order]{m.now.Add(m.delay()), order})
+		}
+	}
+	for _, command := range decisions.Commands {
+		if m.chance(100) {
+			m.lead() // It dies before the rest is in the log.
+			return
+		}
+		m.apply(command)
+	}
+	for _, release := range decisions.Releases {
+		if !m.chance(3) {
+			m.release(release)
+		}
+	}
+}
+
+// check compares what is physically loaded with the grants and the memory.
+func (m *model) check() {
+	if err := m.state.CheckInvariants(); err != nil {
+		m.fail("%v", err)
+	}
+	counts := map[structs.RowName]int{}
+	for _, e := range m.engines {
+		var used int64
+		for row, replica := range e.replicas {
+			counts[row]++
+			used += replica.memory
+		}
+		if used > engineMemory {
+			m.fail("%s uses %d", e.id, used)
+		}
+	}
+	for row, count := range counts {
+		if held := m.grants[row].Held; count > held {
+			m.fail("%s is loaded %d times and %d are held", row, count, held)
+		}
+	}
+}
--- /dev/null
+++ b/ctl/connect.go
@@ -0,0 +1,53 @@
+package ctl
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// connect returns a client for the options. A key never leaves this machine
+// without TLS.
+func connect(options Options) (operatorapi.Service, error) {
+	if len(options.Addresses) == 0 {
+		return nil, usageError("no address of a daemon is given; use --address or LOTUSFERRY_ADDRESSES")
+	}
+	for _, address := range options.Addresses {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, usageError("the address " + address + " is not an IP number with a port")
+		}
+		if options.Development && !parsed.Addr().Unmap().IsLoopback() {
+			return nil, usageError("--development reaches loopback addresses only, not " + address)
+		}
+	}
+	if options.Development {
+		return operatorapi.NewClient(operatorapi.ClientOptions{Addresses: options.Addresses}), nil
+	}
+	return connectTLS(options)
+}
+
+func connectTLS(options Options) (operatorapi.Service, error) {
+	if options.CA == "" || options.KeyFile == "" {
+		return nil, usageError("--ca and --key-file are needed, or --development")
+	}
+	tlsConfig, err := keys.PublicClientConfig(options.CA)
+	if err != nil {
+		return nil, err
+	}
+	key, err := os.ReadFile(options.KeyFile)
+	if err != nil {
+		return nil, structs.NewError(structs.ErrorInvalid,
+			"the key file cannot be read: "+err.Error(),
+			"Name the file that `lotusferryctl keys operator` wrote.")
+	}
+	return operatorapi.NewClient(operatorapi.ClientOptions{
+		Addresses: options.Addresses,
+		TLS:       tlsConfig,
+		Key:       strings.TrimSpace(string(key)),
+	}), nil
+}
--- /dev/null
+++ b/ctl/edit.go
@@ -0,0 +1,201 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/tablefile"
+)
+
+// decodeTable reads a table; values that cannot be read are printed.
+func (s *session) decodeTable(format tablefile.Format, source io.Reader) ([]structs.Row, error) {
+	rows, problems, err := tablefile.Decode(format, source)
+	if err != nil {
+		return nil, err
+	}
+	if len(problems) == 0 {
+		return rows, nil
+	}
+	if s.options.JSON {
+		err = s.printJSON(editOutput{Result: structs.EditResult{Problems: problems}, Changes: []changeOutput{}})
+	} else {
+		err = s.printProblems(problems)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return nil, &exitError{code: ExitRefused}
+}
+
+type tableSet struct {
+	session    *session
+	Edit       editOptions `group:"Options of edits"`
+	Positional struct {
+		Row    string   `positional-arg-name:"ROW" description:"name of the row; a new one is added"`
+		Values []string `positional-arg-name:"COLUMN=VALUE" description:"values to change"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute changes values of a row.
+func (c *tableSet) Execute([]string) error {
+	return c.session.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
+		row, err := c.row(table.Rows)
+		if err != nil {
+			return nil, err
+		}
+		return tablefile.Diff(table.Rows, []structs.Row{row}, false), nil
+	})
+}
+
+// row returns the wanted row. The values pass through a table file, so that they
+// are read as in one.
+func (c *tableSet) row(rows []structs.Row) (structs.Row, error) {
+	name := structs.RowName(c.Positional.Row)
+	current := structs.Row{Name: name, Kind: structs.RowModel, Weight: 1, Priority: structs.PriorityStandard}
+	if index := indexOf(rows, name); index >= 0 {
+		current = rows[index]
+	}
+	header, lines, err := cells([]structs.Row{current})
+	if err != nil {
+		return structs.Row{}, err
+	}
+	for _, assignment := range c.Positional.Values {
+		column, value, found := strings.Cut(assignment, "=")
+		index := slices.Index(header, column)
+		if !found || index < 0 || column == columnName || column == columnRevision {
+			return structs.Row{}, usageError(fmt.Sprintf("%q does not set a column; the columns are %s", assignment, strings.Join(header, ", ")))
+		}
+		lines[0][index] = value
+	}
+	var file bytes.Buffer
+	if err := csv.NewWriter(&file).WriteAll([][]string{header, lines[0]}); err != nil {
+		return structs.Row{}, errors.Wrap(err, "write the row")
+	}
+	wanted, err := c.session.decodeTable(tablefile.FormatCSV, &file)
+	if err != nil {
+		return structs.Row{}, err
+	}
+	if len(wanted) != 1 {
+		return structs.Row{}, usageError("the name of the row is empty")
+	}
+	return wanted[0], nil
+}
+
+type tableDelete struct {
+	session    *session
+	Edit       editOptions `group:"Options of edits"`
+	Positional struct {
+		Rows []string `positional-arg-name:"ROW" required:"1" description:"rows to delete"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute deletes rows.
+func (c *tableDelete) Execute([]string) error {
+	return c.session.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
+		doomed, err := selectRows(table.Rows, c.Positional.Rows)
+		if err != nil {
+			return nil, err
+		}
+		return tablefile.Diff(doomed, nil, true), nil
+	})
+}
+
+type tableEdit struct {
+	session *session
+	Edit    editOptions `group:"Options of edits"`
+	File    string      `long:"file" required:"yes" description:"new file for the table (.csv, .yaml or .json); it is removed when the edit is accepted" value-name:"FILE"`
+}
+
+// Execute writes the table to the file, waits until the operator has edited it
+// and applies it. Lines that were taken out are deletions. While the file has
+// problems, it can be corrected and applied again.
+func (c *tableEdit) Execute([]string) error {
+	format, err := tablefile.FormatOf(c.File)
+	if err != nil {
+		return usageError("--file must end in .csv, .yaml or .json")
+	}
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	table, err := service.Table(ctx)
+	cancel() // the operator takes the time that it takes
+	if err != nil {
+		return err
+	}
+	if err := c.Edit.checkRevision(table); err != nil {
+		return err
+	}
+	if err := c.write(format, table.Rows); err != nil {
+		return err
+	}
+	return c.applyWhenReady(format, table)
+}
+
+func (c *tableEdit) write(format tablefile.Format, rows []structs.Row) error {
+	var content bytes.Buffer
+	if err := tablefile.Encode(format, &content, rows); err != nil {
+		return err
+	}
+	return keys.WriteNewFile(c.File, content.Bytes())
+}
+
+func (c *tableEdit) applyWhenReady(format tablefile.Format, table operatorapi.TableView) error {
+	path, err := filepath.Abs(c.File)
+	if err != nil {
+		return errors.Wrap(err, "find the file")
+	}
+	answers := bufio.NewScanner(c.session.Input)
+	for {
+		fmt.Fprintf(c.session.Errors, "Edit %s, then press Enter to apply it, or type q to leave the table as it is: ", path)
+		if !answers.Scan() || strings.TrimSpace(answers.Text()) == "q" {
+			fmt.Fprintln(c.session.Errors, "\nThe table was left as it is.")
+			return nil
+		}
+		err := c.apply(format, table)
+		if exitCode(err) != ExitRefused {
+			return err
+		}
+		c.session.report(err)
+	}
+}
+
+// apply sends the file's changes against the table as it was written, so that
+// rows which others have changed meanwhile conflict.
+func (c *tableEdit) apply(format tablefile.Format, table operatorapi.TableView) error {
+	content, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read the edited file")
+	}
+	wanted, err := c.session.decodeTable(format, bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	changes := tablefile.Diff(table.Rows, wanted, true)
+	err = c.session.newChange(ctx, service, c.Edit, table, changes).run()
+	accepted := err == nil || exitCode(err) == ExitWaitTimedOut
+	if !accepted || c.Edit.DryRun {
+		return err
+	}
+	if removal := os.Remove(c.File); err == nil {
+		err = errors.Wrap(removal, "remove the edited file")
+	}
+	return err
+}
--- /dev/null
+++ b/ctl/keys.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// File names of the CA within its folder.
+const (
+	authorityCertificate = "ca.crt"
+	authorityKey         = "ca.key"
+)
+
+type keysCommands struct {
+	CA       keysCA     `command:"ca" description:"Make the CA of a site"`
+	Issue    keysIssue  `command:"issue" description:"Make the key and certificate of a daemon"`
+	Operator keysAPIKey `command:"operator" description:"Make the API key of an operator"`
+	Caller   keysAPIKey `command:"caller" description:"Make the API key of a calling application"`
+}
+
+func newKeysCommands(shared *session) keysCommands {
+	return keysCommands{
+		CA:       keysCA{session: shared},
+		Issue:    keysIssue{session: shared},
+		Operator: keysAPIKey{session: shared},
+		Caller:   keysAPIKey{session: shared},
+	}
+}
+
+// filesOutput names the files that a command wrote, as --json shows it.
+type filesOutput struct {
+	Files []string `json:"files"`
+}
+
+func (s *session) printFiles(paths ...string) error {
+	if s.options.JSON {
+		return s.printJSON(filesOutput{Files: paths})
+	}
+	for _, path := range paths {
+		fmt.Fprintln(s.Output, "wrote", path)
+	}
+	return nil
+}
+
+type keysCA struct {
+	session *session
+	Site    string `long:"site" required:"yes" description:"name of the site" value-name:"NAME"`
+	Folder  string `long:"folder" required:"yes" description:"folder for ca.crt and ca.key" value-name:"FOLDER"`
+}
+
+// Execute makes a CA; it never replaces one.
+func (c *keysCA) Execute([]string) error {
+	authority, err := keys.NewAuthority(c.Site, time.Now())
+	if err != nil {
+		return err
+	}
+	certificate := filepath.Join(c.Folder, authorityCertificate)
+	key := filepath.Join(c.Folder, authorityKey)
+	if err := authority.Save(certificate, key); err != nil {
+		return err
+	}
+	return c.session.printFiles(certificate, key)
+}
+
+type keysIssue struct {
+	session   *session
+	CAFolder  string   `long:"ca-folder" required:"yes" description:"folder of ca.crt and ca.key" value-name:"FOLDER"`
+	Zone      string   `long:"zone" required:"yes" description:"zone of the daemon" value-name:"ZONE"`
+	Daemon    string   `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
+	Addresses []string `long:"ip" required:"yes" description:"IP number at which callers and operators reach the daemon; may be repeated" value-name:"IP"`
+	Days      int      `long:"days" default:"365" description:"days that the certificate is valid" value-name:"DAYS"`
+	Folder    string   `long:"folder" required:"yes" description:"folder for DAEMON.crt and DAEMON.key" value-name:"FOLDER"`
+}
+
+// Execute issues a certificate; a second one for the same daemon replaces the first.
+func (c *keysIssue) Execute([]string) error {
+	request := keys.Request{
+		Identity: keys.Identity{Zone: structs.ZoneID(c.Zone), Daemon: structs.DaemonID(c.Daemon)},
+		Validity: time.Duration(c.Days) * 24 * time.Hour,
+		Now:      time.Now(),
+	}
+	if c.Days < 1 {
+		return usageError("--days must be at least 1")
+	}
+	for _, text := range c.Addresses {
+		address, err := netip.ParseAddr(text)
+		if err != nil {
+			return usageError("--ip " + text + " is not an IP number")
+		}
+		request.Addresses = append(request.Addresses, address)
+	}
+	authority, err := keys.LoadAuthority(
+		filepath.Join(c.CAFolder, authorityCertificate),
+		filepath.Join(c.CAFolder, authorityKey))
+	if err != nil {
+		return err
+	}
+	issued, err := authority.Issue(request)
+	if err != nil {
+		return err
+	}
+	certificate := filepath.Join(c.Folder, c.Daemon+".crt")
+	key := filepath.Join(c.Folder, c.Daemon+".key")
+	if err := issued.Save(certificate, key); err != nil {
+		return err
+	}
+	return c.session.printFiles(certificate, key)
+}
+
+type keysAPIKey struct {
+	session    *session
+	Out        string `long:"out" required:"yes" description:"new file for the key" value-name:"FILE"`
+	Positional struct {
+		Name string `positional-arg-name:"NAME" description:"who the key is for"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// apiKeyOutput is what goes into the daemons' settings.
+type apiKeyOutput struct {
+	Name string `json:"name"`
+	Hash string `json:"hash"`
+	File string `json:"file"`
+}
+
+// Execute writes a new key to its file and prints the line for the settings. The
+// key itself is never printed.
+func (c *keysAPIKey) Execute([]string) error {
+	key, hash := keys.NewAPIKey()
+	if err := keys.WriteNewFile(c.Out, []byte(key+"\n")); err != nil {
+		return err
+	}
+	name := c.Positional.Name
+	if c.session.options.JSON {
+		return c.session.printJSON(apiKeyOutput{Name: name, Hash: hash.String(), File: c.Out})
+	}
+	fmt.Fprintf(c.session.Output, "- {name: %q, hash: %q}\n", name, hash)
+	return nil
+}
--- /dev/null
+++ b/ctl/run.go
@@ -0,0 +1,131 @@
+package ctl
+
+import (
+	"context"
+	stderrors "errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Environment is what a run takes from its surroundings.
+type Environment struct {
+	Input  io.Reader
+	Output io.Writer
+	Errors io.Writer
+	// Connect returns the service that the options name. Run fills it in when nil.
+	Connect func(Options) (operatorapi.Service, error)
+}
+
+// Options are the options that every command takes.
+type Options struct {
+	Addresses   []string      `long:"address" env:"LOTUSFERRY_ADDRESSES" env-delim:"," description:"operators' address of a daemon; may be repeated" value-name:"IP:PORT"`
+	CA          string        `long:"ca" env:"LOTUSFERRY_CA" description:"certificate file of the site's CA" value-name:"FILE"`
+	KeyFile     string        `long:"key-file" env:"LOTUSFERRY_KEY_FILE" description:"file that holds the operator's key" value-name:"FILE"`
+	Development bool          `long:"development" description:"plain HTTP without a key, to loopback addresses only"`
+	Timeout     time.Duration `long:"timeout" default:"30s" description:"time for the command, waits not counted" value-name:"DURATION"`
+	JSON        bool          `long:"json" description:"print JSON"`
+}
+
+// session is what the commands of one run share.
+type session struct {
+	Environment
+	ctx     context.Context
+	options *Options
+}
+
+// commandLine is the tree of commands as go-flags reads it.
+type commandLine struct {
+	Options  Options          `group:"Options of all commands"`
+	Table    tableCommands    `command:"table" description:"Read, edit and watch the table"`
+	Status   statusCommand    `command:"status" description:"Show the state of the zones and daemons"`
+	Drain    drainCommand     `command:"drain" description:"Empty a runner, or use it again"`
+	Check    checkCommand     `command:"check" description:"Check the settings file of a daemon"`
+	Keys     keysCommands     `command:"keys" description:"Make the CA, certificates and API keys"`
+	Snapshot snapshotCommands `command:"snapshot" description:"Save, inspect and restore the state of the global group"`
+}
+
+func newCommandLine(shared *session) *commandLine {
+	line := &commandLine{
+		Table:    newTableCommands(shared),
+		Status:   statusCommand{session: shared},
+		Drain:    drainCommand{session: shared},
+		Check:    checkCommand{session: shared},
+		Keys:     newKeysCommands(shared),
+		Snapshot: newSnapshotCommands(shared),
+	}
+	shared.options = &line.Options
+	return line
+}
+
+// Run parses the arguments (without the program's name), runs the command and
+// returns the exit code.
+func Run(ctx context.Context, arguments []string, environment Environment) int {
+	if environment.Connect == nil {
+		environment.Connect = connect
+	}
+	shared := &session{Environment: environment, ctx: ctx}
+	parser := flags.NewNamedParser("lotusferryctl", flags.HelpFlag|flags.PassDoubleDash)
+	line := newCommandLine(shared)
+	if _, err := parser.AddGroup("Application options", "", line); err != nil {
+		fmt.Fprintln(environment.Errors, err)
+		return ExitInternal
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return usageError(fmt.Sprintf("the argument %q is not expected", rest[0]))
+		}
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(arguments)
+	shared.report(err)
+	return exitCode(err)
+}
+
+// report prints the error of a command, unless the command has done so.
+func (s *session) report(err error) {
+	var help *flags.Error
+	if stderrors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(s.Output, help.Message)
+		return
+	}
+	var printed *exitError
+	if err == nil || stderrors.As(err, &printed) && printed.cause == nil {
+		return
+	}
+	if s.options.JSON {
+		s.printErrorJSON(err)
+		return
+	}
+	fmt.Fprintln(s.Errors, "lotusferryctl:", err)
+}
+
+// service connects to the site; the context ends after the options' timeout.
+func (s *session) service() (operatorapi.Service, context.Context, context.CancelFunc, error) {
+	service, err := s.Connect(*s.options)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.Timeout)
+	return service, ctx, cancel, nil
+}
+
+func newEditID() structs.EditID { return structs.EditID(uuid.NewString()) }
+
+// pause waits, or returns early with the context's error.
+func pause(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/ctl/snapshot.go
@@ -0,0 +1,187 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+type snapshotCommands struct {
+	Save    snapshotSave    `command:"save" description:"Save the state of the global group to a new file"`
+	Inspect snapshotInspect `command:"inspect" description:"Check a snapshot file and show what it holds"`
+	Restore snapshotRestore `command:"restore" description:"Make the store of a new member from a snapshot file"`
+}
+
+func newSnapshotCommands(shared *session) snapshotCommands {
+	return snapshotCommands{
+		Save:    snapshotSave{session: shared},
+		Inspect: snapshotInspect{session: shared},
+		Restore: snapshotRestore{session: shared},
+	}
+}
+
+// snapshotOutput describes a snapshot file as --json shows it.
+type snapshotOutput struct {
+	File     string           `json:"file"`
+	Group    string           `json:"group"`
+	Daemon   structs.DaemonID `json:"daemon"`
+	Node     raft.NodeID      `json:"node"`
+	Index    uint64           `json:"index"`
+	Term     uint64           `json:"term"`
+	Voters   []raft.NodeID    `json:"voters"`
+	Learners []raft.NodeID    `json:"learners,omitempty"`
+	// StateBytes is the size of the state machine's encoded state.
+	StateBytes int `json:"state_bytes"`
+}
+
+func (s *session) printSnapshot(path string, snapshot raft.Snapshot, identity logstore.Identity) error {
+	output := snapshotOutput{
+		File:       path,
+		Group:      identity.Group,
+		Daemon:     identity.Daemon,
+		Node:       identity.Node,
+		Index:      snapshot.Index,
+		Term:       snapshot.Term,
+		Voters:     snapshot.Membership.Voters,
+		Learners:   snapshot.Membership.Learners,
+		StateBytes: len(snapshot.Data),
+	}
+	if s.options.JSON {
+		return s.printJSON(output)
+	}
+	return s.printTable([]string{"FILE", "GROUP", "DAEMON", "NODE", "INDEX", "TERM", "VOTERS", "STATE BYTES"}, [][]string{{
+		path, output.Group, string(output.Daemon), strconv.FormatUint(uint64(output.Node), 10),
+		strconv.FormatUint(output.Index, 10), strconv.FormatUint(output.Term, 10),
+		strings.Trim(fmt.Sprint(output.Voters), "[]"), strconv.Itoa(output.StateBytes),
+	}})
+}
+
+type snapshotSave struct {
+	session    *session
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"new file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute saves a snapshot. The file gets its name only when it has been written,
+// synced, read back and found whole.
+func (c *snapshotSave) Execute([]string) error {
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	content, err := service.SaveSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	path := c.Positional.File
+	trial := path + ".unchecked"
+	if err := keys.WriteNewFile(trial, content); err != nil {
+		return err
+	}
+	defer os.Remove(trial)
+	snapshot, identity, err := logstore.ReadSnapshotFile(trial)
+	if err != nil {
+		return err
+	}
+	if err := keys.WriteNewFile(path, content); err != nil {
+		return err
+	}
+	return c.session.printSnapshot(path, snapshot, identity)
+}
+
+type snapshotInspect struct {
+	session    *session
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"snapshot file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute checks a snapshot file.
+func (c *snapshotInspect) Execute([]string) error {
+	path := c.Positional.File
+	snapshot, identity, err := readSnapshot(path)
+	if err != nil {
+		return err
+	}
+	return c.session.printSnapshot(path, snapshot, identity)
+}
+
+func readSnapshot(path string) (raft.Snapshot, logstore.Identity, error) {
+	snapshot, identity, err := logstore.ReadSnapshotFile(path)
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission) {
+		err = structs.NewError(structs.ErrorInvalid,
+			"the snapshot file "+path+" cannot be read", "Name a file that this user may read.")
+	}
+	return snapshot, identity, err
+}
+
+type snapshotRestore struct {
+	session    *session
+	Store      string `long:"store" required:"yes" description:"new store file of the member" value-name:"FILE"`
+	Daemon     string `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
+	Node       uint64 `long:"node" required:"yes" description:"node ID that no member of the group ever had" value-name:"NODE"`
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"snapshot file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute makes a store in which the new member is the only voter. It is for a
+// group whose majority is lost for good; the daemon must not run meanwhile.
+func (c *snapshotRestore) Execute([]string) error {
+	snapshot, identity, err := readSnapshot(c.Positional.File)
+	if err != nil {
+		return err
+	}
+	node := raft.NodeID(c.Node)
+	if err := c.checkNode(node, snapshot.Membership); err != nil {
+		return err
+	}
+	if _, err := os.Lstat(c.Store); !os.IsNotExist(err) {
+		return structs.NewError(structs.ErrorConflict,
+			"the store "+c.Store+" is there already", "Move it away, or name another file.")
+	}
+	identity.Daemon = structs.DaemonID(c.Daemon)
+	identity.Node = node
+	snapshot.Membership = raft.Membership{Voters: []raft.NodeID{node}}
+	if err := writeStore(c.Store, snapshot, identity); err != nil {
+		return err
+	}
+	return c.session.printSnapshot(c.Store, snapshot, identity)
+}
+
+func (c *snapshotRestore) checkNode(node raft.NodeID, former raft.Membership) error {
+	if node == raft.None {
+		return usageError("--node must be above 0")
+	}
+	for _, member := range append(append([]raft.NodeID(nil), former.Voters...), former.Learners...) {
+		if member == node {
+			return structs.NewError(structs.ErrorConflict,
+				"the node ID "+strconv.FormatUint(c.Node, 10)+" was a member when the snapshot was made",
+				"Give a node ID that no member of the group ever had.")
+		}
+	}
+	return nil
+}
+
+func writeStore(path string, snapshot raft.Snapshot, identity logstore.Identity) error {
+	store, err := logstore.Open(path, identity)
+	if err != nil {
+		return err
+	}
+	state := raft.HardState{Term: snapshot.Term, Commit: snapshot.Index}
+	err = store.Save(&state, nil, &snapshot)
+	if closeErr := store.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,127 @@
+package ctl
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+type statusCommand struct {
+	session *session
+}
+
+// Execute prints the state of the site.
+func (c *statusCommand) Execute([]string) error {
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	status, err := service.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if c.session.options.JSON {
+		return c.session.printJSON(status)
+	}
+	return c.session.printStatus(status)
+}
+
+func (s *session) printStatus(status operatorapi.SiteStatus) error {
+	fmt.Fprintf(s.Output, "table revision %d\n\n", status.Revision)
+	var zones [][]string
+	for _, zone := range status.Zones {
+		zones = append(zones, []string{
+			string(zone.Zone),
+			strconv.FormatUint(zone.TableRevision, 10),
+			yesNo(zone.Reachable),
+			string(zone.Leader),
+			strconv.Itoa(len(zone.Replicas)),
+			surplusCell(zone.Surplus),
+		})
+	}
+	if err := s.printTable([]string{"ZONE", "REVISION", "REACHABLE", "LEADER", "REPLICAS", "SURPLUS"}, zones); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.Output)
+	var daemons [][]string
+	for _, daemon := range status.Daemons {
+		daemons = append(daemons, []string{
+			string(daemon.Daemon),
+			string(daemon.Zone),
+			strings.Join(daemon.Roles, ","),
+			daemon.Address,
+			yesNo(daemon.Reachable),
+			leadsCell(daemon),
+			strconv.FormatUint(daemon.TableRevision, 10),
+		})
+	}
+	return s.printTable([]string{"DAEMON", "ZONE", "ROLES", "ADDRESS", "REACHABLE", "LEADS", "REVISION"}, daemons)
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
+func leadsCell(daemon operatorapi.DaemonStatus) string {
+	var groups []string
+	if daemon.LeadsSite {
+		groups = append(groups, "site")
+	}
+	if daemon.LeadsZone {
+		groups = append(groups, "zone")
+	}
+	return strings.Join(groups, ",")
+}
+
+// surplusCell lists the rows above their limit as row:replicas/limit.
+func surplusCell(surplus []structs.RowSurplus) string {
+	var parts []string
+	for _, row := range surplus {
+		parts = append(parts, fmt.Sprintf("%s:%d/%d", row.Row, row.Replicas, row.Limit))
+	}
+	return strings.Join(parts, ",")
+}
+
+type drainCommand struct {
+	session    *session
+	Cancel     bool `long:"cancel" description:"end the drain: the runner takes work again"`
+	Positional struct {
+		Runner string `positional-arg-name:"RUNNER" description:"ID of the runner"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// drainOutput is the result of a drain as --json shows it.
+type drainOutput struct {
+	Runner   string `json:"runner"`
+	Draining bool   `json:"draining"`
+}
+
+// Execute starts or cancels a drain.
+func (c *drainCommand) Execute([]string) error {
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	runner := c.Positional.Runner
+	request := operatorapi.DrainRequest{Runner: structs.RunnerID(runner), Cancel: c.Cancel}
+	if err := service.Drain(ctx, request); err != nil {
+		return err
+	}
+	if c.session.options.JSON {
+		return c.session.printJSON(drainOutput{Runner: runner, Draining: !c.Cancel})
+	}
+	if c.Cancel {
+		fmt.Fprintf(c.session.Output, "runner %s takes work again\n", runner)
+		return nil
+	}
+	fmt.Fprintf(c.session.Output, "runner %s is being drained\n", runner)
+	return nil
+}
--- /dev/null
+++ b/ctl/table.go
@@ -0,0 +1,223 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/tablefile"
+)
+
+// watchInterval is how long one long poll of the watch command lasts.
+const watchInterval = 30 * time.Second
+
+type tableCommands struct {
+	Get     tableGet     `command:"get" description:"Show the table, or some of its rows"`
+	Apply   tableApply   `command:"apply" description:"Make the table as a file says"`
+	Edit    tableEdit    `command:"edit" description:"Edit the whole table in a file"`
+	Set     tableSet     `command:"set" description:"Change values of one row"`
+	Delete  tableDelete  `command:"delete" description:"Delete rows"`
+	History tableHistory `command:"history" description:"Show the newest accepted edits"`
+	Watch   tableWatch   `command:"watch" description:"Show changes as they are accepted"`
+}
+
+func newTableCommands(shared *session) tableCommands {
+	return tableCommands{
+		Get:     tableGet{session: shared},
+		Apply:   tableApply{session: shared},
+		Edit:    tableEdit{session: shared},
+		Set:     tableSet{session: shared},
+		Delete:  tableDelete{session: shared},
+		History: tableHistory{session: shared},
+		Watch:   tableWatch{session: shared},
+	}
+}
+
+type tableGet struct {
+	session    *session
+	Format     string `long:"format" choice:"csv" choice:"yaml" choice:"json" description:"write the rows as a table file"`
+	Positional struct {
+		Rows []string `positional-arg-name:"ROW" description:"rows to show; all when none is named"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the table.
+func (c *tableGet) Execute([]string) error {
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	view, err := service.Table(ctx)
+	if err != nil {
+		return err
+	}
+	view.Rows, err = selectRows(view.Rows, c.Positional.Rows)
+	if err != nil {
+		return err
+	}
+	if c.Format != "" {
+		return tablefile.Encode(tablefile.Format(c.Format), c.session.Output, view.Rows)
+	}
+	if c.session.options.JSON {
+		return c.session.printJSON(view)
+	}
+	fmt.Fprintf(c.session.Output, "table revision %d, rows %d\n\n", view.Revision, len(view.Rows))
+	return c.session.printRows(view.Rows)
+}
+
+// selectRows returns the named rows in the order of the names, or all of them.
+func selectRows(rows []structs.Row, names []string) ([]structs.Row, error) {
+	if len(names) == 0 {
+		return rows, nil
+	}
+	var selected []structs.Row
+	for _, name := range names {
+		index := indexOf(rows, structs.RowName(name))
+		if index < 0 {
+			return nil, structs.NewError(structs.ErrorNotFound,
+				fmt.Sprintf("the table has no row %q", name), "List all rows with `lotusferryctl table get`.")
+		}
+		selected = append(selected, rows[index])
+	}
+	return selected, nil
+}
+
+func indexOf(rows []structs.Row, name structs.RowName) int {
+	return slices.IndexFunc(rows, func(row structs.Row) bool { return row.Name == name })
+}
+
+type tableHistory struct {
+	session *session
+	Limit   int `long:"limit" default:"20" description:"number of edits" value-name:"N"`
+}
+
+// Execute prints the newest edits.
+func (c *tableHistory) Execute([]string) error {
+	if c.Limit < 1 || c.Limit > operatorapi.MaximumHistory {
+		return usageError(fmt.Sprintf("--limit must be from 1 to %d", operatorapi.MaximumHistory))
+	}
+	service, ctx, cancel, err := c.session.service()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	entries, err := service.History(ctx, c.Limit)
+	if err != nil {
+		return err
+	}
+	if c.session.options.JSON {
+		return c.session.printJSON(entries)
+	}
+	var lines [][]string
+	for _, entry := range entries {
+		lines = append(lines, []string{
+			strconv.FormatUint(entry.Revision, 10),
+			entry.At.UTC().Format(time.RFC3339),
+			entry.Author,
+			joinRows(entry.Rows),
+			string(entry.EditID),
+			entry.Comment,
+		})
+	}
+	return c.session.printTable([]string{"REVISION", "AT", "AUTHOR", "ROWS", "EDIT", "COMMENT"}, lines)
+}
+
+// maximumNamedRows keeps a line of the history readable.
+const maximumNamedRows = 5
+
+func joinRows(names []structs.RowName) string {
+	var texts []string
+	for index, name := range names {
+		if index == maximumNamedRows {
+			texts = append(texts, fmt.Sprintf("+%d", len(names)-index))
+			break
+		}
+		texts = append(texts, string(name))
+	}
+	return strings.Join(texts, ",")
+}
+
+type tableWatch struct {
+	session *session
+	Since   uint64 `long:"since" description:"start from the changes after this revision; the newest when 0" value-name:"REVISION"`
+	Count   int    `long:"count" description:"stop after so many changes; 0 goes on until it is interrupted" value-name:"N"`
+}
+
+// watchOutput is one step of a watch as --json shows it.
+type watchOutput struct {
+	Revision uint64              `json:"revision"`
+	Changed  []structs.Row       `json:"changed"`
+	Deleted  []structs.RowName   `json:"deleted"`
+	lines    []structs.RowChange // the same for the plain table
+}
+
+// Execute prints each change until it is interrupted. Revisions that follow each
+// other fast may be shown together.
+func (c *tableWatch) Execute([]string) error {
+	service, err := c.session.Connect(*c.session.options)
+	if err != nil {
+		return err
+	}
+	seen, err := c.first(service)
+	if err != nil {
+		return err
+	}
+	for shown := 0; c.Count == 0 || shown < c.Count; {
+		next, err := service.Watch(c.session.ctx, seen.Revision, watchInterval)
+		if c.session.ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if next.Revision <= seen.Revision {
+			continue
+		}
+		if err := c.print(seen.Rows, next); err != nil {
+			return err
+		}
+		seen = next
+		shown++
+	}
+	return nil
+}
+
+// first returns the table to compare with. With Since, all rows changed after it
+// count as changes, as the rows of that time are not known any more.
+func (c *tableWatch) first(service operatorapi.Service) (operatorapi.TableView, error) {
+	ctx, cancel := context.WithTimeout(c.session.ctx, c.session.options.Timeout)
+	defer cancel()
+	view, err := service.Table(ctx)
+	if err != nil || c.Since == 0 || c.Since >= view.Revision {
+		return view, err
+	}
+	old := operatorapi.TableView{Revision: c.Since}
+	for _, row := range view.Rows {
+		if row.Revision <= c.Since {
+			old.Rows = append(old.Rows, row)
+		}
+	}
+	return old, nil
+}
+
+func (c *tableWatch) print(before []structs.Row, next operatorapi.TableView) error {
+	output := watchOutput{Revision: next.Revision, lines: tablefile.Diff(before, next.Rows, true)}
+	for _, change := range output.lines {
+		if change.Delete {
+			output.Deleted = append(output.Deleted, change.Row.Name)
+			continue
+		}
+		output.Changed = append(output.Changed, change.Row)
+	}
+	if c.session.options.JSON {
+		return c.session.printLineJSON(output)
+	}
+	fmt.Fprintf(c.session.Output, "table revision %d\n", next.Revision)
+	return c.session.printChanges(before, output.lines)
+}
--- /dev/null
+++ b/ctl/wait.go
@@ -0,0 +1,69 @@
+package ctl
+
+import (
+	"context"
+	stderrors "errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// statusInterval passes between two looks at the zones.
+const statusInterval = 200 * time.Millisecond
+
+// resendAfter returns when to send again after err.
+func resendAfter(err error) time.Duration {
+	var typed *structs.Error
+	if stderrors.As(err, &typed) && typed.RetryAfter > 0 {
+		return typed.RetryAfter
+	}
+	return resendInterval
+}
+
+// waitInForce returns once every zone works by the revision or a later one. At
+// the timeout its error names the zones that do not, as far as is known.
+func (s *session) waitInForce(service operatorapi.Service, revision uint64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	outstanding := "no status came"
+	for {
+		status, err := service.Status(ctx)
+		if err == nil {
+			zones := zonesBehind(status, revision)
+			if len(zones) == 0 && len(status.Zones) > 0 {
+				return nil
+			}
+			outstanding = "outstanding: " + strings.Join(zones, ", ")
+		}
+		if err != nil && exitCode(err) != ExitUnavailable {
+			return err
+		}
+		if pause(ctx, statusInterval) != nil {
+			return waitTimedOut(revision, outstanding)
+		}
+	}
+}
+
+func zonesBehind(status operatorapi.SiteStatus, revision uint64) []string {
+	var behind []string
+	for _, zone := range status.Zones {
+		if zone.TableRevision >= revision {
+			continue
+		}
+		text := fmt.Sprintf("%s at revision %d", zone.Zone, zone.TableRevision)
+		if !zone.Reachable {
+			text += " (not reachable)"
+		}
+		behind = append(behind, text)
+	}
+	return behind
+}
+
+func waitTimedOut(revision uint64, outstanding string) error {
+	return &exitError{code: ExitWaitTimedOut, cause: structs.NewError(structs.ErrorDeadline,
+		fmt.Sprintf("the edit was accepted at revision %d, but is not known to be in force in every zone (%s)", revision, outstanding),
+		"Follow the zones with `lotusferryctl status`; a zone that is cut off takes the edit when it is back.")}
+}
--- /dev/null
+++ b/daemon/attempt.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// attempt is one request under way at one engine.
+type attempt struct {
+	effect router.SendAttempt
+	call   *call
+	cancel context.CancelFunc
+}
+
+// cancelTimeout bounds telling an engine that nobody waits for a request.
+const cancelTimeout = 2 * time.Second
+
+func (r *requestRouter) startAttempt(effect router.SendAttempt) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	started := &attempt{effect: effect, call: r.calls[requestOf(effect.Attempt)], cancel: cancel}
+	r.attempts[effect.Attempt] = started
+	r.running.Go(func() {
+		defer cancel()
+		r.runAttempt(ctx, started)
+	})
+}
+
+// cancelAttempt ends the attempt's stream and tells the engine.
+func (r *requestRouter) cancelAttempt(id router.AttemptID) {
+	target, known := r.attempts[id]
+	if !known {
+		return
+	}
+	target.cancel()
+	r.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+		defer cancel()
+		// The engine also ends requests whose stream is closed, so that a lost
+		// cancellation costs time at the engine and nothing else.
+		_, _ = r.engines.Cancel(ctx, target.effect.Address, structs.RequestID(id))
+	})
+}
+
+func (r *requestRouter) runAttempt(ctx context.Context, current *attempt) {
+	id := current.effect.Attempt
+	defer r.forgetAttempt(id)
+	stream, err := r.engines.Generate(ctx, current.effect.Address, current.effect.Generate)
+	if err != nil {
+		r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: asTyped(err)})
+		return
+	}
+	defer stream.Close()
+	r.step(router.AttemptStarted{Attempt: id})
+	r.observeLoad(current, stream)
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: asTyped(err)})
+			return
+		}
+		r.step(router.TokenReceived{Attempt: id, Token: token})
+		if token.Finish != "" {
+			r.observeLoad(current, stream)
+			return
+		}
+		if current.call != nil {
+			current.call.awaitSpace(ctx)
+		}
+	}
+}
+
+func (r *requestRouter) observeLoad(current *attempt, stream *engineapi.Stream) {
+	if report, known := stream.Load(); known {
+		r.step(router.LoadObserved{Runner: current.effect.Runner, Report: report})
+	}
+}
+
+func (r *requestRouter) forgetAttempt(id router.AttemptID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.attempts, id)
+}
+
+// stageOf translates how far a call to an engine got.
+func stageOf(err error) router.FailureStage {
+	switch engineapi.StageOf(err) {
+	case engineapi.StageNotSent:
+		return router.NotSent
+	case engineapi.StageRefused:
+		return router.RefusedByEngine
+	}
+	return router.Broken
+}
+
+// askStatus fences the attempt's ID at the engine by cancelling it, then reports
+// what the engine knows of it.
+func (r *requestRouter) askStatus(ctx context.Context, effect router.AskStatus) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	reply := router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt}
+	status, err := r.engines.Status(ctx, effect.Address, structs.RequestID(effect.Attempt), true)
+	if err != nil {
+		reply.Error = asTyped(err)
+	} else {
+		reply.Status = &status
+	}
+	r.step(reply)
+}
+
+// requestOf returns the request that an attempt belongs to.
+func requestOf(id router.AttemptID) structs.RequestID {
+	request, _, _ := strings.Cut(string(id), ".")
+	return structs.RequestID(request)
+}
--- /dev/null
+++ b/daemon/messages.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// The methods of the internal protocol. The service "Raft" is package group's.
+const (
+	methodGlobalPropose = "Global.Propose"
+	methodGlobalDelta   = "Global.Delta"
+	methodGlobalTable   = "Global.Table"
+	methodGlobalCheck   = "Global.Check"
+	methodGlobalHistory = "Global.History"
+	methodGlobalStatus  = "Global.Status"
+	methodGlobalSave    = "Global.SaveSnapshot"
+	methodZonePropose   = "Zone.Propose"
+	methodZoneView      = "Zone.View"
+	methodZoneDemand    = "Zone.Demand"
+	methodZoneStatus    = "Zone.Status"
+)
+
+// maxWait bounds a long poll, below the transport's call timeout.
+const maxWait = 2 * time.Second
+
+// ProposeArguments carries an encoded command of a group.
+type ProposeArguments struct {
+	Command []byte
+}
+
+// GlobalReply is the result of a command of the global group.
+type GlobalReply struct {
+	Result table.Result
+	Error  *structs.Error
+}
+
+// DeltaArguments asks for the table's changes for a zone after a revision. The
+// call returns when there are some, or after Wait.
+type DeltaArguments struct {
+	Zone  structs.ZoneID
+	Since uint64
+	Wait  time.Duration
+}
+
+// DeltaReply carries the changes; Delta.Revision equals Since when there are none.
+type DeltaReply struct {
+	Delta structs.TableDelta
+	Error *structs.Error
+}
+
+// TableArguments asks for the whole table once its revision is above Since, or after Wait.
+type TableArguments struct {
+	Since uint64
+	Wait  time.Duration
+}
+
+// TableReply carries the whole table.
+type TableReply struct {
+	Revision uint64
+	Rows     []structs.Row
+	Error    *structs.Error
+}
+
+// CheckArguments asks what an edit would do.
+type CheckArguments struct {
+	Edit structs.Edit
+}
+
+// CheckReply is the answer to a dry run.
+type CheckReply struct {
+	Result structs.EditResult
+	Error  *structs.Error
+}
+
+// HistoryArguments asks for the newest accepted edits.
+type HistoryArguments struct {
+	Limit int
+}
+
+// HistoryReply lists edits, newest first.
+type HistoryReply struct {
+	Entries []structs.HistoryEntry
+	Error   *structs.Error
+}
+
+// StatusArguments asks for the status of a group.
+type StatusArguments struct{}
+
+// GlobalStatusReply is the global group's view of the site.
+type GlobalStatusReply struct {
+	Revision uint64
+	Leader   structs.DaemonID
+	Zones    []table.ZoneState
+	Error    *structs.Error
+}
+
+// SaveReply carries the encoded state of the global group at Index of its log.
+type SaveReply struct {
+	Data  []byte
+	Index uint64
+	Term  uint64
+	Error *structs.Error
+}
+
+// ZoneReply is the result of a command of a zone group.
+type ZoneReply struct {
+	Result zone.Result
+	Error  *structs.Error
+}
+
+// ViewArguments asks for what a router needs after the given revisions. The
+// call returns when there is something, or after Wait.
+type ViewArguments struct {
+	SinceTable uint64
+	SinceIndex uint64
+	Wait       time.Duration
+}
+
+// ViewReply carries the changes of the view.
+type ViewReply struct {
+	View  structs.ZoneView
+	Error *structs.Error
+}
+
+// DemandArguments carries a router's demand to the zone leader.
+type DemandArguments struct {
+	Report structs.DemandReport
+}
+
+// DemandReply acknowledges a demand report.
+type DemandReply struct {
+	Error *structs.Error
+}
+
+// ZoneStatusReply is a controller's view of its zone.
+type ZoneStatusReply struct {
+	Status structs.ZoneStatus
+	Error  *structs.Error
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,197 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
+	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// zoneStatusTimeout bounds asking one zone for its status; a zone that does not
+// answer in time is shown as not reachable.
+const zoneStatusTimeout = time.Second
+
+// operatorService implements operatorapi.Service on any daemon, by calling the
+// leader of the global group and the controllers of the zones.
+type operatorService struct {
+	site   config.Site
+	client *transport.Client
+	global *leaderCaller
+}
+
+// Table implements operatorapi.Service.
+func (s *operatorService) Table(ctx context.Context) (operatorapi.TableView, error) {
+	reply, err := callLeader(ctx, s.global, methodGlobalTable, TableArguments{}, func() *TableReply { return &TableReply{} })
+	if err != nil {
+		return operatorapi.TableView{}, err
+	}
+	return operatorapi.TableView{Revision: reply.Revision, Rows: reply.Rows}, nil
+}
+
+// Apply implements operatorapi.Service.
+func (s *operatorService) Apply(ctx context.Context, edit structs.Edit, dryRun bool) (structs.EditResult, error) {
+	if dryRun {
+		reply, err := callLeader(ctx, s.global, methodGlobalCheck, CheckArguments{Edit: edit}, func() *CheckReply { return &CheckReply{} })
+		if err != nil {
+			return structs.EditResult{}, err
+		}
+		return reply.Result, nil
+	}
+	result, err := proposeGlobal(ctx, s.global, table.Command{Edit: &table.EditCommand{Edit: edit}})
+	if err != nil {
+		return structs.EditResult{}, err
+	}
+	if result.Edit == nil {
+		return structs.EditResult{}, asError(result.Error)
+	}
+	return *result.Edit, nil
+}
+
+// History implements operatorapi.Service.
+func (s *operatorService) History(ctx context.Context, limit int) ([]structs.HistoryEntry, error) {
+	reply, err := callLeader(ctx, s.global, methodGlobalHistory, HistoryArguments{Limit: limit}, func() *HistoryReply { return &HistoryReply{} })
+	if err != nil {
+		return nil, err
+	}
+	return reply.Entries, nil
+}
+
+// Watch implements operatorapi.Service: it asks any member that answers, in
+// steps of at most maxWait.
+func (s *operatorService) Watch(ctx context.Context, since uint64, wait time.Duration) (operatorapi.TableView, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+maxWait)
+	defer cancel()
+	end := time.Now().Add(wait)
+	for {
+		step := max(min(time.Until(end), maxWait), time.Millisecond)
+		arguments := TableArguments{Since: since, Wait: step}
+		reply, err := callLeader(ctx, s.global, methodGlobalTable, arguments, func() *TableReply { return &TableReply{} })
+		if err != nil {
+			return operatorapi.TableView{}, err
+		}
+		if reply.Revision > since || time.Now().After(end) {
+			return operatorapi.TableView{Revision: reply.Revision, Rows: reply.Rows}, nil
+		}
+	}
+}
+
+// Status implements operatorapi.Service.
+func (s *operatorService) Status(ctx context.Context) (operatorapi.SiteStatus, error) {
+	reply, err := callLeader(ctx, s.global, methodGlobalStatus, StatusArguments{}, func() *GlobalStatusReply { return &GlobalStatusReply{} })
+	if err != nil {
+		return operatorapi.SiteStatus{}, err
+	}
+	inForce := map[structs.ZoneID]uint64{}
+	for _, zone := range reply.Zones {
+		inForce[zone.Zone] = zone.InForce
+	}
+	status := operatorapi.SiteStatus{Revision: reply.Revision, Zones: make([]structs.ZoneStatus, len(s.site.Zones))}
+	done := make(chan struct{}, len(s.site.Zones))
+	for i, zone := range s.site.Zones {
+		go func() {
+			status.Zones[i] = s.zoneStatus(ctx, zone, inForce[zone.ID])
+			done <- struct{}{}
+		}()
+	}
+	for range s.site.Zones {
+		<-done
+	}
+	status.Daemons = s.daemons(reply.Leader, status.Zones)
+	return status, nil
+}
+
+// zoneStatus asks the zone's controllers in turn. The revision in force is the
+// one the zone reported to the global group, which never runs ahead of the zone.
+func (s *operatorService) zoneStatus(ctx context.Context, settings config.Zone, inForce uint64) structs.ZoneStatus {
+	ctx, cancel := context.WithTimeout(ctx, zoneStatusTimeout)
+	defer cancel()
+	for _, member := range settings.Controllers {
+		reply := &ZoneStatusReply{}
+		err := s.client.Call(ctx, member.Address, methodZoneStatus, StatusArguments{}, reply)
+		if err == nil && reply.Error == nil {
+			reply.Status.TableRevision = inForce
+			return reply.Status
+		}
+	}
+	return structs.ZoneStatus{Zone: settings.ID, TableRevision: inForce}
+}
+
+func (s *operatorService) daemons(leader structs.DaemonID, zones []structs.ZoneStatus) []operatorapi.DaemonStatus {
+	var list []operatorapi.DaemonStatus
+	for i, zone := range s.site.Zones {
+		for _, member := range zone.Controllers {
+			list = append(list, operatorapi.DaemonStatus{
+				Daemon:        member.Daemon,
+				Zone:          zone.ID,
+				Roles:         []string{string(config.RoleController)},
+				Reachable:     zones[i].Reachable,
+				LeadsSite:     member.Daemon == leader,
+				LeadsZone:     member.Daemon == zones[i].Leader,
+				TableRevision: zones[i].TableRevision,
+			})
+		}
+	}
+	return list
+}
+
+// Drain implements operatorapi.Service: it finds the runner's zone by asking the zones.
+func (s *operatorService) Drain(ctx context.Context, request operatorapi.DrainRequest) error {
+	encoded, err := zone.EncodeCommand(zone.Command{Drain: &zone.DrainCommand{Runner: request.Runner, Draining: !request.Cancel}})
+	if err != nil {
+		return err
+	}
+	var last error = structs.NewError(structs.ErrorNotFound, "no zone knows the runner "+string(request.Runner),
+		"look up the runner's name in the status")
+	for _, settings := range s.site.Zones {
+		caller := newLeaderCaller(s.client, memberAddresses(settings.Controllers))
+		zoneCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		reply, err := callLeader(zoneCtx, caller, methodZonePropose, ProposeArguments{Command: encoded}, func() *ZoneReply { return &ZoneReply{} })
+		cancel()
+		switch {
+		case err != nil:
+			last = err
+		case reply.Result.Error == nil:
+			return nil
+		case reply.Result.Error.Kind != structs.ErrorNotFound:
+			return reply.Result.Error
+		}
+	}
+	return last
+}
+
+// SaveSnapshot implements operatorapi.Service with the bytes of a snapshot file.
+func (s *operatorService) SaveSnapshot(ctx context.Context) ([]byte, error) {
+	reply, err := callLeader(ctx, s.global, methodGlobalSave, StatusArguments{}, func() *SaveReply { return &SaveReply{} })
+	if err != nil {
+		return nil, err
+	}
+	snapshot := raft.Snapshot{Index: reply.Index, Term: reply.Term, Data: reply.Data}
+	return logstore.EncodeSnapshotFile(snapshot, logstore.Identity{Group: globalGroupName})
+}
+
+func proposeGlobal(ctx context.Context, caller *leaderCaller, command table.Command) (table.Result, error) {
+	encoded, err := table.EncodeCommand(command)
+	if err != nil {
+		return table.Result{}, err
+	}
+	reply, err := callLeader(ctx, caller, methodGlobalPropose, ProposeArguments{Command: encoded}, func() *GlobalReply { return &GlobalReply{} })
+	if err != nil {
+		return table.Result{}, err
+	}
+	return reply.Result, nil
+}
+
+func memberAddresses(members []config.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/daemon/zoneleader.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// zoneLeader carries out the decisions of controller.Core while this daemon
+// leads its zone, and brings the global table into the zone log.
+type zoneLeader struct {
+	logger      log.Logger
+	node        *zoneNode
+	core        *controller.Core
+	observer    *engineObserver
+	engines     *engineapi.Client
+	global      *leaderCaller
+	timing      config.Timing
+	storeBudget int
+	// reports carries releases, wishes and the revision in force to the global
+	// group, which may be out of reach for hours; only the newest are kept.
+	reports globalReports
+}
+
+// run leads whenever the zone group says so, until ctx ends.
+func (l *zoneLeader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := l.node.group.Applied()
+		if _, valid := l.node.group.LeaderLease(); valid {
+			l.lead(ctx)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// lead runs one term of leading: it returns when the lease is lost.
+func (l *zoneLeader) lead(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	epoch, _ := l.node.group.LeaderLease()
+	level.Info(l.logger).Log("msg", "This controller leads the zone.", "epoch", epoch)
+	var loops sync.WaitGroup
+	loops.Go(func() { l.observer.run(ctx) })
+	loops.Go(func() { l.adoptLoop(ctx) })
+	loops.Go(func() { l.reportLoop(ctx) })
+	l.decideLoop(ctx, epoch)
+	cancel()
+	loops.Wait()
+	level.Info(l.logger).Log("msg", "This controller no longer leads the zone.", "epoch", epoch)
+}
+
+func (l *zoneLeader) decideLoop(ctx context.Context, epoch structs.Epoch) {
+	for {
+		demanded := l.node.demand.arrived.wait()
+		current, valid := l.node.group.LeaderLease()
+		if !valid || current != epoch || ctx.Err() != nil {
+			return
+		}
+		l.decide(ctx, epoch)
+		timer := time.NewTimer(l.timing.PlanInterval)
+		select {
+		case <-ctx.Done():
+		case <-demanded:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// decide is one round: decide on the applied state, send the orders that follow
+// from it, then propose the commands.
+func (l *zoneLeader) decide(ctx context.Context, epoch structs.Epoch) {
+	now := time.Now()
+	for _, report := range l.node.demand.take() {
+		l.core.ObserveDemand(now, report)
+	}
+	machines, reports := l.observer.observed()
+	var decisions controller.Decisions
+	l.node.group.View(func() {
+		current, valid := l.node.group.LeaderLease()
+		decisions = l.core.Decide(controller.Input{
+			Now:         now,
+			Epoch:       epoch,
+			LeaseValid:  valid && current == epoch,
+			State:       l.node.machine.state,
+			Reports:     reports,
+			Machines:    machines,
+			StoreBudget: l.storeBudget,
+		})
+	})
+	l.sendOrders(ctx, epoch, decisions.Orders)
+	l.proposeAll(ctx, decisions.Commands)
+	l.reports.put(decisions)
+}
+
+// sendOrders sends the orders, one runner each, while the lease holds.
+func (l *zoneLeader) sendOrders(ctx context.Context, epoch structs.Epoch, orders []structs.Order) {
+	if len(orders) == 0 {
+		return
+	}
+	addresses := l.addresses()
+	replies := make([]structs.OrderReply, len(orders))
+	var sends sync.WaitGroup
+	for i, order := range orders {
+		sends.Go(func() { replies[i] = l.sendOrder(ctx, epoch, addresses[order.Runner], order) })
+	}
+	sends.Wait()
+	for i, order := range orders {
+		if replies[i] != (structs.OrderReply{}) {
+			l.core.ObserveReply(order.Runner, replies[i])
+		}
+	}
+}
+
+func (l *zoneLeader) addresses() map[structs.RunnerID]string {
+	addresses := map[structs.RunnerID]string{}
+	l.node.group.View(func() {
+		for _, runner := range l.node.machine.state.Runners() {
+			addresses[runner.ID] = runner.Address
+		}
+	})
+	return addresses
+}
+
+// sendOrder returns the engine's reply, or the zero reply when there is none:
+// the order is then repeated by a later round.
+func (l *zoneLeader) sendOrder(ctx context.Context, epoch structs.Epoch, address string, order structs.Order) structs.OrderReply {
+	current, valid := l.node.group.LeaderLease()
+	if !valid || current != epoch {
+		return structs.OrderReply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.timing.ReportInterval)
+	defer cancel()
+	reply, err := l.engines.Order(ctx, address, order)
+	if err != nil {
+		level.Debug(l.logger).Log("msg", "An order had no answer.", "runner", order.Runner, "kind", order.Kind, "row", order.Row, "err", err)
+		return structs.OrderReply{}
+	}
+	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Runner, "kind", order.Kind, "row", order.Row,
+		"epoch", order.Fence.Epoch, "number", order.Fence.Number, "accepted", reply.Accepted, "reason", reply.Reason)
+	return reply
+}
+
+// proposeAll proposes the commands together, so that one sync serves them, and
+// waits until all are decided. Their order in the log is not kept: a command
+// that is refused because it came before one it needs is decided again in the
+// next round.
+func (l *zoneLeader) proposeAll(ctx context.Context, commands []zone.Command) {
+	var proposals sync.WaitGroup
+	for _, command := range commands {
+		proposals.Go(func() { l.proposeOne(ctx, command) })
+	}
+	proposals.Wait()
+}
+
+func (l *zoneLeader) proposeOne(ctx context.Context, command zone.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := l.node.propose(ctx, command)
+	if err == nil {
+		err = asError(result.Error)
+	}
+	if err != nil {
+		level.Debug(l.logger).Log("msg", "A command was refused.", "err", err)
+	}
+}
+
+// adoptLoop brings the changes of the global table into the zone log.
+func (l *zoneLeader) adoptLoop(ctx context.Context) {
+	for next := 0; ctx.Err() == nil; {
+		since := l.node.tableRevision()
+		addresses := l.global.addresses
+		reply := &DeltaReply{}
+		arguments := DeltaArguments{Zone: l.node.id, Since: since, Wait: maxWait}
+		err := l.global.client.Call(ctx, addresses[next%len(addresses)], methodGlobalDelta, arguments, reply)
+		if err == nil {
+			err = asError(reply.Error)
+		}
+		if err != nil {
+			next++
+			pause(ctx, retryPause)
+			continue
+		}
+		if reply.Delta.Revision <= since {
+			// Nothing new here; another member may know more.
+			next++
+			continue
+		}
+		l.proposeOne(ctx, zone.Command{Adopt: &reply.Delta})
+	}
+}
+
+// reportLoop sends what the global group should know of the zone.
+func (l *zoneLeader) reportLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := l.reports.changed.wait()
+		for _, command := range l.reports.take(l.node.id) {
+			l.report(ctx, command)
+		}
+		timer := time.NewTimer(l.timing.ReportInterval)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (l *zoneLeader) report(ctx context.Context, command table.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := proposeGlobal(ctx, l.global, command); err != nil {
+		l.reports.failed(command)
+		level.Debug(l.logger).Log("msg", "The global group could not be told.", "err", err)
+	}
+}
--- /dev/null
+++ b/daemon/zonenode.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// zoneNode is this daemon's member of its zone's group.
+type zoneNode struct {
+	logger  log.Logger
+	id      structs.ZoneID
+	group   *group.Group
+	machine *zoneMachine
+	daemons map[uint64]structs.DaemonID
+	demand  *demandBox
+}
+
+func newZoneNode(logger log.Logger, settings config.Zone, options group.Options) (*zoneNode, error) {
+	machine := newZoneMachine(settings.ID)
+	options.StateMachine = machine
+	member, err := group.New(logger, options)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the zone group")
+	}
+	return &zoneNode{
+		logger:  log.With(logger, "component", "zone"),
+		id:      settings.ID,
+		group:   member,
+		machine: machine,
+		daemons: daemonsByNode(settings.Controllers),
+		demand:  newDemandBox(),
+	}, nil
+}
+
+func (n *zoneNode) propose(ctx context.Context, command zone.Command) (zone.Result, error) {
+	encoded, err := zone.EncodeCommand(command)
+	if err != nil {
+		return zone.Result{}, err
+	}
+	return n.proposeEncoded(ctx, encoded)
+}
+
+func (n *zoneNode) proposeEncoded(ctx context.Context, encoded []byte) (zone.Result, error) {
+	result, err := n.group.Propose(ctx, encoded)
+	if err != nil {
+		return zone.Result{}, err
+	}
+	return result.(zone.Result), nil
+}
+
+func (n *zoneNode) tableRevision() uint64 {
+	var revision uint64
+	n.group.View(func() { revision = n.machine.state.TableRevision() })
+	return revision
+}
+
+// notLeader is the refusal of a member that does not lead, naming who does.
+func (n *zoneNode) notLeader() *structs.Error {
+	refusal := structs.NewError(structs.ErrorNotLeader, "this controller does not lead the zone", "ask the leader")
+	refusal.Leader = n.group.Status().LeaderAddress
+	return refusal
+}
--- /dev/null
+++ b/daemon/zoneservice.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// ZoneService is the net/rpc service of a controller for its zone.
+type ZoneService struct {
+	node *zoneNode
+}
+
+// Propose runs a command through the zone log. Only the leader takes it.
+func (s *ZoneService) Propose(arguments ProposeArguments, reply *ZoneReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	result, err := s.node.proposeEncoded(ctx, arguments.Command)
+	reply.Result = result
+	reply.Error = asTyped(err)
+	return nil
+}
+
+// View returns what changed for a router since the revisions it names. Any
+// controller answers; one that is behind answers the same changes later.
+func (s *ZoneService) View(arguments ViewArguments, reply *ViewReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), min(arguments.Wait, maxWait))
+	defer cancel()
+	for {
+		changed := s.node.machine.changed.wait()
+		s.node.group.View(func() {
+			reply.View = s.node.machine.state.View(arguments.SinceTable, arguments.SinceIndex)
+		})
+		reply.View.Epoch = structs.Epoch(s.node.group.Status().Term)
+		if isNews(reply.View, arguments) || ctx.Err() != nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func isNews(view structs.ZoneView, arguments ViewArguments) bool {
+	return view.Placement != nil || view.Table.Revision > arguments.SinceTable
+}
+
+// Demand takes a router's demand report. Only the leader uses it.
+func (s *ZoneService) Demand(arguments DemandArguments, reply *DemandReply) error {
+	if !s.node.group.Status().IsLeader {
+		reply.Error = s.node.notLeader()
+		return nil
+	}
+	s.node.demand.put(arguments.Report)
+	return nil
+}
+
+// Status tells the zone's state as this controller has applied it.
+func (s *ZoneService) Status(_ StatusArguments, reply *ZoneStatusReply) error {
+	status := s.node.group.Status()
+	reply.Status = structs.ZoneStatus{
+		Zone:      s.node.id,
+		Reachable: true,
+		Leader:    s.node.daemons[uint64(status.LeaderNode)],
+	}
+	s.node.group.View(func() {
+		state := s.node.machine.state
+		reply.Status.TableRevision = state.TableRevision()
+		reply.Status.Surplus = state.Surplus()
+		for _, replica := range state.Replicas() {
+			reply.Status.Replicas = append(reply.Status.Replicas, replica.Replica)
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/emulator/http.go
@@ -0,0 +1,106 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// maxRequestBody bounds the body of a request in bytes.
+const maxRequestBody = 16 << 20
+
+// errReset makes a server cut the connection without an answer.
+var errReset = errors.New("the connection is reset")
+
+// refusalError is the error of a refused call.
+type refusalError struct {
+	refusal structs.Refusal
+}
+
+// Error implements error.
+func (e *refusalError) Error() string { return e.refusal.Error.Error() }
+
+// newHandler makes the go-kit handler of one unary call.
+func newHandler[Request, Reply any](decode func(*http.Request) (Request, error), answer func(context.Context, Request) (Reply, error)) http.Handler {
+	call := endpoint.Endpoint(func(ctx context.Context, request any) (any, error) {
+		return answer(ctx, request.(Request))
+	})
+	decodeAny := func(_ context.Context, request *http.Request) (any, error) { return decode(request) }
+	return kithttp.NewServer(call, decodeAny, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(writeError))
+}
+
+// decodeBody reads the JSON body of a request.
+func decodeBody[Request any](request *http.Request) (Request, error) {
+	var decoded Request
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxRequestBody+1))
+	if err != nil {
+		return decoded, errReset
+	}
+	if len(body) > maxRequestBody {
+		return decoded, invalidRequest("the body is too long")
+	}
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return decoded, invalidRequest("the body is not valid: " + err.Error())
+	}
+	return decoded, nil
+}
+
+// noBody is the decoder of calls without a body.
+func noBody(*http.Request) (struct{}, error) { return struct{}{}, nil }
+
+func invalidRequest(message string) error {
+	refusal := notRun(structs.NewError(structs.ErrorInvalid, message, "send the request as the protocol describes it"))
+	return &refusalError{refusal: *refusal}
+}
+
+// writeError answers a call with its error; a reset cuts the connection.
+func writeError(_ context.Context, err error, w http.ResponseWriter) {
+	var refused *refusalError
+	if !errors.As(err, &refused) {
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(w, refused.refusal)
+}
+
+func writeRefusal(w http.ResponseWriter, refusal structs.Refusal) {
+	w.Header().Set("Content-Type", engineapi.ContentTypeJSON)
+	if refusal.Execution == structs.ExecutionNotRun {
+		w.Header().Set(engineapi.HeaderExecution, string(refusal.Execution))
+	}
+	w.WriteHeader(statusOf(refusal.Error.Kind))
+	_ = json.NewEncoder(w).Encode(engineapi.NewErrorBody(refusal.Error))
+}
+
+func statusOf(kind structs.ErrorKind) int {
+	switch kind {
+	case structs.ErrorInvalid:
+		return http.StatusBadRequest
+	case structs.ErrorNotFound:
+		return http.StatusNotFound
+	case structs.ErrorConflict, structs.ErrorFenced, structs.ErrorLimit:
+		return http.StatusConflict
+	case structs.ErrorOverloaded, structs.ErrorUnavailable:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
+
+// requireMethod answers 405 to other methods than the given one.
+func requireMethod(method string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != method {
+			w.Header().Set("Allow", method)
+			w.WriteHeader(http.StatusMethodNotAllowed)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/emulator/requests.go
@@ -0,0 +1,259 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// requestRecord is what the engine remembers of a request ID.
+type requestRecord struct {
+	status structs.RequestStatus
+	// refused IDs are not run from now on.
+	refused bool
+	// sequence is set while the request waits or runs.
+	sequence *sequence
+}
+
+// live reports whether the request waits or runs.
+func (r *requestRecord) live() bool {
+	return r.status.State == structs.RunQueued || r.status.State == structs.RunRunning
+}
+
+// requestRegister remembers request IDs and forgets them some time after they ended.
+type requestRegister struct {
+	byID   map[structs.RequestID]*requestRecord
+	byCall map[CallID]*sequence
+	ended  []endedRequest
+}
+
+type endedRequest struct {
+	at     time.Time
+	record *requestRecord
+}
+
+func (r *requestRegister) put(id structs.RequestID, record *requestRecord) {
+	if r.byID == nil {
+		r.byID = make(map[structs.RequestID]*requestRecord)
+	}
+	r.byID[id] = record
+}
+
+func (r *requestRegister) attach(call CallID, current *sequence) {
+	if r.byCall == nil {
+		r.byCall = make(map[CallID]*sequence)
+	}
+	r.byCall[call] = current
+}
+
+// forget drops the records that ended before the given time. A record that a
+// later request of the same ID replaced or revived is left alone.
+func (r *requestRegister) forget(before time.Time) {
+	count := 0
+	for count < len(r.ended) && r.ended[count].at.Before(before) {
+		record := r.ended[count].record
+		if r.byID[record.status.ID] == record {
+			delete(r.byID, record.status.ID)
+		}
+		count++
+	}
+	if count > 0 {
+		clear(r.ended[:count])
+		r.ended = r.ended[count:]
+	}
+}
+
+func (e *Engine) remember(record *requestRecord) {
+	e.requests.ended = append(e.requests.ended, endedRequest{at: e.now, record: record})
+	e.requests.forget(e.now.Add(-e.options.IDRetention))
+}
+
+// status answers what became of an ID; with cancel set it also stops the request
+// and refuses the ID from then on.
+func (e *Engine) status(call CallID, id structs.RequestID, cancel bool) {
+	record := e.requests.byID[id]
+	if cancel {
+		record = e.cancel(id)
+	}
+	status := structs.RequestStatus{ID: id, State: structs.RunUnknown, Incarnation: e.incarnation}
+	if record != nil {
+		status = record.status
+	}
+	e.emit(EngineOutput{Kind: OutputStatus, Call: call, Status: &status})
+}
+
+// cancel stops the request and refuses its ID from now on.
+func (e *Engine) cancel(id structs.RequestID) *requestRecord {
+	record := e.requests.byID[id]
+	if record == nil {
+		record = &requestRecord{status: structs.RequestStatus{ID: id, State: structs.RunUnknown, Incarnation: e.incarnation}}
+		e.requests.put(id, record)
+		e.remember(record)
+	}
+	record.refused = true
+	if record.sequence != nil {
+		e.stop(record.sequence, true)
+	}
+	return record
+}
+
+// disconnect stops the request of a call whose caller is gone.
+func (e *Engine) disconnect(call CallID) {
+	if current := e.requests.byCall[call]; current != nil {
+		e.stop(current, false)
+	}
+}
+
+// stop ends a waiting or running sequence before its finish; with tell set its
+// caller gets a last token that says so.
+func (e *Engine) stop(current *sequence, tell bool) {
+	e.batch.remove(current)
+	if tell && current.embeddings == nil {
+		token := structs.Token{ID: current.request.ID, Index: current.next, Finish: structs.FinishCancelled}
+		e.emit(EngineOutput{Kind: OutputToken, Call: current.call, Token: token, Load: e.currentLoad()})
+	}
+	if tell && current.embeddings != nil {
+		e.refuse(current.call, "", structs.NewError(structs.ErrorUnavailable, "the request was cancelled", "send it under a new ID"))
+	}
+	e.endSequence(current, structs.RunCancelled, structs.FinishCancelled)
+}
+
+// admissible checks a new request against the register. It returns the refusal,
+// or nil when the request may run.
+func (e *Engine) admissible(id structs.RequestID, incarnation structs.Incarnation, resume bool) *structs.Refusal {
+	if incarnation != 0 && incarnation != e.incarnation {
+		return notRun(structs.NewError(structs.ErrorUnavailable,
+			"the engine has another incarnation", "read the placement again and choose another replica"))
+	}
+	record := e.requests.byID[id]
+	if record == nil {
+		return nil
+	}
+	refusal := notRun(structs.NewError(structs.ErrorConflict,
+		"the request ID was cancelled here", "send the request under a new ID"))
+	if record.status.Started {
+		refusal.Execution = structs.ExecutionUnknown
+	}
+	if record.refused {
+		return refusal
+	}
+	if record.live() && !resume {
+		refusal.Error = *structs.NewError(structs.ErrorConflict,
+			"the request ID is waiting or running here", "ask for its status, or resume it from the first missing token")
+		refusal.Execution = structs.ExecutionUnknown
+		return refusal
+	}
+	return nil
+}
+
+func notRun(err *structs.Error) *structs.Refusal {
+	return &structs.Refusal{Error: *err, Execution: structs.ExecutionNotRun}
+}
+
+// refuse answers a call with an error. An empty execution means that the request
+// ran or may have run.
+func (e *Engine) refuse(call CallID, execution structs.Execution, err *structs.Error) {
+	e.emit(EngineOutput{Kind: OutputRefused, Call: call, Refusal: &structs.Refusal{Error: *err, Execution: execution}})
+}
+
+// register makes the record of an accepted request. A live request of the same
+// ID is superseded: its caller is known to resume.
+func (e *Engine) register(current *sequence) {
+	id := current.request.ID
+	if earlier := e.requests.byID[id]; earlier != nil && earlier.sequence != nil {
+		e.stop(earlier.sequence, true)
+	}
+	record := &requestRecord{sequence: current}
+	if earlier := e.requests.byID[id]; earlier != nil {
+		record.status.Started = earlier.status.Started
+	}
+	record.status.ID = id
+	record.status.State = structs.RunQueued
+	record.status.Incarnation = e.incarnation
+	record.status.Tokens = current.request.ResumeFrom
+	current.record = record
+	e.requests.put(id, record)
+	e.requests.attach(current.call, current)
+}
+
+// begin notes that a sequence starts to run.
+func (e *Engine) begin(current *sequence, cached int) {
+	current.record.status.State = structs.RunRunning
+	current.record.status.Started = true
+	current.execution = &Execution{
+		ID:          current.request.ID,
+		Row:         current.request.Row,
+		PromptHash:  current.seed,
+		Incarnation: e.incarnation,
+		ResumeFrom:  current.request.ResumeFrom,
+		StartedAt:   e.now,
+		Cached:      cached,
+	}
+	e.records.Executions = appendLimited(e.records.Executions, current.execution, e.options.RecordLimit, &e.records.Dropped)
+	e.occupy(current, 1)
+}
+
+// endSequence closes the books of a sequence that is in no queue any more.
+func (e *Engine) endSequence(current *sequence, state structs.RunState, finish structs.FinishReason) {
+	current.ended = true
+	delete(e.requests.byCall, current.call)
+	record := current.record
+	record.status.State = state
+	record.status.Finish = finish
+	record.sequence = nil
+	if current.execution != nil {
+		e.endExecution(current, finish)
+		e.occupy(current, -1)
+	}
+	e.batch.reserved -= current.reserved
+	current.reserved = 0
+	e.remember(record)
+	e.leaveReplica(current)
+}
+
+func (e *Engine) endExecution(current *sequence, finish structs.FinishReason) {
+	if current.execution == nil {
+		return
+	}
+	current.execution.EndedAt = e.now
+	current.execution.Finish = finish
+}
+
+// embed takes a request for embeddings: it runs beside the batch.
+func (e *Engine) embed(call CallID, request engineapi.EmbeddingsRequest) {
+	refusal := e.admissible(request.ID, request.Incarnation, false)
+	var target *replica
+	if refusal == nil {
+		target, refusal = e.servingReplica(request.Row)
+	}
+	if refusal != nil {
+		e.emit(EngineOutput{Kind: OutputRefused, Call: call, Refusal: refusal})
+		return
+	}
+	tokens := 0
+	reply := engineapi.EmbeddingsReply{ID: request.ID, Vectors: make([][]float32, 0, len(request.Inputs))}
+	for _, input := range request.Inputs {
+		tokens += engineapi.PromptTokens(input)
+		reply.Vectors = append(reply.Vectors, ExpectedVector(request.Row, input))
+	}
+	current := &sequence{call: call, replica: target, embeddings: &reply}
+	current.request.ID = request.ID
+	current.request.Row = request.Row
+	if len(request.Inputs) > 0 {
+		current.seed = PromptHash(request.Row, request.Inputs[0])
+	}
+	e.register(current)
+	target.pending++
+	e.begin(current, 0)
+	duration := e.options.DecodeBase + time.Duration(tokens)*e.options.PrefillPerToken
+	e.after(e.faults.slow(duration), func() { e.finishEmbeddings(current) })
+}
+
+func (e *Engine) finishEmbeddings(current *sequence) {
+	if current.ended {
+		return
+	}
+	e.emit(EngineOutput{Kind: OutputEmbeddings, Call: current.call, Embeddings: current.embeddings})
+	e.endSequence(current, structs.RunFinished, structs.FinishStop)
+}
--- /dev/null
+++ b/emulator/server_test.go
@@ -0,0 +1,336 @@
+package emulator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// testScale is how much faster than the machine's time the engines of these tests run.
+const testScale = 20
+
+// rig is an engine server with row "m" ready, on the loopback address.
+type rig struct {
+	*qt.C
+	server  *emulator.EngineServer
+	client  *engineapi.Client
+	address string
+	ctx     context.Context
+}
+
+func listen(t testing.TB, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func newRig(t testing.TB, scale float64, change func(options *emulator.EngineOptions)) *rig {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	client := engineapi.NewClient(engineapi.ClientOptions{})
+	h := newHarness(t, change)
+	h.now = time.Now().Add(-time.Hour)
+	h.ready("m")
+	r := &rig{C: h.C, client: client, ctx: ctx}
+	r.server = emulator.NewEngineServer(log.NewNopLogger(), h.engine, emulator.NewClock(scale))
+	r.address = listen(t, r.server)
+	t.Cleanup(func() {
+		cancel()
+		r.server.Close()
+		client.Close()
+	})
+	return r
+}
+
+// generate returns the tokens of a request until its stream ends, and the end.
+func (r *rig) generate(each structs.GenerateRequest) ([]structs.Token, error) {
+	stream, err := r.client.Generate(r.ctx, r.address, each)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	var tokens []structs.Token
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return tokens, err
+		}
+		tokens = append(tokens, token)
+	}
+}
+
+// longRequest returns a request whose answer has at least 150 tokens.
+func longRequest(id string) structs.GenerateRequest {
+	each := request(id, "m", "")
+	each.MaxTokens = 200
+	for i := 0; emulator.ExpectedLength(each.Row, each.Prompt, each.MaxTokens) < 150; i++ {
+		each.Prompt = prompt(fmt.Sprint(id, i), 20)
+	}
+	return each
+}
+
+// control calls a path that steers the emulator and returns the status.
+func (r *rig) control(path, body string) int {
+	response, err := http.Post("http://"+r.address+path, engineapi.ContentTypeJSON, strings.NewReader(body))
+	r.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func TestServerStreamsWholeAnswers(t *testing.T) {
+	r := newRig(t, testScale, nil)
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			each := request(fmt.Sprintf("r/%d", i), "m", prompt(fmt.Sprint(i), 20))
+			tokens, err := r.generate(each)
+			r.Check(err, qt.Equals, io.EOF)
+			r.Check(checkAnswer(each, tokens), qt.Equals, "")
+			status, err := r.client.Status(r.ctx, r.address, each.ID, false)
+			r.Check(err, qt.IsNil)
+			r.Check(status.State, qt.Equals, structs.RunFinished)
+		})
+	}
+	group.Wait()
+}
+
+func TestServerFaultsAreErrorsAtTheClient(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults string
+	}{
+		{"late", `{"late_rate":0.3,"late_by":30000000}`},
+		{"lost", `{"loss_rate":0.3}`},
+		{"crossed", `{"cross_rate":0.3}`},
+		{"reset", `{"reset_rate":0.3}`},
+		{"died", `{"die_after_tokens":30}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 1, nil)
+			r.Assert(r.control(emulator.PathFaults, test.faults), qt.Equals, http.StatusOK)
+			wrong := make([]error, 4)
+			var group sync.WaitGroup
+			for i := range wrong {
+				group.Go(func() {
+					_, wrong[i] = r.generate(longRequest(fmt.Sprint(i)))
+				})
+			}
+			group.Wait()
+			broken := 0
+			for _, err := range wrong {
+				if engineapi.StageOf(err) == engineapi.StageBroken && err != io.EOF {
+					broken++
+				}
+			}
+			r.Check(broken > 0, qt.IsTrue, qt.Commentf("%v", wrong))
+		})
+	}
+}
+
+func TestServerSaysWhatCertainlyDidNotRun(t *testing.T) {
+	r := newRig(t, testScale, nil)
+	_, err := r.generate(request("r", "other", "p"))
+	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
+	status, err := r.client.Cancel(r.ctx, r.address, "s/1 ?")
+	r.Assert(err, qt.IsNil)
+	r.Check(status.State, qt.Equals, structs.RunUnknown)
+	_, err = r.generate(request("s/1 ?", "m", "p"))
+	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
+	r.Check(structs.KindOf(err), qt.Equals, structs.ErrorConflict)
+	each := request("t", "m", "p")
+	_, err = r.generate(each)
+	r.Assert(err, qt.Equals, io.EOF)
+	status, err = r.client.Status(r.ctx, r.address, "t", true)
+	r.Assert(err, qt.IsNil)
+	r.Check(status.Started, qt.IsTrue)
+	_, err = r.generate(each)
+	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken, qt.Commentf("the ID has run"))
+	r.Check(r.control(engineapi.PathOrders, "{"), qt.Equals, http.StatusBadRequest)
+	r.Check(r.control(engineapi.PathReport, "{}"), qt.Equals, http.StatusMethodNotAllowed)
+	r.Check(r.control("/nowhere", "{}"), qt.Equals, http.StatusNotFound)
+}
+
+func TestServerCancelsWhenTheCallerLeaves(t *testing.T) {
+	r := newRig(t, 1, nil)
+	each := longRequest("r")
+	stream, err := r.client.Generate(r.ctx, r.address, each)
+	r.Assert(err, qt.IsNil)
+	first, err := stream.Next()
+	r.Assert(err, qt.IsNil)
+	r.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
+	r.Assert(stream.Close(), qt.IsNil)
+	for state := structs.RunRunning; state == structs.RunRunning; {
+		status, err := r.client.Status(r.ctx, r.address, "r", false)
+		r.Assert(err, qt.IsNil)
+		state = status.State
+		r.Assert(state, qt.Not(qt.Equals), structs.RunFinished)
+	}
+	r.server.SetFaults(emulator.EngineFaults{})
+	each.ResumeFrom = 1
+	rest, err := r.generate(each)
+	r.Check(err, qt.Equals, io.EOF)
+	each.ResumeFrom = 0
+	r.Check(checkAnswer(each, append([]structs.Token{first}, rest...)), qt.Equals, "")
+}
+
+func TestServerCrashAndRestart(t *testing.T) {
+	r := newRig(t, testScale, nil)
+	r.server.SetFaults(emulator.EngineFaults{StallRate: 1})
+	stream, err := r.client.Generate(r.ctx, r.address, request("r", "m", "p"))
+	r.Assert(err, qt.IsNil)
+	r.Assert(r.control(emulator.PathCrash, ""), qt.Equals, http.StatusOK)
+	_, err = stream.Next()
+	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+	_, err = r.client.Report(r.ctx, r.address)
+	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+	r.Assert(r.control(emulator.PathRestart, "{}"), qt.Equals, http.StatusOK)
+	report, err := r.client.Report(r.ctx, r.address)
+	r.Assert(err, qt.IsNil)
+	r.Check(report.Incarnation, qt.Equals, structs.Incarnation(2))
+	r.Check(report.Replicas, qt.HasLen, 0)
+}
+
+func TestServerLoadsFromTheStore(t *testing.T) {
+	r := newRig(t, testScale, func(o *emulator.EngineOptions) {
+		o.FetchTime = func(structs.RowName, int64) (time.Duration, bool) { return 0, true }
+	})
+	clock := emulator.NewClock(testScale)
+	store := emulator.NewStoreServer(log.NewNopLogger(), emulator.NewStore(emulator.StoreOptions{}), clock)
+	storeAddress := listen(t, store)
+	reply, err := r.client.Fetch(r.ctx, storeAddress, engineapi.FetchRequest{Row: "m", SizeBytes: 1})
+	r.Assert(err, qt.IsNil)
+	r.Check(reply.Row, qt.Equals, structs.RowName("m"))
+	engine := emulator.NewEngine(emulator.EngineOptions{Runner: "runner-2", MemoryBytes: gigabyte})
+	server := emulator.NewEngineServer(log.NewNopLogger(), engine, clock)
+	defer server.Close()
+	server.UseStore(r.client, storeAddress)
+	r.address = listen(t, server)
+	load := func(number structs.OrderNumber) structs.ReplicaState {
+		order := structs.Order{Fence: structs.Fence{Epoch: 1, Number: number}, Kind: structs.OrderLoad,
+			Runner: "runner-2", Incarnation: 1, Row: "m", MemoryBytes: gigabyte}
+		reply, err := r.client.Order(r.ctx, r.address, order)
+		r.Assert(err, qt.IsNil)
+		r.Assert(reply.Accepted, qt.IsTrue, qt.Commentf("%s", reply.Reason))
+		for {
+			report, err := r.client.Report(r.ctx, r.address)
+			r.Assert(err, qt.IsNil)
+			if state := report.Replicas[0].State; state != structs.ReplicaLoading {
+				return state
+			}
+		}
+	}
+	store.SetFaults(emulator.StoreFaults{FailRate: 1})
+	r.Check(load(1), qt.Equals, structs.ReplicaAbsent)
+	store.SetFaults(emulator.StoreFaults{})
+	r.Check(load(2), qt.Equals, structs.ReplicaReady)
+	state, err := r.client.StoreState(r.ctx, storeAddress)
+	r.Assert(err, qt.IsNil)
+	r.Check(state.Finished, qt.Equals, uint64(3))
+}
+
+func TestServerMovesKVCacheAndReadsEvents(t *testing.T) {
+	from, to := newRig(t, 1, nil), newRig(t, testScale, nil)
+	each := longRequest("r")
+	stream, err := from.client.Generate(from.ctx, from.address, each)
+	from.Assert(err, qt.IsNil)
+	defer stream.Close()
+	_, err = stream.Next()
+	from.Assert(err, qt.IsNil)
+	from.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
+	cache, err := from.client.Export(from.ctx, from.address, engineapi.ExportRequest{ID: "r", Row: "m"})
+	from.Assert(err, qt.IsNil)
+	imported, err := to.client.Import(to.ctx, to.address, cache)
+	to.Assert(err, qt.IsNil)
+	to.Check(imported.Tokens, qt.Equals, cache.Tokens)
+	page, err := to.client.Events(to.ctx, to.address, 0)
+	to.Assert(err, qt.IsNil)
+	to.Check(page.Events, qt.HasLen, 1)
+	to.Check(page.Events[0].Blocks, qt.HasLen, len(cache.Blocks))
+	vectors, err := to.client.Embeddings(to.ctx, to.address, engineapi.EmbeddingsRequest{ID: "e", Row: "m", Inputs: []string{"x"}})
+	to.Assert(err, qt.IsNil)
+	to.Check(vectors.Vectors[0], qt.DeepEquals, emulator.ExpectedVector("m", "x"))
+}
+
+func TestServerOfTheMachineList(t *testing.T) {
+	c := qt.New(t)
+	server := emulator.NewMachineServer(log.NewNopLogger(), emulator.NewMachineList(0), emulator.NewClock(1))
+	address := listen(t, server)
+	client := engineapi.NewClient(engineapi.ClientOptions{})
+	defer client.Close()
+	ctx := context.Background()
+	server.Put(structs.Machine{Runner: "a", State: structs.MachineLive})
+	c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"}), qt.IsNil)
+	machines, err := client.Machines(ctx, address)
+	c.Assert(err, qt.IsNil)
+	c.Check(machines, qt.DeepEquals, []structs.Machine{{Runner: "a", State: structs.MachineLeaving}})
+	c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a", Gone: true}), qt.IsNil)
+	err = client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"})
+	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
+}
+
+// BenchmarkEngineCore measures the core with a full batch.
+func BenchmarkEngineCore(b *testing.B) {
+	h := newHarness(b, nil)
+	h.ready("m")
+	text := prompt("p", 100)
+	sent, before := 0, h.engine.Records().Tokens
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 32 {
+			sent++
+			input := emulator.EngineInput{Kind: emulator.InputGenerate, Call: emulator.CallID(sent), Generate: request(fmt.Sprint(sent), "m", text)}
+			input.Generate.MaxTokens = 200
+			h.engine.Step(h.now, input)
+		}
+		for {
+			at, found := h.engine.NextEvent()
+			if !found {
+				break
+			}
+			h.now = at
+			h.engine.Advance(at)
+		}
+	}
+	tokens := h.engine.Records().Tokens - before
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tokens), "ns/token")
+}
+
+// BenchmarkIdleEngine measures the memory of an idle engine server that holds a
+// loaded row; its listener is not counted.
+func BenchmarkIdleEngine(b *testing.B) {
+	var servers []*emulator.EngineServer
+	clock := emulator.NewClock(1)
+	measure := func() uint64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc + stats.StackInuse
+	}
+	before, goroutines := measure(), runtime.NumGoroutine()
+	for b.Loop() {
+		engine := emulator.NewEngine(emulator.EngineOptions{Runner: "r", MemoryBytes: gigabyte, ReportLag: time.Second,
+			FetchTime: func(structs.RowName, int64) (time.Duration, bool) { return 0, true }})
+		at := time.Now().Add(-time.Hour)
+		engine.Step(at, emulator.EngineInput{Kind: emulator.InputOrder, Order: structs.Order{Fence: structs.Fence{Epoch: 1},
+			Kind: structs.OrderLoad, Runner: "r", Incarnation: 1, Row: "m", MemoryBytes: gigabyte}})
+		engine.Advance(at.Add(time.Minute))
+		servers = append(servers, emulator.NewEngineServer(log.NewNopLogger(), engine, clock))
+	}
+	b.ReportMetric(float64(measure()-before)/float64(len(servers)), "B/engine")
+	b.ReportMetric(float64(runtime.NumGoroutine()-goroutines), "goroutines")
+	runtime.KeepAlive(servers)
+}
--- /dev/null
+++ b/emulator/text.go
@@ -0,0 +1,86 @@
+package emulator
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// shortestAnswer and answerSpread bound the natural length of answers in tokens.
+	shortestAnswer = 8
+	answerSpread   = 248
+	// tokenDigits is how many letters a token's text has after its space.
+	tokenDigits = 8
+	// vectorLength is the length of an embedding.
+	vectorLength = 8
+)
+
+const tokenAlphabet = "abcdefghijklmnopqrstuvwxyz234567"
+
+// PromptHash returns the hash of a row and a prompt that executions are recorded under.
+func PromptHash(row structs.RowName, prompt string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(row))
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(prompt)
+	return digest.Sum64()
+}
+
+// ExpectedToken returns the text of the token with the given index of the answer
+// of a row to a prompt.
+func ExpectedToken(row structs.RowName, prompt string, index int) string {
+	return tokenText(PromptHash(row, prompt), index)
+}
+
+// ExpectedLength returns how many tokens the answer of a row to a prompt has
+// when at most maxTokens are asked for.
+func ExpectedLength(row structs.RowName, prompt string, maxTokens int) int {
+	return max(min(naturalLength(PromptHash(row, prompt)), maxTokens), 0)
+}
+
+// ExpectedFinish returns the finish reason of that answer.
+func ExpectedFinish(row structs.RowName, prompt string, maxTokens int) structs.FinishReason {
+	return finishReason(PromptHash(row, prompt), maxTokens)
+}
+
+// ExpectedVector returns the embedding of an input by a row.
+func ExpectedVector(row structs.RowName, input string) []float32 {
+	seed := PromptHash(row, input)
+	vector := make([]float32, vectorLength)
+	for i := range vector {
+		vector[i] = float32(mix(seed, uint64(i))>>40) / (1 << 24)
+	}
+	return vector
+}
+
+func finishReason(seed uint64, maxTokens int) structs.FinishReason {
+	if naturalLength(seed) > maxTokens {
+		return structs.FinishLength
+	}
+	return structs.FinishStop
+}
+
+func naturalLength(seed uint64) int {
+	return shortestAnswer + int(mix(seed, 0)%answerSpread)
+}
+
+func tokenText(seed uint64, index int) string {
+	var text [tokenDigits + 1]byte
+	text[0] = ' '
+	bits := mix(seed, uint64(index)+1)
+	for i := 1; i < len(text); i++ {
+		text[i] = tokenAlphabet[bits&31]
+		bits >>= 5
+	}
+	return string(text[:])
+}
+
+// mix is the output function of splitmix64 over seed and index.
+func mix(seed, index uint64) uint64 {
+	bits := seed + (index+1)*0x9e3779b97f4a7c15
+	bits = (bits ^ bits>>30) * 0xbf58476d1ce4e5b9
+	bits = (bits ^ bits>>27) * 0x94d049bb133111eb
+	return bits ^ bits>>31
+}
--- /dev/null
+++ b/emulator/timers.go
@@ -0,0 +1,60 @@
+package emulator
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer is something an engine does at a later time.
+type timer struct {
+	at time.Time
+	// order breaks ties: timers of the same time run in the order they were set.
+	order uint64
+	run   func()
+}
+
+// timerQueue is a queue of timers by time.
+type timerQueue struct {
+	timers []timer
+	last   uint64
+}
+
+func (q *timerQueue) add(at time.Time, run func()) {
+	q.last++
+	heap.Push((*timerHeap)(&q.timers), timer{at: at, order: q.last, run: run})
+}
+
+func (q *timerQueue) first() (time.Time, bool) {
+	if len(q.timers) == 0 {
+		return time.Time{}, false
+	}
+	return q.timers[0].at, true
+}
+
+func (q *timerQueue) pop() timer {
+	return heap.Pop((*timerHeap)(&q.timers)).(timer)
+}
+
+// timerHeap implements heap.Interface.
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	popped := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return popped
+}
--- /dev/null
+++ b/emulator/weights.go
@@ -0,0 +1,221 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// replica is a row that is loaded, loading, unloading, or was dropped after a
+// failed load (absent).
+type replica struct {
+	row       structs.RowName
+	base      structs.RowName
+	sizeBytes int64
+	state     structs.ReplicaState
+	fence     structs.Fence
+	// weightsRead is set when a loading adapter only waits for its base.
+	weightsRead bool
+	// running and queued count its own requests; pending is their sum.
+	running int
+	queued  int
+	pending int
+	// occupied counts the running requests of the row and of its adapters.
+	occupied int
+}
+
+// idle reports whether its memory counts as idle.
+func (r *replica) idle() bool {
+	return r.occupied == 0 && (r.state == structs.ReplicaReady || r.state == structs.ReplicaUnloading)
+}
+
+// fetch is a checkpoint asked of the weight store.
+type fetch struct {
+	sizeBytes int64
+	// load is set when a replica waits for it, toMemory when it is to be kept in
+	// host memory.
+	load     bool
+	toMemory bool
+}
+
+// setState changes a replica's state and keeps the accounts.
+func (e *Engine) setState(target *replica, state structs.ReplicaState) {
+	e.account(target, func() { target.state = state })
+	if state == structs.ReplicaAbsent {
+		e.memoryUsed -= target.sizeBytes
+	}
+	e.records.PeakMemory = max(e.records.PeakMemory, e.memoryUsed)
+	change := ReplicaChange{At: e.now, Row: target.row, State: state, MemoryUsed: e.memoryUsed}
+	e.records.ReplicaChanges = appendLimited(e.records.ReplicaChanges, change, e.options.RecordLimit, &e.records.Dropped)
+}
+
+// account applies a change to a replica and keeps the sum of idle bytes.
+func (e *Engine) account(target *replica, change func()) {
+	if target.idle() {
+		e.idleBytes -= target.sizeBytes
+	}
+	change()
+	if target.idle() {
+		e.idleBytes += target.sizeBytes
+	}
+}
+
+// occupy notes that a request starts (1) or stops (-1) to run on its replica and
+// on the replica's base.
+func (e *Engine) occupy(current *sequence, change int) {
+	target := current.replica
+	target.running += change
+	e.account(target, func() { target.occupied += change })
+	if base := e.replicas[target.base]; target.base != "" && base != nil {
+		e.account(base, func() { base.occupied += change })
+	}
+}
+
+// leaveReplica notes that a request has ended; an unloading replica frees its
+// memory after its last request.
+func (e *Engine) leaveReplica(current *sequence) {
+	target := current.replica
+	if current.execution == nil {
+		target.queued--
+	}
+	target.pending--
+	if target.state == structs.ReplicaUnloading && target.pending == 0 {
+		e.finishUnload(target)
+	}
+}
+
+// servingReplica returns the ready replica of a row, or the refusal.
+func (e *Engine) servingReplica(row structs.RowName) (*replica, *structs.Refusal) {
+	target := e.replicas[row]
+	if target == nil || target.state != structs.ReplicaReady {
+		return nil, notRun(structs.NewError(structs.ErrorUnavailable,
+			"the row is not loaded on this engine", "read the placement again and choose another replica"))
+	}
+	return target, nil
+}
+
+// dependants returns the adapters on a base that are not absent, by name.
+func (e *Engine) dependants(base structs.RowName) []*replica {
+	var found []*replica
+	for _, row := range slices.Sorted(maps.Keys(e.replicas)) {
+		other := e.replicas[row]
+		if other.base == base && other.state != structs.ReplicaAbsent {
+			found = append(found, other)
+		}
+	}
+	return found
+}
+
+// beginLoad reads the weights from the nearest tier.
+func (e *Engine) beginLoad(target *replica) {
+	switch e.checkpoints.tier(target.row) {
+	case structs.TierMemory:
+		e.checkpoints.memory.put(target.row, target.sizeBytes)
+		e.readWeights(target, e.options.MemorySpeed)
+	case structs.TierDisk:
+		e.checkpoints.disk.put(target.row, target.sizeBytes)
+		e.readWeights(target, e.options.DiskSpeed)
+	default:
+		e.beginFetch(target.row, fetch{sizeBytes: target.sizeBytes, load: true, toMemory: true})
+	}
+}
+
+// readWeights lets the replica become ready after its weights were read.
+func (e *Engine) readWeights(target *replica, speed int64) {
+	duration := e.faults.slow(e.options.LoadBase + transferTime(target.sizeBytes, speed))
+	if e.faults.DieOnLoad {
+		e.faults.DieOnLoad = false
+		e.after(duration/2, e.die)
+	}
+	e.after(duration, func() {
+		if target.state == structs.ReplicaLoading {
+			e.checkpoints.memory.put(target.row, target.sizeBytes)
+			e.report.stale = true
+			target.weightsRead = true
+			e.becomeReady(target)
+		}
+	})
+}
+
+// becomeReady ends a load, unless the replica is an adapter whose base is still
+// loading. Adapters that waited for it follow.
+func (e *Engine) becomeReady(target *replica) {
+	if target.base != "" {
+		base := e.replicas[target.base]
+		if base == nil || base.state != structs.ReplicaReady {
+			return
+		}
+	}
+	e.setState(target, structs.ReplicaReady)
+	for _, adapter := range e.dependants(target.row) {
+		if adapter.state == structs.ReplicaLoading && adapter.weightsRead {
+			e.becomeReady(adapter)
+		}
+	}
+}
+
+// beginFetch asks the weight store for a checkpoint, or joins a fetch under way.
+func (e *Engine) beginFetch(row structs.RowName, wanted fetch) {
+	if current := e.fetches[row]; current != nil {
+		current.load = current.load || wanted.load
+		current.toMemory = current.toMemory || wanted.toMemory
+		return
+	}
+	if e.fetches == nil {
+		e.fetches = make(map[structs.RowName]*fetch)
+	}
+	e.fetches[row] = &wanted
+	if e.options.FetchTime != nil {
+		duration, ok := e.options.FetchTime(row, wanted.sizeBytes)
+		e.after(duration, func() { e.fetched(row, !ok) })
+		return
+	}
+	request := engineapi.FetchRequest{Row: row, SizeBytes: wanted.sizeBytes, Runner: e.options.Runner}
+	e.emit(EngineOutput{Kind: OutputFetch, Fetch: &request})
+}
+
+// fetched takes the end of a fetch.
+func (e *Engine) fetched(row structs.RowName, failed bool) {
+	ended := e.fetches[row]
+	if ended == nil {
+		return
+	}
+	delete(e.fetches, row)
+	if !failed {
+		e.checkpoints.disk.put(row, ended.sizeBytes)
+		if ended.toMemory {
+			e.checkpoints.memory.put(row, ended.sizeBytes)
+		}
+		e.report.stale = true
+	}
+	target := e.replicas[row]
+	if !ended.load || target == nil || target.state != structs.ReplicaLoading {
+		return
+	}
+	if failed {
+		e.failLoad(target)
+		return
+	}
+	e.readWeights(target, e.options.MemorySpeed)
+}
+
+// failLoad drops a replica whose weights could not be read, and its adapters.
+func (e *Engine) failLoad(target *replica) {
+	e.setState(target, structs.ReplicaAbsent)
+	for _, adapter := range e.dependants(target.row) {
+		e.failLoad(adapter)
+	}
+}
+
+// finishUnload frees the memory of a replica without requests.
+func (e *Engine) finishUnload(target *replica) {
+	e.after(e.faults.slow(e.options.UnloadTime), func() {
+		e.setState(target, structs.ReplicaAbsent)
+		delete(e.replicas, target.row)
+		if e.prefix.removeRow(target.row) > 0 {
+			e.publish(engineapi.CacheCleared, target.row, nil)
+		}
+	})
+}
--- /dev/null
+++ b/engineapi/stream_test.go
@@ -0,0 +1,211 @@
+package engineapi_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// serve starts a server on the loopback address and returns a client and the address.
+func serve(t testing.TB, handler http.HandlerFunc) (*engineapi.Client, string) {
+	server := httptest.NewServer(handler)
+	client := engineapi.NewClient(engineapi.ClientOptions{MaxLine: 2048, MaxBody: 4096})
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client, strings.TrimPrefix(server.URL, "http://")
+}
+
+func event(id string, index int, finish structs.FinishReason) string {
+	token := structs.Token{ID: structs.RequestID(id), Index: index, Text: fmt.Sprintf(" t%d", index), Finish: finish}
+	encoded, err := engineapi.AppendToken(nil, token)
+	if err != nil {
+		panic(err)
+	}
+	return string(encoded)
+}
+
+// readAll reads a stream to its end.
+func readAll(stream *engineapi.Stream) (indexes []int, err error) {
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return indexes, err
+		}
+		indexes = append(indexes, token.Index)
+	}
+}
+
+func TestStreamSucceedsOnlyWhenWhole(t *testing.T) {
+	whole := event("r", 0, "") + event("r", 1, "") + event("r", 2, structs.FinishStop)
+	tests := []struct {
+		name string
+		body string
+		// reset cuts the connection after the body.
+		reset bool
+		want  []int
+		whole bool
+	}{
+		{name: "whole", body: whole, want: []int{0, 1, 2}, whole: true},
+		{name: "finish by length", body: event("r", 0, structs.FinishLength), want: []int{0}, whole: true},
+		{name: "comments and CRLF", body: ": keep\r\n\r\n" + strings.ReplaceAll(whole, "\n", "\r\n"), want: []int{0, 1, 2}, whole: true},
+		{name: "exact repeat is left out", body: event("r", 0, "") + event("r", 0, "") + event("r", 1, structs.FinishStop), want: []int{0, 1}, whole: true},
+		{name: "empty"},
+		{name: "no finish", body: event("r", 0, "") + event("r", 1, ""), want: []int{0, 1}},
+		{name: "ends inside an event", body: event("r", 0, "") + "data: {\"id\":\"r\"", want: []int{0}},
+		{name: "finish without event end", body: strings.TrimSuffix(event("r", 0, structs.FinishStop), "\n")},
+		{name: "reset", body: event("r", 0, ""), reset: true, want: []int{0}},
+		{name: "not JSON", body: "data: {nope}\n\n"},
+		{name: "wrong type", body: "data: {\"id\":\"r\",\"index\":\"0\"}\n\n"},
+		{name: "unknown field", body: "token: x\n\n"},
+		{name: "unknown finish", body: event("r", 0, "soon")},
+		{name: "no ID", body: event("", 0, structs.FinishStop)},
+		{name: "negative index", body: event("r", -1, structs.FinishStop)},
+		{name: "other request", body: event("r", 0, "") + event("s", 1, ""), want: []int{0}},
+		{name: "lost token", body: event("r", 0, "") + event("r", 2, structs.FinishStop), want: []int{0}},
+		{name: "older token repeated", body: event("r", 0, "") + event("r", 1, "") + event("r", 0, ""), want: []int{0, 1}},
+		{name: "starts late", body: event("r", 1, structs.FinishStop)},
+		{name: "too many tokens", body: event("r", 0, "") + event("r", 1, "") + event("r", 2, "") + event("r", 3, ""), want: []int{0, 1, 2}},
+		{name: "too long a line", body: "data: " + strings.Repeat("x", 9000) + "\n\n"},
+		{name: "too long an event", body: strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 3) + "\n"},
+		{name: "endless line", body: strings.Repeat("x", 1<<20)},
+		{name: "cancelled", body: event("r", 0, structs.FinishCancelled), want: []int{0}},
+		{name: "engine error", body: event("r", 0, structs.FinishError), want: []int{0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+				_, _ = io.WriteString(w, test.body)
+				if test.reset {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})
+			stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 3})
+			c.Assert(err, qt.IsNil)
+			defer stream.Close()
+			indexes, err := readAll(stream)
+			c.Check(indexes, qt.DeepEquals, test.want)
+			if test.whole {
+				c.Check(err, qt.Equals, io.EOF)
+				return
+			}
+			c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+			c.Check(err, qt.Not(qt.Equals), io.EOF)
+			_, again := stream.Next()
+			c.Check(again, qt.Equals, err, qt.Commentf("the error stays"))
+		})
+	}
+}
+
+func TestStreamGivesLoadOfHeaderThenTrailer(t *testing.T) {
+	c := qt.New(t)
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+		w.Header().Set("Trailer", engineapi.HeaderLoad)
+		w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 1}))
+		_, _ = io.WriteString(w, event("r", 0, structs.FinishStop))
+		_ = http.NewResponseController(w).Flush()
+		w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 2}))
+	})
+	stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+	c.Assert(err, qt.IsNil)
+	load, found := stream.Load()
+	c.Check(found, qt.IsTrue)
+	c.Check(load.Running, qt.Equals, 1)
+	_, err = readAll(stream)
+	c.Check(err, qt.Equals, io.EOF)
+	c.Check(stream.Close(), qt.IsNil)
+	load, _ = stream.Load()
+	c.Check(load.Running, qt.Equals, 2)
+}
+
+func FuzzTokenDecoder(f *testing.F) {
+	f.Add([]byte(event("r", 0, "") + event("r", 1, structs.FinishStop)))
+	f.Add([]byte(": comment\r\ndata: {\"id\":\"r\",\ndata: \"index\":1}\r\n\r\n"))
+	f.Add([]byte("data: {}\n\n"))
+	f.Add([]byte("data:"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		decoder := engineapi.NewTokenDecoder(strings.NewReader(string(body)), 256)
+		var encoded []byte
+		var tokens []structs.Token
+		for {
+			token, err := decoder.Next()
+			if err != nil {
+				break
+			}
+			if token.ID == "" || token.Index < 0 {
+				t.Fatalf("token without ID or with a negative index: %+v", token)
+			}
+			tokens = append(tokens, token)
+			encoded, _ = engineapi.AppendToken(encoded, token)
+		}
+		if len(tokens) > len(body)/len("data:{}\n\n") {
+			t.Fatalf("%d tokens from %d bytes", len(tokens), len(body))
+		}
+		again := engineapi.NewTokenDecoder(strings.NewReader(string(encoded)), 0)
+		for _, want := range tokens {
+			got, err := again.Next()
+			if err != nil || got != want {
+				t.Fatalf("got %+v, %v after encoding %+v", got, err, want)
+			}
+		}
+		if _, err := again.Next(); err != io.EOF {
+			t.Fatalf("got %v at the end", err)
+		}
+	})
+}
+
+func BenchmarkTokenDecoder(b *testing.B) {
+	body := strings.Repeat(event("router-a-0123456789", 12, ""), 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		decoder := engineapi.NewTokenDecoder(strings.NewReader(body), 0)
+		for range 1000 {
+			if _, err := decoder.Next(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1000, "ns/token")
+}
+
+func BenchmarkClientStream(b *testing.B) {
+	const tokens = 1000
+	var body strings.Builder
+	for i := range tokens {
+		finish := structs.FinishReason("")
+		if i == tokens-1 {
+			finish = structs.FinishStop
+		}
+		body.WriteString(event("router-a-0123456789", i, finish))
+	}
+	client, address := serve(b, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+		_, _ = io.WriteString(w, body.String())
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "router-a-0123456789", MaxTokens: tokens})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := readAll(stream); err != io.EOF {
+			b.Fatal(err)
+		}
+		_ = stream.Close()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
--- /dev/null
+++ b/group/snapshot.go
@@ -0,0 +1,95 @@
+package group
+
+import (
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/lotusferry/lotusferry/raft"
+)
+
+// keptFraction is the part of SnapshotEntries that the log keeps behind its end
+// when it is compacted, so that a member a little behind needs no snapshot.
+const keptFraction = 4
+
+// groupSnapshot is the data of a raft.Snapshot.
+type groupSnapshot struct {
+	Addresses map[raft.NodeID]string
+	State     []byte
+}
+
+// snapshotState follows the snapshots that this member takes.
+type snapshotState struct {
+	// last is the index of the newest snapshot, taken or restored.
+	last uint64
+	// pending is taken but the log is not compacted to it yet.
+	pending *raft.Snapshot
+}
+
+func decodeGroupSnapshot(data []byte) (groupSnapshot, error) {
+	var decoded groupSnapshot
+	err := msgpack.Unmarshal(data, &decoded)
+	return decoded, errors.Wrap(err, "decode group snapshot")
+}
+
+func (g *Group) restoreSnapshot(snapshot raft.Snapshot) error {
+	decoded, err := decodeGroupSnapshot(snapshot.Data)
+	if err != nil {
+		return err
+	}
+	g.stateMutex.Lock()
+	defer g.stateMutex.Unlock()
+	if err := g.options.StateMachine.Restore(decoded.State); err != nil {
+		return errors.Wrap(err, "restore state machine")
+	}
+	g.addresses.replicated = decoded.Addresses
+	if g.addresses.replicated == nil {
+		g.addresses.replicated = make(map[raft.NodeID]string)
+	}
+	g.loop.applied = snapshot.Index
+	g.loop.appliedAt = snapshot.Term
+	g.loop.snapshots = snapshotState{last: snapshot.Index}
+	return nil
+}
+
+// compact takes a snapshot when enough entries have been applied since the last
+// one, and compacts the log to it some entries later.
+func (g *Group) compact() error {
+	state := &g.loop.snapshots
+	interval := g.options.SnapshotEntries
+	if state.pending == nil && g.loop.applied >= state.last+interval {
+		taken, err := g.takeSnapshot()
+		if err != nil {
+			return err
+		}
+		state.pending = &taken
+		state.last = taken.Index
+	}
+	if state.pending == nil || g.loop.applied < state.pending.Index+interval/keptFraction {
+		return nil
+	}
+	snapshot := *state.pending
+	state.pending = nil
+	if err := g.options.Store.Compact(snapshot); err != nil {
+		return err
+	}
+	return errors.Wrap(g.loop.node.Compact(snapshot), "compact raft log")
+}
+
+func (g *Group) takeSnapshot() (raft.Snapshot, error) {
+	g.stateMutex.RLock()
+	defer g.stateMutex.RUnlock()
+	state, err := g.options.StateMachine.Snapshot()
+	if err != nil {
+		return raft.Snapshot{}, errors.Wrap(err, "take snapshot")
+	}
+	data, err := msgpack.Marshal(&groupSnapshot{Addresses: g.addresses.replicated, State: state})
+	if err != nil {
+		return raft.Snapshot{}, errors.Wrap(err, "encode group snapshot")
+	}
+	return raft.Snapshot{
+		Index:      g.loop.applied,
+		Term:       g.loop.appliedAt,
+		Membership: g.loop.node.MembershipAt(g.loop.applied),
+		Data:       data,
+	}, nil
+}
--- /dev/null
+++ b/group/status.go
@@ -0,0 +1,139 @@
+package group
+
+import (
+	"maps"
+
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// addressBook holds the addresses of nodes by where they are known from.
+type addressBook struct {
+	// replicated ones came with the log and are part of snapshots.
+	replicated map[raft.NodeID]string
+	// configured ones are from the settings.
+	configured map[raft.NodeID]string
+	// learned ones were named by the node itself.
+	learned map[raft.NodeID]string
+}
+
+func newAddressBook(members []Member) addressBook {
+	book := addressBook{
+		replicated: make(map[raft.NodeID]string),
+		configured: make(map[raft.NodeID]string),
+		learned:    make(map[raft.NodeID]string),
+	}
+	for _, member := range members {
+		book.configured[member.Node] = member.Address
+	}
+	return book
+}
+
+// all merges the addresses; replicated ones prevail, learned ones give way.
+func (b addressBook) all() map[raft.NodeID]string {
+	merged := maps.Clone(b.learned)
+	maps.Copy(merged, b.configured)
+	maps.Copy(merged, b.replicated)
+	return merged
+}
+
+func (b addressBook) of(node raft.NodeID) string {
+	for _, source := range []map[raft.NodeID]string{b.replicated, b.configured, b.learned} {
+		if address := source[node]; address != "" {
+			return address
+		}
+	}
+	return ""
+}
+
+// addressOf returns the address of a node, or "" when none is known.
+func (g *Group) addressOf(node raft.NodeID) string {
+	g.stateMutex.RLock()
+	defer g.stateMutex.RUnlock()
+	return g.addresses.of(node)
+}
+
+func (g *Group) learnAddress(node raft.NodeID, address string) {
+	if g.addressOf(node) == address {
+		return
+	}
+	g.stateMutex.Lock()
+	defer g.stateMutex.Unlock()
+	g.addresses.learned[node] = address
+}
+
+// Status is a member's view of its group.
+type Status struct {
+	Node     raft.NodeID
+	IsLeader bool
+	// LeaseValid is as LeaderLease reported it when the status was taken.
+	LeaseValid bool
+	Term       uint64
+	// LeaderNode is raft.None, and LeaderAddress empty, when no leader is known.
+	LeaderNode    raft.NodeID
+	LeaderAddress string
+	CommitIndex   uint64
+	AppliedIndex  uint64
+	SnapshotIndex uint64
+	Membership    raft.Membership
+	// Progress is what a leader knows of the other members; nil elsewhere.
+	Progress map[raft.NodeID]raft.Progress
+	// Addresses are those of all nodes known.
+	Addresses map[raft.NodeID]string
+}
+
+// Status returns the member's present view.
+func (g *Group) Status() Status {
+	g.statusMutex.Lock()
+	status := g.status
+	lease := g.lease
+	g.statusMutex.Unlock()
+	status.LeaseValid = g.leaseHolds(lease)
+	g.stateMutex.RLock()
+	defer g.stateMutex.RUnlock()
+	status.LeaderAddress = g.addresses.of(status.LeaderNode)
+	status.Addresses = g.addresses.all()
+	return status
+}
+
+// Applied returns a channel that is closed at the next change of the applied
+// index, the term, the leader, the membership or the lease, and when Run returns.
+// Get the channel before looking at the status, so that no change is missed.
+func (g *Group) Applied() <-chan struct{} {
+	g.statusMutex.Lock()
+	defer g.statusMutex.Unlock()
+	return g.changed
+}
+
+// publish makes the loop's state visible to other goroutines.
+func (g *Group) publish() {
+	current := g.loop.node.Status()
+	leads := current.Role == raft.Leader
+	lease := leaseState{epoch: structs.Epoch(current.Term), start: g.leaseStart(current)}
+	lease.held = leads && g.loop.node.LeaseValid() && g.loop.appliedAt == current.Term
+	g.statusMutex.Lock()
+	defer g.statusMutex.Unlock()
+	previous := g.status
+	heldBefore := g.lease.held
+	g.lease = lease
+	g.status = Status{
+		Node:          g.options.Node,
+		IsLeader:      leads,
+		Term:          current.Term,
+		LeaderNode:    current.Leader,
+		CommitIndex:   current.Commit,
+		AppliedIndex:  g.loop.applied,
+		SnapshotIndex: g.loop.snapshots.last,
+		Membership:    current.Membership,
+		Progress:      current.Progress,
+	}
+	if heldBefore != lease.held || differs(previous, g.status) {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
+}
+
+func differs(a, b Status) bool {
+	return a.AppliedIndex != b.AppliedIndex || a.Term != b.Term || a.LeaderNode != b.LeaderNode ||
+		a.IsLeader != b.IsLeader || !a.Membership.Equal(b.Membership)
+}
--- /dev/null
+++ b/lab/check.go
@@ -0,0 +1,144 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Violation is a breach of what must always hold.
+type Violation struct {
+	// Invariant names the breached line: replicas, memory, answered, own_answer,
+	// not_run or at_most_once.
+	Invariant string `json:"invariant"`
+	Detail    string `json:"detail"`
+}
+
+// CheckRecords compares what the callers and the engines recorded with what must
+// always hold, for a run in which no row's limit was ever above that of rows. It
+// returns an empty list, never nil, when all held.
+func CheckRecords(rows []structs.Row, platform *Platform, outcomes []Outcome) []Violation {
+	records := platform.Records()
+	violations := []Violation{}
+	violations = append(violations, checkMemory(platform, records)...)
+	violations = append(violations, checkReplicas(rows, records)...)
+	violations = append(violations, checkOutcomes(records, outcomes)...)
+	return violations
+}
+
+// checkMemory: accelerator memory is never overcommitted. The engine's own
+// record tells what it held and which orders it had to refuse for memory.
+func checkMemory(platform *Platform, records map[structs.RunnerID]emulator.Records) []Violation {
+	var violations []Violation
+	for _, runner := range platform.Runners {
+		record := records[runner.Machine.Runner]
+		if record.PeakMemory > runner.MemoryBytes {
+			violations = append(violations, Violation{"memory",
+				fmt.Sprintf("%s held %d of %d bytes", runner.Machine.Runner, record.PeakMemory, runner.MemoryBytes)})
+		}
+		for _, attempted := range record.Violations {
+			violations = append(violations, Violation{"memory",
+				fmt.Sprintf("%s was ordered to break a limit: %s", runner.Machine.Runner, attempted.Detail)})
+		}
+	}
+	return violations
+}
+
+// replicaEdge is a change of the number of a row's replicas in the site.
+type replicaEdge struct {
+	at    time.Time
+	delta int
+}
+
+// checkReplicas: no more replicas of a row are loaded than its limit, over all
+// engines, at any time.
+func checkReplicas(rows []structs.Row, records map[structs.RunnerID]emulator.Records) []Violation {
+	edges := map[structs.RowName][]replicaEdge{}
+	for _, record := range records {
+		for row, own := range replicaEdges(record.ReplicaChanges) {
+			edges[row] = append(edges[row], own...)
+		}
+	}
+	limits := map[structs.RowName]int{}
+	for _, row := range rows {
+		limits[row.Name] = max(limits[row.Name], row.MaxReplicas)
+	}
+	var violations []Violation
+	for row, list := range edges {
+		if peak := peakOf(list); peak > limits[row] {
+			violations = append(violations, Violation{"replicas",
+				fmt.Sprintf("%d replicas of %s were loaded, its limit is %d", peak, row, limits[row])})
+		}
+	}
+	slices.SortFunc(violations, func(a, b Violation) int { return cmp.Compare(a.Detail, b.Detail) })
+	return violations
+}
+
+// replicaEdges turns one engine's changes into +1 and -1 per row.
+func replicaEdges(changes []emulator.ReplicaChange) map[structs.RowName][]replicaEdge {
+	edges := map[structs.RowName][]replicaEdge{}
+	present := map[structs.RowName]bool{}
+	for _, change := range changes {
+		now := change.State != structs.ReplicaAbsent
+		if now == present[change.Row] {
+			continue
+		}
+		present[change.Row] = now
+		delta := 1
+		if !now {
+			delta = -1
+		}
+		edges[change.Row] = append(edges[change.Row], replicaEdge{change.At, delta})
+	}
+	return edges
+}
+
+func peakOf(edges []replicaEdge) int {
+	slices.SortStableFunc(edges, func(a, b replicaEdge) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.delta, b.delta))
+	})
+	count, peak := 0, 0
+	for _, edge := range edges {
+		count += edge.delta
+		peak = max(peak, count)
+	}
+	return peak
+}
+
+// checkOutcomes: each caller got its own whole answer, what is said not to have
+// run did not run, and a key ran at most once.
+func checkOutcomes(records map[structs.RunnerID]emulator.Records, outcomes []Outcome) []Violation {
+	executions := map[uint64]int{}
+	for _, record := range records {
+		for _, execution := range record.Executions {
+			if execution.ResumeFrom == 0 {
+				executions[execution.PromptHash]++
+			}
+		}
+	}
+	var violations []Violation
+	for _, outcome := range outcomes {
+		ran := executions[emulator.PromptHash(outcome.Request.Row, outcome.Request.Prompt)]
+		violations = append(violations, checkOutcome(outcome, ran)...)
+	}
+	return violations
+}
+
+func checkOutcome(outcome Outcome, ran int) []Violation {
+	var violations []Violation
+	id := outcome.Request.ID
+	if outcome.Wrong != "" {
+		violations = append(violations, Violation{"own_answer", fmt.Sprintf("%s: %s", id, outcome.Wrong)})
+	}
+	if outcome.Refusal != nil && outcome.Refusal.Execution == structs.ExecutionNotRun && ran > 0 && outcome.Request.Repeatable() {
+		violations = append(violations, Violation{"not_run", fmt.Sprintf("%s was said not to have run and ran %d times", id, ran)})
+	}
+	if !outcome.Request.Repeatable() && ran > 1 {
+		violations = append(violations, Violation{"at_most_once", fmt.Sprintf("%s with key %s ran %d times", id, outcome.Request.IdempotencyKey, ran)})
+	}
+	return violations
+}
--- /dev/null
+++ b/lab/edits.go
@@ -0,0 +1,100 @@
+package lab
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// pollPause separates two looks at the site's status.
+const pollPause = 20 * time.Millisecond
+
+// ApplyRows makes one edit of the given rows and waits until it is in force in
+// every zone. It returns the seconds that took.
+func (f *Fleet) ApplyRows(ctx context.Context, rows []structs.Row) (float64, error) {
+	edit := structs.Edit{ID: structs.EditID(uuid.NewString()), Author: "lab"}
+	for _, row := range rows {
+		edit.Changes = append(edit.Changes, structs.RowChange{Row: row, BaseRevision: row.Revision})
+	}
+	began := time.Now()
+	result, err := f.Operators.Apply(ctx, edit, false)
+	if err != nil {
+		return 0, errors.Wrap(err, "apply an edit")
+	}
+	if !result.Accepted {
+		return 0, errors.Errorf("the edit was refused: %+v %+v", result.Problems, result.Conflicts)
+	}
+	if err := f.awaitRevision(ctx, result.Revision); err != nil {
+		return 0, err
+	}
+	return time.Since(began).Seconds(), nil
+}
+
+func (f *Fleet) awaitRevision(ctx context.Context, revision uint64) error {
+	for {
+		outstanding, err := f.zonesBehind(ctx, revision)
+		if err == nil && len(outstanding) == 0 {
+			return nil
+		}
+		if !sleep(ctx, pollPause) {
+			return errors.Errorf("revision %d is not in force in %v (%v)", revision, outstanding, err)
+		}
+	}
+}
+
+func (f *Fleet) zonesBehind(ctx context.Context, revision uint64) ([]structs.ZoneID, error) {
+	status, err := f.Operators.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var behind []structs.ZoneID
+	for _, zone := range status.Zones {
+		if zone.TableRevision < revision {
+			behind = append(behind, zone.Zone)
+		}
+	}
+	return behind, nil
+}
+
+// awaitUnloaded waits until no zone has a replica of the row and returns the
+// seconds that took.
+func (f *Fleet) awaitUnloaded(ctx context.Context, row structs.RowName) (float64, error) {
+	began := time.Now()
+	for {
+		status, err := f.Operators.Status(ctx)
+		if err == nil && countReplicas(status.Zones, row) == 0 {
+			return time.Since(began).Seconds(), nil
+		}
+		if !sleep(ctx, pollPause) {
+			return 0, errors.Errorf("replicas of %s are still loaded (%v)", row, err)
+		}
+	}
+}
+
+func countReplicas(zones []structs.ZoneStatus, row structs.RowName) int {
+	count := 0
+	for _, zone := range zones {
+		for _, replica := range zone.Replicas {
+			if replica.Row == row {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// sleep waits and reports whether ctx still lasts.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/labcommand/run.go
@@ -0,0 +1,88 @@
+package labcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-kit/log"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// The exit codes.
+const (
+	ExitOK        = 0
+	ExitFailed    = 1
+	ExitUsage     = 2
+	ExitViolation = 3
+)
+
+// Environment is what the command line needs of its process.
+type Environment struct {
+	Output io.Writer
+	Errors io.Writer
+	// DaemonCommand starts a daemon; "--config FILE" is appended.
+	DaemonCommand []string
+}
+
+// errViolation ends a run that found a violation, after its report was printed.
+var errViolation = errors.New("what must always hold did not hold")
+
+// session is shared by all commands of one call.
+type session struct {
+	Environment
+	ctx    context.Context
+	logger log.Logger
+}
+
+type commandLine struct {
+	Demo demoCommand `command:"demo" description:"Bring up a small site, send requests, edit the table, and report"`
+}
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, arguments []string, environment Environment) int {
+	shared := &session{Environment: environment, ctx: ctx, logger: log.NewNopLogger()}
+	line := commandLine{
+		Demo: demoCommand{session: shared},
+	}
+	parser := flags.NewNamedParser("lotusferrylab", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &line); err != nil {
+		fmt.Fprintln(environment.Errors, err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exitCode(environment.Errors, err)
+}
+
+func exitCode(failures io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(failures, err)
+	var usage *flags.Error
+	switch {
+	case flags.WroteHelp(err):
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.Is(err, errViolation):
+		return ExitViolation
+	}
+	return ExitFailed
+}
+
+// printJSON writes a report, indented.
+func (s *session) printJSON(report any) error {
+	encoder := json.NewEncoder(s.Output)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(report), "write the report")
+}
+
+// newFolder makes the folder of a run below the system's temporary folder.
+func newFolder(name string) (string, error) {
+	folder, err := os.MkdirTemp("", "lotusferrylab-"+name+"-")
+	return folder, errors.Wrap(err, "make the run's folder")
+}
--- /dev/null
+++ b/operatorapi/service.go
@@ -0,0 +1,66 @@
+package operatorapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Service is what operators can ask of a site. Its errors are *structs.Error.
+type Service interface {
+	// Table returns the whole table at its newest revision.
+	Table(ctx context.Context) (TableView, error)
+	// Apply makes the edit, or only tells what it would do. A refused edit is an
+	// answer and no error: its result names the problems or conflicts.
+	Apply(ctx context.Context, edit structs.Edit, dryRun bool) (structs.EditResult, error)
+	// History returns the newest accepted edits, newest first, at most limit.
+	History(ctx context.Context, limit int) ([]structs.HistoryEntry, error)
+	// Status tells how far the zones and daemons are.
+	Status(ctx context.Context) (SiteStatus, error)
+	// Watch returns the table as soon as its revision is above since, or as it is
+	// after wait.
+	Watch(ctx context.Context, since uint64, wait time.Duration) (TableView, error)
+	// Drain starts or cancels the drain of a runner.
+	Drain(ctx context.Context, request DrainRequest) error
+	// SaveSnapshot returns a snapshot of the global group as the content of a
+	// snapshot file of package logstore.
+	SaveSnapshot(ctx context.Context) ([]byte, error)
+}
+
+// TableView is the table at a revision.
+type TableView struct {
+	Revision uint64        `json:"revision"`
+	Rows     []structs.Row `json:"rows"`
+}
+
+// SiteStatus is the state of the site as the answering daemon knows it.
+type SiteStatus struct {
+	// Revision is the table's newest revision.
+	Revision uint64               `json:"revision"`
+	Zones    []structs.ZoneStatus `json:"zones"`
+	Daemons  []DaemonStatus       `json:"daemons"`
+}
+
+// DaemonStatus is the state of one daemon.
+type DaemonStatus struct {
+	Daemon structs.DaemonID `json:"daemon"`
+	Zone   structs.ZoneID   `json:"zone"`
+	Roles  []string         `json:"roles,omitempty"`
+	// Address is the operators' address, empty when it is not known.
+	Address string `json:"address,omitempty"`
+	// Reachable is false when the daemon has not been heard of lately.
+	Reachable bool `json:"reachable"`
+	// LeadsSite and LeadsZone tell which groups the daemon leads.
+	LeadsSite bool `json:"leads_site"`
+	LeadsZone bool `json:"leads_zone"`
+	// TableRevision is the revision that the daemon works by.
+	TableRevision uint64 `json:"table_revision"`
+}
+
+// DrainRequest asks that a runner be emptied, or used again.
+type DrainRequest struct {
+	Runner structs.RunnerID `json:"runner"`
+	// Cancel ends a drain.
+	Cancel bool `json:"cancel,omitempty"`
+}
--- /dev/null
+++ b/operatorapi/wire.go
@@ -0,0 +1,216 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	stderrors "errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Paths of the operations.
+const (
+	pathTable    = "/v1/table"
+	pathEdits    = "/v1/table/edits"
+	pathHistory  = "/v1/table/history"
+	pathWatch    = "/v1/table/watch"
+	pathStatus   = "/v1/status"
+	pathDrains   = "/v1/drains"
+	pathSnapshot = "/v1/snapshot"
+)
+
+// Names of the query's parameters.
+const (
+	parameterDryRun = "dry_run"
+	parameterLimit  = "limit"
+	parameterSince  = "since"
+	parameterWait   = "wait"
+)
+
+const (
+	contentJSON   = "application/json; charset=utf-8"
+	contentBinary = "application/octet-stream"
+)
+
+const (
+	// MaximumWait bounds a Watch.
+	MaximumWait = time.Minute
+	// MaximumHistory bounds the entries of one History.
+	MaximumHistory = 10000
+	defaultHistory = 100
+)
+
+// editBody is a structs.Edit on the wire.
+type editBody struct {
+	ID      structs.EditID `json:"id"`
+	Author  string         `json:"author,omitempty"`
+	Comment string         `json:"comment,omitempty"`
+	Changes []changeBody   `json:"changes"`
+}
+
+// changeBody is a structs.RowChange on the wire.
+type changeBody struct {
+	Row          structs.Row `json:"row"`
+	Delete       bool        `json:"delete,omitempty"`
+	BaseRevision uint64      `json:"base_revision"`
+}
+
+func newEditBody(edit structs.Edit) editBody {
+	body := editBody{ID: edit.ID, Author: edit.Author, Comment: edit.Comment}
+	for _, change := range edit.Changes {
+		body.Changes = append(body.Changes, changeBody(change))
+	}
+	return body
+}
+
+func (b editBody) edit() structs.Edit {
+	edit := structs.Edit{ID: b.ID, Author: b.Author, Comment: b.Comment}
+	for _, change := range b.Changes {
+		edit.Changes = append(edit.Changes, structs.RowChange(change))
+	}
+	return edit
+}
+
+// historyBody wraps the entries, so that fields can be added later.
+type historyBody struct {
+	Entries []structs.HistoryEntry `json:"entries"`
+}
+
+// The requests of the endpoints.
+type (
+	emptyRequest   struct{}
+	historyRequest struct{ limit int }
+	applyRequest   struct {
+		edit   structs.Edit
+		dryRun bool
+	}
+	watchRequest struct {
+		since uint64
+		wait  time.Duration
+	}
+)
+
+func decodeEmpty(context.Context, *http.Request) (any, error) { return emptyRequest{}, nil }
+
+func decodeApply(_ context.Context, request *http.Request) (any, error) {
+	dryRun, err := queryBool(request.URL.Query(), parameterDryRun)
+	if err != nil {
+		return nil, err
+	}
+	var body editBody
+	if err := decodeBody(request.Body, &body); err != nil {
+		return nil, err
+	}
+	if body.ID == "" {
+		return nil, invalid("the edit has no ID", "Give each edit a new UUID, and keep it when it is sent again.")
+	}
+	if len(body.Changes) == 0 {
+		return nil, invalid("the edit changes nothing", "List at least one change.")
+	}
+	return applyRequest{edit: body.edit(), dryRun: dryRun}, nil
+}
+
+func decodeHistory(_ context.Context, request *http.Request) (any, error) {
+	limit, err := queryUint(request.URL.Query(), parameterLimit, defaultHistory)
+	if err != nil {
+		return nil, err
+	}
+	if limit < 1 || limit > MaximumHistory {
+		return nil, invalid("the limit is out of range", "Ask for 1 to "+strconv.Itoa(MaximumHistory)+" entries.")
+	}
+	return historyRequest{limit: int(limit)}, nil
+}
+
+func decodeWatch(_ context.Context, request *http.Request) (any, error) {
+	query := request.URL.Query()
+	since, err := queryUint(query, parameterSince, 0)
+	if err != nil {
+		return nil, err
+	}
+	wait := MaximumWait
+	if text := query.Get(parameterWait); text != "" {
+		wait, err = time.ParseDuration(text)
+		if err != nil || wait < 0 {
+			return nil, invalid("the wait "+strconv.Quote(text)+" is not a duration", "Write it as 30s.")
+		}
+	}
+	return watchRequest{since: since, wait: min(wait, MaximumWait)}, nil
+}
+
+func decodeDrain(_ context.Context, request *http.Request) (any, error) {
+	var drain DrainRequest
+	if err := decodeBody(request.Body, &drain); err != nil {
+		return nil, err
+	}
+	if drain.Runner == "" {
+		return nil, invalid("the drain names no runner", "Name the runner as the machine list does.")
+	}
+	return drain, nil
+}
+
+// decodeBody reads exactly one JSON value without unknown fields: a field that
+// an older daemon does not know must not be dropped in silence.
+func decodeBody(body io.Reader, into any) error {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	if stderrors.As(err, &tooLarge) {
+		return structs.NewError(structs.ErrorLimit,
+			"the request is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes",
+			"Split the edit, or raise limits.operator_body_bytes.")
+	}
+	if err != nil {
+		return invalid("the request is not the JSON that is expected: "+err.Error(), "Use lotusferryctl of the daemon's version.")
+	}
+	if decoder.More() {
+		return invalid("the request goes on after its JSON value", "Send one JSON value.")
+	}
+	return nil
+}
+
+func queryBool(query url.Values, name string) (bool, error) {
+	text := query.Get(name)
+	if text == "" {
+		return false, nil
+	}
+	value, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, invalid(name+" is neither true nor false", "Write true or false.")
+	}
+	return value, nil
+}
+
+func queryUint(query url.Values, name string, fallback uint64) (uint64, error) {
+	text := query.Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, invalid(name+" is not a whole number", "Write digits only.")
+	}
+	return value, nil
+}
+
+func invalid(message, remedy string) error {
+	return structs.NewError(structs.ErrorInvalid, message, remedy)
+}
+
+func encodeJSON(_ context.Context, writer http.ResponseWriter, response any) error {
+	writer.Header().Set("Content-Type", contentJSON)
+	return json.NewEncoder(writer).Encode(response)
+}
+
+func encodeBinary(_ context.Context, writer http.ResponseWriter, response any) error {
+	content := response.([]byte)
+	writer.Header().Set("Content-Type", contentBinary)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	_, err := writer.Write(content)
+	return err
+}
--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,120 @@
+package raft
+
+// ignoresVote reports whether a request for a vote gets no answer: the node is
+// not a member as far as it knows, or it hears from a leader that did not ask
+// for the election.
+func (n *Node) ignoresVote(m *Message) bool {
+	if !n.membership().Has(n.id) {
+		return true
+	}
+	if m.Transfer {
+		return false
+	}
+	return n.role == Leader || n.silence < n.config.ElectionTicks
+}
+
+// startPreVote asks whether an election could be won, without raising the term.
+func (n *Node) startPreVote() {
+	n.role = PreCandidate
+	n.leader = None
+	n.votes = map[NodeID]bool{n.id: true}
+	if n.decideElection() {
+		return
+	}
+	n.requestVotes(Message{Kind: MessagePreVote, Term: n.term + 1})
+}
+
+// startElection raises the term and votes for itself. The vote is durable before
+// the requests leave, because both are in the same Ready.
+func (n *Node) startElection(transfer bool) {
+	n.role = Candidate
+	n.leader = None
+	n.term++
+	n.vote = n.id
+	n.votes = map[NodeID]bool{n.id: true}
+	n.resetElectionTimer()
+	if n.decideElection() {
+		return
+	}
+	n.requestVotes(Message{Kind: MessageVote, Term: n.term, Transfer: transfer})
+}
+
+func (n *Node) requestVotes(request Message) {
+	request.Index = n.log.last()
+	request.LogTerm = n.log.lastTerm()
+	for _, id := range n.membership().Voters {
+		if id != n.id {
+			request.To = id
+			n.send(request)
+		}
+	}
+}
+
+func (n *Node) handleVoteRequest(m *Message) {
+	free := n.vote == m.From || (n.vote == None && n.leader == None)
+	if m.Kind == MessagePreVote && m.Term > n.term {
+		free = true
+	}
+	granted := free && n.log.upToDate(m.Index, m.LogTerm)
+	reply := Message{Kind: MessageVoteReply, To: m.From, Reject: !granted}
+	if m.Kind == MessagePreVote {
+		reply.Kind = MessagePreVoteReply
+		if granted {
+			reply.Term = m.Term
+		}
+	} else if granted {
+		n.vote = m.From
+		n.electionElapsed = 0
+	}
+	n.send(reply)
+}
+
+func (n *Node) handleVoteReply(m *Message) {
+	switch {
+	case m.Kind == MessagePreVoteReply && n.role != PreCandidate:
+		return
+	case m.Kind == MessageVoteReply && n.role != Candidate:
+		return
+	case m.Kind == MessagePreVoteReply && !m.Reject && m.Term != n.term+1:
+		return
+	}
+	if _, answered := n.votes[m.From]; !answered {
+		n.votes[m.From] = !m.Reject
+	}
+	n.decideElection()
+}
+
+// decideElection goes on when a majority of the voters granted or refused; true
+// when it did.
+func (n *Node) decideElection() bool {
+	granted := n.quorumValue(func(id NodeID) uint64 {
+		if n.votes[id] {
+			return 1
+		}
+		return 0
+	})
+	open := n.quorumValue(func(id NodeID) uint64 {
+		if vote, answered := n.votes[id]; vote || !answered {
+			return 1
+		}
+		return 0
+	})
+	switch {
+	case granted == 1 && n.role == PreCandidate:
+		n.startElection(false)
+	case granted == 1:
+		n.becomeLeader()
+	case open == 0:
+		n.becomeFollower(n.term, None)
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) handleTimeoutNow(m *Message) {
+	if m.From != n.leader || n.role == Leader || !n.isVoter() {
+		return
+	}
+	n.startElection(true)
+}
--- /dev/null
+++ b/raft/safety_test.go
@@ -0,0 +1,190 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	seededRuns  = 150
+	chaosSteps  = 2500
+	healedTicks = 200
+)
+
+// disturb makes one random choice of fault, proposal, read, snapshot, transfer or
+// membership change.
+func (c *cluster) disturb() {
+	m := c.members[c.random.IntN(len(c.members))]
+	other := c.members[c.random.IntN(len(c.members))]
+	if leader := c.leader(); leader != nil && c.chance(0.3) {
+		m = leader
+	}
+	switch choice := c.random.IntN(100); {
+	case choice < 1:
+		clear(c.cut)
+	case choice < 2:
+		c.isolate(m.id, c.chance(0.5))
+	case choice < 6:
+		c.cut[[2]NodeID{m.id, other.id}] = c.chance(0.5)
+	case choice < 8 && m.node != nil:
+		c.stop(m)
+	case choice < 14 && m.node == nil:
+		c.start(m)
+	case m.node == nil:
+	case choice < 17:
+		if err := c.compact(m); err != nil {
+			c.history.check(false, snapshotFaithful, "compact: %v", err)
+		}
+	case choice < 60:
+		_, _, _ = m.node.Propose(fmt.Appendf(nil, "%d", c.now))
+	case choice < 80:
+		_ = c.read(m)
+	case choice < 82:
+		_ = m.node.TransferLeadership(other.id)
+	case choice < 92:
+		c.changeMembership(m, other.id)
+	}
+}
+
+func without(ids []NodeID, id NodeID) []NodeID {
+	return slices.DeleteFunc(slices.Clone(ids), func(other NodeID) bool { return other == id })
+}
+
+// changeMembership moves id one way through absent, learner, voter, absent.
+func (c *cluster) changeMembership(m *member, id NodeID) {
+	next := m.node.membership().sorted()
+	switch {
+	case next.HasVoter(id) && len(next.Voters) > 3:
+		next.Voters = without(next.Voters, id)
+	case next.HasLearner(id):
+		next.Learners, next.Voters = without(next.Learners, id), append(next.Voters, id)
+	case !next.Has(id):
+		next.Learners = append(next.Learners, id)
+	}
+	_, _, _ = m.node.ProposeMembership(next)
+}
+
+// run drives a seeded run with faults, heals it and checks that it goes on.
+func run(seed uint64, mutate func(*Node), forgetful bool) *history {
+	c := newCluster(seed, 3+2*int(seed%2), 2)
+	c.mutate, c.forgetful = mutate, forgetful
+	c.loss, c.duplicate, c.crash, c.delay = 0.05, 0.05, 0.001, 1+int(seed%12)
+	for range chaosSteps {
+		c.step()
+		if c.chance(0.3) {
+			c.disturb()
+		}
+		if c.history.broken != "" {
+			return c.history
+		}
+	}
+	c.heal()
+	c.ticks(healedTicks)
+	leader := c.leader()
+	c.history.check(leader != nil, progressAfterHealed, "no leader")
+	if leader == nil {
+		return c.history
+	}
+	index, _, err := leader.node.Propose([]byte("last"))
+	c.history.check(err == nil, progressAfterHealed, "proposal refused: %v", err)
+	c.ticks(healedTicks / 2)
+	c.history.check(uint64(len(c.history.committed)) >= index, progressAfterHealed, "entry %d not committed", index)
+	for _, id := range leader.node.membership().all() {
+		c.history.converged(id, c.member(id).applied)
+	}
+	return c.history
+}
+
+func TestSeededFaultsKeepEveryCheck(t *testing.T) {
+	committed, leaders, reads := 0, 0, 0
+	for seed := range uint64(seededRuns) {
+		h := run(seed, nil, false)
+		qt.Assert(t, h.broken, qt.Equals, "", qt.Commentf("seed %d: %s", seed, h.detail))
+		committed += len(h.committed)
+		leaders += len(h.leaders)
+		reads += h.reads
+	}
+	t.Logf("%d runs: %d entries committed, %d terms with a leader, %d reads", seededRuns, committed, leaders, reads)
+	qt.Assert(t, committed > 20*seededRuns, qt.IsTrue)
+	qt.Assert(t, leaders > 2*seededRuns, qt.IsTrue)
+	qt.Assert(t, reads > 2*seededRuns, qt.IsTrue)
+}
+
+// TestChecksFindBrokenNodes breaks the protocol in one place at a time: the run
+// must notice.
+func TestChecksFindBrokenNodes(t *testing.T) {
+	cases := []struct {
+		name      string
+		mutate    func(*Node)
+		forgetful bool
+		breaks    []string
+	}{
+		{name: "votes twice", mutate: func(n *Node) { n.vote = None }, breaks: []string{oneVote, electionSafety}},
+		{name: "disk loses the vote", forgetful: true, breaks: []string{oneVote, electionSafety}},
+		{name: "leader commits alone", mutate: func(n *Node) {
+			if n.role == Leader {
+				n.log.commit = n.log.stable
+			}
+		}, breaks: []string{stateMachineSafety, leaderCompleteness, electionSafety}},
+		{name: "reads without a quorum", mutate: func(n *Node) {
+			n.leading.electedAt = n.now
+			for _, read := range n.leading.reads {
+				n.pending.readStates = append(n.pending.readStates, ReadState{read.context, read.index})
+			}
+			n.leading.reads = nil
+		}, breaks: []string{readLinearizable}},
+		{name: "never elects", mutate: func(n *Node) { n.electionElapsed = 0 }, breaks: []string{progressAfterHealed}},
+		{name: "lease outlives the quorum", mutate: func(n *Node) {
+			for _, p := range n.leading.progress {
+				p.heardUntil = n.now + 100
+			}
+		}, breaks: []string{leaseExclusive}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(seededRuns) {
+				if h := run(seed, test.mutate, test.forgetful); h.broken != "" {
+					t.Logf("seed %d: %s: %s", seed, h.broken, h.detail)
+					qt.Assert(t, test.breaks, qt.Contains, h.broken)
+					return
+				}
+			}
+			t.Fatal("no run noticed")
+		})
+	}
+}
+
+// TestChecksFindCorruptHistory gives each check a history that breaks just it.
+func TestChecksFindCorruptHistory(t *testing.T) {
+	entry := func(index, term uint64, data string) Entry {
+		return Entry{Index: index, Term: term, Data: []byte(data)}
+	}
+	cases := []struct {
+		check string
+		spoil func(h *history)
+	}{
+		{electionSafety, func(h *history) { h.lead(1, 2, &memoryLog{base: 1}); h.lead(2, 2, &memoryLog{base: 1}) }},
+		{oneVote, func(h *history) { h.grant(1, 2, 3); h.grant(1, 3, 3) }},
+		{logMatching, func(h *history) { h.store(1, entry(2, 2, "a")); h.store(1, entry(2, 2, "b")) }},
+		{logMatching, func(h *history) { h.store(1, entry(2, 2, "a")); h.store(2, entry(2, 2, "a")) }},
+		{stateMachineSafety, func(h *history) { h.apply(2, entry(1, 1, "other"), 7) }},
+		{stateMachineSafety, func(h *history) { h.apply(2, entry(1, 1, "first"), 8) }},
+		{stateMachineSafety, func(h *history) { h.apply(2, entry(3, 1, "gap"), 9) }},
+		{leaderCompleteness, func(h *history) { h.lead(1, 2, &memoryLog{}) }},
+		{snapshotFaithful, func(h *history) { h.restore(1, 1, 8) }},
+		{readLinearizable, func(h *history) { h.read(1, 0) }},
+		{leaseExclusive, func(h *history) { h.leases(2) }},
+		{commitWithinLog, func(h *history) { h.status(Status{Commit: 2, LastIndex: 1}) }},
+		{committedNeverLost, func(h *history) { h.converged(3, 0) }},
+	}
+	for _, test := range cases {
+		h := newHistory()
+		h.apply(1, entry(1, 1, "first"), 7)
+		qt.Check(t, h.broken, qt.Equals, "")
+		test.spoil(h)
+		qt.Check(t, h.broken, qt.Equals, test.check, qt.Commentf("%s", h.detail))
+	}
+}
