--- /dev/null
+++ b/raft/step_test.go
@@ -0,0 +1,181 @@
+package raft
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// newVoter returns node 1 of three in term 5 with entries of the terms 1 1 2 2 4,
+// the first two applied, that has not heard from a leader.
+func newVoter(t testing.TB) *Node {
+	restored := Restored{
+		HardState: HardState{Term: 5, Commit: 2},
+		Snapshot:  Snapshot{Membership: Membership{Voters: []NodeID{1, 2, 3}}},
+	}
+	for i, term := range []uint64{1, 1, 2, 2, 4} {
+		restored.Entries = append(restored.Entries, Entry{Index: uint64(i + 1), Term: term})
+	}
+	config := Config{ID: 1, ElectionTicks: 10, HeartbeatTicks: 1, Random: rand.New(rand.NewPCG(1, 1))}
+	n, err := New(config, restored)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, n.Ready().Committed, qt.HasLen, 2)
+	n.Advance()
+	n.silence = config.ElectionTicks
+	return n
+}
+
+func TestStepAnswers(t *testing.T) {
+	whole := &Snapshot{Index: 9, Term: 5, Membership: Membership{Voters: []NodeID{2}}}
+	cases := []struct {
+		name     string
+		sent     Message
+		answered Message
+	}{
+		{"vote for a complete log", Message{Kind: MessageVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6}},
+		{"no vote for a shorter log", Message{Kind: MessageVote, Term: 6, Index: 4, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}},
+		{"no vote for an older log", Message{Kind: MessageVote, Term: 6, Index: 9, LogTerm: 3}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}},
+		{"pre-vote keeps the term", Message{Kind: MessagePreVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessagePreVoteReply, Term: 6}},
+		{"pre-vote of an old term", Message{Kind: MessagePreVote, Term: 4}, Message{Kind: MessagePreVoteReply, Term: 5, Reject: true}},
+		{"append that matches", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Term: 5, Index: 6}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 6}},
+		{"append that truncates", Message{Kind: MessageAppend, Term: 5, Index: 3, LogTerm: 2, Entries: []Entry{{Term: 3, Index: 4}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 4}},
+		{"append after the end", Message{Kind: MessageAppend, Term: 5, Index: 9, LogTerm: 5}, Message{Kind: MessageAppendReply, Term: 5, Index: 9, Reject: true, Hint: 5, LogTerm: 4}},
+		{"append skips whole terms back", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 5, Reject: true, Hint: 2, LogTerm: 1}},
+		{"append before the commit index", Message{Kind: MessageAppend, Term: 5, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 2}},
+		{"append of an old term", Message{Kind: MessageAppend, Term: 4, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Reject: true, Index: 1, Hint: 2}},
+		{"heartbeat", Message{Kind: MessageHeartbeat, Term: 5, Context: 7, Commit: math.MaxInt32}, Message{Kind: MessageHeartbeatReply, Term: 5, Context: 7}},
+		{"snapshot", Message{Kind: MessageSnapshot, Term: 5, Snapshot: whole}, Message{Kind: MessageSnapshotReply, Term: 5, Index: 9}},
+	}
+	for _, test := range cases {
+		n := newVoter(t)
+		test.sent.From, test.sent.To = 2, 1
+		test.answered.From, test.answered.To = 1, 2
+		qt.Check(t, n.Step(test.sent), qt.IsNil, qt.Commentf(test.name))
+		qt.Check(t, n.Ready().Messages, qt.DeepEquals, []Message{test.answered}, qt.Commentf(test.name))
+		qt.Check(t, n.Status().Commit <= n.Status().LastIndex, qt.IsTrue)
+	}
+}
+
+func TestStepRefusesMalformedMessages(t *testing.T) {
+	for name, m := range map[string]Message{
+		"unknown kind":                  {Kind: MessageTimeoutNow + 1, From: 2, To: 1, Term: 5},
+		"another receiver":              {Kind: MessageHeartbeat, From: 2, To: 3, Term: 5},
+		"own message":                   {Kind: MessageHeartbeat, From: 1, To: 1, Term: 5},
+		"no term":                       {Kind: MessageHeartbeat, From: 2, To: 1},
+		"greatest term":                 {Kind: MessageVote, From: 2, To: 1, Term: math.MaxUint64},
+		"greatest index":                {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: math.MaxUint64},
+		"no snapshot":                   {Kind: MessageSnapshot, From: 2, To: 1, Term: 5},
+		"empty snapshot":                {Kind: MessageSnapshot, From: 2, To: 1, Term: 5, Snapshot: &Snapshot{}},
+		"gap in entries":                {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Index: 7, Term: 5}}},
+		"falling terms":                 {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Index: 6, Term: 3}}},
+		"membership that is no such":    {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Index: 6, Term: 5, Kind: EntryMembership}}},
+		"conflict with committed entry": {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}},
+	} {
+		n := newVoter(t)
+		qt.Check(t, structs.KindOf(n.Step(m)), qt.Equals, structs.ErrorInvalid, qt.Commentf(name))
+		qt.Check(t, n.HasReady(), qt.IsFalse, qt.Commentf(name))
+	}
+}
+
+func TestNewRefusesCorruptState(t *testing.T) {
+	config := newVoter(t).config
+	for name, restored := range map[string]Restored{
+		"commit past the log":    {HardState: HardState{Term: 1, Commit: 1}},
+		"gap":                    {HardState: HardState{Term: 1}, Entries: []Entry{{Index: 2, Term: 1}}},
+		"entry of a later term":  {HardState: HardState{Term: 1}, Entries: []Entry{{Index: 1, Term: 2}}},
+		"snapshot not whole":     {HardState: HardState{Term: 1}, Snapshot: Snapshot{Index: 1, Term: 1}},
+		"member listed twice":    {Snapshot: Snapshot{Membership: Membership{Voters: []NodeID{1, 1}}}},
+		"snapshot of later term": {Snapshot: Snapshot{Index: 1, Term: 1, Membership: Membership{Voters: []NodeID{1}}}},
+	} {
+		_, err := New(config, restored)
+		qt.Check(t, structs.KindOf(err), qt.Equals, structs.ErrorCorrupt, qt.Commentf(name))
+	}
+	config.ElectionTicks = config.HeartbeatTicks
+	_, err := New(config, Restored{})
+	qt.Check(t, structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+}
+
+// TestOnlyEntriesOfTheTermAreCommittedByCounting is figure 8 of the raft paper.
+func TestOnlyEntriesOfTheTermAreCommittedByCounting(t *testing.T) {
+	n := newVoter(t)
+	n.startElection(false)
+	qt.Assert(t, n.Step(Message{Kind: MessageVoteReply, From: 2, To: 1, Term: 6}), qt.IsNil)
+	ready := n.Ready()
+	qt.Assert(t, ready.MustSync, qt.IsTrue)
+	qt.Assert(t, n.Step(Message{Kind: MessageAppendReply, From: 2, To: 1, Term: 6, Index: 5}), qt.IsNil)
+	qt.Assert(t, n.Ready(), qt.DeepEquals, Ready{}, qt.Commentf("work handed out before Advance"))
+	n.Advance()
+	qt.Assert(t, n.Status().Commit, qt.Equals, uint64(2))
+	qt.Assert(t, n.Step(Message{Kind: MessageAppendReply, From: 2, To: 1, Term: 6, Index: 6}), qt.IsNil)
+	qt.Assert(t, n.Status().Commit, qt.Equals, uint64(6))
+	qt.Assert(t, n.Ready().Entries, qt.HasLen, 0, qt.Commentf("entries handed out twice"))
+}
+
+// fuzzNumbers are the values that arbitrary messages are made of.
+var fuzzNumbers = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, maxPosition - 1, maxPosition, maxPosition + 1, math.MaxUint64}
+
+// FuzzStep feeds arbitrary messages, ticks and proposals: nothing may panic, and
+// what was committed stays.
+func FuzzStep(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 4, 2, 1, 5, 4, 5, 1, 5, 0, 6, 1})
+	f.Add([]byte{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 2, 3, 6, 2, 1, 6, 0, 0, 0, 0, 0, 0, 2, 4})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := newVoter(t)
+		number := func() uint64 {
+			if len(data) == 0 {
+				return 0
+			}
+			value := fuzzNumbers[int(data[0])%len(fuzzNumbers)]
+			data = data[1:]
+			return value
+		}
+		applied, term := uint64(2), uint64(5)
+		for len(data) > 0 {
+			switch number() {
+			case 1:
+				n.Tick()
+			case 2:
+				_, _, _ = n.Propose(nil)
+				_ = n.ReadIndex(number())
+				_ = n.TransferLeadership(NodeID(number()))
+			case 3:
+				_, _, _ = n.ProposeMembership(Membership{Voters: []NodeID{1, 2, 3}, Learners: []NodeID{NodeID(number())}})
+			case 4:
+				entryTerm, _ := n.log.term(n.log.applied)
+				_ = n.Compact(Snapshot{Index: n.log.applied, Term: entryTerm, Membership: n.MembershipAt(n.log.applied)})
+			default:
+				_ = n.Step(fuzzMessage(number))
+			}
+			status := n.Status()
+			qt.Assert(t, status.Term >= term && status.Commit <= status.LastIndex, qt.IsTrue, qt.Commentf("%+v", status))
+			term = status.Term
+			ready := n.Ready()
+			if ready.Snapshot != nil {
+				qt.Assert(t, ready.Snapshot.Index > applied, qt.IsTrue)
+				applied = ready.Snapshot.Index
+			}
+			for _, entry := range ready.Committed {
+				applied++
+				qt.Assert(t, entry.Index, qt.Equals, applied)
+			}
+			n.Advance()
+		}
+	})
+}
+
+func fuzzMessage(number func() uint64) Message {
+	m := Message{
+		Kind: MessageKind(number()), From: NodeID(number()), To: 1, Term: number(), Index: number(), LogTerm: number(),
+		Commit: number(), Hint: number(), Context: number(), Reject: number() == 1, Transfer: number() == 1,
+	}
+	for range number() % 4 {
+		m.Entries = append(m.Entries, Entry{Index: number(), Term: number(), Kind: EntryKind(number())})
+	}
+	if number() == 1 {
+		m.Snapshot = &Snapshot{Index: number(), Term: number(), Membership: Membership{Voters: []NodeID{NodeID(number())}}}
+	}
+	return m
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -27,7 +27,8 @@
 const (
 	// EntryCommand carries a command of the replicated state machine.
 	EntryCommand EntryKind = iota
-	// EntryNoop is appended by a new leader so that it can commit entries of earlier terms.
+	// EntryNoop is appended by a new leader so that it can commit entries of earlier
+	// terms. The first leader of a group appends the founding membership instead.
 	EntryNoop
 	// EntryMembership carries an encoded Membership that replaces the current one.
 	EntryMembership
@@ -102,6 +103,9 @@
 	// Context is the read-index round that a heartbeat and its reply carry.
 	Context  uint64
 	Snapshot *Snapshot
+	// Transfer is set on the votes of an election that the leader itself asked for
+	// (MessageTimeoutNow): receivers answer it although they hear from a leader.
+	Transfer bool
 }
 
 // ReadState says that a read asked for under Context may be served once the
@@ -118,7 +122,14 @@
 //  3. restore Snapshot, then apply Committed, in index order;
 //  4. serve ReadStates once their Index is applied;
 //  5. call Advance.
+//
+// A Snapshot replaces the whole stored log. Entries replace whatever is stored at
+// and after the index of the first of them. The slices are shared with the node
+// and are read only.
 type Ready struct {
+	// MustSync is false when step 1 may skip the sync: nothing but
+	// HardState.Commit changed, and a lost commit index is found again.
+	MustSync   bool
 	HardState  *HardState
 	Snapshot   *Snapshot
 	Entries    []Entry
--- /dev/null
+++ b/router/claim.go
@@ -0,0 +1,192 @@
+package router
+
+import (
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// claim is the request's claim as it stands.
+func (c *Core) claim(held *request) structs.Claim {
+	claim := structs.Claim{
+		Key:       structs.ClaimKey(held.IdempotencyKey),
+		Request:   held.ID,
+		Digest:    RequestDigest(held.Request),
+		Holder:    c.options.Daemon,
+		State:     structs.ClaimHeld,
+		ExpiresAt: c.now.Add(c.options.AnswerLife),
+	}
+	if held.phase == phaseBinding || held.phase == phaseRunning || held.phase == phaseAsking {
+		claim.Runner = held.choice.Runner()
+		claim.Incarnation = held.choice.Incarnation()
+	}
+	return claim
+}
+
+// claimReplied goes on with a request whose claim was decided.
+func (c *Core) claimReplied(event ClaimReplied) {
+	held := c.requests[event.ID]
+	if held == nil {
+		c.releaseOrphan(event.ID)
+		return
+	}
+	if held.phase != phaseClaiming && held.phase != phaseBinding {
+		return
+	}
+	switch {
+	case event.Error != nil:
+		c.claimFailed(held, event.Error)
+	case event.Claim == nil:
+		c.claimFailed(held, nil)
+	case event.New || c.holds(held, event.Claim):
+		held.claimHeld = true
+		c.claimed(held, event.Claim)
+	default:
+		held.claimHeld = false
+		c.answerFromClaim(held, event.Claim)
+	}
+}
+
+// holds reports whether the record says that this very request holds its key.
+func (c *Core) holds(held *request, claim *structs.Claim) bool {
+	return claim != nil && claim.State == structs.ClaimHeld && claim.Request == held.ID
+}
+
+// claimed goes on with a request that holds its key. A late answer that does not
+// name the reserved replica answers an earlier BeginClaim.
+func (c *Core) claimed(held *request, claim *structs.Claim) {
+	if held.phase == phaseClaiming {
+		c.admit(held)
+		return
+	}
+	if claim.Runner == held.choice.Runner() && claim.Incarnation == held.choice.Incarnation() {
+		c.send(held)
+	}
+}
+
+// claimFailed ends a request whose claim could not be decided. The zone may have
+// recorded it all the same, so it is released.
+func (c *Core) claimFailed(held *request, problem *structs.Error) {
+	held.claimHeld = true
+	held.phase = c.withoutOutstandingClaim(held)
+	estimate := held.row.estimator.Service(held.MaxTokens)
+	if problem != nil && problem.RetryAfter > 0 {
+		estimate = problem.RetryAfter
+	}
+	switch structs.KindOf(asError(problem)) {
+	case structs.ErrorInvalid:
+		c.refuse(held, problem.Kind, problem.Message, problem.Remedy, never)
+	case structs.ErrorOverloaded:
+		c.refuse(held, problem.Kind, problem.Message, problem.Remedy, estimate)
+	default:
+		c.refuse(held, structs.ErrorUnavailable, "the request's key could not be claimed in its home zone",
+			"Come back after the time given with the same key.", estimate)
+	}
+}
+
+// asError keeps a missing problem a nil error.
+func asError(problem *structs.Error) error {
+	if problem == nil {
+		return nil
+	}
+	return problem
+}
+
+// beginClaim asks for the claim, with the reserved replica if there is one.
+func (c *Core) beginClaim(held *request) {
+	begin := BeginClaim{ID: held.ID, Claim: c.claim(held), AnswerBytes: c.answerBytes(held)}
+	if begin.Claim.Runner != "" {
+		held.choices++
+		begin.Choice = held.choices
+	}
+	c.emit(begin)
+}
+
+// answerBytes is how large the encoded answer may become.
+func (c *Core) answerBytes(held *request) int {
+	if held.MaxTokens <= 0 || held.MaxTokens >= c.options.AnswerLimit/answerBytesPerToken {
+		return c.options.AnswerLimit
+	}
+	return min(c.options.AnswerLimit, answerOverhead+answerBytesPerToken*held.MaxTokens)
+}
+
+// withoutOutstandingClaim returns the phase of a request whose BeginClaim has
+// been answered: a reserved replica is given back.
+func (c *Core) withoutOutstandingClaim(held *request) phase {
+	if held.phase == phaseBinding {
+		c.endAttempt(held, routing.OutcomeNeutral)
+	}
+	return phaseBackoff
+}
+
+// answerFromClaim ends a request whose key is someone else's.
+func (c *Core) answerFromClaim(held *request, claim *structs.Claim) {
+	held.phase = c.withoutOutstandingClaim(held)
+	if claim.Digest != RequestDigest(held.Request) {
+		c.refuse(held, structs.ErrorInvalid, "the key was used for another request", "Use a new key for a new request.", never)
+		return
+	}
+	switch claim.State {
+	case structs.ClaimFinished:
+		c.stats.Replayed++
+		c.release(held)
+		if !held.gone {
+			c.emit(Replay{ID: held.ID, Answer: claim.Answer})
+		}
+	case structs.ClaimHeld:
+		held.uncertain = true
+		c.refuse(held, structs.ErrorConflict, "a request with this key is in progress",
+			"Come back after the time given with the same key.", held.row.estimator.Service(held.MaxTokens))
+	case structs.ClaimReleased:
+		c.refuse(held, structs.ErrorUnavailable, "the claim on this key has just been released",
+			"Come back after the time given with the same key.", 0)
+	default:
+		held.uncertain = true
+		c.refuseUnknown(held, "it cannot be known whether the request with this key ran")
+	}
+}
+
+// finishClaim records the whole answer.
+func (c *Core) finishClaim(held *request, reason structs.FinishReason) {
+	if held.Repeatable() {
+		return
+	}
+	claim := c.claim(held)
+	answer, err := EncodeAnswer(Answer{Text: string(held.answer), Tokens: held.delivered, Finish: reason})
+	claim.State = structs.ClaimFinished
+	claim.Answer = answer
+	if err != nil || c.mutation == mutationForgetAnswer {
+		claim.State = structs.ClaimUnknown
+		claim.Answer = nil
+	}
+	c.emit(FinishClaim{ID: held.ID, Claim: claim})
+}
+
+// endClaim ends the claim of a request without a whole answer. While a
+// BeginClaim is unanswered, the release waits for its answer.
+func (c *Core) endClaim(held *request, execution structs.Execution) {
+	if held.Repeatable() {
+		return
+	}
+	claim := c.claim(held)
+	claim.State = structs.ClaimUnknown
+	if execution == structs.ExecutionNotRun {
+		claim.State = structs.ClaimReleased
+	}
+	if held.phase == phaseClaiming || held.phase == phaseBinding {
+		c.orphans[held.ID] = claim
+		return
+	}
+	if held.claimHeld {
+		c.emit(FinishClaim{ID: held.ID, Claim: claim})
+	}
+}
+
+// releaseOrphan releases a claim that was decided after its request had ended.
+func (c *Core) releaseOrphan(id structs.RequestID) {
+	claim, found := c.orphans[id]
+	if !found {
+		return
+	}
+	delete(c.orphans, id)
+	c.emit(FinishClaim{ID: id, Claim: claim})
+}
--- /dev/null
+++ b/router/core_test.go
@@ -0,0 +1,292 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// script feeds a Core events at a fixed time and keeps the last effects.
+type script struct {
+	c       *qt.C
+	core    *Core
+	now     time.Time
+	effects []Effect
+}
+
+func newScript(t testing.TB, change func(*Options)) *script {
+	options := Options{Zone: "a", Zones: []structs.ZoneID{"a", "b"}, Daemon: "daemon", Random: rand.New(rand.NewPCG(1, 1))}
+	if change != nil {
+		change(&options)
+	}
+	s := &script{c: qt.New(t), core: New(options), now: worldStart}
+	s.do(ViewChanged{View: testView(2, "row")})
+	return s
+}
+
+func (s *script) do(event Event) []Effect {
+	s.effects = slices.Clone(s.core.Step(s.now, event))
+	return s.effects
+}
+
+func (s *script) arrive(change func(*structs.Request)) []Effect {
+	request := structs.Request{ID: "id", Row: "row", Prompt: "prompt", MaxTokens: 8, DeadlineAt: s.now.Add(20 * time.Second)}
+	if change != nil {
+		change(&request)
+	}
+	return s.do(Arrived{Request: request})
+}
+
+func keyed(request *structs.Request) { request.IdempotencyKey = "a:key" }
+
+// only returns the one effect of type E among the last effects.
+func only[E Effect](s *script) E {
+	var found []E
+	for _, effect := range s.effects {
+		if typed, ok := effect.(E); ok {
+			found = append(found, typed)
+		}
+	}
+	s.c.Assert(found, qt.HasLen, 1, qt.Commentf("%+v", s.effects))
+	return found[0]
+}
+
+func TestArrivalEndsAtOnceWhenItCannotBeServed(t *testing.T) {
+	tests := []struct {
+		about  string
+		before []Event
+		change func(*structs.Request)
+		kind   structs.ErrorKind
+		retry  bool
+	}{
+		{"row not in the table", nil, func(r *structs.Request) { r.Row = "absent" }, structs.ErrorNotFound, false},
+		{"draining", []Event{DrainStarted{}}, nil, structs.ErrorUnavailable, true},
+		{"deadline passed", nil, func(r *structs.Request) { r.DeadlineAt = worldStart }, structs.ErrorDeadline, true},
+		{"cold load comes after the deadline", nil, func(r *structs.Request) { r.Row, r.DeadlineAt = "cold", worldStart.Add(time.Second) }, structs.ErrorDeadline, true},
+		{"key of another zone was forwarded here", nil, func(r *structs.Request) { r.IdempotencyKey, r.Forwarded = "b:key", true }, structs.ErrorInvalid, false},
+		{"row without replicas allowed", []Event{ViewChanged{View: structs.ZoneView{Table: structs.TableDelta{SinceRevision: 1, Revision: 2, Rows: []structs.Row{{Name: "none"}}}}}},
+			func(r *structs.Request) { r.Row = "none" }, structs.ErrorLimit, false},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, nil)
+			for _, event := range test.before {
+				s.do(event)
+			}
+			s.arrive(test.change)
+			refusal := only[Refuse](s).Refusal
+			s.c.Check(refusal.Error.Kind, qt.Equals, test.kind)
+			s.c.Check(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+			s.c.Check(refusal.Error.RetryAfter > 0, qt.Equals, test.retry)
+			s.c.Check(refusal.Error.Remedy, qt.Not(qt.Equals), "")
+			s.c.Check(s.core.Idle(), qt.IsTrue)
+		})
+	}
+}
+
+func TestForwarding(t *testing.T) {
+	elsewhere := structs.TableDelta{SinceRevision: 1, Revision: 2,
+		Rows:      []structs.Row{{Name: "far", MaxReplicas: 1}},
+		Elsewhere: []structs.RowZones{{Row: "far", Zones: []structs.ZoneID{"a", "b"}}}}
+	tests := []struct {
+		about    string
+		change   func(*structs.Request)
+		forwards bool
+	}{
+		{"row granted to another zone", func(r *structs.Request) { r.Row = "far" }, true},
+		{"not twice", func(r *structs.Request) { r.Row, r.Forwarded = "far", true }, false},
+		{"key of another zone", func(r *structs.Request) { r.IdempotencyKey = "b:key" }, true},
+		{"key of another zone and unknown row", func(r *structs.Request) { r.IdempotencyKey, r.Row = "b:key", "absent" }, true},
+		{"own key for a row of another zone", func(r *structs.Request) { r.IdempotencyKey, r.Row = "a:key", "far" }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, nil)
+			s.do(ViewChanged{View: structs.ZoneView{Table: elsewhere}})
+			s.arrive(test.change)
+			if !test.forwards {
+				s.c.Assert(slices.ContainsFunc(s.effects, isForward), qt.IsFalse)
+				return
+			}
+			s.c.Assert(only[Forward](s).Zones, qt.DeepEquals, []structs.ZoneID{"b"})
+			s.do(ForwardFailed{ID: "id", Repeatable: true, Stage: NotSent})
+			s.c.Assert(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+		})
+	}
+}
+
+func isForward(effect Effect) bool {
+	_, ok := effect.(Forward)
+	return ok
+}
+
+func TestClaimDecidesAboutRepeatedKey(t *testing.T) {
+	digest := RequestDigest(structs.Request{Row: "row", Prompt: "prompt", MaxTokens: 8})
+	tests := []struct {
+		about     string
+		claim     structs.Claim
+		execution structs.Execution
+		retry     bool
+	}{
+		{"in progress", structs.Claim{State: structs.ClaimHeld, Digest: digest, Request: "earlier"}, structs.ExecutionUnknown, true},
+		{"unknown for good", structs.Claim{State: structs.ClaimUnknown, Digest: digest}, structs.ExecutionUnknown, false},
+		{"used for another request", structs.Claim{State: structs.ClaimFinished, Digest: digest + 1}, structs.ExecutionNotRun, false},
+		{"finished", structs.Claim{State: structs.ClaimFinished, Digest: digest, Answer: []byte("kept")}, "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, nil)
+			s.arrive(keyed)
+			s.c.Assert(only[BeginClaim](s).Claim.Digest, qt.Equals, digest)
+			s.do(ClaimReplied{ID: "id", Claim: &test.claim})
+			s.c.Check(s.effects, qt.HasLen, 1)
+			s.c.Check(s.core.Idle(), qt.IsTrue)
+			if test.execution == "" {
+				s.c.Assert(only[Replay](s).Answer, qt.DeepEquals, []byte("kept"))
+				return
+			}
+			refusal := only[Refuse](s).Refusal
+			s.c.Check(refusal.Execution, qt.Equals, test.execution)
+			s.c.Check(refusal.Error.RetryAfter > 0, qt.Equals, test.retry)
+		})
+	}
+}
+
+func TestBrokenStreamResumesElsewhereWithoutLoss(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(nil)
+	first := only[SendAttempt](s)
+	s.do(TokenReceived{Attempt: first.Attempt, Token: structs.Token{ID: first.Generate.ID, Text: "zero"}})
+	s.c.Assert(only[*Deliver](s).Token, qt.Equals, structs.Token{ID: "id", Text: "zero"})
+	s.do(AttemptFailed{Attempt: first.Attempt, Stage: Broken})
+	s.now, _ = s.core.NextDeadline()
+	s.do(Tick{})
+	second := only[SendAttempt](s)
+	s.c.Check(second.Generate.ResumeFrom, qt.Equals, 1)
+	s.c.Check(second.Attempt, qt.Not(qt.Equals), first.Attempt)
+	s.c.Check(second.Runner, qt.Not(qt.Equals), first.Runner)
+	s.do(TokenReceived{Attempt: first.Attempt, Token: structs.Token{ID: first.Generate.ID, Index: 1, Text: "late"}})
+	s.c.Check(s.effects, qt.HasLen, 0)
+	s.do(TokenReceived{Attempt: second.Attempt, Token: structs.Token{ID: second.Generate.ID, Index: 1, Finish: structs.FinishStop}})
+	s.c.Check(only[Finish](s).Finish, qt.Equals, structs.FinishStop)
+	s.c.Check(s.core.Idle(), qt.IsTrue)
+}
+
+func TestBrokenAttemptWithKeyIsRepeatedOnlyIfItCertainlyDidNotRun(t *testing.T) {
+	tests := []struct {
+		about   string
+		status  structs.RequestStatus
+		repeats bool
+	}{
+		{"no record in the same life", structs.RequestStatus{State: structs.RunUnknown, Incarnation: 7}, true},
+		{"cancelled before it started", structs.RequestStatus{State: structs.RunCancelled, Incarnation: 7}, true},
+		{"no record in another life", structs.RequestStatus{State: structs.RunUnknown, Incarnation: 8}, false},
+		{"cancelled after it started", structs.RequestStatus{State: structs.RunCancelled, Incarnation: 7, Started: true}, false},
+		{"finished", structs.RequestStatus{State: structs.RunFinished, Incarnation: 7, Started: true}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, nil)
+			s.arrive(keyed)
+			claim := only[BeginClaim](s).Claim
+			s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+			claim = only[BeginClaim](s).Claim
+			s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+			sent := only[SendAttempt](s)
+			s.do(AttemptFailed{Attempt: sent.Attempt, Stage: Broken})
+			s.c.Assert(only[AskStatus](s).Attempt, qt.Equals, sent.Attempt)
+			test.status.ID = sent.Generate.ID
+			s.do(StatusReplied{ID: "id", Attempt: sent.Attempt, Status: &test.status})
+			if test.repeats {
+				s.now, _ = s.core.NextDeadline()
+				s.do(Tick{})
+				s.c.Assert(only[BeginClaim](s).Choice, qt.Equals, uint64(2))
+				return
+			}
+			s.c.Check(only[FinishClaim](s).Claim.State, qt.Equals, structs.ClaimUnknown)
+			s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionUnknown)
+		})
+	}
+}
+
+func TestWaitingRequestIsRefusedOnceItCannotStartInTime(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(func(r *structs.Request) { r.Row, r.DeadlineAt = "cold", s.now.Add(6*time.Second) })
+	s.c.Assert(s.effects, qt.HasLen, 0)
+	s.c.Assert(s.core.Demand().Rows, qt.DeepEquals, []structs.RowDemand{{Row: "cold", Waiting: 1, Arrived: 1}})
+	s.now = s.now.Add(4900 * time.Millisecond)
+	s.do(Tick{})
+	refusal := only[Refuse](s).Refusal
+	s.c.Check(refusal.Error.Kind, qt.Equals, structs.ErrorDeadline)
+	s.c.Check(refusal.Error.RetryAfter >= MinimumRetryAfter, qt.IsTrue)
+}
+
+func TestRequestIsGivenUpInTheStepOfItsLastFailure(t *testing.T) {
+	s := newScript(t, func(options *Options) { options.AttemptLimit = 2 })
+	s.arrive(nil)
+	s.do(AttemptFailed{Attempt: only[SendAttempt](s).Attempt, Stage: RefusedByEngine})
+	s.c.Assert(s.effects, qt.HasLen, 0)
+	s.now, _ = s.core.NextDeadline()
+	s.do(Tick{})
+	s.do(AttemptFailed{Attempt: only[SendAttempt](s).Attempt, Stage: NotSent})
+	refusal := only[Refuse](s).Refusal
+	s.c.Check(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+	s.c.Check(refusal.Error.RetryAfter >= MinimumRetryAfter, qt.IsTrue)
+}
+
+func TestOverloadShedsBatchBeforeLive(t *testing.T) {
+	tests := []struct {
+		about  string
+		change func(*Options)
+	}{
+		{"the queue of the row is full", func(options *Options) { options.QueueLimit = 1 }},
+		{"the router is full", func(options *Options) { options.TotalLimit = 1 }},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, test.change)
+			s.arrive(func(r *structs.Request) { r.Row = "cold" })
+			s.c.Assert(s.effects, qt.HasLen, 0)
+			s.arrive(func(r *structs.Request) { r.ID, r.Row, r.Priority = "live", "cold", structs.PriorityLive })
+			s.c.Check(only[Refuse](s).ID, qt.Equals, structs.RequestID("id"))
+			s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+			s.arrive(func(r *structs.Request) { r.ID, r.Row, r.Priority = "more", "cold", structs.PriorityLive })
+			s.c.Check(only[Refuse](s).ID, qt.Equals, structs.RequestID("more"))
+		})
+	}
+}
+
+func TestKeyedRequestGoesOnWithoutItsCaller(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(keyed)
+	for range 2 {
+		claim := only[BeginClaim](s).Claim
+		s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	}
+	sent := only[SendAttempt](s)
+	s.do(CallerGone{ID: "id"})
+	s.do(DrainStarted{})
+	s.c.Assert(s.core.Idle(), qt.IsFalse)
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Text: "all", Finish: structs.FinishStop}})
+	answer, err := DecodeAnswer(only[FinishClaim](s).Claim.Answer)
+	s.c.Check(err, qt.IsNil)
+	s.c.Check(answer, qt.Equals, Answer{Text: "all", Tokens: 1, Finish: structs.FinishStop})
+	s.c.Check(s.effects, qt.HasLen, 1)
+	s.c.Check(s.core.Idle(), qt.IsTrue)
+}
+
+func TestOldTableDeltaChangesNothing(t *testing.T) {
+	s := newScript(t, nil)
+	removal := structs.TableDelta{SinceRevision: 1, Revision: 3, Deleted: []structs.RowName{"row"}}
+	s.do(ViewChanged{View: structs.ZoneView{Table: removal}})
+	s.do(ViewChanged{View: testView(2, "row")})
+	gap := structs.TableDelta{SinceRevision: 4, Revision: 5, Rows: []structs.Row{{Name: "row", MaxReplicas: 1}}}
+	s.do(ViewChanged{View: structs.ZoneView{Table: gap}})
+	s.arrive(nil)
+	s.c.Assert(only[Refuse](s).Refusal.Error.Kind, qt.Equals, structs.ErrorNotFound)
+}
--- /dev/null
+++ b/router/engine_test.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// sendAttempt is the adversarial engine: it refuses, loses, breaks, truncates,
+// repeats, skips and crosses what it is sent.
+func (w *world) sendAttempt(send SendAttempt) {
+	id, _, _ := cutAttempt(send.Attempt)
+	target := w.requests[id]
+	if _, again := w.attempts[send.Attempt]; again {
+		w.violate("attempt", "%s was sent twice", send.Attempt)
+	}
+	if !target.request.Repeatable() && target.confirmed != send.Runner {
+		w.violate("claim", "%s was sent without a durable claim that names %s", id, send.Runner)
+	}
+	if w.leaving[send.Runner] {
+		w.violate("leaving", "%s was sent to leaving %s", id, send.Runner)
+	}
+	attempt := &engineAttempt{request: target, life: send.Incarnation}
+	w.attempts[send.Attempt] = attempt
+	switch w.random.IntN(8) {
+	case 0:
+		w.after(time.Second, AttemptFailed{Attempt: send.Attempt, Stage: NotSent})
+	case 1:
+		w.after(time.Second, AttemptFailed{Attempt: send.Attempt, Stage: RefusedByEngine})
+	case 2:
+		w.after(time.Second, AttemptFailed{Attempt: send.Attempt, Stage: Broken})
+	default:
+		attempt.received = true
+		w.after(100*time.Millisecond, AttemptStarted{Attempt: send.Attempt})
+		w.stream(send)
+	}
+}
+
+// cutAttempt splits an AttemptID at its last point.
+func cutAttempt(id AttemptID) (structs.RequestID, string, bool) {
+	for index := len(id) - 1; index > 0; index-- {
+		if id[index] == '.' {
+			return structs.RequestID(id[:index]), string(id[index+1:]), true
+		}
+	}
+	return "", "", false
+}
+
+// stream schedules the tokens of an attempt, with faults.
+func (w *world) stream(send SendAttempt) {
+	at := w.now
+	for index := send.Generate.ResumeFrom; index < worldTokens; index++ {
+		at = at.Add(time.Duration(1+w.random.IntN(400)) * time.Millisecond)
+		token := structs.Token{ID: send.Generate.ID, Index: index, Text: tokenText(send.Generate.Prompt, index)}
+		if index == worldTokens-1 {
+			token.Finish = structs.FinishStop
+		}
+		received := TokenReceived{Attempt: send.Attempt, Token: token}
+		fault := w.random.IntN(60)
+		if fault == 0 {
+			continue
+		}
+		if fault == 1 {
+			w.pending = append(w.pending, scheduled{at, AttemptFailed{Attempt: send.Attempt, Stage: Broken}})
+		}
+		if fault == 2 {
+			return
+		}
+		if fault == 3 {
+			received.Token.Finish = structs.FinishError
+		}
+		if fault == 4 {
+			foreign := received
+			foreign.Token.ID = "request-0.1"
+			if send.Attempt == "request-0.1" {
+				foreign.Token.ID = "request-1.1"
+			}
+			foreign.Token.Text = "foreign"
+			w.pending = append(w.pending, scheduled{at, foreign})
+		}
+		w.pending = append(w.pending, scheduled{at, received})
+		if fault < 12 {
+			w.pending = append(w.pending, scheduled{at.Add(time.Duration(w.random.IntN(300)) * time.Millisecond), received})
+		}
+	}
+}
+
+// askStatus fences the attempt, or fails to, and says what the engine knows.
+func (w *world) askStatus(ask AskStatus) {
+	attempt := w.attempts[ask.Attempt]
+	if w.chance(30) {
+		w.after(time.Second, StatusReplied{ID: ask.ID, Attempt: ask.Attempt, Error: structs.NewError(structs.ErrorUnavailable, "lost", "Ask again.")})
+		return
+	}
+	attempt.fenced = true
+	status := &structs.RequestStatus{ID: structs.RequestID(ask.Attempt), State: structs.RunUnknown, Incarnation: attempt.life}
+	if attempt.received {
+		status.State = structs.RunCancelled
+		status.Started = attempt.executed
+	}
+	if w.chance(10) {
+		status.Incarnation++
+		status.State = structs.RunUnknown
+		status.Started = false
+	}
+	w.after(time.Second, StatusReplied{ID: ask.ID, Attempt: ask.Attempt, Status: status})
+}
+
+// beginClaim is the key's home zone: it answers late, or records and loses the answer.
+func (w *world) beginClaim(begin BeginClaim) {
+	reply := ClaimReplied{ID: begin.ID}
+	current, exists := w.claims[begin.Claim.Key]
+	if w.chance(10) {
+		reply.Error = structs.NewError(structs.ErrorUnavailable, "no quorum", "Come back.")
+		if w.chance(50) && !exists {
+			w.claims[begin.Claim.Key] = begin.Claim
+		}
+		w.after(time.Second, reply)
+		return
+	}
+	own := exists && current.State == structs.ClaimHeld && current.Request == begin.ID
+	if !exists || own {
+		current = begin.Claim
+		w.claims[begin.Claim.Key] = current
+		reply.New = true
+	}
+	reply.Claim = &current
+	w.after(time.Second, reply)
+	if w.chance(10) {
+		w.after(2*time.Second, reply)
+	}
+}
+
+func (w *world) finishClaim(finish FinishClaim) {
+	current, exists := w.claims[finish.Claim.Key]
+	if !exists || current.Request != finish.ID || current.State != structs.ClaimHeld {
+		return
+	}
+	if finish.Claim.State == structs.ClaimReleased {
+		delete(w.claims, finish.Claim.Key)
+		return
+	}
+	w.claims[finish.Claim.Key] = finish.Claim
+	if finish.Claim.State == structs.ClaimFinished {
+		w.requests[finish.ID].kept = true
+		w.checkAnswer(w.requests[finish.ID], finish.Claim.Answer)
+	}
+}
--- /dev/null
+++ b/router/options.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Options are the settings of a Core. Zone, Daemon and Random are required; zero
+// values of the others mean the defaults.
+type Options struct {
+	Zone   structs.ZoneID
+	Daemon structs.DaemonID
+	// Zones lists all zones of the site; keys are spread over them.
+	Zones []structs.ZoneID
+	// Random is the only source of randomness; the caller seeds it.
+	Random *rand.Rand
+	// QueueLimit bounds the waiting requests of a row, CallerLimit those of one
+	// caller in a row, TotalLimit all requests of the router.
+	QueueLimit  int
+	CallerLimit int
+	TotalLimit  int
+	// GuardAfter is how many turns a waiting class or row is passed over.
+	GuardAfter int
+	// CallerWeight gives a caller's share; nil means equal shares.
+	CallerWeight func(caller string) int
+	// DefaultDeadline is given to requests that bring none.
+	DefaultDeadline time.Duration
+	// AttemptLimit bounds the attempts of a request. RetryRatio is how many
+	// retries a request of the row earns, RetryReserve how many are kept.
+	AttemptLimit int
+	RetryRatio   float64
+	RetryReserve float64
+	// BackoffBase and BackoffLimit bound the delay before a retry.
+	BackoffBase  time.Duration
+	BackoffLimit time.Duration
+	// StatusLimit bounds how often an engine is asked about one attempt.
+	StatusLimit int
+	// AnswerLimit bounds the answer of a request with a key, in bytes; AnswerLife
+	// is how long it can be replayed.
+	AnswerLimit int
+	AnswerLife  time.Duration
+	// Estimator holds what is believed of a row before it was observed.
+	Estimator admission.EstimatorOptions
+	// Routing holds the settings of the choice of replicas; its Daemon is set by New.
+	Routing routing.Options
+}
+
+// Defaults of Options.
+const (
+	DefaultTotalLimit   = 16384
+	DefaultDeadline     = 30 * time.Second
+	DefaultAttemptLimit = 4
+	DefaultStatusLimit  = 4
+	DefaultAnswerLimit  = 1 << 20
+	DefaultAnswerLife   = 24 * time.Hour
+)
+
+// MinimumRetryAfter is the shortest time a refused caller is told to wait.
+const MinimumRetryAfter = 100 * time.Millisecond
+
+// pollInterval is how often a router with waiting requests wants a Tick.
+const pollInterval = 100 * time.Millisecond
+
+// reviewInterval is how often the requests waiting for a row are checked against
+// the estimate.
+const reviewInterval = 250 * time.Millisecond
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.TotalLimit, DefaultTotalLimit)
+	setDefault(&o.GuardAfter, admission.DefaultGuardAfter)
+	setDefault(&o.DefaultDeadline, DefaultDeadline)
+	setDefault(&o.AttemptLimit, DefaultAttemptLimit)
+	setDefault(&o.StatusLimit, DefaultStatusLimit)
+	setDefault(&o.AnswerLimit, DefaultAnswerLimit)
+	setDefault(&o.AnswerLife, DefaultAnswerLife)
+	setDefault(&o.BackoffBase, routing.DefaultBackoffBase)
+	setDefault(&o.BackoffLimit, routing.DefaultBackoffLimit)
+	if len(o.Zones) == 0 {
+		o.Zones = []structs.ZoneID{o.Zone}
+	}
+	o.Routing.Daemon = o.Daemon
+	return o
+}
+
+func setDefault[T int | time.Duration](value *T, standard T) {
+	if *value <= 0 {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/router/random_test.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	randomSeeds   = 400
+	mutationSeeds = 60
+)
+
+// TestRandomEventsBreakNoRule drives the core through seeded histories. It also
+// checks that the histories reach every kind of end, so that no checker is idle.
+func TestRandomEventsBreakNoRule(t *testing.T) {
+	c := qt.New(t)
+	ends := map[string]int{}
+	for seed := range uint64(randomSeeds) {
+		w := newWorld(seed, mutationNone)
+		w.run()
+		c.Assert(w.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		for kind, count := range w.ends {
+			ends[kind] += count
+		}
+	}
+	for _, kind := range []string{"finish", "replay", "forward", "refuse not_run", "refuse outcome_unknown", "refuse partial"} {
+		c.Check(ends[kind] > randomSeeds, qt.IsTrue, qt.Commentf("%s: %d", kind, ends[kind]))
+	}
+	t.Logf("ends over %d seeds: %v", randomSeeds, ends)
+}
+
+// TestSameSeedGivesSameEffects shows that no order of a map reaches an effect.
+func TestSameSeedGivesSameEffects(t *testing.T) {
+	for seed := range uint64(20) {
+		first, second := newWorld(seed, mutationNone), newWorld(seed, mutationNone)
+		first.run()
+		second.run()
+		qt.Assert(t, first.trace.Len() > 0, qt.IsTrue)
+		qt.Assert(t, first.trace.String() == second.trace.String(), qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestEveryCheckerCanFail breaks one rule of the core at a time.
+func TestEveryCheckerCanFail(t *testing.T) {
+	tests := []struct {
+		about    string
+		mutation mutation
+		rule     string
+	}{
+		{"two terminal effects", mutationTwoTerminals, "terminal"},
+		{"a broken request with a key is repeated", mutationRepeatKeyed, "executions"},
+		{"a request is sent before its claim is held", mutationSendUnclaimed, "claim"},
+		{"every refusal says not_run", mutationClaimNotRun, "not-run"},
+		{"duplicate tokens are delivered", mutationKeepDuplicates, "answer"},
+		{"gaps are passed over", mutationIgnoreGaps, "answer"},
+		{"deadlines are passed over", mutationIgnoreDeadline, "deadline"},
+		{"the answer is not kept", mutationForgetAnswer, "kept"},
+		{"a leaving runner is used", mutationIgnoreLeaving, "leaving"},
+		{"no refusal says when to come back", mutationNoRetryAfter, "retry-after"},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			found := false
+			for seed := uint64(0); seed < mutationSeeds && !found; seed++ {
+				w := newWorld(seed, test.mutation)
+				w.run()
+				_, found = w.violations[test.rule]
+			}
+			qt.Assert(t, found, qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/router/request.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"container/heap"
+	"strconv"
+	"time"
+
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// phase is where a request is in its life.
+type phase uint8
+
+const (
+	// phaseClaiming: the key's claim was asked for.
+	phaseClaiming phase = iota
+	// phaseQueued: the request waits in its row's queue.
+	phaseQueued
+	// phaseBinding: a replica is reserved and is being named in the claim.
+	phaseBinding
+	// phaseRunning: an attempt was sent.
+	phaseRunning
+	// phaseAsking: an attempt broke and its engine is asked about it.
+	phaseAsking
+	// phaseBackoff: the request waits before it joins the queue again.
+	phaseBackoff
+)
+
+// request is the state of one request; its size is bounded by the request itself
+// and, with a key, by Options.AnswerLimit.
+type request struct {
+	structs.Request
+	row      *row
+	phase    phase
+	gone     bool
+	attempts int
+	choices  uint64
+	attempt  AttemptID
+	choice   routing.Choice
+	avoid    structs.RunnerID
+	// accepted says that the engine is known to have taken the current attempt.
+	accepted bool
+	// uncertain says that an earlier attempt may have run in part.
+	uncertain   bool
+	claimHeld   bool
+	delivered   int
+	resumedFrom int
+	answer      []byte
+	statusAsks  int
+	prefixes    [routing.PrefixBlockLimit]uint64
+	prefixCount int
+	queuedAt    time.Time
+	estimated   time.Duration
+	sentAt      time.Time
+	wakeAt      time.Time
+	position    int
+}
+
+func (r *request) prefixHashes() []uint64 { return r.prefixes[:r.prefixCount] }
+
+func (r *request) hashPrompt() {
+	hashes := routing.PrefixHashes(r.prefixes[:0], r.Prompt)
+	r.prefixCount = len(hashes)
+}
+
+func (r *request) nextAttempt() AttemptID {
+	r.attempts++
+	return AttemptID(string(r.ID) + "." + strconv.Itoa(r.attempts))
+}
+
+// execution is what is known of the request if it ends now.
+func (r *request) execution() structs.Execution {
+	outstanding := r.phase == phaseRunning || r.phase == phaseAsking
+	switch {
+	case !outstanding && !r.uncertain:
+		return structs.ExecutionNotRun
+	case r.Repeatable():
+		return structs.ExecutionPartial
+	}
+	return structs.ExecutionUnknown
+}
+
+// expired reports whether the deadline has come.
+func (r *request) expired(now time.Time) bool { return !r.DeadlineAt.After(now) }
+
+// timers orders requests by wakeAt.
+type timers []*request
+
+var _ heap.Interface = (*timers)(nil)
+
+// Len implements heap.Interface.
+func (t timers) Len() int { return len(t) }
+
+// Less implements heap.Interface; the ID makes the order total.
+func (t timers) Less(i, j int) bool {
+	if !t[i].wakeAt.Equal(t[j].wakeAt) {
+		return t[i].wakeAt.Before(t[j].wakeAt)
+	}
+	return t[i].ID < t[j].ID
+}
+
+// Swap implements heap.Interface.
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].position = i
+	t[j].position = j
+}
+
+// Push implements heap.Interface.
+func (t *timers) Push(item any) {
+	added := item.(*request)
+	added.position = len(*t)
+	*t = append(*t, added)
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	leaving := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	return leaving
+}
--- /dev/null
+++ b/router/row.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// row is a row of the table with what the router knows about it. The parts that
+// cost memory exist only while the row is in use.
+type row struct {
+	structs.Row
+	// listed says that the row is in the table; a removed row lives on until its
+	// last request has ended.
+	listed        bool
+	limit         int
+	grantSequence uint64
+	elsewhere     []structs.ZoneID
+
+	queue     *admission.Queue
+	estimator *admission.Estimator
+	budget    routing.Budget
+	// held counts the row's requests, running those that occupy a slot.
+	held    int
+	running int
+	arrived int
+	// awaitedSince is when the row was first wanted without a ready replica.
+	awaitedSince time.Time
+	reviewAt     time.Time
+}
+
+func (r *row) waiting() int {
+	if r.queue == nil {
+		return 0
+	}
+	return r.queue.Len()
+}
+
+// activate gives the row its queue and estimator.
+func (c *Core) activate(wanted *row) {
+	if wanted.estimator == nil {
+		wanted.estimator = admission.NewEstimator(c.options.Estimator)
+		wanted.budget = routing.NewBudget(c.options.RetryRatio, c.options.RetryReserve)
+	}
+	if wanted.queue == nil {
+		wanted.queue = admission.NewQueue(admission.Options{
+			Limit:       c.options.QueueLimit,
+			CallerLimit: c.options.CallerLimit,
+			GuardAfter:  c.options.GuardAfter,
+			Weight:      c.options.CallerWeight,
+		})
+	}
+	c.active[wanted.Name] = wanted
+}
+
+// situation describes what a request of the row would find.
+func (c *Core) situation(wanted *row, priority structs.Priority, maxTokens int) admission.Situation {
+	slots, free := c.balancer.Slots(c.now, wanted.Name)
+	if slots == 0 && c.balancer.Ready(wanted.Name) > 0 {
+		slots = 1
+	}
+	situation := admission.Situation{Slots: slots, Free: free, MaxTokens: maxTokens}
+	if wanted.queue != nil {
+		situation.Ahead = wanted.queue.Ahead(priority)
+	}
+	if !wanted.awaitedSince.IsZero() {
+		situation.ColdFor = c.now.Sub(wanted.awaitedSince)
+	}
+	return situation
+}
+
+// noteDemand starts the clock of a cold load when no replica is ready.
+func (c *Core) noteDemand(wanted *row) {
+	wanted.arrived++
+	if wanted.awaitedSince.IsZero() && c.balancer.Ready(wanted.Name) == 0 {
+		wanted.awaitedSince = c.now
+	}
+}
+
+// coldObservationFactor bounds what one cold load can do to the estimate: a row
+// that was refused replicas for hours says nothing about how long a load takes.
+const coldObservationFactor = 4
+
+// noteReady ends the clock of a cold load.
+func (c *Core) noteReady(wanted *row) {
+	if wanted.awaitedSince.IsZero() || c.balancer.Ready(wanted.Name) == 0 {
+		return
+	}
+	took := c.now.Sub(wanted.awaitedSince)
+	wanted.awaitedSince = time.Time{}
+	if wanted.estimator != nil {
+		wanted.estimator.ObserveColdLoad(min(took, coldObservationFactor*wanted.estimator.ColdLoad()))
+	}
+}
--- /dev/null
+++ b/router/world_test.go
@@ -0,0 +1,342 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// world drives a Core with random events, an adversarial engine and a zone that
+// answers late, and records every violation of the rules.
+type world struct {
+	random     *rand.Rand
+	core       *Core
+	now        time.Time
+	pending    []scheduled
+	requests   map[structs.RequestID]*tracked
+	attempts   map[AttemptID]*engineAttempt
+	claims     map[structs.ClaimKey]structs.Claim
+	executions map[string]int
+	leaving    map[structs.RunnerID]bool
+	violations map[string]string
+	ends       map[string]int
+	trace      strings.Builder
+}
+
+type scheduled struct {
+	at    time.Time
+	event Event
+}
+
+type tracked struct {
+	request   structs.Request
+	terminals int
+	gone      bool
+	confirmed structs.RunnerID
+	notRun    bool
+	delivered int
+	kept      bool
+}
+
+type engineAttempt struct {
+	request  *tracked
+	received bool
+	executed bool
+	fenced   bool
+	life     structs.Incarnation
+}
+
+const worldTokens = 5
+
+var worldStart = time.Unix(1_000_000, 0)
+
+func newWorld(seed uint64, broken mutation) *world {
+	w := &world{
+		random:     rand.New(rand.NewPCG(seed, 1)),
+		now:        worldStart,
+		requests:   map[structs.RequestID]*tracked{},
+		attempts:   map[AttemptID]*engineAttempt{},
+		claims:     map[structs.ClaimKey]structs.Claim{},
+		executions: map[string]int{},
+		leaving:    map[structs.RunnerID]bool{},
+		violations: map[string]string{},
+		ends:       map[string]int{},
+	}
+	w.core = New(Options{
+		Zone: "a", Zones: []structs.ZoneID{"a", "b"}, Daemon: "daemon", QueueLimit: 6,
+		Random: rand.New(rand.NewPCG(seed, 2)), TotalLimit: 20,
+		Routing: routing.Options{MaxBatch: 2, QueueSlack: 1},
+	})
+	w.core.mutation = broken
+	return w
+}
+
+func (w *world) violate(rule, format string, arguments ...any) {
+	w.violations[rule] = fmt.Sprintf(format, arguments...)
+}
+
+func (w *world) chance(percent int) bool { return w.random.IntN(100) < percent }
+
+func (w *world) after(limit time.Duration, event Event) {
+	delay := time.Duration(w.random.Int64N(int64(limit)))
+	w.pending = append(w.pending, scheduled{w.now.Add(delay), event})
+}
+
+// run lets arrivals come for five seconds and goes on until nothing is left to happen.
+func (w *world) run() {
+	w.step(ViewChanged{View: testView(4, "row", "other")})
+	for number := range 60 {
+		w.after(5*time.Second, Arrived{Request: w.newRequest(number)})
+	}
+	for _, runner := range []structs.RunnerID{"runner-1", "runner-2"} {
+		w.after(6*time.Second, RunnerLeaving{Runner: runner})
+	}
+	w.disturb()
+	for range 3000 {
+		if !w.advance() {
+			break
+		}
+	}
+	w.checkEnd()
+}
+
+// disturb schedules what happens around the requests: lagging load reports, cache
+// events with gaps, rows that are removed, moved and brought back, a runner that
+// restarts, and sometimes a planned stop.
+func (w *world) disturb() {
+	for number := range 40 {
+		runner := structs.RunnerID(fmt.Sprintf("runner-%d", number%4))
+		report := structs.LoadReport{Running: w.random.IntN(6), MaxBatch: 2, TokensPerSecond: 20, ObservedAt: w.now.Add(time.Duration(number*200) * time.Millisecond)}
+		w.after(10*time.Second, LoadObserved{Runner: runner, Report: report})
+		w.after(10*time.Second, CacheEvent{Runner: runner, Sequence: uint64(number), Row: "row", PrefixHash: uint64(number), Evicted: w.chance(30)})
+	}
+	removed := testView(4, "row")
+	removed.Index, removed.Table.Revision = 2, 2
+	moved := testView(4, "row")
+	moved.Index, moved.Table.Revision = 3, 3
+	moved.Table.Rows = append(moved.Table.Rows, structs.Row{Name: "other", MaxReplicas: 1})
+	moved.Table.Elsewhere = []structs.RowZones{{Row: "other", Zones: []structs.ZoneID{"b"}}}
+	restarted := testView(4, "row", "other")
+	restarted.Index, restarted.Table.Revision = 4, 4
+	restarted.Placement.Runners[0].Incarnation++
+	for _, view := range []structs.ZoneView{removed, moved, restarted} {
+		w.after(8*time.Second, ViewChanged{View: view})
+	}
+	if w.chance(10) {
+		w.after(8*time.Second, DrainStarted{})
+	}
+}
+
+func (w *world) newRequest(number int) structs.Request {
+	request := structs.Request{
+		ID:         structs.RequestID(fmt.Sprintf("request-%d", number)),
+		Row:        []structs.RowName{"row", "row", "other", "cold", "missing"}[w.random.IntN(5)],
+		Prompt:     fmt.Sprintf("prompt-%d", number),
+		MaxTokens:  worldTokens,
+		Priority:   structs.Priority(w.random.IntN(3)),
+		DeadlineAt: worldStart.Add(time.Duration(2+w.random.IntN(12)) * time.Second),
+		Caller:     fmt.Sprintf("caller-%d", number%3),
+		Forwarded:  w.chance(10),
+	}
+	if w.chance(50) {
+		request.IdempotencyKey = fmt.Sprintf("%s:%d", []string{"a", "a", "a", "b"}[w.random.IntN(4)], w.random.IntN(12))
+		request.Row = "row"
+		request.Prompt = "keyed " + request.IdempotencyKey
+	}
+	return request
+}
+
+// advance takes the earliest event, or a Tick that is due before it.
+func (w *world) advance() bool {
+	slices.SortStableFunc(w.pending, func(a, b scheduled) int { return a.at.Compare(b.at) })
+	when, ticks := w.core.NextDeadline()
+	if len(w.pending) > 0 && (!ticks || w.pending[0].at.Before(when)) {
+		next := w.pending[0]
+		w.pending = w.pending[1:]
+		w.now = next.at
+		w.step(next.event)
+		return true
+	}
+	if !ticks {
+		return false
+	}
+	if when.After(w.now) {
+		w.now = when
+	}
+	w.step(Tick{})
+	w.checkDeadlines()
+	return true
+}
+
+func (w *world) step(event Event) {
+	switch event := event.(type) {
+	case Arrived:
+		w.requests[event.Request.ID] = &tracked{request: event.Request}
+		if w.chance(10) {
+			w.after(3*time.Second, CallerGone{ID: event.Request.ID})
+		}
+	case CallerGone:
+		w.requests[event.ID].gone = true
+	case ClaimReplied:
+		if event.New {
+			w.requests[event.ID].confirmed = event.Claim.Runner
+		}
+	case RunnerLeaving:
+		w.leaving[event.Runner] = true
+	case TokenReceived:
+		if !w.execute(event.Attempt) {
+			return
+		}
+	case ForwardFailed:
+		w.requests[event.ID].terminals--
+	}
+	for _, effect := range slices.Clone(w.core.Step(w.now, event)) {
+		fmt.Fprintf(&w.trace, "%d %T %+v\n", w.now.UnixNano(), effect, effect)
+		w.carryOut(effect)
+	}
+}
+
+// execute starts the attempt at the engine when its first token is due.
+func (w *world) execute(id AttemptID) bool {
+	attempt := w.attempts[id]
+	if attempt.executed {
+		return true
+	}
+	if attempt.fenced {
+		return false
+	}
+	attempt.executed = true
+	w.executions[string(attempt.request.request.ID)]++
+	if key := attempt.request.request.IdempotencyKey; key != "" {
+		w.executions[key]++
+	}
+	return true
+}
+
+func (w *world) carryOut(effect Effect) {
+	switch effect := effect.(type) {
+	case SendAttempt:
+		w.sendAttempt(effect)
+	case CancelAttempt:
+		w.attempts[effect.Attempt].fenced = w.chance(80)
+	case AskStatus:
+		w.askStatus(effect)
+	case BeginClaim:
+		w.beginClaim(effect)
+	case FinishClaim:
+		w.finishClaim(effect)
+	case *Deliver:
+		w.checkToken(effect)
+	case Finish:
+		w.end(effect.ID, "finish")
+		done := w.requests[effect.ID]
+		if done.delivered != worldTokens {
+			w.violate("answer", "%s finished after %d tokens", effect.ID, done.delivered)
+		}
+		if !done.request.Repeatable() && !done.kept {
+			w.violate("kept", "%s finished before its answer was kept", effect.ID)
+		}
+	case Replay:
+		w.end(effect.ID, "replay")
+		w.checkAnswer(w.requests[effect.ID], effect.Answer)
+	case Refuse:
+		w.checkRefusal(effect)
+	case Forward:
+		w.end(effect.ID, "forward")
+		if w.chance(30) {
+			w.after(time.Second, ForwardFailed{ID: effect.ID, Row: "row", Stage: NotSent})
+		}
+	}
+}
+
+func (w *world) end(id structs.RequestID, kind string) {
+	w.ends[kind]++
+	w.requests[id].terminals++
+	if w.requests[id].terminals > 1 {
+		w.violate("terminal", "%s ended twice", id)
+	}
+}
+
+func (w *world) checkRefusal(refuse Refuse) {
+	w.end(refuse.ID, "refuse "+string(refuse.Refusal.Execution))
+	problem := refuse.Refusal.Error
+	if refuse.Refusal.Execution == structs.ExecutionNotRun {
+		w.requests[refuse.ID].notRun = true
+	}
+	useless := problem.Kind == structs.ErrorNotFound || problem.Kind == structs.ErrorInvalid || refuse.Refusal.Execution == structs.ExecutionUnknown
+	if problem.RetryAfter <= 0 && !useless {
+		w.violate("retry-after", "%s: %s without RetryAfter", refuse.ID, problem.Message)
+	}
+	if problem.Remedy == "" {
+		w.violate("remedy", "%s: %s without remedy", refuse.ID, problem.Message)
+	}
+}
+
+func (w *world) checkToken(deliver *Deliver) {
+	target := w.requests[deliver.ID]
+	want := tokenText(target.request.Prompt, target.delivered)
+	if deliver.Token.Index != target.delivered || deliver.Token.Text != want || deliver.Token.ID != deliver.ID || target.gone || target.terminals > 0 {
+		w.violate("answer", "%s: token %+v instead of %q", deliver.ID, deliver.Token, want)
+	}
+	target.delivered++
+}
+
+func (w *world) checkAnswer(target *tracked, encoded []byte) {
+	answer, err := DecodeAnswer(encoded)
+	want := ""
+	for index := range worldTokens {
+		want += tokenText(target.request.Prompt, index)
+	}
+	if err != nil || answer.Text != want {
+		w.violate("kept", "%s: kept answer %q (%v)", target.request.ID, answer.Text, err)
+	}
+}
+
+func (w *world) checkDeadlines() {
+	for id, target := range w.requests {
+		if target.terminals == 0 && !target.gone && !target.request.DeadlineAt.After(w.now) {
+			w.violate("deadline", "%s has no end at its deadline", id)
+		}
+	}
+}
+
+func (w *world) checkEnd() {
+	for id, target := range w.requests {
+		if target.terminals == 0 && !target.gone {
+			w.violate("terminal", "%s has no end", id)
+		}
+		if target.notRun && w.executions[string(id)] > 0 {
+			w.violate("not-run", "%s ran although not_run", id)
+		}
+		if key := target.request.IdempotencyKey; w.executions[key] > 1 {
+			w.violate("executions", "key %s ran %d times", key, w.executions[key])
+		}
+	}
+	if !w.core.Idle() {
+		w.violate("idle", "the core holds requests at the end: %+v", w.core.Stats())
+	}
+}
+
+func tokenText(prompt string, index int) string { return fmt.Sprintf("%s/%d ", prompt, index) }
+
+// testView places the rows on so many runners, and adds the row "cold" without replicas.
+func testView(runners int, rows ...structs.RowName) structs.ZoneView {
+	view := structs.ZoneView{Index: 1, Table: structs.TableDelta{Full: true, Revision: 1}, Placement: &structs.Placement{}}
+	for _, name := range append([]structs.RowName{"cold"}, rows...) {
+		view.Table.Rows = append(view.Table.Rows, structs.Row{Name: name, MaxReplicas: 4})
+		view.Table.Grants = append(view.Table.Grants, structs.Grant{Row: name, Zone: "a", Limit: 4, Sequence: 1})
+	}
+	for number := range runners {
+		id := structs.RunnerID(fmt.Sprintf("runner-%d", number))
+		view.Placement.Runners = append(view.Placement.Runners, structs.RunnerInfo{ID: id, Address: "127.0.0.1:1", Incarnation: 7})
+		for _, name := range rows {
+			view.Placement.Replicas = append(view.Placement.Replicas, structs.Replica{Row: name, Runner: id, Incarnation: 7, State: structs.ReplicaReady})
+		}
+	}
+	return view
+}
--- /dev/null
+++ b/routing/balancer.go
@@ -0,0 +1,226 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Balancer chooses replicas for one router.
+type Balancer struct {
+	options    Options
+	random     *rand.Rand
+	runners    map[structs.RunnerID]*runner
+	rows       map[structs.RowName]*row
+	left       map[structs.RunnerID]structs.Incarnation
+	hints      hints
+	lastNumber uint32
+	ejections  uint64
+	cacheGaps  uint64
+}
+
+// Choice is a chosen replica. It is used for one attempt: Sent once, then Done once.
+type Choice struct {
+	balancer *Balancer
+	replica  *replica
+}
+
+// New makes a Balancer without runners.
+func New(options Options, random *rand.Rand) *Balancer {
+	options = options.withDefaults()
+	return &Balancer{
+		options: options,
+		random:  random,
+		runners: make(map[structs.RunnerID]*runner),
+		rows:    make(map[structs.RowName]*row),
+		left:    make(map[structs.RunnerID]structs.Incarnation),
+		hints:   newHints(options.HintLimit),
+	}
+}
+
+// Pick chooses a replica of the row that has room, or reports false. Prefixes are
+// the prompt's PrefixHashes. The runner named avoid is chosen only if no other
+// one has room.
+func (b *Balancer) Pick(now time.Time, name structs.RowName, prefixes []uint64, avoid structs.RunnerID) (Choice, bool) {
+	wanted := b.rows[name]
+	if wanted == nil || len(wanted.subset) == 0 {
+		return Choice{}, false
+	}
+	best, score := b.sample(now, wanted, avoid)
+	if best == nil {
+		best, score = b.scan(now, wanted, avoid)
+	}
+	if best == nil && avoid != "" {
+		best, score = b.scan(now, wanted, "")
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	if cached := b.cached(now, wanted, prefixes, avoid, score); cached != nil {
+		best = cached
+	}
+	return Choice{balancer: b, replica: best}, true
+}
+
+// sample takes the best of a few replicas chosen at random.
+func (b *Balancer) sample(now time.Time, wanted *row, avoid structs.RunnerID) (*replica, float64) {
+	var best *replica
+	lowest := 0.0
+	size := len(wanted.subset)
+	first := b.random.IntN(size)
+	for choice := 0; choice < b.options.Choices && choice < size; choice++ {
+		index := first
+		if choice > 0 {
+			index = (first + 1 + b.random.IntN(size-1)) % size
+		}
+		candidate := wanted.subset[index]
+		if candidate == best || !b.usable(now, candidate, avoid) {
+			continue
+		}
+		if score := b.score(now, candidate); best == nil || score < lowest {
+			best, lowest = candidate, score
+		}
+	}
+	return best, lowest
+}
+
+// scan takes the best of the whole subset, from a random start.
+func (b *Balancer) scan(now time.Time, wanted *row, avoid structs.RunnerID) (*replica, float64) {
+	var best *replica
+	lowest := 0.0
+	size := len(wanted.subset)
+	first := b.random.IntN(size)
+	for offset := range size {
+		candidate := wanted.subset[(first+offset)%size]
+		if !b.usable(now, candidate, avoid) {
+			continue
+		}
+		if score := b.score(now, candidate); best == nil || score < lowest {
+			best, lowest = candidate, score
+		}
+	}
+	return best, lowest
+}
+
+// cached finds a runner that probably has the longest known prefix of the prompt
+// and is not much more loaded than score.
+func (b *Balancer) cached(now time.Time, wanted *row, prefixes []uint64, avoid structs.RunnerID, score float64) *replica {
+	for index := len(prefixes) - 1; index >= 0; index-- {
+		known, ok := b.hints.find(prefixes[index] ^ wanted.seed)
+		if !ok {
+			continue
+		}
+		for _, number := range known {
+			candidate := wanted.find(number)
+			if candidate == nil || !b.usable(now, candidate, avoid) {
+				continue
+			}
+			if b.score(now, candidate) <= score+b.options.AffinityBound {
+				return candidate
+			}
+		}
+	}
+	return nil
+}
+
+func (r *row) find(number uint32) *replica {
+	if number == 0 {
+		return nil
+	}
+	for _, candidate := range r.subset {
+		if candidate.runner.number == number {
+			return candidate
+		}
+	}
+	return nil
+}
+
+func (b *Balancer) usable(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
+	target := candidate.runner
+	if target.leaving || (avoid != "" && target.info.ID == avoid) {
+		return false
+	}
+	if now.Before(candidate.ejectedUntil) {
+		return false
+	}
+	return target.hasRoom(now, &b.options) && target.breaker.allows(now) && candidate.breaker.allows(now)
+}
+
+// score is the runner's load as a share of its batch.
+func (b *Balancer) score(now time.Time, candidate *replica) float64 {
+	load := candidate.runner.load(now, b.options.ReportLife)
+	return float64(load) / float64(candidate.runner.maxBatch)
+}
+
+// Slots returns how many requests of the row can run at once on usable replicas
+// of the subset, and how many more may be sent now.
+func (b *Balancer) Slots(now time.Time, name structs.RowName) (slots, free int) {
+	wanted := b.rows[name]
+	if wanted == nil {
+		return 0, 0
+	}
+	for _, candidate := range wanted.subset {
+		target := candidate.runner
+		if target.leaving || now.Before(candidate.ejectedUntil) || target.breaker.open() || candidate.breaker.open() {
+			continue
+		}
+		limit := target.maxBatch + b.options.QueueSlack
+		load := target.load(now, b.options.ReportLife)
+		slots += max(1, limit-(load-target.inFlight))
+		if target.hasRoom(now, &b.options) {
+			free += max(1, limit-load)
+		}
+	}
+	return slots, free
+}
+
+// Ready counts the row's ready replicas on runners that are not leaving.
+func (b *Balancer) Ready(name structs.RowName) int {
+	wanted := b.rows[name]
+	if wanted == nil {
+		return 0
+	}
+	return wanted.ready
+}
+
+// ObserveLoad takes a runner's load report.
+func (b *Balancer) ObserveLoad(id structs.RunnerID, report structs.LoadReport) {
+	if target := b.runners[id]; target != nil {
+		target.observe(report)
+	}
+}
+
+// ObserveCache learns from a runner's cache event. An event older than one seen
+// before is ignored; a gap loses only hints, which cost a cache miss at worst.
+func (b *Balancer) ObserveCache(change CacheChange) {
+	target := b.runners[change.Runner]
+	if target == nil || change.Sequence <= target.sequence {
+		return
+	}
+	if target.sequence > 0 && change.Sequence > target.sequence+1 {
+		b.cacheGaps++
+	}
+	target.sequence = change.Sequence
+	key := change.PrefixHash ^ rowSeed(change.Row)
+	if change.Evicted {
+		b.hints.forget(key, target.number)
+		return
+	}
+	b.hints.learn(key, target.number)
+}
+
+// Rows lists the rows with a ready replica on the runner. The slice is shared
+// and must not be changed.
+func (b *Balancer) Rows(id structs.RunnerID) []structs.RowName {
+	if target := b.runners[id]; target != nil {
+		return target.rows
+	}
+	return nil
+}
+
+// Ejections counts the replicas ejected as outliers.
+func (b *Balancer) Ejections() uint64 { return b.ejections }
+
+// CacheGaps counts the gaps seen in the sequences of cache events.
+func (b *Balancer) CacheGaps() uint64 { return b.cacheGaps }
--- /dev/null
+++ b/routing/balancer_test.go
@@ -0,0 +1,216 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func placement(runners int) structs.Placement {
+	var placed structs.Placement
+	for number := range runners {
+		id := structs.RunnerID(fmt.Sprintf("runner-%d", number))
+		placed.Runners = append(placed.Runners, structs.RunnerInfo{ID: id, Incarnation: 1})
+		placed.Replicas = append(placed.Replicas, structs.Replica{Row: "row", Runner: id, Incarnation: 1, State: structs.ReplicaReady})
+	}
+	return placed
+}
+
+func newBalancer(runners int, options Options) *Balancer {
+	balancer := New(options, rand.New(rand.NewPCG(1, 1)))
+	balancer.SetPlacement(placement(runners))
+	return balancer
+}
+
+// fill sends until no replica has room and counts the attempts of each runner.
+func fill(balancer *Balancer, limit int) map[structs.RunnerID]int {
+	counts := map[structs.RunnerID]int{}
+	for range limit {
+		choice, ok := balancer.Pick(start, "row", nil, "")
+		if !ok {
+			break
+		}
+		choice.Sent(start, nil)
+		counts[choice.Runner()]++
+	}
+	return counts
+}
+
+func TestPickTakesOnlyUsableReplicas(t *testing.T) {
+	reported := func(id structs.RunnerID, load int) func(*Balancer) {
+		return func(b *Balancer) {
+			b.ObserveLoad(id, structs.LoadReport{Running: load, MaxBatch: 4, ObservedAt: start})
+		}
+	}
+	tests := []struct {
+		about  string
+		change func(*Balancer)
+		want   map[structs.RunnerID]int
+	}{
+		{"up to the limit of each", func(*Balancer) {}, map[structs.RunnerID]int{"runner-0": 5, "runner-1": 5}},
+		{"not a leaving one", func(b *Balancer) { b.Leave("runner-0") }, map[structs.RunnerID]int{"runner-1": 5}},
+		{"one that left stays out in an older placement", func(b *Balancer) {
+			b.Leave("runner-0")
+			b.SetPlacement(placement(2))
+		}, map[structs.RunnerID]int{"runner-1": 5}},
+		{"what others sent counts", reported("runner-0", 3), map[structs.RunnerID]int{"runner-0": 2, "runner-1": 5}},
+		{"others cannot keep this router out", reported("runner-0", 6), map[structs.RunnerID]int{"runner-0": 1, "runner-1": 5}},
+		{"not one of another life", func(b *Balancer) {
+			placed := placement(2)
+			placed.Runners[0].Incarnation = 2
+			b.SetPlacement(placed)
+		}, map[structs.RunnerID]int{"runner-1": 5}},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			balancer := newBalancer(2, Options{MaxBatch: 4, QueueSlack: 1})
+			test.change(balancer)
+			qt.Assert(t, fill(balancer, 100), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestLoadReportIsCorrectedByOwnAttempts(t *testing.T) {
+	tests := []struct {
+		about      string
+		observedAt time.Duration
+		others     int
+	}{
+		{"taken before the own attempts", -time.Second, 3},
+		{"taken after the first", time.Second, 2},
+		{"taken after both", 3 * time.Second, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			balancer := newBalancer(1, Options{})
+			for _, at := range []time.Duration{0, 2 * time.Second} {
+				choice, _ := balancer.Pick(start, "row", nil, "")
+				choice.Sent(start.Add(at), nil)
+			}
+			balancer.ObserveLoad("runner-0", structs.LoadReport{Running: 3, ObservedAt: start.Add(test.observedAt)})
+			qt.Assert(t, balancer.runners["runner-0"].others, qt.Equals, test.others)
+		})
+	}
+}
+
+func TestSubsetIsBoundedStableAndSpread(t *testing.T) {
+	used := map[structs.RunnerID]int{}
+	for daemon := range 100 {
+		options := Options{Daemon: structs.DaemonID(fmt.Sprint(daemon)), SubsetSize: 8}
+		balancer := newBalancer(100, options)
+		before := map[*runner]bool{}
+		for _, member := range balancer.rows["row"].subset {
+			before[member.runner] = true
+			used[member.runner.info.ID]++
+		}
+		qt.Assert(t, before, qt.HasLen, 8)
+		balancer.SetPlacement(placement(99))
+		changed := 0
+		for _, member := range balancer.rows["row"].subset {
+			if !before[member.runner] {
+				changed++
+			}
+		}
+		qt.Assert(t, changed <= 1, qt.IsTrue)
+	}
+	qt.Assert(t, len(used) > 95, qt.IsTrue, qt.Commentf("%d runners used", len(used)))
+}
+
+func TestPrefixAffinityIsBounded(t *testing.T) {
+	balancer := newBalancer(8, Options{MaxBatch: 8, AffinityBound: 0.25})
+	prefixes := PrefixHashes(nil, strings.Repeat("a", 3*PrefixBlockBytes))
+	qt.Assert(t, prefixes, qt.HasLen, 3)
+	first, _ := balancer.Pick(start, "row", prefixes, "")
+	first.Sent(start, prefixes)
+	same := 1
+	for range 20 {
+		choice, _ := balancer.Pick(start, "row", prefixes[:2], "")
+		if choice.Runner() != first.Runner() {
+			break
+		}
+		choice.Sent(start, nil)
+		same++
+	}
+	qt.Assert(t, same, qt.Equals, 3)
+}
+
+func TestCacheEventsTeachAndForget(t *testing.T) {
+	balancer := newBalancer(8, Options{})
+	prefixes := PrefixHashes(nil, strings.Repeat("b", PrefixBlockBytes))
+	change := CacheChange{Runner: "runner-5", Sequence: 1, Row: "row", PrefixHash: prefixes[0]}
+	balancer.ObserveCache(change)
+	known := func() bool {
+		return balancer.cached(start, balancer.rows["row"], prefixes, "", 0) != nil
+	}
+	qt.Assert(t, known(), qt.IsTrue)
+	change.Evicted = true
+	balancer.ObserveCache(change)
+	qt.Assert(t, known(), qt.IsTrue, qt.Commentf("an event seen before changes nothing"))
+	change.Sequence = 4
+	balancer.ObserveCache(change)
+	qt.Assert(t, known(), qt.IsFalse)
+	qt.Assert(t, balancer.CacheGaps(), qt.Equals, uint64(1))
+}
+
+func TestBreakerProbesOnceAndBacksOff(t *testing.T) {
+	balancer := newBalancer(1, Options{BreakerFailures: 2, BreakerDelay: time.Second})
+	now := start
+	attempt := func(outcome Outcome) bool {
+		choice, ok := balancer.Pick(now, "row", nil, "")
+		if ok {
+			choice.Sent(now, nil)
+			choice.Done(now, outcome)
+		}
+		return ok
+	}
+	qt.Assert(t, attempt(OutcomeBroken), qt.IsTrue)
+	qt.Assert(t, attempt(OutcomeBroken), qt.IsTrue)
+	qt.Assert(t, attempt(OutcomeSuccess), qt.IsFalse)
+	now = now.Add(time.Second)
+	probe, ok := balancer.Pick(now, "row", nil, "")
+	qt.Assert(t, ok, qt.IsTrue)
+	probe.Sent(now, nil)
+	qt.Assert(t, attempt(OutcomeSuccess), qt.IsFalse, qt.Commentf("one probe at a time"))
+	probe.Done(now, OutcomeBroken)
+	now = now.Add(time.Second)
+	qt.Assert(t, attempt(OutcomeSuccess), qt.IsFalse, qt.Commentf("the delay doubled"))
+	now = now.Add(time.Second)
+	qt.Assert(t, attempt(OutcomeSuccess), qt.IsTrue)
+	qt.Assert(t, attempt(OutcomeSuccess), qt.IsTrue)
+}
+
+func TestOutlierEjectionIsLimitedToAShare(t *testing.T) {
+	balancer := newBalancer(6, Options{EjectionShare: 0.34, BreakerFailures: 1000})
+	for round := range 3000 {
+		choice, ok := balancer.Pick(start, "row", nil, "")
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("round %d", round))
+		choice.Sent(start, nil)
+		bad := choice.Runner() <= "runner-2"
+		choice.Done(start, map[bool]Outcome{true: OutcomeRefused, false: OutcomeSuccess}[bad])
+	}
+	qt.Assert(t, balancer.Ejections(), qt.Equals, uint64(2))
+}
+
+func TestRetryBudgetAndBackoff(t *testing.T) {
+	budget := NewBudget(0.5, 2)
+	qt.Assert(t, budget.Withdraw(), qt.IsTrue)
+	qt.Assert(t, budget.Withdraw(), qt.IsTrue)
+	qt.Assert(t, budget.Withdraw(), qt.IsFalse)
+	budget.Deposit()
+	qt.Assert(t, budget.Withdraw(), qt.IsFalse)
+	budget.Deposit()
+	qt.Assert(t, budget.Withdraw(), qt.IsTrue)
+	random := rand.New(rand.NewPCG(1, 1))
+	for retry, ceiling := range map[int]time.Duration{1: 100, 2: 200, 3: 400, 9: 500} {
+		delay := Backoff(random, 100, 500, retry)
+		qt.Assert(t, delay >= ceiling/2 && delay <= ceiling, qt.IsTrue, qt.Commentf("%d: %d", retry, delay))
+	}
+}
--- /dev/null
+++ b/routing/benchmark_test.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// BenchmarkPick compares the balancer with a random choice and with a scan for
+// the least attempts in flight. Every iteration chooses, sends and, with half
+// of the slots in use, ends an older attempt. The spread is the largest load of
+// a runner over the mean, over the runners of the subset or of the baseline.
+func BenchmarkPick(b *testing.B) {
+	prefixes := PrefixHashes(nil, strings.Repeat("a", PrefixBlockLimit*PrefixBlockBytes))
+	for _, runners := range []int{12, 420, 10000} {
+		balancer := newBalancer(runners, Options{})
+		b.Run(fmt.Sprintf("power-of-two/runners=%d", runners), func(b *testing.B) { benchmarkBalancer(b, balancer, nil) })
+		balancer = newBalancer(runners, Options{})
+		b.Run(fmt.Sprintf("power-of-two-and-prefix/runners=%d", runners), func(b *testing.B) { benchmarkBalancer(b, balancer, prefixes) })
+		loads := make([]int, runners)
+		random := rand.New(rand.NewPCG(1, 1))
+		b.Run(fmt.Sprintf("baseline=random/runners=%d", runners), func(b *testing.B) {
+			benchmarkPlain(b, loads, func() int { return random.IntN(runners) })
+		})
+		clear(loads)
+		b.Run(fmt.Sprintf("baseline=least-in-flight/runners=%d", runners), func(b *testing.B) {
+			benchmarkPlain(b, loads, func() int { return leastInFlight(loads) })
+		})
+	}
+}
+
+func benchmarkBalancer(b *testing.B, balancer *Balancer, prefixes []uint64) {
+	size := len(balancer.rows["row"].subset)
+	inFlight := make([]Choice, 4*size)
+	b.ReportAllocs()
+	for index := 0; b.Loop(); index++ {
+		slot := index % len(inFlight)
+		if index >= len(inFlight) {
+			inFlight[slot].Done(start, OutcomeSuccess)
+		}
+		choice, ok := balancer.Pick(start, "row", prefixes, "")
+		if !ok {
+			b.Fatal("no replica has room")
+		}
+		choice.Sent(start, prefixes)
+		inFlight[slot] = choice
+	}
+	highest := 0
+	for _, member := range balancer.rows["row"].subset {
+		highest = max(highest, member.runner.inFlight)
+	}
+	b.ReportMetric(float64(highest)/4, "spread")
+}
+
+func benchmarkPlain(b *testing.B, loads []int, pick func() int) {
+	inFlight := make([]int, 4*len(loads))
+	b.ReportAllocs()
+	for index := 0; b.Loop(); index++ {
+		slot := index % len(inFlight)
+		if index >= len(inFlight) {
+			loads[inFlight[slot]]--
+		}
+		inFlight[slot] = pick()
+		loads[inFlight[slot]]++
+	}
+	highest := 0
+	for _, load := range loads {
+		highest = max(highest, load)
+	}
+	b.ReportMetric(float64(highest)/4, "spread")
+}
+
+func leastInFlight(loads []int) int {
+	least := 0
+	for index, load := range loads {
+		if load < loads[least] {
+			least = index
+		}
+	}
+	return least
+}
+
+// BenchmarkSetPlacement measures the adoption of a whole placement.
+func BenchmarkSetPlacement(b *testing.B) {
+	for _, runners := range []int{12, 420, 10000} {
+		balancer := newBalancer(runners, Options{})
+		placed := placement(runners)
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.SetPlacement(placed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/choice.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Runner is the chosen runner.
+func (c Choice) Runner() structs.RunnerID { return c.replica.runner.info.ID }
+
+// Address is where the chosen runner is reached.
+func (c Choice) Address() string { return c.replica.runner.info.Address }
+
+// Incarnation is the life of the runner that was chosen.
+func (c Choice) Incarnation() structs.Incarnation { return c.replica.runner.info.Incarnation }
+
+// Usable reports whether the choice may still be sent: the runner is not leaving
+// and the replica is still placed there.
+func (c Choice) Usable() bool {
+	target := c.replica.runner
+	return !target.leaving && target.replicas[c.replica.row.name] == c.replica
+}
+
+// Sent counts the attempt on the runner and learns that it will cache the prompt.
+func (c Choice) Sent(now time.Time, prefixes []uint64) {
+	target := c.replica.runner
+	target.change(now, 1)
+	target.breaker.sent()
+	c.replica.breaker.sent()
+	for _, prefix := range prefixes {
+		c.balancer.hints.learn(prefix^c.replica.row.seed, target.number)
+	}
+}
+
+// Done ends an attempt that was Sent.
+func (c Choice) Done(now time.Time, outcome Outcome) {
+	target := c.replica.runner
+	options := &c.balancer.options
+	target.change(now, -1)
+	switch outcome {
+	case OutcomeSuccess:
+		target.breaker.succeeded()
+		c.replica.breaker.succeeded()
+		c.replica.rate.add(false)
+	case OutcomeNeutral:
+		target.breaker.abandoned()
+		c.replica.breaker.abandoned()
+	case OutcomeRefused:
+		target.breaker.succeeded()
+		c.replica.breaker.failed(now, options)
+		c.replica.rate.add(true)
+		c.balancer.ejectOutlier(now, c.replica)
+	case OutcomeBroken:
+		target.breaker.failed(now, options)
+		c.replica.breaker.abandoned()
+		c.replica.rate.add(true)
+		c.balancer.ejectOutlier(now, c.replica)
+	}
+}
--- /dev/null
+++ b/routing/options.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Options are the settings of a Balancer; zero values mean the defaults.
+type Options struct {
+	// Daemon decides, together with the runners' names, the subset.
+	Daemon structs.DaemonID
+	// Choices is how many replicas are sampled for a choice.
+	Choices int
+	// SubsetSize bounds the replicas of a row that this daemon uses.
+	SubsetSize int
+	// AffinityBound is by how much of a full batch the score of a runner with a
+	// cached prefix may exceed that of the best sample.
+	AffinityBound float64
+	// HintLimit bounds the remembered prefixes.
+	HintLimit int
+	// QueueSlack is how many requests beyond MaxBatch a runner is given.
+	QueueSlack int
+	// MaxBatch is taken for runners that have not reported theirs.
+	MaxBatch int
+	// ReportLife is how long a load report counts.
+	ReportLife time.Duration
+	// BreakerFailures is how many failures in a row open a breaker.
+	BreakerFailures int
+	// BreakerDelay is how long a breaker stays open before a probe; it doubles
+	// with every failed probe up to BreakerDelayLimit.
+	BreakerDelay      time.Duration
+	BreakerDelayLimit time.Duration
+	// EjectionShare is the largest share of a row's subset ejected as outliers.
+	EjectionShare float64
+	// EjectionTime is how long an outlier stays out.
+	EjectionTime time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultChoices           = 2
+	DefaultSubsetSize        = 16
+	DefaultAffinityBound     = 0.25
+	DefaultHintLimit         = 32768
+	DefaultQueueSlack        = 2
+	DefaultMaxBatch          = 8
+	DefaultReportLife        = 10 * time.Second
+	DefaultBreakerFailures   = 5
+	DefaultBreakerDelay      = time.Second
+	DefaultBreakerDelayLimit = 30 * time.Second
+	DefaultEjectionShare     = 0.34
+	DefaultEjectionTime      = 10 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Choices, DefaultChoices)
+	setDefault(&o.SubsetSize, DefaultSubsetSize)
+	setDefault(&o.AffinityBound, DefaultAffinityBound)
+	setDefault(&o.HintLimit, DefaultHintLimit)
+	setDefault(&o.QueueSlack, DefaultQueueSlack)
+	setDefault(&o.MaxBatch, DefaultMaxBatch)
+	setDefault(&o.ReportLife, DefaultReportLife)
+	setDefault(&o.BreakerFailures, DefaultBreakerFailures)
+	setDefault(&o.BreakerDelay, DefaultBreakerDelay)
+	setDefault(&o.BreakerDelayLimit, DefaultBreakerDelayLimit)
+	setDefault(&o.EjectionShare, DefaultEjectionShare)
+	setDefault(&o.EjectionTime, DefaultEjectionTime)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](value *T, standard T) {
+	if *value <= 0 {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Defaults of the retry budget and the backoff.
+const (
+	DefaultRetryRatio   = 0.2
+	DefaultRetryReserve = 10
+	DefaultBackoffBase  = 25 * time.Millisecond
+	DefaultBackoffLimit = time.Second
+)
+
+// Budget bounds the retries of a row to a share of its requests: every request
+// adds Ratio of a retry, up to Reserve.
+type Budget struct {
+	ratio   float64
+	reserve float64
+	tokens  float64
+}
+
+// NewBudget makes a full Budget; values of 0 mean the defaults.
+func NewBudget(ratio, reserve float64) Budget {
+	setDefault(&ratio, DefaultRetryRatio)
+	setDefault(&reserve, DefaultRetryReserve)
+	return Budget{ratio: ratio, reserve: reserve, tokens: reserve}
+}
+
+// Deposit counts a request.
+func (b *Budget) Deposit() { b.tokens = min(b.reserve, b.tokens+b.ratio) }
+
+// Withdraw takes one retry out; it reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff returns a random delay before retry number retry (1 for the first):
+// between half and all of base doubled with each retry, at most limit.
+func Backoff(random *rand.Rand, base, limit time.Duration, retry int) time.Duration {
+	setDefault(&base, DefaultBackoffBase)
+	setDefault(&limit, DefaultBackoffLimit)
+	ceiling := base
+	for ; retry > 1 && ceiling < limit; retry-- {
+		ceiling *= 2
+	}
+	ceiling = min(ceiling, limit)
+	return ceiling/2 + time.Duration(random.Int64N(int64(ceiling/2)+1))
+}
--- /dev/null
+++ b/routing/runner.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// historyLength is how many changes of the own load a runner remembers.
+const historyLength = 64
+
+// runner is one life of a runner as this router sees it.
+type runner struct {
+	info    structs.RunnerInfo
+	number  uint32
+	hash    uint64
+	leaving bool
+	// inFlight counts this router's attempts; others is the load of all other
+	// routers as of reportedAt.
+	inFlight   int
+	others     int
+	reportedAt time.Time
+	maxBatch   int
+	breaker    breaker
+	history    history
+	sequence   uint64
+	rows       []structs.RowName
+	replicas   map[structs.RowName]*replica
+}
+
+// replica is a ready copy of a row on a runner.
+type replica struct {
+	row          *row
+	runner       *runner
+	breaker      breaker
+	rate         failureRate
+	ejectedUntil time.Time
+}
+
+// row lists the replicas of a row that this daemon uses.
+type row struct {
+	name   structs.RowName
+	seed   uint64
+	ready  int
+	subset []*replica
+}
+
+// load returns the requests on the runner as far as this router knows.
+func (r *runner) load(now time.Time, life time.Duration) int {
+	if r.others > 0 && now.Sub(r.reportedAt) < life {
+		return r.inFlight + r.others
+	}
+	return r.inFlight
+}
+
+// hasRoom reports whether the runner may get one more attempt. A router
+// without any attempt on a crowded runner may send one there, so that other
+// routers cannot keep it out; the engine's own queue orders these.
+func (r *runner) hasRoom(now time.Time, options *Options) bool {
+	limit := r.maxBatch + options.QueueSlack
+	load := r.load(now, options.ReportLife)
+	if load < limit {
+		return true
+	}
+	return r.inFlight == 0 && load < 2*limit
+}
+
+// observe takes a load report. What this router itself had on the runner at the
+// time of the report is subtracted, so that what remains is the load of others.
+func (r *runner) observe(report structs.LoadReport) {
+	if report.ObservedAt.Before(r.reportedAt) {
+		return
+	}
+	r.reportedAt = report.ObservedAt
+	if report.MaxBatch > 0 {
+		r.maxBatch = report.MaxBatch
+	}
+	own := r.history.at(report.ObservedAt)
+	r.others = max(0, report.Running+report.Queued-own)
+}
+
+// change counts an attempt in or out.
+func (r *runner) change(now time.Time, difference int) {
+	r.inFlight += difference
+	r.history.add(now, r.inFlight)
+}
+
+// history is a ring of the latest changes of the own load.
+type history struct {
+	at64  [historyLength]int64
+	load  [historyLength]int32
+	count int
+}
+
+func (h *history) add(now time.Time, load int) {
+	slot := h.count % historyLength
+	h.at64[slot] = now.UnixNano()
+	h.load[slot] = int32(load)
+	h.count++
+}
+
+// at returns the own load at the time; if it is older than the ring reaches, the
+// oldest known load.
+func (h *history) at(when time.Time) int {
+	nanoseconds := when.UnixNano()
+	kept := min(h.count, historyLength)
+	for back := 1; back <= kept; back++ {
+		slot := (h.count - back) % historyLength
+		if h.at64[slot] <= nanoseconds {
+			return int(h.load[slot])
+		}
+	}
+	if h.count > historyLength {
+		return int(h.load[h.count%historyLength])
+	}
+	return 0
+}
--- /dev/null
+++ b/scheduler/benchmark_test.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// newLargeSnapshot has 58,000 rows, eight replicas a runner that were used
+// lately, and a tenth as many rows with waiting requests as there are runners.
+func newLargeSnapshot(runners int) Snapshot {
+	const rows, perRunner = 58_000, 8
+	table := testTable{rows: map[structs.RowName]structs.Row{}, limits: map[structs.RowName]int{}}
+	name := func(i int) structs.RowName { return structs.RowName(fmt.Sprintf("row-%05d", i%rows)) }
+	for i := range rows {
+		table.rows[name(i)] = structs.Row{Name: name(i), Kind: structs.RowModel, MemoryBytes: 10 << 30, Weight: 1}
+		table.limits[name(i)] = 2
+	}
+	s := Snapshot{Now: testNow, Table: table, StoreLoadBudget: 8, Settings: DefaultSettings()}
+	used := map[structs.RowName]bool{}
+	for i := range runners {
+		runner := Runner{ID: structs.RunnerID(fmt.Sprintf("runner-%05d", i)), MemoryBytes: 90 << 30}
+		for k := range perRunner {
+			row := name(i*perRunner + k)
+			runner.Cached = append(runner.Cached, structs.CachedRow{Row: row, Tier: structs.TierMemory})
+			s.Runners = append(s.Runners[:i], runner)
+			s.place(row, i, structs.ReplicaReady, 0)
+			runner = s.Runners[i]
+			if !used[row] {
+				used[row] = true
+				s.Demand = append(s.Demand, Demand{Row: row, Running: 1, LastUsed: testNow})
+			}
+		}
+	}
+	for i := range max(1, runners/10) {
+		row := name(rows - 1 - i)
+		if !used[row] {
+			s.Demand = append(s.Demand, Demand{Row: row, Waiting: 5, LastUsed: testNow, OldestWait: time.Second})
+		}
+	}
+	return s
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, runners := range []int{9, 420, 10_000} {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			snapshot := newLargeSnapshot(runners)
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(snapshot)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/evict.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// evictionHorizon is the time within which the return of a row counts.
+const evictionHorizon = 5 * time.Minute
+
+// victim is a replica with the adapters on it, which go together.
+type victim struct {
+	replica *replicaState
+	bytes   int64
+	cost    float64
+}
+
+// victims chooses idle replicas on the option's runner that make room for the
+// row at the least expected cost, in seconds of reloading. It returns nil when
+// there are not enough.
+func (p *planner) victims(row *rowState, option *placement) ([]*replicaState, float64) {
+	missing := option.need - option.runner.future
+	var candidates []victim
+	var total int64
+	for _, replica := range option.runner.replicas {
+		if replica.Row == row.Base && row.NeedsBase() {
+			continue
+		}
+		if candidate, ok := p.victim(row, replica); ok {
+			candidates = append(candidates, candidate)
+			total += candidate.bytes
+		}
+	}
+	if total < missing {
+		return nil, 0
+	}
+	slices.SortStableFunc(candidates, func(a, b victim) int {
+		return cmp.Compare(a.cost*float64(b.bytes), b.cost*float64(a.bytes))
+	})
+	return pickVictims(candidates, missing)
+}
+
+// pickVictims takes candidates in order until enough is freed.
+func pickVictims(candidates []victim, missing int64) ([]*replicaState, float64) {
+	var chosen []*replicaState
+	cost := 0.0
+	for _, candidate := range candidates {
+		if missing <= 0 {
+			break
+		}
+		chosen = append(chosen, candidate.replica)
+		missing -= candidate.bytes
+		cost += candidate.cost
+	}
+	return chosen, cost
+}
+
+// victim returns the replica with its adapters as a candidate. An adapter whose
+// base may go as well is only counted with the base.
+func (p *planner) victim(row *rowState, replica *replicaState) (victim, bool) {
+	if !p.evictable(row, replica) {
+		return victim{}, false
+	}
+	if replica.Base != "" {
+		if base := replica.runner.find(replica.Base); base != nil && p.evictable(row, base) && replica.Base != row.Base {
+			return victim{}, false
+		}
+	}
+	candidate := victim{replica, replica.MemoryBytes, p.evictionCost(replica)}
+	for _, adapter := range replica.adapters() {
+		if adapter.going {
+			continue
+		}
+		candidate.bytes += adapter.MemoryBytes
+		candidate.cost += p.evictionCost(adapter)
+	}
+	return candidate, true
+}
+
+func (p *planner) evictable(row *rowState, replica *replicaState) bool {
+	victim := replica.row
+	if !replica.idle() || victim.demand.Waiting > 0 || victim.usable <= min(victim.MinReplicas, victim.limit) {
+		return false
+	}
+	if p.snapshot.Now.Sub(replica.Since) < p.settings.MinimumResidence {
+		return false
+	}
+	if victim.Priority > row.priority() && p.idleFor(victim) < p.keepAlive(victim) {
+		return false
+	}
+	for _, adapter := range replica.adapters() {
+		if !adapter.going && !p.evictable(row, adapter) {
+			return false
+		}
+	}
+	return true
+}
+
+// evictionCost is the expected time of reloading, weighed by the row's weight.
+func (p *planner) evictionCost(replica *replicaState) float64 {
+	row := replica.row
+	reload := p.readTime(replica.MemoryBytes, structs.TierDisk).Seconds()
+	probability := p.snapshot.Interarrivals[row.Name].returnProbability(p.idleFor(row), evictionHorizon)
+	return reload * probability * float64(max(row.Weight, 1))
+}
--- /dev/null
+++ b/scheduler/keepalive.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// interarrivalBuckets is the number of buckets; bucket k counts times below 2^k seconds.
+	interarrivalBuckets = 16
+	// interarrivalDecayAt is the count at which all buckets are halved, so that
+	// old habits fade.
+	interarrivalDecayAt = 256
+	// interarrivalMinimum is how many samples are needed before they are believed.
+	interarrivalMinimum = 4
+	// The worth of one second of cold start, in seconds of idle reservation.
+	latencyColdStartWorth = 120
+	idleColdStartWorth    = 4
+	// unknownReturn is the probability of use of a row of which too little is known.
+	unknownReturn = 0.5
+)
+
+// Interarrivals is a decaying histogram of the times between a row's requests,
+// as far as they are a second or more apart. The zero value is ready for use.
+type Interarrivals struct {
+	counts [interarrivalBuckets]uint16
+	total  uint16
+}
+
+// Observe counts one time between requests.
+func (i *Interarrivals) Observe(gap time.Duration) {
+	bucket := 0
+	for bucket < interarrivalBuckets-1 && gap >= time.Second<<bucket {
+		bucket++
+	}
+	i.counts[bucket]++
+	i.total++
+	if i.total < interarrivalDecayAt {
+		return
+	}
+	i.total = 0
+	for k := range i.counts {
+		i.counts[k] /= 2
+		i.total += i.counts[k]
+	}
+}
+
+// KeepAlive returns how long an idle replica is worth keeping: the time that
+// minimises the expected idle reservation plus the expected cold starts, of
+// which each takes reload. The objective says what a cold start is worth.
+func (i *Interarrivals) KeepAlive(objective structs.Objective, reload time.Duration, settings Settings) time.Duration {
+	coldCost := reload.Seconds() * latencyColdStartWorth
+	if objective == structs.ObjectiveIdle {
+		coldCost = reload.Seconds() * idleColdStartWorth
+	}
+	if i == nil || i.total < interarrivalMinimum {
+		// Nothing is known: keep it as long as a cold start is worth.
+		return clampKeepAlive(time.Duration(coldCost*float64(time.Second)), settings)
+	}
+	best, bestCost := time.Duration(0), math.Inf(1)
+	for bucket := -1; bucket < interarrivalBuckets; bucket++ {
+		keep := time.Duration(0)
+		if bucket >= 0 {
+			keep = time.Second << bucket
+		}
+		if cost := i.expectedCost(keep, coldCost); cost < bestCost {
+			best, bestCost = keep, cost
+		}
+	}
+	return clampKeepAlive(best, settings)
+}
+
+// expectedCost is in seconds of idle reservation.
+func (i *Interarrivals) expectedCost(keep time.Duration, coldCost float64) float64 {
+	cost := 0.0
+	for k, count := range i.counts {
+		share := float64(count) / float64(i.total)
+		gap := time.Second << k
+		if gap <= keep {
+			cost += share * gap.Seconds()
+		} else {
+			cost += share * (keep.Seconds() + coldCost)
+		}
+	}
+	return cost
+}
+
+// returnProbability is the probability that a row idle for the given time is
+// used again within the horizon.
+func (i *Interarrivals) returnProbability(idle, horizon time.Duration) float64 {
+	if i == nil || i.total < interarrivalMinimum {
+		return unknownReturn
+	}
+	later, soon := 0, 0
+	for k, count := range i.counts {
+		gap := time.Second << k
+		if gap <= idle {
+			continue
+		}
+		later += int(count)
+		if gap <= idle+horizon {
+			soon += int(count)
+		}
+	}
+	if later == 0 {
+		return 0
+	}
+	return float64(soon) / float64(later)
+}
+
+func clampKeepAlive(keep time.Duration, settings Settings) time.Duration {
+	return min(max(keep, settings.MinimumKeepAlive), settings.MaximumKeepAlive)
+}
--- /dev/null
+++ b/simulate/daemon.go
@@ -0,0 +1,164 @@
+package simulate
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// restartDelay is how long a process stays down after it stopped by itself.
+	restartDelay = time.Second
+	// joinInterval is how often a machine with a new disk asks to be taken in.
+	joinInterval = 500 * time.Millisecond
+)
+
+// daemon is the service of a control machine: a member of its zone's group with
+// the controller, and on some machines a member of the global group.
+type daemon struct {
+	site    *tableSite
+	number  int
+	machine *Machine
+	// startedAt and startedWall are the two clocks when the process started.
+	startedAt   time.Duration
+	startedWall time.Time
+
+	zoneMember   *member
+	globalMember *member
+	controller   *zoneController
+	global       *globalService
+}
+
+// now is the process's own time: like Go's time.Now, it does not see a step of
+// the wall clock once the process runs.
+func (d *daemon) now() time.Time {
+	return d.startedWall.Add(d.machine.Clock.Monotonic() - d.startedAt)
+}
+
+// start implements service.
+func (d *daemon) start() {
+	d.startedAt = d.machine.Clock.Monotonic()
+	d.startedWall = d.machine.Clock.Now()
+	d.controller = newZoneController(d)
+	state := newZoneMachine(d.machine.Zone)
+	d.controller.state = state.state
+	d.zoneMember.start(d.number, state)
+	if d.globalMember != nil {
+		d.global = newGlobalService(d)
+		table := newTableMachine()
+		d.global.state = table
+		d.globalMember.start(d.number, table)
+	}
+	if !d.machine.alive {
+		return
+	}
+	d.tick()
+	d.join()
+	d.controller.loop()
+	if d.global != nil {
+		d.global.loop()
+	}
+}
+
+// stopped implements service.
+func (d *daemon) stopped() {
+	for _, m := range d.members() {
+		m.node = nil
+	}
+}
+
+func (d *daemon) members() []*member {
+	if d.globalMember == nil {
+		return []*member{d.zoneMember}
+	}
+	return []*member{d.zoneMember, d.globalMember}
+}
+
+// member returns the daemon's member of the group, or nil.
+func (d *daemon) member(group groupName) *member {
+	for _, m := range d.members() {
+		if m.group == group {
+			return m
+		}
+	}
+	return nil
+}
+
+// tick delivers ticks to the nodes.
+func (d *daemon) tick() {
+	for _, m := range d.members() {
+		if m.node != nil {
+			m.catchUp()
+			m.pump()
+		}
+	}
+	if d.machine.alive {
+		d.machine.after(tickInterval, d.tick)
+	}
+}
+
+// join asks the groups to take in members that do not vote yet.
+func (d *daemon) join() {
+	for _, m := range d.members() {
+		if m.node == nil || m.node.Status().Membership.HasVoter(m.store.identity) {
+			continue
+		}
+		request := joinRequest{group: m.group, identity: m.store.identity}
+		for _, other := range d.site.daemons {
+			if other != d && other.member(m.group) != nil {
+				m.network.Send(d.machine.Address, other.machine.Address, request)
+			}
+		}
+	}
+	d.machine.after(joinInterval, d.join)
+}
+
+// receive implements service.
+func (d *daemon) receive(from Address, message any) {
+	switch content := message.(type) {
+	case raftMessage:
+		if m := d.member(content.group); m != nil {
+			m.step(content.message)
+		}
+	case joinRequest:
+		if m := d.member(content.group); m != nil {
+			m.takeIn(content.identity)
+		}
+	case reportMessage:
+		d.controller.observeReport(content.report)
+	case orderAnswer:
+		d.controller.observeAnswer(content)
+	case demandMessage:
+		d.controller.observeDemand(content.report)
+	case deltaAnswer:
+		d.controller.adopt(content.delta)
+	default:
+		if d.global != nil {
+			d.global.receive(from, message)
+		}
+	}
+}
+
+// demandMessage carries a router's demand.
+type demandMessage struct{ report structs.DemandReport }
+
+// votes reports whether the machine's members all vote.
+func (d *daemon) votes() bool {
+	for _, m := range d.members() {
+		if m.node == nil {
+			return false
+		}
+		status := m.node.Status()
+		if !status.Membership.HasVoter(m.store.identity) || status.Commit < status.MembershipIndex {
+			return false
+		}
+	}
+	return true
+}
+
+// isLeader reports whether the daemon leads the group now, as far as it knows.
+func (d *daemon) isLeader(group groupName) bool {
+	m := d.member(group)
+	return m != nil && m.node != nil && m.node.Role() == raft.Leader
+}
--- /dev/null
+++ b/simulate/judge.go
@@ -0,0 +1,34 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+)
+
+// Judge collects what the checkers report. The first violation ends the seed.
+type Judge struct {
+	scheduler *Scheduler
+	trace     *Trace
+	violation *Violation
+}
+
+// Report records a violation of the invariant that the checker guards.
+func (j *Judge) Report(checker, format string, arguments ...any) {
+	if j.violation != nil {
+		return
+	}
+	message := fmt.Sprintf(format, arguments...)
+	j.trace.Note("violation", checker, message)
+	j.violation = &Violation{
+		Checker: checker,
+		Message: message,
+		At:      j.scheduler.Now(),
+		Trace:   j.trace.Last(),
+	}
+	j.scheduler.Stop()
+}
+
+// formatSince writes a virtual time for people.
+func formatSince(at time.Duration) string { return at.Round(time.Millisecond).String() }
+
+func formatCount(count int) string { return fmt.Sprintf("%d", count) }
--- /dev/null
+++ b/simulate/member.go
@@ -0,0 +1,347 @@
+package simulate
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/raft"
+)
+
+// The pace of the simulated groups.
+const (
+	tickInterval    = 100 * time.Millisecond
+	electionTicks   = 10
+	heartbeatTicks  = 2
+	snapshotEntries = 80
+	// missedTicksLimit bounds the ticks that a process makes up for after a pause.
+	missedTicksLimit = 4 * electionTicks
+)
+
+// replicated is the state machine of a group.
+type replicated interface {
+	// apply executes a command and returns its result.
+	apply(index uint64, command []byte) any
+	snapshot() ([]byte, error)
+	restore(data []byte) error
+}
+
+// memberObserver is told what a member does, for the checkers and the services.
+type memberObserver interface {
+	memberApplied(m *member, entry raft.Entry, result any)
+	memberRestored(m *member, snapshot raft.Snapshot)
+	memberBecameLeader(m *member)
+	memberRead(m *member, context uint64)
+	memberFailed(m *member, doing string, err error)
+}
+
+// member runs one raft node of one group on a machine: it is the shell that the
+// daemon's package group is outside of the simulator.
+type member struct {
+	machine  *Machine
+	network  *Network
+	observer memberObserver
+	group    groupName
+	founders raft.Membership
+	// identities maps a node to the machine that it lives on.
+	identities func(raft.NodeID) Address
+	// keepIdentity makes a machine with an empty disk come back as what it was.
+	keepIdentity bool
+
+	store       *store
+	node        *raft.Node
+	state       replicated
+	applied     uint64
+	appliedTerm uint64
+	// busy is set while a sync is under way.
+	busy   bool
+	ticked time.Duration
+	// leading is the term in which the node was last seen leading.
+	leading uint64
+}
+
+// identity returns the node ID for a machine's disk.
+func identity(machine int, generation uint64) raft.NodeID {
+	return raft.NodeID(uint64(machine+1)<<8 | generation)
+}
+
+// machineOf returns the number of the machine that an identity lives on.
+func machineOf(id raft.NodeID) int { return int(id>>8) - 1 }
+
+// start makes the node from what is on the disk.
+func (m *member) start(machineNumber int, state replicated) {
+	m.state = state
+	m.busy = false
+	m.applied, m.appliedTerm, m.leading = 0, 0, 0
+	opened, found := openStore(m.machine.Disk, string(m.group))
+	m.store = opened
+	if !found {
+		m.initialise(machineNumber)
+	}
+	if m.store.snapshot.Index > 0 && !m.restore(m.store.snapshot) {
+		return
+	}
+	restored := raft.Restored{
+		HardState: m.store.hardState,
+		Snapshot:  copySnapshot(m.store.snapshot),
+		Entries:   slices.Clone(m.store.entries),
+	}
+	node, err := raft.New(raft.Config{
+		ID:             m.store.identity,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		Random:         rand.New(rand.NewPCG(m.machine.random.Uint64(), uint64(m.store.identity))),
+	}, restored)
+	if err != nil {
+		m.observer.memberFailed(m, "start", err)
+		return
+	}
+	m.node = node
+	m.ticked = m.machine.Clock.Monotonic()
+	m.pump()
+}
+
+// initialise writes the identity of a new disk. Only the first disk of a founder
+// knows the group; a later one joins under an identity that was never used.
+func (m *member) initialise(machineNumber int) {
+	generation := m.machine.Disk.Generation
+	if m.keepIdentity {
+		generation = 1
+	}
+	m.store.identity = identity(machineNumber, generation)
+	first := batch{}
+	if generation == 1 {
+		first.snapshot = &raft.Snapshot{Membership: copyMembership(m.founders)}
+	}
+	if err := m.store.write(first); err == nil {
+		m.machine.Disk.Sync()
+	}
+}
+
+func (m *member) restore(snapshot raft.Snapshot) bool {
+	if err := m.state.restore(snapshot.Data); err != nil {
+		m.observer.memberFailed(m, "restore a snapshot", err)
+		return false
+	}
+	m.applied, m.appliedTerm = snapshot.Index, snapshot.Term
+	m.observer.memberRestored(m, snapshot)
+	return true
+}
+
+// running reports whether the member has a node.
+func (m *member) running() bool { return m.node != nil && m.machine.alive }
+
+// leads reports whether the node leads and has applied an entry of its own term,
+// so that it knows every command of earlier terms.
+func (m *member) leads() bool {
+	return m.node.Role() == raft.Leader && m.appliedTerm == m.node.Term()
+}
+
+// catchUp delivers the ticks that have passed by the machine's clock.
+func (m *member) catchUp() {
+	now := m.machine.Clock.Monotonic()
+	if earliest := now - missedTicksLimit*tickInterval; m.ticked < earliest {
+		m.ticked = earliest
+	}
+	for m.ticked+tickInterval <= now {
+		m.ticked += tickInterval
+		m.node.Tick()
+	}
+}
+
+// step gives a message to the node.
+func (m *member) step(message raft.Message) {
+	if m.node == nil || message.To != m.store.identity {
+		return
+	}
+	m.catchUp()
+	if err := m.node.Step(message); err != nil {
+		m.observer.memberFailed(m, "step a message", err)
+		return
+	}
+	m.pump()
+}
+
+// pump carries out what the node hands out, until a sync must be waited for.
+func (m *member) pump() {
+	for m.node != nil && !m.busy && m.node.HasReady() {
+		ready := m.node.Ready()
+		if !m.persist(ready) {
+			return
+		}
+	}
+	m.noteLeadership()
+}
+
+// persist makes a Ready durable and then finishes it; it returns false when that
+// has to wait or the process died.
+func (m *member) persist(ready raft.Ready) bool {
+	if ready.HardState != nil || ready.Snapshot != nil || len(ready.Entries) > 0 {
+		if err := m.store.write(m.batchOf(ready)); err != nil {
+			m.machine.Crash(restartDelay)
+			return false
+		}
+	}
+	if m.machine.step() {
+		return false
+	}
+	if !ready.MustSync {
+		return m.finish(ready)
+	}
+	m.sync(func() { m.finish(ready) })
+	return false
+}
+
+func (m *member) batchOf(ready raft.Ready) batch {
+	made := batch{hardState: m.store.hardState, entries: slices.Clone(ready.Entries)}
+	if ready.HardState != nil {
+		made.hardState = *ready.HardState
+	}
+	if ready.Snapshot != nil {
+		snapshot := copySnapshot(*ready.Snapshot)
+		made.snapshot = &snapshot
+	}
+	return made
+}
+
+// sync waits for the disk and then goes on with what follows.
+func (m *member) sync(then func()) {
+	m.busy = true
+	m.machine.after(m.machine.Disk.SyncDelay, func() {
+		m.machine.Disk.Sync()
+		if m.machine.step() {
+			return
+		}
+		m.busy = false
+		m.catchUp()
+		then()
+		m.pump()
+	})
+}
+
+// finish does what follows the durability of a Ready; false means that the
+// process died.
+func (m *member) finish(ready raft.Ready) bool {
+	for _, message := range ready.Messages {
+		m.send(message)
+	}
+	if m.machine.step() {
+		return false
+	}
+	if ready.Snapshot != nil && !m.restore(*ready.Snapshot) {
+		return false
+	}
+	for _, entry := range ready.Committed {
+		m.apply(entry)
+		if m.machine.step() {
+			return false
+		}
+	}
+	for _, read := range ready.ReadStates {
+		m.noteRead(read)
+	}
+	m.node.Advance()
+	m.compact()
+	return m.machine.alive
+}
+
+// noteRead serves a read whose index is applied; one that is not is dropped, as
+// if its request were lost.
+func (m *member) noteRead(read raft.ReadState) {
+	if read.Index <= m.applied {
+		m.observer.memberRead(m, read.Context)
+	}
+}
+
+func (m *member) send(message raft.Message) {
+	to := m.identities(message.To)
+	copied := raftMessage{group: m.group, message: copyRaftMessage(message)}
+	m.machine.trace.Event("send", string(m.machine.Address), string(to),
+		uint64(message.Kind), message.Term, message.Index, uint64(len(message.Entries)), message.Commit)
+	m.network.Send(m.machine.Address, to, copied)
+}
+
+func (m *member) apply(entry raft.Entry) {
+	var result any
+	if entry.Kind == raft.EntryCommand {
+		result = m.state.apply(entry.Index, entry.Data)
+	}
+	m.applied, m.appliedTerm = entry.Index, entry.Term
+	m.machine.trace.Event("apply", string(m.machine.Address), string(m.group), entry.Index, entry.Term)
+	m.observer.memberApplied(m, entry, result)
+}
+
+// compact takes a snapshot when the log has grown.
+func (m *member) compact() {
+	if m.busy || m.applied < m.store.snapshot.Index+snapshotEntries {
+		return
+	}
+	data, err := m.state.snapshot()
+	if err != nil {
+		m.observer.memberFailed(m, "take a snapshot", err)
+		return
+	}
+	snapshot := raft.Snapshot{
+		Index:      m.applied,
+		Term:       m.appliedTerm,
+		Membership: m.node.MembershipAt(m.applied),
+		Data:       data,
+	}
+	if err := m.store.compact(snapshot); err != nil {
+		m.machine.Crash(restartDelay)
+		return
+	}
+	m.sync(func() {
+		if err := m.node.Compact(copySnapshot(snapshot)); err != nil {
+			m.observer.memberFailed(m, "compact the log", err)
+		}
+	})
+}
+
+func (m *member) noteLeadership() {
+	if m.node == nil || !m.machine.alive || m.node.Role() != raft.Leader || m.leading == m.node.Term() {
+		return
+	}
+	m.leading = m.node.Term()
+	m.observer.memberBecameLeader(m)
+}
+
+// propose appends a command to the group's log; ok is false when the node does
+// not lead or takes no more.
+func (m *member) propose(command []byte) (index uint64, ok bool) {
+	index, _, err := m.node.Propose(command)
+	if err != nil {
+		return 0, false
+	}
+	return index, true
+}
+
+// takeIn moves the group towards having the identity as a voter, one change of
+// the membership at a time: first it replaces the machine's former identity by a
+// learner, then, once that has the log, it lets the learner vote.
+func (m *member) takeIn(joining raft.NodeID) {
+	if m.node == nil || m.node.Role() != raft.Leader {
+		return
+	}
+	status := m.node.Status()
+	next := copyMembership(status.Membership)
+	isFormer := func(id raft.NodeID) bool { return id != joining && machineOf(id) == machineOf(joining) }
+	switch {
+	case next.HasVoter(joining):
+		return
+	case next.HasLearner(joining):
+		if !status.Progress[joining].CaughtUp {
+			return
+		}
+		next.Learners = slices.DeleteFunc(next.Learners, func(id raft.NodeID) bool { return id == joining })
+		next.Voters = append(next.Voters, joining)
+	default:
+		next.Voters = slices.DeleteFunc(next.Voters, isFormer)
+		next.Learners = append(slices.DeleteFunc(next.Learners, isFormer), joining)
+	}
+	// A refusal means that it is too early; the machine asks again.
+	if _, _, err := m.node.ProposeMembership(next); err == nil {
+		m.machine.trace.Note("membership", string(m.machine.Address), string(m.group))
+	}
+	m.pump()
+}
--- /dev/null
+++ b/simulate/statemachine.go
@@ -0,0 +1,53 @@
+package simulate
+
+import (
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// zoneMachine replicates a zone's state.
+type zoneMachine struct{ state *zone.State }
+
+// zoneOutcome is the result of a zone command with the command.
+type zoneOutcome struct {
+	command zone.Command
+	result  zone.Result
+	err     error
+}
+
+func newZoneMachine(id structs.ZoneID) *zoneMachine { return &zoneMachine{state: zone.New(id)} }
+
+func (z *zoneMachine) apply(index uint64, data []byte) any {
+	command, err := zone.DecodeCommand(data)
+	if err != nil {
+		return zoneOutcome{err: err}
+	}
+	return zoneOutcome{command: command, result: z.state.Apply(index, command)}
+}
+
+func (z *zoneMachine) snapshot() ([]byte, error) { return z.state.Snapshot() }
+func (z *zoneMachine) restore(data []byte) error { return z.state.Restore(data) }
+
+// tableMachine replicates the table.
+type tableMachine struct{ state *table.State }
+
+// tableOutcome is the result of a table command with the command.
+type tableOutcome struct {
+	command table.Command
+	result  table.Result
+	err     error
+}
+
+func newTableMachine() *tableMachine { return &tableMachine{state: table.New()} }
+
+func (t *tableMachine) apply(_ uint64, data []byte) any {
+	command, err := table.DecodeCommand(data)
+	if err != nil {
+		return tableOutcome{err: err}
+	}
+	return tableOutcome{command: command, result: t.state.Apply(command)}
+}
+
+func (t *tableMachine) snapshot() ([]byte, error) { return t.state.Snapshot() }
+func (t *tableMachine) restore(data []byte) error { return t.state.Restore(data) }
--- /dev/null
+++ b/simulate/tablefaults.go
@@ -0,0 +1,259 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// crashLimit is when an armed crash happens at the latest.
+	crashLimit = 2 * time.Second
+	// silenceLead is how long orders are held back before a leader is cut off.
+	silenceLead = 500 * time.Millisecond
+	// repairPoll is how often a repair is looked at, and repairPatience how long.
+	repairPoll     = 50 * time.Millisecond
+	repairPatience = 20 * time.Second
+)
+
+// schedule plans the faults; each heals when its time is over.
+func (s *tableSite) schedule(faults []Fault) {
+	for _, fault := range faults {
+		s.scheduler.At(fault.At, func() {
+			s.trace.Note("fault", string(fault.Kind), fmt.Sprintf("%s %s %g for %v", fault.Target, fault.Peer, fault.Amount, fault.For))
+			if heal := s.inject(fault); heal != nil {
+				s.scheduler.After(fault.For, func() {
+					s.trace.Note("fault-over", string(fault.Kind), fault.Target)
+					heal()
+				})
+			}
+		})
+	}
+}
+
+// inject brings a fault about and returns what heals it, or nil.
+func (s *tableSite) inject(fault Fault) (heal func()) {
+	switch fault.Kind {
+	case FaultCutZone:
+		return s.cutZone(structs.ZoneID(fault.Target))
+	case FaultCutOneWay:
+		from, to := structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer)
+		s.network.CutZones(from, to)
+		return func() { s.network.HealZones(from, to) }
+	case FaultSilentLeader:
+		return s.silenceLeader(groupName(fault.Target), time.Duration(fault.Amount*float64(time.Second)))
+	case FaultStorm:
+		s.network.SetQuality(stormQuality(fault.Amount))
+		return func() { s.network.SetQuality(calmNetwork) }
+	case FaultTransfer:
+		s.transferLeadership(groupName(fault.Target))
+		return nil
+	case FaultEngineCrash, FaultEngineCut:
+		return s.injectEngine(fault)
+	}
+	if d := s.daemonAt(fault.Target); d != nil {
+		return s.injectMachine(d, fault)
+	}
+	return nil
+}
+
+// injectMachine brings about the faults of one control machine.
+func (s *tableSite) injectMachine(d *daemon, fault Fault) (heal func()) {
+	machine := d.machine
+	switch fault.Kind {
+	case FaultCrash:
+		machine.ArmCrash(int(fault.Amount), min(crashLimit, fault.For), fault.For)
+	case FaultPause:
+		machine.Pause()
+		return machine.Resume
+	case FaultDrift:
+		machine.Clock.SetRate(fault.Amount)
+		return func() { machine.Clock.SetRate(1) }
+	case FaultClockStep:
+		machine.Clock.Step(time.Duration(fault.Amount * float64(time.Second)))
+	case FaultCutMachine:
+		return s.cutMachine(d)
+	case FaultReplaceDisk:
+		s.replaceDisk(d, fault.For)
+	case FaultReplaceTwice:
+		if s.replaceDisk(d, fault.For) {
+			s.replaceAfterRepair(d, s.daemonAt(fault.Peer), fault.For, s.scheduler.Now()+repairPatience)
+		}
+	case FaultDiskFull:
+		machine.Disk.Full = true
+		return func() { machine.Disk.Full = false }
+	case FaultDiskSlow:
+		machine.Disk.SyncDelay = time.Duration(fault.Amount * float64(time.Second))
+		return func() { machine.Disk.SyncDelay = syncDelay }
+	}
+	return nil
+}
+
+func (s *tableSite) injectEngine(fault Fault) (heal func()) {
+	for _, host := range s.engines {
+		if string(host.id) != fault.Target {
+			continue
+		}
+		if fault.Kind == FaultEngineCrash {
+			host.crash(fault.For)
+			return nil
+		}
+		return s.cutEngine(host)
+	}
+	return nil
+}
+
+func stormQuality(amount float64) Quality {
+	return Quality{
+		Loss:          amount,
+		Duplicate:     amount,
+		Straggle:      amount,
+		MinDelay:      calmNetwork.MinDelay,
+		MaxDelay:      30 * time.Millisecond,
+		StraggleDelay: 2 * time.Second,
+	}
+}
+
+func (s *tableSite) cutZone(zone structs.ZoneID) (heal func()) {
+	change := func(apply func(from, to structs.ZoneID)) {
+		for _, other := range s.zones {
+			if other != zone {
+				apply(zone, other)
+				apply(other, zone)
+			}
+		}
+	}
+	change(s.network.CutZones)
+	return func() { change(s.network.HealZones) }
+}
+
+// cutMachine cuts a control machine off from all others, but not from engines.
+func (s *tableSite) cutMachine(d *daemon) (heal func()) {
+	change := func(apply func(from, to Address)) {
+		for _, other := range s.daemons {
+			if other != d {
+				apply(d.machine.Address, other.machine.Address)
+				apply(other.machine.Address, d.machine.Address)
+			}
+		}
+	}
+	change(s.network.Cut)
+	return func() { change(s.network.Heal) }
+}
+
+func (s *tableSite) cutEngine(host *engineHost) (heal func()) {
+	change := func(apply func(from, to Address)) {
+		for _, d := range s.daemons {
+			apply(d.machine.Address, engineAddress(host.id))
+			apply(engineAddress(host.id), d.machine.Address)
+		}
+	}
+	change(s.network.Cut)
+	return func() { change(s.network.Heal) }
+}
+
+// silenceLeader cuts off the leader of a zone. Its orders are held back, from a
+// moment before, and arrive late.
+func (s *tableSite) silenceLeader(group groupName, held time.Duration) (heal func()) {
+	d := s.leaderOf(group)
+	if d == nil {
+		return nil
+	}
+	s.heldOrders[d.machine.Address] = held
+	var healCut func()
+	s.scheduler.After(silenceLead, func() { healCut = s.cutMachine(d) })
+	return func() {
+		delete(s.heldOrders, d.machine.Address)
+		if healCut != nil {
+			healCut()
+		}
+	}
+}
+
+// leaderOf returns the daemon that leads the group in the newest term, or nil.
+func (s *tableSite) leaderOf(group groupName) *daemon {
+	var newest *daemon
+	for _, d := range s.daemons {
+		if !d.isLeader(group) {
+			continue
+		}
+		if newest == nil || newest.member(group).node.Term() < d.member(group).node.Term() {
+			newest = d
+		}
+	}
+	return newest
+}
+
+func (s *tableSite) transferLeadership(group groupName) {
+	leader := s.leaderOf(group)
+	if leader == nil || leader.machine.paused {
+		return
+	}
+	m := leader.member(group)
+	for _, voter := range m.node.Status().Membership.Voters {
+		if voter != m.store.identity {
+			if err := m.node.TransferLeadership(voter); err != nil {
+				s.trace.Note("transfer-refused", string(m.machine.Address), err.Error())
+			}
+			m.pump()
+			return
+		}
+	}
+}
+
+// replaceDisk crashes a machine and gives it an empty disk, unless a group of the
+// machine has not got over an earlier loss: a group of three survives one loss at
+// a time.
+func (s *tableSite) replaceDisk(d *daemon, outage time.Duration) bool {
+	if problem := s.fellowWithoutVote(d); problem != "" {
+		s.trace.Note("fault-skipped", string(d.machine.Address), problem)
+		return false
+	}
+	s.counts.Repairs++
+	d.machine.Crash(outage)
+	d.machine.Disk.Replace()
+	return true
+}
+
+// fellowWithoutVote names a machine that shares a group with d and lost its disk
+// without having been repaired since.
+func (s *tableSite) fellowWithoutVote(d *daemon) string {
+	for _, other := range s.daemons {
+		for _, m := range d.members() {
+			fellow := other.member(m.group)
+			if fellow != nil && !s.isRepaired(other, fellow) {
+				return string(other.machine.Address) + " is not repaired"
+			}
+		}
+	}
+	return ""
+}
+
+// isRepaired reports whether the group has committed that the member's present
+// identity votes, by the state of some member that leads.
+func (s *tableSite) isRepaired(d *daemon, m *member) bool {
+	if d.machine.Disk.Generation == 1 {
+		return true
+	}
+	current := identity(d.number, d.machine.Disk.Generation)
+	leader := s.leaderOf(m.group)
+	if leader == nil || !d.machine.alive || !d.votes() {
+		return false
+	}
+	status := leader.member(m.group).node.Status()
+	return status.Membership.HasVoter(current) && status.Commit >= status.MembershipIndex
+}
+
+// replaceAfterRepair replaces the peer's disk as soon as d votes again.
+func (s *tableSite) replaceAfterRepair(d, peer *daemon, outage time.Duration, until time.Duration) {
+	if peer == nil || s.scheduler.Now() >= until || s.scheduler.Now() >= faultsEnd-outage {
+		return
+	}
+	if d.machine.alive && d.votes() && s.fellowWithoutVote(peer) == "" {
+		s.trace.Note("second-loss", string(peer.machine.Address), "right after the repair of "+string(d.machine.Address))
+		s.replaceDisk(peer, outage)
+		return
+	}
+	s.scheduler.After(repairPoll, func() { s.replaceAfterRepair(d, peer, outage, until) })
+}
--- /dev/null
+++ b/simulate/tablescenario.go
@@ -0,0 +1,182 @@
+package simulate
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// The streams of random numbers that a seed gives.
+	siteStream  = 1
+	faultStream = 2
+
+	// faultsEnd is when all faults heal and operators stop.
+	faultsEnd = 60 * time.Second
+	// convergenceBound is how long the site may take to settle after that.
+	convergenceBound = 40 * time.Second
+	// convergenceInterval is how often the site is looked at.
+	convergenceInterval = 250 * time.Millisecond
+)
+
+func tableScenario() scenario {
+	return scenario{
+		info: ScenarioInfo{
+			Name: tableScenarioName,
+			Sentence: "Operators race edits while zones, controllers, disks, clocks and engines fail; " +
+				"replica limits, memory, fencing and accepted edits must hold, and all zones must converge.",
+		},
+		run:       runTable,
+		mutations: tableMutations(),
+	}
+}
+
+// runTable runs one seed of the table scenario.
+func runTable(plan seedPlan) seedOutcome {
+	faults := plan.faults
+	if faults == nil {
+		faults = planTableFaults(rand.New(rand.NewPCG(plan.seed, faultStream)))
+	}
+	site := newTableSite(plan)
+	site.trace.Note("seed", formatHash(plan.seed), plan.mutation)
+	site.schedule(faults)
+	site.scheduler.Run(faultsEnd)
+	if site.judge.violation == nil {
+		site.settle()
+	}
+	return site.outcome(faults)
+}
+
+// settle stops the load and waits for the site to converge.
+func (s *tableSite) settle() {
+	s.quiet = true
+	s.trace.Note("heal", "site", "")
+	problem := "nothing was checked"
+	for end := faultsEnd + convergenceBound; s.scheduler.Now() < end && s.judge.violation == nil; {
+		s.scheduler.Run(s.scheduler.Now() + convergenceInterval)
+		if problem = s.unsettled(); problem == "" {
+			s.counts.Converged++
+			s.checkFinalTable()
+			return
+		}
+	}
+	s.judge.Report(checkerConvergence, "%v after the last fault healed, %s", convergenceBound, problem)
+}
+
+// unsettled says what still keeps the site from being converged.
+func (s *tableSite) unsettled() string {
+	for _, d := range s.daemons {
+		for _, m := range d.members() {
+			if problem := s.memberUnsettled(d, m); problem != "" {
+				return problem
+			}
+		}
+	}
+	return s.surplus()
+}
+
+func (s *tableSite) memberUnsettled(d *daemon, m *member) string {
+	name := fmt.Sprintf("%s of group %s", m.machine.Address, m.group)
+	if !m.running() || m.machine.paused {
+		return name + " does not run"
+	}
+	if !d.votes() {
+		return name + " does not vote"
+	}
+	revision := s.ledger.newestTable.Revision()
+	if newest := s.ledger.log(m.group).newest; m.applied != newest {
+		return fmt.Sprintf("%s has applied index %d of %d", name, m.applied, newest)
+	}
+	switch state := m.state.(type) {
+	case *zoneMachine:
+		if state.state.TableRevision() != revision {
+			return fmt.Sprintf("%s has table revision %d of %d", name, state.state.TableRevision(), revision)
+		}
+	case *tableMachine:
+		if state.state.Revision() != revision {
+			return fmt.Sprintf("%s is at table revision %d of %d", name, state.state.Revision(), revision)
+		}
+	}
+	return ""
+}
+
+// surplus says which row still has more replicas than the table allows, or is
+// still to be unloaded somewhere.
+func (s *tableSite) surplus() string {
+	totals := map[structs.RowName]int{}
+	for _, record := range s.ledger.engines {
+		for row := range record.loaded {
+			totals[row]++
+		}
+	}
+	for _, row := range simulatedRows {
+		if limit := s.ledger.edits.maxReplicas(row); totals[row] > limit {
+			return fmt.Sprintf("%d replicas of %s are loaded, the table allows %d", totals[row], row, limit)
+		}
+	}
+	return ""
+}
+
+// checkFinalTable compares the states of all members with each other and with
+// the edits that were accepted.
+func (s *tableSite) checkFinalTable() {
+	first := map[groupName][]byte{}
+	expected := s.ledger.edits.rowsAt(s.ledger.newestTable.Revision())
+	for _, d := range s.daemons {
+		for _, m := range d.members() {
+			s.checkInvariantsOf(m, first)
+			var rows []structs.Row
+			switch state := m.state.(type) {
+			case *zoneMachine:
+				rows = state.state.Rows()
+			case *tableMachine:
+				rows = state.state.Rows()
+			}
+			if !slices.Equal(rows, expected) {
+				s.judge.Report(checkerConvergence, "%s of group %s ends with other rows than were accepted: %v instead of %v",
+					m.machine.Address, m.group, rows, expected)
+			}
+		}
+	}
+}
+
+func (s *tableSite) checkInvariantsOf(m *member, first map[groupName][]byte) {
+	s.ledger.checkInvariants(m)
+	snapshot, err := m.state.snapshot()
+	if err != nil {
+		s.memberFailed(m, "take a snapshot", err)
+		return
+	}
+	if other, ok := first[m.group]; ok && !bytes.Equal(other, snapshot) {
+		s.judge.Report(checkerConvergence, "the members of group %s differ at the same index", m.group)
+	}
+	first[m.group] = snapshot
+}
+
+// outcome gathers what the seed gave.
+func (s *tableSite) outcome(faults []Fault) seedOutcome {
+	s.counts.Events = s.scheduler.sequence
+	s.counts.Messages = s.network.delivered
+	s.counts.Faults = len(faults)
+	for _, d := range s.daemons {
+		s.counts.Crashes += d.machine.crashes
+	}
+	outcome := seedOutcome{
+		traceHash: s.trace.Sum(),
+		simulated: s.scheduler.Now(),
+		counts:    s.counts,
+	}
+	if violation := s.judge.violation; violation != nil {
+		violation.Scenario = tableScenarioName
+		violation.Seed = s.plan.seed
+		violation.Mutation = s.plan.mutation
+		violation.Faults = faults
+		violation.TraceHash = formatHash(outcome.traceHash)
+		outcome.violation = violation
+	}
+	return outcome
+}
--- /dev/null
+++ b/simulate/zonecontroller.go
@@ -0,0 +1,263 @@
+package simulate
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	// decideInterval is how often a zone's leader decides.
+	decideInterval = 250 * time.Millisecond
+	// orderHesitation bounds the time between a decision and the sending of its
+	// orders; a pause may fall in between.
+	orderHesitation = 20 * time.Millisecond
+	// storeBudget is how many loads from the weight store may be under way in a zone.
+	storeBudget = 4
+)
+
+// zoneController is the leader's part of a daemon: it feeds the controller and
+// carries out its decisions.
+type zoneController struct {
+	daemon  *daemon
+	core    *controller.Core
+	state   *zone.State
+	reports map[structs.RunnerID]controller.ReportSeen
+	// awaited is the last index proposed in term awaitedTerm; the next decision
+	// waits for it.
+	awaited     uint64
+	awaitedTerm uint64
+	// previous is the delta proposed before the last one, for a mutation.
+	previous *structs.TableDelta
+	turn     int
+}
+
+func newZoneController(d *daemon) *zoneController {
+	return &zoneController{
+		daemon: d,
+		core: controller.New(controller.Options{
+			Zone:     d.machine.Zone,
+			Settings: plannerSettings(),
+		}),
+		reports: map[structs.RunnerID]controller.ReportSeen{},
+	}
+}
+
+// plannerSettings make replicas come and go within seconds.
+func plannerSettings() scheduler.Settings {
+	settings := scheduler.DefaultSettings()
+	settings.RequestsPerReplica = 4
+	settings.MinimumResidence = time.Second
+	settings.MinimumKeepAlive = 2 * time.Second
+	settings.MaximumKeepAlive = 8 * time.Second
+	return settings
+}
+
+func (c *zoneController) observeReport(report structs.EngineReport) {
+	known := c.reports[report.Runner].Report
+	older := report.Incarnation == known.Incarnation && report.Load.ObservedAt.Before(known.Load.ObservedAt)
+	if report.Incarnation < known.Incarnation || older {
+		return
+	}
+	c.reports[report.Runner] = controller.ReportSeen{Report: report, ReceivedAt: c.daemon.now()}
+}
+
+func (c *zoneController) observeAnswer(answer orderAnswer) {
+	c.core.ObserveReply(answer.order.Runner, answer.reply)
+}
+
+func (c *zoneController) observeDemand(report structs.DemandReport) {
+	c.core.ObserveDemand(c.daemon.now(), report)
+}
+
+// loop decides again and again while the process lives.
+func (c *zoneController) loop() {
+	if c.daemon.zoneMember.node != nil {
+		c.decide()
+	}
+	if c.daemon.machine.alive {
+		c.daemon.machine.after(decideInterval, c.loop)
+	}
+}
+
+func (c *zoneController) decide() {
+	m := c.daemon.zoneMember
+	ignoreLease := c.daemon.site.mutated(mutationIgnoreLease)
+	if !ignoreLease {
+		m.catchUp()
+	}
+	term := m.node.Term()
+	if !m.leads() {
+		c.core.Decide(controller.Input{Now: c.daemon.now()})
+		return
+	}
+	if c.awaitedTerm == term && m.applied < c.awaited {
+		return
+	}
+	input := controller.Input{
+		Now:         c.daemon.now(),
+		Epoch:       structs.Epoch(term),
+		LeaseValid:  m.node.LeaseValid() || ignoreLease,
+		State:       c.state,
+		Reports:     c.reports,
+		Machines:    c.daemon.site.machineList(c.daemon.machine.Zone),
+		StoreBudget: storeBudget,
+	}
+	if input.LeaseValid {
+		c.daemon.site.ledger.leaderActs(m, c.state.TableRevision())
+	}
+	c.carryOut(c.core.Decide(input))
+}
+
+// carryOut does what was decided. Orders leave a moment later without another
+// look at the lease: that is what fencing is for.
+func (c *zoneController) carryOut(decisions controller.Decisions) {
+	m := c.daemon.zoneMember
+	for _, command := range decisions.Commands {
+		c.propose(command)
+	}
+	for _, order := range decisions.Orders {
+		c.sendLater(order)
+	}
+	if c.daemon.site.mutated(mutationEarlyRelease) && m.node.LeaseValid() {
+		decisions.Releases = c.allReleases()
+	}
+	if decisions.InForce > 0 || len(decisions.Wishes) > 0 {
+		c.tellGlobal(zoneStatement{
+			zone:     c.daemon.machine.Zone,
+			releases: decisions.Releases,
+			wishes:   decisions.Wishes,
+			inForce:  decisions.InForce,
+		})
+	}
+	if m.node != nil && m.node.LeaseValid() {
+		c.askDelta()
+	}
+	if m.node != nil {
+		m.pump()
+	}
+}
+
+// allReleases releases every lowered grant, whether or not the zone is down to it.
+func (c *zoneController) allReleases() []structs.GrantRelease {
+	var releases []structs.GrantRelease
+	for _, grant := range c.state.LoweredGrants() {
+		releases = append(releases, structs.GrantRelease{
+			Row: grant.Row, Zone: grant.Zone, Sequence: grant.Sequence, Limit: grant.Limit,
+		})
+	}
+	return releases
+}
+
+func (c *zoneController) propose(command zone.Command) {
+	m := c.daemon.zoneMember
+	encoded, err := zone.EncodeCommand(command)
+	if err != nil {
+		c.daemon.site.memberFailed(m, "encode a zone command", err)
+		return
+	}
+	index, ok := m.propose(encoded)
+	if !ok {
+		return
+	}
+	c.awaited, c.awaitedTerm = index, m.node.Term()
+	if command.Reserve != nil && c.daemon.site.mutated(mutationOrderUnapplied) {
+		c.orderUnapplied(index, *command.Reserve)
+	}
+}
+
+// orderUnapplied sends the load order of a reservation that is only proposed.
+func (c *zoneController) orderUnapplied(index uint64, reserve zone.ReserveCommand) {
+	row, _ := c.state.Row(reserve.Row)
+	c.sendLater(structs.Order{
+		Fence:       structs.Fence{Epoch: structs.Epoch(c.awaitedTerm), Number: structs.OrderNumber(index)},
+		Kind:        structs.OrderLoad,
+		Runner:      reserve.Runner,
+		Incarnation: reserve.Incarnation,
+		Row:         reserve.Row,
+		Base:        row.Base,
+		MemoryBytes: row.MemoryBytes,
+	})
+}
+
+func (c *zoneController) sendLater(order structs.Order) {
+	d := c.daemon
+	hesitation := time.Duration(d.machine.random.Int64N(int64(orderHesitation)))
+	d.machine.after(hesitation, func() {
+		if d.machine.step() {
+			return
+		}
+		d.site.noteOrder("order", string(d.machine.Address), order)
+		held := d.site.heldOrders[d.machine.Address]
+		d.site.network.SendAfter(held, d.machine.Address, engineAddress(order.Runner), orderMessage{order})
+	})
+}
+
+func (c *zoneController) tellGlobal(statement zoneStatement) {
+	c.daemon.site.network.Send(c.daemon.machine.Address, c.nextGlobal(), statement)
+}
+
+func (c *zoneController) askDelta() {
+	request := deltaRequest{zone: c.daemon.machine.Zone, since: c.state.TableRevision()}
+	if c.daemon.site.mutated(mutationAdoptOlder) {
+		request.since = 0
+	}
+	c.daemon.site.network.Send(c.daemon.machine.Address, c.nextGlobal(), request)
+}
+
+// nextGlobal takes the members of the global group in turn.
+func (c *zoneController) nextGlobal() Address {
+	c.turn++
+	globals := c.daemon.site.globals
+	return globals[c.turn%len(globals)].machine.Address
+}
+
+// adopt proposes a delta that a member of the global group sent.
+func (c *zoneController) adopt(delta structs.TableDelta) {
+	m := c.daemon.zoneMember
+	if m.node == nil || !m.leads() || delta.Revision <= c.state.TableRevision() {
+		return
+	}
+	if c.awaitedTerm == m.node.Term() && m.applied < c.awaited {
+		return
+	}
+	delta = c.mutate(delta)
+	c.propose(zone.Command{Adopt: &delta})
+	m.pump()
+}
+
+// mutate is the identity but for mutations.
+func (c *zoneController) mutate(delta structs.TableDelta) structs.TableDelta {
+	switch {
+	case c.daemon.site.mutated(mutationIgnoreGrants):
+		return c.inflateGrants(delta)
+	case c.daemon.site.mutated(mutationAdoptOlder):
+		older := delta
+		if c.previous != nil {
+			older = *c.previous
+			older.Revision = delta.Revision
+		}
+		c.previous = &delta
+		return older
+	}
+	return delta
+}
+
+// inflateGrants gives the zone the whole limit of each row.
+func (c *zoneController) inflateGrants(delta structs.TableDelta) structs.TableDelta {
+	limits := map[structs.RowName]int{}
+	for _, row := range append(c.state.Rows(), delta.Rows...) {
+		limits[row.Name] = row.MaxReplicas
+	}
+	grants := make([]structs.Grant, len(delta.Grants))
+	for i, grant := range delta.Grants {
+		grants[i] = grant
+		grants[i].Limit = max(grant.Limit, limits[grant.Row])
+		grants[i].Held = max(grant.Held, grants[i].Limit)
+	}
+	delta.Grants = grants
+	return delta
+}
--- a/structs/claim.go
+++ b/structs/claim.go
@@ -16,6 +16,8 @@
 	ClaimFinished ClaimState = "finished"
 	// ClaimUnknown: nobody can know whether it ran; this is for good.
 	ClaimUnknown ClaimState = "outcome_unknown"
+	// ClaimReleased: the request certainly did not run; the key is free again.
+	ClaimReleased ClaimState = "released"
 )
 
 // Claim is the durable record, in the key's home zone, that a request which may
--- a/structs/error.go
+++ b/structs/error.go
@@ -1,6 +1,9 @@
 package structs
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // ErrorKind classifies an Error. Callers branch on the kind, never on the message.
 type ErrorKind string
@@ -67,21 +70,9 @@
 	if err == nil {
 		return ""
 	}
-	for current := err; current != nil; {
-		if typed, ok := current.(*Error); ok {
-			return typed.Kind
-		}
-		current = unwrapOnce(current)
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Kind
 	}
 	return ErrorInternal
 }
-
-func unwrapOnce(err error) error {
-	switch wrapped := err.(type) {
-	case interface{ Unwrap() error }:
-		return wrapped.Unwrap()
-	case interface{ Cause() error }:
-		return wrapped.Cause()
-	}
-	return nil
-}
--- /dev/null
+++ b/table/command.go
@@ -0,0 +1,117 @@
+package table
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Command is one entry of the global group's log. Exactly one field is set.
+type Command struct {
+	Edit    *EditCommand
+	Release *structs.GrantRelease
+	Wish    *WishCommand
+	Zone    *ZoneCommand
+	InForce *InForceCommand
+}
+
+// EditCommand applies an operator's edit.
+type EditCommand struct {
+	Edit structs.Edit
+	// At is the leader's clock; it is only recorded.
+	At time.Time
+}
+
+// WishCommand replaces the wishes of a zone for the rows it names. Rows that are
+// not in the table are passed over.
+type WishCommand struct {
+	Zone   structs.ZoneID
+	Wishes []structs.GrantWish
+}
+
+// ZoneCommand adds a zone, sets its weight, or removes it.
+type ZoneCommand struct {
+	Zone structs.ZoneID
+	// Weight is the zone's share of limits that no zone wishes, 1 to 1000.
+	Weight int
+	// Remove takes the zone's limits away. What it holds stays counted until it
+	// releases it.
+	Remove bool
+	// Force, with Remove, is the operator's word that the zone's runners are off:
+	// what the zone holds is freed at once.
+	Force bool
+}
+
+// InForceCommand records that a zone adopted a table revision. It never lowers
+// the recorded revision.
+type InForceCommand struct {
+	Zone     structs.ZoneID
+	Revision uint64
+}
+
+// Result is the answer to a Command. Edit is set for every edit that was
+// decided, accepted or not; Error is set when the command itself was refused.
+// Both are nil for other commands that were applied or had nothing to do.
+type Result struct {
+	Edit  *structs.EditResult
+	Error *structs.Error
+}
+
+// EncodeCommand encodes a command with msgpack. A command with no field or more
+// than one field set is refused with ErrorInvalid.
+func EncodeCommand(command Command) ([]byte, error) {
+	if refusal := command.check(); refusal != nil {
+		return nil, refusal
+	}
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(&command); err != nil {
+		return nil, structs.NewError(structs.ErrorInternal, "encoding a table command: "+err.Error(), "Report this as a fault.")
+	}
+	return buffer.Bytes(), nil
+}
+
+// DecodeCommand decodes what EncodeCommand made. Unknown fields, lengths beyond
+// the data, trailing bytes, and commands with no field or more than one field
+// set are refused with ErrorCorrupt. It never panics.
+func DecodeCommand(data []byte) (Command, error) {
+	if err := checkWellFormed(data); err != nil {
+		return Command{}, corruptCommand(err.Error())
+	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields(true)
+	var command Command
+	if err := decoder.Decode(&command); err != nil {
+		return Command{}, corruptCommand(err.Error())
+	}
+	if refusal := command.check(); refusal != nil {
+		return Command{}, corruptCommand(refusal.Message)
+	}
+	if command.Edit != nil {
+		command.Edit.At = command.Edit.At.UTC()
+	}
+	return command, nil
+}
+
+func corruptCommand(reason string) *structs.Error {
+	return structs.NewError(structs.ErrorCorrupt, "table command cannot be decoded: "+reason,
+		"Check that all members of the global group run the same version.")
+}
+
+// check reports whether exactly one field is set.
+func (c Command) check() *structs.Error {
+	count := 0
+	for _, set := range []bool{c.Edit != nil, c.Release != nil, c.Wish != nil, c.Zone != nil, c.InForce != nil} {
+		if set {
+			count++
+		}
+	}
+	if count == 1 {
+		return nil
+	}
+	return structs.NewError(structs.ErrorInvalid, "a table command must hold exactly one request",
+		"Send one command for each request.")
+}
--- /dev/null
+++ b/table/property_test.go
@@ -0,0 +1,317 @@
+package table
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/lotusferry/lotusferry/structs"
+	"pgregory.net/rapid"
+)
+
+var (
+	testModels   = []string{"m1", "m2"}
+	testAdapters = []string{"x1", "x2", "x3"}
+	testZones    = []string{"a", "b", "c", "d"}
+)
+
+// replica follows a state by deltas, as a zone does.
+type replica struct {
+	revision  uint64
+	rows      map[structs.RowName]structs.Row
+	grants    map[structs.RowName]structs.Grant
+	elsewhere map[structs.RowName][]structs.ZoneID
+}
+
+func (r *replica) follow(delta structs.TableDelta) {
+	if delta.Full {
+		r.rows = map[structs.RowName]structs.Row{}
+		r.grants = map[structs.RowName]structs.Grant{}
+		r.elsewhere = map[structs.RowName][]structs.ZoneID{}
+	}
+	r.revision = delta.Revision
+	for _, name := range delta.Deleted {
+		delete(r.rows, name)
+		delete(r.elsewhere, name)
+	}
+	for _, row := range delta.Rows {
+		r.rows[row.Name] = row
+	}
+	for _, grant := range delta.Grants {
+		r.grants[grant.Row] = grant
+		if grant.Limit == 0 && grant.Held == 0 {
+			delete(r.grants, grant.Row)
+		}
+	}
+	for _, zones := range delta.Elsewhere {
+		r.elsewhere[zones.Row] = zones.Zones
+	}
+}
+
+// tableMachine drives a state beside an oracle of its rows.
+type tableMachine struct {
+	state    *State
+	oracle   map[structs.RowName]structs.Row
+	answers  map[structs.EditID]structs.EditResult
+	edits    []Command
+	stale    []structs.Grant
+	replicas map[string]*replica
+}
+
+// apply sends a command through its encoding and checks what must hold of every
+// command, without relying on CheckInvariants.
+func (m *tableMachine) apply(t *rapid.T, command Command) Result {
+	data, err := EncodeCommand(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeCommand(data)
+	if err != nil || !reflect.DeepEqual(decoded, command) {
+		t.Fatalf("decoded %+v of %+v: %v", decoded, command, err)
+	}
+	revision, heldBefore := m.state.Revision(), m.held()
+	result := m.state.Apply(decoded)
+	if raised := m.state.Revision() - revision; raised > 1 {
+		t.Fatalf("the revision rose by %d", raised)
+	}
+	for name, held := range m.held() {
+		row, _ := m.state.Row(name)
+		if held > max(row.MaxReplicas, heldBefore[name]) {
+			t.Fatalf("row %q: %d held of %d, %d before", name, held, row.MaxReplicas, heldBefore[name])
+		}
+	}
+	return result
+}
+
+func (m *tableMachine) held() map[structs.RowName]int {
+	held := make(map[structs.RowName]int)
+	for _, name := range slices.Concat(testModels, testAdapters) {
+		for _, grant := range m.state.Grants(structs.RowName(name)) {
+			held[grant.Row] += grant.Held
+		}
+	}
+	return held
+}
+
+func (m *tableMachine) edit(t *rapid.T) {
+	wanted := maps.Clone(m.oracle)
+	var changes []structs.RowChange
+	isRight := true
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom(slices.Concat(testModels, testAdapters)), 1, 3, rapid.ID).Draw(t, "names")
+	for _, name := range names {
+		change := m.drawChange(t, name)
+		current, isThere := m.oracle[change.Row.Name]
+		isRight = isRight && change.BaseRevision == current.Revision && (isThere || !change.Delete)
+		delete(wanted, change.Row.Name)
+		if !change.Delete {
+			wanted[change.Row.Name] = withRevision(change.Row, m.state.Revision()+1)
+		}
+		changes = append(changes, change)
+	}
+	for _, row := range wanted {
+		if _, found := wanted[row.Base]; row.Base != "" && !found {
+			isRight = false
+		}
+	}
+	command := editOf(fmt.Sprintf("e%d", len(m.edits)), changes...)
+	forecast := m.state.Check(command.Edit.Edit)
+	answer := m.apply(t, command).Edit
+	if answer.Accepted != isRight || !reflect.DeepEqual(forecast, *answer) {
+		t.Fatalf("answered %+v, forecast %+v, oracle accepts: %v", answer, forecast, isRight)
+	}
+	if isRight {
+		m.oracle = wanted
+	}
+	m.edits = append(m.edits, command)
+	m.answers[answer.ID] = *answer
+}
+
+func withRevision(row structs.Row, revision uint64) structs.Row {
+	row.Revision = revision
+	return row
+}
+
+func (m *tableMachine) drawChange(t *rapid.T, name string) structs.RowChange {
+	row := modelRow(name, rapid.IntRange(0, 9).Draw(t, "max"))
+	if slices.Contains(testAdapters, name) {
+		row = adapterRow(name, rapid.SampledFrom(testModels).Draw(t, "base"), row.MaxReplicas)
+	}
+	change := put(row, m.oracle[row.Name].Revision)
+	if rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
+		change.BaseRevision = m.state.Revision() + 1
+	}
+	if rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+		change.Delete = true
+		change.Row = structs.Row{Name: row.Name}
+	}
+	return change
+}
+
+func (m *tableMachine) resend(t *rapid.T) {
+	if len(m.edits) == 0 {
+		t.Skip("nothing to resend")
+	}
+	command := rapid.SampledFrom(m.edits).Draw(t, "resent")
+	answer := m.apply(t, command).Edit
+	if !reflect.DeepEqual(*answer, m.answers[answer.ID]) {
+		t.Fatalf("resend answered %+v, first %+v", answer, m.answers[answer.ID])
+	}
+}
+
+func (m *tableMachine) wish(t *rapid.T) {
+	command := WishCommand{Zone: structs.ZoneID(rapid.SampledFrom(testZones).Draw(t, "zone"))}
+	for range rapid.IntRange(1, 3).Draw(t, "count") {
+		name := rapid.SampledFrom(slices.Concat(testModels, testAdapters)).Draw(t, "row")
+		wish := structs.GrantWish{Row: structs.RowName(name), Wanted: rapid.IntRange(0, 6).Draw(t, "wanted")}
+		command.Wishes = append(command.Wishes, wish)
+	}
+	m.apply(t, Command{Wish: &command})
+}
+
+func (m *tableMachine) release(t *rapid.T) {
+	var grants []structs.Grant
+	for _, name := range slices.Concat(testModels, testAdapters) {
+		grants = append(grants, m.state.Grants(structs.RowName(name))...)
+	}
+	grants = append(grants, m.stale...)
+	if len(grants) == 0 {
+		t.Skip("nothing to release")
+	}
+	grant := rapid.SampledFrom(grants).Draw(t, "grant")
+	m.stale = append(m.stale, grant)
+	m.apply(t, releaseOf(grant))
+}
+
+func (m *tableMachine) zone(t *rapid.T) {
+	m.apply(t, Command{Zone: &ZoneCommand{
+		Zone:   structs.ZoneID(rapid.SampledFrom(testZones).Draw(t, "zone")),
+		Weight: rapid.IntRange(0, 3).Draw(t, "weight"),
+		Remove: rapid.IntRange(0, 2).Draw(t, "remove") == 0,
+		Force:  rapid.Bool().Draw(t, "force"),
+	}})
+}
+
+func (m *tableMachine) inForce(t *rapid.T) {
+	zone := structs.ZoneID(rapid.SampledFrom(testZones).Draw(t, "zone"))
+	m.apply(t, Command{InForce: &InForceCommand{Zone: zone, Revision: rapid.Uint64Range(0, m.state.Revision()).Draw(t, "revision")}})
+}
+
+func (m *tableMachine) restore(t *rapid.T) {
+	data, err := m.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := restored.Snapshot()
+	if err != nil || !bytes.Equal(data, again) {
+		t.Fatalf("the restored state has another snapshot: %v", err)
+	}
+	m.state = restored
+}
+
+// delta brings one zone's replica up to date and compares it with the state.
+func (m *tableMachine) delta(t *rapid.T) {
+	zone := rapid.SampledFrom(testZones).Draw(t, "zone")
+	follower := m.replicas[zone]
+	follower.follow(m.state.Delta(structs.ZoneID(zone), follower.revision))
+	grants := map[structs.RowName]structs.Grant{}
+	elsewhere := map[structs.RowName][]structs.ZoneID{}
+	for _, name := range slices.Concat(testModels, testAdapters) {
+		for _, grant := range m.state.Grants(structs.RowName(name)) {
+			if string(grant.Zone) == zone {
+				grants[grant.Row] = grant
+			}
+			if grant.Limit > 0 {
+				elsewhere[grant.Row] = append(elsewhere[grant.Row], grant.Zone)
+			}
+		}
+		if _, isThere := m.oracle[structs.RowName(name)]; isThere && elsewhere[structs.RowName(name)] == nil {
+			elsewhere[structs.RowName(name)] = nil
+		}
+	}
+	if !maps.Equal(follower.rows, m.oracle) || !maps.Equal(follower.grants, grants) || !reflect.DeepEqual(follower.elsewhere, elsewhere) {
+		t.Fatalf("replica has\n%+v, table\n%+v\n%+v\n%+v", follower, m.oracle, grants, elsewhere)
+	}
+}
+
+func (m *tableMachine) check(t *rapid.T) {
+	if err := m.state.CheckInvariants(); err != nil {
+		t.Fatal(err)
+	}
+	rows := m.state.Rows()
+	if len(rows) != len(m.oracle) {
+		t.Fatalf("the table has %d rows, the oracle %d", len(rows), len(m.oracle))
+	}
+	for _, row := range rows {
+		if m.oracle[row.Name] != row {
+			t.Fatalf("the table has %+v, the oracle %+v", row, m.oracle[row.Name])
+		}
+	}
+	accepted := 0
+	for _, answer := range m.answers {
+		if answer.Accepted {
+			accepted++
+		}
+	}
+	if history := m.state.History(0); len(history) != accepted {
+		t.Fatalf("the history has %d entries of %d accepted edits", len(history), accepted)
+	}
+}
+
+func TestTableFollowsOracleUnderRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &tableMachine{
+			state:    New(),
+			oracle:   map[structs.RowName]structs.Row{},
+			answers:  map[structs.EditID]structs.EditResult{},
+			replicas: map[string]*replica{},
+		}
+		for _, zone := range testZones {
+			machine.replicas[zone] = &replica{}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"edit": machine.edit, "resend": machine.resend, "wish": machine.wish, "release": machine.release,
+			"zone": machine.zone, "inForce": machine.inForce, "restore": machine.restore, "delta": machine.delta,
+			"": machine.check,
+		})
+	})
+}
+
+// After wishes stop and zones release what they must, the limits are whole and
+// nothing moves any more.
+func TestGrantsSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := stateWith(rapid.IntRange(1, 6).Draw(t, "zones"))
+		maxReplicas := rapid.IntRange(0, 20).Draw(t, "max")
+		state.Apply(editOf("e", put(modelRow("m", maxReplicas), 0)))
+		for _, zone := range state.Zones() {
+			state.Apply(wishOf(string(zone.Zone), "m", rapid.IntRange(0, 10).Draw(t, "wish")))
+		}
+		releaseAll(state, "m")
+		releaseAll(state, "m")
+		sum := 0
+		for _, grant := range state.Grants("m") {
+			if grant.Held != grant.Limit {
+				t.Fatalf("not settled: %s", limitsOf(state, "m"))
+			}
+			sum += grant.Limit
+		}
+		revision := state.Revision()
+		releaseAll(state, "m")
+		if sum != maxReplicas || state.Revision() != revision {
+			t.Fatalf("limits sum to %d of %d: %s", sum, maxReplicas, limitsOf(state, "m"))
+		}
+	})
+}
+
+func releaseAll(state *State, row string) {
+	for _, grant := range state.Grants(structs.RowName(row)) {
+		state.Apply(releaseOf(grantOf(state, row, string(grant.Zone))))
+	}
+}
--- /dev/null
+++ b/tablefile/diff.go
@@ -0,0 +1,63 @@
+package tablefile
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Diff returns the changes that lead from current to wanted: the rows that are
+// new or different, in the order of wanted, then with prune the deletions of the
+// rows that wanted lacks, by name. The base revision of a change is the wanted
+// row's own revision where it has one, so that an edit made against an older
+// table conflicts, and otherwise that of the current row. A row that already is
+// as wanted needs no change, whatever its revision.
+func Diff(current, wanted []structs.Row, prune bool) []structs.RowChange {
+	present := make(map[structs.RowName]structs.Row, len(current))
+	for _, row := range current {
+		present[row.Name] = row
+	}
+	var changes []structs.RowChange
+	kept := make(map[structs.RowName]bool, len(wanted))
+	for _, row := range wanted {
+		kept[row.Name] = true
+		now, isThere := present[row.Name]
+		if isThere && isSame(now, row) {
+			continue
+		}
+		base := row.Revision
+		if base == 0 {
+			base = now.Revision
+		}
+		changes = append(changes, structs.RowChange{Row: row, BaseRevision: base})
+	}
+	if prune {
+		changes = append(changes, deletions(current, kept)...)
+	}
+	return changes
+}
+
+func isSame(a, b structs.Row) bool {
+	a.Revision = 0
+	b.Revision = 0
+	return a == b
+}
+
+func deletions(current []structs.Row, kept map[structs.RowName]bool) []structs.RowChange {
+	var changes []structs.RowChange
+	for _, row := range current {
+		if kept[row.Name] {
+			continue
+		}
+		changes = append(changes, structs.RowChange{
+			Row:          structs.Row{Name: row.Name},
+			Delete:       true,
+			BaseRevision: row.Revision,
+		})
+	}
+	slices.SortFunc(changes, func(a, b structs.RowChange) int {
+		return strings.Compare(string(a.Row.Name), string(b.Row.Name))
+	})
+	return changes
+}
--- /dev/null
+++ b/transport/faults.go
@@ -0,0 +1,75 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Faults is the fault point of a Client: it cuts or delays the calls to chosen
+// addresses. The zero value and a nil *Faults disturb nothing. Methods may be
+// called from several goroutines.
+type Faults struct {
+	mutex  sync.Mutex
+	cut    map[string]bool
+	delays map[string]time.Duration
+}
+
+// Cut makes calls to address fail as unavailable: new ones are not sent, and the
+// replies of those in progress are lost.
+func (f *Faults) Cut(address string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.cut == nil {
+		f.cut = make(map[string]bool)
+	}
+	f.cut[address] = true
+}
+
+// Heal ends what Cut and Delay did to address.
+func (f *Faults) Heal(address string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.cut, address)
+	delete(f.delays, address)
+}
+
+// Delay holds each new call to address back by delay; zero ends it.
+func (f *Faults) Delay(address string, delay time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.delays == nil {
+		f.delays = make(map[string]time.Duration)
+	}
+	f.delays[address] = delay
+}
+
+func (f *Faults) isCut(address string) bool {
+	if f == nil {
+		return false
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.cut[address]
+}
+
+// wait holds a call back by the delay of address, or until ctx ends.
+func (f *Faults) wait(ctx context.Context, address string) error {
+	if f == nil {
+		return nil
+	}
+	f.mutex.Lock()
+	delay := f.delays[address]
+	f.mutex.Unlock()
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,174 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+)
+
+// acceptPause is how long the server waits after a failed accept (for example,
+// too many open files) before it accepts again.
+const acceptPause = 100 * time.Millisecond
+
+// keepAlive finds peers that vanished while a connection was idle.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 3}
+
+// Server answers net/rpc calls of other daemons.
+type Server struct {
+	logger   log.Logger
+	options  Options
+	listener net.Listener
+	rpc      *rpc.Server
+	counters counters
+	closed   chan struct{}
+
+	mutex       sync.Mutex
+	receivers   map[string]any
+	connections map[net.Conn]struct{}
+	handlers    sync.WaitGroup
+}
+
+// NewServer listens on options.Address. Connections wait until Serve.
+func NewServer(logger log.Logger, options Options) (*Server, error) {
+	options = options.withDefaults()
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	listener, err := config.Listen(context.Background(), "tcp", options.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", options.Address)
+	}
+	return &Server{
+		logger:      log.With(logger, "component", "transport"),
+		options:     options,
+		listener:    listener,
+		rpc:         rpc.NewServer(),
+		closed:      make(chan struct{}),
+		receivers:   make(map[string]any),
+		connections: make(map[net.Conn]struct{}),
+	}, nil
+}
+
+// Address returns the address the server listens on, with its actual port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Register offers the methods of receiver as the net/rpc service name.
+func (s *Server) Register(name string, receiver any) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.register(name, receiver)
+}
+
+func (s *Server) register(name string, receiver any) error {
+	if err := s.rpc.RegisterName(name, receiver); err != nil {
+		return errors.Wrapf(err, "register service %s", name)
+	}
+	s.receivers[name] = receiver
+	return nil
+}
+
+// Shared returns the receiver registered under name, and first registers the one
+// that create makes when there is none. Several users of one service share it so.
+func (s *Server) Shared(name string, create func() any) (any, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if receiver, found := s.receivers[name]; found {
+		return receiver, nil
+	}
+	receiver := create()
+	if err := s.register(name, receiver); err != nil {
+		return nil, err
+	}
+	return receiver, nil
+}
+
+// Stats returns the traffic counters.
+func (s *Server) Stats() Stats { return s.counters.stats() }
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err == nil {
+			s.start(conn)
+			continue
+		}
+		select {
+		case <-s.closed:
+			return
+		case <-time.After(acceptPause):
+			_ = s.logger.Log("msg", "accept failed", "err", err)
+		}
+	}
+}
+
+func (s *Server) start(conn net.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-s.closed:
+		_ = conn.Close()
+		return
+	default:
+	}
+	s.connections[conn] = struct{}{}
+	s.handlers.Go(func() { s.handle(conn) })
+}
+
+func (s *Server) handle(raw net.Conn) {
+	defer s.forget(raw)
+	var conn net.Conn = newCountedConn(raw, &s.counters)
+	if s.options.ServerTLS != nil {
+		secured := tls.Server(conn, s.options.ServerTLS)
+		ctx, cancel := context.WithTimeout(context.Background(), s.options.DialTimeout)
+		err := secured.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			_ = s.logger.Log("msg", "refused a connection", "peer", raw.RemoteAddr(), "err", err)
+			return
+		}
+		conn = secured
+	}
+	codec := newServerCodec(conn, s.options)
+	stop := make(chan struct{})
+	defer close(stop)
+	go codec.closeWith(s.closed, stop)
+	s.rpc.ServeCodec(codec)
+}
+
+// closeWith releases a reader that waits for a free slot when the server closes.
+func (c *serverCodec) closeWith(closed, stop <-chan struct{}) {
+	select {
+	case <-closed:
+		close(c.done)
+	case <-stop:
+	}
+}
+
+func (s *Server) forget(conn net.Conn) {
+	_ = conn.Close()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, conn)
+}
+
+// Close stops listening, closes all connections and waits until the calls in
+// progress have returned.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	select {
+	case <-s.closed:
+	default:
+		close(s.closed)
+	}
+	_ = s.listener.Close()
+	for conn := range s.connections {
+		_ = conn.Close()
+	}
+	s.mutex.Unlock()
+	s.handlers.Wait()
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,348 @@
+package transport
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const loopback = "127.0.0.1:0"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echoService answers with what it was asked, when its gate is open.
+type echoService struct {
+	gate    chan struct{}
+	entered chan struct{}
+}
+
+// Echo returns the text.
+func (e *echoService) Echo(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// Fail fails.
+func (e *echoService) Fail(string, *string) error { return errors.New("no such lot") }
+
+// Wait announces itself and returns once the gate is open.
+func (e *echoService) Wait(text string, reply *string) error {
+	e.entered <- struct{}{}
+	<-e.gate
+	*reply = text
+	return nil
+}
+
+func startServer(c *qt.C, options Options) (*Server, *echoService) {
+	if options.Address == "" {
+		options.Address = loopback
+	}
+	server, err := NewServer(log.NewNopLogger(), options)
+	c.Assert(err, qt.IsNil)
+	service := &echoService{gate: make(chan struct{}), entered: make(chan struct{}, 100)}
+	c.Assert(server.Register("Echo", service), qt.IsNil)
+	served := make(chan struct{})
+	go func() {
+		server.Serve()
+		close(served)
+	}()
+	c.Cleanup(func() {
+		server.Close()
+		<-served
+	})
+	return server, service
+}
+
+func startClient(c *qt.C, options Options) *Client {
+	client := NewClient(log.NewNopLogger(), options)
+	c.Cleanup(client.Close)
+	return client
+}
+
+func echo(client *Client, address, text string) (string, error) {
+	var reply string
+	err := client.Call(context.Background(), address, "Echo.Echo", text, &reply)
+	return reply, err
+}
+
+// silentListener takes connections and never answers.
+func silentListener(c *qt.C) string {
+	listener, err := net.Listen("tcp", loopback)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func TestCallsShareOneConnection(t *testing.T) {
+	c := qt.New(t)
+	server, _ := startServer(c, Options{})
+	client := startClient(c, Options{})
+	for number := range 20 {
+		reply, err := echo(client, server.Address(), fmt.Sprint(number))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply, qt.Equals, fmt.Sprint(number))
+	}
+	stats := client.Stats()
+	c.Assert(stats.Connections, qt.Equals, uint64(1))
+	c.Assert(stats.Calls, qt.Equals, uint64(20))
+	c.Assert(stats.Failures, qt.Equals, uint64(0))
+	c.Assert(stats.BytesOut, qt.Equals, server.Stats().BytesIn)
+	c.Assert(stats.BytesIn > 0, qt.IsTrue)
+}
+
+func TestErrorsAreTypedAndTellWhetherTheCallMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	options := Options{CallTimeout: 100 * time.Millisecond, MaxMessageBytes: 10_000}
+	server, service := startServer(c, Options{MaxMessageBytes: 10_000})
+	c.Cleanup(func() { close(service.gate) })
+	closed, err := net.Listen("tcp", loopback)
+	c.Assert(err, qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	faults := &Faults{}
+	faults.Cut("127.0.0.1:1")
+	faults.Delay("127.0.0.1:2", time.Hour)
+	options.Faults = faults
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, test := range []struct {
+		name, address, method, text string
+		ctx                         context.Context
+		kind                        structs.ErrorKind
+		notSent                     bool
+	}{
+		{"method fails", server.Address(), "Echo.Fail", "", nil, structs.ErrorInternal, false},
+		{"no such method", server.Address(), "Echo.None", "", nil, structs.ErrorInternal, false},
+		{"slow method", server.Address(), "Echo.Wait", "", nil, structs.ErrorDeadline, false},
+		{"too large", server.Address(), "Echo.Echo", string(make([]byte, 20_000)), nil, structs.ErrorInvalid, false},
+		{"nobody listens", closed.Addr().String(), "Echo.Echo", "", nil, structs.ErrorUnavailable, true},
+		{"cut", "127.0.0.1:1", "Echo.Echo", "", nil, structs.ErrorUnavailable, true},
+		{"delayed", "127.0.0.1:2", "Echo.Echo", "", nil, structs.ErrorDeadline, true},
+		{"cancelled", server.Address(), "Echo.Echo", "", cancelled, structs.ErrorUnavailable, true},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			client := startClient(c, options)
+			ctx := test.ctx
+			if ctx == nil {
+				ctx = context.Background()
+			}
+			var reply string
+			err := client.Call(ctx, test.address, test.method, test.text, &reply)
+			c.Assert(structs.KindOf(err), qt.Equals, test.kind, qt.Commentf("%v", err))
+			c.Assert(NotSent(err), qt.Equals, test.notSent)
+			c.Assert(client.Stats().Failures, qt.Equals, uint64(1))
+		})
+	}
+}
+
+func TestFailedDialMakesCallsFailAtOnceForAWhile(t *testing.T) {
+	c := qt.New(t)
+	client := startClient(c, Options{})
+	closed, err := net.Listen("tcp", loopback)
+	c.Assert(err, qt.IsNil)
+	address := closed.Addr().String()
+	c.Assert(closed.Close(), qt.IsNil)
+	_, err = echo(client, address, "")
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+	target := client.peer(address)
+	target.mutex.Lock()
+	target.retryAt = time.Now().Add(time.Hour)
+	target.mutex.Unlock()
+	_, err = echo(client, address, "")
+	var typed *structs.Error
+	c.Assert(errors.As(err, &typed), qt.IsTrue)
+	c.Assert(typed.RetryAfter > time.Minute, qt.IsTrue)
+	startServer(c, Options{Address: address})
+	target.mutex.Lock()
+	target.retryAt = time.Time{}
+	target.mutex.Unlock()
+	reply, err := echo(client, address, "back")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.Equals, "back")
+}
+
+func TestSilentPeerDelaysNoOtherAndIsDialledAgain(t *testing.T) {
+	c := qt.New(t)
+	silent := silentListener(c)
+	server, _ := startServer(c, Options{})
+	client := startClient(c, Options{CallTimeout: 200 * time.Millisecond})
+	failures := make(chan error)
+	const callers = 8
+	for range callers {
+		go func() {
+			_, err := echo(client, silent, string(make([]byte, 1<<20)))
+			failures <- err
+		}()
+	}
+	reply, err := echo(client, server.Address(), "quick")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.Equals, "quick")
+	for range callers {
+		kind := structs.KindOf(<-failures)
+		c.Assert(kind == structs.ErrorDeadline || kind == structs.ErrorUnavailable, qt.IsTrue, qt.Commentf("%s", kind))
+	}
+	target := client.peer(silent)
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	c.Assert(target.current, qt.IsNil)
+}
+
+func TestSlowCallLeavesItsConnectionInUse(t *testing.T) {
+	c := qt.New(t)
+	server, service := startServer(c, Options{})
+	client := startClient(c, Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	reply := "unchanged"
+	failed := make(chan error)
+	go func() { failed <- client.Call(ctx, server.Address(), "Echo.Wait", "late", &reply) }()
+	<-service.entered
+	cancel()
+	c.Assert(structs.KindOf(<-failed), qt.Equals, structs.ErrorUnavailable)
+	close(service.gate) // the late reply goes nowhere
+	other, err := echo(client, server.Address(), "next")
+	c.Assert(err, qt.IsNil)
+	c.Assert(other, qt.Equals, "next")
+	c.Assert(reply, qt.Equals, "unchanged")
+	c.Assert(client.Stats().Connections, qt.Equals, uint64(1))
+}
+
+func TestCallsInProgressAreBounded(t *testing.T) {
+	c := qt.New(t)
+	server, service := startServer(c, Options{})
+	client := startClient(c, Options{MaxPendingCalls: 2})
+	answered := make(chan error)
+	for range 2 {
+		go func() {
+			var reply string
+			answered <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
+		}()
+	}
+	<-service.entered
+	<-service.entered
+	_, err := echo(client, server.Address(), "")
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorOverloaded)
+	c.Assert(NotSent(err), qt.IsTrue)
+	close(service.gate)
+	c.Assert(<-answered, qt.IsNil)
+	c.Assert(<-answered, qt.IsNil)
+}
+
+func TestOversizedMessagesAreRefusedByTheReceiver(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		server, client int
+	}{{"request", 1000, 0}, {"reply", 0, 1000}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server, _ := startServer(c, Options{MaxMessageBytes: test.server})
+			client := startClient(c, Options{})
+			client.options.MaxMessageBytes = max(client.options.MaxMessageBytes, 0)
+			if test.client > 0 {
+				client.options.MaxMessageBytes = test.client
+			}
+			method, text := "Echo.Echo", string(make([]byte, 10_000))
+			if test.client > 0 {
+				method, text = "Echo.Enlarge", "small"
+			}
+			var reply string
+			err := client.Call(context.Background(), server.Address(), method, text, &reply)
+			c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid, qt.Commentf("%v", err))
+			target := client.peer(server.Address())
+			target.mutex.Lock()
+			target.retryAt = time.Time{}
+			target.mutex.Unlock()
+			_, _ = echo(client, server.Address(), "may meet the old connection")
+		})
+	}
+}
+
+func TestCutLosesTheReplyOfACallInProgress(t *testing.T) {
+	c := qt.New(t)
+	server, service := startServer(c, Options{})
+	faults := &Faults{}
+	client := startClient(c, Options{Faults: faults})
+	failed := make(chan error)
+	go func() {
+		var reply string
+		failed <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
+	}()
+	<-service.entered
+	faults.Cut(server.Address())
+	close(service.gate)
+	err := <-failed
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+	c.Assert(NotSent(err), qt.IsFalse)
+	faults.Heal(server.Address())
+	_, err = echo(client, server.Address(), "")
+	c.Assert(err, qt.IsNil)
+}
+
+// authority issues certificates for the loopback address.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(c *qt.C) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	c.Assert(err, qt.IsNil)
+	certificate, err := x509.ParseCertificate(encoded)
+	c.Assert(err, qt.IsNil)
+	return authority{certificate, key}
+}
+
+func (a authority) options(c *qt.C) Options {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	c.Assert(err, qt.IsNil)
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	own := []tls.Certificate{{Certificate: [][]byte{encoded}, PrivateKey: key}}
+	return Options{
+		ServerTLS: &tls.Config{Certificates: own, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert},
+		ClientTLS: &tls.Config{Certificates: own, RootCAs: pool},
+	}
+}
+
+func TestOnlyPeersOfTheSameAuthorityAreServed(t *testing.T) {
+	c := qt.New(t)
+	site, other := newAuthority(c), newAuthority(c)
+	server, _ := startServer(c, site.options(c))
+	reply, err := echo(startClient(c, site.options(c)), server.Address(), "secret")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.Equals, "secret")
+	_, err = echo(startClient(c, other.options(c)), server.Address(), "")
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorDenied)
+	// A client that trusts the server but is of another authority.
+	mixed := other.options(c)
+	mixed.ClientTLS.RootCAs = site.options(c).ClientTLS.RootCAs
+	_, err = echo(startClient(c, mixed), server.Address(), "")
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+	_, err = echo(startClient(c, Options{CallTimeout: time.Second}), server.Address(), "in the clear")
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/zone/benchmark_test.go
@@ -0,0 +1,71 @@
+package zone
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// newLargeState has the rows and runners of one zone at the size designed for.
+func newLargeState(runners, rows int) *testMachine {
+	m := &testMachine{State: New("z")}
+	delta := &structs.TableDelta{Revision: 1, Full: true}
+	for i := range rows {
+		name := structs.RowName(fmt.Sprintf("adapter-%05d", i))
+		delta.Rows = append(delta.Rows, testRow(name, 10))
+		delta.Grants = append(delta.Grants, testGrant(name, 1, 1))
+		delta.Elsewhere = append(delta.Elsewhere, structs.RowZones{Row: name, Zones: []structs.ZoneID{"z", "y"}})
+	}
+	m.must(Command{Adopt: delta})
+	for i := range runners {
+		id := structs.RunnerID(fmt.Sprintf("runner-%03d", i))
+		m.must(registration(testRunner(id, 1)))
+		for k := range 5 {
+			m.must(reserve(delta.Rows[5*i+k].Name, id, 1))
+		}
+	}
+	return m
+}
+
+func BenchmarkApplyClaim(b *testing.B) {
+	m := newLargeState(420, 58_000)
+	answer := make([]byte, 400)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		key := structs.ClaimKey(fmt.Sprint(i))
+		m.must(Command{ClaimBegin: &ClaimBeginCommand{Key: key, Request: "r", Holder: "d"}})
+		m.must(Command{ClaimFinish: &ClaimFinishCommand{
+			Key: key, Request: "r", State: structs.ClaimFinished, Answer: answer, ExpiresAt: testTime,
+		}})
+		if i%1000 == 999 {
+			m.must(Command{ClaimExpire: &ClaimExpireCommand{Now: testTime}})
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	m := newLargeState(420, 58_000)
+	for b.Loop() {
+		data, err := m.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	}
+}
+
+func BenchmarkStateMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := newLargeState(420, 58_000)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(m)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state-bytes")
+	}
+}
--- /dev/null
+++ b/zone/runner.go
@@ -0,0 +1,107 @@
+package zone
+
+import (
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+func (s *State) applyRunner(index uint64, command *RunnerCommand) Result {
+	info := command.Info
+	known, ok := s.runners[info.ID]
+	if command.Vouch {
+		return s.applyVouch(index, known, info.Incarnation)
+	}
+	if info.ID == "" || info.Zone != s.zone || info.MemoryBytes < 0 {
+		return refused(structs.ErrorInvalid, "the runner has no ID, another zone or negative memory",
+			"Register the runner with its ID in its own zone.")
+	}
+	if !ok {
+		s.runners[info.ID] = &Runner{RunnerInfo: info}
+		s.placementIndex = index
+		return Result{}
+	}
+	if info.Incarnation < known.Incarnation {
+		return refused(structs.ErrorConflict, "a newer incarnation of the runner is known",
+			"Register the runner's present incarnation.")
+	}
+	if info.Incarnation > known.Incarnation {
+		s.forgetReplicasOn(info.ID)
+		known.Gone = false
+	}
+	if problem := s.checkUpdate(known, info); problem != nil {
+		return Result{Error: problem}
+	}
+	known.RunnerInfo = info
+	s.placementIndex = index
+	return Result{}
+}
+
+func (s *State) checkUpdate(known *Runner, info structs.RunnerInfo) *structs.Error {
+	if info.MemoryBytes < s.reserved[info.ID] {
+		return structs.NewError(structs.ErrorLimit, "the runner's memory is less than what is reserved on it",
+			"Unload replicas first, or restart the runner.")
+	}
+	if info.Role != known.Role && len(s.byRunner[info.ID]) > 0 {
+		return structs.NewError(structs.ErrorConflict, "the runner still holds replicas of its former role",
+			"Unload its replicas before changing its role.")
+	}
+	return nil
+}
+
+func (s *State) applyVouch(index uint64, known *Runner, incarnation structs.Incarnation) Result {
+	if known == nil {
+		return refused(structs.ErrorNotFound, "the runner is not known", "Check the runner's ID.")
+	}
+	if incarnation != known.Incarnation {
+		return refused(structs.ErrorConflict, "the runner has another incarnation than the one vouched for",
+			"Look at the runner again and vouch for its present incarnation, if it is gone.")
+	}
+	s.forgetReplicasOn(known.ID)
+	known.Gone = true
+	s.placementIndex = index
+	return Result{}
+}
+
+func (s *State) applyDrain(index uint64, command *DrainCommand) Result {
+	known, ok := s.runners[command.Runner]
+	if !ok {
+		return refused(structs.ErrorNotFound, "the runner is not known", "Check the runner's ID.")
+	}
+	known.Draining = command.Draining
+	s.placementIndex = index
+	return Result{}
+}
+
+func (s *State) forgetReplicasOn(runner structs.RunnerID) {
+	for _, replica := range s.ReplicasOn(runner) {
+		s.forget(runner, replica.Row)
+	}
+}
+
+func (s *State) forget(runner structs.RunnerID, row structs.RowName) {
+	key := placementKey{runner, row}
+	replica := s.replicas[key]
+	s.reserved[runner] -= replica.MemoryBytes
+	delete(s.replicas, key)
+	delete(s.byRow[row], runner)
+	if len(s.byRow[row]) == 0 {
+		delete(s.byRow, row)
+	}
+	delete(s.byRunner[runner], row)
+	if len(s.byRunner[runner]) == 0 {
+		delete(s.byRunner, runner)
+		delete(s.reserved, runner)
+	}
+}
+
+func (s *State) record(replica *Replica) {
+	s.replicas[placementKey{replica.Runner, replica.Row}] = replica
+	if s.byRow[replica.Row] == nil {
+		s.byRow[replica.Row] = map[structs.RunnerID]*Replica{}
+	}
+	s.byRow[replica.Row][replica.Runner] = replica
+	if s.byRunner[replica.Runner] == nil {
+		s.byRunner[replica.Runner] = map[structs.RowName]*Replica{}
+	}
+	s.byRunner[replica.Runner][replica.Row] = replica
+	s.reserved[replica.Runner] += replica.MemoryBytes
+}
--- /dev/null
+++ b/zone/snapshot.go
@@ -0,0 +1,165 @@
+package zone
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/pkg/errors"
+)
+
+// snapshotMagic begins every snapshot and names its format.
+var snapshotMagic = []byte("LFZ1")
+
+const (
+	snapshotChecksumBytes = 8
+	// maxSnapshotBytes bounds a decompressed snapshot.
+	maxSnapshotBytes = 1 << 30
+)
+
+// snapshotData is the encoded form of a State.
+type snapshotData struct {
+	Zone           structs.ZoneID
+	Index          uint64
+	PlacementIndex uint64
+	Table          structs.TableDelta
+	Runners        []snapshotRunner
+	Replicas       []snapshotReplica
+	Claims         []snapshotClaim
+}
+
+type snapshotRunner struct {
+	Info     structs.RunnerInfo
+	Draining bool
+	Gone     bool
+}
+
+type snapshotReplica struct {
+	Replica  structs.Replica
+	Base     structs.RowName
+	Reserved structs.OrderNumber
+}
+
+type snapshotClaim struct {
+	Claim   structs.Claim
+	Attempt uint64
+	Bytes   int64
+}
+
+// Snapshot encodes the state: a magic number, a checksum, and compressed
+// msgpack. Equal states give equal snapshots.
+func (s *State) Snapshot() ([]byte, error) {
+	plain, err := encode(s.snapshotData())
+	if err != nil {
+		return nil, err
+	}
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, errors.Wrap(err, "compress zone snapshot")
+	}
+	defer encoder.Close()
+	packed := encoder.EncodeAll(plain, nil)
+	data := slices.Clone(snapshotMagic)
+	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(packed))
+	return append(data, packed...), nil
+}
+
+func (s *State) snapshotData() snapshotData {
+	data := snapshotData{
+		Zone: s.zone, Index: s.index, PlacementIndex: s.placementIndex, Table: s.table.full(),
+	}
+	for _, runner := range s.Runners() {
+		data.Runners = append(data.Runners, snapshotRunner{runner.RunnerInfo, runner.Draining, runner.Gone})
+	}
+	for _, replica := range s.Replicas() {
+		data.Replicas = append(data.Replicas, snapshotReplica{replica.Replica, replica.Base, replica.Reserved})
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.claims.records)) {
+		record := s.claims.records[key]
+		data.Claims = append(data.Claims, snapshotClaim{record.claim, record.attempt, record.bytes})
+	}
+	return data
+}
+
+// Restore replaces the state by that of a snapshot. On an error, of kind
+// ErrorCorrupt, the state is unchanged.
+func (s *State) Restore(data []byte) error {
+	header := len(snapshotMagic) + snapshotChecksumBytes
+	if len(data) < header || !bytes.HasPrefix(data, snapshotMagic) {
+		return corrupt("the zone snapshot has no valid header")
+	}
+	packed := data[header:]
+	if binary.BigEndian.Uint64(data[len(snapshotMagic):]) != xxhash.Sum64(packed) {
+		return corrupt("the zone snapshot fails its checksum")
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
+	if err != nil {
+		return errors.Wrap(err, "decompress zone snapshot")
+	}
+	defer decoder.Close()
+	plain, err := decoder.DecodeAll(packed, nil)
+	if err != nil {
+		return corrupt("the zone snapshot cannot be decompressed: " + err.Error())
+	}
+	return s.restorePlain(plain)
+}
+
+func (s *State) restorePlain(plain []byte) error {
+	var content snapshotData
+	if err := decode(plain, &content); err != nil {
+		return err
+	}
+	if content.Zone != s.zone {
+		return corrupt("the zone snapshot is of another zone")
+	}
+	restored, err := content.state()
+	if err != nil {
+		return err
+	}
+	if err := restored.CheckInvariants(); err != nil {
+		return corrupt("the zone snapshot breaks an invariant: " + err.Error())
+	}
+	*s = *restored
+	return nil
+}
+
+func (d snapshotData) state() (*State, error) {
+	s := New(d.Zone)
+	s.index = d.Index
+	s.placementIndex = d.PlacementIndex
+	if d.Table.Revision > 0 {
+		d.Table.Full = true
+		if problem := s.table.adopt(d.Zone, &d.Table); problem != nil {
+			return nil, corrupt("the zone snapshot holds a bad table: " + problem.Message)
+		}
+	}
+	for _, entry := range d.Runners {
+		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone}
+	}
+	for _, entry := range d.Replicas {
+		entry.Replica.Since = normalTime(entry.Replica.Since)
+		if _, twice := s.Replica(entry.Replica.Runner, entry.Replica.Row); twice {
+			return nil, corrupt("the zone snapshot holds a replica twice")
+		}
+		s.record(&Replica{entry.Replica, entry.Base, entry.Reserved})
+	}
+	for _, entry := range d.Claims {
+		s.claims.restore(entry)
+	}
+	heap.Init(&s.claims.expiry)
+	return s, nil
+}
+
+func (t *claimTable) restore(entry snapshotClaim) {
+	entry.Claim.ExpiresAt = normalTime(entry.Claim.ExpiresAt)
+	t.records[entry.Claim.Key] = &claimRecord{entry.Claim, entry.Attempt, entry.Bytes}
+	t.bytes += entry.Bytes
+	if entry.Claim.State == structs.ClaimFinished {
+		t.expiry = append(t.expiry, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
+	}
+}
--- /dev/null
+++ b/zone/state.go
@@ -0,0 +1,213 @@
+package zone
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Runner is a runner as the zone group knows it.
+type Runner struct {
+	structs.RunnerInfo
+	// Draining is set by an operator and cleared by one.
+	Draining bool
+	// Gone is set when an operator vouched for the end of this incarnation.
+	Gone bool
+}
+
+// Accepting reports whether the runner may get new replicas and new work.
+func (r Runner) Accepting() bool { return !r.Leaving && !r.Draining && !r.Gone }
+
+// Replica is a replica with what the zone group alone needs to know of it.
+type Replica struct {
+	structs.Replica
+	// Base is the row that this replica needs on the same runner, when it is an
+	// adapter's.
+	Base structs.RowName
+	// Reserved is the index of the command that made the record: what an engine
+	// reports under a lower order number is about an earlier replica.
+	Reserved structs.OrderNumber
+}
+
+type placementKey struct {
+	runner structs.RunnerID
+	row    structs.RowName
+}
+
+// State is the state of one zone's group. It is not safe for concurrent use.
+type State struct {
+	zone           structs.ZoneID
+	index          uint64
+	placementIndex uint64
+	table          adoptedTable
+	runners        map[structs.RunnerID]*Runner
+	replicas       map[placementKey]*Replica
+	byRow          map[structs.RowName]map[structs.RunnerID]*Replica
+	byRunner       map[structs.RunnerID]map[structs.RowName]*Replica
+	reserved       map[structs.RunnerID]int64
+	claims         claimTable
+}
+
+// Result is what a command led to.
+type Result struct {
+	// Error is nil when the command took effect.
+	Error *structs.Error
+	// Order is the number of the order that the command recorded, if any.
+	Order structs.OrderNumber
+	// Claim is the claim under the key of a claim command, if there is one.
+	Claim *structs.Claim
+	// ClaimNew is true when the claim is held by the command's own request: that
+	// request alone may be executed.
+	ClaimNew bool
+	// TableRevision is the adopted table revision after the command.
+	TableRevision uint64
+}
+
+// New makes the empty state of a zone.
+func New(zone structs.ZoneID) *State {
+	return &State{
+		zone:     zone,
+		table:    newAdoptedTable(),
+		runners:  map[structs.RunnerID]*Runner{},
+		replicas: map[placementKey]*Replica{},
+		byRow:    map[structs.RowName]map[structs.RunnerID]*Replica{},
+		byRunner: map[structs.RunnerID]map[structs.RowName]*Replica{},
+		reserved: map[structs.RunnerID]int64{},
+		claims:   newClaimTable(),
+	}
+}
+
+// Apply applies the command at the given index of the zone log. A command at or
+// below the last applied index is refused, for it took effect before.
+func (s *State) Apply(index uint64, command Command) Result {
+	result := s.apply(index, command)
+	if index > s.index {
+		s.index = index
+	}
+	result.TableRevision = s.table.revision
+	return result
+}
+
+func (s *State) apply(index uint64, command Command) Result {
+	if index <= s.index {
+		return refused(structs.ErrorInvalid, "the log index was applied before",
+			"Apply each entry of the log once, in order.")
+	}
+	if err := command.check(); err != nil {
+		return Result{Error: err.(*structs.Error)}
+	}
+	number := structs.OrderNumber(index)
+	switch {
+	case command.Adopt != nil:
+		return Result{Error: s.table.adopt(s.zone, command.Adopt)}
+	case command.Runner != nil:
+		return s.applyRunner(index, command.Runner)
+	case command.Reserve != nil:
+		return s.applyReserve(number, command.Reserve)
+	case command.Transition != nil:
+		return s.applyTransition(number, command.Transition)
+	case command.Touch != nil:
+		return s.applyTouch(number, command.Touch)
+	case command.Remove != nil:
+		return s.applyRemove(index, command.Remove)
+	case command.Drain != nil:
+		return s.applyDrain(index, command.Drain)
+	case command.ClaimBegin != nil:
+		return s.claims.begin(command.ClaimBegin)
+	case command.ClaimFinish != nil:
+		return s.claims.finish(command.ClaimFinish)
+	default:
+		return s.claims.expire(command.ClaimExpire)
+	}
+}
+
+func refused(kind structs.ErrorKind, message, remedy string) Result {
+	return Result{Error: structs.NewError(kind, message, remedy)}
+}
+
+// Zone returns the zone's name.
+func (s *State) Zone() structs.ZoneID { return s.zone }
+
+// Index returns the index of the last applied command.
+func (s *State) Index() uint64 { return s.index }
+
+// Runner returns the runner, and false when it is not known.
+func (s *State) Runner(id structs.RunnerID) (Runner, bool) {
+	runner, ok := s.runners[id]
+	if !ok {
+		return Runner{}, false
+	}
+	return *runner, true
+}
+
+// Runners returns all runners, ordered by ID.
+func (s *State) Runners() []Runner {
+	list := make([]Runner, 0, len(s.runners))
+	for _, runner := range s.runners {
+		list = append(list, *runner)
+	}
+	slices.SortFunc(list, func(a, b Runner) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Replica returns the replica of the row on the runner, and false when there is none.
+func (s *State) Replica(runner structs.RunnerID, row structs.RowName) (Replica, bool) {
+	replica, ok := s.replicas[placementKey{runner, row}]
+	if !ok {
+		return Replica{}, false
+	}
+	return *replica, true
+}
+
+// Replicas returns all replicas, ordered by runner and row.
+func (s *State) Replicas() []Replica {
+	list := make([]Replica, 0, len(s.replicas))
+	for _, replica := range s.replicas {
+		list = append(list, *replica)
+	}
+	sortReplicas(list)
+	return list
+}
+
+// ReplicasOf returns the replicas of the row, ordered by runner.
+func (s *State) ReplicasOf(row structs.RowName) []Replica { return listReplicas(s.byRow[row]) }
+
+// ReplicasOn returns the replicas on the runner, ordered by row.
+func (s *State) ReplicasOn(runner structs.RunnerID) []Replica {
+	return listReplicas(s.byRunner[runner])
+}
+
+func listReplicas[K comparable](records map[K]*Replica) []Replica {
+	list := make([]Replica, 0, len(records))
+	for _, replica := range records {
+		list = append(list, *replica)
+	}
+	sortReplicas(list)
+	return list
+}
+
+func sortReplicas(list []Replica) {
+	slices.SortFunc(list, func(a, b Replica) int {
+		return cmp.Or(cmp.Compare(a.Runner, b.Runner), cmp.Compare(a.Row, b.Row))
+	})
+}
+
+// MemoryReserved returns the bytes reserved on the runner.
+func (s *State) MemoryReserved(runner structs.RunnerID) int64 { return s.reserved[runner] }
+
+// Surplus names the rows with more replicas than their limit, ordered by row.
+func (s *State) Surplus() []structs.RowSurplus {
+	var list []structs.RowSurplus
+	for row, records := range s.byRow {
+		limit := s.Grant(row).Limit
+		if len(records) > limit {
+			list = append(list, structs.RowSurplus{Row: row, Replicas: len(records), Limit: limit})
+		}
+	}
+	slices.SortFunc(list, func(a, b structs.RowSurplus) int { return cmp.Compare(a.Row, b.Row) })
+	return list
+}
+
+// CountOf returns the number of the row's replicas, in every state.
+func (s *State) CountOf(row structs.RowName) int { return len(s.byRow[row]) }
--- /dev/null
+++ b/zone/table.go
@@ -0,0 +1,258 @@
+package zone
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// maxTableChanges bounds the remembered changes; who is further behind gets the
+// whole table.
+const maxTableChanges = 1 << 14
+
+type tableChange struct {
+	revision uint64
+	row      structs.RowName
+}
+
+// adoptedTable is the table as far as the zone adopted it.
+type adoptedTable struct {
+	revision  uint64
+	rows      map[structs.RowName]structs.Row
+	grants    map[structs.RowName]structs.Grant
+	elsewhere map[structs.RowName][]structs.ZoneID
+	// minimum holds the rows that are kept loaded without demand.
+	minimum map[structs.RowName]bool
+	// lowered holds the rows whose grant has a limit below what is held.
+	lowered map[structs.RowName]bool
+	// changes are ordered by revision; all changes after floor are there. They
+	// only serve queries and are not part of a snapshot.
+	changes []tableChange
+	floor   uint64
+}
+
+func newAdoptedTable() adoptedTable {
+	return adoptedTable{
+		rows:      map[structs.RowName]structs.Row{},
+		grants:    map[structs.RowName]structs.Grant{},
+		elsewhere: map[structs.RowName][]structs.ZoneID{},
+		minimum:   map[structs.RowName]bool{},
+		lowered:   map[structs.RowName]bool{},
+	}
+}
+
+// adopt applies a delta. A delta that brings nothing new succeeds without effect.
+func (t *adoptedTable) adopt(zone structs.ZoneID, delta *structs.TableDelta) *structs.Error {
+	if problem := checkDelta(zone, delta); problem != nil {
+		return problem
+	}
+	if delta.Revision <= t.revision {
+		return nil
+	}
+	if !delta.Full && delta.SinceRevision > t.revision {
+		return structs.NewError(structs.ErrorConflict, "the table delta begins after the adopted revision",
+			"Ask the global group for the changes since the adopted revision.")
+	}
+	if delta.Full {
+		*t = newAdoptedTable()
+		t.floor = delta.Revision
+	}
+	for _, row := range delta.Rows {
+		t.setRow(row)
+		t.note(delta, row.Name)
+	}
+	for _, name := range delta.Deleted {
+		delete(t.rows, name)
+		delete(t.minimum, name)
+		t.note(delta, name)
+	}
+	for _, grant := range delta.Grants {
+		t.setGrant(grant)
+		t.note(delta, grant.Row)
+	}
+	for _, zones := range delta.Elsewhere {
+		t.setElsewhere(zones)
+		t.note(delta, zones.Row)
+	}
+	t.revision = delta.Revision
+	t.trim()
+	return nil
+}
+
+func checkDelta(zone structs.ZoneID, delta *structs.TableDelta) *structs.Error {
+	for _, grant := range delta.Grants {
+		if grant.Zone != zone {
+			return structs.NewError(structs.ErrorInvalid, "the table delta carries the grant of another zone",
+				"Ask the global group for this zone's changes.")
+		}
+		if grant.Limit < 0 || grant.Limit > grant.Held {
+			return structs.NewError(structs.ErrorInvalid, "a grant's limit must be between zero and what is held",
+				"Report this fault: the global group must never send it.")
+		}
+	}
+	return nil
+}
+
+func (t *adoptedTable) setRow(row structs.Row) {
+	t.rows[row.Name] = row
+	if row.MinReplicas > 0 {
+		t.minimum[row.Name] = true
+	} else {
+		delete(t.minimum, row.Name)
+	}
+}
+
+func (t *adoptedTable) setGrant(grant structs.Grant) {
+	delete(t.lowered, grant.Row)
+	if grant.Limit < grant.Held {
+		t.lowered[grant.Row] = true
+	}
+	if grant.Held == 0 {
+		delete(t.grants, grant.Row)
+		return
+	}
+	t.grants[grant.Row] = grant
+}
+
+func (t *adoptedTable) setElsewhere(zones structs.RowZones) {
+	if len(zones.Zones) == 0 {
+		delete(t.elsewhere, zones.Row)
+		return
+	}
+	t.elsewhere[zones.Row] = slices.Clone(zones.Zones)
+}
+
+// note remembers a change for later deltas; a full delta is a floor instead.
+func (t *adoptedTable) note(delta *structs.TableDelta, row structs.RowName) {
+	if delta.Full {
+		return
+	}
+	t.changes = append(t.changes, tableChange{delta.Revision, row})
+}
+
+func (t *adoptedTable) trim() {
+	if len(t.changes) <= maxTableChanges {
+		return
+	}
+	cut := len(t.changes) - maxTableChanges/2
+	t.floor = t.changes[cut-1].revision
+	for cut < len(t.changes) && t.changes[cut].revision == t.floor {
+		cut++
+	}
+	t.changes = slices.Clone(t.changes[cut:])
+}
+
+// since builds the delta for a reader that has the table at revision.
+func (t *adoptedTable) since(zone structs.ZoneID, revision uint64) structs.TableDelta {
+	if revision >= t.revision {
+		return structs.TableDelta{SinceRevision: t.revision, Revision: t.revision}
+	}
+	if revision < t.floor || revision == 0 {
+		return t.full()
+	}
+	first := sort.Search(len(t.changes), func(i int) bool { return t.changes[i].revision > revision })
+	names := map[structs.RowName]bool{}
+	for _, change := range t.changes[first:] {
+		names[change.row] = true
+	}
+	delta := structs.TableDelta{SinceRevision: revision, Revision: t.revision}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if row, ok := t.rows[name]; ok {
+			delta.Rows = append(delta.Rows, row)
+		} else {
+			delta.Deleted = append(delta.Deleted, name)
+		}
+		delta.Grants = append(delta.Grants, t.grant(zone, name))
+		delta.Elsewhere = append(delta.Elsewhere, structs.RowZones{Row: name, Zones: t.elsewhere[name]})
+	}
+	return delta
+}
+
+func (t *adoptedTable) full() structs.TableDelta {
+	delta := structs.TableDelta{Revision: t.revision, Full: true, Rows: t.sortedRows()}
+	for _, name := range slices.Sorted(maps.Keys(t.grants)) {
+		delta.Grants = append(delta.Grants, t.grants[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.elsewhere)) {
+		delta.Elsewhere = append(delta.Elsewhere, structs.RowZones{Row: name, Zones: t.elsewhere[name]})
+	}
+	return delta
+}
+
+func (t *adoptedTable) sortedRows() []structs.Row {
+	rows := make([]structs.Row, 0, len(t.rows))
+	for _, row := range t.rows {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b structs.Row) int { return cmp.Compare(a.Name, b.Name) })
+	return rows
+}
+
+func (t *adoptedTable) grant(zone structs.ZoneID, row structs.RowName) structs.Grant {
+	grant, ok := t.grants[row]
+	if !ok {
+		return structs.Grant{Row: row, Zone: zone}
+	}
+	return grant
+}
+
+// TableRevision returns the adopted table revision.
+func (s *State) TableRevision() uint64 { return s.table.revision }
+
+// Row returns the row, and false when the table has none of that name.
+func (s *State) Row(name structs.RowName) (structs.Row, bool) {
+	row, ok := s.table.rows[name]
+	return row, ok
+}
+
+// Rows returns all rows, ordered by name.
+func (s *State) Rows() []structs.Row { return s.table.sortedRows() }
+
+// RowsWithMinimum returns the names of the rows that are kept loaded without
+// demand, ordered by name.
+func (s *State) RowsWithMinimum() []structs.RowName {
+	return slices.Sorted(maps.Keys(s.table.minimum))
+}
+
+// Grant returns the zone's grant for the row; without one its limit is zero.
+func (s *State) Grant(row structs.RowName) structs.Grant { return s.table.grant(s.zone, row) }
+
+// LoweredGrants returns the grants with a limit below what is held, ordered by row.
+func (s *State) LoweredGrants() []structs.Grant {
+	var list []structs.Grant
+	for _, row := range slices.Sorted(maps.Keys(s.table.lowered)) {
+		list = append(list, s.Grant(row))
+	}
+	return list
+}
+
+// Grants returns all grants, ordered by row.
+func (s *State) Grants() []structs.Grant { return s.table.full().Grants }
+
+// Elsewhere returns the zones with a positive limit for the row.
+func (s *State) Elsewhere(row structs.RowName) []structs.ZoneID {
+	return slices.Clone(s.table.elsewhere[row])
+}
+
+// View returns what changed for a router that has the table at sinceTable and
+// the placement as of sinceIndex. The caller sets the Epoch.
+func (s *State) View(sinceTable, sinceIndex uint64) structs.ZoneView {
+	view := structs.ZoneView{Index: s.index, Table: s.table.since(s.zone, sinceTable)}
+	if sinceIndex >= s.placementIndex && sinceIndex > 0 {
+		return view
+	}
+	placement := &structs.Placement{}
+	for _, runner := range s.Runners() {
+		info := runner.RunnerInfo
+		info.Leaving = !runner.Accepting()
+		placement.Runners = append(placement.Runners, info)
+	}
+	for _, replica := range s.Replicas() {
+		placement.Replicas = append(placement.Replicas, replica.Replica)
+	}
+	view.Placement = placement
+	return view
+}
