--- a/admission/queue.go
+++ b/admission/queue.go
@@ -155,9 +155,6 @@
 // Len counts the items.
 func (q *Queue) Len() int { return len(q.nodes) }
 
-// Full reports whether the next item would find the queue full.
-func (q *Queue) Full() bool { return len(q.nodes) >= q.options.Limit }
-
 // Ahead counts the items of priority and above: those that go before a new
 // item of that priority if its deadline is the latest.
 func (q *Queue) Ahead(priority structs.Priority) int {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -24,46 +25,35 @@
 func examplePath(name string) string { return filepath.Join("..", "examples", name) }
 
 func TestExamplesAreGood(t *testing.T) {
-	tests := []struct {
-		file       string
-		zones      int
-		objective  structs.Objective
-		loads      float64
-		concurrent int
-	}{
-		{"padano.yaml", 3, structs.ObjectiveLatency, 2, 8},
-		{"meknes.yaml", 4, structs.ObjectiveIdle, 3, 11},
+	tests := map[string]config.Site{
+		"padano.yaml": {Zones: make([]config.Zone, 3), Objective: structs.ObjectiveLatency, StoreLoadsPerSecond: 2, StoreConcurrent: 8},
+		"meknes.yaml": {Zones: make([]config.Zone, 4), Objective: structs.ObjectiveIdle, StoreLoadsPerSecond: 3, StoreConcurrent: 11},
 	}
-	for _, test := range tests {
-		t.Run(test.file, func(t *testing.T) {
-			c := qt.New(t)
-			loaded, err := config.Load(examplePath(test.file), localFlags(c))
-			c.Assert(err, qt.IsNil)
-			c.Check(loaded.Check(), qt.HasLen, 0)
-			c.Check(loaded.Site.Zones, qt.HasLen, test.zones)
-			c.Check(loaded.Site.Objective, qt.Equals, test.objective)
-			c.Check(loaded.Site.StoreLoadsPerSecond, qt.Equals, test.loads)
-			c.Check(loaded.Site.StoreConcurrent, qt.Equals, test.concurrent)
-		})
+	for file, want := range tests {
+		c := qt.New(t)
+		loaded, err := config.Load(examplePath(file), localFlags(c))
+		c.Assert(err, qt.IsNil)
+		c.Check(loaded.Check(), qt.HasLen, 0)
+		c.Check(loaded.Site.Zones, qt.HasLen, len(want.Zones))
+		c.Check(loaded.Site.Objective, qt.Equals, want.Objective)
+		c.Check(loaded.Site.StoreLoadsPerSecond, qt.Equals, want.StoreLoadsPerSecond)
+		c.Check(loaded.Site.StoreConcurrent, qt.Equals, want.StoreConcurrent)
 	}
 }
 
 func TestFlagsOverrideFile(t *testing.T) {
 	c := qt.New(t)
 	flags := localFlags(c)
-	flags.Daemon = "sala-b-2"
-	flags.Zone = "sala-b"
-	flags.ListenCallers = "10.20.2.12:7400"
-	flags.LogLevel = "debug"
-	flags.Roles = []string{"controller", "router"}
+	want, err := config.Load(examplePath("padano.yaml"), flags)
+	c.Assert(err, qt.IsNil)
+	flags.Daemon, want.Daemon = "sala-b-2", "sala-b-2"
+	flags.Zone, want.Zone = "sala-b", "sala-b"
+	flags.ListenCallers, want.Listen.Callers = "10.20.2.12:7400", "10.20.2.12:7400"
+	flags.LogLevel, want.Log.Level = "debug", "debug"
+	flags.Roles, want.Roles = []string{"controller", "router"}, []config.Role{config.RoleController, config.RoleRouter}
 	loaded, err := config.Load(examplePath("padano.yaml"), flags)
 	c.Assert(err, qt.IsNil)
-	c.Check(loaded.Daemon, qt.Equals, structs.DaemonID("sala-b-2"))
-	c.Check(loaded.Zone, qt.Equals, structs.ZoneID("sala-b"))
-	c.Check(loaded.Listen.Callers, qt.Equals, "10.20.2.12:7400")
-	c.Check(loaded.Listen.Internal, qt.Equals, "10.20.1.11:7402")
-	c.Check(loaded.Log.Level, qt.Equals, "debug")
-	c.Check(loaded.Roles, qt.DeepEquals, []config.Role{config.RoleController, config.RoleRouter})
+	c.Check(loaded, qt.DeepEquals, want)
 }
 
 func TestCheckReportsProblem(t *testing.T) {
@@ -160,42 +150,50 @@
 	_, err := config.Load(path, config.Flags{})
 	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
 	for _, part := range []string{"colour: is an unknown key (line 2)", "port: is an unknown key", "soon", `site.objective: "cost"`, "data_folder", "tls.ca"} {
-		c.Check(err, qt.ErrorMatches, `(?s).*`+escape(part)+`.*`)
+		c.Check(err.Error(), qt.Contains, part)
 	}
 }
 
-func escape(text string) string {
-	return strings.NewReplacer("(", `\(`, ")", `\)`, ".", `\.`).Replace(text)
-}
-
 func TestLoadRefusesUnusableFile(t *testing.T) {
-	tests := []struct{ name, content string }{
-		{"not YAML", "daemon: [a"},
-		{"two documents", "daemon: a\n---\ndaemon: b\n"},
-		{"repeated key", "daemon: a\ndaemon: b\n"},
-		{"a list", "- a\n"},
-		{"too large", strings.Repeat("# long\n", 1<<20)},
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "bad.yaml")
+	contents := []string{"daemon: [a", "daemon: a\n---\ndaemon: b\n", "daemon: a\ndaemon: b\n", "- a\n", strings.Repeat("# long\n", 1<<20)}
+	for _, content := range contents {
+		c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+		_, err := config.Load(path, config.Flags{})
+		c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+		c.Check(err, qt.ErrorMatches, `(?s).*(file: |larger than).*`)
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			path := filepath.Join(c.TempDir(), "bad.yaml")
-			c.Assert(os.WriteFile(path, []byte(test.content), 0o600), qt.IsNil)
-			_, err := config.Load(path, config.Flags{})
-			c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
-			c.Check(err, qt.ErrorMatches, `(?s).*(file: |larger than).*`)
-		})
+	_, err := config.Load(path+".missing", config.Flags{})
+	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+}
+
+// TestSettingsPageNamesEveryKey compares docs/operations/settings.md with Config.
+func TestSettingsPageNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations", "settings.md"))
+	qt.Assert(t, err, qt.IsNil)
+	var check func(prefix string, kind reflect.Type)
+	check = func(prefix string, kind reflect.Type) {
+		for index := range kind.NumField() {
+			field := kind.Field(index)
+			key := prefix + field.Tag.Get("yaml")
+			switch {
+			case field.Type.Kind() == reflect.Struct:
+				check(key+".", field.Type)
+				continue
+			case field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct:
+				check("", field.Type.Elem())
+			}
+			qt.Check(t, string(page), qt.Contains, "`"+key+"`")
+		}
 	}
-	_, err := config.Load(filepath.Join(t.TempDir(), "none.yaml"), config.Flags{})
-	qt.Check(t, structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	check("", reflect.TypeFor[config.Config]())
 }
 
 func TestCallerPriority(t *testing.T) {
 	tests := map[string]structs.Priority{
-		"":         structs.PriorityLive,
-		"live":     structs.PriorityLive,
-		"standard": structs.PriorityStandard,
-		"batch":    structs.PriorityBatch,
+		"": structs.PriorityLive, "live": structs.PriorityLive,
+		"standard": structs.PriorityStandard, "batch": structs.PriorityBatch,
 	}
 	for name, want := range tests {
 		qt.Check(t, config.CallerKey{Priority: name}.HighestPriority(), qt.Equals, want, qt.Commentf(name))
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestLimitsHoldAndThePlanIsReached(t *testing.T) {
-	loads, failed := 0, 0
+	loads, failed, prefetches := 0, 0, 0
 	for seed := range uint64(modelSeeds) {
 		m := newModel(seed)
 		for range troubledSteps {
@@ -64,7 +64,8 @@
 		}
 		loads += m.loads
 		failed += m.failed
+		prefetches += m.prefetches
 	}
-	qt.Assert(t, loads > modelSeeds && failed > modelSeeds, qt.IsTrue)
-	t.Logf("%d loads, %d failed loads", loads, failed)
+	qt.Assert(t, loads > modelSeeds && failed > modelSeeds && prefetches > modelSeeds/10, qt.IsTrue)
+	t.Logf("%d loads, %d failed loads, %d prefetches", loads, failed, prefetches)
 }
--- a/controller/decider.go
+++ b/controller/decider.go
@@ -135,9 +135,7 @@
 	if !ok {
 		return true
 	}
-	return !slices.ContainsFunc(seen.Report.Cached, func(entry structs.CachedRow) bool {
-		return entry.Row == replica.Row && entry.Tier != structs.TierStore
-	})
+	return !caches(seen.Report, replica.Row)
 }
 
 // applyPlan turns the plan into commands; the zone's state machine checks them.
@@ -153,6 +151,14 @@
 			Row: load.Row, Runner: load.Runner, Incarnation: runner.Incarnation, At: d.input.Now,
 		}})
 	}
+	for _, prefetch := range plan.Prefetches {
+		runner, _ := d.input.State.Runner(prefetch.Runner)
+		if runner.Prefetch == "" {
+			d.propose(zone.Command{Prefetch: &zone.PrefetchCommand{
+				Row: prefetch.Row, Runner: prefetch.Runner, Incarnation: runner.Incarnation,
+			}})
+		}
+	}
 }
 
 func (d *decider) transition(replica zone.Replica, to structs.ReplicaState) {
--- a/controller/model_test.go
+++ b/controller/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -30,6 +31,9 @@
 	incarnation structs.Incarnation
 	fence       structs.Fence
 	replicas    map[structs.RowName]*engineReplica
+	cached      []structs.CachedRow
+	// readied has the last order under which each row became ready.
+	readied map[structs.RowName]structs.OrderNumber
 }
 
 type engineReplica struct {
@@ -42,6 +46,8 @@
 	e.incarnation++
 	e.fence = structs.Fence{}
 	e.replicas = map[structs.RowName]*engineReplica{}
+	e.cached = nil
+	e.readied = map[structs.RowName]structs.OrderNumber{}
 }
 
 type flight[T any] struct {
@@ -69,6 +75,8 @@
 	fault   string
 	loads   int
 	failed  int
+	// prefetches counts those that engines carried out.
+	prefetches int
 }
 
 func newModel(seed uint64) *model {
@@ -211,6 +219,7 @@
 			delete(e.replicas, row.Name)
 		case done && replica.State == structs.ReplicaLoading:
 			replica.State = structs.ReplicaReady
+			e.readied[row.Name] = replica.Fence.Number
 		case replica.Running > 0 && m.random.IntN(4) == 0:
 			replica.Running = 0
 		case m.routable(e.id, row.Name) && m.demand[row.Name] && replica.State == structs.ReplicaReady && m.random.IntN(4) == 0:
@@ -234,6 +243,7 @@
 	report := structs.EngineReport{
 		Runner: e.id, Incarnation: e.incarnation, Role: "answers", Fence: e.fence, MemoryBytes: engineMemory,
 	}
+	report.Cached = slices.Clone(e.cached)
 	for _, row := range modelRows {
 		if replica := e.replicas[row.Name]; replica != nil {
 			report.Replicas = append(report.Replicas, replica.EngineReplica)
@@ -242,14 +252,13 @@
 	return ReportSeen{report, m.now}
 }
 
+func (m *model) engine(id structs.RunnerID) *engine {
+	return m.engines[slices.IndexFunc(m.engines, func(e *engine) bool { return e.id == id })]
+}
+
 // execute delivers an order to its engine, and the reply to the leader.
 func (m *model) execute(order structs.Order) {
-	var e *engine
-	for _, candidate := range m.engines {
-		if candidate.id == order.Runner {
-			e = candidate
-		}
-	}
+	e := m.engine(order.Runner)
 	if order.Incarnation != e.incarnation || order.Fence.Before(e.fence) {
 		return
 	}
@@ -275,6 +284,11 @@
 		replica.State, replica.Fence, replica.changeAt = structs.ReplicaUnloading, order.Fence, changeAt
 		return
 	}
+	if order.Kind == structs.OrderPrefetch {
+		m.prefetches++
+		e.cached = append(e.cached, structs.CachedRow{Row: order.Row, Tier: order.Tier})
+		return
+	}
 	base := e.replicas[order.Base]
 	if m.chance(5) || (order.Base != "" && (base == nil || base.State != structs.ReplicaReady)) {
 		m.failed++
@@ -315,6 +329,10 @@
 		m.fail("decisions without a lease")
 	}
 	for _, order := range decisions.Orders {
+		runner, _ := m.state.Runner(order.Runner)
+		if order.Kind != structs.OrderUnload && !runner.Accepting() {
+			m.fail("%s is to get new work", order.Runner)
+		}
 		for copies := m.random.IntN(3); !m.chance(5) && copies >= 0; copies-- {
 			m.orders = append(m.orders, flight[structs.Order]{m.now.Add(m.delay()), order})
 		}
@@ -324,7 +342,11 @@
 			m.lead() // It dies before the rest is in the log.
 			return
 		}
-		m.apply(command)
+		if m.chance(30) {
+			// The state moved on since the decision was made.
+			m.grant(modelRows[m.random.IntN(len(modelRows))].Name, m.random.IntN(3))
+		}
+		m.checkCommand(command, m.apply(command))
 	}
 	for _, release := range decisions.Releases {
 		if !m.chance(3) {
@@ -333,6 +355,23 @@
 	}
 }
 
+// checkCommand checks what the state machine let pass against what is so.
+func (m *model) checkCommand(command zone.Command, result zone.Result) {
+	if result.Error != nil {
+		return
+	}
+	if reserve := command.Reserve; reserve != nil && m.state.CountOf(reserve.Row) > m.grants[reserve.Row].Limit {
+		m.fail("%s is reserved above its limit", reserve.Row)
+	}
+	if change := command.Transition; change != nil && change.To == structs.ReplicaReady {
+		replica, _ := m.state.Replica(change.Runner, change.Row)
+		e := m.engine(change.Runner)
+		if e.incarnation == replica.Incarnation && e.readied[change.Row] < replica.Reserved {
+			m.fail("%s on %s is recorded ready and never was", change.Row, change.Runner)
+		}
+	}
+}
+
 // check compares what is physically loaded with the grants and the memory.
 func (m *model) check() {
 	if err := m.state.CheckInvariants(); err != nil {
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -11,30 +11,50 @@
 // followReplicas compares the records of each runner with its report: it records
 // outcomes and sends the order that is due next.
 func (d *decider) followReplicas() {
-	var pending []structs.Order
-	send := func() {
-		if len(pending) > 0 {
-			d.send(pending)
-		}
-		pending = pending[:0]
-	}
-	var runner structs.RunnerID
-	for _, replica := range d.input.State.Replicas() {
-		if replica.Runner != runner {
-			send()
-			runner = replica.Runner
-		}
-		seen, ok := d.report(replica.Runner, replica.Incarnation)
+	for _, runner := range d.input.State.Runners() {
+		seen, ok := d.report(runner.ID, runner.Incarnation)
 		if !ok || seen.Report.Fence.Epoch > d.input.Epoch {
 			continue
 		}
-		follow := follower{decider: d, replica: replica, seen: seen}
-		follow.engine, follow.shown = findReplica(seen.Report, replica)
-		if order := follow.step(); order != nil {
-			pending = append(pending, *order)
+		pending := d.followPrefetch(runner, seen.Report)
+		for _, replica := range d.input.State.ReplicasOn(runner.ID) {
+			follow := follower{decider: d, replica: replica, seen: seen}
+			follow.engine, follow.shown = findReplica(seen.Report, replica)
+			if order := follow.step(); order != nil {
+				pending = append(pending, *order)
+			}
 		}
+		if len(pending) > 0 {
+			d.send(pending)
+		}
+	}
+}
+
+// followPrefetch returns the runner's open prefetch order, if it has to be sent.
+// A prefetch that the engine has passed over is not repeated: the plan asks again.
+func (d *decider) followPrefetch(runner zone.Runner, report structs.EngineReport) []structs.Order {
+	fence := structs.Fence{Epoch: d.input.Epoch, Number: runner.PrefetchOrder}
+	if runner.Prefetch == "" || !runner.Accepting() {
+		return nil
+	}
+	if !report.Fence.Before(fence) || caches(report, runner.Prefetch) {
+		d.propose(zone.Command{Prefetch: &zone.PrefetchCommand{Runner: runner.ID, Incarnation: runner.Incarnation}})
+		return nil
+	}
+	if d.replied(runner.ID, runner.Incarnation, fence) {
+		return nil
 	}
-	send()
+	return []structs.Order{{
+		Fence: fence, Kind: structs.OrderPrefetch, Runner: runner.ID, Incarnation: runner.Incarnation,
+		Row: runner.Prefetch, Tier: structs.TierDisk,
+	}}
+}
+
+// caches reports whether the engine has the row's checkpoint nearer than the store.
+func caches(report structs.EngineReport, row structs.RowName) bool {
+	return slices.ContainsFunc(report.Cached, func(entry structs.CachedRow) bool {
+		return entry.Row == row && entry.Tier != structs.TierStore
+	})
 }
 
 // send sends the pending order of one runner that was recorded first, if the
@@ -99,11 +119,15 @@
 // overtaken reports whether it had accepted a newer order by then.
 func (f *follower) overtaken() bool { return f.fence().Before(f.seen.Report.Fence) }
 
-// replied reports whether the engine answered that it accepted the order, or a
-// newer one, after the report was made.
 func (f *follower) replied() bool {
-	known := f.core.accepted[f.replica.Runner]
-	return known.incarnation == f.replica.Incarnation && !known.fence.Before(f.fence())
+	return f.decider.replied(f.replica.Runner, f.replica.Incarnation, f.fence())
+}
+
+// replied reports whether the engine answered that it accepted the order of the
+// fence, or a newer one, whatever its last report says.
+func (d *decider) replied(runner structs.RunnerID, incarnation structs.Incarnation, fence structs.Fence) bool {
+	known := d.core.accepted[runner]
+	return known.incarnation == incarnation && !known.fence.Before(fence)
 }
 
 func (f *follower) stepLoading() *structs.Order {
@@ -161,12 +185,12 @@
 	return found
 }
 
-// stepReady unloads, for the record's sake, what the engine lost. Its last order
-// may be one that the engine never had to accept, so the fence is compared with
-// the first one; reports from before the replica was ready do not count.
+// stepReady unloads, for the record's sake, what the engine lost. The reports
+// that showed the replica ready are from before the record says so; only a later
+// one can show a loss. Fences do not tell, for an order of an earlier number may
+// have been accepted after this one's, under a later epoch.
 func (f *follower) stepReady() {
-	lost := !f.shown && f.seen.Report.Fence.Number >= f.replica.Reserved &&
-		f.seen.ReceivedAt.After(f.replica.Since)
+	lost := !f.shown && f.seen.ReceivedAt.After(f.replica.Since)
 	if lost && !f.unloadAdapters() {
 		f.transition(f.replica, structs.ReplicaUnloading)
 	}
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -20,6 +20,7 @@
 	Wait           bool          `long:"wait" description:"return once the edit is in force in every zone"`
 	WaitTimeout    time.Duration `long:"wait-timeout" default:"30s" description:"time for --wait" value-name:"DURATION"`
 	ExpectRevision uint64        `long:"expect-revision" description:"refuse unless this is the table's revision" value-name:"REVISION"`
+	AllowEmpty     bool          `long:"allow-empty" description:"make the edit even if it deletes every row"`
 	Comment        string        `long:"comment" description:"comment for the history" value-name:"TEXT"`
 	Author         string        `long:"author" env:"LOTUSFERRY_AUTHOR" description:"author, in development mode only; otherwise the key tells" value-name:"NAME"`
 	EditID         string        `long:"edit-id" description:"ID of an edit that is sent again after its answer was lost" value-name:"UUID"`
@@ -42,10 +43,10 @@
 
 // change is one edit on its way.
 type change struct {
-	session *session
-	options editOptions
-	service operatorapi.Service
-	ctx     context.Context
+	invocation *invocation
+	options    editOptions
+	service    operatorapi.Service
+	ctx        context.Context
 	// table is what the changes were made against.
 	table operatorapi.TableView
 	edit  structs.Edit
@@ -62,7 +63,7 @@
 }
 
 // change reads the table, has plan say what to change in it, and makes the edit.
-func (s *session) change(options editOptions, plan func(operatorapi.TableView) ([]structs.RowChange, error)) error {
+func (s *invocation) change(options editOptions, plan func(operatorapi.TableView) ([]structs.RowChange, error)) error {
 	service, ctx, cancel, err := s.service()
 	if err != nil {
 		return err
@@ -82,7 +83,7 @@
 	return s.newChange(ctx, service, options, table, changes).run()
 }
 
-func (s *session) newChange(ctx context.Context, service operatorapi.Service, options editOptions,
+func (s *invocation) newChange(ctx context.Context, service operatorapi.Service, options editOptions,
 	table operatorapi.TableView, changes []structs.RowChange) *change {
 	edit := structs.Edit{
 		ID:      structs.EditID(options.EditID),
@@ -93,7 +94,7 @@
 	if edit.ID == "" {
 		edit.ID = newEditID()
 	}
-	return &change{session: s, options: options, service: service, ctx: ctx, table: table, edit: edit}
+	return &change{invocation: s, options: options, service: service, ctx: ctx, table: table, edit: edit}
 }
 
 // run sends the edit, prints the result and, when asked, waits.
@@ -101,8 +102,12 @@
 	if len(c.edit.Changes) == 0 {
 		return c.printUnchanged()
 	}
-	if c.options.DryRun && !c.session.options.JSON {
-		if err := c.session.printChanges(c.table.Rows, c.edit.Changes); err != nil {
+	if c.empties() && !c.options.AllowEmpty {
+		return structs.NewError(structs.ErrorInvalid, "the edit would delete every row of the table",
+			"Check the file; if it is meant so, add --allow-empty.")
+	}
+	if c.options.DryRun && !c.invocation.options.JSON {
+		if err := c.invocation.printChanges(c.table.Rows, c.edit.Changes); err != nil {
 			return err
 		}
 	}
@@ -115,7 +120,7 @@
 	}
 	var waited error
 	if c.options.Wait && !c.options.DryRun {
-		waited = c.session.waitInForce(c.service, result.Revision, c.options.WaitTimeout)
+		waited = c.invocation.waitInForce(c.service, result.Revision, c.options.WaitTimeout)
 	}
 	if err := c.printAccepted(result, waited); err != nil {
 		return err
@@ -123,6 +128,16 @@
 	return waited
 }
 
+// empties reports whether the edit leaves no row, as a file that was cut short would.
+func (c *change) empties() bool {
+	for _, change := range c.edit.Changes {
+		if !change.Delete {
+			return false
+		}
+	}
+	return len(c.edit.Changes) == len(c.table.Rows)
+}
+
 // send sends the edit until it is answered or the time is over. Each resend
 // carries the same ID, so the edit is made once at most.
 func (c *change) send() (structs.EditResult, error) {
@@ -155,27 +170,27 @@
 }
 
 func (c *change) printUnchanged() error {
-	if c.session.options.JSON {
-		return c.session.printJSON(c.output(structs.EditResult{Accepted: true, Revision: c.table.Revision}))
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(c.output(structs.EditResult{Accepted: true, Revision: c.table.Revision}))
 	}
-	fmt.Fprintf(c.session.Output, "nothing to change: the table at revision %d is as wanted\n", c.table.Revision)
+	fmt.Fprintf(c.invocation.Output, "nothing to change: the table at revision %d is as wanted\n", c.table.Revision)
 	return nil
 }
 
 func (c *change) printAccepted(result structs.EditResult, waited error) error {
 	inForce := c.options.Wait && !c.options.DryRun && waited == nil
-	if c.session.options.JSON {
+	if c.invocation.options.JSON {
 		output := c.output(result)
 		output.InForce = inForce
-		return c.session.printJSON(output)
+		return c.invocation.printJSON(output)
 	}
 	switch {
 	case c.options.DryRun:
-		fmt.Fprintf(c.session.Output, "dry run: the edit would be accepted, rows %d\n", len(c.edit.Changes))
+		fmt.Fprintf(c.invocation.Output, "dry run: the edit would be accepted, rows %d\n", len(c.edit.Changes))
 	case inForce:
-		fmt.Fprintf(c.session.Output, "accepted at revision %d, in force in every zone, edit %s\n", result.Revision, c.edit.ID)
+		fmt.Fprintf(c.invocation.Output, "accepted at revision %d, in force in every zone, edit %s\n", result.Revision, c.edit.ID)
 	default:
-		fmt.Fprintf(c.session.Output, "accepted at revision %d, edit %s\n", result.Revision, c.edit.ID)
+		fmt.Fprintf(c.invocation.Output, "accepted at revision %d, edit %s\n", result.Revision, c.edit.ID)
 	}
 	return nil
 }
@@ -186,28 +201,28 @@
 	if len(result.Problems) == 0 && len(result.Conflicts) > 0 {
 		code = ExitConflict
 	}
-	if c.session.options.JSON {
-		if err := c.session.printJSON(c.output(result)); err != nil {
+	if c.invocation.options.JSON {
+		if err := c.invocation.printJSON(c.output(result)); err != nil {
 			return err
 		}
 		return &exitError{code: code}
 	}
 	if len(result.Problems) > 0 {
-		if err := c.session.printProblems(result.Problems); err != nil {
+		if err := c.invocation.printProblems(result.Problems); err != nil {
 			return err
 		}
 	}
 	if len(result.Conflicts) > 0 {
-		if err := c.session.printConflicts(result.Conflicts); err != nil {
+		if err := c.invocation.printConflicts(result.Conflicts); err != nil {
 			return err
 		}
 	}
-	fmt.Fprintln(c.session.Errors, "lotusferryctl: the edit was refused and changed nothing: correct the values, or make it against the rows as they are now.")
+	fmt.Fprintln(c.invocation.Errors, "lotusferryctl: the edit was refused and changed nothing: correct the values, or make it against the rows as they are now.")
 	return &exitError{code: code}
 }
 
 type tableApply struct {
-	session    *session
+	invocation *invocation
 	Edit       editOptions `group:"Options of edits"`
 	Prune      bool        `long:"prune" description:"delete the rows that the file lacks"`
 	Format     string      `long:"format" choice:"csv" choice:"yaml" choice:"json" description:"format of the file; by default its extension tells"`
@@ -222,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	return c.session.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
+	return c.invocation.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
 		return tablefile.Diff(table.Rows, wanted, c.Prune), nil
 	})
 }
@@ -238,7 +253,7 @@
 		}
 	}
 	if path == "-" {
-		return c.session.decodeTable(format, c.session.Input)
+		return c.invocation.decodeTable(format, c.invocation.Input)
 	}
 	file, err := os.Open(path)
 	if err != nil {
@@ -246,5 +261,5 @@
 			"the table file cannot be read: "+err.Error(), "Name a file that this user may read.")
 	}
 	defer file.Close()
-	return c.session.decodeTable(format, file)
+	return c.invocation.decodeTable(format, file)
 }
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -8,9 +8,9 @@
 )
 
 type checkCommand struct {
-	session  *session
-	Config   string       `long:"config" required:"yes" description:"settings file of the daemon" value-name:"FILE"`
-	Override config.Flags `group:"Overrides, as lotusferry takes them" namespace:"set"`
+	invocation *invocation
+	Config     string       `long:"config" required:"yes" description:"settings file of the daemon" value-name:"FILE"`
+	Override   config.Flags `group:"Overrides, as lotusferry takes them" namespace:"set"`
 }
 
 // checkOutput is the result of a check as --json shows it.
@@ -42,8 +42,8 @@
 }
 
 func (c *checkCommand) print(result checkOutput) error {
-	if c.session.options.JSON {
-		return c.session.printJSON(result)
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(result)
 	}
 	if len(result.Problems) > 0 {
 		var lines [][]string
@@ -54,12 +54,12 @@
 			}
 			lines = append(lines, []string{level, problem.Key, problem.Value, problem.Problem, problem.Remedy})
 		}
-		if err := c.session.printTable([]string{"LEVEL", "KEY", "VALUE", "PROBLEM", "REMEDY"}, lines); err != nil {
+		if err := c.invocation.printTable([]string{"LEVEL", "KEY", "VALUE", "PROBLEM", "REMEDY"}, lines); err != nil {
 			return err
 		}
 	}
 	if result.OK {
-		fmt.Fprintf(c.session.Output, "%s can be used\n", c.Config)
+		fmt.Fprintf(c.invocation.Output, "%s can be used\n", c.Config)
 	}
 	return nil
 }
--- a/ctl/connect.go
+++ b/ctl/connect.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"os"
-	"strings"
 
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
@@ -39,15 +38,19 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := os.ReadFile(options.KeyFile)
+	content, err := os.ReadFile(options.KeyFile)
 	if err != nil {
 		return nil, structs.NewError(structs.ErrorInvalid,
 			"the key file cannot be read: "+err.Error(),
 			"Name the file that `lotusferryctl keys operator` wrote.")
 	}
+	key, err := keys.ParseAPIKey(string(content))
+	if err != nil {
+		return nil, err
+	}
 	return operatorapi.NewClient(operatorapi.ClientOptions{
 		Addresses: options.Addresses,
 		TLS:       tlsConfig,
-		Key:       strings.TrimSpace(string(key)),
+		Key:       key,
 	}), nil
 }
--- a/ctl/edit.go
+++ b/ctl/edit.go
@@ -20,7 +20,7 @@
 )
 
 // decodeTable reads a table; values that cannot be read are printed.
-func (s *session) decodeTable(format tablefile.Format, source io.Reader) ([]structs.Row, error) {
+func (s *invocation) decodeTable(format tablefile.Format, source io.Reader) ([]structs.Row, error) {
 	rows, problems, err := tablefile.Decode(format, source)
 	if err != nil {
 		return nil, err
@@ -40,17 +40,17 @@
 }
 
 type tableSet struct {
-	session    *session
+	invocation *invocation
 	Edit       editOptions `group:"Options of edits"`
 	Positional struct {
 		Row    string   `positional-arg-name:"ROW" description:"name of the row; a new one is added"`
-		Values []string `positional-arg-name:"COLUMN=VALUE" description:"values to change"`
+		Values []string `positional-arg-name:"COLUMN=VALUE" required:"1" description:"values to change"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 // Execute changes values of a row.
 func (c *tableSet) Execute([]string) error {
-	return c.session.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
+	return c.invocation.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
 		row, err := c.row(table.Rows)
 		if err != nil {
 			return nil, err
@@ -83,7 +83,7 @@
 	if err := csv.NewWriter(&file).WriteAll([][]string{header, lines[0]}); err != nil {
 		return structs.Row{}, errors.Wrap(err, "write the row")
 	}
-	wanted, err := c.session.decodeTable(tablefile.FormatCSV, &file)
+	wanted, err := c.invocation.decodeTable(tablefile.FormatCSV, &file)
 	if err != nil {
 		return structs.Row{}, err
 	}
@@ -94,7 +94,7 @@
 }
 
 type tableDelete struct {
-	session    *session
+	invocation *invocation
 	Edit       editOptions `group:"Options of edits"`
 	Positional struct {
 		Rows []string `positional-arg-name:"ROW" required:"1" description:"rows to delete"`
@@ -103,7 +103,7 @@
 
 // Execute deletes rows.
 func (c *tableDelete) Execute([]string) error {
-	return c.session.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
+	return c.invocation.change(c.Edit, func(table operatorapi.TableView) ([]structs.RowChange, error) {
 		doomed, err := selectRows(table.Rows, c.Positional.Rows)
 		if err != nil {
 			return nil, err
@@ -113,9 +113,9 @@
 }
 
 type tableEdit struct {
-	session *session
-	Edit    editOptions `group:"Options of edits"`
-	File    string      `long:"file" required:"yes" description:"new file for the table (.csv, .yaml or .json); it is removed when the edit is accepted" value-name:"FILE"`
+	invocation *invocation
+	Edit       editOptions `group:"Options of edits"`
+	File       string      `long:"file" required:"yes" description:"new file for the table (.csv, .yaml or .json); it is removed when the edit is accepted" value-name:"FILE"`
 }
 
 // Execute writes the table to the file, waits until the operator has edited it
@@ -126,7 +126,7 @@
 	if err != nil {
 		return usageError("--file must end in .csv, .yaml or .json")
 	}
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -157,18 +157,18 @@
 	if err != nil {
 		return errors.Wrap(err, "find the file")
 	}
-	answers := bufio.NewScanner(c.session.Input)
+	answers := bufio.NewScanner(c.invocation.Input)
 	for {
-		fmt.Fprintf(c.session.Errors, "Edit %s, then press Enter to apply it, or type q to leave the table as it is: ", path)
+		fmt.Fprintf(c.invocation.Errors, "Edit %s, then press Enter to apply it, or type q to leave the table as it is: ", path)
 		if !answers.Scan() || strings.TrimSpace(answers.Text()) == "q" {
-			fmt.Fprintln(c.session.Errors, "\nThe table was left as it is.")
+			fmt.Fprintln(c.invocation.Errors, "\nThe table was left as it is.")
 			return nil
 		}
 		err := c.apply(format, table)
 		if exitCode(err) != ExitRefused {
 			return err
 		}
-		c.session.report(err)
+		c.invocation.report(err)
 	}
 }
 
@@ -179,17 +179,17 @@
 	if err != nil {
 		return errors.Wrap(err, "read the edited file")
 	}
-	wanted, err := c.session.decodeTable(format, bytes.NewReader(content))
+	wanted, err := c.invocation.decodeTable(format, bytes.NewReader(content))
 	if err != nil {
 		return err
 	}
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
 	defer cancel()
 	changes := tablefile.Diff(table.Rows, wanted, true)
-	err = c.session.newChange(ctx, service, c.Edit, table, changes).run()
+	err = c.invocation.newChange(ctx, service, c.Edit, table, changes).run()
 	accepted := err == nil || exitCode(err) == ExitWaitTimedOut
 	if !accepted || c.Edit.DryRun {
 		return err
--- a/ctl/keys.go
+++ b/ctl/keys.go
@@ -23,12 +23,12 @@
 	Caller   keysAPIKey `command:"caller" description:"Make the API key of a calling application"`
 }
 
-func newKeysCommands(shared *session) keysCommands {
+func newKeysCommands(shared *invocation) keysCommands {
 	return keysCommands{
-		CA:       keysCA{session: shared},
-		Issue:    keysIssue{session: shared},
-		Operator: keysAPIKey{session: shared},
-		Caller:   keysAPIKey{session: shared},
+		CA:       keysCA{invocation: shared},
+		Issue:    keysIssue{invocation: shared},
+		Operator: keysAPIKey{invocation: shared},
+		Caller:   keysAPIKey{invocation: shared},
 	}
 }
 
@@ -37,7 +37,7 @@
 	Files []string `json:"files"`
 }
 
-func (s *session) printFiles(paths ...string) error {
+func (s *invocation) printFiles(paths ...string) error {
 	if s.options.JSON {
 		return s.printJSON(filesOutput{Files: paths})
 	}
@@ -48,9 +48,9 @@
 }
 
 type keysCA struct {
-	session *session
-	Site    string `long:"site" required:"yes" description:"name of the site" value-name:"NAME"`
-	Folder  string `long:"folder" required:"yes" description:"folder for ca.crt and ca.key" value-name:"FOLDER"`
+	invocation *invocation
+	Site       string `long:"site" required:"yes" description:"name of the site" value-name:"NAME"`
+	Folder     string `long:"folder" required:"yes" description:"folder for ca.crt and ca.key" value-name:"FOLDER"`
 }
 
 // Execute makes a CA; it never replaces one.
@@ -64,17 +64,17 @@
 	if err := authority.Save(certificate, key); err != nil {
 		return err
 	}
-	return c.session.printFiles(certificate, key)
+	return c.invocation.printFiles(certificate, key)
 }
 
 type keysIssue struct {
-	session   *session
-	CAFolder  string   `long:"ca-folder" required:"yes" description:"folder of ca.crt and ca.key" value-name:"FOLDER"`
-	Zone      string   `long:"zone" required:"yes" description:"zone of the daemon" value-name:"ZONE"`
-	Daemon    string   `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
-	Addresses []string `long:"ip" required:"yes" description:"IP number at which callers and operators reach the daemon; may be repeated" value-name:"IP"`
-	Days      int      `long:"days" default:"365" description:"days that the certificate is valid" value-name:"DAYS"`
-	Folder    string   `long:"folder" required:"yes" description:"folder for DAEMON.crt and DAEMON.key" value-name:"FOLDER"`
+	invocation *invocation
+	CAFolder   string   `long:"ca-folder" required:"yes" description:"folder of ca.crt and ca.key" value-name:"FOLDER"`
+	Zone       string   `long:"zone" required:"yes" description:"zone of the daemon" value-name:"ZONE"`
+	Daemon     string   `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
+	Addresses  []string `long:"ip" required:"yes" description:"IP number at which callers and operators reach the daemon; may be repeated" value-name:"IP"`
+	Days       int      `long:"days" default:"365" description:"days that the certificate is valid" value-name:"DAYS"`
+	Folder     string   `long:"folder" required:"yes" description:"folder for DAEMON.crt and DAEMON.key" value-name:"FOLDER"`
 }
 
 // Execute issues a certificate; a second one for the same daemon replaces the first.
@@ -109,11 +109,11 @@
 	if err := issued.Save(certificate, key); err != nil {
 		return err
 	}
-	return c.session.printFiles(certificate, key)
+	return c.invocation.printFiles(certificate, key)
 }
 
 type keysAPIKey struct {
-	session    *session
+	invocation *invocation
 	Out        string `long:"out" required:"yes" description:"new file for the key" value-name:"FILE"`
 	Positional struct {
 		Name string `positional-arg-name:"NAME" description:"who the key is for"`
@@ -135,9 +135,9 @@
 		return err
 	}
 	name := c.Positional.Name
-	if c.session.options.JSON {
-		return c.session.printJSON(apiKeyOutput{Name: name, Hash: hash.String(), File: c.Out})
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(apiKeyOutput{Name: name, Hash: hash.String(), File: c.Out})
 	}
-	fmt.Fprintf(c.session.Output, "- {name: %q, hash: %q}\n", name, hash)
+	fmt.Fprintf(c.invocation.Output, "- {name: %q, hash: %q}\n", name, hash)
 	return nil
 }
--- a/ctl/output.go
+++ b/ctl/output.go
@@ -14,7 +14,7 @@
 const columnGap = 2
 
 // printTable prints aligned columns. An empty cell is shown as a dash.
-func (s *session) printTable(header []string, lines [][]string) error {
+func (s *invocation) printTable(header []string, lines [][]string) error {
 	writer := tabwriter.NewWriter(s.Output, 0, 0, columnGap, ' ', 0)
 	for _, line := range append([][]string{header}, lines...) {
 		cells := make([]string, 0, len(line))
@@ -30,14 +30,14 @@
 }
 
 // printJSON prints value as one JSON document.
-func (s *session) printJSON(value any) error {
+func (s *invocation) printJSON(value any) error {
 	encoder := json.NewEncoder(s.Output)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
 }
 
 // printLineJSON prints value on one line, for streams.
-func (s *session) printLineJSON(value any) error { return json.NewEncoder(s.Output).Encode(value) }
+func (s *invocation) printLineJSON(value any) error { return json.NewEncoder(s.Output).Encode(value) }
 
 // errorOutput is an error as --json shows it.
 type errorOutput struct {
@@ -52,7 +52,7 @@
 	Problems []config.Problem  `json:"problems,omitempty"`
 }
 
-func (s *session) printErrorJSON(err error) {
+func (s *invocation) printErrorJSON(err error) {
 	detail := errorDetail{Kind: structs.KindOf(err), Message: err.Error(), ExitCode: exitCode(err)}
 	var typed *structs.Error
 	if stderrors.As(err, &typed) {
--- a/ctl/output_rows.go
+++ b/ctl/output_rows.go
@@ -31,7 +31,7 @@
 	return lines[0], lines[1:], nil
 }
 
-func (s *session) printRows(rows []structs.Row) error {
+func (s *invocation) printRows(rows []structs.Row) error {
 	header, lines, err := cells(rows)
 	if err != nil {
 		return err
@@ -40,7 +40,7 @@
 }
 
 // printChanges shows what the changes do to the current rows, value by value.
-func (s *session) printChanges(current []structs.Row, changes []structs.RowChange) error {
+func (s *invocation) printChanges(current []structs.Row, changes []structs.RowChange) error {
 	lines, err := changeLines(current, changes)
 	if err != nil {
 		return err
@@ -92,7 +92,7 @@
 	return lines, nil
 }
 
-func (s *session) printProblems(problems []structs.RowProblem) error {
+func (s *invocation) printProblems(problems []structs.RowProblem) error {
 	lines := make([][]string, 0, len(problems))
 	for _, problem := range problems {
 		lines = append(lines, []string{string(problem.Row), problem.Column, problem.Value, problem.Problem, problem.Remedy})
@@ -100,7 +100,7 @@
 	return s.printTable([]string{"ROW", "COLUMN", "VALUE", "PROBLEM", "REMEDY"}, lines)
 }
 
-func (s *session) printConflicts(conflicts []structs.RowConflict) error {
+func (s *invocation) printConflicts(conflicts []structs.RowConflict) error {
 	lines := make([][]string, 0, len(conflicts))
 	for _, conflict := range conflicts {
 		now := "deleted"
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -33,8 +33,8 @@
 	JSON        bool          `long:"json" description:"print JSON"`
 }
 
-// session is what the commands of one run share.
-type session struct {
+// invocation is what the commands of one run share.
+type invocation struct {
 	Environment
 	ctx     context.Context
 	options *Options
@@ -51,12 +51,12 @@
 	Snapshot snapshotCommands `command:"snapshot" description:"Save, inspect and restore the state of the global group"`
 }
 
-func newCommandLine(shared *session) *commandLine {
+func newCommandLine(shared *invocation) *commandLine {
 	line := &commandLine{
 		Table:    newTableCommands(shared),
-		Status:   statusCommand{session: shared},
-		Drain:    drainCommand{session: shared},
-		Check:    checkCommand{session: shared},
+		Status:   statusCommand{invocation: shared},
+		Drain:    drainCommand{invocation: shared},
+		Check:    checkCommand{invocation: shared},
 		Keys:     newKeysCommands(shared),
 		Snapshot: newSnapshotCommands(shared),
 	}
@@ -70,7 +70,7 @@
 	if environment.Connect == nil {
 		environment.Connect = connect
 	}
-	shared := &session{Environment: environment, ctx: ctx}
+	shared := &invocation{Environment: environment, ctx: ctx}
 	parser := flags.NewNamedParser("lotusferryctl", flags.HelpFlag|flags.PassDoubleDash)
 	line := newCommandLine(shared)
 	if _, err := parser.AddGroup("Application options", "", line); err != nil {
@@ -89,7 +89,7 @@
 }
 
 // report prints the error of a command, unless the command has done so.
-func (s *session) report(err error) {
+func (s *invocation) report(err error) {
 	var help *flags.Error
 	if stderrors.As(err, &help) && help.Type == flags.ErrHelp {
 		fmt.Fprintln(s.Output, help.Message)
@@ -107,7 +107,7 @@
 }
 
 // service connects to the site; the context ends after the options' timeout.
-func (s *session) service() (operatorapi.Service, context.Context, context.CancelFunc, error) {
+func (s *invocation) service() (operatorapi.Service, context.Context, context.CancelFunc, error) {
 	service, err := s.Connect(*s.options)
 	if err != nil {
 		return nil, nil, nil, err
--- a/ctl/snapshot.go
+++ b/ctl/snapshot.go
@@ -20,11 +20,11 @@
 	Restore snapshotRestore `command:"restore" description:"Make the store of a new member from a snapshot file"`
 }
 
-func newSnapshotCommands(shared *session) snapshotCommands {
+func newSnapshotCommands(shared *invocation) snapshotCommands {
 	return snapshotCommands{
-		Save:    snapshotSave{session: shared},
-		Inspect: snapshotInspect{session: shared},
-		Restore: snapshotRestore{session: shared},
+		Save:    snapshotSave{invocation: shared},
+		Inspect: snapshotInspect{invocation: shared},
+		Restore: snapshotRestore{invocation: shared},
 	}
 }
 
@@ -42,7 +42,7 @@
 	StateBytes int `json:"state_bytes"`
 }
 
-func (s *session) printSnapshot(path string, snapshot raft.Snapshot, identity logstore.Identity) error {
+func (s *invocation) printSnapshot(path string, snapshot raft.Snapshot, identity logstore.Identity) error {
 	output := snapshotOutput{
 		File:       path,
 		Group:      identity.Group,
@@ -65,7 +65,7 @@
 }
 
 type snapshotSave struct {
-	session    *session
+	invocation *invocation
 	Positional struct {
 		File string `positional-arg-name:"FILE" description:"new file"`
 	} `positional-args:"yes" required:"yes"`
@@ -74,7 +74,7 @@
 // Execute saves a snapshot. The file gets its name only when it has been written,
 // synced, read back and found whole.
 func (c *snapshotSave) Execute([]string) error {
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -96,11 +96,11 @@
 	if err := keys.WriteNewFile(path, content); err != nil {
 		return err
 	}
-	return c.session.printSnapshot(path, snapshot, identity)
+	return c.invocation.printSnapshot(path, snapshot, identity)
 }
 
 type snapshotInspect struct {
-	session    *session
+	invocation *invocation
 	Positional struct {
 		File string `positional-arg-name:"FILE" description:"snapshot file"`
 	} `positional-args:"yes" required:"yes"`
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	return c.session.printSnapshot(path, snapshot, identity)
+	return c.invocation.printSnapshot(path, snapshot, identity)
 }
 
 func readSnapshot(path string) (raft.Snapshot, logstore.Identity, error) {
@@ -126,7 +126,7 @@
 }
 
 type snapshotRestore struct {
-	session    *session
+	invocation *invocation
 	Store      string `long:"store" required:"yes" description:"new store file of the member" value-name:"FILE"`
 	Daemon     string `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
 	Node       uint64 `long:"node" required:"yes" description:"node ID that no member of the group ever had" value-name:"NODE"`
@@ -156,7 +156,7 @@
 	if err := writeStore(c.Store, snapshot, identity); err != nil {
 		return err
 	}
-	return c.session.printSnapshot(c.Store, snapshot, identity)
+	return c.invocation.printSnapshot(c.Store, snapshot, identity)
 }
 
 func (c *snapshotRestore) checkNode(node raft.NodeID, former raft.Membership) error {
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -10,12 +10,12 @@
 )
 
 type statusCommand struct {
-	session *session
+	invocation *invocation
 }
 
 // Execute prints the state of the site.
 func (c *statusCommand) Execute([]string) error {
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -24,13 +24,13 @@
 	if err != nil {
 		return err
 	}
-	if c.session.options.JSON {
-		return c.session.printJSON(status)
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(status)
 	}
-	return c.session.printStatus(status)
+	return c.invocation.printStatus(status)
 }
 
-func (s *session) printStatus(status operatorapi.SiteStatus) error {
+func (s *invocation) printStatus(status operatorapi.SiteStatus) error {
 	fmt.Fprintf(s.Output, "table revision %d\n\n", status.Revision)
 	var zones [][]string
 	for _, zone := range status.Zones {
@@ -90,7 +90,7 @@
 }
 
 type drainCommand struct {
-	session    *session
+	invocation *invocation
 	Cancel     bool `long:"cancel" description:"end the drain: the runner takes work again"`
 	Positional struct {
 		Runner string `positional-arg-name:"RUNNER" description:"ID of the runner"`
@@ -105,7 +105,7 @@
 
 // Execute starts or cancels a drain.
 func (c *drainCommand) Execute([]string) error {
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -115,13 +115,13 @@
 	if err := service.Drain(ctx, request); err != nil {
 		return err
 	}
-	if c.session.options.JSON {
-		return c.session.printJSON(drainOutput{Runner: runner, Draining: !c.Cancel})
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(drainOutput{Runner: runner, Draining: !c.Cancel})
 	}
 	if c.Cancel {
-		fmt.Fprintf(c.session.Output, "runner %s takes work again\n", runner)
+		fmt.Fprintf(c.invocation.Output, "runner %s takes work again\n", runner)
 		return nil
 	}
-	fmt.Fprintf(c.session.Output, "runner %s is being drained\n", runner)
+	fmt.Fprintf(c.invocation.Output, "runner %s is being drained\n", runner)
 	return nil
 }
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -26,20 +26,20 @@
 	Watch   tableWatch   `command:"watch" description:"Show changes as they are accepted"`
 }
 
-func newTableCommands(shared *session) tableCommands {
+func newTableCommands(shared *invocation) tableCommands {
 	return tableCommands{
-		Get:     tableGet{session: shared},
-		Apply:   tableApply{session: shared},
-		Edit:    tableEdit{session: shared},
-		Set:     tableSet{session: shared},
-		Delete:  tableDelete{session: shared},
-		History: tableHistory{session: shared},
-		Watch:   tableWatch{session: shared},
+		Get:     tableGet{invocation: shared},
+		Apply:   tableApply{invocation: shared},
+		Edit:    tableEdit{invocation: shared},
+		Set:     tableSet{invocation: shared},
+		Delete:  tableDelete{invocation: shared},
+		History: tableHistory{invocation: shared},
+		Watch:   tableWatch{invocation: shared},
 	}
 }
 
 type tableGet struct {
-	session    *session
+	invocation *invocation
 	Format     string `long:"format" choice:"csv" choice:"yaml" choice:"json" description:"write the rows as a table file"`
 	Positional struct {
 		Rows []string `positional-arg-name:"ROW" description:"rows to show; all when none is named"`
@@ -48,7 +48,7 @@
 
 // Execute prints the table.
 func (c *tableGet) Execute([]string) error {
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -62,13 +62,13 @@
 		return err
 	}
 	if c.Format != "" {
-		return tablefile.Encode(tablefile.Format(c.Format), c.session.Output, view.Rows)
+		return tablefile.Encode(tablefile.Format(c.Format), c.invocation.Output, view.Rows)
 	}
-	if c.session.options.JSON {
-		return c.session.printJSON(view)
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(view)
 	}
-	fmt.Fprintf(c.session.Output, "table revision %d, rows %d\n\n", view.Revision, len(view.Rows))
-	return c.session.printRows(view.Rows)
+	fmt.Fprintf(c.invocation.Output, "table revision %d, rows %d\n\n", view.Revision, len(view.Rows))
+	return c.invocation.printRows(view.Rows)
 }
 
 // selectRows returns the named rows in the order of the names, or all of them.
@@ -93,8 +93,8 @@
 }
 
 type tableHistory struct {
-	session *session
-	Limit   int `long:"limit" default:"20" description:"number of edits" value-name:"N"`
+	invocation *invocation
+	Limit      int `long:"limit" default:"20" description:"number of edits" value-name:"N"`
 }
 
 // Execute prints the newest edits.
@@ -102,7 +102,7 @@
 	if c.Limit < 1 || c.Limit > operatorapi.MaximumHistory {
 		return usageError(fmt.Sprintf("--limit must be from 1 to %d", operatorapi.MaximumHistory))
 	}
-	service, ctx, cancel, err := c.session.service()
+	service, ctx, cancel, err := c.invocation.service()
 	if err != nil {
 		return err
 	}
@@ -111,8 +111,8 @@
 	if err != nil {
 		return err
 	}
-	if c.session.options.JSON {
-		return c.session.printJSON(entries)
+	if c.invocation.options.JSON {
+		return c.invocation.printJSON(entries)
 	}
 	var lines [][]string
 	for _, entry := range entries {
@@ -125,7 +125,7 @@
 			entry.Comment,
 		})
 	}
-	return c.session.printTable([]string{"REVISION", "AT", "AUTHOR", "ROWS", "EDIT", "COMMENT"}, lines)
+	return c.invocation.printTable([]string{"REVISION", "AT", "AUTHOR", "ROWS", "EDIT", "COMMENT"}, lines)
 }
 
 // maximumNamedRows keeps a line of the history readable.
@@ -144,9 +144,9 @@
 }
 
 type tableWatch struct {
-	session *session
-	Since   uint64 `long:"since" description:"start from the changes after this revision; the newest when 0" value-name:"REVISION"`
-	Count   int    `long:"count" description:"stop after so many changes; 0 goes on until it is interrupted" value-name:"N"`
+	invocation *invocation
+	Since      uint64 `long:"since" description:"start from the changes after this revision; the newest when 0" value-name:"REVISION"`
+	Count      int    `long:"count" description:"stop after so many changes; 0 goes on until it is interrupted" value-name:"N"`
 }
 
 // watchOutput is one step of a watch as --json shows it.
@@ -160,7 +160,7 @@
 // Execute prints each change until it is interrupted. Revisions that follow each
 // other fast may be shown together.
 func (c *tableWatch) Execute([]string) error {
-	service, err := c.session.Connect(*c.session.options)
+	service, err := c.invocation.Connect(*c.invocation.options)
 	if err != nil {
 		return err
 	}
@@ -169,8 +169,8 @@
 		return err
 	}
 	for shown := 0; c.Count == 0 || shown < c.Count; {
-		next, err := service.Watch(c.session.ctx, seen.Revision, watchInterval)
-		if c.session.ctx.Err() != nil {
+		next, err := c.next(service, seen.Revision)
+		if c.invocation.ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
@@ -188,10 +188,25 @@
 	return nil
 }
 
+// next waits for a change. While no daemon answers it asks again, so that a watch
+// lives through an election, until the options' timeout.
+func (c *tableWatch) next(service operatorapi.Service, since uint64) (operatorapi.TableView, error) {
+	giveUp := time.Now().Add(c.invocation.options.Timeout)
+	for {
+		next, err := service.Watch(c.invocation.ctx, since, watchInterval)
+		if err == nil || exitCode(err) != ExitUnavailable || time.Now().After(giveUp) {
+			return next, err
+		}
+		if pause(c.invocation.ctx, resendAfter(err)) != nil {
+			return next, err
+		}
+	}
+}
+
 // first returns the table to compare with. With Since, all rows changed after it
 // count as changes, as the rows of that time are not known any more.
 func (c *tableWatch) first(service operatorapi.Service) (operatorapi.TableView, error) {
-	ctx, cancel := context.WithTimeout(c.session.ctx, c.session.options.Timeout)
+	ctx, cancel := context.WithTimeout(c.invocation.ctx, c.invocation.options.Timeout)
 	defer cancel()
 	view, err := service.Table(ctx)
 	if err != nil || c.Since == 0 || c.Since >= view.Revision {
@@ -215,9 +230,9 @@
 		}
 		output.Changed = append(output.Changed, change.Row)
 	}
-	if c.session.options.JSON {
-		return c.session.printLineJSON(output)
+	if c.invocation.options.JSON {
+		return c.invocation.printLineJSON(output)
 	}
-	fmt.Fprintf(c.session.Output, "table revision %d\n", next.Revision)
-	return c.session.printChanges(before, output.lines)
+	fmt.Fprintf(c.invocation.Output, "table revision %d\n", next.Revision)
+	return c.invocation.printChanges(before, output.lines)
 }
--- a/ctl/wait.go
+++ b/ctl/wait.go
@@ -25,7 +25,7 @@
 
 // waitInForce returns once every zone works by the revision or a later one. At
 // the timeout its error names the zones that do not, as far as is known.
-func (s *session) waitInForce(service operatorapi.Service, revision uint64, timeout time.Duration) error {
+func (s *invocation) waitInForce(service operatorapi.Service, revision uint64, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	outstanding := "no status came"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,9 @@
 	}
 	d.server = server
 	d.client = transport.NewClient(d.logger, options)
+	if d.config.Development {
+		return server.Register("Fault", &FaultService{faults: d.faults})
+	}
 	return nil
 }
 
--- a/engineapi/events.go
+++ b/engineapi/events.go
@@ -44,6 +44,12 @@
 	// line and data are reused between events.
 	line []byte
 	data []byte
+	// values decodes the data of each event from source; reusing them saves
+	// allocations at every token. fed counts the bytes given to source.
+	values *json.Decoder
+	source bytes.Reader
+	fed    int64
+	token  structs.Token
 }
 
 // NewTokenDecoder reads from reader lines and events of at most maxLine bytes;
@@ -52,10 +58,13 @@
 	if maxLine <= 0 {
 		maxLine = DefaultMaxLine
 	}
-	return &TokenDecoder{reader: bufio.NewReaderSize(reader, readBuffer), maxLine: maxLine}
+	d := &TokenDecoder{reader: bufio.NewReaderSize(reader, readBuffer), maxLine: maxLine}
+	d.values = json.NewDecoder(&d.source)
+	return d
 }
 
 // Next returns the next token, or io.EOF when the body ended between two events.
+// After an error the decoder must not be used any more.
 func (d *TokenDecoder) Next() (structs.Token, error) {
 	d.data = d.data[:0]
 	pending := false
@@ -74,7 +83,7 @@
 			if !pending {
 				continue
 			}
-			return decodeToken(d.data)
+			return d.decodeToken()
 		}
 		found, err := d.addLine(line, pending)
 		if err != nil {
@@ -134,17 +143,24 @@
 	return bytes.TrimSuffix(line, []byte("\r"))
 }
 
-func decodeToken(data []byte) (structs.Token, error) {
-	var token structs.Token
-	if err := json.Unmarshal(data, &token); err != nil {
+// decodeToken decodes the data of one event, which must be one JSON value.
+func (d *TokenDecoder) decodeToken() (structs.Token, error) {
+	data := bytes.TrimSpace(d.data)
+	d.source.Reset(data)
+	d.fed += int64(len(data))
+	d.token = structs.Token{}
+	if err := d.values.Decode(&d.token); err != nil {
 		return structs.Token{}, errors.Wrap(err, "decode token")
 	}
-	if token.ID == "" || token.Index < 0 {
+	if d.values.InputOffset() != d.fed {
+		return structs.Token{}, malformed("an event of the stream has more than one value")
+	}
+	if d.token.ID == "" || d.token.Index < 0 {
 		return structs.Token{}, malformed("a token of the stream has no ID or a negative index")
 	}
-	switch token.Finish {
+	switch d.token.Finish {
 	case "", structs.FinishStop, structs.FinishLength, structs.FinishCancelled, structs.FinishError:
-		return token, nil
+		return d.token, nil
 	}
 	return structs.Token{}, malformed("a token of the stream has an unknown finish reason")
 }
--- a/engineapi/stream_test.go
+++ b/engineapi/stream_test.go
@@ -67,6 +67,7 @@
 		{name: "reset", body: event("r", 0, ""), reset: true, want: []int{0}},
 		{name: "not JSON", body: "data: {nope}\n\n"},
 		{name: "wrong type", body: "data: {\"id\":\"r\",\"index\":\"0\"}\n\n"},
+		{name: "two values in an event", body: "data: {\"id\":\"r\",\"index\":0}{}\n\n"},
 		{name: "unknown field", body: "token: x\n\n"},
 		{name: "unknown finish", body: event("r", 0, "soon")},
 		{name: "no ID", body: event("", 0, structs.FinishStop)},
--- a/group/options.go
+++ b/group/options.go
@@ -32,7 +32,8 @@
 )
 
 // StateMachine is what the group replicates. The group never calls its methods
-// at the same time, nor during a View.
+// at the same time, nor during a View. It sends no heartbeat while one of them
+// runs, so each must take much less than the election timeout.
 type StateMachine interface {
 	// Apply executes the command of the entry at index and returns its result to
 	// the proposer. It must depend on nothing but its arguments and earlier calls.
--- a/group/sender.go
+++ b/group/sender.go
@@ -119,12 +119,24 @@
 	// The receiver acts on the batch after this moment, so that a lease counted
 	// from here ends before the receiver may elect another leader.
 	batch.Sent = int64(s.group.now())
-	err := s.group.options.Client.Call(ctx, address, stepMethod, &batch, &StepReply{})
+	err := s.call(ctx, address, &batch)
 	if ctx.Err() == nil {
 		s.logChange(address, err)
 	}
 }
 
+// call sends a batch. But for a snapshot, which is large, a batch that takes an
+// election timeout has come too late to be of use.
+func (s *sender) call(ctx context.Context, address string, batch *StepArguments) error {
+	isSnapshot := func(message raft.Message) bool { return message.Snapshot != nil }
+	if !slices.ContainsFunc(batch.Messages, isSnapshot) {
+		limited, cancel := context.WithTimeout(ctx, s.group.electionTimeout())
+		defer cancel()
+		ctx = limited
+	}
+	return s.group.options.Client.Call(ctx, address, stepMethod, batch, &StepReply{})
+}
+
 // carriesLog reports whether one of the messages brings a part of the log.
 func carriesLog(messages []raft.Message) bool {
 	return slices.ContainsFunc(messages, func(message raft.Message) bool {
--- a/group/status.go
+++ b/group/status.go
@@ -97,7 +97,8 @@
 }
 
 // Applied returns a channel that is closed at the next change of the applied
-// index, the term, the leader, the membership or the lease, and when Run returns.
+// index, the term, the leader, the membership, the lease, or of a member's being
+// active or caught up, and when Run returns.
 // Get the channel before looking at the status, so that no change is missed.
 func (g *Group) Applied() <-chan struct{} {
 	g.statusMutex.Lock()
@@ -135,5 +136,8 @@
 
 func differs(a, b Status) bool {
 	return a.AppliedIndex != b.AppliedIndex || a.Term != b.Term || a.LeaderNode != b.LeaderNode ||
-		a.IsLeader != b.IsLeader || !a.Membership.Equal(b.Membership)
+		a.IsLeader != b.IsLeader || !a.Membership.Equal(b.Membership) ||
+		!maps.EqualFunc(a.Progress, b.Progress, sameHealth)
 }
+
+func sameHealth(a, b raft.Progress) bool { return a.Active == b.Active && a.CaughtUp == b.CaughtUp }
--- a/keys/apikey.go
+++ b/keys/apikey.go
@@ -33,6 +33,19 @@
 	return key, HashAPIKey(key)
 }
 
+// ParseAPIKey reads the content of a key file. Its error has the kind invalid.
+func ParseAPIKey(content string) (string, error) {
+	key := strings.TrimSpace(content)
+	secret, found := strings.CutPrefix(key, keyPrefix)
+	decoded, err := base64.RawURLEncoding.DecodeString(secret)
+	if !found || err != nil || len(decoded) != keyBytes {
+		return "", structs.NewError(structs.ErrorInvalid,
+			"the file holds no API key",
+			"Name the file that `lotusferryctl keys operator` wrote; a key begins with "+keyPrefix+".")
+	}
+	return key, nil
+}
+
 // HashAPIKey returns the hash of a key.
 func HashAPIKey(key string) Hash { return sha256.Sum256([]byte(key)) }
 
--- a/keys/tls.go
+++ b/keys/tls.go
@@ -106,16 +106,6 @@
 	return identity, nil
 }
 
-// PeerIdentity returns who the peer of a handshake of ServerConfig or
-// ClientConfig is. Its error has the kind denied.
-func PeerIdentity(state tls.ConnectionState) (Identity, error) {
-	if len(state.PeerCertificates) == 0 {
-		return Identity{}, structs.NewError(structs.ErrorDenied,
-			"the peer showed no certificate", "Set tls.certificate and tls.key on the peer.")
-	}
-	return CertificateIdentity(state.PeerCertificates[0])
-}
-
 // PublicClientConfig is for callers and operators: it trusts the CA of the file
 // and checks the daemon's address against its certificate. Its error has the
 // kind invalid.
--- a/lab/platform.go
+++ b/lab/platform.go
@@ -24,6 +24,8 @@
 	engineEventLoss  = 0.05
 	engineHostMemory = 64 * gibibyte
 	engineDisk       = 512 * gibibyte
+	// storeSpeed is one read at full speed: the largest model of a site loads in about 4 s.
+	storeSpeed = 12 * gibibyte
 )
 
 // Runner is a stand-in engine of a run.
@@ -53,6 +55,7 @@
 	p.Store = emulator.NewStoreServer(logger, emulator.NewStore(emulator.StoreOptions{
 		LoadsPerSecond: site.StoreLoadsPerSecond,
 		FullSpeed:      site.StoreConcurrent,
+		BytesPerSecond: float64(storeSpeed),
 		Random:         rand.New(rand.NewPCG(seed, 0)),
 	}), p.clock)
 	p.List = emulator.NewMachineServer(logger, emulator.NewMachineList(machineListLag), p.clock)
@@ -157,3 +160,10 @@
 	}
 	p.client.Close()
 }
+
+// setState changes a runner's entry on the machine list.
+func (p *Platform) setState(runner *Runner, state structs.MachineState) {
+	machine := runner.Machine
+	machine.State = state
+	p.List.Put(machine)
+}
--- a/logstore/read.go
+++ b/logstore/read.go
@@ -84,15 +84,10 @@
 }
 
 func checkIdentity(tx *bbolt.Tx, path string, wanted Identity) error {
-	var record identityRecord
-	if err := readRecord(tx, identityKey, &record); err != nil {
+	var found Identity
+	if err := readRecord(tx, identityKey, &found); err != nil {
 		return corruptError(path, "identity: "+err.Error())
 	}
-	found := Identity{Group: record.Group, Daemon: record.Daemon, Node: record.Node}
-	return matchIdentity(path, found, wanted)
-}
-
-func matchIdentity(path string, found, wanted Identity) error {
 	if found == wanted {
 		return nil
 	}
--- a/logstore/record.go
+++ b/logstore/record.go
@@ -11,7 +11,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusferry/lotusferry/raft"
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 const (
@@ -27,29 +26,22 @@
 // errChecksum says that a record is not what was written.
 var errChecksum = errors.New("checksum does not match")
 
-// identityRecord is the stored form of an Identity.
-type identityRecord struct {
-	Group    string
-	Daemon   structs.DaemonID
-	Node     raft.NodeID
-}
-
 // stateRecord is rewritten by every transaction. The log holds exactly the
 // indexes First to Last; it is empty when Last is First-1.
 type stateRecord struct {
-	Term     uint64
-	Vote     raft.NodeID
-	Commit   uint64
-	First    uint64
-	Last     uint64
+	Term   uint64
+	Vote   raft.NodeID
+	Commit uint64
+	First  uint64
+	Last   uint64
 }
 
 // entryRecord is the stored form of a raft.Entry.
 type entryRecord struct {
-	Term     uint64
-	Index    uint64
-	Kind     raft.EntryKind
-	Data     []byte
+	Term  uint64
+	Index uint64
+	Kind  raft.EntryKind
+	Data  []byte
 }
 
 // snapshotRecord is the stored form of a raft.Snapshot; Compressed is its data, of
--- a/logstore/snapshotfile.go
+++ b/logstore/snapshotfile.go
@@ -19,7 +19,7 @@
 
 // snapshotFileRecord is the content of a snapshot file.
 type snapshotFileRecord struct {
-	Identity identityRecord
+	Identity Identity
 	// Snapshot is an encoded record with its own checksum.
 	Snapshot []byte
 }
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	record, err := encodeRecord(snapshotFileKey, &snapshotFileRecord{
-		Identity: identityRecord{Group: identity.Group, Daemon: identity.Daemon, Node: identity.Node},
+		Identity: identity,
 		Snapshot: encoded,
 	})
 	if err != nil {
@@ -98,8 +98,7 @@
 	if err != nil {
 		return raft.Snapshot{}, Identity{}, err
 	}
-	identity := Identity{Group: record.Identity.Group, Daemon: record.Identity.Daemon, Node: record.Identity.Node}
-	return snapshot, identity, nil
+	return snapshot, record.Identity, nil
 }
 
 func corruptBackupError(path string, err error) error {
--- a/logstore/store.go
+++ b/logstore/store.go
@@ -164,8 +164,7 @@
 	if _, err := tx.CreateBucket(entriesBucket); err != nil {
 		return err
 	}
-	record := identityRecord{Group: identity.Group, Daemon: identity.Daemon, Node: identity.Node}
-	if err := putRecord(bucket, identityKey, &record); err != nil {
+	if err := putRecord(bucket, identityKey, &identity); err != nil {
 		return err
 	}
 	if err := putSnapshot(bucket, raft.Snapshot{}); err != nil {
--- /dev/null
+++ b/operatorapi/operatorapi_test.go
@@ -0,0 +1,342 @@
+package operatorapi_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// recorder is a Service that notes what it was asked and answers with fixed values.
+type recorder struct {
+	mutex  sync.Mutex
+	asked  []any
+	err    error
+	result structs.EditResult
+}
+
+type applyCall struct {
+	edit   structs.Edit
+	dryRun bool
+}
+
+type watchCall struct {
+	since uint64
+	wait  time.Duration
+}
+
+func (r *recorder) note(call any) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.asked = append(r.asked, call)
+	return r.err
+}
+
+func (r *recorder) calls() []any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]any(nil), r.asked...)
+}
+
+var (
+	row    = structs.Row{Name: "m", Kind: structs.RowModel, Weight: 3, MaxReplicas: 2, MemoryBytes: 1 << 40, Role: "answers", Revision: 1 << 60}
+	table  = operatorapi.TableView{Revision: 1 << 60, Rows: []structs.Row{row}}
+	at     = time.Date(2026, 5, 1, 12, 0, 0, 1, time.UTC)
+	entry  = structs.HistoryEntry{Revision: 9, At: at, Author: "ada", EditID: "e", Rows: []structs.RowName{"m"}}
+	status = operatorapi.SiteStatus{
+		Revision: 9,
+		Zones:    []structs.ZoneStatus{{Zone: "sala-a", TableRevision: 8, Reachable: true, Leader: "d"}},
+		Daemons:  []operatorapi.DaemonStatus{{Daemon: "d", Zone: "sala-a", Roles: []string{"router"}, LeadsZone: true}},
+	}
+	edit = structs.Edit{ID: "e", Author: "nobody", Comment: "more", Changes: []structs.RowChange{
+		{Row: row, BaseRevision: 7}, {Row: structs.Row{Name: "old"}, Delete: true, BaseRevision: 3},
+	}}
+)
+
+func (r *recorder) Table(context.Context) (operatorapi.TableView, error) {
+	return table, r.note("table")
+}
+
+func (r *recorder) Apply(_ context.Context, edit structs.Edit, dryRun bool) (structs.EditResult, error) {
+	return r.result, r.note(applyCall{edit, dryRun})
+}
+
+func (r *recorder) History(_ context.Context, limit int) ([]structs.HistoryEntry, error) {
+	return []structs.HistoryEntry{entry}, r.note(limit)
+}
+
+func (r *recorder) Status(context.Context) (operatorapi.SiteStatus, error) {
+	return status, r.note("status")
+}
+
+func (r *recorder) Watch(_ context.Context, since uint64, wait time.Duration) (operatorapi.TableView, error) {
+	return table, r.note(watchCall{since, wait})
+}
+
+func (r *recorder) Drain(_ context.Context, request operatorapi.DrainRequest) error {
+	return r.note(request)
+}
+
+func (r *recorder) SaveSnapshot(context.Context) ([]byte, error) {
+	return []byte{0, 1, 255}, r.note("snapshot")
+}
+
+// serve runs a handler on a loopback address and returns the address.
+func serve(c *qt.C, service operatorapi.Service, options operatorapi.HandlerOptions) string {
+	server := httptest.NewServer(operatorapi.NewHandler(log.NewNopLogger(), service, options))
+	c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func newClient(c *qt.C, options operatorapi.ClientOptions) *operatorapi.Client {
+	client := operatorapi.NewClient(options)
+	c.Cleanup(client.Close)
+	return client
+}
+
+// operations calls each operation once; all take and return something.
+var operations = []struct {
+	name string
+	call func(operatorapi.Service) (any, error)
+	want any
+	asks any
+}{
+	{"table", func(s operatorapi.Service) (any, error) { return s.Table(context.Background()) }, table, "table"},
+	{"apply", func(s operatorapi.Service) (any, error) { return s.Apply(context.Background(), edit, false) }, structs.EditResult{}, applyCall{edit, false}},
+	{"dry run", func(s operatorapi.Service) (any, error) { return s.Apply(context.Background(), edit, true) }, structs.EditResult{}, applyCall{edit, true}},
+	{"history", func(s operatorapi.Service) (any, error) { return s.History(context.Background(), 7) }, []structs.HistoryEntry{entry}, 7},
+	{"status", func(s operatorapi.Service) (any, error) { return s.Status(context.Background()) }, status, "status"},
+	{"watch", func(s operatorapi.Service) (any, error) { return s.Watch(context.Background(), 5, time.Hour) }, table, watchCall{5, operatorapi.MaximumWait}},
+	{"drain", func(s operatorapi.Service) (any, error) {
+		return nil, s.Drain(context.Background(), operatorapi.DrainRequest{Runner: "r", Cancel: true})
+	}, nil, operatorapi.DrainRequest{Runner: "r", Cancel: true}},
+	{"snapshot", func(s operatorapi.Service) (any, error) { return s.SaveSnapshot(context.Background()) }, []byte{0, 1, 255}, "snapshot"},
+}
+
+func TestOperationsGoRound(t *testing.T) {
+	for _, operation := range operations {
+		t.Run(operation.name, func(t *testing.T) {
+			c := qt.New(t)
+			service := &recorder{}
+			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, service, operatorapi.HandlerOptions{})}})
+			got, err := operation.call(client)
+			c.Assert(err, qt.IsNil)
+			c.Check(got, qt.DeepEquals, operation.want)
+			c.Check(service.calls(), qt.CmpEquals(cmp.AllowUnexported(applyCall{}, watchCall{})), []any{operation.asks})
+		})
+	}
+}
+
+func TestRefusedEditIsAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	result := structs.EditResult{
+		ID:        "e",
+		Problems:  []structs.RowProblem{{Row: "m", Column: "weight", Value: "0", Problem: "is out of range", Remedy: "Raise it."}},
+		Conflicts: []structs.RowConflict{{Row: "m", Current: &row, BaseRevision: 4}, {Row: "old"}},
+	}
+	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, &recorder{result: result}, operatorapi.HandlerOptions{})}})
+	got, err := client.Apply(context.Background(), edit, false)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, result)
+}
+
+func TestErrorsGoRound(t *testing.T) {
+	tests := map[structs.ErrorKind]int{
+		structs.ErrorInvalid: 400, structs.ErrorConflict: 409, structs.ErrorNotFound: 404,
+		structs.ErrorNotLeader: 421, structs.ErrorUnavailable: 503, structs.ErrorOverloaded: 429,
+		structs.ErrorDeadline: 504, structs.ErrorLimit: 422, structs.ErrorFenced: 412,
+		structs.ErrorDenied: 403, structs.ErrorInternal: 500, structs.ErrorCorrupt: 500,
+	}
+	for kind, httpStatus := range tests {
+		t.Run(string(kind), func(t *testing.T) {
+			c := qt.New(t)
+			sent := &structs.Error{Kind: kind, Message: "it is so", Remedy: "Do this.", RetryAfter: 1500 * time.Millisecond}
+			service := &recorder{err: errors.Wrap(sent, "context")}
+			address := serve(c, service, operatorapi.HandlerOptions{})
+			response, err := http.Get("http://" + address + "/v1/status")
+			c.Assert(err, qt.IsNil)
+			response.Body.Close()
+			c.Check(response.StatusCode, qt.Equals, httpStatus)
+			c.Check(response.Header.Get("Retry-After"), qt.Equals, "2")
+			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}})
+			for _, operation := range operations {
+				_, err := operation.call(client)
+				c.Check(err, qt.DeepEquals, error(sent), qt.Commentf(operation.name))
+			}
+		})
+	}
+}
+
+func TestUntypedErrors(t *testing.T) {
+	tests := map[structs.ErrorKind]error{
+		structs.ErrorInternal: errors.New("odd"),
+		structs.ErrorDeadline: errors.WithStack(context.DeadlineExceeded),
+	}
+	c := qt.New(t)
+	for kind, sent := range tests {
+		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, &recorder{err: sent}, operatorapi.HandlerOptions{})}})
+		_, err := client.Table(context.Background())
+		c.Check(structs.KindOf(err), qt.Equals, kind)
+	}
+}
+
+func TestOnlyOperatorsGetIn(t *testing.T) {
+	c := qt.New(t)
+	key, hash := keys.NewAPIKey()
+	otherKey, _ := keys.NewAPIKey()
+	service := &recorder{}
+	ring := keys.NewKeyring([]keys.Entry{{Name: "ada", Hash: hash}})
+	address := serve(c, service, operatorapi.HandlerOptions{Keys: ring})
+	for _, wrong := range []string{"", otherKey} {
+		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}, Key: wrong})
+		for _, operation := range operations {
+			_, err := operation.call(client)
+			c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDenied, qt.Commentf(operation.name))
+			c.Check(err, qt.ErrorMatches, ".*--key-file.*")
+		}
+	}
+	c.Assert(service.calls(), qt.HasLen, 0)
+
+	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}, Key: key})
+	_, err := client.Apply(context.Background(), edit, false)
+	c.Assert(err, qt.IsNil)
+	// The key tells the author, whatever the request says.
+	c.Check(service.calls()[0].(applyCall).edit.Author, qt.Equals, "ada")
+}
+
+func TestHandlerRefusesBadRequests(t *testing.T) {
+	tests := []struct{ name, method, path, body, kind string }{
+		{"not JSON", "POST", "/v1/table/edits", "{", "invalid"},
+		{"unknown field", "POST", "/v1/table/edits", `{"id":"e","force":true}`, "invalid"},
+		{"more than one value", "POST", "/v1/drains", `{"runner":"r"}{}`, "invalid"},
+		{"no edit ID", "POST", "/v1/table/edits", `{"changes":[{"row":{"name":"m"}}]}`, "invalid"},
+		{"no change", "POST", "/v1/table/edits", `{"id":"e"}`, "invalid"},
+		{"odd dry run", "POST", "/v1/table/edits?dry_run=perhaps", `{"id":"e"}`, "invalid"},
+		{"no runner", "POST", "/v1/drains", `{}`, "invalid"},
+		{"limit out of range", "GET", "/v1/table/history?limit=0", "", "invalid"},
+		{"odd revision", "GET", "/v1/table/watch?since=-1", "", "invalid"},
+		{"odd wait", "GET", "/v1/table/watch?wait=soon", "", "invalid"},
+		{"negative wait", "GET", "/v1/table/watch?wait=-1s", "", "invalid"},
+		{"too large", "POST", "/v1/drains", `{"runner":"` + strings.Repeat("r", 2000) + `"}`, "limit"},
+	}
+	c := qt.New(t)
+	service := &recorder{}
+	address := serve(c, service, operatorapi.HandlerOptions{BodyBytes: 1000})
+	for _, test := range tests {
+		c.Run(test.name, func(c *qt.C) {
+			request, err := http.NewRequest(test.method, "http://"+address+test.path, bytes.NewBufferString(test.body))
+			c.Assert(err, qt.IsNil)
+			response, err := http.DefaultClient.Do(request)
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			content, err := io.ReadAll(response.Body)
+			c.Assert(err, qt.IsNil)
+			c.Check(string(content), qt.Matches, `\{"error":\{"kind":"`+test.kind+`",.*"remedy":".+"\}\}\n`)
+		})
+	}
+	c.Check(service.calls(), qt.HasLen, 0)
+}
+
+func TestClientTriesAddressesInTurn(t *testing.T) {
+	c := qt.New(t)
+	down := httptest.NewServer(http.NotFoundHandler())
+	down.Close()
+	silent := structs.NewError(structs.ErrorUnavailable, "no quorum", "Wait.")
+	good := &recorder{}
+	goodAddress := serve(c, good, operatorapi.HandlerOptions{})
+	withoutQuorum := &recorder{err: silent}
+	follower := &recorder{err: &structs.Error{Kind: structs.ErrorNotLeader, Leader: goodAddress}}
+	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
+	c.Cleanup(gateway.Close)
+	denied := &recorder{err: structs.NewError(structs.ErrorDenied, "no", "Ask.")}
+	tests := []struct {
+		name  string
+		first string
+		calls int // that reach the good daemon
+		kind  structs.ErrorKind
+	}{
+		{"not running", down.Listener.Addr().String(), 1, ""},
+		{"without quorum", serve(c, withoutQuorum, operatorapi.HandlerOptions{}), 1, ""},
+		{"gateway error", gateway.Listener.Addr().String(), 1, ""},
+		{"names the leader", serve(c, follower, operatorapi.HandlerOptions{}), 1, ""},
+		{"final answer", serve(c, denied, operatorapi.HandlerOptions{}), 0, structs.ErrorDenied},
+	}
+	for _, test := range tests {
+		c.Run(test.name, func(c *qt.C) {
+			before := len(good.calls())
+			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{test.first, goodAddress}})
+			_, err := client.Apply(context.Background(), edit, false)
+			c.Check(structs.KindOf(err), qt.Equals, test.kind)
+			calls := good.calls()[before:]
+			c.Assert(calls, qt.HasLen, test.calls)
+			for _, call := range calls {
+				c.Check(call.(applyCall).edit.ID, qt.Equals, edit.ID)
+			}
+		})
+	}
+	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{tests[0].first, tests[1].first}})
+	_, err := client.Table(context.Background())
+	c.Check(err, qt.DeepEquals, error(silent))
+	_, err = newClient(c, operatorapi.ClientOptions{}).Table(context.Background())
+	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+}
+
+func TestClientStopsFollowingLeaders(t *testing.T) {
+	c := qt.New(t)
+	one := &recorder{}
+	two := &recorder{}
+	oneAddress := serve(c, one, operatorapi.HandlerOptions{})
+	one.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: serve(c, two, operatorapi.HandlerOptions{})}
+	two.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: oneAddress}
+	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{oneAddress}})
+	_, err := client.Table(context.Background())
+	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotLeader)
+	c.Check(len(one.calls())+len(two.calls()), qt.Equals, 4)
+}
+
+func TestClientOverTLS(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewTLSServer(operatorapi.NewHandler(log.NewNopLogger(), &recorder{}, operatorapi.HandlerOptions{}))
+	c.Cleanup(server.Close)
+	known := x509.NewCertPool()
+	known.AddCert(server.Certificate())
+	tests := map[structs.ErrorKind]*tls.Config{
+		"":                    {RootCAs: known},
+		structs.ErrorDenied:   {RootCAs: x509.NewCertPool()},
+		structs.ErrorInternal: nil,
+	}
+	for kind, config := range tests {
+		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{server.Listener.Addr().String()}, TLS: config})
+		_, err := client.Status(context.Background())
+		c.Check(structs.KindOf(err), qt.Equals, kind)
+	}
+}
+
+func TestClientHeedsItsContext(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		cancel()
+		<-request.Context().Done()
+	}))
+	c.Cleanup(server.Close)
+	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{server.Listener.Addr().String()}})
+	_, err := client.Table(ctx)
+	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDeadline)
+}
--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -40,6 +40,9 @@
 	node  *Node // nil while down
 	disk  disk
 	phase int
+	// ready is under way until the disk is done at readyAt.
+	ready   *Ready
+	readyAt int
 	// applied and digest are the replicated state machine.
 	applied, digest uint64
 }
@@ -62,7 +65,7 @@
 	reads []int
 
 	loss, duplicate, crash float64
-	delay                  int
+	delay, diskDelay       int
 	// sent, when set, sees every message and drops it by returning false.
 	sent func(m Message) bool
 	// mutate, when set, breaks a node after each step; forgetful disks lose votes.
@@ -75,7 +78,7 @@
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		cut:     map[[2]NodeID]bool{},
 		history: newHistory(),
-		delay:   1,
+		delay:   1, diskDelay: 1,
 	}
 	var founding Membership
 	for id := NodeID(1); id <= NodeID(founders); id++ {
@@ -111,7 +114,7 @@
 }
 
 func (c *cluster) stop(m *member) {
-	m.node = nil
+	m.node, m.ready = nil, nil
 	if c.forgetful {
 		m.disk.hardState.Vote = None
 	}
@@ -164,17 +167,26 @@
 	}
 }
 
-// work does a node's Readys; it crashes with some chance at each of their steps.
+// work does a node's Readys, each when the disk is done; the node crashes with some
+// chance at each of their steps.
 func (c *cluster) work(m *member) {
-	for m.node != nil && m.node.HasReady() {
-		c.observe(m)
-		ready := m.node.Ready()
+	for m.node != nil && (m.ready != nil || m.node.HasReady()) {
+		if m.ready == nil {
+			c.observe(m)
+			ready := m.node.Ready()
+			c.record(m, ready)
+			m.ready, m.readyAt = &ready, c.now+c.random.IntN(c.diskDelay)
+		}
+		if c.now < m.readyAt {
+			return
+		}
+		ready := *m.ready
+		m.ready = nil
 		if c.chance(c.crash) {
 			c.stop(m)
 			return
 		}
 		m.disk.write(ready)
-		c.record(m, ready)
 		for _, message := range ready.Messages {
 			if c.chance(c.crash) {
 				c.stop(m)
@@ -265,7 +277,7 @@
 
 func (c *cluster) heal() {
 	clear(c.cut)
-	c.loss, c.duplicate, c.crash, c.delay = 0, 0, 0, 1
+	c.loss, c.duplicate, c.crash, c.delay, c.diskDelay = 0, 0, 0, 1, 1
 	for _, m := range c.members {
 		if m.node == nil {
 			c.start(m)
@@ -280,7 +292,7 @@
 
 // compact takes a snapshot of the member's state machine.
 func (c *cluster) compact(m *member) error {
-	if m.applied == m.node.log.base {
+	if m.applied <= m.node.log.base {
 		return nil
 	}
 	term, _ := m.node.log.term(m.applied)
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -29,8 +29,13 @@
 // most. A node that is in its own membership, as voter or learner, answers
 // requests for votes: a learner may have been promoted by an entry that it has not
 // received yet, and the group must survive the loss of another voter just then. A
-// node that is not in its own membership (a new identity, or a removed one) gives
-// no vote. Only voters campaign. The Membership of a Snapshot given to Compact is
+// node whose removal is not committed goes on voting and campaigning, because the
+// removal may be undone, or may need the node to come into force. A node that is in
+// no membership that can be in force (a new identity, or a removed one) does
+// neither. Only voters campaign.
+//
+// The first leader of a group appends the founding membership in place of its noop,
+// so every log holds a membership. The Membership of a Snapshot given to Compact is
 // the one of MembershipAt.
 //
 // # Reads
--- a/raft/election.go
+++ b/raft/election.go
@@ -1,10 +1,17 @@
 package raft
 
-// ignoresVote reports whether a request for a vote gets no answer: the node is
-// not a member as far as it knows, or it hears from a leader that did not ask
-// for the election.
+// mayCampaign reports whether the node is a voter or may still be one. A node whose
+// removal is not committed campaigns, without counting its own vote: it may be the
+// only one that can bring the removal to a quorum.
+func (n *Node) mayCampaign() bool {
+	return n.history.anySince(n.log.commit, func(m Membership) bool { return m.HasVoter(n.id) })
+}
+
+// ignoresVote reports whether a request for a vote gets no answer: the node cannot
+// be a member as far as it knows, or it hears from a leader that did not ask for
+// the election.
 func (n *Node) ignoresVote(m *Message) bool {
-	if !n.membership().Has(n.id) {
+	if !n.history.anySince(n.log.commit, func(m Membership) bool { return m.Has(n.id) }) {
 		return true
 	}
 	if m.Transfer {
@@ -113,7 +120,7 @@
 }
 
 func (n *Node) handleTimeoutNow(m *Message) {
-	if m.From != n.leader || n.role == Leader || !n.isVoter() {
+	if m.From != n.leader || n.role == Leader || !n.mayCampaign() {
 		return
 	}
 	n.startElection(true)
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -135,6 +135,21 @@
 	return h[0].membership
 }
 
+// anySince reports whether accepts holds for the membership in force at commit or
+// for a later one. The later ones may yet be truncated or committed: a node cannot
+// know whether it is removed before the removal is committed.
+func (h membershipHistory) anySince(commit uint64, accepts func(Membership) bool) bool {
+	for i := len(h) - 1; i >= 0; i-- {
+		if accepts(h[i].membership) {
+			return true
+		}
+		if h[i].index <= commit {
+			return false
+		}
+	}
+	return false
+}
+
 // truncateFrom drops the records at and after index; true when one was dropped.
 func (h *membershipHistory) truncateFrom(index uint64) bool {
 	records := *h
--- a/raft/node.go
+++ b/raft/node.go
@@ -127,7 +127,7 @@
 		return
 	}
 	n.resetElectionTimer()
-	if n.isVoter() {
+	if n.mayCampaign() {
 		n.startPreVote()
 	}
 }
@@ -159,8 +159,7 @@
 	n.role = Follower
 	n.leader = leader
 	n.votes = nil
-	// Rounds go on rising over reigns, so that a round names one heartbeat.
-	n.leading = leadership{round: n.leading.round}
+	n.leading = leadership{}
 	n.resetElectionTimer()
 }
 
@@ -171,7 +170,6 @@
 	n.silence = n.config.ElectionTicks
 	n.leading = leadership{
 		progress:   make(map[NodeID]*progress),
-		round:      n.leading.round,
 		firstIndex: n.log.last() + 1,
 		electedAt:  n.now,
 	}
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -37,8 +37,11 @@
 	snapshotSentAt   uint64
 	snapshotAttempts int
 
+	// knownCommit is the commit index that the member told in a heartbeat reply.
+	knownCommit uint64
 	// departsAt is the index of the entry that removed the member, 0 for members.
-	// The member is sent the log until it has that entry, or until departsUntil.
+	// The member is sent the log until it knows that the entry is committed, or until
+	// departsUntil.
 	departsAt    uint64
 	departsUntil uint64
 }
@@ -157,11 +160,11 @@
 }
 
 // departed reports whether a removed member needs the log no longer.
-func (p *progress) departed(now, commit uint64) bool {
+func (p *progress) departed(now uint64) bool {
 	if p.departsAt == 0 {
 		return false
 	}
-	return now >= p.departsUntil || (p.match >= p.departsAt && commit >= p.departsAt)
+	return now >= p.departsUntil || p.knownCommit >= p.departsAt
 }
 
 // inflightWindow is a ring of the last indexes of the appends that are not
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -111,6 +111,7 @@
 
 func (n *Node) handleHeartbeatReply(m *Message, member *progress) {
 	n.recordRound(m.Context, member)
+	member.knownCommit = max(member.knownCommit, m.Commit)
 	switch member.state {
 	case ProgressProbe:
 		member.probing = false
--- a/raft/safety_test.go
+++ b/raft/safety_test.go
@@ -71,7 +71,8 @@
 func run(seed uint64, mutate func(*Node), forgetful bool) *history {
 	c := newCluster(seed, 3+2*int(seed%2), 2)
 	c.mutate, c.forgetful = mutate, forgetful
-	c.loss, c.duplicate, c.crash, c.delay = 0.05, 0.05, 0.001, 1+int(seed%12)
+	c.loss, c.duplicate, c.crash = 0.05, 0.05, 0.001
+	c.delay, c.diskDelay = 1+int(seed%12), 1+int(seed%5)*2
 	for range chaosSteps {
 		c.step()
 		if c.chance(0.3) {
--- a/raft/scenario_test.go
+++ b/raft/scenario_test.go
@@ -81,19 +81,21 @@
 	}},
 	{"window bounds what is sent unacknowledged", func(t *testing.T, c *cluster, leader, follower *member) {
 		c.cut[[2]NodeID{follower.id, leader.id}] = true
-		appends, entries := 0, 0
+		var entries []int
+		next := leader.node.Status().LastIndex
 		c.sent = func(m Message) bool {
 			if m.Kind == MessageAppend && m.To == follower.id {
-				appends++
-				entries = max(entries, len(m.Entries))
+				qt.Assert(t, m.Index, qt.Equals, next)
+				next += uint64(len(m.Entries))
+				entries = append(entries, len(m.Entries))
 			}
 			return true
 		}
-		for range 40 {
-			_, _, _ = leader.node.Propose(nil)
+		for i := range 40 {
+			_, _, _ = leader.node.Propose(make([]byte, min(i/4, 1)*6))
 		}
 		c.ticks(5)
-		qt.Assert(t, []int{appends, entries}, qt.DeepEquals, []int{3, 4})
+		qt.Assert(t, entries, qt.DeepEquals, []int{4, 1, 1}, qt.Commentf("4 entries, 10 bytes, 3 messages at most"))
 	}},
 	{"proposals without a quorum are bounded", func(t *testing.T, c *cluster, leader, _ *member) {
 		c.isolate(leader.id, true)
@@ -115,12 +117,20 @@
 		qt.Assert(t, leader.node.membership(), qt.DeepEquals, founding)
 	}},
 	{"removed member stops campaigning", func(t *testing.T, c *cluster, leader, follower *member) {
+		requests := 0
+		c.sent = func(m Message) bool {
+			if m.From == follower.id && m.Kind == MessagePreVote {
+				requests++
+			}
+			return true
+		}
+		c.isolate(follower.id, true)
 		c.change(t, leader, without(leader.node.membership().Voters, follower.id))
-		c.ticks(5)
-		term := follower.node.Term()
+		c.ticks(6)
+		c.heal()
 		c.ticks(90)
+		qt.Assert(t, requests, qt.Equals, 0)
 		qt.Assert(t, follower.node.Status().Role, qt.Equals, Learner)
-		qt.Assert(t, follower.node.Term(), qt.Equals, term)
 		qt.Assert(t, leader.node.LeaseValid(), qt.IsTrue)
 	}},
 	{"leader that removes itself hands over", func(t *testing.T, c *cluster, leader, _ *member) {
@@ -129,6 +139,18 @@
 		qt.Assert(t, leader.node.Role(), qt.Equals, Learner)
 		qt.Assert(t, c.leader(), qt.Not(qt.IsNil))
 	}},
+	{"leader alone with its own removal brings it to a quorum", func(t *testing.T, c *cluster, leader, follower *member) {
+		c.change(t, leader, []NodeID{leader.id, follower.id})
+		c.ticks(5)
+		c.isolate(leader.id, true)
+		c.change(t, leader, []NodeID{follower.id})
+		c.work(leader)
+		c.stop(leader)
+		c.heal()
+		c.ticks(60)
+		qt.Assert(t, c.leader().id, qt.Equals, follower.id)
+		qt.Assert(t, follower.node.membership().Voters, qt.DeepEquals, []NodeID{follower.id})
+	}},
 	{"second member lost right after a repair", func(t *testing.T, c *cluster, leader, follower *member) {
 		c.stop(follower)
 		voters := without(leader.node.membership().Voters, follower.id)
@@ -146,6 +168,21 @@
 		c.ticks(60)
 		qt.Assert(t, c.leader(), qt.Not(qt.IsNil))
 	}},
+	{"learner that does not know that it is one is not promoted", func(t *testing.T, c *cluster, leader, _ *member) {
+		voters := []NodeID{1, 2, 3}
+		c.change(t, leader, voters, 4)
+		c.ticks(8)
+		c.sent = func(m Message) bool { return m.Kind != MessageAppend || m.To != 4 }
+		c.change(t, leader, voters)
+		c.ticks(1)
+		c.change(t, leader, voters, 4)
+		c.ticks(2)
+		_, _, err := leader.node.ProposeMembership(Membership{Voters: []NodeID{1, 2, 3, 4}})
+		qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		c.sent = nil
+		c.ticks(5)
+		c.change(t, leader, []NodeID{1, 2, 3, 4})
+	}},
 	{"new identity neither votes nor campaigns", func(t *testing.T, c *cluster, _, _ *member) {
 		stranger := c.member(4).node
 		c.ticks(60)
@@ -204,16 +241,17 @@
 			}
 		}, leaseExclusive},
 		"votes right after a restart": {func(n *Node) {
-			if n.now == 0 {
+			if n.now < 10 && n.role != Leader {
 				n.silence = n.config.ElectionTicks
 			}
 		}, leaseExclusive},
 	}
 	for name, test := range cases {
 		broken := ""
-		for seed := uint64(0); seed < 60 && broken == ""; seed++ {
+		for seed := uint64(0); seed < 200 && broken == ""; seed++ {
 			c := newCluster(seed, 3, 0)
-			c.ticks(40)
+			c.delay = 1 + int(seed%3)*6
+			c.ticks(60)
 			leader, eager := c.leader(), c.follower()
 			c.mutate = test.mutate
 			c.cut[[2]NodeID{leader.id, eager.id}] = true
--- a/raft/step.go
+++ b/raft/step.go
@@ -104,7 +104,7 @@
 		n.handleAppend(m)
 	case MessageHeartbeat:
 		n.log.commitTo(m.Commit)
-		n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Context: m.Context})
+		n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Context: m.Context, Commit: n.log.commit})
 	case MessageSnapshot:
 		n.handleSnapshot(m)
 	}
--- a/raft/step_test.go
+++ b/raft/step_test.go
@@ -34,28 +34,38 @@
 		name     string
 		sent     Message
 		answered Message
+		commit   uint64 // 2 when left at 0
 	}{
-		{"vote for a complete log", Message{Kind: MessageVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6}},
-		{"no vote for a shorter log", Message{Kind: MessageVote, Term: 6, Index: 4, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}},
-		{"no vote for an older log", Message{Kind: MessageVote, Term: 6, Index: 9, LogTerm: 3}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}},
-		{"pre-vote keeps the term", Message{Kind: MessagePreVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessagePreVoteReply, Term: 6}},
-		{"pre-vote of an old term", Message{Kind: MessagePreVote, Term: 4}, Message{Kind: MessagePreVoteReply, Term: 5, Reject: true}},
-		{"append that matches", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Term: 5, Index: 6}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 6}},
-		{"append that truncates", Message{Kind: MessageAppend, Term: 5, Index: 3, LogTerm: 2, Entries: []Entry{{Term: 3, Index: 4}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 4}},
-		{"append after the end", Message{Kind: MessageAppend, Term: 5, Index: 9, LogTerm: 5}, Message{Kind: MessageAppendReply, Term: 5, Index: 9, Reject: true, Hint: 5, LogTerm: 4}},
-		{"append skips whole terms back", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 5, Reject: true, Hint: 2, LogTerm: 1}},
-		{"append before the commit index", Message{Kind: MessageAppend, Term: 5, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 2}},
-		{"append of an old term", Message{Kind: MessageAppend, Term: 4, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Reject: true, Index: 1, Hint: 2}},
-		{"heartbeat", Message{Kind: MessageHeartbeat, Term: 5, Context: 7, Commit: math.MaxInt32}, Message{Kind: MessageHeartbeatReply, Term: 5, Context: 7}},
-		{"snapshot", Message{Kind: MessageSnapshot, Term: 5, Snapshot: whole}, Message{Kind: MessageSnapshotReply, Term: 5, Index: 9}},
+		{"vote for a complete log", Message{Kind: MessageVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6}, 0},
+		{"vote in the current term", Message{Kind: MessageVote, Term: 5, Index: 5, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 5}, 0},
+		{"no vote for a shorter log", Message{Kind: MessageVote, Term: 6, Index: 4, LogTerm: 4}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}, 0},
+		{"no vote for an older log", Message{Kind: MessageVote, Term: 6, Index: 9, LogTerm: 3}, Message{Kind: MessageVoteReply, Term: 6, Reject: true}, 0},
+		{"pre-vote keeps the term", Message{Kind: MessagePreVote, Term: 6, Index: 5, LogTerm: 4}, Message{Kind: MessagePreVoteReply, Term: 6}, 0},
+		{"pre-vote of an old term", Message{Kind: MessagePreVote, Term: 4}, Message{Kind: MessagePreVoteReply, Term: 5, Reject: true}, 0},
+		{"append that matches", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 4, Entries: []Entry{{Term: 5, Index: 6}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 6}, 0},
+		{"append that truncates", Message{Kind: MessageAppend, Term: 5, Index: 3, LogTerm: 2, Entries: []Entry{{Term: 3, Index: 4}}}, Message{Kind: MessageAppendReply, Term: 5, Index: 4}, 0},
+		{"append after the end", Message{Kind: MessageAppend, Term: 5, Index: 9, LogTerm: 5}, Message{Kind: MessageAppendReply, Term: 5, Index: 9, Reject: true, Hint: 5, LogTerm: 4}, 0},
+		{"append skips whole terms back", Message{Kind: MessageAppend, Term: 5, Index: 5, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 5, Reject: true, Hint: 2, LogTerm: 1}, 0},
+		{"append commits only what it matches", Message{Kind: MessageAppend, Term: 5, Index: 3, LogTerm: 2, Commit: 5}, Message{Kind: MessageAppendReply, Term: 5, Index: 3}, 3},
+		{"append before the commit index", Message{Kind: MessageAppend, Term: 5, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Index: 2}, 0},
+		{"append of an old term", Message{Kind: MessageAppend, Term: 4, Index: 1, LogTerm: 1}, Message{Kind: MessageAppendReply, Term: 5, Reject: true, Index: 1, Hint: 2}, 0},
+		{"heartbeat", Message{Kind: MessageHeartbeat, Term: 5, Context: 7, Commit: math.MaxInt32}, Message{Kind: MessageHeartbeatReply, Term: 5, Context: 7, Commit: 5}, 5},
+		{"snapshot of what is there", Message{Kind: MessageSnapshot, Term: 5, Snapshot: &Snapshot{Index: 4, Term: 2, Membership: whole.Membership}}, Message{Kind: MessageSnapshotReply, Term: 5, Index: 4}, 4},
+		{"snapshot of what is committed", Message{Kind: MessageSnapshot, Term: 5, Snapshot: &Snapshot{Index: 1, Term: 2, Membership: whole.Membership}}, Message{Kind: MessageSnapshotReply, Term: 5, Index: 2}, 0},
+		{"snapshot", Message{Kind: MessageSnapshot, Term: 5, Snapshot: whole}, Message{Kind: MessageSnapshotReply, Term: 5, Index: 9}, 9},
 	}
 	for _, test := range cases {
 		n := newVoter(t)
 		test.sent.From, test.sent.To = 2, 1
 		test.answered.From, test.answered.To = 1, 2
 		qt.Check(t, n.Step(test.sent), qt.IsNil, qt.Commentf(test.name))
-		qt.Check(t, n.Ready().Messages, qt.DeepEquals, []Message{test.answered}, qt.Commentf(test.name))
-		qt.Check(t, n.Status().Commit <= n.Status().LastIndex, qt.IsTrue)
+		ready := n.Ready()
+		qt.Check(t, ready.Messages, qt.DeepEquals, []Message{test.answered}, qt.Commentf(test.name))
+		qt.Check(t, n.Status().Commit, qt.Equals, max(test.commit, 2), qt.Commentf(test.name))
+		qt.Check(t, ready.Snapshot != nil, qt.Equals, test.sent.Snapshot == whole, qt.Commentf(test.name))
+		if test.answered.Kind == MessageVoteReply && !test.answered.Reject {
+			qt.Check(t, ready.MustSync && ready.HardState.Vote == 2, qt.IsTrue, qt.Commentf(test.name))
+		}
 	}
 }
 
@@ -65,6 +75,7 @@
 		"another receiver":              {Kind: MessageHeartbeat, From: 2, To: 3, Term: 5},
 		"own message":                   {Kind: MessageHeartbeat, From: 1, To: 1, Term: 5},
 		"no term":                       {Kind: MessageHeartbeat, From: 2, To: 1},
+		"second leader of the term":     {Kind: MessageHeartbeat, From: 3, To: 1, Term: 5},
 		"greatest term":                 {Kind: MessageVote, From: 2, To: 1, Term: math.MaxUint64},
 		"greatest index":                {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: math.MaxUint64},
 		"no snapshot":                   {Kind: MessageSnapshot, From: 2, To: 1, Term: 5},
@@ -75,6 +86,7 @@
 		"conflict with committed entry": {Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}},
 	} {
 		n := newVoter(t)
+		n.leader = 2
 		qt.Check(t, structs.KindOf(n.Step(m)), qt.Equals, structs.ErrorInvalid, qt.Commentf(name))
 		qt.Check(t, n.HasReady(), qt.IsFalse, qt.Commentf(name))
 	}
@@ -101,6 +113,7 @@
 // TestOnlyEntriesOfTheTermAreCommittedByCounting is figure 8 of the raft paper.
 func TestOnlyEntriesOfTheTermAreCommittedByCounting(t *testing.T) {
 	n := newVoter(t)
+	n.history[0].index = 1
 	n.startElection(false)
 	qt.Assert(t, n.Step(Message{Kind: MessageVoteReply, From: 2, To: 1, Term: 6}), qt.IsNil)
 	ready := n.Ready()
@@ -109,11 +122,70 @@
 	qt.Assert(t, n.Ready(), qt.DeepEquals, Ready{}, qt.Commentf("work handed out before Advance"))
 	n.Advance()
 	qt.Assert(t, n.Status().Commit, qt.Equals, uint64(2))
+	_, _, err := n.ProposeMembership(Membership{Voters: []NodeID{1, 2}})
+	qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
 	qt.Assert(t, n.Step(Message{Kind: MessageAppendReply, From: 2, To: 1, Term: 6, Index: 6}), qt.IsNil)
 	qt.Assert(t, n.Status().Commit, qt.Equals, uint64(6))
 	qt.Assert(t, n.Ready().Entries, qt.HasLen, 0, qt.Commentf("entries handed out twice"))
 }
 
+func TestLeaseCountsFromTheSending(t *testing.T) {
+	for ticks, valid := range map[int]bool{0: true, 7: true, 8: false, 9: false} {
+		n := newVoter(t)
+		n.startElection(false)
+		qt.Assert(t, n.Step(Message{Kind: MessageVoteReply, From: 2, To: 1, Term: 6}), qt.IsNil)
+		for range ticks {
+			n.Tick()
+		}
+		qt.Assert(t, n.LeaseValid(), qt.IsFalse)
+		qt.Assert(t, n.Step(Message{Kind: MessageHeartbeatReply, From: 2, To: 1, Term: 6, Context: 1}), qt.IsNil)
+		qt.Check(t, n.LeaseValid(), qt.Equals, valid, qt.Commentf("%d ticks", ticks))
+	}
+}
+
+func TestOldGrantOfAPreVoteIsNotCounted(t *testing.T) {
+	n := newVoter(t)
+	n.startPreVote()
+	qt.Assert(t, n.Step(Message{Kind: MessagePreVoteReply, From: 2, To: 1, Term: 5}), qt.IsNil)
+	qt.Assert(t, n.Role(), qt.Equals, PreCandidate)
+	qt.Assert(t, n.Step(Message{Kind: MessagePreVoteReply, From: 3, To: 1, Term: 6}), qt.IsNil)
+	qt.Assert(t, n.Role(), qt.Equals, Candidate)
+}
+
+// TestAdvanceConfirmsOnlyWhatWasHandedOut replaces the log while the disk is busy.
+func TestAdvanceConfirmsOnlyWhatWasHandedOut(t *testing.T) {
+	n := newVoter(t)
+	old := []Entry{{Index: 6, Term: 5}, {Index: 7, Term: 5}, {Index: 8, Term: 5}}
+	qt.Assert(t, n.Step(Message{Kind: MessageAppend, From: 2, To: 1, Term: 5, Index: 5, LogTerm: 4, Entries: old}), qt.IsNil)
+	handed := n.Ready().Entries
+	snapshot := &Snapshot{Index: 6, Term: 6, Membership: Membership{Voters: []NodeID{1, 2, 3}}}
+	qt.Assert(t, n.Step(Message{Kind: MessageSnapshot, From: 3, To: 1, Term: 6, Snapshot: snapshot}), qt.IsNil)
+	renewed := []Entry{{Index: 7, Term: 6}}
+	qt.Assert(t, n.Step(Message{Kind: MessageAppend, From: 3, To: 1, Term: 6, Index: 6, LogTerm: 6, Entries: renewed}), qt.IsNil)
+	n.Advance()
+	ready := n.Ready()
+	qt.Assert(t, ready.Entries, qt.DeepEquals, renewed)
+	qt.Assert(t, ready.Snapshot, qt.DeepEquals, snapshot)
+	n.truncateFrom(7)
+	n.appendEntries([]Entry{{Index: 7, Term: 7}})
+	qt.Assert(t, [][]Entry{handed, ready.Entries}, qt.DeepEquals, [][]Entry{old, renewed}, qt.Commentf("handed out entries changed"))
+}
+
+// TestUncommittedRemovalKeepsTheVote: the removal may be truncated yet.
+func TestUncommittedRemovalKeepsTheVote(t *testing.T) {
+	n := newVoter(t)
+	removal := Entry{Index: 6, Term: 5, Kind: EntryMembership, Data: EncodeMembership(Membership{Voters: []NodeID{2, 3}})}
+	n.appendEntries([]Entry{removal})
+	qt.Assert(t, n.Role(), qt.Equals, Learner)
+	request := Message{Kind: MessagePreVote, From: 2, To: 1, Term: 6, Index: 6, LogTerm: 5}
+	qt.Assert(t, n.Step(request), qt.IsNil)
+	qt.Assert(t, n.Ready().Messages, qt.HasLen, 1)
+	n.Advance()
+	n.log.commitTo(6)
+	qt.Assert(t, n.Step(request), qt.IsNil)
+	qt.Assert(t, n.Ready().Messages, qt.HasLen, 0)
+}
+
 // fuzzNumbers are the values that arbitrary messages are made of.
 var fuzzNumbers = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, maxPosition - 1, maxPosition, maxPosition + 1, math.MaxUint64}
 
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -66,7 +66,7 @@
 func (n *Node) forgetDeparted() {
 	forgotten := false
 	for id, member := range n.leading.progress {
-		if member.departed(n.now, n.log.commit) {
+		if member.departed(n.now) {
 			delete(n.leading.progress, id)
 			forgotten = true
 		}
--- a/raft/types.go
+++ b/raft/types.go
@@ -95,7 +95,7 @@
 	LogTerm uint64
 	Index   uint64
 	Entries []Entry
-	// Commit is the sender's commit index (append, heartbeat).
+	// Commit is the sender's commit index (append, heartbeat and its reply).
 	Commit uint64
 	// Reject and Hint answer an append that does not match: Hint is the index to try next.
 	Reject bool
--- a/router/answer.go
+++ b/router/answer.go
@@ -10,6 +10,10 @@
 // answerBytesPerToken is what a claim sets aside for each token of an answer.
 const answerBytesPerToken = 32
 
+// answerReserve is set aside for any answer, so that a short one with a few long
+// tokens fits.
+const answerReserve = 1024
+
 // answerOverhead bounds what EncodeAnswer adds to the text.
 const answerOverhead = 128
 
--- a/router/claim.go
+++ b/router/claim.go
@@ -106,7 +106,7 @@
 	if held.MaxTokens <= 0 || held.MaxTokens >= c.options.AnswerLimit/answerBytesPerToken {
 		return c.options.AnswerLimit
 	}
-	return min(c.options.AnswerLimit, answerOverhead+answerBytesPerToken*held.MaxTokens)
+	return min(c.options.AnswerLimit, answerReserve+answerBytesPerToken*held.MaxTokens)
 }
 
 // withoutOutstandingClaim returns the phase of a request whose BeginClaim has
@@ -188,5 +188,8 @@
 		return
 	}
 	delete(c.orphans, id)
+	if c.mutation == mutationLeakClaim {
+		return
+	}
 	c.emit(FinishClaim{ID: id, Claim: claim})
 }
--- a/router/core.go
+++ b/router/core.go
@@ -54,6 +54,7 @@
 	mutationForgetAnswer
 	mutationIgnoreLeaving
 	mutationNoRetryAfter
+	mutationLeakClaim
 )
 
 // New makes a Core without table, placement or requests.
@@ -114,7 +115,13 @@
 	case LoadObserved:
 		c.loadObserved(event)
 	case CacheEvent:
-		c.balancer.ObserveCache(routing.CacheChange(event))
+		c.balancer.ObserveCache(routing.CacheChange{
+			Runner:     event.Runner,
+			Sequence:   event.Sequence,
+			PrefixHash: event.PrefixHash,
+			Evicted:    event.Evicted,
+			Cleared:    event.Cleared,
+		})
 	case RunnerLeaving:
 		if c.mutation != mutationIgnoreLeaving {
 			c.balancer.Leave(event.Runner)
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -290,3 +291,46 @@
 	s.arrive(nil)
 	s.c.Assert(only[Refuse](s).Refusal.Error.Kind, qt.Equals, structs.ErrorNotFound)
 }
+
+func TestAnswerTooLongToKeepEndsAsUnknown(t *testing.T) {
+	s := newScript(t, func(options *Options) { options.AnswerLimit = 2 * answerOverhead })
+	s.arrive(keyed)
+	for range 2 {
+		claim := only[BeginClaim](s).Claim
+		s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	}
+	sent := only[SendAttempt](s)
+	long := string(make([]byte, 2*answerOverhead))
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Text: long}})
+	s.c.Check(only[CancelAttempt](s).Attempt, qt.Equals, sent.Attempt)
+	s.c.Check(only[FinishClaim](s).Claim.State, qt.Equals, structs.ClaimUnknown)
+	s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionUnknown)
+}
+
+func TestColdLoadIsObservedAlsoWhenEveryRequestWasRefused(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(func(r *structs.Request) { r.Row, r.DeadlineAt = "cold", s.now.Add(time.Second) })
+	s.c.Assert(s.core.Demand().Rows, qt.DeepEquals, []structs.RowDemand{{Row: "cold", Arrived: 1}})
+	s.c.Assert(s.core.Demand().Rows, qt.HasLen, 0)
+	s.now = s.now.Add(2 * time.Second)
+	view := testView(2, "row", "cold")
+	view.Table = structs.TableDelta{}
+	s.do(ViewChanged{View: view})
+	s.c.Check(s.core.rows["cold"].estimator.ColdLoad(), qt.Equals, 2*time.Second)
+	s.c.Check(s.core.Demand().Rows, qt.HasLen, 0)
+	s.c.Check(s.core.active, qt.HasLen, 0)
+}
+
+func TestFreedSlotGoesToTheMostUrgentWaitingRequestAtOnce(t *testing.T) {
+	s := newScript(t, func(options *Options) { options.Routing = routing.Options{MaxBatch: 1, QueueSlack: 1} })
+	s.do(RunnerLeaving{Runner: "runner-1"})
+	s.arrive(nil)
+	sent := only[SendAttempt](s)
+	s.arrive(func(r *structs.Request) { r.ID = "second" })
+	only[SendAttempt](s)
+	s.arrive(func(r *structs.Request) { r.ID = "third" })
+	s.arrive(func(r *structs.Request) { r.ID, r.Priority = "live", structs.PriorityLive })
+	s.c.Assert(s.effects, qt.HasLen, 0)
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Finish: structs.FinishStop}})
+	s.c.Check(only[SendAttempt](s).Attempt.Request(), qt.Equals, structs.RequestID("live"))
+}
--- a/router/engine_test.go
+++ b/router/engine_test.go
@@ -9,7 +9,7 @@
 // sendAttempt is the adversarial engine: it refuses, loses, breaks, truncates,
 // repeats, skips and crosses what it is sent.
 func (w *world) sendAttempt(send SendAttempt) {
-	id, _, _ := cutAttempt(send.Attempt)
+	id := send.Attempt.Request()
 	target := w.requests[id]
 	if _, again := w.attempts[send.Attempt]; again {
 		w.violate("attempt", "%s was sent twice", send.Attempt)
@@ -36,16 +36,6 @@
 	}
 }
 
-// cutAttempt splits an AttemptID at its last point.
-func cutAttempt(id AttemptID) (structs.RequestID, string, bool) {
-	for index := len(id) - 1; index > 0; index-- {
-		if id[index] == '.' {
-			return structs.RequestID(id[:index]), string(id[index+1:]), true
-		}
-	}
-	return "", "", false
-}
-
 // stream schedules the tokens of an attempt, with faults.
 func (w *world) stream(send SendAttempt) {
 	at := w.now
@@ -63,6 +53,11 @@
 		if fault == 1 {
 			w.pending = append(w.pending, scheduled{at, AttemptFailed{Attempt: send.Attempt, Stage: Broken}})
 		}
+		if fault == 12 && index > send.Generate.ResumeFrom {
+			// The engine contradicts itself: it refuses what it has started.
+			w.pending = append(w.pending, scheduled{at, AttemptFailed{Attempt: send.Attempt, Stage: RefusedByEngine}})
+			return
+		}
 		if fault == 2 {
 			return
 		}
--- a/router/event.go
+++ b/router/event.go
@@ -1,12 +1,25 @@
 package router
 
-import "github.com/lotusferry/lotusferry/structs"
+import (
+	"strings"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 // AttemptID names one attempt to run a request on an engine. It is the request's
 // ID, a point and the number of the attempt; the engine knows the attempt by
 // this ID, and it is never used again.
 type AttemptID string
 
+// Request is the ID of the request that the attempt belongs to.
+func (a AttemptID) Request() structs.RequestID {
+	end := strings.LastIndexByte(string(a), attemptSeparator)
+	return structs.RequestID(a[:max(end, 0)])
+}
+
+// attemptSeparator stands between a request's ID and the attempt's number.
+const attemptSeparator = '.'
+
 // FailureStage says how far an attempt or a forward came before it failed.
 type FailureStage uint8
 
@@ -87,13 +100,17 @@
 }
 
 // CacheEvent says that a runner cached or evicted a prompt prefix (see
-// routing.PrefixHashes). Events may be late and may be missing.
+// routing.PrefixHashes), or that its cache is empty. Events may be late and may
+// be missing. An engine's event about several blocks becomes one CacheEvent for
+// each, with the same Sequence.
 type CacheEvent struct {
-	Runner     structs.RunnerID
-	Sequence   uint64
+	Runner   structs.RunnerID
+	Sequence uint64
+	// Row is part of what PrefixHash covers.
 	Row        structs.RowName
 	PrefixHash uint64
 	Evicted    bool
+	Cleared    bool
 }
 
 // RunnerLeaving says that the runner gets no new attempt from now on.
--- a/router/random_test.go
+++ b/router/random_test.go
@@ -57,6 +57,7 @@
 		{"deadlines are passed over", mutationIgnoreDeadline, "deadline"},
 		{"the answer is not kept", mutationForgetAnswer, "kept"},
 		{"a leaving runner is used", mutationIgnoreLeaving, "leaving"},
+		{"a claim outlives its request", mutationLeakClaim, "leak"},
 		{"no refusal says when to come back", mutationNoRetryAfter, "retry-after"},
 	}
 	for _, test := range tests {
--- a/router/request.go
+++ b/router/request.go
@@ -48,7 +48,7 @@
 	resumedFrom int
 	answer      []byte
 	statusAsks  int
-	prefixes    [routing.PrefixBlockLimit]uint64
+	prefixes    [routing.PrefixHashLimit]uint64
 	prefixCount int
 	queuedAt    time.Time
 	estimated   time.Duration
@@ -60,13 +60,13 @@
 func (r *request) prefixHashes() []uint64 { return r.prefixes[:r.prefixCount] }
 
 func (r *request) hashPrompt() {
-	hashes := routing.PrefixHashes(r.prefixes[:0], r.Prompt)
+	hashes := routing.PrefixHashes(r.prefixes[:0], r.Request.Row, r.Prompt)
 	r.prefixCount = len(hashes)
 }
 
 func (r *request) nextAttempt() AttemptID {
 	r.attempts++
-	return AttemptID(string(r.ID) + "." + strconv.Itoa(r.attempts))
+	return AttemptID(string(r.ID) + string(attemptSeparator) + strconv.Itoa(r.attempts))
 }
 
 // execution is what is known of the request if it ends now.
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -317,6 +317,11 @@
 			w.violate("executions", "key %s ran %d times", key, w.executions[key])
 		}
 	}
+	for key, claim := range w.claims {
+		if claim.State == structs.ClaimHeld {
+			w.violate("leak", "the claim on %s by %s was never ended", key, claim.Request)
+		}
+	}
 	if !w.core.Idle() {
 		w.violate("idle", "the core holds requests at the end: %+v", w.core.Stats())
 	}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -107,7 +107,7 @@
 // and is not much more loaded than score.
 func (b *Balancer) cached(now time.Time, wanted *row, prefixes []uint64, avoid structs.RunnerID, score float64) *replica {
 	for index := len(prefixes) - 1; index >= 0; index-- {
-		known, ok := b.hints.find(prefixes[index] ^ wanted.seed)
+		known, ok := b.hints.find(prefixes[index])
 		if !ok {
 			continue
 		}
@@ -192,22 +192,26 @@
 }
 
 // ObserveCache learns from a runner's cache event. An event older than one seen
-// before is ignored; a gap loses only hints, which cost a cache miss at worst.
+// before is ignored, while several may share a sequence; a gap loses only hints, which cost a cache miss at worst. A
+// cleared runner gets a new number, so that no hint names it any more.
 func (b *Balancer) ObserveCache(change CacheChange) {
 	target := b.runners[change.Runner]
-	if target == nil || change.Sequence <= target.sequence {
+	if target == nil || change.Sequence < target.sequence {
 		return
 	}
 	if target.sequence > 0 && change.Sequence > target.sequence+1 {
 		b.cacheGaps++
 	}
 	target.sequence = change.Sequence
-	key := change.PrefixHash ^ rowSeed(change.Row)
-	if change.Evicted {
-		b.hints.forget(key, target.number)
-		return
+	switch {
+	case change.Cleared:
+		b.lastNumber++
+		target.number = b.lastNumber
+	case change.Evicted:
+		b.hints.forget(change.PrefixHash, target.number)
+	default:
+		b.hints.learn(change.PrefixHash, target.number)
 	}
-	b.hints.learn(key, target.number)
 }
 
 // Rows lists the rows with a ready replica on the runner. The slice is shared
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -126,7 +127,7 @@
 
 func TestPrefixAffinityIsBounded(t *testing.T) {
 	balancer := newBalancer(8, Options{MaxBatch: 8, AffinityBound: 0.25})
-	prefixes := PrefixHashes(nil, strings.Repeat("a", 3*PrefixBlockBytes))
+	prefixes := PrefixHashes(nil, "row", strings.Repeat("a", 4*PrefixBlockBytes))
 	qt.Assert(t, prefixes, qt.HasLen, 3)
 	first, _ := balancer.Pick(start, "row", prefixes, "")
 	first.Sent(start, prefixes)
@@ -144,22 +145,33 @@
 
 func TestCacheEventsTeachAndForget(t *testing.T) {
 	balancer := newBalancer(8, Options{})
-	prefixes := PrefixHashes(nil, strings.Repeat("b", PrefixBlockBytes))
-	change := CacheChange{Runner: "runner-5", Sequence: 1, Row: "row", PrefixHash: prefixes[0]}
-	balancer.ObserveCache(change)
-	known := func() bool {
-		return balancer.cached(start, balancer.rows["row"], prefixes, "", 0) != nil
+	prefixes := PrefixHashes(nil, "row", strings.Repeat("b", PrefixBlockBytes))
+	steps := []struct {
+		about  string
+		change CacheChange
+		known  bool
+	}{
+		{"cached", CacheChange{Sequence: 2, PrefixHash: prefixes[0]}, true},
+		{"an older event changes nothing", CacheChange{Sequence: 1, PrefixHash: prefixes[0], Evicted: true}, true},
+		{"evicted after a gap", CacheChange{Sequence: 5, PrefixHash: prefixes[0], Evicted: true}, false},
+		{"another block of the same event", CacheChange{Sequence: 5, PrefixHash: prefixes[0]}, true},
+		{"all cleared", CacheChange{Sequence: 6, Cleared: true}, false},
+	}
+	for _, step := range steps {
+		step.change.Runner = "runner-5"
+		balancer.ObserveCache(step.change)
+		known := balancer.cached(start, balancer.rows["row"], prefixes, "", 0) != nil
+		qt.Assert(t, known, qt.Equals, step.known, qt.Commentf(step.about))
 	}
-	qt.Assert(t, known(), qt.IsTrue)
-	change.Evicted = true
-	balancer.ObserveCache(change)
-	qt.Assert(t, known(), qt.IsTrue, qt.Commentf("an event seen before changes nothing"))
-	change.Sequence = 4
-	balancer.ObserveCache(change)
-	qt.Assert(t, known(), qt.IsFalse)
 	qt.Assert(t, balancer.CacheGaps(), qt.Equals, uint64(1))
 }
 
+func TestPrefixHashesAreTheKeysOfTheEngine(t *testing.T) {
+	prompt := strings.Repeat("0123456789", 50)
+	keys := engineapi.PromptBlocks("row", prompt)
+	qt.Assert(t, PrefixHashes(nil, "row", prompt), qt.DeepEquals, []uint64{keys[0], keys[1], keys[3]})
+}
+
 func TestBreakerProbesOnceAndBacksOff(t *testing.T) {
 	balancer := newBalancer(1, Options{BreakerFailures: 2, BreakerDelay: time.Second})
 	now := start
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -12,7 +12,7 @@
 // of the slots in use, ends an older attempt. The spread is the largest load of
 // a runner over the mean, over the runners of the subset or of the baseline.
 func BenchmarkPick(b *testing.B) {
-	prefixes := PrefixHashes(nil, strings.Repeat("a", PrefixBlockLimit*PrefixBlockBytes))
+	prefixes := PrefixHashes(nil, "row", strings.Repeat("a", PrefixBlockBytes<<PrefixHashLimit))
 	for _, runners := range []int{12, 420, 10000} {
 		balancer := newBalancer(runners, Options{})
 		b.Run(fmt.Sprintf("power-of-two/runners=%d", runners), func(b *testing.B) { benchmarkBalancer(b, balancer, nil) })
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -29,7 +29,7 @@
 	target.breaker.sent()
 	c.replica.breaker.sent()
 	for _, prefix := range prefixes {
-		c.balancer.hints.learn(prefix^c.replica.row.seed, target.number)
+		c.balancer.hints.learn(prefix, target.number)
 	}
 }
 
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -91,7 +91,7 @@
 	if current == nil {
 		current = previous[placed.Row]
 		if current == nil {
-			current = &row{name: placed.Row, seed: rowSeed(placed.Row)}
+			current = &row{name: placed.Row}
 		}
 		current.ready = 0
 		current.subset = current.subset[:0]
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -6,30 +6,33 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// PrefixBlockBytes is the size of the prompt blocks that are hashed.
-const PrefixBlockBytes = 256
+// PrefixBlockBytes is the size of an engine's prefix blocks.
+const PrefixBlockBytes = 64
 
-// PrefixBlockLimit is how many blocks of a prompt are hashed at most.
-const PrefixBlockLimit = 8
+// PrefixHashLimit is how many prefixes of a prompt are hashed at most.
+const PrefixHashLimit = 8
 
 // hintRunners is how many runners are remembered for one prefix.
 const hintRunners = 4
 
-// prefixMultiplier chains the block hashes (the odd constant of splitmix64).
-const prefixMultiplier = 0x9e3779b97f4a7c15
-
-// PrefixHashes appends to destination one hash for each whole block of the
-// prompt, at most PrefixBlockLimit: the i-th covers the prompt's first i+1
-// blocks. Engines report the same hashes in their cache events.
-func PrefixHashes(destination []uint64, prompt string) []uint64 {
-	chained := uint64(0)
-	for block := 0; block < PrefixBlockLimit; block++ {
-		end := (block + 1) * PrefixBlockBytes
+// PrefixHashes appends to destination the hashes of the prompt's first 1, 2, 4, 8
+// and so on whole blocks, at most PrefixHashLimit. They are the keys by which
+// engines name cached blocks: the hash of the row's name, a zero byte and the
+// prompt up to the end of the block. A router needs only these few of them.
+func PrefixHashes(destination []uint64, row structs.RowName, prompt string) []uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(row))
+	_, _ = digest.Write([]byte{0})
+	hashed := 0
+	for count := range PrefixHashLimit {
+		end := PrefixBlockBytes << count
 		if end > len(prompt) {
 			break
 		}
-		chained = chained*prefixMultiplier + xxhash.Sum64String(prompt[end-PrefixBlockBytes:end])
-		destination = append(destination, chained)
+		_, _ = digest.WriteString(prompt[hashed:end])
+		hashed = end
+		destination = append(destination, digest.Sum64())
 	}
 	return destination
 }
@@ -103,13 +106,12 @@
 	h.younger[key] = value
 }
 
-// CacheChange is a runner's statement that it cached or evicted a prefix.
+// CacheChange is a runner's statement that it cached or evicted a prefix, or that
+// its cache is empty.
 type CacheChange struct {
 	Runner     structs.RunnerID
 	Sequence   uint64
-	Row        structs.RowName
 	PrefixHash uint64
 	Evicted    bool
+	Cleared    bool
 }
-
-func rowSeed(name structs.RowName) uint64 { return xxhash.Sum64String(string(name)) }
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -40,7 +40,6 @@
 // row lists the replicas of a row that this daemon uses.
 type row struct {
 	name   structs.RowName
-	seed   uint64
 	ready  int
 	subset []*replica
 }
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -131,8 +131,13 @@
 		return nil
 	}
 	var best *placement
+	elsewhere := false
 	for _, runner := range p.runners {
-		if runner.Leaving || runner.Lagging || runner.Role != row.Role || runner.holds(row.Name) {
+		if runner.Leaving || runner.Lagging || runner.Role != row.Role {
+			continue
+		}
+		if runner.holds(row.Name) {
+			elsewhere = true
 			continue
 		}
 		limit := math.Inf(1)
@@ -144,7 +149,7 @@
 			best = option
 		}
 	}
-	if best == nil && !row.NeedsBase() && p.storeOpen() {
+	if best == nil && !elsewhere && !row.NeedsBase() && p.storeOpen() {
 		p.failed[key] = row.MemoryBytes
 	}
 	return best
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -129,7 +129,7 @@
 		{"the row less likely to be used makes room", func(s *Snapshot) {
 			s.place("a", 0, ready, 0)
 			s.place("b", 1, ready, 0)
-			s.Table.(testTable).rows["c"] = structs.Row{Name: "c", MemoryBytes: 90}
+			s.Table.(testTable).rows["c"] = structs.Row{Name: "c", MemoryBytes: 90, Priority: structs.PriorityStandard}
 			s.Table.(testTable).limits["c"] = 1
 			s.Interarrivals = map[structs.RowName]*Interarrivals{"a": {}, "b": {}}
 			for range 10 {
@@ -140,6 +140,46 @@
 			s.Demand = append(s.Demand, used("a", time.Minute), used("b", time.Minute))
 			s.want("c", 1, 0)
 		}, nil, steps{"b@r2": ReasonEvicted}},
+		{"a row on all runners leaves room for others", func(s *Snapshot) {
+			s.Runners[0].MemoryBytes = 200
+			s.Table.(testTable).limits["a"] = 3
+			s.setRow("b", func(r *structs.Row) { r.MemoryBytes = 70 })
+			s.place("a", 0, ready, 30)
+			s.place("a", 1, ready, 30)
+			s.want("a", 900, 60)
+			s.want("b", 1, 0)
+		}, steps{"b@r1": ReasonDemand}, nil},
+		{"longer wait first", func(s *Snapshot) {
+			s.Runners = s.Runners[:1]
+			s.want("a", 1, 0)
+			s.want("b", 1, 0)
+			s.Demand[1].OldestWait = time.Second
+		}, steps{"b@r1": ReasonDemand}, nil},
+		{"row with waiting requests stays", func(s *Snapshot) {
+			s.Runners = s.Runners[:1]
+			s.place("a", 0, ready, 0)
+			s.want("a", 1, 0)
+			s.want("b", 1, 0)
+		}, nil, nil},
+		{"minimum stays, whoever waits and however long it is idle", func(s *Snapshot) {
+			s.Runners = s.Runners[:1]
+			s.place("a", 0, ready, 0)
+			s.setRow("a", func(r *structs.Row) { r.MinReplicas = 1 })
+			s.want("b", 1, 0)
+		}, nil, nil},
+		{"memory that a more urgent row waits for is not taken", func(s *Snapshot) {
+			s.Runners = s.Runners[:1]
+			s.place("a", 0, structs.ReplicaUnloading, 0)
+			s.setRow("b", func(r *structs.Row) { r.MemoryBytes, r.Priority = 90, structs.PriorityLive })
+			s.Table.(testTable).rows["c"] = structs.Row{Name: "c", MemoryBytes: 30}
+			s.Table.(testTable).limits["c"] = 1
+			s.want("b", 1, 0)
+			s.want("c", 1, 0)
+		}, nil, nil},
+		{"nothing is unloaded on a lagging runner", func(s *Snapshot) {
+			s.Runners[0].Lagging = true
+			s.place("a", 0, ready, 0)
+		}, nil, nil},
 		{"busy row stays", func(s *Snapshot) {
 			s.Runners = s.Runners[:1]
 			s.place("a", 0, ready, 1)
@@ -213,8 +253,20 @@
 	}
 }
 
+func TestWantedNamesBasesAndWhatIsKept(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.Table.(testTable).limits["a"] = 0
+	snapshot.place("b", 0, structs.ReplicaReady, 0)
+	snapshot.Demand = append(snapshot.Demand, used("b", time.Second))
+	snapshot.want("t", 60, 0)
+	plan := Plan(snapshot)
+	qt.Assert(t, plan.Wanted, qt.DeepEquals, []RowWanted{{"a", 2}, {"b", 1}, {"t", 2}})
+	qt.Assert(t, plan.Loads, qt.HasLen, 0)
+}
+
 func TestKeepAliveFollowsArrivalsAndObjective(t *testing.T) {
 	settings := DefaultSettings()
+	settings.MinimumKeepAlive = time.Second
 	reload := 4 * time.Second
 	for _, test := range []struct {
 		name      string
@@ -224,7 +276,7 @@
 	}{
 		{"latency keeps through the usual gap", 3 * time.Minute, structs.ObjectiveLatency, 256 * time.Second},
 		{"idle does not", 3 * time.Minute, structs.ObjectiveIdle, settings.MinimumKeepAlive},
-		{"idle keeps through a short gap", 12 * time.Second, structs.ObjectiveIdle, 16 * time.Second},
+		{"idle keeps through a short gap", 6 * time.Second, structs.ObjectiveIdle, 8 * time.Second},
 		{"latency gives up on a long gap", 3 * time.Hour, structs.ObjectiveLatency, settings.MinimumKeepAlive},
 		{"nothing known, latency", 0, structs.ObjectiveLatency, 480 * time.Second},
 		{"nothing known, idle", 0, structs.ObjectiveIdle, 16 * time.Second},
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -61,6 +61,8 @@
 	usable  int
 	ready   int
 	wanted  int
+	// useful is what the row is said to be able to use.
+	useful int
 	// lastUsed includes the use by adapters.
 	lastUsed time.Time
 }
@@ -96,13 +98,7 @@
 }
 
 func (p *planner) run() PlanResult {
-	for _, name := range p.names {
-		row := p.rows[name]
-		row.wanted = p.wanted(row)
-		if row.wanted > 0 {
-			p.plan.Wanted = append(p.plan.Wanted, RowWanted{name, row.wanted})
-		}
-	}
+	p.planWanted()
 	for _, name := range p.names {
 		p.planSurplus(p.rows[name])
 		p.planLeaving(p.rows[name])
@@ -174,6 +170,24 @@
 	return state
 }
 
+// planWanted works out how many replicas each row could use. To the global group
+// it also names the bases that adapters need, and what is kept for later use.
+func (p *planner) planWanted() {
+	for _, name := range p.names {
+		row := p.rows[name]
+		row.wanted = p.wanted(row)
+		row.useful = max(row.useful, row.wanted, min(row.usable, row.limit))
+		if base, ok := p.rows[row.Base]; ok && row.NeedsBase() {
+			base.useful = max(base.useful, row.wanted)
+		}
+	}
+	for _, name := range p.names {
+		if row := p.rows[name]; row.exists && row.useful > 0 {
+			p.plan.Wanted = append(p.plan.Wanted, RowWanted{name, row.useful})
+		}
+	}
+}
+
 // wanted returns how many replicas the row could use, whatever its limit.
 func (p *planner) wanted(row *rowState) int {
 	if !row.exists {
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -162,6 +162,6 @@
 	Loads      []LoadDecision
 	Unloads    []UnloadDecision
 	Prefetches []PrefetchDecision
-	// Wanted has an entry for each row with demand or a minimum, ordered by row.
+	// Wanted has an entry for each row that is or should be loaded, ordered by row.
 	Wanted []RowWanted
 }
--- a/simulate/editrecords.go
+++ b/simulate/editrecords.go
@@ -118,6 +118,7 @@
 	l.site.counts.EditsAccepted++
 	l.site.trace.Note("accepted", string(edit.ID), fmt.Sprintf("revision %d", result.Edit.Revision))
 	l.edits.accept(edit, result.Edit.Revision)
+	l.limits.update(l)
 }
 
 // editAnswered judges what a member tells an operator.
--- a/simulate/ledger.go
+++ b/simulate/ledger.go
@@ -43,6 +43,7 @@
 	edits   *editRecords
 	zones   map[structs.ZoneID]*zoneRecord
 	engines map[structs.RunnerID]*engineRecord
+	limits  *limitRecords
 	// newestTable is the state of a member that has applied the newest command of
 	// the global group.
 	newestTable *table.State
@@ -68,6 +69,7 @@
 		edits:   newEditRecords(),
 		zones:   map[structs.ZoneID]*zoneRecord{},
 		engines: map[structs.RunnerID]*engineRecord{},
+		limits:  newLimitRecords(),
 	}
 	for _, zone := range site.zones {
 		l.zones[zone] = newZoneRecord()
--- a/simulate/loadrecords.go
+++ b/simulate/loadrecords.go
@@ -10,23 +10,27 @@
 
 // zoneRecord is what a zone's group committed, as far as the checkers need it.
 type zoneRecord struct {
-	// revision and limits are the table in force.
+	// revision and rows are the table in force.
 	revision uint64
-	limits   map[structs.RowName]int
+	rows     map[structs.RowName]structs.Row
 	// acted is the newest revision that a leader acted on.
 	acted uint64
 	// orders are the orders that the log recorded, by number.
 	orders map[structs.OrderNumber]orderRecord
+	// replicas are those that the log records, with the step that reserved them.
+	replicas     map[placement]uint64
+	incarnations map[structs.RunnerID]structs.Incarnation
 }
 
-// orderRecord is an order that a zone's log recorded.
-type orderRecord struct {
+// placement names a replica by its row and runner.
+type placement struct {
 	row    structs.RowName
 	runner structs.RunnerID
-	// bound is how many replicas the table allowed anywhere when the replica was reserved.
-	bound int
 }
 
+// orderRecord is an order that a zone's log recorded.
+type orderRecord struct{ placement }
+
 // engineRecord is what an engine holds, by its own records.
 type engineRecord struct {
 	zone   structs.ZoneID
@@ -38,8 +42,10 @@
 
 func newZoneRecord() *zoneRecord {
 	return &zoneRecord{
-		limits: map[structs.RowName]int{},
-		orders: map[structs.OrderNumber]orderRecord{},
+		rows:         map[structs.RowName]structs.Row{},
+		orders:       map[structs.OrderNumber]orderRecord{},
+		replicas:     map[placement]uint64{},
+		incarnations: map[structs.RunnerID]structs.Incarnation{},
 	}
 }
 
@@ -49,7 +55,8 @@
 		l.judge.Report(checkerFailure, "a committed zone command cannot be decoded: %v", outcome.err)
 		return
 	}
-	if outcome.result.Error != nil {
+	if problem := outcome.result.Error; problem != nil {
+		l.site.trace.Note("zone-refused", string(m.group), problem.Message)
 		return
 	}
 	record := l.zones[m.machine.Zone]
@@ -58,16 +65,35 @@
 	switch {
 	case command.Adopt != nil:
 		l.adopted(m, *command.Adopt, outcome.result.TableRevision)
+	case command.Runner != nil:
+		record.registered(command.Runner.Info)
 	case command.Reserve != nil:
-		row := command.Reserve.Row
-		record.orders[number] = orderRecord{row, command.Reserve.Runner, l.bound(row)}
+		l.reserved(m.machine.Zone, number, placement{command.Reserve.Row, command.Reserve.Runner})
+	case command.Prefetch != nil && outcome.result.Order == number:
+		record.orders[number] = orderRecord{placement{command.Prefetch.Row, command.Prefetch.Runner}}
+	case command.Remove != nil:
+		delete(record.replicas, placement{command.Remove.Row, command.Remove.Runner})
 	case command.Transition != nil && outcome.result.Order == number:
 		record.renumber(command.Transition.Order, number)
 	case command.Touch != nil:
 		record.renumber(command.Touch.Order, number)
 	}
 	if outcome.result.Order == number {
-		l.site.trace.Note("recorded", string(m.group), fmt.Sprintf("order %d: %s on %s", number, record.orders[number].row, record.orders[number].runner))
+		recorded := record.orders[number]
+		l.site.trace.Note("recorded", string(m.group), fmt.Sprintf("order %d: %s on %s", number, recorded.row, recorded.runner))
+	}
+}
+
+// registered forgets the replicas of a runner that came back empty.
+func (z *zoneRecord) registered(info structs.RunnerInfo) {
+	if info.Incarnation <= z.incarnations[info.ID] {
+		return
+	}
+	z.incarnations[info.ID] = info.Incarnation
+	for replica := range z.replicas {
+		if replica.runner == info.ID {
+			delete(z.replicas, replica)
+		}
 	}
 }
 
@@ -90,23 +116,14 @@
 		l.judge.Report(checkerInForce, "zone %s has other rows in force at revision %d than the table had: %v instead of %v",
 			m.machine.Zone, revision, rows, expected)
 	}
-	record.limits = map[structs.RowName]int{}
+	record.rows = map[structs.RowName]structs.Row{}
 	for _, row := range rows {
-		record.limits[row.Name] = row.MaxReplicas
+		record.rows[row.Name] = row
 	}
+	l.limits.update(l)
 	l.site.trace.Note("in-force", string(m.machine.Zone), fmt.Sprintf("revision %d", revision))
 }
 
-// bound is how many replicas of the row there may be at most now: by the table,
-// or by an older table that some zone still acts on.
-func (l *ledger) bound(row structs.RowName) int {
-	bound := l.edits.maxReplicas(row)
-	for _, record := range l.zones {
-		bound = max(bound, record.limits[row])
-	}
-	return bound
-}
-
 func (l *ledger) engine(h *engineHost) *engineRecord {
 	record := l.engines[h.id]
 	if record == nil {
@@ -155,29 +172,7 @@
 	case structs.ReplicaLoading:
 		record.loaded[change.Row] = true
 		l.site.counts.Loads++
-		l.checkGrowth(h, change.Row)
-	}
-}
-
-// checkGrowth judges a replica that an engine has begun to load.
-func (l *ledger) checkGrowth(h *engineHost, row structs.RowName) {
-	inZone, total := 0, 0
-	for _, record := range l.engines {
-		if record.loaded[row] {
-			total++
-			if record.zone == h.zone {
-				inZone++
-			}
-		}
-	}
-	number := l.engine(h).accepted.Fence.Number
-	bound := max(l.bound(row), l.zones[h.zone].orders[number].bound)
-	if total > bound {
-		l.judge.Report(checkerReplicas, "engine %s loads replica %d of %s, the table allows %d", h.id, total, row, bound)
-	}
-	if held := l.held(h.zone, row); inZone > held {
-		l.judge.Report(checkerGrant, "engine %s loads replica %d of %s in zone %s, which holds a grant of %d",
-			h.id, inZone, row, h.zone, held)
+		l.loaded(h, change.Row)
 	}
 }
 
--- a/simulate/member.go
+++ b/simulate/member.go
@@ -13,7 +13,7 @@
 	tickInterval    = 100 * time.Millisecond
 	electionTicks   = 10
 	heartbeatTicks  = 2
-	snapshotEntries = 80
+	snapshotEntries = 150
 	// missedTicksLimit bounds the ticks that a process makes up for after a pause.
 	missedTicksLimit = 4 * electionTicks
 )
--- a/simulate/operator.go
+++ b/simulate/operator.go
@@ -68,6 +68,11 @@
 		return
 	}
 	o.attempts = 0
+	// Half of the time the operator trusts the rows that are already on the screen.
+	if len(o.rows) > 0 && o.random.IntN(2) == 0 {
+		o.compose()
+		return
+	}
 	o.editing = false
 	o.floor = o.site.ledger.newestAccepted
 	o.ask()
@@ -147,14 +152,14 @@
 func (o *tableOperator) compose() {
 	o.intents++
 	o.intent = intentID{operator: o.number, number: o.intents}
-	name := simulatedRows[o.random.IntN(len(simulatedRows))]
+	name := o.pickRow()
 	o.edit = structs.Edit{
 		ID:      o.site.nextEditID(o.intent),
 		Author:  string(o.address),
 		Changes: []structs.RowChange{o.change(name)},
 	}
 	if o.random.IntN(8) == 0 {
-		second := simulatedRows[o.random.IntN(len(simulatedRows))]
+		second := o.pickRow()
 		if second != name {
 			o.edit.Changes = append(o.edit.Changes, o.change(second))
 		}
@@ -165,6 +170,14 @@
 	o.ask()
 }
 
+// pickRow prefers the first row, so that operators race for it.
+func (o *tableOperator) pickRow() structs.RowName {
+	if o.random.IntN(3) == 0 {
+		return simulatedRows[0]
+	}
+	return simulatedRows[o.random.IntN(len(simulatedRows))]
+}
+
 // change makes a change of one row: a new limit most of the time.
 func (o *tableOperator) change(name structs.RowName) structs.RowChange {
 	row, found := findRow(o.rows, name)
--- a/simulate/tablefaults.go
+++ b/simulate/tablefaults.go
@@ -154,7 +154,7 @@
 }
 
 // silenceLeader cuts off the leader of a zone. Its orders are held back, from a
-// moment before, and arrive late.
+// moment before, and arrive late. The fault must last longer than silenceLead.
 func (s *tableSite) silenceLeader(group groupName, held time.Duration) (heal func()) {
 	d := s.leaderOf(group)
 	if d == nil {
@@ -162,7 +162,7 @@
 	}
 	s.heldOrders[d.machine.Address] = held
 	var healCut func()
-	s.scheduler.After(silenceLead, func() { healCut = s.cutMachine(d) })
+	s.scheduler.After(silenceLead, func() { healCut = s.deafen(d) })
 	return func() {
 		delete(s.heldOrders, d.machine.Address)
 		if healCut != nil {
@@ -171,6 +171,21 @@
 	}
 }
 
+// deafen cuts a control machine off from all others and from what engines report.
+func (s *tableSite) deafen(d *daemon) (heal func()) {
+	healCut := s.cutMachine(d)
+	change := func(apply func(from, to Address)) {
+		for _, host := range s.engines {
+			apply(engineAddress(host.id), d.machine.Address)
+		}
+	}
+	change(s.network.Cut)
+	return func() {
+		healCut()
+		change(s.network.Heal)
+	}
+}
+
 // leaderOf returns the daemon that leads the group in the newest term, or nil.
 func (s *tableSite) leaderOf(group groupName) *daemon {
 	var newest *daemon
--- a/simulate/zonecontroller.go
+++ b/simulate/zonecontroller.go
@@ -221,9 +221,6 @@
 	if m.node == nil || !m.leads() || delta.Revision <= c.state.TableRevision() {
 		return
 	}
-	if c.awaitedTerm == m.node.Term() && m.applied < c.awaited {
-		return
-	}
 	delta = c.mutate(delta)
 	c.propose(zone.Command{Adopt: &delta})
 	m.pump()
--- a/table/benchmark_test.go
+++ b/table/benchmark_test.go
@@ -115,7 +115,14 @@
 	}
 }
 
-func BenchmarkAddZone(b *testing.B) {
+func BenchmarkFullDelta(b *testing.B) {
+	state := benchmarkState(b, true)
+	for b.Loop() {
+		qt.Assert(b, len(state.Delta("a", 0).Rows), qt.Equals, benchmarkModels+benchmarkAdapters)
+	}
+}
+
+func BenchmarkZoneWeight(b *testing.B) {
 	state := benchmarkState(b, false)
 	weight := 1
 	for b.Loop() {
--- a/table/codec_test.go
+++ b/table/codec_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -73,6 +74,20 @@
 	}
 }
 
+func TestSnapshotKeepsGrantsAndWishes(t *testing.T) {
+	state := sampleState(t)
+	data, err := state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	restored := New()
+	qt.Assert(t, restored.Restore(data), qt.IsNil)
+	for name, row := range state.rows {
+		qt.Assert(t, restored.rows[name].grants, qt.CmpEquals(cmp.AllowUnexported(grantState{})), row.grants)
+		qt.Assert(t, restored.rows[name].zonesChanged, qt.Equals, row.zonesChanged)
+	}
+	qt.Assert(t, restored.Zones(), qt.DeepEquals, state.Zones())
+	qt.Assert(t, restored.History(0), qt.DeepEquals, state.History(0))
+}
+
 func TestDamagedSnapshotLeavesStateAsItWas(t *testing.T) {
 	good, err := sampleState(t).Snapshot()
 	qt.Assert(t, err, qt.IsNil)
@@ -121,7 +136,7 @@
 	f.Add(plain.Bytes())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		qt.Assert(t, New().Restore(data), qt.IsNotNil)
-		state, err := restorePlain(data)
+		state, err := restorePlain(bytes.NewReader(data))
 		if err != nil {
 			return
 		}
--- a/table/delta.go
+++ b/table/delta.go
@@ -1,11 +1,15 @@
 package table
 
 import (
+	"math"
 	"slices"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// noZone is the index of a zone that has no grants.
+const noZone = math.MaxUint16
+
 // Delta returns what changed after the revision since, for the zone: rows,
 // deletions, the zone's grants, and the zones that may serve the changed rows.
 // Its cost depends on what changed. The delta is full when since is 0, newer than
@@ -19,7 +23,7 @@
 	}
 	index, isKnown := s.zoneIndex[zone]
 	if !isKnown {
-		index = -1
+		index = noZone
 	}
 	for _, row := range s.changedAfter(since) {
 		s.addToDelta(&delta, row, index, since)
@@ -37,7 +41,7 @@
 	return changed
 }
 
-func (s *State) addToDelta(delta *structs.TableDelta, row *rowState, zone int32, since uint64) {
+func (s *State) addToDelta(delta *structs.TableDelta, row *rowState, zone uint16, since uint64) {
 	isChanged := row.row.Revision > since
 	switch {
 	case isChanged && !row.deleted:
--- a/table/edit_test.go
+++ b/table/edit_test.go
@@ -43,6 +43,9 @@
 	for i, command := range commands {
 		qt.Assert(t, *restored.Apply(command).Edit, qt.DeepEquals, first[i])
 	}
+	// The table sets Row.Revision, so what a client sends there doesn't count.
+	commands[0].Edit.Edit.Changes[0].Row.Revision = 3
+	qt.Assert(t, *restored.Apply(commands[0]).Edit, qt.DeepEquals, first[0])
 	other := restored.Apply(editOf("accepted", put(modelRow("m", 2), 0)))
 	qt.Assert(t, other.Error.Kind, qt.Equals, structs.ErrorInvalid)
 	qt.Assert(t, restored.Check(structs.Edit{ID: "accepted"}).Problems[0].Column, qt.Equals, "edit_id")
@@ -123,13 +126,14 @@
 }
 
 func TestDeltaIsFullOnceTombstonesAreForgotten(t *testing.T) {
-	state := New()
-	count := TombstoneRetention + tombstonePruneBatch
+	state := stateWith(1)
+	mustApply(t, state, editOf("hold", put(modelRow("held", 1), 0)), editOf("drop", remove("held", 1)))
+	count := TombstoneRetention + tombstonePruneBatch - 1
 	for i := range count {
 		name := fmt.Sprintf("m%d", i)
 		state.Apply(editOf("make"+name, put(modelRow(name, 0), 0)))
 		if i < count-1 {
-			state.Apply(editOf("delete"+name, remove(name, uint64(2*i+1))))
+			state.Apply(editOf("delete"+name, remove(name, uint64(2*i+3))))
 		}
 	}
 	last := state.Revision()
@@ -142,4 +146,11 @@
 	qt.Assert(t, delta.Full, qt.IsFalse)
 	qt.Assert(t, delta.Deleted, qt.HasLen, 1)
 	qt.Assert(t, state.tombstones, qt.Equals, TombstoneRetention)
+	qt.Assert(t, limitsOf(state, "held"), qt.Equals, "a:0/1 ")
+	data, err := state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	restored := New()
+	qt.Assert(t, restored.Restore(data), qt.IsNil)
+	qt.Assert(t, restored.Delta("a", 1).Full, qt.IsTrue)
+	qt.Assert(t, restored.pruneAt, qt.Equals, state.pruneAt)
 }
--- a/table/grant.go
+++ b/table/grant.go
@@ -42,7 +42,7 @@
 		if zone.Removed {
 			continue
 		}
-		part := share{zone: int32(index), weight: zone.Weight, rank: mixHash(rowHash ^ s.zoneRanks[index])}
+		part := share{zone: uint16(index), weight: zone.Weight, rank: mixHash(rowHash ^ s.zoneRanks[index])}
 		if position < len(row.grants) && int(row.grants[position].zone) == index {
 			grant := &row.grants[position]
 			part.limit = int(grant.limit)
@@ -72,8 +72,8 @@
 		return
 	}
 	isSetChanged := (grant.limit > 0) != (limit > 0)
-	grant.limit = int32(limit)
-	grant.held = int32(held)
+	grant.limit = uint16(limit)
+	grant.held = uint16(held)
 	grant.sequence = s.next
 	s.markChanged(row)
 	if isSetChanged {
--- a/table/grant_test.go
+++ b/table/grant_test.go
@@ -28,6 +28,7 @@
 		{"much higher wish takes", 1, []int{1, 1}, []int{1, 10}, []int{1, 0}, []int{0, 1}},
 		{"contested and balanced stays", 10, []int{1, 1}, []int{40, 60}, []int{5, 5}, []int{5, 5}},
 		{"contested and unbalanced moves", 10, []int{1, 1}, []int{30, 70}, []int{5, 5}, []int{3, 7}},
+		{"contested but idle moves", 20, []int{1, 1}, []int{9, 13}, []int{10, 10}, []int{8, 12}},
 		{"lowered total cuts the idle", 4, []int{1, 1}, []int{4, 0}, []int{4, 4}, []int{4, 0}},
 		{"raised total adds", 12, []int{1, 1}, []int{0, 0}, []int{4, 4}, []int{6, 6}},
 		{"nothing to split", 0, []int{1, 1}, []int{3, 0}, []int{2, 2}, []int{0, 0}},
@@ -93,15 +94,19 @@
 	partial.Release.Limit = 3
 	mustApply(t, state, partial)
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:1/3 b:1/1 ")
-	mustApply(t, state, releaseOf(grantOf(state, "m", "a")))
+	// A zone that is down to less than its limit may load up to the limit again.
+	below := releaseOf(grantOf(state, "m", "a"))
+	below.Release.Limit = 0
+	mustApply(t, state, below)
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:1/1 b:3/3 ")
 }
 
 func TestRowMadeAgainCountsWhatIsStillHeld(t *testing.T) {
 	state := stateWith(2)
-	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)))
+	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)), wishOf("a", "m", 2))
 	mustApply(t, state, editOf("delete", remove("m", state.Revision())))
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:0/2 b:0/2 ")
+	qt.Assert(t, state.rows["m"].grant(0).wish, qt.Equals, uint16(0))
 	qt.Assert(t, state.Delta("a", 0).Grants, qt.HasLen, 1)
 	late := grantOf(state, "m", "a")
 	mustApply(t, state, editOf("again", put(modelRow("m", 3), 0)))
@@ -118,13 +123,19 @@
 func TestRemovedZoneKeepsHeldUnlessForced(t *testing.T) {
 	state := stateWith(2)
 	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)))
-	mustApply(t, state, Command{Zone: &ZoneCommand{Zone: "b", Remove: true}})
+	mustApply(t, state, wishOf("b", "m", 1), Command{Zone: &ZoneCommand{Zone: "b", Remove: true}})
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/2 b:0/2 ")
+	qt.Assert(t, state.rows["m"].grant(1).wish, qt.Equals, uint16(0))
 	qt.Assert(t, state.Apply(wishOf("b", "m", 1)).Error.Kind, qt.Equals, structs.ErrorNotFound)
 	mustApply(t, state, Command{Zone: &ZoneCommand{Zone: "b", Remove: true, Force: true}})
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:4/4 ")
 	mustApply(t, state, Command{Zone: &ZoneCommand{Zone: "b", Weight: 1}})
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/4 ")
+	mustApply(t, state, editOf("lower", put(modelRow("m", 1), 1)))
+	qt.Assert(t, state.rows["m"].heldBefore, qt.Equals, 4)
+	mustApply(t, state, Command{Zone: &ZoneCommand{Zone: "a", Remove: true, Force: true}})
+	qt.Assert(t, state.rows["m"].heldBefore, qt.Equals, 0)
+	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "b:1/1 ")
 }
 
 func TestRevisionInForceNeverFalls(t *testing.T) {
--- a/table/invariant.go
+++ b/table/invariant.go
@@ -78,8 +78,8 @@
 		if grant.limit > grant.held {
 			return errors.Errorf("row %q: a zone's limit %d is above the %d it holds", name, grant.limit, grant.held)
 		}
-		if grant.limit < 0 || grant.wish < 0 || grant.wish > MaxReplicasLimit {
-			return errors.Errorf("row %q: a zone has the limit %d and wishes %d", name, grant.limit, grant.wish)
+		if grant.wish > MaxReplicasLimit {
+			return errors.Errorf("row %q: a zone wishes %d", name, grant.wish)
 		}
 		if grant.sequence > row.changed {
 			return errors.Errorf("row %q: a grant's sequence %d is beyond the row's last change %d", name, grant.sequence, row.changed)
--- a/table/row.go
+++ b/table/row.go
@@ -28,13 +28,15 @@
 	following *rowState
 }
 
-// grantState is a zone's grant of a row, with the zone's wish.
+// grantState is a zone's grant of a row, with the zone's wish. There may be one
+// for each row and zone, so it is kept small: no number exceeds
+// MaxReplicasLimit, and no zone index MaxZones.
 type grantState struct {
-	zone     int32
-	limit    int32
-	held     int32
-	wish     int32
 	sequence uint64
+	zone     uint16
+	limit    uint16
+	held     uint16
+	wish     uint16
 }
 
 // maxReplicas is the limit over all zones: 0 for a deleted row.
@@ -63,15 +65,15 @@
 	}
 }
 
-func (r *rowState) findGrant(zone int32) (int, bool) {
-	return slices.BinarySearchFunc(r.grants, zone, func(grant grantState, zone int32) int {
+func (r *rowState) findGrant(zone uint16) (int, bool) {
+	return slices.BinarySearchFunc(r.grants, zone, func(grant grantState, zone uint16) int {
 		return cmp.Compare(grant.zone, zone)
 	})
 }
 
 // grant returns the zone's grant, making an empty one when there is none. The
 // pointer is valid until the next call.
-func (r *rowState) grant(zone int32) *grantState {
+func (r *rowState) grant(zone uint16) *grantState {
 	position, found := r.findGrant(zone)
 	if !found {
 		r.grants = slices.Insert(r.grants, position, grantState{zone: zone})
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -1,9 +1,10 @@
 package table
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
-	"fmt"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
@@ -14,32 +15,41 @@
 // A snapshot is the magic, the xxhash64 of the rest, and the zstd-compressed
 // msgpack of the state.
 const (
-	snapshotMagic    = "lftable1"
-	snapshotHeader   = len(snapshotMagic) + 8
-	maxSnapshotBytes = 256 << 20
+	snapshotMagic  = "lftable1"
+	checksumBytes  = 8
+	snapshotHeader = len(snapshotMagic) + checksumBytes
+	snapshotWindow = 1 << 20
+	bufferBytes    = 64 << 10
+	// maxSnapshotBytes bounds what a snapshot may decompress to.
+	maxSnapshotBytes = 1 << 30
 )
 
 // Snapshot encodes the state. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	var plain bytes.Buffer
-	writer := snapshotWriter{encoder: msgpack.NewEncoder(&plain)}
-	writer.state(s)
-	if writer.err != nil {
-		return nil, structs.NewError(structs.ErrorInternal, "encoding a table snapshot: "+writer.err.Error(), "Report this as a fault.")
-	}
-	if plain.Len() > maxSnapshotBytes {
-		return nil, structs.NewError(structs.ErrorLimit, fmt.Sprintf("the table takes %d bytes", plain.Len()),
-			"Delete rows that are not needed.")
+	var data bytes.Buffer
+	data.WriteString(snapshotMagic)
+	data.Write(make([]byte, checksumBytes))
+	if err := s.writeCompressed(&data); err != nil {
+		return nil, structs.NewError(structs.ErrorInternal, "encoding a table snapshot: "+err.Error(), "Report this as a fault.")
 	}
-	compressor, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault))
+	snapshot := data.Bytes()
+	binary.BigEndian.PutUint64(snapshot[len(snapshotMagic):], xxhash.Sum64(snapshot[snapshotHeader:]))
+	return snapshot, nil
+}
+
+// writeCompressed streams the state, so that it never stands uncompressed in
+// memory as a whole.
+func (s *State) writeCompressed(target io.Writer) error {
+	compressor, err := zstd.NewWriter(target, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(snapshotWindow))
 	if err != nil {
-		return nil, structs.NewError(structs.ErrorInternal, "compressing a table snapshot: "+err.Error(), "Report this as a fault.")
+		return err
 	}
-	data := make([]byte, snapshotHeader, snapshotHeader+plain.Len()/4)
-	copy(data, snapshotMagic)
-	data = compressor.EncodeAll(plain.Bytes(), data)
-	binary.BigEndian.PutUint64(data[len(snapshotMagic):], xxhash.Sum64(data[snapshotHeader:]))
-	return data, compressor.Close()
+	buffered := bufio.NewWriterSize(compressor, bufferBytes)
+	writer := snapshotWriter{encoder: msgpack.NewEncoder(buffered)}
+	writer.state(s)
+	writer.keep(buffered.Flush())
+	writer.keep(compressor.Close())
+	return writer.err
 }
 
 // Restore replaces the state by a snapshot. A snapshot that fails its checksum or
@@ -53,16 +63,13 @@
 	if binary.BigEndian.Uint64(data[len(snapshotMagic):]) != xxhash.Sum64(payload) {
 		return corruptSnapshot("its checksum is wrong")
 	}
-	decompressor, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
-	if err != nil {
-		return structs.NewError(structs.ErrorInternal, "reading a table snapshot: "+err.Error(), "Report this as a fault.")
-	}
-	defer decompressor.Close()
-	plain, err := decompressor.DecodeAll(payload, nil)
+	decompressor, err := zstd.NewReader(bytes.NewReader(payload), zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderMaxWindow(snapshotWindow))
 	if err != nil {
 		return corruptSnapshot(err.Error())
 	}
-	restored, err := restorePlain(plain)
+	defer decompressor.Close()
+	restored, err := restorePlain(decompressor)
 	if err != nil {
 		return err
 	}
@@ -71,15 +78,15 @@
 }
 
 // restorePlain builds a state from the msgpack of a snapshot and checks it.
-func restorePlain(plain []byte) (*State, error) {
-	source := bytes.NewReader(plain)
-	reader := snapshotReader{decoder: msgpack.NewDecoder(source), names: make(map[string]string)}
+func restorePlain(source io.Reader) (*State, error) {
+	buffered := bufio.NewReaderSize(io.LimitReader(source, maxSnapshotBytes), bufferBytes)
+	reader := snapshotReader{decoder: msgpack.NewDecoder(buffered), names: make(map[string]string)}
 	restored := New()
 	reader.state(restored)
 	if reader.err != nil {
 		return nil, corruptSnapshot(reader.err.Error())
 	}
-	if source.Len() > 0 {
+	if _, err := buffered.ReadByte(); err != io.EOF {
 		return nil, corruptSnapshot("there is data after the end")
 	}
 	if err := restored.CheckInvariants(); err != nil {
--- a/table/snapshot_read.go
+++ b/table/snapshot_read.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"math"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -55,13 +56,13 @@
 }
 
 // small reads an integer that fits the numbers of a grant.
-func (r *snapshotReader) small() int32 {
+func (r *snapshotReader) small() uint16 {
 	value := r.integer()
-	if value < 0 || value > 1<<30 {
+	if value < 0 || value > math.MaxUint16 {
 		r.fail("a grant is out of range")
 		return 0
 	}
-	return int32(value)
+	return uint16(value)
 }
 
 // name reads a text that recurs in many rows.
@@ -91,7 +92,12 @@
 	s.revision = r.unsigned()
 	s.floor = r.unsigned()
 	s.pruneAt = r.integer()
-	for _, zone := range list(r, r.zone) {
+	zones := list(r, r.zone)
+	if len(zones) > MaxZones {
+		r.fail("there are too many zones")
+		return
+	}
+	for _, zone := range zones {
 		s.addZone(zone)
 	}
 	for _, row := range list(r, func() *rowState { return r.rowState(len(s.zones)) }) {
--- a/table/split.go
+++ b/table/split.go
@@ -12,7 +12,7 @@
 
 // share is one active zone's part in the split of a row's limit.
 type share struct {
-	zone   int32
+	zone   uint16
 	weight int
 	// rank orders zones that are equal otherwise; it is a hash of row and zone.
 	rank uint64
--- a/table/state.go
+++ b/table/state.go
@@ -36,7 +36,7 @@
 	floor      uint64
 	// zones never shrinks: grants refer to zones by their index.
 	zones     []*ZoneState
-	zoneIndex map[structs.ZoneID]int32
+	zoneIndex map[structs.ZoneID]uint16
 	zoneRanks []uint64
 	history   []structs.HistoryEntry
 	answers   answerLog
@@ -59,7 +59,7 @@
 func New() *State {
 	return &State{
 		rows:      make(map[structs.RowName]*rowState),
-		zoneIndex: make(map[structs.ZoneID]int32),
+		zoneIndex: make(map[structs.ZoneID]uint16),
 		pruneAt:   TombstoneRetention + tombstonePruneBatch,
 		answers:   newAnswerLog(),
 	}
--- a/table/zone.go
+++ b/table/zone.go
@@ -60,8 +60,8 @@
 	return nil
 }
 
-func (s *State) addZone(zone ZoneState) int32 {
-	index := int32(len(s.zones))
+func (s *State) addZone(zone ZoneState) uint16 {
+	index := uint16(len(s.zones))
 	s.zones = append(s.zones, &zone)
 	s.zoneRanks = append(s.zoneRanks, xxhash.Sum64String(string(zone.Zone)))
 	s.zoneIndex[zone.Zone] = index
@@ -70,7 +70,7 @@
 
 // removeZone takes the zone's limits and wishes away, and with force also what it
 // holds, then splits the limits of all rows over the zones that are left.
-func (s *State) removeZone(index int32, force bool) {
+func (s *State) removeZone(index uint16, force bool) {
 	zone := s.zones[index]
 	if zone.Removed && !force {
 		return
@@ -100,7 +100,7 @@
 }
 
 // activeZone returns the index of a zone that is known and not removed.
-func (s *State) activeZone(zone structs.ZoneID) (int32, *structs.Error) {
+func (s *State) activeZone(zone structs.ZoneID) (uint16, *structs.Error) {
 	index, isKnown := s.zoneIndex[zone]
 	if !isKnown || s.zones[index].Removed {
 		return 0, unknownZone(zone)
@@ -137,7 +137,7 @@
 }
 
 // setWish records a wish; the last one for a row counts.
-func (s *State) setWish(zone int32, wish structs.GrantWish) {
+func (s *State) setWish(zone uint16, wish structs.GrantWish) {
 	row := s.rows[wish.Row]
 	if row == nil || row.deleted {
 		return
@@ -145,7 +145,7 @@
 	if _, found := row.findGrant(zone); !found && wish.Wanted == 0 {
 		return
 	}
-	row.grant(zone).wish = int32(wish.Wanted)
+	row.grant(zone).wish = uint16(wish.Wanted)
 }
 
 func checkWish(zone structs.ZoneID, wish structs.GrantWish) *structs.Error {
--- a/transport/client.go
+++ b/transport/client.go
@@ -76,8 +76,7 @@
 	if err != nil {
 		return err
 	}
-	if conn.pending.Add(1) > int64(c.options.MaxPendingCalls) {
-		conn.pending.Add(-1)
+	if !conn.begin(c.options.MaxPendingCalls) {
 		return overloadedError(address)
 	}
 	err = c.exchange(ctx, target, conn, method, arguments, reply)
@@ -90,7 +89,6 @@
 // exchange sends the request and waits for the reply, which is decoded into a
 // value of its own, so that one that comes late cannot change the caller's.
 func (c *Client) exchange(ctx context.Context, target *peer, conn *connection, method string, arguments, reply any) error {
-	started := time.Now()
 	received := reflect.New(reflect.TypeOf(reply).Elem())
 	done := make(chan *rpc.Call, 1)
 	// Go blocks while the connection does not take the request.
@@ -99,7 +97,7 @@
 	}()
 	select {
 	case call := <-done:
-		conn.pending.Add(-1)
+		conn.end()
 		if call.Error != nil {
 			return c.failed(target, conn, call.Error)
 		}
@@ -109,9 +107,9 @@
 	case <-ctx.Done():
 		go func() {
 			<-done
-			conn.pending.Add(-1)
+			conn.end()
 		}()
-		if conn.silentFor(started) >= c.silenceLimit() {
+		if conn.silentFor() >= c.silenceLimit() {
 			target.drop(conn, errors.New("the connection has gone silent"))
 		}
 		return sentDeadlineError(ctx, target.address)
@@ -119,18 +117,19 @@
 }
 
 // silenceLimit is how long a connection with a call in progress may be silent
-// before it counts as half open. It is a little under the call timeout, so that
+// before it counts as half open, whatever the deadlines of its calls. It is a little under the call timeout, so that
 // the call that reveals it is not just short of it.
 func (c *Client) silenceLimit() time.Duration { return c.options.CallTimeout * 9 / 10 }
 
 func (c *Client) failed(target *peer, conn *connection, err error) error {
 	var remote rpc.ServerError
 	isRemote := errors.As(err, &remote)
-	if !isRemote {
+	isTooLarge := strings.Contains(err.Error(), errMessageTooLarge.Error())
+	if isTooLarge || !isRemote {
 		target.drop(conn, err)
 	}
 	switch {
-	case strings.Contains(err.Error(), errMessageTooLarge.Error()):
+	case isTooLarge:
 		return structs.NewError(structs.ErrorInvalid,
 			"the message to or from "+target.address+" exceeds the size limit",
 			"Send less at once, or raise the message limit on both ends.")
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -41,7 +40,11 @@
 type connection struct {
 	rpc     *rpc.Client
 	counted *countedConn
-	pending atomic.Int64
+	// waiting guards pending, the number of calls in progress, and waitingSince,
+	// the time since which there has been one.
+	waiting      sync.Mutex
+	pending      int
+	waitingSince time.Time
 	// broken is set, under the peer's mutex, once the connection yields no more.
 	broken bool
 }
@@ -170,6 +173,7 @@
 // drop forgets a failed connection and closes it.
 func (p *peer) drop(failed *connection, err error) {
 	p.forget(failed, err)
+	_ = p.client.logger.Log("msg", "closed a connection", "peer", p.address, "err", err)
 	_ = failed.rpc.Close()
 }
 
@@ -182,11 +186,37 @@
 	}
 }
 
-// silentFor returns how long nothing has been received, counted from since.
-func (c *connection) silentFor(since time.Time) time.Duration {
-	received := c.counted.started.Add(time.Duration(c.counted.receivedAt.Load()))
-	if received.After(since) {
-		since = received
+// begin counts a call in; false when there are limit calls already.
+func (c *connection) begin(limit int) bool {
+	c.waiting.Lock()
+	defer c.waiting.Unlock()
+	if c.pending >= limit {
+		return false
+	}
+	if c.pending == 0 {
+		c.waitingSince = time.Now()
+	}
+	c.pending++
+	return true
+}
+
+func (c *connection) end() {
+	c.waiting.Lock()
+	defer c.waiting.Unlock()
+	c.pending--
+}
+
+// silentFor returns for how long nothing has been received although a call was in
+// progress. Calls that gave up still count until their reply comes.
+func (c *connection) silentFor() time.Duration {
+	c.waiting.Lock()
+	defer c.waiting.Unlock()
+	if c.pending == 0 {
+		return 0
+	}
+	since := c.counted.started.Add(time.Duration(c.counted.receivedAt.Load()))
+	if c.waitingSince.After(since) {
+		since = c.waitingSince
 	}
 	return time.Since(since)
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -37,6 +37,12 @@
 	return nil
 }
 
+// Enlarge returns more than it was given.
+func (e *echoService) Enlarge(text string, reply *string) error {
+	*reply = text + string(make([]byte, 10_000))
+	return nil
+}
+
 // Fail fails.
 func (e *echoService) Fail(string, *string) error { return errors.New("no such lot") }
 
@@ -80,6 +86,13 @@
 	return reply, err
 }
 
+// endPause lets the next call dial at once.
+func endPause(target *peer) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	target.retryAt = time.Time{}
+}
+
 // silentListener takes connections and never answers.
 func silentListener(c *qt.C) string {
 	listener, err := net.Listen("tcp", loopback)
@@ -167,9 +180,7 @@
 	c.Assert(errors.As(err, &typed), qt.IsTrue)
 	c.Assert(typed.RetryAfter > time.Minute, qt.IsTrue)
 	startServer(c, Options{Address: address})
-	target.mutex.Lock()
-	target.retryAt = time.Time{}
-	target.mutex.Unlock()
+	endPause(target)
 	reply, err := echo(client, address, "back")
 	c.Assert(err, qt.IsNil)
 	c.Assert(reply, qt.Equals, "back")
@@ -242,30 +253,26 @@
 }
 
 func TestOversizedMessagesAreRefusedByTheReceiver(t *testing.T) {
+	const small = 1000
 	for _, test := range []struct {
 		name           string
-		server, client int
-	}{{"request", 1000, 0}, {"reply", 0, 1000}} {
+		server, client Options
+		method, text   string
+	}{
+		{"request", Options{MaxMessageBytes: small}, Options{}, "Echo.Echo", string(make([]byte, 10*small))},
+		{"reply", Options{}, Options{MaxMessageBytes: small}, "Echo.Enlarge", "text"},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			server, _ := startServer(c, Options{MaxMessageBytes: test.server})
-			client := startClient(c, Options{})
-			client.options.MaxMessageBytes = max(client.options.MaxMessageBytes, 0)
-			if test.client > 0 {
-				client.options.MaxMessageBytes = test.client
-			}
-			method, text := "Echo.Echo", string(make([]byte, 10_000))
-			if test.client > 0 {
-				method, text = "Echo.Enlarge", "small"
-			}
+			server, _ := startServer(c, test.server)
+			client := startClient(c, test.client)
 			var reply string
-			err := client.Call(context.Background(), server.Address(), method, text, &reply)
+			err := client.Call(context.Background(), server.Address(), test.method, test.text, &reply)
 			c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid, qt.Commentf("%v", err))
-			target := client.peer(server.Address())
-			target.mutex.Lock()
-			target.retryAt = time.Time{}
-			target.mutex.Unlock()
-			_, _ = echo(client, server.Address(), "may meet the old connection")
+			endPause(client.peer(server.Address()))
+			reply, err = echo(client, server.Address(), "next")
+			c.Assert(err, qt.IsNil)
+			c.Assert(reply, qt.Equals, "next")
 		})
 	}
 }
--- a/zone/command.go
+++ b/zone/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"time"
 
@@ -22,6 +23,7 @@
 	Touch       *TouchCommand
 	Remove      *RemoveCommand
 	Drain       *DrainCommand
+	Prefetch    *PrefetchCommand
 	ClaimBegin  *ClaimBeginCommand
 	ClaimFinish *ClaimFinishCommand
 	ClaimExpire *ClaimExpireCommand
@@ -78,6 +80,14 @@
 	Draining bool
 }
 
+// PrefetchCommand asks a runner to copy a row's checkpoint to its disk; it takes
+// the place of the runner's earlier one. With an empty Row it only ends that.
+type PrefetchCommand struct {
+	Row         structs.RowName
+	Runner      structs.RunnerID
+	Incarnation structs.Incarnation
+}
+
 // EncodeCommand encodes a command for the log. It refuses a command that does
 // not have exactly one field set.
 func EncodeCommand(command Command) ([]byte, error) {
@@ -109,7 +119,7 @@
 	count := 0
 	for _, set := range []bool{
 		c.Adopt != nil, c.Runner != nil, c.Reserve != nil, c.Transition != nil,
-		c.Touch != nil, c.Remove != nil, c.Drain != nil,
+		c.Touch != nil, c.Remove != nil, c.Drain != nil, c.Prefetch != nil,
 		c.ClaimBegin != nil, c.ClaimFinish != nil, c.ClaimExpire != nil,
 	} {
 		if set {
@@ -133,7 +143,14 @@
 	return buffer.Bytes(), nil
 }
 
-func decode(data []byte, value any) error {
+// decode recovers, because the codec panics on some malformed input, such as a
+// nil in the place of a time.
+func decode(data []byte, value any) (err error) {
+	defer func() {
+		if problem := recover(); problem != nil {
+			err = corrupt(fmt.Sprint("the zone data cannot be decoded: ", problem))
+		}
+	}()
 	reader := bytes.NewReader(data)
 	decoder := msgpack.NewDecoder(reader)
 	decoder.DisallowUnknownFields(true)
--- a/zone/random_test.go
+++ b/zone/random_test.go
@@ -152,6 +152,21 @@
 	c.Assert(New("z").Restore(data), qt.IsNil)
 }
 
+func TestDecodeCommandIsStrict(t *testing.T) {
+	good, err := EncodeCommand(reserve("model", "a", 1))
+	qt.Assert(t, err, qt.IsNil)
+	unknown, err := encode(map[string]any{"Reserve": map[string]any{"Row": "model", "Other": 1}})
+	qt.Assert(t, err, qt.IsNil)
+	two, err := encode(Command{Drain: &DrainCommand{}, Prefetch: &PrefetchCommand{}})
+	qt.Assert(t, err, qt.IsNil)
+	for name, data := range map[string][]byte{
+		"empty": nil, "none set": {0x80}, "trailing": append(good, 0xc0), "unknown": unknown, "two": two,
+	} {
+		_, err := DecodeCommand(data)
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
+
 func FuzzDecodeCommand(f *testing.F) {
 	for _, command := range []Command{reserve("model", "a", 1), begin("r", "d", 1, "a"), {Adopt: &structs.TableDelta{Rows: []structs.Row{testRow("m", 1)}}}} {
 		data, _ := EncodeCommand(command)
--- a/zone/runner.go
+++ b/zone/runner.go
@@ -26,6 +26,7 @@
 	if info.Incarnation > known.Incarnation {
 		s.forgetReplicasOn(info.ID)
 		known.Gone = false
+		known.endPrefetch()
 	}
 	if problem := s.checkUpdate(known, info); problem != nil {
 		return Result{Error: problem}
@@ -57,6 +58,7 @@
 	}
 	s.forgetReplicasOn(known.ID)
 	known.Gone = true
+	known.endPrefetch()
 	s.placementIndex = index
 	return Result{}
 }
@@ -71,6 +73,28 @@
 	return Result{}
 }
 
+func (s *State) applyPrefetch(number structs.OrderNumber, command *PrefetchCommand) Result {
+	known, ok := s.runners[command.Runner]
+	if !ok || known.Incarnation != command.Incarnation || !known.Accepting() {
+		return limit("the runner is unknown, not accepting, or of another incarnation", "Choose another runner.")
+	}
+	if command.Row == "" {
+		known.endPrefetch()
+		return Result{}
+	}
+	if _, ok := s.table.rows[command.Row]; !ok {
+		return limit("the table has no such row", "Plan again from the adopted table.")
+	}
+	known.Prefetch = command.Row
+	known.PrefetchOrder = number
+	return Result{Order: number}
+}
+
+func (r *Runner) endPrefetch() {
+	r.Prefetch = ""
+	r.PrefetchOrder = 0
+}
+
 func (s *State) forgetReplicasOn(runner structs.RunnerID) {
 	for _, replica := range s.ReplicasOn(runner) {
 		s.forget(runner, replica.Row)
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -34,9 +34,11 @@
 }
 
 type snapshotRunner struct {
-	Info     structs.RunnerInfo
-	Draining bool
-	Gone     bool
+	Info          structs.RunnerInfo
+	Draining      bool
+	Gone          bool
+	Prefetch      structs.RowName
+	PrefetchOrder structs.OrderNumber
 }
 
 type snapshotReplica struct {
@@ -74,7 +76,9 @@
 		Zone: s.zone, Index: s.index, PlacementIndex: s.placementIndex, Table: s.table.full(),
 	}
 	for _, runner := range s.Runners() {
-		data.Runners = append(data.Runners, snapshotRunner{runner.RunnerInfo, runner.Draining, runner.Gone})
+		data.Runners = append(data.Runners, snapshotRunner{
+			runner.RunnerInfo, runner.Draining, runner.Gone, runner.Prefetch, runner.PrefetchOrder,
+		})
 	}
 	for _, replica := range s.Replicas() {
 		data.Replicas = append(data.Replicas, snapshotReplica{replica.Replica, replica.Base, replica.Reserved})
@@ -139,7 +143,7 @@
 		}
 	}
 	for _, entry := range d.Runners {
-		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone}
+		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone, entry.Prefetch, entry.PrefetchOrder}
 	}
 	for _, entry := range d.Replicas {
 		entry.Replica.Since = normalTime(entry.Replica.Since)
--- a/zone/state.go
+++ b/zone/state.go
@@ -14,6 +14,10 @@
 	Draining bool
 	// Gone is set when an operator vouched for the end of this incarnation.
 	Gone bool
+	// Prefetch is the row whose checkpoint the runner was last asked to copy to
+	// its disk under PrefetchOrder; empty when none is open.
+	Prefetch      structs.RowName
+	PrefetchOrder structs.OrderNumber
 }
 
 // Accepting reports whether the runner may get new replicas and new work.
@@ -113,6 +117,8 @@
 		return s.applyRemove(index, command.Remove)
 	case command.Drain != nil:
 		return s.applyDrain(index, command.Drain)
+	case command.Prefetch != nil:
+		return s.applyPrefetch(number, command.Prefetch)
 	case command.ClaimBegin != nil:
 		return s.claims.begin(command.ClaimBegin)
 	case command.ClaimFinish != nil:
--- a/zone/state_test.go
+++ b/zone/state_test.go
@@ -100,6 +100,8 @@
 		{"vouch for another incarnation", nil, Command{Runner: &RunnerCommand{Info: testRunner("a", 1), Vouch: true}}, structs.ErrorConflict},
 		{"vouch for an unknown runner", nil, Command{Runner: &RunnerCommand{Info: testRunner("x", 1), Vouch: true}}, structs.ErrorNotFound},
 		{"drain of an unknown runner", nil, Command{Drain: &DrainCommand{Runner: "x"}}, structs.ErrorNotFound},
+		{"prefetch of an unknown row", nil, Command{Prefetch: &PrefetchCommand{"none", "a", 2}}, structs.ErrorLimit},
+		{"prefetch under another incarnation", nil, Command{Prefetch: &PrefetchCommand{"big", "a", 1}}, structs.ErrorLimit},
 		{"unknown row", nil, reserve("none", "b", 2), structs.ErrorLimit},
 		{"row without grant", nil, reserve("ungranted", "b", 2), structs.ErrorLimit},
 		{"lowered limit", []Command{lower}, reserve("model", "b", 2), structs.ErrorLimit},
