--- a/lab/caller.go
+++ b/lab/caller.go
@@ -30,6 +30,8 @@
 	// NotSent and Broken tell that the transfer itself failed.
 	NotSent bool
 	Broken  bool
+	// RouterDied tells that the router was killed or frozen while the call was open.
+	RouterDied bool
 	// Wrong describes an answer that is not the one to this request, or "".
 	Wrong string
 }
--- a/lab/report.go
+++ b/lab/report.go
@@ -25,6 +25,9 @@
 	Refused     int     `json:"refused"`
 	// Lost counts requests that got no terminal answer in time.
 	Lost int `json:"lost"`
+	// Cut counts requests whose router was killed or frozen and whose caller had
+	// no time left to ask another one.
+	Cut int `json:"cut_by_dead_router"`
 	// LiveInTime is the share of live requests that were answered within their deadline.
 	LiveInTime float64 `json:"live_in_time"`
 	// RefusedBy counts refusals by kind and execution.
@@ -117,6 +120,8 @@
 	switch {
 	case outcome.Answered():
 		r.Answered++
+	case outcome.RouterDied:
+		r.Cut++
 	case isLost(outcome):
 		r.Lost++
 	default:
--- a/router/core_test.go
+++ b/router/core_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -334,3 +335,50 @@
 	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Finish: structs.FinishStop}})
 	s.c.Check(only[SendAttempt](s).Attempt.Request(), qt.Equals, structs.RequestID("live"))
 }
+
+func TestBrokenStreamWithKeyEndsAtOnceAsUnknown(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(keyed)
+	for range 2 {
+		claim := only[BeginClaim](s).Claim
+		s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	}
+	sent := only[SendAttempt](s)
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Text: "part"}})
+	s.do(AttemptFailed{Attempt: sent.Attempt, Stage: Broken})
+	s.c.Check(only[FinishClaim](s).Claim.State, qt.Equals, structs.ClaimUnknown)
+	s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionUnknown)
+}
+
+// TestRowWithLiveRequestsDoesNotStarveAnother lets two rows share one slot.
+func TestRowWithLiveRequestsDoesNotStarveAnother(t *testing.T) {
+	s := newScript(t, func(options *Options) {
+		options.GuardAfter = 4
+		options.Routing = routing.Options{MaxBatch: 1, QueueSlack: 1}
+	})
+	view := testView(1, "row", "other")
+	view.Index = 2
+	s.do(ViewChanged{View: view})
+	live := func(number int) func(*structs.Request) {
+		return func(r *structs.Request) {
+			r.ID, r.Priority = structs.RequestID(fmt.Sprint(number)), structs.PriorityLive
+		}
+	}
+	var running []SendAttempt
+	for number := range 2 {
+		s.arrive(live(number))
+		running = append(running, only[SendAttempt](s))
+	}
+	s.arrive(func(r *structs.Request) { r.Row, r.Priority = "other", structs.PriorityBatch })
+	var order []structs.RowName
+	for number := 2; number < 8; number++ {
+		s.arrive(live(number))
+		done := running[0]
+		s.do(TokenReceived{Attempt: done.Attempt, Token: structs.Token{ID: done.Generate.ID, Finish: structs.FinishStop}})
+		next := only[SendAttempt](s)
+		running = append(running[1:], next)
+		order = append(order, next.Generate.Row)
+	}
+	s.c.Assert(order, qt.Contains, structs.RowName("other"))
+	s.c.Assert(order[0], qt.Equals, structs.RowName("row"))
+}
--- a/table/grant_test.go
+++ b/table/grant_test.go
@@ -101,6 +101,21 @@
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:1/1 b:3/3 ")
 }
 
+// The zone may load up to its limit again, so that much stays held, also while
+// other zones are above theirs.
+func TestReleaseBelowLimitKeepsLimitHeld(t *testing.T) {
+	state := stateWith(2)
+	mustApply(t, state, editOf("make", put(modelRow("m", 8), 0)), wishOf("a", "m", 2))
+	mustApply(t, state, releaseOf(grantOf(state, "m", "b")))
+	held := limitsOf(state, "m")
+	mustApply(t, state, editOf("lower", put(modelRow("m", 2), 1)))
+	qt.Assert(t, held+limitsOf(state, "m"), qt.Equals, "a:4/4 b:4/4 a:2/4 b:0/4 ")
+	below := releaseOf(grantOf(state, "m", "a"))
+	below.Release.Limit = 0
+	mustApply(t, state, below)
+	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/2 b:0/4 ")
+}
+
 func TestRowMadeAgainCountsWhatIsStillHeld(t *testing.T) {
 	state := stateWith(2)
 	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)), wishOf("a", "m", 2))
