--- /dev/null
+++ b/capacity/probe.go
@@ -0,0 +1,109 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// The roles whose costs are measured.
+const (
+	RoleGlobal = "global-voter"
+	RoleZone   = "zone-controller"
+	RoleRouter = "router"
+	RoleRaft   = "raft-member"
+	RoleEngine = "engine-traffic"
+)
+
+// Slope is one measured cost of a role.
+type Slope struct {
+	Role string `json:"role"`
+	// Name says what was measured, Driver what it was measured against.
+	Name   string `json:"name"`
+	Driver string `json:"driver"`
+	// Unit is that of the values; the slope is in Unit per unit of Driver.
+	Unit   string    `json:"unit"`
+	Method string    `json:"method"`
+	Sizes  []float64 `json:"sizes"`
+	Values []float64 `json:"values"`
+	Fit
+}
+
+// probe measures one slope.
+type probe struct {
+	role, name, driver, unit, method string
+	sizes                            []int
+	measure                          func(size int) float64
+}
+
+// The units and methods of the probes.
+const (
+	unitBytes  = "bytes"
+	unitMicros = "microseconds"
+
+	methodHeap    = "heap after garbage collection"
+	methodCPU     = "process time, median of 3 rounds"
+	methodGob     = "gob with the net/rpc header"
+	methodMsgpack = "encoded log or snapshot"
+	methodJSON    = "JSON body"
+)
+
+// leastSizes is how many sizes a slope needs.
+const leastSizes = 5
+
+// Roles lists the roles that Measure knows.
+func Roles() []string {
+	var roles []string
+	for _, p := range allProbes() {
+		if !slices.Contains(roles, p.role) {
+			roles = append(roles, p.role)
+		}
+	}
+	return roles
+}
+
+func allProbes() []probe {
+	return slices.Concat(globalProbes(), zoneProbes(), planProbes(), viewProbes(), claimProbes(), routerProbes(), raftProbes(), engineProbes())
+}
+
+// Measure measures the slopes of a role, or of all when role is empty. Progress
+// gets a line for each. The error is of kind invalid for a role that is not
+// known, or that of ctx.
+func Measure(ctx context.Context, role string, progress io.Writer) ([]Slope, error) {
+	if role != "" && !slices.Contains(Roles(), role) {
+		return nil, structs.NewError(structs.ErrorInvalid, "there is no role "+role, "Choose from "+strings.Join(Roles(), ", ")+".")
+	}
+	var slopes []Slope
+	for _, p := range allProbes() {
+		if role != "" && p.role != role {
+			continue
+		}
+		if ctx.Err() != nil {
+			return slopes, ctx.Err()
+		}
+		slope := p.run()
+		slopes = append(slopes, slope)
+		fmt.Fprintln(progress, slope)
+	}
+	return slopes, nil
+}
+
+func (p probe) run() Slope {
+	slope := Slope{Role: p.role, Name: p.name, Driver: p.driver, Unit: p.unit, Method: p.method}
+	for _, size := range p.sizes {
+		slope.Sizes = append(slope.Sizes, float64(size))
+		slope.Values = append(slope.Values, p.measure(size))
+	}
+	slope.Fit = LeastSquares(slope.Sizes, slope.Values)
+	return slope
+}
+
+// String is one line for a person.
+func (s Slope) String() string {
+	return fmt.Sprintf("%-16s %-44s %12.4g + %10.4g %s per %s  (R² %.4f, largest residual %.3g)",
+		s.Role, s.Name, s.Intercept, s.Slope, s.Unit, s.Driver, s.RSquared, s.LargestResidual)
+}
--- /dev/null
+++ b/hollow/routernode.go
@@ -0,0 +1,270 @@
+package hollow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	// routerTick and demandPause are those of the daemon.
+	routerTick  = 20 * time.Millisecond
+	demandPause = 25 * time.Millisecond
+	// claimRetry separates tries to record the end of a claim.
+	claimRetry = 200 * time.Millisecond
+)
+
+// routerNode is the router of one process: a real router.Core in virtual time.
+type routerNode struct {
+	owner *process
+	core  *router.Core
+	// keepsAll says that the whole table is kept, not only the rows in use.
+	keepsAll    bool
+	sinceTable  uint64
+	sinceIndex  uint64
+	nextMember  int
+	leaderGuess int
+	requests    map[structs.RequestID]*callRecord
+	attempts    map[router.AttemptID]*runnerNode
+	claimNumber uint64
+	reportedAt  int64
+	reportDue   bool
+	draining    bool
+	token       router.TokenReceived
+}
+
+func (s *site) openRouters() {
+	for _, home := range s.zones {
+		for index, owner := range home.processes {
+			if owner.isControl {
+				continue
+			}
+			added := &routerNode{owner: owner, keepsAll: len(home.routers) < s.options.FullTableRouters}
+			added.leaderGuess = index % len(home.voters)
+			owner.router = added
+			home.routers = append(home.routers, added)
+			added.open()
+		}
+		home.after(routerTick, home.tickRouters)
+	}
+}
+
+// open starts an empty router in its process's current life.
+func (r *routerNode) open() {
+	home := r.owner.zone
+	r.core = router.New(router.Options{
+		Zone:   home.id,
+		Daemon: r.owner.id,
+		Zones:  home.site.zoneIDs(),
+		Random: rand.New(rand.NewPCG(home.site.options.Seed, uint64(r.owner.index)<<16|uint64(r.owner.life))),
+	})
+	r.requests = map[structs.RequestID]*callRecord{}
+	r.attempts = map[router.AttemptID]*runnerNode{}
+	r.sinceTable, r.sinceIndex = 0, 0
+	r.draining, r.reportDue = false, false
+	life := r.owner.life
+	home.after(0, func() { r.poll(life) })
+	home.after(defaultTiming().ReportInterval, func() { r.reportLoop(life) })
+}
+
+func (r *routerNode) current(life int) bool { return r.owner.alive && r.owner.life == life }
+
+// tickRouters lets time pass for all routers of the zone.
+func (z *zoneSite) tickRouters() {
+	for _, node := range z.routers {
+		if node.owner.alive {
+			node.stepAs(partRouterTick, router.Tick{})
+		}
+	}
+	z.after(routerTick, z.tickRouters)
+}
+
+func (r *routerNode) step(event router.Event) { r.stepAs(partRouterRequest, event) }
+
+// stepAs hands an event to the core and carries out the effects. Nothing that
+// they start calls the core before the loop has ended.
+func (r *routerNode) stepAs(which part, event router.Event) {
+	home := r.owner.zone
+	var effects []router.Effect
+	home.cost.sample(which, func() { effects = r.core.Step(home.time(), event) })
+	for _, effect := range effects {
+		r.carryOut(effect)
+	}
+}
+
+func (r *routerNode) takeToken(attempt router.AttemptID, token structs.Token) {
+	r.token = router.TokenReceived{Attempt: attempt, Token: token}
+	r.stepAs(partRouterToken, &r.token)
+}
+
+func (r *routerNode) carryOut(effect router.Effect) {
+	home := r.owner.zone
+	switch effect := effect.(type) {
+	case *router.Deliver:
+		if record := r.requests[effect.ID]; record != nil {
+			record.take(home, effect.Token)
+			return
+		}
+		home.violate("request", "%s delivered a token of %s, which has ended", r.owner.id, effect.ID)
+	case router.Finish:
+		r.end(effect.ID, outcomeAnswered, nil)
+	case router.Replay:
+		r.end(effect.ID, outcomeReplayed, nil)
+	case router.Refuse:
+		r.end(effect.ID, outcomeRefused, &effect.Refusal)
+	case router.SendAttempt:
+		r.sendAttempt(effect)
+	case router.CancelAttempt:
+		r.cancelAttempt(effect.Attempt)
+	case router.AskStatus:
+		r.askStatus(effect)
+	case router.BeginClaim:
+		r.beginClaim(effect)
+	case router.FinishClaim:
+		r.finishClaim(effect)
+	case router.Forward:
+		r.forward(effect)
+	}
+}
+
+func (r *routerNode) end(id structs.RequestID, result outcome, refusal *structs.Refusal) {
+	record := r.requests[id]
+	if record == nil {
+		r.owner.zone.violate("request", "%s ended %s twice", r.owner.id, id)
+		return
+	}
+	delete(r.requests, id)
+	record.end(r.owner.zone, result, refusal)
+}
+
+func (r *routerNode) sendAttempt(send router.SendAttempt) {
+	target := r.owner.zone.byID[send.Runner]
+	life := r.owner.life
+	r.attempts[send.Attempt] = target
+	r.owner.zone.after(delayInZone, func() { target.generate(r, life, send) })
+}
+
+// cancelAttempt ends the attempt at its engine.
+func (r *routerNode) cancelAttempt(attempt router.AttemptID) {
+	target := r.attempts[attempt]
+	if target == nil {
+		return
+	}
+	delete(r.attempts, attempt)
+	r.owner.zone.after(delayInZone, func() {
+		target.step(emulator.EngineInput{Kind: emulator.InputStatus, ID: structs.RequestID(attempt), Cancel: true})
+	})
+}
+
+// askStatus fences an attempt at its engine and reports what the engine knows.
+func (r *routerNode) askStatus(ask router.AskStatus) {
+	home, life := r.owner.zone, r.owner.life
+	target := home.byID[ask.Runner]
+	home.after(delayInZone, func() {
+		reply := router.StatusReplied{ID: ask.ID, Attempt: ask.Attempt, Error: brokenError()}
+		input := emulator.EngineInput{Kind: emulator.InputStatus, ID: structs.RequestID(ask.Attempt), Cancel: true}
+		for _, output := range target.step(input) {
+			if output.Kind == emulator.OutputStatus {
+				reply.Status, reply.Error = output.Status, nil
+			}
+		}
+		home.after(delayInZone, func() {
+			if r.current(life) {
+				r.step(reply)
+			}
+		})
+	})
+}
+
+// beginClaim holds a claim in the zone log.
+func (r *routerNode) beginClaim(effect router.BeginClaim) {
+	claim := effect.Claim
+	life := r.owner.life
+	r.claimNumber++
+	command := zone.Command{ClaimBegin: &zone.ClaimBeginCommand{
+		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder,
+		Attempt: r.claimNumber, Runner: claim.Runner, Incarnation: claim.Incarnation, AnswerBytes: effect.AnswerBytes,
+	}}
+	r.proposeZone(trafficClaim, command, func(result zone.Result, err *structs.Error) {
+		if !r.current(life) {
+			return
+		}
+		if err == nil {
+			err = result.Error
+		}
+		r.step(router.ClaimReplied{ID: effect.ID, Claim: result.Claim, New: result.ClaimNew, Error: err})
+	})
+}
+
+// finishClaim records the end of a claim and repeats it until the zone has it.
+func (r *routerNode) finishClaim(effect router.FinishClaim) {
+	claim := effect.Claim
+	life := r.owner.life
+	command := zone.Command{ClaimFinish: &zone.ClaimFinishCommand{
+		Key: claim.Key, Request: claim.Request, State: claim.State, NotRun: claim.State == structs.ClaimReleased,
+		Answer: claim.Answer, ExpiresAt: claim.ExpiresAt,
+	}}
+	r.proposeZone(trafficClaim, command, func(_ zone.Result, err *structs.Error) {
+		if err == nil || !r.current(life) {
+			return
+		}
+		r.owner.zone.after(claimRetry, func() {
+			if r.current(life) {
+				r.finishClaim(effect)
+			}
+		})
+	})
+}
+
+// reportLoop reports the demand at each interval.
+func (r *routerNode) reportLoop(life int) {
+	if !r.current(life) {
+		return
+	}
+	interval := defaultTiming().ReportInterval
+	if r.owner.zone.now-r.reportedAt >= int64(interval) {
+		r.reportDemand()
+	}
+	r.owner.zone.after(interval, func() { r.reportLoop(life) })
+}
+
+// reportSoon reports the demand because a request arrived.
+func (r *routerNode) reportSoon() {
+	if r.reportDue {
+		return
+	}
+	r.reportDue = true
+	home, life := r.owner.zone, r.owner.life
+	home.at(r.reportedAt+int64(demandPause), func() {
+		if r.current(life) {
+			r.reportDue = false
+			r.reportDemand()
+		}
+	})
+}
+
+func (r *routerNode) reportDemand() {
+	home := r.owner.zone
+	r.reportedAt = home.now
+	var report structs.DemandReport
+	home.cost.sample(partRouterDemand, func() { report = r.core.Demand() })
+	if len(report.Rows) == 0 {
+		return
+	}
+	bytes := home.sizer.call(methodZoneDemand, daemon.DemandArguments{Report: report})
+	r.askLeader(trafficDemand, bytes, home.now+int64(callTimeout), func(m *zoneMember, answer answerFunc, _ func()) {
+		m.demand = append(m.demand, report)
+		for _, row := range report.Rows {
+			if row.Waiting > 0 {
+				m.leader.wake()
+				break
+			}
+		}
+		answer(home.sizer.reply(methodZoneDemand, daemon.DemandReply{}), func() {})
+	}, func() {})
+}
--- /dev/null
+++ b/hollow/zoneleader.go
@@ -0,0 +1,237 @@
+package hollow
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// shortestRound is the least virtual time between two rounds of decisions. The
+// daemon's rounds take real time, which virtual time does not show.
+const shortestRound = 50 * time.Millisecond
+
+// zoneLeader carries out the decisions of controller.Core while its member leads,
+// as the daemon's zone leader does.
+type zoneLeader struct {
+	member *zoneMember
+	home   *zoneSite
+	life   int
+	core   *controller.Core
+	// reports are the engines' newest reports.
+	reports map[structs.RunnerID]controller.ReportSeen
+	// listed is the machine list as last read.
+	listed []structs.Machine
+	// open counts the commands and orders of the last round without an answer.
+	open      int
+	decidedAt int64
+	adopting  bool
+	// nextGlobal is the member of the global group that is polled.
+	nextGlobal int
+	inForce    uint64
+	reported   uint64
+}
+
+func newZoneLeader(member *zoneMember) *zoneLeader {
+	return &zoneLeader{
+		member:  member,
+		home:    member.home,
+		core:    controller.New(controller.Options{Zone: member.home.id}),
+		reports: map[structs.RunnerID]controller.ReportSeen{},
+	}
+}
+
+// start begins the loops of one life of the member's process.
+func (l *zoneLeader) start() {
+	l.life = l.member.owner.life
+	timing := defaultTiming()
+	l.every(timing.PlanInterval, l.decide)
+	l.every(timing.ReportInterval, l.readReports)
+	l.every(timing.MachineListInterval, l.readMachines)
+	l.every(timing.TickInterval, l.adopt)
+}
+
+func (l *zoneLeader) running() bool {
+	owner := l.member.owner
+	return owner.alive && owner.life == l.life && l.member.leader == l
+}
+
+// every runs work at each interval while the member leads.
+func (l *zoneLeader) every(interval time.Duration, work func()) {
+	l.home.after(interval, func() {
+		if !l.running() {
+			return
+		}
+		if l.member.leads() {
+			work()
+		}
+		l.every(interval, work)
+	})
+}
+
+// wake makes a round soon, because requests wait.
+func (l *zoneLeader) wake() {
+	l.home.after(0, func() {
+		if l.running() && l.member.leads() {
+			l.decide()
+		}
+	})
+}
+
+// decide is one round: orders follow from what is applied, then commands are
+// proposed. The next round begins once all of them are decided.
+func (l *zoneLeader) decide() {
+	now := l.home.now
+	if l.open > 0 || (l.decidedAt > 0 && now-l.decidedAt < int64(shortestRound)) {
+		return
+	}
+	l.decidedAt = now
+	for _, report := range l.member.demand {
+		l.core.ObserveDemand(l.home.time(), report)
+	}
+	l.member.demand = nil
+	var decisions controller.Decisions
+	l.member.cost().whole(partPlan, func() {
+		decisions = l.core.Decide(controller.Input{
+			Now:         l.home.time(),
+			Epoch:       structs.Epoch(l.member.node.Term()),
+			LeaseValid:  true,
+			State:       l.member.machine.state,
+			Reports:     l.reports,
+			Machines:    l.listed,
+			StoreBudget: l.home.box.storeBudget,
+		})
+	})
+	for _, order := range decisions.Orders {
+		l.sendOrder(order)
+	}
+	for _, command := range decisions.Commands {
+		l.propose(command)
+	}
+	l.tellGlobal(decisions)
+}
+
+// close notes that one command or order of the round is decided.
+func (l *zoneLeader) close() { l.open-- }
+
+func (l *zoneLeader) propose(command zone.Command) {
+	encoded, err := zone.EncodeCommand(command)
+	if err != nil {
+		panic(err)
+	}
+	l.open++
+	closed := false
+	finish := func() {
+		if !closed {
+			closed = true
+			l.close()
+		}
+	}
+	// A command that a lost leadership leaves undecided ends by time.
+	l.home.after(proposeTimeout, finish)
+	l.member.propose(encoded, func(any, *structs.Error) { finish() })
+}
+
+// sendOrder sends an order to an engine over a virtual connection.
+func (l *zoneLeader) sendOrder(order structs.Order) {
+	target := l.home.byID[order.Runner]
+	owner := l.member.owner
+	owner.traffic.sent[trafficOrder] += int64(jsonBytes(order))
+	l.open++
+	l.home.after(delayInZone, func() {
+		reply, answered := target.order(order)
+		l.home.after(delayInZone, func() {
+			l.close()
+			if answered && l.running() {
+				owner.traffic.received[trafficOrder] += int64(jsonBytes(reply))
+				l.core.ObserveReply(order.Runner, reply)
+			}
+		})
+	})
+}
+
+// readReports reads the report of every runner on the list.
+func (l *zoneLeader) readReports() {
+	owner := l.member.owner
+	for _, machine := range l.listed {
+		target := l.home.byID[machine.Runner]
+		report, answered := target.report()
+		if !answered {
+			continue
+		}
+		var bytes int
+		l.member.cost().sample(partCodec, func() { bytes = jsonBytes(report) })
+		owner.traffic.received[trafficReport] += int64(bytes)
+		l.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: l.home.time()}
+	}
+}
+
+// readMachines reads the machine list. The platform's list names the machines of
+// all zones; those of other zones are counted, then dropped.
+func (l *zoneLeader) readMachines() {
+	l.listed = l.home.box.machines.List(l.home.time())
+	if len(l.listed) == 0 {
+		return
+	}
+	entry := jsonBytes(l.listed[0])
+	l.member.owner.traffic.received[trafficMachines] += int64(entry * l.home.site.options.Runners)
+}
+
+// adopt keeps one long poll open for the table's changes.
+func (l *zoneLeader) adopt() {
+	if l.adopting {
+		return
+	}
+	l.adopting = true
+	owner := l.member.owner
+	since := l.member.machine.state.TableRevision()
+	target := l.home.site.globals[l.nextGlobal%len(l.home.site.globals)]
+	arguments := daemon.DeltaArguments{Zone: l.home.id, Since: since, Wait: pollWait}
+	bytes := l.home.sizer.call(methodGlobalDelta, arguments)
+	l.home.site.call(owner, target, trafficDelta, bytes, func(answer answerFunc) {
+		target.global.poll(&deltaPoll{zone: l.home.id, since: since, answer: answer, then: l.adoptDelta})
+	}, func() {
+		l.adopting = false
+		l.nextGlobal++
+	})
+}
+
+func (l *zoneLeader) adoptDelta(delta structs.TableDelta) {
+	if !l.running() || !l.member.leads() || delta.Revision <= l.member.machine.state.TableRevision() {
+		l.adopting = false
+		return
+	}
+	encoded, err := zone.EncodeCommand(zone.Command{Adopt: &delta})
+	if err != nil {
+		panic(err)
+	}
+	l.home.after(proposeTimeout, func() { l.adopting = false })
+	l.member.propose(encoded, func(any, *structs.Error) {
+		l.adopting = false
+		if l.running() {
+			l.adopt()
+		}
+	})
+}
+
+// tellGlobal sends what the global group should know of the zone.
+func (l *zoneLeader) tellGlobal(decisions controller.Decisions) {
+	site, owner := l.home.site, l.member.owner
+	ignore := func(table.Result) {}
+	for _, release := range decisions.Releases {
+		site.proposeGlobal(owner, trafficGrant, table.Command{Release: &release}, ignore)
+	}
+	if len(decisions.Wishes) > 0 {
+		wish := &table.WishCommand{Zone: l.home.id, Wishes: decisions.Wishes}
+		site.proposeGlobal(owner, trafficGrant, table.Command{Wish: wish}, ignore)
+	}
+	l.inForce = max(l.inForce, decisions.InForce)
+	if l.inForce > l.reported {
+		l.reported = l.inForce
+		command := table.Command{InForce: &table.InForceCommand{Zone: l.home.id, Revision: l.inForce}}
+		site.proposeGlobal(owner, trafficGrant, command, ignore)
+	}
+}
--- a/simulate/ledger.go
+++ b/simulate/ledger.go
@@ -27,6 +27,7 @@
 	checkerInvariants  = "invariants"
 	checkerConvergence = "convergence"
 	checkerFailure     = "failure"
+	checkerRunaway     = "runaway"
 )
 
 // invariantInterval is how many committed commands lie between two looks at a
