Send routers only the runners that changed

Cause: whenever one replica of a zone changed, every router of the zone got the whole placement. Change: the zone remembers at which index each runner last changed and sends a partial placement: only those runners, each with all of its replicas. A router joins it on when it follows what the router has. The balancer replaces what it knows of the listed runners and rebuilds only the rows concerned. After a restore every runner counts as changed at the last index, so nothing is missed. Conclusion: placement changes now cost in proportion to the change.

--- a/router/view.go
+++ b/router/view.go
@@ -14,10 +14,7 @@
 		c.adoptTable(delta)
 	}
 	c.adoptGrants(delta.Grants)
-	if view.Placement != nil && view.Index >= c.viewIndex {
-		c.viewIndex = view.Index
-		c.balancer.SetPlacement(*view.Placement)
-	}
+	c.adoptPlacement(view)
 	for _, current := range c.activeRows() {
 		c.noteReady(current)
 		c.endUnserved(current)
@@ -25,6 +22,19 @@
 	c.dispatchAll()
 }
 
+// adoptPlacement takes a whole placement, or changes that join on to what is known.
+func (c *Core) adoptPlacement(view structs.ZoneView) {
+	whole := view.Placement != nil && !view.Placement.Partial
+	joins := whole || view.SinceIndex <= c.viewIndex
+	if !joins || view.Index < c.viewIndex {
+		return
+	}
+	c.viewIndex = view.Index
+	if view.Placement != nil {
+		c.balancer.SetPlacement(*view.Placement)
+	}
+}
+
 func (c *Core) adoptTable(delta structs.TableDelta) {
 	c.tableRevision = delta.Revision
 	if delta.Full {
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -125,6 +126,58 @@
 	qt.Assert(t, len(used) > 95, qt.IsTrue, qt.Commentf("%d runners used", len(used)))
 }
 
+// TestChangesOfAPlacementAddUpToTheWhole gives one balancer each placement whole
+// and another only the runners that changed.
+func TestChangesOfAPlacementAddUpToTheWhole(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	whole := New(Options{SubsetSize: 3}, rand.New(rand.NewPCG(1, 1)))
+	follower := New(Options{SubsetSize: 3}, rand.New(rand.NewPCG(1, 1)))
+	placed := placement(12)
+	whole.SetPlacement(placed)
+	follower.SetPlacement(placed)
+	for range 500 {
+		change := structs.Placement{Partial: true}
+		for _, number := range random.Perm(12)[:1+random.IntN(3)] {
+			changeRunner(random, &placed, number, &change)
+		}
+		whole.SetPlacement(placed)
+		follower.SetPlacement(change)
+		for _, name := range []structs.RowName{"row", "other"} {
+			qt.Assert(t, subsetOf(follower, name), qt.DeepEquals, subsetOf(whole, name))
+			qt.Assert(t, follower.Ready(name), qt.Equals, whole.Ready(name))
+		}
+	}
+}
+
+// changeRunner draws a new state of one runner into the placement and the change.
+func changeRunner(random *rand.Rand, placed *structs.Placement, number int, change *structs.Placement) {
+	info := &placed.Runners[number]
+	info.Leaving = random.IntN(4) == 0
+	if random.IntN(4) == 0 {
+		info.Incarnation++
+	}
+	placed.Replicas = slices.DeleteFunc(placed.Replicas, func(known structs.Replica) bool { return known.Runner == info.ID })
+	for _, name := range []structs.RowName{"row", "other"} {
+		if random.IntN(2) == 0 {
+			state := []structs.ReplicaState{structs.ReplicaReady, structs.ReplicaLoading}[random.IntN(2)]
+			known := structs.Replica{Row: name, Runner: info.ID, Incarnation: info.Incarnation, State: state}
+			placed.Replicas = append(placed.Replicas, known)
+			change.Replicas = append(change.Replicas, known)
+		}
+	}
+	change.Runners = append(change.Runners, *info)
+}
+
+func subsetOf(balancer *Balancer, name structs.RowName) []structs.RunnerID {
+	var ids []structs.RunnerID
+	if current := balancer.rows[name]; current != nil {
+		for _, member := range current.subset {
+			ids = append(ids, member.runner.info.ID)
+		}
+	}
+	return ids
+}
+
 func TestPrefixAffinityIsBounded(t *testing.T) {
 	balancer := newBalancer(8, Options{MaxBatch: 8, AffinityBound: 0.25})
 	prefixes := PrefixHashes(nil, "row", strings.Repeat("a", 4*PrefixBlockBytes))
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // BenchmarkPick compares the balancer with a random choice and with a scan for
@@ -92,5 +94,12 @@
 				balancer.SetPlacement(placed)
 			}
 		})
+		change := structs.Placement{Partial: true, Runners: placed.Runners[:1], Replicas: placed.Replicas[:1]}
+		b.Run(fmt.Sprintf("runners=%d/changed=1", runners), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.SetPlacement(change)
+			}
+		})
 	}
 }
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,23 +9,32 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// SetPlacement replaces the runners and replicas. Attempts under way keep their
+// SetPlacement adopts where the zone's replicas are. A partial placement replaces
+// only what is known of the runners that it lists. Attempts under way keep their
 // counts; a runner with another incarnation starts anew.
 func (b *Balancer) SetPlacement(placement structs.Placement) {
-	b.setRunners(placement.Runners)
-	previous := b.rows
-	b.rows = make(map[structs.RowName]*row, len(previous))
+	changed := make(changedRows)
+	if !placement.Partial {
+		b.retireUnlisted(placement.Runners, changed)
+	}
+	for _, info := range placement.Runners {
+		b.setRunner(info, changed)
+	}
 	for _, placed := range placement.Replicas {
-		b.addReplica(placed, previous)
+		b.addReplica(placed, changed)
 	}
-	for _, target := range b.runners {
-		target.keepReplicas(b.rows)
+	for _, info := range placement.Runners {
+		b.runners[info.ID].dropUnplaced()
 	}
-	for _, current := range b.rows {
-		b.chooseSubset(current)
+	for current := range changed {
+		b.rebuild(current)
 	}
 }
 
+// changedRows holds the rows whose replicas may have changed. Each is rebuilt by
+// itself, so their order does not matter.
+type changedRows map[*row]struct{}
+
 // Leave takes the runner out of every choice at once and for the rest of its life.
 func (b *Balancer) Leave(id structs.RunnerID) {
 	target := b.runners[id]
@@ -41,32 +51,51 @@
 	}
 }
 
-func (b *Balancer) setRunners(infos []structs.RunnerInfo) {
-	previous := b.runners
-	b.runners = make(map[structs.RunnerID]*runner, len(infos))
-	left := make(map[structs.RunnerID]structs.Incarnation)
+// retireUnlisted ends the runners that a whole placement no longer lists.
+func (b *Balancer) retireUnlisted(infos []structs.RunnerInfo, changed changedRows) {
+	listed := make(map[structs.RunnerID]struct{}, len(infos))
 	for _, info := range infos {
-		target := previous[info.ID]
-		if target == nil || target.info.Incarnation != info.Incarnation {
-			target = b.newRunner(info)
+		listed[info.ID] = struct{}{}
+	}
+	for id, target := range b.runners {
+		if _, kept := listed[id]; !kept {
+			b.retire(target, changed)
 		}
-		incarnation, gone := b.left[info.ID]
-		gone = gone && info.Incarnation <= incarnation
-		if gone {
-			left[info.ID] = incarnation
+	}
+	for id := range b.left {
+		if _, kept := listed[id]; !kept {
+			delete(b.left, id)
 		}
-		target.info = info
-		target.leaving = info.Leaving || gone
-		target.rows = target.rows[:0]
+	}
+}
+
+// retire ends one life of a runner; attempts under way still refer to it.
+func (b *Balancer) retire(target *runner, changed changedRows) {
+	target.unplaceAll(changed)
+	target.leaving = true
+	target.replicas = nil
+	delete(b.runners, target.info.ID)
+}
+
+// setRunner adopts what a placement says of a runner, whose replicas follow.
+func (b *Balancer) setRunner(info structs.RunnerInfo, changed changedRows) {
+	target := b.runners[info.ID]
+	if target != nil && target.info.Incarnation != info.Incarnation {
+		b.retire(target, changed)
+		target = nil
+	}
+	if target == nil {
+		target = b.newRunner(info)
 		b.runners[info.ID] = target
 	}
-	for id, old := range previous {
-		if b.runners[id] != old {
-			old.leaving = true
-			old.replicas = nil
-		}
+	target.unplaceAll(changed)
+	incarnation, left := b.left[info.ID]
+	if left && info.Incarnation > incarnation {
+		delete(b.left, info.ID)
+		left = false
 	}
-	b.left = left
+	target.info = info
+	target.leaving = info.Leaving || left
 }
 
 func (b *Balancer) newRunner(info structs.RunnerInfo) *runner {
@@ -82,56 +111,67 @@
 
 // addReplica puts a ready replica in its row; every replica on a runner that
 // is not leaving is a candidate for the subset.
-func (b *Balancer) addReplica(placed structs.Replica, previous map[structs.RowName]*row) {
+func (b *Balancer) addReplica(placed structs.Replica, changed changedRows) {
 	target := b.runners[placed.Runner]
 	if target == nil || placed.State != structs.ReplicaReady || placed.Incarnation != target.info.Incarnation {
 		return
 	}
 	current := b.rows[placed.Row]
 	if current == nil {
-		current = previous[placed.Row]
-		if current == nil {
-			current = &row{name: placed.Row}
-		}
-		current.ready = 0
-		current.subset = current.subset[:0]
+		current = &row{name: placed.Row}
 		b.rows[placed.Row] = current
 	}
 	known := target.replicas[placed.Row]
 	if known == nil {
-		known = &replica{runner: target}
+		known = &replica{row: current, runner: target}
 		target.replicas[placed.Row] = known
+		current.replicas = append(current.replicas, known)
 	}
-	known.row = current
+	if known.placed {
+		return
+	}
+	known.placed = true
 	target.rows = append(target.rows, placed.Row)
-	if !target.leaving {
-		current.ready++
-		current.subset = append(current.subset, known)
+	changed[current] = struct{}{}
+}
+
+// unplaceAll marks the runner's replicas as no longer placed.
+func (r *runner) unplaceAll(changed changedRows) {
+	for _, known := range r.replicas {
+		known.placed = false
+		changed[known.row] = struct{}{}
 	}
+	r.rows = r.rows[:0]
 }
 
-// keepReplicas drops replicas that are no longer placed and sorts the rows.
-func (r *runner) keepReplicas(rows map[structs.RowName]*row) {
+// dropUnplaced forgets the replicas that are no longer placed and sorts the rows.
+func (r *runner) dropUnplaced() {
 	slices.Sort(r.rows)
-	for name := range r.replicas {
-		if _, found := slices.BinarySearch(r.rows, name); !found || rows[name] == nil {
+	for name, known := range r.replicas {
+		if !known.placed {
 			delete(r.replicas, name)
 		}
 	}
 }
 
-// chooseSubset keeps the replicas on the runners with the highest hash of daemon
-// and runner (rendezvous hashing): when a runner comes or goes, at most one
-// member of the subset changes.
-func (b *Balancer) chooseSubset(current *row) {
-	slices.SortFunc(current.subset, func(left, right *replica) int {
-		switch {
-		case left.runner.hash > right.runner.hash:
-			return -1
-		case left.runner.hash < right.runner.hash:
-			return 1
+// rebuild lists the placed replicas of the row again and chooses its subset: the
+// replicas on the runners with the highest hash of daemon and runner (rendezvous
+// hashing), so that at most one member changes when a runner comes or goes.
+func (b *Balancer) rebuild(current *row) {
+	current.replicas = slices.DeleteFunc(current.replicas, func(known *replica) bool { return !known.placed })
+	if len(current.replicas) == 0 {
+		delete(b.rows, current.name)
+	}
+	clear(current.subset)
+	current.subset = current.subset[:0]
+	for _, known := range current.replicas {
+		if !known.runner.leaving {
+			current.subset = append(current.subset, known)
 		}
-		return 0
+	}
+	current.ready = len(current.subset)
+	slices.SortFunc(current.subset, func(left, right *replica) int {
+		return cmp.Or(cmp.Compare(right.runner.hash, left.runner.hash), cmp.Compare(left.runner.number, right.runner.number))
 	})
 	if len(current.subset) > b.options.SubsetSize {
 		clear(current.subset[b.options.SubsetSize:])
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -30,18 +30,23 @@
 
 // replica is a ready copy of a row on a runner.
 type replica struct {
-	row          *row
-	runner       *runner
-	breaker      breaker
-	rate         failureRate
+	row     *row
+	runner  *runner
+	breaker breaker
+	rate    failureRate
+	// placed is false once the zone no longer lists the replica.
+	placed       bool
 	ejectedUntil time.Time
 }
 
-// row lists the replicas of a row that this daemon uses.
+// row lists the replicas of a row; the subset holds those that this daemon uses.
 type row struct {
-	name   structs.RowName
-	ready  int
-	subset []*replica
+	name structs.RowName
+	// ready counts the replicas on runners that are not leaving.
+	ready int
+	// replicas are all of the row, those on leaving runners too.
+	replicas []*replica
+	subset   []*replica
 }
 
 // load returns the requests on the runner as far as this router knows.
--- a/structs/view.go
+++ b/structs/view.go
@@ -5,16 +5,22 @@
 type ZoneView struct {
 	// Index is the zone log index that the view reflects.
 	Index uint64
+	// SinceIndex is the index after which a partial placement's changes begin.
+	SinceIndex uint64
 	// Epoch is the zone group's term when the view was made.
 	Epoch Epoch
 	// Table is the change of the table since the router's table revision.
 	Table TableDelta
-	// Placement lists the runners and replicas of the zone; nil means no change.
+	// Placement lists the runners and replicas of the zone; nil means no change
+	// after SinceIndex.
 	Placement *Placement
 }
 
 // Placement lists where replicas are.
 type Placement struct {
+	// Partial means that only runners that changed are listed, each with all of
+	// its replicas; the others are as they were.
+	Partial  bool
 	Runners  []RunnerInfo
 	Replicas []Replica
 }
--- a/zone/random_test.go
+++ b/zone/random_test.go
@@ -117,12 +117,14 @@
 			equal(t, m.twin.Restore(data), nil)
 		}
 		restore(t)
+		router := &follower{}
 		t.Repeat(map[string]func(*rapid.T){
 			"adopt":    m.adopt,
 			"register": m.register,
 			"change":   m.change,
 			"claim":    m.claim,
 			"restore":  restore,
+			"follow":   func(t *rapid.T) { m.follow(t, router) },
 			"reserve": func(t *rapid.T) {
 				runner := drawRunner.Draw(t, "runner")
 				known, _ := m.Runner(runner)
--- a/zone/replica.go
+++ b/zone/replica.go
@@ -34,7 +34,7 @@
 		replica.Base = row.Base
 	}
 	s.record(replica)
-	s.placementIndex = uint64(number)
+	s.notePlacement(command.Runner, uint64(number))
 	return Result{Order: number}
 }
 
@@ -122,7 +122,7 @@
 	}
 	replica.State = command.To
 	replica.Since = normalTime(command.At)
-	s.placementIndex = uint64(number)
+	s.notePlacement(command.Runner, uint64(number))
 	return Result{Order: replica.Order}
 }
 
@@ -145,7 +145,7 @@
 		return refused(structs.ErrorInvalid, "a ready replica has no open order", "Plan again from the current state.")
 	}
 	replica.Order = number
-	s.placementIndex = uint64(number)
+	s.notePlacement(command.Runner, uint64(number))
 	return Result{Order: number}
 }
 
@@ -162,6 +162,6 @@
 		return limit("adapters are on the runner's replica of the base", "Remove the adapters first.")
 	}
 	s.forget(command.Runner, command.Row)
-	s.placementIndex = index
+	s.notePlacement(command.Runner, index)
 	return Result{}
 }
--- a/zone/runner.go
+++ b/zone/runner.go
@@ -16,7 +16,7 @@
 	}
 	if !ok {
 		s.runners[info.ID] = &Runner{RunnerInfo: info}
-		s.placementIndex = index
+		s.notePlacement(info.ID, index)
 		return Result{}
 	}
 	if info.Incarnation < known.Incarnation {
@@ -32,7 +32,7 @@
 		return Result{Error: problem}
 	}
 	known.RunnerInfo = info
-	s.placementIndex = index
+	s.notePlacement(info.ID, index)
 	return Result{}
 }
 
@@ -59,7 +59,7 @@
 	s.forgetReplicasOn(known.ID)
 	known.Gone = true
 	known.endPrefetch()
-	s.placementIndex = index
+	s.notePlacement(known.ID, index)
 	return Result{}
 }
 
@@ -69,7 +69,7 @@
 		return refused(structs.ErrorNotFound, "the runner is not known", "Check the runner's ID.")
 	}
 	known.Draining = command.Draining
-	s.placementIndex = index
+	s.notePlacement(known.ID, index)
 	return Result{}
 }
 
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -49,9 +49,8 @@
 }
 
 type snapshotClaim struct {
-	Claim   structs.Claim
-	Attempt uint64
-	Bytes   int64
+	Claim structs.Claim
+	Bytes int64
 }
 
 // Snapshot encodes the state: a magic number, a checksum, and compressed
@@ -86,7 +85,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.claims.records)) {
 		record := s.claims.records[key]
-		data.Claims = append(data.Claims, snapshotClaim{record.claim, record.attempt, record.bytes})
+		data.Claims = append(data.Claims, snapshotClaim{record.claim, record.bytes})
 	}
 	data.Released = s.claims.released.list()
 	return data
@@ -145,6 +144,7 @@
 		}
 	}
 	for _, entry := range d.Runners {
+		s.runnerIndex[entry.Info.ID] = d.PlacementIndex
 		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone, entry.Prefetch, entry.PrefetchOrder}
 	}
 	for _, entry := range d.Replicas {
@@ -166,7 +166,12 @@
 
 func (t *claimTable) restore(entry snapshotClaim) {
 	entry.Claim.ExpiresAt = normalTime(entry.Claim.ExpiresAt)
-	t.records[entry.Claim.Key] = &claimRecord{entry.Claim, entry.Attempt, entry.Bytes}
+	entry.Claim.ChosenAt = normalTime(entry.Claim.ChosenAt)
+	record := &claimRecord{entry.Claim, entry.Bytes}
+	t.records[entry.Claim.Key] = record
+	if entry.Claim.State == structs.ClaimHeld {
+		t.held[entry.Claim.Key] = record
+	}
 	t.bytes += entry.Bytes
 	if entry.Claim.State == structs.ClaimFinished {
 		t.expiry = append(t.expiry, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
--- a/zone/state.go
+++ b/zone/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -44,13 +45,15 @@
 	zone           structs.ZoneID
 	index          uint64
 	placementIndex uint64
-	table          adoptedTable
-	runners        map[structs.RunnerID]*Runner
-	replicas       map[placementKey]*Replica
-	byRow          map[structs.RowName]map[structs.RunnerID]*Replica
-	byRunner       map[structs.RunnerID]map[structs.RowName]*Replica
-	reserved       map[structs.RunnerID]int64
-	claims         claimTable
+	// runnerIndex holds the placementIndex at which each runner last changed.
+	runnerIndex map[structs.RunnerID]uint64
+	table       adoptedTable
+	runners     map[structs.RunnerID]*Runner
+	replicas    map[placementKey]*Replica
+	byRow       map[structs.RowName]map[structs.RunnerID]*Replica
+	byRunner    map[structs.RunnerID]map[structs.RowName]*Replica
+	reserved    map[structs.RunnerID]int64
+	claims      claimTable
 }
 
 // Result is what a command led to.
@@ -64,6 +67,8 @@
 	// ClaimNew is true when the claim is held by the command's own request: that
 	// request alone may be executed.
 	ClaimNew bool
+	// Batch has one result for each operation of a ClaimBatchCommand.
+	Batch []Result
 	// TableRevision is the adopted table revision after the command.
 	TableRevision uint64
 }
@@ -71,14 +76,15 @@
 // New makes the empty state of a zone.
 func New(zone structs.ZoneID) *State {
 	return &State{
-		zone:     zone,
-		table:    newAdoptedTable(),
-		runners:  map[structs.RunnerID]*Runner{},
-		replicas: map[placementKey]*Replica{},
-		byRow:    map[structs.RowName]map[structs.RunnerID]*Replica{},
-		byRunner: map[structs.RunnerID]map[structs.RowName]*Replica{},
-		reserved: map[structs.RunnerID]int64{},
-		claims:   newClaimTable(),
+		zone:        zone,
+		table:       newAdoptedTable(),
+		runners:     map[structs.RunnerID]*Runner{},
+		runnerIndex: map[structs.RunnerID]uint64{},
+		replicas:    map[placementKey]*Replica{},
+		byRow:       map[structs.RowName]map[structs.RunnerID]*Replica{},
+		byRunner:    map[structs.RunnerID]map[structs.RowName]*Replica{},
+		reserved:    map[structs.RunnerID]int64{},
+		claims:      newClaimTable(),
 	}
 }
 
@@ -120,9 +126,11 @@
 	case command.Prefetch != nil:
 		return s.applyPrefetch(number, command.Prefetch)
 	case command.ClaimBegin != nil:
-		return s.claims.begin(command.ClaimBegin)
+		return s.claims.begin(command.ClaimBegin, time.Time{})
 	case command.ClaimFinish != nil:
 		return s.claims.finish(command.ClaimFinish)
+	case command.ClaimBatch != nil:
+		return s.claims.batch(command.ClaimBatch)
 	default:
 		return s.claims.expire(command.ClaimExpire)
 	}
--- a/zone/table.go
+++ b/zone/table.go
@@ -236,23 +236,3 @@
 func (s *State) Elsewhere(row structs.RowName) []structs.ZoneID {
 	return slices.Clone(s.table.elsewhere[row])
 }
-
-// View returns what changed for a router that has the table at sinceTable and
-// the placement as of sinceIndex. The caller sets the Epoch.
-func (s *State) View(sinceTable, sinceIndex uint64) structs.ZoneView {
-	view := structs.ZoneView{Index: s.index, Table: s.table.since(s.zone, sinceTable)}
-	if sinceIndex >= s.placementIndex && sinceIndex > 0 {
-		return view
-	}
-	placement := &structs.Placement{}
-	for _, runner := range s.Runners() {
-		info := runner.RunnerInfo
-		info.Leaving = !runner.Accepting()
-		placement.Runners = append(placement.Runners, info)
-	}
-	for _, replica := range s.Replicas() {
-		placement.Replicas = append(placement.Replicas, replica.Replica)
-	}
-	view.Placement = placement
-	return view
-}
