--- a/capacity/engine.go
+++ b/capacity/engine.go
@@ -1,9 +1,14 @@
 package capacity
 
-import "github.com/lotusferry/lotusferry/structs"
+import (
+	"encoding/json"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 func engineProbes() []probe {
 	sizes := []int{1, 2, 4, 8, 16, 32}
+	machines := []int{1_000, 2_000, 4_000, 7_000, 10_000}
 	return []probe{
 		{RoleEngine, "engine report", "replica", unitBytes, methodJSON, sizes, func(size int) float64 {
 			return jsonBytes(engineReport(newZone(100, 1, size), 0))
@@ -15,17 +20,43 @@
 			}
 			return jsonBytes(report)
 		}},
-		{RoleEngine, "machine list", "machine", unitBytes, methodJSON, []int{100, 200, 400, 800, 1_600}, func(size int) float64 {
-			var list []structs.Machine
-			for index := range size {
-				list = append(list, machineOf(index))
-			}
-			return jsonBytes(list)
+		{RoleEngine, "engine reports of 4 replicas decoded", "report", unitMicros, methodCPU, []int{50, 100, 200, 300, 417}, reportCPU},
+		{RoleEngine, "machine list", "machine", unitBytes, methodJSON, machines, func(size int) float64 {
+			return jsonBytes(machineList(size))
+		}},
+		{RoleEngine, "machine list decoded", "machine", unitMicros, methodCPU, machines, func(size int) float64 {
+			data := must(json.Marshal(machineList(size)))
+			return cpuOf(func() { decode(data, &[]structs.Machine{}) })
 		}},
 		{RoleEngine, "order to load, with reply", "order", unitBytes, methodJSON, []int{1, 2, 4, 8, 16}, orderBytes},
 	}
 }
 
+func machineList(size int) []structs.Machine {
+	var list []structs.Machine
+	for index := range size {
+		list = append(list, machineOf(index))
+	}
+	return list
+}
+
+func decode(data []byte, into any) {
+	if err := json.Unmarshal(data, into); err != nil {
+		panic(err)
+	}
+}
+
+// reportCPU decodes as many reports as given, as a zone leader does each interval.
+func reportCPU(reports int) float64 {
+	const replicas = 4
+	data := must(json.Marshal(engineReport(newZone(100, 1, replicas), 0)))
+	return cpuOf(func() {
+		for range reports {
+			decode(data, &structs.EngineReport{})
+		}
+	})
+}
+
 func orderBytes(orders int) float64 {
 	bytes := 0.0
 	for index := range orders {
--- a/capacity/fit.go
+++ b/capacity/fit.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Fit is a straight line through measured points by least squares.
 type Fit struct {
@@ -46,6 +49,42 @@
 	return fit
 }
 
+// Verdict says what a fit is good for.
+type Verdict string
+
+// The verdicts.
+const (
+	// VerdictLinear: the slope may be multiplied up.
+	VerdictLinear Verdict = "linear"
+	// VerdictFlat: the driver moves the value by less than flatPart of its mean,
+	// and no value lies further than that from the line.
+	VerdictFlat Verdict = "no measurable slope"
+	// VerdictUneven: there is a slope, and the values lie off the line; use the
+	// value of the largest size.
+	VerdictUneven Verdict = "not a line"
+)
+
+const (
+	// linearRSquared is the least R² of a fit that counts as a line.
+	linearRSquared = 0.95
+	flatPart       = 0.2
+)
+
+// Judge says what the fit of the values is good for.
+func (f Fit) Judge(sizes, values []float64) Verdict {
+	if math.IsNaN(f.Slope) {
+		return VerdictUneven
+	}
+	rise := math.Abs(f.Slope) * (slices.Max(sizes) - slices.Min(sizes))
+	switch {
+	case max(rise, f.LargestResidual) < flatPart*math.Abs(mean(values)):
+		return VerdictFlat
+	case f.RSquared >= linearRSquared:
+		return VerdictLinear
+	}
+	return VerdictUneven
+}
+
 // At returns the line's value at a size.
 func (f Fit) At(size float64) float64 { return f.Intercept + f.Slope*size }
 
--- a/capacity/global.go
+++ b/capacity/global.go
@@ -17,6 +17,9 @@
 	editRows        = 500
 )
 
+// tableSizes are sizes of the table up to the one designed for.
+var tableSizes = []int{8_000, 16_000, 24_000, 32_000, 45_000, 58_250}
+
 var probeTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 const (
@@ -25,7 +28,7 @@
 )
 
 func globalProbes() []probe {
-	rows := []int{2_000, 4_000, 8_000, 12_000, 16_000, 24_000}
+	rows := tableSizes
 	changed := []int{1, 4, 16, 64, 256, 1_024}
 	zones := []int{2, 6, 12, 18, 24}
 	return []probe{
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -13,8 +13,9 @@
 const (
 	// roundTime is the least processor time of one round of a CPU measurement.
 	roundTime = 15 * time.Millisecond
-	// rounds is how many rounds the median is taken of.
-	rounds = 3
+	// rounds is how many rounds the least is taken of: other work on the machine
+	// only ever adds to a round.
+	rounds = 9
 )
 
 // heapOf returns the heap that what make returns keeps alive, in bytes.
@@ -26,6 +27,14 @@
 	return float64(after) - float64(before)
 }
 
+// heapBeside is heapOf for something made of an input that is alive before and
+// after, so that only what is kept of it counts.
+func heapBeside[T any](input T, make func(T) any) float64 {
+	size := heapOf(func() any { return make(input) })
+	runtime.KeepAlive(&input)
+	return size
+}
+
 func liveHeap() uint64 {
 	runtime.GC()
 	runtime.GC()
@@ -48,8 +57,7 @@
 		}
 		measured = append(measured, float64((processTime()-began).Nanoseconds())/1e3/float64(calls))
 	}
-	slices.Sort(measured)
-	return measured[len(measured)/2]
+	return slices.Min(measured)
 }
 
 // batchCPU returns the processor time of one of count equal pieces of work that
--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -13,10 +13,10 @@
 		{RoleZone, "round of decisions, 200 runners", "replica", unitMicros, methodCPU, []int{200, 400, 800, 1_200, 1_600}, func(size int) float64 {
 			return decideCPU(200, size, 0)
 		}},
-		{RoleZone, "round of decisions, 200 runners, 400 replicas", "row with waiting requests", unitMicros, methodCPU, []int{0, 25, 50, 100, 200}, func(size int) float64 {
+		{RoleZone, "round of decisions, 200 runners, 400 replicas", "row with waiting requests", unitMicros, methodCPU, []int{0, 100, 200, 400, 800}, func(size int) float64 {
 			return decideCPU(200, 400, size)
 		}},
-		{RoleZone, "round of decisions, 100 runners, 200 replicas", "row of the table", unitMicros, methodCPU, []int{2_000, 4_000, 8_000, 16_000, 24_000}, func(size int) float64 {
+		{RoleZone, "round of decisions, 100 runners, 200 replicas", "row of the table", unitMicros, methodCPU, tableSizes, func(size int) float64 {
 			return decideInput(size, 100, 200, 10).cpu()
 		}},
 	}
--- a/capacity/probe.go
+++ b/capacity/probe.go
@@ -17,6 +17,8 @@
 	RoleRouter = "router"
 	RoleRaft   = "raft-member"
 	RoleEngine = "engine-traffic"
+	// RoleOperator is the daemon that an operator talks to.
+	RoleOperator = "operator-gateway"
 )
 
 // Slope is one measured cost of a role.
@@ -31,6 +33,8 @@
 	Sizes  []float64 `json:"sizes"`
 	Values []float64 `json:"values"`
 	Fit
+	// Verdict says what the values are good for.
+	Verdict Verdict `json:"verdict"`
 }
 
 // probe measures one slope.
@@ -46,7 +50,7 @@
 	unitMicros = "microseconds"
 
 	methodHeap    = "heap after garbage collection"
-	methodCPU     = "process time, median of 3 rounds"
+	methodCPU     = "process time, least of 9 rounds"
 	methodGob     = "gob with the net/rpc header"
 	methodMsgpack = "encoded log or snapshot"
 	methodJSON    = "JSON body"
@@ -67,7 +71,7 @@
 }
 
 func allProbes() []probe {
-	return slices.Concat(globalProbes(), zoneProbes(), planProbes(), viewProbes(), claimProbes(), routerProbes(), raftProbes(), engineProbes())
+	return slices.Concat(globalProbes(), zoneProbes(), planProbes(), viewProbes(), claimProbes(), routerProbes(), raftProbes(), engineProbes(), operatorProbes())
 }
 
 // Measure measures the slopes of a role, or of all when role is empty. Progress
@@ -99,11 +103,12 @@
 		slope.Values = append(slope.Values, p.measure(size))
 	}
 	slope.Fit = LeastSquares(slope.Sizes, slope.Values)
+	slope.Verdict = slope.Fit.Judge(slope.Sizes, slope.Values)
 	return slope
 }
 
 // String is one line for a person.
 func (s Slope) String() string {
-	return fmt.Sprintf("%-16s %-44s %12.4g + %10.4g %s per %s  (R² %.4f, largest residual %.3g)",
-		s.Role, s.Name, s.Intercept, s.Slope, s.Unit, s.Driver, s.RSquared, s.LargestResidual)
+	return fmt.Sprintf("%-16s %-44s %12.4g + %10.4g %s per %s  (R² %.4f, largest residual %.3g: %s)",
+		s.Role, s.Name, s.Intercept, s.Slope, s.Unit, s.Driver, s.RSquared, s.LargestResidual, s.Verdict)
 }
--- a/capacity/router.go
+++ b/capacity/router.go
@@ -3,31 +3,52 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// runnerBatch is how many requests a runner decodes at once.
+const runnerBatch = 64
+
 func routerProbes() []probe {
-	rows := []int{4_000, 8_000, 16_000, 24_000, 32_000}
+	rows := tableSizes
 	runners := []int{50, 100, 200, 300, 417}
+	active := []int{8, 32, 64, 128, 290}
 	return []probe{
 		{RoleRouter, "router state, rows", "row", unitBytes, methodHeap, rows, func(size int) float64 {
 			view := newZone(size, 0, 0).state.View(0, 0)
-			return heapOf(func() any { return newRouter(copyNames(view)) })
+			return heapBeside(view, func(view structs.ZoneView) any { return newRouter(copyNames(view)) })
+		}},
+		{RoleRouter, "rows kept for listing the models", "row", unitBytes, methodHeap, rows, func(size int) float64 {
+			return heapBeside(makeRows(size, adapterReplicas), func(rows []structs.Row) any {
+				listed := map[structs.RowName]structs.Row{}
+				for _, row := range rows {
+					listed[row.Name] = row
+				}
+				return listed
+			})
 		}},
 		{RoleRouter, "router state, runners", "runner", unitBytes, methodHeap, runners, func(size int) float64 {
 			view := newZone(10, size, 0).state.View(0, 0)
-			return heapOf(func() any { return newRouter(view) })
+			return heapBeside(view, func(view structs.ZoneView) any { return newRouter(copyNames(view)) })
 		}},
 		{RoleRouter, "router state, replicas on 100 runners", "replica", unitBytes, methodHeap, []int{200, 400, 800, 1_200, 1_600}, func(size int) float64 {
 			view := newZone(2_000, 100, size).state.View(0, 0)
-			return heapOf(func() any { return newRouter(view) })
+			return heapBeside(view, func(view structs.ZoneView) any { return newRouter(copyNames(view)) })
 		}},
 		{RoleRouter, "requests held", "request", unitBytes, methodHeap, []int{250, 500, 1_000, 2_000, 4_000}, heldBytes},
 		{RoleRouter, "requests of one token, from arrival to end", "request", unitMicros, methodCPU, []int{100, 200, 400, 800, 1_600}, requestCPU},
 		{RoleRouter, "tokens of streams", "token", unitMicros, methodCPU, []int{1_000, 2_000, 4_000, 8_000, 16_000}, tokenCPU},
+		{RoleRouter, "tick, one request waiting a row", "waiting row", unitMicros, methodCPU, []int{25, 50, 100, 200, 400}, func(size int) float64 {
+			return tickCPU(size, 1)
+		}},
+		{RoleRouter, "tick, ten rows waiting", "waiting request of each", unitMicros, methodCPU, []int{2, 4, 6, 8, 12}, func(size int) float64 {
+			return tickCPU(10, size)
+		}},
 		{RoleRouter, "view of the whole table adopted", "row", unitMicros, methodCPU, rows, func(size int) float64 {
 			view := newZone(size, 0, 0).state.View(0, 0)
 			return cpuOf(func() { newRouter(view) })
@@ -38,11 +59,11 @@
 		{RoleRouter, "placement adopted, 400 replicas", "runner", unitMicros, methodCPU, runners, func(size int) float64 {
 			return placementCPU(size, 400)
 		}},
-		{RoleRouter, "demand report", "active row", unitBytes, methodGob, []int{1, 8, 32, 64, 128}, func(size int) float64 {
+		{RoleRouter, "demand report", "active row", unitBytes, methodGob, active, func(size int) float64 {
 			core, _ := activeRouter(size)
 			return requestBytes(methodDemand, daemon.DemandArguments{Report: core.Demand()})
 		}},
-		{RoleRouter, "demand report made", "active row", unitMicros, methodCPU, []int{8, 32, 64, 128, 256}, func(size int) float64 {
+		{RoleRouter, "demand report made", "active row", unitMicros, methodCPU, active, func(size int) float64 {
 			core, _ := activeRouter(size)
 			return cpuOf(func() { core.Demand() })
 		}},
@@ -55,17 +76,41 @@
 		Random: rand.New(rand.NewPCG(1, 1)), TotalLimit: 1 << 20,
 	})
 	core.Step(probeTime, router.ViewChanged{View: view})
+	if view.Placement == nil {
+		return core
+	}
+	for _, info := range view.Placement.Runners {
+		report := structs.LoadReport{MaxBatch: runnerBatch, ObservedAt: probeTime}
+		core.Step(probeTime, router.LoadObserved{Runner: info.ID, Report: report})
+	}
 	return core
 }
 
-// copyNames gives a view its own strings, as a message from the network has.
+// copyNames returns a view with strings of its own, as a message from the network has.
 func copyNames(view structs.ZoneView) structs.ZoneView {
+	view.Table.Rows = slices.Clone(view.Table.Rows)
 	for i := range view.Table.Rows {
 		row := &view.Table.Rows[i]
-		row.Name = structs.RowName([]byte(row.Name))
-		row.Kind = structs.RowKind([]byte(row.Kind))
-		row.Role = structs.RunnerRole([]byte(row.Role))
+		row.Name = structs.RowName(strings.Clone(string(row.Name)))
+		row.Kind = structs.RowKind(strings.Clone(string(row.Kind)))
+		row.Role = structs.RunnerRole(strings.Clone(string(row.Role)))
+	}
+	if view.Placement == nil {
+		return view
+	}
+	placement := *view.Placement
+	placement.Runners = slices.Clone(placement.Runners)
+	for i := range placement.Runners {
+		runner := &placement.Runners[i]
+		runner.ID = structs.RunnerID(strings.Clone(string(runner.ID)))
+		runner.Address = strings.Clone(runner.Address)
+	}
+	placement.Replicas = slices.Clone(placement.Replicas)
+	for i := range placement.Replicas {
+		replica := &placement.Replicas[i]
+		replica.Row = structs.RowName(strings.Clone(string(replica.Row)))
 	}
+	view.Placement = &placement
 	return view
 }
 
@@ -79,14 +124,34 @@
 	return core, sent
 }
 
-func arrive(core *router.Core, index int, row structs.RowName) router.SendAttempt {
-	effects := core.Step(probeTime, router.Arrived{Request: structs.Request{
+// step lets a request arrive and returns what came of it.
+func step(core *router.Core, index int, row structs.RowName) []router.Effect {
+	return core.Step(probeTime, router.Arrived{Request: structs.Request{
 		ID: structs.RequestID(fmt.Sprintf("01890a5d-ac96-774b-bcce-%012d", index)), Row: row,
 		Prompt: "Explain this function, please.", MaxTokens: answerTokens, Priority: structs.PriorityLive,
 	}})
+}
+
+// arrive is step for a request that is sent to a runner at once.
+func arrive(core *router.Core, index int, row structs.RowName) router.SendAttempt {
+	effects := step(core, index, row)
+	if len(effects) != 1 {
+		panic(fmt.Sprintf("request %d for %s: %d effects in place of one attempt", index, row, len(effects)))
+	}
 	return effects[0].(router.SendAttempt)
 }
 
+// tickCPU is a tick while requests wait for rows that are not loaded.
+func tickCPU(rows, requests int) float64 {
+	core := newRouter(newZone(1_000, 10, 0).state.View(0, 0))
+	for index := range rows * requests {
+		if effects := step(core, index, rowName(index%rows)); len(effects) > 0 {
+			panic(fmt.Sprintf("request %d does not wait: %v", index, effects))
+		}
+	}
+	return cpuOf(func() { core.Step(probeTime, router.Tick{}) })
+}
+
 func heldBytes(requests int) float64 {
 	core := newRouter(newZone(100, 100, 100).state.View(0, 0))
 	return heapOf(func() any {
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -26,7 +26,7 @@
 		{RoleZone, "view to a router after one replica changed, 100 runners", "replica of the zone", unitBytes, methodGob, []int{100, 200, 400, 800, 1_200}, func(size int) float64 {
 			return oneChangeBytes(newZone(2_000, 100, size))
 		}},
-		{RoleZone, "first view to a router", "row", unitBytes, methodGob, []int{1_000, 2_000, 4_000, 8_000, 16_000}, func(size int) float64 {
+		{RoleZone, "first view to a router", "row", unitBytes, methodGob, tableSizes, func(size int) float64 {
 			return viewBytes(newZone(size, 10, 0), 0, 0)
 		}},
 		{RoleZone, "long polls without news, an hour", "router", unitBytes, methodGob, []int{1, 8, 16, 24, 33}, idlePollBytes},
--- a/capacity/zone.go
+++ b/capacity/zone.go
@@ -15,7 +15,7 @@
 )
 
 func zoneProbes() []probe {
-	rows := []int{2_000, 4_000, 8_000, 12_000, 16_000, 24_000}
+	rows := tableSizes
 	runners := []int{50, 100, 200, 300, 417}
 	replicas := []int{200, 400, 800, 1_200, 1_600}
 	return []probe{
--- a/hollow/faults.go
+++ b/hollow/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -58,14 +59,22 @@
 		node := zone.runners[zone.random.IntN(len(zone.runners))]
 		plan.add(zone, "runner restarted", string(node.id), 0.15, restartTime, func() { zone.restartRunner(node) })
 	}
-	cut := s.zones[1]
-	plan.add(cut, "zone cut off", string(cut.id), 0.30, length/5, func() {})
-	from := plan.start + int64(0.30*float64(length))
-	s.cuts = append(s.cuts, zoneCut{zone: cut, from: from, to: from + int64(length/5)})
+	plan.cut("zone cut off", string(s.zones[1].id), s.zones[1:2], 0.30, length/5)
 	control := s.zones[len(s.zones)-1]
 	plan.add(control, "control machine failed", string(control.voters[0].id), 0.55, downTime, func() { control.failProcess(control.voters[0], downTime) })
 	rack := s.zones[len(s.zones)/2]
 	plan.add(rack, "rack lost", string(rack.id), 0.65, length, rack.loseRack)
+	// A region that holds a voter of the global group, but not the operator.
+	last := s.globals[len(s.globals)-1].zone.region
+	var region []*zoneSite
+	for _, zone := range s.zones {
+		if zone.region == last {
+			region = append(region, zone)
+		}
+	}
+	if len(region) < len(s.zones) {
+		plan.cut("region cut off", fmt.Sprintf("region-%d", last), region, 0.75, length/5)
+	}
 	return plan.events
 }
 
@@ -82,6 +91,13 @@
 	zone.at(p.start+int64(after), run)
 }
 
+// cut cuts zones off from all others.
+func (p *faultPlan) cut(kind, target string, zones []*zoneSite, part float64, lasts time.Duration) {
+	p.add(zones[0], kind, target, part, lasts, func() {})
+	from := p.start + int64(part*float64(p.length))
+	p.site.cuts = append(p.site.cuts, zoneCut{zones: zones, from: from, to: from + int64(lasts)})
+}
+
 // failRunner kills an engine; its machine comes back empty.
 func (z *zoneSite) failRunner(node *runnerNode) {
 	node.crash()
@@ -159,10 +175,12 @@
 	}
 }
 
-// loseRack kills the runners and routers of one rack for good.
+// loseRack kills the runners and routers of one rack for good. The platform's
+// list drops the machines.
 func (z *zoneSite) loseRack() {
 	for _, node := range z.runners[:min(rackRunners, len(z.runners)/rackPart)] {
 		node.crash()
+		z.box.machines.Remove(z.time(), node.id)
 	}
 	plain := z.routers[z.site.options.ZoneVoters:]
 	for _, node := range plain[:min(rackRouters, len(plain)/rackPart)] {
--- a/hollow/layout.go
+++ b/hollow/layout.go
@@ -26,10 +26,10 @@
 	adapterBytes     = 200 << 20
 )
 
-// The limits in the table: a model may have two replicas a zone and keeps one,
+// The limits in the table: a model may have four replicas a zone and keeps one,
 // an adapter may have two in the site.
 const (
-	modelReplicasPerZone = 2
+	modelReplicasPerZone = 4
 	adapterReplicas      = 2
 )
 
--- a/hollow/network.go
+++ b/hollow/network.go
@@ -1,16 +1,25 @@
 package hollow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // callTimeout bounds a call between daemons, as transport.DefaultCallTimeout does.
 const callTimeout = 5 * time.Second
 
-// zoneCut cuts a zone off from all others for some virtual time.
+// zoneCut cuts a zone, or the zones of a region, off from all others for some
+// virtual time.
 type zoneCut struct {
-	zone     *zoneSite
+	zones    []*zoneSite
 	from, to int64
 }
 
+// parts reports whether the cut lies between two zones.
+func (c zoneCut) parts(a, b *zoneSite) bool {
+	return slices.Contains(c.zones, a) != slices.Contains(c.zones, b)
+}
+
 // connected reports whether messages pass between two zones. The plan of cuts
 // does not change while partitions run.
 func (s *site) connected(a, b *zoneSite, now int64) bool {
@@ -18,7 +27,7 @@
 		return true
 	}
 	for _, cut := range s.cuts {
-		if (cut.zone == a || cut.zone == b) && cut.from <= now && now < cut.to {
+		if cut.from <= now && now < cut.to && cut.parts(a, b) {
 			return false
 		}
 	}
--- a/hollow/options.go
+++ b/hollow/options.go
@@ -35,7 +35,7 @@
 	KeyedShare float64
 	// PeakRequests is the site's peak rate a second, LoadsPerHour the rate of
 	// requests for rows that are not loaded, EditsPerDay that of edits. The last
-	// two are carried whole.
+	// two are carried whole. The defaults of the first two follow the runners.
 	PeakRequests float64
 	LoadsPerHour float64
 	EditsPerDay  float64
@@ -70,7 +70,7 @@
 	defaultLoadsPerHour = 7_300
 	defaultEditsPerDay  = 14_000
 	defaultBurstEdits   = 100
-	defaultFullRouters  = 8
+	defaultFullRouters  = 2
 	defaultMemory       = 15 << 30
 )
 
@@ -89,8 +89,9 @@
 	setDefault(&o.RealLimit, defaultRealLimit)
 	setDefault(&o.Share, defaultShare)
 	setDefault(&o.KeyedShare, defaultKeyedShare)
-	setDefault(&o.PeakRequests, defaultPeakRequests)
-	setDefault(&o.LoadsPerHour, defaultLoadsPerHour)
+	part := float64(o.Runners) / defaultRunners
+	setDefault(&o.PeakRequests, defaultPeakRequests*part)
+	setDefault(&o.LoadsPerHour, defaultLoadsPerHour*part)
 	setDefault(&o.EditsPerDay, defaultEditsPerDay)
 	setDefault(&o.BurstEdits, defaultBurstEdits)
 	setDefault(&o.FullTableRouters, defaultFullRouters)
--- a/hollow/report.go
+++ b/hollow/report.go
@@ -200,7 +200,7 @@
 		}
 		start := edit.sentAt
 		for _, cut := range s.cuts {
-			if cut.zone == zone && cut.from <= at && edit.sentAt < cut.to {
+			if slices.Contains(cut.zones, zone) && cut.from <= at && edit.sentAt < cut.to {
 				start = max(start, cut.to)
 			}
 		}
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -31,7 +31,6 @@
 	leaderGuess int
 	requests    map[structs.RequestID]*callRecord
 	attempts    map[router.AttemptID]*runnerNode
-	claimNumber uint64
 	reportedAt  int64
 	reportDue   bool
 	draining    bool
@@ -149,6 +148,15 @@
 	r.owner.zone.after(delayInZone, func() { target.generate(r, life, send) })
 }
 
+// refused ends an attempt that did not reach its engine.
+func (r *routerNode) refused(life int, attempt router.AttemptID) {
+	if !r.current(life) {
+		return
+	}
+	delete(r.attempts, attempt)
+	r.step(router.AttemptFailed{Attempt: attempt, Stage: router.NotSent, Error: brokenError()})
+}
+
 // cancelAttempt ends the attempt at its engine.
 func (r *routerNode) cancelAttempt(attempt router.AttemptID) {
 	target := r.attempts[attempt]
@@ -185,10 +193,20 @@
 func (r *routerNode) beginClaim(effect router.BeginClaim) {
 	claim := effect.Claim
 	life := r.owner.life
-	r.claimNumber++
+	if claim.Home != r.owner.zone.id {
+		// Zones of the hollow site run apart; a router reaches its own group only.
+		problem := structs.NewError(structs.ErrorUnavailable, "the home zone of the key is not reached from here", "Send it to the home zone.")
+		r.owner.zone.after(delayInZone, func() {
+			if r.current(life) {
+				r.step(router.ClaimReplied{ID: effect.ID, Error: problem, NotAsked: true})
+			}
+		})
+		return
+	}
 	command := zone.Command{ClaimBegin: &zone.ClaimBeginCommand{
 		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder,
-		Attempt: r.claimNumber, Runner: claim.Runner, Incarnation: claim.Incarnation, AnswerBytes: effect.AnswerBytes,
+		Attempt: effect.Choice, Runner: claim.Runner, Incarnation: claim.Incarnation,
+		Address: claim.Address, EngineRequest: claim.EngineRequest, AnswerBytes: effect.AnswerBytes,
 	}}
 	r.proposeZone(trafficClaim, command, func(result zone.Result, err *structs.Error) {
 		if !r.current(life) {
@@ -204,6 +222,9 @@
 // finishClaim records the end of a claim and repeats it until the zone has it.
 func (r *routerNode) finishClaim(effect router.FinishClaim) {
 	claim := effect.Claim
+	if claim.Home != r.owner.zone.id {
+		return
+	}
 	life := r.owner.life
 	command := zone.Command{ClaimFinish: &zone.ClaimFinishCommand{
 		Key: claim.Key, Request: claim.Request, State: claim.State, NotRun: claim.State == structs.ClaimReleased,
--- a/hollow/runnernode.go
+++ b/hollow/runnernode.go
@@ -178,8 +178,13 @@
 	})
 }
 
-// generate starts an attempt that a router sent.
+// generate starts an attempt that a router sent. A dead runner refuses the
+// connection.
 func (n *runnerNode) generate(from *routerNode, life int, send router.SendAttempt) {
+	if n.engine.Dead() {
+		n.home.after(delayInZone, func() { from.refused(life, send.Attempt) })
+		return
+	}
 	n.last++
 	n.calls[n.last] = engineCall{router: from, life: life, attempt: send.Attempt}
 	n.step(emulator.EngineInput{Kind: emulator.InputGenerate, Call: n.last, Generate: send.Generate})
--- a/labcommand/capacity.go
+++ b/labcommand/capacity.go
@@ -9,7 +9,7 @@
 )
 
 // capacityLimit bounds all measurements together.
-const capacityLimit = 170 * time.Second
+const capacityLimit = 5 * time.Minute
 
 type capacityCommand struct {
 	session *session
@@ -25,12 +25,12 @@
 	if c.JSON {
 		progress = io.Discard
 	}
-	slopes, err := capacity.Measure(ctx, c.Role, progress)
-	if err != nil {
-		return err
+	slopes, measureErr := capacity.Measure(ctx, c.Role, progress)
+	if c.JSON && len(slopes) > 0 {
+		// A run out of time has slopes to show as well.
+		if err := c.session.printJSON(slopes); err != nil {
+			return err
+		}
 	}
-	if c.JSON {
-		return c.session.printJSON(slopes)
-	}
-	return nil
+	return measureErr
 }
--- a/labcommand/hollow.go
+++ b/labcommand/hollow.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/hollow"
@@ -21,7 +23,7 @@
 	Share    float64       `long:"share" default:"0.05" description:"part of the peak rate of requests that is carried"`
 	For      time.Duration `long:"for" default:"60s" description:"virtual time under load"`
 	Limit    time.Duration `long:"limit" default:"4m" description:"real time after which the load is cut short"`
-	Full     int           `long:"full-routers" default:"8" description:"routers of each zone that keep the whole table in memory"`
+	Full     int           `long:"full-routers" default:"2" description:"routers of each zone that keep the whole table in memory"`
 	Workers  int           `long:"workers" description:"zones that run side by side; half of the processors if not given"`
 	Seed     uint64        `long:"seed" default:"1" description:"decides requests, edits and faults"`
 	JSON     bool          `long:"json" description:"print the report as JSON"`
@@ -66,7 +68,8 @@
 		requests.Sent, requests.RequestsPerSecond, requests.Answered, requests.Refused, requests.Cut, requests.TokensPerSecond, report.LoadsDone)
 	fmt.Fprintf(out, "edits %d, in force everywhere p50 %.2f s p99 %.2f s max %.2f s\n",
 		report.Edits.Accepted, report.Edits.InForce.P50, report.Edits.InForce.P99, report.Edits.InForce.Max)
-	for role, bytes := range report.Bytes {
+	for _, role := range slices.Sorted(maps.Keys(report.Bytes)) {
+		bytes := report.Bytes[role]
 		fmt.Fprintf(out, "control bytes a second, %s (%d): mean %.0f p99 %.0f max %.0f\n",
 			role, bytes.Daemons, bytes.Both.Mean, bytes.Both.P99, bytes.Both.Max)
 	}
