--- a/config/check_site.go
+++ b/config/check_site.go
@@ -9,7 +9,6 @@
 // Bounds of the site's numbers.
 const (
 	maximumZoneWeight     = 1000
-	maximumStoreLoads     = 10000
 	maximumStoreInFlight  = 10000
 	recommendedVoterFloor = 3
 )
@@ -28,10 +27,6 @@
 	k.ownMembership()
 	k.platformURL("site.machine_list", site.MachineList)
 	k.platformURL("site.weight_store", site.WeightStore)
-	if !(site.StoreLoadsPerSecond > 0 && site.StoreLoadsPerSecond <= maximumStoreLoads) {
-		k.add("site.store_loads_per_second", site.StoreLoadsPerSecond, "is out of range",
-			fmt.Sprintf("Write the weight store's limit, above 0 and at most %d.", maximumStoreLoads))
-	}
 	k.between("site.store_concurrent", site.StoreConcurrent, 1, maximumStoreInFlight)
 }
 
@@ -120,10 +115,6 @@
 	for index, member := range members {
 		memberKey := fmt.Sprintf("%s[%d]", key, index)
 		k.identifier(memberKey+".daemon", string(member.Daemon))
-		if member.Node == 0 {
-			k.add(memberKey+".node", member.Node, "is not a node ID",
-				"Write a number above 0 that no member of the group ever had.")
-		}
 		k.address(memberKey+".address", member.Address, false)
 	}
 }
@@ -138,10 +129,8 @@
 	return memberSet{daemons: map[structs.DaemonID]bool{}, addresses: map[string]bool{}}
 }
 
-// unique reports daemons and addresses that seen already has, and node IDs that
-// stand twice in the group.
+// unique reports daemons and addresses that seen already has.
 func (k *checker) unique(key string, members []Member, seen memberSet) {
-	nodes := map[uint64]bool{}
 	for index, member := range members {
 		memberKey := fmt.Sprintf("%s[%d]", key, index)
 		if seen.daemons[member.Daemon] {
@@ -150,12 +139,8 @@
 		if seen.addresses[member.Address] {
 			k.add(memberKey+".address", member.Address, "stands twice", "Give each daemon its own internal address.")
 		}
-		if nodes[member.Node] {
-			k.add(memberKey+".node", member.Node, "stands twice in the group", "Give each member its own node ID.")
-		}
 		seen.daemons[member.Daemon] = true
 		seen.addresses[member.Address] = true
-		nodes[member.Node] = true
 	}
 }
 
--- a/config/check_values.go
+++ b/config/check_values.go
@@ -45,7 +45,6 @@
 	// A leaving runner gets no new work after 3 s; two reads of the list must fit in.
 	k.within("timing.machine_list_interval", timing.MachineListInterval, 10*time.Millisecond, 1500*time.Millisecond)
 	k.within("timing.plan_interval", timing.PlanInterval, 10*time.Millisecond, 10*time.Second)
-	k.within("timing.load_timeout", timing.LoadTimeout, time.Second, time.Hour)
 	k.within("timing.stop_timeout", timing.StopTimeout, time.Second, time.Hour)
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -26,16 +26,19 @@
 	// DataFolder is where all files of the daemon live. It must exist.
 	DataFolder string `yaml:"data_folder"`
 	// Development turns TLS and keys off. Every address must then be a loopback one.
-	Development bool          `yaml:"development"`
-	Listen      Listen        `yaml:"listen"`
-	Roles       []Role        `yaml:"roles"`
-	Site        Site          `yaml:"site"`
-	TLS         TLS           `yaml:"tls"`
-	Operators   []OperatorKey `yaml:"operators"`
-	Callers     []CallerKey   `yaml:"callers"`
-	Timing      Timing        `yaml:"timing"`
-	Limits      Limits        `yaml:"limits"`
-	Log         Log           `yaml:"log"`
+	Development bool `yaml:"development"`
+	// Bootstrap lets the first member that the site lists for a group found it, once
+	// every other listed member has answered that it belongs to no group.
+	Bootstrap bool          `yaml:"bootstrap"`
+	Listen    Listen        `yaml:"listen"`
+	Roles     []Role        `yaml:"roles"`
+	Site      Site          `yaml:"site"`
+	TLS       TLS           `yaml:"tls"`
+	Operators []OperatorKey `yaml:"operators"`
+	Callers   []CallerKey   `yaml:"callers"`
+	Timing    Timing        `yaml:"timing"`
+	Limits    Limits        `yaml:"limits"`
+	Log       Log           `yaml:"log"`
 }
 
 // Listen holds the addresses (IP:port) that the daemon listens on. An empty
@@ -62,10 +65,8 @@
 	// MachineList and WeightStore are the platform's URLs, by IP number.
 	MachineList string `yaml:"machine_list"`
 	WeightStore string `yaml:"weight_store"`
-	// StoreLoadsPerSecond and StoreConcurrent are what the weight store allows
-	// the whole site.
-	StoreLoadsPerSecond float64 `yaml:"store_loads_per_second"`
-	StoreConcurrent     int     `yaml:"store_concurrent"`
+	// StoreConcurrent is how many loads at once the weight store allows the whole site.
+	StoreConcurrent int `yaml:"store_concurrent"`
 }
 
 // Zone is one zone of the site.
@@ -79,11 +80,10 @@
 	Routers []string `yaml:"routers"`
 }
 
-// Member is a voter of a group.
+// Member is a voter of a group. Its node ID is no setting: each store makes its own
+// when it is created, so that a replaced disk never votes under an old identity.
 type Member struct {
 	Daemon structs.DaemonID `yaml:"daemon"`
-	// Node is the raft node ID: never 0, and never used again after a lost disk.
-	Node uint64 `yaml:"node"`
 	// Address is the internal address (IP:port) at which others reach the daemon.
 	Address string `yaml:"address"`
 }
@@ -136,8 +136,6 @@
 	MachineListInterval time.Duration `yaml:"machine_list_interval"`
 	// PlanInterval passes between two plans of a zone leader.
 	PlanInterval time.Duration `yaml:"plan_interval"`
-	// LoadTimeout is how long a load may take before it counts as failed.
-	LoadTimeout time.Duration `yaml:"load_timeout"`
 	// StopTimeout bounds a planned stop: requests in progress get this long.
 	StopTimeout time.Duration `yaml:"stop_timeout"`
 }
@@ -178,7 +176,6 @@
 			ReportInterval:      500 * time.Millisecond,
 			MachineListInterval: time.Second,
 			PlanInterval:        250 * time.Millisecond,
-			LoadTimeout:         time.Minute,
 			StopTimeout:         30 * time.Second,
 		},
 		Limits: Limits{
--- a/config/flags.go
+++ b/config/flags.go
@@ -9,6 +9,7 @@
 	Zone            string   `long:"zone" description:"zone of this daemon" value-name:"ZONE"`
 	DataFolder      string   `long:"data-folder" description:"folder of all files of this daemon" value-name:"FOLDER"`
 	Development     bool     `long:"development" description:"no TLS and no keys, on loopback addresses only"`
+	Bootstrap       bool     `long:"bootstrap" description:"found the groups that this daemon is listed first in, if no member belongs to one yet"`
 	ListenCallers   string   `long:"listen-callers" description:"address for callers" value-name:"IP:PORT"`
 	ListenOperators string   `long:"listen-operators" description:"address for operators" value-name:"IP:PORT"`
 	ListenInternal  string   `long:"listen-internal" description:"address for other daemons" value-name:"IP:PORT"`
@@ -25,6 +26,7 @@
 	override(&c.Zone, structs.ZoneID(f.Zone))
 	override(&c.DataFolder, f.DataFolder)
 	c.Development = c.Development || f.Development
+	c.Bootstrap = c.Bootstrap || f.Bootstrap
 	override(&c.Listen.Callers, f.ListenCallers)
 	override(&c.Listen.Operators, f.ListenOperators)
 	override(&c.Listen.Internal, f.ListenInternal)
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -46,9 +46,10 @@
 	Table    tableCommands    `command:"table" description:"Read, edit and watch the table"`
 	Status   statusCommand    `command:"status" description:"Show the state of the zones and daemons"`
 	Drain    drainCommand     `command:"drain" description:"Empty a runner, or use it again"`
+	Member   memberCommands   `command:"member" description:"List and change the members of the groups"`
 	Check    checkCommand     `command:"check" description:"Check the settings file of a daemon"`
 	Keys     keysCommands     `command:"keys" description:"Make the CA, certificates and API keys"`
-	Snapshot snapshotCommands `command:"snapshot" description:"Save, inspect and restore the state of the global group"`
+	Snapshot snapshotCommands `command:"snapshot" description:"Save, inspect and restore the state of a group"`
 }
 
 func newCommandLine(shared *invocation) *commandLine {
@@ -56,6 +57,7 @@
 		Table:    newTableCommands(shared),
 		Status:   statusCommand{invocation: shared},
 		Drain:    drainCommand{invocation: shared},
+		Member:   newMemberCommands(shared),
 		Check:    checkCommand{invocation: shared},
 		Keys:     newKeysCommands(shared),
 		Snapshot: newSnapshotCommands(shared),
--- a/ctl/snapshot.go
+++ b/ctl/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/raft"
@@ -15,7 +16,7 @@
 )
 
 type snapshotCommands struct {
-	Save    snapshotSave    `command:"save" description:"Save the state of the global group to a new file"`
+	Save    snapshotSave    `command:"save" description:"Save the state of a group to a new file"`
 	Inspect snapshotInspect `command:"inspect" description:"Check a snapshot file and show what it holds"`
 	Restore snapshotRestore `command:"restore" description:"Make the store of a new member from a snapshot file"`
 }
@@ -66,6 +67,7 @@
 
 type snapshotSave struct {
 	invocation *invocation
+	Group      string `long:"group" default:"global" description:"global, or zone- and the zone's ID" value-name:"GROUP"`
 	Positional struct {
 		File string `positional-arg-name:"FILE" description:"new file"`
 	} `positional-args:"yes" required:"yes"`
@@ -79,7 +81,7 @@
 		return err
 	}
 	defer cancel()
-	content, err := service.SaveSnapshot(ctx)
+	content, err := service.SaveSnapshot(ctx, c.Group)
 	if err != nil {
 		return err
 	}
@@ -129,7 +131,6 @@
 	invocation *invocation
 	Store      string `long:"store" required:"yes" description:"new store file of the member" value-name:"FILE"`
 	Daemon     string `long:"daemon" required:"yes" description:"ID of the daemon" value-name:"ID"`
-	Node       uint64 `long:"node" required:"yes" description:"node ID that no member of the group ever had" value-name:"NODE"`
 	Positional struct {
 		File string `positional-arg-name:"FILE" description:"snapshot file"`
 	} `positional-args:"yes" required:"yes"`
@@ -142,43 +143,27 @@
 	if err != nil {
 		return err
 	}
-	node := raft.NodeID(c.Node)
-	if err := c.checkNode(node, snapshot.Membership); err != nil {
-		return err
-	}
 	if _, err := os.Lstat(c.Store); !os.IsNotExist(err) {
 		return structs.NewError(structs.ErrorConflict,
 			"the store "+c.Store+" is there already", "Move it away, or name another file.")
 	}
 	identity.Daemon = structs.DaemonID(c.Daemon)
-	identity.Node = node
-	snapshot.Membership = raft.Membership{Voters: []raft.NodeID{node}}
-	if err := writeStore(c.Store, snapshot, identity); err != nil {
+	identity.Node = group.NewNodeID()
+	snapshot, state, err := group.Refound(snapshot, group.Member{Node: identity.Node, Name: c.Daemon})
+	if err != nil {
+		return err
+	}
+	if err := writeStore(c.Store, snapshot, state, identity); err != nil {
 		return err
 	}
 	return c.invocation.printSnapshot(c.Store, snapshot, identity)
 }
 
-func (c *snapshotRestore) checkNode(node raft.NodeID, former raft.Membership) error {
-	if node == raft.None {
-		return usageError("--node must be above 0")
-	}
-	for _, member := range append(append([]raft.NodeID(nil), former.Voters...), former.Learners...) {
-		if member == node {
-			return structs.NewError(structs.ErrorConflict,
-				"the node ID "+strconv.FormatUint(c.Node, 10)+" was a member when the snapshot was made",
-				"Give a node ID that no member of the group ever had.")
-		}
-	}
-	return nil
-}
-
-func writeStore(path string, snapshot raft.Snapshot, identity logstore.Identity) error {
+func writeStore(path string, snapshot raft.Snapshot, state raft.HardState, identity logstore.Identity) error {
 	store, err := logstore.Open(path, identity)
 	if err != nil {
 		return err
 	}
-	state := raft.HardState{Term: snapshot.Term, Commit: snapshot.Index}
 	err = store.Save(&state, nil, &snapshot)
 	if closeErr := store.Close(); err == nil {
 		err = closeErr
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -169,16 +169,17 @@
 		return err
 	}
 	for shown := 0; c.Count == 0 || shown < c.Count; {
-		next, err := c.next(service, seen.Revision)
+		changes, err := c.next(service, seen.Revision)
 		if c.invocation.ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if next.Revision <= seen.Revision {
+		if changes.Revision <= seen.Revision {
 			continue
 		}
+		next := changes.Apply(seen)
 		if err := c.print(seen.Rows, next); err != nil {
 			return err
 		}
@@ -190,7 +191,7 @@
 
 // next waits for a change. While no daemon answers it asks again, so that a watch
 // lives through an election, until the options' timeout.
-func (c *tableWatch) next(service operatorapi.Service, since uint64) (operatorapi.TableView, error) {
+func (c *tableWatch) next(service operatorapi.Service, since uint64) (operatorapi.TableChanges, error) {
 	giveUp := time.Now().Add(c.invocation.options.Timeout)
 	for {
 		next, err := service.Watch(c.invocation.ctx, since, watchInterval)
--- a/daemon/globalnode.go
+++ b/daemon/globalnode.go
@@ -20,7 +20,6 @@
 	site    config.Site
 	group   *group.Group
 	machine *tableMachine
-	daemons map[uint64]structs.DaemonID
 }
 
 // registerInterval separates two checks of the leader that all zones of the
@@ -39,16 +38,12 @@
 		site:    site,
 		group:   member,
 		machine: machine,
-		daemons: daemonsByNode(site.GlobalVoters),
 	}, nil
 }
 
-func daemonsByNode(members []config.Member) map[uint64]structs.DaemonID {
-	byNode := make(map[uint64]structs.DaemonID, len(members))
-	for _, member := range members {
-		byNode[member.Node] = member.Daemon
-	}
-	return byNode
+// leadingDaemon names the daemon that leads a group, "" when none is known.
+func leadingDaemon(status group.Status) structs.DaemonID {
+	return structs.DaemonID(status.Names[status.LeaderNode])
 }
 
 // registerZones keeps the zones of the settings registered while this node leads.
--- a/daemon/globalservice.go
+++ b/daemon/globalservice.go
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// Table returns the whole table at a revision above Since, or as it is after Wait.
+// Table returns the table, or its changes, at a revision above Since, or after Wait.
 // With no Wait it is a linearizable read, which only the leader serves.
 func (s *GlobalService) Table(arguments TableArguments, reply *TableReply) error {
 	if arguments.Wait == 0 {
@@ -55,8 +55,18 @@
 		}
 	}
 	s.node.await(arguments.Since, arguments.Wait, func() {
-		reply.Revision = s.node.machine.state.Revision()
-		reply.Rows = s.node.machine.state.Rows()
+		state := s.node.machine.state
+		reply.Revision, reply.Full = state.Revision(), true
+		if arguments.Changes && reply.Revision <= arguments.Since {
+			reply.Full = false
+			return
+		}
+		if arguments.Changes {
+			delta := state.Changes(arguments.Since)
+			reply.Rows, reply.Deleted, reply.Full = delta.Rows, delta.Deleted, delta.Full
+			return
+		}
+		reply.Rows = state.Rows()
 	})
 	return nil
 }
@@ -84,7 +94,7 @@
 	if reply.Error = s.barrier(); reply.Error != nil {
 		return nil
 	}
-	reply.Leader = s.node.daemons[uint64(s.node.group.Status().LeaderNode)]
+	reply.Leader = leadingDaemon(s.node.group.Status())
 	s.node.group.View(func() {
 		reply.Revision = s.node.machine.state.Revision()
 		reply.Zones = s.node.machine.state.Zones()
@@ -92,20 +102,6 @@
 	return nil
 }
 
-// SaveSnapshot returns the encoded state.
-func (s *GlobalService) SaveSnapshot(_ StatusArguments, reply *SaveReply) error {
-	if reply.Error = s.barrier(); reply.Error != nil {
-		return nil
-	}
-	var err error
-	s.node.group.View(func() { reply.Data, err = s.node.machine.state.Snapshot() })
-	status := s.node.group.Status()
-	reply.Index = status.AppliedIndex
-	reply.Term = status.Term
-	reply.Error = asTyped(err)
-	return nil
-}
-
 // barrier waits until this member, as leader, has applied all that was committed
 // when the call came in.
 func (s *GlobalService) barrier() *structs.Error {
--- /dev/null
+++ b/daemon/member_benchmark_test.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/transport"
+)
+
+// benchmarkSite is a site of three daemons with the default timing.
+func benchmarkSite(b *testing.B) *testSite {
+	s := newTestSite(qt.New(b), 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	b.Cleanup(cancel)
+	s.ctx = ctx
+	for i := range s.settings {
+		s.settings[i].Timing = config.Default().Timing
+	}
+	s.start(0, 1, 2)
+	s.await("the founding", s.whole)
+	return s
+}
+
+func benchmarkRow(name string) structs.RowChange {
+	return structs.RowChange{Row: structs.Row{
+		Name: structs.RowName(name), Kind: structs.RowModel, Weight: 1, MaxReplicas: 1, MemoryBytes: 1 << 30, Role: "answers",
+	}}
+}
+
+// leaderIndex returns the daemon that leads the global group.
+func (s *testSite) leaderIndex() int {
+	for {
+		for index := range s.settings {
+			running := s.running[s.settings[index].Daemon]
+			if running == nil {
+				continue
+			}
+			if _, valid := running.global.group.LeaderLease(); valid {
+				return index
+			}
+		}
+		runtime.Gosched()
+	}
+}
+
+// BenchmarkFailover measures from the death of the global leader until the next
+// edit is accepted.
+func BenchmarkFailover(b *testing.B) {
+	s := benchmarkSite(b)
+	for round := 0; b.Loop(); round++ {
+		b.StopTimer()
+		leader := s.leaderIndex()
+		s.kill(leader)
+		b.StartTimer()
+		s.edit(fmt.Sprint("row-", round))
+		b.StopTimer()
+		s.start(leader)
+		s.await("the whole site", s.whole)
+		b.StartTimer()
+	}
+}
+
+// BenchmarkCatchUp measures from the start of a daemon that missed 500 edits until
+// its zone and it have all of them.
+func BenchmarkCatchUp(b *testing.B) {
+	const missed = 500
+	s := benchmarkSite(b)
+	for round := 0; b.Loop(); round++ {
+		b.StopTimer()
+		behind := (s.leaderIndex() + 1) % len(s.settings)
+		s.kill(behind)
+		for number := range missed {
+			s.edit(fmt.Sprintf("row-%d-%d", round, number))
+		}
+		revision := s.revision()
+		b.StartTimer()
+		s.start(behind)
+		started := s.running[s.settings[behind].Daemon]
+		for {
+			changed := started.global.group.Applied()
+			var reached uint64
+			started.global.group.View(func() { reached = started.global.machine.state.Revision() })
+			if reached >= revision {
+				break
+			}
+			<-changed
+		}
+	}
+}
+
+// BenchmarkEditInForce measures from sending an edit until the zone works by it.
+func BenchmarkEditInForce(b *testing.B) {
+	s := benchmarkSite(b)
+	for round := 0; b.Loop(); round++ {
+		s.edit(fmt.Sprint("row-", round))
+		s.awaitInForce(s.revision())
+	}
+}
+
+// BenchmarkEdits sends edits of one row from 32 operators at once.
+func BenchmarkEdits(b *testing.B) {
+	const operators = 32
+	s := benchmarkSite(b)
+	b.ResetTimer()
+	var sending sync.WaitGroup
+	for operator := range operators {
+		sending.Go(func() {
+			for number := operator; number < b.N; number += operators {
+				s.edit(fmt.Sprint("row-", number))
+			}
+		})
+	}
+	sending.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "edits/s")
+}
+
+// BenchmarkRestartFullTable measures the start of a daemon whose table has 58,000
+// rows, until it has applied what was committed.
+func BenchmarkRestartFullTable(b *testing.B) {
+	const rows, perEdit = 58_000, 1000
+	s := benchmarkSite(b)
+	for first := 0; first < rows; first += perEdit {
+		edit := structs.Edit{ID: structs.EditID(uuid.NewString()), Author: "test"}
+		for number := range perEdit {
+			edit.Changes = append(edit.Changes, benchmarkRow(fmt.Sprint("row-", first+number)))
+		}
+		for {
+			result, err := s.operators().Apply(s.ctx, edit, false)
+			if err == nil {
+				s.c.Assert(result.Accepted, qt.IsTrue)
+				break
+			}
+			s.c.Assert(s.ctx.Err(), qt.IsNil)
+		}
+	}
+	revision := s.revision()
+	s.awaitInForce(revision)
+	restarted := (s.leaderIndex() + 1) % len(s.settings)
+	for b.Loop() {
+		b.StopTimer()
+		s.kill(restarted)
+		b.StartTimer()
+		s.start(restarted)
+		started := s.running[s.settings[restarted].Daemon]
+		for {
+			globalChanged, zoneChanged := started.global.group.Applied(), started.zone.group.Applied()
+			var reached uint64
+			started.global.group.View(func() { reached = started.global.machine.state.Revision() })
+			if reached >= revision && started.zone.tableRevision() >= revision {
+				break
+			}
+			select {
+			case <-globalChanged:
+			case <-zoneChanged:
+			}
+		}
+	}
+	b.StopTimer()
+	for _, name := range []string{globalGroupName, "zone-north"} {
+		info, err := os.Stat(filepath.Join(s.settings[restarted].DataFolder, name+".db"))
+		s.c.Assert(err, qt.IsNil)
+		b.ReportMetric(float64(info.Size())/(1<<20), name+"-MiB")
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapAlloc)/(1<<20)/float64(len(s.settings)), "heap-MiB/daemon")
+}
+
+// BenchmarkIdle reports what one daemon that follows in both groups exchanges with
+// all others while nothing happens.
+func BenchmarkIdle(b *testing.B) {
+	s := benchmarkSite(b)
+	follower := s.running[s.settings[(s.leaderIndex()+1)%len(s.settings)].Daemon]
+	total := func() uint64 {
+		sum := uint64(0)
+		for _, stats := range []transport.Stats{follower.client.Stats(), follower.server.Stats()} {
+			sum += stats.BytesIn + stats.BytesOut
+		}
+		return sum
+	}
+	before := total()
+	began := time.Now()
+	for b.Loop() {
+		pause(s.ctx, 5*time.Second)
+	}
+	b.ReportMetric(float64(total()-before)/time.Since(began).Seconds(), "bytes/s")
+}
--- /dev/null
+++ b/daemon/memberchange.go
@@ -0,0 +1,251 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// join adds a new identity of a daemon that is a member under a lost one. The
+// lost one stays a voter, and so still counts for the quorum, until the new one
+// has the whole log.
+func (m *memberNode) join(ctx context.Context, joining group.Member) error {
+	status := m.group.Status()
+	if status.CommittedMembership.Has(joining.Node) {
+		return nil
+	}
+	if err := checkReturn(status, joining); err != nil {
+		return err
+	}
+	if err := m.makeRoom(ctx, status, joining.Name); err != nil {
+		return err
+	}
+	if err := m.group.AddLearner(ctx, joining); err != nil {
+		return err
+	}
+	level.Info(m.logger).Log("msg", "A replaced member joins as a learner.", "daemon", joining.Name, "node", joining.Node)
+	return nil
+}
+
+// checkReturn refuses daemons that are no members, and a second process of one that
+// is. An identity that was removed is not looked for: a member that asks to join has
+// never had a membership, and so never a vote.
+func checkReturn(status group.Status, joining group.Member) error {
+	former := nodesNamed(status, status.Membership, joining.Name)
+	if len(former) == 0 && status.IsLeader {
+		return structs.NewError(structs.ErrorDenied,
+			"daemon "+joining.Name+" is no member of the group",
+			"Add it with `lotusferryctl member add`.")
+	}
+	for _, node := range former {
+		if node == status.Node || status.Progress[node].Active {
+			typed := structs.NewError(structs.ErrorUnavailable,
+				fmt.Sprintf("daemon %s still answers as node %d", joining.Name, node),
+				"Let only one process run under this daemon's name; the new one is taken once the old one is silent.")
+			typed.RetryAfter = enterPause
+			return typed
+		}
+	}
+	return nil
+}
+
+// makeRoom keeps repairs one at a time: a learner of another daemon must have
+// become a voter, or have been removed, first. Learners of the same daemon are
+// identities that were lost as well.
+func (m *memberNode) makeRoom(ctx context.Context, status group.Status, name string) error {
+	for _, learner := range status.Membership.Learners {
+		if status.Names[learner] != name {
+			return repairingError(m.name, status.Names[learner])
+		}
+		if err := m.group.Remove(ctx, group.Member{Node: learner}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func repairingError(name, daemon string) error {
+	typed := structs.NewError(structs.ErrorConflict,
+		"daemon "+daemon+" is still receiving the log of group "+name,
+		"Wait until `lotusferryctl member list` shows it as a voter, or remove it, before the next change.")
+	typed.RetryAfter = describeTimeout
+	return typed
+}
+
+func nodesNamed(status group.Status, membership raft.Membership, name string) []raft.NodeID {
+	all := slices.Concat(membership.Voters, membership.Learners)
+	return slices.DeleteFunc(all, func(node raft.NodeID) bool { return status.Names[node] != name })
+}
+
+// repairLoop promotes, while this member leads, learners that have the whole log.
+func (m *memberNode) repairLoop(ctx context.Context) {
+	for pause(ctx, repairInterval) {
+		status := m.group.Status()
+		if !status.IsLeader {
+			continue
+		}
+		for _, learner := range status.Membership.Learners {
+			if !status.Progress[learner].CaughtUp {
+				continue
+			}
+			if err := m.promote(ctx, status, learner); err != nil && ctx.Err() == nil {
+				level.Warn(m.logger).Log("msg", "A learner could not be promoted.", "node", learner, "err", err)
+			}
+		}
+	}
+}
+
+// promote makes a learner a voter. A lost identity of the same daemon is removed
+// just before, so that the group never has a voter more than daemons.
+func (m *memberNode) promote(ctx context.Context, status group.Status, learner raft.NodeID) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	name := status.Names[learner]
+	for _, voter := range status.Membership.Voters {
+		if name == "" || status.Names[voter] != name {
+			continue
+		}
+		if err := m.group.Remove(ctx, group.Member{Node: voter}); err != nil {
+			return err
+		}
+		level.Info(m.logger).Log("msg", "A lost identity was removed.", "daemon", name, "node", voter)
+	}
+	if err := m.group.Promote(ctx, group.Member{Node: learner}); err != nil {
+		return err
+	}
+	level.Info(m.logger).Log("msg", "A learner became a voter.", "daemon", name, "node", learner)
+	return nil
+}
+
+// change makes an operator's change of the membership.
+func (m *memberNode) change(ctx context.Context, change operatorapi.MemberChange) error {
+	status := m.group.Status()
+	if !status.IsLeader {
+		// The group's own refusal names the leader.
+		return m.group.Read(ctx)
+	}
+	nodes := nodesNamed(status, status.Membership, string(change.Daemon))
+	switch change.Action {
+	case operatorapi.MemberAdd:
+		return m.addDaemon(ctx, status, change, nodes)
+	case operatorapi.MemberRemove:
+		return m.removeDaemon(ctx, status, nodes)
+	case operatorapi.MemberPromote:
+		return m.promoteDaemon(ctx, status, change.Daemon, nodes)
+	}
+	return structs.NewError(structs.ErrorInvalid, "the action "+string(change.Action)+" is not known", "Ask for add, promote or remove.")
+}
+
+func (m *memberNode) addDaemon(ctx context.Context, status group.Status, change operatorapi.MemberChange, nodes []raft.NodeID) error {
+	described, err := describeMember(ctx, m.client, change.Address, m.name)
+	if err != nil {
+		return err
+	}
+	if described.Daemon != change.Daemon {
+		return wrongDaemonError(change.Address, described.Daemon, change.Daemon)
+	}
+	if slices.Contains(nodes, described.Node) {
+		return nil
+	}
+	if len(nodes) > 0 {
+		return structs.NewError(structs.ErrorConflict,
+			fmt.Sprintf("daemon %s is a member already, as node %v", change.Daemon, nodes),
+			"Nothing needs to be added: a daemon with an empty data folder replaces its lost identity by itself.")
+	}
+	if len(described.Voters) > 0 {
+		return structs.NewError(structs.ErrorConflict,
+			fmt.Sprintf("daemon %s holds node %d of a membership that this group has not", change.Daemon, described.Node),
+			"Stop it, move its store of the group away, and start it again.")
+	}
+	if err := m.makeRoom(ctx, status, string(change.Daemon)); err != nil {
+		return err
+	}
+	return m.group.AddLearner(ctx, group.Member{Node: described.Node, Address: change.Address, Name: string(change.Daemon)})
+}
+
+// removeDaemon removes every identity of a daemon. It refuses what would leave the
+// other voters without a majority, and a removal in the midst of a repair.
+func (m *memberNode) removeDaemon(ctx context.Context, status group.Status, nodes []raft.NodeID) error {
+	for _, learner := range status.Membership.Learners {
+		if !slices.Contains(nodes, learner) {
+			return repairingError(m.name, status.Names[learner])
+		}
+	}
+	for _, node := range nodes {
+		if status.Membership.HasVoter(node) {
+			if err := checkRemaining(status, node); err != nil {
+				return err
+			}
+		}
+		if err := m.group.Remove(ctx, group.Member{Node: node}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRemaining(status group.Status, removed raft.NodeID) error {
+	active, remaining := 0, 0
+	for _, voter := range status.Membership.Voters {
+		if voter == removed {
+			continue
+		}
+		remaining++
+		if voter == status.Node || status.Progress[voter].Active {
+			active++
+		}
+	}
+	if active > remaining/2 {
+		return nil
+	}
+	return structs.NewError(structs.ErrorConflict,
+		fmt.Sprintf("after the removal only %d of %d voters would answer", active, remaining),
+		"Start the silent voters, or replace them, first.")
+}
+
+func (m *memberNode) promoteDaemon(ctx context.Context, status group.Status, daemon structs.DaemonID, nodes []raft.NodeID) error {
+	if len(nodes) == 0 {
+		return structs.NewError(structs.ErrorNotFound, "daemon "+string(daemon)+" is no member of group "+m.name,
+			"Add it with `lotusferryctl member add`.")
+	}
+	for _, node := range nodes {
+		if !status.Membership.HasLearner(node) {
+			continue
+		}
+		if !status.Progress[node].CaughtUp {
+			return repairingError(m.name, string(daemon))
+		}
+		return m.promote(ctx, status, node)
+	}
+	return nil
+}
+
+// list is the membership as this leader sees it.
+func (m *memberNode) list() operatorapi.GroupMembers {
+	status := m.group.Status()
+	listed := operatorapi.GroupMembers{Group: m.name, Term: status.Term, Applied: status.AppliedIndex}
+	for _, member := range status.Members(slices.Concat(status.Membership.Voters, status.Membership.Learners)) {
+		progress := status.Progress[member.Node]
+		own := member.Node == status.Node
+		if own {
+			progress.Match = status.AppliedIndex
+		}
+		listed.Members = append(listed.Members, operatorapi.MemberStatus{
+			Daemon:  structs.DaemonID(member.Name),
+			Node:    uint64(member.Node),
+			Address: member.Address,
+			Voter:   status.Membership.HasVoter(member.Node),
+			Leader:  member.Node == status.LeaderNode,
+			Active:  own || progress.Active,
+			Match:   progress.Match,
+		})
+	}
+	return listed
+}
--- /dev/null
+++ b/daemon/membermessages.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// The methods of MemberService.
+const (
+	methodMemberDescribe = "Member.Describe"
+	methodMemberFound    = "Member.Found"
+	methodMemberJoin     = "Member.Join"
+	methodMemberList     = "Member.List"
+	methodMemberChange   = "Member.Change"
+	methodMemberBackup   = "Member.Backup"
+)
+
+// DescribeArguments asks a daemon for its member of a group.
+type DescribeArguments struct {
+	Group string
+}
+
+// DescribeReply is what a daemon's member knows of itself and its group. Members
+// are those of the committed membership; none says that the member belongs to no
+// group yet.
+type DescribeReply struct {
+	Daemon   structs.DaemonID
+	Node     raft.NodeID
+	Voters   []group.Member
+	Learners []group.Member
+	Error    *structs.Error
+}
+
+// FoundArguments gives the first voters of a new group.
+type FoundArguments struct {
+	Group   string
+	Members []group.Member
+}
+
+// JoinArguments asks the leader to replace the lost identity of a daemon by a new one.
+type JoinArguments struct {
+	Group  string
+	Member group.Member
+}
+
+// MemberChangeArguments asks the leader for an operator's change.
+type MemberChangeArguments struct {
+	Change operatorapi.MemberChange
+}
+
+// MemberReply acknowledges a change.
+type MemberReply struct {
+	Error *structs.Error
+}
+
+// MemberListReply is the leader's view of its group.
+type MemberListReply struct {
+	Members operatorapi.GroupMembers
+	Error   *structs.Error
+}
+
+func (r *MemberReply) failure() *structs.Error     { return r.Error }
+func (r *MemberListReply) failure() *structs.Error { return r.Error }
--- /dev/null
+++ b/daemon/memberservice.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// MemberService is the net/rpc service for the membership of this daemon's groups.
+type MemberService struct {
+	daemon structs.DaemonID
+	// nodes is complete before the server serves.
+	nodes map[string]*memberNode
+}
+
+func (s *MemberService) node(name string) (*memberNode, *structs.Error) {
+	found := s.nodes[name]
+	if found == nil {
+		return nil, structs.NewError(structs.ErrorNotFound,
+			"daemon "+string(s.daemon)+" has no member of group "+name,
+			"List the daemon as a controller of the zone, or as a global voter, in its own settings.")
+	}
+	return found, nil
+}
+
+// Describe tells what this daemon's member knows of itself and its group.
+func (s *MemberService) Describe(arguments DescribeArguments, reply *DescribeReply) error {
+	node, refusal := s.node(arguments.Group)
+	if refusal != nil {
+		reply.Error = refusal
+		return nil
+	}
+	status := node.group.Status()
+	reply.Daemon = s.daemon
+	reply.Node = status.Node
+	reply.Voters = status.Members(status.CommittedMembership.Voters)
+	reply.Learners = status.Members(status.CommittedMembership.Learners)
+	return nil
+}
+
+// Found makes this daemon's member a founding one. A member that has belonged to a
+// group refuses.
+func (s *MemberService) Found(arguments FoundArguments, reply *MemberReply) error {
+	s.run(arguments.Group, reply, func(ctx context.Context, node *memberNode) error {
+		return node.group.Found(ctx, arguments.Members)
+	})
+	return nil
+}
+
+// Join replaces the lost identity of a daemon. Only the leader takes it.
+func (s *MemberService) Join(arguments JoinArguments, reply *MemberReply) error {
+	s.run(arguments.Group, reply, func(ctx context.Context, node *memberNode) error {
+		return node.join(ctx, arguments.Member)
+	})
+	return nil
+}
+
+// List tells the membership as the leader sees it.
+func (s *MemberService) List(arguments DescribeArguments, reply *MemberListReply) error {
+	node, refusal := s.node(arguments.Group)
+	if refusal != nil {
+		reply.Error = refusal
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	if err := node.group.Read(ctx); err != nil {
+		reply.Error = asTyped(err)
+		return nil
+	}
+	reply.Members = node.list()
+	return nil
+}
+
+// Backup returns a snapshot of the group. Only the leader takes it.
+func (s *MemberService) Backup(arguments DescribeArguments, reply *SaveReply) error {
+	node, refusal := s.node(arguments.Group)
+	if refusal != nil {
+		reply.Error = refusal
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	snapshot, err := node.group.Backup(ctx)
+	reply.Snapshot = snapshot
+	reply.Identity = logstore.Identity{Group: arguments.Group, Daemon: s.daemon, Node: node.own.Node}
+	reply.Error = asTyped(err)
+	return nil
+}
+
+// Change makes an operator's change. Only the leader takes it.
+func (s *MemberService) Change(arguments MemberChangeArguments, reply *MemberReply) error {
+	s.run(arguments.Change.Group, reply, func(ctx context.Context, node *memberNode) error {
+		return node.change(ctx, arguments.Change)
+	})
+	return nil
+}
+
+func (s *MemberService) run(name string, reply *MemberReply, act func(context.Context, *memberNode) error) {
+	node, refusal := s.node(name)
+	if refusal != nil {
+		reply.Error = refusal
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	reply.Error = asTyped(act(ctx, node))
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -7,7 +7,6 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
 	"github.com/lotusferry/lotusferry/transport"
@@ -65,19 +64,21 @@
 
 // Watch implements operatorapi.Service: it asks any member that answers, in
 // steps of at most maxWait.
-func (s *operatorService) Watch(ctx context.Context, since uint64, wait time.Duration) (operatorapi.TableView, error) {
+func (s *operatorService) Watch(ctx context.Context, since uint64, wait time.Duration) (operatorapi.TableChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+maxWait)
 	defer cancel()
 	end := time.Now().Add(wait)
 	for {
 		step := max(min(time.Until(end), maxWait), time.Millisecond)
-		arguments := TableArguments{Since: since, Wait: step}
+		arguments := TableArguments{Since: since, Wait: step, Changes: true}
 		reply, err := callLeader(ctx, s.global, methodGlobalTable, arguments, func() *TableReply { return &TableReply{} })
 		if err != nil {
-			return operatorapi.TableView{}, err
+			return operatorapi.TableChanges{}, err
 		}
 		if reply.Revision > since || time.Now().After(end) {
-			return operatorapi.TableView{Revision: reply.Revision, Rows: reply.Rows}, nil
+			return operatorapi.TableChanges{
+				Since: since, Revision: reply.Revision, Full: reply.Full, Rows: reply.Rows, Deleted: reply.Deleted,
+			}, nil
 		}
 	}
 }
@@ -167,13 +168,17 @@
 }
 
 // SaveSnapshot implements operatorapi.Service with the bytes of a snapshot file.
-func (s *operatorService) SaveSnapshot(ctx context.Context) ([]byte, error) {
-	reply, err := callLeader(ctx, s.global, methodGlobalSave, StatusArguments{}, func() *SaveReply { return &SaveReply{} })
+func (s *operatorService) SaveSnapshot(ctx context.Context, name string) ([]byte, error) {
+	caller := s.groupCaller(name)
+	if caller == nil {
+		return nil, unknownGroupError(name)
+	}
+	arguments := DescribeArguments{Group: name}
+	reply, err := callLeader(ctx, caller, methodMemberBackup, arguments, func() *SaveReply { return &SaveReply{} })
 	if err != nil {
 		return nil, err
 	}
-	snapshot := raft.Snapshot{Index: reply.Index, Term: reply.Term, Data: reply.Data}
-	return logstore.EncodeSnapshotFile(snapshot, logstore.Identity{Group: globalGroupName})
+	return logstore.EncodeSnapshotFile(reply.Snapshot, reply.Identity)
 }
 
 func proposeGlobal(ctx context.Context, caller *leaderCaller, command table.Command) (table.Result, error) {
--- /dev/null
+++ b/daemon/site_test.go
@@ -0,0 +1,203 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// siteTestLimit ends a test whose site never gets where it should.
+const siteTestLimit = 60 * time.Second
+
+// testSite is a site of one zone whose daemons run in this process.
+type testSite struct {
+	c        *qt.C
+	ctx      context.Context
+	settings []config.Config
+	running  map[structs.DaemonID]*Daemon
+}
+
+// testAddress gives each test process its own loopback addresses; the third octet
+// keeps clear of those that package lab uses.
+func testAddress(index int) string {
+	return fmt.Sprintf("127.%d.240.%d:7103", 32+os.Getpid()%200, 1+index)
+}
+
+func newTestSite(c *qt.C, daemons int) *testSite {
+	ctx, cancel := context.WithTimeout(context.Background(), siteTestLimit)
+	c.Cleanup(cancel)
+	shared := config.Site{
+		Name:            "test",
+		Objective:       structs.ObjectiveLatency,
+		Zones:           []config.Zone{{ID: "north", Weight: 100}},
+		MachineList:     "http://127.0.0.1:1",
+		WeightStore:     "http://127.0.0.1:1",
+		StoreConcurrent: 1,
+	}
+	for i := range daemons {
+		member := config.Member{Daemon: structs.DaemonID(fmt.Sprintf("north-%d", i)), Address: testAddress(i)}
+		shared.Zones[0].Controllers = append(shared.Zones[0].Controllers, member)
+	}
+	shared.GlobalVoters = shared.Zones[0].Controllers
+	s := &testSite{c: c, ctx: ctx, running: map[structs.DaemonID]*Daemon{}}
+	for i, member := range shared.GlobalVoters {
+		settings := config.Default()
+		settings.Daemon = member.Daemon
+		settings.Zone = "north"
+		settings.DataFolder = c.TempDir()
+		settings.Development = true
+		settings.Bootstrap = true
+		settings.Roles = []config.Role{config.RoleController}
+		settings.Listen.Internal = testAddress(i)
+		settings.Site = shared
+		settings.Timing.TickInterval = 10 * time.Millisecond
+		s.settings = append(s.settings, settings)
+	}
+	c.Cleanup(s.stopAll)
+	return s
+}
+
+func (s *testSite) start(indexes ...int) {
+	for _, index := range indexes {
+		started, err := New(log.NewNopLogger(), s.settings[index])
+		s.c.Assert(err, qt.IsNil)
+		started.Start()
+		s.running[s.settings[index].Daemon] = started
+	}
+}
+
+// kill ends a daemon without handing anything over.
+func (s *testSite) kill(index int) {
+	id := s.settings[index].Daemon
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.running[id].Close(ctx)
+	delete(s.running, id)
+}
+
+// loseDisk ends a daemon and empties its data folder.
+func (s *testSite) loseDisk(index int) {
+	if s.running[s.settings[index].Daemon] != nil {
+		s.kill(index)
+	}
+	files, err := filepath.Glob(filepath.Join(s.settings[index].DataFolder, "*"))
+	s.c.Assert(err, qt.IsNil)
+	for _, file := range files {
+		s.c.Assert(os.Remove(file), qt.IsNil)
+	}
+}
+
+func (s *testSite) stopAll() {
+	for index := range s.settings {
+		if s.running[s.settings[index].Daemon] != nil {
+			s.kill(index)
+		}
+	}
+}
+
+func (s *testSite) operators() *operatorService {
+	for _, running := range s.running {
+		return running.operators
+	}
+	s.c.Fatal("no daemon runs")
+	return nil
+}
+
+// edit makes an edit of one row, repeating it until it is accepted.
+func (s *testSite) edit(name string) {
+	edit := structs.Edit{
+		ID:     structs.EditID(uuid.NewString()),
+		Author: "test",
+		Changes: []structs.RowChange{{Row: structs.Row{
+			Name: structs.RowName(name), Kind: structs.RowModel, Weight: 1, MaxReplicas: 1, MemoryBytes: 1, Role: "answers",
+		}}},
+	}
+	for {
+		result, err := s.operators().Apply(s.ctx, edit, false)
+		if err == nil {
+			s.c.Assert(result.Accepted, qt.IsTrue, qt.Commentf("%+v", result))
+			return
+		}
+		s.c.Assert(s.ctx.Err(), qt.IsNil, qt.Commentf("%v", err))
+	}
+}
+
+func (s *testSite) rows() []structs.RowName {
+	view, err := s.operators().Table(s.ctx)
+	s.c.Assert(err, qt.IsNil)
+	var names []structs.RowName
+	for _, row := range view.Rows {
+		names = append(names, row.Name)
+	}
+	return names
+}
+
+// await asks the leader of the global group until its membership satisfies done.
+func (s *testSite) await(what string, done func(operatorapi.GroupMembers) bool) operatorapi.GroupMembers {
+	var last operatorapi.GroupMembers
+	for s.ctx.Err() == nil {
+		last = s.operators().groupMembers(s.ctx, globalGroupName)
+		if done(last) {
+			return last
+		}
+		pause(s.ctx, retryPause)
+	}
+	for id, running := range s.running {
+		s.c.Logf("%s: %+v", id, running.global.group.Status())
+	}
+	s.c.Fatalf("%s did not come about: %+v", what, last)
+	return last
+}
+
+// whole reports whether all daemons of the site are active voters.
+func (s *testSite) whole(members operatorapi.GroupMembers) bool {
+	voters := map[structs.DaemonID]bool{}
+	for _, member := range members.Members {
+		if !member.Voter || !member.Active {
+			return false
+		}
+		voters[member.Daemon] = true
+	}
+	return len(voters) == len(s.settings) && len(members.Members) == len(s.settings)
+}
+
+// wholeWithout is whole once the identity of a lost disk is gone.
+func (s *testSite) wholeWithout(lost uint64) func(operatorapi.GroupMembers) bool {
+	return func(members operatorapi.GroupMembers) bool {
+		for _, member := range members.Members {
+			if member.Node == lost {
+				return false
+			}
+		}
+		return s.whole(members)
+	}
+}
+
+func nodeOf(members operatorapi.GroupMembers, daemon structs.DaemonID) uint64 {
+	for _, member := range members.Members {
+		if member.Daemon == daemon {
+			return member.Node
+		}
+	}
+	return 0
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func truncateHalf(c *qt.C, path string) {
+	info, err := os.Stat(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.Truncate(path, info.Size()/2), qt.IsNil)
+}
--- a/daemon/zonenode.go
+++ b/daemon/zonenode.go
@@ -18,8 +18,8 @@
 	id      structs.ZoneID
 	group   *group.Group
 	machine *zoneMachine
-	daemons map[uint64]structs.DaemonID
 	demand  *demandBox
+	claims  *claimDesk
 }
 
 func newZoneNode(logger log.Logger, settings config.Zone, options group.Options) (*zoneNode, error) {
@@ -34,7 +34,6 @@
 		id:      settings.ID,
 		group:   member,
 		machine: machine,
-		daemons: daemonsByNode(settings.Controllers),
 		demand:  newDemandBox(),
 	}, nil
 }
--- a/group/apply.go
+++ b/group/apply.go
@@ -74,7 +74,7 @@
 		if err := msgpack.Unmarshal(content, &member); err != nil {
 			return nil, entryError(entry.Index)
 		}
-		g.addresses.replicated[member.Node] = member.Address
+		g.addresses.replicate(member)
 		return nil, nil
 	default:
 		return nil, entryError(entry.Index)
--- a/group/group.go
+++ b/group/group.go
@@ -57,6 +57,10 @@
 	echoes    echoes
 	senders   map[raft.NodeID]*sender
 	snapshots snapshotState
+	// held members neither step messages nor vote; see Options.Hold.
+	held bool
+	// heard is when the last batch came from each node.
+	heard map[raft.NodeID]time.Duration
 	// leading is the term in which this node leads, 0 when it does not.
 	leading uint64
 	// unsaved is the hard state that differs from the stored one in its commit index
@@ -84,6 +88,7 @@
 		loop: loop{
 			proposals: make(map[uint64]*proposal),
 			senders:   make(map[raft.NodeID]*sender),
+			heard:     make(map[raft.NodeID]time.Duration),
 			echoes:    newEchoes(),
 		},
 	}
@@ -114,6 +119,14 @@
 			return err
 		}
 	}
+	return g.startNode(restored)
+}
+
+// startNode makes the raft node of what the store holds.
+func (g *Group) startNode(restored raft.Restored) error {
+	if err := g.restoreFoundation(restored.Snapshot); err != nil {
+		return err
+	}
 	node, err := raft.New(raft.Config{
 		ID:                    g.options.Node,
 		ElectionTicks:         g.options.ElectionTicks,
@@ -127,6 +140,7 @@
 		return errors.Wrapf(err, "start raft node of group %s", g.options.Name)
 	}
 	g.loop.node = node
+	g.loop.held = g.options.Hold && len(node.Status().Membership.Voters) == 0
 	return nil
 }
 
@@ -170,7 +184,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			g.loop.node.Tick()
+			g.tick()
 		case batch := <-g.incoming:
 			g.step(batch)
 		case next := <-g.requests:
@@ -181,6 +195,12 @@
 	}
 }
 
+func (g *Group) tick() {
+	if !g.loop.held {
+		g.loop.node.Tick()
+	}
+}
+
 // takeWaiting takes what else waits, so that it shares the next sync.
 func (g *Group) takeWaiting() {
 	for range waitingRequests {
--- a/group/lease.go
+++ b/group/lease.go
@@ -47,6 +47,13 @@
 
 // step gives a batch of messages to the node and notes the clock readings in it.
 func (g *Group) step(batch StepArguments) {
+	if batch.Address != "" {
+		g.learnAddress(batch.From, batch.Address)
+	}
+	if g.loop.held {
+		return
+	}
+	g.loop.heard[batch.From] = g.now()
 	fromLeader := false
 	for _, message := range batch.Messages {
 		if message.From != batch.From || message.To != g.options.Node {
@@ -58,9 +65,6 @@
 		}
 		fromLeader = fromLeader || g.acceptedAsLeader(message)
 	}
-	if batch.Address != "" {
-		g.learnAddress(batch.From, batch.Address)
-	}
 	if fromLeader {
 		g.loop.echoes.accepted[batch.From] = acknowledgement{sent: batch.Sent, term: g.loop.node.Term()}
 	}
--- a/group/membership.go
+++ b/group/membership.go
@@ -17,13 +17,17 @@
 	if member.Node == raft.None || member.Address == "" {
 		return structs.NewError(structs.ErrorInvalid, "a member needs a node ID and an address", "Give both.")
 	}
-	data, err := encodeAddress(member)
-	if err != nil {
-		return err
-	}
-	_, err = g.propose(ctx, func(node *raft.Node) (uint64, uint64, error) { return node.Propose(data) })
-	if err != nil {
-		return err
+	// The log from its beginning does not hold the addresses of the founding
+	// members, which the learner needs as well.
+	status := g.Status()
+	known := status.Members(slices.Concat(status.Membership.Voters, status.Membership.Learners))
+	for _, each := range append(known, member) {
+		if each.Address == "" {
+			continue
+		}
+		if err := g.proposeAddress(ctx, each); err != nil {
+			return err
+		}
 	}
 	return g.changeMembership(ctx, func(current raft.Membership) (raft.Membership, error) {
 		if !current.Has(member.Node) {
@@ -33,6 +37,15 @@
 	})
 }
 
+func (g *Group) proposeAddress(ctx context.Context, member Member) error {
+	data, err := encodeAddress(member)
+	if err != nil {
+		return err
+	}
+	_, err = g.propose(ctx, func(node *raft.Node) (uint64, uint64, error) { return node.Propose(data) })
+	return err
+}
+
 // Promote makes a learner a voter. Promote it once it has caught up: until then it
 // counts for the quorum and cannot help to reach it.
 func (g *Group) Promote(ctx context.Context, member Member) error {
--- a/group/options.go
+++ b/group/options.go
@@ -44,10 +44,12 @@
 	Restore(data []byte) error
 }
 
-// Member is a node with the address (host:port) of its transport server.
+// Member is a node with the address (host:port) of its transport server and the
+// name of the process that holds it, which outlives a replaced disk.
 type Member struct {
 	Node    raft.NodeID
 	Address string
+	Name    string
 }
 
 // Options configure a Group.
@@ -62,6 +64,10 @@
 	// and empty at a node that joins an existing group. It is read only when the
 	// store is empty.
 	Bootstrap raft.Membership
+	// Hold keeps a member that knows no membership from taking part until Found or
+	// Admit: a new store must not vote, nor take a log, before it is known whether
+	// its group exists.
+	Hold bool
 	// Store is opened and closed by the caller.
 	Store        *logstore.Store
 	Client       *transport.Client
--- a/group/sender.go
+++ b/group/sender.go
@@ -30,6 +30,8 @@
 	bytes  int
 	echo   acknowledgement
 	broken bool
+	// named asks for this node's address in the next batch.
+	named bool
 }
 
 // send queues messages for their peers.
@@ -41,14 +43,22 @@
 			g.loop.senders[message.To] = target
 			senders.Go(func() { target.run(sending) })
 		}
-		target.add(message, g.loop.echoes.accepted[message.To])
+		target.add(message, g.loop.echoes.accepted[message.To], g.isSilent(message.To))
 	}
 }
 
-func (s *sender) add(message raft.Message, echo acknowledgement) {
+// isSilent reports whether a peer has not been heard of for an election timeout. It
+// may be a node that joins and does not know where to answer.
+func (g *Group) isSilent(peer raft.NodeID) bool {
+	last, known := g.loop.heard[peer]
+	return !known || g.now()-last >= g.electionTimeout()
+}
+
+func (s *sender) add(message raft.Message, echo acknowledgement, named bool) {
 	message.Entries = limitEntries(message.Entries)
 	s.mutex.Lock()
 	s.echo = echo
+	s.named = named
 	if len(s.queue) < maxQueuedMessages && s.bytes < maxQueuedBytes {
 		s.queue = append(s.queue, message)
 		s.bytes += messageBytes(message)
@@ -106,11 +116,12 @@
 		EchoTerm: s.echo.term,
 		Messages: s.queue,
 	}
+	named := s.named
 	s.queue = nil
 	s.bytes = 0
 	s.mutex.Unlock()
 	address := s.group.addressOf(s.peer)
-	if carriesLog(batch.Messages) {
+	if named || carriesLog(batch.Messages) {
 		batch.Address = s.group.addressOf(batch.From)
 	}
 	if len(batch.Messages) == 0 || address == "" {
--- a/group/service.go
+++ b/group/service.go
@@ -27,7 +27,8 @@
 	Echo     int64
 	EchoTerm uint64
 	// Address is the sender's own. A node that joins needs it to answer before it
-	// has the log; it is left out of batches that only keep a leadership up.
+	// has the log; it is left out of batches that only keep a leadership up, unless
+	// the receiver is silent.
 	Address  string
 	Messages []raft.Message
 }
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -15,6 +15,7 @@
 type groupSnapshot struct {
 	Addresses map[raft.NodeID]string
 	State     []byte
+	Names     map[raft.NodeID]string
 }
 
 // snapshotState follows the snapshots that this member takes.
@@ -41,10 +42,7 @@
 	if err := g.options.StateMachine.Restore(decoded.State); err != nil {
 		return errors.Wrap(err, "restore state machine")
 	}
-	g.addresses.replicated = decoded.Addresses
-	if g.addresses.replicated == nil {
-		g.addresses.replicated = make(map[raft.NodeID]string)
-	}
+	g.addresses.restore(decoded)
 	g.loop.applied = snapshot.Index
 	g.loop.appliedAt = snapshot.Term
 	g.loop.snapshots = snapshotState{last: snapshot.Index}
@@ -82,7 +80,7 @@
 	if err != nil {
 		return raft.Snapshot{}, errors.Wrap(err, "take snapshot")
 	}
-	data, err := msgpack.Marshal(&groupSnapshot{Addresses: g.addresses.replicated, State: state})
+	data, err := msgpack.Marshal(&groupSnapshot{Addresses: g.addresses.replicated, Names: g.addresses.names, State: state})
 	if err != nil {
 		return raft.Snapshot{}, errors.Wrap(err, "encode group snapshot")
 	}
--- a/group/status.go
+++ b/group/status.go
@@ -15,6 +15,8 @@
 	configured map[raft.NodeID]string
 	// learned ones were named by the node itself.
 	learned map[raft.NodeID]string
+	// names are replicated with the addresses.
+	names map[raft.NodeID]string
 }
 
 func newAddressBook(members []Member) addressBook {
@@ -22,6 +24,7 @@
 		replicated: make(map[raft.NodeID]string),
 		configured: make(map[raft.NodeID]string),
 		learned:    make(map[raft.NodeID]string),
+		names:      make(map[raft.NodeID]string),
 	}
 	for _, member := range members {
 		book.configured[member.Node] = member.Address
@@ -29,6 +32,14 @@
 	return book
 }
 
+// replicate notes a member that came with the log.
+func (b addressBook) replicate(member Member) {
+	b.replicated[member.Node] = member.Address
+	if member.Name != "" {
+		b.names[member.Node] = member.Name
+	}
+}
+
 // all merges the addresses; replicated ones prevail, learned ones give way.
 func (b addressBook) all() map[raft.NodeID]string {
 	merged := maps.Clone(b.learned)
@@ -76,10 +87,25 @@
 	AppliedIndex  uint64
 	SnapshotIndex uint64
 	Membership    raft.Membership
+	// CommittedMembership is the one in force at the applied index.
+	CommittedMembership raft.Membership
+	// Held is set until a member with the option Hold takes part.
+	Held bool
 	// Progress is what a leader knows of the other members; nil elsewhere.
 	Progress map[raft.NodeID]raft.Progress
 	// Addresses are those of all nodes known.
 	Addresses map[raft.NodeID]string
+	// Names are those given with the members, also of members that have left.
+	Names map[raft.NodeID]string
+}
+
+// Members lists the members of a membership with their addresses and names.
+func (s Status) Members(nodes []raft.NodeID) []Member {
+	members := make([]Member, 0, len(nodes))
+	for _, node := range nodes {
+		members = append(members, Member{Node: node, Address: s.Addresses[node], Name: s.Names[node]})
+	}
+	return members
 }
 
 // Status returns the member's present view.
@@ -93,6 +119,7 @@
 	defer g.stateMutex.RUnlock()
 	status.LeaderAddress = g.addresses.of(status.LeaderNode)
 	status.Addresses = g.addresses.all()
+	status.Names = maps.Clone(g.addresses.names)
 	return status
 }
 
@@ -127,6 +154,9 @@
 		SnapshotIndex: g.loop.snapshots.last,
 		Membership:    current.Membership,
 		Progress:      current.Progress,
+
+		CommittedMembership: g.loop.node.MembershipAt(g.loop.applied),
+		Held:                g.loop.held,
 	}
 	if heldBefore != lease.held || differs(previous, g.status) {
 		close(g.changed)
@@ -136,7 +166,7 @@
 
 func differs(a, b Status) bool {
 	return a.AppliedIndex != b.AppliedIndex || a.Term != b.Term || a.LeaderNode != b.LeaderNode ||
-		a.IsLeader != b.IsLeader || !a.Membership.Equal(b.Membership) ||
+		a.IsLeader != b.IsLeader || a.Held != b.Held || !a.Membership.Equal(b.Membership) ||
 		!maps.EqualFunc(a.Progress, b.Progress, sameHealth)
 }
 
--- a/keys/reloader.go
+++ b/keys/reloader.go
@@ -25,6 +25,8 @@
 type Options struct {
 	// Zones are the zones of the site: a peer of any other is refused.
 	Zones []structs.ZoneID
+	// Daemons are those whose zone is known: a peer of that name must be of that zone.
+	Daemons map[structs.DaemonID]structs.ZoneID
 	// Now is the clock that certificates are checked against; time.Now when nil.
 	Now func() time.Time
 }
@@ -37,6 +39,7 @@
 	logger log.Logger
 	files  Files
 	zones  map[structs.ZoneID]bool
+	homes  map[structs.DaemonID]structs.ZoneID
 	now    func() time.Time
 
 	mutex  sync.Mutex
@@ -56,6 +59,7 @@
 		logger: log.With(logger, "component", "keys"),
 		files:  files,
 		zones:  map[structs.ZoneID]bool{},
+		homes:  options.Daemons,
 		now:    options.Now,
 	}
 	if reloader.now == nil {
--- a/keys/tls.go
+++ b/keys/tls.go
@@ -29,6 +29,20 @@
 	}
 }
 
+// CallersServerConfig is PublicServerConfig that lets daemons of the site show
+// their certificate as well, which VerifyDaemon checks. Callers need none.
+func (r *Reloader) CallersServerConfig() *tls.Config {
+	config := r.PublicServerConfig()
+	config.ClientAuth = tls.RequestClientCert
+	return config
+}
+
+// VerifyDaemon returns the daemon of the site at the other end of a connection
+// that it dialled. Its error has the kind denied.
+func (r *Reloader) VerifyDaemon(state tls.ConnectionState) (Identity, error) {
+	return r.verify(state, x509.ExtKeyUsageClientAuth)
+}
+
 // ServerConfig is for daemons that dial this one: both show certificates. The
 // standard check of the client's chain is replaced by verify, which knows the
 // newest CA. Sessions are not resumed, as that would skip the check.
@@ -103,6 +117,11 @@
 			fmt.Sprintf("the peer %s is of a zone that is not in the site", identity),
 			"Add the zone under site.zones, or issue the peer's certificate for its real zone.")
 	}
+	if home, known := r.homes[identity.Daemon]; known && home != identity.Zone {
+		return Identity{}, structs.NewError(structs.ErrorDenied,
+			fmt.Sprintf("the peer %s should be of zone %s", identity, home),
+			"Issue the peer's certificate for the zone under which the site lists it.")
+	}
 	return identity, nil
 }
 
--- a/logstore/read.go
+++ b/logstore/read.go
@@ -83,15 +83,20 @@
 	return nil
 }
 
-func checkIdentity(tx *bbolt.Tx, path string, wanted Identity) error {
+// checkIdentity returns the identity that the file names. A wanted node of 0
+// stands for any.
+func checkIdentity(tx *bbolt.Tx, path string, wanted Identity) (Identity, error) {
 	var found Identity
 	if err := readRecord(tx, identityKey, &found); err != nil {
-		return corruptError(path, "identity: "+err.Error())
+		return found, corruptError(path, "identity: "+err.Error())
+	}
+	if wanted.Node == raft.None {
+		wanted.Node = found.Node
 	}
 	if found == wanted {
-		return nil
+		return found, nil
 	}
-	return structs.NewError(structs.ErrorConflict,
+	return found, structs.NewError(structs.ErrorConflict,
 		fmt.Sprintf("%s belongs to group %q, daemon %q, node %d, not to group %q, daemon %q, node %d",
 			path, found.Group, found.Daemon, found.Node, wanted.Group, wanted.Daemon, wanted.Node),
 		"Give the daemon its own data folder, or correct its name in the settings file.")
--- a/logstore/record.go
+++ b/logstore/record.go
@@ -49,12 +49,39 @@
 type snapshotRecord struct {
 	Index      uint64
 	Term       uint64
-	Voters     []raft.NodeID
-	Learners   []raft.NodeID
+	Voters     nodeList
+	Learners   nodeList
 	Size       int64
 	Compressed []byte
 }
 
+// maxMembers bounds the members of a stored membership.
+const maxMembers = 4096
+
+// nodeList is a list of members. Its decoder takes no memory for a length that the
+// record only announces.
+type nodeList []raft.NodeID
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *nodeList) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if count > maxMembers {
+		return errors.Errorf("%d members are too many", count)
+	}
+	*l = nil
+	for range count {
+		node, err := decoder.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		*l = append(*l, raft.NodeID(node))
+	}
+	return nil
+}
+
 // encodeRecord returns the checksum of key and payload, followed by the payload.
 func encodeRecord(key []byte, record any) ([]byte, error) {
 	var buffer bytes.Buffer
--- a/logstore/store.go
+++ b/logstore/store.go
@@ -46,8 +46,9 @@
 // Store is the durable state of one member of one raft group. Its methods may be
 // called from several goroutines.
 type Store struct {
-	path string
-	db   *bbolt.DB
+	path     string
+	identity Identity
+	db       *bbolt.DB
 
 	mutex sync.Mutex
 	state stateRecord
@@ -61,7 +62,7 @@
 
 // Open opens the store at path and creates it, with its folder, when there is no
 // file. It reads and checks the whole file: ErrorConflict says that the file is
-// of another identity, ErrorCorrupt that its content is not what was written,
+// of another identity (node 0 stands for any), ErrorCorrupt that its content is not what was written,
 // ErrorUnavailable that another process has it open.
 func Open(path string, identity Identity) (*Store, error) {
 	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
@@ -79,6 +80,18 @@
 	return store, nil
 }
 
+// OpenMember is Open for a member that keeps the node its file names: node is used
+// only when there is no file yet, and must never have been used before.
+func OpenMember(path string, group string, daemon structs.DaemonID, node raft.NodeID) (*Store, error) {
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+		return Open(path, Identity{Group: group, Daemon: daemon, Node: node})
+	}
+	return Open(path, Identity{Group: group, Daemon: daemon})
+}
+
+// Identity returns the identity that the file names.
+func (s *Store) Identity() Identity { return s.identity }
+
 func (s *Store) openChecked(identity Identity) error {
 	return guarded(s.path, func() error {
 		db, err := openFile(s.path)
@@ -90,9 +103,11 @@
 			return err
 		}
 		return db.View(func(tx *bbolt.Tx) error {
-			if err := checkIdentity(tx, s.path, identity); err != nil {
+			found, err := checkIdentity(tx, s.path, identity)
+			if err != nil {
 				return err
 			}
+			s.identity = found
 			contents, err := readAll(tx, s.path)
 			if err != nil {
 				return err
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -101,15 +101,15 @@
 }
 
 // Watch implements Service. wait is at most MaximumWait.
-func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) (TableView, error) {
+func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) (TableChanges, error) {
 	wait = min(wait, MaximumWait)
 	query := url.Values{
 		parameterSince: {strconv.FormatUint(since, 10)},
 		parameterWait:  {wait.String()},
 	}
-	var view TableView
-	err := c.call(ctx, call{method: http.MethodGet, path: pathWatch, query: query, wait: wait}, decodeInto(&view))
-	return view, err
+	var changes TableChanges
+	err := c.call(ctx, call{method: http.MethodGet, path: pathWatch, query: query, wait: wait}, decodeInto(&changes))
+	return changes, err
 }
 
 // Drain implements Service.
@@ -118,9 +118,10 @@
 }
 
 // SaveSnapshot implements Service.
-func (c *Client) SaveSnapshot(ctx context.Context) ([]byte, error) {
+func (c *Client) SaveSnapshot(ctx context.Context, group string) ([]byte, error) {
 	var snapshot []byte
-	err := c.call(ctx, call{method: http.MethodGet, path: pathSnapshot}, func(content []byte) error {
+	query := url.Values{parameterGroup: {group}}
+	err := c.call(ctx, call{method: http.MethodGet, path: pathSnapshot, query: query}, func(content []byte) error {
 		snapshot = content
 		return nil
 	})
--- a/operatorapi/handler.go
+++ b/operatorapi/handler.go
@@ -45,7 +45,9 @@
 	mux.Handle("GET "+pathWatch, serve(watchEndpoint(service), decodeWatch, encodeJSON))
 	mux.Handle("GET "+pathStatus, serve(statusEndpoint(service), decodeEmpty, encodeJSON))
 	mux.Handle("POST "+pathDrains, serve(drainEndpoint(service), decodeDrain, encodeJSON))
-	mux.Handle("GET "+pathSnapshot, serve(snapshotEndpoint(service), decodeEmpty, encodeBinary))
+	mux.Handle("GET "+pathSnapshot, serve(snapshotEndpoint(service), decodeSnapshot, encodeBinary))
+	mux.Handle("GET "+pathMembers, serve(membersEndpoint(service), decodeEmpty, encodeJSON))
+	mux.Handle("POST "+pathMembers, serve(changeMemberEndpoint(service), decodeMemberChange, encodeJSON))
 	return http.MaxBytesHandler(mux, options.BodyBytes)
 }
 
@@ -136,5 +138,7 @@
 }
 
 func snapshotEndpoint(service Service) endpoint.Endpoint {
-	return func(ctx context.Context, _ any) (any, error) { return service.SaveSnapshot(ctx) }
+	return func(ctx context.Context, request any) (any, error) {
+		return service.SaveSnapshot(ctx, request.(snapshotRequest).group)
+	}
 }
--- a/operatorapi/service.go
+++ b/operatorapi/service.go
@@ -1,7 +1,10 @@
 package operatorapi
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -18,14 +21,18 @@
 	History(ctx context.Context, limit int) ([]structs.HistoryEntry, error)
 	// Status tells how far the zones and daemons are.
 	Status(ctx context.Context) (SiteStatus, error)
-	// Watch returns the table as soon as its revision is above since, or as it is
-	// after wait.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (TableView, error)
+	// Watch returns what changed in the table as soon as its revision is above since,
+	// or nothing after wait.
+	Watch(ctx context.Context, since uint64, wait time.Duration) (TableChanges, error)
 	// Drain starts or cancels the drain of a runner.
 	Drain(ctx context.Context, request DrainRequest) error
-	// SaveSnapshot returns a snapshot of the global group as the content of a
-	// snapshot file of package logstore.
-	SaveSnapshot(ctx context.Context) ([]byte, error)
+	// Members lists the members of the global group and of each zone's group.
+	Members(ctx context.Context) ([]GroupMembers, error)
+	// ChangeMember makes one change of a group's membership. Repeating it is safe.
+	ChangeMember(ctx context.Context, change MemberChange) error
+	// SaveSnapshot returns a snapshot of a group, "global" or "zone-" and the zone's
+	// ID, as the content of a snapshot file of package logstore.
+	SaveSnapshot(ctx context.Context, group string) ([]byte, error)
 }
 
 // TableView is the table at a revision.
@@ -34,6 +41,36 @@
 	Rows     []structs.Row `json:"rows"`
 }
 
+// TableChanges is what changed in the table after the revision Since.
+type TableChanges struct {
+	Since    uint64 `json:"since"`
+	Revision uint64 `json:"revision"`
+	// Full says that Rows is the whole table: the changes are not known any more, or
+	// Since is 0 or newer than the table.
+	Full    bool              `json:"full,omitempty"`
+	Rows    []structs.Row     `json:"rows,omitempty"`
+	Deleted []structs.RowName `json:"deleted,omitempty"`
+}
+
+// Apply returns the table after the changes, sorted by name. The view must be of
+// the revision Since unless the changes are full; it stays as it is.
+func (c TableChanges) Apply(view TableView) TableView {
+	rows := map[structs.RowName]structs.Row{}
+	if !c.Full {
+		for _, row := range view.Rows {
+			rows[row.Name] = row
+		}
+	}
+	for _, name := range c.Deleted {
+		delete(rows, name)
+	}
+	for _, row := range c.Rows {
+		rows[row.Name] = row
+	}
+	byName := func(a, b structs.Row) int { return cmp.Compare(a.Name, b.Name) }
+	return TableView{Revision: c.Revision, Rows: slices.SortedFunc(maps.Values(rows), byName)}
+}
+
 // SiteStatus is the state of the site as the answering daemon knows it.
 type SiteStatus struct {
 	// Revision is the table's newest revision.
--- a/operatorapi/wire.go
+++ b/operatorapi/wire.go
@@ -22,6 +22,7 @@
 	pathStatus   = "/v1/status"
 	pathDrains   = "/v1/drains"
 	pathSnapshot = "/v1/snapshot"
+	pathMembers  = "/v1/members"
 )
 
 // Names of the query's parameters.
@@ -30,6 +31,7 @@
 	parameterLimit  = "limit"
 	parameterSince  = "since"
 	parameterWait   = "wait"
+	parameterGroup  = "group"
 )
 
 const (
@@ -89,7 +91,8 @@
 		edit   structs.Edit
 		dryRun bool
 	}
-	watchRequest struct {
+	snapshotRequest struct{ group string }
+	watchRequest    struct {
 		since uint64
 		wait  time.Duration
 	}
@@ -142,6 +145,14 @@
 	return watchRequest{since: since, wait: min(wait, MaximumWait)}, nil
 }
 
+func decodeSnapshot(_ context.Context, request *http.Request) (any, error) {
+	group := request.URL.Query().Get(parameterGroup)
+	if group == "" {
+		return nil, invalid("the snapshot names no group", "Name global, or zone- and the zone's ID.")
+	}
+	return snapshotRequest{group: group}, nil
+}
+
 func decodeDrain(_ context.Context, request *http.Request) (any, error) {
 	var drain DrainRequest
 	if err := decodeBody(request.Body, &drain); err != nil {
--- /dev/null
+++ b/transport/faulthttp.go
@@ -0,0 +1,55 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+)
+
+// HTTP returns next with the fault point before it: HTTP requests to an address
+// that is cut fail as if it could not be dialled, and answers in progress break
+// off with the next bytes that come.
+func (f *Faults) HTTP(next http.RoundTripper) http.RoundTripper {
+	return faultyRoundTripper{faults: f, next: next}
+}
+
+type faultyRoundTripper struct {
+	faults *Faults
+	next   http.RoundTripper
+}
+
+var errCut = errors.New("cut by the fault point")
+
+// RoundTrip implements http.RoundTripper.
+func (t faultyRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
+	address := request.URL.Host
+	if err := t.faults.wait(request.Context(), address); err != nil {
+		return nil, err
+	}
+	if t.faults.isCut(address) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errCut}
+	}
+	response, err := t.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &faultyBody{ReadCloser: response.Body, faults: t.faults, address: address}
+	return response, nil
+}
+
+// faultyBody is the body of an answer that a cut breaks off.
+type faultyBody struct {
+	io.ReadCloser
+	faults  *Faults
+	address string
+}
+
+// Read implements io.Reader.
+func (b *faultyBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if b.faults.isCut(b.address) {
+		return 0, errCut
+	}
+	return count, err
+}
--- a/transport/options.go
+++ b/transport/options.go
@@ -22,6 +22,9 @@
 	// is for development on the loopback interface only.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
+	// PeerTLS, when set, gives the client's configuration for an address in the place
+	// of ClientTLS, so that the peer can be held to the name known for the address.
+	PeerTLS func(address string) *tls.Config
 	// DialTimeout bounds connecting, with the TLS handshake.
 	DialTimeout time.Duration
 	// CallTimeout bounds one call, and one write to a connection.
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -118,7 +118,7 @@
 	}
 	counted := newCountedConn(raw, &p.client.counters)
 	var conn net.Conn = counted
-	if p.client.options.ClientTLS != nil {
+	if p.client.options.ClientTLS != nil || p.client.options.PeerTLS != nil {
 		secured := tls.Client(counted, p.tlsConfig())
 		if err := secured.HandshakeContext(ctx); err != nil {
 			_ = raw.Close()
@@ -138,6 +138,9 @@
 // tlsConfig names the host that is dialled, unless the configuration names one.
 func (p *peer) tlsConfig() *tls.Config {
 	config := p.client.options.ClientTLS
+	if p.client.options.PeerTLS != nil {
+		config = p.client.options.PeerTLS(p.address)
+	}
 	if config.ServerName != "" || config.InsecureSkipVerify {
 		return config
 	}
