--- /dev/null
+++ b/controller/claims_world_test.go
@@ -0,0 +1,263 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// apply commits claim operations; the leader may die before or after.
+func (m *claimModel) apply(z *claimZone, operations ...zone.ClaimOperation) (zone.Result, bool) {
+	if m.now.Before(z.deafUntil) || m.chance(40) {
+		return zone.Result{}, false
+	}
+	batch := &zone.ClaimBatchCommand{At: m.now, Operations: operations}
+	result := z.state.Apply(z.state.Index()+1, zone.Command{ClaimBatch: batch})
+	return result.Batch[0], !m.chance(40)
+}
+
+func (m *claimModel) begin(r *claimRouter, effect router.BeginClaim) {
+	claim := effect.Claim
+	home := m.zones[claim.Home]
+	operation := zone.ClaimOperation{Begin: &zone.ClaimBeginCommand{
+		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder, Session: claim.Session,
+		Attempt: effect.Choice, Runner: claim.Runner, Incarnation: claim.Incarnation,
+		Address: claim.Address, EngineRequest: claim.EngineRequest, AnswerBytes: effect.AnswerBytes,
+	}}
+	answered := false
+	r.open[effect.ID] = home.id
+	reply := func(event router.ClaimReplied) func() {
+		return m.inLife(r, func() {
+			if !answered {
+				answered = true
+				if event.Error == nil && !event.New {
+					delete(r.open, effect.ID)
+				}
+				m.step(r, event)
+			}
+		})
+	}
+	m.send(r.zone, home.id, func() {
+		home.renewed[claim.Request] = m.now
+		if result, ok := m.apply(home, operation); ok {
+			m.send(home.id, r.zone, reply(router.ClaimReplied{ID: effect.ID, Claim: result.Claim, New: result.ClaimNew, Error: result.Error}))
+		}
+	})
+	lost := structs.NewError(structs.ErrorUnavailable, "no answer", "Come back.")
+	m.after(4*time.Second, reply(router.ClaimReplied{ID: effect.ID, Error: lost}))
+}
+
+func (m *claimModel) finish(r *claimRouter, effect router.FinishClaim) {
+	claim := effect.Claim
+	home := m.zones[claim.Home]
+	operation := zone.ClaimOperation{Finish: &zone.ClaimFinishCommand{
+		Key: claim.Key, Request: claim.Request, State: claim.State, NotRun: claim.State == structs.ClaimReleased,
+		Answer: claim.Answer, ExpiresAt: claim.ExpiresAt,
+	}}
+	done := false
+	var try func()
+	try = m.inLife(r, func() {
+		if done {
+			return
+		}
+		m.send(r.zone, home.id, func() {
+			if _, ok := m.apply(home, operation); ok {
+				m.send(home.id, r.zone, m.inLife(r, func() {
+					done = true
+					delete(r.open, effect.ID)
+				}))
+			}
+		})
+		m.after(time.Second, try)
+	})
+	try()
+}
+
+func (m *claimModel) renew() {
+	for _, r := range m.routers {
+		if m.now.Before(r.pausedUntil) || m.now.Before(r.muteUntil) {
+			continue
+		}
+		for _, request := range slices.Sorted(maps.Keys(r.open)) {
+			z := m.zones[r.open[request]]
+			m.send(r.zone, z.id, func() { z.renewed[request] = m.now })
+		}
+	}
+}
+
+// attempt sends a request to its engine, which starts and finishes it late.
+func (m *claimModel) attempt(r *claimRouter, effect router.SendAttempt) {
+	e := m.engines[effect.Address]
+	fail := func(stage router.FailureStage) {
+		m.send(e.zone, r.zone, m.inLife(r, func() { m.step(r, router.AttemptFailed{Attempt: effect.Attempt, Stage: stage}) }))
+	}
+	m.send(r.zone, e.zone, func() {
+		run := e.records[effect.Generate.ID]
+		if e.incarnation != effect.Incarnation || (run != nil && run.fenced) {
+			fail(router.RefusedByEngine)
+			return
+		}
+		if run != nil {
+			return
+		}
+		run = &claimRun{}
+		e.records[effect.Generate.ID] = run
+		m.after(m.between(2*time.Second), func() { m.execute(r, e, run, effect) })
+	})
+	// The router gives a silent engine up.
+	m.after(5*time.Second, m.inLife(r, func() { m.step(r, router.AttemptFailed{Attempt: effect.Attempt, Stage: router.Broken}) }))
+}
+
+func (m *claimModel) execute(r *claimRouter, e *claimEngine, run *claimRun, effect router.SendAttempt) {
+	if run.fenced || e.incarnation != effect.Incarnation {
+		return
+	}
+	run.started = true
+	m.executions[effect.Attempt.Request()]++
+	m.byKey[m.key[effect.Attempt.Request()]]++
+	m.after(m.between(3*time.Second), func() {
+		run.finished = true
+		token := structs.Token{ID: effect.Generate.ID, Text: effect.Generate.Prompt, Finish: structs.FinishStop}
+		m.send(e.zone, r.zone, m.inLife(r, func() { m.step(r, router.TokenReceived{Attempt: effect.Attempt, Token: token}) }))
+	})
+}
+
+// restart is an engine's new life, which knows no request.
+func (m *claimModel) restart(e *claimEngine) {
+	e.incarnation++
+	e.records = map[structs.RequestID]*claimRun{}
+	for _, r := range m.routers {
+		m.after(m.between(time.Second), m.inLife(r, func() { m.view(r) }))
+	}
+}
+
+// status is what an engine says of a request; with fence set it refuses it from then on.
+func (e *claimEngine) status(id structs.RequestID, fence bool) structs.RequestStatus {
+	status := structs.RequestStatus{ID: id, State: structs.RunUnknown, Incarnation: e.incarnation}
+	run := e.records[id]
+	if run == nil {
+		if fence {
+			e.records[id] = &claimRun{fenced: true}
+		}
+		return status
+	}
+	run.fenced = run.fenced || fence
+	status.Started = run.started
+	switch {
+	case run.finished:
+		status.State = structs.RunFinished
+	case run.fenced:
+		status.State = structs.RunCancelled
+	default:
+		status.State = structs.RunQueued
+	}
+	return status
+}
+
+func (m *claimModel) ask(r *claimRouter, effect router.AskStatus) {
+	e := m.engines[effect.Address]
+	m.send(r.zone, e.zone, func() {
+		status := e.status(structs.RequestID(effect.Attempt), !effect.Peek)
+		m.send(e.zone, r.zone, m.inLife(r, func() {
+			m.step(r, router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt, Status: &status, Peek: effect.Peek})
+		}))
+	})
+	lost := structs.NewError(structs.ErrorUnavailable, "no answer", "Ask again.")
+	m.after(2*time.Second, m.inLife(r, func() {
+		m.step(r, router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt, Error: lost, Peek: effect.Peek})
+	}))
+}
+
+// decide is one round of a zone's leader, which may die between any two steps.
+func (m *claimModel) decide(z *claimZone) {
+	if m.now.Before(z.deafUntil) {
+		return
+	}
+	epoch := z.epoch
+	decisions := z.core.Decide(Input{Now: m.now, Epoch: z.epoch, LeaseValid: true, State: z.state, Renewed: z.renewed})
+	for _, inquiry := range decisions.Inquiries {
+		m.inquire(z, epoch, inquiry)
+	}
+	for _, command := range decisions.Commands {
+		if m.chance(20) {
+			m.lead(z)
+			return
+		}
+		if m.fault == claimFaultNoChoiceGuard && command.ClaimFinish != nil {
+			command.ClaimFinish.Resolve = false
+		}
+		// What was decided meets a later state.
+		m.after(m.between(5*time.Second), func() {
+			if command.ClaimFinish != nil && !m.now.Before(z.deafUntil) {
+				if result := z.state.Apply(z.state.Index()+1, command); result.Error == nil {
+					m.counts["resolved "+string(command.ClaimFinish.State)]++
+				}
+			}
+		})
+	}
+}
+
+func (m *claimModel) inquire(z *claimZone, epoch structs.Epoch, inquiry Inquiry) {
+	e := m.engines[inquiry.Address]
+	m.send(z.id, e.zone, func() {
+		status := e.status(inquiry.Request, m.fault != claimFaultNoFence)
+		if m.fault == claimFaultTrustNewLife {
+			status.Incarnation = 1
+		}
+		m.send(e.zone, z.id, func() {
+			if z.epoch == epoch {
+				z.core.ObserveInquiry(InquiryReply{Inquiry: inquiry, Status: status})
+			}
+		})
+	})
+}
+
+// TestHolderDeathNeverRunsAKeyTwice also checks that the histories reach every
+// kind of end and of resolution, so that no check is idle.
+func TestHolderDeathNeverRunsAKeyTwice(t *testing.T) {
+	c := qt.New(t)
+	counts := map[string]int{}
+	const seeds = 150
+	for seed := range uint64(seeds) {
+		m := newClaimModel(seed, claimFaultNone)
+		m.run()
+		c.Assert(m.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		for kind, count := range m.counts {
+			counts[kind] += count
+		}
+	}
+	for _, kind := range []string{"finish", "replay", "not_run", "outcome_unknown", "resolved ", "resolved outcome_unknown"} {
+		c.Check(counts[kind] > seeds/2, qt.IsTrue, qt.Commentf("%s: %d", kind, counts[kind]))
+	}
+	t.Logf("over %d seeds: %v", seeds, counts)
+}
+
+func TestClaimModelNoticesMissingSafeguards(t *testing.T) {
+	for _, test := range []struct {
+		about string
+		fault claimFault
+	}{
+		{"the engine is asked without a fence", claimFaultNoFence},
+		{"a resolution ends a later choice", claimFaultNoChoiceGuard},
+		{"an engine's next life speaks for the earlier one", claimFaultTrustNewLife},
+		{"each zone is home to every key", claimFaultOwnHome},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			found := false
+			for seed := uint64(0); seed < 150 && !found; seed++ {
+				m := newClaimModel(seed, test.fault)
+				m.run()
+				found = slices.ContainsFunc(m.violations, func(violation string) bool { return strings.Contains(violation, " ran ") })
+			}
+			qt.Assert(t, found, qt.IsTrue)
+		})
+	}
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -17,6 +17,8 @@
 	LaggingAfter time.Duration
 	// VanishedAfter is how old it may be before the runner's replicas are replaced.
 	VanishedAfter time.Duration
+	// SilentAfter is how old it may be before routers no longer choose the runner.
+	SilentAfter time.Duration
 	// DemandAfter is how old a router's demand report may be before it is dropped.
 	DemandAfter time.Duration
 	// ResendAfter is when an order, release or wish without effect is sent again.
@@ -27,12 +29,18 @@
 	// UnloadDelay is how long an unloading replica waits at least before its
 	// engine is told, so that routers know first.
 	UnloadDelay time.Duration
+	// ClaimLease is how long a claim may go without a renewal before it is resolved.
+	ClaimLease time.Duration
+	// InquiryLimit is how long after the choice of a runner its engine's word that
+	// it does not know the request counts.
+	InquiryLimit time.Duration
 }
 
 // The defaults of Options.
 const (
 	DefaultLaggingAfter  = 3 * time.Second
 	DefaultVanishedAfter = 15 * time.Second
+	DefaultSilentAfter   = 5 * time.Second
 	DefaultDemandAfter   = 5 * time.Second
 	DefaultResendAfter   = time.Second
 	DefaultWishAfter     = time.Minute
@@ -60,6 +68,9 @@
 	Reports map[structs.RunnerID]ReportSeen
 	// Machines is the platform's machine list; runners that it lacks stay as they were.
 	Machines []structs.Machine
+	// Renewed says when the holder of each request's claim last renewed it with this
+	// leader, by its clock. While it is nil, no claim is resolved.
+	Renewed map[structs.RequestID]time.Time
 	// StoreBudget is how many loads from the weight store may be under way at once.
 	StoreBudget int
 }
@@ -73,6 +84,10 @@
 	Orders   []structs.Order
 	Releases []structs.GrantRelease
 	Wishes   []structs.GrantWish
+	// Inquiries are to be sent at once; answers come in through ObserveInquiry.
+	Inquiries []Inquiry
+	// Awaited names the runners whose next reports decide something.
+	Awaited map[structs.RunnerID]bool
 	// InForce is the table revision that the zone acts on.
 	InForce uint64
 }
@@ -88,6 +103,8 @@
 	sent     map[structs.RunnerID]sentOrder
 	releases map[structs.RowName]sentRelease
 	wishes   map[structs.RowName]sentWish
+	// inquiries are about the held claims whose lease has run out.
+	inquiries map[structs.ClaimKey]inquired
 }
 
 type acceptedFence struct {
@@ -114,10 +131,13 @@
 func New(options Options) *Core {
 	setDefault(&options.LaggingAfter, DefaultLaggingAfter)
 	setDefault(&options.VanishedAfter, DefaultVanishedAfter)
+	setDefault(&options.SilentAfter, DefaultSilentAfter)
 	setDefault(&options.DemandAfter, DefaultDemandAfter)
 	setDefault(&options.ResendAfter, DefaultResendAfter)
 	setDefault(&options.WishAfter, DefaultWishAfter)
 	setDefault(&options.UnloadDelay, DefaultUnloadDelay)
+	setDefault(&options.ClaimLease, DefaultClaimLease)
+	setDefault(&options.InquiryLimit, DefaultInquiryLimit)
 	if options.Settings == (scheduler.Settings{}) {
 		options.Settings = scheduler.DefaultSettings()
 	}
@@ -138,6 +158,7 @@
 	c.sent = map[structs.RunnerID]sentOrder{}
 	c.releases = map[structs.RowName]sentRelease{}
 	c.wishes = map[structs.RowName]sentWish{}
+	c.inquiries = map[structs.ClaimKey]inquired{}
 }
 
 // ObserveDemand takes in a router's report.
@@ -166,7 +187,7 @@
 		c.epoch = input.Epoch
 		c.leadFrom = input.Now
 	}
-	d := &decider{core: c, input: input}
+	d := &decider{core: c, input: input, leaving: map[structs.RunnerID]bool{}}
 	d.decisions.InForce = input.State.TableRevision()
 	d.registerRunners()
 	d.followReplicas()
@@ -175,5 +196,7 @@
 	d.release()
 	d.wish(plan.Wanted)
 	d.expireClaims()
+	d.resolveClaims()
+	d.decisions.Awaited = d.awaited()
 	return d.decisions
 }
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -65,10 +65,28 @@
 	qt.Assert(t, sent, qt.DeepEquals, map[structs.RowName]int{"large": 10, "kept": 1, "small": 1, "tuned": 1})
 }
 
+func TestPrefetchOfDeletedRowIsDropped(t *testing.T) {
+	m := newModel(1)
+	m.calm = true
+	for range time.Second / modelTick {
+		m.step()
+	}
+	m.apply(zone.Command{Prefetch: &zone.PrefetchCommand{Row: "large", Runner: "runner-0", Incarnation: 1}})
+	revision := m.state.TableRevision()
+	m.apply(zone.Command{Adopt: &structs.TableDelta{
+		SinceRevision: revision, Revision: revision + 1, Deleted: []structs.RowName{"large"},
+	}})
+	m.step()
+	runner, _ := m.state.Runner("runner-0")
+	qt.Assert(t, runner.Prefetch, qt.Equals, structs.RowName(""))
+	qt.Assert(t, m.orders, qt.HasLen, 0)
+}
+
 func TestLimitsHoldAndThePlanIsReached(t *testing.T) {
 	loads, failed, prefetches := 0, 0, 0
 	for seed := range uint64(modelSeeds) {
 		m := newModel(seed)
+		m.refusesPrefetch = seed%4 == 0
 		for range troubledSteps {
 			m.step()
 		}
--- a/controller/decider.go
+++ b/controller/decider.go
@@ -15,6 +15,11 @@
 	core      *Core
 	input     Input
 	decisions Decisions
+	// leaving holds the runners that the machine list shows as leaving, which the
+	// zone's log may not record yet.
+	leaving map[structs.RunnerID]bool
+	// silent holds the runners whose reports stopped.
+	silent map[structs.RunnerID]bool
 }
 
 func (d *decider) propose(command zone.Command) {
@@ -35,9 +40,16 @@
 			machines[machine.Runner] = machine
 		}
 	}
+	d.findSilent()
 	for _, id := range slices.Sorted(maps.Keys(machines)) {
 		d.registerRunner(machines[id])
 	}
+	d.markSilent(machines)
+}
+
+// accepting reports whether the runner may get new work.
+func (d *decider) accepting(runner zone.Runner) bool {
+	return runner.Accepting() && !d.leaving[runner.ID]
 }
 
 func (d *decider) registerRunner(machine structs.Machine) {
@@ -57,6 +69,8 @@
 	info.Zone = machine.Zone
 	info.Address = machine.Address
 	info.Leaving = machine.State == structs.MachineLeaving
+	info.Silent = d.silent[machine.Runner]
+	d.leaving[machine.Runner] = info.Leaving
 	if !registered || info != known.RunnerInfo {
 		d.propose(zone.Command{Runner: &zone.RunnerCommand{Info: info}})
 	}
@@ -95,18 +109,14 @@
 func (d *decider) runner(runner zone.Runner) scheduler.Runner {
 	options := d.core.options
 	seen, ok := d.report(runner.ID, runner.Incarnation)
-	heard := d.core.leadFrom
-	if ok && seen.ReceivedAt.After(heard) {
-		heard = seen.ReceivedAt
-	}
-	silence := d.input.Now.Sub(heard)
+	silence := d.silence(runner)
 	return scheduler.Runner{
 		ID:             runner.ID,
 		Role:           runner.Role,
 		Incarnation:    runner.Incarnation,
 		MemoryBytes:    runner.MemoryBytes,
 		MemoryReserved: d.input.State.MemoryReserved(runner.ID),
-		Leaving:        !runner.Accepting() || silence > options.VanishedAfter,
+		Leaving:        !d.accepting(runner) || silence > options.VanishedAfter,
 		Lagging:        !ok || silence > options.LaggingAfter,
 		Cached:         seen.Report.Cached,
 	}
@@ -167,7 +177,8 @@
 	}})
 }
 
-// release gives back what was lowered, once the zone is down to it.
+// release gives back what was lowered, once the zone is down to it; of a frozen
+// grant it gives back all that is not loaded.
 func (d *decider) release() {
 	state := d.input.State
 	lowered := state.LoweredGrants()
@@ -175,7 +186,15 @@
 		clear(d.core.releases)
 	}
 	for _, grant := range lowered {
-		if state.CountOf(grant.Row) > grant.Limit {
+		loaded := state.CountOf(grant.Row)
+		if loaded > grant.Limit {
+			continue
+		}
+		down := grant.Limit
+		if grant.Frozen {
+			down = loaded
+		}
+		if down == grant.Held {
 			continue
 		}
 		last := d.core.releases[grant.Row]
@@ -184,7 +203,7 @@
 		}
 		d.core.releases[grant.Row] = sentRelease{grant.Sequence, d.input.Now}
 		d.decisions.Releases = append(d.decisions.Releases, structs.GrantRelease{
-			Row: grant.Row, Zone: state.Zone(), Sequence: grant.Sequence, Limit: grant.Limit,
+			Row: grant.Row, Zone: state.Zone(), Sequence: grant.Sequence, Limit: down,
 		})
 	}
 }
--- a/controller/demand.go
+++ b/controller/demand.go
@@ -23,9 +23,17 @@
 	uses    map[structs.RowName]*rowUse
 }
 
+// demandSeen is a router's demand, put together from its reports. It is dropped
+// when the newest report is too old.
 type demandSeen struct {
 	at   time.Time
-	rows []structs.RowDemand
+	rows map[structs.RowName]rowSeen
+}
+
+// rowSeen is what a router last said of a row, and when.
+type rowSeen struct {
+	structs.RowDemand
+	at time.Time
 }
 
 // rowUse is what is remembered of the use of one row.
@@ -45,11 +53,17 @@
 }
 
 func (t *demandTable) observe(now time.Time, report structs.DemandReport) {
-	t.reports[report.Daemon] = demandSeen{now, slices.Clone(report.Rows)}
+	seen := demandSeen{now, t.reports[report.Daemon].rows}
+	if !report.Partial || seen.rows == nil {
+		seen.rows = make(map[structs.RowName]rowSeen, len(report.Rows))
+	}
+	t.reports[report.Daemon] = seen
 	for _, row := range report.Rows {
 		if row.Waiting+row.Running+row.Arrived == 0 {
+			delete(seen.rows, row.Row)
 			continue
 		}
+		seen.rows[row.Row] = rowSeen{row, now}
 		use := t.use(row.Row)
 		if use == nil {
 			continue
@@ -105,8 +119,12 @@
 			delete(t.reports, daemon)
 			continue
 		}
-		for _, row := range seen.rows {
-			addDemand(sums, row, now.Sub(seen.at))
+		for name, row := range seen.rows {
+			addDemand(sums, row.RowDemand, now.Sub(row.at))
+			// What is reported no more has not changed: its requests go on.
+			if use := t.uses[name]; use != nil && row.Waiting+row.Running > 0 {
+				use.lastUsed = latest(use.lastUsed, seen.at)
+			}
 		}
 	}
 	list := make([]scheduler.Demand, 0, len(sums))
@@ -134,3 +152,10 @@
 		sum.OldestWait = max(sum.OldestWait, row.OldestWait+age)
 	}
 }
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/controller/model_test.go
+++ b/controller/model_test.go
@@ -78,6 +78,8 @@
 	failed  int
 	// prefetches counts those that engines carried out.
 	prefetches int
+	// refusesPrefetch lets all engines refuse to prefetch.
+	refusesPrefetch bool
 }
 
 func newModel(seed uint64) *model {
@@ -188,6 +190,7 @@
 	grant := m.grants[row]
 	grant.Limit = limit
 	grant.Held = max(grant.Held, limit)
+	grant.Frozen = m.chance(3)
 	m.changeGrant(grant)
 }
 
@@ -202,7 +205,11 @@
 func (m *model) release(release structs.GrantRelease) {
 	grant := m.grants[release.Row]
 	if grant.Sequence == release.Sequence {
+		if loaded := m.state.CountOf(release.Row); loaded > release.Limit || !grant.Frozen && grant.Limit > release.Limit {
+			m.fail("%s releases down to %d with %d loaded of %+v", release.Row, release.Limit, loaded, *grant)
+		}
 		grant.Held = release.Limit
+		grant.Limit = min(grant.Limit, grant.Held)
 		m.changeGrant(grant)
 	}
 }
@@ -260,7 +267,8 @@
 // execute delivers an order to its engine, and the reply to the leader.
 func (m *model) execute(order structs.Order) {
 	e := m.engine(order.Runner)
-	if order.Incarnation != e.incarnation || order.Fence.Before(e.fence) {
+	isRefused := m.refusesPrefetch && order.Kind == structs.OrderPrefetch
+	if order.Incarnation != e.incarnation || order.Fence.Before(e.fence) || isRefused {
 		return
 	}
 	if e.fence.Before(order.Fence) {
@@ -332,9 +340,16 @@
 	m.wishes = decisions.Wishes
 	for _, order := range decisions.Orders {
 		runner, _ := m.state.Runner(order.Runner)
-		if order.Kind != structs.OrderUnload && !runner.Accepting() {
+		if order.Kind != structs.OrderUnload && (!runner.Accepting() || m.leaving[order.Runner]) {
 			m.fail("%s is to get new work", order.Runner)
 		}
+		if row, _ := m.state.Row(order.Row); order.MemoryBytes != row.MemoryBytes {
+			m.fail("%s is to be given %d bytes on %s", order.Row, order.MemoryBytes, order.Runner)
+		}
+		grant := m.grants[order.Row]
+		if order.Kind == structs.OrderLoad && (grant.Frozen || m.state.CountOf(order.Row) > grant.Limit) {
+			m.fail("%s is to be loaded with the grant %+v", order.Row, *grant)
+		}
 		for copies := m.random.IntN(3); !m.chance(5) && copies >= 0; copies-- {
 			m.orders = append(m.orders, flight[structs.Order]{m.now.Add(m.delay()), order})
 		}
@@ -362,8 +377,10 @@
 	if result.Error != nil {
 		return
 	}
-	if reserve := command.Reserve; reserve != nil && m.state.CountOf(reserve.Row) > m.grants[reserve.Row].Limit {
-		m.fail("%s is reserved above its limit", reserve.Row)
+	if reserve := command.Reserve; reserve != nil {
+		if grant := m.grants[reserve.Row]; grant.Frozen || m.state.CountOf(reserve.Row) > grant.Limit {
+			m.fail("%s is reserved above its limit: %+v", reserve.Row, *grant)
+		}
 	}
 	if change := command.Transition; change != nil && change.To == structs.ReplicaReady {
 		replica, _ := m.state.Replica(change.Runner, change.Row)
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -16,7 +16,7 @@
 		if !ok || seen.Report.Fence.Epoch > d.input.Epoch {
 			continue
 		}
-		pending := d.followPrefetch(runner, seen.Report)
+		var pending []structs.Order
 		for _, replica := range d.input.State.ReplicasOn(runner.ID) {
 			follow := follower{decider: d, replica: replica, seen: seen}
 			follow.engine, follow.shown = findReplica(seen.Report, replica)
@@ -24,6 +24,10 @@
 				pending = append(pending, *order)
 			}
 		}
+		// A prefetch is only a help: it holds up nothing else.
+		if prefetch := d.followPrefetch(runner, seen.Report); prefetch != nil && len(pending) == 0 {
+			pending = append(pending, *prefetch)
+		}
 		if len(pending) > 0 {
 			d.send(pending)
 		}
@@ -32,22 +36,23 @@
 
 // followPrefetch returns the runner's open prefetch order, if it has to be sent.
 // A prefetch that the engine has passed over is not repeated: the plan asks again.
-func (d *decider) followPrefetch(runner zone.Runner, report structs.EngineReport) []structs.Order {
+func (d *decider) followPrefetch(runner zone.Runner, report structs.EngineReport) *structs.Order {
 	fence := structs.Fence{Epoch: d.input.Epoch, Number: runner.PrefetchOrder}
-	if runner.Prefetch == "" || !runner.Accepting() {
+	if runner.Prefetch == "" || !d.accepting(runner) {
 		return nil
 	}
-	if !report.Fence.Before(fence) || caches(report, runner.Prefetch) {
+	row, exists := d.input.State.Row(runner.Prefetch)
+	if !exists || !report.Fence.Before(fence) || caches(report, runner.Prefetch) {
 		d.propose(zone.Command{Prefetch: &zone.PrefetchCommand{Runner: runner.ID, Incarnation: runner.Incarnation}})
 		return nil
 	}
 	if d.replied(runner.ID, runner.Incarnation, fence) {
 		return nil
 	}
-	return []structs.Order{{
+	return &structs.Order{
 		Fence: fence, Kind: structs.OrderPrefetch, Runner: runner.ID, Incarnation: runner.Incarnation,
-		Row: runner.Prefetch, Tier: structs.TierDisk,
-	}}
+		Row: row.Name, MemoryBytes: row.MemoryBytes, Tier: structs.TierDisk,
+	}
 }
 
 // caches reports whether the engine has the row's checkpoint nearer than the store.
@@ -137,7 +142,7 @@
 	case f.shown:
 	case f.passed() && !f.overtaken():
 		f.fail()
-	case !f.baseReady() || !f.accepting():
+	case !f.baseReady() || !f.accepting() || !f.granted():
 	case f.overtaken():
 		f.touch()
 	case !f.replied():
@@ -150,7 +155,15 @@
 // reserved before the runner began to leave is unloaded by the next plan.
 func (f *follower) accepting() bool {
 	runner, ok := f.input.State.Runner(f.replica.Runner)
-	return ok && runner.Accepting()
+	return ok && f.decider.accepting(runner)
+}
+
+// granted reports whether the grant allows the row's replicas to become more. One
+// that was reserved under an older grant and is not loading yet waits, or is
+// unloaded by the next plan.
+func (f *follower) granted() bool {
+	grant := f.input.State.Grant(f.replica.Row)
+	return !grant.Frozen && f.input.State.CountOf(f.replica.Row) <= grant.Limit
 }
 
 // baseReady reports whether the replica's base, if it needs one, is ready.
--- /dev/null
+++ b/controller/reportschedule.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// calmEvery is how many report intervals lie between two reads of an engine of
+// which nothing is awaited. The longest time between two reads of a live engine
+// stays below DefaultLaggingAfter.
+const calmEvery = 4
+
+// ReportSchedule decides which engines' reports a leader reads. It is not safe for
+// concurrent use.
+type ReportSchedule struct {
+	interval uint64
+	awaited  map[structs.RunnerID]bool
+	// answered holds the runners whose latest read brought a report.
+	answered map[structs.RunnerID]bool
+}
+
+// NewReportSchedule makes the schedule of a leader that has read nothing yet.
+func NewReportSchedule() *ReportSchedule {
+	return &ReportSchedule{answered: map[structs.RunnerID]bool{}}
+}
+
+// Await names the runners from whose reports something is expected (see Decisions).
+func (s *ReportSchedule) Await(runners map[structs.RunnerID]bool) { s.awaited = runners }
+
+// Read notes whether a read brought a report.
+func (s *ReportSchedule) Read(runner structs.RunnerID, answered bool) {
+	if !answered {
+		delete(s.answered, runner)
+		return
+	}
+	s.answered[runner] = true
+}
+
+// Due begins a report interval and returns the machines whose reports are read in
+// it: all of which something is awaited or that did not answer, and a part of the
+// others, so that each has its turn every fourth interval.
+func (s *ReportSchedule) Due(machines []structs.Machine) []structs.Machine {
+	s.interval++
+	listed := make(map[structs.RunnerID]bool, len(machines))
+	var due []structs.Machine
+	for _, machine := range machines {
+		id := machine.Runner
+		listed[id] = s.answered[id]
+		turn := (s.interval+xxhash.Sum64String(string(id)))%calmEvery == 0
+		if turn || !s.answered[id] || s.awaited[id] {
+			due = append(due, machine)
+		}
+	}
+	s.answered = listed
+	return due
+}
+
+// New returns the machines that have not answered yet.
+func (s *ReportSchedule) New(machines []structs.Machine) []structs.Machine {
+	var added []structs.Machine
+	for _, machine := range machines {
+		if !s.answered[machine.Runner] {
+			added = append(added, machine)
+		}
+	}
+	return added
+}
+
+// awaited returns the runners whose next report decides something: a load, an
+// unload or a prefetch is recorded there, or is about to be.
+func (d *decider) awaited() map[structs.RunnerID]bool {
+	runners := map[structs.RunnerID]bool{}
+	for _, replica := range d.input.State.Replicas() {
+		if replica.State != structs.ReplicaReady {
+			runners[replica.Runner] = true
+		}
+	}
+	for _, runner := range d.input.State.Runners() {
+		if runner.Prefetch != "" {
+			runners[runner.ID] = true
+		}
+	}
+	for _, command := range d.decisions.Commands {
+		switch {
+		case command.Reserve != nil:
+			runners[command.Reserve.Runner] = true
+		case command.Transition != nil:
+			runners[command.Transition.Runner] = true
+		case command.Prefetch != nil:
+			runners[command.Prefetch.Runner] = true
+		}
+	}
+	return runners
+}
--- /dev/null
+++ b/daemon/claiminquiries.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/engineapi"
+)
+
+const (
+	// inquiryTimeout bounds one question to an engine; it is below
+	// controller.DefaultResendAfter, so that questions do not pile up.
+	inquiryTimeout = 800 * time.Millisecond
+	// maxInquiries bounds the questions under way; the others are asked again.
+	maxInquiries = 128
+)
+
+// claimInquiries asks engines what became of requests whose holder is silent.
+type claimInquiries struct {
+	logger  log.Logger
+	engines *engineapi.Client
+
+	running sync.WaitGroup
+	mutex   sync.Mutex
+	asking  int
+	replies []controller.InquiryReply
+	// answered is signalled when a reply has come.
+	answered notifier
+}
+
+// send asks the engines, each on its own goroutine, and returns at once.
+func (i *claimInquiries) send(ctx context.Context, inquiries []controller.Inquiry) {
+	for _, inquiry := range inquiries {
+		if i.start() {
+			i.running.Go(func() { i.ask(ctx, inquiry) })
+		}
+	}
+}
+
+func (i *claimInquiries) start() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.asking >= maxInquiries {
+		return false
+	}
+	i.asking++
+	return true
+}
+
+// ask cancels the request at its engine, which refuses it from then on, and takes
+// in what the engine knows of it.
+func (i *claimInquiries) ask(ctx context.Context, inquiry controller.Inquiry) {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	status, err := i.engines.Status(ctx, inquiry.Address, inquiry.Request, true)
+	i.mutex.Lock()
+	i.asking--
+	if err == nil {
+		i.replies = append(i.replies, controller.InquiryReply{Inquiry: inquiry, Status: status})
+	}
+	i.mutex.Unlock()
+	if err != nil {
+		level.Debug(i.logger).Log("msg", "An engine did not say what became of a request.", "request", inquiry.Request, "address", inquiry.Address, "err", err)
+		return
+	}
+	level.Info(i.logger).Log("msg", "An engine was asked about a request whose router is silent.", "request", inquiry.Request,
+		"state", status.State, "started", status.Started)
+	i.answered.broadcast()
+}
+
+// take returns the replies that have come since the last call.
+func (i *claimInquiries) take() []controller.InquiryReply {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	replies := i.replies
+	i.replies = nil
+	return replies
+}
--- /dev/null
+++ b/daemon/claimmessages.go
@@ -0,0 +1,28 @@
+package daemon
+
+import (
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// methodZoneClaims is the method of a zone's leader for claims.
+const methodZoneClaims = "Zone.Claims"
+
+// ClaimsArguments brings a holder's claim operations to the leader of their keys'
+// home zone, and renews the leases of its claims there.
+type ClaimsArguments struct {
+	// Renew names the requests whose claims are renewed.
+	Renew []structs.RequestID
+	// Command is an encoded zone.Command with a ClaimBatch; its time is not read.
+	// Without one the call only renews.
+	Command []byte
+}
+
+// ClaimsReply has one result for each operation, in their order. The results of
+// finished claims leave the answer out.
+type ClaimsReply struct {
+	Results []zone.Result
+	Error   *structs.Error
+}
+
+func (r *ClaimsReply) failure() *structs.Error { return r.Error }
--- /dev/null
+++ b/daemon/claims_benchmark_test.go
@@ -0,0 +1,187 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	benchmarkMembers = 3
+	// plannedClaims is what one zone takes a second at the size designed for.
+	plannedClaims = 130
+	// plannedAnswerBytes is the answer of a claim here.
+	plannedAnswerBytes = 400
+)
+
+// newClaimGroup runs a zone group of three members on the loopback interface and
+// disks, and returns the leader's node.
+func newClaimGroup(b *testing.B) *zoneNode {
+	c := qt.New(b)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var servers []*transport.Server
+	var members []group.Member
+	var first raft.Membership
+	for number := range benchmarkMembers {
+		server, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+		c.Assert(err, qt.IsNil)
+		servers = append(servers, server)
+		members = append(members, group.Member{Node: raft.NodeID(number + 1), Address: server.Address()})
+		first.Voters = append(first.Voters, raft.NodeID(number+1))
+	}
+	var nodes []*zoneNode
+	for number, server := range servers {
+		node := raft.NodeID(number + 1)
+		client := transport.NewClient(log.NewNopLogger(), transport.Options{})
+		store, err := logstore.Open(filepath.Join(c.TempDir(), "z.db"), logstore.Identity{Group: "z", Daemon: "d", Node: node})
+		c.Assert(err, qt.IsNil)
+		machine := newZoneMachine("z")
+		member, err := group.New(log.NewNopLogger(), group.Options{
+			Name: "z", Node: node, Members: members, Bootstrap: first, Store: store, Client: client, Server: server,
+			StateMachine: machine, Seed: uint64(node),
+		})
+		c.Assert(err, qt.IsNil)
+		nodes = append(nodes, &zoneNode{id: "z", group: member, machine: machine})
+		running.Go(server.Serve)
+		running.Go(func() { _ = member.Run(ctx) })
+		b.Cleanup(func() { _ = store.Close() })
+		b.Cleanup(client.Close)
+		b.Cleanup(server.Close)
+	}
+	b.Cleanup(running.Wait)
+	b.Cleanup(cancel)
+	b.Cleanup(func() {
+		for _, server := range servers {
+			server.Close()
+		}
+	})
+	for {
+		for _, node := range nodes {
+			if _, valid := node.group.LeaderLease(); valid {
+				return node
+			}
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// claimStages are the operations of one claim.
+func claimStages(number int64) []zone.ClaimOperation {
+	held := zone.ClaimBeginCommand{
+		Key:     structs.ClaimKey(fmt.Sprintf("weighbridge/z:lot-%06d", number)),
+		Request: structs.RequestID(fmt.Sprintf("01890a5d-ac96-774b-bcce-%012d", number)),
+		Digest:  1<<63 + uint64(number), Holder: "meknes-a-1", Session: 1<<62 + 1, AnswerBytes: 1 << 10,
+	}
+	chosen := held
+	chosen.Attempt, chosen.Runner, chosen.Incarnation = 1, "meknes-a-r03", 1_764_659_693
+	chosen.Address, chosen.EngineRequest = "10.20.1.11:9000", held.Request+".1"
+	return []zone.ClaimOperation{{Begin: &held}, {Begin: &chosen}, {Finish: &zone.ClaimFinishCommand{
+		Key: held.Key, Request: held.Request, State: structs.ClaimFinished, Answer: make([]byte, plannedAnswerBytes), ExpiresAt: time.Unix(1, 0),
+	}}}
+}
+
+// processCPU is the processor time of this process so far.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkClaims takes claims through a group of three members whose logs are
+// synced, with an entry for each operation and with shared entries. The processor
+// time is that of all three members and the callers together.
+func BenchmarkClaims(b *testing.B) {
+	for _, sharing := range []struct {
+		name     string
+		shared   bool
+		interval time.Duration
+	}{
+		{"entry=each", false, 0},
+		{"entry=shared", true, 0},
+		{"entry=10ms", true, 10 * time.Millisecond},
+		{"entry=25ms", true, batchInterval},
+		{"entry=50ms", true, 50 * time.Millisecond},
+	} {
+		for _, load := range []struct {
+			name     string
+			callers  int
+			interval time.Duration
+		}{
+			{"load=planned", 64, 64 * time.Second / plannedClaims},
+			{"load=512callers", 512, 0},
+		} {
+			b.Run(sharing.name+"/"+load.name, func(b *testing.B) {
+				node := newClaimGroup(b)
+				var entries, bytes, next, waited, retries atomic.Int64
+				propose := func(ctx context.Context, command zone.Command) (zone.Result, error) {
+					encoded, err := zone.EncodeCommand(command)
+					if err != nil {
+						return zone.Result{}, err
+					}
+					entries.Add(1)
+					bytes.Add(int64(len(encoded)))
+					return node.proposeEncoded(ctx, encoded)
+				}
+				desk := newClaimDesk("z", []structs.ZoneID{"z"}, propose)
+				desk.interval = sharing.interval
+				operate := func(operation zone.ClaimOperation) error {
+					command := zone.Command{ClaimBatch: &zone.ClaimBatchCommand{At: time.Now(), Operations: []zone.ClaimOperation{operation}}}
+					if sharing.shared {
+						_, err := desk.operate(context.Background(), command)
+						return err
+					}
+					_, err := propose(context.Background(), command)
+					return err
+				}
+				b.ResetTimer()
+				before, started := processCPU(), time.Now()
+				var callers sync.WaitGroup
+				for caller := range load.callers {
+					callers.Go(func() {
+						for turn := time.Duration(0); ; turn++ {
+							number := next.Add(1)
+							if number > int64(b.N) {
+								return
+							}
+							at := turn*load.interval + time.Duration(caller)*load.interval/time.Duration(load.callers)
+							pause(context.Background(), time.Until(started.Add(at)))
+							began := time.Now()
+							for stage, operation := range claimStages(number) {
+								if stage == 2 {
+									waited.Add(int64(time.Since(began)))
+								}
+								for operate(operation) != nil {
+									retries.Add(1)
+								}
+							}
+						}
+					})
+				}
+				callers.Wait()
+				b.StopTimer()
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+				b.ReportMetric(float64(processCPU()-before)/float64(b.N)/1000, "cpu-µs/claim")
+				b.ReportMetric(float64(bytes.Load())/float64(b.N), "log-bytes/claim")
+				b.ReportMetric(float64(waited.Load())/float64(b.N)/1e6, "wait-ms/claim")
+				b.ReportMetric(float64(retries.Load())/float64(b.N), "retries/claim")
+				b.ReportMetric(float64(entries.Load())/float64(b.N), "entries/claim")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/daemon/claims_test.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+// claimsZone is a zone's leader with real state and no log. It fails the first
+// calls, after it has carried them out if late is set.
+type claimsZone struct {
+	mutex    sync.Mutex
+	state    *zone.State
+	failures int
+	late     bool
+	calls    int
+	renewed  []structs.RequestID
+}
+
+// Claims is the method of the service "Zone".
+func (z *claimsZone) Claims(arguments ClaimsArguments, reply *ClaimsReply) error {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	z.calls++
+	z.renewed = arguments.Renew
+	fails := z.calls <= z.failures
+	if len(arguments.Command) > 0 && (z.late || !fails) {
+		command, err := zone.DecodeCommand(arguments.Command)
+		if err != nil {
+			return err
+		}
+		reply.Results = z.state.Apply(z.state.Index()+1, command).Batch
+	}
+	if fails {
+		reply.Error = structs.NewError(structs.ErrorInternal, "the answer is lost", "Send it again.")
+	}
+	return nil
+}
+
+func (z *claimsZone) claim() structs.Claim {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	claim, _ := z.state.Claim("caller/a:key")
+	return claim
+}
+
+// newClaimsSite serves zone a and gives the keeper of a router there; nobody
+// listens in zone b.
+func newClaimsSite(c *qt.C) (*claimsZone, *claimKeeper) {
+	served := &claimsZone{state: zone.New("a")}
+	server, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(server.Register("Zone", served), qt.IsNil)
+	var serving sync.WaitGroup
+	serving.Go(server.Serve)
+	closed, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+	c.Assert(err, qt.IsNil)
+	silent := closed.Address()
+	closed.Close()
+	client := transport.NewClient(log.NewNopLogger(), transport.Options{})
+	c.Cleanup(func() {
+		client.Close()
+		server.Close()
+		serving.Wait()
+	})
+	site := config.Site{Zones: []config.Zone{
+		{ID: "a", Controllers: []config.Member{{Address: server.Address()}}},
+		{ID: "b", Controllers: []config.Member{{Address: silent}}},
+	}}
+	holder := structs.ClaimHolder{Daemon: "daemon", Session: 5}
+	return served, newClaimKeeper(log.NewNopLogger(), client, site, "a", holder)
+}
+
+func beginEffect(home structs.ZoneID) router.BeginClaim {
+	return router.BeginClaim{ID: "request", AnswerBytes: 4, Claim: structs.Claim{
+		Key: structs.ClaimKey("caller/" + string(home) + ":key"), Request: "request", Home: home, Holder: "daemon", Session: 5, Digest: 1,
+	}}
+}
+
+func finishEffect(answer string) router.FinishClaim {
+	claim := beginEffect("a").Claim
+	claim.State, claim.Answer, claim.ExpiresAt = structs.ClaimFinished, []byte(answer), time.Unix(1_000_000, 0)
+	return router.FinishClaim{ID: "request", Claim: claim}
+}
+
+func TestBeginCommandCarriesTheChoiceAndTheSizeOfTheAnswer(t *testing.T) {
+	effect := beginEffect("a")
+	effect.Choice, effect.Claim.Runner, effect.Claim.Incarnation = 3, "runner", 7
+	effect.Claim.Address, effect.Claim.EngineRequest = "127.0.0.1:1", "request.2"
+	qt.Assert(t, *beginCommand(effect), qt.Equals, zone.ClaimBeginCommand{
+		Key: "caller/a:key", Request: "request", Digest: 1, Holder: "daemon", Session: 5, Attempt: 3, Runner: "runner",
+		Incarnation: 7, Address: "127.0.0.1:1", EngineRequest: "request.2", AnswerBytes: 4,
+	})
+}
+
+func TestEndOfAClaimIsRepeatedUntilTheZoneHasIt(t *testing.T) {
+	for _, test := range []struct {
+		about  string
+		late   bool
+		answer string
+		state  structs.ClaimState
+	}{
+		{"the call is lost", false, "done", structs.ClaimFinished},
+		{"the answer to the call is lost", true, "done", structs.ClaimFinished},
+		{"the answer does not fit", false, "longer than four bytes", structs.ClaimUnknown},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			served, keeper := newClaimsSite(c)
+			c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+			served.failures, served.late = 3, test.late
+			keeper.finish(context.Background(), finishEffect(test.answer))
+			c.Assert(served.claim().State, qt.Equals, test.state)
+			c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
+			c.Assert(keeper.homes["a"].asked, qt.HasLen, 0)
+		})
+	}
+}
+
+func TestDrainWaitsForEndsUntilItsTimeIsOver(t *testing.T) {
+	c := qt.New(t)
+	_, keeper := newClaimsSite(c)
+	home := keeper.homes["a"]
+	c.Assert(home.ask("request"), qt.IsTrue)
+	c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
+	c.Assert(home.startEnd("request"), qt.IsTrue)
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(keeper.Drain(over), qt.Equals, 1)
+}
+
+func TestSilentZoneRefusesAtOnceAndTheOwnZoneServes(t *testing.T) {
+	c := qt.New(t)
+	served, keeper := newClaimsSite(c)
+	keeper.homes["b"].timeout = 20 * time.Millisecond
+	first := keeper.begin(context.Background(), beginEffect("b"))
+	c.Assert(first.NotAsked, qt.IsFalse)
+	c.Assert(first.Error.Kind, qt.Equals, structs.ErrorUnavailable)
+	// Nothing is called any more: the context is over already.
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	second := keeper.begin(over, beginEffect("b"))
+	c.Assert(second.NotAsked, qt.IsTrue)
+	c.Assert(second.Error.RetryAfter > 0, qt.IsTrue)
+	c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+	// The zone is back, at the address of a.
+	back := keeper.homes["b"]
+	back.leader = keeper.homes["a"].leader
+	requests, due := back.startRenewal(time.Now())
+	c.Assert(due, qt.IsTrue)
+	keeper.renew(context.Background(), back, requests)
+	c.Assert(served.renewed, qt.DeepEquals, []structs.RequestID{"request"})
+	c.Assert(keeper.begin(context.Background(), beginEffect("b")).New, qt.IsTrue)
+}
+
+func TestClaimThatTheZoneWasNeverAskedForIsNotEnded(t *testing.T) {
+	c := qt.New(t)
+	served, keeper := newClaimsSite(c)
+	keeper.finish(context.Background(), finishEffect("done"))
+	c.Assert(served.calls, qt.Equals, 0)
+}
+
+func TestClaimOfAnotherRequestIsNotRenewed(t *testing.T) {
+	c := qt.New(t)
+	served, keeper := newClaimsSite(c)
+	other := beginEffect("a")
+	other.ID, other.Claim.Request = "other", "other"
+	c.Assert(keeper.begin(context.Background(), other).New, qt.IsTrue)
+	reply := keeper.begin(context.Background(), beginEffect("a"))
+	c.Assert(reply.New, qt.IsFalse)
+	c.Assert(reply.Claim.Request, qt.Equals, structs.RequestID("other"))
+	requests, _ := keeper.homes["a"].startRenewal(time.Now())
+	c.Assert(requests, qt.DeepEquals, []structs.RequestID{"other"})
+	c.Assert(served.calls, qt.Equals, 2)
+}
+
+func TestClaimsThatArriveTogetherShareALogEntry(t *testing.T) {
+	c := qt.New(t)
+	state := zone.New("a")
+	proposing, proceed := make(chan int), make(chan struct{})
+	desk := newClaimDesk("a", []structs.ZoneID{"a", "b"}, func(_ context.Context, command zone.Command) (zone.Result, error) {
+		proposing <- len(command.ClaimBatch.Operations)
+		<-proceed
+		return state.Apply(state.Index()+1, command), nil
+	})
+	var tickets []*claimTicket
+	for number := range 4 {
+		begin := beginCommand(beginEffect("a"))
+		begin.Request = structs.RequestID(fmt.Sprint(number))
+		ticket := &claimTicket{operations: []zone.ClaimOperation{{Begin: begin}}, done: make(chan claimOutcome, 1)}
+		tickets = append(tickets, ticket)
+		desk.enqueue(ticket)
+		if number == 0 {
+			c.Assert(<-proposing, qt.Equals, 1)
+		}
+	}
+	proceed <- struct{}{}
+	c.Assert(<-proposing, qt.Equals, 3)
+	proceed <- struct{}{}
+	for number, ticket := range tickets {
+		outcome := <-ticket.done
+		c.Assert(outcome.err, qt.IsNil)
+		c.Assert(outcome.results, qt.HasLen, 1)
+		c.Assert(outcome.results[0].ClaimNew, qt.Equals, number == 0)
+	}
+}
+
+func TestZoneRefusesKeysOfAnotherHome(t *testing.T) {
+	desk := newClaimDesk("b", []structs.ZoneID{"a", "b"}, nil)
+	begin := beginCommand(beginEffect("a"))
+	_, err := desk.operate(context.Background(), zone.Command{ClaimBatch: &zone.ClaimBatchCommand{Operations: []zone.ClaimOperation{{Begin: begin}}}})
+	qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	_, err = desk.operate(context.Background(), zone.Command{ClaimBegin: begin})
+	qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+}
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -28,7 +28,11 @@
 	mutex    sync.Mutex
 	machines []structs.Machine
 	reports  map[structs.RunnerID]controller.ReportSeen
-	changed  notifier
+	schedule *controller.ReportSchedule
+	// changed is signalled when the list has changed, moved when a report shows
+	// other replicas or states than the one before.
+	changed notifier
+	moved   notifier
 }
 
 // maxReportReads bounds the report reads under way at once.
@@ -42,11 +46,16 @@
 		engines:     engines,
 		timing:      timing,
 		reports:     map[structs.RunnerID]controller.ReportSeen{},
+		schedule:    controller.NewReportSchedule(),
 	}
 }
 
 // run observes until ctx ends.
 func (o *engineObserver) run(ctx context.Context) {
+	o.mutex.Lock()
+	// What was read in an earlier term is too old to decide on.
+	o.schedule = controller.NewReportSchedule()
+	o.mutex.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { o.listLoop(ctx) })
 	loops.Go(func() { o.reportLoop(ctx) })
@@ -54,11 +63,17 @@
 }
 
 func (o *engineObserver) listLoop(ctx context.Context) {
+	unread := false
 	for {
-		machines, err := o.engines.Machines(ctx, o.machineList)
-		if err != nil {
-			level.Warn(o.logger).Log("msg", "The machine list could not be read.", "err", err)
-		} else {
+		machines, err := o.engines.ZoneMachines(ctx, o.machineList, o.zone)
+		switch {
+		case err == nil && unread:
+			level.Info(o.logger).Log("msg", "The machine list can be read again.")
+		case err != nil && !unread && ctx.Err() == nil:
+			level.Warn(o.logger).Log("msg", "The machine list cannot be read.", "err", err)
+		}
+		unread = err != nil
+		if err == nil {
 			o.keepMachines(machines)
 		}
 		if !pause(ctx, o.timing.MachineListInterval) {
@@ -67,36 +82,49 @@
 	}
 }
 
-// keepMachines keeps the zone's own machines.
+// keepMachines keeps the zone's machines and wakes the reader when they changed.
 func (o *engineObserver) keepMachines(machines []structs.Machine) {
-	own := slices.DeleteFunc(machines, func(machine structs.Machine) bool { return machine.Zone != o.zone })
 	o.mutex.Lock()
-	o.machines = own
+	changed := !slices.Equal(o.machines, machines)
+	o.machines = machines
 	o.mutex.Unlock()
-	o.changed.broadcast()
+	if changed {
+		o.changed.broadcast()
+	}
 }
 
+// reportLoop reads the reports that are due at each interval, and those of new
+// machines as soon as the list names them.
 func (o *engineObserver) reportLoop(ctx context.Context) {
+	next := time.NewTicker(o.timing.ReportInterval)
+	defer next.Stop()
 	for {
 		changed := o.changed.wait()
-		o.readReports(ctx)
-		timer := time.NewTimer(o.timing.ReportInterval)
+		o.readReports(ctx, (*controller.ReportSchedule).New)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return
 		case <-changed:
-		case <-timer.C:
+		case <-next.C:
+			o.readReports(ctx, (*controller.ReportSchedule).Due)
 		}
-		timer.Stop()
 	}
 }
 
-func (o *engineObserver) readReports(ctx context.Context) {
-	machines, _ := o.observed()
+// await names the runners whose reports are read at every interval.
+func (o *engineObserver) await(runners map[structs.RunnerID]bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.schedule.Await(runners)
+}
+
+func (o *engineObserver) readReports(ctx context.Context, choose func(*controller.ReportSchedule, []structs.Machine) []structs.Machine) {
+	o.mutex.Lock()
+	due := choose(o.schedule, o.machines)
+	o.mutex.Unlock()
 	slots := make(chan struct{}, maxReportReads)
 	var reads sync.WaitGroup
-	for _, machine := range machines {
+	for _, machine := range due {
 		slots <- struct{}{}
 		reads.Go(func() {
 			o.readReport(ctx, machine)
@@ -109,13 +137,26 @@
 func (o *engineObserver) readReport(ctx context.Context, machine structs.Machine) {
 	ctx, cancel := context.WithTimeout(ctx, o.timing.ReportInterval)
 	defer cancel()
+	askedAt := time.Now()
 	report, err := o.engines.Report(ctx, machine.Address)
-	if err != nil || report.Runner != machine.Runner {
-		return
-	}
+	answered := err == nil && report.Runner == machine.Runner
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: time.Now()}
+	o.schedule.Read(machine.Runner, answered)
+	if !answered {
+		return
+	}
+	if !sameReplicas(o.reports[machine.Runner].Report, report) {
+		o.moved.broadcast()
+	}
+	o.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: askedAt}
+}
+
+// sameReplicas reports whether the reports show the same replicas in the same states.
+func sameReplicas(a, b structs.EngineReport) bool {
+	return a.Incarnation == b.Incarnation && slices.EqualFunc(a.Replicas, b.Replicas, func(a, b structs.EngineReplica) bool {
+		return a.Row == b.Row && a.State == b.State
+	})
 }
 
 // observed returns copies of what is known.
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
 	"github.com/lotusferry/lotusferry/zone"
@@ -16,7 +18,6 @@
 	methodGlobalCheck   = "Global.Check"
 	methodGlobalHistory = "Global.History"
 	methodGlobalStatus  = "Global.Status"
-	methodGlobalSave    = "Global.SaveSnapshot"
 	methodZonePropose   = "Zone.Propose"
 	methodZoneView      = "Zone.View"
 	methodZoneDemand    = "Zone.Demand"
@@ -51,17 +52,22 @@
 	Error *structs.Error
 }
 
-// TableArguments asks for the whole table once its revision is above Since, or after Wait.
+// TableArguments asks for the table once its revision is above Since, or after
+// Wait: the whole table, or only what changed after Since.
 type TableArguments struct {
-	Since uint64
-	Wait  time.Duration
+	Since   uint64
+	Wait    time.Duration
+	Changes bool
 }
 
-// TableReply carries the whole table.
+// TableReply carries the whole table, or its changes.
 type TableReply struct {
 	Revision uint64
 	Rows     []structs.Row
-	Error    *structs.Error
+	// Deleted rows are listed in a reply with changes that is not Full.
+	Deleted []structs.RowName
+	Full    bool
+	Error   *structs.Error
 }
 
 // CheckArguments asks what an edit would do.
@@ -97,12 +103,11 @@
 	Error    *structs.Error
 }
 
-// SaveReply carries the encoded state of the global group at Index of its log.
+// SaveReply carries a snapshot of a group and the identity of the member that took it.
 type SaveReply struct {
-	Data  []byte
-	Index uint64
-	Term  uint64
-	Error *structs.Error
+	Snapshot raft.Snapshot
+	Identity logstore.Identity
+	Error    *structs.Error
 }
 
 // ZoneReply is the result of a command of a zone group.
@@ -130,8 +135,10 @@
 	Report structs.DemandReport
 }
 
-// DemandReply acknowledges a demand report.
+// DemandReply acknowledges a demand report. The leader of another epoch than
+// before does not know the earlier reports.
 type DemandReply struct {
+	Epoch structs.Epoch
 	Error *structs.Error
 }
 
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	global      *leaderCaller
 	timing      config.Timing
 	storeBudget int
+	// inquiries asks engines about requests whose router is silent.
+	inquiries *claimInquiries
 	// reports carries releases, wishes and the revision in force to the global
 	// group, which may be out of reach for hours; only the newest are kept.
 	reports globalReports
@@ -60,34 +63,56 @@
 	l.decideLoop(ctx, epoch)
 	cancel()
 	loops.Wait()
+	l.inquiries.running.Wait()
 	level.Info(l.logger).Log("msg", "This controller no longer leads the zone.", "epoch", epoch)
 }
 
+// decideLoop makes a round every plan interval, and at once, but for a pause, when
+// requests wait for a row without a replica, an engine's replicas changed, an
+// inquiry was answered, or the round before reserved what is to be ordered now.
 func (l *zoneLeader) decideLoop(ctx context.Context, epoch structs.Epoch) {
+	reserved := false
 	for {
-		demanded := l.node.demand.arrived.wait()
+		demanded := l.node.demand.unserved.wait()
+		moved := l.observer.moved.wait()
+		answered := l.inquiries.answered.wait()
 		current, valid := l.node.group.LeaderLease()
 		if !valid || current != epoch || ctx.Err() != nil {
 			return
 		}
-		l.decide(ctx, epoch)
-		timer := time.NewTimer(l.timing.PlanInterval)
+		// A round after another that reserved only sends the orders: it starts no third.
+		reserved = l.decide(ctx, epoch) && !reserved
+		pause(ctx, roundPause)
+		if reserved {
+			continue
+		}
+		timer := time.NewTimer(l.timing.PlanInterval - roundPause)
 		select {
 		case <-ctx.Done():
 		case <-demanded:
+		case <-moved:
+		case <-answered:
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
+// roundPause is the shortest time between two rounds of decisions, so that what
+// comes in a burst shares one.
+const roundPause = 25 * time.Millisecond
+
 // decide is one round: decide on the applied state, send the orders that follow
-// from it, then propose the commands.
-func (l *zoneLeader) decide(ctx context.Context, epoch structs.Epoch) {
+// from it, then propose the commands. It reports whether it reserved memory.
+func (l *zoneLeader) decide(ctx context.Context, epoch structs.Epoch) bool {
 	now := time.Now()
 	for _, report := range l.node.demand.take() {
 		l.core.ObserveDemand(now, report)
 	}
+	for _, reply := range l.inquiries.take() {
+		l.core.ObserveInquiry(reply)
+	}
+	renewed := l.node.claims.renewals(now)
 	machines, reports := l.observer.observed()
 	var decisions controller.Decisions
 	l.node.group.View(func() {
@@ -99,12 +124,16 @@
 			State:       l.node.machine.state,
 			Reports:     reports,
 			Machines:    machines,
+			Renewed:     renewed,
 			StoreBudget: l.storeBudget,
 		})
 	})
+	l.observer.await(decisions.Awaited)
+	l.inquiries.send(ctx, decisions.Inquiries)
 	l.sendOrders(ctx, epoch, decisions.Orders)
 	l.proposeAll(ctx, decisions.Commands)
 	l.reports.put(decisions)
+	return slices.ContainsFunc(decisions.Commands, func(command zone.Command) bool { return command.Reserve != nil })
 }
 
 // sendOrders sends the orders, one runner each, while the lease holds.
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
 )
 
 // ZoneService is the net/rpc service of a controller for its zone.
@@ -21,6 +23,36 @@
 	return nil
 }
 
+// Claims carries a holder's claim operations out and renews its claims. Only the
+// leader does, while it has its lease: a renewal by a stale leader would be unknown
+// to the real one.
+func (s *ZoneService) Claims(arguments ClaimsArguments, reply *ClaimsReply) error {
+	if _, valid := s.node.group.LeaderLease(); !valid {
+		reply.Error = s.node.notLeader()
+		return nil
+	}
+	s.node.claims.renew(arguments.Renew, time.Now())
+	if len(arguments.Command) == 0 {
+		return nil
+	}
+	command, err := zone.DecodeCommand(arguments.Command)
+	if err != nil {
+		reply.Error = asTyped(err)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	results, err := s.node.claims.operate(ctx, command)
+	reply.Error = asTyped(err)
+	for i, result := range results {
+		if command.ClaimBatch.Operations[i].Finish != nil {
+			result.Claim = nil
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	return nil
+}
+
 // View returns what changed for a router since the revisions it names. Any
 // controller answers; one that is behind answers the same changes later.
 func (s *ZoneService) View(arguments ViewArguments, reply *ViewReply) error {
@@ -48,10 +80,12 @@
 
 // Demand takes a router's demand report. Only the leader uses it.
 func (s *ZoneService) Demand(arguments DemandArguments, reply *DemandReply) error {
-	if !s.node.group.Status().IsLeader {
+	status := s.node.group.Status()
+	if !status.IsLeader {
 		reply.Error = s.node.notLeader()
 		return nil
 	}
+	reply.Epoch = structs.Epoch(status.Term)
 	s.node.demand.put(arguments.Report)
 	return nil
 }
@@ -62,7 +96,7 @@
 	reply.Status = structs.ZoneStatus{
 		Zone:      s.node.id,
 		Reachable: true,
-		Leader:    s.node.daemons[uint64(status.LeaderNode)],
+		Leader:    leadingDaemon(status),
 	}
 	s.node.group.View(func() {
 		state := s.node.machine.state
--- a/structs/grant.go
+++ b/structs/grant.go
@@ -7,6 +7,9 @@
 // the zone then unloads down to Limit and sends a GrantRelease, and only that
 // lowers Held. A zone never has more replicas than the Limit it last adopted,
 // but for those it is still unloading.
+//
+// A lowered MaxReplicas can leave the sum of Held above it. The row's grants are
+// Frozen then, until releases have brought the sum down to MaxReplicas.
 type Grant struct {
 	Row  RowName `json:"row"`
 	Zone ZoneID  `json:"zone"`
@@ -18,13 +21,19 @@
 	// Minimum is the zone's part of the row's MinReplicas: how many replicas the
 	// zone keeps loaded without demand. Minimum <= Limit.
 	Minimum int `json:"minimum,omitempty"`
+	// Frozen is true while other zones may still have more replicas than
+	// MaxReplicas leaves them: the zone keeps what it has loaded, up to Limit, and
+	// begins no load. It releases down to what it has, also below Limit, and gets
+	// the rest back when there is room.
+	Frozen bool `json:"frozen,omitempty"`
 	// Sequence rises with every change of this grant; a release that names an
 	// older one is ignored.
 	Sequence uint64 `json:"sequence"`
 }
 
 // GrantRelease tells the global group that the zone adopted the grant with
-// Sequence and is down to Limit replicas.
+// Sequence and is down to Limit replicas. It lowers Held to Limit, but only that
+// of a Frozen grant below the grant's own Limit.
 type GrantRelease struct {
 	Row      RowName
 	Zone     ZoneID
--- a/structs/request.go
+++ b/structs/request.go
@@ -111,7 +111,9 @@
 // entry a row however many requests wait.
 type DemandReport struct {
 	Daemon DaemonID
-	Rows   []RowDemand
+	// Partial reports list only rows that changed; the others stay as reported before.
+	Partial bool
+	Rows    []RowDemand
 }
 
 // RowDemand is the demand for one row at one router.
@@ -120,8 +122,10 @@
 	// Waiting and Running count requests now.
 	Waiting int
 	Running int
-	// Arrived counts the requests since the router's previous report.
+	// Arrived counts the requests since the router's previous report of the row.
 	Arrived int
+	// Unserved says that the router knows no ready replica of the row.
+	Unserved bool
 	// Highest is the highest priority waiting.
 	Highest Priority
 	// OldestWait is how long the oldest request has waited.
--- a/structs/runner.go
+++ b/structs/runner.go
@@ -14,6 +14,8 @@
 	Accelerators int   `json:"accelerators"`
 	// Leaving runners get no new work and no new replicas.
 	Leaving bool `json:"leaving"`
+	// Silent runners' reports have stopped; routers are told that they are leaving.
+	Silent bool `json:"silent,omitempty"`
 }
 
 // MachineState is the state of a machine on the platform's machine list.
--- /dev/null
+++ b/zone/claimexpiry.go
@@ -0,0 +1,33 @@
+package zone
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+type expiryEntry struct {
+	at  time.Time
+	key structs.ClaimKey
+}
+
+// expiryHeap orders the finished claims by expiry, then key.
+type expiryHeap []expiryEntry
+
+func (h expiryHeap) Len() int { return len(h) }
+func (h expiryHeap) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].key, h[j].key)) < 0
+}
+func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(entry any) { *h = append(*h, entry.(expiryEntry)) }
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	entry := (*h)[last]
+	*h = (*h)[:last]
+	return entry
+}
--- a/zone/command.go
+++ b/zone/command.go
@@ -27,6 +27,7 @@
 	ClaimBegin  *ClaimBeginCommand
 	ClaimFinish *ClaimFinishCommand
 	ClaimExpire *ClaimExpireCommand
+	ClaimBatch  *ClaimBatchCommand
 }
 
 // RunnerCommand registers a runner or updates what is known of it.
@@ -121,6 +122,7 @@
 		c.Adopt != nil, c.Runner != nil, c.Reserve != nil, c.Transition != nil,
 		c.Touch != nil, c.Remove != nil, c.Drain != nil, c.Prefetch != nil,
 		c.ClaimBegin != nil, c.ClaimFinish != nil, c.ClaimExpire != nil,
+		c.ClaimBatch != nil,
 	} {
 		if set {
 			count++
--- a/zone/invariants.go
+++ b/zone/invariants.go
@@ -101,11 +101,14 @@
 
 func (s *State) checkClaims() error {
 	var sum int64
-	finished := 0
+	finished, held, answers := 0, 0, 0
 	for key, record := range s.claims.records {
 		if record.bytes < 0 || (record.claim.State != structs.ClaimHeld && record.bytes != int64(len(record.claim.Answer))) {
 			return errors.Errorf("claim %q counts %d bytes", key, record.bytes)
 		}
+		if record.claim.State == structs.ClaimHeld {
+			held++
+		}
 		switch record.claim.State {
 		case structs.ClaimHeld, structs.ClaimUnknown:
 			if len(record.claim.Answer) > 0 {
@@ -113,6 +116,9 @@
 			}
 		case structs.ClaimFinished:
 			finished++
+			if record.bytes > 0 {
+				answers++
+			}
 		default:
 			return errors.Errorf("claim %q is in state %q", key, record.claim.State)
 		}
@@ -121,8 +127,12 @@
 	if sum != s.claims.bytes || sum > MaxClaimBytes || len(s.claims.records) > MaxClaims {
 		return errors.Errorf("%d claims count %d bytes and use %d", len(s.claims.records), s.claims.bytes, sum)
 	}
-	if finished != len(s.claims.expiry) {
-		return errors.Errorf("%d finished claims and %d expiries", finished, len(s.claims.expiry))
+	if held != len(s.claims.held) {
+		return errors.Errorf("%d held claims and %d in their index", held, len(s.claims.held))
+	}
+	if finished != len(s.claims.expiry) || answers != len(s.claims.answers) {
+		return errors.Errorf("%d finished claims, %d with an answer, and %d and %d expiries",
+			finished, answers, len(s.claims.expiry), len(s.claims.answers))
 	}
 	return nil
 }
--- a/zone/replica.go
+++ b/zone/replica.go
@@ -47,7 +47,12 @@
 }
 
 func (s *State) checkGrant(row structs.Row) *structs.Error {
-	if len(s.byRow[row.Name]) < s.Grant(row.Name).Limit {
+	grant := s.Grant(row.Name)
+	if grant.Frozen {
+		return limitError("other zones may still have replicas beyond the row's lowered limit",
+			"Wait until they are unloaded, or raise the row's replica limit in the table.")
+	}
+	if len(s.byRow[row.Name]) < grant.Limit {
 		return nil
 	}
 	return limitError("the zone has as many replicas of the row as it was granted",
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -158,6 +158,7 @@
 		s.claims.restore(entry)
 	}
 	heap.Init(&s.claims.expiry)
+	heap.Init(&s.claims.answers)
 	for _, request := range d.Released {
 		s.claims.released.add(request)
 	}
@@ -175,5 +176,8 @@
 	t.bytes += entry.Bytes
 	if entry.Claim.State == structs.ClaimFinished {
 		t.expiry = append(t.expiry, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
+		if entry.Bytes > 0 {
+			t.answers = append(t.answers, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
+		}
 	}
 }
--- a/zone/state_test.go
+++ b/zone/state_test.go
@@ -84,6 +84,9 @@
 	leaving := testRunner("b", 2)
 	leaving.Leaving = true
 	lower := Command{Adopt: &structs.TableDelta{SinceRevision: 5, Revision: 6, Grants: []structs.Grant{testGrant("model", 1, 2)}}}
+	frozenGrant := testGrant("model", 2, 2)
+	frozenGrant.Frozen = true
+	frozen := Command{Adopt: &structs.TableDelta{SinceRevision: 5, Revision: 6, Grants: []structs.Grant{frozenGrant}}}
 	for _, test := range []struct {
 		name   string
 		before []Command
@@ -105,6 +108,7 @@
 		{"unknown row", nil, reserve("none", "b", 2), structs.ErrorLimit},
 		{"row without grant", nil, reserve("ungranted", "b", 2), structs.ErrorLimit},
 		{"lowered limit", []Command{lower}, reserve("model", "b", 2), structs.ErrorLimit},
+		{"frozen grant", []Command{frozen}, reserve("model", "b", 2), structs.ErrorLimit},
 		{"unloading counts against the limit", []Command{unloading, lower}, reserve("model", "b", 2), structs.ErrorLimit},
 		{"unknown runner", nil, reserve("model", "x", 2), structs.ErrorLimit},
 		{"leaving runner", []Command{registration(leaving)}, reserve("model", "b", 2), structs.ErrorLimit},
--- a/zone/table.go
+++ b/zone/table.go
@@ -26,7 +26,7 @@
 	elsewhere map[structs.RowName][]structs.ZoneID
 	// minimum holds the rows that are kept loaded without demand.
 	minimum map[structs.RowName]bool
-	// lowered holds the rows whose grant has a limit below what is held.
+	// lowered holds the rows whose grant has a limit below what is held, or is frozen.
 	lowered map[structs.RowName]bool
 	// changes are ordered by revision; all changes after floor are there. They
 	// only serve queries and are not part of a snapshot.
@@ -107,7 +107,7 @@
 
 func (t *adoptedTable) setGrant(grant structs.Grant) {
 	delete(t.lowered, grant.Row)
-	if grant.Limit < grant.Held {
+	if grant.Limit < grant.Held || grant.Frozen {
 		t.lowered[grant.Row] = true
 	}
 	if grant.Held == 0 {
@@ -220,7 +220,8 @@
 // Grant returns the zone's grant for the row; without one its limit is zero.
 func (s *State) Grant(row structs.RowName) structs.Grant { return s.table.grant(s.zone, row) }
 
-// LoweredGrants returns the grants with a limit below what is held, ordered by row.
+// LoweredGrants returns the grants with a limit below what is held and the frozen
+// ones, ordered by row.
 func (s *State) LoweredGrants() []structs.Grant {
 	var list []structs.Grant
 	for _, row := range slices.Sorted(maps.Keys(s.table.lowered)) {
--- a/zone/view.go
+++ b/zone/view.go
@@ -27,7 +27,8 @@
 	for _, id := range s.runnersChangedSince(index) {
 		runner := s.runners[id]
 		info := runner.RunnerInfo
-		info.Leaving = !runner.Accepting()
+		info.Leaving = !runner.Accepting() || runner.Silent
+		info.Silent = false
 		placement.Runners = append(placement.Runners, info)
 		for _, replica := range s.ReplicasOn(id) {
 			placement.Replicas = append(placement.Replicas, replica.Replica)
