--- a/api/client.go
+++ b/api/client.go
@@ -191,7 +191,11 @@
 	index  int
 }
 
-var dataPrefix = []byte("data: ")
+var (
+	dataPrefix = []byte("data: ")
+	// errorPrefix begins the event that ends an answer early.
+	errorPrefix = []byte(`{"error"`)
+)
 
 // Next implements Answer. A stream that ends without a finish reason is an error.
 func (a *clientAnswer) Next(context.Context) (structs.Token, error) {
@@ -206,7 +210,11 @@
 }
 
 func (a *clientAnswer) token(data []byte) (structs.Token, error) {
-	if refusal, isError := refusalFrom(data); isError {
+	if bytes.HasPrefix(data, errorPrefix) {
+		refusal, isError := refusalFrom(data)
+		if !isError {
+			return structs.Token{}, brokenAnswer()
+		}
 		return structs.Token{}, refusal
 	}
 	var chunk completion
--- a/api/encode.go
+++ b/api/encode.go
@@ -18,6 +18,8 @@
 	// still gets its own HTTP status.
 	first   structs.Token
 	created time.Time
+	// writeTimeout bounds one write; 0 means no bound.
+	writeTimeout time.Duration
 }
 
 func encodeReply(ctx context.Context, w http.ResponseWriter, response any) error {
@@ -25,7 +27,10 @@
 	defer r.answer.Close()
 	w.Header().Set(HeaderRequestID, string(r.generation.request.ID))
 	if r.generation.stream {
-		return newStreamEncoder(w, r).run(ctx)
+		// An error of writing means that the caller is gone or does not read; the
+		// answer has begun, and nothing else can be said.
+		_ = newStreamEncoder(w, r).run(ctx)
+		return nil
 	}
 	return encodeWhole(ctx, w, r)
 }
@@ -59,6 +64,7 @@
 	body.Choices = []choice{whole}
 	body.Usage = usageOf(r, count)
 	w.Header().Set("Content-Type", "application/json")
+	boundWrite(http.NewResponseController(w), r.writeTimeout)
 	return json.NewEncoder(w).Encode(body)
 }
 
--- a/api/handler.go
+++ b/api/handler.go
@@ -38,6 +38,9 @@
 	// only then is it taken as forwarded, for the caller that it names, and needs
 	// no key. nil means that no daemon forwards here.
 	FromDaemon func(*http.Request) bool
+	// WriteTimeout bounds one write to a caller that does not read; then its
+	// request is cancelled and the connection cut. 0 means no bound.
+	WriteTimeout time.Duration
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -50,6 +53,7 @@
 		MaxDeadline:      10 * time.Minute,
 		DefaultMaxTokens: 256,
 		MaxTokens:        8192,
+		WriteTimeout:     20 * time.Second,
 		Now:              time.Now,
 	}
 }
@@ -62,7 +66,7 @@
 		kithttp.ServerErrorEncoder(encodeError),
 		kithttp.ServerErrorHandler(transport.NewLogErrorHandler(logger)),
 	}
-	generate := generateEndpoint(service, options.Now)
+	generate := generateEndpoint(service, options)
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", kithttp.NewServer(generate, decode.chat, encodeReply, serverOptions...))
 	mux.Handle("POST /v1/completions", kithttp.NewServer(generate, decode.completion, encodeReply, serverOptions...))
@@ -71,7 +75,7 @@
 	return authenticate(mux, options)
 }
 
-func generateEndpoint(service Service, now func() time.Time) endpoint.Endpoint {
+func generateEndpoint(service Service, options Options) endpoint.Endpoint {
 	return func(ctx context.Context, input any) (any, error) {
 		wanted := input.(generation)
 		answer, err := service.Submit(ctx, wanted.request)
@@ -83,7 +87,7 @@
 			answer.Close()
 			return nil, err
 		}
-		return reply{generation: wanted, answer: answer, first: first, created: now()}, nil
+		return reply{generation: wanted, answer: answer, first: first, created: options.Now(), writeTimeout: options.WriteTimeout}, nil
 	}
 }
 
--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/lotusferry/lotusferry/engineapi"
@@ -22,9 +21,14 @@
 
 func (r *requestRouter) startAttempt(effect router.SendAttempt) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	started := &attempt{effect: effect, call: r.calls[requestOf(effect.Attempt)], cancel: cancel}
+	started := &attempt{effect: effect, call: r.calls[effect.Attempt.Request()], cancel: cancel}
+	if started.call != nil {
+		r.metrics.sentAt(started.call, time.Now())
+		started.call.sent = true
+	}
 	r.attempts[effect.Attempt] = started
-	r.running.Go(func() {
+	r.use(effect.Runner, effect.Address)
+	r.background(func(context.Context) {
 		defer cancel()
 		r.runAttempt(ctx, started)
 	})
@@ -68,10 +72,19 @@
 			r.observeLoad(current, stream)
 			return
 		}
-		if current.call != nil {
-			current.call.awaitSpace(ctx)
-		}
+		r.awaitCaller(ctx, current)
+	}
+}
+
+// awaitCaller blocks while the caller is slow. The core is told, so that it does
+// not take the stream that is not read for one that stalled.
+func (r *requestRouter) awaitCaller(ctx context.Context, current *attempt) {
+	if current.call == nil || current.call.hasSpace() {
+		return
 	}
+	r.step(router.AttemptPaused{Attempt: current.effect.Attempt, Paused: true})
+	current.call.awaitSpace(ctx)
+	r.step(router.AttemptPaused{Attempt: current.effect.Attempt, Paused: false})
 }
 
 func (r *requestRouter) observeLoad(current *attempt, stream *engineapi.Stream) {
@@ -97,13 +110,13 @@
 	return router.Broken
 }
 
-// askStatus fences the attempt's ID at the engine by cancelling it, then reports
-// what the engine knows of it.
+// askStatus fences the attempt's ID at the engine by cancelling it, unless it only
+// peeks, then reports what the engine knows of it.
 func (r *requestRouter) askStatus(ctx context.Context, effect router.AskStatus) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	reply := router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt}
-	status, err := r.engines.Status(ctx, effect.Address, structs.RequestID(effect.Attempt), true)
+	reply := router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt, Peek: effect.Peek}
+	status, err := r.engines.Status(ctx, effect.Address, structs.RequestID(effect.Attempt), !effect.Peek)
 	if err != nil {
 		reply.Error = asTyped(err)
 	} else {
@@ -111,9 +124,3 @@
 	}
 	r.step(reply)
 }
-
-// requestOf returns the request that an attempt belongs to.
-func requestOf(id router.AttemptID) structs.RequestID {
-	request, _, _ := strings.Cut(string(id), ".")
-	return structs.RequestID(request)
-}
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -3,36 +3,64 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// bufferedTokens is how many tokens wait for a slow caller before its stream is
-// no longer read from the engine.
-const bufferedTokens = 256
+// The bounds of what waits for a slow caller; at either the stream is no longer
+// read from the engine, which then slows down by itself.
+const (
+	bufferedTokens = 256
+	bufferedBytes  = 64 << 10
+)
 
 // call is one request between the router's decisions and the HTTP handler that
-// waits for the answer. It implements api.Answer.
+// waits for the answer. It implements api.Answer. One goroutine calls Next, and
+// one at a time awaitSpace.
 type call struct {
 	request structs.Request
 	gone    func()
+	// sent is set, under the router's lock, once the request has gone to an engine
+	// or another zone, so that it may have run.
+	sent bool
+	// times belong to the goroutine that delivers.
+	times callTimes
+	// ready holds a value when Next has something to look at, space when
+	// awaitSpace has.
+	ready chan struct{}
+	space chan struct{}
 
 	mutex   sync.Mutex
 	tokens  []structs.Token
+	next    int
+	bytes   int
 	refusal *structs.Refusal
-	changed notifier
 	closed  bool
 }
 
 func newCall(request structs.Request, gone func()) *call {
-	return &call{request: request, gone: gone}
+	return &call{
+		request: request,
+		times:   callTimes{arrived: time.Now()},
+		gone:    gone,
+		ready:   make(chan struct{}, 1),
+		space:   make(chan struct{}, 1),
+	}
+}
+
+// wake wakes the goroutine that waits on a channel, now or later.
+func wake(waiter chan struct{}) {
+	select {
+	case waiter <- struct{}{}:
+	default:
+	}
 }
 
 // Next implements api.Answer.
 func (c *call) Next(ctx context.Context) (structs.Token, error) {
 	for {
-		changed := c.changed.wait()
 		token, ready, err := c.take()
 		if ready || err != nil {
 			return token, err
@@ -40,7 +68,7 @@
 		select {
 		case <-ctx.Done():
 			return structs.Token{}, ctx.Err()
-		case <-changed:
+		case <-c.ready:
 		}
 	}
 }
@@ -48,12 +76,16 @@
 func (c *call) take() (structs.Token, bool, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.tokens) > 0 {
-		token := c.tokens[0]
-		c.tokens = c.tokens[1:]
-		if len(c.tokens) == bufferedTokens-1 {
-			c.changed.broadcast()
+	if c.next < len(c.tokens) {
+		token := c.tokens[c.next]
+		c.next++
+		c.bytes -= len(token.Text)
+		if c.next == len(c.tokens) {
+			clear(c.tokens)
+			c.tokens = c.tokens[:0]
+			c.next = 0
 		}
+		wake(c.space)
 		return token, true, nil
 	}
 	if c.refusal != nil {
@@ -67,19 +99,25 @@
 	c.mutex.Lock()
 	first := !c.closed
 	c.closed = true
+	gone := c.gone
 	c.mutex.Unlock()
-	c.changed.broadcast()
+	wake(c.space)
 	if first {
-		c.gone()
+		gone()
 	}
 }
 
 // deliver appends a token. The caller holds the router's lock, which keeps the order.
 func (c *call) deliver(token structs.Token) {
 	c.mutex.Lock()
+	if c.next >= bufferedTokens {
+		c.tokens = append(c.tokens[:0], c.tokens[c.next:]...)
+		c.next = 0
+	}
 	c.tokens = append(c.tokens, token)
+	c.bytes += len(token.Text)
 	c.mutex.Unlock()
-	c.changed.broadcast()
+	wake(c.ready)
 }
 
 // refuse ends the call without a whole answer.
@@ -87,21 +125,17 @@
 	c.mutex.Lock()
 	c.refusal = &refusal
 	c.mutex.Unlock()
-	c.changed.broadcast()
+	wake(c.ready)
 }
 
 // awaitSpace blocks while the caller is slow; it returns when there is room, the
 // caller is gone, or ctx ends.
 func (c *call) awaitSpace(ctx context.Context) {
-	for {
-		changed := c.changed.wait()
-		if c.hasSpace() {
-			return
-		}
+	for !c.hasSpace() {
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-c.space:
 		}
 	}
 }
@@ -109,5 +143,5 @@
 func (c *call) hasSpace() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closed || len(c.tokens) < bufferedTokens
+	return c.closed || len(c.tokens)-c.next < bufferedTokens && c.bytes < bufferedBytes
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,25 +4,24 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
-	"net/http"
 	"net/url"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -47,46 +46,73 @@
 	global    *globalNode
 	zone      *zoneNode
 	leader    *zoneLeader
+	members   map[string]*memberNode
 	router    *requestRouter
 	operators *operatorService
 	servers   []*httpServer
+	limits    httpLimits
 	cancel    context.CancelFunc
 	stopped   sync.WaitGroup
-	failed    chan error
+	// draining is set once a planned stop has begun.
+	draining atomic.Bool
+	failed   chan error
 }
 
 // New opens the daemon's files and listeners. Nothing runs before Start.
 func New(logger log.Logger, settings config.Config) (*Daemon, error) {
+	return newDaemon(logger, settings, defaultHTTPLimits())
+}
+
+func newDaemon(logger log.Logger, settings config.Config, limits httpLimits) (*Daemon, error) {
 	d := &Daemon{
 		logger:  log.With(logger, "daemon", settings.Daemon, "zone", settings.Zone),
 		config:  settings,
 		engines: engineapi.NewClient(engineapi.ClientOptions{}),
 		faults:  &transport.Faults{},
+		limits:  limits,
+		members: map[string]*memberNode{},
 		failed:  make(chan error, 1),
 	}
+	d.logDoubts()
 	for _, step := range []func() error{d.openTransport, d.openGlobal, d.openZone, d.openRouter, d.openHTTP} {
 		if err := step(); err != nil {
-			d.closeFiles()
+			d.abandon()
 			return nil, err
 		}
 	}
 	return d, nil
 }
 
+// abandon closes what a start that failed has opened.
+func (d *Daemon) abandon() {
+	for _, opened := range d.servers {
+		_ = opened.listener.Close()
+	}
+	if d.server != nil {
+		d.server.Close()
+		d.client.Close()
+	}
+	d.closeFiles()
+}
+
+// logDoubts logs the warnings about the settings, which keep nothing from starting.
+func (d *Daemon) logDoubts() {
+	for _, problem := range d.config.Check() {
+		if problem.Warning {
+			level.Warn(d.logger).Log("component", "config", "msg", "A setting is doubtful.",
+				"key", problem.Key, "value", problem.Value, "problem", problem.Problem, "remedy", problem.Remedy)
+		}
+	}
+}
+
 func (d *Daemon) openTransport() error {
 	options := transport.Options{Address: d.config.Listen.Internal, Faults: d.faults}
 	if !d.config.Development {
-		reloader, err := keys.NewReloader(d.logger, keys.Files{
-			CA:          d.config.TLS.CA,
-			Certificate: d.config.TLS.Certificate,
-			Key:         d.config.TLS.Key,
-		}, keys.Options{Zones: d.config.Site.ZoneIDs()})
-		if err != nil {
-			return errors.Wrap(err, "load the keys")
+		if err := d.loadKeys(); err != nil {
+			return err
 		}
-		d.reloader = reloader
-		options.ServerTLS = reloader.ServerConfig()
-		options.ClientTLS = reloader.ClientConfig("")
+		options.ServerTLS = d.reloader.ServerConfig()
+		options.PeerTLS = d.peerTLS
 	}
 	server, err := transport.NewServer(d.logger, options)
 	if err != nil {
@@ -94,6 +120,9 @@
 	}
 	d.server = server
 	d.client = transport.NewClient(d.logger, options)
+	if err := server.Register("Member", &MemberService{daemon: d.config.Daemon, nodes: d.members}); err != nil {
+		return err
+	}
 	if d.config.Development {
 		return server.Register("Fault", &FaultService{faults: d.faults})
 	}
@@ -104,13 +133,14 @@
 func (d *Daemon) openGlobal() error {
 	own, isVoter := memberOf(d.config.Site.GlobalVoters, d.config.Daemon)
 	if isVoter && d.config.HasRole(config.RoleController) {
-		options, err := d.groupOptions(globalGroupName, own, d.config.Site.GlobalVoters)
+		options, err := d.groupOptions(globalGroupName, own)
 		if err != nil {
 			return err
 		}
 		if d.global, err = newGlobalNode(d.logger, d.config.Site, options); err != nil {
 			return err
 		}
+		d.members[globalGroupName] = d.newMemberNode(globalGroupName, d.global.group, own, d.config.Site.GlobalVoters)
 		if err := d.server.Register("Global", &GlobalService{node: d.global}); err != nil {
 			return err
 		}
@@ -130,13 +160,16 @@
 	if !isMember || !d.config.HasRole(config.RoleController) {
 		return nil
 	}
-	options, err := d.groupOptions(zoneGroupPrefix+string(settings.ID), own, settings.Controllers)
+	name := zoneGroupPrefix + string(settings.ID)
+	options, err := d.groupOptions(name, own)
 	if err != nil {
 		return err
 	}
 	if d.zone, err = newZoneNode(d.logger, settings, options); err != nil {
 		return err
 	}
+	d.zone.claims = newClaimDesk(settings.ID, d.config.Site.ZoneIDs(), d.zone.propose)
+	d.members[name] = d.newMemberNode(name, d.zone.group, own, settings.Controllers)
 	if err := d.server.Register("Zone", &ZoneService{node: d.zone}); err != nil {
 		return err
 	}
@@ -148,15 +181,23 @@
 	return &zoneLeader{
 		logger:      log.With(d.logger, "component", "leader"),
 		node:        d.zone,
-		core:        controller.New(controller.Options{Zone: settings.ID}),
+		core:        controller.New(controller.Options{Zone: settings.ID, Settings: planSettings(d.config.Site)}),
 		observer:    newEngineObserver(d.logger, settings.ID, hostOf(d.config.Site.MachineList), d.engines, d.config.Timing),
 		engines:     d.engines,
+		inquiries:   &claimInquiries{logger: log.With(d.logger, "component", "inquiries"), engines: d.engines},
 		global:      newLeaderCaller(d.client, memberAddresses(d.config.Site.GlobalVoters)),
 		timing:      d.config.Timing,
 		storeBudget: storeShare(d.config.Site, settings),
 	}
 }
 
+// planSettings are the planner's settings for the site.
+func planSettings(site config.Site) scheduler.Settings {
+	settings := scheduler.DefaultSettings()
+	settings.Objective = site.Objective
+	return settings
+}
+
 // hostOf returns the host and port of a checked URL, as engineapi wants it.
 func hostOf(checked string) string {
 	parsed, err := url.Parse(checked)
@@ -188,17 +229,21 @@
 	return config.Member{}, false
 }
 
-func (d *Daemon) groupOptions(name string, own config.Member, members []config.Member) (group.Options, error) {
-	node := raft.NodeID(own.Node)
+// groupOptions opens the member's store. A new store gets a new node ID, so that
+// it cannot vote again in the place of one that was lost.
+func (d *Daemon) groupOptions(name string, own config.Member) (group.Options, error) {
 	path := filepath.Join(d.config.DataFolder, name+".db")
-	store, err := logstore.Open(path, logstore.Identity{Group: name, Daemon: d.config.Daemon, Node: node})
+	store, err := logstore.OpenMember(path, name, d.config.Daemon, group.NewNodeID())
 	if err != nil {
 		return group.Options{}, err
 	}
 	d.stores = append(d.stores, store)
-	options := group.Options{
+	node := store.Identity().Node
+	return group.Options{
 		Name:           name,
 		Node:           node,
+		Members:        []group.Member{{Node: node, Address: own.Address}},
+		Hold:           true,
 		Store:          store,
 		Client:         d.client,
 		Server:         d.server,
@@ -206,12 +251,7 @@
 		ElectionTicks:  d.config.Timing.ElectionTicks,
 		HeartbeatTicks: d.config.Timing.HeartbeatTicks,
 		Seed:           seedOf(name, d.config.Daemon),
-	}
-	for _, member := range members {
-		options.Members = append(options.Members, group.Member{Node: raft.NodeID(member.Node), Address: member.Address})
-		options.Bootstrap.Voters = append(options.Bootstrap.Voters, raft.NodeID(member.Node))
-	}
-	return options, nil
+	}, nil
 }
 
 // seedOf gives each member of each group its own random election timeouts.
@@ -227,6 +267,7 @@
 		return nil
 	}
 	settings, _ := d.config.Site.ZoneByID(d.config.Zone)
+	holder := structs.ClaimHolder{Daemon: d.config.Daemon, Session: newSession()}
 	seed := seedOf("router", d.config.Daemon)
 	d.router = &requestRouter{
 		logger:   log.With(d.logger, "component", "router"),
@@ -234,15 +275,20 @@
 		zone:     d.config.Zone,
 		daemon:   d.config.Daemon,
 		engines:  d.engines,
-		peers:    api.NewClient(newPeerClient()),
+		peers:    newPeerRouters(d.reloader, d.faults),
 		leader:   newLeaderCaller(d.client, memberAddresses(settings.Controllers)),
+		claims:   newClaimKeeper(d.logger, d.client, d.config.Site, d.config.Zone, holder),
 		timing:   d.config.Timing,
 		calls:    map[structs.RequestID]*call{},
 		attempts: map[router.AttemptID]*attempt{},
-		rows:     map[structs.RowName]structs.Row{},
+		followed: map[structs.RunnerID]*followedEngine{},
+		metrics:  newRequestMetrics(),
+		view:     newViewCache(d.config.Zone),
+		viewPath: filepath.Join(d.config.DataFolder, viewCacheFile),
 		core: router.New(router.Options{
 			Zone:            d.config.Zone,
 			Daemon:          d.config.Daemon,
+			Session:         holder.Session,
 			Zones:           d.config.Site.ZoneIDs(),
 			Random:          rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))),
 			QueueLimit:      d.config.Limits.QueuePerRow,
@@ -250,19 +296,10 @@
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
 	}
+	d.router.loadView()
 	return nil
 }
 
-// newPeerClient makes the HTTP client that forwards to routers of other zones.
-// It has no overall timeout because answers are streams.
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost:   64,
-		IdleConnTimeout:       90 * time.Second,
-		ResponseHeaderTimeout: 15 * time.Minute,
-	}}
-}
-
 // Start begins to serve.
 func (d *Daemon) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -276,6 +313,9 @@
 		d.runGroup(ctx, zoneGroupPrefix+string(d.zone.id), d.zone.group)
 		d.stopped.Go(func() { d.leader.run(ctx) })
 	}
+	for _, member := range d.members {
+		d.stopped.Go(func() { member.run(ctx) })
+	}
 	if d.router != nil {
 		d.router.ctx = ctx
 		d.stopped.Go(func() { d.router.run(ctx) })
@@ -306,31 +346,6 @@
 // Failed returns a channel that gives the error after which the daemon cannot go on.
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
-// Stop is a planned stop: new requests are refused, those in progress finish
-// while ctx lasts, leadership is handed over, then everything is closed. It
-// returns how many requests were cut because ctx ended.
-func (d *Daemon) Stop(ctx context.Context) int {
-	cut := 0
-	if d.router != nil {
-		cut = d.router.drain(ctx)
-	}
-	d.handOver(ctx)
-	d.Close(ctx)
-	return cut
-}
-
-// handOver transfers leadership of the groups that this daemon leads.
-func (d *Daemon) handOver(ctx context.Context) {
-	for _, member := range d.groups() {
-		if !member.Status().IsLeader {
-			continue
-		}
-		if err := member.TransferLeadership(ctx); err != nil {
-			level.Warn(d.logger).Log("msg", "Leadership could not be handed over.", "err", err)
-		}
-	}
-}
-
 func (d *Daemon) groups() []*group.Group {
 	var list []*group.Group
 	if d.global != nil {
--- a/daemon/demandbox.go
+++ b/daemon/demandbox.go
@@ -10,7 +10,9 @@
 type demandBox struct {
 	mutex   sync.Mutex
 	reports []structs.DemandReport
-	arrived notifier
+	// unserved is signalled when requests wait for a row without a ready replica;
+	// all other demand can wait for the next round.
+	unserved notifier
 }
 
 // maxPendingReports bounds the box; a router reports again soon, so that an
@@ -26,14 +28,15 @@
 		b.reports = b.reports[1:]
 	}
 	b.mutex.Unlock()
-	if hasWaiting(report) {
-		b.arrived.broadcast()
+	if hasUnserved(report) {
+		b.unserved.broadcast()
 	}
 }
 
-func hasWaiting(report structs.DemandReport) bool {
+// hasUnserved reports whether requests wait for a row without a ready replica.
+func hasUnserved(report structs.DemandReport) bool {
 	for _, row := range report.Rows {
-		if row.Waiting > 0 {
+		if row.Waiting > 0 && row.Unserved {
 			return true
 		}
 	}
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -3,26 +3,88 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
+	"time"
 
 	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/transport"
 )
 
+const (
+	// peerDialTimeout bounds connecting to a router of another zone, with the TLS
+	// handshake: a zone that is cut off must not take the request's time.
+	peerDialTimeout = time.Second
+	// forwardMargin is how long after its deadline a forwarded request is given up:
+	// the other router ends it at the deadline.
+	forwardMargin = time.Second
+	// peerConnections is how many idle connections to one router are kept.
+	peerConnections = 64
+	peerIdleTimeout = 90 * time.Second
+)
+
+// peerRouters calls the routers of other zones.
+type peerRouters struct {
+	client *api.Client
+	scheme string
+}
+
+// newPeerRouters makes the client that forwards requests. Outside development
+// mode it shows the daemon's certificate and takes only daemons of the site. It
+// has no overall timeout because answers are streams.
+func newPeerRouters(reloader *keys.Reloader, faults *transport.Faults) peerRouters {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	base := &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSHandshakeTimeout: peerDialTimeout,
+		MaxIdleConnsPerHost: peerConnections,
+		IdleConnTimeout:     peerIdleTimeout,
+	}
+	scheme := "http://"
+	if reloader != nil {
+		scheme = "https://"
+		base.TLSClientConfig = reloader.ClientConfig("")
+	}
+	return peerRouters{client: api.NewClient(&http.Client{Transport: faults.HTTP(base)}), scheme: scheme}
+}
+
+// forwardedByDaemon tells the callers' interface which requests another daemon
+// sent: in development mode any that says so, otherwise those over a connection
+// with a certificate of a daemon of the site.
+func forwardedByDaemon(reloader *keys.Reloader) func(*http.Request) bool {
+	if reloader == nil {
+		return func(*http.Request) bool { return true }
+	}
+	return func(r *http.Request) bool {
+		if r.TLS == nil {
+			return false
+		}
+		_, err := reloader.VerifyDaemon(*r.TLS)
+		return err == nil
+	}
+}
+
 // forward hands a request to a router of another zone and passes its tokens on.
+// It is called under the router's lock.
 func (r *requestRouter) forward(effect router.Forward) {
 	target, waiting := r.calls[effect.ID]
 	if !waiting {
 		return
 	}
-	ctx, cancel := context.WithCancel(r.ctx)
+	r.metrics.sentAt(target, time.Now())
+	target.sent = true
+	ctx, cancel := context.WithDeadline(r.ctx, target.request.DeadlineAt.Add(forwardMargin))
 	target.mutex.Lock()
 	target.gone = func() {
 		cancel()
 		r.step(router.CallerGone{ID: effect.ID})
 	}
 	target.mutex.Unlock()
-	r.running.Go(func() {
+	r.background(func(context.Context) {
 		defer cancel()
 		r.runForward(ctx, effect, target)
 	})
@@ -41,6 +103,7 @@
 			r.failForward(effect, target, err)
 			return
 		}
+		r.metrics.tokenAt(target, time.Now())
 		target.deliver(token)
 		if token.Finish != "" {
 			r.endForward(effect.ID, nil)
@@ -50,17 +113,15 @@
 	}
 }
 
-// openForward tries the routers of the zones in turn until one has received the request.
+// openForward tries the routers of the zones in turn until one has taken the
+// request. One that is stopping or cannot serve yet refuses it as not run, which
+// makes it safe to ask the next.
 func (r *requestRouter) openForward(ctx context.Context, effect router.Forward, request structs.Request) (api.Answer, error) {
 	var last error
-	for _, zone := range effect.Zones {
-		settings, known := r.site.ZoneByID(zone)
-		if !known {
-			continue
-		}
+	for _, settings := range r.zonesOf(effect) {
 		for _, address := range settings.Routers {
-			answer, err := r.peers.Call(ctx, "http://"+address, "", r.zone, request)
-			if err == nil || !errors.Is(err, api.ErrNotSent) {
+			answer, err := r.peers.client.Call(ctx, r.peers.scheme+address, "", r.zone, request)
+			if err == nil || !mayAskNext(err) {
 				return answer, err
 			}
 			last = err
@@ -76,6 +137,28 @@
 	return nil, last
 }
 
+func (r *requestRouter) zonesOf(effect router.Forward) []config.Zone {
+	var zones []config.Zone
+	for _, id := range effect.Zones {
+		if settings, known := r.site.ZoneByID(id); known {
+			zones = append(zones, settings)
+		}
+	}
+	return zones
+}
+
+// mayAskNext reports whether the request certainly did not run at the router that
+// was asked, and another one may take it.
+func mayAskNext(err error) bool {
+	if errors.Is(err, api.ErrNotSent) {
+		return true
+	}
+	var refused *api.RefusedError
+	return errors.As(err, &refused) &&
+		refused.Refusal.Execution == structs.ExecutionNotRun &&
+		refused.Refusal.Error.Kind == structs.ErrorUnavailable
+}
+
 // failForward ends a forwarded request that got no whole answer. What the other
 // router said of its execution is passed on; a broken connection is judged by
 // the core.
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -12,18 +12,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
 )
 
-// The timeouts of the HTTP servers. Answers are streams and have no write
-// timeout; a caller that stops reading is bounded by its request's buffer.
+// The names of the HTTP servers.
 const (
-	headerTimeout  = 10 * time.Second
-	bodyTimeout    = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 32 << 10
+	callersServer   = "callers"
+	operatorsServer = "operators"
 )
 
 // httpServer is a listener with its server.
@@ -36,12 +32,12 @@
 // openHTTP opens the listeners for callers and operators.
 func (d *Daemon) openHTTP() error {
 	if address := d.config.Listen.Callers; address != "" && d.router != nil {
-		options, err := callerOptions(d.config)
+		options, err := d.callerOptions()
 		if err != nil {
 			return err
 		}
-		handler := api.NewHandler(d.logger, d.router, options)
-		if err := d.listenHTTP("callers", address, handler); err != nil {
+		handler := d.closeWhenDraining(api.NewHandler(d.logger, d.router, options))
+		if err := d.listenHTTP(callersServer, address, handler); err != nil {
 			return err
 		}
 	}
@@ -50,16 +46,16 @@
 		if err != nil {
 			return err
 		}
-		return d.listenHTTP("operators", address, handler)
+		return d.listenHTTP(operatorsServer, address, handler)
 	}
 	return nil
 }
 
-func callerOptions(settings config.Config) (api.Options, error) {
+func (d *Daemon) callerOptions() (api.Options, error) {
+	settings := d.config
 	options := api.DefaultOptions()
-	if settings.Development {
-		options.FromDaemon = func(*http.Request) bool { return true }
-	}
+	options.FromDaemon = forwardedByDaemon(d.reloader)
+	options.WriteTimeout = d.limits.write
 	options.MaxBodyBytes = settings.Limits.BodyBytes
 	options.DefaultDeadline = settings.Limits.DefaultDeadline
 	options.MaxDeadline = settings.Limits.MaximumDeadline
@@ -109,6 +105,9 @@
 
 // notReady says why the daemon cannot serve yet, or returns "".
 func (d *Daemon) notReady() string {
+	if d.draining.Load() {
+		return "the daemon makes a planned stop: use another one"
+	}
 	for _, member := range d.groups() {
 		if member.Status().LeaderNode == 0 {
 			return "a group has no leader: check that a majority of its members runs"
@@ -126,19 +125,33 @@
 		return errors.Wrap(err, "listen for "+name)
 	}
 	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
+		Handler:           boundBody(handler, d.limits.body),
+		ReadHeaderTimeout: d.limits.header,
+		IdleTimeout:       d.limits.idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	if d.reloader != nil {
+	listener = newLimitListener(listener, d.limits.connections)
+	switch {
+	case d.reloader != nil && name == callersServer:
+		listener = tls.NewListener(listener, d.reloader.CallersServerConfig())
+	case d.reloader != nil:
 		listener = tls.NewListener(listener, d.reloader.PublicServerConfig())
 	}
 	d.servers = append(d.servers, &httpServer{name: name, listener: listener, server: server})
 	return nil
 }
 
+// closeWhenDraining lets callers' connections end with their answers once a
+// planned stop has begun.
+func (d *Daemon) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *httpServer) serve(logger log.Logger) {
 	err := s.server.Serve(s.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -146,13 +159,19 @@
 	}
 }
 
-// close lets requests in progress end while ctx lasts, then cuts them.
+// close lets answers in progress be written while ctx lasts and for a grace after
+// it, then cuts them. Operators' calls get a short time only.
 func (s *httpServer) close(ctx context.Context) {
-	if err := s.server.Shutdown(ctx); err != nil {
+	base := context.WithoutCancel(ctx)
+	closing, cancel := context.WithCancel(base)
+	if s.name == operatorsServer {
+		closing, cancel = context.WithTimeout(base, operatorsGrace)
+	}
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(cutGrace, cancel) })
+	defer stop()
+	if err := s.server.Shutdown(closing); err != nil {
 		// The time for a planned end is over; what is still open is cut.
 		_ = s.server.Close()
 	}
 }
-
-// address returns where the server listens.
-func (s *httpServer) address() string { return s.listener.Addr().String() }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -18,6 +18,9 @@
 	ExitFailed   = 1
 	ExitUsage    = 2
 	ExitSettings = 3
+	// ExitCut: a planned stop ran out of time, or a second signal came, and
+	// requests in progress were cut.
+	ExitCut = 4
 )
 
 // commandLine is the daemon's command line: a settings file with flags over it.
@@ -63,20 +66,23 @@
 		return ExitFailed
 	}
 	running.Start()
+	code := ExitOK
 	select {
 	case err := <-running.Failed():
 		level.Error(logger).Log("component", "daemon", "msg", "The daemon cannot go on.", "err", err)
-		running.Close(cut)
-		return ExitFailed
+		code = ExitFailed
 	case <-stop.Done():
 	}
-	ctx, cancel := context.WithTimeout(cut, settings.Timing.StopTimeout)
+	ctx, cancel := context.WithTimeoutCause(cut, settings.Timing.StopTimeout, ErrStopTimeout)
 	defer cancel()
-	level.Info(logger).Log("component", "daemon", "msg", "The daemon stops.", "timeout", settings.Timing.StopTimeout)
-	if requestsCut := running.Stop(ctx); requestsCut > 0 {
-		level.Warn(logger).Log("component", "daemon", "msg", "Requests were cut by the stop.", "requests", requestsCut)
+	level.Info(logger).Log("component", "daemon", "msg", "The daemon stops; a second signal cuts what is in progress.",
+		"timeout", settings.Timing.StopTimeout)
+	requestsCut := running.Stop(ctx)
+	level.Info(logger).Log("component", "daemon", "msg", "The daemon has stopped.", "requests_cut", requestsCut)
+	if code == ExitOK && requestsCut > 0 {
+		return ExitCut
 	}
-	return ExitOK
+	return code
 }
 
 // newLogger makes the logger that the settings ask for.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -30,6 +30,7 @@
 			func() float64 { return float64(d.zone.tableRevision()) })
 	}
 	if d.router != nil {
+		d.router.metrics.register(registry)
 		registerGauge(registry, "lotusferry_router_open_requests", "Requests that wait or run in this router.", nil,
 			func() float64 { return float64(d.router.openCalls()) })
 	}
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -23,25 +24,32 @@
 	zone    structs.ZoneID
 	daemon  structs.DaemonID
 	engines *engineapi.Client
-	peers   *api.Client
+	peers   peerRouters
 	leader  *leaderCaller
+	claims  *claimKeeper
 	timing  config.Timing
 
 	mutex    sync.Mutex
 	core     *router.Core
 	calls    map[structs.RequestID]*call
 	attempts map[router.AttemptID]*attempt
-	rows     map[structs.RowName]structs.Row
-	// viewed is set once the zone's table was read.
-	viewed bool
-	// claimNumber numbers the BeginClaim effects, so that the zone group can tell
-	// a request's later choice of a runner from an earlier one that was delayed.
-	claimNumber uint64
-	// running counts the goroutines that carry out effects, for a planned stop.
+	metrics  *requestMetrics
+	// view is the zone's view, saved at viewPath; viewed is set once it was read.
+	view     *viewCache
+	viewPath string
+	viewed   bool
+	// followed are the engines whose cache events are read.
+	followed map[structs.RunnerID]*followedEngine
+	// running holds the goroutines that carry out effects; working counts them.
 	running sync.WaitGroup
-	// waiting wakes the demand loop when requests wait.
+	working atomic.Int64
+	// draining is set once a planned stop has begun.
+	draining bool
+	// waiting wakes the demand loop when requests wait for a row without a replica.
 	waiting notifier
-	// quiet is signalled when the core may have become idle.
+	// viewChanged is signalled when a view was adopted.
+	viewChanged notifier
+	// quiet is signalled when less is in progress.
 	quiet notifier
 	ctx   context.Context
 }
@@ -52,7 +60,7 @@
 // run drives the router until ctx ends: ticks, demand reports and the view.
 func (r *requestRouter) run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.saveLoop, r.cacheLoop, r.claims.renewLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
@@ -67,11 +75,17 @@
 // Submit implements api.Service.
 func (r *requestRouter) Submit(_ context.Context, request structs.Request) (api.Answer, error) {
 	submitted := newCall(request, func() { r.step(router.CallerGone{ID: request.ID}) })
+	r.metrics.accepted.Inc()
 	r.mutex.Lock()
+	if !r.viewed {
+		r.mutex.Unlock()
+		refusal := notViewed()
+		r.metrics.end(&refusal)
+		return nil, &api.RefusedError{Refusal: refusal}
+	}
 	r.calls[request.ID] = submitted
 	r.mutex.Unlock()
 	r.step(router.Arrived{Request: request})
-	r.waiting.broadcast()
 	return submitted, nil
 }
 
@@ -79,17 +93,27 @@
 func (r *requestRouter) Rows(context.Context) ([]structs.Row, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return sortedRows(r.rows), nil
+	return sortedRows(r.view.rows), nil
 }
 
 // step hands one event to the core and carries out the effects.
 func (r *requestRouter) step(event router.Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.stepLocked(event)
+}
+
+func (r *requestRouter) stepLocked(event router.Event) {
 	for _, effect := range r.core.Step(time.Now(), event) {
 		r.carryOut(effect)
 	}
 	r.forgetGone(event)
+	if r.core.DemandUrgent() {
+		r.waiting.broadcast()
+	}
+	if r.draining {
+		r.quiet.broadcast()
+	}
 }
 
 // carryOut is called under the lock: it only touches memory and starts goroutines.
@@ -110,11 +134,9 @@
 	case router.AskStatus:
 		r.background(func(ctx context.Context) { r.askStatus(ctx, effect) })
 	case router.BeginClaim:
-		r.claimNumber++
-		number := r.claimNumber
-		r.background(func(ctx context.Context) { r.beginClaim(ctx, effect, number) })
+		r.background(func(ctx context.Context) { r.step(r.claims.begin(ctx, effect)) })
 	case router.FinishClaim:
-		r.background(func(ctx context.Context) { r.finishClaim(ctx, effect) })
+		r.background(func(ctx context.Context) { r.claims.finish(ctx, effect) })
 	case router.Forward:
 		r.forward(effect)
 	}
@@ -122,11 +144,17 @@
 
 // background runs work that may block; a planned stop waits for it.
 func (r *requestRouter) background(work func(context.Context)) {
-	r.running.Go(func() { work(r.ctx) })
+	r.working.Add(1)
+	r.running.Go(func() {
+		work(r.ctx)
+		r.working.Add(-1)
+		r.quiet.broadcast()
+	})
 }
 
 func (r *requestRouter) deliver(id structs.RequestID, token structs.Token) {
 	if target, waiting := r.calls[id]; waiting {
+		r.metrics.tokenAt(target, time.Now())
 		target.deliver(token)
 	}
 }
@@ -138,6 +166,7 @@
 		return
 	}
 	delete(r.calls, id)
+	r.metrics.end(refusal)
 	if refusal != nil {
 		target.refuse(*refusal)
 	}
@@ -167,24 +196,6 @@
 	r.quiet.broadcast()
 }
 
-// drain stops taking new requests and waits until those in progress have ended
-// or ctx ends. It returns how many were cut.
-func (r *requestRouter) drain(ctx context.Context) int {
-	r.step(router.DrainStarted{})
-	for {
-		quiet := r.quiet.wait()
-		open := r.openCalls()
-		if open == 0 {
-			return 0
-		}
-		select {
-		case <-ctx.Done():
-			return open
-		case <-quiet:
-		}
-	}
-}
-
 func (r *requestRouter) openCalls() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -1,10 +1,7 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -21,7 +18,9 @@
 
 // viewLoop keeps the router's view of its zone up to date by long polls.
 func (r *requestRouter) viewLoop(ctx context.Context) {
-	var sinceTable, sinceIndex uint64
+	r.mutex.Lock()
+	sinceTable, sinceIndex := r.view.revision, r.view.index
+	r.mutex.Unlock()
 	for next := 0; ctx.Err() == nil; {
 		addresses := r.leader.addresses
 		address := addresses[next%len(addresses)]
@@ -49,21 +48,15 @@
 	}
 }
 
-// adoptView hands the view to the core and keeps the rows for /v1/models.
+// adoptView hands the view to the core and keeps it.
 func (r *requestRouter) adoptView(view structs.ZoneView) {
 	r.mutex.Lock()
-	r.viewed = true
-	if view.Table.Full {
-		r.rows = make(map[structs.RowName]structs.Row, len(view.Table.Rows))
-	}
-	for _, row := range view.Table.Rows {
-		r.rows[row.Name] = row
-	}
-	for _, name := range view.Table.Deleted {
-		delete(r.rows, name)
-	}
+	// The log of a zone has an entry: a controller without one has just started.
+	r.viewed = r.viewed || view.Index > 0
+	r.view.adopt(view)
 	r.mutex.Unlock()
 	r.step(router.ViewChanged{View: view})
+	r.viewChanged.broadcast()
 }
 
 // hasView reports whether the router has read its zone's table.
@@ -73,13 +66,10 @@
 	return r.viewed
 }
 
-func sortedRows(rows map[structs.RowName]structs.Row) []structs.Row {
-	return slices.SortedFunc(maps.Values(rows), func(a, b structs.Row) int { return cmp.Compare(a.Name, b.Name) })
-}
-
-// demandLoop reports the router's demand to the zone leader: at once when a
-// request starts to wait, and every report interval otherwise.
+// demandLoop reports the router's demand to the zone leader: at once what waits
+// for a row without a ready replica, and every report interval what changed.
 func (r *requestRouter) demandLoop(ctx context.Context) {
+	schedule := router.NewDemandSchedule(r.timing.ReportInterval)
 	for {
 		waiting := r.waiting.wait()
 		timer := time.NewTimer(r.timing.ReportInterval)
@@ -91,22 +81,28 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		r.reportDemand(ctx)
+		r.reportDemand(ctx, schedule)
 		pause(ctx, demandPause)
 	}
 }
 
-func (r *requestRouter) reportDemand(ctx context.Context) {
+func (r *requestRouter) reportDemand(ctx context.Context, schedule *router.DemandSchedule) {
+	now := time.Now()
+	scope := schedule.Next(now)
 	r.mutex.Lock()
-	report := r.core.Demand()
+	report, send := r.core.DemandOf(scope)
 	r.mutex.Unlock()
-	if len(report.Rows) == 0 {
+	if !send {
+		schedule.Skipped(now, scope)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
 	defer cancel()
-	_, err := callLeader(ctx, r.leader, methodZoneDemand, DemandArguments{Report: report}, func() *DemandReply { return &DemandReply{} })
+	reply, err := callLeader(ctx, r.leader, methodZoneDemand, DemandArguments{Report: report}, func() *DemandReply { return &DemandReply{} })
 	if err != nil {
+		schedule.Failed()
 		level.Debug(r.logger).Log("msg", "The demand could not be reported.", "err", err)
+		return
 	}
+	schedule.Acknowledged(now, scope, reply.Epoch)
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -185,6 +187,11 @@
 	e.emit(EngineOutput{Kind: OutputDied})
 	e.timers = timerQueue{}
 	e.batch = batch{}
+	for _, row := range slices.Sorted(maps.Keys(e.replicas)) {
+		if lost := e.replicas[row]; lost.state != structs.ReplicaAbsent {
+			e.setState(lost, structs.ReplicaAbsent)
+		}
+	}
 	e.replicas = nil
 	e.memoryUsed = 0
 	e.idleBytes = 0
--- a/emulator/machine_server.go
+++ b/emulator/machine_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-kit/log"
@@ -24,7 +25,7 @@
 // NewMachineServer makes the server of a list, which nobody else may use from then on.
 func NewMachineServer(logger log.Logger, list *MachineList, clock *Clock) *MachineServer {
 	s := &MachineServer{logger: logger, clock: clock, list: list, mux: http.NewServeMux()}
-	s.mux.Handle("GET "+engineapi.PathMachineList, newHandler(noBody, s.serveList))
+	s.mux.Handle("GET "+engineapi.PathMachineList, newHandler(decodeZone, s.serveList))
 	s.mux.Handle("POST "+engineapi.PathMachineLeave, newHandler(decodeBody[engineapi.LeaveRequest], s.serveLeave))
 	return s
 }
@@ -39,10 +40,19 @@
 	s.list.Put(s.clock.Now(), machine)
 }
 
-func (s *MachineServer) serveList(context.Context, struct{}) ([]structs.Machine, error) {
+// decodeZone reads the zone that is asked for; "" means all.
+func decodeZone(request *http.Request) (structs.ZoneID, error) {
+	return structs.ZoneID(request.URL.Query().Get(engineapi.QueryZone)), nil
+}
+
+func (s *MachineServer) serveList(_ context.Context, zone structs.ZoneID) ([]structs.Machine, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.list.List(s.clock.Now()), nil
+	machines := s.list.List(s.clock.Now())
+	if zone != "" {
+		machines = slices.DeleteFunc(machines, func(machine structs.Machine) bool { return machine.Zone != zone })
+	}
+	return machines, nil
 }
 
 func (s *MachineServer) serveLeave(_ context.Context, request engineapi.LeaveRequest) (struct{}, error) {
--- a/lab/check.go
+++ b/lab/check.go
@@ -13,7 +13,7 @@
 // Violation is a breach of what must always hold.
 type Violation struct {
 	// Invariant names the breached line: replicas, memory, answered, own_answer,
-	// not_run or at_most_once.
+	// not_run, at_most_once or planned_stop.
 	Invariant string `json:"invariant"`
 	Detail    string `json:"detail"`
 }
--- a/lab/faults.go
+++ b/lab/faults.go
@@ -46,6 +46,7 @@
 		{"daemon-kill", "A daemon dies without warning and is restarted.", (*faultRun).killDaemon},
 		{"daemon-pause", "A daemon is frozen, comes back, and still believes what it believed.", (*faultRun).pauseDaemon},
 		{"daemon-stop", "A daemon makes a planned stop and is started again.", (*faultRun).stopDaemon},
+		{"disk-replace", "A daemon loses its disk and comes back with an empty one.", (*faultRun).replaceDisk},
 		{"zone-cut", "A zone is cut off from the others.", (*faultRun).cutZone},
 		{"leader-cut", "A daemon is cut off from all others while engines and callers still reach it.", (*faultRun).cutDaemon},
 		{"engine-crash", "An engine dies and restarts empty.", (*faultRun).crashEngine},
@@ -68,6 +69,16 @@
 	events []FaultEvent
 	// outages are the times during which a daemon could not answer.
 	outages []outage
+	// stops are the planned stops, which must cut nothing.
+	stops []plannedStop
+}
+
+// plannedStop is one planned stop of a daemon, from the signal to its end.
+type plannedStop struct {
+	daemon   structs.DaemonID
+	from     time.Time
+	until    time.Time
+	exitCode int
 }
 
 // outage is a time during which a daemon was dead or frozen.
@@ -171,7 +182,10 @@
 
 func (r *faultRun) stopDaemon(ctx context.Context) string {
 	target := r.anyDaemon()
-	target.Terminate(target.Settings.Timing.StopTimeout + stopLimit)
+	stop := plannedStop{daemon: target.ID, from: time.Now()}
+	stop.exitCode = target.Terminate(target.Settings.Timing.StopTimeout + stopLimit)
+	stop.until = time.Now()
+	r.stops = append(r.stops, stop)
 	sleep(ctx, downTime)
 	return r.restart(target)
 }
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -44,6 +46,8 @@
 	events := <-struck
 	faults.markDead(outcomes)
 	report := newReport(fleet, options, outcomes, elapsed)
+	report.PlannedStops = len(faults.stops)
+	report.Violations = append(report.Violations, checkPlannedStops(faults.stops, outcomes)...)
 	report.Faults = append(report.Faults, events...)
 	report.EditSeconds = editSeconds
 	return report, nil
@@ -82,6 +86,26 @@
 	return violations
 }
 
+// checkPlannedStops: a planned stop cuts no request in progress. The daemon tells
+// by its exit code whether it refused requests to be done in time, and the
+// callers' own records whether an answer broke off.
+func checkPlannedStops(stops []plannedStop, outcomes []Outcome) []Violation {
+	var violations []Violation
+	for _, stop := range stops {
+		if stop.exitCode != daemon.ExitOK {
+			violations = append(violations, Violation{"planned_stop", fmt.Sprintf("the planned stop of %s ended with exit code %d", stop.daemon, stop.exitCode)})
+		}
+		for _, outcome := range outcomes {
+			during := outcome.SentAt.Before(stop.until) && !outcome.EndedAt.Before(stop.from) && !outcome.EndedAt.After(stop.until.Add(outageMargin))
+			if outcome.Router == stop.daemon && outcome.Broken && during {
+				violations = append(violations, Violation{"planned_stop", fmt.Sprintf("the planned stop of %s cut %s after %d tokens",
+					stop.daemon, outcome.Request.ID, outcome.Tokens)})
+			}
+		}
+	}
+	return violations
+}
+
 // isLost reports whether a call ended without an answer or a refusal by a router
 // that was there to give one: a connection that breaks with a killed router tells
 // its caller so, and the caller asks another one while it has time.
--- a/lab/report.go
+++ b/lab/report.go
@@ -28,6 +28,8 @@
 	// Cut counts requests whose router was killed or frozen and whose caller had
 	// no time left to ask another one.
 	Cut int `json:"cut_by_dead_router"`
+	// PlannedStops counts the planned stops of daemons; none may cut a request.
+	PlannedStops int `json:"planned_stops"`
 	// LiveInTime is the share of live requests that were answered within their deadline.
 	LiveInTime float64 `json:"live_in_time"`
 	// RefusedBy counts refusals by kind and execution.
--- a/router/answer.go
+++ b/router/answer.go
@@ -14,6 +14,9 @@
 // tokens fits.
 const answerReserve = 1024
 
+// embeddingReserve is set aside for a vector as text: over 4,096 numbers.
+const embeddingReserve = 64 << 10
+
 // answerOverhead bounds what EncodeAnswer adds to the text.
 const answerOverhead = 128
 
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -25,9 +25,6 @@
 		c.refuseUnheld(incoming.ID, *problem)
 		return
 	}
-	if c.forwardToHome(incoming) {
-		return
-	}
 	wanted := c.rows[incoming.Row]
 	if wanted == nil || !wanted.listed {
 		c.refuseUnheld(incoming.ID, notFound(incoming.Row))
@@ -35,6 +32,7 @@
 	}
 	c.activate(wanted)
 	c.noteDemand(wanted)
+	defer c.noteUrgent(wanted)
 	if c.notServedHere(incoming, wanted) {
 		return
 	}
@@ -99,25 +97,6 @@
 	return true
 }
 
-// forwardToHome sends a request with a key to the key's home zone.
-func (c *Core) forwardToHome(incoming structs.Request) bool {
-	if incoming.Repeatable() {
-		return false
-	}
-	home := HomeZone(c.options.Zones, incoming.IdempotencyKey)
-	if home == c.options.Zone {
-		return false
-	}
-	if incoming.Forwarded {
-		c.refuseUnheld(incoming.ID, *structs.NewError(structs.ErrorInvalid,
-			fmt.Sprintf("zone %s was sent a key whose home is zone %s", c.options.Zone, home),
-			"Give all daemons the same list of zones."))
-		return true
-	}
-	c.forward(incoming.ID, []structs.ZoneID{home})
-	return true
-}
-
 // notServedHere ends a request for a row that this zone may not load.
 func (c *Core) notServedHere(incoming structs.Request, wanted *row) bool {
 	if wanted.limit > 0 || c.balancer.Ready(wanted.Name) > 0 {
@@ -130,20 +109,14 @@
 			"Raise max_replicas of the row."))
 	case len(wanted.elsewhere) == 0:
 		return false
-	case incoming.Repeatable() && !incoming.Forwarded:
+	case !incoming.Forwarded:
 		c.forward(incoming.ID, wanted.elsewhere)
-	case incoming.Repeatable():
+	default:
 		problem := structs.NewError(structs.ErrorUnavailable,
 			fmt.Sprintf("row %s has just moved to zone %s", wanted.Name, wanted.elsewhere[0]),
 			"Come back after the time given.")
 		problem.RetryAfter = c.spread(0)
 		c.refuseUnheld(incoming.ID, *problem)
-	default:
-		problem := structs.NewError(structs.ErrorLimit,
-			fmt.Sprintf("row %s is served by zone %s, but the key belongs to zone %s", wanted.Name, wanted.elsewhere[0], c.options.Zone),
-			fmt.Sprintf("Start the key with %q.", string(wanted.elsewhere[0])+keySeparator))
-		problem.RetryAfter = c.spread(wanted.estimator.ColdLoad())
-		c.refuseUnheld(incoming.ID, *problem)
 	}
 	return true
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -30,6 +30,7 @@
 		c.attemptBroke(held)
 		return
 	}
+	c.hear(held)
 	c.deliverToken(held, token)
 }
 
@@ -100,6 +101,7 @@
 		return
 	}
 	held.phase = phaseAsking
+	c.sleepUntil(held, held.DeadlineAt)
 	c.emit(CancelAttempt{Attempt: attempt})
 	c.askStatus(held)
 }
@@ -139,6 +141,10 @@
 
 // statusReplied decides whether a broken attempt with a key certainly did not run.
 func (c *Core) statusReplied(event StatusReplied) {
+	if event.Peek {
+		c.peeked(event)
+		return
+	}
 	held := c.requests[event.ID]
 	if held == nil || held.phase != phaseAsking || held.attempt != event.Attempt {
 		return
--- a/router/claim.go
+++ b/router/claim.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -11,17 +13,30 @@
 		Key:       claimKey(held.Request),
 		Request:   held.ID,
 		Digest:    RequestDigest(held.Request),
+		Home:      HomeZone(c.options.Zones, held.IdempotencyKey),
 		Holder:    c.options.Daemon,
+		Session:   c.options.Session,
 		State:     structs.ClaimHeld,
 		ExpiresAt: c.now.Add(c.options.AnswerLife),
 	}
-	if held.phase == phaseBinding || held.phase == phaseRunning || held.phase == phaseAsking {
-		claim.Runner = held.choice.Runner()
-		claim.Incarnation = held.choice.Incarnation()
+	switch held.phase {
+	case phaseBinding:
+		nameEngine(&claim, held, held.attemptID(held.attempts+1))
+	case phaseRunning, phaseAsking:
+		nameEngine(&claim, held, held.attempt)
 	}
 	return claim
 }
 
+// nameEngine names the chosen engine and the attempt that it is or will be sent.
+func nameEngine(claim *structs.Claim, held *request, attempt AttemptID) {
+	claim.Choice = held.choices
+	claim.Runner = held.choice.Runner()
+	claim.Incarnation = held.choice.Incarnation()
+	claim.Address = held.choice.Address()
+	claim.EngineRequest = structs.RequestID(attempt)
+}
+
 // claimReplied goes on with a request whose claim was decided.
 func (c *Core) claimReplied(event ClaimReplied) {
 	held := c.requests[event.ID]
@@ -33,6 +48,8 @@
 		return
 	}
 	switch {
+	case event.NotAsked:
+		c.claimNotAsked(held, event.Error)
 	case event.Error != nil:
 		c.claimFailed(held, event.Error)
 	case event.Claim == nil:
@@ -46,14 +63,22 @@
 	}
 }
 
-// holds reports whether the record says that this very request holds its key.
+// holds reports whether the record says that this very request, in this router and
+// life of it, holds its key.
 func (c *Core) holds(held *request, claim *structs.Claim) bool {
-	return claim != nil && claim.State == structs.ClaimHeld && claim.Request == held.ID
+	own := structs.ClaimHolder{Daemon: c.options.Daemon, Session: c.options.Session}
+	return claim != nil && claim.State == structs.ClaimHeld && claim.Request == held.ID && claim.HeldBy() == own
 }
 
 // claimed goes on with a request that holds its key. A late answer that does not
-// name the reserved replica answers an earlier BeginClaim.
+// name the reserved replica answers an earlier BeginClaim. After its deadline a
+// request is not sent: engines forget that they refused an ID long ago.
 func (c *Core) claimed(held *request, claim *structs.Claim) {
+	if held.expired(c.now) {
+		held.phase = c.withoutOutstandingClaim(held)
+		c.expire(held)
+		return
+	}
 	if held.phase == phaseClaiming {
 		c.admit(held)
 		return
@@ -63,6 +88,23 @@
 	}
 }
 
+// claimNotAsked ends a request whose home zone cannot be reached. Only a claim
+// that the zone granted before has to be released.
+func (c *Core) claimNotAsked(held *request, problem *structs.Error) {
+	held.phase = c.withoutOutstandingClaim(held)
+	home := HomeZone(c.options.Zones, held.IdempotencyKey)
+	estimate := MinimumRetryAfter
+	if problem != nil {
+		estimate = max(estimate, problem.RetryAfter)
+	}
+	remedy := "Come back after the time given with the same key."
+	if home != c.options.Zone {
+		remedy += fmt.Sprintf(" A new request may start its key with %q instead.", string(c.options.Zone)+keySeparator)
+	}
+	c.refuse(held, structs.ErrorUnavailable, fmt.Sprintf("zone %s, the home of the key, cannot be reached from zone %s", home, c.options.Zone),
+		remedy, estimate)
+}
+
 // claimFailed ends a request whose claim could not be decided. The zone may have
 // recorded it all the same, so it is released.
 func (c *Core) claimFailed(held *request, problem *structs.Error) {
@@ -93,16 +135,18 @@
 
 // beginClaim asks for the claim, with the reserved replica if there is one.
 func (c *Core) beginClaim(held *request) {
-	begin := BeginClaim{ID: held.ID, Claim: c.claim(held), AnswerBytes: c.answerBytes(held)}
-	if begin.Claim.Runner != "" {
+	if held.phase == phaseBinding {
 		held.choices++
-		begin.Choice = held.choices
 	}
-	c.emit(begin)
+	claim := c.claim(held)
+	c.emit(BeginClaim{ID: held.ID, Claim: claim, Choice: claim.Choice, AnswerBytes: c.answerBytes(held)})
 }
 
 // answerBytes is how large the encoded answer may become.
 func (c *Core) answerBytes(held *request) int {
+	if held.Embedding {
+		return min(c.options.AnswerLimit, embeddingReserve)
+	}
 	if held.MaxTokens <= 0 || held.MaxTokens >= c.options.AnswerLimit/answerBytesPerToken {
 		return c.options.AnswerLimit
 	}
@@ -127,6 +171,12 @@
 	}
 	switch claim.State {
 	case structs.ClaimFinished:
+		if len(claim.Answer) == 0 {
+			held.uncertain = true
+			c.refuse(held, structs.ErrorConflict, "the request with this key ran, and its answer is no longer kept",
+				"Use the answer that was given before; this key will not run again.", never)
+			return
+		}
 		c.stats.Replayed++
 		c.release(held)
 		if !held.gone {
--- a/router/core.go
+++ b/router/core.go
@@ -29,6 +29,11 @@
 	tableRevision uint64
 	viewIndex     uint64
 
+	// reported is what the leader was told of the rows in use; demandUrgent says that
+	// it should hear of a row at once.
+	reported     map[structs.RowName]reportedDemand
+	demandUrgent bool
+
 	effects []Effect
 	deliver Deliver
 	freed   []structs.RunnerID
@@ -68,6 +73,7 @@
 		requests: make(map[structs.RequestID]*request),
 		attempts: make(map[AttemptID]*request),
 		orphans:  make(map[structs.RequestID]structs.Claim),
+		reported: make(map[structs.RowName]reportedDemand),
 	}
 }
 
@@ -104,6 +110,8 @@
 		c.claimReplied(event)
 	case AttemptStarted:
 		c.attemptStarted(event.Attempt)
+	case AttemptPaused:
+		c.attemptPaused(event)
 	case AttemptFailed:
 		c.attemptFailed(event)
 	case StatusReplied:
@@ -162,6 +170,8 @@
 		c.enqueue(due)
 	case phaseAsking:
 		c.askStatus(due)
+	case phaseRunning:
+		c.checkStall(due)
 	}
 }
 
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -65,6 +65,9 @@
 	next.statusAsks = 0
 	next.resumedFrom = next.delivered
 	next.sentAt = c.now
+	next.heardAt = c.now
+	next.paused = false
+	c.watch(next)
 	c.attempts[next.attempt] = next
 	c.stats.Attempts++
 	c.emit(SendAttempt{
--- a/router/effect.go
+++ b/router/effect.go
@@ -19,7 +19,7 @@
 // CancelAttempt asks to cancel the attempt at its engine and close its stream.
 type CancelAttempt struct{ Attempt AttemptID }
 
-// BeginClaim asks the zone group to hold the claim durably. It is sent again by
+// BeginClaim asks the group of the zone Claim.Home to hold the claim durably. It is sent again by
 // the same request with Runner and Incarnation set before each attempt; the zone
 // records them and answers New. ClaimReplied answers each one, with an Error if
 // the zone's answer did not come.
@@ -32,7 +32,7 @@
 	AnswerBytes int
 }
 
-// FinishClaim asks the zone group to record the claim's end: finished with the
+// FinishClaim asks the group of the zone Claim.Home to record the claim's end: finished with the
 // whole answer, unknown, or released (it certainly did not run and never will).
 // It has no effect on a claim that another request holds or that has ended. The
 // shell repeats it until the zone has it; the request's caller does not wait.
@@ -49,6 +49,9 @@
 	Attempt AttemptID
 	Runner  structs.RunnerID
 	Address string
+	// Peek asks about a silent attempt that goes on: the shell does not cancel it,
+	// and says so in its answer.
+	Peek bool
 }
 
 // Deliver hands the caller the next token. The pointer is valid until the next
--- a/router/event.go
+++ b/router/event.go
@@ -46,12 +46,14 @@
 
 // ClaimReplied answers BeginClaim. Claim is the record as the home zone holds
 // it, with the runner that was named last; New is true when it is held for this
-// very request. Error is set when the zone refused or could not decide.
+// very request. Error is set when the zone refused or could not decide; NotAsked
+// says that this BeginClaim never reached the zone and never will.
 type ClaimReplied struct {
-	ID    structs.RequestID
-	Claim *structs.Claim
-	New   bool
-	Error *structs.Error
+	ID       structs.RequestID
+	Claim    *structs.Claim
+	New      bool
+	Error    *structs.Error
+	NotAsked bool
 }
 
 // AttemptStarted says that the engine accepted the attempt.
@@ -78,6 +80,8 @@
 	Attempt AttemptID
 	Status  *structs.RequestStatus
 	Error   *structs.Error
+	// Peek is that of AskStatus: the attempt was not cancelled.
+	Peek bool
 }
 
 // ForwardFailed says that no zone of a Forward gave a whole answer. Stage is
--- a/router/home.go
+++ b/router/home.go
@@ -41,6 +41,12 @@
 	return structs.ClaimKey(request.Caller + callerSeparator + request.IdempotencyKey)
 }
 
+// HomeOfClaim returns the zone that decides about the key of a claim.
+func HomeOfClaim(zones []structs.ZoneID, key structs.ClaimKey) structs.ZoneID {
+	_, own, _ := strings.Cut(string(key), callerSeparator)
+	return HomeZone(zones, own)
+}
+
 // embeddingMark tells the digest of a request for an embedding from others.
 const embeddingMark = 1
 
--- /dev/null
+++ b/router/home_test.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// TestKeyOfAnotherZoneIsClaimedThereAndExecutedHere follows a request to its end.
+func TestKeyOfAnotherZoneIsClaimedThereAndExecutedHere(t *testing.T) {
+	s := newScript(t, func(options *Options) { options.Session = 5 })
+	s.arrive(func(r *structs.Request) { r.IdempotencyKey = "b:key" })
+	claim := only[BeginClaim](s).Claim
+	s.c.Assert(claim.Home, qt.Equals, structs.ZoneID("b"))
+	s.c.Assert(claim.HeldBy(), qt.Equals, structs.ClaimHolder{Daemon: "daemon", Session: 5})
+	s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	begin := only[BeginClaim](s)
+	s.c.Assert(begin.Claim.Home, qt.Equals, structs.ZoneID("b"))
+	s.c.Assert(begin.Claim.Choice, qt.Equals, begin.Choice)
+	s.do(ClaimReplied{ID: "id", Claim: &begin.Claim, New: true})
+	sent := only[SendAttempt](s)
+	s.c.Assert(begin.Claim.EngineRequest, qt.Equals, sent.Generate.ID)
+	s.c.Assert(begin.Claim.Address, qt.Equals, sent.Address)
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Text: "all", Finish: structs.FinishStop}})
+	s.c.Assert(only[FinishClaim](s).Claim.Home, qt.Equals, structs.ZoneID("b"))
+	s.c.Assert(only[Finish](s).Finish, qt.Equals, structs.FinishStop)
+}
+
+func TestKeyWhoseHomeCannotBeReachedIsRefusedAsNotRun(t *testing.T) {
+	unreachable := structs.NewError(structs.ErrorUnavailable, "cut off", "Wait.")
+	unreachable.RetryAfter = 3 * time.Second
+	for _, test := range []struct {
+		about    string
+		key      string
+		granted  bool
+		remedy   string
+		releases int
+	}{
+		{"another zone's key", "b:key", false, `"a:"`, 0},
+		{"own key", "a:key", false, "same key", 0},
+		{"granted before the cut", "b:key", true, `"a:"`, 1},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			s := newScript(t, nil)
+			s.arrive(func(r *structs.Request) { r.IdempotencyKey = test.key })
+			if test.granted {
+				claim := only[BeginClaim](s).Claim
+				s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+			}
+			s.do(ClaimReplied{ID: "id", Error: unreachable, NotAsked: true})
+			refusal := only[Refuse](s).Refusal
+			s.c.Check(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+			s.c.Check(refusal.Error.Remedy, qt.Contains, test.remedy)
+			s.c.Check(refusal.Error.RetryAfter >= unreachable.RetryAfter, qt.IsTrue)
+			s.c.Check(s.effects, qt.HasLen, 1+test.releases)
+			s.c.Check(s.core.Idle(), qt.IsTrue)
+		})
+	}
+}
+
+func TestRequestIsNotSentAfterItsDeadline(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(keyed)
+	claim := only[BeginClaim](s).Claim
+	s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	claim = only[BeginClaim](s).Claim
+	// The process was paused, and the answer is the first event that it sees.
+	s.now = s.now.Add(time.Hour)
+	s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	s.c.Check(only[FinishClaim](s).Claim.State, qt.Equals, structs.ClaimReleased)
+	s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+}
+
+func TestVectorFitsIntoTheClaimOfAnEmbedding(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(func(r *structs.Request) { r.IdempotencyKey, r.Embedding, r.MaxTokens = "a:key", true, 1 })
+	for range 2 {
+		claim := only[BeginClaim](s).Claim
+		s.do(ClaimReplied{ID: "id", Claim: &claim, New: true})
+	}
+	sent := only[SendAttempt](s)
+	vector := strings.Repeat("0.123456789,", 4096)
+	s.do(TokenReceived{Attempt: sent.Attempt, Token: structs.Token{ID: sent.Generate.ID, Text: vector, Finish: structs.FinishStop}})
+	s.c.Check(only[FinishClaim](s).Claim.State, qt.Equals, structs.ClaimFinished)
+}
+
+func TestKeyWhoseAnswerIsNoLongerKeptDoesNotRunAgain(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(keyed)
+	claim := only[BeginClaim](s).Claim
+	claim.State, claim.Request = structs.ClaimFinished, "earlier"
+	s.do(ClaimReplied{ID: "id", Claim: &claim})
+	refusal := only[Refuse](s).Refusal
+	s.c.Check(refusal.Execution, qt.Equals, structs.ExecutionUnknown)
+	s.c.Check(refusal.Error.Message, qt.Contains, "ran")
+	s.c.Check(s.effects, qt.HasLen, 1)
+}
+
+func TestClaimOfTheSameRequestInAnotherRouterIsNotOwn(t *testing.T) {
+	s := newScript(t, nil)
+	s.arrive(keyed)
+	claim := only[BeginClaim](s).Claim
+	claim.Holder = "another"
+	s.do(ClaimReplied{ID: "id", Claim: &claim})
+	s.c.Check(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionUnknown)
+	s.c.Check(s.effects, qt.HasLen, 1)
+}
--- a/router/options.go
+++ b/router/options.go
@@ -14,6 +14,8 @@
 type Options struct {
 	Zone   structs.ZoneID
 	Daemon structs.DaemonID
+	// Session tells this life of the daemon apart from others, for its claims.
+	Session structs.SessionID
 	// Zones lists all zones of the site; keys are spread over them.
 	Zones []structs.ZoneID
 	// Random is the only source of randomness; the caller seeds it.
@@ -37,6 +39,11 @@
 	// BackoffBase and BackoffLimit bound the delay before a retry.
 	BackoffBase  time.Duration
 	BackoffLimit time.Duration
+	// StallFloor and StallCeiling bound how long an engine may send nothing before
+	// its attempt is taken to have stalled; a long prompt, and the time
+	// to wait for another request there, come on top for the first token.
+	StallFloor   time.Duration
+	StallCeiling time.Duration
 	// StatusLimit bounds how often an engine is asked about one attempt.
 	StatusLimit int
 	// AnswerLimit bounds the answer of a request with a key, in bytes; AnswerLife
@@ -55,6 +62,8 @@
 	DefaultDeadline     = 30 * time.Second
 	DefaultAttemptLimit = 4
 	DefaultStatusLimit  = 4
+	DefaultStallFloor   = time.Second
+	DefaultStallCeiling = 5 * time.Second
 	DefaultAnswerLimit  = 1 << 20
 	DefaultAnswerLife   = 24 * time.Hour
 )
@@ -75,6 +84,8 @@
 	setDefault(&o.DefaultDeadline, DefaultDeadline)
 	setDefault(&o.AttemptLimit, DefaultAttemptLimit)
 	setDefault(&o.StatusLimit, DefaultStatusLimit)
+	setDefault(&o.StallFloor, DefaultStallFloor)
+	setDefault(&o.StallCeiling, DefaultStallCeiling)
 	setDefault(&o.AnswerLimit, DefaultAnswerLimit)
 	setDefault(&o.AnswerLife, DefaultAnswerLife)
 	setDefault(&o.BackoffBase, routing.DefaultBackoffBase)
--- a/router/report.go
+++ b/router/report.go
@@ -28,6 +28,7 @@
 	StrayTokens       uint64
 	DuplicateTokens   uint64
 	BrokenStreams     uint64
+	Stalls            uint64
 	Ejections         uint64
 	CacheGaps         uint64
 	// Held counts the requests now.
@@ -53,27 +54,14 @@
 	return current.estimator.Accuracy(), true
 }
 
-// Demand reports the rows with requests now or since the previous report, sorted
-// by name, as of the latest Step. It starts a new reporting period.
-func (c *Core) Demand() structs.DemandReport {
-	report := structs.DemandReport{Daemon: c.options.Daemon}
-	for _, current := range c.activeRows() {
-		if current.held == 0 && current.arrived == 0 {
-			c.deactivate(current)
-			continue
-		}
-		report.Rows = append(report.Rows, c.rowDemand(current))
-		current.arrived = 0
-	}
-	return report
-}
-
 func (c *Core) rowDemand(current *row) structs.RowDemand {
 	demand := structs.RowDemand{
 		Row:     current.Name,
 		Waiting: current.held - current.running,
 		Running: current.running,
 		Arrived: current.arrived,
+		// An arrival counts too: one that cannot be served in time does not wait.
+		Unserved: c.balancer.Ready(current.Name) == 0,
 	}
 	if current.queue == nil {
 		return demand
--- a/router/request.go
+++ b/router/request.go
@@ -53,8 +53,12 @@
 	queuedAt    time.Time
 	estimated   time.Duration
 	sentAt      time.Time
-	wakeAt      time.Time
-	position    int
+	// heardAt is when the current attempt was sent or last gave a token.
+	heardAt time.Time
+	// paused says that the shell does not read the attempt's stream now.
+	paused   bool
+	wakeAt   time.Time
+	position int
 }
 
 func (r *request) prefixHashes() []uint64 { return r.prefixes[:r.prefixCount] }
@@ -66,7 +70,11 @@
 
 func (r *request) nextAttempt() AttemptID {
 	r.attempts++
-	return AttemptID(string(r.ID) + string(attemptSeparator) + strconv.Itoa(r.attempts))
+	return r.attemptID(r.attempts)
+}
+
+func (r *request) attemptID(number int) AttemptID {
+	return AttemptID(string(r.ID) + string(attemptSeparator) + strconv.Itoa(number))
 }
 
 // execution is what is known of the request if it ends now.
--- a/router/row.go
+++ b/router/row.go
@@ -22,6 +22,9 @@
 	queue     *admission.Queue
 	estimator *admission.Estimator
 	budget    routing.Budget
+	// first and gap track the wait for the first token and for each next one.
+	first admission.Pace
+	gap   admission.Pace
 	// held counts the row's requests, running those that occupy a slot.
 	held    int
 	running int
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -31,6 +31,9 @@
 // Deposit counts a request.
 func (b *Budget) Deposit() { b.tokens = min(b.reserve, b.tokens+b.ratio) }
 
+// Covers reports whether a retry could be taken out now.
+func (b *Budget) Covers() bool { return b.tokens >= 1 }
+
 // Withdraw takes one retry out; it reports whether there was one.
 func (b *Budget) Withdraw() bool {
 	if b.tokens < 1 {
