--- /dev/null
+++ b/experiment/report/plot.go
@@ -0,0 +1,96 @@
+package report
+
+import (
+	"bytes"
+	"html/template"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/lotusferry/lotusferry/experiment"
+)
+
+const (
+	plotWidth  = 13 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 1 * vg.Centimeter
+)
+
+// tail is a measure of cold starts.
+type tail struct {
+	title  string
+	figure func(experiment.Run) float64
+}
+
+var tails = []tail{
+	{"mean cold wait over live calls (s)", func(r experiment.Run) float64 { return r.ColdWait.Mean }},
+	{"p99 cold wait over live calls (s)", func(r experiment.Run) float64 { return r.ColdWait.P99 }},
+}
+
+// tradeOff plots each run's idle hours against its cold starts.
+func (r Report) tradeOff(group Group, measure tail) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = "Trade-off, each seed"
+	p.X.Label.Text = "idle accelerator hours"
+	p.Y.Label.Text = measure.title
+	p.X.Min, p.Y.Min = 0, 0
+	for i, summary := range group.Policies {
+		var points plotter.XYs
+		for _, run := range r.Runs {
+			if run.Site == group.Site && run.Faults == group.Faults && run.Policy == summary.Policy {
+				points = append(points, plotter.XY{X: run.IdleHours, Y: measure.figure(run)})
+			}
+		}
+		scatter, err := plotter.NewScatter(points)
+		if err != nil {
+			return "", errors.Wrap(err, "plot the trade-off")
+		}
+		scatter.GlyphStyle = draw.GlyphStyle{Color: plotutil.Color(i), Radius: vg.Points(4), Shape: plotutil.Shape(i)}
+		p.Add(scatter)
+		p.Legend.Add(string(summary.Policy), scatter)
+	}
+	p.Add(plotter.NewGrid())
+	return svg(p)
+}
+
+// bars plots one figure of each policy.
+func bars(group Group, title, unit string, figure func(Summary) float64) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	var values plotter.Values
+	var names []string
+	for _, summary := range group.Policies {
+		values = append(values, figure(summary))
+		names = append(names, string(summary.Policy))
+	}
+	chart, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return "", errors.Wrap(err, "plot "+title)
+	}
+	chart.Color = plotutil.Color(0)
+	p.Add(chart)
+	p.NominalX(names...)
+	return svg(p)
+}
+
+// svg draws the plot as an element that can stand in an HTML page.
+func svg(p *plot.Plot) (template.HTML, error) {
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.Wrap(err, "draw a plot")
+	}
+	var buffer bytes.Buffer
+	if _, err := writer.WriteTo(&buffer); err != nil {
+		return "", errors.Wrap(err, "draw a plot")
+	}
+	text := buffer.String()
+	start := strings.Index(text, "<svg")
+	return template.HTML(text[max(start, 0):]), nil
+}
--- a/hollow/layout.go
+++ b/hollow/layout.go
@@ -166,7 +166,7 @@
 			Kind:        structs.RowModel,
 			Weight:      1 + index%10,
 			Priority:    structs.PriorityStandard,
-			MinReplicas: 1,
+			MinReplicas: options.Zones, // one in each zone
 			MaxReplicas: modelReplicasPerZone * options.Zones,
 			MemoryBytes: modelBaseBytes + int64(index%modelSizes)*modelStepBytes,
 			Role:        answersRole,
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -31,8 +31,10 @@
 	leaderGuess int
 	requests    map[structs.RequestID]*callRecord
 	attempts    map[router.AttemptID]*runnerNode
+	schedule    *router.DemandSchedule
 	reportedAt  int64
 	reportDue   bool
+	reporting   bool
 	draining    bool
 	token       router.TokenReceived
 }
@@ -65,7 +67,8 @@
 	r.requests = map[structs.RequestID]*callRecord{}
 	r.attempts = map[router.AttemptID]*runnerNode{}
 	r.sinceTable, r.sinceIndex = 0, 0
-	r.draining, r.reportDue = false, false
+	r.schedule = router.NewDemandSchedule(defaultTiming().ReportInterval)
+	r.draining, r.reportDue, r.reporting = false, false, false
 	life := r.owner.life
 	home.after(0, func() { r.poll(life) })
 	home.after(defaultTiming().ReportInterval, func() { r.reportLoop(life) })
@@ -94,6 +97,9 @@
 	for _, effect := range effects {
 		r.carryOut(effect)
 	}
+	if r.core.DemandUrgent() {
+		r.reportSoon()
+	}
 }
 
 func (r *routerNode) takeToken(attempt router.AttemptID, token structs.Token) {
@@ -254,7 +260,7 @@
 	r.owner.zone.after(interval, func() { r.reportLoop(life) })
 }
 
-// reportSoon reports the demand because a request arrived.
+// reportSoon reports the demand because a request waits for a row without a replica.
 func (r *routerNode) reportSoon() {
 	if r.reportDue {
 		return
@@ -269,23 +275,48 @@
 	})
 }
 
+// reportDemand sends the report that is due, one at a time as the daemon does.
 func (r *routerNode) reportDemand() {
-	home := r.owner.zone
+	home, life := r.owner.zone, r.owner.life
+	if r.reporting {
+		return
+	}
 	r.reportedAt = home.now
+	at := home.time()
+	scope := r.schedule.Next(at)
 	var report structs.DemandReport
-	home.cost.sample(partRouterDemand, func() { report = r.core.Demand() })
-	if len(report.Rows) == 0 {
+	var send bool
+	home.cost.sample(partRouterDemand, func() { report, send = r.core.DemandOf(scope) })
+	if !send {
+		r.schedule.Skipped(at, scope)
 		return
 	}
+	r.reporting = true
 	bytes := home.sizer.call(methodZoneDemand, daemon.DemandArguments{Report: report})
 	r.askLeader(trafficDemand, bytes, home.now+int64(callTimeout), func(m *zoneMember, answer answerFunc, _ func()) {
-		m.demand = append(m.demand, report)
-		for _, row := range report.Rows {
-			if row.Waiting > 0 {
-				m.leader.wake()
-				break
+		epoch := structs.Epoch(m.node.Term())
+		m.takeDemand(report)
+		answer(home.sizer.reply(methodZoneDemand, daemon.DemandReply{Epoch: epoch}), func() {
+			if r.current(life) {
+				r.reporting = false
+				r.schedule.Acknowledged(at, scope, epoch)
 			}
+		})
+	}, func() {
+		if r.current(life) {
+			r.reporting = false
+			r.schedule.Failed()
 		}
-		answer(home.sizer.reply(methodZoneDemand, daemon.DemandReply{}), func() {})
-	}, func() {})
+	})
+}
+
+// takeDemand keeps a router's report for the next round.
+func (m *zoneMember) takeDemand(report structs.DemandReport) {
+	m.demand = append(m.demand, report)
+	for _, row := range report.Rows {
+		if row.Waiting > 0 && row.Unserved {
+			m.leader.wake()
+			return
+		}
+	}
 }
--- a/hollow/workload.go
+++ b/hollow/workload.go
@@ -173,7 +173,6 @@
 func (r *routerNode) arrive(record *callRecord) {
 	r.requests[record.request.ID] = record
 	r.step(router.Arrived{Request: record.request})
-	r.reportSoon()
 }
 
 // readyRouter chooses a router that has the table and takes requests.
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/controller"
@@ -23,8 +24,12 @@
 	core   *controller.Core
 	// reports are the engines' newest reports.
 	reports map[structs.RunnerID]controller.ReportSeen
-	// listed is the machine list as last read.
-	listed []structs.Machine
+	// listed is the zone's machine list as last read.
+	listed   []structs.Machine
+	schedule *controller.ReportSchedule
+	// reserved says that the last round reserved memory; the next one sends the
+	// orders at once, unless it followed such a round itself.
+	reserved bool
 	// open counts the commands and orders of the last round without an answer.
 	open      int
 	decidedAt int64
@@ -37,10 +42,11 @@
 
 func newZoneLeader(member *zoneMember) *zoneLeader {
 	return &zoneLeader{
-		member:  member,
-		home:    member.home,
-		core:    controller.New(controller.Options{Zone: member.home.id}),
-		reports: map[structs.RunnerID]controller.ReportSeen{},
+		member:   member,
+		home:     member.home,
+		core:     controller.New(controller.Options{Zone: member.home.id}),
+		reports:  map[structs.RunnerID]controller.ReportSeen{},
+		schedule: controller.NewReportSchedule(),
 	}
 }
 
@@ -72,7 +78,8 @@
 	})
 }
 
-// wake makes a round soon, because requests wait.
+// wake makes a round soon: requests wait for a row without a replica, an engine's
+// replicas changed, or memory was reserved.
 func (l *zoneLeader) wake() {
 	l.home.after(0, func() {
 		if l.running() && l.member.leads() {
@@ -111,11 +118,19 @@
 	for _, command := range decisions.Commands {
 		l.propose(command)
 	}
+	l.schedule.Await(decisions.Awaited)
+	reserves := slices.ContainsFunc(decisions.Commands, func(command zone.Command) bool { return command.Reserve != nil })
+	l.reserved = reserves && !l.reserved
 	l.tellGlobal(decisions)
 }
 
 // close notes that one command or order of the round is decided.
-func (l *zoneLeader) close() { l.open-- }
+func (l *zoneLeader) close() {
+	l.open--
+	if l.open == 0 && l.reserved {
+		l.home.after(shortestRound, l.wake)
+	}
+}
 
 func (l *zoneLeader) propose(command zone.Command) {
 	encoded, err := zone.EncodeCommand(command)
@@ -153,31 +168,39 @@
 	})
 }
 
-// readReports reads the report of every runner on the list.
+// readReports reads the reports that are due.
 func (l *zoneLeader) readReports() {
+	moved := false
+	for _, machine := range l.schedule.Due(l.listed) {
+		moved = l.readReport(machine) || moved
+	}
+	if moved {
+		l.wake()
+	}
+}
+
+// readReport reads one report and says whether the engine's replicas changed.
+func (l *zoneLeader) readReport(machine structs.Machine) bool {
 	owner := l.member.owner
-	for _, machine := range l.listed {
-		target := l.home.byID[machine.Runner]
-		report, answered := target.report()
-		if !answered {
-			continue
-		}
-		var bytes int
-		l.member.cost().sample(partCodec, func() { bytes = jsonBytes(report) })
-		owner.traffic.received[trafficReport] += int64(bytes)
-		l.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: l.home.time()}
+	report, answered := l.home.byID[machine.Runner].report()
+	l.schedule.Read(machine.Runner, answered)
+	if !answered {
+		return false
 	}
+	var bytes int
+	l.member.cost().sample(partCodec, func() { bytes = jsonBytes(report) })
+	owner.traffic.received[trafficReport] += int64(bytes)
+	before := l.reports[machine.Runner].Report
+	l.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: l.home.time()}
+	return !slices.EqualFunc(before.Replicas, report.Replicas, func(a, b structs.EngineReplica) bool {
+		return a.Row == b.Row && a.State == b.State
+	})
 }
 
-// readMachines reads the machine list. The platform's list names the machines of
-// all zones; those of other zones are counted, then dropped.
+// readMachines reads the zone's part of the machine list.
 func (l *zoneLeader) readMachines() {
 	l.listed = l.home.box.machines.List(l.home.time())
-	if len(l.listed) == 0 {
-		return
-	}
-	entry := jsonBytes(l.listed[0])
-	l.member.owner.traffic.received[trafficMachines] += int64(entry * l.home.site.options.Runners)
+	l.member.owner.traffic.received[trafficMachines] += int64(jsonBytes(l.listed))
 }
 
 // adopt keeps one long poll open for the table's changes.
--- /dev/null
+++ b/labcommand/capacity_test.go
@@ -0,0 +1,58 @@
+package labcommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/capacity"
+	"github.com/lotusferry/lotusferry/hollow"
+)
+
+func runLab(arguments ...string) (code int, output, failures string) {
+	var out, errs bytes.Buffer
+	code = Run(context.Background(), arguments, Environment{Output: &out, Errors: &errs})
+	return code, out.String(), errs.String()
+}
+
+func TestCapacityPrintsSlopesAsJSON(t *testing.T) {
+	c := qt.New(t)
+	code, output, failures := runLab("capacity", "--json", "--role", capacity.RoleEngine)
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf(failures))
+	var slopes []capacity.Slope
+	c.Assert(json.Unmarshal([]byte(output), &slopes), qt.IsNil)
+	c.Assert(len(slopes) > 0, qt.IsTrue)
+	for _, slope := range slopes {
+		c.Assert(slope.Role, qt.Equals, capacity.RoleEngine)
+		c.Assert(len(slope.Sizes) >= 5, qt.IsTrue)
+		c.Assert(slope.Verdict != "", qt.IsTrue)
+	}
+}
+
+func TestCapacityNamesTheRolesItKnows(t *testing.T) {
+	c := qt.New(t)
+	code, _, failures := runLab("capacity", "--role", "janitor")
+	c.Assert(code, qt.Equals, ExitFailed)
+	c.Assert(failures, qt.Contains, capacity.RoleRouter)
+}
+
+func TestHollowPrintsItsReportAsJSON(t *testing.T) {
+	c := qt.New(t)
+	code, output, failures := runLab("hollow", "--json", "--zones", "2", "--regions", "2", "--daemons", "12", "--controls", "2",
+		"--runners", "16", "--models", "4", "--adapters", "40", "--for", "5s", "--workers", "1")
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s%s", failures, output))
+	var report hollow.Report
+	c.Assert(json.Unmarshal([]byte(output), &report), qt.IsNil)
+	c.Assert(report.Runners, qt.Equals, 16)
+	c.Assert(report.Violations, qt.HasLen, 0)
+}
+
+func TestHollowRefusesASiteThatCannotBe(t *testing.T) {
+	c := qt.New(t)
+	code, _, failures := runLab("hollow", "--zones", "1")
+	c.Assert(code, qt.Equals, ExitFailed)
+	c.Assert(failures, qt.Contains, "two zones")
+}
--- a/labcommand/run.go
+++ b/labcommand/run.go
@@ -39,20 +39,28 @@
 }
 
 type commandLine struct {
-	Demo     demoCommand     `command:"demo" description:"Bring up a small site, send requests, edit the table, and report"`
-	Fleet    fleetCommand    `command:"fleet" description:"Run a whole site as processes under load and faults, and check it"`
-	Hollow   hollowCommand   `command:"hollow" description:"Run a site of the size designed for in one process and in virtual time"`
-	Capacity capacityCommand `command:"capacity" description:"Measure what each role costs, as slopes over several sizes"`
+	Demo       demoCommand       `command:"demo" description:"Bring up a small site, send requests, edit the table, and report"`
+	Fleet      fleetCommand      `command:"fleet" description:"Run a whole site as processes under load and faults, and check it"`
+	Hollow     hollowCommand     `command:"hollow" description:"Run a site of the size designed for in one process and in virtual time"`
+	Experiment experimentCommand `command:"experiment" description:"Replay days of a site's calls in virtual time, and compare ways to place replicas"`
+	Overload   overloadCommand   `command:"overload" description:"Measure goodput, waits, refusals and fairness beyond capacity, beside baselines"`
+	Simulate   simulateCommand   `command:"simulate" description:"Run whole sites in one process and in virtual time, from seeds, with faults"`
+	Scenarios  scenariosCommand  `command:"scenarios" description:"List what fails, and which command brings it about"`
+	Capacity   capacityCommand   `command:"capacity" description:"Measure what each role costs, as slopes over several sizes"`
 }
 
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, arguments []string, environment Environment) int {
 	shared := &session{Environment: environment, ctx: ctx, logger: log.NewNopLogger()}
 	line := commandLine{
-		Demo:     demoCommand{session: shared},
-		Fleet:    fleetCommand{session: shared},
-		Hollow:   hollowCommand{session: shared},
-		Capacity: capacityCommand{session: shared},
+		Demo:       demoCommand{session: shared},
+		Fleet:      fleetCommand{session: shared},
+		Hollow:     hollowCommand{session: shared},
+		Experiment: experimentCommand{session: shared},
+		Overload:   overloadCommand{session: shared},
+		Simulate:   simulateCommand{session: shared},
+		Scenarios:  scenariosCommand{session: shared},
+		Capacity:   capacityCommand{session: shared},
 	}
 	parser := flags.NewNamedParser("lotusferrylab", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &line); err != nil {
--- a/scheduler/benchmark_test.go
+++ b/scheduler/benchmark_test.go
@@ -9,7 +9,8 @@
 )
 
 // newLargeSnapshot has 58,000 rows, eight replicas a runner that were used
-// lately, and a tenth as many rows with waiting requests as there are runners.
+// lately, a tenth as many rows with waiting requests as there are runners, and 256
+// expected rows.
 func newLargeSnapshot(runners int) Snapshot {
 	const rows, perRunner = 58_000, 8
 	table := testTable{rows: map[structs.RowName]structs.Row{}, limits: map[structs.RowName]int{}}
@@ -40,11 +41,14 @@
 			s.Demand = append(s.Demand, Demand{Row: row, Waiting: 5, LastUsed: testNow, OldestWait: time.Second})
 		}
 	}
+	for i := range 256 {
+		s.Expected = append(s.Expected, Expectation{name(rows/2 + i), 0.9})
+	}
 	return s
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, runners := range []int{9, 420, 10_000} {
+	for _, runners := range []int{12, 420, 10_000} {
 		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
 			snapshot := newLargeSnapshot(runners)
 			b.ReportAllocs()
@@ -54,3 +58,14 @@
 		})
 	}
 }
+
+func BenchmarkExpected(b *testing.B) {
+	rhythms := NewRhythms()
+	for i := range 58_000 {
+		rhythms.Observe(monday, structs.RowName(fmt.Sprintf("row-%05d", i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		rhythms.Expected(monday.Add(24*time.Hour), 0.5, 256)
+	}
+}
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -82,7 +82,7 @@
 
 func (p *planner) evictable(row *rowState, replica *replicaState) bool {
 	victim := replica.row
-	if !replica.idle() || victim.demand.Waiting > 0 || victim.usable <= min(victim.MinReplicas, victim.limit) {
+	if !replica.idle() || victim.demand.Waiting > 0 || victim.usable <= victim.minimum {
 		return false
 	}
 	if p.snapshot.Now.Sub(replica.Since) < p.settings.MinimumResidence {
@@ -99,10 +99,33 @@
 	return true
 }
 
-// evictionCost is the expected time of reloading, weighed by the row's weight.
+// evictionCost is the expected time of reloading within evictionHorizon, weighed
+// by the row's weight. A base is missed by its adapters as well.
 func (p *planner) evictionCost(replica *replicaState) float64 {
 	row := replica.row
 	reload := p.readTime(replica.MemoryBytes, structs.TierDisk).Seconds()
-	probability := p.snapshot.Interarrivals[row.Name].returnProbability(p.idleFor(row), evictionHorizon)
-	return reload * probability * float64(max(row.Weight, 1))
+	return reload * p.returnWithin(replica, evictionHorizon) * float64(max(row.Weight, 1))
+}
+
+// returnWithin is the probability that the row, or an adapter on its replica, is
+// used within the horizon.
+func (p *planner) returnWithin(replica *replicaState, horizon time.Duration) float64 {
+	unused := 1 - p.rowReturns(replica.row, horizon)
+	for _, adapter := range replica.adapters() {
+		if !adapter.going {
+			unused *= 1 - p.rowReturns(adapter.row, horizon)
+		}
+	}
+	return 1 - unused
+}
+
+// rowReturns is the probability that the row is used within the horizon. The
+// longer it has been idle, the further ahead its return is looked for, and the
+// less that is for the horizon.
+func (p *planner) rowReturns(row *rowState, horizon time.Duration) float64 {
+	idle := p.idleFor(row)
+	ahead := max(idle, horizon)
+	probability := p.snapshot.Interarrivals[row.Name].returnProbability(idle, ahead)
+	probability *= horizon.Seconds() / ahead.Seconds()
+	return max(probability, row.expectedWithin(horizon.Seconds()))
 }
--- a/scheduler/keepalive.go
+++ b/scheduler/keepalive.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 const (
@@ -15,9 +13,6 @@
 	interarrivalDecayAt = 256
 	// interarrivalMinimum is how many samples are needed before they are believed.
 	interarrivalMinimum = 4
-	// The worth of one second of cold start, in seconds of idle reservation.
-	latencyColdStartWorth = 120
-	idleColdStartWorth    = 4
 	// unknownReturn is the probability of use of a row of which too little is known.
 	unknownReturn = 0.5
 )
@@ -48,16 +43,12 @@
 }
 
 // KeepAlive returns how long an idle replica is worth keeping: the time that
-// minimises the expected idle reservation plus the expected cold starts, of
-// which each takes reload. The objective says what a cold start is worth.
-func (i *Interarrivals) KeepAlive(objective structs.Objective, reload time.Duration, settings Settings) time.Duration {
-	coldCost := reload.Seconds() * latencyColdStartWorth
-	if objective == structs.ObjectiveIdle {
-		coldCost = reload.Seconds() * idleColdStartWorth
-	}
+// minimises the expected idle reservation plus the expected cold starts, of which
+// each costs coldCost, in seconds of the replica's reservation. While too little
+// is known, it is as long as a cold start is worth.
+func (i *Interarrivals) KeepAlive(coldCost time.Duration, settings Settings) time.Duration {
 	if i == nil || i.total < interarrivalMinimum {
-		// Nothing is known: keep it as long as a cold start is worth.
-		return clampKeepAlive(time.Duration(coldCost*float64(time.Second)), settings)
+		return clampKeepAlive(coldCost, settings)
 	}
 	best, bestCost := time.Duration(0), math.Inf(1)
 	for bucket := -1; bucket < interarrivalBuckets; bucket++ {
@@ -65,7 +56,7 @@
 		if bucket >= 0 {
 			keep = time.Second << bucket
 		}
-		if cost := i.expectedCost(keep, coldCost); cost < bestCost {
+		if cost := i.expectedCost(keep, coldCost.Seconds()); cost < bestCost {
 			best, bestCost = keep, cost
 		}
 	}
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -41,7 +41,7 @@
 	p.indexCached(short)
 	failures := 0
 	for _, row := range short {
-		for row.usable < min(row.wanted, row.limit) && row.records < row.limit {
+		for row.usable < min(row.wanted, row.limit) && row.mayGrow() {
 			if len(p.plan.Loads) >= maxLoads || failures >= maxFailedPlacements {
 				return
 			}
@@ -89,8 +89,10 @@
 	switch {
 	case r.demand.Waiting+r.demand.Running > 0:
 		return ReasonDemand
-	case r.usable < r.MinReplicas:
+	case r.usable < r.minimum:
 		return ReasonMinimum
+	case r.records == 0:
+		return ReasonPrewarm
 	}
 	return ReasonReplace
 }
@@ -190,7 +192,7 @@
 		}
 		if base == nil {
 			state := p.row(row.Base)
-			if !state.exists || state.Role != row.Role || state.records >= state.limit {
+			if state.Role != row.Role || !state.mayGrow() {
 				return nil
 			}
 			option.base = true
@@ -255,6 +257,7 @@
 	if !option.now {
 		if option.tier == structs.TierStore {
 			p.plan.Prefetches = append(p.plan.Prefetches, PrefetchDecision{row.Name, runner.ID})
+			p.storeLoads++
 		}
 		return
 	}
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,8 @@
 	rows    map[structs.RowName]structs.Row
 	limits  map[structs.RowName]int
 	minimum []structs.RowName
+	// frozen names the row whose grant is frozen.
+	frozen structs.RowName
 }
 
 func (t testTable) Row(name structs.RowName) (structs.Row, bool) {
@@ -23,7 +26,11 @@
 }
 
 func (t testTable) Grant(name structs.RowName) structs.Grant {
-	return structs.Grant{Row: name, Limit: t.limits[name]}
+	grant := structs.Grant{Row: name, Limit: t.limits[name], Frozen: name == t.frozen}
+	if slices.Contains(t.minimum, name) {
+		grant.Minimum = t.rows[name].MinReplicas
+	}
+	return grant
 }
 
 func (t testTable) RowsWithMinimum() []structs.RowName { return t.minimum }
@@ -99,9 +106,23 @@
 	return func(s *Snapshot) { s.setRow(row, func(r *structs.Row) { r.Priority = value }) }
 }
 
+func frozen(row structs.RowName) setup {
+	return func(s *Snapshot) {
+		table := s.Table.(testTable)
+		table.frozen = row
+		s.Table = table
+	}
+}
+
 func minimum(s *Snapshot) {
 	s.setRow("a", func(r *structs.Row) { r.MinReplicas = 1 })
-	s.Table = testTable{s.Table.(testTable).rows, s.Table.(testTable).limits, []structs.RowName{"a"}}
+	table := s.Table.(testTable)
+	table.minimum = []structs.RowName{"a"}
+	s.Table = table
+}
+
+func minimumElsewhere(s *Snapshot) {
+	s.setRow("a", func(r *structs.Row) { r.MinReplicas = 1 })
 }
 
 func gaps(row structs.RowName, gap time.Duration) setup {
@@ -143,10 +164,19 @@
 		{"none while it loads", []setup{places("a", 0, loading, 0), wants("a", 30, 0)}, none, none},
 		{"two for much work", []setup{wants("a", 60, 0)}, steps{"a@r1": ReasonDemand, "a@r2": ReasonDemand}, none},
 		{"no more than the limit", []setup{limits("a", 1), wants("a", 900, 0)}, steps{"a@r1": ReasonDemand}, none},
+		{"none while the grant is frozen", []setup{frozen("a"), wants("a", 30, 0)}, none, none},
+		{"no base while its grant is frozen", []setup{frozen("a"), wants("t", 1, 0)}, none, none},
+		{"nothing makes room for a frozen row", []setup{
+			oneRunner, frozen("b"), places("a", 0, ready, 0), usedAgo("a", time.Second), wants("b", 1, 0),
+		}, none, none},
 		{"not a second for a little more work", []setup{places("a", 0, ready, 32), wants("a", 4, 32)}, none, none},
 		{"the second stays for a little less", []setup{places("a", 0, ready, 0), places("a", 1, ready, 0), wants("a", 0, 30)}, none, none},
 		{"the second goes for much less", []setup{places("a", 0, ready, 1), places("a", 1, ready, 0), wants("a", 0, 1)}, none, steps{"a@r2": ReasonIdle}},
 		{"unloading counts against the limit", []setup{limits("a", 1), places("a", 0, unloading, 0), wants("a", 1, 0)}, none, none},
+		{"minimum that another zone keeps", []setup{minimumElsewhere}, none, none},
+		{"minimum that another zone keeps is unloaded here", []setup{
+			minimumElsewhere, places("a", 0, ready, 0), usedAgo("a", time.Hour),
+		}, none, steps{"a@r1": ReasonIdle}},
 		{"minimum", []setup{minimum}, steps{"a@r1": ReasonMinimum}, none},
 		{"cached runner first", []setup{cachedOnSecond(structs.TierDisk), wants("a", 1, 0)}, steps{"a@r2": ReasonDemand}, none},
 		{"not on a leaving runner", []setup{firstLeaves, wants("a", 1, 0)}, steps{"a@r2": ReasonDemand}, none},
@@ -194,6 +224,9 @@
 		{"and emptied once the replacement is ready", []setup{
 			firstLeaves, places("a", 0, ready, 1), places("a", 1, ready, 0), wants("a", 0, 1),
 		}, none, steps{"a@r1": ReasonLeaving}},
+		{"or once idle while the grant is frozen", []setup{
+			firstLeaves, frozen("a"), places("a", 0, ready, 0), wants("a", 1, 0),
+		}, none, steps{"a@r1": ReasonLeaving}},
 		{"or once idle when the limit leaves no room", []setup{
 			firstLeaves, limits("a", 1), places("a", 0, ready, 0), wants("a", 1, 0),
 		}, none, steps{"a@r1": ReasonLeaving}},
@@ -229,22 +262,22 @@
 	qt.Assert(t, plan.Loads, qt.HasLen, 0)
 }
 
-func TestKeepAliveFollowsArrivalsAndObjective(t *testing.T) {
+func TestKeepAliveFollowsArrivalsAndWorth(t *testing.T) {
 	settings := DefaultSettings()
 	settings.MinimumKeepAlive = time.Second
-	reload := 4 * time.Second
+	const high, low = 480 * time.Second, 16 * time.Second
 	for _, test := range []struct {
-		name      string
-		gap       time.Duration
-		objective structs.Objective
-		want      time.Duration
+		name     string
+		gap      time.Duration
+		coldCost time.Duration
+		want     time.Duration
 	}{
-		{"latency keeps through the usual gap", 3 * time.Minute, structs.ObjectiveLatency, 256 * time.Second},
-		{"idle does not", 3 * time.Minute, structs.ObjectiveIdle, settings.MinimumKeepAlive},
-		{"idle keeps through a short gap", 6 * time.Second, structs.ObjectiveIdle, 8 * time.Second},
-		{"latency gives up on a long gap", 3 * time.Hour, structs.ObjectiveLatency, settings.MinimumKeepAlive},
-		{"nothing known, latency", 0, structs.ObjectiveLatency, 480 * time.Second},
-		{"nothing known, idle", 0, structs.ObjectiveIdle, 16 * time.Second},
+		{"a costly start keeps through the usual gap", 3 * time.Minute, high, 256 * time.Second},
+		{"a cheap one does not", 3 * time.Minute, low, settings.MinimumKeepAlive},
+		{"a cheap one keeps through a short gap", 6 * time.Second, low, 8 * time.Second},
+		{"a costly one gives up on a long gap", 3 * time.Hour, high, settings.MinimumKeepAlive},
+		{"nothing known, costly", 0, high, high},
+		{"nothing known, cheap", 0, low, low},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			gaps := &Interarrivals{}
@@ -253,7 +286,59 @@
 					gaps.Observe(test.gap)
 				}
 			}
-			qt.Assert(t, gaps.KeepAlive(test.objective, reload, settings), qt.Equals, test.want)
+			qt.Assert(t, gaps.KeepAlive(test.coldCost, settings), qt.Equals, test.want)
 		})
 	}
 }
+
+func TestColdCostFollowsObjectiveAndSize(t *testing.T) {
+	settings := DefaultSettings()
+	settings.StoreBytesPerSecond = 20
+	p := newPlanner(Snapshot{Settings: settings, Table: testTable{}, Runners: []Runner{{ID: "r", MemoryBytes: 120}}})
+	// 60 bytes are read in 3 s, the rest of the start takes 1 s, on half a runner.
+	qt.Assert(t, p.coldCostOf(structs.ObjectiveLatency, 60).Seconds(), qt.Equals, 4*settings.LatencyColdStartWorth*2)
+	qt.Assert(t, p.coldCostOf(structs.ObjectiveIdle, 60).Seconds(), qt.Equals, 4*settings.IdleColdStartWorth*2)
+	// A small row is kept longer than one that fills the runner.
+	qt.Assert(t, p.coldCostOf(structs.ObjectiveIdle, 1) > p.coldCostOf(structs.ObjectiveIdle, 120), qt.IsTrue)
+}
+
+func TestABaseIsMissedByItsAdapters(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.place("a", 0, structs.ReplicaReady, 0)
+	snapshot.place("t", 0, structs.ReplicaReady, 0)
+	snapshot.Demand = []Demand{used("a", time.Minute), used("t", time.Minute)}
+	gaps("a", 8*time.Hour)(&snapshot)
+	gaps("t", 2*time.Minute)(&snapshot)
+	p := newPlanner(snapshot)
+	base := p.rows["a"].replicas[0]
+	alone := p.rowReturns(p.rows["a"], evictionHorizon)
+	qt.Assert(t, alone, qt.Equals, 0.0)
+	qt.Assert(t, p.returnWithin(base, evictionHorizon), qt.Equals, 1.0)
+}
+
+func TestAdaptersAloneDoNotKeepABase(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.place("a", 0, structs.ReplicaReady, 0)
+	snapshot.place("t", 0, structs.ReplicaReady, 0)
+	snapshot.Demand = []Demand{used("a", 10*time.Hour), used("t", 30*time.Minute)}
+	gaps("a", time.Second)(&snapshot)
+	gaps("t", 25*time.Minute)(&snapshot)
+	plan := Plan(snapshot)
+	qt.Assert(t, plan.Unloads, qt.DeepEquals, []UnloadDecision{{"t", "r1", ReasonIdle}})
+}
+
+func TestAPrefetchCountsAsAReadOfTheStore(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.StoreLoadBudget = 1
+	snapshot.Runners[0].MemoryBytes = 60
+	snapshot.place("a", 0, structs.ReplicaUnloading, 0)
+	snapshot.Runners[1].Role = "search"
+	snapshot.setRow("c", func(r *structs.Row) { r.MemoryBytes, r.Role = 50, "search" })
+	snapshot.Table.(testTable).limits["c"] = 1
+	snapshot.setRow("b", func(r *structs.Row) { r.Priority = structs.PriorityLive })
+	snapshot.want("b", 1, 0)
+	snapshot.want("c", 1, 0)
+	plan := Plan(snapshot)
+	qt.Assert(t, plan.Prefetches, qt.DeepEquals, []PrefetchDecision{{"b", "r1"}})
+	qt.Assert(t, plan.Loads, qt.HasLen, 0)
+}
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -17,6 +17,13 @@
 	shrinkFactor = 0.5
 )
 
+const (
+	// coldStartBase is what a cold start takes beside reading the weights.
+	coldStartBase = time.Second
+	// maxColdCost bounds what a cold start is worth.
+	maxColdCost = 30 * 24 * time.Hour
+)
+
 // planner holds a plan in the making.
 type planner struct {
 	snapshot Snapshot
@@ -28,8 +35,12 @@
 	names      []structs.RowName
 	cached     map[structs.RowName]map[structs.RunnerID]structs.CacheTier
 	storeLoads int
-	failed     map[failureKey]int64
-	plan       PlanResult
+	// largest is the memory of the largest runner.
+	largest int64
+	failed  map[failureKey]int64
+	// reserves is what is kept free for each role, as far as it was asked for.
+	reserves map[structs.RunnerRole]int64
+	plan     PlanResult
 }
 
 type runnerState struct {
@@ -51,8 +62,11 @@
 
 type rowState struct {
 	structs.Row
-	exists   bool
-	limit    int
+	exists bool
+	limit  int
+	frozen bool
+	// minimum is the zone's part of the row's MinReplicas.
+	minimum  int
 	demand   Demand
 	replicas []*replicaState
 	// records counts every replica; usable those that serve or will serve; ready
@@ -61,6 +75,8 @@
 	usable  int
 	ready   int
 	wanted  int
+	// expected is the probability of a use within the next hour.
+	expected float64
 	// useful is what the row is said to be able to use.
 	useful int
 	// lastUsed includes the use by adapters.
@@ -78,6 +94,7 @@
 		rows:       map[structs.RowName]*rowState{},
 		storeLoads: snapshot.StoreLoadsInFlight,
 		failed:     map[failureKey]int64{},
+		reserves:   map[structs.RunnerRole]int64{},
 	}
 	p.addRunners()
 	for _, demand := range snapshot.Demand {
@@ -92,6 +109,7 @@
 	for _, name := range snapshot.Table.RowsWithMinimum() {
 		p.row(name)
 	}
+	p.addExpected()
 	p.addReplicas()
 	p.names = slices.Sorted(maps.Keys(p.rows))
 	return p
@@ -105,6 +123,8 @@
 		p.planIdle(p.rows[name])
 	}
 	p.planLoads()
+	p.planPrewarm()
+	p.planReserve()
 	return p.plan
 }
 
@@ -114,6 +134,7 @@
 		state := &runnerState{Runner: runner, free: free, future: free}
 		p.runners = append(p.runners, state)
 		p.byID[runner.ID] = state
+		p.largest = max(p.largest, runner.MemoryBytes)
 	}
 	slices.SortFunc(p.runners, func(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) })
 }
@@ -164,19 +185,25 @@
 	state.Row, state.exists = p.snapshot.Table.Row(name)
 	state.Name = name
 	if state.exists {
-		state.limit = p.snapshot.Table.Grant(name).Limit
+		grant := p.snapshot.Table.Grant(name)
+		state.limit, state.minimum, state.frozen = grant.Limit, grant.Minimum, grant.Frozen
 	}
 	p.rows[name] = state
 	return state
 }
 
+// mayGrow reports whether the zone may begin to load another replica.
+func (r *rowState) mayGrow() bool { return r.exists && !r.frozen && r.records < r.limit }
+
 // planWanted works out how many replicas each row could use. To the global group
 // it also names the bases that adapters need, and what is kept for later use.
 func (p *planner) planWanted() {
 	for _, name := range p.names {
 		row := p.rows[name]
 		row.wanted = p.wanted(row)
-		row.useful = max(row.useful, row.wanted, min(row.usable, row.limit))
+		// The whole MinReplicas, and not the zone's part: that follows the limit, and a
+		// wish that follows the limit would make it move for ever.
+		row.useful = max(row.useful, row.wanted, row.MinReplicas, min(row.usable, row.limit))
 		if base, ok := p.rows[row.Base]; ok && row.NeedsBase() {
 			base.useful = max(base.useful, row.wanted)
 		}
@@ -193,7 +220,7 @@
 	if !row.exists {
 		return 0
 	}
-	wanted := row.MinReplicas
+	wanted := row.minimum
 	if work := row.demand.Waiting + row.demand.Running; work > 0 {
 		wanted = max(wanted, p.neededFor(work, row.usable))
 	}
@@ -221,12 +248,38 @@
 }
 
 func (p *planner) keepAlive(row *rowState) time.Duration {
-	objective := row.Objective
-	if objective == "" {
-		objective = p.settings.Objective
+	return p.snapshot.Interarrivals[row.Name].KeepAlive(p.coldCost(row), p.settings)
+}
+
+// keepAliveWithBase is how long a base is kept for the sake of an adapter.
+func (p *planner) keepAliveWithBase(adapter, base *rowState) time.Duration {
+	cost := p.coldCostOf(p.objective(adapter), adapter.MemoryBytes+base.MemoryBytes)
+	return p.snapshot.Interarrivals[adapter.Name].KeepAlive(cost, p.settings)
+}
+
+func (p *planner) coldCost(row *rowState) time.Duration {
+	return p.coldCostOf(p.objective(row), row.MemoryBytes)
+}
+
+// coldCostOf is what a cold start is worth, in time that replicas of so many
+// bytes are idle: the smaller their share of a runner's memory, the longer.
+func (p *planner) coldCostOf(objective structs.Objective, bytes int64) time.Duration {
+	worth := p.settings.LatencyColdStartWorth
+	if objective == structs.ObjectiveIdle {
+		worth = p.settings.IdleColdStartWorth
+	}
+	cost := (p.readTime(bytes, structs.TierStore) + coldStartBase).Seconds() * worth
+	if share := float64(bytes) / float64(max(p.largest, 1)); share > 0 && share < 1 {
+		cost /= share
+	}
+	return time.Duration(min(cost, maxColdCost.Seconds()) * float64(time.Second))
+}
+
+func (p *planner) objective(row *rowState) structs.Objective {
+	if row.Objective != "" {
+		return row.Objective
 	}
-	reload := p.readTime(row.MemoryBytes, structs.TierStore)
-	return p.snapshot.Interarrivals[row.Name].KeepAlive(objective, reload, p.settings)
+	return p.settings.Objective
 }
 
 func (p *planner) readTime(bytes int64, tier structs.CacheTier) time.Duration {
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -26,6 +26,8 @@
 	Demand []Demand
 	// Interarrivals holds what was learned of rows' arrivals; it may lack rows.
 	Interarrivals map[structs.RowName]*Interarrivals
+	// Expected are the rows that are likely to be used soon, the most likely first.
+	Expected []Expectation
 	// StoreLoadsInFlight counts loads under way from the weight store, and
 	// StoreLoadBudget is how many may be at once.
 	StoreLoadsInFlight int
@@ -86,6 +88,13 @@
 	// MinimumKeepAlive and MaximumKeepAlive bound how long an idle replica stays.
 	MinimumKeepAlive time.Duration
 	MaximumKeepAlive time.Duration
+	// LatencyColdStartWorth and IdleColdStartWorth say, for the two objectives, how
+	// many seconds of an idle runner one second of cold start is worth.
+	LatencyColdStartWorth float64
+	IdleColdStartWorth    float64
+	// ReserveBytes is how much memory is kept free on one runner of each role, so
+	// that a load need not wait for an eviction; 0 keeps none.
+	ReserveBytes int64
 	// The rates at which a checkpoint is read from each tier, in bytes a second.
 	MemoryBytesPerSecond int64
 	DiskBytesPerSecond   int64
@@ -95,14 +104,16 @@
 // DefaultSettings returns the settings for a site that names none.
 func DefaultSettings() Settings {
 	return Settings{
-		Objective:            structs.ObjectiveLatency,
-		RequestsPerReplica:   32,
-		MinimumResidence:     10 * time.Second,
-		MinimumKeepAlive:     15 * time.Second,
-		MaximumKeepAlive:     time.Hour,
-		MemoryBytesPerSecond: 20 << 30,
-		DiskBytesPerSecond:   4 << 30,
-		StoreBytesPerSecond:  1 << 30,
+		Objective:             structs.ObjectiveLatency,
+		RequestsPerReplica:    32,
+		MinimumResidence:      10 * time.Second,
+		MinimumKeepAlive:      5 * time.Second,
+		MaximumKeepAlive:      24 * time.Hour,
+		LatencyColdStartWorth: 500,
+		IdleColdStartWorth:    1,
+		MemoryBytesPerSecond:  20 << 30,
+		DiskBytesPerSecond:    4 << 30,
+		StoreBytesPerSecond:   1 << 30,
 	}
 }
 
@@ -125,6 +136,10 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonIdle: the row was not used for longer than it is kept.
 	ReasonIdle Reason = "idle"
+	// ReasonPrewarm: the row is likely to be used soon.
+	ReasonPrewarm Reason = "prewarm"
+	// ReasonReserve: room is made for the next load.
+	ReasonReserve Reason = "reserve"
 	// ReasonEvicted: a row with demand needs the memory.
 	ReasonEvicted Reason = "evicted"
 )
--- a/scheduler/unload.go
+++ b/scheduler/unload.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -79,7 +80,7 @@
 }
 
 // planLeaving unloads replicas on runners that are not for the row, once enough
-// others are ready or nothing needs them. Where the limit leaves no room for a
+// others are ready or nothing needs them. Where the grant leaves no room for a
 // replacement, it waits until the replica is idle.
 func (p *planner) planLeaving(row *rowState) {
 	for _, replica := range row.replicas {
@@ -87,35 +88,73 @@
 			continue
 		}
 		replaced := row.ready >= min(row.wanted, row.limit)
-		noRoom := row.records >= row.limit && replica.Busy == 0
+		noRoom := !row.mayGrow() && replica.Busy == 0
 		if replaced || noRoom || replica.State == structs.ReplicaLoading {
 			p.unload(replica, ReasonLeaving)
 		}
 	}
 }
 
-// planIdle unloads replicas that nobody used for longer than they are kept.
+// planIdle unloads replicas that nobody used for longer than they are kept. A
+// base goes with the adapters on it, which are never a reason alone to keep it.
 func (p *planner) planIdle(row *rowState) {
 	if row.demand.Waiting > 0 || len(row.replicas) == 0 {
 		return
 	}
-	keep := p.keepAlive(row)
 	for _, replica := range row.replicas {
-		if row.usable <= row.MinReplicas {
+		if row.usable <= row.minimum {
 			return
 		}
-		if !replica.idle() || len(replica.adapters()) > 0 || replica.misplaced() {
+		if !replica.idle() || replica.misplaced() || !p.adaptersIdle(replica) {
 			continue
 		}
 		resident := p.snapshot.Now.Sub(replica.Since)
-		unused := min(p.idleFor(row), resident)
-		extra := row.usable > max(1, row.wanted) && resident > p.settings.MinimumKeepAlive
-		if unused > keep || extra {
+		extra := row.usable > max(1, row.wanted) && resident > p.settings.MinimumKeepAlive && len(replica.adapters()) == 0
+		if extra || !p.worthKeeping(replica) {
 			p.unload(replica, ReasonIdle)
 		}
 	}
 }
 
+// adaptersIdle reports whether nothing holds the adapters on the replica.
+func (p *planner) adaptersIdle(replica *replicaState) bool {
+	for _, adapter := range replica.adapters() {
+		needed := adapter.row.usable <= adapter.row.minimum
+		if !adapter.going && (!adapter.idle() || adapter.row.demand.Waiting > 0 || needed) {
+			return false
+		}
+	}
+	return true
+}
+
+// worthKeeping reports whether the replica is within the time that it is kept
+// for its own sake, or for that of one of its adapters.
+func (p *planner) worthKeeping(replica *replicaState) bool {
+	resident := p.snapshot.Now.Sub(replica.Since)
+	if min(p.idleFor(replica.row), resident) <= p.keepAlive(replica.row) || p.worthExpecting(replica.row) {
+		return true
+	}
+	adapters := replica.adapters()
+	if len(adapters) > 0 && p.worthKeepingBase(replica) {
+		return true
+	}
+	for _, adapter := range adapters {
+		unused := min(p.idleFor(adapter.row), resident)
+		kept := unused <= p.keepAliveWithBase(adapter.row, replica.row) || p.worthExpectingWithBase(adapter.row, replica.row)
+		if !adapter.going && kept {
+			return true
+		}
+	}
+	return false
+}
+
+// worthKeepingBase reports whether the cold start that a base is expected to save
+// all its adapters together within the next hour is worth the hour.
+func (p *planner) worthKeepingBase(base *replicaState) bool {
+	returns := p.returnWithin(base, expectationSeconds*time.Second)
+	return returns*p.coldCost(base.row).Seconds() > expectationSeconds
+}
+
 func (r *replicaState) idle() bool {
 	return !r.going && r.State == structs.ReplicaReady && r.Busy == 0
 }
--- a/simulate/daemon.go
+++ b/simulate/daemon.go
@@ -10,8 +10,6 @@
 const (
 	// restartDelay is how long a process stays down after it stopped by itself.
 	restartDelay = time.Second
-	// joinInterval is how often a machine with a new disk asks to be taken in.
-	joinInterval = 500 * time.Millisecond
 )
 
 // daemon is the service of a control machine: a member of its zone's group with
@@ -94,7 +92,7 @@
 		}
 	}
 	if d.machine.alive {
-		d.machine.after(tickInterval, d.tick)
+		d.machine.after(d.site.pace.tick, d.tick)
 	}
 }
 
@@ -111,7 +109,7 @@
 			}
 		}
 	}
-	d.machine.after(joinInterval, d.join)
+	d.machine.after(d.site.pace.join, d.join)
 }
 
 // receive implements service.
@@ -132,6 +130,7 @@
 	case demandMessage:
 		d.controller.observeDemand(content.report)
 	case deltaAnswer:
+		d.controller.noteAnswer(from)
 		d.controller.adopt(content.delta)
 	default:
 		if d.global != nil {
--- a/simulate/demandsource.go
+++ b/simulate/demandsource.go
@@ -2,16 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-const (
-	demandInterval = time.Second
-	// mostWaiting bounds the requests that wait for one row in a zone.
-	mostWaiting = 16
-)
+// mostWaiting bounds the requests that wait for one row in a zone.
+const mostWaiting = 16
 
 // demandSource stands for the routers of a zone: it reports demand that changes
 // now and then.
@@ -58,5 +54,5 @@
 			s.site.network.Send(s.address(), d.machine.Address, demandMessage{report})
 		}
 	}
-	s.site.scheduler.After(demandInterval, s.report)
+	s.site.scheduler.After(s.site.pace.demand, s.report)
 }
--- a/simulate/doc.go
+++ b/simulate/doc.go
@@ -6,4 +6,19 @@
 // life of processes. Everything that happens in a seed follows from the seed, so
 // the same seed gives the same trace byte for byte. The invariants are judged by
 // checkers that keep records of their own.
+//
+// # Adding a scenario
+//
+// A scenario is a value of type scenario in files that begin with its name. It
+// has a ScenarioInfo (its name, the failures in standard terms, the names of its
+// checkers), a function that runs one seed and the mutations that its checkers
+// must catch. Add it with
+//
+//	var _ = register(tableScenario())
+//
+// Its run function makes a Scheduler, a Trace, a Network and a Judge, draws all
+// randomness from the seed of the seedPlan, hands its own records to the Judge,
+// and returns a seedOutcome whose Violation carries the scenario's name, the
+// seed, the mutation and the faults, so that it can be shrunk and replayed. Run,
+// Shrink, Replay and the command line then know the scenario and its mutations.
 package simulate
--- a/simulate/editrecords.go
+++ b/simulate/editrecords.go
@@ -43,6 +43,19 @@
 	return r.versions[after-1].rows
 }
 
+// highestSince returns the highest limit that the row has had in the table since
+// it was at the revision.
+func (r *editRecords) highestSince(name structs.RowName, revision uint64) int {
+	after := sort.Search(len(r.versions), func(i int) bool { return r.versions[i].revision > revision })
+	highest := 0
+	for _, version := range r.versions[after-1:] {
+		if row, found := findRow(version.rows, name); found {
+			highest = max(highest, row.MaxReplicas)
+		}
+	}
+	return highest
+}
+
 // maxReplicas returns the limit of a row; 0 when there is no such row.
 func (r *editRecords) maxReplicas(name structs.RowName) int { return r.rows[name].MaxReplicas }
 
@@ -119,6 +132,7 @@
 	l.site.trace.Note("accepted", string(edit.ID), fmt.Sprintf("revision %d", result.Edit.Revision))
 	l.edits.accept(edit, result.Edit.Revision)
 	l.limits.update(l)
+	l.site.lateness.editAccepted(result.Edit.Revision)
 }
 
 // editAnswered judges what a member tells an operator.
--- a/simulate/enginehost.go
+++ b/simulate/enginehost.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	engineMemory   int64 = 24 << 30
-	reportInterval       = 400 * time.Millisecond
+	engineMemory int64 = 24 << 30
 	// storeFailureRate is the share of fetches from the weight store that fail.
 	storeFailureRate = 0.1
 	storeFetchLeast  = 200 * time.Millisecond
@@ -30,6 +29,10 @@
 	orders map[emulator.CallID]sentBy
 	// wake is the time of the next planned Advance; 0 means none.
 	wake time.Duration
+	// listed is the state of the engine's machine in the machine list, and
+	// leavingSince when it was first listed as leaving; 0 means that it is not.
+	listed       structs.MachineState
+	leavingSince time.Duration
 	// seen counts the replica changes already told to the ledger.
 	seen int
 }
@@ -48,6 +51,7 @@
 		id:          id,
 		zone:        zone,
 		incarnation: 1,
+		listed:      structs.MachineLive,
 		orders:      map[emulator.CallID]sentBy{},
 	}
 	host.engine = emulator.NewEngine(emulator.EngineOptions{
@@ -58,7 +62,7 @@
 		Incarnation:     1,
 		HostMemoryBytes: 2 * engineMemory,
 		DiskBytes:       2 * engineMemory,
-		ReportLag:       reportInterval,
+		ReportLag:       site.pace.report,
 		Random:          random,
 		FetchTime:       host.fetchTime,
 	})
@@ -71,6 +75,7 @@
 func (h *engineHost) fetchTime(structs.RowName, int64) (time.Duration, bool) {
 	spread := storeFetchMost - storeFetchLeast
 	duration := storeFetchLeast + time.Duration(h.random.Int64N(int64(spread)))
+	duration = time.Duration(float64(duration) * h.site.storeSlowness)
 	return duration, h.random.Float64() >= storeFailureRate
 }
 
@@ -107,7 +112,7 @@
 // report sends a report to all controllers of the zone, and plans the next one.
 func (h *engineHost) report() {
 	h.take(h.engine.Step(h.now(), emulator.EngineInput{Kind: emulator.InputReport}))
-	h.site.scheduler.After(reportInterval, h.report)
+	h.site.scheduler.After(h.site.pace.report, h.report)
 }
 
 func (h *engineHost) take(outputs []emulator.EngineOutput) {
--- a/simulate/fault.go
+++ b/simulate/fault.go
@@ -39,6 +39,22 @@
 	FaultEngineCrash FaultKind = "engine-crash"
 	// FaultEngineCut cuts an engine off from its zone's controllers.
 	FaultEngineCut FaultKind = "engine-cut"
+	// FaultLoadingDeath kills, while an engine of zone Target loads, that engine or
+	// the zone's leader; Peer says which.
+	FaultLoadingDeath FaultKind = "loading-death"
+	// FaultReclaim lists an engine's machine as leaving and takes it away Amount
+	// seconds later; another one takes its place when the fault is over.
+	FaultReclaim FaultKind = "reclaim"
+	// FaultStoreSlow makes fetches from the weight store take Amount times as long.
+	FaultStoreSlow FaultKind = "store-slow"
+	// FaultRestartSite crashes all machines, each for at most the fault's time.
+	FaultRestartSite FaultKind = "restart-site"
+	// FaultEditBurst makes operators edit without pausing; FaultRace also makes them
+	// edit the same row as they first saw it.
+	FaultEditBurst FaultKind = "edit-burst"
+	FaultRace      FaultKind = "race"
+	// FaultLostAnswers loses a share Amount of the answers to edits.
+	FaultLostAnswers FaultKind = "lost-answers"
 	// FaultTransfer asks the leader of the group Target to hand over leadership.
 	FaultTransfer FaultKind = "transfer"
 )
--- a/simulate/ledger.go
+++ b/simulate/ledger.go
@@ -23,6 +23,8 @@
 	checkerWinner      = "one-winner"
 	checkerResend      = "resend"
 	checkerInForce     = "in-force"
+	checkerLate        = "in-force-late"
+	checkerAlone       = "alone"
 	checkerRead        = "read"
 	checkerInvariants  = "invariants"
 	checkerConvergence = "convergence"
@@ -30,6 +32,14 @@
 	checkerRunaway     = "runaway"
 )
 
+// tableCheckers are those of the table scenario.
+var tableCheckers = []string{
+	checkerElection, checkerLog, checkerLease, checkerReplicas, checkerGrant, checkerMemory,
+	checkerReservation, checkerFence, checkerWinner, checkerResend, checkerInForce, checkerLate,
+	checkerAlone, checkerLeaving, checkerRead,
+	checkerInvariants, checkerConvergence, checkerFailure, checkerRunaway,
+}
+
 // invariantInterval is how many committed commands lie between two looks at a
 // state machine's own invariants.
 const invariantInterval = 16
@@ -193,6 +203,7 @@
 		l.judge.Report(checkerInForce, "zone %s acted on table revision %d after %d", m.machine.Zone, revision, record.acted)
 	}
 	record.acted = revision
+	l.site.lateness.leaderActed(m.machine.Zone)
 }
 
 // tableRead checks that a read shows every edit that was accepted before it.
--- a/simulate/limitrecords.go
+++ b/simulate/limitrecords.go
@@ -86,20 +86,35 @@
 	}
 }
 
+// orderDecided judges an order that a zone's leader, who knows the table at the
+// revision, has just decided on. The replica of a load counts since it was
+// reserved; what was lowered since then must keep the engine from beginning.
+func (l *ledger) orderDecided(zone structs.ZoneID, revision uint64, order structs.Order) {
+	l.checkLeaving(order)
+	engine := l.engines[order.Runner]
+	isLoaded := engine != nil && engine.loaded[order.Row]
+	if order.Kind != structs.OrderLoad || isLoaded {
+		return
+	}
+	counted := l.count(zone, order.Row)
+	if bound := l.edits.highestSince(order.Row, revision); counted.total > bound {
+		l.judge.Report(checkerReplicas, "zone %s orders to load one of %d replicas of %s while it knows that the table allows %d",
+			zone, counted.total, order.Row, bound)
+	}
+}
+
 // checkGrowth judges a row whose replicas have just become more in a zone.
 //
-// What a lowered limit left over is counted until it is unloaded: a zone that
-// knows the row as it is in the table must not let the replicas become more
-// while they are above the limit. A zone that does not know it yet may, within
-// its grant; but of the replicas reserved since the limit fell there must never
-// be more than the limit.
+// What a lowered limit left over is counted until it is unloaded: no zone may let
+// the replicas of all zones become more than the highest limit that the table has
+// had since the revision that the zone has in force. A zone that does not know of
+// a lowered limit yet may go on, within its grant; but of the replicas reserved
+// since the limit fell there must never be more than the limit.
 func (l *ledger) checkGrowth(zone structs.ZoneID, row structs.RowName) {
 	counted := l.count(zone, row)
-	current := l.edits.rows[row]
-	isKnown := l.zones[zone].rows[row].Revision == current.Revision
-	if isKnown && counted.total > current.MaxReplicas {
+	if bound := l.edits.highestSince(row, l.zones[zone].revision); counted.total > bound {
 		l.judge.Report(checkerReplicas, "zone %s makes replica %d of %s while it knows that the table allows %d",
-			zone, counted.total, row, current.MaxReplicas)
+			zone, counted.total, row, bound)
 	}
 	if bound := l.limits.bounds[row]; counted.fresh > bound {
 		l.judge.Report(checkerReplicas, "zone %s makes new replica %d of %s, the table allows %d in all zones",
--- a/simulate/loadrecords.go
+++ b/simulate/loadrecords.go
@@ -109,6 +109,7 @@
 	if delta.Revision <= record.revision {
 		return
 	}
+	l.site.lateness.adopted(m.machine.Zone, record.revision, revision)
 	record.revision = revision
 	state := m.state.(*zoneMachine).state
 	rows := state.Rows()
@@ -173,6 +174,7 @@
 		record.loaded[change.Row] = true
 		l.site.counts.Loads++
 		l.loaded(h, change.Row)
+		l.site.loadBegan(h)
 	}
 }
 
@@ -197,6 +199,19 @@
 	}
 }
 
+// checkLeaving checks that a runner which is listed as leaving gets no new work.
+func (l *ledger) checkLeaving(order structs.Order) {
+	for _, host := range l.site.engines {
+		if host.id != order.Runner || host.leavingSince == 0 || order.Kind == structs.OrderUnload {
+			continue
+		}
+		if listed := l.site.scheduler.Now() - host.leavingSince; listed > leavingBound {
+			l.judge.Report(checkerLeaving, "engine %s gets the order to %s %s, %v after it was listed as leaving",
+				host.id, order.Kind, order.Row, listed)
+		}
+	}
+}
+
 // engineDied forgets what an engine held.
 func (l *ledger) engineDied(h *engineHost) {
 	l.engines[h.id] = &engineRecord{zone: h.zone, loaded: map[structs.RowName]bool{}}
--- a/simulate/member.go
+++ b/simulate/member.go
@@ -10,10 +10,8 @@
 
 // The pace of the simulated groups.
 const (
-	tickInterval    = 100 * time.Millisecond
-	electionTicks   = 10
-	heartbeatTicks  = 2
-	snapshotEntries = 150
+	electionTicks  = 10
+	heartbeatTicks = 2
 	// missedTicksLimit bounds the ticks that a process makes up for after a pause.
 	missedTicksLimit = 4 * electionTicks
 )
@@ -45,6 +43,10 @@
 	founders raft.Membership
 	// identities maps a node to the machine that it lives on.
 	identities func(raft.NodeID) Address
+	// tick is the time between two ticks of the node.
+	tick time.Duration
+	// snapshotEntries is how much the log grows between two snapshots.
+	snapshotEntries uint64
 	// keepIdentity makes a machine with an empty disk come back as what it was.
 	keepIdentity bool
 
@@ -140,11 +142,11 @@
 // catchUp delivers the ticks that have passed by the machine's clock.
 func (m *member) catchUp() {
 	now := m.machine.Clock.Monotonic()
-	if earliest := now - missedTicksLimit*tickInterval; m.ticked < earliest {
+	if earliest := now - missedTicksLimit*m.tick; m.ticked < earliest {
 		m.ticked = earliest
 	}
-	for m.ticked+tickInterval <= now {
-		m.ticked += tickInterval
+	for m.ticked+m.tick <= now {
+		m.ticked += m.tick
 		m.node.Tick()
 	}
 }
@@ -273,7 +275,7 @@
 
 // compact takes a snapshot when the log has grown.
 func (m *member) compact() {
-	if m.busy || m.applied < m.store.snapshot.Index+snapshotEntries {
+	if m.busy || m.applied < m.store.snapshot.Index+m.snapshotEntries {
 		return
 	}
 	data, err := m.state.snapshot()
--- a/simulate/mutation.go
+++ b/simulate/mutation.go
@@ -12,22 +12,87 @@
 	mutationKeepIdentity   = "keep-identity"
 	mutationIgnoreLease    = "ignore-lease"
 	mutationAdoptOlder     = "adopt-older"
+	mutationIgnoreFrozen   = "ignore-frozen"
+	mutationInflateMemory  = "inflate-memory"
+	mutationIgnoreLeaving  = "ignore-leaving"
+	mutationSlowDeltas     = "slow-deltas"
+	mutationNeedGlobal     = "need-global"
 )
 
 func tableMutations() []MutationInfo {
-	sentences := []MutationInfo{
-		{Name: mutationNoFence, Sentence: "Engines carry out orders that are older than one they accepted."},
-		{Name: mutationNoSync, Sentence: "Disks say that a write is synced when it is not."},
-		{Name: mutationOrderUnapplied, Sentence: "A load order leaves before its reservation is in the zone's log."},
-		{Name: mutationIgnoreGrants, Sentence: "A zone takes the table's whole replica limit for its own share."},
-		{Name: mutationEarlyRelease, Sentence: "A zone gives back a lowered grant before it has unloaded down to it."},
-		{Name: mutationNewEditID, Sentence: "An operator's client makes a new edit ID for every resend."},
-		{Name: mutationKeepIdentity, Sentence: "A machine with a new, empty disk votes under its old identity."},
-		{Name: mutationIgnoreLease, Sentence: "A zone's leader sends orders without looking at its lease."},
-		{Name: mutationAdoptOlder, Sentence: "A zone takes the rows of an older table revision for the newest ones."},
+	return []MutationInfo{
+		{
+			Name:     mutationNoFence,
+			Sentence: "Engines carry out orders that are older than one they accepted.",
+			Checkers: []string{checkerFence, checkerReplicas, checkerReservation},
+			Scenario: tableScenarioName + planSeparator + "silent-leader",
+		},
+		{
+			Name:     mutationNoSync,
+			Sentence: "Disks say that a write is synced when it is not.",
+			Checkers: []string{checkerLog, checkerElection, checkerInForce, checkerFailure, checkerRunaway},
+		},
+		{
+			Name:     mutationOrderUnapplied,
+			Sentence: "A load order leaves before its reservation is in the zone's log.",
+			Checkers: []string{checkerReservation, checkerReplicas},
+		},
+		{
+			Name:     mutationIgnoreGrants,
+			Sentence: "A zone takes the table's whole replica limit for its own share.",
+			Checkers: []string{checkerReplicas, checkerGrant},
+		},
+		{
+			Name:     mutationEarlyRelease,
+			Sentence: "A zone gives back a lowered grant before it has unloaded down to it.",
+			Checkers: []string{checkerReplicas, checkerGrant, checkerInvariants},
+		},
+		{
+			Name:     mutationNewEditID,
+			Sentence: "An operator's client makes a new edit ID for every resend.",
+			Checkers: []string{checkerResend},
+		},
+		{
+			Name:     mutationKeepIdentity,
+			Sentence: "A machine with a new, empty disk votes under its old identity.",
+			Checkers: []string{checkerElection, checkerLog, checkerRunaway},
+		},
+		{
+			Name:     mutationIgnoreLease,
+			Sentence: "A zone's leader sends orders without looking at its lease.",
+			Checkers: []string{checkerLease},
+		},
+		{
+			Name:     mutationAdoptOlder,
+			Sentence: "A zone takes the rows of an older table revision for the newest ones.",
+			Checkers: []string{checkerInForce},
+		},
+		{
+			Name:     mutationIgnoreFrozen,
+			Sentence: "A zone begins loads although its grant is frozen.",
+			Checkers: []string{checkerReplicas},
+		},
+		{
+			Name:     mutationInflateMemory,
+			Sentence: "A zone takes its runners for having half as much memory again.",
+			Checkers: []string{checkerMemory},
+		},
+		{
+			Name:     mutationIgnoreLeaving,
+			Sentence: "A zone's leader takes runners that are listed as leaving for live ones.",
+			Checkers: []string{checkerLeaving},
+			Scenario: tableScenarioName + planSeparator + "reclaimed",
+		},
+		{
+			Name:     mutationSlowDeltas,
+			Sentence: "A zone's leader asks for table changes only now and then.",
+			Checkers: []string{checkerLate, checkerConvergence},
+		},
+		{
+			Name:     mutationNeedGlobal,
+			Sentence: "A zone's leader decides nothing while no other zone answers it.",
+			Checkers: []string{checkerAlone},
+			Scenario: tableScenarioName + planSeparator + "zone-cut",
+		},
 	}
-	for i := range sentences {
-		sentences[i].Scenario = tableScenarioName
-	}
-	return sentences
 }
--- a/simulate/operator.go
+++ b/simulate/operator.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// thinkLeast and thinkMost bound the pause of an operator between edits.
-	thinkLeast = 200 * time.Millisecond
-	thinkMost  = 1500 * time.Millisecond
+	// hurriedLeast and hurriedMost bound the pause of an operator in a hurry.
+	hurriedLeast = 20 * time.Millisecond
+	hurriedMost  = 60 * time.Millisecond
+	// answerLoss is the share of answers that are lost on an operator's own machine.
+	answerLoss = 0.25
 	// answerTimeout is when an operator asks again; attempts bounds how often.
 	answerTimeout  = 1200 * time.Millisecond
 	editAttempts   = 12
@@ -58,7 +60,11 @@
 
 // think waits and then begins the next edit.
 func (o *tableOperator) think() {
-	pause := thinkLeast + time.Duration(o.random.Int64N(int64(thinkMost-thinkLeast)))
+	least, most := o.site.pace.thinkLeast, o.site.pace.thinkMost
+	if o.site.hurried > 0 {
+		least, most = hurriedLeast, hurriedMost
+	}
+	pause := least + time.Duration(o.random.Int64N(int64(most-least)))
 	o.site.scheduler.After(pause, o.begin)
 }
 
@@ -69,7 +75,8 @@
 	}
 	o.attempts = 0
 	// Half of the time the operator trusts the rows that are already on the screen.
-	if len(o.rows) > 0 && o.random.IntN(2) == 0 {
+	isTrusting := o.random.IntN(2) == 0
+	if len(o.rows) > 0 && isTrusting {
 		o.compose()
 		return
 	}
@@ -139,8 +146,8 @@
 		return
 	}
 	o.request++
-	// Now and then the answer is lost on the operator's own machine.
-	if answer.result != nil && o.attempts < editAttempts && o.random.IntN(4) == 0 {
+	isLost := o.random.Float64() < max(answerLoss, o.site.answerLoss)
+	if answer.result != nil && o.attempts < editAttempts && isLost {
 		o.site.trace.Note("answer-lost", string(o.address), string(o.edit.ID))
 		o.askAnother()
 		return
@@ -172,7 +179,7 @@
 
 // pickRow prefers the first row, so that operators race for it.
 func (o *tableOperator) pickRow() structs.RowName {
-	if o.random.IntN(3) == 0 {
+	if o.random.IntN(3) == 0 || o.site.racing > 0 {
 		return simulatedRows[0]
 	}
 	return simulatedRows[o.random.IntN(len(simulatedRows))]
--- /dev/null
+++ b/simulate/requestcaller.go
@@ -0,0 +1,304 @@
+package simulate
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// arrivalMean is the mean time between two callers at ordinary load.
+	arrivalMean = 180 * time.Millisecond
+	// submissionLimit bounds how often a caller sends its request.
+	submissionLimit = 4
+	// reconnectDelay is how long a caller waits before it looks for another router.
+	reconnectDelay = 150 * time.Millisecond
+	// brokenDelay is how long a caller waits after its answer broke off.
+	brokenDelay = 250 * time.Millisecond
+	// connectPatience is how long a caller looks for a router that listens.
+	connectPatience = 10 * time.Second
+
+	keyedShare   = 0.45
+	goneShare    = 0.08
+	resendShare  = 0.25
+	batchShare   = 0.3
+	liveShare    = 0.3
+	sharedShare  = 0.3
+	leastTokens  = 6
+	tokenSpread  = 24
+	shortestTime = 2 * time.Second
+	longestTime  = 16 * time.Second
+)
+
+// callerAddress is where all callers sit.
+const callerAddress Address = "callers"
+
+// requestCaller is one caller with one piece of work: it sends its request until
+// it has the answer, its patience ends, or it goes away.
+type requestCaller struct {
+	site   *requestSite
+	number int
+	zone   structs.ZoneID
+	name   string
+	row    structs.RowName
+	prompt string
+	key    string
+
+	maxTokens   int
+	priority    structs.Priority
+	patience    time.Duration
+	submissions []*submission
+	gone        bool
+	satisfied   bool
+}
+
+// submission is one time that a caller sent its request, with what came back.
+type submission struct {
+	caller     *requestCaller
+	number     int
+	prompt     string
+	router     structs.DaemonID
+	link       *connection
+	sentAt     time.Duration
+	deadlineAt time.Duration
+	text       strings.Builder
+	tokens     int
+	// ending says how it ended; empty while it is open.
+	ending  string
+	refusal *structs.Refusal
+	// decidedAt is when a router gave it up, answeredAt when it told so.
+	decidedAt time.Duration
+	// stopping is set when its router began a planned stop meanwhile.
+	stopping bool
+	// requests are the IDs under which routers knew it.
+	requests []structs.RequestID
+}
+
+// The endings of a submission.
+const (
+	endingWhole   = "whole"
+	endingReplay  = "replay"
+	endingRefused = "refused"
+	endingBroken  = "broken"
+	endingGone    = "gone"
+)
+
+func (s *submission) name() string {
+	return fmt.Sprintf("caller-%d/%d", s.caller.number, s.number)
+}
+
+// arriveNext plans the next caller.
+func (s *requestSite) arriveNext() {
+	mean := float64(arrivalMean) / s.load
+	s.scheduler.After(time.Duration(s.random.ExpFloat64()*mean)+1, func() {
+		if s.scheduler.Now() >= requestLoadEnd {
+			return
+		}
+		s.newCaller(s.drawPriority())
+		for extra := s.batchLoad - 1; extra > 0; extra-- {
+			s.newCaller(structs.PriorityBatch)
+		}
+		s.arriveNext()
+	})
+}
+
+func (s *requestSite) drawPriority() structs.Priority {
+	switch draw := s.random.Float64(); {
+	case draw < batchShare:
+		return structs.PriorityBatch
+	case draw < batchShare+liveShare:
+		return structs.PriorityLive
+	}
+	return structs.PriorityStandard
+}
+
+func (s *requestSite) newCaller(priority structs.Priority) {
+	number := len(s.callers)
+	caller := &requestCaller{
+		site:      s,
+		number:    number,
+		zone:      requestZones[s.random.IntN(len(requestZones))],
+		name:      fmt.Sprintf("member-%d", s.random.IntN(requestCallersPerZone)),
+		row:       requestRows[s.random.IntN(len(requestRows))].name,
+		maxTokens: leastTokens + s.random.IntN(tokenSpread),
+		priority:  priority,
+		patience:  s.between(shortestTime, longestTime),
+	}
+	caller.prompt = fmt.Sprintf("work %d of %s", number, caller.name)
+	if s.chance(sharedShare) {
+		caller.prompt = strings.Repeat("the same long introduction ", 4) + caller.prompt
+	}
+	if s.chance(keyedShare) {
+		caller.key = s.drawKey(number)
+	}
+	s.callers = append(s.callers, caller)
+	caller.submit()
+	if caller.key != "" && s.chance(resendShare) {
+		s.scheduler.After(s.between(time.Millisecond, caller.patience), caller.resend)
+	}
+	if s.chance(goneShare) {
+		s.scheduler.After(s.between(time.Millisecond, caller.patience), caller.goAway)
+	}
+}
+
+// drawKey makes a key: some name their home zone, and callers of different names
+// use the same keys.
+func (s *requestSite) drawKey(number int) string {
+	key := fmt.Sprintf("key-%d", number)
+	if s.chance(0.5) {
+		key = string(requestZones[s.random.IntN(len(requestZones))]) + ":" + key
+	}
+	return key
+}
+
+// resend sends the request again though an earlier one may be in progress, to a
+// router of any zone.
+func (c *requestCaller) resend() {
+	if c.gone || len(c.submissions) >= submissionLimit {
+		return
+	}
+	c.submitTo(c.site.routers[c.site.random.IntN(len(c.site.routers))])
+}
+
+// submit sends the request to a router of the caller's zone.
+func (c *requestCaller) submit() {
+	routers := c.site.routersOf(c.zone)
+	c.submitTo(routers[c.site.random.IntN(len(routers))])
+}
+
+func (c *requestCaller) submitTo(chosen *routerHost) {
+	if c.gone || c.satisfied || len(c.submissions) >= submissionLimit {
+		return
+	}
+	if !chosen.listening() || chosen.drain {
+		if c.site.scheduler.Now() < requestLoadEnd+connectPatience {
+			c.site.scheduler.After(reconnectDelay, c.submit)
+		}
+		return
+	}
+	now := c.site.scheduler.Now()
+	made := &submission{caller: c, number: len(c.submissions) + 1, router: chosen.id, sentAt: now, deadlineAt: now + c.patience}
+	made.prompt = c.prompt
+	c.submissions = append(c.submissions, made)
+	c.site.submitted++
+	c.site.trace.Event("submit", made.name(), string(chosen.id))
+	made.link = newConnection(c.site.network, callerAddress, chosen.address())
+	made.link.down.end = connectionEnd{
+		receive: made.receive,
+		ended:   func() { made.end(endingBroken) },
+	}
+	made.link.up.end.receive = func(any) { made.reach(chosen) }
+	made.link.up.send(made.number)
+	c.site.scheduler.At(made.deadlineAt+terminalBound, func() { c.site.records.due(made) })
+}
+
+// reach hands the request to the router, or breaks the connection if it died.
+func (s *submission) reach(chosen *routerHost) {
+	if chosen.core == nil {
+		s.link.closeServer()
+		return
+	}
+	caller := s.caller
+	chosen.accept(s.link, structs.Request{
+		Row: caller.row, Prompt: s.prompt, MaxTokens: caller.maxTokens, Priority: caller.priority,
+		Caller: caller.name, DeadlineAt: epochStart.Add(s.deadlineAt), IdempotencyKey: caller.key,
+	}, s)
+}
+
+func (s *submission) receive(message any) {
+	switch content := message.(type) {
+	case structs.Token:
+		s.takeToken(content)
+	case terminal:
+		s.takeTerminal(content)
+	}
+}
+
+func (s *submission) takeToken(token structs.Token) {
+	want := emulator.ExpectedToken(s.caller.row, s.prompt, s.tokens)
+	padding := token.Finish != "" && token.Text == ""
+	if token.Text != want && !padding {
+		s.caller.site.judge.Report(checkerAnswer, "%s got %.40q as token %d instead of %q", s.name(), token.Text, s.tokens, want)
+	}
+	s.text.WriteString(token.Text)
+	s.tokens++
+}
+
+func (s *submission) takeTerminal(ending terminal) {
+	if s.ending != "" {
+		s.caller.site.judge.Report(checkerTerminal, "%s ended twice: %s, then again", s.name(), s.ending)
+		return
+	}
+	switch {
+	case ending.refusal != nil:
+		s.refusal = ending.refusal
+		s.end(endingRefused)
+	case ending.replay != nil:
+		s.text.Reset()
+		s.text.WriteString(ending.replay.Text)
+		s.checkWhole(ending.finish)
+		s.end(endingReplay)
+	default:
+		s.checkWhole(ending.finish)
+		s.end(endingWhole)
+	}
+}
+
+// checkWhole compares an answer said to be whole with the stand-in's.
+func (s *submission) checkWhole(finish structs.FinishReason) {
+	caller := s.caller
+	var want strings.Builder
+	for index := range emulator.ExpectedLength(caller.row, s.prompt, caller.maxTokens) {
+		want.WriteString(emulator.ExpectedToken(caller.row, s.prompt, index))
+	}
+	wantFinish := emulator.ExpectedFinish(caller.row, s.prompt, caller.maxTokens)
+	if s.text.String() != want.String() || finish != wantFinish {
+		caller.site.judge.Report(checkerAnswer, "%s got %.60q (%s) instead of %.60q (%s)",
+			s.name(), s.text.String(), finish, want.String(), wantFinish)
+	}
+}
+
+func (s *submission) end(how string) {
+	if s.ending != "" {
+		return
+	}
+	s.ending = how
+	s.caller.site.records.ended(s)
+	s.caller.goOn(s)
+}
+
+// goOn decides whether to send the request again.
+func (c *requestCaller) goOn(ended *submission) {
+	delay := brokenDelay
+	switch ended.ending {
+	case endingWhole, endingReplay:
+		c.satisfied = true
+		return
+	case endingGone:
+		return
+	case endingRefused:
+		delay = ended.refusal.Error.RetryAfter
+		if delay <= 0 {
+			return
+		}
+	}
+	c.site.scheduler.After(delay, func() {
+		if c.site.scheduler.Now() < requestLoadEnd+connectPatience {
+			c.submit()
+		}
+	})
+}
+
+// goAway closes the connections of a caller that waits no more.
+func (c *requestCaller) goAway() {
+	c.gone = true
+	for _, open := range c.submissions {
+		if open.ending == "" {
+			open.link.closeClient()
+			open.end(endingGone)
+		}
+	}
+}
--- /dev/null
+++ b/simulate/requestconnection.go
@@ -0,0 +1,148 @@
+package simulate
+
+import "time"
+
+const (
+	// dialTimeout is how long a party waits for a connection before it gives up.
+	dialTimeout = time.Second
+	// resendInterval is how often a connection tries to get past a cut.
+	resendInterval = 200 * time.Millisecond
+)
+
+// connection carries messages between a client and a server in both directions,
+// in order, like TCP: during a cut they wait.
+type connection struct {
+	up   pipe
+	down pipe
+}
+
+// connectionEnd is what a connection's end needs to hear.
+type connectionEnd struct {
+	receive func(message any)
+	// ended is called when the other end closed the connection or its process died.
+	ended func()
+}
+
+// endMessage follows the last message of a connection that one end closed.
+type endMessage struct{}
+
+// newConnection connects two parties. Both ends are set before the first message.
+func newConnection(network *Network, client, server Address) *connection {
+	return &connection{
+		up:   pipe{network: network, from: client, to: server},
+		down: pipe{network: network, from: server, to: client},
+	}
+}
+
+// closeClient ends the connection from the client's side.
+func (c *connection) closeClient() {
+	c.down.closed = true
+	c.up.send(endMessage{})
+	c.up.sealed = true
+}
+
+// closeServer ends the connection from the server's side.
+func (c *connection) closeServer() {
+	c.up.closed = true
+	c.down.send(endMessage{})
+	c.down.sealed = true
+}
+
+// vanish ends both sides without a word, as when a machine loses its power.
+func (c *connection) vanish() {
+	c.up.closed = true
+	c.down.closed = true
+}
+
+// pipe is one direction of a connection.
+type pipe struct {
+	network  *Network
+	from, to Address
+	end      connectionEnd
+	waiting  []any
+	busy     bool
+	// sealed takes no more messages, closed delivers none.
+	sealed bool
+	closed bool
+}
+
+func (p *pipe) send(message any) {
+	if p.sealed || p.closed {
+		return
+	}
+	p.waiting = append(p.waiting, message)
+	if !p.busy {
+		p.busy = true
+		p.carry()
+	}
+}
+
+// carry delivers the first waiting message once the network lets it through.
+func (p *pipe) carry() {
+	scheduler := p.network.scheduler
+	if p.closed {
+		p.busy = false
+		return
+	}
+	if !p.network.Reachable(p.from, p.to) {
+		scheduler.After(resendInterval, p.carry)
+		return
+	}
+	scheduler.After(p.network.latency(p.from, p.to), func() {
+		message := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		p.deliver(message)
+		p.busy = len(p.waiting) > 0
+		if p.busy {
+			p.carry()
+		}
+	})
+}
+
+func (p *pipe) deliver(message any) {
+	if p.closed {
+		return
+	}
+	if _, ended := message.(endMessage); ended {
+		p.closed = true
+		if p.end.ended != nil {
+			p.end.ended()
+		}
+		return
+	}
+	if p.end.receive != nil {
+		p.end.receive(message)
+	}
+}
+
+// latency draws the delay of one message. Callers sit next to their routers:
+// storms of the site's network do not touch them.
+func (n *Network) latency(from, to Address) time.Duration {
+	quality := n.quality
+	if from == callerAddress || to == callerAddress {
+		quality = calmNetwork
+	}
+	spread := quality.MaxDelay - quality.MinDelay
+	delay := quality.MinDelay + time.Duration(n.random.Int64N(int64(spread)))
+	if quality.StraggleDelay > 0 && n.chance(quality.Straggle) {
+		delay += time.Duration(n.random.Int64N(int64(quality.StraggleDelay)))
+	}
+	return delay
+}
+
+// dial connects a client to a server: opened is called with the connection, or
+// failed when nothing of the server could be reached.
+func (s *requestSite) dial(client, server Address, listening func() bool, opened func(*connection), failed func()) {
+	reachable := s.network.Reachable(client, server) && s.network.Reachable(server, client)
+	if !reachable {
+		s.scheduler.After(dialTimeout, failed)
+		return
+	}
+	s.scheduler.After(s.network.latency(client, server), func() {
+		if !listening() {
+			failed()
+			return
+		}
+		opened(newConnection(s.network, client, server))
+	})
+}
--- /dev/null
+++ b/simulate/requestfaults.go
@@ -0,0 +1,267 @@
+package simulate
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// The kinds of fault that only the requests scenario has.
+const (
+	// FaultEngineStall makes an engine accept a share Amount of its requests and never run them.
+	FaultEngineStall FaultKind = "engine-stall"
+	// FaultEngineSilent makes an engine take connections and calls and send nothing.
+	FaultEngineSilent FaultKind = "engine-silent"
+	// FaultEngineDying kills an engine in the midst of its streams, after Amount more tokens.
+	FaultEngineDying FaultKind = "engine-dying"
+	// FaultAnswersLate, FaultAnswersTwice, FaultAnswersCrossed, FaultAnswersLost and
+	// FaultAnswersReset spoil a share Amount of an engine's tokens; answers are
+	// crossed on all engines of a zone.
+	FaultAnswersLate    FaultKind = "answers-late"
+	FaultAnswersTwice   FaultKind = "answers-twice"
+	FaultAnswersCrossed FaultKind = "answers-crossed"
+	FaultAnswersLost    FaultKind = "answers-lost"
+	FaultAnswersReset   FaultKind = "answers-reset"
+	// FaultAnswersTruncated ends a stream as if whole, FaultAnswersOversized sends
+	// far too long a token, at a share Amount of the tokens.
+	FaultAnswersTruncated FaultKind = "answers-truncated"
+	FaultAnswersOversized FaultKind = "answers-oversized"
+	// FaultHideLoad makes an engine report that nothing runs on it.
+	FaultHideLoad FaultKind = "hide-load"
+	// FaultEngineSlow makes an engine Amount times as slow.
+	FaultEngineSlow FaultKind = "engine-slow"
+	// FaultRunnerLeaves makes a runner leave; it is reclaimed once idle.
+	FaultRunnerLeaves FaultKind = "runner-leaves"
+	// FaultRouterCrash ends a router's process, FaultRouterSilent its machine too;
+	// FaultRouterStop is a planned stop.
+	FaultRouterCrash  FaultKind = "router-crash"
+	FaultRouterSilent FaultKind = "router-silent"
+	FaultRouterStop   FaultKind = "router-stop"
+	// FaultNoLeader leaves a zone's group without a leader.
+	FaultNoLeader FaultKind = "no-leader"
+	// FaultBurst multiplies the arrivals by Amount, FaultBatchFlood adds Amount
+	// batch requests to each.
+	FaultBurst      FaultKind = "burst"
+	FaultBatchFlood FaultKind = "batch-flood"
+)
+
+// requestFaultKinds are drawn from; those that are harder to withstand stand more than once.
+var requestFaultKinds = []FaultKind{
+	FaultEngineStall, FaultEngineStall, FaultEngineSilent, FaultEngineDying, FaultEngineDying, FaultEngineCrash, FaultEngineSlow,
+	FaultAnswersLate, FaultAnswersTwice, FaultAnswersCrossed, FaultAnswersLost, FaultAnswersReset,
+	FaultAnswersTruncated, FaultAnswersOversized, FaultHideLoad,
+	FaultRunnerLeaves, FaultRouterCrash, FaultRouterCrash, FaultRouterSilent, FaultRouterSilent, FaultRouterStop, FaultNoLeader,
+	FaultCutZone, FaultCutOneWay, FaultBurst, FaultBatchFlood, FaultStorm,
+}
+
+const (
+	fewestRequestFaults = 5
+	requestFaultSpread  = 8
+	// answersLateBy is how late late answers come.
+	answersLateBy = 120 * time.Millisecond
+	// reclaimNotice is how long after its notice a leaving runner is reclaimed.
+	reclaimNotice = 6 * time.Second
+)
+
+// planRequestFaults draws the faults of a seed, ordered by time.
+func planRequestFaults(random *rand.Rand) []Fault {
+	faults := make([]Fault, fewestRequestFaults+random.IntN(requestFaultSpread))
+	for i := range faults {
+		kind := requestFaultKinds[random.IntN(len(requestFaultKinds))]
+		faults[i] = Fault{
+			Kind: kind,
+			At:   time.Duration(1+random.IntN(27)) * time.Second,
+			For:  time.Duration(1+random.IntN(8)) * time.Second,
+		}
+		zone := requestZones[random.IntN(len(requestZones))]
+		other := requestZones[random.IntN(len(requestZones))]
+		faults[i].Target, faults[i].Peer = requestTarget(random, kind, zone, other)
+		faults[i].Amount = requestAmount(random, kind)
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+func requestTarget(random *rand.Rand, kind FaultKind, zone, other structs.ZoneID) (target, peer string) {
+	switch kind {
+	case FaultBurst, FaultBatchFlood, FaultStorm:
+		return "site", ""
+	case FaultCutZone, FaultNoLeader, FaultAnswersCrossed:
+		return string(zone), ""
+	case FaultCutOneWay:
+		return string(zone), string(other)
+	case FaultRouterCrash, FaultRouterSilent, FaultRouterStop:
+		return fmt.Sprintf("%s/router-%d", zone, 1+random.IntN(requestRoutersPerZone)), ""
+	}
+	return fmt.Sprintf("%s/engine-%d", zone, 1+random.IntN(requestEnginesPerZone)), ""
+}
+
+func requestAmount(random *rand.Rand, kind FaultKind) float64 {
+	switch kind {
+	case FaultEngineStall:
+		return 0.2 + 0.8*random.Float64()
+	case FaultEngineDying:
+		return float64(1 + random.IntN(40))
+	case FaultEngineSlow:
+		return float64(2 + random.IntN(4))
+	case FaultAnswersCrossed:
+		return 0.3 + 0.7*random.Float64()
+	case FaultBurst:
+		return 3
+	case FaultBatchFlood:
+		return float64(2 + random.IntN(4))
+	case FaultStorm:
+		return 0.02 + 0.1*random.Float64()
+	}
+	return 0.02 + 0.2*random.Float64()
+}
+
+// schedule plans the faults; each heals when its time is over.
+func (s *requestSite) schedule(faults []Fault) {
+	for _, fault := range faults {
+		s.scheduler.At(fault.At, func() {
+			s.trace.Note("fault", string(fault.Kind), fmt.Sprintf("%s %s %g for %v", fault.Target, fault.Peer, fault.Amount, fault.For))
+			if heal := s.inject(fault); heal != nil {
+				s.scheduler.After(fault.For, func() {
+					s.trace.Note("fault-over", string(fault.Kind), fault.Target)
+					heal()
+				})
+			}
+		})
+	}
+}
+
+// inject brings a fault about and returns what heals it, or nil.
+func (s *requestSite) inject(fault Fault) (heal func()) {
+	if engine := s.engineNamed(structs.RunnerID(fault.Target)); engine != nil {
+		return engine.inject(fault)
+	}
+	if host := s.routerNamed(structs.DaemonID(fault.Target)); host != nil {
+		host.inject(fault)
+		return nil
+	}
+	switch fault.Kind {
+	case FaultBurst:
+		s.load *= fault.Amount
+		return func() { s.load /= fault.Amount }
+	case FaultBatchFlood:
+		s.batchLoad += fault.Amount
+		return func() { s.batchLoad -= fault.Amount }
+	case FaultStorm:
+		s.network.SetQuality(stormQuality(fault.Amount))
+		return func() { s.network.SetQuality(calmNetwork) }
+	case FaultAnswersCrossed:
+		return s.cross(fault)
+	case FaultNoLeader:
+		return s.groups[structs.ZoneID(fault.Target)].loseLeader()
+	case FaultCutZone:
+		return s.cutZone(structs.ZoneID(fault.Target))
+	case FaultCutOneWay:
+		from, to := structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer)
+		if from == to {
+			return nil
+		}
+		s.network.CutZones(from, to)
+		return func() { s.network.HealZones(from, to) }
+	}
+	return nil
+}
+
+func (s *requestSite) cutZone(zone structs.ZoneID) (heal func()) {
+	change := func(apply func(from, to structs.ZoneID)) {
+		for _, other := range requestZones {
+			if other != zone {
+				apply(zone, other)
+				apply(other, zone)
+			}
+		}
+	}
+	change(s.network.CutZones)
+	return func() { change(s.network.HealZones) }
+}
+
+// cross brings crossed answers about on all engines of a zone.
+func (s *requestSite) cross(fault Fault) (heal func()) {
+	var heals []func()
+	for _, engine := range s.engines {
+		if string(engine.zone) == fault.Target {
+			heals = append(heals, engine.inject(fault))
+		}
+	}
+	return func() {
+		for _, heal := range heals {
+			heal()
+		}
+	}
+}
+
+func (h *routerHost) inject(fault Fault) {
+	switch fault.Kind {
+	case FaultRouterCrash:
+		h.crash(false)
+	case FaultRouterSilent:
+		h.crash(true)
+	case FaultRouterStop:
+		h.planStop()
+	}
+}
+
+// inject brings a fault of an engine about. Its rates are taken back one by one,
+// because faults of an engine may overlap.
+func (h *answerEngine) inject(fault Fault) (heal func()) {
+	switch fault.Kind {
+	case FaultEngineCrash:
+		h.crash()
+		return nil
+	case FaultRunnerLeaves:
+		h.leave(reclaimNotice)
+		return nil
+	case FaultEngineSilent:
+		h.faults.silent = true
+		return func() { h.faults.silent = false }
+	case FaultAnswersTruncated:
+		h.faults.truncateRate = fault.Amount
+		return func() { h.faults.truncateRate = 0 }
+	case FaultAnswersOversized:
+		h.faults.oversizeRate = fault.Amount
+		return func() { h.faults.oversizeRate = 0 }
+	}
+	h.change(func(faults *emulator.EngineFaults) { setEngineFault(faults, fault) })
+	fault.Amount = 0
+	return func() { h.change(func(faults *emulator.EngineFaults) { setEngineFault(faults, fault) }) }
+}
+
+func (h *answerEngine) change(edit func(*emulator.EngineFaults)) {
+	faults := h.engine.Faults()
+	edit(&faults)
+	h.engine.SetFaults(faults)
+}
+
+// setEngineFault sets one fault of the emulator; an Amount of 0 takes it back.
+func setEngineFault(faults *emulator.EngineFaults, fault Fault) {
+	switch fault.Kind {
+	case FaultEngineStall:
+		faults.StallRate = fault.Amount
+	case FaultEngineDying:
+		faults.DieAfterTokens = int(fault.Amount)
+	case FaultAnswersLate:
+		faults.LateRate, faults.LateBy = fault.Amount, answersLateBy
+	case FaultAnswersTwice:
+		faults.RepeatRate = fault.Amount
+	case FaultAnswersCrossed:
+		faults.CrossRate = fault.Amount
+	case FaultAnswersLost:
+		faults.LossRate = fault.Amount
+	case FaultAnswersReset:
+		faults.ResetRate = fault.Amount
+	case FaultHideLoad:
+		faults.HideLoad = fault.Amount > 0
+	case FaultEngineSlow:
+		faults.SlowFactor = fault.Amount
+	}
+}
--- /dev/null
+++ b/simulate/requestmutation.go
@@ -0,0 +1,100 @@
+package simulate
+
+// The mutations of the requests scenario. Each disables one safeguard in the
+// simulator's shell or in a router's settings; the code that decides stays as it is.
+const (
+	mutationNoClaim      = "no-claim"
+	mutationAnyHome      = "any-home"
+	mutationNoIDCheck    = "no-id-check"
+	mutationNotRunAlways = "not-run-always"
+	mutationResumeStart  = "resume-start"
+	mutationNoBudget     = "no-retry-budget"
+	mutationNoDrain      = "no-drain"
+	mutationKeepLeaving  = "keep-leaving"
+	mutationHoldRefusal  = "hold-refusal"
+	mutationNoStall      = "no-stall-detection"
+	mutationLoseRefusal  = "lose-refusal"
+	mutationNoResolution = "no-resolution"
+	mutationResolveBlind = "resolve-blindly"
+)
+
+func requestMutations() []MutationInfo {
+	return append(executionMutations(), endingMutations()...)
+}
+
+// executionMutations disable what keeps executions and answers apart.
+func executionMutations() []MutationInfo {
+	return []MutationInfo{
+		{
+			Name:     mutationNoClaim,
+			Sentence: "A router takes a key for its own without asking the key's home zone.",
+			Checkers: []string{checkerOnce},
+		},
+		{
+			Name:     mutationAnyHome,
+			Sentence: "Each zone takes itself for the home of every key.",
+			Checkers: []string{checkerOnce},
+		},
+		{
+			Name:     mutationNoIDCheck,
+			Sentence: "A router does not look whose token an engine sent.",
+			Checkers: []string{checkerAnswer},
+		},
+		{
+			Name:     mutationNotRunAlways,
+			Sentence: "A router takes every failed attempt for one that did not run.",
+			Checkers: []string{checkerNotRun, checkerOnce},
+		},
+		{
+			Name:     mutationResumeStart,
+			Sentence: "A broken stream is resumed elsewhere from its first token.",
+			Checkers: []string{checkerAnswer},
+		},
+	}
+}
+
+// endingMutations disable what makes requests and claims end as they should.
+func endingMutations() []MutationInfo {
+	return []MutationInfo{
+		{
+			Name:     mutationNoBudget,
+			Sentence: "The retries of a row are not bounded by a budget.",
+			Checkers: []string{checkerBudget},
+		},
+		{
+			Name:     mutationNoDrain,
+			Sentence: "A planned stop of a router ends the process at once.",
+			Checkers: []string{checkerStop},
+		},
+		{
+			Name:     mutationKeepLeaving,
+			Sentence: "Routers are not told that a runner leaves.",
+			Checkers: []string{checkerLeaving},
+		},
+		{
+			Name:     mutationHoldRefusal,
+			Sentence: "A router tells its callers of a refusal only at their deadline.",
+			Checkers: []string{checkerAtOnce},
+		},
+		{
+			Name:     mutationNoStall,
+			Sentence: "A router waits for a silent engine until the request's deadline.",
+			Checkers: []string{checkerStall},
+		},
+		{
+			Name:     mutationLoseRefusal,
+			Sentence: "A router forgets to tell its callers of a refusal.",
+			Checkers: []string{checkerTerminal},
+		},
+		{
+			Name:     mutationNoResolution,
+			Sentence: "A zone's leader does not end the claims of routers that died.",
+			Checkers: []string{checkerClaims},
+		},
+		{
+			Name:     mutationResolveBlind,
+			Sentence: "A zone's leader frees the keys of silent routers without asking the engine.",
+			Checkers: []string{checkerOnce, checkerNotRun},
+		},
+	}
+}
--- /dev/null
+++ b/simulate/requestrecords.go
@@ -0,0 +1,349 @@
+package simulate
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// The checkers of the requests scenario.
+const (
+	checkerOnce     = "at-most-once"
+	checkerNotRun   = "not-run"
+	checkerAnswer   = "answer"
+	checkerTerminal = "terminal"
+	checkerAtOnce   = "refused-at-once"
+	checkerLeaving  = "leaving"
+	checkerStop     = "planned-stop"
+	checkerBudget   = "retry-budget"
+	checkerStall    = "stall"
+	checkerClaims   = "claims-end"
+	// checkerShell is no invariant: it reports a fault of the simulator itself.
+	checkerShell = "shell"
+)
+
+var requestCheckers = []string{
+	checkerOnce, checkerNotRun, checkerAnswer, checkerTerminal, checkerAtOnce, checkerLeaving,
+	checkerStop, checkerBudget, checkerStall, checkerClaims, checkerRunaway,
+}
+
+const (
+	// terminalBound is how long after its deadline a caller has its answer at the
+	// latest: a router's tick, the network both ways, and a hand-over between zones.
+	terminalBound = 250 * time.Millisecond
+	// leavingBound is how long a leaving runner may still get new work.
+	leavingBound = 3 * time.Second
+	// stallBound is how long a router with retries left may wait for a silent
+	// engine's next token.
+	stallBound = 9 * time.Second
+)
+
+// requestRecords are what the checkers know: what callers sent and got, what
+// crossed the routers' doors, and what reached the engines. Nothing of it is read
+// from a Core.
+type requestRecords struct {
+	site    *requestSite
+	origin  map[structs.RequestID]*submission
+	budgets map[structs.DaemonID]map[structs.RowName]*rowBudget
+	waits   map[router.AttemptID]*engineWait
+	// failedAt is when an attempt or a claim of a request last failed.
+	failedAt map[structs.RequestID]time.Duration
+	counts   *RequestCounts
+}
+
+// rowBudget counts what one life of a router did for a row.
+type rowBudget struct {
+	arrived int
+	retries int
+}
+
+// engineWait is an attempt whose engine owes the next token.
+type engineWait struct {
+	row     *rowBudget
+	request structs.Request
+	heardAt time.Duration
+	tokens  int
+	number  int
+}
+
+func newRequestRecords(site *requestSite) *requestRecords {
+	return &requestRecords{
+		site:     site,
+		origin:   map[structs.RequestID]*submission{},
+		budgets:  map[structs.DaemonID]map[structs.RowName]*rowBudget{},
+		waits:    map[router.AttemptID]*engineWait{},
+		failedAt: map[structs.RequestID]time.Duration{},
+		counts:   &site.counts.Requests,
+	}
+}
+
+func (r *requestRecords) now() time.Duration { return r.site.scheduler.Now() }
+
+// routerStarted forgets the counts of the router's earlier life.
+func (r *requestRecords) routerStarted(host *routerHost) {
+	r.budgets[host.id] = map[structs.RowName]*rowBudget{}
+}
+
+func (r *requestRecords) row(host *routerHost, name structs.RowName) *rowBudget {
+	counted := r.budgets[host.id][name]
+	if counted == nil {
+		counted = &rowBudget{}
+		r.budgets[host.id][name] = counted
+	}
+	return counted
+}
+
+// arrived notes the ID under which a router knows a submission.
+func (r *requestRecords) arrived(host *routerHost, from *submission, request structs.Request) {
+	r.origin[request.ID] = from
+	from.requests = append(from.requests, request.ID)
+	r.row(host, request.Row).arrived++
+}
+
+// stepped looks at what a router does about an event.
+func (r *requestRecords) stepped(host *routerHost, event router.Event, effects []router.Effect) {
+	r.noteEvent(event)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case router.SendAttempt:
+			r.attemptSent(host, effect)
+		case router.CancelAttempt:
+			delete(r.waits, effect.Attempt)
+		case router.AskStatus:
+			r.asked(effect)
+		case router.Refuse:
+			r.refused(event, effect)
+		}
+	}
+	if _, isTick := event.(router.Tick); isTick {
+		r.checkWaits(host)
+	}
+}
+
+func (r *requestRecords) noteEvent(event router.Event) {
+	switch event := event.(type) {
+	case router.AttemptFailed:
+		delete(r.waits, event.Attempt)
+		r.failedAt[event.Attempt.Request()] = r.now()
+	case router.StatusReplied:
+		r.failedAt[event.ID] = r.now()
+	case router.ClaimReplied:
+		r.failedAt[event.ID] = r.now()
+	case router.TokenReceived:
+		if wait := r.waits[event.Attempt]; wait != nil {
+			wait.heardAt = r.now()
+			wait.tokens++
+		}
+		if event.Token.Finish != "" {
+			delete(r.waits, event.Attempt)
+		}
+	}
+}
+
+// attemptSent counts an attempt and holds its retries against the row's budget.
+func (r *requestRecords) attemptSent(host *routerHost, effect router.SendAttempt) {
+	request := host.calls[effect.Attempt.Request()]
+	counted := r.row(host, effect.Generate.Row)
+	number := attemptNumber(effect.Attempt)
+	r.counts.Attempts++
+	if number > 1 {
+		r.counts.Retries++
+		counted.retries++
+	}
+	most := requestRetryReserve + requestRetryRatio*float64(counted.arrived)
+	if float64(counted.retries) > most {
+		r.site.judge.Report(checkerBudget, "%s sent %d retries of row %s for %d requests, the budget is %.1f",
+			host.id, counted.retries, effect.Generate.Row, counted.arrived, most)
+	}
+	wait := &engineWait{row: counted, heardAt: r.now(), number: number}
+	if request != nil {
+		wait.request = request.request
+		r.waits[effect.Attempt] = wait
+	}
+}
+
+// asked notes that a router noticed an engine's silence: of a request with a key
+// it can do no more than ask, because the engine may run it.
+func (r *requestRecords) asked(effect router.AskStatus) {
+	if wait := r.waits[effect.Attempt]; wait != nil && !wait.request.Repeatable() {
+		wait.heardAt = r.now()
+	}
+}
+
+func attemptNumber(id router.AttemptID) int {
+	number := 0
+	for _, digit := range string(id)[len(id.Request())+1:] {
+		number = 10*number + int(digit-'0')
+	}
+	return number
+}
+
+// checkWaits looks for first attempts that a router leaves with a silent engine
+// though it has retries left.
+func (r *requestRecords) checkWaits(host *routerHost) {
+	for _, id := range sortedKeys(host.attempts) {
+		wait := r.waits[id]
+		if wait == nil || host.calls[id.Request()] == nil {
+			continue
+		}
+		started := !wait.request.Repeatable() && wait.tokens > 0
+		spent := wait.row.retries >= requestRetryReserve-1 || wait.number > 1
+		if silent := r.now() - wait.heardAt; silent > stallBound && !started && !spent {
+			r.site.judge.Report(checkerStall, "%s has waited for the next token of %s for %v", host.id, id, silent)
+		}
+	}
+}
+
+// refused checks that a request that failed is not kept waiting for its answer.
+func (r *requestRecords) refused(event router.Event, effect router.Refuse) {
+	failed, known := r.failedAt[effect.ID]
+	_, isTick := event.(router.Tick)
+	kind := effect.Refusal.Error.Kind
+	if !isTick || !known || kind != structs.ErrorUnavailable || failed == r.now() {
+		return
+	}
+	submitted := r.origin[effect.ID]
+	if submitted != nil && r.now() < submitted.deadlineAt {
+		return
+	}
+	if effect.Refusal.Execution == structs.ExecutionNotRun {
+		r.site.judge.Report(checkerAtOnce, "%s was refused at its deadline, %v after it had failed", effect.ID, r.now()-failed)
+	}
+}
+
+// decided notes when a router gave a submission up.
+func (r *requestRecords) decided(given *submission) { given.decidedAt = r.now() }
+
+// answered checks that the router tells its caller at the time it decided.
+func (r *requestRecords) answered(given *submission) {
+	if held := r.now() - given.decidedAt; given.decidedAt > 0 && held > 0 && given.ending == "" {
+		r.site.judge.Report(checkerAtOnce, "%s was told of its refusal %v after its router had given up", given.name(), held)
+	}
+	given.decidedAt = 0
+}
+
+// requestReached checks that a leaving runner gets no new work.
+func (r *requestRecords) requestReached(engine *answerEngine, request structs.GenerateRequest) {
+	if !engine.leaving {
+		return
+	}
+	if since := r.now() - engine.leftAt; since > leavingBound {
+		r.site.judge.Report(checkerLeaving, "%s got %s %v after it began to leave", engine.id, request.ID, since)
+	}
+}
+
+// stopPlanned notes the submissions that a planned stop must not cut.
+func (r *requestRecords) stopPlanned(host *routerHost) {
+	for _, call := range host.calls {
+		call.submission.stopping = call.submission.router == host.id
+	}
+}
+
+// crashed notes that a planned stop did not come to its end.
+func (r *requestRecords) crashed(host *routerHost) {
+	for _, call := range host.calls {
+		call.submission.stopping = false
+	}
+}
+
+// ended judges one submission's end.
+func (r *requestRecords) ended(done *submission) {
+	r.site.trace.Event(done.ending, done.name(), string(done.router))
+	switch done.ending {
+	case endingWhole:
+		r.counts.Whole++
+	case endingReplay:
+		r.counts.Replayed++
+	case endingRefused:
+		r.countRefusal(done.refusal.Execution)
+	case endingGone:
+		r.counts.Gone++
+	case endingBroken:
+		r.counts.Broken++
+		if done.stopping {
+			r.site.judge.Report(checkerStop, "the planned stop of %s cut %s", done.router, done.name())
+		}
+	}
+}
+
+func (r *requestRecords) countRefusal(execution structs.Execution) {
+	r.counts.Refused++
+	switch execution {
+	case structs.ExecutionNotRun:
+		r.counts.NotRun++
+	case structs.ExecutionUnknown:
+		r.counts.Unknown++
+	}
+}
+
+// due checks that a submission has its terminal answer.
+func (r *requestRecords) due(open *submission) {
+	if open.ending == "" {
+		r.site.judge.Report(checkerTerminal, "%s has no terminal answer %v after its deadline", open.name(), terminalBound)
+	}
+}
+
+// checkEnd compares the callers' records with the engines'.
+func (r *requestRecords) checkEnd() {
+	byRequest := map[structs.RequestID]int{}
+	byPrompt := map[uint64]int{}
+	for _, engine := range r.site.engines {
+		records := engine.engine.Records()
+		if records.Dropped > 0 {
+			r.site.judge.Report(checkerShell, "%s dropped records", engine.id)
+		}
+		for _, execution := range records.Executions {
+			byRequest[router.AttemptID(execution.ID).Request()]++
+			byPrompt[execution.PromptHash]++
+		}
+	}
+	for _, zone := range requestZones {
+		for _, claim := range r.site.groups[zone].state.HeldClaims() {
+			r.counts.ClaimsHeld++
+			r.site.judge.Report(checkerClaims, "nobody has ended the claim on %s by %s in %s", claim.Key, claim.Request, zone)
+		}
+	}
+	for _, caller := range r.site.callers {
+		r.checkCaller(caller, byRequest, byPrompt)
+	}
+}
+
+func (r *requestRecords) checkCaller(caller *requestCaller, byRequest map[structs.RequestID]int, byPrompt map[uint64]int) {
+	runs := byPrompt[emulator.PromptHash(caller.row, caller.prompt)]
+	r.countCaller(caller, runs)
+	if caller.key != "" && runs > 1 {
+		r.site.judge.Report(checkerOnce, "the request of caller-%d with key %q ran %d times", caller.number, caller.key, runs)
+	}
+	for _, sent := range caller.submissions {
+		if sent.ending == "" {
+			r.counts.Lost++
+			r.site.judge.Report(checkerTerminal, "%s was lost", sent.name())
+		}
+		if sent.refusal == nil || sent.refusal.Execution != structs.ExecutionNotRun {
+			continue
+		}
+		for _, id := range sent.requests {
+			if byRequest[id] > 0 {
+				r.site.judge.Report(checkerNotRun, "%s was refused as not_run and ran as %s: %s", sent.name(), id, sent.refusal.Error.Message)
+			}
+		}
+	}
+}
+
+// countCaller counts what became of a caller's work.
+func (r *requestRecords) countCaller(caller *requestCaller, runs int) {
+	r.counts.Submitted += len(caller.submissions)
+	if caller.key != "" {
+		r.counts.Keys++
+		r.counts.KeysRun += min(runs, 1)
+	}
+	if caller.priority == structs.PriorityLive && len(caller.submissions) > 0 && !caller.gone {
+		r.counts.Live++
+		first := caller.submissions[0]
+		if first.ending == endingWhole || first.ending == endingReplay {
+			r.counts.LiveWhole++
+		}
+	}
+}
--- /dev/null
+++ b/simulate/requestresolver.go
@@ -0,0 +1,123 @@
+package simulate
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	// requestClaimLease is how long a claim is kept without a renewal; holders
+	// renew it four times in that time.
+	requestClaimLease = 3 * time.Second
+	renewalInterval   = requestClaimLease / 4
+	// resolveInterval is how often a zone's leader looks for claims that lapsed.
+	resolveInterval = 500 * time.Millisecond
+)
+
+// claimResolver is the part of a zone's leader that ends the claims of holders
+// that died: controller.Core decides, and only its claim commands are taken.
+type claimResolver struct {
+	group   *zoneGroup
+	core    *controller.Core
+	reign   int
+	renewed map[structs.RequestID]time.Time
+}
+
+func newClaimResolver(group *zoneGroup) *claimResolver {
+	resolver := &claimResolver{group: group}
+	resolver.loop()
+	return resolver
+}
+
+func (r *claimResolver) loop() {
+	if r.group.leaderless == 0 && !r.group.site.mutated(mutationNoResolution) {
+		r.decide()
+	}
+	r.group.site.scheduler.After(resolveInterval, r.loop)
+}
+
+// lead starts anew when another member has come to lead.
+func (r *claimResolver) lead() {
+	if r.core == nil || r.reign != r.group.reign {
+		r.core = controller.New(controller.Options{ClaimLease: requestClaimLease})
+		r.renewed = map[structs.RequestID]time.Time{}
+		r.reign = r.group.reign
+	}
+}
+
+func (r *claimResolver) decide() {
+	r.lead()
+	decisions := r.core.Decide(controller.Input{
+		Now:        r.group.site.now(),
+		Epoch:      structs.Epoch(r.reign + 1),
+		LeaseValid: true,
+		State:      r.group.state,
+		Renewed:    r.renewed,
+	})
+	for _, command := range decisions.Commands {
+		if command.ClaimFinish != nil {
+			r.group.site.trace.Note("resolve", string(command.ClaimFinish.Request), string(command.ClaimFinish.State))
+			r.group.propose(zone.ClaimOperation{Finish: command.ClaimFinish}, func(zone.Result) {})
+		}
+	}
+	for _, inquiry := range decisions.Inquiries {
+		r.ask(inquiry)
+	}
+}
+
+// ask sends an inquiry; a mutation answers in the engine's stead.
+func (r *claimResolver) ask(inquiry controller.Inquiry) {
+	site := r.group.site
+	reign := r.reign
+	answer := func(status structs.RequestStatus) {
+		if r.reign == reign {
+			r.core.ObserveInquiry(controller.InquiryReply{Inquiry: inquiry, Status: status})
+		}
+	}
+	if site.mutated(mutationResolveBlind) {
+		claim, _ := r.group.state.Claim(inquiry.Key)
+		answer(structs.RequestStatus{ID: inquiry.Request, State: structs.RunUnknown, Incarnation: claim.Incarnation})
+		return
+	}
+	engine := site.engineNamed(structs.RunnerID(inquiry.Address))
+	site.dial(r.group.address(), engine.address(), engine.listening, func(link *connection) {
+		link.down.end.receive = func(message any) { answer(message.(structs.RequestStatus)) }
+		link.up.end.receive = func(any) {
+			engine.askStatus(inquiry.Request, true, func(status structs.RequestStatus) { link.down.send(status) })
+		}
+		link.up.send(inquiry.Request)
+	}, func() {})
+}
+
+// renew takes in a holder's renewal.
+func (g *zoneGroup) renew(requests []structs.RequestID) {
+	if g.leaderless > 0 {
+		return
+	}
+	g.resolver.lead()
+	for _, request := range requests {
+		g.resolver.renewed[request] = g.site.now()
+	}
+}
+
+// renewClaims renews the claims that the router holds or has asked for.
+func (h *routerHost) renewClaims(life int) {
+	if h.core == nil || h.life != life {
+		return
+	}
+	byHome := map[structs.ZoneID][]structs.RequestID{}
+	for _, request := range sortedKeys(h.claims) {
+		home := h.claims[request]
+		byHome[home] = append(byHome[home], request)
+	}
+	for _, home := range sortedKeys(byHome) {
+		group := h.site.groups[home]
+		link := newConnection(h.site.network, h.address(), group.address())
+		link.up.end.receive = func(any) { group.renew(byHome[home]) }
+		link.up.send(home)
+	}
+	h.site.scheduler.After(renewalInterval, func() { h.renewClaims(life) })
+}
--- /dev/null
+++ b/simulate/requestscenario.go
@@ -0,0 +1,73 @@
+package simulate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	requestScenarioName = "requests"
+	// requestLoadEnd is when callers stop coming.
+	requestLoadEnd = 30 * time.Second
+	// requestEnd is when every request and every claim has ended: the last callers
+	// look for a router for connectPatience and then wait for longestTime, and a
+	// claim may have to be resolved then.
+	requestEnd = requestLoadEnd + connectPatience + longestTime + 6*requestClaimLease
+	// requestEventLimit bounds the events of a seed; an ordinary one has under 100,000.
+	requestEventLimit = 600_000
+)
+
+var _ = register(requestScenario())
+
+func requestScenario() scenario {
+	return scenario{
+		info: ScenarioInfo{
+			Name: requestScenarioName,
+			Sentence: "Engines die, stall, answer late, twice, crossed, truncated or oversized and lie about their load, routers crash and stop, " +
+				"zones are cut, callers go away and resend, and load triples; every request is answered in time, whole, and at most once.",
+			Checkers: requestCheckers,
+		},
+		run:       runRequests,
+		mutations: requestMutations(),
+	}
+}
+
+// runRequests runs one seed of the requests scenario.
+func runRequests(plan seedPlan) seedOutcome {
+	faults := plan.faults
+	if faults == nil {
+		faults = planRequestFaults(rand.New(rand.NewPCG(plan.seed, faultStream)))
+	}
+	site := newRequestSite(plan)
+	site.trace.Note("seed", formatHash(plan.seed), plan.mutation)
+	site.schedule(faults)
+	site.scheduler.Run(requestEnd)
+	if site.scheduler.Exhausted() {
+		site.judge.Report(checkerRunaway, "%d events happened by %v", requestEventLimit, site.scheduler.Now())
+	}
+	if site.judge.violation == nil {
+		site.records.checkEnd()
+	}
+	return site.outcome(faults)
+}
+
+func (s *requestSite) outcome(faults []Fault) seedOutcome {
+	s.trace.Note("totals", "requests", fmt.Sprintf("%+v", s.counts.Requests))
+	for _, host := range s.routers {
+		host.countStalls()
+	}
+	s.counts.Events = s.scheduler.sequence
+	s.counts.Messages = s.network.delivered
+	s.counts.Faults = len(faults)
+	outcome := seedOutcome{traceHash: s.trace.Sum(), simulated: s.scheduler.Now(), counts: s.counts}
+	if violation := s.judge.violation; violation != nil {
+		violation.Scenario = requestScenarioName
+		violation.Seed = s.plan.seed
+		violation.Mutation = s.plan.mutation
+		violation.Faults = faults
+		violation.TraceHash = formatHash(outcome.traceHash)
+		outcome.violation = violation
+	}
+	return outcome
+}
--- /dev/null
+++ b/simulate/requestsite.go
@@ -0,0 +1,144 @@
+package simulate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	requestRoutersPerZone = 2
+	requestEnginesPerZone = 3
+	requestCallersPerZone = 3
+	// The table's rows of this scenario are all loaded on every engine of the
+	// zones that serve them.
+	requestRowBytes int64 = 4 << 30
+)
+
+// requestRow is a row with the zones that serve it.
+type requestRow struct {
+	name  structs.RowName
+	zones []structs.ZoneID
+}
+
+var (
+	requestZones = []structs.ZoneID{"zone-a", "zone-b", "zone-c"}
+	requestRows  = []requestRow{
+		{"symbols", requestZones},
+		{"harvest", requestZones},
+		{"certificate", requestZones[:2]},
+	}
+)
+
+// servedIn reports whether the zone serves the row.
+func (r requestRow) servedIn(zone structs.ZoneID) bool {
+	for _, serving := range r.zones {
+		if serving == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// requestSite is a simulated site of the requests scenario.
+type requestSite struct {
+	plan      seedPlan
+	random    *rand.Rand
+	scheduler *Scheduler
+	trace     *Trace
+	network   *Network
+	judge     *Judge
+	counts    Counts
+	records   *requestRecords
+
+	groups  map[structs.ZoneID]*zoneGroup
+	routers []*routerHost
+	engines []*answerEngine
+	callers []*requestCaller
+	// load multiplies the arrivals, batchLoad only those of batch requests.
+	load      float64
+	batchLoad float64
+	submitted int
+}
+
+func newRequestSite(plan seedPlan) *requestSite {
+	scheduler := &Scheduler{limit: requestEventLimit}
+	trace := NewTrace(scheduler)
+	trace.sink = plan.sink
+	random := rand.New(rand.NewPCG(plan.seed, siteStream))
+	site := &requestSite{
+		plan:      plan,
+		random:    random,
+		scheduler: scheduler,
+		trace:     trace,
+		network:   NewNetwork(scheduler, random, trace, calmNetwork),
+		judge:     &Judge{scheduler: scheduler, trace: trace},
+		groups:    map[structs.ZoneID]*zoneGroup{},
+		load:      1,
+		batchLoad: 1,
+	}
+	site.records = newRequestRecords(site)
+	for _, zone := range requestZones {
+		site.addZone(zone)
+	}
+	for _, router := range site.routers {
+		router.start()
+	}
+	site.arriveNext()
+	return site
+}
+
+func (s *requestSite) addZone(zone structs.ZoneID) {
+	group := newZoneGroup(s, zone)
+	s.groups[zone] = group
+	for i := range requestEnginesPerZone {
+		id := structs.RunnerID(fmt.Sprintf("%s/engine-%d", zone, i+1))
+		s.engines = append(s.engines, newAnswerEngine(s, id, zone))
+	}
+	for i := range requestRoutersPerZone {
+		id := structs.DaemonID(fmt.Sprintf("%s/router-%d", zone, i+1))
+		s.routers = append(s.routers, newRouterHost(s, id, zone))
+	}
+}
+
+func (s *requestSite) now() time.Time { return epochStart.Add(s.scheduler.Now()) }
+
+func (s *requestSite) mutated(name string) bool { return s.plan.mutation == name }
+
+// between draws a duration from least to most.
+func (s *requestSite) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+func (s *requestSite) chance(probability float64) bool { return s.random.Float64() < probability }
+
+// routersOf lists the routers of a zone.
+func (s *requestSite) routersOf(zone structs.ZoneID) []*routerHost {
+	var found []*routerHost
+	for _, router := range s.routers {
+		if router.zone == zone {
+			found = append(found, router)
+		}
+	}
+	return found
+}
+
+func (s *requestSite) engineNamed(id structs.RunnerID) *answerEngine {
+	for _, engine := range s.engines {
+		if engine.id == id {
+			return engine
+		}
+	}
+	return nil
+}
+
+func (s *requestSite) routerNamed(id structs.DaemonID) *routerHost {
+	for _, router := range s.routers {
+		if router.id == id {
+			return router
+		}
+	}
+	return nil
+}
--- a/simulate/result.go
+++ b/simulate/result.go
@@ -4,7 +4,8 @@
 
 // Options says what Run simulates.
 type Options struct {
-	// Scenario is one of Scenarios; empty means "table".
+	// Scenario is one of Scenarios, alone or with a plan ("table/zone-cut") or two
+	// plans ("table/zone-cut+second-loss"), or AllScenarios; empty means "table".
 	Scenario string
 	// Seed is the first seed and Seeds the number of seeds (0 means 1).
 	Seed  uint64
@@ -39,6 +40,13 @@
 	Repairs       int    `json:"repairs"`
 	GrantReleases int    `json:"grant_releases"`
 	Converged     int    `json:"converged"`
+	// SlowestInForce is the longest time from an edit's acceptance until a zone that
+	// could be reached had it in force, and SlowestRejoin from the end of a cut until
+	// the zone had caught up, both while nothing else failed.
+	SlowestInForce time.Duration `json:"slowest_in_force_nanoseconds"`
+	SlowestRejoin  time.Duration `json:"slowest_rejoin_nanoseconds"`
+	// Requests is empty but for the requests scenario.
+	Requests RequestCounts `json:"requests,omitzero"`
 }
 
 func (c *Counts) add(other Counts) {
@@ -57,6 +65,9 @@
 	c.Repairs += other.Repairs
 	c.GrantReleases += other.GrantReleases
 	c.Converged += other.Converged
+	c.SlowestInForce = max(c.SlowestInForce, other.SlowestInForce)
+	c.SlowestRejoin = max(c.SlowestRejoin, other.SlowestRejoin)
+	c.Requests.add(other.Requests)
 }
 
 // Violation says which invariant a seed broke, and how.
@@ -78,20 +89,36 @@
 
 // Result is what Run found.
 type Result struct {
-	Scenario   string      `json:"scenario"`
-	Seed       uint64      `json:"seed"`
-	Seeds      int         `json:"seeds"`
+	Scenario string `json:"scenario"`
+	Seed     uint64 `json:"seed"`
+	Seeds    int    `json:"seeds"`
+	// Runs counts what ran: with StopAfter not all seeds do, and with AllScenarios
+	// each seed runs several times.
+	Runs       int         `json:"runs"`
 	Mutation   string      `json:"mutation,omitempty"`
 	Violations []Violation `json:"violations"`
-	// TraceHash covers the traces of all seeds in the order of the seeds.
+	// TraceHash covers the traces of all runs in the order of the seeds.
 	TraceHash      string  `json:"trace_hash"`
 	SimulatedHours float64 `json:"simulated_hours"`
 	RealSeconds    float64 `json:"real_seconds"`
+	// HoursPerSecond is the number of simulated hours in each real second.
+	HoursPerSecond float64 `json:"simulated_hours_per_real_second"`
 	Counts         Counts  `json:"counts"`
 }
 
 // ScenarioInfo describes a scenario.
 type ScenarioInfo struct {
+	Name string `json:"name"`
+	// Sentence says what fails and what must hold then.
+	Sentence string `json:"sentence"`
+	// Checkers names the invariants that are judged.
+	Checkers []string `json:"checkers"`
+	// Plans are what can be made to fail on its own.
+	Plans []PlanInfo `json:"plans,omitempty"`
+}
+
+// PlanInfo describes a plan of faults of a scenario.
+type PlanInfo struct {
 	Name     string `json:"name"`
 	Sentence string `json:"sentence"`
 }
@@ -101,5 +128,9 @@
 type MutationInfo struct {
 	Name     string `json:"name"`
 	Sentence string `json:"sentence"`
+	// Checkers are those that may notice; another one would mean that something
+	// else than the safeguard is broken.
+	Checkers []string `json:"checkers"`
+	// Scenario is the one that shows it soonest; register sets it where it is empty.
 	Scenario string `json:"scenario"`
 }
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 type seedPlan struct {
 	seed     uint64
 	mutation string
+	// plans names the plans of faults that strike; without any, the seed draws its
+	// faults from all kinds.
+	plans []string
 	// faults replaces the planned faults when not nil.
 	faults []Fault
 	sink   func(line string)
@@ -30,54 +34,41 @@
 	counts    Counts
 }
 
-// scenario is a kind of site with its load, faults and checkers.
-type scenario struct {
-	info      ScenarioInfo
-	run       func(plan seedPlan) seedOutcome
-	mutations []MutationInfo
+// job is one seed of one scenario.
+type job struct {
+	scenario scenario
+	// name is the scenario's, with its plans.
+	name string
+	plan seedPlan
 }
 
-func scenarios() []scenario {
-	return []scenario{tableScenario()}
-}
-
-// Scenarios lists what Run can simulate.
-func Scenarios() []ScenarioInfo {
-	var infos []ScenarioInfo
-	for _, known := range scenarios() {
-		infos = append(infos, known.info)
-	}
-	return infos
-}
-
-// Mutations lists the safeguards that Run can disable.
-func Mutations() []MutationInfo {
-	var infos []MutationInfo
-	for _, known := range scenarios() {
-		infos = append(infos, known.mutations...)
+// run simulates the job.
+func (j job) run() seedOutcome {
+	outcome := j.scenario.run(j.plan)
+	outcome.ran = true
+	if outcome.violation != nil {
+		outcome.violation.Scenario = j.name
 	}
-	return infos
+	return outcome
 }
 
 // Run simulates the seeds Seed to Seed+Seeds-1. Violations are part of the
 // result; the error is an ErrorInvalid about the options.
 func Run(options Options) (Result, error) {
-	chosen, err := options.resolve()
+	jobs, err := options.jobs()
 	if err != nil {
 		return Result{}, err
 	}
 	started := time.Now()
-	outcomes, err := runSeeds(chosen, options)
-	if err != nil {
-		return Result{}, err
-	}
+	outcomes := runJobs(jobs, options)
 	result := combine(options, outcomes)
 	result.RealSeconds = time.Since(started).Seconds()
+	result.HoursPerSecond = result.SimulatedHours / max(result.RealSeconds, time.Millisecond.Seconds())
 	return result, nil
 }
 
-// resolve fills in defaults and finds the scenario.
-func (o *Options) resolve() (scenario, error) {
+// jobs fills in defaults and lists what to run.
+func (o *Options) jobs() ([]job, error) {
 	if o.Scenario == "" {
 		o.Scenario = tableScenarioName
 	}
@@ -87,33 +78,65 @@
 	if o.Workers <= 0 {
 		o.Workers = runtime.GOMAXPROCS(0)
 	}
-	if o.Sink != nil && o.Seeds > 1 {
-		return scenario{}, structs.NewError(structs.ErrorInvalid, "a sink was given with many seeds", "Run one seed when you want its lines.")
+	if o.Sink != nil && (o.Seeds > 1 || o.Scenario == AllScenarios) {
+		return nil, structs.NewError(structs.ErrorInvalid, "a sink was given with many seeds", "Run one seed when you want its lines.")
 	}
-	for _, known := range scenarios() {
-		if known.info.Name == o.Scenario {
-			return known, known.checkMutation(o.Mutation)
-		}
+	if o.Scenario == AllScenarios {
+		return o.allJobs()
+	}
+	known, plans, err := findScenario(o.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	if !known.hasMutation(o.Mutation) {
+		return nil, unknownMutation(o.Scenario, o.Mutation)
 	}
-	return scenario{}, structs.NewError(structs.ErrorInvalid,
-		fmt.Sprintf("there is no scenario %q", o.Scenario), "Choose one that Scenarios lists.")
+	var jobs []job
+	for i := range uint64(o.Seeds) {
+		jobs = append(jobs, o.job(known, o.Scenario, plans, o.Seed+i))
+	}
+	return jobs, nil
 }
 
-func (s scenario) checkMutation(name string) error {
-	if name == "" {
-		return nil
-	}
-	for _, mutation := range s.mutations {
-		if mutation.Name == name {
-			return nil
+// allJobs runs, for each seed, every scenario with faults of all kinds and, in
+// turn, one of its plans or pairs of plans.
+func (o *Options) allJobs() ([]job, error) {
+	var jobs []job
+	for i := range uint64(o.Seeds) {
+		seed := o.Seed + i
+		for _, known := range scenarios() {
+			if !known.hasMutation(o.Mutation) {
+				continue
+			}
+			jobs = append(jobs, o.job(known, known.info.Name, nil, seed))
+			if combinations := known.combinations(); len(combinations) > 0 {
+				name := combinations[seed%uint64(len(combinations))]
+				_, joined, _ := strings.Cut(name, planSeparator)
+				jobs = append(jobs, o.job(known, name, strings.Split(joined, planJoiner), seed))
+			}
 		}
 	}
+	if len(jobs) == 0 {
+		return nil, unknownMutation(o.Scenario, o.Mutation)
+	}
+	return jobs, nil
+}
+
+func (o *Options) job(known scenario, name string, plans []string, seed uint64) job {
+	return job{
+		scenario: known,
+		name:     name,
+		plan:     seedPlan{seed: seed, mutation: o.Mutation, plans: plans, faults: o.Faults, sink: o.Sink},
+	}
+}
+
+func unknownMutation(scenario, name string) error {
 	return structs.NewError(structs.ErrorInvalid,
-		fmt.Sprintf("scenario %q has no mutation %q", s.info.Name, name), "Choose one that Mutations lists.")
+		fmt.Sprintf("scenario %q has no mutation %q", scenario, name), "Choose one that Mutations lists.")
 }
 
-func runSeeds(chosen scenario, options Options) ([]seedOutcome, error) {
-	outcomes := make([]seedOutcome, options.Seeds)
+func runJobs(jobs []job, options Options) []seedOutcome {
+	outcomes := make([]seedOutcome, len(jobs))
 	var found atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(options.Workers)
@@ -122,28 +145,24 @@
 			if options.StopAfter > 0 && found.Load() >= int64(options.StopAfter) {
 				return nil
 			}
-			plan := seedPlan{
-				seed:     options.Seed + uint64(i),
-				mutation: options.Mutation,
-				faults:   options.Faults,
-				sink:     options.Sink,
-			}
-			outcomes[i] = chosen.run(plan)
-			outcomes[i].ran = true
+			outcomes[i] = jobs[i].run()
 			if outcomes[i].violation != nil {
 				found.Add(1)
 			}
 			return nil
 		})
 	}
-	return outcomes, group.Wait()
+	// The functions return no error.
+	_ = group.Wait()
+	return outcomes
 }
 
-// combine sums the outcomes in the order of the seeds, whatever order they ran in.
+// combine sums the outcomes in the order of the jobs, whatever order they ran in.
 func combine(options Options, outcomes []seedOutcome) Result {
 	result := Result{
 		Scenario:   options.Scenario,
 		Seed:       options.Seed,
+		Seeds:      options.Seeds,
 		Mutation:   options.Mutation,
 		Violations: []Violation{},
 	}
@@ -153,7 +172,7 @@
 		if !outcome.ran {
 			continue
 		}
-		result.Seeds++
+		result.Runs++
 		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, outcome.traceHash))
 		simulated += outcome.simulated
 		result.Counts.add(outcome.counts)
--- a/simulate/run_test.go
+++ b/simulate/run_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/lotusferry/lotusferry/structs"
@@ -14,6 +17,9 @@
 // mutationSeeds is how many seeds a mutation gets to show itself.
 const mutationSeeds = 200
 
+// mutationWorkers is few, because one of the first seeds shows most mutations.
+const mutationWorkers = 3
+
 func TestSameSeedsGiveSameTraceInAnyOrder(t *testing.T) {
 	c := qt.New(t)
 	one, err := Run(Options{Seed: 7, Seeds: 4, Workers: 1})
@@ -50,50 +56,121 @@
 	}
 }
 
+// reportViolations fails the test for each violation of the result.
+func reportViolations(t *testing.T, result Result) {
+	t.Helper()
+	for _, violation := range result.Violations {
+		t.Errorf("%s seed %d, %s: %s\n%s", violation.Scenario, violation.Seed, violation.Checker, violation.Message,
+			strings.Join(violation.Trace, "\n"))
+	}
+}
+
 func TestTableHoldsWithoutMutation(t *testing.T) {
 	c := qt.New(t)
 	result, err := Run(Options{Scenario: "table", Seed: 1, Seeds: 24})
 	c.Assert(err, qt.IsNil)
-	for _, violation := range result.Violations {
-		t.Errorf("seed %d, %s: %s\n%s", violation.Seed, violation.Checker, violation.Message, strings.Join(violation.Trace, "\n"))
-	}
+	reportViolations(t, result)
 	c.Assert(result.Counts.Converged, qt.Equals, 24)
 	encoded, err := json.Marshal(result)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(encoded), qt.Contains, `"violations":[]`)
 }
 
-func TestEachMutationIsCaught(t *testing.T) {
-	// The checkers that may notice each mutation; another one would mean that the
-	// safeguard is not what was disabled.
-	expected := map[string][]string{
-		mutationNoFence:        {checkerFence, checkerReplicas, checkerReservation},
-		mutationNoSync:         {checkerLog, checkerElection, checkerInForce, checkerFailure, checkerRunaway},
-		mutationOrderUnapplied: {checkerReservation, checkerReplicas},
-		mutationIgnoreGrants:   {checkerReplicas, checkerGrant},
-		mutationEarlyRelease:   {checkerReplicas, checkerGrant, checkerInvariants},
-		mutationNewEditID:      {checkerResend},
-		mutationKeepIdentity:   {checkerElection, checkerLog, checkerRunaway},
-		mutationIgnoreLease:    {checkerLease},
-		mutationAdoptOlder:     {checkerInForce},
+// Each plan that takes seconds runs, in turn, alone, twice in a row, or together
+// with the next one.
+func TestTableHoldsUnderEachPlan(t *testing.T) {
+	c := qt.New(t)
+	var short []string
+	for _, plan := range tablePlans {
+		if !plan.isLong {
+			short = append(short, plan.Name)
+		}
+	}
+	var jobs []job
+	options := Options{Workers: runtime.GOMAXPROCS(0)}
+	for i, name := range short {
+		plans := [][]string{{name}, {name, name}, {name, short[(i+1)%len(short)]}}
+		known, _, err := findScenario(tableScenarioName)
+		c.Assert(err, qt.IsNil)
+		jobs = append(jobs, options.job(known, name, plans[i%len(plans)], uint64(i+1)))
+	}
+	outcomes := runJobs(jobs, options)
+	for i, outcome := range outcomes {
+		comment := qt.Commentf("%v", jobs[i].plan.plans)
+		c.Assert(outcome.violation, qt.IsNil, comment)
+		c.Assert(outcome.counts.Converged, qt.Equals, 1, comment)
+		c.Assert(outcome.counts.Faults > 0 || jobs[i].name == "calm", qt.IsTrue, comment)
 	}
+}
+
+// The plan zone-cut takes hours; here the same cut takes minutes.
+func TestZoneRejoinsWithinSeconds(t *testing.T) {
+	c := qt.New(t)
+	cut := Fault{Kind: FaultCutZone, At: cutLead, For: 20 * time.Minute, Target: "zone-a"}
+	outcome := followTable(seedPlan{seed: 1}, timetable{faults: []Fault{cut}, end: cut.At + cut.For + time.Minute, pace: longPace})
+	c.Assert(outcome.violation, qt.IsNil)
+	c.Assert(outcome.counts.EditsAccepted > 20 && outcome.counts.Loads > 20, qt.IsTrue)
+	c.Assert(outcome.counts.SlowestRejoin > 0 && outcome.counts.SlowestRejoin <= inForceBound, qt.IsTrue)
+	planned := planTable(seedPlan{seed: 1, plans: []string{"zone-cut"}})
+	c.Assert(planned.faults[0].For, qt.Equals, cutHours)
+}
+
+func TestEachMutationIsCaught(t *testing.T) {
 	for _, mutation := range Mutations() {
 		t.Run(mutation.Name, func(t *testing.T) {
 			c := qt.New(t)
-			result, err := Run(Options{Scenario: mutation.Scenario, Seed: 1, Seeds: mutationSeeds, Mutation: mutation.Name, StopAfter: 1})
+			result, err := Run(Options{Scenario: mutation.Scenario, Seed: 1, Seeds: mutationSeeds, Mutation: mutation.Name, StopAfter: 1, Workers: mutationWorkers})
 			c.Assert(err, qt.IsNil)
-			c.Assert(len(result.Violations) > 0, qt.IsTrue, qt.Commentf("%d seeds ran", result.Seeds))
+			c.Assert(len(result.Violations) > 0, qt.IsTrue, qt.Commentf("%d seeds ran", result.Runs))
 			violation := result.Violations[0]
-			c.Assert(expected[mutation.Name], qt.Contains, violation.Checker, qt.Commentf("%s", violation.Message))
+			c.Assert(mutation.Checkers, qt.Contains, violation.Checker, qt.Commentf("%s", violation.Message))
 			c.Assert(violation.Mutation, qt.Equals, mutation.Name)
 			c.Assert(len(violation.Trace) > 0 && len(violation.Trace) <= traceLines, qt.IsTrue)
 		})
 	}
 }
 
+// All scenarios together run each seed of every scenario, and one combination of
+// plans; the mutation keeps them short.
+func TestAllScenariosRunTogether(t *testing.T) {
+	c := qt.New(t)
+	options := Options{Scenario: AllScenarios, Seed: 2, Seeds: 3, Mutation: mutationOrderUnapplied}
+	first, err := Run(options)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Runs, qt.Equals, 6)
+	names := map[string]bool{}
+	for _, violation := range first.Violations {
+		names[violation.Scenario] = true
+		again, err := Run(violation.options())
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Violations, qt.DeepEquals, []Violation{violation})
+	}
+	c.Assert(names["table"] && names["table/slow-store"], qt.IsTrue, qt.Commentf("%v", names))
+	second, err := Run(options)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.TraceHash, qt.Equals, first.TraceHash)
+}
+
+func TestCombinationsAreAloneTwiceAndPairs(t *testing.T) {
+	c := qt.New(t)
+	known, _, err := findScenario(tableScenarioName)
+	c.Assert(err, qt.IsNil)
+	plans := len(tablePlans)
+	combinations := known.combinations()
+	c.Assert(combinations, qt.HasLen, 2*plans+plans*(plans-1)/2)
+	for _, name := range combinations {
+		_, named, err := findScenario(name)
+		c.Assert(err, qt.IsNil)
+		table := planTable(seedPlan{seed: 1, plans: named})
+		for _, fault := range table.faults {
+			c.Assert(fault.At+fault.For <= table.end, qt.IsTrue, qt.Commentf("%s: %+v", name, fault))
+		}
+	}
+}
+
 // findOne looks once for a violation that needs faults to come about.
 var findOne = sync.OnceValues(func() (Result, error) {
-	return Run(Options{Seed: 1, Seeds: mutationSeeds, Mutation: mutationKeepIdentity, StopAfter: 1})
+	return Run(Options{Seed: 1, Seeds: mutationSeeds, Mutation: mutationNoFence, StopAfter: 1, Workers: 1})
 })
 
 func caught(c *qt.C) Violation {
@@ -137,11 +214,13 @@
 	c := qt.New(t)
 	for _, options := range []Options{
 		{Scenario: "nothing"},
+		{Scenario: "table/nothing"},
+		{Scenario: "table/calm+calm+calm"},
 		{Mutation: "nothing"},
 		{Seeds: 2, Sink: func(string) {}},
 	} {
 		_, err := Run(options)
 		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
 	}
-	c.Assert(Scenarios(), qt.HasLen, 1)
+	c.Assert(slices.IndexFunc(Scenarios(), func(info ScenarioInfo) bool { return info.Name == tableScenarioName }) >= 0, qt.IsTrue)
 }
--- a/simulate/shrink.go
+++ b/simulate/shrink.go
@@ -2,31 +2,59 @@
 
 import "slices"
 
-// Shrink drops faults one by one while the same checker still reports a
-// violation, and returns the violation with the faults that are left. It runs
-// the seed at most attempts times.
+// Shrink drops faults while the same checker still reports a violation, first
+// half of them at a time and in the end one by one, and returns the violation
+// with the faults that are left. It runs the seed at most attempts times.
 func Shrink(violation Violation, attempts int) (Violation, error) {
-	smallest := violation
-	for progress := true; progress; {
-		progress = false
-		for i := len(smallest.Faults) - 1; i >= 0; i-- {
-			if attempts <= 0 {
-				return smallest, nil
-			}
-			attempts--
-			candidate := smallest
-			candidate.Faults = slices.Delete(slices.Clone(smallest.Faults), i, i+1)
-			reported, err := runAgain(candidate)
-			if err != nil {
-				return smallest, err
-			}
-			if reported != nil && reported.Checker == violation.Checker {
-				smallest = *reported
-				progress = true
-			}
+	s := shrinker{smallest: violation, attempts: attempts}
+	isLater := func(fault Fault) bool { return fault.At > violation.At }
+	if err := s.try(slices.DeleteFunc(slices.Clone(violation.Faults), isLater)); err != nil {
+		return s.smallest, err
+	}
+	for size := (len(s.smallest.Faults) + 1) / 2; size > 0; {
+		hasShrunk, err := s.dropEach(size)
+		if err != nil || s.attempts <= 0 {
+			return s.smallest, err
+		}
+		if size == 1 && !hasShrunk {
+			break
+		}
+		size = max(size/2, 1)
+	}
+	return s.smallest, nil
+}
+
+// shrinker looks for fewer faults that bring the violation about.
+type shrinker struct {
+	smallest Violation
+	attempts int
+}
+
+// dropEach tries to do without each run of so many faults, the last one first.
+func (s *shrinker) dropEach(size int) (hasShrunk bool, err error) {
+	before := len(s.smallest.Faults)
+	for end := before; end > 0; end -= size {
+		start := max(end-size, 0)
+		if err := s.try(slices.Delete(slices.Clone(s.smallest.Faults), start, end)); err != nil {
+			return false, err
 		}
 	}
-	return smallest, nil
+	return len(s.smallest.Faults) < before, nil
+}
+
+// try takes the faults when they are fewer and bring the violation about.
+func (s *shrinker) try(faults []Fault) error {
+	if s.attempts <= 0 || len(faults) == len(s.smallest.Faults) {
+		return nil
+	}
+	s.attempts--
+	candidate := s.smallest
+	candidate.Faults = faults
+	reported, err := runAgain(candidate)
+	if err == nil && reported != nil && reported.Checker == s.smallest.Checker {
+		s.smallest = *reported
+	}
+	return err
 }
 
 // runAgain runs the violation's seed with its faults.
--- a/simulate/tablefaults.go
+++ b/simulate/tablefaults.go
@@ -49,8 +49,10 @@
 	case FaultTransfer:
 		s.transferLeadership(groupName(fault.Target))
 		return nil
-	case FaultEngineCrash, FaultEngineCut:
+	case FaultEngineCrash, FaultEngineCut, FaultReclaim:
 		return s.injectEngine(fault)
+	case FaultLoadingDeath, FaultRestartSite, FaultStoreSlow, FaultEditBurst, FaultRace, FaultLostAnswers:
+		return s.injectLoad(fault)
 	}
 	if d := s.daemonAt(fault.Target); d != nil {
 		return s.injectMachine(d, fault)
@@ -95,11 +97,15 @@
 		if string(host.id) != fault.Target {
 			continue
 		}
-		if fault.Kind == FaultEngineCrash {
+		switch fault.Kind {
+		case FaultEngineCrash:
 			host.crash(fault.For)
-			return nil
+		case FaultReclaim:
+			s.reclaim(host, time.Duration(fault.Amount*float64(time.Second)), fault.For)
+		default:
+			return s.cutEngine(host)
 		}
-		return s.cutEngine(host)
+		return nil
 	}
 	return nil
 }
@@ -262,7 +268,7 @@
 
 // replaceAfterRepair replaces the peer's disk as soon as d votes again.
 func (s *tableSite) replaceAfterRepair(d, peer *daemon, outage time.Duration, until time.Duration) {
-	if peer == nil || s.scheduler.Now() >= until || s.scheduler.Now() >= faultsEnd-outage {
+	if peer == nil || s.scheduler.Now() >= until || s.scheduler.Now() >= s.end-outage {
 		return
 	}
 	if d.machine.alive && d.votes() && s.fellowWithoutVote(peer) == "" {
--- /dev/null
+++ b/simulate/tablemutation.go
@@ -0,0 +1,136 @@
+package simulate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/zone"
+)
+
+const (
+	// slowDeltaInterval is how often a mutated leader asks for table changes.
+	slowDeltaInterval = 20 * time.Second
+	// globalSilence is how long a mutated leader goes on without the global group.
+	globalSilence = 2 * time.Second
+	// memoryInflation is what a mutated leader multiplies a runner's memory by.
+	memoryInflation = 1.5
+)
+
+// controllerMutations are what the mutations of a zone's leader remember.
+type controllerMutations struct {
+	// previous is the delta proposed before the last one.
+	previous *structs.TableDelta
+	// answeredAt is when a member of the global group in another zone last
+	// answered, and askedAt when the group was last asked.
+	answeredAt time.Time
+	askedAt    time.Time
+}
+
+// waitsForGlobal reports whether a mutated leader decides nothing for now.
+func (c *zoneController) waitsForGlobal() bool {
+	if !c.daemon.site.mutated(mutationNeedGlobal) || c.mutated.answeredAt.IsZero() {
+		return false
+	}
+	c.askDelta()
+	return c.daemon.now().Sub(c.mutated.answeredAt) > globalSilence
+}
+
+// noteAnswer notes who of the global group answered.
+func (c *zoneController) noteAnswer(from Address) {
+	if other := c.daemon.site.daemonAt(string(from)); other.machine.Zone != c.daemon.machine.Zone {
+		c.mutated.answeredAt = c.daemon.now()
+	}
+}
+
+// mutateRequest changes what the global group is asked for; false means that it
+// is not asked now.
+func (c *zoneController) mutateRequest(request *deltaRequest) bool {
+	switch {
+	case c.daemon.site.mutated(mutationAdoptOlder):
+		request.since = 0
+	case c.daemon.site.mutated(mutationSlowDeltas):
+		if c.daemon.now().Sub(c.mutated.askedAt) < slowDeltaInterval {
+			return false
+		}
+		c.mutated.askedAt = c.daemon.now()
+	}
+	return true
+}
+
+// mutateReports lets the leader see more memory than the engines have.
+func (c *zoneController) mutateReports() map[structs.RunnerID]controller.ReportSeen {
+	if !c.daemon.site.mutated(mutationInflateMemory) {
+		return c.reports
+	}
+	inflated := map[structs.RunnerID]controller.ReportSeen{}
+	for runner, seen := range c.reports {
+		seen.Report.MemoryBytes = int64(float64(seen.Report.MemoryBytes) * memoryInflation)
+		inflated[runner] = seen
+	}
+	return inflated
+}
+
+// allReleases releases every lowered grant, whether or not the zone is down to it.
+func (c *zoneController) allReleases() []structs.GrantRelease {
+	var releases []structs.GrantRelease
+	for _, grant := range c.state.LoweredGrants() {
+		releases = append(releases, structs.GrantRelease{
+			Row: grant.Row, Zone: grant.Zone, Sequence: grant.Sequence, Limit: grant.Limit,
+		})
+	}
+	return releases
+}
+
+// orderUnapplied sends the load order of a reservation that is only proposed.
+func (c *zoneController) orderUnapplied(index uint64, reserve zone.ReserveCommand) {
+	row, _ := c.state.Row(reserve.Row)
+	c.sendLater(structs.Order{
+		Fence:       structs.Fence{Epoch: structs.Epoch(c.awaitedTerm), Number: structs.OrderNumber(index)},
+		Kind:        structs.OrderLoad,
+		Runner:      reserve.Runner,
+		Incarnation: reserve.Incarnation,
+		Row:         reserve.Row,
+		Base:        row.Base,
+		MemoryBytes: row.MemoryBytes,
+	})
+}
+
+// mutate is the identity but for mutations.
+func (c *zoneController) mutate(delta structs.TableDelta) structs.TableDelta {
+	switch {
+	case c.daemon.site.mutated(mutationIgnoreGrants):
+		return c.inflateGrants(delta)
+	case c.daemon.site.mutated(mutationIgnoreFrozen):
+		delta.Grants = slices.Clone(delta.Grants)
+		for i := range delta.Grants {
+			delta.Grants[i].Frozen = false
+		}
+	case c.daemon.site.mutated(mutationAdoptOlder):
+		older := delta
+		if c.mutated.previous != nil {
+			older = *c.mutated.previous
+			older.Revision = delta.Revision
+		}
+		c.mutated.previous = &delta
+		return older
+	}
+	return delta
+}
+
+// inflateGrants gives the zone the whole limit of each row.
+func (c *zoneController) inflateGrants(delta structs.TableDelta) structs.TableDelta {
+	limits := map[structs.RowName]int{}
+	for _, row := range append(c.state.Rows(), delta.Rows...) {
+		limits[row.Name] = row.MaxReplicas
+	}
+	grants := make([]structs.Grant, len(delta.Grants))
+	for i, grant := range delta.Grants {
+		grants[i] = grant
+		grants[i].Limit = max(grant.Limit, limits[grant.Row])
+		grants[i].Held = max(grant.Held, grants[i].Limit)
+	}
+	delta.Grants = grants
+	return delta
+}
--- a/simulate/tableplan.go
+++ b/simulate/tableplan.go
@@ -1,10 +1,8 @@
 package simulate
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -19,34 +17,36 @@
 // faultPlanner plans the faults of a seed.
 type faultPlanner struct {
 	random *rand.Rand
+	// end is when all faults are over.
+	end    time.Duration
 	faults []Fault
 }
 
 // planTableFaults plans what goes wrong in a seed: some recipes at random times.
 func planTableFaults(random *rand.Rand) []Fault {
-	p := &faultPlanner{random: random}
+	p := &faultPlanner{random: random, end: faultsEnd}
 	recipes := []func(at time.Duration){
 		p.crash, p.crash, p.pause, p.pause, p.drift, p.cutZone, p.cutOneWay, p.cutMachine,
 		p.silentLeader, p.silentLeader, p.replaceDisk, p.replaceTwice, p.replaceWhileCut,
 		p.diskFull, p.diskSlow, p.storm, p.storm, p.engineCrash, p.engineCut, p.transfer, p.powerLoss,
+		p.loadingDeath, p.slowStore, p.reclaim, p.restartSite, p.race, p.lostAnswers,
 	}
 	count := planLeast + random.IntN(planMost-planLeast+1)
 	for range count {
 		at := p.between(faultsStart, faultsEnd-15*time.Second)
 		recipes[random.IntN(len(recipes))](at)
 	}
-	slices.SortStableFunc(p.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return p.faults
+	return p.sorted()
 }
 
 func (p *faultPlanner) between(least, most time.Duration) time.Duration {
 	return least + time.Duration(p.random.Int64N(int64(most-least)))
 }
 
-// add plans a fault; all are over when faultsEnd comes.
+// add plans a fault; all are over at the end.
 func (p *faultPlanner) add(fault Fault) {
 	fault.At = max(fault.At, 0)
-	fault.For = min(fault.For, faultsEnd-fault.At)
+	fault.For = min(fault.For, p.end-fault.At)
 	p.faults = append(p.faults, fault)
 }
 
--- a/simulate/tablescenario.go
+++ b/simulate/tablescenario.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,23 +14,27 @@
 	siteStream  = 1
 	faultStream = 2
 
-	// faultsEnd is when all faults heal and operators stop.
+	// faultsEnd is when all faults heal and operators stop, without plans.
 	faultsEnd = 60 * time.Second
-	// convergenceBound is how long the site may take to settle after that.
-	convergenceBound = 40 * time.Second
-	// eventLimit bounds the events of a seed. An ordinary seed has under 100,000;
-	// more means that some messages bring forth each other without end.
-	eventLimit = 400_000
+	// eventLimit bounds the events of a seed, and eventsPerHour what a long one may
+	// have besides. An ordinary seed has under 100,000; more means that some
+	// messages bring forth each other without end.
+	eventLimit    = 400_000
+	eventsPerHour = 1_000_000
 	// convergenceInterval is how often the site is looked at.
 	convergenceInterval = 250 * time.Millisecond
 )
 
+var _ = register(tableScenario())
+
 func tableScenario() scenario {
 	return scenario{
 		info: ScenarioInfo{
 			Name: tableScenarioName,
 			Sentence: "Operators race edits while zones, controllers, disks, clocks and engines fail; " +
 				"replica limits, memory, fencing and accepted edits must hold, and all zones must converge.",
+			Checkers: tableCheckers,
+			Plans:    tablePlanInfos(),
 		},
 		run:       runTable,
 		mutations: tableMutations(),
@@ -39,23 +42,22 @@
 }
 
 // runTable runs one seed of the table scenario.
-func runTable(plan seedPlan) seedOutcome {
-	faults := plan.faults
-	if faults == nil {
-		faults = planTableFaults(rand.New(rand.NewPCG(plan.seed, faultStream)))
-	}
-	site := newTableSite(plan)
+func runTable(plan seedPlan) seedOutcome { return followTable(plan, planTable(plan)) }
+
+// followTable runs a seed with a timetable of its own.
+func followTable(plan seedPlan, table timetable) seedOutcome {
+	site := newTableSite(plan, table)
 	site.trace.Note("seed", formatHash(plan.seed), plan.mutation)
-	site.schedule(faults)
-	site.scheduler.limit = eventLimit
-	site.scheduler.Run(faultsEnd)
+	site.schedule(table.faults)
+	site.scheduler.limit = eventLimit + uint64(table.end.Hours()*eventsPerHour)
+	site.scheduler.Run(table.end)
 	if site.judge.violation == nil && !site.scheduler.Exhausted() {
 		site.settle()
 	}
 	if site.scheduler.Exhausted() {
-		site.judge.Report(checkerRunaway, "%d events happened by %v", eventLimit, site.scheduler.Now())
+		site.judge.Report(checkerRunaway, "%d events happened by %v", site.scheduler.limit, site.scheduler.Now())
 	}
-	return site.outcome(faults)
+	return site.outcome(table.faults)
 }
 
 // settle stops the load and waits for the site to converge.
@@ -63,7 +65,7 @@
 	s.quiet = true
 	s.trace.Note("heal", "site", "")
 	problem := "nothing was checked"
-	for end := faultsEnd + convergenceBound; s.scheduler.Now() < end && s.judge.violation == nil; {
+	for end := s.end + s.pace.convergence; s.scheduler.Now() < end && s.judge.violation == nil; {
 		if s.scheduler.Exhausted() {
 			return
 		}
@@ -74,7 +76,7 @@
 			return
 		}
 	}
-	s.judge.Report(checkerConvergence, "%v after the last fault healed, %s", convergenceBound, problem)
+	s.judge.Report(checkerConvergence, "%v after the last fault healed, %s", s.pace.convergence, problem)
 }
 
 // unsettled says what still keeps the site from being converged.
--- a/simulate/tablesite.go
+++ b/simulate/tablesite.go
@@ -50,12 +50,25 @@
 	routers   []*demandSource
 	// heldOrders delays the orders of machines whose network holds them back.
 	heldOrders map[Address]time.Duration
+	// end is when all faults are over.
+	end      time.Duration
+	pace     pace
+	lateness *lateness
+	// loadingDeaths are the deaths that wait for a load to begin.
+	loadingDeaths []*Fault
+	// storeSlowness multiplies the time of a fetch from the weight store, answerLoss
+	// is the least share of answers to edits that are lost.
+	storeSlowness float64
+	answerLoss    float64
+	// hurried and racing count the faults that make operators hurry and race.
+	hurried int
+	racing  int
 	// quiet is set when operators and callers have stopped.
 	quiet bool
 	edits int
 }
 
-func newTableSite(plan seedPlan) *tableSite {
+func newTableSite(plan seedPlan, table timetable) *tableSite {
 	scheduler := &Scheduler{}
 	trace := NewTrace(scheduler)
 	trace.sink = plan.sink
@@ -69,8 +82,13 @@
 		judge:      &Judge{scheduler: scheduler, trace: trace},
 		zones:      simulatedZones,
 		heldOrders: map[Address]time.Duration{},
+
+		end:           table.end,
+		pace:          table.pace,
+		storeSlowness: 1,
 	}
 	site.ledger = newLedger(site, site.judge)
+	site.lateness = newLateness(site, table.faults)
 	site.addDaemons()
 	for number, zone := range site.zones {
 		for i := range enginesPerZone[number] {
@@ -122,12 +140,15 @@
 	membership.Voters = append(membership.Voters, identity(d.number, 1))
 	founders[group] = membership
 	return &member{
-		machine:      d.machine,
-		network:      s.network,
-		observer:     s,
-		group:        group,
-		identities:   s.addressOf,
-		keepIdentity: s.mutated(mutationKeepIdentity),
+		machine:    d.machine,
+		network:    s.network,
+		observer:   s,
+		group:      group,
+		identities: s.addressOf,
+		tick:       s.pace.tick,
+
+		snapshotEntries: s.pace.snapshotEntries,
+		keepIdentity:    s.mutated(mutationKeepIdentity),
 	}
 }
 
@@ -154,11 +175,14 @@
 func (s *tableSite) machineList(zone structs.ZoneID) []structs.Machine {
 	var list []structs.Machine
 	for _, host := range s.engines {
-		if host.zone == zone {
-			list = append(list, structs.Machine{
-				Runner: host.id, Zone: zone, Address: string(host.id), State: structs.MachineLive,
-			})
+		if host.zone != zone {
+			continue
+		}
+		machine := structs.Machine{Runner: host.id, Zone: zone, Address: string(host.id), State: host.listed}
+		if s.mutated(mutationIgnoreLeaving) {
+			machine.State = structs.MachineLive
 		}
+		list = append(list, machine)
 	}
 	return list
 }
--- a/simulate/zonecontroller.go
+++ b/simulate/zonecontroller.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// decideInterval is how often a zone's leader decides.
-	decideInterval = 250 * time.Millisecond
 	// orderHesitation bounds the time between a decision and the sending of its
 	// orders; a pause may fall in between.
 	orderHesitation = 20 * time.Millisecond
@@ -30,9 +28,8 @@
 	// waits for it.
 	awaited     uint64
 	awaitedTerm uint64
-	// previous is the delta proposed before the last one, for a mutation.
-	previous *structs.TableDelta
-	turn     int
+	turn        int
+	mutated     controllerMutations
 }
 
 func newZoneController(d *daemon) *zoneController {
@@ -79,7 +76,7 @@
 		c.decide()
 	}
 	if c.daemon.machine.alive {
-		c.daemon.machine.after(decideInterval, c.loop)
+		c.daemon.machine.after(c.daemon.site.pace.decide, c.loop)
 	}
 }
 
@@ -89,6 +86,9 @@
 	if !ignoreLease {
 		m.catchUp()
 	}
+	if c.waitsForGlobal() {
+		return
+	}
 	term := m.node.Term()
 	if !m.leads() {
 		c.core.Decide(controller.Input{Now: c.daemon.now()})
@@ -102,7 +102,7 @@
 		Epoch:       structs.Epoch(term),
 		LeaseValid:  m.node.LeaseValid() || ignoreLease,
 		State:       c.state,
-		Reports:     c.reports,
+		Reports:     c.mutateReports(),
 		Machines:    c.daemon.site.machineList(c.daemon.machine.Zone),
 		StoreBudget: storeBudget,
 	}
@@ -120,6 +120,7 @@
 		c.propose(command)
 	}
 	for _, order := range decisions.Orders {
+		c.daemon.site.ledger.orderDecided(c.daemon.machine.Zone, c.state.TableRevision(), order)
 		c.sendLater(order)
 	}
 	if c.daemon.site.mutated(mutationEarlyRelease) && m.node.LeaseValid() {
@@ -141,17 +142,6 @@
 	}
 }
 
-// allReleases releases every lowered grant, whether or not the zone is down to it.
-func (c *zoneController) allReleases() []structs.GrantRelease {
-	var releases []structs.GrantRelease
-	for _, grant := range c.state.LoweredGrants() {
-		releases = append(releases, structs.GrantRelease{
-			Row: grant.Row, Zone: grant.Zone, Sequence: grant.Sequence, Limit: grant.Limit,
-		})
-	}
-	return releases
-}
-
 func (c *zoneController) propose(command zone.Command) {
 	m := c.daemon.zoneMember
 	encoded, err := zone.EncodeCommand(command)
@@ -169,20 +159,6 @@
 	}
 }
 
-// orderUnapplied sends the load order of a reservation that is only proposed.
-func (c *zoneController) orderUnapplied(index uint64, reserve zone.ReserveCommand) {
-	row, _ := c.state.Row(reserve.Row)
-	c.sendLater(structs.Order{
-		Fence:       structs.Fence{Epoch: structs.Epoch(c.awaitedTerm), Number: structs.OrderNumber(index)},
-		Kind:        structs.OrderLoad,
-		Runner:      reserve.Runner,
-		Incarnation: reserve.Incarnation,
-		Row:         reserve.Row,
-		Base:        row.Base,
-		MemoryBytes: row.MemoryBytes,
-	})
-}
-
 func (c *zoneController) sendLater(order structs.Order) {
 	d := c.daemon
 	hesitation := time.Duration(d.machine.random.Int64N(int64(orderHesitation)))
@@ -202,8 +178,8 @@
 
 func (c *zoneController) askDelta() {
 	request := deltaRequest{zone: c.daemon.machine.Zone, since: c.state.TableRevision()}
-	if c.daemon.site.mutated(mutationAdoptOlder) {
-		request.since = 0
+	if !c.mutateRequest(&request) {
+		return
 	}
 	c.daemon.site.network.Send(c.daemon.machine.Address, c.nextGlobal(), request)
 }
@@ -225,36 +201,3 @@
 	c.propose(zone.Command{Adopt: &delta})
 	m.pump()
 }
-
-// mutate is the identity but for mutations.
-func (c *zoneController) mutate(delta structs.TableDelta) structs.TableDelta {
-	switch {
-	case c.daemon.site.mutated(mutationIgnoreGrants):
-		return c.inflateGrants(delta)
-	case c.daemon.site.mutated(mutationAdoptOlder):
-		older := delta
-		if c.previous != nil {
-			older = *c.previous
-			older.Revision = delta.Revision
-		}
-		c.previous = &delta
-		return older
-	}
-	return delta
-}
-
-// inflateGrants gives the zone the whole limit of each row.
-func (c *zoneController) inflateGrants(delta structs.TableDelta) structs.TableDelta {
-	limits := map[structs.RowName]int{}
-	for _, row := range append(c.state.Rows(), delta.Rows...) {
-		limits[row.Name] = row.MaxReplicas
-	}
-	grants := make([]structs.Grant, len(delta.Grants))
-	for i, grant := range delta.Grants {
-		grants[i] = grant
-		grants[i].Limit = max(grant.Limit, limits[grant.Row])
-		grants[i].Held = max(grant.Held, grants[i].Limit)
-	}
-	delta.Grants = grants
-	return delta
-}
--- a/table/delta.go
+++ b/table/delta.go
@@ -31,6 +31,26 @@
 	return delta
 }
 
+// Changes returns the rows and deletions after the revision since, as Delta does,
+// without grants.
+func (s *State) Changes(since uint64) structs.TableDelta {
+	delta := structs.TableDelta{SinceRevision: since, Revision: s.revision}
+	if since == 0 || since > s.revision || since < s.floor {
+		delta.Full = true
+		since = 0
+	}
+	for _, row := range s.changedAfter(since) {
+		switch {
+		case row.row.Revision <= since:
+		case !row.deleted:
+			delta.Rows = append(delta.Rows, row.row)
+		case !delta.Full:
+			delta.Deleted = append(delta.Deleted, row.row.Name)
+		}
+	}
+	return delta
+}
+
 // changedAfter lists the rows and tombstones changed after since, oldest first.
 func (s *State) changedAfter(since uint64) []*rowState {
 	var changed []*rowState
--- a/table/doc.go
+++ b/table/doc.go
@@ -24,4 +24,11 @@
 // it: see split.go. Held grows only while its sum stays within MaxReplicas, and
 // shrinks only by a release, or by an operator who vouches that a removed zone's
 // runners are off.
+//
+// When a limit is lowered below what is held, the row's grants are frozen: no zone
+// may begin a load, because what is left over may still be loaded elsewhere. Each
+// zone releases down to its new limit, or to what it has loaded if that is less;
+// once no more is held than the limit, the grants thaw and what was given up is
+// granted again. So a zone that is cut off with replicas left over keeps the rest
+// from loading no longer than until the others have released what they lack.
 package table
--- a/table/edit.go
+++ b/table/edit.go
@@ -244,6 +244,6 @@
 		}
 	}
 	row.row.Revision = s.next
-	row.noteHeld()
+	s.noteHeld(row)
 	s.markChanged(row)
 }
--- a/table/grant.go
+++ b/table/grant.go
@@ -176,14 +176,27 @@
 	if release.Sequence != grant.sequence {
 		return nil
 	}
-	held := max(release.Limit, int(grant.limit))
+	s.lowerHeld(row, grant, release.Limit)
+	return nil
+}
+
+// lowerHeld lowers what a zone holds to what it still has. It may load up to its
+// limit again, so that much stays held, unless the grant is frozen.
+func (s *State) lowerHeld(row *rowState, grant *grantState, loaded int) {
+	held := loaded
+	if !row.isFrozen() {
+		held = max(held, int(grant.limit))
+	}
 	if held >= int(grant.held) {
-		return nil
+		return
 	}
-	s.setGrant(row, grant, int(grant.limit), held)
-	row.noteHeld()
+	isLimitChanged := held < int(grant.limit)
+	s.setGrant(row, grant, min(int(grant.limit), held), held)
+	s.noteHeld(row)
 	s.regrant(row, false)
-	return nil
+	if isLimitChanged {
+		s.regrantAdapters(row, true)
+	}
 }
 
 // mixHash spreads the bits of a hash (the finalizer of SplitMix64).
--- a/table/grant_test.go
+++ b/table/grant_test.go
@@ -101,9 +101,55 @@
 	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:1/1 b:3/3 ")
 }
 
-// The zone may load up to its limit again, so that much stays held, also while
-// other zones are above theirs.
-func TestReleaseBelowLimitKeepsLimitHeld(t *testing.T) {
+// What a lowered limit left over may still be loaded in some zone, so no zone may
+// begin a load until the zones hold no more than the limit. What a zone has not
+// loaded by then it gives up, so that a zone that is cut off does not stop the rest.
+func TestLoweredLimitFreezesWhileMoreIsHeld(t *testing.T) {
+	state := stateWith(3)
+	mustApply(t, state, editOf("make", put(modelRow("m", 6), 0)))
+	frozen := func() string {
+		text := ""
+		for _, grant := range state.Grants("m") {
+			text += fmt.Sprintf("%s:%t ", grant.Zone, grant.Frozen)
+		}
+		return limitsOf(state, "m") + text
+	}
+	release := func(zone string, loaded int) {
+		command := releaseOf(grantOf(state, "m", zone))
+		command.Release.Limit = loaded
+		mustApply(t, state, command)
+	}
+	qt.Assert(t, frozen(), qt.Equals, "a:2/2 b:2/2 c:2/2 a:false b:false c:false ")
+	mustApply(t, state, editOf("lower", put(modelRow("m", 3), state.Revision())))
+	qt.Assert(t, frozen(), qt.Equals, "a:1/2 b:1/2 c:1/2 a:true b:true c:true ")
+	release("b", 0)
+	qt.Assert(t, frozen(), qt.Equals, "a:1/2 c:1/2 a:true c:true ")
+	late := releaseOf(grantOf(state, "m", "c"))
+	late.Release.Limit = 0
+	release("c", 1)
+	qt.Assert(t, frozen(), qt.Equals, "a:1/2 c:1/1 a:false c:false ")
+	qt.Assert(t, grantOf(state, "m", "a").Sequence, qt.Equals, state.Revision())
+	mustApply(t, state, late)
+	qt.Assert(t, frozen(), qt.Equals, "a:1/2 c:1/1 a:false c:false ")
+	release("a", 1)
+	qt.Assert(t, frozen(), qt.Equals, "a:1/1 b:1/1 c:1/1 a:false b:false c:false ")
+}
+
+// Raising the limit again above what is held thaws as well.
+func TestRaisedLimitThaws(t *testing.T) {
+	state := stateWith(2)
+	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)), editOf("lower", put(modelRow("m", 2), 1)))
+	follower := &replica{}
+	follower.follow(state.Delta("a", 0))
+	qt.Assert(t, follower.grants["m"].Frozen, qt.IsTrue)
+	mustApply(t, state, editOf("raise", put(modelRow("m", 4), state.Revision())))
+	follower.follow(state.Delta("a", follower.revision))
+	qt.Assert(t, follower.grants["m"].Frozen, qt.IsFalse)
+}
+
+// What a zone gave up below its limit while other zones were above theirs comes
+// back as soon as those have released it.
+func TestReleaseBelowFrozenLimitComesBack(t *testing.T) {
 	state := stateWith(2)
 	mustApply(t, state, editOf("make", put(modelRow("m", 8), 0)), wishOf("a", "m", 2))
 	mustApply(t, state, releaseOf(grantOf(state, "m", "b")))
@@ -113,7 +159,9 @@
 	below := releaseOf(grantOf(state, "m", "a"))
 	below.Release.Limit = 0
 	mustApply(t, state, below)
-	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/2 b:0/4 ")
+	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "b:0/4 ")
+	mustApply(t, state, releaseOf(grantOf(state, "m", "b")))
+	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/2 ")
 }
 
 func TestRowMadeAgainCountsWhatIsStillHeld(t *testing.T) {
--- a/table/property_test.go
+++ b/table/property_test.go
@@ -186,7 +186,11 @@
 	}
 	grant := rapid.SampledFrom(grants).Draw(t, "grant")
 	m.stale = append(m.stale, grant)
-	m.apply(t, releaseOf(grant))
+	command := releaseOf(grant)
+	if rapid.Bool().Draw(t, "below the limit") {
+		command.Release.Limit = rapid.IntRange(0, grant.Limit).Draw(t, "loaded")
+	}
+	m.apply(t, command)
 }
 
 func (m *tableMachine) zone(t *rapid.T) {
@@ -249,6 +253,7 @@
 		t.Fatal(err)
 	}
 	m.checkServable(t)
+	m.checkFrozen(t)
 	rows := m.state.Rows()
 	if len(rows) != len(m.oracle) {
 		t.Fatalf("the table has %d rows, the oracle %d", len(rows), len(m.oracle))
@@ -269,6 +274,18 @@
 	}
 }
 
+// checkFrozen checks that exactly the rows are frozen of which more is held than
+// their limit.
+func (m *tableMachine) checkFrozen(t *rapid.T) {
+	for name, held := range m.held() {
+		for _, grant := range m.state.Grants(name) {
+			if grant.Frozen != (grant.Limit > 0 && held > m.oracle[name].MaxReplicas) {
+				t.Fatalf("row %q holds %d of %d: %+v", name, held, m.oracle[name].MaxReplicas, grant)
+			}
+		}
+	}
+}
+
 // checkServable checks, from the grants as zones see them, that an adapter is
 // served only where its base is, and that the minimums are whole.
 func (m *tableMachine) checkServable(t *rapid.T) {
--- a/table/row.go
+++ b/table/row.go
@@ -70,12 +70,27 @@
 	return sum
 }
 
-// noteHeld records by how much held exceeds a lowered limit. It is called where
-// the limit changes or held shrinks, never where held grows.
-func (r *rowState) noteHeld() {
-	r.heldBefore = 0
-	if held := r.held(); held > r.maxReplicas() {
-		r.heldBefore = held
+// isFrozen reports whether zones may have more replicas than the limit: no zone
+// may begin a load then.
+func (r *rowState) isFrozen() bool { return r.heldBefore > 0 }
+
+// noteHeld records by how much held exceeds a lowered limit, and marks the grants
+// that this freezes or thaws. It is called where the limit changes or held
+// shrinks, never where held grows.
+func (s *State) noteHeld(row *rowState) {
+	wasFrozen := row.isFrozen()
+	row.heldBefore = 0
+	if held := row.held(); held > row.maxReplicas() {
+		row.heldBefore = held
+	}
+	if row.isFrozen() == wasFrozen {
+		return
+	}
+	for i := range row.grants {
+		if row.grants[i].limit > 0 {
+			row.grants[i].sequence = s.next
+			s.markChanged(row)
+		}
 	}
 }
 
--- a/table/state.go
+++ b/table/state.go
@@ -162,6 +162,7 @@
 		Limit:    int(grant.limit),
 		Held:     int(grant.held),
 		Minimum:  int(state.minimums[grant.zone]),
+		Frozen:   state.isFrozen() && grant.limit > 0,
 		Sequence: grant.sequence,
 	}
 }
--- a/table/zone.go
+++ b/table/zone.go
@@ -80,7 +80,7 @@
 			grant.wish = 0
 			if force {
 				s.setGrant(row, grant, 0, 0)
-				row.noteHeld()
+				s.noteHeld(row)
 			}
 		}
 	}
