Feed the planner in the daemon: learned rhythms, prefetches, reserve; spread replicas

The experiment uses the emulator's checkpoint cache in place of its own copy. Tests: the rhythm table watches every hour now, for unwatched hours no longer count as unused; its expectations stand. Conclusion: the experiment still drives scheduler.Plan itself, not controller.Core.

--- a/config/check_site.go
+++ b/config/check_site.go
@@ -28,6 +28,7 @@
 	k.platformURL("site.machine_list", site.MachineList)
 	k.platformURL("site.weight_store", site.WeightStore)
 	k.between("site.store_concurrent", site.StoreConcurrent, 1, maximumStoreInFlight)
+	k.planner(site.PlanSettings())
 }
 
 // zones checks each zone. A daemon, and an internal address, belongs to one zone.
--- a/config/config.go
+++ b/config/config.go
@@ -67,6 +67,8 @@
 	WeightStore string `yaml:"weight_store"`
 	// StoreConcurrent is how many loads at once the weight store allows the whole site.
 	StoreConcurrent int `yaml:"store_concurrent"`
+	// Planner says how the zones' leaders weigh cold starts, idle time and memory.
+	Planner Planner `yaml:"planner"`
 }
 
 // Zone is one zone of the site.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,16 +1,19 @@
 package config_test
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -40,6 +43,23 @@
 	}
 }
 
+func TestPlannerSettingsReachTheScheduler(t *testing.T) {
+	c := qt.New(t)
+	unset := config.Default()
+	c.Check(unset.Site.PlanSettings(), qt.Equals, scheduler.DefaultSettings())
+	loaded, err := config.Load(examplePath("padano.yaml"), localFlags(c))
+	c.Assert(err, qt.IsNil)
+	c.Check(loaded.Site.PlanSettings().ReserveBytes, qt.Equals, int64(16<<30))
+	site := config.Site{Objective: structs.ObjectiveIdle, Planner: config.Planner{
+		ReserveBytes: 1, LatencyColdStartWorth: 2, IdleColdStartWorth: 3, MinimumKeepAlive: 4, MaximumKeepAlive: 5,
+	}}
+	want := scheduler.DefaultSettings()
+	want.Objective, want.ReserveBytes = structs.ObjectiveIdle, 1
+	want.LatencyColdStartWorth, want.IdleColdStartWorth = 2, 3
+	want.MinimumKeepAlive, want.MaximumKeepAlive = 4, 5
+	c.Check(site.PlanSettings(), qt.Equals, want)
+}
+
 func TestFlagsOverrideFile(t *testing.T) {
 	c := qt.New(t)
 	flags := localFlags(c)
@@ -84,6 +104,17 @@
 		{"TLS in development", func(s *config.Config) { s.Development = true }, "tls.key", false},
 		{"TLS incomplete", func(s *config.Config) { s.TLS.Key = "" }, "tls.key", false},
 		{"TLS file missing", func(s *config.Config) { s.TLS.CA += ".none" }, "tls.ca", false},
+		{"reserve below nothing", func(s *config.Config) { s.Site.Planner.ReserveBytes = -1 }, "site.planner.reserve_bytes", false},
+		{"reserve above all memory", func(s *config.Config) { s.Site.Planner.ReserveBytes = 1<<40 + 1 }, "site.planner.reserve_bytes", false},
+		{"worthless cold start", func(s *config.Config) { s.Site.Planner.IdleColdStartWorth = 0.001 }, "site.planner.idle_cold_start_worth", false},
+		{"worth is no number", func(s *config.Config) { s.Site.Planner.LatencyColdStartWorth = math.NaN() }, "site.planner.latency_cold_start_worth", false},
+		{"worths the wrong way round", func(s *config.Config) { s.Site.Planner.IdleColdStartWorth = 501 }, "site.planner.latency_cold_start_worth", true},
+		{"keep-alive below nothing", func(s *config.Config) { s.Site.Planner.MinimumKeepAlive = -1 }, "site.planner.minimum_keep_alive", false},
+		{"keep-alive without end", func(s *config.Config) { s.Site.Planner.MaximumKeepAlive = 721 * time.Hour }, "site.planner.maximum_keep_alive", false},
+		{"keep-alive bounds crossed", func(s *config.Config) {
+			s.Site.Planner.MinimumKeepAlive = 24 * time.Hour
+			s.Site.Planner.MaximumKeepAlive = time.Hour
+		}, "site.planner.minimum_keep_alive", false},
 		{"objective unknown", func(s *config.Config) { s.Site.Objective = "cost" }, "site.objective", false},
 		{"no zone", func(s *config.Config) { s.Site.Zones = nil }, "site.zones", false},
 		{"zone twice", func(s *config.Config) { s.Site.Zones[1].ID = "sala-a" }, "site.zones[1].id", false},
--- a/controller/core.go
+++ b/controller/core.go
@@ -93,7 +93,10 @@
 }
 
 // Core keeps what a leader remembers between decisions. All of it may be lost:
-// a new leader begins with an empty Core.
+// a new leader begins with an empty Core. What it then lacks longest is the rows'
+// daily rhythm: nothing is loaded ahead of need in an hour until that hour was
+// watched once on an earlier day of the same kind, working day or weekend. A member
+// that led before keeps its own, and leaves out the hours in which others led.
 type Core struct {
 	options  Options
 	demand   demandTable
@@ -103,6 +106,8 @@
 	sent     map[structs.RunnerID]sentOrder
 	releases map[structs.RowName]sentRelease
 	wishes   map[structs.RowName]sentWish
+	// prefetches are those that may be reading the weight store.
+	prefetches map[structs.RunnerID]openPrefetch
 	// inquiries are about the held claims whose lease has run out.
 	inquiries map[structs.ClaimKey]inquired
 }
@@ -158,6 +163,7 @@
 	c.sent = map[structs.RunnerID]sentOrder{}
 	c.releases = map[structs.RowName]sentRelease{}
 	c.wishes = map[structs.RowName]sentWish{}
+	c.prefetches = map[structs.RunnerID]openPrefetch{}
 	c.inquiries = map[structs.ClaimKey]inquired{}
 }
 
@@ -187,10 +193,11 @@
 		c.epoch = input.Epoch
 		c.leadFrom = input.Now
 	}
-	d := &decider{core: c, input: input, leaving: map[structs.RunnerID]bool{}}
+	d := newDecider(c, input)
 	d.decisions.InForce = input.State.TableRevision()
 	d.registerRunners()
 	d.followReplicas()
+	d.followPrefetches()
 	plan := scheduler.Plan(d.snapshot())
 	d.applyPlan(plan)
 	d.release()
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"runtime"
+	"runtime/debug"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +17,8 @@
 	troubledSteps  = 900
 	calmSteps      = 900
 	wantedAtTheEnd = 1
+	// modelGarbagePercent spares the collector most of its runs.
+	modelGarbagePercent = 800
 )
 
 // calmDown ends all faults with a demand for every row and room for it.
@@ -82,19 +87,37 @@
 	qt.Assert(t, m.orders, qt.HasLen, 0)
 }
 
+// runModel is one run of a model from trouble to calm.
+func runModel(seed uint64) *model {
+	m := newModel(seed)
+	m.refusesPrefetch = seed%4 == 0
+	for range troubledSteps {
+		m.step()
+	}
+	m.calmDown()
+	for range calmSteps {
+		m.step()
+	}
+	m.checkConverged()
+	return m
+}
+
 func TestLimitsHoldAndThePlanIsReached(t *testing.T) {
+	// The models live on little memory and make much garbage.
+	defer debug.SetGCPercent(debug.SetGCPercent(modelGarbagePercent))
+	models := make([]*model, modelSeeds)
+	var running sync.WaitGroup
+	places := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for seed := range models {
+		places <- struct{}{}
+		running.Go(func() {
+			models[seed] = runModel(uint64(seed))
+			<-places
+		})
+	}
+	running.Wait()
 	loads, failed, prefetches := 0, 0, 0
-	for seed := range uint64(modelSeeds) {
-		m := newModel(seed)
-		m.refusesPrefetch = seed%4 == 0
-		for range troubledSteps {
-			m.step()
-		}
-		m.calmDown()
-		for range calmSteps {
-			m.step()
-		}
-		m.checkConverged()
+	for seed, m := range models {
 		if m.fault != "" {
 			t.Fatalf("seed %d: %s", seed, m.fault)
 		}
--- a/controller/decider.go
+++ b/controller/decider.go
@@ -20,6 +20,16 @@
 	leaving map[structs.RunnerID]bool
 	// silent holds the runners whose reports stopped.
 	silent map[structs.RunnerID]bool
+	// runners and replicas are those of the state, which no decision changes.
+	runners  []zone.Runner
+	replicas []zone.Replica
+}
+
+func newDecider(core *Core, input Input) *decider {
+	return &decider{
+		core: core, input: input, leaving: map[structs.RunnerID]bool{},
+		runners: input.State.Runners(), replicas: input.State.Replicas(),
+	}
 }
 
 func (d *decider) propose(command zone.Command) {
@@ -86,17 +96,23 @@
 		Settings:        d.core.options.Settings,
 		Interarrivals:   map[structs.RowName]*scheduler.Interarrivals{},
 	}
-	for _, runner := range state.Runners() {
-		snapshot.Runners = append(snapshot.Runners, d.runner(runner))
+	for _, runner := range d.runners {
+		view := d.runner(runner)
+		snapshot.Runners = append(snapshot.Runners, view)
+		if view.Prefetching != "" {
+			snapshot.StoreLoadsInFlight++
+		}
 	}
 	rows := map[structs.RowName]bool{}
-	for _, replica := range state.Replicas() {
+	for _, replica := range d.replicas {
 		snapshot.Replicas = append(snapshot.Replicas, d.replica(replica))
 		rows[replica.Row] = true
 		if replica.State == structs.ReplicaLoading && d.fromStore(replica) {
 			snapshot.StoreLoadsInFlight++
 		}
 	}
+	d.core.demand.rhythms.Watch(d.input.Now)
+	snapshot.Expected = d.core.demand.rhythms.Soon(d.input.Now)
 	snapshot.Demand = d.core.demand.collect(d.input.Now, d.core.options.DemandAfter, rows)
 	for _, demand := range snapshot.Demand {
 		if use := d.core.demand.uses[demand.Row]; use != nil {
@@ -119,6 +135,7 @@
 		Leaving:        !d.accepting(runner) || silence > options.VanishedAfter,
 		Lagging:        !ok || silence > options.LaggingAfter,
 		Cached:         seen.Report.Cached,
+		Prefetching:    d.prefetching(runner),
 	}
 }
 
@@ -139,8 +156,12 @@
 	return view
 }
 
-// fromStore reports whether the loading replica reads the weight store.
+// fromStore reports whether the loading replica reads the weight store, beside
+// what its runner prefetches.
 func (d *decider) fromStore(replica zone.Replica) bool {
+	if runner, ok := d.input.State.Runner(replica.Runner); ok && d.prefetching(runner) == replica.Row {
+		return false
+	}
 	seen, ok := d.report(replica.Runner, replica.Incarnation)
 	if !ok {
 		return true
--- a/controller/demand.go
+++ b/controller/demand.go
@@ -21,6 +21,8 @@
 type demandTable struct {
 	reports map[structs.DaemonID]demandSeen
 	uses    map[structs.RowName]*rowUse
+	// rhythms are learned from the arrivals of all routers.
+	rhythms *scheduler.Rhythms
 }
 
 // demandSeen is a router's demand, put together from its reports. It is dropped
@@ -49,6 +51,7 @@
 	return demandTable{
 		reports: map[structs.DaemonID]demandSeen{},
 		uses:    map[structs.RowName]*rowUse{},
+		rhythms: scheduler.NewRhythms(),
 	}
 }
 
@@ -64,6 +67,9 @@
 			continue
 		}
 		seen.rows[row.Row] = rowSeen{row, now}
+		if row.Arrived > 0 {
+			t.rhythms.Observe(now, row.Row)
+		}
 		use := t.use(row.Row)
 		if use == nil {
 			continue
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -11,7 +11,7 @@
 // followReplicas compares the records of each runner with its report: it records
 // outcomes and sends the order that is due next.
 func (d *decider) followReplicas() {
-	for _, runner := range d.input.State.Runners() {
+	for _, runner := range d.runners {
 		seen, ok := d.report(runner.ID, runner.Incarnation)
 		if !ok || seen.Report.Fence.Epoch > d.input.Epoch {
 			continue
@@ -34,27 +34,6 @@
 	}
 }
 
-// followPrefetch returns the runner's open prefetch order, if it has to be sent.
-// A prefetch that the engine has passed over is not repeated: the plan asks again.
-func (d *decider) followPrefetch(runner zone.Runner, report structs.EngineReport) *structs.Order {
-	fence := structs.Fence{Epoch: d.input.Epoch, Number: runner.PrefetchOrder}
-	if runner.Prefetch == "" || !d.accepting(runner) {
-		return nil
-	}
-	row, exists := d.input.State.Row(runner.Prefetch)
-	if !exists || !report.Fence.Before(fence) || caches(report, runner.Prefetch) {
-		d.propose(zone.Command{Prefetch: &zone.PrefetchCommand{Runner: runner.ID, Incarnation: runner.Incarnation}})
-		return nil
-	}
-	if d.replied(runner.ID, runner.Incarnation, fence) {
-		return nil
-	}
-	return &structs.Order{
-		Fence: fence, Kind: structs.OrderPrefetch, Runner: runner.ID, Incarnation: runner.Incarnation,
-		Row: row.Name, MemoryBytes: row.MemoryBytes, Tier: structs.TierDisk,
-	}
-}
-
 // caches reports whether the engine has the row's checkpoint nearer than the store.
 func caches(report structs.EngineReport, row structs.RowName) bool {
 	return slices.ContainsFunc(report.Cached, func(entry structs.CachedRow) bool {
--- a/controller/reportschedule.go
+++ b/controller/reportschedule.go
@@ -71,12 +71,12 @@
 // unload or a prefetch is recorded there, or is about to be.
 func (d *decider) awaited() map[structs.RunnerID]bool {
 	runners := map[structs.RunnerID]bool{}
-	for _, replica := range d.input.State.Replicas() {
+	for _, replica := range d.replicas {
 		if replica.State != structs.ReplicaReady {
 			runners[replica.Runner] = true
 		}
 	}
-	for _, runner := range d.input.State.Runners() {
+	for _, runner := range d.runners {
 		if runner.Prefetch != "" {
 			runners[runner.ID] = true
 		}
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -23,7 +23,7 @@
 
 // findSilent fills d.silent with the runners that routers should not choose.
 func (d *decider) findSilent() {
-	runners := d.input.State.Runners()
+	runners := d.runners
 	silent := map[structs.RunnerID]bool{}
 	for _, runner := range runners {
 		if d.isSilent(runner) {
@@ -52,7 +52,7 @@
 
 // markSilent records a change of the runners that the machine list does not name.
 func (d *decider) markSilent(listed map[structs.RunnerID]structs.Machine) {
-	for _, runner := range d.input.State.Runners() {
+	for _, runner := range d.runners {
 		if _, ok := listed[runner.ID]; ok || runner.Silent == d.silent[runner.ID] {
 			continue
 		}
--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -29,6 +29,8 @@
 	replica   *replica
 	record    *requestRecord
 	execution *Execution
+	// arrivedAt is when the engine took the request.
+	arrivedAt time.Time
 	// embeddings is set for a request for embeddings, which is not in the batch.
 	embeddings *engineapi.EmbeddingsReply
 	stalled    bool
--- a/emulator/checkpoint_cache.go
+++ b/emulator/checkpoint_cache.go
@@ -45,14 +45,28 @@
 	c.used += sizeBytes
 }
 
-// checkpointCache holds the cache tiers of a runner.
-type checkpointCache struct {
+func (c *tierCache) clear() {
+	c.checkpoints = nil
+	c.used = 0
+}
+
+// CheckpointCache holds the checkpoints near a runner, in host memory and on disk,
+// and drops the least recently used ones of a full tier. It is for one goroutine.
+type CheckpointCache struct {
 	memory tierCache
 	disk   tierCache
+	// listed is what List returned, until it is stale.
+	listed []structs.CachedRow
+	stale  bool
+}
+
+// NewCheckpointCache makes an empty cache with tiers of so many bytes.
+func NewCheckpointCache(memoryBytes, diskBytes int64) *CheckpointCache {
+	return &CheckpointCache{memory: tierCache{capacity: memoryBytes}, disk: tierCache{capacity: diskBytes}}
 }
 
-// tier returns the nearest tier that has the row.
-func (c *checkpointCache) tier(row structs.RowName) structs.CacheTier {
+// Tier returns the nearest tier that has the row.
+func (c *CheckpointCache) Tier(row structs.RowName) structs.CacheTier {
 	switch {
 	case c.memory.has(row):
 		return structs.TierMemory
@@ -62,8 +76,35 @@
 	return structs.TierStore
 }
 
-// list returns the nearest tier of each cached row, by name.
-func (c *checkpointCache) list() []structs.CachedRow {
+// Put adds a checkpoint to the tier, or marks it used there. One that is larger
+// than the tier is not kept. What is put into any tier but memory goes to disk.
+func (c *CheckpointCache) Put(tier structs.CacheTier, row structs.RowName, sizeBytes int64) {
+	target := &c.disk
+	if tier == structs.TierMemory {
+		target = &c.memory
+	}
+	c.stale = c.stale || !target.has(row)
+	target.put(row, sizeBytes)
+}
+
+// ClearMemory drops what is in host memory.
+func (c *CheckpointCache) ClearMemory() {
+	c.memory.clear()
+	c.stale = true
+}
+
+// ClearDisk drops what is on disk.
+func (c *CheckpointCache) ClearDisk() {
+	c.disk.clear()
+	c.stale = true
+}
+
+// List returns the nearest tier of each cached row, by name. The list must not be
+// changed; later calls make a new one when anything has changed.
+func (c *CheckpointCache) List() []structs.CachedRow {
+	if !c.stale {
+		return c.listed
+	}
 	var cached []structs.CachedRow
 	for _, held := range c.memory.checkpoints {
 		cached = append(cached, structs.CachedRow{Row: held.row, Tier: structs.TierMemory})
@@ -74,5 +115,6 @@
 		}
 	}
 	slices.SortFunc(cached, func(a, b structs.CachedRow) int { return cmp.Compare(a.Row, b.Row) })
+	c.listed, c.stale = cached, false
 	return cached
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,7 +25,7 @@
 	replicas    map[structs.RowName]*replica
 	memoryUsed  int64
 	idleBytes   int64
-	checkpoints checkpointCache
+	checkpoints *CheckpointCache
 	// fetches are the checkpoints asked of the weight store.
 	fetches map[structs.RowName]*fetch
 
@@ -46,8 +46,7 @@
 func NewEngine(options EngineOptions) *Engine {
 	options = options.withDefaults()
 	e := &Engine{options: options, faults: options.Faults, incarnation: options.Incarnation, role: options.Role}
-	e.checkpoints.memory.capacity = options.HostMemoryBytes
-	e.checkpoints.disk.capacity = options.DiskBytes
+	e.checkpoints = NewCheckpointCache(options.HostMemoryBytes, options.DiskBytes)
 	e.records.Lives = 1
 	return e
 }
@@ -200,8 +199,7 @@
 	e.prefix = prefixCache{}
 	e.events = cacheEventLog{}
 	e.imported = importedCaches{}
-	memory := e.options.HostMemoryBytes
-	e.checkpoints.memory = tierCache{capacity: memory}
+	e.checkpoints.ClearMemory()
 }
 
 // Restart begins a new life at now. The incarnation must be higher than the last
--- a/emulator/orders.go
+++ b/emulator/orders.go
@@ -137,7 +137,7 @@
 	if !toMemory && order.Tier != structs.TierDisk {
 		return fmt.Sprintf("nothing can be prefetched into tier %q: use memory or disk", order.Tier)
 	}
-	switch e.checkpoints.tier(order.Row) {
+	switch e.checkpoints.Tier(order.Row) {
 	case structs.TierMemory:
 	case structs.TierDisk:
 		if toMemory {
@@ -153,7 +153,7 @@
 func (e *Engine) copyToMemory(row structs.RowName, sizeBytes int64) {
 	duration := e.faults.slow(transferTime(sizeBytes, e.options.DiskSpeed))
 	e.after(duration, func() {
-		e.checkpoints.memory.put(row, sizeBytes)
+		e.checkpoints.Put(structs.TierMemory, row, sizeBytes)
 		e.report.stale = true
 	})
 }
--- a/emulator/records.go
+++ b/emulator/records.go
@@ -16,7 +16,9 @@
 	// ResumeFrom is the index of the first token wanted: 0 means from the start.
 	ResumeFrom int
 	// Emitted counts the tokens produced.
-	Emitted   int
+	Emitted int
+	// ArrivedAt is when the engine took the request, StartedAt when it began to run.
+	ArrivedAt time.Time
 	StartedAt time.Time
 	// EndedAt is zero while the request runs.
 	EndedAt time.Time
--- a/emulator/reporter.go
+++ b/emulator/reporter.go
@@ -83,7 +83,7 @@
 
 func (e *Engine) makeReport(at time.Time) structs.EngineReport {
 	if e.report.stale {
-		e.report.cached = e.checkpoints.list()
+		e.report.cached = e.checkpoints.List()
 		e.report.stale = false
 	}
 	report := structs.EngineReport{
--- a/emulator/requests.go
+++ b/emulator/requests.go
@@ -173,6 +173,7 @@
 	record.status.Incarnation = e.incarnation
 	record.status.Tokens = current.request.ResumeFrom
 	current.record = record
+	current.arrivedAt = e.now
 	e.requests.put(id, record)
 	e.requests.attach(current.call, current)
 }
@@ -187,6 +188,7 @@
 		PromptHash:  current.seed,
 		Incarnation: e.incarnation,
 		ResumeFrom:  current.request.ResumeFrom,
+		ArrivedAt:   current.arrivedAt,
 		StartedAt:   e.now,
 		Cached:      cached,
 	}
--- a/emulator/server_test.go
+++ b/emulator/server_test.go
@@ -23,6 +23,9 @@
 // testScale is how much faster than the machine's time the engines of these tests run.
 const testScale = 20
 
+// rigLimit ends a test that would otherwise wait for ever. It is no measure of speed.
+const rigLimit = 5 * time.Minute
+
 // rig is an engine server with row "m" ready, on the loopback address.
 type rig struct {
 	*qt.C
@@ -39,7 +42,7 @@
 }
 
 func newRig(t testing.TB, scale float64, change func(options *emulator.EngineOptions)) *rig {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), rigLimit)
 	client := engineapi.NewClient(engineapi.ClientOptions{})
 	h := newHarness(t, change)
 	h.now = time.Now().Add(-time.Hour)
--- a/emulator/weights.go
+++ b/emulator/weights.go
@@ -110,12 +110,12 @@
 
 // beginLoad reads the weights from the nearest tier.
 func (e *Engine) beginLoad(target *replica) {
-	switch e.checkpoints.tier(target.row) {
+	switch e.checkpoints.Tier(target.row) {
 	case structs.TierMemory:
-		e.checkpoints.memory.put(target.row, target.sizeBytes)
+		e.checkpoints.Put(structs.TierMemory, target.row, target.sizeBytes)
 		e.readWeights(target, e.options.MemorySpeed)
 	case structs.TierDisk:
-		e.checkpoints.disk.put(target.row, target.sizeBytes)
+		e.checkpoints.Put(structs.TierDisk, target.row, target.sizeBytes)
 		e.readWeights(target, e.options.DiskSpeed)
 	default:
 		e.beginFetch(target.row, fetch{sizeBytes: target.sizeBytes, load: true, toMemory: true})
@@ -131,7 +131,7 @@
 	}
 	e.after(duration, func() {
 		if target.state == structs.ReplicaLoading {
-			e.checkpoints.memory.put(target.row, target.sizeBytes)
+			e.checkpoints.Put(structs.TierMemory, target.row, target.sizeBytes)
 			e.report.stale = true
 			target.weightsRead = true
 			e.becomeReady(target)
@@ -184,9 +184,9 @@
 	}
 	delete(e.fetches, row)
 	if !failed {
-		e.checkpoints.disk.put(row, ended.sizeBytes)
+		e.checkpoints.Put(structs.TierDisk, row, ended.sizeBytes)
 		if ended.toMemory {
-			e.checkpoints.memory.put(row, ended.sizeBytes)
+			e.checkpoints.Put(structs.TierMemory, row, ended.sizeBytes)
 		}
 		e.report.stale = true
 	}
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -17,12 +18,8 @@
 	incarnation structs.Incarnation
 	used        int64
 	replicas    map[structs.RowName]*loaded
-	memory      cache
-	disk        cache
-	// cachedRows is the list of what is cached after so many changes as listed says.
-	cachedRows []structs.CachedRow
-	listed     int
-	running    int
+	checkpoints *emulator.CheckpointCache
+	running     int
 	// requests are those that were started here; ended ones are dropped in time.
 	requests []*request
 	// reading counts the loads and prefetches that read the store.
@@ -46,36 +43,6 @@
 	occupied int
 }
 
-func (e *engine) tier(row structs.RowName) structs.CacheTier {
-	switch {
-	case e.memory.has(row):
-		return structs.TierMemory
-	case e.disk.has(row):
-		return structs.TierDisk
-	}
-	return structs.TierStore
-}
-
-// cached lists the checkpoints near the engine; the list is shared, and made anew
-// when a cache has changed.
-func (e *engine) cached() []structs.CachedRow {
-	if e.listed == e.memory.changes+e.disk.changes {
-		return e.cachedRows
-	}
-	e.listed = e.memory.changes + e.disk.changes
-	list := make([]structs.CachedRow, 0, len(e.memory.entries)+len(e.disk.entries))
-	for _, entry := range e.memory.entries {
-		list = append(list, structs.CachedRow{Row: entry.row, Tier: structs.TierMemory})
-	}
-	for _, entry := range e.disk.entries {
-		if !e.memory.has(entry.row) {
-			list = append(list, structs.CachedRow{Row: entry.row, Tier: structs.TierDisk})
-		}
-	}
-	e.cachedRows = list
-	return list
-}
-
 // account applies a change to a replica and keeps the idle time.
 func (e *engine) account(replica *loaded, change func()) {
 	e.settle()
@@ -110,7 +77,7 @@
 	e.replicas[row.Name] = replica
 	e.used += row.MemoryBytes
 	e.world.checker.loadBegins(e, row)
-	tier := e.tier(row.Name)
+	tier := e.checkpoints.Tier(row.Name)
 	e.world.measure.loadBegins(tier)
 	life := e.incarnation
 	finish := func() {
@@ -122,30 +89,23 @@
 			e.world.clock.after(restartTime, e.restart)
 			return
 		}
-		e.memory.put(row.Name, row.MemoryBytes)
+		e.checkpoints.Put(structs.TierMemory, row.Name, row.MemoryBytes)
 		e.account(replica, func() { replica.state = structs.ReplicaReady })
 		done()
 	}
 	if tier != structs.TierStore {
-		e.cacheOf(tier).put(row.Name, row.MemoryBytes)
+		e.checkpoints.Put(tier, row.Name, row.MemoryBytes)
 		e.world.clock.after(e.readTime(row.MemoryBytes, tier), finish)
 		return
 	}
 	e.fetch(row, func() {
-		e.memory.put(row.Name, row.MemoryBytes)
+		e.checkpoints.Put(structs.TierMemory, row.Name, row.MemoryBytes)
 		e.world.clock.after(e.readTime(row.MemoryBytes, structs.TierMemory), finish)
 	})
 }
 
 func (e *engine) lives(life structs.Incarnation) bool { return e.alive && e.incarnation == life }
 
-func (e *engine) cacheOf(tier structs.CacheTier) *cache {
-	if tier == structs.TierMemory {
-		return &e.memory
-	}
-	return &e.disk
-}
-
 func (e *engine) readTime(bytes int64, tier structs.CacheTier) time.Duration {
 	if tier == structs.TierMemory {
 		return loadBase + transferTime(bytes, memorySpeed)
@@ -162,7 +122,7 @@
 			return
 		}
 		e.reading--
-		e.disk.put(row.Name, row.MemoryBytes)
+		e.checkpoints.Put(structs.TierDisk, row.Name, row.MemoryBytes)
 		done()
 	})
 }
@@ -217,7 +177,7 @@
 	e.ordered = 0
 	e.prefetching = false
 	e.replicas = map[structs.RowName]*loaded{}
-	e.memory.clear()
+	e.checkpoints.ClearMemory()
 	e.zone.requeue(e)
 }
 
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -89,7 +89,7 @@
 			return
 		}
 		e.die()
-		e.disk.clear()
+		e.checkpoints.ClearDisk()
 		f.world.clock.after(reclaimTime, e.restart)
 	})
 }
--- a/experiment/leader.go
+++ b/experiment/leader.go
@@ -79,7 +79,7 @@
 		s.Runners = append(s.Runners, scheduler.Runner{
 			ID: runner.ID, Role: runner.Role, Incarnation: runner.Incarnation,
 			MemoryBytes: runner.MemoryBytes, MemoryReserved: z.state.MemoryReserved(runner.ID),
-			Leaving: !runner.Accepting() || e.vanished(), Lagging: !e.lives(runner.Incarnation), Cached: e.cached(),
+			Leaving: !runner.Accepting() || e.vanished(), Lagging: !e.lives(runner.Incarnation), Cached: e.checkpoints.List(),
 		})
 		s.StoreLoadsInFlight += e.reading + e.ordered
 	}
@@ -148,7 +148,7 @@
 	z.world.measure.loadReasons[decision.Reason]++
 	e := z.byID[decision.Runner]
 	order := &loadOrder{zone: z, engine: e, row: decision.Row, number: result.Order, incarnation: runner.Incarnation}
-	if e.tier(decision.Row) == structs.TierStore {
+	if e.checkpoints.Tier(decision.Row) == structs.TierStore {
 		order.counted = true
 		e.ordered++
 	}
@@ -207,7 +207,7 @@
 func (z *zoneWorld) prefetch(decision scheduler.PrefetchDecision) {
 	e := z.byID[decision.Runner]
 	row, ok := z.state.Row(decision.Row)
-	if !ok || !e.alive || e.prefetching || e.tier(decision.Row) != structs.TierStore {
+	if !ok || !e.alive || e.prefetching || e.checkpoints.Tier(decision.Row) != structs.TierStore {
 		return
 	}
 	e.prefetching = true
--- a/experiment/learned.go
+++ b/experiment/learned.go
@@ -12,18 +12,8 @@
 type learned struct {
 	uses    map[structs.RowName]*rowUse
 	rhythms *scheduler.Rhythms
-	// expected is renewed every expectedInterval.
-	expected   []scheduler.Expectation
-	expectedAt time.Time
 }
 
-const (
-	expectedInterval = time.Minute
-	// leastExpected and mostExpected bound the rows of which a use is expected.
-	leastExpected = 0.02
-	mostExpected  = 256
-)
-
 type rowUse struct {
 	lastUsed    time.Time
 	lastArrival time.Time
@@ -66,11 +56,8 @@
 
 // fill adds what was learned of the snapshot's rows.
 func (l *learned) fill(s *scheduler.Snapshot) {
-	if s.Now.Sub(l.expectedAt) >= expectedInterval {
-		l.expected = l.rhythms.Expected(s.Now, leastExpected, mostExpected)
-		l.expectedAt = s.Now
-	}
-	s.Expected = l.expected
+	l.rhythms.Watch(s.Now)
+	s.Expected = l.rhythms.Soon(s.Now)
 	for _, demand := range s.Demand {
 		if use := l.uses[demand.Row]; use != nil {
 			s.Interarrivals[demand.Row] = &use.gaps
--- a/experiment/report/page.go
+++ b/experiment/report/page.go
@@ -1,19 +1,13 @@
 package report
 
 import (
-	"encoding/json"
 	"fmt"
 	"html/template"
 	"io"
-	"os"
-	"path/filepath"
 
 	"github.com/pkg/errors"
-)
 
-const (
-	folderMode = 0o755
-	fileMode   = 0o644
+	shared "github.com/lotusferry/lotusferry/report"
 )
 
 // pageGroup is a Group with its plots.
@@ -95,23 +89,5 @@
 // WriteFolder writes report.json and report.html into the folder, which it makes
 // if need be.
 func (r Report) WriteFolder(folder string) error {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return errors.Wrap(err, "make the report's folder")
-	}
-	encoded, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return errors.Wrap(err, "encode the report")
-	}
-	if err := os.WriteFile(filepath.Join(folder, "report.json"), append(encoded, '\n'), fileMode); err != nil {
-		return errors.Wrap(err, "write the report")
-	}
-	file, err := os.Create(filepath.Join(folder, "report.html"))
-	if err != nil {
-		return errors.Wrap(err, "create the page")
-	}
-	if err := r.WriteHTML(file); err != nil {
-		file.Close()
-		return err
-	}
-	return errors.Wrap(file.Close(), "write the page")
+	return shared.WriteFolder(folder, r, r.WriteHTML)
 }
--- a/experiment/report/plot.go
+++ b/experiment/report/plot.go
@@ -1,9 +1,7 @@
 package report
 
 import (
-	"bytes"
 	"html/template"
-	"strings"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
@@ -13,6 +11,7 @@
 	"gonum.org/v1/plot/vg/draw"
 
 	"github.com/lotusferry/lotusferry/experiment"
+	shared "github.com/lotusferry/lotusferry/report"
 )
 
 const (
@@ -55,7 +54,7 @@
 		p.Legend.Add(string(summary.Policy), scatter)
 	}
 	p.Add(plotter.NewGrid())
-	return svg(p)
+	return shared.SVG(p, plotWidth, plotHeight)
 }
 
 // bars plots one figure of each policy.
@@ -77,20 +76,5 @@
 	chart.Color = plotutil.Color(0)
 	p.Add(chart)
 	p.NominalX(names...)
-	return svg(p)
-}
-
-// svg draws the plot as an element that can stand in an HTML page.
-func svg(p *plot.Plot) (template.HTML, error) {
-	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return "", errors.Wrap(err, "draw a plot")
-	}
-	var buffer bytes.Buffer
-	if _, err := writer.WriteTo(&buffer); err != nil {
-		return "", errors.Wrap(err, "draw a plot")
-	}
-	text := buffer.String()
-	start := strings.Index(text, "<svg")
-	return template.HTML(text[max(start, 0):]), nil
+	return shared.SVG(p, plotWidth, plotHeight)
 }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -19,6 +19,9 @@
 	Policies []Policy
 	// Faults says for which settings of faults to run: false, true or both.
 	Faults []bool
+	// NoOffers keeps a call that finds no ready replica waiting in its own zone, also
+	// when another zone has one.
+	NoOffers bool
 	// Trace, when not nil, replaces the generated workload; it needs one site.
 	Trace []workload.Arrival
 	// Workers is how many runs go side by side; 4 if not positive.
@@ -132,6 +135,7 @@
 	if err := w.setPlanners(j.policy); err != nil {
 		return Run{}, err
 	}
+	w.offers = !o.NoOffers
 	began := time.Now()
 	length := time.Duration(o.Days) * day
 	w.run(length)
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -32,6 +32,9 @@
 	checker  *checker
 	measure  *measure
 	arrivals []workload.Arrival
+	// offers says that a call which finds no ready replica in its zone goes to another
+	// zone that has one.
+	offers bool
 }
 
 func newWorld(site lab.Site, arrivals []workload.Arrival, seed uint64, faultsOn bool) *world {
@@ -92,8 +95,8 @@
 func (z *zoneWorld) addEngine(set lab.RunnerSet, number int) {
 	e := &engine{
 		world: z.world, zone: z, alive: true, incarnation: 1, idleSince: startTime,
-		replicas: map[structs.RowName]*loaded{},
-		memory:   cache{capacity: hostMemoryBytes}, disk: cache{capacity: diskBytes},
+		replicas:    map[structs.RowName]*loaded{},
+		checkpoints: emulator.NewCheckpointCache(hostMemoryBytes, diskBytes),
 		info: structs.RunnerInfo{
 			ID: structs.RunnerID(fmt.Sprintf("%s-%s-%d", z.id, set.Role, number)), Zone: z.id, Role: set.Role,
 			Incarnation: 1, MemoryBytes: set.MemoryBytes, Accelerators: set.Accelerators,
@@ -172,6 +175,9 @@
 // reach nobody else, or else the first that may.
 func (w *world) target(home structs.ZoneID, row structs.RowName) *zoneWorld {
 	z := w.byZone[home]
+	if other := w.warm(z, row); other != nil {
+		return other
+	}
 	if z.state.Grant(row).Limit > 0 || z.ready(row) || z.cutOff {
 		return z
 	}
@@ -183,6 +189,20 @@
 	return z
 }
 
+// warm is another zone that can start a call at once which the zone itself cannot, or nil.
+func (w *world) warm(home *zoneWorld, row structs.RowName) *zoneWorld {
+	if !w.offers || home.cutOff || home.ready(row) {
+		return nil
+	}
+	for _, id := range home.state.Elsewhere(row) {
+		other := w.byZone[id]
+		if id != home.id && !other.cutOff && len(other.queue(row).waiting) == 0 && other.free(row) {
+			return other
+		}
+	}
+	return nil
+}
+
 func (w *world) finish(r *request, end outcome) {
 	if r.outcome != outcomeNone {
 		w.checker.fail("requests", "a request for %s ended twice", r.Row)
--- a/experiment/zone.go
+++ b/experiment/zone.go
@@ -62,6 +62,14 @@
 	})
 }
 
+// free reports whether a replica of the row can start a request now.
+func (z *zoneWorld) free(row structs.RowName) bool {
+	return slices.ContainsFunc(z.state.ReplicasOf(row), func(replica zone.Replica) bool {
+		e := z.serving(replica)
+		return e != nil && e.running < maxBatch
+	})
+}
+
 // serving returns the engine of the replica when requests may be sent to it.
 func (z *zoneWorld) serving(replica zone.Replica) *engine {
 	e := z.byID[replica.Runner]
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -163,8 +163,8 @@
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
-	// The tighter fit leaves larger gaps elsewhere.
-	return o.runner.future-o.need < other.runner.future-other.need
+	// Rows are spread, so that the loss of a few runners takes few of them.
+	return o.runner.future-o.need > other.runner.future-other.need
 }
 
 func (r *runnerState) holds(row structs.RowName) bool {
@@ -212,10 +212,16 @@
 
 // readsStore reports whether the option reads a checkpoint from the store.
 func (p *planner) readsStore(row *rowState, option *placement) bool {
-	if option.base && p.tier(row.Base, option.runner.ID) == structs.TierStore {
+	if option.base && p.newStoreRead(row.Base, option.runner) {
 		return true
 	}
-	return option.tier == structs.TierStore
+	return p.newStoreRead(row.Name, option.runner)
+}
+
+// newStoreRead reports whether loading the row on the runner reads the store, and
+// not what an open prefetch reads already.
+func (p *planner) newStoreRead(row structs.RowName, runner *runnerState) bool {
+	return p.tier(row, runner.ID) == structs.TierStore && runner.Prefetching != row
 }
 
 // makeRoom completes the option by how it gets its memory.
@@ -255,7 +261,8 @@
 		p.row(row.Base).records++
 	}
 	if !option.now {
-		if option.tier == structs.TierStore {
+		if option.tier == structs.TierStore && runner.Prefetching == "" {
+			runner.Prefetching = row.Name
 			p.plan.Prefetches = append(p.plan.Prefetches, PrefetchDecision{row.Name, runner.ID})
 			p.storeLoads++
 		}
@@ -266,7 +273,7 @@
 		base := p.row(row.Base)
 		p.addLoad(base, runner, ReasonBase)
 		base.usable++
-		if option.tier == structs.TierStore && !p.storeOpen() {
+		if p.newStoreRead(row.Name, runner) && !p.storeOpen() {
 			return // The adapter follows in a later plan, while the base loads.
 		}
 	}
@@ -277,7 +284,7 @@
 func (p *planner) addLoad(row *rowState, runner *runnerState, reason Reason) {
 	tier := p.tier(row.Name, runner.ID)
 	p.plan.Loads = append(p.plan.Loads, LoadDecision{row.Name, runner.ID, tier, reason})
-	if tier == structs.TierStore {
+	if p.newStoreRead(row.Name, runner) {
 		p.storeLoads++
 	}
 	replica := Replica{
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -327,6 +327,42 @@
 	qt.Assert(t, plan.Unloads, qt.DeepEquals, []UnloadDecision{{"t", "r1", ReasonIdle}})
 }
 
+func TestRowsAreSpreadOverRunnersThatCostTheSame(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.Runners = nil
+	snapshot.StoreLoadBudget = 16
+	used := map[structs.RunnerID]int{}
+	for i := range 8 {
+		snapshot.Runners = append(snapshot.Runners, Runner{ID: structs.RunnerID(rune('A' + i)), MemoryBytes: 100})
+		name := structs.RowName(rune('k' + i))
+		snapshot.setRow(name, func(r *structs.Row) { r.MemoryBytes = 10 })
+		snapshot.Table.(testTable).limits[name] = 1
+		snapshot.want(name, 1, 0)
+	}
+	snapshot.want("t", 1, 0)
+	for _, load := range Plan(snapshot).Loads {
+		used[load.Runner]++
+		if load.Row == "t" { // An adapter goes where its base is.
+			used[load.Runner]--
+		}
+	}
+	qt.Assert(t, used, qt.HasLen, len(snapshot.Runners))
+}
+
+func TestAnOpenPrefetchIsNeitherRepeatedNorCountedTwice(t *testing.T) {
+	snapshot := newTestSnapshot()
+	snapshot.StoreLoadBudget, snapshot.StoreLoadsInFlight = 1, 1
+	snapshot.Runners[0].Prefetching = "b"
+	snapshot.Runners[1].Lagging = true
+	snapshot.want("b", 1, 0)
+	// It has room now: the load joins the read that is under way.
+	qt.Assert(t, Plan(snapshot).Loads, qt.DeepEquals, []LoadDecision{{"b", "r1", structs.TierStore, ReasonDemand}})
+	// While it waits for room, nothing is asked for again, and another gets no room.
+	snapshot.place("a", 0, structs.ReplicaUnloading, 0)
+	plan := Plan(snapshot)
+	qt.Assert(t, len(plan.Loads)+len(plan.Prefetches), qt.Equals, 0)
+}
+
 func TestAPrefetchCountsAsAReadOfTheStore(t *testing.T) {
 	snapshot := newTestSnapshot()
 	snapshot.StoreLoadBudget = 1
--- a/scheduler/rhythm_test.go
+++ b/scheduler/rhythm_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,8 +38,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			rhythms := NewRhythms()
-			for _, use := range test.uses {
-				rhythms.Observe(use, "a")
+			for hour := test.uses[0]; !hour.After(test.now); hour = hour.Add(time.Hour) {
+				rhythms.Watch(hour)
+				if slices.Contains(test.uses, hour) {
+					rhythms.Observe(hour, "a")
+				}
 			}
 			got := 0.0
 			if list := rhythms.Expected(test.now, 1e-9, 1); len(list) > 0 {
@@ -48,6 +53,25 @@
 	}
 }
 
+func TestHoursThatNobodyWatchedSayNothing(t *testing.T) {
+	rhythms := NewRhythms()
+	rhythms.Observe(at(0, 9), "a")
+	// Another leads on Tuesday and Wednesday, and up to noon on Thursday.
+	rhythms.Watch(at(3, 12))
+	want := []Expectation{{"a", 1 / (1 + rhythmPrior)}}
+	qt.Assert(t, rhythms.Expected(at(4, 9), 0.1, 1), qt.DeepEquals, want)
+}
+
+func TestRowsWithoutUseInAllRememberedDaysAreForgotten(t *testing.T) {
+	rhythms := NewRhythms()
+	rhythms.Observe(at(0, 9), "a")
+	rhythms.Observe(at(7, 9), "b")
+	qt.Assert(t, rhythms.Soon(at(7, 10)), qt.HasLen, 0)
+	qt.Assert(t, rhythms.rows, qt.HasLen, 2)
+	rhythms.Soon(at(10, 9))
+	qt.Assert(t, rhythms.rows, qt.HasLen, 1)
+}
+
 func TestExpectedIsOrderedAndBounded(t *testing.T) {
 	rhythms := NewRhythms()
 	for _, row := range []structs.RowName{"c", "a", "b"} {
@@ -62,6 +86,20 @@
 	qt.Assert(t, names, qt.DeepEquals, []structs.RowName{"b", "a"})
 }
 
+func TestExpectedFindsTheLikeliestOfMany(t *testing.T) {
+	rhythms := NewRhythms()
+	for day := range 3 {
+		for i := range 1000 {
+			if day < 2-i%2 || i%10 == 0 {
+				rhythms.Observe(at(day, 9), structs.RowName(fmt.Sprintf("%03d", i)))
+			}
+		}
+	}
+	all := rhythms.Expected(at(3, 9), 0.1, 1000)
+	qt.Assert(t, all, qt.HasLen, 1000)
+	qt.Assert(t, rhythms.Expected(at(3, 9), 0.1, 150), qt.DeepEquals, all[:150])
+}
+
 func expects(row structs.RowName) setup {
 	return func(s *Snapshot) { s.Expected = append(s.Expected, Expectation{row, 1}) }
 }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -28,7 +28,7 @@
 	Interarrivals map[structs.RowName]*Interarrivals
 	// Expected are the rows that are likely to be used soon, the most likely first.
 	Expected []Expectation
-	// StoreLoadsInFlight counts loads under way from the weight store, and
+	// StoreLoadsInFlight counts loads and prefetches under way from the weight store, and
 	// StoreLoadBudget is how many may be at once.
 	StoreLoadsInFlight int
 	StoreLoadBudget    int
@@ -48,6 +48,9 @@
 	// Lagging runners have not reported of late: nothing is loaded or unloaded there.
 	Lagging bool
 	Cached  []structs.CachedRow
+	// Prefetching names the row whose checkpoint is being copied to the runner's
+	// disk, or is empty. It counts among the StoreLoadsInFlight.
+	Prefetching structs.RowName
 }
 
 // Replica is a replica as a plan sees it.
