Keep goodput under overload: estimate by runner, count service time, share runners fairly

Nearly all refusals at 3x came at the deadline. Change: overload measures all this over the router's and the engines' own cores in virtual time, beside random, least-in-flight, no-affinity and FIFO baselines; the estimate counts what shares a runner; rows take turns; a choice may wait a little for the runner with the prefix.

--- a/admission/class.go
+++ b/admission/class.go
@@ -24,6 +24,8 @@
 	start    float64
 	eligible bool
 	position int
+	// visited counts the items that eachAhead has passed.
+	visited  int
 	items    heap[node]
 	nextFree *flow
 }
@@ -110,12 +112,69 @@
 	c.free = current
 }
 
+// aheadOf counts the items that probably go before a new item of the caller.
+func (c *class) aheadOf(caller string, weight float64) int {
+	own := 0
+	if waiting := c.flows[caller]; waiting != nil {
+		own = len(waiting.items.items)
+	}
+	return c.aheadAt(caller, weight, own)
+}
+
+// aheadAt counts the items that probably go before the caller's item that has so
+// many of its own before it: of each other caller as many as fit its share.
+func (c *class) aheadAt(caller string, weight float64, own int) int {
+	turns := float64(own+1)/weight + fairnessSlack
+	ahead := own
+	for name, other := range c.flows {
+		if name != caller {
+			ahead += min(len(other.items.items), int(turns*other.weight))
+		}
+	}
+	return ahead
+}
+
+// eachAhead visits the items, the oldest first; it returns how many stay.
+func (c *class) eachAhead(higher int, visit func(item Item, ahead int) (stays bool)) int {
+	stayed := 0
+	for _, current := range c.flows {
+		current.visited = 0
+	}
+	for current := c.oldest; current != nil; current = current.newer {
+		owner := current.flow
+		ahead := min(stayed, c.aheadAt(owner.caller, owner.weight, owner.visited))
+		if visit(current.Item, higher+ahead) {
+			owner.visited++
+			stayed++
+		}
+	}
+	return stayed
+}
+
 // next returns the item whose turn it is in this class, which must not be empty.
 func (c *class) next() *node {
 	c.promote()
 	return c.eligible.top().items.top()
 }
 
+// preferred returns the item with the highest score among the first ones of the
+// callers that are due; head if none is better.
+func (c *class) preferred(head *node, score func(Item) int) *node {
+	best, highest := head, score(head.Item)
+	due := c.eligible.items
+	due = due[:min(len(due), preferenceWidth)]
+	each := max(1, preferenceWidth/len(due))
+	for _, current := range due {
+		items := current.items.items
+		for _, candidate := range items[:min(len(items), each)] {
+			if value := score(candidate.Item); value > highest {
+				best, highest = candidate, value
+			}
+		}
+	}
+	return best
+}
+
 // charge counts a turn for the flow and moves the virtual time on.
 func (c *class) charge(served *flow) {
 	c.displace(served)
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -7,6 +7,9 @@
 // others the earliest deadline goes first. A full queue sheds its newest batch
 // request for a live one.
 //
+// The estimate follows the pace at which the row's requests have started while
+// others waited, less the later arrivals of higher priority.
+//
 // Queue and Estimator are pure: time comes in as an argument, and they are not
 // safe for concurrent use.
 package admission
--- a/admission/estimator.go
+++ b/admission/estimator.go
@@ -32,6 +32,10 @@
 	rate     average
 	bias     average
 	absolute average
+	// starts is the pace at which requests start while others wait; arrivals that
+	// at which requests of each priority join the queue.
+	starts   interval
+	arrivals [structs.PriorityCount]interval
 }
 
 // Situation is what the estimate depends on besides the history.
@@ -41,6 +45,9 @@
 	Free  int
 	// Ahead counts the queued requests that go first.
 	Ahead int
+	// Now and Priority tell which later arrivals go first, too.
+	Now      time.Time
+	Priority structs.Priority
 	// MaxTokens is the request's bound, 0 if unknown.
 	MaxTokens int
 	// ColdFor is how long a load has been awaited; it counts when Slots is 0.
@@ -81,6 +88,17 @@
 	}
 }
 
+// Finish estimates how long it takes until a request would be answered. What a
+// request needs once it started counts only for one that must wait, and only if
+// it was observed: a request that can start at once is worth trying.
+func (e *Estimator) Finish(situation Situation) time.Duration {
+	start := e.Start(situation)
+	if start <= 0 || e.service.count == 0 {
+		return start
+	}
+	return start + e.Service(situation.MaxTokens)
+}
+
 // ObserveColdLoad records how long the row was awaited until a replica was ready.
 func (e *Estimator) ObserveColdLoad(duration time.Duration) { e.cold.add(duration.Seconds()) }
 
@@ -133,23 +151,108 @@
 	if queued <= 0 {
 		return 0
 	}
+	if rate, known := e.turnRate(situation); known && situation.Slots > 0 {
+		return seconds(float64(queued) / rate)
+	}
 	perSlot := e.Service(situation.MaxTokens) / time.Duration(slots)
 	return time.Duration(queued) * perSlot
 }
 
+// ObserveArrival records that a request joined the queue.
+func (e *Estimator) ObserveArrival(now time.Time, priority structs.Priority) {
+	e.arrivals[clampPriority(priority)].add(now)
+}
+
+// ObserveTurn records that a request started; waiting says that others wait still.
+func (e *Estimator) ObserveTurn(now time.Time, waiting bool) {
+	e.starts.add(now)
+	if !waiting {
+		e.starts.pause()
+	}
+}
+
+// turnRate returns how many of the waiting requests start in a second, less the
+// later arrivals of higher priority, which start first. It is unknown until
+// requests have waited.
+func (e *Estimator) turnRate(situation Situation) (rate float64, known bool) {
+	if e.starts.gap.count < turnsKnown {
+		return 0, false
+	}
+	rate = 1 / max(e.starts.gap.value, shortestGap)
+	left := rate
+	for priority := clampPriority(situation.Priority) + 1; priority < structs.PriorityCount; priority++ {
+		left -= e.arrivals[priority].rate(situation.Now)
+	}
+	return max(left, rate/leastShareDivisor), true
+}
+
+// leastShareDivisor bounds what later arrivals of higher priority are taken to
+// leave: a rush of them does not go on for as long as it would take to be served.
+const leastShareDivisor = 4
+
+// turnsKnown is how many turns make a pace.
+const turnsKnown = 8
+
+// shortestGap bounds a pace, in seconds.
+const shortestGap = 1e-6
+
+// interval is the mean time between events.
+type interval struct {
+	last time.Time
+	gap  average
+}
+
+// A gap counts for at most longestGapFactor times the mean, which is taken to be
+// leastKnownGap seconds at least.
+const (
+	longestGapFactor = 8
+	leastKnownGap    = 1e-3
+)
+
+// intervalSmoothing is the weight of a new gap.
+const intervalSmoothing = 0.03
+
+func (i *interval) add(now time.Time) {
+	if !i.last.IsZero() {
+		i.gap.addWeighted(i.clipped(now.Sub(i.last).Seconds()), intervalSmoothing)
+	}
+	i.last = now
+}
+
+// clipped bounds a gap, so that one hiccup does not count for many turns.
+func (i *interval) clipped(gap float64) float64 {
+	if i.gap.count < turnsKnown {
+		return gap
+	}
+	return min(gap, longestGapFactor*max(i.gap.value, leastKnownGap))
+}
+
+// pause leaves out the time until the next event.
+func (i *interval) pause() { i.last = time.Time{} }
+
+// rate returns the events a second; a silence lowers it.
+func (i *interval) rate(now time.Time) float64 {
+	if i.gap.count < turnsKnown {
+		return 0
+	}
+	return 1 / max(i.gap.value, now.Sub(i.last).Seconds(), shortestGap)
+}
+
 // average is an exponentially weighted moving average.
 type average struct {
 	value float64
 	count int
 }
 
-func (a *average) add(sample float64) {
+func (a *average) add(sample float64) { a.addWeighted(sample, smoothing) }
+
+func (a *average) addWeighted(sample, weight float64) {
 	a.count++
 	if a.count == 1 {
 		a.value = sample
 		return
 	}
-	a.value += smoothing * (sample - a.value)
+	a.value += weight * (sample - a.value)
 }
 
 func seconds(value float64) time.Duration {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -17,6 +17,13 @@
 // and still compete by deadline.
 const fairnessSlack = 2.0
 
+// PreferenceLimit is how often an item is passed over for a preferred one, and
+// preferenceWidth how many items are looked at.
+const (
+	PreferenceLimit = 8
+	preferenceWidth = 16
+)
+
 // Options are the settings of a Queue; zero values mean the defaults.
 type Options struct {
 	// Limit bounds the requests in the queue.
@@ -71,6 +78,8 @@
 	sequence uint64
 	position int
 	flow     *flow
+	// passed counts how often another item was preferred while it was this one's turn.
+	passed int
 	// newer and older link the class by arrival.
 	newer, older *node
 }
@@ -143,6 +152,30 @@
 	return item, true
 }
 
+// PopPreferred removes, of the next few items of the class whose turn it is, the
+// one with the highest score, and counts the turn for its caller. The item whose
+// turn it is goes if none has a higher score, or if it was passed over
+// PreferenceLimit times. Only callers that are due take part.
+func (q *Queue) PopPreferred(score func(Item) int) (Item, bool) {
+	index, ok := q.turn()
+	if !ok {
+		return Item{}, false
+	}
+	head := q.classes[index].next()
+	chosen := head
+	if head.passed < PreferenceLimit {
+		chosen = q.classes[index].preferred(head, score)
+	}
+	if chosen != head {
+		head.passed++
+	}
+	q.countTurn(index)
+	item := chosen.Item
+	q.classes[index].charge(chosen.flow)
+	q.remove(chosen)
+	return item, true
+}
+
 // Remove takes the item out without a turn; it reports whether it was there.
 func (q *Queue) Remove(id structs.RequestID) bool {
 	found, ok := q.nodes[id]
@@ -165,6 +198,28 @@
 	return count
 }
 
+// AheadOf counts the items that probably go before a new item of the caller: all
+// of higher priority, the caller's own of its priority, and of each other caller
+// of that priority as many as its share of turns meanwhile.
+func (q *Queue) AheadOf(priority structs.Priority, caller string) int {
+	priority = clampPriority(priority)
+	count := 0
+	for index := int(priority) + 1; index < structs.PriorityCount; index++ {
+		count += q.classes[index].length
+	}
+	return count + q.classes[priority].aheadOf(caller, q.weight(caller))
+}
+
+// EachAhead calls visit for every item as Each does, with the number of items
+// that probably go before it. Items of the class for which visit returns false do
+// not count for those after them.
+func (q *Queue) EachAhead(visit func(item Item, ahead int) (stays bool)) {
+	higher := 0
+	for index := structs.PriorityCount - 1; index >= 0; index-- {
+		higher += q.classes[index].eachAhead(higher, visit)
+	}
+}
+
 // Newest returns the item of the class that was queued last; ok is false for an
 // empty class.
 func (q *Queue) Newest(priority structs.Priority) (newest Item, ok bool) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -151,6 +151,85 @@
 	qt.Assert(t, drain(queue), qt.HasLen, len(held))
 }
 
+func TestItemsAheadFollowTheFairShares(t *testing.T) {
+	queue := NewQueue(Options{})
+	for number := range 20 {
+		queue.Push(item(fmt.Sprint("flood", number), "flood", 1, 30))
+	}
+	queue.Push(item("live", "y", 2, 30))
+	queue.Push(item("quiet", "quiet", 1, 30))
+	tests := []struct {
+		caller   string
+		priority structs.Priority
+		want     int
+	}{
+		{"new", 2, 1},
+		{"new", 1, 1 + 3 + 1},
+		{"quiet", 1, 1 + 1 + 4},
+		{"flood", 1, 1 + 20 + 1},
+		{"new", 0, 1 + 20 + 1},
+	}
+	for _, test := range tests {
+		qt.Check(t, queue.AheadOf(test.priority, test.caller), qt.Equals, test.want, qt.Commentf("%s %d", test.caller, test.priority))
+	}
+	ahead := map[structs.RequestID]int{}
+	queue.EachAhead(func(visited Item, count int) bool {
+		ahead[visited.ID] = count
+		return visited.ID != "flood3"
+	})
+	qt.Check(t, ahead["live"], qt.Equals, 0)
+	qt.Check(t, ahead["flood3"], qt.Equals, 1+3)
+	qt.Check(t, ahead["flood4"], qt.Equals, 1+3, qt.Commentf("what leaves does not count"))
+	qt.Check(t, ahead["quiet"], qt.Equals, 1+3)
+}
+
+func TestPreferredItemGoesFirstABoundedNumberOfTimes(t *testing.T) {
+	queue := NewQueue(Options{})
+	queue.Push(item("head", "x", 1, 1))
+	for number := range 2 * PreferenceLimit {
+		queue.Push(item(fmt.Sprint("liked", number), fmt.Sprint(number), 1, 2))
+	}
+	queue.Push(item("liked-batch", "z", 0, 1))
+	liked := func(candidate Item) int { return min(1, len(candidate.ID)-len("head")) }
+	var order []structs.RequestID
+	for range PreferenceLimit + 1 {
+		popped, ok := queue.PopPreferred(liked)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, popped.Priority, qt.Equals, structs.PriorityStandard)
+		order = append(order, popped.ID)
+	}
+	qt.Check(t, order[0], qt.Not(qt.Equals), structs.RequestID("head"))
+	qt.Check(t, order[PreferenceLimit], qt.Equals, structs.RequestID("head"))
+}
+
+func TestEstimateFollowsTheTurnsTaken(t *testing.T) {
+	estimator := NewEstimator(EstimatorOptions{})
+	now := start
+	for range 2 * turnsKnown {
+		now = now.Add(500 * time.Millisecond)
+		estimator.ObserveTurn(now, true)
+		estimator.ObserveArrival(now, structs.PriorityLive)
+		estimator.ObserveService(3*time.Second, 10)
+	}
+	estimator.ObserveTurn(now.Add(time.Millisecond), false)
+	estimator.ObserveTurn(now.Add(time.Hour), true)
+	live := Situation{Slots: 4, Ahead: 3, Now: now, Priority: structs.PriorityLive}
+	near := func(got, want time.Duration) {
+		qt.Check(t, got > want*9/10 && got < want*11/10, qt.IsTrue, qt.Commentf("%v, not %v", got, want))
+	}
+	near(estimator.Start(live), 2*time.Second)
+	near(estimator.Finish(live), 5*time.Second)
+	batch := live
+	batch.Priority = structs.PriorityBatch
+	near(estimator.Start(batch), leastShareDivisor*2*time.Second)
+	batch.Now = now.Add(time.Minute)
+	near(estimator.Start(batch), 2*time.Second)
+	estimator.ObserveTurn(now.Add(2*time.Hour), true)
+	qt.Check(t, estimator.Start(live) < 3*time.Second, qt.IsTrue, qt.Commentf("one long gap is no new pace"))
+	live.Free = 4
+	qt.Check(t, estimator.Finish(live), qt.Equals, time.Duration(0))
+}
+
 func TestEstimatedStart(t *testing.T) {
 	observed := NewEstimator(EstimatorOptions{})
 	observed.ObserveService(4*time.Second, 100)
@@ -203,6 +282,17 @@
 			queue.Pop()
 		}
 	})
+	b.Run("preferred", func(b *testing.B) {
+		queue := NewQueue(Options{})
+		for index := range 128 {
+			queue.Push(items[index])
+		}
+		b.ReportAllocs()
+		for index := 128; b.Loop(); index++ {
+			queue.Push(items[index%len(items)])
+			queue.PopPreferred(func(candidate Item) int { return len(candidate.ID) })
+		}
+	})
 	b.Run("baseline=fifo", func(b *testing.B) {
 		fifo := make(chan Item, 256)
 		for index := range 128 {
@@ -215,3 +305,15 @@
 		}
 	})
 }
+
+// BenchmarkEachAhead measures the review of a full queue of 16 callers.
+func BenchmarkEachAhead(b *testing.B) {
+	queue := NewQueue(Options{})
+	for index := range DefaultLimit {
+		queue.Push(item(fmt.Sprint(index), fmt.Sprint(index%16), structs.Priority(index%3), index%97))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		queue.EachAhead(func(Item, int) bool { return true })
+	}
+}
--- /dev/null
+++ b/overload/check.go
@@ -0,0 +1,80 @@
+package overload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// terminalBound is by how much a terminal answer may come after the deadline.
+const terminalBound = 250 * time.Millisecond
+
+// The rules that the checker judges.
+const (
+	ruleTerminal   = "one terminal answer"
+	ruleDeadline   = "terminal answer by the deadline"
+	ruleWhole      = "whole answer"
+	ruleNotRun     = "not_run was not sent"
+	ruleRetryAfter = "refusal says when to come back"
+)
+
+// Violation is a rule that did not hold for a request.
+type Violation struct {
+	Seed     uint64 `json:"seed"`
+	Policy   string `json:"policy"`
+	Scenario string `json:"scenario"`
+	Rule     string `json:"rule"`
+	Request  string `json:"request"`
+	Detail   string `json:"detail"`
+}
+
+func (s *site) violate(rule string, target *call, detail string) {
+	s.violation = append(s.violation, Violation{
+		Seed: s.seed, Policy: s.policy, Scenario: s.scenario.name, Rule: rule,
+		Request: string(target.request.ID), Detail: detail,
+	})
+}
+
+// check judges every call from what its caller saw, and from the engines' own records.
+func (s *site) check() {
+	executed := map[structs.RequestID]bool{}
+	for _, engine := range s.engines {
+		for _, execution := range engine.engine.Records().Executions {
+			executed[attemptRequest(execution.ID)] = true
+		}
+	}
+	for _, target := range s.calls {
+		s.checkCall(target, executed[target.request.ID])
+	}
+}
+
+func (s *site) checkCall(target *call, executed bool) {
+	if target.terminals != 1 {
+		s.violate(ruleTerminal, target, fmt.Sprintf("%d terminal answers", target.terminals))
+		return
+	}
+	if late := target.endedAt - target.arrivedAt - target.patience; late > terminalBound {
+		s.violate(ruleDeadline, target, fmt.Sprintf("%v after the deadline", late))
+	}
+	if target.refusal == nil {
+		want := emulator.ExpectedLength(target.request.Row, target.request.Prompt, target.request.MaxTokens)
+		if target.tokens < want {
+			s.violate(ruleWhole, target, fmt.Sprintf("%d of %d tokens", target.tokens, want))
+		}
+		return
+	}
+	if target.refusal.Error.RetryAfter <= 0 {
+		s.violate(ruleRetryAfter, target, target.refusal.Error.Message)
+	}
+	if target.refusal.Execution == structs.ExecutionNotRun && executed {
+		s.violate(ruleNotRun, target, target.refusal.Error.Message)
+	}
+}
+
+// attemptRequest is the request of an attempt that an engine knows by its ID.
+func attemptRequest(id structs.RequestID) structs.RequestID {
+	return router.AttemptID(id).Request()
+}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -22,6 +23,18 @@
 	return !target.leaving && target.replicas[c.replica.row.name] == c.replica
 }
 
+// Cached counts how many of the prompt's prefixes, which are PrefixHashes, the
+// chosen runner has probably cached.
+func (c Choice) Cached(prefixes []uint64) int {
+	for count := len(prefixes); count > 0; count-- {
+		known, _ := c.balancer.hints.find(prefixes[count-1])
+		if slices.Contains(known[:], c.replica.runner.number) {
+			return count
+		}
+	}
+	return 0
+}
+
 // Sent counts the attempt on the runner and learns that it will cache the prompt.
 func (c Choice) Sent(now time.Time, prefixes []uint64) {
 	target := c.replica.runner
