End keyed requests on silent engines at once; drain daemons; say when an answer is gone

Cause: a request with a key on an engine that went silent waited until its deadline; a daemon could be stopped but not drained; a retry whose stored answer had been dropped was told that the outcome is unknown though the request ran. Change: the engine is first asked without cancel; one that makes tokens is waited for, one that started and makes none ends as outcome_unknown at once, else it is cancelled and the request goes elsewhere under the same claim. lotusferryctl drain and undrain of a daemon. A dropped answer is refused as done, with 409. Reviews of waiting requests are no longer put off by each event (528 ms where 350 were allowed).

--- a/api/client.go
+++ b/api/client.go
@@ -94,6 +94,9 @@
 	if forwardedFrom != "" {
 		post.Header.Set(HeaderForwarded, string(forwardedFrom))
 		post.Header.Set(HeaderCaller, request.Caller)
+		if request.IfReady {
+			post.Header.Set(HeaderForwardIf, ForwardIfReady)
+		}
 	}
 	if apiKey != "" {
 		post.Header.Set("Authorization", "Bearer "+apiKey)
--- a/api/decode.go
+++ b/api/decode.go
@@ -95,6 +95,7 @@
 		DeadlineAt:     now.Add(deadline),
 		IdempotencyKey: key,
 		Forwarded:      who.daemon,
+		IfReady:        who.daemon && r.Header.Get(HeaderForwardIf) == ForwardIfReady,
 	}, nil
 }
 
--- a/api/embeddings.go
+++ b/api/embeddings.go
@@ -112,6 +112,9 @@
 		wanted := input.(embedding)
 		answers, err := submitAll(ctx, service, wanted.requests)
 		defer closeAll(answers)
+		if err == nil && wanted.requests[0].IfReady {
+			sayTaken(ctx)
+		}
 		done := embedded{embedding: wanted}
 		for index := 0; err == nil && index < len(answers); index++ {
 			var token structs.Token
--- a/api/errors.go
+++ b/api/errors.go
@@ -74,7 +74,8 @@
 	if wait := typedError(err).RetryAfter; wait > 0 {
 		header.Set("Retry-After", retryAfterSeconds(wait))
 	}
-	if body.Error.Execution == string(structs.ExecutionUnknown) {
+	switch structs.Execution(body.Error.Execution) {
+	case structs.ExecutionUnknown, structs.ExecutionDone:
 		header.Set(HeaderShouldRetry, "false")
 	}
 	w.WriteHeader(status)
--- a/api/handler.go
+++ b/api/handler.go
@@ -72,7 +72,7 @@
 	mux.Handle("POST /v1/completions", kithttp.NewServer(generate, decode.completion, encodeReply, serverOptions...))
 	mux.Handle("POST /v1/embeddings", kithttp.NewServer(embeddingsEndpoint(service), decode.embeddings, encodeEmbeddings, serverOptions...))
 	mux.Handle("GET /v1/models", kithttp.NewServer(modelsEndpoint(service), kithttp.NopRequestDecoder, encodeModels, serverOptions...))
-	return authenticate(mux, options)
+	return authenticate(withTaken(mux), options)
 }
 
 func generateEndpoint(service Service, options Options) endpoint.Endpoint {
@@ -82,6 +82,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if wanted.request.IfReady {
+			sayTaken(ctx)
+		}
 		first, err := answer.Next(ctx)
 		if err != nil {
 			answer.Close()
--- a/api/headers.go
+++ b/api/headers.go
@@ -12,6 +12,13 @@
 	// HeaderCaller names the caller of a forwarded request. Like HeaderForwarded it
 	// is read only when another daemon sent the request.
 	HeaderCaller = "Lotusferry-Caller"
+	// HeaderForwardIf set to ForwardIfReady makes a forwarded request conditional: it
+	// is refused as not_run at once unless a ready replica has room for it now. One that is
+	// taken is answered at once with the informational status 102. It is read only
+	// when another daemon sent the request.
+	HeaderForwardIf = "Lotusferry-Forward-If"
+	// ForwardIfReady is the value of HeaderForwardIf.
+	ForwardIfReady = "ready"
 	// HeaderExecution says whether a refused request ran: a structs.Execution.
 	HeaderExecution = "Lotusferry-Execution"
 	// HeaderRequestID is the ID under which the router knows the request.
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -45,7 +45,8 @@
 	Options  Options          `group:"Options of all commands"`
 	Table    tableCommands    `command:"table" description:"Read, edit and watch the table"`
 	Status   statusCommand    `command:"status" description:"Show the state of the zones and daemons"`
-	Drain    drainCommand     `command:"drain" description:"Empty a runner, or use it again"`
+	Drain    drainCommand     `command:"drain" description:"Give a runner or a daemon no new work"`
+	Undrain  undrainCommand   `command:"undrain" description:"Use a runner or a daemon again"`
 	Member   memberCommands   `command:"member" description:"List and change the members of the groups"`
 	Check    checkCommand     `command:"check" description:"Check the settings file of a daemon"`
 	Keys     keysCommands     `command:"keys" description:"Make the CA, certificates and API keys"`
@@ -57,6 +58,7 @@
 		Table:    newTableCommands(shared),
 		Status:   statusCommand{invocation: shared},
 		Drain:    drainCommand{invocation: shared},
+		Undrain:  undrainCommand{invocation: shared},
 		Member:   newMemberCommands(shared),
 		Check:    checkCommand{invocation: shared},
 		Keys:     newKeysCommands(shared),
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -57,9 +57,10 @@
 			yesNo(daemon.Reachable),
 			leadsCell(daemon),
 			strconv.FormatUint(daemon.TableRevision, 10),
+			drainCell(daemon),
 		})
 	}
-	return s.printTable([]string{"DAEMON", "ZONE", "ROLES", "ADDRESS", "REACHABLE", "LEADS", "REVISION"}, daemons)
+	return s.printTable([]string{"DAEMON", "ZONE", "ROLES", "ADDRESS", "REACHABLE", "LEADS", "REVISION", "DRAIN"}, daemons)
 }
 
 func yesNo(value bool) string {
@@ -80,6 +81,17 @@
 	return strings.Join(groups, ",")
 }
 
+// drainCell says whether the daemon is being drained and what it has left.
+func drainCell(daemon operatorapi.DaemonStatus) string {
+	switch {
+	case !daemon.Draining:
+		return ""
+	case daemon.OpenRequests > 0:
+		return fmt.Sprintf("%d requests left", daemon.OpenRequests)
+	}
+	return "drained"
+}
+
 // surplusCell lists the rows above their limit as row:replicas/limit.
 func surplusCell(surplus []structs.RowSurplus) string {
 	var parts []string
@@ -88,40 +100,3 @@
 	}
 	return strings.Join(parts, ",")
 }
-
-type drainCommand struct {
-	invocation *invocation
-	Cancel     bool `long:"cancel" description:"end the drain: the runner takes work again"`
-	Positional struct {
-		Runner string `positional-arg-name:"RUNNER" description:"ID of the runner"`
-	} `positional-args:"yes" required:"yes"`
-}
-
-// drainOutput is the result of a drain as --json shows it.
-type drainOutput struct {
-	Runner   string `json:"runner"`
-	Draining bool   `json:"draining"`
-}
-
-// Execute starts or cancels a drain.
-func (c *drainCommand) Execute([]string) error {
-	service, ctx, cancel, err := c.invocation.service()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	runner := c.Positional.Runner
-	request := operatorapi.DrainRequest{Runner: structs.RunnerID(runner), Cancel: c.Cancel}
-	if err := service.Drain(ctx, request); err != nil {
-		return err
-	}
-	if c.invocation.options.JSON {
-		return c.invocation.printJSON(drainOutput{Runner: runner, Draining: !c.Cancel})
-	}
-	if c.Cancel {
-		fmt.Fprintf(c.invocation.Output, "runner %s takes work again\n", runner)
-		return nil
-	}
-	fmt.Fprintf(c.invocation.Output, "runner %s is being drained\n", runner)
-	return nil
-}
--- a/daemon/claims_test.go
+++ b/daemon/claims_test.go
@@ -105,6 +105,7 @@
 }
 
 func TestEndOfAClaimIsRepeatedUntilTheZoneHasIt(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		about  string
 		late   bool
@@ -116,6 +117,7 @@
 		{"the answer does not fit", false, "longer than four bytes", structs.ClaimUnknown},
 	} {
 		t.Run(test.about, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			served, keeper := newClaimsSite(c)
 			c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
@@ -129,6 +131,7 @@
 }
 
 func TestDrainWaitsForEndsUntilItsTimeIsOver(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	_, keeper := newClaimsSite(c)
 	home := keeper.homes["a"]
@@ -141,10 +144,13 @@
 }
 
 func TestSilentZoneRefusesAtOnceAndTheOwnZoneServes(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	served, keeper := newClaimsSite(c)
+	timeout := keeper.homes["b"].timeout
 	keeper.homes["b"].timeout = 20 * time.Millisecond
 	first := keeper.begin(context.Background(), beginEffect("b"))
+	keeper.homes["b"].timeout = timeout
 	c.Assert(first.NotAsked, qt.IsFalse)
 	c.Assert(first.Error.Kind, qt.Equals, structs.ErrorUnavailable)
 	// Nothing is called any more: the context is over already.
@@ -165,6 +171,7 @@
 }
 
 func TestClaimThatTheZoneWasNeverAskedForIsNotEnded(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	served, keeper := newClaimsSite(c)
 	keeper.finish(context.Background(), finishEffect("done"))
@@ -172,6 +179,7 @@
 }
 
 func TestClaimOfAnotherRequestIsNotRenewed(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	served, keeper := newClaimsSite(c)
 	other := beginEffect("a")
--- a/daemon/claimsite_test.go
+++ b/daemon/claimsite_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestKeyOfAnotherZoneRunsOnceAndIsReplayedInEveryZone(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 2})
 	s.applyRows(1)
 	request := streamRequest("first", "r0", 8)
@@ -28,8 +29,10 @@
 // TestClaimOfADeadRouterIsResolvedByItsHomeZone takes a little more than the lease
 // of a claim.
 func TestClaimOfADeadRouterIsResolvedByItsHomeZone(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 2})
 	s.applyRows(1)
+	s.slowDown()
 	request := streamRequest("first", "r0", longAnswer)
 	request.IdempotencyKey = "zone-1:lot"
 	answer, err := s.call(0, request)
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -15,7 +15,7 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// longAnswer is an answer that lasts long enough for a stop to begin in it.
+// longAnswer is an answer that, slowed down, lasts long enough for a stop in it.
 const longAnswer = 250
 
 // beginStop begins a planned stop and returns once new requests are refused. The
@@ -39,8 +39,10 @@
 }
 
 func TestPlannedStopCutsNoStreamAndRecordsClaims(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 1})
 	s.applyRows(1)
+	s.slowDown()
 	keyed := streamRequest("keyed", "r0", longAnswer)
 	keyed.IdempotencyKey = "the-key"
 	plain := streamRequest("plain", "r0", longAnswer)
@@ -72,6 +74,7 @@
 	} {
 		s.Check(metrics.Body.String(), qt.Contains, line+"\n")
 	}
+	s.goOn()
 	for i, request := range []structs.Request{keyed, plain} {
 		text, err := readRest(answers[i], first[i])
 		s.Assert(err, qt.IsNil)
@@ -91,8 +94,10 @@
 }
 
 func TestStopThatIsCutAnswersEveryRequestTruly(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 1})
 	s.applyRows(2)
+	s.slowDown()
 	running := streamRequest("running", "r0", longAnswer)
 	answer, err := s.call(0, running)
 	s.Assert(err, qt.IsNil)
--- a/engineapi/calls.go
+++ b/engineapi/calls.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -85,6 +86,14 @@
 	return call[[]structs.Machine](ctx, c, http.MethodGet, address, PathMachineList, nil)
 }
 
+// ZoneMachines reads the zone's part of the machine list. A platform that cannot
+// choose by zone sends the whole list, of which the zone's part is returned.
+func (c *Client) ZoneMachines(ctx context.Context, address string, zone structs.ZoneID) ([]structs.Machine, error) {
+	operation := PathMachineList + "?" + QueryZone + "=" + url.QueryEscape(string(zone))
+	machines, err := call[[]structs.Machine](ctx, c, http.MethodGet, address, operation, nil)
+	return slices.DeleteFunc(machines, func(machine structs.Machine) bool { return machine.Zone != zone }), err
+}
+
 // Leave marks a machine as leaving, or removes it from the list.
 func (c *Client) Leave(ctx context.Context, address string, request LeaveRequest) error {
 	_, err := call[struct{}](ctx, c, http.MethodPost, address, PathMachineLeave, request)
--- a/engineapi/paths.go
+++ b/engineapi/paths.go
@@ -39,6 +39,9 @@
 const (
 	// QueryAfter is the query parameter of PathEvents: the last sequence number seen.
 	QueryAfter = "after"
+	// QueryZone is the query parameter of PathMachineList: only this zone's machines.
+	// A list that does not know it answers with all.
+	QueryZone = "zone"
 	// QueryCancel is the query parameter of PathRequests that cancels the ID and
 	// refuses it from then on.
 	QueryCancel = "cancel"
--- a/operatorapi/operatorapi_test.go
+++ b/operatorapi/operatorapi_test.go
@@ -55,12 +55,12 @@
 }
 
 var (
-	row    = structs.Row{Name: "m", Kind: structs.RowModel, Weight: 3, MaxReplicas: 2, MemoryBytes: 1 << 40, Role: "answers", Revision: 1 << 60}
-	table  = operatorapi.TableView{Revision: 1 << 60, Rows: []structs.Row{row}}
-	at     = time.Date(2026, 5, 1, 12, 0, 0, 1, time.UTC)
-	entry  = structs.HistoryEntry{Revision: 9, At: at, Author: "ada", EditID: "e", Rows: []structs.RowName{"m"}}
+	row     = structs.Row{Name: "m", Kind: structs.RowModel, Weight: 3, MaxReplicas: 2, MemoryBytes: 1 << 40, Role: "answers", Revision: 1 << 60}
+	table   = operatorapi.TableView{Revision: 1 << 60, Rows: []structs.Row{row}}
+	at      = time.Date(2026, 5, 1, 12, 0, 0, 1, time.UTC)
+	entry   = structs.HistoryEntry{Revision: 9, At: at, Author: "ada", EditID: "e", Rows: []structs.RowName{"m"}}
 	changes = operatorapi.TableChanges{Since: 5, Revision: 1 << 60, Rows: []structs.Row{row}, Deleted: []structs.RowName{"gone"}}
-	status = operatorapi.SiteStatus{
+	status  = operatorapi.SiteStatus{
 		Revision: 9,
 		Zones:    []structs.ZoneStatus{{Zone: "sala-a", TableRevision: 8, Reachable: true, Leader: "d"}},
 		Daemons:  []operatorapi.DaemonStatus{{Daemon: "d", Zone: "sala-a", Roles: []string{"router"}, LeadsZone: true}},
@@ -141,6 +141,9 @@
 	{"drain", func(s operatorapi.Service) (any, error) {
 		return nil, s.Drain(context.Background(), operatorapi.DrainRequest{Runner: "r", Cancel: true})
 	}, nil, operatorapi.DrainRequest{Runner: "r", Cancel: true}},
+	{"drain of a daemon", func(s operatorapi.Service) (any, error) {
+		return nil, s.Drain(context.Background(), operatorapi.DrainRequest{Daemon: "d"})
+	}, nil, operatorapi.DrainRequest{Daemon: "d"}},
 	{"snapshot", func(s operatorapi.Service) (any, error) { return s.SaveSnapshot(context.Background(), "zone-a") }, []byte{0, 1, 255}, "snapshot of zone-a"},
 }
 
@@ -244,6 +247,7 @@
 		{"no change", "POST", "/v1/table/edits", `{"id":"e"}`, "invalid"},
 		{"odd dry run", "POST", "/v1/table/edits?dry_run=perhaps", `{"id":"e"}`, "invalid"},
 		{"no runner", "POST", "/v1/drains", `{}`, "invalid"},
+		{"a runner and a daemon", "POST", "/v1/drains", `{"runner":"r","daemon":"d"}`, "invalid"},
 		{"limit out of range", "GET", "/v1/table/history?limit=0", "", "invalid"},
 		{"odd revision", "GET", "/v1/table/watch?since=-1", "", "invalid"},
 		{"odd wait", "GET", "/v1/table/watch?wait=soon", "", "invalid"},
--- a/operatorapi/service.go
+++ b/operatorapi/service.go
@@ -24,7 +24,7 @@
 	// Watch returns what changed in the table as soon as its revision is above since,
 	// or nothing after wait.
 	Watch(ctx context.Context, since uint64, wait time.Duration) (TableChanges, error)
-	// Drain starts or cancels the drain of a runner.
+	// Drain starts or cancels the drain of a runner or a daemon. Repeating it is safe.
 	Drain(ctx context.Context, request DrainRequest) error
 	// Members lists the members of the global group and of each zone's group.
 	Members(ctx context.Context) ([]GroupMembers, error)
@@ -93,11 +93,18 @@
 	LeadsZone bool `json:"leads_zone"`
 	// TableRevision is the revision that the daemon works by.
 	TableRevision uint64 `json:"table_revision"`
+	// Draining says that the daemon takes no callers' requests until an operator ends
+	// the drain, and OpenRequests how many it has still to finish. Both are zero when
+	// the daemon does not answer.
+	Draining     bool `json:"draining,omitempty"`
+	OpenRequests int  `json:"open_requests,omitempty"`
 }
 
-// DrainRequest asks that a runner be emptied, or used again.
+// DrainRequest asks that a runner be emptied or used again, or that a daemon take
+// no callers' requests or take them again. It names one of the two.
 type DrainRequest struct {
-	Runner structs.RunnerID `json:"runner"`
+	Runner structs.RunnerID `json:"runner,omitempty"`
+	Daemon structs.DaemonID `json:"daemon,omitempty"`
 	// Cancel ends a drain.
 	Cancel bool `json:"cancel,omitempty"`
 }
--- a/operatorapi/wire.go
+++ b/operatorapi/wire.go
@@ -158,8 +158,9 @@
 	if err := decodeBody(request.Body, &drain); err != nil {
 		return nil, err
 	}
-	if drain.Runner == "" {
-		return nil, invalid("the drain names no runner", "Name the runner as the machine list does.")
+	if (drain.Runner == "") == (drain.Daemon == "") {
+		return nil, invalid("the drain does not name one runner or daemon",
+			"Name a runner as the machine list does, or a daemon as the status does.")
 	}
 	return drain, nil
 }
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -30,7 +30,14 @@
 		c.refuseUnheld(incoming.ID, notFound(incoming.Row))
 		return
 	}
+	if c.refusesOffer(incoming, wanted) {
+		return
+	}
 	c.activate(wanted)
+	if wanted.limit > 0 && !c.roleLost(wanted) && c.offer(incoming, wanted) {
+		wanted.budget.Deposit()
+		return
+	}
 	c.noteDemand(wanted)
 	defer c.noteUrgent(wanted)
 	if c.notServedHere(incoming, wanted) {
@@ -40,6 +47,7 @@
 	held := c.hold(incoming, wanted)
 	if held.Repeatable() {
 		c.admit(held)
+		c.endIfWaiting(held)
 		return
 	}
 	held.phase = phaseClaiming
@@ -97,9 +105,11 @@
 	return true
 }
 
-// notServedHere ends a request for a row that this zone may not load.
+// notServedHere ends a request for a row that this zone may not load or has no
+// runner for.
 func (c *Core) notServedHere(incoming structs.Request, wanted *row) bool {
-	if wanted.limit > 0 || c.balancer.Ready(wanted.Name) > 0 {
+	lost := c.roleLost(wanted)
+	if wanted.limit > 0 && !lost || c.balancer.Ready(wanted.Name) > 0 {
 		return false
 	}
 	switch {
@@ -107,6 +117,8 @@
 		c.refuseUnheld(incoming.ID, *structs.NewError(structs.ErrorLimit,
 			fmt.Sprintf("row %s may have no replica", wanted.Name),
 			"Raise max_replicas of the row."))
+	case lost && (incoming.Forwarded || len(wanted.elsewhere) == 0):
+		c.refuseUnheld(incoming.ID, c.noRunner(wanted))
 	case len(wanted.elsewhere) == 0:
 		return false
 	case !incoming.Forwarded:
@@ -160,20 +172,23 @@
 	return held
 }
 
-// admit queues a request for the first time, unless it would start too late.
+// admit queues a request for the first time, unless it would start too late. One
+// that was offered to another zone has waited since then.
 func (c *Core) admit(held *request) {
 	held.phase = phaseQueued
-	held.queuedAt = c.now
+	if held.queuedAt.IsZero() {
+		held.queuedAt = c.now
+	}
 	if c.endIfRowGone(held) {
 		return
 	}
-	situation := c.situation(held.row, held.Priority, held.MaxTokens)
+	situation := c.situation(held.row, held.Request)
 	held.estimated = held.row.estimator.Start(situation)
 	patience := held.DeadlineAt.Sub(c.now)
-	if held.estimated >= patience {
+	if finish := held.row.estimator.Finish(situation); finish >= patience {
 		c.stats.RefusedEarly++
-		c.refuse(held, structs.ErrorDeadline, "the request would start after its deadline",
-			"Come back after the time given, or allow a later deadline.", held.estimated-patience)
+		c.refuse(held, structs.ErrorDeadline, "the request would be answered after its deadline",
+			"Come back after the time given, or allow a later deadline.", max(held.estimated, finish-patience))
 		return
 	}
 	c.enqueue(held)
@@ -186,6 +201,9 @@
 		return
 	}
 	c.activate(held.row)
+	if held.row.queue.Len() == 0 {
+		held.row.turns = max(held.row.turns, c.rowTurns)
+	}
 	shed, verdict := held.row.queue.Push(admission.Item{
 		ID:         held.ID,
 		Caller:     held.Caller,
@@ -196,8 +214,10 @@
 	switch verdict {
 	case admission.Queued:
 		c.queued++
+		held.row.estimator.ObserveArrival(c.now, held.Priority)
 	case admission.QueuedDisplacing:
 		c.stats.Displaced++
+		held.row.estimator.ObserveArrival(c.now, held.Priority)
 		c.refuseOverload(c.requests[shed.ID], "the request made room for a live one")
 	case admission.FullQueue:
 		c.refuseOverload(held, "the queue of the row is full")
@@ -210,7 +230,7 @@
 }
 
 func (c *Core) refuseOverload(held *request, message string) {
-	situation := c.situation(held.row, held.Priority, held.MaxTokens)
+	situation := c.situation(held.row, held.Request)
 	c.refuse(held, structs.ErrorOverloaded, message, "Come back after the time given.", held.row.estimator.Start(situation))
 }
 
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -86,7 +86,7 @@
 }
 
 // attemptBroke ends an attempt that may have run. A repeatable request resumes
-// elsewhere; for one with a key the engine is asked, unless tokens show that it ran.
+// elsewhere; for one with a key the engine is asked, unless it is known that it ran.
 func (c *Core) attemptBroke(held *request) {
 	attempt := held.attempt
 	c.endAttempt(held, routing.OutcomeBroken)
@@ -95,9 +95,9 @@
 		c.retry(held, "the stream broke and could not be resumed")
 		return
 	}
-	if held.delivered > 0 {
+	if held.ran() {
 		held.uncertain = true
-		c.refuseUnknown(held, "the stream broke after the request had started")
+		c.refuseUnknown(held, "the stream broke or fell silent after the request had started")
 		return
 	}
 	held.phase = phaseAsking
--- a/router/claim.go
+++ b/router/claim.go
@@ -172,9 +172,9 @@
 	switch claim.State {
 	case structs.ClaimFinished:
 		if len(claim.Answer) == 0 {
-			held.uncertain = true
+			held.done = true
 			c.refuse(held, structs.ErrorConflict, "the request with this key ran, and its answer is no longer kept",
-				"Use the answer that was given before; this key will not run again.", never)
+				"Use the answer that was given before, or send the request with a new key to run it again.", never)
 			return
 		}
 		c.stats.Replayed++
--- a/router/core.go
+++ b/router/core.go
@@ -13,8 +13,13 @@
 	options  Options
 	balancer *routing.Balancer
 	now      time.Time
+	// tickedAt is the time of the last Tick; events between do not put off the next.
+	tickedAt time.Time
 	draining bool
 	turns    int
+	// rowTurns is the number of turns that a row which was idle starts with, so that
+	// it saves up nothing; it only rises.
+	rowTurns int
 	// queued counts the requests in all queues.
 	queued int
 
@@ -25,6 +30,9 @@
 	// orphans are requests that ended while a BeginClaim was unanswered.
 	orphans map[structs.RequestID]structs.Claim
 	timers  timers
+	roles   roles
+	// silentUntil holds the zones that get no offer before the time.
+	silentUntil map[structs.ZoneID]time.Time
 
 	tableRevision uint64
 	viewIndex     uint64
@@ -60,6 +68,9 @@
 	mutationIgnoreLeaving
 	mutationNoRetryAfter
 	mutationLeakClaim
+	mutationQueueOffered
+	mutationHoldGivenUp
+	mutationNoReview
 )
 
 // New makes a Core without table, placement or requests.
@@ -118,6 +129,10 @@
 		c.statusReplied(event)
 	case ForwardFailed:
 		c.forwardFailed(event)
+	case OfferTaken:
+		c.offerTaken(event)
+	case OfferFailed:
+		c.offerFailed(event)
 	case ViewChanged:
 		c.viewChanged(event.View)
 	case LoadObserved:
@@ -133,6 +148,7 @@
 	case RunnerLeaving:
 		if c.mutation != mutationIgnoreLeaving {
 			c.balancer.Leave(event.Runner)
+			c.roles.remove(event.Runner)
 		}
 	case DrainStarted:
 		c.draining = true
@@ -145,6 +161,7 @@
 
 // tick ends what is due and starts what can start.
 func (c *Core) tick() {
+	c.tickedAt = c.now
 	for len(c.timers) > 0 && !c.timers[0].wakeAt.After(c.now) {
 		due := c.timers[0]
 		if due.expired(c.now) && c.mutation != mutationIgnoreDeadline {
@@ -192,7 +209,7 @@
 		return time.Time{}, false
 	}
 	when = c.timers[0].wakeAt
-	if poll := c.now.Add(pollInterval); c.queued > 0 && poll.Before(when) {
+	if poll := c.tickedAt.Add(pollInterval); c.queued > 0 && poll.Before(when) {
 		return poll, true
 	}
 	return when, true
--- a/router/demand.go
+++ b/router/demand.go
@@ -55,8 +55,8 @@
 	report = structs.DemandReport{Daemon: c.options.Daemon, Partial: scope != DemandWhole}
 	c.reportEnded(scope, &report)
 	for _, current := range c.activeRows() {
-		if current.held == 0 && current.arrived == 0 {
-			if scope != DemandWaiting {
+		if current.wanting() == 0 && current.arrived == 0 {
+			if scope != DemandWaiting && current.held == 0 {
 				c.deactivate(current)
 			}
 			continue
@@ -97,7 +97,7 @@
 func (c *Core) reportEnded(scope DemandScope, report *structs.DemandReport) {
 	for name, last := range c.reported {
 		current := c.active[name]
-		isUsed := current != nil && current.held+current.arrived > 0
+		isUsed := current != nil && current.wanting()+current.arrived > 0
 		if isUsed || (scope == DemandWaiting && last.waiting == 0) {
 			continue
 		}
@@ -115,7 +115,7 @@
 		return
 	}
 	last, known := c.reported[wanted.Name]
-	waiting := wanted.held - wanted.running
+	waiting := wanted.wanting() - wanted.running
 	if !known || c.now.Sub(last.at) >= urgentAgain || waiting >= 2*max(last.waiting, 1) {
 		c.demandUrgent = true
 	}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -2,7 +2,8 @@
 
 import (
 	"cmp"
-	"slices"
+	"container/heap"
+	"time"
 
 	"github.com/lotusferry/lotusferry/admission"
 	"github.com/lotusferry/lotusferry/routing"
@@ -12,10 +13,16 @@
 // dispatchRow starts the row's requests, in the queue's order, as long as a
 // replica has room.
 func (c *Core) dispatchRow(waiting *row) {
+	for c.dispatchOne(waiting) {
+	}
+}
+
+// dispatchOne starts the row's next request; it reports whether one was started.
+func (c *Core) dispatchOne(waiting *row) bool {
 	for waiting.queue != nil {
 		head, ok := waiting.queue.Peek()
 		if !ok {
-			return
+			return false
 		}
 		next := c.requests[head.ID]
 		if next.expired(c.now) && c.mutation != mutationIgnoreDeadline {
@@ -24,12 +31,30 @@
 		}
 		choice, ok := c.balancer.Pick(c.now, waiting.Name, next.prefixHashes(), next.avoid)
 		if !ok {
-			return
+			return false
 		}
-		waiting.queue.Pop()
+		next = c.popFor(waiting, next, choice)
 		c.queued--
+		waiting.turns++
+		waiting.estimator.ObserveTurn(c.now, waiting.queue.Len() > 0)
 		c.begin(next, choice)
+		return true
 	}
+	return false
+}
+
+// popFor takes the request whose turn it is, or one of the next few whose prompt
+// the chosen runner has cached: where all runners are full there is no choice of
+// runners left, but one of requests.
+func (c *Core) popFor(waiting *row, head *request, choice routing.Choice) *request {
+	item, _ := waiting.queue.PopPreferred(func(item admission.Item) int {
+		candidate := c.requests[item.ID]
+		if candidate != head && (candidate.avoid == choice.Runner() || candidate.expired(c.now)) {
+			return -1
+		}
+		return choice.Cached(candidate.prefixHashes())
+	})
+	return c.requests[item.ID]
 }
 
 // begin reserves the chosen replica. A request with a key is sent only once the
@@ -70,11 +95,18 @@
 	c.watch(next)
 	c.attempts[next.attempt] = next
 	c.stats.Attempts++
+	var estimated, waited time.Duration
+	if next.attempts == 1 {
+		estimated = next.estimated
+		waited = next.sentAt.Sub(next.queuedAt)
+	}
 	c.emit(SendAttempt{
-		Attempt:     next.attempt,
-		Runner:      next.choice.Runner(),
-		Address:     next.choice.Address(),
-		Incarnation: next.choice.Incarnation(),
+		EstimatedWait: estimated,
+		Waited:        waited,
+		Attempt:       next.attempt,
+		Runner:        next.choice.Runner(),
+		Address:       next.choice.Address(),
+		Incarnation:   next.choice.Incarnation(),
 		Generate: structs.GenerateRequest{
 			ID:          structs.RequestID(next.attempt),
 			Row:         next.Row,
@@ -126,26 +158,71 @@
 	return append(waiting, waitingRow{row: candidate, head: head})
 }
 
-// dispatchInOrder serves rows that compete for the same runners by the priority
-// and deadline of their first request; every few turns the longest wait goes first.
+// rowSlack is how many turns a row may be ahead of the others that wait and still
+// compete by deadline.
+const rowSlack = 2
+
+// dispatchInOrder serves rows that compete for the same runners, one request at a
+// time, by the priority of their first request, then by fair turns, then by
+// deadline; every few turns the longest wait goes first.
 func (c *Core) dispatchInOrder(waiting []waitingRow) {
 	if len(waiting) == 0 {
 		return
 	}
 	c.turns++
-	order := byUrgency
-	if c.turns%c.options.GuardAfter == 0 {
-		order = byWait
+	turns := rowTurns{rows: waiting, order: byWait}
+	if c.turns%c.options.GuardAfter != 0 {
+		fewest := waiting[0].row.turns
+		for _, candidate := range waiting {
+			fewest = min(fewest, candidate.row.turns)
+		}
+		c.rowTurns = max(c.rowTurns, fewest)
+		limit := fewest + rowSlack
+		turns.order = func(left, right waitingRow) int { return byUrgency(left, right, limit) }
 	}
-	slices.SortFunc(waiting, order)
-	for _, next := range waiting {
-		c.dispatchRow(next.row)
+	heap.Init(&turns)
+	for turns.Len() > 0 {
+		served := &turns.rows[0]
+		if c.dispatchOne(served.row) && served.row.waiting() > 0 {
+			served.head, _ = served.row.queue.Peek()
+			heap.Fix(&turns, 0)
+			continue
+		}
+		heap.Pop(&turns)
 	}
 }
 
-func byUrgency(left, right waitingRow) int {
+// rowTurns is a heap of waiting rows, the next one first.
+type rowTurns struct {
+	rows  []waitingRow
+	order func(left, right waitingRow) int
+}
+
+var _ heap.Interface = (*rowTurns)(nil)
+
+// Len implements heap.Interface.
+func (t *rowTurns) Len() int { return len(t.rows) }
+
+// Less implements heap.Interface.
+func (t *rowTurns) Less(i, j int) bool { return t.order(t.rows[i], t.rows[j]) < 0 }
+
+// Swap implements heap.Interface.
+func (t *rowTurns) Swap(i, j int) { t.rows[i], t.rows[j] = t.rows[j], t.rows[i] }
+
+// Push implements heap.Interface.
+func (t *rowTurns) Push(item any) { t.rows = append(t.rows, item.(waitingRow)) }
+
+// Pop implements heap.Interface.
+func (t *rowTurns) Pop() any {
+	last := len(t.rows) - 1
+	t.rows = t.rows[:last]
+	return nil
+}
+
+func byUrgency(left, right waitingRow, limit int) int {
 	return cmp.Or(
 		cmp.Compare(right.head.Priority, left.head.Priority),
+		cmp.Compare(max(left.row.turns, limit), max(right.row.turns, limit)),
 		left.head.DeadlineAt.Compare(right.head.DeadlineAt),
 		cmp.Compare(left.row.Name, right.row.Name),
 	)
@@ -158,11 +235,11 @@
 	)
 }
 
-// reviewWaiting refuses the waiting requests that could not start before their
+// reviewWaiting refuses the waiting requests that could not be answered before their
 // deadline even if their turn came now.
 func (c *Core) reviewWaiting() {
 	for _, candidate := range c.activeRows() {
-		if candidate.waiting() == 0 || c.now.Before(candidate.reviewAt) {
+		if candidate.waiting() == 0 || c.now.Before(candidate.reviewAt) || c.mutation == mutationNoReview {
 			continue
 		}
 		candidate.reviewAt = c.now.Add(reviewInterval)
@@ -170,23 +247,29 @@
 	}
 }
 
+// lateRequest is a request that would be answered too late, and when its caller
+// may come back.
+type lateRequest struct {
+	request    *request
+	retryAfter time.Duration
+}
+
 func (c *Core) review(waiting *row) {
-	situation := c.situation(waiting, structs.PriorityLive, 0)
-	situation.Ahead = 0
-	earliest := c.now.Add(waiting.estimator.Start(situation))
-	if earliest.Equal(c.now) {
-		return
-	}
-	var late []*request
-	waiting.queue.Each(func(item admission.Item) bool {
-		if item.DeadlineAt.Before(earliest) {
-			late = append(late, c.requests[item.ID])
+	situation := c.situation(waiting, structs.Request{Priority: structs.PriorityLive})
+	var late []lateRequest
+	waiting.queue.EachAhead(func(item admission.Item, ahead int) bool {
+		situation.Ahead = ahead
+		by := c.now.Add(waiting.estimator.Finish(situation)).Sub(item.DeadlineAt)
+		if by > 0 {
+			expected := situation
+			expected.Priority = item.Priority
+			late = append(late, lateRequest{c.requests[item.ID], max(by, waiting.estimator.Start(expected))})
 		}
-		return true
+		return by <= 0
 	})
-	for _, held := range late {
+	for _, found := range late {
 		c.stats.RefusedEarly++
-		c.refuse(held, structs.ErrorDeadline, "the request would start after its deadline",
-			"Come back after the time given, or allow a later deadline.", earliest.Sub(held.DeadlineAt))
+		c.refuse(found.request, structs.ErrorDeadline, "the request would be answered after its deadline",
+			"Come back after the time given, or allow a later deadline.", found.retryAfter)
 	}
 }
--- a/router/doc.go
+++ b/router/doc.go
@@ -9,8 +9,9 @@
 // # Terminal effects
 //
 // Every Arrived leads to exactly one of Finish, Replay, Refuse or Forward, unless
-// the caller went away. A Forward that the shell could not deliver comes back
-// as ForwardFailed and ends in a Refuse.
+// the caller went away, or another zone took it after an Offer. A Forward that the
+// shell could not deliver comes back as ForwardFailed and ends in a Refuse; a failed
+// Offer comes back as OfferFailed, and the request waits here.
 //
 // # Requests with an idempotency key
 //
--- a/router/effect.go
+++ b/router/effect.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/lotusferry/lotusferry/structs"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 // Effect is something the shell must do. Effects are values, but for Deliver,
 // which comes as a pointer into memory that the Core uses again.
@@ -14,6 +18,10 @@
 	Address     string
 	Incarnation structs.Incarnation
 	Generate    structs.GenerateRequest
+	// EstimatedWait is the wait for this attempt that was expected when the request
+	// was admitted, and Waited the actual one. Both are zero for later attempts.
+	EstimatedWait time.Duration
+	Waited        time.Duration
 }
 
 // CancelAttempt asks to cancel the attempt at its engine and close its stream.
@@ -86,6 +94,15 @@
 	Zones []structs.ZoneID
 }
 
+// Offer hands the request to a router of another zone with Forwarded and IfReady
+// set. The shell tries Zones in order and answers OfferTaken once one has said that
+// it executes the request, or OfferFailed once all have refused it or Budget is over.
+type Offer struct {
+	ID     structs.RequestID
+	Zones  []structs.ZoneID
+	Budget time.Duration
+}
+
 func (SendAttempt) effect()   {}
 func (CancelAttempt) effect() {}
 func (BeginClaim) effect()    {}
@@ -96,3 +113,4 @@
 func (Replay) effect()        {}
 func (Refuse) effect()        {}
 func (Forward) effect()       {}
+func (Offer) effect()         {}
--- a/router/event.go
+++ b/router/event.go
@@ -94,6 +94,23 @@
 	Error      *structs.Error
 }
 
+// OfferTaken says that the zone executes the request of an Offer. From then on it
+// is like a request that was forwarded.
+type OfferTaken struct {
+	ID   structs.RequestID
+	Zone structs.ZoneID
+}
+
+// OfferFailed says that no zone took the request of an Offer: Refused are the zones that
+// said so, Silent those that did not answer in time. MayHaveRun is set when a zone
+// that received the request is among the silent ones.
+type OfferFailed struct {
+	ID         structs.RequestID
+	Refused    []structs.ZoneID
+	Silent     []structs.ZoneID
+	MayHaveRun bool
+}
+
 // ViewChanged brings the zone's table, grants and placement.
 type ViewChanged struct{ View structs.ZoneView }
 
@@ -135,6 +152,8 @@
 func (AttemptFailed) event()  {}
 func (StatusReplied) event()  {}
 func (ForwardFailed) event()  {}
+func (OfferTaken) event()     {}
+func (OfferFailed) event()    {}
 func (ViewChanged) event()    {}
 func (LoadObserved) event()   {}
 func (CacheEvent) event()     {}
--- /dev/null
+++ b/router/fairness_test.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// newFullRunner has one runner that takes two requests, of rows "row" and "other".
+func newFullRunner(t *testing.T) *script {
+	s := newScript(t, func(options *Options) { options.Routing = routing.Options{MaxBatch: 1, QueueSlack: 1} })
+	view := testView(1, "row", "other")
+	view.Index, view.Table.Revision = 2, 2
+	s.do(ViewChanged{View: view})
+	return s
+}
+
+// request lets a request with its own prompt arrive and returns what was started.
+func (s *script) request(id structs.RequestID, row structs.RowName, patience time.Duration, prompt string) []SendAttempt {
+	return started(s.arrive(func(request *structs.Request) {
+		request.ID, request.Row, request.Prompt = id, row, prompt
+		request.DeadlineAt = s.now.Add(patience)
+	}))
+}
+
+// finish ends an attempt and returns what was started then.
+func (s *script) finish(attempt AttemptID) []SendAttempt {
+	s.now = s.now.Add(100 * time.Millisecond)
+	return started(s.do(TokenReceived{Attempt: attempt, Token: structs.Token{ID: structs.RequestID(attempt), Finish: structs.FinishStop}}))
+}
+
+func started(effects []Effect) []SendAttempt {
+	var sent []SendAttempt
+	for _, effect := range effects {
+		if send, ok := effect.(SendAttempt); ok {
+			sent = append(sent, send)
+		}
+	}
+	return sent
+}
+
+func TestRowsShareTheirRunnersFairly(t *testing.T) {
+	s := newFullRunner(t)
+	var running []SendAttempt
+	for number := range 30 {
+		running = append(running, s.request(structs.RequestID(fmt.Sprint("flood-", number)), "row", 20*time.Second, "prompt")...)
+	}
+	for number := range 4 {
+		s.request(structs.RequestID(fmt.Sprint("quiet-", number)), "other", 25*time.Second, "prompt")
+	}
+	quiet := 0
+	for range 10 {
+		next := s.finish(running[0].Attempt)
+		qt.Assert(t, next, qt.HasLen, 1)
+		running = append(running[1:], next...)
+		if next[0].Generate.Row == "other" {
+			quiet++
+		}
+	}
+	qt.Assert(t, quiet, qt.Equals, 4)
+}
+
+func TestFullRunnerTakesARequestItHasCachedFirst(t *testing.T) {
+	s := newFullRunner(t)
+	cached := strings.Repeat("a", routing.PrefixBlockBytes)
+	running := s.request("1", "row", 20*time.Second, cached)
+	s.request("2", "row", 20*time.Second, cached)
+	s.request("foreign", "row", 20*time.Second, strings.Repeat("b", routing.PrefixBlockBytes))
+	s.request("known", "row", 20*time.Second, cached+"c")
+	next := s.finish(running[0].Attempt)
+	qt.Assert(t, next, qt.HasLen, 1)
+	qt.Assert(t, next[0].Attempt.Request(), qt.Equals, structs.RequestID("known"))
+}
+
+func TestRequestThatWouldBeAnsweredTooLateIsRefusedAtItsArrival(t *testing.T) {
+	s := newFullRunner(t)
+	running := s.request("1", "row", 20*time.Second, "prompt")
+	s.request("2", "row", 20*time.Second, "prompt")
+	s.now = s.now.Add(3 * time.Second)
+	s.finish(running[0].Attempt)
+	s.request("3", "row", 20*time.Second, "prompt")
+	// It would start after 1.5 s and needs 3 s.
+	s.request("late", "row", 4*time.Second, "prompt")
+	refuse := only[Refuse](s)
+	qt.Check(t, refuse.Refusal.Error.Kind, qt.Equals, structs.ErrorDeadline)
+	qt.Check(t, refuse.Refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+	qt.Check(t, refuse.Refusal.Error.RetryAfter >= 1500*time.Millisecond, qt.IsTrue)
+	s.request("in time", "row", 6*time.Second, "prompt")
+	qt.Check(t, s.effects, qt.HasLen, 0)
+}
--- a/router/finish.go
+++ b/router/finish.go
@@ -62,7 +62,11 @@
 		c.refuseUnknown(held, message)
 		return
 	}
-	situation := c.situation(held.row, held.Priority, held.MaxTokens)
+	if c.mutation == mutationHoldGivenUp {
+		c.sleepUntil(held, held.DeadlineAt)
+		return
+	}
+	situation := c.situation(held.row, held.Request)
 	c.refuse(held, structs.ErrorUnavailable, message, "Come back after the time given.", held.row.estimator.Start(situation))
 }
 
@@ -76,7 +80,7 @@
 		c.refuseUnknown(held, "the deadline came before the answer was whole")
 		return
 	}
-	situation := c.situation(held.row, held.Priority, held.MaxTokens)
+	situation := c.situation(held.row, held.Request)
 	c.refuse(held, structs.ErrorDeadline, "the deadline came before the answer was whole",
 		"Come back after the time given, or allow a later deadline.", held.row.estimator.Start(situation))
 }
@@ -135,6 +139,9 @@
 	if held.phase == phaseQueued && held.row.queue != nil && held.row.queue.Remove(held.ID) {
 		c.queued--
 	}
+	if held.phase == phaseOffered {
+		held.row.offered--
+	}
 	c.endAttempt(held, routing.OutcomeNeutral)
 	delete(c.requests, held.ID)
 	heap.Remove(&c.timers, held.position)
--- a/router/report.go
+++ b/router/report.go
@@ -19,6 +19,8 @@
 	Displaced         uint64
 	Expired           uint64
 	Forwarded         uint64
+	Offered           uint64
+	OffersTaken       uint64
 	Replayed          uint64
 	OutcomeUnknown    uint64
 	CallersGone       uint64
@@ -57,7 +59,7 @@
 func (c *Core) rowDemand(current *row) structs.RowDemand {
 	demand := structs.RowDemand{
 		Row:     current.Name,
-		Waiting: current.held - current.running,
+		Waiting: current.wanting() - current.running,
 		Running: current.running,
 		Arrived: current.arrived,
 		// An arrival counts too: one that cannot be served in time does not wait.
@@ -84,6 +86,7 @@
 	}
 	idle.awaitedSince = time.Time{}
 	idle.queue = nil
+	idle.refusedUntil = nil
 	delete(c.active, idle.Name)
 	if !idle.listed {
 		delete(c.rows, idle.Name)
--- a/router/request.go
+++ b/router/request.go
@@ -25,6 +25,8 @@
 	phaseAsking
 	// phaseBackoff: the request waits before it joins the queue again.
 	phaseBackoff
+	// phaseOffered: another zone is asked to take the request.
+	phaseOffered
 )
 
 // request is the state of one request; its size is bounded by the request itself
@@ -42,7 +44,9 @@
 	// accepted says that the engine is known to have taken the current attempt.
 	accepted bool
 	// uncertain says that an earlier attempt may have run in part.
-	uncertain   bool
+	uncertain bool
+	// done says that the request under this key ran whole, as its claim shows.
+	done        bool
 	claimHeld   bool
 	delivered   int
 	resumedFrom int
@@ -56,9 +60,15 @@
 	// heardAt is when the current attempt was sent or last gave a token.
 	heardAt time.Time
 	// paused says that the shell does not read the attempt's stream now.
-	paused   bool
-	wakeAt   time.Time
-	position int
+	paused bool
+	// peeking says that the engine was asked about the current attempt's silence and
+	// that nothing was heard since; peekedTokens is how many tokens it said that it
+	// had made, and started that it had begun.
+	peeking      bool
+	peekedTokens int
+	started      bool
+	wakeAt       time.Time
+	position     int
 }
 
 func (r *request) prefixHashes() []uint64 { return r.prefixes[:r.prefixCount] }
@@ -79,8 +89,10 @@
 
 // execution is what is known of the request if it ends now.
 func (r *request) execution() structs.Execution {
-	outstanding := r.phase == phaseRunning || r.phase == phaseAsking
+	outstanding := r.phase == phaseRunning || r.phase == phaseAsking || r.phase == phaseOffered
 	switch {
+	case r.done:
+		return structs.ExecutionDone
 	case !outstanding && !r.uncertain:
 		return structs.ExecutionNotRun
 	case r.Repeatable():
@@ -89,6 +101,9 @@
 	return structs.ExecutionUnknown
 }
 
+// ran reports whether the current attempt, or one before it, is known to have run.
+func (r *request) ran() bool { return r.delivered > 0 || r.started }
+
 // expired reports whether the deadline has come.
 func (r *request) expired(now time.Time) bool { return !r.DeadlineAt.After(now) }
 
--- a/router/row.go
+++ b/router/row.go
@@ -29,11 +29,22 @@
 	held    int
 	running int
 	arrived int
+	// turns counts the row's turns, for the fairness between rows.
+	turns int
+	// offered counts, of held, the requests that other zones are asked to take.
+	offered int
+	// warmZone last took a request of the row; those in refusedUntil get no offer
+	// of it before the time.
+	warmZone     structs.ZoneID
+	refusedUntil map[structs.ZoneID]time.Time
 	// awaitedSince is when the row was first wanted without a ready replica.
 	awaitedSince time.Time
 	reviewAt     time.Time
 }
 
+// wanting counts the requests that want to be served by this zone.
+func (r *row) wanting() int { return r.held - r.offered }
+
 func (r *row) waiting() int {
 	if r.queue == nil {
 		return 0
@@ -58,15 +69,18 @@
 	c.active[wanted.Name] = wanted
 }
 
-// situation describes what a request of the row would find.
-func (c *Core) situation(wanted *row, priority structs.Priority, maxTokens int) admission.Situation {
+// situation describes what the request would find in the row.
+func (c *Core) situation(wanted *row, request structs.Request) admission.Situation {
 	slots, free := c.balancer.Slots(c.now, wanted.Name)
 	if slots == 0 && c.balancer.Ready(wanted.Name) > 0 {
 		slots = 1
 	}
-	situation := admission.Situation{Slots: slots, Free: free, MaxTokens: maxTokens}
+	situation := admission.Situation{
+		Slots: slots, Free: free, MaxTokens: request.MaxTokens,
+		Now: c.now, Priority: request.Priority,
+	}
 	if wanted.queue != nil {
-		situation.Ahead = wanted.queue.Ahead(priority)
+		situation.Ahead = wanted.queue.AheadOf(request.Priority, request.Caller)
 	}
 	if !wanted.awaitedSince.IsZero() {
 		situation.ColdFor = c.now.Sub(wanted.awaitedSince)
--- a/router/view.go
+++ b/router/view.go
@@ -32,6 +32,7 @@
 	c.viewIndex = view.Index
 	if view.Placement != nil {
 		c.balancer.SetPlacement(*view.Placement)
+		c.roles.adopt(c.now, *view.Placement)
 	}
 }
 
@@ -112,14 +113,16 @@
 	}
 }
 
-// endUnserved ends the waiting requests of a row that was removed or that only
-// other zones serve now; those that may be forwarded are.
+// endUnserved ends the waiting requests of a row that was removed, that only
+// other zones serve now, or whose role has lost its runners here; those that may be
+// forwarded are.
 func (c *Core) endUnserved(current *row) {
 	if current.waiting() == 0 {
 		return
 	}
-	moved := current.limit <= 0 && len(current.elsewhere) > 0 && c.balancer.Ready(current.Name) == 0
-	if current.listed && !moved {
+	moved := current.limit <= 0 && len(current.elsewhere) > 0
+	lost := c.roleLost(current)
+	if current.listed && (c.balancer.Ready(current.Name) > 0 || !moved && !lost) {
 		return
 	}
 	var waiting []*request
@@ -131,7 +134,12 @@
 		if c.endIfRowGone(held) {
 			continue
 		}
-		if !held.Repeatable() || held.Forwarded || held.attempts > 0 {
+		if lost && (held.Forwarded || len(current.elsewhere) == 0) {
+			problem := c.noRunner(current)
+			c.refuse(held, problem.Kind, problem.Message, problem.Remedy, problem.RetryAfter)
+			continue
+		}
+		if !held.Repeatable() || held.Forwarded || held.uncertain || held.attempts > 0 {
 			c.giveUp(held, "the row is served by another zone now")
 			continue
 		}
--- a/simulate/requestcounts.go
+++ b/simulate/requestcounts.go
@@ -20,6 +20,10 @@
 	Attempts int `json:"attempts"`
 	Retries  int `json:"retries"`
 	Stalls   int `json:"stalls"`
+	// Offered counts the requests offered to routers of other zones, OffersTaken those
+	// that they executed.
+	Offered     int `json:"offered"`
+	OffersTaken int `json:"offers_taken"`
 	// Keys counts the idempotency keys that were used, KeysRun those whose request ran.
 	Keys    int `json:"keys"`
 	KeysRun int `json:"keys_run"`
@@ -44,6 +48,8 @@
 	c.Attempts += other.Attempts
 	c.Retries += other.Retries
 	c.Stalls += other.Stalls
+	c.Offered += other.Offered
+	c.OffersTaken += other.OffersTaken
 	c.Keys += other.Keys
 	c.KeysRun += other.KeysRun
 	c.Live += other.Live
--- a/simulate/requestengine.go
+++ b/simulate/requestengine.go
@@ -96,15 +96,29 @@
 		if !row.servedIn(h.zone) {
 			continue
 		}
-		h.order++
-		h.call++
-		h.step(emulator.EngineInput{Kind: emulator.InputOrder, Call: h.call, Order: structs.Order{
-			Fence: structs.Fence{Epoch: 1, Number: h.order}, Kind: structs.OrderLoad,
-			Runner: h.id, Incarnation: h.incarnation, Row: row.name, MemoryBytes: requestRowBytes,
-		}})
+		wait := row.loadAt(h.zone) - h.site.scheduler.Now()
+		if wait <= 0 {
+			h.loadRow(row.name)
+			continue
+		}
+		incarnation := h.incarnation
+		h.site.scheduler.After(wait, func() {
+			if h.incarnation == incarnation && !h.engine.Dead() {
+				h.loadRow(row.name)
+			}
+		})
 	}
 }
 
+func (h *answerEngine) loadRow(name structs.RowName) {
+	h.order++
+	h.call++
+	h.step(emulator.EngineInput{Kind: emulator.InputOrder, Call: h.call, Order: structs.Order{
+		Fence: structs.Fence{Epoch: 1, Number: h.order}, Kind: structs.OrderLoad,
+		Runner: h.id, Incarnation: h.incarnation, Row: name, MemoryBytes: requestRowBytes,
+	}})
+}
+
 // announce tells the zone's group what it would learn from the engine's report.
 func (h *answerEngine) announce() {
 	info := structs.RunnerInfo{
--- a/simulate/requestmutation.go
+++ b/simulate/requestmutation.go
@@ -14,6 +14,7 @@
 	mutationHoldRefusal  = "hold-refusal"
 	mutationNoStall      = "no-stall-detection"
 	mutationLoseRefusal  = "lose-refusal"
+	mutationWaitOffered  = "wait-offered"
 	mutationNoResolution = "no-resolution"
 	mutationResolveBlind = "resolve-blindly"
 )
@@ -86,6 +87,11 @@
 			Sentence: "A router forgets to tell its callers of a refusal.",
 			Checkers: []string{checkerTerminal},
 		},
+		{
+			Name:     mutationWaitOffered,
+			Sentence: "A router queues the requests that other zones offer it.",
+			Checkers: []string{checkerOffer},
+		},
 		{
 			Name:     mutationNoResolution,
 			Sentence: "A zone's leader does not end the claims of routers that died.",
--- a/simulate/requestrouter.go
+++ b/simulate/requestrouter.go
@@ -171,6 +171,8 @@
 		h.finishClaim(effect)
 	case router.Forward:
 		h.forward(effect)
+	case router.Offer:
+		h.offer(effect)
 	}
 }
 
@@ -181,8 +183,14 @@
 	request.ArrivedAt = h.site.now()
 	h.calls[request.ID] = &servedCall{request: request, submission: from, connection: link}
 	h.site.records.arrived(h, from, request)
+	if h.site.mutated(mutationWaitOffered) {
+		request.IfReady = false
+	}
 	link.up.end.ended = h.inLife(func() { h.callerGone(request.ID) })
 	h.step(router.Arrived{Request: request})
+	if call := h.calls[request.ID]; request.IfReady && call != nil {
+		link.down.send(offerTaken{})
+	}
 }
 
 func (h *routerHost) callerGone(id structs.RequestID) {
--- a/structs/request.go
+++ b/structs/request.go
@@ -13,6 +13,9 @@
 	ExecutionUnknown Execution = "outcome_unknown"
 	// ExecutionPartial: a repeatable request ran in part; asking again is safe.
 	ExecutionPartial Execution = "partial"
+	// ExecutionDone: the request ran whole under its idempotency key, and its answer
+	// is no longer kept. It is certain, and will not change.
+	ExecutionDone Execution = "done"
 )
 
 // Request is a caller's request as the router's decisions see it.
@@ -34,6 +37,9 @@
 	// Forwarded is set when another zone's router sent the request here; it is
 	// not forwarded again.
 	Forwarded bool
+	// IfReady is set beside Forwarded when the request is to be refused at once,
+	// as not run, unless a ready replica has room for it now.
+	IfReady bool
 }
 
 // Repeatable reports whether the request may run more than once.
