Offer cold requests to a zone with a ready replica; refuse where a role is lost

Cause: a request whose row had no ready replica in its own zone waited for a load though another zone, a few milliseconds away, had one ready. A zone whose last runner of a role was gone kept its grants, so its calls waited until their deadline. Only a failed offer counts as demand. With no runner of the row's role left the request is forwarded or refused with the remedy. Conclusion: a taken request whose replica dies may wait in the other zone; offers go to a zone's routers in listed order.

--- a/daemon/call.go
+++ b/daemon/call.go
@@ -94,6 +94,16 @@
 	return structs.Token{}, false, nil
 }
 
+// unlessRefused returns the call, or the refusal that has ended it already.
+func (c *call) unlessRefused() (api.Answer, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.refusal != nil {
+		return nil, &api.RefusedError{Refusal: *c.refusal}
+	}
+	return c, nil
+}
+
 // Close implements api.Answer.
 func (c *call) Close() {
 	c.mutex.Lock()
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -93,20 +93,25 @@
 func (r *requestRouter) runForward(ctx context.Context, effect router.Forward, target *call) {
 	answer, err := r.openForward(ctx, effect, target.request)
 	if err != nil {
-		r.failForward(effect, target, err)
+		r.failForward(effect.ID, target, err)
 		return
 	}
+	r.passOn(ctx, effect.ID, target, answer)
+}
+
+// passOn hands the caller what another zone's router answers.
+func (r *requestRouter) passOn(ctx context.Context, id structs.RequestID, target *call, answer api.Answer) {
 	defer answer.Close()
 	for {
 		token, err := answer.Next(ctx)
 		if err != nil {
-			r.failForward(effect, target, err)
+			r.failForward(id, target, err)
 			return
 		}
 		r.metrics.tokenAt(target, time.Now())
 		target.deliver(token)
 		if token.Finish != "" {
-			r.endForward(effect.ID, nil)
+			r.endForward(id, nil)
 			return
 		}
 		target.awaitSpace(ctx)
@@ -118,7 +123,7 @@
 // makes it safe to ask the next.
 func (r *requestRouter) openForward(ctx context.Context, effect router.Forward, request structs.Request) (api.Answer, error) {
 	var last error
-	for _, settings := range r.zonesOf(effect) {
+	for _, settings := range r.zonesNamed(effect.Zones) {
 		for _, address := range settings.Routers {
 			answer, err := r.peers.client.Call(ctx, r.peers.scheme+address, "", r.zone, request)
 			if err == nil || !mayAskNext(err) {
@@ -137,9 +142,9 @@
 	return nil, last
 }
 
-func (r *requestRouter) zonesOf(effect router.Forward) []config.Zone {
+func (r *requestRouter) zonesNamed(ids []structs.ZoneID) []config.Zone {
 	var zones []config.Zone
-	for _, id := range effect.Zones {
+	for _, id := range ids {
 		if settings, known := r.site.ZoneByID(id); known {
 			zones = append(zones, settings)
 		}
@@ -162,10 +167,10 @@
 // failForward ends a forwarded request that got no whole answer. What the other
 // router said of its execution is passed on; a broken connection is judged by
 // the core.
-func (r *requestRouter) failForward(effect router.Forward, target *call, err error) {
+func (r *requestRouter) failForward(id structs.RequestID, target *call, err error) {
 	var refused *api.RefusedError
 	if errors.As(err, &refused) && !errors.Is(err, api.ErrNotSent) && !errors.Is(err, api.ErrBroken) {
-		r.endForward(effect.ID, &refused.Refusal)
+		r.endForward(id, &refused.Refusal)
 		return
 	}
 	stage := router.Broken
@@ -173,7 +178,7 @@
 		stage = router.NotSent
 	}
 	r.step(router.ForwardFailed{
-		ID:         effect.ID,
+		ID:         id,
 		Row:        target.request.Row,
 		Repeatable: target.request.Repeatable(),
 		Stage:      stage,
--- a/daemon/forward_test.go
+++ b/daemon/forward_test.go
@@ -39,8 +39,10 @@
 }
 
 func TestOnlyACertificateOfTheSiteMakesARequestForwarded(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 2, secure: true})
 	s.applyRows(1)
+	s.slowDown()
 	outsider := api.NewClient(&http.Client{Transport: s.http})
 	fromCaller := streamRequest("caller", "r0", longAnswer)
 	claimed, err := outsider.Call(s.ctx, s.url(1), "", "zone-0", fromCaller)
@@ -48,25 +50,32 @@
 	fromDaemon := streamRequest("daemon", "r0", longAnswer)
 	fromDaemon.Caller = "cellar"
 	answers := []api.Answer{claimed, s.forward(fromDaemon)}
+	var begun []string
 	for i, request := range []structs.Request{fromCaller, fromDaemon} {
 		token, err := answers[i].Next(s.ctx)
 		s.Assert(err, qt.IsNil)
 		open := s.openRequest(1, request.Prompt)
 		s.Assert(open.Forwarded, qt.Equals, i == 1)
 		s.Assert(open.Caller == "cellar", qt.Equals, i == 1)
-		text, err := readRest(answers[i], token.Text)
+		begun = append(begun, token.Text)
+	}
+	s.goOn()
+	for i, request := range []structs.Request{fromCaller, fromDaemon} {
+		text, err := readRest(answers[i], begun[i])
 		s.Assert(err, qt.IsNil)
 		s.Assert(text, qt.Equals, wholeAnswer(request))
 	}
 }
 
 func TestCutBetweenZonesEndsForwardedRequests(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		key  string
 		want structs.Execution
 	}{{"", structs.ExecutionPartial}, {"key", structs.ExecutionUnknown}} {
 		s := newStreamSite(t, streamSiteOptions{zones: 2})
 		s.applyRows(1)
+		s.slowDown()
 		request := streamRequest("begun", "r0", longAnswer)
 		request.IdempotencyKey = test.key
 		answer := s.forward(request)
@@ -84,8 +93,10 @@
 }
 
 func TestForwardedStreamOutlivesAPlannedStopAndNewOnesAreRefused(t *testing.T) {
+	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 2})
 	s.applyRows(1)
+	s.slowDown()
 	request := streamRequest("begun", "r0", longAnswer)
 	answer := s.forward(request)
 	token, err := answer.Next(s.ctx)
@@ -93,6 +104,7 @@
 	stopped := s.beginStop(context.Background(), 1)
 	_, err = readRest(s.forward(streamRequest("new", "r0", 5)), "")
 	s.Assert(refusalOf(s.C, err).Execution, qt.Equals, structs.ExecutionNotRun)
+	s.goOn()
 	text, err := readRest(answer, token.Text)
 	s.Assert(err, qt.IsNil)
 	s.Assert(text, qt.Equals, wholeAnswer(request))
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -108,6 +108,9 @@
 	if d.draining.Load() {
 		return "the daemon makes a planned stop: use another one"
 	}
+	if d.drainedByOperator() {
+		return "an operator drains the daemon: use another one, or end it with lotusferryctl undrain"
+	}
 	for _, member := range d.groups() {
 		if member.Status().LeaderNode == 0 {
 			return "a group has no leader: check that a majority of its members runs"
@@ -141,11 +144,13 @@
 	return nil
 }
 
+func (d *Daemon) drainedByOperator() bool { return d.router != nil && d.router.isDrained() }
+
 // closeWhenDraining lets callers' connections end with their answers once a
-// planned stop has begun.
+// planned stop or a drain has begun.
 func (d *Daemon) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.draining.Load() {
+		if d.draining.Load() || d.drainedByOperator() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -45,6 +45,8 @@
 	working atomic.Int64
 	// draining is set once a planned stop has begun.
 	draining bool
+	// drained is set while an operator drains the daemon: it takes no new request.
+	drained bool
 	// waiting wakes the demand loop when requests wait for a row without a replica.
 	waiting notifier
 	// viewChanged is signalled when a view was adopted.
@@ -77,23 +79,39 @@
 	submitted := newCall(request, func() { r.step(router.CallerGone{ID: request.ID}) })
 	r.metrics.accepted.Inc()
 	r.mutex.Lock()
-	if !r.viewed {
+	if refusal := r.cannotTake(); refusal != nil {
 		r.mutex.Unlock()
-		refusal := notViewed()
-		r.metrics.end(&refusal)
-		return nil, &api.RefusedError{Refusal: refusal}
+		r.metrics.end(refusal)
+		return nil, &api.RefusedError{Refusal: *refusal}
 	}
 	r.calls[request.ID] = submitted
 	r.mutex.Unlock()
 	r.step(router.Arrived{Request: request})
+	if request.IfReady {
+		return submitted.unlessRefused()
+	}
 	return submitted, nil
 }
 
+// cannotTake is the answer to every new request, or nil; it is called under the lock.
+func (r *requestRouter) cannotTake() *structs.Refusal {
+	var refusal structs.Refusal
+	switch {
+	case !r.viewed:
+		refusal = notViewed()
+	case r.drained:
+		refusal = drainedRefusal()
+	default:
+		return nil
+	}
+	return &refusal
+}
+
 // Rows implements api.Service.
 func (r *requestRouter) Rows(context.Context) ([]structs.Row, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return sortedRows(r.view.rows), nil
+	return r.core.Rows(), nil
 }
 
 // step hands one event to the core and carries out the effects.
@@ -139,6 +157,8 @@
 		r.background(func(ctx context.Context) { r.claims.finish(ctx, effect) })
 	case router.Forward:
 		r.forward(effect)
+	case router.Offer:
+		r.offer(effect)
 	}
 }
 
--- a/hollow/callrecord.go
+++ b/hollow/callrecord.go
@@ -37,6 +37,9 @@
 	lastAt    int64
 	gap       int64
 	result    outcome
+	// returned is set while a router decides about the request as offered by another
+	// zone; it takes it back.
+	returned func()
 }
 
 // take checks and counts a token.
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -134,6 +134,8 @@
 		r.finishClaim(effect)
 	case router.Forward:
 		r.forward(effect)
+	case router.Offer:
+		r.offer(effect)
 	}
 }
 
@@ -144,6 +146,11 @@
 		return
 	}
 	delete(r.requests, id)
+	if record.returned != nil && result == outcomeRefused {
+		record.returned()
+		r.owner.zone.load.open--
+		return
+	}
 	record.end(r.owner.zone, result, refusal)
 }
 
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -11,9 +11,12 @@
 	"github.com/lotusferry/lotusferry/zone"
 )
 
-// shortestRound is the least virtual time between two rounds of decisions. The
-// daemon's rounds take real time, which virtual time does not show.
-const shortestRound = 50 * time.Millisecond
+// roundPause and followPause are those of the daemon: the least time between two
+// rounds of decisions, and after a round that reserved memory.
+const (
+	roundPause  = 100 * time.Millisecond
+	followPause = 25 * time.Millisecond
+)
 
 // zoneLeader carries out the decisions of controller.Core while its member leads,
 // as the daemon's zone leader does.
@@ -81,7 +84,11 @@
 // wake makes a round soon: requests wait for a row without a replica, an engine's
 // replicas changed, or memory was reserved.
 func (l *zoneLeader) wake() {
-	l.home.after(0, func() {
+	l.decideAt(max(l.home.now, l.decidedAt+int64(roundPause)))
+}
+
+func (l *zoneLeader) decideAt(when int64) {
+	l.home.at(when, func() {
 		if l.running() && l.member.leads() {
 			l.decide()
 		}
@@ -92,7 +99,11 @@
 // proposed. The next round begins once all of them are decided.
 func (l *zoneLeader) decide() {
 	now := l.home.now
-	if l.open > 0 || (l.decidedAt > 0 && now-l.decidedAt < int64(shortestRound)) {
+	pause := roundPause
+	if l.reserved {
+		pause = followPause
+	}
+	if l.open > 0 || (l.decidedAt > 0 && now-l.decidedAt < int64(pause)) {
 		return
 	}
 	l.decidedAt = now
@@ -128,7 +139,7 @@
 func (l *zoneLeader) close() {
 	l.open--
 	if l.open == 0 && l.reserved {
-		l.home.after(shortestRound, l.wake)
+		l.decideAt(max(l.home.now, l.decidedAt+int64(followPause)))
 	}
 }
 
