Report fleets as pages, load and compare; check leaving and edits in force in the fleet

Cause: a fleet's faults could not be set against latency and memory, two runs could not be compared, and two invariants (a leaving runner gets no new work, an edit is in force everywhere) were checked in the simulator only.

--- a/lab/caller.go
+++ b/lab/caller.go
@@ -39,15 +39,25 @@
 // Answered reports whether the call got its whole answer.
 func (o Outcome) Answered() bool { return o.Finish != "" }
 
+// target is a router that is called.
+type target struct {
+	id  structs.DaemonID
+	url string
+}
+
 // caller makes calls and checks every token of the answers.
 type caller struct {
 	client *api.Client
+	// key is the caller's API key, or empty.
+	key string
+	// unchecked accepts any text, of engines that are not the stand-ins.
+	unchecked bool
 }
 
 // call makes one call and follows it to its end.
-func (c caller) call(ctx context.Context, target *Process, request structs.Request) Outcome {
-	outcome := Outcome{Request: request, Router: target.ID, SentAt: time.Now()}
-	answer, err := c.client.Call(ctx, target.CallersURL(), "", "", request)
+func (c caller) call(ctx context.Context, router target, request structs.Request) Outcome {
+	outcome := Outcome{Request: request, Router: router.id, SentAt: time.Now()}
+	answer, err := c.client.Call(ctx, router.url, c.key, "", request)
 	if err != nil {
 		return outcome.ended(err)
 	}
@@ -65,7 +75,9 @@
 		check.add(token)
 		if token.Finish != "" {
 			outcome.Finish = token.Finish
-			outcome.Wrong = check.end(token.Finish)
+			if !c.unchecked {
+				outcome.Wrong = check.end(token.Finish)
+			}
 			return outcome.ended(nil)
 		}
 	}
--- a/lab/check.go
+++ b/lab/check.go
@@ -13,7 +13,7 @@
 // Violation is a breach of what must always hold.
 type Violation struct {
 	// Invariant names the breached line: replicas, memory, answered, own_answer,
-	// not_run, at_most_once or planned_stop.
+	// not_run, at_most_once, planned_stop, leaving or in_force.
 	Invariant string `json:"invariant"`
 	Detail    string `json:"detail"`
 }
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -97,7 +97,7 @@
 		Priority:   structs.PriorityLive,
 		DeadlineAt: time.Now().Add(20 * time.Second),
 	}
-	outcome := d.caller.call(ctx, router, request)
+	outcome := d.caller.call(ctx, router.target(), request)
 	d.outcomes = append(d.outcomes, outcome)
 	shown := DemoRequest{Row: row, Router: router.ID, Tokens: outcome.Tokens, Outcome: describe(outcome)}
 	if !outcome.FirstTokenAt.IsZero() {
--- a/lab/faults.go
+++ b/lab/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,6 +72,21 @@
 	outages []outage
 	// stops are the planned stops, which must cut nothing.
 	stops []plannedStop
+	// notices are the times during which a machine was listed as leaving.
+	notices []leavingNotice
+	// cuts are the times during which a zone was cut off.
+	cuts []zoneOutage
+	// striking is the kind of the fault that strikes now, or nil.
+	striking atomic.Pointer[string]
+}
+
+// current returns the kind of the fault that strikes now, or "". It may be called
+// while the faults run.
+func (r *faultRun) current() string {
+	if name := r.striking.Load(); name != nil {
+		return *name
+	}
+	return ""
 }
 
 // plannedStop is one planned stop of a daemon, from the signal to its end.
@@ -122,22 +138,23 @@
 const faultGap = 1500 * time.Millisecond
 
 // run strikes faults until ctx ends; each fault is ended before it returns.
-func (r *faultRun) run(ctx context.Context) []FaultEvent {
+func (r *faultRun) run(ctx context.Context) {
 	r.began = time.Now()
 	defer r.client.Close()
 	for len(r.kinds) > 0 {
 		for _, index := range r.random.Perm(len(r.kinds)) {
 			if !sleep(ctx, faultGap) {
-				return r.events
+				return
 			}
 			r.strike(ctx, r.kinds[index])
 		}
 	}
-	return r.events
 }
 
 func (r *faultRun) strike(ctx context.Context, kind FaultKind) {
 	began := time.Now()
+	r.striking.Store(&kind.Name)
+	defer r.striking.Store(nil)
 	target := kind.strike(r, ctx)
 	r.events = append(r.events, FaultEvent{
 		AtSeconds:  began.Sub(r.began).Seconds(),
@@ -192,7 +209,9 @@
 
 func (r *faultRun) cutZone(ctx context.Context) string {
 	zone := r.fleet.Site.Zones[r.random.IntN(len(r.fleet.Site.Zones))].ID
+	from := time.Now()
 	r.cut(ctx, func(daemon *Process) bool { return daemon.Zone == zone })
+	r.cuts = append(r.cuts, zoneOutage{zone, from, time.Now()})
 	return string(zone)
 }
 
@@ -295,8 +314,11 @@
 // reclaimRunner lists a machine as leaving, takes it away, and brings it back empty.
 func (r *faultRun) reclaimRunner(ctx context.Context) string {
 	target := r.anyRunner()
+	notice := leavingNotice{runner: target.Machine.Runner, from: r.fleet.Platform.Now()}
 	r.fleet.Platform.setState(target, structs.MachineLeaving)
 	sleep(ctx, cutTime)
+	notice.until = r.fleet.Platform.Now()
+	r.notices = append(r.notices, notice)
 	target.Server.Crash()
 	sleep(ctx, downTime)
 	target.revive()
--- /dev/null
+++ b/lab/leaving.go
@@ -0,0 +1,49 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// leavingBound is how long a runner may still get new work after the machine list
+// was told that it leaves. The list's own lag is within it.
+const leavingBound = 3 * time.Second
+
+// leavingNotice is the time from when a runner's machine was listed as leaving
+// until it was gone or live again.
+type leavingNotice struct {
+	runner structs.RunnerID
+	from   time.Time
+	until  time.Time
+}
+
+// checkLeaving: a leaving runner gets no new work after 3 seconds. Requests count
+// from when the engine took them, replicas from the beginning of their load.
+func checkLeaving(notices []leavingNotice, records map[structs.RunnerID]emulator.Records) []Violation {
+	var violations []Violation
+	for _, notice := range notices {
+		record := records[notice.runner]
+		late := func(at time.Time) bool { return at.After(notice.from.Add(leavingBound)) && at.Before(notice.until) }
+		add := func(at time.Time, what string) {
+			violations = append(violations, Violation{"leaving",
+				fmt.Sprintf("%s %s %v after it was listed as leaving", notice.runner, what, at.Sub(notice.from).Round(time.Millisecond))})
+		}
+		for _, execution := range record.Executions {
+			if late(execution.ArrivedAt) {
+				add(execution.ArrivedAt, "took request "+string(execution.ID))
+			}
+		}
+		for _, change := range record.ReplicaChanges {
+			if change.State == structs.ReplicaLoading && late(change.At) {
+				add(change.At, "began to load "+string(change.Row))
+			}
+		}
+	}
+	slices.SortFunc(violations, func(a, b Violation) int { return cmp.Compare(a.Detail, b.Detail) })
+	return violations
+}
--- a/lab/load.go
+++ b/lab/load.go
@@ -18,24 +18,27 @@
 const retryWait = 100 * time.Millisecond
 
 // loadRun makes the planned calls, each at its time whatever became of the
-// earlier ones, spread over the daemons in turn.
+// earlier ones, spread over the routers in turn.
 type loadRun struct {
 	caller  caller
-	daemons []*Process
+	routers []target
 
 	mutex    sync.Mutex
 	outcomes []Outcome
+	counts   loadCounts
 }
 
-func newLoadRun(daemons []*Process) *loadRun {
+func newLoadRun(routers []target) *loadRun {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
 	return &loadRun{
 		caller:  caller{client: api.NewClient(&http.Client{Transport: transport})},
-		daemons: daemons,
+		routers: routers,
+		counts:  loadCounts{firstToken: newLatencies()},
 	}
 }
 
-// run makes all calls and waits for their ends.
+// run makes all calls and waits for their ends. Once ctx ends no more calls are
+// made, and those that are open go on to their deadlines.
 func (l *loadRun) run(ctx context.Context, arrivals []arrival) []Outcome {
 	began := time.Now()
 	var calls sync.WaitGroup
@@ -44,7 +47,7 @@
 			break
 		}
 		planned := began.Add(next.after)
-		calls.Go(func() { l.make(ctx, next, planned, i) })
+		calls.Go(func() { l.make(context.WithoutCancel(ctx), next, planned, i) })
 	}
 	calls.Wait()
 	l.mutex.Lock()
@@ -60,11 +63,16 @@
 	request.DeadlineAt = planned.Add(next.deadline)
 	ctx, cancel := context.WithDeadline(ctx, request.DeadlineAt.Add(answerBound))
 	defer cancel()
+	l.begin()
+	if next.router > 0 {
+		first = next.router - 1
+	}
 	for try := 0; ; try++ {
-		outcome := l.caller.call(ctx, l.daemons[(first+try)%len(l.daemons)], request)
+		outcome := l.caller.call(ctx, l.routers[(first+try)%len(l.routers)], request)
 		outcome.PlannedAt = planned
 		l.keep(outcome)
 		if !shouldRetry(outcome) || !time.Now().Before(request.DeadlineAt) || !sleep(ctx, retryWait) {
+			l.end(outcome)
 			return
 		}
 	}
@@ -82,6 +90,18 @@
 	l.outcomes = append(l.outcomes, outcome)
 }
 
+func (l *loadRun) begin() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counts.sent++
+}
+
+func (l *loadRun) end(last Outcome) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counts.end(last)
+}
+
 // lastOutcomes returns the last outcome of each request.
 func lastOutcomes(outcomes []Outcome) map[structs.RequestID]Outcome {
 	last := map[structs.RequestID]Outcome{}
--- /dev/null
+++ b/lab/loadtool.go
@@ -0,0 +1,103 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// LoadOptions set up a run of the load tool against routers that already run.
+type LoadOptions struct {
+	// Targets are the routers' base URLs.
+	Targets []string
+	// AllowRemote permits targets that are not loopback addresses.
+	AllowRemote bool
+	// Key is the caller's API key, or empty.
+	Key  string
+	Plan Plan
+	// CheckAnswers compares each answer with that of the stand-in engines.
+	CheckAnswers bool
+	// Show is told the progress every second, unless nil.
+	Show func(Progress)
+}
+
+// LoadReport is what the load tool measured. Latencies are counted from when a
+// call was due, so that a slow site cannot hide by slowing the calls down.
+type LoadReport struct {
+	Command         string   `json:"command"`
+	Targets         []string `json:"targets"`
+	DurationSeconds float64  `json:"duration_seconds"`
+	// Planned counts the calls of the plan; it is above the requests of a run that
+	// was ended early.
+	Planned int `json:"planned"`
+	Totals
+	// SendLag is from when a call was due to its being sent: what the load tool
+	// itself was late.
+	SendLag    Percentiles `json:"send_lag_seconds"`
+	Violations []Violation `json:"violations"`
+	Timeline   []Second    `json:"timeline"`
+}
+
+// RunLoad makes the planned calls and waits for their ends.
+func RunLoad(ctx context.Context, options LoadOptions) (LoadReport, error) {
+	routers, err := routersOf(options.Targets, options.AllowRemote)
+	if err != nil {
+		return LoadReport{}, err
+	}
+	load := newLoadRun(routers)
+	load.caller.key = options.Key
+	load.caller.unchecked = !options.CheckAnswers
+	began := time.Now()
+	endProgress := load.showProgress(options.Show, func(*Progress) {})
+	outcomes := load.run(ctx, options.Plan.arrivals)
+	endProgress()
+	report := newLoadReport(began, outcomes)
+	report.DurationSeconds = time.Since(began).Seconds()
+	report.Targets = options.Targets
+	report.Planned = options.Plan.Calls()
+	return report, nil
+}
+
+func newLoadReport(began time.Time, outcomes []Outcome) LoadReport {
+	last := lastOutcomes(outcomes)
+	report := LoadReport{Violations: []Violation{}}
+	report.sum(last, coldStarts{})
+	lag := newLatencies()
+	for _, tries := range triesOf(outcomes) {
+		lag.add(tries[0].SentAt.Sub(tries[0].PlannedAt))
+		for _, outcome := range tries {
+			if outcome.Wrong != "" {
+				report.Violations = append(report.Violations, Violation{"own_answer", fmt.Sprintf("%s: %s", outcome.Request.ID, outcome.Wrong)})
+			}
+		}
+	}
+	report.SendLag = lag.percentiles()
+	report.Violations = append(report.Violations, checkAnswered(last)...)
+	report.Timeline = newTimeline(began, last)
+	return report
+}
+
+// routersOf checks the URLs of the routers to call.
+func routersOf(targets []string, allowRemote bool) ([]target, error) {
+	var routers []target
+	for _, text := range targets {
+		parsed, err := url.Parse(text)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return nil, structs.NewError(structs.ErrorInvalid, text+" is not the URL of a router", "give a URL such as http://127.0.0.1:7101")
+		}
+		address := net.ParseIP(parsed.Hostname())
+		if !allowRemote && (address == nil || !address.IsLoopback()) {
+			return nil, structs.NewError(structs.ErrorDenied, parsed.Hostname()+" is not a loopback address",
+				"give --allow-remote only for a site that may be put under load")
+		}
+		routers = append(routers, target{id: structs.DaemonID(parsed.Host), url: parsed.Scheme + "://" + parsed.Host})
+	}
+	if len(routers) == 0 {
+		return nil, structs.NewError(structs.ErrorInvalid, "there is no router to call", "give at least one target")
+	}
+	return routers, nil
+}
--- a/lab/process.go
+++ b/lab/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	ended   chan struct{}
 	// exitCode is that of the last run, once ended is closed; -1 after a signal.
 	exitCode int
+	// starts counts the starts; it tells the daemon's lives apart.
+	starts atomic.Int64
 }
 
 // newProcess writes the settings file of a daemon below folder.
@@ -62,6 +65,7 @@
 		output.Close()
 		return errors.Wrap(err, "start a daemon")
 	}
+	p.starts.Add(1)
 	p.log = output
 	ended := make(chan struct{})
 	p.ended = ended
@@ -112,5 +116,8 @@
 	}
 }
 
+// target names the daemon's router to a caller.
+func (p *Process) target() target { return target{id: p.ID, url: p.CallersURL()} }
+
 // CallersURL is the base URL of the daemon's callers' interface.
 func (p *Process) CallersURL() string { return "http://" + p.Settings.Listen.Callers }
--- /dev/null
+++ b/lab/progress.go
@@ -0,0 +1,125 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// progressInterval separates two statements of a run's progress.
+const progressInterval = time.Second
+
+// Progress is how far a run under load has come.
+type Progress struct {
+	Elapsed time.Duration
+	// Sent counts the calls made so far, Open those that wait for their answer.
+	Sent     int
+	Open     int
+	Answered int
+	Refused  int
+	// Failed counts the calls whose transfer failed to the end.
+	Failed int
+	// FirstToken is of all calls so far, from the time when they were due.
+	FirstToken Percentiles
+	// Fault is the fault that strikes now, or "".
+	Fault string
+	// Replicas and LoadedBytes are what the stand-in engines hold; 0 without them.
+	Replicas    int
+	LoadedBytes int64
+}
+
+// String is one line for a terminal.
+func (p Progress) String() string {
+	line := fmt.Sprintf("%4.0f s  sent %d, open %d, answered %d, refused %d, failed %d  first token p50 %.3f p95 %.3f p99 %.3f s",
+		p.Elapsed.Seconds(), p.Sent, p.Open, p.Answered, p.Refused, p.Failed, p.FirstToken.P50, p.FirstToken.P95, p.FirstToken.P99)
+	if p.Replicas > 0 {
+		line += fmt.Sprintf("  replicas %d, %.0f GiB", p.Replicas, float64(p.LoadedBytes)/float64(gibibyte))
+	}
+	if p.Fault != "" {
+		line += "  fault " + p.Fault
+	}
+	return line
+}
+
+// loadCounts are the counts of a run that still goes on.
+type loadCounts struct {
+	sent, answered, refused, failed int
+	firstToken                      latencies
+}
+
+func (c *loadCounts) end(last Outcome) {
+	switch {
+	case last.Answered():
+		c.answered++
+	case shouldRetry(last):
+		c.failed++
+	default:
+		c.refused++
+	}
+	if !last.FirstTokenAt.IsZero() {
+		c.firstToken.add(last.FirstTokenAt.Sub(last.PlannedAt))
+	}
+}
+
+func (l *loadRun) progress() Progress {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return Progress{
+		Sent:       l.counts.sent,
+		Open:       l.counts.sent - l.counts.answered - l.counts.refused - l.counts.failed,
+		Answered:   l.counts.answered,
+		Refused:    l.counts.refused,
+		Failed:     l.counts.failed,
+		FirstToken: l.counts.firstToken.percentiles(),
+	}
+}
+
+// showProgress calls show every second until the returned function is called,
+// which waits for the last call of show. A nil show is never called.
+func (l *loadRun) showProgress(show func(Progress), complete func(*Progress)) (stop func()) {
+	if show == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(done)
+		for sleep(ctx, progressInterval) {
+			progress := l.progress()
+			progress.Elapsed = time.Since(began)
+			complete(&progress)
+			show(progress)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// loaded returns the replicas and the memory that the engines hold now.
+func (p *Platform) loaded() (replicas int, bytes int64) {
+	for _, runner := range p.Runners {
+		runner.Server.Engine(func(engine *emulator.Engine, _ time.Time) []emulator.EngineOutput {
+			changes := engine.Records().ReplicaChanges
+			present := map[structs.RowName]bool{}
+			for _, change := range changes {
+				present[change.Row] = change.State != structs.ReplicaAbsent
+			}
+			for _, held := range present {
+				if held {
+					replicas++
+				}
+			}
+			if len(changes) > 0 {
+				bytes += changes[len(changes)-1].MemoryUsed
+			}
+			return nil
+		})
+	}
+	return replicas, bytes
+}
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/structs"
@@ -19,6 +21,8 @@
 	Rate     float64
 	// Faults names the kinds of fault; none for an undisturbed run.
 	Faults []string
+	// Show is told the progress every second, unless nil.
+	Show func(Progress)
 }
 
 // RunRehearsal starts a site, applies its table, puts load and faults on it,
@@ -33,26 +37,91 @@
 	if err != nil {
 		return Report{}, err
 	}
-	arrivals := planArrivals(fleet.Site.Rows, options.Rate, options.Duration, options.Fleet.Seed)
-	faults := newFaultRun(fleet, options.Faults, options.Fleet.Seed)
-	faultsCtx, endFaults := context.WithTimeout(ctx, options.Duration)
-	defer endFaults()
-	struck := make(chan []FaultEvent, 1)
-	go func() { struck <- faults.run(faultsCtx) }()
-	began := time.Now()
-	outcomes := newLoadRun(fleet.Daemons).run(ctx, arrivals)
-	elapsed := time.Since(began)
-	endFaults()
-	events := <-struck
-	faults.markDead(outcomes)
-	report := newReport(fleet, options, outcomes, elapsed)
-	report.PlannedStops = len(faults.stops)
-	report.Violations = append(report.Violations, checkPlannedStops(faults.stops, outcomes)...)
-	report.Faults = append(report.Faults, events...)
+	run := newRehearsal(fleet, options)
+	outcomes := run.underLoad(ctx)
+	edits, err := run.edits.finish(ctx, run.faults.cuts)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "read the table at the end of the run")
+	}
+	report := run.report(outcomes, edits)
 	report.EditSeconds = editSeconds
 	return report, nil
 }
 
+// rehearsal is a run under load.
+type rehearsal struct {
+	fleet   *Fleet
+	options RehearsalOptions
+	load    *loadRun
+	faults  *faultRun
+	edits   *editRun
+	began   time.Time
+	elapsed time.Duration
+}
+
+func newRehearsal(fleet *Fleet, options RehearsalOptions) *rehearsal {
+	var routers []target
+	for _, process := range fleet.Daemons {
+		routers = append(routers, process.target())
+	}
+	return &rehearsal{
+		fleet:   fleet,
+		options: options,
+		load:    newLoadRun(routers),
+		faults:  newFaultRun(fleet, options.Faults, options.Fleet.Seed),
+		edits:   newEditRun(fleet, options.Fleet.Seed),
+	}
+}
+
+// underLoad puts load, faults and edits on the site and waits until all are over.
+func (r *rehearsal) underLoad(ctx context.Context) []Outcome {
+	arrivals := planArrivals(r.fleet.Site.Rows, r.options.Rate, r.options.Duration, r.options.Fleet.Seed)
+	striking, endFaults := context.WithTimeout(ctx, r.options.Duration)
+	defer endFaults()
+	looking, endLooks := context.WithCancel(ctx)
+	defer endLooks()
+	var others sync.WaitGroup
+	r.began = time.Now()
+	others.Go(func() { r.faults.run(striking) })
+	var edits sync.WaitGroup
+	edits.Go(func() { r.edits.run(striking, looking) })
+	endProgress := r.load.showProgress(r.options.Show, r.completeProgress)
+	outcomes := r.load.run(ctx, arrivals)
+	r.elapsed = time.Since(r.began)
+	endProgress()
+	endFaults()
+	others.Wait()
+	r.edits.awaitSettled(ctx)
+	endLooks()
+	edits.Wait()
+	r.faults.markDead(outcomes)
+	return outcomes
+}
+
+// completeProgress adds what the load itself cannot know.
+func (r *rehearsal) completeProgress(progress *Progress) {
+	progress.Fault = r.faults.current()
+	progress.Replicas, progress.LoadedBytes = r.fleet.Platform.loaded()
+}
+
+// report sums up and checks the run.
+func (r *rehearsal) report(outcomes []Outcome, edits editRecords) Report {
+	report := newReport(r.fleet, r.options, outcomes, r.elapsed)
+	records := r.fleet.Platform.Records()
+	report.Timeline = newTimeline(r.began, lastOutcomes(outcomes))
+	addLoaded(report.Timeline, r.began, records)
+	report.PlannedStops = len(r.faults.stops)
+	report.Notices = len(r.faults.notices)
+	report.Edits = len(edits.accepted)
+	late, taken := checkEdits(edits)
+	report.EditInForce = taken
+	report.Violations = append(report.Violations, checkPlannedStops(r.faults.stops, outcomes)...)
+	report.Violations = append(report.Violations, checkLeaving(r.faults.notices, records)...)
+	report.Violations = append(report.Violations, late...)
+	report.Faults = append(report.Faults, r.faults.events...)
+	return report
+}
+
 // newReport sums up a run from the records of callers and engines.
 func newReport(fleet *Fleet, options RehearsalOptions, outcomes []Outcome, elapsed time.Duration) Report {
 	report := Report{
--- a/lab/report.go
+++ b/lab/report.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"regexp"
 	"slices"
 	"time"
 
@@ -20,28 +21,45 @@
 	// EditSeconds is the time from the edit of the whole table to its being in
 	// force in every zone.
 	EditSeconds float64 `json:"edit_seconds"`
-	Requests    int     `json:"requests"`
-	Answered    int     `json:"answered"`
-	Refused     int     `json:"refused"`
+	Totals
+	// PlannedStops counts the planned stops of daemons; none may cut a request.
+	PlannedStops int `json:"planned_stops"`
+	// Notices counts the times that a machine was listed as leaving; after a few
+	// seconds such a machine may get no new work.
+	Notices int `json:"leaving_notices"`
+	// Edits counts the edits accepted under load; EditInForce is how long each took
+	// from there to being in force in a zone.
+	Edits                int          `json:"edits"`
+	EditInForce          Percentiles  `json:"edit_in_force_seconds"`
+	IdleAcceleratorHours float64      `json:"idle_accelerator_hours"`
+	Faults               []FaultEvent `json:"faults"`
+	Violations           []Violation  `json:"violations"`
+	// Command repeats the run.
+	Command  string   `json:"command,omitempty"`
+	Timeline []Second `json:"timeline"`
+}
+
+// Totals sums up the calls of a run.
+type Totals struct {
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
 	// Lost counts requests that got no terminal answer in time.
 	Lost int `json:"lost"`
 	// Cut counts requests whose router was killed or frozen and whose caller had
 	// no time left to ask another one.
 	Cut int `json:"cut_by_dead_router"`
-	// PlannedStops counts the planned stops of daemons; none may cut a request.
-	PlannedStops int `json:"planned_stops"`
 	// LiveInTime is the share of live requests that were answered within their deadline.
 	LiveInTime float64 `json:"live_in_time"`
 	// RefusedBy counts refusals by kind and execution.
 	RefusedBy map[string]int `json:"refused_by"`
+	// RefusedFor counts refusals by their message, with # for every number.
+	RefusedFor map[string]int `json:"refused_for"`
 	// ColdStart is from the planned time to the first token, of requests that
 	// found no ready replica of their row in the whole site; FirstToken is of all others.
-	ColdStart            Percentiles  `json:"cold_start_seconds"`
-	FirstToken           Percentiles  `json:"first_token_seconds"`
-	TokenGap             Percentiles  `json:"longest_token_gap_seconds"`
-	IdleAcceleratorHours float64      `json:"idle_accelerator_hours"`
-	Faults               []FaultEvent `json:"faults"`
-	Violations           []Violation  `json:"violations"`
+	ColdStart  Percentiles `json:"cold_start_seconds"`
+	FirstToken Percentiles `json:"first_token_seconds"`
+	TokenGap   Percentiles `json:"longest_token_gap_seconds"`
 }
 
 // Percentiles sums up a distribution, in seconds.
@@ -86,10 +104,10 @@
 }
 
 // sum fills in the counts and distributions.
-func (r *Report) sum(last map[structs.RequestID]Outcome, cold coldStarts) {
+func (r *Totals) sum(last map[structs.RequestID]Outcome, cold coldStarts) {
 	coldStart, firstToken, gaps := newLatencies(), newLatencies(), newLatencies()
 	live, liveInTime := 0, 0
-	r.RefusedBy = map[string]int{}
+	r.RefusedBy, r.RefusedFor = map[string]int{}, map[string]int{}
 	for _, outcome := range last {
 		r.Requests++
 		r.count(outcome)
@@ -118,7 +136,7 @@
 	r.TokenGap = gaps.percentiles()
 }
 
-func (r *Report) count(outcome Outcome) {
+func (r *Totals) count(outcome Outcome) {
 	switch {
 	case outcome.Answered():
 		r.Answered++
@@ -128,11 +146,21 @@
 		r.Lost++
 	default:
 		r.Refused++
-		r.RefusedBy[string(outcome.Refusal.Error.Kind)+"/"+string(outcome.Refusal.Execution)]++
+		r.RefusedBy[refusalLabel(outcome)]++
+		r.RefusedFor[numbers.ReplaceAllString(outcome.Refusal.Error.Message, "#")]++
 	}
 }
 
-// coldStarts knows when a row had a ready replica anywhere in the site.
+// numbers are what differs between messages of the same sense: names of rows, times.
+var numbers = regexp.MustCompile(`[0-9]+`)
+
+// refusalLabel names the kind of a refusal and whether the request ran.
+func refusalLabel(outcome Outcome) string {
+	return string(outcome.Refusal.Error.Kind) + "/" + string(outcome.Refusal.Execution)
+}
+
+// coldStarts knows when a row had a ready replica anywhere in the site. Its zero
+// value, for a site whose engines keep no records, takes no call for a cold start.
 type coldStarts struct {
 	ready map[structs.RowName][]replicaEdge
 }
@@ -162,6 +190,9 @@
 
 // isCold reports whether no replica of the request's row was ready when it was due.
 func (c coldStarts) isCold(outcome Outcome) bool {
+	if c.ready == nil {
+		return false
+	}
 	count := 0
 	for _, edge := range c.ready[outcome.Request.Row] {
 		if edge.at.After(outcome.PlannedAt) {
--- a/lab/workload.go
+++ b/lab/workload.go
@@ -18,6 +18,8 @@
 	request structs.Request
 	// deadline is how long the caller waits.
 	deadline time.Duration
+	// router is the number of the router to call, from 1; 0 for each in turn.
+	router int
 }
 
 // requestClass is a kind of call of a workload.
--- a/labcommand/experiment.go
+++ b/labcommand/experiment.go
@@ -23,6 +23,7 @@
 	Seeds    int      `long:"seeds" default:"1" description:"number of seeds, from the first one on"`
 	Policies string   `long:"policy" default:"lotusferry,lru,keep-alive,static,oracle" description:"list of policies; lotusferry@120 sets what a cold start is worth"`
 	Faults   string   `long:"faults" default:"off" choice:"on" choice:"off" choice:"both" description:"crashes, reclaimed machines, a slow store and cut-off zones"`
+	Offers   string   `long:"offers" default:"on" choice:"on" choice:"off" description:"whether a call goes to another zone with a ready replica when its own has none"`
 	Trace    string   `long:"trace" description:"CSV file of recorded calls, instead of the generated workload"`
 	Record   string   `long:"record" description:"CSV file to write the first seed's generated calls to"`
 	Report   string   `long:"report" description:"folder for report.html and report.json"`
@@ -69,7 +70,7 @@
 	for _, site := range c.Sites {
 		parts = append(parts, "--site "+site)
 	}
-	parts = append(parts, fmt.Sprintf("--days %d --seed %d --seeds %d --policy %s --faults %s", c.Days, c.Seed, c.Seeds, c.Policies, c.Faults))
+	parts = append(parts, fmt.Sprintf("--days %d --seed %d --seeds %d --policy %s --faults %s --offers %s", c.Days, c.Seed, c.Seeds, c.Policies, c.Faults, c.Offers))
 	if c.Trace != "" {
 		parts = append(parts, "--trace "+c.Trace)
 	}
@@ -90,7 +91,7 @@
 }
 
 func (c *experimentCommand) options() (experiment.Options, error) {
-	options := experiment.Options{Sites: c.Sites, Days: c.Days, Workers: c.Workers}
+	options := experiment.Options{Sites: c.Sites, Days: c.Days, Workers: c.Workers, NoOffers: c.Offers == "off"}
 	for i := range c.Seeds {
 		options.Seeds = append(options.Seeds, c.Seed+uint64(i))
 	}
--- a/labcommand/fleet.go
+++ b/labcommand/fleet.go
@@ -14,8 +14,12 @@
 // fleetMargin is what a run may take beyond its load: start, table and stop.
 const fleetMargin = 2 * time.Minute
 
-// allFaults stands for every kind of fault.
-const allFaults = "all"
+// What --faults takes besides names: every kind of fault, no fault, and the list of kinds.
+const (
+	allFaults  = "all"
+	noFaults   = "none"
+	listFaults = "list"
+)
 
 type fleetCommand struct {
 	session *session
@@ -23,13 +27,17 @@
 	For     time.Duration `long:"for" default:"60s" description:"how long the load lasts"`
 	Rate    float64       `long:"rate" default:"10" description:"calls a second"`
 	Seed    uint64        `long:"seed" default:"1" description:"decides calls and faults"`
-	Faults  string        `long:"faults" description:"kinds of fault, separated by commas; all; none if empty"`
+	Faults  string        `long:"faults" default:"none" description:"kinds of fault, separated by commas; all; none; list prints them"`
 	Keep    bool          `long:"keep" description:"keep the daemons' folders"`
+	Report  string        `long:"report" description:"folder for report.html and report.json" value-name:"DIR"`
 	JSON    bool          `long:"json" description:"print the report as JSON"`
 }
 
 // Execute implements go-flags.Commander.
 func (c *fleetCommand) Execute([]string) error {
+	if c.Faults == listFaults {
+		return c.list()
+	}
 	site, err := lab.SiteByName(c.Site)
 	if err != nil {
 		return err
@@ -44,29 +52,49 @@
 	}
 	ctx, cancel := context.WithTimeout(c.session.ctx, c.For+fleetMargin)
 	defer cancel()
+	view := c.session.progress(c.JSON)
 	report, err := lab.RunRehearsal(ctx, c.session.logger, lab.RehearsalOptions{
 		Fleet:    lab.FleetOptions{Site: site, Folder: folder, Command: c.session.DaemonCommand, Seed: c.Seed},
 		Duration: c.For,
 		Rate:     c.Rate,
 		Faults:   faults,
+		Show:     view.show,
 	})
+	view.end()
 	if err != nil {
-		fmt.Fprintln(c.session.Errors, "The daemons' folders are kept in", folder)
+		c.kept(folder)
 		return err
 	}
+	report.Command = c.command()
 	return c.finish(folder, report)
 }
 
+// command is the command line that repeats the run.
+func (c *fleetCommand) command() string {
+	return fmt.Sprintf("lotusferrylab fleet --site %s --for %v --rate %g --seed %d --faults %s", c.Site, c.For, c.Rate, c.Seed, c.Faults)
+}
+
+func (c *fleetCommand) kept(folder string) {
+	fmt.Fprintln(c.session.Errors, "The daemons' folders are kept in", folder)
+}
+
 func (c *fleetCommand) finish(folder string, report lab.Report) error {
+	if c.Keep || len(report.Violations) > 0 {
+		c.kept(folder)
+	}
+	if c.Report != "" {
+		if err := report.WriteFolder(c.Report); err != nil {
+			c.kept(folder)
+			return err
+		}
+	}
 	if err := c.print(report); err != nil {
 		return err
 	}
 	if len(report.Violations) > 0 {
-		fmt.Fprintln(c.session.Errors, "The daemons' folders are kept in", folder)
 		return errViolation
 	}
 	if c.Keep {
-		fmt.Fprintln(c.session.Errors, "The daemons' folders are kept in", folder)
 		return nil
 	}
 	return os.RemoveAll(folder)
@@ -79,13 +107,18 @@
 	out := c.session.Output
 	fmt.Fprintf(out, "%s: %d daemons, %d engines, %.0f s, %d faults\n",
 		report.Site, report.Daemons, report.Engines, report.DurationSeconds, len(report.Faults))
-	fmt.Fprintf(out, "requests %d, answered %d, refused %d, lost %d, live in time %.1f%%\n",
-		report.Requests, report.Answered, report.Refused, report.Lost, 100*report.LiveInTime)
-	fmt.Fprintf(out, "cold start p50 %.2f s p99 %.2f s (%d), first token otherwise p50 %.3f s p95 %.3f s\n",
-		report.ColdStart.P50, report.ColdStart.P99, report.ColdStart.Count, report.FirstToken.P50, report.FirstToken.P95)
+	printTotals(out, report.Totals)
+	fmt.Fprintf(out, "edits %d, in force in a zone p50 %.2f s p99 %.2f s max %.2f s\n",
+		report.Edits, report.EditInForce.P50, report.EditInForce.P99, report.EditInForce.Max)
 	fmt.Fprintf(out, "idle accelerator hours %.3f\n", report.IdleAcceleratorHours)
-	for _, violation := range report.Violations {
-		fmt.Fprintf(out, "violation (%s): %s\n", violation.Invariant, violation.Detail)
+	printViolations(out, report.Violations)
+	fmt.Fprintln(out, "Repeat it with", report.Command)
+	return nil
+}
+
+func (c *fleetCommand) list() error {
+	for _, kind := range lab.FaultKinds() {
+		fmt.Fprintf(c.session.Output, "%-20s %s\n", kind.Name, kind.Sentence)
 	}
 	return nil
 }
@@ -98,8 +131,11 @@
 		known[kind.Name] = true
 		all = append(all, kind.Name)
 	}
-	if list == allFaults {
+	switch list {
+	case allFaults:
 		return all, nil
+	case noFaults, "":
+		return nil, nil
 	}
 	var names []string
 	for name := range strings.SplitSeq(list, ",") {
@@ -108,7 +144,7 @@
 		}
 		if !known[name] {
 			return nil, structs.NewError(structs.ErrorInvalid, "there is no kind of fault "+name,
-				"choose from all, "+strings.Join(all, ", "))
+				"choose from all, none, "+strings.Join(all, ", "))
 		}
 		names = append(names, name)
 	}
--- a/labcommand/run.go
+++ b/labcommand/run.go
@@ -18,6 +18,7 @@
 	ExitFailed    = 1
 	ExitUsage     = 2
 	ExitViolation = 3
+	ExitWorse     = 4
 )
 
 // Environment is what the command line needs of its process.
@@ -31,6 +32,9 @@
 // errViolation ends a run that found a violation, after its report was printed.
 var errViolation = errors.New("what must always hold did not hold")
 
+// errWorse ends a comparison whose second report is worse than the first.
+var errWorse = errors.New("the second report is worse")
+
 // session is shared by all commands of one call.
 type session struct {
 	Environment
@@ -41,6 +45,8 @@
 type commandLine struct {
 	Demo       demoCommand       `command:"demo" description:"Bring up a small site, send requests, edit the table, and report"`
 	Fleet      fleetCommand      `command:"fleet" description:"Run a whole site as processes under load and faults, and check it"`
+	Load       loadCommand       `command:"load" description:"Put load on routers that run, and measure what callers see"`
+	Compare    compareCommand    `command:"compare" description:"Compare two reports of the commands fleet or load"`
 	Hollow     hollowCommand     `command:"hollow" description:"Run a site of the size designed for in one process and in virtual time"`
 	Experiment experimentCommand `command:"experiment" description:"Replay days of a site's calls in virtual time, and compare ways to place replicas"`
 	Overload   overloadCommand   `command:"overload" description:"Measure goodput, waits, refusals and fairness beyond capacity, beside baselines"`
@@ -55,6 +61,8 @@
 	line := commandLine{
 		Demo:       demoCommand{session: shared},
 		Fleet:      fleetCommand{session: shared},
+		Load:       loadCommand{session: shared},
+		Compare:    compareCommand{session: shared},
 		Hollow:     hollowCommand{session: shared},
 		Experiment: experimentCommand{session: shared},
 		Overload:   overloadCommand{session: shared},
@@ -84,6 +92,8 @@
 		return ExitUsage
 	case errors.Is(err, errViolation):
 		return ExitViolation
+	case errors.Is(err, errWorse):
+		return ExitWorse
 	}
 	return ExitFailed
 }
