--- a/capacity/operator.go
+++ b/capacity/operator.go
@@ -29,6 +29,9 @@
 			return cpuOf(func() { must(json.Marshal(view)) })
 		}},
 		{RoleOperator, "edit sent to the global group, with its result", "changed row", unitBytes, methodGob, changed, editBytes},
+		{RoleOperator, "changes to an operator who watches", "changed row", unitBytes, methodJSON, changed, func(size int) float64 {
+			return jsonBytes(operatorapi.TableChanges{Since: tableRevision - 1, Revision: tableRevision, Rows: revisedRows(size)})
+		}},
 	}
 }
 
--- a/capacity/router.go
+++ b/capacity/router.go
@@ -23,15 +23,6 @@
 			view := newZone(size, 0, 0).state.View(0, 0)
 			return heapBeside(view, func(view structs.ZoneView) any { return newRouter(copyNames(view)) })
 		}},
-		{RoleRouter, "rows kept for listing the models", "row", unitBytes, methodHeap, rows, func(size int) float64 {
-			return heapBeside(makeRows(size, adapterReplicas), func(rows []structs.Row) any {
-				listed := map[structs.RowName]structs.Row{}
-				for _, row := range rows {
-					listed[row.Name] = row
-				}
-				return listed
-			})
-		}},
 		{RoleRouter, "router state, runners", "runner", unitBytes, methodHeap, runners, func(size int) float64 {
 			view := newZone(10, size, 0).state.View(0, 0)
 			return heapBeside(view, func(view structs.ZoneView) any { return newRouter(copyNames(view)) })
--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -19,6 +19,7 @@
 // cancelTimeout bounds telling an engine that nobody waits for a request.
 const cancelTimeout = 2 * time.Second
 
+// startAttempt sends an attempt to its engine. It is called under the lock.
 func (r *requestRouter) startAttempt(effect router.SendAttempt) {
 	ctx, cancel := context.WithCancel(r.ctx)
 	started := &attempt{effect: effect, call: r.calls[effect.Attempt.Request()], cancel: cancel}
@@ -34,7 +35,8 @@
 	})
 }
 
-// cancelAttempt ends the attempt's stream and tells the engine.
+// cancelAttempt ends the attempt's stream and tells the engine. It is called under
+// the lock.
 func (r *requestRouter) cancelAttempt(id router.AttemptID) {
 	target, known := r.attempts[id]
 	if !known {
@@ -50,6 +52,7 @@
 	})
 }
 
+// runAttempt carries an attempt out and tells the core what comes of it.
 func (r *requestRouter) runAttempt(ctx context.Context, current *attempt) {
 	id := current.effect.Attempt
 	defer r.forgetAttempt(id)
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -21,7 +21,8 @@
 // one at a time awaitSpace.
 type call struct {
 	request structs.Request
-	gone    func()
+	// gone is called, once, when the caller goes; it is guarded by mutex.
+	gone func()
 	// sent is set, under the router's lock, once the request has gone to an engine
 	// or another zone, so that it may have run.
 	sent bool
@@ -104,6 +105,13 @@
 	return c, nil
 }
 
+// whenGone sets what Close calls when the caller goes.
+func (c *call) whenGone(gone func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone = gone
+}
+
 // Close implements api.Answer.
 func (c *call) Close() {
 	c.mutex.Lock()
--- a/daemon/claimdesk.go
+++ b/daemon/claimdesk.go
@@ -25,8 +25,8 @@
 
 // claimDesk takes in the claim operations for a zone on its leader. The first one
 // is proposed at once; those that arrive within batchInterval of it, or while it is
-// being committed, share the next log entry. It also
-// remembers when each request's claim was last renewed.
+// being committed, share the next log entry. It also remembers when each request's
+// claim was last renewed.
 type claimDesk struct {
 	own     structs.ZoneID
 	zones   []structs.ZoneID
--- a/daemon/claimhome.go
+++ b/daemon/claimhome.go
@@ -49,7 +49,7 @@
 	return true
 }
 
-// forget notes that the zone holds no claim for the request.
+// forget notes that the zone holds no claim for the request, or has recorded its end.
 func (h *claimHome) forget(request structs.RequestID) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -68,8 +68,6 @@
 	return true
 }
 
-func (h *claimHome) ended(request structs.RequestID) { h.forget(request) }
-
 // endings counts the ends that are being recorded.
 func (h *claimHome) endings() int {
 	h.mutex.Lock()
@@ -96,6 +94,7 @@
 	return slices.Collect(maps.Keys(h.asked)), true
 }
 
+// endRenewal notes the end of the renewal that startRenewal began.
 func (h *claimHome) endRenewal(startedAt time.Time, err error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -85,6 +85,7 @@
 	return reply
 }
 
+// owns reports whether the claim is that of the request in this life of the daemon.
 func (k *claimKeeper) owns(request structs.RequestID, claim *structs.Claim) bool {
 	return claim.Request == request && claim.HeldBy() == k.holder
 }
@@ -130,7 +131,7 @@
 		}
 		pause(ctx, wait)
 	}
-	home.ended(effect.ID)
+	home.forget(effect.ID)
 	k.quiet.broadcast()
 }
 
--- a/daemon/claims_benchmark_test.go
+++ b/daemon/claims_benchmark_test.go
@@ -103,85 +103,116 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// claimSharing is how the operations of claims share log entries.
+type claimSharing struct {
+	name     string
+	shared   bool
+	interval time.Duration
+}
+
+// claimLoad is who takes claims: each of the callers one every interval, or without
+// a pause if that is 0.
+type claimLoad struct {
+	name     string
+	callers  int
+	interval time.Duration
+}
+
+// claimRun takes claims through the group of a node and counts what they cost.
+type claimRun struct {
+	node    *zoneNode
+	desk    *claimDesk
+	sharing claimSharing
+	load    claimLoad
+	// claims is how many are taken in all, next the number of the latest one.
+	claims               int64
+	next, entries, bytes atomic.Int64
+	retries, waited      atomic.Int64
+}
+
+func newClaimRun(b *testing.B, sharing claimSharing, load claimLoad) *claimRun {
+	run := &claimRun{node: newClaimGroup(b), sharing: sharing, load: load, claims: int64(b.N)}
+	run.desk = newClaimDesk("z", []structs.ZoneID{"z"}, run.propose)
+	run.desk.interval = sharing.interval
+	return run
+}
+
+func (r *claimRun) propose(ctx context.Context, command zone.Command) (zone.Result, error) {
+	encoded, err := zone.EncodeCommand(command)
+	if err != nil {
+		return zone.Result{}, err
+	}
+	r.entries.Add(1)
+	r.bytes.Add(int64(len(encoded)))
+	return r.node.proposeEncoded(ctx, encoded)
+}
+
+func (r *claimRun) operate(operation zone.ClaimOperation) error {
+	command := zone.Command{ClaimBatch: &zone.ClaimBatchCommand{At: time.Now(), Operations: []zone.ClaimOperation{operation}}}
+	if r.sharing.shared {
+		_, err := r.desk.operate(context.Background(), command)
+		return err
+	}
+	_, err := r.propose(context.Background(), command)
+	return err
+}
+
+// call takes claims as one caller until all are taken.
+func (r *claimRun) call(caller int, started time.Time) {
+	for turn := time.Duration(0); ; turn++ {
+		number := r.next.Add(1)
+		if number > r.claims {
+			return
+		}
+		at := turn*r.load.interval + time.Duration(caller)*r.load.interval/time.Duration(r.load.callers)
+		pause(context.Background(), time.Until(started.Add(at)))
+		began := time.Now()
+		for stage, operation := range claimStages(number) {
+			if stage == 2 {
+				r.waited.Add(int64(time.Since(began)))
+			}
+			for r.operate(operation) != nil {
+				r.retries.Add(1)
+			}
+		}
+	}
+}
+
+// measure takes all claims and reports what they cost.
+func (r *claimRun) measure(b *testing.B) {
+	b.ResetTimer()
+	before, started := processCPU(), time.Now()
+	var callers sync.WaitGroup
+	for caller := range r.load.callers {
+		callers.Go(func() { r.call(caller, started) })
+	}
+	callers.Wait()
+	b.StopTimer()
+	claims := float64(r.claims)
+	b.ReportMetric(claims/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(processCPU()-before)/claims/1000, "cpu-µs/claim")
+	b.ReportMetric(float64(r.bytes.Load())/claims, "log-bytes/claim")
+	b.ReportMetric(float64(r.waited.Load())/claims/1e6, "wait-ms/claim")
+	b.ReportMetric(float64(r.retries.Load())/claims, "retries/claim")
+	b.ReportMetric(float64(r.entries.Load())/claims, "entries/claim")
+}
+
 // BenchmarkClaims takes claims through a group of three members whose logs are
 // synced, with an entry for each operation and with shared entries. The processor
 // time is that of all three members and the callers together.
 func BenchmarkClaims(b *testing.B) {
-	for _, sharing := range []struct {
-		name     string
-		shared   bool
-		interval time.Duration
-	}{
+	for _, sharing := range []claimSharing{
 		{"entry=each", false, 0},
 		{"entry=shared", true, 0},
 		{"entry=10ms", true, 10 * time.Millisecond},
 		{"entry=25ms", true, batchInterval},
 		{"entry=50ms", true, 50 * time.Millisecond},
 	} {
-		for _, load := range []struct {
-			name     string
-			callers  int
-			interval time.Duration
-		}{
+		for _, load := range []claimLoad{
 			{"load=planned", 64, 64 * time.Second / plannedClaims},
 			{"load=512callers", 512, 0},
 		} {
-			b.Run(sharing.name+"/"+load.name, func(b *testing.B) {
-				node := newClaimGroup(b)
-				var entries, bytes, next, waited, retries atomic.Int64
-				propose := func(ctx context.Context, command zone.Command) (zone.Result, error) {
-					encoded, err := zone.EncodeCommand(command)
-					if err != nil {
-						return zone.Result{}, err
-					}
-					entries.Add(1)
-					bytes.Add(int64(len(encoded)))
-					return node.proposeEncoded(ctx, encoded)
-				}
-				desk := newClaimDesk("z", []structs.ZoneID{"z"}, propose)
-				desk.interval = sharing.interval
-				operate := func(operation zone.ClaimOperation) error {
-					command := zone.Command{ClaimBatch: &zone.ClaimBatchCommand{At: time.Now(), Operations: []zone.ClaimOperation{operation}}}
-					if sharing.shared {
-						_, err := desk.operate(context.Background(), command)
-						return err
-					}
-					_, err := propose(context.Background(), command)
-					return err
-				}
-				b.ResetTimer()
-				before, started := processCPU(), time.Now()
-				var callers sync.WaitGroup
-				for caller := range load.callers {
-					callers.Go(func() {
-						for turn := time.Duration(0); ; turn++ {
-							number := next.Add(1)
-							if number > int64(b.N) {
-								return
-							}
-							at := turn*load.interval + time.Duration(caller)*load.interval/time.Duration(load.callers)
-							pause(context.Background(), time.Until(started.Add(at)))
-							began := time.Now()
-							for stage, operation := range claimStages(number) {
-								if stage == 2 {
-									waited.Add(int64(time.Since(began)))
-								}
-								for operate(operation) != nil {
-									retries.Add(1)
-								}
-							}
-						}
-					})
-				}
-				callers.Wait()
-				b.StopTimer()
-				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
-				b.ReportMetric(float64(processCPU()-before)/float64(b.N)/1000, "cpu-µs/claim")
-				b.ReportMetric(float64(bytes.Load())/float64(b.N), "log-bytes/claim")
-				b.ReportMetric(float64(waited.Load())/float64(b.N)/1e6, "wait-ms/claim")
-				b.ReportMetric(float64(retries.Load())/float64(b.N), "retries/claim")
-				b.ReportMetric(float64(entries.Load())/float64(b.N), "entries/claim")
-			})
+			b.Run(sharing.name+"/"+load.name, func(b *testing.B) { newClaimRun(b, sharing, load).measure(b) })
 		}
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/router"
-	"github.com/lotusferry/lotusferry/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -123,6 +122,9 @@
 	if err := server.Register("Member", &MemberService{daemon: d.config.Daemon, nodes: d.members}); err != nil {
 		return err
 	}
+	if err := server.Register("Daemon", &DaemonService{daemon: d}); err != nil {
+		return err
+	}
 	if d.config.Development {
 		return server.Register("Fault", &FaultService{faults: d.faults})
 	}
@@ -149,6 +151,7 @@
 		site:   d.config.Site,
 		client: d.client,
 		global: newLeaderCaller(d.client, memberAddresses(d.config.Site.GlobalVoters)),
+		local:  &DaemonService{daemon: d},
 	}
 	return nil
 }
@@ -181,7 +184,7 @@
 	return &zoneLeader{
 		logger:      log.With(d.logger, "component", "leader"),
 		node:        d.zone,
-		core:        controller.New(controller.Options{Zone: settings.ID, Settings: planSettings(d.config.Site)}),
+		core:        controller.New(controller.Options{Zone: settings.ID, Settings: d.config.Site.PlanSettings()}),
 		observer:    newEngineObserver(d.logger, settings.ID, hostOf(d.config.Site.MachineList), d.engines, d.config.Timing),
 		engines:     d.engines,
 		inquiries:   &claimInquiries{logger: log.With(d.logger, "component", "inquiries"), engines: d.engines},
@@ -191,13 +194,6 @@
 	}
 }
 
-// planSettings are the planner's settings for the site.
-func planSettings(site config.Site) scheduler.Settings {
-	settings := scheduler.DefaultSettings()
-	settings.Objective = site.Objective
-	return settings
-}
-
 // hostOf returns the host and port of a checked URL, as engineapi wants it.
 func hostOf(checked string) string {
 	parsed, err := url.Parse(checked)
@@ -283,7 +279,6 @@
 		attempts: map[router.AttemptID]*attempt{},
 		followed: map[structs.RunnerID]*followedEngine{},
 		metrics:  newRequestMetrics(),
-		view:     newViewCache(d.config.Zone),
 		viewPath: filepath.Join(d.config.DataFolder, viewCacheFile),
 		core: router.New(router.Options{
 			Zone:            d.config.Zone,
@@ -296,6 +291,7 @@
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
 	}
+	d.router.view = newViewCache(d.router.core)
 	d.router.loadView()
 	return nil
 }
--- a/daemon/daemondrain.go
+++ b/daemon/daemondrain.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	s.daemon.router.setDrained(arguments.Draining)
-	level.Info(s.daemon.logger).Log("msg", "An operator started or ended a drain.", "draining", arguments.Draining)
+	level.Info(s.daemon.logger).Log("component", "daemon", "msg", "An operator started or ended a drain.", "draining", arguments.Draining)
 	return s.State(StatusArguments{}, reply)
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -63,7 +63,7 @@
 		err := member.TransferLeadership(ctx)
 		cancel()
 		if err != nil {
-			level.Warn(d.logger).Log("msg", "Leadership could not be handed over.", "err", err)
+			level.Warn(d.logger).Log("component", "daemon", "msg", "Leadership could not be handed over.", "err", err)
 		}
 	}
 }
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -38,6 +38,15 @@
 	return refused.Refusal
 }
 
+// checkMetrics checks that a daemon's metrics have the lines.
+func (s *streamSite) checkMetrics(index int, lines ...string) {
+	metrics := httptest.NewRecorder()
+	s.daemons[index].metricsHandler().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range lines {
+		s.Check(metrics.Body.String(), qt.Contains, line+"\n")
+	}
+}
+
 func TestPlannedStopCutsNoStreamAndRecordsClaims(t *testing.T) {
 	t.Parallel()
 	s := newStreamSite(t, streamSiteOptions{zones: 1})
@@ -64,16 +73,12 @@
 	s.Assert(refusal.Error.RetryAfter > 0, qt.IsTrue)
 	s.Assert(refusal.Error.Remedy, qt.Not(qt.Equals), "")
 	s.Assert(s.daemons[0].notReady(), qt.Contains, "planned stop")
-	metrics := httptest.NewRecorder()
-	s.daemons[0].metricsHandler().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	for _, line := range []string{
+	s.checkMetrics(0,
 		"lotusferry_requests_total 3",
 		`lotusferry_requests_refused_total{execution="not_run",kind="unavailable"} 1`,
 		"lotusferry_request_queue_seconds_count 2",
 		"lotusferry_request_first_token_seconds_count 2",
-	} {
-		s.Check(metrics.Body.String(), qt.Contains, line+"\n")
-	}
+	)
 	s.goOn()
 	for i, request := range []structs.Request{keyed, plain} {
 		text, err := readRest(answers[i], first[i])
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -77,19 +77,24 @@
 	}
 	r.metrics.sentAt(target, time.Now())
 	target.sent = true
-	ctx, cancel := context.WithDeadline(r.ctx, target.request.DeadlineAt.Add(forwardMargin))
-	target.mutex.Lock()
-	target.gone = func() {
-		cancel()
-		r.step(router.CallerGone{ID: effect.ID})
-	}
-	target.mutex.Unlock()
+	ctx, cancel := r.peerContext(target)
 	r.background(func(context.Context) {
 		defer cancel()
 		r.runForward(ctx, effect, target)
 	})
 }
 
+// peerContext makes the context of asking other zones for the answer to a call. It
+// ends when the caller goes, and forwardMargin after the deadline.
+func (r *requestRouter) peerContext(target *call) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(r.ctx, target.request.DeadlineAt.Add(forwardMargin))
+	target.whenGone(func() {
+		cancel()
+		r.step(router.CallerGone{ID: target.request.ID})
+	})
+	return ctx, cancel
+}
+
 func (r *requestRouter) runForward(ctx context.Context, effect router.Forward, target *call) {
 	answer, err := r.openForward(ctx, effect, target.request)
 	if err != nil {
@@ -135,7 +140,7 @@
 	if last == nil {
 		last = &api.RefusedError{Refusal: structs.Refusal{
 			Error: *structs.NewError(structs.ErrorUnavailable, "no router of the zones that serve this row is known",
-				"ask the operators to list routers for every zone in the settings"),
+				"Have the operators list routers for every zone in the settings."),
 			Execution: structs.ExecutionNotRun,
 		}}
 	}
@@ -158,19 +163,26 @@
 	if errors.Is(err, api.ErrNotSent) {
 		return true
 	}
+	refusal := refusalByRouter(err)
+	return refusal != nil && refusal.Execution == structs.ExecutionNotRun && refusal.Error.Kind == structs.ErrorUnavailable
+}
+
+// refusalByRouter returns what the router that was asked refused the request with;
+// it is nil when the request did not reach one, or its answer broke off.
+func refusalByRouter(err error) *structs.Refusal {
 	var refused *api.RefusedError
-	return errors.As(err, &refused) &&
-		refused.Refusal.Execution == structs.ExecutionNotRun &&
-		refused.Refusal.Error.Kind == structs.ErrorUnavailable
+	if !errors.As(err, &refused) || errors.Is(err, api.ErrNotSent) || errors.Is(err, api.ErrBroken) {
+		return nil
+	}
+	return &refused.Refusal
 }
 
 // failForward ends a forwarded request that got no whole answer. What the other
 // router said of its execution is passed on; a broken connection is judged by
 // the core.
 func (r *requestRouter) failForward(id structs.RequestID, target *call, err error) {
-	var refused *api.RefusedError
-	if errors.As(err, &refused) && !errors.Is(err, api.ErrNotSent) && !errors.Is(err, api.ErrBroken) {
-		r.endForward(id, &refused.Refusal)
+	if refusal := refusalByRouter(err); refusal != nil {
+		r.endForward(id, refusal)
 		return
 	}
 	stage := router.Broken
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -144,6 +144,7 @@
 	return nil
 }
 
+// drainedByOperator reports whether an operator drains the daemon's router.
 func (d *Daemon) drainedByOperator() bool { return d.router != nil && d.router.isDrained() }
 
 // closeWhenDraining lets callers' connections end with their answers once a
@@ -157,10 +158,11 @@
 	})
 }
 
+// serve answers until the server is closed.
 func (s *httpServer) serve(logger log.Logger) {
 	err := s.server.Serve(s.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		level.Error(logger).Log("msg", "An HTTP server stopped.", "server", s.name, "err", err)
+		level.Error(logger).Log("component", "http", "msg", "An HTTP server stopped.", "server", s.name, "err", err)
 	}
 }
 
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -59,26 +59,28 @@
 	return serve(stop, cut, newLogger(failures, settings.Log), settings)
 }
 
-func serve(stop, cut context.Context, logger log.Logger, settings config.Config) int {
-	running, err := New(logger, settings)
+// serve runs a daemon until stop ends or it fails, and makes its planned stop.
+func serve(stop, cut context.Context, parent log.Logger, settings config.Config) int {
+	logger := log.With(parent, "component", "daemon")
+	running, err := New(parent, settings)
 	if err != nil {
-		level.Error(logger).Log("component", "daemon", "msg", "The daemon cannot start.", "err", err)
+		level.Error(logger).Log("msg", "The daemon cannot start.", "err", err)
 		return ExitFailed
 	}
 	running.Start()
 	code := ExitOK
 	select {
 	case err := <-running.Failed():
-		level.Error(logger).Log("component", "daemon", "msg", "The daemon cannot go on.", "err", err)
+		level.Error(logger).Log("msg", "The daemon cannot go on.", "err", err)
 		code = ExitFailed
 	case <-stop.Done():
 	}
 	ctx, cancel := context.WithTimeoutCause(cut, settings.Timing.StopTimeout, ErrStopTimeout)
 	defer cancel()
-	level.Info(logger).Log("component", "daemon", "msg", "The daemon stops; a second signal cuts what is in progress.",
+	level.Info(logger).Log("msg", "The daemon stops; a second signal cuts what is in progress.",
 		"timeout", settings.Timing.StopTimeout)
 	requestsCut := running.Stop(ctx)
-	level.Info(logger).Log("component", "daemon", "msg", "The daemon has stopped.", "requests_cut", requestsCut)
+	level.Info(logger).Log("msg", "The daemon has stopped.", "requests_cut", requestsCut)
 	if code == ExitOK && requestsCut > 0 {
 		return ExitCut
 	}
--- a/daemon/memberchange.go
+++ b/daemon/memberchange.go
@@ -110,6 +110,19 @@
 	return typed
 }
 
+// checkCommitted refuses a change while the previous one is not committed: that one
+// may yet be lost with its leader, so that it proves nothing about what is done.
+func checkCommitted(name string, status group.Status) error {
+	if status.AppliedIndex >= status.MembershipIndex {
+		return nil
+	}
+	typed := structs.NewError(structs.ErrorUnavailable,
+		"the previous change of the members of group "+name+" is not committed yet",
+		"Ask again in a moment; this change was not begun. It stays so while no majority of the voters answers.")
+	typed.RetryAfter = enterPause
+	return typed
+}
+
 func nodesNamed(status group.Status, membership raft.Membership, name string) []raft.NodeID {
 	all := slices.Concat(membership.Voters, membership.Learners)
 	return slices.DeleteFunc(all, func(node raft.NodeID) bool { return status.Names[node] != name })
@@ -155,12 +168,16 @@
 	return nil
 }
 
-// change makes an operator's change of the membership.
+// change makes an operator's change of the membership and returns once it is
+// committed. Asking again for one that is made changes nothing.
 func (m *memberNode) change(ctx context.Context, change operatorapi.MemberChange) error {
 	status, err := m.leaderStatus(ctx)
 	if err != nil {
 		return err
 	}
+	if err := checkCommitted(m.name, status); err != nil {
+		return err
+	}
 	nodes := nodesNamed(status, status.Membership, string(change.Daemon))
 	switch change.Action {
 	case operatorapi.MemberAdd:
--- a/daemon/notifier.go
+++ b/daemon/notifier.go
@@ -10,21 +10,21 @@
 
 // wait returns a channel that is closed at the next broadcast. Take it before
 // looking at the state that may have changed.
-func (s *notifier) wait() <-chan struct{} {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.changed == nil {
-		s.changed = make(chan struct{})
+func (n *notifier) wait() <-chan struct{} {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.changed == nil {
+		n.changed = make(chan struct{})
 	}
-	return s.changed
+	return n.changed
 }
 
 // broadcast wakes all who wait.
-func (s *notifier) broadcast() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
+func (n *notifier) broadcast() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.changed != nil {
+		close(n.changed)
+		n.changed = nil
 	}
 }
--- a/daemon/offer.go
+++ b/daemon/offer.go
@@ -21,13 +21,7 @@
 		return
 	}
 	target.sent = true
-	ctx, cancel := context.WithDeadline(r.ctx, target.request.DeadlineAt.Add(forwardMargin))
-	target.mutex.Lock()
-	target.gone = func() {
-		cancel()
-		r.step(router.CallerGone{ID: effect.ID})
-	}
-	target.mutex.Unlock()
+	ctx, cancel := r.peerContext(target)
 	r.background(func(context.Context) {
 		defer cancel()
 		r.runOffer(ctx, effect, target)
@@ -80,6 +74,8 @@
 	r.stepLocked(failed)
 }
 
+// offerTaken tells the core that the zone executes the request, and takes that for
+// the first sending: an offer alone sets sent, but is not measured.
 func (r *requestRouter) offerTaken(target *call, zone structs.ZoneID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -91,9 +87,8 @@
 
 // isNotRun reports whether a router answered that it does not run the request.
 func isNotRun(err error) bool {
-	var refused *api.RefusedError
-	return errors.As(err, &refused) && !errors.Is(err, api.ErrNotSent) && !errors.Is(err, api.ErrBroken) &&
-		refused.Refusal.Execution == structs.ExecutionNotRun
+	refusal := refusalByRouter(err)
+	return refusal != nil && refusal.Execution == structs.ExecutionNotRun
 }
 
 // offerTry is an offer to one zone. It is cancelled when its time is over before
@@ -103,9 +98,12 @@
 	target *call
 	zone   structs.ZoneID
 	ctx    context.Context
-	timer  *time.Timer
+	// timer cancels ctx when the time is over.
+	timer *time.Timer
 
-	mutex     sync.Mutex
+	mutex sync.Mutex
+	// isTaken says that the zone executes the request, connected that it may have
+	// received it.
 	isTaken   bool
 	connected bool
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -23,6 +23,8 @@
 	site   config.Site
 	client *transport.Client
 	global *leaderCaller
+	// local is this daemon's own service.
+	local *DaemonService
 }
 
 // Table implements operatorapi.Service.
@@ -94,6 +96,8 @@
 		inForce[zone.Zone] = zone.InForce
 	}
 	status := operatorapi.SiteStatus{Revision: reply.Revision, Zones: make([]structs.ZoneStatus, len(s.site.Zones))}
+	states := make(chan map[structs.DaemonID]DaemonStateReply, 1)
+	go func() { states <- s.drainStates(ctx) }()
 	done := make(chan struct{}, len(s.site.Zones))
 	for i, zone := range s.site.Zones {
 		go func() {
@@ -104,7 +108,7 @@
 	for range s.site.Zones {
 		<-done
 	}
-	status.Daemons = s.daemons(reply.Leader, status.Zones)
+	status.Daemons = withDrains(s.daemons(reply.Leader, status.Zones), <-states)
 	return status, nil
 }
 
@@ -144,6 +148,9 @@
 
 // Drain implements operatorapi.Service: it finds the runner's zone by asking the zones.
 func (s *operatorService) Drain(ctx context.Context, request operatorapi.DrainRequest) error {
+	if request.Daemon != "" {
+		return s.drainDaemon(ctx, request)
+	}
 	encoded, err := zone.EncodeCommand(zone.Command{Drain: &zone.DrainCommand{Runner: request.Runner, Draining: !request.Cancel}})
 	if err != nil {
 		return err
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -121,6 +121,7 @@
 	r.stepLocked(event)
 }
 
+// stepLocked is step for those who hold the lock.
 func (r *requestRouter) stepLocked(event router.Event) {
 	for _, effect := range r.core.Step(time.Now(), event) {
 		r.carryOut(effect)
@@ -193,6 +194,7 @@
 	r.quiet.broadcast()
 }
 
+// replay answers a call with the answer that its key's claim keeps.
 func (r *requestRouter) replay(effect router.Replay) {
 	target, waiting := r.calls[effect.ID]
 	if !waiting {
@@ -207,6 +209,7 @@
 	r.end(effect.ID, nil)
 }
 
+// forgetGone removes a call whose caller is gone from the table.
 func (r *requestRouter) forgetGone(event router.Event) {
 	gone, isGone := event.(router.CallerGone)
 	if !isGone {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -19,7 +19,7 @@
 // viewLoop keeps the router's view of its zone up to date by long polls.
 func (r *requestRouter) viewLoop(ctx context.Context) {
 	r.mutex.Lock()
-	sinceTable, sinceIndex := r.view.revision, r.view.index
+	sinceTable, sinceIndex := r.core.TableRevision(), r.view.index
 	r.mutex.Unlock()
 	for next := 0; ctx.Err() == nil; {
 		addresses := r.leader.addresses
@@ -54,8 +54,8 @@
 	// The log of a zone has an entry: a controller without one has just started.
 	r.viewed = r.viewed || view.Index > 0
 	r.view.adopt(view)
+	r.stepLocked(router.ViewChanged{View: view})
 	r.mutex.Unlock()
-	r.step(router.ViewChanged{View: view})
 	r.viewChanged.broadcast()
 }
 
--- a/daemon/viewcache.go
+++ b/daemon/viewcache.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,44 +30,29 @@
 	viewSaveInterval = 5 * time.Second
 )
 
-// viewCache is the whole view of a zone, put together from the changes that came.
-// It is saved, so that a router that starts while no controller of its zone
-// answers serves by its last view. It is guarded by the router's mutex.
+// viewCache is the whole view of a zone: the table as the router's core has it, and
+// the placement, put together from the changes that came. It is saved, so that a
+// router that starts while no controller of its zone answers serves by its last
+// view. It is guarded by the router's mutex.
 type viewCache struct {
-	zone      structs.ZoneID
-	index     uint64
-	revision  uint64
-	rows      map[structs.RowName]structs.Row
-	elsewhere map[structs.RowName][]structs.ZoneID
-	grants    map[structs.RowName]structs.Grant
-	runners   map[structs.RunnerID]structs.RunnerInfo
-	replicas  map[structs.RunnerID][]structs.Replica
-	changed   bool
+	core     *router.Core
+	index    uint64
+	runners  map[structs.RunnerID]structs.RunnerInfo
+	replicas map[structs.RunnerID][]structs.Replica
+	changed  bool
 }
 
-func newViewCache(zone structs.ZoneID) *viewCache {
+func newViewCache(core *router.Core) *viewCache {
 	return &viewCache{
-		zone:      zone,
-		rows:      map[structs.RowName]structs.Row{},
-		elsewhere: map[structs.RowName][]structs.ZoneID{},
-		grants:    map[structs.RowName]structs.Grant{},
-		runners:   map[structs.RunnerID]structs.RunnerInfo{},
-		replicas:  map[structs.RunnerID][]structs.Replica{},
+		core:     core,
+		runners:  map[structs.RunnerID]structs.RunnerInfo{},
+		replicas: map[structs.RunnerID][]structs.Replica{},
 	}
 }
 
-// adopt takes the changes of a view by the rules of router.Core: what is older,
-// or does not join on to what is known, changes nothing.
+// adopt takes the placement of a view by the rules of router.Core, which takes the
+// table: what is older, or does not join on to what is known, changes nothing.
 func (v *viewCache) adopt(view structs.ZoneView) {
-	joins := view.Table.Full || view.Table.SinceRevision <= v.revision
-	if joins && view.Table.Revision >= v.revision {
-		v.adoptTable(view.Table)
-	}
-	for _, grant := range view.Table.Grants {
-		if grant.Sequence >= v.grants[grant.Row].Sequence {
-			v.grants[grant.Row] = grant
-		}
-	}
 	placed := view.Placement != nil && !view.Placement.Partial
 	if view.Index >= v.index && (placed || view.SinceIndex <= v.index) {
 		v.index = view.Index
@@ -77,31 +61,6 @@
 	v.changed = true
 }
 
-func (v *viewCache) adoptTable(delta structs.TableDelta) {
-	v.revision = delta.Revision
-	if delta.Full {
-		clear(v.rows)
-		clear(v.elsewhere)
-	}
-	for _, name := range delta.Deleted {
-		delete(v.rows, name)
-		delete(v.elsewhere, name)
-		delete(v.grants, name)
-	}
-	for _, row := range delta.Rows {
-		v.rows[row.Name] = row
-	}
-	for _, place := range delta.Elsewhere {
-		v.elsewhere[place.Row] = place.Zones
-	}
-	if delta.Full {
-		maps.DeleteFunc(v.grants, func(name structs.RowName, _ structs.Grant) bool {
-			_, listed := v.rows[name]
-			return !listed
-		})
-	}
-}
-
 func (v *viewCache) adoptPlacement(placement *structs.Placement) {
 	if placement == nil {
 		return
@@ -121,23 +80,12 @@
 
 // view returns the whole view, in order.
 func (v *viewCache) view() structs.ZoneView {
-	table := structs.TableDelta{Revision: v.revision, Full: true, Rows: sortedRows(v.rows)}
-	for _, name := range slices.Sorted(maps.Keys(v.grants)) {
-		table.Grants = append(table.Grants, v.grants[name])
-	}
-	for _, name := range slices.Sorted(maps.Keys(v.elsewhere)) {
-		table.Elsewhere = append(table.Elsewhere, structs.RowZones{Row: name, Zones: v.elsewhere[name]})
-	}
 	placement := &structs.Placement{}
 	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
 		placement.Runners = append(placement.Runners, v.runners[id])
 		placement.Replicas = append(placement.Replicas, v.replicas[id]...)
 	}
-	return structs.ZoneView{Index: v.index, Table: table, Placement: placement}
-}
-
-func sortedRows(rows map[structs.RowName]structs.Row) []structs.Row {
-	return slices.SortedFunc(maps.Values(rows), func(a, b structs.Row) int { return cmp.Compare(a.Name, b.Name) })
+	return structs.ZoneView{Index: v.index, Table: v.core.Table(), Placement: placement}
 }
 
 // savedView is the content of the cache's file.
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -82,10 +82,11 @@
 		}
 		// A round after another that reserved only sends the orders: it starts no third.
 		reserved = l.decide(ctx, epoch) && !reserved
-		pause(ctx, roundPause)
 		if reserved {
+			pause(ctx, followPause)
 			continue
 		}
+		pause(ctx, roundPause)
 		timer := time.NewTimer(l.timing.PlanInterval - roundPause)
 		select {
 		case <-ctx.Done():
@@ -98,9 +99,13 @@
 	}
 }
 
-// roundPause is the shortest time between two rounds of decisions, so that what
-// comes in a burst shares one.
-const roundPause = 25 * time.Millisecond
+const (
+	// roundPause is the shortest time between two rounds of decisions, so that what
+	// comes in a burst shares one.
+	roundPause = 100 * time.Millisecond
+	// followPause is that after a round that reserved memory.
+	followPause = 25 * time.Millisecond
+)
 
 // decide is one round: decide on the applied state, send the orders that follow
 // from it, then propose the commands. It reports whether it reserved memory.
--- a/emulator/engine_server.go
+++ b/emulator/engine_server.go
@@ -42,7 +42,7 @@
 // NewEngineServer makes the server of an engine, which nobody else may use from
 // then on but through the server. Close it after use.
 func NewEngineServer(logger log.Logger, engine *Engine, clock *Clock) *EngineServer {
-	s := &EngineServer{logger: logger, clock: clock, engine: engine}
+	s := &EngineServer{logger: log.With(logger, "component", "engine"), clock: clock, engine: engine}
 	s.alarm = alarm{clock: clock, fire: s.advance}
 	s.life, s.endLife = context.WithCancel(context.Background())
 	return s
@@ -160,7 +160,7 @@
 	for _, output := range outputs {
 		switch output.Kind {
 		case OutputDied:
-			_ = s.logger.Log("msg", "engine died", "runner", s.engine.options.Runner)
+			_ = s.logger.Log("msg", "The engine died.", "runner", s.engine.options.Runner)
 			s.resetCalls()
 			s.endLife()
 			s.life, s.endLife = context.WithCancel(context.Background())
@@ -197,7 +197,7 @@
 		return
 	}
 	if err != nil {
-		_ = s.logger.Log("msg", "fetch failed", "runner", request.Runner, "row", request.Row, "err", err)
+		_ = s.logger.Log("msg", "A checkpoint could not be fetched.", "runner", request.Runner, "row", request.Row, "err", err)
 	}
 	input := EngineInput{Kind: InputFetched, Row: request.Row, Failed: err != nil}
 	s.dispatch(s.engine.Step(s.clock.Now(), input))
--- a/emulator/machine_server.go
+++ b/emulator/machine_server.go
@@ -24,7 +24,7 @@
 
 // NewMachineServer makes the server of a list, which nobody else may use from then on.
 func NewMachineServer(logger log.Logger, list *MachineList, clock *Clock) *MachineServer {
-	s := &MachineServer{logger: logger, clock: clock, list: list, mux: http.NewServeMux()}
+	s := &MachineServer{logger: log.With(logger, "component", "machines"), clock: clock, list: list, mux: http.NewServeMux()}
 	s.mux.Handle("GET "+engineapi.PathMachineList, newHandler(decodeZone, s.serveList))
 	s.mux.Handle("POST "+engineapi.PathMachineLeave, newHandler(decodeBody[engineapi.LeaveRequest], s.serveLeave))
 	return s
@@ -66,6 +66,6 @@
 		unknown := structs.NewError(structs.ErrorNotFound, "the machine is not on the list", "check the runner's name")
 		return struct{}{}, &refusalError{refusal: *notRun(unknown)}
 	}
-	_ = s.logger.Log("msg", "machine leaves", "runner", request.Runner, "gone", request.Gone)
+	_ = s.logger.Log("msg", "A machine leaves.", "runner", request.Runner, "gone", request.Gone)
 	return struct{}{}, nil
 }
--- a/emulator/store_server.go
+++ b/emulator/store_server.go
@@ -27,7 +27,7 @@
 
 // NewStoreServer makes the server of a store, which nobody else may use from then on.
 func NewStoreServer(logger log.Logger, store *Store, clock *Clock) *StoreServer {
-	s := &StoreServer{logger: logger, clock: clock, store: store, calls: make(map[CallID]chan StoreOutput), mux: http.NewServeMux()}
+	s := &StoreServer{logger: log.With(logger, "component", "store"), clock: clock, store: store, calls: make(map[CallID]chan StoreOutput), mux: http.NewServeMux()}
 	s.alarm = alarm{clock: clock, fire: s.advance}
 	s.mux.Handle("POST "+engineapi.PathStoreFetch, newHandler(decodeBody[engineapi.FetchRequest], s.serveFetch))
 	s.mux.Handle("GET "+engineapi.PathStoreState, newHandler(noBody, s.serveState))
@@ -76,7 +76,7 @@
 	select {
 	case output := <-ended:
 		if output.Failed {
-			_ = s.logger.Log("msg", "read failed", "row", request.Row, "runner", request.Runner)
+			_ = s.logger.Log("msg", "A read failed.", "row", request.Row, "runner", request.Runner)
 			failure := structs.NewError(structs.ErrorUnavailable, "the read failed", "send the fetch again")
 			return engineapi.FetchReply{}, &refusalError{refusal: structs.Refusal{Error: *failure}}
 		}
--- a/emulator/timers.go
+++ b/emulator/timers.go
@@ -35,11 +35,15 @@
 	return heap.Pop((*timerHeap)(&q.timers)).(timer)
 }
 
-// timerHeap implements heap.Interface.
+// timerHeap orders timers by time.
 type timerHeap []timer
 
+var _ heap.Interface = (*timerHeap)(nil)
+
+// Len implements heap.Interface.
 func (h timerHeap) Len() int { return len(h) }
 
+// Less implements heap.Interface; order makes the order total.
 func (h timerHeap) Less(i, j int) bool {
 	if !h[i].at.Equal(h[j].at) {
 		return h[i].at.Before(h[j].at)
@@ -47,10 +51,13 @@
 	return h[i].order < h[j].order
 }
 
+// Swap implements heap.Interface.
 func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+// Push implements heap.Interface.
+func (h *timerHeap) Push(item any) { *h = append(*h, item.(timer)) }
 
+// Pop implements heap.Interface.
 func (h *timerHeap) Pop() any {
 	last := len(*h) - 1
 	popped := (*h)[last]
--- a/engineapi/stream_test.go
+++ b/engineapi/stream_test.go
@@ -50,16 +50,45 @@
 	}
 }
 
+// streamTest is the body of a stream and what a client makes of it.
+type streamTest struct {
+	name string
+	body string
+	// reset cuts the connection after the body.
+	reset bool
+	// want are the indexes of the tokens; whole says that the stream succeeds.
+	want  []int
+	whole bool
+}
+
+func (test streamTest) run(t *testing.T) {
+	c := qt.New(t)
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+		_, _ = io.WriteString(w, test.body)
+		if test.reset {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 3})
+	c.Assert(err, qt.IsNil)
+	defer stream.Close()
+	indexes, err := readAll(stream)
+	c.Check(indexes, qt.DeepEquals, test.want)
+	if test.whole {
+		c.Check(err, qt.Equals, io.EOF)
+		return
+	}
+	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+	c.Check(err, qt.Not(qt.Equals), io.EOF)
+	_, again := stream.Next()
+	c.Check(again, qt.Equals, err, qt.Commentf("the error stays"))
+}
+
 func TestStreamSucceedsOnlyWhenWhole(t *testing.T) {
 	whole := event("r", 0, "") + event("r", 1, "") + event("r", 2, structs.FinishStop)
-	tests := []struct {
-		name string
-		body string
-		// reset cuts the connection after the body.
-		reset bool
-		want  []int
-		whole bool
-	}{
+	tests := []streamTest{
 		{name: "whole", body: whole, want: []int{0, 1, 2}, whole: true},
 		{name: "finish by length", body: event("r", 0, structs.FinishLength), want: []int{0}, whole: true},
 		{name: "comments and CRLF", body: ": keep\r\n\r\n" + strings.ReplaceAll(whole, "\n", "\r\n"), want: []int{0, 1, 2}, whole: true},
@@ -88,30 +117,7 @@
 		{name: "engine error", body: event("r", 0, structs.FinishError), want: []int{0}},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
-				_, _ = io.WriteString(w, test.body)
-				if test.reset {
-					_ = http.NewResponseController(w).Flush()
-					panic(http.ErrAbortHandler)
-				}
-			})
-			stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 3})
-			c.Assert(err, qt.IsNil)
-			defer stream.Close()
-			indexes, err := readAll(stream)
-			c.Check(indexes, qt.DeepEquals, test.want)
-			if test.whole {
-				c.Check(err, qt.Equals, io.EOF)
-				return
-			}
-			c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
-			c.Check(err, qt.Not(qt.Equals), io.EOF)
-			_, again := stream.Next()
-			c.Check(again, qt.Equals, err, qt.Commentf("the error stays"))
-		})
+		t.Run(test.name, test.run)
 	}
 }
 
