Level the parts of a minimum as zones come

Half of the zones held no replica of any model at the start: the row's minimum was split while four zones were registered, and a zone kept its part as long as its limit allowed, so zones that came later got none, and their first calls waited for the store's budget of 16 loads. Change: a part moves, one replica each time, from a zone that has more than its weight calls for to one that has less, and only where it never moves back. Tests: TestMinimumIsLevelledAsZonesCome failed first.

--- a/table/adapter_test.go
+++ b/table/adapter_test.go
@@ -146,6 +146,22 @@
 	qt.Assert(t, []int{sum("m"), sum("x")}, qt.DeepEquals, []int{0, 0})
 }
 
+// Zones register one after the other while the row exists already: in the end each
+// keeps its part, though the first had all of it.
+func TestMinimumIsLevelledAsZonesCome(t *testing.T) {
+	state := stateWith(2)
+	mustApply(t, state, editOf("make", put(withMinimum(modelRow("m", 8), 4), 0)))
+	qt.Assert(t, minimumsOf(state, "m"), qt.Equals, "a:2 b:2 ")
+	for _, zone := range []structs.ZoneID{"c", "d"} {
+		mustApply(t, state, Command{Zone: &ZoneCommand{Zone: zone, Weight: 1}})
+	}
+	for range 4 {
+		releaseAll(state, "m")
+	}
+	qt.Assert(t, limitsOf(state, "m"), qt.Equals, "a:2/2 b:2/2 c:2/2 d:2/2 ")
+	qt.Assert(t, minimumsOf(state, "m"), qt.Equals, "a:1 b:1 c:1 d:1 ")
+}
+
 func TestMinimumAloneReachesZones(t *testing.T) {
 	state := stateWith(2)
 	mustApply(t, state, editOf("make", put(modelRow("m", 4), 0)))
--- a/table/minimum.go
+++ b/table/minimum.go
@@ -6,8 +6,8 @@
 )
 
 // splitMinimum splits the row's MinReplicas over the zones that serve it. A zone
-// keeps its part as long as its limit allows, so that nothing is loaded or
-// unloaded without need.
+// keeps its part as long as its limit allows and the parts are level, so that
+// nothing is loaded or unloaded without need.
 func (s *State) splitMinimum(row, base *rowState, shares []share) {
 	wanted := row.minReplicas()
 	if wanted == 0 && len(row.minimums) == 0 {
@@ -27,9 +27,42 @@
 		lacking += spare(&shares[i])
 	}
 	apportion(min(wanted-sum, lacking), shares, spare, func(zone *share, count int) { zone.minimum += count })
+	levelMinimums(shares)
 	s.setMinimums(row, shares)
 }
 
+// levelMinimums moves parts, one replica each time, from a zone that has more than
+// its weight calls for to one that has less, such as a zone that came later or got
+// its limit later. A part moves only when the receiver stays no above the giver, so
+// that no part ever moves back.
+func levelMinimums(shares []share) {
+	for {
+		giver, receiver := -1, -1
+		for i := range shares {
+			if giver < 0 || isFuller(shares[i].minimum, &shares[i], shares[giver].minimum, &shares[giver]) {
+				giver = i
+			}
+			if spare(&shares[i]) <= 0 {
+				continue
+			}
+			if receiver < 0 || isFuller(shares[receiver].minimum, &shares[receiver], shares[i].minimum, &shares[i]) {
+				receiver = i
+			}
+		}
+		if receiver < 0 || giver == receiver ||
+			isFuller(shares[receiver].minimum+1, &shares[receiver], shares[giver].minimum-1, &shares[giver]) {
+			return
+		}
+		shares[giver].minimum--
+		shares[receiver].minimum++
+	}
+}
+
+// isFuller reports whether one count is more of its zone's weight than the other.
+func isFuller(count int, zone *share, otherCount int, other *share) bool {
+	return count*max(other.weight, 1) > otherCount*max(zone.weight, 1)
+}
+
 func spare(zone *share) int { return zone.cap - zone.minimum }
 
 // minimumCap is the most that a zone can be asked to keep loaded: an adapter's
