--- a/capacity/probe.go
+++ b/capacity/probe.go
@@ -50,12 +50,13 @@
 	unitMicros = "microseconds"
 
 	methodHeap    = "heap after garbage collection"
-	methodCPU     = "process time, least of 9 rounds"
 	methodGob     = "gob with the net/rpc header"
 	methodMsgpack = "encoded log or snapshot"
 	methodJSON    = "JSON body"
 )
 
+var methodCPU = fmt.Sprintf("process time, least of %d rounds", rounds)
+
 // leastSizes is how many sizes a slope needs.
 const leastSizes = 5
 
--- a/experiment/checker.go
+++ b/experiment/checker.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// zoneState checks the invariants of the zones' state machines.
+// zoneStates checks the invariants of the zones' state machines.
 func (c *checker) zoneStates() {
 	for _, z := range c.world.zones {
 		if err := z.state.CheckInvariants(); err != nil {
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -35,10 +35,8 @@
 	return []Policy{PolicyLotusferry, PolicyLRU, PolicyKeepAlive, PolicyStatic, PolicyOracle}
 }
 
-const (
-	// fixedKeepAlive is what operators commonly set.
-	fixedKeepAlive = 10 * time.Minute
-)
+// fixedKeepAlive is what operators commonly set.
+const fixedKeepAlive = 10 * time.Minute
 
 // planFunction makes a Planner of scheduler.Plan.
 type planFunction func(scheduler.Snapshot) scheduler.PlanResult
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -90,7 +91,8 @@
 
 func (o Options) jobs() ([]job, error) {
 	if o.Days < 1 || o.Days > maxDays || len(o.Sites) == 0 || len(o.Seeds) == 0 || len(o.Policies) == 0 || len(o.Faults) == 0 {
-		return nil, structs.NewError(structs.ErrorInvalid, "an experiment needs 1 to 366 days, and a site, seed, policy and setting of faults",
+		return nil, structs.NewError(structs.ErrorInvalid,
+			fmt.Sprintf("an experiment needs 1 to %d days, and a site, seed, policy and setting of faults", maxDays),
 			"name at least one of each")
 	}
 	if o.Trace != nil && len(o.Sites) != 1 {
--- a/experiment/workload/meknes.go
+++ b/experiment/workload/meknes.go
@@ -56,7 +56,7 @@
 	for number := range days {
 		start := time.Duration(number) * day
 		share := 1.0
-		if weekday(number) == 6 {
+		if weekday(number) == sunday {
 			share = restDayShare
 		}
 		for _, owner := range owners {
--- a/experiment/workload/padano.go
+++ b/experiment/workload/padano.go
@@ -51,14 +51,14 @@
 	for number := range days {
 		start := time.Duration(number) * day
 		share := 1.0
-		if weekday(number) >= 5 {
+		if weekday(number) >= saturday {
 			share = weekendShare
 		}
 		for _, member := range members {
 			for _, at := range officeHours.drawDay(g.random, sessionsPerDay*share) {
 				g.editorSession(start+at, member, answers, search)
 			}
-			if weekday(number) < 5 && g.random.Float64() < reviewChance {
+			if weekday(number) < saturday && g.random.Float64() < reviewChance {
 				g.review(start+member.reviewAt, member)
 			}
 		}
--- a/experiment/workload/random.go
+++ b/experiment/workload/random.go
@@ -13,6 +13,10 @@
 const (
 	day         = 24 * time.Hour
 	daysPerWeek = 7
+
+	// The days off, as weekday counts them.
+	saturday = 5
+	sunday   = 6
 )
 
 // popularity draws rows with a long tail: the n-th most popular row has a share
--- a/simulate/network.go
+++ b/simulate/network.go
@@ -105,14 +105,7 @@
 }
 
 func (n *Network) carry(held time.Duration, from, to Address, message any) {
-	delay := held + n.quality.MinDelay
-	if spread := n.quality.MaxDelay - n.quality.MinDelay; spread > 0 {
-		delay += time.Duration(n.random.Int64N(int64(spread)))
-	}
-	if n.quality.StraggleDelay > 0 && n.chance(n.quality.Straggle) {
-		delay += time.Duration(n.random.Int64N(int64(n.quality.StraggleDelay)))
-	}
-	n.scheduler.After(delay, func() {
+	n.scheduler.After(held+n.delay(n.quality), func() {
 		n.delivered++
 		if receive := n.receivers[to]; receive != nil {
 			receive(from, message)
@@ -120,6 +113,23 @@
 	})
 }
 
+// delay draws the delay of one message on a network of the quality.
+func (n *Network) delay(quality Quality) time.Duration {
+	delay := quality.MinDelay
+	if quality.MaxDelay > quality.MinDelay {
+		delay = between(n.random, quality.MinDelay, quality.MaxDelay)
+	}
+	if quality.StraggleDelay > 0 && n.chance(quality.Straggle) {
+		delay += between(n.random, 0, quality.StraggleDelay)
+	}
+	return delay
+}
+
+// between draws a duration of at least least and less than most.
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
 func (n *Network) chance(probability float64) bool {
 	return probability > 0 && n.random.Float64() < probability
 }
--- a/simulate/operator.go
+++ b/simulate/operator.go
@@ -64,8 +64,7 @@
 	if o.site.hurried > 0 {
 		least, most = hurriedLeast, hurriedMost
 	}
-	pause := least + time.Duration(o.random.Int64N(int64(most-least)))
-	o.site.scheduler.After(pause, o.begin)
+	o.site.scheduler.After(between(o.random, least, most), o.begin)
 }
 
 func (o *tableOperator) begin() {
--- a/simulate/requestconnection.go
+++ b/simulate/requestconnection.go
@@ -118,16 +118,10 @@
 // latency draws the delay of one message. Callers sit next to their routers:
 // storms of the site's network do not touch them.
 func (n *Network) latency(from, to Address) time.Duration {
-	quality := n.quality
 	if from == callerAddress || to == callerAddress {
-		quality = calmNetwork
+		return n.delay(calmNetwork)
 	}
-	spread := quality.MaxDelay - quality.MinDelay
-	delay := quality.MinDelay + time.Duration(n.random.Int64N(int64(spread)))
-	if quality.StraggleDelay > 0 && n.chance(quality.Straggle) {
-		delay += time.Duration(n.random.Int64N(int64(quality.StraggleDelay)))
-	}
-	return delay
+	return n.delay(n.quality)
 }
 
 // dial connects a client to a server: opened is called with the connection, or
--- a/simulate/requestengine.go
+++ b/simulate/requestengine.go
@@ -35,60 +35,43 @@
 
 // answerEngine runs one emulated engine that answers requests.
 type answerEngine struct {
-	site        *requestSite
-	random      *rand.Rand
-	id          structs.RunnerID
-	zone        structs.ZoneID
-	engine      *emulator.Engine
-	incarnation structs.Incarnation
-	leaving     bool
+	emulatedEngine
+	site    *requestSite
+	random  *rand.Rand
+	leaving bool
 	// leftAt is when the runner was first known to leave, in virtual time.
 	leftAt  time.Duration
 	faults  streamFaults
-	call    emulator.CallID
 	streams map[emulator.CallID]*connection
 	status  map[emulator.CallID]func(structs.RequestStatus)
 	order   structs.OrderNumber
-	seen    int
 	ready   map[structs.RowName]bool
-	wake    time.Duration
 }
 
 func newAnswerEngine(site *requestSite, id structs.RunnerID, zone structs.ZoneID) *answerEngine {
 	host := &answerEngine{
-		site:        site,
-		random:      rand.New(rand.NewPCG(site.plan.seed, uint64(len(site.engines)+10))),
-		id:          id,
-		zone:        zone,
-		incarnation: 1,
-		streams:     map[emulator.CallID]*connection{},
-		status:      map[emulator.CallID]func(structs.RequestStatus){},
-		ready:       map[structs.RowName]bool{},
+		emulatedEngine: newEmulatedEngine(&site.simulatedSite, id, zone),
+		site:           site,
+		random:         rand.New(rand.NewPCG(site.plan.seed, uint64(len(site.engines)+10))),
+		streams:        map[emulator.CallID]*connection{},
+		status:         map[emulator.CallID]func(structs.RequestStatus){},
+		ready:          map[structs.RowName]bool{},
 	}
-	host.engine = emulator.NewEngine(emulator.EngineOptions{
-		Runner: id, Zone: zone, Role: simulatedRole,
-		MemoryBytes: engineMemory, HostMemoryBytes: 2 * engineMemory, DiskBytes: 2 * engineMemory,
+	host.begin(emulator.EngineOptions{
 		MaxBatch: requestMaxBatch, DecodeBase: requestDecodeBase, ReportLag: requestReportLag,
 		Random: host.random,
 		FetchTime: func(structs.RowName, int64) (time.Duration, bool) {
-			spread := int64(requestLoadMost - requestLoadLeast)
-			return requestLoadLeast + time.Duration(host.random.Int64N(spread)), true
+			return between(host.random, requestLoadLeast, requestLoadMost), true
 		},
-	})
+	}, host.take)
 	site.network.Attach(host.address(), zone, nil)
 	host.load()
 	return host
 }
 
-func (h *answerEngine) address() Address { return Address(h.id) }
-
 // listening reports whether a connection can be made: a silent engine takes them too.
 func (h *answerEngine) listening() bool { return !h.engine.Dead() }
 
-func (h *answerEngine) step(input emulator.EngineInput) {
-	h.take(h.engine.Step(h.site.now(), input))
-}
-
 // load asks for every row that the zone serves.
 func (h *answerEngine) load() {
 	h.announce()
@@ -112,8 +95,7 @@
 
 func (h *answerEngine) loadRow(name structs.RowName) {
 	h.order++
-	h.call++
-	h.step(emulator.EngineInput{Kind: emulator.InputOrder, Call: h.call, Order: structs.Order{
+	h.step(emulator.EngineInput{Kind: emulator.InputOrder, Call: h.nextCall(), Order: structs.Order{
 		Fence: structs.Fence{Epoch: 1, Number: h.order}, Kind: structs.OrderLoad,
 		Runner: h.id, Incarnation: h.incarnation, Row: name, MemoryBytes: requestRowBytes,
 	}})
@@ -136,8 +118,7 @@
 
 // generate takes a request that arrived on a connection.
 func (h *answerEngine) generate(stream *connection, request structs.GenerateRequest) {
-	h.call++
-	call := h.call
+	call := h.nextCall()
 	h.streams[call] = stream
 	stream.up.end.ended = func() {
 		delete(h.streams, call)
@@ -150,11 +131,11 @@
 // askStatus gives answer, if not nil, the status of a request; with cancel set
 // the request is stopped and its ID fenced first.
 func (h *answerEngine) askStatus(id structs.RequestID, cancel bool, answer func(structs.RequestStatus)) {
-	h.call++
+	call := h.nextCall()
 	if answer != nil {
-		h.status[h.call] = answer
+		h.status[call] = answer
 	}
-	h.step(emulator.EngineInput{Kind: emulator.InputStatus, Call: h.call, ID: id, Cancel: cancel})
+	h.step(emulator.EngineInput{Kind: emulator.InputStatus, Call: call, ID: id, Cancel: cancel})
 }
 
 func (h *answerEngine) take(outputs []emulator.EngineOutput) {
@@ -221,18 +202,17 @@
 	}
 	clear(h.status)
 	clear(h.ready)
-	h.site.scheduler.After(engineRestartDelay, h.restart)
+	h.site.scheduler.After(engineRestartDelay, h.comeBack)
 }
 
-func (h *answerEngine) restart() {
+// comeBack restarts a dead engine and lets it load its rows.
+func (h *answerEngine) comeBack() {
 	if !h.engine.Dead() {
 		return
 	}
-	h.incarnation++
 	h.leaving = false
 	h.order = 0
-	h.take(h.engine.Restart(h.site.now(), h.incarnation))
-	h.site.trace.Note("engine-restart", string(h.id), formatCount(int(h.incarnation)))
+	h.restart()
 	h.load()
 }
 
@@ -263,33 +243,14 @@
 
 // noticeReplicas follows the engine's own records of its replicas.
 func (h *answerEngine) noticeReplicas() {
-	changes := h.engine.Records().ReplicaChanges
-	changed := h.seen < len(changes) && !h.engine.Dead()
-	for ; h.seen < len(changes); h.seen++ {
-		delete(h.ready, changes[h.seen].Row)
-		if changes[h.seen].State == structs.ReplicaReady {
-			h.ready[changes[h.seen].Row] = true
+	changes := h.newReplicaChanges()
+	for _, change := range changes {
+		delete(h.ready, change.Row)
+		if change.State == structs.ReplicaReady {
+			h.ready[change.Row] = true
 		}
 	}
-	if changed {
+	if len(changes) > 0 && !h.engine.Dead() {
 		h.announce()
 	}
 }
-
-func (h *answerEngine) planWake() {
-	next, found := h.engine.NextEvent()
-	if !found || h.engine.Dead() {
-		return
-	}
-	at := max(next.Sub(epochStart), h.site.scheduler.Now())
-	if h.wake != 0 && h.wake <= at && h.wake > h.site.scheduler.Now() {
-		return
-	}
-	h.wake = at
-	h.site.scheduler.At(at, func() {
-		if h.wake == at {
-			h.wake = 0
-			h.take(h.engine.Advance(h.site.now()))
-		}
-	})
-}
--- a/simulate/requestfaults.go
+++ b/simulate/requestfaults.go
@@ -121,21 +121,6 @@
 	return 0.02 + 0.2*random.Float64()
 }
 
-// schedule plans the faults; each heals when its time is over.
-func (s *requestSite) schedule(faults []Fault) {
-	for _, fault := range faults {
-		s.scheduler.At(fault.At, func() {
-			s.trace.Note("fault", string(fault.Kind), fmt.Sprintf("%s %s %g for %v", fault.Target, fault.Peer, fault.Amount, fault.For))
-			if heal := s.inject(fault); heal != nil {
-				s.scheduler.After(fault.For, func() {
-					s.trace.Note("fault-over", string(fault.Kind), fault.Target)
-					heal()
-				})
-			}
-		})
-	}
-}
-
 // inject brings a fault about and returns what heals it, or nil.
 func (s *requestSite) inject(fault Fault) (heal func()) {
 	if engine := s.engineNamed(structs.RunnerID(fault.Target)); engine != nil {
@@ -153,38 +138,23 @@
 		s.batchLoad += fault.Amount
 		return func() { s.batchLoad -= fault.Amount }
 	case FaultStorm:
-		s.network.SetQuality(stormQuality(fault.Amount))
-		return func() { s.network.SetQuality(calmNetwork) }
+		return s.storm(fault.Amount)
 	case FaultAnswersCrossed:
 		return s.cross(fault)
 	case FaultNoLeader:
 		return s.groups[structs.ZoneID(fault.Target)].loseLeader()
 	case FaultCutZone:
-		return s.cutZone(structs.ZoneID(fault.Target))
+		return s.cutZone(structs.ZoneID(fault.Target), requestZones)
 	case FaultCutOneWay:
 		from, to := structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer)
 		if from == to {
 			return nil
 		}
-		s.network.CutZones(from, to)
-		return func() { s.network.HealZones(from, to) }
+		return s.cutOneWay(from, to)
 	}
 	return nil
 }
 
-func (s *requestSite) cutZone(zone structs.ZoneID) (heal func()) {
-	change := func(apply func(from, to structs.ZoneID)) {
-		for _, other := range requestZones {
-			if other != zone {
-				apply(zone, other)
-				apply(other, zone)
-			}
-		}
-	}
-	change(s.network.CutZones)
-	return func() { change(s.network.HealZones) }
-}
-
 // cross brings crossed answers about on all engines of a zone.
 func (s *requestSite) cross(fault Fault) (heal func()) {
 	var heals []func()
--- a/simulate/requestresolver.go
+++ b/simulate/requestresolver.go
@@ -22,7 +22,7 @@
 type claimResolver struct {
 	group   *zoneGroup
 	core    *controller.Core
-	reign   int
+	term    int
 	renewed map[structs.RequestID]time.Time
 }
 
@@ -41,10 +41,10 @@
 
 // lead starts anew when another member has come to lead.
 func (r *claimResolver) lead() {
-	if r.core == nil || r.reign != r.group.reign {
+	if r.core == nil || r.term != r.group.term {
 		r.core = controller.New(controller.Options{ClaimLease: requestClaimLease})
 		r.renewed = map[structs.RequestID]time.Time{}
-		r.reign = r.group.reign
+		r.term = r.group.term
 	}
 }
 
@@ -52,7 +52,7 @@
 	r.lead()
 	decisions := r.core.Decide(controller.Input{
 		Now:        r.group.site.now(),
-		Epoch:      structs.Epoch(r.reign + 1),
+		Epoch:      structs.Epoch(r.term + 1),
 		LeaseValid: true,
 		State:      r.group.state,
 		Renewed:    r.renewed,
@@ -71,9 +71,9 @@
 // ask sends an inquiry; a mutation answers in the engine's stead.
 func (r *claimResolver) ask(inquiry controller.Inquiry) {
 	site := r.group.site
-	reign := r.reign
+	term := r.term
 	answer := func(status structs.RequestStatus) {
-		if r.reign == reign {
+		if r.term == term {
 			r.core.ObserveInquiry(controller.InquiryReply{Inquiry: inquiry, Status: status})
 		}
 	}
--- a/simulate/requestscenario.go
+++ b/simulate/requestscenario.go
@@ -41,7 +41,7 @@
 	}
 	site := newRequestSite(plan)
 	site.trace.Note("seed", formatHash(plan.seed), plan.mutation)
-	site.schedule(faults)
+	site.schedule(faults, site.inject)
 	site.scheduler.Run(requestEnd)
 	if site.scheduler.Exhausted() {
 		site.judge.Report(checkerRunaway, "%d events happened by %v", requestEventLimit, site.scheduler.Now())
@@ -57,17 +57,5 @@
 	for _, host := range s.routers {
 		host.countStalls()
 	}
-	s.counts.Events = s.scheduler.sequence
-	s.counts.Messages = s.network.delivered
-	s.counts.Faults = len(faults)
-	outcome := seedOutcome{traceHash: s.trace.Sum(), simulated: s.scheduler.Now(), counts: s.counts}
-	if violation := s.judge.violation; violation != nil {
-		violation.Scenario = requestScenarioName
-		violation.Seed = s.plan.seed
-		violation.Mutation = s.plan.mutation
-		violation.Faults = faults
-		violation.TraceHash = formatHash(outcome.traceHash)
-		outcome.violation = violation
-	}
-	return outcome
+	return s.seedOutcome(requestScenarioName, faults)
 }
--- a/simulate/requestscenario_test.go
+++ b/simulate/requestscenario_test.go
@@ -17,6 +17,7 @@
 // TestRequestsEndWellUnderFaults also checks that the seeds reach every kind of
 // ending, so that no checker is idle.
 func TestRequestsEndWellUnderFaults(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	result, err := Run(Options{Scenario: requestScenarioName, Seed: 1, Seeds: requestTestSeeds})
 	c.Assert(err, qt.IsNil)
@@ -35,6 +36,7 @@
 }
 
 func TestRequestsSameSeedGivesSameTrace(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	one, err := Run(Options{Scenario: requestScenarioName, Seed: 5, Seeds: 3, Workers: 1})
 	c.Assert(err, qt.IsNil)
--- a/simulate/requestsite.go
+++ b/simulate/requestsite.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -58,14 +57,8 @@
 
 // requestSite is a simulated site of the requests scenario.
 type requestSite struct {
-	plan      seedPlan
-	random    *rand.Rand
-	scheduler *Scheduler
-	trace     *Trace
-	network   *Network
-	judge     *Judge
-	counts    Counts
-	records   *requestRecords
+	simulatedSite
+	records *requestRecords
 
 	groups  map[structs.ZoneID]*zoneGroup
 	routers []*routerHost
@@ -78,21 +71,13 @@
 }
 
 func newRequestSite(plan seedPlan) *requestSite {
-	scheduler := &Scheduler{limit: requestEventLimit}
-	trace := NewTrace(scheduler)
-	trace.sink = plan.sink
-	random := rand.New(rand.NewPCG(plan.seed, siteStream))
 	site := &requestSite{
-		plan:      plan,
-		random:    random,
-		scheduler: scheduler,
-		trace:     trace,
-		network:   NewNetwork(scheduler, random, trace, calmNetwork),
-		judge:     &Judge{scheduler: scheduler, trace: trace},
-		groups:    map[structs.ZoneID]*zoneGroup{},
-		load:      1,
-		batchLoad: 1,
+		simulatedSite: newSimulatedSite(plan),
+		groups:        map[structs.ZoneID]*zoneGroup{},
+		load:          1,
+		batchLoad:     1,
 	}
+	site.scheduler.limit = requestEventLimit
 	site.records = newRequestRecords(site)
 	for _, zone := range requestZones {
 		site.addZone(zone)
@@ -117,13 +102,9 @@
 	}
 }
 
-func (s *requestSite) now() time.Time { return epochStart.Add(s.scheduler.Now()) }
-
-func (s *requestSite) mutated(name string) bool { return s.plan.mutation == name }
-
 // between draws a duration from least to most.
 func (s *requestSite) between(least, most time.Duration) time.Duration {
-	return least + time.Duration(s.random.Int64N(int64(most-least)))
+	return between(s.random, least, most)
 }
 
 func (s *requestSite) chance(probability float64) bool { return s.random.Float64() < probability }
--- a/simulate/requestzone.go
+++ b/simulate/requestzone.go
@@ -27,9 +27,9 @@
 	index     uint64
 	placement structs.Placement
 	version   uint64
-	// leaderless counts the reasons for which nobody answers, reign the leaders so far.
+	// leaderless counts the reasons for which nobody answers, term the losses of a leader.
 	leaderless int
-	reign      int
+	term       int
 	resolver   *claimResolver
 }
 
@@ -50,9 +50,9 @@
 	if operation.Begin != nil {
 		g.renew([]structs.RequestID{operation.Begin.Request})
 	}
-	reign := g.reign
+	term := g.term
 	g.site.scheduler.After(g.site.between(commitLeast, commitMost), func() {
-		lost := g.reign != reign
+		lost := g.term != term
 		if lost && g.site.chance(0.5) {
 			return
 		}
@@ -88,7 +88,7 @@
 // loseLeader leaves the group without a leader until the returned function is called.
 func (g *zoneGroup) loseLeader() (heal func()) {
 	g.leaderless++
-	g.reign++
+	g.term++
 	return func() { g.leaderless-- }
 }
 
--- a/simulate/run_test.go
+++ b/simulate/run_test.go
@@ -21,6 +21,7 @@
 const mutationWorkers = 3
 
 func TestSameSeedsGiveSameTraceInAnyOrder(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	one, err := Run(Options{Seed: 7, Seeds: 4, Workers: 1})
 	c.Assert(err, qt.IsNil)
@@ -32,6 +33,7 @@
 }
 
 func TestSameSeedGivesSameLines(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	lines := func() string {
 		var all strings.Builder
@@ -45,6 +47,7 @@
 }
 
 func TestDifferentSeedsDiffer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	seen := map[string]uint64{}
 	for seed := uint64(1); seed <= 5; seed++ {
@@ -66,6 +69,7 @@
 }
 
 func TestTableHoldsWithoutMutation(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	result, err := Run(Options{Scenario: "table", Seed: 1, Seeds: 24})
 	c.Assert(err, qt.IsNil)
@@ -79,6 +83,7 @@
 // Each plan that takes seconds runs, in turn, alone, twice in a row, or together
 // with the next one.
 func TestTableHoldsUnderEachPlan(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	var short []string
 	for _, plan := range tablePlans {
@@ -105,6 +110,7 @@
 
 // The plan zone-cut takes hours; here the same cut takes minutes.
 func TestZoneRejoinsWithinSeconds(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cut := Fault{Kind: FaultCutZone, At: cutLead, For: 20 * time.Minute, Target: "zone-a"}
 	outcome := followTable(seedPlan{seed: 1}, timetable{faults: []Fault{cut}, end: cut.At + cut.For + time.Minute, pace: longPace})
@@ -116,8 +122,10 @@
 }
 
 func TestEachMutationIsCaught(t *testing.T) {
+	t.Parallel()
 	for _, mutation := range Mutations() {
 		t.Run(mutation.Name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			result, err := Run(Options{Scenario: mutation.Scenario, Seed: 1, Seeds: mutationSeeds, Mutation: mutation.Name, StopAfter: 1, Workers: mutationWorkers})
 			c.Assert(err, qt.IsNil)
@@ -133,6 +141,7 @@
 // All scenarios together run each seed of every scenario, and one combination of
 // plans; the mutation keeps them short.
 func TestAllScenariosRunTogether(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	options := Options{Scenario: AllScenarios, Seed: 2, Seeds: 3, Mutation: mutationOrderUnapplied}
 	first, err := Run(options)
@@ -181,6 +190,7 @@
 }
 
 func TestShrinkKeepsTheViolation(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	found := caught(c)
 	smallest, err := Shrink(found, 16)
@@ -191,6 +201,7 @@
 }
 
 func TestReplayGivesTheRecordedTrace(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	found := caught(c)
 	var file bytes.Buffer
--- a/simulate/scheduler.go
+++ b/simulate/scheduler.go
@@ -53,6 +53,9 @@
 // Now returns the virtual time since the start of the simulation.
 func (s *Scheduler) Now() time.Duration { return s.now }
 
+// wallTime returns the virtual time as the time of a clock that is right.
+func (s *Scheduler) wallTime() time.Time { return epochStart.Add(s.now) }
+
 // At runs the function at the given virtual time, or now if that has passed.
 // Events of one time run in the order in which they were added.
 func (s *Scheduler) At(at time.Duration, run func()) {
--- a/simulate/tablefaults.go
+++ b/simulate/tablefaults.go
@@ -1,7 +1,6 @@
 package simulate
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -17,35 +16,17 @@
 	repairPatience = 20 * time.Second
 )
 
-// schedule plans the faults; each heals when its time is over.
-func (s *tableSite) schedule(faults []Fault) {
-	for _, fault := range faults {
-		s.scheduler.At(fault.At, func() {
-			s.trace.Note("fault", string(fault.Kind), fmt.Sprintf("%s %s %g for %v", fault.Target, fault.Peer, fault.Amount, fault.For))
-			if heal := s.inject(fault); heal != nil {
-				s.scheduler.After(fault.For, func() {
-					s.trace.Note("fault-over", string(fault.Kind), fault.Target)
-					heal()
-				})
-			}
-		})
-	}
-}
-
 // inject brings a fault about and returns what heals it, or nil.
 func (s *tableSite) inject(fault Fault) (heal func()) {
 	switch fault.Kind {
 	case FaultCutZone:
-		return s.cutZone(structs.ZoneID(fault.Target))
+		return s.cutZone(structs.ZoneID(fault.Target), s.zones)
 	case FaultCutOneWay:
-		from, to := structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer)
-		s.network.CutZones(from, to)
-		return func() { s.network.HealZones(from, to) }
+		return s.cutOneWay(structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer))
 	case FaultSilentLeader:
 		return s.silenceLeader(groupName(fault.Target), time.Duration(fault.Amount*float64(time.Second)))
 	case FaultStorm:
-		s.network.SetQuality(stormQuality(fault.Amount))
-		return func() { s.network.SetQuality(calmNetwork) }
+		return s.storm(fault.Amount)
 	case FaultTransfer:
 		s.transferLeadership(groupName(fault.Target))
 		return nil
@@ -110,30 +91,6 @@
 	return nil
 }
 
-func stormQuality(amount float64) Quality {
-	return Quality{
-		Loss:          amount,
-		Duplicate:     amount,
-		Straggle:      amount,
-		MinDelay:      calmNetwork.MinDelay,
-		MaxDelay:      30 * time.Millisecond,
-		StraggleDelay: 2 * time.Second,
-	}
-}
-
-func (s *tableSite) cutZone(zone structs.ZoneID) (heal func()) {
-	change := func(apply func(from, to structs.ZoneID)) {
-		for _, other := range s.zones {
-			if other != zone {
-				apply(zone, other)
-				apply(other, zone)
-			}
-		}
-	}
-	change(s.network.CutZones)
-	return func() { change(s.network.HealZones) }
-}
-
 // cutMachine cuts a control machine off from all others, but not from engines.
 func (s *tableSite) cutMachine(d *daemon) (heal func()) {
 	change := func(apply func(from, to Address)) {
--- a/simulate/tableplan.go
+++ b/simulate/tableplan.go
@@ -40,7 +40,7 @@
 }
 
 func (p *faultPlanner) between(least, most time.Duration) time.Duration {
-	return least + time.Duration(p.random.Int64N(int64(most-least)))
+	return between(p.random, least, most)
 }
 
 // add plans a fault; all are over at the end.
--- a/simulate/tablescenario.go
+++ b/simulate/tablescenario.go
@@ -48,7 +48,7 @@
 func followTable(plan seedPlan, table timetable) seedOutcome {
 	site := newTableSite(plan, table)
 	site.trace.Note("seed", formatHash(plan.seed), plan.mutation)
-	site.schedule(table.faults)
+	site.schedule(table.faults, site.inject)
 	site.scheduler.limit = eventLimit + uint64(table.end.Hours()*eventsPerHour)
 	site.scheduler.Run(table.end)
 	if site.judge.violation == nil && !site.scheduler.Exhausted() {
@@ -171,24 +171,8 @@
 
 // outcome gathers what the seed gave.
 func (s *tableSite) outcome(faults []Fault) seedOutcome {
-	s.counts.Events = s.scheduler.sequence
-	s.counts.Messages = s.network.delivered
-	s.counts.Faults = len(faults)
 	for _, d := range s.daemons {
 		s.counts.Crashes += d.machine.crashes
 	}
-	outcome := seedOutcome{
-		traceHash: s.trace.Sum(),
-		simulated: s.scheduler.Now(),
-		counts:    s.counts,
-	}
-	if violation := s.judge.violation; violation != nil {
-		violation.Scenario = tableScenarioName
-		violation.Seed = s.plan.seed
-		violation.Mutation = s.plan.mutation
-		violation.Faults = faults
-		violation.TraceHash = formatHash(outcome.traceHash)
-		outcome.violation = violation
-	}
-	return outcome
+	return s.seedOutcome(tableScenarioName, faults)
 }
--- a/simulate/tablesite.go
+++ b/simulate/tablesite.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/lotusferry/lotusferry/raft"
@@ -33,14 +32,8 @@
 
 // tableSite is a simulated site of the table scenario.
 type tableSite struct {
-	plan      seedPlan
-	random    *rand.Rand
-	scheduler *Scheduler
-	trace     *Trace
-	network   *Network
-	judge     *Judge
-	ledger    *ledger
-	counts    Counts
+	simulatedSite
+	ledger *ledger
 
 	zones     []structs.ZoneID
 	daemons   []*daemon
@@ -69,20 +62,10 @@
 }
 
 func newTableSite(plan seedPlan, table timetable) *tableSite {
-	scheduler := &Scheduler{}
-	trace := NewTrace(scheduler)
-	trace.sink = plan.sink
-	random := rand.New(rand.NewPCG(plan.seed, siteStream))
 	site := &tableSite{
-		plan:       plan,
-		random:     random,
-		scheduler:  scheduler,
-		trace:      trace,
-		network:    NewNetwork(scheduler, random, trace, calmNetwork),
-		judge:      &Judge{scheduler: scheduler, trace: trace},
-		zones:      simulatedZones,
-		heldOrders: map[Address]time.Duration{},
-
+		simulatedSite: newSimulatedSite(plan),
+		zones:         simulatedZones,
+		heldOrders:    map[Address]time.Duration{},
 		end:           table.end,
 		pace:          table.pace,
 		storeSlowness: 1,
@@ -93,14 +76,14 @@
 	for number, zone := range site.zones {
 		for i := range enginesPerZone[number] {
 			id := structs.RunnerID(fmt.Sprintf("%s/engine-%d", zone, i+1))
-			site.engines = append(site.engines, newEngineHost(site, random, id, zone))
+			site.engines = append(site.engines, newEngineHost(site, site.random, id, zone))
 		}
 	}
 	for number := range operatorCount {
-		site.operators = append(site.operators, newTableOperator(site, random, number))
+		site.operators = append(site.operators, newTableOperator(site, site.random, number))
 	}
 	for _, zone := range site.zones {
-		site.routers = append(site.routers, newDemandSource(site, random, zone))
+		site.routers = append(site.routers, newDemandSource(site, site.random, zone))
 	}
 	for _, d := range site.daemons {
 		d.machine.Start()
@@ -160,8 +143,6 @@
 	return s.daemons[number].machine.Address
 }
 
-func (s *tableSite) mutated(name string) bool { return s.plan.mutation == name }
-
 func (s *tableSite) daemonAt(address string) *daemon {
 	for _, d := range s.daemons {
 		if string(d.machine.Address) == address {
