--- a/admission/class.go
+++ b/admission/class.go
@@ -5,16 +5,21 @@
 // Flows whose start is within fairnessSlack of the class's virtual time are
 // eligible and ordered by earliest deadline; the others wait in order of start.
 type class struct {
-	length         int
-	passed         int
-	sequence       uint64
-	virtual        float64
-	weights        float64
-	flows          map[string]*flow
+	length int
+	// passed counts the turns of higher classes while this one waited for its own.
+	passed int
+	// sequence is that of the newest item.
+	sequence uint64
+	// virtual is the virtual time, and weights the sum of the flows' weights.
+	virtual float64
+	weights float64
+	flows   map[string]*flow
+	// eligible flows are ordered by deadline, those ahead of their share by start.
 	eligible       heap[flow]
 	ahead          heap[flow]
 	newest, oldest *node
-	free           *flow
+	// free lists flows to use again.
+	free *flow
 }
 
 // flow is one caller's items of one class, by earliest deadline.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -144,12 +144,7 @@
 	if !ok {
 		return Item{}, false
 	}
-	q.countTurn(index)
-	head := q.classes[index].next()
-	item := head.Item
-	q.classes[index].charge(head.flow)
-	q.remove(head)
-	return item, true
+	return q.take(index, q.classes[index].next()), true
 }
 
 // PopPreferred removes, of the next few items of the class whose turn it is, the
@@ -169,11 +164,16 @@
 	if chosen != head {
 		head.passed++
 	}
+	return q.take(index, chosen), true
+}
+
+// take removes an item of the class and counts the turn for its caller.
+func (q *Queue) take(index int, chosen *node) Item {
 	q.countTurn(index)
 	item := chosen.Item
 	q.classes[index].charge(chosen.flow)
 	q.remove(chosen)
-	return item, true
+	return item
 }
 
 // Remove takes the item out without a turn; it reports whether it was there.
@@ -188,11 +188,10 @@
 // Len counts the items.
 func (q *Queue) Len() int { return len(q.nodes) }
 
-// Ahead counts the items of priority and above: those that go before a new
-// item of that priority if its deadline is the latest.
-func (q *Queue) Ahead(priority structs.Priority) int {
+// countFrom counts the items of the class and of those above it.
+func (q *Queue) countFrom(class int) int {
 	count := 0
-	for index := int(clampPriority(priority)); index < structs.PriorityCount; index++ {
+	for index := class; index < structs.PriorityCount; index++ {
 		count += q.classes[index].length
 	}
 	return count
@@ -203,11 +202,7 @@
 // of that priority as many as its share of turns meanwhile.
 func (q *Queue) AheadOf(priority structs.Priority, caller string) int {
 	priority = clampPriority(priority)
-	count := 0
-	for index := int(priority) + 1; index < structs.PriorityCount; index++ {
-		count += q.classes[index].length
-	}
-	return count + q.classes[priority].aheadOf(caller, q.weight(caller))
+	return q.countFrom(int(priority)+1) + q.classes[priority].aheadOf(caller, q.weight(caller))
 }
 
 // EachAhead calls visit for every item as Each does, with the number of items
@@ -268,6 +263,7 @@
 	return highest, highest >= 0
 }
 
+// countTurn notes which classes the turn of the served one passes over.
 func (q *Queue) countTurn(served int) {
 	for index := range q.classes {
 		if index == served || q.classes[index].length == 0 {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -146,7 +146,7 @@
 			}
 		}
 		qt.Assert(t, queue.Len(), qt.Equals, len(held))
-		qt.Assert(t, queue.Ahead(0), qt.Equals, len(held))
+		qt.Assert(t, queue.countFrom(0), qt.Equals, len(held))
 	}
 	qt.Assert(t, drain(queue), qt.HasLen, len(held))
 }
--- a/api/client.go
+++ b/api/client.go
@@ -109,7 +109,7 @@
 	if request.Embedding {
 		return pathEmbeddings, embeddingsBody{Model: string(request.Row), Input: inputList{request.Prompt}}
 	}
-	return "/v1/completions", clientBody{
+	return pathCompletions, clientBody{
 		Model:     string(request.Row),
 		Prompt:    request.Prompt,
 		MaxTokens: request.MaxTokens,
--- a/api/embeddings.go
+++ b/api/embeddings.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	pathEmbeddings = "/v1/embeddings"
 	// maxInputs bounds the inputs of one request for embeddings.
 	maxInputs = 256
 	// encodingBase64 asks for a vector as base64 of little-endian float32 values.
--- a/api/errors.go
+++ b/api/errors.go
@@ -26,21 +26,16 @@
 	structs.ErrorInternal:    http.StatusInternalServerError,
 }
 
-// errorAnswer makes the status and body of the answer to err.
-func errorAnswer(err error) (int, errorBody) {
+// errorBodyOf makes the body of the answer to err.
+func errorBodyOf(err error) errorBody {
 	typed := typedError(err)
-	status, known := statusOf[typed.Kind]
-	if !known {
-		status = http.StatusInternalServerError
-	}
-	detail := errorDetail{
+	return errorBody{Error: errorDetail{
 		Message:   typed.Error(),
 		Type:      string(typed.Kind),
 		Code:      string(typed.Kind),
 		Remedy:    typed.Remedy,
 		Execution: string(executionOf(err)),
-	}
-	return status, errorBody{Error: detail}
+	}}
 }
 
 func typedError(err error) *structs.Error {
@@ -62,12 +57,15 @@
 
 // encodeError writes a refusal or error as JSON. It is go-kit's error encoder.
 func encodeError(_ context.Context, err error, w http.ResponseWriter) {
-	status, _ := errorAnswer(err)
+	status, known := statusOf[typedError(err).Kind]
+	if !known {
+		status = http.StatusInternalServerError
+	}
 	writeError(w, status, err)
 }
 
 func writeError(w http.ResponseWriter, status int, err error) {
-	_, body := errorAnswer(err)
+	body := errorBodyOf(err)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderExecution, body.Error.Execution)
--- a/api/handler.go
+++ b/api/handler.go
@@ -68,10 +68,10 @@
 	}
 	generate := generateEndpoint(service, options)
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", kithttp.NewServer(generate, decode.chat, encodeReply, serverOptions...))
-	mux.Handle("POST /v1/completions", kithttp.NewServer(generate, decode.completion, encodeReply, serverOptions...))
-	mux.Handle("POST /v1/embeddings", kithttp.NewServer(embeddingsEndpoint(service), decode.embeddings, encodeEmbeddings, serverOptions...))
-	mux.Handle("GET /v1/models", kithttp.NewServer(modelsEndpoint(service), kithttp.NopRequestDecoder, encodeModels, serverOptions...))
+	mux.Handle("POST "+pathChatCompletions, kithttp.NewServer(generate, decode.chat, encodeReply, serverOptions...))
+	mux.Handle("POST "+pathCompletions, kithttp.NewServer(generate, decode.completion, encodeReply, serverOptions...))
+	mux.Handle("POST "+pathEmbeddings, kithttp.NewServer(embeddingsEndpoint(service), decode.embeddings, encodeEmbeddings, serverOptions...))
+	mux.Handle("GET "+pathModels, kithttp.NewServer(modelsEndpoint(service), kithttp.NopRequestDecoder, encodeModels, serverOptions...))
 	return authenticate(withTaken(mux), options)
 }
 
--- a/api/headers.go
+++ b/api/headers.go
@@ -1,5 +1,13 @@
 package api
 
+// The paths of the callers' interface.
+const (
+	pathChatCompletions = "/v1/chat/completions"
+	pathCompletions     = "/v1/completions"
+	pathEmbeddings      = "/v1/embeddings"
+	pathModels          = "/v1/models"
+)
+
 // The headers of the callers' interface.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -13,9 +21,9 @@
 	// is read only when another daemon sent the request.
 	HeaderCaller = "Lotusferry-Caller"
 	// HeaderForwardIf set to ForwardIfReady makes a forwarded request conditional: it
-	// is refused as not_run at once unless a ready replica has room for it now. One that is
-	// taken is answered at once with the informational status 102. It is read only
-	// when another daemon sent the request.
+	// is refused as not_run at once unless a ready replica has room for it now. One
+	// that is taken is answered at once with the informational status 102. It is read
+	// only when another daemon sent the request.
 	HeaderForwardIf = "Lotusferry-Forward-If"
 	// ForwardIfReady is the value of HeaderForwardIf.
 	ForwardIfReady = "ready"
--- a/api/messages.go
+++ b/api/messages.go
@@ -74,6 +74,7 @@
 	OwnedBy string `json:"owned_by"`
 }
 
+// errorBody is the answer to a request that failed, as OpenAI clients expect it.
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
--- a/api/stream.go
+++ b/api/stream.go
@@ -137,8 +137,7 @@
 // fail ends a stream that cannot be completed. No [DONE] follows, so that a
 // client never takes the part it got for the whole.
 func (s *streamEncoder) fail(err error) error {
-	_, body := errorAnswer(err)
-	return s.writeEvent(body)
+	return s.writeEvent(errorBodyOf(err))
 }
 
 func (s *streamEncoder) writeEvent(value any) error {
--- a/daemon/memberchange.go
+++ b/daemon/memberchange.go
@@ -229,6 +229,9 @@
 // removeDaemon removes every identity of a daemon. It refuses what would leave the
 // other voters without a majority, and a removal in the midst of a repair.
 func (m *memberNode) removeDaemon(ctx context.Context, status group.Status, nodes []raft.NodeID) error {
+	if len(nodes) == 0 {
+		return m.confirmUnchanged(ctx)
+	}
 	for _, learner := range status.Membership.Learners {
 		if !slices.Contains(nodes, learner) {
 			return repairingError(m.name, status.Names[learner])
@@ -280,9 +283,13 @@
 		}
 		return m.promote(ctx, status, node)
 	}
-	return nil
+	return m.confirmUnchanged(ctx)
 }
 
+// confirmUnchanged returns once a read shows that this member still leads. A leader
+// that was deposed unknowingly cannot tell that a change is made already.
+func (m *memberNode) confirmUnchanged(ctx context.Context) error { return m.group.Read(ctx) }
+
 // list is the membership as this leader sees it.
 func (m *memberNode) list() operatorapi.GroupMembers {
 	status := m.group.Status()
--- a/daemon/memberchange_test.go
+++ b/daemon/memberchange_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// A newer leader may have added the daemon or taken its vote back meanwhile.
+func TestLeaderWithoutAQuorumDoesNotCallAChangeMadeAlready(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.start(0, 1, 2)
+	for _, change := range []operatorapi.MemberChange{
+		{Group: globalGroupName, Action: operatorapi.MemberRemove, Daemon: "unknown"},
+		{Group: globalGroupName, Action: operatorapi.MemberPromote, Daemon: "north-0"},
+	} {
+		s.await("the whole group", s.whole)
+		leader := s.running[s.settings[s.leaderIndex()].Daemon]
+		c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNil)
+		for _, settings := range s.settings {
+			leader.faults.Cut(settings.Listen.Internal)
+		}
+		c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNotNil)
+		for _, settings := range s.settings {
+			leader.faults.Heal(settings.Listen.Internal)
+		}
+	}
+}
+
 func TestChangeIsRefusedWhileThePreviousOneIsNotCommitted(t *testing.T) {
 	const own, other raft.NodeID = 1, 2
 	voter := raft.Membership{Voters: []raft.NodeID{own, other}}
--- a/daemon/memberservice.go
+++ b/daemon/memberservice.go
@@ -42,7 +42,7 @@
 // Found makes this daemon's member a founding one. A member that has belonged to a
 // group refuses.
 func (s *MemberService) Found(arguments FoundArguments, reply *MemberReply) error {
-	s.run(arguments.Group, reply, func(ctx context.Context, node *memberNode) error {
+	reply.Error = s.run(arguments.Group, func(ctx context.Context, node *memberNode) error {
 		return node.group.Found(ctx, arguments.Members)
 	})
 	return nil
@@ -50,7 +50,7 @@
 
 // Join replaces the lost identity of a daemon. Only the leader takes it.
 func (s *MemberService) Join(arguments JoinArguments, reply *MemberReply) error {
-	s.run(arguments.Group, reply, func(ctx context.Context, node *memberNode) error {
+	reply.Error = s.run(arguments.Group, func(ctx context.Context, node *memberNode) error {
 		return node.join(ctx, arguments.Member)
 	})
 	return nil
@@ -58,52 +58,42 @@
 
 // List tells the membership as the leader sees it.
 func (s *MemberService) List(arguments DescribeArguments, reply *MemberListReply) error {
-	node, refusal := s.node(arguments.Group)
-	if refusal != nil {
-		reply.Error = refusal
+	reply.Error = s.run(arguments.Group, func(ctx context.Context, node *memberNode) error {
+		if err := node.group.Read(ctx); err != nil {
+			return err
+		}
+		reply.Members = node.list()
 		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := node.group.Read(ctx); err != nil {
-		reply.Error = asTyped(err)
-		return nil
-	}
-	reply.Members = node.list()
+	})
 	return nil
 }
 
 // Backup returns a snapshot of the group. Only the leader takes it.
 func (s *MemberService) Backup(arguments DescribeArguments, reply *SaveReply) error {
-	node, refusal := s.node(arguments.Group)
-	if refusal != nil {
-		reply.Error = refusal
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	snapshot, err := node.group.Backup(ctx)
-	reply.Snapshot = snapshot
-	reply.Identity = logstore.Identity{Group: arguments.Group, Daemon: s.daemon, Node: node.own.Node}
-	reply.Error = asTyped(err)
+	reply.Error = s.run(arguments.Group, func(ctx context.Context, node *memberNode) error {
+		snapshot, err := node.group.Backup(ctx)
+		reply.Snapshot = snapshot
+		reply.Identity = logstore.Identity{Group: arguments.Group, Daemon: s.daemon, Node: node.own.Node}
+		return err
+	})
 	return nil
 }
 
 // Change makes an operator's change. Only the leader takes it.
 func (s *MemberService) Change(arguments MemberChangeArguments, reply *MemberReply) error {
-	s.run(arguments.Change.Group, reply, func(ctx context.Context, node *memberNode) error {
+	reply.Error = s.run(arguments.Change.Group, func(ctx context.Context, node *memberNode) error {
 		return node.change(ctx, arguments.Change)
 	})
 	return nil
 }
 
-func (s *MemberService) run(name string, reply *MemberReply, act func(context.Context, *memberNode) error) {
+// run lets this daemon's member of the named group act, for proposeTimeout at most.
+func (s *MemberService) run(name string, act func(context.Context, *memberNode) error) *structs.Error {
 	node, refusal := s.node(name)
 	if refusal != nil {
-		reply.Error = refusal
-		return
+		return refusal
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	reply.Error = asTyped(act(ctx, node))
+	return asTyped(act(ctx, node))
 }
--- a/overload/call.go
+++ b/overload/call.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -16,7 +17,7 @@
 	promptBytes   = 4096
 	sharedBytes   = 3584
 	sharedPrompts = 60
-	promptTokens  = promptBytes / 4
+	promptTokens  = promptBytes / engineapi.TokenBytes
 	answerTokens  = 64
 	callerCount   = 24
 )
@@ -38,7 +39,6 @@
 	returned bool
 
 	arrivedAt time.Duration
-	sentAt    time.Duration
 	firstAt   time.Duration
 	endedAt   time.Duration
 	attempts  int
@@ -72,6 +72,7 @@
 // priorityShares are the parts of batch, standard and live in a mixed stream.
 var priorityShares = [structs.PriorityCount]float64{0.2, 0.3, 0.5}
 
+// arrivals draws the calls of the stream, in the order of their arrival.
 func (s stream) arrivals(random *rand.Rand) []*call {
 	var arriving []*call
 	at := s.from
@@ -103,6 +104,7 @@
 	}
 }
 
+// choose returns wanted, or a random number below count when it is anyOne.
 func choose(random *rand.Rand, wanted, count int) int {
 	drawn := random.IntN(count)
 	if wanted == anyOne {
--- a/overload/check.go
+++ b/overload/check.go
@@ -32,7 +32,7 @@
 }
 
 func (s *site) violate(rule string, target *call, detail string) {
-	s.violation = append(s.violation, Violation{
+	s.violations = append(s.violations, Violation{
 		Seed: s.seed, Policy: s.policy, Scenario: s.scenario.name, Rule: rule,
 		Request: string(target.request.ID), Detail: detail,
 	})
--- a/overload/engine.go
+++ b/overload/engine.go
@@ -18,8 +18,7 @@
 	calls  map[emulator.CallID]engineCall
 	byName map[router.AttemptID]emulator.CallID
 	last   emulator.CallID
-	// armed is when the engine's next event is scheduled; 0 means never.
-	armed time.Duration
+	wakeup wakeup
 }
 
 // engineCall is one attempt under way.
@@ -66,16 +65,7 @@
 	if !some {
 		return
 	}
-	when := next.Sub(epochStart)
-	if h.armed > 0 && h.armed <= when {
-		return
-	}
-	h.armed = when
-	h.site.scheduler.At(when, func() {
-		if h.armed != when {
-			return
-		}
-		h.armed = 0
+	h.wakeup.set(&h.site.scheduler, next.Sub(epochStart), func() {
 		h.passOn(h.engine.Advance(h.site.now()))
 		h.arm()
 	})
--- a/overload/measure.go
+++ b/overload/measure.go
@@ -97,15 +97,10 @@
 func (s *site) measureGoodput(gathered *measurements) {
 	var inTime, late, wasted, tokens int
 	from, until := warmUp+settleTime, warmUp+s.length()
-	shares := map[string]*share{}
+	labels := shares{}
 	for _, target := range s.calls {
 		tokens += target.tokens
-		counted := shares[target.label]
-		if counted == nil {
-			counted = &share{}
-			shares[target.label] = counted
-		}
-		counted.add(target)
+		labels.of(target.label).add(target)
 		if target.inTime() {
 			if target.endedAt >= from && target.endedAt < until {
 				inTime++
@@ -123,7 +118,7 @@
 	gathered.addShare(figureLate, late, len(s.calls))
 	gathered.addShare(figureWasted, wasted, tokens)
 	for _, label := range []string{labelAll, labelBurst, labelOthers, labelFlood} {
-		if counted := shares[label]; counted != nil {
+		if counted := labels[label]; counted != nil {
 			gathered.addShare(figureInTime+"_"+label, counted.inTime, counted.calls)
 		}
 	}
@@ -139,6 +134,19 @@
 	}
 }
 
+// shares are those of calls that are counted apart, by name.
+type shares map[string]*share
+
+// of returns the share of the name; one that was not asked for before is empty.
+func (s shares) of(name string) *share {
+	counted := s[name]
+	if counted == nil {
+		counted = &share{}
+		s[name] = counted
+	}
+	return counted
+}
+
 // length is how long calls arrive.
 func (s *site) length() time.Duration {
 	length := time.Duration(0)
@@ -227,17 +235,11 @@
 
 // measureCallers finds the caller that does not flood and is served worst.
 func (s *site) measureCallers(gathered *measurements) {
-	callers := map[string]*share{}
+	callers := shares{}
 	for _, target := range s.calls {
-		if target.label != labelOthers {
-			continue
-		}
-		counted := callers[target.request.Caller]
-		if counted == nil {
-			counted = &share{}
-			callers[target.request.Caller] = counted
+		if target.label == labelOthers {
+			callers.of(target.request.Caller).add(target)
 		}
-		counted.add(target)
 	}
 	if len(callers) == 0 {
 		return
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -150,7 +150,7 @@
 			}
 			made.run()
 			seen := map[string]bool{}
-			for _, violation := range made.violation {
+			for _, violation := range made.violations {
 				seen[violation.Rule] = true
 			}
 			qt.Check(t, seen[test.rule], qt.Equals, test.rule != "")
--- a/overload/routerhost.go
+++ b/overload/routerhost.go
@@ -16,8 +16,8 @@
 	decider decider
 	sent    map[router.AttemptID]*engineHost
 	// read is how far the cache events of each engine were read.
-	read  map[structs.RunnerID]uint64
-	armed time.Duration
+	read   map[structs.RunnerID]uint64
+	wakeup wakeup
 }
 
 func newRouterHost(site *site, index int) *routerHost {
@@ -91,18 +91,7 @@
 	if !some {
 		return
 	}
-	when := next.Sub(epochStart)
-	if h.armed > 0 && h.armed <= when {
-		return
-	}
-	h.armed = when
-	h.site.scheduler.At(when, func() {
-		if h.armed != when {
-			return
-		}
-		h.armed = 0
-		h.step(router.Tick{})
-	})
+	h.wakeup.set(&h.site.scheduler, next.Sub(epochStart), func() { h.step(router.Tick{}) })
 }
 
 func (h *routerHost) carryOut(effect router.Effect) {
--- a/overload/run.go
+++ b/overload/run.go
@@ -142,7 +142,7 @@
 	made.run()
 	j.figures = made.measure()
 	j.requests = len(made.calls)
-	j.violated = made.violation
+	j.violated = made.violations
 }
 
 // parallel calls work for each index until the context ends.
--- a/overload/site.go
+++ b/overload/site.go
@@ -52,8 +52,8 @@
 	calls     []*call
 	byRequest map[structs.RequestID]*call
 	// coming counts the refused callers that will come back.
-	coming    int
-	violation []Violation
+	coming     int
+	violations []Violation
 	// wrap, when set, stands between the routers' decisions and their shells.
 	wrap func(decider) decider
 }
@@ -112,7 +112,6 @@
 func (s *site) dispatched(send router.SendAttempt) {
 	target := s.byRequest[send.Attempt.Request()]
 	if target.attempts == 0 {
-		target.sentAt = s.scheduler.Now()
 		target.estimated = send.EstimatedWait
 		target.waited = send.Waited
 	}
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -239,8 +239,7 @@
 	if held.row.listed {
 		return false
 	}
-	problem := notFound(held.Row)
-	c.refuse(held, problem.Kind, problem.Message, problem.Remedy, never)
+	c.refuseAs(held, notFound(held.Row), never)
 	return true
 }
 
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -5,6 +5,7 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// attemptStarted notes that the engine took the attempt.
 func (c *Core) attemptStarted(id AttemptID) {
 	if held := c.attempts[id]; held != nil {
 		held.accepted = true
@@ -45,6 +46,7 @@
 	return token.Finish == "" || token.Finish == structs.FinishStop || token.Finish == structs.FinishLength
 }
 
+// deliverToken hands the caller a token that continues the stream.
 func (c *Core) deliverToken(held *request, token *structs.Token) {
 	held.delivered++
 	if !held.Repeatable() {
@@ -129,6 +131,7 @@
 	c.sleepUntil(held, when)
 }
 
+// askStatus has the engine cancel the broken attempt and say what became of it.
 func (c *Core) askStatus(held *request) {
 	held.statusAsks++
 	c.emit(AskStatus{
@@ -139,6 +142,11 @@
 	})
 }
 
+// answered reports whether the engine said what it knows of this attempt.
+func (s StatusReplied) answered() bool {
+	return s.Error == nil && s.Status != nil && s.Status.ID == structs.RequestID(s.Attempt)
+}
+
 // statusReplied decides whether a broken attempt with a key certainly did not run.
 func (c *Core) statusReplied(event StatusReplied) {
 	if event.Peek {
@@ -149,11 +157,11 @@
 	if held == nil || held.phase != phaseAsking || held.attempt != event.Attempt {
 		return
 	}
-	status := event.Status
-	if event.Error != nil || status == nil || status.ID != structs.RequestID(event.Attempt) {
+	if !event.answered() {
 		c.askAgain(held)
 		return
 	}
+	status := event.Status
 	sameLife := status.Incarnation == held.choice.Incarnation()
 	neverStarted := !status.Started && status.Tokens == 0
 	switch {
--- a/router/claim.go
+++ b/router/claim.go
@@ -116,9 +116,9 @@
 	}
 	switch structs.KindOf(asError(problem)) {
 	case structs.ErrorInvalid:
-		c.refuse(held, problem.Kind, problem.Message, problem.Remedy, never)
+		c.refuseAs(held, *problem, never)
 	case structs.ErrorOverloaded:
-		c.refuse(held, problem.Kind, problem.Message, problem.Remedy, estimate)
+		c.refuseAs(held, *problem, estimate)
 	default:
 		c.refuse(held, structs.ErrorUnavailable, "the request's key could not be claimed in its home zone",
 			"Come back after the time given with the same key.", estimate)
--- a/router/core.go
+++ b/router/core.go
@@ -16,13 +16,15 @@
 	// tickedAt is the time of the last Tick; events between do not put off the next.
 	tickedAt time.Time
 	draining bool
-	turns    int
+	// turns counts the calls of dispatchInOrder.
+	turns int
 	// rowTurns is the number of turns that a row which was idle starts with, so that
 	// it saves up nothing; it only rises.
 	rowTurns int
 	// queued counts the requests in all queues.
 	queued int
 
+	// rows are all that are known, active those of them in use.
 	rows     map[structs.RowName]*row
 	active   map[structs.RowName]*row
 	requests map[structs.RequestID]*request
@@ -42,9 +44,11 @@
 	reported     map[structs.RowName]reportedDemand
 	demandUrgent bool
 
+	// effects are those of the Step under way; deliver is the Deliver among them.
 	effects []Effect
 	deliver Deliver
-	freed   []structs.RunnerID
+	// freed are the runners that got room in the Step under way.
+	freed []structs.RunnerID
 	// competing is the memory of dispatchInOrder's argument.
 	competing []waitingRow
 	stats     Stats
--- a/router/demand.go
+++ b/router/demand.go
@@ -67,12 +67,13 @@
 		}
 		report.Rows = append(report.Rows, demand)
 		current.arrived = 0
-		c.reported[demand.Row] = reportedDemand{demand.Waiting, demand.Running, demand.Highest, c.now}
+		c.reported[demand.Row] = reportedDemand{waiting: demand.Waiting, running: demand.Running, highest: demand.Highest, at: c.now}
 	}
 	slices.SortFunc(report.Rows, func(a, b structs.RowDemand) int { return cmp.Compare(a.Row, b.Row) })
 	return report, len(report.Rows) > 0 || (known && scope != DemandWaiting)
 }
 
+// isNews reports whether a report of the scope lists the row.
 func (c *Core) isNews(scope DemandScope, demand structs.RowDemand) bool {
 	last := c.reported[demand.Row]
 	switch scope {
--- a/router/demand_test.go
+++ b/router/demand_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -219,6 +219,7 @@
 	return nil
 }
 
+// byUrgency orders by priority, turns beyond limit, then deadline.
 func byUrgency(left, right waitingRow, limit int) int {
 	return cmp.Or(
 		cmp.Compare(right.head.Priority, left.head.Priority),
@@ -228,6 +229,7 @@
 	)
 }
 
+// byWait puts the row first whose next request has waited for the longest.
 func byWait(left, right waitingRow) int {
 	return cmp.Or(
 		left.head.QueuedAt.Compare(right.head.QueuedAt),
@@ -254,6 +256,8 @@
 	retryAfter time.Duration
 }
 
+// review checks one row. Later arrivals are left out: what is refused would be late
+// even if nothing more came.
 func (c *Core) review(waiting *row) {
 	situation := c.situation(waiting, structs.Request{Priority: structs.PriorityLive})
 	var late []lateRequest
--- a/router/doc.go
+++ b/router/doc.go
@@ -15,9 +15,9 @@
 //
 // # Requests with an idempotency key
 //
-// The key's home zone alone decides about it, wherever the request is executed.
-// In it the router claims the key before anything else, names the chosen engine in the claim before it sends the
-// request, and sends it again only if the engine certainly did not run it. The
-// whole answer is in a FinishClaim effect ahead of the Finish; a claim whose
-// request certainly did not run is released with structs.ClaimReleased.
+// The key's home zone alone decides about it, wherever the request is executed. In
+// it the router claims the key before anything else, names the chosen engine in the
+// claim before it sends the request, and sends it again only if the engine certainly
+// did not run it. The whole answer is in a FinishClaim effect ahead of the Finish; a
+// claim whose request certainly did not run is released with structs.ClaimReleased.
 package router
--- a/router/effect.go
+++ b/router/effect.go
@@ -27,10 +27,10 @@
 // CancelAttempt asks to cancel the attempt at its engine and close its stream.
 type CancelAttempt struct{ Attempt AttemptID }
 
-// BeginClaim asks the group of the zone Claim.Home to hold the claim durably. It is sent again by
-// the same request with Runner and Incarnation set before each attempt; the zone
-// records them and answers New. ClaimReplied answers each one, with an Error if
-// the zone's answer did not come.
+// BeginClaim asks the group of the zone Claim.Home to hold the claim durably. It is
+// sent again by the same request with Runner and Incarnation set before each attempt;
+// the zone records them and answers New. ClaimReplied answers each one, with an Error
+// if the zone's answer did not come.
 type BeginClaim struct {
 	ID    structs.RequestID
 	Claim structs.Claim
@@ -40,10 +40,11 @@
 	AnswerBytes int
 }
 
-// FinishClaim asks the group of the zone Claim.Home to record the claim's end: finished with the
-// whole answer, unknown, or released (it certainly did not run and never will).
-// It has no effect on a claim that another request holds or that has ended. The
-// shell repeats it until the zone has it; the request's caller does not wait.
+// FinishClaim asks the group of the zone Claim.Home to record the claim's end:
+// finished with the whole answer, unknown, or released (it certainly did not run and
+// never will). It has no effect on a claim that another request holds or that has
+// ended. The shell repeats it until the zone has it; the request's caller does not
+// wait.
 type FinishClaim struct {
 	ID    structs.RequestID
 	Claim structs.Claim
--- a/router/finish.go
+++ b/router/finish.go
@@ -24,7 +24,8 @@
 	return estimate + time.Duration(retrySpread*c.options.Random.Float64()*float64(estimate))
 }
 
-// refuse ends the request with a refusal and its claim accordingly.
+// refuse ends the request with a refusal and its claim accordingly. The estimate is of
+// when capacity frees, or never.
 func (c *Core) refuse(held *request, kind structs.ErrorKind, message, remedy string, estimate time.Duration) {
 	execution := held.execution()
 	if c.mutation == mutationClaimNotRun {
@@ -43,6 +44,11 @@
 	}
 }
 
+// refuseAs ends the request with the kind, message and remedy of a problem.
+func (c *Core) refuseAs(held *request, problem structs.Error, estimate time.Duration) {
+	c.refuse(held, problem.Kind, problem.Message, problem.Remedy, estimate)
+}
+
 // refuseUnheld ends a request that was not held; nothing of it ran.
 func (c *Core) refuseUnheld(id structs.RequestID, problem structs.Error) {
 	c.stats.Refused++
--- a/router/home.go
+++ b/router/home.go
@@ -50,8 +50,8 @@
 // embeddingMark tells the digest of a request for an embedding from others.
 const embeddingMark = 1
 
-// RequestDigest hashes what a request asks for, so that another request under the same
-// key is noticed.
+// RequestDigest hashes what a request asks for, so that another request under the
+// same key is noticed.
 func RequestDigest(request structs.Request) uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(string(request.Row))
--- a/router/offer.go
+++ b/router/offer.go
@@ -22,8 +22,8 @@
 )
 
 // offer hands a new request for a row without a ready replica here to zones that
-// may have one, and reports whether it did. Until the offer has failed, the request is no demand
-// for a load in this zone.
+// may have one, and reports whether it did. Until the offer has failed, the request
+// is no demand for a load in this zone.
 func (c *Core) offer(incoming structs.Request, wanted *row) bool {
 	if !incoming.Repeatable() || incoming.Forwarded || c.balancer.Ready(wanted.Name) > 0 {
 		return false
@@ -136,7 +136,7 @@
 		return
 	}
 	problem := noRoom(held.Row)
-	c.refuse(held, problem.Kind, problem.Message, problem.Remedy, problem.RetryAfter)
+	c.refuseAs(held, problem, problem.RetryAfter)
 }
 
 func noRoom(name structs.RowName) structs.Error {
--- a/router/options.go
+++ b/router/options.go
@@ -40,8 +40,8 @@
 	BackoffBase  time.Duration
 	BackoffLimit time.Duration
 	// StallFloor and StallCeiling bound how long an engine may send nothing before
-	// its attempt is taken to have stalled; a long prompt, and the time
-	// to wait for another request there, come on top for the first token.
+	// its attempt is taken to have stalled; for the first token a long prompt, and
+	// the time to wait for another request there, come on top.
 	StallFloor   time.Duration
 	StallCeiling time.Duration
 	// StatusLimit bounds how often an engine is asked about one attempt.
--- a/router/request.go
+++ b/router/request.go
@@ -33,30 +33,41 @@
 // and, with a key, by Options.AnswerLimit.
 type request struct {
 	structs.Request
-	row      *row
-	phase    phase
-	gone     bool
+	row   *row
+	phase phase
+	// gone says that nobody waits for the answer.
+	gone bool
+	// attempts and choices count what was sent, and what was named in the claim.
 	attempts int
 	choices  uint64
-	attempt  AttemptID
-	choice   routing.Choice
-	avoid    structs.RunnerID
+	// attempt is the newest attempt, choice the replica it was or will be sent to.
+	attempt AttemptID
+	choice  routing.Choice
+	// avoid is the runner of the attempt that failed last.
+	avoid structs.RunnerID
 	// accepted says that the engine is known to have taken the current attempt.
 	accepted bool
 	// uncertain says that an earlier attempt may have run in part.
 	uncertain bool
 	// done says that the request under this key ran whole, as its claim shows.
-	done        bool
-	claimHeld   bool
+	done bool
+	// claimHeld says that the home zone holds the claim, or may.
+	claimHeld bool
+	// delivered counts the tokens that were received, resumedFrom those of them that
+	// came before the current attempt.
 	delivered   int
 	resumedFrom int
-	answer      []byte
+	// answer is the text so far of a request with a key.
+	answer []byte
+	// statusAsks counts how often an engine was asked about the current attempt.
 	statusAsks  int
 	prefixes    [routing.PrefixHashLimit]uint64
 	prefixCount int
 	queuedAt    time.Time
-	estimated   time.Duration
-	sentAt      time.Time
+	// estimated is the wait that was expected when the request was admitted.
+	estimated time.Duration
+	// sentAt is when the current attempt was sent.
+	sentAt time.Time
 	// heardAt is when the current attempt was sent or last gave a token.
 	heardAt time.Time
 	// paused says that the shell does not read the attempt's stream now.
@@ -67,8 +78,9 @@
 	peeking      bool
 	peekedTokens int
 	started      bool
-	wakeAt       time.Time
-	position     int
+	// wakeAt is when Tick looks at the request, position its place in the timers.
+	wakeAt   time.Time
+	position int
 }
 
 func (r *request) prefixHashes() []uint64 { return r.prefixes[:r.prefixCount] }
--- a/router/row.go
+++ b/router/row.go
@@ -14,7 +14,9 @@
 	structs.Row
 	// listed says that the row is in the table; a removed row lives on until its
 	// last request has ended.
-	listed        bool
+	listed bool
+	// limit is how many replicas this zone may load, as the newest grant says, whose
+	// number is grantSequence; elsewhere are the other zones that may load the row.
 	limit         int
 	grantSequence uint64
 	elsewhere     []structs.ZoneID
@@ -28,6 +30,7 @@
 	// held counts the row's requests, running those that occupy a slot.
 	held    int
 	running int
+	// arrived counts the arrivals since the row's demand was last reported.
 	arrived int
 	// turns counts the row's turns, for the fairness between rows.
 	turns int
@@ -39,7 +42,8 @@
 	refusedUntil map[structs.ZoneID]time.Time
 	// awaitedSince is when the row was first wanted without a ready replica.
 	awaitedSince time.Time
-	reviewAt     time.Time
+	// reviewAt is when the waiting requests are next checked against the estimate.
+	reviewAt time.Time
 }
 
 // wanting counts the requests that want to be served by this zone.
--- a/router/stall.go
+++ b/router/stall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -48,11 +49,22 @@
 	held.heardAt = c.now
 }
 
+// awaitsFirst reports whether the current attempt has given no token yet.
+func (r *request) awaitsFirst() bool { return r.delivered <= r.resumedFrom }
+
+// pace is that of what the current attempt is waited for: its first or its next token.
+func (r *request) pace() *admission.Pace {
+	if r.awaitsFirst() {
+		return &r.row.first
+	}
+	return &r.row.gap
+}
+
 // stallLimit is how long the current attempt may go on without a token. Before the
 // first one it may have to wait at its engine for another request to end: without
 // an allowance for that, every burst looks like a stall.
 func (c *Core) stallLimit(held *request) time.Duration {
-	if held.delivered > held.resumedFrom {
+	if !held.awaitsFirst() {
 		return held.row.gap.Limit(c.options.StallFloor, c.options.StallCeiling)
 	}
 	waiting := min(held.row.estimator.Service(held.MaxTokens), held.DeadlineAt.Sub(held.sentAt)/stallQueueShare)
@@ -70,12 +82,7 @@
 
 // hear records the time of a token. It sets no timer: checkStall looks again later.
 func (c *Core) hear(held *request) {
-	since := c.now.Sub(held.heardAt)
-	if held.delivered > held.resumedFrom {
-		held.row.gap.Observe(since)
-	} else {
-		held.row.first.Observe(since)
-	}
+	held.pace().Observe(c.now.Sub(held.heardAt))
 	held.heardAt = c.now
 	held.peeking = false
 }
@@ -106,22 +113,14 @@
 // leaveSilent gives the current attempt up. attemptBroke cancels it too if it asks
 // the engine about it.
 func (c *Core) leaveSilent(held *request) {
-	c.stalled(held)
+	c.stats.Stalls++
+	held.pace().Silent()
 	if held.Repeatable() || held.ran() {
 		c.emit(CancelAttempt{Attempt: held.attempt})
 	}
 	c.attemptBroke(held)
 }
 
-func (c *Core) stalled(held *request) {
-	c.stats.Stalls++
-	if held.delivered > held.resumedFrom {
-		held.row.gap.Silent()
-		return
-	}
-	held.row.first.Silent()
-}
-
 // mayRetry reports whether another attempt would be allowed now.
 func (c *Core) mayRetry(held *request) bool {
 	return held.attempts < c.options.AttemptLimit && held.row.budget.Covers()
@@ -148,8 +147,7 @@
 	}
 	held.peeking = false
 	status := event.Status
-	answered := event.Error == nil && status != nil && status.ID == structs.RequestID(event.Attempt)
-	if answered && status.Incarnation == held.choice.Incarnation() {
+	if event.answered() && status.Incarnation == held.choice.Incarnation() {
 		held.started = status.Started || status.Tokens > 0
 		if status.State == structs.RunRunning && status.Tokens > max(held.delivered, held.peekedTokens) {
 			held.peekedTokens = status.Tokens
--- a/router/view.go
+++ b/router/view.go
@@ -136,7 +136,7 @@
 		}
 		if lost && (held.Forwarded || len(current.elsewhere) == 0) {
 			problem := c.noRunner(current)
-			c.refuse(held, problem.Kind, problem.Message, problem.Remedy, problem.RetryAfter)
+			c.refuseAs(held, problem, problem.RetryAfter)
 			continue
 		}
 		if !held.Repeatable() || held.Forwarded || held.uncertain || held.attempts > 0 {
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -9,23 +9,19 @@
 
 // Balancer chooses replicas for one router.
 type Balancer struct {
-	options    Options
-	random     *rand.Rand
-	runners    map[structs.RunnerID]*runner
-	rows       map[structs.RowName]*row
-	left       map[structs.RunnerID]structs.Incarnation
-	hints      hints
+	options Options
+	random  *rand.Rand
+	runners map[structs.RunnerID]*runner
+	rows    map[structs.RowName]*row
+	// left holds the runners that Leave took out, with the life that left.
+	left  map[structs.RunnerID]structs.Incarnation
+	hints hints
+	// lastNumber is the number that was given to a runner last.
 	lastNumber uint32
 	ejections  uint64
 	cacheGaps  uint64
 }
 
-// Choice is a chosen replica. It is used for one attempt: Sent once, then Done once.
-type Choice struct {
-	balancer *Balancer
-	replica  *replica
-}
-
 // New makes a Balancer without runners.
 func New(options Options, random *rand.Rand) *Balancer {
 	options = options.withDefaults()
@@ -124,6 +120,7 @@
 	return nil
 }
 
+// find returns the replica of the subset on the runner with the number, or nil.
 func (r *row) find(number uint32) *replica {
 	if number == 0 {
 		return nil
@@ -136,6 +133,7 @@
 	return nil
 }
 
+// usable reports whether an attempt may be sent to the replica now.
 func (b *Balancer) usable(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
 	target := candidate.runner
 	if target.leaving || (avoid != "" && target.info.ID == avoid) {
@@ -192,8 +190,9 @@
 }
 
 // ObserveCache learns from a runner's cache event. An event older than one seen
-// before is ignored, while several may share a sequence; a gap loses only hints, which cost a cache miss at worst. A
-// cleared runner gets a new number, so that no hint names it any more.
+// before is ignored, while several may share a sequence; a gap loses only hints,
+// which costs a cache miss at worst. A cleared runner gets a new number, so that no
+// hint names it any more.
 func (b *Balancer) ObserveCache(change CacheChange) {
 	target := b.runners[change.Runner]
 	if target == nil || change.Sequence < target.sequence {
--- a/routing/breaker.go
+++ b/routing/breaker.go
@@ -67,10 +67,14 @@
 
 // The limits of outlier ejection.
 const (
+	// outlierSamples is how many attempts a replica is judged by at least.
 	outlierSamples = 8
-	outlierRate    = 0.5
-	outlierFactor  = 2.0
-	outlierWeight  = 0.1
+	// outlierRate is the share of failed attempts from which it may be an outlier,
+	// outlierFactor how many times the others' share its own must exceed.
+	outlierRate   = 0.5
+	outlierFactor = 2.0
+	// outlierWeight is the least weight of a new attempt in its share.
+	outlierWeight = 0.1
 )
 
 // failureRate is a moving average of the share of attempts that fail.
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -7,6 +7,12 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// Choice is a chosen replica. It is used for one attempt: Sent once, then Done once.
+type Choice struct {
+	balancer *Balancer
+	replica  *replica
+}
+
 // Runner is the chosen runner.
 func (c Choice) Runner() structs.RunnerID { return c.replica.runner.info.ID }
 
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -14,14 +14,15 @@
 )
 
 // Budget bounds the retries of a row to a share of its requests: every request
-// adds Ratio of a retry, up to Reserve.
+// adds a part of a retry, up to a reserve.
 type Budget struct {
 	ratio   float64
 	reserve float64
 	tokens  float64
 }
 
-// NewBudget makes a full Budget; values of 0 mean the defaults.
+// NewBudget makes a full Budget to which every request adds ratio of a retry, and
+// which holds at most reserve of them; values of 0 mean the defaults.
 func NewBudget(ratio, reserve float64) Budget {
 	setDefault(&ratio, DefaultRetryRatio)
 	setDefault(&reserve, DefaultRetryReserve)
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -11,8 +11,10 @@
 
 // runner is one life of a runner as this router sees it.
 type runner struct {
-	info    structs.RunnerInfo
-	number  uint32
+	info structs.RunnerInfo
+	// number names this life of the runner, with its cache, in hints.
+	number uint32
+	// hash is that of daemon and runner, which ranks the runner in subsets.
 	hash    uint64
 	leaving bool
 	// inFlight counts this router's attempts; others is the load of all other
@@ -23,9 +25,11 @@
 	maxBatch   int
 	breaker    breaker
 	history    history
-	sequence   uint64
-	rows       []structs.RowName
-	replicas   map[structs.RowName]*replica
+	// sequence is the highest of the cache events seen.
+	sequence uint64
+	// rows names the placed replicas, sorted.
+	rows     []structs.RowName
+	replicas map[structs.RowName]*replica
 }
 
 // replica is a ready copy of a row on a runner.
@@ -91,14 +95,16 @@
 
 // history is a ring of the latest changes of the own load.
 type history struct {
-	at64  [historyLength]int64
-	load  [historyLength]int32
+	// changedAt is in nanoseconds of Unix time, load what was in flight from then on.
+	changedAt [historyLength]int64
+	load      [historyLength]int32
+	// count is how many changes there were in all.
 	count int
 }
 
 func (h *history) add(now time.Time, load int) {
 	slot := h.count % historyLength
-	h.at64[slot] = now.UnixNano()
+	h.changedAt[slot] = now.UnixNano()
 	h.load[slot] = int32(load)
 	h.count++
 }
@@ -110,7 +116,7 @@
 	kept := min(h.count, historyLength)
 	for back := 1; back <= kept; back++ {
 		slot := (h.count - back) % historyLength
-		if h.at64[slot] <= nanoseconds {
+		if h.changedAt[slot] <= nanoseconds {
 			return int(h.load[slot])
 		}
 	}
