--- a/config/load.go
+++ b/config/load.go
@@ -34,7 +34,7 @@
 	}
 	overrides.apply(&config)
 	problems = append(problems, config.Check()...)
-	if len(Refusing(problems)) > 0 {
+	if len(refusing(problems)) > 0 {
 		return config, &InvalidError{Path: path, Problems: problems}
 	}
 	return config, nil
--- a/config/problem.go
+++ b/config/problem.go
@@ -55,8 +55,8 @@
 		"Correct every setting that is listed and start again.")
 }
 
-// Refusing returns the problems that are not warnings.
-func Refusing(problems []Problem) []Problem {
+// refusing returns the problems that are not warnings.
+func refusing(problems []Problem) []Problem {
 	var refusing []Problem
 	for _, problem := range problems {
 		if !problem.Warning {
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -50,6 +50,7 @@
 	cause error
 }
 
+// Error implements error.
 func (e *exitError) Error() string {
 	if e.cause == nil {
 		return fmt.Sprintf("exit code %d", e.code)
@@ -57,6 +58,7 @@
 	return e.cause.Error()
 }
 
+// Unwrap gives the cause to errors.Is and errors.As.
 func (e *exitError) Unwrap() error { return e.cause }
 
 // exitCode returns the exit code for the error of a command.
--- a/group/apply.go
+++ b/group/apply.go
@@ -51,6 +51,8 @@
 	last := entries[len(entries)-1]
 	g.loop.applied = last.Index
 	g.loop.appliedAt = last.Term
+	// Who gets an answer may look at the status next, and must find it there.
+	g.publish()
 	for position, entry := range entries {
 		g.answerProposal(entry, results[position])
 	}
--- a/group/found.go
+++ b/group/found.go
@@ -101,25 +101,11 @@
 }
 
 // ask hands the loop a request that is answered at once.
-func (g *Group) ask(ctx context.Context, make func(chan outcome) request) error {
+func (g *Group) ask(ctx context.Context, newRequest func(chan outcome) request) error {
 	answer := newAnswer()
-	if err := g.submit(ctx, make(answer)); err != nil {
+	if err := g.submit(ctx, newRequest(answer)); err != nil {
 		return err
 	}
 	_, err := g.await(ctx, answer, func(context.Context) error { return overdueError(g.options.Name) })
 	return err
 }
-
-func newAnswer() chan outcome { return make(chan outcome, 1) }
-
-// restore replaces what is replicated by what a snapshot holds.
-func (b *addressBook) restore(decoded groupSnapshot) {
-	b.replicated = decoded.Addresses
-	b.names = decoded.Names
-	if b.replicated == nil {
-		b.replicated = map[raft.NodeID]string{}
-	}
-	if b.names == nil {
-		b.names = map[raft.NodeID]string{}
-	}
-}
--- a/group/group.go
+++ b/group/group.go
@@ -177,7 +177,7 @@
 	defer ticker.Stop()
 	for {
 		if err := g.process(sending, senders); err != nil {
-			_ = g.logger.Log("msg", "the group stops because a step failed", "err", err)
+			_ = g.logger.Log("msg", "The group stops because a step failed.", "err", err)
 			return err
 		}
 		select {
@@ -228,8 +228,8 @@
 		return err
 	}
 	g.noteLeadership()
-	g.finishReads()
 	g.publish()
+	g.finishReads()
 	return nil
 }
 
--- a/group/lease.go
+++ b/group/lease.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		if err := g.loop.node.Step(message); err != nil {
-			_ = g.logger.Log("msg", "a message was refused", "from", message.From, "err", err)
+			_ = g.logger.Log("msg", "A message was refused.", "from", message.From, "err", err)
 			continue
 		}
 		fromLeader = fromLeader || g.acceptedAsLeader(message)
--- a/group/membership.go
+++ b/group/membership.go
@@ -108,7 +108,7 @@
 // once this node no longer leads. ErrorNotLeader: it did not lead. ErrorUnavailable:
 // no other voter answers. ErrorDeadline: ctx ended first.
 func (g *Group) TransferLeadership(ctx context.Context) error {
-	asked := &transfer{answer: make(chan outcome, 1)}
+	asked := &transfer{answer: newAnswer()}
 	if err := g.submit(ctx, asked); err != nil {
 		return err
 	}
--- a/group/propose.go
+++ b/group/propose.go
@@ -34,7 +34,7 @@
 }
 
 func (g *Group) propose(ctx context.Context, propose func(*raft.Node) (uint64, uint64, error)) (any, error) {
-	proposed := &proposal{ctx: ctx, propose: propose, answer: make(chan outcome, 1)}
+	proposed := &proposal{ctx: ctx, propose: propose, answer: newAnswer()}
 	if err := g.submit(ctx, proposed); err != nil {
 		return nil, err
 	}
@@ -122,5 +122,5 @@
 	}
 	g.loop.leading = leading
 	g.loop.echoes.acknowledged = make(map[raft.NodeID]acknowledgement)
-	_ = g.logger.Log("msg", "leadership changed", "term", term, "leader", g.loop.node.Leader())
+	_ = g.logger.Log("msg", "The leadership changed.", "term", term, "leader", g.loop.node.Leader())
 }
--- a/group/read.go
+++ b/group/read.go
@@ -35,7 +35,7 @@
 // are ErrorNotLeader, ErrorDeadline, ErrorOverloaded and ErrorUnavailable; a read
 // may always be asked for again.
 func (g *Group) Read(ctx context.Context) error {
-	asked := &read{ctx: ctx, answer: make(chan outcome, 1)}
+	asked := &read{ctx: ctx, answer: newAnswer()}
 	if err := g.submit(ctx, asked); err != nil {
 		return err
 	}
--- a/group/request.go
+++ b/group/request.go
@@ -16,6 +16,10 @@
 	err    error
 }
 
+// newAnswer makes the channel on which the loop answers one request. The loop never
+// waits for the caller to take the answer.
+func newAnswer() chan outcome { return make(chan outcome, 1) }
+
 // submit hands a request to the loop. When it returns an error, the request was
 // not and will not be started.
 func (g *Group) submit(ctx context.Context, submitted request) error {
--- a/group/sender.go
+++ b/group/sender.go
@@ -159,9 +159,9 @@
 func (s *sender) logChange(address string, err error) {
 	switch {
 	case err != nil && !s.broken:
-		_ = s.group.logger.Log("msg", "a member cannot be reached", "node", s.peer, "address", address, "err", err)
+		_ = s.group.logger.Log("msg", "A member cannot be reached.", "node", s.peer, "address", address, "err", err)
 	case err == nil && s.broken:
-		_ = s.group.logger.Log("msg", "a member can be reached again", "node", s.peer, "address", address)
+		_ = s.group.logger.Log("msg", "A member can be reached again.", "node", s.peer, "address", address)
 	}
 	s.broken = err != nil
 }
--- a/group/status.go
+++ b/group/status.go
@@ -7,56 +7,6 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// addressBook holds the addresses of nodes by where they are known from.
-type addressBook struct {
-	// replicated ones came with the log and are part of snapshots.
-	replicated map[raft.NodeID]string
-	// configured ones are from the settings.
-	configured map[raft.NodeID]string
-	// learned ones were named by the node itself.
-	learned map[raft.NodeID]string
-	// names are replicated with the addresses.
-	names map[raft.NodeID]string
-}
-
-func newAddressBook(members []Member) addressBook {
-	book := addressBook{
-		replicated: make(map[raft.NodeID]string),
-		configured: make(map[raft.NodeID]string),
-		learned:    make(map[raft.NodeID]string),
-		names:      make(map[raft.NodeID]string),
-	}
-	for _, member := range members {
-		book.configured[member.Node] = member.Address
-	}
-	return book
-}
-
-// replicate notes a member that came with the log.
-func (b addressBook) replicate(member Member) {
-	b.replicated[member.Node] = member.Address
-	if member.Name != "" {
-		b.names[member.Node] = member.Name
-	}
-}
-
-// all merges the addresses; replicated ones prevail, learned ones give way.
-func (b addressBook) all() map[raft.NodeID]string {
-	merged := maps.Clone(b.learned)
-	maps.Copy(merged, b.configured)
-	maps.Copy(merged, b.replicated)
-	return merged
-}
-
-func (b addressBook) of(node raft.NodeID) string {
-	for _, source := range []map[raft.NodeID]string{b.replicated, b.configured, b.learned} {
-		if address := source[node]; address != "" {
-			return address
-		}
-	}
-	return ""
-}
-
 // addressOf returns the address of a node, or "" when none is known.
 func (g *Group) addressOf(node raft.NodeID) string {
 	g.stateMutex.RLock()
@@ -86,7 +36,10 @@
 	CommitIndex   uint64
 	AppliedIndex  uint64
 	SnapshotIndex uint64
-	Membership    raft.Membership
+	// Membership is the one in force, whether committed or not; the change to it is
+	// committed once AppliedIndex has reached MembershipIndex.
+	Membership      raft.Membership
+	MembershipIndex uint64
 	// CommittedMembership is the one in force at the applied index.
 	CommittedMembership raft.Membership
 	// Held is set until a member with the option Hold takes part.
@@ -157,6 +110,7 @@
 		Membership:    current.Membership,
 		Progress:      current.Progress,
 
+		MembershipIndex:     current.MembershipIndex,
 		CommittedMembership: g.loop.node.MembershipAt(g.loop.applied),
 		Held:                g.loop.held,
 	}
--- a/keys/authority.go
+++ b/keys/authority.go
@@ -123,7 +123,7 @@
 // Issue makes a key and a certificate for a daemon.
 func (a *Authority) Issue(request Request) (Issued, error) {
 	uri := request.Identity.URI()
-	if _, err := ParseIdentity(uri); err != nil {
+	if _, err := parseIdentity(uri); err != nil {
 		return Issued{}, structs.NewError(structs.ErrorInvalid,
 			"a certificate needs a zone and a daemon", "Name both with --zone and --daemon.")
 	}
--- a/keys/identity.go
+++ b/keys/identity.go
@@ -26,8 +26,8 @@
 // String returns the identity's URI.
 func (i Identity) String() string { return i.URI().String() }
 
-// ParseIdentity reads an identity's URI. Its error has the kind denied.
-func ParseIdentity(uri *url.URL) (Identity, error) {
+// parseIdentity reads an identity's URI. Its error has the kind denied.
+func parseIdentity(uri *url.URL) (Identity, error) {
 	daemon := strings.TrimPrefix(uri.Path, "/")
 	identity := Identity{Zone: structs.ZoneID(uri.Host), Daemon: structs.DaemonID(daemon)}
 	whole := identity.Zone != "" && daemon != "" && uri.String() == identity.String()
@@ -39,13 +39,13 @@
 	return identity, nil
 }
 
-// CertificateIdentity returns the identity that a certificate names; it must
+// certificateIdentity returns the identity that a certificate names; it must
 // name exactly one. Its error has the kind denied.
-func CertificateIdentity(certificate *x509.Certificate) (Identity, error) {
+func certificateIdentity(certificate *x509.Certificate) (Identity, error) {
 	if len(certificate.URIs) != 1 {
 		return Identity{}, structs.NewError(structs.ErrorDenied,
 			fmt.Sprintf("the certificate names %d daemons instead of one", len(certificate.URIs)),
 			"Issue the certificate with `lotusferryctl keys issue`.")
 	}
-	return ParseIdentity(certificate.URIs[0])
+	return parseIdentity(certificate.URIs[0])
 }
--- a/keys/reloader.go
+++ b/keys/reloader.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return material{}, invalidFile(f.Certificate, err)
 	}
-	if _, err := CertificateIdentity(certificate.Leaf); err != nil {
+	if _, err := certificateIdentity(certificate.Leaf); err != nil {
 		return material{}, invalidFile(f.Certificate, err)
 	}
 	return material{roots: roots, certificate: &certificate}, nil
--- a/keys/tls.go
+++ b/keys/tls.go
@@ -10,7 +10,7 @@
 
 // Identity returns the daemon's own identity.
 func (r *Reloader) Identity() Identity {
-	identity, err := CertificateIdentity(r.current().certificate.Leaf)
+	identity, err := certificateIdentity(r.current().certificate.Leaf)
 	if err != nil {
 		return Identity{} // load has checked it
 	}
@@ -108,7 +108,7 @@
 			"the peer's certificate is refused: "+err.Error(),
 			"Issue it with the CA of this site, and check the clocks of both machines.")
 	}
-	identity, err := CertificateIdentity(leaf)
+	identity, err := certificateIdentity(leaf)
 	if err != nil {
 		return Identity{}, err
 	}
--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -165,6 +165,7 @@
 	if m.node.Role() == Leader {
 		c.history.lead(m.id, m.node.Term(), &m.node.log)
 	}
+	c.history.commit(m.node.Term(), &m.node.log)
 }
 
 // work does a node's Readys, each when the disk is done; the node crashes with some
--- a/raft/safety_test.go
+++ b/raft/safety_test.go
@@ -174,7 +174,18 @@
 		{stateMachineSafety, func(h *history) { h.apply(2, entry(1, 1, "other"), 7) }},
 		{stateMachineSafety, func(h *history) { h.apply(2, entry(1, 1, "first"), 8) }},
 		{stateMachineSafety, func(h *history) { h.apply(2, entry(3, 1, "gap"), 9) }},
+		{stateMachineSafety, func(h *history) { h.apply(2, entry(2, 1, "uncommitted"), 9) }},
+		{stateMachineSafety, func(h *history) { h.commitEntry(2, position{1, 2}) }},
+		{stateMachineSafety, func(h *history) { h.commitEntry(2, position{3, 1}) }},
 		{leaderCompleteness, func(h *history) { h.lead(1, 2, &memoryLog{}) }},
+		{leaderCompleteness, func(h *history) { h.lead(1, 2, &memoryLog{entries: []Entry{entry(1, 2, "other")}}) }},
+		// The entry was committed before, and the acknowledgement was late.
+		{leaderCompleteness, func(h *history) { h.lead(1, 3, &memoryLog{base: 1}); h.commitEntry(2, position{2, 1}) }},
+		{leaderCompleteness, func(h *history) {
+			h.commitEntry(4, position{2, 1})
+			h.lead(1, 3, &memoryLog{base: 1})
+			h.commitEntry(2, position{2, 1})
+		}},
 		{snapshotFaithful, func(h *history) { h.restore(1, 1, 8) }},
 		{readLinearizable, func(h *history) { h.read(1, 0) }},
 		{leaseExclusive, func(h *history) { h.leases(2) }},
@@ -183,9 +194,34 @@
 	}
 	for _, test := range cases {
 		h := newHistory()
+		h.commitEntry(1, position{1, 1})
 		h.apply(1, entry(1, 1, "first"), 7)
 		qt.Check(t, h.broken, qt.Equals, "")
 		test.spoil(h)
 		qt.Check(t, h.broken, qt.Equals, test.check, qt.Commentf("%s", h.detail))
 	}
 }
+
+// A candidate of term 2 whose votes are late becomes its leader after term 3 has
+// committed entries; its term comes before theirs, so it need not have them.
+func TestLateLeaderOfAnEarlierTermMayLackLaterEntries(t *testing.T) {
+	first := []Entry{{Index: 1, Term: 1}}
+	for _, test := range []struct {
+		name   string
+		term   uint64
+		log    memoryLog
+		broken string
+	}{
+		{"earlier term without the later entry", 2, memoryLog{entries: first}, ""},
+		{"earlier term without the earlier entry", 2, memoryLog{}, leaderCompleteness},
+		{"later term without the later entry", 4, memoryLog{entries: first}, leaderCompleteness},
+	} {
+		h := newHistory()
+		h.lead(1, 1, &memoryLog{})
+		h.commit(1, &memoryLog{entries: first, commit: 1})
+		h.lead(3, 3, &memoryLog{entries: first})
+		h.commit(3, &memoryLog{entries: append(first, Entry{Index: 2, Term: 3}), commit: 2})
+		h.lead(2, test.term, &test.log)
+		qt.Check(t, h.broken, qt.Equals, test.broken, qt.Commentf("%s: %s", test.name, h.detail))
+	}
+}
--- a/transport/client.go
+++ b/transport/client.go
@@ -22,7 +22,6 @@
 	counters counters
 	context  context.Context
 	cancel   context.CancelFunc
-	closed   <-chan struct{}
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -36,7 +35,6 @@
 		options: options.withDefaults(),
 		context: ctx,
 		cancel:  cancel,
-		closed:  ctx.Done(),
 		peers:   make(map[string]*peer),
 	}
 }
@@ -66,7 +64,7 @@
 		return deadlineError(ctx, address)
 	}
 	if c.options.Faults.isCut(address) {
-		return unreachableError(address, errors.New("cut by the fault point"), 0)
+		return unreachableError(address, errCut, 0)
 	}
 	if ctx.Err() != nil {
 		return deadlineError(ctx, address)
@@ -81,7 +79,7 @@
 	}
 	err = c.exchange(ctx, target, conn, method, arguments, reply)
 	if err == nil && c.options.Faults.isCut(address) {
-		return brokenError(address, errors.New("cut by the fault point"))
+		return brokenError(address, errCut)
 	}
 	return err
 }
@@ -117,8 +115,8 @@
 }
 
 // silenceLimit is how long a connection with a call in progress may be silent
-// before it counts as half open, whatever the deadlines of its calls. It is a little under the call timeout, so that
-// the call that reveals it is not just short of it.
+// before it counts as half open, whatever the deadlines of its calls. It is a little
+// under the call timeout, so that the call that reveals it is not just short of it.
 func (c *Client) silenceLimit() time.Duration { return c.options.CallTimeout * 9 / 10 }
 
 func (c *Client) failed(target *peer, conn *connection, err error) error {
--- a/transport/faulthttp.go
+++ b/transport/faulthttp.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,8 +18,6 @@
 	next   http.RoundTripper
 }
 
-var errCut = errors.New("cut by the fault point")
-
 // RoundTrip implements http.RoundTripper.
 func (t faultyRoundTripper) RoundTrip(request *http.Request) (*http.Response, error) {
 	address := request.URL.Host
--- a/transport/faults.go
+++ b/transport/faults.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
 
+// errCut is the cause of what fails because an address is cut.
+var errCut = errors.New("cut by the fault point")
+
 // Faults is the fault point of a Client: it cuts or delays the calls to chosen
 // addresses. The zero value and a nil *Faults disturb nothing. Methods may be
 // called from several goroutines.
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -72,7 +72,7 @@
 		case <-dialing:
 		case <-ctx.Done():
 			return nil, deadlineError(ctx, p.address)
-		case <-p.client.closed:
+		case <-p.client.context.Done():
 			return nil, closedError()
 		}
 	}
@@ -176,7 +176,7 @@
 // drop forgets a failed connection and closes it.
 func (p *peer) drop(failed *connection, err error) {
 	p.forget(failed, err)
-	_ = p.client.logger.Log("msg", "closed a connection", "peer", p.address, "err", err)
+	_ = p.client.logger.Log("msg", "A connection was closed.", "peer", p.address, "err", err)
 	_ = failed.rpc.Close()
 }
 
--- a/transport/server.go
+++ b/transport/server.go
@@ -101,7 +101,7 @@
 		case <-s.closed:
 			return
 		case <-time.After(acceptPause):
-			_ = s.logger.Log("msg", "accept failed", "err", err)
+			_ = s.logger.Log("msg", "A connection could not be accepted.", "err", err)
 		}
 	}
 }
@@ -128,7 +128,7 @@
 		err := secured.HandshakeContext(ctx)
 		cancel()
 		if err != nil {
-			_ = s.logger.Log("msg", "refused a connection", "peer", raw.RemoteAddr(), "err", err)
+			_ = s.logger.Log("msg", "A connection was refused.", "peer", raw.RemoteAddr(), "err", err)
 			return
 		}
 		conn = secured
--- a/zone/claimexpiry.go
+++ b/zone/claimexpiry.go
@@ -7,6 +7,7 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// expiryEntry says when a finished claim may be forgotten.
 type expiryEntry struct {
 	at  time.Time
 	key structs.ClaimKey
@@ -15,10 +16,15 @@
 // expiryHeap orders the finished claims by expiry, then key.
 type expiryHeap []expiryEntry
 
+// Len implements heap.Interface.
 func (h expiryHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
 func (h expiryHeap) Less(i, j int) bool {
 	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].key, h[j].key)) < 0
 }
+
+// Swap implements heap.Interface.
 func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
