Repeat wishes that are not granted ever less often

Cause: at 8 zones and more, reports and wishes for grants cost the global group 20 times what they did. Ruled out: counts that go up and down within what is granted. Change: an unchanged wish is repeated after 1, 2, 4, 8 s and so on, up to a minute.

--- a/controller/core.go
+++ b/controller/core.go
@@ -130,6 +130,8 @@
 type sentWish struct {
 	wanted int
 	at     time.Time
+	// repeats counts how often the unchanged wish was sent again.
+	repeats int
 }
 
 // New makes a Core.
--- a/controller/decider.go
+++ b/controller/decider.go
@@ -240,10 +240,14 @@
 	for _, row := range wanted {
 		now[row.Row] = true
 		last, known := d.core.wishes[row.Row]
-		if known && last.wanted == row.Replicas && d.input.Now.Sub(last.at) < d.wishInterval(row) {
-			continue
+		next := sentWish{wanted: row.Replicas, at: d.input.Now}
+		if known && last.wanted == row.Replicas {
+			if d.input.Now.Sub(last.at) < d.wishInterval(row, last.repeats) {
+				continue
+			}
+			next.repeats = last.repeats + 1
 		}
-		d.core.wishes[row.Row] = sentWish{row.Replicas, d.input.Now}
+		d.core.wishes[row.Row] = next
 		d.sendWish(row.Row, row.Replicas)
 	}
 	for _, row := range slices.Sorted(maps.Keys(d.core.wishes)) {
@@ -255,12 +259,18 @@
 }
 
 // wishInterval is when an unchanged wish is sent again: soon while it is not
-// granted, for it may have been lost, and seldom after that.
-func (d *decider) wishInterval(row scheduler.RowWanted) time.Duration {
-	if row.Replicas > d.input.State.Grant(row.Row).Limit {
-		return d.core.options.ResendAfter
+// granted, for it may have been lost, and ever less often, for the table may not
+// allow it; seldom once it is granted.
+func (d *decider) wishInterval(row scheduler.RowWanted, repeats int) time.Duration {
+	longest := d.core.options.WishAfter
+	if row.Replicas <= d.input.State.Grant(row.Row).Limit {
+		return longest
+	}
+	interval := d.core.options.ResendAfter
+	for ; repeats > 0 && interval < longest; repeats-- {
+		interval *= 2
 	}
-	return d.core.options.WishAfter
+	return min(interval, longest)
 }
 
 func (d *decider) sendWish(row structs.RowName, wanted int) {
