--- a/cmd/lotusferryctl/main.go
+++ b/cmd/lotusferryctl/main.go
@@ -1,4 +1,4 @@
-// Lotusferryctl is the operators' command line; see docs/operations/lotusferryctl.md.
+// Command lotusferryctl is the operators' command line; see docs/operations/lotusferryctl.md.
 package main
 
 import (
--- a/table/minimum.go
+++ b/table/minimum.go
@@ -33,8 +33,8 @@
 
 // levelMinimums moves parts, one replica each time, from a zone that has more than
 // its weight calls for to one that has less, such as a zone that came later or got
-// its limit later. A part moves only when the receiver stays no above the giver, so
-// that no part ever moves back.
+// its limit later. A part moves only if the receiver is then no fuller than the
+// giver, so that no part moves back.
 func levelMinimums(shares []share) {
 	for {
 		giver, receiver := -1, -1
