Let the shells listen and dial over a network that can be given

Cause: daemon tests run whole sites over loopback sockets in real time, so the load of the machine decides their verdict.

Change: package network has the interface Network with the TCP implementation, which stays the default of transport, engineapi, operatorapi and daemon with the same keep-alive probes and dial timeouts as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -49,7 +50,7 @@
 	router    *requestRouter
 	operators *operatorService
 	servers   []*httpServer
-	limits    httpLimits
+	options   options
 	cancel    context.CancelFunc
 	stopped   sync.WaitGroup
 	// draining is set once a planned stop has begun.
@@ -59,16 +60,23 @@
 
 // New opens the daemon's files and listeners. Nothing runs before Start.
 func New(logger log.Logger, settings config.Config) (*Daemon, error) {
-	return newDaemon(logger, settings, defaultHTTPLimits())
+	return newDaemon(logger, settings, options{limits: defaultHTTPLimits()})
 }
 
-func newDaemon(logger log.Logger, settings config.Config, limits httpLimits) (*Daemon, error) {
+// options are what a daemon of the program has by default and a test may change.
+type options struct {
+	limits httpLimits
+	// network is what the daemon listens on and dials over; nil means TCP.
+	network network.Network
+}
+
+func newDaemon(logger log.Logger, settings config.Config, options options) (*Daemon, error) {
 	d := &Daemon{
 		logger:  log.With(logger, "daemon", settings.Daemon, "zone", settings.Zone),
 		config:  settings,
-		engines: engineapi.NewClient(engineapi.ClientOptions{}),
+		engines: engineapi.NewClient(engineapi.ClientOptions{Network: options.network}),
 		faults:  &transport.Faults{},
-		limits:  limits,
+		options: options,
 		members: map[string]*memberNode{},
 		failed:  make(chan error, 1),
 	}
@@ -105,7 +113,7 @@
 }
 
 func (d *Daemon) openTransport() error {
-	options := transport.Options{Address: d.config.Listen.Internal, Faults: d.faults}
+	options := transport.Options{Address: d.config.Listen.Internal, Network: d.options.network, Faults: d.faults}
 	if !d.config.Development {
 		if err := d.loadKeys(); err != nil {
 			return err
@@ -271,7 +279,7 @@
 		zone:     d.config.Zone,
 		daemon:   d.config.Daemon,
 		engines:  d.engines,
-		peers:    newPeerRouters(d.reloader, d.faults),
+		peers:    newPeerRouters(d.options.network, d.reloader, d.faults),
 		leader:   newLeaderCaller(d.client, memberAddresses(settings.Controllers)),
 		claims:   newClaimKeeper(d.logger, d.client, d.config.Site, d.config.Zone, holder),
 		timing:   d.config.Timing,
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -36,10 +36,9 @@
 // newPeerRouters makes the client that forwards requests. Outside development
 // mode it shows the daemon's certificate and takes only daemons of the site. It
 // has no overall timeout because answers are streams.
-func newPeerRouters(reloader *keys.Reloader, faults *transport.Faults) peerRouters {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
+func newPeerRouters(dialled network.Network, reloader *keys.Reloader, faults *transport.Faults) peerRouters {
 	base := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         network.DialWithin(network.OrTCP(dialled), peerDialTimeout),
 		TLSHandshakeTimeout: peerDialTimeout,
 		MaxIdleConnsPerHost: peerConnections,
 		IdleConnTimeout:     peerIdleTimeout,
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
 )
 
@@ -55,7 +56,7 @@
 	settings := d.config
 	options := api.DefaultOptions()
 	options.FromDaemon = forwardedByDaemon(d.reloader)
-	options.WriteTimeout = d.limits.write
+	options.WriteTimeout = d.options.limits.write
 	options.MaxBodyBytes = settings.Limits.BodyBytes
 	options.DefaultDeadline = settings.Limits.DefaultDeadline
 	options.MaxDeadline = settings.Limits.MaximumDeadline
@@ -123,17 +124,17 @@
 }
 
 func (d *Daemon) listenHTTP(name, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := network.OrTCP(d.options.network).Listen(context.Background(), address)
 	if err != nil {
 		return errors.Wrap(err, "listen for "+name)
 	}
 	server := &http.Server{
-		Handler:           boundBody(handler, d.limits.body),
-		ReadHeaderTimeout: d.limits.header,
-		IdleTimeout:       d.limits.idle,
+		Handler:           boundBody(handler, d.options.limits.body),
+		ReadHeaderTimeout: d.options.limits.header,
+		IdleTimeout:       d.options.limits.idle,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	listener = newLimitListener(listener, d.limits.connections)
+	listener = newLimitListener(listener, d.options.limits.connections)
 	switch {
 	case d.reloader != nil && name == callersServer:
 		listener = tls.NewListener(listener, d.reloader.CallersServerConfig())
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -177,7 +177,7 @@
 	if s.options.limits != nil {
 		s.options.limits(&limits)
 	}
-	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], limits)
+	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], options{limits: limits})
 	s.Assert(err, qt.IsNil)
 	s.daemons[index] = daemon
 	daemon.Start()
--- a/engineapi/client.go
+++ b/engineapi/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"mime"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -39,6 +39,8 @@
 	MaxLine int
 	// MaxBody bounds the body of a unary answer in bytes (16 MB).
 	MaxBody int64
+	// Network is what the client dials over; nil means TCP.
+	Network network.Network
 }
 
 const (
@@ -70,6 +72,7 @@
 	setDefault(&o.CallsPerHost, defaultCallsPerHost)
 	setDefault(&o.MaxLine, DefaultMaxLine)
 	setDefault(&o.MaxBody, defaultMaxBody)
+	o.Network = network.OrTCP(o.Network)
 	return o
 }
 
@@ -106,9 +109,8 @@
 }
 
 func newTransport(options ClientOptions, perHost int) *http.Transport {
-	dialer := &net.Dialer{Timeout: options.DialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            network.DialWithin(options.Network, options.DialTimeout),
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    perHost,
 		MaxConnsPerHost:        perHost,
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -34,6 +35,8 @@
 	Key string
 	// AttemptTimeout bounds one attempt at one address; 10 s when 0.
 	AttemptTimeout time.Duration
+	// Network is what the client dials over; nil means TCP.
+	Network network.Network
 }
 
 // Client implements Service over HTTP. It tries the addresses in turn, beginning
@@ -55,7 +58,11 @@
 	if options.AttemptTimeout == 0 {
 		options.AttemptTimeout = defaultAttemptTimeout
 	}
-	transport := &http.Transport{TLSClientConfig: options.TLS, ForceAttemptHTTP2: true}
+	transport := &http.Transport{
+		DialContext:       network.OrTCP(options.Network).DialContext,
+		TLSClientConfig:   options.TLS,
+		ForceAttemptHTTP2: true,
+	}
 	return &Client{
 		options:   options,
 		transport: transport,
--- a/transport/options.go
+++ b/transport/options.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"sync/atomic"
 	"time"
+
+	"github.com/lotusferry/lotusferry/network"
 )
 
 // The defaults for options that are zero.
@@ -33,6 +35,9 @@
 	MaxMessageBytes int
 	// MaxPendingCalls bounds the calls in progress on one connection.
 	MaxPendingCalls int
+	// Network is what the server listens on and the client dials over; nil means TCP
+	// with keep-alive probes.
+	Network network.Network
 	// Faults, when set, is asked before and after each call of the client.
 	Faults *Faults
 }
@@ -50,6 +55,9 @@
 	if o.MaxPendingCalls <= 0 {
 		o.MaxPendingCalls = DefaultPendingCalls
 	}
+	if o.Network == nil {
+		o.Network = network.TCP{KeepAlive: keepAlive}
+	}
 	return o
 }
 
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -111,8 +111,7 @@
 }
 
 func (p *peer) open(ctx context.Context) (*connection, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	raw, err := p.client.options.Network.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -37,8 +37,7 @@
 // NewServer listens on options.Address. Connections wait until Serve.
 func NewServer(logger log.Logger, options Options) (*Server, error) {
 	options = options.withDefaults()
-	config := net.ListenConfig{KeepAliveConfig: keepAlive}
-	listener, err := config.Listen(context.Background(), "tcp", options.Address)
+	listener, err := options.Network.Listen(context.Background(), options.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", options.Address)
 	}
