--- a/ctl/check.go
+++ b/ctl/check.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	stderrors "errors"
 	"fmt"
 
 	"github.com/lotusferry/lotusferry/config"
@@ -12,12 +13,25 @@
 	Override   config.Flags `group:"Overrides, as lotusferry takes them" namespace:"set"`
 }
 
+// checkOutput is the result of a check as --json shows it.
+type checkOutput struct {
+	OK       bool             `json:"ok"`
+	Problems []config.Problem `json:"problems"`
+}
+
 // Execute loads the settings as the daemon would and prints every problem.
 func (c *checkCommand) Execute([]string) error {
-	result, err := config.CheckFile(c.Config, c.Override)
-	if err != nil {
+	loaded, err := config.Load(c.Config, c.Override)
+	var invalid *config.InvalidError
+	if err != nil && !stderrors.As(err, &invalid) {
 		return err
 	}
+	result := checkOutput{OK: err == nil}
+	if err != nil {
+		result.Problems = invalid.Problems
+	} else {
+		result.Problems = loaded.Check()
+	}
 	if err := c.print(result); err != nil {
 		return err
 	}
@@ -27,7 +41,7 @@
 	return nil
 }
 
-func (c *checkCommand) print(result config.CheckResult) error {
+func (c *checkCommand) print(result checkOutput) error {
 	if c.invocation.options.JSON {
 		return c.invocation.printJSON(result)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -287,11 +287,7 @@
 		attempts: map[router.AttemptID]*attempt{},
 		followed: map[structs.RunnerID]*followedEngine{},
 		metrics:  newRequestMetrics(),
-		viewStore: viewStore{
-			zone:        d.config.Zone,
-			basePath:    filepath.Join(d.config.DataFolder, viewBaseFile),
-			changesPath: filepath.Join(d.config.DataFolder, viewChangesFile),
-		},
+		viewPath: filepath.Join(d.config.DataFolder, viewCacheFile),
 		core: router.New(router.Options{
 			Zone:            d.config.Zone,
 			Daemon:          d.config.Daemon,
@@ -303,7 +299,7 @@
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
 	}
-	d.router.view = router.NewViewCopy(d.router.core)
+	d.router.view = newViewCache(d.router.core)
 	d.router.loadView()
 	return nil
 }
