--- a/capacity/view.go
+++ b/capacity/view.go
@@ -26,6 +26,10 @@
 		{RoleZone, "view to a router after one replica changed, 100 runners", "replica of the zone", unitBytes, methodGob, []int{100, 200, 400, 800, 1_200}, func(size int) float64 {
 			return oneChangeBytes(newZone(2_000, 100, size))
 		}},
+		{RoleZone, "part of a first view to a router, at most 1,024 rows", "row", unitBytes, methodGob, []int{64, 128, 256, 512, 1_024}, func(size int) float64 {
+			m := newZone(size, 10, 0)
+			return replyBytes(methodView, daemon.ViewReply{View: m.state.ViewPart("", 0)})
+		}},
 		{RoleZone, "first view to a router", "row", unitBytes, methodGob, tableSizes, func(size int) float64 {
 			return viewBytes(newZone(size, 10, 0), 0, 0)
 		}},
--- a/config/check.go
+++ b/config/check.go
@@ -130,36 +130,3 @@
 	}
 	return os.Remove(file.Name())
 }
-
-func (k *checker) tls() {
-	c := k.config
-	files := []struct{ key, path, command string }{
-		{"tls.ca", c.TLS.CA, "keys ca"},
-		{"tls.certificate", c.TLS.Certificate, "keys issue"},
-		{"tls.key", c.TLS.Key, "keys issue"},
-	}
-	for _, file := range files {
-		if c.Development && file.path != "" {
-			k.add(file.key, file.path, "is set in development mode, which uses no TLS",
-				"Remove it, or set development to false.")
-			continue
-		}
-		if !c.Development {
-			k.readable(file.key, file.path, file.command)
-		}
-	}
-}
-
-func (k *checker) readable(key, path, command string) {
-	remedy := "Make it with `lotusferryctl " + command + "` and give it to the user that runs the daemon."
-	if path == "" {
-		k.add(key, "", "is missing", remedy)
-		return
-	}
-	file, err := os.Open(path)
-	if err != nil {
-		k.add(key, path, "cannot be read ("+err.Error()+")", remedy)
-		return
-	}
-	file.Close()
-}
--- a/config/check_address.go
+++ b/config/check_address.go
@@ -76,20 +76,25 @@
 	return own == theirs || own.IsUnspecified() || theirs.IsUnspecified()
 }
 
-// platformURL checks the URL of a service of the platform. Its host is an IP number.
+// platformURL checks the URL of a service of the platform: plain HTTP, by IP number.
+// The paths below it are the platform's interface, and no setting.
 func (k *checker) platformURL(key, value string) {
 	if value == "" {
 		k.add(key, "", "is missing", "Write the platform's URL by IP number, such as http://10.1.2.3:8700.")
 		return
 	}
 	parsed, err := url.Parse(value)
-	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" {
-		k.add(key, value, "is not an http or https URL", "Write it as http://10.1.2.3:8700.")
+	if err != nil || parsed.Scheme != "http" {
+		k.add(key, value, "is not an http URL", "Write it as http://10.1.2.3:8700; the platform speaks plain HTTP.")
+		return
+	}
+	if value != "http://"+parsed.Host {
+		k.add(key, value, "holds more than a host and a port, which would be left out", "Write http://"+parsed.Host+".")
 		return
 	}
 	port := parsed.Port()
 	if port == "" {
-		port = map[string]string{"http": "80", "https": "443"}[parsed.Scheme]
+		port = "80"
 	}
 	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
 		k.add(key, value, "has a bad port", "Write a port from 1 to 65535.")
--- a/config/check_site.go
+++ b/config/check_site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -26,7 +27,6 @@
 	k.globalVoters(site)
 	k.ownMembership()
 	k.platformURL("site.machine_list", site.MachineList)
-	k.platformURL("site.weight_store", site.WeightStore)
 	k.between("site.store_concurrent", site.StoreConcurrent, 1, maximumStoreInFlight)
 	k.planner(site.PlanSettings())
 }
@@ -35,6 +35,7 @@
 func (k *checker) zones(zones []Zone) {
 	zoneSeen := map[structs.ZoneID]bool{}
 	everywhere := newMemberSet()
+	routers := map[string]bool{}
 	for index, zone := range zones {
 		key := fmt.Sprintf("site.zones[%d]", index)
 		k.identifier(key+".id", string(zone.ID))
@@ -45,18 +46,30 @@
 		k.between(key+".weight", zone.Weight, 1, maximumZoneWeight)
 		k.members(key+".controllers", zone.Controllers)
 		k.unique(key+".controllers", zone.Controllers, everywhere)
-		routerSeen := map[string]bool{}
+		k.routers(key+".routers", zone.Routers, routers)
+	}
+	for index, zone := range zones {
 		for position, router := range zone.Routers {
-			routerKey := fmt.Sprintf("%s.routers[%d]", key, position)
-			k.address(routerKey, router, false)
-			if routerSeen[router] {
-				k.add(routerKey, router, "stands twice", "List each router once.")
+			if everywhere.addresses[router] {
+				k.add(fmt.Sprintf("site.zones[%d].routers[%d]", index, position), router, "is the internal address of a controller",
+					"Write the address that the router listens on for callers.")
 			}
-			routerSeen[router] = true
 		}
 	}
 }
 
+// routers checks callers' addresses: each belongs to one router of one zone.
+func (k *checker) routers(key string, routers []string, seen map[string]bool) {
+	for position, router := range routers {
+		routerKey := fmt.Sprintf("%s[%d]", key, position)
+		k.address(routerKey, router, false)
+		if seen[router] {
+			k.add(routerKey, router, "stands twice", "List each router once, under its own zone.")
+		}
+		seen[router] = true
+	}
+}
+
 func (k *checker) globalVoters(site Site) {
 	const key = "site.global_voters"
 	k.members(key, site.GlobalVoters)
@@ -153,6 +166,7 @@
 			if member.Daemon != c.Daemon {
 				continue
 			}
+			k.ownAddress(member)
 			if zone.ID != c.Zone {
 				k.add("zone", c.Zone, "is not the zone under which the site lists this daemon",
 					"Write "+string(zone.ID)+", or move the daemon under site.zones.")
@@ -169,3 +183,18 @@
 			"Add it under site.zones, or add it to the running group as a new member.")
 	}
 }
+
+// ownAddress checks that others reach this daemon where it listens.
+func (k *checker) ownAddress(member Member) {
+	own, ownErr := netip.ParseAddrPort(k.config.Listen.Internal)
+	listed, listedErr := netip.ParseAddrPort(member.Address)
+	if ownErr != nil || listedErr != nil || own.Port() == 0 {
+		return // reported elsewhere, or a free port, which suits tests only
+	}
+	listens := listener{address: own}
+	if own.Port() == listed.Port() && listens.overlaps(listed) {
+		return
+	}
+	k.add("listen.internal", k.config.Listen.Internal, "is not where the site says that this daemon is",
+		"Listen on "+member.Address+", or correct the daemon's address under site.zones.")
+}
--- a/config/config.go
+++ b/config/config.go
@@ -62,9 +62,9 @@
 	// GlobalVoters are the first voters of the global group, each a controller of
 	// some zone.
 	GlobalVoters []Member `yaml:"global_voters"`
-	// MachineList and WeightStore are the platform's URLs, by IP number.
+	// MachineList is the platform's URL, http://IP:PORT. Engines know the weight
+	// store themselves; daemons never call it.
 	MachineList string `yaml:"machine_list"`
-	WeightStore string `yaml:"weight_store"`
 	// StoreConcurrent is how many loads at once the weight store allows the whole site.
 	StoreConcurrent int `yaml:"store_concurrent"`
 	// Planner says how the zones' leaders weigh cold starts, idle time and memory.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -13,16 +14,38 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// localFlags puts what depends on the machine into a folder of the test.
-func localFlags(c *qt.C) config.Flags {
+// localFlags puts what depends on the machine into a folder of the test: the data
+// folder, and the keys of the example's daemon.
+func localFlags(c *qt.C, example string) config.Flags {
+	content, err := os.ReadFile(examplePath(example))
+	c.Assert(err, qt.IsNil)
+	settings, problems := config.Decode(content)
+	c.Assert(problems, qt.HasLen, 0)
+	callers, err := netip.ParseAddrPort(settings.Listen.Callers)
+	c.Assert(err, qt.IsNil)
+	authority, err := keys.NewAuthority(settings.Site.Name, time.Now())
+	c.Assert(err, qt.IsNil)
+	return issueFlags(c, authority, keys.Request{
+		Identity:  keys.Identity{Zone: settings.Zone, Daemon: settings.Daemon},
+		Addresses: []netip.Addr{callers.Addr()},
+		Now:       time.Now(),
+	})
+}
+
+// issueFlags writes the files of one certificate and names them.
+func issueFlags(c *qt.C, authority *keys.Authority, request keys.Request) config.Flags {
 	folder := c.TempDir()
-	file := filepath.Join(folder, "tls.pem")
-	c.Assert(os.WriteFile(file, nil, 0o600), qt.IsNil)
-	return config.Flags{DataFolder: folder, TLSCA: file, TLSCertificate: file, TLSKey: file}
+	path := func(name string) string { return filepath.Join(folder, name) }
+	c.Assert(authority.Save(path("ca.crt"), path("ca.key")), qt.IsNil)
+	issued, err := authority.Issue(request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(issued.Save(path("own.crt"), path("own.key")), qt.IsNil)
+	return config.Flags{DataFolder: folder, TLSCA: path("ca.crt"), TLSCertificate: path("own.crt"), TLSKey: path("own.key")}
 }
 
 func examplePath(name string) string { return filepath.Join("..", "examples", name) }
@@ -34,7 +57,7 @@
 	}
 	for file, want := range tests {
 		c := qt.New(t)
-		loaded, err := config.Load(examplePath(file), localFlags(c))
+		loaded, err := config.Load(examplePath(file), localFlags(c, file))
 		c.Assert(err, qt.IsNil)
 		c.Check(loaded.Check(), qt.HasLen, 0)
 		c.Check(loaded.Site.Zones, qt.HasLen, len(want.Zones))
@@ -47,7 +70,7 @@
 	c := qt.New(t)
 	unset := config.Default()
 	c.Check(unset.Site.PlanSettings(), qt.Equals, scheduler.DefaultSettings())
-	loaded, err := config.Load(examplePath("padano.yaml"), localFlags(c))
+	loaded, err := config.Load(examplePath("padano.yaml"), localFlags(c, "padano.yaml"))
 	c.Assert(err, qt.IsNil)
 	c.Check(loaded.Site.PlanSettings().ReserveBytes, qt.Equals, int64(16<<30))
 	site := config.Site{Objective: structs.ObjectiveIdle, Planner: config.Planner{
@@ -62,12 +85,18 @@
 
 func TestFlagsOverrideFile(t *testing.T) {
 	c := qt.New(t)
-	flags := localFlags(c)
+	flags := localFlags(c, "padano.yaml")
 	want, err := config.Load(examplePath("padano.yaml"), flags)
 	c.Assert(err, qt.IsNil)
+	authority, err := keys.NewAuthority("padano", time.Now())
+	c.Assert(err, qt.IsNil)
+	flags = issueFlags(c, authority, keys.Request{Identity: keys.Identity{Zone: "sala-b", Daemon: "sala-b-2"}, Now: time.Now()})
+	want.DataFolder = flags.DataFolder
+	want.TLS = config.TLS{CA: flags.TLSCA, Certificate: flags.TLSCertificate, Key: flags.TLSKey}
 	flags.Daemon, want.Daemon = "sala-b-2", "sala-b-2"
 	flags.Zone, want.Zone = "sala-b", "sala-b"
 	flags.ListenCallers, want.Listen.Callers = "10.20.2.12:7400", "10.20.2.12:7400"
+	flags.ListenInternal, want.Listen.Internal = "10.20.2.12:7402", "10.20.2.12:7402"
 	flags.LogLevel, want.Log.Level = "debug", "debug"
 	flags.Roles, want.Roles = []string{"controller", "router"}, []config.Role{config.RoleController, config.RoleRouter}
 	loaded, err := config.Load(examplePath("padano.yaml"), flags)
@@ -130,7 +159,14 @@
 	{"other address of a global voter", func(s *config.Config) { s.Site.GlobalVoters[0].Address = "10.20.1.11:9" }, "site.global_voters[0].address", false},
 	{"half of the voters in a zone", func(s *config.Config) { s.Site.GlobalVoters = s.Site.GlobalVoters[:2] }, "site.global_voters", true},
 	{"machine list by name", func(s *config.Config) { s.Site.MachineList = "http://machines/" }, "site.machine_list", false},
-	{"weight store of another kind", func(s *config.Config) { s.Site.WeightStore = "ftp://10.0.0.1" }, "site.weight_store", false},
+	{"machine list of another kind", func(s *config.Config) { s.Site.MachineList = "ftp://10.0.0.1" }, "site.machine_list", false},
+	{"machine list over TLS", func(s *config.Config) { s.Site.MachineList = "https://10.0.0.1:8700" }, "site.machine_list", false},
+	{"machine list with a path", func(s *config.Config) { s.Site.MachineList = "http://10.0.0.1:8700/machines" }, "site.machine_list", false},
+	{"machine list with a user", func(s *config.Config) { s.Site.MachineList = "http://a:b@10.0.0.1:8700" }, "site.machine_list", false},
+	{"router of two zones", func(s *config.Config) { s.Site.Zones[1].Routers[0] = "10.20.1.12:7400" }, "site.zones[1].routers[0]", false},
+	{"router at a controller's address", func(s *config.Config) { s.Site.Zones[0].Routers[0] = "10.20.2.11:7402" }, "site.zones[0].routers[0]", false},
+	{"listens where nobody looks", func(s *config.Config) { s.Listen.Internal = "10.20.1.11:7502" }, "listen.internal", false},
+	{"listens at another daemon's address", func(s *config.Config) { s.Listen.Internal = "10.20.1.12:7402" }, "listen.internal", false},
 	{"no store concurrency", func(s *config.Config) { s.Site.StoreConcurrent = 0 }, "site.store_concurrent", false},
 	{"no operator", func(s *config.Config) { s.Operators = nil }, "operators", false},
 	{"hash of another kind", func(s *config.Config) { s.Operators[0].Hash = "md5:00" }, "operators[0].hash", false},
@@ -154,7 +190,7 @@
 	for _, test := range problemTests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			settings, err := config.Load(examplePath("padano.yaml"), localFlags(c))
+			settings, err := config.Load(examplePath("padano.yaml"), localFlags(c, "padano.yaml"))
 			c.Assert(err, qt.IsNil)
 			test.change(&settings)
 			c.Check(find(settings.Check(), test.key, test.warns), qt.IsTrue, qt.Commentf("%v", settings.Check()))
--- a/config/load.go
+++ b/config/load.go
@@ -40,6 +40,32 @@
 	return config, nil
 }
 
+// CheckResult is what a check of a settings file found, as --json shows it.
+type CheckResult struct {
+	// OK is set when a daemon would start with the settings.
+	OK bool `json:"ok"`
+	// Problems holds the warnings too.
+	Problems []Problem `json:"problems"`
+}
+
+// CheckFile checks the file as a daemon's start does. An error means that the file
+// could not be read at all.
+func CheckFile(path string, overrides Flags) (CheckResult, error) {
+	loaded, err := Load(path, overrides)
+	var invalid *InvalidError
+	if stderrors.As(err, &invalid) {
+		return CheckResult{Problems: invalid.Problems}, nil
+	}
+	if err != nil {
+		return CheckResult{}, err
+	}
+	problems := loaded.Check()
+	if problems == nil {
+		problems = []Problem{} // "[]" and not "null" for programs
+	}
+	return CheckResult{OK: true, Problems: problems}, nil
+}
+
 func readFile(path string) ([]byte, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	stderrors "errors"
 	"fmt"
 
 	"github.com/lotusferry/lotusferry/config"
@@ -13,24 +12,11 @@
 	Override   config.Flags `group:"Overrides, as lotusferry takes them" namespace:"set"`
 }
 
-// checkOutput is the result of a check as --json shows it.
-type checkOutput struct {
-	OK       bool             `json:"ok"`
-	Problems []config.Problem `json:"problems"`
-}
-
 // Execute loads the settings as the daemon would and prints every problem.
 func (c *checkCommand) Execute([]string) error {
-	loaded, err := config.Load(c.Config, c.Override)
-	var invalid *config.InvalidError
-	if err != nil && !stderrors.As(err, &invalid) {
-		return err
-	}
-	result := checkOutput{OK: err == nil}
+	result, err := config.CheckFile(c.Config, c.Override)
 	if err != nil {
-		result.Problems = invalid.Problems
-	} else {
-		result.Problems = loaded.Check()
+		return err
 	}
 	if err := c.print(result); err != nil {
 		return err
@@ -41,7 +27,7 @@
 	return nil
 }
 
-func (c *checkCommand) print(result checkOutput) error {
+func (c *checkCommand) print(result config.CheckResult) error {
 	if c.invocation.options.JSON {
 		return c.invocation.printJSON(result)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -287,7 +287,11 @@
 		attempts: map[router.AttemptID]*attempt{},
 		followed: map[structs.RunnerID]*followedEngine{},
 		metrics:  newRequestMetrics(),
-		viewPath: filepath.Join(d.config.DataFolder, viewCacheFile),
+		viewStore: viewStore{
+			zone:        d.config.Zone,
+			basePath:    filepath.Join(d.config.DataFolder, viewBaseFile),
+			changesPath: filepath.Join(d.config.DataFolder, viewChangesFile),
+		},
 		core: router.New(router.Options{
 			Zone:            d.config.Zone,
 			Daemon:          d.config.Daemon,
@@ -299,7 +303,7 @@
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
 	}
-	d.router.view = newViewCache(d.router.core)
+	d.router.view = router.NewViewCopy(d.router.core)
 	d.router.loadView()
 	return nil
 }
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 
@@ -26,39 +27,82 @@
 // commandLine is the daemon's command line: a settings file with flags over it.
 type commandLine struct {
 	Config string `long:"config" value-name:"FILE" description:"settings file" required:"true"`
-	Check  bool   `long:"check" description:"check the settings and exit"`
 	config.Flags
+	Check checkCommand `command:"check" description:"Check the settings and exit"`
+}
+
+type checkCommand struct {
+	JSON bool `long:"json" description:"print JSON"`
 }
 
 // Main is the daemon's program: it runs until stop ends, then makes a planned
-// stop that lasts at most until cut ends or the settings' stop timeout. It
-// returns the exit code.
+// stop that lasts at most until cut ends or the settings' stop timeout. With the
+// command check it only checks the settings. It returns the exit code.
 func Main(stop, cut context.Context, arguments []string, output, failures io.Writer) int {
 	var line commandLine
 	parser := flags.NewNamedParser("lotusferry", flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
 	if _, err := parser.AddGroup("Daemon", "", &line); err != nil {
 		fmt.Fprintln(failures, err)
 		return ExitFailed
 	}
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		fmt.Fprintln(failures, err)
-		if flags.WroteHelp(err) {
-			return ExitOK
-		}
+	rest, err := parser.ParseArgs(arguments)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(output, err)
+		return ExitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("the argument %q is not expected: see --help", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintln(failures, "lotusferry:", err)
 		return ExitUsage
 	}
+	if parser.Active != nil {
+		return line.check(output, failures)
+	}
 	settings, err := config.Load(line.Config, line.Flags)
 	if err != nil {
 		fmt.Fprintln(failures, err)
 		return ExitSettings
 	}
-	if line.Check {
-		fmt.Fprintln(output, "The settings are sound.")
-		return ExitOK
-	}
 	return serve(stop, cut, newLogger(failures, settings.Log), settings)
 }
 
+// check prints every problem of the settings, and returns ExitSettings when a
+// daemon would not start with them.
+func (l commandLine) check(output, failures io.Writer) int {
+	result, err := config.CheckFile(l.Config, l.Flags)
+	if err == nil {
+		err = l.print(output, result)
+	}
+	if err != nil {
+		fmt.Fprintln(failures, "lotusferry:", err)
+		return ExitSettings
+	}
+	if !result.OK {
+		return ExitSettings
+	}
+	return ExitOK
+}
+
+func (l commandLine) print(output io.Writer, result config.CheckResult) error {
+	if l.Check.JSON {
+		encoder := json.NewEncoder(output)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	}
+	for _, problem := range result.Problems {
+		fmt.Fprintln(output, problem)
+	}
+	verdict := "can be used"
+	if !result.OK {
+		verdict = "cannot be used"
+	}
+	fmt.Fprintf(output, "%s %s\n", l.Config, verdict)
+	return nil
+}
+
 // serve runs a daemon until stop ends or it fails, and makes its planned stop.
 func serve(stop, cut context.Context, parent log.Logger, settings config.Config) int {
 	logger := log.With(parent, "component", "daemon")
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -121,7 +121,12 @@
 type ViewArguments struct {
 	SinceTable uint64
 	SinceIndex uint64
-	Wait       time.Duration
+	// Parts says that the router takes a whole table in parts. Whole asks for the
+	// part after the row After, even when changes would do.
+	Parts bool
+	Whole bool
+	After structs.RowName
+	Wait  time.Duration
 }
 
 // ViewReply carries the changes of the view.
--- a/daemon/offer_test.go
+++ b/daemon/offer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -29,78 +28,51 @@
 
 func TestOfferIsTakenByAZoneWithAReadyReplica(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		for _, secure := range []bool{false, true} {
-			s := newStreamSite(t, streamSiteOptions{zones: 2, secure: secure})
-			s.applyRows(1)
-			_, err := s.ask(1, streamRequest("warming", "r0", 5))
+	for _, secure := range []bool{false, true} {
+		s := newStreamSite(t, streamSiteOptions{zones: 2, secure: secure})
+		s.applyRows(1)
+		_, err := s.ask(1, streamRequest("warming", "r0", 5))
+		s.Assert(err, qt.IsNil)
+		for _, embedding := range []bool{false, true} {
+			request := streamRequest("offered", "r0", 5)
+			request.Embedding = embedding
+			answer := s.offer(request, generous)
+			s.Assert(answer.sent, qt.IsTrue)
+			text, err := readRest(answer, "")
 			s.Assert(err, qt.IsNil)
-			for _, embedding := range []bool{false, true} {
-				request := streamRequest("offered", "r0", 5)
-				request.Embedding = embedding
-				answer := s.offer(request, generous)
-				s.Assert(answer.sent, qt.IsTrue)
-				text, err := readRest(answer, "")
-				s.Assert(err, qt.IsNil)
-				s.Assert(embedding || text == wholeAnswer(request), qt.IsTrue)
-			}
+			s.Assert(embedding || text == wholeAnswer(request), qt.IsTrue)
 		}
-	})
+	}
 }
 
 // TestOfferThatNoZoneTakesGoesBack checks that the request is not ended: its own
 // zone's queue does that.
 func TestOfferThatNoZoneTakesGoesBack(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newStreamSite(t, streamSiteOptions{zones: 2})
-		s.applyRows(1)
-		_, err := s.ask(1, streamRequest("warming", "r0", 5))
-		s.Assert(err, qt.IsNil)
-		tests := []struct {
-			about  string
-			before func()
-			row    string
-			budget time.Duration
-		}{
-			{"no replica there", func() {}, "absent", generous},
-			{"no time", func() {}, "r0", 0},
-			{"too late", func() { s.daemons[0].faults.Delay(s.settings[1].Listen.Callers, 2*shortLimit) }, "r0", shortLimit},
-			{"cut off", func() {
-				s.daemons[0].faults.Heal(s.settings[1].Listen.Callers)
-				s.daemons[0].faults.Cut(s.settings[1].Listen.Callers)
-			}, "r0", shortLimit},
-		}
-		for _, test := range tests {
-			test.before()
-			request := streamRequest(test.about, test.row, 5)
-			answer := s.offer(request, test.budget)
-			_, ended, err := answer.take()
-			s.Assert(err, qt.IsNil, qt.Commentf(test.about))
-			s.Assert(ended, qt.IsFalse, qt.Commentf(test.about))
-			if test.row == "absent" {
-				s.Assert(answer.sent, qt.IsFalse)
-			}
-			s.Assert(s.executions(request) == 0 || answer.sent, qt.IsTrue, qt.Commentf(test.about))
-		}
-	})
-}
-
-func TestOfferIsEitherTakenOrGivenUp(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newStreamSite(t, streamSiteOptions{zones: 2})
-		newTry := func() *offerTry {
-			submitted := newCall(streamRequest("offered", "r0", 5), func() {})
-			return s.daemons[0].router.newOfferTry(s.ctx, submitted, "zone-1", time.Now().Add(generous))
+	s := newStreamSite(t, streamSiteOptions{zones: 2})
+	s.applyRows(1)
+	_, err := s.ask(1, streamRequest("warming", "r0", 5))
+	s.Assert(err, qt.IsNil)
+	tests := []struct {
+		about  string
+		before func()
+		row    string
+		budget time.Duration
+	}{
+		{"no replica there", func() {}, "absent", generous},
+		{"no time", func() {}, "r0", 0},
+		{"cut off", func() { s.daemons[0].faults.Cut(s.settings[1].Listen.Callers) }, "r0", shortLimit},
+	}
+	for _, test := range tests {
+		test.before()
+		request := streamRequest(test.about, test.row, 5)
+		answer := s.offer(request, test.budget)
+		_, ended, err := answer.take()
+		s.Assert(err, qt.IsNil, qt.Commentf(test.about))
+		s.Assert(ended, qt.IsFalse, qt.Commentf(test.about))
+		if test.row == "absent" {
+			s.Assert(answer.sent, qt.IsFalse)
 		}
-		taken := newTry()
-		s.Assert(taken.accept(), qt.IsTrue)
-		taken.giveUp()
-		s.Assert(taken.ctx.Err(), qt.IsNil)
-		late := newTry()
-		late.giveUp()
-		s.Assert(late.ctx.Err(), qt.IsNotNil)
-		s.Assert(late.accept(), qt.IsFalse)
-	})
+		s.Assert(s.executions(request) == 0 || answer.sent, qt.IsTrue, qt.Commentf(test.about))
+	}
 }
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -34,10 +34,11 @@
 	calls    map[structs.RequestID]*call
 	attempts map[router.AttemptID]*attempt
 	metrics  *requestMetrics
-	// view is the zone's view, saved at viewPath; viewed is set once it was read.
-	view     *viewCache
-	viewPath string
-	viewed   bool
+	// view is the zone's view; viewed is set once it was read.
+	view   *router.ViewCopy
+	viewed bool
+	// viewStore keeps the view on disk. Only the view's loop uses it.
+	viewStore viewStore
 	// followed are the engines whose cache events are read.
 	followed map[structs.RunnerID]*followedEngine
 	// running holds the goroutines that carry out effects; working counts them.
@@ -62,7 +63,7 @@
 // run drives the router until ctx ends: ticks, demand reports and the view.
 func (r *requestRouter) run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.saveLoop, r.cacheLoop, r.claims.renewLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.cacheLoop, r.claims.renewLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/daemon/streamcache_test.go
+++ b/daemon/streamcache_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -13,23 +12,21 @@
 
 func TestCacheEventsOfEnginesInUseReachTheRouter(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newStreamSite(t, streamSiteOptions{zones: 1})
-		s.applyRows(1)
-		request := streamRequest("cached", "r0", 3)
-		for len(request.Prompt) < 4*engineapi.BlockBytes {
-			request.Prompt += " and more"
-		}
-		_, err := s.ask(0, request)
-		s.Assert(err, qt.IsNil)
-		own := s.daemons[0].router
-		own.readCaches(s.ctx)
-		own.mutex.Lock()
-		defer own.mutex.Unlock()
-		followed := own.followed["engine-zone-0"]
-		s.Assert(followed, qt.Not(qt.IsNil))
-		s.Assert(followed.after > 0, qt.IsTrue)
-	})
+	s := newStreamSite(t, streamSiteOptions{zones: 1})
+	s.applyRows(1)
+	request := streamRequest("cached", "r0", 3)
+	for len(request.Prompt) < 4*engineapi.BlockBytes {
+		request.Prompt += " and more"
+	}
+	_, err := s.ask(0, request)
+	s.Assert(err, qt.IsNil)
+	own := s.daemons[0].router
+	own.readCaches(s.ctx)
+	own.mutex.Lock()
+	defer own.mutex.Unlock()
+	followed := own.followed["engine-zone-0"]
+	s.Assert(followed, qt.Not(qt.IsNil))
+	s.Assert(followed.after > 0, qt.IsTrue)
 }
 
 func TestCachePagesKeepTheirPlaceOverGapsAndRestarts(t *testing.T) {
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -18,42 +18,97 @@
 
 // viewLoop keeps the router's view of its zone up to date by long polls.
 func (r *requestRouter) viewLoop(ctx context.Context) {
+	defer r.viewStore.close()
 	r.mutex.Lock()
-	sinceTable, sinceIndex := r.core.TableRevision(), r.view.index
+	reader := router.NewViewReader(r.view.View())
 	r.mutex.Unlock()
 	for next := 0; ctx.Err() == nil; {
 		addresses := r.leader.addresses
 		address := addresses[next%len(addresses)]
-		reply := &ViewReply{}
-		arguments := ViewArguments{SinceTable: sinceTable, SinceIndex: sinceIndex, Wait: maxWait}
-		err := r.leader.client.Call(ctx, address, methodZoneView, arguments, reply)
-		if err == nil {
-			err = asError(reply.Error)
-		}
+		view, err := r.readView(ctx, address, reader.Next())
 		if err != nil {
 			level.Debug(r.logger).Log("msg", "The zone's view could not be read.", "address", address, "err", err)
 			next++
 			pause(ctx, retryPause)
 			continue
 		}
-		if reply.View.Index < sinceIndex {
-			// This controller is behind what the router already has.
+		adopted, helps := reader.Take(view)
+		if !helps {
 			next++
 			pause(ctx, retryPause)
 			continue
 		}
-		r.adoptView(reply.View)
-		sinceTable = max(sinceTable, reply.View.Table.Revision)
-		sinceIndex = reply.View.Index
+		r.keepView(adopted)
+		r.adoptView(adopted, !reader.ReadsParts())
+		r.saveIfDue()
+	}
+}
+
+func (r *requestRouter) readView(ctx context.Context, address string, request router.ViewRequest) (structs.ZoneView, error) {
+	reply := &ViewReply{}
+	arguments := ViewArguments{
+		SinceTable: request.SinceTable, SinceIndex: request.SinceIndex,
+		Parts: true, Whole: request.Whole, After: request.After, Wait: maxWait,
+	}
+	if err := r.leader.client.Call(ctx, address, methodZoneView, arguments, reply); err != nil {
+		return structs.ZoneView{}, err
+	}
+	return reply.View, asError(reply.Error)
+}
+
+// loadView begins with the view that was saved, if there is a sound one.
+func (r *requestRouter) loadView() {
+	views, err := r.viewStore.load()
+	if err != nil {
+		level.Warn(r.logger).Log("msg", "The saved view cannot be read, or not to its end.", "err", err)
+	}
+	for _, view := range views {
+		r.adoptView(view, true)
+	}
+	if len(views) > 0 {
+		// What a failure has torn is put right before changes are added to it.
+		r.saveIfDue()
+		known := r.view.View()
+		level.Info(r.logger).Log("msg", "The router begins with its saved view.", "table_revision", known.Table.Revision, "index", known.Index)
+	}
+}
+
+// keepView puts a change of the view on disk before the router works by it. After a
+// failure the whole view is saved instead, once the change is adopted.
+func (r *requestRouter) keepView(view structs.ZoneView) {
+	r.mutex.Lock()
+	known := r.core.TableRevision()
+	r.mutex.Unlock()
+	newer := view.Table.Revision > known
+	if r.viewStore.changes == nil || view.Placement == nil && !newer && !view.Table.Full {
+		return
+	}
+	if err := r.viewStore.append(view, newer); err != nil {
+		level.Warn(r.logger).Log("msg", "A change of the view could not be saved.", "err", err)
+	}
+}
+
+// saveIfDue saves the whole view when no changes can be kept after the saved one, or
+// they have become many.
+func (r *requestRouter) saveIfDue() {
+	if !r.viewStore.isDue() || !r.hasView() {
+		return
+	}
+	r.mutex.Lock()
+	whole := r.view.View()
+	r.mutex.Unlock()
+	if err := r.viewStore.replace(whole); err != nil {
+		level.Warn(r.logger).Log("msg", "The view could not be saved.", "file", r.viewStore.basePath, "err", err)
 	}
 }
 
-// adoptView hands the view to the core and keeps it.
-func (r *requestRouter) adoptView(view structs.ZoneView) {
+// adoptView hands the view to the core and keeps it; whole says that the table was
+// read to its end.
+func (r *requestRouter) adoptView(view structs.ZoneView, whole bool) {
 	r.mutex.Lock()
 	// The log of a zone has an entry: a controller without one has just started.
-	r.viewed = r.viewed || view.Index > 0
-	r.view.adopt(view)
+	r.viewed = r.viewed || whole && view.Index > 0
+	r.view.Adopt(view)
 	r.stepLocked(router.ViewChanged{View: view})
 	r.mutex.Unlock()
 	r.viewChanged.broadcast()
@@ -106,3 +161,14 @@
 	}
 	schedule.Acknowledged(now, scope, reply.Epoch)
 }
+
+// notViewed refuses a request to a router that knows no table yet.
+func notViewed() structs.Refusal {
+	refusal := structs.Refusal{
+		Error: *structs.NewError(structs.ErrorUnavailable, "this router has not read its zone's table yet",
+			"Send the request to another router, or come back after the time given."),
+		Execution: structs.ExecutionNotRun,
+	}
+	refusal.Error.RetryAfter = router.MinimumRetryAfter
+	return refusal
+}
--- /dev/null
+++ b/daemon/viewstore.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// viewBaseFile and viewChangesFile are the names in the data folder.
+	viewBaseFile    = "view.cache"
+	viewChangesFile = "view.changes"
+	// viewHeader stands before the checksum of a saved view.
+	viewHeader = "lotusferry-view-1"
+	// maxChangesBytes is the size of the file of changes at which the whole view is
+	// saved anew: a table of 58,000 rows is some 12 MB, and its changes some 200 B/s.
+	maxChangesBytes = 4 << 20
+)
+
+// viewStore keeps a router's view of its zone on disk: a whole view, and the
+// changes that came after it. Table changes are synced before the router works by
+// them, so that a restarted router never goes back in revision; changes of the
+// placement alone may be lost. It is not safe for concurrent use.
+type viewStore struct {
+	zone        structs.ZoneID
+	basePath    string
+	changesPath string
+	// changes is open once the whole view was saved or read; nil means that changes
+	// cannot be kept until it is saved.
+	changes *os.File
+	size    int64
+}
+
+// savedView is the content of one line of a file.
+type savedView struct {
+	Zone structs.ZoneID
+	View structs.ZoneView
+}
+
+// encodeView returns a saved view: a line with header and checksum, and JSON.
+func encodeView(saved savedView) ([]byte, error) {
+	content, err := json.Marshal(saved)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the view")
+	}
+	return fmt.Appendf(nil, "%s %016x\n%s\n", viewHeader, xxhash.Sum64(content), content), nil
+}
+
+// decodeView reads the first saved view and returns what follows it. Its error has
+// the kind invalid when it is damaged or of another zone.
+func decodeView(file []byte, zone structs.ZoneID) (structs.ZoneView, []byte, error) {
+	header, rest, _ := bytes.Cut(file, []byte("\n"))
+	content, rest, ended := bytes.Cut(rest, []byte("\n"))
+	if !ended || string(header) != fmt.Sprintf("%s %016x", viewHeader, xxhash.Sum64(content)) {
+		return structs.ZoneView{}, nil, structs.NewError(structs.ErrorInvalid, "the saved view is damaged or of another version",
+			"nothing needs to be done: the view is read again from a controller")
+	}
+	var saved savedView
+	if err := json.Unmarshal(content, &saved); err != nil {
+		return structs.ZoneView{}, nil, errors.Wrap(err, "decode the saved view")
+	}
+	if saved.Zone != zone {
+		return structs.ZoneView{}, nil, structs.NewError(structs.ErrorInvalid,
+			fmt.Sprintf("the saved view is of zone %s and not of %s", saved.Zone, zone),
+			"give each daemon a data folder of its own, or delete "+viewBaseFile)
+	}
+	return saved.View, rest, nil
+}
+
+// load returns the saved view and the changes after it, in order; none when nothing
+// was saved. The error tells what could not be read: the whole view, and then
+// nothing is returned, or the end of the changes, which a failure may have torn.
+func (s *viewStore) load() ([]structs.ZoneView, error) {
+	file, err := os.ReadFile(s.basePath)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the saved view")
+	}
+	base, _, err := decodeView(file, s.zone)
+	if err != nil {
+		return nil, err
+	}
+	views := []structs.ZoneView{base}
+	rest, err := os.ReadFile(s.changesPath)
+	if errors.Is(err, fs.ErrNotExist) {
+		return views, nil
+	}
+	for err == nil && len(rest) > 0 {
+		var view structs.ZoneView
+		view, rest, err = decodeView(rest, s.zone)
+		if err == nil {
+			views = append(views, view)
+		}
+	}
+	return views, err
+}
+
+// replace saves the whole view and begins its changes anew. Changes that a failure
+// in between leaves there are older than the view and change nothing.
+func (s *viewStore) replace(view structs.ZoneView) error {
+	s.close()
+	file, err := encodeView(savedView{s.zone, view})
+	if err != nil {
+		return err
+	}
+	if err := keys.WriteFile(s.basePath, file); err != nil {
+		return err
+	}
+	if err := keys.WriteFile(s.changesPath, nil); err != nil {
+		return err
+	}
+	changes, err := os.OpenFile(s.changesPath, os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		return errors.Wrap(err, "open the file of changes")
+	}
+	s.changes = changes
+	s.size = 0
+	return nil
+}
+
+// append keeps a change of the view, on disk for good when synced is set. After an
+// error nothing is appended until the whole view is saved.
+func (s *viewStore) append(view structs.ZoneView, synced bool) error {
+	line, err := encodeView(savedView{s.zone, view})
+	if err != nil {
+		return err
+	}
+	written, err := s.changes.Write(line)
+	s.size += int64(written)
+	if err == nil && synced {
+		err = s.changes.Sync()
+	}
+	if err != nil {
+		s.close()
+		return errors.Wrap(err, "keep a change of the view")
+	}
+	return nil
+}
+
+// isDue reports whether the whole view must be saved before a change is appended.
+func (s *viewStore) isDue() bool { return s.changes == nil || s.size > maxChangesBytes }
+
+func (s *viewStore) close() {
+	if s.changes != nil {
+		_ = s.changes.Close()
+		s.changes = nil
+	}
+}
--- a/daemon/zonenode.go
+++ b/daemon/zonenode.go
@@ -20,6 +20,8 @@
 	machine *zoneMachine
 	demand  *demandBox
 	claims  *claimDesk
+	// viewParts bounds the parts of the table that are sent at a time.
+	viewParts viewPace
 }
 
 func newZoneNode(logger log.Logger, settings config.Zone, options group.Options) (*zoneNode, error) {
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -60,9 +60,11 @@
 	defer cancel()
 	for {
 		changed := s.node.machine.changed.wait()
-		s.node.group.View(func() {
-			reply.View = s.node.machine.state.View(arguments.SinceTable, arguments.SinceIndex)
-		})
+		if !s.node.viewParts.await(ctx, s.sendsPart(arguments)) {
+			reply.Error = partsBusy()
+			return nil
+		}
+		s.node.group.View(func() { reply.View = viewFor(s.node.machine.state, arguments) })
 		reply.View.Epoch = structs.Epoch(s.node.group.Status().Term)
 		if isNews(reply.View, arguments) || ctx.Err() != nil {
 			return nil
@@ -74,14 +76,33 @@
 	}
 }
 
-// isNews reports whether a router learns something from the view. A controller that
-// has applied nothing, as after a start without a quorum, has no news: answering at
-// once would have its routers ask without a pause.
-func isNews(view structs.ZoneView, arguments ViewArguments) bool {
-	if view.Placement != nil && view.Index > arguments.SinceIndex {
-		return true
+// partsBusy asks a router that needs the whole table to come back.
+func partsBusy() *structs.Error {
+	refusal := structs.NewError(structs.ErrorOverloaded, "many routers read the whole table now", "ask another controller of the zone, or this one later")
+	refusal.RetryAfter = viewPartPause
+	return refusal
+}
+
+// sendsPart reports whether the answer is a part of the whole table.
+func (s *ZoneService) sendsPart(arguments ViewArguments) bool {
+	var part bool
+	s.node.group.View(func() { part = takesPart(s.node.machine.state, arguments) })
+	return part
+}
+
+func takesPart(state *zone.State, arguments ViewArguments) bool {
+	return arguments.Parts && (arguments.Whole || state.NeedsWhole(arguments.SinceTable))
+}
+
+func viewFor(state *zone.State, arguments ViewArguments) structs.ZoneView {
+	if takesPart(state, arguments) {
+		return state.ViewPart(arguments.After, arguments.SinceIndex)
 	}
-	return view.Table.Revision > arguments.SinceTable
+	return state.View(arguments.SinceTable, arguments.SinceIndex)
+}
+
+func isNews(view structs.ZoneView, arguments ViewArguments) bool {
+	return view.Part != nil || view.Placement != nil || view.Table.Revision > arguments.SinceTable
 }
 
 // Demand takes a router's demand report. Only the leader uses it.
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -24,9 +24,11 @@
 	owner *process
 	core  *router.Core
 	// keepsAll says that the whole table is kept, not only the rows in use.
-	keepsAll    bool
-	sinceTable  uint64
-	sinceIndex  uint64
+	keepsAll   bool
+	sinceTable uint64
+	reader     *router.ViewReader
+	// disk is the view on the process's disk, which a restart leaves there.
+	disk        *router.ViewCopy
 	nextMember  int
 	leaderGuess int
 	requests    map[structs.RequestID]*callRecord
@@ -66,7 +68,7 @@
 	})
 	r.requests = map[structs.RequestID]*callRecord{}
 	r.attempts = map[router.AttemptID]*runnerNode{}
-	r.sinceTable, r.sinceIndex = 0, 0
+	r.loadDisk()
 	r.schedule = router.NewDemandSchedule(defaultTiming().ReportInterval)
 	r.draining, r.reportDue, r.reporting = false, false, false
 	life := r.owner.life
--- a/hollow/routerview.go
+++ b/hollow/routerview.go
@@ -13,8 +13,10 @@
 	}
 	home := r.owner.zone
 	target := home.voters[r.nextMember%len(home.voters)]
-	key := viewKey{r.sinceTable, r.sinceIndex}
-	arguments := daemon.ViewArguments{SinceTable: key.sinceTable, SinceIndex: key.sinceIndex, Wait: pollWait}
+	key := r.reader.Next()
+	arguments := daemon.ViewArguments{
+		SinceTable: key.SinceTable, SinceIndex: key.SinceIndex, Parts: true, Whole: key.Whole, After: key.After, Wait: pollWait,
+	}
 	bytes := home.sizer.call(methodZoneView, arguments)
 	home.site.call(r.owner, target, trafficView, bytes, func(answer answerFunc) {
 		target.member.poll(&viewPoll{key: key, answer: answer, then: func(made sizedView) { r.adopt(life, made) }})
@@ -27,21 +29,37 @@
 }
 
 func (r *routerNode) adopt(life int, made sizedView) {
-	view := made.view
-	if view.Index < r.sinceIndex {
+	answered := made.view
+	if !r.keepsAll {
+		answered.Table = made.inUse
+	}
+	view, helps := r.reader.Take(answered)
+	if !helps {
 		r.pollElsewhere(life)
 		return
 	}
-	if !r.keepsAll {
-		view.Table = made.inUse
-	}
+	r.disk.Adopt(view)
 	r.stepAs(partRouterView, router.ViewChanged{View: view})
-	r.sinceTable = max(r.sinceTable, view.Table.Revision)
-	r.sinceIndex = view.Index
+	r.sinceTable = r.core.TableRevision()
 	r.owner.zone.noteInForce()
 	r.poll(life)
 }
 
+// loadDisk begins with the view that the process's former life left on its disk.
+func (r *routerNode) loadDisk() {
+	var saved structs.ZoneView
+	if r.disk != nil {
+		saved = r.disk.View()
+	}
+	r.disk = router.NewViewCopy(r.core)
+	if saved.Index > 0 {
+		r.disk.Adopt(saved)
+		r.stepAs(partRouterView, router.ViewChanged{View: saved})
+	}
+	r.sinceTable = r.core.TableRevision()
+	r.reader = router.NewViewReader(saved)
+}
+
 // rowsInUse leaves out the rows that no request of the run is for, so that the
 // routers fit one process.
 func (s *site) rowsInUse(delta structs.TableDelta) structs.TableDelta {
--- a/hollow/zonemember.go
+++ b/hollow/zonemember.go
@@ -6,6 +6,7 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/zone"
 )
@@ -44,8 +45,8 @@
 // Restore implements machine.
 func (m *zoneMachine) Restore(data []byte) error { return m.state.Restore(data) }
 
-// viewKey names the view that a router asks for.
-type viewKey struct{ sinceTable, sinceIndex uint64 }
+// viewPartPause is that of the daemon: the time between two parts of a whole table.
+const viewPartPause = 30 * time.Millisecond
 
 // sizedView is a view with the bytes of its reply.
 type sizedView struct {
@@ -57,7 +58,7 @@
 
 // viewPoll is a long poll of a router.
 type viewPoll struct {
-	key    viewKey
+	key    router.ViewRequest
 	answer answerFunc
 	then   func(sizedView)
 	ended  bool
@@ -71,9 +72,11 @@
 	parked  []*viewPoll
 	// views holds the views made since the last change; routers that are equally
 	// far get equal ones.
-	views  map[viewKey]sizedView
-	demand []structs.DemandReport
-	leader *zoneLeader
+	views map[router.ViewRequest]sizedView
+	// nextPart is when the next part of a whole table may be sent.
+	nextPart int64
+	demand   []structs.DemandReport
+	leader   *zoneLeader
 }
 
 func (s *site) openZoneGroups() {
@@ -83,7 +86,7 @@
 		for index, owner := range home.voters {
 			id := raft.NodeID(index + 1)
 			membership.Voters = append(membership.Voters, id)
-			member := &zoneMember{home: home, views: map[viewKey]sizedView{}, machine: &zoneMachine{state: zone.New(home.id), cost: &home.cost}}
+			member := &zoneMember{home: home, views: map[router.ViewRequest]sizedView{}, machine: &zoneMachine{state: zone.New(home.id), cost: &home.cost}}
 			member.raftMember = &raftMember{
 				site: s, owner: owner, name: fmt.Sprintf("zone-%s", home.id), id: id, machine: member.machine, seed: s.options.Seed,
 			}
@@ -103,6 +106,7 @@
 func (m *zoneMember) restart() {
 	m.machine.state = zone.New(m.home.id)
 	m.parked = nil
+	m.nextPart = 0
 	m.demand = nil
 	m.leader = newZoneLeader(m)
 	m.open()
@@ -111,6 +115,11 @@
 
 // poll serves a long poll for the zone's view.
 func (m *zoneMember) poll(poll *viewPoll) {
+	if m.takesPart(poll.key) {
+		m.nextPart = max(m.nextPart, m.home.now) + int64(viewPartPause)
+		m.home.at(m.nextPart-int64(viewPartPause), func() { m.answerPoll(poll, true) })
+		return
+	}
 	if m.answerPoll(poll, false) {
 		return
 	}
@@ -118,12 +127,17 @@
 	m.home.after(pollWait, func() { m.answerPoll(poll, true) })
 }
 
+// takesPart reports whether the answer is a part of the whole table.
+func (m *zoneMember) takesPart(key router.ViewRequest) bool {
+	return key.Whole || m.machine.state.NeedsWhole(key.SinceTable)
+}
+
 func (m *zoneMember) answerPoll(poll *viewPoll, over bool) bool {
 	if poll.ended {
 		return true
 	}
 	made := m.view(poll.key)
-	hasNews := made.view.Placement != nil || made.view.Table.Revision > poll.key.sinceTable
+	hasNews := made.view.Placement != nil || made.view.Table.Revision > poll.key.SinceTable
 	if !over && !hasNews {
 		return false
 	}
@@ -132,12 +146,12 @@
 	return true
 }
 
-func (m *zoneMember) view(key viewKey) sizedView {
+func (m *zoneMember) view(key router.ViewRequest) sizedView {
 	if made, known := m.views[key]; known {
 		return made
 	}
 	var made sizedView
-	m.cost().whole(partZoneView, func() { made.view = m.machine.state.View(key.sinceTable, key.sinceIndex) })
+	m.cost().whole(partZoneView, func() { made.view = m.viewFor(key) })
 	made.view.Epoch = structs.Epoch(m.node.Term())
 	m.cost().whole(partCodec, func() {
 		made.bytes = m.home.sizer.reply(methodZoneView, daemon.ViewReply{View: made.view})
@@ -147,9 +161,16 @@
 	return made
 }
 
+func (m *zoneMember) viewFor(key router.ViewRequest) structs.ZoneView {
+	if m.takesPart(key) {
+		return m.machine.state.ViewPart(key.After, key.SinceIndex)
+	}
+	return m.machine.state.View(key.SinceTable, key.SinceIndex)
+}
+
 // wake answers the polls that have news after something was applied.
 func (m *zoneMember) wake() {
-	m.views = map[viewKey]sizedView{}
+	m.views = map[router.ViewRequest]sizedView{}
 	m.home.noteAdopted(m)
 	parked := m.parked
 	m.parked = nil
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -79,7 +79,6 @@
 		Name:            site.Name,
 		Objective:       site.Objective,
 		MachineList:     "http://" + plan.machines(),
-		WeightStore:     "http://" + plan.store(),
 		StoreConcurrent: site.StoreConcurrent,
 	}
 	index := 0
--- a/router/core.go
+++ b/router/core.go
@@ -38,6 +38,7 @@
 
 	tableRevision uint64
 	viewIndex     uint64
+	viewEpoch     structs.Epoch
 
 	// reported is what the leader was told of the rows in use; demandUrgent says that
 	// it should hear of a row at once.
--- a/router/view.go
+++ b/router/view.go
@@ -23,7 +23,15 @@
 }
 
 // adoptPlacement takes a whole placement, or changes that join on to what is known.
+// Of a group that was restored from a backup the log begins anew.
 func (c *Core) adoptPlacement(view structs.ZoneView) {
+	if view.Replaced(c.viewEpoch) {
+		return
+	}
+	if view.RestoredSince(c.viewEpoch) {
+		c.viewIndex = 0
+	}
+	c.viewEpoch = max(c.viewEpoch, view.Epoch)
 	whole := view.Placement != nil && !view.Placement.Partial
 	joins := whole || view.SinceIndex <= c.viewIndex
 	if !joins || view.Index < c.viewIndex {
--- a/structs/view.go
+++ b/structs/view.go
@@ -11,11 +11,42 @@
 	Epoch Epoch
 	// Table is the change of the table since the router's table revision.
 	Table TableDelta
+	// Part is set when Table holds only a part of the rows of the whole table.
+	Part *ViewPart
 	// Placement lists the runners and replicas of the zone; nil means no change
 	// after SinceIndex.
 	Placement *Placement
 }
 
+// ViewPart says which rows of the table a view holds, in the order of their names.
+// Parts may be of different revisions: together they are the table at the lowest of
+// them, with some rows newer.
+type ViewPart struct {
+	// After is the name that the part's rows follow; empty for the first part.
+	After RowName
+	// More is set when rows follow the part's, and Last is then the part's last.
+	More bool
+	Last RowName
+}
+
+// restoredEpochs is by how many epochs a zone group must be ahead of what a router
+// knows to count as restored from a backup: half of what such a group begins ahead
+// of its backup. That a group has so many elections between two views is possible,
+// and harmless: the router then reads the whole view once.
+const restoredEpochs = 1 << 19
+
+// RestoredSince reports whether the view is of a group that was restored from a
+// backup after the epoch: its log begins anew at an earlier index.
+func (v *ZoneView) RestoredSince(epoch Epoch) bool {
+	return epoch > 0 && v.Epoch >= epoch+restoredEpochs
+}
+
+// Replaced reports whether the view is of a group in whose place one of the epoch
+// was restored.
+func (v *ZoneView) Replaced(epoch Epoch) bool {
+	return v.Epoch > 0 && epoch >= v.Epoch+restoredEpochs
+}
+
 // Placement lists where replicas are.
 type Placement struct {
 	// Partial means that only runners that changed are listed, each with all of
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -28,10 +28,18 @@
 	Index          uint64
 	PlacementIndex uint64
 	Table          structs.TableDelta
-	Runners        []snapshotRunner
-	Replicas       []snapshotReplica
-	Claims         []snapshotClaim
-	Released       []structs.RequestID
+	// TableFloor and TableChanges let a restarted member answer readers with changes.
+	TableFloor   uint64
+	TableChanges []snapshotChange
+	Runners      []snapshotRunner
+	Replicas     []snapshotReplica
+	Claims       []snapshotClaim
+	Released     []structs.RequestID
+}
+
+type snapshotChange struct {
+	Revision uint64
+	Row      structs.RowName
 }
 
 type snapshotRunner struct {
@@ -40,6 +48,8 @@
 	Gone          bool
 	Prefetch      structs.RowName
 	PrefetchOrder structs.OrderNumber
+	// Changed is the index at which the runner or a replica on it last changed.
+	Changed uint64
 }
 
 type snapshotReplica struct {
@@ -74,10 +84,15 @@
 func (s *State) snapshotData() snapshotData {
 	data := snapshotData{
 		Zone: s.zone, Index: s.index, PlacementIndex: s.placementIndex, Table: s.table.full(),
+		TableFloor: s.table.floor,
+	}
+	for _, change := range s.table.changes {
+		data.TableChanges = append(data.TableChanges, snapshotChange{change.revision, change.row})
 	}
 	for _, runner := range s.Runners() {
 		data.Runners = append(data.Runners, snapshotRunner{
 			runner.RunnerInfo, runner.Draining, runner.Gone, runner.Prefetch, runner.PrefetchOrder,
+			s.runnerIndex[runner.ID],
 		})
 	}
 	for _, replica := range s.Replicas() {
@@ -143,8 +158,11 @@
 			return nil, corrupt("the zone snapshot holds a bad table: " + problem.Message)
 		}
 	}
+	if err := s.table.restoreChanges(d.TableFloor, d.TableChanges); err != nil {
+		return nil, err
+	}
 	for _, entry := range d.Runners {
-		s.runnerIndex[entry.Info.ID] = d.PlacementIndex
+		s.runnerIndex[entry.Info.ID] = entry.changedBy(d.PlacementIndex)
 		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone, entry.Prefetch, entry.PrefetchOrder}
 	}
 	for _, entry := range d.Replicas {
@@ -165,6 +183,33 @@
 	return s, nil
 }
 
+// changedBy returns when the runner last changed; a snapshot of an earlier version
+// does not say, and the last change of any runner stands for it.
+func (r *snapshotRunner) changedBy(placementIndex uint64) uint64 {
+	if r.Changed == 0 {
+		return placementIndex
+	}
+	return min(r.Changed, placementIndex)
+}
+
+// restoreChanges takes the remembered changes of a snapshot. One of an earlier
+// version has none: readers that are behind its revision then get the whole table.
+func (t *adoptedTable) restoreChanges(floor uint64, changes []snapshotChange) error {
+	if floor == 0 && len(changes) == 0 {
+		return nil
+	}
+	last := floor
+	for _, change := range changes {
+		if change.Revision <= floor || change.Revision < last || change.Revision > t.revision {
+			return corrupt("the zone snapshot holds table changes out of order")
+		}
+		last = change.Revision
+		t.changes = append(t.changes, tableChange{change.Revision, change.Row})
+	}
+	t.floor = floor
+	return nil
+}
+
 func (t *claimTable) restore(entry snapshotClaim) {
 	entry.Claim.ExpiresAt = normalTime(entry.Claim.ExpiresAt)
 	entry.Claim.ChosenAt = normalTime(entry.Claim.ChosenAt)
--- a/zone/table.go
+++ b/zone/table.go
@@ -1,35 +1,26 @@
 package zone
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"sort"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// maxTableChanges bounds the remembered changes; who is further behind gets the
-// whole table.
-const maxTableChanges = 1 << 14
-
-type tableChange struct {
-	revision uint64
-	row      structs.RowName
-}
-
 // adoptedTable is the table as far as the zone adopted it.
 type adoptedTable struct {
 	revision  uint64
 	rows      map[structs.RowName]structs.Row
 	grants    map[structs.RowName]structs.Grant
 	elsewhere map[structs.RowName][]structs.ZoneID
+	// names are the names of the rows, in order.
+	names []structs.RowName
 	// minimum holds the rows that are kept loaded without demand.
 	minimum map[structs.RowName]bool
 	// lowered holds the rows whose grant has a limit below what is held, or is frozen.
 	lowered map[structs.RowName]bool
 	// changes are ordered by revision; all changes after floor are there. They
-	// only serve queries and are not part of a snapshot.
+	// only serve queries.
 	changes []tableChange
 	floor   uint64
 }
@@ -62,22 +53,20 @@
 	}
 	for _, row := range delta.Rows {
 		t.setRow(row)
-		t.note(delta, row.Name)
 	}
 	for _, name := range delta.Deleted {
 		delete(t.rows, name)
 		delete(t.minimum, name)
-		t.note(delta, name)
 	}
 	for _, grant := range delta.Grants {
 		t.setGrant(grant)
-		t.note(delta, grant.Row)
 	}
 	for _, zones := range delta.Elsewhere {
 		t.setElsewhere(zones)
-		t.note(delta, zones.Row)
 	}
 	t.revision = delta.Revision
+	t.note(delta)
+	t.indexNames(delta)
 	t.trim()
 	return nil
 }
@@ -125,52 +114,6 @@
 	t.elsewhere[zones.Row] = slices.Clone(zones.Zones)
 }
 
-// note remembers a change for later deltas; a full delta is a floor instead.
-func (t *adoptedTable) note(delta *structs.TableDelta, row structs.RowName) {
-	if delta.Full {
-		return
-	}
-	t.changes = append(t.changes, tableChange{delta.Revision, row})
-}
-
-func (t *adoptedTable) trim() {
-	if len(t.changes) <= maxTableChanges {
-		return
-	}
-	cut := len(t.changes) - maxTableChanges/2
-	t.floor = t.changes[cut-1].revision
-	for cut < len(t.changes) && t.changes[cut].revision == t.floor {
-		cut++
-	}
-	t.changes = slices.Clone(t.changes[cut:])
-}
-
-// since builds the delta for a reader that has the table at revision.
-func (t *adoptedTable) since(zone structs.ZoneID, revision uint64) structs.TableDelta {
-	if revision >= t.revision {
-		return structs.TableDelta{SinceRevision: t.revision, Revision: t.revision}
-	}
-	if revision < t.floor || revision == 0 {
-		return t.full()
-	}
-	first := sort.Search(len(t.changes), func(i int) bool { return t.changes[i].revision > revision })
-	names := map[structs.RowName]bool{}
-	for _, change := range t.changes[first:] {
-		names[change.row] = true
-	}
-	delta := structs.TableDelta{SinceRevision: revision, Revision: t.revision}
-	for _, name := range slices.Sorted(maps.Keys(names)) {
-		if row, ok := t.rows[name]; ok {
-			delta.Rows = append(delta.Rows, row)
-		} else {
-			delta.Deleted = append(delta.Deleted, name)
-		}
-		delta.Grants = append(delta.Grants, t.grant(zone, name))
-		delta.Elsewhere = append(delta.Elsewhere, structs.RowZones{Row: name, Zones: t.elsewhere[name]})
-	}
-	return delta
-}
-
 func (t *adoptedTable) full() structs.TableDelta {
 	delta := structs.TableDelta{Revision: t.revision, Full: true, Rows: t.sortedRows()}
 	for _, name := range slices.Sorted(maps.Keys(t.grants)) {
@@ -183,11 +126,10 @@
 }
 
 func (t *adoptedTable) sortedRows() []structs.Row {
-	rows := make([]structs.Row, 0, len(t.rows))
-	for _, row := range t.rows {
-		rows = append(rows, row)
+	rows := make([]structs.Row, 0, len(t.names))
+	for _, name := range t.names {
+		rows = append(rows, t.rows[name])
 	}
-	slices.SortFunc(rows, func(a, b structs.Row) int { return cmp.Compare(a.Name, b.Name) })
 	return rows
 }
 
--- /dev/null
+++ b/zone/viewpart.go
@@ -0,0 +1,55 @@
+package zone
+
+import (
+	"slices"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// maxPartRows bounds the rows of one part of the table, some 140 bytes each.
+const maxPartRows = 1 << 10
+
+// NeedsWhole reports whether a reader that has the table at the revision must get
+// it whole: it has none, or is behind the changes that are remembered.
+func (s *State) NeedsWhole(sinceTable uint64) bool { return s.table.needsWhole(sinceTable) }
+
+// ViewPart is View with a part of the whole table instead of its changes: the rows
+// that follow the name after, in order, and what belongs to them. The first part
+// follows the empty name.
+func (s *State) ViewPart(after structs.RowName, sinceIndex uint64) structs.ZoneView {
+	first, found := slices.BinarySearch(s.table.names, after)
+	if found {
+		first++
+	}
+	names := s.table.names[first:]
+	more := len(names) > maxPartRows
+	if more {
+		names = names[:maxPartRows]
+	}
+	view := structs.ZoneView{
+		Index:      s.index,
+		SinceIndex: sinceIndex,
+		Table:      s.table.part(names),
+		Part:       &structs.ViewPart{After: after, More: more},
+		Placement:  s.placementSince(sinceIndex),
+	}
+	if more {
+		view.Part.Last = names[len(names)-1]
+	}
+	return view
+}
+
+// part lists the rows with their grants and zones.
+func (t *adoptedTable) part(names []structs.RowName) structs.TableDelta {
+	delta := structs.TableDelta{Revision: t.revision, Full: true, Rows: make([]structs.Row, 0, len(names))}
+	for _, name := range names {
+		delta.Rows = append(delta.Rows, t.rows[name])
+		if grant, granted := t.grants[name]; granted {
+			delta.Grants = append(delta.Grants, grant)
+		}
+		if zones, served := t.elsewhere[name]; served {
+			delta.Elsewhere = append(delta.Elsewhere, structs.RowZones{Row: name, Zones: zones})
+		}
+	}
+	return delta
+}
