Answer /v1/models/ROW, and unknown paths as every other error

Cause: the OpenAI clients' models.retrieve (JavaScript) and Models.Get (Go) met a text/plain 404, as did every path and method that the interface lacks, so that clients showed no message. go-kit's error handler logged each refusal without level or message, a line a refused request under overload.

Change: one row by name, slashes included; unknown paths and wrong methods get the JSON body of all errors, with status 404 and 405. Refusals are logged at debug. TestOpenAIModels got a third row, with a slash in its name, to list.

Conclusion: TestOpenAIModel and TestUnknownPathsAndMethodsAreRefusedAsOtherErrorsAre fail before.

--- a/api/encode.go
+++ b/api/encode.go
@@ -92,13 +92,3 @@
 		TotalTokens:      r.generation.promptTokens + completionTokens,
 	}
 }
-
-func encodeModels(_ context.Context, w http.ResponseWriter, response any) error {
-	rows := response.([]structs.Row)
-	list := modelList{Object: "list", Data: make([]modelItem, 0, len(rows))}
-	for _, row := range rows {
-		list.Data = append(list.Data, modelItem{ID: string(row.Name), Object: "model", OwnedBy: "lotusferry"})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(w).Encode(list)
-}
--- a/api/handler.go
+++ b/api/handler.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/kit/transport"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/structs"
@@ -64,7 +65,9 @@
 	decode := decoder{options: options}
 	serverOptions := []kithttp.ServerOption{
 		kithttp.ServerErrorEncoder(encodeError),
-		kithttp.ServerErrorHandler(transport.NewLogErrorHandler(logger)),
+		// Refusals are no faults of the daemon, and come in numbers under overload; the
+		// metrics count them.
+		kithttp.ServerErrorHandler(transport.NewLogErrorHandler(level.Debug(log.With(logger, "msg", "A request was refused.")))),
 	}
 	generate := generateEndpoint(service, options)
 	mux := http.NewServeMux()
@@ -72,6 +75,12 @@
 	mux.Handle("POST "+pathCompletions, kithttp.NewServer(generate, decode.completion, encodeReply, serverOptions...))
 	mux.Handle("POST "+pathEmbeddings, kithttp.NewServer(embeddingsEndpoint(service), decode.embeddings, encodeEmbeddings, serverOptions...))
 	mux.Handle("GET "+pathModels, kithttp.NewServer(modelsEndpoint(service), kithttp.NopRequestDecoder, encodeModels, serverOptions...))
+	mux.Handle("GET "+pathModels+"/{"+modelParameter+"...}", kithttp.NewServer(modelEndpoint(service), decodeModel, encodeModel, serverOptions...))
+	mux.HandleFunc("/", serveUnknown)
+	for _, path := range []string{pathChatCompletions, pathCompletions, pathEmbeddings} {
+		mux.Handle(path, serveOnly(http.MethodPost))
+	}
+	mux.Handle(pathModels, serveOnly(http.MethodGet))
 	return authenticate(withTaken(mux), options)
 }
 
@@ -93,9 +102,3 @@
 		return reply{generation: wanted, answer: answer, first: first, created: options.Now(), writeTimeout: options.WriteTimeout}, nil
 	}
 }
-
-func modelsEndpoint(service Service) endpoint.Endpoint {
-	return func(ctx context.Context, _ any) (any, error) {
-		return service.Rows(ctx)
-	}
-}
--- a/api/openai_test.go
+++ b/api/openai_test.go
@@ -119,7 +119,41 @@
 	for _, model := range page.Data {
 		names = append(names, model.ID)
 	}
-	c.Assert(strings.Join(names, " "), qt.Equals, "echo vector")
+	c.Assert(strings.Join(names, " "), qt.Equals, "echo echo/adapter vector")
+}
+
+func TestOpenAIModel(t *testing.T) {
+	c := qt.New(t)
+	_, url := serve(t, nil)
+	client := openaiClient(url)
+	for _, name := range []string{"echo", "echo/adapter"} {
+		model, err := client.Models.Get(context.Background(), name)
+		c.Assert(err, qt.IsNil)
+		c.Check(model.ID, qt.Equals, name)
+	}
+	_, err := client.Models.Get(context.Background(), "none")
+	var refused *openai.Error
+	c.Assert(errors.As(err, &refused), qt.IsTrue)
+	c.Check(refused.StatusCode, qt.Equals, http.StatusNotFound)
+	c.Check(refused.Message, qt.Contains, "the table has no row none: List the models")
+}
+
+func TestUnknownPathsAndMethodsAreRefusedAsOtherErrorsAre(t *testing.T) {
+	c := qt.New(t)
+	_, url := serve(t, nil)
+	client := openaiClient(url)
+	_, err := client.Files.List(context.Background(), openai.FileListParams{})
+	var refused *openai.Error
+	c.Assert(errors.As(err, &refused), qt.IsTrue)
+	c.Check(refused.StatusCode, qt.Equals, http.StatusNotFound)
+	c.Check(refused.Message, qt.Contains, "there is nothing at /v1/files: Use /v1/chat/completions")
+
+	reply, err := http.Get(url + "/v1/embeddings")
+	c.Assert(err, qt.IsNil)
+	defer reply.Body.Close()
+	c.Check(reply.StatusCode, qt.Equals, http.StatusMethodNotAllowed)
+	c.Check(reply.Header.Get("Allow"), qt.Equals, http.MethodPost)
+	c.Check(reply.Header.Get("Content-Type"), qt.Equals, "application/json")
 }
 
 func TestOpenAIEmbeddings(t *testing.T) {
--- a/api/service_test.go
+++ b/api/service_test.go
@@ -28,7 +28,7 @@
 }
 
 func (s *fakeService) Rows(context.Context) ([]structs.Row, error) {
-	return []structs.Row{{Name: "echo"}, {Name: "vector"}}, nil
+	return []structs.Row{{Name: "echo"}, {Name: "echo/adapter"}, {Name: "vector"}}, nil
 }
 
 func (s *fakeService) Submit(_ context.Context, request structs.Request) (api.Answer, error) {
