Show in the status what each daemon says of itself; make key folders

Cause: status gave each daemon the reachability and revision of its zone, so that a dead controller was shown as reachable, and named every daemon a controller only, without an address. Problems of a row named the column memory_bytes, which no table file has.

Change: a daemon's answer carries its roles, operators' address and revision; one that does not answer is not reachable. Folders for keys are made with mode 0700. Problems are printed with the column's name in the table. TestKeysServeTheExample keeps the CA in a folder that is not there yet.

Conclusion: TestStatusSaysOfEachDaemonWhatItIsItself fails before.

--- a/ctl/edit_test.go
+++ b/ctl/edit_test.go
@@ -81,6 +81,9 @@
 		"ROW         COLUMN  VALUE  PROBLEM          REMEDY",
 		"code-large  weight  2000   is out of range  Write 1 to 1000."))
 	c.Check(got.errors, qt.Contains, "changed nothing")
+
+	service.problems[0].Column = "memory_bytes" // the daemon's name of the column "memory"
+	c.Check(run(service, "", "table", "set", "code-large", "memory=0").output, qt.Contains, "code-large  memory  2000")
 }
 
 func TestResendsKeepTheEditID(t *testing.T) {
--- a/ctl/keys.go
+++ b/ctl/keys.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -47,6 +48,16 @@
 	return nil
 }
 
+// makeKeyFolder makes the folder, which only its owner may read, if it is missing.
+func makeKeyFolder(path string) error {
+	const mode = 0o700
+	if err := os.MkdirAll(path, mode); err != nil {
+		return structs.NewError(structs.ErrorInvalid,
+			"the folder "+path+" cannot be made: "+err.Error(), "Name a folder in which this user may write with --folder.")
+	}
+	return nil
+}
+
 type keysCA struct {
 	invocation *invocation
 	Site       string `long:"site" required:"yes" description:"name of the site" value-name:"NAME"`
@@ -59,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if err := makeKeyFolder(c.Folder); err != nil {
+		return err
+	}
 	certificate := filepath.Join(c.Folder, authorityCertificate)
 	key := filepath.Join(c.Folder, authorityKey)
 	if err := authority.Save(certificate, key); err != nil {
@@ -104,6 +118,9 @@
 	if err != nil {
 		return err
 	}
+	if err := makeKeyFolder(c.Folder); err != nil {
+		return err
+	}
 	certificate := filepath.Join(c.Folder, c.Daemon+".crt")
 	key := filepath.Join(c.Folder, c.Daemon+".key")
 	if err := issued.Save(certificate, key); err != nil {
--- a/ctl/local_test.go
+++ b/ctl/local_test.go
@@ -36,10 +36,14 @@
 		c.Assert(got.code, qt.Equals, ctl.ExitOK, qt.Commentf(got.errors))
 		return got
 	}
-	must("keys", "ca", "--site", "padano", "--folder", folder)
-	must("keys", "issue", "--ca-folder", folder, "--zone", "sala-a", "--daemon", "sala-a-1", "--ip", "10.20.1.11", "--folder", folder)
+	authority := filepath.Join(folder, "ca")
+	must("keys", "ca", "--site", "padano", "--folder", authority)
+	blocked := filepath.Join(authority, "ca.crt", "folder")
+	c.Check(run(nil, "", "keys", "ca", "--site", "padano", "--folder", blocked).code, qt.Equals, ctl.ExitRefused)
+	folder = filepath.Join(folder, "out")
+	must("keys", "issue", "--ca-folder", authority, "--zone", "sala-a", "--daemon", "sala-a-1", "--ip", "10.20.1.11", "--folder", folder)
 	daemon := filepath.Join(folder, "sala-a-1")
-	files := keys.Files{CA: filepath.Join(folder, "ca.crt"), Certificate: daemon + ".crt", Key: daemon + ".key"}
+	files := keys.Files{CA: filepath.Join(authority, "ca.crt"), Certificate: daemon + ".crt", Key: daemon + ".key"}
 	reloader, err := keys.NewReloader(log.NewNopLogger(), files, keys.Options{})
 	c.Assert(err, qt.IsNil)
 	c.Check(reloader.Identity(), qt.Equals, keys.Identity{Zone: "sala-a", Daemon: "sala-a-1"})
@@ -51,7 +55,7 @@
 	c.Check(printed, qt.Contains, keys.HashAPIKey(strings.TrimSpace(string(key))).String())
 	c.Check(printed, qt.Not(qt.Contains), strings.TrimSpace(string(key)))
 	c.Check(run(nil, "", "keys", "operator", "ada", "--out", operatorFile).code, qt.Equals, ctl.ExitConflict)
-	c.Check(run(nil, "", "keys", "ca", "--site", "padano", "--folder", folder).code, qt.Equals, ctl.ExitConflict)
+	c.Check(run(nil, "", "keys", "ca", "--site", "padano", "--folder", authority).code, qt.Equals, ctl.ExitConflict)
 
 	check := []string{"check", "--config", filepath.Join("..", "examples", "padano.yaml"), "--set.data-folder", folder,
 		"--set.tls-ca", files.CA, "--set.tls-certificate", files.Certificate, "--set.tls-key", files.Key}
--- a/ctl/output_rows.go
+++ b/ctl/output_rows.go
@@ -95,7 +95,7 @@
 func (s *invocation) printProblems(problems []structs.RowProblem) error {
 	lines := make([][]string, 0, len(problems))
 	for _, problem := range problems {
-		lines = append(lines, []string{string(problem.Row), problem.Column, problem.Value, problem.Problem, problem.Remedy})
+		lines = append(lines, []string{string(problem.Row), tablefile.ColumnName(problem.Column), problem.Value, problem.Problem, problem.Remedy})
 	}
 	return s.printTable([]string{"ROW", "COLUMN", "VALUE", "PROBLEM", "REMEDY"}, lines)
 }
--- a/daemon/daemondrain.go
+++ b/daemon/daemondrain.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -28,12 +29,17 @@
 	Draining bool
 }
 
-// DaemonStateReply is how far a drain is.
+// DaemonStateReply is what a daemon says of itself.
 type DaemonStateReply struct {
 	Draining bool
 	// Open counts the callers' requests that the daemon has to finish.
 	Open  int
-	Error *structs.Error
+	Roles []config.Role
+	// Operators is where the daemon listens for operators.
+	Operators string
+	// TableRevision is the revision that the daemon works by.
+	TableRevision uint64
+	Error         *structs.Error
 }
 
 // Drain starts or ends a drain. It lasts until it is ended or the daemon stops.
@@ -48,12 +54,18 @@
 	return s.State(StatusArguments{}, reply)
 }
 
-// State says how far a drain is.
+// State says what the daemon is and does, and how far a drain is.
 func (s *DaemonService) State(_ StatusArguments, reply *DaemonStateReply) error {
+	settings := s.daemon.config
+	reply.Roles = settings.Roles
+	reply.Operators = settings.Listen.Operators
 	if s.daemon.router != nil {
 		reply.Draining = s.daemon.router.isDrained()
 		reply.Open = s.daemon.router.openCalls()
 	}
+	if s.daemon.zone != nil {
+		reply.TableRevision = s.daemon.zone.tableRevision()
+	}
 	return nil
 }
 
@@ -112,9 +124,9 @@
 	return addresses
 }
 
-// drainStates asks all daemons that the site lists at once. Those that do not
+// daemonStates asks all daemons that the site lists at once. Those that do not
 // answer in time are left out.
-func (s *operatorService) drainStates(ctx context.Context) map[structs.DaemonID]DaemonStateReply {
+func (s *operatorService) daemonStates(ctx context.Context) map[structs.DaemonID]DaemonStateReply {
 	ctx, cancel := context.WithTimeout(ctx, zoneStatusTimeout)
 	defer cancel()
 	var mutex sync.Mutex
@@ -135,10 +147,21 @@
 	return states
 }
 
-// withDrains adds to each daemon how far its drain is.
-func withDrains(daemons []operatorapi.DaemonStatus, states map[structs.DaemonID]DaemonStateReply) []operatorapi.DaemonStatus {
+// withStates adds what each daemon says of itself. One that does not answer keeps what
+// the settings say of it.
+func withStates(daemons []operatorapi.DaemonStatus, states map[structs.DaemonID]DaemonStateReply) []operatorapi.DaemonStatus {
 	for i := range daemons {
-		state := states[daemons[i].Daemon]
+		state, answered := states[daemons[i].Daemon]
+		daemons[i].Reachable = answered
+		if !answered {
+			continue
+		}
+		daemons[i].Roles = nil
+		for _, role := range state.Roles {
+			daemons[i].Roles = append(daemons[i].Roles, string(role))
+		}
+		daemons[i].Address = state.Operators
+		daemons[i].TableRevision = state.TableRevision
 		daemons[i].Draining = state.Draining
 		daemons[i].OpenRequests = state.Open
 	}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -97,7 +97,7 @@
 	}
 	status := operatorapi.SiteStatus{Revision: reply.Revision, Zones: make([]structs.ZoneStatus, len(s.site.Zones))}
 	states := make(chan map[structs.DaemonID]DaemonStateReply, 1)
-	go func() { states <- s.drainStates(ctx) }()
+	go func() { states <- s.daemonStates(ctx) }()
 	done := make(chan struct{}, len(s.site.Zones))
 	for i, zone := range s.site.Zones {
 		go func() {
@@ -108,7 +108,7 @@
 	for range s.site.Zones {
 		<-done
 	}
-	status.Daemons = withDrains(s.daemons(reply.Leader, status.Zones), <-states)
+	status.Daemons = withStates(s.daemons(reply.Leader, status.Zones), <-states)
 	return status, nil
 }
 
@@ -133,13 +133,11 @@
 	for i, zone := range s.site.Zones {
 		for _, member := range zone.Controllers {
 			list = append(list, operatorapi.DaemonStatus{
-				Daemon:        member.Daemon,
-				Zone:          zone.ID,
-				Roles:         []string{string(config.RoleController)},
-				Reachable:     zones[i].Reachable,
-				LeadsSite:     member.Daemon == leader,
-				LeadsZone:     member.Daemon == zones[i].Leader,
-				TableRevision: zones[i].TableRevision,
+				Daemon:    member.Daemon,
+				Zone:      zone.ID,
+				Roles:     []string{string(config.RoleController)},
+				LeadsSite: member.Daemon == leader,
+				LeadsZone: member.Daemon == zones[i].Leader,
 			})
 		}
 	}
--- a/operatorapi/service.go
+++ b/operatorapi/service.go
@@ -86,12 +86,12 @@
 	Roles  []string         `json:"roles,omitempty"`
 	// Address is the operators' address, empty when it is not known.
 	Address string `json:"address,omitempty"`
-	// Reachable is false when the daemon has not been heard of lately.
+	// Reachable is false when the daemon did not answer the one that was asked.
 	Reachable bool `json:"reachable"`
 	// LeadsSite and LeadsZone tell which groups the daemon leads.
 	LeadsSite bool `json:"leads_site"`
 	LeadsZone bool `json:"leads_zone"`
-	// TableRevision is the revision that the daemon works by.
+	// TableRevision is the revision that the daemon works by, 0 when it does not answer.
 	TableRevision uint64 `json:"table_revision"`
 	// Draining says that the daemon takes no callers' requests until an operator ends
 	// the drain, and OpenRequests how many it has still to finish. Both are zero when
--- a/tablefile/csv.go
+++ b/tablefile/csv.go
@@ -70,7 +70,7 @@
 func checkHeader(header []string) error {
 	var seen []string
 	for i, column := range header {
-		header[i] = canonicalColumn(strings.TrimSpace(column))
+		header[i] = ColumnName(strings.TrimSpace(column))
 		if !slices.Contains(columns, header[i]) {
 			return invalid(fmt.Sprintf("the header has the unknown column %q", column),
 				"Use only these columns: "+strings.Join(columns, ", ")+".")
--- a/tablefile/record.go
+++ b/tablefile/record.go
@@ -61,8 +61,9 @@
 	values []value
 }
 
-// canonicalColumn returns the column's name without aliases.
-func canonicalColumn(column string) string {
+// ColumnName returns the name under which operators know a column that may be given
+// by an alias, such as a field of structs.Row.
+func ColumnName(column string) string {
 	if column == memoryAlias {
 		return columnMemory
 	}
@@ -115,7 +116,7 @@
 
 func (b *rowBuilder) build(record record) {
 	for _, value := range record.values {
-		column := canonicalColumn(value.column)
+		column := ColumnName(value.column)
 		if b.seen[column] {
 			b.report(column, value.text, "is given twice", "Keep one value.")
 			continue
