Run stand-ins for settings of one's own; give every log line level and component

Some log lines had no level, which no filter holds back, or no component, and net/http wrote past the logger.

Unexpected arguments are a usage error.

--- a/config/load.go
+++ b/config/load.go
@@ -66,6 +66,20 @@
 	return CheckResult{OK: true, Problems: problems}, nil
 }
 
+// ReadSite reads the site of a settings file for a program that is no daemon. Only
+// the file's form is checked, not the daemon's own settings.
+func ReadSite(path string) (Site, error) {
+	content, err := readFile(path)
+	if err != nil {
+		return Site{}, err
+	}
+	config, problems := Decode(content)
+	if len(problems) > 0 {
+		return Site{}, &InvalidError{Path: path, Problems: problems}
+	}
+	return config.Site, nil
+}
+
 func readFile(path string) ([]byte, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -331,7 +331,7 @@
 	for _, server := range d.servers {
 		d.stopped.Go(func() { server.serve(d.logger) })
 	}
-	level.Info(d.logger).Log("msg", "The daemon serves.", "callers", d.config.Listen.Callers,
+	level.Info(d.logger).Log("component", "daemon", "msg", "The daemon serves.", "callers", d.config.Listen.Callers,
 		"operators", d.config.Listen.Operators, "internal", d.server.Address())
 }
 
@@ -343,7 +343,7 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		level.Error(d.logger).Log("msg", "A group stopped.", "group", name, "err", err)
+		level.Error(d.logger).Log("component", "daemon", "msg", "A group stopped.", "group", name, "err", err)
 		select {
 		case d.failed <- errors.Wrap(err, "run group "+name):
 		default:
@@ -385,7 +385,7 @@
 func (d *Daemon) closeFiles() {
 	for _, store := range d.stores {
 		if err := store.Close(); err != nil {
-			level.Error(d.logger).Log("msg", "A store could not be closed.", "err", err)
+			level.Error(d.logger).Log("component", "daemon", "msg", "A store could not be closed.", "err", err)
 		}
 	}
 	d.engines.Close()
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
@@ -133,6 +134,8 @@
 		ReadHeaderTimeout: d.options.limits.header,
 		IdleTimeout:       d.options.limits.idle,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// What net/http has to say, as of failed handshakes, is about the other side.
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Info(log.With(d.logger, "component", "http", "server", name))), "", 0),
 	}
 	listener = newLimitListener(listener, d.options.limits.connections)
 	switch {
--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -4,14 +4,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/operatorapi"
 )
 
 // run runs the program until it ends by itself; a daemon that starts is stopped at once.
@@ -73,3 +80,63 @@
 	c.Check(output, qt.Contains, "--config")
 	c.Check(failures, qt.Equals, "")
 }
+
+// TestLogLinesHaveOneForm reads what a daemon logs from its start to its end, with a
+// caller that breaks off its handshake in between.
+func TestLogLinesHaveOneForm(t *testing.T) {
+	c := qt.New(t)
+	site := newTestSite(c, 1)
+	settings := site.settings[0]
+	settings.Roles = config.Default().Roles
+	settings.Listen.Callers, settings.Listen.Operators = "127.0.0.1:0", "127.0.0.1:0"
+	authority, err := keys.NewAuthority("test", time.Now())
+	c.Assert(err, qt.IsNil)
+	secure(c, &settings, authority, keys.Identity{Zone: "north", Daemon: "north-0"})
+	var output lockedBuffer
+	running, err := New(newLogger(&output, config.Log{Level: "debug", Format: "json"}), settings)
+	c.Assert(err, qt.IsNil)
+	running.Start()
+	site.running["north-0"] = running
+	site.await("its leader", func(operatorapi.GroupMembers) bool { return true })
+	conn, err := net.Dial("tcp", running.servers[0].listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	conn.Close()
+	site.kill(0)
+
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	components := map[string]bool{}
+	for _, line := range lines {
+		var fields map[string]any
+		c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil, qt.Commentf(line))
+		for _, field := range []string{"ts", "level", "component", "msg", "daemon", "zone"} {
+			c.Check(fields[field], qt.Not(qt.IsNil), qt.Commentf("%s in %s", field, line))
+		}
+		name, _ := fields["component"].(string)
+		components[name] = true
+	}
+	for _, part := range []string{"daemon", "member", "group", "http"} {
+		c.Check(components[part], qt.IsTrue, qt.Commentf(part))
+	}
+}
+
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mutex   sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(content []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.content.Write(content)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.content.String()
+}
--- a/emulator/engine_server.go
+++ b/emulator/engine_server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
@@ -160,7 +161,7 @@
 	for _, output := range outputs {
 		switch output.Kind {
 		case OutputDied:
-			_ = s.logger.Log("msg", "The engine died.", "runner", s.engine.options.Runner)
+			level.Warn(s.logger).Log("msg", "The engine died.", "runner", s.engine.options.Runner)
 			s.resetCalls()
 			s.endLife()
 			s.life, s.endLife = context.WithCancel(context.Background())
@@ -197,7 +198,7 @@
 		return
 	}
 	if err != nil {
-		_ = s.logger.Log("msg", "A checkpoint could not be fetched.", "runner", request.Runner, "row", request.Row, "err", err)
+		level.Warn(s.logger).Log("msg", "A checkpoint could not be fetched.", "runner", request.Runner, "row", request.Row, "err", err)
 	}
 	input := EngineInput{Kind: InputFetched, Row: request.Row, Failed: err != nil}
 	s.dispatch(s.engine.Step(s.clock.Now(), input))
--- a/emulator/machine_server.go
+++ b/emulator/machine_server.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
@@ -66,6 +67,6 @@
 		unknown := structs.NewError(structs.ErrorNotFound, "the machine is not on the list", "check the runner's name")
 		return struct{}{}, &refusalError{refusal: *notRun(unknown)}
 	}
-	_ = s.logger.Log("msg", "A machine leaves.", "runner", request.Runner, "gone", request.Gone)
+	level.Info(s.logger).Log("msg", "A machine leaves.", "runner", request.Runner, "gone", request.Gone)
 	return struct{}{}, nil
 }
--- a/emulator/store_server.go
+++ b/emulator/store_server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
@@ -76,7 +77,7 @@
 	select {
 	case output := <-ended:
 		if output.Failed {
-			_ = s.logger.Log("msg", "A read failed.", "row", request.Row, "runner", request.Runner)
+			level.Warn(s.logger).Log("msg", "A read failed.", "row", request.Row, "runner", request.Runner)
 			failure := structs.NewError(structs.ErrorUnavailable, "the read failed", "send the fetch again")
 			return engineapi.FetchReply{}, &refusalError{refusal: structs.Refusal{Error: *failure}}
 		}
--- a/group/group.go
+++ b/group/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/raft"
@@ -177,7 +178,7 @@
 	defer ticker.Stop()
 	for {
 		if err := g.process(sending, senders); err != nil {
-			_ = g.logger.Log("msg", "The group stops because a step failed.", "err", err)
+			level.Error(g.logger).Log("msg", "The group stops because a step failed.", "err", err)
 			return err
 		}
 		select {
--- a/group/lease.go
+++ b/group/lease.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -60,7 +62,7 @@
 			continue
 		}
 		if err := g.loop.node.Step(message); err != nil {
-			_ = g.logger.Log("msg", "A message was refused.", "from", message.From, "err", err)
+			level.Warn(g.logger).Log("msg", "A message was refused.", "from", message.From, "err", err)
 			continue
 		}
 		fromLeader = fromLeader || g.acceptedAsLeader(message)
--- a/group/propose.go
+++ b/group/propose.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -122,5 +124,5 @@
 	}
 	g.loop.leading = leading
 	g.loop.echoes.acknowledged = make(map[raft.NodeID]acknowledgement)
-	_ = g.logger.Log("msg", "The leadership changed.", "term", term, "leader", g.loop.node.Leader())
+	level.Info(g.logger).Log("msg", "The leadership changed.", "term", term, "leader", g.loop.node.Leader())
 }
--- a/group/sender.go
+++ b/group/sender.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/raft"
 )
 
@@ -159,9 +161,9 @@
 func (s *sender) logChange(address string, err error) {
 	switch {
 	case err != nil && !s.broken:
-		_ = s.group.logger.Log("msg", "A member cannot be reached.", "node", s.peer, "address", address, "err", err)
+		level.Warn(s.group.logger).Log("msg", "A member cannot be reached.", "node", s.peer, "address", address, "err", err)
 	case err == nil && s.broken:
-		_ = s.group.logger.Log("msg", "A member can be reached again.", "node", s.peer, "address", address)
+		level.Info(s.group.logger).Log("msg", "A member can be reached again.", "node", s.peer, "address", address)
 	}
 	s.broken = err != nil
 }
--- a/keys/reloader.go
+++ b/keys/reloader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -99,11 +100,11 @@
 		loaded, err = r.files.load()
 	}
 	if err != nil {
-		r.logger.Log("msg", "Changed TLS files cannot be used. The last good ones stay in force.", "err", err)
+		level.Error(r.logger).Log("msg", "Changed TLS files cannot be used. The last good ones stay in force.", "err", err)
 		return r.loaded
 	}
 	r.loaded = loaded
-	r.logger.Log("msg", "TLS files were read again.")
+	level.Info(r.logger).Log("msg", "TLS files were read again.")
 	return r.loaded
 }
 
--- a/lab/platform.go
+++ b/lab/platform.go
@@ -49,8 +49,16 @@
 	servers []*http.Server
 }
 
+// platformAddresses says where the stand-ins listen.
+type platformAddresses interface {
+	store() string
+	machines() string
+	// engine is the address of the runner with that index over all zones.
+	engine(index int) string
+}
+
 // startPlatform starts the stand-ins of site on the plan's addresses.
-func startPlatform(logger log.Logger, site Site, plan addressPlan, seed uint64) (*Platform, error) {
+func startPlatform(logger log.Logger, site Site, plan platformAddresses, seed uint64) (*Platform, error) {
 	p := &Platform{clock: emulator.NewClock(1), client: engineapi.NewClient(engineapi.ClientOptions{})}
 	p.Store = emulator.NewStoreServer(logger, emulator.NewStore(emulator.StoreOptions{
 		LoadsPerSecond: site.StoreLoadsPerSecond,
@@ -73,7 +81,7 @@
 	return p, nil
 }
 
-func (p *Platform) startZone(logger log.Logger, zone SiteZone, plan addressPlan, seed uint64) error {
+func (p *Platform) startZone(logger log.Logger, zone SiteZone, plan platformAddresses, seed uint64) error {
 	for _, set := range zone.Runners {
 		for i := range set.Count {
 			id := structs.RunnerID(fmt.Sprintf("%s-%s-%d", zone.ID, set.Role, i))
@@ -91,7 +99,7 @@
 	return nil
 }
 
-func (p *Platform) startRunner(logger log.Logger, runner *Runner, plan addressPlan, seed uint64) error {
+func (p *Platform) startRunner(logger log.Logger, runner *Runner, plan platformAddresses, seed uint64) error {
 	engine := emulator.NewEngine(emulator.EngineOptions{
 		Runner:          runner.Machine.Runner,
 		Zone:            runner.Machine.Zone,
--- /dev/null
+++ b/labcommand/platform.go
@@ -0,0 +1,36 @@
+package labcommand
+
+import (
+	"strings"
+
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const gibibyte = int64(1) << 30
+
+type platformCommand struct {
+	session   *session
+	Config    string `long:"config" required:"true" value-name:"FILE" description:"settings of a daemon of the site: its zones and its machine list's address are used"`
+	Runners   int    `long:"runners" default:"2" description:"runners of each zone"`
+	Role      string `long:"role" default:"answers" description:"role of the runners, as the table's rows name it"`
+	MemoryGiB int64  `long:"memory-gib" default:"48" description:"accelerator memory of a runner"`
+	Seed      uint64 `long:"seed" default:"1" description:"decides the chance in the stand-ins"`
+}
+
+// Execute implements go-flags.Commander. It runs until the program is interrupted.
+func (c *platformCommand) Execute([]string) error {
+	site, err := config.ReadSite(c.Config)
+	if err != nil {
+		return err
+	}
+	return lab.ServePlatform(c.session.ctx, c.session.logger, lab.PlatformOptions{
+		Zones:          site.ZoneIDs(),
+		MachineList:    strings.TrimPrefix(site.MachineList, "http://"),
+		RunnersPerZone: c.Runners,
+		Role:           structs.RunnerRole(c.Role),
+		MemoryBytes:    c.MemoryGiB * gibibyte,
+		Seed:           c.Seed,
+	}, c.session.Output)
+}
--- a/labcommand/run.go
+++ b/labcommand/run.go
@@ -45,6 +45,7 @@
 type commandLine struct {
 	Demo       demoCommand       `command:"demo" description:"Bring up a small site, send requests, edit the table, and report"`
 	Fleet      fleetCommand      `command:"fleet" description:"Run a whole site as processes under load and faults, and check it"`
+	Platform   platformCommand   `command:"platform" description:"Run stand-ins for engines, weight store and machine list for a site of your own settings"`
 	Load       loadCommand       `command:"load" description:"Put load on routers that run, and measure what callers see"`
 	Compare    compareCommand    `command:"compare" description:"Compare two reports of the commands fleet or load"`
 	Hollow     hollowCommand     `command:"hollow" description:"Run a site of the size designed for in one process and in virtual time"`
@@ -61,6 +62,7 @@
 	line := commandLine{
 		Demo:       demoCommand{session: shared},
 		Fleet:      fleetCommand{session: shared},
+		Platform:   platformCommand{session: shared},
 		Load:       loadCommand{session: shared},
 		Compare:    compareCommand{session: shared},
 		Hollow:     hollowCommand{session: shared},
@@ -75,7 +77,17 @@
 		fmt.Fprintln(environment.Errors, err)
 		return ExitFailed
 	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("the argument %q is not expected: see --help", rest[0])}
+		}
+		return command.Execute(rest)
+	}
 	_, err := parser.ParseArgs(arguments)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(environment.Output, err)
+		return ExitOK
+	}
 	return exitCode(environment.Errors, err)
 }
 
@@ -86,8 +98,6 @@
 	fmt.Fprintln(failures, err)
 	var usage *flags.Error
 	switch {
-	case flags.WroteHelp(err):
-		return ExitOK
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.Is(err, errViolation):
--- a/operatorapi/handler.go
+++ b/operatorapi/handler.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/kit/transport"
 	httptransport "github.com/go-kit/kit/transport/http"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/structs"
@@ -57,7 +58,7 @@
 	return transport.ErrorHandlerFunc(func(_ context.Context, err error) {
 		kind := typedError(err).Kind
 		if kind == structs.ErrorInternal || kind == structs.ErrorCorrupt {
-			logger.Log("msg", "A request of an operator failed.", "err", err)
+			level.Error(logger).Log("msg", "A request of an operator failed.", "err", err)
 		}
 	})
 }
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -175,7 +177,7 @@
 // drop forgets a failed connection and closes it.
 func (p *peer) drop(failed *connection, err error) {
 	p.forget(failed, err)
-	_ = p.client.logger.Log("msg", "A connection was closed.", "peer", p.address, "err", err)
+	level.Warn(p.client.logger).Log("msg", "A connection was closed.", "peer", p.address, "err", err)
 	_ = failed.rpc.Close()
 }
 
--- a/transport/server.go
+++ b/transport/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 )
 
@@ -100,7 +101,7 @@
 		case <-s.closed:
 			return
 		case <-time.After(acceptPause):
-			_ = s.logger.Log("msg", "A connection could not be accepted.", "err", err)
+			level.Error(s.logger).Log("msg", "A connection could not be accepted.", "err", err)
 		}
 	}
 }
@@ -127,7 +128,7 @@
 		err := secured.HandshakeContext(ctx)
 		cancel()
 		if err != nil {
-			_ = s.logger.Log("msg", "A connection was refused.", "peer", raw.RemoteAddr(), "err", err)
+			level.Warn(s.logger).Log("msg", "A connection was refused.", "peer", raw.RemoteAddr(), "err", err)
 			return
 		}
 		conn = secured
