Check the operators' histories of the table for linearizability

Cause: one-winner, resend and read each check a part of what operators may see, against records made where the table answers. No check held the whole history, as the operators' own machines saw it, against a sequential table.

The model is the whole table, so edits of two rows are one step. An edit without an answer stays open for as long as it can have an effect. New mutations: stale-reads, forget-answers, take-any-version.

--- a/simulate/daemon.go
+++ b/simulate/daemon.go
@@ -45,6 +45,7 @@
 	if d.globalMember != nil {
 		d.global = newGlobalService(d)
 		table := newTableMachine()
+		table.mutate = d.site.tableMutation()
 		d.global.state = table
 		d.globalMember.start(d.number, table)
 	}
--- a/simulate/globalservice.go
+++ b/simulate/globalservice.go
@@ -131,6 +131,11 @@
 func (g *globalService) takeRead(from Address, request rowsRequest) {
 	m := g.daemon.globalMember
 	g.lastRead++
+	if g.daemon.site.mutated(mutationStaleReads) {
+		g.reads[g.lastRead] = waitingOperator{from, request.number}
+		g.readReady(g.lastRead)
+		return
+	}
 	if err := m.node.ReadIndex(g.lastRead); err != nil {
 		return
 	}
--- a/simulate/judge.go
+++ b/simulate/judge.go
@@ -7,11 +7,13 @@
 	scheduler *Scheduler
 	trace     *Trace
 	violation *Violation
+	// only, when set, is the one checker that is listened to.
+	only string
 }
 
 // Report records a violation of the invariant that the checker guards.
 func (j *Judge) Report(checker, format string, arguments ...any) {
-	if j.violation != nil {
+	if j.violation != nil || j.only != "" && checker != j.only {
 		return
 	}
 	message := fmt.Sprintf(format, arguments...)
--- a/simulate/ledger.go
+++ b/simulate/ledger.go
@@ -36,7 +36,7 @@
 var tableCheckers = []string{
 	checkerElection, checkerLog, checkerLease, checkerReplicas, checkerGrant, checkerMemory,
 	checkerReservation, checkerFence, checkerWinner, checkerResend, checkerInForce, checkerLate,
-	checkerAlone, checkerLeaving, checkerRead,
+	checkerAlone, checkerLeaving, checkerRead, checkerLinearizable,
 	checkerInvariants, checkerConvergence, checkerFailure, checkerRunaway,
 }
 
--- a/simulate/mutation.go
+++ b/simulate/mutation.go
@@ -17,6 +17,9 @@
 	mutationIgnoreLeaving  = "ignore-leaving"
 	mutationSlowDeltas     = "slow-deltas"
 	mutationNeedGlobal     = "need-global"
+	mutationStaleReads     = "stale-reads"
+	mutationForgetAnswers  = "forget-answers"
+	mutationTakeAnyVersion = "take-any-version"
 )
 
 func tableMutations() []MutationInfo {
@@ -50,7 +53,22 @@
 		{
 			Name:     mutationNewEditID,
 			Sentence: "An operator's client makes a new edit ID for every resend.",
-			Checkers: []string{checkerResend},
+			Checkers: []string{checkerResend, checkerLinearizable},
+		},
+		{
+			Name:     mutationForgetAnswers,
+			Sentence: "The table judges an edit again when it is resent.",
+			Checkers: []string{checkerResend, checkerLinearizable},
+		},
+		{
+			Name:     mutationTakeAnyVersion,
+			Sentence: "The table takes edits that were made against older versions of their rows, resends among them.",
+			Checkers: []string{checkerWinner, checkerResend, checkerLinearizable},
+		},
+		{
+			Name:     mutationStaleReads,
+			Sentence: "A member answers reads of the table at once, from what it has applied.",
+			Checkers: []string{checkerRead, checkerLinearizable},
 		},
 		{
 			Name:     mutationKeepIdentity,
--- a/simulate/operator.go
+++ b/simulate/operator.go
@@ -42,6 +42,9 @@
 	intents  int
 	editing  bool
 	finished bool
+	// asked is when the open question was last sent; call records the open edit.
+	asked time.Duration
+	call  *tableCall
 }
 
 func newTableOperator(site *tableSite, random *rand.Rand, number int) *tableOperator {
@@ -97,6 +100,7 @@
 	o.attempts++
 	o.request++
 	number := o.request
+	o.asked = o.site.scheduler.Now()
 	to := o.site.globals[o.target%len(o.site.globals)].machine.Address
 	if o.editing {
 		o.site.network.Send(o.address, to, editRequest{number: number, edit: o.edit})
@@ -127,6 +131,7 @@
 	case rowsAnswer:
 		if content.number == o.request && !o.editing {
 			o.site.ledger.tableRead(o.floor, content.revision)
+			o.site.history.read(o.number, o.asked, o.site.scheduler.Now(), content)
 			o.rows = content.rows
 			o.compose()
 		}
@@ -151,6 +156,9 @@
 		o.askAnother()
 		return
 	}
+	if answer.result != nil {
+		o.call.answered(o.site.scheduler.Now(), *answer.result)
+	}
 	o.think()
 }
 
@@ -171,6 +179,7 @@
 		}
 	}
 	o.site.ledger.editComposed(o.intent, o.edit)
+	o.call = o.site.history.edit(o.number, o.site.scheduler.Now(), o.edit.Changes)
 	o.editing = true
 	o.attempts = 0
 	o.ask()
--- a/simulate/result.go
+++ b/simulate/result.go
@@ -34,12 +34,15 @@
 	EditsAccepted int    `json:"edits_accepted"`
 	EditsRefused  int    `json:"edits_refused"`
 	EditsResent   int    `json:"edits_resent"`
-	Loads         int    `json:"loads"`
-	Unloads       int    `json:"unloads"`
-	OrdersRefused int    `json:"orders_refused"`
-	Repairs       int    `json:"repairs"`
-	GrantReleases int    `json:"grant_releases"`
-	Converged     int    `json:"converged"`
+	// CallsChecked counts the operators' calls whose history was checked for
+	// linearizability.
+	CallsChecked  int `json:"calls_checked"`
+	Loads         int `json:"loads"`
+	Unloads       int `json:"unloads"`
+	OrdersRefused int `json:"orders_refused"`
+	Repairs       int `json:"repairs"`
+	GrantReleases int `json:"grant_releases"`
+	Converged     int `json:"converged"`
 	// SlowestInForce is the longest time from an edit's acceptance until a zone that
 	// could be reached had it in force, and SlowestRejoin from the end of a cut until
 	// the zone had caught up, both while nothing else failed.
@@ -59,6 +62,7 @@
 	c.EditsAccepted += other.EditsAccepted
 	c.EditsRefused += other.EditsRefused
 	c.EditsResent += other.EditsResent
+	c.CallsChecked += other.CallsChecked
 	c.Loads += other.Loads
 	c.Unloads += other.Unloads
 	c.OrdersRefused += other.OrdersRefused
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -22,7 +22,9 @@
 	plans []string
 	// faults replaces the planned faults when not nil.
 	faults []Fault
-	sink   func(line string)
+	// only, when set, names the one checker that is listened to.
+	only string
+	sink func(line string)
 }
 
 // seedOutcome is what one seed's run gave.
--- a/simulate/simulatedsite.go
+++ b/simulate/simulatedsite.go
@@ -32,7 +32,7 @@
 		scheduler: scheduler,
 		trace:     trace,
 		network:   NewNetwork(scheduler, random, trace, calmNetwork),
-		judge:     &Judge{scheduler: scheduler, trace: trace},
+		judge:     &Judge{scheduler: scheduler, trace: trace, only: plan.only},
 	}
 }
 
--- a/simulate/statemachine.go
+++ b/simulate/statemachine.go
@@ -30,7 +30,12 @@
 func (z *zoneMachine) restore(data []byte) error { return z.state.Restore(data) }
 
 // tableMachine replicates the table.
-type tableMachine struct{ state *table.State }
+type tableMachine struct {
+	state *table.State
+	// mutate, when set, changes a command before it is applied, the same way on each
+	// member.
+	mutate func(state *table.State, index uint64, command table.Command) table.Command
+}
 
 // tableOutcome is the result of a table command with the command.
 type tableOutcome struct {
@@ -41,12 +46,16 @@
 
 func newTableMachine() *tableMachine { return &tableMachine{state: table.New()} }
 
-func (t *tableMachine) apply(_ uint64, data []byte) any {
+func (t *tableMachine) apply(index uint64, data []byte) any {
 	command, err := table.DecodeCommand(data)
 	if err != nil {
 		return tableOutcome{err: err}
 	}
-	return tableOutcome{command: command, result: t.state.Apply(command)}
+	applied := command
+	if t.mutate != nil {
+		applied = t.mutate(t.state, index, command)
+	}
+	return tableOutcome{command: command, result: t.state.Apply(applied)}
 }
 
 func (t *tableMachine) snapshot() ([]byte, error) { return t.state.Snapshot() }
--- a/simulate/tablemutation.go
+++ b/simulate/tablemutation.go
@@ -1,11 +1,13 @@
 package simulate
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/table"
 	"github.com/lotusferry/lotusferry/zone"
 )
 
@@ -134,3 +136,39 @@
 	delta.Grants = grants
 	return delta
 }
+
+// tableMutation returns what changes the commands of the global group, or nil.
+func (s *tableSite) tableMutation() func(*table.State, uint64, table.Command) table.Command {
+	switch {
+	case s.mutated(mutationForgetAnswers):
+		return forgetAnswers
+	case s.mutated(mutationTakeAnyVersion):
+		return takeAnyVersion
+	}
+	return nil
+}
+
+// forgetAnswers gives each copy of an edit an ID of its own.
+func forgetAnswers(_ *table.State, index uint64, command table.Command) table.Command {
+	if command.Edit == nil {
+		return command
+	}
+	copied := *command.Edit
+	copied.Edit.ID = structs.EditID(fmt.Sprintf("%s@%d", copied.Edit.ID, index))
+	return table.Command{Edit: &copied}
+}
+
+// takeAnyVersion lets each copy of an edit be one of the present versions of its rows.
+func takeAnyVersion(state *table.State, index uint64, command table.Command) table.Command {
+	if command.Edit == nil {
+		return command
+	}
+	copied := *forgetAnswers(state, index, command).Edit
+	copied.Edit.Changes = slices.Clone(copied.Edit.Changes)
+	for i := range copied.Edit.Changes {
+		change := &copied.Edit.Changes[i]
+		row, _ := state.Row(change.Row.Name)
+		change.BaseRevision = row.Revision
+	}
+	return table.Command{Edit: &copied}
+}
--- a/simulate/tablescenario.go
+++ b/simulate/tablescenario.go
@@ -54,6 +54,9 @@
 	if site.judge.violation == nil && !site.scheduler.Exhausted() {
 		site.settle()
 	}
+	if site.judge.violation == nil && !site.scheduler.Exhausted() {
+		site.checkHistory()
+	}
 	if site.scheduler.Exhausted() {
 		site.judge.Report(checkerRunaway, "%d events happened by %v", site.scheduler.limit, site.scheduler.Now())
 	}
--- a/simulate/tablesite.go
+++ b/simulate/tablesite.go
@@ -33,7 +33,8 @@
 // tableSite is a simulated site of the table scenario.
 type tableSite struct {
 	simulatedSite
-	ledger *ledger
+	ledger  *ledger
+	history tableHistory
 
 	zones     []structs.ZoneID
 	daemons   []*daemon
