Let a zone's routers read its engines' reports

Change: the leader gives each runner to a live router by rendezvous hashing; routers read their shares and say what changed. The leader takes only that an engine lives and how busy it is, for a report with the digest of the one it read itself; anything else makes it read the report itself. Engines with an order under way are read by the leader as before. Zones with fewer than 32 runners are as before.

The streaming test site can list machines without engines.

--- a/controller/silence.go
+++ b/controller/silence.go
@@ -18,6 +18,9 @@
 	if seen, ok := d.report(runner.ID, runner.Incarnation); ok && seen.ReceivedAt.After(heard) {
 		heard = seen.ReceivedAt
 	}
+	if relayed, ok := d.input.Relayed[runner.ID]; ok && relayed.HeardAt.After(heard) {
+		heard = relayed.HeardAt
+	}
 	return d.input.Now.Sub(heard)
 }
 
@@ -44,7 +47,11 @@
 func (d *decider) isSilent(runner zone.Runner) bool {
 	seen, known := d.input.Reports[runner.ID]
 	newer := known && seen.Report.Incarnation >= runner.Incarnation
-	if newer && d.input.Now.Sub(seen.ReceivedAt) <= d.core.options.SilentAfter {
+	heard := seen.ReceivedAt
+	if relayed := d.input.Relayed[runner.ID]; relayed.HeardAt.After(heard) {
+		heard = relayed.HeardAt
+	}
+	if newer && d.input.Now.Sub(heard) <= d.core.options.SilentAfter {
 		return false
 	}
 	return runner.Silent || d.silence(runner) > d.core.options.SilentAfter
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -96,3 +96,25 @@
 		})
 	}
 }
+
+func TestARoutersWordKeepsARunnerInUseAndFreesNothing(t *testing.T) {
+	w := newSilenceWorld()
+	w.pass(time.Second, silenceRunners...)
+	before := w.state.Runners()
+	relayed := map[structs.RunnerID]RelayedReport{}
+	for range 30 {
+		w.now = w.now.Add(time.Second)
+		for _, id := range silenceRunners {
+			relayed[id] = RelayedReport{HeardAt: w.now}
+		}
+		decisions := w.core.Decide(Input{Now: w.now, Epoch: w.epoch, LeaseValid: true, State: w.state, Reports: w.reports, Relayed: relayed})
+		qt.Assert(t, decisions.Commands, qt.HasLen, 0)
+	}
+	qt.Assert(t, w.state.Runners(), qt.DeepEquals, before)
+	decisions := w.core.Decide(Input{Now: w.now, Epoch: w.epoch, LeaseValid: true, State: w.state, Reports: w.reports})
+	qt.Assert(t, decisions.Commands, qt.HasLen, 0, qt.Commentf("all at once may be the leader's own fault"))
+	delete(relayed, silenceRunners[0])
+	decisions = w.core.Decide(Input{Now: w.now, Epoch: w.epoch, LeaseValid: true, State: w.state, Reports: w.reports, Relayed: relayed})
+	qt.Assert(t, decisions.Commands, qt.HasLen, 1)
+	qt.Assert(t, decisions.Commands[0].Runner.Info.Silent, qt.IsTrue)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,6 +185,7 @@
 		return err
 	}
 	d.leader = d.newZoneLeader(settings)
+	d.zone.observer = d.leader.observer
 	return nil
 }
 
@@ -303,6 +304,7 @@
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
 	}
+	d.router.relay = controller.NewReportRelay(d.config.Daemon, d.config.Timing.ReportInterval)
 	d.router.view = router.NewViewCopy(d.router.core)
 	d.router.loadView()
 	return nil
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +28,12 @@
 	machines []structs.Machine
 	reports  map[structs.RunnerID]controller.ReportSeen
 	schedule *controller.ReportSchedule
+	// digests are those of the reports; shares is the routers' part in reading them.
+	digests map[structs.RunnerID]uint64
+	shares  *controller.ReportShares
+	awaited map[structs.RunnerID]bool
+	// minimum is from how many machines on routers take part.
+	minimum int
 	// changed is signalled when the list has changed, moved when a report shows
 	// other replicas or states than the one before.
 	changed notifier
@@ -46,15 +51,19 @@
 		engines:     engines,
 		timing:      timing,
 		reports:     map[structs.RunnerID]controller.ReportSeen{},
+		shares:      controller.NewReportShares(0, timing.ReportInterval, controller.MinimumSharedRunners),
 		schedule:    controller.NewReportSchedule(),
+		digests:     map[structs.RunnerID]uint64{},
+		minimum:     controller.MinimumSharedRunners,
 	}
 }
 
-// run observes until ctx ends.
-func (o *engineObserver) run(ctx context.Context) {
+// run observes in one term of leading, until ctx ends.
+func (o *engineObserver) run(ctx context.Context, epoch structs.Epoch) {
 	o.mutex.Lock()
 	// What was read in an earlier term is too old to decide on.
 	o.schedule = controller.NewReportSchedule()
+	o.shares = controller.NewReportShares(epoch, o.timing.ReportInterval, o.minimum)
 	o.mutex.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { o.listLoop(ctx) })
@@ -115,11 +124,30 @@
 func (o *engineObserver) await(runners map[structs.RunnerID]bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.awaited = runners
 	o.schedule.Await(runners)
 }
 
+// takeRelay takes a router's word on its share of the reports, and returns its new
+// share, if it is to have another one. What has changed is read at once.
+func (o *engineObserver) takeRelay(epoch structs.Epoch, message structs.ReportRelay) (*structs.ReportShare, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !o.shares.LedIn(epoch) {
+		return nil, false
+	}
+	share := o.shares.Take(time.Now(), message, o.machines)
+	suspects := o.shares.Suspects(o.digests)
+	o.schedule.Suspect(suspects)
+	if len(suspects) > 0 {
+		o.changed.broadcast()
+	}
+	return share, true
+}
+
 func (o *engineObserver) readReports(ctx context.Context, choose func(*controller.ReportSchedule, []structs.Machine) []structs.Machine) {
 	o.mutex.Lock()
+	o.schedule.Relay(runnersOf(o.shares.Relayed(time.Now(), o.digests)))
 	due := choose(o.schedule, o.machines)
 	o.mutex.Unlock()
 	slots := make(chan struct{}, maxReportReads)
@@ -143,9 +171,11 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.schedule.Read(machine.Runner, answered)
+	o.shares.Checked(machine.Runner)
 	if !answered {
 		return
 	}
+	o.digests[machine.Runner] = controller.ReportDigest(report)
 	if !sameReplicas(o.reports[machine.Runner].Report, report) {
 		o.moved.broadcast()
 	}
@@ -159,9 +189,25 @@
 	})
 }
 
+// observation is what is known of a zone's runners.
+type observation struct {
+	machines []structs.Machine
+	reports  map[structs.RunnerID]controller.ReportSeen
+	relayed  map[structs.RunnerID]controller.RelayedReport
+}
+
 // observed returns copies of what is known.
-func (o *engineObserver) observed() ([]structs.Machine, map[structs.RunnerID]controller.ReportSeen) {
+func (o *engineObserver) observed() observation {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return slices.Clone(o.machines), maps.Clone(o.reports)
+	relayed := o.shares.Relayed(time.Now(), o.digests)
+	return observation{slices.Clone(o.machines), controller.WithRelayed(o.reports, relayed, o.awaited), relayed}
+}
+
+func runnersOf(relayed map[structs.RunnerID]controller.RelayedReport) map[structs.RunnerID]bool {
+	runners := make(map[structs.RunnerID]bool, len(relayed))
+	for runner := range relayed {
+		runners[runner] = true
+	}
+	return runners
 }
--- a/daemon/leadercaller.go
+++ b/daemon/leadercaller.go
@@ -43,6 +43,7 @@
 func (r *ZoneReply) failure() *structs.Error         { return r.Error }
 func (r *ViewReply) failure() *structs.Error         { return r.Error }
 func (r *DemandReply) failure() *structs.Error       { return r.Error }
+func (r *ReportsReply) failure() *structs.Error      { return r.Error }
 func (r *ZoneStatusReply) failure() *structs.Error   { return r.Error }
 
 // callLeader calls method at the group's leader until it answers or ctx ends.
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -21,6 +21,7 @@
 	methodZonePropose   = "Zone.Propose"
 	methodZoneView      = "Zone.View"
 	methodZoneDemand    = "Zone.Demand"
+	methodZoneReports   = "Zone.Reports"
 	methodZoneStatus    = "Zone.Status"
 )
 
@@ -147,6 +148,18 @@
 	Error *structs.Error
 }
 
+// ReportsArguments carries a router's word on its share of the engines' reports.
+type ReportsArguments struct {
+	Relay structs.ReportRelay
+}
+
+// ReportsReply acknowledges it. Share is set when the router has another share from
+// now on.
+type ReportsReply struct {
+	Share *structs.ReportShare
+	Error *structs.Error
+}
+
 // ZoneStatusReply is a controller's view of its zone.
 type ZoneStatusReply struct {
 	Status structs.ZoneStatus
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -39,6 +40,8 @@
 	viewed bool
 	// viewStore keeps the view on disk. Only the view's loop uses it.
 	viewStore viewStore
+	// relay is the router's part in reading engine reports; only its loop uses it.
+	relay *controller.ReportRelay
 	// followed are the engines whose cache events are read.
 	followed map[structs.RunnerID]*followedEngine
 	// running holds the goroutines that carry out effects; working counts them.
@@ -63,7 +66,7 @@
 // run drives the router until ctx ends: ticks, demand reports and the view.
 func (r *requestRouter) run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.cacheLoop, r.claims.renewLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.relayLoop, r.cacheLoop, r.claims.renewLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -41,6 +41,8 @@
 type streamSiteOptions struct {
 	zones  int
 	secure bool
+	// absent is how many machines of the first zone are listed without an engine.
+	absent int
 	// engine answers the generate calls of the first zone when set.
 	engine http.Handler
 	// limits changes the limits of the HTTP servers.
@@ -68,6 +70,9 @@
 		list.Put(s.addEngine(i, zone, clock))
 		s.settings = append(s.settings, s.newSettings(member, zone, ip))
 	}
+	for i := range options.absent {
+		list.Put(structs.Machine{Runner: structs.RunnerID(fmt.Sprint("absent-", i)), Zone: "zone-0", Address: testIP() + ":1", State: structs.MachineLive})
+	}
 	if options.secure {
 		s.secure()
 	}
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -57,7 +57,7 @@
 	epoch, _ := l.node.group.LeaderLease()
 	level.Info(l.logger).Log("msg", "This controller leads the zone.", "epoch", epoch)
 	var loops sync.WaitGroup
-	loops.Go(func() { l.observer.run(ctx) })
+	loops.Go(func() { l.observer.run(ctx, epoch) })
 	loops.Go(func() { l.adoptLoop(ctx) })
 	loops.Go(func() { l.reportLoop(ctx) })
 	l.decideLoop(ctx, epoch)
@@ -118,7 +118,7 @@
 		l.core.ObserveInquiry(reply)
 	}
 	renewed := l.node.claims.renewals(now)
-	machines, reports := l.observer.observed()
+	seen := l.observer.observed()
 	var decisions controller.Decisions
 	l.node.group.View(func() {
 		current, valid := l.node.group.LeaderLease()
@@ -127,8 +127,9 @@
 			Epoch:       epoch,
 			LeaseValid:  valid && current == epoch,
 			State:       l.node.machine.state,
-			Reports:     reports,
-			Machines:    machines,
+			Reports:     seen.reports,
+			Relayed:     seen.relayed,
+			Machines:    seen.machines,
 			Renewed:     renewed,
 			StoreBudget: l.storeBudget,
 		})
--- a/daemon/zonenode.go
+++ b/daemon/zonenode.go
@@ -22,6 +22,8 @@
 	claims  *claimDesk
 	// viewParts bounds the parts of the table that are sent at a time.
 	viewParts viewPace
+	// observer reads the engines' reports while this member leads.
+	observer *engineObserver
 }
 
 func newZoneNode(logger log.Logger, settings config.Zone, options group.Options) (*zoneNode, error) {
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -117,6 +117,19 @@
 	return nil
 }
 
+// Reports takes a router's word on its share of the engines' reports. Only the
+// leader uses it.
+func (s *ZoneService) Reports(arguments ReportsArguments, reply *ReportsReply) error {
+	epoch, valid := s.node.group.LeaderLease()
+	share, taken := s.node.observer.takeRelay(epoch, arguments.Relay)
+	if !valid || !taken {
+		reply.Error = s.node.notLeader()
+		return nil
+	}
+	reply.Share = share
+	return nil
+}
+
 // Status tells the zone's state as this controller has applied it.
 func (s *ZoneService) Status(_ StatusArguments, reply *ZoneStatusReply) error {
 	status := s.node.group.Status()
--- a/hollow/globalmember.go
+++ b/hollow/globalmember.go
@@ -14,6 +14,7 @@
 	methodZonePropose   = "Zone.Propose"
 	methodZoneView      = "Zone.View"
 	methodZoneDemand    = "Zone.Demand"
+	methodZoneReports   = "Zone.Reports"
 )
 
 // tableMachine is the state machine of the global group.
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/emulator"
 	"github.com/lotusferry/lotusferry/router"
@@ -28,7 +29,9 @@
 	sinceTable uint64
 	reader     *router.ViewReader
 	// disk is the view on the process's disk, which a restart leaves there.
-	disk        *router.ViewCopy
+	disk *router.ViewCopy
+	// relay is the router\'s part in reading engine reports.
+	relay       *controller.ReportRelay
 	nextMember  int
 	leaderGuess int
 	requests    map[structs.RequestID]*callRecord
@@ -72,7 +75,9 @@
 	r.schedule = router.NewDemandSchedule(defaultTiming().ReportInterval)
 	r.draining, r.reportDue, r.reporting = false, false, false
 	life := r.owner.life
+	r.relay = controller.NewReportRelay(r.owner.id, defaultTiming().ReportInterval)
 	home.after(0, func() { r.poll(life) })
+	home.after(0, func() { r.relayLoop(life, 0) })
 	home.after(defaultTiming().ReportInterval, func() { r.reportLoop(life) })
 }
 
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -30,6 +30,10 @@
 	// listed is the zone's machine list as last read.
 	listed   []structs.Machine
 	schedule *controller.ReportSchedule
+	// digests are those of the reports; shares is the routers' part in reading them.
+	digests map[structs.RunnerID]uint64
+	shares  *controller.ReportShares
+	awaited map[structs.RunnerID]bool
 	// reserved says that the last round reserved memory; the next one sends the
 	// orders at once, unless it followed such a round itself.
 	reserved bool
@@ -50,6 +54,8 @@
 		core:     controller.New(controller.Options{Zone: member.home.id}),
 		reports:  map[structs.RunnerID]controller.ReportSeen{},
 		schedule: controller.NewReportSchedule(),
+		digests:  map[structs.RunnerID]uint64{},
+		shares:   controller.NewReportShares(0, defaultTiming().ReportInterval, controller.MinimumSharedRunners),
 	}
 }
 
@@ -112,13 +118,15 @@
 	}
 	l.member.demand = nil
 	var decisions controller.Decisions
+	relayed := l.shares.Relayed(l.home.time(), l.digests)
 	l.member.cost().whole(partPlan, func() {
 		decisions = l.core.Decide(controller.Input{
 			Now:         l.home.time(),
 			Epoch:       structs.Epoch(l.member.node.Term()),
 			LeaseValid:  true,
 			State:       l.member.machine.state,
-			Reports:     l.reports,
+			Reports:     controller.WithRelayed(l.reports, relayed, l.awaited),
+			Relayed:     relayed,
 			Machines:    l.listed,
 			StoreBudget: l.home.box.storeBudget,
 		})
@@ -129,6 +137,7 @@
 	for _, command := range decisions.Commands {
 		l.propose(command)
 	}
+	l.awaited = decisions.Awaited
 	l.schedule.Await(decisions.Awaited)
 	reserves := slices.ContainsFunc(decisions.Commands, func(command zone.Command) bool { return command.Reserve != nil })
 	l.reserved = reserves && !l.reserved
@@ -181,8 +190,17 @@
 
 // readReports reads the reports that are due.
 func (l *zoneLeader) readReports() {
+	relayed := map[structs.RunnerID]bool{}
+	for runner := range l.shares.Relayed(l.home.time(), l.digests) {
+		relayed[runner] = true
+	}
+	l.schedule.Relay(relayed)
+	l.readThese(l.schedule.Due(l.listed))
+}
+
+func (l *zoneLeader) readThese(machines []structs.Machine) {
 	moved := false
-	for _, machine := range l.schedule.Due(l.listed) {
+	for _, machine := range machines {
 		moved = l.readReport(machine) || moved
 	}
 	if moved {
@@ -190,17 +208,33 @@
 	}
 }
 
+// takeRelay takes a router's word on its share of the reports, and reads what has
+// changed.
+func (l *zoneLeader) takeRelay(message structs.ReportRelay) *structs.ReportShare {
+	if epoch := structs.Epoch(l.member.node.Term()); !l.shares.LedIn(epoch) {
+		l.shares = controller.NewReportShares(epoch, defaultTiming().ReportInterval, controller.MinimumSharedRunners)
+	}
+	share := l.shares.Take(l.home.time(), message, l.listed)
+	if suspects := l.shares.Suspects(l.digests); len(suspects) > 0 {
+		l.schedule.Suspect(suspects)
+		l.readThese(l.schedule.New(l.listed))
+	}
+	return share
+}
+
 // readReport reads one report and says whether the engine's replicas changed.
 func (l *zoneLeader) readReport(machine structs.Machine) bool {
 	owner := l.member.owner
 	report, answered := l.home.byID[machine.Runner].report()
 	l.schedule.Read(machine.Runner, answered)
+	l.shares.Checked(machine.Runner)
 	if !answered {
 		return false
 	}
 	var bytes int
 	l.member.cost().sample(partCodec, func() { bytes = jsonBytes(report) })
 	owner.traffic.received[trafficReport] += int64(bytes)
+	l.digests[machine.Runner] = controller.ReportDigest(report)
 	before := l.reports[machine.Runner].Report
 	l.reports[machine.Runner] = controller.ReportSeen{Report: report, ReceivedAt: l.home.time()}
 	return !slices.EqualFunc(before.Replicas, report.Replicas, func(a, b structs.EngineReplica) bool {
