End the wait of a silent request that has no retries left

Cause: an engine that loses the last token of an answer and keeps its stream open is silent for good. The router left it only while attempts and the retry budget allowed another try; otherwise checkStall waited on, until the request's deadline. In a hanging run of TestAnswersOfADisturbedEngineAreWholeOrRefused a dump of the process showed just that: the router reading one stream for more than a minute, the engine serving it. The simulator did not see it because its checker left out attempts without retries and its faults rarely used a budget up.

Change: the router asks the engine about such an attempt, as it does for requests with a key. It is waited for while the engine says that it makes tokens, resumed elsewhere if the budget has a retry by then, and refused at once otherwise, with the time to come back. The timer for the next token is set at the first token: it was left at the limit of the first one, so that a silence after it could last 9 s instead of 5 s. Scenario requests: fault answers-unfinished, mutation wait-without-retries, and a checker `stall` that holds for every attempt (it left out those without retries and those with a key that had started) and bounds the silence by 5 s after a token (it was 9 s for all).

TestSilentEngineIsWaitedForWithoutRetries demanded the fault itself (no answer within 10 s) and is replaced by two tests: 12 cases that must be refused, and one that must be waited for. Others look for a silence after tokens within 6 s instead of 8 s, because it is noticed earlier.

--- a/router/stall.go
+++ b/router/stall.go
@@ -12,9 +12,10 @@
 // next one by what the row's streams usually need (admission.Pace).
 //
 // A repeatable request is cancelled and resumed elsewhere, if attempts and budget
-// allow; otherwise the wait goes on. For a request with a key the engine is asked
-// without cancelling. While it says that it makes tokens, it is waited for. What has
-// started and makes none can only end as outcome_unknown, and does so at once. The
+// allow. Otherwise, and for a request with a key, the engine is asked without
+// cancelling. While it says that it makes tokens, it is waited for. If it makes none,
+// a repeatable request is refused at once, unless the budget has a retry by now. With
+// a key, what has started can only end as outcome_unknown, and does so at once. The
 // rest is cancelled and asked about again: once the engine has confirmed that it
 // certainly did not run, it is sent elsewhere under the same claim, or refused.
 
@@ -80,11 +81,15 @@
 	c.sleepUntil(held, held.heardAt.Add(c.stallLimit(held)))
 }
 
-// hear records the time of a token. It sets no timer: checkStall looks again later.
+// hear records the time of a token. Only the first one sets the timer anew, because
+// the wait for it may be far longer than the next; checkStall looks again later.
 func (c *Core) hear(held *request) {
 	held.pace().Observe(c.now.Sub(held.heardAt))
 	held.heardAt = c.now
 	held.peeking = false
+	if held.awaitsFirst() {
+		c.sleepUntil(held, c.now.Add(held.row.gap.Limit(c.options.StallFloor, c.options.StallCeiling)))
+	}
 }
 
 // checkStall looks whether the current attempt has been silent for too long.
@@ -97,17 +102,12 @@
 		c.watch(held)
 		return
 	}
-	switch {
-	case !held.Repeatable() && held.peeking:
-		c.leaveSilent(held)
-	case !held.Repeatable():
-		c.peek(held)
-		c.sleepUntil(held, c.now.Add(peekLimit))
-	case c.mayRetry(held):
+	if held.peeking || held.Repeatable() && c.mayRetry(held) {
 		c.leaveSilent(held)
-	default:
-		c.sleepUntil(held, c.now.Add(limit))
+		return
 	}
+	c.peek(held)
+	c.sleepUntil(held, c.now.Add(peekLimit))
 }
 
 // leaveSilent gives the current attempt up. attemptBroke cancels it too if it asks
@@ -138,8 +138,8 @@
 	})
 }
 
-// peeked decides about an attempt with a key that has been silent since its engine
-// was asked: one that makes progress there is waited for, any other is given up.
+// peeked decides about an attempt that has been silent since its engine was asked:
+// one that makes progress there is waited for, any other is given up.
 func (c *Core) peeked(event StatusReplied) {
 	held := c.attempts[event.Attempt]
 	if held == nil || !held.peeking {
--- a/router/stall_test.go
+++ b/router/stall_test.go
@@ -103,31 +103,99 @@
 	}
 }
 
-func TestSilentEngineIsWaitedForWithoutRetries(t *testing.T) {
-	s := newScript(t, func(options *Options) { options.AttemptLimit = 1 })
-	sent := sendNew(s, nil)
-	pass(s, 10*time.Second)
+// TestSilentEngineWithoutRetriesIsAskedAndGivenUp: a request that cannot be tried
+// again waits only as long as its engine says that it makes tokens, not until its
+// deadline.
+func TestSilentEngineWithoutRetriesIsAskedAndGivenUp(t *testing.T) {
+	spent := map[string]func(*Options){
+		"attempts": func(options *Options) { options.AttemptLimit = 1 },
+		"budget":   func(options *Options) { options.RetryReserve = 0.5 },
+	}
+	replies := map[string]structs.RequestStatus{
+		"finished, its last token lost": {State: structs.RunFinished, Incarnation: 7, Started: true, Tokens: 4},
+		"runs without progress":         {State: structs.RunRunning, Incarnation: 7, Started: true, Tokens: 1},
+		"accepted and queued":           {State: structs.RunQueued, Incarnation: 7},
+		"unknown":                       {State: structs.RunUnknown, Incarnation: 7},
+		"another incarnation":           {State: structs.RunRunning, Incarnation: 8, Started: true, Tokens: 9},
+		"no answer":                     {},
+	}
+	for used, change := range spent {
+		for about, status := range replies {
+			t.Run(used+": "+about, func(t *testing.T) {
+				s, sent, reply := silentAsked(t, 1, change, func(*structs.Request) {})
+				if status.State == "" {
+					pass(s, peekLimit)
+				} else {
+					s.do(answered(reply, status))
+				}
+				s.c.Assert(only[CancelAttempt](s).Attempt, qt.Equals, sent.Attempt)
+				refusal := only[Refuse](s).Refusal
+				s.c.Assert(refusal.Execution, qt.Equals, structs.ExecutionPartial)
+				s.c.Assert(refusal.Error.RetryAfter >= MinimumRetryAfter, qt.IsTrue)
+				s.c.Assert(s.core.Idle(), qt.IsTrue)
+			})
+		}
+	}
+}
+
+// TestSilentEngineWithoutRetriesThatMakesTokensIsWaitedFor: the stream goes on where
+// it was, and progress counts once.
+func TestSilentEngineWithoutRetriesThatMakesTokensIsWaitedFor(t *testing.T) {
+	s, sent, reply := silentAsked(t, 1, func(options *Options) { options.AttemptLimit = 1 }, func(*structs.Request) {})
+	running := structs.RequestStatus{State: structs.RunRunning, Incarnation: 7, Started: true, Tokens: 3}
+	s.do(answered(reply, running))
 	s.c.Assert(s.effects, qt.HasLen, 0)
+	token(s, sent, 1)
+	s.c.Assert(only[*Deliver](s).Token.Index, qt.Equals, 1)
+	pass(s, DefaultStallCeiling+time.Second)
+	s.c.Assert(only[AskStatus](s).Peek, qt.IsTrue)
+	s.do(answered(reply, running))
+	s.c.Assert(only[Refuse](s).Refusal.Execution, qt.Equals, structs.ExecutionPartial)
+}
+
+// TestSilentEngineIsLeftOnceTheBudgetHasARetry: a retry that was not to be had at the
+// question may be there at the answer.
+func TestSilentEngineIsLeftOnceTheBudgetHasARetry(t *testing.T) {
+	s := newScript(t, func(options *Options) { options.RetryReserve, options.RetryRatio = 1, 1 })
+	sent := sendNew(s, nil)
 	token(s, sent, 0)
-	s.c.Assert(only[*Deliver](s).Token.Index, qt.Equals, 0)
+	s.c.Assert(s.core.rows["row"].budget.Withdraw(), qt.IsTrue)
+	pass(s, DefaultStallCeiling+time.Second)
+	s.c.Assert(only[AskStatus](s).Peek, qt.IsTrue)
+	s.arrive(func(request *structs.Request) { request.ID = "another" })
+	s.do(answered(StatusReplied{ID: "id", Attempt: sent.Attempt, Peek: true}, structs.RequestStatus{State: structs.RunFinished, Incarnation: 7}))
+	pass(s, time.Second)
+	again := only[SendAttempt](s)
+	s.c.Assert(again.Attempt.Request(), qt.Equals, structs.RequestID("id"))
+	s.c.Assert(again.Generate.ResumeFrom, qt.Equals, 1)
 }
 
 // silentWithKey brings a request with a key, after some tokens, to the question
 // whether its silent engine runs it.
 func silentWithKey(t *testing.T, tokens int, change func(*Options)) (*script, SendAttempt, StatusReplied) {
+	return silentAsked(t, tokens, change, keyed)
+}
+
+// silentAsked brings a request, after some tokens, to that question.
+func silentAsked(t *testing.T, tokens int, change func(*Options), shape func(*structs.Request)) (*script, SendAttempt, StatusReplied) {
 	s := newScript(t, change)
 	sent := sendNew(s, func(request *structs.Request) {
-		keyed(request)
+		shape(request)
 		request.DeadlineAt = request.DeadlineAt.Add(time.Minute)
 	})
 	for index := range tokens {
 		token(s, sent, index)
 	}
-	pass(s, silence)
+	if tokens > 0 {
+		// A silence after tokens is noticed no later than this.
+		pass(s, DefaultStallCeiling+time.Second)
+	} else {
+		pass(s, silence)
+	}
 	peek := only[AskStatus](s)
 	s.c.Assert(peek.Peek, qt.IsTrue)
 	s.c.Assert(s.effects, qt.HasLen, 1)
-	return s, sent, StatusReplied{ID: "id", Attempt: sent.Attempt, Peek: true}
+	return s, sent, StatusReplied{ID: sent.Attempt.Request(), Attempt: sent.Attempt, Peek: true}
 }
 
 // answered is the reply with what the engine knows of the attempt.
--- a/simulate/requestengine.go
+++ b/simulate/requestengine.go
@@ -29,6 +29,9 @@
 	silent bool
 	// truncateRate is the share of tokens after which a stream ends as if whole.
 	truncateRate float64
+	// unfinishedRate is the share of answers whose last token is never sent although
+	// the stream stays open.
+	unfinishedRate float64
 	// oversizeRate is the share of tokens with far too long a text.
 	oversizeRate float64
 }
@@ -163,11 +166,14 @@
 		h.endStream(output.Call)
 		return
 	}
+	whole := output.Kind == emulator.OutputToken && output.Token.Finish != ""
+	if whole && h.happens(h.faults.unfinishedRate) {
+		return
+	}
 	if output.Kind == emulator.OutputToken && h.happens(h.faults.oversizeRate) {
 		output.Token.Text = strings.Repeat("x", oversizedText)
 	}
 	stream.down.send(output)
-	whole := output.Kind == emulator.OutputToken && output.Token.Finish != ""
 	truncated := output.Kind == emulator.OutputToken && h.happens(h.faults.truncateRate)
 	if whole || truncated || output.Kind == emulator.OutputRefused {
 		h.endStream(output.Call)
@@ -185,6 +191,7 @@
 	answer := h.status[output.Call]
 	delete(h.status, output.Call)
 	if answer != nil && !h.faults.silent {
+		h.site.records.engineSaid(*output.Status)
 		answer(*output.Status)
 	}
 }
--- a/simulate/requestfaults.go
+++ b/simulate/requestfaults.go
@@ -31,6 +31,9 @@
 	// far too long a token, at a share Amount of the tokens.
 	FaultAnswersTruncated FaultKind = "answers-truncated"
 	FaultAnswersOversized FaultKind = "answers-oversized"
+	// FaultAnswersUnfinished makes the engines of a zone keep back the last token of a
+	// share Amount of their answers, and keep the stream open.
+	FaultAnswersUnfinished FaultKind = "answers-unfinished"
 	// FaultHideLoad makes an engine report that nothing runs on it.
 	FaultHideLoad FaultKind = "hide-load"
 	// FaultEngineSlow makes an engine Amount times as slow.
@@ -54,7 +57,7 @@
 var requestFaultKinds = []FaultKind{
 	FaultEngineStall, FaultEngineStall, FaultEngineSilent, FaultEngineDying, FaultEngineDying, FaultEngineCrash, FaultEngineSlow,
 	FaultAnswersLate, FaultAnswersTwice, FaultAnswersCrossed, FaultAnswersLost, FaultAnswersReset,
-	FaultAnswersTruncated, FaultAnswersOversized, FaultHideLoad,
+	FaultAnswersTruncated, FaultAnswersOversized, FaultAnswersUnfinished, FaultHideLoad,
 	FaultRunnerLeaves, FaultRouterCrash, FaultRouterCrash, FaultRouterSilent, FaultRouterSilent, FaultRouterStop, FaultNoLeader,
 	FaultCutZone, FaultCutOneWay, FaultBurst, FaultBatchFlood, FaultStorm,
 }
@@ -91,7 +94,7 @@
 	switch kind {
 	case FaultBurst, FaultBatchFlood, FaultStorm:
 		return "site", ""
-	case FaultCutZone, FaultNoLeader, FaultAnswersCrossed:
+	case FaultCutZone, FaultNoLeader, FaultAnswersCrossed, FaultAnswersUnfinished:
 		return string(zone), ""
 	case FaultCutOneWay:
 		return string(zone), string(other)
@@ -109,7 +112,7 @@
 		return float64(1 + random.IntN(40))
 	case FaultEngineSlow:
 		return float64(2 + random.IntN(4))
-	case FaultAnswersCrossed:
+	case FaultAnswersCrossed, FaultAnswersUnfinished:
 		return 0.3 + 0.7*random.Float64()
 	case FaultBurst:
 		return 3
@@ -139,8 +142,8 @@
 		return func() { s.batchLoad -= fault.Amount }
 	case FaultStorm:
 		return s.storm(fault.Amount)
-	case FaultAnswersCrossed:
-		return s.cross(fault)
+	case FaultAnswersCrossed, FaultAnswersUnfinished:
+		return s.injectEngines(fault)
 	case FaultNoLeader:
 		return s.groups[structs.ZoneID(fault.Target)].loseLeader()
 	case FaultCutZone:
@@ -155,8 +158,8 @@
 	return nil
 }
 
-// cross brings crossed answers about on all engines of a zone.
-func (s *requestSite) cross(fault Fault) (heal func()) {
+// injectEngines brings a fault about on all engines of a zone.
+func (s *requestSite) injectEngines(fault Fault) (heal func()) {
 	var heals []func()
 	for _, engine := range s.engines {
 		if string(engine.zone) == fault.Target {
@@ -197,6 +200,9 @@
 	case FaultAnswersTruncated:
 		h.faults.truncateRate = fault.Amount
 		return func() { h.faults.truncateRate = 0 }
+	case FaultAnswersUnfinished:
+		h.faults.unfinishedRate = fault.Amount
+		return func() { h.faults.unfinishedRate = 0 }
 	case FaultAnswersOversized:
 		h.faults.oversizeRate = fault.Amount
 		return func() { h.faults.oversizeRate = 0 }
--- a/simulate/requestmutation.go
+++ b/simulate/requestmutation.go
@@ -13,6 +13,7 @@
 	mutationKeepLeaving  = "keep-leaving"
 	mutationHoldRefusal  = "hold-refusal"
 	mutationNoStall      = "no-stall-detection"
+	mutationWaitSpent    = "wait-without-retries"
 	mutationLoseRefusal  = "lose-refusal"
 	mutationWaitOffered  = "wait-offered"
 	mutationNoResolution = "no-resolution"
@@ -82,6 +83,11 @@
 			Sentence: "A router waits for a silent engine until the request's deadline.",
 			Checkers: []string{checkerStall},
 		},
+		{
+			Name:     mutationWaitSpent,
+			Sentence: "A router takes a silent engine that it asked for one that makes tokens.",
+			Checkers: []string{checkerStall},
+		},
 		{
 			Name:     mutationLoseRefusal,
 			Sentence: "A router forgets to tell its callers of a refusal.",
--- a/simulate/requestrecords.go
+++ b/simulate/requestrecords.go
@@ -36,9 +36,12 @@
 	terminalBound = 250 * time.Millisecond
 	// leavingBound is how long a leaving runner may still get new work.
 	leavingBound = 3 * time.Second
-	// stallBound is how long a router with retries left may wait for a silent
-	// engine's next token.
-	stallBound = 9 * time.Second
+	// stallSlack is how much longer than it should a router may wait for a silent
+	// engine: ticks, the network, and the wait for a connection.
+	stallSlack = 500 * time.Millisecond
+	// stallShare bounds the wait for another request at the engine, which the first
+	// token may take longer, to this part of the request's time.
+	stallShare = 4
 )
 
 // requestRecords are what the checkers know: what callers sent and got, what
@@ -63,15 +66,6 @@
 	retries int
 }
 
-// engineWait is an attempt whose engine owes the next token.
-type engineWait struct {
-	row     *rowBudget
-	request structs.Request
-	heardAt time.Duration
-	tokens  int
-	number  int
-}
-
 func newRequestRecords(site *requestSite) *requestRecords {
 	return &requestRecords{
 		site:     site,
@@ -121,7 +115,9 @@
 		case router.CancelAttempt:
 			delete(r.waits, effect.Attempt)
 		case router.AskStatus:
-			r.asked(effect)
+			if wait := r.waits[effect.Attempt]; wait != nil {
+				wait.ask(r.now())
+			}
 		case router.Refuse:
 			r.refused(event, effect)
 		}
@@ -163,9 +159,8 @@
 	case router.ClaimReplied:
 		r.failedAt[event.ID] = r.now()
 	case router.TokenReceived:
-		if wait := r.waits[event.Attempt]; wait != nil {
-			wait.heardAt = r.now()
-			wait.tokens++
+		if wait := r.waits[event.Attempt]; wait != nil && event.Token.ID == structs.RequestID(event.Attempt) {
+			wait.hear(r.now())
 		}
 		if event.Token.Finish != "" {
 			delete(r.waits, event.Attempt)
@@ -188,18 +183,8 @@
 		r.site.judge.Report(checkerBudget, "%s sent %d retries of row %s for %d requests, the budget is %.1f",
 			host.id, counted.retries, effect.Generate.Row, counted.arrived, most)
 	}
-	wait := &engineWait{row: counted, heardAt: r.now(), number: number}
 	if request != nil {
-		wait.request = request.request
-		r.waits[effect.Attempt] = wait
-	}
-}
-
-// asked notes that a router noticed an engine's silence: of a request with a key
-// it can do no more than ask, because the engine may run it.
-func (r *requestRecords) asked(effect router.AskStatus) {
-	if wait := r.waits[effect.Attempt]; wait != nil && !wait.request.Repeatable() {
-		wait.heardAt = r.now()
+		r.waits[effect.Attempt] = newEngineWait(request.request, r.now(), r.site.now())
 	}
 }
 
@@ -211,22 +196,6 @@
 	return number
 }
 
-// checkWaits looks for first attempts that a router leaves with a silent engine
-// though it has retries left.
-func (r *requestRecords) checkWaits(host *routerHost) {
-	for _, id := range sortedKeys(host.attempts) {
-		wait := r.waits[id]
-		if wait == nil || host.calls[id.Request()] == nil {
-			continue
-		}
-		started := !wait.request.Repeatable() && wait.tokens > 0
-		spent := wait.row.retries >= requestRetryReserve-1 || wait.number > 1
-		if silent := r.now() - wait.heardAt; silent > stallBound && !started && !spent {
-			r.site.judge.Report(checkerStall, "%s has waited for the next token of %s for %v", host.id, id, silent)
-		}
-	}
-}
-
 // refused checks that a request that failed is not kept waiting for its answer.
 func (r *requestRecords) refused(event router.Event, effect router.Refuse) {
 	failed, known := r.failedAt[effect.ID]
--- a/simulate/requestrouterlinks.go
+++ b/simulate/requestrouterlinks.go
@@ -133,6 +133,9 @@
 			return
 		}
 		done = true
+		if effect.Peek && h.site.mutated(mutationWaitSpent) {
+			status = h.pretendProgress(effect)
+		}
 		replied := router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt, Status: status, Peek: effect.Peek}
 		if status == nil {
 			replied.Error = structs.NewError(structs.ErrorUnavailable, "the engine does not answer", "Ask again.")
@@ -153,6 +156,15 @@
 	}, failed)
 }
 
+// pretendProgress is the status of an attempt that makes tokens all the time.
+func (h *routerHost) pretendProgress(effect router.AskStatus) *structs.RequestStatus {
+	return &structs.RequestStatus{
+		ID: structs.RequestID(effect.Attempt), State: structs.RunRunning, Started: true,
+		Incarnation: h.site.engineNamed(effect.Runner).incarnation,
+		Tokens:      int(h.site.scheduler.Now() / time.Millisecond),
+	}
+}
+
 // forward hands a request to the first router of the zones that takes it.
 func (h *routerHost) forward(effect router.Forward) {
 	var candidates []*routerHost
