Pause in two loops that asked again at once without news

Cause, found in virtual time, where such a loop never lets time pass: - A controller answered a router's long poll at once while its log was empty (a start without a quorum): the empty placement counted as news, and the router asked again at once, until the group had a leader. - A zone leader whose adoption of the table failed at once (its disk had failed, or it led no more) read the same changes again at once.

Change: a controller that has applied nothing has no news; a failed adoption is followed by the pause of other retries.

--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -197,12 +197,13 @@
 func (l *zoneLeader) proposeAll(ctx context.Context, commands []zone.Command) {
 	var proposals sync.WaitGroup
 	for _, command := range commands {
-		proposals.Go(func() { l.proposeOne(ctx, command) })
+		proposals.Go(func() { _ = l.proposeOne(ctx, command) })
 	}
 	proposals.Wait()
 }
 
-func (l *zoneLeader) proposeOne(ctx context.Context, command zone.Command) {
+// proposeOne proposes a command and waits until it is decided.
+func (l *zoneLeader) proposeOne(ctx context.Context, command zone.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	result, err := l.node.propose(ctx, command)
@@ -212,6 +213,7 @@
 	if err != nil {
 		level.Debug(l.logger).Log("msg", "A command was refused.", "err", err)
 	}
+	return err
 }
 
 // adoptLoop brings the changes of the global table into the zone log.
@@ -235,7 +237,9 @@
 			next++
 			continue
 		}
-		l.proposeOne(ctx, zone.Command{Adopt: &reply.Delta})
+		if err := l.proposeOne(ctx, zone.Command{Adopt: &reply.Delta}); err != nil {
+			pause(ctx, retryPause)
+		}
 	}
 }
 
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -101,7 +101,13 @@
 	return state.View(arguments.SinceTable, arguments.SinceIndex)
 }
 
+// isNews reports whether a router learns something from the view. A controller that
+// has applied nothing, as after a start without a quorum, has no news: answering at
+// once would have its routers ask without a pause.
 func isNews(view structs.ZoneView, arguments ViewArguments) bool {
+	if view.Index == 0 {
+		return false
+	}
 	return view.Part != nil || view.Placement != nil || view.Table.Revision > arguments.SinceTable
 }
 
