--- a/daemon/claimkeys_test.go
+++ b/daemon/claimkeys_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -42,79 +43,83 @@
 // decides, and when it is cut off the key is refused as not run.
 func TestKeyWithAPrefixIsHeldInThatZoneWhicheverServes(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 2})
-	s.applyRows(1)
-	s.slowDown()
-	var requests []structs.Request
-	var answers []api.Answer
-	for serving := range 2 {
-		request := streamRequest(fmt.Sprint("request-", serving), "r0", longAnswer)
-		request.IdempotencyKey = fmt.Sprint("zone-1:abc-", serving)
-		answer, err := s.call(serving, request)
-		s.Assert(err, qt.IsNil)
-		_, err = answer.Next(s.ctx)
-		s.Assert(err, qt.IsNil)
-		requests, answers = append(requests, request), append(answers, answer)
-	}
-	s.Assert(s.claimsOf(0), qt.HasLen, 0)
-	s.Assert(s.claimsOf(1), qt.HasLen, len(requests))
-	for _, answer := range answers {
-		answer.Close()
-	}
-	s.goOn()
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 2})
+		s.applyRows(1)
+		s.slowDown()
+		var requests []structs.Request
+		var answers []api.Answer
+		for serving := range 2 {
+			request := streamRequest(fmt.Sprint("request-", serving), "r0", longAnswer)
+			request.IdempotencyKey = fmt.Sprint("zone-1:abc-", serving)
+			answer, err := s.call(serving, request)
+			s.Assert(err, qt.IsNil)
+			_, err = answer.Next(s.ctx)
+			s.Assert(err, qt.IsNil)
+			requests, answers = append(requests, request), append(answers, answer)
+		}
+		s.Assert(s.claimsOf(0), qt.HasLen, 0)
+		s.Assert(s.claimsOf(1), qt.HasLen, len(requests))
+		for _, answer := range answers {
+			answer.Close()
+		}
+		s.goOn()
 
-	s.daemons[0].faults.Cut(s.settings[1].Listen.Internal)
-	cut := streamRequest("cut", "r0", 1)
-	cut.IdempotencyKey = "zone-1:cut"
-	// The first request finds out that the home does not answer.
-	_, err := s.ask(0, cut)
-	s.Assert(refusalOf(s.C, err).Execution, qt.Equals, structs.ExecutionNotRun)
-	// From then on nobody waits for it: the zone is not asked.
-	cut.ID = "again"
-	_, err = s.ask(0, cut)
-	refusal := refusalOf(s.C, err)
-	s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
-	s.Assert(refusal.Error.Message, qt.Contains, "zone zone-1, the home of the key, cannot be reached from zone zone-0")
-	s.Assert(refusal.Error.Remedy, qt.Contains, `"zone-0:"`)
-	s.Assert(refusal.Error.RetryAfter > 0, qt.IsTrue)
-	s.Assert(s.executions(cut), qt.Equals, 0)
-	// The remedy works.
-	own := streamRequest("own", "r0", 1)
-	own.IdempotencyKey = "zone-0:cut"
-	text, err := s.ask(0, own)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(own))
+		s.daemons[0].faults.Cut(s.settings[1].Listen.Internal)
+		cut := streamRequest("cut", "r0", 1)
+		cut.IdempotencyKey = "zone-1:cut"
+		// The first request finds out that the home does not answer.
+		_, err := s.ask(0, cut)
+		s.Assert(refusalOf(s.C, err).Execution, qt.Equals, structs.ExecutionNotRun)
+		// From then on nobody waits for it: the zone is not asked.
+		cut.ID = "again"
+		_, err = s.ask(0, cut)
+		refusal := refusalOf(s.C, err)
+		s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+		s.Assert(refusal.Error.Message, qt.Contains, "zone zone-1, the home of the key, cannot be reached from zone zone-0")
+		s.Assert(refusal.Error.Remedy, qt.Contains, `"zone-0:"`)
+		s.Assert(refusal.Error.RetryAfter > 0, qt.IsTrue)
+		s.Assert(s.executions(cut), qt.Equals, 0)
+		// The remedy works.
+		own := streamRequest("own", "r0", 1)
+		own.IdempotencyKey = "zone-0:cut"
+		text, err := s.ask(0, own)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(own))
+	})
 }
 
 // TestRetryIsToldThatItRanAndItsAnswerIsGone fills the place for kept answers.
 func TestRetryIsToldThatItRanAndItsAnswerIsGone(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(1)
-	request := streamRequest("first", "r0", 8)
-	request.IdempotencyKey = "the-key"
-	text, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
-	keeper := s.daemons[0].router.claims
-	for number := range zone.MaxClaimBytes / zone.MaxAnswerBytes {
-		id := structs.RequestID(fmt.Sprint("large-", number))
-		reply := keeper.begin(context.Background(), router.BeginClaim{ID: id, AnswerBytes: zone.MaxAnswerBytes, Claim: structs.Claim{
-			Key: structs.ClaimKey("other/" + id), Request: id, Home: "zone-0", Holder: keeper.holder.Daemon, Session: keeper.holder.Session,
-		}})
-		s.Assert(asError(reply.Error), qt.IsNil)
-	}
-	request.ID = "second"
-	last := &lastResponse{next: s.http}
-	_, err = api.NewClient(&http.Client{Transport: last}).Call(s.ctx, s.url(0), "", "", request)
-	refusal := refusalOf(s.C, err)
-	s.Assert(refusal.Execution, qt.Equals, structs.ExecutionDone)
-	s.Assert(refusal.Error.Kind, qt.Equals, structs.ErrorConflict)
-	s.Assert(refusal.Error.Message, qt.Contains, "ran, and its answer is no longer kept")
-	s.Assert(refusal.Error.Remedy, qt.Contains, "new key")
-	s.Assert(last.head.StatusCode, qt.Equals, http.StatusConflict)
-	s.Assert(last.head.Header.Get(api.HeaderExecution), qt.Equals, string(structs.ExecutionDone))
-	s.Assert(last.head.Header.Get("Retry-After"), qt.Equals, "")
-	s.Assert(last.head.Header.Get(api.HeaderShouldRetry), qt.Equals, "false")
-	s.Assert(s.executions(request), qt.Equals, 1)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(1)
+		request := streamRequest("first", "r0", 8)
+		request.IdempotencyKey = "the-key"
+		text, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+		keeper := s.daemons[0].router.claims
+		for number := range zone.MaxClaimBytes / zone.MaxAnswerBytes {
+			id := structs.RequestID(fmt.Sprint("large-", number))
+			reply := keeper.begin(context.Background(), router.BeginClaim{ID: id, AnswerBytes: zone.MaxAnswerBytes, Claim: structs.Claim{
+				Key: structs.ClaimKey("other/" + id), Request: id, Home: "zone-0", Holder: keeper.holder.Daemon, Session: keeper.holder.Session,
+			}})
+			s.Assert(asError(reply.Error), qt.IsNil)
+		}
+		request.ID = "second"
+		last := &lastResponse{next: s.http}
+		_, err = api.NewClient(&http.Client{Transport: last}).Call(s.ctx, s.url(0), "", "", request)
+		refusal := refusalOf(s.C, err)
+		s.Assert(refusal.Execution, qt.Equals, structs.ExecutionDone)
+		s.Assert(refusal.Error.Kind, qt.Equals, structs.ErrorConflict)
+		s.Assert(refusal.Error.Message, qt.Contains, "ran, and its answer is no longer kept")
+		s.Assert(refusal.Error.Remedy, qt.Contains, "new key")
+		s.Assert(last.head.StatusCode, qt.Equals, http.StatusConflict)
+		s.Assert(last.head.Header.Get(api.HeaderExecution), qt.Equals, string(structs.ExecutionDone))
+		s.Assert(last.head.Header.Get("Retry-After"), qt.Equals, "")
+		s.Assert(last.head.Header.Get(api.HeaderShouldRetry), qt.Equals, "false")
+		s.Assert(s.executions(request), qt.Equals, 1)
+	})
 }
--- a/daemon/claims_test.go
+++ b/daemon/claims_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -59,16 +61,17 @@
 // listens in zone b.
 func newClaimsSite(c *qt.C) (*claimsZone, *claimKeeper) {
 	served := &claimsZone{state: zone.New("a")}
-	server, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+	options := transport.Options{Address: "127.0.0.1:0", Network: networktest.NewMemory(0)}
+	server, err := transport.NewServer(log.NewNopLogger(), options)
 	c.Assert(err, qt.IsNil)
 	c.Assert(server.Register("Zone", served), qt.IsNil)
 	var serving sync.WaitGroup
 	serving.Go(server.Serve)
-	closed, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+	closed, err := transport.NewServer(log.NewNopLogger(), options)
 	c.Assert(err, qt.IsNil)
 	silent := closed.Address()
 	closed.Close()
-	client := transport.NewClient(log.NewNopLogger(), transport.Options{})
+	client := transport.NewClient(log.NewNopLogger(), options)
 	c.Cleanup(func() {
 		client.Close()
 		server.Close()
@@ -118,110 +121,124 @@
 	} {
 		t.Run(test.about, func(t *testing.T) {
 			t.Parallel()
-			c := qt.New(t)
-			served, keeper := newClaimsSite(c)
-			c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
-			served.failures, served.late = 3, test.late
-			keeper.finish(context.Background(), finishEffect(test.answer))
-			c.Assert(served.claim().State, qt.Equals, test.state)
-			c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
-			c.Assert(keeper.homes["a"].asked, qt.HasLen, 0)
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				served, keeper := newClaimsSite(c)
+				c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+				served.failures, served.late = 3, test.late
+				keeper.finish(context.Background(), finishEffect(test.answer))
+				c.Assert(served.claim().State, qt.Equals, test.state)
+				c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
+				c.Assert(keeper.homes["a"].asked, qt.HasLen, 0)
+			})
 		})
 	}
 }
 
 func TestDrainWaitsForEndsUntilItsTimeIsOver(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	_, keeper := newClaimsSite(c)
-	home := keeper.homes["a"]
-	c.Assert(home.ask("request"), qt.IsTrue)
-	c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
-	c.Assert(home.startEnd("request"), qt.IsTrue)
-	over, cancel := context.WithCancel(context.Background())
-	cancel()
-	c.Assert(keeper.Drain(over), qt.Equals, 1)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		_, keeper := newClaimsSite(c)
+		home := keeper.homes["a"]
+		c.Assert(home.ask("request"), qt.IsTrue)
+		c.Assert(keeper.Drain(context.Background()), qt.Equals, 0)
+		c.Assert(home.startEnd("request"), qt.IsTrue)
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		c.Assert(keeper.Drain(over), qt.Equals, 1)
+	})
 }
 
 func TestSilentZoneRefusesAtOnceAndTheOwnZoneServes(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	served, keeper := newClaimsSite(c)
-	timeout := keeper.homes["b"].timeout
-	keeper.homes["b"].timeout = 20 * time.Millisecond
-	first := keeper.begin(context.Background(), beginEffect("b"))
-	keeper.homes["b"].timeout = timeout
-	c.Assert(first.NotAsked, qt.IsFalse)
-	c.Assert(first.Error.Kind, qt.Equals, structs.ErrorUnavailable)
-	// Nothing is called any more: the context is over already.
-	over, cancel := context.WithCancel(context.Background())
-	cancel()
-	second := keeper.begin(over, beginEffect("b"))
-	c.Assert(second.NotAsked, qt.IsTrue)
-	c.Assert(second.Error.RetryAfter > 0, qt.IsTrue)
-	c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
-	// The zone is back, at the address of a.
-	back := keeper.homes["b"]
-	back.leader = keeper.homes["a"].leader
-	requests, due := back.startRenewal(time.Now())
-	c.Assert(due, qt.IsTrue)
-	keeper.renew(context.Background(), back, requests)
-	c.Assert(served.renewed, qt.DeepEquals, []structs.RequestID{"request"})
-	c.Assert(keeper.begin(context.Background(), beginEffect("b")).New, qt.IsTrue)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		served, keeper := newClaimsSite(c)
+		timeout := keeper.homes["b"].timeout
+		keeper.homes["b"].timeout = 20 * time.Millisecond
+		first := keeper.begin(context.Background(), beginEffect("b"))
+		keeper.homes["b"].timeout = timeout
+		c.Assert(first.NotAsked, qt.IsFalse)
+		c.Assert(first.Error.Kind, qt.Equals, structs.ErrorUnavailable)
+		// Nothing is called any more: the context is over already.
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		second := keeper.begin(over, beginEffect("b"))
+		c.Assert(second.NotAsked, qt.IsTrue)
+		c.Assert(second.Error.RetryAfter > 0, qt.IsTrue)
+		c.Assert(keeper.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+		// The zone is back, at the address of a.
+		back := keeper.homes["b"]
+		back.leader = keeper.homes["a"].leader
+		requests, due := back.startRenewal(time.Now())
+		c.Assert(due, qt.IsTrue)
+		keeper.renew(context.Background(), back, requests)
+		c.Assert(served.renewed, qt.DeepEquals, []structs.RequestID{"request"})
+		c.Assert(keeper.begin(context.Background(), beginEffect("b")).New, qt.IsTrue)
+	})
 }
 
 func TestClaimThatTheZoneWasNeverAskedForIsNotEnded(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	served, keeper := newClaimsSite(c)
-	keeper.finish(context.Background(), finishEffect("done"))
-	c.Assert(served.calls, qt.Equals, 0)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		served, keeper := newClaimsSite(c)
+		keeper.finish(context.Background(), finishEffect("done"))
+		c.Assert(served.calls, qt.Equals, 0)
+	})
 }
 
 func TestClaimOfAnotherRequestIsNotRenewed(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	served, keeper := newClaimsSite(c)
-	other := beginEffect("a")
-	other.ID, other.Claim.Request = "other", "other"
-	c.Assert(keeper.begin(context.Background(), other).New, qt.IsTrue)
-	reply := keeper.begin(context.Background(), beginEffect("a"))
-	c.Assert(reply.New, qt.IsFalse)
-	c.Assert(reply.Claim.Request, qt.Equals, structs.RequestID("other"))
-	requests, _ := keeper.homes["a"].startRenewal(time.Now())
-	c.Assert(requests, qt.DeepEquals, []structs.RequestID{"other"})
-	c.Assert(served.calls, qt.Equals, 2)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		served, keeper := newClaimsSite(c)
+		other := beginEffect("a")
+		other.ID, other.Claim.Request = "other", "other"
+		c.Assert(keeper.begin(context.Background(), other).New, qt.IsTrue)
+		reply := keeper.begin(context.Background(), beginEffect("a"))
+		c.Assert(reply.New, qt.IsFalse)
+		c.Assert(reply.Claim.Request, qt.Equals, structs.RequestID("other"))
+		requests, _ := keeper.homes["a"].startRenewal(time.Now())
+		c.Assert(requests, qt.DeepEquals, []structs.RequestID{"other"})
+		c.Assert(served.calls, qt.Equals, 2)
+	})
 }
 
 func TestClaimsThatArriveTogetherShareALogEntry(t *testing.T) {
-	c := qt.New(t)
-	state := zone.New("a")
-	proposing, proceed := make(chan int), make(chan struct{})
-	desk := newClaimDesk("a", []structs.ZoneID{"a", "b"}, func(_ context.Context, command zone.Command) (zone.Result, error) {
-		proposing <- len(command.ClaimBatch.Operations)
-		<-proceed
-		return state.Apply(state.Index()+1, command), nil
-	})
-	var tickets []*claimTicket
-	for number := range 4 {
-		begin := beginCommand(beginEffect("a"))
-		begin.Request = structs.RequestID(fmt.Sprint(number))
-		ticket := &claimTicket{operations: []zone.ClaimOperation{{Begin: begin}}, done: make(chan claimOutcome, 1)}
-		tickets = append(tickets, ticket)
-		desk.enqueue(ticket)
-		if number == 0 {
-			c.Assert(<-proposing, qt.Equals, 1)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		state := zone.New("a")
+		proposing, proceed := make(chan int), make(chan struct{})
+		desk := newClaimDesk("a", []structs.ZoneID{"a", "b"}, func(_ context.Context, command zone.Command) (zone.Result, error) {
+			proposing <- len(command.ClaimBatch.Operations)
+			<-proceed
+			return state.Apply(state.Index()+1, command), nil
+		})
+		var tickets []*claimTicket
+		for number := range 4 {
+			begin := beginCommand(beginEffect("a"))
+			begin.Request = structs.RequestID(fmt.Sprint(number))
+			ticket := &claimTicket{operations: []zone.ClaimOperation{{Begin: begin}}, done: make(chan claimOutcome, 1)}
+			tickets = append(tickets, ticket)
+			desk.enqueue(ticket)
+			if number == 0 {
+				c.Assert(<-proposing, qt.Equals, 1)
+			}
 		}
-	}
-	proceed <- struct{}{}
-	c.Assert(<-proposing, qt.Equals, 3)
-	proceed <- struct{}{}
-	for number, ticket := range tickets {
-		outcome := <-ticket.done
-		c.Assert(outcome.err, qt.IsNil)
-		c.Assert(outcome.results, qt.HasLen, 1)
-		c.Assert(outcome.results[0].ClaimNew, qt.Equals, number == 0)
-	}
+		proceed <- struct{}{}
+		c.Assert(<-proposing, qt.Equals, 3)
+		proceed <- struct{}{}
+		for number, ticket := range tickets {
+			outcome := <-ticket.done
+			c.Assert(outcome.err, qt.IsNil)
+			c.Assert(outcome.results, qt.HasLen, 1)
+			c.Assert(outcome.results[0].ClaimNew, qt.Equals, number == 0)
+		}
+		// The desk's pause after its last entry ends too.
+		time.Sleep(desk.interval)
+	})
 }
 
 func TestZoneRefusesKeysOfAnotherHome(t *testing.T) {
--- a/daemon/forward_test.go
+++ b/daemon/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -40,73 +41,79 @@
 
 func TestOnlyACertificateOfTheSiteMakesARequestForwarded(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 2, secure: true})
-	s.applyRows(1)
-	s.slowDown()
-	outsider := api.NewClient(&http.Client{Transport: s.http})
-	fromCaller := streamRequest("caller", "r0", longAnswer)
-	claimed, err := outsider.Call(s.ctx, s.url(1), "", "zone-0", fromCaller)
-	s.Assert(err, qt.IsNil)
-	fromDaemon := streamRequest("daemon", "r0", longAnswer)
-	fromDaemon.Caller = "cellar"
-	answers := []api.Answer{claimed, s.forward(fromDaemon)}
-	var begun []string
-	for i, request := range []structs.Request{fromCaller, fromDaemon} {
-		token, err := answers[i].Next(s.ctx)
-		s.Assert(err, qt.IsNil)
-		open := s.openRequest(1, request.Prompt)
-		s.Assert(open.Forwarded, qt.Equals, i == 1)
-		s.Assert(open.Caller == "cellar", qt.Equals, i == 1)
-		begun = append(begun, token.Text)
-	}
-	s.goOn()
-	for i, request := range []structs.Request{fromCaller, fromDaemon} {
-		text, err := readRest(answers[i], begun[i])
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 2, secure: true})
+		s.applyRows(1)
+		s.slowDown()
+		outsider := api.NewClient(&http.Client{Transport: s.http})
+		fromCaller := streamRequest("caller", "r0", longAnswer)
+		claimed, err := outsider.Call(s.ctx, s.url(1), "", "zone-0", fromCaller)
 		s.Assert(err, qt.IsNil)
-		s.Assert(text, qt.Equals, wholeAnswer(request))
-	}
+		fromDaemon := streamRequest("daemon", "r0", longAnswer)
+		fromDaemon.Caller = "cellar"
+		answers := []api.Answer{claimed, s.forward(fromDaemon)}
+		var begun []string
+		for i, request := range []structs.Request{fromCaller, fromDaemon} {
+			token, err := answers[i].Next(s.ctx)
+			s.Assert(err, qt.IsNil)
+			open := s.openRequest(1, request.Prompt)
+			s.Assert(open.Forwarded, qt.Equals, i == 1)
+			s.Assert(open.Caller == "cellar", qt.Equals, i == 1)
+			begun = append(begun, token.Text)
+		}
+		s.goOn()
+		for i, request := range []structs.Request{fromCaller, fromDaemon} {
+			text, err := readRest(answers[i], begun[i])
+			s.Assert(err, qt.IsNil)
+			s.Assert(text, qt.Equals, wholeAnswer(request))
+		}
+	})
 }
 
 func TestCutBetweenZonesEndsForwardedRequests(t *testing.T) {
 	t.Parallel()
-	for _, test := range []struct {
-		key  string
-		want structs.Execution
-	}{{"", structs.ExecutionPartial}, {"key", structs.ExecutionUnknown}} {
+	synctest.Test(t, func(t *testing.T) {
+		for _, test := range []struct {
+			key  string
+			want structs.Execution
+		}{{"", structs.ExecutionPartial}, {"key", structs.ExecutionUnknown}} {
+			s := newStreamSite(t, streamSiteOptions{zones: 2})
+			s.applyRows(1)
+			s.slowDown()
+			request := streamRequest("begun", "r0", longAnswer)
+			request.IdempotencyKey = test.key
+			answer := s.forward(request)
+			_, err := answer.Next(s.ctx)
+			s.Assert(err, qt.IsNil)
+			s.daemons[0].faults.Cut(s.settings[1].Listen.Callers)
+			_, err = readRest(answer, "")
+			s.Assert(refusalOf(s.C, err).Execution, qt.Equals, test.want)
+
+			_, err = readRest(s.forward(streamRequest("new", "r0", 5)), "")
+			refusal := refusalOf(s.C, err)
+			s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+			s.Assert(refusal.Error.RetryAfter > 0, qt.IsTrue)
+		}
+	})
+}
+
+func TestForwardedStreamOutlivesAPlannedStopAndNewOnesAreRefused(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
 		s := newStreamSite(t, streamSiteOptions{zones: 2})
 		s.applyRows(1)
 		s.slowDown()
 		request := streamRequest("begun", "r0", longAnswer)
-		request.IdempotencyKey = test.key
 		answer := s.forward(request)
-		_, err := answer.Next(s.ctx)
+		token, err := answer.Next(s.ctx)
 		s.Assert(err, qt.IsNil)
-		s.daemons[0].faults.Cut(s.settings[1].Listen.Callers)
-		_, err = readRest(answer, "")
-		s.Assert(refusalOf(s.C, err).Execution, qt.Equals, test.want)
-
+		stopped := s.beginStop(context.Background(), 1)
 		_, err = readRest(s.forward(streamRequest("new", "r0", 5)), "")
-		refusal := refusalOf(s.C, err)
-		s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
-		s.Assert(refusal.Error.RetryAfter > 0, qt.IsTrue)
-	}
-}
-
-func TestForwardedStreamOutlivesAPlannedStopAndNewOnesAreRefused(t *testing.T) {
-	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 2})
-	s.applyRows(1)
-	s.slowDown()
-	request := streamRequest("begun", "r0", longAnswer)
-	answer := s.forward(request)
-	token, err := answer.Next(s.ctx)
-	s.Assert(err, qt.IsNil)
-	stopped := s.beginStop(context.Background(), 1)
-	_, err = readRest(s.forward(streamRequest("new", "r0", 5)), "")
-	s.Assert(refusalOf(s.C, err).Execution, qt.Equals, structs.ExecutionNotRun)
-	s.goOn()
-	text, err := readRest(answer, token.Text)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
-	s.Assert(<-stopped, qt.Equals, 0)
+		s.Assert(refusalOf(s.C, err).Execution, qt.Equals, structs.ExecutionNotRun)
+		s.goOn()
+		text, err := readRest(answer, token.Text)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+		s.Assert(<-stopped, qt.Equals, 0)
+	})
 }
--- a/daemon/loopback_test.go
+++ b/daemon/loopback_test.go
@@ -6,6 +6,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"testing"
+
+	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/network/networktest"
 )
 
 const (
@@ -39,8 +43,24 @@
 // testHosts numbers the daemons of all sites of this process.
 var testHosts atomic.Uint32
 
-// testIP returns a loopback address that nothing else uses.
-func testIP() string {
+// memoryNetwork is the network of the addresses of sites in memory.
+const memoryNetwork = "127.1"
+
+// newSiteNetwork returns the network of a site: one in memory for a test, which runs
+// in virtual time, and nil, which is TCP, for a benchmark.
+func newSiteNetwork(tb testing.TB) network.Network {
+	if _, isTest := tb.(*testing.T); isTest {
+		return networktest.NewMemory(0)
+	}
+	return nil
+}
+
+// testIP returns a loopback address that nothing else uses in the network.
+func testIP(over network.Network) string {
+	prefix := memoryNetwork
+	if over == nil {
+		prefix = testNetwork()
+	}
 	host := testHosts.Add(1) - 1
-	return fmt.Sprintf("%s.%d.%d", testNetwork(), firstTestSubnet+host/hostsPerSubnet, 1+host%hostsPerSubnet)
+	return fmt.Sprintf("%s.%d.%d", prefix, firstTestSubnet+host/hostsPerSubnet, 1+host%hostsPerSubnet)
 }
--- a/daemon/member_benchmark_test.go
+++ b/daemon/member_benchmark_test.go
@@ -50,7 +50,7 @@
 				return index
 			}
 		}
-		runtime.Gosched()
+		pause(s.ctx, time.Millisecond)
 	}
 }
 
--- a/daemon/memberbackup_test.go
+++ b/daemon/memberbackup_test.go
@@ -5,9 +5,9 @@
 	"context"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/ctl"
 	"github.com/lotusferry/lotusferry/operatorapi"
@@ -47,88 +47,92 @@
 
 func TestWholeSiteIsRestoredAndFencesTheOldOne(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	s.await("the founding", s.whole)
-	s.edit("first")
-	// The zone's registration is a revision of its own.
-	s.awaitInForce(s.revision())
-	saved := s.revision()
-	folder := c.TempDir()
-	groups := []string{"zone-north", globalGroupName}
-	for _, name := range groups {
-		s.ctl("snapshot", "save", "--group", name, filepath.Join(folder, name))
-		s.ctl("snapshot", "inspect", filepath.Join(folder, name))
-	}
-	s.edit("lost")
-	var oldTerm uint64
-	for _, running := range s.running {
-		oldTerm = max(oldTerm, running.zone.group.Status().Term)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		s.await("the founding", s.whole)
+		s.edit("first")
+		// The zone's registration is a revision of its own.
+		s.awaitInForce(s.revision())
+		saved := s.revision()
+		folder := c.TempDir()
+		groups := []string{"zone-north", globalGroupName}
+		for _, name := range groups {
+			s.ctl("snapshot", "save", "--group", name, filepath.Join(folder, name))
+			s.ctl("snapshot", "inspect", filepath.Join(folder, name))
+		}
+		s.edit("lost")
+		var oldTerm uint64
+		for _, running := range s.running {
+			oldTerm = max(oldTerm, running.zone.group.Status().Term)
+		}
 
-	for index := range s.settings {
-		s.loseDisk(index)
-		s.settings[index].Bootstrap = false
-	}
-	for _, name := range groups {
-		s.ctl("snapshot", "restore", filepath.Join(folder, name), "--daemon", "north-0",
-			"--store", filepath.Join(s.settings[0].DataFolder, name+".db"))
-	}
-	s.start(0)
-	c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"first"})
-	c.Assert(s.revision(), qt.Equals, saved)
-	s.start(1, 2)
-	for _, index := range []int{1, 2} {
+		for index := range s.settings {
+			s.loseDisk(index)
+			s.settings[index].Bootstrap = false
+		}
 		for _, name := range groups {
-			s.ctl("member", "add", string(s.settings[index].Daemon), "--group", name, "--internal", s.settings[index].Listen.Internal)
-			s.await("a new voter", func(members operatorapi.GroupMembers) bool {
-				listed := s.operators().groupMembers(s.ctx, name)
-				return len(listed.Members) == index+1 && listed.Members[index].Voter && listed.Members[index-1].Voter
-			})
+			s.ctl("snapshot", "restore", filepath.Join(folder, name), "--daemon", "north-0",
+				"--store", filepath.Join(s.settings[0].DataFolder, name+".db"))
 		}
-	}
-	s.await("the whole site", s.whole)
-	s.edit("second")
-	c.Assert(s.revision() > saved, qt.IsTrue)
-	s.awaitInForce(s.revision())
-	c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"first", "second"})
-	epoch, leads := s.running["north-0"].zone.group.LeaderLease()
-	c.Assert(!leads || uint64(epoch) > oldTerm, qt.IsTrue)
-	c.Assert(s.running["north-0"].zone.group.Status().Term > oldTerm, qt.IsTrue)
+		s.start(0)
+		c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"first"})
+		c.Assert(s.revision(), qt.Equals, saved)
+		s.start(1, 2)
+		for _, index := range []int{1, 2} {
+			for _, name := range groups {
+				s.ctl("member", "add", string(s.settings[index].Daemon), "--group", name, "--internal", s.settings[index].Listen.Internal)
+				s.await("a new voter", func(members operatorapi.GroupMembers) bool {
+					listed := s.operators().groupMembers(s.ctx, name)
+					return len(listed.Members) == index+1 && listed.Members[index].Voter && listed.Members[index-1].Voter
+				})
+			}
+		}
+		s.await("the whole site", s.whole)
+		s.edit("second")
+		c.Assert(s.revision() > saved, qt.IsTrue)
+		s.awaitInForce(s.revision())
+		c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"first", "second"})
+		epoch, leads := s.running["north-0"].zone.group.LeaderLease()
+		c.Assert(!leads || uint64(epoch) > oldTerm, qt.IsTrue)
+		c.Assert(s.running["north-0"].zone.group.Status().Term > oldTerm, qt.IsTrue)
+	})
 }
 
 func TestDataFolderOfAnotherIsRefusedWithTheRemedy(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	s.await("the founding", s.whole)
-	s.kill(1)
-	s.kill(2)
-	tests := []struct {
-		name   string
-		damage func()
-		kind   structs.ErrorKind
-		remedy string
-	}{
-		{"of another daemon", func() { s.settings[1].DataFolder = s.settings[2].DataFolder }, structs.ErrorConflict, ".*its own data folder.*"},
-		{"in use", func() {
-			s.settings[1].DataFolder = s.settings[0].DataFolder
-		}, structs.ErrorUnavailable, ".*Stop the other daemon.*"},
-		{"torn", func() {
-			path := filepath.Join(s.settings[2].DataFolder, "global.db")
-			s.settings[1] = s.settings[2]
-			truncateHalf(c, path)
-		}, structs.ErrorCorrupt, ".*remove its data folder.*"},
-	}
-	for _, test := range tests {
-		test.damage()
-		refused, err := New(log.NewNopLogger(), s.settings[1])
-		if refused != nil {
-			refused.Close(context.Background())
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		s.await("the founding", s.whole)
+		s.kill(1)
+		s.kill(2)
+		tests := []struct {
+			name   string
+			damage func()
+			kind   structs.ErrorKind
+			remedy string
+		}{
+			{"of another daemon", func() { s.settings[1].DataFolder = s.settings[2].DataFolder }, structs.ErrorConflict, ".*its own data folder.*"},
+			{"in use", func() {
+				s.settings[1].DataFolder = s.settings[0].DataFolder
+			}, structs.ErrorUnavailable, ".*Stop the other daemon.*"},
+			{"torn", func() {
+				path := filepath.Join(s.settings[2].DataFolder, "global.db")
+				s.settings[1] = s.settings[2]
+				truncateHalf(c, path)
+			}, structs.ErrorCorrupt, ".*remove its data folder.*"},
 		}
-		c.Check(structs.KindOf(err), qt.Equals, test.kind, qt.Commentf(test.name))
-		c.Check(err, qt.ErrorMatches, test.remedy, qt.Commentf(test.name))
-	}
+		for _, test := range tests {
+			test.damage()
+			refused, err := s.newDaemon(1)
+			if refused != nil {
+				refused.Close(context.Background())
+			}
+			c.Check(structs.KindOf(err), qt.Equals, test.kind, qt.Commentf(test.name))
+			c.Check(err, qt.ErrorMatches, test.remedy, qt.Commentf(test.name))
+		}
+	})
 }
--- a/daemon/memberchange_test.go
+++ b/daemon/memberchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -50,27 +51,29 @@
 // must not be answered as done.
 func TestRepeatedRemovalIsNotDoneBeforeItIsCommitted(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	for begun := false; !begun; {
-		members := s.await("the whole group", s.whole)
-		index := s.leaderIndex()
-		removal := operatorapi.MemberChange{
-			Group:  globalGroupName,
-			Action: operatorapi.MemberRemove,
-			Daemon: s.settings[(index+1)%len(s.settings)].Daemon,
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		for begun := false; !begun; {
+			members := s.await("the whole group", s.whole)
+			index := s.leaderIndex()
+			removal := operatorapi.MemberChange{
+				Group:  globalGroupName,
+				Action: operatorapi.MemberRemove,
+				Daemon: s.settings[(index+1)%len(s.settings)].Daemon,
+			}
+			removed := raft.NodeID(nodeOf(members, removal.Daemon))
+			leader := s.running[s.settings[index].Daemon]
+			var end func()
+			end, begun = s.changeWithoutQuorum(leader, removal, func(m raft.Membership) bool { return !m.Has(removed) })
+			if begun {
+				err := leader.members[globalGroupName].change(s.ctx, removal)
+				c.Check(err, qt.IsNotNil)
+			}
+			end()
 		}
-		removed := raft.NodeID(nodeOf(members, removal.Daemon))
-		leader := s.running[s.settings[index].Daemon]
-		var end func()
-		end, begun = s.changeWithoutQuorum(leader, removal, func(m raft.Membership) bool { return !m.Has(removed) })
-		if begun {
-			err := leader.members[globalGroupName].change(s.ctx, removal)
-			c.Check(err, qt.IsNotNil)
-		}
-		end()
-	}
+	})
 }
 
 // rejoin removes a daemon and adds it again with an empty disk. It returns the node
@@ -104,47 +107,51 @@
 // the log: a round in which it was committed before the leader was cut off shows nothing.
 func TestRepeatedPromotionIsNotDoneBeforeItIsCommitted(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	for shown := false; !shown; {
-		s.await("the whole group", s.whole)
-		index := s.leaderIndex()
-		leader := s.running[s.settings[index].Daemon]
-		node := leader.members[globalGroupName]
-		other := (index + 1) % len(s.settings)
-		learner := s.rejoin(leader, other)
-		promotion := operatorapi.MemberChange{Group: globalGroupName, Action: operatorapi.MemberPromote, Daemon: s.settings[other].Daemon}
-		end, begun := s.changeWithoutQuorum(leader, promotion, func(m raft.Membership) bool { return m.HasVoter(learner) })
-		shown = begun && !node.group.Status().CommittedMembership.HasVoter(learner)
-		if err := node.change(s.ctx, promotion); err == nil {
-			c.Check(node.group.Status().CommittedMembership.HasVoter(learner), qt.IsTrue)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		for shown := false; !shown; {
+			s.await("the whole group", s.whole)
+			index := s.leaderIndex()
+			leader := s.running[s.settings[index].Daemon]
+			node := leader.members[globalGroupName]
+			other := (index + 1) % len(s.settings)
+			learner := s.rejoin(leader, other)
+			promotion := operatorapi.MemberChange{Group: globalGroupName, Action: operatorapi.MemberPromote, Daemon: s.settings[other].Daemon}
+			end, begun := s.changeWithoutQuorum(leader, promotion, func(m raft.Membership) bool { return m.HasVoter(learner) })
+			shown = begun && !node.group.Status().CommittedMembership.HasVoter(learner)
+			if err := node.change(s.ctx, promotion); err == nil {
+				c.Check(node.group.Status().CommittedMembership.HasVoter(learner), qt.IsTrue)
+			}
+			end()
 		}
-		end()
-	}
+	})
 }
 
 // A newer leader may have added the daemon or taken its vote back meanwhile.
 func TestLeaderWithoutAQuorumDoesNotCallAChangeMadeAlready(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	for _, change := range []operatorapi.MemberChange{
-		{Group: globalGroupName, Action: operatorapi.MemberRemove, Daemon: "unknown"},
-		{Group: globalGroupName, Action: operatorapi.MemberPromote, Daemon: "north-0"},
-	} {
-		s.await("the whole group", s.whole)
-		leader := s.running[s.settings[s.leaderIndex()].Daemon]
-		c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNil)
-		for _, settings := range s.settings {
-			leader.faults.Cut(settings.Listen.Internal)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		for _, change := range []operatorapi.MemberChange{
+			{Group: globalGroupName, Action: operatorapi.MemberRemove, Daemon: "unknown"},
+			{Group: globalGroupName, Action: operatorapi.MemberPromote, Daemon: "north-0"},
+		} {
+			s.await("the whole group", s.whole)
+			leader := s.running[s.settings[s.leaderIndex()].Daemon]
+			c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNil)
+			for _, settings := range s.settings {
+				leader.faults.Cut(settings.Listen.Internal)
+			}
+			c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNotNil)
+			for _, settings := range s.settings {
+				leader.faults.Heal(settings.Listen.Internal)
+			}
 		}
-		c.Check(leader.members[globalGroupName].change(s.ctx, change), qt.IsNotNil)
-		for _, settings := range s.settings {
-			leader.faults.Heal(settings.Listen.Internal)
-		}
-	}
+	})
 }
 
 func TestChangeIsRefusedWhileThePreviousOneIsNotCommitted(t *testing.T) {
--- a/daemon/memberjoin_test.go
+++ b/daemon/memberjoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -34,28 +35,30 @@
 // An undone addition is lost for good if the second one then fails.
 func TestJoinThatMeetsItsOwnAdditionDoesNotUndoIt(t *testing.T) {
 	t.Parallel()
-	const rounds = 20
-	c := qt.New(t)
-	s := newTestSite(c, 3)
-	s.start(0, 1, 2)
-	s.await("the founding", s.whole)
-	s.edit("first")
-	leader := s.running[s.settings[s.leaderIndex()].Daemon]
-	node := leader.members[globalGroupName]
-	for range rounds {
-		before := node.group.Status().AppliedIndex
-		joining := group.Member{Node: group.NewNodeID(), Address: testAddress(), Name: "added"}
-		added := make(chan error, 1)
-		go func() { added <- node.group.AddLearner(s.ctx, joining) }()
-		for node.join(s.ctx, joining) != nil {
-			c.Assert(s.ctx.Err(), qt.IsNil)
-		}
-		<-added
-		for _, membership := range s.memberships(leader, before) {
-			c.Assert(membership.HasLearner(joining.Node), qt.IsTrue, qt.Commentf("%+v", membership))
+	synctest.Test(t, func(t *testing.T) {
+		const rounds = 20
+		c := qt.New(t)
+		s := newTestSite(c, 3)
+		s.start(0, 1, 2)
+		s.await("the founding", s.whole)
+		s.edit("first")
+		leader := s.running[s.settings[s.leaderIndex()].Daemon]
+		node := leader.members[globalGroupName]
+		for range rounds {
+			before := node.group.Status().AppliedIndex
+			joining := group.Member{Node: group.NewNodeID(), Address: s.testAddress(), Name: "added"}
+			added := make(chan error, 1)
+			go func() { added <- node.group.AddLearner(s.ctx, joining) }()
+			for node.join(s.ctx, joining) != nil {
+				c.Assert(s.ctx.Err(), qt.IsNil)
+			}
+			<-added
+			for _, membership := range s.memberships(leader, before) {
+				c.Assert(membership.HasLearner(joining.Node), qt.IsTrue, qt.Commentf("%+v", membership))
+			}
+			c.Assert(node.group.Remove(s.ctx, joining), qt.IsNil)
 		}
-		c.Assert(node.group.Remove(s.ctx, joining), qt.IsNil)
-	}
+	})
 }
 
 func TestJoinAdmitsOneRepairAtATime(t *testing.T) {
--- a/daemon/memberkeys_test.go
+++ b/daemon/memberkeys_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -53,49 +54,53 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			c := qt.New(t)
-			s := newTestSite(c, 2)
-			authority, err := keys.NewAuthority("test", time.Now())
-			c.Assert(err, qt.IsNil)
-			other := authority
-			if test.foreignCA {
-				other, err = keys.NewAuthority("test", time.Now())
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newTestSite(c, 2)
+				authority, err := keys.NewAuthority("test", time.Now())
 				c.Assert(err, qt.IsNil)
-			}
-			zones := append(s.settings[0].Site.Zones[:1:1], config.Zone{ID: "south", Weight: 1})
-			s.settings[0].Site.Zones = zones
-			secure(c, &s.settings[0], authority, keys.Identity{Zone: "north", Daemon: "north-0"})
-			// The intruder's own settings are of its making.
-			s.settings[1].Zone, s.settings[1].Daemon = test.intruder.Zone, test.intruder.Daemon
-			s.settings[1].Site.Zones = append(zones[:2:2], config.Zone{ID: "east", Weight: 1})
-			if test.intruder.Daemon == "north-1" && test.intruder.Zone != "north" {
-				home := zones[0]
-				home.Controllers = home.Controllers[:1]
-				s.settings[1].Site.Zones[0] = home
-			}
-			secure(c, &s.settings[1], other, test.intruder)
-			s.start(0, 1)
-			ask := func(from, to int) error {
-				// Its own client may be in the pause after a failed dial.
-				dialler := s.running[s.settings[from].Daemon]
-				client := transport.NewClient(log.NewNopLogger(), transport.Options{PeerTLS: dialler.peerTLS})
-				defer client.Close()
-				return client.Call(s.ctx, s.settings[to].Listen.Internal, methodMemberDescribe, DescribeArguments{}, &DescribeReply{})
-			}
-			c.Check(ask(0, 1) == nil, qt.Equals, test.dialling)
-			c.Check(ask(1, 0) == nil, qt.Equals, test.accepted)
+				other := authority
+				if test.foreignCA {
+					other, err = keys.NewAuthority("test", time.Now())
+					c.Assert(err, qt.IsNil)
+				}
+				zones := append(s.settings[0].Site.Zones[:1:1], config.Zone{ID: "south", Weight: 1})
+				s.settings[0].Site.Zones = zones
+				secure(c, &s.settings[0], authority, keys.Identity{Zone: "north", Daemon: "north-0"})
+				// The intruder's own settings are of its making.
+				s.settings[1].Zone, s.settings[1].Daemon = test.intruder.Zone, test.intruder.Daemon
+				s.settings[1].Site.Zones = append(zones[:2:2], config.Zone{ID: "east", Weight: 1})
+				if test.intruder.Daemon == "north-1" && test.intruder.Zone != "north" {
+					home := zones[0]
+					home.Controllers = home.Controllers[:1]
+					s.settings[1].Site.Zones[0] = home
+				}
+				secure(c, &s.settings[1], other, test.intruder)
+				s.start(0, 1)
+				ask := func(from, to int) error {
+					// Its own client may be in the pause after a failed dial.
+					dialler := s.running[s.settings[from].Daemon]
+					client := transport.NewClient(log.NewNopLogger(), transport.Options{Network: s.network, PeerTLS: dialler.peerTLS})
+					defer client.Close()
+					return client.Call(s.ctx, s.settings[to].Listen.Internal, methodMemberDescribe, DescribeArguments{}, &DescribeReply{})
+				}
+				c.Check(ask(0, 1) == nil, qt.Equals, test.dialling)
+				c.Check(ask(1, 0) == nil, qt.Equals, test.accepted)
+			})
 		})
 	}
 }
 
 func TestDaemonWithTheCertificateOfAnotherIsRefused(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := newTestSite(c, 2)
-	authority, err := keys.NewAuthority("test", time.Now())
-	c.Assert(err, qt.IsNil)
-	secure(c, &s.settings[0], authority, keys.Identity{Zone: "north", Daemon: "north-1"})
-	_, err = New(log.NewNopLogger(), s.settings[0])
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorDenied)
-	c.Assert(err, qt.ErrorMatches, ".*is that of lotusferry://north/north-1 and not of lotusferry://north/north-0.*")
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestSite(c, 2)
+		authority, err := keys.NewAuthority("test", time.Now())
+		c.Assert(err, qt.IsNil)
+		secure(c, &s.settings[0], authority, keys.Identity{Zone: "north", Daemon: "north-1"})
+		_, err = s.newDaemon(0)
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorDenied)
+		c.Assert(err, qt.ErrorMatches, ".*is that of lotusferry://north/north-1 and not of lotusferry://north/north-0.*")
+	})
 }
--- a/daemon/offer_test.go
+++ b/daemon/offer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -28,51 +29,55 @@
 
 func TestOfferIsTakenByAZoneWithAReadyReplica(t *testing.T) {
 	t.Parallel()
-	for _, secure := range []bool{false, true} {
-		s := newStreamSite(t, streamSiteOptions{zones: 2, secure: secure})
-		s.applyRows(1)
-		_, err := s.ask(1, streamRequest("warming", "r0", 5))
-		s.Assert(err, qt.IsNil)
-		for _, embedding := range []bool{false, true} {
-			request := streamRequest("offered", "r0", 5)
-			request.Embedding = embedding
-			answer := s.offer(request, generous)
-			s.Assert(answer.sent, qt.IsTrue)
-			text, err := readRest(answer, "")
+	synctest.Test(t, func(t *testing.T) {
+		for _, secure := range []bool{false, true} {
+			s := newStreamSite(t, streamSiteOptions{zones: 2, secure: secure})
+			s.applyRows(1)
+			_, err := s.ask(1, streamRequest("warming", "r0", 5))
 			s.Assert(err, qt.IsNil)
-			s.Assert(embedding || text == wholeAnswer(request), qt.IsTrue)
+			for _, embedding := range []bool{false, true} {
+				request := streamRequest("offered", "r0", 5)
+				request.Embedding = embedding
+				answer := s.offer(request, generous)
+				s.Assert(answer.sent, qt.IsTrue)
+				text, err := readRest(answer, "")
+				s.Assert(err, qt.IsNil)
+				s.Assert(embedding || text == wholeAnswer(request), qt.IsTrue)
+			}
 		}
-	}
+	})
 }
 
 // TestOfferThatNoZoneTakesGoesBack checks that the request is not ended: its own
 // zone's queue does that.
 func TestOfferThatNoZoneTakesGoesBack(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 2})
-	s.applyRows(1)
-	_, err := s.ask(1, streamRequest("warming", "r0", 5))
-	s.Assert(err, qt.IsNil)
-	tests := []struct {
-		about  string
-		before func()
-		row    string
-		budget time.Duration
-	}{
-		{"no replica there", func() {}, "absent", generous},
-		{"no time", func() {}, "r0", 0},
-		{"cut off", func() { s.daemons[0].faults.Cut(s.settings[1].Listen.Callers) }, "r0", shortLimit},
-	}
-	for _, test := range tests {
-		test.before()
-		request := streamRequest(test.about, test.row, 5)
-		answer := s.offer(request, test.budget)
-		_, ended, err := answer.take()
-		s.Assert(err, qt.IsNil, qt.Commentf(test.about))
-		s.Assert(ended, qt.IsFalse, qt.Commentf(test.about))
-		if test.row == "absent" {
-			s.Assert(answer.sent, qt.IsFalse)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 2})
+		s.applyRows(1)
+		_, err := s.ask(1, streamRequest("warming", "r0", 5))
+		s.Assert(err, qt.IsNil)
+		tests := []struct {
+			about  string
+			before func()
+			row    string
+			budget time.Duration
+		}{
+			{"no replica there", func() {}, "absent", generous},
+			{"no time", func() {}, "r0", 0},
+			{"cut off", func() { s.daemons[0].faults.Cut(s.settings[1].Listen.Callers) }, "r0", shortLimit},
+		}
+		for _, test := range tests {
+			test.before()
+			request := streamRequest(test.about, test.row, 5)
+			answer := s.offer(request, test.budget)
+			_, ended, err := answer.take()
+			s.Assert(err, qt.IsNil, qt.Commentf(test.about))
+			s.Assert(ended, qt.IsFalse, qt.Commentf(test.about))
+			if test.row == "absent" {
+				s.Assert(answer.sent, qt.IsFalse)
+			}
+			s.Assert(s.executions(request) == 0 || answer.sent, qt.IsTrue, qt.Commentf(test.about))
 		}
-		s.Assert(s.executions(request) == 0 || answer.sent, qt.IsTrue, qt.Commentf(test.about))
-	}
+	})
 }
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -32,16 +33,18 @@
 type testSite struct {
 	c        *qt.C
 	ctx      context.Context
+	network  network.Network
 	settings []config.Config
 	running  map[structs.DaemonID]*Daemon
 }
 
 // testAddress returns an address for a daemon's transport.
-func testAddress() string { return testIP() + ":7103" }
+func (s *testSite) testAddress() string { return testIP(s.network) + ":7103" }
 
 func newTestSite(c *qt.C, daemons int) *testSite {
 	ctx, cancel := context.WithTimeout(context.Background(), siteTestLimit)
 	c.Cleanup(cancel)
+	s := &testSite{c: c, ctx: ctx, network: newSiteNetwork(c.TB), running: map[structs.DaemonID]*Daemon{}}
 	shared := config.Site{
 		Name:            "test",
 		Objective:       structs.ObjectiveLatency,
@@ -50,11 +53,10 @@
 		StoreConcurrent: 1,
 	}
 	for i := range daemons {
-		member := config.Member{Daemon: structs.DaemonID(fmt.Sprintf("north-%d", i)), Address: testAddress()}
+		member := config.Member{Daemon: structs.DaemonID(fmt.Sprintf("north-%d", i)), Address: s.testAddress()}
 		shared.Zones[0].Controllers = append(shared.Zones[0].Controllers, member)
 	}
 	shared.GlobalVoters = shared.Zones[0].Controllers
-	s := &testSite{c: c, ctx: ctx, running: map[structs.DaemonID]*Daemon{}}
 	for _, member := range shared.GlobalVoters {
 		settings := config.Default()
 		settings.Daemon = member.Daemon
@@ -75,13 +77,18 @@
 
 func (s *testSite) start(indexes ...int) {
 	for _, index := range indexes {
-		started, err := New(log.NewNopLogger(), s.settings[index])
+		started, err := s.newDaemon(index)
 		s.c.Assert(err, qt.IsNil)
 		started.Start()
 		s.running[s.settings[index].Daemon] = started
 	}
 }
 
+// newDaemon opens a daemon on the site's network.
+func (s *testSite) newDaemon(index int) (*Daemon, error) {
+	return newDaemon(log.NewNopLogger(), s.settings[index], options{limits: defaultHTTPLimits(), network: s.network})
+}
+
 // kill ends a daemon without handing anything over.
 func (s *testSite) kill(index int) {
 	id := s.settings[index].Daemon
--- a/daemon/stream_test.go
+++ b/daemon/stream_test.go
@@ -9,12 +9,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/emulator"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -24,73 +26,80 @@
 
 func TestStreamMayLastLongerThanTheReadingOfItsRequest(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1, limits: func(limits *httpLimits) { limits.body = shortLimit }})
-	s.applyRows(1)
-	request := streamRequest("long", "r0", longAnswer)
-	text, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1, limits: func(limits *httpLimits) { limits.body = shortLimit }})
+		s.applyRows(1)
+		request := streamRequest("long", "r0", longAnswer)
+		text, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+	})
 }
 
 const postHead = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
 
 func TestConnectionsThatSendNothingMoreAreClosed(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1, limits: func(limits *httpLimits) {
-		limits.header, limits.body, limits.idle = shortLimit, shortLimit, shortLimit
-	}})
-	var asking sync.WaitGroup
-	for _, test := range []struct{ about, sent, answer string }{
-		{"nothing", "", ""},
-		{"half a header", postHead, ""},
-		{"half a body", postHead + "Content-Length: 100\r\n\r\n{\"model\":", "HTTP/1.1 400 "},
-		{"a request and then nothing", "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 200 "},
-		{"an endless header", postHead + "X-Long: " + strings.Repeat("x", 2*maxHeaderBytes), "HTTP/1.1 431 "},
-	} {
-		asking.Go(func() {
-			conn, err := net.Dial("tcp", s.settings[0].Listen.Callers)
-			if !s.Check(err, qt.IsNil) {
-				return
-			}
-			defer conn.Close()
-			_, err = conn.Write([]byte(test.sent))
-			s.Check(err, qt.IsNil)
-			// The read ends only when the daemon closes the connection.
-			answer, _ := io.ReadAll(conn)
-			s.Check(strings.HasPrefix(string(answer), test.answer), qt.IsTrue, qt.Commentf("%s: %s", test.about, answer))
-		})
-	}
-	asking.Wait()
-	s.Assert(s.daemons[0].router.openCalls(), qt.Equals, 0)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1, limits: func(limits *httpLimits) {
+			limits.header, limits.body, limits.idle = shortLimit, shortLimit, shortLimit
+		}})
+		var asking sync.WaitGroup
+		for _, test := range []struct{ about, sent, answer string }{
+			{"nothing", "", ""},
+			{"half a header", postHead, ""},
+			{"half a body", postHead + "Content-Length: 100\r\n\r\n{\"model\":", "HTTP/1.1 400 "},
+			{"a request and then nothing", "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 200 "},
+			{"an endless header", postHead + "X-Long: " + strings.Repeat("x", 2*maxHeaderBytes), "HTTP/1.1 431 "},
+		} {
+			asking.Go(func() {
+				conn, err := s.network.DialContext(s.ctx, "tcp", s.settings[0].Listen.Callers)
+				if !s.Check(err, qt.IsNil) {
+					return
+				}
+				defer conn.Close()
+				_, err = conn.Write([]byte(test.sent))
+				s.Check(err, qt.IsNil)
+				// The read ends only when the daemon closes the connection.
+				answer, _ := io.ReadAll(conn)
+				s.Check(strings.HasPrefix(string(answer), test.answer), qt.IsTrue, qt.Commentf("%s: %s", test.about, answer))
+			})
+		}
+		asking.Wait()
+		s.Assert(s.daemons[0].router.openCalls(), qt.Equals, 0)
+	})
 }
 
 func TestListenerTakesSoManyConnectionsAtOnce(t *testing.T) {
-	c := qt.New(t)
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	listener := newLimitListener(inner, 1)
-	var dialled []net.Conn
-	for range 2 {
-		conn, err := net.Dial("tcp", inner.Addr().String())
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		inner, err := memory.Listen(t.Context(), "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
-		defer conn.Close()
-		dialled = append(dialled, conn)
-	}
-	first, err := listener.Accept()
-	c.Assert(err, qt.IsNil)
-	c.Assert(listener.slots, qt.HasLen, 1)
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		second, _ := listener.Accept()
-		accepted <- second
-	}()
-	first.Close()
-	second := <-accepted
-	c.Assert(second.RemoteAddr().String(), qt.Equals, dialled[1].LocalAddr().String())
-	second.Close()
-	listener.Close()
-	_, err = listener.Accept()
-	c.Assert(err, qt.ErrorIs, net.ErrClosed)
+		listener := newLimitListener(inner, 1)
+		var dialled []net.Conn
+		for range 2 {
+			conn, err := memory.DialContext(t.Context(), "tcp", inner.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			dialled = append(dialled, conn)
+		}
+		first, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		c.Assert(listener.slots, qt.HasLen, 1)
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			second, _ := listener.Accept()
+			accepted <- second
+		}()
+		first.Close()
+		second := <-accepted
+		c.Assert(second.RemoteAddr().String(), qt.Equals, dialled[1].LocalAddr().String())
+		second.Close()
+		listener.Close()
+		_, err = listener.Accept()
+		c.Assert(err, qt.ErrorIs, net.ErrClosed)
+	})
 }
 
 // largeToken is the text of one token of an engine that fills all buffers, and
@@ -124,30 +133,31 @@
 
 func TestCallerThatDoesNotReadIsCutAndItsEngineFreed(t *testing.T) {
 	t.Parallel()
-	cancelled := make(chan struct{})
-	engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request := generateRequest(r)
-		writeTokens(w, func(index int) (structs.Token, bool) {
-			return structs.Token{ID: request.ID, Index: index, Text: largeToken}, index < largeTokens
+	synctest.Test(t, func(t *testing.T) {
+		cancelled := make(chan struct{})
+		engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			request := generateRequest(r)
+			writeTokens(w, func(index int) (structs.Token, bool) {
+				return structs.Token{ID: request.ID, Index: index, Text: largeToken}, index < largeTokens
+			})
+			<-r.Context().Done()
+			close(cancelled)
 		})
-		<-r.Context().Done()
-		close(cancelled)
+		s := newStreamSite(t, streamSiteOptions{zones: 1, engine: engine, limits: func(limits *httpLimits) { limits.write = shortLimit }})
+		s.applyRows(1)
+		conn, err := s.network.DialContext(s.ctx, "tcp", s.settings[0].Listen.Callers)
+		s.Assert(err, qt.IsNil)
+		defer conn.Close()
+		body := `{"model":"r0","prompt":"p","stream":true,"max_tokens":8000}`
+		_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", postHead, len(body), body)
+		s.Assert(err, qt.IsNil)
+		select {
+		case <-cancelled:
+		case <-s.ctx.Done():
+			s.TB.Fatal("the engine still runs the request of a caller that does not read")
+		}
+		s.await("the end of the request", &s.daemons[0].router.quiet, func() bool { return s.daemons[0].router.openCalls() == 0 })
 	})
-	s := newStreamSite(t, streamSiteOptions{zones: 1, engine: engine, limits: func(limits *httpLimits) { limits.write = shortLimit }})
-	s.applyRows(1)
-	conn, err := net.Dial("tcp", s.settings[0].Listen.Callers)
-	s.Assert(err, qt.IsNil)
-	defer conn.Close()
-	s.Assert(conn.(*net.TCPConn).SetReadBuffer(4<<10), qt.IsNil)
-	body := `{"model":"r0","prompt":"p","stream":true,"max_tokens":8000}`
-	_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", postHead, len(body), body)
-	s.Assert(err, qt.IsNil)
-	select {
-	case <-cancelled:
-	case <-s.ctx.Done():
-		s.TB.Fatal("the engine still runs the request of a caller that does not read")
-	}
-	s.await("the end of the request", &s.daemons[0].router.quiet, func() bool { return s.daemons[0].router.openCalls() == 0 })
 }
 
 func TestWrongAnswersOfEnginesNeverReachCallersAsSuccess(t *testing.T) {
@@ -187,18 +197,20 @@
 	} {
 		t.Run(test.about, func(t *testing.T) {
 			t.Parallel()
-			calls := make(chan structs.RequestID, 64)
-			s := newStreamSite(t, streamSiteOptions{zones: 1, engine: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				request := generateRequest(r)
-				calls <- request.ID
-				writeTokens(w, func(index int) (structs.Token, bool) { return test.token(request.ID, index) })
-			})})
-			s.applyRows(1)
-			request := streamRequest("wrong", "r0", 3)
-			request.IdempotencyKey = "key"
-			_, err := s.ask(0, request)
-			s.Assert(refusalOf(s.C, err).Execution, qt.Equals, test.want)
-			s.Assert(len(calls) == 1 || test.want == structs.ExecutionNotRun, qt.IsTrue)
+			synctest.Test(t, func(t *testing.T) {
+				calls := make(chan structs.RequestID, 64)
+				s := newStreamSite(t, streamSiteOptions{zones: 1, engine: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					request := generateRequest(r)
+					calls <- request.ID
+					writeTokens(w, func(index int) (structs.Token, bool) { return test.token(request.ID, index) })
+				})})
+				s.applyRows(1)
+				request := streamRequest("wrong", "r0", 3)
+				request.IdempotencyKey = "key"
+				_, err := s.ask(0, request)
+				s.Assert(refusalOf(s.C, err).Execution, qt.Equals, test.want)
+				s.Assert(len(calls) == 1 || test.want == structs.ExecutionNotRun, qt.IsTrue)
+			})
 		})
 	}
 }
@@ -213,34 +225,36 @@
 
 func TestAnswersOfADisturbedEngineAreWholeOrRefused(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(2)
-	s.engines[0].SetFaults(emulator.EngineFaults{
-		LateRate: 0.01, LateBy: 20 * time.Millisecond, RepeatRate: 0.05, LossRate: 0.01, CrossRate: 0.01, ResetRate: 0.01,
-	})
-	const requests = 32
-	type result struct {
-		request structs.Request
-		text    string
-		err     error
-	}
-	results := make(chan result, requests)
-	for i := range requests {
-		request := streamRequest(fmt.Sprint("q", i), fmt.Sprint("r", i%2), 40)
-		go func() {
-			text, err := s.ask(0, request)
-			results <- result{request, text, err}
-		}()
-	}
-	answered := 0
-	for range requests {
-		got := <-results
-		if got.err != nil {
-			s.Check(refusalOf(s.C, got.err).Execution, qt.Not(qt.Equals), structs.ExecutionUnknown)
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(2)
+		s.engines[0].SetFaults(emulator.EngineFaults{
+			LateRate: 0.01, LateBy: 20 * time.Millisecond, RepeatRate: 0.05, LossRate: 0.01, CrossRate: 0.01, ResetRate: 0.01,
+		})
+		const requests = 32
+		type result struct {
+			request structs.Request
+			text    string
+			err     error
 		}
-		answered++
-		s.Check(got.text, qt.Equals, wholeAnswer(got.request))
-	}
-	s.Assert(answered > 0, qt.IsTrue)
+		results := make(chan result, requests)
+		for i := range requests {
+			request := streamRequest(fmt.Sprint("q", i), fmt.Sprint("r", i%2), 40)
+			go func() {
+				text, err := s.ask(0, request)
+				results <- result{request, text, err}
+			}()
+		}
+		answered := 0
+		for range requests {
+			got := <-results
+			if got.err != nil {
+				s.Check(refusalOf(s.C, got.err).Execution, qt.Not(qt.Equals), structs.ExecutionUnknown)
+				continue
+			}
+			answered++
+			s.Check(got.text, qt.Equals, wholeAnswer(got.request))
+		}
+		s.Assert(answered > 0, qt.IsTrue)
+	})
 }
--- a/daemon/streamcache_test.go
+++ b/daemon/streamcache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -12,21 +13,23 @@
 
 func TestCacheEventsOfEnginesInUseReachTheRouter(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(1)
-	request := streamRequest("cached", "r0", 3)
-	for len(request.Prompt) < 4*engineapi.BlockBytes {
-		request.Prompt += " and more"
-	}
-	_, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	own := s.daemons[0].router
-	own.readCaches(s.ctx)
-	own.mutex.Lock()
-	defer own.mutex.Unlock()
-	followed := own.followed["engine-zone-0"]
-	s.Assert(followed, qt.Not(qt.IsNil))
-	s.Assert(followed.after > 0, qt.IsTrue)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(1)
+		request := streamRequest("cached", "r0", 3)
+		for len(request.Prompt) < 4*engineapi.BlockBytes {
+			request.Prompt += " and more"
+		}
+		_, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		own := s.daemons[0].router
+		own.readCaches(s.ctx)
+		own.mutex.Lock()
+		defer own.mutex.Unlock()
+		followed := own.followed["engine-zone-0"]
+		s.Assert(followed, qt.Not(qt.IsNil))
+		s.Assert(followed.after > 0, qt.IsTrue)
+	})
 }
 
 func TestCachePagesKeepTheirPlaceOverGapsAndRestarts(t *testing.T) {
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -18,18 +17,19 @@
 	"github.com/lotusferry/lotusferry/emulator"
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
 const testGigabyte = 1 << 30
 
-// streamSite is a site that serves requests on loopback addresses: one daemon and
-// one engine a zone. Its rows are r0, r1 and so on.
+// streamSite is a site that serves requests: one daemon and one engine a zone. Its rows are r0, r1 and so on.
 type streamSite struct {
 	testing.TB
 	*qt.C
 	ctx      context.Context
 	options  streamSiteOptions
+	network  network.Network
 	settings []config.Config
 	engines  []*emulator.EngineServer
 	daemons  []*Daemon
@@ -56,14 +56,15 @@
 		ctx, cancel = context.WithTimeout(ctx, siteTestLimit)
 	}
 	c.Cleanup(cancel)
-	s := &streamSite{TB: t, C: c, ctx: ctx, options: options, scheme: "http://", http: &http.Transport{MaxIdleConnsPerHost: 64}}
+	s := &streamSite{TB: t, C: c, ctx: ctx, options: options, network: newSiteNetwork(t), scheme: "http://"}
+	s.http = &http.Transport{DialContext: network.OrTCP(s.network).DialContext, MaxIdleConnsPerHost: 64}
 	c.Cleanup(s.http.CloseIdleConnections)
 	clock := emulator.NewClock(1)
 	list := emulator.NewMachineServer(log.NewNopLogger(), emulator.NewMachineList(0), clock)
 	site := config.Site{Name: "test", MachineList: "http://" + s.serve(list), StoreConcurrent: 8}
 	for i := range options.zones {
 		zone := structs.ZoneID(fmt.Sprintf("zone-%d", i))
-		ip := testIP()
+		ip := testIP(s.network)
 		member := config.Member{Daemon: structs.DaemonID(fmt.Sprintf("d%d", i)), Address: ip + ":7403"}
 		site.Zones = append(site.Zones, config.Zone{ID: zone, Weight: 100, Controllers: []config.Member{member}, Routers: []string{ip + ":7401"}})
 		site.GlobalVoters = site.Zones[0].Controllers
@@ -142,7 +143,7 @@
 
 // serve serves a handler on a free port until the test ends.
 func (s *streamSite) serve(handler http.Handler) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := network.OrTCP(s.network).Listen(s.ctx, "127.0.0.1:0")
 	s.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
@@ -182,7 +183,7 @@
 	if s.options.limits != nil {
 		s.options.limits(&limits)
 	}
-	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], options{limits: limits})
+	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], options{limits: limits, network: s.network})
 	s.Assert(err, qt.IsNil)
 	s.daemons[index] = daemon
 	daemon.Start()
--- a/daemon/viewstore_test.go
+++ b/daemon/viewstore_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -15,35 +16,39 @@
 
 func TestRestartedRouterServesByItsLastViewWithoutItsZone(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(1)
-	_, err := s.ask(0, streamRequest("warm", "r0", 5))
-	s.Assert(err, qt.IsNil)
-	before := s.daemons[0].router.view.View()
-	s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
-	// From now on no controller of the zone can be reached.
-	s.settings[0].Roles = nil
-	s.settings[0].Roles = append(s.settings[0].Roles, "router")
-	s.start(0)
-	s.Assert(s.daemons[0].router.view.View(), qt.DeepEquals, before)
-	request := streamRequest("alone", "r0", 5)
-	text, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(1)
+		_, err := s.ask(0, streamRequest("warm", "r0", 5))
+		s.Assert(err, qt.IsNil)
+		before := s.daemons[0].router.view.View()
+		s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
+		// From now on no controller of the zone can be reached.
+		s.settings[0].Roles = nil
+		s.settings[0].Roles = append(s.settings[0].Roles, "router")
+		s.start(0)
+		s.Assert(s.daemons[0].router.view.View(), qt.DeepEquals, before)
+		request := streamRequest("alone", "r0", 5)
+		text, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+	})
 }
 
 func TestRouterWithoutAViewSaysThatItKnowsNoTableYet(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(1)
-	s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
-	s.Assert(os.Remove(s.daemons[0].router.viewStore.basePath), qt.IsNil)
-	s.settings[0].Roles = append(s.settings[0].Roles[:0:0], "router")
-	s.start(0)
-	_, err := s.ask(0, streamRequest("early", "r0", 5))
-	refusal := refusalOf(s.C, err)
-	s.Assert(refusal.Error.Kind, qt.Equals, structs.ErrorUnavailable)
-	s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(1)
+		s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
+		s.Assert(os.Remove(s.daemons[0].router.viewStore.basePath), qt.IsNil)
+		s.settings[0].Roles = append(s.settings[0].Roles[:0:0], "router")
+		s.start(0)
+		_, err := s.ask(0, streamRequest("early", "r0", 5))
+		refusal := refusalOf(s.C, err)
+		s.Assert(refusal.Error.Kind, qt.Equals, structs.ErrorUnavailable)
+		s.Assert(refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+	})
 }
 
 // viewOf is a view with one row at a revision and one replica at an index.
@@ -197,34 +202,36 @@
 
 func TestKilledRouterStartsAtTheRevisionItWorkedBy(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(2)
-	_, err := s.ask(0, streamRequest("warm", "r0", 5))
-	s.Assert(err, qt.IsNil)
-	worked := s.daemons[0].router
-	worked.mutex.Lock()
-	revision := worked.core.TableRevision()
-	worked.mutex.Unlock()
-	// What a kill leaves is what is in the folder now, and a torn end.
-	folder := s.C.TempDir()
-	for _, name := range []string{viewBaseFile, viewChangesFile} {
-		content, err := os.ReadFile(filepath.Join(s.settings[0].DataFolder, name))
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(2)
+		_, err := s.ask(0, streamRequest("warm", "r0", 5))
 		s.Assert(err, qt.IsNil)
-		if name == viewChangesFile {
-			content = append(content, viewHeader...)
+		worked := s.daemons[0].router
+		worked.mutex.Lock()
+		revision := worked.core.TableRevision()
+		worked.mutex.Unlock()
+		// What a kill leaves is what is in the folder now, and a torn end.
+		folder := s.C.TempDir()
+		for _, name := range []string{viewBaseFile, viewChangesFile} {
+			content, err := os.ReadFile(filepath.Join(s.settings[0].DataFolder, name))
+			s.Assert(err, qt.IsNil)
+			if name == viewChangesFile {
+				content = append(content, viewHeader...)
+			}
+			s.Assert(os.WriteFile(filepath.Join(folder, name), content, 0o600), qt.IsNil)
 		}
-		s.Assert(os.WriteFile(filepath.Join(folder, name), content, 0o600), qt.IsNil)
-	}
-	s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
-	s.settings[0].DataFolder = folder
-	s.settings[0].Roles = append(s.settings[0].Roles[:0:0], "router")
-	s.start(0)
-	known := s.daemons[0].router.view.View()
-	s.Assert(known.Table.Revision >= revision, qt.IsTrue)
-	request := streamRequest("alone", "r0", 5)
-	text, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
+		s.Assert(s.daemons[0].Stop(s.ctx), qt.Equals, 0)
+		s.settings[0].DataFolder = folder
+		s.settings[0].Roles = append(s.settings[0].Roles[:0:0], "router")
+		s.start(0)
+		known := s.daemons[0].router.view.View()
+		s.Assert(known.Table.Revision >= revision, qt.IsTrue)
+		request := streamRequest("alone", "r0", 5)
+		text, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+	})
 }
 
 func TestManyRoutersWithoutADiskShareThePaceOfAController(t *testing.T) {
@@ -245,3 +252,22 @@
 	c.Assert(free, qt.IsTrue)
 	c.Assert(wait, qt.Equals, time.Duration(0))
 }
+
+func TestControllerAnswersARouterOnlyWithNews(t *testing.T) {
+	placement := &structs.Placement{}
+	for _, test := range []struct {
+		about     string
+		view      structs.ZoneView
+		arguments ViewArguments
+		want      bool
+	}{
+		{"nothing is applied yet", structs.ZoneView{Placement: placement}, ViewArguments{}, false},
+		{"the first entry", structs.ZoneView{Index: 1, Placement: placement}, ViewArguments{}, true},
+		{"runners changed", structs.ZoneView{Index: 8, Placement: placement}, ViewArguments{SinceIndex: 7}, true},
+		{"other entries", structs.ZoneView{Index: 8}, ViewArguments{SinceIndex: 7}, false},
+		{"the table changed", structs.ZoneView{Index: 8, Table: structs.TableDelta{Revision: 3}}, ViewArguments{SinceIndex: 7, SinceTable: 2}, true},
+		{"the router has a newer table", structs.ZoneView{Index: 8, Table: structs.TableDelta{Revision: 3}}, ViewArguments{SinceIndex: 8, SinceTable: 4}, false},
+	} {
+		qt.Check(t, isNews(test.view, test.arguments), qt.Equals, test.want, qt.Commentf(test.about))
+	}
+}
--- a/daemon/wakeup_test.go
+++ b/daemon/wakeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -54,26 +55,28 @@
 }
 
 func TestWatchOfTheTableCarriesOnlyWhatChanged(t *testing.T) {
-	s := newStreamSite(t, streamSiteOptions{zones: 1})
-	s.applyRows(3)
-	operators := s.daemons[0].operators
-	before, err := operators.Table(s.ctx)
-	s.Assert(err, qt.IsNil)
-	changed := before.Rows[1]
-	changed.Weight++
-	edit := structs.Edit{ID: "one", Author: "test", Changes: []structs.RowChange{{Row: changed, BaseRevision: changed.Revision}}}
-	result, err := operators.Apply(s.ctx, edit, false)
-	s.Assert(err, qt.IsNil)
-	s.Assert(result.Problems, qt.HasLen, 0)
-	changes, err := operators.Watch(s.ctx, before.Revision, time.Minute)
-	s.Assert(err, qt.IsNil)
-	s.Assert(changes.Full, qt.IsFalse)
-	s.Assert(changes.Rows, qt.HasLen, 1)
-	after, err := operators.Table(s.ctx)
-	s.Assert(err, qt.IsNil)
-	s.Check(changes.Apply(before), qt.DeepEquals, after)
-	nothing, err := operators.Watch(s.ctx, after.Revision, 0)
-	s.Assert(err, qt.IsNil)
-	s.Check(nothing.Rows, qt.HasLen, 0)
-	s.Check(nothing.Full, qt.IsFalse)
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1})
+		s.applyRows(3)
+		operators := s.daemons[0].operators
+		before, err := operators.Table(s.ctx)
+		s.Assert(err, qt.IsNil)
+		changed := before.Rows[1]
+		changed.Weight++
+		edit := structs.Edit{ID: "one", Author: "test", Changes: []structs.RowChange{{Row: changed, BaseRevision: changed.Revision}}}
+		result, err := operators.Apply(s.ctx, edit, false)
+		s.Assert(err, qt.IsNil)
+		s.Assert(result.Problems, qt.HasLen, 0)
+		changes, err := operators.Watch(s.ctx, before.Revision, time.Minute)
+		s.Assert(err, qt.IsNil)
+		s.Assert(changes.Full, qt.IsFalse)
+		s.Assert(changes.Rows, qt.HasLen, 1)
+		after, err := operators.Table(s.ctx)
+		s.Assert(err, qt.IsNil)
+		s.Check(changes.Apply(before), qt.DeepEquals, after)
+		nothing, err := operators.Watch(s.ctx, after.Revision, 0)
+		s.Assert(err, qt.IsNil)
+		s.Check(nothing.Rows, qt.HasLen, 0)
+		s.Check(nothing.Full, qt.IsFalse)
+	})
 }
