Decide once whether an offer was taken or its time was over

Cause: the timer of an offer that had fired but not run yet cancelled a request that the other zone had just taken: the caller was told that the zone cannot be reached, with an unknown outcome.

Change: taking and giving up exclude each other under the try's mutex, and a zone is not asked once the time is over. New cases: an answer that is too late, and both orders of taking and giving up.

--- a/daemon/offer.go
+++ b/daemon/offer.go
@@ -34,6 +34,9 @@
 	end := time.Now().Add(effect.Budget)
 	failed := router.OfferFailed{ID: effect.ID}
 	for _, settings := range r.zonesNamed(effect.Zones) {
+		if !time.Now().Before(end) {
+			break
+		}
 		try := r.newOfferTry(ctx, target, settings.ID, end)
 		answer, err := try.call(settings.Routers, target.request)
 		switch {
@@ -53,7 +56,7 @@
 			failed.Silent = append(failed.Silent, settings.ID)
 			failed.MayHaveRun = failed.MayHaveRun || try.reached()
 		}
-		if failed.MayHaveRun || !time.Now().Before(end) {
+		if failed.MayHaveRun {
 			break
 		}
 	}
@@ -98,20 +101,23 @@
 	target *call
 	zone   structs.ZoneID
 	ctx    context.Context
-	// timer cancels ctx when the time is over.
+	cancel context.CancelFunc
+	// timer gives up when the time is over.
 	timer *time.Timer
 
 	mutex sync.Mutex
-	// isTaken says that the zone executes the request, connected that it may have
-	// received it.
+	// isTaken says that the zone executes the request, isGivenUp that the time was
+	// over before, and connected that it may have received it.
 	isTaken   bool
+	isGivenUp bool
 	connected bool
 }
 
 func (r *requestRouter) newOfferTry(ctx context.Context, target *call, zone structs.ZoneID, end time.Time) *offerTry {
 	// The parent's cancel ends this context too.
 	ctx, cancel := context.WithCancel(ctx)
-	try := &offerTry{router: r, target: target, zone: zone, timer: time.AfterFunc(time.Until(end), cancel)}
+	try := &offerTry{router: r, target: target, zone: zone, cancel: cancel}
+	try.timer = time.AfterFunc(time.Until(end), try.giveUp)
 	try.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { try.connect() },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
@@ -144,11 +150,23 @@
 	t.connected = true
 }
 
+// giveUp cancels the offer unless the zone has taken the request. A timer that has
+// fired cannot be stopped any more, so that accept may come first.
+func (t *offerTry) giveUp() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.isTaken {
+		return
+	}
+	t.isGivenUp = true
+	t.cancel()
+}
+
 // accept notes that the zone executes the request, and reports whether it said so
 // before the time was over.
 func (t *offerTry) accept() bool {
 	t.mutex.Lock()
-	first := !t.isTaken && t.ctx.Err() == nil
+	first := !t.isTaken && !t.isGivenUp && t.ctx.Err() == nil
 	if first {
 		t.isTaken = true
 		t.timer.Stop()
--- a/daemon/offer_test.go
+++ b/daemon/offer_test.go
@@ -65,7 +65,11 @@
 		}{
 			{"no replica there", func() {}, "absent", generous},
 			{"no time", func() {}, "r0", 0},
-			{"cut off", func() { s.daemons[0].faults.Cut(s.settings[1].Listen.Callers) }, "r0", shortLimit},
+			{"too late", func() { s.daemons[0].faults.Delay(s.settings[1].Listen.Callers, 2*shortLimit) }, "r0", shortLimit},
+			{"cut off", func() {
+				s.daemons[0].faults.Heal(s.settings[1].Listen.Callers)
+				s.daemons[0].faults.Cut(s.settings[1].Listen.Callers)
+			}, "r0", shortLimit},
 		}
 		for _, test := range tests {
 			test.before()
@@ -81,3 +85,22 @@
 		}
 	})
 }
+
+func TestOfferIsEitherTakenOrGivenUp(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 2})
+		newTry := func() *offerTry {
+			submitted := newCall(streamRequest("offered", "r0", 5), func() {})
+			return s.daemons[0].router.newOfferTry(s.ctx, submitted, "zone-1", time.Now().Add(generous))
+		}
+		taken := newTry()
+		s.Assert(taken.accept(), qt.IsTrue)
+		taken.giveUp()
+		s.Assert(taken.ctx.Err(), qt.IsNil)
+		late := newTry()
+		late.giveUp()
+		s.Assert(late.ctx.Err(), qt.IsNotNil)
+		s.Assert(late.accept(), qt.IsFalse)
+	})
+}
