--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -32,7 +32,7 @@
 
 // settingsFile writes settings that a daemon starts with.
 func settingsFile(c *qt.C) string {
-	settings := newTestSite(c, 1).settings[0]
+	settings := newTestSiteOver(nil, c, 1).settings[0]
 	settings.Listen.Operators = "127.0.0.1:0"
 	content, err := yaml.Marshal(settings)
 	c.Assert(err, qt.IsNil)
@@ -84,43 +84,45 @@
 // TestLogLinesHaveOneForm reads what a daemon logs from its start to its end, with a
 // caller that breaks off its handshake in between.
 func TestLogLinesHaveOneForm(t *testing.T) {
-	c := qt.New(t)
-	site := newTestSite(c, 1)
-	settings := site.settings[0]
-	settings.Roles = config.Default().Roles
-	settings.Listen.Callers, settings.Listen.Operators = "127.0.0.1:0", "127.0.0.1:0"
-	authority, err := keys.NewAuthority("test", time.Now())
-	c.Assert(err, qt.IsNil)
-	secure(c, &settings, authority, keys.Identity{Zone: "north", Daemon: "north-0"})
-	var output lockedBuffer
-	running, err := New(newLogger(&output, config.Log{Level: "debug", Format: "json"}), settings)
-	c.Assert(err, qt.IsNil)
-	running.Start()
-	site.running["north-0"] = running
-	site.await("its leader", func(operatorapi.GroupMembers) bool { return true })
-	conn, err := net.Dial("tcp", running.servers[0].listener.Addr().String())
-	c.Assert(err, qt.IsNil)
-	_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
-	c.Assert(err, qt.IsNil)
-	_, err = io.ReadAll(conn)
-	c.Assert(err, qt.IsNil)
-	conn.Close()
-	site.kill(0)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		site := newTestSite(c, 1)
+		settings := site.settings[0]
+		settings.Roles = config.Default().Roles
+		settings.Listen.Callers, settings.Listen.Operators = "127.0.0.1:0", "127.0.0.1:0"
+		authority, err := keys.NewAuthority("test", time.Now())
+		c.Assert(err, qt.IsNil)
+		secure(c, &settings, authority, keys.Identity{Zone: "north", Daemon: "north-0"})
+		var output lockedBuffer
+		running, err := newDaemon(newLogger(&output, config.Log{Level: "debug", Format: "json"}), settings, site.options())
+		c.Assert(err, qt.IsNil)
+		running.Start()
+		site.running["north-0"] = running
+		site.await("its leader", func(operatorapi.GroupMembers) bool { return true })
+		conn, err := site.network.DialContext(site.ctx, "tcp", running.servers[0].listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		conn.Close()
+		site.kill(0)
 
-	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
-	components := map[string]bool{}
-	for _, line := range lines {
-		var fields map[string]any
-		c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil, qt.Commentf(line))
-		for _, field := range []string{"ts", "level", "component", "msg", "daemon", "zone"} {
-			c.Check(fields[field], qt.Not(qt.IsNil), qt.Commentf("%s in %s", field, line))
+		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+		components := map[string]bool{}
+		for _, line := range lines {
+			var fields map[string]any
+			c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil, qt.Commentf(line))
+			for _, field := range []string{"ts", "level", "component", "msg", "daemon", "zone"} {
+				c.Check(fields[field], qt.Not(qt.IsNil), qt.Commentf("%s in %s", field, line))
+			}
+			name, _ := fields["component"].(string)
+			components[name] = true
 		}
-		name, _ := fields["component"].(string)
-		components[name] = true
-	}
-	for _, part := range []string{"daemon", "member", "group", "http"} {
-		c.Check(components[part], qt.IsTrue, qt.Commentf(part))
-	}
+		for _, part := range []string{"daemon", "member", "group", "http"} {
+			c.Check(components[part], qt.IsTrue, qt.Commentf(part))
+		}
+	})
 }
 
 // lockedBuffer is a buffer for several writers.
--- a/daemon/reportrelay_test.go
+++ b/daemon/reportrelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -11,22 +12,24 @@
 
 func TestRouterReadsTheReportsOfAZoneWithManyRunners(t *testing.T) {
 	t.Parallel()
-	s := newStreamSite(t, streamSiteOptions{zones: 1, absent: controller.MinimumSharedRunners})
-	s.applyRows(1)
-	observer := s.daemons[0].leader.observer
-	relayed := func() bool {
-		observer.mutex.Lock()
-		defer observer.mutex.Unlock()
-		_, found := observer.shares.Relayed(time.Now(), observer.digests)["engine-zone-0"]
-		return found
-	}
-	for s.ctx.Err() == nil && !relayed() {
-		pause(s.ctx, retryPause)
-	}
-	s.Assert(relayed(), qt.IsTrue)
-	// What is loaded then is seen by the leader itself.
-	request := streamRequest("first", "r0", 5)
-	text, err := s.ask(0, request)
-	s.Assert(err, qt.IsNil)
-	s.Assert(text, qt.Equals, wholeAnswer(request))
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 1, absent: controller.MinimumSharedRunners})
+		s.applyRows(1)
+		observer := s.daemons[0].leader.observer
+		relayed := func() bool {
+			observer.mutex.Lock()
+			defer observer.mutex.Unlock()
+			_, found := observer.shares.Relayed(time.Now(), observer.digests)["engine-zone-0"]
+			return found
+		}
+		for s.ctx.Err() == nil && !relayed() {
+			pause(s.ctx, retryPause)
+		}
+		s.Assert(relayed(), qt.IsTrue)
+		// What is loaded then is seen by the leader itself.
+		request := streamRequest("first", "r0", 5)
+		text, err := s.ask(0, request)
+		s.Assert(err, qt.IsNil)
+		s.Assert(text, qt.Equals, wholeAnswer(request))
+	})
 }
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -42,9 +42,14 @@
 func (s *testSite) testAddress() string { return testIP(s.network) + ":7103" }
 
 func newTestSite(c *qt.C, daemons int) *testSite {
+	return newTestSiteOver(newSiteNetwork(c.TB), c, daemons)
+}
+
+// newTestSiteOver makes a site on a network; nil means TCP.
+func newTestSiteOver(over network.Network, c *qt.C, daemons int) *testSite {
 	ctx, cancel := context.WithTimeout(context.Background(), siteTestLimit)
 	c.Cleanup(cancel)
-	s := &testSite{c: c, ctx: ctx, network: newSiteNetwork(c.TB), running: map[structs.DaemonID]*Daemon{}}
+	s := &testSite{c: c, ctx: ctx, network: over, running: map[structs.DaemonID]*Daemon{}}
 	shared := config.Site{
 		Name:            "test",
 		Objective:       structs.ObjectiveLatency,
@@ -86,7 +91,12 @@
 
 // newDaemon opens a daemon on the site's network.
 func (s *testSite) newDaemon(index int) (*Daemon, error) {
-	return newDaemon(log.NewNopLogger(), s.settings[index], options{limits: defaultHTTPLimits(), network: s.network})
+	return newDaemon(log.NewNopLogger(), s.settings[index], s.options())
+}
+
+// options are those of a daemon on the site's network.
+func (s *testSite) options() options {
+	return options{limits: defaultHTTPLimits(), network: s.network}
 }
 
 // kill ends a daemon without handing anything over.
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -72,7 +72,7 @@
 		s.settings = append(s.settings, s.newSettings(member, zone, ip))
 	}
 	for i := range options.absent {
-		list.Put(structs.Machine{Runner: structs.RunnerID(fmt.Sprint("absent-", i)), Zone: "zone-0", Address: testIP() + ":1", State: structs.MachineLive})
+		list.Put(structs.Machine{Runner: structs.RunnerID(fmt.Sprint("absent-", i)), Zone: "zone-0", Address: testIP(s.network) + ":1", State: structs.MachineLive})
 	}
 	if options.secure {
 		s.secure()
