Read only what changed of the machine list

Change: ?since= of the machine list answers with changes after a version, and with the whole list when the version is empty, too old or of another server. ZoneMachines, which nothing used any more, is gone; its check of the zone's part is made of MachineChanges instead. Three slopes are added: a part of a first view, changes of the machine list, a router's word on its share of reports.

--- a/capacity/engine.go
+++ b/capacity/engine.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -29,7 +31,25 @@
 			return cpuOf(func() { decode(data, &[]structs.Machine{}) })
 		}},
 		{RoleEngine, "order to load, with reply", "order", unitBytes, methodJSON, []int{1, 2, 4, 8, 16}, orderBytes},
+		{RoleEngine, "changes of the machine list", "changed machine", unitBytes, methodJSON, sizes, func(size int) float64 {
+			return jsonBytes(engineapi.MachineChanges{Version: listVersion, Machines: machineList(size)})
+		}},
+		{RoleEngine, "router's word on its share, with reply", "changed report", unitBytes, methodGob, []int{1, 2, 4, 8, 13}, relayBytes},
+	}
+}
+
+// listVersion is a version as the machine list's servers make them.
+const listVersion = "8a2f6c1e-5b7d-4c3a-9e1f-0d2b4c6a8e1f.123456"
+
+// relayBytes is a router's message to the zone's leader with so many changed reports
+// of four replicas.
+func relayBytes(changed int) float64 {
+	relay := structs.ReportRelay{Daemon: "daemon-123", Epoch: 3, Version: 7, OldestAge: 1_500_000_000}
+	for index := range changed {
+		said := structs.RelayedReport{Runner: runnerName(index), Digest: 1<<60 + uint64(index), Busy: []int{12, 0, 33, 5}}
+		relay.Changed = append(relay.Changed, said)
 	}
+	return requestBytes(methodReports, daemon.ReportsArguments{Relay: relay}) + replyBytes(methodReports, daemon.ReportsReply{})
 }
 
 func machineList(size int) []structs.Machine {
--- a/capacity/probe.go
+++ b/capacity/probe.go
@@ -72,7 +72,7 @@
 }
 
 func allProbes() []probe {
-	return slices.Concat(globalProbes(), zoneProbes(), planProbes(), viewProbes(), claimProbes(), routerProbes(), raftProbes(), engineProbes(), operatorProbes())
+	return slices.Concat(globalProbes(), zoneProbes(), planProbes(), viewProbes(), claimProbes(), partProbes(), routerProbes(), raftProbes(), engineProbes(), operatorProbes())
 }
 
 // Measure measures the slopes of a role, or of all when role is empty. Progress
--- a/capacity/view.go
+++ b/capacity/view.go
@@ -9,6 +9,8 @@
 const (
 	methodView   = "Zone.View"
 	methodDemand = "Zone.Demand"
+	// methodReports carries a router's word on its share of engine reports.
+	methodReports = "Zone.Reports"
 )
 
 func viewProbes() []probe {
@@ -26,10 +28,6 @@
 		{RoleZone, "view to a router after one replica changed, 100 runners", "replica of the zone", unitBytes, methodGob, []int{100, 200, 400, 800, 1_200}, func(size int) float64 {
 			return oneChangeBytes(newZone(2_000, 100, size))
 		}},
-		{RoleZone, "part of a first view to a router, at most 1,024 rows", "row", unitBytes, methodGob, []int{64, 128, 256, 512, 1_024}, func(size int) float64 {
-			m := newZone(size, 10, 0)
-			return replyBytes(methodView, daemon.ViewReply{View: m.state.ViewPart("", 0)})
-		}},
 		{RoleZone, "first view to a router", "row", unitBytes, methodGob, tableSizes, func(size int) float64 {
 			return viewBytes(newZone(size, 10, 0), 0, 0)
 		}},
@@ -37,6 +35,16 @@
 	}
 }
 
+// partProbes measure the parts in which a router without a view reads it.
+func partProbes() []probe {
+	return []probe{
+		{RoleZone, "part of a first view to a router, at most 1,024 rows", "row", unitBytes, methodGob, []int{64, 128, 256, 512, 1_024}, func(size int) float64 {
+			m := newZone(size, 10, 0)
+			return replyBytes(methodView, daemon.ViewReply{View: m.state.ViewPart("", 0)})
+		}},
+	}
+}
+
 // laterDelta changes rows of fullDelta.
 func laterDelta(rows int) *structs.TableDelta {
 	delta := &structs.TableDelta{SinceRevision: 1, Revision: 2}
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -73,8 +73,9 @@
 
 func (o *engineObserver) listLoop(ctx context.Context) {
 	unread := false
+	var reader engineapi.MachineReader
 	for {
-		machines, err := o.engines.ZoneMachines(ctx, o.machineList, o.zone)
+		changes, err := o.engines.MachineChanges(ctx, o.machineList, o.zone, reader.Since())
 		switch {
 		case err == nil && unread:
 			level.Info(o.logger).Log("msg", "The machine list can be read again.")
@@ -83,7 +84,7 @@
 		}
 		unread = err != nil
 		if err == nil {
-			o.keepMachines(machines)
+			o.keepMachines(reader.Take(changes))
 		}
 		if !pause(ctx, o.timing.MachineListInterval) {
 			return
--- a/emulator/machine_list.go
+++ b/emulator/machine_list.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -16,8 +17,17 @@
 	current map[structs.RunnerID]structs.Machine
 	shown   map[structs.RunnerID]structs.Machine
 	pending []machineChange
+	// revision rises with each change that shows; changed holds that of each machine
+	// that is on the list or was until lately.
+	revision uint64
+	changed  map[structs.RunnerID]uint64
+	// floor is the revision after which all changes are known.
+	floor uint64
 }
 
+// maxGone bounds the machines that are remembered as gone.
+const maxGone = 4096
+
 // machineChange is a change that does not show yet.
 type machineChange struct {
 	showAt  time.Time
@@ -31,6 +41,7 @@
 		lag:     lag,
 		current: make(map[structs.RunnerID]structs.Machine),
 		shown:   make(map[structs.RunnerID]structs.Machine),
+		changed: make(map[structs.RunnerID]uint64),
 	}
 }
 
@@ -78,11 +89,46 @@
 		} else {
 			l.shown[due.machine.Runner] = due.machine
 		}
+		l.revision++
+		l.changed[due.machine.Runner] = l.revision
 		count++
 	}
+	if len(l.changed) > len(l.shown)+maxGone {
+		l.forgetGone()
+	}
 	l.pending = slices.Delete(l.pending, 0, count)
 }
 
+// forgetGone forgets the machines that are gone: whoever has not read so is told the
+// whole list.
+func (l *MachineList) forgetGone() {
+	l.floor = l.revision
+	maps.DeleteFunc(l.changed, func(runner structs.RunnerID, _ uint64) bool {
+		_, shown := l.shown[runner]
+		return !shown
+	})
+}
+
+// Changes returns the revision that shows at now and what changed after the revision
+// since in the zone, or everywhere when it is empty; 0 asks for all of it.
+func (l *MachineList) Changes(now time.Time, zone structs.ZoneID, since uint64) (engineapi.MachineChanges, uint64) {
+	l.show(now)
+	changes := engineapi.MachineChanges{Full: since == 0 || since < l.floor || since > l.revision}
+	for _, runner := range slices.Sorted(maps.Keys(l.changed)) {
+		if !changes.Full && l.changed[runner] <= since {
+			continue
+		}
+		machine, shown := l.shown[runner]
+		switch {
+		case shown && (zone == "" || machine.Zone == zone):
+			changes.Machines = append(changes.Machines, machine)
+		case !changes.Full:
+			changes.Gone = append(changes.Gone, runner)
+		}
+	}
+	return changes, l.revision
+}
+
 // List returns the list as it shows at now, by runner.
 func (l *MachineList) List(now time.Time) []structs.Machine {
 	l.show(now)
--- a/emulator/server_test.go
+++ b/emulator/server_test.go
@@ -282,9 +282,10 @@
 	c.Check(machines, qt.DeepEquals, []structs.Machine{{Runner: "a", State: structs.MachineLeaving}})
 	inZone := structs.Machine{Runner: "b", Zone: "z", State: structs.MachineLive}
 	server.Put(inZone)
-	machines, err = client.ZoneMachines(ctx, address, "z")
+	changes, err := client.MachineChanges(ctx, address, "z", "")
 	c.Assert(err, qt.IsNil)
-	c.Check(machines, qt.DeepEquals, []structs.Machine{inZone})
+	c.Check(changes.Full, qt.IsTrue)
+	c.Check(changes.Machines, qt.DeepEquals, []structs.Machine{inZone})
 	c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a", Gone: true}), qt.IsNil)
 	err = client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"})
 	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
--- a/engineapi/calls.go
+++ b/engineapi/calls.go
@@ -1,6 +1,7 @@
 package engineapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -86,12 +87,27 @@
 	return call[[]structs.Machine](ctx, c, http.MethodGet, address, PathMachineList, nil)
 }
 
-// ZoneMachines reads the zone's part of the machine list. A platform that cannot
-// choose by zone sends the whole list, of which the zone's part is returned.
-func (c *Client) ZoneMachines(ctx context.Context, address string, zone structs.ZoneID) ([]structs.Machine, error) {
-	operation := PathMachineList + "?" + QueryZone + "=" + url.QueryEscape(string(zone))
-	machines, err := call[[]structs.Machine](ctx, c, http.MethodGet, address, operation, nil)
-	return slices.DeleteFunc(machines, func(machine structs.Machine) bool { return machine.Zone != zone }), err
+// MachineChanges reads what changed in the zone's part of the machine list after the
+// version; the empty version asks for all of it. A platform that cannot tell changes
+// sends the list, which is returned as a full one without a version.
+func (c *Client) MachineChanges(ctx context.Context, address string, zone structs.ZoneID, since string) (MachineChanges, error) {
+	query := url.Values{QueryZone: {string(zone)}, QuerySince: {since}}
+	answer, err := call[machineAnswer](ctx, c, http.MethodGet, address, PathMachineList+"?"+query.Encode(), nil)
+	changes := answer.MachineChanges
+	changes.Machines = slices.DeleteFunc(changes.Machines, func(machine structs.Machine) bool { return machine.Zone != zone })
+	return changes, err
+}
+
+// machineAnswer is the answer of a machine list: changes, or an array of machines.
+type machineAnswer struct{ MachineChanges }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *machineAnswer) UnmarshalJSON(encoded []byte) error {
+	if !bytes.HasPrefix(bytes.TrimSpace(encoded), []byte("[")) {
+		return json.Unmarshal(encoded, &a.MachineChanges)
+	}
+	a.MachineChanges = MachineChanges{Full: true}
+	return json.Unmarshal(encoded, &a.Machines)
 }
 
 // Leave marks a machine as leaving, or removes it from the list.
--- a/engineapi/messages.go
+++ b/engineapi/messages.go
@@ -114,6 +114,18 @@
 	Finished uint64 `json:"finished"`
 }
 
+// MachineChanges is what changed on the machine list after a version.
+type MachineChanges struct {
+	// Version is what to pass as since in the next read.
+	Version string `json:"version"`
+	// Full says that Machines is the whole list: the version that was asked for is
+	// unknown or too old.
+	Full     bool              `json:"full,omitempty"`
+	Machines []structs.Machine `json:"machines,omitempty"`
+	// Gone are the machines that are no longer on the list, or not in the zone.
+	Gone []structs.RunnerID `json:"gone,omitempty"`
+}
+
 // LeaveRequest marks a machine as leaving on the machine list.
 type LeaveRequest struct {
 	Runner structs.RunnerID `json:"runner"`
--- a/engineapi/paths.go
+++ b/engineapi/paths.go
@@ -42,6 +42,10 @@
 	// QueryZone is the query parameter of PathMachineList: only this zone's machines.
 	// A list that does not know it answers with all.
 	QueryZone = "zone"
+	// QuerySince is the query parameter of PathMachineList that asks for a
+	// MachineChanges after the version, or for the whole list with its version when
+	// it is empty. A list that does not know it answers with an array of machines.
+	QuerySince = "since"
 	// QueryCancel is the query parameter of PathRequests that cancels the ID and
 	// refuses it from then on.
 	QueryCancel = "cancel"
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
 	"github.com/lotusferry/lotusferry/zone"
@@ -29,6 +31,7 @@
 	reports map[structs.RunnerID]controller.ReportSeen
 	// listed is the zone's machine list as last read.
 	listed   []structs.Machine
+	machines engineapi.MachineReader
 	schedule *controller.ReportSchedule
 	// digests are those of the reports; shares is the routers' part in reading them.
 	digests map[structs.RunnerID]uint64
@@ -242,10 +245,14 @@
 	})
 }
 
-// readMachines reads the zone's part of the machine list.
+// readMachines reads what changed in the zone's part of the machine list.
 func (l *zoneLeader) readMachines() {
-	l.listed = l.home.box.machines.List(l.home.time())
-	l.member.owner.traffic.received[trafficMachines] += int64(jsonBytes(l.listed))
+	// What is no number is 0, which asks for all.
+	since, _ := strconv.ParseUint(l.machines.Since(), 10, 64)
+	changes, revision := l.home.box.machines.Changes(l.home.time(), "", since)
+	changes.Version = strconv.FormatUint(revision, 10)
+	l.member.owner.traffic.received[trafficMachines] += int64(jsonBytes(changes))
+	l.listed = l.machines.Take(changes)
 }
 
 // adopt keeps one long poll open for the table's changes.
