Name daemon and zone in the log lines of a stop

Cause: the lines that the program itself writes, of a stop and of a failed start, lacked both, so that they could not be told apart in a common log.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -105,7 +105,7 @@
 
 // serve runs a daemon until stop ends or it fails, and makes its planned stop.
 func serve(stop, cut context.Context, parent log.Logger, settings config.Config) int {
-	logger := log.With(parent, "component", "daemon")
+	logger := log.With(parent, "daemon", settings.Daemon, "zone", settings.Zone, "component", "daemon")
 	running, err := New(parent, settings)
 	if err != nil {
 		level.Error(logger).Log("msg", "The daemon cannot start.", "err", err)
--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -108,23 +108,35 @@
 		conn.Close()
 		site.kill(0)
 
-		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
-		components := map[string]bool{}
-		for _, line := range lines {
-			var fields map[string]any
-			c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil, qt.Commentf(line))
-			for _, field := range []string{"ts", "level", "component", "msg", "daemon", "zone"} {
-				c.Check(fields[field], qt.Not(qt.IsNil), qt.Commentf("%s in %s", field, line))
-			}
-			name, _ := fields["component"].(string)
-			components[name] = true
-		}
+		components := componentsOf(c, output.String())
 		for _, part := range []string{"daemon", "member", "group", "http"} {
 			c.Check(components[part], qt.IsTrue, qt.Commentf(part))
 		}
 	})
 }
 
+func TestLogLinesOfTheProgramHaveTheSameForm(t *testing.T) {
+	c := qt.New(t)
+	code, _, failures := run("--config", settingsFile(c), "--log-format", "json")
+	c.Check(code, qt.Equals, ExitOK)
+	c.Check(componentsOf(c, failures)["daemon"], qt.IsTrue)
+}
+
+// componentsOf checks the form of the lines and returns the parts that wrote them.
+func componentsOf(c *qt.C, lines string) map[string]bool {
+	components := map[string]bool{}
+	for _, line := range strings.Split(strings.TrimSpace(lines), "\n") {
+		var fields map[string]any
+		c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil, qt.Commentf(line))
+		for _, field := range []string{"ts", "level", "component", "msg", "daemon", "zone"} {
+			c.Check(fields[field], qt.Not(qt.IsNil), qt.Commentf("%s in %s", field, line))
+		}
+		name, _ := fields["component"].(string)
+		components[name] = true
+	}
+	return components
+}
+
 // lockedBuffer is a buffer for several writers.
 type lockedBuffer struct {
 	mutex   sync.Mutex
