--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,19 @@
-# Targets: test (what CI runs), lint, unit, model-check, simulate, bench, build.
+# Targets: test (what CI runs), tools, lint, unit, model-check, simulate, bench, build.
 
 GO ?= go
 # Tests listed in KNOWN-RED.txt (first word of each line) are passed over and printed.
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && awk 'NF {print $$1}' KNOWN-RED.txt | tr -d : | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: test lint unit model-check bench build known-red
+.PHONY: test tools lint unit model-check bench build known-red
 
-test: lint unit model-check known-red
+test: tools lint unit model-check known-red
+
+# tools says at once what is missing, and not after minutes of tests.
+tools:
+	@for tool in $(GO) gcc spin; do \
+		command -v $$tool >/dev/null || { echo "$$tool is missing: install it (apt-get install $$tool), or run .ci/run, which does"; exit 1; }; \
+	done
 
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted"; exit 1; fi
