Run the groups of package group's tests in virtual time

Cause: the members shared real time and loopback sockets with whatever else the machine did.

Change: each test that runs a group does so in a synctest bubble over a network in memory; assertions are as they were. Benchmarks keep real time and TCP.

--- a/group/cluster_test.go
+++ b/group/cluster_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -70,10 +72,12 @@
 	ended   chan error
 }
 
-// cluster is a group on the loopback interface.
+// cluster is a group whose members run in this process. In a test, which runs in
+// virtual time, its network is in memory; in a benchmark it is nil, which is TCP.
 type cluster struct {
 	c       *qt.C
 	ctx     context.Context
+	network network.Network
 	members []*member
 }
 
@@ -81,6 +85,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	c.Cleanup(cancel)
 	made := &cluster{c: c, ctx: ctx}
+	if _, isTest := c.TB.(*testing.T); isTest {
+		made.network = networktest.NewMemory(0)
+	}
 	for number := range size {
 		node := raft.NodeID(number + 1)
 		options.Bootstrap.Voters = append(options.Bootstrap.Voters, node)
@@ -114,7 +121,7 @@
 // add makes a member that is not started yet.
 func (cl *cluster) add(options Options) *member {
 	node := raft.NodeID(len(cl.members) + 1)
-	server, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0"})
+	server, err := transport.NewServer(log.NewNopLogger(), transport.Options{Address: "127.0.0.1:0", Network: cl.network})
 	cl.c.Assert(err, qt.IsNil)
 	options.Name, options.Node, options.Seed = "test", node, 11
 	if options.TickInterval == 0 {
@@ -142,10 +149,12 @@
 	c := m.cluster.c
 	var err error
 	if m.server == nil {
-		m.server, err = transport.NewServer(log.NewNopLogger(), transport.Options{Address: m.address})
+		m.server, err = transport.NewServer(log.NewNopLogger(), transport.Options{Address: m.address, Network: m.cluster.network})
 		c.Assert(err, qt.IsNil)
 	}
-	m.client = transport.NewClient(log.NewNopLogger(), transport.Options{Faults: m.faults, CallTimeout: time.Second})
+	m.client = transport.NewClient(log.NewNopLogger(), transport.Options{
+		Network: m.cluster.network, Faults: m.faults, CallTimeout: time.Second,
+	})
 	m.store, err = logstore.Open(m.path, logstore.Identity{Group: "test", Daemon: "control", Node: m.node})
 	c.Assert(err, qt.IsNil)
 	m.journal = &journal{}
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -16,233 +17,255 @@
 
 func TestGroupGoesOnWithoutItsLeaderAndTakesItBack(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	first := cl.leader(cl.members...)
-	cl.propose(0, 10)
-	first.stop()
-	second := cl.leader(cl.others(first)...)
-	c.Assert(second.Status().Term > first.Status().Term, qt.IsTrue)
-	cl.propose(10, 10)
-	first.start()
-	cl.assertConverged(20)
-	for _, each := range cl.members {
-		each.stop()
-	}
-	for _, each := range cl.members {
-		each.start()
-	}
-	cl.propose(20, 1)
-	cl.assertConverged(21)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		first := cl.leader(cl.members...)
+		cl.propose(0, 10)
+		first.stop()
+		second := cl.leader(cl.others(first)...)
+		c.Assert(second.Status().Term > first.Status().Term, qt.IsTrue)
+		cl.propose(10, 10)
+		first.start()
+		cl.assertConverged(20)
+		for _, each := range cl.members {
+			each.stop()
+		}
+		for _, each := range cl.members {
+			each.start()
+		}
+		cl.propose(20, 1)
+		cl.assertConverged(21)
+	})
 }
 
 func TestFollowerRefusesWithTheLeadersAddress(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	leader := cl.leader(cl.members...)
-	follower := cl.others(leader)[0]
-	follower.wait("the leader's name", func(status Status) bool { return status.LeaderNode == leader.node })
-	_, err := follower.Propose(cl.ctx, []byte("command"))
-	for _, err := range []error{err, follower.Read(cl.ctx), follower.TransferLeadership(cl.ctx)} {
-		var typed *structs.Error
-		c.Assert(errors.As(err, &typed), qt.IsTrue)
-		c.Assert(typed.Kind, qt.Equals, structs.ErrorNotLeader)
-		c.Assert(typed.Leader, qt.Equals, leader.address)
-	}
-	_, valid := follower.LeaderLease()
-	c.Assert(valid, qt.IsFalse)
-	_, err = leader.Propose(cl.ctx, make([]byte, MaxCommandBytes+1))
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		leader := cl.leader(cl.members...)
+		follower := cl.others(leader)[0]
+		follower.wait("the leader's name", func(status Status) bool { return status.LeaderNode == leader.node })
+		_, err := follower.Propose(cl.ctx, []byte("command"))
+		for _, err := range []error{err, follower.Read(cl.ctx), follower.TransferLeadership(cl.ctx)} {
+			var typed *structs.Error
+			c.Assert(errors.As(err, &typed), qt.IsTrue)
+			c.Assert(typed.Kind, qt.Equals, structs.ErrorNotLeader)
+			c.Assert(typed.Leader, qt.Equals, leader.address)
+		}
+		_, valid := follower.LeaderLease()
+		c.Assert(valid, qt.IsFalse)
+		_, err = leader.Propose(cl.ctx, make([]byte, MaxCommandBytes+1))
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	})
 }
 
 func TestMemberFarBehindCatchesUpBySnapshot(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{SnapshotEntries: 20})
-	leader := cl.leader(cl.members...)
-	behind := cl.others(leader)[0]
-	cl.propose(0, 5)
-	behind.stop()
-	cl.propose(5, 100)
-	behind.start()
-	c.Assert(behind.Status().AppliedIndex < leader.Status().SnapshotIndex, qt.IsTrue)
-	cl.assertConverged(105)
-	c.Assert(behind.Status().SnapshotIndex > 20, qt.IsTrue)
-	leader.stop() // the snapshot also serves a restart
-	leader.start()
-	cl.assertConverged(105)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{SnapshotEntries: 20})
+		leader := cl.leader(cl.members...)
+		behind := cl.others(leader)[0]
+		cl.propose(0, 5)
+		behind.stop()
+		cl.propose(5, 100)
+		behind.start()
+		c.Assert(behind.Status().AppliedIndex < leader.Status().SnapshotIndex, qt.IsTrue)
+		cl.assertConverged(105)
+		c.Assert(behind.Status().SnapshotIndex > 20, qt.IsTrue)
+		leader.stop() // the snapshot also serves a restart
+		leader.start()
+		cl.assertConverged(105)
+	})
 }
 
 func TestLeaderThatIsCutOffLosesItsLeaseAndSaysTheOutcomeIsUnknown(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	old := cl.leader(cl.members...)
-	cl.propose(0, 3)
-	epoch, _ := old.LeaderLease()
-	old.cut()
-	_, err := old.Propose(cl.ctx, []byte("lost"))
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
-	c.Assert(err, qt.ErrorMatches, "the outcome of the command is unknown: .*same edit or claim ID.*")
-	c.Assert(old.Read(cl.ctx), qt.IsNotNil)
-	_, valid := old.LeaderLease()
-	c.Assert(valid, qt.IsFalse)
-	elected := cl.leader(cl.others(old)...)
-	next, _ := elected.LeaderLease()
-	c.Assert(next > epoch, qt.IsTrue)
-	cl.propose(3, 3)
-	old.heal()
-	cl.assertConverged(6)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		old := cl.leader(cl.members...)
+		cl.propose(0, 3)
+		epoch, _ := old.LeaderLease()
+		old.cut()
+		_, err := old.Propose(cl.ctx, []byte("lost"))
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		c.Assert(err, qt.ErrorMatches, "the outcome of the command is unknown: .*same edit or claim ID.*")
+		c.Assert(old.Read(cl.ctx), qt.IsNotNil)
+		_, valid := old.LeaderLease()
+		c.Assert(valid, qt.IsFalse)
+		elected := cl.leader(cl.others(old)...)
+		next, _ := elected.LeaderLease()
+		c.Assert(next > epoch, qt.IsTrue)
+		cl.propose(3, 3)
+		old.heal()
+		cl.assertConverged(6)
+	})
 }
 
 func TestProposalOfAnEndedContextIsNotMade(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 1, Options{})
-	leader := cl.leader(cl.members...)
-	ctx, cancel := context.WithCancel(cl.ctx)
-	cancel()
-	for range 20 {
-		_, err := leader.Propose(ctx, []byte("given up"))
-		c.Assert(err, qt.IsNotNil)
-	}
-	cl.propose(0, 1)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 1, Options{})
+		leader := cl.leader(cl.members...)
+		ctx, cancel := context.WithCancel(cl.ctx)
+		cancel()
+		for range 20 {
+			_, err := leader.Propose(ctx, []byte("given up"))
+			c.Assert(err, qt.IsNotNil)
+		}
+		cl.propose(0, 1)
+	})
 }
 
 func TestStalledPeerHoldsUpNobody(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	leader := cl.leader(cl.members...)
-	stalled, other := cl.others(leader)[0], cl.others(leader)[1]
-	for _, each := range []*member{leader, other} {
-		each.faults.Delay(stalled.address, time.Hour)
-	}
-	cl.propose(0, 2*maxQueuedMessages)
-	c.Assert(leader.Read(cl.ctx), qt.IsNil)
-	for _, each := range []*member{leader, other} {
-		each.faults.Heal(stalled.address)
-	}
-	cl.assertConverged(2 * maxQueuedMessages)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		leader := cl.leader(cl.members...)
+		stalled, other := cl.others(leader)[0], cl.others(leader)[1]
+		for _, each := range []*member{leader, other} {
+			each.faults.Delay(stalled.address, time.Hour)
+		}
+		cl.propose(0, 2*maxQueuedMessages)
+		c.Assert(leader.Read(cl.ctx), qt.IsNil)
+		for _, each := range []*member{leader, other} {
+			each.faults.Heal(stalled.address)
+		}
+		cl.assertConverged(2 * maxQueuedMessages)
+	})
 }
 
 func TestReadSeesEveryEarlierProposal(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	leader := cl.leader(cl.members...)
-	for number := range 20 {
-		cl.propose(number, 1)
-		c.Assert(leader.Read(cl.ctx), qt.IsNil)
-		c.Assert(leader.commands(), qt.HasLen, number+1)
-	}
-	const readers = 50
-	answers := make(chan error)
-	for range readers {
-		go func() { answers <- leader.Read(cl.ctx) }()
-	}
-	for range readers {
-		c.Assert(<-answers, qt.IsNil)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		leader := cl.leader(cl.members...)
+		for number := range 20 {
+			cl.propose(number, 1)
+			c.Assert(leader.Read(cl.ctx), qt.IsNil)
+			c.Assert(leader.commands(), qt.HasLen, number+1)
+		}
+		const readers = 50
+		answers := make(chan error)
+		for range readers {
+			go func() { answers <- leader.Read(cl.ctx) }()
+		}
+		for range readers {
+			c.Assert(<-answers, qt.IsNil)
+		}
+	})
 }
 
 func TestConcurrentProposalsAreAppliedOnceInTheSameOrder(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{SnapshotEntries: 50})
-	leader := cl.leader(cl.members...)
-	const proposers, each = 16, 20
-	results := make(chan int)
-	for proposer := range proposers {
-		go func() {
-			for number := range each {
-				result, err := leader.Propose(cl.ctx, fmt.Appendf(nil, "%d/%d", proposer, number))
-				if err != nil {
-					result = 0
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{SnapshotEntries: 50})
+		leader := cl.leader(cl.members...)
+		const proposers, each = 16, 20
+		results := make(chan int)
+		for proposer := range proposers {
+			go func() {
+				for number := range each {
+					result, err := leader.Propose(cl.ctx, fmt.Appendf(nil, "%d/%d", proposer, number))
+					if err != nil {
+						result = 0
+					}
+					results <- result.(int)
 				}
-				results <- result.(int)
-			}
-		}()
-	}
-	var positions []int
-	for range proposers * each {
-		positions = append(positions, <-results)
-	}
-	slices.Sort(positions)
-	for number, position := range positions {
-		c.Assert(position, qt.Equals, number+1)
-	}
-	expected := leader.commands()
-	for _, follower := range cl.others(leader) {
-		follower.wait("all commands", func(Status) bool { return len(follower.commands()) == len(expected) })
-		c.Assert(follower.commands(), qt.DeepEquals, expected)
-	}
+			}()
+		}
+		var positions []int
+		for range proposers * each {
+			positions = append(positions, <-results)
+		}
+		slices.Sort(positions)
+		for number, position := range positions {
+			c.Assert(position, qt.Equals, number+1)
+		}
+		expected := leader.commands()
+		for _, follower := range cl.others(leader) {
+			follower.wait("all commands", func(Status) bool { return len(follower.commands()) == len(expected) })
+			c.Assert(follower.commands(), qt.DeepEquals, expected)
+		}
+	})
 }
 
 func TestLeadershipIsTransferred(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	old := cl.leader(cl.members...)
-	cl.propose(0, 1)
-	c.Assert(old.TransferLeadership(cl.ctx), qt.IsNil)
-	_, valid := old.LeaderLease()
-	c.Assert(valid, qt.IsFalse)
-	cl.propose(1, 1)
-	cl.assertConverged(2)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		old := cl.leader(cl.members...)
+		cl.propose(0, 1)
+		c.Assert(old.TransferLeadership(cl.ctx), qt.IsNil)
+		_, valid := old.LeaderLease()
+		c.Assert(valid, qt.IsFalse)
+		cl.propose(1, 1)
+		cl.assertConverged(2)
+	})
 }
 
 func TestNodeJoinsIsPromotedAndReplacesAnother(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{SnapshotEntries: 10})
-	leader := cl.leader(cl.members...)
-	cl.propose(0, 40)
-	joining := cl.add(Options{})
-	joining.unaware = true
-	joining.start()
-	added := Member{Node: joining.node, Address: joining.address}
-	c.Assert(structs.KindOf(leader.Promote(cl.ctx, added)), qt.Equals, structs.ErrorNotFound)
-	c.Assert(leader.AddLearner(cl.ctx, added), qt.IsNil)
-	leader.wait("the learner to catch up", func(status Status) bool { return status.Progress[joining.node].CaughtUp })
-	c.Assert(leader.Promote(cl.ctx, added), qt.IsNil)
-	removed := cl.others(leader)[0]
-	c.Assert(leader.Remove(cl.ctx, Member{Node: removed.node}), qt.IsNil)
-	removed.stop()
-	cl.members = cl.others(removed)
-	cl.propose(40, 5)
-	cl.assertConverged(45)
-	for _, each := range cl.members {
-		membership := each.Status().Membership
-		c.Assert(membership.Voters, qt.HasLen, 3)
-		c.Assert(membership.HasVoter(joining.node), qt.IsTrue)
-		c.Assert(each.Status().Addresses[joining.node], qt.Equals, joining.address)
-	}
-	// The address outlives a restart, with and without a snapshot.
-	other := cl.others(leader)[0]
-	other.stop()
-	other.start()
-	c.Assert(leader.TransferLeadership(cl.ctx), qt.IsNil)
-	cl.propose(45, 1)
-	cl.assertConverged(46)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{SnapshotEntries: 10})
+		leader := cl.leader(cl.members...)
+		cl.propose(0, 40)
+		joining := cl.add(Options{})
+		joining.unaware = true
+		joining.start()
+		added := Member{Node: joining.node, Address: joining.address}
+		c.Assert(structs.KindOf(leader.Promote(cl.ctx, added)), qt.Equals, structs.ErrorNotFound)
+		c.Assert(leader.AddLearner(cl.ctx, added), qt.IsNil)
+		leader.wait("the learner to catch up", func(status Status) bool { return status.Progress[joining.node].CaughtUp })
+		c.Assert(leader.Promote(cl.ctx, added), qt.IsNil)
+		removed := cl.others(leader)[0]
+		c.Assert(leader.Remove(cl.ctx, Member{Node: removed.node}), qt.IsNil)
+		removed.stop()
+		cl.members = cl.others(removed)
+		cl.propose(40, 5)
+		cl.assertConverged(45)
+		for _, each := range cl.members {
+			membership := each.Status().Membership
+			c.Assert(membership.Voters, qt.HasLen, 3)
+			c.Assert(membership.HasVoter(joining.node), qt.IsTrue)
+			c.Assert(each.Status().Addresses[joining.node], qt.Equals, joining.address)
+		}
+		// The address outlives a restart, with and without a snapshot.
+		other := cl.others(leader)[0]
+		other.stop()
+		other.start()
+		c.Assert(leader.TransferLeadership(cl.ctx), qt.IsNil)
+		cl.propose(45, 1)
+		cl.assertConverged(46)
+	})
 }
 
 func TestStorageFailureEndsRunAndPromisesNothing(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	leader := cl.leader(cl.members...)
-	cl.propose(0, 3)
-	c.Assert(leader.store.Close(), qt.IsNil)
-	_, err := leader.Propose(cl.ctx, []byte("not durable here"))
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
-	c.Assert(<-leader.ended, qt.ErrorMatches, ".*writing .* failed.*")
-	_, valid := leader.LeaderLease()
-	c.Assert(valid, qt.IsFalse)
-	_, err = leader.Propose(cl.ctx, []byte("too late"))
-	c.Assert(err, qt.ErrorMatches, ".*is stopped.*nothing was done.*")
-	cl.leader(cl.others(leader)...)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		leader := cl.leader(cl.members...)
+		cl.propose(0, 3)
+		c.Assert(leader.store.Close(), qt.IsNil)
+		_, err := leader.Propose(cl.ctx, []byte("not durable here"))
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		c.Assert(<-leader.ended, qt.ErrorMatches, ".*writing .* failed.*")
+		_, valid := leader.LeaderLease()
+		c.Assert(valid, qt.IsFalse)
+		_, err = leader.Propose(cl.ctx, []byte("too late"))
+		c.Assert(err, qt.ErrorMatches, ".*is stopped.*nothing was done.*")
+		cl.leader(cl.others(leader)...)
+	})
 }
 
 func TestOptionsThatLeaveNoLeaseAreRefused(t *testing.T) {
--- a/group/lease_test.go
+++ b/group/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -14,62 +15,66 @@
 // tells that the lease is over.
 func TestPausedLeaderDoesNotBelieveItsOldLease(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 3, Options{})
-	leader := cl.leader(cl.members...).Group
-	leader.statusMutex.Lock()
-	lease := leader.lease
-	leader.statusMutex.Unlock()
-	c.Assert(lease.start >= 0, qt.IsTrue)
-	lease.held = true
-	for _, test := range []struct {
-		name  string
-		pause time.Duration
-		valid bool
-	}{
-		{"just short of the lease", leader.leaseDuration() - 1, true},
-		{"the lease", leader.leaseDuration(), false},
-		{"long", time.Hour, false},
-	} {
-		paused := &Group{options: leader.options, lease: lease}
-		paused.now = func() time.Duration { return lease.start + test.pause }
-		_, valid := paused.LeaderLease()
-		c.Check(valid, qt.Equals, test.valid, qt.Commentf(test.name))
-	}
-	timeout := leader.electionTimeout()
-	c.Assert(leader.leaseDuration() < timeout-leaseMarginTicks*leader.options.TickInterval, qt.IsTrue)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 3, Options{})
+		leader := cl.leader(cl.members...).Group
+		leader.statusMutex.Lock()
+		lease := leader.lease
+		leader.statusMutex.Unlock()
+		c.Assert(lease.start >= 0, qt.IsTrue)
+		lease.held = true
+		for _, test := range []struct {
+			name  string
+			pause time.Duration
+			valid bool
+		}{
+			{"just short of the lease", leader.leaseDuration() - 1, true},
+			{"the lease", leader.leaseDuration(), false},
+			{"long", time.Hour, false},
+		} {
+			paused := &Group{options: leader.options, lease: lease}
+			paused.now = func() time.Duration { return lease.start + test.pause }
+			_, valid := paused.LeaderLease()
+			c.Check(valid, qt.Equals, test.valid, qt.Commentf(test.name))
+		}
+		timeout := leader.electionTimeout()
+		c.Assert(leader.leaseDuration() < timeout-leaseMarginTicks*leader.options.TickInterval, qt.IsTrue)
+	})
 }
 
 // A process that stalls longer than its lease finds it renewed when it goes on. Who
 // saw it over must be woken: nothing else may ever change in an idle group.
 func TestRenewalOfALeaseThatHadRunOutIsSignalled(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	cl := newCluster(c, 0, Options{})
-	alone := cl.add(Options{Bootstrap: raft.Membership{Voters: []raft.NodeID{1}}})
-	alone.open()
-	defer alone.client.Close()
-	defer alone.store.Close()
-	clock := time.Second
-	alone.now = func() time.Duration { return clock }
-	var senders sync.WaitGroup
-	hurry{}.start(alone.Group)
-	c.Assert(alone.process(cl.ctx, &senders), qt.IsNil)
-	_, valid := alone.LeaderLease()
-	c.Assert(valid, qt.IsTrue)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl := newCluster(c, 0, Options{})
+		alone := cl.add(Options{Bootstrap: raft.Membership{Voters: []raft.NodeID{1}}})
+		alone.open()
+		defer alone.client.Close()
+		defer alone.store.Close()
+		clock := time.Second
+		alone.now = func() time.Duration { return clock }
+		var senders sync.WaitGroup
+		hurry{}.start(alone.Group)
+		c.Assert(alone.process(cl.ctx, &senders), qt.IsNil)
+		_, valid := alone.LeaderLease()
+		c.Assert(valid, qt.IsTrue)
 
-	clock += alone.leaseDuration()
-	changed := alone.Applied()
-	_, valid = alone.LeaderLease()
-	c.Assert(valid, qt.IsFalse)
-	c.Assert(alone.process(cl.ctx, &senders), qt.IsNil)
-	_, valid = alone.LeaderLease()
-	c.Assert(valid, qt.IsTrue)
-	select {
-	case <-changed:
-	default:
-		c.Fatal("nobody is told that the lease holds again")
-	}
+		clock += alone.leaseDuration()
+		changed := alone.Applied()
+		_, valid = alone.LeaderLease()
+		c.Assert(valid, qt.IsFalse)
+		c.Assert(alone.process(cl.ctx, &senders), qt.IsNil)
+		_, valid = alone.LeaderLease()
+		c.Assert(valid, qt.IsTrue)
+		select {
+		case <-changed:
+		default:
+			c.Fatal("nobody is told that the lease holds again")
+		}
+	})
 }
 
 // The lease counts from the moment before the oldest batch of the newest quorum.
