Run the calls of package transport's tests in virtual time

Cause: tests waited for timeouts of 100 ms and 2 s in real time, within which other calls had to end on however busy a machine.

Change: a network in memory and synctest bubbles. The calls to a silent peer wait for a mutex, which virtual time does not pass over: these keep TCP, in two tests whose verdict no longer rests on a timeout: another peer is served while they wait, and they fail and free the connection.

--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -13,12 +13,14 @@
 	"math/big"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -29,8 +31,6 @@
 	// that are to end otherwise, on however busy a machine.
 	shortTimeout = 100 * time.Millisecond
 	longTimeout  = 5 * time.Minute
-	// busyTimeout is awaited, yet lets a call to a peer that answers end.
-	busyTimeout = 2 * time.Second
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -129,38 +129,39 @@
 }
 
 func TestErrorsAreTypedAndTellWhetherTheCallMayHaveRun(t *testing.T) {
-	c := qt.New(t)
-	options := Options{MaxMessageBytes: 10_000}
-	server, service := startServer(c, Options{MaxMessageBytes: 10_000})
-	c.Cleanup(func() { close(service.gate) })
-	closed, err := net.Listen("tcp", loopback)
-	c.Assert(err, qt.IsNil)
-	c.Assert(closed.Close(), qt.IsNil)
-	faults := &Faults{}
-	faults.Cut("127.0.0.1:1")
-	faults.Delay("127.0.0.1:2", time.Hour)
-	options.Faults = faults
-	cancelled, cancel := context.WithCancel(context.Background())
-	cancel()
-	// Only the calls that must run out of time have little of it.
-	short := shortTimeout
-	for _, test := range []struct {
-		name, address, method, text string
-		ctx                         context.Context
-		timeout                     time.Duration
-		kind                        structs.ErrorKind
-		notSent                     bool
-	}{
-		{"method fails", server.Address(), "Echo.Fail", "", nil, 0, structs.ErrorInternal, false},
-		{"no such method", server.Address(), "Echo.None", "", nil, 0, structs.ErrorInternal, false},
-		{"slow method", server.Address(), "Echo.Wait", "", nil, short, structs.ErrorDeadline, false},
-		{"too large", server.Address(), "Echo.Echo", string(make([]byte, 20_000)), nil, 0, structs.ErrorInvalid, false},
-		{"nobody listens", closed.Addr().String(), "Echo.Echo", "", nil, 0, structs.ErrorUnavailable, true},
-		{"cut", "127.0.0.1:1", "Echo.Echo", "", nil, 0, structs.ErrorUnavailable, true},
-		{"delayed", "127.0.0.1:2", "Echo.Echo", "", nil, short, structs.ErrorDeadline, true},
-		{"cancelled", server.Address(), "Echo.Echo", "", cancelled, 0, structs.ErrorUnavailable, true},
-	} {
-		c.Run(test.name, func(c *qt.C) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		options := Options{Network: memory, MaxMessageBytes: 10_000}
+		server, service := startServer(c, Options{Network: memory, MaxMessageBytes: 10_000})
+		c.Cleanup(func() { close(service.gate) })
+		closed, err := memory.Listen(t.Context(), loopback)
+		c.Assert(err, qt.IsNil)
+		c.Assert(closed.Close(), qt.IsNil)
+		faults := &Faults{}
+		faults.Cut("127.0.0.1:1")
+		faults.Delay("127.0.0.1:2", time.Hour)
+		options.Faults = faults
+		cancelled, cancel := context.WithCancel(context.Background())
+		cancel()
+		// Only the calls that must run out of time have little of it.
+		short := shortTimeout
+		for _, test := range []struct {
+			name, address, method, text string
+			ctx                         context.Context
+			timeout                     time.Duration
+			kind                        structs.ErrorKind
+			notSent                     bool
+		}{
+			{"method fails", server.Address(), "Echo.Fail", "", nil, 0, structs.ErrorInternal, false},
+			{"no such method", server.Address(), "Echo.None", "", nil, 0, structs.ErrorInternal, false},
+			{"slow method", server.Address(), "Echo.Wait", "", nil, short, structs.ErrorDeadline, false},
+			{"too large", server.Address(), "Echo.Echo", string(make([]byte, 20_000)), nil, 0, structs.ErrorInvalid, false},
+			{"nobody listens", closed.Addr().String(), "Echo.Echo", "", nil, 0, structs.ErrorUnavailable, true},
+			{"cut", "127.0.0.1:1", "Echo.Echo", "", nil, 0, structs.ErrorUnavailable, true},
+			{"delayed", "127.0.0.1:2", "Echo.Echo", "", nil, short, structs.ErrorDeadline, true},
+			{"cancelled", server.Address(), "Echo.Echo", "", cancelled, 0, structs.ErrorUnavailable, true},
+		} {
 			options := options
 			options.CallTimeout = cmp.Or(test.timeout, longTimeout)
 			client := startClient(c, options)
@@ -170,55 +171,80 @@
 			}
 			var reply string
 			err := client.Call(ctx, test.address, test.method, test.text, &reply)
-			c.Assert(structs.KindOf(err), qt.Equals, test.kind, qt.Commentf("%v", err))
-			c.Assert(NotSent(err), qt.Equals, test.notSent)
-			c.Assert(client.Stats().Failures, qt.Equals, uint64(1))
-		})
-	}
+			about := qt.Commentf("%s: %v", test.name, err)
+			c.Assert(structs.KindOf(err), qt.Equals, test.kind, about)
+			c.Assert(NotSent(err), qt.Equals, test.notSent, about)
+			c.Assert(client.Stats().Failures, qt.Equals, uint64(1), about)
+		}
+	})
 }
 
 func TestFailedDialMakesCallsFailAtOnceForAWhile(t *testing.T) {
-	c := qt.New(t)
-	client := startClient(c, Options{})
-	closed, err := net.Listen("tcp", loopback)
-	c.Assert(err, qt.IsNil)
-	address := closed.Addr().String()
-	c.Assert(closed.Close(), qt.IsNil)
-	_, err = echo(client, address, "")
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
-	target := client.peer(address)
-	target.mutex.Lock()
-	target.retryAt = time.Now().Add(time.Hour)
-	target.mutex.Unlock()
-	_, err = echo(client, address, "")
-	var typed *structs.Error
-	c.Assert(errors.As(err, &typed), qt.IsTrue)
-	c.Assert(typed.RetryAfter > time.Minute, qt.IsTrue)
-	startServer(c, Options{Address: address})
-	endPause(target)
-	reply, err := echo(client, address, "back")
-	c.Assert(err, qt.IsNil)
-	c.Assert(reply, qt.Equals, "back")
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		client := startClient(c, Options{Network: memory})
+		closed, err := memory.Listen(t.Context(), loopback)
+		c.Assert(err, qt.IsNil)
+		address := closed.Addr().String()
+		c.Assert(closed.Close(), qt.IsNil)
+		_, err = echo(client, address, "")
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		target := client.peer(address)
+		target.mutex.Lock()
+		target.retryAt = time.Now().Add(time.Hour)
+		target.mutex.Unlock()
+		_, err = echo(client, address, "")
+		var typed *structs.Error
+		c.Assert(errors.As(err, &typed), qt.IsTrue)
+		c.Assert(typed.RetryAfter > time.Minute, qt.IsTrue)
+		startServer(c, Options{Network: memory, Address: address})
+		endPause(target)
+		reply, err := echo(client, address, "back")
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply, qt.Equals, "back")
+	})
 }
 
-func TestSilentPeerDelaysNoOtherAndIsDialledAgain(t *testing.T) {
-	t.Parallel()
-	c := qt.New(t)
-	silent := silentListener(c)
-	server, _ := startServer(c, Options{})
-	client := startClient(c, Options{CallTimeout: busyTimeout})
-	failures := make(chan error)
+// callSilent makes calls that the peer takes no request of.
+func callSilent(client *Client, address string) (failures chan error, count int) {
 	const callers = 8
+	failures = make(chan error, callers)
 	for range callers {
 		go func() {
-			_, err := echo(client, silent, string(make([]byte, 1<<20)))
+			_, err := echo(client, address, string(make([]byte, 1<<20)))
 			failures <- err
 		}()
 	}
+	return failures, callers
+}
+
+// TestSilentPeerDelaysNoOther keeps real time: calls that wait to be sent wait for a
+// mutex, which virtual time does not pass over.
+func TestSilentPeerDelaysNoOther(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	silent := silentListener(c)
+	server, _ := startServer(c, Options{})
+	client := startClient(c, Options{CallTimeout: longTimeout})
+	failures, count := callSilent(client, silent)
 	reply, err := echo(client, server.Address(), "quick")
 	c.Assert(err, qt.IsNil)
 	c.Assert(reply, qt.Equals, "quick")
-	for range callers {
+	c.Assert(failures, qt.HasLen, 0)
+	client.Close()
+	for range count {
+		c.Assert(structs.KindOf(<-failures), qt.Equals, structs.ErrorUnavailable)
+	}
+}
+
+func TestSilentPeerIsDialledAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	silent := silentListener(c)
+	client := startClient(c, Options{CallTimeout: shortTimeout})
+	failures, count := callSilent(client, silent)
+	for range count {
 		kind := structs.KindOf(<-failures)
 		c.Assert(kind == structs.ErrorDeadline || kind == structs.ErrorUnavailable, qt.IsTrue, qt.Commentf("%s", kind))
 	}
@@ -229,43 +255,49 @@
 }
 
 func TestSlowCallLeavesItsConnectionInUse(t *testing.T) {
-	c := qt.New(t)
-	server, service := startServer(c, Options{})
-	client := startClient(c, Options{})
-	ctx, cancel := context.WithCancel(context.Background())
-	reply := "unchanged"
-	failed := make(chan error)
-	go func() { failed <- client.Call(ctx, server.Address(), "Echo.Wait", "late", &reply) }()
-	<-service.entered
-	cancel()
-	c.Assert(structs.KindOf(<-failed), qt.Equals, structs.ErrorUnavailable)
-	close(service.gate) // the late reply goes nowhere
-	other, err := echo(client, server.Address(), "next")
-	c.Assert(err, qt.IsNil)
-	c.Assert(other, qt.Equals, "next")
-	c.Assert(reply, qt.Equals, "unchanged")
-	c.Assert(client.Stats().Connections, qt.Equals, uint64(1))
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		server, service := startServer(c, Options{Network: memory})
+		client := startClient(c, Options{Network: memory})
+		ctx, cancel := context.WithCancel(context.Background())
+		reply := "unchanged"
+		failed := make(chan error)
+		go func() { failed <- client.Call(ctx, server.Address(), "Echo.Wait", "late", &reply) }()
+		<-service.entered
+		cancel()
+		c.Assert(structs.KindOf(<-failed), qt.Equals, structs.ErrorUnavailable)
+		close(service.gate) // the late reply goes nowhere
+		other, err := echo(client, server.Address(), "next")
+		c.Assert(err, qt.IsNil)
+		c.Assert(other, qt.Equals, "next")
+		c.Assert(reply, qt.Equals, "unchanged")
+		c.Assert(client.Stats().Connections, qt.Equals, uint64(1))
+	})
 }
 
 func TestCallsInProgressAreBounded(t *testing.T) {
-	c := qt.New(t)
-	server, service := startServer(c, Options{})
-	client := startClient(c, Options{MaxPendingCalls: 2})
-	answered := make(chan error)
-	for range 2 {
-		go func() {
-			var reply string
-			answered <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
-		}()
-	}
-	<-service.entered
-	<-service.entered
-	_, err := echo(client, server.Address(), "")
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorOverloaded)
-	c.Assert(NotSent(err), qt.IsTrue)
-	close(service.gate)
-	c.Assert(<-answered, qt.IsNil)
-	c.Assert(<-answered, qt.IsNil)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		server, service := startServer(c, Options{Network: memory})
+		client := startClient(c, Options{Network: memory, MaxPendingCalls: 2})
+		answered := make(chan error)
+		for range 2 {
+			go func() {
+				var reply string
+				answered <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
+			}()
+		}
+		<-service.entered
+		<-service.entered
+		_, err := echo(client, server.Address(), "")
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorOverloaded)
+		c.Assert(NotSent(err), qt.IsTrue)
+		close(service.gate)
+		c.Assert(<-answered, qt.IsNil)
+		c.Assert(<-answered, qt.IsNil)
+	})
 }
 
 func TestOversizedMessagesAreRefusedByTheReceiver(t *testing.T) {
@@ -279,39 +311,46 @@
 		{"reply", Options{}, Options{MaxMessageBytes: small}, "Echo.Enlarge", "text"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			server, _ := startServer(c, test.server)
-			client := startClient(c, test.client)
-			var reply string
-			err := client.Call(context.Background(), server.Address(), test.method, test.text, &reply)
-			c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid, qt.Commentf("%v", err))
-			endPause(client.peer(server.Address()))
-			reply, err = echo(client, server.Address(), "next")
-			c.Assert(err, qt.IsNil)
-			c.Assert(reply, qt.Equals, "next")
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				memory := networktest.NewMemory(0)
+				test.server.Network, test.client.Network = memory, memory
+				server, _ := startServer(c, test.server)
+				client := startClient(c, test.client)
+				var reply string
+				err := client.Call(context.Background(), server.Address(), test.method, test.text, &reply)
+				c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid, qt.Commentf("%v", err))
+				endPause(client.peer(server.Address()))
+				reply, err = echo(client, server.Address(), "next")
+				c.Assert(err, qt.IsNil)
+				c.Assert(reply, qt.Equals, "next")
+			})
 		})
 	}
 }
 
 func TestCutLosesTheReplyOfACallInProgress(t *testing.T) {
-	c := qt.New(t)
-	server, service := startServer(c, Options{})
-	faults := &Faults{}
-	client := startClient(c, Options{Faults: faults})
-	failed := make(chan error)
-	go func() {
-		var reply string
-		failed <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
-	}()
-	<-service.entered
-	faults.Cut(server.Address())
-	close(service.gate)
-	err := <-failed
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
-	c.Assert(NotSent(err), qt.IsFalse)
-	faults.Heal(server.Address())
-	_, err = echo(client, server.Address(), "")
-	c.Assert(err, qt.IsNil)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		server, service := startServer(c, Options{Network: memory})
+		faults := &Faults{}
+		client := startClient(c, Options{Network: memory, Faults: faults})
+		failed := make(chan error)
+		go func() {
+			var reply string
+			failed <- client.Call(context.Background(), server.Address(), "Echo.Wait", "", &reply)
+		}()
+		<-service.entered
+		faults.Cut(server.Address())
+		close(service.gate)
+		err := <-failed
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		c.Assert(NotSent(err), qt.IsFalse)
+		faults.Heal(server.Address())
+		_, err = echo(client, server.Address(), "")
+		c.Assert(err, qt.IsNil)
+	})
 }
 
 // authority issues certificates for the loopback address.
@@ -334,7 +373,7 @@
 	return authority{certificate, key}
 }
 
-func (a authority) options(c *qt.C) Options {
+func (a authority) options(c *qt.C, memory *networktest.Memory) Options {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	c.Assert(err, qt.IsNil)
 	template := &x509.Certificate{
@@ -347,25 +386,29 @@
 	pool.AddCert(a.certificate)
 	own := []tls.Certificate{{Certificate: [][]byte{encoded}, PrivateKey: key}}
 	return Options{
+		Network:   memory,
 		ServerTLS: &tls.Config{Certificates: own, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert},
 		ClientTLS: &tls.Config{Certificates: own, RootCAs: pool},
 	}
 }
 
 func TestOnlyPeersOfTheSameAuthorityAreServed(t *testing.T) {
-	c := qt.New(t)
-	site, other := newAuthority(c), newAuthority(c)
-	server, _ := startServer(c, site.options(c))
-	reply, err := echo(startClient(c, site.options(c)), server.Address(), "secret")
-	c.Assert(err, qt.IsNil)
-	c.Assert(reply, qt.Equals, "secret")
-	_, err = echo(startClient(c, other.options(c)), server.Address(), "")
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorDenied)
-	// A client that trusts the server but is of another authority.
-	mixed := other.options(c)
-	mixed.ClientTLS.RootCAs = site.options(c).ClientTLS.RootCAs
-	_, err = echo(startClient(c, mixed), server.Address(), "")
-	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
-	_, err = echo(startClient(c, Options{CallTimeout: shortTimeout}), server.Address(), "in the clear")
-	c.Assert(err, qt.IsNotNil)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		site, other := newAuthority(c), newAuthority(c)
+		server, _ := startServer(c, site.options(c, memory))
+		reply, err := echo(startClient(c, site.options(c, memory)), server.Address(), "secret")
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply, qt.Equals, "secret")
+		_, err = echo(startClient(c, other.options(c, memory)), server.Address(), "")
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorDenied)
+		// A client that trusts the server but is of another authority.
+		mixed := other.options(c, memory)
+		mixed.ClientTLS.RootCAs = site.options(c, memory).ClientTLS.RootCAs
+		_, err = echo(startClient(c, mixed), server.Address(), "")
+		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		_, err = echo(startClient(c, Options{Network: memory, CallTimeout: shortTimeout}), server.Address(), "in the clear")
+		c.Assert(err, qt.IsNotNil)
+	})
 }
