Run the servers of package emulator's tests in virtual time

Change: the emulator's servers and their clients meet over a network in memory inside synctest bubbles; assertions are as they were, loops that watch an engine pause in virtual time. networktest serves handlers and makes HTTP clients.

--- a/emulator/machine_changes_test.go
+++ b/emulator/machine_changes_test.go
@@ -5,15 +5,15 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -64,66 +64,65 @@
 }
 
 func TestOnlyWhatChangedIsReadOfTheMachineList(t *testing.T) {
-	c := qt.New(t)
-	list := NewMachineList(0)
-	server := NewMachineServer(log.NewNopLogger(), list, NewClock(1))
-	for i := range 100 {
-		server.Put(structs.Machine{Runner: structs.RunnerID(fmt.Sprintf("e%03d", i)), Zone: "z", State: structs.MachineLive})
-	}
-	address := func(handler http.Handler) string {
-		running := httptest.NewServer(handler)
-		c.Cleanup(running.Close)
-		return strings.TrimPrefix(running.URL, "http://")
-	}
-	client := engineapi.NewClient(engineapi.ClientOptions{})
-	c.Cleanup(client.Close)
-	var reader engineapi.MachineReader
-	read := func(at string) (engineapi.MachineChanges, []structs.Machine) {
-		changes, err := client.MachineChanges(context.Background(), at, "z", reader.Since())
-		c.Assert(err, qt.IsNil)
-		return changes, reader.Take(changes)
-	}
-	first := address(server)
-	changes, machines := read(first)
-	c.Assert(changes.Full, qt.IsTrue)
-	c.Assert(machines, qt.HasLen, 100)
-	changes, _ = read(first)
-	c.Assert(changes.Full || len(changes.Machines)+len(changes.Gone) > 0, qt.IsFalse)
-
-	c.Assert(client.Leave(context.Background(), first, engineapi.LeaveRequest{Runner: "e007"}), qt.IsNil)
-	c.Assert(client.Leave(context.Background(), first, engineapi.LeaveRequest{Runner: "e008", Gone: true}), qt.IsNil)
-	changes, machines = read(first)
-	c.Assert(changes.Machines, qt.HasLen, 1)
-	c.Assert(changes.Gone, qt.DeepEquals, []structs.RunnerID{"e008"})
-	c.Assert(machines, qt.HasLen, 99)
-	c.Assert(machines[7].State, qt.Equals, structs.MachineLeaving)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		list := NewMachineList(0)
+		server := NewMachineServer(log.NewNopLogger(), list, NewClock(1))
+		for i := range 100 {
+			server.Put(structs.Machine{Runner: structs.RunnerID(fmt.Sprintf("e%03d", i)), Zone: "z", State: structs.MachineLive})
+		}
+		memory := networktest.NewMemory(0)
+		address := func(handler http.Handler) string { return memory.Serve(t, handler) }
+		client := engineapi.NewClient(engineapi.ClientOptions{Network: memory})
+		c.Cleanup(client.Close)
+		var reader engineapi.MachineReader
+		read := func(at string) (engineapi.MachineChanges, []structs.Machine) {
+			changes, err := client.MachineChanges(context.Background(), at, "z", reader.Since())
+			c.Assert(err, qt.IsNil)
+			return changes, reader.Take(changes)
+		}
+		first := address(server)
+		changes, machines := read(first)
+		c.Assert(changes.Full, qt.IsTrue)
+		c.Assert(machines, qt.HasLen, 100)
+		changes, _ = read(first)
+		c.Assert(changes.Full || len(changes.Machines)+len(changes.Gone) > 0, qt.IsFalse)
 
-	// A list that was started anew does not know the version.
-	again := NewMachineServer(log.NewNopLogger(), NewMachineList(0), NewClock(1))
-	again.Put(structs.Machine{Runner: "only", Zone: "z", State: structs.MachineLive})
-	changes, machines = read(address(again))
-	c.Assert(changes.Full, qt.IsTrue)
-	c.Assert(machines, qt.HasLen, 1)
+		c.Assert(client.Leave(context.Background(), first, engineapi.LeaveRequest{Runner: "e007"}), qt.IsNil)
+		c.Assert(client.Leave(context.Background(), first, engineapi.LeaveRequest{Runner: "e008", Gone: true}), qt.IsNil)
+		changes, machines = read(first)
+		c.Assert(changes.Machines, qt.HasLen, 1)
+		c.Assert(changes.Gone, qt.DeepEquals, []structs.RunnerID{"e008"})
+		c.Assert(machines, qt.HasLen, 99)
+		c.Assert(machines[7].State, qt.Equals, structs.MachineLeaving)
 
-	// One that tells no changes sends all, of every zone.
-	plain := address(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(` [{"runner":"a","zone":"y"},{"runner":"b","zone":"z"}]`))
-	}))
-	for range 2 {
-		changes, machines = read(plain)
+		// A list that was started anew does not know the version.
+		again := NewMachineServer(log.NewNopLogger(), NewMachineList(0), NewClock(1))
+		again.Put(structs.Machine{Runner: "only", Zone: "z", State: structs.MachineLive})
+		changes, machines = read(address(again))
 		c.Assert(changes.Full, qt.IsTrue)
-		c.Assert(reader.Since(), qt.Equals, "")
-		c.Assert(machines, qt.DeepEquals, []structs.Machine{{Runner: "b", Zone: "z"}})
-	}
+		c.Assert(machines, qt.HasLen, 1)
 
-	for range 200 {
-		changes, _ = read(first)
-	}
-	full := 0
-	for range 122 {
-		if changes, _ = read(first); changes.Full {
-			full++
+		// One that tells no changes sends all, of every zone.
+		plain := address(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(` [{"runner":"a","zone":"y"},{"runner":"b","zone":"z"}]`))
+		}))
+		for range 2 {
+			changes, machines = read(plain)
+			c.Assert(changes.Full, qt.IsTrue)
+			c.Assert(reader.Since(), qt.Equals, "")
+			c.Assert(machines, qt.DeepEquals, []structs.Machine{{Runner: "b", Zone: "z"}})
 		}
-	}
-	c.Assert(full, qt.Equals, 2, qt.Commentf("the whole list is read now and then all the same"))
+
+		for range 200 {
+			changes, _ = read(first)
+		}
+		full := 0
+		for range 122 {
+			if changes, _ = read(first); changes.Full {
+				full++
+			}
+		}
+		c.Assert(full, qt.Equals, 2, qt.Commentf("the whole list is read now and then all the same"))
+	})
 }
--- a/emulator/server_test.go
+++ b/emulator/server_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -17,6 +17,7 @@
 
 	"github.com/lotusferry/lotusferry/emulator"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -26,30 +27,29 @@
 // rigLimit ends a test that would otherwise wait for ever. It is no measure of speed.
 const rigLimit = 5 * time.Minute
 
-// rig is an engine server with row "m" ready, on the loopback address.
+// pollPause separates two looks at an engine, in virtual time.
+const pollPause = time.Millisecond
+
+// rig is an engine server with row "m" ready, on a network in memory.
 type rig struct {
 	*qt.C
+	memory  *networktest.Memory
 	server  *emulator.EngineServer
 	client  *engineapi.Client
 	address string
 	ctx     context.Context
 }
 
-func listen(t testing.TB, handler http.Handler) string {
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
-}
-
 func newRig(t testing.TB, scale float64, change func(options *emulator.EngineOptions)) *rig {
 	ctx, cancel := context.WithTimeout(context.Background(), rigLimit)
-	client := engineapi.NewClient(engineapi.ClientOptions{})
+	memory := networktest.NewMemory(0)
+	client := engineapi.NewClient(engineapi.ClientOptions{Network: memory})
 	h := newHarness(t, change)
 	h.now = time.Now().Add(-time.Hour)
 	h.ready("m")
-	r := &rig{C: h.C, client: client, ctx: ctx}
+	r := &rig{C: h.C, memory: memory, client: client, ctx: ctx}
 	r.server = emulator.NewEngineServer(log.NewNopLogger(), h.engine, emulator.NewClock(scale))
-	r.address = listen(t, r.server)
+	r.address = memory.Serve(t, r.server)
 	t.Cleanup(func() {
 		cancel()
 		r.server.Close()
@@ -87,27 +87,29 @@
 
 // control calls a path that steers the emulator and returns the status.
 func (r *rig) control(path, body string) int {
-	response, err := http.Post("http://"+r.address+path, engineapi.ContentTypeJSON, strings.NewReader(body))
+	response, err := r.memory.Client(r.TB).Post("http://"+r.address+path, engineapi.ContentTypeJSON, strings.NewReader(body))
 	r.Assert(err, qt.IsNil)
 	defer response.Body.Close()
 	return response.StatusCode
 }
 
 func TestServerStreamsWholeAnswers(t *testing.T) {
-	r := newRig(t, testScale, nil)
-	var group sync.WaitGroup
-	for i := range 40 {
-		group.Go(func() {
-			each := request(fmt.Sprintf("r/%d", i), "m", prompt(fmt.Sprint(i), 20))
-			tokens, err := r.generate(each)
-			r.Check(err, qt.Equals, io.EOF)
-			r.Check(checkAnswer(each, tokens), qt.Equals, "")
-			status, err := r.client.Status(r.ctx, r.address, each.ID, false)
-			r.Check(err, qt.IsNil)
-			r.Check(status.State, qt.Equals, structs.RunFinished)
-		})
-	}
-	group.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testScale, nil)
+		var group sync.WaitGroup
+		for i := range 40 {
+			group.Go(func() {
+				each := request(fmt.Sprintf("r/%d", i), "m", prompt(fmt.Sprint(i), 20))
+				tokens, err := r.generate(each)
+				r.Check(err, qt.Equals, io.EOF)
+				r.Check(checkAnswer(each, tokens), qt.Equals, "")
+				status, err := r.client.Status(r.ctx, r.address, each.ID, false)
+				r.Check(err, qt.IsNil)
+				r.Check(status.State, qt.Equals, structs.RunFinished)
+			})
+		}
+		group.Wait()
+	})
 }
 
 func TestServerFaultsAreErrorsAtTheClient(t *testing.T) {
@@ -123,172 +125,189 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := newRig(t, 1, nil)
-			r.Assert(r.control(emulator.PathFaults, test.faults), qt.Equals, http.StatusOK)
-			wrong := make([]error, 4)
-			var group sync.WaitGroup
-			for i := range wrong {
-				group.Go(func() {
-					_, wrong[i] = r.generate(longRequest(fmt.Sprint(i)))
-				})
-			}
-			group.Wait()
-			broken := 0
-			for _, err := range wrong {
-				if engineapi.StageOf(err) == engineapi.StageBroken && err != io.EOF {
-					broken++
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 1, nil)
+				r.Assert(r.control(emulator.PathFaults, test.faults), qt.Equals, http.StatusOK)
+				wrong := make([]error, 4)
+				var group sync.WaitGroup
+				for i := range wrong {
+					group.Go(func() {
+						_, wrong[i] = r.generate(longRequest(fmt.Sprint(i)))
+					})
 				}
-			}
-			r.Check(broken > 0, qt.IsTrue, qt.Commentf("%v", wrong))
+				group.Wait()
+				broken := 0
+				for _, err := range wrong {
+					if engineapi.StageOf(err) == engineapi.StageBroken && err != io.EOF {
+						broken++
+					}
+				}
+				r.Check(broken > 0, qt.IsTrue, qt.Commentf("%v", wrong))
+			})
 		})
 	}
 }
 
 func TestServerSaysWhatCertainlyDidNotRun(t *testing.T) {
-	r := newRig(t, testScale, nil)
-	_, err := r.generate(request("r", "other", "p"))
-	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
-	status, err := r.client.Cancel(r.ctx, r.address, "s/1 ?")
-	r.Assert(err, qt.IsNil)
-	r.Check(status.State, qt.Equals, structs.RunUnknown)
-	_, err = r.generate(request("s/1 ?", "m", "p"))
-	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
-	r.Check(structs.KindOf(err), qt.Equals, structs.ErrorConflict)
-	each := request("t", "m", "p")
-	_, err = r.generate(each)
-	r.Assert(err, qt.Equals, io.EOF)
-	status, err = r.client.Status(r.ctx, r.address, "t", true)
-	r.Assert(err, qt.IsNil)
-	r.Check(status.Started, qt.IsTrue)
-	_, err = r.generate(each)
-	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken, qt.Commentf("the ID has run"))
-	r.Check(r.control(engineapi.PathOrders, "{"), qt.Equals, http.StatusBadRequest)
-	r.Check(r.control(engineapi.PathReport, "{}"), qt.Equals, http.StatusMethodNotAllowed)
-	r.Check(r.control("/nowhere", "{}"), qt.Equals, http.StatusNotFound)
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testScale, nil)
+		_, err := r.generate(request("r", "other", "p"))
+		r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
+		status, err := r.client.Cancel(r.ctx, r.address, "s/1 ?")
+		r.Assert(err, qt.IsNil)
+		r.Check(status.State, qt.Equals, structs.RunUnknown)
+		_, err = r.generate(request("s/1 ?", "m", "p"))
+		r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageRefused)
+		r.Check(structs.KindOf(err), qt.Equals, structs.ErrorConflict)
+		each := request("t", "m", "p")
+		_, err = r.generate(each)
+		r.Assert(err, qt.Equals, io.EOF)
+		status, err = r.client.Status(r.ctx, r.address, "t", true)
+		r.Assert(err, qt.IsNil)
+		r.Check(status.Started, qt.IsTrue)
+		_, err = r.generate(each)
+		r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken, qt.Commentf("the ID has run"))
+		r.Check(r.control(engineapi.PathOrders, "{"), qt.Equals, http.StatusBadRequest)
+		r.Check(r.control(engineapi.PathReport, "{}"), qt.Equals, http.StatusMethodNotAllowed)
+		r.Check(r.control("/nowhere", "{}"), qt.Equals, http.StatusNotFound)
+	})
 }
 
 func TestServerCancelsWhenTheCallerLeaves(t *testing.T) {
-	r := newRig(t, 1, nil)
-	each := longRequest("r")
-	stream, err := r.client.Generate(r.ctx, r.address, each)
-	r.Assert(err, qt.IsNil)
-	first, err := stream.Next()
-	r.Assert(err, qt.IsNil)
-	r.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
-	r.Assert(stream.Close(), qt.IsNil)
-	for state := structs.RunRunning; state == structs.RunRunning; {
-		status, err := r.client.Status(r.ctx, r.address, "r", false)
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, nil)
+		each := longRequest("r")
+		stream, err := r.client.Generate(r.ctx, r.address, each)
 		r.Assert(err, qt.IsNil)
-		state = status.State
-		r.Assert(state, qt.Not(qt.Equals), structs.RunFinished)
-	}
-	r.server.SetFaults(emulator.EngineFaults{})
-	each.ResumeFrom = 1
-	rest, err := r.generate(each)
-	r.Check(err, qt.Equals, io.EOF)
-	each.ResumeFrom = 0
-	r.Check(checkAnswer(each, append([]structs.Token{first}, rest...)), qt.Equals, "")
+		first, err := stream.Next()
+		r.Assert(err, qt.IsNil)
+		r.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
+		r.Assert(stream.Close(), qt.IsNil)
+		for state := structs.RunRunning; state == structs.RunRunning; {
+			status, err := r.client.Status(r.ctx, r.address, "r", false)
+			r.Assert(err, qt.IsNil)
+			state = status.State
+			r.Assert(state, qt.Not(qt.Equals), structs.RunFinished)
+			time.Sleep(pollPause)
+		}
+		r.server.SetFaults(emulator.EngineFaults{})
+		each.ResumeFrom = 1
+		rest, err := r.generate(each)
+		r.Check(err, qt.Equals, io.EOF)
+		each.ResumeFrom = 0
+		r.Check(checkAnswer(each, append([]structs.Token{first}, rest...)), qt.Equals, "")
+	})
 }
 
 func TestServerCrashAndRestart(t *testing.T) {
-	r := newRig(t, testScale, nil)
-	r.server.SetFaults(emulator.EngineFaults{StallRate: 1})
-	stream, err := r.client.Generate(r.ctx, r.address, request("r", "m", "p"))
-	r.Assert(err, qt.IsNil)
-	r.Assert(r.control(emulator.PathCrash, ""), qt.Equals, http.StatusOK)
-	_, err = stream.Next()
-	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
-	_, err = r.client.Report(r.ctx, r.address)
-	r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
-	r.Assert(r.control(emulator.PathRestart, "{}"), qt.Equals, http.StatusOK)
-	report, err := r.client.Report(r.ctx, r.address)
-	r.Assert(err, qt.IsNil)
-	r.Check(report.Incarnation, qt.Equals, structs.Incarnation(2))
-	r.Check(report.Replicas, qt.HasLen, 0)
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testScale, nil)
+		r.server.SetFaults(emulator.EngineFaults{StallRate: 1})
+		stream, err := r.client.Generate(r.ctx, r.address, request("r", "m", "p"))
+		r.Assert(err, qt.IsNil)
+		r.Assert(r.control(emulator.PathCrash, ""), qt.Equals, http.StatusOK)
+		_, err = stream.Next()
+		r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+		_, err = r.client.Report(r.ctx, r.address)
+		r.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+		r.Assert(r.control(emulator.PathRestart, "{}"), qt.Equals, http.StatusOK)
+		report, err := r.client.Report(r.ctx, r.address)
+		r.Assert(err, qt.IsNil)
+		r.Check(report.Incarnation, qt.Equals, structs.Incarnation(2))
+		r.Check(report.Replicas, qt.HasLen, 0)
+	})
 }
 
 func TestServerLoadsFromTheStore(t *testing.T) {
-	r := newRig(t, testScale, func(o *emulator.EngineOptions) {
-		o.FetchTime = func(structs.RowName, int64) (time.Duration, bool) { return 0, true }
-	})
-	clock := emulator.NewClock(testScale)
-	store := emulator.NewStoreServer(log.NewNopLogger(), emulator.NewStore(emulator.StoreOptions{}), clock)
-	storeAddress := listen(t, store)
-	reply, err := r.client.Fetch(r.ctx, storeAddress, engineapi.FetchRequest{Row: "m", SizeBytes: 1})
-	r.Assert(err, qt.IsNil)
-	r.Check(reply.Row, qt.Equals, structs.RowName("m"))
-	engine := emulator.NewEngine(emulator.EngineOptions{Runner: "runner-2", MemoryBytes: gigabyte})
-	server := emulator.NewEngineServer(log.NewNopLogger(), engine, clock)
-	defer server.Close()
-	server.UseStore(r.client, storeAddress)
-	r.address = listen(t, server)
-	load := func(number structs.OrderNumber) structs.ReplicaState {
-		order := structs.Order{Fence: structs.Fence{Epoch: 1, Number: number}, Kind: structs.OrderLoad,
-			Runner: "runner-2", Incarnation: 1, Row: "m", MemoryBytes: gigabyte}
-		reply, err := r.client.Order(r.ctx, r.address, order)
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testScale, func(o *emulator.EngineOptions) {
+			o.FetchTime = func(structs.RowName, int64) (time.Duration, bool) { return 0, true }
+		})
+		clock := emulator.NewClock(testScale)
+		store := emulator.NewStoreServer(log.NewNopLogger(), emulator.NewStore(emulator.StoreOptions{}), clock)
+		storeAddress := r.memory.Serve(t, store)
+		reply, err := r.client.Fetch(r.ctx, storeAddress, engineapi.FetchRequest{Row: "m", SizeBytes: 1})
 		r.Assert(err, qt.IsNil)
-		r.Assert(reply.Accepted, qt.IsTrue, qt.Commentf("%s", reply.Reason))
-		for {
-			report, err := r.client.Report(r.ctx, r.address)
+		r.Check(reply.Row, qt.Equals, structs.RowName("m"))
+		engine := emulator.NewEngine(emulator.EngineOptions{Runner: "runner-2", MemoryBytes: gigabyte})
+		server := emulator.NewEngineServer(log.NewNopLogger(), engine, clock)
+		defer server.Close()
+		server.UseStore(r.client, storeAddress)
+		r.address = r.memory.Serve(t, server)
+		load := func(number structs.OrderNumber) structs.ReplicaState {
+			order := structs.Order{Fence: structs.Fence{Epoch: 1, Number: number}, Kind: structs.OrderLoad,
+				Runner: "runner-2", Incarnation: 1, Row: "m", MemoryBytes: gigabyte}
+			reply, err := r.client.Order(r.ctx, r.address, order)
 			r.Assert(err, qt.IsNil)
-			if state := report.Replicas[0].State; state != structs.ReplicaLoading {
-				return state
+			r.Assert(reply.Accepted, qt.IsTrue, qt.Commentf("%s", reply.Reason))
+			for {
+				report, err := r.client.Report(r.ctx, r.address)
+				r.Assert(err, qt.IsNil)
+				if state := report.Replicas[0].State; state != structs.ReplicaLoading {
+					return state
+				}
+				time.Sleep(pollPause)
 			}
 		}
-	}
-	store.SetFaults(emulator.StoreFaults{FailRate: 1})
-	r.Check(load(1), qt.Equals, structs.ReplicaAbsent)
-	store.SetFaults(emulator.StoreFaults{})
-	r.Check(load(2), qt.Equals, structs.ReplicaReady)
-	state, err := r.client.StoreState(r.ctx, storeAddress)
-	r.Assert(err, qt.IsNil)
-	r.Check(state.Finished, qt.Equals, uint64(3))
+		store.SetFaults(emulator.StoreFaults{FailRate: 1})
+		r.Check(load(1), qt.Equals, structs.ReplicaAbsent)
+		store.SetFaults(emulator.StoreFaults{})
+		r.Check(load(2), qt.Equals, structs.ReplicaReady)
+		state, err := r.client.StoreState(r.ctx, storeAddress)
+		r.Assert(err, qt.IsNil)
+		r.Check(state.Finished, qt.Equals, uint64(3))
+	})
 }
 
 func TestServerMovesKVCacheAndReadsEvents(t *testing.T) {
-	from, to := newRig(t, 1, nil), newRig(t, testScale, nil)
-	each := longRequest("r")
-	stream, err := from.client.Generate(from.ctx, from.address, each)
-	from.Assert(err, qt.IsNil)
-	defer stream.Close()
-	_, err = stream.Next()
-	from.Assert(err, qt.IsNil)
-	from.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
-	cache, err := from.client.Export(from.ctx, from.address, engineapi.ExportRequest{ID: "r", Row: "m"})
-	from.Assert(err, qt.IsNil)
-	imported, err := to.client.Import(to.ctx, to.address, cache)
-	to.Assert(err, qt.IsNil)
-	to.Check(imported.Tokens, qt.Equals, cache.Tokens)
-	page, err := to.client.Events(to.ctx, to.address, 0)
-	to.Assert(err, qt.IsNil)
-	to.Check(page.Events, qt.HasLen, 1)
-	to.Check(page.Events[0].Blocks, qt.HasLen, len(cache.Blocks))
-	vectors, err := to.client.Embeddings(to.ctx, to.address, engineapi.EmbeddingsRequest{ID: "e", Row: "m", Inputs: []string{"x"}})
-	to.Assert(err, qt.IsNil)
-	to.Check(vectors.Vectors[0], qt.DeepEquals, emulator.ExpectedVector("m", "x"))
+	synctest.Test(t, func(t *testing.T) {
+		from, to := newRig(t, 1, nil), newRig(t, testScale, nil)
+		each := longRequest("r")
+		stream, err := from.client.Generate(from.ctx, from.address, each)
+		from.Assert(err, qt.IsNil)
+		defer stream.Close()
+		_, err = stream.Next()
+		from.Assert(err, qt.IsNil)
+		from.server.SetFaults(emulator.EngineFaults{SlowFactor: 20})
+		cache, err := from.client.Export(from.ctx, from.address, engineapi.ExportRequest{ID: "r", Row: "m"})
+		from.Assert(err, qt.IsNil)
+		imported, err := to.client.Import(to.ctx, to.address, cache)
+		to.Assert(err, qt.IsNil)
+		to.Check(imported.Tokens, qt.Equals, cache.Tokens)
+		page, err := to.client.Events(to.ctx, to.address, 0)
+		to.Assert(err, qt.IsNil)
+		to.Check(page.Events, qt.HasLen, 1)
+		to.Check(page.Events[0].Blocks, qt.HasLen, len(cache.Blocks))
+		vectors, err := to.client.Embeddings(to.ctx, to.address, engineapi.EmbeddingsRequest{ID: "e", Row: "m", Inputs: []string{"x"}})
+		to.Assert(err, qt.IsNil)
+		to.Check(vectors.Vectors[0], qt.DeepEquals, emulator.ExpectedVector("m", "x"))
+	})
 }
 
 func TestServerOfTheMachineList(t *testing.T) {
-	c := qt.New(t)
-	server := emulator.NewMachineServer(log.NewNopLogger(), emulator.NewMachineList(0), emulator.NewClock(1))
-	address := listen(t, server)
-	client := engineapi.NewClient(engineapi.ClientOptions{})
-	defer client.Close()
-	ctx := context.Background()
-	server.Put(structs.Machine{Runner: "a", State: structs.MachineLive})
-	c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"}), qt.IsNil)
-	machines, err := client.Machines(ctx, address)
-	c.Assert(err, qt.IsNil)
-	c.Check(machines, qt.DeepEquals, []structs.Machine{{Runner: "a", State: structs.MachineLeaving}})
-	inZone := structs.Machine{Runner: "b", Zone: "z", State: structs.MachineLive}
-	server.Put(inZone)
-	changes, err := client.MachineChanges(ctx, address, "z", "")
-	c.Assert(err, qt.IsNil)
-	c.Check(changes.Full, qt.IsTrue)
-	c.Check(changes.Machines, qt.DeepEquals, []structs.Machine{inZone})
-	c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a", Gone: true}), qt.IsNil)
-	err = client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"})
-	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		server := emulator.NewMachineServer(log.NewNopLogger(), emulator.NewMachineList(0), emulator.NewClock(1))
+		memory := networktest.NewMemory(0)
+		address := memory.Serve(t, server)
+		client := engineapi.NewClient(engineapi.ClientOptions{Network: memory})
+		defer client.Close()
+		ctx := context.Background()
+		server.Put(structs.Machine{Runner: "a", State: structs.MachineLive})
+		c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"}), qt.IsNil)
+		machines, err := client.Machines(ctx, address)
+		c.Assert(err, qt.IsNil)
+		c.Check(machines, qt.DeepEquals, []structs.Machine{{Runner: "a", State: structs.MachineLeaving}})
+		inZone := structs.Machine{Runner: "b", Zone: "z", State: structs.MachineLive}
+		server.Put(inZone)
+		changes, err := client.MachineChanges(ctx, address, "z", "")
+		c.Assert(err, qt.IsNil)
+		c.Check(changes.Full, qt.IsTrue)
+		c.Check(changes.Machines, qt.DeepEquals, []structs.Machine{inZone})
+		c.Check(client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a", Gone: true}), qt.IsNil)
+		err = client.Leave(ctx, address, engineapi.LeaveRequest{Runner: "a"})
+		c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
+	})
 }
 
 // BenchmarkEngineCore measures the core with a full batch.
--- /dev/null
+++ b/network/networktest/serve.go
@@ -0,0 +1,33 @@
+package networktest
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	anyAddress = "127.0.0.1:0"
+	// headerTimeout is no limit that a test comes near.
+	headerTimeout = time.Hour
+)
+
+// Serve serves a handler until the test ends and returns its address.
+func (m *Memory) Serve(tb testing.TB, handler http.Handler) string {
+	listener, err := m.Listen(context.Background(), anyAddress)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	tb.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// Client makes an HTTP client over the network whose connections end with the test.
+func (m *Memory) Client(tb testing.TB) *http.Client {
+	transport := &http.Transport{DialContext: m.DialContext}
+	tb.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
