Run the client of package engineapi's tests in virtual time

Cause: connections are shared only when a stream's trailer comes within the drain timeout of 50 ms, in real time.

Change: client and server meet over a network in memory inside synctest bubbles; assertions are as they were. The benchmark keeps TCP.

--- a/engineapi/client_test.go
+++ b/engineapi/client_test.go
@@ -4,16 +4,17 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -42,49 +43,56 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set(engineapi.HeaderExecution, string(test.marker))
-				w.Header().Set("Location", "/elsewhere")
-				w.WriteHeader(test.status)
-				_, _ = io.WriteString(w, test.body)
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(engineapi.HeaderExecution, string(test.marker))
+					w.Header().Set("Location", "/elsewhere")
+					w.WriteHeader(test.status)
+					_, _ = io.WriteString(w, test.body)
+				})
+				_, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+				var call *engineapi.CallError
+				c.Assert(errors.As(err, &call), qt.IsTrue)
+				c.Check(call.Stage, qt.Equals, test.want)
+				c.Check(call.NotRun(), qt.Equals, test.want == engineapi.StageRefused)
+				c.Check(call.Status, qt.Equals, test.status)
+				c.Check(structs.KindOf(err), qt.Equals, test.kind)
 			})
-			_, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
-			var call *engineapi.CallError
-			c.Assert(errors.As(err, &call), qt.IsTrue)
-			c.Check(call.Stage, qt.Equals, test.want)
-			c.Check(call.NotRun(), qt.Equals, test.want == engineapi.StageRefused)
-			c.Check(call.Status, qt.Equals, test.status)
-			c.Check(structs.KindOf(err), qt.Equals, test.kind)
 		})
 	}
 }
 
 func TestRequestWithoutConnectionIsNotSent(t *testing.T) {
-	c := qt.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	address := listener.Addr().String()
-	c.Assert(listener.Close(), qt.IsNil)
-	client := engineapi.NewClient(engineapi.ClientOptions{})
-	defer client.Close()
-	ctx := context.Background()
-	_, err = client.Generate(ctx, address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
-	_, err = client.Order(ctx, address, structs.Order{})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
-	_, err = client.Order(ctx, "no address", structs.Order{})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := networktest.NewMemory(0)
+		listener, err := memory.Listen(t.Context(), "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		address := listener.Addr().String()
+		c.Assert(listener.Close(), qt.IsNil)
+		client := engineapi.NewClient(engineapi.ClientOptions{Network: memory})
+		defer client.Close()
+		ctx := context.Background()
+		_, err = client.Generate(ctx, address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
+		_, err = client.Order(ctx, address, structs.Order{})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
+		_, err = client.Order(ctx, "no address", structs.Order{})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageNotSent)
+	})
 }
 
 func TestConnectionCutAfterTheRequestIsBroken(t *testing.T) {
-	c := qt.New(t)
-	client, address := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	ctx := context.Background()
-	_, err := client.Generate(ctx, address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
-	_, err = client.Order(ctx, address, structs.Order{})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client, address := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		ctx := context.Background()
+		_, err := client.Generate(ctx, address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+		_, err = client.Order(ctx, address, structs.Order{})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+	})
 }
 
 func TestUnaryAnswersAreBoundedAndWhole(t *testing.T) {
@@ -105,33 +113,37 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				if test.length != "" {
-					w.Header().Set("Content-Length", test.length)
-				}
-				_, _ = io.WriteString(w, test.body)
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+					if test.length != "" {
+						w.Header().Set("Content-Length", test.length)
+					}
+					_, _ = io.WriteString(w, test.body)
+				})
+				report, err := client.Report(context.Background(), address)
+				c.Check(engineapi.StageOf(err), qt.Equals, test.want)
+				c.Check(report.Runner == "a", qt.Equals, test.want == "")
 			})
-			report, err := client.Report(context.Background(), address)
-			c.Check(engineapi.StageOf(err), qt.Equals, test.want)
-			c.Check(report.Runner == "a", qt.Equals, test.want == "")
 		})
 	}
 }
 
 func TestEmbeddingsOfAnotherRequestAreAnError(t *testing.T) {
-	c := qt.New(t)
-	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, `{"id":"r","vectors":[[1]]}`)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, `{"id":"r","vectors":[[1]]}`)
+		})
+		request := engineapi.EmbeddingsRequest{ID: "r", Inputs: []string{"x"}}
+		_, err := client.Embeddings(context.Background(), address, request)
+		c.Check(err, qt.IsNil)
+		request.Inputs = []string{"x", "y"}
+		_, err = client.Embeddings(context.Background(), address, request)
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
+		_, err = client.Embeddings(context.Background(), address, engineapi.EmbeddingsRequest{ID: "s", Inputs: []string{"x"}})
+		c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
 	})
-	request := engineapi.EmbeddingsRequest{ID: "r", Inputs: []string{"x"}}
-	_, err := client.Embeddings(context.Background(), address, request)
-	c.Check(err, qt.IsNil)
-	request.Inputs = []string{"x", "y"}
-	_, err = client.Embeddings(context.Background(), address, request)
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
-	_, err = client.Embeddings(context.Background(), address, engineapi.EmbeddingsRequest{ID: "s", Inputs: []string{"x"}})
-	c.Check(engineapi.StageOf(err), qt.Equals, engineapi.StageBroken)
 }
 
 func TestPromptBlocksShareExactlyTheCommonPrefix(t *testing.T) {
--- a/engineapi/stream_test.go
+++ b/engineapi/stream_test.go
@@ -11,23 +11,24 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// serve starts a server on the loopback address and returns a client and the address.
+// serve starts a server on a network in memory and returns a client and the address.
+// It is for synctest bubbles.
 func serve(t testing.TB, handler http.HandlerFunc) (*engineapi.Client, string) {
-	server := httptest.NewServer(handler)
-	client := engineapi.NewClient(engineapi.ClientOptions{MaxLine: 2048, MaxBody: 4096, DrainTimeout: time.Minute})
-	t.Cleanup(func() {
-		client.Close()
-		server.Close()
-	})
-	return client, strings.TrimPrefix(server.URL, "http://")
+	memory := networktest.NewMemory(0)
+	address := memory.Serve(t, handler)
+	client := engineapi.NewClient(engineapi.ClientOptions{MaxLine: 2048, MaxBody: 4096, DrainTimeout: time.Minute, Network: memory})
+	t.Cleanup(client.Close)
+	return client, address
 }
 
 func event(id string, index int, finish structs.FinishReason) string {
@@ -61,7 +62,9 @@
 	whole bool
 }
 
-func (test streamTest) run(t *testing.T) {
+func (test streamTest) run(t *testing.T) { synctest.Test(t, test.check) }
+
+func (test streamTest) check(t *testing.T) {
 	c := qt.New(t)
 	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
@@ -122,56 +125,67 @@
 }
 
 func TestStreamGivesLoadOfHeaderThenTrailer(t *testing.T) {
-	c := qt.New(t)
-	read := make(chan struct{})
-	release := sync.OnceFunc(func() { close(read) })
-	defer release()
-	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
-		w.Header().Set("Trailer", engineapi.HeaderLoad)
-		w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 1}))
-		_, _ = io.WriteString(w, event("r", 0, structs.FinishStop))
-		_ = http.NewResponseController(w).Flush()
-		<-read
-		w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 2}))
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		read := make(chan struct{})
+		release := sync.OnceFunc(func() { close(read) })
+		defer release()
+		client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+			w.Header().Set("Trailer", engineapi.HeaderLoad)
+			w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 1}))
+			_, _ = io.WriteString(w, event("r", 0, structs.FinishStop))
+			_ = http.NewResponseController(w).Flush()
+			<-read
+			w.Header().Set(engineapi.HeaderLoad, engineapi.EncodeLoad(structs.LoadReport{Running: 2}))
+		})
+		stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+		c.Assert(err, qt.IsNil)
+		load, found := stream.Load()
+		c.Check(found, qt.IsTrue)
+		c.Check(load.Running, qt.Equals, 1)
+		_, err = readAll(stream)
+		c.Check(err, qt.Equals, io.EOF)
+		release()
+		c.Check(stream.Close(), qt.IsNil)
+		load, _ = stream.Load()
+		c.Check(load.Running, qt.Equals, 2)
 	})
-	stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
-	c.Assert(err, qt.IsNil)
-	load, found := stream.Load()
-	c.Check(found, qt.IsTrue)
-	c.Check(load.Running, qt.Equals, 1)
-	_, err = readAll(stream)
-	c.Check(err, qt.Equals, io.EOF)
-	release()
-	c.Check(stream.Close(), qt.IsNil)
-	load, _ = stream.Load()
-	c.Check(load.Running, qt.Equals, 2)
+}
+
+// countedNetwork counts the connections that are dialled.
+type countedNetwork struct {
+	*networktest.Memory
+	dialled *atomic.Int32
+}
+
+// DialContext implements network.Network.
+func (n countedNetwork) DialContext(ctx context.Context, protocol, address string) (net.Conn, error) {
+	n.dialled.Add(1)
+	return n.Memory.DialContext(ctx, protocol, address)
 }
 
 func TestFinishedStreamsShareAConnection(t *testing.T) {
-	c := qt.New(t)
-	var connections atomic.Int32
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
-		_, _ = io.WriteString(w, event("r", 0, structs.FinishStop))
-	}))
-	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			connections.Add(1)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var connections atomic.Int32
+		memory := networktest.NewMemory(0)
+		counted := countedNetwork{Memory: memory, dialled: &connections}
+		address := memory.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
+			_, _ = io.WriteString(w, event("r", 0, structs.FinishStop))
+		}))
+		client := engineapi.NewClient(engineapi.ClientOptions{Network: counted})
+		defer client.Close()
+		for range 5 {
+			stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "r", MaxTokens: 1})
+			c.Assert(err, qt.IsNil)
+			_, err = readAll(stream)
+			c.Assert(err, qt.Equals, io.EOF)
+			c.Assert(stream.Close(), qt.IsNil)
 		}
-	}
-	server.Start()
-	defer server.Close()
-	client := engineapi.NewClient(engineapi.ClientOptions{})
-	defer client.Close()
-	for range 5 {
-		stream, err := client.Generate(context.Background(), server.Listener.Addr().String(), structs.GenerateRequest{ID: "r", MaxTokens: 1})
-		c.Assert(err, qt.IsNil)
-		_, err = readAll(stream)
-		c.Assert(err, qt.Equals, io.EOF)
-		c.Assert(stream.Close(), qt.IsNil)
-	}
-	c.Check(connections.Load(), qt.Equals, int32(1))
+		c.Check(connections.Load(), qt.Equals, int32(1))
+	})
 }
 
 func FuzzTokenDecoder(f *testing.F) {
@@ -234,10 +248,14 @@
 		}
 		body.WriteString(event("router-a-0123456789", i, finish))
 	}
-	client, address := serve(b, func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", engineapi.ContentTypeEvents)
 		_, _ = io.WriteString(w, body.String())
-	})
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	client := engineapi.NewClient(engineapi.ClientOptions{MaxLine: 2048, DrainTimeout: time.Minute})
+	defer client.Close()
 	b.ReportAllocs()
 	for b.Loop() {
 		stream, err := client.Generate(context.Background(), address, structs.GenerateRequest{ID: "router-a-0123456789", MaxTokens: tokens})
