--- a/capacity/claim.go
+++ b/capacity/claim.go
@@ -22,7 +22,8 @@
 
 func claimProbes() []probe {
 	sizes := []int{256, 512, 1_024, 2_048, 4_096}
-	claims := []int{500, 1_000, 2_000, 3_000, 4_000}
+	claims := []int{20_000, 40_000, 60_000, 80_000, 100_000}
+	keys := []int{20_000, 40_000, 80_000, 120_000, 160_000}
 	return []probe{
 		{RoleZone, "log bytes of a claim's three entries", "byte of answer", unitBytes, methodMsgpack, sizes, func(size int) float64 {
 			bytes := 0
@@ -40,7 +41,7 @@
 			}
 			return float64(bytes)
 		}},
-		{RoleZone, "kept claims of the mean answer", "claim", unitBytes, methodHeap, claims, func(size int) float64 {
+		{RoleZone, "finished claims kept whole", "claim", unitBytes, methodHeap, claims, func(size int) float64 {
 			return heapOf(func() any {
 				m := newZone(10, 10, 0)
 				m.claim(0, size)
@@ -48,6 +49,10 @@
 			})
 		}},
 		{RoleZone, "claims encoded, decoded and applied", "claim", unitMicros, methodCPU, []int{100, 200, 400, 800, 1_600}, claimCPU},
+		{RoleZone, "claims shortened to their keys", "claim", unitBytes, methodHeap, keys, func(size int) float64 {
+			full := heapOf(func() any { return fullOfClaims(0).state })
+			return heapOf(func() any { return fullOfClaims(size).state }) - full
+		}},
 	}
 }
 
@@ -60,13 +65,16 @@
 		for i := range text {
 			text[i] = 'a' + byte(i%26)
 		}
-		answer := must(router.EncodeAnswer(router.Answer{Text: string(text), Tokens: answerTokens, Finish: structs.FinishStop}))
+		answer := router.MarkAnswer(must(router.EncodeAnswer(router.Answer{Text: string(text), Tokens: answerTokens, Finish: structs.FinishStop})))
 		return zone.Command{ClaimFinish: &zone.ClaimFinishCommand{
-			Key: key, Request: request, State: structs.ClaimFinished, Answer: answer, ExpiresAt: probeTime.Add(time.Hour),
+			Key: key, Request: request, State: structs.ClaimFinished, ExpiresAt: probeTime.Add(time.Hour),
+			AnswerBytes: answer.Bytes, AnswerHash: answer.Hash,
 		}}
 	}
 	begin := &zone.ClaimBeginCommand{Key: key, Request: request, Digest: 1<<63 + uint64(index), Holder: "daemon-001", Attempt: uint64(stage)}
+	begin.HolderAddress = "127.0.0.1:7402"
 	if stage > 0 {
+		begin.HolderAddress = ""
 		begin.Runner = runnerName(index % zoneRunners)
 		begin.Incarnation = 1
 	}
@@ -81,6 +89,14 @@
 	}
 }
 
+// fullOfClaims makes a zone with as many whole claims as it keeps, and more of which
+// it keeps the keys.
+func fullOfClaims(more int) *zoneMachine {
+	m := newZone(10, 10, 0)
+	m.claim(0, zone.MaxClaims+more)
+	return m
+}
+
 // claimCPU makes as many claims as given and lets them expire.
 func claimCPU(claims int) float64 {
 	m := newZone(10, 10, 0)
--- a/config/check_values.go
+++ b/config/check_values.go
@@ -60,6 +60,7 @@
 			"Shorten it, or raise limits.maximum_deadline.")
 	}
 	k.within("limits.claim_retention", limits.ClaimRetention, time.Minute, 30*24*time.Hour)
+	k.size("limits.answer_bytes", limits.AnswerBytes, 1<<20, 1<<40)
 	if limits.ClaimRetention < limits.MaximumDeadline {
 		k.add("limits.claim_retention", limits.ClaimRetention, "is shorter than limits.maximum_deadline: a resend could run twice",
 			"Keep claims at least as long as the longest deadline.")
--- a/config/config.go
+++ b/config/config.go
@@ -154,8 +154,14 @@
 	// bounds what a request may name.
 	DefaultDeadline time.Duration `yaml:"default_deadline"`
 	MaximumDeadline time.Duration `yaml:"maximum_deadline"`
-	// ClaimRetention is how long the answer to an idempotency key is kept.
+	// ClaimRetention is how long an idempotency key stays claimed after its request
+	// has ended, and the longest time its answer is kept.
 	ClaimRetention time.Duration `yaml:"claim_retention"`
+	// AnswerBytes bounds the answers to requests with keys that a router keeps.
+	AnswerBytes int64 `yaml:"answer_bytes"`
+	// AnswersInMemory keeps them in memory, on a router without a disk of its own,
+	// and at most 32 MiB of them.
+	AnswersInMemory bool `yaml:"answers_in_memory"`
 }
 
 // Log says what is logged and how.
@@ -187,6 +193,7 @@
 			DefaultDeadline:   30 * time.Second,
 			MaximumDeadline:   10 * time.Minute,
 			ClaimRetention:    24 * time.Hour,
+			AnswerBytes:       1 << 30,
 		},
 		Log: Log{Level: "info", Format: "logfmt"},
 	}
--- a/daemon/claimdesk.go
+++ b/daemon/claimdesk.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxBatchBytes is about how many bytes of answers go into one log entry.
-	maxBatchBytes = 4 << 20
 	// batchInterval is the least time between the starts of two log entries. Syncs
 	// cost a zone's members most; what arrives meanwhile shares the next entry.
 	batchInterval = 25 * time.Millisecond
@@ -130,11 +128,10 @@
 func (d *claimDesk) take() []*claimTicket {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	count, operations, bytes := 0, 0, 0
+	count, operations := 0, 0
 	for _, ticket := range d.waiting {
 		operations += len(ticket.operations)
-		bytes += answerBytesOf(ticket.operations)
-		if count > 0 && (operations > zone.MaxClaimOperations || bytes > maxBatchBytes) {
+		if count > 0 && operations > zone.MaxClaimOperations {
 			break
 		}
 		count++
@@ -145,16 +142,6 @@
 	return tickets
 }
 
-func answerBytesOf(operations []zone.ClaimOperation) int {
-	bytes := 0
-	for _, operation := range operations {
-		if operation.Finish != nil {
-			bytes += len(operation.Finish.Answer)
-		}
-	}
-	return bytes
-}
-
 func (d *claimDesk) proposeTogether(tickets []*claimTicket) {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
--- a/daemon/claimmessages.go
+++ b/daemon/claimmessages.go
@@ -19,7 +19,7 @@
 }
 
 // ClaimsReply has one result for each operation, in their order. The results of
-// finished claims leave the answer out.
+// ended claims leave the claim out.
 type ClaimsReply struct {
 	Results []zone.Result
 	Error   *structs.Error
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
-	"net/url"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -203,15 +202,6 @@
 	}
 }
 
-// hostOf returns the host and port of a checked URL, as engineapi wants it.
-func hostOf(checked string) string {
-	parsed, err := url.Parse(checked)
-	if err != nil {
-		return checked
-	}
-	return parsed.Host
-}
-
 // storeShare is the zone's part of the loads that the weight store serves at
 // full speed at once, by the zones' weights; at least one.
 func storeShare(site config.Site, own config.Zone) int {
@@ -272,6 +262,10 @@
 		return nil
 	}
 	settings, _ := d.config.Site.ZoneByID(d.config.Zone)
+	answers, err := openAnswers(d.logger, d.config)
+	if err != nil {
+		return err
+	}
 	holder := structs.ClaimHolder{Daemon: d.config.Daemon, Session: newSession()}
 	seed := seedOf("router", d.config.Daemon)
 	d.router = &requestRouter{
@@ -283,6 +277,7 @@
 		peers:    newPeerRouters(d.options.network, d.reloader, d.faults),
 		leader:   newLeaderCaller(d.client, memberAddresses(settings.Controllers)),
 		claims:   newClaimKeeper(d.logger, d.client, d.config.Site, d.config.Zone, holder),
+		answers:  newAnswerKeeper(d.logger, d.config.Daemon, d.client, answers),
 		timing:   d.config.Timing,
 		calls:    map[structs.RequestID]*call{},
 		attempts: map[router.AttemptID]*attempt{},
@@ -296,6 +291,7 @@
 		core: router.New(router.Options{
 			Zone:            d.config.Zone,
 			Daemon:          d.config.Daemon,
+			Address:         d.advertisedAddress(settings),
 			Session:         holder.Session,
 			Zones:           d.config.Site.ZoneIDs(),
 			Random:          rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))),
@@ -390,5 +386,8 @@
 			level.Error(d.logger).Log("component", "daemon", "msg", "A store could not be closed.", "err", err)
 		}
 	}
+	if d.router != nil {
+		d.router.answers.close()
+	}
 	d.engines.Close()
 }
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -212,3 +213,12 @@
 	}
 	return runners
 }
+
+// hostOf returns the host and port of a checked URL, as engineapi wants it.
+func hostOf(checked string) string {
+	parsed, err := url.Parse(checked)
+	if err != nil {
+		return checked
+	}
+	return parsed.Host
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -31,6 +31,7 @@
 	}
 	if d.router != nil {
 		d.router.metrics.register(registry)
+		d.router.answers.register(registry)
 		registerGauge(registry, "lotusferry_router_open_requests", "Requests that wait or run in this router.", nil,
 			func() float64 { return float64(d.router.openCalls()) })
 	}
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -28,6 +28,7 @@
 	peers   peerRouters
 	leader  *leaderCaller
 	claims  *claimKeeper
+	answers *answerKeeper
 	timing  config.Timing
 
 	mutex    sync.Mutex
@@ -66,7 +67,7 @@
 // run drives the router until ctx ends: ticks, demand reports and the view.
 func (r *requestRouter) run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.relayLoop, r.cacheLoop, r.claims.renewLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.demandLoop, r.viewLoop, r.relayLoop, r.cacheLoop, r.claims.renewLoop, r.answers.expireLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
@@ -159,7 +160,9 @@
 	case router.BeginClaim:
 		r.background(func(ctx context.Context) { r.step(r.claims.begin(ctx, effect)) })
 	case router.FinishClaim:
-		r.background(func(ctx context.Context) { r.claims.finish(ctx, effect) })
+		r.finishClaim(effect)
+	case router.FetchAnswer:
+		r.background(func(ctx context.Context) { r.step(r.answers.fetch(ctx, effect)) })
 	case router.Forward:
 		r.forward(effect)
 	case router.Offer:
@@ -198,7 +201,7 @@
 	r.quiet.broadcast()
 }
 
-// replay answers a call with the answer that its key's claim keeps.
+// replay answers a call with the answer that is kept under its key.
 func (r *requestRouter) replay(effect router.Replay) {
 	target, waiting := r.calls[effect.ID]
 	if !waiting {
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -18,6 +18,8 @@
 	demandPause = 25 * time.Millisecond
 	// claimRetry separates tries to record the end of a claim.
 	claimRetry = 200 * time.Millisecond
+	// routerAddress has the length of a router's address; nobody calls it.
+	routerAddress = "10.20.1.107:7402"
 )
 
 // routerNode is the router of one process: a real router.Core in virtual time.
@@ -64,10 +66,11 @@
 func (r *routerNode) open() {
 	home := r.owner.zone
 	r.core = router.New(router.Options{
-		Zone:   home.id,
-		Daemon: r.owner.id,
-		Zones:  home.site.zoneIDs(),
-		Random: rand.New(rand.NewPCG(home.site.options.Seed, uint64(r.owner.index)<<16|uint64(r.owner.life))),
+		Zone:    home.id,
+		Daemon:  r.owner.id,
+		Address: routerAddress,
+		Zones:   home.site.zoneIDs(),
+		Random:  rand.New(rand.NewPCG(home.site.options.Seed, uint64(r.owner.index)<<16|uint64(r.owner.life))),
 	})
 	r.requests = map[structs.RequestID]*callRecord{}
 	r.attempts = map[router.AttemptID]*runnerNode{}
@@ -139,6 +142,8 @@
 		r.beginClaim(effect)
 	case router.FinishClaim:
 		r.finishClaim(effect)
+	case router.FetchAnswer:
+		r.fetchAnswer(effect)
 	case router.Forward:
 		r.forward(effect)
 	case router.Offer:
@@ -225,8 +230,8 @@
 	}
 	command := zone.Command{ClaimBegin: &zone.ClaimBeginCommand{
 		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder,
-		Attempt: effect.Choice, Runner: claim.Runner, Incarnation: claim.Incarnation,
-		Address: claim.Address, EngineRequest: claim.EngineRequest, AnswerBytes: effect.AnswerBytes,
+		Attempt: effect.Choice, HolderAddress: holderAddress(effect), Runner: claim.Runner, Incarnation: claim.Incarnation,
+		Address: claim.Address, EngineRequest: claim.EngineRequest,
 	}}
 	r.proposeZone(trafficClaim, command, func(result zone.Result, err *structs.Error) {
 		if !r.current(life) {
@@ -239,6 +244,26 @@
 	})
 }
 
+// holderAddress is named only when the claim is made, as in the daemon.
+func holderAddress(effect router.BeginClaim) string {
+	if effect.Choice > 0 {
+		return ""
+	}
+	return effect.Claim.HolderAddress
+}
+
+// fetchAnswer says that no answer is kept: no caller of the hollow site sends a
+// request twice.
+func (r *routerNode) fetchAnswer(effect router.FetchAnswer) {
+	r.owner.zone.violate("request", "%s looks for the answer to %s, which was sent once", r.owner.id, effect.ID)
+	life := r.owner.life
+	r.owner.zone.after(delayInZone, func() {
+		if r.current(life) {
+			r.step(router.AnswerFetched{ID: effect.ID})
+		}
+	})
+}
+
 // finishClaim records the end of a claim and repeats it until the zone has it.
 func (r *routerNode) finishClaim(effect router.FinishClaim) {
 	claim := effect.Claim
@@ -248,7 +273,7 @@
 	life := r.owner.life
 	command := zone.Command{ClaimFinish: &zone.ClaimFinishCommand{
 		Key: claim.Key, Request: claim.Request, State: claim.State, NotRun: claim.State == structs.ClaimReleased,
-		Answer: claim.Answer, ExpiresAt: claim.ExpiresAt,
+		AnswerBytes: claim.Answer.Bytes, AnswerHash: claim.Answer.Hash, ExpiresAt: claim.ExpiresAt,
 	}}
 	r.proposeZone(trafficClaim, command, func(_ zone.Result, err *structs.Error) {
 		if err == nil || !r.current(life) {
--- a/labcommand/scenarios.go
+++ b/labcommand/scenarios.go
@@ -54,6 +54,8 @@
 		[]string{"requests"}, []string{"engine-reset", "engine-cross"}},
 	{"router-death", "A router dies, hangs or makes a planned stop while it serves.",
 		[]string{"requests"}, []string{"daemon-kill", "daemon-pause", "daemon-stop"}},
+	{"answer-lost", "The router that keeps an answer dies before the request is sent again, and restarts with its disk or an empty one.",
+		[]string{"requests"}, nil},
 	{"together", "Two failures happen together, or one happens twice in a row.",
 		[]string{"table/silent-leader+slow-store", "table/second-loss+second-loss"}, nil},
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -1,38 +1,34 @@
 package router
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// answerBytesPerToken is what a claim sets aside for each token of an answer.
-const answerBytesPerToken = 32
-
-// answerReserve is set aside for any answer, so that a short one with a few long
-// tokens fits.
-const answerReserve = 1024
-
-// embeddingReserve is set aside for a vector as text: over 4,096 numbers.
-const embeddingReserve = 64 << 10
-
 // answerOverhead bounds what EncodeAnswer adds to the text.
 const answerOverhead = 128
 
-// Answer is the whole answer to a request with a key, as a claim keeps it.
+// Answer is the whole answer to a request with a key, as its router keeps it.
 type Answer struct {
 	Text   string
 	Tokens int
 	Finish structs.FinishReason
 }
 
-// EncodeAnswer encodes an answer for structs.Claim.
+// EncodeAnswer encodes an answer for keeping.
 func EncodeAnswer(answer Answer) ([]byte, error) {
 	encoded, err := msgpack.Marshal(&answer)
 	return encoded, errors.Wrap(err, "encode answer")
 }
 
+// MarkAnswer returns what a claim keeps of an encoded answer.
+func MarkAnswer(encoded []byte) structs.AnswerMark {
+	return structs.AnswerMark{Bytes: len(encoded), Hash: xxhash.Sum64(encoded)}
+}
+
 // DecodeAnswer decodes the answer of a Replay.
 func DecodeAnswer(encoded []byte) (Answer, error) {
 	var answer Answer
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -51,7 +51,7 @@
 	held.delivered++
 	if !held.Repeatable() {
 		held.answer = append(held.answer, token.Text...)
-		if len(held.answer)+answerOverhead > c.answerBytes(held) {
+		if len(held.answer)+answerOverhead > c.options.AnswerLimit {
 			c.emit(CancelAttempt{Attempt: held.attempt})
 			c.refuseUnknown(held, "the answer is longer than can be kept for its key")
 			return
--- a/router/claim.go
+++ b/router/claim.go
@@ -2,22 +2,28 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+// unreachableKeeperRetry is when a caller may ask again for an answer whose router
+// does not answer: it may be restarting.
+const unreachableKeeperRetry = 5 * time.Second
+
 // claim is the request's claim as it stands.
 func (c *Core) claim(held *request) structs.Claim {
 	claim := structs.Claim{
-		Key:       claimKey(held.Request),
-		Request:   held.ID,
-		Digest:    RequestDigest(held.Request),
-		Home:      HomeZone(c.options.Zones, held.IdempotencyKey),
-		Holder:    c.options.Daemon,
-		Session:   c.options.Session,
-		State:     structs.ClaimHeld,
-		ExpiresAt: c.now.Add(c.options.AnswerLife),
+		Key:           claimKey(held.Request),
+		Request:       held.ID,
+		Digest:        RequestDigest(held.Request),
+		Home:          HomeZone(c.options.Zones, held.IdempotencyKey),
+		Holder:        c.options.Daemon,
+		Session:       c.options.Session,
+		HolderAddress: c.options.Address,
+		State:         structs.ClaimHeld,
+		ExpiresAt:     c.now.Add(c.options.AnswerLife),
 	}
 	switch held.phase {
 	case phaseBinding:
@@ -139,18 +145,7 @@
 		held.choices++
 	}
 	claim := c.claim(held)
-	c.emit(BeginClaim{ID: held.ID, Claim: claim, Choice: claim.Choice, AnswerBytes: c.answerBytes(held)})
-}
-
-// answerBytes is how large the encoded answer may become.
-func (c *Core) answerBytes(held *request) int {
-	if held.Embedding {
-		return min(c.options.AnswerLimit, embeddingReserve)
-	}
-	if held.MaxTokens <= 0 || held.MaxTokens >= c.options.AnswerLimit/answerBytesPerToken {
-		return c.options.AnswerLimit
-	}
-	return min(c.options.AnswerLimit, answerReserve+answerBytesPerToken*held.MaxTokens)
+	c.emit(BeginClaim{ID: held.ID, Claim: claim, Choice: claim.Choice})
 }
 
 // withoutOutstandingClaim returns the phase of a request whose BeginClaim has
@@ -171,21 +166,11 @@
 	}
 	switch claim.State {
 	case structs.ClaimFinished:
-		if len(claim.Answer) == 0 {
-			held.done = true
-			c.refuse(held, structs.ErrorConflict, "the request with this key ran, and its answer is no longer kept",
-				"Use the answer that was given before, or send the request with a new key to run it again.", never)
-			return
-		}
-		c.stats.Replayed++
-		c.release(held)
-		if !held.gone {
-			c.emit(Replay{ID: held.ID, Answer: claim.Answer})
-		}
+		held.done = true
+		c.fetchAnswer(held, claim)
 	case structs.ClaimHeld:
 		held.uncertain = true
-		c.refuse(held, structs.ErrorConflict, "a request with this key is in progress",
-			"Come back after the time given with the same key.", held.row.estimator.Service(held.MaxTokens))
+		c.fetchAnswer(held, claim)
 	case structs.ClaimReleased:
 		c.refuse(held, structs.ErrorUnavailable, "the claim on this key has just been released",
 			"Come back after the time given with the same key.", 0)
@@ -195,7 +180,60 @@
 	}
 }
 
-// finishClaim records the whole answer.
+// fetchAnswer asks the router that executes or executed the request with the key for
+// its answer. Of a request that the zone still holds as in progress the router may
+// have the whole answer already: its caller had the last token before the zone could
+// record the end.
+func (c *Core) fetchAnswer(held *request, claim *structs.Claim) {
+	held.claim = claim
+	if claim.Holder == "" || claim.HolderAddress == "" && claim.Holder != c.options.Daemon {
+		c.refuseUnfetched(held, false)
+		return
+	}
+	held.phase = phaseFetching
+	c.emit(FetchAnswer{ID: held.ID, Claim: *claim})
+}
+
+// answerFetched ends a request with the answer under its key, if that is the one
+// which the claim is of.
+func (c *Core) answerFetched(event AnswerFetched) {
+	held := c.requests[event.ID]
+	if held == nil || held.phase != phaseFetching {
+		return
+	}
+	kept := len(event.Answer) > 0 && !event.Unreachable
+	if held.claim.State == structs.ClaimFinished && MarkAnswer(event.Answer) != held.claim.Answer && c.mutation != mutationReplayAny {
+		kept = false
+	}
+	if !kept {
+		c.refuseUnfetched(held, event.Unreachable)
+		return
+	}
+	c.stats.Replayed++
+	c.release(held)
+	if !held.gone {
+		c.emit(Replay{ID: held.ID, Answer: event.Answer})
+	}
+}
+
+// refuseUnfetched ends a request whose key is another's and whose answer was not
+// had from the router that executes or executed it. It does not run again.
+func (c *Core) refuseUnfetched(held *request, unreachable bool) {
+	const sameKey = "Come back after the time given with the same key."
+	switch {
+	case held.claim.State == structs.ClaimHeld:
+		c.refuse(held, structs.ErrorConflict, "a request with this key is in progress", sameKey,
+			held.row.estimator.Service(held.MaxTokens))
+	case unreachable:
+		c.refuse(held, structs.ErrorConflict, "the request with this key ran, and the router that keeps its answer does not answer",
+			sameKey, unreachableKeeperRetry)
+	default:
+		c.refuse(held, structs.ErrorConflict, "the request with this key ran, and its answer is no longer kept",
+			"Use the answer that was given before, or send the request with a new key to run it again.", never)
+	}
+}
+
+// finishClaim keeps the whole answer and records that there is one.
 func (c *Core) finishClaim(held *request, reason structs.FinishReason) {
 	if held.Repeatable() {
 		return
@@ -203,12 +241,13 @@
 	claim := c.claim(held)
 	answer, err := EncodeAnswer(Answer{Text: string(held.answer), Tokens: held.delivered, Finish: reason})
 	claim.State = structs.ClaimFinished
-	claim.Answer = answer
+	claim.Answer = MarkAnswer(answer)
 	if err != nil || c.mutation == mutationForgetAnswer {
 		claim.State = structs.ClaimUnknown
-		claim.Answer = nil
+		claim.Answer = structs.AnswerMark{}
+		answer = nil
 	}
-	c.emit(FinishClaim{ID: held.ID, Claim: claim})
+	c.emit(FinishClaim{ID: held.ID, Claim: claim, Answer: answer})
 }
 
 // endClaim ends the claim of a request without a whole answer. While a
--- a/router/core.go
+++ b/router/core.go
@@ -76,6 +76,7 @@
 	mutationQueueOffered
 	mutationHoldGivenUp
 	mutationNoReview
+	mutationReplayAny
 )
 
 // New makes a Core without table, placement or requests.
@@ -124,6 +125,8 @@
 		c.callerGone(event.ID)
 	case ClaimReplied:
 		c.claimReplied(event)
+	case AnswerFetched:
+		c.answerFetched(event)
 	case AttemptStarted:
 		c.attemptStarted(event.Attempt)
 	case AttemptPaused:
--- a/router/doc.go
+++ b/router/doc.go
@@ -18,6 +18,8 @@
 // The key's home zone alone decides about it, wherever the request is executed. In
 // it the router claims the key before anything else, names the chosen engine in the
 // claim before it sends the request, and sends it again only if the engine certainly
-// did not run it. The whole answer is in a FinishClaim effect ahead of the Finish; a
-// claim whose request certainly did not run is released with structs.ClaimReleased.
+// did not run it. The whole answer is in a FinishClaim effect ahead of the Finish; the
+// shell keeps it, and the claim has only its mark. A resend fetches the answer from the
+// router that executed the request (FetchAnswer). A claim whose request certainly did
+// not run is released with structs.ClaimReleased.
 package router
--- a/router/effect.go
+++ b/router/effect.go
@@ -36,16 +36,26 @@
 	Claim structs.Claim
 	// Choice numbers the request's choices of a runner; 0 names none yet.
 	Choice uint64
-	// AnswerBytes is the largest encoded answer to expect.
-	AnswerBytes int
 }
 
 // FinishClaim asks the group of the zone Claim.Home to record the claim's end:
-// finished with the whole answer, unknown, or released (it certainly did not run and
-// never will). It has no effect on a claim that another request holds or that has
-// ended. The shell repeats it until the zone has it; the request's caller does not
-// wait.
+// finished, unknown, or released (it certainly did not run and never will). It has
+// no effect on a claim that another request holds or that has ended. The shell
+// repeats it until the zone has it; the request's caller does not wait.
+//
+// Answer is the whole encoded answer of a finished claim. The shell finds it for
+// every FetchAnswer from now on, and keeps it on its disk, if it has one, before it
+// records the end.
 type FinishClaim struct {
+	ID     structs.RequestID
+	Claim  structs.Claim
+	Answer []byte
+}
+
+// FetchAnswer asks the router Claim.Holder, which may be this one, for the answer
+// that it keeps to the request under Claim.Key. Of a claim that is still held, only
+// an answer of Claim.Request counts. AnswerFetched answers it, within a second or two.
+type FetchAnswer struct {
 	ID    structs.RequestID
 	Claim structs.Claim
 }
@@ -108,6 +118,7 @@
 func (CancelAttempt) effect() {}
 func (BeginClaim) effect()    {}
 func (FinishClaim) effect()   {}
+func (FetchAnswer) effect()   {}
 func (AskStatus) effect()     {}
 func (*Deliver) effect()      {}
 func (Finish) effect()        {}
--- a/router/event.go
+++ b/router/event.go
@@ -56,6 +56,14 @@
 	NotAsked bool
 }
 
+// AnswerFetched answers FetchAnswer. Answer is empty when the router does not have
+// the answer, and Unreachable is set when it did not say.
+type AnswerFetched struct {
+	ID          structs.RequestID
+	Answer      []byte
+	Unreachable bool
+}
+
 // AttemptStarted says that the engine accepted the attempt.
 type AttemptStarted struct{ Attempt AttemptID }
 
@@ -147,6 +155,7 @@
 func (Arrived) event()        {}
 func (CallerGone) event()     {}
 func (ClaimReplied) event()   {}
+func (AnswerFetched) event()  {}
 func (AttemptStarted) event() {}
 func (TokenReceived) event()  {}
 func (AttemptFailed) event()  {}
--- a/router/finish.go
+++ b/router/finish.go
@@ -82,6 +82,10 @@
 	if held.phase == phaseRunning {
 		c.emit(CancelAttempt{Attempt: held.attempt})
 	}
+	if held.phase == phaseFetching {
+		c.refuseUnfetched(held, true)
+		return
+	}
 	if held.execution() == structs.ExecutionUnknown {
 		c.refuseUnknown(held, "the deadline came before the answer was whole")
 		return
--- a/router/options.go
+++ b/router/options.go
@@ -14,6 +14,8 @@
 type Options struct {
 	Zone   structs.ZoneID
 	Daemon structs.DaemonID
+	// Address is where other daemons call this one; claims name it.
+	Address string
 	// Session tells this life of the daemon apart from others, for its claims.
 	Session structs.SessionID
 	// Zones lists all zones of the site; keys are spread over them.
@@ -47,7 +49,7 @@
 	// StatusLimit bounds how often an engine is asked about one attempt.
 	StatusLimit int
 	// AnswerLimit bounds the answer of a request with a key, in bytes; AnswerLife
-	// is how long it can be replayed.
+	// is how long its key stays claimed, and the longest time it can be replayed.
 	AnswerLimit int
 	AnswerLife  time.Duration
 	// Estimator holds what is believed of a row before it was observed.
--- a/router/random_test.go
+++ b/router/random_test.go
@@ -27,6 +27,7 @@
 	for _, kind := range []string{"finish", "replay", "forward", "refuse not_run", "refuse outcome_unknown", "refuse partial", "taken"} {
 		c.Check(ends[kind] > randomSeeds, qt.IsTrue, qt.Commentf("%s: %d", kind, ends[kind]))
 	}
+	c.Check(ends["refuse done"] > randomSeeds/20, qt.IsTrue, qt.Commentf("refuse done: %d", ends["refuse done"]))
 	t.Logf("ends over %d seeds: %v", randomSeeds, ends)
 }
 
@@ -56,6 +57,7 @@
 		{"gaps are passed over", mutationIgnoreGaps, "answer"},
 		{"deadlines are passed over", mutationIgnoreDeadline, "deadline"},
 		{"the answer is not kept", mutationForgetAnswer, "kept"},
+		{"any answer under the key is replayed", mutationReplayAny, "kept"},
 		{"a leaving runner is used", mutationIgnoreLeaving, "leaving"},
 		{"a claim outlives its request", mutationLeakClaim, "leak"},
 		{"a request that was given up is held back", mutationHoldGivenUp, "at-once"},
--- a/router/request.go
+++ b/router/request.go
@@ -25,6 +25,9 @@
 	phaseAsking
 	// phaseBackoff: the request waits before it joins the queue again.
 	phaseBackoff
+	// phaseFetching: another request with the key ran or runs, and the router that
+	// executed it is asked for the answer.
+	phaseFetching
 	// phaseOffered: another zone is asked to take the request.
 	phaseOffered
 )
@@ -51,6 +54,8 @@
 	uncertain bool
 	// done says that the request under this key ran whole, as its claim shows.
 	done bool
+	// claim is the claim of the other request, in phaseFetching.
+	claim *structs.Claim
 	// claimHeld says that the home zone holds the claim, or may.
 	claimHeld bool
 	// delivered counts the tokens that were received, resumedFrom those of them that
--- a/simulate/requestcaller.go
+++ b/simulate/requestcaller.go
@@ -24,6 +24,7 @@
 	keyedShare   = 0.45
 	goneShare    = 0.08
 	resendShare  = 0.25
+	afterShare   = 0.2
 	batchShare   = 0.3
 	liveShare    = 0.3
 	sharedShare  = 0.3
@@ -71,6 +72,8 @@
 	refusal *structs.Refusal
 	// decidedAt is when a router gave it up, answeredAt when it told so.
 	decidedAt time.Duration
+	// afterEnd is set when the caller had the whole answer to an earlier one.
+	afterEnd bool
 	// stopping is set when its router began a planned stop meanwhile.
 	stopping bool
 	// requests are the IDs under which routers knew it.
@@ -179,6 +182,11 @@
 		}
 		return
 	}
+	c.send(chosen)
+}
+
+// send makes a submission to a router.
+func (c *requestCaller) send(chosen *routerHost) *submission {
 	now := c.site.scheduler.Now()
 	made := &submission{caller: c, number: len(c.submissions) + 1, router: chosen.id, sentAt: now, deadlineAt: now + c.patience}
 	made.prompt = c.prompt
@@ -193,6 +201,7 @@
 	made.link.up.end.receive = func(any) { made.reach(chosen) }
 	made.link.up.send(made.number)
 	c.site.scheduler.At(made.deadlineAt+terminalBound, func() { c.site.records.due(made) })
+	return made
 }
 
 // reach hands the request to the router, or breaks the connection if it died.
@@ -276,6 +285,13 @@
 	switch ended.ending {
 	case endingWhole, endingReplay:
 		c.satisfied = true
+		if ended.ending == endingWhole && c.key != "" && c.site.chance(afterShare) {
+			wait := time.Duration(0)
+			if c.site.chance(0.5) {
+				wait = c.site.between(time.Millisecond, lateResend)
+			}
+			c.site.scheduler.After(wait, c.resendAfterEnd)
+		}
 		return
 	case endingGone:
 		return
--- a/simulate/requestclaims.go
+++ b/simulate/requestclaims.go
@@ -33,7 +33,7 @@
 	begin := &zone.ClaimBeginCommand{
 		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder, Session: claim.Session,
 		Attempt: effect.Choice, Runner: claim.Runner, Incarnation: claim.Incarnation,
-		Address: claim.Address, EngineRequest: claim.EngineRequest, AnswerBytes: effect.AnswerBytes,
+		Address: claim.Address, EngineRequest: claim.EngineRequest, HolderAddress: claim.HolderAddress,
 	}
 	h.claims[effect.ID] = claim.Home
 	h.propose(group, zone.ClaimOperation{Begin: begin}, &done, func(result zone.Result) {
@@ -62,20 +62,27 @@
 	return network.Reachable(h.address(), group.address()) && network.Reachable(group.address(), h.address())
 }
 
-// finishClaim repeats the claim's end until the zone has it.
+// finishClaim keeps the answer and repeats the claim's end until the zone has it.
 func (h *routerHost) finishClaim(effect router.FinishClaim) {
+	h.finishing++
+	h.keepAnswer(effect, func() { h.recordEnd(effect) })
+}
+
+func (h *routerHost) recordEnd(effect router.FinishClaim) {
 	claim := effect.Claim
 	done := false
 	finish := &zone.ClaimFinishCommand{
 		Key: claim.Key, Request: claim.Request, State: claim.State, NotRun: claim.State == structs.ClaimReleased,
-		Answer: claim.Answer, ExpiresAt: claim.ExpiresAt,
+		AnswerBytes: claim.Answer.Bytes, AnswerHash: claim.Answer.Hash, ExpiresAt: claim.ExpiresAt,
 	}
-	h.finishing++
 	h.propose(h.site.groups[claim.Home], zone.ClaimOperation{Finish: finish}, &done, func(zone.Result) {
 		if !done {
 			done = true
 			h.finishing--
 			delete(h.claims, effect.ID)
+			if claim.State == structs.ClaimFinished {
+				h.answerEnded(effect.ID)
+			}
 			h.stopWhenIdle()
 		}
 	})
--- a/simulate/requestcounts.go
+++ b/simulate/requestcounts.go
@@ -31,6 +31,10 @@
 	// their deadline.
 	Live      int `json:"live"`
 	LiveWhole int `json:"live_whole"`
+	// KeepersDied counts the routers that died right after the end of an answer that
+	// they keep, AnswersGone the refusals that said so of an answer.
+	KeepersDied int `json:"keepers_died"`
+	AnswersGone int `json:"answers_gone"`
 	// ClaimsHeld counts the claims that nobody has ended by the end.
 	ClaimsHeld int `json:"claims_held"`
 }
@@ -54,5 +58,7 @@
 	c.KeysRun += other.KeysRun
 	c.Live += other.Live
 	c.LiveWhole += other.LiveWhole
+	c.KeepersDied += other.KeepersDied
+	c.AnswersGone += other.AnswersGone
 	c.ClaimsHeld += other.ClaimsHeld
 }
--- a/simulate/requestfaults.go
+++ b/simulate/requestfaults.go
@@ -45,6 +45,13 @@
 	FaultRouterCrash  FaultKind = "router-crash"
 	FaultRouterSilent FaultKind = "router-silent"
 	FaultRouterStop   FaultKind = "router-stop"
+	// FaultRouterDiskLost ends a router's process, which restarts with an empty disk.
+	FaultRouterDiskLost FaultKind = "router-disk-lost"
+	// FaultKeeperDies ends a router's process once the zone has the end of the next
+	// answer that it keeps, before the caller sends the request again; it restarts
+	// with its disk. FaultKeeperDiskLost does so too, and it restarts with an empty one.
+	FaultKeeperDies     FaultKind = "keeper-dies"
+	FaultKeeperDiskLost FaultKind = "keeper-disk-lost"
 	// FaultNoLeader leaves a zone's group without a leader.
 	FaultNoLeader FaultKind = "no-leader"
 	// FaultBurst multiplies the arrivals by Amount, FaultBatchFlood adds Amount
@@ -60,6 +67,7 @@
 	FaultAnswersTruncated, FaultAnswersOversized, FaultAnswersUnfinished, FaultHideLoad,
 	FaultRunnerLeaves, FaultRouterCrash, FaultRouterCrash, FaultRouterSilent, FaultRouterSilent, FaultRouterStop, FaultNoLeader,
 	FaultCutZone, FaultCutOneWay, FaultBurst, FaultBatchFlood, FaultStorm,
+	FaultRouterDiskLost, FaultKeeperDies, FaultKeeperDies, FaultKeeperDiskLost,
 }
 
 const (
@@ -98,7 +106,7 @@
 		return string(zone), ""
 	case FaultCutOneWay:
 		return string(zone), string(other)
-	case FaultRouterCrash, FaultRouterSilent, FaultRouterStop:
+	case FaultRouterCrash, FaultRouterSilent, FaultRouterStop, FaultRouterDiskLost, FaultKeeperDies, FaultKeeperDiskLost:
 		return fmt.Sprintf("%s/router-%d", zone, 1+random.IntN(requestRoutersPerZone)), ""
 	}
 	return fmt.Sprintf("%s/engine-%d", zone, 1+random.IntN(requestEnginesPerZone)), ""
@@ -130,8 +138,7 @@
 		return engine.inject(fault)
 	}
 	if host := s.routerNamed(structs.DaemonID(fault.Target)); host != nil {
-		host.inject(fault)
-		return nil
+		return host.inject(fault)
 	}
 	switch fault.Kind {
 	case FaultBurst:
@@ -141,19 +148,19 @@
 		s.batchLoad += fault.Amount
 		return func() { s.batchLoad -= fault.Amount }
 	case FaultStorm:
-		return s.storm(fault.Amount)
+		return s.disturbed(s.storm(fault.Amount))
 	case FaultAnswersCrossed, FaultAnswersUnfinished:
 		return s.injectEngines(fault)
 	case FaultNoLeader:
 		return s.groups[structs.ZoneID(fault.Target)].loseLeader()
 	case FaultCutZone:
-		return s.cutZone(structs.ZoneID(fault.Target), requestZones)
+		return s.disturbed(s.cutZone(structs.ZoneID(fault.Target), requestZones))
 	case FaultCutOneWay:
 		from, to := structs.ZoneID(fault.Target), structs.ZoneID(fault.Peer)
 		if from == to {
 			return nil
 		}
-		return s.cutOneWay(from, to)
+		return s.disturbed(s.cutOneWay(from, to))
 	}
 	return nil
 }
@@ -173,7 +180,7 @@
 	}
 }
 
-func (h *routerHost) inject(fault Fault) {
+func (h *routerHost) inject(fault Fault) (heal func()) {
 	switch fault.Kind {
 	case FaultRouterCrash:
 		h.crash(false)
@@ -181,7 +188,14 @@
 		h.crash(true)
 	case FaultRouterStop:
 		h.planStop()
+	case FaultRouterDiskLost:
+		h.replaceDisk()
+		h.crash(false)
+	case FaultKeeperDies, FaultKeeperDiskLost:
+		h.dieAtEnd = fault.Kind
+		return func() { h.dieAtEnd = "" }
 	}
+	return nil
 }
 
 // inject brings a fault of an engine about. Its rates are taken back one by one,
--- a/simulate/requestmutation.go
+++ b/simulate/requestmutation.go
@@ -1,5 +1,7 @@
 package simulate
 
+import "slices"
+
 // The mutations of the requests scenario. Each disables one safeguard in the
 // simulator's shell or in a router's settings; the code that decides stays as it is.
 const (
@@ -18,10 +20,12 @@
 	mutationWaitOffered  = "wait-offered"
 	mutationNoResolution = "no-resolution"
 	mutationResolveBlind = "resolve-blindly"
+	mutationForgetDisk   = "forget-disk"
+	mutationNoAsk        = "no-ask"
 )
 
 func requestMutations() []MutationInfo {
-	return append(executionMutations(), endingMutations()...)
+	return slices.Concat(executionMutations(), endingMutations(), answerMutations())
 }
 
 // executionMutations disable what keeps executions and answers apart.
@@ -110,3 +114,19 @@
 		},
 	}
 }
+
+// answerMutations disable what lets a resend have the answer.
+func answerMutations() []MutationInfo {
+	return []MutationInfo{
+		{
+			Name:     mutationForgetDisk,
+			Sentence: "A router that restarts does not look for the answers on its disk.",
+			Checkers: []string{checkerKept},
+		},
+		{
+			Name:     mutationNoAsk,
+			Sentence: "A router takes a request for in progress without asking the router that executes it.",
+			Checkers: []string{checkerAtEnd},
+		},
+	}
+}
--- a/simulate/requestrouter.go
+++ b/simulate/requestrouter.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/answerstore"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -37,7 +38,12 @@
 	// finishing counts the ends of claims that the zone does not have yet.
 	finishing int
 	// claims are the requests whose claims are renewed, with the keys' home zones.
-	claims   map[structs.RequestID]structs.ZoneID
+	claims map[structs.RequestID]structs.ZoneID
+	// fresh are the answers of this life, disk has those that were saved.
+	fresh map[structs.ClaimKey]answerstore.Answer
+	disk  routerDisk
+	// dieAtEnd is the fault that strikes at the next end of an answer.
+	dieAtEnd FaultKind
 	calls    map[structs.RequestID]*servedCall
 	attempts map[router.AttemptID]*sentAttempt
 }
@@ -61,6 +67,7 @@
 
 func newRouterHost(site *requestSite, id structs.DaemonID, zone structs.ZoneID) *routerHost {
 	host := &routerHost{site: site, id: id, zone: zone}
+	host.replaceDisk()
 	site.network.Attach(host.address(), zone, host.receive)
 	return host
 }
@@ -77,11 +84,13 @@
 	h.viewed = false
 	h.finishing = 0
 	h.claims = map[structs.RequestID]structs.ZoneID{}
+	h.fresh = map[structs.ClaimKey]answerstore.Answer{}
 	h.calls = map[structs.RequestID]*servedCall{}
 	h.attempts = map[router.AttemptID]*sentAttempt{}
 	options := router.Options{
 		Zone:    h.zone,
 		Daemon:  h.id,
+		Address: string(h.address()),
 		Session: structs.SessionID(h.life),
 		Zones:   requestZones,
 		Random:  rand.New(rand.NewPCG(h.site.plan.seed, uint64(1000*h.life+slices.Index(h.site.routers, h)+100))),
@@ -169,6 +178,8 @@
 		h.beginClaim(effect)
 	case router.FinishClaim:
 		h.finishClaim(effect)
+	case router.FetchAnswer:
+		h.fetchAnswer(effect)
 	case router.Forward:
 		h.forward(effect)
 	case router.Offer:
--- a/simulate/requestsite.go
+++ b/simulate/requestsite.go
@@ -68,6 +68,8 @@
 	load      float64
 	batchLoad float64
 	submitted int
+	// networkFaults counts the cuts and storms under way.
+	networkFaults int
 }
 
 func newRequestSite(plan seedPlan) *requestSite {
--- a/zone/claim.go
+++ b/zone/claim.go
@@ -1,7 +1,6 @@
 package zone
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -9,20 +8,17 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// The bounds of the claims that a zone keeps. A claim that does not fit is
-// refused before its request is executed. No kept claim makes way for a new one,
-// but the answers that expire first do: their keys stay claimed.
+// The bounds of the claims that a zone keeps. A claim that does not fit is refused
+// before its request is executed. Place is made in this order: claims whose time
+// is over go; then the finished claims that expire first are shortened to their
+// keys (see forgottenAnswers). A held claim, one with an unknown outcome, and a key
+// whose time is not over never make way.
 const (
-	// MaxClaims bounds the number of claims of all states.
+	// MaxClaims bounds the claims that are held, unknown, or finished and kept whole.
 	MaxClaims = 100_000
-	// MaxClaimBytes bounds the kept answers together with what held claims may
-	// still need.
-	MaxClaimBytes = 48 << 20
-	// MaxAnswerBytes bounds one answer.
-	MaxAnswerBytes = 1 << 20
-	// DefaultAnswerBytes is set aside for the answer of a claim that names no size.
-	DefaultAnswerBytes = 32 << 10
-	// MaxExpiredClaims bounds the claims that one ClaimExpireCommand removes.
+	// MaxClaimKeys bounds the claims that are shortened to their keys.
+	MaxClaimKeys = 4 << 20
+	// MaxExpiredClaims bounds the whole claims that one ClaimExpireCommand removes.
 	MaxExpiredClaims = 10_000
 	// MaxReleasedRequests bounds the released requests that are remembered. A begin
 	// that comes later than that many releases holds its key again.
@@ -53,8 +49,11 @@
 	// Address is the runner's, EngineRequest the ID of the attempt at its engine.
 	Address       string
 	EngineRequest structs.RequestID
-	// AnswerBytes is the largest answer to expect; 0 means DefaultAnswerBytes.
+	// AnswerBytes is not read: log entries of earlier versions have it.
 	AnswerBytes int
+	// HolderAddress is where other daemons ask the holder for the answer. Only the
+	// command that makes the claim needs it.
+	HolderAddress string
 }
 
 // ClaimFinishCommand ends a held claim. The holder sends it, or the zone's leader
@@ -71,14 +70,19 @@
 	// certainly did not run and never will; State is not read. A begin of the
 	// request that comes later is refused.
 	NotRun bool
-	// Answer is the whole answer, kept until ExpiresAt (ClaimFinished only).
-	Answer    []byte
+	// EarlierAnswer is not read: log entries of earlier versions have the answer here.
+	EarlierAnswer []byte
+	// ExpiresAt is until when the key stays claimed (ClaimFinished only).
 	ExpiresAt time.Time
 	// Resolve is set by a leader that ends the claim for its holder. The command
 	// then takes effect only while Choice is the holder's latest one, because what
 	// is known of one choice says nothing of the next.
 	Resolve bool
 	Choice  uint64
+	// AnswerBytes and AnswerHash are the mark of the answer that the holder keeps
+	// (ClaimFinished only).
+	AnswerBytes int
+	AnswerHash  uint64
 }
 
 // ClaimExpireCommand removes the finished claims whose time is over. Claims with
@@ -90,25 +94,25 @@
 
 type claimRecord struct {
 	claim structs.Claim
-	// bytes is the size of the kept answer, or what is set aside for it.
-	bytes int64
 }
 
+// claimTable holds the claims on the zone's keys. Each key is in one of open,
+// finished and forgotten.
 type claimTable struct {
-	records map[structs.ClaimKey]*claimRecord
-	// held is the part of records whose outcome is open.
-	held map[structs.ClaimKey]*claimRecord
-	// expiry holds the finished claims, answers those of them that have an answer.
-	expiry   expiryHeap
-	answers  expiryHeap
-	bytes    int64
-	released releasedRequests
+	// open are the claims that are held or whose outcome is unknown.
+	open map[structs.ClaimKey]*claimRecord
+	// held is the part of open whose outcome is open.
+	held      map[structs.ClaimKey]*claimRecord
+	finished  finishedClaims
+	forgotten forgottenAnswers
+	released  releasedRequests
 }
 
 func newClaimTable() claimTable {
 	return claimTable{
-		records:  map[structs.ClaimKey]*claimRecord{},
+		open:     map[structs.ClaimKey]*claimRecord{},
 		held:     map[structs.ClaimKey]*claimRecord{},
+		finished: newFinishedClaims(),
 		released: newReleasedRequests(),
 	}
 }
@@ -116,21 +120,19 @@
 // begin holds a key for a request, or names the runner of its next attempt. The
 // time is the proposing leader's.
 func (t *claimTable) begin(command *ClaimBeginCommand, at time.Time) Result {
-	if command.Key == "" || command.Request == "" || command.AnswerBytes < 0 || command.AnswerBytes > MaxAnswerBytes {
-		return refused(structs.ErrorInvalid, "the claim has no key, no request or too large an answer",
-			"Give a key and ask for a shorter answer.")
+	if command.Key == "" || command.Request == "" {
+		return refused(structs.ErrorInvalid, "the claim has no key or no request", "Give both.")
 	}
 	if t.released.has(command.Request) {
 		return refused(structs.ErrorConflict, "the request was released as not run before",
 			"Send it again as a new request with the same key.")
 	}
-	record, ok := t.records[command.Key]
-	if !ok {
-		return t.create(command, at)
+	record, isOpen := t.open[command.Key]
+	if !isOpen {
+		return t.beginUnopened(command, at)
 	}
 	if record.claim.Digest != command.Digest {
-		return refused(structs.ErrorInvalid, "the idempotency key was used for another request",
-			"Use a new key for each new request.")
+		return otherContent()
 	}
 	own := record.claim.State == structs.ClaimHeld &&
 		record.claim.Request == command.Request &&
@@ -141,32 +143,57 @@
 	return record.choose(command, at)
 }
 
-func (t *claimTable) create(command *ClaimBeginCommand, at time.Time) Result {
-	reserve := int64(command.AnswerBytes)
-	if reserve == 0 {
-		reserve = DefaultAnswerBytes
+// beginUnopened tells that the key's request has finished, or makes a claim.
+func (t *claimTable) beginUnopened(command *ClaimBeginCommand, at time.Time) Result {
+	hash := hashKey(command.Key)
+	if known, isFinished := t.finished.get(hash); isFinished {
+		if known.digest != command.Digest {
+			return otherContent()
+		}
+		return Result{Claim: t.finished.claim(command.Key, known)}
 	}
-	t.dropAnswers(MaxClaimBytes - reserve)
-	if len(t.records) >= MaxClaims || t.bytes+reserve > MaxClaimBytes {
+	if t.forgotten.has(hash) {
+		return Result{Claim: &structs.Claim{Key: command.Key, Digest: command.Digest, State: structs.ClaimFinished}}
+	}
+	return t.create(command, at)
+}
+
+func otherContent() Result {
+	return refused(structs.ErrorInvalid, "the idempotency key was used for another request",
+		"Use a new key for each new request.")
+}
+
+func (t *claimTable) create(command *ClaimBeginCommand, at time.Time) Result {
+	if !t.makePlace() {
 		problem := structs.NewError(structs.ErrorOverloaded, "the zone keeps as many claims as it can",
 			"Send the request again later with the same key.")
 		problem.RetryAfter = claimRetryAfter
 		return Result{Error: problem}
 	}
-	record := &claimRecord{
-		claim: structs.Claim{
-			Key: command.Key, Request: command.Request, Digest: command.Digest,
-			Holder: command.Holder, Session: command.Session, State: structs.ClaimHeld,
-		},
-		bytes: reserve,
-	}
+	record := &claimRecord{claim: structs.Claim{
+		Key: command.Key, Request: command.Request, Digest: command.Digest,
+		Holder: command.Holder, Session: command.Session, HolderAddress: command.HolderAddress, State: structs.ClaimHeld,
+	}}
 	record.setChoice(command, at)
-	t.records[command.Key] = record
+	t.open[command.Key] = record
 	t.held[command.Key] = record
-	t.bytes += reserve
 	return Result{Claim: record.copyClaim(), ClaimNew: true}
 }
 
+// makePlace shortens the finished claim that expires first if there is no place
+// for one more claim. It reports whether there is place now.
+func (t *claimTable) makePlace() bool {
+	if len(t.open)+t.finished.count() < MaxClaims {
+		return true
+	}
+	if t.finished.count() == 0 || t.forgotten.count >= MaxClaimKeys {
+		return false
+	}
+	hash, oldest := t.finished.removeFirst()
+	t.forgotten.add(hash, oldest.expiresAt)
+	return true
+}
+
 func (r *claimRecord) setChoice(command *ClaimBeginCommand, at time.Time) {
 	r.claim.Choice = command.Attempt
 	r.claim.Runner = command.Runner
@@ -194,16 +221,15 @@
 }
 
 func (t *claimTable) finish(command *ClaimFinishCommand) Result {
-	record, ok := t.records[command.Key]
-	if !ok || record.claim.Request != command.Request {
-		if command.NotRun {
-			t.released.add(command.Request)
-			return Result{}
-		}
-		return refused(structs.ErrorNotFound, "the request holds no claim on the key", "Begin a claim first.")
+	record, isOpen := t.open[command.Key]
+	if !isOpen {
+		return t.finishUnopened(command)
+	}
+	if record.claim.Request != command.Request {
+		return t.finishUnheld(command)
 	}
 	if record.claim.State != structs.ClaimHeld {
-		return record.finishAgain(command)
+		return finishAgain(record.copyClaim(), command)
 	}
 	if command.Resolve && command.Choice != record.claim.Choice {
 		result := refused(structs.ErrorConflict, "the holder has chosen a runner since", "Decide again about the latest choice.")
@@ -211,18 +237,36 @@
 		return result
 	}
 	if command.NotRun {
-		delete(t.records, command.Key)
+		delete(t.open, command.Key)
 		delete(t.held, command.Key)
-		t.bytes -= record.bytes
 		t.released.add(command.Request)
 		return Result{}
 	}
 	return t.store(record, command)
 }
 
-func (r *claimRecord) finishAgain(command *ClaimFinishCommand) Result {
-	result := Result{Claim: r.copyClaim()}
-	if command.NotRun || command.State != r.claim.State {
+// finishUnopened ends a claim that is not open: it has finished, or was never held.
+func (t *claimTable) finishUnopened(command *ClaimFinishCommand) Result {
+	known, isFinished := t.finished.get(hashKey(command.Key))
+	if isFinished && known.request == hashRequest(command.Request) {
+		return finishAgain(t.finished.claim(command.Key, known), command)
+	}
+	return t.finishUnheld(command)
+}
+
+// finishUnheld ends the claim of a request that holds none.
+func (t *claimTable) finishUnheld(command *ClaimFinishCommand) Result {
+	if command.NotRun {
+		t.released.add(command.Request)
+		return Result{}
+	}
+	return refused(structs.ErrorNotFound, "the request holds no claim on the key", "Begin a claim first.")
+}
+
+// finishAgain ends a claim that has ended before.
+func finishAgain(claim *structs.Claim, command *ClaimFinishCommand) Result {
+	result := Result{Claim: claim}
+	if command.NotRun || command.State != claim.State {
 		result.Error = structs.NewError(structs.ErrorConflict, "the claim has ended in another way",
 			"Use the outcome that is recorded.")
 	}
@@ -234,70 +278,48 @@
 	case structs.ClaimFinished:
 	case structs.ClaimUnknown:
 		delete(t.held, command.Key)
-		t.bytes -= record.bytes
-		record.bytes = 0
 		record.claim.State = structs.ClaimUnknown
 		return Result{Claim: record.copyClaim()}
 	default:
 		return refused(structs.ErrorInvalid, "a claim ends as finished or outcome_unknown", "Name one of the two.")
 	}
-	if int64(len(command.Answer)) > record.bytes {
-		return limit("the answer is larger than what the claim set aside",
-			"Ask for a shorter answer, or end the claim as outcome_unknown.")
-	}
 	delete(t.held, command.Key)
-	record.claim.State = structs.ClaimFinished
-	record.claim.Answer = slices.Clone(command.Answer)
-	record.claim.ExpiresAt = normalTime(command.ExpiresAt)
-	t.bytes += int64(len(command.Answer)) - record.bytes
-	record.bytes = int64(len(command.Answer))
-	heap.Push(&t.expiry, expiryEntry{record.claim.ExpiresAt, command.Key})
-	if record.bytes > 0 {
-		heap.Push(&t.answers, expiryEntry{record.claim.ExpiresAt, command.Key})
-	}
-	return Result{Claim: record.copyClaim()}
+	delete(t.open, command.Key)
+	known := t.finished.add(record.claim, command)
+	return Result{Claim: t.finished.claim(command.Key, known)}
 }
 
 func (t *claimTable) expire(command *ClaimExpireCommand) Result {
+	now := command.Now.Unix()
 	for range MaxExpiredClaims {
-		if len(t.expiry) == 0 || t.expiry[0].at.After(command.Now) {
+		first, any := t.finished.firstExpiry()
+		if !any || int64(first) > now {
 			break
 		}
-		entry := heap.Pop(&t.expiry).(expiryEntry)
-		if len(t.answers) > 0 && t.answers[0].key == entry.key {
-			heap.Pop(&t.answers)
-		}
-		t.bytes -= t.records[entry.key].bytes
-		delete(t.records, entry.key)
+		t.finished.removeFirst()
 	}
+	t.forgotten.expire(now)
 	return Result{}
 }
 
-// dropAnswers drops the answers that expire first until at most the given number
-// of bytes is in use, or none is left.
-func (t *claimTable) dropAnswers(most int64) {
-	for t.bytes > most && len(t.answers) > 0 {
-		entry := heap.Pop(&t.answers).(expiryEntry)
-		record := t.records[entry.key]
-		t.bytes -= record.bytes
-		record.bytes = 0
-		record.claim.Answer = nil
-	}
-}
-
 func (r *claimRecord) copyClaim() *structs.Claim {
 	claim := r.claim
-	claim.Answer = slices.Clone(r.claim.Answer)
 	return &claim
 }
 
 // Claim returns the claim under the key, and false when there is none.
 func (s *State) Claim(key structs.ClaimKey) (structs.Claim, bool) {
-	record, ok := s.claims.records[key]
-	if !ok {
-		return structs.Claim{}, false
+	if record, isOpen := s.claims.open[key]; isOpen {
+		return *record.copyClaim(), true
+	}
+	hash := hashKey(key)
+	if known, isFinished := s.claims.finished.get(hash); isFinished {
+		return *s.claims.finished.claim(key, known), true
 	}
-	return *record.copyClaim(), true
+	if s.claims.forgotten.has(hash) {
+		return structs.Claim{Key: key, State: structs.ClaimFinished}, true
+	}
+	return structs.Claim{}, false
 }
 
 // HeldClaims returns the claims whose outcome is open, ordered by key.
@@ -309,11 +331,30 @@
 	return list
 }
 
+// ClaimCounts says how many claims a zone keeps.
+type ClaimCounts struct {
+	// Held and Unknown claims are kept until they end, or for good.
+	Held, Unknown int
+	// Finished claims name who keeps the answer; Keys are shortened to their key.
+	Finished, Keys int
+}
+
+// ClaimCounts counts the kept claims.
+func (s *State) ClaimCounts() ClaimCounts {
+	return ClaimCounts{
+		Held:     len(s.claims.held),
+		Unknown:  len(s.claims.open) - len(s.claims.held),
+		Finished: s.claims.finished.count(),
+		Keys:     s.claims.forgotten.count,
+	}
+}
+
 // NextClaimExpiry returns when the next finished claim expires, and false when
 // none is kept.
 func (s *State) NextClaimExpiry() (time.Time, bool) {
-	if len(s.claims.expiry) == 0 {
-		return time.Time{}, false
+	next, any := s.claims.finished.firstExpiry()
+	if end, anyKey := s.claims.forgotten.firstEnd(); anyKey && (!any || end < next) {
+		next, any = end, true
 	}
-	return s.claims.expiry[0].at, true
+	return time.Unix(int64(next), 0).UTC(), any
 }
--- a/zone/claimexpiry.go
+++ b/zone/claimexpiry.go
@@ -1,16 +1,11 @@
 package zone
 
-import (
-	"cmp"
-	"time"
+import "cmp"
 
-	"github.com/lotusferry/lotusferry/structs"
-)
-
-// expiryEntry says when a finished claim may be forgotten.
+// expiryEntry says when a finished claim may be forgotten, in seconds since 1970.
 type expiryEntry struct {
-	at  time.Time
-	key structs.ClaimKey
+	at  uint32
+	key keyHash
 }
 
 // expiryHeap orders the finished claims by expiry, then key.
@@ -21,7 +16,7 @@
 
 // Less implements heap.Interface.
 func (h expiryHeap) Less(i, j int) bool {
-	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].key, h[j].key)) < 0
+	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].key, h[j].key)) < 0
 }
 
 // Swap implements heap.Interface.
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"encoding/binary"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,8 +31,12 @@
 	TableChanges []snapshotChange
 	Runners      []snapshotRunner
 	Replicas     []snapshotReplica
-	Claims       []snapshotClaim
-	Released     []structs.RequestID
+	// Claims are the open ones. In snapshots of earlier versions they are all.
+	Claims   []snapshotClaim
+	Released []structs.RequestID
+	Holders  []answerHolder
+	Finished []snapshotFinished
+	Keys     []snapshotKeys
 }
 
 type snapshotChange struct {
@@ -59,10 +61,31 @@
 }
 
 type snapshotClaim struct {
-	Claim structs.Claim
+	Claim snapshotOpenClaim
+	// Bytes is not read: snapshots of earlier versions have it.
 	Bytes int64
 }
 
+// snapshotFinished is a finishedClaim; Holder is an index in snapshotData.Holders.
+type snapshotFinished struct {
+	//lint:ignore U1000 The codec reads its tag.
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Key       uint64
+	Digest    uint64
+	Request   uint64
+	Answer    uint64
+	Bytes     uint32
+	ExpiresAt uint32
+	Holder    uint32
+}
+
+// snapshotKeys is a forgottenBatch; Keys has 8 bytes a key, ordered.
+type snapshotKeys struct {
+	End  uint32
+	Keys []byte
+}
+
 // Snapshot encodes the state: a magic number, a checksum, and compressed
 // msgpack. Equal states give equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
@@ -98,11 +121,7 @@
 	for _, replica := range s.Replicas() {
 		data.Replicas = append(data.Replicas, snapshotReplica{replica.Replica, replica.Base, replica.Reserved})
 	}
-	for _, key := range slices.Sorted(maps.Keys(s.claims.records)) {
-		record := s.claims.records[key]
-		data.Claims = append(data.Claims, snapshotClaim{record.claim, record.bytes})
-	}
-	data.Released = s.claims.released.list()
+	s.claims.save(&data)
 	return data
 }
 
@@ -172,13 +191,8 @@
 		}
 		s.record(&Replica{entry.Replica, entry.Base, entry.Reserved})
 	}
-	for _, entry := range d.Claims {
-		s.claims.restore(entry)
-	}
-	heap.Init(&s.claims.expiry)
-	heap.Init(&s.claims.answers)
-	for _, request := range d.Released {
-		s.claims.released.add(request)
+	if err := s.claims.restore(d); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
@@ -209,20 +223,3 @@
 	t.floor = floor
 	return nil
 }
-
-func (t *claimTable) restore(entry snapshotClaim) {
-	entry.Claim.ExpiresAt = normalTime(entry.Claim.ExpiresAt)
-	entry.Claim.ChosenAt = normalTime(entry.Claim.ChosenAt)
-	record := &claimRecord{entry.Claim, entry.Bytes}
-	t.records[entry.Claim.Key] = record
-	if entry.Claim.State == structs.ClaimHeld {
-		t.held[entry.Claim.Key] = record
-	}
-	t.bytes += entry.Bytes
-	if entry.Claim.State == structs.ClaimFinished {
-		t.expiry = append(t.expiry, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
-		if entry.Bytes > 0 {
-			t.answers = append(t.answers, expiryEntry{entry.Claim.ExpiresAt, entry.Claim.Key})
-		}
-	}
-}
