List the new resend checker for the mutation of wrong homes

Cause: with each zone taking itself for every key's home, a resend finds a second run in progress, and the checker resend-at-end sees it before the end of the run, where at-most-once is judged.

Change: the mutation names both checkers. Conclusion: it is caught as before, earlier.

--- a/simulate/requestmutation.go
+++ b/simulate/requestmutation.go
@@ -39,7 +39,8 @@
 		{
 			Name:     mutationAnyHome,
 			Sentence: "Each zone takes itself for the home of every key.",
-			Checkers: []string{checkerOnce},
+			// A resend that is told of a second run in progress is seen before the end.
+			Checkers: []string{checkerOnce, checkerAtEnd},
 		},
 		{
 			Name:     mutationNoIDCheck,
