Run package operatorapi's tests in virtual time

Change: daemons and their operators meet over a network in memory inside synctest bubbles; assertions are as they were, now with the names of the cases that were subtests. A handler served by networktest ends with its last connection.

--- a/network/networktest/serve.go
+++ b/network/networktest/serve.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -19,9 +21,22 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
+	var open sync.WaitGroup
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
-	tb.Cleanup(func() { _ = server.Close() })
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			open.Done()
+		}
+	}
+	open.Go(func() { _ = server.Serve(listener) })
+	tb.Cleanup(func() {
+		_ = server.Close()
+		// The server lingers over a connection whose request it has not read.
+		open.Wait()
+	})
 	return listener.Addr().String()
 }
 
--- a/operatorapi/operatorapi_test.go
+++ b/operatorapi/operatorapi_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -19,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/network/networktest"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -108,16 +110,24 @@
 	return []byte{0, 1, 255}, r.note("snapshot of " + group)
 }
 
-// serve runs a handler on a loopback address and returns the address.
-func serve(c *qt.C, service operatorapi.Service, options operatorapi.HandlerOptions) string {
-	server := httptest.NewServer(operatorapi.NewHandler(log.NewNopLogger(), service, options))
-	c.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+// site is where daemons serve operators, on a network in memory. It is for synctest
+// bubbles.
+type site struct {
+	*qt.C
+	memory *networktest.Memory
 }
 
-func newClient(c *qt.C, options operatorapi.ClientOptions) *operatorapi.Client {
+func newSite(t *testing.T) *site { return &site{C: qt.New(t), memory: networktest.NewMemory(0)} }
+
+// serve runs the handler of a service and returns its address.
+func (s *site) serve(service operatorapi.Service, options operatorapi.HandlerOptions) string {
+	return s.memory.Serve(s.TB, operatorapi.NewHandler(log.NewNopLogger(), service, options))
+}
+
+func (s *site) newClient(options operatorapi.ClientOptions) *operatorapi.Client {
+	options.Network = s.memory
 	client := operatorapi.NewClient(options)
-	c.Cleanup(client.Close)
+	s.Cleanup(client.Close)
 	return client
 }
 
@@ -150,28 +160,32 @@
 func TestOperationsGoRound(t *testing.T) {
 	for _, operation := range operations {
 		t.Run(operation.name, func(t *testing.T) {
-			c := qt.New(t)
-			service := &recorder{}
-			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, service, operatorapi.HandlerOptions{})}})
-			got, err := operation.call(client)
-			c.Assert(err, qt.IsNil)
-			c.Check(got, qt.DeepEquals, operation.want)
-			c.Check(service.calls(), qt.CmpEquals(cmp.AllowUnexported(applyCall{}, watchCall{})), []any{operation.asks})
+			synctest.Test(t, func(t *testing.T) {
+				c := newSite(t)
+				service := &recorder{}
+				client := c.newClient(operatorapi.ClientOptions{Addresses: []string{c.serve(service, operatorapi.HandlerOptions{})}})
+				got, err := operation.call(client)
+				c.Assert(err, qt.IsNil)
+				c.Check(got, qt.DeepEquals, operation.want)
+				c.Check(service.calls(), qt.CmpEquals(cmp.AllowUnexported(applyCall{}, watchCall{})), []any{operation.asks})
+			})
 		})
 	}
 }
 
 func TestRefusedEditIsAnAnswer(t *testing.T) {
-	c := qt.New(t)
-	result := structs.EditResult{
-		ID:        "e",
-		Problems:  []structs.RowProblem{{Row: "m", Column: "weight", Value: "0", Problem: "is out of range", Remedy: "Raise it."}},
-		Conflicts: []structs.RowConflict{{Row: "m", Current: &row, BaseRevision: 4}, {Row: "old"}},
-	}
-	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, &recorder{result: result}, operatorapi.HandlerOptions{})}})
-	got, err := client.Apply(context.Background(), edit, false)
-	c.Assert(err, qt.IsNil)
-	c.Check(got, qt.DeepEquals, result)
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		result := structs.EditResult{
+			ID:        "e",
+			Problems:  []structs.RowProblem{{Row: "m", Column: "weight", Value: "0", Problem: "is out of range", Remedy: "Raise it."}},
+			Conflicts: []structs.RowConflict{{Row: "m", Current: &row, BaseRevision: 4}, {Row: "old"}},
+		}
+		client := c.newClient(operatorapi.ClientOptions{Addresses: []string{c.serve(&recorder{result: result}, operatorapi.HandlerOptions{})}})
+		got, err := client.Apply(context.Background(), edit, false)
+		c.Assert(err, qt.IsNil)
+		c.Check(got, qt.DeepEquals, result)
+	})
 }
 
 func TestErrorsGoRound(t *testing.T) {
@@ -183,181 +197,197 @@
 	}
 	for kind, httpStatus := range tests {
 		t.Run(string(kind), func(t *testing.T) {
-			c := qt.New(t)
-			sent := &structs.Error{Kind: kind, Message: "it is so", Remedy: "Do this.", RetryAfter: 1500 * time.Millisecond}
-			service := &recorder{err: errors.Wrap(sent, "context")}
-			address := serve(c, service, operatorapi.HandlerOptions{})
-			response, err := http.Get("http://" + address + "/v1/status")
-			c.Assert(err, qt.IsNil)
-			response.Body.Close()
-			c.Check(response.StatusCode, qt.Equals, httpStatus)
-			c.Check(response.Header.Get("Retry-After"), qt.Equals, "2")
-			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}})
-			for _, operation := range operations {
-				_, err := operation.call(client)
-				c.Check(err, qt.DeepEquals, error(sent), qt.Commentf(operation.name))
-			}
+			synctest.Test(t, func(t *testing.T) {
+				c := newSite(t)
+				sent := &structs.Error{Kind: kind, Message: "it is so", Remedy: "Do this.", RetryAfter: 1500 * time.Millisecond}
+				service := &recorder{err: errors.Wrap(sent, "context")}
+				address := c.serve(service, operatorapi.HandlerOptions{})
+				response, err := c.memory.Client(t).Get("http://" + address + "/v1/status")
+				c.Assert(err, qt.IsNil)
+				response.Body.Close()
+				c.Check(response.StatusCode, qt.Equals, httpStatus)
+				c.Check(response.Header.Get("Retry-After"), qt.Equals, "2")
+				client := c.newClient(operatorapi.ClientOptions{Addresses: []string{address}})
+				for _, operation := range operations {
+					_, err := operation.call(client)
+					c.Check(err, qt.DeepEquals, error(sent), qt.Commentf(operation.name))
+				}
+			})
 		})
 	}
 }
 
 func TestUntypedErrors(t *testing.T) {
-	tests := map[structs.ErrorKind]error{
-		structs.ErrorInternal: errors.New("odd"),
-		structs.ErrorDeadline: errors.WithStack(context.DeadlineExceeded),
-	}
-	c := qt.New(t)
-	for kind, sent := range tests {
-		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{serve(c, &recorder{err: sent}, operatorapi.HandlerOptions{})}})
-		_, err := client.Table(context.Background())
-		c.Check(structs.KindOf(err), qt.Equals, kind)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		tests := map[structs.ErrorKind]error{
+			structs.ErrorInternal: errors.New("odd"),
+			structs.ErrorDeadline: errors.WithStack(context.DeadlineExceeded),
+		}
+		c := newSite(t)
+		for kind, sent := range tests {
+			client := c.newClient(operatorapi.ClientOptions{Addresses: []string{c.serve(&recorder{err: sent}, operatorapi.HandlerOptions{})}})
+			_, err := client.Table(context.Background())
+			c.Check(structs.KindOf(err), qt.Equals, kind)
+		}
+	})
 }
 
 func TestOnlyOperatorsGetIn(t *testing.T) {
-	c := qt.New(t)
-	key, hash := keys.NewAPIKey()
-	otherKey, _ := keys.NewAPIKey()
-	service := &recorder{}
-	ring := keys.NewKeyring([]keys.Entry{{Name: "ada", Hash: hash}})
-	address := serve(c, service, operatorapi.HandlerOptions{Keys: ring})
-	for _, wrong := range []string{"", otherKey} {
-		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}, Key: wrong})
-		for _, operation := range operations {
-			_, err := operation.call(client)
-			c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDenied, qt.Commentf(operation.name))
-			c.Check(err, qt.ErrorMatches, ".*--key-file.*")
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		key, hash := keys.NewAPIKey()
+		otherKey, _ := keys.NewAPIKey()
+		service := &recorder{}
+		ring := keys.NewKeyring([]keys.Entry{{Name: "ada", Hash: hash}})
+		address := c.serve(service, operatorapi.HandlerOptions{Keys: ring})
+		for _, wrong := range []string{"", otherKey} {
+			client := c.newClient(operatorapi.ClientOptions{Addresses: []string{address}, Key: wrong})
+			for _, operation := range operations {
+				_, err := operation.call(client)
+				c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDenied, qt.Commentf(operation.name))
+				c.Check(err, qt.ErrorMatches, ".*--key-file.*")
+			}
 		}
-	}
-	c.Assert(service.calls(), qt.HasLen, 0)
-
-	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{address}, Key: key})
-	_, err := client.Apply(context.Background(), edit, false)
-	c.Assert(err, qt.IsNil)
-	// The key tells the author, whatever the request says.
-	c.Check(service.calls()[0].(applyCall).edit.Author, qt.Equals, "ada")
+		c.Assert(service.calls(), qt.HasLen, 0)
+
+		client := c.newClient(operatorapi.ClientOptions{Addresses: []string{address}, Key: key})
+		_, err := client.Apply(context.Background(), edit, false)
+		c.Assert(err, qt.IsNil)
+		// The key tells the author, whatever the request says.
+		c.Check(service.calls()[0].(applyCall).edit.Author, qt.Equals, "ada")
+	})
 }
 
 func TestHandlerRefusesBadRequests(t *testing.T) {
-	tests := []struct{ name, method, path, body, kind string }{
-		{"not JSON", "POST", "/v1/table/edits", "{", "invalid"},
-		{"unknown field", "POST", "/v1/table/edits", `{"id":"e","force":true}`, "invalid"},
-		{"more than one value", "POST", "/v1/drains", `{"runner":"r"}{}`, "invalid"},
-		{"no edit ID", "POST", "/v1/table/edits", `{"changes":[{"row":{"name":"m"}}]}`, "invalid"},
-		{"no change", "POST", "/v1/table/edits", `{"id":"e"}`, "invalid"},
-		{"odd dry run", "POST", "/v1/table/edits?dry_run=perhaps", `{"id":"e"}`, "invalid"},
-		{"no runner", "POST", "/v1/drains", `{}`, "invalid"},
-		{"a runner and a daemon", "POST", "/v1/drains", `{"runner":"r","daemon":"d"}`, "invalid"},
-		{"limit out of range", "GET", "/v1/table/history?limit=0", "", "invalid"},
-		{"odd revision", "GET", "/v1/table/watch?since=-1", "", "invalid"},
-		{"odd wait", "GET", "/v1/table/watch?wait=soon", "", "invalid"},
-		{"negative wait", "GET", "/v1/table/watch?wait=-1s", "", "invalid"},
-		{"too large", "POST", "/v1/drains", `{"runner":"` + strings.Repeat("r", 2000) + `"}`, "limit"},
-	}
-	c := qt.New(t)
-	service := &recorder{}
-	address := serve(c, service, operatorapi.HandlerOptions{BodyBytes: 1000})
-	for _, test := range tests {
-		c.Run(test.name, func(c *qt.C) {
+	synctest.Test(t, func(t *testing.T) {
+		tests := []struct{ name, method, path, body, kind string }{
+			{"not JSON", "POST", "/v1/table/edits", "{", "invalid"},
+			{"unknown field", "POST", "/v1/table/edits", `{"id":"e","force":true}`, "invalid"},
+			{"more than one value", "POST", "/v1/drains", `{"runner":"r"}{}`, "invalid"},
+			{"no edit ID", "POST", "/v1/table/edits", `{"changes":[{"row":{"name":"m"}}]}`, "invalid"},
+			{"no change", "POST", "/v1/table/edits", `{"id":"e"}`, "invalid"},
+			{"odd dry run", "POST", "/v1/table/edits?dry_run=perhaps", `{"id":"e"}`, "invalid"},
+			{"no runner", "POST", "/v1/drains", `{}`, "invalid"},
+			{"a runner and a daemon", "POST", "/v1/drains", `{"runner":"r","daemon":"d"}`, "invalid"},
+			{"limit out of range", "GET", "/v1/table/history?limit=0", "", "invalid"},
+			{"odd revision", "GET", "/v1/table/watch?since=-1", "", "invalid"},
+			{"odd wait", "GET", "/v1/table/watch?wait=soon", "", "invalid"},
+			{"negative wait", "GET", "/v1/table/watch?wait=-1s", "", "invalid"},
+			{"too large", "POST", "/v1/drains", `{"runner":"` + strings.Repeat("r", 2000) + `"}`, "limit"},
+		}
+		c := newSite(t)
+		service := &recorder{}
+		address := c.serve(service, operatorapi.HandlerOptions{BodyBytes: 1000})
+		for _, test := range tests {
 			request, err := http.NewRequest(test.method, "http://"+address+test.path, bytes.NewBufferString(test.body))
 			c.Assert(err, qt.IsNil)
-			response, err := http.DefaultClient.Do(request)
+			response, err := c.memory.Client(t).Do(request)
 			c.Assert(err, qt.IsNil)
 			defer response.Body.Close()
 			content, err := io.ReadAll(response.Body)
 			c.Assert(err, qt.IsNil)
-			c.Check(string(content), qt.Matches, `\{"error":\{"kind":"`+test.kind+`",.*"remedy":".+"\}\}\n`)
-		})
-	}
-	c.Check(service.calls(), qt.HasLen, 0)
+			c.Check(string(content), qt.Matches, `\{"error":\{"kind":"`+test.kind+`",.*"remedy":".+"\}\}\n`, qt.Commentf(test.name))
+		}
+		c.Check(service.calls(), qt.HasLen, 0)
+	})
 }
 
 func TestClientTriesAddressesInTurn(t *testing.T) {
-	c := qt.New(t)
-	down := httptest.NewServer(http.NotFoundHandler())
-	down.Close()
-	silent := structs.NewError(structs.ErrorUnavailable, "no quorum", "Wait.")
-	good := &recorder{}
-	goodAddress := serve(c, good, operatorapi.HandlerOptions{})
-	withoutQuorum := &recorder{err: silent}
-	follower := &recorder{err: &structs.Error{Kind: structs.ErrorNotLeader, Leader: goodAddress}}
-	gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
-	c.Cleanup(gateway.Close)
-	denied := &recorder{err: structs.NewError(structs.ErrorDenied, "no", "Ask.")}
-	tests := []struct {
-		name  string
-		first string
-		calls int // that reach the good daemon
-		kind  structs.ErrorKind
-	}{
-		{"not running", down.Listener.Addr().String(), 1, ""},
-		{"without quorum", serve(c, withoutQuorum, operatorapi.HandlerOptions{}), 1, ""},
-		{"gateway error", gateway.Listener.Addr().String(), 1, ""},
-		{"names the leader", serve(c, follower, operatorapi.HandlerOptions{}), 1, ""},
-		{"final answer", serve(c, denied, operatorapi.HandlerOptions{}), 0, structs.ErrorDenied},
-	}
-	for _, test := range tests {
-		c.Run(test.name, func(c *qt.C) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		down, err := c.memory.Listen(t.Context(), "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Assert(down.Close(), qt.IsNil)
+		silent := structs.NewError(structs.ErrorUnavailable, "no quorum", "Wait.")
+		good := &recorder{}
+		goodAddress := c.serve(good, operatorapi.HandlerOptions{})
+		withoutQuorum := &recorder{err: silent}
+		follower := &recorder{err: &structs.Error{Kind: structs.ErrorNotLeader, Leader: goodAddress}}
+		gateway := c.memory.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
+		denied := &recorder{err: structs.NewError(structs.ErrorDenied, "no", "Ask.")}
+		tests := []struct {
+			name  string
+			first string
+			calls int // that reach the good daemon
+			kind  structs.ErrorKind
+		}{
+			{"not running", down.Addr().String(), 1, ""},
+			{"without quorum", c.serve(withoutQuorum, operatorapi.HandlerOptions{}), 1, ""},
+			{"gateway error", gateway, 1, ""},
+			{"names the leader", c.serve(follower, operatorapi.HandlerOptions{}), 1, ""},
+			{"final answer", c.serve(denied, operatorapi.HandlerOptions{}), 0, structs.ErrorDenied},
+		}
+		for _, test := range tests {
 			before := len(good.calls())
-			client := newClient(c, operatorapi.ClientOptions{Addresses: []string{test.first, goodAddress}})
+			client := c.newClient(operatorapi.ClientOptions{Addresses: []string{test.first, goodAddress}})
 			_, err := client.Apply(context.Background(), edit, false)
-			c.Check(structs.KindOf(err), qt.Equals, test.kind)
+			c.Check(structs.KindOf(err), qt.Equals, test.kind, qt.Commentf(test.name))
 			calls := good.calls()[before:]
-			c.Assert(calls, qt.HasLen, test.calls)
+			c.Assert(calls, qt.HasLen, test.calls, qt.Commentf(test.name))
 			for _, call := range calls {
 				c.Check(call.(applyCall).edit.ID, qt.Equals, edit.ID)
 			}
-		})
-	}
-	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{tests[0].first, tests[1].first}})
-	_, err := client.Table(context.Background())
-	c.Check(err, qt.DeepEquals, error(silent))
-	_, err = newClient(c, operatorapi.ClientOptions{}).Table(context.Background())
-	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+		}
+		client := c.newClient(operatorapi.ClientOptions{Addresses: []string{tests[0].first, tests[1].first}})
+		_, err = client.Table(context.Background())
+		c.Check(err, qt.DeepEquals, error(silent))
+		_, err = c.newClient(operatorapi.ClientOptions{}).Table(context.Background())
+		c.Check(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	})
 }
 
 func TestClientStopsFollowingLeaders(t *testing.T) {
-	c := qt.New(t)
-	one := &recorder{}
-	two := &recorder{}
-	oneAddress := serve(c, one, operatorapi.HandlerOptions{})
-	one.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: serve(c, two, operatorapi.HandlerOptions{})}
-	two.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: oneAddress}
-	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{oneAddress}})
-	_, err := client.Table(context.Background())
-	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotLeader)
-	c.Check(len(one.calls())+len(two.calls()), qt.Equals, 4)
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		one := &recorder{}
+		two := &recorder{}
+		oneAddress := c.serve(one, operatorapi.HandlerOptions{})
+		one.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: c.serve(two, operatorapi.HandlerOptions{})}
+		two.err = &structs.Error{Kind: structs.ErrorNotLeader, Leader: oneAddress}
+		client := c.newClient(operatorapi.ClientOptions{Addresses: []string{oneAddress}})
+		_, err := client.Table(context.Background())
+		c.Check(structs.KindOf(err), qt.Equals, structs.ErrorNotLeader)
+		c.Check(len(one.calls())+len(two.calls()), qt.Equals, 4)
+	})
 }
 
 func TestClientOverTLS(t *testing.T) {
-	c := qt.New(t)
-	server := httptest.NewTLSServer(operatorapi.NewHandler(log.NewNopLogger(), &recorder{}, operatorapi.HandlerOptions{}))
-	c.Cleanup(server.Close)
-	known := x509.NewCertPool()
-	known.AddCert(server.Certificate())
-	tests := map[structs.ErrorKind]*tls.Config{
-		"":                    {RootCAs: known},
-		structs.ErrorDenied:   {RootCAs: x509.NewCertPool()},
-		structs.ErrorInternal: nil,
-	}
-	for kind, config := range tests {
-		client := newClient(c, operatorapi.ClientOptions{Addresses: []string{server.Listener.Addr().String()}, TLS: config})
-		_, err := client.Status(context.Background())
-		c.Check(structs.KindOf(err), qt.Equals, kind)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		server := httptest.NewUnstartedServer(operatorapi.NewHandler(log.NewNopLogger(), &recorder{}, operatorapi.HandlerOptions{}))
+		c.Assert(server.Listener.Close(), qt.IsNil)
+		listener, err := c.memory.Listen(t.Context(), "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		server.Listener = listener
+		server.StartTLS()
+		c.Cleanup(server.Close)
+		known := x509.NewCertPool()
+		known.AddCert(server.Certificate())
+		tests := map[structs.ErrorKind]*tls.Config{
+			"":                    {RootCAs: known},
+			structs.ErrorDenied:   {RootCAs: x509.NewCertPool()},
+			structs.ErrorInternal: nil,
+		}
+		for kind, config := range tests {
+			client := c.newClient(operatorapi.ClientOptions{Addresses: []string{server.Listener.Addr().String()}, TLS: config})
+			_, err := client.Status(context.Background())
+			c.Check(structs.KindOf(err), qt.Equals, kind)
+		}
+	})
 }
 
 func TestClientHeedsItsContext(t *testing.T) {
-	c := qt.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
-		cancel()
-		<-request.Context().Done()
-	}))
-	c.Cleanup(server.Close)
-	client := newClient(c, operatorapi.ClientOptions{Addresses: []string{server.Listener.Addr().String()}})
-	_, err := client.Table(ctx)
-	c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDeadline)
+	synctest.Test(t, func(t *testing.T) {
+		c := newSite(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		address := c.memory.Serve(t, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			cancel()
+			<-request.Context().Done()
+		}))
+		client := c.newClient(operatorapi.ClientOptions{Addresses: []string{address}})
+		_, err := client.Table(ctx)
+		c.Check(structs.KindOf(err), qt.Equals, structs.ErrorDeadline)
+	})
 }
 
 func TestWatchedChangesGiveTheTable(t *testing.T) {
