Make a round of decisions cheaper

Change: the records of the state are read again only after a command about them (State.RecordsIndex); buffers are used again; wishes that are over are sorted alone; the planner takes replicas in order as they are, makes its states in one piece and keeps a placement only if it is the best so far. A router's word on load is put into the report when it comes, not at each round. The benchmark of a decision has a zone of 290 rows in use beside the one of 3,360.

--- a/controller/benchmark_test.go
+++ b/controller/benchmark_test.go
@@ -9,10 +9,16 @@
 	"github.com/lotusferry/lotusferry/zone"
 )
 
-// BenchmarkDecide measures a decision in a zone of 420 runners and 58,000 rows,
-// with eight ready replicas a runner and 40 rows with waiting requests.
+// BenchmarkDecide measures a decision in a zone of 420 runners and 58,000 rows: with
+// eight ready replicas a runner, each of another row, and with four of 290 rows. 40
+// rows have waiting requests.
 func BenchmarkDecide(b *testing.B) {
-	const runners, rows, perRunner, waiting = 420, 58_000, 8, 40
+	b.Run("rows=3360", func(b *testing.B) { benchmarkDecide(b, 8, 3_360) })
+	b.Run("rows=290", func(b *testing.B) { benchmarkDecide(b, 4, 290) })
+}
+
+func benchmarkDecide(b *testing.B, perRunner, used int) {
+	const runners, rows, waiting = 420, 58_000, 40
 	state := zone.New("z")
 	index := uint64(0)
 	must := func(command zone.Command) {
@@ -25,7 +31,7 @@
 	for i := range rows {
 		name := structs.RowName(fmt.Sprintf("row-%05d", i))
 		delta.Rows = append(delta.Rows, structs.Row{Name: name, Kind: structs.RowModel, MemoryBytes: 10, Weight: 1})
-		delta.Grants = append(delta.Grants, structs.Grant{Row: name, Zone: "z", Limit: 1, Held: 1})
+		delta.Grants = append(delta.Grants, structs.Grant{Row: name, Zone: "z", Limit: 64, Held: 64})
 	}
 	must(zone.Command{Adopt: delta})
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -37,7 +43,7 @@
 		must(zone.Command{Runner: &zone.RunnerCommand{Info: structs.RunnerInfo{ID: id, Zone: "z", Incarnation: 1, MemoryBytes: 80}}})
 		report := structs.EngineReport{Runner: id, Incarnation: 1, MemoryBytes: 80}
 		for k := range perRunner {
-			row := delta.Rows[i*perRunner+k].Name
+			row := delta.Rows[(i*perRunner+k)%used].Name
 			must(zone.Command{Reserve: &zone.ReserveCommand{Row: row, Runner: id, Incarnation: 1, At: now}})
 			order := structs.OrderNumber(index)
 			must(zone.Command{Transition: &zone.TransitionCommand{Row: row, Runner: id, Order: order, To: structs.ReplicaReady, At: now}})
--- a/controller/core.go
+++ b/controller/core.go
@@ -66,10 +66,10 @@
 	// the previous Decisions that was committed.
 	State   *zone.State
 	Reports map[structs.RunnerID]ReportSeen
-	// Relayed is what routers say of runners whose Reports are unchanged. It tells
-	// that an engine lives, and nothing else: whatever frees memory, counts as the
+	// Relayed is when routers last read the reports of runners whose Reports are
+	// unchanged but for their load. It tells that an engine lives, and nothing else: whatever frees memory, counts as the
 	// outcome of an order or unloads a replica follows from Reports alone.
-	Relayed map[structs.RunnerID]RelayedReport
+	Relayed map[structs.RunnerID]time.Time
 	// Machines is the platform's machine list; runners that it lacks stay as they were.
 	Machines []structs.Machine
 	// Renewed says when the holder of each request's claim last renewed it with this
@@ -114,6 +114,8 @@
 	prefetches map[structs.RunnerID]openPrefetch
 	// inquiries are about the held claims whose lease has run out.
 	inquiries map[structs.ClaimKey]inquired
+	records   records
+	buffers   snapshotBuffers
 }
 
 type acceptedFence struct {
--- a/controller/decider.go
+++ b/controller/decider.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,16 +20,13 @@
 	leaving map[structs.RunnerID]bool
 	// silent holds the runners whose reports stopped.
 	silent map[structs.RunnerID]bool
-	// runners and replicas are those of the state, which no decision changes.
-	runners  []zone.Runner
-	replicas []zone.Replica
+	// records are those of the state, which no decision changes.
+	*records
 }
 
 func newDecider(core *Core, input Input) *decider {
-	return &decider{
-		core: core, input: input, leaving: map[structs.RunnerID]bool{},
-		runners: input.State.Runners(), replicas: input.State.Replicas(),
-	}
+	core.records.update(input.State)
+	return &decider{core: core, input: input, leaving: map[structs.RunnerID]bool{}, records: &core.records}
 }
 
 func (d *decider) propose(command zone.Command) {
@@ -44,19 +41,32 @@
 
 // registerRunners records what the machine list and the reports tell of runners.
 func (d *decider) registerRunners() {
-	machines := map[structs.RunnerID]structs.Machine{}
+	machines := d.zoneMachines()
+	d.findSilent()
+	for _, machine := range machines {
+		d.registerRunner(machine)
+	}
+	d.markSilent(machines)
+}
+
+// zoneMachines returns the zone's machines in the order of their runners; of a
+// runner that is listed twice, the last.
+func (d *decider) zoneMachines() []structs.Machine {
+	machines := make([]structs.Machine, 0, len(d.input.Machines))
 	for _, machine := range d.input.Machines {
 		if machine.Zone == d.input.State.Zone() {
-			machines[machine.Runner] = machine
+			machines = append(machines, machine)
 		}
 	}
-	d.findSilent()
-	for _, id := range slices.Sorted(maps.Keys(machines)) {
-		d.registerRunner(machines[id])
-	}
-	d.markSilent(machines)
+	slices.SortStableFunc(machines, compareMachines)
+	slices.Reverse(machines)
+	machines = slices.CompactFunc(machines, func(a, b structs.Machine) bool { return a.Runner == b.Runner })
+	slices.Reverse(machines)
+	return machines
 }
 
+func compareMachines(a, b structs.Machine) int { return cmp.Compare(a.Runner, b.Runner) }
+
 // accepting reports whether the runner may get new work.
 func (d *decider) accepting(runner zone.Runner) bool {
 	return runner.Accepting() && !d.leaving[runner.ID]
@@ -95,6 +105,8 @@
 		StoreLoadBudget: d.input.StoreBudget,
 		Settings:        d.core.options.Settings,
 		Interarrivals:   map[structs.RowName]*scheduler.Interarrivals{},
+		Runners:         d.core.buffers.runners[:0],
+		Replicas:        d.core.buffers.replicas[:0],
 	}
 	for _, runner := range d.runners {
 		view := d.runner(runner)
@@ -111,6 +123,7 @@
 			snapshot.StoreLoadsInFlight++
 		}
 	}
+	d.core.buffers = snapshotBuffers{snapshot.Runners, snapshot.Replicas}
 	d.core.demand.rhythms.Watch(d.input.Now)
 	snapshot.Expected = d.core.demand.rhythms.Soon(d.input.Now)
 	snapshot.Demand = d.core.demand.collect(d.input.Now, d.core.options.DemandAfter, rows)
@@ -236,7 +249,7 @@
 // wish tells the global group how many replicas the rows could use. A row that
 // is wanted no more is wished away once; the global group forgets old wishes.
 func (d *decider) wish(wanted []scheduler.RowWanted) {
-	now := map[structs.RowName]bool{}
+	now := make(map[structs.RowName]bool, len(wanted))
 	for _, row := range wanted {
 		now[row.Row] = true
 		last, known := d.core.wishes[row.Row]
@@ -250,12 +263,17 @@
 		d.core.wishes[row.Row] = next
 		d.sendWish(row.Row, row.Replicas)
 	}
-	for _, row := range slices.Sorted(maps.Keys(d.core.wishes)) {
+	var over []structs.RowName
+	for row := range d.core.wishes {
 		if !now[row] {
-			delete(d.core.wishes, row)
-			d.sendWish(row, 0)
+			over = append(over, row)
 		}
 	}
+	slices.Sort(over)
+	for _, row := range over {
+		delete(d.core.wishes, row)
+		d.sendWish(row, 0)
+	}
 }
 
 // wishInterval is when an unchanged wish is sent again: soon while it is not
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		var pending []structs.Order
-		for _, replica := range d.input.State.ReplicasOn(runner.ID) {
+		for _, replica := range d.on[runner.ID] {
 			follow := follower{decider: d, replica: replica, seen: seen}
 			follow.engine, follow.shown = findReplica(seen.Report, replica)
 			if order := follow.step(); order != nil {
@@ -165,7 +165,7 @@
 // reports whether any are there still.
 func (f *follower) unloadAdapters() bool {
 	found := false
-	for _, other := range f.input.State.ReplicasOn(f.replica.Runner) {
+	for _, other := range f.on[f.replica.Runner] {
 		if other.Base != f.replica.Row {
 			continue
 		}
--- a/controller/reportschedule.go
+++ b/controller/reportschedule.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -24,7 +26,7 @@
 	answered map[structs.RunnerID]bool
 	// relayed holds the runners whose reports are unchanged by a router's word, and
 	// suspect those that are read next because such a word ended.
-	relayed map[structs.RunnerID]bool
+	relayed map[structs.RunnerID]time.Time
 	suspect map[structs.RunnerID]bool
 }
 
@@ -38,9 +40,9 @@
 
 // Relay names the runners whose reports are unchanged by a router's word. One that is
 // named no more is read at once.
-func (s *ReportSchedule) Relay(runners map[structs.RunnerID]bool) {
+func (s *ReportSchedule) Relay(runners map[structs.RunnerID]time.Time) {
 	for runner := range s.relayed {
-		if !runners[runner] {
+		if _, still := runners[runner]; !still {
 			s.suspect[runner] = true
 		}
 	}
@@ -76,7 +78,7 @@
 		id := machine.Runner
 		listed[id] = s.answered[id]
 		every := uint64(calmEvery)
-		if s.relayed[id] {
+		if _, relayed := s.relayed[id]; relayed {
 			every = relayedEvery
 		}
 		turn := (s.interval+xxhash.Sum64String(string(id)))%every == 0
--- a/controller/reportshares.go
+++ b/controller/reportshares.go
@@ -49,20 +49,10 @@
 // saidReport is what a router said of a report.
 type saidReport struct {
 	digest uint64
-	busy   []int
-	at     time.Time
 	// checked is set once the leader read the report itself because of it.
 	checked bool
 }
 
-// RelayedReport is what the leader may take from a router: that the report which it
-// read itself was unchanged but for the load at HeardAt.
-type RelayedReport struct {
-	HeardAt time.Time
-	Busy    []int
-	BusyAt  time.Time
-}
-
 // NewReportShares makes the shares of one term of leading. Reports are read at the
 // interval; a zone with fewer machines than the minimum has no shares.
 func NewReportShares(epoch structs.Epoch, interval time.Duration, minimum int) *ReportShares {
@@ -105,7 +95,7 @@
 	}
 	for _, changed := range message.Changed {
 		checked := r.said[changed.Runner].checked && r.said[changed.Runner].digest == changed.Digest
-		r.said[changed.Runner] = saidReport{changed.Digest, changed.Busy, now, checked}
+		r.said[changed.Runner] = saidReport{changed.Digest, checked}
 	}
 }
 
@@ -147,10 +137,10 @@
 	return best
 }
 
-// Relayed returns the runners whose reports, with the digests of those that the
-// leader read itself, are unchanged by a router's word that is new enough.
-func (s *ReportShares) Relayed(now time.Time, digests map[structs.RunnerID]uint64) map[structs.RunnerID]RelayedReport {
-	relayed := make(map[structs.RunnerID]RelayedReport, len(digests))
+// Relayed returns when a router last read the reports that, by its word, are those
+// with the digests: the ones that the leader read itself.
+func (s *ReportShares) Relayed(now time.Time, digests map[structs.RunnerID]uint64) map[structs.RunnerID]time.Time {
+	relayed := make(map[structs.RunnerID]time.Time, len(digests))
 	for _, router := range s.routers {
 		if now.Sub(router.heardAt) > relayIntervals*s.interval {
 			continue
@@ -159,7 +149,7 @@
 			said, known := router.said[runner.Runner]
 			digest, read := digests[runner.Runner]
 			if known && read && said.digest == digest && !router.silent[runner.Runner] {
-				relayed[runner.Runner] = RelayedReport{HeardAt: router.readAt, Busy: said.busy, BusyAt: said.at}
+				relayed[runner.Runner] = router.readAt
 			}
 		}
 	}
@@ -191,18 +181,9 @@
 	}
 }
 
-// WithRelayed returns the reports with the counts of requests that routers passed on
-// later, but for the awaited runners: what follows an order is decided on reports
-// that the leader read itself.
-func WithRelayed(reports map[structs.RunnerID]ReportSeen, relayed map[structs.RunnerID]RelayedReport, awaited map[structs.RunnerID]bool) map[structs.RunnerID]ReportSeen {
-	merged := maps.Clone(reports)
-	for runner, said := range relayed {
-		seen := reports[runner]
-		if awaited[runner] || !said.BusyAt.After(seen.ReceivedAt) {
-			continue
-		}
-		seen.Report = withBusy(seen.Report, said.Busy)
-		merged[runner] = seen
-	}
-	return merged
+// WithBusy returns the report that the leader read itself with the counts of requests
+// that a router passed on of one with the same digest. The time of the reading stays.
+func WithBusy(seen ReportSeen, said structs.RelayedReport) ReportSeen {
+	seen.Report = withBusy(seen.Report, said.Busy)
+	return seen
 }
--- a/controller/reportshares_test.go
+++ b/controller/reportshares_test.go
@@ -70,11 +70,7 @@
 				w.turn(index, router)
 			}
 		}
-		relayed := map[structs.RunnerID]bool{}
-		for runner := range w.shares.Relayed(w.now, w.digests) {
-			relayed[runner] = true
-		}
-		w.schedule.Relay(relayed)
+		w.schedule.Relay(w.shares.Relayed(w.now, w.digests))
 		w.readThese(w.schedule.Due(w.machines))
 	}
 }
@@ -114,8 +110,8 @@
 // age is how long nothing was heard of the runner.
 func (w *shareWorld) age(runner structs.RunnerID) time.Duration {
 	heard := w.reports[runner].ReceivedAt
-	if relayed := w.shares.Relayed(w.now, w.digests)[runner]; relayed.HeardAt.After(heard) {
-		heard = relayed.HeardAt
+	if relayed := w.shares.Relayed(w.now, w.digests)[runner]; relayed.After(heard) {
+		heard = relayed
 	}
 	return w.now.Sub(heard)
 }
@@ -226,19 +222,16 @@
 	w.Assert(relayed, qt.IsFalse)
 }
 
-func TestARelayedLoadChangesNoAwaitedReport(t *testing.T) {
+func TestARoutersWordOnLoadIsNoReading(t *testing.T) {
 	c := qt.New(t)
 	read := time.Unix(1000, 0)
 	report := structs.EngineReport{Runner: "e", Replicas: []structs.EngineReplica{{Row: "b", Running: 1}, {Row: "a", Running: 2, Queued: 1}}}
-	reports := map[structs.RunnerID]ReportSeen{"e": {Report: report, ReceivedAt: read}}
-	later := map[structs.RunnerID]RelayedReport{"e": {Busy: []int{0, 7}, BusyAt: read.Add(time.Second)}}
-	merged := WithRelayed(reports, later, nil)["e"]
+	seen := ReportSeen{Report: report, ReceivedAt: read}
+	merged := WithBusy(seen, structs.RelayedReport{Runner: "e", Busy: []int{0, 7}})
 	c.Assert(merged.Report.Replicas, qt.DeepEquals, []structs.EngineReplica{{Row: "a"}, {Row: "b", Running: 7}})
-	c.Assert(merged.ReceivedAt, qt.Equals, read, qt.Commentf("a router's word is no reading"))
-	c.Assert(WithRelayed(reports, later, map[structs.RunnerID]bool{"e": true}), qt.DeepEquals, reports)
-	earlier := map[structs.RunnerID]RelayedReport{"e": {Busy: []int{0, 7}, BusyAt: read}}
-	c.Assert(WithRelayed(reports, earlier, nil), qt.DeepEquals, reports)
-	c.Assert(reports["e"].Report, qt.DeepEquals, report)
+	c.Assert(merged.ReceivedAt, qt.Equals, read)
+	c.Assert(report.Replicas[0].Running, qt.Equals, 1, qt.Commentf("the report that was read is as it was"))
+	c.Assert(WithBusy(seen, structs.RelayedReport{Runner: "e", Busy: []int{0}}), qt.DeepEquals, seen)
 }
 
 func TestReportsThatDifferInMoreThanLoadHaveOtherDigests(t *testing.T) {
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -18,8 +19,8 @@
 	if seen, ok := d.report(runner.ID, runner.Incarnation); ok && seen.ReceivedAt.After(heard) {
 		heard = seen.ReceivedAt
 	}
-	if relayed, ok := d.input.Relayed[runner.ID]; ok && relayed.HeardAt.After(heard) {
-		heard = relayed.HeardAt
+	if relayed := d.input.Relayed[runner.ID]; relayed.After(heard) {
+		heard = relayed
 	}
 	return d.input.Now.Sub(heard)
 }
@@ -48,8 +49,8 @@
 	seen, known := d.input.Reports[runner.ID]
 	newer := known && seen.Report.Incarnation >= runner.Incarnation
 	heard := seen.ReceivedAt
-	if relayed := d.input.Relayed[runner.ID]; relayed.HeardAt.After(heard) {
-		heard = relayed.HeardAt
+	if relayed := d.input.Relayed[runner.ID]; relayed.After(heard) {
+		heard = relayed
 	}
 	if newer && d.input.Now.Sub(heard) <= d.core.options.SilentAfter {
 		return false
@@ -58,9 +59,10 @@
 }
 
 // markSilent records a change of the runners that the machine list does not name.
-func (d *decider) markSilent(listed map[structs.RunnerID]structs.Machine) {
+func (d *decider) markSilent(listed []structs.Machine) {
 	for _, runner := range d.runners {
-		if _, ok := listed[runner.ID]; ok || runner.Silent == d.silent[runner.ID] {
+		_, ok := slices.BinarySearchFunc(listed, structs.Machine{Runner: runner.ID}, compareMachines)
+		if ok || runner.Silent == d.silent[runner.ID] {
 			continue
 		}
 		info := runner.RunnerInfo
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -101,11 +101,11 @@
 	w := newSilenceWorld()
 	w.pass(time.Second, silenceRunners...)
 	before := w.state.Runners()
-	relayed := map[structs.RunnerID]RelayedReport{}
+	relayed := map[structs.RunnerID]time.Time{}
 	for range 30 {
 		w.now = w.now.Add(time.Second)
 		for _, id := range silenceRunners {
-			relayed[id] = RelayedReport{HeardAt: w.now}
+			relayed[id] = w.now
 		}
 		decisions := w.core.Decide(Input{Now: w.now, Epoch: w.epoch, LeaseValid: true, State: w.state, Reports: w.reports, Relayed: relayed})
 		qt.Assert(t, decisions.Commands, qt.HasLen, 0)
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/url"
 	"slices"
 	"sync"
@@ -139,6 +140,12 @@
 		return nil, false
 	}
 	share := o.shares.Take(time.Now(), message, o.machines)
+	for _, said := range message.Changed {
+		// What follows an order is decided on the leader's own readings.
+		if seen, read := o.reports[said.Runner]; read && o.digests[said.Runner] == said.Digest && !o.awaited[said.Runner] {
+			o.reports[said.Runner] = controller.WithBusy(seen, said)
+		}
+	}
 	suspects := o.shares.Suspects(o.digests)
 	o.schedule.Suspect(suspects)
 	if len(suspects) > 0 {
@@ -149,7 +156,7 @@
 
 func (o *engineObserver) readReports(ctx context.Context, choose func(*controller.ReportSchedule, []structs.Machine) []structs.Machine) {
 	o.mutex.Lock()
-	o.schedule.Relay(runnersOf(o.shares.Relayed(time.Now(), o.digests)))
+	o.schedule.Relay(o.shares.Relayed(time.Now(), o.digests))
 	due := choose(o.schedule, o.machines)
 	o.mutex.Unlock()
 	slots := make(chan struct{}, maxReportReads)
@@ -195,7 +202,7 @@
 type observation struct {
 	machines []structs.Machine
 	reports  map[structs.RunnerID]controller.ReportSeen
-	relayed  map[structs.RunnerID]controller.RelayedReport
+	relayed  map[structs.RunnerID]time.Time
 }
 
 // observed returns copies of what is known.
@@ -203,15 +210,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	relayed := o.shares.Relayed(time.Now(), o.digests)
-	return observation{slices.Clone(o.machines), controller.WithRelayed(o.reports, relayed, o.awaited), relayed}
-}
-
-func runnersOf(relayed map[structs.RunnerID]controller.RelayedReport) map[structs.RunnerID]bool {
-	runners := make(map[structs.RunnerID]bool, len(relayed))
-	for runner := range relayed {
-		runners[runner] = true
-	}
-	return runners
+	return observation{slices.Clone(o.machines), maps.Clone(o.reports), relayed}
 }
 
 // hostOf returns the host and port of a checked URL, as engineapi wants it.
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -128,7 +128,7 @@
 			Epoch:       structs.Epoch(l.member.node.Term()),
 			LeaseValid:  true,
 			State:       l.member.machine.state,
-			Reports:     controller.WithRelayed(l.reports, relayed, l.awaited),
+			Reports:     l.reports,
 			Relayed:     relayed,
 			Machines:    l.listed,
 			StoreBudget: l.home.box.storeBudget,
@@ -193,11 +193,7 @@
 
 // readReports reads the reports that are due.
 func (l *zoneLeader) readReports() {
-	relayed := map[structs.RunnerID]bool{}
-	for runner := range l.shares.Relayed(l.home.time(), l.digests) {
-		relayed[runner] = true
-	}
-	l.schedule.Relay(relayed)
+	l.schedule.Relay(l.shares.Relayed(l.home.time(), l.digests))
 	l.readThese(l.schedule.Due(l.listed))
 }
 
@@ -218,6 +214,11 @@
 		l.shares = controller.NewReportShares(epoch, defaultTiming().ReportInterval, controller.MinimumSharedRunners)
 	}
 	share := l.shares.Take(l.home.time(), message, l.listed)
+	for _, said := range message.Changed {
+		if seen, read := l.reports[said.Runner]; read && l.digests[said.Runner] == said.Digest && !l.awaited[said.Runner] {
+			l.reports[said.Runner] = controller.WithBusy(seen, said)
+		}
+	}
 	if suspects := l.shares.Suspects(l.digests); len(suspects) > 0 {
 		l.schedule.Suspect(suspects)
 		l.readThese(l.schedule.New(l.listed))
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -148,7 +148,8 @@
 		}
 		option := p.option(row, runner, limit)
 		if option != nil && (best == nil || option.better(best)) {
-			best = option
+			kept := *option
+			best = &kept
 		}
 	}
 	if best == nil && !elsewhere && !row.NeedsBase() && p.storeOpen() {
@@ -181,9 +182,11 @@
 }
 
 // option works out what loading the row on the runner takes; nil when it is not
-// possible or costs the limit or more without a tie.
+// possible or costs the limit or more without a tie. What it returns holds until the
+// next call: of the many that are weighed few are kept.
 func (p *planner) option(row *rowState, runner *runnerState, limit float64) *placement {
-	option := &placement{runner: runner, tier: p.tier(row.Name, runner.ID), need: row.MemoryBytes}
+	option := &p.tried
+	*option = placement{runner: runner, tier: p.tier(row.Name, runner.ID), need: row.MemoryBytes}
 	read := p.readTime(row.MemoryBytes, option.tier)
 	if row.NeedsBase() {
 		base := runner.find(row.Base)
@@ -215,7 +218,7 @@
 	if option.base && p.newStoreRead(row.Base, option.runner) {
 		return true
 	}
-	return p.newStoreRead(row.Name, option.runner)
+	return option.tier == structs.TierStore && option.runner.Prefetching != row.Name
 }
 
 // newStoreRead reports whether loading the row on the runner reads the store, and
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -41,6 +41,8 @@
 	// reserves is what is kept free for each role, as far as it was asked for.
 	reserves map[structs.RunnerRole]int64
 	plan     PlanResult
+	// tried is the placement that was last weighed.
+	tried placement
 }
 
 type runnerState struct {
@@ -129,9 +131,12 @@
 }
 
 func (p *planner) addRunners() {
-	for _, runner := range p.snapshot.Runners {
+	states := make([]runnerState, len(p.snapshot.Runners))
+	p.runners = make([]*runnerState, 0, len(states))
+	for i, runner := range p.snapshot.Runners {
 		free := runner.MemoryBytes - runner.MemoryReserved
-		state := &runnerState{Runner: runner, free: free, future: free}
+		state := &states[i]
+		*state = runnerState{Runner: runner, free: free, future: free}
 		p.runners = append(p.runners, state)
 		p.byID[runner.ID] = state
 		p.largest = max(p.largest, runner.MemoryBytes)
@@ -140,17 +145,16 @@
 }
 
 func (p *planner) addReplicas() {
-	replicas := slices.Clone(p.snapshot.Replicas)
-	slices.SortFunc(replicas, func(a, b Replica) int {
-		return cmp.Or(cmp.Compare(a.Runner, b.Runner), cmp.Compare(a.Row, b.Row))
-	})
-	for _, replica := range replicas {
+	replicas := sortedReplicas(p.snapshot.Replicas)
+	states := make([]replicaState, len(replicas))
+	for i, replica := range replicas {
 		runner, ok := p.byID[replica.Runner]
 		if !ok {
 			continue
 		}
 		row := p.row(replica.Row)
-		state := &replicaState{Replica: replica, row: row, runner: runner}
+		state := &states[i]
+		*state = replicaState{Replica: replica, row: row, runner: runner}
 		row.replicas = append(row.replicas, state)
 		runner.replicas = append(runner.replicas, state)
 		row.records++
@@ -165,6 +169,20 @@
 	}
 }
 
+// sortedReplicas returns the replicas in the order of their runners and rows, in
+// which a caller mostly has them.
+func sortedReplicas(replicas []Replica) []Replica {
+	order := func(a, b Replica) int {
+		return cmp.Or(cmp.Compare(a.Runner, b.Runner), cmp.Compare(a.Row, b.Row))
+	}
+	if slices.IsSortedFunc(replicas, order) {
+		return replicas
+	}
+	sorted := slices.Clone(replicas)
+	slices.SortFunc(sorted, order)
+	return sorted
+}
+
 // misplaced reports whether the replica's runner is not one for its row.
 func (r *replicaState) misplaced() bool {
 	return r.runner.Leaving || (r.row.exists && r.row.Role != r.runner.Role)
--- a/scheduler/prewarm.go
+++ b/scheduler/prewarm.go
@@ -63,7 +63,8 @@
 		option := p.option(row, runner, limit)
 		fits := option != nil && option.now && p.leavesReserve(runner, option.need, roomy)
 		if fits && (best == nil || option.better(best)) {
-			best = option
+			kept := *option
+			best = &kept
 		}
 	}
 	return best
--- a/zone/command.go
+++ b/zone/command.go
@@ -135,6 +135,12 @@
 		"Propose one change a command.")
 }
 
+// placesReplicas reports whether the command is about runners or replicas, and not
+// about the table or claims alone.
+func (c Command) placesReplicas() bool {
+	return c.Adopt == nil && c.ClaimBegin == nil && c.ClaimFinish == nil && c.ClaimExpire == nil && c.ClaimBatch == nil
+}
+
 func encode(value any) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
--- a/zone/random_test.go
+++ b/zone/random_test.go
@@ -118,6 +118,7 @@
 		}
 		restore(t)
 		router := &follower{}
+		records := &recordsKeeper{}
 		t.Repeat(map[string]func(*rapid.T){
 			"adopt":    m.adopt,
 			"register": m.register,
@@ -130,7 +131,14 @@
 				known, _ := m.Runner(runner)
 				m.apply(t, reserve(drawRow.Draw(t, "row"), runner, known.Incarnation))
 			},
+			"prefetch": func(t *rapid.T) {
+				runner := drawRunner.Draw(t, "runner")
+				known, _ := m.Runner(runner)
+				row := rapid.SampledFrom([]structs.RowName{"", drawRow.Draw(t, "row")}).Draw(t, "prefetched")
+				m.apply(t, Command{Prefetch: &PrefetchCommand{Row: row, Runner: runner, Incarnation: known.Incarnation}})
+			},
 			"": func(t *rapid.T) {
+				records.keep(t, m.State)
 				equal(t, m.CheckInvariants(), nil)
 				own, err := encode(m.snapshotData())
 				equal(t, err, nil)
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -171,6 +171,7 @@
 	s := New(d.Zone)
 	s.index = d.Index
 	s.placementIndex = d.PlacementIndex
+	s.recordsIndex = d.Index
 	if d.Table.Revision > 0 {
 		d.Table.Full = true
 		if problem := s.table.adopt(d.Zone, &d.Table); problem != nil {
--- a/zone/state.go
+++ b/zone/state.go
@@ -45,6 +45,8 @@
 	zone           structs.ZoneID
 	index          uint64
 	placementIndex uint64
+	// recordsIndex is the index of the last command about runners and replicas.
+	recordsIndex uint64
 	// runnerIndex holds the placementIndex at which each runner last changed.
 	runnerIndex map[structs.RunnerID]uint64
 	table       adoptedTable
@@ -108,6 +110,9 @@
 		return Result{Error: err.(*structs.Error)}
 	}
 	number := structs.OrderNumber(index)
+	if command.placesReplicas() {
+		s.recordsIndex = index
+	}
 	switch {
 	case command.Adopt != nil:
 		return Result{Error: s.table.adopt(s.zone, command.Adopt)}
@@ -146,6 +151,10 @@
 // Index returns the index of the last applied command.
 func (s *State) Index() uint64 { return s.index }
 
+// RecordsIndex returns the index of the last command that may have changed what
+// Runners and Replicas return.
+func (s *State) RecordsIndex() uint64 { return s.recordsIndex }
+
 // Runner returns the runner, and false when it is not known.
 func (s *State) Runner(id structs.RunnerID) (Runner, bool) {
 	runner, ok := s.runners[id]
--- a/zone/view_test.go
+++ b/zone/view_test.go
@@ -16,6 +16,22 @@
 	replicas map[structs.RunnerID][]structs.Replica
 }
 
+// recordsKeeper holds the records of the state at its recordsIndex.
+type recordsKeeper struct {
+	recordsIndex uint64
+	records      []any
+}
+
+// keep compares the records with those kept at the same RecordsIndex.
+func (f *recordsKeeper) keep(t *rapid.T, s *State) {
+	records := []any{s.Runners(), s.Replicas()}
+	if f.records != nil && f.recordsIndex == s.RecordsIndex() {
+		equal(t, records, f.records)
+	}
+	f.recordsIndex = s.RecordsIndex()
+	f.records = records
+}
+
 func (f *follower) adopt(view structs.ZoneView) {
 	f.index = view.Index
 	if view.Placement == nil {
