Serve by a first view only once it is saved

Cause: a router let requests in as soon as it had adopted its first view, and saved it afterwards: a kill in between lost the revision that it had worked by.

Change: the first view is saved before requests are let in; later changes were synced before they are adopted already.

--- a/daemon/view.go
+++ b/daemon/view.go
@@ -39,8 +39,11 @@
 			continue
 		}
 		r.keepView(adopted)
-		r.adoptView(adopted, !reader.ReadsParts())
-		r.saveIfDue()
+		r.adoptView(adopted)
+		if !reader.ReadsParts() {
+			r.saveIfDue()
+			r.serveByView()
+		}
 	}
 }
 
@@ -63,11 +66,12 @@
 		level.Warn(r.logger).Log("msg", "The saved view cannot be read, or not to its end.", "err", err)
 	}
 	for _, view := range views {
-		r.adoptView(view, true)
+		r.adoptView(view)
 	}
 	if len(views) > 0 {
 		// What a failure has torn is put right before changes are added to it.
 		r.saveIfDue()
+		r.serveByView()
 		known := r.view.View()
 		level.Info(r.logger).Log("msg", "The router begins with its saved view.", "table_revision", known.Table.Revision, "index", known.Index)
 	}
@@ -91,23 +95,31 @@
 // saveIfDue saves the whole view when no changes can be kept after the saved one, or
 // they have become many.
 func (r *requestRouter) saveIfDue() {
-	if !r.viewStore.isDue() || !r.hasView() {
+	if !r.viewStore.isDue() {
 		return
 	}
 	r.mutex.Lock()
 	whole := r.view.View()
 	r.mutex.Unlock()
+	if whole.Index == 0 {
+		return
+	}
 	if err := r.viewStore.replace(whole); err != nil {
 		level.Warn(r.logger).Log("msg", "The view could not be saved.", "file", r.viewStore.basePath, "err", err)
 	}
 }
 
-// adoptView hands the view to the core and keeps it; whole says that the table was
-// read to its end.
-func (r *requestRouter) adoptView(view structs.ZoneView, whole bool) {
+// serveByView lets requests in once the table was read to its end and saved.
+func (r *requestRouter) serveByView() {
 	r.mutex.Lock()
 	// The log of a zone has an entry: a controller without one has just started.
-	r.viewed = r.viewed || whole && view.Index > 0
+	r.viewed = r.viewed || r.view.Index() > 0
+	r.mutex.Unlock()
+}
+
+// adoptView hands the view to the core and keeps it.
+func (r *requestRouter) adoptView(view structs.ZoneView) {
+	r.mutex.Lock()
 	r.view.Adopt(view)
 	r.stepLocked(router.ViewChanged{View: view})
 	r.mutex.Unlock()
--- a/router/viewcopy.go
+++ b/router/viewcopy.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Index returns the index of the zone's log that the view reflects; 0 for none.
+func (v *ViewCopy) Index() uint64 { return v.index }
+
 // View returns the whole view, in order.
 func (v *ViewCopy) View() structs.ZoneView {
 	placement := &structs.Placement{}
