Pass sampling and stop texts on to the engine; refuse what is not served

Cause: temperature, top_p, penalties, seed and stop of a request were dropped without a word, and so were tools, logprobs, response_format and others that ask for another answer: a caller got an answer to something else than it had asked.

Change: structs.Sampling goes from the body through router, forwarding and engine protocol; the stand-in ends an answer at a stop text. A request without a seed gets one from its ID, so that a resumed answer is drawn the same way on another engine. Fields that would change the shape of the answer are refused as not_run. Weighed: refusing all of them (clients set temperature as a matter of course), and passing the body through unread (the router could not check it, nor set a seed).

Conclusion: TestStopTextsReachTheEngine asks the whole path in the own zone and through another; the stand-ins do not model temperature, top_p or penalties.

--- a/api/client.go
+++ b/api/client.go
@@ -37,6 +37,7 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens,omitempty"`
 	Stream    bool   `json:"stream"`
+	samplingBody
 }
 
 // maxEventBytes bounds one event of a stream and one error body.
@@ -110,10 +111,11 @@
 		return pathEmbeddings, embeddingsBody{Model: string(request.Row), Input: inputList{request.Prompt}}
 	}
 	return pathCompletions, clientBody{
-		Model:     string(request.Row),
-		Prompt:    request.Prompt,
-		MaxTokens: request.MaxTokens,
-		Stream:    true,
+		Model:        string(request.Row),
+		Prompt:       request.Prompt,
+		MaxTokens:    request.MaxTokens,
+		Stream:       true,
+		samplingBody: samplingBodyOf(request.Sampling),
 	}
 }
 
--- a/api/decode.go
+++ b/api/decode.go
@@ -48,6 +48,13 @@
 	if body.N > 1 {
 		return generation{}, invalid("n is above 1", "Send one request for each answer wanted.")
 	}
+	if err := body.unsupportedBody.check(); err != nil {
+		return generation{}, err
+	}
+	sampling, err := body.sampling()
+	if err != nil {
+		return generation{}, err
+	}
 	maxTokens, err := d.maxTokens(body)
 	if err != nil {
 		return generation{}, err
@@ -58,6 +65,7 @@
 	}
 	request.Prompt = prompt
 	request.MaxTokens = maxTokens
+	request.Sampling = withSeed(sampling, request.ID)
 	return generation{
 		request:      request,
 		chat:         chat,
--- a/api/messages.go
+++ b/api/messages.go
@@ -25,6 +25,8 @@
 	Stream              bool            `json:"stream"`
 	StreamOptions       *streamOptions  `json:"stream_options"`
 	N                   int             `json:"n"`
+	samplingBody
+	unsupportedBody
 }
 
 type streamOptions struct {
--- a/daemon/forward_test.go
+++ b/daemon/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -70,6 +71,29 @@
 	})
 }
 
+// TestStopTextsReachTheEngine asks in the own zone and through another one.
+func TestStopTextsReachTheEngine(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreamSite(t, streamSiteOptions{zones: 2})
+		s.applyRows(1)
+		for _, id := range []string{"here", "elsewhere"} {
+			request := streamRequest(id, "r0", longAnswer)
+			whole := wholeAnswer(request)
+			stop := whole[40:44]
+			request.Sampling = &structs.Sampling{Stop: []string{stop}}
+			answer, err := s.call(0, request)
+			if id == "elsewhere" {
+				answer, err = s.forward(request), nil
+			}
+			s.Assert(err, qt.IsNil)
+			text, err := readRest(answer, "")
+			s.Assert(err, qt.IsNil)
+			s.Assert(text, qt.Equals, whole[:strings.Index(whole, stop)])
+		}
+	})
+}
+
 func TestCutBetweenZonesEndsForwardedRequests(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lotusferry/lotusferry/engineapi"
@@ -20,6 +21,9 @@
 	// next one to be produced.
 	length int
 	next   int
+	// stopped is set when a stop text ends the answer, cut bytes into its last token.
+	stopped bool
+	cut     int
 	// prefill counts the tokens still to be prefilled.
 	prefill int
 	// reserved counts the KV blocks reserved.
@@ -82,13 +86,43 @@
 // text returns the text of the next token: a vector as JSON for an embedding.
 func (s *sequence) text() string {
 	if !s.request.Embedding {
-		return tokenText(s.seed, s.next)
+		text := tokenText(s.seed, s.next)
+		if s.stopped && s.next == s.length-1 {
+			return text[:s.cut]
+		}
+		return text
 	}
 	return ExpectedVectorText(s.request.Row, s.request.Prompt)
 }
 
+// stopAt ends the answer at the first token that holds one of the stop texts, before it.
+func (s *sequence) stopAt() {
+	if s.request.Sampling == nil {
+		return
+	}
+	for index := range s.length {
+		if cut := firstOf(tokenText(s.seed, index), s.request.Sampling.Stop); cut >= 0 {
+			s.length = index + 1
+			s.stopped = true
+			s.cut = cut
+			return
+		}
+	}
+}
+
+// firstOf returns where the first of the texts begins in text, or -1.
+func firstOf(text string, texts []string) int {
+	first := -1
+	for _, sought := range texts {
+		if at := strings.Index(text, sought); at >= 0 && (first < 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
 func (s *sequence) finish() structs.FinishReason {
-	if s.request.Embedding {
+	if s.request.Embedding || s.stopped {
 		return structs.FinishStop
 	}
 	return finishReason(s.seed, s.request.MaxTokens)
@@ -104,6 +138,7 @@
 	current := &sequence{request: request, call: call, replica: target, next: request.ResumeFrom}
 	current.seed = PromptHash(request.Row, request.Prompt)
 	current.length = min(naturalLength(current.seed), request.MaxTokens)
+	current.stopAt()
 	if request.Embedding {
 		current.length = 1
 	}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -112,6 +112,7 @@
 			Row:         next.Row,
 			Prompt:      next.Prompt,
 			MaxTokens:   next.MaxTokens,
+			Sampling:    next.Sampling,
 			Priority:    next.Priority,
 			ResumeFrom:  next.delivered,
 			Embedding:   next.Embedding,
--- a/structs/request.go
+++ b/structs/request.go
@@ -24,7 +24,9 @@
 	Row    RowName
 	Prompt string
 	// MaxTokens bounds the answer.
-	MaxTokens  int
+	MaxTokens int
+	// Sampling is nil when the engine's defaults will do.
+	Sampling   *Sampling
 	Priority   Priority
 	Caller     string
 	ArrivedAt  time.Time
@@ -57,6 +59,7 @@
 	Row       RowName   `json:"row"`
 	Prompt    string    `json:"prompt"`
 	MaxTokens int       `json:"max_tokens"`
+	Sampling  *Sampling `json:"sampling,omitempty"`
 	Priority  Priority  `json:"priority"`
 	// ResumeFrom is the index of the first token wanted: a stream that broke is
 	// resumed elsewhere without a repeated or lost token.
