Draw sessions, seeds and dial pauses of a test's daemons from a seeded source

Cause: they came from the global random source, so that two runs of a test of a site differed in more than the order of goroutines.

Change: the source is an option of the daemon and of the transport; the default is the global one.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,7 +45,7 @@
 }
 
 // newSession makes the name of this life of a daemon; it is not 0.
-func newSession() structs.SessionID { return structs.SessionID(rand.Uint64() | 1) }
+func newSession(random func() uint64) structs.SessionID { return structs.SessionID(random() | 1) }
 
 func newClaimKeeper(logger log.Logger, client *transport.Client, site config.Site, own structs.ZoneID, holder structs.ClaimHolder) *claimKeeper {
 	k := &claimKeeper{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -67,9 +66,15 @@
 	limits httpLimits
 	// network is what the daemon listens on and dials over; nil means TCP.
 	network network.Network
+	// random draws what needs no secrecy; nil means the global source. It is called
+	// from several goroutines.
+	random func() uint64
 }
 
 func newDaemon(logger log.Logger, settings config.Config, options options) (*Daemon, error) {
+	if options.random == nil {
+		options.random = rand.Uint64
+	}
 	d := &Daemon{
 		logger:  log.With(logger, "daemon", settings.Daemon, "zone", settings.Zone),
 		config:  settings,
@@ -112,7 +117,7 @@
 }
 
 func (d *Daemon) openTransport() error {
-	options := transport.Options{Address: d.config.Listen.Internal, Network: d.options.network, Faults: d.faults}
+	options := transport.Options{Address: d.config.Listen.Internal, Network: d.options.network, Random: d.options.random, Faults: d.faults}
 	if !d.config.Development {
 		if err := d.loadKeys(); err != nil {
 			return err
@@ -266,7 +271,7 @@
 	if err != nil {
 		return err
 	}
-	holder := structs.ClaimHolder{Daemon: d.config.Daemon, Session: newSession()}
+	holder := structs.ClaimHolder{Daemon: d.config.Daemon, Session: newSession(d.options.random)}
 	seed := seedOf("router", d.config.Daemon)
 	d.router = &requestRouter{
 		logger:   log.With(d.logger, "component", "router"),
@@ -294,7 +299,7 @@
 			Address:         d.advertisedAddress(settings),
 			Session:         holder.Session,
 			Zones:           d.config.Site.ZoneIDs(),
-			Random:          rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))),
+			Random:          rand.New(rand.NewPCG(seed, d.options.random())),
 			QueueLimit:      d.config.Limits.QueuePerRow,
 			DefaultDeadline: d.config.Limits.DefaultDeadline,
 			AnswerLife:      d.config.Limits.ClaimRetention,
--- a/daemon/loopback_test.go
+++ b/daemon/loopback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -55,6 +56,18 @@
 	return nil
 }
 
+// newSiteRandom returns a source for the daemons of a site that the name of the test
+// seeds.
+func newSiteRandom(tb testing.TB) func() uint64 {
+	var mutex sync.Mutex
+	seeded := rand.NewPCG(seedOf(tb.Name(), ""), 1)
+	return func() uint64 {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return seeded.Uint64()
+	}
+}
+
 // testIP returns a loopback address that nothing else uses in the network.
 func testIP(over network.Network) string {
 	prefix := memoryNetwork
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -34,6 +34,7 @@
 	c        *qt.C
 	ctx      context.Context
 	network  network.Network
+	random   func() uint64
 	settings []config.Config
 	running  map[structs.DaemonID]*Daemon
 }
@@ -49,7 +50,7 @@
 func newTestSiteOver(over network.Network, c *qt.C, daemons int) *testSite {
 	ctx, cancel := context.WithTimeout(context.Background(), siteTestLimit)
 	c.Cleanup(cancel)
-	s := &testSite{c: c, ctx: ctx, network: over, running: map[structs.DaemonID]*Daemon{}}
+	s := &testSite{c: c, ctx: ctx, network: over, random: newSiteRandom(c.TB), running: map[structs.DaemonID]*Daemon{}}
 	shared := config.Site{
 		Name:            "test",
 		Objective:       structs.ObjectiveLatency,
@@ -96,7 +97,7 @@
 
 // options are those of a daemon on the site's network.
 func (s *testSite) options() options {
-	return options{limits: defaultHTTPLimits(), network: s.network}
+	return options{limits: defaultHTTPLimits(), network: s.network, random: s.random}
 }
 
 // kill ends a daemon without handing anything over.
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -30,6 +30,7 @@
 	ctx      context.Context
 	options  streamSiteOptions
 	network  network.Network
+	random   func() uint64
 	settings []config.Config
 	engines  []*emulator.EngineServer
 	daemons  []*Daemon
@@ -56,7 +57,7 @@
 		ctx, cancel = context.WithTimeout(ctx, siteTestLimit)
 	}
 	c.Cleanup(cancel)
-	s := &streamSite{TB: t, C: c, ctx: ctx, options: options, network: newSiteNetwork(t), scheme: "http://"}
+	s := &streamSite{TB: t, C: c, ctx: ctx, options: options, network: newSiteNetwork(t), random: newSiteRandom(t), scheme: "http://"}
 	s.http = &http.Transport{DialContext: network.OrTCP(s.network).DialContext, MaxIdleConnsPerHost: 64}
 	c.Cleanup(s.http.CloseIdleConnections)
 	clock := emulator.NewClock(1)
@@ -183,7 +184,7 @@
 	if s.options.limits != nil {
 		s.options.limits(&limits)
 	}
-	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], options{limits: limits, network: s.network})
+	daemon, err := newDaemon(log.NewNopLogger(), s.settings[index], options{limits: limits, network: s.network, random: s.random})
 	s.Assert(err, qt.IsNil)
 	s.daemons[index] = daemon
 	daemon.Start()
--- a/transport/options.go
+++ b/transport/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	// Network is what the server listens on and the client dials over; nil means TCP
 	// with keep-alive probes.
 	Network network.Network
+	// Random draws the pauses after failed dials; nil means the global source. It is
+	// called from several goroutines.
+	Random func() uint64
 	// Faults, when set, is asked before and after each call of the client.
 	Faults *Faults
 }
@@ -55,6 +59,9 @@
 	if o.MaxPendingCalls <= 0 {
 		o.MaxPendingCalls = DefaultPendingCalls
 	}
+	if o.Random == nil {
+		o.Random = rand.Uint64
+	}
 	if o.Network == nil {
 		o.Network = network.TCP{KeepAlive: keepAlive}
 	}
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync"
@@ -157,7 +156,7 @@
 // noteFailure sets the pause before the next dial. The mutex is held.
 func (p *peer) noteFailure(err error) {
 	pause := min(firstBackoff<<min(p.failures, 10), maxBackoff)
-	pause = pause/2 + rand.N(pause/2)
+	pause = pause/2 + time.Duration(p.client.options.Random()%uint64(pause/2))
 	p.failures++
 	p.lastErr = err
 	p.retryAt = time.Now().Add(pause)
