Simulate requests over the replicated zones and table at once; leave controllers without news

Cause: the simulator ran requests over a zone of a single simplified group, and the replicated zones and table with demand only, so that no run but the fleet joined both. The new scenario found a fault at once: a router stayed with the controller it asked for its zone's view as long as that answered, also when it had been cut off from its group without noticing.

Change: scenario site, on the hosts and the network of the other two: engines with their HTTP side in one type, a zone's group behind an interface (single or replicated), a desk for claims on the daemons, inquiries from the zone's own leader, views and demand by the router's own schedules. The choice of the controller moves from the daemon's shell into router.ViewSource, which daemon and simulator share: after a whole poll without news the next controller is asked. Two findings were the simulator's own: a row that the table deletes and gets back has a new retry reserve, which the checker retry-budget now allows for, once a deletion (with no deletion it is as strict as before); and a node was given messages in the middle of its compaction, which the daemon's loop never does. TestAllScenariosRunTogether expects twice as many runs, because all includes the new scenario.

The new test of the view fails without the change.

--- a/daemon/view.go
+++ b/daemon/view.go
@@ -19,28 +19,27 @@
 // viewLoop keeps the router's view of its zone up to date by long polls.
 func (r *requestRouter) viewLoop(ctx context.Context) {
 	defer r.viewStore.close()
+	addresses := r.leader.addresses
 	r.mutex.Lock()
-	reader := router.NewViewReader(r.view.View())
+	source := router.NewViewSource(len(addresses), r.view.View())
 	r.mutex.Unlock()
-	for next := 0; ctx.Err() == nil; {
-		addresses := r.leader.addresses
-		address := addresses[next%len(addresses)]
-		view, err := r.readView(ctx, address, reader.Next())
+	for ctx.Err() == nil {
+		address := addresses[source.Controller()]
+		view, err := r.readView(ctx, address, source.Next())
 		if err != nil {
 			level.Debug(r.logger).Log("msg", "The zone's view could not be read.", "address", address, "err", err)
-			next++
+			source.Failed()
 			pause(ctx, retryPause)
 			continue
 		}
-		adopted, helps := reader.Take(view)
+		adopted, helps := source.Take(view)
 		if !helps {
-			next++
 			pause(ctx, retryPause)
 			continue
 		}
 		r.keepView(adopted)
 		r.adoptView(adopted)
-		if !reader.ReadsParts() {
+		if !source.ReadsParts() {
 			r.saveIfDue()
 			r.serveByView()
 		}
@@ -51,7 +50,7 @@
 	reply := &ViewReply{}
 	arguments := ViewArguments{
 		SinceTable: request.SinceTable, SinceIndex: request.SinceIndex,
-		Parts: true, Whole: request.Whole, After: request.After, Wait: maxWait,
+		Parts: true, Whole: request.Whole, After: request.After, Wait: router.ViewPoll,
 	}
 	if err := r.leader.client.Call(ctx, address, methodZoneView, arguments, reply); err != nil {
 		return structs.ZoneView{}, err
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -66,7 +66,7 @@
 		}
 		s.node.group.View(func() { reply.View = viewFor(s.node.machine.state, arguments) })
 		reply.View.Epoch = structs.Epoch(s.node.group.Status().Term)
-		if isNews(reply.View, arguments) || ctx.Err() != nil {
+		if reply.View.IsNews(arguments.SinceTable) || ctx.Err() != nil {
 			return nil
 		}
 		select {
@@ -101,16 +101,6 @@
 	return state.View(arguments.SinceTable, arguments.SinceIndex)
 }
 
-// isNews reports whether a router learns something from the view. A controller that
-// has applied nothing, as after a start without a quorum, has no news: answering at
-// once would have its routers ask without a pause.
-func isNews(view structs.ZoneView, arguments ViewArguments) bool {
-	if view.Index == 0 {
-		return false
-	}
-	return view.Part != nil || view.Placement != nil || view.Table.Revision > arguments.SinceTable
-}
-
 // Demand takes a router's demand report. Only the leader uses it.
 func (s *ZoneService) Demand(arguments DemandArguments, reply *DemandReply) error {
 	status := s.node.group.Status()
--- a/simulate/daemon.go
+++ b/simulate/daemon.go
@@ -22,6 +22,8 @@
 	startedAt   time.Duration
 	startedWall time.Time
 
+	// claims takes in claim operations; nil in a site without requests.
+	claims       *claimDesk
 	zoneMember   *member
 	globalMember *member
 	controller   *zoneController
@@ -41,6 +43,9 @@
 	d.controller = newZoneController(d)
 	state := newZoneMachine(d.machine.Zone)
 	d.controller.state = state.state
+	if d.site.requests != nil {
+		d.claims = newClaimDesk(d)
+	}
 	d.zoneMember.start(d.number, state)
 	if d.globalMember != nil {
 		d.global = newGlobalService(d)
@@ -130,6 +135,14 @@
 		d.controller.observeAnswer(content)
 	case demandMessage:
 		d.controller.observeDemand(content.report)
+	case demandCall:
+		d.takeDemand(from, content)
+	case viewRequest:
+		d.answerView(from, content)
+	case claimProposal:
+		d.claims.propose(content)
+	case claimRenewal:
+		d.claims.renew(content.requests)
 	case deltaAnswer:
 		d.controller.noteAnswer(from)
 		d.controller.adopt(content.delta)
--- a/simulate/enginehost.go
+++ b/simulate/enginehost.go
@@ -17,15 +17,16 @@
 
 // engineHost runs one emulated engine on the simulated network.
 type engineHost struct {
-	emulatedEngine
-	site   *tableSite
-	random *rand.Rand
+	streamingEngine
+	site *tableSite
 	// orders holds the orders under way, by the call that carried them.
 	orders map[emulator.CallID]sentBy
 	// listed is the state of the engine's machine in the machine list, and
 	// leavingSince when it was first listed as leaving; 0 means that it is not.
 	listed       structs.MachineState
 	leavingSince time.Duration
+	// outage is how long the engine stays away when it dies.
+	outage time.Duration
 }
 
 type sentBy struct {
@@ -37,17 +38,25 @@
 
 func newEngineHost(site *tableSite, random *rand.Rand, id structs.RunnerID, zone structs.ZoneID) *engineHost {
 	host := &engineHost{
-		emulatedEngine: newEmulatedEngine(&site.simulatedSite, id, zone),
-		site:           site,
-		random:         random,
-		listed:         structs.MachineLive,
-		orders:         map[emulator.CallID]sentBy{},
+		streamingEngine: newStreamingEngine(&site.simulatedSite, random, id, zone),
+		site:            site,
+		listed:          structs.MachineLive,
+		orders:          map[emulator.CallID]sentBy{},
 	}
-	host.begin(emulator.EngineOptions{
+	host.reached = host.requestReached
+	if site.requests != nil {
+		host.said = site.requests.records.engineSaid
+	}
+	options := emulator.EngineOptions{
 		ReportLag: site.pace.report,
 		Random:    random,
 		FetchTime: host.fetchTime,
-	}, host.take)
+	}
+	if site.requests != nil {
+		options.MaxBatch = requestMaxBatch
+		options.DecodeBase = requestDecodeBase
+	}
+	host.begin(options, host.take)
 	site.network.Attach(host.address(), zone, host.receive)
 	host.report()
 	return host
@@ -95,8 +104,12 @@
 }
 
 func (h *engineHost) take(outputs []emulator.EngineOutput) {
+	hasDied := false
 	for _, output := range outputs {
+		h.answerCalls(output)
 		switch output.Kind {
+		case emulator.OutputDied:
+			hasDied = true
 		case emulator.OutputOrder:
 			h.answer(output)
 		case emulator.OutputReport:
@@ -106,6 +119,9 @@
 	h.tellLedger()
 	h.site.ledger.overcommitted(h)
 	h.planWake()
+	if hasDied {
+		h.died()
+	}
 }
 
 // answer tells the ledger and the sender what became of an order.
@@ -131,13 +147,31 @@
 	}
 }
 
+// requestReached checks that a leaving runner gets no new work, while its zone's
+// control works.
+func (h *engineHost) requestReached(request structs.GenerateRequest) {
+	if h.leavingSince == 0 || h.site.lateness.controlFailed(h.zone, h.leavingSince) {
+		return
+	}
+	h.site.requests.records.reachedLeaving(h.id, request, h.scheduler.Now()-h.leavingSince)
+}
+
 // crash kills the engine; it comes back empty after the outage.
 func (h *engineHost) crash(outage time.Duration) {
 	if h.engine.Dead() {
 		return
 	}
+	h.outage = outage
 	h.step(emulator.EngineInput{Kind: emulator.InputCrash})
+}
+
+// died resets all connections of an engine that was crashed or died of itself, and
+// plans its return.
+func (h *engineHost) died() {
+	h.resetStreams()
 	h.site.ledger.engineDied(h)
+	outage := h.outage
+	h.outage = engineRestartDelay
 	h.scheduler.After(outage, func() {
 		if h.engine.Dead() {
 			h.restart()
--- a/simulate/member.go
+++ b/simulate/member.go
@@ -55,9 +55,13 @@
 	state       replicated
 	applied     uint64
 	appliedTerm uint64
-	// busy is set while a sync is under way.
-	busy   bool
-	ticked time.Duration
+	// busy is set while a sync is under way, compacting while the log is compacted:
+	// messages wait in held meanwhile, because the node must not move past the
+	// snapshot before it has compacted its log.
+	busy       bool
+	compacting bool
+	held       []raft.Message
+	ticked     time.Duration
 	// leading is the term in which the node was last seen leading.
 	leading uint64
 }
@@ -73,7 +77,7 @@
 // start makes the node from what is on the disk.
 func (m *member) start(machineNumber int, state replicated) {
 	m.state = state
-	m.busy = false
+	m.busy, m.compacting, m.held = false, false, nil
 	m.applied, m.appliedTerm, m.leading = 0, 0, 0
 	opened, found := openStore(m.machine.Disk, string(m.group))
 	m.store = opened
@@ -156,6 +160,10 @@
 	if m.node == nil || message.To != m.store.identity {
 		return
 	}
+	if m.compacting {
+		m.held = append(m.held, message)
+		return
+	}
 	m.catchUp()
 	if err := m.node.Step(message); err != nil {
 		m.observer.memberFailed(m, "step a message", err)
@@ -293,13 +301,26 @@
 		m.machine.Crash(restartDelay)
 		return
 	}
+	m.compacting = true
 	m.sync(func() {
 		if err := m.node.Compact(copySnapshot(snapshot)); err != nil {
 			m.observer.memberFailed(m, "compact the log", err)
 		}
+		m.stepHeld()
 	})
 }
 
+// stepHeld gives the node the messages that came while its log was compacted.
+func (m *member) stepHeld() {
+	held := m.held
+	m.compacting, m.held = false, nil
+	for _, message := range held {
+		if err := m.node.Step(message); err != nil {
+			m.observer.memberFailed(m, "step a message", err)
+		}
+	}
+}
+
 func (m *member) noteLeadership() {
 	if m.node == nil || !m.machine.alive || m.node.Role() != raft.Leader || m.leading == m.node.Term() {
 		return
--- a/simulate/pace.go
+++ b/simulate/pace.go
@@ -14,6 +14,8 @@
 	report time.Duration
 	demand time.Duration
 	join   time.Duration
+	// view is the pause between two looks of a router at its zone's controller.
+	view time.Duration
 	// thinkLeast and thinkMost bound the pause of an operator between edits.
 	thinkLeast time.Duration
 	thinkMost  time.Duration
@@ -31,6 +33,7 @@
 	report:          400 * time.Millisecond,
 	demand:          time.Second,
 	join:            500 * time.Millisecond,
+	view:            50 * time.Millisecond,
 	thinkLeast:      200 * time.Millisecond,
 	thinkMost:       1500 * time.Millisecond,
 	settle:          8 * time.Second,
@@ -45,6 +48,7 @@
 	report:          2 * time.Second,
 	demand:          2 * time.Second,
 	join:            5 * time.Second,
+	view:            time.Second,
 	thinkLeast:      20 * time.Second,
 	thinkMost:       60 * time.Second,
 	settle:          time.Minute,
--- a/simulate/requestresolver.go
+++ b/simulate/requestresolver.go
@@ -82,8 +82,13 @@
 		answer(structs.RequestStatus{ID: inquiry.Request, State: structs.RunUnknown, Incarnation: claim.Incarnation})
 		return
 	}
-	engine := site.engineNamed(structs.RunnerID(inquiry.Address))
-	site.dial(r.group.address(), engine.address(), engine.listening, func(link *connection) {
+	site.inquire(r.group.address(), inquiry, answer)
+}
+
+// inquire asks an engine what became of a request, and cancels it there.
+func (s *requestSite) inquire(from Address, inquiry controller.Inquiry, answer func(structs.RequestStatus)) {
+	engine := s.engineNamed(structs.RunnerID(inquiry.Address))
+	s.dial(from, engine.address(), engine.listening, func(link *connection) {
 		link.down.end.receive = func(message any) { answer(message.(structs.RequestStatus)) }
 		link.up.end.receive = func(any) {
 			engine.askStatus(inquiry.Request, true, func(status structs.RequestStatus) { link.down.send(status) })
@@ -114,9 +119,9 @@
 		byHome[home] = append(byHome[home], request)
 	}
 	for _, home := range sortedKeys(byHome) {
-		group := h.site.groups[home]
-		link := newConnection(h.site.network, h.address(), group.address())
-		link.up.end.receive = func(any) { group.renew(byHome[home]) }
+		member := h.homes[home].next()
+		link := newConnection(h.site.network, h.address(), member.address())
+		link.up.end.receive = func(any) { member.renew(byHome[home]) }
 		link.up.send(home)
 	}
 	h.site.scheduler.After(renewalInterval, func() { h.renewClaims(life) })
--- a/simulate/requestzone.go
+++ b/simulate/requestzone.go
@@ -40,6 +40,15 @@
 	return group
 }
 
+// next implements homeGroup.
+func (g *zoneGroup) next() groupMember { return g }
+
+// failed implements homeGroup.
+func (g *zoneGroup) failed(groupMember) {}
+
+// heldClaims implements homeGroup.
+func (g *zoneGroup) heldClaims() []structs.Claim { return g.state.HeldClaims() }
+
 func (g *zoneGroup) address() Address { return Address(string(g.zone) + "/group") }
 
 // propose takes a claim operation. The answer is lost when the leader is.
--- a/simulate/result.go
+++ b/simulate/result.go
@@ -48,7 +48,7 @@
 	// the zone had caught up, both while nothing else failed.
 	SlowestInForce time.Duration `json:"slowest_in_force_nanoseconds"`
 	SlowestRejoin  time.Duration `json:"slowest_rejoin_nanoseconds"`
-	// Requests is empty but for the requests scenario.
+	// Requests is empty but for the scenarios requests and site.
 	Requests RequestCounts `json:"requests,omitzero"`
 }
 
--- a/simulate/tableplans.go
+++ b/simulate/tableplans.go
@@ -80,6 +80,8 @@
 	// end is when all faults are over and operators stop.
 	end  time.Duration
 	pace pace
+	// serving says that callers send requests; without it there is only demand.
+	serving bool
 }
 
 // planTable makes the timetable of a seed.
@@ -126,10 +128,13 @@
 }
 
 func (p *faultPlanner) sorted() []Fault {
-	slices.SortStableFunc(p.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(p.faults, compareFaults)
 	return p.faults
 }
 
+// compareFaults orders faults by time.
+func compareFaults(a, b Fault) int { return cmp.Compare(a.At, b.At) }
+
 func (p *faultPlanner) loadingDeath(at time.Duration) {
 	p.add(Fault{Kind: FaultLoadingDeath, At: at, For: p.between(time.Second/2, 6*time.Second), Target: p.zone(), Peer: loadingEngine})
 	p.add(Fault{Kind: FaultLoadingDeath, At: at + p.between(0, 10*time.Second), For: p.between(time.Second/2, 6*time.Second),
--- a/simulate/tablescenario.go
+++ b/simulate/tablescenario.go
@@ -60,7 +60,7 @@
 	if site.scheduler.Exhausted() {
 		site.judge.Report(checkerRunaway, "%d events happened by %v", site.scheduler.limit, site.scheduler.Now())
 	}
-	return site.outcome(table.faults)
+	return site.outcome(tableScenarioName, table.faults)
 }
 
 // settle stops the load and waits for the site to converge.
@@ -173,9 +173,9 @@
 }
 
 // outcome gathers what the seed gave.
-func (s *tableSite) outcome(faults []Fault) seedOutcome {
+func (s *tableSite) outcome(scenarioName string, faults []Fault) seedOutcome {
 	for _, d := range s.daemons {
 		s.counts.Crashes += d.machine.crashes
 	}
-	return s.seedOutcome(tableScenarioName, faults)
+	return s.seedOutcome(scenarioName, faults)
 }
--- a/simulate/tablesite.go
+++ b/simulate/tablesite.go
@@ -41,7 +41,10 @@
 	globals   []*daemon
 	engines   []*engineHost
 	operators []*tableOperator
-	routers   []*demandSource
+	// demands stand for the routers of a site without requests.
+	demands []*demandSource
+	// requests are the callers and routers; nil in a site without.
+	requests *requestSite
 	// heldOrders delays the orders of machines whose network holds them back.
 	heldOrders map[Address]time.Duration
 	// end is when all faults are over.
@@ -71,27 +74,49 @@
 		pace:          table.pace,
 		storeSlowness: 1,
 	}
+	if table.serving {
+		site.requests = newControlledRequests(site)
+	}
 	site.ledger = newLedger(site, site.judge)
 	site.lateness = newLateness(site, table.faults)
 	site.addDaemons()
 	for number, zone := range site.zones {
 		for i := range enginesPerZone[number] {
 			id := structs.RunnerID(fmt.Sprintf("%s/engine-%d", zone, i+1))
-			site.engines = append(site.engines, newEngineHost(site, site.random, id, zone))
+			site.addEngine(newEngineHost(site, site.random, id, zone))
 		}
 	}
 	for number := range operatorCount {
 		site.operators = append(site.operators, newTableOperator(site, site.random, number))
 	}
 	for _, zone := range site.zones {
-		site.routers = append(site.routers, newDemandSource(site, site.random, zone))
+		site.addCallersSide(zone)
 	}
 	for _, d := range site.daemons {
 		d.machine.Start()
 	}
+	if site.requests != nil {
+		site.requests.begin()
+	}
 	return site
 }
 
+func (s *tableSite) addEngine(host *engineHost) {
+	s.engines = append(s.engines, host)
+	if s.requests != nil {
+		s.requests.engines = append(s.requests.engines, &host.streamingEngine)
+	}
+}
+
+// addCallersSide adds the routers of a zone, or what stands for them.
+func (s *tableSite) addCallersSide(zone structs.ZoneID) {
+	if s.requests != nil {
+		s.requests.addRouters(zone)
+		return
+	}
+	s.demands = append(s.demands, newDemandSource(s, s.random, zone))
+}
+
 // addDaemons makes the control machines with their members.
 func (s *tableSite) addDaemons() {
 	founders := map[groupName]raft.Membership{}
@@ -195,6 +220,9 @@
 // memberApplied implements memberObserver.
 func (s *tableSite) memberApplied(m *member, entry raft.Entry, result any) {
 	s.ledger.applied(m, entry, result)
+	if decided, ok := result.(zoneOutcome); ok {
+		s.claimsDecided(m, entry, decided)
+	}
 	outcome, ok := result.(tableOutcome)
 	if !ok || outcome.command.Edit == nil {
 		return
--- a/simulate/zonecontroller.go
+++ b/simulate/zonecontroller.go
@@ -33,12 +33,16 @@
 }
 
 func newZoneController(d *daemon) *zoneController {
+	options := controller.Options{
+		Zone:     d.machine.Zone,
+		Settings: plannerSettings(),
+	}
+	if d.site.requests != nil {
+		options.ClaimLease = requestClaimLease
+	}
 	return &zoneController{
-		daemon: d,
-		core: controller.New(controller.Options{
-			Zone:     d.machine.Zone,
-			Settings: plannerSettings(),
-		}),
+		daemon:  d,
+		core:    controller.New(options),
 		reports: map[structs.RunnerID]controller.ReportSeen{},
 	}
 }
@@ -104,6 +108,7 @@
 		State:       c.state,
 		Reports:     c.mutateReports(),
 		Machines:    c.daemon.site.machineList(c.daemon.machine.Zone),
+		Renewed:     c.renewals(),
 		StoreBudget: storeBudget,
 	}
 	if input.LeaseValid {
@@ -119,6 +124,9 @@
 	for _, command := range decisions.Commands {
 		c.propose(command)
 	}
+	for _, inquiry := range decisions.Inquiries {
+		c.inquire(inquiry)
+	}
 	for _, order := range decisions.Orders {
 		c.daemon.site.ledger.orderDecided(c.daemon.machine.Zone, c.state.TableRevision(), order)
 		c.sendLater(order)
