--- a/capacity/claim.go
+++ b/capacity/claim.go
@@ -50,8 +50,7 @@
 		}},
 		{RoleZone, "claims encoded, decoded and applied", "claim", unitMicros, methodCPU, []int{100, 200, 400, 800, 1_600}, claimCPU},
 		{RoleZone, "claims shortened to their keys", "claim", unitBytes, methodHeap, keys, func(size int) float64 {
-			full := heapOf(func() any { return fullOfClaims(0).state })
-			return heapOf(func() any { return fullOfClaims(size).state }) - full
+			return heapOf(func() any { return restarted(fullOfClaims(size)) })
 		}},
 	}
 }
@@ -97,6 +96,16 @@
 	return m
 }
 
+// restarted is the state of a member that starts with a snapshot: its maps are as
+// large as they must be.
+func restarted(m *zoneMachine) *zone.State {
+	state := zone.New(m.state.Zone())
+	if err := state.Restore(must(m.state.Snapshot())); err != nil {
+		panic(err)
+	}
+	return state
+}
+
 // claimCPU makes as many claims as given and lets them expire.
 func claimCPU(claims int) float64 {
 	m := newZone(10, 10, 0)
--- a/zone/benchmark_test.go
+++ b/zone/benchmark_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
@@ -45,6 +46,25 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
 }
 
+// BenchmarkClaimKeys keeps as many keys as a zone keeps, of requests that end 131 a
+// second, and looks for keys that are not there.
+func BenchmarkClaimKeys(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var kept forgottenAnswers
+	random := rand.New(rand.NewPCG(1, 1))
+	for number := range MaxClaimKeys {
+		kept.add(keyHash(random.Uint64()), uint32(86_400+number/131))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		kept.has(keyHash(random.Uint64()))
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/MaxClaimKeys, "bytes/key")
+}
+
 func BenchmarkSnapshot(b *testing.B) {
 	m := newLargeState(420, 58_000)
 	for b.Loop() {
