Name the runner in a claim's first operation when one is free

Cause: a claim was three operations in the zone's log, and in two of them the router only said the same again with a runner.

Change: if nobody waits for the row, a replica is free and the answer would be in time, the router reserves it and names it in the first operation; only that one tells where the holder is called. A resend whose key is another's gives the replica back after one commit.

Conclusion: two operations a claim when a replica is free.

--- a/capacity/claim.go
+++ b/capacity/claim.go
@@ -17,15 +17,16 @@
 	answerBytes  = answerTokens * tokenBytes
 )
 
-// claimStages are the log entries of a claim: it is held, names a runner, and ends.
-const claimStages = 3
+// claimStages are the operations of a claim: it is held with a runner named, and
+// ends. Without a free replica there is one more.
+const claimStages = 2
 
 func claimProbes() []probe {
 	sizes := []int{256, 512, 1_024, 2_048, 4_096}
 	claims := []int{20_000, 40_000, 60_000, 80_000, 100_000}
 	keys := []int{20_000, 40_000, 80_000, 120_000, 160_000}
 	return []probe{
-		{RoleZone, "log bytes of a claim's three entries", "byte of answer", unitBytes, methodMsgpack, sizes, func(size int) float64 {
+		{RoleZone, "log bytes of a claim's two operations", "byte of answer", unitBytes, methodMsgpack, sizes, func(size int) float64 {
 			bytes := 0
 			for stage := range claimStages {
 				bytes += len(must(zone.EncodeCommand(claimCommand(0, stage, size))))
@@ -70,13 +71,10 @@
 			AnswerBytes: answer.Bytes, AnswerHash: answer.Hash,
 		}}
 	}
-	begin := &zone.ClaimBeginCommand{Key: key, Request: request, Digest: 1<<63 + uint64(index), Holder: "daemon-001", Attempt: uint64(stage)}
+	begin := &zone.ClaimBeginCommand{Key: key, Request: request, Digest: 1<<63 + uint64(index), Holder: "daemon-001", Attempt: 1}
 	begin.HolderAddress = "127.0.0.1:7402"
-	if stage > 0 {
-		begin.HolderAddress = ""
-		begin.Runner = runnerName(index % zoneRunners)
-		begin.Incarnation = 1
-	}
+	begin.Runner = runnerName(index % zoneRunners)
+	begin.Incarnation = 1
 	return zone.Command{ClaimBegin: begin}
 }
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -102,18 +102,10 @@
 		Incarnation:   claim.Incarnation,
 		Address:       claim.Address,
 		EngineRequest: claim.EngineRequest,
-		HolderAddress: holderAddress(effect),
+		HolderAddress: claim.HolderAddress,
 	}
 }
 
-// holderAddress is named only when the claim is made: the zone remembers it.
-func holderAddress(effect router.BeginClaim) string {
-	if effect.Choice > 0 {
-		return ""
-	}
-	return effect.Claim.HolderAddress
-}
-
 // finish records the end of a claim. It is repeated until the home zone has it or
 // says that the claim has ended in another way: an end that is not recorded would
 // leave the key held for as long as this daemon lives.
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -230,7 +230,7 @@
 	}
 	command := zone.Command{ClaimBegin: &zone.ClaimBeginCommand{
 		Key: claim.Key, Request: claim.Request, Digest: claim.Digest, Holder: claim.Holder,
-		Attempt: effect.Choice, HolderAddress: holderAddress(effect), Runner: claim.Runner, Incarnation: claim.Incarnation,
+		Attempt: effect.Choice, HolderAddress: claim.HolderAddress, Runner: claim.Runner, Incarnation: claim.Incarnation,
 		Address: claim.Address, EngineRequest: claim.EngineRequest,
 	}}
 	r.proposeZone(trafficClaim, command, func(result zone.Result, err *structs.Error) {
@@ -244,14 +244,6 @@
 	})
 }
 
-// holderAddress is named only when the claim is made, as in the daemon.
-func holderAddress(effect router.BeginClaim) string {
-	if effect.Choice > 0 {
-		return ""
-	}
-	return effect.Claim.HolderAddress
-}
-
 // fetchAnswer says that no answer is kept: no caller of the hollow site sends a
 // request twice.
 func (r *routerNode) fetchAnswer(effect router.FetchAnswer) {
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -50,6 +50,9 @@
 		c.endIfWaiting(held)
 		return
 	}
+	if c.claimWithRunner(held) {
+		return
+	}
 	held.phase = phaseClaiming
 	c.beginClaim(held)
 }
--- a/router/claim.go
+++ b/router/claim.go
@@ -145,9 +145,34 @@
 		held.choices++
 	}
 	claim := c.claim(held)
+	if held.claimHeld {
+		// The zone knows it from the first one.
+		claim.HolderAddress = ""
+	}
 	c.emit(BeginClaim{ID: held.ID, Claim: claim, Choice: claim.Choice})
 }
 
+// claimWithRunner claims the key with the runner named at once, which saves an entry
+// of the zone's log, if a replica is free for the request. It reports whether it did.
+func (c *Core) claimWithRunner(held *request) bool {
+	situation := c.situation(held.row, held.Request)
+	inTime := held.row.estimator.Finish(situation) < held.DeadlineAt.Sub(c.now)
+	if !inTime || held.row.waiting() > 0 {
+		return false
+	}
+	choice, free := c.balancer.Pick(c.now, held.row.Name, held.prefixHashes(), held.avoid)
+	if !free {
+		return false
+	}
+	held.queuedAt = c.now
+	held.estimated = held.row.estimator.Start(situation)
+	held.row.estimator.ObserveArrival(c.now, held.Priority)
+	held.row.turns = max(held.row.turns, c.rowTurns) + 1
+	held.row.estimator.ObserveTurn(c.now, false)
+	c.begin(held, choice)
+	return true
+}
+
 // withoutOutstandingClaim returns the phase of a request whose BeginClaim has
 // been answered: a reserved replica is given back.
 func (c *Core) withoutOutstandingClaim(held *request) phase {
--- a/router/effect.go
+++ b/router/effect.go
@@ -27,9 +27,9 @@
 // CancelAttempt asks to cancel the attempt at its engine and close its stream.
 type CancelAttempt struct{ Attempt AttemptID }
 
-// BeginClaim asks the group of the zone Claim.Home to hold the claim durably. It is
-// sent again by the same request with Runner and Incarnation set before each attempt;
-// the zone records them and answers New. ClaimReplied answers each one, with an Error
+// BeginClaim asks the group of the zone Claim.Home to hold the claim durably. Runner
+// and Incarnation are set before each attempt: in the first one if a replica is free,
+// else the same request sends it again. The zone records them and answers New. ClaimReplied answers each one, with an Error
 // if the zone's answer did not come.
 type BeginClaim struct {
 	ID    structs.RequestID
