Count sampling as content under an idempotency key

The seed that a request gets came from its ID, which a repeat does not share.

Change: sampling is part of the digest, and the seed of a keyed request comes from its key. A daemon of the version before takes a keyed repeat across the upgrade for other content, as the digest of every request that has sampling differs.

--- a/api/decode.go
+++ b/api/decode.go
@@ -65,7 +65,7 @@
 	}
 	request.Prompt = prompt
 	request.MaxTokens = maxTokens
-	request.Sampling = withSeed(sampling, request.ID)
+	request.Sampling = withSeed(sampling, request)
 	return generation{
 		request:      request,
 		chat:         chat,
--- a/api/sampling.go
+++ b/api/sampling.go
@@ -78,13 +78,18 @@
 }
 
 // withSeed gives a request without a seed one of its own, so that an attempt that
-// resumes its answer on another engine goes on with the same tokens.
-func withSeed(sampling *structs.Sampling, id structs.RequestID) *structs.Sampling {
+// resumes its answer on another engine goes on with the same tokens. A request that is
+// sent again with its idempotency key has the same one: the seed is part of its content.
+func withSeed(sampling *structs.Sampling, request structs.Request) *structs.Sampling {
 	if sampling == nil {
 		sampling = &structs.Sampling{}
 	}
 	if sampling.Seed == nil {
-		seed := int64(xxhash.Sum64String(string(id)) >> 1) // not negative: some engines refuse that
+		source := request.IdempotencyKey
+		if source == "" {
+			source = string(request.ID)
+		}
+		seed := int64(xxhash.Sum64String(source) >> 1) // not negative: some engines refuse that
 		sampling.Seed = &seed
 	}
 	return sampling
--- a/api/sampling_test.go
+++ b/api/sampling_test.go
@@ -60,6 +60,12 @@
 		seeds[*service.last().Sampling.Seed] = true
 	}
 	c.Check(seeds, qt.HasLen, 3)
+	again := map[int64]bool{}
+	for range 2 {
+		c.Assert(post(c, url, "/v1/completions", echoBody, map[string]string{api.HeaderIdempotencyKey: "lot-7"}).StatusCode, qt.Equals, http.StatusOK)
+		again[*service.last().Sampling.Seed] = true
+	}
+	c.Check(again, qt.HasLen, 1)
 	for seed := range seeds {
 		c.Check(seed >= 0, qt.IsTrue)
 	}
--- a/router/home.go
+++ b/router/home.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,6 +60,11 @@
 	if request.Embedding {
 		_, _ = digest.Write([]byte{embeddingMark})
 	}
+	if request.Sampling != nil {
+		// A Sampling of finite numbers and texts is always encoded.
+		sampling, _ := json.Marshal(request.Sampling)
+		_, _ = digest.Write(sampling)
+	}
 	_, _ = digest.WriteString(request.Prompt)
 	return digest.Sum64()
 }
