Bring about racing, resent and missed edits, a second lost disk and a restarted site in the fleet

Change: five faults (edit-race, edit-resend, edits-pass, second-disk, site-restart) on the existing run, and three checks on the kit's own records: at most one of the edits against one revision wins, a resent edit gets its first answer, and a daemon that was down catches up.

Conclusion: left are clock steps, lossy networks, full or slow disks, and cuts of hours.

--- a/lab/check.go
+++ b/lab/check.go
@@ -13,7 +13,7 @@
 // Violation is a breach of what must always hold.
 type Violation struct {
 	// Invariant names the breached line: replicas, memory, answered, own_answer,
-	// not_run, at_most_once, planned_stop, leaving or in_force.
+	// not_run, at_most_once, planned_stop, leaving, in_force, one_winner or resend.
 	Invariant string `json:"invariant"`
 	Detail    string `json:"detail"`
 }
--- a/lab/diskfault.go
+++ b/lab/diskfault.go
@@ -16,7 +16,10 @@
 // The fault lasts until the daemon votes again in each of its groups: only then may
 // the next disk be lost.
 func (r *faultRun) replaceDisk(ctx context.Context) string {
-	target := r.anyDaemon()
+	return r.replaceDiskOf(ctx, r.anyDaemon())
+}
+
+func (r *faultRun) replaceDiskOf(ctx context.Context, target *Process) string {
 	defer r.addOutage(target.ID, time.Now())
 	lost, known := r.nodesOf(ctx, target)
 	for !known && sleep(ctx, pollPause) {
--- a/lab/faults.go
+++ b/lab/faults.go
@@ -48,6 +48,11 @@
 		{"daemon-pause", "A daemon is frozen, comes back, and still believes what it believed.", (*faultRun).pauseDaemon},
 		{"daemon-stop", "A daemon makes a planned stop and is started again.", (*faultRun).stopDaemon},
 		{"disk-replace", "A daemon loses its disk and comes back with an empty one.", (*faultRun).replaceDisk},
+		{"second-disk", "A daemon loses its disk right after the repair of another one of its zone.", (*faultRun).loseTwoDisks},
+		{"edits-pass", "Hundreds of edits pass a daemon that is down; it restarts behind.", (*faultRun).passEdits},
+		{"edit-race", "Operators send edits against the same revision at once.", (*faultRun).raceEdits},
+		{"edit-resend", "Operators lose the answer to an edit and send it again.", (*faultRun).loseAnswers},
+		{"site-restart", "All daemons and engines die at once and are started again.", (*faultRun).restartSite},
 		{"zone-cut", "A zone is cut off from the others.", (*faultRun).cutZone},
 		{"leader-cut", "A daemon is cut off from all others while engines and callers still reach it.", (*faultRun).cutDaemon},
 		{"engine-crash", "An engine dies and restarts empty.", (*faultRun).crashEngine},
@@ -66,10 +71,15 @@
 	client *transport.Client
 	began  time.Time
 	kinds  []FaultKind
+	// edits makes and records the edits of the run; sending lasts as long as edits
+	// may still be sent again.
+	edits   *editRun
+	sending context.Context
 
 	events []FaultEvent
 	// outages are the times during which a daemon could not answer.
-	outages []outage
+	outages    []outage
+	editFaults editFaults
 	// stops are the planned stops, which must cut nothing.
 	stops []plannedStop
 	// notices are the times during which a machine was listed as leaving.
@@ -124,10 +134,11 @@
 	}
 }
 
-func newFaultRun(fleet *Fleet, names []string, seed uint64) *faultRun {
+func newFaultRun(fleet *Fleet, edits *editRun, names []string, seed uint64) *faultRun {
 	kinds := slices.DeleteFunc(FaultKinds(), func(kind FaultKind) bool { return !slices.Contains(names, kind.Name) })
 	return &faultRun{
 		fleet:  fleet,
+		edits:  edits,
 		random: rand.New(rand.NewPCG(seed, 2)),
 		client: transport.NewClient(log.NewNopLogger(), transport.Options{}),
 		kinds:  kinds,
@@ -137,9 +148,11 @@
 // faultGap separates the end of one fault from the next.
 const faultGap = 1500 * time.Millisecond
 
-// run strikes faults until ctx ends; each fault is ended before it returns.
-func (r *faultRun) run(ctx context.Context) {
+// run strikes faults until ctx ends; each fault is ended before it returns. What was
+// begun is completed while sending lasts.
+func (r *faultRun) run(ctx, sending context.Context) {
 	r.began = time.Now()
+	r.sending = sending
 	defer r.client.Close()
 	for len(r.kinds) > 0 {
 		for _, index := range r.random.Perm(len(r.kinds)) {
@@ -183,11 +196,15 @@
 // restart starts a daemon again; a start that fails shows in the target's name.
 func (r *faultRun) restart(target *Process) string {
 	if err := target.Start(); err != nil {
-		return string(target.ID) + " (not restarted: " + err.Error() + ")"
+		return r.notRestarted(target, err)
 	}
 	return string(target.ID)
 }
 
+func (r *faultRun) notRestarted(target *Process, err error) string {
+	return string(target.ID) + " (not restarted: " + err.Error() + ")"
+}
+
 func (r *faultRun) pauseDaemon(ctx context.Context) string {
 	target := r.anyDaemon()
 	defer r.addOutage(target.ID, time.Now())
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -64,12 +64,13 @@
 	for _, process := range fleet.Daemons {
 		routers = append(routers, process.target())
 	}
+	edits := newEditRun(fleet, options.Fleet.Seed)
 	return &rehearsal{
 		fleet:   fleet,
 		options: options,
 		load:    newLoadRun(routers),
-		faults:  newFaultRun(fleet, options.Faults, options.Fleet.Seed),
-		edits:   newEditRun(fleet, options.Fleet.Seed),
+		faults:  newFaultRun(fleet, edits, options.Faults, options.Fleet.Seed),
+		edits:   edits,
 	}
 }
 
@@ -82,7 +83,7 @@
 	defer endLooks()
 	var others sync.WaitGroup
 	r.began = time.Now()
-	others.Go(func() { r.faults.run(striking) })
+	others.Go(func() { r.faults.run(striking, looking) })
 	var edits sync.WaitGroup
 	edits.Go(func() { r.edits.run(striking, looking) })
 	endProgress := r.load.showProgress(r.options.Show, r.completeProgress)
@@ -118,6 +119,7 @@
 	report.Violations = append(report.Violations, checkPlannedStops(r.faults.stops, outcomes)...)
 	report.Violations = append(report.Violations, checkLeaving(r.faults.notices, records)...)
 	report.Violations = append(report.Violations, late...)
+	report.Violations = append(report.Violations, checkEditFaults(r.faults.editFaults)...)
 	report.Faults = append(report.Faults, r.faults.events...)
 	return report
 }
--- /dev/null
+++ b/lab/sitefaults.go
@@ -0,0 +1,67 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// restartLimit bounds the wait for a restarted site to be ready.
+const restartLimit = 30 * time.Second
+
+// loseTwoDisks replaces a daemon's disk and, as soon as the daemon votes again, that
+// of another daemon of the same zone.
+func (r *faultRun) loseTwoDisks(ctx context.Context) string {
+	first := r.anyDaemon()
+	name := r.replaceDiskOf(ctx, first)
+	fellows := r.fellowsOf(first)
+	if ctx.Err() != nil || len(fellows) == 0 {
+		return name
+	}
+	second := fellows[r.random.IntN(len(fellows))]
+	return fmt.Sprintf("%s, then %s", name, r.replaceDiskOf(ctx, second))
+}
+
+// fellowsOf lists the other daemons of the daemon's zone.
+func (r *faultRun) fellowsOf(target *Process) []*Process {
+	var fellows []*Process
+	for _, other := range r.fleet.Daemons {
+		if other != target && other.Zone == target.Zone {
+			fellows = append(fellows, other)
+		}
+	}
+	return fellows
+}
+
+// restartSite kills all daemons and engines at once and starts them again.
+func (r *faultRun) restartSite(ctx context.Context) string {
+	from := time.Now()
+	for _, process := range r.fleet.Daemons {
+		process.Kill()
+	}
+	for _, runner := range r.fleet.Platform.Runners {
+		runner.Server.Crash()
+	}
+	sleep(ctx, downTime)
+	name := "all daemons and engines"
+	for _, process := range r.fleet.Daemons {
+		if err := process.Start(); err != nil {
+			name = r.notRestarted(process, err)
+		}
+	}
+	for _, runner := range r.fleet.Platform.Runners {
+		runner.revive()
+	}
+	ready, cancel := context.WithTimeout(r.sending, restartLimit)
+	defer cancel()
+	if err := r.fleet.awaitReady(ready); err != nil {
+		name += " (not ready in time: " + err.Error() + ")"
+	}
+	for _, process := range r.fleet.Daemons {
+		r.addOutage(process.ID, from)
+	}
+	for _, zone := range r.fleet.Site.Zones {
+		r.cuts = append(r.cuts, zoneOutage{zone.ID, from, time.Now()})
+	}
+	return name
+}
