Say that nothing was changed when a table file cannot be read

Cause: an edit refused by the site said so, one refused because a value of the file could not be read did not, and gave no sign that further checks follow. Change: a line on the errors. Conclusion: TestOneValueThatCannotBeReadHoldsBackAllRows fails before.

--- a/ctl/edit.go
+++ b/ctl/edit.go
@@ -32,6 +32,7 @@
 		err = s.printJSON(editOutput{Result: structs.EditResult{Problems: problems}, Changes: []changeOutput{}})
 	} else {
 		err = s.printProblems(problems)
+		fmt.Fprintln(s.Errors, "lotusferryctl: nothing was changed: correct the values; whether they fit each other is checked once all can be read.")
 	}
 	if err != nil {
 		return nil, err
--- a/ctl/edit_test.go
+++ b/ctl/edit_test.go
@@ -86,6 +86,21 @@
 	c.Check(run(service, "", "table", "set", "code-large", "memory=0").output, qt.Contains, "code-large  memory  2000")
 }
 
+func TestOneValueThatCannotBeReadHoldsBackAllRows(t *testing.T) {
+	c := qt.New(t)
+	service := newSite()
+	file := "name,kind,weight,priority,max_replicas,memory,role\n" +
+		"code-small,model,1,live,1,8GiB,answers\n" +
+		"code-tiny,model,1,urgent,1,1GiB,answers\n"
+	got := run(service, file, "table", "apply", "-", "--format", "csv")
+	c.Check(got.code, qt.Equals, ctl.ExitRefused)
+	c.Check(got.output, qt.Equals, lines(
+		"ROW        COLUMN    VALUE   PROBLEM            REMEDY",
+		"code-tiny  priority  urgent  is not a priority  Use batch, standard or live."))
+	c.Check(got.errors, qt.Contains, "nothing was changed")
+	c.Check(service.applied, qt.HasLen, 0)
+}
+
 func TestResendsKeepTheEditID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
