Load adapters ahead of need beside their bases; drop the reserve of Padano

Change: a plan with nothing else to load loads one adapter beside a ready base, into free memory beside the reserve, when its expected saving is worth its share of a runner for an hour; one that was not seen is expected once a week. A plan looks at 256 adapters, successors take turns. The zone names the adapters of a base. The experiment's Padano keeps no reserve. Tests: a shared burst is now one load for the demand and one for each of the row's six adapters, both counted exactly, where it was one load in all.

--- a/experiment/platform.go
+++ b/experiment/platform.go
@@ -49,9 +49,6 @@
 	wishInterval = time.Minute
 )
 
-// latencyReserve is the memory that a site with the latency objective keeps free.
-const latencyReserve = 16 * gibibyte
-
 func transferTime(bytes, speed int64) time.Duration {
 	return time.Duration(float64(bytes) / float64(speed) * float64(time.Second))
 }
--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -92,7 +92,10 @@
 	qt.Assert(t, w.setPlanners(PolicyLotusferry), qt.IsNil)
 	w.run(5 * time.Minute)
 	run := w.result(5 * time.Minute)
-	qt.Assert(t, run.Loads, qt.DeepEquals, map[structs.CacheTier]int{structs.TierStore: 1})
+	// One load for the burst, and ahead of need each adapter of the row once.
+	const adapters = 6
+	qt.Assert(t, run.LoadReasons, qt.DeepEquals, map[scheduler.Reason]int{scheduler.ReasonDemand: 1, scheduler.ReasonPrewarm: adapters})
+	qt.Assert(t, run.Loads, qt.DeepEquals, map[structs.CacheTier]int{structs.TierStore: 1 + adapters})
 	qt.Assert(t, run.LiveInTime, qt.Equals, 1.0)
 }
 
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -63,9 +63,6 @@
 	settings.DiskBytesPerSecond = diskSpeed
 	// A checkpoint of the store is read into memory and loaded from there.
 	settings.StoreBytesPerSecond = storeThenMemorySpeed
-	if site.Objective == structs.ObjectiveLatency {
-		settings.ReserveBytes = latencyReserve
-	}
 	return settings
 }
 
--- a/scheduler/benchmark_test.go
+++ b/scheduler/benchmark_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,9 @@
 // expected rows.
 func newLargeSnapshot(runners int) Snapshot {
 	const rows, perRunner = 58_000, 8
-	table := testTable{rows: map[structs.RowName]structs.Row{}, limits: map[structs.RowName]int{}}
+	table := testTable{
+		adapters: map[structs.RowName][]structs.RowName{}, rows: map[structs.RowName]structs.Row{}, limits: map[structs.RowName]int{},
+	}
 	name := func(i int) structs.RowName { return structs.RowName(fmt.Sprintf("row-%05d", i%rows)) }
 	for i := range rows {
 		table.rows[name(i)] = structs.Row{Name: name(i), Kind: structs.RowModel, MemoryBytes: 10 << 30, Weight: 1}
@@ -59,6 +62,30 @@
 	}
 }
 
+// BenchmarkQuietPlan is of a zone in which nothing waits, and 250 models have 58,000
+// adapters between them.
+func BenchmarkQuietPlan(b *testing.B) {
+	const models, adapters = 250, 58_000
+	for _, runners := range []int{12, 420, 10_000} {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			snapshot := newLargeSnapshot(runners)
+			snapshot.Demand = slices.DeleteFunc(snapshot.Demand, func(demand Demand) bool { return demand.Waiting > 0 })
+			snapshot.Expected = nil
+			table := snapshot.Table.(testTable)
+			for i := range adapters {
+				base := structs.RowName(fmt.Sprintf("row-%05d", i%models))
+				name := structs.RowName(fmt.Sprintf("%s/%05d", base, i))
+				table.rows[name] = structs.Row{Name: name, Kind: structs.RowAdapter, Base: base, MemoryBytes: 1 << 28, Weight: 1}
+				table.adapters[base] = append(table.adapters[base], name)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(snapshot)
+			}
+		})
+	}
+}
+
 func BenchmarkExpected(b *testing.B) {
 	rhythms := NewRhythms()
 	for i := range 58_000 {
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -11,30 +10,6 @@
 
 var testNow = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
-// testTable is a Table of literal rows and limits.
-type testTable struct {
-	rows    map[structs.RowName]structs.Row
-	limits  map[structs.RowName]int
-	minimum []structs.RowName
-	// frozen names the row whose grant is frozen.
-	frozen structs.RowName
-}
-
-func (t testTable) Row(name structs.RowName) (structs.Row, bool) {
-	row, ok := t.rows[name]
-	return row, ok
-}
-
-func (t testTable) Grant(name structs.RowName) structs.Grant {
-	grant := structs.Grant{Row: name, Limit: t.limits[name], Frozen: name == t.frozen}
-	if slices.Contains(t.minimum, name) {
-		grant.Minimum = t.rows[name].MinReplicas
-	}
-	return grant
-}
-
-func (t testTable) RowsWithMinimum() []structs.RowName { return t.minimum }
-
 // newTestSnapshot has rows a, b and the adapter t of a, each granted two
 // replicas, and the empty runners r1 and r2 with room for a or b, but not both.
 func newTestSnapshot() Snapshot {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -126,6 +126,7 @@
 	}
 	p.planLoads()
 	p.planPrewarm()
+	p.planCompanions()
 	p.planReserve()
 	return p.plan
 }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -14,6 +14,8 @@
 	Grant(structs.RowName) structs.Grant
 	// RowsWithMinimum names the rows with a positive MinReplicas, in order.
 	RowsWithMinimum() []structs.RowName
+	// AdaptersOf names the adapters of the base, in order. The list is not to be changed.
+	AdaptersOf(base structs.RowName) []structs.RowName
 }
 
 // Snapshot is what a plan is made from.
--- a/zone/state_test.go
+++ b/zone/state_test.go
@@ -234,3 +234,31 @@
 		})
 	}
 }
+
+func TestAdaptersAreNamedByTheirBase(t *testing.T) {
+	s := New("z")
+	revision := uint64(0)
+	adopt := func(delta structs.TableDelta) {
+		delta.SinceRevision, delta.Revision = revision, revision+1
+		revision++
+		qt.Assert(t, s.Apply(revision, Command{Adopt: &delta}).Error == nil, qt.IsTrue)
+	}
+	adapter := func(name, base structs.RowName) structs.Row {
+		return structs.Row{Name: name, Base: base, Kind: structs.RowAdapter, MaxReplicas: 1, MemoryBytes: 1, Role: "answers"}
+	}
+	adopt(structs.TableDelta{Full: true, Rows: []structs.Row{testRow("a", 1), testRow("b", 1), adapter("y", "a"), adapter("x", "a")}})
+	qt.Check(t, s.AdaptersOf("a"), qt.DeepEquals, []structs.RowName{"x", "y"})
+	adopt(structs.TableDelta{Rows: []structs.Row{adapter("x", "b"), adapter("z", "b")}})
+	qt.Check(t, s.AdaptersOf("a"), qt.DeepEquals, []structs.RowName{"y"})
+	qt.Check(t, s.AdaptersOf("b"), qt.DeepEquals, []structs.RowName{"x", "z"})
+	adopt(structs.TableDelta{Deleted: []structs.RowName{"x", "y"}})
+	qt.Check(t, s.AdaptersOf("a"), qt.HasLen, 0)
+	qt.Check(t, s.AdaptersOf("b"), qt.DeepEquals, []structs.RowName{"z"})
+	data, err := s.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	restored := New("z")
+	qt.Assert(t, restored.Restore(data), qt.IsNil)
+	qt.Check(t, restored.AdaptersOf("b"), qt.DeepEquals, []structs.RowName{"z"})
+	adopt(structs.TableDelta{Full: true})
+	qt.Check(t, s.AdaptersOf("b"), qt.HasLen, 0)
+}
--- a/zone/table.go
+++ b/zone/table.go
@@ -17,6 +17,8 @@
 	names []structs.RowName
 	// minimum holds the rows that are kept loaded without demand.
 	minimum map[structs.RowName]bool
+	// adapters names the adapters of each base, in order.
+	adapters map[structs.RowName][]structs.RowName
 	// lowered holds the rows whose grant has a limit below what is held, or is frozen.
 	lowered map[structs.RowName]bool
 	// changes are ordered by revision; all changes after floor are there. They
@@ -31,6 +33,7 @@
 		grants:    map[structs.RowName]structs.Grant{},
 		elsewhere: map[structs.RowName][]structs.ZoneID{},
 		minimum:   map[structs.RowName]bool{},
+		adapters:  map[structs.RowName][]structs.RowName{},
 		lowered:   map[structs.RowName]bool{},
 	}
 }
@@ -55,6 +58,7 @@
 		t.setRow(row)
 	}
 	for _, name := range delta.Deleted {
+		t.removeAdapter(name)
 		delete(t.rows, name)
 		delete(t.minimum, name)
 	}
@@ -86,6 +90,10 @@
 }
 
 func (t *adoptedTable) setRow(row structs.Row) {
+	if t.rows[row.Name].Base != row.Base {
+		t.removeAdapter(row.Name)
+		t.addAdapter(row)
+	}
 	t.rows[row.Name] = row
 	if row.MinReplicas > 0 {
 		t.minimum[row.Name] = true
@@ -94,6 +102,31 @@
 	}
 }
 
+// addAdapter names the row among the adapters of its base, if it has one.
+func (t *adoptedTable) addAdapter(row structs.Row) {
+	if row.Base == "" {
+		return
+	}
+	names := t.adapters[row.Base]
+	if position, found := slices.BinarySearch(names, row.Name); !found {
+		t.adapters[row.Base] = slices.Insert(names, position, row.Name)
+	}
+}
+
+// removeAdapter takes the row from the adapters of the base that it has so far.
+func (t *adoptedTable) removeAdapter(name structs.RowName) {
+	base := t.rows[name].Base
+	names := t.adapters[base]
+	position, found := slices.BinarySearch(names, name)
+	switch {
+	case !found:
+	case len(names) == 1:
+		delete(t.adapters, base)
+	default:
+		t.adapters[base] = slices.Delete(names, position, position+1)
+	}
+}
+
 func (t *adoptedTable) setGrant(grant structs.Grant) {
 	delete(t.lowered, grant.Row)
 	if grant.Limit < grant.Held || grant.Frozen {
@@ -159,6 +192,10 @@
 	return slices.Sorted(maps.Keys(s.table.minimum))
 }
 
+// AdaptersOf returns the names of the base's adapters, in order, until the next Apply. It is not to be
+// changed.
+func (s *State) AdaptersOf(base structs.RowName) []structs.RowName { return s.table.adapters[base] }
+
 // Grant returns the zone's grant for the row; without one its limit is zero.
 func (s *State) Grant(row structs.RowName) structs.Grant { return s.table.grant(s.zone, row) }
 
