Take API keys back without a restart

Cause: the keys of operators and callers were read at the start only, so a lost key was good until every daemon had been restarted. Change: what follows the TLS files is now keys.Followed, which serves both; each request looks whether the settings file has changed and reads operators and callers again. A file that cannot be used leaves the last good keys in force, and the log says once why, with the remedy. api.Options.Keys is a function, so two tests set it as one; their assertions are the same.

--- a/api/caller.go
+++ b/api/caller.go
@@ -50,10 +50,14 @@
 	if forwarded && options.FromDaemon != nil && options.FromDaemon(r) {
 		return forwardedCaller(r), true
 	}
-	if len(options.Keys) == 0 {
+	var known []CallerKey
+	if options.Keys != nil {
+		known = options.Keys()
+	}
+	if len(known) == 0 {
 		return caller{name: anonymousCaller, highest: structs.PriorityLive}, true
 	}
-	return callerOf(r, options.Keys)
+	return callerOf(r, known)
 }
 
 // forwardedCaller is the caller that a daemon names; the daemon has checked the
--- a/api/handler.go
+++ b/api/handler.go
@@ -33,8 +33,9 @@
 	// DefaultMaxTokens and MaxTokens bound the answer's length in tokens.
 	DefaultMaxTokens int
 	MaxTokens        int
-	// Keys are the callers' API keys; none means that no key is asked for.
-	Keys []CallerKey
+	// Keys returns the callers' API keys as they are now; it is asked at each request.
+	// nil, or no key at all, means that no key is asked for.
+	Keys func() []CallerKey
 	// FromDaemon reports whether another daemon of the site sent the request:
 	// only then is it taken as forwarded, for the caller that it names, and needs
 	// no key. nil means that no daemon forwards here.
--- a/api/service_test.go
+++ b/api/service_test.go
@@ -110,7 +110,7 @@
 	key, hash := keys.NewAPIKey()
 	highest := func(priority structs.Priority) func(*api.Options) {
 		return func(options *api.Options) {
-			options.Keys = []api.CallerKey{{Name: "cellar", Hash: hash, Highest: priority}}
+			options.Keys = func() []api.CallerKey { return []api.CallerKey{{Name: "cellar", Hash: hash, Highest: priority}} }
 		}
 	}
 	for _, test := range []struct {
@@ -152,7 +152,7 @@
 		t.Run(fmt.Sprint("daemon ", daemon), func(t *testing.T) {
 			c := qt.New(t)
 			service, url := serve(t, func(options *api.Options) {
-				options.Keys = []api.CallerKey{{Name: "other", Hash: hash}}
+				options.Keys = func() []api.CallerKey { return []api.CallerKey{{Name: "other", Hash: hash}} }
 				options.FromDaemon = func(*http.Request) bool { return daemon }
 			})
 			request := structs.Request{ID: "r", Row: "echo", Prompt: "one two", Caller: "cellar", IdempotencyKey: "a:1",
--- /dev/null
+++ b/daemon/apikeys.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/keys"
+)
+
+// apiKeys are the API keys that the daemon accepts. They follow the settings file as
+// the certificates follow theirs: each request looks whether the file has changed, so
+// that a key that was taken out is refused from the next request on, also over a
+// connection that stands.
+type apiKeys struct {
+	followed *keys.Followed[keyRings]
+}
+
+// keyRings are the API keys of one state of the settings file.
+type keyRings struct {
+	operators *keys.Keyring
+	callers   []api.CallerKey
+}
+
+// newAPIKeys follows the keys in the file at path. An empty path means that the
+// settings came from no file, and their keys never change.
+func newAPIKeys(logger log.Logger, settings config.Config, path string) (*apiKeys, error) {
+	source := keys.Source[keyRings]{
+		Name: "API keys",
+		Read: func() (keyRings, error) { return readKeyRings(settings, path) },
+	}
+	if path != "" {
+		source.Paths = []string{path}
+	}
+	followed, err := keys.Follow(logger, source)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the API keys")
+	}
+	return &apiKeys{followed: followed}, nil
+}
+
+// Lookup implements operatorapi.KeyLookup.
+func (k *apiKeys) Lookup(key string) (string, bool) {
+	return k.followed.Current().operators.Lookup(key)
+}
+
+// callers returns the keys of the callers.
+func (k *apiKeys) callers() []api.CallerKey { return k.followed.Current().callers }
+
+func readKeyRings(settings config.Config, path string) (keyRings, error) {
+	operators, callers := settings.Operators, settings.Callers
+	if path != "" {
+		var err error
+		if operators, callers, err = settings.ReadKeys(path); err != nil {
+			return keyRings{}, err
+		}
+	}
+	entries := make([]keys.Entry, 0, len(operators))
+	for _, operator := range operators {
+		hash, err := keys.ParseHash(operator.Hash)
+		if err != nil {
+			return keyRings{}, errors.Wrap(err, "read the key of operator "+operator.Name)
+		}
+		entries = append(entries, keys.Entry{Name: operator.Name, Hash: hash})
+	}
+	rings := keyRings{operators: keys.NewKeyring(entries)}
+	for _, caller := range callers {
+		hash, err := keys.ParseHash(caller.Hash)
+		if err != nil {
+			return keyRings{}, errors.Wrap(err, "read the key of caller "+caller.Name)
+		}
+		rings.callers = append(rings.callers, api.CallerKey{Name: caller.Name, Hash: hash, Highest: caller.HighestPriority()})
+	}
+	return rings, nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,7 @@
 	logger    log.Logger
 	config    config.Config
 	reloader  *keys.Reloader
+	apiKeys   *apiKeys
 	server    *transport.Server
 	client    *transport.Client
 	engines   *engineapi.Client
@@ -56,14 +57,18 @@
 	failed   chan error
 }
 
-// New opens the daemon's files and listeners. Nothing runs before Start.
-func New(logger log.Logger, settings config.Config) (*Daemon, error) {
-	return newDaemon(logger, settings, options{limits: defaultHTTPLimits()})
+// New opens the daemon's files and listeners. Nothing runs before Start. The settings
+// were read from the file at path, whose API keys the daemon follows.
+func New(logger log.Logger, settings config.Config, path string) (*Daemon, error) {
+	return newDaemon(logger, settings, options{limits: defaultHTTPLimits(), settingsPath: path})
 }
 
 // options are what a daemon of the program has by default and a test may change.
 type options struct {
 	limits httpLimits
+	// settingsPath is the file whose API keys are followed; empty means that they
+	// never change.
+	settingsPath string
 	// network is what the daemon listens on and dials over; nil means TCP.
 	network network.Network
 	// random draws what needs no secrecy; nil means the global source. It is called
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
@@ -35,27 +34,24 @@
 
 // openHTTP opens the listeners for callers and operators.
 func (d *Daemon) openHTTP() error {
+	known, err := newAPIKeys(d.logger, d.config, d.options.settingsPath)
+	if err != nil {
+		return err
+	}
+	d.apiKeys = known
 	if address := d.config.Listen.Callers; address != "" && d.router != nil {
-		options, err := d.callerOptions()
-		if err != nil {
-			return err
-		}
-		handler := d.closeWhenDraining(api.NewHandler(d.logger, d.router, options))
+		handler := d.closeWhenDraining(api.NewHandler(d.logger, d.router, d.callerOptions()))
 		if err := d.listenHTTP(callersServer, address, handler); err != nil {
 			return err
 		}
 	}
 	if address := d.config.Listen.Operators; address != "" {
-		handler, err := d.operatorHandler()
-		if err != nil {
-			return err
-		}
-		return d.listenHTTP(operatorsServer, address, handler)
+		return d.listenHTTP(operatorsServer, address, d.operatorHandler())
 	}
 	return nil
 }
 
-func (d *Daemon) callerOptions() (api.Options, error) {
+func (d *Daemon) callerOptions() api.Options {
 	settings := d.config
 	options := api.DefaultOptions()
 	options.FromDaemon = forwardedByDaemon(d.reloader)
@@ -63,38 +59,21 @@
 	options.MaxBodyBytes = settings.Limits.BodyBytes
 	options.DefaultDeadline = settings.Limits.DefaultDeadline
 	options.MaxDeadline = settings.Limits.MaximumDeadline
-	for _, key := range settings.Callers {
-		hash, err := keys.ParseHash(key.Hash)
-		if err != nil {
-			return options, errors.Wrap(err, "read the callers' keys")
-		}
-		options.Keys = append(options.Keys, api.CallerKey{Name: key.Name, Hash: hash, Highest: key.HighestPriority()})
-	}
-	return options, nil
+	options.Keys = d.apiKeys.callers
+	return options
 }
 
-func (d *Daemon) operatorHandler() (http.Handler, error) {
-	var keyring *keys.Keyring
+func (d *Daemon) operatorHandler() http.Handler {
+	options := operatorapi.HandlerOptions{BodyBytes: d.config.Limits.OperatorBodyBytes}
 	if !d.config.Development {
-		var entries []keys.Entry
-		for _, operator := range d.config.Operators {
-			hash, err := keys.ParseHash(operator.Hash)
-			if err != nil {
-				return nil, errors.Wrap(err, "read the operators' keys")
-			}
-			entries = append(entries, keys.Entry{Name: operator.Name, Hash: hash})
-		}
-		keyring = keys.NewKeyring(entries)
+		options.Keys = d.apiKeys
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", operatorapi.NewHandler(d.logger, d.operators, operatorapi.HandlerOptions{
-		Keys:      keyring,
-		BodyBytes: d.config.Limits.OperatorBodyBytes,
-	}))
+	mux.Handle("/", operatorapi.NewHandler(d.logger, d.operators, options))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("GET /metrics", d.metricsHandler())
-	return mux, nil
+	return mux
 }
 
 // serveReady answers 200 once the daemon can serve: its groups know a leader and
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -66,7 +66,7 @@
 		fmt.Fprintln(failures, err)
 		return ExitSettings
 	}
-	return serve(stop, cut, newLogger(failures, settings.Log), settings)
+	return serve(stop, cut, newLogger(failures, settings.Log), settings, line.Config)
 }
 
 // check prints every problem of the settings, and returns ExitSettings when a
@@ -104,9 +104,9 @@
 }
 
 // serve runs a daemon until stop ends or it fails, and makes its planned stop.
-func serve(stop, cut context.Context, parent log.Logger, settings config.Config) int {
+func serve(stop, cut context.Context, parent log.Logger, settings config.Config, path string) int {
 	logger := log.With(parent, "daemon", settings.Daemon, "zone", settings.Zone, "component", "daemon")
-	running, err := New(parent, settings)
+	running, err := New(parent, settings, path)
 	if err != nil {
 		level.Error(logger).Log("msg", "The daemon cannot start.", "err", err)
 		return ExitFailed
--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -172,7 +172,7 @@
 		c.Assert(err, qt.IsNil)
 		defer taken.Close()
 		change(&settings, taken.Addr().String())
-		_, err = New(log.NewNopLogger(), settings)
+		_, err = New(log.NewNopLogger(), settings, "")
 		c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid, qt.Commentf("%v", err))
 		c.Check(err, qt.ErrorMatches, ".*"+key+" .* cannot be listened on.*in use: Stop the process that listens there.*")
 	}
--- a/keys/doc.go
+++ b/keys/doc.go
@@ -7,5 +7,6 @@
 // the site's CA, and a peer whose zone is not of the site is refused.
 //
 // API keys are random; only their SHA-256 hash is kept. They are long enough
-// that a slow hash would add nothing.
+// that a slow hash would add nothing. Followed reads them, as it does the files of
+// TLS, again once they have changed.
 package keys
--- a/keys/reloader.go
+++ b/keys/reloader.go
@@ -4,11 +4,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -33,19 +31,12 @@
 }
 
 // Reloader gives out TLS configurations that follow the files: each handshake
-// looks whether a file has changed. While new files cannot be used, the last
-// good ones stay in force and the cause is logged once. A Reloader is safe for
-// concurrent use.
+// looks whether a file has changed. A Reloader is safe for concurrent use.
 type Reloader struct {
-	logger log.Logger
-	files  Files
-	zones  map[structs.ZoneID]bool
-	homes  map[structs.DaemonID]structs.ZoneID
-	now    func() time.Time
-
-	mutex  sync.Mutex
-	stamps [3]os.FileInfo // of the last attempt
-	loaded material
+	zones    map[structs.ZoneID]bool
+	homes    map[structs.DaemonID]structs.ZoneID
+	now      func() time.Time
+	followed *Followed[material]
 }
 
 // material is what the files hold.
@@ -57,11 +48,9 @@
 // NewReloader reads the files. Its error has the kind invalid.
 func NewReloader(logger log.Logger, files Files, options Options) (*Reloader, error) {
 	reloader := &Reloader{
-		logger: log.With(logger, "component", "keys"),
-		files:  files,
-		zones:  map[structs.ZoneID]bool{},
-		homes:  options.Daemons,
-		now:    options.Now,
+		zones: map[structs.ZoneID]bool{},
+		homes: options.Daemons,
+		now:   options.Now,
 	}
 	if reloader.now == nil {
 		reloader.now = time.Now
@@ -69,71 +58,20 @@
 	for _, zone := range options.Zones {
 		reloader.zones[zone] = true
 	}
-	stamps, err := files.stat()
-	if err != nil {
-		return nil, err
-	}
-	loaded, err := files.load()
+	followed, err := Follow(logger, Source[material]{
+		Name:  "TLS files",
+		Paths: []string{files.CA, files.Certificate, files.Key},
+		Read:  files.load,
+	})
 	if err != nil {
 		return nil, err
 	}
-	reloader.stamps = stamps
-	reloader.loaded = loaded
+	reloader.followed = followed
 	return reloader, nil
 }
 
-// current returns the newest material that can be used. The files' state is
-// read before their content, so that a change in between is seen next time.
-func (r *Reloader) current() material {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	stamps, err := r.files.stat()
-	if err == nil && same(stamps, r.stamps) {
-		return r.loaded
-	}
-	if err != nil && r.stamps == ([3]os.FileInfo{}) {
-		return r.loaded // missing files have been logged
-	}
-	r.stamps = stamps
-	loaded := material{}
-	if err == nil {
-		loaded, err = r.files.load()
-	}
-	if err != nil {
-		level.Error(r.logger).Log("msg", "Changed TLS files cannot be used. The last good ones stay in force.", "err", err)
-		return r.loaded
-	}
-	r.loaded = loaded
-	level.Info(r.logger).Log("msg", "TLS files were read again.")
-	return r.loaded
-}
-
-func same(before, after [3]os.FileInfo) bool {
-	for index := range before {
-		if after[index] == nil || !os.SameFile(before[index], after[index]) {
-			return false
-		}
-		if !before[index].ModTime().Equal(after[index].ModTime()) {
-			return false
-		}
-		if before[index].Size() != after[index].Size() {
-			return false
-		}
-	}
-	return true
-}
-
-func (f Files) stat() ([3]os.FileInfo, error) {
-	var stamps [3]os.FileInfo
-	for index, path := range []string{f.CA, f.Certificate, f.Key} {
-		info, err := os.Stat(path)
-		if err != nil {
-			return [3]os.FileInfo{}, invalidFile(path, err)
-		}
-		stamps[index] = info
-	}
-	return stamps, nil
-}
+// current returns the newest material that can be used.
+func (r *Reloader) current() material { return r.followed.Current() }
 
 func (f Files) load() (material, error) {
 	roots, err := loadRoots(f.CA)
--- a/operatorapi/handler.go
+++ b/operatorapi/handler.go
@@ -11,16 +11,20 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
 const defaultBodyBytes = 64 << 20
 
+// KeyLookup tells whose API key was presented. It is asked at each request.
+type KeyLookup interface {
+	Lookup(key string) (owner string, known bool)
+}
+
 // HandlerOptions adjusts NewHandler.
 type HandlerOptions struct {
 	// Keys lets operators in. nil lets everybody in and is for development mode only.
-	Keys *keys.Keyring
+	Keys KeyLookup
 	// BodyBytes bounds a request's body; 64 MiB when 0.
 	BodyBytes int64
 }
@@ -77,13 +81,13 @@
 	return who
 }
 
-func authenticate(keyring *keys.Keyring) httptransport.RequestFunc {
+func authenticate(known KeyLookup) httptransport.RequestFunc {
 	return func(ctx context.Context, request *http.Request) context.Context {
-		who := operator{allowed: keyring == nil}
-		if keyring != nil {
+		who := operator{allowed: known == nil}
+		if known != nil {
 			key, bearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
-			name, known := keyring.Lookup(key)
-			who = operator{name: name, allowed: bearer && known}
+			name, found := known.Lookup(key)
+			who = operator{name: name, allowed: bearer && found}
 		}
 		return context.WithValue(ctx, operatorKey{}, who)
 	}
