Let rows take turns by their weight

Cause: rows that compete for a runner took equal turns; the weight in the table was not looked at. Change: a turn counts by the inverse of the row's weight; a row without one has the usual weight.

--- a/router/core.go
+++ b/router/core.go
@@ -20,7 +20,7 @@
 	turns int
 	// rowTurns is the number of turns that a row which was idle starts with, so that
 	// it saves up nothing; it only rises.
-	rowTurns int
+	rowTurns float64
 	// queued counts the requests in all queues.
 	queued int
 
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -36,7 +36,7 @@
 		next = c.popFor(waiting, next, choice)
 		c.queued--
 		waiting.noteWaiting(c.now)
-		waiting.turns++
+		waiting.countTurn()
 		waiting.estimator.ObserveTurn(c.now, waiting.queue.Len() > 0)
 		c.begin(next, choice)
 		return true
@@ -160,12 +160,12 @@
 	return append(waiting, waitingRow{row: candidate, head: head})
 }
 
-// rowSlack is how many turns a row may be ahead of the others that wait and still
-// compete by deadline.
+// rowSlack is how many turns of usual weight a row may be ahead of the others that
+// wait and still compete by deadline.
 const rowSlack = 2
 
 // dispatchInOrder serves rows that compete for the same runners, one request at a
-// time, by the priority of their first request, then by fair turns, then by
+// time, by the priority of their first request, then by weighted turns, then by
 // deadline; every few turns the longest wait goes first.
 func (c *Core) dispatchInOrder(waiting []waitingRow) {
 	if len(waiting) == 0 {
@@ -222,7 +222,7 @@
 }
 
 // byUrgency orders by priority, turns beyond limit, then deadline.
-func byUrgency(left, right waitingRow, limit int) int {
+func byUrgency(left, right waitingRow, limit float64) int {
 	return cmp.Or(
 		cmp.Compare(right.head.Priority, left.head.Priority),
 		cmp.Compare(max(left.row.turns, limit), max(right.row.turns, limit)),
--- a/router/fairness_test.go
+++ b/router/fairness_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/admission"
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -66,6 +67,40 @@
 	qt.Assert(t, quiet, qt.Equals, 4)
 }
 
+func TestRowsShareTheirRunnersByWeight(t *testing.T) {
+	const turns = 80
+	for _, test := range []struct{ weight, other, want int }{
+		{100, 100, 40},
+		{300, 100, 60},
+		{1000, 250, 64},
+		{0, 300, 20},
+	} {
+		t.Run(fmt.Sprint(test.weight, " beside ", test.other), func(t *testing.T) {
+			s := newFullRunner(t)
+			s.do(ViewChanged{View: structs.ZoneView{Index: 3, Table: structs.TableDelta{Revision: 3, SinceRevision: 2, Rows: []structs.Row{
+				{Name: "row", MaxReplicas: 4, Weight: test.weight}, {Name: "other", MaxReplicas: 4, Weight: test.other},
+			}}}})
+			var running []SendAttempt
+			for number := range turns {
+				running = append(running, s.request(structs.RequestID(fmt.Sprint("a-", number)), "row", time.Minute, "prompt")...)
+				running = append(running, s.request(structs.RequestID(fmt.Sprint("b-", number)), "other", time.Minute, "prompt")...)
+			}
+			served := 0
+			for range turns {
+				next := s.finish(running[0].Attempt)
+				qt.Assert(t, next, qt.HasLen, 1)
+				running = append(running[1:], next...)
+				if next[0].Generate.Row == "row" {
+					served++
+				}
+			}
+			// So often the longest wait goes first.
+			const guarded = turns / admission.DefaultGuardAfter
+			qt.Check(t, served >= test.want-guarded && served <= test.want+guarded, qt.IsTrue, qt.Commentf("%d of %d", served, turns))
+		})
+	}
+}
+
 func TestFullRunnerTakesARequestItHasCachedFirst(t *testing.T) {
 	s := newFullRunner(t)
 	cached := strings.Repeat("a", routing.PrefixBlockBytes)
--- a/router/row.go
+++ b/router/row.go
@@ -34,8 +34,9 @@
 	running int
 	// arrived counts the arrivals since the row's demand was last reported.
 	arrived int
-	// turns counts the row's turns, for the fairness between rows.
-	turns int
+	// turns counts the row's turns, for the fairness between rows; a turn counts for
+	// less the higher the row's weight is.
+	turns float64
 	// offered counts, of held, the requests that other zones are asked to take.
 	offered int
 	// warmZone last took a request of the row; those in refusedUntil get no offer
@@ -58,6 +59,18 @@
 	return r.queue.Len()
 }
 
+// usualWeight is the weight of a row whose turns count once.
+const usualWeight = 100
+
+// countTurn counts a turn by the row's weight; a row without one has the usual weight.
+func (r *row) countTurn() {
+	weight := r.Weight
+	if weight <= 0 {
+		weight = usualWeight
+	}
+	r.turns += usualWeight / float64(weight)
+}
+
 // noteWaiting tells the row's rush whether requests wait from now on.
 func (r *row) noteWaiting(now time.Time) { r.rush.Observe(now, r.waiting() > 0) }
 
