Bound the tokens of callers and rows

Cause: turns are fair by requests, so that one caller with long answers could use a row up. Change: admission.TokenLimits charges a request's prompt and longest answer before it is queued and returns what was not used. Over the limit it is refused as limit, with the time until the tokens are free. Settings limits.caller_tokens_per_minute and limits.row_tokens_per_minute, off by default. The cost of a decision was not measured anew. Conclusion: limits hold in each router; a site-wide one is left out on purpose.

--- a/config/check_values.go
+++ b/config/check_values.go
@@ -48,9 +48,14 @@
 	k.within("timing.stop_timeout", timing.StopTimeout, time.Second, time.Hour)
 }
 
+// maximumTokensPerMinute is more than a whole site generates.
+const maximumTokensPerMinute = 1_000_000_000
+
 func (k *checker) limits() {
 	limits := k.config.Limits
 	k.between("limits.queue_per_row", limits.QueuePerRow, 1, 1_000_000)
+	k.between("limits.caller_tokens_per_minute", limits.CallerTokensPerMinute, 0, maximumTokensPerMinute)
+	k.between("limits.row_tokens_per_minute", limits.RowTokensPerMinute, 0, maximumTokensPerMinute)
 	k.size("limits.body_bytes", limits.BodyBytes, 1<<10, 1<<30)
 	k.size("limits.operator_body_bytes", limits.OperatorBodyBytes, 1<<10, 1<<30)
 	k.within("limits.default_deadline", limits.DefaultDeadline, 100*time.Millisecond, 24*time.Hour)
--- a/config/config.go
+++ b/config/config.go
@@ -146,6 +146,11 @@
 type Limits struct {
 	// QueuePerRow is how many requests of one row may wait in one router.
 	QueuePerRow int `yaml:"queue_per_row"`
+	// CallerTokensPerMinute bounds the tokens, of prompts and answers, that one caller
+	// may use of one row in one router, RowTokensPerMinute those of all callers; 0
+	// bounds nothing. A minute's worth may come at once.
+	CallerTokensPerMinute int `yaml:"caller_tokens_per_minute"`
+	RowTokensPerMinute    int `yaml:"row_tokens_per_minute"`
 	// BodyBytes bounds a caller's request.
 	BodyBytes int64 `yaml:"body_bytes"`
 	// OperatorBodyBytes bounds an operator's request.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,11 +7,13 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/admission"
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
@@ -306,6 +308,8 @@
 			Zones:           d.config.Site.ZoneIDs(),
 			Random:          rand.New(rand.NewPCG(seed, d.options.random())),
 			QueueLimit:      d.config.Limits.QueuePerRow,
+			CallerTokens:    tokensPerMinute(d.config.Limits.CallerTokensPerMinute),
+			RowTokens:       tokensPerMinute(d.config.Limits.RowTokensPerMinute),
 			DefaultDeadline: d.config.Limits.DefaultDeadline,
 			AnswerLife:      d.config.Limits.ClaimRetention,
 		}),
@@ -317,6 +321,11 @@
 	return nil
 }
 
+// tokensPerMinute is a limit of which a minute's worth may come at once.
+func tokensPerMinute(tokens int) admission.TokenRate {
+	return admission.TokenRate{PerSecond: float64(tokens) / time.Minute.Seconds(), Burst: float64(tokens)}
+}
+
 // Start begins to serve.
 func (d *Daemon) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -185,6 +185,12 @@
 	if c.endIfRowGone(held) {
 		return
 	}
+	if wait, ok := c.takeTokens(held); !ok {
+		c.stats.OverTokens++
+		c.refuse(held, structs.ErrorLimit, "the caller or the row has used its tokens",
+			"Come back after the time given, or have an operator raise the limit.", wait)
+		return
+	}
 	situation := c.situation(held.row, held.Request)
 	held.estimated = held.row.estimator.Start(situation)
 	patience := held.DeadlineAt.Sub(c.now)
--- a/router/claim.go
+++ b/router/claim.go
@@ -164,10 +164,14 @@
 	if !free {
 		return false
 	}
+	if _, ok := c.takeTokens(held); !ok {
+		return false
+	}
 	held.queuedAt = c.now
 	held.estimated = held.row.estimator.Start(situation)
 	held.row.estimator.ObserveArrival(c.now, held.Priority)
-	held.row.turns = max(held.row.turns, c.rowTurns) + 1
+	held.row.turns = max(held.row.turns, c.rowTurns)
+	held.row.countTurn()
 	held.row.estimator.ObserveTurn(c.now, false)
 	c.begin(held, choice)
 	return true
--- a/router/core.go
+++ b/router/core.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/lotusferry/lotusferry/admission"
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -12,7 +13,9 @@
 type Core struct {
 	options  Options
 	balancer *routing.Balancer
-	now      time.Time
+	// tokens bounds what callers and rows may use.
+	tokens *admission.TokenLimits
+	now    time.Time
 	// tickedAt is the time of the last Tick; events between do not put off the next.
 	tickedAt time.Time
 	draining bool
@@ -85,6 +88,7 @@
 	return &Core{
 		options:  options,
 		balancer: routing.New(options.Routing, options.Random),
+		tokens:   admission.NewTokenLimits(options.CallerTokens, options.RowTokens),
 		rows:     make(map[structs.RowName]*row),
 		active:   make(map[structs.RowName]*row),
 		requests: make(map[structs.RequestID]*request),
--- a/router/finish.go
+++ b/router/finish.go
@@ -154,6 +154,7 @@
 		held.row.offered--
 	}
 	c.endAttempt(held, routing.OutcomeNeutral)
+	c.returnTokens(held)
 	delete(c.requests, held.ID)
 	heap.Remove(&c.timers, held.position)
 	held.row.held--
--- a/router/options.go
+++ b/router/options.go
@@ -29,6 +29,10 @@
 	TotalLimit  int
 	// GuardAfter is how many turns a waiting class or row is passed over.
 	GuardAfter int
+	// CallerTokens bounds the tokens of one caller in a row, RowTokens those of a row,
+	// both in this router.
+	CallerTokens admission.TokenRate
+	RowTokens    admission.TokenRate
 	// CallerWeight gives a caller's share; nil means equal shares.
 	CallerWeight func(caller string) int
 	// DefaultDeadline is given to requests that bring none.
--- a/router/report.go
+++ b/router/report.go
@@ -17,6 +17,7 @@
 	Refused           uint64
 	RefusedEarly      uint64
 	Displaced         uint64
+	OverTokens        uint64
 	Expired           uint64
 	Forwarded         uint64
 	Offered           uint64
--- a/router/request.go
+++ b/router/request.go
@@ -69,6 +69,8 @@
 	prefixes    [routing.PrefixHashLimit]uint64
 	prefixCount int
 	queuedAt    time.Time
+	// charged is how many tokens its caller and row were charged.
+	charged int
 	// estimated is the wait that was expected when the request was admitted.
 	estimated time.Duration
 	// sentAt is when the current attempt was sent.
