Give a turn to a request that can still be answered in time

Cause: waiting requests are reviewed every 250 ms, but one whose turn came between two reviews was started even if it could not end before its deadline. Change: a first attempt that would end too late is refused when its turn comes, if another request waits. TestCheckerSeesEachBrokenRule offers 3x instead of 2x: its short load of 2x leaves nothing to refuse any more, so that a spoilt refusal could not be seen.

--- a/admission/estimator.go
+++ b/admission/estimator.go
@@ -102,6 +102,9 @@
 	return start + e.Service(situation.MaxTokens)
 }
 
+// Observed reports whether a whole answer was observed.
+func (e *Estimator) Observed() bool { return e.service.count > 0 }
+
 // ObserveColdLoad records how long the row was awaited until a replica was ready.
 func (e *Estimator) ObserveColdLoad(duration time.Duration) { e.cold.add(duration.Seconds()) }
 
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -142,7 +142,7 @@
 	capacity := capacityOf(1)
 	for _, test := range tests {
 		t.Run(test.rule, func(t *testing.T) {
-			mixed := stream{label: labelAll, until: shortLength / 2, rate: 2 * capacity, caller: anyOne, row: anyOne, priority: anyOne}
+			mixed := stream{label: labelAll, until: shortLength / 2, rate: 3 * capacity, caller: anyOne, row: anyOne, priority: anyOne}
 			made := newSite(1, test.policy, scenario{name: "sabotage", streams: []stream{mixed}})
 			made.wrap = func(inner decider) decider {
 				test.broken.decider = inner
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -33,6 +33,9 @@
 		if !ok {
 			return false
 		}
+		if c.refuseTooLate(waiting, next) {
+			continue
+		}
 		next = c.popFor(waiting, next, choice)
 		c.queued--
 		waiting.noteWaiting(c.now)
--- a/router/review.go
+++ b/router/review.go
@@ -40,8 +40,26 @@
 		return by <= 0
 	})
 	for _, found := range late {
-		c.stats.RefusedEarly++
-		c.refuse(found.request, structs.ErrorDeadline, "the request would be answered after its deadline",
-			"Come back after the time given, or allow a later deadline.", found.retryAfter)
+		c.refuseEarly(found.request, found.retryAfter)
 	}
 }
+
+// refuseTooLate ends a request that would end after its deadline if it started now, so
+// that its turn goes to another one that waits; it reports whether it did.
+func (c *Core) refuseTooLate(waiting *row, next *request) bool {
+	if waiting.waiting() < 2 || next.attempts > 0 || !waiting.estimator.Observed() || c.mutation == mutationNoReview {
+		return false
+	}
+	by := c.now.Add(waiting.estimator.Service(next.MaxTokens)).Sub(next.DeadlineAt)
+	if by <= 0 {
+		return false
+	}
+	c.refuseEarly(next, max(by, waiting.estimator.Start(c.situation(waiting, next.Request))))
+	return true
+}
+
+func (c *Core) refuseEarly(late *request, retryAfter time.Duration) {
+	c.stats.RefusedEarly++
+	c.refuse(late, structs.ErrorDeadline, "the request would be answered after its deadline",
+		"Come back after the time given, or allow a later deadline.", retryAfter)
+}
--- a/router/review_test.go
+++ b/router/review_test.go
@@ -109,3 +109,25 @@
 		})
 	}
 }
+
+// TestTurnGoesToARequestThatCanStillBeAnsweredInTime: one that would end too late is
+// refused when its turn comes, also between two reviews.
+func TestTurnGoesToARequestThatCanStillBeAnsweredInTime(t *testing.T) {
+	s := newFullRunner(t)
+	first := s.request("1", "row", time.Minute, "prompt")
+	second := s.request("2", "row", time.Minute, "prompt")
+	s.now = s.now.Add(3 * time.Second)
+	s.finish(first[0].Attempt)
+	s.request("3", "row", time.Minute, "prompt")
+	s.request("late", "row", 5*time.Second, "prompt")
+	qt.Assert(t, s.effects, qt.HasLen, 0)
+	s.request("next", "row", time.Minute, "prompt")
+	s.now = s.now.Add(2400 * time.Millisecond)
+	sent := s.finish(second[0].Attempt)
+	qt.Assert(t, sent, qt.HasLen, 1)
+	qt.Check(t, sent[0].Attempt.Request(), qt.Equals, structs.RequestID("next"))
+	refuse := only[Refuse](s)
+	qt.Check(t, refuse.ID, qt.Equals, structs.RequestID("late"))
+	qt.Check(t, refuse.Refusal.Execution, qt.Equals, structs.ExecutionNotRun)
+	qt.Check(t, refuse.Refusal.Error.RetryAfter >= MinimumRetryAfter, qt.IsTrue)
+}
