Let a disk that hangs cost the answer and not the end of its claim

Cause: a router recorded the end of a keyed request only once its disk had the answer. A disk that hung held up the end of every claim, and so the key, a planned stop and the end of the daemon, without a bound.

Change: an end waits for the disk for at most 2 s, and not at all while an earlier answer is late. The answer stays in memory until the disk has it: 32 MiB at most with 4 KiB for each; beyond that it is not kept. The end of the daemon waits 5 s for such a disk. The notes of recorded ends that wait for a commit are bounded, too. A metric and an error in the log say that answers are late.

Conclusion: such a request is recorded as finished after at most 2 s and a commit, and is replayed from memory while the router lives.

--- a/answerstore/file.go
+++ b/answerstore/file.go
@@ -22,6 +22,9 @@
 	lockTimeout = time.Second
 	// expiredPerCommit bounds what one commit of Expire removes.
 	expiredPerCommit = 1_000
+	// maxRecorded bounds the notes that wait for a commit. Ends whose notes are left out
+	// are recorded again after a restart, which changes nothing.
+	maxRecorded = 1 << 16
 	// damagedSuffix is added to the name of a file that cannot be read.
 	damagedSuffix = ".damaged"
 )
@@ -180,7 +183,9 @@
 func (f *File) Recorded(key structs.ClaimKey, request structs.RequestID) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.recorded = append(f.recorded, recordedNote{key: key, request: request})
+	if len(f.recorded) < maxRecorded {
+		f.recorded = append(f.recorded, recordedNote{key: key, request: request})
+	}
 }
 
 func (f *File) takeRecorded() []recordedNote {
--- a/daemon/claimanswers.go
+++ b/daemon/claimanswers.go
@@ -61,8 +61,13 @@
 	store  answerstore.Store
 
 	mutex sync.Mutex
-	// fresh are the answers on their way into the store.
-	fresh map[structs.ClaimKey]answerstore.Answer
+	// fresh are the answers on their way into the store, freshBytes what they count.
+	fresh      map[structs.ClaimKey]answerstore.Answer
+	freshBytes int64
+	// late counts the answers that the store has not taken within saveTimeout.
+	late int
+	// writing holds what waits for the disk.
+	writing sync.WaitGroup
 }
 
 func newAnswerKeeper(logger log.Logger, own structs.DaemonID, client *transport.Client, store answerstore.Store) *answerKeeper {
@@ -104,37 +109,6 @@
 	return address.String()
 }
 
-// hold makes an answer found from now on. It only touches memory.
-func (k *answerKeeper) hold(effect router.FinishClaim) {
-	if len(effect.Answer) == 0 {
-		return
-	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.fresh[effect.Claim.Key] = answerstore.Answer{
-		Key: effect.Claim.Key, Request: effect.ID, Data: effect.Answer, ExpiresAt: effect.Claim.ExpiresAt,
-	}
-}
-
-// save moves an answer that hold took in to the store. One that cannot be stored is
-// lost: its request is still recorded as finished, and does not run again.
-func (k *answerKeeper) save(effect router.FinishClaim) {
-	k.mutex.Lock()
-	answer, held := k.fresh[effect.Claim.Key]
-	k.mutex.Unlock()
-	if !held || answer.Request != effect.ID {
-		return
-	}
-	if err := k.store.Put(answer, time.Now()); err != nil {
-		level.Error(k.logger).Log("msg", "An answer could not be kept.", "request", effect.ID, "err", err)
-	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if k.fresh[effect.Claim.Key].Request == effect.ID {
-		delete(k.fresh, effect.Claim.Key)
-	}
-}
-
 // find returns the answer that is kept here, or nothing.
 func (k *answerKeeper) find(arguments AnswerArguments) []byte {
 	k.mutex.Lock()
@@ -178,11 +152,20 @@
 	}
 }
 
-// expireLoop removes answers whose time is over until ctx ends.
+// expireLoop removes answers whose time is over until ctx ends; it does not wait for a
+// disk that hangs longer than that.
 func (k *answerKeeper) expireLoop(ctx context.Context) {
 	for pause(ctx, answerExpiryInterval) {
-		if err := k.store.Expire(time.Now()); err != nil {
-			level.Warn(k.logger).Log("msg", "Answers whose time is over could not be removed.", "err", err)
+		expired := make(chan struct{})
+		k.writing.Go(func() {
+			defer close(expired)
+			if err := k.store.Expire(time.Now()); err != nil {
+				level.Warn(k.logger).Log("msg", "Answers whose time is over could not be removed.", "err", err)
+			}
+		})
+		select {
+		case <-expired:
+		case <-ctx.Done():
 		}
 	}
 }
@@ -193,12 +176,8 @@
 		func() float64 { return float64(k.store.Usage().Answers) })
 	registerGauge(registry, "lotusferry_router_kept_answer_bytes", "Bytes that kept answers count.", nil,
 		func() float64 { return float64(k.store.Usage().Bytes) })
-}
-
-func (k *answerKeeper) close() {
-	if err := k.store.Close(); err != nil {
-		level.Error(k.logger).Log("msg", "The kept answers could not be closed.", "err", err)
-	}
+	registerGauge(registry, "lotusferry_router_late_answers", "Answers that the disk has not taken in time; they are in memory only.", nil,
+		func() float64 { return float64(k.lateAnswers()) })
 }
 
 // keptAnswer finds an answer for another router. Whoever asks because a caller has
@@ -216,7 +195,7 @@
 func (r *requestRouter) finishClaim(effect router.FinishClaim) {
 	r.answers.hold(effect)
 	r.background(func(ctx context.Context) {
-		r.answers.save(effect)
+		r.answers.save(ctx, effect)
 		r.recordEnd(ctx, effect)
 	})
 }
--- /dev/null
+++ b/daemon/claimanswersave_test.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/answerstore"
+	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// hungStore is a store whose disk takes nothing until it is released.
+type hungStore struct {
+	answerstore.Store
+	released chan struct{}
+}
+
+func (s *hungStore) Put(answer answerstore.Answer, now time.Time) error {
+	<-s.released
+	return s.Store.Put(answer, now)
+}
+
+func (s *hungStore) Expire(now time.Time) error {
+	<-s.released
+	return s.Store.Expire(now)
+}
+
+// newHungRouter gives the part of a router that ends claims, over a disk that hangs.
+func newHungRouter(c *qt.C) (*claimsZone, *requestRouter, *hungStore) {
+	served, claims := newClaimsSite(c)
+	store := &hungStore{Store: answerstore.NewMemory(memoryAnswerBytes), released: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := &requestRouter{ctx: ctx, claims: claims, answers: newAnswerKeeper(log.NewNopLogger(), "daemon", nil, store)}
+	c.Cleanup(cancel)
+	return served, ended, store
+}
+
+// keepable is an effect that ends a claim, with an answer that has not expired.
+func keepable(answer string) router.FinishClaim {
+	effect := finishEffect(answer)
+	effect.Claim.ExpiresAt = time.Now().Add(time.Hour)
+	return effect
+}
+
+func TestHungDiskHoldsUpNoEndOfAClaim(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		served, ended, store := newHungRouter(c)
+		c.Assert(ended.claims.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+		effect := keepable("done")
+		ended.finishClaim(effect)
+		ended.running.Wait()
+		c.Assert(served.claim().State, qt.Equals, structs.ClaimFinished)
+		c.Assert(served.claim().Answer, qt.Equals, router.MarkAnswer(effect.Answer))
+		// The answer is found in memory, and on the disk once that goes on.
+		asked := AnswerArguments{Key: effect.Claim.Key}
+		c.Assert(string(ended.answers.find(asked)), qt.Equals, "done")
+		c.Assert(ended.answers.lateAnswers(), qt.Equals, 1)
+		close(store.released)
+		ended.answers.writing.Wait()
+		c.Assert(ended.answers.lateAnswers(), qt.Equals, 0)
+		c.Assert(ended.answers.fresh, qt.HasLen, 0)
+		c.Assert(ended.answers.freshBytes, qt.Equals, int64(0))
+		c.Assert(string(ended.answers.find(asked)), qt.Equals, "done")
+	})
+}
+
+// TestOnlyTheFirstAnswerWaitsForAHungDisk counts time on the test's clock.
+func TestOnlyTheFirstAnswerWaitsForAHungDisk(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		_, ended, store := newHungRouter(c)
+		for number, wait := range []time.Duration{saveTimeout, 0, 0} {
+			effect := keepable("done")
+			effect.Claim.Key += structs.ClaimKey(strings.Repeat("+", number))
+			started := time.Now()
+			ended.answers.hold(effect)
+			ended.answers.save(ended.ctx, effect)
+			c.Assert(time.Since(started), qt.Equals, wait)
+		}
+		close(store.released)
+		ended.answers.writing.Wait()
+		c.Assert(store.Usage().Answers, qt.Equals, 3)
+	})
+}
+
+func TestAnswersBeforeAHungDiskAreBounded(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		served, ended, store := newHungRouter(c)
+		fits := keepable(strings.Repeat("a", memoryAnswerBytes-freshOverheadBytes))
+		fits.ID, fits.Claim.Request, fits.Claim.Key = "before", "before", "caller/a:before"
+		ended.answers.hold(fits)
+		c.Assert(ended.claims.begin(context.Background(), beginEffect("a")).New, qt.IsTrue)
+		effect := keepable("done")
+		ended.finishClaim(effect)
+		ended.running.Wait()
+		c.Assert(served.claim().State, qt.Equals, structs.ClaimFinished)
+		c.Assert(ended.answers.find(AnswerArguments{Key: effect.Claim.Key}), qt.HasLen, 0)
+		c.Assert(ended.answers.find(AnswerArguments{Key: fits.Claim.Key}), qt.HasLen, len(fits.Answer))
+		close(store.released)
+	})
+}
+
+func TestHungDiskDoesNotHoldUpTheEndOfTheDaemon(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		_, ended, store := newHungRouter(c)
+		effect := keepable("done")
+		ended.answers.hold(effect)
+		ended.answers.save(ended.ctx, effect)
+		ctx, cancel := context.WithTimeout(ended.ctx, 2*answerExpiryInterval)
+		defer cancel()
+		ended.answers.expireLoop(ctx)
+		started := time.Now()
+		ended.answers.close()
+		c.Assert(time.Since(started), qt.Equals, closeTimeout)
+		close(store.released)
+	})
+}
