Write every remedy as a sentence

Cause: remedies in lab, labcommand, hollow, daemon, raft and experiment were fragments such as "retry later" or "ask the leader", which leave open what to do when that does not help, or whom to ask. Change: each is a sentence that names what to do; those of raft that wait for a quorum also name the check when waiting does not help. The remedy for a membership that cannot be decoded is now that of other corrupt raft state, which it is. Kinds, messages and behaviour are the same.

--- a/daemon/leadercaller.go
+++ b/daemon/leadercaller.go
@@ -144,7 +144,7 @@
 	if cause != nil {
 		message += " (" + cause.Error() + ")"
 	}
-	refusal := structs.NewError(structs.ErrorUnavailable, message, "check that a majority of the group's members runs and is reachable, then send it again")
+	refusal := structs.NewError(structs.ErrorUnavailable, message, "Check that a majority of the group's members runs and is reachable, then send it again.")
 	refusal.RetryAfter = time.Second
 	return refusal
 }
@@ -166,5 +166,5 @@
 	if errors.As(err, &typed) {
 		return typed
 	}
-	return structs.NewError(structs.ErrorInternal, err.Error(), "look at the daemon's log")
+	return structs.NewError(structs.ErrorInternal, err.Error(), "Look in the daemon's log for the cause, then send it again.")
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -154,7 +154,7 @@
 		return err
 	}
 	var last error = structs.NewError(structs.ErrorNotFound, "no zone knows the runner "+string(request.Runner),
-		"look up the runner's name in the status")
+		"Name a runner of the platform's machine list.")
 	for _, settings := range s.site.Zones {
 		caller := newLeaderCaller(s.client, memberAddresses(settings.Controllers))
 		zoneCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/daemon/viewstore.go
+++ b/daemon/viewstore.go
@@ -61,7 +61,7 @@
 	content, rest, ended := bytes.Cut(rest, []byte("\n"))
 	if !ended || string(header) != fmt.Sprintf("%s %016x", viewHeader, xxhash.Sum64(content)) {
 		return structs.ZoneView{}, nil, structs.NewError(structs.ErrorInvalid, "the saved view is damaged or of another version",
-			"nothing needs to be done: the view is read again from a controller")
+			"Nothing needs to be done: the view is read again from a controller.")
 	}
 	var saved savedView
 	if err := json.Unmarshal(content, &saved); err != nil {
@@ -70,7 +70,7 @@
 	if saved.Zone != zone {
 		return structs.ZoneView{}, nil, structs.NewError(structs.ErrorInvalid,
 			fmt.Sprintf("the saved view is of zone %s and not of %s", saved.Zone, zone),
-			"give each daemon a data folder of its own, or delete "+viewBaseFile)
+			"Give each daemon a data folder of its own, or delete "+viewBaseFile+" from this one.")
 	}
 	return saved.View, rest, nil
 }
--- a/daemon/zonenode.go
+++ b/daemon/zonenode.go
@@ -66,7 +66,7 @@
 
 // notLeader is the refusal of a member that does not lead, naming who does.
 func (n *zoneNode) notLeader() *structs.Error {
-	refusal := structs.NewError(structs.ErrorNotLeader, "this controller does not lead the zone", "ask the leader")
+	refusal := structs.NewError(structs.ErrorNotLeader, "this controller does not lead the zone", "Ask the zone's leader.")
 	refusal.Leader = n.group.Status().LeaderAddress
 	return refusal
 }
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -78,7 +78,7 @@
 
 // partsBusy asks a router that needs the whole table to come back.
 func partsBusy() *structs.Error {
-	refusal := structs.NewError(structs.ErrorOverloaded, "many routers read the whole table now", "ask another controller of the zone, or this one later")
+	refusal := structs.NewError(structs.ErrorOverloaded, "many routers read the whole table now", "Ask another controller of the zone, or this one later.")
 	refusal.RetryAfter = viewPartPause
 	return refusal
 }
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -70,7 +70,7 @@
 		newPlanner = func(z *zoneWorld) Planner { return &oracle{zone: z, future: future} }
 	default:
 		return structs.NewError(structs.ErrorInvalid, "there is no policy "+string(policy),
-			"choose lotusferry, lru, keep-alive, static or oracle")
+			"Choose lotusferry, lru, keep-alive, static or oracle.")
 	}
 	for _, z := range w.zones {
 		z.planner = newPlanner(z)
@@ -93,7 +93,7 @@
 	worth, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(worth > 0) || Policy(name) != PolicyLotusferry {
 		return "", structs.NewError(structs.ErrorInvalid, "there is no policy "+string(policy),
-			"write lotusferry@ and the seconds of an idle runner that a second of cold start is worth")
+			"Write lotusferry@ and the seconds of an idle runner that a second of cold start is worth.")
 	}
 	w.settings.LatencyColdStartWorth = worth
 	w.settings.IdleColdStartWorth = worth
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -96,10 +96,10 @@
 	if o.Days < 1 || o.Days > maxDays || len(o.Sites) == 0 || len(o.Seeds) == 0 || len(o.Policies) == 0 || len(o.Faults) == 0 {
 		return nil, structs.NewError(structs.ErrorInvalid,
 			fmt.Sprintf("an experiment needs 1 to %d days, and a site, seed, policy and setting of faults", maxDays),
-			"name at least one of each")
+			"Name at least one of each, and a number of days in that range.")
 	}
 	if o.Trace != nil && len(o.Sites) != 1 {
-		return nil, structs.NewError(structs.ErrorInvalid, "a trace is of one site", "name the site of the trace")
+		return nil, structs.NewError(structs.ErrorInvalid, "a trace is of one site", "Name the site of the trace and no other.")
 	}
 	var jobs []job
 	for _, name := range o.Sites {
--- a/experiment/workload/generate.go
+++ b/experiment/workload/generate.go
@@ -77,7 +77,7 @@
 		g.meknes(days)
 	default:
 		return nil, structs.NewError(structs.ErrorInvalid, "there is no generated workload for site "+site,
-			"choose padano or meknes, or give a recorded trace")
+			"Choose padano or meknes, or give a recorded trace.")
 	}
 	return g.finish(days), nil
 }
--- a/experiment/workload/trace.go
+++ b/experiment/workload/trace.go
@@ -78,7 +78,7 @@
 
 func badTrace(line int, problem string) error {
 	return structs.NewError(structs.ErrorInvalid, fmt.Sprintf("line %d of the trace: %s", line, problem),
-		"correct the line, or record the trace again")
+		"Correct the line, or record the trace again.")
 }
 
 type traceParser struct {
--- a/hollow/globalmember.go
+++ b/hollow/globalmember.go
@@ -162,7 +162,7 @@
 func (g *globalMember) serveProposal(encoded []byte, answer answerFunc, done func(table.Result), elsewhere func()) {
 	sizer := g.owner.zone.sizer
 	if !g.leads() {
-		refusal := structs.NewError(structs.ErrorNotLeader, "this member does not lead", "ask the leader")
+		refusal := structs.NewError(structs.ErrorNotLeader, "this member does not lead", "Ask the leader of the global group.")
 		answer(sizer.reply(methodGlobalPropose, daemon.GlobalReply{Error: refusal}), elsewhere)
 		return
 	}
--- a/hollow/zonemember.go
+++ b/hollow/zonemember.go
@@ -238,6 +238,6 @@
 }
 
 func notLeaderBytes(sizer *sizer) int {
-	refusal := structs.NewError(structs.ErrorNotLeader, "this controller does not lead the zone", "ask the leader")
+	refusal := structs.NewError(structs.ErrorNotLeader, "this controller does not lead the zone", "Ask the zone's leader.")
 	return sizer.reply(methodZoneDemand, daemon.DemandReply{Error: refusal})
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -105,7 +105,7 @@
 		return o
 	}
 	o.Refusal = &structs.Refusal{
-		Error:     *structs.NewError(structs.ErrorInternal, err.Error(), "look at the kit's report"),
+		Error:     *structs.NewError(structs.ErrorInternal, err.Error(), "Look in the report of the run for what the router and the engines did."),
 		Execution: structs.ExecutionUnknown,
 	}
 	return o
--- a/lab/loadtool.go
+++ b/lab/loadtool.go
@@ -87,17 +87,17 @@
 	for _, text := range targets {
 		parsed, err := url.Parse(text)
 		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-			return nil, structs.NewError(structs.ErrorInvalid, text+" is not the URL of a router", "give a URL such as http://127.0.0.1:7101")
+			return nil, structs.NewError(structs.ErrorInvalid, text+" is not the URL of a router", "Give a URL such as http://127.0.0.1:7101.")
 		}
 		address := net.ParseIP(parsed.Hostname())
 		if !allowRemote && (address == nil || !address.IsLoopback()) {
 			return nil, structs.NewError(structs.ErrorDenied, parsed.Hostname()+" is not a loopback address",
-				"give --allow-remote only for a site that may be put under load")
+				"Name a router on a loopback address, or give --allow-remote for a site that may be put under load.")
 		}
 		routers = append(routers, target{id: structs.DaemonID(parsed.Host), url: parsed.Scheme + "://" + parsed.Host})
 	}
 	if len(routers) == 0 {
-		return nil, structs.NewError(structs.ErrorInvalid, "there is no router to call", "give at least one target")
+		return nil, structs.NewError(structs.ErrorInvalid, "there is no router to call", "Give the URL of at least one router.")
 	}
 	return routers, nil
 }
--- a/lab/plan.go
+++ b/lab/plan.go
@@ -29,7 +29,7 @@
 func PlanSite(site Site, rate float64, duration time.Duration, seed uint64) (Plan, error) {
 	if rate <= 0 || duration <= 0 || rate*duration.Seconds() > MaximumCalls {
 		return Plan{}, structs.NewError(structs.ErrorInvalid, fmt.Sprintf("%g calls a second for %v is not a run", rate, duration),
-			fmt.Sprintf("choose a rate and a time above 0 with at most %d calls in all", MaximumCalls))
+			fmt.Sprintf("Choose a rate and a time above 0 with at most %d calls in all.", MaximumCalls))
 	}
 	return Plan{planArrivals(site.Rows, rate, duration, seed)}, nil
 }
@@ -49,7 +49,7 @@
 // to the recorded router when there are as many targets as the shape has routers.
 func PlanTrace(trace []workload.Arrival, shape workload.Shape, targets int, replay Replay) (Plan, error) {
 	if replay.Speed <= 0 {
-		return Plan{}, structs.NewError(structs.ErrorInvalid, "a trace cannot be replayed at this speed", "give a speed above 0")
+		return Plan{}, structs.NewError(structs.ErrorInvalid, "a trace cannot be replayed at this speed", "Give a speed above 0.")
 	}
 	random := rand.New(rand.NewPCG(replay.Seed, 4))
 	firstRouter := map[structs.ZoneID]int{}
@@ -72,7 +72,7 @@
 	}
 	if len(plan.arrivals) == 0 || len(plan.arrivals) > MaximumCalls {
 		return Plan{}, structs.NewError(structs.ErrorInvalid, fmt.Sprintf("this part of the trace has %d calls", len(plan.arrivals)),
-			fmt.Sprintf("choose a part with 1 to %d calls by --from and --for", MaximumCalls))
+			fmt.Sprintf("Choose a part with 1 to %d calls by --from and --for.", MaximumCalls))
 	}
 	return plan, nil
 }
--- a/lab/site.go
+++ b/lab/site.go
@@ -111,7 +111,7 @@
 			return site, nil
 		}
 	}
-	return Site{}, structs.NewError(structs.ErrorInvalid, "there is no site "+name, "choose demo, padano or meknes")
+	return Site{}, structs.NewError(structs.ErrorInvalid, "there is no site "+name, "Choose demo, padano or meknes.")
 }
 
 func runners(role structs.RunnerRole, count int) []RunnerSet {
--- a/labcommand/compare.go
+++ b/labcommand/compare.go
@@ -78,11 +78,11 @@
 	}
 	if err := json.Unmarshal(content, &report); err != nil {
 		return report, structs.NewError(structs.ErrorInvalid, path+" is not a report: "+err.Error(),
-			"give files that the command fleet or load wrote by --json or --report")
+			"Give files that the command fleet or load wrote by --json or --report.")
 	}
 	if report.Requests == 0 || report.Violations == nil {
 		return report, structs.NewError(structs.ErrorInvalid, path+" is not the report of a run with requests",
-			"give files that the command fleet or load wrote by --json or --report")
+			"Give files that the command fleet or load wrote by --json or --report.")
 	}
 	return report, nil
 }
--- a/labcommand/experiment.go
+++ b/labcommand/experiment.go
@@ -134,7 +134,7 @@
 		return options, nil
 	}
 	if len(c.Sites) != 1 {
-		return options, structs.NewError(structs.ErrorInvalid, "a trace is of one site", "give --site once")
+		return options, structs.NewError(structs.ErrorInvalid, "a trace is of one site", "Give --site once, with the site of the trace.")
 	}
 	site, err := lab.SiteByName(c.Sites[0])
 	if err != nil {
--- a/labcommand/fleet.go
+++ b/labcommand/fleet.go
@@ -144,7 +144,7 @@
 		}
 		if !known[name] {
 			return nil, structs.NewError(structs.ErrorInvalid, "there is no kind of fault "+name,
-				"choose from all, none, "+strings.Join(all, ", "))
+				"Choose from all, none, "+strings.Join(all, ", ")+".")
 		}
 		names = append(names, name)
 	}
--- a/raft/config.go
+++ b/raft/config.go
@@ -79,16 +79,16 @@
 func (c Config) validate() error {
 	switch {
 	case c.ID == None:
-		return errInvalid("raft node has no ID", "set Config.ID")
+		return errInvalid("raft node has no ID", "Set Config.ID to the node's own ID.")
 	case c.Random == nil:
-		return errInvalid("raft node has no random source", "set Config.Random to a seeded one")
+		return errInvalid("raft node has no random source", "Set Config.Random to a seeded one.")
 	case c.HeartbeatTicks < 1:
-		return errInvalid("heartbeat interval is below one tick", "set Config.HeartbeatTicks to 1 or more")
+		return errInvalid("heartbeat interval is below one tick", "Set Config.HeartbeatTicks to 1 or more.")
 	case c.ElectionTicks < c.HeartbeatTicks+minimumLeaseTicks:
 		return errInvalid("election timeout is too close to the heartbeat interval",
-			"set Config.ElectionTicks to several times HeartbeatTicks")
+			"Set Config.ElectionTicks to several times HeartbeatTicks.")
 	case min(c.MaxMessageEntries, c.MaxMessageBytes, c.MaxInflightMessages, c.MaxUncommittedEntries) < 1:
-		return errInvalid("a limit of the raft node is negative", "leave the limit at 0 for its default")
+		return errInvalid("a limit of the raft node is negative", "Leave the limit at 0 for its default.")
 	}
 	return nil
 }
@@ -105,7 +105,7 @@
 func (n *Node) errNotLeader() error {
 	message := fmt.Sprintf("node %d is not the leader", n.id)
 	if n.leader == None {
-		return structs.NewError(structs.ErrorNotLeader, message, "retry when a leader has been elected")
+		return structs.NewError(structs.ErrorNotLeader, message, "Retry once a majority of the members runs and has elected a leader.")
 	}
-	return structs.NewError(structs.ErrorNotLeader, message, fmt.Sprintf("ask node %d", n.leader))
+	return structs.NewError(structs.ErrorNotLeader, message, fmt.Sprintf("Ask node %d.", n.leader))
 }
--- a/raft/heartbeat.go
+++ b/raft/heartbeat.go
@@ -95,7 +95,7 @@
 		return n.errNotLeader()
 	}
 	if len(l.reads) >= maxPendingReads {
-		return structs.NewError(structs.ErrorOverloaded, "too many reads wait for a quorum", "retry later")
+		return structs.NewError(structs.ErrorOverloaded, "too many reads wait for a quorum", "Retry later; if it lasts, check that a majority of the members runs and is reachable.")
 	}
 	if !l.roundQueued {
 		n.broadcastHeartbeat()
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -56,7 +56,7 @@
 
 func errCorruptMembership() error {
 	return structs.NewError(structs.ErrorCorrupt, "membership cannot be decoded",
-		"restore this member from another one under a new node ID")
+		"Remove this member and add it again with an empty disk under a new node ID.")
 }
 
 // HasVoter reports whether id is a voter.
--- a/raft/node.go
+++ b/raft/node.go
@@ -111,7 +111,7 @@
 
 func errCorruptState(message string) error {
 	return structs.NewError(structs.ErrorCorrupt, "stored raft state is not usable: "+message,
-		"remove this member and add it again with an empty disk under a new node ID")
+		"Remove this member and add it again with an empty disk under a new node ID.")
 }
 
 // Tick advances the node's clock by one tick.
--- a/raft/propose.go
+++ b/raft/propose.go
@@ -21,7 +21,7 @@
 	}
 	if n.log.last()-n.log.commit >= uint64(n.config.MaxUncommittedEntries) {
 		return 0, 0, structs.NewError(structs.ErrorOverloaded,
-			"too many entries wait for a quorum", "retry when earlier proposals are committed")
+			"too many entries wait for a quorum", "Retry once earlier proposals are committed; if it lasts, check that a majority of the members is reachable.")
 	}
 	index, term = n.propose(EntryCommand, data)
 	return index, term, nil
@@ -33,7 +33,7 @@
 	}
 	if n.leading.transferee != None {
 		return structs.NewError(structs.ErrorNotLeader, "leadership is being transferred",
-			fmt.Sprintf("ask node %d", n.leading.transferee))
+			fmt.Sprintf("Ask node %d.", n.leading.transferee))
 	}
 	return nil
 }
@@ -68,23 +68,23 @@
 	current := n.history.current()
 	switch {
 	case !membership.valid():
-		return errInvalid("membership lists no voter or an ID twice", "list each member once")
+		return errInvalid("membership lists no voter or an ID twice", "List at least one voter, and each member once.")
 	case membership.voterDifference(current.membership) > 1:
-		return errInvalid("membership changes more than one voter", "change one voter at a time")
+		return errInvalid("membership changes more than one voter", "Change one voter at a time.")
 	case current.index > n.log.commit:
 		return structs.NewError(structs.ErrorUnavailable, "the previous membership change is not committed",
-			"retry when it is committed")
+			"Retry once it is committed; if it lasts, check that a majority of the voters is reachable.")
 	case n.log.commit < n.leading.firstIndex:
 		// A leader that has not committed in its term may not know the last
 		// committed membership, and two changes could then have disjoint quorums.
 		return structs.NewError(structs.ErrorUnavailable, "the leader has committed nothing in its term yet",
-			"retry in a moment")
+			"Retry in a moment; if it lasts, check that a majority of the voters is reachable.")
 	}
 	for _, id := range membership.Voters {
 		if !current.membership.HasVoter(id) && !n.caughtUp(id) {
 			return structs.NewError(structs.ErrorUnavailable,
 				fmt.Sprintf("node %d is not a learner that has caught up", id),
-				"add it as a learner and retry when it has the log")
+				"Add it as a learner, and retry once it has the log.")
 		}
 	}
 	return nil
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -96,14 +96,14 @@
 	}
 	if snapshot.Index < n.log.base || snapshot.Index > n.log.applied {
 		return errInvalid("snapshot is not at an applied index after the last snapshot",
-			"take the snapshot at Status().Applied")
+			"Take the snapshot at Status().Applied.")
 	}
 	if !n.log.matches(snapshot.Index, snapshot.Term) {
-		return errInvalid("snapshot has another term than the log", "set Term to that of the applied entry")
+		return errInvalid("snapshot has another term than the log", "Set Term to that of the applied entry.")
 	}
 	if !snapshot.valid() || !snapshot.Membership.Equal(n.history.at(snapshot.Index)) {
 		return errInvalid("snapshot has another membership than the log",
-			"set Membership to MembershipAt(Index) before the snapshot is stored")
+			"Set Membership to MembershipAt(Index) before the snapshot is stored.")
 	}
 	n.log.compactTo(snapshot.Index, snapshot.Term)
 	n.history.compactTo(snapshot.Index)
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -19,11 +19,11 @@
 	case n.role != Leader:
 		return n.errNotLeader()
 	case to == n.id || !n.membership().HasVoter(to):
-		return errInvalid(fmt.Sprintf("node %d cannot become leader", to), "name another voter")
+		return errInvalid(fmt.Sprintf("node %d cannot become leader", to), "Name another voter.")
 	case l.transferee == to:
 		return nil
 	case l.transferee != None:
-		return structs.NewError(structs.ErrorConflict, "another transfer is under way", "retry when it has ended")
+		return structs.NewError(structs.ErrorConflict, "another transfer is under way", "Retry once it has ended.")
 	}
 	l.transferee = to
 	l.transferElapsed = 0
--- a/raft/validate.go
+++ b/raft/validate.go
@@ -73,5 +73,5 @@
 func errMessage(m *Message, problem string) error {
 	return structs.NewError(structs.ErrorInvalid,
 		fmt.Sprintf("raft message of kind %d from node %d refused: %s", m.Kind, m.From, problem),
-		"check that all members run the same version and that no two share an ID")
+		"Check that all members run the same version and that no two share an ID.")
 }
