Wait in one place for a time that a context may cut short

Cause: daemon, lab and ctl each had the same function under the names pause and sleep, with two kinds of result, and the transport's fault point had it written out. Waits and behaviour are the same.

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/tablefile"
 )
@@ -146,7 +147,7 @@
 		if err == nil || exitCode(err) != ExitUnavailable {
 			return result, err
 		}
-		if pause(c.ctx, resendAfter(err)) != nil {
+		if !pause.For(c.ctx, resendAfter(err)) {
 			return result, c.outcomeUnknown(err)
 		}
 	}
--- a/ctl/member.go
+++ b/ctl/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -245,7 +246,7 @@
 		if err == nil && isVoter(groups, name, daemon) {
 			return nil
 		}
-		if pause(ctx, memberPollPause) != nil {
+		if !pause.For(ctx, memberPollPause) {
 			return structs.NewError(structs.ErrorDeadline,
 				"daemon "+string(daemon)+" is not a voter of group "+name+" yet; nothing was removed",
 				"Run the same command again, with a longer --timeout; it goes on where it stopped.")
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -121,15 +121,3 @@
 }
 
 func newEditID() structs.EditID { return structs.EditID(uuid.NewString()) }
-
-// pause waits, or returns early with the context's error.
-func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/tablefile"
 )
@@ -198,7 +199,7 @@
 		if err == nil || exitCode(err) != ExitUnavailable || time.Now().After(giveUp) {
 			return next, err
 		}
-		if pause(c.invocation.ctx, resendAfter(err)) != nil {
+		if !pause.For(c.invocation.ctx, resendAfter(err)) {
 			return next, err
 		}
 	}
--- a/ctl/wait.go
+++ b/ctl/wait.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -41,7 +42,7 @@
 		if err != nil && exitCode(err) != ExitUnavailable {
 			return err
 		}
-		if pause(ctx, statusInterval) != nil {
+		if !pause.For(ctx, statusInterval) {
 			return waitTimedOut(revision, outstanding)
 		}
 	}
--- a/daemon/claimanswers.go
+++ b/daemon/claimanswers.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusferry/lotusferry/answerstore"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -144,7 +145,7 @@
 			fetched.Answer = reply.Answer
 			return fetched
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			level.Debug(k.logger).Log("msg", "A router did not say whether it keeps an answer.", "router", effect.Claim.Holder, "err", err)
 			fetched.Unreachable = true
 			return fetched
@@ -155,7 +156,7 @@
 // expireLoop removes answers whose time is over until ctx ends; it does not wait for a
 // disk that hangs longer than that.
 func (k *answerKeeper) expireLoop(ctx context.Context) {
-	for pause(ctx, answerExpiryInterval) {
+	for pause.For(ctx, answerExpiryInterval) {
 		expired := make(chan struct{})
 		k.writing.Go(func() {
 			defer close(expired)
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -125,7 +126,7 @@
 			answered = true
 			break
 		}
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	home.forget(effect.ID)
 	k.quiet.broadcast()
@@ -181,7 +182,7 @@
 func (k *claimKeeper) renewLoop(ctx context.Context) {
 	var renewals sync.WaitGroup
 	defer renewals.Wait()
-	for pause(ctx, probeInterval) {
+	for pause.For(ctx, probeInterval) {
 		for _, home := range k.homes {
 			if requests, due := home.startRenewal(time.Now()); due {
 				renewals.Go(func() { k.renew(ctx, home, requests) })
--- a/daemon/claims_benchmark_test.go
+++ b/daemon/claims_benchmark_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -77,7 +78,7 @@
 				return node
 			}
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -164,7 +165,7 @@
 			return
 		}
 		at := turn*r.load.interval + time.Duration(caller)*r.load.interval/time.Duration(r.load.callers)
-		pause(context.Background(), time.Until(started.Add(at)))
+		pause.For(context.Background(), time.Until(started.Add(at)))
 		began := time.Now()
 		for stage, operation := range claimStages(number) {
 			if stage == 1 {
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -14,6 +14,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -88,7 +89,7 @@
 		if err == nil {
 			o.keepMachines(reader.Take(changes))
 		}
-		if !pause(ctx, o.timing.MachineListInterval) {
+		if !pause.For(ctx, o.timing.MachineListInterval) {
 			return
 		}
 	}
--- a/daemon/globalnode.go
+++ b/daemon/globalnode.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
 )
@@ -48,7 +49,7 @@
 
 // registerZones keeps the zones of the settings registered while this node leads.
 func (n *globalNode) registerZones(ctx context.Context) {
-	for pause(ctx, registerInterval) {
+	for pause.For(ctx, registerInterval) {
 		if !n.group.Status().IsLeader {
 			continue
 		}
--- a/daemon/leadercaller.go
+++ b/daemon/leadercaller.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -64,7 +65,7 @@
 			}
 			last = err
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return newReply(), unavailable(last)
 		}
 	}
@@ -127,18 +128,6 @@
 	return false
 }
 
-// pause waits and reports whether ctx still lasts.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func unavailable(cause error) *structs.Error {
 	message := "no member of the group answered in time"
 	if cause != nil {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -69,7 +70,7 @@
 			waits = err.Error()
 			level.Warn(m.logger).Log("msg", "The member does not take part yet.", "node", m.own.Node, "reason", waits)
 		}
-		pause(ctx, enterPause)
+		pause.For(ctx, enterPause)
 	}
 }
 
--- a/daemon/member_benchmark_test.go
+++ b/daemon/member_benchmark_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -50,7 +51,7 @@
 				return index
 			}
 		}
-		pause(s.ctx, time.Millisecond)
+		pause.For(s.ctx, time.Millisecond)
 	}
 }
 
@@ -193,7 +194,7 @@
 	before := total()
 	began := time.Now()
 	for b.Loop() {
-		pause(s.ctx, 5*time.Second)
+		pause.For(s.ctx, 5*time.Second)
 	}
 	b.ReportMetric(float64(total()-before)/time.Since(began).Seconds(), "bytes/s")
 }
--- a/daemon/memberbackup_test.go
+++ b/daemon/memberbackup_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lotusferry/lotusferry/ctl"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -39,7 +40,7 @@
 		if err == nil && status.Zones[0].TableRevision >= revision {
 			return status.Zones[0]
 		}
-		pause(s.ctx, retryPause)
+		pause.For(s.ctx, retryPause)
 	}
 	s.c.Fatalf("revision %d did not come into force", revision)
 	return structs.ZoneStatus{}
--- a/daemon/memberchange.go
+++ b/daemon/memberchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -130,7 +131,7 @@
 
 // repairLoop promotes, while this member leads, learners that have the whole log.
 func (m *memberNode) repairLoop(ctx context.Context) {
-	for pause(ctx, repairInterval) {
+	for pause.For(ctx, repairInterval) {
 		status := m.group.Status()
 		if !status.IsLeader {
 			continue
--- a/daemon/reportrelay_test.go
+++ b/daemon/reportrelay_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/pause"
 )
 
 func TestRouterReadsTheReportsOfAZoneWithManyRunners(t *testing.T) {
@@ -23,7 +24,7 @@
 			return found
 		}
 		for s.ctx.Err() == nil && !relayed() {
-			pause(s.ctx, retryPause)
+			pause.For(s.ctx, retryPause)
 		}
 		s.Assert(relayed(), qt.IsTrue)
 		// What is loaded then is seen by the leader itself.
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -76,7 +77,7 @@
 }
 
 func (r *requestRouter) tickLoop(ctx context.Context) {
-	for pause(ctx, routerTick) {
+	for pause.For(ctx, routerTick) {
 		r.step(router.Tick{})
 	}
 }
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -16,6 +16,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -174,7 +175,7 @@
 		if done(last) {
 			return last
 		}
-		pause(s.ctx, retryPause)
+		pause.For(s.ctx, retryPause)
 	}
 	for id, running := range s.running {
 		s.c.Logf("%s: %+v", id, running.global.group.Status())
--- a/daemon/streamcache.go
+++ b/daemon/streamcache.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -44,7 +45,7 @@
 
 // cacheLoop reads the cache events of the engines in use until ctx ends.
 func (r *requestRouter) cacheLoop(ctx context.Context) {
-	for pause(ctx, cacheInterval) {
+	for pause.For(ctx, cacheInterval) {
 		r.readCaches(ctx)
 	}
 }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -29,12 +30,12 @@
 		if err != nil {
 			level.Debug(r.logger).Log("msg", "The zone's view could not be read.", "address", address, "err", err)
 			source.Failed()
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		adopted, helps := source.Take(view)
 		if !helps {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		r.keepView(adopted)
@@ -148,7 +149,7 @@
 		}
 		timer.Stop()
 		r.reportDemand(ctx, schedule)
-		pause(ctx, demandPause)
+		pause.For(ctx, demandPause)
 	}
 }
 
--- a/daemon/viewpace.go
+++ b/daemon/viewpace.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lotusferry/lotusferry/pause"
 )
 
 // viewPartPause separates two parts of the whole table that a controller sends, of
@@ -40,5 +42,5 @@
 		return true
 	}
 	wait, free := p.reserve(time.Now())
-	return free && pause(ctx, wait)
+	return free && pause.For(ctx, wait)
 }
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
 	"github.com/lotusferry/lotusferry/zone"
@@ -83,10 +84,10 @@
 		// A round after another that reserved only sends the orders: it starts no third.
 		reserved = l.decide(ctx, epoch) && !reserved
 		if reserved {
-			pause(ctx, followPause)
+			pause.For(ctx, followPause)
 			continue
 		}
-		pause(ctx, roundPause)
+		pause.For(ctx, roundPause)
 		timer := time.NewTimer(l.timing.PlanInterval - roundPause)
 		select {
 		case <-ctx.Done():
@@ -229,7 +230,7 @@
 		}
 		if err != nil {
 			next++
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if reply.Delta.Revision <= since {
@@ -238,7 +239,7 @@
 			continue
 		}
 		if err := l.proposeOne(ctx, zone.Command{Adopt: &reply.Delta}); err != nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
--- a/lab/diskfault.go
+++ b/lab/diskfault.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 )
 
 // repairLimit bounds the wait for a daemon with a new disk to vote again.
@@ -22,7 +23,7 @@
 func (r *faultRun) replaceDiskOf(ctx context.Context, target *Process) string {
 	defer r.addOutage(target.ID, time.Now())
 	lost, known := r.nodesOf(ctx, target)
-	for !known && sleep(ctx, pollPause) {
+	for !known && pause.For(ctx, pollPause) {
 		lost, known = r.nodesOf(ctx, target)
 	}
 	if !known {
@@ -32,7 +33,7 @@
 	if err := emptyFolder(target.Settings.DataFolder); err != nil {
 		return string(target.ID) + " (disk not replaced: " + err.Error() + ")"
 	}
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	name := r.restart(target)
 	ctx, cancel := context.WithTimeout(ctx, repairLimit)
 	defer cancel()
@@ -41,7 +42,7 @@
 		if replaced(lost, now) {
 			return name
 		}
-		if !sleep(ctx, pollPause) {
+		if !pause.For(ctx, pollPause) {
 			return name + " (not repaired in time)"
 		}
 	}
--- a/lab/editfaults.go
+++ b/lab/editfaults.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -105,7 +106,7 @@
 		if err == nil {
 			return sentEdit{edit, result}, true
 		}
-		sleep(ctx, retryWait)
+		pause.For(ctx, retryWait)
 	}
 	return sentEdit{}, false
 }
@@ -212,7 +213,7 @@
 	ctx, cancel := context.WithTimeout(r.sending, catchUpLimit)
 	defer cancel()
 	reply := daemon.ZoneStatusReply{}
-	for sleep(ctx, pollPause) {
+	for pause.For(ctx, pollPause) {
 		reply = daemon.ZoneStatusReply{}
 		err := r.client.Call(ctx, target.Settings.Listen.Internal, methodZoneStatus, daemon.StatusArguments{}, &reply)
 		if err == nil && reply.Status.TableRevision >= revision {
--- a/lab/editrun.go
+++ b/lab/editrun.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -66,7 +67,7 @@
 	}
 	for editing.Err() == nil {
 		r.edit(editing, looking)
-		sleep(editing, editPause)
+		pause.For(editing, editPause)
 	}
 	looks.Wait()
 }
@@ -88,7 +89,7 @@
 	for sending.Err() == nil {
 		result, err := r.operators.Apply(sending, edit, false)
 		if err != nil {
-			sleep(sending, retryWait)
+			pause.For(sending, retryWait)
 			continue
 		}
 		if result.Accepted {
@@ -106,7 +107,7 @@
 
 // look notes again and again what a daemon has in force.
 func (r *editRun) look(ctx context.Context, process *Process) {
-	for sleep(ctx, sightPause) {
+	for pause.For(ctx, sightPause) {
 		life := process.starts.Load()
 		reply := daemon.ZoneStatusReply{}
 		err := r.client.Call(ctx, process.Settings.Listen.Internal, methodZoneStatus, daemon.StatusArguments{}, &reply)
@@ -141,7 +142,7 @@
 func (r *editRun) awaitSettled(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, inForceBound+editAttempt)
 	defer cancel()
-	for !r.settled() && sleep(ctx, sightPause) {
+	for !r.settled() && pause.For(ctx, sightPause) {
 	}
 }
 
--- a/lab/edits.go
+++ b/lab/edits.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -40,7 +41,7 @@
 		if err == nil && len(outstanding) == 0 {
 			return nil
 		}
-		if !sleep(ctx, pollPause) {
+		if !pause.For(ctx, pollPause) {
 			return errors.Errorf("revision %d is not in force in %v (%v)", revision, outstanding, err)
 		}
 	}
@@ -69,7 +70,7 @@
 		if err == nil && countReplicas(status.Zones, row) == 0 {
 			return time.Since(began).Seconds(), nil
 		}
-		if !sleep(ctx, pollPause) {
+		if !pause.For(ctx, pollPause) {
 			return 0, errors.Errorf("replicas of %s are still loaded (%v)", row, err)
 		}
 	}
@@ -86,15 +87,3 @@
 	}
 	return count
 }
-
-// sleep waits and reports whether ctx still lasts.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lab/faults.go
+++ b/lab/faults.go
@@ -12,6 +12,7 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
 )
@@ -156,7 +157,7 @@
 	defer r.client.Close()
 	for len(r.kinds) > 0 {
 		for _, index := range r.random.Perm(len(r.kinds)) {
-			if !sleep(ctx, faultGap) {
+			if !pause.For(ctx, faultGap) {
 				return
 			}
 			r.strike(ctx, r.kinds[index])
@@ -189,7 +190,7 @@
 	target := r.anyDaemon()
 	defer r.addOutage(target.ID, time.Now())
 	target.Kill()
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	return r.restart(target)
 }
 
@@ -209,7 +210,7 @@
 	target := r.anyDaemon()
 	defer r.addOutage(target.ID, time.Now())
 	target.Signal(syscall.SIGSTOP)
-	sleep(ctx, pauseTime)
+	pause.For(ctx, pauseTime)
 	target.Signal(syscall.SIGCONT)
 	return string(target.ID)
 }
@@ -220,7 +221,7 @@
 	stop.exitCode = target.Terminate(target.Settings.Timing.StopTimeout + stopLimit)
 	stop.until = time.Now()
 	r.stops = append(r.stops, stop)
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	return r.restart(target)
 }
 
@@ -243,7 +244,7 @@
 	for _, daemon := range r.fleet.Daemons {
 		r.setCut(daemon, r.addressesWhere(func(other *Process) bool { return inside(other) != inside(daemon) }))
 	}
-	sleep(ctx, cutTime)
+	pause.For(ctx, cutTime)
 	for _, daemon := range r.fleet.Daemons {
 		r.setCut(daemon, nil)
 	}
@@ -272,7 +273,7 @@
 func (r *faultRun) crashEngine(ctx context.Context) string {
 	target := r.anyRunner()
 	target.Server.Crash()
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	target.revive()
 	return string(target.Machine.Runner)
 }
@@ -315,7 +316,7 @@
 func (r *faultRun) disturb(ctx context.Context, faults emulator.EngineFaults) string {
 	target := r.anyRunner()
 	target.Server.SetFaults(faults)
-	sleep(ctx, engineFault)
+	pause.For(ctx, engineFault)
 	target.Server.SetFaults(emulator.EngineFaults{})
 	target.revive()
 	return string(target.Machine.Runner)
@@ -323,7 +324,7 @@
 
 func (r *faultRun) slowStore(ctx context.Context) string {
 	r.fleet.Platform.Store.SetFaults(emulator.StoreFaults{SlowFactor: slowFactor})
-	sleep(ctx, engineFault)
+	pause.For(ctx, engineFault)
 	r.fleet.Platform.Store.SetFaults(emulator.StoreFaults{})
 	return "weight store"
 }
@@ -333,11 +334,11 @@
 	target := r.anyRunner()
 	notice := leavingNotice{runner: target.Machine.Runner, from: r.fleet.Platform.Now()}
 	r.fleet.Platform.setState(target, structs.MachineLeaving)
-	sleep(ctx, cutTime)
+	pause.For(ctx, cutTime)
 	notice.until = r.fleet.Platform.Now()
 	r.notices = append(r.notices, notice)
 	target.Server.Crash()
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	target.revive()
 	r.fleet.Platform.setState(target, structs.MachineLive)
 	return string(target.Machine.Runner)
--- a/lab/load.go
+++ b/lab/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -43,7 +44,7 @@
 	began := time.Now()
 	var calls sync.WaitGroup
 	for i, next := range arrivals {
-		if !sleep(ctx, time.Until(began.Add(next.after))) {
+		if !pause.For(ctx, time.Until(began.Add(next.after))) {
 			break
 		}
 		planned := began.Add(next.after)
@@ -71,7 +72,7 @@
 		outcome := l.caller.call(ctx, l.routers[(first+try)%len(l.routers)], request)
 		outcome.PlannedAt = planned
 		l.keep(outcome)
-		if !shouldRetry(outcome) || !time.Now().Before(request.DeadlineAt) || !sleep(ctx, retryWait) {
+		if !shouldRetry(outcome) || !time.Now().Before(request.DeadlineAt) || !pause.For(ctx, retryWait) {
 			l.end(outcome)
 			return
 		}
--- a/lab/progress.go
+++ b/lab/progress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -88,7 +89,7 @@
 	began := time.Now()
 	go func() {
 		defer close(done)
-		for sleep(ctx, progressInterval) {
+		for pause.For(ctx, progressInterval) {
 			progress := l.progress()
 			progress.Elapsed = time.Since(began)
 			complete(&progress)
--- a/lab/sitefaults.go
+++ b/lab/sitefaults.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/lotusferry/lotusferry/pause"
 )
 
 // restartLimit bounds the wait for a restarted site to be ready.
@@ -42,7 +44,7 @@
 	for _, runner := range r.fleet.Platform.Runners {
 		runner.Server.Crash()
 	}
-	sleep(ctx, downTime)
+	pause.For(ctx, downTime)
 	name := "all daemons and engines"
 	for _, process := range r.fleet.Daemons {
 		if err := process.Start(); err != nil {
--- a/transport/faults.go
+++ b/transport/faults.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/lotusferry/lotusferry/pause"
 )
 
 // errCut is the cause of what fails because an address is cut.
@@ -68,12 +70,8 @@
 	if delay <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, delay) {
 		return ctx.Err()
 	}
+	return nil
 }
