Warn of a router whose kept answers others cannot fetch

Cause: routers fetch answers from each other at listen.internal. A daemon that is only a router may leave it out, or listen on every address, on a free port or on the loopback address; then its answers are replayed by itself alone, and nothing said so.

Change: the check of the settings warns of each of these for a router that the site does not list, with the remedy. A site whose controllers are all on this machine may use the loopback address, and development mode a free port.

--- a/config/check_site.go
+++ b/config/check_site.go
@@ -178,6 +178,7 @@
 			return
 		}
 	}
+	k.keptAnswers()
 	if c.HasRole(RoleController) {
 		k.warn("daemon", c.Daemon, "is a controller that the site does not list",
 			"Add it under site.zones, or add it to the running group as a new member.")
@@ -198,3 +199,40 @@
 	k.add("listen.internal", k.config.Listen.Internal, "is not where the site says that this daemon is",
 		"Listen on "+member.Address+", or correct the daemon's address under site.zones.")
 }
+
+// keptAnswers warns when other routers cannot fetch the answers that this one keeps. A
+// daemon that the site lists is called at its address there.
+func (k *checker) keptAnswers() {
+	c := k.config
+	if !c.HasRole(RoleRouter) {
+		return
+	}
+	const remedy = "Name an IP number of this machine and a port, at which other daemons reach it."
+	const consequence = ": the answers that this router keeps are replayed by itself alone"
+	own, err := netip.ParseAddrPort(c.Listen.Internal)
+	switch {
+	case c.Listen.Internal == "":
+		k.warn("listen.internal", "", "is missing"+consequence, remedy)
+	case err != nil:
+		// Reported elsewhere.
+	case own.Addr().IsUnspecified():
+		k.warn("listen.internal", c.Listen.Internal, "is no address to call"+consequence, remedy)
+	case own.Port() == 0 && !c.Development:
+		k.warn("listen.internal", c.Listen.Internal, "has another port after each restart"+consequence, remedy)
+	case own.Addr().Unmap().IsLoopback() && !k.siteIsLocal():
+		k.warn("listen.internal", c.Listen.Internal, "is reached from this machine only"+consequence, remedy)
+	}
+}
+
+// siteIsLocal reports whether all controllers of the site are on this machine.
+func (k *checker) siteIsLocal() bool {
+	for _, zone := range k.config.Site.Zones {
+		for _, member := range zone.Controllers {
+			address, err := netip.ParseAddrPort(member.Address)
+			if err == nil && !address.Addr().Unmap().IsLoopback() {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -210,6 +210,40 @@
 	return false
 }
 
+// TestRouterWhoseAnswersOthersCannotFetchIsWarnedOf looks at daemons that the site does
+// not list, and so are called where they listen.
+func TestRouterWhoseAnswersOthersCannotFetchIsWarnedOf(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		internal string
+		daemon   structs.DaemonID
+		role     config.Role
+		warns    bool
+	}{
+		{"no address", "", "router-1", config.RoleRouter, true},
+		{"every address", "0.0.0.0:7402", "router-1", config.RoleRouter, true},
+		{"every address of IPv6", "[::]:7402", "router-1", config.RoleRouter, true},
+		{"a free port", "10.20.1.19:0", "router-1", config.RoleRouter, true},
+		{"the loopback address", "127.0.0.1:7402", "router-1", config.RoleRouter, true},
+		{"an address and a port", "10.20.1.19:7402", "router-1", config.RoleRouter, false},
+		{"every address of a listed daemon", "0.0.0.0:7402", "sala-a-1", config.RoleRouter, false},
+		{"every address of a daemon that is no router", "0.0.0.0:7402", "router-1", config.RoleController, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			settings, err := config.Load(examplePath("padano.yaml"), localFlags(c, "padano.yaml"))
+			c.Assert(err, qt.IsNil)
+			settings.Listen.Internal, settings.Daemon = test.internal, test.daemon
+			settings.Roles = []config.Role{test.role}
+			c.Check(find(settings.Check(), "listen.internal", true), qt.Equals, test.warns, qt.Commentf("%v", settings.Check()))
+		})
+	}
+	c := qt.New(t)
+	local, err := config.Load(examplePath("loopback.yaml"), config.Flags{DataFolder: c.TempDir(), Daemon: "router-1", Roles: []string{"router"}})
+	c.Assert(err, qt.IsNil)
+	c.Check(find(local.Check(), "listen.internal", true), qt.IsFalse, qt.Commentf("%v", local.Check()))
+}
+
 func TestLoadReportsAllProblemsTogether(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "bad.yaml")
