Run the short plans of scenario site in the tests

Change: the test that runs each short plan of table alone, twice in a row or in a pair does the same for site.

--- a/simulate/run_test.go
+++ b/simulate/run_test.go
@@ -82,7 +82,12 @@
 
 // Each plan that takes seconds runs, in turn, alone, twice in a row, or together
 // with the next one.
-func TestTableHoldsUnderEachPlan(t *testing.T) {
+func TestTableHoldsUnderEachPlan(t *testing.T) { checkEachPlan(t, tableScenarioName) }
+
+func TestSiteHoldsUnderEachPlan(t *testing.T) { checkEachPlan(t, siteScenarioName) }
+
+// checkEachPlan runs the scenario's short plans alone, twice in a row or in pairs.
+func checkEachPlan(t *testing.T, scenarioName string) {
 	t.Parallel()
 	c := qt.New(t)
 	var short []string
@@ -95,7 +100,7 @@
 	options := Options{Workers: runtime.GOMAXPROCS(0)}
 	for i, name := range short {
 		plans := [][]string{{name}, {name, name}, {name, short[(i+1)%len(short)]}}
-		known, _, err := findScenario(tableScenarioName)
+		known, _, err := findScenario(scenarioName)
 		c.Assert(err, qt.IsNil)
 		jobs = append(jobs, options.job(known, name, plans[i%len(plans)], uint64(i+1)))
 	}
