Let over 500 edits pass the machine of the plan restart-behind

Cause: the plan was to let hundreds of edits pass a machine that is down.

Change: the machine is down for 80 s instead of 20 s. A test counts the edits that are accepted meanwhile and fails with the former time.

--- a/simulate/run_test.go
+++ b/simulate/run_test.go
@@ -113,6 +113,28 @@
 	}
 }
 
+// The edits that pass a machine which is down must be many more than a group keeps
+// in its log, so that the machine needs a snapshot.
+func TestPlanRestartBehindLetsOverFiveHundredEditsPass(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	plan := seedPlan{seed: 1, plans: []string{"restart-behind"}}
+	table := planTable(plan)
+	crash := table.faults[0]
+	c.Assert(crash.Kind, qt.Equals, FaultCrash)
+	site := newTableSite(plan, table)
+	site.schedule(table.faults, site.inject)
+	site.scheduler.limit = eventLimit
+	site.scheduler.Run(crash.At + crashLimit)
+	down := site.daemonAt(crash.Target)
+	c.Assert(down.machine.alive, qt.IsFalse)
+	before := site.counts.EditsAccepted
+	site.scheduler.Run(crash.At + crash.For)
+	c.Assert(down.machine.crashes, qt.Equals, 1)
+	c.Assert(site.counts.EditsAccepted-before > 500, qt.IsTrue, qt.Commentf("%d edits passed", site.counts.EditsAccepted-before))
+	c.Assert(site.judge.violation, qt.IsNil)
+}
+
 // The plan zone-cut takes hours; here the same cut takes minutes.
 func TestZoneRejoinsWithinSeconds(t *testing.T) {
 	t.Parallel()
--- a/simulate/tableplans.go
+++ b/simulate/tableplans.go
@@ -12,6 +12,8 @@
 	cutHours = 6 * time.Hour
 	// cutLead leaves a site of the long pace time to elect leaders and fill the table.
 	cutLead = 10 * time.Minute
+	// passingTime is how long a machine of the plan restart-behind is down.
+	passingTime = 80 * time.Second
 	// planLead bounds the time before the first plan strikes.
 	planLead = 5 * time.Second
 	// planRest is left after a plan before the same plan strikes again.
@@ -46,8 +48,8 @@
 		12 * time.Second, false, (*faultPlanner).lostAnswers},
 	{PlanInfo{"second-loss", "A control machine loses its disk, and as soon as it is repaired a second one does."},
 		24 * time.Second, false, (*faultPlanner).replaceTwice},
-	{PlanInfo{"restart-behind", "A control machine is down while hundreds of edits pass, and restarts."},
-		24 * time.Second, false, (*faultPlanner).restartBehind},
+	{PlanInfo{"restart-behind", "A control machine is down while over 500 edits pass, and restarts."},
+		passingTime + 8*time.Second, false, (*faultPlanner).restartBehind},
 	{PlanInfo{"zone-cut", "A zone is cut off for six hours while hundreds of edits pass, serves alone, and rejoins within seconds."},
 		cutLead + cutHours + 10*time.Minute, true, (*faultPlanner).cutForHours},
 	{PlanInfo{"site-restart", "All machines of the site, controllers and engines, restart at once."},
@@ -162,8 +164,8 @@
 
 // restartBehind lets hundreds of edits pass a machine that is down.
 func (p *faultPlanner) restartBehind(at time.Duration) {
-	p.add(Fault{Kind: FaultCrash, At: at, For: 20 * time.Second, Target: p.machine(), Amount: 1})
-	p.add(Fault{Kind: FaultEditBurst, At: at + 2*time.Second, For: 15 * time.Second})
+	p.add(Fault{Kind: FaultCrash, At: at, For: passingTime, Target: p.machine(), Amount: 1})
+	p.add(Fault{Kind: FaultEditBurst, At: at + 2*time.Second, For: passingTime - 4*time.Second})
 }
 
 func (p *faultPlanner) cutForHours(at time.Duration) {
