Tell the resend checker of scenario site of the cuts and storms of its control

Cause: the checker resend-at-end excuses refusals while the network is disturbed, and heard in site only of the requests' own faults, not of the cuts and storms that the table's part brings about.

Change: cuts of zones and storms of the control count as disturbances; nothing else does, so that the checker is as strict as in requests.

--- a/simulate/sitescenario.go
+++ b/simulate/sitescenario.go
@@ -105,7 +105,12 @@
 	if requestOnlyFaults[fault.Kind] {
 		return s.requests.inject(fault)
 	}
-	return s.inject(fault)
+	heal = s.inject(fault)
+	switch fault.Kind {
+	case FaultCutZone, FaultCutOneWay, FaultStorm:
+		return s.requests.disturbed(heal)
+	}
+	return heal
 }
 
 // lastEnd is when every request and every claim has ended: the last callers look for
