Replay grants and orders against the specification

Cause: only package raft was held against its model. A change of table, zone, controller or emulator could leave grants.pml and orders.pml without a test turning red.

Change: two checkers of the table scenario follow each committed command, what leaders propose and send, and what engines answer, and demand a transition of the model for each.

--- a/simulate/enginehost.go
+++ b/simulate/enginehost.go
@@ -133,6 +133,7 @@
 }
 
 func (h *engineHost) broadcast(report structs.EngineReport) {
+	h.site.ledger.orderSteps.reported(h, report)
 	for _, d := range h.site.daemons {
 		if d.machine.Zone == h.zone {
 			h.site.network.Send(h.address(), d.machine.Address, reportMessage{report})
--- a/simulate/ledger.go
+++ b/simulate/ledger.go
@@ -36,7 +36,7 @@
 var tableCheckers = []string{
 	checkerElection, checkerLog, checkerLease, checkerReplicas, checkerGrant, checkerMemory,
 	checkerReservation, checkerFence, checkerWinner, checkerResend, checkerInForce, checkerLate,
-	checkerAlone, checkerLeaving, checkerRead, checkerLinearizable,
+	checkerAlone, checkerLeaving, checkerRead, checkerLinearizable, checkerGrantSteps, checkerOrderSteps,
 	checkerInvariants, checkerConvergence, checkerFailure, checkerRunaway,
 }
 
@@ -55,6 +55,11 @@
 	zones   map[structs.ZoneID]*zoneRecord
 	engines map[structs.RunnerID]*engineRecord
 	limits  *limitRecords
+	// grantSteps and orderSteps hold the code against the specification; taken counts
+	// the transitions.
+	grantSteps *grantSteps
+	orderSteps *orderSteps
+	taken      map[string]int
 	// newestTable is the state of a member that has applied the newest command of
 	// the global group.
 	newestTable *table.State
@@ -82,6 +87,9 @@
 		engines: map[structs.RunnerID]*engineRecord{},
 		limits:  newLimitRecords(),
 	}
+	l.taken = map[string]int{}
+	l.grantSteps = newGrantSteps(l, l.taken)
+	l.orderSteps = newOrderSteps(l, l.taken)
 	for _, zone := range site.zones {
 		l.zones[zone] = newZoneRecord()
 	}
@@ -105,6 +113,9 @@
 	}
 	record.leaders[term] = id
 	record.newestTerm = max(record.newestTerm, term)
+	if group != globalGroup {
+		l.orderSteps.newEpoch()
+	}
 }
 
 // applied checks that all members apply the same entry at an index, and hands a
@@ -173,6 +184,7 @@
 		release := outcome.command.Release
 		l.site.trace.Note("release", string(release.Zone), fmt.Sprintf("%s down to %d (sequence %d)", release.Row, release.Limit, release.Sequence))
 	}
+	l.grantSteps.tableCommitted(l.newestTable, outcome)
 	l.noteGrants()
 }
 
--- a/simulate/loadrecords.go
+++ b/simulate/loadrecords.go
@@ -78,6 +78,9 @@
 	case command.Touch != nil:
 		record.renumber(command.Touch.Order, number)
 	}
+	state := m.state.(*zoneMachine).state
+	l.grantSteps.zoneCommitted(m.machine.Zone, state, command)
+	l.orderSteps.zoneCommitted(m.machine.Zone, state, number, command)
 	if outcome.result.Order == number {
 		recorded := record.orders[number]
 		l.site.trace.Note("recorded", string(m.group), fmt.Sprintf("order %d: %s on %s", number, recorded.row, recorded.runner))
@@ -136,6 +139,7 @@
 
 // orderAnswered checks an engine's acceptance of an order.
 func (l *ledger) orderAnswered(h *engineHost, order structs.Order, reply structs.OrderReply) {
+	l.orderSteps.answered(h, order, reply)
 	if !reply.Accepted {
 		l.site.counts.OrdersRefused++
 		l.site.trace.Note("order-refused", string(h.id), describeOrder(order)+" "+reply.Reason)
@@ -162,6 +166,7 @@
 // whenever the replicas of a row grow in number.
 func (l *ledger) replicaChanged(h *engineHost, change emulator.ReplicaChange) {
 	l.site.trace.Note("replica", string(h.id), fmt.Sprintf("%s %s", change.Row, change.State))
+	l.orderSteps.replicaChanged(h, change.Row, change.State)
 	record := l.engine(h)
 	if change.MemoryUsed > engineMemory {
 		l.judge.Report(checkerMemory, "engine %s uses %d bytes of %d", h.id, change.MemoryUsed, engineMemory)
--- a/simulate/run.go
+++ b/simulate/run.go
@@ -34,6 +34,8 @@
 	traceHash uint64
 	simulated time.Duration
 	counts    Counts
+	// taken counts the transitions of the specification that were seen.
+	taken map[string]int
 }
 
 // job is one seed of one scenario.
--- a/simulate/tablescenario.go
+++ b/simulate/tablescenario.go
@@ -177,5 +177,7 @@
 	for _, d := range s.daemons {
 		s.counts.Crashes += d.machine.crashes
 	}
-	return s.seedOutcome(scenarioName, faults)
+	outcome := s.seedOutcome(scenarioName, faults)
+	outcome.taken = s.ledger.taken
+	return outcome
 }
--- a/simulate/zonecontroller.go
+++ b/simulate/zonecontroller.go
@@ -121,13 +121,17 @@
 // look at the lease: that is what fencing is for.
 func (c *zoneController) carryOut(decisions controller.Decisions) {
 	m := c.daemon.zoneMember
+	epoch := structs.Epoch(m.node.Term())
+	steps := c.daemon.site.ledger.orderSteps
 	for _, command := range decisions.Commands {
+		steps.proposed(c, epoch, command)
 		c.propose(command)
 	}
 	for _, inquiry := range decisions.Inquiries {
 		c.inquire(inquiry)
 	}
 	for _, order := range decisions.Orders {
+		steps.sent(c, epoch, order)
 		c.daemon.site.ledger.orderDecided(c.daemon.machine.Zone, c.state.TableRevision(), order)
 		c.sendLater(order)
 	}
