Prefer members that are no standbys as leaders

Change: members have the setting standby. A standby that leads hands over to another voter that has answered and had the log for three election timeouts in a row; a planned stop hands over to such a voter first.

On a scratch copy without the hand-over the two new tests of package daemon fail.

--- a/config/check_site.go
+++ b/config/check_site.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -126,6 +127,10 @@
 		k.warn(key, len(members), "is too few voters to survive the loss of one",
 			"Use three or five voters.")
 	}
+	if !slices.ContainsFunc(members, func(member Member) bool { return !member.Standby }) {
+		k.warn(key, len(members), "are standbys, all of them, so that each may lead",
+			"Leave standby out where a member is to lead.")
+	}
 	for index, member := range members {
 		memberKey := fmt.Sprintf("%s[%d]", key, index)
 		k.identifier(memberKey+".daemon", string(member.Daemon))
--- a/config/config.go
+++ b/config/config.go
@@ -88,6 +88,9 @@
 	Daemon structs.DaemonID `yaml:"daemon"`
 	// Address is the internal address (IP:port) at which others reach the daemon.
 	Address string `yaml:"address"`
+	// Standby members vote and keep the log, but lead only while no other voter is fit
+	// to: routers with a disk that fill up a group of few control machines.
+	Standby bool `yaml:"standby"`
 }
 
 // TLS names the PEM files of mutual TLS. They are read again when they change.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -153,6 +153,11 @@
 	{"unspecified member", func(s *config.Config) { s.Site.Zones[0].Controllers[2].Address = "0.0.0.0:7402" }, "site.zones[0].controllers[2].address", false},
 	{"even number of voters", func(s *config.Config) { s.Site.Zones[0].Controllers = s.Site.Zones[0].Controllers[:2] }, "site.zones[0].controllers", true},
 	{"single voter", func(s *config.Config) { s.Site.Zones[0].Controllers = s.Site.Zones[0].Controllers[:1] }, "site.zones[0].controllers", true},
+	{"all members standbys", func(s *config.Config) {
+		for i := range s.Site.Zones[0].Controllers {
+			s.Site.Zones[0].Controllers[i].Standby = true
+		}
+	}, "site.zones[0].controllers", true},
 	{"router by name", func(s *config.Config) { s.Site.Zones[0].Routers[0] = "router:7400" }, "site.zones[0].routers[0]", false},
 	{"no global voter", func(s *config.Config) { s.Site.GlobalVoters = nil }, "site.global_voters", false},
 	{"unknown global voter", func(s *config.Config) { s.Site.GlobalVoters[0].Daemon = "x" }, "site.global_voters[0].daemon", false},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -154,7 +154,7 @@
 func (d *Daemon) openGlobal() error {
 	own, isVoter := memberOf(d.config.Site.GlobalVoters, d.config.Daemon)
 	if isVoter && d.config.HasRole(config.RoleController) {
-		options, err := d.groupOptions(globalGroupName, own)
+		options, err := d.groupOptions(globalGroupName, own, d.config.Site.GlobalVoters)
 		if err != nil {
 			return err
 		}
@@ -183,7 +183,7 @@
 		return nil
 	}
 	name := zoneGroupPrefix + string(settings.ID)
-	options, err := d.groupOptions(name, own)
+	options, err := d.groupOptions(name, own, settings.Controllers)
 	if err != nil {
 		return err
 	}
@@ -238,7 +238,7 @@
 
 // groupOptions opens the member's store. A new store gets a new node ID, so that
 // it cannot vote again in the place of one that was lost.
-func (d *Daemon) groupOptions(name string, own config.Member) (group.Options, error) {
+func (d *Daemon) groupOptions(name string, own config.Member, listed []config.Member) (group.Options, error) {
 	path := filepath.Join(d.config.DataFolder, name+".db")
 	store, err := logstore.OpenMember(path, name, d.config.Daemon, group.NewNodeID())
 	if err != nil {
@@ -251,6 +251,7 @@
 		Node:           node,
 		Members:        []group.Member{{Node: node, Address: own.Address}},
 		Hold:           true,
+		Standbys:       standbysOf(listed),
 		Store:          store,
 		Client:         d.client,
 		Server:         d.server,
@@ -261,6 +262,17 @@
 	}, nil
 }
 
+// standbysOf names the daemons that are to lead only for want of another.
+func standbysOf(listed []config.Member) []string {
+	var names []string
+	for _, member := range listed {
+		if member.Standby {
+			names = append(names, string(member.Daemon))
+		}
+	}
+	return names
+}
+
 // seedOf gives each member of each group its own random election timeouts.
 func seedOf(name string, daemon structs.DaemonID) uint64 {
 	hash := fnv.New64a()
--- /dev/null
+++ b/daemon/standby_test.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+func globalGroupOf(running *Daemon) *group.Group { return running.global.group }
+func zoneGroupOf(running *Daemon) *group.Group   { return running.zone.group }
+
+// leads waits until one of the daemons leads the group, and returns which.
+func (s *testSite) leads(groupOf func(*Daemon) *group.Group, indexes ...int) int {
+	for s.ctx.Err() == nil {
+		for _, index := range indexes {
+			running := s.running[s.settings[index].Daemon]
+			if running != nil && groupOf(running).Status().LeaseValid {
+				return index
+			}
+		}
+		pause(s.ctx, retryPause)
+	}
+	s.c.Fatalf("none of the daemons %v leads", indexes)
+	return 0
+}
+
+// standbySite is a site in which the daemons that are not named are standbys.
+func standbySite(c *qt.C, electionTicks int, preferred ...int) *testSite {
+	s := newTestSite(c, 3)
+	members := s.settings[0].Site.Zones[0].Controllers
+	for i := range members {
+		members[i].Standby = true
+	}
+	for _, index := range preferred {
+		members[index].Standby = false
+	}
+	for i := range s.settings {
+		s.settings[i].Site.GlobalVoters = members
+		s.settings[i].Timing.ElectionTicks = electionTicks
+	}
+	s.start(0, 1, 2)
+	s.await("the founding", s.whole)
+	return s
+}
+
+func TestStandbyThatLeadsHandsOverToTheControlMachineThatIsBack(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := standbySite(c, siteElectionTicks, 0)
+	s.leads(globalGroupOf, 0)
+	s.leads(zoneGroupOf, 0)
+	s.kill(0)
+	s.leads(globalGroupOf, 1, 2)
+	s.leads(zoneGroupOf, 1, 2)
+	s.edit("edited-meanwhile")
+	s.start(0)
+	s.leads(globalGroupOf, 0)
+	s.leads(zoneGroupOf, 0)
+	c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"edited-meanwhile"})
+}
+
+func TestPlannedStopHandsLeadershipOver(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	// A hand-over is given up after the election timeout: it needs some syncs.
+	s := standbySite(c, 10*siteElectionTicks, 0, 1)
+	leader := s.leads(globalGroupOf, 0, 1)
+	heir := 1 - leader
+	stopping := s.running[s.settings[leader].Daemon]
+	delete(s.running, s.settings[leader].Daemon)
+	term := stopping.global.group.Status().Term
+	c.Assert(stopping.Stop(context.Background()), qt.Equals, 0)
+	// It has seen the election that it asked for before it stopped, and the one that is
+	// no standby wins.
+	c.Assert(stopping.global.group.Status().Term > term, qt.IsTrue)
+	s.leads(globalGroupOf, heir)
+}
--- a/group/group.go
+++ b/group/group.go
@@ -58,6 +58,7 @@
 	echoes    echoes
 	senders   map[raft.NodeID]*sender
 	snapshots snapshotState
+	standbys  standbys
 	// held members neither step messages nor vote; see Options.Hold.
 	held bool
 	// heard is when the last batch came from each node.
@@ -199,6 +200,7 @@
 func (g *Group) tick() {
 	if !g.loop.held {
 		g.loop.node.Tick()
+		g.yield()
 	}
 }
 
--- a/group/membership.go
+++ b/group/membership.go
@@ -153,16 +153,18 @@
 }
 
 // successor returns the other voter that answers and has most of the log, or
-// raft.None.
+// raft.None. A standby succeeds only when no other voter is fit to lead.
 func (g *Group) successor(status raft.Status) raft.NodeID {
-	best := raft.None
+	best, isBestPreferred := raft.None, false
 	for _, voter := range status.Membership.Voters {
 		progress := status.Progress[voter]
 		if voter == g.options.Node || !progress.Active {
 			continue
 		}
-		if best == raft.None || progress.Match > status.Progress[best].Match {
-			best = voter
+		isPreferred := !g.isStandby(voter) && isFitToLead(status, voter)
+		isBetter := progress.Match > status.Progress[best].Match
+		if best == raft.None || isPreferred && !isBestPreferred || isPreferred == isBestPreferred && isBetter {
+			best, isBestPreferred = voter, isPreferred
 		}
 	}
 	return best
--- a/group/options.go
+++ b/group/options.go
@@ -68,6 +68,9 @@
 	// Admit: a new store must not vote, nor take a log, before it is known whether
 	// its group exists.
 	Hold bool
+	// Standbys names the processes that vote and keep the log but lead only while no
+	// other voter is fit to. It should be the same at all members.
+	Standbys []string
 	// Store is opened and closed by the caller.
 	Store        *logstore.Store
 	Client       *transport.Client
