Adopt a large table in parts that come into force together

A part that does not follow the one before is refused; a new leader begins again with the first. Nothing staged is in force: neither rows nor grants. The simulator adopts in parts of two changes, so that leaders change and members crash between parts; its checkers in-force and grant-steps judge every state in between.

Conclusion: an entry is bounded; what is adopted is as before.

--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -238,12 +238,23 @@
 			next++
 			continue
 		}
-		if err := l.proposeOne(ctx, zone.Command{Adopt: &reply.Delta}); err != nil {
+		if err := l.adopt(ctx, reply.Delta); err != nil {
 			pause.For(ctx, retryPause)
 		}
 	}
 }
 
+// adopt brings a delta into the zone log, a large one in parts. When a part is
+// refused or its outcome unknown, the next delta begins again with its first part.
+func (l *zoneLeader) adopt(ctx context.Context, delta structs.TableDelta) error {
+	for _, command := range zone.AdoptCommands(delta, zone.MaxPartChanges) {
+		if err := l.proposeOne(ctx, command); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // reportLoop sends what the global group should know of the zone.
 func (l *zoneLeader) reportLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/simulate/grantsteps.go
+++ b/simulate/grantsteps.go
@@ -335,7 +335,7 @@
 	number := slices.Index(simulatedZones, id)
 	for _, name := range simulatedRows {
 		row := s.rows[name]
-		if command.Adopt != nil {
+		if command.Adopt != nil || command.AdoptPart != nil {
 			s.adopt(id, name, state)
 		}
 		s.follow(id, name, state.CountOf(name), command)
--- a/simulate/loadrecords.go
+++ b/simulate/loadrecords.go
@@ -63,8 +63,8 @@
 	command := outcome.command
 	number := structs.OrderNumber(index)
 	switch {
-	case command.Adopt != nil:
-		l.adopted(m, *command.Adopt, outcome.result.TableRevision)
+	case command.Adopt != nil || command.AdoptPart != nil:
+		l.adopted(m, outcome.result.TableRevision)
 	case command.Runner != nil:
 		record.registered(command.Runner.Info)
 	case command.Reserve != nil:
@@ -104,12 +104,12 @@
 
 // adopted checks that a zone's table in force only goes forward and is the table
 // as it was at that revision.
-func (l *ledger) adopted(m *member, delta structs.TableDelta, revision uint64) {
+func (l *ledger) adopted(m *member, revision uint64) {
 	record := l.zones[m.machine.Zone]
 	if revision < record.revision {
 		l.judge.Report(checkerInForce, "zone %s went back from table revision %d to %d", m.machine.Zone, record.revision, revision)
 	}
-	if delta.Revision <= record.revision {
+	if revision <= record.revision {
 		return
 	}
 	l.site.lateness.adopted(m.machine.Zone, record.revision, revision)
--- a/simulate/zonecontroller.go
+++ b/simulate/zonecontroller.go
@@ -15,6 +15,8 @@
 	orderHesitation = 20 * time.Millisecond
 	// storeBudget is how many loads from the weight store may be under way in a zone.
 	storeBudget = 4
+	// simulatedPartChanges is small, so that most deltas are adopted in parts.
+	simulatedPartChanges = 2
 )
 
 // zoneController is the leader's part of a daemon: it feeds the controller and
@@ -210,6 +212,8 @@
 		return
 	}
 	delta = c.mutate(delta)
-	c.propose(zone.Command{Adopt: &delta})
+	for _, command := range zone.AdoptCommands(delta, simulatedPartChanges) {
+		c.propose(command)
+	}
 	m.pump()
 }
--- a/zone/command.go
+++ b/zone/command.go
@@ -17,6 +17,7 @@
 // Command is one entry of the zone log. Exactly one field is set.
 type Command struct {
 	Adopt       *structs.TableDelta
+	AdoptPart   *AdoptPartCommand
 	Runner      *RunnerCommand
 	Reserve     *ReserveCommand
 	Transition  *TransitionCommand
@@ -119,7 +120,7 @@
 func (c Command) check() error {
 	count := 0
 	for _, set := range []bool{
-		c.Adopt != nil, c.Runner != nil, c.Reserve != nil, c.Transition != nil,
+		c.Adopt != nil, c.AdoptPart != nil, c.Runner != nil, c.Reserve != nil, c.Transition != nil,
 		c.Touch != nil, c.Remove != nil, c.Drain != nil, c.Prefetch != nil,
 		c.ClaimBegin != nil, c.ClaimFinish != nil, c.ClaimExpire != nil,
 		c.ClaimBatch != nil,
@@ -138,7 +139,7 @@
 // placesReplicas reports whether the command is about runners or replicas, and not
 // about the table or claims alone.
 func (c Command) placesReplicas() bool {
-	return c.Adopt == nil && c.ClaimBegin == nil && c.ClaimFinish == nil && c.ClaimExpire == nil && c.ClaimBatch == nil
+	return c.Adopt == nil && c.AdoptPart == nil && c.ClaimBegin == nil && c.ClaimFinish == nil && c.ClaimExpire == nil && c.ClaimBatch == nil
 }
 
 func encode(value any) ([]byte, error) {
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -29,8 +29,10 @@
 	// TableFloor and TableChanges let a restarted member answer readers with changes.
 	TableFloor   uint64
 	TableChanges []snapshotChange
-	Runners      []snapshotRunner
-	Replicas     []snapshotReplica
+	// Staged holds the parts of a table that is not in force yet.
+	Staged   *snapshotStaged
+	Runners  []snapshotRunner
+	Replicas []snapshotReplica
 	// Claims are the open ones. In snapshots of earlier versions they are all.
 	Claims   []snapshotClaim
 	Released []structs.RequestID
@@ -107,7 +109,7 @@
 func (s *State) snapshotData() snapshotData {
 	data := snapshotData{
 		Zone: s.zone, Index: s.index, PlacementIndex: s.placementIndex, Table: s.table.full(),
-		TableFloor: s.table.floor,
+		TableFloor: s.table.floor, Staged: s.table.snapshotStaged(),
 	}
 	for _, change := range s.table.changes {
 		data.TableChanges = append(data.TableChanges, snapshotChange{change.revision, change.row})
@@ -181,6 +183,9 @@
 	if err := s.table.restoreChanges(d.TableFloor, d.TableChanges); err != nil {
 		return nil, err
 	}
+	if err := s.table.restoreStaged(d.Zone, d.Staged); err != nil {
+		return nil, err
+	}
 	for _, entry := range d.Runners {
 		s.runnerIndex[entry.Info.ID] = entry.changedBy(d.PlacementIndex)
 		s.runners[entry.Info.ID] = &Runner{entry.Info, entry.Draining, entry.Gone, entry.Prefetch, entry.PrefetchOrder}
--- a/zone/state.go
+++ b/zone/state.go
@@ -116,6 +116,8 @@
 	switch {
 	case command.Adopt != nil:
 		return Result{Error: s.table.adopt(s.zone, command.Adopt)}
+	case command.AdoptPart != nil:
+		return Result{Error: s.table.adoptPart(s.zone, command.AdoptPart)}
 	case command.Runner != nil:
 		return s.applyRunner(index, command.Runner)
 	case command.Reserve != nil:
--- a/zone/table.go
+++ b/zone/table.go
@@ -25,6 +25,8 @@
 	// only serve queries.
 	changes []tableChange
 	floor   uint64
+	// staged holds parts of a delta that are not in force.
+	staged *stagedDelta
 }
 
 func newAdoptedTable() adoptedTable {
@@ -51,7 +53,9 @@
 			"Ask the global group for the changes since the adopted revision.")
 	}
 	if delta.Full {
+		staged := t.staged
 		*t = newAdoptedTable()
+		t.staged = staged
 		t.floor = delta.Revision
 	}
 	for _, row := range delta.Rows {
@@ -71,6 +75,7 @@
 	t.revision = delta.Revision
 	t.note(delta)
 	t.indexNames(delta)
+	t.dropStaged()
 	t.trim()
 	return nil
 }
