Check operators' histories in the scenario site as well

Cause: the scenario that runs requests over the replicated table came beside the check of histories and did not call it.

--- a/simulate/sitescenario.go
+++ b/simulate/sitescenario.go
@@ -77,6 +77,9 @@
 	if site.running() {
 		site.scheduler.Run(max(site.scheduler.Now(), site.requests.lastEnd()))
 	}
+	if site.running() {
+		site.checkHistory()
+	}
 	if site.running() {
 		site.requests.records.checkEnd()
 	}
