Run the tests of standbys in virtual time; measure edits in force over many zones

Cause: the tests of hand-over came while the sites of package daemon moved to virtual time and still ran by the machine's clock. No benchmark measured an edit until it is in force in every zone.

Change: the two tests run in a bubble. BenchmarkEditInEveryZone measures over 3 and 24 zones, with the default timing.

--- a/daemon/member_benchmark_test.go
+++ b/daemon/member_benchmark_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -198,3 +199,69 @@
 	}
 	b.ReportMetric(float64(total()-before)/time.Since(began).Seconds(), "bytes/s")
 }
+
+// zonesSite is a site of zones with one controller each, three of which are the
+// global group's voters, with the default timing.
+func zonesSite(b *testing.B, zones int) *testSite {
+	const voters = 3
+	s := newTestSite(qt.New(b), zones)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	b.Cleanup(cancel)
+	s.ctx = ctx
+	members := s.settings[0].Site.GlobalVoters
+	var listed []config.Zone
+	for _, member := range members {
+		listed = append(listed, config.Zone{
+			ID: structs.ZoneID(member.Daemon), Weight: 100, Controllers: []config.Member{member},
+		})
+	}
+	for i := range s.settings {
+		settings := &s.settings[i]
+		settings.Zone = listed[i].ID
+		settings.Site.Zones = listed
+		settings.Site.GlobalVoters = members[:voters]
+		settings.Timing = config.Default().Timing
+		s.start(i)
+	}
+	return s
+}
+
+// awaitEveryZone waits until each zone of the site works by the revision.
+func (s *testSite) awaitEveryZone(revision uint64) {
+	for _, settings := range s.settings {
+		node := s.running[settings.Daemon].zone
+		for {
+			changed := node.group.Applied()
+			if node.tableRevision() >= revision {
+				break
+			}
+			select {
+			case <-changed:
+			case <-s.ctx.Done():
+				s.c.Fatalf("revision %d did not come into force in zone %s", revision, settings.Zone)
+			}
+		}
+	}
+}
+
+// BenchmarkEditInEveryZone measures from sending an edit until all zones work by it:
+// the median and the time that 99 in 100 keep to.
+func BenchmarkEditInEveryZone(b *testing.B) {
+	for _, zones := range []int{3, 24} {
+		b.Run(fmt.Sprint("zones=", zones), func(b *testing.B) {
+			s := zonesSite(b, zones)
+			s.edit("first")
+			s.awaitEveryZone(s.revision())
+			var taken []time.Duration
+			for round := 0; b.Loop(); round++ {
+				began := time.Now()
+				s.edit(fmt.Sprint("row-", round))
+				s.awaitEveryZone(s.revision())
+				taken = append(taken, time.Since(began))
+			}
+			slices.Sort(taken)
+			b.ReportMetric(taken[len(taken)/2].Seconds()*1000, "p50-ms")
+			b.ReportMetric(taken[(len(taken)-1)*99/100].Seconds()*1000, "p99-ms")
+		})
+	}
+}
--- a/daemon/standby_test.go
+++ b/daemon/standby_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -22,14 +24,14 @@
 				return index
 			}
 		}
-		pause(s.ctx, retryPause)
+		pause.For(s.ctx, retryPause)
 	}
 	s.c.Fatalf("none of the daemons %v leads", indexes)
 	return 0
 }
 
 // standbySite is a site in which the daemons that are not named are standbys.
-func standbySite(c *qt.C, electionTicks int, preferred ...int) *testSite {
+func standbySite(c *qt.C, preferred ...int) *testSite {
 	s := newTestSite(c, 3)
 	members := s.settings[0].Site.Zones[0].Controllers
 	for i := range members {
@@ -40,7 +42,6 @@
 	}
 	for i := range s.settings {
 		s.settings[i].Site.GlobalVoters = members
-		s.settings[i].Timing.ElectionTicks = electionTicks
 	}
 	s.start(0, 1, 2)
 	s.await("the founding", s.whole)
@@ -49,33 +50,36 @@
 
 func TestStandbyThatLeadsHandsOverToTheControlMachineThatIsBack(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	s := standbySite(c, siteElectionTicks, 0)
-	s.leads(globalGroupOf, 0)
-	s.leads(zoneGroupOf, 0)
-	s.kill(0)
-	s.leads(globalGroupOf, 1, 2)
-	s.leads(zoneGroupOf, 1, 2)
-	s.edit("edited-meanwhile")
-	s.start(0)
-	s.leads(globalGroupOf, 0)
-	s.leads(zoneGroupOf, 0)
-	c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"edited-meanwhile"})
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := standbySite(c, 0)
+		s.leads(globalGroupOf, 0)
+		s.leads(zoneGroupOf, 0)
+		s.kill(0)
+		s.leads(globalGroupOf, 1, 2)
+		s.leads(zoneGroupOf, 1, 2)
+		s.edit("edited-meanwhile")
+		s.start(0)
+		s.leads(globalGroupOf, 0)
+		s.leads(zoneGroupOf, 0)
+		c.Assert(s.rows(), qt.DeepEquals, []structs.RowName{"edited-meanwhile"})
+	})
 }
 
 func TestPlannedStopHandsLeadershipOver(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	// A hand-over is given up after the election timeout: it needs some syncs.
-	s := standbySite(c, 10*siteElectionTicks, 0, 1)
-	leader := s.leads(globalGroupOf, 0, 1)
-	heir := 1 - leader
-	stopping := s.running[s.settings[leader].Daemon]
-	delete(s.running, s.settings[leader].Daemon)
-	term := stopping.global.group.Status().Term
-	c.Assert(stopping.Stop(context.Background()), qt.Equals, 0)
-	// It has seen the election that it asked for before it stopped, and the one that is
-	// no standby wins.
-	c.Assert(stopping.global.group.Status().Term > term, qt.IsTrue)
-	s.leads(globalGroupOf, heir)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := standbySite(c, 0, 1)
+		leader := s.leads(globalGroupOf, 0, 1)
+		heir := 1 - leader
+		stopping := s.running[s.settings[leader].Daemon]
+		delete(s.running, s.settings[leader].Daemon)
+		term := stopping.global.group.Status().Term
+		c.Assert(stopping.Stop(context.Background()), qt.Equals, 0)
+		// It has seen the election that it asked for before it stopped, and the one that is
+		// no standby wins.
+		c.Assert(stopping.global.group.Status().Term > term, qt.IsTrue)
+		s.leads(globalGroupOf, heir)
+	})
 }
