Let the probes of waiting requests answer offers

Cause: since cold requests are offered to other zones first, the two probes of a router's tick stopped `lotusferrylab capacity` with a panic: "request 0 does not wait".

Change: the probes answer each offer as a zone without a ready replica does, so that the requests wait as before. A test measures the least size of every probe.

--- a/capacity/probe_test.go
+++ b/capacity/probe_test.go
@@ -22,6 +22,15 @@
 }
 
 // Probes of encoded bytes and of replies do not depend on the machine.
+func TestEveryProbeMeasuresItsLeastSize(t *testing.T) {
+	for _, p := range allProbes() {
+		t.Run(p.role+" "+p.name, func(t *testing.T) {
+			value := p.measure(p.sizes[0])
+			qt.Assert(t, value >= 0 && !math.IsNaN(value), qt.IsTrue, qt.Commentf("%v", value))
+		})
+	}
+}
+
 func TestByteProbesAreLinearAndRepeat(t *testing.T) {
 	for _, p := range engineProbes() {
 		if p.unit != unitBytes {
--- a/capacity/router.go
+++ b/capacity/router.go
@@ -132,17 +132,33 @@
 	return effects[0].(router.SendAttempt)
 }
 
-// tickCPU is a tick while requests wait for rows that are not loaded.
+// tickCPU is a tick while requests wait for rows that no zone has loaded.
 func tickCPU(rows, requests int) float64 {
 	core := newRouter(newZone(1_000, 10, 0).state.View(0, 0))
 	for index := range rows * requests {
-		if effects := step(core, index, rowName(index%rows)); len(effects) > 0 {
+		effects := refuseOffers(core, step(core, index, rowName(index%rows)))
+		if len(effects) > 0 {
 			panic(fmt.Sprintf("request %d does not wait: %v", index, effects))
 		}
 	}
 	return cpuOf(func() { core.Step(probeTime, router.Tick{}) })
 }
 
+// refuseOffers answers each offer as zones without a ready replica do, and returns
+// the other effects and what came of the answers.
+func refuseOffers(core *router.Core, effects []router.Effect) []router.Effect {
+	var others []router.Effect
+	for _, effect := range slices.Clone(effects) {
+		offer, offered := effect.(router.Offer)
+		if !offered {
+			others = append(others, effect)
+			continue
+		}
+		others = append(others, core.Step(probeTime, router.OfferFailed{ID: offer.ID, Refused: offer.Zones})...)
+	}
+	return others
+}
+
 func heldBytes(requests int) float64 {
 	core := newRouter(newZone(100, 100, 100).state.View(0, 0))
 	return heapOf(func() any {
