Name the remedy in the errors of the kit's fleet; find replica edges in one place

Change: the errors are structs.Error with a sentence that says what to do; replicaEdges serves both, told which states count.

--- a/lab/check.go
+++ b/lab/check.go
@@ -59,7 +59,7 @@
 func checkReplicas(rows []structs.Row, records map[structs.RunnerID]emulator.Records) []Violation {
 	edges := map[structs.RowName][]replicaEdge{}
 	for _, record := range records {
-		for row, own := range replicaEdges(record.ReplicaChanges) {
+		for row, own := range replicaEdges(record.ReplicaChanges, isLoadedReplica) {
 			edges[row] = append(edges[row], own...)
 		}
 	}
@@ -78,12 +78,15 @@
 	return violations
 }
 
-// replicaEdges turns one engine's changes into +1 and -1 per row.
-func replicaEdges(changes []emulator.ReplicaChange) map[structs.RowName][]replicaEdge {
+func isLoadedReplica(state structs.ReplicaState) bool { return state != structs.ReplicaAbsent }
+
+// replicaEdges turns one engine's changes into +1 and -1 per row, for the replicas in
+// a state that counts.
+func replicaEdges(changes []emulator.ReplicaChange, counts func(structs.ReplicaState) bool) map[structs.RowName][]replicaEdge {
 	edges := map[structs.RowName][]replicaEdge{}
 	present := map[structs.RowName]bool{}
 	for _, change := range changes {
-		now := change.State != structs.ReplicaAbsent
+		now := counts(change.State)
 		if now == present[change.Row] {
 			continue
 		}
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/operatorapi"
@@ -147,5 +146,6 @@
 			return row, nil
 		}
 	}
-	return structs.Row{}, errors.Errorf("the table has no row %s", name)
+	return structs.Row{}, structs.NewError(structs.ErrorNotFound,
+		fmt.Sprintf("the table has no row %s", name), "Name a row of the site's table.")
 }
--- a/lab/edits.go
+++ b/lab/edits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,7 +28,9 @@
 		return 0, errors.Wrap(err, "apply an edit")
 	}
 	if !result.Accepted {
-		return 0, errors.Errorf("the edit was refused: %+v %+v", result.Problems, result.Conflicts)
+		return 0, structs.NewError(structs.ErrorConflict,
+			fmt.Sprintf("the edit was refused: %+v %+v", result.Problems, result.Conflicts),
+			"Read the table again, and correct what the problems name.")
 	}
 	if err := f.awaitRevision(ctx, result.Revision); err != nil {
 		return 0, err
@@ -42,7 +45,9 @@
 			return nil
 		}
 		if !pause.For(ctx, pollPause) {
-			return errors.Errorf("revision %d is not in force in %v (%v)", revision, outstanding, err)
+			return structs.NewError(structs.ErrorDeadline,
+				fmt.Sprintf("revision %d is not in force in %v (%v)", revision, outstanding, err),
+				"Read log.txt in the folders of those zones' daemons.")
 		}
 	}
 }
@@ -71,7 +76,9 @@
 			return time.Since(began).Seconds(), nil
 		}
 		if !pause.For(ctx, pollPause) {
-			return 0, errors.Errorf("replicas of %s are still loaded (%v)", row, err)
+			return 0, structs.NewError(structs.ErrorDeadline,
+				fmt.Sprintf("replicas of %s are still loaded (%v)", row, err),
+				"Read log.txt in the folders of the daemons for why the row is kept.")
 		}
 	}
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -145,14 +145,18 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Errorf("daemon %s is not ready: read log.txt in %s", daemon.ID, daemon.folder)
+			return daemonError(structs.ErrorDeadline, daemon, "is not ready")
 		case <-daemon.ended:
-			return errors.Errorf("daemon %s ended: read log.txt in %s", daemon.ID, daemon.folder)
+			return daemonError(structs.ErrorInternal, daemon, "ended")
 		case <-time.After(readyPause):
 		}
 	}
 }
 
+func daemonError(kind structs.ErrorKind, daemon *Process, problem string) error {
+	return structs.NewError(kind, fmt.Sprintf("daemon %s %s", daemon.ID, problem), "Read log.txt in "+daemon.folder+".")
+}
+
 func isReady(ctx context.Context, daemon *Process) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+daemon.Settings.Listen.Operators+"/readyz", nil)
 	if err != nil {
--- a/lab/report.go
+++ b/lab/report.go
@@ -168,18 +168,8 @@
 func newColdStarts(records map[structs.RunnerID]emulator.Records) coldStarts {
 	ready := map[structs.RowName][]replicaEdge{}
 	for _, record := range records {
-		present := map[structs.RowName]bool{}
-		for _, change := range record.ReplicaChanges {
-			now := change.State == structs.ReplicaReady
-			if now == present[change.Row] {
-				continue
-			}
-			present[change.Row] = now
-			delta := 1
-			if !now {
-				delta = -1
-			}
-			ready[change.Row] = append(ready[change.Row], replicaEdge{change.At, delta})
+		for row, own := range replicaEdges(record.ReplicaChanges, isReadyReplica) {
+			ready[row] = append(ready[row], own...)
 		}
 	}
 	for _, edges := range ready {
@@ -188,6 +178,8 @@
 	return coldStarts{ready: ready}
 }
 
+func isReadyReplica(state structs.ReplicaState) bool { return state == structs.ReplicaReady }
+
 // isCold reports whether no replica of the request's row was ready when it was due.
 func (c coldStarts) isCold(outcome Outcome) bool {
 	if c.ready == nil {
