--- a/simulate/mutation.go
+++ b/simulate/mutation.go
@@ -1,5 +1,7 @@
 package simulate
 
+import "slices"
+
 // The mutations of the table scenario. Each disables one safeguard in the
 // simulator's shell; the code that decides stays as it is.
 const (
@@ -23,6 +25,11 @@
 )
 
 func tableMutations() []MutationInfo {
+	return slices.Concat(orderMutations(), editMutations(), zoneMutations())
+}
+
+// orderMutations disable what keeps orders and replicas within what was decided.
+func orderMutations() []MutationInfo {
 	return []MutationInfo{
 		{
 			Name:     mutationNoFence,
@@ -50,6 +57,12 @@
 			Sentence: "A zone gives back a lowered grant before it has unloaded down to it.",
 			Checkers: []string{checkerReplicas, checkerGrant, checkerInvariants},
 		},
+	}
+}
+
+// editMutations disable what keeps edits and reads of the table in one order.
+func editMutations() []MutationInfo {
+	return []MutationInfo{
 		{
 			Name:     mutationNewEditID,
 			Sentence: "An operator's client makes a new edit ID for every resend.",
@@ -70,6 +83,12 @@
 			Sentence: "A member answers reads of the table at once, from what it has applied.",
 			Checkers: []string{checkerRead, checkerLinearizable},
 		},
+	}
+}
+
+// zoneMutations disable what keeps a zone's group and its leader to what they know.
+func zoneMutations() []MutationInfo {
+	return []MutationInfo{
 		{
 			Name:     mutationKeepIdentity,
 			Sentence: "A machine with a new, empty disk votes under its old identity.",
--- a/simulate/requestmutation.go
+++ b/simulate/requestmutation.go
@@ -25,7 +25,7 @@
 )
 
 func requestMutations() []MutationInfo {
-	return slices.Concat(executionMutations(), endingMutations(), answerMutations())
+	return slices.Concat(executionMutations(), endingMutations(), claimMutations(), answerMutations())
 }
 
 // executionMutations disable what keeps executions and answers apart.
@@ -60,7 +60,7 @@
 	}
 }
 
-// endingMutations disable what makes requests and claims end as they should.
+// endingMutations disable what makes requests end as they should.
 func endingMutations() []MutationInfo {
 	return []MutationInfo{
 		{
@@ -103,6 +103,12 @@
 			Sentence: "A router queues the requests that other zones offer it.",
 			Checkers: []string{checkerOffer},
 		},
+	}
+}
+
+// claimMutations disable what ends the claims of routers that died.
+func claimMutations() []MutationInfo {
+	return []MutationInfo{
 		{
 			Name:     mutationNoResolution,
 			Sentence: "A zone's leader does not end the claims of routers that died.",
