Measure the largest entry of a table adopted in parts

Cause: a zone now adopts a large table in parts of at most 8,192 changes; the capacity page still has the one entry of the whole table as its largest message.

Change: a slope for the largest of the parts against the changes of a part.

Conclusion: the figure goes to the capacity page with the run of all slopes.

--- a/capacity/view.go
+++ b/capacity/view.go
@@ -35,9 +35,11 @@
 	}
 }
 
-// partProbes measure the parts in which a router without a view reads it.
+// partProbes measure the parts in which a zone adopts a large table and a router
+// without a view reads it.
 func partProbes() []probe {
 	return []probe{
+		{RoleZone, "largest part of a table adopted in parts", "change of a part", unitBytes, methodMsgpack, []int{512, 1_024, 2_048, 4_096, zone.MaxPartChanges}, largestPartBytes},
 		{RoleZone, "part of a first view to a router, at most 1,024 rows", "row", unitBytes, methodGob, []int{64, 128, 256, 512, 1_024}, func(size int) float64 {
 			m := newZone(size, 10, 0)
 			return replyBytes(methodView, daemon.ViewReply{View: m.state.ViewPart("", 0)})
@@ -45,6 +47,15 @@
 	}
 }
 
+// largestPartBytes is the largest log entry of a table adopted in parts of so many changes.
+func largestPartBytes(changes int) float64 {
+	largest := 0
+	for _, command := range zone.AdoptCommands(*fullDelta(changes), changes) {
+		largest = max(largest, len(must(zone.EncodeCommand(command))))
+	}
+	return float64(largest)
+}
+
 // laterDelta changes rows of fullDelta.
 func laterDelta(rows int) *structs.TableDelta {
 	delta := &structs.TableDelta{SinceRevision: 1, Revision: 2}
