Let rows of the simulated table fill engines sooner

Rows had 6 GiB on engines of 24 GiB, and requests rarely ask for more than four replicas of an engine there; a checker of memory that is never near its bound shows little.

Change: rows have 7 GiB, so that three fit.

--- a/simulate/tablesite.go
+++ b/simulate/tablesite.go
@@ -15,7 +15,8 @@
 	// controllersPerZone is the size of a zone's group.
 	controllersPerZone = 3
 	operatorCount      = 3
-	simulatedRowBytes  = 6 << 30
+	// simulatedRowBytes lets three rows fit on an engine, so that runs fill engines.
+	simulatedRowBytes = 7 << 30
 )
 
 var (
