Load adapters ahead of need at most one a minute in a zone

Cause: adapters beside ready bases were loaded one after another for as long as free memory lasted.

Change: a load ahead of need beside a base waits until no adapter of the zone has changed its state for a minute. The replicas' own times say so, so that a new leader goes by the same. 24 zones make at most 1,440 such loads an hour.

Test: TestAdaptersAreLoadedAheadBesideTheirBase has a case on either side of the minute; without the rule the case within the minute loads.

--- a/scheduler/companions.go
+++ b/scheduler/companions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -12,6 +13,10 @@
 	unseenUse = 1.0 / (7 * 24)
 	// maxCompanions bounds the adapters that one plan looks at.
 	maxCompanions = 256
+	// companionInterval is the least time between an adapter's last change of state in
+	// the zone and the next load ahead of need beside a base. 24 zones make 1,440 such
+	// loads an hour at most, beside the 7,300 that the site is designed for.
+	companionInterval = time.Minute
 )
 
 // planCompanions loads one adapter ahead of need beside a base that is ready, where
@@ -19,7 +24,7 @@
 // so that each is looked at in time however many there are. Like planPrewarm it takes
 // free memory only, and leaves a store read for requests.
 func (p *planner) planCompanions() {
-	if len(p.plan.Loads) > 0 || p.storeLoads+1 >= p.snapshot.StoreLoadBudget {
+	if len(p.plan.Loads) > 0 || p.storeLoads+1 >= p.snapshot.StoreLoadBudget || p.adaptersChangedLately() {
 		return
 	}
 	bases := p.readyBases()
@@ -45,6 +50,19 @@
 	}
 }
 
+// adaptersChangedLately tells whether an adapter's load began or ended within the
+// companionInterval. The replicas themselves say so: nothing else is kept, and a new
+// leader goes by the same times.
+func (p *planner) adaptersChangedLately() bool {
+	since := p.snapshot.Now.Add(-companionInterval)
+	for _, replica := range p.snapshot.Replicas {
+		if replica.Base != "" && replica.Since.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // readyBases returns the ready replicas of models on runners that take work.
 func (p *planner) readyBases() []*replicaState {
 	var bases []*replicaState
--- a/scheduler/companions_test.go
+++ b/scheduler/companions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -26,6 +27,15 @@
 	s.Runners[0].MemoryBytes = 120
 }
 
+// otherAdapter has another adapter ready beside the base for so long.
+func otherAdapter(ago time.Duration) setup {
+	return func(s *Snapshot) {
+		s.setRow("u", func(r *structs.Row) { r.Base, r.Kind, r.MemoryBytes = "a", structs.RowAdapter, 1 })
+		s.place("u", 0, structs.ReplicaReady, 0)
+		s.Replicas[len(s.Replicas)-1].Since = testNow.Add(-ago)
+	}
+}
+
 func TestAdaptersAreLoadedAheadBesideTheirBase(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -45,6 +55,8 @@
 		{"not on a runner that leaves", firstLeaves, 0},
 		{"not on a runner that lags", firstLags, 0},
 		{"not with the last store read", oneStoreLoad, 0},
+		{"a minute after another one", otherAdapter(companionInterval), 1},
+		{"not sooner after another one", otherAdapter(companionInterval - time.Millisecond), 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			snapshot := withBase()
