Decide in the zone's state whether a view is a part of the table

Cause: on reading the change again, the rule by which a controller answers a router with a part of the whole table or with what changed stood four times: in the daemon, the hollow site, the simulator and a test of the router. The simulator also made the whole list of changes before it left it for a part. The hollow site had its own copy of the pause between parts and of the rule for news, without the case of a controller that has applied nothing.

Change: zone.State has AnswersPart and ViewFor; ViewRequest is in structs; the hollow site uses daemon.ViewPartPause and ZoneView.IsNews. No check, bound or expectation has changed.

Conclusion: the simulator and the hollow site cannot drift from the daemon there.

--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -130,6 +130,11 @@
 	Wait  time.Duration
 }
 
+// request is what the zone's state is asked for.
+func (a ViewArguments) request() structs.ViewRequest {
+	return structs.ViewRequest{SinceTable: a.SinceTable, SinceIndex: a.SinceIndex, Whole: a.Whole, After: a.After}
+}
+
 // ViewReply carries the changes of the view.
 type ViewReply struct {
 	View  structs.ZoneView
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (r *requestRouter) readView(ctx context.Context, address string, request router.ViewRequest) (structs.ZoneView, error) {
+func (r *requestRouter) readView(ctx context.Context, address string, request structs.ViewRequest) (structs.ZoneView, error) {
 	reply := &ViewReply{}
 	arguments := ViewArguments{
 		SinceTable: request.SinceTable, SinceIndex: request.SinceIndex,
--- a/daemon/viewpace.go
+++ b/daemon/viewpace.go
@@ -8,10 +8,10 @@
 	"github.com/lotusferry/lotusferry/pause"
 )
 
-// viewPartPause separates two parts of the whole table that a controller sends, of
+// ViewPartPause separates two parts of the whole table that a controller sends, of
 // some 150 KB each: all routers that lost their disks share 5 MB a second of it, and
 // none of them is ever sent more than a part at once.
-const viewPartPause = 30 * time.Millisecond
+const ViewPartPause = 30 * time.Millisecond
 
 // viewPace hands out the times at which parts are sent. Its zero value is ready.
 type viewPace struct {
@@ -31,7 +31,7 @@
 	if wait >= maxWait {
 		return 0, false
 	}
-	p.next = p.next.Add(viewPartPause)
+	p.next = p.next.Add(ViewPartPause)
 	return wait, true
 }
 
--- a/daemon/viewstore_test.go
+++ b/daemon/viewstore_test.go
@@ -241,9 +241,9 @@
 	sent := 0
 	for range 1000 {
 		wait, free := pace.reserve(now)
-		c.Assert(free, qt.Equals, time.Duration(sent)*viewPartPause < maxWait)
+		c.Assert(free, qt.Equals, time.Duration(sent)*ViewPartPause < maxWait)
 		if free {
-			c.Assert(wait, qt.Equals, time.Duration(sent)*viewPartPause)
+			c.Assert(wait, qt.Equals, time.Duration(sent)*ViewPartPause)
 			sent++
 		}
 	}
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -79,7 +79,7 @@
 // partsBusy asks a router that needs the whole table to come back.
 func partsBusy() *structs.Error {
 	refusal := structs.NewError(structs.ErrorOverloaded, "many routers read the whole table now", "Ask another controller of the zone, or this one later.")
-	refusal.RetryAfter = viewPartPause
+	refusal.RetryAfter = ViewPartPause
 	return refusal
 }
 
@@ -91,12 +91,12 @@
 }
 
 func takesPart(state *zone.State, arguments ViewArguments) bool {
-	return arguments.Parts && (arguments.Whole || state.NeedsWhole(arguments.SinceTable))
+	return arguments.Parts && state.AnswersPart(arguments.request())
 }
 
 func viewFor(state *zone.State, arguments ViewArguments) structs.ZoneView {
-	if takesPart(state, arguments) {
-		return state.ViewPart(arguments.After, arguments.SinceIndex)
+	if arguments.Parts {
+		return state.ViewFor(arguments.request())
 	}
 	return state.View(arguments.SinceTable, arguments.SinceIndex)
 }
--- a/hollow/zonemember.go
+++ b/hollow/zonemember.go
@@ -6,7 +6,6 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/raft"
-	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/zone"
 )
@@ -45,9 +44,6 @@
 // Restore implements machine.
 func (m *zoneMachine) Restore(data []byte) error { return m.state.Restore(data) }
 
-// viewPartPause is that of the daemon: the time between two parts of a whole table.
-const viewPartPause = 30 * time.Millisecond
-
 // sizedView is a view with the bytes of its reply.
 type sizedView struct {
 	view  structs.ZoneView
@@ -58,7 +54,7 @@
 
 // viewPoll is a long poll of a router.
 type viewPoll struct {
-	key    router.ViewRequest
+	key    structs.ViewRequest
 	answer answerFunc
 	then   func(sizedView)
 	ended  bool
@@ -72,7 +68,7 @@
 	parked  []*viewPoll
 	// views holds the views made since the last change; routers that are equally
 	// far get equal ones.
-	views map[router.ViewRequest]sizedView
+	views map[structs.ViewRequest]sizedView
 	// nextPart is when the next part of a whole table may be sent.
 	nextPart int64
 	demand   []structs.DemandReport
@@ -86,7 +82,7 @@
 		for index, owner := range home.voters {
 			id := raft.NodeID(index + 1)
 			membership.Voters = append(membership.Voters, id)
-			member := &zoneMember{home: home, views: map[router.ViewRequest]sizedView{}, machine: &zoneMachine{state: zone.New(home.id), cost: &home.cost}}
+			member := &zoneMember{home: home, views: map[structs.ViewRequest]sizedView{}, machine: &zoneMachine{state: zone.New(home.id), cost: &home.cost}}
 			member.raftMember = &raftMember{
 				site: s, owner: owner, name: fmt.Sprintf("zone-%s", home.id), id: id, machine: member.machine, seed: s.options.Seed,
 			}
@@ -115,9 +111,9 @@
 
 // poll serves a long poll for the zone's view.
 func (m *zoneMember) poll(poll *viewPoll) {
-	if m.takesPart(poll.key) {
-		m.nextPart = max(m.nextPart, m.home.now) + int64(viewPartPause)
-		m.home.at(m.nextPart-int64(viewPartPause), func() { m.answerPoll(poll, true) })
+	if m.machine.state.AnswersPart(poll.key) {
+		m.nextPart = max(m.nextPart, m.home.now) + int64(daemon.ViewPartPause)
+		m.home.at(m.nextPart-int64(daemon.ViewPartPause), func() { m.answerPoll(poll, true) })
 		return
 	}
 	if m.answerPoll(poll, false) {
@@ -127,18 +123,12 @@
 	m.home.after(pollWait, func() { m.answerPoll(poll, true) })
 }
 
-// takesPart reports whether the answer is a part of the whole table.
-func (m *zoneMember) takesPart(key router.ViewRequest) bool {
-	return key.Whole || m.machine.state.NeedsWhole(key.SinceTable)
-}
-
 func (m *zoneMember) answerPoll(poll *viewPoll, over bool) bool {
 	if poll.ended {
 		return true
 	}
 	made := m.view(poll.key)
-	hasNews := made.view.Placement != nil || made.view.Table.Revision > poll.key.SinceTable
-	if !over && !hasNews {
+	if !over && !made.view.IsNews(poll.key.SinceTable) {
 		return false
 	}
 	poll.ended = true
@@ -146,12 +136,12 @@
 	return true
 }
 
-func (m *zoneMember) view(key router.ViewRequest) sizedView {
+func (m *zoneMember) view(key structs.ViewRequest) sizedView {
 	if made, known := m.views[key]; known {
 		return made
 	}
 	var made sizedView
-	m.cost().whole(partZoneView, func() { made.view = m.viewFor(key) })
+	m.cost().whole(partZoneView, func() { made.view = m.machine.state.ViewFor(key) })
 	made.view.Epoch = structs.Epoch(m.node.Term())
 	m.cost().whole(partCodec, func() {
 		made.bytes = m.home.sizer.reply(methodZoneView, daemon.ViewReply{View: made.view})
@@ -161,16 +151,9 @@
 	return made
 }
 
-func (m *zoneMember) viewFor(key router.ViewRequest) structs.ZoneView {
-	if m.takesPart(key) {
-		return m.machine.state.ViewPart(key.After, key.SinceIndex)
-	}
-	return m.machine.state.View(key.SinceTable, key.SinceIndex)
-}
-
 // wake answers the polls that have news after something was applied.
 func (m *zoneMember) wake() {
-	m.views = map[router.ViewRequest]sizedView{}
+	m.views = map[structs.ViewRequest]sizedView{}
 	m.home.noteAdopted(m)
 	parked := m.parked
 	m.parked = nil
--- a/router/viewreader.go
+++ b/router/viewreader.go
@@ -2,17 +2,6 @@
 
 import "github.com/lotusferry/lotusferry/structs"
 
-// ViewRequest says what a router asks a controller of its zone for: what changed
-// after the revisions, or a part of the whole table.
-type ViewRequest struct {
-	SinceTable uint64
-	SinceIndex uint64
-	// Whole asks for the part of the whole table after the row After, whatever
-	// changed.
-	Whole bool
-	After structs.RowName
-}
-
 // ViewReader decides what a router asks for, and puts the parts of a whole table
 // together. What it returns never goes back in revision. It has no clock and sends
 // nothing itself, and is not safe for concurrent use.
@@ -34,8 +23,8 @@
 }
 
 // Next returns what to ask for.
-func (r *ViewReader) Next() ViewRequest {
-	return ViewRequest{SinceTable: r.table, SinceIndex: r.index, Whole: r.parts != nil, After: r.after}
+func (r *ViewReader) Next() structs.ViewRequest {
+	return structs.ViewRequest{SinceTable: r.table, SinceIndex: r.index, Whole: r.parts != nil, After: r.after}
 }
 
 // ReadsParts reports whether a whole table is being read.
--- a/router/viewreader_test.go
+++ b/router/viewreader_test.go
@@ -91,12 +91,9 @@
 func (s *readerSite) ask(member int) bool {
 	request := s.reader.Next()
 	state := s.members[member]
-	var view structs.ZoneView
-	if request.Whole || state.NeedsWhole(request.SinceTable) {
-		view = state.ViewPart(request.After, request.SinceIndex)
+	view := state.ViewFor(request)
+	if view.Part != nil {
 		s.parts++
-	} else {
-		view = state.View(request.SinceTable, request.SinceIndex)
 	}
 	s.rows += len(view.Table.Rows) + len(view.Table.Deleted)
 	view.Epoch = s.epoch
--- a/router/viewsource.go
+++ b/router/viewsource.go
@@ -28,7 +28,7 @@
 func (s *ViewSource) Controller() int { return s.next }
 
 // Next returns what to ask for.
-func (s *ViewSource) Next() ViewRequest { return s.reader.Next() }
+func (s *ViewSource) Next() structs.ViewRequest { return s.reader.Next() }
 
 // ReadsParts reports whether a whole table is being read.
 func (s *ViewSource) ReadsParts() bool { return s.reader.ReadsParts() }
--- a/simulate/requestcontrol.go
+++ b/simulate/requestcontrol.go
@@ -17,7 +17,7 @@
 // viewRequest asks a controller for what changed since the revisions.
 type viewRequest struct {
 	number  int
-	request router.ViewRequest
+	request structs.ViewRequest
 }
 
 // viewAnswer carries the view that a viewRequest of the number asked for.
@@ -119,12 +119,7 @@
 	if m.node == nil {
 		return
 	}
-	state := d.controller.state
-	asked := request.request
-	view := state.View(asked.SinceTable, asked.SinceIndex)
-	if asked.Whole || state.NeedsWhole(asked.SinceTable) {
-		view = state.ViewPart(asked.After, asked.SinceIndex)
-	}
+	view := d.controller.state.ViewFor(request.request)
 	view.Epoch = structs.Epoch(m.node.Term())
 	d.site.network.Send(d.machine.Address, from, viewAnswer{request.number, view})
 }
--- a/structs/view.go
+++ b/structs/view.go
@@ -85,3 +85,14 @@
 	Replicas int     `json:"replicas"`
 	Limit    int     `json:"limit"`
 }
+
+// ViewRequest says what a router asks a controller of its zone for: what changed
+// after the revisions, or a part of the whole table.
+type ViewRequest struct {
+	SinceTable uint64
+	SinceIndex uint64
+	// Whole asks for the part of the whole table after the row After, whatever
+	// changed.
+	Whole bool
+	After RowName
+}
--- a/zone/viewpart.go
+++ b/zone/viewpart.go
@@ -9,9 +9,20 @@
 // maxPartRows bounds the rows of one part of the table, some 140 bytes each.
 const maxPartRows = 1 << 10
 
-// NeedsWhole reports whether a reader that has the table at the revision must get
-// it whole: it has none, or is behind the changes that are remembered.
-func (s *State) NeedsWhole(sinceTable uint64) bool { return s.table.needsWhole(sinceTable) }
+// AnswersPart reports whether the answer to the request is a part of the whole table:
+// the reader asks for one, has no table, or is behind the changes that are remembered.
+func (s *State) AnswersPart(request structs.ViewRequest) bool {
+	return request.Whole || s.table.needsWhole(request.SinceTable)
+}
+
+// ViewFor answers a reader that takes a whole table in parts: with a part of it, or
+// with what changed.
+func (s *State) ViewFor(request structs.ViewRequest) structs.ZoneView {
+	if s.AnswersPart(request) {
+		return s.ViewPart(request.After, request.SinceIndex)
+	}
+	return s.View(request.SinceTable, request.SinceIndex)
+}
 
 // ViewPart is View with a part of the whole table instead of its changes: the rows
 // that follow the name after, in order, and what belongs to them. The first part
