--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -58,7 +58,7 @@
 	defer r.forgetAttempt(id)
 	stream, err := r.engines.Generate(ctx, current.effect.Address, current.effect.Generate)
 	if err != nil {
-		r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: asTyped(err)})
+		r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: structs.AsTyped(err)})
 		return
 	}
 	defer stream.Close()
@@ -67,7 +67,7 @@
 	for {
 		token, err := stream.Next()
 		if err != nil {
-			r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: asTyped(err)})
+			r.step(router.AttemptFailed{Attempt: id, Stage: stageOf(err), Error: structs.AsTyped(err)})
 			return
 		}
 		r.step(router.TokenReceived{Attempt: id, Token: token})
@@ -121,7 +121,7 @@
 	reply := router.StatusReplied{ID: effect.ID, Attempt: effect.Attempt, Peek: effect.Peek}
 	status, err := r.engines.Status(ctx, effect.Address, structs.RequestID(effect.Attempt), !effect.Peek)
 	if err != nil {
-		reply.Error = asTyped(err)
+		reply.Error = structs.AsTyped(err)
 	} else {
 		reply.Status = &status
 	}
--- a/daemon/claimanswers.go
+++ b/daemon/claimanswers.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusferry/lotusferry/answerstore"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -145,7 +146,7 @@
 			fetched.Answer = reply.Answer
 			return fetched
 		}
-		if !pause.For(ctx, retryPause) {
+		if !pause.For(ctx, leadercall.RetryPause) {
 			level.Debug(k.logger).Log("msg", "A router did not say whether it keeps an answer.", "router", effect.Claim.Holder, "err", err)
 			fetched.Unreachable = true
 			return fetched
--- a/daemon/claimdesk.go
+++ b/daemon/claimdesk.go
@@ -151,7 +151,7 @@
 	}
 	result, err := d.propose(ctx, zone.Command{ClaimBatch: batch})
 	if err == nil {
-		err = asError(result.Error)
+		err = structs.AsError(result.Error)
 	}
 	rest := result.Batch
 	for _, ticket := range tickets {
--- a/daemon/claimhome.go
+++ b/daemon/claimhome.go
@@ -7,12 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
 // claimHome is a home zone of keys as one router sees it.
 type claimHome struct {
-	leader *leaderCaller
+	leader *leadercall.Caller
 	// far says that it is another zone, which a cut may keep out of reach for hours.
 	far     bool
 	timeout time.Duration
@@ -27,7 +28,7 @@
 	renewedAt time.Time
 }
 
-func newClaimHome(leader *leaderCaller, far bool) *claimHome {
+func newClaimHome(leader *leadercall.Caller, far bool) *claimHome {
 	home := &claimHome{leader: leader, far: far, timeout: claimTimeout, asked: map[structs.RequestID]bool{}}
 	if far {
 		home.timeout = farClaimTimeout
@@ -106,7 +107,7 @@
 
 // call calls the zone's leader and notes whether the zone answers.
 func (h *claimHome) call(ctx context.Context, arguments ClaimsArguments) (*ClaimsReply, error) {
-	reply, err := callLeader(ctx, h.leader, methodZoneClaims, arguments, func() *ClaimsReply { return &ClaimsReply{} })
+	reply, err := leadercall.Call(ctx, h.leader, methodZoneClaims, arguments, func() *ClaimsReply { return &ClaimsReply{} })
 	kind := structs.KindOf(err)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/daemon/claimmessages.go
+++ b/daemon/claimmessages.go
@@ -25,4 +25,4 @@
 	Error   *structs.Error
 }
 
-func (r *ClaimsReply) failure() *structs.Error { return r.Error }
+func (r *ClaimsReply) Failure() *structs.Error { return r.Error }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -56,7 +57,7 @@
 		homes:  map[structs.ZoneID]*claimHome{},
 	}
 	for _, settings := range site.Zones {
-		leader := newLeaderCaller(client, memberAddresses(settings.Controllers))
+		leader := leadercall.New(client, memberAddresses(settings.Controllers))
 		k.homes[settings.ID] = newClaimHome(leader, settings.ID != own)
 	}
 	return k
@@ -76,12 +77,12 @@
 	defer cancel()
 	result, err := k.operate(ctx, home, zone.ClaimOperation{Begin: beginCommand(effect)})
 	if err == nil {
-		err = asError(result.Error)
+		err = structs.AsError(result.Error)
 	}
 	if err == nil && result.Claim != nil && !k.owns(effect.ID, result.Claim) {
 		home.forget(effect.ID)
 	}
-	reply.Claim, reply.New, reply.Error = result.Claim, result.ClaimNew, asTyped(err)
+	reply.Claim, reply.New, reply.Error = result.Claim, result.ClaimNew, structs.AsTyped(err)
 	return reply
 }
 
--- a/daemon/claims_benchmark_test.go
+++ b/daemon/claims_benchmark_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/raft"
@@ -78,7 +79,7 @@
 				return node
 			}
 		}
-		pause.For(ctx, retryPause)
+		pause.For(ctx, leadercall.RetryPause)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lotusferry/lotusferry/engineapi"
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/router"
@@ -169,7 +170,7 @@
 	d.operators = &operatorService{
 		site:   d.config.Site,
 		client: d.client,
-		global: newLeaderCaller(d.client, memberAddresses(d.config.Site.GlobalVoters)),
+		global: leadercall.New(d.client, memberAddresses(d.config.Site.GlobalVoters)),
 		local:  &DaemonService{daemon: d},
 	}
 	return nil
@@ -208,7 +209,7 @@
 		observer:    newEngineObserver(d.logger, settings.ID, hostOf(d.config.Site.MachineList), d.engines, d.config.Timing),
 		engines:     d.engines,
 		inquiries:   &claimInquiries{logger: log.With(d.logger, "component", "inquiries"), engines: d.engines},
-		global:      newLeaderCaller(d.client, memberAddresses(d.config.Site.GlobalVoters)),
+		global:      leadercall.New(d.client, memberAddresses(d.config.Site.GlobalVoters)),
 		timing:      d.config.Timing,
 		storeBudget: storeShare(d.config.Site, settings),
 	}
@@ -299,7 +300,7 @@
 		daemon:   d.config.Daemon,
 		engines:  d.engines,
 		peers:    newPeerRouters(d.options.network, d.reloader, d.faults),
-		leader:   newLeaderCaller(d.client, memberAddresses(settings.Controllers)),
+		leader:   leadercall.New(d.client, memberAddresses(settings.Controllers)),
 		claims:   newClaimKeeper(d.logger, d.client, d.config.Site, d.config.Zone, holder),
 		answers:  newAnswerKeeper(d.logger, d.config.Daemon, d.client, answers),
 		timing:   d.config.Timing,
--- a/daemon/daemondrain.go
+++ b/daemon/daemondrain.go
@@ -97,7 +97,7 @@
 		if err := s.local.Drain(arguments, reply); err != nil {
 			return err
 		}
-		return asError(reply.Error)
+		return structs.AsError(reply.Error)
 	}
 	address, known := s.addresses()[request.Daemon]
 	if !known {
@@ -110,7 +110,7 @@
 		return structs.NewError(structs.ErrorUnavailable, "the daemon "+string(request.Daemon)+" does not answer: "+err.Error(),
 			"Check that it runs and can be reached, then ask again.")
 	}
-	return asError(reply.Error)
+	return structs.AsError(reply.Error)
 }
 
 // addresses gives the internal addresses of the daemons that the site lists.
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -193,7 +193,7 @@
 		Row:        target.request.Row,
 		Repeatable: target.request.Repeatable(),
 		Stage:      stage,
-		Error:      asTyped(err),
+		Error:      structs.AsTyped(err),
 	})
 }
 
--- a/daemon/globalservice.go
+++ b/daemon/globalservice.go
@@ -25,7 +25,7 @@
 	defer cancel()
 	command, err := table.DecodeCommand(arguments.Command)
 	if err != nil {
-		reply.Error = asTyped(err)
+		reply.Error = structs.AsTyped(err)
 		return nil
 	}
 	if command.Edit != nil {
@@ -33,7 +33,7 @@
 	}
 	result, err := s.node.propose(ctx, command)
 	reply.Result = result
-	reply.Error = asTyped(err)
+	reply.Error = structs.AsTyped(err)
 	return nil
 }
 
@@ -107,7 +107,7 @@
 func (s *GlobalService) barrier() *structs.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	return asTyped(s.node.group.Read(ctx))
+	return structs.AsTyped(s.node.group.Read(ctx))
 }
 
 // await runs read once the revision is above since, or after wait.
--- a/daemon/machine.go
+++ b/daemon/machine.go
@@ -19,7 +19,7 @@
 func (m *tableMachine) Apply(_, _ uint64, encoded []byte) any {
 	command, err := table.DecodeCommand(encoded)
 	if err != nil {
-		return table.Result{Error: asTyped(err)}
+		return table.Result{Error: structs.AsTyped(err)}
 	}
 	defer m.changed.broadcast()
 	return m.state.Apply(command)
@@ -46,7 +46,7 @@
 func (m *zoneMachine) Apply(index, _ uint64, encoded []byte) any {
 	command, err := zone.DecodeCommand(encoded)
 	if err != nil {
-		return zone.Result{Error: asTyped(err)}
+		return zone.Result{Error: structs.AsTyped(err)}
 	}
 	defer m.changed.broadcast()
 	return m.state.Apply(index, command)
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/transport"
@@ -35,7 +36,7 @@
 	listed    []config.Member
 	bootstrap bool
 	client    *transport.Client
-	leader    *leaderCaller
+	leader    *leadercall.Caller
 }
 
 func (d *Daemon) newMemberNode(name string, joined *group.Group, own config.Member, listed []config.Member) *memberNode {
@@ -47,7 +48,7 @@
 		listed:    listed,
 		bootstrap: d.config.Bootstrap,
 		client:    d.client,
-		leader:    newLeaderCaller(d.client, memberAddresses(listed)),
+		leader:    leadercall.New(d.client, memberAddresses(listed)),
 	}
 }
 
@@ -139,7 +140,7 @@
 	reply := DescribeReply{}
 	err := client.Call(ctx, address, methodMemberDescribe, DescribeArguments{Group: name}, &reply)
 	if err == nil {
-		err = asError(reply.Error)
+		err = structs.AsError(reply.Error)
 	}
 	return reply, err
 }
@@ -164,7 +165,7 @@
 	arguments := JoinArguments{Group: m.name, Member: m.own}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := callLeader(ctx, m.leader, methodMemberJoin, arguments, func() *MemberReply { return &MemberReply{} }); err != nil {
+	if _, err := leadercall.Call(ctx, m.leader, methodMemberJoin, arguments, func() *MemberReply { return &MemberReply{} }); err != nil {
 		return err
 	}
 	return m.group.Admit(ctx)
@@ -184,7 +185,7 @@
 		arguments := FoundArguments{Group: m.name, Members: members}
 		err := m.client.Call(ctx, member.Address, methodMemberFound, arguments, reply)
 		if err == nil {
-			err = asError(reply.Error)
+			err = structs.AsError(reply.Error)
 		}
 		if err != nil {
 			return err
--- a/daemon/memberbackup_test.go
+++ b/daemon/memberbackup_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/ctl"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
@@ -40,7 +41,7 @@
 		if err == nil && status.Zones[0].TableRevision >= revision {
 			return status.Zones[0]
 		}
-		pause.For(s.ctx, retryPause)
+		pause.For(s.ctx, leadercall.RetryPause)
 	}
 	s.c.Fatalf("revision %d did not come into force", revision)
 	return structs.ZoneStatus{}
--- a/daemon/membermessages.go
+++ b/daemon/membermessages.go
@@ -61,5 +61,5 @@
 	Error   *structs.Error
 }
 
-func (r *MemberReply) failure() *structs.Error     { return r.Error }
-func (r *MemberListReply) failure() *structs.Error { return r.Error }
+func (r *MemberReply) Failure() *structs.Error     { return r.Error }
+func (r *MemberListReply) Failure() *structs.Error { return r.Error }
--- a/daemon/memberoperator.go
+++ b/daemon/memberoperator.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
 // groupCaller returns the caller of a group's leader, or nil.
-func (s *operatorService) groupCaller(name string) *leaderCaller {
+func (s *operatorService) groupCaller(name string) *leadercall.Caller {
 	if name == globalGroupName {
 		return s.global
 	}
 	for _, zone := range s.site.Zones {
 		if name == zoneGroupPrefix+string(zone.ID) {
-			return newLeaderCaller(s.client, memberAddresses(zone.Controllers))
+			return leadercall.New(s.client, memberAddresses(zone.Controllers))
 		}
 	}
 	return nil
@@ -55,7 +56,7 @@
 
 func (s *operatorService) groupMembers(ctx context.Context, name string) operatorapi.GroupMembers {
 	arguments := DescribeArguments{Group: name}
-	reply, err := callLeader(ctx, s.groupCaller(name), methodMemberList, arguments, func() *MemberListReply { return &MemberListReply{} })
+	reply, err := leadercall.Call(ctx, s.groupCaller(name), methodMemberList, arguments, func() *MemberListReply { return &MemberListReply{} })
 	if err != nil {
 		return operatorapi.GroupMembers{Group: name, Problem: err.Error()}
 	}
@@ -71,6 +72,6 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	arguments := MemberChangeArguments{Change: change}
-	_, err := callLeader(ctx, caller, methodMemberChange, arguments, func() *MemberReply { return &MemberReply{} })
+	_, err := leadercall.Call(ctx, caller, methodMemberChange, arguments, func() *MemberReply { return &MemberReply{} })
 	return err
 }
--- a/daemon/memberservice.go
+++ b/daemon/memberservice.go
@@ -95,5 +95,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	return asTyped(act(ctx, node))
+	return structs.AsTyped(act(ctx, node))
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/logstore"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
@@ -22,14 +23,14 @@
 type operatorService struct {
 	site   config.Site
 	client *transport.Client
-	global *leaderCaller
+	global *leadercall.Caller
 	// local is this daemon's own service.
 	local *DaemonService
 }
 
 // Table implements operatorapi.Service.
 func (s *operatorService) Table(ctx context.Context) (operatorapi.TableView, error) {
-	reply, err := callLeader(ctx, s.global, methodGlobalTable, TableArguments{}, func() *TableReply { return &TableReply{} })
+	reply, err := leadercall.Call(ctx, s.global, methodGlobalTable, TableArguments{}, func() *TableReply { return &TableReply{} })
 	if err != nil {
 		return operatorapi.TableView{}, err
 	}
@@ -39,7 +40,7 @@
 // Apply implements operatorapi.Service.
 func (s *operatorService) Apply(ctx context.Context, edit structs.Edit, dryRun bool) (structs.EditResult, error) {
 	if dryRun {
-		reply, err := callLeader(ctx, s.global, methodGlobalCheck, CheckArguments{Edit: edit}, func() *CheckReply { return &CheckReply{} })
+		reply, err := leadercall.Call(ctx, s.global, methodGlobalCheck, CheckArguments{Edit: edit}, func() *CheckReply { return &CheckReply{} })
 		if err != nil {
 			return structs.EditResult{}, err
 		}
@@ -50,14 +51,14 @@
 		return structs.EditResult{}, err
 	}
 	if result.Edit == nil {
-		return structs.EditResult{}, asError(result.Error)
+		return structs.EditResult{}, structs.AsError(result.Error)
 	}
 	return *result.Edit, nil
 }
 
 // History implements operatorapi.Service.
 func (s *operatorService) History(ctx context.Context, limit int) ([]structs.HistoryEntry, error) {
-	reply, err := callLeader(ctx, s.global, methodGlobalHistory, HistoryArguments{Limit: limit}, func() *HistoryReply { return &HistoryReply{} })
+	reply, err := leadercall.Call(ctx, s.global, methodGlobalHistory, HistoryArguments{Limit: limit}, func() *HistoryReply { return &HistoryReply{} })
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +74,7 @@
 	for {
 		step := max(min(time.Until(end), maxWait), time.Millisecond)
 		arguments := TableArguments{Since: since, Wait: step, Changes: true}
-		reply, err := callLeader(ctx, s.global, methodGlobalTable, arguments, func() *TableReply { return &TableReply{} })
+		reply, err := leadercall.Call(ctx, s.global, methodGlobalTable, arguments, func() *TableReply { return &TableReply{} })
 		if err != nil {
 			return operatorapi.TableChanges{}, err
 		}
@@ -87,7 +88,7 @@
 
 // Status implements operatorapi.Service.
 func (s *operatorService) Status(ctx context.Context) (operatorapi.SiteStatus, error) {
-	reply, err := callLeader(ctx, s.global, methodGlobalStatus, StatusArguments{}, func() *GlobalStatusReply { return &GlobalStatusReply{} })
+	reply, err := leadercall.Call(ctx, s.global, methodGlobalStatus, StatusArguments{}, func() *GlobalStatusReply { return &GlobalStatusReply{} })
 	if err != nil {
 		return operatorapi.SiteStatus{}, err
 	}
@@ -156,9 +157,9 @@
 	var last error = structs.NewError(structs.ErrorNotFound, "no zone knows the runner "+string(request.Runner),
 		"Name a runner of the platform's machine list.")
 	for _, settings := range s.site.Zones {
-		caller := newLeaderCaller(s.client, memberAddresses(settings.Controllers))
+		caller := leadercall.New(s.client, memberAddresses(settings.Controllers))
 		zoneCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
-		reply, err := callLeader(zoneCtx, caller, methodZonePropose, ProposeArguments{Command: encoded}, func() *ZoneReply { return &ZoneReply{} })
+		reply, err := leadercall.Call(zoneCtx, caller, methodZonePropose, ProposeArguments{Command: encoded}, func() *ZoneReply { return &ZoneReply{} })
 		cancel()
 		switch {
 		case err != nil:
@@ -179,19 +180,19 @@
 		return nil, unknownGroupError(name)
 	}
 	arguments := DescribeArguments{Group: name}
-	reply, err := callLeader(ctx, caller, methodMemberBackup, arguments, func() *SaveReply { return &SaveReply{} })
+	reply, err := leadercall.Call(ctx, caller, methodMemberBackup, arguments, func() *SaveReply { return &SaveReply{} })
 	if err != nil {
 		return nil, err
 	}
 	return logstore.EncodeSnapshotFile(reply.Snapshot, reply.Identity)
 }
 
-func proposeGlobal(ctx context.Context, caller *leaderCaller, command table.Command) (table.Result, error) {
+func proposeGlobal(ctx context.Context, caller *leadercall.Caller, command table.Command) (table.Result, error) {
 	encoded, err := table.EncodeCommand(command)
 	if err != nil {
 		return table.Result{}, err
 	}
-	reply, err := callLeader(ctx, caller, methodGlobalPropose, ProposeArguments{Command: encoded}, func() *GlobalReply { return &GlobalReply{} })
+	reply, err := leadercall.Call(ctx, caller, methodGlobalPropose, ProposeArguments{Command: encoded}, func() *GlobalReply { return &GlobalReply{} })
 	if err != nil {
 		return table.Result{}, err
 	}
--- a/daemon/reportrelay.go
+++ b/daemon/reportrelay.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -82,6 +83,6 @@
 func (r *requestRouter) sendRelay(ctx context.Context, message structs.ReportRelay) (*structs.ReportShare, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.timing.ReportInterval)
 	defer cancel()
-	reply, err := callLeader(ctx, r.leader, methodZoneReports, ReportsArguments{Relay: message}, func() *ReportsReply { return &ReportsReply{} })
+	reply, err := leadercall.Call(ctx, r.leader, methodZoneReports, ReportsArguments{Relay: message}, func() *ReportsReply { return &ReportsReply{} })
 	return reply.Share, err
 }
--- a/daemon/reportrelay_test.go
+++ b/daemon/reportrelay_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 )
 
@@ -24,7 +25,7 @@
 			return found
 		}
 		for s.ctx.Err() == nil && !relayed() {
-			pause.For(s.ctx, retryPause)
+			pause.For(s.ctx, leadercall.RetryPause)
 		}
 		s.Assert(relayed(), qt.IsTrue)
 		// What is loaded then is seen by the leader itself.
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -27,7 +28,7 @@
 	daemon  structs.DaemonID
 	engines *engineapi.Client
 	peers   peerRouters
-	leader  *leaderCaller
+	leader  *leadercall.Caller
 	claims  *claimKeeper
 	answers *answerKeeper
 	timing  config.Timing
@@ -212,7 +213,7 @@
 	}
 	answer, err := router.DecodeAnswer(effect.Answer)
 	if err != nil {
-		r.end(effect.ID, &structs.Refusal{Error: *asTyped(err), Execution: structs.ExecutionUnknown})
+		r.end(effect.ID, &structs.Refusal{Error: *structs.AsTyped(err), Execution: structs.ExecutionUnknown})
 		return
 	}
 	target.deliver(structs.Token{ID: effect.ID, Text: answer.Text, Finish: answer.Finish})
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/pause"
@@ -175,7 +176,7 @@
 		if done(last) {
 			return last
 		}
-		pause.For(s.ctx, retryPause)
+		pause.For(s.ctx, leadercall.RetryPause)
 	}
 	for id, running := range s.running {
 		s.c.Logf("%s: %+v", id, running.global.group.Status())
--- a/daemon/standby_test.go
+++ b/daemon/standby_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -24,7 +25,7 @@
 				return index
 			}
 		}
-		pause.For(s.ctx, retryPause)
+		pause.For(s.ctx, leadercall.RetryPause)
 	}
 	s.c.Fatalf("none of the daemons %v leads", indexes)
 	return 0
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -20,7 +21,7 @@
 // viewLoop keeps the router's view of its zone up to date by long polls.
 func (r *requestRouter) viewLoop(ctx context.Context) {
 	defer r.viewStore.close()
-	addresses := r.leader.addresses
+	addresses := r.leader.Addresses()
 	r.mutex.Lock()
 	source := router.NewViewSource(len(addresses), r.view.View())
 	r.mutex.Unlock()
@@ -30,12 +31,12 @@
 		if err != nil {
 			level.Debug(r.logger).Log("msg", "The zone's view could not be read.", "address", address, "err", err)
 			source.Failed()
-			pause.For(ctx, retryPause)
+			pause.For(ctx, leadercall.RetryPause)
 			continue
 		}
 		adopted, helps := source.Take(view)
 		if !helps {
-			pause.For(ctx, retryPause)
+			pause.For(ctx, leadercall.RetryPause)
 			continue
 		}
 		r.keepView(adopted)
@@ -53,10 +54,10 @@
 		SinceTable: request.SinceTable, SinceIndex: request.SinceIndex,
 		Parts: true, Whole: request.Whole, After: request.After, Wait: router.ViewPoll,
 	}
-	if err := r.leader.client.Call(ctx, address, methodZoneView, arguments, reply); err != nil {
+	if err := r.leader.Client().Call(ctx, address, methodZoneView, arguments, reply); err != nil {
 		return structs.ZoneView{}, err
 	}
-	return reply.View, asError(reply.Error)
+	return reply.View, structs.AsError(reply.Error)
 }
 
 // loadView begins with the view that was saved, if there is a sound one.
@@ -165,7 +166,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
 	defer cancel()
-	reply, err := callLeader(ctx, r.leader, methodZoneDemand, DemandArguments{Report: report}, func() *DemandReply { return &DemandReply{} })
+	reply, err := leadercall.Call(ctx, r.leader, methodZoneDemand, DemandArguments{Report: report}, func() *DemandReply { return &DemandReply{} })
 	if err != nil {
 		schedule.Failed()
 		level.Debug(r.logger).Log("msg", "The demand could not be reported.", "err", err)
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/leadercall"
 	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/table"
@@ -26,7 +27,7 @@
 	core        *controller.Core
 	observer    *engineObserver
 	engines     *engineapi.Client
-	global      *leaderCaller
+	global      *leadercall.Caller
 	timing      config.Timing
 	storeBudget int
 	// inquiries asks engines about requests whose router is silent.
@@ -209,7 +210,7 @@
 	defer cancel()
 	result, err := l.node.propose(ctx, command)
 	if err == nil {
-		err = asError(result.Error)
+		err = structs.AsError(result.Error)
 	}
 	if err != nil {
 		level.Debug(l.logger).Log("msg", "A command was refused.", "err", err)
@@ -221,16 +222,16 @@
 func (l *zoneLeader) adoptLoop(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; {
 		since := l.node.tableRevision()
-		addresses := l.global.addresses
+		addresses := l.global.Addresses()
 		reply := &DeltaReply{}
 		arguments := DeltaArguments{Zone: l.node.id, Since: since, Wait: maxWait}
-		err := l.global.client.Call(ctx, addresses[next%len(addresses)], methodGlobalDelta, arguments, reply)
+		err := l.global.Client().Call(ctx, addresses[next%len(addresses)], methodGlobalDelta, arguments, reply)
 		if err == nil {
-			err = asError(reply.Error)
+			err = structs.AsError(reply.Error)
 		}
 		if err != nil {
 			next++
-			pause.For(ctx, retryPause)
+			pause.For(ctx, leadercall.RetryPause)
 			continue
 		}
 		if reply.Delta.Revision <= since {
@@ -239,7 +240,7 @@
 			continue
 		}
 		if err := l.adopt(ctx, reply.Delta); err != nil {
-			pause.For(ctx, retryPause)
+			pause.For(ctx, leadercall.RetryPause)
 		}
 	}
 }
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -19,7 +19,7 @@
 	defer cancel()
 	result, err := s.node.proposeEncoded(ctx, arguments.Command)
 	reply.Result = result
-	reply.Error = asTyped(err)
+	reply.Error = structs.AsTyped(err)
 	return nil
 }
 
@@ -37,13 +37,13 @@
 	}
 	command, err := zone.DecodeCommand(arguments.Command)
 	if err != nil {
-		reply.Error = asTyped(err)
+		reply.Error = structs.AsTyped(err)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	results, err := s.node.claims.operate(ctx, command)
-	reply.Error = asTyped(err)
+	reply.Error = structs.AsTyped(err)
 	for i, result := range results {
 		if command.ClaimBatch.Operations[i].Finish != nil {
 			result.Claim = nil
--- /dev/null
+++ b/domain/machine.go
@@ -0,0 +1,173 @@
+package domain
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/lotusferry/lotusferry/group"
+)
+
+// maxDepartures bounds the departures that are remembered; the oldest go first.
+// Instances are never reused, so that only those of the last minutes matter.
+const maxDepartures = 2048
+
+// Document is a site document as its operator sent it.
+type Document struct {
+	Version uint64
+	// Source is the text of the document, compressed by Compress.
+	Source []byte
+}
+
+// Departure says that a runner is leaving, or has left.
+type Departure struct {
+	// Instance names one life of a runner.
+	Instance string
+	// Gone runners have said that they are no longer members of their service.
+	Gone bool
+}
+
+// Command is a change of the state; exactly one field is set.
+type Command struct {
+	Put    *Document
+	Depart *Departure
+}
+
+// Result is what Apply returns.
+type Result struct {
+	// Version is that of the document in force after the command.
+	Version uint64
+}
+
+// State is the whole replicated state.
+type State struct {
+	Document   Document
+	Departures []Departure
+}
+
+// Machine is the state machine. Its methods must not run at the same time, as
+// group.Group provides.
+type Machine struct {
+	document Document
+	// departures is in the order of arrival; index finds an instance in it.
+	departures []Departure
+	index      map[string]int
+	changed    func()
+}
+
+var _ group.StateMachine = (*Machine)(nil)
+
+// NewMachine makes an empty state machine. changed, if not nil, is called after each
+// change, while the machine is locked by its group.
+func NewMachine(changed func()) *Machine {
+	if changed == nil {
+		changed = func() {}
+	}
+	return &Machine{index: make(map[string]int), changed: changed}
+}
+
+// Encode returns the command as bytes for a proposal.
+func (c Command) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(&c)
+	return data, errors.Wrap(err, "encode command of the domain")
+}
+
+// Apply implements group.StateMachine. The result is a Result, or an error for a
+// command that cannot be decoded.
+func (m *Machine) Apply(_, _ uint64, command []byte) any {
+	var decoded Command
+	if err := msgpack.Unmarshal(command, &decoded); err != nil {
+		return errors.Wrap(err, "decode command of the domain")
+	}
+	switch {
+	case decoded.Put != nil:
+		m.put(*decoded.Put)
+	case decoded.Depart != nil:
+		m.depart(*decoded.Depart)
+	}
+	return Result{Version: m.document.Version}
+}
+
+// put takes a document only if its version is above the one in force: other content
+// under the same version never replaces what was acknowledged.
+func (m *Machine) put(document Document) {
+	if document.Version <= m.document.Version {
+		return
+	}
+	m.document = document
+	m.changed()
+}
+
+// depart is final: a runner that is leaving never becomes ready again under the
+// same instance, and one that is gone is not leaving again.
+func (m *Machine) depart(departure Departure) {
+	if at, known := m.index[departure.Instance]; known {
+		if departure.Gone && !m.departures[at].Gone {
+			m.departures[at].Gone = true
+			m.changed()
+		}
+		return
+	}
+	m.departures = append(m.departures, departure)
+	if len(m.departures) > maxDepartures {
+		m.departures = slices.Delete(m.departures, 0, len(m.departures)-maxDepartures)
+	}
+	m.reindex()
+	m.changed()
+}
+
+func (m *Machine) reindex() {
+	clear(m.index)
+	for at, departure := range m.departures {
+		m.index[departure.Instance] = at
+	}
+}
+
+// Document returns the document in force; its version is 0 before the first.
+func (m *Machine) Document() Document { return m.document }
+
+// Departure returns the departure of an instance.
+func (m *Machine) Departure(instance string) (Departure, bool) {
+	at, known := m.index[instance]
+	if !known {
+		return Departure{}, false
+	}
+	return m.departures[at], true
+}
+
+// Departures returns the instances that are leaving or gone.
+func (m *Machine) Departures() map[string]bool {
+	departures := make(map[string]bool, len(m.departures))
+	for _, departure := range m.departures {
+		departures[departure.Instance] = departure.Gone
+	}
+	return departures
+}
+
+// Snapshot implements group.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := msgpack.Marshal(&State{Document: m.document, Departures: m.departures})
+	return data, errors.Wrap(err, "encode state of the domain")
+}
+
+// Restore implements group.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	var state State
+	if err := msgpack.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(err, "decode state of the domain")
+	}
+	m.document = state.Document
+	m.departures = state.Departures
+	m.reindex()
+	m.changed()
+	return nil
+}
+
+// Equal reports whether two machines hold the same state.
+func (m *Machine) Equal(other *Machine) bool {
+	return m.document.Version == other.document.Version &&
+		slices.Equal(m.document.Source, other.document.Source) &&
+		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index)
+}
--- /dev/null
+++ b/domain/machine_test.go
@@ -0,0 +1,70 @@
+package domain
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func apply(c *qt.C, m *Machine, command Command) Result {
+	data, err := command.Encode()
+	c.Assert(err, qt.IsNil)
+	result, ok := m.Apply(1, 1, data).(Result)
+	c.Assert(ok, qt.IsTrue)
+	return result
+}
+
+func TestHighestVersionHolds(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(nil)
+	for _, step := range []struct {
+		version, held uint64
+		source        string
+	}{{4, 4, "four"}, {3, 4, "four"}, {4, 4, "four"}, {9, 9, "nine"}, {8, 9, "nine"}} {
+		source := "other"
+		if step.version == step.held && step.version != m.Document().Version {
+			source = step.source
+		}
+		result := apply(c, m, Command{Put: &Document{Version: step.version, Source: []byte(source)}})
+		c.Assert(result.Version, qt.Equals, step.held)
+		c.Assert(string(m.Document().Source), qt.Equals, step.source)
+	}
+}
+
+func TestDepartureIsFinal(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(nil)
+	apply(c, m, Command{Depart: &Departure{Instance: "a", Gone: true}})
+	apply(c, m, Command{Depart: &Departure{Instance: "a"}})
+	departure, known := m.Departure("a")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(departure.Gone, qt.IsTrue)
+	apply(c, m, Command{Depart: &Departure{Instance: "b"}})
+	apply(c, m, Command{Depart: &Departure{Instance: "b", Gone: true}})
+	c.Assert(m.Departures(), qt.DeepEquals, map[string]bool{"a": true, "b": true})
+}
+
+func TestSnapshotRestoresTheWholeState(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(nil)
+	apply(c, m, Command{Put: &Document{Version: 4, Source: []byte("four")}})
+	for _, name := range []string{"x", "y", "z"} {
+		apply(c, m, Command{Depart: &Departure{Instance: name}})
+	}
+	data, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored := NewMachine(nil)
+	c.Assert(restored.Restore(data), qt.IsNil)
+	c.Assert(restored.Equal(m), qt.IsTrue)
+}
+
+func TestCompressedDocumentsExpand(t *testing.T) {
+	c := qt.New(t)
+	packed, err := Compress([]byte(`{"version":7}`))
+	c.Assert(err, qt.IsNil)
+	source, err := Expand(packed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(source), qt.Equals, `{"version":7}`)
+	_, err = Expand([]byte{0xff, 0x00})
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/domainapi/messages.go
@@ -0,0 +1,115 @@
+// Package domainapi holds the messages that the processes of one placement domain
+// exchange over net/rpc: controllers among themselves, and routers with the leader of
+// the controllers.
+package domainapi
+
+import (
+	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// ServiceName is the net/rpc service of every controller.
+const ServiceName = "Domain"
+
+// The methods of the service. All but Describe and Found are answered by the leader;
+// others refuse with ErrorNotLeader, which names the leader if it is known.
+const (
+	MethodDescribe  = ServiceName + ".Describe"
+	MethodFound     = ServiceName + ".Found"
+	MethodJoin      = ServiceName + ".Join"
+	MethodStopping  = ServiceName + ".Stopping"
+	MethodHeartbeat = ServiceName + ".Heartbeat"
+	MethodDepart    = ServiceName + ".Depart"
+	MethodPut       = ServiceName + ".Put"
+	MethodRead      = ServiceName + ".Read"
+	MethodWatch     = ServiceName + ".Watch"
+	MethodDemand    = ServiceName + ".Demand"
+)
+
+// Reply carries a typed error, because net/rpc itself carries only strings.
+type Reply struct{ Error *structs.Error }
+
+// Failure implements leadercall.Reply.
+func (r *Reply) Failure() *structs.Error { return r.Error }
+
+// DescribeArguments ask a controller about its member of the group.
+type DescribeArguments struct{}
+
+// DescribeReply describes a member of the group.
+type DescribeReply struct {
+	Reply
+	Member group.Member
+	// Held members belong to no group yet.
+	Held bool
+	// Voters are those of the membership in force at the member, with addresses.
+	Voters []group.Member
+	// Committed is the membership at the applied index; HasLeader tells whether the
+	// member follows or is a leader.
+	Committed raft.Membership
+	Applied   uint64
+	HasLeader bool
+}
+
+// FoundArguments give a member the founding members of a new group.
+type FoundArguments struct{ Members []group.Member }
+
+// JoinArguments ask the leader to take a member into the group.
+type JoinArguments struct{ Member group.Member }
+
+// StoppingArguments tell the leader that a member makes a planned stop.
+type StoppingArguments struct{ Node raft.NodeID }
+
+// HeartbeatArguments pass on a runner's heartbeat.
+type HeartbeatArguments struct{ Heartbeat fleet.Heartbeat }
+
+// DepartArguments pass on that a runner is leaving or gone.
+type DepartArguments struct{ Departure domain.Departure }
+
+// PutArguments pass on a valid document.
+type PutArguments struct{ Document domain.Document }
+
+// ReadArguments ask for the document in force.
+type ReadArguments struct{}
+
+// DocumentReply carries a document.
+type DocumentReply struct {
+	Reply
+	Document domain.Document
+}
+
+// WatchArguments ask for what has changed since what a router knows.
+type WatchArguments struct {
+	Router string
+	// Version is that of the document that the router works by; 0 for none.
+	Version uint64
+	// Term and Revision name the view that the router knows.
+	Term     uint64
+	Revision uint64
+}
+
+// WatchReply comes when something has changed, or after WatchTime.
+type WatchReply struct {
+	Reply
+	Term     uint64
+	Revision uint64
+	// Document is nil if the router's is in force.
+	Document *domain.Document
+	// View is nil if the router's is in force.
+	View *fleet.View
+	// Routers is how many routers share what the leader grants to all together.
+	Routers int
+	// Controllers are the addresses of the members of the group.
+	Controllers []string
+}
+
+// DemandArguments report what a router saw since its last report.
+type DemandArguments struct {
+	Router  string
+	Demands []residency.Demand
+	// Doubted are runners that refused what they were thought to hold.
+	Doubted []string
+}
--- /dev/null
+++ b/domainnode/leadership.go
@@ -0,0 +1,349 @@
+package domainnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// planInterval is the longest pause between two looks at what to load.
+	planInterval = 100 * time.Millisecond
+	// routerLife is how long a router that has gone silent keeps its part of what is
+	// granted to all.
+	routerLife = 25 * time.Second
+	// contactLife is how long after its last call a router counts as in contact.
+	contactLife = 1500 * time.Millisecond
+	// tellTimeout bounds the wait until routers know of a departure.
+	tellTimeout = 600 * time.Millisecond
+	// orderTimeout bounds one order or question to a runner.
+	orderTimeout = time.Second
+	// stoppingLife is how long an announced stop counts.
+	stoppingLife = 15 * time.Second
+)
+
+// leadership is what a member holds in memory while it leads, in one term.
+type leadership struct {
+	logger  log.Logger
+	options Options
+	member  *member
+	term    structs.Epoch
+	// wake asks the plan loop for a look now.
+	wake chan struct{}
+
+	mutex    sync.Mutex
+	registry *fleet.Registry
+	planner  *residency.Planner
+	// view is the newest for routers; revision counts its changes.
+	view     fleet.View
+	revision uint64
+	// document is the one that the planner works by.
+	document uint64
+	// changed is closed and replaced at each change of view or document.
+	changed  chan struct{}
+	routers  map[string]routerContact
+	stopping map[raft.NodeID]time.Time
+	ended    bool
+}
+
+// routerContact is what the leader knows of a router.
+type routerContact struct {
+	at time.Time
+	// revision of the view that the router had when it last asked.
+	revision uint64
+}
+
+// leadershipLoop begins and ends the leadership as the group's lease says.
+func (n *Node) leadershipLoop(ctx context.Context, joined *member) {
+	for ctx.Err() == nil {
+		changed := joined.group.Applied()
+		term, isValid := joined.group.LeaderLease()
+		current := joined.leads()
+		switch {
+		case isValid && (current == nil || current.term != term):
+			n.beginLeadership(ctx, joined, term)
+		case current != nil && (!joined.group.Status().IsLeader || current.term != term):
+			joined.endLeadership()
+			level.Info(n.logger).Log("msg", "This controller leads no more.", "term", current.term)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) beginLeadership(ctx context.Context, joined *member, term structs.Epoch) {
+	at := now()
+	l := &leadership{
+		logger:   log.With(n.logger, "term", term),
+		options:  n.options,
+		member:   joined,
+		term:     term,
+		wake:     make(chan struct{}, 1),
+		registry: fleet.NewRegistry(at),
+		planner:  residency.NewPlanner(n.options.Planner, at.Add(n.options.OrderLease)),
+		changed:  make(chan struct{}),
+		routers:  make(map[string]routerContact),
+		stopping: make(map[raft.NodeID]time.Time),
+	}
+	joined.group.View(func() {
+		for instance, isGone := range joined.machine.Departures() {
+			l.registry.Depart(at, instance, isGone)
+		}
+	})
+	joined.mutex.Lock()
+	joined.leadership = l
+	joined.mutex.Unlock()
+	level.Info(l.logger).Log("msg", "This controller leads.", "orders_from", n.options.OrderLease)
+	go l.run(ctx)
+}
+
+func (m *member) leads() *leadership {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.leadership
+}
+
+func (m *member) endLeadership() {
+	m.mutex.Lock()
+	ending := m.leadership
+	m.leadership = nil
+	m.mutex.Unlock()
+	if ending == nil {
+		return
+	}
+	ending.mutex.Lock()
+	defer ending.mutex.Unlock()
+	ending.ended = true
+	ending.notify()
+}
+
+// isValid reports whether no other controller can lead now.
+func (l *leadership) isValid() bool {
+	term, isValid := l.member.group.LeaderLease()
+	return isValid && term == l.term
+}
+
+// run plans until the leadership ends.
+func (l *leadership) run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.wake:
+		}
+		l.mutex.Lock()
+		ended := l.ended
+		l.mutex.Unlock()
+		if ended {
+			return
+		}
+		if l.isValid() {
+			l.step(ctx)
+		}
+	}
+}
+
+// step looks once at what the runners hold and what is demanded, and sends orders.
+func (l *leadership) step(ctx context.Context) {
+	l.adoptDocument()
+	l.mutex.Lock()
+	at := now()
+	l.registry.Expire(at)
+	l.refresh(at)
+	questions := l.planner.Questions(at)
+	orders := l.planner.Plan(at)
+	l.refresh(at)
+	l.mutex.Unlock()
+	for _, status := range questions {
+		go l.ask(ctx, status)
+	}
+	for _, order := range orders {
+		go l.send(ctx, order)
+	}
+}
+
+// adoptDocument gives the planner the document in force.
+func (l *leadership) adoptDocument() {
+	var current domain.Document
+	l.member.group.View(func() { current = l.member.machine.Document() })
+	l.mutex.Lock()
+	isKnown := l.document == current.Version
+	l.mutex.Unlock()
+	if isKnown {
+		return
+	}
+	document, err := l.options.documentOf(current)
+	if err != nil {
+		level.Error(l.logger).Log("msg", "The document in force cannot be decoded.", "version", current.Version, "err", err)
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.document = current.Version
+	l.planner.SetDocument(site.NewIndex(document))
+	l.notify()
+	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
+}
+
+// refresh makes the view anew and wakes the routers if it has changed. It runs under
+// the mutex.
+func (l *leadership) refresh(at time.Time) {
+	statuses := l.registry.Runners(at)
+	l.planner.SetRunners(at, statuses)
+	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
+	for _, status := range statuses {
+		heartbeat := status.Heartbeat
+		view.Runners = append(view.Runners, fleet.Runner{
+			Instance: heartbeat.Instance,
+			Service:  heartbeat.Service,
+			Address:  heartbeat.Address,
+			Zone:     heartbeat.Zone,
+			Slots:    heartbeat.Slots,
+			Leaving:  status.Leaving,
+			Models:   l.planner.Loaded(heartbeat.Instance),
+		})
+	}
+	if l.revision > 0 && view.Equal(l.view) {
+		return
+	}
+	l.view = view
+	l.revision++
+	l.notify()
+}
+
+// notify wakes whoever waits for a change. It runs under the mutex.
+func (l *leadership) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// wakePlan asks for a look at what to load now.
+func (l *leadership) wakePlan() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ask asks a runner what it holds.
+func (l *leadership) ask(ctx context.Context, status fleet.Status) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	askedAt := now()
+	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
+	instance := status.Heartbeat.Instance
+	if err != nil {
+		level.Warn(l.logger).Log("msg", "A runner gave no report.", "runner", instance, "err", err)
+		return
+	}
+	level.Debug(l.logger).Log("msg", "A runner reported.", "runner", instance, "taken", report.Taken,
+		"busy", report.Busy, "models", len(report.Models))
+	l.mutex.Lock()
+	l.planner.Reported(now(), askedAt, instance, report)
+	l.refresh(now())
+	l.mutex.Unlock()
+	l.wakePlan()
+}
+
+// send sends one order, unless the lease has ended since it was planned.
+func (l *leadership) send(ctx context.Context, order residency.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome := residency.OutcomeRefused
+	began := now()
+	if l.isValid() {
+		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
+	}
+	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
+		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
+		"took", now().Sub(began))
+	l.mutex.Lock()
+	l.planner.Answered(now(), order, outcome)
+	l.refresh(now())
+	l.mutex.Unlock()
+	l.wakePlan()
+}
+
+func (l *leadership) isStopping(node raft.NodeID) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at, known := l.stopping[node]
+	return known && now().Sub(at) < stoppingLife
+}
+
+// heard takes a heartbeat and reports whether it changed the view.
+func (l *leadership) heard(heartbeat fleet.Heartbeat) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.registry.Hear(now(), heartbeat)
+	l.refresh(now())
+}
+
+// departed takes a committed departure and waits until the routers that are in
+// contact have asked for more after they were told.
+func (l *leadership) departed(ctx context.Context, departure domain.Departure) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	l.mutex.Lock()
+	l.registry.Depart(now(), departure.Instance, departure.Gone)
+	l.refresh(now())
+	revision := l.revision
+	l.mutex.Unlock()
+	for {
+		l.mutex.Lock()
+		isTold, changed := l.areTold(now(), revision), l.changed
+		l.mutex.Unlock()
+		if isTold {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(tellPause):
+		}
+	}
+}
+
+// tellPause separates two looks at what the routers know.
+const tellPause = 10 * time.Millisecond
+
+// areTold reports whether every router in contact knows the revision. It runs under
+// the mutex.
+func (l *leadership) areTold(at time.Time, revision uint64) bool {
+	for _, contact := range l.routers {
+		if at.Sub(contact.at) < contactLife && contact.revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// contact notes a call of a router and returns how many routers there are.
+func (l *leadership) contact(router string, revision uint64) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := now()
+	l.routers[router] = routerContact{at: at, revision: revision}
+	for name, known := range l.routers {
+		if at.Sub(known.at) > routerLife {
+			delete(l.routers, name)
+		}
+	}
+	return len(l.routers)
+}
--- /dev/null
+++ b/domainnode/options.go
@@ -0,0 +1,104 @@
+package domainnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// Decoder reads the text of a document. It returns an error for a text that cannot be
+// read in full; whether the document is valid is not its concern.
+type Decoder func(source []byte) (*site.Document, error)
+
+// Holder is who sends an order.
+type Holder struct {
+	Name string
+	// Token rises with each change of the holder.
+	Token uint64
+}
+
+// Engines sends orders and questions to runners.
+type Engines interface {
+	// Order sends an order and returns how it was answered.
+	Order(ctx context.Context, holder Holder, order residency.Order) residency.Outcome
+	// Report asks a runner what it holds.
+	Report(ctx context.Context, runner fleet.Heartbeat) (residency.Report, error)
+}
+
+// Options configure a Node.
+type Options struct {
+	Logger log.Logger
+	// Name names the process; it outlives a lost disk.
+	Name string
+	// Address is what the node listens on for other processes of the domain.
+	Address string
+	// Seeds are addresses of controllers, as they are known now.
+	Seeds func() []string
+	// Bootstrap allows the seeds to found the group. It may be set only at the first
+	// start of the whole domain.
+	Bootstrap bool
+	// DataFolder holds the member's store.
+	DataFolder string
+	// Voters is how many members should vote.
+	Voters int
+	// OrderLease is how long a new leader waits before its first order, so that
+	// orders of the one before are out of the way.
+	OrderLease time.Duration
+	Decoder    Decoder
+	Engines    Engines
+	Planner    residency.Options
+	// Network is what is listened on and dialled over; nil means TCP.
+	Network network.Network
+	// Timing; zero values mean the defaults.
+	TickInterval   time.Duration
+	ElectionTicks  int
+	HeartbeatTicks int
+	// Seed makes the random election time-outs.
+	Seed uint64
+}
+
+const (
+	defaultTickInterval   = 80 * time.Millisecond
+	defaultElectionTicks  = 10
+	defaultHeartbeatTicks = 2
+	// snapshotEntries bounds the log: each entry may hold a whole document.
+	snapshotEntries = 256
+	callTimeout     = 1200 * time.Millisecond
+	dialTimeout     = 800 * time.Millisecond
+	// tryTimeout bounds one call to a controller that may be the leader.
+	tryTimeout = 400 * time.Millisecond
+	// reopenPause separates two attempts to open a store that failed.
+	reopenPause = 200 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.TickInterval <= 0 {
+		o.TickInterval = defaultTickInterval
+	}
+	if o.ElectionTicks <= 0 {
+		o.ElectionTicks = defaultElectionTicks
+	}
+	if o.HeartbeatTicks <= 0 {
+		o.HeartbeatTicks = defaultHeartbeatTicks
+	}
+	if o.Voters <= 0 {
+		o.Voters = 3
+	}
+	return o
+}
+
+// documentOf decodes the text of a replicated document.
+func (o Options) documentOf(document domain.Document) (*site.Document, error) {
+	source, err := domain.Expand(document.Source)
+	if err != nil {
+		return nil, err
+	}
+	return o.Decoder(source)
+}
--- /dev/null
+++ b/domainnode/service.go
@@ -0,0 +1,284 @@
+package domainnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/domainapi"
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// WatchTime is the longest that a watch is held.
+	WatchTime = 500 * time.Millisecond
+	// commitTimeout bounds a change or read of the replicated state.
+	commitTimeout = 900 * time.Millisecond
+	// maxWatchers bounds nothing but the list in a reply.
+	maxControllers = 64
+)
+
+// service is the net/rpc service of a controller.
+type service struct{ node *Node }
+
+// Describe describes the member.
+func (s *service) Describe(_ *domainapi.DescribeArguments, reply *domainapi.DescribeReply) error {
+	joined, err := s.node.current()
+	if err != nil {
+		reply.Error = structs.AsTyped(err)
+		return nil
+	}
+	status := joined.group.Status()
+	reply.Member = joined.self
+	reply.Held = status.Held
+	reply.Voters = status.Members(status.Membership.Voters)
+	reply.Committed = status.CommittedMembership
+	reply.Applied = status.AppliedIndex
+	reply.HasLeader = status.LeaderNode != raft.None
+	return nil
+}
+
+// Found gives the member the founding members.
+func (s *service) Found(arguments *domainapi.FoundArguments, reply *domainapi.Reply) error {
+	joined, err := s.node.current()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		defer cancel()
+		err = joined.group.Found(ctx, arguments.Members)
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+// leader returns the member and its leadership while its lease holds.
+func (s *service) leader() (*member, *leadership, error) {
+	joined, err := s.node.current()
+	if err != nil {
+		return nil, nil, err
+	}
+	current := joined.leads()
+	if current == nil || !current.isValid() {
+		return nil, nil, notLeaderError(joined)
+	}
+	return joined, current, nil
+}
+
+func notLeaderError(joined *member) error {
+	status := joined.group.Status()
+	typed := structs.NewError(structs.ErrorNotLeader, "this controller does not lead", "Ask the leader.")
+	if status.LeaderNode != status.Node {
+		typed.Leader = status.LeaderAddress
+	}
+	return typed
+}
+
+// Join adds a member with an empty store as a learner. Identities that its process
+// had before, and that are learners, leave in the same change; a voter among them
+// stays until the new one has the whole log.
+func (s *service) Join(arguments *domainapi.JoinArguments, reply *domainapi.Reply) error {
+	joined, _, err := s.leader()
+	if err == nil {
+		err = joinLeader(joined, arguments.Member)
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+func joinLeader(joined *member, joining group.Member) error {
+	status := joined.group.Status()
+	if status.CommittedMembership.Has(joining.Node) {
+		return nil
+	}
+	var replaced []raft.NodeID
+	for _, learner := range status.Membership.Learners {
+		if status.Names[learner] == joining.Name || status.Addresses[learner] == joining.Address {
+			replaced = append(replaced, learner)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	return joined.group.AddLearner(ctx, joining, replaced...)
+}
+
+// Stopping notes a member's planned stop.
+func (s *service) Stopping(arguments *domainapi.StoppingArguments, reply *domainapi.Reply) error {
+	_, current, err := s.leader()
+	if err == nil {
+		current.mutex.Lock()
+		current.stopping[arguments.Node] = now()
+		current.mutex.Unlock()
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+// Heartbeat takes a runner's heartbeat.
+func (s *service) Heartbeat(arguments *domainapi.HeartbeatArguments, reply *domainapi.Reply) error {
+	_, current, err := s.leader()
+	if err == nil {
+		current.heard(arguments.Heartbeat)
+		if !current.isValid() {
+			err = notLeaderError(current.member)
+		}
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+// Depart makes a departure durable and known to the routers.
+func (s *service) Depart(arguments *domainapi.DepartArguments, reply *domainapi.Reply) error {
+	joined, current, err := s.leader()
+	if err == nil {
+		err = depart(joined, current, arguments.Departure)
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+func depart(joined *member, current *leadership, departure domain.Departure) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	var known domain.Departure
+	var isKnown bool
+	joined.group.View(func() { known, isKnown = joined.machine.Departure(departure.Instance) })
+	if !isKnown || departure.Gone && !known.Gone {
+		command, err := domain.Command{Depart: &departure}.Encode()
+		if err != nil {
+			return err
+		}
+		if _, err := joined.group.Propose(ctx, command); err != nil {
+			return err
+		}
+	} else if err := joined.group.Read(ctx); err != nil {
+		return err
+	}
+	current.departed(ctx, departure)
+	if !current.isValid() {
+		return notLeaderError(joined)
+	}
+	return nil
+}
+
+// Put makes a valid document durable, if its version is above the one in force.
+func (s *service) Put(arguments *domainapi.PutArguments, reply *domainapi.Reply) error {
+	joined, current, err := s.leader()
+	if err == nil {
+		err = put(joined, current, arguments.Document)
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+func put(joined *member, current *leadership, document domain.Document) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	var held uint64
+	joined.group.View(func() { held = joined.machine.Document().Version })
+	if document.Version <= held {
+		return joined.group.Read(ctx)
+	}
+	command, err := domain.Command{Put: &document}.Encode()
+	if err != nil {
+		return err
+	}
+	if _, err := joined.group.Propose(ctx, command); err != nil {
+		return err
+	}
+	current.wakePlan()
+	return nil
+}
+
+// Read returns the document in force, which is at least as new as any that was
+// acknowledged before the call.
+func (s *service) Read(_ *domainapi.ReadArguments, reply *domainapi.DocumentReply) error {
+	joined, _, err := s.leader()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		defer cancel()
+		err = joined.group.Read(ctx)
+	}
+	if err == nil {
+		joined.group.View(func() { reply.Document = joined.machine.Document() })
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
+
+// Watch waits for news for a router.
+func (s *service) Watch(arguments *domainapi.WatchArguments, reply *domainapi.WatchReply) error {
+	joined, current, err := s.leader()
+	if err != nil {
+		reply.Error = structs.AsTyped(err)
+		return nil
+	}
+	known := uint64(0)
+	if arguments.Term == uint64(current.term) {
+		known = arguments.Revision
+	}
+	reply.Routers = current.contact(arguments.Router, known)
+	timeout := time.NewTimer(WatchTime)
+	defer timeout.Stop()
+	for {
+		// Get the channels before looking, so that no change is missed.
+		machineChanged := joined.changes()
+		current.mutex.Lock()
+		viewChanged := current.changed
+		view, revision := current.view, current.revision
+		current.mutex.Unlock()
+		var document domain.Document
+		joined.group.View(func() { document = joined.machine.Document() })
+		if revision != known || document.Version > arguments.Version {
+			fillWatch(reply, arguments, known, document, current, revision)
+			if revision != known {
+				reply.View = &view
+			}
+			break
+		}
+		select {
+		case <-machineChanged:
+			continue
+		case <-viewChanged:
+			continue
+		case <-timeout.C:
+			fillWatch(reply, arguments, known, document, current, revision)
+		}
+		break
+	}
+	if !current.isValid() {
+		*reply = domainapi.WatchReply{}
+		reply.Error = structs.AsTyped(notLeaderError(joined))
+		return nil
+	}
+	status := joined.group.Status()
+	for _, each := range status.Members(slices.Concat(status.Membership.Voters, status.Membership.Learners)) {
+		if each.Address != "" && len(reply.Controllers) < maxControllers {
+			reply.Controllers = append(reply.Controllers, each.Address)
+		}
+	}
+	return nil
+}
+
+func fillWatch(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known uint64, document domain.Document, current *leadership, revision uint64) {
+	reply.Term = uint64(current.term)
+	reply.Revision = revision
+	if document.Version > arguments.Version {
+		reply.Document = &document
+	}
+}
+
+// Demand takes a router's report.
+func (s *service) Demand(arguments *domainapi.DemandArguments, reply *domainapi.Reply) error {
+	_, current, err := s.leader()
+	if err == nil {
+		current.mutex.Lock()
+		current.planner.Observe(now(), arguments.Router, arguments.Demands)
+		current.planner.Doubt(now(), arguments.Doubted)
+		current.mutex.Unlock()
+		current.wakePlan()
+	}
+	reply.Error = structs.AsTyped(err)
+	return nil
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+func beat(instance string, sequence uint64) Heartbeat {
+	return Heartbeat{Instance: instance, Service: "answers", Address: "10.0.0.1:80", Sequence: sequence}
+}
+
+func instances(statuses []Status) []string {
+	var names []string
+	for _, status := range statuses {
+		names = append(names, status.Heartbeat.Instance)
+	}
+	return names
+}
+
+func TestLateHeartbeatDoesNotBringBackWhatLeft(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	c.Assert(r.Hear(start, beat("a", 5)), qt.IsTrue)
+	c.Assert(r.Hear(start, beat("a", 4)), qt.IsFalse)
+	r.Depart(start, "a", false)
+	c.Assert(r.Hear(start, beat("a", 6)), qt.IsTrue)
+	c.Assert(r.Runners(start)[0].Leaving, qt.IsTrue)
+	r.Depart(start, "a", true)
+	c.Assert(r.Hear(start, beat("a", 7)), qt.IsFalse)
+	c.Assert(r.Runners(start), qt.HasLen, 0)
+	c.Assert(r.Gone(), qt.DeepEquals, []string{"a"})
+}
+
+func TestDepartureHeardBeforeTheFirstHeartbeatHolds(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	r.Depart(start, "a", true)
+	c.Assert(r.Hear(start, beat("a", 1)), qt.IsFalse)
+}
+
+func TestSilentRunnerIsDroppedAndReturns(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	r.Hear(start, beat("a", 1))
+	c.Assert(instances(r.Runners(start.Add(silentAfter))), qt.DeepEquals, []string{"a"})
+	late := start.Add(silentAfter + time.Millisecond)
+	c.Assert(r.Runners(late), qt.HasLen, 0)
+	r.Hear(late, beat("a", 2))
+	c.Assert(r.Runners(late), qt.HasLen, 1)
+}
+
+func TestShortNoticeEndsARunner(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	notice := beat("a", 1)
+	notice.Leaving, notice.EndsIn = true, 2*time.Second
+	r.Hear(start, notice)
+	c.Assert(r.Runners(start.Add(2 * time.Second))[0].EndsAt, qt.Equals, start.Add(2*time.Second))
+	c.Assert(r.Runners(start.Add(4*time.Second)), qt.HasLen, 0)
+}
+
+func TestYoungLeaderEmptiesNoList(t *testing.T) {
+	c := qt.New(t)
+	known := View{Complete: true, Runners: []Runner{{Instance: "a", Address: "1"}, {Instance: "b", Address: "2"}, {Instance: "c", Address: "3"}}}
+	merged := Merge(known, View{Gone: []string{"b"}, Runners: []Runner{{Instance: "d", Address: "3"}}})
+	c.Assert(merged.Runners, qt.DeepEquals, []Runner{{Instance: "d", Address: "3"}, {Instance: "a", Address: "1"}})
+	whole := Merge(known, View{Complete: true, Runners: []Runner{{Instance: "d", Address: "3"}}})
+	c.Assert(whole.Runners, qt.HasLen, 1)
+}
--- /dev/null
+++ b/fleet/registry.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// silentAfter is how long after its last heartbeat a runner is taken to be lost.
+	// Heartbeats may come seconds late.
+	silentAfter = 8 * time.Second
+	// forgottenAfter is how long a runner that has ended is remembered, against
+	// heartbeats that were on their way.
+	forgottenAfter = 60 * time.Second
+	// learningTime is how long a new leader hears heartbeats before it takes the
+	// absence of one for news.
+	learningTime = 6 * time.Second
+)
+
+// Registry follows the runners. Make one with NewRegistry when leadership begins.
+type Registry struct {
+	began   time.Time
+	runners map[string]*record
+}
+
+type record struct {
+	heartbeat Heartbeat
+	heardAt   time.Time
+	leaving   bool
+	gone      bool
+	endsAt    time.Time
+}
+
+// NewRegistry makes a registry of a leadership that begins now.
+func NewRegistry(now time.Time) *Registry {
+	return &Registry{began: now, runners: make(map[string]*record)}
+}
+
+// Hear takes a heartbeat. It reports false for one that is older than another that
+// was heard, or whose runner has ended.
+func (r *Registry) Hear(now time.Time, heartbeat Heartbeat) bool {
+	known := r.runners[heartbeat.Instance]
+	if known == nil {
+		known = &record{}
+		r.runners[heartbeat.Instance] = known
+	} else if known.gone || heartbeat.Sequence < known.heartbeat.Sequence {
+		return false
+	}
+	known.heartbeat = heartbeat
+	known.heardAt = now
+	if heartbeat.Leaving {
+		known.leave(now, heartbeat.EndsIn)
+	}
+	return true
+}
+
+func (r *record) leave(now time.Time, endsIn time.Duration) {
+	r.leaving = true
+	if endsIn > 0 && r.endsAt.IsZero() {
+		r.endsAt = now.Add(endsIn)
+	}
+}
+
+// Depart notes that an instance is leaving, or gone, whatever its heartbeats say.
+func (r *Registry) Depart(now time.Time, instance string, gone bool) {
+	known := r.runners[instance]
+	if known == nil {
+		known = &record{heartbeat: Heartbeat{Instance: instance}, heardAt: now}
+		r.runners[instance] = known
+	}
+	known.leave(now, 0)
+	if gone && !known.gone {
+		known.gone = true
+		known.heardAt = now
+	}
+}
+
+// Expire forgets what ended long ago.
+func (r *Registry) Expire(now time.Time) {
+	for instance, known := range r.runners {
+		if now.Sub(known.heardAt) > forgottenAfter {
+			delete(r.runners, instance)
+		}
+	}
+}
+
+// Status is what the registry knows of one runner.
+type Status struct {
+	Heartbeat Heartbeat
+	Leaving   bool
+	// EndsAt is when a runner that is leaving at short notice ends; zero if unknown.
+	EndsAt  time.Time
+	HeardAt time.Time
+}
+
+// Runners lists the runners that are not gone and not silent, by instance.
+func (r *Registry) Runners(now time.Time) []Status {
+	listed := make([]Status, 0, len(r.runners))
+	for _, known := range r.runners {
+		if known.gone || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
+			continue
+		}
+		if !known.endsAt.IsZero() && now.After(known.endsAt.Add(time.Second)) {
+			continue
+		}
+		listed = append(listed, Status{
+			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, HeardAt: known.heardAt,
+		})
+	}
+	slices.SortFunc(listed, func(a, b Status) int { return strings.Compare(a.Heartbeat.Instance, b.Heartbeat.Instance) })
+	return listed
+}
+
+// Gone lists the instances that have ended, sorted.
+func (r *Registry) Gone() []string {
+	var gone []string
+	for instance, known := range r.runners {
+		if known.gone {
+			gone = append(gone, instance)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Complete reports whether every runner that lives has had the time to be heard.
+func (r *Registry) Complete(now time.Time) bool { return now.Sub(r.began) > learningTime }
--- /dev/null
+++ b/fleet/runner.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// Heartbeat is what a runner says of itself.
+type Heartbeat struct {
+	// Instance names one life of the runner and is never used again.
+	Instance string
+	Service  string
+	// Address is IP:port. After a runner has ended, another may get its address.
+	Address string
+	Zone    string
+	Version string
+	Slots   int
+	// Leaving runners take no new requests. They end in EndsIn, if that is not 0.
+	Leaving bool
+	EndsIn  time.Duration
+	// Sequence rises with each heartbeat of an instance.
+	Sequence uint64
+	Models   []LoadedModel
+	// InMemory and OnDisk name models of which the runner's machine has a copy.
+	InMemory []string
+	OnDisk   []string
+}
+
+// LoadedModel is a model that a runner holds, with its adapters.
+type LoadedModel struct {
+	Name     string
+	Adapters []string
+}
+
+// Runner is a runner as routers see it.
+type Runner struct {
+	Instance string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Leaving  bool
+	// Models are ready for requests.
+	Models []LoadedModel
+}
+
+// Equal reports whether two views of a runner are the same.
+func (r Runner) Equal(other Runner) bool {
+	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
+		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving &&
+		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
+			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
+		})
+}
+
+// View is what routers know of the runners.
+type View struct {
+	Runners []Runner
+	// Complete is false while a new leader may not have heard of every runner yet:
+	// what is not listed is then unknown, and not gone.
+	Complete bool
+	// Gone lists the instances that have ended for certain.
+	Gone []string
+}
+
+// Equal reports whether two views are the same.
+func (v View) Equal(other View) bool {
+	return v.Complete == other.Complete && slices.Equal(v.Gone, other.Gone) &&
+		slices.EqualFunc(v.Runners, other.Runners, Runner.Equal)
+}
--- /dev/null
+++ b/relay/event.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventSplitter cuts a stream into whole events.
+type eventSplitter struct{ rest []byte }
+
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// add takes more bytes of the stream.
+func (s *eventSplitter) add(more []byte) { s.rest = append(s.rest, more...) }
+
+// next returns the next whole event with its end, or nil. The slice is valid until
+// the next add.
+func (s *eventSplitter) next() []byte {
+	end := -1
+	for _, mark := range eventEnds {
+		if at := bytes.Index(s.rest, mark); at >= 0 && (end < 0 || at+len(mark) < end) {
+			end = at + len(mark)
+		}
+	}
+	if end < 0 {
+		return nil
+	}
+	event := s.rest[:end]
+	s.rest = s.rest[end:]
+	return event
+}
+
+// isEmpty reports whether nothing is left of an event that is not whole.
+func (s *eventSplitter) isEmpty() bool { return len(bytes.TrimSpace(s.rest)) == 0 }
+
+// eventID returns the number of an event, or false if it has none.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return number, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,457 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// minAttemptTime is the least time with which an attempt is sent.
+	minAttemptTime = 20 * time.Millisecond
+	// maxBuffered bounds an answer that is read whole before its head is sent.
+	maxBuffered = 1 << 20
+	// retryAfterNow is told to callers of requests that another try may serve.
+	retryAfterNow = 200 * time.Millisecond
+	// maxRefusals bounds the runners that may refuse one request.
+	maxRefusals = 3
+	// silenceFactor times the objective is how long a runner may be silent before a
+	// request that may be repeated is sent elsewhere.
+	silenceFactor      = 3
+	minSilence         = 400 * time.Millisecond
+	streamSilenceFloor = 1200 * time.Millisecond
+)
+
+// errSilent is the cause of ending an attempt at a runner that says nothing.
+var errSilent = errors.New("the runner was silent for too long")
+
+// errTimeout is the cause of ending a request whose time is over.
+var errTimeout = errors.New("the time of the request is over")
+
+// exchange is one request on its way.
+type exchange struct {
+	router  *Router
+	request *Request
+	route   *site.Route
+	row     residency.Row
+	version uint64
+	writer  http.ResponseWriter
+	// attempts counts the runners that may have run the request, refusals those that
+	// said that they did not.
+	attempts int
+	refusals int
+	// sent counts all sendings.
+	sent     int
+	prefixes []uint64
+	avoid    structs.RunnerID
+	// isStarted is set once the head of the answer has been sent.
+	isStarted bool
+	// lastEvent is the last event that the caller has.
+	lastEvent int64
+	deadline  time.Time
+}
+
+// Serve answers a request. It panics with http.ErrAbortHandler when an answer that
+// has begun cannot be finished, so that it does not look whole.
+func (r *Router) Serve(writer http.ResponseWriter, request *Request) {
+	index := r.index.Load()
+	if index == nil {
+		refuse(writer, http.StatusServiceUnavailable, retryAfterNow, "no document is known yet")
+		return
+	}
+	route := index.Route(request.HTTP.Host, request.HTTP.URL.EscapedPath())
+	if route == nil {
+		r.log(request, index.Document.Version, "no_route", nil)
+		refuse(writer, http.StatusNotFound, 0, "no route leads there")
+		return
+	}
+	x := &exchange{
+		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
+		row:       residency.Row{Service: route.Pick(r.point())},
+		lastEvent: request.ResumeAfter,
+	}
+	service := index.Service(x.row.Service)
+	if service.Engine != nil {
+		x.row.Model, x.row.Adapter = request.Model, request.Adapter
+		x.prefixes = prefixHashes(x.row, request.Parts)
+	}
+	x.deadline = request.Arrived.Add(route.Timeout)
+	if request.Wait > 0 && request.Wait < route.Timeout {
+		x.deadline = request.Arrived.Add(request.Wait)
+	}
+	r.countRequest(x.row)
+	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
+	defer cancel()
+	x.run(ctx)
+}
+
+// run tries runners until one has answered or no other may be tried.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		choice, err := x.acquire(ctx)
+		if err != nil {
+			x.giveUp(err)
+			return
+		}
+		if x.sent > 0 && !x.router.mayRepeat(x.row.Service) {
+			x.router.release(x.row, choice, routing.OutcomeNeutral)
+			x.fail("retry_budget", nil)
+			return
+		}
+		result := x.attempt(ctx, choice)
+		x.router.release(x.row, choice, result.outcome)
+		if result.isDone {
+			return
+		}
+		x.avoid = choice.Runner()
+		if !x.mayTryAgain(ctx, result) {
+			x.conclude(result)
+			return
+		}
+	}
+}
+
+// acquire waits for a runner as long as the caller is likely to.
+func (x *exchange) acquire(ctx context.Context) (routing.Choice, error) {
+	limit := x.deadline.Add(-minAttemptTime)
+	if x.route.Kind == site.KindStream {
+		patience := x.request.Arrived.Add(x.router.options.Patience.of(x.route) * 9 / 10)
+		if !x.isStarted && patience.Before(limit) {
+			limit = patience
+		}
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, limit, errTimeout)
+	defer cancel()
+	return x.router.acquire(ctx, &waiter{
+		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.route.Priority, since: x.request.Arrived,
+	})
+}
+
+// result is how an attempt ended.
+type result struct {
+	outcome routing.Outcome
+	// isDone is set if the caller has its answer, or has left.
+	isDone bool
+	// isNotRun is set if the request certainly has not run.
+	isNotRun bool
+	// answer is a failure of the runner that may be passed on; nil if there is none.
+	answer *wholeAnswer
+	reason string
+	err    error
+}
+
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// mayTryAgain reports whether another runner may be tried after the result.
+func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
+	if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
+		return false
+	}
+	if ended.isNotRun {
+		return x.refusals < maxRefusals
+	}
+	return x.route.MayRepeat() && x.attempts < max(1, x.route.MaxAttempts)
+}
+
+// attempt sends the request to a runner and passes its answer on.
+func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	watchdog := x.watchdog(cancel)
+	defer watchdog.Stop()
+	x.sent++
+	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
+		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
+		Wait: time.Until(x.deadline), Priority: x.route.Priority, ResumeAfter: x.lastEvent,
+	})
+	if err != nil {
+		return x.sendFailed(ctx, choice, err)
+	}
+	defer answer.Body.Close()
+	ended := x.receive(ctx, choice, answer, watchdog)
+	if ended.reason != "" || x.sent > 1 {
+		x.logAttempt(choice, answer.Status, ended)
+	}
+	return ended
+}
+
+// watchdog ends an attempt of a request that may be sent elsewhere if the runner is
+// silent for too long.
+func (x *exchange) watchdog(cancel context.CancelCauseFunc) *time.Timer {
+	limit := time.Until(x.deadline) + time.Hour
+	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
+		limit = x.silence()
+	}
+	return time.AfterFunc(limit, func() { cancel(errSilent) })
+}
+
+func (x *exchange) silence() time.Duration {
+	if x.route.Kind == site.KindStream {
+		if x.isStarted {
+			return max(streamSilenceFloor, 4*x.route.MaxPause)
+		}
+		return max(streamSilenceFloor, 2*x.route.Objective)
+	}
+	return max(minSilence, silenceFactor*x.route.Objective)
+}
+
+func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
+	ended := result{outcome: routing.OutcomeBroken, reason: "send_failed", err: err}
+	if errors.Is(err, ErrNotSent) {
+		ended.isNotRun = true
+		x.refusals++
+	} else {
+		x.attempts++
+	}
+	if ctx.Err() != nil {
+		ended = x.ended(ctx, ended)
+	}
+	x.logAttempt(choice, 0, ended)
+	return ended
+}
+
+// ended says why the context of an attempt ended.
+func (x *exchange) ended(ctx context.Context, ended result) result {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		ended.reason = "silent"
+	case errors.Is(cause, errTimeout):
+		ended.reason = "timeout"
+		ended.outcome = routing.OutcomeNeutral
+	default:
+		ended.reason = "caller_left"
+		ended.outcome = routing.OutcomeNeutral
+		ended.isDone = true
+	}
+	return ended
+}
+
+// receive reads the answer and passes it on, if it is one to pass on.
+func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *time.Timer) result {
+	switch {
+	case answer.NotHeld:
+		x.refusals++
+		x.router.doubt(choice.Runner())
+		return result{outcome: routing.OutcomeRefused, isNotRun: true, reason: "not_held"}
+	case answer.NotRun:
+		x.refusals++
+		return result{outcome: routing.OutcomeNeutral, isNotRun: true, reason: "shed"}
+	}
+	x.attempts++
+	if answer.IsStream && answer.Status == http.StatusOK {
+		return x.relayStream(ctx, answer, watchdog)
+	}
+	return x.relayWhole(ctx, answer, watchdog)
+}
+
+// relayWhole reads the whole answer before it is passed on, so that one that is cut
+// short can be asked for again.
+func (x *exchange) relayWhole(ctx context.Context, answer *Answer, watchdog *time.Timer) result {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
+	case err != nil:
+		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+	case x.isStarted:
+		// A stream that goes on elsewhere must go on as a stream.
+		return result{outcome: routing.OutcomeRefused, reason: "not_resumed"}
+	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
+		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
+	case len(body) > maxBuffered:
+		watchdog.Stop()
+		return x.relayLarge(answer, body)
+	}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		ended := result{outcome: routing.OutcomeRefused, reason: "runner_failed", answer: whole}
+		return ended
+	}
+	x.pass(whole)
+	return result{outcome: routing.OutcomeSuccess, isDone: true}
+}
+
+// relayLarge passes on an answer that is too large to be held.
+func (x *exchange) relayLarge(answer *Answer, begun []byte) result {
+	x.start(answer)
+	if _, err := x.writer.Write(begun); err != nil {
+		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: err}
+	}
+	if _, err := io.Copy(x.writer, answer.Body); err != nil {
+		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+	}
+	return result{outcome: routing.OutcomeSuccess, isDone: true}
+}
+
+func (x *exchange) start(answer *Answer) {
+	copyHeader(x.writer.Header(), answer.Header)
+	if answer.Length >= 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	x.writer.WriteHeader(answer.Status)
+	x.isStarted = true
+}
+
+// pass sends a whole answer to the caller.
+func (x *exchange) pass(whole *wholeAnswer) {
+	copyHeader(x.writer.Header(), whole.header)
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
+	x.writer.WriteHeader(whole.status)
+	x.isStarted = true
+	_, _ = x.writer.Write(whole.body)
+}
+
+// relayStream passes on whole events, each as it comes.
+func (x *exchange) relayStream(ctx context.Context, answer *Answer, watchdog *time.Timer) result {
+	if !answer.Signed {
+		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
+	}
+	controller := http.NewResponseController(x.writer)
+	var events eventSplitter
+	buffer := make([]byte, streamBuffer)
+	for {
+		count, err := answer.Body.Read(buffer)
+		if count > 0 {
+			watchdog.Reset(x.silenceWithin())
+			events.add(buffer[:count])
+			if failure := x.passEvents(answer, &events, controller); failure != nil {
+				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: failure}
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF) && events.isEmpty():
+			if !x.isStarted {
+				x.start(answer)
+			}
+			return result{outcome: routing.OutcomeSuccess, isDone: true}
+		case ctx.Err() != nil:
+			return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
+		}
+		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+	}
+}
+
+// streamBuffer is read at once from a stream.
+const streamBuffer = 8 << 10
+
+// silenceWithin is how long the runner of a stream that has begun may be silent.
+func (x *exchange) silenceWithin() time.Duration {
+	if !x.route.MayRepeat() || x.attempts >= x.route.MaxAttempts {
+		return time.Until(x.deadline) + time.Hour
+	}
+	return max(streamSilenceFloor, 4*x.route.MaxPause)
+}
+
+// passEvents passes on the whole events that have come. Events that the caller has
+// already are dropped.
+func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
+	isWritten := false
+	for event := events.next(); event != nil; event = events.next() {
+		if number, found := eventID(event); found {
+			if number <= x.lastEvent {
+				continue
+			}
+			x.lastEvent = number
+		}
+		if !x.isStarted {
+			// The length is that of one runner's answer only.
+			answer.Length = -1
+			x.start(answer)
+		}
+		if _, err := x.writer.Write(event); err != nil {
+			return err
+		}
+		isWritten = true
+	}
+	if !isWritten {
+		return nil
+	}
+	return controller.Flush()
+}
+
+// giveUp answers a request for which no runner was found in time.
+func (x *exchange) giveUp(err error) {
+	if !errors.Is(err, errTimeout) {
+		x.router.log(x.request, x.version, "caller_left", err)
+		return
+	}
+	x.fail("no_runner", err)
+}
+
+// conclude answers a request after the last attempt.
+func (x *exchange) conclude(ended result) {
+	if ended.answer != nil && !x.isStarted {
+		x.router.log(x.request, x.version, ended.reason, ended.err)
+		x.pass(ended.answer)
+		return
+	}
+	x.fail(ended.reason, ended.err)
+}
+
+// fail answers a request that no runner answered. 503 promises that the request has
+// not run; without that promise it is 502, or 504 when its time is over.
+func (x *exchange) fail(reason string, err error) {
+	x.router.log(x.request, x.version, reason, err)
+	switch {
+	case x.isStarted:
+		panic(http.ErrAbortHandler)
+	case x.attempts == 0:
+		refuse(x.writer, http.StatusServiceUnavailable, retryAfterNow, "no runner could take the request: "+reason)
+	case time.Until(x.deadline) <= 0:
+		refuse(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
+	default:
+		refuse(x.writer, http.StatusBadGateway, 0, "the runner's answer was lost: "+reason)
+	}
+}
+
+// refuse answers in the router's own name.
+func refuse(writer http.ResponseWriter, status int, retryAfter time.Duration, message string) {
+	header := writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	header.Set("Content-Length", strconv.Itoa(len(message)+1))
+	writer.WriteHeader(status)
+	_, _ = io.WriteString(writer, message+"\n")
+}
+
+// copyHeader copies an answer's header. net/http would add a content type that the
+// runner did not give.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, known := from["Content-Type"]; !known {
+		to["Content-Type"] = nil
+	}
+}
+
+func (r *Router) log(request *Request, version uint64, outcome string, err error) {
+	level.Info(r.logger).Log("msg", "A request was answered without a runner's success.", "request", request.ID,
+		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
+		"age", time.Since(request.Arrived), "outcome", outcome, "err", err)
+}
+
+func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
+	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "runner", choice.Runner(),
+		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
+		"age", time.Since(x.request.Arrived), "version", x.version, "err", ended.err)
+}
--- /dev/null
+++ b/relay/follow.go
@@ -0,0 +1,168 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/domainapi"
+	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/pause"
+)
+
+const (
+	// followPause is the pause after a watch that failed.
+	followPause = 100 * time.Millisecond
+	// followTimeout bounds the search for a leader; then the addresses are looked up
+	// again.
+	followTimeout = 2500 * time.Millisecond
+	// watchTimeout bounds one watch, which a leader holds for half a second.
+	watchTimeout = 1100 * time.Millisecond
+	// reportInterval is the pause between two reports without a reason to hurry, and
+	// reportPause the shortest.
+	reportInterval = 250 * time.Millisecond
+	reportPause    = 10 * time.Millisecond
+)
+
+// watchLoop follows the leader's view.
+func (r *Router) watchLoop(ctx context.Context) {
+	caller := leadercall.New(r.client, nil).WithTryTimeout(watchTimeout)
+	arguments := domainapi.WatchArguments{Router: r.options.Name}
+	var controllers []string
+	isConnected := false
+	for ctx.Err() == nil {
+		addresses := r.addresses(controllers)
+		caller.SetAddresses(addresses)
+		r.caller.SetAddresses(addresses)
+		arguments.Version = r.version()
+		reply, err := r.watch(ctx, caller, arguments)
+		if err != nil {
+			if isConnected && ctx.Err() == nil {
+				level.Warn(r.logger).Log("msg", "The leader of the controllers is lost.", "term", arguments.Term, "err", err)
+			}
+			isConnected = false
+			pause.For(ctx, followPause)
+			continue
+		}
+		if !isConnected || reply.Term != arguments.Term {
+			level.Info(r.logger).Log("msg", "A leader of the controllers is followed.", "term", reply.Term, "routers", reply.Routers)
+		}
+		isConnected = true
+		if len(reply.Controllers) > 0 {
+			controllers = reply.Controllers
+		}
+		r.adopt(reply, &arguments)
+	}
+}
+
+func (r *Router) watch(ctx context.Context, caller *leadercall.Caller, arguments domainapi.WatchArguments) (*domainapi.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	return leadercall.Call(ctx, caller, domainapi.MethodWatch, arguments,
+		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
+}
+
+// adopt takes the news of a watch. A reply of an earlier term than one before comes
+// from a leader that was deposed, and is passed over.
+func (r *Router) adopt(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments) {
+	if reply.Term < arguments.Term {
+		return
+	}
+	r.mutex.Lock()
+	r.granted = grant{routers: reply.Routers, at: time.Now()}
+	r.mutex.Unlock()
+	if reply.Document != nil {
+		r.takeDocument(*reply.Document)
+	}
+	if reply.View != nil {
+		r.adoptView(*reply.View)
+		level.Debug(r.logger).Log("msg", "A view of the runners was adopted.", "term", reply.Term,
+			"revision", reply.Revision, "runners", len(reply.View.Runners), "complete", reply.View.Complete)
+	}
+	arguments.Term = reply.Term
+	arguments.Revision = reply.Revision
+}
+
+func (r *Router) takeDocument(packed domain.Document) {
+	source, err := domain.Expand(packed.Source)
+	if err != nil {
+		level.Error(r.logger).Log("msg", "A document cannot be expanded.", "version", packed.Version, "err", err)
+		return
+	}
+	document, err := r.options.Decoder(source)
+	if err != nil {
+		level.Error(r.logger).Log("msg", "A document cannot be decoded.", "version", packed.Version, "err", err)
+		return
+	}
+	if r.adoptDocument(document) {
+		level.Info(r.logger).Log("msg", "A document is in force.", "version", document.Version, "routes", len(document.Routes))
+	}
+}
+
+// addresses lists the controllers that are known: members of the group, then seeds.
+func (r *Router) addresses(controllers []string) []string {
+	seen := make(map[string]bool)
+	var addresses []string
+	for _, list := range [][]string{controllers, r.options.Seeds()} {
+		for _, address := range list {
+			if !seen[address] {
+				seen[address] = true
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	return addresses
+}
+
+// wakeReport asks for a report soon.
+func (r *Router) wakeReport() {
+	select {
+	case r.report <- struct{}{}:
+	default:
+	}
+}
+
+// reportLoop reports demand to the leader.
+func (r *Router) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.report:
+			pause.For(ctx, reportPause)
+		}
+		r.reportDemand(ctx)
+	}
+}
+
+func (r *Router) reportDemand(ctx context.Context) {
+	demands := r.takeDemands(time.Now())
+	doubted := r.takeDoubted()
+	if len(demands) == 0 && len(doubted) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	arguments := domainapi.DemandArguments{Router: r.options.Name, Demands: demands, Doubted: doubted}
+	_, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
+		func() *domainapi.Reply { return &domainapi.Reply{} })
+	if err != nil && ctx.Err() == nil {
+		level.Debug(r.logger).Log("msg", "Demand was not reported.", "err", err)
+	}
+}
+
+func (r *Router) takeDoubted() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var doubted []string
+	for instance := range r.doubted {
+		doubted = append(doubted, instance)
+	}
+	clear(r.doubted)
+	return doubted
+}
--- /dev/null
+++ b/relay/options.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// ErrNotSent says that no byte of a request has been sent.
+var ErrNotSent = errors.New("the request was not sent")
+
+// Options configure a Router.
+type Options struct {
+	Logger log.Logger
+	// Name names the process.
+	Name string
+	Zone string
+	// Seeds are addresses of controllers, as they are known now.
+	Seeds   func() []string
+	Decoder func(source []byte) (*site.Document, error)
+	Backend Backend
+	Retry   RetryRule
+	// Patience is how long callers of streams wait for the first event, or between
+	// two events, before they leave.
+	Patience Patience
+	// Network is what controllers are dialled over; nil means TCP.
+	Network network.Network
+	// Seed makes the random choices.
+	Seed uint64
+}
+
+// Patience is the longest of its parts.
+type Patience struct {
+	Floor time.Duration
+	// Objectives and Pauses are multiples of the route's Objective and MaxPause.
+	Objectives int
+	Pauses     int
+}
+
+// of returns the patience of callers of a route.
+func (p Patience) of(route *site.Route) time.Duration {
+	return max(p.Floor, time.Duration(p.Objectives)*route.Objective, time.Duration(p.Pauses)*route.MaxPause)
+}
--- /dev/null
+++ b/relay/router.go
@@ -0,0 +1,161 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/structs"
+	"github.com/lotusferry/lotusferry/transport"
+)
+
+// Router passes requests on to runners.
+type Router struct {
+	options Options
+	logger  log.Logger
+	client  *transport.Client
+	caller  *leadercall.Caller
+	// index is that of the document in force; nil before the first.
+	index atomic.Pointer[site.Index]
+	// report asks the report loop for a report now.
+	report chan struct{}
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	balancer *routing.Balancer
+	rows     map[residency.Row]*rowState
+	budgets  map[string]*budget
+	granted  grant
+	view     fleet.View
+	doubted  map[string]bool
+}
+
+const (
+	callTimeout = 1200 * time.Millisecond
+	dialTimeout = 600 * time.Millisecond
+	tryTimeout  = 400 * time.Millisecond
+	// defaultBatch is the room of a runner that has not said its own.
+	defaultBatch = 16
+	// reportLife is how long a runner's number of slots is believed.
+	reportLife = 24 * time.Hour
+)
+
+// New makes a router, which knows nothing until Run is called.
+func New(options Options) *Router {
+	transportOptions := transport.Options{DialTimeout: dialTimeout, CallTimeout: callTimeout, Network: options.Network}
+	if options.Network == nil {
+		transportOptions.Network = network.Prompt()
+	}
+	client := transport.NewClient(options.Logger, transportOptions)
+	random := rand.New(rand.NewPCG(options.Seed, 1))
+	return &Router{
+		options: options,
+		logger:  log.With(options.Logger, "component", "router"),
+		client:  client,
+		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
+		report:  make(chan struct{}, 1),
+		random:  random,
+		balancer: routing.New(routing.Options{
+			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: reportLife,
+			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
+			EjectionTime: 2 * time.Second,
+		}, random),
+		rows:    make(map[residency.Row]*rowState),
+		budgets: make(map[string]*budget),
+		doubted: make(map[string]bool),
+	}
+}
+
+// Run follows the controllers until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { r.watchLoop(ctx) })
+	running.Go(func() { r.reportLoop(ctx) })
+	running.Wait()
+	r.client.Close()
+}
+
+// IsReady reports whether the router knows a document.
+func (r *Router) IsReady() bool { return r.index.Load() != nil }
+
+// adoptView adopts a view of the runners.
+func (r *Router) adoptView(view fleet.View) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.view = fleet.Merge(r.view, view)
+	r.balancer.SetPlacement(placement(r.view))
+	for _, runner := range r.view.Runners {
+		if runner.Slots > 0 {
+			r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), structs.LoadReport{MaxBatch: runner.Slots, ObservedAt: time.Now()})
+		}
+	}
+	r.serveWaiters()
+}
+
+// adoptDocument adopts a document that is newer than the one in force.
+func (r *Router) adoptDocument(document *site.Document) bool {
+	current := r.index.Load()
+	if current != nil && current.Document.Version >= document.Version {
+		return false
+	}
+	r.index.Store(site.NewIndex(document))
+	return true
+}
+
+// version is that of the document in force, or 0.
+func (r *Router) version() uint64 {
+	if current := r.index.Load(); current != nil {
+		return current.Document.Version
+	}
+	return 0
+}
+
+// countRequest counts a request for the budget of its service and the demand of its
+// row.
+func (r *Router) countRequest(row residency.Row) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.budget(row.Service).request(time.Now())
+	r.rowState(row).arrived++
+}
+
+// mayRepeat takes one repeated sending from the budget of the service.
+func (r *Router) mayRepeat(service string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.budget(service).withdraw(time.Now(), r.granted)
+}
+
+func (r *Router) budget(service string) *budget {
+	known := r.budgets[service]
+	if known == nil {
+		known = &budget{rule: r.options.Retry}
+		r.budgets[service] = known
+	}
+	return known
+}
+
+// point draws evenly from [0, 1).
+func (r *Router) point() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.random.Float64()
+}
+
+// doubt notes a runner that refused what it was thought to hold.
+func (r *Router) doubt(instance structs.RunnerID) {
+	r.mutex.Lock()
+	r.doubted[string(instance)] = true
+	r.mutex.Unlock()
+	r.wakeReport()
+}
--- /dev/null
+++ b/relay/row.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// rowSeparator stands between the parts of a row's name; no part contains it.
+const rowSeparator = "\x00"
+
+// rowName names a row for the balancer.
+func rowName(row residency.Row) structs.RowName {
+	return structs.RowName(row.Service + rowSeparator + row.Model + rowSeparator + row.Adapter)
+}
+
+// placement translates a view into what the balancer works by: a runner without
+// models serves one row, another one for each model and adapter that it holds.
+func placement(view fleet.View) structs.Placement {
+	var placed structs.Placement
+	for _, runner := range view.Runners {
+		id := structs.RunnerID(runner.Instance)
+		placed.Runners = append(placed.Runners, structs.RunnerInfo{
+			ID: id, Zone: structs.ZoneID(runner.Zone), Address: runner.Address, Leaving: runner.Leaving,
+		})
+		for _, row := range rowsOf(runner) {
+			placed.Replicas = append(placed.Replicas, structs.Replica{Row: rowName(row), Runner: id, State: structs.ReplicaReady})
+		}
+	}
+	return placed
+}
+
+func rowsOf(runner fleet.Runner) []residency.Row {
+	rows := []residency.Row{{Service: runner.Service}}
+	for _, model := range runner.Models {
+		rows = append(rows, residency.Row{Service: runner.Service, Model: model.Name})
+		for _, adapter := range model.Adapters {
+			rows = append(rows, residency.Row{Service: runner.Service, Model: model.Name, Adapter: adapter})
+		}
+	}
+	return rows
+}
+
+// prefixHashes gives one hash for each prefix of the prompt's parts. What a runner
+// has cached of a prompt holds for the same model and adapter only.
+func prefixHashes(row residency.Row, parts []string) []uint64 {
+	if len(parts) == 0 {
+		return nil
+	}
+	hashes := make([]uint64, 0, len(parts))
+	var prefix strings.Builder
+	prefix.WriteString(string(rowName(row)))
+	for _, part := range parts {
+		prefix.WriteString(rowSeparator)
+		prefix.WriteString(part)
+		hashes = append(hashes, xxhash.Sum64String(prefix.String()))
+	}
+	return hashes
+}
--- /dev/null
+++ b/relay/types.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lotusferry/lotusferry/fleet"
+)
+
+// Request is a caller's request.
+type Request struct {
+	// HTTP is the request as it came; its body has been read into Body.
+	HTTP *http.Request
+	// ID names the caller's attempt.
+	ID      string
+	Arrived time.Time
+	// Wait is how long the caller waits; 0 if it does not say.
+	Wait time.Duration
+	Body []byte
+	// Model and Adapter are what the request needs, or empty.
+	Model   string
+	Adapter string
+	// Parts name the parts of the prompt, in order.
+	Parts []string
+	// ResumeAfter is the event after which a stream goes on; NoEvent for none.
+	ResumeAfter int64
+}
+
+// NoEvent is the number before that of the first event.
+const NoEvent = -1
+
+// Attempt is one sending of a request to a runner.
+type Attempt struct {
+	Request *Request
+	// Instance and Address are those of the runner.
+	Instance string
+	Address  string
+	Service  string
+	// Wait is the time that is left.
+	Wait time.Duration
+	// Priority is that of the route; 0 is the most urgent.
+	Priority int
+	// ResumeAfter is the last event that the caller has; NoEvent for none.
+	ResumeAfter int64
+}
+
+// Answer is a runner's answer, of which the head has come.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body must be closed. Reading fails if the answer is cut short.
+	Body io.ReadCloser
+	// Length is that of the body, or -1 if the runner did not say.
+	Length int64
+	// NotRun is set if the runner promises that it has not run the request.
+	NotRun bool
+	// NotHeld is set if the runner does not hold what the request needs, or is not
+	// the instance that was meant.
+	NotHeld bool
+	// Signed is set if the answer carries the runner's signature.
+	Signed bool
+	// IsStream is set if the body is a stream of events.
+	IsStream bool
+}
+
+// Backend sends attempts to runners. The error is ErrNotSent, wrapped, if no byte of
+// the request has left.
+type Backend interface {
+	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
+}
+
+// Runners is the newest view of the runners that a router works by.
+type Runners = fleet.View
--- /dev/null
+++ b/residency/demand.go
@@ -0,0 +1,72 @@
+package residency
+
+import (
+	"math"
+	"time"
+)
+
+// rowDemand is the demand for a row over all routers.
+type rowDemand struct {
+	// rate is the average number of requests a second, as of ratedAt.
+	rate    float64
+	ratedAt time.Time
+	// reports holds the newest report of each router.
+	reports map[string]routerDemand
+}
+
+type routerDemand struct {
+	demand Demand
+	at     time.Time
+}
+
+// waiting is what waits for a row.
+type waiting struct {
+	row      Row
+	count    int
+	oldest   time.Duration
+	priority int
+}
+
+func (d *rowDemand) add(now time.Time, router string, demand Demand, rateTime time.Duration) {
+	d.decay(now, rateTime)
+	d.rate += float64(demand.Arrived) / rateTime.Seconds()
+	d.reports[router] = routerDemand{demand: demand, at: now}
+}
+
+func (d *rowDemand) decay(now time.Time, rateTime time.Duration) {
+	if passed := now.Sub(d.ratedAt); passed > 0 && !d.ratedAt.IsZero() {
+		d.rate *= math.Exp(-passed.Seconds() / rateTime.Seconds())
+	}
+	d.ratedAt = now
+}
+
+// waits sums up the reports that still count.
+func (d *rowDemand) waits(now time.Time, row Row, life time.Duration) waiting {
+	total := waiting{row: row, priority: math.MaxInt}
+	for _, report := range d.reports {
+		age := now.Sub(report.at)
+		if age > life || report.demand.Waiting == 0 {
+			continue
+		}
+		total.count += report.demand.Waiting
+		total.oldest = max(total.oldest, report.demand.Oldest+age)
+		total.priority = min(total.priority, report.demand.Priority)
+	}
+	return total
+}
+
+// active counts the requests of the row at a runner, by the reports that count.
+func (d *rowDemand) active(now time.Time, instance string, life time.Duration) int {
+	count := 0
+	for _, report := range d.reports {
+		if now.Sub(report.at) > life {
+			continue
+		}
+		for _, each := range report.demand.Active {
+			if each.Instance == instance {
+				count += each.Count
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/residency/options.go
@@ -0,0 +1,45 @@
+package residency
+
+import "time"
+
+// Options are the settings of a Planner; zero values mean the defaults.
+type Options struct {
+	// AskAgain is the pause between two questions to a runner about its orders.
+	AskAgain time.Duration
+	// ReportLag is how old the state in a report may be.
+	ReportLag time.Duration
+	// AdapterTime is how long an accepted adapter takes until it is usable.
+	AdapterTime time.Duration
+	// IdleTime is how long a model must be unused before it may be unloaded for
+	// another one.
+	IdleTime time.Duration
+	// RateTime is over how long demand is averaged.
+	RateTime time.Duration
+	// DemandLife is how long a router's report counts.
+	DemandLife time.Duration
+	// ReplicaRate is how many requests a second one replica should get at most.
+	ReplicaRate float64
+	// StoreWindow and StoreShare bound loads from the weight store: in each window
+	// no more than the share of what the store allows.
+	StoreWindow time.Duration
+	StoreShare  float64
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.AskAgain, 300*time.Millisecond)
+	setDefault(&o.ReportLag, 350*time.Millisecond)
+	setDefault(&o.AdapterTime, 60*time.Millisecond)
+	setDefault(&o.IdleTime, time.Second)
+	setDefault(&o.RateTime, 8*time.Second)
+	setDefault(&o.DemandLife, 2*time.Second)
+	setDefault(&o.ReplicaRate, 4)
+	setDefault(&o.StoreWindow, 5*time.Second)
+	setDefault(&o.StoreShare, 0.9)
+	return o
+}
+
+func setDefault[T float64 | time.Duration](value *T, standard T) {
+	if *value <= 0 {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/residency/plan.go
@@ -0,0 +1,362 @@
+package residency
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/site"
+)
+
+const (
+	// maxIncoming is how many adapters may be on their way to a runner at once.
+	maxIncoming = 4
+	// reservationTime is how long room is kept for a model while others make way.
+	reservationTime = 10 * time.Second
+	// loadTimeout is after how long a load that does not end is looked into.
+	loadTimeout = 20 * time.Second
+	// keptAdapterMB is the room that every runner keeps for adapters.
+	keptAdapters = 8
+)
+
+// Plan returns the orders to send now, at most one for each runner. Each must be
+// followed by Answered.
+func (p *Planner) Plan(now time.Time) []Order {
+	p.advance(now)
+	if p.document == nil || now.Before(p.ordersFrom) {
+		return nil
+	}
+	p.repair(now)
+	var orders []Order
+	for _, wanted := range p.waits(now) {
+		if order, found := p.serve(now, wanted); found {
+			orders = append(orders, order)
+		}
+	}
+	for _, row := range p.crowded(now) {
+		if order, found := p.loadModel(now, row, true); found {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// repair asks again about loads and unloads that do not end.
+func (p *Planner) repair(now time.Time) {
+	for _, known := range p.runners {
+		for _, held := range known.holdings {
+			isMoving := held.phase == phaseLoading || held.phase == phaseUnloading
+			if isMoving && now.Sub(held.since) > loadTimeout && now.Sub(known.askedAt) > loadTimeout {
+				known.isTakenKnown = false
+			}
+		}
+	}
+}
+
+// serve finds the order that brings a waiting row closest to being served.
+func (p *Planner) serve(now time.Time, wanted waiting) (Order, bool) {
+	row := wanted.row
+	holders := p.holders(row.Service, row.Model)
+	if len(holders) == 0 {
+		if p.isComing(row) {
+			return Order{}, false
+		}
+		return p.loadModel(now, row, false)
+	}
+	if row.Adapter == "" {
+		return Order{}, false
+	}
+	for _, known := range holders {
+		if known.holdings[row.Model].adapters[row.Adapter] != nil {
+			return Order{}, false
+		}
+	}
+	return p.loadAdapter(now, row, holders)
+}
+
+// holders lists the runners on which requests may use the model.
+func (p *Planner) holders(service, model string) []*runner {
+	var holders []*runner
+	for _, known := range p.sorted() {
+		if known.status.Heartbeat.Service == service && !known.status.Leaving && known.ready(model) != nil {
+			holders = append(holders, known)
+		}
+	}
+	return holders
+}
+
+// isComing reports whether a runner already loads the model.
+func (p *Planner) isComing(row Row) bool {
+	for _, known := range p.runners {
+		if known.status.Heartbeat.Service != row.Service || known.status.Leaving {
+			continue
+		}
+		if held := known.holdings[row.Model]; held != nil && held.phase == phaseLoading {
+			return true
+		}
+	}
+	return false
+}
+
+// crowded lists the models that need one more replica for their demand.
+func (p *Planner) crowded(now time.Time) []Row {
+	rates := make(map[Row]float64)
+	for row, demand := range p.demands {
+		rates[Row{Service: row.Service, Model: row.Model}] += demand.rate
+	}
+	var rows []Row
+	for row, rate := range rates {
+		replicas := float64(len(p.holders(row.Service, row.Model)))
+		if replicas > 0 && rate/replicas > p.options.ReplicaRate && !p.isComing(row) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Model, b.Model) })
+	return rows
+}
+
+// mayOrder reports whether the runner can be given an order about a model.
+func (p *Planner) mayOrder(known *runner) bool {
+	return !known.status.Leaving && known.isTakenKnown && !known.sent && !known.isOccupied()
+}
+
+// loadModel finds the cheapest runner for a load and returns the load, or the unload
+// that makes room for it. onlySpare keeps to runners where nothing of use is lost.
+func (p *Planner) loadModel(now time.Time, row Row, onlySpare bool) (Order, bool) {
+	var best *runner
+	var bestVictim string
+	lowest := math.Inf(1)
+	for _, known := range p.sorted() {
+		engine := p.engineOf(known)
+		if engine == nil || known.status.Heartbeat.Service != row.Service || !p.mayOrder(known) {
+			continue
+		}
+		model := engine.ModelByName(row.Model)
+		if model == nil || known.holdings[row.Model] != nil {
+			continue
+		}
+		if known.reserved != "" && known.reserved != row.Model && now.Before(known.reservedUntil) {
+			continue
+		}
+		cost, victim, isPossible := p.costOf(now, known, engine, model)
+		if onlySpare && cost > 2*model.LoadTime.Seconds() {
+			continue
+		}
+		if known.reserved == row.Model && now.Before(known.reservedUntil) {
+			cost /= 2
+		}
+		if isPossible && cost < lowest {
+			best, bestVictim, lowest = known, victim, cost
+		}
+	}
+	if best == nil {
+		return Order{}, false
+	}
+	if bestVictim != "" {
+		best.reserved, best.reservedUntil = row.Model, now.Add(reservationTime)
+		return p.send(now, best, Unload, bestVictim, ""), true
+	}
+	if !p.takeLoad(now, best, row) {
+		return Order{}, false
+	}
+	best.reserved = ""
+	return p.send(now, best, Load, row.Model, ""), true
+}
+
+// costOf estimates what a load of the model on the runner costs, in seconds of
+// waiting: the load itself and, for each model that must make way, what loading it
+// again will cost. victim is the first model to unload, or "".
+func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model) (cost float64, victim string, isPossible bool) {
+	cost = loadTime(known, model).Seconds()
+	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
+	if free >= model.SizeMB {
+		return cost, "", true
+	}
+	type candidate struct {
+		name   string
+		sizeMB float64
+		value  float64
+	}
+	var candidates []candidate
+	for name, held := range known.holdings {
+		listed := engine.ModelByName(name)
+		if listed == nil {
+			candidates = append(candidates, candidate{name, engine.WeightsMB, 0})
+			continue
+		}
+		if held.phase != phaseReady || !p.isIdle(now, known, name, held) {
+			continue
+		}
+		candidates = append(candidates, candidate{name, listed.SizeMB, p.value(known, listed)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.value < b.value:
+			return -1
+		case a.value > b.value:
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	for _, leaving := range candidates {
+		if victim == "" {
+			victim = leaving.name
+		}
+		cost += leaving.value + 0.05
+		free += leaving.sizeMB
+		if free >= model.SizeMB {
+			return cost, victim, true
+		}
+	}
+	return 0, "", false
+}
+
+// isIdle reports whether no request uses the model at the runner, nor waits for it.
+func (p *Planner) isIdle(now time.Time, known *runner, name string, held *holding) bool {
+	if now.Sub(held.usedAt) < p.options.IdleTime {
+		return false
+	}
+	for row, demand := range p.demands {
+		if row.Model != name || row.Service != known.status.Heartbeat.Service {
+			continue
+		}
+		if demand.active(now, known.status.Heartbeat.Instance, p.options.DemandLife) > 0 {
+			return false
+		}
+		if demand.waits(now, row, p.options.DemandLife).count > 0 && len(p.holders(row.Service, name)) <= 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// value is the waiting, in seconds, that losing the runner's replica of the model is
+// expected to cost over the next while.
+func (p *Planner) value(known *runner, model *site.Model) float64 {
+	const horizonSeconds = 20
+	service := known.status.Heartbeat.Service
+	replicas := float64(max(1, len(p.holders(service, model.Name))))
+	expected := p.modelRate(service, model.Name) * horizonSeconds
+	if replicas <= 1 {
+		return min(expected, 6) * model.LoadTime.Seconds()
+	}
+	// The other replicas serve the demand as long as they are not crowded by it.
+	load := expected / horizonSeconds / (replicas - 1) / p.options.ReplicaRate
+	return load * model.LoadTime.Seconds()
+}
+
+func loadTime(known *runner, model *site.Model) time.Duration {
+	switch {
+	case slices.Contains(known.status.Heartbeat.InMemory, model.Name):
+		return model.MemoryLoadTime
+	case slices.Contains(known.status.Heartbeat.OnDisk, model.Name):
+		return model.DiskLoadTime
+	}
+	return model.LoadTime
+}
+
+// takeLoad takes a load from what the weight store allows. Loads of a model of which
+// the runner has a copy are not counted.
+func (p *Planner) takeLoad(now time.Time, known *runner, row Row) bool {
+	heartbeat := known.status.Heartbeat
+	if slices.Contains(heartbeat.InMemory, row.Model) || slices.Contains(heartbeat.OnDisk, row.Model) {
+		return true
+	}
+	begun := slices.DeleteFunc(p.loads[row.Service], func(at time.Time) bool { return now.Sub(at) > p.options.StoreWindow })
+	p.loads[row.Service] = begun
+	allowed := p.engineOf(known).LoadsPerSecond * p.options.StoreWindow.Seconds() * p.options.StoreShare
+	if float64(len(begun)+1) > max(1, allowed) {
+		return false
+	}
+	p.loads[row.Service] = append(begun, now)
+	return true
+}
+
+// loadAdapter finds the runner on which an adapter costs least.
+func (p *Planner) loadAdapter(now time.Time, row Row, holders []*runner) (Order, bool) {
+	var best *runner
+	var bestVictim adapterName
+	lowest := math.Inf(1)
+	for _, known := range holders {
+		engine := p.engineOf(known)
+		if engine == nil || !p.mayOrder(known) || known.incoming() >= maxIncoming {
+			continue
+		}
+		model := engine.ModelByName(row.Model)
+		if model == nil {
+			continue
+		}
+		cost := float64(known.adapters())
+		var victim adapterName
+		if known.adapters() >= engine.MaxAdapters || known.usedMB(engine)+model.AdapterMB > engine.WeightsMB {
+			found, age := p.idleAdapter(now, known)
+			if found.adapter == "" {
+				continue
+			}
+			victim = found
+			cost = 100 + 1/(1+age.Seconds())
+		}
+		if cost < lowest {
+			best, bestVictim, lowest = known, victim, cost
+		}
+	}
+	switch {
+	case best == nil:
+		return Order{}, false
+	case bestVictim.adapter != "":
+		return p.send(now, best, Unload, bestVictim.model, bestVictim.adapter), true
+	}
+	return p.send(now, best, Load, row.Model, row.Adapter), true
+}
+
+type adapterName struct{ model, adapter string }
+
+// idleAdapter returns the adapter of the runner that has been unused the longest.
+func (p *Planner) idleAdapter(now time.Time, known *runner) (adapterName, time.Duration) {
+	var found adapterName
+	longest := p.options.IdleTime
+	for model, held := range known.holdings {
+		for name, adapter := range held.adapters {
+			age := now.Sub(adapter.usedAt)
+			isOlder := age > longest || age == longest && found.adapter != "" && model+name < found.model+found.adapter
+			if adapter.phase != phaseReady || !isOlder {
+				continue
+			}
+			row := Row{Service: known.status.Heartbeat.Service, Model: model, Adapter: name}
+			demand := p.demands[row]
+			if demand != nil && demand.active(now, known.status.Heartbeat.Instance, p.options.DemandLife) > 0 {
+				continue
+			}
+			found, longest = adapterName{model, name}, age
+		}
+	}
+	return found, longest
+}
+
+// send notes an order as sent: what it loads is counted from now on, and what it
+// unloads is no longer offered to requests.
+func (p *Planner) send(now time.Time, known *runner, operation Operation, model, adapter string) Order {
+	before := known.loaded()
+	known.sent = true
+	held := known.holdings[model]
+	switch {
+	case operation == Load && adapter == "":
+		known.holdings[model] = newHolding(now, phaseUncertain)
+	case operation == Load:
+		held.adapters[adapter] = newHolding(now, phaseUncertain)
+	case adapter == "":
+		held.phase, held.since = phaseUnloading, now
+	default:
+		held.adapters[adapter].phase = phaseUnloading
+	}
+	p.noteChange(before, known)
+	return Order{
+		Instance:  known.status.Heartbeat.Instance,
+		Address:   known.status.Heartbeat.Address,
+		Operation: operation,
+		Model:     model,
+		Adapter:   adapter,
+		Expected:  known.taken,
+	}
+}
--- /dev/null
+++ b/residency/planner.go
@@ -0,0 +1,301 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// Planner decides on loads and unloads. Its methods must not run at the same time.
+type Planner struct {
+	options Options
+	// ordersFrom is when orders may begin; see NewPlanner.
+	ordersFrom time.Time
+	document   *site.Index
+	runners    map[string]*runner
+	demands    map[Row]*rowDemand
+	// loads are the beginnings of loads that may have come from the weight store, by
+	// service.
+	loads map[string][]time.Time
+	// changed is set when what routers may use has changed.
+	changed bool
+}
+
+// NewPlanner makes the planner of a leadership. No order is planned before
+// ordersFrom, by when orders of the leader before are out of the way.
+func NewPlanner(options Options, ordersFrom time.Time) *Planner {
+	return &Planner{
+		options:    options.withDefaults(),
+		ordersFrom: ordersFrom,
+		runners:    make(map[string]*runner),
+		demands:    make(map[Row]*rowDemand),
+		loads:      make(map[string][]time.Time),
+	}
+}
+
+// SetDocument adopts a site document.
+func (p *Planner) SetDocument(document *site.Index) { p.document = document }
+
+// TakeChanged reports whether what Loaded returns may have changed since the last
+// call.
+func (p *Planner) TakeChanged() bool {
+	changed := p.changed
+	p.changed = false
+	return changed
+}
+
+// Loaded lists the models that requests may use at the runner.
+func (p *Planner) Loaded(instance string) []fleet.LoadedModel {
+	if known := p.runners[instance]; known != nil {
+		return known.loaded()
+	}
+	return nil
+}
+
+// SetRunners adopts the runners that live. heard names those of which a heartbeat
+// has come since the last call.
+func (p *Planner) SetRunners(now time.Time, statuses []fleet.Status) {
+	listed := make(map[string]bool, len(statuses))
+	for _, status := range statuses {
+		instance := status.Heartbeat.Instance
+		listed[instance] = true
+		known := p.runners[instance]
+		if known == nil {
+			known = &runner{holdings: make(map[string]*holding)}
+			p.runners[instance] = known
+		}
+		isNew := status.Heartbeat.Sequence > known.status.Heartbeat.Sequence || known.status.Heartbeat.Instance == ""
+		known.status = status
+		if isNew {
+			before := known.loaded()
+			known.hear(now, status.Heartbeat.Models, p.options.ReportLag)
+			p.noteChange(before, known)
+		}
+	}
+	for instance := range p.runners {
+		if !listed[instance] {
+			delete(p.runners, instance)
+		}
+	}
+}
+
+func (p *Planner) noteChange(before []fleet.LoadedModel, known *runner) {
+	after := known.loaded()
+	same := slices.EqualFunc(before, after, func(a, b fleet.LoadedModel) bool {
+		return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
+	})
+	p.changed = p.changed || !same
+}
+
+// Observe takes a router's report of demand.
+func (p *Planner) Observe(now time.Time, router string, demands []Demand) {
+	for _, demand := range demands {
+		known := p.demands[demand.Row]
+		if known == nil {
+			known = &rowDemand{reports: make(map[string]routerDemand)}
+			p.demands[demand.Row] = known
+		}
+		known.add(now, router, demand, p.options.RateTime)
+		for _, active := range demand.Active {
+			p.noteUse(now, active.Instance, demand.Row)
+		}
+	}
+}
+
+func (p *Planner) noteUse(now time.Time, instance string, row Row) {
+	known := p.runners[instance]
+	if known == nil || known.holdings[row.Model] == nil {
+		return
+	}
+	held := known.holdings[row.Model]
+	held.usedAt = now
+	if adapter := held.adapters[row.Adapter]; adapter != nil {
+		adapter.usedAt = now
+	}
+}
+
+// Questions lists the runners that should be asked for a report now.
+func (p *Planner) Questions(now time.Time) []fleet.Status {
+	if now.Before(p.ordersFrom.Add(-p.options.AskAgain)) {
+		return nil
+	}
+	var asked []fleet.Status
+	for _, known := range p.sorted() {
+		if p.engineOf(known) == nil || known.status.Leaving || known.sent || known.isTakenKnown {
+			continue
+		}
+		if now.Sub(known.changedAt) < p.options.ReportLag || now.Sub(known.askedAt) < p.options.AskAgain {
+			continue
+		}
+		known.askedAt = now
+		asked = append(asked, known.status)
+	}
+	return asked
+}
+
+// Reported takes the answer to a question that was asked at askedAt.
+func (p *Planner) Reported(now, askedAt time.Time, instance string, report Report) {
+	known := p.runners[instance]
+	if known == nil || known.sent || askedAt.Sub(known.changedAt) < p.options.ReportLag {
+		return
+	}
+	before := known.loaded()
+	known.reconcile(now, report)
+	p.noteChange(before, known)
+}
+
+// Answered takes the outcome of an order.
+func (p *Planner) Answered(now time.Time, order Order, outcome Outcome) {
+	known := p.runners[order.Instance]
+	if known == nil {
+		return
+	}
+	before := known.loaded()
+	known.sent = false
+	known.changedAt = now
+	switch outcome {
+	case OutcomeAccepted:
+		known.taken = order.Expected + 1
+		p.accepted(now, known, order)
+	case OutcomeHeld:
+		p.accepted(now, known, order)
+		p.settle(now, known, order)
+		known.isTakenKnown = order.Operation == Unload && order.Adapter != ""
+		known.taken = order.Expected + 1
+	case OutcomeConflict, OutcomeRefused:
+		known.isTakenKnown = false
+		p.takeBack(known, order)
+	default:
+		known.isTakenKnown = false
+	}
+	p.noteChange(before, known)
+}
+
+// accepted notes that the runner executes the order.
+func (p *Planner) accepted(now time.Time, known *runner, order Order) {
+	held := known.holdings[order.Model]
+	switch {
+	case held == nil:
+	case order.Adapter == "" && order.Operation == Load:
+		held.phase, held.since = phaseLoading, now
+	case order.Adapter == "":
+		held.phase, held.since = phaseUnloading, now
+	case held.adapters[order.Adapter] == nil:
+	case order.Operation == Load:
+		held.adapters[order.Adapter].phase, held.adapters[order.Adapter].since = phaseLoading, now
+	default:
+		delete(held.adapters, order.Adapter)
+	}
+}
+
+// settle notes that what the order asks for is so.
+func (p *Planner) settle(now time.Time, known *runner, order Order) {
+	held := known.holdings[order.Model]
+	switch {
+	case held == nil:
+	case order.Adapter == "" && order.Operation == Load:
+		held.phase, held.since = phaseReady, now
+	case order.Adapter == "":
+		delete(known.holdings, order.Model)
+	case held.adapters[order.Adapter] == nil:
+	case order.Operation == Load:
+		held.adapters[order.Adapter].phase = phaseReady
+	}
+}
+
+// takeBack undoes what the planner noted when it sent an order that was refused.
+func (p *Planner) takeBack(known *runner, order Order) {
+	held := known.holdings[order.Model]
+	switch {
+	case held == nil:
+	case order.Adapter == "" && order.Operation == Load && held.phase == phaseUncertain:
+		delete(known.holdings, order.Model)
+	case order.Adapter == "" && order.Operation == Unload:
+		held.phase = phaseReady
+	case order.Adapter != "" && held.adapters[order.Adapter] != nil:
+		if order.Operation == Load {
+			delete(held.adapters, order.Adapter)
+		} else {
+			held.adapters[order.Adapter].phase = phaseReady
+		}
+	}
+}
+
+// advance moves adapters on that have had the time to arrive.
+func (p *Planner) advance(now time.Time) {
+	for _, known := range p.runners {
+		for _, held := range known.holdings {
+			for _, adapter := range held.adapters {
+				if adapter.phase == phaseLoading && now.Sub(adapter.since) >= p.options.AdapterTime {
+					adapter.phase = phaseReady
+					p.changed = true
+				}
+			}
+		}
+	}
+}
+
+func (p *Planner) engineOf(known *runner) *site.Engine {
+	if p.document == nil {
+		return nil
+	}
+	service := p.document.Service(known.status.Heartbeat.Service)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+func (p *Planner) sorted() []*runner {
+	listed := make([]*runner, 0, len(p.runners))
+	for _, known := range p.runners {
+		listed = append(listed, known)
+	}
+	slices.SortFunc(listed, func(a, b *runner) int {
+		return strings.Compare(a.status.Heartbeat.Instance, b.status.Heartbeat.Instance)
+	})
+	return listed
+}
+
+// waits lists the rows that wait, the most urgent first.
+func (p *Planner) waits(now time.Time) []waiting {
+	var rows []waiting
+	for row, demand := range p.demands {
+		demand.decay(now, p.options.RateTime)
+		if found := demand.waits(now, row, p.options.DemandLife); found.count > 0 {
+			rows = append(rows, found)
+		} else if demand.rate < 1e-4 {
+			delete(p.demands, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b waiting) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(b.oldest, a.oldest),
+			strings.Compare(a.row.Model, b.row.Model), strings.Compare(a.row.Adapter, b.row.Adapter))
+	})
+	return rows
+}
+
+// modelRate is the demand for a model with all of its adapters.
+func (p *Planner) modelRate(service, model string) float64 {
+	rate := 0.0
+	for row, demand := range p.demands {
+		if row.Service == service && row.Model == model {
+			rate += demand.rate
+		}
+	}
+	return rate
+}
+
+// Doubt notes runners that refused requests for what they were thought to hold. They
+// are asked for a report.
+func (p *Planner) Doubt(now time.Time, instances []string) {
+	for _, instance := range instances {
+		if known := p.runners[instance]; known != nil && now.Sub(known.askedAt) >= p.options.AskAgain {
+			known.isTakenKnown = false
+		}
+	}
+}
--- /dev/null
+++ b/residency/runner.go
@@ -0,0 +1,193 @@
+package residency
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// phase is how far a model or adapter is.
+type phase uint8
+
+const (
+	// phaseReady: requests may use it.
+	phaseReady phase = iota + 1
+	// phaseLoading: an accepted order loads it.
+	phaseLoading
+	// phaseUnloading: an order to unload it was sent and may have been taken.
+	phaseUnloading
+	// phaseUncertain: an order to load it was sent, and nobody knows whether it was
+	// taken.
+	phaseUncertain
+)
+
+// holding is a model or adapter on a runner, or on its way to or from there.
+type holding struct {
+	phase phase
+	since time.Time
+	// usedAt is when a request last needed it.
+	usedAt   time.Time
+	adapters map[string]*holding
+}
+
+func newHolding(now time.Time, phase phase) *holding {
+	return &holding{phase: phase, since: now, usedAt: now, adapters: make(map[string]*holding)}
+}
+
+// runner is one life of a runner as the planner sees it.
+type runner struct {
+	status   fleet.Status
+	holdings map[string]*holding
+	// taken is the number of orders that the runner has taken, if isTakenKnown.
+	taken        uint64
+	isTakenKnown bool
+	askedAt      time.Time
+	// sent is set while an order waits for its answer.
+	sent bool
+	// changedAt is when the last order was answered or given up.
+	changedAt time.Time
+	// reserved is the model for which room is being made, until reservedUntil.
+	reserved      string
+	reservedUntil time.Time
+}
+
+// isOccupied reports whether an order about a model is under way: the runner takes
+// no other until it is done.
+func (r *runner) isOccupied() bool {
+	for _, held := range r.holdings {
+		if held.phase == phaseLoading || held.phase == phaseUnloading {
+			return true
+		}
+	}
+	return false
+}
+
+// usedMB is the memory of all that the runner holds or may hold.
+func (r *runner) usedMB(engine *site.Engine) float64 {
+	used := 0.0
+	for name, held := range r.holdings {
+		model := engine.ModelByName(name)
+		if model == nil {
+			// A model that the document no longer lists has an unknown size.
+			return engine.WeightsMB
+		}
+		used += model.SizeMB + float64(len(held.adapters))*model.AdapterMB
+	}
+	return used
+}
+
+// adapters counts the adapters that the runner holds or may hold.
+func (r *runner) adapters() int {
+	count := 0
+	for _, held := range r.holdings {
+		count += len(held.adapters)
+	}
+	return count
+}
+
+// incoming counts the adapters on their way to the runner.
+func (r *runner) incoming() int {
+	count := 0
+	for _, held := range r.holdings {
+		for _, adapter := range held.adapters {
+			if adapter.phase == phaseLoading || adapter.phase == phaseUncertain {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// ready returns the holding of a model that requests may use, or nil.
+func (r *runner) ready(model string) *holding {
+	if held := r.holdings[model]; held != nil && held.phase == phaseReady {
+		return held
+	}
+	return nil
+}
+
+// loaded lists what requests may use, sorted.
+func (r *runner) loaded() []fleet.LoadedModel {
+	var models []fleet.LoadedModel
+	for name, held := range r.holdings {
+		if held.phase != phaseReady {
+			continue
+		}
+		model := fleet.LoadedModel{Name: name}
+		for adapter, state := range held.adapters {
+			if state.phase == phaseReady {
+				model.Adapters = append(model.Adapters, adapter)
+			}
+		}
+		slices.Sort(model.Adapters)
+		models = append(models, model)
+	}
+	slices.SortFunc(models, func(a, b fleet.LoadedModel) int { return strings.Compare(a.Name, b.Name) })
+	return models
+}
+
+// hear takes what the runner says it holds in a heartbeat. Heartbeats carry the
+// state of models at the time they were made; adapters change without one.
+func (r *runner) hear(now time.Time, models []fleet.LoadedModel, guard time.Duration) {
+	for _, said := range models {
+		held := r.holdings[said.Name]
+		switch {
+		case held == nil:
+			held = newHolding(now, phaseReady)
+			held.usedAt = time.Time{}
+			r.holdings[said.Name] = held
+		case held.phase == phaseLoading || held.phase == phaseUncertain:
+			held.phase, held.since = phaseReady, now
+		}
+		for _, name := range said.Adapters {
+			if held.adapters[name] == nil && now.Sub(r.changedAt) > guard {
+				held.adapters[name] = newHolding(now, phaseReady)
+			}
+		}
+	}
+	for name, held := range r.holdings {
+		isSaid := slices.ContainsFunc(models, func(said fleet.LoadedModel) bool { return said.Name == name })
+		if isSaid || held.phase == phaseLoading || held.phase == phaseUncertain {
+			continue
+		}
+		delete(r.holdings, name)
+	}
+}
+
+// reconcile takes a whole report that was made after the last order was settled.
+func (r *runner) reconcile(now time.Time, report Report) {
+	r.taken, r.isTakenKnown = report.Taken, true
+	known := r.holdings
+	r.holdings = make(map[string]*holding, len(report.Models))
+	for _, said := range report.Models {
+		held := newHolding(now, phaseReady)
+		if former := known[said.Name]; former != nil {
+			held.usedAt, held.since = former.usedAt, former.since
+			if report.Busy && former.phase == phaseUnloading {
+				held.phase = phaseUnloading
+			}
+		}
+		for _, name := range said.Adapters {
+			held.adapters[name] = newHolding(now, phaseReady)
+		}
+		r.holdings[said.Name] = held
+	}
+	for _, said := range report.Pending {
+		held := r.holdings[said.Name]
+		if held == nil {
+			continue
+		}
+		for _, name := range said.Adapters {
+			held.adapters[name] = newHolding(now, phaseLoading)
+		}
+	}
+	for name, held := range known {
+		if r.holdings[name] == nil && report.Busy && (held.phase == phaseLoading || held.phase == phaseUncertain) {
+			held.phase = phaseLoading
+			r.holdings[name] = held
+		}
+	}
+}
--- /dev/null
+++ b/site/index.go
@@ -0,0 +1,81 @@
+package site
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Index finds the route of a request in one document. It does not change, so that
+// many goroutines may use it.
+type Index struct {
+	Document *Document
+	// routes lists the routes of each host, the longest prefix first.
+	routes   map[string][]*Route
+	services map[string]*Service
+}
+
+// NewIndex makes the index of a document, which must not change afterwards.
+func NewIndex(document *Document) *Index {
+	index := &Index{
+		Document: document,
+		routes:   make(map[string][]*Route),
+		services: make(map[string]*Service),
+	}
+	for i := range document.Services {
+		index.services[document.Services[i].Name] = &document.Services[i]
+	}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		host := normalHost(route.Host)
+		index.routes[host] = append(index.routes[host], route)
+	}
+	for _, routes := range index.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return index
+}
+
+// Route returns the route with the longest prefix that begins the path, or nil.
+// Host may carry a port.
+func (x *Index) Route(host, path string) *Route {
+	for _, route := range x.routes[normalHost(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns the service, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Pick chooses the service of a request; point is drawn evenly from [0, 1).
+func (r *Route) Pick(point float64) string {
+	total := 0.0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	point *= total
+	last := ""
+	for _, share := range r.Split {
+		if share.Weight <= 0 {
+			continue
+		}
+		last = share.Service
+		if point < share.Weight {
+			return last
+		}
+		point -= share.Weight
+	}
+	return last
+}
+
+func normalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
