--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -71,3 +71,15 @@
 	whole := Merge(known, View{Complete: true, Runners: []Runner{{Instance: "d", Address: "3"}}})
 	c.Assert(whole.Runners, qt.HasLen, 1)
 }
+
+func TestAnAddressHasOneInstance(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	r.Hear(start, beat("old", 9))
+	r.Hear(start, beat("new", 1))
+	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"new"})
+	// A late heartbeat of the old one holds only until the new one's next.
+	r.Hear(start, beat("old", 10))
+	r.Hear(start, beat("new", 2))
+	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"new"})
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -29,6 +29,8 @@
 	heardAt   time.Time
 	leaving   bool
 	gone      bool
+	// displaced is set while another instance is at the address.
+	displaced bool
 	endsAt    time.Time
 }
 
@@ -49,12 +51,23 @@
 	}
 	known.heartbeat = heartbeat
 	known.heardAt = now
+	r.takeAddress(heartbeat)
 	if heartbeat.Leaving {
 		known.leave(now, heartbeat.EndsIn)
 	}
 	return true
 }
 
+// takeAddress notes that an instance is at its address, and so no other one. Should
+// the heartbeat have been late, the other's next one takes the address back.
+func (r *Registry) takeAddress(heartbeat Heartbeat) {
+	for instance, other := range r.runners {
+		if other.heartbeat.Address == heartbeat.Address {
+			other.displaced = instance != heartbeat.Instance
+		}
+	}
+}
+
 func (r *record) leave(now time.Time, endsIn time.Duration) {
 	r.leaving = true
 	if endsIn > 0 && r.endsAt.IsZero() {
@@ -98,7 +111,7 @@
 func (r *Registry) Runners(now time.Time) []Status {
 	listed := make([]Status, 0, len(r.runners))
 	for _, known := range r.runners {
-		if known.gone || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
+		if known.gone || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
 			continue
 		}
 		if !known.endsAt.IsZero() && now.After(known.endsAt.Add(time.Second)) {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -16,7 +16,7 @@
 	reservationTime = 10 * time.Second
 	// loadTimeout is after how long a load that does not end is looked into.
 	loadTimeout = 20 * time.Second
-	// keptAdapterMB is the room that every runner keeps for adapters.
+	// keptAdapters is for how many adapters every runner keeps room.
 	keptAdapters = 8
 )
 
@@ -118,7 +118,7 @@
 
 // mayOrder reports whether the runner can be given an order about a model.
 func (p *Planner) mayOrder(known *runner) bool {
-	return !known.status.Leaving && known.isTakenKnown && !known.sent && !known.isOccupied()
+	return !known.status.Leaving && !known.isGone && known.isTakenKnown && !known.sent && !known.isOccupied()
 }
 
 // loadModel finds the cheapest runner for a load and returns the load, or the unload
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -71,6 +71,7 @@
 		isNew := status.Heartbeat.Sequence > known.status.Heartbeat.Sequence || known.status.Heartbeat.Instance == ""
 		known.status = status
 		if isNew {
+			known.isGone = false
 			before := known.loaded()
 			known.hear(now, status.Heartbeat.Models, p.options.ReportLag)
 			p.noteChange(before, known)
@@ -125,7 +126,7 @@
 	}
 	var asked []fleet.Status
 	for _, known := range p.sorted() {
-		if p.engineOf(known) == nil || known.status.Leaving || known.sent || known.isTakenKnown {
+		if p.engineOf(known) == nil || known.status.Leaving || known.isGone || known.sent || known.isTakenKnown {
 			continue
 		}
 		if now.Sub(known.changedAt) < p.options.ReportLag || now.Sub(known.askedAt) < p.options.AskAgain {
@@ -166,8 +167,9 @@
 		p.settle(now, known, order)
 		known.isTakenKnown = order.Operation == Unload && order.Adapter != ""
 		known.taken = order.Expected + 1
-	case OutcomeConflict, OutcomeRefused:
+	case OutcomeConflict, OutcomeRefused, OutcomeGone:
 		known.isTakenKnown = false
+		known.isGone = outcome == OutcomeGone
 		p.takeBack(known, order)
 	default:
 		known.isTakenKnown = false
--- a/residency/runner.go
+++ b/residency/runner.go
@@ -49,6 +49,12 @@
 	sent bool
 	// changedAt is when the last order was answered or given up.
 	changedAt time.Time
+	// isBusy is set while the runner executes an order that this planner did not send,
+	// so that what it loads is not known.
+	isBusy bool
+	// isGone is set once another runner answered in this one's place; a heartbeat
+	// clears it.
+	isGone bool
 	// reserved is the model for which room is being made, until reservedUntil.
 	reserved      string
 	reservedUntil time.Time
@@ -65,6 +71,16 @@
 	return false
 }
 
+// isUncertain reports whether an order to load a model may or may not have been taken.
+func (r *runner) isUncertain() bool {
+	for _, held := range r.holdings {
+		if held.phase == phaseUncertain {
+			return true
+		}
+	}
+	return false
+}
+
 // usedMB is the memory of all that the runner holds or may hold.
 func (r *runner) usedMB(engine *site.Engine) float64 {
 	used := 0.0
@@ -157,10 +173,14 @@
 	}
 }
 
-// reconcile takes a whole report that was made after the last order was settled.
+// reconcile takes a whole report that was made after the last order was settled. A
+// runner that is busy with an order of which the planner does not know, as after a
+// change of the leader, must be asked again: what it loads counts for its memory but
+// is not reported before it is loaded.
 func (r *runner) reconcile(now time.Time, report Report) {
-	r.taken, r.isTakenKnown = report.Taken, true
 	known := r.holdings
+	r.isBusy = report.Busy && !r.isOccupied() && !r.isUncertain()
+	r.taken, r.isTakenKnown = report.Taken, !r.isBusy
 	r.holdings = make(map[string]*holding, len(report.Models))
 	for _, said := range report.Models {
 		held := newHolding(now, phaseReady)
--- a/residency/types.go
+++ b/residency/types.go
@@ -49,13 +49,15 @@
 	OutcomeConflict
 	// OutcomeRefused: the runner does not take the order and never will.
 	OutcomeRefused
+	// OutcomeGone: another runner is at the address.
+	OutcomeGone
 	// OutcomeUnknown: no answer came; the order may be executed later.
 	OutcomeUnknown
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	names := [...]string{"", "accepted", "held", "conflict", "refused", "unknown"}
+	names := [...]string{"", "accepted", "held", "conflict", "refused", "gone", "unknown"}
 	if int(o) < len(names) {
 		return names[o]
 	}
