--- /dev/null
+++ b/residency/planner_test.go
@@ -0,0 +1,173 @@
+package residency
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+var start = time.Unix(5000, 0)
+
+// twoModels is a service whose runners hold one of its two models at a time.
+func twoModels() *site.Index {
+	engine := &site.Engine{WeightsMB: 100, MaxAdapters: 2, LoadsPerSecond: 2, Models: []site.Model{
+		{Name: "a", SizeMB: 80, AdapterMB: 1, LoadTime: 3 * time.Second},
+		{Name: "b", SizeMB: 80, AdapterMB: 1, LoadTime: 3 * time.Second},
+	}}
+	return site.NewIndex(&site.Document{Version: 1, Services: []site.Service{{Name: "s", Engine: engine}}})
+}
+
+func status(sequence uint64, models ...string) []fleet.Status {
+	heartbeat := fleet.Heartbeat{Instance: "r", Service: "s", Address: "r:1", Sequence: sequence}
+	for _, model := range models {
+		heartbeat.Models = append(heartbeat.Models, fleet.LoadedModel{Name: model})
+	}
+	return []fleet.Status{{Heartbeat: heartbeat}}
+}
+
+func newTestPlanner(models ...string) *Planner {
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(twoModels())
+	p.SetRunners(start, status(1, models...))
+	return p
+}
+
+func waitFor(p *Planner, at time.Time, row Row) {
+	row.Service = "s"
+	p.Observe(at, "router", []Demand{{Row: row, Waiting: 1, Arrived: 1}})
+}
+
+func TestNoOrderBeforeTheFormerLeadersAreOutOfTheWay(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{}, start.Add(3*time.Second))
+	p.SetDocument(twoModels())
+	p.SetRunners(start, status(1))
+	p.Reported(start.Add(time.Second), start.Add(time.Second), "r", Report{})
+	waitFor(p, start.Add(2999*time.Millisecond), Row{Model: "a"})
+	c.Assert(p.Plan(start.Add(2999*time.Millisecond)), qt.HasLen, 0)
+	c.Assert(p.Plan(start.Add(3*time.Second)), qt.HasLen, 1)
+}
+
+func TestOrdersExpectTheNumberThatTheRunnerTold(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner()
+	waitFor(p, start, Row{Model: "a"})
+	c.Assert(p.Plan(start), qt.HasLen, 0, qt.Commentf("nobody knows yet how many orders were taken"))
+	c.Assert(p.Questions(start), qt.HasLen, 1)
+	c.Assert(p.Questions(start), qt.HasLen, 0, qt.Commentf("asked already"))
+	p.Reported(start, start, "r", Report{Taken: 7})
+	orders := p.Plan(start)
+	c.Assert(orders, qt.DeepEquals, []Order{{Instance: "r", Address: "r:1", Operation: Load, Model: "a", Expected: 7}})
+	c.Assert(p.Plan(start), qt.HasLen, 0, qt.Commentf("one order at a time"))
+}
+
+// A new leader asks a runner that loads what the former leader ordered.
+func TestBusyRunnerIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner()
+	waitFor(p, start, Row{Model: "a"})
+	p.Questions(start)
+	p.Reported(start, start, "r", Report{Taken: 7, Busy: true})
+	c.Assert(p.Plan(start), qt.HasLen, 0)
+	again := start.Add(time.Second)
+	waitFor(p, again, Row{Model: "a"})
+	c.Assert(p.Questions(again), qt.HasLen, 1)
+	p.Reported(again, again, "r", Report{Taken: 7, Models: []fleet.LoadedModel{{Name: "b"}}})
+	waitFor(p, again.Add(2*time.Second), Row{Model: "a"})
+	orders := p.Plan(again.Add(2 * time.Second))
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Unload)
+	c.Assert(orders[0].Model, qt.Equals, "b")
+}
+
+func TestIdleModelMakesWayForAWaitedForOne(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner("b")
+	p.Reported(start, start, "r", Report{Taken: 1, Models: []fleet.LoadedModel{{Name: "b"}}})
+	at := start.Add(2 * time.Second)
+	waitFor(p, at, Row{Model: "a"})
+	orders := p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Unload)
+	c.Assert(p.Loaded("r"), qt.HasLen, 0, qt.Commentf("no request may begin to use it"))
+	p.Answered(at, orders[0], OutcomeAccepted)
+	waitFor(p, at, Row{Model: "a"})
+	c.Assert(p.Plan(at), qt.HasLen, 0, qt.Commentf("the runner has not said that the model is gone"))
+	p.SetRunners(at, status(2))
+	orders = p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Load)
+	c.Assert(orders[0].Expected, qt.Equals, uint64(2))
+}
+
+func TestModelInUseDoesNotMakeWay(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner("b")
+	p.Reported(start, start, "r", Report{Taken: 1, Models: []fleet.LoadedModel{{Name: "b"}}})
+	at := start.Add(2 * time.Second)
+	p.Observe(at, "router", []Demand{{Row: Row{Service: "s", Model: "b"}, Active: []ActiveCount{{Instance: "r", Count: 1}}}})
+	waitFor(p, at, Row{Model: "a"})
+	c.Assert(p.Plan(at), qt.HasLen, 0)
+}
+
+func TestUnansweredOrderIsSettledByAReport(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner()
+	p.Reported(start, start, "r", Report{Taken: 1})
+	waitFor(p, start, Row{Model: "a"})
+	first := p.Plan(start)
+	c.Assert(first, qt.HasLen, 1)
+	at := start.Add(time.Second)
+	p.Answered(at, first[0], OutcomeUnknown)
+	waitFor(p, at, Row{Model: "a"})
+	c.Assert(p.Plan(at), qt.HasLen, 0)
+	at = at.Add(time.Second)
+	c.Assert(p.Questions(at), qt.HasLen, 1)
+	// The runner has not taken it, but may later. The next order expects the same
+	// number, so that only one of the two is executed.
+	p.Reported(at, at, "r", Report{Taken: 1})
+	waitFor(p, at, Row{Model: "a"})
+	second := p.Plan(at)
+	c.Assert(second, qt.HasLen, 1)
+	c.Assert(second[0].Expected, qt.Equals, first[0].Expected)
+}
+
+func TestRunnerInWhosePlaceAnotherAnswersGetsNoOrders(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner()
+	p.Reported(start, start, "r", Report{Taken: 1})
+	waitFor(p, start, Row{Model: "a"})
+	orders := p.Plan(start)
+	p.Answered(start, orders[0], OutcomeGone)
+	at := start.Add(time.Second)
+	waitFor(p, at, Row{Model: "a"})
+	c.Assert(p.Questions(at), qt.HasLen, 0)
+	p.SetRunners(at, status(2))
+	c.Assert(p.Questions(at), qt.HasLen, 1)
+}
+
+func TestAdapterWaitsForItsModelAndForRoom(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner("a")
+	p.Reported(start, start, "r", Report{Taken: 1, Models: []fleet.LoadedModel{{Name: "a", Adapters: []string{"x", "y"}}}})
+	at := start.Add(2 * time.Second)
+	waitFor(p, at, Row{Model: "a", Adapter: "z"})
+	orders := p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Unload)
+	c.Assert(orders[0].Adapter, qt.Not(qt.Equals), "")
+	p.Answered(at, orders[0], OutcomeHeld)
+	waitFor(p, at, Row{Model: "a", Adapter: "z"})
+	orders = p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Load)
+	c.Assert(orders[0].Adapter, qt.Equals, "z")
+	p.Answered(at, orders[0], OutcomeAccepted)
+	c.Assert(p.Loaded("r")[0].Adapters, qt.Not(qt.Contains), "z")
+	p.Plan(at.Add(time.Second))
+	c.Assert(p.Loaded("r")[0].Adapters, qt.Contains, "z")
+}
