Weigh loads by requests saved and lost; wait for the first document; give busy runners time

Change: a load is planned by the requests of the next ten seconds that it saves from being late, against those lost by what makes way, with the objective of the callers; a request waits for the first document; silence is judged by all that the runner sends; a refused row is taken out until a view lists it again; elections begin after 0.56 to 1.12 s (0.8 to 1.6 before).

--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +56,8 @@
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
 	ended    bool
+	// summedUpAt is when the demand was last logged.
+	summedUpAt time.Time
 }
 
 // routerContact is what the leader knows of a router.
@@ -168,6 +172,7 @@
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
 	l.refresh(at)
+	l.logSummary(at)
 	l.mutex.Unlock()
 	for _, status := range questions {
 		go l.ask(ctx, status)
@@ -177,6 +182,32 @@
 	}
 }
 
+const (
+	// summaryInterval is the pause between two lines about the demand, and
+	// summaryModels how many models each lists at most.
+	summaryInterval = 2 * time.Second
+	summaryModels   = 8
+)
+
+// logSummary logs the demand and how it is met. It runs under the mutex.
+func (l *leadership) logSummary(at time.Time) {
+	if at.Sub(l.summedUpAt) < summaryInterval {
+		return
+	}
+	l.summedUpAt = at
+	var models []string
+	waiting := 0
+	for _, summary := range l.planner.Summary(at) {
+		waiting += summary.Waiting
+		if len(models) < summaryModels {
+			models = append(models, fmt.Sprintf("%s:%.1f/s,%d+%d,w%d,a%d", summary.Model, summary.Rate,
+				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
+		}
+	}
+	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", len(l.view.Runners),
+		"models", strings.Join(models, " "))
+}
+
 // adoptDocument gives the planner the document in force.
 func (l *leadership) adoptDocument() {
 	var current domain.Document
--- a/domainnode/options.go
+++ b/domainnode/options.go
@@ -65,8 +65,8 @@
 }
 
 const (
-	defaultTickInterval   = 80 * time.Millisecond
-	defaultElectionTicks  = 10
+	defaultTickInterval   = 40 * time.Millisecond
+	defaultElectionTicks  = 14
 	defaultHeartbeatTicks = 2
 	// snapshotEntries bounds the log: each entry may hold a whole document.
 	snapshotEntries = 256
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -30,6 +31,8 @@
 	silenceFactor      = 3
 	minSilence         = 400 * time.Millisecond
 	streamSilenceFloor = 1200 * time.Millisecond
+	// streamSilencePauses times the longest pause is the same for streams.
+	streamSilencePauses = 4
 )
 
 // errSilent is the cause of ending an attempt at a runner that says nothing.
@@ -64,7 +67,7 @@
 // Serve answers a request. It panics with http.ErrAbortHandler when an answer that
 // has begun cannot be finished, so that it does not look whole.
 func (r *Router) Serve(writer http.ResponseWriter, request *Request) {
-	index := r.index.Load()
+	index := r.awaitIndex(request)
 	if index == nil {
 		refuse(writer, http.StatusServiceUnavailable, retryAfterNow, "no document is known yet")
 		return
@@ -89,12 +92,39 @@
 	if request.Wait > 0 && request.Wait < route.Timeout {
 		x.deadline = request.Arrived.Add(request.Wait)
 	}
-	r.countRequest(x.row)
+	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
 	x.run(ctx)
 }
 
+// firstDocumentWait is how long a request waits for the first document after the start
+// of a router, at most; firstDocumentShare is the part of its own time that it waits.
+const (
+	firstDocumentWait  = 2 * time.Second
+	firstDocumentShare = 0.6
+)
+
+// awaitIndex returns the index of the document in force. Just after its start a router
+// waits a little for the first.
+func (r *Router) awaitIndex(request *Request) *site.Index {
+	if index := r.index.Load(); index != nil {
+		return index
+	}
+	wait := firstDocumentWait
+	if request.Wait > 0 {
+		wait = min(wait, time.Duration(float64(request.Wait)*firstDocumentShare))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.known:
+	case <-timer.C:
+	case <-request.HTTP.Context().Done():
+	}
+	return r.index.Load()
+}
+
 // run tries runners until one has answered or no other may be tried.
 func (x *exchange) run(ctx context.Context) {
 	for {
@@ -171,8 +201,8 @@
 func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	watchdog := x.watchdog(cancel)
-	defer watchdog.Stop()
+	watchdog := x.watch(choice, cancel)
+	defer watchdog.stop()
 	x.sent++
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
@@ -181,6 +211,7 @@
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
 	}
+	watchdog.heard()
 	defer answer.Body.Close()
 	ended := x.receive(ctx, choice, answer, watchdog)
 	if ended.reason != "" || x.sent > 1 {
@@ -189,26 +220,74 @@
 	return ended
 }
 
-// watchdog ends an attempt of a request that may be sent elsewhere if the runner is
-// silent for too long.
-func (x *exchange) watchdog(cancel context.CancelCauseFunc) *time.Timer {
-	limit := time.Until(x.deadline) + time.Hour
+// watchdog ends an attempt of a request that may be sent elsewhere if its runner is
+// silent for too long. A runner that meanwhile sends something else is busy rather
+// than lost, and gets more time.
+type watchdog struct {
+	exchange *exchange
+	runner   structs.RunnerID
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+
+	mutex sync.Mutex
+	since time.Time
+}
+
+func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, since: time.Now()}
 	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
-		limit = x.silence()
+		w.timer = time.AfterFunc(x.silence(), w.look)
+	}
+	return w
+}
+
+// look ends the attempt, or looks again later.
+func (w *watchdog) look() {
+	w.mutex.Lock()
+	since := w.since
+	w.mutex.Unlock()
+	silent := time.Since(since)
+	limit := w.exchange.silence()
+	if heard := w.exchange.router.lastHeard(w.runner); heard.After(since) {
+		limit = w.exchange.busySilence()
+	}
+	if silent >= limit {
+		w.cancel(errSilent)
+		return
 	}
-	return time.AfterFunc(limit, func() { cancel(errSilent) })
+	w.timer.Reset(max(time.Millisecond, limit-silent))
 }
 
+// heard notes that the attempt's runner sent something for it.
+func (w *watchdog) heard() {
+	w.exchange.router.heardFrom(w.runner)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.since = time.Now()
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// silence is how long a runner that sends nothing at all may be silent.
 func (x *exchange) silence() time.Duration {
 	if x.route.Kind == site.KindStream {
-		if x.isStarted {
-			return max(streamSilenceFloor, 4*x.route.MaxPause)
-		}
-		return max(streamSilenceFloor, 2*x.route.Objective)
+		return max(streamSilenceFloor, streamSilencePauses*x.route.MaxPause)
 	}
 	return max(minSilence, silenceFactor*x.route.Objective)
 }
 
+// busySilence is how long a runner that sends other answers may be silent.
+func (x *exchange) busySilence() time.Duration {
+	if x.route.Kind == site.KindStream {
+		return x.router.options.Patience.of(x.route) * 3 / 4
+	}
+	return x.silence()
+}
+
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
 	ended := result{outcome: routing.OutcomeBroken, reason: "send_failed", err: err}
 	if errors.Is(err, ErrNotSent) {
@@ -242,11 +321,11 @@
 }
 
 // receive reads the answer and passes it on, if it is one to pass on.
-func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *time.Timer) result {
+func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *watchdog) result {
 	switch {
 	case answer.NotHeld:
 		x.refusals++
-		x.router.doubt(choice.Runner())
+		x.router.doubt(choice.Runner(), x.row)
 		return result{outcome: routing.OutcomeRefused, isNotRun: true, reason: "not_held"}
 	case answer.NotRun:
 		x.refusals++
@@ -261,7 +340,7 @@
 
 // relayWhole reads the whole answer before it is passed on, so that one that is cut
 // short can be asked for again.
-func (x *exchange) relayWhole(ctx context.Context, answer *Answer, watchdog *time.Timer) result {
+func (x *exchange) relayWhole(ctx context.Context, answer *Answer, watchdog *watchdog) result {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -274,7 +353,7 @@
 	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
 	case len(body) > maxBuffered:
-		watchdog.Stop()
+		watchdog.stop()
 		return x.relayLarge(answer, body)
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
@@ -317,7 +396,7 @@
 }
 
 // relayStream passes on whole events, each as it comes.
-func (x *exchange) relayStream(ctx context.Context, answer *Answer, watchdog *time.Timer) result {
+func (x *exchange) relayStream(ctx context.Context, answer *Answer, watchdog *watchdog) result {
 	if !answer.Signed {
 		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
 	}
@@ -327,7 +406,7 @@
 	for {
 		count, err := answer.Body.Read(buffer)
 		if count > 0 {
-			watchdog.Reset(x.silenceWithin())
+			watchdog.heard()
 			events.add(buffer[:count])
 			if failure := x.passEvents(answer, &events, controller); failure != nil {
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: failure}
@@ -351,14 +430,6 @@
 // streamBuffer is read at once from a stream.
 const streamBuffer = 8 << 10
 
-// silenceWithin is how long the runner of a stream that has begun may be silent.
-func (x *exchange) silenceWithin() time.Duration {
-	if !x.route.MayRepeat() || x.attempts >= x.route.MaxAttempts {
-		return time.Until(x.deadline) + time.Hour
-	}
-	return max(streamSilenceFloor, 4*x.route.MaxPause)
-}
-
 // passEvents passes on the whole events that have come. Events that the caller has
 // already are dropped.
 func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
--- a/relay/queue.go
+++ b/relay/queue.go
@@ -25,8 +25,10 @@
 // rowState is what a router counts for a row between two reports.
 type rowState struct {
 	arrived int
-	waiters []*waiter
-	active  map[structs.RunnerID]int
+	// objective is the shortest of those that arrived or wait; 0 for none.
+	objective time.Duration
+	waiters   []*waiter
+	active    map[structs.RunnerID]int
 }
 
 func (r *Router) rowState(row residency.Row) *rowState {
@@ -130,7 +132,7 @@
 			state.arrived = 0
 			continue
 		}
-		demand := residency.Demand{Row: row, Waiting: len(state.waiters), Arrived: state.arrived}
+		demand := residency.Demand{Row: row, Waiting: len(state.waiters), Arrived: state.arrived, Objective: state.objective}
 		for _, wanted := range state.waiters {
 			demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
 		}
@@ -141,6 +143,9 @@
 			demand.Active = append(demand.Active, residency.ActiveCount{Instance: string(runner), Count: count})
 		}
 		state.arrived = 0
+		if demand.Waiting == 0 {
+			state.objective = 0
+		}
 		if demand.Waiting == 0 && demand.Arrived == 0 && len(demand.Active) == 0 {
 			// The leader forgets what it was told once this empty report has come.
 			delete(r.rows, row)
--- a/relay/router.go
+++ b/relay/router.go
@@ -27,6 +27,8 @@
 	caller  *leadercall.Caller
 	// index is that of the document in force; nil before the first.
 	index atomic.Pointer[site.Index]
+	// known is closed once a document is in force.
+	known chan struct{}
 	// report asks the report loop for a report now.
 	report chan struct{}
 
@@ -38,6 +40,8 @@
 	granted  grant
 	view     fleet.View
 	doubted  map[string]bool
+	// heard is when each runner last sent something.
+	heard map[structs.RunnerID]time.Time
 }
 
 const (
@@ -73,6 +77,8 @@
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
 		doubted: make(map[string]bool),
+		heard:   make(map[structs.RunnerID]time.Time),
+		known:   make(chan struct{}),
 	}
 }
 
@@ -99,6 +105,7 @@
 			r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), structs.LoadReport{MaxBatch: runner.Slots, ObservedAt: time.Now()})
 		}
 	}
+	r.forgetUnlisted()
 	r.serveWaiters()
 }
 
@@ -109,6 +116,9 @@
 		return false
 	}
 	r.index.Store(site.NewIndex(document))
+	if current == nil {
+		close(r.known)
+	}
 	return true
 }
 
@@ -122,11 +132,15 @@
 
 // countRequest counts a request for the budget of its service and the demand of its
 // row.
-func (r *Router) countRequest(row residency.Row) {
+func (r *Router) countRequest(row residency.Row, objective time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.budget(row.Service).request(time.Now())
-	r.rowState(row).arrived++
+	state := r.rowState(row)
+	state.arrived++
+	if objective > 0 && (state.objective == 0 || objective < state.objective) {
+		state.objective = objective
+	}
 }
 
 // mayRepeat takes one repeated sending from the budget of the service.
@@ -152,10 +166,41 @@
 	return r.random.Float64()
 }
 
-// doubt notes a runner that refused what it was thought to hold.
-func (r *Router) doubt(instance structs.RunnerID) {
+// doubt notes a runner that refused a row that it was thought to hold: no further
+// request of the row goes there until a view says again that it is held.
+func (r *Router) doubt(instance structs.RunnerID, row residency.Row) {
 	r.mutex.Lock()
 	r.doubted[string(instance)] = true
+	r.view = without(r.view, string(instance), row)
+	r.balancer.SetPlacement(placement(r.view))
 	r.mutex.Unlock()
 	r.wakeReport()
 }
+
+// heardFrom notes that a runner has sent something.
+func (r *Router) heardFrom(instance structs.RunnerID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.heard[instance] = time.Now()
+}
+
+// lastHeard is when a runner last sent something.
+func (r *Router) lastHeard(instance structs.RunnerID) time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.heard[instance]
+}
+
+// forgetUnlisted drops what is kept for runners that are listed no more. It runs
+// under the mutex.
+func (r *Router) forgetUnlisted() {
+	listed := make(map[structs.RunnerID]bool, len(r.view.Runners))
+	for _, runner := range r.view.Runners {
+		listed[structs.RunnerID(runner.Instance)] = true
+	}
+	for instance := range r.heard {
+		if !listed[instance] {
+			delete(r.heard, instance)
+		}
+	}
+}
--- a/relay/row.go
+++ b/relay/row.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,3 +62,38 @@
 	}
 	return hashes
 }
+
+// without returns the view without a row at one runner.
+func without(view fleet.View, instance string, row residency.Row) fleet.View {
+	changed := view
+	changed.Runners = slices.Clone(view.Runners)
+	for i := range changed.Runners {
+		runner := &changed.Runners[i]
+		if runner.Instance != instance {
+			continue
+		}
+		if row.Model == "" {
+			changed.Runners = slices.Delete(changed.Runners, i, i+1)
+			return changed
+		}
+		runner.Models = modelsWithout(runner.Models, row)
+		return changed
+	}
+	return changed
+}
+
+func modelsWithout(models []fleet.LoadedModel, row residency.Row) []fleet.LoadedModel {
+	var kept []fleet.LoadedModel
+	for _, model := range models {
+		if model.Name != row.Model {
+			kept = append(kept, model)
+			continue
+		}
+		if row.Adapter == "" {
+			continue
+		}
+		model.Adapters = slices.DeleteFunc(slices.Clone(model.Adapters), func(name string) bool { return name == row.Adapter })
+		kept = append(kept, model)
+	}
+	return kept
+}
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -7,9 +7,13 @@
 
 // rowDemand is the demand for a row over all routers.
 type rowDemand struct {
-	// rate is the average number of requests a second, as of ratedAt.
+	// rate is the average number of requests a second, as of ratedAt, and recent the
+	// same over a shorter time.
 	rate    float64
+	recent  float64
 	ratedAt time.Time
+	// objective is the shortest of the requests that came lately.
+	objective time.Duration
 	// reports holds the newest report of each router.
 	reports map[string]routerDemand
 }
@@ -27,15 +31,23 @@
 	priority int
 }
 
+// recentShare is the part of the rate time over which the recent rate is averaged.
+const recentShare = 0.35
+
 func (d *rowDemand) add(now time.Time, router string, demand Demand, rateTime time.Duration) {
 	d.decay(now, rateTime)
 	d.rate += float64(demand.Arrived) / rateTime.Seconds()
+	d.recent += float64(demand.Arrived) / (rateTime.Seconds() * recentShare)
+	if demand.Objective > 0 && (d.objective == 0 || demand.Objective < d.objective) {
+		d.objective = demand.Objective
+	}
 	d.reports[router] = routerDemand{demand: demand, at: now}
 }
 
 func (d *rowDemand) decay(now time.Time, rateTime time.Duration) {
 	if passed := now.Sub(d.ratedAt); passed > 0 && !d.ratedAt.IsZero() {
 		d.rate *= math.Exp(-passed.Seconds() / rateTime.Seconds())
+		d.recent *= math.Exp(-passed.Seconds() / (rateTime.Seconds() * recentShare))
 	}
 	d.ratedAt = now
 }
--- a/residency/options.go
+++ b/residency/options.go
@@ -19,6 +19,8 @@
 	DemandLife time.Duration
 	// ReplicaRate is how many requests a second one replica should get at most.
 	ReplicaRate float64
+	// Horizon is how far ahead gains and losses are weighed.
+	Horizon time.Duration
 	// StoreWindow and StoreShare bound loads from the weight store: in each window
 	// no more than the share of what the store allows.
 	StoreWindow time.Duration
@@ -32,7 +34,8 @@
 	setDefault(&o.IdleTime, time.Second)
 	setDefault(&o.RateTime, 8*time.Second)
 	setDefault(&o.DemandLife, 2*time.Second)
-	setDefault(&o.ReplicaRate, 4)
+	setDefault(&o.ReplicaRate, 3)
+	setDefault(&o.Horizon, 10*time.Second)
 	setDefault(&o.StoreWindow, 5*time.Second)
 	setDefault(&o.StoreShare, 0.9)
 	return o
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -20,6 +21,16 @@
 	keptAdapters = 8
 )
 
+// need is a model that should get one more replica, or a row that waits.
+type need struct {
+	row Row
+	// gain is how many requests of the horizon the order would save from being late.
+	gain float64
+	// isWaitedFor is set if requests wait that nobody can serve.
+	isWaitedFor bool
+	priority    int
+}
+
 // Plan returns the orders to send now, at most one for each runner. Each must be
 // followed by Answered.
 func (p *Planner) Plan(now time.Time) []Order {
@@ -30,18 +41,63 @@
 	p.repair(now)
 	var orders []Order
 	for _, wanted := range p.waits(now) {
-		if order, found := p.serve(now, wanted); found {
+		if order, found := p.serveAdapter(now, wanted.row); found {
 			orders = append(orders, order)
 		}
 	}
-	for _, row := range p.crowded(now) {
-		if order, found := p.loadModel(now, row, true); found {
+	for _, wanted := range p.needs(now) {
+		if order, found := p.loadModel(now, wanted); found {
 			orders = append(orders, order)
 		}
 	}
 	return orders
 }
 
+// needs lists the models that should be loaded, the one with the largest gain first.
+func (p *Planner) needs(now time.Time) []need {
+	found := make(map[Row]*need)
+	for _, wanted := range p.waits(now) {
+		row := Row{Service: wanted.row.Service, Model: wanted.row.Model}
+		if len(p.holders(row.Service, row.Model)) > 0 || p.isComing(row) {
+			continue
+		}
+		if found[row] == nil {
+			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority}
+		}
+		found[row].gain += float64(wanted.count)
+	}
+	for row := range p.demands {
+		row.Adapter = ""
+		if found[row] == nil {
+			if gain := p.crowding(row); gain > 0 {
+				found[row] = &need{row: row, gain: gain}
+			}
+		}
+	}
+	var listed []need
+	for _, each := range found {
+		if each.isWaitedFor {
+			each.gain += p.modelDemand(each.row.Service, each.row.Model).rate * p.options.Horizon.Seconds()
+		}
+		listed = append(listed, *each)
+	}
+	slices.SortFunc(listed, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+	})
+	return listed
+}
+
+// crowding is how many requests of the horizon are more than the replicas of a model,
+// those on their way included, should get.
+func (p *Planner) crowding(row Row) float64 {
+	replicas := float64(len(p.holders(row.Service, row.Model)) + p.coming(row))
+	if replicas == 0 {
+		return 0
+	}
+	excess := p.modelDemand(row.Service, row.Model).rate - replicas*p.options.ReplicaRate
+	return max(0, excess) * p.options.Horizon.Seconds()
+}
+
 // repair asks again about loads and unloads that do not end.
 func (p *Planner) repair(now time.Time) {
 	for _, known := range p.runners {
@@ -54,19 +110,12 @@
 	}
 }
 
-// serve finds the order that brings a waiting row closest to being served.
-func (p *Planner) serve(now time.Time, wanted waiting) (Order, bool) {
-	row := wanted.row
-	holders := p.holders(row.Service, row.Model)
-	if len(holders) == 0 {
-		if p.isComing(row) {
-			return Order{}, false
-		}
-		return p.loadModel(now, row, false)
-	}
+// serveAdapter finds the order that loads a waited-for adapter where its model is.
+func (p *Planner) serveAdapter(now time.Time, row Row) (Order, bool) {
 	if row.Adapter == "" {
 		return Order{}, false
 	}
+	holders := p.holders(row.Service, row.Model)
 	for _, known := range holders {
 		if known.holdings[row.Model].adapters[row.Adapter] != nil {
 			return Order{}, false
@@ -87,33 +136,20 @@
 }
 
 // isComing reports whether a runner already loads the model.
-func (p *Planner) isComing(row Row) bool {
+func (p *Planner) isComing(row Row) bool { return p.coming(row) > 0 }
+
+// coming counts the runners that load the model.
+func (p *Planner) coming(row Row) int {
+	count := 0
 	for _, known := range p.runners {
 		if known.status.Heartbeat.Service != row.Service || known.status.Leaving {
 			continue
 		}
-		if held := known.holdings[row.Model]; held != nil && held.phase == phaseLoading {
-			return true
-		}
-	}
-	return false
-}
-
-// crowded lists the models that need one more replica for their demand.
-func (p *Planner) crowded(now time.Time) []Row {
-	rates := make(map[Row]float64)
-	for row, demand := range p.demands {
-		rates[Row{Service: row.Service, Model: row.Model}] += demand.rate
-	}
-	var rows []Row
-	for row, rate := range rates {
-		replicas := float64(len(p.holders(row.Service, row.Model)))
-		if replicas > 0 && rate/replicas > p.options.ReplicaRate && !p.isComing(row) {
-			rows = append(rows, row)
+		if held := known.holdings[row.Model]; held != nil && (held.phase == phaseLoading || held.phase == phaseUncertain) {
+			count++
 		}
 	}
-	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Model, b.Model) })
-	return rows
+	return count
 }
 
 // mayOrder reports whether the runner can be given an order about a model.
@@ -121,9 +157,11 @@
 	return !known.status.Leaving && !known.isGone && known.isTakenKnown && !known.sent && !known.isOccupied()
 }
 
-// loadModel finds the cheapest runner for a load and returns the load, or the unload
-// that makes room for it. onlySpare keeps to runners where nothing of use is lost.
-func (p *Planner) loadModel(now time.Time, row Row, onlySpare bool) (Order, bool) {
+// loadModel finds the runner on which a load costs least and returns the load, or the
+// unload that makes room for it. Nothing is unloaded whose loss costs more than the
+// load gains.
+func (p *Planner) loadModel(now time.Time, wanted need) (Order, bool) {
+	row := wanted.row
 	var best *runner
 	var bestVictim string
 	lowest := math.Inf(1)
@@ -139,10 +177,7 @@
 		if known.reserved != "" && known.reserved != row.Model && now.Before(known.reservedUntil) {
 			continue
 		}
-		cost, victim, isPossible := p.costOf(now, known, engine, model)
-		if onlySpare && cost > 2*model.LoadTime.Seconds() {
-			continue
-		}
+		cost, victim, isPossible := p.costOf(now, known, engine, model, wanted.gain)
 		if known.reserved == row.Model && now.Before(known.reservedUntil) {
 			cost /= 2
 		}
@@ -164,11 +199,15 @@
 	return p.send(now, best, Load, row.Model, ""), true
 }
 
-// costOf estimates what a load of the model on the runner costs, in seconds of
-// waiting: the load itself and, for each model that must make way, what loading it
-// again will cost. victim is the first model to unload, or "".
-func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model) (cost float64, victim string, isPossible bool) {
-	cost = loadTime(known, model).Seconds()
+// loadWeight is how many lost requests a second of loading counts for: enough to
+// prefer a copy that is near, and never more than a loss.
+const loadWeight = 0.02
+
+// costOf weighs a load of the model on the runner: the requests that will be late
+// because of what must make way, and the time of the load. victim is the first model
+// to unload, or "". It is not possible if more is lost than gained.
+func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
+	cost = loadTime(known, model).Seconds() * loadWeight
 	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
 	if free >= model.SizeMB {
 		return cost, "", true
@@ -203,7 +242,10 @@
 		if victim == "" {
 			victim = leaving.name
 		}
-		cost += leaving.value + 0.05
+		if leaving.value > gain {
+			break
+		}
+		cost += leaving.value + evictionCost
 		free += leaving.sizeMB
 		if free >= model.SizeMB {
 			return cost, victim, true
@@ -231,19 +273,32 @@
 	return true
 }
 
-// value is the waiting, in seconds, that losing the runner's replica of the model is
-// expected to cost over the next while.
+const (
+	// evictionCost makes a runner with room preferable to one without.
+	evictionCost = 0.05
+	// patientHarm is how much of a late request it is to let a request wait for a load
+	// that its objective leaves time for.
+	patientHarm = 0.2
+	// spareValue keeps replicas of models with some demand a little longer than others.
+	spareValue = 0.02
+)
+
+// value is how many requests of the horizon are expected to be late without the
+// runner's replica of the model.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
-	const horizonSeconds = 20
 	service := known.status.Heartbeat.Service
-	replicas := float64(max(1, len(p.holders(service, model.Name))))
-	expected := p.modelRate(service, model.Name) * horizonSeconds
+	replicas := float64(len(p.holders(service, model.Name)))
+	demand := p.modelDemand(service, model.Name)
+	horizon := p.options.Horizon.Seconds()
 	if replicas <= 1 {
-		return min(expected, 6) * model.LoadTime.Seconds()
+		harm := 1.0
+		if demand.objective > model.LoadTime {
+			harm = patientHarm
+		}
+		return demand.rate * horizon * harm
 	}
-	// The other replicas serve the demand as long as they are not crowded by it.
-	load := expected / horizonSeconds / (replicas - 1) / p.options.ReplicaRate
-	return load * model.LoadTime.Seconds()
+	excess := demand.rate - (replicas-1)*p.options.ReplicaRate
+	return max(0, excess)*horizon + demand.rate*spareValue
 }
 
 func loadTime(known *runner, model *site.Model) time.Duration {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -281,15 +281,29 @@
 	return rows
 }
 
-// modelRate is the demand for a model with all of its adapters.
-func (p *Planner) modelRate(service, model string) float64 {
-	rate := 0.0
+// modelDemand is the demand for a model with all of its adapters.
+type modelDemand struct {
+	// rate is the larger of the long and the short average, in requests a second.
+	rate float64
+	// objective is the shortest of its rows; 0 if none is known.
+	objective time.Duration
+}
+
+func (p *Planner) modelDemand(service, model string) modelDemand {
+	var total modelDemand
+	recent := 0.0
 	for row, demand := range p.demands {
-		if row.Service == service && row.Model == model {
-			rate += demand.rate
+		if row.Service != service || row.Model != model {
+			continue
+		}
+		total.rate += demand.rate
+		recent += demand.recent
+		if demand.objective > 0 && (total.objective == 0 || demand.objective < total.objective) {
+			total.objective = demand.objective
 		}
 	}
-	return rate
+	total.rate = max(total.rate, recent)
+	return total
 }
 
 // Doubt notes runners that refused requests for what they were thought to hold. They
@@ -301,3 +315,48 @@
 		}
 	}
 }
+
+// ModelSummary is what the planner knows of a model.
+type ModelSummary struct {
+	Service string
+	Model   string
+	// Rate is the demand in requests a second.
+	Rate     float64
+	Waiting  int
+	Active   int
+	Replicas int
+	// Coming counts the runners that load it.
+	Coming int
+}
+
+// Summary lists the models with demand, the most demanded first.
+func (p *Planner) Summary(now time.Time) []ModelSummary {
+	found := make(map[Row]*ModelSummary)
+	for row, demand := range p.demands {
+		key := Row{Service: row.Service, Model: row.Model}
+		summary := found[key]
+		if summary == nil {
+			summary = &ModelSummary{Service: row.Service, Model: row.Model}
+			found[key] = summary
+		}
+		summary.Rate += demand.rate
+		summary.Waiting += demand.waits(now, row, p.options.DemandLife).count
+		for instance := range p.runners {
+			summary.Active += demand.active(now, instance, p.options.DemandLife)
+		}
+	}
+	summaries := make([]ModelSummary, 0, len(found))
+	for _, summary := range found {
+		summary.Replicas = len(p.holders(summary.Service, summary.Model))
+		for _, known := range p.runners {
+			if held := known.holdings[summary.Model]; held != nil && held.phase == phaseLoading {
+				summary.Coming++
+			}
+		}
+		summaries = append(summaries, *summary)
+	}
+	slices.SortFunc(summaries, func(a, b ModelSummary) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), strings.Compare(a.Model, b.Model))
+	})
+	return summaries
+}
--- a/residency/types.go
+++ b/residency/types.go
@@ -94,6 +94,9 @@
 	Oldest time.Duration
 	// Priority is that of the most urgent waiting request; 0 is the most urgent.
 	Priority int
+	// Objective is the shortest time to the first event that one of the requests that
+	// came or wait should see; 0 if none did.
+	Objective time.Duration
 	// Arrived counts the requests that came.
 	Arrived int
 	// Active counts the requests at runners.
