Keep registrations of runners in the log; test the controllers in virtual time

Cause: a new leader knew no runner until its next heartbeat, up to 1.2 s later, and planned no load before. A controller that its group had removed, and that heard of it from the leader's last messages, stayed a follower of a group that it did not belong to: found by the new test of the standby, which never ended.

Change: the domain's state keeps what seldom changes of each runner; a new leader recalls and asks them at once. A member whose own log first listed it and then does not starts anew under a new identity.

Ruled out: taking any membership without the member for its removal: a learner that receives the log from its beginning sees such ones.

--- a/domain/machine.go
+++ b/domain/machine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,10 +30,23 @@
 	Gone bool
 }
 
+// Registration is what seldom changes of a runner. It lets a new leader know the
+// runners before their next heartbeats.
+type Registration struct {
+	Instance string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+}
+
 // Command is a change of the state; exactly one field is set.
 type Command struct {
-	Put    *Document
-	Depart *Departure
+	Put      *Document
+	Depart   *Departure
+	Register *Registration
+	// Forget names an instance that has been silent for long.
+	Forget string
 }
 
 // Result is what Apply returns.
@@ -43,8 +57,9 @@
 
 // State is the whole replicated state.
 type State struct {
-	Document   Document
-	Departures []Departure
+	Document      Document
+	Departures    []Departure
+	Registrations []Registration
 }
 
 // Machine is the state machine. Its methods must not run at the same time, as
@@ -54,7 +69,9 @@
 	// departures is in the order of arrival; index finds an instance in it.
 	departures []Departure
 	index      map[string]int
-	changed    func()
+	// registrations is by instance.
+	registrations map[string]Registration
+	changed       func()
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -65,7 +82,7 @@
 	if changed == nil {
 		changed = func() {}
 	}
-	return &Machine{index: make(map[string]int), changed: changed}
+	return &Machine{index: make(map[string]int), registrations: make(map[string]Registration), changed: changed}
 }
 
 // Encode returns the command as bytes for a proposal.
@@ -86,6 +103,10 @@
 		m.put(*decoded.Put)
 	case decoded.Depart != nil:
 		m.depart(*decoded.Depart)
+	case decoded.Register != nil:
+		m.register(*decoded.Register)
+	case decoded.Forget != "":
+		delete(m.registrations, decoded.Forget)
 	}
 	return Result{Version: m.document.Version}
 }
@@ -100,9 +121,26 @@
 	m.changed()
 }
 
+// register notes a runner. An address has one runner: who was registered there before
+// has ended.
+func (m *Machine) register(registration Registration) {
+	if departure, known := m.Departure(registration.Instance); known && departure.Gone {
+		return
+	}
+	for instance, other := range m.registrations {
+		if other.Address == registration.Address {
+			delete(m.registrations, instance)
+		}
+	}
+	m.registrations[registration.Instance] = registration
+}
+
 // depart is final: a runner that is leaving never becomes ready again under the
 // same instance, and one that is gone is not leaving again.
 func (m *Machine) depart(departure Departure) {
+	if departure.Gone {
+		delete(m.registrations, departure.Instance)
+	}
 	if at, known := m.index[departure.Instance]; known {
 		if departure.Gone && !m.departures[at].Gone {
 			m.departures[at].Gone = true
@@ -146,9 +184,22 @@
 	return departures
 }
 
+// Registrations lists the registered runners by instance.
+func (m *Machine) Registrations() []Registration {
+	return slices.SortedFunc(maps.Values(m.registrations), func(a, b Registration) int {
+		return strings.Compare(a.Instance, b.Instance)
+	})
+}
+
+// Registered returns the registration of an instance.
+func (m *Machine) Registered(instance string) (Registration, bool) {
+	registration, known := m.registrations[instance]
+	return registration, known
+}
+
 // Snapshot implements group.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := msgpack.Marshal(&State{Document: m.document, Departures: m.departures})
+	data, err := msgpack.Marshal(&State{Document: m.document, Departures: m.departures, Registrations: m.Registrations()})
 	return data, errors.Wrap(err, "encode state of the domain")
 }
 
@@ -161,6 +212,10 @@
 	m.document = state.Document
 	m.departures = state.Departures
 	m.reindex()
+	clear(m.registrations)
+	for _, registration := range state.Registrations {
+		m.registrations[registration.Instance] = registration
+	}
 	m.changed()
 	return nil
 }
@@ -169,5 +224,6 @@
 func (m *Machine) Equal(other *Machine) bool {
 	return m.document.Version == other.document.Version &&
 		slices.Equal(m.document.Source, other.document.Source) &&
-		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index)
+		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index) &&
+		maps.Equal(m.registrations, other.registrations)
 }
--- a/domain/machine_test.go
+++ b/domain/machine_test.go
@@ -51,6 +51,7 @@
 	for _, name := range []string{"x", "y", "z"} {
 		apply(c, m, Command{Depart: &Departure{Instance: name}})
 	}
+	apply(c, m, Command{Register: &Registration{Instance: "r", Address: "10.0.0.1:1"}})
 	data, err := m.Snapshot()
 	c.Assert(err, qt.IsNil)
 	restored := NewMachine(nil)
@@ -68,3 +69,19 @@
 	_, err = Expand([]byte{0xff, 0x00})
 	c.Assert(err, qt.IsNotNil)
 }
+
+func TestAnAddressHasOneRegistration(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(nil)
+	apply(c, m, Command{Register: &Registration{Instance: "old", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Register: &Registration{Instance: "new", Address: "10.0.0.1:1"}})
+	c.Assert(m.Registrations(), qt.DeepEquals, []Registration{{Instance: "new", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Depart: &Departure{Instance: "new"}})
+	c.Assert(m.Registrations(), qt.HasLen, 1, qt.Commentf("it still serves"))
+	apply(c, m, Command{Depart: &Departure{Instance: "new", Gone: true}})
+	apply(c, m, Command{Register: &Registration{Instance: "new", Address: "10.0.0.1:1"}})
+	c.Assert(m.Registrations(), qt.HasLen, 0, qt.Commentf("a heartbeat that was late"))
+	apply(c, m, Command{Register: &Registration{Instance: "third", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Forget: "third"})
+	c.Assert(m.Registrations(), qt.HasLen, 0)
+}
--- /dev/null
+++ b/domainnode/domain_test.go
@@ -0,0 +1,472 @@
+package domainnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// testDomain is a domain of controllers in virtual time.
+type testDomain struct {
+	c       *qt.C
+	ctx     context.Context
+	network *networktest.Memory
+	seeds   []string
+	nodes   map[int]*runningNode
+	base    string
+	folders map[int]string
+	engines *fakeEngines
+	// started is set once the domain has been founded.
+	founded bool
+}
+
+type runningNode struct {
+	*Node
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+// fakeEngines notes orders and accepts them.
+type fakeEngines struct {
+	mutex  sync.Mutex
+	orders []sentOrder
+}
+
+type sentOrder struct {
+	holder Holder
+	at     time.Time
+}
+
+func (e *fakeEngines) Order(_ context.Context, holder Holder, _ residency.Order) residency.Outcome {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.orders = append(e.orders, sentOrder{holder, time.Now()})
+	return residency.OutcomeAccepted
+}
+
+func (e *fakeEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, error) {
+	return residency.Report{}, nil
+}
+
+func (e *fakeEngines) sent() []sentOrder {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.orders)
+}
+
+func decodeTestDocument(source []byte) (*site.Document, error) {
+	document := &site.Document{}
+	if err := json.Unmarshal(source, document); err != nil {
+		return nil, structs.NewError(structs.ErrorInvalid, err.Error(), "Send JSON.")
+	}
+	return document, nil
+}
+
+func address(index int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index + 1)}), 7000).String()
+}
+
+func newTestDomain(t *testing.T) *testDomain {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	d := &testDomain{
+		c: c, ctx: ctx, base: c.TempDir(), network: networktest.NewMemory(0), seeds: []string{address(0), address(1), address(2)},
+		nodes: make(map[int]*runningNode), folders: make(map[int]string), engines: &fakeEngines{},
+	}
+	c.Cleanup(func() {
+		for index := range d.nodes {
+			d.kill(index)
+		}
+		cancel()
+	})
+	return d
+}
+
+func (d *testDomain) start(indexes ...int) {
+	for _, index := range indexes {
+		if d.folders[index] == "" {
+			d.folders[index] = filepath.Join(d.base, fmt.Sprint(index))
+		}
+		node, err := New(Options{
+			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
+			Seeds: func() []string { return d.seeds }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
+			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
+		})
+		d.c.Assert(err, qt.IsNil)
+		ctx, end := context.WithCancel(context.Background())
+		running := &runningNode{Node: node, end: end, done: make(chan struct{})}
+		go func() {
+			defer close(running.done)
+			_ = node.Run(ctx)
+		}()
+		d.nodes[index] = running
+	}
+}
+
+// kill ends a node without handing anything over.
+func (d *testDomain) kill(index int) {
+	running := d.nodes[index]
+	delete(d.nodes, index)
+	running.end()
+	<-running.done
+}
+
+// wipe kills a node, if it runs, and empties its disk.
+func (d *testDomain) wipe(index int) {
+	if d.nodes[index] != nil {
+		d.kill(index)
+	}
+	d.c.Assert(os.Remove(filepath.Join(d.folders[index], storeFile)), qt.IsNil)
+}
+
+func (d *testDomain) await(what string, holds func() bool) {
+	for !holds() {
+		if !pause.For(d.ctx, 10*time.Millisecond) {
+			d.c.Fatalf("%s never came", what)
+		}
+	}
+}
+
+func (d *testDomain) status(index int) (group.Status, bool) {
+	running := d.nodes[index]
+	if running == nil {
+		return group.Status{}, false
+	}
+	joined, err := running.current()
+	if err != nil {
+		return group.Status{}, false
+	}
+	return joined.group.Status(), true
+}
+
+// leader returns the index of the node that leads with a valid lease, or -1.
+func (d *testDomain) leader() int {
+	for index := range d.nodes {
+		if status, known := d.status(index); known && status.IsLeader && status.LeaseValid {
+			return index
+		}
+	}
+	return -1
+}
+
+func (d *testDomain) awaitLeader() int {
+	d.await("a leader", func() bool { return d.leader() >= 0 })
+	return d.leader()
+}
+
+// awaitVoters waits until the group's voters are the stores of the nodes.
+func (d *testDomain) awaitVoters(indexes ...int) {
+	d.await(fmt.Sprint("voters ", indexes), func() bool {
+		leader := d.leader()
+		if leader < 0 {
+			return false
+		}
+		status, _ := d.status(leader)
+		if len(status.CommittedMembership.Voters) != len(indexes) {
+			return false
+		}
+		for _, index := range indexes {
+			own, known := d.status(index)
+			if !known || !status.CommittedMembership.HasVoter(own.Node) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *testDomain) found(indexes ...int) {
+	d.start(indexes...)
+	d.awaitVoters(0, 1, 2)
+	d.founded = true
+}
+
+func source(version int) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Limits":{"MaxBodyBytes":1}}`, version)
+}
+
+// put sends a document to any node until it is acknowledged.
+func (d *testDomain) put(version int) {
+	d.await(fmt.Sprint("the acknowledgement of version ", version), func() bool {
+		for _, running := range d.nodes {
+			if running.PutDocument(d.ctx, source(version)) == nil {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// read reads the document at a node until it answers.
+func (d *testDomain) read(index int) string {
+	var found []byte
+	d.await("a read", func() bool {
+		read, err := d.nodes[index].Document(d.ctx)
+		found = read
+		return err == nil
+	})
+	return string(found)
+}
+
+func inDomain(t *testing.T, test func(d *testDomain)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) { test(newTestDomain(t)) })
+}
+
+func TestSeedsFoundTheGroupAndOthersJoinIt(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.start(3, 2, 1, 0)
+		d.awaitVoters(0, 1, 2)
+		d.await("the fourth as a learner", func() bool {
+			status, _ := d.status(d.awaitLeader())
+			return len(status.CommittedMembership.Learners) == 1
+		})
+		d.put(4)
+		for index := range 4 {
+			d.c.Assert(d.read(index), qt.Equals, string(source(4)))
+		}
+	})
+}
+
+func TestSameOrOlderVersionsAreAcknowledgedAndChangeNothing(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(5)
+		d.put(3)
+		other := []byte(`{"Version":5,"Limits":{"MaxBodyBytes":99}}`)
+		d.await("the acknowledgement of other content", func() bool { return d.nodes[1].PutDocument(d.ctx, other) == nil })
+		d.c.Assert(d.read(2), qt.Equals, string(source(5)))
+		err := d.nodes[0].PutDocument(d.ctx, []byte(`{"Version":9,"Routes":[{"Name":"r"}]}`))
+		d.c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+		d.c.Assert(d.read(0), qt.Equals, string(source(5)))
+	})
+}
+
+func TestMinorityAnswersNothing(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(1)
+		d.kill(1)
+		d.kill(2)
+		pause.For(d.ctx, 5*time.Second)
+		_, err := d.nodes[0].Document(d.ctx)
+		d.c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
+		d.c.Assert(d.nodes[0].PutDocument(d.ctx, source(2)), qt.IsNotNil)
+		d.c.Assert(d.nodes[0].Heartbeat(d.ctx, fleet.Heartbeat{Instance: "r", Leaving: true}), qt.IsNotNil)
+		d.c.Assert(d.nodes[0].Depart(d.ctx, "r"), qt.IsNotNil)
+	})
+}
+
+func TestStandbyTakesThePlaceOfALostVoterAndTheLostOneJoinsAnew(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2, 3)
+		d.put(1)
+		d.kill(0)
+		d.awaitVoters(1, 2, 3)
+		d.put(2)
+		before := d.folders[0]
+		d.start(0)
+		d.await("the former voter as a learner", func() bool {
+			own, known := d.status(0)
+			leader, _ := d.status(d.awaitLeader())
+			return known && leader.CommittedMembership.HasLearner(own.Node)
+		})
+		d.c.Assert(d.folders[0], qt.Equals, before)
+		d.c.Assert(d.read(0), qt.Equals, string(source(2)))
+	})
+}
+
+func TestDisksMayBeLostOneAfterTheOther(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		for round := 1; round <= 6; round++ {
+			d.put(round)
+			victim := round % 3
+			d.wipe(victim)
+			pause.For(d.ctx, time.Second)
+			d.start(victim)
+			d.awaitVoters(0, 1, 2)
+		}
+		d.c.Assert(d.read(0), qt.Equals, string(source(6)))
+	})
+}
+
+// The disk of one is lost right after an acknowledgement, and all others restart.
+func TestLostDiskAndPowerLossOfAllLoseNothing(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		for round := 1; round <= 6; round++ {
+			d.put(round)
+			victim := d.leader()
+			if round%2 == 0 || victim < 0 {
+				victim = round % 3
+			}
+			d.wipe(victim)
+			for index := range 3 {
+				if d.nodes[index] != nil {
+					d.kill(index)
+				}
+			}
+			d.start(0, 1, 2)
+			d.awaitVoters(0, 1, 2)
+			d.c.Assert(d.read(victim), qt.Equals, string(source(round)))
+		}
+	})
+}
+
+// A member that missed a change and one that lost its disk are no quorum.
+func TestStaleMemberAndEmptyDiskAreNoQuorum(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(1)
+		d.kill(2)
+		d.put(2)
+		d.wipe(0)
+		d.kill(1)
+		d.start(2, 0)
+		pause.For(d.ctx, 10*time.Second)
+		d.c.Assert(d.leader(), qt.Equals, -1)
+		d.start(1)
+		d.awaitVoters(0, 1, 2)
+		d.c.Assert(d.read(2), qt.Equals, string(source(2)))
+	})
+}
+
+func TestControllerGoneForGoodIsReplacedByAnEmptyOne(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(1)
+		for next := 3; next < 6; next++ {
+			d.kill(next - 3)
+			// A new machine is told of controllers that live.
+			d.seeds = []string{address(next - 2), address(next - 1)}
+			d.start(next)
+			d.awaitVoters(next-2, next-1, next)
+		}
+		d.put(2)
+		d.c.Assert(d.read(5), qt.Equals, string(source(2)))
+	})
+}
+
+func TestEmptyDisksFoundNoSecondGroup(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(1)
+		d.wipe(0)
+		d.kill(1)
+		d.kill(2)
+		d.start(0)
+		pause.For(d.ctx, 10*time.Second)
+		status, known := d.status(0)
+		d.c.Assert(known, qt.IsTrue)
+		d.c.Assert(status.Held, qt.IsTrue)
+		d.start(1, 2)
+		d.awaitVoters(0, 1, 2)
+		d.c.Assert(d.read(0), qt.Equals, string(source(1)))
+	})
+}
+
+func TestDepartureOutlivesItsLeader(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		leader := d.awaitLeader()
+		d.await("the departure", func() bool { return d.nodes[leader].Depart(d.ctx, "r") == nil })
+		d.kill(leader)
+		next := d.awaitLeader()
+		d.await("a heartbeat that was late", func() bool {
+			return d.nodes[next].Heartbeat(d.ctx, fleet.Heartbeat{Instance: "r", Address: "10.9.9.9:1", Sequence: 9}) == nil
+		})
+		joined, err := d.nodes[next].current()
+		d.c.Assert(err, qt.IsNil)
+		joined.leads().mutex.Lock()
+		defer joined.leads().mutex.Unlock()
+		d.c.Assert(joined.leads().registry.Runners(time.Now()), qt.HasLen, 0)
+	})
+}
+
+func TestNewLeaderKnowsTheRunners(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		leader := d.awaitLeader()
+		heartbeat := fleet.Heartbeat{Instance: "r", Service: "s", Address: "10.9.9.9:1", Slots: 4, Sequence: 1}
+		d.await("a heartbeat", func() bool { return d.nodes[leader].Heartbeat(d.ctx, heartbeat) == nil })
+		pause.For(d.ctx, time.Second)
+		d.kill(leader)
+		next := d.awaitLeader()
+		joined, err := d.nodes[next].current()
+		d.c.Assert(err, qt.IsNil)
+		d.await("the leadership", func() bool { return joined.leads() != nil })
+		joined.leads().mutex.Lock()
+		defer joined.leads().mutex.Unlock()
+		runners := joined.leads().registry.Runners(time.Now())
+		d.c.Assert(runners, qt.HasLen, 1)
+		d.c.Assert(runners[0].Recalled, qt.IsTrue)
+	})
+}
+
+func TestLeadersLeaveTheLeaseBetweenTheirOrders(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		document := []byte(`{"Version":3,"Services":[{"Name":"s","Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
+			`"Models":[{"Name":"m","SizeMB":1,"Adapters":50}]}}]}`)
+		d.await("the document", func() bool { return d.nodes[0].PutDocument(d.ctx, document) == nil })
+		work := func(seconds int) {
+			for step := range seconds * 5 {
+				leader := d.awaitLeader()
+				joined, err := d.nodes[leader].current()
+				if err == nil {
+					if current := joined.leads(); current != nil {
+						current.heard(fleet.Heartbeat{
+							Instance: "r", Service: "s", Address: "10.9.9.9:1", Sequence: uint64(time.Now().UnixMilli()),
+							Models: []fleet.LoadedModel{{Name: "m"}},
+						})
+						current.mutex.Lock()
+						row := residency.Row{Service: "s", Model: "m", Adapter: fmt.Sprint("a", step)}
+						current.planner.Observe(time.Now(), "router", []residency.Demand{{Row: row, Waiting: 1, Arrived: 1}})
+						current.mutex.Unlock()
+						current.wakePlan()
+					}
+				}
+				pause.For(d.ctx, 200*time.Millisecond)
+			}
+		}
+		for range 3 {
+			work(8)
+			leader := d.awaitLeader()
+			d.kill(leader)
+			d.awaitLeader()
+			d.start(leader)
+		}
+		orders := d.engines.sent()
+		d.c.Assert(len(orders) > 20, qt.IsTrue, qt.Commentf("%d orders", len(orders)))
+		holders := make(map[Holder]bool)
+		for i, order := range orders {
+			holders[order.holder] = true
+			if i > 0 && orders[i-1].holder != order.holder {
+				d.c.Assert(order.holder.Token > orders[i-1].holder.Token, qt.IsTrue)
+				d.c.Assert(order.at.Sub(orders[i-1].at) >= 3*time.Second, qt.IsTrue)
+			}
+		}
+		d.c.Assert(len(holders) >= 3, qt.IsTrue)
+	})
+}
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -105,6 +105,11 @@
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
+		for _, each := range joined.machine.Registrations() {
+			l.registry.Recall(at, fleet.Heartbeat{
+				Instance: each.Instance, Service: each.Service, Address: each.Address, Zone: each.Zone, Slots: each.Slots,
+			})
+		}
 	})
 	joined.mutex.Lock()
 	joined.leadership = l
@@ -172,7 +177,7 @@
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
 	l.refresh(at)
-	l.logSummary(at)
+	l.sumUp(at)
 	l.mutex.Unlock()
 	for _, status := range questions {
 		go l.ask(ctx, status)
@@ -189,12 +194,14 @@
 	summaryModels   = 8
 )
 
-// logSummary logs the demand and how it is met. It runs under the mutex.
-func (l *leadership) logSummary(at time.Time) {
+// sumUp logs the demand and how it is met, and forgets what has been silent for long.
+// It runs under the mutex.
+func (l *leadership) sumUp(at time.Time) {
 	if at.Sub(l.summedUpAt) < summaryInterval {
 		return
 	}
 	l.summedUpAt = at
+	l.forgetSilent(at)
 	var models []string
 	waiting := 0
 	for _, summary := range l.planner.Summary(at) {
@@ -317,14 +324,52 @@
 	return known && now().Sub(at) < stoppingLife
 }
 
-// heard takes a heartbeat and reports whether it changed the view.
+// heard takes a heartbeat. A runner that is not registered is put in the log, for the
+// leaders to come; nobody waits for that.
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	l.registry.Hear(now(), heartbeat)
 	l.refresh(now())
+	l.mutex.Unlock()
+	registration := domain.Registration{
+		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
+		Zone: heartbeat.Zone, Slots: heartbeat.Slots,
+	}
+	var known domain.Registration
+	l.member.group.View(func() { known, _ = l.member.machine.Registered(heartbeat.Instance) })
+	if known != registration {
+		go l.record(domain.Command{Register: &registration})
+	}
+}
+
+// record proposes a command whose loss costs only time.
+func (l *leadership) record(command domain.Command) {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	encoded, err := command.Encode()
+	if err == nil {
+		_, err = l.member.group.Propose(ctx, encoded)
+	}
+	if err != nil {
+		level.Debug(l.logger).Log("msg", "A command was not recorded.", "err", err)
+	}
+}
+
+// forgetSilent takes runners that have been silent for long out of the log.
+func (l *leadership) forgetSilent(at time.Time) {
+	for _, instance := range l.registry.Silent(at, forgetRunnerAfter) {
+		isRegistered := false
+		l.member.group.View(func() { _, isRegistered = l.member.machine.Registered(instance) })
+		if isRegistered {
+			go l.record(domain.Command{Forget: instance})
+		}
+	}
 }
 
+// forgetRunnerAfter is how long a runner must be silent before it is no longer
+// recalled by the leaders to come.
+const forgetRunnerAfter = 20 * time.Second
+
 // departed takes a committed departure and waits until the routers that are in
 // contact have asked for more after they were told.
 func (l *leadership) departed(ctx context.Context, departure domain.Departure) {
--- a/domainnode/membership.go
+++ b/domainnode/membership.go
@@ -42,6 +42,10 @@
 		n.refreshAddresses()
 		status := joined.group.Status()
 		switch {
+		case n.isRemoved(joined, status):
+			joined.removed = true
+			stop()
+			return
 		case status.IsLeader:
 			leaderSeen = now()
 			n.learnMembers(status)
@@ -60,6 +64,21 @@
 	}
 }
 
+// isRemoved reports whether the member's own log holds its removal. A member that is
+// still receiving the log may see memberships from before it joined, so that one that
+// does not list it counts only after one that did.
+func (n *Node) isRemoved(joined *member, status group.Status) bool {
+	committed := status.CommittedMembership
+	switch {
+	case status.Held || len(committed.Voters) == 0:
+		return false
+	case committed.Has(status.Node):
+		joined.wasMember = true
+		return false
+	}
+	return joined.wasMember
+}
+
 // enter tries until the member takes part. What it waits for is logged on change.
 func (n *Node) enter(ctx context.Context, joined *member) {
 	waits := ""
--- a/domainnode/node.go
+++ b/domainnode/node.go
@@ -53,8 +53,10 @@
 	leadership *leadership
 	// changed is closed and replaced at each change of the machine.
 	changed chan struct{}
-	// removed is set once the group is found to have removed the member.
-	removed bool
+	// wasMember is set once the member's own log has listed it, removed once the group
+	// is found to have removed it. Only the membership loop uses them while it runs.
+	wasMember bool
+	removed   bool
 }
 
 // New makes a node that listens at once and takes part once Run is called.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -83,3 +83,16 @@
 	r.Hear(start, beat("new", 2))
 	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"new"})
 }
+
+func TestRecalledRunnerIsListedUntilItsHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	r.Depart(start, "gone", true)
+	r.Recall(start, beat("gone", 0))
+	r.Recall(start, beat("a", 0))
+	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"a"})
+	c.Assert(r.Runners(start)[0].Recalled, qt.IsTrue)
+	c.Assert(r.Hear(start, beat("a", 3)), qt.IsTrue)
+	c.Assert(r.Runners(start)[0].Recalled, qt.IsFalse)
+	c.Assert(r.Silent(start.Add(time.Minute), 20*time.Second), qt.DeepEquals, []string{"a", "gone"})
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -31,7 +31,9 @@
 	gone      bool
 	// displaced is set while another instance is at the address.
 	displaced bool
-	endsAt    time.Time
+	// recalled is set until the first heartbeat of a runner that was recalled.
+	recalled bool
+	endsAt   time.Time
 }
 
 // NewRegistry makes a registry of a leadership that begins now.
@@ -51,6 +53,7 @@
 	}
 	known.heartbeat = heartbeat
 	known.heardAt = now
+	known.recalled = false
 	r.takeAddress(heartbeat)
 	if heartbeat.Leaving {
 		known.leave(now, heartbeat.EndsIn)
@@ -58,6 +61,26 @@
 	return true
 }
 
+// Recall takes a runner that the leader before knew. Until its first heartbeat it is
+// listed without models.
+func (r *Registry) Recall(now time.Time, heartbeat Heartbeat) {
+	if r.runners[heartbeat.Instance] == nil {
+		r.runners[heartbeat.Instance] = &record{heartbeat: heartbeat, heardAt: now, recalled: true}
+	}
+}
+
+// Silent lists the instances that have been silent for longer than the time, sorted.
+func (r *Registry) Silent(now time.Time, limit time.Duration) []string {
+	var silent []string
+	for instance, known := range r.runners {
+		if now.Sub(known.heardAt) > limit {
+			silent = append(silent, instance)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
 // takeAddress notes that an instance is at its address, and so no other one. Should
 // the heartbeat have been late, the other's next one takes the address back.
 func (r *Registry) takeAddress(heartbeat Heartbeat) {
@@ -105,6 +128,8 @@
 	// EndsAt is when a runner that is leaving at short notice ends; zero if unknown.
 	EndsAt  time.Time
 	HeardAt time.Time
+	// Recalled runners have not been heard since the leader began.
+	Recalled bool
 }
 
 // Runners lists the runners that are not gone and not silent, by instance.
@@ -119,6 +144,7 @@
 		}
 		listed = append(listed, Status{
 			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, HeardAt: known.heardAt,
+			Recalled: known.recalled,
 		})
 	}
 	slices.SortFunc(listed, func(a, b Status) int { return strings.Compare(a.Heartbeat.Instance, b.Heartbeat.Instance) })
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -68,7 +68,8 @@
 			known = &runner{holdings: make(map[string]*holding)}
 			p.runners[instance] = known
 		}
-		isNew := status.Heartbeat.Sequence > known.status.Heartbeat.Sequence || known.status.Heartbeat.Instance == ""
+		wasHeard := known.status.Heartbeat.Instance != "" && !known.status.Recalled
+		isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
 		known.status = status
 		if isNew {
 			known.isGone = false
@@ -121,11 +122,12 @@
 
 // Questions lists the runners that should be asked for a report now.
 func (p *Planner) Questions(now time.Time) []fleet.Status {
-	if now.Before(p.ordersFrom.Add(-p.options.AskAgain)) {
-		return nil
-	}
+	isEarly := now.Before(p.ordersFrom.Add(-p.options.AskAgain))
 	var asked []fleet.Status
 	for _, known := range p.sorted() {
+		if isEarly && (!known.status.Recalled || len(known.holdings) > 0) {
+			continue
+		}
 		if p.engineOf(known) == nil || known.status.Leaving || known.isGone || known.sent || known.isTakenKnown {
 			continue
 		}
