Refuse what waits when a router stops, and answer what is left before it ends

Change: once a stopping router takes no more, what waits is refused as not run; what is left shortly before the end is answered. Test: fails before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -41,6 +41,9 @@
 // errTimeout is the cause of ending a request whose time is over.
 var errTimeout = errors.New("the time of the request is over")
 
+// errStopped is the cause of ending what is left when a router stops.
+var errStopped = errors.New("the router stops")
+
 // exchange is one request on its way.
 type exchange struct {
 	router  *Router
@@ -95,6 +98,9 @@
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(r.stop.cut, func() { end(errStopped) })()
 	x.run(ctx)
 }
 
@@ -162,6 +168,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, limit, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	return x.router.acquire(ctx, &waiter{
 		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.route.Priority, since: x.request.Arrived,
 	})
@@ -312,6 +321,9 @@
 	case errors.Is(cause, errTimeout):
 		ended.reason = "timeout"
 		ended.outcome = routing.OutcomeNeutral
+	case errors.Is(cause, errStopped):
+		ended.reason = "router_stops"
+		ended.outcome = routing.OutcomeNeutral
 	default:
 		ended.reason = "caller_left"
 		ended.outcome = routing.OutcomeNeutral
@@ -459,6 +471,10 @@
 
 // giveUp answers a request for which no runner was found in time.
 func (x *exchange) giveUp(err error) {
+	if errors.Is(err, errStopped) {
+		x.fail("router_stops", err)
+		return
+	}
 	if !errors.Is(err, errTimeout) {
 		x.router.log(x.request, x.version, "caller_left", err)
 		return
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -443,3 +443,30 @@
 	recorder, _ := ask(router, t.Context(), "/nowhere/", "")
 	c.Assert(recorder.Code, qt.Equals, http.StatusNotFound)
 }
+
+func TestStopRefusesWhatWaitsAndAnswersWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		go func() {
+			time.Sleep(time.Second)
+			router.RefuseWaiting()
+			time.Sleep(time.Second)
+			router.CutAll()
+		}()
+		began := time.Now()
+		sent := make(chan int)
+		go func() {
+			recorder, _ := ask(router, t.Context(), "/once/x", "")
+			sent <- recorder.Code
+		}()
+		waiting, _ := ask(router, t.Context(), "/stream/x", "rare")
+		c.Assert(waiting.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(time.Since(began), qt.Equals, time.Second)
+		c.Assert(<-sent, qt.Equals, http.StatusBadGateway)
+		c.Assert(time.Since(began), qt.Equals, 2*time.Second)
+	})
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -29,6 +29,7 @@
 	index atomic.Pointer[site.Index]
 	// known is closed once a document is in force.
 	known chan struct{}
+	stop  stops
 	// report asks the report loop for a report now.
 	report chan struct{}
 
@@ -67,6 +68,7 @@
 		logger:  log.With(options.Logger, "component", "router"),
 		client:  client,
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
+		stop:    newStops(),
 		report:  make(chan struct{}, 1),
 		random:  random,
 		balancer: routing.New(routing.Options{
