--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/residency"
@@ -65,6 +66,13 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent int64
 	deadline  time.Time
+	// waited is how long the request waited for runners, and begunAt when the head of
+	// its answer was sent.
+	waited  time.Duration
+	begunAt time.Time
+	// passedAt is when events were last passed on, and pause the longest time between.
+	passedAt time.Time
+	pause    time.Duration
 }
 
 // Serve answers a request. It panics with http.ErrAbortHandler when an answer that
@@ -134,7 +142,9 @@
 // run tries runners until one has answered or no other may be tried.
 func (x *exchange) run(ctx context.Context) {
 	for {
+		began := time.Now()
 		choice, err := x.acquire(ctx)
+		x.waited += time.Since(began)
 		if err != nil {
 			x.giveUp(err)
 			return
@@ -147,6 +157,7 @@
 		result := x.attempt(ctx, choice)
 		x.router.release(x.row, choice, result.outcome)
 		if result.isDone {
+			x.logServed(choice, result)
 			return
 		}
 		x.avoid = choice.Runner()
@@ -395,7 +406,7 @@
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.writer.WriteHeader(answer.Status)
-	x.isStarted = true
+	x.isStarted, x.begunAt = true, time.Now()
 }
 
 // pass sends a whole answer to the caller.
@@ -403,7 +414,7 @@
 	copyHeader(x.writer.Header(), whole.header)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
 	x.writer.WriteHeader(whole.status)
-	x.isStarted = true
+	x.isStarted, x.begunAt = true, time.Now()
 	_, _ = x.writer.Write(whole.body)
 }
 
@@ -466,6 +477,11 @@
 	if !isWritten {
 		return nil
 	}
+	at := time.Now()
+	if !x.passedAt.IsZero() {
+		x.pause = max(x.pause, at.Sub(x.passedAt))
+	}
+	x.passedAt = at
 	return controller.Flush()
 }
 
@@ -537,6 +553,23 @@
 		"age", time.Since(request.Arrived), "outcome", outcome, "err", err)
 }
 
+// logServed logs a request that was answered: always when the answer was late or took
+// more than one sending, and else one in so many, by the request's ID.
+func (x *exchange) logServed(choice routing.Choice, ended result) {
+	first := x.begunAt.Sub(x.request.Arrived)
+	isLate := x.isStarted && x.route.Objective > 0 && first > x.route.Objective ||
+		x.route.MaxPause > 0 && x.pause > x.route.MaxPause
+	if !isLate && x.sent == 1 && xxhash.Sum64String(x.request.ID)%servedLogSample != 0 {
+		return
+	}
+	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "route", x.route.Name,
+		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
+		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", time.Since(x.request.Arrived), "version", x.version, "outcome", ended.reason)
+}
+
+// servedLogSample is how many ordinary answers one line stands for.
+const servedLogSample = 16
+
 func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
 	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "runner", choice.Runner(),
 		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
