Spare slow runners; order a lease after the last order of others

(2) a new leader waited 3.4 s before its first order even when the former leader was dead and runners refuse old fences.

Change: routers report the usual gap between events of each stream; the leader compares the runners of a model and marks the slow ones; routers choose them only when others are much more loaded, and models in demand are loaded elsewhere. A new leader asks the other members when they last ordered and waits a lease from there; where fences are not enforced it waits the whole lease as before.

--- a/domainapi/messages.go
+++ b/domainapi/messages.go
@@ -4,6 +4,8 @@
 package domainapi
 
 import (
+	"time"
+
 	"github.com/lotusferry/lotusferry/domain"
 	"github.com/lotusferry/lotusferry/fleet"
 	"github.com/lotusferry/lotusferry/group"
@@ -52,6 +54,10 @@
 	Committed raft.Membership
 	Applied   uint64
 	HasLeader bool
+	// HasOrdered is set if the process has sent orders to runners, and SinceOrder how
+	// long ago it sent the last.
+	HasOrdered bool
+	SinceOrder time.Duration
 }
 
 // FoundArguments give a member the founding members of a new group.
@@ -112,4 +118,6 @@
 	Demands []residency.Demand
 	// Doubted are runners that refused what they were thought to hold.
 	Doubted []string
+	// Paces are those of streams that have ended.
+	Paces []residency.Pace
 }
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -36,6 +36,7 @@
 
 // leadership is what a member holds in memory while it leads, in one term.
 type leadership struct {
+	node    *Node
 	logger  log.Logger
 	options Options
 	member  *member
@@ -89,14 +90,16 @@
 
 func (n *Node) beginLeadership(ctx context.Context, joined *member, term structs.Epoch) {
 	at := now()
+	ordersFrom := n.ordersFrom(ctx, at)
 	l := &leadership{
+		node:     n,
 		logger:   log.With(n.logger, "term", term),
 		options:  n.options,
 		member:   joined,
 		term:     term,
 		wake:     make(chan struct{}, 1),
 		registry: fleet.NewRegistry(at),
-		planner:  residency.NewPlanner(n.options.Planner, at.Add(n.options.OrderLease)),
+		planner:  residency.NewPlanner(n.options.Planner, ordersFrom),
 		changed:  make(chan struct{}),
 		routers:  make(map[string]routerContact),
 		stopping: make(map[raft.NodeID]time.Time),
@@ -114,10 +117,38 @@
 	joined.mutex.Lock()
 	joined.leadership = l
 	joined.mutex.Unlock()
-	level.Info(l.logger).Log("msg", "This controller leads.", "orders_from", n.options.OrderLease)
+	level.Info(l.logger).Log("msg", "This controller leads.", "orders_in", ordersFrom.Sub(at))
 	go l.run(ctx)
 }
 
+// ordersFrom is when a leader that begins at the time may send its first order: a lease
+// after the last order of any other. Where fences are not enforced, a member that does
+// not answer may have sent one just now.
+func (n *Node) ordersFrom(ctx context.Context, at time.Time) time.Time {
+	latest := at.Add(n.options.OrderLease)
+	if !n.options.FencesEnforced {
+		return latest
+	}
+	replies, _ := n.describeOthers(ctx)
+	from := at
+	for _, reply := range replies {
+		if reply.HasOrdered {
+			from = later(from, now().Add(n.options.OrderLease-reply.SinceOrder))
+		}
+	}
+	if from.After(latest) {
+		return latest
+	}
+	return from
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *member) leads() *leadership {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -253,6 +284,7 @@
 			Zone:     heartbeat.Zone,
 			Slots:    heartbeat.Slots,
 			Leaving:  status.Leaving,
+			Slow:     l.planner.IsSlow(heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
@@ -305,6 +337,7 @@
 	outcome := residency.OutcomeRefused
 	began := now()
 	if l.isValid() {
+		l.node.lastOrder.Store(&began)
 		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
 	}
 	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
--- a/domainnode/node.go
+++ b/domainnode/node.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,6 +36,8 @@
 	client  *transport.Client
 	// caller reaches the leader, which may be this node.
 	caller *leadercall.Caller
+	// lastOrder is when this process last sent an order; nil for never.
+	lastOrder atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
 	// member is nil while the store is closed.
--- a/domainnode/options.go
+++ b/domainnode/options.go
@@ -48,12 +48,15 @@
 	DataFolder string
 	// Voters is how many members should vote.
 	Voters int
-	// OrderLease is how long a new leader waits before its first order, so that
-	// orders of the one before are out of the way.
+	// OrderLease is the least time between the orders of two holders.
 	OrderLease time.Duration
-	Decoder    Decoder
-	Engines    Engines
-	Planner    residency.Options
+	// FencesEnforced says that runners refuse orders with an older token than one they
+	// have seen. Then a new leader need not wait for a former one that it cannot reach:
+	// orders that still come from there are refused.
+	FencesEnforced bool
+	Decoder        Decoder
+	Engines        Engines
+	Planner        residency.Options
 	// Network is what is listened on and dialled over; nil means TCP.
 	Network network.Network
 	// Timing; zero values mean the defaults.
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -17,7 +17,7 @@
 	WatchTime = 500 * time.Millisecond
 	// commitTimeout bounds a change or read of the replicated state.
 	commitTimeout = 900 * time.Millisecond
-	// maxWatchers bounds nothing but the list in a reply.
+	// maxControllers bounds the list of controllers in a reply.
 	maxControllers = 64
 )
 
@@ -38,6 +38,10 @@
 	reply.Committed = status.CommittedMembership
 	reply.Applied = status.AppliedIndex
 	reply.HasLeader = status.LeaderNode != raft.None
+	if ordered := s.node.lastOrder.Load(); ordered != nil {
+		reply.HasOrdered = true
+		reply.SinceOrder = now().Sub(*ordered)
+	}
 	return nil
 }
 
@@ -231,7 +235,7 @@
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
 		if revision != known || document.Version > arguments.Version {
-			fillWatch(reply, arguments, known, document, current, revision)
+			fillWatch(reply, arguments, document, current, revision)
 			if revision != known {
 				reply.View = &view
 			}
@@ -243,7 +247,7 @@
 		case <-viewChanged:
 			continue
 		case <-timeout.C:
-			fillWatch(reply, arguments, known, document, current, revision)
+			fillWatch(reply, arguments, document, current, revision)
 		}
 		break
 	}
@@ -261,7 +265,7 @@
 	return nil
 }
 
-func fillWatch(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known uint64, document domain.Document, current *leadership, revision uint64) {
+func fillWatch(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, document domain.Document, current *leadership, revision uint64) {
 	reply.Term = uint64(current.term)
 	reply.Revision = revision
 	if document.Version > arguments.Version {
@@ -276,6 +280,7 @@
 		current.mutex.Lock()
 		current.planner.Observe(now(), arguments.Router, arguments.Demands)
 		current.planner.Doubt(now(), arguments.Doubted)
+		current.planner.ObservePace(now(), arguments.Paces)
 		current.mutex.Unlock()
 		current.wakePlan()
 	}
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -40,6 +40,8 @@
 	Zone     string
 	Slots    int
 	Leaving  bool
+	// Slow runners take longer than others for the same work.
+	Slow bool
 	// Models are ready for requests.
 	Models []LoadedModel
 }
@@ -47,7 +49,7 @@
 // Equal reports whether two views of a runner are the same.
 func (r Runner) Equal(other Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
-		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving &&
+		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		})
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -73,6 +74,8 @@
 	// passedAt is when events were last passed on, and pause the longest time between.
 	passedAt time.Time
 	pause    time.Duration
+	// gaps are the first times between events that came one by one.
+	gaps []time.Duration
 }
 
 // Serve answers a request. It panics with http.ErrAbortHandler when an answer that
@@ -157,6 +160,7 @@
 		result := x.attempt(ctx, choice)
 		x.router.release(x.row, choice, result.outcome)
 		if result.isDone {
+			x.notePace(choice)
 			x.logServed(choice, result)
 			return
 		}
@@ -456,7 +460,7 @@
 // passEvents passes on the whole events that have come. Events that the caller has
 // already are dropped.
 func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
-	isWritten := false
+	written := 0
 	for event := events.next(); event != nil; event = events.next() {
 		if number, found := eventID(event); found {
 			if number <= x.lastEvent {
@@ -472,17 +476,43 @@
 		if _, err := x.writer.Write(event); err != nil {
 			return err
 		}
-		isWritten = true
+		written++
 	}
-	if !isWritten {
+	if written == 0 {
 		return nil
 	}
+	x.notePassed(written)
+	return controller.Flush()
+}
+
+const (
+	// maxGaps are the gaps kept of a stream, minGaps the least that tell its pace.
+	maxGaps = 48
+	minGaps = 8
+)
+
+// notePassed notes that events were passed on now.
+func (x *exchange) notePassed(events int) {
 	at := time.Now()
 	if !x.passedAt.IsZero() {
-		x.pause = max(x.pause, at.Sub(x.passedAt))
+		gap := at.Sub(x.passedAt)
+		x.pause = max(x.pause, gap)
+		if events == 1 && len(x.gaps) < maxGaps {
+			x.gaps = append(x.gaps, gap)
+		}
 	}
 	x.passedAt = at
-	return controller.Flush()
+}
+
+// notePace tells the router the usual gap of a stream that one runner made.
+func (x *exchange) notePace(choice routing.Choice) {
+	if len(x.gaps) < minGaps || x.attempts != 1 || x.row.Model == "" {
+		return
+	}
+	slices.Sort(x.gaps)
+	x.router.notePace(residency.Pace{
+		Service: x.row.Service, Model: x.row.Model, Instance: string(choice.Runner()), Gap: x.gaps[len(x.gaps)/2],
+	})
 }
 
 // giveUp answers a request for which no runner was found in time.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -142,13 +142,13 @@
 
 func (r *Router) reportDemand(ctx context.Context) {
 	demands := r.takeDemands(time.Now())
-	doubted := r.takeDoubted()
-	if len(demands) == 0 && len(doubted) == 0 {
+	doubted, paces := r.takeDoubted(), r.takePaces()
+	if len(demands) == 0 && len(doubted) == 0 && len(paces) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	arguments := domainapi.DemandArguments{Router: r.options.Name, Demands: demands, Doubted: doubted}
+	arguments := domainapi.DemandArguments{Router: r.options.Name, Demands: demands, Doubted: doubted, Paces: paces}
 	_, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.Reply { return &domainapi.Reply{} })
 	if err != nil && ctx.Err() == nil {
--- a/relay/router.go
+++ b/relay/router.go
@@ -43,6 +43,8 @@
 	doubted  map[string]bool
 	// heard is when each runner last sent something.
 	heard map[structs.RunnerID]time.Time
+	// paces are those of streams that have ended since the last report.
+	paces []residency.Pace
 }
 
 const (
@@ -51,6 +53,9 @@
 	tryTimeout  = 400 * time.Millisecond
 	// defaultBatch is the room of a runner that has not said its own.
 	defaultBatch = 16
+	// slowPenalty is by which share of a batch others must be more loaded before a slow
+	// runner is chosen.
+	slowPenalty = 0.3
 	// reportLife is how long a runner's number of slots is believed.
 	reportLife = 24 * time.Hour
 )
@@ -103,6 +108,11 @@
 	r.view = fleet.Merge(r.view, view)
 	r.balancer.SetPlacement(placement(r.view))
 	for _, runner := range r.view.Runners {
+		penalty := 0.0
+		if runner.Slow {
+			penalty = slowPenalty
+		}
+		r.balancer.SetPenalty(structs.RunnerID(runner.Instance), penalty)
 		if runner.Slots > 0 {
 			r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), structs.LoadReport{MaxBatch: runner.Slots, ObservedAt: time.Now()})
 		}
@@ -186,6 +196,27 @@
 	r.heard[instance] = time.Now()
 }
 
+// notePace notes the pace of a stream that has ended.
+func (r *Router) notePace(pace residency.Pace) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.paces) < maxPaces {
+		r.paces = append(r.paces, pace)
+	}
+}
+
+// takePaces hands out the paces to report.
+func (r *Router) takePaces() []residency.Pace {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	taken := r.paces
+	r.paces = nil
+	return taken
+}
+
+// maxPaces bounds the paces in one report.
+const maxPaces = 64
+
 // lastHeard is when a runner last sent something.
 func (r *Router) lastHeard(instance structs.RunnerID) time.Time {
 	r.mutex.Lock()
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -208,6 +208,10 @@
 // to unload, or "". It is not possible if more is lost than gained.
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
 	cost = loadTime(known, model).Seconds() * loadWeight
+	if p.IsSlow(known.status.Heartbeat.Instance) {
+		rate := p.modelDemand(known.status.Heartbeat.Service, model.Name).rate
+		cost += slowHarm * min(rate, p.options.ReplicaRate) * p.options.Horizon.Seconds()
+	}
 	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
 	if free >= model.SizeMB {
 		return cost, "", true
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -21,6 +21,7 @@
 	// loads are the beginnings of loads that may have come from the weight store, by
 	// service.
 	loads map[string][]time.Time
+	paces paces
 	// changed is set when what routers may use has changed.
 	changed bool
 }
@@ -34,6 +35,7 @@
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
 		loads:      make(map[string][]time.Time),
+		paces:      make(paces),
 	}
 }
 
@@ -83,6 +85,7 @@
 			delete(p.runners, instance)
 		}
 	}
+	p.paces.forget(func(instance string) bool { return listed[instance] })
 }
 
 func (p *Planner) noteChange(before []fleet.LoadedModel, known *runner) {
--- a/residency/types.go
+++ b/residency/types.go
@@ -108,3 +108,12 @@
 	Instance string
 	Count    int
 }
+
+// Pace is how quickly a runner made the events of a stream.
+type Pace struct {
+	Service  string
+	Model    string
+	Instance string
+	// Gap is the usual time between two events.
+	Gap time.Duration
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -145,10 +145,18 @@
 	return target.hasRoom(now, &b.options) && target.breaker.allows(now) && candidate.breaker.allows(now)
 }
 
-// score is the runner's load as a share of its batch.
+// score is the runner's load as a share of its batch, and its penalty.
 func (b *Balancer) score(now time.Time, candidate *replica) float64 {
 	load := candidate.runner.load(now, b.options.ReportLife)
-	return float64(load) / float64(candidate.runner.maxBatch)
+	return float64(load)/float64(candidate.runner.maxBatch) + candidate.runner.penalty
+}
+
+// SetPenalty makes a runner be chosen only when the others are more loaded by the
+// share of a batch.
+func (b *Balancer) SetPenalty(id structs.RunnerID, penalty float64) {
+	if target := b.runners[id]; target != nil {
+		target.penalty = penalty
+	}
 }
 
 // Slots returns how many requests of the row can run at once on usable replicas
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -23,8 +23,10 @@
 	others     int
 	reportedAt time.Time
 	maxBatch   int
-	breaker    breaker
-	history    history
+	// penalty is added to the runner's score.
+	penalty float64
+	breaker breaker
+	history history
 	// sequence is the highest of the cache events seen.
 	sequence uint64
 	// rows names the placed replicas, sorted.
