--- a/residency/plan.go
+++ b/residency/plan.go
@@ -87,15 +87,38 @@
 	return listed
 }
 
+const (
+	// slowCapacity is what a slow runner's replica counts for.
+	slowCapacity = 0.5
+	// spareRate is the demand in requests a second from which a model should have a
+	// second replica, and spareGain the part of the requests that one is worth.
+	spareRate = 1
+	spareGain = 0.1
+)
+
 // crowding is how many requests of the horizon are more than the replicas of a model,
-// those on their way included, should get.
+// those on their way included, should get. A model in demand that has a single one
+// would be lost with its runner, which counts a little.
 func (p *Planner) crowding(row Row) float64 {
-	replicas := float64(len(p.holders(row.Service, row.Model)) + p.coming(row))
+	replicas := p.coming(row)
+	capacity := float64(replicas)
+	for _, known := range p.holders(row.Service, row.Model) {
+		replicas++
+		if p.IsSlow(known.status.Heartbeat.Instance) {
+			capacity += slowCapacity
+		} else {
+			capacity++
+		}
+	}
 	if replicas == 0 {
 		return 0
 	}
-	excess := p.modelDemand(row.Service, row.Model).rate - replicas*p.options.ReplicaRate
-	return max(0, excess) * p.options.Horizon.Seconds()
+	rate := p.modelDemand(row.Service, row.Model).rate
+	gain := max(0, rate-capacity*p.options.ReplicaRate)
+	if replicas == 1 && rate > spareRate {
+		gain = max(gain, rate*spareGain)
+	}
+	return gain * p.options.Horizon.Seconds()
 }
 
 // repair asks again about loads and unloads that do not end.
