--- a/domainnode/options.go
+++ b/domainnode/options.go
@@ -68,8 +68,8 @@
 }
 
 const (
-	defaultTickInterval   = 40 * time.Millisecond
-	defaultElectionTicks  = 14
+	defaultTickInterval   = 30 * time.Millisecond
+	defaultElectionTicks  = 12
 	defaultHeartbeatTicks = 2
 	// snapshotEntries bounds the log: each entry may hold a whole document.
 	snapshotEntries = 256
