--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -83,6 +83,7 @@
 func (r *Router) Serve(writer http.ResponseWriter, request *Request) {
 	index := r.awaitIndex(request)
 	if index == nil {
+		r.log(request, 0, "no_document", nil)
 		refuse(writer, http.StatusServiceUnavailable, retryAfterNow, "no document is known yet")
 		return
 	}
