--- a/asynclog/writer.go
+++ b/asynclog/writer.go
@@ -26,7 +26,9 @@
 	mutex   sync.Mutex
 	pending []byte
 	dropped int
-	closed  bool
+	// total counts all lines dropped since the start.
+	total  uint64
+	closed bool
 }
 
 // New makes a writer to output. Close ends it.
@@ -41,6 +43,7 @@
 	w.mutex.Lock()
 	if w.closed || len(w.pending)+len(line) > maxPending {
 		w.dropped++
+		w.total++
 	} else {
 		w.pending = append(w.pending, line...)
 	}
@@ -52,6 +55,13 @@
 	return len(line), nil
 }
 
+// Dropped is how many lines were dropped since the start.
+func (w *Writer) Dropped() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.total
+}
+
 // Close writes what waits, if the output takes it in time.
 func (w *Writer) Close() {
 	w.mutex.Lock()
--- a/domainapi/messages.go
+++ b/domainapi/messages.go
@@ -54,8 +54,8 @@
 	Committed raft.Membership
 	Applied   uint64
 	HasLeader bool
-	// HasOrdered is set if the process has sent orders to runners, and SinceOrder how
-	// long ago it sent the last.
+	// HasOrdered is set if the process has sent orders to runners and may send more, and
+	// SinceOrder is how long ago it sent the last.
 	HasOrdered bool
 	SinceOrder time.Duration
 }
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -117,6 +117,8 @@
 	joined.mutex.Lock()
 	joined.leadership = l
 	joined.mutex.Unlock()
+	n.metrics.leads.Set(1)
+	n.metrics.changes.Inc()
 	level.Info(l.logger).Log("msg", "This controller leads.", "orders_in", ordersFrom.Sub(at))
 	go l.run(ctx)
 }
@@ -163,6 +165,7 @@
 	if ending == nil {
 		return
 	}
+	ending.node.metrics.leads.Set(0)
 	ending.mutex.Lock()
 	defer ending.mutex.Unlock()
 	ending.ended = true
@@ -242,6 +245,10 @@
 				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
 		}
 	}
+	l.node.metrics.waiting.Set(float64(waiting))
+	l.node.metrics.runners.Set(float64(len(l.view.Runners)))
+	l.node.metrics.routers.Set(float64(len(l.routers)))
+	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", len(l.view.Runners),
 		"models", strings.Join(models, " "))
 }
@@ -317,6 +324,7 @@
 	askedAt := now()
 	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
 	instance := status.Heartbeat.Instance
+	l.node.metrics.reports.WithLabelValues(outcomeName(err)).Inc()
 	if err != nil {
 		level.Warn(l.logger).Log("msg", "A runner gave no report.", "runner", instance, "err", err)
 		return
@@ -336,10 +344,12 @@
 	defer cancel()
 	outcome := residency.OutcomeRefused
 	began := now()
-	if l.isValid() {
+	if l.isValid() && !l.node.stopping.Load() {
 		l.node.lastOrder.Store(&began)
 		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
 	}
+	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
+	l.node.metrics.orderTime.Observe(now().Sub(began).Seconds())
 	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
 		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
 		"took", now().Sub(began))
--- a/domainnode/membership.go
+++ b/domainnode/membership.go
@@ -229,6 +229,7 @@
 	defer cancel()
 	change, err := k.change(ctx, status)
 	if change != "" {
+		k.node.metrics.membership.WithLabelValues(change).Inc()
 		level.Info(k.node.logger).Log("msg", "The membership was changed.", "change", change,
 			"voters", len(status.Membership.Voters), "learners", len(status.Membership.Learners), "err", err)
 	}
--- /dev/null
+++ b/domainnode/metrics.go
@@ -0,0 +1,67 @@
+package domainnode
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are a controller's counters.
+type metrics struct {
+	leads      prometheus.Gauge
+	changes    prometheus.Counter
+	heartbeats *prometheus.CounterVec
+	puts       *prometheus.CounterVec
+	departures *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	orderTime  prometheus.Histogram
+	reports    *prometheus.CounterVec
+	membership *prometheus.CounterVec
+	runners    prometheus.Gauge
+	routers    prometheus.Gauge
+	waiting    prometheus.Gauge
+	version    prometheus.Gauge
+	reopened   prometheus.Counter
+}
+
+// newMetrics makes the metrics and registers them, unless registerer is nil.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	const namespace, subsystem = "lotusferry", "controller"
+	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+	}
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help})
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help})
+	}
+	made := &metrics{
+		leads:      gauge("leads", "1 while this controller leads."),
+		changes:    counter("leaderships_total", "Leaderships that this controller began."),
+		heartbeats: vector("heartbeats_total", "Heartbeats of runners that came here, by outcome.", "outcome"),
+		puts:       vector("documents_total", "Documents that came here, by outcome.", "outcome"),
+		departures: vector("departures_total", "Departures of runners that came here, by outcome.", "outcome"),
+		orders:     vector("orders_total", "Orders sent to runners, by operation and outcome.", "operation", "outcome"),
+		orderTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "order_seconds", Help: "Time until an order was answered.",
+			Buckets: []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
+		}),
+		reports:    vector("reports_total", "Questions to runners about what they hold, by outcome.", "outcome"),
+		membership: vector("membership_changes_total", "Changes of the group's members, by change.", "change"),
+		runners:    gauge("runners", "Runners in the view of this leader."),
+		routers:    gauge("routers", "Routers that share what is granted."),
+		waiting:    gauge("waiting_requests", "Requests that no runner can serve yet, as reported by routers."),
+		version:    gauge("document_version", "Version of the document that this leader works by."),
+		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
+	}
+	if registerer != nil {
+		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
+			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened)
+	}
+	return made
+}
+
+// outcomeName names the outcome of a call in metrics.
+func outcomeName(err error) string {
+	if err == nil {
+		return "taken"
+	}
+	return "refused"
+}
--- a/domainnode/node.go
+++ b/domainnode/node.go
@@ -32,12 +32,15 @@
 type Node struct {
 	options Options
 	logger  log.Logger
+	metrics *metrics
 	server  *transport.Server
 	client  *transport.Client
 	// caller reaches the leader, which may be this node.
 	caller *leadercall.Caller
 	// lastOrder is when this process last sent an order; nil for never.
 	lastOrder atomic.Pointer[time.Time]
+	// stopping is set once a planned stop has begun: the process sends no more orders.
+	stopping atomic.Bool
 
 	mutex sync.Mutex
 	// member is nil while the store is closed.
@@ -79,6 +82,7 @@
 	n := &Node{
 		options: options,
 		logger:  log.With(options.Logger, "component", "controller"),
+		metrics: newMetrics(options.Metrics),
 		server:  server,
 		client:  client,
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
@@ -97,6 +101,7 @@
 	for ctx.Err() == nil {
 		err := n.takePart(ctx)
 		if err != nil && ctx.Err() == nil {
+			n.metrics.reopened.Inc()
 			level.Error(n.logger).Log("msg", "The member's store failed and is opened again.", "err", err)
 			pause.For(ctx, reopenPause)
 		}
@@ -185,6 +190,7 @@
 // Stop hands leadership over before a planned stop, and tells the leader that this
 // member will be silent. ctx bounds it.
 func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
 	joined, err := n.current()
 	if err != nil {
 		return
--- a/domainnode/operator.go
+++ b/domainnode/operator.go
@@ -25,6 +25,7 @@
 		err = document.Validate()
 	}
 	if err != nil {
+		n.metrics.puts.WithLabelValues("invalid").Inc()
 		level.Info(n.logger).Log("msg", "A document was refused.", "bytes", len(source), "err", err)
 		return err
 	}
@@ -36,6 +37,7 @@
 	defer cancel()
 	arguments := domainapi.PutArguments{Document: domain.Document{Version: document.Version, Source: packed}}
 	_, err = leadercall.Call(ctx, n.caller, domainapi.MethodPut, arguments, newReply)
+	n.metrics.puts.WithLabelValues(outcomeName(err)).Inc()
 	level.Info(n.logger).Log("msg", "A document was put.", "version", document.Version, "routes", len(document.Routes),
 		"bytes", len(source), "err", err)
 	return err
@@ -59,6 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
 	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodHeartbeat, domainapi.HeartbeatArguments{Heartbeat: heartbeat}, newReply)
+	n.metrics.heartbeats.WithLabelValues(outcomeName(err)).Inc()
 	if err == nil && heartbeat.Leaving {
 		err = n.depart(ctx, domain.Departure{Instance: heartbeat.Instance})
 	}
@@ -74,6 +77,7 @@
 
 func (n *Node) depart(ctx context.Context, departure domain.Departure) error {
 	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodDepart, domainapi.DepartArguments{Departure: departure}, newReply)
+	n.metrics.departures.WithLabelValues(outcomeName(err)).Inc()
 	level.Info(n.logger).Log("msg", "A runner is leaving.", "runner", departure.Instance, "gone", departure.Gone, "err", err)
 	return err
 }
--- a/domainnode/options.go
+++ b/domainnode/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lotusferry/lotusferry/domain"
 	"github.com/lotusferry/lotusferry/fleet"
@@ -57,6 +58,8 @@
 	Decoder        Decoder
 	Engines        Engines
 	Planner        residency.Options
+	// Metrics is where the node registers its metrics; nil for none.
+	Metrics prometheus.Registerer
 	// Network is what is listened on and dialled over; nil means TCP.
 	Network network.Network
 	// Timing; zero values mean the defaults.
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -38,7 +38,7 @@
 	reply.Committed = status.CommittedMembership
 	reply.Applied = status.AppliedIndex
 	reply.HasLeader = status.LeaderNode != raft.None
-	if ordered := s.node.lastOrder.Load(); ordered != nil {
+	if ordered := s.node.lastOrder.Load(); ordered != nil && !s.node.stopping.Load() {
 		reply.HasOrdered = true
 		reply.SinceOrder = now().Sub(*ordered)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -81,14 +81,18 @@
 // Serve answers a request. It panics with http.ErrAbortHandler when an answer that
 // has begun cannot be finished, so that it does not look whole.
 func (r *Router) Serve(writer http.ResponseWriter, request *Request) {
+	r.metrics.inFlight.Inc()
+	defer r.metrics.inFlight.Dec()
 	index := r.awaitIndex(request)
 	if index == nil {
+		r.metrics.requests.WithLabelValues(kindName(0), "no_document").Inc()
 		r.log(request, 0, "no_document", nil)
 		refuse(writer, http.StatusServiceUnavailable, retryAfterNow, "no document is known yet")
 		return
 	}
 	route := index.Route(request.HTTP.Host, request.HTTP.URL.EscapedPath())
 	if route == nil {
+		r.metrics.requests.WithLabelValues(kindName(0), "no_route").Inc()
 		r.log(request, index.Document.Version, "no_route", nil)
 		refuse(writer, http.StatusNotFound, 0, "no route leads there")
 		return
@@ -159,8 +163,10 @@
 			return
 		}
 		result := x.attempt(ctx, choice)
+		x.router.metrics.attempts.WithLabelValues(result.name()).Inc()
 		x.router.release(x.row, choice, result.outcome)
 		if result.isDone {
+			x.count(result.name())
 			x.notePace(choice)
 			x.logServed(choice, result)
 			return
@@ -205,6 +211,24 @@
 	err    error
 }
 
+// name is the outcome of the attempt in metrics.
+func (r result) name() string {
+	if r.reason == "" {
+		return "answered"
+	}
+	return r.reason
+}
+
+// count counts the request with its outcome.
+func (x *exchange) count(outcome string) {
+	kind := kindName(x.route.Kind)
+	x.router.metrics.requests.WithLabelValues(kind, outcome).Inc()
+	x.router.metrics.waited.WithLabelValues(kind).Observe(x.waited.Seconds())
+	if x.isStarted {
+		x.router.metrics.first.WithLabelValues(kind).Observe(x.begunAt.Sub(x.request.Arrived).Seconds())
+	}
+}
+
 type wholeAnswer struct {
 	status int
 	header http.Header
@@ -523,6 +547,7 @@
 		return
 	}
 	if !errors.Is(err, errTimeout) {
+		x.count("caller_left")
 		x.router.log(x.request, x.version, "caller_left", err)
 		return
 	}
@@ -534,6 +559,7 @@
 	if ended.answer != nil && !x.isStarted {
 		x.router.log(x.request, x.version, ended.reason, ended.err)
 		x.pass(ended.answer)
+		x.count(ended.reason)
 		return
 	}
 	x.fail(ended.reason, ended.err)
@@ -542,6 +568,7 @@
 // fail answers a request that no runner answered. 503 promises that the request has
 // not run; without that promise it is 502, or 504 when its time is over.
 func (x *exchange) fail(reason string, err error) {
+	x.count(reason)
 	x.router.log(x.request, x.version, reason, err)
 	switch {
 	case x.isStarted:
@@ -590,6 +617,9 @@
 	first := x.begunAt.Sub(x.request.Arrived)
 	isLate := x.isStarted && x.route.Objective > 0 && first > x.route.Objective ||
 		x.route.MaxPause > 0 && x.pause > x.route.MaxPause
+	if isLate {
+		x.router.metrics.late.WithLabelValues(kindName(x.route.Kind)).Inc()
+	}
 	if !isLate && x.sent == 1 && xxhash.Sum64String(x.request.ID)%servedLogSample != 0 {
 		return
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -73,6 +73,7 @@
 	r.mutex.Lock()
 	r.granted = grant{routers: reply.Routers, at: time.Now()}
 	r.mutex.Unlock()
+	r.metrics.heardLeader(reply.Term, time.Now())
 	if reply.Document != nil {
 		r.takeDocument(*reply.Document)
 	}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// metrics are a router's counters. There are as many series as kinds of route and
+// outcomes, however many routes and models there are.
+type metrics struct {
+	requests  *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	first     *prometheus.HistogramVec
+	waited    *prometheus.HistogramVec
+	late      *prometheus.CounterVec
+	inFlight  prometheus.Gauge
+	repeats   *prometheus.CounterVec
+	version   prometheus.Gauge
+	runners   prometheus.Gauge
+	leaderSet prometheus.Gauge
+	viewAt    prometheus.Gauge
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1, 1.5, 2.5, 4, 6, 10, 20}
+
+// newMetrics makes the metrics and registers them, unless registerer is nil.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	const namespace, subsystem = "lotusferry", "router"
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help})
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: latencyBuckets,
+		}, labels)
+	}
+	made := &metrics{
+		requests:  counter("requests_total", "Requests by kind of route and outcome.", "kind", "outcome"),
+		attempts:  counter("attempts_total", "Sendings to runners by outcome.", "outcome"),
+		first:     histogram("first_seconds", "Time until the head of the answer was sent.", "kind"),
+		waited:    histogram("waited_seconds", "Time that requests waited for runners.", "kind"),
+		late:      counter("late_total", "Answers after the route's objective or with too long a pause.", "kind"),
+		inFlight:  gauge("requests_in_progress", "Requests that have no answer yet."),
+		repeats:   counter("repeats_total", "Repeated sendings asked for, by whether the retry budget allowed them.", "allowed"),
+		version:   gauge("document_version", "Version of the document in force."),
+		runners:   gauge("runners", "Runners in the view."),
+		leaderSet: gauge("leader_term", "Term of the leader that is followed."),
+		viewAt:    gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+	}
+	if registerer != nil {
+		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.late, made.inFlight,
+			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt)
+	}
+	return made
+}
+
+// kindName names a kind of route in metrics.
+func kindName(kind site.RouteKind) string {
+	switch kind {
+	case site.KindOnce:
+		return "once"
+	case site.KindRepeatable:
+		return "repeatable"
+	case site.KindStream:
+		return "stream"
+	}
+	return "none"
+}
+
+// heardLeader notes that a leader was heard.
+func (m *metrics) heardLeader(term uint64, at time.Time) {
+	m.leaderSet.Set(float64(term))
+	m.viewAt.Set(float64(at.UnixMilli()) / 1000)
+}
--- a/relay/options.go
+++ b/relay/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lotusferry/lotusferry/network"
 	"github.com/lotusferry/lotusferry/site"
@@ -29,6 +30,8 @@
 	Patience Patience
 	// Network is what controllers are dialled over; nil means TCP.
 	Network network.Network
+	// Metrics is where the router registers its metrics; nil for none.
+	Metrics prometheus.Registerer
 	// Seed makes the random choices.
 	Seed uint64
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 type Router struct {
 	options Options
 	logger  log.Logger
+	metrics *metrics
 	client  *transport.Client
 	caller  *leadercall.Caller
 	// index is that of the document in force; nil before the first.
@@ -71,6 +73,7 @@
 	return &Router{
 		options: options,
 		logger:  log.With(options.Logger, "component", "router"),
+		metrics: newMetrics(options.Metrics),
 		client:  client,
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 		stop:    newStops(),
@@ -106,6 +109,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.view = fleet.Merge(r.view, view)
+	r.metrics.runners.Set(float64(len(r.view.Runners)))
 	r.balancer.SetPlacement(placement(r.view))
 	for _, runner := range r.view.Runners {
 		penalty := 0.0
@@ -128,6 +132,7 @@
 		return false
 	}
 	r.index.Store(site.NewIndex(document))
+	r.metrics.version.Set(float64(document.Version))
 	if current == nil {
 		close(r.known)
 	}
@@ -159,7 +164,9 @@
 func (r *Router) mayRepeat(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.budget(service).withdraw(time.Now(), r.granted)
+	allowed := r.budget(service).withdraw(time.Now(), r.granted)
+	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
+	return allowed
 }
 
 func (r *Router) budget(service string) *budget {
