--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -291,7 +291,7 @@
 			Zone:     heartbeat.Zone,
 			Slots:    heartbeat.Slots,
 			Leaving:  status.Leaving,
-			Slow:     l.planner.IsSlow(heartbeat.Instance),
+			Slow:     l.planner.IsSlow(at, heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -531,13 +531,18 @@
 
 // notePace tells the router the usual gap of a stream that one runner made.
 func (x *exchange) notePace(choice routing.Choice) {
-	if len(x.gaps) < minGaps || x.attempts != 1 || x.row.Model == "" {
+	if x.route.Kind != site.KindStream || x.attempts != 1 || x.row.Model == "" {
 		return
 	}
-	slices.Sort(x.gaps)
-	x.router.notePace(residency.Pace{
-		Service: x.row.Service, Model: x.row.Model, Instance: string(choice.Runner()), Gap: x.gaps[len(x.gaps)/2],
-	})
+	pace := residency.Pace{
+		Service: x.row.Service, Model: x.row.Model, Instance: string(choice.Runner()),
+		Paused: x.route.MaxPause > 0 && x.pause > x.route.MaxPause,
+	}
+	if len(x.gaps) >= minGaps {
+		slices.Sort(x.gaps)
+		pace.Gap = x.gaps[len(x.gaps)/2]
+	}
+	x.router.notePace(pace)
 }
 
 // giveUp answers a request for which no runner was found in time.
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -11,6 +11,10 @@
 	// slowFactor is by how much a runner must be slower than the quickest one with the
 	// same model to count as slow.
 	slowFactor = 1.15
+	// pausedShare is the share of streams with too long a pause from which a runner
+	// counts as slow for a model, and pausedLife how long that is believed without news.
+	pausedShare = 0.12
+	pausedLife  = 20 * time.Second
 	// slowHarm is the part of the requests on a slow runner that are expected to be
 	// late because of it.
 	slowHarm = 0.15
@@ -20,25 +24,62 @@
 type pace struct {
 	gap     float64
 	streams int
+	// paused is the share of streams with too long a pause, and seen their number.
+	paused float64
+	seen   int
+	seenAt time.Time
 }
 
 // paces holds the paces of the runners for each model; the rows name no adapter.
 type paces map[Row]map[string]*pace
 
-func (p paces) add(seen Pace) {
+func (p paces) add(now time.Time, seen Pace) {
 	row := Row{Service: seen.Service, Model: seen.Model}
 	if p[row] == nil {
 		p[row] = make(map[string]*pace)
 	}
 	known := p[row][seen.Instance]
 	if known == nil {
-		known = &pace{gap: seen.Gap.Seconds()}
+		known = &pace{}
 		p[row][seen.Instance] = known
 	}
+	known.addPaused(now, seen.Paused)
+	if seen.Gap <= 0 {
+		return
+	}
+	if known.streams == 0 {
+		known.gap = seen.Gap.Seconds()
+	}
 	known.gap += paceSmoothing * (seen.Gap.Seconds() - known.gap)
 	known.streams++
 }
 
+func (p *pace) addPaused(now time.Time, isPaused bool) {
+	share := 0.0
+	if isPaused {
+		share = 1
+	}
+	p.seen++
+	// The first streams count evenly.
+	weight := max(pausedSmoothing, 1/float64(p.seen))
+	p.paused += weight * (share - p.paused)
+	p.seenAt = now
+}
+
+const (
+	// pausedSmoothing is the weight of a new stream in the share of paused ones.
+	pausedSmoothing = 0.08
+	// minPausedStreams is how many streams must have been seen before the share counts.
+	minPausedStreams = 4
+)
+
+// pauses reports whether too many streams of the model at the runner had too long a
+// pause.
+func (p paces) pauses(now time.Time, row Row, instance string) bool {
+	known := p[row][instance]
+	return known != nil && known.seen >= minPausedStreams && known.paused > pausedShare && now.Sub(known.seenAt) < pausedLife
+}
+
 // slowness is how many times as long as the quickest runner with the same model a
 // runner takes; 1 if nothing is known. Of several models the least counts, as a
 // runner may be slow with one because of what else it does.
@@ -77,13 +118,28 @@
 }
 
 // ObservePace takes the pace of streams that routers saw.
-func (p *Planner) ObservePace(_ time.Time, seen []Pace) {
+func (p *Planner) ObservePace(now time.Time, seen []Pace) {
 	for _, each := range seen {
-		if each.Gap > 0 && p.runners[each.Instance] != nil {
-			p.paces.add(each)
+		if p.runners[each.Instance] != nil {
+			p.paces.add(now, each)
 		}
 	}
 }
 
-// IsSlow reports whether a runner is known to be slower than others.
-func (p *Planner) IsSlow(instance string) bool { return p.paces.slowness(instance) > slowFactor }
+// IsSlow reports whether a runner is known to be slower than others, or too slow for
+// one of the models that it holds.
+func (p *Planner) IsSlow(now time.Time, instance string) bool {
+	if p.paces.slowness(instance) > slowFactor {
+		return true
+	}
+	known := p.runners[instance]
+	if known == nil {
+		return false
+	}
+	for model := range known.holdings {
+		if p.paces.pauses(now, Row{Service: known.status.Heartbeat.Service, Model: model}, instance) {
+			return true
+		}
+	}
+	return false
+}
--- a/residency/pace_test.go
+++ b/residency/pace_test.go
@@ -12,7 +12,7 @@
 	p := make(paces)
 	see := func(instance, model string, gap time.Duration) {
 		for range 3 {
-			p.add(Pace{Service: "s", Model: model, Instance: instance, Gap: gap})
+			p.add(start, Pace{Service: "s", Model: model, Instance: instance, Gap: gap})
 		}
 	}
 	see("only", "rare", 90*time.Millisecond)
@@ -48,3 +48,22 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Instance, qt.Equals, "b-quick")
 }
+
+func TestRunnerWhoseStreamsPauseIsSlowForAWhile(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlanner("a")
+	see := func(isPaused bool) {
+		p.ObservePace(start, []Pace{{Service: "s", Model: "a", Instance: "r", Gap: 20 * time.Millisecond, Paused: isPaused}})
+	}
+	see(true)
+	c.Assert(p.IsSlow(start, "r"), qt.IsFalse, qt.Commentf("one stream proves nothing"))
+	for range 5 {
+		see(false)
+	}
+	c.Assert(p.IsSlow(start, "r"), qt.IsTrue, qt.Commentf("one of six"))
+	c.Assert(p.IsSlow(start.Add(pausedLife), "r"), qt.IsFalse)
+	for range 12 {
+		see(false)
+	}
+	c.Assert(p.IsSlow(start, "r"), qt.IsFalse)
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -69,7 +69,7 @@
 	for row := range p.demands {
 		row.Adapter = ""
 		if found[row] == nil {
-			if gain := p.crowding(row); gain > 0 {
+			if gain := p.crowding(now, row); gain > 0 {
 				found[row] = &need{row: row, gain: gain}
 			}
 		}
@@ -99,12 +99,12 @@
 // crowding is how many requests of the horizon are more than the replicas of a model,
 // those on their way included, should get. A model in demand that has a single one
 // would be lost with its runner, which counts a little.
-func (p *Planner) crowding(row Row) float64 {
+func (p *Planner) crowding(now time.Time, row Row) float64 {
 	replicas := p.coming(row)
 	capacity := float64(replicas)
 	for _, known := range p.holders(row.Service, row.Model) {
 		replicas++
-		if p.IsSlow(known.status.Heartbeat.Instance) {
+		if p.IsSlow(now, known.status.Heartbeat.Instance) {
 			capacity += slowCapacity
 		} else {
 			capacity++
@@ -231,7 +231,7 @@
 // to unload, or "". It is not possible if more is lost than gained.
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
 	cost = loadTime(known, model).Seconds() * loadWeight
-	if p.IsSlow(known.status.Heartbeat.Instance) {
+	if p.IsSlow(now, known.status.Heartbeat.Instance) {
 		rate := p.modelDemand(known.status.Heartbeat.Service, model.Name).rate
 		cost += slowHarm * min(rate, p.options.ReplicaRate) * p.options.Horizon.Seconds()
 	}
--- a/residency/types.go
+++ b/residency/types.go
@@ -114,6 +114,8 @@
 	Service  string
 	Model    string
 	Instance string
-	// Gap is the usual time between two events.
+	// Gap is the usual time between two events; 0 if there were too few to tell.
 	Gap time.Duration
+	// Paused is set if one of them was longer than the route allows.
+	Paused bool
 }
