--- a/residency/plan.go
+++ b/residency/plan.go
@@ -39,6 +39,7 @@
 		return nil
 	}
 	p.repair(now)
+	p.anticipate()
 	var orders []Order
 	for _, wanted := range p.waits(now) {
 		if order, found := p.serveAdapter(now, wanted.row); found {
@@ -67,12 +68,10 @@
 		found[row].gain += float64(wanted.count)
 	}
 	for row := range p.demands {
-		row.Adapter = ""
-		if found[row] == nil {
-			if gain := p.crowding(now, row); gain > 0 {
-				found[row] = &need{row: row, gain: gain}
-			}
-		}
+		p.addCrowded(now, found, Row{Service: row.Service, Model: row.Model})
+	}
+	for service, next := range p.successors {
+		p.addCrowded(now, found, Row{Service: service, Model: next.model})
 	}
 	var listed []need
 	for _, each := range found {
@@ -87,6 +86,16 @@
 	return listed
 }
 
+// addCrowded adds the model to the needs if it should have one more replica.
+func (p *Planner) addCrowded(now time.Time, found map[Row]*need, row Row) {
+	if found[row] != nil {
+		return
+	}
+	if gain := p.crowding(now, row); gain > 0 {
+		found[row] = &need{row: row, gain: gain}
+	}
+}
+
 const (
 	// slowCapacity is what a slow runner's replica counts for.
 	slowCapacity = 0.5
@@ -110,10 +119,13 @@
 			capacity++
 		}
 	}
+	rate := p.modelDemand(row.Service, row.Model).rate
 	if replicas == 0 {
-		return 0
+		if p.successors[row.Service].model != row.Model {
+			return 0
+		}
+		return rate * spareGain * p.options.Horizon.Seconds()
 	}
-	rate := p.modelDemand(row.Service, row.Model).rate
 	gain := max(0, rate-capacity*p.options.ReplicaRate)
 	if replicas == 1 && rate > spareRate {
 		gain = max(gain, rate*spareGain)
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -22,6 +22,8 @@
 	// service.
 	loads map[string][]time.Time
 	paces paces
+	// successors are the models of each service that are expected to become busy.
+	successors map[string]successor
 	// changed is set when what routers may use has changed.
 	changed bool
 }
@@ -36,6 +38,7 @@
 		demands:    make(map[Row]*rowDemand),
 		loads:      make(map[string][]time.Time),
 		paces:      make(paces),
+		successors: make(map[string]successor),
 	}
 }
 
@@ -294,7 +297,16 @@
 	objective time.Duration
 }
 
+// modelDemand is the demand for a model, or what is expected of it.
 func (p *Planner) modelDemand(service, model string) modelDemand {
+	observed := p.observedDemand(service, model)
+	if next := p.successors[service]; next.model == model && next.demand.rate > observed.rate {
+		return next.demand
+	}
+	return observed
+}
+
+func (p *Planner) observedDemand(service, model string) modelDemand {
 	var total modelDemand
 	recent := 0.0
 	for row, demand := range p.demands {
