Let waiting age and weigh by priority; let nobody wait longer than 0.45 of its time

Change: a waiting request weighs more the longer it waits and the more urgent its route is; the short average of demand counts three quarters; a request that no runner took within 0.45 of its time is refused as not run, with when to come back.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// maxWaitShare is the part of its time that a request may wait for a runner; after
+	// it, its caller may still be served elsewhere or a little later.
+	maxWaitShare = 0.45
 	// minAttemptTime is the least time with which an attempt is sent.
 	minAttemptTime = 20 * time.Millisecond
 	// maxBuffered bounds an answer that is read whole before its head is sent.
@@ -181,7 +184,7 @@
 
 // acquire waits for a runner as long as the caller is likely to.
 func (x *exchange) acquire(ctx context.Context) (routing.Choice, error) {
-	limit := x.deadline.Add(-minAttemptTime)
+	limit := x.request.Arrived.Add(time.Duration(float64(x.deadline.Sub(x.request.Arrived)) * maxWaitShare))
 	if x.route.Kind == site.KindStream {
 		patience := x.request.Arrived.Add(x.router.options.Patience.of(x.route) * 9 / 10)
 		if !x.isStarted && patience.Before(limit) {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -65,7 +65,8 @@
 		if found[row] == nil {
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority}
 		}
-		found[row].gain += float64(wanted.count)
+		found[row].priority = min(found[row].priority, wanted.priority)
+		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
 	}
 	for row := range p.demands {
 		p.addCrowded(now, found, Row{Service: row.Service, Model: row.Model})
@@ -77,6 +78,7 @@
 	for _, each := range found {
 		if each.isWaitedFor {
 			each.gain += p.modelDemand(each.row.Service, each.row.Model).rate * p.options.Horizon.Seconds()
+			each.gain *= urgency(each.priority)
 		}
 		listed = append(listed, *each)
 	}
@@ -86,6 +88,17 @@
 	return listed
 }
 
+// agingTime is the waiting that doubles the weight of a request, so that nobody waits
+// for ever behind those who are many.
+const agingTime = 3 * time.Second
+
+// urgency weighs requests that wait by the priority of their route; 0 is the most
+// urgent.
+func urgency(priority int) float64 {
+	const step = 0.7
+	return 2 * math.Pow(step, float64(min(max(0, priority), 9)))
+}
+
 // addCrowded adds the model to the needs if it should have one more replica.
 func (p *Planner) addCrowded(now time.Time, found map[Row]*need, row Row) {
 	if found[row] != nil {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -306,6 +306,9 @@
 	return observed
 }
 
+// recentWeight is the weight of the short average when demand rises.
+const recentWeight = 0.75
+
 func (p *Planner) observedDemand(service, model string) modelDemand {
 	var total modelDemand
 	recent := 0.0
@@ -319,7 +322,7 @@
 			total.objective = demand.objective
 		}
 	}
-	total.rate = max(total.rate, recent)
+	total.rate = max(total.rate, recentWeight*recent+(1-recentWeight)*total.rate)
 	return total
 }
 
