--- /dev/null
+++ b/domainnode/contact.go
@@ -0,0 +1,69 @@
+package domainnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusferry/lotusferry/domain"
+)
+
+// routerContact is what the leader knows of a router.
+type routerContact struct {
+	at time.Time
+	// revision of the view that the router had when it last asked.
+	revision uint64
+}
+
+// departed takes a committed departure and waits until the routers that are in
+// contact have asked for more after they were told.
+func (l *leadership) departed(ctx context.Context, departure domain.Departure) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	l.mutex.Lock()
+	l.registry.Depart(now(), departure.Instance, departure.Gone)
+	l.refresh(now())
+	revision := l.revision
+	l.mutex.Unlock()
+	for {
+		l.mutex.Lock()
+		isTold, changed := l.areTold(now(), revision), l.changed
+		l.mutex.Unlock()
+		if isTold {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(tellPause):
+		}
+	}
+}
+
+// tellPause separates two looks at what the routers know.
+const tellPause = 10 * time.Millisecond
+
+// areTold reports whether every router in contact knows the revision. It runs under
+// the mutex.
+func (l *leadership) areTold(at time.Time, revision uint64) bool {
+	for _, contact := range l.routers {
+		if at.Sub(contact.at) < contactLife && contact.revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// contact notes a call of a router and returns how many routers there are.
+func (l *leadership) contact(router string, revision uint64) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := now()
+	l.routers[router] = routerContact{at: at, revision: revision}
+	for name, known := range l.routers {
+		if at.Sub(known.at) > routerLife {
+			delete(l.routers, name)
+		}
+	}
+	return len(l.routers)
+}
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -61,13 +59,6 @@
 	summedUpAt time.Time
 }
 
-// routerContact is what the leader knows of a router.
-type routerContact struct {
-	at time.Time
-	// revision of the view that the router had when it last asked.
-	revision uint64
-}
-
 // leadershipLoop begins and ends the leadership as the group's lease says.
 func (n *Node) leadershipLoop(ctx context.Context, joined *member) {
 	for ctx.Err() == nil {
@@ -123,34 +114,6 @@
 	go l.run(ctx)
 }
 
-// ordersFrom is when a leader that begins at the time may send its first order: a lease
-// after the last order of any other. Where fences are not enforced, a member that does
-// not answer may have sent one just now.
-func (n *Node) ordersFrom(ctx context.Context, at time.Time) time.Time {
-	latest := at.Add(n.options.OrderLease)
-	if !n.options.FencesEnforced {
-		return latest
-	}
-	replies, _ := n.describeOthers(ctx)
-	from := at
-	for _, reply := range replies {
-		if reply.HasOrdered {
-			from = later(from, now().Add(n.options.OrderLease-reply.SinceOrder))
-		}
-	}
-	if from.After(latest) {
-		return latest
-	}
-	return from
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (m *member) leads() *leadership {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -221,38 +184,6 @@
 	}
 }
 
-const (
-	// summaryInterval is the pause between two lines about the demand, and
-	// summaryModels how many models each lists at most.
-	summaryInterval = 2 * time.Second
-	summaryModels   = 8
-)
-
-// sumUp logs the demand and how it is met, and forgets what has been silent for long.
-// It runs under the mutex.
-func (l *leadership) sumUp(at time.Time) {
-	if at.Sub(l.summedUpAt) < summaryInterval {
-		return
-	}
-	l.summedUpAt = at
-	l.forgetSilent(at)
-	var models []string
-	waiting := 0
-	for _, summary := range l.planner.Summary(at) {
-		waiting += summary.Waiting
-		if len(models) < summaryModels {
-			models = append(models, fmt.Sprintf("%s:%.1f/s,%d+%d,w%d,a%d", summary.Model, summary.Rate,
-				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
-		}
-	}
-	l.node.metrics.waiting.Set(float64(waiting))
-	l.node.metrics.runners.Set(float64(len(l.view.Runners)))
-	l.node.metrics.routers.Set(float64(len(l.routers)))
-	l.node.metrics.version.Set(float64(l.document))
-	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", len(l.view.Runners),
-		"models", strings.Join(models, " "))
-}
-
 // adoptDocument gives the planner the document in force.
 func (l *leadership) adoptDocument() {
 	var current domain.Document
@@ -317,49 +248,6 @@
 	}
 }
 
-// ask asks a runner what it holds.
-func (l *leadership) ask(ctx context.Context, status fleet.Status) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	askedAt := now()
-	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
-	instance := status.Heartbeat.Instance
-	l.node.metrics.reports.WithLabelValues(outcomeName(err)).Inc()
-	if err != nil {
-		level.Warn(l.logger).Log("msg", "A runner gave no report.", "runner", instance, "err", err)
-		return
-	}
-	level.Debug(l.logger).Log("msg", "A runner reported.", "runner", instance, "taken", report.Taken,
-		"busy", report.Busy, "models", len(report.Models))
-	l.mutex.Lock()
-	l.planner.Reported(now(), askedAt, instance, report)
-	l.refresh(now())
-	l.mutex.Unlock()
-	l.wakePlan()
-}
-
-// send sends one order, unless the lease has ended since it was planned.
-func (l *leadership) send(ctx context.Context, order residency.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	outcome := residency.OutcomeRefused
-	began := now()
-	if l.isValid() && !l.node.stopping.Load() {
-		l.node.lastOrder.Store(&began)
-		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
-	}
-	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
-	l.node.metrics.orderTime.Observe(now().Sub(began).Seconds())
-	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
-		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
-		"took", now().Sub(began))
-	l.mutex.Lock()
-	l.planner.Answered(now(), order, outcome)
-	l.refresh(now())
-	l.mutex.Unlock()
-	l.wakePlan()
-}
-
 func (l *leadership) isStopping(node raft.NodeID) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -384,85 +272,3 @@
 		go l.record(domain.Command{Register: &registration})
 	}
 }
-
-// record proposes a command whose loss costs only time.
-func (l *leadership) record(command domain.Command) {
-	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
-	defer cancel()
-	encoded, err := command.Encode()
-	if err == nil {
-		_, err = l.member.group.Propose(ctx, encoded)
-	}
-	if err != nil {
-		level.Debug(l.logger).Log("msg", "A command was not recorded.", "err", err)
-	}
-}
-
-// forgetSilent takes runners that have been silent for long out of the log.
-func (l *leadership) forgetSilent(at time.Time) {
-	for _, instance := range l.registry.Silent(at, forgetRunnerAfter) {
-		isRegistered := false
-		l.member.group.View(func() { _, isRegistered = l.member.machine.Registered(instance) })
-		if isRegistered {
-			go l.record(domain.Command{Forget: instance})
-		}
-	}
-}
-
-// forgetRunnerAfter is how long a runner must be silent before it is no longer
-// recalled by the leaders to come.
-const forgetRunnerAfter = 20 * time.Second
-
-// departed takes a committed departure and waits until the routers that are in
-// contact have asked for more after they were told.
-func (l *leadership) departed(ctx context.Context, departure domain.Departure) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	l.mutex.Lock()
-	l.registry.Depart(now(), departure.Instance, departure.Gone)
-	l.refresh(now())
-	revision := l.revision
-	l.mutex.Unlock()
-	for {
-		l.mutex.Lock()
-		isTold, changed := l.areTold(now(), revision), l.changed
-		l.mutex.Unlock()
-		if isTold {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-time.After(tellPause):
-		}
-	}
-}
-
-// tellPause separates two looks at what the routers know.
-const tellPause = 10 * time.Millisecond
-
-// areTold reports whether every router in contact knows the revision. It runs under
-// the mutex.
-func (l *leadership) areTold(at time.Time, revision uint64) bool {
-	for _, contact := range l.routers {
-		if at.Sub(contact.at) < contactLife && contact.revision < revision {
-			return false
-		}
-	}
-	return true
-}
-
-// contact notes a call of a router and returns how many routers there are.
-func (l *leadership) contact(router string, revision uint64) int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	at := now()
-	l.routers[router] = routerContact{at: at, revision: revision}
-	for name, known := range l.routers {
-		if at.Sub(known.at) > routerLife {
-			delete(l.routers, name)
-		}
-	}
-	return len(l.routers)
-}
--- /dev/null
+++ b/domainnode/orders.go
@@ -0,0 +1,82 @@
+package domainnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/residency"
+)
+
+// ordersFrom is when a leader that begins at the time may send its first order: a lease
+// after the last order of any other. Where fences are not enforced, a member that does
+// not answer may have sent one just now.
+func (n *Node) ordersFrom(ctx context.Context, at time.Time) time.Time {
+	latest := at.Add(n.options.OrderLease)
+	if !n.options.FencesEnforced {
+		return latest
+	}
+	replies, _ := n.describeOthers(ctx)
+	from := at
+	for _, reply := range replies {
+		if reply.HasOrdered {
+			from = later(from, now().Add(n.options.OrderLease-reply.SinceOrder))
+		}
+	}
+	if from.After(latest) {
+		return latest
+	}
+	return from
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ask asks a runner what it holds.
+func (l *leadership) ask(ctx context.Context, status fleet.Status) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	askedAt := now()
+	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
+	instance := status.Heartbeat.Instance
+	l.node.metrics.reports.WithLabelValues(outcomeName(err)).Inc()
+	if err != nil {
+		level.Warn(l.logger).Log("msg", "A runner gave no report.", "runner", instance, "err", err)
+		return
+	}
+	level.Debug(l.logger).Log("msg", "A runner reported.", "runner", instance, "taken", report.Taken,
+		"busy", report.Busy, "models", len(report.Models))
+	l.mutex.Lock()
+	l.planner.Reported(now(), askedAt, instance, report)
+	l.refresh(now())
+	l.mutex.Unlock()
+	l.wakePlan()
+}
+
+// send sends one order, unless the lease has ended since it was planned.
+func (l *leadership) send(ctx context.Context, order residency.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome := residency.OutcomeRefused
+	began := now()
+	if l.isValid() && !l.node.stopping.Load() {
+		l.node.lastOrder.Store(&began)
+		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
+	}
+	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
+	l.node.metrics.orderTime.Observe(now().Sub(began).Seconds())
+	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
+		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
+		"took", now().Sub(began))
+	l.mutex.Lock()
+	l.planner.Answered(now(), order, outcome)
+	l.refresh(now())
+	l.mutex.Unlock()
+	l.wakePlan()
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,16 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"slices"
-	"strconv"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/go-kit/log/level"
-
 	"github.com/lotusferry/lotusferry/residency"
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/site"
@@ -40,9 +33,6 @@
 	streamSilencePauses = 4
 )
 
-// errSilent is the cause of ending an attempt at a runner that says nothing.
-var errSilent = errors.New("the runner was silent for too long")
-
 // errTimeout is the cause of ending a request whose time is over.
 var errTimeout = errors.New("the time of the request is over")
 
@@ -214,30 +204,6 @@
 	err    error
 }
 
-// name is the outcome of the attempt in metrics.
-func (r result) name() string {
-	if r.reason == "" {
-		return "answered"
-	}
-	return r.reason
-}
-
-// count counts the request with its outcome.
-func (x *exchange) count(outcome string) {
-	kind := kindName(x.route.Kind)
-	x.router.metrics.requests.WithLabelValues(kind, outcome).Inc()
-	x.router.metrics.waited.WithLabelValues(kind).Observe(x.waited.Seconds())
-	if x.isStarted {
-		x.router.metrics.first.WithLabelValues(kind).Observe(x.begunAt.Sub(x.request.Arrived).Seconds())
-	}
-}
-
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
 	if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
@@ -272,74 +238,6 @@
 	return ended
 }
 
-// watchdog ends an attempt of a request that may be sent elsewhere if its runner is
-// silent for too long. A runner that meanwhile sends something else is busy rather
-// than lost, and gets more time.
-type watchdog struct {
-	exchange *exchange
-	runner   structs.RunnerID
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
-
-	mutex sync.Mutex
-	since time.Time
-}
-
-func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, since: time.Now()}
-	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
-		w.timer = time.AfterFunc(x.silence(), w.look)
-	}
-	return w
-}
-
-// look ends the attempt, or looks again later.
-func (w *watchdog) look() {
-	w.mutex.Lock()
-	since := w.since
-	w.mutex.Unlock()
-	silent := time.Since(since)
-	limit := w.exchange.silence()
-	if heard := w.exchange.router.lastHeard(w.runner); heard.After(since) {
-		limit = w.exchange.busySilence()
-	}
-	if silent >= limit {
-		w.cancel(errSilent)
-		return
-	}
-	w.timer.Reset(max(time.Millisecond, limit-silent))
-}
-
-// heard notes that the attempt's runner sent something for it.
-func (w *watchdog) heard() {
-	w.exchange.router.heardFrom(w.runner)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.since = time.Now()
-}
-
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-// silence is how long a runner that sends nothing at all may be silent.
-func (x *exchange) silence() time.Duration {
-	if x.route.Kind == site.KindStream {
-		return max(streamSilenceFloor, streamSilencePauses*x.route.MaxPause)
-	}
-	return max(minSilence, silenceFactor*x.route.Objective)
-}
-
-// busySilence is how long a runner that sends other answers may be silent.
-func (x *exchange) busySilence() time.Duration {
-	if x.route.Kind == site.KindStream {
-		return x.router.options.Patience.of(x.route) * 3 / 4
-	}
-	return x.silence()
-}
-
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
 	ended := result{outcome: routing.OutcomeBroken, reason: "send_failed", err: err}
 	if errors.Is(err, ErrNotSent) {
@@ -393,161 +291,6 @@
 	return x.relayWhole(ctx, answer, watchdog)
 }
 
-// relayWhole reads the whole answer before it is passed on, so that one that is cut
-// short can be asked for again.
-func (x *exchange) relayWhole(ctx context.Context, answer *Answer, watchdog *watchdog) result {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
-	case err != nil:
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
-	case x.isStarted:
-		// A stream that goes on elsewhere must go on as a stream.
-		return result{outcome: routing.OutcomeRefused, reason: "not_resumed"}
-	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
-		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
-	case len(body) > maxBuffered:
-		watchdog.stop()
-		return x.relayLarge(answer, body)
-	}
-	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
-	if answer.Status >= http.StatusInternalServerError {
-		ended := result{outcome: routing.OutcomeRefused, reason: "runner_failed", answer: whole}
-		return ended
-	}
-	x.pass(whole)
-	return result{outcome: routing.OutcomeSuccess, isDone: true}
-}
-
-// relayLarge passes on an answer that is too large to be held.
-func (x *exchange) relayLarge(answer *Answer, begun []byte) result {
-	x.start(answer)
-	if _, err := x.writer.Write(begun); err != nil {
-		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: err}
-	}
-	if _, err := io.Copy(x.writer, answer.Body); err != nil {
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
-	}
-	return result{outcome: routing.OutcomeSuccess, isDone: true}
-}
-
-func (x *exchange) start(answer *Answer) {
-	copyHeader(x.writer.Header(), answer.Header)
-	if answer.Length >= 0 {
-		x.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-	}
-	x.writer.WriteHeader(answer.Status)
-	x.isStarted, x.begunAt = true, time.Now()
-}
-
-// pass sends a whole answer to the caller.
-func (x *exchange) pass(whole *wholeAnswer) {
-	copyHeader(x.writer.Header(), whole.header)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
-	x.writer.WriteHeader(whole.status)
-	x.isStarted, x.begunAt = true, time.Now()
-	_, _ = x.writer.Write(whole.body)
-}
-
-// relayStream passes on whole events, each as it comes.
-func (x *exchange) relayStream(ctx context.Context, answer *Answer, watchdog *watchdog) result {
-	if !answer.Signed {
-		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
-	}
-	controller := http.NewResponseController(x.writer)
-	var events eventSplitter
-	buffer := make([]byte, streamBuffer)
-	for {
-		count, err := answer.Body.Read(buffer)
-		if count > 0 {
-			watchdog.heard()
-			events.add(buffer[:count])
-			if failure := x.passEvents(answer, &events, controller); failure != nil {
-				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: failure}
-			}
-		}
-		switch {
-		case err == nil:
-			continue
-		case errors.Is(err, io.EOF) && events.isEmpty():
-			if !x.isStarted {
-				x.start(answer)
-			}
-			return result{outcome: routing.OutcomeSuccess, isDone: true}
-		case ctx.Err() != nil:
-			return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
-		}
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
-	}
-}
-
-// streamBuffer is read at once from a stream.
-const streamBuffer = 8 << 10
-
-// passEvents passes on the whole events that have come. Events that the caller has
-// already are dropped.
-func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
-	written := 0
-	for event := events.next(); event != nil; event = events.next() {
-		if number, found := eventID(event); found {
-			if number <= x.lastEvent {
-				continue
-			}
-			x.lastEvent = number
-		}
-		if !x.isStarted {
-			// The length is that of one runner's answer only.
-			answer.Length = -1
-			x.start(answer)
-		}
-		if _, err := x.writer.Write(event); err != nil {
-			return err
-		}
-		written++
-	}
-	if written == 0 {
-		return nil
-	}
-	x.notePassed(written)
-	return controller.Flush()
-}
-
-const (
-	// maxGaps are the gaps kept of a stream, minGaps the least that tell its pace.
-	maxGaps = 48
-	minGaps = 8
-)
-
-// notePassed notes that events were passed on now.
-func (x *exchange) notePassed(events int) {
-	at := time.Now()
-	if !x.passedAt.IsZero() {
-		gap := at.Sub(x.passedAt)
-		x.pause = max(x.pause, gap)
-		if events == 1 && len(x.gaps) < maxGaps {
-			x.gaps = append(x.gaps, gap)
-		}
-	}
-	x.passedAt = at
-}
-
-// notePace tells the router the usual gap of a stream that one runner made.
-func (x *exchange) notePace(choice routing.Choice) {
-	if x.route.Kind != site.KindStream || x.attempts != 1 || x.row.Model == "" {
-		return
-	}
-	pace := residency.Pace{
-		Service: x.row.Service, Model: x.row.Model, Instance: string(choice.Runner()),
-		Paused: x.route.MaxPause > 0 && x.pause > x.route.MaxPause,
-	}
-	if len(x.gaps) >= minGaps {
-		slices.Sort(x.gaps)
-		pace.Gap = x.gaps[len(x.gaps)/2]
-	}
-	x.router.notePace(pace)
-}
-
 // giveUp answers a request for which no runner was found in time.
 func (x *exchange) giveUp(err error) {
 	if errors.Is(err, errStopped) {
@@ -589,58 +332,3 @@
 		refuse(x.writer, http.StatusBadGateway, 0, "the runner's answer was lost: "+reason)
 	}
 }
-
-// refuse answers in the router's own name.
-func refuse(writer http.ResponseWriter, status int, retryAfter time.Duration, message string) {
-	header := writer.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
-	}
-	header.Set("Content-Length", strconv.Itoa(len(message)+1))
-	writer.WriteHeader(status)
-	_, _ = io.WriteString(writer, message+"\n")
-}
-
-// copyHeader copies an answer's header. net/http would add a content type that the
-// runner did not give.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	if _, known := from["Content-Type"]; !known {
-		to["Content-Type"] = nil
-	}
-}
-
-func (r *Router) log(request *Request, version uint64, outcome string, err error) {
-	level.Info(r.logger).Log("msg", "A request was answered without a runner's success.", "request", request.ID,
-		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
-		"age", time.Since(request.Arrived), "outcome", outcome, "err", err)
-}
-
-// logServed logs a request that was answered: always when the answer was late or took
-// more than one sending, and else one in so many, by the request's ID.
-func (x *exchange) logServed(choice routing.Choice, ended result) {
-	first := x.begunAt.Sub(x.request.Arrived)
-	isLate := x.isStarted && x.route.Objective > 0 && first > x.route.Objective ||
-		x.route.MaxPause > 0 && x.pause > x.route.MaxPause
-	if isLate {
-		x.router.metrics.late.WithLabelValues(kindName(x.route.Kind)).Inc()
-	}
-	if !isLate && x.sent == 1 && xxhash.Sum64String(x.request.ID)%servedLogSample != 0 {
-		return
-	}
-	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "route", x.route.Name,
-		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
-		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", time.Since(x.request.Arrived), "version", x.version, "outcome", ended.reason)
-}
-
-// servedLogSample is how many ordinary answers one line stands for.
-const servedLogSample = 16
-
-func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
-	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "runner", choice.Runner(),
-		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
-		"age", time.Since(x.request.Arrived), "version", x.version, "err", ended.err)
-}
--- /dev/null
+++ b/relay/exchangelog.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/routing"
+)
+
+// name is the outcome of the attempt in metrics.
+func (r result) name() string {
+	if r.reason == "" {
+		return "answered"
+	}
+	return r.reason
+}
+
+// count counts the request with its outcome.
+func (x *exchange) count(outcome string) {
+	kind := kindName(x.route.Kind)
+	x.router.metrics.requests.WithLabelValues(kind, outcome).Inc()
+	x.router.metrics.waited.WithLabelValues(kind).Observe(x.waited.Seconds())
+	if x.isStarted {
+		x.router.metrics.first.WithLabelValues(kind).Observe(x.begunAt.Sub(x.request.Arrived).Seconds())
+	}
+}
+
+func (r *Router) log(request *Request, version uint64, outcome string, err error) {
+	level.Info(r.logger).Log("msg", "A request was answered without a runner's success.", "request", request.ID,
+		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
+		"age", time.Since(request.Arrived), "outcome", outcome, "err", err)
+}
+
+// logServed logs a request that was answered: always when the answer was late or took
+// more than one sending, and else one in so many, by the request's ID.
+func (x *exchange) logServed(choice routing.Choice, ended result) {
+	first := x.begunAt.Sub(x.request.Arrived)
+	isLate := x.isStarted && x.route.Objective > 0 && first > x.route.Objective ||
+		x.route.MaxPause > 0 && x.pause > x.route.MaxPause
+	if isLate {
+		x.router.metrics.late.WithLabelValues(kindName(x.route.Kind)).Inc()
+	}
+	if !isLate && x.sent == 1 && xxhash.Sum64String(x.request.ID)%servedLogSample != 0 {
+		return
+	}
+	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "route", x.route.Name,
+		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
+		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", time.Since(x.request.Arrived), "version", x.version, "outcome", ended.reason)
+}
+
+// servedLogSample is how many ordinary answers one line stands for.
+const servedLogSample = 16
+
+func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
+	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "runner", choice.Runner(),
+		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
+		"age", time.Since(x.request.Arrived), "version", x.version, "err", ended.err)
+}
--- /dev/null
+++ b/relay/watchdog.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// errSilent is the cause of ending an attempt at a runner that says nothing.
+var errSilent = errors.New("the runner was silent for too long")
+
+// watchdog ends an attempt of a request that may be sent elsewhere if its runner is
+// silent for too long. A runner that meanwhile sends something else is busy rather
+// than lost, and gets more time.
+type watchdog struct {
+	exchange *exchange
+	runner   structs.RunnerID
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+
+	mutex sync.Mutex
+	since time.Time
+}
+
+func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, since: time.Now()}
+	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
+		w.timer = time.AfterFunc(x.silence(), w.look)
+	}
+	return w
+}
+
+// look ends the attempt, or looks again later.
+func (w *watchdog) look() {
+	w.mutex.Lock()
+	since := w.since
+	w.mutex.Unlock()
+	silent := time.Since(since)
+	limit := w.exchange.silence()
+	if heard := w.exchange.router.lastHeard(w.runner); heard.After(since) {
+		limit = w.exchange.busySilence()
+	}
+	if silent >= limit {
+		w.cancel(errSilent)
+		return
+	}
+	w.timer.Reset(max(time.Millisecond, limit-silent))
+}
+
+// heard notes that the attempt's runner sent something for it.
+func (w *watchdog) heard() {
+	w.exchange.router.heardFrom(w.runner)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.since = time.Now()
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// silence is how long a runner that sends nothing at all may be silent.
+func (x *exchange) silence() time.Duration {
+	if x.route.Kind == site.KindStream {
+		return max(streamSilenceFloor, streamSilencePauses*x.route.MaxPause)
+	}
+	return max(minSilence, silenceFactor*x.route.Objective)
+}
+
+// busySilence is how long a runner that sends other answers may be silent.
+func (x *exchange) busySilence() time.Duration {
+	if x.route.Kind == site.KindStream {
+		return x.router.options.Patience.of(x.route) * 3 / 4
+	}
+	return x.silence()
+}
--- /dev/null
+++ b/residency/cost.go
@@ -0,0 +1,125 @@
+package residency
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// loadWeight is how many lost requests a second of loading counts for: enough to
+// prefer a copy that is near, and never more than a loss.
+const loadWeight = 0.02
+
+// costOf weighs a load of the model on the runner: the requests that will be late
+// because of what must make way, and the time of the load. victim is the first model
+// to unload, or "". It is not possible if more is lost than gained.
+func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
+	cost = loadTime(known, model).Seconds() * loadWeight
+	if p.IsSlow(now, known.status.Heartbeat.Instance) {
+		rate := p.modelDemand(known.status.Heartbeat.Service, model.Name).rate
+		cost += slowHarm * min(rate, p.options.ReplicaRate) * p.options.Horizon.Seconds()
+	}
+	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
+	if free >= model.SizeMB {
+		return cost, "", true
+	}
+	type candidate struct {
+		name   string
+		sizeMB float64
+		value  float64
+	}
+	var candidates []candidate
+	for name, held := range known.holdings {
+		listed := engine.ModelByName(name)
+		if listed == nil {
+			candidates = append(candidates, candidate{name, engine.WeightsMB, 0})
+			continue
+		}
+		if held.phase != phaseReady || !p.isIdle(now, known, name, held) {
+			continue
+		}
+		candidates = append(candidates, candidate{name, listed.SizeMB, p.value(known, listed)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.value < b.value:
+			return -1
+		case a.value > b.value:
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	for _, leaving := range candidates {
+		if victim == "" {
+			victim = leaving.name
+		}
+		if leaving.value > gain {
+			break
+		}
+		cost += leaving.value + evictionCost
+		free += leaving.sizeMB
+		if free >= model.SizeMB {
+			return cost, victim, true
+		}
+	}
+	return 0, "", false
+}
+
+// isIdle reports whether no request uses the model at the runner, nor waits for it.
+func (p *Planner) isIdle(now time.Time, known *runner, name string, held *holding) bool {
+	if now.Sub(held.usedAt) < p.options.IdleTime {
+		return false
+	}
+	for row, demand := range p.demands {
+		if row.Model != name || row.Service != known.status.Heartbeat.Service {
+			continue
+		}
+		if demand.active(now, known.status.Heartbeat.Instance, p.options.DemandLife) > 0 {
+			return false
+		}
+		if demand.waits(now, row, p.options.DemandLife).count > 0 && len(p.holders(row.Service, name)) <= 1 {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// evictionCost makes a runner with room preferable to one without.
+	evictionCost = 0.05
+	// patientHarm is how much of a late request it is to let a request wait for a load
+	// that its objective leaves time for.
+	patientHarm = 0.2
+	// spareValue keeps replicas of models with some demand a little longer than others.
+	spareValue = 0.02
+)
+
+// value is how many requests of the horizon are expected to be late without the
+// runner's replica of the model.
+func (p *Planner) value(known *runner, model *site.Model) float64 {
+	service := known.status.Heartbeat.Service
+	replicas := float64(len(p.holders(service, model.Name)))
+	demand := p.modelDemand(service, model.Name)
+	horizon := p.options.Horizon.Seconds()
+	if replicas <= 1 {
+		harm := 1.0
+		if demand.objective > model.LoadTime {
+			harm = patientHarm
+		}
+		return demand.rate * horizon * harm
+	}
+	excess := demand.rate - (replicas-1)*p.options.ReplicaRate
+	return max(0, excess)*horizon + demand.rate*spareValue
+}
+
+func loadTime(known *runner, model *site.Model) time.Duration {
+	switch {
+	case slices.Contains(known.status.Heartbeat.InMemory, model.Name):
+		return model.MemoryLoadTime
+	case slices.Contains(known.status.Heartbeat.OnDisk, model.Name):
+		return model.DiskLoadTime
+	}
+	return model.LoadTime
+}
--- /dev/null
+++ b/residency/needs.go
@@ -0,0 +1,111 @@
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// need is a model that should get one more replica, or a row that waits.
+type need struct {
+	row Row
+	// gain is how many requests of the horizon the order would save from being late.
+	gain float64
+	// isWaitedFor is set if requests wait that nobody can serve.
+	isWaitedFor bool
+	priority    int
+}
+
+// needs lists the models that should be loaded, the one with the largest gain first.
+func (p *Planner) needs(now time.Time) []need {
+	found := make(map[Row]*need)
+	for _, wanted := range p.waits(now) {
+		row := Row{Service: wanted.row.Service, Model: wanted.row.Model}
+		if len(p.holders(row.Service, row.Model)) > 0 || p.isComing(row) {
+			continue
+		}
+		if found[row] == nil {
+			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority}
+		}
+		found[row].priority = min(found[row].priority, wanted.priority)
+		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
+	}
+	for row := range p.demands {
+		p.addCrowded(now, found, Row{Service: row.Service, Model: row.Model})
+	}
+	for service, next := range p.successors {
+		p.addCrowded(now, found, Row{Service: service, Model: next.model})
+	}
+	var listed []need
+	for _, each := range found {
+		if each.isWaitedFor {
+			each.gain += p.modelDemand(each.row.Service, each.row.Model).rate * p.options.Horizon.Seconds()
+			each.gain *= urgency(each.priority)
+		}
+		listed = append(listed, *each)
+	}
+	slices.SortFunc(listed, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+	})
+	return listed
+}
+
+// agingTime is the waiting that doubles the weight of a request, so that nobody waits
+// for ever behind those who are many.
+const agingTime = 3 * time.Second
+
+// urgency weighs requests that wait by the priority of their route; 0 is the most
+// urgent.
+func urgency(priority int) float64 {
+	const step = 0.7
+	return 2 * math.Pow(step, float64(min(max(0, priority), 9)))
+}
+
+// addCrowded adds the model to the needs if it should have one more replica.
+func (p *Planner) addCrowded(now time.Time, found map[Row]*need, row Row) {
+	if found[row] != nil {
+		return
+	}
+	if gain := p.crowding(now, row); gain > 0 {
+		found[row] = &need{row: row, gain: gain}
+	}
+}
+
+const (
+	// slowCapacity is what a slow runner's replica counts for.
+	slowCapacity = 0.5
+	// spareRate is the demand in requests a second from which a model should have a
+	// second replica, and spareGain the part of the requests that one is worth.
+	spareRate = 1
+	spareGain = 0.1
+)
+
+// crowding is how many requests of the horizon are more than the replicas of a model,
+// those on their way included, should get. A model in demand that has a single one
+// would be lost with its runner, which counts a little.
+func (p *Planner) crowding(now time.Time, row Row) float64 {
+	replicas := p.coming(row)
+	capacity := float64(replicas)
+	for _, known := range p.holders(row.Service, row.Model) {
+		replicas++
+		if p.IsSlow(now, known.status.Heartbeat.Instance) {
+			capacity += slowCapacity
+		} else {
+			capacity++
+		}
+	}
+	rate := p.modelDemand(row.Service, row.Model).rate
+	if replicas == 0 {
+		if p.successors[row.Service].model != row.Model {
+			return 0
+		}
+		return rate * spareGain * p.options.Horizon.Seconds()
+	}
+	gain := max(0, rate-capacity*p.options.ReplicaRate)
+	if replicas == 1 && rate > spareRate {
+		gain = max(gain, rate*spareGain)
+	}
+	return gain * p.options.Horizon.Seconds()
+}
