Add a fault soak of the real programs as processes on loopback addresses

lotusferrylab soak: three controllers, three routers, stand-in runners behind proxies that delay, reset, silence or cut one way; processes killed, paused, stopped, disks lost. Checked from what callers, runners and operators see.

--- a/labcommand/run.go
+++ b/labcommand/run.go
@@ -54,6 +54,7 @@
 	Simulate   simulateCommand   `command:"simulate" description:"Run whole sites in one process and in virtual time, from seeds, with faults"`
 	Scenarios  scenariosCommand  `command:"scenarios" description:"List what fails, and which command brings it about"`
 	Capacity   capacityCommand   `command:"capacity" description:"Measure what each role costs, as slopes over several sizes"`
+	Soak       soakCommand       `command:"soak" description:"Run the roles of the users' platform as processes on loopback addresses under faults from outside, and check them"`
 }
 
 // Run runs the command line and returns the exit code.
@@ -71,6 +72,7 @@
 		Simulate:   simulateCommand{session: shared},
 		Scenarios:  scenariosCommand{session: shared},
 		Capacity:   capacityCommand{session: shared},
+		Soak:       soakCommand{session: shared},
 	}
 	parser := flags.NewNamedParser("lotusferrylab", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &line); err != nil {
