Tell routers only what changed; sum up demand once a plan

Change: fleet.Publisher numbers changes and gives partial views; heartbeats and answers only ask for a step, and steps have a pause that grows with the routers; a tally is taken once a plan.

--- a/domainnode/contact.go
+++ b/domainnode/contact.go
@@ -22,7 +22,7 @@
 	l.mutex.Lock()
 	l.registry.Depart(now(), departure.Instance, departure.Gone)
 	l.refresh(now())
-	revision := l.revision
+	revision := l.views.Revision()
 	l.mutex.Unlock()
 	for {
 		l.mutex.Lock()
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/domain"
 	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/residency"
 	"github.com/lotusferry/lotusferry/site"
@@ -17,6 +18,10 @@
 )
 
 const (
+	// minStepPause and stepPausePerRouter bound how often the leader plans and tells
+	// all routers of a change.
+	minStepPause       = 15 * time.Millisecond
+	stepPausePerRouter = time.Millisecond
 	// planInterval is the longest pause between two looks at what to load.
 	planInterval = 100 * time.Millisecond
 	// routerLife is how long a router that has gone silent keeps its part of what is
@@ -45,9 +50,8 @@
 	mutex    sync.Mutex
 	registry *fleet.Registry
 	planner  *residency.Planner
-	// view is the newest for routers; revision counts its changes.
-	view     fleet.View
-	revision uint64
+	// views numbers the views for routers.
+	views *fleet.Publisher
 	// document is the one that the planner works by.
 	document uint64
 	// changed is closed and replaced at each change of view or document.
@@ -91,6 +95,7 @@
 		wake:     make(chan struct{}, 1),
 		registry: fleet.NewRegistry(at),
 		planner:  residency.NewPlanner(n.options.Planner, ordersFrom),
+		views:    fleet.NewPublisher(),
 		changed:  make(chan struct{}),
 		routers:  make(map[string]routerContact),
 		stopping: make(map[raft.NodeID]time.Time),
@@ -153,7 +158,7 @@
 		case <-l.wake:
 		}
 		l.mutex.Lock()
-		ended := l.ended
+		ended, routers := l.ended, len(l.routers)
 		l.mutex.Unlock()
 		if ended {
 			return
@@ -161,6 +166,8 @@
 		if l.isValid() {
 			l.step(ctx)
 		}
+		// What comes meanwhile shares the next step.
+		pause.For(ctx, minStepPause+time.Duration(routers)*stepPausePerRouter)
 	}
 }
 
@@ -213,6 +220,7 @@
 	statuses := l.registry.Runners(at)
 	l.planner.SetRunners(at, statuses)
 	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
+	view.Runners = make([]fleet.Runner, 0, len(statuses))
 	for _, status := range statuses {
 		heartbeat := status.Heartbeat
 		view.Runners = append(view.Runners, fleet.Runner{
@@ -222,16 +230,13 @@
 			Zone:     heartbeat.Zone,
 			Slots:    heartbeat.Slots,
 			Leaving:  status.Leaving,
-			Slow:     l.planner.IsSlow(at, heartbeat.Instance),
+			Slow:     l.planner.IsSlow(heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
-	if l.revision > 0 && view.Equal(l.view) {
-		return
+	if l.views.Publish(view) {
+		l.notify()
 	}
-	l.view = view
-	l.revision++
-	l.notify()
 }
 
 // notify wakes whoever waits for a change. It runs under the mutex.
@@ -260,8 +265,8 @@
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
 	l.registry.Hear(now(), heartbeat)
-	l.refresh(now())
 	l.mutex.Unlock()
+	l.wakePlan()
 	registration := domain.Registration{
 		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
 		Zone: heartbeat.Zone, Slots: heartbeat.Slots,
--- a/domainnode/orders.go
+++ b/domainnode/orders.go
@@ -54,7 +54,6 @@
 		"busy", report.Busy, "models", len(report.Models))
 	l.mutex.Lock()
 	l.planner.Reported(now(), askedAt, instance, report)
-	l.refresh(now())
 	l.mutex.Unlock()
 	l.wakePlan()
 }
@@ -76,7 +75,6 @@
 		"took", now().Sub(began))
 	l.mutex.Lock()
 	l.planner.Answered(now(), order, outcome)
-	l.refresh(now())
 	l.mutex.Unlock()
 	l.wakePlan()
 }
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -230,15 +230,13 @@
 		machineChanged := joined.changes()
 		current.mutex.Lock()
 		viewChanged := current.changed
-		view, revision := current.view, current.revision
+		revision := current.views.Revision()
 		current.mutex.Unlock()
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
 		if revision != known || document.Version > arguments.Version {
 			fillWatch(reply, arguments, document, current, revision)
-			if revision != known {
-				reply.View = &view
-			}
+			current.fillView(reply, known)
 			break
 		}
 		select {
@@ -265,6 +263,17 @@
 	return nil
 }
 
+// fillView gives the news of the view to a router that knows a revision.
+func (l *leadership) fillView(reply *domainapi.WatchReply, known uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	reply.Revision = l.views.Revision()
+	if reply.Revision != known {
+		view := l.views.Since(known)
+		reply.View = &view
+	}
+}
+
 func fillWatch(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, document domain.Document, current *leadership, revision uint64) {
 	reply.Term = uint64(current.term)
 	reply.Revision = revision
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -6,6 +6,9 @@
 // view adds to what is known and takes away only what is certainly gone, so that a
 // new leader, which has not heard the heartbeats yet, empties no router's list.
 func Merge(known, learned View) View {
+	if learned.Partial {
+		return mergePartial(known, learned)
+	}
 	if learned.Complete {
 		return learned
 	}
@@ -20,3 +23,23 @@
 	}
 	return merged
 }
+
+// mergePartial adds changes to what is known.
+func mergePartial(known, changes View) View {
+	merged := View{Complete: changes.Complete, Gone: known.Gone, Runners: slices.Clone(changes.Runners)}
+	isChanged := make(map[string]bool, len(changes.Runners)+len(changes.Removed))
+	addresses := make(map[string]bool, len(changes.Runners))
+	for _, runner := range changes.Runners {
+		isChanged[runner.Instance] = true
+		addresses[runner.Address] = true
+	}
+	for _, instance := range changes.Removed {
+		isChanged[instance] = true
+	}
+	for _, runner := range known.Runners {
+		if !isChanged[runner.Instance] && (runner.Address == "" || !addresses[runner.Address]) {
+			merged.Runners = append(merged.Runners, runner)
+		}
+	}
+	return merged
+}
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -63,6 +63,9 @@
 	Complete bool
 	// Gone lists the instances that have ended for certain.
 	Gone []string
+	// Partial views list only the runners that changed, and those removed.
+	Partial bool
+	Removed []string
 }
 
 // Equal reports whether two views are the same.
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -10,7 +10,7 @@
 	if row.Adapter == "" {
 		return Order{}, false
 	}
-	holders := p.holders(row.Service, row.Model)
+	holders := p.holders(row)
 	for _, known := range holders {
 		if known.holdings[row.Model].adapters[row.Adapter] != nil {
 			return Order{}, false
@@ -70,8 +70,7 @@
 				continue
 			}
 			row := Row{Service: known.status.Heartbeat.Service, Model: model, Adapter: name}
-			demand := p.demands[row]
-			if demand != nil && demand.active(now, known.status.Heartbeat.Instance, p.options.DemandLife) > 0 {
+			if p.tally.rowActive[activeKey{row, known.status.Heartbeat.Instance}] > 0 {
 				continue
 			}
 			found, longest = adapterName{model, name}, age
--- a/residency/anticipate.go
+++ b/residency/anticipate.go
@@ -36,7 +36,7 @@
 	total := 0.0
 	demands := make([]modelDemand, len(models))
 	for i := range models {
-		demands[i] = p.observedDemand(service.Name, models[i].Name)
+		demands[i] = p.tally.demands[Row{Service: service.Name, Model: models[i].Name}]
 		total += demands[i].rate
 	}
 	last := -1
--- a/residency/cost.go
+++ b/residency/cost.go
@@ -17,8 +17,8 @@
 // to unload, or "". It is not possible if more is lost than gained.
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
 	cost = loadTime(known, model).Seconds() * loadWeight
-	if p.IsSlow(now, known.status.Heartbeat.Instance) {
-		rate := p.modelDemand(known.status.Heartbeat.Service, model.Name).rate
+	if p.IsSlow(known.status.Heartbeat.Instance) {
+		rate := p.modelDemand(known.rowOf(model.Name)).rate
 		cost += slowHarm * min(rate, p.options.ReplicaRate) * p.options.Horizon.Seconds()
 	}
 	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
@@ -72,18 +72,11 @@
 	if now.Sub(held.usedAt) < p.options.IdleTime {
 		return false
 	}
-	for row, demand := range p.demands {
-		if row.Model != name || row.Service != known.status.Heartbeat.Service {
-			continue
-		}
-		if demand.active(now, known.status.Heartbeat.Instance, p.options.DemandLife) > 0 {
-			return false
-		}
-		if demand.waits(now, row, p.options.DemandLife).count > 0 && len(p.holders(row.Service, name)) <= 1 {
-			return false
-		}
+	row := known.rowOf(name)
+	if p.tally.active[activeKey{row, known.status.Heartbeat.Instance}] > 0 {
+		return false
 	}
-	return true
+	return p.tally.waiting[row] == 0 || len(p.holders(row)) > 1
 }
 
 const (
@@ -99,9 +92,9 @@
 // value is how many requests of the horizon are expected to be late without the
 // runner's replica of the model.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
-	service := known.status.Heartbeat.Service
-	replicas := float64(len(p.holders(service, model.Name)))
-	demand := p.modelDemand(service, model.Name)
+	row := known.rowOf(model.Name)
+	replicas := float64(len(p.holders(row)))
+	demand := p.modelDemand(row)
 	horizon := p.options.Horizon.Seconds()
 	if replicas <= 1 {
 		harm := 1.0
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -67,18 +67,11 @@
 	return total
 }
 
-// active counts the requests of the row at a runner, by the reports that count.
-func (d *rowDemand) active(now time.Time, instance string, life time.Duration) int {
-	count := 0
-	for _, report := range d.reports {
+// prune forgets reports that no longer count.
+func (d *rowDemand) prune(now time.Time, life time.Duration) {
+	for router, report := range d.reports {
 		if now.Sub(report.at) > life {
-			continue
-		}
-		for _, each := range report.demand.Active {
-			if each.Instance == instance {
-				count += each.Count
-			}
+			delete(d.reports, router)
 		}
 	}
-	return count
 }
--- a/residency/needs.go
+++ b/residency/needs.go
@@ -22,8 +22,8 @@
 func (p *Planner) needs(now time.Time) []need {
 	found := make(map[Row]*need)
 	for _, wanted := range p.waits(now) {
-		row := Row{Service: wanted.row.Service, Model: wanted.row.Model}
-		if len(p.holders(row.Service, row.Model)) > 0 || p.isComing(row) {
+		row := modelOf(wanted.row)
+		if len(p.holders(row)) > 0 || p.coming(row) > 0 {
 			continue
 		}
 		if found[row] == nil {
@@ -32,16 +32,16 @@
 		found[row].priority = min(found[row].priority, wanted.priority)
 		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
 	}
-	for row := range p.demands {
-		p.addCrowded(now, found, Row{Service: row.Service, Model: row.Model})
+	for row := range p.tally.demands {
+		p.addCrowded(found, row)
 	}
 	for service, next := range p.successors {
-		p.addCrowded(now, found, Row{Service: service, Model: next.model})
+		p.addCrowded(found, Row{Service: service, Model: next.model})
 	}
 	var listed []need
 	for _, each := range found {
 		if each.isWaitedFor {
-			each.gain += p.modelDemand(each.row.Service, each.row.Model).rate * p.options.Horizon.Seconds()
+			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
 			each.gain *= urgency(each.priority)
 		}
 		listed = append(listed, *each)
@@ -64,11 +64,11 @@
 }
 
 // addCrowded adds the model to the needs if it should have one more replica.
-func (p *Planner) addCrowded(now time.Time, found map[Row]*need, row Row) {
+func (p *Planner) addCrowded(found map[Row]*need, row Row) {
 	if found[row] != nil {
 		return
 	}
-	if gain := p.crowding(now, row); gain > 0 {
+	if gain := p.crowding(row); gain > 0 {
 		found[row] = &need{row: row, gain: gain}
 	}
 }
@@ -85,18 +85,18 @@
 // crowding is how many requests of the horizon are more than the replicas of a model,
 // those on their way included, should get. A model in demand that has a single one
 // would be lost with its runner, which counts a little.
-func (p *Planner) crowding(now time.Time, row Row) float64 {
+func (p *Planner) crowding(row Row) float64 {
 	replicas := p.coming(row)
 	capacity := float64(replicas)
-	for _, known := range p.holders(row.Service, row.Model) {
+	for _, known := range p.holders(row) {
 		replicas++
-		if p.IsSlow(now, known.status.Heartbeat.Instance) {
+		if p.IsSlow(known.status.Heartbeat.Instance) {
 			capacity += slowCapacity
 		} else {
 			capacity++
 		}
 	}
-	rate := p.modelDemand(row.Service, row.Model).rate
+	rate := p.modelDemand(row).rate
 	if replicas == 0 {
 		if p.successors[row.Service].model != row.Model {
 			return 0
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -126,20 +126,33 @@
 	}
 }
 
-// IsSlow reports whether a runner is known to be slower than others, or too slow for
-// one of the models that it holds.
-func (p *Planner) IsSlow(now time.Time, instance string) bool {
-	if p.paces.slowness(instance) > slowFactor {
-		return true
+// slowInterval is the pause between two comparisons of the runners.
+const slowInterval = time.Second
+
+// findSlow compares the runners from time to time.
+func (p *Planner) findSlow(now time.Time) {
+	if p.slow != nil && now.Sub(p.slowAt) < slowInterval {
+		return
 	}
-	known := p.runners[instance]
-	if known == nil {
-		return false
+	p.slowAt = now
+	p.slow = make(map[string]bool)
+	for instance, known := range p.runners {
+		if p.paces.slowness(instance) > slowFactor || p.pauses(now, known) {
+			p.slow[instance] = true
+		}
 	}
+}
+
+// pauses reports whether the runner is too slow for one of the models that it holds.
+func (p *Planner) pauses(now time.Time, known *runner) bool {
 	for model := range known.holdings {
-		if p.paces.pauses(now, Row{Service: known.status.Heartbeat.Service, Model: model}, instance) {
+		if p.paces.pauses(now, known.rowOf(model), known.status.Heartbeat.Instance) {
 			return true
 		}
 	}
 	return false
 }
+
+// IsSlow reports whether a runner was found to be slower than others, or too slow for
+// one of the models that it holds.
+func (p *Planner) IsSlow(instance string) bool { return p.slow[instance] }
--- a/residency/pace_test.go
+++ b/residency/pace_test.go
@@ -56,14 +56,19 @@
 		p.ObservePace(start, []Pace{{Service: "s", Model: "a", Instance: "r", Gap: 20 * time.Millisecond, Paused: isPaused}})
 	}
 	see(true)
-	c.Assert(p.IsSlow(start, "r"), qt.IsFalse, qt.Commentf("one stream proves nothing"))
+	isSlow := func(at time.Time) bool {
+		p.slow = nil
+		p.findSlow(at)
+		return p.IsSlow("r")
+	}
+	c.Assert(isSlow(start), qt.IsFalse, qt.Commentf("one stream proves nothing"))
 	for range 5 {
 		see(false)
 	}
-	c.Assert(p.IsSlow(start, "r"), qt.IsTrue, qt.Commentf("one of six"))
-	c.Assert(p.IsSlow(start.Add(pausedLife), "r"), qt.IsFalse)
+	c.Assert(isSlow(start), qt.IsTrue, qt.Commentf("one of six"))
+	c.Assert(isSlow(start.Add(pausedLife)), qt.IsFalse)
 	for range 12 {
 		see(false)
 	}
-	c.Assert(p.IsSlow(start, "r"), qt.IsFalse)
+	c.Assert(isSlow(start), qt.IsFalse)
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -25,6 +25,8 @@
 		return nil
 	}
 	p.repair(now)
+	p.takeTally(now)
+	p.findSlow(now)
 	p.anticipate()
 	var orders []Order
 	for _, wanted := range p.waits(now) {
@@ -53,32 +55,10 @@
 }
 
 // holders lists the runners on which requests may use the model.
-func (p *Planner) holders(service, model string) []*runner {
-	var holders []*runner
-	for _, known := range p.sorted() {
-		if known.status.Heartbeat.Service == service && !known.status.Leaving && known.ready(model) != nil {
-			holders = append(holders, known)
-		}
-	}
-	return holders
-}
-
-// isComing reports whether a runner already loads the model.
-func (p *Planner) isComing(row Row) bool { return p.coming(row) > 0 }
+func (p *Planner) holders(row Row) []*runner { return p.tally.holders[modelOf(row)] }
 
 // coming counts the runners that load the model.
-func (p *Planner) coming(row Row) int {
-	count := 0
-	for _, known := range p.runners {
-		if known.status.Heartbeat.Service != row.Service || known.status.Leaving {
-			continue
-		}
-		if held := known.holdings[row.Model]; held != nil && (held.phase == phaseLoading || held.phase == phaseUncertain) {
-			count++
-		}
-	}
-	return count
-}
+func (p *Planner) coming(row Row) int { return p.tally.coming[modelOf(row)] }
 
 // mayOrder reports whether the runner can be given an order about a model.
 func (p *Planner) mayOrder(known *runner) bool {
@@ -93,7 +73,7 @@
 	var best *runner
 	var bestVictim string
 	lowest := math.Inf(1)
-	for _, known := range p.sorted() {
+	for _, known := range p.tally.sorted {
 		engine := p.engineOf(known)
 		if engine == nil || known.status.Heartbeat.Service != row.Service || !p.mayOrder(known) {
 			continue
@@ -161,6 +141,9 @@
 		held.adapters[adapter].phase = phaseUnloading
 	}
 	p.noteChange(before, known)
+	if adapter == "" {
+		p.tally.noteOrder(known, operation, model)
+	}
 	return Order{
 		Instance:  known.status.Heartbeat.Instance,
 		Address:   known.status.Heartbeat.Address,
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -22,6 +22,11 @@
 	// service.
 	loads map[string][]time.Time
 	paces paces
+	// slow holds the runners found slow at slowAt.
+	slow   map[string]bool
+	slowAt time.Time
+	// tally is that of the plan under way.
+	tally *tally
 	// successors are the models of each service that are expected to become busy.
 	successors map[string]successor
 	// changed is set when what routers may use has changed.
@@ -298,34 +303,14 @@
 }
 
 // modelDemand is the demand for a model, or what is expected of it.
-func (p *Planner) modelDemand(service, model string) modelDemand {
-	observed := p.observedDemand(service, model)
-	if next := p.successors[service]; next.model == model && next.demand.rate > observed.rate {
+func (p *Planner) modelDemand(row Row) modelDemand {
+	observed := p.tally.demands[modelOf(row)]
+	if next := p.successors[row.Service]; next.model == row.Model && next.demand.rate > observed.rate {
 		return next.demand
 	}
 	return observed
 }
 
-// recentWeight is the weight of the short average when demand rises.
-const recentWeight = 0.75
-
-func (p *Planner) observedDemand(service, model string) modelDemand {
-	var total modelDemand
-	recent := 0.0
-	for row, demand := range p.demands {
-		if row.Service != service || row.Model != model {
-			continue
-		}
-		total.rate += demand.rate
-		recent += demand.recent
-		if demand.objective > 0 && (total.objective == 0 || demand.objective < total.objective) {
-			total.objective = demand.objective
-		}
-	}
-	total.rate = max(total.rate, recentWeight*recent+(1-recentWeight)*total.rate)
-	return total
-}
-
 // Doubt notes runners that refused requests for what they were thought to hold. They
 // are asked for a report.
 func (p *Planner) Doubt(now time.Time, instances []string) {
@@ -351,29 +336,19 @@
 
 // Summary lists the models with demand, the most demanded first.
 func (p *Planner) Summary(now time.Time) []ModelSummary {
-	found := make(map[Row]*ModelSummary)
-	for row, demand := range p.demands {
-		key := Row{Service: row.Service, Model: row.Model}
-		summary := found[key]
-		if summary == nil {
-			summary = &ModelSummary{Service: row.Service, Model: row.Model}
-			found[key] = summary
+	p.takeTally(now)
+	summaries := make([]ModelSummary, 0, len(p.tally.demands))
+	for row, demand := range p.tally.demands {
+		summary := ModelSummary{
+			Service: row.Service, Model: row.Model, Rate: demand.rate, Waiting: p.tally.waiting[row],
+			Replicas: len(p.holders(row)), Coming: p.coming(row),
 		}
-		summary.Rate += demand.rate
-		summary.Waiting += demand.waits(now, row, p.options.DemandLife).count
-		for instance := range p.runners {
-			summary.Active += demand.active(now, instance, p.options.DemandLife)
-		}
-	}
-	summaries := make([]ModelSummary, 0, len(found))
-	for _, summary := range found {
-		summary.Replicas = len(p.holders(summary.Service, summary.Model))
-		for _, known := range p.runners {
-			if held := known.holdings[summary.Model]; held != nil && held.phase == phaseLoading {
-				summary.Coming++
+		for key, count := range p.tally.active {
+			if key.row == row {
+				summary.Active += count
 			}
 		}
-		summaries = append(summaries, *summary)
+		summaries = append(summaries, summary)
 	}
 	slices.SortFunc(summaries, func(a, b ModelSummary) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), strings.Compare(a.Model, b.Model))
--- a/residency/runner.go
+++ b/residency/runner.go
@@ -71,6 +71,11 @@
 	return false
 }
 
+// rowOf is the row of a model at the runner.
+func (r *runner) rowOf(model string) Row {
+	return Row{Service: r.status.Heartbeat.Service, Model: model}
+}
+
 // isUncertain reports whether an order to load a model may or may not have been taken.
 func (r *runner) isUncertain() bool {
 	for _, held := range r.holdings {
