--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -148,7 +148,11 @@
 // score is the runner's load as a share of its batch, and its penalty.
 func (b *Balancer) score(now time.Time, candidate *replica) float64 {
 	load := candidate.runner.load(now, b.options.ReportLife)
-	return float64(load)/float64(candidate.runner.maxBatch) + candidate.runner.penalty
+	score := float64(load)/float64(candidate.runner.maxBatch) + candidate.runner.penalty
+	if now.Sub(candidate.runner.answeredAt) > b.options.WarmTime {
+		score += b.options.ColdRequests / float64(candidate.runner.maxBatch)
+	}
+	return score
 }
 
 // SetPenalty makes a runner be chosen only when the others are more loaded by the
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -279,3 +279,26 @@
 		qt.Assert(t, delay >= ceiling/2 && delay <= ceiling, qt.IsTrue, qt.Commentf("%d: %d", retry, delay))
 	}
 }
+
+func TestRunnerWithAnOpenConnectionIsPreferredUntilItIsBusier(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := New(Options{MaxBatch: 10, ColdRequests: 2.5, WarmTime: 8 * time.Second}, rand.New(rand.NewPCG(1, 1)))
+	b.SetPlacement(structs.Placement{
+		Runners: []structs.RunnerInfo{{ID: "a"}, {ID: "b"}},
+		Replicas: []structs.Replica{
+			{Row: "row", Runner: "a", State: structs.ReplicaReady}, {Row: "row", Runner: "b", State: structs.ReplicaReady},
+		},
+	})
+	first, found := b.Pick(now, "row", nil, "")
+	c.Assert(found, qt.IsTrue)
+	first.Sent(now, nil)
+	first.Done(now, OutcomeSuccess)
+	for range 3 {
+		next, _ := b.Pick(now.Add(time.Second), "row", nil, "")
+		c.Assert(next.Runner(), qt.Equals, first.Runner())
+		next.Sent(now.Add(time.Second), nil)
+	}
+	other, _ := b.Pick(now.Add(time.Second), "row", nil, "")
+	c.Assert(other.Runner(), qt.Not(qt.Equals), first.Runner(), qt.Commentf("three more than the other outweigh a connection"))
+}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -59,6 +59,7 @@
 	target.change(now, -1)
 	switch outcome {
 	case OutcomeSuccess:
+		target.answeredAt = now
 		target.breaker.succeeded()
 		c.replica.breaker.succeeded()
 		c.replica.rate.add(false)
--- a/routing/options.go
+++ b/routing/options.go
@@ -35,6 +35,11 @@
 	EjectionShare float64
 	// EjectionTime is how long an outlier stays out.
 	EjectionTime time.Duration
+	// ColdRequests is by how many requests other runners must be more loaded before one
+	// is chosen that has answered nothing for WarmTime, so that a new connection to it
+	// would have to be opened. Zero means that this does not matter.
+	ColdRequests float64
+	WarmTime     time.Duration
 }
 
 // Defaults of Options.
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -25,8 +25,10 @@
 	maxBatch   int
 	// penalty is added to the runner's score.
 	penalty float64
-	breaker breaker
-	history history
+	// answeredAt is when an attempt last ended with an answer.
+	answeredAt time.Time
+	breaker    breaker
+	history    history
 	// sequence is the highest of the cache events seen.
 	sequence uint64
 	// rows names the placed replicas, sorted.
