--- a/residency/runner.go
+++ b/residency/runner.go
@@ -122,14 +122,6 @@
 	return count
 }
 
-// ready returns the holding of a model that requests may use, or nil.
-func (r *runner) ready(model string) *holding {
-	if held := r.holdings[model]; held != nil && held.phase == phaseReady {
-		return held
-	}
-	return nil
-}
-
 // loaded lists what requests may use, sorted.
 func (r *runner) loaded() []fleet.LoadedModel {
 	var models []fleet.LoadedModel
