Let no late heartbeat take away what a report told of

Ruled out: an order executed late (every order was answered), two leaders at once (tokens rise), a busy runner (the load had ended 1.5 s before). Change: a heartbeat takes a model away only if one heard before had listed it; else the runner is asked.

--- a/labcommand/soak.go
+++ b/labcommand/soak.go
@@ -19,19 +19,20 @@
 	Seed   uint64        `long:"seed" default:"1" description:"seed of the faults"`
 	Seeds  int           `long:"seeds" default:"1" description:"how many seeds to run, one after the other"`
 	For    time.Duration `long:"for" default:"60s" description:"how long faults are injected with each seed"`
+	Again  bool          `long:"regressions" description:"run the seeds that ever failed instead"`
 	Folder string        `long:"folder" value-name:"DIR" description:"where settings, data and logs go; a new one by default"`
 }
 
 // Execute implements flags.Commander.
 func (c *soakCommand) Execute([]string) error {
 	violated := false
-	for offset := range c.Seeds {
+	for _, seed := range c.seeds() {
 		folder, err := c.folderOf()
 		if err != nil {
 			return err
 		}
 		report, err := soak.Run(c.session.ctx, soak.Options{
-			Binary: c.Binary, Folder: folder, Seed: c.Seed + uint64(offset), For: c.For,
+			Binary: c.Binary, Folder: folder, Seed: seed, For: c.For,
 			Log: func(format string, arguments ...any) {
 				fmt.Fprintf(c.session.Errors, format+"\n", arguments...)
 			},
@@ -53,6 +54,21 @@
 	return nil
 }
 
+// seeds lists the seeds to run.
+func (c *soakCommand) seeds() []uint64 {
+	var seeds []uint64
+	if c.Again {
+		for _, each := range soak.Regressions {
+			seeds = append(seeds, each.Seed)
+		}
+		return seeds
+	}
+	for offset := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(offset))
+	}
+	return seeds
+}
+
 func (c *soakCommand) folderOf() (string, error) {
 	if c.Folder != "" {
 		return c.Folder, errors.Wrap(os.MkdirAll(c.Folder, 0o700), "make folder")
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -198,3 +198,27 @@
 		})
 	}
 }
+
+// A heartbeat that comes seconds late shows a state from before what a report told, as
+// after a change of the leader. It must not make room that there is not.
+func TestLateHeartbeatDoesNotTakeAwayWhatAReportTold(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(twoModels())
+	recalled := status(0)
+	recalled[0].Recalled = true
+	p.SetRunners(start, recalled)
+	p.Reported(start, start, "r", Report{Taken: 83, Models: []fleet.LoadedModel{{Name: "b"}}})
+	at := start.Add(2 * time.Second)
+	p.SetRunners(at, status(7))
+	waitFor(p, at, Row{Model: "a"})
+	for _, order := range p.Plan(at) {
+		c.Assert(order.Operation, qt.Equals, Unload, qt.Commentf("there is no room for a load"))
+	}
+	c.Assert(p.Questions(at), qt.HasLen, 1, qt.Commentf("the runner is asked what holds"))
+	p.Reported(at, at, "r", Report{Taken: 84})
+	waitFor(p, at, Row{Model: "a"})
+	orders := p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Load)
+}
--- a/residency/runner.go
+++ b/residency/runner.go
@@ -31,6 +31,9 @@
 	// usedAt is when a request last needed it.
 	usedAt   time.Time
 	adapters map[string]*holding
+	// isListed is set once a heartbeat that was heard has listed the model: only then
+	// is a heartbeat that does not list it certainly a newer one.
+	isListed bool
 }
 
 func newHolding(now time.Time, phase phase) *holding {
@@ -155,6 +158,7 @@
 		case held.phase == phaseLoading || held.phase == phaseUncertain:
 			held.phase, held.since = phaseReady, now
 		}
+		held.isListed = true
 		for _, name := range said.Adapters {
 			if held.adapters[name] == nil && now.Sub(r.changedAt) > guard {
 				held.adapters[name] = newHolding(now, phaseReady)
@@ -166,6 +170,11 @@
 		if isSaid || held.phase == phaseLoading || held.phase == phaseUncertain {
 			continue
 		}
+		if !held.isListed {
+			// The heartbeat may be from before a report that told of the model.
+			r.isTakenKnown = false
+			continue
+		}
 		delete(r.holdings, name)
 	}
 }
@@ -182,7 +191,7 @@
 	for _, said := range report.Models {
 		held := newHolding(now, phaseReady)
 		if former := known[said.Name]; former != nil {
-			held.usedAt, held.since = former.usedAt, former.since
+			held.usedAt, held.since, held.isListed = former.usedAt, former.since, former.isListed
 			if report.Busy && former.phase == phaseUnloading {
 				held.phase = phaseUnloading
 			}
--- a/spec/countedorders.pml
+++ b/spec/countedorders.pml
@@ -6,7 +6,8 @@
  * The runner has room for two of three models. A load takes a while, during which the
  * runner takes no order about a model, and what it loads is not in its report. An order
  * may be answered, lost, or executed at any later time without an answer, also after
- * its leader was replaced. A leader sends one order at a time; after one without an
+ * its leader was replaced. A heartbeat shows what the runner held when it was made, and
+ * may come much later. A leader sends one order at a time; after one without an
  * answer it asks the runner before the next. Reports are taken to be of the present: an
  * older one only names a number that the runner has passed.
  *
@@ -16,6 +17,7 @@
  * broken IGNORE_NUMBER breaks OneOfTwo -DMAX_ORDERS=4
  * broken IGNORE_NUMBER_ROOM breaks RoomHeld -DMAX_ORDERS=4
  * broken TRUST_BUSY_REPORT breaks RoomHeld -DMAX_ORDERS=4
+ * broken TRUST_LATE_HEARTBEAT breaks RoomHeld -DMAX_ORDERS=4
  * broken IGNORE_TOKEN_AND_NUMBER breaks TokensRise -DMAX_ORDERS=4
  *
  * The numbers alone keep orders of a former leader from being executed after one of the
@@ -62,6 +64,10 @@
 byte lateCount;
 byte sentCount;
 
+/* A heartbeat on its way, and what it lists. */
+bool isBeating;
+byte beat;
+
 /* What the present leader believes. */
 byte token = 1;
 byte counted; /* models that the runner holds, loads, or may load, as the leader knows */
@@ -180,6 +186,18 @@
 	:: atomic { awaits != NOTHING && (holds & bit(awaits)) != 0 -> /* a heartbeat says that it is loaded */
 		known = known | bit(awaits);
 		awaits = NOTHING }
+	:: atomic { isBeating && awaits == NOTHING -> /* a heartbeat that was late comes */
+		isBeating = false;
+#ifdef BROKEN_TRUST_LATE_HEARTBEAT
+		known = known & beat;
+		counted = counted & beat
+#else
+		if
+		:: (known & ~beat) != 0 -> isTakenKnown = false /* ask the runner */
+		:: else
+		fi
+#endif
+		}
 	:: atomic { token == 1 -> /* another leader takes over, which knows nothing */
 		token = 2;
 		counted = 0;
@@ -198,6 +216,9 @@
 	:: atomic { loading != NOTHING -> /* the load is done */
 		holds = holds | bit(loading);
 		loading = NOTHING }
+	:: atomic { !isBeating && taken < MAX_ORDERS -> /* a heartbeat is made */
+		isBeating = true;
+		beat = holds }
 	:: atomic { lateCount > 0 -> /* a late order comes, or never does */
 		if
 		:: Execute(late[lateCount - 1], isDone)
