Merge addresses in one place, fill a watch in one place, take out what nothing uses

Cause: a second reading. Routers and controllers each merged lists of addresses, the addresses of a group's members were listed twice, a watch's reply was filled by two functions that both set the revision; Options.Zone and Runners of relay, HeardAt of fleet and ServiceByName of site were used by nothing. Change: leadercall.Unique, memberAddresses, leadership.fill; the dead ones are gone.

--- a/domainnode/node.go
+++ b/domainnode/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -254,32 +255,25 @@
 // then seeds.
 func (n *Node) refreshAddresses() {
 	n.mutex.Lock()
-	addresses := append([]string{}, n.known...)
+	known := n.known
 	n.mutex.Unlock()
-	seen := make(map[string]bool, len(addresses))
-	for _, address := range addresses {
-		seen[address] = true
-	}
-	for _, seed := range n.options.Seeds() {
-		if !seen[seed] {
-			seen[seed] = true
-			addresses = append(addresses, seed)
-		}
-	}
-	if !seen[n.options.Address] {
-		addresses = append(addresses, n.options.Address)
-	}
-	n.caller.SetAddresses(addresses)
+	n.caller.SetAddresses(leadercall.Unique(known, n.options.Seeds(), []string{n.options.Address}))
 }
 
-// learnMembers notes the addresses of the group's members.
-func (n *Node) learnMembers(status group.Status) {
+// memberAddresses lists the addresses of the group's voters and learners.
+func memberAddresses(status group.Status) []string {
 	var addresses []string
-	for _, each := range status.Members(append(append(status.Membership.Voters[:0:0], status.Membership.Voters...), status.Membership.Learners...)) {
+	for _, each := range status.Members(slices.Concat(status.Membership.Voters, status.Membership.Learners)) {
 		if each.Address != "" {
 			addresses = append(addresses, each.Address)
 		}
 	}
+	return addresses
+}
+
+// learnMembers notes the addresses of the group's members.
+func (n *Node) learnMembers(status group.Status) {
+	addresses := memberAddresses(status)
 	n.mutex.Lock()
 	n.known = addresses
 	n.mutex.Unlock()
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/domain"
@@ -235,8 +234,7 @@
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
 		if revision != known || document.Version > arguments.Version {
-			fillWatch(reply, arguments, document, current, revision)
-			current.fillView(reply, known)
+			current.fill(reply, arguments, known, document)
 			break
 		}
 		select {
@@ -245,7 +243,7 @@
 		case <-viewChanged:
 			continue
 		case <-timeout.C:
-			fillWatch(reply, arguments, document, current, revision)
+			current.fill(reply, arguments, known, document)
 		}
 		break
 	}
@@ -254,17 +252,17 @@
 		reply.Error = structs.AsTyped(notLeaderError(joined))
 		return nil
 	}
-	status := joined.group.Status()
-	for _, each := range status.Members(slices.Concat(status.Membership.Voters, status.Membership.Learners)) {
-		if each.Address != "" && len(reply.Controllers) < maxControllers {
-			reply.Controllers = append(reply.Controllers, each.Address)
-		}
-	}
+	controllers := memberAddresses(joined.group.Status())
+	reply.Controllers = controllers[:min(len(controllers), maxControllers)]
 	return nil
 }
 
-// fillView gives the news of the view to a router that knows a revision.
-func (l *leadership) fillView(reply *domainapi.WatchReply, known uint64) {
+// fill gives a router the news since what it knows.
+func (l *leadership) fill(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known uint64, document domain.Document) {
+	reply.Term = uint64(l.term)
+	if document.Version > arguments.Version {
+		reply.Document = &document
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	reply.Revision = l.views.Revision()
@@ -274,14 +272,6 @@
 	}
 }
 
-func fillWatch(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, document domain.Document, current *leadership, revision uint64) {
-	reply.Term = uint64(current.term)
-	reply.Revision = revision
-	if document.Version > arguments.Version {
-		reply.Document = &document
-	}
-}
-
 // Demand takes a router's report.
 func (s *service) Demand(arguments *domainapi.DemandArguments, reply *domainapi.Reply) error {
 	_, current, err := s.leader()
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -126,8 +126,7 @@
 	Heartbeat Heartbeat
 	Leaving   bool
 	// EndsAt is when a runner that is leaving at short notice ends; zero if unknown.
-	EndsAt  time.Time
-	HeardAt time.Time
+	EndsAt time.Time
 	// Recalled runners have not been heard since the leader began.
 	Recalled bool
 }
@@ -143,7 +142,7 @@
 			continue
 		}
 		listed = append(listed, Status{
-			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, HeardAt: known.heardAt,
+			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt,
 			Recalled: known.recalled,
 		})
 	}
--- a/leadercall/caller.go
+++ b/leadercall/caller.go
@@ -162,3 +162,18 @@
 	refusal.RetryAfter = time.Second
 	return refusal
 }
+
+// Unique merges lists of addresses in their order, each address once.
+func Unique(lists ...[]string) []string {
+	seen := make(map[string]bool)
+	var addresses []string
+	for _, list := range lists {
+		for _, address := range list {
+			if !seen[address] {
+				seen[address] = true
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	return addresses
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -33,7 +33,8 @@
 	var controllers []string
 	isConnected := false
 	for ctx.Err() == nil {
-		addresses := r.addresses(controllers)
+		// Members of the group come first, then seeds.
+		addresses := leadercall.Unique(controllers, r.options.Seeds())
 		caller.SetAddresses(addresses)
 		r.caller.SetAddresses(addresses)
 		arguments.Version = r.version()
@@ -102,21 +103,6 @@
 	}
 }
 
-// addresses lists the controllers that are known: members of the group, then seeds.
-func (r *Router) addresses(controllers []string) []string {
-	seen := make(map[string]bool)
-	var addresses []string
-	for _, list := range [][]string{controllers, r.options.Seeds()} {
-		for _, address := range list {
-			if !seen[address] {
-				seen[address] = true
-				addresses = append(addresses, address)
-			}
-		}
-	}
-	return addresses
-}
-
 // wakeReport asks for a report soon.
 func (r *Router) wakeReport() {
 	select {
--- a/relay/options.go
+++ b/relay/options.go
@@ -19,7 +19,6 @@
 	Logger log.Logger
 	// Name names the process.
 	Name string
-	Zone string
 	// Seeds are addresses of controllers, as they are known now.
 	Seeds   func() []string
 	Decoder func(source []byte) (*site.Document, error)
--- a/relay/types.go
+++ b/relay/types.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"time"
-
-	"github.com/lotusferry/lotusferry/fleet"
 )
 
 // Request is a caller's request.
@@ -70,6 +68,3 @@
 type Backend interface {
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
-
-// Runners is the newest view of the runners that a router works by.
-type Runners = fleet.View
--- a/site/document.go
+++ b/site/document.go
@@ -108,16 +108,6 @@
 	IdleTimeout    time.Duration
 }
 
-// ServiceByName returns the service, or nil.
-func (d *Document) ServiceByName(name string) *Service {
-	for i := range d.Services {
-		if d.Services[i].Name == name {
-			return &d.Services[i]
-		}
-	}
-	return nil
-}
-
 // ModelByName returns the model, or nil.
 func (e *Engine) ModelByName(name string) *Model {
 	for i := range e.Models {
