Judge runners by streams of models of the same size; weigh replicas by quick ones

Two prompt chunks in a row take 0.24 s at a quick runner and 0.31 s at a slow one. A runner was compared only with others that hold the same model, and the next leader began anew. Ruled out: routers (the runner itself makes the pause), the queue (first events early). Change: runners are compared by models of the same size; the belief is logged on change, kept in the registration and held for the place of the runner; extra replicas are loaded only where they gain more than they cost; the value of a replica counts slow ones as a part; five requests a second for each quick replica instead of three, 1.5 for slow ones.

--- a/domain/machine.go
+++ b/domain/machine.go
@@ -38,6 +38,8 @@
 	Address  string
 	Zone     string
 	Slots    int
+	// IsSlow is set if the runner was found to be slower than others.
+	IsSlow bool
 }
 
 // Command is a change of the state; exactly one field is set.
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -105,6 +105,7 @@
 			l.registry.Depart(at, instance, isGone)
 		}
 		for _, each := range joined.machine.Registrations() {
+			l.planner.RecallSpeed(each.Service, each.Address, each.IsSlow)
 			l.registry.Recall(at, fleet.Heartbeat{
 				Instance: each.Instance, Service: each.Service, Address: each.Address, Zone: each.Zone, Slots: each.Slots,
 			})
@@ -181,8 +182,13 @@
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
 	l.refresh(at)
+	judged := l.planner.TakeJudgements()
 	l.sumUp(at)
 	l.mutex.Unlock()
+	for _, found := range judged {
+		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
+			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", found.Slowness)
+	}
 	for _, status := range questions {
 		go l.ask(ctx, status)
 	}
@@ -265,11 +271,12 @@
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
 	l.registry.Hear(now(), heartbeat)
+	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
 	l.wakePlan()
 	registration := domain.Registration{
 		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
-		Zone: heartbeat.Zone, Slots: heartbeat.Slots,
+		Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: isSlow,
 	}
 	var known domain.Registration
 	l.member.group.View(func() { known, _ = l.member.machine.Registered(heartbeat.Instance) })
--- a/residency/cost.go
+++ b/residency/cost.go
@@ -8,18 +8,25 @@
 	"github.com/lotusferry/lotusferry/site"
 )
 
-// loadWeight is how many lost requests a second of loading counts for: enough to
-// prefer a copy that is near, and never more than a loss.
-const loadWeight = 0.02
+const (
+	// loadWeight is how many late requests a second of loading counts for, as the runner
+	// takes no other order meanwhile. arrivalWeight is the share of the requests that
+	// come in that second and are late, if nobody else holds the model.
+	loadWeight    = 0.05
+	arrivalWeight = 0.3
+)
 
 // costOf weighs a load of the model on the runner: the requests that will be late
 // because of what must make way, and the time of the load. victim is the first model
 // to unload, or "". It is not possible if more is lost than gained.
-func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, gain float64) (cost float64, victim string, isPossible bool) {
+func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) (cost float64, victim string, isPossible bool) {
+	rate := min(p.modelDemand(known.rowOf(model.Name)).rate, p.options.ReplicaRate)
 	cost = loadTime(known, model).Seconds() * loadWeight
-	if p.IsSlow(known.status.Heartbeat.Instance) {
-		rate := p.modelDemand(known.rowOf(model.Name)).rate
-		cost += slowHarm * min(rate, p.options.ReplicaRate) * p.options.Horizon.Seconds()
+	if wanted.isWaitedFor {
+		cost += loadTime(known, model).Seconds() * arrivalWeight * rate
+	}
+	if p.isSlow(known) {
+		cost += slowHarm(rate) * rate * p.options.Horizon.Seconds()
 	}
 	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
 	if free >= model.SizeMB {
@@ -55,7 +62,7 @@
 		if victim == "" {
 			victim = leaving.name
 		}
-		if leaving.value > gain {
+		if leaving.value > wanted.gain {
 			break
 		}
 		cost += leaving.value + evictionCost
@@ -93,17 +100,22 @@
 // runner's replica of the model.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
 	row := known.rowOf(model.Name)
-	replicas := float64(len(p.holders(row)))
 	demand := p.modelDemand(row)
 	horizon := p.options.Horizon.Seconds()
-	if replicas <= 1 {
+	var others []*runner
+	for _, holder := range p.holders(row) {
+		if holder != known {
+			others = append(others, holder)
+		}
+	}
+	if len(others) == 0 {
 		harm := 1.0
 		if demand.objective > model.LoadTime {
 			harm = patientHarm
 		}
 		return demand.rate * horizon * harm
 	}
-	excess := demand.rate - (replicas-1)*p.options.ReplicaRate
+	excess := demand.rate - p.capacity(others)*p.options.ReplicaRate
 	return max(0, excess)*horizon + demand.rate*spareValue
 }
 
--- a/residency/needs.go
+++ b/residency/needs.go
@@ -23,7 +23,7 @@
 	found := make(map[Row]*need)
 	for _, wanted := range p.waits(now) {
 		row := modelOf(wanted.row)
-		if len(p.holders(row)) > 0 || p.coming(row) > 0 {
+		if len(p.holders(row)) > 0 || len(p.coming(row)) > 0 {
 			continue
 		}
 		if found[row] == nil {
@@ -75,37 +75,45 @@
 
 const (
 	// slowCapacity is what a slow runner's replica counts for.
-	slowCapacity = 0.5
+	slowCapacity = 0.3
 	// spareRate is the demand in requests a second from which a model should have a
 	// second replica, and spareGain the part of the requests that one is worth.
 	spareRate = 1
 	spareGain = 0.1
 )
 
-// crowding is how many requests of the horizon are more than the replicas of a model,
-// those on their way included, should get. A model in demand that has a single one
-// would be lost with its runner, which counts a little.
-func (p *Planner) crowding(row Row) float64 {
-	replicas := p.coming(row)
-	capacity := float64(replicas)
-	for _, known := range p.holders(row) {
-		replicas++
-		if p.IsSlow(known.status.Heartbeat.Instance) {
-			capacity += slowCapacity
+// capacity is how many quick replicas the runners count for.
+func (p *Planner) capacity(runners []*runner) float64 {
+	total := 0.0
+	for _, known := range runners {
+		if p.isSlow(known) {
+			total += slowCapacity
 		} else {
-			capacity++
+			total++
 		}
 	}
+	return total
+}
+
+// crowding is how many requests of the horizon would be in time with one more replica
+// of the model. Too many for the replicas, those on their way included, are late, and
+// so are some of those that only slow runners can serve. A model in demand that has a
+// single replica would be lost with its runner, which counts a little.
+func (p *Planner) crowding(row Row) float64 {
+	replicas := slices.Concat(p.holders(row), p.coming(row))
 	rate := p.modelDemand(row).rate
-	if replicas == 0 {
+	if len(replicas) == 0 {
 		if p.successors[row.Service].model != row.Model {
 			return 0
 		}
 		return rate * spareGain * p.options.Horizon.Seconds()
 	}
-	gain := max(0, rate-capacity*p.options.ReplicaRate)
-	if replicas == 1 && rate > spareRate {
+	gain := max(0, rate-p.capacity(replicas)*p.options.ReplicaRate)
+	if len(replicas) == 1 && rate > spareRate {
 		gain = max(gain, rate*spareGain)
 	}
+	if !slices.ContainsFunc(replicas, func(known *runner) bool { return !p.isSlow(known) }) {
+		gain = max(gain, rate*slowHarm(rate))
+	}
 	return gain * p.options.Horizon.Seconds()
 }
--- a/residency/options.go
+++ b/residency/options.go
@@ -34,7 +34,7 @@
 	setDefault(&o.IdleTime, time.Second)
 	setDefault(&o.RateTime, 8*time.Second)
 	setDefault(&o.DemandLife, 2*time.Second)
-	setDefault(&o.ReplicaRate, 3)
+	setDefault(&o.ReplicaRate, 5)
 	setDefault(&o.Horizon, 10*time.Second)
 	setDefault(&o.StoreWindow, 5*time.Second)
 	setDefault(&o.StoreShare, 0.9)
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -15,9 +15,11 @@
 	// counts as slow for a model, and pausedLife how long that is believed without news.
 	pausedShare = 0.12
 	pausedLife  = 20 * time.Second
-	// slowHarm is the part of the requests on a slow runner that are expected to be
-	// late because of it.
-	slowHarm = 0.15
+	// maxSlowHarm bounds the part of the requests on a slow runner that are expected to
+	// be late because of it, and harmOfRate is that part for each request a second: the
+	// more prompts are read, the more often streams pause for too long.
+	maxSlowHarm = 0.6
+	harmOfRate  = 0.2
 )
 
 // pace is a runner's usual pace for one model.
@@ -80,27 +82,52 @@
 	return known != nil && known.seen >= minPausedStreams && known.paused > pausedShare && now.Sub(known.seenAt) < pausedLife
 }
 
-// slowness is how many times as long as the quickest runner with the same model a
-// runner takes; 1 if nothing is known. Of several models the least counts, as a
-// runner may be slow with one because of what else it does.
-func (p paces) slowness(instance string) float64 {
-	least := 0.0
-	for _, runners := range p {
-		own := runners[instance]
-		if own == nil || own.streams < minPaceStreams {
-			continue
+// paceClass is what models share that take equally long for a token: the size of their
+// weights decides it.
+type paceClass struct {
+	service string
+	sizeMB  float64
+}
+
+// slowness is how many times as long as the quickest runner with a model of the same
+// class each runner takes. Of several classes the least counts, as a runner may be slow
+// with one because of what else it does. Runners that cannot be compared with another
+// one are left out.
+func (p paces) slowness(classOf func(row Row) paceClass) map[string]float64 {
+	gaps := make(map[paceClass]map[string]float64)
+	for row, runners := range p {
+		class := classOf(row)
+		if gaps[class] == nil {
+			gaps[class] = make(map[string]float64)
 		}
-		quickest := own.gap
-		for _, other := range runners {
-			if other.streams >= minPaceStreams {
-				quickest = min(quickest, other.gap)
+		for instance, known := range runners {
+			if known.streams >= minPaceStreams {
+				gaps[class][instance] = lesser(gaps[class][instance], known.gap)
 			}
 		}
-		if len(runners) > 1 && quickest > 0 && (least == 0 || own.gap/quickest < least) {
-			least = own.gap / quickest
+	}
+	slowness := make(map[string]float64)
+	for _, runners := range gaps {
+		if len(runners) < 2 {
+			continue
+		}
+		quickest := 0.0
+		for _, gap := range runners {
+			quickest = lesser(quickest, gap)
 		}
+		for instance, gap := range runners {
+			slowness[instance] = lesser(slowness[instance], gap/quickest)
+		}
+	}
+	return slowness
+}
+
+// lesser is the lesser of two values of which zero stands for none.
+func lesser(a, b float64) float64 {
+	if a == 0 || b > 0 && b < a {
+		return b
 	}
-	return max(1, least)
+	return a
 }
 
 // forget drops the paces of runners that are listed no more.
@@ -116,43 +143,3 @@
 		}
 	}
 }
-
-// ObservePace takes the pace of streams that routers saw.
-func (p *Planner) ObservePace(now time.Time, seen []Pace) {
-	for _, each := range seen {
-		if p.runners[each.Instance] != nil {
-			p.paces.add(now, each)
-		}
-	}
-}
-
-// slowInterval is the pause between two comparisons of the runners.
-const slowInterval = time.Second
-
-// findSlow compares the runners from time to time.
-func (p *Planner) findSlow(now time.Time) {
-	if p.slow != nil && now.Sub(p.slowAt) < slowInterval {
-		return
-	}
-	p.slowAt = now
-	p.slow = make(map[string]bool)
-	for instance, known := range p.runners {
-		if p.paces.slowness(instance) > slowFactor || p.pauses(now, known) {
-			p.slow[instance] = true
-		}
-	}
-}
-
-// pauses reports whether the runner is too slow for one of the models that it holds.
-func (p *Planner) pauses(now time.Time, known *runner) bool {
-	for model := range known.holdings {
-		if p.paces.pauses(now, known.rowOf(model), known.status.Heartbeat.Instance) {
-			return true
-		}
-	}
-	return false
-}
-
-// IsSlow reports whether a runner was found to be slower than others, or too slow for
-// one of the models that it holds.
-func (p *Planner) IsSlow(instance string) bool { return p.slow[instance] }
--- a/residency/pace_test.go
+++ b/residency/pace_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/fleet"
 )
 
 func TestSlowRunnersAreFoundByTheirStreams(t *testing.T) {
@@ -15,25 +17,88 @@
 			p.add(start, Pace{Service: "s", Model: model, Instance: instance, Gap: gap})
 		}
 	}
+	// Each of these models is a class of its own.
+	alone := func(row Row) paceClass { return paceClass{service: row.Model} }
 	see("only", "rare", 90*time.Millisecond)
-	c.Assert(p.slowness("only"), qt.Equals, 1.0, qt.Commentf("nothing to compare with"))
+	c.Assert(p.slowness(alone)["only"], qt.Equals, 0.0, qt.Commentf("nothing to compare with"))
 	see("quick", "hot", 22*time.Millisecond)
 	see("slow", "hot", 29*time.Millisecond)
 	see("usual", "hot", 23*time.Millisecond)
-	c.Assert(p.slowness("slow") > slowFactor, qt.IsTrue)
-	c.Assert(p.slowness("usual") > slowFactor, qt.IsFalse)
-	c.Assert(p.slowness("unknown"), qt.Equals, 1.0)
+	c.Assert(p.slowness(alone)["slow"] > slowFactor, qt.IsTrue)
+	c.Assert(p.slowness(alone)["usual"] > slowFactor, qt.IsFalse)
+	c.Assert(p.slowness(alone)["unknown"] > slowFactor, qt.IsFalse)
 	p.forget(func(instance string) bool { return instance != "quick" && instance != "usual" })
-	c.Assert(p.slowness("slow"), qt.Equals, 1.0)
+	c.Assert(p.slowness(alone)["slow"] > slowFactor, qt.IsFalse)
 }
 
-func TestModelsInDemandAreLoadedOnQuickRunners(t *testing.T) {
+// A runner with the only replica of a model is compared by models of the same size.
+func TestSlowRunnerOfTheOnlyReplicaIsFound(t *testing.T) {
 	c := qt.New(t)
 	p := NewPlanner(Options{}, start)
 	p.SetDocument(twoModels())
+	p.SetRunners(start, twoRunners("quick", "slow"))
+	for range minPaceStreams {
+		p.ObservePace(start, []Pace{
+			{Service: "s", Model: "a", Instance: "quick", Gap: 22 * time.Millisecond},
+			{Service: "s", Model: "b", Instance: "slow", Gap: 29 * time.Millisecond},
+		})
+	}
+	p.judge(start)
+	c.Assert(p.IsSlow("quick"), qt.IsFalse)
+	c.Assert(p.IsSlow("slow"), qt.IsTrue)
+}
+
+// twoRunners lists two runners without models.
+func twoRunners(first, second string) []fleet.Status {
 	statuses := append(status(1), status(1)...)
-	statuses[0].Heartbeat.Instance, statuses[1].Heartbeat.Instance = "a-slow", "b-quick"
-	p.SetRunners(start, statuses)
+	statuses[0].Heartbeat.Instance, statuses[1].Heartbeat.Instance = first, second
+	return statuses
+}
+
+// A model in demand that only a slow runner holds gets a replica on a quick one, and
+// none on another slow one.
+func TestModelOnSlowRunnersGetsAQuickReplica(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		spare  time.Duration
+		orders int
+	}{
+		{"quick runner free", 20 * time.Millisecond, 1},
+		{"slow runner free", 30 * time.Millisecond, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := NewPlanner(Options{}, start)
+			p.SetDocument(twoModels())
+			statuses := twoRunners("holder", "spare")
+			statuses[0].Heartbeat.Models = []fleet.LoadedModel{{Name: "b"}}
+			statuses = append(statuses, status(1)...)
+			p.SetRunners(start, statuses)
+			for _, instance := range []string{"holder", "spare"} {
+				p.Reported(start, start, instance, Report{Models: p.Loaded(instance)})
+			}
+			for range minPaceStreams {
+				p.ObservePace(start, []Pace{
+					{Service: "s", Model: "a", Instance: "r", Gap: 20 * time.Millisecond},
+					{Service: "s", Model: "b", Instance: "holder", Gap: 30 * time.Millisecond},
+					{Service: "s", Model: "a", Instance: "spare", Gap: test.spare},
+				})
+			}
+			p.Observe(start, "router", []Demand{{Row: Row{Service: "s", Model: "b"}, Arrived: 10}})
+			orders := p.Plan(start)
+			c.Assert(orders, qt.HasLen, test.orders)
+			if test.orders > 0 {
+				c.Assert(orders[0].Instance, qt.Equals, "spare")
+			}
+		})
+	}
+}
+
+func TestModelsInDemandAreLoadedOnQuickRunners(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(twoModels())
+	p.SetRunners(start, twoRunners("a-slow", "b-quick"))
 	for _, instance := range []string{"a-slow", "b-quick"} {
 		p.Reported(start, start, instance, Report{})
 	}
@@ -57,8 +122,8 @@
 	}
 	see(true)
 	isSlow := func(at time.Time) bool {
-		p.slow = nil
-		p.findSlow(at)
+		p.judgedAt = time.Time{}
+		p.judge(at)
 		return p.IsSlow("r")
 	}
 	c.Assert(isSlow(start), qt.IsFalse, qt.Commentf("one stream proves nothing"))
@@ -72,3 +137,23 @@
 	}
 	c.Assert(isSlow(start), qt.IsFalse)
 }
+
+// What was found of a runner outlives the leader, and the runner too.
+func TestSpeedIsRememberedByPlace(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(twoModels())
+	p.RecallSpeed("s", "r:1", true)
+	p.SetRunners(start, status(1))
+	p.judge(start)
+	c.Assert(p.IsSlow("r"), qt.IsTrue)
+	c.Assert(p.TakeJudgements(), qt.DeepEquals, []Judgement{{Instance: "r", IsSlow: true}})
+	c.Assert(p.TakeJudgements(), qt.HasLen, 0)
+	next := status(1)
+	next[0].Heartbeat.Instance = "next"
+	at := start.Add(judgeInterval)
+	p.SetRunners(at, next)
+	p.judge(at)
+	c.Assert(p.IsSlowPlace("next"), qt.IsTrue)
+	c.Assert(p.IsSlow("r"), qt.IsFalse, qt.Commentf("gone"))
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -26,7 +26,7 @@
 	}
 	p.repair(now)
 	p.takeTally(now)
-	p.findSlow(now)
+	p.judge(now)
 	p.anticipate()
 	var orders []Order
 	for _, wanted := range p.waits(now) {
@@ -57,8 +57,8 @@
 // holders lists the runners on which requests may use the model.
 func (p *Planner) holders(row Row) []*runner { return p.tally.holders[modelOf(row)] }
 
-// coming counts the runners that load the model.
-func (p *Planner) coming(row Row) int { return p.tally.coming[modelOf(row)] }
+// coming lists the runners that load the model.
+func (p *Planner) coming(row Row) []*runner { return p.tally.coming[modelOf(row)] }
 
 // mayOrder reports whether the runner can be given an order about a model.
 func (p *Planner) mayOrder(known *runner) bool {
@@ -85,7 +85,10 @@
 		if known.reserved != "" && known.reserved != row.Model && now.Before(known.reservedUntil) {
 			continue
 		}
-		cost, victim, isPossible := p.costOf(now, known, engine, model, wanted.gain)
+		cost, victim, isPossible := p.costOf(now, known, engine, model, wanted)
+		if !wanted.isWaitedFor && cost >= wanted.gain {
+			continue
+		}
 		if known.reserved == row.Model && now.Before(known.reservedUntil) {
 			cost /= 2
 		}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -22,9 +22,11 @@
 	// service.
 	loads map[string][]time.Time
 	paces paces
-	// slow holds the runners found slow at slowAt.
-	slow   map[string]bool
-	slowAt time.Time
+	// judgements is by instance, as of judgedAt; judged are those that have changed.
+	judgements map[string]Judgement
+	judgedAt   time.Time
+	judged     []Judgement
+	slowPlaces map[place]bool
 	// tally is that of the plan under way.
 	tally *tally
 	// successors are the models of each service that are expected to become busy.
@@ -43,6 +45,8 @@
 		demands:    make(map[Row]*rowDemand),
 		loads:      make(map[string][]time.Time),
 		paces:      make(paces),
+		judgements: make(map[string]Judgement),
+		slowPlaces: make(map[place]bool),
 		successors: make(map[string]successor),
 	}
 }
@@ -341,7 +345,7 @@
 	for row, demand := range p.tally.demands {
 		summary := ModelSummary{
 			Service: row.Service, Model: row.Model, Rate: demand.rate, Waiting: p.tally.waiting[row],
-			Replicas: len(p.holders(row)), Coming: p.coming(row),
+			Replicas: len(p.holders(row)), Coming: len(p.coming(row)),
 		}
 		for key, count := range p.tally.active {
 			if key.row == row {
--- a/residency/tally.go
+++ b/residency/tally.go
@@ -13,7 +13,8 @@
 	// rowActive is by row, which may name an adapter, and instance.
 	rowActive map[activeKey]int
 	holders   map[Row][]*runner
-	coming    map[Row]int
+	// coming lists the runners that load a model.
+	coming map[Row][]*runner
 }
 
 type activeKey struct {
@@ -33,7 +34,7 @@
 		active:    make(map[activeKey]int),
 		rowActive: make(map[activeKey]int),
 		holders:   make(map[Row][]*runner),
-		coming:    make(map[Row]int),
+		coming:    make(map[Row][]*runner),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -78,7 +79,7 @@
 		case phaseReady:
 			t.holders[row] = append(t.holders[row], known)
 		case phaseLoading, phaseUncertain:
-			t.coming[row]++
+			t.coming[row] = append(t.coming[row], known)
 		}
 	}
 }
@@ -87,7 +88,7 @@
 func (t *tally) noteOrder(known *runner, operation Operation, model string) {
 	row := Row{Service: known.status.Heartbeat.Service, Model: model}
 	if operation == Load {
-		t.coming[row]++
+		t.coming[row] = append(t.coming[row], known)
 		return
 	}
 	var others []*runner
