Hold elections in turns; bound what a large site costs its leader

Cause, turns: after the loss of all processes, and of a leader, the election timers were drawn from one to two election timeouts (0.36 to 0.72 s), and a pre-vote that came before the voters' own patience ended was not answered and repeated a whole timeout later. Ruled out: heartbeats that change between controllers (runners keep to one, whatever address the answer names, tried in three forms as trials); a longer watch of routers (not needed, taken back).

--- a/domain/machine.go
+++ b/domain/machine.go
@@ -42,13 +42,14 @@
 	IsSlow bool
 }
 
-// Command is a change of the state; exactly one field is set.
+// Command is a change of the state.
 type Command struct {
-	Put      *Document
-	Depart   *Departure
-	Register *Registration
-	// Forget names an instance that has been silent for long.
-	Forget string
+	Put    *Document
+	Depart *Departure
+	// Registrations lists runners that are new or have changed.
+	Registrations []Registration
+	// Silent names instances that have been silent for long.
+	Silent []string
 }
 
 // Result is what Apply returns.
@@ -73,7 +74,9 @@
 	index      map[string]int
 	// registrations is by instance.
 	registrations map[string]Registration
-	changed       func()
+	// addresses names the instance that is registered at each address.
+	addresses map[string]string
+	changed   func()
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -84,7 +87,12 @@
 	if changed == nil {
 		changed = func() {}
 	}
-	return &Machine{index: make(map[string]int), registrations: make(map[string]Registration), changed: changed}
+	return &Machine{
+		index:         make(map[string]int),
+		registrations: make(map[string]Registration),
+		addresses:     make(map[string]string),
+		changed:       changed,
+	}
 }
 
 // Encode returns the command as bytes for a proposal.
@@ -105,10 +113,12 @@
 		m.put(*decoded.Put)
 	case decoded.Depart != nil:
 		m.depart(*decoded.Depart)
-	case decoded.Register != nil:
-		m.register(*decoded.Register)
-	case decoded.Forget != "":
-		delete(m.registrations, decoded.Forget)
+	}
+	for _, registration := range decoded.Registrations {
+		m.register(registration)
+	}
+	for _, instance := range decoded.Silent {
+		m.forget(instance)
 	}
 	return Result{Version: m.document.Version}
 }
@@ -129,19 +139,26 @@
 	if departure, known := m.Departure(registration.Instance); known && departure.Gone {
 		return
 	}
-	for instance, other := range m.registrations {
-		if other.Address == registration.Address {
-			delete(m.registrations, instance)
-		}
-	}
+	m.forget(m.addresses[registration.Address])
+	m.forget(registration.Instance)
 	m.registrations[registration.Instance] = registration
+	m.addresses[registration.Address] = registration.Instance
+}
+
+func (m *Machine) forget(instance string) {
+	known, isKnown := m.registrations[instance]
+	if !isKnown {
+		return
+	}
+	delete(m.registrations, instance)
+	delete(m.addresses, known.Address)
 }
 
 // depart is final: a runner that is leaving never becomes ready again under the
 // same instance, and one that is gone is not leaving again.
 func (m *Machine) depart(departure Departure) {
 	if departure.Gone {
-		delete(m.registrations, departure.Instance)
+		m.forget(departure.Instance)
 	}
 	if at, known := m.index[departure.Instance]; known {
 		if departure.Gone && !m.departures[at].Gone {
@@ -215,8 +232,10 @@
 	m.departures = state.Departures
 	m.reindex()
 	clear(m.registrations)
+	clear(m.addresses)
 	for _, registration := range state.Registrations {
 		m.registrations[registration.Instance] = registration
+		m.addresses[registration.Address] = registration.Instance
 	}
 	m.changed()
 	return nil
--- a/domain/machine_test.go
+++ b/domain/machine_test.go
@@ -51,7 +51,7 @@
 	for _, name := range []string{"x", "y", "z"} {
 		apply(c, m, Command{Depart: &Departure{Instance: name}})
 	}
-	apply(c, m, Command{Register: &Registration{Instance: "r", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Registrations: []Registration{{Instance: "r", Address: "10.0.0.1:1"}}})
 	data, err := m.Snapshot()
 	c.Assert(err, qt.IsNil)
 	restored := NewMachine(nil)
@@ -73,15 +73,15 @@
 func TestAnAddressHasOneRegistration(t *testing.T) {
 	c := qt.New(t)
 	m := NewMachine(nil)
-	apply(c, m, Command{Register: &Registration{Instance: "old", Address: "10.0.0.1:1"}})
-	apply(c, m, Command{Register: &Registration{Instance: "new", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Registrations: []Registration{{Instance: "old", Address: "10.0.0.1:1"}}})
+	apply(c, m, Command{Registrations: []Registration{{Instance: "new", Address: "10.0.0.1:1"}}})
 	c.Assert(m.Registrations(), qt.DeepEquals, []Registration{{Instance: "new", Address: "10.0.0.1:1"}})
 	apply(c, m, Command{Depart: &Departure{Instance: "new"}})
 	c.Assert(m.Registrations(), qt.HasLen, 1, qt.Commentf("it still serves"))
 	apply(c, m, Command{Depart: &Departure{Instance: "new", Gone: true}})
-	apply(c, m, Command{Register: &Registration{Instance: "new", Address: "10.0.0.1:1"}})
+	apply(c, m, Command{Registrations: []Registration{{Instance: "new", Address: "10.0.0.1:1"}}})
 	c.Assert(m.Registrations(), qt.HasLen, 0, qt.Commentf("a heartbeat that was late"))
-	apply(c, m, Command{Register: &Registration{Instance: "third", Address: "10.0.0.1:1"}})
-	apply(c, m, Command{Forget: "third"})
+	apply(c, m, Command{Registrations: []Registration{{Instance: "third", Address: "10.0.0.1:1"}}})
+	apply(c, m, Command{Silent: []string{"third"}})
 	c.Assert(m.Registrations(), qt.HasLen, 0)
 }
--- a/domainapi/messages.go
+++ b/domainapi/messages.go
@@ -20,16 +20,16 @@
 // The methods of the service. All but Describe and Found are answered by the leader;
 // others refuse with ErrorNotLeader, which names the leader if it is known.
 const (
-	MethodDescribe  = ServiceName + ".Describe"
-	MethodFound     = ServiceName + ".Found"
-	MethodJoin      = ServiceName + ".Join"
-	MethodStopping  = ServiceName + ".Stopping"
-	MethodHeartbeat = ServiceName + ".Heartbeat"
-	MethodDepart    = ServiceName + ".Depart"
-	MethodPut       = ServiceName + ".Put"
-	MethodRead      = ServiceName + ".Read"
-	MethodWatch     = ServiceName + ".Watch"
-	MethodDemand    = ServiceName + ".Demand"
+	MethodDescribe   = ServiceName + ".Describe"
+	MethodFound      = ServiceName + ".Found"
+	MethodJoin       = ServiceName + ".Join"
+	MethodStopping   = ServiceName + ".Stopping"
+	MethodHeartbeats = ServiceName + ".Heartbeats"
+	MethodDepart     = ServiceName + ".Depart"
+	MethodPut        = ServiceName + ".Put"
+	MethodRead       = ServiceName + ".Read"
+	MethodWatch      = ServiceName + ".Watch"
+	MethodDemand     = ServiceName + ".Demand"
 )
 
 // Reply carries a typed error, because net/rpc itself carries only strings.
@@ -69,8 +69,8 @@
 // StoppingArguments tell the leader that a member makes a planned stop.
 type StoppingArguments struct{ Node raft.NodeID }
 
-// HeartbeatArguments pass on a runner's heartbeat.
-type HeartbeatArguments struct{ Heartbeat fleet.Heartbeat }
+// HeartbeatsArguments pass on heartbeats of runners.
+type HeartbeatsArguments struct{ Heartbeats []fleet.Heartbeat }
 
 // DepartArguments pass on that a runner is leaving or gone.
 type DepartArguments struct{ Departure domain.Departure }
@@ -105,7 +105,7 @@
 	// Document is nil if the router's is in force.
 	Document *domain.Document
 	// View is nil if the router's is in force.
-	View *fleet.View
+	View *fleet.EncodedView
 	// Routers is how many routers share what the leader grants to all together.
 	Routers int
 	// Controllers are the addresses of the members of the group.
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -59,6 +59,9 @@
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
 	ended    bool
+	// unrecorded are registrations that are to be put in the log.
+	unrecorded  map[string]domain.Registration
+	isRecording bool
 	// summedUpAt is when the demand was last logged.
 	summedUpAt time.Time
 }
@@ -87,18 +90,19 @@
 	at := now()
 	ordersFrom := n.ordersFrom(ctx, at)
 	l := &leadership{
-		node:     n,
-		logger:   log.With(n.logger, "term", term),
-		options:  n.options,
-		member:   joined,
-		term:     term,
-		wake:     make(chan struct{}, 1),
-		registry: fleet.NewRegistry(at),
-		planner:  residency.NewPlanner(n.options.Planner, ordersFrom),
-		views:    fleet.NewPublisher(),
-		changed:  make(chan struct{}),
-		routers:  make(map[string]routerContact),
-		stopping: make(map[raft.NodeID]time.Time),
+		node:       n,
+		logger:     log.With(n.logger, "term", term),
+		options:    n.options,
+		member:     joined,
+		term:       term,
+		wake:       make(chan struct{}, 1),
+		registry:   fleet.NewRegistry(at),
+		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
+		views:      fleet.NewPublisher(),
+		changed:    make(chan struct{}),
+		routers:    make(map[string]routerContact),
+		unrecorded: make(map[string]domain.Registration),
+		stopping:   make(map[raft.NodeID]time.Time),
 	}
 	joined.group.View(func() {
 		for instance, isGone := range joined.machine.Departures() {
@@ -183,6 +187,7 @@
 	orders := l.planner.Plan(at)
 	l.refresh(at)
 	judged := l.planner.TakeJudgements()
+	l.recordRegistrations()
 	l.sumUp(at)
 	l.mutex.Unlock()
 	for _, found := range judged {
@@ -273,7 +278,6 @@
 	l.registry.Hear(now(), heartbeat)
 	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
-	l.wakePlan()
 	registration := domain.Registration{
 		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
 		Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: isSlow,
@@ -281,6 +285,8 @@
 	var known domain.Registration
 	l.member.group.View(func() { known, _ = l.member.machine.Registered(heartbeat.Instance) })
 	if known != registration {
-		go l.record(domain.Command{Register: &registration})
+		l.mutex.Lock()
+		l.unrecorded[heartbeat.Instance] = registration
+		l.mutex.Unlock()
 	}
 }
--- a/domainnode/node.go
+++ b/domainnode/node.go
@@ -37,7 +37,8 @@
 	server  *transport.Server
 	client  *transport.Client
 	// caller reaches the leader, which may be this node.
-	caller *leadercall.Caller
+	caller     *leadercall.Caller
+	heartbeats *forwarder
 	// lastOrder is when this process last sent an order; nil for never.
 	lastOrder atomic.Pointer[time.Time]
 	// stopping is set once a planned stop has begun: the process sends no more orders.
@@ -88,6 +89,7 @@
 		client:  client,
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 	}
+	n.heartbeats = newForwarder(n.sendHeartbeats)
 	if err := server.Register(domainapi.ServiceName, &service{node: n}); err != nil {
 		return nil, err
 	}
@@ -99,6 +101,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var serving sync.WaitGroup
 	serving.Go(n.server.Serve)
+	serving.Go(func() { n.heartbeats.run(ctx) })
 	for ctx.Err() == nil {
 		err := n.takePart(ctx)
 		if err != nil && ctx.Err() == nil {
--- a/domainnode/operator.go
+++ b/domainnode/operator.go
@@ -60,7 +60,12 @@
 func (n *Node) Heartbeat(ctx context.Context, heartbeat fleet.Heartbeat) error {
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodHeartbeat, domainapi.HeartbeatArguments{Heartbeat: heartbeat}, newReply)
+	var err error
+	if heartbeat.Leaving {
+		err = n.sendHeartbeats(ctx, []fleet.Heartbeat{heartbeat})
+	} else {
+		err = n.heartbeats.forward(ctx, heartbeat)
+	}
 	n.metrics.heartbeats.WithLabelValues(outcomeName(err)).Inc()
 	if err == nil && heartbeat.Leaving {
 		err = n.depart(ctx, domain.Departure{Instance: heartbeat.Instance})
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/domain"
 	"github.com/lotusferry/lotusferry/domainapi"
 	"github.com/lotusferry/lotusferry/group"
@@ -118,11 +120,14 @@
 	return nil
 }
 
-// Heartbeat takes a runner's heartbeat.
-func (s *service) Heartbeat(arguments *domainapi.HeartbeatArguments, reply *domainapi.Reply) error {
+// Heartbeats takes heartbeats of runners.
+func (s *service) Heartbeats(arguments *domainapi.HeartbeatsArguments, reply *domainapi.Reply) error {
 	_, current, err := s.leader()
 	if err == nil {
-		current.heard(arguments.Heartbeat)
+		for _, heartbeat := range arguments.Heartbeats {
+			current.heard(heartbeat)
+		}
+		current.wakePlan()
 		if !current.isValid() {
 			err = notLeaderError(current.member)
 		}
@@ -267,7 +272,11 @@
 	defer l.mutex.Unlock()
 	reply.Revision = l.views.Revision()
 	if reply.Revision != known {
-		view := l.views.Since(known)
+		view, err := l.views.EncodedSince(known)
+		if err != nil {
+			level.Error(l.logger).Log("msg", "A view cannot be encoded.", "err", err)
+			return
+		}
 		reply.View = &view
 	}
 }
--- a/domainnode/summary.go
+++ b/domainnode/summary.go
@@ -43,6 +43,27 @@
 		"models", strings.Join(models, " "))
 }
 
+// maxRecorded bounds the registrations in one command.
+const maxRecorded = 512
+
+// recordRegistrations puts what has gathered in the log, in one command at a time: many
+// runners register at once when a site starts. It runs under the mutex.
+func (l *leadership) recordRegistrations() {
+	if l.isRecording || len(l.unrecorded) == 0 {
+		return
+	}
+	var command domain.Command
+	for instance, registration := range l.unrecorded {
+		if len(command.Registrations) == maxRecorded {
+			break
+		}
+		command.Registrations = append(command.Registrations, registration)
+		delete(l.unrecorded, instance)
+	}
+	l.isRecording = true
+	go l.record(command)
+}
+
 // record proposes a command whose loss costs only time.
 func (l *leadership) record(command domain.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
@@ -54,16 +75,25 @@
 	if err != nil {
 		level.Debug(l.logger).Log("msg", "A command was not recorded.", "err", err)
 	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isRecording = false
 }
 
 // forgetSilent takes runners that have been silent for long out of the log.
 func (l *leadership) forgetSilent(at time.Time) {
-	for _, instance := range l.registry.Silent(at, forgetRunnerAfter) {
-		isRegistered := false
-		l.member.group.View(func() { _, isRegistered = l.member.machine.Registered(instance) })
-		if isRegistered {
-			go l.record(domain.Command{Forget: instance})
+	var command domain.Command
+	silent := l.registry.Silent(at, forgetRunnerAfter)
+	l.member.group.View(func() {
+		for _, instance := range silent {
+			if _, isRegistered := l.member.machine.Registered(instance); isRegistered {
+				command.Silent = append(command.Silent, instance)
+			}
 		}
+	})
+	if len(command.Silent) > 0 && !l.isRecording {
+		l.isRecording = true
+		go l.record(command)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,3 +97,31 @@
 	c.Assert(r.Runners(start)[0].Recalled, qt.IsFalse)
 	c.Assert(r.Silent(start.Add(time.Minute), 20*time.Second), qt.DeepEquals, []string{"a", "gone"})
 }
+
+func TestInstanceThatMovesLeavesItsAddress(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	r.Recall(start, beat("a", 0))
+	r.Hear(start, beat("b", 1))
+	moved := beat("b", 2)
+	moved.Address = "10.0.0.2:80"
+	r.Hear(start, moved)
+	r.Hear(start, beat("a", 1))
+	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"a", "b"})
+	r.Expire(start.Add(forgottenAfter + time.Second))
+	c.Assert(r.addresses, qt.HasLen, 0)
+}
+
+// BenchmarkHear measures a heartbeat among 3,000 runners.
+func BenchmarkHear(b *testing.B) {
+	r := NewRegistry(start)
+	beats := make([]Heartbeat, 3000)
+	for i := range beats {
+		beats[i] = Heartbeat{Instance: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.1:", i)}
+	}
+	for i := 0; b.Loop(); i++ {
+		beat := &beats[i%len(beats)]
+		beat.Sequence++
+		r.Hear(start, *beat)
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -18,28 +18,32 @@
 			return other.Instance == runner.Instance || other.Address == runner.Address
 		})
 		if !isListed && !slices.Contains(learned.Gone, runner.Instance) {
+			runner.Unconfirmed = true
 			merged.Runners = append(merged.Runners, runner)
 		}
 	}
 	return merged
 }
 
-// mergePartial adds changes to what is known.
+// mergePartial adds changes to what is known. Once a view is complete, what its leader
+// never listed is gone.
 func mergePartial(known, changes View) View {
-	merged := View{Complete: changes.Complete, Gone: known.Gone, Runners: slices.Clone(changes.Runners)}
-	isChanged := make(map[string]bool, len(changes.Runners)+len(changes.Removed))
+	merged := View{Complete: changes.Complete, Gone: changes.Gone, Runners: slices.Clone(changes.Runners)}
+	isChanged := make(map[string]bool, len(changes.Runners)+len(changes.Removed)+len(changes.Gone))
 	addresses := make(map[string]bool, len(changes.Runners))
 	for _, runner := range changes.Runners {
 		isChanged[runner.Instance] = true
 		addresses[runner.Address] = true
 	}
-	for _, instance := range changes.Removed {
+	for _, instance := range slices.Concat(changes.Removed, changes.Gone) {
 		isChanged[instance] = true
 	}
 	for _, runner := range known.Runners {
-		if !isChanged[runner.Instance] && (runner.Address == "" || !addresses[runner.Address]) {
-			merged.Runners = append(merged.Runners, runner)
+		isDisplaced := runner.Address != "" && addresses[runner.Address]
+		if isChanged[runner.Instance] || isDisplaced || changes.Complete && runner.Unconfirmed {
+			continue
 		}
+		merged.Runners = append(merged.Runners, runner)
 	}
 	return merged
 }
--- a/fleet/publisher.go
+++ b/fleet/publisher.go
@@ -13,6 +13,8 @@
 	// changedAt is the revision in which each runner last changed.
 	changedAt map[string]uint64
 	removals  []removal
+	// encoded holds the views since each revision that somebody asked for, as of now.
+	encoded map[uint64]EncodedView
 	// partialFrom is the least revision from which changes are known.
 	partialFrom uint64
 }
@@ -23,7 +25,9 @@
 }
 
 // NewPublisher makes a publisher at revision 0, which nobody knows.
-func NewPublisher() *Publisher { return &Publisher{changedAt: make(map[string]uint64)} }
+func NewPublisher() *Publisher {
+	return &Publisher{changedAt: make(map[string]uint64), encoded: make(map[uint64]EncodedView)}
+}
 
 // Publish takes the newest view and reports whether it differs from the one before.
 func (p *Publisher) Publish(view View) bool {
@@ -51,12 +55,8 @@
 		p.partialFrom = p.removals[dropped-1].revision
 		p.removals = slices.Delete(p.removals, 0, dropped)
 	}
-	// An incomplete view leaves what it does not list as it was; a complete one does
-	// not, and must be whole at first.
-	if view.Complete != p.view.Complete {
-		p.partialFrom = p.revision
-	}
 	p.view = view
+	clear(p.encoded)
 	return true
 }
 
@@ -72,7 +72,7 @@
 	if known == 0 || known < p.partialFrom || known > p.revision {
 		return p.view
 	}
-	partial := View{Partial: true, Complete: p.view.Complete}
+	partial := View{Partial: true, Complete: p.view.Complete, Gone: p.view.Gone}
 	for _, runner := range p.view.Runners {
 		if p.changedAt[runner.Instance] > known {
 			partial.Runners = append(partial.Runners, runner)
@@ -85,3 +85,15 @@
 	}
 	return partial
 }
+
+// EncodedSince is Since as bytes, which are made once for all who know the revision.
+func (p *Publisher) EncodedSince(known uint64) (EncodedView, error) {
+	if encoded, isMade := p.encoded[known]; isMade {
+		return encoded, nil
+	}
+	encoded, err := p.Since(known).Encode()
+	if err == nil {
+		p.encoded[known] = encoded
+	}
+	return encoded, err
+}
--- a/fleet/publisher_test.go
+++ b/fleet/publisher_test.go
@@ -59,3 +59,62 @@
 	})
 	c.Assert(publisher.Since(0).Partial, qt.IsFalse)
 }
+
+// What a new leader has not heard of yet stays at the routers until the leader knows all
+// or has been told that it is gone, without a whole view for every router.
+func TestRoutersDropWhatACompleteLeaderNeverListed(t *testing.T) {
+	c := qt.New(t)
+	known := View{Complete: true, Runners: []Runner{{Instance: "old", Address: "1"}, {Instance: "leaving", Address: "2"}, {Instance: "heard", Address: "3"}}}
+	leader := NewPublisher()
+	leader.Publish(View{Runners: []Runner{{Instance: "new", Address: "4"}}})
+	names := func() []string {
+		var listed []string
+		for _, runner := range sortedRunners(known) {
+			listed = append(listed, runner.Instance)
+		}
+		return listed
+	}
+	follow := func(view View) {
+		revision := leader.Revision()
+		leader.Publish(view)
+		changes := leader.Since(revision)
+		c.Assert(changes.Partial, qt.IsTrue)
+		known = Merge(known, changes)
+	}
+	known = Merge(known, leader.Since(0))
+	c.Assert(names(), qt.DeepEquals, []string{"heard", "leaving", "new", "old"})
+	follow(View{Gone: []string{"leaving"}, Runners: []Runner{{Instance: "heard", Address: "3"}, {Instance: "new", Address: "4"}}})
+	c.Assert(names(), qt.DeepEquals, []string{"heard", "new", "old"})
+	follow(View{Complete: true, Gone: []string{"leaving"}, Runners: []Runner{{Instance: "heard", Address: "3"}, {Instance: "new", Address: "4"}}})
+	c.Assert(names(), qt.DeepEquals, []string{"heard", "new"})
+}
+
+func TestViewsAreEncodedOnceForAll(t *testing.T) {
+	c := qt.New(t)
+	publisher := NewPublisher()
+	view := View{Complete: true}
+	for i := range 500 {
+		view.Runners = append(view.Runners, Runner{Instance: fmt.Sprint("r", i), Models: []LoadedModel{{Name: "m"}}})
+	}
+	publisher.Publish(view)
+	first, err := publisher.EncodedSince(0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.IsPacked, qt.IsTrue)
+	second, err := publisher.EncodedSince(0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(&first.Bytes[0], qt.Equals, &second.Bytes[0])
+	decoded, err := first.Decode()
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded.Equal(view), qt.IsTrue)
+	view.Runners = view.Runners[1:]
+	known := publisher.Revision()
+	publisher.Publish(view)
+	changes, err := publisher.EncodedSince(known)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.IsPacked, qt.IsFalse)
+	decoded, err = changes.Decode()
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded.Removed, qt.DeepEquals, []string{"r0"})
+	_, err = EncodedView{IsPacked: true, Bytes: []byte("torn")}.Decode()
+	c.Assert(err, qt.IsNotNil)
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -22,6 +22,8 @@
 type Registry struct {
 	began   time.Time
 	runners map[string]*record
+	// addresses holds the records of each address.
+	addresses map[string][]*record
 }
 
 type record struct {
@@ -38,7 +40,7 @@
 
 // NewRegistry makes a registry of a leadership that begins now.
 func NewRegistry(now time.Time) *Registry {
-	return &Registry{began: now, runners: make(map[string]*record)}
+	return &Registry{began: now, runners: make(map[string]*record), addresses: make(map[string][]*record)}
 }
 
 // Hear takes a heartbeat. It reports false for one that is older than another that
@@ -51,10 +53,11 @@
 	} else if known.gone || heartbeat.Sequence < known.heartbeat.Sequence {
 		return false
 	}
+	r.move(known, heartbeat.Address)
 	known.heartbeat = heartbeat
 	known.heardAt = now
 	known.recalled = false
-	r.takeAddress(heartbeat)
+	r.takeAddress(known)
 	if heartbeat.Leaving {
 		known.leave(now, heartbeat.EndsIn)
 	}
@@ -64,8 +67,32 @@
 // Recall takes a runner that the leader before knew. Until its first heartbeat it is
 // listed without models.
 func (r *Registry) Recall(now time.Time, heartbeat Heartbeat) {
-	if r.runners[heartbeat.Instance] == nil {
-		r.runners[heartbeat.Instance] = &record{heartbeat: heartbeat, heardAt: now, recalled: true}
+	if r.runners[heartbeat.Instance] != nil {
+		return
+	}
+	recalled := &record{heardAt: now, recalled: true}
+	r.runners[heartbeat.Instance] = recalled
+	r.move(recalled, heartbeat.Address)
+	recalled.heartbeat = heartbeat
+}
+
+// move lists the record under its new address, and no longer under the one that its
+// last heartbeat named.
+func (r *Registry) move(known *record, address string) {
+	former := known.heartbeat.Address
+	if former == address {
+		return
+	}
+	r.leaveAddress(known)
+	r.addresses[address] = append(r.addresses[address], known)
+}
+
+func (r *Registry) leaveAddress(known *record) {
+	former := known.heartbeat.Address
+	left := slices.DeleteFunc(r.addresses[former], func(other *record) bool { return other == known })
+	r.addresses[former] = left
+	if len(left) == 0 {
+		delete(r.addresses, former)
 	}
 }
 
@@ -83,11 +110,9 @@
 
 // takeAddress notes that an instance is at its address, and so no other one. Should
 // the heartbeat have been late, the other's next one takes the address back.
-func (r *Registry) takeAddress(heartbeat Heartbeat) {
-	for instance, other := range r.runners {
-		if other.heartbeat.Address == heartbeat.Address {
-			other.displaced = instance != heartbeat.Instance
-		}
+func (r *Registry) takeAddress(known *record) {
+	for _, other := range r.addresses[known.heartbeat.Address] {
+		other.displaced = other != known
 	}
 }
 
@@ -117,6 +142,7 @@
 	for instance, known := range r.runners {
 		if now.Sub(known.heardAt) > forgottenAfter {
 			delete(r.runners, instance)
+			r.leaveAddress(known)
 		}
 	}
 }
@@ -150,11 +176,12 @@
 	return listed
 }
 
-// Gone lists the instances that have ended, sorted.
+// Gone lists the instances that have ended, and those that are leaving of which no
+// address is known, sorted.
 func (r *Registry) Gone() []string {
 	var gone []string
 	for instance, known := range r.runners {
-		if known.gone {
+		if known.gone || known.leaving && known.heartbeat.Address == "" {
 			gone = append(gone, instance)
 		}
 	}
--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -44,6 +44,9 @@
 	Slow bool
 	// Models are ready for requests.
 	Models []LoadedModel
+	// Unconfirmed is set by Merge at a router for what the present leader has not listed
+	// yet; nobody sends it.
+	Unconfirmed bool `msgpack:"-"`
 }
 
 // Equal reports whether two views of a runner are the same.
@@ -61,7 +64,7 @@
 	// Complete is false while a new leader may not have heard of every runner yet:
 	// what is not listed is then unknown, and not gone.
 	Complete bool
-	// Gone lists the instances that have ended for certain.
+	// Gone lists the instances that certainly take no more requests.
 	Gone []string
 	// Partial views list only the runners that changed, and those removed.
 	Partial bool
--- a/raft/node.go
+++ b/raft/node.go
@@ -73,6 +73,9 @@
 		n.silence = 0
 	}
 	n.becomeFollower(n.term, None)
+	if n.term > 0 {
+		n.awaitTurn()
+	}
 	return n, nil
 }
 
@@ -128,6 +131,7 @@
 	}
 	n.resetElectionTimer()
 	if n.mayCampaign() {
+		n.awaitPreVote()
 		n.startPreVote()
 	}
 }
@@ -151,6 +155,33 @@
 	n.electionTimeout = n.config.ElectionTicks + n.config.Random.IntN(n.config.ElectionTicks)
 }
 
+const (
+	// turnTicks separate the turns in which the voters campaign when their leader falls
+	// silent, or after a restart: the first has won before the second begins.
+	turnTicks = 3
+	// preVoteTicks is the least pause between two pre-votes, of which those that come a
+	// moment too early are not answered.
+	preVoteTicks = 3
+)
+
+// awaitTurn sets the election timer by the node's place among the voters that do not
+// lead. Turns only make split votes rare: each later timeout is random.
+func (n *Node) awaitTurn() {
+	turn := 0
+	for _, id := range n.membership().Voters {
+		if id < n.id && id != n.leader {
+			turn++
+		}
+	}
+	n.electionElapsed = 0
+	n.electionTimeout = n.config.ElectionTicks + 1 + min(turn*turnTicks, n.config.ElectionTicks-1)
+}
+
+// awaitPreVote sets the election timer to the next pre-vote, which disturbs nobody.
+func (n *Node) awaitPreVote() {
+	n.electionTimeout = preVoteTicks + n.config.Random.IntN(preVoteTicks)
+}
+
 func (n *Node) becomeFollower(term uint64, leader NodeID) {
 	if term != n.term {
 		n.term = term
--- a/raft/step.go
+++ b/raft/step.go
@@ -93,10 +93,10 @@
 }
 
 func (n *Node) handleLeaderMessage(m *Message) {
-	if n.role != Follower {
+	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(n.term, m.From)
+		n.awaitTurn()
 	}
-	n.leader = m.From
 	n.electionElapsed = 0
 	n.silence = 0
 	switch m.Kind {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -78,15 +78,27 @@
 	if reply.Document != nil {
 		r.takeDocument(*reply.Document)
 	}
-	if reply.View != nil {
-		r.adoptView(*reply.View)
-		level.Debug(r.logger).Log("msg", "A view of the runners was adopted.", "term", reply.Term,
-			"revision", reply.Revision, "runners", len(reply.View.Runners), "complete", reply.View.Complete)
+	if reply.View != nil && !r.takeView(reply) {
+		return
 	}
 	arguments.Term = reply.Term
 	arguments.Revision = reply.Revision
 }
 
+// takeView adopts the view of a reply, or reports false if it cannot be read; then it is
+// asked for again.
+func (r *Router) takeView(reply *domainapi.WatchReply) bool {
+	view, err := reply.View.Decode()
+	if err != nil {
+		level.Error(r.logger).Log("msg", "A view of the runners cannot be decoded.", "term", reply.Term, "err", err)
+		return false
+	}
+	r.adoptView(view)
+	level.Debug(r.logger).Log("msg", "A view of the runners was adopted.", "term", reply.Term,
+		"revision", reply.Revision, "runners", len(view.Runners), "complete", view.Complete)
+	return true
+}
+
 func (r *Router) takeDocument(packed domain.Document) {
 	source, err := domain.Expand(packed.Source)
 	if err != nil {
--- a/residency/options.go
+++ b/residency/options.go
@@ -6,6 +6,10 @@
 type Options struct {
 	// AskAgain is the pause between two questions to a runner about its orders.
 	AskAgain time.Duration
+	// QuestionRate and QuestionBurst bound the questions to all runners: so many a
+	// second, and so many at once.
+	QuestionRate  float64
+	QuestionBurst float64
 	// ReportLag is how old the state in a report may be.
 	ReportLag time.Duration
 	// AdapterTime is how long an accepted adapter takes until it is usable.
@@ -29,6 +33,8 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.AskAgain, 300*time.Millisecond)
+	setDefault(&o.QuestionRate, 200)
+	setDefault(&o.QuestionBurst, 160)
 	setDefault(&o.ReportLag, 350*time.Millisecond)
 	setDefault(&o.AdapterTime, 60*time.Millisecond)
 	setDefault(&o.IdleTime, time.Second)
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -27,6 +27,9 @@
 	judgedAt   time.Time
 	judged     []Judgement
 	slowPlaces map[place]bool
+	// questions may be asked, as of questionsAt.
+	questions   float64
+	questionsAt time.Time
 	// tally is that of the plan under way.
 	tally *tally
 	// successors are the models of each service that are expected to become busy.
@@ -135,11 +138,18 @@
 	}
 }
 
-// Questions lists the runners that should be asked for a report now.
+// Questions lists the runners that should be asked for a report now. Those that have
+// waited the longest come first.
 func (p *Planner) Questions(now time.Time) []fleet.Status {
+	p.refillQuestions(now)
 	isEarly := now.Before(p.ordersFrom.Add(-p.options.AskAgain))
+	candidates := p.sorted()
+	slices.SortStableFunc(candidates, func(a, b *runner) int { return a.askedAt.Compare(b.askedAt) })
 	var asked []fleet.Status
-	for _, known := range p.sorted() {
+	for _, known := range candidates {
+		if p.questions < 1 {
+			break
+		}
 		if isEarly && (!known.status.Recalled || len(known.holdings) > 0) {
 			continue
 		}
@@ -150,11 +160,24 @@
 			continue
 		}
 		known.askedAt = now
+		p.questions--
 		asked = append(asked, known.status)
 	}
 	return asked
 }
 
+// refillQuestions allows what the time since the last call allows: a new leader of a
+// large site must not ask thousands of runners at once.
+func (p *Planner) refillQuestions(now time.Time) {
+	if p.questionsAt.IsZero() {
+		p.questions = p.options.QuestionBurst
+	} else {
+		p.questions += now.Sub(p.questionsAt).Seconds() * p.options.QuestionRate
+	}
+	p.questions = min(p.questions, p.options.QuestionBurst)
+	p.questionsAt = now
+}
+
 // Reported takes the answer to a question that was asked at askedAt.
 func (p *Planner) Reported(now, askedAt time.Time, instance string, report Report) {
 	known := p.runners[instance]
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -222,3 +223,32 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Operation, qt.Equals, Load)
 }
+
+// A new leader of a large site asks its runners one after the other.
+func TestQuestionsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{QuestionRate: 10, QuestionBurst: 4}, start)
+	p.SetDocument(twoModels())
+	var statuses []fleet.Status
+	for i := range 20 {
+		each := status(1)[0]
+		each.Heartbeat.Instance = fmt.Sprintf("r%02d", i)
+		statuses = append(statuses, each)
+	}
+	p.SetRunners(start, statuses)
+	asked := make(map[string]bool)
+	ask := func(at time.Time) int {
+		questions := p.Questions(at)
+		for _, each := range questions {
+			asked[each.Heartbeat.Instance] = true
+		}
+		return len(questions)
+	}
+	c.Assert(ask(start), qt.Equals, 4)
+	c.Assert(ask(start), qt.Equals, 0)
+	c.Assert(ask(start.Add(200*time.Millisecond)), qt.Equals, 2)
+	for second := range 4 {
+		ask(start.Add(time.Duration(second+1) * time.Second))
+	}
+	c.Assert(asked, qt.HasLen, 20, qt.Commentf("nobody is asked again before all were asked"))
+}
