--- a/raft/turn_test.go
+++ b/raft/turn_test.go
@@ -25,7 +25,7 @@
 // Voters that lose their leader, or start together, campaign one after the other.
 func TestElectionsAreWonInTheFirstTurns(t *testing.T) {
 	for _, test := range []struct {
-		name    string
+		name string
 		// disturb returns the former leader if it may still hold itself for one.
 		disturb func(c *cluster) NodeID
 	}{
