Pass on a runner's own failure when no other runner may be tried

Ruled out: the runners (their 500 came whole and signed). Change: the last attempt's answer is passed on; only the reason in the log differs. Test: TestFailureOfTheLastRunnerIsPassedOn, failed before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -142,31 +142,33 @@
 
 // run tries runners until one has answered or no other may be tried.
 func (x *exchange) run(ctx context.Context) {
+	var last result
 	for {
 		began := time.Now()
 		choice, err := x.acquire(ctx)
 		x.waited += time.Since(began)
 		if err != nil {
-			x.giveUp(err)
+			x.giveUp(err, last)
 			return
 		}
 		if x.sent > 0 && !x.router.mayRepeat(x.row.Service) {
 			x.router.release(x.row, choice, routing.OutcomeNeutral)
-			x.fail("retry_budget", nil)
+			last.reason = "retry_budget"
+			x.conclude(last)
 			return
 		}
-		result := x.attempt(ctx, choice)
-		x.router.metrics.attempts.WithLabelValues(result.name()).Inc()
-		x.router.release(x.row, choice, result.outcome)
-		if result.isDone {
-			x.count(result.name())
+		last = x.attempt(ctx, choice)
+		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
+		x.router.release(x.row, choice, last.outcome)
+		if last.isDone {
+			x.count(last.name())
 			x.notePace(choice)
-			x.logServed(choice, result)
+			x.logServed(choice, last)
 			return
 		}
 		x.avoid = choice.Runner()
-		if !x.mayTryAgain(ctx, result) {
-			x.conclude(result)
+		if !x.mayTryAgain(ctx, last) {
+			x.conclude(last)
 			return
 		}
 	}
@@ -291,18 +293,20 @@
 	return x.relayWhole(ctx, answer, watchdog)
 }
 
-// giveUp answers a request for which no runner was found in time.
-func (x *exchange) giveUp(err error) {
-	if errors.Is(err, errStopped) {
-		x.fail("router_stops", err)
-		return
-	}
-	if !errors.Is(err, errTimeout) {
+// giveUp answers a request for which no runner was found in time, after the last attempt
+// if there was one.
+func (x *exchange) giveUp(err error, last result) {
+	switch {
+	case errors.Is(err, errStopped):
+		last.reason, last.err = "router_stops", err
+	case errors.Is(err, errTimeout):
+		last.reason, last.err = "no_runner", err
+	default:
 		x.count("caller_left")
 		x.router.log(x.request, x.version, "caller_left", err)
 		return
 	}
-	x.fail("no_runner", err)
+	x.conclude(last)
 }
 
 // conclude answers a request after the last attempt.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -470,3 +470,32 @@
 		c.Assert(time.Since(began), qt.Equals, 2*time.Second)
 	})
 }
+
+// A runner's failure is passed on as it was when no other runner may or can be tried.
+func TestFailureOfTheLastRunnerIsPassedOn(t *testing.T) {
+	for name, prepare := range map[string]func(router *Router){
+		"no budget left": func(router *Router) {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.granted = grant{}
+		},
+		"no runner left": func(router *Router) { router.adoptView(fleet.View{Complete: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var router *Router
+				var backend *scriptedBackend
+				router, backend = newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+					prepare(router)
+					return failed()
+				})
+				recorder, aborted := ask(router, t.Context(), "/again/x", "")
+				c.Assert(aborted, qt.IsFalse)
+				c.Assert(recorder.Code, qt.Equals, http.StatusInternalServerError)
+				c.Assert(recorder.Body.String(), qt.Equals, "failed")
+				c.Assert(backend.runners(), qt.HasLen, 1)
+			})
+		})
+	}
+}
