--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -59,6 +59,9 @@
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
 	ended    bool
+	// unrecorded are registrations that are to be put in the log.
+	unrecorded  map[string]domain.Registration
+	isRecording bool
 	// summedUpAt is when the demand was last logged.
 	summedUpAt time.Time
 }
@@ -87,24 +90,26 @@
 	at := now()
 	ordersFrom := n.ordersFrom(ctx, at)
 	l := &leadership{
-		node:     n,
-		logger:   log.With(n.logger, "term", term),
-		options:  n.options,
-		member:   joined,
-		term:     term,
-		wake:     make(chan struct{}, 1),
-		registry: fleet.NewRegistry(at),
-		planner:  residency.NewPlanner(n.options.Planner, ordersFrom),
-		views:    fleet.NewPublisher(),
-		changed:  make(chan struct{}),
-		routers:  make(map[string]routerContact),
-		stopping: make(map[raft.NodeID]time.Time),
+		node:       n,
+		logger:     log.With(n.logger, "term", term),
+		options:    n.options,
+		member:     joined,
+		term:       term,
+		wake:       make(chan struct{}, 1),
+		registry:   fleet.NewRegistry(at),
+		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
+		views:      fleet.NewPublisher(),
+		changed:    make(chan struct{}),
+		routers:    make(map[string]routerContact),
+		unrecorded: make(map[string]domain.Registration),
+		stopping:   make(map[raft.NodeID]time.Time),
 	}
 	joined.group.View(func() {
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
 		for _, each := range joined.machine.Registrations() {
+			l.planner.RecallSpeed(each.Service, each.Address, each.IsSlow)
 			l.registry.Recall(at, fleet.Heartbeat{
 				Instance: each.Instance, Service: each.Service, Address: each.Address, Zone: each.Zone, Slots: each.Slots,
 			})
@@ -181,8 +186,14 @@
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
 	l.refresh(at)
+	judged := l.planner.TakeJudgements()
+	l.recordRegistrations()
 	l.sumUp(at)
 	l.mutex.Unlock()
+	for _, found := range judged {
+		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
+			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", found.Slowness)
+	}
 	for _, status := range questions {
 		go l.ask(ctx, status)
 	}
@@ -265,15 +276,17 @@
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
 	l.registry.Hear(now(), heartbeat)
+	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
-	l.wakePlan()
 	registration := domain.Registration{
 		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
-		Zone: heartbeat.Zone, Slots: heartbeat.Slots,
+		Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: isSlow,
 	}
 	var known domain.Registration
 	l.member.group.View(func() { known, _ = l.member.machine.Registered(heartbeat.Instance) })
 	if known != registration {
-		go l.record(domain.Command{Register: &registration})
+		l.mutex.Lock()
+		l.unrecorded[heartbeat.Instance] = registration
+		l.mutex.Unlock()
 	}
 }
