--- a/relay/answer.go
+++ b/relay/answer.go
@@ -37,6 +37,10 @@
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
 		ended := result{outcome: routing.OutcomeRefused, reason: "runner_failed", answer: whole}
+		if answer.Status == http.StatusGatewayTimeout {
+			// The time was too short, which is not the runner's fault.
+			ended.outcome = routing.OutcomeNeutral
+		}
 		return ended
 	}
 	x.pass(whole)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -18,6 +18,11 @@
 	maxWaitShare = 0.45
 	// minAttemptTime is the least time with which an attempt is sent.
 	minAttemptTime = 20 * time.Millisecond
+	// lastAnswerTime is kept of the time that a runner is given, so that it says itself
+	// when the time is over: an attempt that is given up costs its connection. It is at
+	// most a lastAnswerShare of the time that is left.
+	lastAnswerTime  = 20 * time.Millisecond
+	lastAnswerShare = 10
 	// maxBuffered bounds an answer that is read whole before its head is sent.
 	maxBuffered = 1 << 20
 	// retryAfterNow is told to callers of requests that another try may serve.
@@ -226,7 +231,7 @@
 	x.sent++
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
-		Wait: time.Until(x.deadline), Priority: x.route.Priority, ResumeAfter: x.lastEvent,
+		Wait: x.runnerTime(), Priority: x.route.Priority, ResumeAfter: x.lastEvent,
 	})
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
@@ -240,6 +245,12 @@
 	return ended
 }
 
+// runnerTime is the time that a runner is given.
+func (x *exchange) runnerTime() time.Duration {
+	left := time.Until(x.deadline)
+	return left - min(lastAnswerTime, left/lastAnswerShare)
+}
+
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
 	ended := result{outcome: routing.OutcomeBroken, reason: "send_failed", err: err}
 	if errors.Is(err, ErrNotSent) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -499,3 +499,25 @@
 		})
 	}
 }
+
+// A runner that is told how much time there is says itself when it is over: the
+// connection to it stays.
+func TestRunnerSaysThatTheTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(func(ctx context.Context, attempt *Attempt) (*Answer, error) {
+			select {
+			case <-time.After(attempt.Wait + 5*time.Millisecond):
+				return whole(http.StatusGatewayTimeout, "over")
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		})
+		began := time.Now()
+		recorder, aborted := ask(router, t.Context(), "/once/x", "")
+		c.Assert(aborted, qt.IsFalse)
+		c.Assert(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+		c.Assert(recorder.Body.String(), qt.Equals, "over")
+		c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	})
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -86,7 +86,7 @@
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: reportLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
-			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime,
+			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true,
 		}, random),
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -45,10 +45,13 @@
 	}
 	best, score := b.sample(now, wanted, avoid)
 	if best == nil {
-		best, score = b.scan(now, wanted, avoid)
+		best, score = b.scan(now, wanted, avoid, b.usable)
 	}
 	if best == nil && avoid != "" {
-		best, score = b.scan(now, wanted, "")
+		best, score = b.scan(now, wanted, "", b.usable)
+	}
+	if best == nil && b.options.UseFailing {
+		best, score = b.scan(now, wanted, avoid, b.answers)
 	}
 	if best == nil {
 		return Choice{}, false
@@ -81,15 +84,16 @@
 	return best, lowest
 }
 
-// scan takes the best of the whole subset, from a random start.
-func (b *Balancer) scan(now time.Time, wanted *row, avoid structs.RunnerID) (*replica, float64) {
+// scan takes the best that may be used of the whole subset, from a random start.
+func (b *Balancer) scan(now time.Time, wanted *row, avoid structs.RunnerID,
+	mayUse func(now time.Time, candidate *replica, avoid structs.RunnerID) bool) (*replica, float64) {
 	var best *replica
 	lowest := 0.0
 	size := len(wanted.subset)
 	first := b.random.IntN(size)
 	for offset := range size {
 		candidate := wanted.subset[(first+offset)%size]
-		if !b.usable(now, candidate, avoid) {
+		if !mayUse(now, candidate, avoid) {
 			continue
 		}
 		if score := b.score(now, candidate); best == nil || score < lowest {
@@ -135,14 +139,17 @@
 
 // usable reports whether an attempt may be sent to the replica now.
 func (b *Balancer) usable(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
+	return !now.Before(candidate.ejectedUntil) && candidate.breaker.allows(now) && b.answers(now, candidate, avoid)
+}
+
+// answers reports whether the replica's runner has room and is not known to leave
+// requests unanswered, though it may refuse those of the replica.
+func (b *Balancer) answers(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
 	target := candidate.runner
 	if target.leaving || (avoid != "" && target.info.ID == avoid) {
 		return false
 	}
-	if now.Before(candidate.ejectedUntil) {
-		return false
-	}
-	return target.hasRoom(now, &b.options) && target.breaker.allows(now) && candidate.breaker.allows(now)
+	return target.hasRoom(now, &b.options) && target.breaker.allows(now)
 }
 
 // score is the runner's load as a share of its batch, and its penalty.
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -302,3 +302,33 @@
 	other, _ := b.Pick(now.Add(time.Second), "row", nil, "")
 	c.Assert(other.Runner(), qt.Not(qt.Equals), first.Runner(), qt.Commentf("three more than the other outweigh a connection"))
 }
+
+// While every replica fails, requests go on to the runners that answer, if that is
+// wanted, but never to those that leave requests unanswered.
+func TestWhereEveryReplicaFailsOneThatAnswersIsChosen(t *testing.T) {
+	for _, test := range []struct {
+		about   string
+		options Options
+		outcome Outcome
+		found   bool
+	}{
+		{"refusals", Options{UseFailing: true}, OutcomeRefused, true},
+		{"no answers", Options{UseFailing: true}, OutcomeBroken, false},
+		{"not wanted", Options{}, OutcomeRefused, false},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			test.options.BreakerFailures = 2
+			balancer := newBalancer(2, test.options)
+			for range 20 {
+				choice, ok := balancer.Pick(start, "row", nil, "")
+				if !ok {
+					break
+				}
+				choice.Sent(start, nil)
+				choice.Done(start, test.outcome)
+			}
+			_, found := balancer.Pick(start, "row", nil, "")
+			qt.Assert(t, found, qt.Equals, test.found)
+		})
+	}
+}
--- a/routing/options.go
+++ b/routing/options.go
@@ -35,6 +35,9 @@
 	EjectionShare float64
 	// EjectionTime is how long an outlier stays out.
 	EjectionTime time.Duration
+	// UseFailing lets a replica that refuses requests be chosen when no other may be:
+	// where every replica fails part of its requests, one that answers is better than none.
+	UseFailing bool
 	// ColdRequests is by how many requests other runners must be more loaded before one
 	// is chosen that has answered nothing for WarmTime, so that a new connection to it
 	// would have to be opened. Zero means that this does not matter.
