--- a/residency/cost.go
+++ b/residency/cost.go
@@ -22,6 +22,7 @@
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) (cost float64, victim string, isPossible bool) {
 	rate := min(p.modelDemand(known.rowOf(model.Name)).rate, p.options.ReplicaRate)
 	cost = loadTime(known, model).Seconds() * loadWeight
+	cost += loadTime(known, model).Seconds() * p.adapterHarm(known)
 	if wanted.isWaitedFor {
 		cost += loadTime(known, model).Seconds() * arrivalWeight * rate
 	}
@@ -74,6 +75,23 @@
 	return 0, "", false
 }
 
+// adapterMiss is the part of the requests for adapters that need one which the runner
+// does not hold yet.
+const adapterMiss = 0.5
+
+// adapterHarm is how many requests a second must wait for an adapter while the runner
+// takes no order because it loads a model.
+func (p *Planner) adapterHarm(known *runner) float64 {
+	rate := 0.0
+	for name := range known.holdings {
+		row := known.rowOf(name)
+		if replicas := len(p.holders(row)); replicas > 0 {
+			rate += p.tally.adapterRates[row] / float64(replicas)
+		}
+	}
+	return rate * adapterMiss
+}
+
 // isIdle reports whether no request uses the model at the runner, nor waits for it.
 func (p *Planner) isIdle(now time.Time, known *runner, name string, held *holding) bool {
 	if now.Sub(held.usedAt) < p.options.IdleTime {
--- a/residency/tally.go
+++ b/residency/tally.go
@@ -6,6 +6,8 @@
 // again. The rows name no adapter.
 type tally struct {
 	sorted []*runner
+	// adapterRates is the part of the demand for a model that names an adapter.
+	adapterRates map[Row]float64
 	// demands and waiting are by model, active by model and instance.
 	demands map[Row]modelDemand
 	waiting map[Row]int
@@ -28,13 +30,14 @@
 // takeTally sums up the demand and what the runners hold.
 func (p *Planner) takeTally(now time.Time) {
 	t := &tally{
-		sorted:    p.sorted(),
-		demands:   make(map[Row]modelDemand),
-		waiting:   make(map[Row]int),
-		active:    make(map[activeKey]int),
-		rowActive: make(map[activeKey]int),
-		holders:   make(map[Row][]*runner),
-		coming:    make(map[Row][]*runner),
+		sorted:       p.sorted(),
+		adapterRates: make(map[Row]float64),
+		demands:      make(map[Row]modelDemand),
+		waiting:      make(map[Row]int),
+		active:       make(map[activeKey]int),
+		rowActive:    make(map[activeKey]int),
+		holders:      make(map[Row][]*runner),
+		coming:       make(map[Row][]*runner),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -44,6 +47,9 @@
 		total := t.demands[model]
 		total.rate += demand.rate
 		recent[model] += demand.recent
+		if row.Adapter != "" {
+			t.adapterRates[model] += demand.rate
+		}
 		if demand.objective > 0 && (total.objective == 0 || demand.objective < total.objective) {
 			total.objective = demand.objective
 		}
