--- a/residency/cost.go
+++ b/residency/cost.go
@@ -26,6 +26,9 @@
 	if wanted.isWaitedFor {
 		cost += loadTime(known, model).Seconds() * arrivalWeight * rate
 	}
+	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
+		cost += crowdHarm * max(0, p.load(known)+rate-p.options.ReplicaRate) * p.options.Horizon.Seconds()
+	}
 	if p.isSlow(known) {
 		cost += slowHarm(rate) * rate * p.options.Horizon.Seconds()
 	}
@@ -75,6 +78,22 @@
 	return 0, "", false
 }
 
+// crowdHarm is the part of the requests above what a runner should get that are late.
+const crowdHarm = 0.2
+
+// load is the demand in requests a second that the runner's replicas should get: all of
+// them share its batch.
+func (p *Planner) load(known *runner) float64 {
+	total := 0.0
+	for name, held := range known.holdings {
+		row := known.rowOf(name)
+		if replicas := len(p.holders(row)) + len(p.coming(row)); replicas > 0 && held.phase != phaseUnloading {
+			total += p.modelDemand(row).rate / float64(replicas)
+		}
+	}
+	return total
+}
+
 // adapterMiss is the part of the requests for adapters that need one which the runner
 // does not hold yet.
 const adapterMiss = 0.5
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -252,3 +252,40 @@
 	}
 	c.Assert(asked, qt.HasLen, 20, qt.Commentf("nobody is asked again before all were asked"))
 }
+
+// All models of a runner share its batch, so that two in demand are kept apart; and
+// while a runner loads a model, requests for its adapters wait.
+func TestLoadsAvoidRunnersInDemand(t *testing.T) {
+	engine := &site.Engine{WeightsMB: 200, MaxAdapters: 2, LoadsPerSecond: 2, Models: []site.Model{
+		{Name: "a", SizeMB: 80, AdapterMB: 1, LoadTime: 3 * time.Second},
+		{Name: "b", SizeMB: 80, AdapterMB: 1, LoadTime: 3 * time.Second},
+	}}
+	document := &site.Document{Version: 1, Services: []site.Service{{Name: "s", Engine: engine}}}
+	for _, test := range []struct {
+		name   string
+		demand Demand
+	}{
+		{"model in demand", Demand{Row: Row{Service: "s", Model: "a"}, Arrived: 16}},
+		{"adapters in demand", Demand{Row: Row{Service: "s", Model: "a", Adapter: "x"}, Arrived: 8}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := NewPlanner(Options{}, start)
+			p.SetDocument(site.NewIndex(document))
+			statuses := twoRunners("a-busy", "b-free")
+			statuses[0].Heartbeat.Models = []fleet.LoadedModel{{Name: "a"}}
+			p.SetRunners(start, statuses)
+			for _, instance := range []string{"a-busy", "b-free"} {
+				p.Reported(start, start, instance, Report{Models: p.Loaded(instance)})
+			}
+			p.Observe(start, "router", []Demand{test.demand, {Row: Row{Service: "s", Model: "b"}, Waiting: 1, Arrived: 8}})
+			var loaded []string
+			for _, order := range p.Plan(start) {
+				if order.Model == "b" {
+					loaded = append(loaded, order.Instance)
+				}
+			}
+			c.Assert(loaded, qt.DeepEquals, []string{"b-free"})
+		})
+	}
+}
