Count the retry budget and the load history by the steady clock

Cause: both numbered their slots by the time of day, which jumps on some machines: after a jump forward a router forgot the repeats of its window early, after one back its window stood still until the time had caught up. Found by reading for what a soak cannot bring about from outside: the clock of one process. Ruled out: the other packages of the domain read no time of day for a decision. Change: both count from the first time that they saw. Test: TestNoDecisionReadsTheTimeOfDay reads the sources; it named relay/budget.go and routing/runner.go before.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -27,7 +27,10 @@
 // budget is one router's part of a RetryRule for one service. The leader says how
 // many routers there are; it counts one for longer than its grant lives.
 type budget struct {
-	rule    RetryRule
+	rule RetryRule
+	// origin is the first time that was seen. Slots are counted from it by the steady
+	// clock: the time of day may jump.
+	origin  time.Time
 	slots   [budgetSlots + 1]budgetSlot
 	current int64
 }
@@ -75,7 +78,10 @@
 	if width <= 0 {
 		width = time.Second
 	}
-	number := now.UnixNano() / int64(width)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	number := int64(now.Sub(b.origin) / width)
 	for passed := min(number-b.current, int64(len(b.slots))); passed > 0; passed-- {
 		b.slots[(number-passed+1)%int64(len(b.slots))] = budgetSlot{}
 	}
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -99,8 +99,11 @@
 
 // history is a ring of the latest changes of the own load.
 type history struct {
-	// changedAt is in nanoseconds of Unix time, load what was in flight from then on.
-	changedAt [historyLength]int64
+	// origin is the first time that was seen: the steady clock counts from it, as the time
+	// of day may jump.
+	origin time.Time
+	// changedAt is the time since origin, load what was in flight from then on.
+	changedAt [historyLength]time.Duration
 	load      [historyLength]int32
 	// count is how many changes there were in all.
 	count int
@@ -108,7 +111,10 @@
 
 func (h *history) add(now time.Time, load int) {
 	slot := h.count % historyLength
-	h.changedAt[slot] = now.UnixNano()
+	if h.origin.IsZero() {
+		h.origin = now
+	}
+	h.changedAt[slot] = now.Sub(h.origin)
 	h.load[slot] = int32(load)
 	h.count++
 }
@@ -116,11 +122,11 @@
 // at returns the own load at the time; if it is older than the ring reaches, the
 // oldest known load.
 func (h *history) at(when time.Time) int {
-	nanoseconds := when.UnixNano()
+	passed := when.Sub(h.origin)
 	kept := min(h.count, historyLength)
 	for back := 1; back <= kept; back++ {
 		slot := (h.count - back) % historyLength
-		if h.changedAt[slot] <= nanoseconds {
+		if h.changedAt[slot] <= passed {
 			return int(h.load[slot])
 		}
 	}
