--- a/controller/core.go
+++ b/controller/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/lotusferry/lotusferry/zone"
@@ -142,15 +143,15 @@
 
 // New makes a Core.
 func New(options Options) *Core {
-	setDefault(&options.LaggingAfter, DefaultLaggingAfter)
-	setDefault(&options.VanishedAfter, DefaultVanishedAfter)
-	setDefault(&options.SilentAfter, DefaultSilentAfter)
-	setDefault(&options.DemandAfter, DefaultDemandAfter)
-	setDefault(&options.ResendAfter, DefaultResendAfter)
-	setDefault(&options.WishAfter, DefaultWishAfter)
-	setDefault(&options.UnloadDelay, DefaultUnloadDelay)
-	setDefault(&options.ClaimLease, DefaultClaimLease)
-	setDefault(&options.InquiryLimit, DefaultInquiryLimit)
+	option.Default(&options.LaggingAfter, DefaultLaggingAfter)
+	option.Default(&options.VanishedAfter, DefaultVanishedAfter)
+	option.Default(&options.SilentAfter, DefaultSilentAfter)
+	option.Default(&options.DemandAfter, DefaultDemandAfter)
+	option.Default(&options.ResendAfter, DefaultResendAfter)
+	option.Default(&options.WishAfter, DefaultWishAfter)
+	option.Default(&options.UnloadDelay, DefaultUnloadDelay)
+	option.Default(&options.ClaimLease, DefaultClaimLease)
+	option.Default(&options.InquiryLimit, DefaultInquiryLimit)
 	if options.Settings == (scheduler.Settings{}) {
 		options.Settings = scheduler.DefaultSettings()
 	}
@@ -159,12 +160,6 @@
 	return core
 }
 
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 // forget drops what belongs to one term of leading.
 func (c *Core) forget() {
 	c.accepted = map[structs.RunnerID]acceptedFence{}
--- a/emulator/clock.go
+++ b/emulator/clock.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/option"
+)
 
 // Clock relates the virtual time of the cores to the time of the machine.
 type Clock struct {
@@ -11,7 +15,7 @@
 // NewClock makes a clock that starts now and runs scale times as fast as the
 // machine's; a scale of 0 means 1.
 func NewClock(scale float64) *Clock {
-	setDefault(&scale, 1)
+	option.Default(&scale, 1)
 	return &Clock{origin: time.Now(), scale: scale}
 }
 
--- a/emulator/engine_server.go
+++ b/emulator/engine_server.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -76,7 +77,7 @@
 // Restart begins the engine's next life; 0 means the incarnation after the last.
 func (s *EngineServer) Restart(incarnation structs.Incarnation) {
 	s.Engine(func(engine *Engine, now time.Time) []EngineOutput {
-		setDefault(&incarnation, engine.Incarnation()+1)
+		option.Default(&incarnation, engine.Incarnation()+1)
 		return engine.Restart(now, incarnation)
 	})
 }
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -89,35 +90,28 @@
 )
 
 func (o EngineOptions) withDefaults() EngineOptions {
-	setDefault(&o.Accelerators, 1)
-	setDefault(&o.Incarnation, 1)
-	setDefault(&o.MaxBatch, defaultMaxBatch)
-	setDefault(&o.MaxQueue, defaultMaxQueue)
-	setDefault(&o.KVBytes, defaultKVBytes)
-	setDefault(&o.KVBytesPerToken, defaultKVBytesPerToken)
-	setDefault(&o.DecodeBase, defaultDecodeBase)
-	setDefault(&o.DecodePerSequence, defaultDecodePerSequence)
-	setDefault(&o.PrefillPerToken, defaultPrefillPerToken)
-	setDefault(&o.PrefillChunk, defaultPrefillChunk)
-	setDefault(&o.LoadBase, defaultLoadBase)
-	setDefault(&o.MemorySpeed, defaultMemorySpeed)
-	setDefault(&o.DiskSpeed, defaultDiskSpeed)
-	setDefault(&o.UnloadTime, defaultUnloadTime)
-	setDefault(&o.KVSpeed, defaultKVSpeed)
-	setDefault(&o.IDRetention, engineapi.IDRetention)
+	option.Default(&o.Accelerators, 1)
+	option.Default(&o.Incarnation, 1)
+	option.Default(&o.MaxBatch, defaultMaxBatch)
+	option.Default(&o.MaxQueue, defaultMaxQueue)
+	option.Default(&o.KVBytes, defaultKVBytes)
+	option.Default(&o.KVBytesPerToken, defaultKVBytesPerToken)
+	option.Default(&o.DecodeBase, defaultDecodeBase)
+	option.Default(&o.DecodePerSequence, defaultDecodePerSequence)
+	option.Default(&o.PrefillPerToken, defaultPrefillPerToken)
+	option.Default(&o.PrefillChunk, defaultPrefillChunk)
+	option.Default(&o.LoadBase, defaultLoadBase)
+	option.Default(&o.MemorySpeed, defaultMemorySpeed)
+	option.Default(&o.DiskSpeed, defaultDiskSpeed)
+	option.Default(&o.UnloadTime, defaultUnloadTime)
+	option.Default(&o.KVSpeed, defaultKVSpeed)
+	option.Default(&o.IDRetention, engineapi.IDRetention)
 	if o.Random == nil {
 		o.Random = rand.New(rand.NewPCG(1, uint64(o.Incarnation)))
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // EngineFaults are faults that can be switched at run time with SetFaults. Rates
 // run from 0 to 1.
 type EngineFaults struct {
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/option"
 )
 
 // StoreOptions describe a weight store.
@@ -67,9 +68,9 @@
 
 // NewStore makes a store without reads.
 func NewStore(options StoreOptions) *Store {
-	setDefault(&options.LoadsPerSecond, defaultLoadsPerSecond)
-	setDefault(&options.FullSpeed, defaultFullSpeed)
-	setDefault(&options.BytesPerSecond, defaultStoreSpeed)
+	option.Default(&options.LoadsPerSecond, defaultLoadsPerSecond)
+	option.Default(&options.FullSpeed, defaultFullSpeed)
+	option.Default(&options.BytesPerSecond, defaultStoreSpeed)
 	if options.Random == nil {
 		options.Random = rand.New(rand.NewPCG(2, 2))
 	}
--- a/engineapi/client.go
+++ b/engineapi/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -63,26 +64,19 @@
 
 // withDefaults fills the zero fields.
 func (o ClientOptions) withDefaults() ClientOptions {
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.DrainTimeout, defaultDrainTimeout)
-	setDefault(&o.StreamsPerHost, defaultStreamsPerHost)
-	setDefault(&o.CallsPerHost, defaultCallsPerHost)
-	setDefault(&o.MaxLine, DefaultMaxLine)
-	setDefault(&o.MaxBody, defaultMaxBody)
+	option.Default(&o.DialTimeout, defaultDialTimeout)
+	option.Default(&o.HeaderTimeout, defaultHeaderTimeout)
+	option.Default(&o.CallTimeout, defaultCallTimeout)
+	option.Default(&o.IdleTimeout, defaultIdleTimeout)
+	option.Default(&o.DrainTimeout, defaultDrainTimeout)
+	option.Default(&o.StreamsPerHost, defaultStreamsPerHost)
+	option.Default(&o.CallsPerHost, defaultCallsPerHost)
+	option.Default(&o.MaxLine, DefaultMaxLine)
+	option.Default(&o.MaxBody, defaultMaxBody)
 	o.Network = network.OrTCP(o.Network)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client calls back ends. One Client serves a whole process; it is safe for
 // concurrent use. Streams and unary calls have connections of their own, so that
 // a full engine still answers orders.
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,98 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+var arrived = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// written makes a line of a log, written so long after the request arrived.
+func written(after time.Duration, node, rest string) string {
+	return fmt.Sprintf("level=info ts=%s node=%s %s\n", arrived.Add(after).Format(time.RFC3339Nano), node, rest)
+}
+
+func accountOf(t *testing.T, log string) *Account {
+	t.Helper()
+	lines, _, err := Read(strings.NewReader(log))
+	qt.Assert(t, err, qt.IsNil)
+	account, err := Request(lines, "r1")
+	qt.Assert(t, err, qt.IsNil)
+	return account
+}
+
+func TestForeignLinesArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	log := "  34.06 router-1 " + written(0, "router-1", `msg="The process starts." role=router`) +
+		"panic: something else\n" + "level=info ts=torn msg=x\n" + strings.Repeat("x", 2*maxLineBytes) + "\n" +
+		written(time.Second, "router-1", `msg="A document is in force." version=3`) + "level=info ts=2026"
+	lines, stats, err := Read(strings.NewReader(log))
+	c.Assert(err, qt.IsNil)
+	c.Assert(stats, qt.Equals, Stats{Lines: 2, Foreign: 3, TooLong: 1})
+	c.Assert(lines[0].Message, qt.Equals, "The process starts.")
+	c.Assert(lines[1].Get("version"), qt.Equals, "3")
+}
+
+func TestCausesOfFailedRequests(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		log  string
+		want []string
+	}{
+		{
+			"refused while the leader changed",
+			written(2*time.Second, "router-1", `component=router msg="A request was answered without a runner's success." request=r1 model=m adapter=a age=2s outcome=no_runner`) +
+				written(time.Second, "core-2", `component=controller msg="This controller leads." term=2 orders_in=3s`) +
+				written(2500*time.Millisecond, "core-2", `msg="An order was answered." runner=i-1 operation=load model=m adapter= outcome=accepted`),
+			[]string{
+				`At +2.500 s a load of m on i-1 was answered with "accepted".`,
+				"The leader changed: core-2 leads from +1.000 s, and sends orders after another 3s.",
+			},
+		},
+		{
+			"refused without any load",
+			written(2*time.Second, "router-1", `msg="A request was answered without a runner's success." request=r1 model=m age=2s outcome=no_runner`),
+			[]string{"No load of m was ordered within 10s before the request nor while it waited."},
+		},
+		{
+			"cut midway",
+			written(time.Second, "router-1", `msg="An attempt ended." request=r1 runner=i-1 outcome=cut_short age=1s`) +
+				written(time.Second, "router-2", `msg="An attempt ended." request=r2 runner=i-1 outcome=cut_short age=3s`) +
+				written(5*time.Second, "router-2", `msg="An attempt ended." request=r3 runner=i-1 outcome=cut_short age=3s`),
+			[]string{"Runner i-1 ended 1 other attempts so within 100ms: the runner failed, not the router."},
+		},
+		{
+			"late on a slow runner",
+			written(3*time.Second, "router-1", `msg="A request was answered." request=r1 runner=i-1 model=m late=true waited=1ms pause=316ms age=3s outcome=`) +
+				written(2*time.Second, "core-1", `msg="A runner's speed was judged." runner=i-1 slow=true pauses=false slowness=1.3`),
+			[]string{"The stream paused for 316ms.", "Runner i-1 was judged slow at +2.000 s."},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			account := accountOf(t, test.log)
+			qt.Assert(t, account.Arrived.Equal(arrived), qt.IsTrue)
+			qt.Assert(t, account.Findings, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestClocksThatAreBehindAreShown(t *testing.T) {
+	account := accountOf(t, written(0, "router-1", `msg="A request was answered." request=r1 age=0s outcome=`)+
+		written(2*time.Second, "core-1", `msg="A document was put." version=7 err=null`)+
+		written(3*time.Second, "core-2", `msg="A document was put." version=7 err=null`)+
+		written(0, "router-1", `msg="A document is in force." version=7`)+
+		written(2010*time.Millisecond, "router-2", `msg="A document is in force." version=7`))
+	qt.Assert(t, account.Clocks, qt.DeepEquals, []Clock{{"router-1", 2 * time.Second}})
+}
+
+func TestUnknownRequestNamesTheRemedy(t *testing.T) {
+	_, err := Request(nil, "r9")
+	qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
+	qt.Assert(t, err, qt.ErrorMatches, ".*r9.*one in sixteen.*")
+}
--- a/hollow/options.go
+++ b/hollow/options.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"time"
 
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -75,39 +76,32 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Regions, defaultRegions)
-	setDefault(&o.Zones, defaultZones)
-	setDefault(&o.Daemons, defaultDaemons)
-	setDefault(&o.Controls, defaultControls)
-	setDefault(&o.GlobalVoters, min(defaultGlobalVoters, o.Zones-1+o.Zones%2))
-	setDefault(&o.ZoneVoters, defaultZoneVoters)
-	setDefault(&o.Runners, defaultRunners)
-	setDefault(&o.AcceleratorsPerRunner, defaultAccelerators)
-	setDefault(&o.Models, defaultModels)
-	setDefault(&o.Adapters, defaultAdapters)
-	setDefault(&o.Duration, defaultDuration)
-	setDefault(&o.RealLimit, defaultRealLimit)
-	setDefault(&o.Share, defaultShare)
-	setDefault(&o.KeyedShare, defaultKeyedShare)
+	option.Default(&o.Regions, defaultRegions)
+	option.Default(&o.Zones, defaultZones)
+	option.Default(&o.Daemons, defaultDaemons)
+	option.Default(&o.Controls, defaultControls)
+	option.Default(&o.GlobalVoters, min(defaultGlobalVoters, o.Zones-1+o.Zones%2))
+	option.Default(&o.ZoneVoters, defaultZoneVoters)
+	option.Default(&o.Runners, defaultRunners)
+	option.Default(&o.AcceleratorsPerRunner, defaultAccelerators)
+	option.Default(&o.Models, defaultModels)
+	option.Default(&o.Adapters, defaultAdapters)
+	option.Default(&o.Duration, defaultDuration)
+	option.Default(&o.RealLimit, defaultRealLimit)
+	option.Default(&o.Share, defaultShare)
+	option.Default(&o.KeyedShare, defaultKeyedShare)
 	part := float64(o.Runners) / defaultRunners
-	setDefault(&o.PeakRequests, defaultPeakRequests*part)
-	setDefault(&o.LoadsPerHour, defaultLoadsPerHour*part)
-	setDefault(&o.EditsPerDay, defaultEditsPerDay)
-	setDefault(&o.BurstEdits, defaultBurstEdits)
-	setDefault(&o.FullTableRouters, defaultFullRouters)
-	setDefault(&o.MemoryBytes, defaultMemory)
-	setDefault(&o.Workers, max(1, runtime.NumCPU()/2))
-	setDefault(&o.Seed, 1)
+	option.Default(&o.PeakRequests, defaultPeakRequests*part)
+	option.Default(&o.LoadsPerHour, defaultLoadsPerHour*part)
+	option.Default(&o.EditsPerDay, defaultEditsPerDay)
+	option.Default(&o.BurstEdits, defaultBurstEdits)
+	option.Default(&o.FullTableRouters, defaultFullRouters)
+	option.Default(&o.MemoryBytes, defaultMemory)
+	option.Default(&o.Workers, max(1, runtime.NumCPU()/2))
+	option.Default(&o.Seed, 1)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // check returns an error of kind invalid for a site that cannot be laid out.
 func (o Options) check() error {
 	switch {
--- a/residency/options.go
+++ b/residency/options.go
@@ -1,6 +1,10 @@
 package residency
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/option"
+)
 
 // Options are the settings of a Planner; zero values mean the defaults.
 type Options struct {
@@ -32,23 +36,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.AskAgain, 300*time.Millisecond)
-	setDefault(&o.QuestionRate, 200)
-	setDefault(&o.QuestionBurst, 160)
-	setDefault(&o.ReportLag, 350*time.Millisecond)
-	setDefault(&o.AdapterTime, 60*time.Millisecond)
-	setDefault(&o.IdleTime, time.Second)
-	setDefault(&o.RateTime, 8*time.Second)
-	setDefault(&o.DemandLife, 2*time.Second)
-	setDefault(&o.ReplicaRate, 5)
-	setDefault(&o.Horizon, 10*time.Second)
-	setDefault(&o.StoreWindow, 5*time.Second)
-	setDefault(&o.StoreShare, 0.9)
+	option.Positive(&o.AskAgain, 300*time.Millisecond)
+	option.Positive(&o.QuestionRate, 200)
+	option.Positive(&o.QuestionBurst, 160)
+	option.Positive(&o.ReportLag, 350*time.Millisecond)
+	option.Positive(&o.AdapterTime, 60*time.Millisecond)
+	option.Positive(&o.IdleTime, time.Second)
+	option.Positive(&o.RateTime, 8*time.Second)
+	option.Positive(&o.DemandLife, 2*time.Second)
+	option.Positive(&o.ReplicaRate, 5)
+	option.Positive(&o.Horizon, 10*time.Second)
+	option.Positive(&o.StoreWindow, 5*time.Second)
+	option.Positive(&o.StoreShare, 0.9)
 	return o
 }
-
-func setDefault[T float64 | time.Duration](value *T, standard T) {
-	if *value <= 0 {
-		*value = standard
-	}
-}
--- a/router/options.go
+++ b/router/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -85,26 +86,20 @@
 const reviewInterval = 250 * time.Millisecond
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.TotalLimit, DefaultTotalLimit)
-	setDefault(&o.GuardAfter, admission.DefaultGuardAfter)
-	setDefault(&o.DefaultDeadline, DefaultDeadline)
-	setDefault(&o.AttemptLimit, DefaultAttemptLimit)
-	setDefault(&o.StatusLimit, DefaultStatusLimit)
-	setDefault(&o.StallFloor, DefaultStallFloor)
-	setDefault(&o.StallCeiling, DefaultStallCeiling)
-	setDefault(&o.AnswerLimit, DefaultAnswerLimit)
-	setDefault(&o.AnswerLife, DefaultAnswerLife)
-	setDefault(&o.BackoffBase, routing.DefaultBackoffBase)
-	setDefault(&o.BackoffLimit, routing.DefaultBackoffLimit)
+	option.Positive(&o.TotalLimit, DefaultTotalLimit)
+	option.Positive(&o.GuardAfter, admission.DefaultGuardAfter)
+	option.Positive(&o.DefaultDeadline, DefaultDeadline)
+	option.Positive(&o.AttemptLimit, DefaultAttemptLimit)
+	option.Positive(&o.StatusLimit, DefaultStatusLimit)
+	option.Positive(&o.StallFloor, DefaultStallFloor)
+	option.Positive(&o.StallCeiling, DefaultStallCeiling)
+	option.Positive(&o.AnswerLimit, DefaultAnswerLimit)
+	option.Positive(&o.AnswerLife, DefaultAnswerLife)
+	option.Positive(&o.BackoffBase, routing.DefaultBackoffBase)
+	option.Positive(&o.BackoffLimit, routing.DefaultBackoffLimit)
 	if len(o.Zones) == 0 {
 		o.Zones = []structs.ZoneID{o.Zone}
 	}
 	o.Routing.Daemon = o.Daemon
 	return o
 }
-
-func setDefault[T int | time.Duration](value *T, standard T) {
-	if *value <= 0 {
-		*value = standard
-	}
-}
--- a/routing/options.go
+++ b/routing/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -62,23 +63,17 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Choices, DefaultChoices)
-	setDefault(&o.SubsetSize, DefaultSubsetSize)
-	setDefault(&o.AffinityBound, DefaultAffinityBound)
-	setDefault(&o.HintLimit, DefaultHintLimit)
-	setDefault(&o.QueueSlack, DefaultQueueSlack)
-	setDefault(&o.MaxBatch, DefaultMaxBatch)
-	setDefault(&o.ReportLife, DefaultReportLife)
-	setDefault(&o.BreakerFailures, DefaultBreakerFailures)
-	setDefault(&o.BreakerDelay, DefaultBreakerDelay)
-	setDefault(&o.BreakerDelayLimit, DefaultBreakerDelayLimit)
-	setDefault(&o.EjectionShare, DefaultEjectionShare)
-	setDefault(&o.EjectionTime, DefaultEjectionTime)
+	option.Positive(&o.Choices, DefaultChoices)
+	option.Positive(&o.SubsetSize, DefaultSubsetSize)
+	option.Positive(&o.AffinityBound, DefaultAffinityBound)
+	option.Positive(&o.HintLimit, DefaultHintLimit)
+	option.Positive(&o.QueueSlack, DefaultQueueSlack)
+	option.Positive(&o.MaxBatch, DefaultMaxBatch)
+	option.Positive(&o.ReportLife, DefaultReportLife)
+	option.Positive(&o.BreakerFailures, DefaultBreakerFailures)
+	option.Positive(&o.BreakerDelay, DefaultBreakerDelay)
+	option.Positive(&o.BreakerDelayLimit, DefaultBreakerDelayLimit)
+	option.Positive(&o.EjectionShare, DefaultEjectionShare)
+	option.Positive(&o.EjectionTime, DefaultEjectionTime)
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](value *T, standard T) {
-	if *value <= 0 {
-		*value = standard
-	}
-}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/lotusferry/lotusferry/option"
 )
 
 // Defaults of the retry budget and the backoff.
@@ -24,8 +26,8 @@
 // NewBudget makes a full Budget to which every request adds ratio of a retry, and
 // which holds at most reserve of them; values of 0 mean the defaults.
 func NewBudget(ratio, reserve float64) Budget {
-	setDefault(&ratio, DefaultRetryRatio)
-	setDefault(&reserve, DefaultRetryReserve)
+	option.Positive(&ratio, DefaultRetryRatio)
+	option.Positive(&reserve, DefaultRetryReserve)
 	return Budget{ratio: ratio, reserve: reserve, tokens: reserve}
 }
 
@@ -47,8 +49,8 @@
 // Backoff returns a random delay before retry number retry (1 for the first):
 // between half and all of base doubled with each retry, at most limit.
 func Backoff(random *rand.Rand, base, limit time.Duration, retry int) time.Duration {
-	setDefault(&base, DefaultBackoffBase)
-	setDefault(&limit, DefaultBackoffLimit)
+	option.Positive(&base, DefaultBackoffBase)
+	option.Positive(&limit, DefaultBackoffLimit)
 	ceiling := base
 	for ; retry > 1 && ceiling < limit; retry-- {
 		ceiling *= 2
