Do not round down a router's part of the extra retries

Each router keeps repeats below its own bound, so that the sum keeps the rule without rounding. Test: TestSmallPartsOfTheExtraCount, failed before.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -1,9 +1,6 @@
 package relay
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // RetryRule bounds repeated sendings over all routers: in each window, the Ratio of
 // the requests of a service and Extra more.
@@ -51,7 +48,7 @@
 	if g.routers <= 0 || now.Sub(g.at) > grantLife {
 		return 0
 	}
-	return math.Floor(extra * extraShare / float64(g.routers))
+	return extra * extraShare / float64(g.routers)
 }
 
 // request counts a request.
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -56,3 +56,18 @@
 	c.Assert(own.withdraw(now.Add(grantLife+time.Millisecond), granted), qt.IsFalse)
 	c.Assert(own.withdraw(now, grant{}), qt.IsFalse)
 }
+
+// On a large site a router's part of the extra is less than one repeat; with its requests
+// it adds up to one.
+func TestSmallPartsOfTheExtraCount(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	own := budget{rule: RetryRule{Ratio: 0.2, Extra: 52, Window: 10 * time.Second}}
+	granted := grant{routers: 99, at: now}
+	own.request(now)
+	c.Assert(own.withdraw(now, granted), qt.IsFalse)
+	own.request(now)
+	own.request(now)
+	c.Assert(own.withdraw(now, granted), qt.IsTrue)
+	c.Assert(own.withdraw(now, granted), qt.IsFalse)
+}
