Value replicas by how long a leader has observed the demand

Change: the value of what would be unloaded, and only that, is divided by the part of its time that the average covers.

--- a/residency/cost.go
+++ b/residency/cost.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -51,7 +52,7 @@
 		if held.phase != phaseReady || !p.isIdle(now, known, name, held) {
 			continue
 		}
-		candidates = append(candidates, candidate{name, listed.SizeMB, p.value(known, listed)})
+		candidates = append(candidates, candidate{name, listed.SizeMB, p.value(known, listed) * p.unobserved(now)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		switch {
@@ -133,6 +134,16 @@
 	spareValue = 0.02
 )
 
+// leastObserved bounds how much is made of the first requests of all.
+const leastObserved = time.Second
+
+// unobserved is by how much the averages of the demand are too low because the planner
+// has not observed it for long: a new leader must not take every replica for idle.
+func (p *Planner) unobserved(now time.Time) float64 {
+	observed := max(leastObserved, now.Sub(p.observedFrom))
+	return 1 / (1 - math.Exp(-observed.Seconds()/(p.options.RateTime.Seconds()*recentShare)))
+}
+
 // value is how many requests of the horizon are expected to be late without the
 // runner's replica of the model.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -18,6 +18,8 @@
 	document   *site.Index
 	runners    map[string]*runner
 	demands    map[Row]*rowDemand
+	// observedFrom is when the first demand was reported.
+	observedFrom time.Time
 	// loads are the beginnings of loads that may have come from the weight store, by
 	// service.
 	loads map[string][]time.Time
@@ -116,6 +118,9 @@
 
 // Observe takes a router's report of demand.
 func (p *Planner) Observe(now time.Time, router string, demands []Demand) {
+	if p.observedFrom.IsZero() {
+		p.observedFrom = now
+	}
 	for _, demand := range demands {
 		known := p.demands[demand.Row]
 		if known == nil {
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -289,3 +289,28 @@
 		})
 	}
 }
+
+// A new leader knows little of the demand: it must not take a replica away from a model
+// that it has seen asked for since it began.
+func TestNewLeaderKeepsWhatIsAskedFor(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		observed time.Duration
+		orders   int
+	}{
+		{"just begun", time.Second, 0},
+		{"demand known", time.Minute, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPlanner("a")
+			p.Reported(start, start, "r", Report{Models: []fleet.LoadedModel{{Name: "a"}}})
+			p.Observe(start, "router", nil)
+			at := start.Add(test.observed)
+			p.Observe(at, "router", []Demand{{Row: Row{Service: "s", Model: "a"}, Arrived: 5}})
+			p.Observe(at, "other", []Demand{{Row: Row{Service: "s", Model: "b"}, Waiting: 2, Arrived: 2}})
+			orders := p.Plan(at.Add(1100 * time.Millisecond))
+			c.Assert(orders, qt.HasLen, test.orders)
+		})
+	}
+}
