--- /dev/null
+++ b/relay/failure_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/fleet"
+)
+
+// A runner's failure is passed on as it was when no other runner may or can be tried.
+func TestFailureOfTheLastRunnerIsPassedOn(t *testing.T) {
+	for name, prepare := range map[string]func(router *Router){
+		"no budget left": func(router *Router) {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.granted = grant{}
+		},
+		"no runner left": func(router *Router) { router.adoptView(fleet.View{Complete: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var router *Router
+				var backend *scriptedBackend
+				router, backend = newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+					prepare(router)
+					return failed()
+				})
+				recorder, aborted := ask(router, t.Context(), "/again/x", "")
+				c.Assert(aborted, qt.IsFalse)
+				c.Assert(recorder.Code, qt.Equals, http.StatusInternalServerError)
+				c.Assert(recorder.Body.String(), qt.Equals, "failed")
+				c.Assert(backend.runners(), qt.HasLen, 1)
+			})
+		})
+	}
+}
+
+// A runner that is told how much time there is says itself when it is over: the
+// connection to it stays.
+func TestRunnerSaysThatTheTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(func(ctx context.Context, attempt *Attempt) (*Answer, error) {
+			select {
+			case <-time.After(attempt.Wait + 5*time.Millisecond):
+				return whole(http.StatusGatewayTimeout, "over")
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		})
+		began := time.Now()
+		recorder, aborted := ask(router, t.Context(), "/once/x", "")
+		c.Assert(aborted, qt.IsFalse)
+		c.Assert(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+		c.Assert(recorder.Body.String(), qt.Equals, "over")
+		c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	})
+}
