Weigh the place of a load in one function; fill two more options by package option

The defaults of domainnode and transport stood beside option.Positive. The error for a document that is too large had lost its own words and remedy when packing got a package; they are back (TestTooLargeADocumentNamesItsRemedy).

--- a/domain/compress.go
+++ b/domain/compress.go
@@ -1,6 +1,9 @@
 package domain
 
-import "github.com/lotusferry/lotusferry/deflate"
+import (
+	"github.com/lotusferry/lotusferry/deflate"
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 // maxSourceBytes bounds a document after it is expanded.
 const maxSourceBytes = 32 << 20
@@ -9,4 +12,10 @@
 func Compress(source []byte) ([]byte, error) { return deflate.Pack(source) }
 
 // Expand is the reverse of Compress.
-func Expand(packed []byte) ([]byte, error) { return deflate.Unpack(packed, maxSourceBytes) }
+func Expand(packed []byte) ([]byte, error) {
+	source, err := deflate.Unpack(packed, maxSourceBytes)
+	if structs.KindOf(err) == structs.ErrorInvalid {
+		return nil, structs.NewError(structs.ErrorInvalid, "a document is larger than 32 MiB", "Split the site.")
+	}
+	return source, err
+}
--- /dev/null
+++ b/domain/compress_test.go
@@ -0,0 +1,18 @@
+package domain
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+func TestTooLargeADocumentNamesItsRemedy(t *testing.T) {
+	c := qt.New(t)
+	packed, err := Compress(make([]byte, maxSourceBytes+1))
+	c.Assert(err, qt.IsNil)
+	_, err = Expand(packed)
+	c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorInvalid)
+	c.Assert(err, qt.ErrorMatches, ".*larger than 32 MiB.*Split the site.*")
+}
--- a/domainnode/options.go
+++ b/domainnode/options.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/domain"
 	"github.com/lotusferry/lotusferry/fleet"
 	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/option"
 	"github.com/lotusferry/lotusferry/residency"
 	"github.com/lotusferry/lotusferry/site"
 )
@@ -74,6 +75,7 @@
 	defaultTickInterval   = 30 * time.Millisecond
 	defaultElectionTicks  = 12
 	defaultHeartbeatTicks = 2
+	defaultVoters         = 3
 	// snapshotEntries bounds the log: each entry may hold a whole document.
 	snapshotEntries = 256
 	callTimeout     = 1200 * time.Millisecond
@@ -85,18 +87,10 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.TickInterval <= 0 {
-		o.TickInterval = defaultTickInterval
-	}
-	if o.ElectionTicks <= 0 {
-		o.ElectionTicks = defaultElectionTicks
-	}
-	if o.HeartbeatTicks <= 0 {
-		o.HeartbeatTicks = defaultHeartbeatTicks
-	}
-	if o.Voters <= 0 {
-		o.Voters = 3
-	}
+	option.Positive(&o.TickInterval, defaultTickInterval)
+	option.Positive(&o.ElectionTicks, defaultElectionTicks)
+	option.Positive(&o.HeartbeatTicks, defaultHeartbeatTicks)
+	option.Positive(&o.Voters, defaultVoters)
 	return o
 }
 
--- a/residency/cost.go
+++ b/residency/cost.go
@@ -21,18 +21,7 @@
 // because of what must make way, and the time of the load. victim is the first model
 // to unload, or "". It is not possible if more is lost than gained.
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) (cost float64, victim string, isPossible bool) {
-	rate := min(p.modelDemand(known.rowOf(model.Name)).rate, p.rateOf(wanted.row.Service))
-	cost = loadTime(known, model).Seconds() * loadWeight
-	cost += loadTime(known, model).Seconds() * p.adapterHarm(known)
-	if wanted.isWaitedFor {
-		cost += loadTime(known, model).Seconds() * arrivalWeight * rate
-	}
-	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
-		cost += crowdHarm * max(0, p.load(known)+rate-p.rateOf(wanted.row.Service)) * p.options.Horizon.Seconds()
-	}
-	if p.isSlow(known) {
-		cost += slowHarm(rate) * rate * p.options.Horizon.Seconds()
-	}
+	cost = p.placeCost(known, model, wanted)
 	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
 	if free >= model.SizeMB {
 		return cost, "", true
@@ -112,6 +101,27 @@
 	return rate * adapterMiss
 }
 
+// placeCost weighs a load of the model on the runner by the time that it takes and by how
+// well the runner can serve the model beside what it holds.
+func (p *Planner) placeCost(known *runner, model *site.Model, wanted need) float64 {
+	most := p.rateOf(wanted.row.Service)
+	rate := min(p.modelDemand(wanted.row).rate, most)
+	seconds := loadTime(known, model).Seconds()
+	horizon := p.options.Horizon.Seconds()
+	cost := seconds * loadWeight
+	cost += seconds * p.adapterHarm(known)
+	if wanted.isWaitedFor {
+		cost += seconds * arrivalWeight * rate
+	}
+	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
+		cost += crowdHarm * max(0, p.load(known)+rate-most) * horizon
+	}
+	if p.isSlow(known) {
+		cost += slowHarm(rate) * rate * horizon
+	}
+	return cost
+}
+
 // isIdle reports whether no request uses the model at the runner, nor waits for it.
 func (p *Planner) isIdle(now time.Time, known *runner, name string, held *holding) bool {
 	if now.Sub(held.usedAt) < p.options.IdleTime {
--- a/transport/options.go
+++ b/transport/options.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/option"
 )
 
 // The defaults for options that are zero.
@@ -47,18 +48,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = DefaultDialTimeout
-	}
-	if o.CallTimeout <= 0 {
-		o.CallTimeout = DefaultCallTimeout
-	}
-	if o.MaxMessageBytes <= 0 {
-		o.MaxMessageBytes = DefaultMessageBytes
-	}
-	if o.MaxPendingCalls <= 0 {
-		o.MaxPendingCalls = DefaultPendingCalls
-	}
+	option.Positive(&o.DialTimeout, DefaultDialTimeout)
+	option.Positive(&o.CallTimeout, DefaultCallTimeout)
+	option.Positive(&o.MaxMessageBytes, DefaultMessageBytes)
+	option.Positive(&o.MaxPendingCalls, DefaultPendingCalls)
 	if o.Random == nil {
 		o.Random = rand.Uint64
 	}
