Learn how many loads at once the weight store bears; make room only for a load that may begin

Models with a copy at a runner that was just busy were fetched from the store again, elsewhere.

Change: package weightstore, pure, bounds loads by the announced rate and by a number at once that it learns from how long loads take against the announced time; a place at the store is taken before a model is unloaded for a load; a copy at a runner that soon ends its order is waited for if that is quicker. Tests: a simulated store with 1 to 20 at once, one that slows and recovers; the planner's fail when the limiter is not asked (9 unloads instead of 4).

--- a/residency/plan.go
+++ b/residency/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -26,6 +25,7 @@
 	}
 	p.repair(now)
 	p.takeTally(now)
+	p.followStores(now)
 	p.judge(now)
 	p.anticipate()
 	var orders []Order
@@ -73,6 +73,7 @@
 	var best *runner
 	var bestVictim string
 	lowest := math.Inf(1)
+	mayUseStore := p.mayUseStore(now, wanted)
 	for _, known := range p.tally.sorted {
 		engine := p.engineOf(known)
 		if engine == nil || known.status.Heartbeat.Service != row.Service || !p.mayOrder(known) {
@@ -85,6 +86,9 @@
 		if known.reserved != "" && known.reserved != row.Model && now.Before(known.reservedUntil) {
 			continue
 		}
+		if !mayUseStore && !known.hasCopy(row.Model) && !p.isStoreKept(now, known, row.Model) {
+			continue
+		}
 		cost, victim, isPossible := p.costOf(now, known, engine, model, wanted)
 		if !wanted.isWaitedFor && cost >= wanted.gain {
 			continue
@@ -99,32 +103,20 @@
 	if best == nil {
 		return Order{}, false
 	}
+	fromStore := !best.hasCopy(row.Model)
 	if bestVictim != "" {
 		best.reserved, best.reservedUntil = row.Model, now.Add(reservationTime)
+		if fromStore {
+			best.storeKeptUntil = now.Add(storeKeptTime)
+		}
 		return p.send(now, best, Unload, bestVictim, ""), true
 	}
-	if !p.takeLoad(now, best, row) {
-		return Order{}, false
-	}
 	best.reserved = ""
-	return p.send(now, best, Load, row.Model, ""), true
-}
-
-// takeLoad takes a load from what the weight store allows. Loads of a model of which
-// the runner has a copy are not counted.
-func (p *Planner) takeLoad(now time.Time, known *runner, row Row) bool {
-	heartbeat := known.status.Heartbeat
-	if slices.Contains(heartbeat.InMemory, row.Model) || slices.Contains(heartbeat.OnDisk, row.Model) {
-		return true
-	}
-	begun := slices.DeleteFunc(p.loads[row.Service], func(at time.Time) bool { return now.Sub(at) > p.options.StoreWindow })
-	p.loads[row.Service] = begun
-	allowed := p.engineOf(known).LoadsPerSecond * p.options.StoreWindow.Seconds() * p.options.StoreShare
-	if float64(len(begun)+1) > max(1, allowed) {
-		return false
+	order := p.send(now, best, Load, row.Model, "")
+	if fromStore {
+		p.beginStoreLoad(now, best, row)
 	}
-	p.loads[row.Service] = append(begun, now)
-	return true
+	return order, true
 }
 
 // send notes an order as sent: what it loads is counted from now on, and what it
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/fleet"
 	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/weightstore"
 )
 
 // Planner decides on loads and unloads. Its methods must not run at the same time.
@@ -20,10 +21,9 @@
 	demands    map[Row]*rowDemand
 	// observedFrom is when the first demand was reported.
 	observedFrom time.Time
-	// loads are the beginnings of loads that may have come from the weight store, by
-	// service.
-	loads map[string][]time.Time
-	paces paces
+	// stores bound the loads from the weight store, by service.
+	stores map[string]*weightstore.Limiter
+	paces  paces
 	// rates are by service.
 	rates map[string]*replicaRate
 	// judgements is by instance, as of judgedAt; judged are those that have changed.
@@ -50,7 +50,7 @@
 		ordersFrom: ordersFrom,
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
-		loads:      make(map[string][]time.Time),
+		stores:     make(map[string]*weightstore.Limiter),
 		paces:      make(paces),
 		rates:      make(map[string]*replicaRate),
 		judgements: make(map[string]Judgement),
--- a/residency/runner.go
+++ b/residency/runner.go
@@ -31,6 +31,8 @@
 	// usedAt is when a request last needed it.
 	usedAt   time.Time
 	adapters map[string]*holding
+	// fromStore is set if the model comes or came from the weight store.
+	fromStore bool
 	// isListed is set once a heartbeat that was heard has listed the model: only then
 	// is a heartbeat that does not list it certainly a newer one.
 	isListed bool
@@ -61,6 +63,14 @@
 	// reserved is the model for which room is being made, until reservedUntil.
 	reserved      string
 	reservedUntil time.Time
+	// storeKeptUntil is until when a place at the weight store is kept for that model.
+	storeKeptUntil time.Time
+}
+
+// hasCopy reports whether the runner's machine has a copy of the model, so that a load
+// does not come from the weight store.
+func (r *runner) hasCopy(model string) bool {
+	return slices.Contains(r.status.Heartbeat.InMemory, model) || slices.Contains(r.status.Heartbeat.OnDisk, model)
 }
 
 // isOccupied reports whether an order about a model is under way: the runner takes
--- /dev/null
+++ b/residency/store.go
@@ -0,0 +1,140 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/weightstore"
+)
+
+// storeKeptTime is how long a place at the weight store is kept while the model that
+// must make way is unloaded: several times what an unload of an unused model takes.
+const storeKeptTime = 2 * time.Second
+
+// store returns the limiter of a service's weight store; nil for a service without one.
+func (p *Planner) store(service string) *weightstore.Limiter {
+	listed := p.document.Service(service)
+	if listed == nil || listed.Engine == nil {
+		return nil
+	}
+	allowed := listed.Engine.LoadsPerSecond * p.options.StoreWindow.Seconds() * p.options.StoreShare
+	known := p.stores[service]
+	if known == nil {
+		known = weightstore.New(p.options.StoreWindow, allowed)
+		p.stores[service] = known
+	}
+	known.SetRate(allowed)
+	return known
+}
+
+// followStores tells the limiters which loads are under way. Runners that execute an
+// order of a former leader may be loading something, which counts as well.
+func (p *Planner) followStores(now time.Time) {
+	underWay := make(map[string][]weightstore.Load)
+	for _, known := range p.tally.sorted {
+		engine := p.engineOf(known)
+		if engine == nil {
+			continue
+		}
+		service, instance := known.status.Heartbeat.Service, known.status.Heartbeat.Instance
+		if known.isBusy {
+			underWay[service] = append(underWay[service], weightstore.Load{Key: weightstore.Key{Instance: instance}})
+		}
+		for name, held := range known.holdings {
+			model := engine.ModelByName(name)
+			if model == nil || !held.fromStore || held.phase != phaseLoading && held.phase != phaseUncertain {
+				continue
+			}
+			load := weightstore.Load{Key: weightstore.Key{Instance: instance, Model: name}, Nominal: model.LoadTime}
+			underWay[service] = append(underWay[service], load)
+		}
+	}
+	for i := range p.document.Document.Services {
+		service := p.document.Document.Services[i].Name
+		if store := p.store(service); store != nil {
+			store.Update(now, underWay[service], p.isLoaded)
+		}
+	}
+}
+
+// isLoaded reports whether a load has ended with the model ready.
+func (p *Planner) isLoaded(key weightstore.Key) bool {
+	known := p.runners[key.Instance]
+	if known == nil || known.holdings[key.Model] == nil {
+		return false
+	}
+	return known.holdings[key.Model].phase == phaseReady
+}
+
+// mayUseStore reports whether the model may be loaded from the weight store now. A copy
+// at a runner that only finishes another order first is waited for, if that is quicker.
+func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
+	store := p.store(wanted.row.Service)
+	if store == nil || !store.MayBegin(now, p.keptAtStore(now, wanted.row.Service)) {
+		return false
+	}
+	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
+	if model == nil {
+		return false
+	}
+	for _, known := range p.tally.sorted {
+		if known.status.Heartbeat.Service != wanted.row.Service || known.status.Leaving || !known.hasCopy(wanted.row.Model) {
+			continue
+		}
+		if known.isOccupied() && p.occupiedFor(now, known)+loadTime(known, model) < store.Expected(model.LoadTime) {
+			return false
+		}
+	}
+	return true
+}
+
+// occupiedFor is how long a runner is still expected to execute its order.
+func (p *Planner) occupiedFor(now time.Time, known *runner) time.Duration {
+	engine := p.engineOf(known)
+	var longest time.Duration
+	for name, held := range known.holdings {
+		model := engine.ModelByName(name)
+		if model != nil && (held.phase == phaseLoading || held.phase == phaseUncertain) {
+			longest = max(longest, p.remaining(now, known, name, held))
+		}
+	}
+	return longest
+}
+
+// remaining is how long a load is still expected to take.
+func (p *Planner) remaining(now time.Time, known *runner, name string, held *holding) time.Duration {
+	model := p.engineOf(known).ModelByName(name)
+	if model == nil {
+		return 0
+	}
+	if held.fromStore {
+		store := p.store(known.status.Heartbeat.Service)
+		return store.Remaining(now, weightstore.Key{Instance: known.status.Heartbeat.Instance, Model: name})
+	}
+	return max(0, loadTime(known, model)-now.Sub(held.since))
+}
+
+// isStoreKept reports whether a place at the weight store is kept for the model at the
+// runner.
+func (p *Planner) isStoreKept(now time.Time, known *runner, model string) bool {
+	return known.reserved == model && now.Before(known.storeKeptUntil)
+}
+
+// keptAtStore counts the places that are kept at the weight store.
+func (p *Planner) keptAtStore(now time.Time, service string) int {
+	count := 0
+	for _, known := range p.tally.sorted {
+		if known.reserved != "" && known.status.Heartbeat.Service == service && now.Before(known.storeKeptUntil) {
+			count++
+		}
+	}
+	return count
+}
+
+// beginStoreLoad notes that a load from the weight store begins.
+func (p *Planner) beginStoreLoad(now time.Time, known *runner, row Row) {
+	known.holdings[row.Model].fromStore = true
+	known.storeKeptUntil = time.Time{}
+	model := p.engineOf(known).ModelByName(row.Model)
+	key := weightstore.Key{Instance: known.status.Heartbeat.Instance, Model: row.Model}
+	p.store(row.Service).Begin(now, weightstore.Load{Key: key, Nominal: model.LoadTime})
+}
--- /dev/null
+++ b/residency/store_test.go
@@ -0,0 +1,128 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/site"
+)
+
+// manyModels is a service with 20 models of which a runner holds one at a time.
+func manyModels() *site.Index {
+	engine := &site.Engine{WeightsMB: 100, MaxAdapters: 2, LoadsPerSecond: 10}
+	for i := range 20 {
+		engine.Models = append(engine.Models, site.Model{
+			Name: fmt.Sprint("m", i), SizeMB: 80, LoadTime: 6 * time.Second,
+			DiskLoadTime: time.Second, MemoryLoadTime: 500 * time.Millisecond,
+		})
+	}
+	return site.NewIndex(&site.Document{Version: 1, Services: []site.Service{{Name: "s", Engine: engine}}})
+}
+
+// newStorePlanner is a planner of so many runners, each of which has its state given by
+// set and has been asked what it holds.
+func newStorePlanner(count int, set func(i int, heartbeat *fleet.Heartbeat)) *Planner {
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(manyModels())
+	var statuses []fleet.Status
+	for i := range count {
+		name := fmt.Sprint("r", i)
+		heartbeat := fleet.Heartbeat{Instance: name, Service: "s", Address: name, Sequence: 1}
+		set(i, &heartbeat)
+		statuses = append(statuses, fleet.Status{Heartbeat: heartbeat})
+	}
+	p.SetRunners(start, statuses)
+	for _, status := range statuses {
+		p.Reported(start, start, status.Heartbeat.Instance, Report{Models: status.Heartbeat.Models})
+	}
+	return p
+}
+
+func waitForModels(p *Planner, at time.Time, first, count int) {
+	var demands []Demand
+	for i := range count {
+		row := Row{Service: "s", Model: fmt.Sprint("m", first+i)}
+		demands = append(demands, Demand{Row: row, Waiting: 1, Arrived: 1})
+	}
+	p.Observe(at, "router", demands)
+}
+
+// Many models that nobody has a copy of are asked for at once. What is unloaded for one
+// whose load may not begin yet would serve nobody meanwhile.
+func TestNothingMakesWayForALoadThatMayNotBegin(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(9, func(i int, heartbeat *fleet.Heartbeat) {
+		heartbeat.Models = []fleet.LoadedModel{{Name: fmt.Sprint("m", i)}}
+	})
+	at := start.Add(2 * time.Second)
+	waitForModels(p, at, 10, 9)
+	unloads := 0
+	for _, order := range p.Plan(at) {
+		if order.Operation == Unload {
+			unloads++
+		}
+	}
+	c.Assert(unloads, qt.Equals, p.store("s").Limit())
+}
+
+func TestLoadsAtOnceAreBounded(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(9, func(int, *fleet.Heartbeat) {})
+	waitForModels(p, start, 10, 9)
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, p.store("s").Limit())
+	for _, order := range orders {
+		p.Answered(start, order, OutcomeAccepted)
+	}
+	later := start.Add(time.Second)
+	waitForModels(p, later, 10, 9)
+	c.Assert(p.Plan(later), qt.HasLen, 0)
+}
+
+// A load from a copy does not wait for the weight store.
+func TestCopiesNeedNoPlaceAtTheStore(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(9, func(i int, heartbeat *fleet.Heartbeat) {
+		if i >= 4 {
+			heartbeat.OnDisk = []string{fmt.Sprint("m", 10+i)}
+		}
+	})
+	waitForModels(p, start, 10, 9)
+	c.Assert(p.Plan(start), qt.HasLen, 9)
+}
+
+// A runner with a copy that only finishes another load first is quicker than the store.
+func TestCopyAtABusyRunnerIsWaitedFor(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		isOnDisk  bool
+		isOrdered bool
+	}{
+		{"busy for a short time", true, false},
+		{"busy for a long time", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newStorePlanner(2, func(i int, heartbeat *fleet.Heartbeat) {
+				if i == 0 {
+					heartbeat.OnDisk = []string{"m1"}
+				}
+				if i == 0 && test.isOnDisk {
+					heartbeat.OnDisk = []string{"m0", "m1"}
+				}
+			})
+			waitForModels(p, start, 0, 1)
+			orders := p.Plan(start)
+			c.Assert(orders, qt.HasLen, 1)
+			c.Assert(orders[0].Instance, qt.Equals, "r0")
+			p.Answered(start, orders[0], OutcomeAccepted)
+			at := start.Add(100 * time.Millisecond)
+			waitForModels(p, at, 1, 1)
+			c.Assert(len(p.Plan(at)) > 0, qt.Equals, test.isOrdered)
+		})
+	}
+}
--- /dev/null
+++ b/weightstore/limiter.go
@@ -0,0 +1,171 @@
+package weightstore
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Key names a load.
+type Key struct {
+	Instance string
+	Model    string
+}
+
+// Load is one that is under way, or for which a place is kept.
+type Load struct {
+	Key Key
+	// Nominal is how long it takes while the store is not crowded.
+	Nominal time.Duration
+}
+
+const (
+	// firstConcurrency is how many loads at once are tried before anything is known of
+	// the store. It doubles with each round of loads that end in time; the further figures
+	// of docs/design/further.md show what half and twice of it do.
+	firstConcurrency = 4
+	// slowFactor times its nominal duration, and slowSlack more, is how long a load may
+	// take before the store counts as crowded. The slack covers the way of the news.
+	slowFactor = 1.15
+	slowSlack  = 400 * time.Millisecond
+	// probePause is how long after a crowded time more loads at once are tried again: a
+	// store that was slow for a while is not slow for ever.
+	probePause = 20 * time.Second
+	// fullShare is how much of the limit must have been in use for a load in time to
+	// prove that the store bears it.
+	fullShare = 0.8
+)
+
+// Limiter bounds the loads from one store. The zero value is not usable; call New.
+type Limiter struct {
+	// window and perWindow bound the beginnings: so many in each window.
+	window    time.Duration
+	perWindow float64
+	begun     []time.Time
+	// limit is how many loads at once the store is believed to serve at full speed.
+	limit float64
+	// crowdedAt is when loads were last found to be slow.
+	crowdedAt time.Time
+	// slowness is that of the load that ended last: its duration by the nominal one.
+	slowness float64
+	loads    map[Key]progress
+	// used is the time integral of the number of loads, in seconds, up to usedAt.
+	used   float64
+	usedAt time.Time
+}
+
+// progress is what is kept of a load under way.
+type progress struct {
+	nominal time.Duration
+	since   time.Time
+	// used is Limiter.used at the beginning.
+	used float64
+}
+
+// New returns a limiter of a store from which in each window perWindow loads may begin.
+func New(window time.Duration, perWindow float64) *Limiter {
+	return &Limiter{
+		window: window, perWindow: perWindow, limit: firstConcurrency,
+		slowness: 1, loads: make(map[Key]progress),
+	}
+}
+
+// SetRate changes how many loads may begin in each window.
+func (l *Limiter) SetRate(perWindow float64) { l.perWindow = perWindow }
+
+// Limit is how many loads at once the store is believed to serve at full speed.
+func (l *Limiter) Limit() int { return max(1, int(l.limit)) }
+
+// UnderWay is the number of loads under way.
+func (l *Limiter) UnderWay() int { return len(l.loads) }
+
+// MayBegin reports whether one more load may begin beside those under way and further
+// ones for which places are kept.
+func (l *Limiter) MayBegin(now time.Time, kept int) bool {
+	l.begun = slices.DeleteFunc(l.begun, func(at time.Time) bool { return now.Sub(at) > l.window })
+	if float64(len(l.begun)+kept+1) > max(1, l.perWindow) {
+		return false
+	}
+	return len(l.loads)+kept < l.Limit()
+}
+
+// Begin notes a load that begins.
+func (l *Limiter) Begin(now time.Time, load Load) {
+	l.begun = append(l.begun, now)
+	l.track(now, load)
+}
+
+func (l *Limiter) track(now time.Time, load Load) {
+	l.integrate(now)
+	l.loads[load.Key] = progress{nominal: load.Nominal, since: now, used: l.used}
+}
+
+// Update tells which loads are under way now. Of those that no longer are, isReady says
+// which have ended with the model loaded; the others were given up.
+func (l *Limiter) Update(now time.Time, underWay []Load, isReady func(Key) bool) {
+	l.integrate(now)
+	current := make(map[Key]bool, len(underWay))
+	for _, load := range underWay {
+		current[load.Key] = true
+		if _, isKnown := l.loads[load.Key]; !isKnown {
+			l.track(now, load)
+		}
+	}
+	for key, known := range l.loads {
+		if current[key] {
+			continue
+		}
+		delete(l.loads, key)
+		if isReady(key) {
+			l.ended(now, known)
+		}
+	}
+}
+
+// integrate brings used up to now.
+func (l *Limiter) integrate(now time.Time) {
+	if passed := now.Sub(l.usedAt); passed > 0 && !l.usedAt.IsZero() {
+		l.used += passed.Seconds() * float64(len(l.loads))
+	}
+	l.usedAt = now
+}
+
+// ended learns from a load that has ended. A single slow one proves nothing, as the news
+// of it may have been late: the quicker of the last two counts.
+func (l *Limiter) ended(now time.Time, load progress) {
+	took := now.Sub(load.since)
+	if took <= 0 || load.nominal <= 0 {
+		return
+	}
+	beside := (l.used - load.used) / took.Seconds()
+	slowness := took.Seconds() / load.nominal.Seconds()
+	if took <= time.Duration(slowFactor*float64(load.nominal))+slowSlack {
+		slowness = 1
+	}
+	quicker := min(slowness, l.slowness)
+	l.slowness = slowness
+	switch {
+	case quicker > 1:
+		l.crowdedAt = now
+		l.limit = max(1, min(l.limit, math.Round(beside/quicker)))
+	case slowness == 1 && beside >= fullShare*l.limit && (l.crowdedAt.IsZero() || now.Sub(l.crowdedAt) > probePause):
+		l.limit++
+	}
+}
+
+// Expected is how long a load takes that begins now.
+func (l *Limiter) Expected(nominal time.Duration) time.Duration {
+	crowding := max(1, float64(len(l.loads)+1)/max(1, l.limit))
+	return time.Duration(float64(nominal) * crowding)
+}
+
+// Remaining is how long a load under way is still expected to take; 0 if it is not
+// known or should have ended.
+func (l *Limiter) Remaining(now time.Time, key Key) time.Duration {
+	known, isKnown := l.loads[key]
+	if !isKnown {
+		return 0
+	}
+	crowding := max(1, float64(len(l.loads))/max(1, l.limit))
+	return max(0, time.Duration(float64(known.nominal)*crowding)-now.Sub(known.since))
+}
--- /dev/null
+++ b/weightstore/limiter_test.go
@@ -0,0 +1,147 @@
+package weightstore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	nominal = 6 * time.Second
+	step    = 20 * time.Millisecond
+)
+
+// simulatedStore serves as many loads at once as it can at full speed; beyond that
+// number all take proportionally longer.
+type simulatedStore struct {
+	atOnce int
+	now    time.Time
+	left   map[Key]time.Duration
+	done   map[Key]bool
+	ended  int
+	most   int
+	begun  []time.Time
+}
+
+func newSimulatedStore(atOnce int) *simulatedStore {
+	return &simulatedStore{atOnce: atOnce, now: start, left: make(map[Key]time.Duration), done: make(map[Key]bool)}
+}
+
+func (s *simulatedStore) advance() {
+	s.now = s.now.Add(step)
+	progress := step
+	if len(s.left) > s.atOnce {
+		progress = time.Duration(float64(step) * float64(s.atOnce) / float64(len(s.left)))
+	}
+	for key := range s.left {
+		s.left[key] -= progress
+		if s.left[key] <= 0 {
+			delete(s.left, key)
+			s.done[key] = true
+			s.ended++
+		}
+	}
+}
+
+// run keeps the store as busy as the limiter allows.
+func (s *simulatedStore) run(l *Limiter, length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); {
+		s.advance()
+		var underWay []Load
+		for key := range s.left {
+			underWay = append(underWay, Load{Key: key, Nominal: nominal})
+		}
+		l.Update(s.now, underWay, func(key Key) bool { return s.done[key] })
+		for l.MayBegin(s.now, 0) {
+			load := Load{Key: Key{Instance: "r", Model: fmt.Sprint(len(s.begun))}, Nominal: nominal}
+			l.Begin(s.now, load)
+			s.left[load.Key] = nominal
+			s.begun = append(s.begun, s.now)
+		}
+		s.most = max(s.most, len(s.left))
+	}
+}
+
+func TestConcurrencyIsLearned(t *testing.T) {
+	for _, atOnce := range []int{1, 2, 4, 9, 20} {
+		t.Run(fmt.Sprint(atOnce), func(t *testing.T) {
+			c := qt.New(t)
+			store := newSimulatedStore(atOnce)
+			l := New(5*time.Second, 100)
+			store.run(l, 60*time.Second)
+			before := store.ended
+			store.run(l, 120*time.Second)
+			best := float64(atOnce) * 120 / nominal.Seconds()
+			c.Assert(float64(store.ended-before) >= 0.8*best, qt.IsTrue,
+				qt.Commentf("%d loads of %.0f, limit %d", store.ended-before, best, l.Limit()))
+			c.Assert(l.Limit() <= atOnce+1, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+		})
+	}
+}
+
+func TestStoreThatSlowsIsFollowed(t *testing.T) {
+	c := qt.New(t)
+	store := newSimulatedStore(8)
+	l := New(5*time.Second, 100)
+	store.run(l, 60*time.Second)
+	c.Assert(l.Limit() >= 7, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+	store.atOnce = 2
+	store.run(l, 90*time.Second)
+	c.Assert(l.Limit() <= 3, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+	store.atOnce = 8
+	store.run(l, 150*time.Second)
+	c.Assert(l.Limit() >= 6, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+}
+
+func TestBeginningsStayWithinTheRate(t *testing.T) {
+	c := qt.New(t)
+	store := newSimulatedStore(50)
+	l := New(5*time.Second, 4)
+	store.run(l, 60*time.Second)
+	for first := range store.begun {
+		count := 0
+		for _, at := range store.begun[first:] {
+			if at.Sub(store.begun[first]) <= 5*time.Second {
+				count++
+			}
+		}
+		c.Assert(count <= 4, qt.IsTrue)
+	}
+}
+
+func TestOneLateReportProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	now := start
+	end := func(took time.Duration) {
+		l.Begin(now, Load{Key: Key{Instance: "r", Model: "m"}, Nominal: nominal})
+		now = now.Add(took)
+		l.Update(now, nil, func(Key) bool { return true })
+	}
+	end(2 * nominal)
+	c.Assert(l.Limit(), qt.Equals, firstConcurrency)
+	end(2 * nominal)
+	c.Assert(l.Limit() < firstConcurrency, qt.IsTrue)
+}
+
+func TestKeptPlacesCount(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	c.Assert(l.MayBegin(start, firstConcurrency-1), qt.IsTrue)
+	c.Assert(l.MayBegin(start, firstConcurrency), qt.IsFalse)
+}
+
+func TestLoadsThatAreGivenUpTeachNothing(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	for i := range 8 {
+		at := start.Add(time.Duration(i) * time.Minute)
+		l.Begin(at, Load{Key: Key{Instance: "r", Model: fmt.Sprint(i)}, Nominal: nominal})
+		l.Update(at.Add(50*time.Second), nil, func(Key) bool { return false })
+	}
+	c.Assert(l.Limit(), qt.Equals, firstConcurrency)
+}
