Tell callers when to come back; make room for a model at one runner only

(2) While a runner unloaded something for a model, each further plan, 20 ms later, found the need unmet still and unloaded something at another runner; room stayed reserved for ten seconds for models that had long been loaded elsewhere (two of 27 places at a time).

Change: the planner forecasts when a model that is waited for will be ready (loads under way, the queue for the store, copies at busy runners, the time until a new leader may order); the reply to a router's report of demand brings it after the next plan; a first try that would not be in time gets 503 with Retry-After within a quarter of its objective, never after anything was sent, and its caller counts as waiting until it should be back. Room is made at one runner for a second at least, and given up with the need. The line on the demand says what is unmet and why, and how full the store is.

--- a/domainapi/messages.go
+++ b/domainapi/messages.go
@@ -121,3 +121,9 @@
 	// Paces are those of streams that have ended.
 	Paces []residency.Pace
 }
+
+// DemandReply tells what is known about the rows for which requests wait.
+type DemandReply struct {
+	Reply
+	Forecasts []residency.Forecast
+}
--- a/domainnode/leadership.go
+++ b/domainnode/leadership.go
@@ -55,7 +55,9 @@
 	// document is the one that the planner works by.
 	document uint64
 	// changed is closed and replaced at each change of view or document.
-	changed  chan struct{}
+	changed chan struct{}
+	// planned is closed and replaced after each plan.
+	planned  chan struct{}
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
 	ended    bool
@@ -100,6 +102,7 @@
 		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
 		views:      fleet.NewPublisher(),
 		changed:    make(chan struct{}),
+		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		unrecorded: make(map[string]domain.Registration),
 		stopping:   make(map[raft.NodeID]time.Time),
@@ -185,6 +188,8 @@
 	l.refresh(at)
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
+	close(l.planned)
+	l.planned = make(chan struct{})
 	l.refresh(at)
 	judged := l.planner.TakeJudgements()
 	l.recordRegistrations()
--- a/domainnode/service.go
+++ b/domainnode/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,6 +11,7 @@
 	"github.com/lotusferry/lotusferry/domainapi"
 	"github.com/lotusferry/lotusferry/group"
 	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -281,17 +283,38 @@
 	}
 }
 
-// Demand takes a router's report.
-func (s *service) Demand(arguments *domainapi.DemandArguments, reply *domainapi.Reply) error {
+// forecastTimeout bounds how long a report of requests that wait is held until the next
+// plan: several times the usual pause between two plans.
+const forecastTimeout = 200 * time.Millisecond
+
+// Demand takes a router's report. If requests wait, the reply comes after the next plan,
+// and tells when that expects their models to be ready.
+func (s *service) Demand(arguments *domainapi.DemandArguments, reply *domainapi.DemandReply) error {
 	_, current, err := s.leader()
-	if err == nil {
-		current.mutex.Lock()
-		current.planner.Observe(now(), arguments.Router, arguments.Demands)
-		current.planner.Doubt(now(), arguments.Doubted)
-		current.planner.ObservePace(now(), arguments.Paces)
-		current.mutex.Unlock()
-		current.wakePlan()
-	}
 	reply.Error = structs.AsTyped(err)
+	if err != nil {
+		return nil
+	}
+	current.mutex.Lock()
+	current.planner.Observe(now(), arguments.Router, arguments.Demands)
+	current.planner.Doubt(now(), arguments.Doubted)
+	current.planner.ObservePace(now(), arguments.Paces)
+	planned := current.planned
+	current.mutex.Unlock()
+	current.wakePlan()
+	isWaiting := func(demand residency.Demand) bool { return demand.Waiting > 0 }
+	if !slices.ContainsFunc(arguments.Demands, isWaiting) {
+		return nil
+	}
+	timeout := time.NewTimer(forecastTimeout)
+	defer timeout.Stop()
+	select {
+	case <-planned:
+	case <-timeout.C:
+		return nil
+	}
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	reply.Forecasts = current.planner.Forecasts(now(), arguments.Demands)
 	return nil
 }
--- a/domainnode/summary.go
+++ b/domainnode/summary.go
@@ -35,12 +35,18 @@
 				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
 		}
 	}
+	var unmet []string
+	for _, wanted := range l.planner.Unmet() {
+		if len(unmet) < summaryModels {
+			unmet = append(unmet, fmt.Sprintf("%s:%.1f,%s", wanted.Row.Model, wanted.Gain, wanted.Obstacle))
+		}
+	}
 	l.node.metrics.waiting.Set(float64(waiting))
 	l.node.metrics.runners.Set(float64(l.views.Runners()))
 	l.node.metrics.routers.Set(float64(len(l.routers)))
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
-		"models", strings.Join(models, " "))
+		"models", strings.Join(models, " "), "unmet", strings.Join(unmet, " "), "store", l.planner.StoreSummary())
 }
 
 // maxRecorded bounds the registrations in one command.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -65,6 +65,8 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent int64
 	deadline  time.Time
+	// isFirst is set if the caller seems to try for the first time.
+	isFirst bool
 	// waited is how long the request waited for runners, and begunAt when the head of
 	// its answer was sent.
 	waited  time.Duration
@@ -109,6 +111,7 @@
 	if request.Wait > 0 && request.Wait < route.Timeout {
 		x.deadline = request.Arrived.Add(request.Wait)
 	}
+	x.isFirst = r.noteWait(route.Name, request.Wait)
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
@@ -195,6 +198,7 @@
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	return x.router.acquire(ctx, &waiter{
 		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.route.Priority, since: x.request.Arrived,
+		objective: x.route.Objective, deadline: x.deadline, mayDefer: x.isFirst && x.attempts == 0,
 	})
 }
 
@@ -307,7 +311,11 @@
 // giveUp answers a request for which no runner was found in time, after the last attempt
 // if there was one.
 func (x *exchange) giveUp(err error, last result) {
+	var comeBack *comeBackError
 	switch {
+	case errors.As(err, &comeBack):
+		x.tellToComeBack(comeBack.after)
+		return
 	case errors.Is(err, errStopped):
 		last.reason, last.err = "router_stops", err
 	case errors.Is(err, errTimeout):
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -148,11 +148,15 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{Router: r.options.Name, Demands: demands, Doubted: doubted, Paces: paces}
-	_, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
-		func() *domainapi.Reply { return &domainapi.Reply{} })
-	if err != nil && ctx.Err() == nil {
-		level.Debug(r.logger).Log("msg", "Demand was not reported.", "err", err)
+	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
+		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
+	if err != nil {
+		if ctx.Err() == nil {
+			level.Debug(r.logger).Log("msg", "Demand was not reported.", "err", err)
+		}
+		return
 	}
+	r.adoptForecasts(reply.Forecasts)
 }
 
 func (r *Router) takeDoubted() []string {
--- a/relay/queue.go
+++ b/relay/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,13 @@
 	avoid    structs.RunnerID
 	priority int
 	since    time.Time
+	// objective and deadline are those of the request. mayDefer is set if its caller may
+	// be told to come back.
+	objective time.Duration
+	deadline  time.Time
+	mayDefer  bool
+	// deferred gets after how long the caller should come back; it has room for one.
+	deferred chan time.Duration
 	// granted gets the choice; it has room for one.
 	granted chan routing.Choice
 }
@@ -28,6 +36,9 @@
 	// objective is the shortest of those that arrived or wait; 0 for none.
 	objective time.Duration
 	waiters   []*waiter
+	// absentees are callers that were told to come back.
+	absentees []absentee
+	forecast  forecast
 	active    map[structs.RunnerID]int
 }
 
@@ -40,8 +51,14 @@
 	return state
 }
 
+// comeBackError ends the wait of a request whose caller should come back.
+type comeBackError struct{ after time.Duration }
+
+func (e *comeBackError) Error() string { return "the caller should come back in " + e.after.String() }
+
 // acquire returns a runner that may be sent the request now, or waits for one until
-// ctx ends. The choice must be given back with release.
+// ctx ends. The choice must be given back with release. The error is a comeBackError if
+// waiting is of no use.
 func (r *Router) acquire(ctx context.Context, wanted *waiter) (routing.Choice, error) {
 	r.mutex.Lock()
 	state := r.rowState(wanted.row)
@@ -49,7 +66,13 @@
 		r.mutex.Unlock()
 		return choice, nil
 	}
+	if after, isDeferred := r.deferNow(state, wanted); isDeferred {
+		r.mutex.Unlock()
+		r.wakeReport()
+		return routing.Choice{}, &comeBackError{after}
+	}
 	wanted.granted = make(chan routing.Choice, 1)
+	wanted.deferred = make(chan time.Duration, 1)
 	state.waiters = append(state.waiters, wanted)
 	slices.SortStableFunc(state.waiters, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), a.since.Compare(b.since))
@@ -59,6 +82,8 @@
 	select {
 	case choice := <-wanted.granted:
 		return choice, nil
+	case after := <-wanted.deferred:
+		return routing.Choice{}, &comeBackError{after}
 	case <-ctx.Done():
 	}
 	r.mutex.Lock()
@@ -132,13 +157,8 @@
 			state.arrived = 0
 			continue
 		}
-		demand := residency.Demand{Row: row, Waiting: len(state.waiters), Arrived: state.arrived, Objective: state.objective}
-		for _, wanted := range state.waiters {
-			demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
-		}
-		if len(state.waiters) > 0 {
-			demand.Priority = state.waiters[0].priority
-		}
+		demand := residency.Demand{Row: row, Arrived: state.arrived, Objective: state.objective}
+		state.countWaiting(at, &demand)
 		for runner, count := range state.active {
 			demand.Active = append(demand.Active, residency.ActiveCount{Instance: string(runner), Count: count})
 		}
@@ -154,3 +174,21 @@
 	}
 	return demands
 }
+
+// countWaiting adds those that wait to the demand, callers that are to come back included.
+func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
+	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
+	demand.Waiting = len(s.waiters) + len(s.absentees)
+	demand.Priority = math.MaxInt
+	for _, wanted := range s.waiters {
+		demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
+		demand.Priority = min(demand.Priority, wanted.priority)
+	}
+	for _, caller := range s.absentees {
+		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
+		demand.Priority = min(demand.Priority, caller.priority)
+	}
+	if demand.Waiting == 0 {
+		demand.Priority = 0
+	}
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -45,6 +45,8 @@
 	doubted  map[string]bool
 	// heard is when each runner last sent something.
 	heard map[structs.RunnerID]time.Time
+	// longestWaits are by route; see noteWait.
+	longestWaits map[string]time.Duration
 	// paces are those of streams that have ended since the last report.
 	paces []residency.Pace
 }
@@ -93,6 +95,8 @@
 		doubted: make(map[string]bool),
 		heard:   make(map[structs.RunnerID]time.Time),
 		known:   make(chan struct{}),
+
+		longestWaits: make(map[string]time.Duration),
 	}
 }
 
--- /dev/null
+++ b/residency/forecast.go
@@ -0,0 +1,150 @@
+package residency
+
+import (
+	"slices"
+	"time"
+)
+
+// unloadTime is what it takes until an unused model has made way: an order, its answer
+// and the runner's next heartbeat.
+const unloadTime = 100 * time.Millisecond
+
+// roomTime is what it takes until one of the models in use at a runner is not, as a rule:
+// the rest of a stream of some seconds, and Options.IdleTime.
+const roomTime = 1500 * time.Millisecond
+
+// forecast works out when the models that requests wait for should be ready, after the
+// needs have been gone through.
+func (p *Planner) forecast(now time.Time, needs []need) {
+	p.readyAt = make(map[Row]time.Time)
+	p.unmet = p.unmet[:0]
+	for row := range p.tally.coming {
+		if len(p.holders(row)) == 0 {
+			p.readyAt[row] = now.Add(p.comingIn(now, row))
+		}
+	}
+	queued := make(map[string]int)
+	for _, wanted := range needs {
+		if wanted.obstacle != ObstacleNone {
+			p.unmet = append(p.unmet, wanted)
+		}
+		if _, isComing := p.readyAt[wanted.row]; isComing || !wanted.isWaitedFor {
+			continue
+		}
+		if in, isKnown := p.readyIn(now, wanted, queued); isKnown {
+			p.readyAt[wanted.row] = now.Add(in)
+		}
+	}
+}
+
+// comingIn is how long the quickest load of a model under way still takes.
+func (p *Planner) comingIn(now time.Time, row Row) time.Duration {
+	var quickest time.Duration = -1
+	for _, known := range p.coming(row) {
+		if held := known.holdings[row.Model]; held != nil {
+			if left := p.remaining(now, known, row.Model, held); quickest < 0 || left < quickest {
+				quickest = left
+			}
+		}
+	}
+	return max(0, quickest)
+}
+
+// readyIn is how long it takes until a model is ready that is not being loaded yet.
+// queued counts the models of each service that wait for the weight store before it.
+func (p *Planner) readyIn(now time.Time, wanted need, queued map[string]int) (time.Duration, bool) {
+	service := wanted.row.Service
+	store := p.store(service)
+	if store == nil {
+		return 0, false
+	}
+	model := p.document.Service(service).Engine.ModelByName(wanted.row.Model)
+	if model == nil {
+		return 0, false
+	}
+	var fromCopy time.Duration = -1
+	for _, known := range p.tally.sorted {
+		if known.status.Heartbeat.Service != service || known.status.Leaving || !known.hasCopy(model.Name) {
+			continue
+		}
+		if in := p.occupiedFor(now, known) + unloadTime + loadTime(known, model); fromCopy < 0 || in < fromCopy {
+			fromCopy = in
+		}
+	}
+	orderedIn := max(0, p.ordersFrom.Sub(now))
+	if wanted.obstacle == ObstacleRoom {
+		orderedIn += roomTime
+	}
+	if fromCopy >= 0 {
+		return orderedIn + fromCopy, true
+	}
+	if wanted.obstacle == ObstacleNone {
+		return unloadTime + store.Expected(model.LoadTime), true
+	}
+	free := p.storeFree(now, service)
+	place := queued[service]
+	queued[service]++
+	if len(free) == 0 {
+		rounds := time.Duration(place / store.Limit())
+		return orderedIn + unloadTime + rounds*model.LoadTime + store.Expected(model.LoadTime), true
+	}
+	rounds := time.Duration(place / len(free))
+	return max(orderedIn, free[place%len(free)]) + rounds*model.LoadTime + unloadTime + model.LoadTime, true
+}
+
+// storeFree lists how long the loads under way from the weight store still take, the
+// one that ends first at the beginning.
+func (p *Planner) storeFree(now time.Time, service string) []time.Duration {
+	var free []time.Duration
+	for _, known := range p.tally.sorted {
+		if known.status.Heartbeat.Service != service {
+			continue
+		}
+		for name, held := range known.holdings {
+			if held.fromStore && (held.phase == phaseLoading || held.phase == phaseUncertain) {
+				free = append(free, p.remaining(now, known, name, held))
+			}
+		}
+	}
+	slices.Sort(free)
+	return free
+}
+
+// Forecast is how long it should take until the model of a row is ready.
+type Forecast struct {
+	Row Row
+	In  time.Duration
+}
+
+// Forecasts lists what the last plan expects for those of the rows that are waited for
+// and not ready.
+func (p *Planner) Forecasts(now time.Time, demands []Demand) []Forecast {
+	var found []Forecast
+	for _, demand := range demands {
+		if demand.Waiting == 0 {
+			continue
+		}
+		if readyAt, isKnown := p.readyAt[modelOf(demand.Row)]; isKnown {
+			found = append(found, Forecast{Row: demand.Row, In: max(0, readyAt.Sub(now))})
+		}
+	}
+	return found
+}
+
+// UnmetNeed is a model that should be loaded and is not.
+type UnmetNeed struct {
+	Row      Row
+	Gain     float64
+	Obstacle Obstacle
+	// IsWaitedFor is set if requests wait for it.
+	IsWaitedFor bool
+}
+
+// Unmet lists what the last plan could not bring about, the largest gain first.
+func (p *Planner) Unmet() []UnmetNeed {
+	listed := make([]UnmetNeed, len(p.unmet))
+	for i, wanted := range p.unmet {
+		listed[i] = UnmetNeed{wanted.row, wanted.gain, wanted.obstacle, wanted.isWaitedFor}
+	}
+	return listed
+}
--- a/residency/needs.go
+++ b/residency/needs.go
@@ -16,6 +16,8 @@
 	// isWaitedFor is set if requests wait that nobody can serve.
 	isWaitedFor bool
 	priority    int
+	// obstacle is why the plan did not bring it about.
+	obstacle Obstacle
 }
 
 // needs lists the models that should be loaded, the one with the largest gain first.
--- /dev/null
+++ b/residency/place.go
@@ -0,0 +1,125 @@
+package residency
+
+import (
+	"math"
+	"time"
+)
+
+// Obstacle is why a model that should be loaded is not.
+type Obstacle uint8
+
+// The obstacles, from the one that a load meets first to the last.
+const (
+	ObstacleNone Obstacle = iota
+	// ObstacleBusy: every runner executes an order, keeps room for another model, or has
+	// not said yet how many orders it has taken.
+	ObstacleBusy
+	// ObstacleStore: the weight store takes no further load now.
+	ObstacleStore
+	// ObstacleRoom: nothing may make way on any runner.
+	ObstacleRoom
+	// ObstacleCost: the load costs more than it gains.
+	ObstacleCost
+	// ObstacleLease: a new leader may not send orders yet.
+	ObstacleLease
+)
+
+// String returns the name used in logs.
+func (o Obstacle) String() string {
+	names := [...]string{"none", "runners_busy", "store_full", "no_room", "cost", "lease"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
+// loadPlace is where a model is best loaded.
+type loadPlace struct {
+	// runner is nil if there is no place; then obstacle says why.
+	runner   *runner
+	obstacle Obstacle
+	// victim is the model to unload first, or "".
+	victim string
+	cost   float64
+}
+
+// loadModel finds the runner on which a load costs least and returns the load, or the
+// unload that makes room for it. Nothing is unloaded whose loss costs more than the
+// load gains.
+func (p *Planner) loadModel(now time.Time, wanted *need) (Order, bool) {
+	place := p.findPlace(now, *wanted)
+	wanted.obstacle = place.obstacle
+	if place.runner == nil {
+		return Order{}, false
+	}
+	known, model := place.runner, wanted.row.Model
+	fromStore := !known.hasCopy(model)
+	if place.victim != "" {
+		known.reserved, known.reservedUntil = model, now.Add(reservationTime)
+		if fromStore {
+			known.storeKeptUntil = now.Add(storeKeptTime)
+		}
+		return p.send(now, known, Unload, place.victim, ""), true
+	}
+	known.reserved = ""
+	order := p.send(now, known, Load, model, "")
+	if fromStore {
+		p.beginStoreLoad(now, known, wanted.row)
+	}
+	return order, true
+}
+
+// findPlace finds the runner on which a load of the model costs least.
+func (p *Planner) findPlace(now time.Time, wanted need) loadPlace {
+	best := loadPlace{cost: math.Inf(1), obstacle: ObstacleBusy}
+	if p.isRoomBeingMade(now, wanted.row) {
+		return best
+	}
+	mayUseStore := p.mayUseStore(now, wanted)
+	for _, known := range p.tally.sorted {
+		if known.status.Heartbeat.Service != wanted.row.Service || !p.mayOrder(known) {
+			continue
+		}
+		found := p.placeAt(now, known, wanted, mayUseStore)
+		if found.runner == nil {
+			best.obstacle = max(best.obstacle, found.obstacle)
+		} else if found.cost < best.cost {
+			best = found
+		}
+	}
+	if best.runner != nil {
+		best.obstacle = ObstacleNone
+	}
+	return best
+}
+
+// placeAt weighs a load of the model at a runner that takes orders.
+func (p *Planner) placeAt(now time.Time, known *runner, wanted need, mayUseStore bool) loadPlace {
+	row := wanted.row
+	engine := p.engineOf(known)
+	if engine == nil {
+		return loadPlace{}
+	}
+	model := engine.ModelByName(row.Model)
+	if model == nil || known.holdings[row.Model] != nil {
+		return loadPlace{}
+	}
+	isReserved := known.reserved != "" && now.Before(known.reservedUntil)
+	if isReserved && known.reserved != row.Model {
+		return loadPlace{obstacle: ObstacleBusy}
+	}
+	if !mayUseStore && !known.hasCopy(row.Model) && !p.isStoreKept(now, known, row.Model) {
+		return loadPlace{obstacle: ObstacleStore}
+	}
+	cost, victim, isPossible := p.costOf(now, known, engine, model, wanted)
+	if !isPossible {
+		return loadPlace{obstacle: ObstacleRoom}
+	}
+	if !wanted.isWaitedFor && cost >= wanted.gain {
+		return loadPlace{obstacle: ObstacleCost}
+	}
+	if isReserved {
+		cost /= 2
+	}
+	return loadPlace{runner: known, victim: victim, cost: cost}
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -1,13 +1,15 @@
 package residency
 
 import (
-	"math"
 	"time"
 )
 
 const (
 	// maxIncoming is how many adapters may be on their way to a runner at once.
 	maxIncoming = 4
+	// roomMadeIn is how long an unload that makes room is waited for before another runner
+	// is tried: several times what it takes for an unused model.
+	roomMadeIn = time.Second
 	// reservationTime is how long room is kept for a model while others make way.
 	reservationTime = 10 * time.Second
 	// loadTimeout is after how long a load that does not end is looked into.
@@ -20,12 +22,16 @@
 // followed by Answered.
 func (p *Planner) Plan(now time.Time) []Order {
 	p.advance(now)
-	if p.document == nil || now.Before(p.ordersFrom) {
+	if p.document == nil {
 		return nil
 	}
 	p.repair(now)
 	p.takeTally(now)
 	p.followStores(now)
+	if now.Before(p.ordersFrom) {
+		p.foresee(now)
+		return nil
+	}
 	p.judge(now)
 	p.anticipate()
 	var orders []Order
@@ -34,14 +40,51 @@
 			orders = append(orders, order)
 		}
 	}
-	for _, wanted := range p.needs(now) {
-		if order, found := p.loadModel(now, wanted); found {
+	needs := p.needs(now)
+	p.dropReservations(needs)
+	for i := range needs {
+		if order, found := p.loadModel(now, &needs[i]); found {
 			orders = append(orders, order)
 		}
 	}
+	p.forecast(now, needs)
 	return orders
 }
 
+// dropReservations gives up room that was kept for models which need no further replica.
+func (p *Planner) dropReservations(needs []need) {
+	wanted := make(map[Row]bool, len(needs))
+	for _, each := range needs {
+		wanted[each.row] = true
+	}
+	for _, known := range p.runners {
+		if known.reserved != "" && !wanted[known.rowOf(known.reserved)] {
+			known.reserved, known.storeKeptUntil = "", time.Time{}
+		}
+	}
+}
+
+// isRoomBeingMade reports whether a runner unloads something to make room for the model.
+func (p *Planner) isRoomBeingMade(now time.Time, row Row) bool {
+	for _, known := range p.tally.sorted {
+		isReserved := known.reserved == row.Model && now.Before(known.reservedUntil.Add(roomMadeIn-reservationTime))
+		if isReserved && known.status.Heartbeat.Service == row.Service && !known.status.Leaving && known.isOccupied() {
+			return true
+		}
+	}
+	return false
+}
+
+// foresee forecasts loads that may not be ordered yet, since orders of the leader before
+// may still be on their way.
+func (p *Planner) foresee(now time.Time) {
+	needs := p.needs(now)
+	for i := range needs {
+		needs[i].obstacle = ObstacleLease
+	}
+	p.forecast(now, needs)
+}
+
 // repair asks again about loads and unloads that do not end.
 func (p *Planner) repair(now time.Time) {
 	for _, known := range p.runners {
@@ -65,60 +108,6 @@
 	return !known.status.Leaving && !known.isGone && known.isTakenKnown && !known.sent && !known.isOccupied()
 }
 
-// loadModel finds the runner on which a load costs least and returns the load, or the
-// unload that makes room for it. Nothing is unloaded whose loss costs more than the
-// load gains.
-func (p *Planner) loadModel(now time.Time, wanted need) (Order, bool) {
-	row := wanted.row
-	var best *runner
-	var bestVictim string
-	lowest := math.Inf(1)
-	mayUseStore := p.mayUseStore(now, wanted)
-	for _, known := range p.tally.sorted {
-		engine := p.engineOf(known)
-		if engine == nil || known.status.Heartbeat.Service != row.Service || !p.mayOrder(known) {
-			continue
-		}
-		model := engine.ModelByName(row.Model)
-		if model == nil || known.holdings[row.Model] != nil {
-			continue
-		}
-		if known.reserved != "" && known.reserved != row.Model && now.Before(known.reservedUntil) {
-			continue
-		}
-		if !mayUseStore && !known.hasCopy(row.Model) && !p.isStoreKept(now, known, row.Model) {
-			continue
-		}
-		cost, victim, isPossible := p.costOf(now, known, engine, model, wanted)
-		if !wanted.isWaitedFor && cost >= wanted.gain {
-			continue
-		}
-		if known.reserved == row.Model && now.Before(known.reservedUntil) {
-			cost /= 2
-		}
-		if isPossible && cost < lowest {
-			best, bestVictim, lowest = known, victim, cost
-		}
-	}
-	if best == nil {
-		return Order{}, false
-	}
-	fromStore := !best.hasCopy(row.Model)
-	if bestVictim != "" {
-		best.reserved, best.reservedUntil = row.Model, now.Add(reservationTime)
-		if fromStore {
-			best.storeKeptUntil = now.Add(storeKeptTime)
-		}
-		return p.send(now, best, Unload, bestVictim, ""), true
-	}
-	best.reserved = ""
-	order := p.send(now, best, Load, row.Model, "")
-	if fromStore {
-		p.beginStoreLoad(now, best, row)
-	}
-	return order, true
-}
-
 // send notes an order as sent: what it loads is counted from now on, and what it
 // unloads is no longer offered to requests.
 func (p *Planner) send(now time.Time, known *runner, operation Operation, model, adapter string) Order {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -38,6 +38,10 @@
 	tally *tally
 	// successors are the models of each service that are expected to become busy.
 	successors map[string]successor
+	// unmet are the needs that the last plan could not bring about.
+	unmet []need
+	// readyAt is when models that requests wait for should be ready.
+	readyAt map[Row]time.Time
 	// changed is set when what routers may use has changed.
 	changed bool
 }
--- a/residency/store.go
+++ b/residency/store.go
@@ -1,6 +1,9 @@
 package residency
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lotusferry/lotusferry/weightstore"
@@ -138,3 +141,14 @@
 	key := weightstore.Key{Instance: known.status.Heartbeat.Instance, Model: row.Model}
 	p.store(row.Service).Begin(now, weightstore.Load{Key: key, Nominal: model.LoadTime})
 }
+
+// StoreSummary tells for each service how many loads from its weight store are under way
+// and how many at once it is believed to bear, for logs.
+func (p *Planner) StoreSummary() string {
+	var parts []string
+	for service, store := range p.stores {
+		parts = append(parts, fmt.Sprintf("%s:%d/%d", service, store.UnderWay(), store.Limit()))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
