Tell a runner's speed from its quick streams; spread requests by a weight, with less affinity

One replica had 33 to 45 streams, others none; pauses of 0.3 to 0.5 s followed.

Change: pace follows quicker streams at once and slower ones slowly, from the lower quartile of a stream's gaps; a penalty weighs requests (a slow runner gets half) in place of shutting it out; the bound of affinity is 0.03 of a batch, a cold connection counts half a request.

--- a/relay/router.go
+++ b/relay/router.go
@@ -59,10 +59,10 @@
 	defaultBatch = 16
 	// slowPenalty is by which share of a batch others must be more loaded before a slow
 	// runner is chosen.
-	slowPenalty = 0.3
+	slowPenalty = 1
 	// coldRequests keeps to runners to which a connection is open, as they stay for
 	// warmTime at least.
-	coldRequests = 3.5
+	coldRequests = 0.5
 	warmTime     = 8 * time.Second
 	// reportLife is how long a runner's number of slots is believed.
 	reportLife = 24 * time.Hour
@@ -88,7 +88,7 @@
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: reportLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
-			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true,
+			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: 0.03,
 		}, random),
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -106,7 +106,7 @@
 	}
 	if len(x.gaps) >= minGaps {
 		slices.Sort(x.gaps)
-		pace.Gap = x.gaps[len(x.gaps)/2]
+		pace.Gap = x.gaps[len(x.gaps)/4]
 	}
 	x.router.notePace(pace)
 }
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -3,8 +3,11 @@
 import "time"
 
 const (
-	// paceSmoothing is the weight of a new stream in a runner's usual pace.
-	paceSmoothing = 0.3
+	// quickerSmoothing and slowerSmoothing are the weights of a new stream that was quicker
+	// or slower than a runner's pace: what is sought is the pace with little else to do, as
+	// the load of a runner must not pass for its speed.
+	quickerSmoothing = 0.5
+	slowerSmoothing  = 0.05
 	// minPaceStreams is how many streams must have been seen before a runner's pace
 	// counts.
 	minPaceStreams = 2
@@ -52,7 +55,11 @@
 	if known.streams == 0 {
 		known.gap = seen.Gap.Seconds()
 	}
-	known.gap += paceSmoothing * (seen.Gap.Seconds() - known.gap)
+	smoothing := slowerSmoothing
+	if seen.Gap.Seconds() < known.gap {
+		smoothing = quickerSmoothing
+	}
+	known.gap += smoothing * (seen.Gap.Seconds() - known.gap)
 	known.streams++
 }
 
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -152,18 +152,19 @@
 	return target.hasRoom(now, &b.options) && target.breaker.allows(now)
 }
 
-// score is the runner's load as a share of its batch, and its penalty.
+// score is the runner's load as a share of its batch with one request more, weighed by
+// its penalty.
 func (b *Balancer) score(now time.Time, candidate *replica) float64 {
 	load := candidate.runner.load(now, b.options.ReportLife)
-	score := float64(load)/float64(candidate.runner.maxBatch) + candidate.runner.penalty
+	score := float64(load+1) / float64(candidate.runner.maxBatch) * (1 + candidate.runner.penalty)
 	if now.Sub(candidate.runner.answeredAt) > b.options.WarmTime {
 		score += b.options.ColdRequests / float64(candidate.runner.maxBatch)
 	}
 	return score
 }
 
-// SetPenalty makes a runner be chosen only when the others are more loaded by the
-// share of a batch.
+// SetPenalty makes a request weigh more at a runner, by the factor 1 + penalty, so that it
+// is given fewer.
 func (b *Balancer) SetPenalty(id structs.RunnerID, penalty float64) {
 	if target := b.runners[id]; target != nil {
 		target.penalty = penalty
