--- a/relay/deferral.go
+++ b/relay/deferral.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/site"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// firstShare is the part of the longest time that callers of a route have given from
 	// which a request counts as a first try. Those that come back have less left.
 	firstShare = 0.95
+	// longestDecay is how far the longest time moves towards that of each request which
+	// gives less, so that a single caller with much time does not count for ever.
+	longestDecay = 0.02
 	// forecastLife is how long a forecast is used for requests that come after it.
 	forecastLife = 700 * time.Millisecond
 )
@@ -113,9 +118,27 @@
 func (r *Router) noteWait(route string, wait time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	longest := max(r.longestWaits[route], wait)
-	r.longestWaits[route] = longest
-	return wait > 0 && wait >= share(longest, firstShare)
+	longest := r.longestWaits[route]
+	if wait <= 0 {
+		return false
+	}
+	if wait < longest {
+		r.longestWaits[route] = longest - share(longest-wait, longestDecay)
+	} else {
+		r.longestWaits[route] = wait
+	}
+	return wait >= share(longest, firstShare)
+}
+
+// forgetWaits drops what was learned about routes that the document does not list.
+func (r *Router) forgetWaits(document *site.Document) {
+	listed := make(map[string]bool, len(document.Routes))
+	for i := range document.Routes {
+		listed[document.Routes[i].Name] = true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.longestWaits, func(route string, _ time.Duration) bool { return !listed[route] })
 }
 
 // tellToComeBack answers a request that has not been sent to any runner.
--- a/relay/router.go
+++ b/relay/router.go
@@ -140,6 +140,7 @@
 		return false
 	}
 	r.index.Store(site.NewIndex(document))
+	r.forgetWaits(document)
 	r.metrics.version.Set(float64(document.Version))
 	if current == nil {
 		close(r.known)
--- a/residency/cost.go
+++ b/residency/cost.go
@@ -168,7 +168,7 @@
 	}
 	if len(others) == 0 {
 		harm := 1.0
-		if demand.objective > model.LoadTime {
+		if demand.objective > loadTime(known, model) {
 			harm = patientHarm
 		}
 		return demand.rate * horizon * harm
--- a/residency/needs.go
+++ b/residency/needs.go
@@ -37,9 +37,6 @@
 	for row := range p.tally.demands {
 		p.addCrowded(found, row)
 	}
-	for service, next := range p.successors {
-		p.addCrowded(found, Row{Service: service, Model: next.model})
-	}
 	var listed []need
 	for _, each := range found {
 		if each.isWaitedFor {
@@ -105,10 +102,7 @@
 	replicas := slices.Concat(p.holders(row), p.coming(row))
 	rate := p.modelDemand(row).rate
 	if len(replicas) == 0 {
-		if p.successors[row.Service].model != row.Model {
-			return 0
-		}
-		return rate * spareGain * p.options.Horizon.Seconds()
+		return 0
 	}
 	gain := max(0, rate-p.capacity(replicas)*p.rateOf(row.Service))
 	if len(replicas) == 1 && rate > spareRate {
--- a/residency/options.go
+++ b/residency/options.go
@@ -42,7 +42,7 @@
 	option.Positive(&o.QuestionBurst, 160)
 	option.Positive(&o.ReportLag, 350*time.Millisecond)
 	option.Positive(&o.AdapterTime, 60*time.Millisecond)
-	option.Positive(&o.IdleTime, time.Second)
+	option.Positive(&o.IdleTime, 350*time.Millisecond)
 	option.Positive(&o.RateTime, 8*time.Second)
 	option.Positive(&o.DemandLife, 2*time.Second)
 	option.Positive(&o.ReplicaRate, 5)
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -7,7 +7,7 @@
 	// or slower than a runner's pace: what is sought is the pace with little else to do, as
 	// the load of a runner must not pass for its speed.
 	quickerSmoothing = 0.5
-	slowerSmoothing  = 0.05
+	slowerSmoothing  = 0.03
 	// minPaceStreams is how many streams must have been seen before a runner's pace
 	// counts.
 	minPaceStreams = 2
--- a/residency/pace_test.go
+++ b/residency/pace_test.go
@@ -157,3 +157,22 @@
 	c.Assert(p.IsSlowPlace("next"), qt.IsTrue)
 	c.Assert(p.IsSlow("r"), qt.IsFalse, qt.Commentf("gone"))
 }
+
+// The streams of a busy runner are slower than those of an idle one. That is its load, not
+// its speed.
+func TestLoadIsNotTakenForSlowness(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(2, func(_ int, heartbeat *fleet.Heartbeat) { heartbeat.Models = []fleet.LoadedModel{{Name: "m0"}} })
+	for i := range 40 {
+		busy := 36 * time.Millisecond
+		if i%6 == 0 {
+			busy = 25 * time.Millisecond
+		}
+		p.ObservePace(start, []Pace{
+			{Service: "s", Model: "m0", Instance: "r0", Gap: 25 * time.Millisecond},
+			{Service: "s", Model: "m0", Instance: "r1", Gap: busy},
+		})
+	}
+	p.Plan(start)
+	c.Assert(p.IsSlowPlace("r1"), qt.IsFalse)
+}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -33,7 +33,6 @@
 		return nil
 	}
 	p.judge(now)
-	p.anticipate()
 	var orders []Order
 	for _, wanted := range p.waits(now) {
 		if order, found := p.serveAdapter(now, wanted.row); found {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -36,8 +36,6 @@
 	questionsAt time.Time
 	// tally is that of the plan under way.
 	tally *tally
-	// successors are the models of each service that are expected to become busy.
-	successors map[string]successor
 	// unmet are the needs that the last plan could not bring about.
 	unmet []need
 	// readyAt is when models that requests wait for should be ready.
@@ -59,7 +57,6 @@
 		rates:      make(map[string]*replicaRate),
 		judgements: make(map[string]Judgement),
 		slowPlaces: make(map[place]bool),
-		successors: make(map[string]successor),
 	}
 }
 
@@ -341,14 +338,8 @@
 	objective time.Duration
 }
 
-// modelDemand is the demand for a model, or what is expected of it.
-func (p *Planner) modelDemand(row Row) modelDemand {
-	observed := p.tally.demands[modelOf(row)]
-	if next := p.successors[row.Service]; next.model == row.Model && next.demand.rate > observed.rate {
-		return next.demand
-	}
-	return observed
-}
+// modelDemand is the demand for a model.
+func (p *Planner) modelDemand(row Row) modelDemand { return p.tally.demands[modelOf(row)] }
 
 // Doubt notes runners that refused requests for what they were thought to hold. They
 // are asked for a report.
--- a/residency/store_test.go
+++ b/residency/store_test.go
@@ -126,3 +126,31 @@
 		})
 	}
 }
+
+// Of two unused models the one makes way that the runner has a copy of: its callers wait
+// for a short load only.
+func TestModelWithACopyMakesWayFirst(t *testing.T) {
+	for _, copied := range []string{"m0", "m1"} {
+		t.Run(copied, func(t *testing.T) {
+			c := qt.New(t)
+			index := manyModels()
+			index.Document.Services[0].Engine.WeightsMB = 200
+			p := NewPlanner(Options{}, start)
+			p.SetDocument(index)
+			models := []fleet.LoadedModel{{Name: "m0"}, {Name: "m1"}}
+			heartbeat := fleet.Heartbeat{Instance: "r", Service: "s", Address: "r", Sequence: 1, Models: models, OnDisk: []string{copied}}
+			p.SetRunners(start, []fleet.Status{{Heartbeat: heartbeat}})
+			p.Reported(start, start, "r", Report{Models: models})
+			var demands []Demand
+			for _, model := range models {
+				demands = append(demands, Demand{Row: Row{Service: "s", Model: model.Name}, Arrived: 1, Objective: 2 * time.Second})
+			}
+			p.Observe(start, "router", demands)
+			at := start.Add(2 * time.Second)
+			waitForModels(p, at, 10, 3)
+			orders := p.Plan(at)
+			c.Assert(orders, qt.HasLen, 1)
+			c.Assert(orders[0].Model, qt.Equals, copied)
+		})
+	}
+}
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -305,6 +305,13 @@
 
 // While every replica fails, requests go on to the runners that answer, if that is
 // wanted, but never to those that leave requests unanswered.
+func TestPenaltyGivesARunnerFewerRequestsNotNone(t *testing.T) {
+	balancer := newBalancer(2, Options{MaxBatch: 64, Choices: 4})
+	balancer.SetPenalty("runner-1", 1)
+	counts := fill(balancer, 30)
+	qt.Assert(t, counts, qt.DeepEquals, map[structs.RunnerID]int{"runner-0": 20, "runner-1": 10})
+}
+
 func TestWhereEveryReplicaFailsOneThatAnswersIsChosen(t *testing.T) {
 	for _, test := range []struct {
 		about   string
