--- a/residency/needs.go
+++ b/residency/needs.go
@@ -16,6 +16,8 @@
 	// isWaitedFor is set if requests wait that nobody can serve.
 	isWaitedFor bool
 	priority    int
+	// oldest is how long the oldest request has waited.
+	oldest time.Duration
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
 }
@@ -32,6 +34,7 @@
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority}
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
+		found[row].oldest = max(found[row].oldest, wanted.oldest)
 		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
 	}
 	for row := range p.tally.demands {
--- a/residency/store.go
+++ b/residency/store.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotusferry/lotusferry/site"
 	"github.com/lotusferry/lotusferry/weightstore"
 )
 
@@ -69,7 +70,8 @@
 }
 
 // mayUseStore reports whether the model may be loaded from the weight store now. A copy
-// at a runner that only finishes another order first is waited for, if that is quicker.
+// at a runner that only finishes another order first, or uses all of its places for the
+// moment, is waited for if that is quicker.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
 	if store == nil || !store.MayBegin(now, p.keptAtStore(now, wanted.row.Service)) {
@@ -83,13 +85,23 @@
 		if known.status.Heartbeat.Service != wanted.row.Service || known.status.Leaving || !known.hasCopy(wanted.row.Model) {
 			continue
 		}
-		if known.isOccupied() && p.occupiedFor(now, known)+loadTime(known, model) < store.Expected(model.LoadTime) {
+		if p.isSoonThere(now, known, model, wanted, store.Expected(model.LoadTime)) {
 			return false
 		}
 	}
 	return true
 }
 
+// isSoonThere reports whether a runner with a copy of the model should have loaded it within
+// a time, though it cannot begin to now.
+func (p *Planner) isSoonThere(now time.Time, known *runner, model *site.Model, wanted need, within time.Duration) bool {
+	if known.isOccupied() {
+		return p.occupiedFor(now, known)+loadTime(known, model) < within
+	}
+	// Whether a place becomes free is not certain: it is waited for once only.
+	return wanted.isWaitedFor && p.mayOrder(known) && wanted.oldest+roomTime+loadTime(known, model) < within
+}
+
 // occupiedFor is how long a runner is still expected to execute its order.
 func (p *Planner) occupiedFor(now time.Time, known *runner) time.Duration {
 	engine := p.engineOf(known)
