--- a/residency/needs.go
+++ b/residency/needs.go
@@ -58,11 +58,16 @@
 // for ever behind those who are many.
 const agingTime = 3 * time.Second
 
+// priorityStep is by how much less a request weighs than one of the next more urgent
+// priority. The document ranks routes without saying how much more one is worth: two and
+// a half times lets the urgent go first, and many of the less urgent before few. Half of
+// it does as well, twice of it worse (docs/design/further.md).
+const priorityStep = 0.4
+
 // urgency weighs requests that wait by the priority of their route; 0 is the most
 // urgent.
 func urgency(priority int) float64 {
-	const step = 0.7
-	return 2 * math.Pow(step, float64(min(max(0, priority), 9)))
+	return 2 * math.Pow(priorityStep, float64(min(max(0, priority), 9)))
 }
 
 // addCrowded adds the model to the needs if it should have one more replica.
