--- a/group/addressbook.go
+++ b/agreement/group/addressbook.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // addressBook holds the addresses of nodes by where they are known from.
--- a/group/backup.go
+++ b/agreement/group/backup.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // nodeIDBits keeps node IDs exact in every JSON reader; the highest bit is set, so
--- a/group/benchmark_test.go
+++ b/agreement/group/benchmark_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/internal/transport"
 )
 
 // plannedEntries and plannedBytes are a log of one entry an adapter.
--- a/group/cluster_test.go
+++ b/agreement/group/cluster_test.go
@@ -13,12 +13,12 @@
 	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/network/networktest"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/group/found.go
+++ b/agreement/group/found.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/group/group.go
+++ b/agreement/group/group.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 const (
--- a/group/lease_test.go
+++ b/agreement/group/lease_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // A process that was stopped and goes on has read no message yet, but its clock
--- a/group/membership.go
+++ b/agreement/group/membership.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/group/options.go
+++ b/agreement/group/options.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // The defaults for options that are zero.
--- a/group/read.go
+++ b/agreement/group/read.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/group/sender.go
+++ b/agreement/group/sender.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 const (
--- a/group/service.go
+++ b/agreement/group/service.go
@@ -5,9 +5,9 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/group/snapshot.go
+++ b/agreement/group/snapshot.go
@@ -4,7 +4,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // keptFraction is the part of SnapshotEntries that the log keeps behind its end
--- a/group/standby.go
+++ b/agreement/group/standby.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // steadyElections is for how many election timeouts in a row a member must have
--- a/group/standby_test.go
+++ b/agreement/group/standby_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 func TestStandbyHandsOverOnlyToASteadyMemberThatHasTheLog(t *testing.T) {
--- a/leadercall/caller.go
+++ b/agreement/leadercall/caller.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // RetryPause separates two rounds over the members of a group.
--- a/logstore/benchmark_test.go
+++ b/agreement/logstore/benchmark_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // BenchmarkOpen reads a log of the number of adapters planned for.
--- a/logstore/read.go
+++ b/agreement/logstore/read.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"go.etcd.io/bbolt"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/logstore/record.go
+++ b/agreement/logstore/record.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 const (
--- a/logstore/snapshotfile.go
+++ b/agreement/logstore/snapshotfile.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/logstore/store.go
+++ b/agreement/logstore/store.go
@@ -14,7 +14,7 @@
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/logstore/write.go
+++ b/agreement/logstore/write.go
@@ -5,7 +5,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/raft/conformance_test.go
+++ b/agreement/raft/conformance_test.go
@@ -260,7 +260,7 @@
 }
 
 func readSpecification(t *testing.T, file string) string {
-	text, err := os.ReadFile("../spec/" + file)
+	text, err := os.ReadFile("../../spec/" + file)
 	qt.Assert(t, err, qt.IsNil)
 	return string(text)
 }
--- a/cmd/lotusferrylab/main.go
+++ b/cmd/lotusferrylab/main.go
@@ -6,7 +6,7 @@
 	"os"
 
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/labcommand"
+	"github.com/lotusferry/lotusferry/kit/labcommand"
 )
 
 // daemonCommand makes this program run as a daemon, so that the kit needs no
--- a/config/check_tls.go
+++ b/config/check_tls.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/config/check_tls_test.go
+++ b/config/check_tls_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 )
 
 func TestCheckReportsCertificatesThatPeersOrClientsWouldRefuse(t *testing.T) {
--- a/config/check_values.go
+++ b/config/check_values.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 )
 
 // between checks a count.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -14,8 +14,8 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/config/planner.go
+++ b/config/planner.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 )
 
 // Planner holds the settings of the scheduler that a site may change. A field that is
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -6,10 +6,10 @@
 	"os"
 	"time"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/placement/tablefile"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/tablefile"
 )
 
 // resendInterval passes between two attempts when a daemon names no time.
--- a/ctl/connect.go
+++ b/ctl/connect.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"os"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- a/ctl/edit.go
+++ b/ctl/edit.go
@@ -13,10 +13,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/placement/tablefile"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/tablefile"
 )
 
 // decodeTable reads a table; values that cannot be read are printed.
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -5,7 +5,7 @@
 	"io"
 	"os"
 
-	"github.com/lotusferry/lotusferry/explain"
+	"github.com/lotusferry/lotusferry/request/explain"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/ctl/keys.go
+++ b/ctl/keys.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"time"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/ctl/local_test.go
+++ b/ctl/local_test.go
@@ -11,11 +11,11 @@
 	"github.com/go-kit/log"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/ctl"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/raft"
 )
 
 func TestDrain(t *testing.T) {
--- a/ctl/member.go
+++ b/ctl/member.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/ctl/output_rows.go
+++ b/ctl/output_rows.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/placement/tablefile"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/tablefile"
 )
 
 // Columns of the table that the program itself must know.
--- a/ctl/snapshot.go
+++ b/ctl/snapshot.go
@@ -8,10 +8,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/ctl/table.go
+++ b/ctl/table.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/placement/tablefile"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/tablefile"
 )
 
 // watchInterval is how long one long poll of the watch command lasts.
--- a/ctl/wait.go
+++ b/ctl/wait.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/apikeys.go
+++ b/daemon/apikeys.go
@@ -4,9 +4,9 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/request/api"
 )
 
 // apiKeys are the API keys that the daemon accepts. They follow the settings file as
--- a/daemon/apikeys_test.go
+++ b/daemon/apikeys_test.go
@@ -13,7 +13,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 )
 
 // keySite is a daemon whose settings come from a file.
--- a/daemon/attempt.go
+++ b/daemon/attempt.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/engineapi"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claimanswers.go
+++ b/daemon/claimanswers.go
@@ -11,13 +11,13 @@
 	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lotusferry/lotusferry/answerstore"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/daemon/claimanswers_test.go
+++ b/daemon/claimanswers_test.go
@@ -11,9 +11,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/answerstore"
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claimanswersave.go
+++ b/daemon/claimanswersave.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/answerstore"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claimanswersave_test.go
+++ b/daemon/claimanswersave_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/answerstore"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claimhome.go
+++ b/daemon/claimhome.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claiminquiries.go
+++ b/daemon/claiminquiries.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 )
 
 const (
--- a/daemon/claimkeys_test.go
+++ b/daemon/claimkeys_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/claimmessages.go
+++ b/daemon/claimmessages.go
@@ -1,8 +1,8 @@
 package daemon
 
 import (
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // methodZoneClaims is the method of a zone's leader for claims.
--- a/daemon/claims_benchmark_test.go
+++ b/daemon/claims_benchmark_test.go
@@ -13,14 +13,14 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/daemon/claims_test.go
+++ b/daemon/claims_test.go
@@ -12,11 +12,11 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/network/networktest"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // claimsZone is a zone's leader with real state and no log. It fails the first
--- a/daemon/claimsite_test.go
+++ b/daemon/claimsite_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,18 +13,18 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/engineapi"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // globalGroupName names the global group in logs, files and messages; a zone's
--- a/daemon/daemondrain.go
+++ b/daemon/daemondrain.go
@@ -8,7 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/config"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -7,7 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -12,9 +12,9 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/faultservice.go
+++ b/daemon/faultservice.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/internal/transport"
 )
 
 // FaultService is the fault point of a daemon in development mode: the rehearsal
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/daemon/forward_test.go
+++ b/daemon/forward_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/globalnode.go
+++ b/daemon/globalnode.go
@@ -8,11 +8,11 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // globalNode is this daemon's member of the global group.
--- a/daemon/globalreports.go
+++ b/daemon/globalreports.go
@@ -5,9 +5,9 @@
 	"slices"
 	"sync"
 
-	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // globalReports holds what a zone leader still has to tell the global group. The
--- a/daemon/globalservice.go
+++ b/daemon/globalservice.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // proposeTimeout bounds a proposal made for a remote caller, below the
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -13,9 +13,9 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/loopback_test.go
+++ b/daemon/loopback_test.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
 )
 
 const (
--- a/daemon/machine.go
+++ b/daemon/machine.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // tableMachine is the global group's state machine: table.State behind
--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -19,7 +19,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -8,12 +8,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/daemon/member_benchmark_test.go
+++ b/daemon/member_benchmark_test.go
@@ -15,9 +15,9 @@
 	"github.com/google/uuid"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // benchmarkSite is a site of three daemons with the default timing.
--- a/daemon/member_test.go
+++ b/daemon/member_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- a/daemon/memberbackup_test.go
+++ b/daemon/memberbackup_test.go
@@ -9,10 +9,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/ctl"
-	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/memberchange.go
+++ b/daemon/memberchange.go
@@ -7,10 +7,10 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/memberjoin_test.go
+++ b/daemon/memberjoin_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/memberkeys_test.go
+++ b/daemon/memberkeys_test.go
@@ -11,9 +11,9 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // secure gives a daemon of the site a certificate and turns development mode off.
--- a/daemon/membermessages.go
+++ b/daemon/membermessages.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/memberoperator.go
+++ b/daemon/memberoperator.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- a/daemon/memberservice.go
+++ b/daemon/memberservice.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // The methods of the internal protocol. The service "Raft" is package group's.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -7,8 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/transport"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/internal/transport"
 )
 
 // metricsHandler serves the daemon's metrics in Prometheus' format. Values are
--- a/daemon/offer.go
+++ b/daemon/offer.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/offer_test.go
+++ b/daemon/offer_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/logstore"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/transport"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // zoneStatusTimeout bounds asking one zone for its status; a zone that does not
--- a/daemon/reportrelay.go
+++ b/daemon/reportrelay.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/requestrouter.go
+++ b/daemon/requestrouter.go
@@ -8,13 +8,13 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/engineapi"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -13,11 +13,11 @@
 	"github.com/google/uuid"
 	"go.uber.org/goleak"
 
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/standby_test.go
+++ b/daemon/standby_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/stream_benchmark_test.go
+++ b/daemon/stream_benchmark_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/streamcache.go
+++ b/daemon/streamcache.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/request/engineapi"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/streamcache_test.go
+++ b/daemon/streamcache_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/engineapi"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/streamsite_test.go
+++ b/daemon/streamsite_test.go
@@ -12,12 +12,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/api"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/viewpace.go
+++ b/daemon/viewpace.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
 )
 
 // ViewPartPause separates two parts of the whole table that a controller sends, of
--- a/daemon/viewstore.go
+++ b/daemon/viewstore.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -9,14 +9,14 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // zoneLeader carries out the decisions of controller.Core while this daemon
--- a/daemon/zonenode.go
+++ b/daemon/zonenode.go
@@ -6,10 +6,10 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // zoneNode is this daemon's member of its zone's group.
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // ZoneService is the net/rpc service of a controller for its zone.
--- a/docs/glossary_test.go
+++ b/docs/glossary_test.go
@@ -26,15 +26,35 @@
 	}
 	for _, list := range regexp.MustCompile("packages? ((?:`[a-z]+`(?:, )?)+)").FindAllStringSubmatch(string(page), -1) {
 		for _, name := range strings.Split(list[1], ", ") {
-			_, err := os.Stat(filepath.Join("..", strings.Trim(name, "`"), "doc.go"))
-			c.Check(err, qt.IsNil, qt.Commentf(name))
+			c.Check(folderOf(c, strings.Trim(name, "`")), qt.Not(qt.Equals), "", qt.Commentf(name))
 		}
 	}
 }
 
+// folderOf finds the folder of a package, or returns "". No two have the same name.
+func folderOf(c *qt.C, name string) string {
+	c.Helper()
+	var found []string
+	for _, pattern := range []string{"*", "*/*", "*/*/*"} {
+		folders, err := filepath.Glob(filepath.Join("..", filepath.Dir(pattern), name, "doc.go"))
+		c.Assert(err, qt.IsNil)
+		found = append(found, folders...)
+	}
+	if len(found) == 0 {
+		return ""
+	}
+	c.Assert(found, qt.HasLen, 1)
+	return filepath.Dir(found[0])
+}
+
 // declares reports whether the package declares a type of that name.
-func declares(c *qt.C, folder, name string) bool {
-	files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
+func declares(c *qt.C, name, typeName string) bool {
+	c.Helper()
+	folder := folderOf(c, name)
+	if folder == "" {
+		return false
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 	c.Assert(err, qt.IsNil)
 	found := false
 	for _, path := range files {
@@ -42,7 +62,7 @@
 		c.Assert(err, qt.IsNil)
 		ast.Inspect(file, func(node ast.Node) bool {
 			declared, isType := node.(*ast.TypeSpec)
-			found = found || isType && declared.Name.Name == name
+			found = found || isType && declared.Name.Name == typeName
 			return !found
 		})
 	}
--- a/hollow/faults.go
+++ b/hollow/faults.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // An ordinary day of the size designed for.
--- a/hollow/globalmember.go
+++ b/hollow/globalmember.go
@@ -1,10 +1,10 @@
 package hollow
 
 import (
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // The methods of the daemon's services, as the headers of calls name them.
--- a/hollow/offer.go
+++ b/hollow/offer.go
@@ -1,7 +1,7 @@
 package hollow
 
 import (
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/operator.go
+++ b/hollow/operator.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // bootstrapRows is how many rows one edit of the bootstrap adds.
--- a/hollow/options.go
+++ b/hollow/options.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/raftmember.go
+++ b/hollow/raftmember.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/routernode.go
+++ b/hollow/routernode.go
@@ -4,12 +4,12 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/hollow/routerview.go
+++ b/hollow/routerview.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/run.go
+++ b/hollow/run.go
@@ -7,7 +7,7 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/runnernode.go
+++ b/hollow/runnernode.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/workload.go
+++ b/hollow/workload.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/hollow/zonebox.go
+++ b/hollow/zonebox.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 )
 
 // bootstrapLoads and the zone's share of runningLoads bound the loads of a zone
--- a/hollow/zoneleader.go
+++ b/hollow/zoneleader.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // roundPause and followPause are those of the daemon: the least time between two
--- a/hollow/zonemember.go
+++ b/hollow/zonemember.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/network/networktest/memory.go
+++ b/internal/network/networktest/memory.go
@@ -8,7 +8,7 @@
 	"sync"
 	"syscall"
 
-	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/internal/network"
 )
 
 const (
--- a/network/networktest/memory_test.go
+++ b/internal/network/networktest/memory_test.go
@@ -13,8 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
 )
 
 const anyPort = "127.0.0.1:0"
--- a/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
 )
 
 func TestPauseEndsWithItsTimeOrItsContext(t *testing.T) {
--- a/transport/faults.go
+++ b/internal/transport/faults.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
 )
 
 // errCut is the cause of what fails because an address is cut.
--- a/transport/options.go
+++ b/internal/transport/options.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/option"
 )
 
 // The defaults for options that are zero.
--- a/transport/tls_test.go
+++ b/internal/transport/tls_test.go
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -14,7 +14,7 @@
 	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/capacity/claim.go
+++ b/kit/capacity/claim.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // answerTokens is the mean length of an answer at the size designed for:
--- a/capacity/engine.go
+++ b/kit/capacity/engine.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/capacity/global.go
+++ b/kit/capacity/global.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // The shape of the site that the probes of the global group use.
--- a/capacity/operator.go
+++ b/kit/capacity/operator.go
@@ -6,8 +6,8 @@
 
 	"github.com/lotusferry/lotusferry/daemon"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 const (
--- a/capacity/plan.go
+++ b/kit/capacity/plan.go
@@ -1,7 +1,7 @@
 package capacity
 
 import (
-	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/placement/controller"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/capacity/raft.go
+++ b/kit/capacity/raft.go
@@ -3,9 +3,9 @@
 import (
 	"math/rand/v2"
 
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/raft"
 )
 
 const methodStep = "Raft.Step"
--- a/capacity/router.go
+++ b/kit/capacity/router.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/capacity/view.go
+++ b/kit/capacity/view.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/capacity/zone.go
+++ b/kit/capacity/zone.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // The shape of one zone at the size designed for.
--- a/emulator/cache_events.go
+++ b/kit/emulator/cache_events.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/clock.go
+++ b/kit/emulator/clock.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
 )
 
 // Clock relates the virtual time of the cores to the time of the machine.
--- a/emulator/engine_handlers.go
+++ b/kit/emulator/engine_handlers.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/engine_server.go
+++ b/kit/emulator/engine_server.go
@@ -9,8 +9,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/engine_stream.go
+++ b/kit/emulator/engine_stream.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/http.go
+++ b/kit/emulator/http.go
@@ -10,7 +10,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/kv.go
+++ b/kit/emulator/kv.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/machine_list.go
+++ b/kit/emulator/machine_list.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/machine_server.go
+++ b/kit/emulator/machine_server.go
@@ -12,7 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/messages.go
+++ b/kit/emulator/messages.go
@@ -1,7 +1,7 @@
 package emulator
 
 import (
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/options.go
+++ b/kit/emulator/options.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/server_test.go
+++ b/kit/emulator/server_test.go
@@ -15,9 +15,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/store.go
+++ b/kit/emulator/store.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 )
 
 // StoreOptions describe a weight store.
--- a/emulator/store_server.go
+++ b/kit/emulator/store_server.go
@@ -9,7 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/store_test.go
+++ b/kit/emulator/store_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/emulator/weights.go
+++ b/kit/emulator/weights.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/checker.go
+++ b/kit/experiment/checker.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/demand.go
+++ b/kit/experiment/demand.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/engine.go
+++ b/kit/experiment/engine.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/placement/controller"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/faults.go
+++ b/kit/experiment/faults.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/zone"
+	"github.com/lotusferry/lotusferry/placement/zone"
 )
 
 // The faults of a day, as means over the whole site, and their shapes.
--- a/experiment/grants.go
+++ b/kit/experiment/grants.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // wish is what a zone last told the global group of a row.
--- a/experiment/leader.go
+++ b/kit/experiment/leader.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // Planner decides about one zone. It must be a function of the snapshot and of
--- a/experiment/learned.go
+++ b/kit/experiment/learned.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/measure.go
+++ b/kit/experiment/measure.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/policy.go
+++ b/kit/experiment/policy.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/report/page.go
+++ b/kit/experiment/report/page.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	shared "github.com/lotusferry/lotusferry/report"
+	shared "github.com/lotusferry/lotusferry/kit/report"
 )
 
 // pageGroup is a Group with its plots.
--- a/experiment/report/plot.go
+++ b/kit/experiment/report/plot.go
@@ -10,8 +10,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
-	"github.com/lotusferry/lotusferry/experiment"
-	shared "github.com/lotusferry/lotusferry/report"
+	"github.com/lotusferry/lotusferry/kit/experiment"
+	shared "github.com/lotusferry/lotusferry/kit/report"
 )
 
 const (
--- a/experiment/report/report_test.go
+++ b/kit/experiment/report/report_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/experiment"
+	"github.com/lotusferry/lotusferry/kit/experiment"
 )
 
 func runOf(site string, policy experiment.Policy, seed uint64, p99, idle float64) experiment.Run {
--- a/experiment/report/summary.go
+++ b/kit/experiment/report/summary.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lotusferry/lotusferry/experiment"
+	"github.com/lotusferry/lotusferry/kit/experiment"
 )
 
 // Spread is a figure over the seeds of a group.
--- a/experiment/report/target.go
+++ b/kit/experiment/report/target.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/lotusferry/lotusferry/experiment"
+	"github.com/lotusferry/lotusferry/kit/experiment"
 )
 
 // Target compares a figure of lotusferry with a bound.
--- a/experiment/request.go
+++ b/kit/experiment/request.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
 )
 
 // outcome is how a request ended.
--- a/experiment/run.go
+++ b/kit/experiment/run.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/lab"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/run_test.go
+++ b/kit/experiment/run_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
-	"github.com/lotusferry/lotusferry/lab"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/lab"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/store.go
+++ b/kit/experiment/store.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/experiment/waits.go
+++ b/kit/experiment/waits.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // WaitCause is what a waiting call waits for.
--- a/experiment/world.go
+++ b/kit/experiment/world.go
@@ -5,13 +5,13 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/experiment/workload"
-	"github.com/lotusferry/lotusferry/lab"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/lab"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // startTime is the Monday on which each run begins.
--- a/experiment/zone.go
+++ b/kit/experiment/zone.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // zoneWorld is one zone: its state machine, engines, routers and leader.
--- a/lab/caller.go
+++ b/kit/lab/caller.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/demo.go
+++ b/kit/lab/demo.go
@@ -10,8 +10,8 @@
 	"github.com/go-kit/log"
 	"github.com/google/uuid"
 
-	"github.com/lotusferry/lotusferry/api"
 	"github.com/lotusferry/lotusferry/operatorapi"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/diskfault.go
+++ b/kit/lab/diskfault.go
@@ -6,8 +6,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 )
 
 // repairLimit bounds the wait for a daemon with a new disk to vote again.
--- a/lab/editfaults.go
+++ b/kit/lab/editfaults.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/editrun.go
+++ b/kit/lab/editrun.go
@@ -9,10 +9,10 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/daemon"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/operatorapi"
-	"github.com/lotusferry/lotusferry/pause"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/lab/edits.go
+++ b/kit/lab/edits.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/faults.go
+++ b/kit/lab/faults.go
@@ -11,10 +11,10 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/daemon"
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // FaultEvent is one fault of a run, for the report's timeline.
--- a/lab/load.go
+++ b/kit/lab/load.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/load_test.go
+++ b/kit/lab/load_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/page.go
+++ b/kit/lab/page.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/report"
+	"github.com/lotusferry/lotusferry/kit/report"
 )
 
 // page is what the HTML page of a run shows.
--- a/lab/plan.go
+++ b/kit/lab/plan.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/platform.go
+++ b/kit/lab/platform.go
@@ -11,8 +11,8 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/kit/emulator"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/plot.go
+++ b/kit/lab/plot.go
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/lotusferry/lotusferry/report"
+	"github.com/lotusferry/lotusferry/kit/report"
 )
 
 const (
--- a/lab/progress.go
+++ b/kit/lab/progress.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/report.go
+++ b/kit/lab/report.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/lab/sitefaults.go
+++ b/kit/lab/sitefaults.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/internal/pause"
 )
 
 // restartLimit bounds the wait for a restarted site to be ready.
--- a/lab/timeline.go
+++ b/kit/lab/timeline.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/labcommand/capacity.go
+++ b/kit/labcommand/capacity.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/lotusferry/lotusferry/capacity"
+	"github.com/lotusferry/lotusferry/kit/capacity"
 )
 
 // capacityLimit bounds all measurements together.
--- a/labcommand/capacity_test.go
+++ b/kit/labcommand/capacity_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/capacity"
 	"github.com/lotusferry/lotusferry/hollow"
+	"github.com/lotusferry/lotusferry/kit/capacity"
 )
 
 func runLab(arguments ...string) (code int, output, failures string) {
--- a/labcommand/compare.go
+++ b/kit/labcommand/compare.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/labcommand/demo.go
+++ b/kit/labcommand/demo.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 )
 
 // demoLimit bounds the whole demonstration.
--- a/labcommand/experiment.go
+++ b/kit/labcommand/experiment.go
@@ -8,10 +8,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/experiment"
-	"github.com/lotusferry/lotusferry/experiment/report"
-	"github.com/lotusferry/lotusferry/experiment/workload"
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/experiment"
+	"github.com/lotusferry/lotusferry/kit/experiment/report"
+	"github.com/lotusferry/lotusferry/kit/experiment/workload"
+	"github.com/lotusferry/lotusferry/kit/lab"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/labcommand/fleet.go
+++ b/kit/labcommand/fleet.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/labcommand/load.go
+++ b/kit/labcommand/load.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/experiment"
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/experiment"
+	"github.com/lotusferry/lotusferry/kit/lab"
 )
 
 // traceSuffix tells a file of recorded calls from the name of a site.
--- a/labcommand/overload.go
+++ b/kit/labcommand/overload.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/overload"
+	"github.com/lotusferry/lotusferry/kit/overload"
 )
 
 // The files that a report folder gets.
--- a/labcommand/overload_test.go
+++ b/kit/labcommand/overload_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/overload"
+	"github.com/lotusferry/lotusferry/kit/overload"
 )
 
 func TestOverloadPrintsAndWritesTheSameReport(t *testing.T) {
--- a/labcommand/platform.go
+++ b/kit/labcommand/platform.go
@@ -4,7 +4,7 @@
 	"strings"
 
 	"github.com/lotusferry/lotusferry/config"
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/labcommand/progress.go
+++ b/kit/labcommand/progress.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 )
 
 // progressEvery separates the lines of progress where they cannot be redrawn.
--- a/labcommand/report.go
+++ b/kit/labcommand/report.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 )
 
 func printTotals(out io.Writer, totals lab.Totals) {
--- a/labcommand/report_test.go
+++ b/kit/labcommand/report_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/lab"
+	"github.com/lotusferry/lotusferry/kit/lab"
 )
 
 func TestFleetListsItsFaultsAndTakesNone(t *testing.T) {
--- a/labcommand/run_test.go
+++ b/kit/labcommand/run_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/labcommand"
+	"github.com/lotusferry/lotusferry/kit/labcommand"
 )
 
 // run runs the command line; what would go on until an interruption ends at once.
@@ -38,7 +38,7 @@
 
 func TestPlatformServesTheZonesOfSettings(t *testing.T) {
 	c := qt.New(t)
-	content, err := os.ReadFile(filepath.Join("..", "examples", "loopback.yaml"))
+	content, err := os.ReadFile(filepath.Join("..", "..", "examples", "loopback.yaml"))
 	c.Assert(err, qt.IsNil)
 	settings := filepath.Join(c.TempDir(), "settings.yaml")
 	write := func(machineList string) {
--- a/labcommand/scenarios.go
+++ b/kit/labcommand/scenarios.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/lotusferry/lotusferry/simulate"
+	"github.com/lotusferry/lotusferry/kit/simulate"
 )
 
 // failure is one thing that fails at a site, and which command brings it about.
--- a/labcommand/scenarios_test.go
+++ b/kit/labcommand/scenarios_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/lotusferry/lotusferry/lab"
-	"github.com/lotusferry/lotusferry/simulate"
+	"github.com/lotusferry/lotusferry/kit/lab"
+	"github.com/lotusferry/lotusferry/kit/simulate"
 )
 
 func run(arguments ...string) (exit int, output, failures string) {
--- a/labcommand/simulate.go
+++ b/kit/labcommand/simulate.go
@@ -5,7 +5,7 @@
 	"os"
 	"strings"
 
-	"github.com/lotusferry/lotusferry/simulate"
+	"github.com/lotusferry/lotusferry/kit/simulate"
 	"github.com/lotusferry/lotusferry/structs"
 	"github.com/pkg/errors"
 )
--- a/overload/policy.go
+++ b/kit/overload/policy.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/router"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/overload/site.go
+++ b/kit/overload/site.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
-	"github.com/lotusferry/lotusferry/simulate"
+	"github.com/lotusferry/lotusferry/kit/simulate"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/overload/wakeup.go
+++ b/kit/overload/wakeup.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/simulate"
+	"github.com/lotusferry/lotusferry/kit/simulate"
 )
 
 // wakeup calls a host at the earliest of the times that it asked for since the last call.
--- a/simulate/claimdesk.go
+++ b/kit/simulate/claimdesk.go
@@ -4,10 +4,10 @@
 	"maps"
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // claimDesk takes in the claim operations for a zone on its leader, in one life of
--- a/simulate/editrecords.go
+++ b/kit/simulate/editrecords.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sort"
 
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // intentID names what an operator wants to do; all resends are of one intent.
--- a/simulate/emulatedengine.go
+++ b/kit/simulate/emulatedengine.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/globalservice.go
+++ b/kit/simulate/globalservice.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // zoneSetupInterval is how often the global leader looks whether all zones are in
--- a/simulate/grantsteps.go
+++ b/kit/simulate/grantsteps.go
@@ -5,9 +5,9 @@
 	"slices"
 	"sort"
 
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // checkerGrantSteps guards that each committed command of the table and of a zone
--- a/simulate/homegroup.go
+++ b/kit/simulate/homegroup.go
@@ -1,8 +1,8 @@
 package simulate
 
 import (
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // homeGroup is a zone's group as routers see it: the home of claims.
--- a/simulate/ledger.go
+++ b/kit/simulate/ledger.go
@@ -5,9 +5,9 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 // The names of the checkers.
--- a/simulate/loadrecords.go
+++ b/kit/simulate/loadrecords.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/member.go
+++ b/kit/simulate/member.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // The pace of the simulated groups.
--- a/simulate/message.go
+++ b/kit/simulate/message.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/ordersteps.go
+++ b/kit/simulate/ordersteps.go
@@ -1,8 +1,8 @@
 package simulate
 
 import (
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // checkerOrderSteps guards that reservations, what leaders do about them, and what
--- a/simulate/replicatedhome.go
+++ b/kit/simulate/replicatedhome.go
@@ -1,8 +1,8 @@
 package simulate
 
 import (
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // replicatedHome is a zone's replicated group as one router sees it: it asks the
--- a/simulate/requestanswers.go
+++ b/kit/simulate/requestanswers.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/answerstore"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/requestcaller.go
+++ b/kit/simulate/requestcaller.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/requestclaims.go
+++ b/kit/simulate/requestclaims.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/simulate/requestcontrol.go
+++ b/kit/simulate/requestcontrol.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/requestengine.go
+++ b/kit/simulate/requestengine.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/emulator"
+	"github.com/lotusferry/lotusferry/kit/emulator"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/requestrouter.go
+++ b/kit/simulate/requestrouter.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/answerstore"
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/request/answerstore"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/requestzone.go
+++ b/kit/simulate/requestzone.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/simulate/specification_test.go
+++ b/kit/simulate/specification_test.go
@@ -64,7 +64,7 @@
 		{"grants.pml", `(?m)^(?:inline|proctype) ([A-Z]\w*)\(`, grantTransitions, []string{"Global", "Deliver", "Network"}},
 		{"orders.pml", `(?m)^inline ([A-Z]\w*)\(`, orderTransitions, nil},
 	} {
-		text, err := os.ReadFile("../spec/" + test.model)
+		text, err := os.ReadFile("../../spec/" + test.model)
 		qt.Assert(t, err, qt.IsNil)
 		var named []string
 		for _, match := range regexp.MustCompile(test.pattern).FindAllStringSubmatch(string(text), -1) {
--- a/simulate/statemachine.go
+++ b/kit/simulate/statemachine.go
@@ -1,9 +1,9 @@
 package simulate
 
 import (
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // zoneMachine replicates a zone's state.
--- a/simulate/store.go
+++ b/kit/simulate/store.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 )
 
 // batch is what one Ready makes durable, as one record: it is on the disk whole
--- a/simulate/tablemutation.go
+++ b/kit/simulate/tablemutation.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/table"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/simulate/tablesite.go
+++ b/kit/simulate/tablesite.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/simulate/zonecontroller.go
+++ b/kit/simulate/zonecontroller.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/controller"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/controller"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/network"
+	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/operatorapi/operatorapi_test.go
+++ b/operatorapi/operatorapi_test.go
@@ -16,8 +16,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/keys"
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/operatorapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- a/controller/ahead_test.go
+++ b/placement/controller/ahead_test.go
@@ -5,9 +5,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // aheadWorld is a zone with the empty runners r-0 and r-1, of 100 bytes each, and the
--- a/controller/benchmark_test.go
+++ b/placement/controller/benchmark_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // BenchmarkDecide measures a decision in a zone of 420 runners and 58,000 rows: with
--- a/controller/claims.go
+++ b/placement/controller/claims.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // The defaults of Options about claims.
--- a/controller/claims_model_test.go
+++ b/placement/controller/claims_model_test.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/router"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/controller/claims_test.go
+++ b/placement/controller/claims_test.go
@@ -6,9 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 var claimTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
--- a/controller/claims_world_test.go
+++ b/placement/controller/claims_world_test.go
@@ -9,9 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/router"
+	"github.com/lotusferry/lotusferry/placement/zone"
+	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // apply commits claim operations; the leader may die before or after.
--- a/controller/core.go
+++ b/placement/controller/core.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // Options are the constants of a Core. Zero fields take their defaults.
--- a/controller/core_test.go
+++ b/placement/controller/core_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/controller/decider.go
+++ b/placement/controller/decider.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // decider makes one set of decisions.
--- a/controller/demand.go
+++ b/placement/controller/demand.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/controller/demand_test.go
+++ b/placement/controller/demand_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/controller/model_test.go
+++ b/placement/controller/model_test.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 const (
--- a/controller/orders.go
+++ b/placement/controller/orders.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // followReplicas compares the records of each runner with its report: it records
--- a/controller/prefetch.go
+++ b/placement/controller/prefetch.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // The time for which a prefetch counts as a read of the store, unless its checkpoint
--- a/controller/records.go
+++ b/placement/controller/records.go
@@ -1,9 +1,9 @@
 package controller
 
 import (
-	"github.com/lotusferry/lotusferry/scheduler"
+	"github.com/lotusferry/lotusferry/placement/scheduler"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // records are the runners and replicas of a zone's state, in order. Most rounds find
--- a/controller/silence.go
+++ b/placement/controller/silence.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // maxSilentPart is the part of the zone's runners, as a divisor, up to which
--- a/controller/silence_test.go
+++ b/placement/controller/silence_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // silenceWorld is a zone with three runners, whose commands apply at once.
--- a/domain/compress.go
+++ b/placement/domain/compress.go
@@ -1,7 +1,7 @@
 package domain
 
 import (
-	"github.com/lotusferry/lotusferry/deflate"
+	"github.com/lotusferry/lotusferry/internal/deflate"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domain/machine.go
+++ b/placement/domain/machine.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/group"
+	"github.com/lotusferry/lotusferry/agreement/group"
 )
 
 // maxDepartures bounds the departures that are remembered; the oldest go first.
--- a/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -6,11 +6,11 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/raft"
-	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/placement/domain"
 )
 
 // routerContact is what the leader knows of a router.
--- a/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -16,12 +16,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/network/networktest"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domainnode/heartbeats.go
+++ b/placement/domainnode/heartbeats.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/domainapi"
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 const (
--- a/domainnode/heartbeats_test.go
+++ b/placement/domainnode/heartbeats_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 // recordedCalls stands in for the leader.
--- a/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -8,12 +8,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/raft"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domainnode/membership.go
+++ b/placement/domainnode/membership.go
@@ -8,11 +8,11 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/domainapi"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/raft"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -13,15 +13,15 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/domainapi"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/logstore"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/pause"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/logstore"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 const (
--- a/domainnode/operator.go
+++ b/placement/domainnode/operator.go
@@ -6,10 +6,10 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/domainapi"
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/leadercall"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 // callerTimeout bounds a call from outside: its sender turns to another controller
--- a/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -7,12 +7,12 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/option"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // Decoder reads the text of a document. It returns an error for a text that cannot be
--- a/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
 // ordersFrom is when a leader that begins at the time may send its first order: a lease
--- a/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -7,11 +7,11 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/domain"
-	"github.com/lotusferry/lotusferry/domainapi"
-	"github.com/lotusferry/lotusferry/group"
-	"github.com/lotusferry/lotusferry/raft"
-	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/domain"
+	"github.com/lotusferry/lotusferry/placement/domain"
 )
 
 const (
--- a/fleet/codec.go
+++ b/placement/fleet/codec.go
@@ -4,7 +4,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lotusferry/lotusferry/deflate"
+	"github.com/lotusferry/lotusferry/internal/deflate"
 )
 
 const (
--- a/residency/cost.go
+++ b/placement/residency/cost.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 const (
--- a/residency/forecast_test.go
+++ b/placement/residency/forecast_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 // forecastOf is what the planner expects for the model m with the number.
--- a/residency/options.go
+++ b/placement/residency/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
 )
 
 // Options are the settings of a Planner; zero values mean the defaults.
--- a/residency/pace_test.go
+++ b/placement/residency/pace_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 func TestSlowRunnersAreFoundByTheirStreams(t *testing.T) {
--- a/residency/planner.go
+++ b/placement/residency/planner.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/site"
-	"github.com/lotusferry/lotusferry/weightstore"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/placement/weightstore"
 )
 
 // Planner decides on loads and unloads. Its methods must not run at the same time.
--- a/residency/planner_test.go
+++ b/placement/residency/planner_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 var start = time.Unix(5000, 0)
--- a/residency/runner.go
+++ b/placement/residency/runner.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // phase is how far a model or adapter is.
--- a/residency/simulated_test.go
+++ b/placement/residency/simulated_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // simulatedRunner executes orders as a runner of the platform does: one order about a
--- a/residency/store.go
+++ b/placement/residency/store.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/site"
-	"github.com/lotusferry/lotusferry/weightstore"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/placement/weightstore"
 )
 
 // storeKeptTime is how long a place at the weight store is kept while the model that
--- a/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // manyModels is a service with 20 models of which a runner holds one at a time.
--- a/residency/types.go
+++ b/placement/residency/types.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 // Operation is what an order asks of a runner.
--- a/tablefile/tablefile_test.go
+++ b/placement/tablefile/tablefile_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/lotusferry/lotusferry/placement/table"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/table"
 )
 
 var formats = []Format{FormatCSV, FormatYAML, FormatJSON}
--- a/api/handler.go
+++ b/request/api/handler.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/api/openai_test.go
+++ b/request/api/openai_test.go
@@ -11,7 +11,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/lotusferry/lotusferry/api"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/api/service_test.go
+++ b/request/api/service_test.go
@@ -13,8 +13,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/api"
-	"github.com/lotusferry/lotusferry/keys"
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/engineapi/client.go
+++ b/request/engineapi/client.go
@@ -13,8 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/engineapi/stream_test.go
+++ b/request/engineapi/stream_test.go
@@ -16,8 +16,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/engineapi"
-	"github.com/lotusferry/lotusferry/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/relay/answer.go
+++ b/request/relay/answer.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 )
 
 type wholeAnswer struct {
--- a/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 const (
--- a/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -10,10 +10,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/pause"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 func TestDeferral(t *testing.T) {
--- a/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 )
 
 // name is the outcome of the attempt in metrics.
--- a/relay/failure_test.go
+++ b/request/relay/failure_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/fleet"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 // A runner's failure is passed on as it was when no other runner may or can be tried.
--- a/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // metrics are a router's counters. There are as many series as kinds of route and
--- a/relay/options.go
+++ b/request/relay/options.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // ErrNotSent says that no byte of a request has been sent.
--- a/relay/queue.go
+++ b/request/relay/queue.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -17,9 +17,9 @@
 	"github.com/go-kit/log"
 	pkgerrors "github.com/pkg/errors"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // scriptedBackend answers attempts by a function, and notes them.
--- a/relay/router.go
+++ b/request/relay/router.go
@@ -10,14 +10,14 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/leadercall"
-	"github.com/lotusferry/lotusferry/network"
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/routing"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/transport"
 )
 
 // Router passes requests on to runners.
--- a/relay/row.go
+++ b/request/relay/row.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lotusferry/lotusferry/fleet"
-	"github.com/lotusferry/lotusferry/residency"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/relay/stream.go
+++ b/request/relay/stream.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/residency"
-	"github.com/lotusferry/lotusferry/routing"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
 )
 
 // relayStream passes on whole events, each as it comes.
--- a/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
-	"github.com/lotusferry/lotusferry/site"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/arrive.go
+++ b/request/router/arrive.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/request/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/attempt.go
+++ b/request/router/attempt.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/claim.go
+++ b/request/router/claim.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/core_test.go
+++ b/request/router/core_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/dispatch.go
+++ b/request/router/dispatch.go
@@ -5,8 +5,8 @@
 	"container/heap"
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/fairness_test.go
+++ b/request/router/fairness_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/admission"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/finish.go
+++ b/request/router/finish.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/options.go
+++ b/request/router/options.go
@@ -4,9 +4,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
-	"github.com/lotusferry/lotusferry/option"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/report.go
+++ b/request/router/report.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/request/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/request.go
+++ b/request/router/request.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/review.go
+++ b/request/router/review.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/request/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/row.go
+++ b/request/router/row.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/admission"
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/tokens_test.go
+++ b/request/router/tokens_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/request/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/view.go
+++ b/request/router/view.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"github.com/lotusferry/lotusferry/admission"
+	"github.com/lotusferry/lotusferry/request/admission"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/router/viewreader_test.go
+++ b/request/router/viewreader_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
-	"github.com/lotusferry/lotusferry/zone"
 )
 
 // readerSite is a router that reads its view from members of a zone's group, which
--- a/router/world_test.go
+++ b/request/router/world_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/lotusferry/lotusferry/routing"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/routing/balancer_test.go
+++ b/request/routing/balancer_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/lotusferry/lotusferry/engineapi"
+	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/routing/options.go
+++ b/request/routing/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
--- a/routing/retry.go
+++ b/request/routing/retry.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lotusferry/lotusferry/option"
+	"github.com/lotusferry/lotusferry/internal/option"
 )
 
 // Defaults of the retry budget and the backoff.
