--- a/kit/labcommand/run.go
+++ b/kit/labcommand/run.go
@@ -48,7 +48,6 @@
 	Platform   platformCommand   `command:"platform" description:"Run stand-ins for engines, weight store and machine list for a site of your own settings"`
 	Load       loadCommand       `command:"load" description:"Put load on routers that run, and measure what callers see"`
 	Compare    compareCommand    `command:"compare" description:"Compare two reports of the commands fleet or load"`
-	Hollow     hollowCommand     `command:"hollow" description:"Run a site of the size designed for in one process and in virtual time"`
 	Experiment experimentCommand `command:"experiment" description:"Replay days of a site's calls in virtual time, and compare ways to place replicas"`
 	Overload   overloadCommand   `command:"overload" description:"Measure goodput, waits, refusals and fairness beyond capacity, beside baselines"`
 	Simulate   simulateCommand   `command:"simulate" description:"Run whole sites in one process and in virtual time, from seeds, with faults"`
@@ -66,7 +65,6 @@
 		Platform:   platformCommand{session: shared},
 		Load:       loadCommand{session: shared},
 		Compare:    compareCommand{session: shared},
-		Hollow:     hollowCommand{session: shared},
 		Experiment: experimentCommand{session: shared},
 		Overload:   overloadCommand{session: shared},
 		Simulate:   simulateCommand{session: shared},
