Log and count loads: estimate against outcome, what is unmet and why, what the store bears

On-call engineers could not tell from metrics why a model was not loaded. The line on the demand lists unmet models with their obstacle and the use of each store; a line tells the end of each load with what was expected; five metrics, on the page of metrics. No change of policy.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -192,9 +192,11 @@
 	l.planned = make(chan struct{})
 	l.refresh(at)
 	judged := l.planner.TakeJudgements()
+	ended := l.planner.TakeEndedLoads()
 	l.recordRegistrations()
 	l.sumUp(at)
 	l.mutex.Unlock()
+	l.noteEndedLoads(ended)
 	for _, found := range judged {
 		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
 			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", found.Slowness)
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -18,6 +18,11 @@
 	waiting    prometheus.Gauge
 	version    prometheus.Gauge
 	reopened   prometheus.Counter
+	loadTime   *prometheus.HistogramVec
+	loadExcess *prometheus.HistogramVec
+	unmet      *prometheus.GaugeVec
+	storeLoads *prometheus.GaugeVec
+	storeLimit *prometheus.GaugeVec
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -32,6 +37,15 @@
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help})
 	}
+	gauges := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+	}
+	seconds := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: name, Help: help,
+			Buckets: []float64{0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 12, 20},
+		}, []string{"source"})
+	}
 	made := &metrics{
 		leads:      gauge("leads", "1 while this controller leads."),
 		changes:    counter("leaderships_total", "Leaderships that this controller began."),
@@ -49,11 +63,17 @@
 		routers:    gauge("routers", "Routers that share what is granted."),
 		waiting:    gauge("waiting_requests", "Requests that no runner can serve yet, as reported by routers."),
 		version:    gauge("document_version", "Version of the document that this leader works by."),
+		loadTime:   seconds("load_seconds", "Time from the order of a load to the news of its end, by source: store or copy."),
+		loadExcess: seconds("load_excess_seconds", "By how much loads took longer than was expected, by source: store or copy."),
+		unmet:      gauges("unmet_models", "Models that should be loaded and are not, by obstacle.", "obstacle"),
+		storeLoads: gauges("store_loads", "Loads from the weight store under way, by service.", "service"),
+		storeLimit: gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
 		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
-			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened)
+			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
+			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit)
 	}
 	return made
 }
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
 const (
@@ -35,18 +36,57 @@
 				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
 		}
 	}
-	var unmet []string
-	for _, wanted := range l.planner.Unmet() {
-		if len(unmet) < summaryModels {
-			unmet = append(unmet, fmt.Sprintf("%s:%.1f,%s", wanted.Row.Model, wanted.Gain, wanted.Obstacle))
-		}
-	}
+	unmet := l.unmetNeeds()
+	stores := l.storeStates()
 	l.node.metrics.waiting.Set(float64(waiting))
 	l.node.metrics.runners.Set(float64(l.views.Runners()))
 	l.node.metrics.routers.Set(float64(len(l.routers)))
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
-		"models", strings.Join(models, " "), "unmet", strings.Join(unmet, " "), "store", l.planner.StoreSummary())
+		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores)
+}
+
+// unmetNeeds tells which models should be loaded and why they are not. It runs under the
+// mutex.
+func (l *leadership) unmetNeeds() string {
+	var listed []string
+	counts := make(map[residency.Obstacle]int)
+	for _, wanted := range l.planner.Unmet() {
+		counts[wanted.Obstacle]++
+		if len(listed) < summaryModels {
+			listed = append(listed, fmt.Sprintf("%s:%.1f,%s", wanted.Row.Model, wanted.Gain, wanted.Obstacle))
+		}
+	}
+	for _, obstacle := range residency.Obstacles() {
+		l.node.metrics.unmet.WithLabelValues(obstacle.String()).Set(float64(counts[obstacle]))
+	}
+	return strings.Join(listed, " ")
+}
+
+// storeStates tells how many loads from each weight store are under way, of how many that
+// it bears. It runs under the mutex.
+func (l *leadership) storeStates() string {
+	var listed []string
+	for _, state := range l.planner.Stores() {
+		listed = append(listed, fmt.Sprintf("%s:%d/%d", state.Service, state.UnderWay, state.Limit))
+		l.node.metrics.storeLoads.WithLabelValues(state.Service).Set(float64(state.UnderWay))
+		l.node.metrics.storeLimit.WithLabelValues(state.Service).Set(float64(state.Limit))
+	}
+	return strings.Join(listed, " ")
+}
+
+// noteEndedLoads logs and counts loads that have ended.
+func (l *leadership) noteEndedLoads(ended []residency.EndedLoad) {
+	for _, load := range ended {
+		source := "copy"
+		if load.FromStore {
+			source = "store"
+		}
+		l.node.metrics.loadTime.WithLabelValues(source).Observe(load.Took.Seconds())
+		l.node.metrics.loadExcess.WithLabelValues(source).Observe(max(0, load.Took-load.Expected).Seconds())
+		level.Info(l.logger).Log("msg", "A load ended.", "runner", load.Instance, "model", load.Model, "source", source,
+			"took", load.Took, "expected", load.Expected)
+	}
 }
 
 // maxRecorded bounds the registrations in one command.
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -24,6 +24,11 @@
 	ObstacleLease
 )
 
+// Obstacles lists all but ObstacleNone.
+func Obstacles() []Obstacle {
+	return []Obstacle{ObstacleBusy, ObstacleStore, ObstacleRoom, ObstacleCost, ObstacleLease}
+}
+
 // String returns the name used in logs.
 func (o Obstacle) String() string {
 	names := [...]string{"none", "runners_busy", "store_full", "no_room", "cost", "lease"}
@@ -63,9 +68,7 @@
 	}
 	known.reserved = ""
 	order := p.send(now, known, Load, model, "")
-	if fromStore {
-		p.beginStoreLoad(now, known, wanted.row)
-	}
+	p.beginLoad(now, known, wanted.row, fromStore)
 	return order, true
 }
 
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -31,8 +31,10 @@
 	// usedAt is when a request last needed it.
 	usedAt   time.Time
 	adapters map[string]*holding
-	// fromStore is set if the model comes or came from the weight store.
+	// fromStore is set if the model comes or came from the weight store, and expected is
+	// how long its load was expected to take; 0 for one that this planner did not order.
 	fromStore bool
+	expected  time.Duration
 	// isListed is set once a heartbeat that was heard has listed the model: only then
 	// is a heartbeat that does not list it certainly a newer one.
 	isListed bool
@@ -63,6 +65,9 @@
 	// reserved is the model for which room is being made, until reservedUntil.
 	reserved      string
 	reservedUntil time.Time
+	// ended are the loads that have ended since they were last taken; see
+	// Planner.TakeEndedLoads.
+	ended []EndedLoad
 	// storeKeptUntil is until when a place at the weight store is kept for that model.
 	storeKeptUntil time.Time
 }
@@ -166,6 +171,7 @@
 			held.usedAt = time.Time{}
 			r.holdings[said.Name] = held
 		case held.phase == phaseLoading || held.phase == phaseUncertain:
+			r.noteEnded(now, said.Name, held)
 			held.phase, held.since = phaseReady, now
 		}
 		held.isListed = true
@@ -189,6 +195,17 @@
 	}
 }
 
+// noteEnded notes the end of a load that this planner ordered.
+func (r *runner) noteEnded(now time.Time, model string, held *holding) {
+	if held.expected <= 0 {
+		return
+	}
+	r.ended = append(r.ended, EndedLoad{
+		Service: r.status.Heartbeat.Service, Instance: r.status.Heartbeat.Instance, Model: model,
+		FromStore: held.fromStore, Took: now.Sub(held.since), Expected: held.expected,
+	})
+}
+
 // reconcile takes a whole report that was made after the last order was settled. A
 // runner that is busy with an order of which the planner does not know, as after a
 // change of the leader, must be asked again: what it loads counts for its memory but
@@ -201,6 +218,9 @@
 	for _, said := range report.Models {
 		held := newHolding(now, phaseReady)
 		if former := known[said.Name]; former != nil {
+			if former.phase == phaseLoading || former.phase == phaseUncertain {
+				r.noteEnded(now, said.Name, former)
+			}
 			held.usedAt, held.since, held.isListed = former.usedAt, former.since, former.isListed
 			if report.Busy && former.phase == phaseUnloading {
 				held.phase = phaseUnloading
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -145,22 +144,46 @@
 	return count
 }
 
-// beginStoreLoad notes that a load from the weight store begins.
-func (p *Planner) beginStoreLoad(now time.Time, known *runner, row Row) {
-	known.holdings[row.Model].fromStore = true
-	known.storeKeptUntil = time.Time{}
+// beginLoad notes that a load that was just ordered begins.
+func (p *Planner) beginLoad(now time.Time, known *runner, row Row, fromStore bool) {
 	model := p.engineOf(known).ModelByName(row.Model)
+	held := known.holdings[row.Model]
+	if !fromStore {
+		held.expected = loadTime(known, model)
+		return
+	}
+	store := p.store(row.Service)
+	held.fromStore, held.expected = true, store.Expected(model.LoadTime)
+	known.storeKeptUntil = time.Time{}
 	key := weightstore.Key{Instance: known.status.Heartbeat.Instance, Model: row.Model}
-	p.store(row.Service).Begin(now, weightstore.Load{Key: key, Nominal: model.LoadTime})
+	store.Begin(now, weightstore.Load{Key: key, Nominal: model.LoadTime})
+}
+
+// TakeEndedLoads lists the loads that have ended since the last call.
+func (p *Planner) TakeEndedLoads() []EndedLoad {
+	var ended []EndedLoad
+	for _, known := range p.sorted() {
+		ended = append(ended, known.ended...)
+		known.ended = nil
+	}
+	return ended
+}
+
+// StoreState is how a service's weight store is used.
+type StoreState struct {
+	Service string
+	// UnderWay counts the loads under way, and Limit how many at once the store is believed
+	// to serve at full speed.
+	UnderWay int
+	Limit    int
 }
 
-// StoreSummary tells for each service how many loads from its weight store are under way
-// and how many at once it is believed to bear, for logs.
-func (p *Planner) StoreSummary() string {
-	var parts []string
+// Stores lists the states of the weight stores by service.
+func (p *Planner) Stores() []StoreState {
+	var states []StoreState
 	for service, store := range p.stores {
-		parts = append(parts, fmt.Sprintf("%s:%d/%d", service, store.UnderWay(), store.Limit()))
+		states = append(states, StoreState{service, store.UnderWay(), store.Limit()})
 	}
-	slices.Sort(parts)
-	return strings.Join(parts, " ")
+	slices.SortFunc(states, func(a, b StoreState) int { return strings.Compare(a.Service, b.Service) })
+	return states
 }
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -109,6 +109,19 @@
 	Count    int
 }
 
+// EndedLoad is a load of a model that has ended.
+type EndedLoad struct {
+	Service  string
+	Instance string
+	Model    string
+	// FromStore is set if the model came from the weight store, not from a copy.
+	FromStore bool
+	// Took is the time from the order to the news that the model is ready, Expected what
+	// was expected when it was ordered.
+	Took     time.Duration
+	Expected time.Duration
+}
+
 // Pace is how quickly a runner made the events of a stream.
 type Pace struct {
 	Service  string
