Plan at a cost by what changes: copies and models by map, each runner weighed once a plan

Change: runners that take orders, copies, room being made and places kept are listed once a plan; a runner is weighed when it is first looked at; without a place at the store only runners with a copy are. The decisions are the same, and all tests pass unchanged. What is left is the tally of all rows in each plan.

--- /dev/null
+++ b/placement/residency/benchmark_test.go
@@ -0,0 +1,70 @@
+package residency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
+)
+
+// benchmarkPlanner is a planner of so many runners, each with three of the models and
+// copies of sixteen, and of as many rows in demand; one model in twenty is waited for.
+func benchmarkPlanner(runners, rows int) *Planner {
+	random := rand.New(rand.NewPCG(1, 1))
+	engine := &site.Engine{WeightsMB: 300, MaxAdapters: 8, LoadsPerSecond: 36}
+	models := max(50, runners*5)
+	for i := range models {
+		engine.Models = append(engine.Models, site.Model{
+			Name: fmt.Sprint("m", i), SizeMB: 80, Adapters: 1000, AdapterMB: 1, LoadTime: 6 * time.Second,
+			DiskLoadTime: time.Second, MemoryLoadTime: time.Second / 2,
+		})
+	}
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(site.NewIndex(&site.Document{Version: 1, Services: []site.Service{{Name: "s", Engine: engine}}}))
+	var statuses []fleet.Status
+	for i := range runners {
+		name := fmt.Sprint("r", i)
+		heartbeat := fleet.Heartbeat{Instance: name, Service: "s", Address: name, Sequence: 1}
+		for j := range 3 {
+			heartbeat.Models = append(heartbeat.Models, fleet.LoadedModel{Name: fmt.Sprint("m", (i*3+j)%models)})
+		}
+		for range 16 {
+			heartbeat.OnDisk = append(heartbeat.OnDisk, fmt.Sprint("m", random.IntN(models)))
+		}
+		statuses = append(statuses, fleet.Status{Heartbeat: heartbeat})
+	}
+	p.SetRunners(start, statuses)
+	for _, status := range statuses {
+		p.Reported(start, start, status.Heartbeat.Instance, Report{Models: status.Heartbeat.Models})
+	}
+	var demands []Demand
+	for i := range rows {
+		demand := Demand{Row: Row{Service: "s", Model: fmt.Sprint("m", i%models)}, Arrived: 1, Objective: time.Second}
+		if i >= models {
+			demand.Row.Adapter = fmt.Sprint("a", i/models)
+		}
+		if i%models%20 == 0 && i < models {
+			demand.Waiting = 1
+		}
+		demands = append(demands, demand)
+	}
+	p.Observe(start, "router", demands)
+	return p
+}
+
+// BenchmarkPlan measures one plan, by the number of runners and of rows in demand.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ runners, rows int }{{9, 100}, {90, 500}, {90, 5000}, {300, 5000}, {1000, 58000}} {
+		b.Run(fmt.Sprintf("%d-runners-%d-rows", size.runners, size.rows), func(b *testing.B) {
+			p := benchmarkPlanner(size.runners, size.rows)
+			p.Plan(start)
+			b.ResetTimer()
+			for b.Loop() {
+				p.Plan(start.Add(time.Millisecond))
+			}
+		})
+	}
+}
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -21,38 +22,13 @@
 // because of what must make way, and the time of the load. victim is the first model
 // to unload, or "". It is not possible if more is lost than gained.
 func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) (cost float64, victim string, isPossible bool) {
-	cost = p.placeCost(known, model, wanted)
-	free := engine.WeightsMB - known.usedMB(engine) - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
+	cost = p.placeCost(now, known, engine, model, wanted)
+	found := p.weigh(now, known, engine)
+	free := found.freeMB - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
 	if free >= model.SizeMB {
 		return cost, "", true
 	}
-	type candidate struct {
-		name   string
-		sizeMB float64
-		value  float64
-	}
-	var candidates []candidate
-	for name, held := range known.holdings {
-		listed := engine.ModelByName(name)
-		if listed == nil {
-			candidates = append(candidates, candidate{name, engine.WeightsMB, 0})
-			continue
-		}
-		if held.phase != phaseReady || !p.isIdle(now, known, name, held) {
-			continue
-		}
-		candidates = append(candidates, candidate{name, listed.SizeMB, p.value(known, listed) * p.unobserved(now)})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		switch {
-		case a.value < b.value:
-			return -1
-		case a.value > b.value:
-			return 1
-		}
-		return strings.Compare(a.name, b.name)
-	})
-	for _, leaving := range candidates {
+	for _, leaving := range found.candidates {
 		if victim == "" {
 			victim = leaving.name
 		}
@@ -68,53 +44,79 @@
 	return 0, "", false
 }
 
-// crowdHarm is the part of the requests above what a runner should get that are late.
-const crowdHarm = 0.2
+// weighed is what loads at a runner are weighed by in one plan. It does not change with the
+// model, so that it is worked out once for all models that a plan looks for places for.
+type weighed struct {
+	freeMB float64
+	// candidates may make way, the least valuable first.
+	candidates []candidate
+	// load is the demand in requests a second that the runner's replicas should get: all of
+	// them share its batch.
+	load float64
+	// adapterHarm is how many requests a second must wait for an adapter while the runner
+	// takes no order because it loads a model.
+	adapterHarm float64
+}
 
-// load is the demand in requests a second that the runner's replicas should get: all of
-// them share its batch.
-func (p *Planner) load(known *runner) float64 {
-	total := 0.0
+// candidate is a model that may make way.
+type candidate struct {
+	name   string
+	sizeMB float64
+	value  float64
+}
+
+// weigh weighs a runner, once in a plan.
+func (p *Planner) weigh(now time.Time, known *runner, engine *site.Engine) *weighed {
+	if known.weighed != nil {
+		return known.weighed
+	}
+	found := &weighed{freeMB: engine.WeightsMB - known.usedMB(engine)}
+	unobserved := p.unobserved(now)
 	for name, held := range known.holdings {
 		row := known.rowOf(name)
 		if replicas := len(p.holders(row)) + len(p.coming(row)); replicas > 0 && held.phase != phaseUnloading {
-			total += p.modelDemand(row).rate / float64(replicas)
+			found.load += p.modelDemand(row).rate / float64(replicas)
+		}
+		if replicas := len(p.holders(row)); replicas > 0 {
+			found.adapterHarm += p.tally.adapterRates[row] / float64(replicas) * adapterMiss
+		}
+		listed := engine.ModelByName(name)
+		switch {
+		case listed == nil:
+			found.candidates = append(found.candidates, candidate{name, engine.WeightsMB, 0})
+		case held.phase == phaseReady && p.isIdle(now, known, name, held):
+			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed) * unobserved})
 		}
 	}
-	return total
+	slices.SortFunc(found.candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), strings.Compare(a.name, b.name))
+	})
+	known.weighed = found
+	return found
 }
 
+// crowdHarm is the part of the requests above what a runner should get that are late.
+const crowdHarm = 0.2
+
 // adapterMiss is the part of the requests for adapters that need one which the runner
 // does not hold yet.
 const adapterMiss = 0.5
 
-// adapterHarm is how many requests a second must wait for an adapter while the runner
-// takes no order because it loads a model.
-func (p *Planner) adapterHarm(known *runner) float64 {
-	rate := 0.0
-	for name := range known.holdings {
-		row := known.rowOf(name)
-		if replicas := len(p.holders(row)); replicas > 0 {
-			rate += p.tally.adapterRates[row] / float64(replicas)
-		}
-	}
-	return rate * adapterMiss
-}
-
 // placeCost weighs a load of the model on the runner by the time that it takes and by how
 // well the runner can serve the model beside what it holds.
-func (p *Planner) placeCost(known *runner, model *site.Model, wanted need) float64 {
+func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) float64 {
+	found := p.weigh(now, known, engine)
 	most := p.rateOf(wanted.row.Service)
 	rate := min(p.modelDemand(wanted.row).rate, most)
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
 	cost := seconds * loadWeight
-	cost += seconds * p.adapterHarm(known)
+	cost += seconds * found.adapterHarm
 	if wanted.isWaitedFor {
 		cost += seconds * arrivalWeight * rate
 	}
 	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
-		cost += crowdHarm * max(0, p.load(known)+rate-most) * horizon
+		cost += crowdHarm * max(0, found.load+rate-most) * horizon
 	}
 	if p.isSlow(known) {
 		cost += slowHarm(rate) * rate * horizon
@@ -177,11 +179,13 @@
 	return max(0, excess)*horizon + demand.rate*spareValue
 }
 
+// loadTime is how long a load of the model at the runner takes, from where its machine has
+// a copy or from the weight store.
 func loadTime(known *runner, model *site.Model) time.Duration {
-	switch {
-	case slices.Contains(known.status.Heartbeat.InMemory, model.Name):
+	switch known.copies[model.Name] {
+	case copyInMemory:
 		return model.MemoryLoadTime
-	case slices.Contains(known.status.Heartbeat.OnDisk, model.Name):
+	case copyOnDisk:
 		return model.DiskLoadTime
 	}
 	return model.LoadTime
--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -24,6 +24,7 @@
 		}
 	}
 	queued := make(map[string]int)
+	free := p.storesFree(now)
 	for _, wanted := range needs {
 		if wanted.obstacle != ObstacleNone {
 			p.unmet = append(p.unmet, wanted)
@@ -31,7 +32,7 @@
 		if _, isComing := p.readyAt[wanted.row]; isComing || !wanted.isWaitedFor {
 			continue
 		}
-		if in, isKnown := p.readyIn(now, wanted, queued); isKnown {
+		if in, isKnown := p.readyIn(now, wanted, queued, free[wanted.row.Service]); isKnown {
 			p.readyAt[wanted.row] = now.Add(in)
 		}
 	}
@@ -51,8 +52,9 @@
 }
 
 // readyIn is how long it takes until a model is ready that is not being loaded yet.
-// queued counts the models of each service that wait for the weight store before it.
-func (p *Planner) readyIn(now time.Time, wanted need, queued map[string]int) (time.Duration, bool) {
+// queued counts the models of each service that wait for the weight store before it, and
+// free says how long the loads from that store under way still take.
+func (p *Planner) readyIn(now time.Time, wanted need, queued map[string]int, free []time.Duration) (time.Duration, bool) {
 	service := wanted.row.Service
 	store := p.store(service)
 	if store == nil {
@@ -63,10 +65,7 @@
 		return 0, false
 	}
 	var fromCopy time.Duration = -1
-	for _, known := range p.tally.sorted {
-		if known.status.Heartbeat.Service != service || known.status.Leaving || !known.hasCopy(model.Name) {
-			continue
-		}
+	for _, known := range p.tally.copies[wanted.row] {
 		if in := p.occupiedFor(now, known) + unloadTime + loadTime(known, model); fromCopy < 0 || in < fromCopy {
 			fromCopy = in
 		}
@@ -81,7 +80,6 @@
 	if wanted.obstacle == ObstacleNone {
 		return unloadTime + store.Expected(model.LoadTime), true
 	}
-	free := p.storeFree(now, service)
 	place := queued[service]
 	queued[service]++
 	if len(free) == 0 {
@@ -92,21 +90,20 @@
 	return max(orderedIn, free[place%len(free)]) + rounds*model.LoadTime + unloadTime + model.LoadTime, true
 }
 
-// storeFree lists how long the loads under way from the weight store still take, the
-// one that ends first at the beginning.
-func (p *Planner) storeFree(now time.Time, service string) []time.Duration {
-	var free []time.Duration
-	for _, known := range p.tally.sorted {
-		if known.status.Heartbeat.Service != service {
-			continue
-		}
-		for name, held := range known.holdings {
-			if held.fromStore && (held.phase == phaseLoading || held.phase == phaseUncertain) {
-				free = append(free, p.remaining(now, known, name, held))
+// storesFree lists for each service how long the loads under way from its weight store still
+// take, the one that ends first at the beginning.
+func (p *Planner) storesFree(now time.Time) map[string][]time.Duration {
+	free := make(map[string][]time.Duration)
+	for row, runners := range p.tally.coming {
+		for _, known := range runners {
+			if held := known.holdings[row.Model]; held != nil && held.fromStore {
+				free[row.Service] = append(free[row.Service], p.remaining(now, known, row.Model, held))
 			}
 		}
 	}
-	slices.Sort(free)
+	for _, left := range free {
+		slices.Sort(left)
+	}
 	return free
 }
 
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -63,6 +63,7 @@
 		known.reserved, known.reservedUntil = model, now.Add(reservationTime)
 		if fromStore {
 			known.storeKeptUntil = now.Add(storeKeptTime)
+			p.tally.kept[wanted.row.Service]++
 		}
 		return p.send(now, known, Unload, place.victim, ""), true
 	}
@@ -75,14 +76,17 @@
 // findPlace finds the runner on which a load of the model costs least.
 func (p *Planner) findPlace(now time.Time, wanted need) loadPlace {
 	best := loadPlace{cost: math.Inf(1), obstacle: ObstacleBusy}
-	if p.isRoomBeingMade(now, wanted.row) {
+	if p.tally.makingRoom[wanted.row] || len(p.tally.available[wanted.row.Service]) == 0 {
 		return best
 	}
 	mayUseStore := p.mayUseStore(now, wanted)
-	for _, known := range p.tally.sorted {
-		if known.status.Heartbeat.Service != wanted.row.Service || !p.mayOrder(known) {
-			continue
-		}
+	candidates := p.tally.available[wanted.row.Service]
+	if !mayUseStore {
+		// Only a copy, or a place at the store that is kept, allows a load.
+		best.obstacle = ObstacleStore
+		candidates = p.tally.withoutStore(wanted.row)
+	}
+	for _, known := range candidates {
 		found := p.placeAt(now, known, wanted, mayUseStore)
 		if found.runner == nil {
 			best.obstacle = max(best.obstacle, found.obstacle)
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -41,6 +41,7 @@
 	}
 	needs := p.needs(now)
 	p.dropReservations(needs)
+	p.tally.addReservations(now)
 	for i := range needs {
 		if order, found := p.loadModel(now, &needs[i]); found {
 			orders = append(orders, order)
@@ -63,17 +64,6 @@
 	}
 }
 
-// isRoomBeingMade reports whether a runner unloads something to make room for the model.
-func (p *Planner) isRoomBeingMade(now time.Time, row Row) bool {
-	for _, known := range p.tally.sorted {
-		isReserved := known.reserved == row.Model && now.Before(known.reservedUntil.Add(roomMadeIn-reservationTime))
-		if isReserved && known.status.Heartbeat.Service == row.Service && !known.status.Leaving && known.isOccupied() {
-			return true
-		}
-	}
-	return false
-}
-
 // foresee forecasts loads that may not be ordered yet, since orders of the leader before
 // may still be on their way.
 func (p *Planner) foresee(now time.Time) {
@@ -124,6 +114,7 @@
 		held.adapters[adapter].phase = phaseUnloading
 	}
 	p.noteChange(before, known)
+	p.tally.noteSent(known)
 	if adapter == "" {
 		p.tally.noteOrder(known, operation, model)
 	}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -96,6 +96,7 @@
 		known.status = status
 		if isNew {
 			known.isGone = false
+			known.noteCopies()
 			before := known.loaded()
 			known.hear(now, status.Heartbeat.Models, p.options.ReportLag)
 			p.noteChange(before, known)
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -48,6 +48,11 @@
 type runner struct {
 	status   fleet.Status
 	holdings map[string]*holding
+	// copies says of which models the runner's machine has a copy, and where.
+	copies map[string]copyPlace
+	// weighed is what a load at the runner is weighed by in the plan under way; nil before
+	// it is needed.
+	weighed *weighed
 	// taken is the number of orders that the runner has taken, if isTakenKnown.
 	taken        uint64
 	isTakenKnown bool
@@ -72,10 +77,27 @@
 	storeKeptUntil time.Time
 }
 
+// copyPlace is where a machine has a copy of a model.
+type copyPlace uint8
+
+const (
+	copyOnDisk copyPlace = iota + 1
+	copyInMemory
+)
+
 // hasCopy reports whether the runner's machine has a copy of the model, so that a load
 // does not come from the weight store.
-func (r *runner) hasCopy(model string) bool {
-	return slices.Contains(r.status.Heartbeat.InMemory, model) || slices.Contains(r.status.Heartbeat.OnDisk, model)
+func (r *runner) hasCopy(model string) bool { return r.copies[model] != 0 }
+
+// noteCopies takes the copies of which a heartbeat tells.
+func (r *runner) noteCopies() {
+	r.copies = make(map[string]copyPlace)
+	for _, name := range r.status.Heartbeat.OnDisk {
+		r.copies[name] = copyOnDisk
+	}
+	for _, name := range r.status.Heartbeat.InMemory {
+		r.copies[name] = copyInMemory
+	}
 }
 
 // isOccupied reports whether an order about a model is under way: the runner takes
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -73,17 +73,14 @@
 // moment, is waited for if that is quicker.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
-	if store == nil || !store.MayBegin(now, p.keptAtStore(now, wanted.row.Service)) {
+	if store == nil || !store.MayBegin(now, p.tally.kept[wanted.row.Service]) {
 		return false
 	}
 	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
 	if model == nil {
 		return false
 	}
-	for _, known := range p.tally.sorted {
-		if known.status.Heartbeat.Service != wanted.row.Service || known.status.Leaving || !known.hasCopy(wanted.row.Model) {
-			continue
-		}
+	for _, known := range p.tally.copies[wanted.row] {
 		if p.isSoonThere(now, known, model, wanted, store.Expected(model.LoadTime)) {
 			return false
 		}
@@ -133,17 +130,6 @@
 	return known.reserved == model && now.Before(known.storeKeptUntil)
 }
 
-// keptAtStore counts the places that are kept at the weight store.
-func (p *Planner) keptAtStore(now time.Time, service string) int {
-	count := 0
-	for _, known := range p.tally.sorted {
-		if known.reserved != "" && known.status.Heartbeat.Service == service && now.Before(known.storeKeptUntil) {
-			count++
-		}
-	}
-	return count
-}
-
 // beginLoad notes that a load that was just ordered begins.
 func (p *Planner) beginLoad(now time.Time, known *runner, row Row, fromStore bool) {
 	model := p.engineOf(known).ModelByName(row.Model)
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -17,6 +17,18 @@
 	holders   map[Row][]*runner
 	// coming lists the runners that load a model.
 	coming map[Row][]*runner
+	// available lists the runners that take orders, by service, and copies those of all
+	// runners that stay and have a copy of a model.
+	available map[string][]*runner
+	copies    map[Row][]*runner
+	// isAvailable says the same as available of each runner.
+	isAvailable map[*runner]bool
+	// reserved is the runner that keeps room for a model.
+	reserved map[Row]*runner
+	// kept counts the places at the weight stores that are kept, by service.
+	kept map[string]int
+	// makingRoom says for which models a runner makes room.
+	makingRoom map[Row]bool
 }
 
 type activeKey struct {
@@ -38,6 +50,12 @@
 		rowActive:    make(map[activeKey]int),
 		holders:      make(map[Row][]*runner),
 		coming:       make(map[Row][]*runner),
+		available:    make(map[string][]*runner),
+		copies:       make(map[Row][]*runner),
+		isAvailable:  make(map[*runner]bool),
+		reserved:     make(map[Row]*runner),
+		kept:         make(map[string]int),
+		makingRoom:   make(map[Row]bool),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -67,7 +85,9 @@
 		t.demands[model] = total
 	}
 	for _, known := range t.sorted {
+		known.weighed = nil
 		t.addHoldings(known)
+		t.addRunner(known, p.mayOrder(known))
 	}
 	p.tally = t
 }
@@ -90,6 +110,67 @@
 	}
 }
 
+// addRunner lists a runner with the copies that it has.
+func (t *tally) addRunner(known *runner, mayOrder bool) {
+	service := known.status.Heartbeat.Service
+	if mayOrder {
+		t.available[service] = append(t.available[service], known)
+		t.isAvailable[known] = true
+	}
+	if known.status.Leaving {
+		return
+	}
+	for name := range known.copies {
+		row := Row{Service: service, Model: name}
+		t.copies[row] = append(t.copies[row], known)
+	}
+}
+
+// addReservations counts what is kept for models for which room is made.
+func (t *tally) addReservations(now time.Time) {
+	for _, known := range t.sorted {
+		if known.reserved == "" {
+			continue
+		}
+		t.reserved[known.rowOf(known.reserved)] = known
+		if now.Before(known.storeKeptUntil) {
+			t.kept[known.status.Heartbeat.Service]++
+		}
+		isRecent := now.Before(known.reservedUntil.Add(roomMadeIn - reservationTime))
+		if isRecent && !known.status.Leaving && known.isOccupied() {
+			t.makingRoom[known.rowOf(known.reserved)] = true
+		}
+	}
+}
+
+// withoutStore lists the runners that take orders and may load the model although the
+// weight store takes no further load.
+func (t *tally) withoutStore(row Row) []*runner {
+	var listed []*runner
+	for _, known := range t.copies[row] {
+		if t.isAvailable[known] {
+			listed = append(listed, known)
+		}
+	}
+	if known := t.reserved[row]; known != nil && t.isAvailable[known] && !known.hasCopy(row.Model) {
+		listed = append(listed, known)
+	}
+	return listed
+}
+
+// noteSent takes a runner that was sent an order off the list of those that take one.
+func (t *tally) noteSent(known *runner) {
+	delete(t.isAvailable, known)
+	service := known.status.Heartbeat.Service
+	var others []*runner
+	for _, other := range t.available[service] {
+		if other != known {
+			others = append(others, other)
+		}
+	}
+	t.available[service] = others
+}
+
 // noteOrder brings the tally up to an order about a model.
 func (t *tally) noteOrder(known *runner, operation Operation, model string) {
 	row := Row{Service: known.status.Heartbeat.Service, Model: model}
--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -84,6 +84,8 @@
 	// LoadsPerSecond is what the weight store allows over all runners.
 	LoadsPerSecond float64
 	Models         []Model
+	// byName is made by NewIndex; nil before.
+	byName map[string]*Model
 }
 
 // Model is a model that the runners of a service can load.
@@ -110,6 +112,9 @@
 
 // ModelByName returns the model, or nil.
 func (e *Engine) ModelByName(name string) *Model {
+	if e.byName != nil {
+		return e.byName[name]
+	}
 	for i := range e.Models {
 		if e.Models[i].Name == name {
 			return &e.Models[i]
@@ -117,3 +122,13 @@
 	}
 	return nil
 }
+
+// indexModels makes ModelByName quick. The first of two models with a name counts.
+func (e *Engine) indexModels() {
+	e.byName = make(map[string]*Model, len(e.Models))
+	for i := range e.Models {
+		if model := &e.Models[i]; e.byName[model.Name] == nil {
+			e.byName[model.Name] = model
+		}
+	}
+}
--- a/placement/site/index.go
+++ b/placement/site/index.go
@@ -23,7 +23,11 @@
 		services: make(map[string]*Service),
 	}
 	for i := range document.Services {
-		index.services[document.Services[i].Name] = &document.Services[i]
+		service := &document.Services[i]
+		index.services[service.Name] = service
+		if service.Engine != nil {
+			service.Engine.indexModels()
+		}
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
