Let the store's limit grow threefold, start by the number of runners, and outlive leaders

What a leader has learned is replicated in the domain's state, and a new leader begins with it, held as crowded for 20 s if it was.

--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -42,6 +42,18 @@
 	IsSlow bool
 }
 
+// StoreLimit is what a leader has learned of the weight store of a service.
+type StoreLimit struct {
+	Service string
+	// AtOnce is how many loads at once the store serves at full speed; IsCrowded is set if
+	// that was found by loads that were slow.
+	AtOnce    int
+	IsCrowded bool
+}
+
+// maxStoreLimits bounds the services whose weight stores are remembered.
+const maxStoreLimits = 64
+
 // Command is a change of the state.
 type Command struct {
 	Put    *Document
@@ -50,6 +62,8 @@
 	Registrations []Registration
 	// Silent names instances that have been silent for long.
 	Silent []string
+	// StoreLimits lists what was learned anew of weight stores.
+	StoreLimits []StoreLimit
 }
 
 // Result is what Apply returns.
@@ -63,6 +77,7 @@
 	Document      Document
 	Departures    []Departure
 	Registrations []Registration
+	StoreLimits   []StoreLimit
 }
 
 // Machine is the state machine. Its methods must not run at the same time, as
@@ -76,7 +91,9 @@
 	registrations map[string]Registration
 	// addresses names the instance that is registered at each address.
 	addresses map[string]string
-	changed   func()
+	// storeLimits is by service.
+	storeLimits map[string]StoreLimit
+	changed     func()
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -91,6 +108,7 @@
 		index:         make(map[string]int),
 		registrations: make(map[string]Registration),
 		addresses:     make(map[string]string),
+		storeLimits:   make(map[string]StoreLimit),
 		changed:       changed,
 	}
 }
@@ -120,6 +138,9 @@
 	for _, instance := range decoded.Silent {
 		m.forget(instance)
 	}
+	for _, limit := range decoded.StoreLimits {
+		m.limitStore(limit)
+	}
 	return Result{Version: m.document.Version}
 }
 
@@ -154,6 +175,26 @@
 	delete(m.addresses, known.Address)
 }
 
+// limitStore notes what was learned of a weight store, the least of which is lost.
+func (m *Machine) limitStore(limit StoreLimit) {
+	if _, isKnown := m.storeLimits[limit.Service]; isKnown || len(m.storeLimits) < maxStoreLimits {
+		m.storeLimits[limit.Service] = limit
+	}
+}
+
+// StoreLimit returns what was learned of the weight store of a service.
+func (m *Machine) StoreLimit(service string) (StoreLimit, bool) {
+	limit, isKnown := m.storeLimits[service]
+	return limit, isKnown
+}
+
+// StoreLimits lists what was learned of weight stores by service.
+func (m *Machine) StoreLimits() []StoreLimit {
+	return slices.SortedFunc(maps.Values(m.storeLimits), func(a, b StoreLimit) int {
+		return strings.Compare(a.Service, b.Service)
+	})
+}
+
 // depart is final: a runner that is leaving never becomes ready again under the
 // same instance, and one that is gone is not leaving again.
 func (m *Machine) depart(departure Departure) {
@@ -218,7 +259,9 @@
 
 // Snapshot implements group.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := msgpack.Marshal(&State{Document: m.document, Departures: m.departures, Registrations: m.Registrations()})
+	data, err := msgpack.Marshal(&State{
+		Document: m.document, Departures: m.departures, Registrations: m.Registrations(), StoreLimits: m.StoreLimits(),
+	})
 	return data, errors.Wrap(err, "encode state of the domain")
 }
 
@@ -237,6 +280,10 @@
 		m.registrations[registration.Instance] = registration
 		m.addresses[registration.Address] = registration.Instance
 	}
+	clear(m.storeLimits)
+	for _, limit := range state.StoreLimits {
+		m.storeLimits[limit.Service] = limit
+	}
 	m.changed()
 	return nil
 }
@@ -246,5 +293,5 @@
 	return m.document.Version == other.document.Version &&
 		slices.Equal(m.document.Source, other.document.Source) &&
 		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index) &&
-		maps.Equal(m.registrations, other.registrations)
+		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits)
 }
--- a/placement/domain/machine_test.go
+++ b/placement/domain/machine_test.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -52,11 +53,27 @@
 		apply(c, m, Command{Depart: &Departure{Instance: name}})
 	}
 	apply(c, m, Command{Registrations: []Registration{{Instance: "r", Address: "10.0.0.1:1"}}})
+	apply(c, m, Command{StoreLimits: []StoreLimit{{Service: "s", AtOnce: 4, IsCrowded: true}}})
 	data, err := m.Snapshot()
 	c.Assert(err, qt.IsNil)
 	restored := NewMachine(nil)
 	c.Assert(restored.Restore(data), qt.IsNil)
 	c.Assert(restored.Equal(m), qt.IsTrue)
+	limit, isKnown := restored.StoreLimit("s")
+	c.Assert(isKnown, qt.IsTrue)
+	c.Assert(limit, qt.Equals, StoreLimit{Service: "s", AtOnce: 4, IsCrowded: true})
+}
+
+func TestStoreLimitsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine(nil)
+	for i := range maxStoreLimits + 5 {
+		apply(c, m, Command{StoreLimits: []StoreLimit{{Service: fmt.Sprint("s", i), AtOnce: 1}}})
+	}
+	c.Assert(m.StoreLimits(), qt.HasLen, maxStoreLimits)
+	apply(c, m, Command{StoreLimits: []StoreLimit{{Service: "s0", AtOnce: 9}}})
+	limit, _ := m.StoreLimit("s0")
+	c.Assert(limit.AtOnce, qt.Equals, 9)
 }
 
 func TestCompressedDocumentsExpand(t *testing.T) {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -111,6 +111,9 @@
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
+		for _, each := range joined.machine.StoreLimits() {
+			l.planner.RecallStore(at, each.Service, each.AtOnce, each.IsCrowded)
+		}
 		for _, each := range joined.machine.Registrations() {
 			l.planner.RecallSpeed(each.Service, each.Address, each.IsSlow)
 			l.registry.Recall(at, fleet.Heartbeat{
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -26,7 +26,7 @@
 		return
 	}
 	l.summedUpAt = at
-	l.forgetSilent(at)
+	l.recordBeliefs(at)
 	var models []string
 	waiting := 0
 	for _, summary := range l.planner.Summary(at) {
@@ -126,9 +126,11 @@
 	l.isRecording = false
 }
 
-// forgetSilent takes runners that have been silent for long out of the log.
-func (l *leadership) forgetSilent(at time.Time) {
+// recordBeliefs takes runners that have been silent for long out of the log, and puts what
+// was learned of weight stores into it. It runs under the mutex.
+func (l *leadership) recordBeliefs(at time.Time) {
 	var command domain.Command
+	stores := l.planner.Stores()
 	silent := l.registry.Silent(at, forgetRunnerAfter)
 	l.member.group.View(func() {
 		for _, instance := range silent {
@@ -136,8 +138,14 @@
 				command.Silent = append(command.Silent, instance)
 			}
 		}
+		for _, state := range stores {
+			learned := domain.StoreLimit{Service: state.Service, AtOnce: state.Learned, IsCrowded: state.IsCrowded}
+			if known, _ := l.member.machine.StoreLimit(state.Service); state.Learned > 0 && learned != known {
+				command.StoreLimits = append(command.StoreLimits, learned)
+			}
+		}
 	})
-	if len(command.Silent) > 0 && !l.isRecording {
+	if len(command.Silent)+len(command.StoreLimits) > 0 && !l.isRecording {
 		l.isRecording = true
 		go l.record(command)
 	}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -23,7 +23,9 @@
 	observedFrom time.Time
 	// stores bound the loads from the weight store, by service.
 	stores map[string]*weightstore.Limiter
-	paces  paces
+	// recalledStores are by service; see RecallStore.
+	recalledStores map[string]recalledStore
+	paces          paces
 	// rates are by service.
 	rates map[string]*replicaRate
 	// judgements is by instance, as of judgedAt; judged are those that have changed.
@@ -53,6 +55,9 @@
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
 		stores:     make(map[string]*weightstore.Limiter),
+
+		recalledStores: make(map[string]recalledStore),
+
 		paces:      make(paces),
 		rates:      make(map[string]*replicaRate),
 		judgements: make(map[string]Judgement),
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -13,6 +13,10 @@
 // must make way is unloaded: several times what an unload of an unused model takes.
 const storeKeptTime = 2 * time.Second
 
+// runnersPerLoad is for how many runners one load from an unknown weight store is tried at
+// once: should it bear fewer, a tenth of the runners is held up for longer, no more.
+const runnersPerLoad = 10
+
 // store returns the limiter of a service's weight store; nil for a service without one.
 func (p *Planner) store(service string) *weightstore.Limiter {
 	listed := p.document.Service(service)
@@ -23,6 +27,9 @@
 	known := p.stores[service]
 	if known == nil {
 		known = weightstore.New(p.options.StoreWindow, allowed)
+		if recalled, isRecalled := p.recalledStores[service]; isRecalled {
+			known.Recall(recalled.at, recalled.limit, recalled.isCrowded)
+		}
 		p.stores[service] = known
 	}
 	known.SetRate(allowed)
@@ -33,11 +40,13 @@
 // order of a former leader may be loading something, which counts as well.
 func (p *Planner) followStores(now time.Time) {
 	underWay := make(map[string][]weightstore.Load)
+	runners := make(map[string]int)
 	for _, known := range p.tally.sorted {
 		engine := p.engineOf(known)
 		if engine == nil {
 			continue
 		}
+		runners[known.status.Heartbeat.Service]++
 		service, instance := known.status.Heartbeat.Service, known.status.Heartbeat.Instance
 		if known.isBusy {
 			underWay[service] = append(underWay[service], weightstore.Load{Key: weightstore.Key{Instance: instance}})
@@ -54,6 +63,7 @@
 	for i := range p.document.Document.Services {
 		service := p.document.Document.Services[i].Name
 		if store := p.store(service); store != nil {
+			store.Expect(runners[service] / runnersPerLoad)
 			store.Update(now, underWay[service], p.isLoaded)
 		}
 	}
@@ -155,6 +165,18 @@
 	return ended
 }
 
+// recalledStore is what a leader before had learned of a weight store.
+type recalledStore struct {
+	at        time.Time
+	limit     int
+	isCrowded bool
+}
+
+// RecallStore takes what the leader before had learned of a service's weight store.
+func (p *Planner) RecallStore(now time.Time, service string, limit int, isCrowded bool) {
+	p.recalledStores[service] = recalledStore{now, limit, isCrowded}
+}
+
 // StoreState is how a service's weight store is used.
 type StoreState struct {
 	Service string
@@ -162,13 +184,18 @@
 	// to serve at full speed.
 	UnderWay int
 	Limit    int
+	// Learned is the limit as far as loads have shown it, 0 if they have not yet, and
+	// IsCrowded is set if loads were found to be slow.
+	Learned   int
+	IsCrowded bool
 }
 
 // Stores lists the states of the weight stores by service.
 func (p *Planner) Stores() []StoreState {
 	var states []StoreState
 	for service, store := range p.stores {
-		states = append(states, StoreState{service, store.UnderWay(), store.Limit()})
+		learned, isCrowded := store.Learned()
+		states = append(states, StoreState{service, store.UnderWay(), store.Limit(), learned, isCrowded})
 	}
 	slices.SortFunc(states, func(a, b StoreState) int { return strings.Compare(a.Service, b.Service) })
 	return states
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -154,3 +154,13 @@
 		})
 	}
 }
+
+// A new leader begins with what the one before had learned of the store.
+func TestLimitOfTheStoreIsRecalled(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(9, func(int, *fleet.Heartbeat) {})
+	p.RecallStore(start, "s", 7, true)
+	waitForModels(p, start, 10, 9)
+	c.Assert(p.Plan(start), qt.HasLen, 7)
+	c.Assert(p.Stores(), qt.DeepEquals, []StoreState{{Service: "s", UnderWay: 7, Limit: 7, Learned: 7, IsCrowded: true}})
+}
--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -20,10 +20,14 @@
 }
 
 const (
-	// firstConcurrency is how many loads at once are tried before anything is known of
-	// the store. It doubles with each round of loads that end in time; the further figures
-	// of docs/design/further.md show what half and twice of it do.
+	// firstConcurrency is how many loads at once are tried at least before anything is
+	// known of the store.
 	firstConcurrency = 4
+	// startFactor times the loads at once that the store has proved to bear are tried
+	// next, until it was crowded for the first time: a store that bears 148 is known after
+	// three rounds of loads. What is tried too many takes longer, but the store does as
+	// much in all.
+	startFactor = 3
 	// slowFactor times its nominal duration, and slowSlack more, is how long a load may
 	// take before the store counts as crowded. The slack covers the way of the news.
 	slowFactor = 1.15
@@ -44,8 +48,13 @@
 	begun     []time.Time
 	// limit is how many loads at once the store is believed to serve at full speed.
 	limit float64
+	// isLearned is set once a load has shown anything of the store.
+	isLearned bool
 	// crowdedAt is when loads were last found to be slow.
 	crowdedAt time.Time
+	// raisedAt is when the limit was last raised after a crowded time: only loads that have
+	// begun since show whether the store bears it.
+	raisedAt time.Time
 	// slowness is that of the load that ended last: its duration by the nominal one.
 	slowness float64
 	loads    map[Key]progress
@@ -76,6 +85,33 @@
 // Limit is how many loads at once the store is believed to serve at full speed.
 func (l *Limiter) Limit() int { return max(1, int(l.limit)) }
 
+// Expect says how many loads at once to try while nothing is known of the store.
+func (l *Limiter) Expect(first int) {
+	if !l.isLearned {
+		l.limit = float64(max(firstConcurrency, first))
+	}
+}
+
+// Learned returns what is known of the store, for Recall. isCrowded is set if loads were
+// found to be slow; it is false as well as long as nothing is known, when limit is 0.
+func (l *Limiter) Learned() (limit int, isCrowded bool) {
+	if !l.isLearned {
+		return 0, false
+	}
+	return l.Limit(), !l.crowdedAt.IsZero()
+}
+
+// Recall takes what another limiter of the same store had learned.
+func (l *Limiter) Recall(now time.Time, limit int, isCrowded bool) {
+	if limit <= 0 {
+		return
+	}
+	l.isLearned, l.limit = true, float64(limit)
+	if isCrowded {
+		l.crowdedAt = now
+	}
+}
+
 // UnderWay is the number of loads under way.
 func (l *Limiter) UnderWay() int { return len(l.loads) }
 
@@ -144,12 +180,17 @@
 	}
 	quicker := min(slowness, l.slowness)
 	l.slowness = slowness
+	l.isLearned = true
 	switch {
 	case quicker > 1:
 		l.crowdedAt = now
 		l.limit = max(1, min(l.limit, math.Round(beside/quicker)))
-	case slowness == 1 && beside >= fullShare*l.limit && (l.crowdedAt.IsZero() || now.Sub(l.crowdedAt) > probePause):
+	case slowness > 1:
+	case l.crowdedAt.IsZero():
+		l.limit = max(l.limit, math.Round(startFactor*beside))
+	case beside >= fullShare*l.limit && now.Sub(l.crowdedAt) > probePause && !load.since.Before(l.raisedAt):
 		l.limit++
+		l.raisedAt = now
 	}
 }
 
