Tell callers to come back only where waiting is of no use

Change: a request is refused at once only if its model should be ready after the request would be given up anyway, within the prompt part of its objective and only if it has not run; the guess of first tries, with its memory of each route's longest time, goes. What is given up after a wait is told when its model should be ready, if the forecast is fresh, in place of a fixed 0.2 s.

TestDeferral and the tests with the old rule say the new one; the test of first tries goes with what it tested.

--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -1,14 +1,12 @@
 package relay
 
 import (
-	"maps"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/residency"
-	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 const (
@@ -16,9 +14,6 @@
 	// back, or else waits: platforms value a refusal only while it is prompt, at a quarter
 	// of the objective; the rest is for the way.
 	promptShare = 0.22
-	// inTimeShare is the part of the objective within which a load must end for a waiting
-	// request to be in time; the rest is for reading the prompt.
-	inTimeShare = 0.8
 	// returnShare is the largest part of its time that a caller is asked to stay away.
 	returnShare = 1.0 / 3
 	// returnSlack is added to the time of the forecast, for the way of the news.
@@ -26,12 +21,6 @@
 	// returnLife is how long after its time a caller that was told to come back is counted
 	// as waiting: a new connection and a late timer fit in.
 	returnLife = 1500 * time.Millisecond
-	// firstShare is the part of the longest time that callers of a route have given from
-	// which a request counts as a first try. Those that come back have less left.
-	firstShare = 0.95
-	// longestDecay is how far the longest time moves towards that of each request which
-	// gives less, so that a single caller with much time does not count for ever.
-	longestDecay = 0.02
 	// forecastLife is how long a forecast is used for requests that come after it.
 	forecastLife = 700 * time.Millisecond
 )
@@ -50,18 +39,21 @@
 	priority int
 }
 
-// deferral decides whether a request whose model should be ready at readyAt is better
-// told to come back, and after how long. It waits if it would be in time, and if it has
-// waited too long already for a prompt refusal.
+// deferral decides whether a request whose model should be ready at readyAt is given up at
+// once, and after how long its caller should come back. It waits if the model should be
+// there before the request would be given up anyway, and if it is too late for a prompt
+// refusal: the forecast may be wrong.
 func (w *waiter) deferral(now, readyAt time.Time) (time.Duration, bool) {
-	if !w.mayDefer || now.Sub(w.since) > share(w.objective, promptShare) {
+	if !w.mayDefer || now.Sub(w.since) > share(w.objective, promptShare) || !readyAt.After(w.until) {
 		return 0, false
 	}
-	if readyAt.Sub(w.since) <= share(w.objective, inTimeShare) {
-		return 0, false
-	}
-	longest := share(w.deadline.Sub(now), returnShare)
-	return min(readyAt.Sub(now)+returnSlack, longest), true
+	return w.comeBackIn(now, readyAt), true
+}
+
+// comeBackIn is after how long a caller should come back for a model that should be ready at
+// readyAt: it keeps most of its time for the next try.
+func (w *waiter) comeBackIn(now, readyAt time.Time) time.Duration {
+	return max(0, min(readyAt.Sub(now)+returnSlack, share(w.deadline.Sub(now), returnShare)))
 }
 
 func share(of time.Duration, part float64) time.Duration { return time.Duration(float64(of) * part) }
@@ -113,32 +105,17 @@
 	}
 }
 
-// noteWait learns how long callers of a route give a request, and reports whether the
-// request seems to be a first try.
-func (r *Router) noteWait(route string, wait time.Duration) bool {
+// comeBackIn is after how long the caller of a request that was given up should come back:
+// when its model should be ready, as far as that is known.
+func (r *Router) comeBackIn(wanted *waiter) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	longest := r.longestWaits[route]
-	if wait <= 0 {
-		return false
-	}
-	if wait < longest {
-		r.longestWaits[route] = longest - share(longest-wait, longestDecay)
-	} else {
-		r.longestWaits[route] = wait
-	}
-	return wait >= share(longest, firstShare)
-}
-
-// forgetWaits drops what was learned about routes that the document does not list.
-func (r *Router) forgetWaits(document *site.Document) {
-	listed := make(map[string]bool, len(document.Routes))
-	for i := range document.Routes {
-		listed[document.Routes[i].Name] = true
+	now := time.Now()
+	state := r.rows[wanted.row]
+	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
+		return retryAfterNow
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	maps.DeleteFunc(r.longestWaits, func(route string, _ time.Duration) bool { return !listed[route] })
+	return max(retryAfterNow, wanted.comeBackIn(now, state.forecast.readyAt))
 }
 
 // tellToComeBack answers a request that has not been sent to any runner.
--- a/request/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -13,7 +14,6 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
-	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 func TestDeferral(t *testing.T) {
@@ -22,18 +22,21 @@
 		name    string
 		waited  time.Duration
 		readyIn time.Duration
-		first   bool
+		hasRun  bool
 		after   time.Duration
 	}{
-		{"ready in time", 0, 700 * time.Millisecond, true, 0},
-		{"ready too late", 0, 3 * time.Second, true, 3*time.Second + returnSlack},
-		{"ready much too late", 0, 20 * time.Second, true, 4 * time.Second},
-		{"too late for a prompt refusal", 300 * time.Millisecond, 3 * time.Second, true, 0},
-		{"has come back already", 0, 3 * time.Second, false, 0},
+		{"ready before it is given up", 0, 3 * time.Second, false, 0},
+		{"ready after it is given up", 0, 4100 * time.Millisecond, false, 4 * time.Second},
+		{"ready much too late", 0, 20 * time.Second, false, 4 * time.Second},
+		{"too late for a prompt refusal", 300 * time.Millisecond, 5 * time.Second, false, 0},
+		{"may have run", 0, 5 * time.Second, true, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			wanted := &waiter{since: arrived, objective: time.Second, deadline: arrived.Add(12 * time.Second), mayDefer: test.first}
+			wanted := &waiter{
+				since: arrived, objective: time.Second, deadline: arrived.Add(12 * time.Second),
+				until: arrived.Add(4 * time.Second), mayDefer: !test.hasRun,
+			}
 			now := arrived.Add(test.waited)
 			after, isDeferred := wanted.deferral(now, now.Add(test.readyIn))
 			c.Assert(isDeferred, qt.Equals, test.after > 0)
@@ -42,22 +45,6 @@
 	}
 }
 
-func TestFirstTriesAreToldByTheTimeThatTheirCallersGive(t *testing.T) {
-	c := qt.New(t)
-	router, _ := newTestRouter(nil)
-	c.Assert(router.noteWait("r", 0), qt.IsFalse, qt.Commentf("no time was given"))
-	c.Assert(router.noteWait("r", 10*time.Second), qt.IsTrue)
-	c.Assert(router.noteWait("r", 6*time.Second), qt.IsFalse)
-	c.Assert(router.noteWait("r", 10*time.Second), qt.IsTrue)
-	c.Assert(router.noteWait("r", time.Hour), qt.IsTrue)
-	for range 600 {
-		router.noteWait("r", 10*time.Second)
-	}
-	c.Assert(router.noteWait("r", 10*time.Second), qt.IsTrue, qt.Commentf("one caller with much time does not count for ever"))
-	router.forgetWaits(&site.Document{})
-	c.Assert(router.longestWaits, qt.HasLen, 0)
-}
-
 // askForAbsent sends a request for a model that no runner holds, and returns its answer
 // once forecast has been told to the router.
 func askForAbsent(t *testing.T, router *Router, in time.Duration) (recorder *httptest.ResponseRecorder, took time.Duration) {
@@ -76,17 +63,16 @@
 	return recorder, time.Since(began)
 }
 
-// Nobody holds the model and its load takes longer than the objective: the caller is told
-// at once, and how long the load should take.
+// Nobody holds the model, and it will not be there before the request is given up: the
+// caller is told at once, and when to come back.
 func TestCallerOfAModelThatComesTooLateIsToldWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		router, backend := newTestRouter(nil)
-		recorder, took := askForAbsent(t, router, time.Second)
+		recorder, took := askForAbsent(t, router, 4*time.Second)
 		c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
-		after, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
-		c.Assert(err, qt.IsNil)
-		c.Assert(after, qt.Equals, (time.Second + returnSlack).Seconds())
+		after := retryAfter(c, recorder)
+		c.Assert(after, qt.Equals, share(5*time.Second, returnShare))
 		c.Assert(took < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 		c.Assert(backend.runners(), qt.HasLen, 0, qt.Commentf("a request that is said not to have run was sent"))
 
@@ -94,7 +80,7 @@
 		demand := router.takeDemands(time.Now())
 		c.Assert(demand, qt.HasLen, 1)
 		c.Assert(demand[0].Waiting, qt.Equals, 1)
-		pause.For(t.Context(), time.Second+returnSlack+returnLife+time.Millisecond)
+		pause.For(t.Context(), after+returnLife+time.Millisecond)
 		c.Assert(router.takeDemands(time.Now())[0].Waiting, qt.Equals, 0)
 	})
 }
@@ -104,7 +90,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		router, _ := newTestRouter(nil)
-		askForAbsent(t, router, time.Second)
+		askForAbsent(t, router, 4*time.Second)
 		began := time.Now()
 		recorder, _ := ask(router, t.Context(), "/stream/x", "m")
 		c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
@@ -112,12 +98,52 @@
 	})
 }
 
+// A load that should end while the request still waits is waited for. If it does not, the
+// answer tells when it should.
 func TestRequestOfAModelThatComesInTimeWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		router, _ := newTestRouter(nil)
-		recorder, took := askForAbsent(t, router, 100*time.Millisecond)
+		recorder, took := askForAbsent(t, router, time.Second)
 		c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("nobody ever loads it"))
 		c.Assert(took > time.Second, qt.IsTrue)
+		c.Assert(retryAfter(c, recorder), qt.Equals, retryAfterNow, qt.Commentf("the forecast is old by now"))
 	})
 }
+
+// retryAfter is when an answer says to come back.
+func retryAfter(c *qt.C, recorder *httptest.ResponseRecorder) time.Duration {
+	c.Helper()
+	seconds, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
+	c.Assert(err, qt.IsNil)
+	return time.Duration(math.Round(seconds * float64(time.Second)))
+}
+
+// What is given up after a wait is told when its model should be ready, as long as the
+// forecast is fresh.
+func TestWhatIsGivenUpIsToldWhenItsModelShouldBeReady(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		in   time.Duration
+		want time.Duration
+	}{
+		{"fresh forecast", 100 * time.Millisecond, 2 * time.Second, 1900*time.Millisecond + returnSlack},
+		{"more than a part of its time", 0, time.Minute, 4 * time.Second},
+		{"ready any moment", 100 * time.Millisecond, 0, retryAfterNow},
+		{"old forecast", forecastLife + time.Millisecond, 2 * time.Second, retryAfterNow},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTestRouter(nil)
+				row := residency.Row{Service: "engine", Model: "m"}
+				router.rowState(row)
+				router.adoptForecasts([]residency.Forecast{{Row: row, In: test.in}})
+				pause.For(t.Context(), test.age)
+				wanted := &waiter{row: row, deadline: time.Now().Add(12 * time.Second)}
+				c.Assert(router.comeBackIn(wanted), qt.Equals, test.want)
+			})
+		})
+	}
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -38,6 +38,9 @@
 	streamSilencePauses = 4
 )
 
+// reasonNoRunner is that of a request for which no runner was found in time.
+const reasonNoRunner = "no_runner"
+
 // errTimeout is the cause of ending a request whose time is over.
 var errTimeout = errors.New("the time of the request is over")
 
@@ -65,8 +68,8 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent int64
 	deadline  time.Time
-	// isFirst is set if the caller seems to try for the first time.
-	isFirst bool
+	// waiting is the request as it last asked for a runner.
+	waiting *waiter
 	// waited is how long the request waited for runners, and begunAt when the head of
 	// its answer was sent.
 	waited  time.Duration
@@ -111,7 +114,6 @@
 	if request.Wait > 0 && request.Wait < route.Timeout {
 		x.deadline = request.Arrived.Add(request.Wait)
 	}
-	x.isFirst = r.noteWait(route.Name, request.Wait)
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
@@ -196,10 +198,12 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
-	return x.router.acquire(ctx, &waiter{
+	x.waiting = &waiter{
 		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.route.Priority, since: x.request.Arrived,
-		objective: x.route.Objective, deadline: x.deadline, mayDefer: x.isFirst && x.attempts == 0,
-	})
+		objective: x.route.Objective, deadline: x.deadline, until: limit,
+		mayDefer: x.attempts == 0,
+	}
+	return x.router.acquire(ctx, x.waiting)
 }
 
 // result is how an attempt ended.
@@ -319,7 +323,7 @@
 	case errors.Is(err, errStopped):
 		last.reason, last.err = "router_stops", err
 	case errors.Is(err, errTimeout):
-		last.reason, last.err = "no_runner", err
+		last.reason, last.err = reasonNoRunner, err
 	default:
 		x.count("caller_left")
 		x.router.log(x.request, x.version, "caller_left", err)
@@ -348,7 +352,11 @@
 	case x.isStarted:
 		panic(http.ErrAbortHandler)
 	case x.attempts == 0:
-		refuse(x.writer, http.StatusServiceUnavailable, retryAfterNow, "no runner could take the request: "+reason)
+		retryAfter := retryAfterNow
+		if reason == reasonNoRunner {
+			retryAfter = x.router.comeBackIn(x.waiting)
+		}
+		refuse(x.writer, http.StatusServiceUnavailable, retryAfter, "no runner could take the request: "+reason)
 	case time.Until(x.deadline) <= 0:
 		refuse(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
 	default:
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -19,11 +19,14 @@
 	avoid    structs.RunnerID
 	priority int
 	since    time.Time
-	// objective and deadline are those of the request. mayDefer is set if its caller may
-	// be told to come back.
+	// objective and deadline are those of the request, and until is when it is given up if
+	// there is no runner for it.
 	objective time.Duration
 	deadline  time.Time
-	mayDefer  bool
+	until     time.Time
+	// mayDefer is set if the request has certainly not run, so that its caller may be told
+	// to come back.
+	mayDefer bool
 	// deferred gets after how long the caller should come back; it has room for one.
 	deferred chan time.Duration
 	// granted gets the choice; it has room for one.
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -45,8 +45,6 @@
 	doubted  map[string]bool
 	// heard is when each runner last sent something.
 	heard map[structs.RunnerID]time.Time
-	// longestWaits are by route; see noteWait.
-	longestWaits map[string]time.Duration
 	// paces are those of streams that have ended since the last report.
 	paces []residency.Pace
 }
@@ -95,8 +93,6 @@
 		doubted: make(map[string]bool),
 		heard:   make(map[structs.RunnerID]time.Time),
 		known:   make(chan struct{}),
-
-		longestWaits: make(map[string]time.Duration),
 	}
 }
 
@@ -140,7 +136,6 @@
 		return false
 	}
 	r.index.Store(site.NewIndex(document))
-	r.forgetWaits(document)
 	r.metrics.version.Set(float64(document.Version))
 	if current == nil {
 		close(r.known)
