Do not end when a document takes a service away while its runners load

Cause, found by reading the diff: the forecast asks each load under way for its model, and a runner whose service the newest document does not list has no engine: the leader would have ended with a nil pointer. Test: TestServiceMayGoWhileItsRunnersLoad panicked before. The limiter of a service that is gone goes as well. No decision changes otherwise.

--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -67,6 +67,11 @@
 			store.Update(now, underWay[service], p.isLoaded)
 		}
 	}
+	for service := range p.stores {
+		if p.store(service) == nil {
+			delete(p.stores, service)
+		}
+	}
 }
 
 // isLoaded reports whether a load has ended with the model ready.
@@ -123,7 +128,12 @@
 
 // remaining is how long a load is still expected to take.
 func (p *Planner) remaining(now time.Time, known *runner, name string, held *holding) time.Duration {
-	model := p.engineOf(known).ModelByName(name)
+	engine := p.engineOf(known)
+	if engine == nil {
+		// A newer document has taken the service away.
+		return 0
+	}
+	model := engine.ModelByName(name)
 	if model == nil {
 		return 0
 	}
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -164,3 +164,17 @@
 	c.Assert(p.Plan(start), qt.HasLen, 7)
 	c.Assert(p.Stores(), qt.DeepEquals, []StoreState{{Service: "s", UnderWay: 7, Limit: 7, Learned: 7, IsCrowded: true}})
 }
+
+// A document may take a service away while a runner of it loads a model.
+func TestServiceMayGoWhileItsRunnersLoad(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(2, func(int, *fleet.Heartbeat) {})
+	waitForModels(p, start, 10, 1)
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	p.Answered(start, orders[0], OutcomeAccepted)
+	p.SetDocument(site.NewIndex(&site.Document{Version: 2}))
+	waitForModels(p, start, 10, 2)
+	c.Assert(p.Plan(start.Add(time.Second)), qt.HasLen, 0)
+	c.Assert(p.Stores(), qt.HasLen, 0)
+}
