Let explain show the line on unmet models

A request that waited for a load was explained by orders only; the line that says why its model was not loaded was left out unless the model was among the most demanded. The test failed before.

--- a/request/explain/account.go
+++ b/request/explain/account.go
@@ -107,7 +107,7 @@
 		bears := slices.Contains(runners, line.Get("runner")) ||
 			a.Model != "" && line.Get("model") == a.Model ||
 			isAboutLeader(line) || isAboutLife(line) && slices.Contains(routers, line.Node) ||
-			a.Model != "" && strings.Contains(line.Get("models"), a.Model+":")
+			a.Model != "" && (strings.Contains(line.Get("models"), a.Model+":") || strings.Contains(line.Get("unmet"), a.Model+":"))
 		if bears {
 			a.Beliefs = append(a.Beliefs, line)
 		}
--- a/request/explain/explain_test.go
+++ b/request/explain/explain_test.go
@@ -96,3 +96,13 @@
 	qt.Assert(t, structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
 	qt.Assert(t, err, qt.ErrorMatches, ".*r9.*one in sixteen.*")
 }
+
+// The line on unmet models tells why a request waited for a load.
+func TestAccountTellsWhyAModelWasNotLoaded(t *testing.T) {
+	c := qt.New(t)
+	account := accountOf(t, `level=info ts=2026-01-01T10:00:01Z node=c1 component=controller msg="The demand is met so." waiting=1 models="other:3.0/s,1+0,w0,a2" unmet="m:7.0,no_room"
+level=info ts=2026-01-01T10:00:02Z node=r1 component=router msg="A request was answered without a runner's success." request=r1 path=/x model=m age=2s outcome=no_runner
+`)
+	c.Assert(account.Beliefs, qt.HasLen, 1)
+	c.Assert(account.Beliefs[0].Get("unmet"), qt.Equals, "m:7.0,no_room")
+}
