--- a/placement/residency/options.go
+++ b/placement/residency/options.go
@@ -19,7 +19,8 @@
 	// AdapterTime is how long an accepted adapter takes until it is usable.
 	AdapterTime time.Duration
 	// IdleTime is how long a model must be unused before it may be unloaded for
-	// another one.
+	// another one: a little more than the pause between two reports of routers, as they
+	// tell of its use.
 	IdleTime time.Duration
 	// RateTime is over how long demand is averaged.
 	RateTime time.Duration
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -55,11 +55,16 @@
 	tryTimeout  = 400 * time.Millisecond
 	// defaultBatch is the room of a runner that has not said its own.
 	defaultBatch = 16
-	// slowPenalty is by which share of a batch others must be more loaded before a slow
-	// runner is chosen.
+	// slowPenalty is by how much more a request weighs at a slow runner: twice, so that it
+	// gets half of the requests. Shutting it out instead drove all of them to one other.
 	slowPenalty = 1
+	// affinityBound is by how much of a batch a runner that has read the beginning of a
+	// prompt may be more loaded: two requests of 64. Sixteen drove all prompts with the
+	// same first part to one replica, whose streams paused (docs/design/further.md).
+	affinityBound = 0.03
 	// coldRequests keeps to runners to which a connection is open, as they stay for
-	// warmTime at least.
+	// warmTime at least. A new connection is worth half a request; with 3.5 some replicas
+	// of models in demand got none.
 	coldRequests = 0.5
 	warmTime     = 8 * time.Second
 	// reportLife is how long a runner's number of slots is believed.
@@ -86,7 +91,7 @@
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: reportLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
-			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: 0.03,
+			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: affinityBound,
 		}, random),
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
