Learn nothing of the weight store from a load that came from a copy

Ruled out: a quick store (no other load ended meanwhile). Change: a load that took less than 0.7 of its nominal time teaches nothing. Before: TestLoadFromACopyTeachesNothing: limit 72; after: 24.

--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -32,6 +32,9 @@
 	// take before the store counts as crowded. The slack covers the way of the news.
 	slowFactor = 1.15
 	slowSlack  = 400 * time.Millisecond
+	// tooSoon times its nominal duration is what a load from the store takes at least: one
+	// that ends sooner came from a copy of which nobody knew.
+	tooSoon = 0.7
 	// probePause is how long after a crowded time more loads at once are tried again: a
 	// store that was slow for a while is not slow for ever.
 	probePause = 20 * time.Second
@@ -170,7 +173,7 @@
 // of it may have been late: the quicker of the last two counts.
 func (l *Limiter) ended(now time.Time, load progress) {
 	took := now.Sub(load.since)
-	if took <= 0 || load.nominal <= 0 {
+	if load.nominal <= 0 || took < time.Duration(tooSoon*float64(load.nominal)) {
 		return
 	}
 	beside := (l.used - load.used) / took.Seconds()
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -176,3 +176,20 @@
 	}
 	c.Assert(l.Limit(), qt.Equals, firstConcurrency)
 }
+
+// After a change of the leader it is not known yet which machines have copies, so that a load
+// from a copy passes for one from the store. It ends far too soon to be one.
+func TestLoadFromACopyTeachesNothing(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	l.Expect(24)
+	var loads []Load
+	for i := range 24 {
+		loads = append(loads, Load{Key: Key{Instance: "r", Model: fmt.Sprint(i)}, Nominal: nominal})
+		l.Begin(start, loads[i])
+	}
+	l.Update(start.Add(nominal/4), loads[1:], func(Key) bool { return true })
+	c.Assert(l.Limit(), qt.Equals, 24)
+	limit, _ := l.Learned()
+	c.Assert(limit, qt.Equals, 0)
+}
