Bound the wait for a copy of a model, and load nothing before copies are known

Change: the planner keeps since when a copy is awaited. Cause 2: a new leader that recalls runners loads at them before their heartbeats tell which copies they have, and takes loads from copies for loads from the store. Change: a recalled runner gets no load of a model before its first heartbeat. Tests: TestCopyWithoutRoomIsNotWaitedForForEver, TestNoLoadBeforeTheCopiesAreKnown, failed first.

--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -12,7 +12,7 @@
 const (
 	ObstacleNone Obstacle = iota
 	// ObstacleBusy: every runner executes an order, keeps room for another model, or has
-	// not said yet how many orders it has taken.
+	// not said yet how many orders it has taken or which copies it has.
 	ObstacleBusy
 	// ObstacleStore: the weight store takes no further load now.
 	ObstacleStore
@@ -111,6 +111,10 @@
 	if model == nil || known.holdings[row.Model] != nil {
 		return loadPlace{}
 	}
+	if known.status.Recalled {
+		// Its first heartbeat tells which copies its machine has.
+		return loadPlace{obstacle: ObstacleBusy}
+	}
 	isReserved := known.reserved != "" && now.Before(known.reservedUntil)
 	if isReserved && known.reserved != row.Model {
 		return loadPlace{obstacle: ObstacleBusy}
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -40,7 +40,7 @@
 		}
 	}
 	needs := p.needs(now)
-	p.dropReservations(needs)
+	p.dropUnneeded(needs)
 	p.tally.addReservations(now)
 	for i := range needs {
 		if order, found := p.loadModel(now, &needs[i]); found {
@@ -51,12 +51,13 @@
 	return orders
 }
 
-// dropReservations gives up room that was kept for models which need no further replica.
-func (p *Planner) dropReservations(needs []need) {
+// dropUnneeded gives up what was kept for models which need no further replica.
+func (p *Planner) dropUnneeded(needs []need) {
 	wanted := make(map[Row]bool, len(needs))
 	for _, each := range needs {
 		wanted[each.row] = true
 	}
+	p.forgetAwaited(wanted)
 	for _, known := range p.runners {
 		if known.reserved != "" && !wanted[known.rowOf(known.reserved)] {
 			known.reserved, known.storeKeptUntil = "", time.Time{}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -25,7 +25,9 @@
 	stores map[string]*weightstore.Limiter
 	// recalledStores are by service; see RecallStore.
 	recalledStores map[string]recalledStore
-	paces          paces
+	// awaitedCopies is since when a copy of a model has been waited for.
+	awaitedCopies map[Row]time.Time
+	paces         paces
 	// rates are by service.
 	rates map[string]*replicaRate
 	// judgements is by instance, as of judgedAt; judged are those that have changed.
@@ -57,6 +59,7 @@
 		stores:     make(map[string]*weightstore.Limiter),
 
 		recalledStores: make(map[string]recalledStore),
+		awaitedCopies:  make(map[Row]time.Time),
 
 		paces:      make(paces),
 		rates:      make(map[string]*replicaRate),
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -85,7 +85,8 @@
 
 // mayUseStore reports whether the model may be loaded from the weight store now. A copy
 // at a runner that only finishes another order first, or uses all of its places for the
-// moment, is waited for if that is quicker.
+// moment, is waited for if that is quicker. Neither is certain: another model may get the
+// runner, so that the wait in all is bounded by what the load from the store would take.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
 	if store == nil || !store.MayBegin(now, p.tally.kept[wanted.row.Service]) {
@@ -95,22 +96,49 @@
 	if model == nil {
 		return false
 	}
+	left := store.Expected(model.LoadTime) - p.awaitedFor(now, wanted.row)
 	for _, known := range p.tally.copies[wanted.row] {
-		if p.isSoonThere(now, known, model, wanted, store.Expected(model.LoadTime)) {
+		if p.isSoonThere(now, known, model, wanted, left) {
+			p.noteAwaited(now, wanted.row)
 			return false
 		}
 	}
 	return true
 }
 
+// awaitedFor is how long a copy of the model has been waited for in place of a load from
+// the weight store.
+func (p *Planner) awaitedFor(now time.Time, row Row) time.Duration {
+	if since, isAwaited := p.awaitedCopies[row]; isAwaited {
+		return now.Sub(since)
+	}
+	return 0
+}
+
+// noteAwaited notes that a copy of the model is waited for from now on, or still.
+func (p *Planner) noteAwaited(now time.Time, row Row) {
+	if _, isAwaited := p.awaitedCopies[row]; !isAwaited {
+		p.awaitedCopies[row] = now
+	}
+}
+
+// forgetAwaited forgets since when copies of models have been waited for that need no
+// further replica.
+func (p *Planner) forgetAwaited(wanted map[Row]bool) {
+	for row := range p.awaitedCopies {
+		if !wanted[row] {
+			delete(p.awaitedCopies, row)
+		}
+	}
+}
+
 // isSoonThere reports whether a runner with a copy of the model should have loaded it within
 // a time, though it cannot begin to now.
 func (p *Planner) isSoonThere(now time.Time, known *runner, model *site.Model, wanted need, within time.Duration) bool {
 	if known.isOccupied() {
 		return p.occupiedFor(now, known)+loadTime(known, model) < within
 	}
-	// Whether a place becomes free is not certain: it is waited for once only.
-	return wanted.isWaitedFor && p.mayOrder(known) && wanted.oldest+roomTime+loadTime(known, model) < within
+	return wanted.isWaitedFor && p.mayOrder(known) && roomTime+loadTime(known, model) < within
 }
 
 // occupiedFor is how long a runner is still expected to execute its order.
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -178,3 +178,46 @@
 	c.Assert(p.Plan(start.Add(time.Second)), qt.HasLen, 0)
 	c.Assert(p.Stores(), qt.HasLen, 0)
 }
+
+// The only runner with a copy never has room, and those who wait for the model are told to
+// come back and replaced by others, so that no single one has waited for long.
+func TestCopyWithoutRoomIsNotWaitedForForEver(t *testing.T) {
+	c := qt.New(t)
+	inUse := []fleet.LoadedModel{{Name: "m0"}}
+	p := newStorePlanner(2, func(i int, heartbeat *fleet.Heartbeat) {
+		if i == 0 {
+			heartbeat.Models, heartbeat.OnDisk = inUse, []string{"m1"}
+		}
+	})
+	var loads []Order
+	var waited time.Duration
+	for ; waited < 10*time.Second && len(loads) == 0; waited += 100 * time.Millisecond {
+		at := start.Add(2*time.Second + waited)
+		p.Observe(at, "router", []Demand{
+			{Row: Row{Service: "s", Model: "m0"}, Active: []ActiveCount{{Instance: "r0", Count: 1}}},
+			{Row: Row{Service: "s", Model: "m1"}, Waiting: 1, Oldest: time.Second, Arrived: 1},
+		})
+		loads = p.Plan(at)
+	}
+	c.Assert(loads, qt.HasLen, 1)
+	c.Assert(loads[0].Instance, qt.Equals, "r1")
+	c.Assert(loads[0].Model, qt.Equals, "m1")
+	c.Assert(waited < 6*time.Second, qt.IsTrue, qt.Commentf("longer than a load from the store: %v", waited))
+}
+
+// A new leader recalls the runners of the one before. Of which models their machines have
+// copies it knows only from their heartbeats, which come soon.
+func TestNoLoadBeforeTheCopiesAreKnown(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(manyModels())
+	heartbeat := fleet.Heartbeat{Instance: "r", Service: "s", Address: "r"}
+	p.SetRunners(start, []fleet.Status{{Heartbeat: heartbeat, Recalled: true}})
+	p.Reported(start, start, "r", Report{})
+	waitForModels(p, start, 1, 1)
+	c.Assert(p.Plan(start), qt.HasLen, 0)
+	heartbeat.Sequence, heartbeat.OnDisk = 1, []string{"m1"}
+	p.SetRunners(start, []fleet.Status{{Heartbeat: heartbeat}})
+	c.Assert(p.Plan(start), qt.HasLen, 1)
+	c.Assert(p.Stores()[0].UnderWay, qt.Equals, 0)
+}
