Plan as often as a step's own cost allows, and tell waiting routers at once; value resting models

Cause: with 300 routers the leader looked at the demand every 315 ms, as planning and telling all routers shared one pause of a millisecond a router. Ruled out: slow runners (orders were answered within milliseconds), slow adapters. Change: a step rests three times as long as it took (5 ms at 240 runners and 1,200 rows); all routers are told of views as often as before, those with requests that wait for what is new at once (announcer). New metrics step_seconds and hurried_views_total. Also: the summary line and a gauge tell where models are (loaded, coming, copied, absent), and the last replica of a model that nobody asked for yet has a value: the rate at which requests come for models that rested, by their number.

--- /dev/null
+++ b/placement/domainnode/announcer_test.go
@@ -0,0 +1,96 @@
+package domainnode
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+func TestManyRoutersAreToldLessOften(t *testing.T) {
+	c := qt.New(t)
+	a := newAnnouncer()
+	start := time.Unix(1000, 0)
+	c.Assert(a.offer(start, 1, 300), qt.Equals, time.Duration(0), qt.Commentf("the first is told at once"))
+	c.Assert(a.offer(start.Add(100*time.Millisecond), 2, 300), qt.Equals, 200*time.Millisecond)
+	c.Assert(a.revision, qt.Equals, uint64(1))
+	c.Assert(a.offer(start.Add(300*time.Millisecond), 3, 300), qt.Equals, time.Duration(0))
+	c.Assert(a.revision, qt.Equals, uint64(3))
+	c.Assert(a.offer(start.Add(400*time.Millisecond), 3, 300), qt.Equals, time.Duration(0), qt.Commentf("nothing is new"))
+	a.announce(start.Add(410*time.Millisecond), 4)
+	c.Assert(a.revision, qt.Equals, uint64(4), qt.Commentf("departures do not wait"))
+}
+
+func TestHurriedRouterIsToldAlone(t *testing.T) {
+	c := qt.New(t)
+	a := newAnnouncer()
+	a.hurry("one")
+	a.hurry("one")
+	c.Assert(a.hurriedOf("one"), qt.HasLen, 1)
+	c.Assert(a.hurriedOf("other"), qt.HasLen, 0)
+}
+
+// On a site with hundreds of routers, a request that waits for an adapter is served as soon
+// as on a small one, though not every router is told of every change.
+func TestWaitingRouterSoonKnowsOfItsAdapter(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		held := []fleet.LoadedModel{{Name: "m"}}
+		d.engines.report = residency.Report{Models: held}
+		d.found(0, 1, 2)
+		document := []byte(`{"Version":3,"Services":[{"Name":"s","Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
+			`"Models":[{"Name":"m","SizeMB":1,"Adapters":50}]}}]}`)
+		d.await("the document", func() bool { return d.nodes[0].PutDocument(d.ctx, document) == nil })
+		leading := d.nodes[d.awaitLeader()]
+		heartbeat := fleet.Heartbeat{Instance: "r", Service: "s", Address: "10.9.9.9:1", Sequence: 1, Models: held}
+		d.await("a heartbeat", func() bool { return leading.Heartbeat(d.ctx, heartbeat) == nil })
+		pause.For(d.ctx, 5*time.Second)
+		joined, err := leading.current()
+		d.c.Assert(err, qt.IsNil)
+		for i := range 300 {
+			joined.leads().contact(fmt.Sprint("router-", i), 1)
+		}
+		for adapter := range 8 {
+			took := d.untilKnown(leading, fmt.Sprint("a", adapter))
+			d.c.Assert(took < 200*time.Millisecond, qt.IsTrue, qt.Commentf("adapter %d: %v", adapter, took))
+			pause.For(d.ctx, 137*time.Millisecond)
+		}
+	})
+}
+
+// untilKnown is how long it takes from a router's report of a request for an adapter until
+// its view says that a runner has it.
+func (d *testDomain) untilKnown(leading *runningNode, adapter string) time.Duration {
+	calls := &service{node: leading.Node}
+	row := residency.Row{Service: "s", Model: "m", Adapter: adapter}
+	began := time.Now()
+	go func() {
+		demand := residency.Demand{Row: row, Waiting: 1, Arrived: 1}
+		_ = calls.Demand(&domainapi.DemandArguments{Router: "router-0", Demands: []residency.Demand{demand}}, &domainapi.DemandReply{})
+	}()
+	known := domainapi.WatchArguments{Router: "router-0", Version: 3}
+	for time.Since(began) < 10*time.Second {
+		var reply domainapi.WatchReply
+		d.c.Assert(calls.Watch(&known, &reply), qt.IsNil)
+		d.c.Assert(structs.AsError(reply.Error), qt.IsNil)
+		known.Term, known.Revision = reply.Term, reply.Revision
+		if reply.View == nil {
+			continue
+		}
+		view, err := reply.View.Decode()
+		d.c.Assert(err, qt.IsNil)
+		for _, runner := range view.Runners {
+			if len(runner.Models) > 0 && slices.Contains(runner.Models[0].Adapters, adapter) {
+				return time.Since(began)
+			}
+		}
+	}
+	return time.Since(began)
+}
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -23,10 +23,11 @@
 	l.registry.Depart(now(), departure.Instance, departure.Gone)
 	l.refresh(now())
 	revision := l.views.Revision()
+	l.announcer.announce(now(), revision)
 	l.mutex.Unlock()
 	for {
 		l.mutex.Lock()
-		isTold, changed := l.areTold(now(), revision), l.changed
+		isTold, changed := l.areTold(now(), revision), l.announcer.changed
 		l.mutex.Unlock()
 		if isTold {
 			return
@@ -63,6 +64,7 @@
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerLife {
 			delete(l.routers, name)
+			l.announcer.forget(name)
 		}
 	}
 	return len(l.routers)
--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -45,10 +45,11 @@
 	done chan struct{}
 }
 
-// fakeEngines notes orders and accepts them.
+// fakeEngines notes orders and accepts them. All runners give the same report.
 type fakeEngines struct {
 	mutex  sync.Mutex
 	orders []sentOrder
+	report residency.Report
 }
 
 type sentOrder struct {
@@ -64,7 +65,7 @@
 }
 
 func (e *fakeEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, error) {
-	return residency.Report{}, nil
+	return e.report, nil
 }
 
 func (e *fakeEngines) sent() []sentOrder {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// minStepPause and stepPausePerRouter bound how often the leader plans and tells
-	// all routers of a change.
-	minStepPause       = 15 * time.Millisecond
-	stepPausePerRouter = time.Millisecond
+	// minStepPause is the shortest pause between two steps, for what comes meanwhile to share
+	// the next. stepRest times what a step took is the shortest as well, so that steps
+	// take a quarter of the leader's time at most, however large the site is.
+	minStepPause = 15 * time.Millisecond
+	stepRest     = 3
 	// planInterval is the longest pause between two looks at what to load.
 	planInterval = 100 * time.Millisecond
 	// routerLife is how long a router that has gone silent keeps its part of what is
@@ -53,9 +54,8 @@
 	// views numbers the views for routers.
 	views *fleet.Publisher
 	// document is the one that the planner works by.
-	document uint64
-	// changed is closed and replaced at each change of view or document.
-	changed chan struct{}
+	document  uint64
+	announcer *announcer
 	// planned is closed and replaced after each plan.
 	planned  chan struct{}
 	routers  map[string]routerContact
@@ -101,7 +101,7 @@
 		registry:   fleet.NewRegistry(at),
 		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
 		views:      fleet.NewPublisher(),
-		changed:    make(chan struct{}),
+		announcer:  newAnnouncer(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		unrecorded: make(map[string]domain.Registration),
@@ -148,7 +148,7 @@
 	ending.mutex.Lock()
 	defer ending.mutex.Unlock()
 	ending.ended = true
-	ending.notify()
+	ending.announcer.wakeAll()
 }
 
 // isValid reports whether no other controller can lead now.
@@ -159,31 +159,36 @@
 
 // run plans until the leadership ends.
 func (l *leadership) run(ctx context.Context) {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-l.wake:
 		}
 		l.mutex.Lock()
-		ended, routers := l.ended, len(l.routers)
+		ended := l.ended
 		l.mutex.Unlock()
 		if ended {
 			return
 		}
+		began, next := now(), planInterval
 		if l.isValid() {
-			l.step(ctx)
+			next = l.step(ctx)
 		}
-		// What comes meanwhile shares the next step.
-		pause.For(ctx, minStepPause+time.Duration(routers)*stepPausePerRouter)
+		took := now().Sub(began)
+		l.node.metrics.stepTime.Observe(took.Seconds())
+		rest := max(minStepPause, stepRest*took)
+		pause.For(ctx, rest)
+		timer.Reset(max(0, next-rest))
 	}
 }
 
-// step looks once at what the runners hold and what is demanded, and sends orders.
-func (l *leadership) step(ctx context.Context) {
+// step looks once at what the runners hold and what is demanded, and sends orders. It returns
+// after how long the next step is due if nothing else happens.
+func (l *leadership) step(ctx context.Context) time.Duration {
 	l.adoptDocument()
 	l.mutex.Lock()
 	at := now()
@@ -194,6 +199,7 @@
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.refresh(at)
+	next := l.tellRouters(at)
 	judged := l.planner.TakeJudgements()
 	ended := l.planner.TakeEndedLoads()
 	l.recordRegistrations()
@@ -210,6 +216,33 @@
 	for _, order := range orders {
 		go l.send(ctx, order)
 	}
+	return next
+}
+
+// tellRouters lets the routers know of the newest view: at once those with requests that wait
+// for what has become ready, the others when it is their time. It returns after how long
+// the next step is due. It runs under the mutex.
+func (l *leadership) tellRouters(at time.Time) time.Duration {
+	for _, router := range l.planner.WaitingRouters(at, l.planner.TakeArrived()) {
+		l.hurry(router)
+	}
+	next := planInterval
+	if left := l.announcer.offer(at, l.views.Revision(), len(l.routers)); left > 0 {
+		next = min(next, left)
+	}
+	if in, isKnown := l.planner.NextArrival(at); isKnown {
+		next = min(next, in)
+	}
+	return next
+}
+
+// hurry lets a router know of the newest view at once, unless it does already. It runs under
+// the mutex.
+func (l *leadership) hurry(router string) {
+	if l.routers[router].revision < l.views.Revision() {
+		l.node.metrics.hurried.Inc()
+		l.announcer.hurry(router)
+	}
 }
 
 // adoptDocument gives the planner the document in force.
@@ -231,12 +264,10 @@
 	defer l.mutex.Unlock()
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
-	l.notify()
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
 }
 
-// refresh makes the view anew and wakes the routers if it has changed. It runs under
-// the mutex.
+// refresh makes the view anew. It runs under the mutex.
 func (l *leadership) refresh(at time.Time) {
 	statuses := l.registry.Runners(at)
 	l.planner.SetRunners(at, statuses)
@@ -255,15 +286,7 @@
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
-	if l.views.Publish(view) {
-		l.notify()
-	}
-}
-
-// notify wakes whoever waits for a change. It runs under the mutex.
-func (l *leadership) notify() {
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.views.Publish(view)
 }
 
 // wakePlan asks for a look at what to load now.
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -23,6 +23,9 @@
 	unmet      *prometheus.GaugeVec
 	storeLoads *prometheus.GaugeVec
 	storeLimit *prometheus.GaugeVec
+	coverage   *prometheus.GaugeVec
+	stepTime   prometheus.Histogram
+	hurried    prometheus.Counter
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -68,12 +71,19 @@
 		unmet:      gauges("unmet_models", "Models that should be loaded and are not, by obstacle.", "obstacle"),
 		storeLoads: gauges("store_loads", "Loads from the weight store under way, by service.", "service"),
 		storeLimit: gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
-		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
+		coverage:   gauges("models", "Models by service and where they are: loaded, coming, copied (on a machine's disk or in its memory only) or absent.", "service", "where"),
+		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
+			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
+		}),
+		hurried:  counter("hurried_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
+		reopened: counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
-			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit)
+			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
+			made.stepTime, made.hurried)
 	}
 	return made
 }
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -235,12 +235,12 @@
 		// Get the channels before looking, so that no change is missed.
 		machineChanged := joined.changes()
 		current.mutex.Lock()
-		viewChanged := current.changed
-		revision := current.views.Revision()
+		viewChanged, announced := current.announcer.changed, current.announcer.revision
+		hurried := current.announcer.hurriedOf(arguments.Router)
 		current.mutex.Unlock()
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
-		if revision != known || document.Version > arguments.Version {
+		if announced > known || document.Version > arguments.Version {
 			current.fill(reply, arguments, known, document)
 			break
 		}
@@ -249,6 +249,8 @@
 			continue
 		case <-viewChanged:
 			continue
+		case <-hurried:
+			current.fill(reply, arguments, known, document)
 		case <-timeout.C:
 			current.fill(reply, arguments, known, document)
 		}
@@ -297,6 +299,10 @@
 	}
 	current.mutex.Lock()
 	current.planner.Observe(now(), arguments.Router, arguments.Demands)
+	if current.planner.IsAnyHeld(arguments.Demands) {
+		// The router waits for what it does not know to be there.
+		current.hurry(arguments.Router)
+	}
 	current.planner.Doubt(now(), arguments.Doubted)
 	current.planner.ObservePace(now(), arguments.Paces)
 	planned := current.planned
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -38,12 +38,14 @@
 	}
 	unmet := l.unmetNeeds()
 	stores := l.storeStates()
+	coverage := l.coverages()
 	l.node.metrics.waiting.Set(float64(waiting))
 	l.node.metrics.runners.Set(float64(l.views.Runners()))
 	l.node.metrics.routers.Set(float64(len(l.routers)))
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
-		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores)
+		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
+		"coverage", coverage)
 }
 
 // unmetNeeds tells which models should be loaded and why they are not. It runs under the
@@ -75,6 +77,22 @@
 	return strings.Join(listed, " ")
 }
 
+// coverages tells how many models of each service can be served how soon. It runs under the
+// mutex.
+func (l *leadership) coverages() string {
+	var listed []string
+	for _, found := range l.planner.Coverages() {
+		listed = append(listed, fmt.Sprintf("%s:%d loaded,%d coming,%d copied,%d absent,%d replicas", found.Service,
+			found.Loaded, found.Coming, found.Copied, found.Absent, found.Replicas))
+		for where, count := range map[string]int{
+			"loaded": found.Loaded, "coming": found.Coming, "copied": found.Copied, "absent": found.Absent,
+		} {
+			l.node.metrics.coverage.WithLabelValues(found.Service, where).Set(float64(count))
+		}
+	}
+	return strings.Join(listed, " ")
+}
+
 // noteEndedLoads logs and counts loads that have ended.
 func (l *leadership) noteEndedLoads(ended []residency.EndedLoad) {
 	for _, load := range ended {
--- a/placement/residency/answers.go
+++ b/placement/residency/answers.go
@@ -83,11 +83,11 @@
 // advance moves adapters on that have had the time to arrive.
 func (p *Planner) advance(now time.Time) {
 	for _, known := range p.runners {
-		for _, held := range known.holdings {
-			for _, adapter := range held.adapters {
+		for model, held := range known.holdings {
+			for name, adapter := range held.adapters {
 				if adapter.phase == phaseLoading && now.Sub(adapter.since) >= p.options.AdapterTime {
 					adapter.phase = phaseReady
-					p.changed = true
+					p.noteArrival(known.rowOfAdapter(model, name))
 				}
 			}
 		}
--- /dev/null
+++ b/placement/residency/arrivals.go
@@ -0,0 +1,100 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// noteChange notes what has become ready at a runner.
+func (p *Planner) noteChange(before []fleet.LoadedModel, known *runner) {
+	after := known.loaded()
+	for _, model := range after {
+		former := slices.IndexFunc(before, func(other fleet.LoadedModel) bool { return other.Name == model.Name })
+		if former < 0 {
+			p.noteArrival(known.rowOf(model.Name))
+		}
+		for _, adapter := range model.Adapters {
+			if former < 0 || !slices.Contains(before[former].Adapters, adapter) {
+				p.noteArrival(known.rowOfAdapter(model.Name, adapter))
+			}
+		}
+	}
+}
+
+func (p *Planner) noteArrival(row Row) { p.arrived[row] = true }
+
+// TakeArrived lists the rows that have become ready at one more runner since the last call.
+func (p *Planner) TakeArrived() []Row {
+	var arrived []Row
+	for row := range p.arrived {
+		arrived = append(arrived, row)
+	}
+	clear(p.arrived)
+	return arrived
+}
+
+// WaitingRouters names the routers that have requests waiting for one of the rows, sorted.
+func (p *Planner) WaitingRouters(now time.Time, rows []Row) []string {
+	waiting := make(map[string]bool)
+	for _, row := range rows {
+		demand := p.demands[row]
+		if demand == nil {
+			continue
+		}
+		for router, report := range demand.reports {
+			if report.demand.Waiting > 0 && now.Sub(report.at) <= p.options.DemandLife {
+				waiting[router] = true
+			}
+		}
+	}
+	var names []string
+	for router := range waiting {
+		names = append(names, router)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// IsAnyHeld reports whether some runner holds what requests of the report wait for.
+func (p *Planner) IsAnyHeld(demands []Demand) bool {
+	return slices.ContainsFunc(demands, func(demand Demand) bool {
+		return demand.Waiting > 0 && p.isHeld(demand.Row)
+	})
+}
+
+// isHeld reports whether requests for the row may be sent to some runner.
+func (p *Planner) isHeld(row Row) bool {
+	if p.tally == nil {
+		return false
+	}
+	return slices.ContainsFunc(p.holders(row), func(known *runner) bool {
+		held := known.holdings[row.Model]
+		if held == nil || held.phase != phaseReady || row.Adapter == "" {
+			return held != nil && held.phase == phaseReady
+		}
+		adapter := held.adapters[row.Adapter]
+		return adapter != nil && adapter.phase == phaseReady
+	})
+}
+
+// NextArrival is after how long the next adapter on its way should be ready.
+func (p *Planner) NextArrival(now time.Time) (time.Duration, bool) {
+	var next time.Duration
+	isKnown := false
+	for _, known := range p.runners {
+		for _, held := range known.holdings {
+			for _, adapter := range held.adapters {
+				if adapter.phase != phaseLoading {
+					continue
+				}
+				in := max(0, adapter.since.Add(p.options.AdapterTime).Sub(now))
+				if !isKnown || in < next {
+					next, isKnown = in, true
+				}
+			}
+		}
+	}
+	return next, isKnown
+}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -19,6 +19,8 @@
 	document   *site.Index
 	runners    map[string]*runner
 	demands    map[Row]*rowDemand
+	// newcomers are by service.
+	newcomers map[string]*newcomers
 	// observedFrom is when the first demand was reported.
 	observedFrom time.Time
 	// stores bound the loads from the weight store, by service.
@@ -44,8 +46,8 @@
 	unmet []need
 	// readyAt is when models that requests wait for should be ready.
 	readyAt map[Row]time.Time
-	// changed is set when what routers may use has changed.
-	changed bool
+	// arrived are the rows that have become ready since they were last taken.
+	arrived map[Row]bool
 }
 
 // NewPlanner makes the planner of a leadership. No order is planned before
@@ -56,6 +58,7 @@
 		ordersFrom: ordersFrom,
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
+		newcomers:  make(map[string]*newcomers),
 		stores:     make(map[string]*weightstore.Limiter),
 
 		recalledStores: make(map[string]recalledStore),
@@ -65,20 +68,13 @@
 		rates:      make(map[string]*replicaRate),
 		judgements: make(map[string]Judgement),
 		slowPlaces: make(map[place]bool),
+		arrived:    make(map[Row]bool),
 	}
 }
 
 // SetDocument adopts a site document.
 func (p *Planner) SetDocument(document *site.Index) { p.document = document }
 
-// TakeChanged reports whether what Loaded returns may have changed since the last
-// call.
-func (p *Planner) TakeChanged() bool {
-	changed := p.changed
-	p.changed = false
-	return changed
-}
-
 // Loaded lists the models that requests may use at the runner.
 func (p *Planner) Loaded(instance string) []fleet.LoadedModel {
 	if known := p.runners[instance]; known != nil {
@@ -118,14 +114,6 @@
 	p.paces.forget(func(instance string) bool { return listed[instance] })
 }
 
-func (p *Planner) noteChange(before []fleet.LoadedModel, known *runner) {
-	after := known.loaded()
-	same := slices.EqualFunc(before, after, func(a, b fleet.LoadedModel) bool {
-		return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
-	})
-	p.changed = p.changed || !same
-}
-
 // Observe takes a router's report of demand.
 func (p *Planner) Observe(now time.Time, router string, demands []Demand) {
 	if p.observedFrom.IsZero() {
@@ -138,12 +126,24 @@
 			p.demands[demand.Row] = known
 		}
 		known.add(now, router, demand, p.options.RateTime)
+		if demand.Arrived > 0 {
+			p.newcomersOf(demand.Row.Service).observe(now, demand.Row.Model)
+		}
 		for _, active := range demand.Active {
 			p.noteUse(now, active.Instance, demand.Row)
 		}
 	}
 }
 
+func (p *Planner) newcomersOf(service string) *newcomers {
+	known := p.newcomers[service]
+	if known == nil {
+		known = newNewcomers()
+		p.newcomers[service] = known
+	}
+	return known
+}
+
 func (p *Planner) noteUse(now time.Time, instance string, row Row) {
 	known := p.runners[instance]
 	if known == nil || known.holdings[row.Model] == nil {
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -70,6 +70,8 @@
 	// reserved is the model for which room is being made, until reservedUntil.
 	reserved      string
 	reservedUntil time.Time
+	// roomBy is by when the room should have been made.
+	roomBy time.Time
 	// ended are the loads that have ended since they were last taken; see
 	// Planner.TakeEndedLoads.
 	ended []EndedLoad
@@ -116,6 +118,11 @@
 	return Row{Service: r.status.Heartbeat.Service, Model: model}
 }
 
+// rowOfAdapter is the row of an adapter of a model at the runner.
+func (r *runner) rowOfAdapter(model, adapter string) Row {
+	return Row{Service: r.status.Heartbeat.Service, Model: model, Adapter: adapter}
+}
+
 // isUncertain reports whether an order to load a model may or may not have been taken.
 func (r *runner) isUncertain() bool {
 	for _, held := range r.holdings {
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -8,6 +8,9 @@
 	sorted []*runner
 	// adapterRates is the part of the demand for a model that names an adapter.
 	adapterRates map[Row]float64
+	// restingRates is at which rate each model that rests is expected to be asked for, by
+	// service.
+	restingRates map[string]float64
 	// demands and waiting are by model, active by model and instance.
 	demands map[Row]modelDemand
 	waiting map[Row]int
@@ -44,6 +47,7 @@
 	t := &tally{
 		sorted:       p.sorted(),
 		adapterRates: make(map[Row]float64),
+		restingRates: make(map[string]float64),
 		demands:      make(map[Row]modelDemand),
 		waiting:      make(map[Row]int),
 		active:       make(map[activeKey]int),
@@ -84,6 +88,7 @@
 		total.rate = max(total.rate, recentWeight*recent[model]+(1-recentWeight)*total.rate)
 		t.demands[model] = total
 	}
+	p.addRestingRates(now, t)
 	for _, known := range t.sorted {
 		known.weighed = nil
 		t.addHoldings(known)
@@ -92,6 +97,21 @@
 	p.tally = t
 }
 
+// addRestingRates works out the demand to expect for models that nobody asks for.
+func (p *Planner) addRestingRates(now time.Time, t *tally) {
+	if p.document == nil {
+		return
+	}
+	for name, known := range p.newcomers {
+		service := p.document.Service(name)
+		if service == nil || service.Engine == nil {
+			delete(p.newcomers, name)
+			continue
+		}
+		t.restingRates[name] = known.rateOfEach(now, len(service.Engine.Models))
+	}
+}
+
 // recentWeight is the weight of the short average when demand rises.
 const recentWeight = 0.75
 
@@ -136,8 +156,7 @@
 		if now.Before(known.storeKeptUntil) {
 			t.kept[known.status.Heartbeat.Service]++
 		}
-		isRecent := now.Before(known.reservedUntil.Add(roomMadeIn - reservationTime))
-		if isRecent && !known.status.Leaving && known.isOccupied() {
+		if now.Before(known.roomBy) && !known.status.Leaving && known.isOccupied() {
 			t.makingRoom[known.rowOf(known.reserved)] = true
 		}
 	}
