Let spare replicas in use make way, and keep places at the store for overrun models

Change: a replica whose fellows can bear the demand may make way though it is in use; a fifth of the loads at once is kept for needs of ten late requests and more.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -84,8 +84,11 @@
 		switch {
 		case listed == nil:
 			found.candidates = append(found.candidates, candidate{name, engine.WeightsMB, 0})
-		case held.phase == phaseReady && p.isIdle(now, known, name, held):
+		case held.phase != phaseReady:
+		case p.isIdle(now, known, name, held):
 			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed) * unobserved})
+		case p.isSpare(known, row):
+			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed)*unobserved + drainCost})
 		}
 	}
 	slices.SortFunc(found.candidates, func(a, b candidate) int {
@@ -136,7 +139,33 @@
 	return p.tally.waiting[row] == 0 || len(p.holders(row)) > 1
 }
 
+// isSpare reports whether the other replicas of the model can serve the demand for it. Then
+// this one may make way though requests use it: the runner ends these first, and new ones
+// go to the others.
+func (p *Planner) isSpare(known *runner, row Row) bool {
+	others := p.holdersBut(known, row)
+	return len(others) > 0 && p.modelDemand(row).rate <= spareShare*p.capacity(others)*p.rateOf(row.Service)
+}
+
+// holdersBut lists the runners but one on which requests may use the model.
+func (p *Planner) holdersBut(known *runner, row Row) []*runner {
+	var others []*runner
+	for _, holder := range p.holders(row) {
+		if holder != known {
+			others = append(others, holder)
+		}
+	}
+	return others
+}
+
 const (
+	// spareShare is how much of what the other replicas bear the demand may be for a replica
+	// in use to make way: less than all of it, since demand comes in bursts.
+	spareShare = 0.7
+	// drainCost is what it costs to take a model away that requests use: the runner ends
+	// them first and takes no other order for the two seconds of a usual stream, at the
+	// weight of a load and of the requests that arrive at it in vain.
+	drainCost = 0.3
 	// evictionCost makes a runner with room preferable to one without.
 	evictionCost = 0.05
 	// patientHarm is how much of a late request it is to let a request wait for a load
@@ -157,23 +186,19 @@
 }
 
 // value is how many requests of the horizon are expected to be late without the
-// runner's replica of the model.
+// runner's replica of the model. The last replica of a model that rests has a value as
+// well: any of them may be asked for next.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
 	row := known.rowOf(model.Name)
 	demand := p.modelDemand(row)
 	horizon := p.options.Horizon.Seconds()
-	var others []*runner
-	for _, holder := range p.holders(row) {
-		if holder != known {
-			others = append(others, holder)
-		}
-	}
+	others := p.holdersBut(known, row)
 	if len(others) == 0 {
 		harm := 1.0
 		if demand.objective > loadTime(known, model) {
 			harm = patientHarm
 		}
-		return demand.rate * horizon * harm
+		return (demand.rate + p.tally.restingRates[row.Service]) * horizon * harm
 	}
 	excess := demand.rate - p.capacity(others)*p.rateOf(row.Service)
 	return max(0, excess)*horizon + demand.rate*spareValue
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -61,6 +61,7 @@
 	fromStore := !known.hasCopy(model)
 	if place.victim != "" {
 		known.reserved, known.reservedUntil = model, now.Add(reservationTime)
+		known.roomBy = now.Add(p.roomTakes(known, place.victim))
 		if fromStore {
 			known.storeKeptUntil = now.Add(storeKeptTime)
 			p.tally.kept[wanted.row.Service]++
@@ -73,6 +74,14 @@
 	return order, true
 }
 
+// roomTakes is how long it should take at most until the runner has unloaded the model.
+func (p *Planner) roomTakes(known *runner, victim string) time.Duration {
+	if p.tally.active[activeKey{known.rowOf(victim), known.status.Heartbeat.Instance}] > 0 {
+		return roomDrainedIn
+	}
+	return roomMadeIn
+}
+
 // findPlace finds the runner on which a load of the model costs least.
 func (p *Planner) findPlace(now time.Time, wanted need) loadPlace {
 	best := loadPlace{cost: math.Inf(1), obstacle: ObstacleBusy}
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -8,8 +8,10 @@
 	// maxIncoming is how many adapters may be on their way to a runner at once.
 	maxIncoming = 4
 	// roomMadeIn is how long an unload that makes room is waited for before another runner
-	// is tried: several times what it takes for an unused model.
-	roomMadeIn = time.Second
+	// is tried: several times what it takes for an unused model. roomDrainedIn is the same
+	// for a model in use: twice the two seconds that a usual stream takes.
+	roomMadeIn    = time.Second
+	roomDrainedIn = 4 * time.Second
 	// reservationTime is how long room is kept for a model while others make way.
 	reservationTime = 10 * time.Second
 	// loadTimeout is after how long a load that does not end is looked into.
--- a/placement/residency/planner_test.go
+++ b/placement/residency/planner_test.go
@@ -306,3 +306,38 @@
 		})
 	}
 }
+
+// Many replicas of a model that is little asked for share its requests, so that none of them
+// is ever unused. One of them makes way all the same.
+func TestSpareReplicaInUseMakesWay(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		rate      int
+		isOrdered bool
+	}{
+		{"little demand", 2, true},
+		{"as much as the others can serve", 12, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newStorePlanner(4, func(i int, heartbeat *fleet.Heartbeat) {
+				heartbeat.Models = []fleet.LoadedModel{{Name: "m0"}}
+			})
+			var at time.Time
+			for tenth := range 100 {
+				at = start.Add(time.Duration(tenth) * 100 * time.Millisecond)
+				demand := Demand{Row: Row{Service: "s", Model: "m0"}}
+				if tenth%10 == 0 {
+					demand.Arrived = test.rate
+				}
+				for i := range 4 {
+					demand.Active = append(demand.Active, ActiveCount{Instance: fmt.Sprint("r", i), Count: 1})
+				}
+				p.Observe(at, "router", []Demand{demand})
+			}
+			waitForModels(p, at, 1, 1)
+			orders := p.Plan(at)
+			c.Assert(len(orders) > 0, qt.Equals, test.isOrdered)
+		})
+	}
+}
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -13,6 +13,16 @@
 // must make way is unloaded: several times what an unload of an unused model takes.
 const storeKeptTime = 2 * time.Second
 
+const (
+	// reservedShare is the part of the loads at once that is kept for models with an
+	// urgentGain: one of them would have to wait for the seconds that a load of a cold model
+	// takes otherwise.
+	reservedShare = 0.2
+	// urgentGain is from how many late requests of the horizon a load is urgent: one a
+	// second, where a cold model that is asked for now and then counts for some three in all.
+	urgentGain = 10
+)
+
 // runnersPerLoad is for how many runners one load from an unknown weight store is tried at
 // once: should it bear fewer, a tenth of the runners is held up for longer, no more.
 const runnersPerLoad = 10
@@ -89,7 +99,7 @@
 // runner, so that the wait in all is bounded by what the load from the store would take.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
-	if store == nil || !store.MayBegin(now, p.tally.kept[wanted.row.Service]) {
+	if store == nil || !store.MayBegin(now, p.tally.kept[wanted.row.Service]+reservedPlaces(store, wanted)) {
 		return false
 	}
 	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
@@ -106,6 +116,14 @@
 	return true
 }
 
+// reservedPlaces is how many places at the store are kept from the need for more urgent ones.
+func reservedPlaces(store *weightstore.Limiter, wanted need) int {
+	if wanted.gain >= urgentGain {
+		return 0
+	}
+	return int(reservedShare * float64(store.Limit()))
+}
+
 // awaitedFor is how long a copy of the model has been waited for in place of a load from
 // the weight store.
 func (p *Planner) awaitedFor(now time.Time, row Row) time.Duration {
