Learn the store's limit from what was under way when a load began, too

The store gives a load its speed by how many are under way when it begins. Change: a load in time proves the lesser of what was under way when it began and on average; a slow one tells of the larger. Holds for stores that share their speed, too: the tests of those are unchanged and pass. TestFirstLoadsOfManyProveLittle: 99 loads at once before, 36 at most and a limit of 8 to 13 (true: 10) now.

--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -72,6 +72,8 @@
 	since   time.Time
 	// used is Limiter.used at the beginning.
 	used float64
+	// beside is how many loads were under way when it began, itself included.
+	beside float64
 }
 
 // New returns a limiter of a store from which in each window perWindow loads may begin.
@@ -136,7 +138,7 @@
 
 func (l *Limiter) track(now time.Time, load Load) {
 	l.integrate(now)
-	l.loads[load.Key] = progress{nominal: load.Nominal, since: now, used: l.used}
+	l.loads[load.Key] = progress{nominal: load.Nominal, since: now, used: l.used, beside: float64(len(l.loads) + 1)}
 }
 
 // Update tells which loads are under way now. Of those that no longer are, isReady says
@@ -171,12 +173,17 @@
 
 // ended learns from a load that has ended. A single slow one proves nothing, as the news
 // of it may have been late: the quicker of the last two counts.
+//
+// A store may share its speed among the loads under way, or give a load its speed when it
+// begins. So a load in time proves what was under way both when it began and on average,
+// and one that was slow tells of the larger of the two.
 func (l *Limiter) ended(now time.Time, load progress) {
 	took := now.Sub(load.since)
 	if load.nominal <= 0 || took < time.Duration(tooSoon*float64(load.nominal)) {
 		return
 	}
-	beside := (l.used - load.used) / took.Seconds()
+	average := (l.used - load.used) / took.Seconds()
+	least, most := min(load.beside, average), max(load.beside, average)
 	slowness := took.Seconds() / load.nominal.Seconds()
 	if took <= time.Duration(slowFactor*float64(load.nominal))+slowSlack {
 		slowness = 1
@@ -187,11 +194,11 @@
 	switch {
 	case quicker > 1:
 		l.crowdedAt = now
-		l.limit = max(1, min(l.limit, math.Round(beside/quicker)))
+		l.limit = max(1, min(l.limit, math.Round(most/quicker)))
 	case slowness > 1:
 	case l.crowdedAt.IsZero():
-		l.limit = max(l.limit, math.Round(startFactor*beside))
-	case beside >= fullShare*l.limit && now.Sub(l.crowdedAt) > probePause && !load.since.Before(l.raisedAt):
+		l.limit = max(l.limit, math.Round(startFactor*least))
+	case least >= fullShare*l.limit && now.Sub(l.crowdedAt) > probePause && !load.since.Before(l.raisedAt):
 		l.limit++
 		l.raisedAt = now
 	}
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -16,9 +16,11 @@
 )
 
 // simulatedStore serves as many loads at once as it can at full speed; beyond that
-// number all take proportionally longer.
+// number all take proportionally longer, or only those that begin then.
 type simulatedStore struct {
 	atOnce int
+	// isFixed stores give a load its speed when it begins.
+	isFixed bool
 	now    time.Time
 	left   map[Key]time.Duration
 	done   map[Key]bool
@@ -34,7 +36,7 @@
 func (s *simulatedStore) advance() {
 	s.now = s.now.Add(step)
 	progress := step
-	if len(s.left) > s.atOnce {
+	if len(s.left) > s.atOnce && !s.isFixed {
 		progress = time.Duration(float64(step) * float64(s.atOnce) / float64(len(s.left)))
 	}
 	for key := range s.left {
@@ -60,6 +62,9 @@
 			load := Load{Key: Key{Instance: "r", Model: fmt.Sprint(len(s.begun))}, Nominal: nominal}
 			l.Begin(s.now, load)
 			s.left[load.Key] = nominal
+			if s.isFixed {
+				s.left[load.Key] = time.Duration(float64(nominal) * max(1, float64(len(s.left))/float64(s.atOnce)))
+			}
 			s.begun = append(s.begun, s.now)
 		}
 		s.most = max(s.most, len(s.left))
@@ -193,3 +198,16 @@
 	limit, _ := l.Learned()
 	c.Assert(limit, qt.Equals, 0)
 }
+
+// Of many loads that begin together at a store that gives each its speed when it begins, the
+// first ones end in time. That proves what was under way when they began, no more.
+func TestFirstLoadsOfManyProveLittle(t *testing.T) {
+	c := qt.New(t)
+	store := newSimulatedStore(10)
+	store.isFixed = true
+	l := New(5*time.Second, 300)
+	l.Expect(24)
+	store.run(l, 40*time.Second)
+	c.Assert(store.most <= 36, qt.IsTrue, qt.Commentf("%d loads at once", store.most))
+	c.Assert(l.Limit() >= 8 && l.Limit() <= 13, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+}
