Tell routers how many requests all of them have at crowded runners

Change: replies to watches list the runners with a quarter of their places in use or more, from the reports of all routers; routers weigh them like their own requests, for two seconds. Test: TestRouterSparesRunnersThatOthersCrowd.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -106,6 +106,8 @@
 	Document *domain.Document
 	// View is nil if the router's is in force.
 	View *fleet.EncodedView
+	// Loads lists the runners with many requests, of all routers together.
+	Loads []fleet.Load
 	// Routers is how many routers share what the leader grants to all together.
 	Routers int
 	// Controllers are the addresses of the members of the group.
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -56,6 +56,8 @@
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
+	// loads are those of the last step.
+	loads []fleet.Load
 	// planned is closed and replaced after each plan.
 	planned  chan struct{}
 	routers  map[string]routerContact
@@ -199,6 +201,7 @@
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.refresh(at)
+	l.loads = l.planner.Loads()
 	next := l.tellRouters(at)
 	judged := l.planner.TakeJudgements()
 	ended := l.planner.TakeEndedLoads()
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -275,6 +275,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	reply.Revision = l.views.Revision()
+	reply.Loads = l.loads
 	if reply.Revision != known {
 		view, err := l.views.EncodedSince(known)
 		if err != nil {
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -49,6 +49,12 @@
 	Unconfirmed bool `msgpack:"-"`
 }
 
+// Load is how many requests are at a runner.
+type Load struct {
+	Instance string
+	Requests int
+}
+
 // Equal reports whether two views of a runner are the same.
 func (r Runner) Equal(other Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -17,7 +17,9 @@
 	active  map[activeKey]int
 	// rowActive is by row, which may name an adapter, and instance.
 	rowActive map[activeKey]int
-	holders   map[Row][]*runner
+	// loads counts the requests at each instance.
+	loads   map[string]int
+	holders map[Row][]*runner
 	// coming lists the runners that load a model.
 	coming map[Row][]*runner
 	// available lists the runners that take orders, by service, and copies those of all
@@ -52,6 +54,7 @@
 		waiting:      make(map[Row]int),
 		active:       make(map[activeKey]int),
 		rowActive:    make(map[activeKey]int),
+		loads:        make(map[string]int),
 		holders:      make(map[Row][]*runner),
 		coming:       make(map[Row][]*runner),
 		available:    make(map[string][]*runner),
@@ -81,6 +84,7 @@
 			for _, each := range report.demand.Active {
 				t.active[activeKey{model, each.Instance}] += each.Count
 				t.rowActive[activeKey{row, each.Instance}] += each.Count
+				t.loads[each.Instance] += each.Count
 			}
 		}
 	}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -10,6 +10,8 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 const (
@@ -81,6 +83,7 @@
 	if reply.View != nil && !r.takeView(reply) {
 		return
 	}
+	r.takeLoads(reply.Loads)
 	arguments.Term = reply.Term
 	arguments.Revision = reply.Revision
 }
@@ -99,6 +102,21 @@
 	return true
 }
 
+// takeLoads adopts how many requests all routers together have at the runners.
+func (r *Router) takeLoads(loads []fleet.Load) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at := time.Now()
+	requests := make(map[string]int, len(loads))
+	for _, load := range loads {
+		requests[load.Instance] = load.Requests
+	}
+	for _, runner := range r.view.Runners {
+		report := structs.LoadReport{Running: requests[runner.Instance], ObservedAt: at}
+		r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), report)
+	}
+}
+
 func (r *Router) takeDocument(packed domain.Document) {
 	source, err := domain.Expand(packed.Source)
 	if err != nil {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -67,8 +67,9 @@
 	// of models in demand got none.
 	coldRequests = 0.5
 	warmTime     = 8 * time.Second
-	// reportLife is how long a runner's number of slots is believed.
-	reportLife = 24 * time.Hour
+	// loadLife is how long it counts what the leader says of the requests at a runner: about as
+	// long as a stream takes, and several times the pause between two replies to a watch.
+	loadLife = 2 * time.Second
 )
 
 // New makes a router, which knows nothing until Run is called.
@@ -89,7 +90,7 @@
 		report:  make(chan struct{}, 1),
 		random:  random,
 		balancer: routing.New(routing.Options{
-			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: reportLife,
+			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: loadLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
 			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: affinityBound,
 		}, random),
@@ -126,9 +127,7 @@
 			penalty = slowPenalty
 		}
 		r.balancer.SetPenalty(structs.RunnerID(runner.Instance), penalty)
-		if runner.Slots > 0 {
-			r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), structs.LoadReport{MaxBatch: runner.Slots, ObservedAt: time.Now()})
-		}
+		r.balancer.SetBatch(structs.RunnerID(runner.Instance), runner.Slots)
 	}
 	r.forgetUnlisted()
 	r.serveWaiters()
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -171,6 +171,13 @@
 	}
 }
 
+// SetBatch says how many requests a runner runs at once; 0 leaves what is known.
+func (b *Balancer) SetBatch(id structs.RunnerID, slots int) {
+	if target := b.runners[id]; target != nil && slots > 0 {
+		target.maxBatch = slots
+	}
+}
+
 // Slots returns how many requests of the row can run at once on usable replicas
 // of the subset, and how many more may be sent now.
 func (b *Balancer) Slots(now time.Time, name structs.RowName) (slots, free int) {
