Take runners for lost that several routers cannot reach

Change: routers report whom they could not reach; two of them and an overdue heartbeat, or four, make a runner lost: no requests, its replicas do not count, no orders. Its next heartbeat refutes it. A connection that broke after the request was sent is no complaint: a runner may have answered and the answer be lost.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -120,6 +120,8 @@
 	Demands []residency.Demand
 	// Doubted are runners that refused what they were thought to hold.
 	Doubted []string
+	// Unreachable are runners that could not be reached, or said nothing for too long.
+	Unreachable []string
 	// Paces are those of streams that have ended.
 	Paces []residency.Pace
 }
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -56,6 +56,8 @@
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
+	// lost are the runners that are taken for lost.
+	lost map[string]bool
 	// loads are those of the last step.
 	loads []fleet.Load
 	// planned is closed and replaced after each plan.
@@ -106,6 +108,7 @@
 		announcer:  newAnnouncer(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
+		lost:       make(map[string]bool),
 		unrecorded: make(map[string]domain.Registration),
 		stopping:   make(map[raft.NodeID]time.Time),
 	}
@@ -274,6 +277,7 @@
 func (l *leadership) refresh(at time.Time) {
 	statuses := l.registry.Runners(at)
 	l.planner.SetRunners(at, statuses)
+	l.noteLost(statuses)
 	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
 	view.Runners = make([]fleet.Runner, 0, len(statuses))
 	for _, status := range statuses {
@@ -284,7 +288,7 @@
 			Address:  heartbeat.Address,
 			Zone:     heartbeat.Zone,
 			Slots:    heartbeat.Slots,
-			Leaving:  status.Leaving,
+			Leaving:  status.Leaving || status.Lost,
 			Slow:     l.planner.IsSlow(heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -305,6 +305,9 @@
 		current.hurry(arguments.Router)
 	}
 	current.planner.Doubt(now(), arguments.Doubted)
+	for _, instance := range arguments.Unreachable {
+		current.registry.Complain(instance, arguments.Router)
+	}
 	current.planner.ObservePace(now(), arguments.Paces)
 	planned := current.planned
 	current.mutex.Unlock()
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -34,8 +34,9 @@
 	// displaced is set while another instance is at the address.
 	displaced bool
 	// recalled is set until the first heartbeat of a runner that was recalled.
-	recalled bool
-	endsAt   time.Time
+	recalled  bool
+	endsAt    time.Time
+	suspicion suspicion
 }
 
 // NewRegistry makes a registry of a leadership that begins now.
@@ -54,6 +55,9 @@
 		return false
 	}
 	r.move(known, heartbeat.Address)
+	if known.heartbeat.Sequence > 0 && heartbeat.Sequence > known.heartbeat.Sequence {
+		known.suspicion.heard(now.Sub(known.heardAt))
+	}
 	known.heartbeat = heartbeat
 	known.heardAt = now
 	known.recalled = false
@@ -155,6 +159,11 @@
 	EndsAt time.Time
 	// Recalled runners have not been heard since the leader began.
 	Recalled bool
+	// Lost runners could not be reached by several routers since their last heartbeat:
+	// Complaints says by how many, and Silent how long ago that was.
+	Lost       bool
+	Complaints int
+	Silent     time.Duration
 }
 
 // Runners lists the runners that are not gone and not silent, by instance.
@@ -167,9 +176,11 @@
 		if !known.endsAt.IsZero() && now.After(known.endsAt.Add(time.Second)) {
 			continue
 		}
+		silent := now.Sub(known.heardAt)
 		listed = append(listed, Status{
 			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt,
-			Recalled: known.recalled,
+			Recalled: known.recalled, Lost: known.suspicion.isLost(silent),
+			Complaints: len(known.suspicion.complaints), Silent: silent,
 		})
 	}
 	slices.SortFunc(listed, func(a, b Status) int { return strings.Compare(a.Heartbeat.Instance, b.Heartbeat.Instance) })
--- /dev/null
+++ b/placement/fleet/suspicion.go
@@ -0,0 +1,57 @@
+package fleet
+
+import "time"
+
+const (
+	// complaintsOfLate is how many routers must have failed to reach a runner whose heartbeat
+	// is overdue for it to be taken for lost, complaintsOfPunctual how many if it is not:
+	// one may fail by a fault of its own, and few by one of the network between them.
+	complaintsOfLate     = 2
+	complaintsOfPunctual = 4
+	// overdueFactor times the usual pause between two heartbeats of a runner is after how long
+	// the next is overdue.
+	overdueFactor = 1.5
+	// pauseSmoothing is the weight of a new pause between two heartbeats in the usual one.
+	pauseSmoothing = 0.3
+)
+
+// suspicion is what routers that failed to reach a runner said since its last heartbeat.
+type suspicion struct {
+	// usualPause is that between two heartbeats; 0 before the second.
+	usualPause time.Duration
+	complaints map[string]bool
+}
+
+// heard takes a heartbeat that came a pause after the one before.
+func (s *suspicion) heard(pause time.Duration) {
+	s.complaints = nil
+	if s.usualPause == 0 {
+		s.usualPause = pause
+		return
+	}
+	s.usualPause += time.Duration(pauseSmoothing * float64(pause-s.usualPause))
+}
+
+// complain notes that a router failed to reach the runner.
+func (s *suspicion) complain(router string) {
+	if s.complaints == nil {
+		s.complaints = make(map[string]bool)
+	}
+	s.complaints[router] = true
+}
+
+// isLost reports whether the runner is taken for lost, silent as long as given.
+func (s *suspicion) isLost(silent time.Duration) bool {
+	enough := complaintsOfPunctual
+	if s.usualPause > 0 && silent > time.Duration(overdueFactor*float64(s.usualPause)) {
+		enough = complaintsOfLate
+	}
+	return len(s.complaints) >= enough
+}
+
+// Complain notes that a router failed to reach a runner. Its next heartbeat refutes that.
+func (r *Registry) Complain(instance, router string) {
+	if known := r.runners[instance]; known != nil {
+		known.suspicion.complain(router)
+	}
+}
--- a/placement/residency/planner_test.go
+++ b/placement/residency/planner_test.go
@@ -307,6 +307,26 @@
 	}
 }
 
+// The only runner with a model is lost. Those who wait get it from another one, without
+// waiting until the lost one has been silent for long.
+func TestModelOfALostRunnerIsLoadedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(2, func(i int, heartbeat *fleet.Heartbeat) {
+		if i == 0 {
+			heartbeat.Models = []fleet.LoadedModel{{Name: "m0"}}
+		}
+	})
+	waitForModels(p, start, 0, 1)
+	c.Assert(p.Plan(start), qt.HasLen, 0)
+	p.SetRunners(start, []fleet.Status{
+		{Heartbeat: fleet.Heartbeat{Instance: "r0", Service: "s", Address: "r0", Sequence: 1}, Lost: true},
+		{Heartbeat: fleet.Heartbeat{Instance: "r1", Service: "s", Address: "r1", Sequence: 1}},
+	})
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Instance, qt.Equals, "r1")
+}
+
 // Many replicas of a model that is little asked for share its requests, so that none of them
 // is ever unused. One of them makes way all the same.
 func TestSpareReplicaInUseMakesWay(t *testing.T) {
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -120,7 +120,7 @@
 const recentWeight = 0.75
 
 func (t *tally) addHoldings(known *runner) {
-	if known.status.Leaving {
+	if known.status.Leaving || known.status.Lost {
 		return
 	}
 	for name, held := range known.holdings {
@@ -141,7 +141,7 @@
 		t.available[service] = append(t.available[service], known)
 		t.isAvailable[known] = true
 	}
-	if known.status.Leaving {
+	if known.status.Leaving || known.status.Lost {
 		return
 	}
 	for name := range known.copies {
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -21,12 +21,12 @@
 	atOnce int
 	// isFixed stores give a load its speed when it begins.
 	isFixed bool
-	now    time.Time
-	left   map[Key]time.Duration
-	done   map[Key]bool
-	ended  int
-	most   int
-	begun  []time.Time
+	now     time.Time
+	left    map[Key]time.Duration
+	done    map[Key]bool
+	ended   int
+	most    int
+	begun   []time.Time
 }
 
 func newSimulatedStore(atOnce int) *simulatedStore {
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -38,8 +38,14 @@
 	streamSilencePauses = 4
 )
 
-// reasonNoRunner is that of a request for which no runner was found in time.
-const reasonNoRunner = "no_runner"
+const (
+	// reasonNoRunner is that of a request for which no runner was found in time.
+	reasonNoRunner = "no_runner"
+	// reasonSilent is that of an attempt at a runner that said nothing for too long, and
+	// reasonSendFailed that of one for which there was no connection, or which broke.
+	reasonSilent     = "silent"
+	reasonSendFailed = "send_failed"
+)
 
 // errTimeout is the cause of ending a request whose time is over.
 var errTimeout = errors.New("the time of the request is over")
@@ -170,6 +176,9 @@
 		last = x.attempt(ctx, choice)
 		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
 		x.router.release(x.row, choice, last.outcome)
+		if last.isUnreachable() {
+			x.router.complain(choice.Runner())
+		}
 		if last.isDone {
 			x.count(last.name())
 			x.notePace(choice)
@@ -219,6 +228,12 @@
 	err    error
 }
 
+// isUnreachable reports whether the runner could not be reached, or said nothing for too
+// long. A connection that broke later may have had other causes.
+func (r result) isUnreachable() bool {
+	return r.reason == reasonSilent || r.reason == reasonSendFailed && r.isNotRun
+}
+
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
 	if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
@@ -260,7 +275,7 @@
 }
 
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
-	ended := result{outcome: routing.OutcomeBroken, reason: "send_failed", err: err}
+	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
 		x.refusals++
@@ -279,7 +294,7 @@
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errSilent):
-		ended.reason = "silent"
+		ended.reason = reasonSilent
 	case errors.Is(cause, errTimeout):
 		ended.reason = "timeout"
 		ended.outcome = routing.OutcomeNeutral
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -159,13 +159,16 @@
 
 func (r *Router) reportDemand(ctx context.Context) {
 	demands := r.takeDemands(time.Now())
-	doubted, paces := r.takeDoubted(), r.takePaces()
-	if len(demands) == 0 && len(doubted) == 0 && len(paces) == 0 {
+	doubted, unreachable := r.takeNames(r.doubted), r.takeNames(r.unreachable)
+	paces := r.takePaces()
+	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	arguments := domainapi.DemandArguments{Router: r.options.Name, Demands: demands, Doubted: doubted, Paces: paces}
+	arguments := domainapi.DemandArguments{
+		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
+	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
 	if err != nil {
@@ -177,13 +180,14 @@
 	r.adoptForecasts(reply.Forecasts)
 }
 
-func (r *Router) takeDoubted() []string {
+// takeNames hands out the names of a set and empties it.
+func (r *Router) takeNames(set map[string]bool) []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var doubted []string
-	for instance := range r.doubted {
-		doubted = append(doubted, instance)
+	var names []string
+	for name := range set {
+		names = append(names, name)
 	}
-	clear(r.doubted)
-	return doubted
+	clear(set)
+	return names
 }
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -43,6 +43,8 @@
 	granted  grant
 	view     fleet.View
 	doubted  map[string]bool
+	// unreachable are runners that could not be reached since the last report.
+	unreachable map[string]bool
 	// heard is when each runner last sent something.
 	heard map[structs.RunnerID]time.Time
 	// paces are those of streams that have ended since the last report.
@@ -97,8 +99,11 @@
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
 		doubted: make(map[string]bool),
-		heard:   make(map[structs.RunnerID]time.Time),
-		known:   make(chan struct{}),
+
+		unreachable: make(map[string]bool),
+
+		heard: make(map[structs.RunnerID]time.Time),
+		known: make(chan struct{}),
 	}
 }
 
@@ -204,6 +209,14 @@
 	r.wakeReport()
 }
 
+// complain notes a runner that could not be reached or said nothing for too long.
+func (r *Router) complain(instance structs.RunnerID) {
+	r.mutex.Lock()
+	r.unreachable[string(instance)] = true
+	r.mutex.Unlock()
+	r.wakeReport()
+}
+
 // heardFrom notes that a runner has sent something.
 func (r *Router) heardFrom(instance structs.RunnerID) {
 	r.mutex.Lock()
