Let urgent loads press in at the store; take crowded runners for busy, not for lost

Change: a load of 25 late requests and more may begin up to half above the learned limit. Change: a runner that has as many requests as places, by what the leader tells, may be silent as long as one that answers others. And heartbeats in time refute complaints: only a runner whose heartbeat is overdue can be lost.

--- a/placement/fleet/suspicion.go
+++ b/placement/fleet/suspicion.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// complaintsOfLate is how many routers must have failed to reach a runner whose heartbeat
-	// is overdue for it to be taken for lost, complaintsOfPunctual how many if it is not:
-	// one may fail by a fault of its own, and few by one of the network between them.
-	complaintsOfLate     = 2
-	complaintsOfPunctual = 4
+	// enoughComplaints is how many routers must have failed to reach a runner whose heartbeat
+	// is overdue for it to be taken for lost: one may fail by a fault of its own. A runner
+	// whose heartbeats come in time is slow to answer, and many routers see that at once.
+	enoughComplaints = 2
 	// overdueFactor times the usual pause between two heartbeats of a runner is after how long
 	// the next is overdue.
 	overdueFactor = 1.5
@@ -42,11 +41,8 @@
 
 // isLost reports whether the runner is taken for lost, silent as long as given.
 func (s *suspicion) isLost(silent time.Duration) bool {
-	enough := complaintsOfPunctual
-	if s.usualPause > 0 && silent > time.Duration(overdueFactor*float64(s.usualPause)) {
-		enough = complaintsOfLate
-	}
-	return len(s.complaints) >= enough
+	isOverdue := s.usualPause > 0 && silent > time.Duration(overdueFactor*float64(s.usualPause))
+	return isOverdue && len(s.complaints) >= enoughComplaints
 }
 
 // Complain notes that a router failed to reach a runner. Its next heartbeat refutes that.
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -18,9 +18,10 @@
 	// urgentGain: one of them would have to wait for the seconds that a load of a cold model
 	// takes otherwise.
 	reservedShare = 0.2
-	// urgentGain is from how many late requests of the horizon a load is urgent: one a
-	// second, where a cold model that is asked for now and then counts for some three in all.
-	urgentGain = 10
+	// urgentGain is from how many late requests of the horizon a load is urgent. On the large
+	// deployments, a cold model that somebody waits for counts for 3 to 17, a model with far
+	// too few replicas for 70 to 450.
+	urgentGain = 25
 )
 
 // runnersPerLoad is for how many runners one load from an unknown weight store is tried at
@@ -99,7 +100,7 @@
 // runner, so that the wait in all is bounded by what the load from the store would take.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
-	if store == nil || !store.MayBegin(now, p.tally.kept[wanted.row.Service]+reservedPlaces(store, wanted)) {
+	if store == nil || !hasPlace(now, store, wanted, p.tally.kept[wanted.row.Service]) {
 		return false
 	}
 	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
@@ -116,12 +117,14 @@
 	return true
 }
 
-// reservedPlaces is how many places at the store are kept from the need for more urgent ones.
-func reservedPlaces(store *weightstore.Limiter, wanted need) int {
+// hasPlace reports whether the store has a place for the need beside those under way and as
+// many as are kept. Some places are kept from needs that are not urgent, and urgent ones
+// press in.
+func hasPlace(now time.Time, store *weightstore.Limiter, wanted need, kept int) bool {
 	if wanted.gain >= urgentGain {
-		return 0
+		return store.MayPress(now, kept)
 	}
-	return int(reservedShare * float64(store.Limit()))
+	return store.MayBegin(now, kept+int(reservedShare*float64(store.Limit())))
 }
 
 // awaitedFor is how long a copy of the model has been waited for in place of a load from
--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -38,6 +38,9 @@
 	// probePause is how long after a crowded time more loads at once are tried again: a
 	// store that was slow for a while is not slow for ever.
 	probePause = 20 * time.Second
+	// pressFactor times the limit is how many loads at once there may be with urgent ones: each
+	// then takes half as long again, which is less than to wait for one of the others.
+	pressFactor = 1.5
 	// fullShare is how much of the limit must have been in use for a load in time to
 	// prove that the store bears it.
 	fullShare = 0.8
@@ -123,11 +126,19 @@
 // MayBegin reports whether one more load may begin beside those under way and further
 // ones for which places are kept.
 func (l *Limiter) MayBegin(now time.Time, kept int) bool {
+	return l.isWithinRate(now, kept) && len(l.loads)+kept < l.Limit()
+}
+
+// MayPress reports whether an urgent load may begin although the store is in full use: all
+// loads take a little longer then, but this one need not wait for another to end.
+func (l *Limiter) MayPress(now time.Time, kept int) bool {
+	return l.isWithinRate(now, kept) && float64(len(l.loads)+kept) < pressFactor*l.limit
+}
+
+// isWithinRate reports whether one more load may begin now by the rate of the store alone.
+func (l *Limiter) isWithinRate(now time.Time, kept int) bool {
 	l.begun = slices.DeleteFunc(l.begun, func(at time.Time) bool { return now.Sub(at) > l.window })
-	if float64(len(l.begun)+kept+1) > max(1, l.perWindow) {
-		return false
-	}
-	return len(l.loads)+kept < l.Limit()
+	return float64(len(l.begun)+kept+1) <= max(1, l.perWindow)
 }
 
 // Begin notes a load that begins.
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -199,6 +199,19 @@
 	c.Assert(limit, qt.Equals, 0)
 }
 
+func TestUrgentLoadsPressIn(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	for i := range firstConcurrency {
+		l.Begin(start, Load{Key: Key{Instance: "r", Model: fmt.Sprint(i)}, Nominal: nominal})
+	}
+	c.Assert(l.MayBegin(start, 0), qt.IsFalse)
+	c.Assert(l.MayPress(start, 0), qt.IsTrue)
+	c.Assert(l.MayPress(start, 2), qt.IsFalse, qt.Commentf("the places that are kept count"))
+	l.SetRate(firstConcurrency)
+	c.Assert(l.MayPress(start, 0), qt.IsFalse, qt.Commentf("the rate of the store holds"))
+}
+
 // Of many loads that begin together at a store that gives each its speed when it begins, the
 // first ones end in time. That proves what was under way when they began, no more.
 func TestFirstLoadsOfManyProveLittle(t *testing.T) {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -245,11 +245,12 @@
 // maxPaces bounds the paces in one report.
 const maxPaces = 64
 
-// lastHeard is when a runner last sent something.
-func (r *Router) lastHeard(instance structs.RunnerID) time.Time {
+// isBusy reports whether a runner that has sent nothing for a request since a time has other
+// things to do: it has answered another one, or has as many as it can run.
+func (r *Router) isBusy(instance structs.RunnerID, since time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.heard[instance]
+	return r.heard[instance].After(since) || r.balancer.IsCrowded(time.Now(), instance)
 }
 
 // forgetUnlisted drops what is kept for runners that are listed no more. It runs
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -15,8 +15,8 @@
 var errSilent = errors.New("the runner was silent for too long")
 
 // watchdog ends an attempt of a request that may be sent elsewhere if its runner is
-// silent for too long. A runner that meanwhile sends something else is busy rather
-// than lost, and gets more time.
+// silent for too long. A runner that meanwhile sends something else, or has as many
+// requests as it can run, is busy rather than lost, and gets more time.
 type watchdog struct {
 	exchange *exchange
 	runner   structs.RunnerID
@@ -42,7 +42,7 @@
 	w.mutex.Unlock()
 	silent := time.Since(since)
 	limit := w.exchange.silence()
-	if heard := w.exchange.router.lastHeard(w.runner); heard.After(since) {
+	if w.exchange.router.isBusy(w.runner, since) {
 		limit = w.exchange.busySilence()
 	}
 	if silent >= limit {
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -178,6 +178,13 @@
 	}
 }
 
+// IsCrowded reports whether a runner has as many requests as it can run at once, as far as
+// this router knows, so that it may be silent for a while.
+func (b *Balancer) IsCrowded(now time.Time, id structs.RunnerID) bool {
+	target := b.runners[id]
+	return target != nil && target.load(now, b.options.ReportLife) >= target.maxBatch
+}
+
 // Slots returns how many requests of the row can run at once on usable replicas
 // of the subset, and how many more may be sent now.
 func (b *Balancer) Slots(now time.Time, name structs.RowName) (slots, free int) {
