Charge the retry budget only for what had reached a runner before

Each router counted what it then sent elsewhere as a repetition, though it was the first to arrive. Ruled out: budget used up by all together (rule: a fifth of the requests and 630; counted are arrivals beyond the first). Test: TestOnlyWhatArrivedIsRepeated: 503 before for a request that was not sent, 200 now.

--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -65,8 +65,10 @@
 	// said that they did not.
 	attempts int
 	refusals int
-	// sent counts all sendings.
+	// sent counts all sendings, and arrivals those of which a runner may have got something:
+	// only what comes on top of these are repeated sendings.
 	sent     int
+	arrivals int
 	prefixes []uint64
 	avoid    structs.RunnerID
 	// isStarted is set once the head of the answer has been sent.
@@ -167,7 +169,7 @@
 			x.giveUp(err, last)
 			return
 		}
-		if x.sent > 0 && !x.router.mayRepeat(x.row.Service) {
+		if x.arrivals > 0 && !x.router.mayRepeat(x.row.Service) {
 			x.router.release(x.row, choice, routing.OutcomeNeutral)
 			last.reason = "retry_budget"
 			x.conclude(last)
@@ -259,6 +261,7 @@
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
 	}
+	x.arrivals++
 	watchdog.heard()
 	defer answer.Body.Close()
 	ended := x.receive(ctx, choice, answer, watchdog)
@@ -281,6 +284,7 @@
 		x.refusals++
 	} else {
 		x.attempts++
+		x.arrivals++
 	}
 	if ctx.Err() != nil {
 		ended = x.ended(ctx, ended)
--- a/request/relay/failure_test.go
+++ b/request/relay/failure_test.go
@@ -62,3 +62,27 @@
 		c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
 	})
 }
+
+// What never reached a runner is not repeated when it is sent elsewhere, so that it needs
+// nothing of the budget for that.
+func TestOnlyWhatArrivedIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		first  func() (*Answer, error)
+		status int
+	}{
+		{"not sent", notSent, http.StatusOK},
+		{"refused by the runner", shed, http.StatusServiceUnavailable},
+		{"broken", broken, http.StatusBadGateway},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTestRouter(firstThen(test.first, fine))
+				router.granted = grant{}
+				recorder, _ := ask(router, t.Context(), "/again/x", "")
+				c.Assert(recorder.Code, qt.Equals, test.status)
+			})
+		})
+	}
+}
