--- a/request/explain/account.go
+++ b/request/explain/account.go
@@ -123,6 +123,7 @@
 	messageAttempt     = "An attempt ended."
 	messageDemand      = "The demand is met so."
 	messageJudged      = "A runner's speed was judged."
+	messageRunnerLost  = "A runner is taken for lost, as routers could not reach it."
 	messagePut         = "A document was put."
 	messageInForce     = "A document is in force."
 	messageStarts      = "The process starts."
--- a/request/explain/explain_test.go
+++ b/request/explain/explain_test.go
@@ -73,6 +73,13 @@
 				written(2*time.Second, "core-1", `msg="A runner's speed was judged." runner=i-1 slow=true pauses=false slowness=1.3`),
 			[]string{"The stream paused for 316ms.", "Runner i-1 was judged slow at +2.000 s."},
 		},
+		{
+			"sent to a runner that was gone",
+			written(1600*time.Millisecond, "router-1", `msg="An attempt ended." request=r1 runner=i-1 outcome=silent age=1.6s`) +
+				written(1700*time.Millisecond, "core-1", `msg="A runner is taken for lost, as routers could not reach it." runner=i-1 routers=2 silent=2.2s`) +
+				written(2100*time.Millisecond, "router-1", `msg="A request was answered." request=r1 runner=i-2 late=true waited=1ms sent=2 age=2.1s outcome=`),
+			[]string{"Runner i-1 was taken for lost at +1.700 s, silent for 2.2s: 2 routers could not reach it."},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			account := accountOf(t, test.log)
--- a/request/explain/find.go
+++ b/request/explain/find.go
@@ -28,6 +28,7 @@
 	}
 	a.findBreaks(lines)
 	a.findSlow()
+	a.findLost()
 	a.findLeaders()
 }
 
@@ -94,6 +95,16 @@
 	}
 }
 
+// findLost says which of the request's runners were taken for lost.
+func (a *Account) findLost() {
+	for _, line := range a.Beliefs {
+		if line.Message == messageRunnerLost {
+			a.note("Runner %s was taken for lost at %s, silent for %s: %s routers could not reach it.",
+				line.Get("runner"), a.since(line.Time), line.Get("silent"), line.Get("routers"))
+		}
+	}
+}
+
 // findLeaders says when the leader changed.
 func (a *Account) findLeaders() {
 	for _, line := range a.Beliefs {
