Bound the pause after a long step; let extra heartbeats make no regular one overdue

Read in the diff: a step that a frozen machine held up for seconds would have been followed by a pause three times as long; bounded by 0.3 s. Heartbeats that runners send when a load ends shortened the usual pause, so that a regular one could pass for overdue: longer pauses now weigh more than shorter ones. TestHeartbeatsBetweenTheRegularOnesMakeNoneOverdue fails with equal weights.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -20,9 +20,11 @@
 const (
 	// minStepPause is the shortest pause between two steps, for what comes meanwhile to share
 	// the next. stepRest times what a step took is the shortest as well, so that steps
-	// take a quarter of the leader's time at most, however large the site is.
+	// take a quarter of the leader's time at most, however large the site is. maxStepPause
+	// bounds that, as a step that took long may have been held up by a frozen machine.
 	minStepPause = 15 * time.Millisecond
 	stepRest     = 3
+	maxStepPause = 300 * time.Millisecond
 	// planInterval is the longest pause between two looks at what to load.
 	planInterval = 100 * time.Millisecond
 	// routerLife is how long a router that has gone silent keeps its part of what is
@@ -185,7 +187,7 @@
 		}
 		took := now().Sub(began)
 		l.node.metrics.stepTime.Observe(took.Seconds())
-		rest := max(minStepPause, stepRest*took)
+		rest := min(maxStepPause, max(minStepPause, stepRest*took))
 		pause.For(ctx, rest)
 		timer.Reset(max(0, next-rest))
 	}
--- a/placement/fleet/suspicion.go
+++ b/placement/fleet/suspicion.go
@@ -10,8 +10,11 @@
 	// overdueFactor times the usual pause between two heartbeats of a runner is after how long
 	// the next is overdue.
 	overdueFactor = 1.5
-	// pauseSmoothing is the weight of a new pause between two heartbeats in the usual one.
-	pauseSmoothing = 0.3
+	// longerPauseWeight and shorterPauseWeight are the weights of a new pause between two
+	// heartbeats in the usual one. Runners send some between the regular ones, when a load
+	// ends, which must not make the others overdue.
+	longerPauseWeight  = 0.5
+	shorterPauseWeight = 0.1
 )
 
 // suspicion is what routers that failed to reach a runner said since its last heartbeat.
@@ -28,7 +31,11 @@
 		s.usualPause = pause
 		return
 	}
-	s.usualPause += time.Duration(pauseSmoothing * float64(pause-s.usualPause))
+	weight := longerPauseWeight
+	if pause < s.usualPause {
+		weight = shorterPauseWeight
+	}
+	s.usualPause += time.Duration(weight * float64(pause-s.usualPause))
 }
 
 // complain notes that a router failed to reach the runner.
--- a/placement/fleet/suspicion_test.go
+++ b/placement/fleet/suspicion_test.go
@@ -8,6 +8,21 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// A runner whose loads end sends more heartbeats than the regular ones.
+func TestHeartbeatsBetweenTheRegularOnesMakeNoneOverdue(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	at := start
+	for sequence := range uint64(20) {
+		r.Hear(at, beat("a", 2*sequence+1))
+		r.Hear(at.Add(100*time.Millisecond), beat("a", 2*sequence+2))
+		at = at.Add(time.Second)
+	}
+	r.Complain("a", "one")
+	r.Complain("a", "other")
+	c.Assert(r.Runners(at)[0].Lost, qt.IsFalse)
+}
+
 func TestRunnerThatRoutersCannotReachIsLost(t *testing.T) {
 	const pause = time.Second
 	for _, test := range []struct {
