--- a/placement/domainnode/announcer.go
+++ b/placement/domainnode/announcer.go
@@ -24,12 +24,12 @@
 	at   time.Time
 	// changed is closed and replaced when all routers are told.
 	changed chan struct{}
-	// hurried has, by router, a channel with room for one.
-	hurried map[string]chan struct{}
+	// notifications has, by router, a channel with room for one.
+	notifications map[string]chan struct{}
 }
 
 func newAnnouncer() *announcer {
-	return &announcer{changed: make(chan struct{}), hurried: make(map[string]chan struct{})}
+	return &announcer{changed: make(chan struct{}), notifications: make(map[string]chan struct{})}
 }
 
 // announce tells all routers of news, however short ago they were told last.
@@ -52,26 +52,26 @@
 	return 0
 }
 
-// hurry tells one router at once.
-func (a *announcer) hurry(router string) {
+// notify tells one router at once.
+func (a *announcer) notify(router string) {
 	select {
-	case a.hurriedOf(router) <- struct{}{}:
+	case a.notification(router) <- struct{}{}:
 	default:
 	}
 }
 
-// hurriedOf is the channel that tells a router to ask for the newest view at once.
-func (a *announcer) hurriedOf(router string) chan struct{} {
-	known := a.hurried[router]
+// notification is the channel that tells a router to ask for the newest view at once.
+func (a *announcer) notification(router string) chan struct{} {
+	known := a.notifications[router]
 	if known == nil {
 		known = make(chan struct{}, 1)
-		a.hurried[router] = known
+		a.notifications[router] = known
 	}
 	return known
 }
 
 // forget drops what is kept of a router.
-func (a *announcer) forget(router string) { delete(a.hurried, router) }
+func (a *announcer) forget(router string) { delete(a.notifications, router) }
 
 // wakeAll wakes whoever waits for a change.
 func (a *announcer) wakeAll() {
--- a/placement/domainnode/announcer_test.go
+++ b/placement/domainnode/announcer_test.go
@@ -33,10 +33,10 @@
 func TestHurriedRouterIsToldAlone(t *testing.T) {
 	c := qt.New(t)
 	a := newAnnouncer()
-	a.hurry("one")
-	a.hurry("one")
-	c.Assert(a.hurriedOf("one"), qt.HasLen, 1)
-	c.Assert(a.hurriedOf("other"), qt.HasLen, 0)
+	a.notify("one")
+	a.notify("one")
+	c.Assert(a.notification("one"), qt.HasLen, 1)
+	c.Assert(a.notification("other"), qt.HasLen, 0)
 }
 
 // On a site with hundreds of routers, a request that waits for an adapter is served as soon
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -232,7 +232,7 @@
 // the next step is due. It runs under the mutex.
 func (l *leadership) tellRouters(at time.Time) time.Duration {
 	for _, router := range l.planner.WaitingRouters(at, l.planner.TakeArrived()) {
-		l.hurry(router)
+		l.notify(router)
 	}
 	next := planInterval
 	if left := l.announcer.offer(at, news{l.views.Revision(), l.document}, len(l.routers)); left > 0 {
@@ -244,12 +244,12 @@
 	return next
 }
 
-// hurry lets a router know of the newest view at once, unless it does already. It runs under
+// notify lets a router know of the newest view at once, unless it does already. It runs under
 // the mutex.
-func (l *leadership) hurry(router string) {
+func (l *leadership) notify(router string) {
 	if l.routers[router].revision < l.views.Revision() {
-		l.node.metrics.hurried.Inc()
-		l.announcer.hurry(router)
+		l.node.metrics.earlyViews.Inc()
+		l.announcer.notify(router)
 	}
 }
 
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -25,7 +25,7 @@
 	storeLimit *prometheus.GaugeVec
 	coverage   *prometheus.GaugeVec
 	stepTime   prometheus.Histogram
-	hurried    prometheus.Counter
+	earlyViews prometheus.Counter
 	lost       prometheus.Gauge
 }
 
@@ -77,15 +77,15 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
 		}),
-		lost:     gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
-		hurried:  counter("hurried_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
-		reopened: counter("store_failures_total", "Times that the store failed and was opened again."),
+		lost:       gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
+		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
+		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
 			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
-			made.stepTime, made.hurried, made.lost)
+			made.stepTime, made.earlyViews, made.lost)
 	}
 	return made
 }
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -235,7 +235,7 @@
 		// Get the channel before looking, so that no change is missed.
 		current.mutex.Lock()
 		changed, told := current.announcer.changed, current.announcer.told
-		hurried := current.announcer.hurriedOf(arguments.Router)
+		notified := current.announcer.notification(arguments.Router)
 		current.mutex.Unlock()
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
@@ -246,7 +246,7 @@
 		select {
 		case <-changed:
 			continue
-		case <-hurried:
+		case <-notified:
 			current.fill(reply, arguments, known, document)
 		case <-timeout.C:
 			current.fill(reply, arguments, known, document)
@@ -299,7 +299,7 @@
 	current.planner.Observe(now(), arguments.Router, arguments.Demands)
 	if current.planner.IsAnyHeld(arguments.Demands) {
 		// The router waits for what it does not know to be there.
-		current.hurry(arguments.Router)
+		current.notify(arguments.Router)
 	}
 	current.planner.Doubt(now(), arguments.Doubted)
 	for _, instance := range arguments.Unreachable {
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -186,7 +186,7 @@
 }
 
 // value is how many requests of the horizon are expected to be late without the
-// runner's replica of the model. The last replica of a model that rests has a value as
+// runner's replica of the model. The last replica of an idle model has a value as
 // well: any of them may be asked for next.
 func (p *Planner) value(known *runner, model *site.Model) float64 {
 	row := known.rowOf(model.Name)
@@ -198,7 +198,7 @@
 		if demand.objective > loadTime(known, model) {
 			harm = patientHarm
 		}
-		return (demand.rate + p.tally.restingRates[row.Service]) * horizon * harm
+		return (demand.rate + p.tally.idleRates[row.Service]) * horizon * harm
 	}
 	excess := demand.rate - p.capacity(others)*p.rateOf(row.Service)
 	return max(0, excess)*horizon + demand.rate*spareValue
--- a/placement/residency/newcomers_test.go
+++ b/placement/residency/idledemand_test.go
@@ -11,7 +11,7 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
-func TestRestingModelsShareTheRateOfNewcomers(t *testing.T) {
+func TestIdleModelsShareTheirDemand(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		models int
@@ -23,13 +23,13 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			n := newNewcomers()
+			n := newIdleDemand()
 			now := start
 			for second := range 100 {
 				now = start.Add(time.Duration(second) * time.Second)
 				n.observe(now, test.asked(second))
 			}
-			got := n.rateOfEach(now, test.models)
+			got := n.ratePerModel(now, test.models)
 			c.Assert(math.Abs(got-test.each) < 0.05*test.each+0.0001, qt.IsTrue, qt.Commentf("%v", got))
 		})
 	}
@@ -37,7 +37,7 @@
 
 // Rare models are asked for one after the other. The only replica of one that nobody asked
 // for yet is worth more than one of many replicas of a model in little demand.
-func TestSparedReplicaMakesWayBeforeTheLastOne(t *testing.T) {
+func TestSpareReplicaMakesWayBeforeTheLastOne(t *testing.T) {
 	c := qt.New(t)
 	index := manyModels()
 	index.Document.Services[0].Engine.WeightsMB = 200
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -19,8 +19,8 @@
 	document   *site.Index
 	runners    map[string]*runner
 	demands    map[Row]*rowDemand
-	// newcomers are by service.
-	newcomers map[string]*newcomers
+	// idleDemand are by service.
+	idleDemand map[string]*idleDemand
 	// observedFrom is when the first demand was reported.
 	observedFrom time.Time
 	// stores bound the loads from the weight store, by service.
@@ -58,7 +58,7 @@
 		ordersFrom: ordersFrom,
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
-		newcomers:  make(map[string]*newcomers),
+		idleDemand: make(map[string]*idleDemand),
 		stores:     make(map[string]*weightstore.Limiter),
 
 		recalledStores: make(map[string]recalledStore),
@@ -127,7 +127,7 @@
 		}
 		known.add(now, router, demand, p.options.RateTime)
 		if demand.Arrived > 0 {
-			p.newcomersOf(demand.Row.Service).observe(now, demand.Row.Model)
+			p.idleDemandOf(demand.Row.Service).observe(now, demand.Row.Model)
 		}
 		for _, active := range demand.Active {
 			p.noteUse(now, active.Instance, demand.Row)
@@ -135,11 +135,11 @@
 	}
 }
 
-func (p *Planner) newcomersOf(service string) *newcomers {
-	known := p.newcomers[service]
+func (p *Planner) idleDemandOf(service string) *idleDemand {
+	known := p.idleDemand[service]
 	if known == nil {
-		known = newNewcomers()
-		p.newcomers[service] = known
+		known = newIdleDemand()
+		p.idleDemand[service] = known
 	}
 	return known
 }
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -118,11 +118,11 @@
 }
 
 // hasPlace reports whether the store has a place for the need beside those under way and as
-// many as are kept. Some places are kept from needs that are not urgent, and urgent ones
-// press in.
+// many as are kept. Some places are kept from needs that are not urgent, and urgent ones may
+// exceed the learned limit.
 func hasPlace(now time.Time, store *weightstore.Limiter, wanted need, kept int) bool {
 	if wanted.gain >= urgentGain {
-		return store.MayPress(now, kept)
+		return store.MayBeginUrgent(now, kept)
 	}
 	return store.MayBegin(now, kept+int(reservedShare*float64(store.Limit())))
 }
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -247,5 +247,5 @@
 		c.Assert(orders[0].Model, qt.Equals, "m0")
 		p.Answered(at, orders[0], OutcomeAccepted)
 	}
-	c.Assert(loads, qt.Equals, 6, qt.Commentf("two places were kept, and four loads press in"))
+	c.Assert(loads, qt.Equals, 6, qt.Commentf("two places were kept, and four loads exceed the limit"))
 }
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -8,9 +8,9 @@
 	sorted []*runner
 	// adapterRates is the part of the demand for a model that names an adapter.
 	adapterRates map[Row]float64
-	// restingRates is at which rate each model that rests is expected to be asked for, by
+	// idleRates is at which rate each idle model is expected to be asked for, by
 	// service.
-	restingRates map[string]float64
+	idleRates map[string]float64
 	// demands and waiting are by model, active by model and instance.
 	demands map[Row]modelDemand
 	waiting map[Row]int
@@ -49,7 +49,7 @@
 	t := &tally{
 		sorted:       p.sorted(),
 		adapterRates: make(map[Row]float64),
-		restingRates: make(map[string]float64),
+		idleRates:    make(map[string]float64),
 		demands:      make(map[Row]modelDemand),
 		waiting:      make(map[Row]int),
 		active:       make(map[activeKey]int),
@@ -92,7 +92,7 @@
 		total.rate = expectedRate(total.rate, recent[model])
 		t.demands[model] = total
 	}
-	p.addRestingRates(now, t)
+	p.addIdleRates(now, t)
 	for _, known := range t.sorted {
 		known.weighed = nil
 		t.addHoldings(known)
@@ -101,18 +101,18 @@
 	p.tally = t
 }
 
-// addRestingRates works out the demand to expect for models that nobody asks for.
-func (p *Planner) addRestingRates(now time.Time, t *tally) {
+// addIdleRates works out the demand to expect for models that nobody asks for.
+func (p *Planner) addIdleRates(now time.Time, t *tally) {
 	if p.document == nil {
 		return
 	}
-	for name, known := range p.newcomers {
+	for name, known := range p.idleDemand {
 		service := p.document.Service(name)
 		if service == nil || service.Engine == nil {
-			delete(p.newcomers, name)
+			delete(p.idleDemand, name)
 			continue
 		}
-		t.restingRates[name] = known.rateOfEach(now, len(service.Engine.Models))
+		t.idleRates[name] = known.ratePerModel(now, len(service.Engine.Models))
 	}
 }
 
--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -38,9 +38,9 @@
 	// probePause is how long after a crowded time more loads at once are tried again: a
 	// store that was slow for a while is not slow for ever.
 	probePause = 20 * time.Second
-	// pressFactor times the limit is how many loads at once there may be with urgent ones: each
+	// urgentFactor times the limit is how many loads at once there may be with urgent ones: each
 	// then takes half as long again, which is less than to wait for one of the others.
-	pressFactor = 1.5
+	urgentFactor = 1.5
 	// triedShare is how much of the limit must be proved before more is tried: the rest is
 	// under way as a rule, and tells within seconds whether the store bears it.
 	triedShare = 0.9
@@ -136,10 +136,10 @@
 	return l.isWithinRate(now, kept) && len(l.loads)+kept < l.Limit()
 }
 
-// MayPress reports whether an urgent load may begin although the store is in full use: all
+// MayBeginUrgent reports whether an urgent load may begin although the store is in full use: all
 // loads take a little longer then, but this one need not wait for another to end.
-func (l *Limiter) MayPress(now time.Time, kept int) bool {
-	return l.isWithinRate(now, kept) && float64(len(l.loads)+kept) < pressFactor*l.limit
+func (l *Limiter) MayBeginUrgent(now time.Time, kept int) bool {
+	return l.isWithinRate(now, kept) && float64(len(l.loads)+kept) < urgentFactor*l.limit
 }
 
 // isWithinRate reports whether one more load may begin now by the rate of the store alone.
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -211,17 +211,17 @@
 	c.Assert(limit, qt.Equals, 0)
 }
 
-func TestUrgentLoadsPressIn(t *testing.T) {
+func TestUrgentLoadsMayExceedTheLimit(t *testing.T) {
 	c := qt.New(t)
 	l := New(5*time.Second, 100)
 	for i := range firstConcurrency {
 		l.Begin(start, Load{Key: Key{Instance: "r", Model: fmt.Sprint(i)}, Nominal: nominal})
 	}
 	c.Assert(l.MayBegin(start, 0), qt.IsFalse)
-	c.Assert(l.MayPress(start, 0), qt.IsTrue)
-	c.Assert(l.MayPress(start, 2), qt.IsFalse, qt.Commentf("the places that are kept count"))
+	c.Assert(l.MayBeginUrgent(start, 0), qt.IsTrue)
+	c.Assert(l.MayBeginUrgent(start, 2), qt.IsFalse, qt.Commentf("the places that are kept count"))
 	l.SetRate(firstConcurrency)
-	c.Assert(l.MayPress(start, 0), qt.IsFalse, qt.Commentf("the rate of the store holds"))
+	c.Assert(l.MayBeginUrgent(start, 0), qt.IsFalse, qt.Commentf("the rate of the store holds"))
 }
 
 // Of many loads that begin together at a store that gives each its speed when it begins, the
@@ -252,7 +252,7 @@
 			l := New(5*time.Second, 300)
 			l.Expect(34)
 			for i := range 34 {
-				load := Load{Key: Key{Instance: "r", Model: fmt.Sprint("pressed", i)}, Nominal: nominal}
+				load := Load{Key: Key{Instance: "r", Model: fmt.Sprint("begun", i)}, Nominal: nominal}
 				l.Begin(store.now, load)
 				store.begin(load)
 				store.follow(l, 250*time.Millisecond)
