Take a runner off a list in one place

The loop stood three times in the planner: runnersBut serves holdersBut and both lists of the tally. No behaviour changes; tests of residency and domainnode pass.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -149,13 +149,7 @@
 
 // holdersBut lists the runners but one on which requests may use the model.
 func (p *Planner) holdersBut(known *runner, row Row) []*runner {
-	var others []*runner
-	for _, holder := range p.holders(row) {
-		if holder != known {
-			others = append(others, holder)
-		}
-	}
-	return others
+	return runnersBut(p.holders(row), known)
 }
 
 const (
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -182,13 +182,7 @@
 func (t *tally) noteSent(known *runner) {
 	delete(t.isAvailable, known)
 	service := known.status.Heartbeat.Service
-	var others []*runner
-	for _, other := range t.available[service] {
-		if other != known {
-			others = append(others, other)
-		}
-	}
-	t.available[service] = others
+	t.available[service] = runnersBut(t.available[service], known)
 }
 
 // noteOrder brings the tally up to an order about a model.
@@ -198,11 +192,16 @@
 		t.coming[row] = append(t.coming[row], known)
 		return
 	}
+	t.holders[row] = runnersBut(t.holders[row], known)
+}
+
+// runnersBut returns a new list of the runners without one of them.
+func runnersBut(runners []*runner, left *runner) []*runner {
 	var others []*runner
-	for _, holder := range t.holders[row] {
-		if holder != known {
-			others = append(others, holder)
+	for _, other := range runners {
+		if other != left {
+			others = append(others, other)
 		}
 	}
-	t.holders[row] = others
+	return others
 }
