Read tenants, keys and limits; confirm documents by a lease; divide limits over routers

Change: a site document has tenants with hashes of their keys, a rank and a limit; the platform decodes them. A router admits requests with keys only while a leader confirmed, within the bound for keys that were taken away, that its document was the newest, counted from the asking. Limits are divided by the leader (placement/quota) and spent by routers (request/limiter); a new leader begins with empty buckets. Messages have new fields that older processes skip, and an absent confirmation confirms nothing.

Ruled out: equal parts for each router (86 routers, 16 tenants: a part is less than a request).

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -30,6 +31,7 @@
 	MethodRead       = ServiceName + ".Read"
 	MethodWatch      = ServiceName + ".Watch"
 	MethodDemand     = ServiceName + ".Demand"
+	MethodDraw       = ServiceName + ".Draw"
 )
 
 // Reply carries a typed error, because net/rpc itself carries only strings.
@@ -104,6 +106,9 @@
 	Revision uint64
 	// Document is nil if the router's is in force.
 	Document *domain.Document
+	// Confirmed is the version of the document that was the newest at some time after the
+	// router asked; 0 from a leader that does not say, which confirms nothing.
+	Confirmed uint64
 	// View is nil if the router's is in force.
 	View *fleet.EncodedView
 	// Loads lists the runners with many requests, of all routers together.
@@ -131,3 +136,16 @@
 	Reply
 	Forecasts []residency.Forecast
 }
+
+// DrawArguments ask for parts of tenants' limits.
+type DrawArguments struct {
+	Router string
+	Wants  []quota.Want
+}
+
+// DrawReply grants parts of limits. A tenant that the leader's document does not limit is left
+// out.
+type DrawReply struct {
+	Reply
+	Grants []quota.Grant
+}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
@@ -55,6 +56,8 @@
 	planner  *residency.Planner
 	// views numbers the views for routers.
 	views *fleet.Publisher
+	// limits divides the limits of tenants over routers.
+	limits *quota.Divider
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
@@ -107,6 +110,7 @@
 		registry:   fleet.NewRegistry(at),
 		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
 		views:      fleet.NewPublisher(),
+		limits:     quota.New(at, n.options.Limits),
 		announcer:  newAnnouncer(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
@@ -273,6 +277,10 @@
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
+	for _, tenant := range l.limits.SetTenants(now(), document.Tenants) {
+		level.Info(l.logger).Log("msg", "A tenant's limit is in force.", "tenant", tenant.Name, "rate", tenant.Limit.Rate,
+			"burst", tenant.Limit.Burst, "version", current.Version)
+	}
 }
 
 // refresh makes the view anew. It runs under the mutex.
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -11,6 +11,7 @@
 	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
 )
@@ -59,6 +60,8 @@
 	Decoder        Decoder
 	Engines        Engines
 	Planner        residency.Options
+	// Limits is by how much tenants may exceed their limits.
+	Limits quota.Bound
 	// Metrics is where the node registers its metrics; nil for none.
 	Metrics prometheus.Registerer
 	// Network is what is listened on and dialled over; nil means TCP.
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -1,14 +1,17 @@
 package domainnode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
@@ -45,7 +48,20 @@
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
 		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
-		"coverage", coverage)
+		"coverage", coverage, "limits", l.limitStates(at))
+}
+
+// limitStates tells of the tenants that have used most of their limits: what was drawn a second
+// of how much, and how full the bucket is. It runs under the mutex.
+func (l *leadership) limitStates(at time.Time) string {
+	usages := l.limits.TakeUsages(at)
+	slices.SortStableFunc(usages, func(a, b quota.Usage) int { return cmp.Compare(a.Level/a.Depth, b.Level/b.Depth) })
+	var listed []string
+	for _, usage := range usages[:min(len(usages), summaryModels)] {
+		listed = append(listed, fmt.Sprintf("%s:%.0f of %.0f/s,%.0f of %.0f,%.0f lent", usage.Tenant,
+			usage.Drawn/summaryInterval.Seconds(), usage.Rate, usage.Level, usage.Depth, usage.Leased))
+	}
+	return strings.Join(listed, " ")
 }
 
 // unmetNeeds tells which models should be loaded and why they are not. It runs under the
--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -22,6 +22,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// RequiresKeys is set if callers of routes that are not Public must present the key of a
+	// tenant.
+	RequiresKeys bool
+	Tenants      []Tenant
 }
 
 // Route says which requests go to which services, and on which terms.
@@ -47,6 +51,8 @@
 	Resumable bool
 	// Sticky requests share prompt prefixes.
 	Sticky bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Share is a service's part of the requests of a route.
--- a/placement/site/index.go
+++ b/placement/site/index.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"github.com/lotusferry/lotusferry/internal/keys"
 )
 
 // Index finds the route of a request in one document. It does not change, so that
@@ -13,6 +15,8 @@
 	// routes lists the routes of each host, the longest prefix first.
 	routes   map[string][]*Route
 	services map[string]*Service
+	// tenants is by the hashes of their keys.
+	tenants map[keys.Hash]*Tenant
 }
 
 // NewIndex makes the index of a document, which must not change afterwards.
@@ -21,6 +25,12 @@
 		Document: document,
 		routes:   make(map[string][]*Route),
 		services: make(map[string]*Service),
+		tenants:  make(map[keys.Hash]*Tenant),
+	}
+	for i := range document.Tenants {
+		for _, key := range document.Tenants[i].Keys {
+			index.tenants[key] = &document.Tenants[i]
+		}
 	}
 	for i := range document.Services {
 		service := &document.Services[i]
--- a/placement/site/validate.go
+++ b/placement/site/validate.go
@@ -34,7 +34,7 @@
 		}
 		places[at] = true
 	}
-	return nil
+	return d.validateTenants()
 }
 
 func (r *Route) validate(services map[string]bool) error {
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -61,6 +61,11 @@
 	row     residency.Row
 	version uint64
 	writer  http.ResponseWriter
+	// tenant is whose key the caller holds; nil for none. priority is its rank.
+	tenant   *site.Tenant
+	priority int
+	// hidesKey is set if the document has tenants, so that keys go no further.
+	hidesKey bool
 	// attempts counts the runners that may have run the request, refusals those that
 	// said that they did not.
 	attempts int
@@ -108,8 +113,18 @@
 		refuse(writer, http.StatusNotFound, 0, "no route leads there")
 		return
 	}
+	tenant, refused := r.identify(index, route, request)
+	var counted admission
+	if refused == nil {
+		counted, refused = r.admit(request.HTTP.Context(), tenant, request, route.Objective)
+	}
+	if refused != nil {
+		r.refuseTenant(writer, request, route, tenant, index.Document.Version, refused)
+		return
+	}
 	x := &exchange{
 		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
+		tenant: tenant, priority: priorityOf(tenant, route), hidesKey: index.Document.RequiresKeys,
 		row:       residency.Row{Service: route.Pick(r.point())},
 		lastEvent: request.ResumeAfter,
 	}
@@ -128,6 +143,11 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(r.stop.cut, func() { end(errStopped) })()
+	defer func() {
+		if x.attempts == 0 {
+			r.refund(counted)
+		}
+	}()
 	x.run(ctx)
 }
 
@@ -210,7 +230,7 @@
 	defer end(nil)
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	x.waiting = &waiter{
-		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.route.Priority, since: x.request.Arrived,
+		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
 		objective: x.route.Objective, deadline: x.deadline, until: limit,
 		mayDefer: x.attempts == 0,
 	}
@@ -256,7 +276,8 @@
 	x.sent++
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
-		Wait: x.runnerTime(), Priority: x.route.Priority, ResumeAfter: x.lastEvent,
+		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
+		Tenant: x.tenantName(), HidesKey: x.hidesKey,
 	})
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
@@ -271,6 +292,14 @@
 	return ended
 }
 
+// tenantName names the tenant, or nobody.
+func (x *exchange) tenantName() string {
+	if x.tenant == nil {
+		return ""
+	}
+	return x.tenant.Name
+}
+
 // runnerTime is the time that a runner is given.
 func (x *exchange) runnerTime() time.Duration {
 	left := time.Until(x.deadline)
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -40,6 +40,7 @@
 		caller.SetAddresses(addresses)
 		r.caller.SetAddresses(addresses)
 		arguments.Version = r.version()
+		asked := time.Now()
 		reply, err := r.watch(ctx, caller, arguments)
 		if err != nil {
 			if isConnected && ctx.Err() == nil {
@@ -56,7 +57,7 @@
 		if len(reply.Controllers) > 0 {
 			controllers = reply.Controllers
 		}
-		r.adopt(reply, &arguments)
+		r.adopt(reply, &arguments, asked)
 	}
 }
 
@@ -67,9 +68,9 @@
 		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
 }
 
-// adopt takes the news of a watch. A reply of an earlier term than one before comes
+// adopt takes the news of a watch that was asked for at a time. A reply of an earlier term than one before comes
 // from a leader that was deposed, and is passed over.
-func (r *Router) adopt(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments) {
+func (r *Router) adopt(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, asked time.Time) {
 	if reply.Term < arguments.Term {
 		return
 	}
@@ -80,6 +81,9 @@
 	if reply.Document != nil {
 		r.takeDocument(*reply.Document)
 	}
+	if reply.Confirmed != 0 && reply.Confirmed == r.version() {
+		r.confirm(asked)
+	}
 	if reply.View != nil && !r.takeView(reply) {
 		return
 	}
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +24,11 @@
 	runners   prometheus.Gauge
 	leaderSet prometheus.Gauge
 	viewAt    prometheus.Gauge
+	tenants   *prometheus.CounterVec
+	draws     prometheus.Histogram
+	// named are the tenants with series of their own.
+	named sync.Map
+	count atomic.Int32
 }
 
 // latencyBuckets are in seconds.
@@ -52,11 +59,16 @@
 		version:   gauge("document_version", "Version of the document in force."),
 		runners:   gauge("runners", "Runners in the view."),
 		leaderSet: gauge("leader_term", "Term of the leader that is followed."),
-		viewAt:    gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+		tenants:   counter("tenant_requests_total", "Requests by tenant and what its key and limit made of them.", "tenant", "outcome"),
+		draws: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "limit_draw_seconds",
+			Help: "Time of a question for parts of limits.", Buckets: latencyBuckets,
+		}),
+		viewAt: gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.late, made.inFlight,
-			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt)
+			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws)
 	}
 	return made
 }
@@ -79,3 +91,32 @@
 	m.leaderSet.Set(float64(term))
 	m.viewAt.Set(float64(at.UnixMilli()) / 1000)
 }
+
+const (
+	// maxTenantSeries bounds the tenants with series of their own; those that come after them
+	// share the series of otherTenants.
+	maxTenantSeries = 64
+	otherTenants    = "others"
+	noTenant        = "none"
+)
+
+// tenant counts a request of a tenant; the name is empty for a request without one.
+func (m *metrics) tenant(name, outcome string) {
+	m.tenants.WithLabelValues(m.tenantLabel(name), outcome).Inc()
+}
+
+func (m *metrics) tenantLabel(name string) string {
+	if name == "" {
+		return noTenant
+	}
+	if _, isKnown := m.named.Load(name); isKnown {
+		return name
+	}
+	if m.count.Load() >= maxTenantSeries {
+		return otherTenants
+	}
+	if _, isKnown := m.named.LoadOrStore(name, struct{}{}); !isKnown {
+		m.count.Add(1)
+	}
+	return name
+}
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -27,6 +27,9 @@
 	// Patience is how long callers of streams wait for the first event, or between
 	// two events, before they leave.
 	Patience Patience
+	// ConfirmationLife is how long after a leader was asked, and has confirmed that the
+	// document was the newest, the keys in it count as good; 0 means for good.
+	ConfirmationLife time.Duration
 	// Network is what controllers are dialled over; nil means TCP.
 	Network network.Network
 	// Metrics is where the router registers its metrics; nil for none.
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/asynclog"
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/placement/fleet"
@@ -31,7 +32,13 @@
 	index atomic.Pointer[site.Index]
 	// known is closed once a document is in force.
 	known chan struct{}
-	stop  stops
+	// confirmed is the newest time at which the document in force was the newest; nil for
+	// never.
+	confirmed atomic.Pointer[time.Time]
+	limits    *limits
+	// refused bounds the log lines about requests refused for their keys or limits.
+	refused *asynclog.Limiter
+	stop    stops
 	// report asks the report loop for a report now.
 	report chan struct{}
 
@@ -104,6 +111,9 @@
 
 		heard: make(map[structs.RunnerID]time.Time),
 		known: make(chan struct{}),
+
+		limits:  newLimits(),
+		refused: asynclog.NewLimiter(maxTenantLines),
 	}
 }
 
@@ -112,6 +122,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { r.watchLoop(ctx) })
 	running.Go(func() { r.reportLoop(ctx) })
+	running.Go(func() { r.limitLoop(ctx) })
 	running.Wait()
 	r.client.Close()
 }
@@ -144,6 +155,9 @@
 	if current != nil && current.Document.Version >= document.Version {
 		return false
 	}
+	r.limits.mutex.Lock()
+	r.limits.limiter.SetTenants(document.Tenants)
+	r.limits.mutex.Unlock()
 	r.index.Store(site.NewIndex(document))
 	r.metrics.version.Set(float64(document.Version))
 	if current == nil {
--- /dev/null
+++ b/request/relay/tenancy.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/limiter"
+)
+
+const (
+	// unconfirmedReturn is when a caller is asked to come back to a router that cannot tell
+	// whether keys are still good: elections take about half a second.
+	unconfirmedReturn = 500 * time.Millisecond
+	// limitWaitShare is the part of its objective that a request waits for the leader's word
+	// on its tenant's limit; the rest is for the queue and the runner.
+	limitWaitShare = 0.5
+	// noLimitWait is that wait for a request without an objective.
+	noLimitWait = 500 * time.Millisecond
+	// maxTenantLines is how many lines a second tell of requests that were refused for their
+	// key or limit.
+	maxTenantLines = 20
+)
+
+// refusal is an answer in the router's own name to a request that no runner has seen.
+type refusal struct {
+	status     int
+	retryAfter time.Duration
+	// outcome names the refusal in metrics and logs; message tells the caller the remedy.
+	outcome string
+	message string
+}
+
+// isConfirmed reports whether the document in force was the newest so short ago that all keys
+// that it lists may be taken as good.
+func (r *Router) isConfirmed(at time.Time) bool {
+	life := r.options.ConfirmationLife
+	if life <= 0 {
+		return true
+	}
+	confirmed := r.confirmed.Load()
+	return confirmed != nil && at.Sub(*confirmed) < life
+}
+
+// confirm notes that the document in force was the newest at a time.
+func (r *Router) confirm(at time.Time) {
+	if known := r.confirmed.Load(); known == nil || at.After(*known) {
+		r.confirmed.Store(&at)
+	}
+}
+
+// identify finds the tenant of a request, or says why the request is refused. The tenant is nil
+// where none is needed.
+func (r *Router) identify(index *site.Index, route *site.Route, request *Request) (*site.Tenant, *refusal) {
+	if !index.Document.RequiresKeys || route.Public && request.Credential.Key == "" {
+		return nil, nil
+	}
+	if !r.isConfirmed(time.Now()) {
+		return nil, &refusal{
+			status: http.StatusServiceUnavailable, retryAfter: unconfirmedReturn, outcome: "unconfirmed",
+			message: "this router cannot tell whether the key is still good, as it reaches no controller: try again soon",
+		}
+	}
+	if problem := request.Credential.Problem; problem != "" {
+		return nil, &refusal{status: http.StatusUnauthorized, outcome: "bad_key", message: problem}
+	}
+	tenant := index.TenantOf(request.Credential.Key)
+	if tenant == nil && !route.Public {
+		return nil, &refusal{
+			status: http.StatusUnauthorized, outcome: "unknown_key",
+			message: "no tenant holds the key: ask the operators of the site for a new one",
+		}
+	}
+	if tenant != nil && tenant.Limit.Unit == site.UnitTokens && request.Size.Problem != "" {
+		return nil, &refusal{status: http.StatusBadRequest, outcome: "bad_size", message: request.Size.Problem}
+	}
+	return tenant, nil
+}
+
+// priorityOf is the rank of a tenant's requests on a route.
+func priorityOf(tenant *site.Tenant, route *site.Route) int {
+	if tenant == nil || tenant.Priority == nil {
+		return route.Priority
+	}
+	return *tenant.Priority
+}
+
+// admission is a request that was counted against its tenant's limit.
+type admission struct {
+	tenant *site.Tenant
+	cost   float64
+}
+
+// admit counts a request against its tenant's limit, or says why it is refused. It waits for the
+// leader's word if the router holds too little of the limit.
+func (r *Router) admit(ctx context.Context, tenant *site.Tenant, request *Request, objective time.Duration) (admission, *refusal) {
+	if tenant == nil || !tenant.Limit.IsLimited() {
+		return admission{}, nil
+	}
+	counted := admission{tenant: tenant, cost: tenant.Limit.Cost(request.Size.Tokens)}
+	settled := make(chan limiter.Verdict, 1)
+	waiter := &limiter.Waiter{
+		Tenant: tenant.Name, Cost: counted.cost,
+		Settle: func(verdict limiter.Verdict) { settled <- verdict },
+	}
+	r.limits.mutex.Lock()
+	verdict, isDecided := r.limits.limiter.Admit(time.Now(), waiter)
+	isAsking := !isDecided || r.limits.isLow(time.Now())
+	r.limits.mutex.Unlock()
+	if isAsking {
+		r.limits.wakeUp()
+	}
+	if !isDecided {
+		var isSettled bool
+		if verdict, isSettled = r.limits.await(ctx, waiter, settled, objective); !isSettled {
+			return admission{}, &refusal{
+				status: http.StatusServiceUnavailable, retryAfter: unconfirmedReturn, outcome: "limit_unknown",
+				message: "no controller could tell whether the tenant's limit has room: try again soon",
+			}
+		}
+	}
+	if !verdict.IsAdmitted {
+		return admission{}, &refusal{
+			status: http.StatusTooManyRequests, retryAfter: verdict.ComeBackIn, outcome: "over_limit",
+			message: "the tenant's limit is used up: send less, or ask the operators of the site to raise it",
+		}
+	}
+	r.metrics.tenant(tenant.Name, "admitted")
+	return counted, nil
+}
+
+// refund gives back what was counted for a request that no runner has run.
+func (r *Router) refund(counted admission) {
+	if counted.tenant == nil {
+		return
+	}
+	r.limits.mutex.Lock()
+	defer r.limits.mutex.Unlock()
+	r.limits.limiter.Refund(time.Now(), counted.tenant.Name, counted.cost)
+}
+
+// refuseTenant answers a request that its key or its limit does not allow.
+func (r *Router) refuseTenant(writer http.ResponseWriter, request *Request, route *site.Route, tenant *site.Tenant, version uint64, why *refusal) {
+	name := ""
+	if tenant != nil {
+		name = tenant.Name
+	}
+	r.metrics.requests.WithLabelValues(kindName(route.Kind), why.outcome).Inc()
+	r.metrics.tenant(name, why.outcome)
+	if suppressed, allowed := r.refused.Allow(time.Now()); allowed {
+		level.Info(r.logger).Log("msg", "A request was refused for its key or limit.", "request", request.ID, "tenant", name,
+			"route", route.Name, "outcome", why.outcome, "status", why.status, "tokens", request.Size.Tokens,
+			"come_back_in", why.retryAfter, "version", version, "not_logged", suppressed)
+	}
+	refuse(writer, why.status, why.retryAfter, why.message)
+}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -22,10 +22,33 @@
 	Adapter string
 	// Parts name the parts of the prompt, in order.
 	Parts []string
+	// Credential is what the caller showed of who it is.
+	Credential Credential
+	// Size is how large the request says that it is.
+	Size Size
 	// ResumeAfter is the event after which a stream goes on; NoEvent for none.
 	ResumeAfter int64
 }
 
+// Credential is the key that a caller presented.
+type Credential struct {
+	// Key is empty if there is none, or none that can be read; then Problem tells the caller
+	// what is wrong, and the remedy.
+	Key     string
+	Problem string
+}
+
+// Size is what a request tells of its size.
+type Size struct {
+	// Tokens are those of the prompt and the most of the answer; below 0 if it does not say.
+	Tokens int64
+	// Problem tells the caller what is wrong with the size; empty for nothing.
+	Problem string
+}
+
+// NoSize is the Tokens of a request that does not tell its size.
+const NoSize = -1
+
 // NoEvent is the number before that of the first event.
 const NoEvent = -1
 
@@ -38,8 +61,12 @@
 	Service  string
 	// Wait is the time that is left.
 	Wait time.Duration
-	// Priority is that of the route; 0 is the most urgent.
+	// Priority is that of the tenant or the route; 0 is the most urgent.
 	Priority int
+	// Tenant is the name of the tenant whose key the caller holds, or empty.
+	Tenant string
+	// HidesKey is set if the caller's key is this site's own, which no runner may see.
+	HidesKey bool
 	// ResumeAfter is the last event that the caller has; NoEvent for none.
 	ResumeAfter int64
 }
