Count limits in windows of grants that outlive leaders

Ruled out: a deeper bucket (a new leader doesn't know what was taken); asking the routers for what they spent (those that are down don't tell); memory of the followers (lost when all are killed).

Change: the leader counts what it granted in the last window. Before it grants, what it may grant in the next moments is reserved in the replicated log, some entries a second; a new leader counts all reservations as granted. Routers hold reserves as leases within what the bound leaves.

--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -4,11 +4,13 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/placement/quota"
 )
 
 // maxDepartures bounds the departures that are remembered; the oldest go first.
@@ -54,6 +56,19 @@
 // maxStoreLimits bounds the services whose weight stores are remembered.
 const maxStoreLimits = 64
 
+// Reservation is what a leader may grant of tenants' limits in the moments after it.
+type Reservation struct {
+	// Since is how long before it was decided the one before it was, at least.
+	Since time.Duration
+	// Keep is how long reservations must be remembered.
+	Keep  time.Duration
+	Parts []quota.Part
+}
+
+// maxReservations bounds the reservations that are remembered. Beyond it the oldest two count
+// as one, as young as the second of them.
+const maxReservations = 1024
+
 // Command is a change of the state.
 type Command struct {
 	Put    *Document
@@ -64,6 +79,8 @@
 	Silent []string
 	// StoreLimits lists what was learned anew of weight stores.
 	StoreLimits []StoreLimit
+	// Reserve is nil for nothing.
+	Reserve *Reservation
 }
 
 // Result is what Apply returns.
@@ -78,6 +95,7 @@
 	Departures    []Departure
 	Registrations []Registration
 	StoreLimits   []StoreLimit
+	Reservations  []Reservation
 }
 
 // Machine is the state machine. Its methods must not run at the same time, as
@@ -93,6 +111,8 @@
 	addresses map[string]string
 	// storeLimits is by service.
 	storeLimits map[string]StoreLimit
+	// reservations is in the order of the log.
+	reservations []Reservation
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -135,6 +155,9 @@
 	for _, limit := range decoded.StoreLimits {
 		m.limitStore(limit)
 	}
+	if decoded.Reserve != nil {
+		m.reserve(*decoded.Reserve)
+	}
 	return Result{Version: m.document.Version}
 }
 
@@ -175,6 +198,36 @@
 	}
 }
 
+// reserve remembers a reservation, and forgets those that nobody needs any more.
+func (m *Machine) reserve(reservation Reservation) {
+	m.reservations = append(m.reservations, reservation)
+	age, first := time.Duration(0), len(m.reservations)-1
+	for first > 0 {
+		age += m.reservations[first].Since
+		if age > reservation.Keep {
+			break
+		}
+		first--
+	}
+	m.reservations = slices.Delete(m.reservations, 0, first)
+	if len(m.reservations) > maxReservations {
+		m.reservations[1].Parts = slices.Concat(m.reservations[0].Parts, m.reservations[1].Parts)
+		m.reservations = slices.Delete(m.reservations, 0, 1)
+	}
+}
+
+// Reservations lists the reservations that count for a leader that begins now, each with its
+// least age.
+func (m *Machine) Reservations() []quota.Reservation {
+	listed := make([]quota.Reservation, len(m.reservations))
+	age := time.Duration(0)
+	for i := len(m.reservations) - 1; i >= 0; i-- {
+		listed[i] = quota.Reservation{Age: age, Parts: m.reservations[i].Parts}
+		age += m.reservations[i].Since
+	}
+	return listed
+}
+
 // StoreLimit returns what was learned of the weight store of a service.
 func (m *Machine) StoreLimit(service string) (StoreLimit, bool) {
 	limit, isKnown := m.storeLimits[service]
@@ -252,6 +305,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	data, err := msgpack.Marshal(&State{
 		Document: m.document, Departures: m.departures, Registrations: m.Registrations(), StoreLimits: m.StoreLimits(),
+		Reservations: m.reservations,
 	})
 	return data, errors.Wrap(err, "encode state of the domain")
 }
@@ -264,6 +318,7 @@
 	}
 	m.document = state.Document
 	m.departures = state.Departures
+	m.reservations = state.Reservations
 	m.reindex()
 	clear(m.registrations)
 	clear(m.addresses)
@@ -283,5 +338,8 @@
 	return m.document.Version == other.document.Version &&
 		slices.Equal(m.document.Source, other.document.Source) &&
 		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index) &&
-		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits)
+		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits) &&
+		slices.EqualFunc(m.reservations, other.reservations, func(a, b Reservation) bool {
+			return a.Since == b.Since && a.Keep == b.Keep && slices.Equal(a.Parts, b.Parts)
+		})
 }
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -48,6 +48,8 @@
 	options Options
 	member  *member
 	term    structs.Epoch
+	// beganAt is when the leadership began.
+	beganAt time.Time
 	// wake asks the plan loop for a look now.
 	wake chan struct{}
 
@@ -56,8 +58,10 @@
 	planner  *residency.Planner
 	// views numbers the views for routers.
 	views *fleet.Publisher
-	// limits divides the limits of tenants over routers.
-	limits *quota.Divider
+	// limits divides the limits of tenants over routers; reserving puts what it may grant in
+	// the log.
+	limits    *quota.Divider
+	reserving *reserving
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
@@ -106,11 +110,12 @@
 		options:    n.options,
 		member:     joined,
 		term:       term,
+		beganAt:    at,
 		wake:       make(chan struct{}, 1),
 		registry:   fleet.NewRegistry(at),
 		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
 		views:      fleet.NewPublisher(),
-		limits:     quota.New(at, n.options.Limits),
+		reserving:  newReserving(),
 		announcer:  newAnnouncer(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
@@ -122,6 +127,7 @@
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
+		l.limits = quota.New(at, n.options.Limits, joined.machine.Reservations())
 		for _, each := range joined.machine.StoreLimits() {
 			l.planner.RecallStore(at, each.Service, each.AtOnce, each.IsCrowded)
 		}
@@ -139,6 +145,7 @@
 	n.metrics.changes.Inc()
 	level.Info(l.logger).Log("msg", "This controller leads.", "orders_in", ordersFrom.Sub(at))
 	go l.run(ctx)
+	go l.reserveLoop(ctx)
 }
 
 func (m *member) leads() *leadership {
@@ -160,6 +167,7 @@
 	defer ending.mutex.Unlock()
 	ending.ended = true
 	ending.announcer.wakeAll()
+	ending.reserving.wakeUp()
 }
 
 // isValid reports whether no other controller can lead now.
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -326,22 +326,3 @@
 	reply.Forecasts = current.planner.Forecasts(now(), arguments.Demands)
 	return nil
 }
-
-// Draw hands out parts of tenants' limits.
-func (s *service) Draw(arguments *domainapi.DrawArguments, reply *domainapi.DrawReply) error {
-	joined, current, err := s.leader()
-	if err != nil {
-		reply.Error = structs.AsTyped(err)
-		return nil
-	}
-	current.adoptDocument()
-	current.mutex.Lock()
-	reply.Grants = current.limits.Draw(now(), arguments.Router, arguments.Wants)
-	current.mutex.Unlock()
-	if !current.isValid() {
-		// Another leader may have begun to hand out the same.
-		*reply = domainapi.DrawReply{}
-		reply.Error = structs.AsTyped(notLeaderError(joined))
-	}
-	return nil
-}
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -51,15 +51,15 @@
 		"coverage", coverage, "limits", l.limitStates(at))
 }
 
-// limitStates tells of the tenants that have used most of their limits: what was drawn a second
-// of how much, and how full the bucket is. It runs under the mutex.
+// limitStates tells of the tenants that have used most of their limits: what was drawn a second,
+// what was granted in the last window of how much, and what routers may hold. It runs under the mutex.
 func (l *leadership) limitStates(at time.Time) string {
 	usages := l.limits.TakeUsages(at)
-	slices.SortStableFunc(usages, func(a, b quota.Usage) int { return cmp.Compare(a.Level/a.Depth, b.Level/b.Depth) })
+	slices.SortStableFunc(usages, func(a, b quota.Usage) int { return cmp.Compare(b.Used/b.Most, a.Used/a.Most) })
 	var listed []string
 	for _, usage := range usages[:min(len(usages), summaryModels)] {
-		listed = append(listed, fmt.Sprintf("%s:%.0f of %.0f/s,%.0f of %.0f,%.0f lent", usage.Tenant,
-			usage.Drawn/summaryInterval.Seconds(), usage.Rate, usage.Level, usage.Depth, usage.Leased))
+		listed = append(listed, fmt.Sprintf("%s:%.0f/s,%.0f of %.0f,%.0f lent", usage.Tenant,
+			usage.Drawn/summaryInterval.Seconds(), usage.Used, usage.Most, usage.Lent))
 	}
 	return strings.Join(listed, " ")
 }
--- a/placement/quota/divider.go
+++ b/placement/quota/divider.go
@@ -18,20 +18,17 @@
 	Slack     float64
 }
 
+// defaultWindow is the length of windows where none is set.
+const defaultWindow = 8 * time.Second
+
 // LeaseLife is how long a router may spend what it holds after it last asked for more: long
 // enough for the loss of a leader and the election of another, with a search for it.
 const LeaseLife = 6 * time.Second
 
-const (
-	// reserveShare is the part of a limit's room that routers may hold as reserves: what they
-	// need while no leader answers. The rest is the depth of the leader's bucket, for the
-	// requests of routers whose reserve is too small.
-	reserveShare = 0.6
-	// reserveLevel is the share of the bucket that reserves leave to requests that wait.
-	reserveLevel = 0.4
-	// slowestRoom bounds what a caller is told of when there is room again.
-	slowestRoom = 30 * time.Second
-)
+// grantedExcess is the part of what may exceed a limit that the leader grants itself, so that a
+// tenant that asks for more gets its limit whole though some of what is granted is lost. The
+// rest is what routers may hold.
+const grantedExcess = 0.3
 
 // Want is what a router asks for of one tenant's limit, in units of it.
 type Want struct {
@@ -53,21 +50,47 @@
 	Amount float64
 	// Keep is the most that the router may hold when these have been admitted.
 	Keep float64
-	// RoomIn is when the next of those that wait should have room; 0 if all have.
+	// RoomIn is when the next of those that wait should have room; 0 if there is room for
+	// all, though not all of it may be granted yet.
 	RoomIn time.Duration
 }
 
+// Part is an amount of one tenant's limit that is reserved in the log, to be granted soon.
+type Part struct {
+	Tenant string
+	Amount float64
+}
+
+// Reservation is what was reserved together, some time before a leadership began.
+type Reservation struct {
+	Age   time.Duration
+	Parts []Part
+}
+
+// KeepReservations is how long reservations must be kept for the leaders to come.
+func (b Bound) KeepReservations() time.Duration { return b.withDefaults().Window + reservationLife }
+
+func (b Bound) withDefaults() Bound {
+	if b.Window <= 0 {
+		b.Window = defaultWindow
+	}
+	return b
+}
+
 // Divider divides the limits of all tenants. It belongs to one leader.
 type Divider struct {
 	bound Bound
 	// began is when the leadership began.
 	began   time.Time
-	buckets map[string]*bucket
+	windows map[string]*window
+	// former are the reservations of former leaders.
+	former []Reservation
 }
 
-// New makes a divider for a leadership that begins now.
-func New(at time.Time, bound Bound) *Divider {
-	return &Divider{bound: bound, began: at, buckets: make(map[string]*bucket)}
+// New makes a divider for a leadership that begins now, after leaders that reserved what is
+// listed.
+func New(at time.Time, bound Bound, former []Reservation) *Divider {
+	return &Divider{bound: bound.withDefaults(), began: at, windows: make(map[string]*window), former: former}
 }
 
 // SetTenants adopts the limits of a document, and lists the tenants whose limits are new or
@@ -77,64 +100,148 @@
 	listed := make(map[string]bool, len(tenants))
 	for i := range tenants {
 		tenant := &tenants[i]
-		if !tenant.Limit.IsLimited() {
+		listed[tenant.Name] = true
+		known := d.windows[tenant.Name]
+		if known == nil && !tenant.Limit.IsLimited() {
 			continue
 		}
-		listed[tenant.Name] = true
-		known := d.buckets[tenant.Name]
 		if known == nil {
-			known = newBucket(at)
-			d.buckets[tenant.Name] = known
-		}
-		if known.limit != tenant.Limit {
+			known = newWindow(at)
+			d.windows[tenant.Name] = known
+			known.setLimit(tenant.Limit, d.bound)
+			d.inherit(tenant.Name, known)
+			changed = append(changed, *tenant)
+		} else if known.limit != tenant.Limit {
+			known.setLimit(tenant.Limit, d.bound)
 			changed = append(changed, *tenant)
-			known.setLimit(at, tenant.Limit, d.bound)
 		}
 	}
-	for name := range d.buckets {
-		if !listed[name] {
-			delete(d.buckets, name)
+	for name, known := range d.windows {
+		known.age(at)
+		// What was granted lately to a tenant that is no longer listed is kept: it may be listed
+		// again.
+		if !listed[name] && known.used == 0 {
+			delete(d.windows, name)
 		}
 	}
 	return changed
 }
 
+// inherit counts what former leaders reserved as granted at the last moment at which it can
+// have been.
+func (d *Divider) inherit(tenant string, window *window) {
+	for _, reservation := range d.former {
+		for _, part := range reservation.Parts {
+			if part.Tenant == tenant {
+				window.inherit(d.began.Add(reservationLife-reservation.Age), part.Amount)
+			}
+		}
+	}
+}
+
+// limited returns the window of a tenant, or nil if it has no limit.
+func (d *Divider) limited(tenant string) *window {
+	known := d.windows[tenant]
+	if known == nil || !known.limit.IsLimited() {
+		return nil
+	}
+	return known
+}
+
+// Lacks notes what has to be reserved before the requests that wait at a router can be granted,
+// and reports whether there is something.
+func (d *Divider) Lacks(at time.Time, router string, wants []Want) bool {
+	lacks := false
+	for _, want := range wants {
+		known := d.limited(want.Tenant)
+		if known == nil || len(want.Waiting) == 0 {
+			continue
+		}
+		known.age(at)
+		lacks = known.lacking(router, want) || lacks
+	}
+	return lacks
+}
+
 // Draw answers what a router asks for. A tenant without a limit in the document in force is
 // left out of the answer.
 func (d *Divider) Draw(at time.Time, router string, wants []Want) []Grant {
 	grants := make([]Grant, 0, len(wants))
 	for _, want := range wants {
-		known := d.buckets[want.Tenant]
-		if known == nil {
-			continue
+		if known := d.limited(want.Tenant); known != nil {
+			grants = append(grants, known.draw(at, router, want, at.Sub(d.began) < LeaseLife))
 		}
-		grants = append(grants, known.draw(at, router, want, at.Sub(d.began) < LeaseLife))
 	}
 	return grants
 }
 
-// Usage tells of one tenant's limit.
+// Reserve lists what should be reserved in the log now, in the order of the tenants' names. It
+// must be followed by Reserved or NotReserved before the next.
+func (d *Divider) Reserve(at time.Time) []Part {
+	var parts []Part
+	for name, known := range d.windows {
+		known.age(at)
+		if amount := known.wanted(at); amount > 0 && known.limit.IsLimited() {
+			parts = append(parts, Part{Tenant: name, Amount: amount})
+			known.propose(amount)
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return strings.Compare(a.Tenant, b.Tenant) })
+	return parts
+}
+
+// Reserved takes what has come into the log, as was decided at a time.
+func (d *Divider) Reserved(decided time.Time, parts []Part) {
+	for _, part := range parts {
+		if known := d.windows[part.Tenant]; known != nil {
+			known.reserve(decided, part.Amount)
+		}
+	}
+	d.NotReserved(parts)
+}
+
+// NotReserved takes back what has not come into the log, as far as is known: it must not be
+// granted.
+func (d *Divider) NotReserved(parts []Part) {
+	for _, part := range parts {
+		if known := d.windows[part.Tenant]; known != nil {
+			known.proposed = 0
+		}
+	}
+}
+
+// IsReserving reports whether something should be reserved.
+func (d *Divider) IsReserving(at time.Time) bool {
+	for _, known := range d.windows {
+		if known.limit.IsLimited() && known.wanted(at) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Usage tells of one tenant's limit, in units of it.
 type Usage struct {
 	Tenant string
-	// Level is what the bucket holds, Depth the most that it may, and Leased what routers
-	// may hold, in units of the limit. Rate is what flows into the bucket a second, and Drawn
-	// what was drawn since the last look.
-	Level  float64
-	Depth  float64
-	Leased float64
-	Rate   float64
-	Drawn  float64
-}
-
-// TakeUsages lists what is left of each limit, in the order of the tenants' names, and begins to
-// count anew what is drawn.
+	// Used is what was granted in the last window, of Most, and Lent what routers may hold.
+	Used float64
+	Most float64
+	Lent float64
+	// Drawn is what was granted since the last look.
+	Drawn float64
+}
+
+// TakeUsages lists how far each limit is used, in the order of the tenants' names, and begins
+// to count anew what is drawn.
 func (d *Divider) TakeUsages(at time.Time) []Usage {
-	usages := make([]Usage, 0, len(d.buckets))
-	for name, known := range d.buckets {
-		known.fill(at)
-		usages = append(usages, Usage{
-			Tenant: name, Level: known.level, Depth: known.depth, Leased: known.leased(at), Rate: known.rate, Drawn: known.drawn,
-		})
+	var usages []Usage
+	for name, known := range d.windows {
+		if !known.limit.IsLimited() {
+			continue
+		}
+		known.age(at)
+		known.sweep(at)
+		usages = append(usages, Usage{Tenant: name, Used: known.used, Most: known.most, Lent: known.total, Drawn: known.drawn})
 		known.drawn = 0
 	}
 	slices.SortFunc(usages, func(a, b Usage) int { return strings.Compare(a.Tenant, b.Tenant) })
--- /dev/null
+++ b/placement/quota/divider_test.go
@@ -0,0 +1,159 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/site"
+)
+
+// The test bound allows 1000 units in each window of ten seconds, and 100 more.
+var (
+	testBound = Bound{Window: 10 * time.Second, Overshoot: 0.1}
+	testLimit = site.RateLimit{Unit: site.UnitTokens, Rate: 80, Burst: 200, PlainTokens: 10}
+	origin    = time.Unix(1000, 0)
+)
+
+func tenants(limit site.RateLimit) []site.Tenant { return []site.Tenant{{Name: "t", Limit: limit}} }
+
+func newDivider(former ...Reservation) *Divider {
+	divider := New(origin, testBound, former)
+	divider.SetTenants(origin, tenants(testLimit))
+	return divider
+}
+
+// drawAt reserves what a router lacks, as a log would at once, and draws.
+func drawAt(d *Divider, at time.Time, router string, want Want) Grant {
+	want.Tenant = "t"
+	d.Lacks(at, router, []Want{want})
+	if parts := d.Reserve(at); parts != nil {
+		d.Reserved(at, parts)
+	}
+	return d.Draw(at, router, []Want{want})[0]
+}
+
+func waiting(costs ...float64) Want { return Want{Waiting: costs} }
+
+func TestWindowAllowsItsLimitAndThenTellsWhenThereIsRoom(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	c.Assert(drawAt(d, origin, "a", waiting(500, 500)).Amount, qt.Equals, 1000.0)
+	// A part of what may exceed the limit is granted too, and then no more.
+	full := drawAt(d, origin, "a", waiting(20, 100))
+	c.Assert(full.Amount, qt.Equals, 20.0)
+	c.Assert(full.RoomIn > 9*time.Second && full.RoomIn <= 10*time.Second+grantStep, qt.IsTrue, qt.Commentf("%v", full.RoomIn))
+	later := origin.Add(10*time.Second + 2*grantStep)
+	c.Assert(drawAt(d, later, "a", waiting(100)).Amount, qt.Equals, 100.0)
+}
+
+func TestWhatARouterHoldsCountsTowardsWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	grant := drawAt(d, origin, "a", Want{Held: 70, Waiting: []float64{50, 50}})
+	c.Assert(grant.Amount, qt.Equals, 30.0)
+	c.Assert(grant.Keep, qt.Equals, 0.0)
+}
+
+func TestNothingIsGrantedThatIsNotReserved(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	want := Want{Tenant: "t", Waiting: []float64{10}}
+	grant := d.Draw(origin, "a", []Want{want})[0]
+	c.Assert(grant.Amount, qt.Equals, 0.0)
+	c.Assert(grant.RoomIn, qt.Equals, time.Duration(0))
+	c.Assert(d.Lacks(origin, "a", []Want{want}), qt.IsTrue)
+	parts := d.Reserve(origin)
+	c.Assert(parts, qt.DeepEquals, []Part{{Tenant: "t", Amount: 10}})
+	// While that is on its way, it is not asked for again.
+	c.Assert(d.Lacks(origin, "a", []Want{want}), qt.IsTrue)
+	c.Assert(d.Reserve(origin), qt.IsNil)
+	d.Reserved(origin, parts)
+	c.Assert(d.Lacks(origin, "a", []Want{want}), qt.IsFalse)
+	// What has been reserved for too long is not granted: the next leader would count it as older.
+	c.Assert(d.Draw(origin.Add(reservationLife), "a", []Want{want})[0].Amount, qt.Equals, 0.0)
+}
+
+func TestNewLeaderCountsWhatWasReserved(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider(
+		Reservation{Age: 5 * time.Second, Parts: []Part{{"t", 600}, {"other", 5000}}},
+		Reservation{Age: 0, Parts: []Part{{"t", 350}}},
+	)
+	c.Assert(drawAt(d, origin, "a", waiting(80)).Amount, qt.Equals, 80.0)
+	c.Assert(drawAt(d, origin, "a", waiting(80)).Amount, qt.Equals, 0.0)
+	// It may have been granted up to a reservationLife later than it was reserved.
+	c.Assert(drawAt(d, origin.Add(5*time.Second+reservationLife-grantStep), "a", waiting(80)).Amount, qt.Equals, 0.0)
+	c.Assert(drawAt(d, origin.Add(5*time.Second+reservationLife+grantStep), "a", waiting(80)).Amount, qt.Equals, 80.0)
+}
+
+func TestRoutersHoldNoMoreThanTheBoundLeaves(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	at := origin.Add(LeaseLife)
+	lent := 0.0
+	for range 10 {
+		for _, router := range []string{"a", "b", "c", "d"} {
+			grant := drawAt(d, at, router, Want{Waiting: []float64{10}, Reserve: 50})
+			lent += grant.Amount - 10
+			c.Assert(grant.Keep <= 50, qt.IsTrue)
+		}
+	}
+	c.Assert(lent > 0, qt.IsTrue)
+	c.Assert(d.TakeUsages(at)[0].Lent <= 100*(1-grantedExcess)+1e-9, qt.IsTrue)
+}
+
+func TestYoungLeaderLendsNoMoreThanRoutersShow(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	c.Assert(drawAt(d, origin, "a", Want{Waiting: []float64{10}, Reserve: 40}).Keep, qt.Equals, 0.0)
+	// A router that shows 30 may have them again after it has spent them.
+	c.Assert(drawAt(d, origin, "b", Want{Held: 30, Reserve: 40}).Keep, qt.Equals, 30.0)
+	kept := 0.0
+	for range 5 {
+		kept = drawAt(d, origin, "b", Want{Held: kept, Waiting: []float64{kept + 5}, Reserve: 40}).Keep
+	}
+	c.Assert(kept > 0, qt.IsTrue)
+	lent := d.TakeUsages(origin)[0].Lent
+	c.Assert(lent <= 30, qt.IsTrue, qt.Commentf("%g", lent))
+	later := origin.Add(LeaseLife)
+	for range 5 {
+		kept = drawAt(d, later, "a", Want{Waiting: []float64{10}, Reserve: 40}).Keep
+	}
+	c.Assert(kept > 0, qt.IsTrue)
+}
+
+func TestLoweredLimitHoldsForWhatIsGrantedFromThenOn(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	c.Assert(drawAt(d, origin, "a", waiting(500)).Amount, qt.Equals, 500.0)
+	lower := testLimit
+	lower.Rate, lower.Burst = 8, 20
+	changed := d.SetTenants(origin, tenants(lower))
+	c.Assert(changed, qt.HasLen, 1)
+	c.Assert(d.SetTenants(origin, tenants(lower)), qt.HasLen, 0)
+	c.Assert(drawAt(d, origin, "a", waiting(10)).Amount, qt.Equals, 0.0)
+	c.Assert(drawAt(d, origin.Add(11*time.Second), "a", waiting(10)).Amount, qt.Equals, 10.0)
+}
+
+func TestTenantWithoutALimitIsLeftOut(t *testing.T) {
+	c := qt.New(t)
+	d := New(origin, testBound, nil)
+	d.SetTenants(origin, []site.Tenant{{Name: "t"}})
+	want := []Want{{Tenant: "t", Waiting: []float64{10}}, {Tenant: "unknown", Waiting: []float64{10}}}
+	c.Assert(d.Lacks(origin, "a", want), qt.IsFalse)
+	c.Assert(d.Draw(origin, "a", want), qt.HasLen, 0)
+	c.Assert(d.Reserve(origin), qt.IsNil)
+}
+
+func TestAbsurdFiguresOfARouterAreNoMoreThanNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	for _, figure := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e300} {
+		grant := drawAt(d, origin, "a", Want{Held: figure, Waiting: []float64{figure}, Reserve: figure})
+		c.Assert(grant.Amount >= 0 && grant.Amount <= 1100, qt.IsTrue, qt.Commentf("%g: %g", figure, grant.Amount))
+	}
+	c.Assert(d.TakeUsages(origin)[0].Used <= 1100, qt.IsTrue)
+}
--- a/placement/quota/doc.go
+++ b/placement/quota/doc.go
@@ -1,11 +1,13 @@
-// Package quota divides the limits of tenants over routers. Each limit is one token bucket, kept
-// by the leader; routers draw from it, for requests that wait and for a reserve from which they
-// admit the next requests by themselves. What a router holds is a lease: it ends some time after
-// the router last asked.
+// Package quota divides the limits of tenants over routers. For each tenant the leader counts
+// what it granted in the last window, in which the limit allows Rate times the window and the
+// Burst. Routers draw grants for requests that wait, and a reserve from which they admit the
+// next requests by themselves. What a router holds is a lease: it ends some time after the
+// router last asked.
 //
-// The bound holds without anything that outlives a leader. A new leader begins with empty
-// buckets, so that what all leaders together hand out in a time is what one would have; and
-// as long as leases of the former one may be out, it lends no more than routers still show.
+// The bound holds over changes of leaders. Before a leader grants, it reserves: what it may
+// grant in the next moments is in the replicated log. The next leader counts all that its
+// predecessors reserved as granted, at the latest time at which it can have been, and lends no more
+// reserves than routers still show as long as leases of the former leader may be out.
 //
 // The package is pure: time comes in as an argument.
 package quota
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -153,6 +153,16 @@
 	known.held = max(known.held, min(known.held+cost, known.keep))
 }
 
+// Held is what the router holds of a tenant's limit.
+func (l *Limiter) Held(at time.Time, tenant string) float64 {
+	known := l.accounts[tenant]
+	if known == nil {
+		return 0
+	}
+	known.expire(at)
+	return known.held
+}
+
 // IsAsking reports whether the leader should be asked now for requests that wait, and whether
 // it should be asked sometime soon for reserves.
 func (l *Limiter) IsAsking(at time.Time) (now, soon bool) {
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -45,6 +45,15 @@
 	return confirmed != nil && at.Sub(*confirmed) < life
 }
 
+// confirmedAgo is how long ago the document in force was the newest; below 0 for never.
+func (r *Router) confirmedAgo() time.Duration {
+	confirmed := r.confirmed.Load()
+	if confirmed == nil {
+		return -1
+	}
+	return time.Since(*confirmed)
+}
+
 // confirm notes that the document in force was the newest at a time.
 func (r *Router) confirm(at time.Time) {
 	if known := r.confirmed.Load(); known == nil || at.After(*known) {
@@ -151,9 +160,12 @@
 	r.metrics.requests.WithLabelValues(kindName(route.Kind), why.outcome).Inc()
 	r.metrics.tenant(name, why.outcome)
 	if suppressed, allowed := r.refused.Allow(time.Now()); allowed {
+		r.limits.mutex.Lock()
+		held := r.limits.limiter.Held(time.Now(), name)
+		r.limits.mutex.Unlock()
 		level.Info(r.logger).Log("msg", "A request was refused for its key or limit.", "request", request.ID, "tenant", name,
-			"route", route.Name, "outcome", why.outcome, "status", why.status, "tokens", request.Size.Tokens,
-			"come_back_in", why.retryAfter, "version", version, "not_logged", suppressed)
+			"route", route.Name, "outcome", why.outcome, "status", why.status, "tokens", request.Size.Tokens, "held", held,
+			"confirmed_ago", r.confirmedAgo(), "come_back_in", why.retryAfter, "version", version, "not_logged", suppressed)
 	}
 	refuse(writer, why.status, why.retryAfter, why.message)
 }
--- /dev/null
+++ b/request/relay/tenancy_test.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/site"
+)
+
+// tenantDocument has a tenant with a limit, one without, and a public route.
+func tenantDocument(version uint64) *site.Document {
+	rank := 3
+	document := testDocument()
+	document.Version = version
+	document.RequiresKeys = true
+	document.Routes[1].Public = true
+	document.Tenants = []site.Tenant{
+		{Name: "limited", Keys: []keys.Hash{keys.HashAPIKey("key-1")}, Limit: site.RateLimit{
+			Unit: site.UnitTokens, Rate: 1000, Burst: 1000, PlainTokens: 100,
+		}},
+		{Name: "free", Keys: []keys.Hash{keys.HashAPIKey("key-2")}, Priority: &rank},
+	}
+	return document
+}
+
+const testLife = 4 * time.Second
+
+func newTenantRouter(answer func(ctx context.Context, attempt *Attempt) (*Answer, error)) (*Router, *scriptedBackend) {
+	router, backend := newTestRouter(answer)
+	router.options.ConfirmationLife = testLife
+	router.adoptDocument(tenantDocument(2))
+	router.confirm(time.Now())
+	return router, backend
+}
+
+// askAs sends a request with a credential and a size.
+func askAs(router *Router, path string, credential Credential, size Size) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	router.Serve(recorder, &Request{
+		HTTP: httptest.NewRequest(http.MethodPost, "http://h"+path, nil), ID: "id", Arrived: time.Now(), Wait: 5 * time.Second,
+		ResumeAfter: NoEvent, Credential: credential, Size: size,
+	})
+	return recorder
+}
+
+func always(answer func() (*Answer, error)) func(context.Context, *Attempt) (*Answer, error) {
+	return func(context.Context, *Attempt) (*Answer, error) { return answer() }
+}
+
+func TestKeysDecideWhoIsServed(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		path       string
+		credential Credential
+		size       Size
+		status     int
+		tenant     string
+		priority   int
+	}{
+		{name: "key of a tenant without a limit", path: "/once/", credential: Credential{Key: "key-2"}, status: 200, tenant: "free", priority: 3},
+		{name: "no key", path: "/once/", credential: Credential{Problem: "send a key"}, status: 401},
+		{name: "unknown key", path: "/once/", credential: Credential{Key: "key-3"}, status: 401},
+		{name: "no key on a public route", path: "/again/", credential: Credential{Problem: "send a key"}, status: 200},
+		{name: "unknown key on a public route", path: "/again/", credential: Credential{Key: "key-3"}, status: 200},
+		{name: "key on a public route", path: "/again/", credential: Credential{Key: "key-2"}, status: 200, tenant: "free", priority: 3},
+		{name: "size that cannot be read, where tokens are counted", path: "/once/", credential: Credential{Key: "key-1"}, size: Size{Tokens: NoSize, Problem: "send two numbers"}, status: 400},
+		{name: "size that cannot be read, where nothing is counted", path: "/once/", credential: Credential{Key: "key-2"}, size: Size{Tokens: NoSize, Problem: "send two numbers"}, status: 200, tenant: "free", priority: 3},
+		{name: "no route", path: "/nowhere/", credential: Credential{Key: "key-2"}, status: 404},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newTenantRouter(always(fine))
+				recorder := askAs(router, test.path, test.credential, test.size)
+				c.Assert(recorder.Code, qt.Equals, test.status)
+				if test.status != http.StatusOK {
+					c.Assert(backend.attempts, qt.HasLen, 0)
+					return
+				}
+				c.Assert(backend.attempts[0].Tenant, qt.Equals, test.tenant)
+				c.Assert(backend.attempts[0].Priority, qt.Equals, test.priority)
+				c.Assert(backend.attempts[0].HidesKey, qt.IsTrue)
+			})
+		})
+	}
+}
+
+func TestKeysCountAsGoodOnlyForATimeAfterTheLeaderWasAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTenantRouter(always(fine))
+		key := Credential{Key: "key-2"}
+		time.Sleep(testLife - time.Millisecond)
+		c.Assert(askAs(router, "/once/", key, Size{}).Code, qt.Equals, http.StatusOK)
+		time.Sleep(time.Millisecond)
+		refused := askAs(router, "/once/", key, Size{})
+		c.Assert(refused.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(refused.Header().Get("Retry-After"), qt.Equals, "0.5")
+		// An unknown key may have become known.
+		c.Assert(askAs(router, "/once/", Credential{Key: "key-3"}, Size{}).Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(askAs(router, "/again/", Credential{}, Size{}).Code, qt.Equals, http.StatusOK)
+		c.Assert(backend.attempts, qt.HasLen, 2)
+		router.confirm(time.Now())
+		c.Assert(askAs(router, "/once/", key, Size{}).Code, qt.Equals, http.StatusOK)
+	})
+}
+
+// A confirmation counts from the asking, for the document that the router has, and never from
+// a leader of an earlier term.
+func TestWhatConfirmsADocument(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		reply       domainapi.WatchReply
+		isConfirmed bool
+	}{
+		{name: "its version is the newest", reply: domainapi.WatchReply{Term: 5, Confirmed: 2}, isConfirmed: true},
+		{name: "a leader that does not say", reply: domainapi.WatchReply{Term: 5}},
+		{name: "another version is the newest", reply: domainapi.WatchReply{Term: 5, Confirmed: 3}},
+		{name: "a deposed leader", reply: domainapi.WatchReply{Term: 4, Confirmed: 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTenantRouter(always(fine))
+				time.Sleep(testLife)
+				asked := time.Now()
+				time.Sleep(time.Second)
+				router.adopt(&test.reply, &domainapi.WatchArguments{Term: 5}, asked)
+				c.Assert(router.isConfirmed(time.Now()), qt.Equals, test.isConfirmed)
+				time.Sleep(testLife - time.Second)
+				c.Assert(router.isConfirmed(time.Now()), qt.IsFalse)
+			})
+		})
+	}
+}
+
+func TestKeyThatWasTakenAwayIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTenantRouter(always(fine))
+		changed := tenantDocument(3)
+		changed.Tenants[1].Keys = []keys.Hash{keys.HashAPIKey("key-9")}
+		router.adoptDocument(changed)
+		c.Assert(askAs(router, "/once/", Credential{Key: "key-2"}, Size{}).Code, qt.Equals, http.StatusUnauthorized)
+		c.Assert(askAs(router, "/once/", Credential{Key: "key-9"}, Size{}).Code, qt.Equals, http.StatusOK)
+	})
+}
+
+// lend gives the router a part of the limit, as a leader would.
+func lend(router *Router, amount float64) {
+	router.limits.limiter.Adopt(time.Now(), time.Now(), []quota.Grant{{Tenant: "limited", Amount: amount, Keep: amount}})
+}
+
+func TestRequestsWithinWhatIsHeldAreAdmittedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTenantRouter(always(fine))
+		lend(router, 500)
+		key := Credential{Key: "key-1"}
+		c.Assert(askAs(router, "/once/", key, Size{Tokens: 400}).Code, qt.Equals, http.StatusOK)
+		// A request that tells no size counts as a plain one.
+		c.Assert(askAs(router, "/once/", key, Size{Tokens: NoSize}).Code, qt.Equals, http.StatusOK)
+		c.Assert(backend.attempts, qt.HasLen, 2)
+		// Without a leader, nobody can tell whether there is room for more.
+		began := time.Now()
+		refused := askAs(router, "/once/", key, Size{Tokens: 100})
+		c.Assert(refused.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(time.Since(began), qt.Equals, 100*time.Millisecond)
+		c.Assert(backend.attempts, qt.HasLen, 2)
+	})
+}
+
+func TestRequestBeyondTheLimitIsToldWhenThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTenantRouter(always(fine))
+		answered := make(chan *httptest.ResponseRecorder)
+		go func() { answered <- askAs(router, "/once/", Credential{Key: "key-1"}, Size{Tokens: 100}) }()
+		synctest.Wait()
+		router.limits.mutex.Lock()
+		router.limits.limiter.Adopt(time.Now(), time.Now(), []quota.Grant{{Tenant: "limited", RoomIn: 1700 * time.Millisecond}})
+		router.limits.mutex.Unlock()
+		refused := <-answered
+		c.Assert(refused.Code, qt.Equals, http.StatusTooManyRequests)
+		c.Assert(refused.Header().Get("Retry-After"), qt.Equals, "1.7")
+		c.Assert(backend.attempts, qt.HasLen, 0)
+	})
+}
+
+func TestRequestThatNoRunnerRanIsGivenBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer func() (*Answer, error)
+		left   float64
+	}{
+		"not sent": {notSent, 500}, "shed": {shed, 500}, "answered": {fine, 100}, "failed": {failed, 100}, "lost": {broken, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTenantRouter(always(test.answer))
+				lend(router, 500)
+				askAs(router, "/once/", Credential{Key: "key-1"}, Size{Tokens: 400})
+				c.Assert(held(router), qt.Equals, test.left)
+			})
+		})
+	}
+}
+
+// held is what the router holds of the limit of the test's tenant.
+func held(router *Router) float64 {
+	return router.limits.limiter.Held(time.Now(), "limited")
+}
