--- a/request/explain/account.go
+++ b/request/explain/account.go
@@ -99,7 +99,12 @@
 // leader, or the life of its routers.
 func (a *Account) addBeliefs(lines []Line) {
 	routers, runners := a.routers(), a.values("runner")
+	tenant := a.Events[len(a.Events)-1].Get("tenant")
 	for _, line := range lines {
+		if isAboutTenant(line, tenant, a.ended()) {
+			a.Beliefs = append(a.Beliefs, line)
+			continue
+		}
 		isNear := !line.Time.Before(a.Arrived.Add(-before)) && !line.Time.After(a.ended().Add(after))
 		if !isNear || line.Get("request") != "" {
 			continue
@@ -128,6 +133,7 @@
 	messageInForce     = "A document is in force."
 	messageStarts      = "The process starts."
 	messageRouterStops = "The router stops."
+	messageLimit       = "A tenant's limit is in force."
 )
 
 func isAboutLeader(line Line) bool {
--- a/request/explain/explain_test.go
+++ b/request/explain/explain_test.go
@@ -80,6 +80,31 @@
 				written(2100*time.Millisecond, "router-1", `msg="A request was answered." request=r1 runner=i-2 late=true waited=1ms sent=2 age=2.1s outcome=`),
 			[]string{"Runner i-1 was taken for lost at +1.700 s, silent for 2.2s: 2 routers could not reach it."},
 		},
+		{
+			"beyond a limit that was lowered",
+			written(-20*time.Second, "core-1", `msg="A tenant's limit is in force." tenant=a rate=500 burst=500 version=3`) +
+				written(-15*time.Second, "core-1", `msg="A tenant's limit is in force." tenant=a rate=50 burst=500 version=4`) +
+				written(-14*time.Second, "core-1", `msg="A tenant's limit is in force." tenant=b rate=5 burst=5 version=4`) +
+				written(3*time.Millisecond, "router-1", `msg="A request was refused for its key or limit." request=r1 tenant=a outcome=over_limit tokens=1229 come_back_in=1.7s age=3ms`),
+			[]string{
+				"Tenant a had used its limit: the request tells 1229 tokens, and room was expected in 1.7s.",
+				"Its limit is 50 a second and 500 at once since -15.000 s (version 4).",
+			},
+		},
+		{
+			"a key that nobody holds",
+			written(0, "router-1", `msg="A request was refused for its key or limit." request=r1 tenant="" outcome=unknown_key version=31 confirmed_ago=212ms age=0s`),
+			[]string{"No tenant of version 31 holds the key; that version was the newest 212ms before."},
+		},
+		{
+			"a router without a leader",
+			written(time.Millisecond, "router-1", `msg="A request was refused for its key or limit." request=r1 tenant="" outcome=unconfirmed version=31 confirmed_ago=5.1s age=1ms`) +
+				written(-4*time.Second, "core-2", `component=controller msg="This controller leads." term=2 orders_in=3s`),
+			[]string{
+				"The router could not tell whether keys were still good: its version 31 was confirmed last 5.1s before.",
+				"The leader changed: core-2 leads from -4.000 s, and sends orders after another 3s.",
+			},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			account := accountOf(t, test.log)
--- a/request/explain/find.go
+++ b/request/explain/find.go
@@ -26,6 +26,7 @@
 	case last.duration("pause") >= longWait:
 		a.note("The stream paused for %v.", last.duration("pause"))
 	}
+	a.findTenant()
 	a.findBreaks(lines)
 	a.findSlow()
 	a.findLost()
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -165,7 +165,7 @@
 		r.limits.mutex.Unlock()
 		level.Info(r.logger).Log("msg", "A request was refused for its key or limit.", "request", request.ID, "tenant", name,
 			"route", route.Name, "outcome", why.outcome, "status", why.status, "tokens", request.Size.Tokens, "held", held,
-			"confirmed_ago", r.confirmedAgo(), "come_back_in", why.retryAfter, "version", version, "not_logged", suppressed)
+			"confirmed_ago", r.confirmedAgo(), "come_back_in", why.retryAfter, "age", time.Since(request.Arrived), "version", version, "not_logged", suppressed)
 	}
 	refuse(writer, why.status, why.retryAfter, why.message)
 }
