A new leader serves before it knows when it may send orders

Change: it asks beside all else, and sends no order before it knows, as before. Test: a member that takes connections and says nothing; the leader answers a router within 0.1 s (0.5 s before).

--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -19,6 +19,7 @@
 	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -37,6 +38,8 @@
 	engines *fakeEngines
 	// started is set once the domain has been founded.
 	founded bool
+	// fences says that runners refuse old fencing tokens.
+	fences bool
 }
 
 type runningNode struct {
@@ -111,6 +114,7 @@
 			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
 			Seeds: func() []string { return d.seeds }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
 			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
+			FencesEnforced: d.fences,
 		})
 		d.c.Assert(err, qt.IsNil)
 		ctx, end := context.WithCancel(context.Background())
@@ -471,3 +475,34 @@
 		d.c.Assert(len(holders) >= 3, qt.IsTrue)
 	})
 }
+
+// A member that does not answer holds up a new leader's orders at most, not what else it does.
+func TestNewLeaderServesRoutersBeforeItKnowsWhenItMayOrder(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.fences = true
+		d.found(0, 1, 2)
+		d.put(3)
+		leader := d.awaitLeader()
+		d.kill(leader)
+		// Its address takes connections and says nothing.
+		listener, err := d.network.Listen(d.ctx, address(leader))
+		d.c.Assert(err, qt.IsNil)
+		defer listener.Close()
+		next := d.awaitLeader()
+		d.await("the group's lease", func() bool {
+			joined, err := d.nodes[next].current()
+			if err != nil {
+				return false
+			}
+			_, isValid := joined.group.LeaderLease()
+			return isValid
+		})
+		began := time.Now()
+		d.await("the leadership", func() bool {
+			var reply domainapi.WatchReply
+			_ = (&service{node: d.nodes[next].Node}).Watch(&domainapi.WatchArguments{Router: "router", Version: 3}, &reply)
+			return reply.Error == nil && reply.Confirmed == 3
+		})
+		d.c.Assert(time.Since(began) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	})
+}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -103,7 +103,6 @@
 
 func (n *Node) beginLeadership(ctx context.Context, joined *member, term structs.Epoch) {
 	at := now()
-	ordersFrom := n.ordersFrom(ctx, at)
 	l := &leadership{
 		node:       n,
 		logger:     log.With(n.logger, "term", term),
@@ -113,7 +112,7 @@
 		beganAt:    at,
 		wake:       make(chan struct{}, 1),
 		registry:   fleet.NewRegistry(at),
-		planner:    residency.NewPlanner(n.options.Planner, ordersFrom),
+		planner:    residency.NewPlanner(n.options.Planner, at.Add(n.options.OrderLease)),
 		views:      fleet.NewPublisher(),
 		reserving:  newReserving(),
 		announcer:  newAnnouncer(),
@@ -143,7 +142,8 @@
 	joined.mutex.Unlock()
 	n.metrics.leads.Set(1)
 	n.metrics.changes.Inc()
-	level.Info(l.logger).Log("msg", "This controller leads.", "orders_in", ordersFrom.Sub(at))
+	level.Info(l.logger).Log("msg", "This controller leads.", "orders_in", n.options.OrderLease)
+	go l.findOrdersFrom(ctx)
 	go l.run(ctx)
 	go l.reserveLoop(ctx)
 }
--- a/placement/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -31,6 +31,17 @@
 	return from
 }
 
+// findOrdersFrom asks when the first order may be sent. Others may take long to answer, or never do:
+// all else that a leader does goes on meanwhile.
+func (l *leadership) findOrdersFrom(ctx context.Context) {
+	from := l.node.ordersFrom(ctx, l.beganAt)
+	l.mutex.Lock()
+	l.planner.SetOrdersFrom(from)
+	l.mutex.Unlock()
+	level.Info(l.logger).Log("msg", "The time of the first order is known.", "orders_in", from.Sub(l.beganAt), "found_in", now().Sub(l.beganAt))
+	l.wakePlan()
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// SetOrdersFrom changes the time from which orders are planned.
+func (p *Planner) SetOrdersFrom(ordersFrom time.Time) { p.ordersFrom = ordersFrom }
+
 // SetDocument adopts a site document.
 func (p *Planner) SetDocument(document *site.Index) { p.document = document }
 
--- a/request/explain/account.go
+++ b/request/explain/account.go
@@ -123,6 +123,7 @@
 const (
 	messageLeads       = "This controller leads."
 	messageLeadsNoMore = "This controller leads no more."
+	messageOrdersFrom  = "The time of the first order is known."
 	messageLost        = "The leader of the controllers is lost."
 	messageOrder       = "An order was answered."
 	messageAttempt     = "An attempt ended."
@@ -137,7 +138,7 @@
 )
 
 func isAboutLeader(line Line) bool {
-	return line.Message == messageLeads || line.Message == messageLeadsNoMore || line.Message == messageLost
+	return line.Message == messageLeads || line.Message == messageOrdersFrom || line.Message == messageLeadsNoMore || line.Message == messageLost
 }
 
 func isAboutLife(line Line) bool {
--- a/request/explain/explain_test.go
+++ b/request/explain/explain_test.go
@@ -52,7 +52,7 @@
 				written(2500*time.Millisecond, "core-2", `msg="An order was answered." runner=i-1 operation=load model=m adapter= outcome=accepted`),
 			[]string{
 				`At +2.500 s a load of m on i-1 was answered with "accepted".`,
-				"The leader changed: core-2 leads from +1.000 s, and sends orders after another 3s.",
+				"The leader changed: core-2 leads from +1.000 s, and sends orders after another 3s at the latest.",
 			},
 		},
 		{
@@ -102,7 +102,7 @@
 				written(-4*time.Second, "core-2", `component=controller msg="This controller leads." term=2 orders_in=3s`),
 			[]string{
 				"The router could not tell whether keys were still good: its version 31 was confirmed last 5.1s before.",
-				"The leader changed: core-2 leads from -4.000 s, and sends orders after another 3s.",
+				"The leader changed: core-2 leads from -4.000 s, and sends orders after another 3s at the latest.",
 			},
 		},
 	} {
--- a/request/explain/find.go
+++ b/request/explain/find.go
@@ -110,8 +110,11 @@
 func (a *Account) findLeaders() {
 	for _, line := range a.Beliefs {
 		if line.Message == messageLeads {
-			a.note("The leader changed: %s leads from %s, and sends orders after another %s.",
+			a.note("The leader changed: %s leads from %s, and sends orders after another %s at the latest.",
 				line.Node, a.since(line.Time), line.Get("orders_in"))
 		}
+		if line.Message == messageOrdersFrom {
+			a.note("%s learned that it may send orders %s after it began to lead.", line.Node, line.Get("orders_in"))
+		}
 	}
 }
