Loads overdue at the weight store teach its limit, and hold up no copy

Change: two loads that are overdue lower the learned limit, the longer the more; a store that has proved not to share its speed is judged by the loads at the beginning. An overdue load is expected to take as long again. A need is served from a copy beside a slower load. Of a store of which nothing is known, as many loads are tried as can end one after the other while the most patient callers wait. Tests for each fail before.

--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -29,10 +29,12 @@
 		if wanted.obstacle != ObstacleNone {
 			p.unmet = append(p.unmet, wanted)
 		}
-		if _, isComing := p.readyAt[wanted.row]; isComing || !wanted.isWaitedFor {
+		comingAt, isComing := p.readyAt[wanted.row]
+		if isComing && !wanted.isFromCopy || !wanted.isWaitedFor {
 			continue
 		}
-		if in, isKnown := p.readyIn(now, wanted, queued, free[wanted.row.Service]); isKnown {
+		in, isKnown := p.readyIn(now, wanted, queued, free[wanted.row.Service])
+		if isKnown && (!isComing || now.Add(in).Before(comingAt)) {
 			p.readyAt[wanted.row] = now.Add(in)
 		}
 	}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -18,6 +18,9 @@
 	priority    int
 	// oldest is how long the oldest request has waited.
 	oldest time.Duration
+	// isFromCopy is set if the model is being loaded from the weight store, which takes longer
+	// than a load from a copy.
+	isFromCopy bool
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
 }
@@ -27,11 +30,12 @@
 	found := make(map[Row]*need)
 	for _, wanted := range p.waits(now) {
 		row := modelOf(wanted.row)
-		if len(p.holders(row)) > 0 || len(p.coming(row)) > 0 {
+		isComing := len(p.coming(row)) > 0
+		if len(p.holders(row)) > 0 || isComing && !p.isCopyQuicker(now, row) {
 			continue
 		}
 		if found[row] == nil {
-			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority}
+			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
 		found[row].oldest = max(found[row].oldest, wanted.oldest)
@@ -54,6 +58,23 @@
 	return listed
 }
 
+// isCopyQuicker reports whether a load of the model from a copy, begun now, would end sooner than
+// those under way.
+func (p *Planner) isCopyQuicker(now time.Time, row Row) bool {
+	comingIn := p.comingIn(now, row)
+	for _, known := range p.tally.copies[row] {
+		engine := p.engineOf(known)
+		if engine == nil {
+			continue
+		}
+		model := engine.ModelByName(row.Model)
+		if model != nil && known.holdings[row.Model] == nil && unloadTime+loadTime(known, model) < comingIn {
+			return true
+		}
+	}
+	return false
+}
+
 // agingTime is the waiting that doubles the weight of a request, so that nobody waits
 // for ever behind those who are many.
 const agingTime = 3 * time.Second
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -88,7 +88,7 @@
 	if p.tally.makingRoom[wanted.row] || len(p.tally.available[wanted.row.Service]) == 0 {
 		return best
 	}
-	mayUseStore := p.mayUseStore(now, wanted)
+	mayUseStore := !wanted.isFromCopy && p.mayUseStore(now, wanted)
 	candidates := p.tally.available[wanted.row.Service]
 	if !mayUseStore {
 		// Only a copy, or a place at the store that is kept, allows a load.
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -28,6 +28,35 @@
 // once: should it bear fewer, a twentieth of the runners is held up for longer, no more.
 const runnersPerLoad = 20
 
+const (
+	// usualFirstLoads are tried at once on a small site, and leastFirstLoads where loads take
+	// long: one alone would tell nothing of a second.
+	leastFirstLoads   = 2
+	usualFirstLoads = 4
+)
+
+// firstLoads is how many loads at once to try of a store of which nothing is known. Should it
+// serve one at a time, the last of them is there when the most patient callers still wait: where
+// loads take long, loads tried too many hold up their runners for minutes.
+func (p *Planner) firstLoads(service string, runners int) int {
+	engine := p.document.Service(service).Engine
+	var longest, patience time.Duration
+	for i := range engine.Models {
+		longest = max(longest, engine.Models[i].LoadTime)
+	}
+	for i := range p.document.Document.Routes {
+		route := &p.document.Document.Routes[i]
+		if slices.ContainsFunc(route.Split, func(share site.Share) bool { return share.Service == service }) {
+			patience = max(patience, route.Timeout)
+		}
+	}
+	first := max(usualFirstLoads, runners/runnersPerLoad)
+	if longest > 0 && patience > 0 {
+		first = min(first, max(leastFirstLoads, int(patience/longest)))
+	}
+	return first
+}
+
 // store returns the limiter of a service's weight store; nil for a service without one.
 func (p *Planner) store(service string) *weightstore.Limiter {
 	listed := p.document.Service(service)
@@ -74,7 +103,7 @@
 	for i := range p.document.Document.Services {
 		service := p.document.Document.Services[i].Name
 		if store := p.store(service); store != nil {
-			store.Expect(runners[service] / runnersPerLoad)
+			store.Expect(p.firstLoads(service, runners[service]))
 			store.Update(now, underWay[service], p.isLoaded)
 		}
 	}
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -249,3 +249,50 @@
 	}
 	c.Assert(loads, qt.Equals, 6, qt.Commentf("two places were kept, and four loads exceed the limit"))
 }
+
+// A model is being loaded from the weight store, which takes long. A runner with a copy that has
+// become free is quicker.
+func TestCopyIsLoadedBesideASlowLoadFromTheStore(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(2, func(i int, heartbeat *fleet.Heartbeat) {})
+	waitForModels(p, start, 3, 1)
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	p.Answered(start, orders[0], OutcomeAccepted)
+	at := start.Add(time.Second)
+	waitForModels(p, at, 3, 1)
+	c.Assert(p.Plan(at), qt.HasLen, 0)
+	// The other runner comes to have a copy.
+	var statuses []fleet.Status
+	for i := range 2 {
+		name := fmt.Sprint("r", i)
+		heartbeat := fleet.Heartbeat{Instance: name, Service: "s", Address: name, Sequence: 2}
+		if name != orders[0].Instance {
+			heartbeat.OnDisk = []string{"m3"}
+		}
+		statuses = append(statuses, fleet.Status{Heartbeat: heartbeat})
+	}
+	p.SetRunners(at, statuses)
+	waitForModels(p, at, 3, 1)
+	again := p.Plan(at)
+	c.Assert(again, qt.HasLen, 1)
+	c.Assert(again[0].Instance != orders[0].Instance, qt.IsTrue)
+	c.Assert(again[0].Operation, qt.Equals, Load)
+}
+
+func TestFirstLoadsAreFewerWhereALoadTakesLong(t *testing.T) {
+	for _, test := range []struct {
+		loadTime time.Duration
+		runners  int
+		first    int
+	}{{20 * time.Second, 140, 2}, {6 * time.Second, 9, 4}, {6 * time.Second, 140, 5}, {time.Second, 140, 7}, {0, 140, 7}} {
+		t.Run(fmt.Sprint(test.loadTime, test.runners), func(t *testing.T) {
+			p := NewPlanner(Options{}, start)
+			p.SetDocument(site.NewIndex(&site.Document{
+				Routes:   []site.Route{{Timeout: 35 * time.Second, Split: []site.Share{{Service: "s", Weight: 1}}}},
+				Services: []site.Service{{Name: "s", Engine: &site.Engine{Models: []site.Model{{Name: "m", LoadTime: test.loadTime}}}}},
+			}))
+			qt.Assert(t, p.firstLoads("s", test.runners), qt.Equals, test.first)
+		})
+	}
+}
--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -20,8 +20,8 @@
 }
 
 const (
-	// firstConcurrency is how many loads at once are tried at least before anything is
-	// known of the store.
+	// firstConcurrency is how many loads at once are tried before anything is known of the
+	// store, unless Expect says otherwise.
 	firstConcurrency = 4
 	// startFactor times the loads at once that the store has proved to bear are tried
 	// next, until it was crowded for the first time: a store that bears 148 is known after
@@ -48,6 +48,12 @@
 	// prove that the store bears more: one that is a tenth late shows that it does not.
 	quickFactor = 1.02
 	quickSlack  = 150 * time.Millisecond
+	// overdueFactor times its nominal duration, and overdueSlack more, is when a load counts as
+	// overdue: the slack covers two heartbeats of a runner. Two must be overdue, as one order may
+	// have been executed late.
+	overdueFactor = 1.3
+	overdueSlack  = 2 * time.Second
+	leastOverdue  = 2
 	// fullShare is how much of the limit must have been in use for a load in time to
 	// prove that the store bears it.
 	fullShare = 0.8
@@ -70,7 +76,10 @@
 	raisedAt time.Time
 	// slowness is that of the load that ended last: its duration by the nominal one.
 	slowness float64
-	loads    map[Key]progress
+	// proved is the largest average of loads under way beside one that ended in time: a store
+	// that shares its speed among all bears as many.
+	proved float64
+	loads  map[Key]progress
 	// used is the time integral of the number of loads, in seconds, up to usedAt.
 	used   float64
 	usedAt time.Time
@@ -103,7 +112,7 @@
 // Expect says how many loads at once to try while nothing is known of the store.
 func (l *Limiter) Expect(first int) {
 	if !l.isLearned {
-		l.limit = float64(max(firstConcurrency, first))
+		l.limit = float64(max(1, first))
 	}
 }
 
@@ -179,6 +188,7 @@
 			l.ended(now, known)
 		}
 	}
+	l.learnOverdue(now)
 }
 
 // integrate brings used up to now.
@@ -200,11 +210,12 @@
 	if load.nominal <= 0 || took < time.Duration(tooSoon*float64(load.nominal)) {
 		return
 	}
-	average := (l.used - load.used) / took.Seconds()
-	least, most := min(load.beside, average), max(load.beside, average)
+	average := l.average(now, load)
+	least, most := min(load.beside, average), l.most(load, average)
 	slowness := took.Seconds() / load.nominal.Seconds()
 	if took <= time.Duration(slowFactor*float64(load.nominal))+slowSlack {
 		slowness = 1
+		l.proved = max(l.proved, average)
 	}
 	quicker := min(slowness, l.slowness)
 	l.slowness = slowness
@@ -222,6 +233,40 @@
 	}
 }
 
+// average is how many loads were under way on average since a load began.
+func (l *Limiter) average(now time.Time, load progress) float64 {
+	return (l.used - load.used) / max(time.Millisecond, now.Sub(load.since)).Seconds()
+}
+
+// most is how many loads a slow one may have been slow for: those under way when it began,
+// or on average, if the store may be one that shares its speed among all.
+func (l *Limiter) most(load progress, average float64) float64 {
+	if average <= l.proved {
+		return load.beside
+	}
+	return max(load.beside, average)
+}
+
+// learnOverdue learns from loads that should have ended long ago. The longer they take the less
+// the store bears. The most telling one is passed over, as a single one proves nothing.
+func (l *Limiter) learnOverdue(now time.Time) {
+	var places []float64
+	for _, load := range l.loads {
+		took := now.Sub(load.since)
+		if load.nominal <= 0 || took <= time.Duration(overdueFactor*float64(load.nominal))+overdueSlack {
+			continue
+		}
+		places = append(places, l.most(load, l.average(now, load))*load.nominal.Seconds()/took.Seconds())
+	}
+	if len(places) < leastOverdue {
+		return
+	}
+	slices.Sort(places)
+	if found := max(1, math.Round(places[leastOverdue-1])); found < l.limit {
+		l.limit, l.isLearned, l.crowdedAt = found, true, now
+	}
+}
+
 // isQuick reports whether a load took no longer than it does at a store with places left.
 func isQuick(took, nominal time.Duration) bool {
 	return took <= time.Duration(quickFactor*float64(nominal))+quickSlack
@@ -234,12 +279,17 @@
 }
 
 // Remaining is how long a load under way is still expected to take; 0 if it is not
-// known or should have ended.
+// known. Of one that should have ended it is as long as it is overdue.
 func (l *Limiter) Remaining(now time.Time, key Key) time.Duration {
 	known, isKnown := l.loads[key]
 	if !isKnown {
 		return 0
 	}
-	crowding := max(1, float64(len(l.loads))/max(1, l.limit))
-	return max(0, time.Duration(float64(known.nominal)*crowding)-now.Sub(known.since))
+	crowding := max(1, max(known.beside, l.average(now, known))/max(1, l.limit))
+	left := time.Duration(float64(known.nominal)*crowding) - now.Sub(known.since)
+	if known.nominal <= 0 {
+		return max(0, left)
+	}
+	// How long one that is overdue still takes nobody knows; about as long again.
+	return max(left, -left)
 }
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -262,3 +262,56 @@
 		})
 	}
 }
+
+// Seven loads begin at once at a store that serves one. Only the first ends in time; that the others
+// are overdue tells long before they end.
+func TestOverdueLoadsTellOfACrowdedStore(t *testing.T) {
+	for _, isFixed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fixed speed %v", isFixed), func(t *testing.T) {
+			c := qt.New(t)
+			l := New(5*time.Second, 100)
+			l.Expect(7)
+			var underWay []Load
+			for i := range 7 {
+				load := Load{Key: Key{Instance: fmt.Sprint("r", i)}, Nominal: nominal}
+				l.Begin(start, load)
+				underWay = append(underWay, load)
+			}
+			at := start.Add(nominal)
+			if isFixed {
+				underWay = underWay[1:]
+			}
+			l.Update(at, underWay, func(Key) bool { return true })
+			c.Assert(l.Limit() >= 7, qt.IsTrue)
+			at = start.Add(2 * nominal)
+			l.Update(at, underWay, func(Key) bool { return true })
+			limit, isCrowded := l.Learned()
+			c.Assert(isCrowded, qt.IsTrue)
+			c.Assert(limit <= 4, qt.IsTrue, qt.Commentf("%d", limit))
+			at = start.Add(4 * nominal)
+			l.Update(at, underWay, func(Key) bool { return true })
+			c.Assert(l.Limit() <= 2, qt.IsTrue, qt.Commentf("%d", l.Limit()))
+		})
+	}
+}
+
+func TestOneOverdueLoadProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	load := Load{Key: Key{Instance: "r"}, Nominal: nominal}
+	l.Begin(start, load)
+	l.Update(start.Add(5*nominal), []Load{load}, func(Key) bool { return false })
+	_, isCrowded := l.Learned()
+	c.Assert(isCrowded, qt.IsFalse)
+}
+
+// A load that should have ended is not about to: it is expected to take as long again as it is
+// overdue.
+func TestOverdueLoadIsNotExpectedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l := New(5*time.Second, 100)
+	load := Load{Key: Key{Instance: "r"}, Nominal: nominal}
+	l.Begin(start, load)
+	c.Assert(l.Remaining(start.Add(nominal-time.Second), load.Key), qt.Equals, time.Second)
+	c.Assert(l.Remaining(start.Add(nominal+5*time.Second), load.Key), qt.Equals, 5*time.Second)
+}
