--- a/examples/days/play.sh
+++ b/examples/days/play.sh
@@ -10,6 +10,15 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 
+# strike AT ENTRY writes the entry as it strikes at a time; @N in it is N seconds later.
+strike() {
+  local entry=$2 later
+  for later in 0 1 2 3 4 5; do
+    entry=${entry//@$later/$(($1 + later)).0}
+  done
+  echo "  { at = $1.0, $entry },"
+}
+
 # day NAME ENTRY writes a day in which the entry strikes twice.
 day() {
   cat <<DAY
@@ -21,8 +30,8 @@
   { at = 6.5, kind = "scale_in", share = 0.1 },
 ]
 faults = [
-  { at = 6.0, $2 },
-  { at = $((6 + second)).0, $2 },
+$(strike 6 "$2")
+$(strike $((6 + second)) "$2")
 ]
 closing = { kind = "kill_all", down_s = 0.8 }
 DAY
