Tell callers at once when the forecast says that their model comes too late

The users say that such windows gain nothing, and that to be held and then refused is the worst for a caller.

Change: the forecast decides at any time while a request waits. The test's case that expected a request to be held after the window is replaced by two: known to come too late, and in time.

Kept for what callers see.

--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -31,7 +31,7 @@
 const (
 	// usualFirstLoads are tried at once on a small site, and leastFirstLoads where loads take
 	// long: one alone would tell nothing of a second.
-	leastFirstLoads   = 2
+	leastFirstLoads = 2
 	usualFirstLoads = 4
 )
 
--- /dev/null
+++ b/request/relay/conclude.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"time"
+)
+
+// giveUp answers a request for which no runner was found in time, after the last attempt
+// if there was one.
+func (x *exchange) giveUp(err error, last result) {
+	var comeBack *comeBackError
+	switch {
+	case errors.As(err, &comeBack):
+		x.tellToComeBack(comeBack.after)
+		return
+	case errors.Is(err, errStopped):
+		last.reason, last.err = "router_stops", err
+	case errors.Is(err, errTimeout):
+		last.reason, last.err = reasonNoRunner, err
+	default:
+		x.count("caller_left")
+		x.router.log(x.request, x.version, "caller_left", err)
+		return
+	}
+	x.conclude(last)
+}
+
+// conclude answers a request after the last attempt.
+func (x *exchange) conclude(ended result) {
+	if ended.answer != nil && !x.isStarted {
+		x.router.log(x.request, x.version, ended.reason, ended.err)
+		x.pass(ended.answer)
+		x.count(ended.reason)
+		return
+	}
+	x.fail(ended.reason, ended.err)
+}
+
+// fail answers a request that no runner answered. 503 promises that the request has
+// not run; without that promise it is 502, or 504 when its time is over.
+func (x *exchange) fail(reason string, err error) {
+	x.count(reason)
+	x.router.log(x.request, x.version, reason, err)
+	switch {
+	case x.isStarted:
+		panic(http.ErrAbortHandler)
+	case x.attempts == 0:
+		retryAfter := retryAfterNow
+		if reason == reasonNoRunner {
+			retryAfter = x.router.comeBackIn(x.waiting)
+		}
+		refuse(x.writer, http.StatusServiceUnavailable, retryAfter, "no runner could take the request: "+reason)
+	case time.Until(x.deadline) <= 0:
+		refuse(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
+	default:
+		refuse(x.writer, http.StatusBadGateway, 0, "the runner's answer was lost: "+reason)
+	}
+}
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// promptShare is the part of a request's objective within which it is told to come
-	// back, or else waits: platforms value a refusal only while it is prompt, at a quarter
-	// of the objective; the rest is for the way.
-	promptShare = 0.22
 	// returnShare is the largest part of its time that a caller is asked to stay away.
 	returnShare = 1.0 / 3
 	// returnSlack is added to the time of the forecast, for the way of the news.
@@ -40,11 +36,11 @@
 }
 
 // deferral decides whether a request whose model should be ready at readyAt is given up at
-// once, and after how long its caller should come back. It waits if the model should be
-// there before the request would be given up anyway, and if it is too late for a prompt
-// refusal: the forecast may be wrong.
+// once, and after how long its caller should come back. It waits only as long as the model should
+// be there before the request would be given up anyway: to be held, and then refused, is the
+// worst that can happen to its caller.
 func (w *waiter) deferral(now, readyAt time.Time) (time.Duration, bool) {
-	if !w.mayDefer || now.Sub(w.since) > share(w.objective, promptShare) || !readyAt.After(w.until) {
+	if !w.mayDefer || !readyAt.After(w.until) {
 		return 0, false
 	}
 	return w.comeBackIn(now, readyAt), true
--- a/request/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -28,7 +28,8 @@
 		{"ready before it is given up", 0, 3 * time.Second, false, 0},
 		{"ready after it is given up", 0, 4100 * time.Millisecond, false, 4 * time.Second},
 		{"ready much too late", 0, 20 * time.Second, false, 4 * time.Second},
-		{"too late for a prompt refusal", 300 * time.Millisecond, 5 * time.Second, false, 0},
+		{"known after a while to come too late", 300 * time.Millisecond, 5 * time.Second, false, 3900 * time.Millisecond},
+		{"known after a while to come in time", 300 * time.Millisecond, 3700 * time.Millisecond, false, 0},
 		{"may have run", 0, 5 * time.Second, true, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -186,6 +186,9 @@
 	for _, wanted := range s.waiters {
 		demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
 		demand.Priority = min(demand.Priority, wanted.priority)
+		if wanted.objective > 0 && at.Sub(wanted.since) > wanted.objective {
+			demand.Late++
+		}
 	}
 	for _, caller := range s.absentees {
 		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
