Wait a second for the word on a limit; count how long unserved requests were held

The wait was half of an objective, a window without a reason. The histogram of unserved requests is the users' own measure of a refusal.

--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -116,7 +116,7 @@
 	tenant, refused := r.identify(index, route, request)
 	var counted admission
 	if refused == nil {
-		counted, refused = r.admit(request.HTTP.Context(), tenant, request, route.Objective)
+		counted, refused = r.admit(request.HTTP.Context(), tenant, request, deadlineOf(request, route))
 	}
 	if refused != nil {
 		r.refuseTenant(writer, request, route, tenant, index.Document.Version, refused)
@@ -133,10 +133,7 @@
 		x.row.Model, x.row.Adapter = request.Model, request.Adapter
 		x.prefixes = prefixHashes(x.row, request.Parts)
 	}
-	x.deadline = request.Arrived.Add(route.Timeout)
-	if request.Wait > 0 && request.Wait < route.Timeout {
-		x.deadline = request.Arrived.Add(request.Wait)
-	}
+	x.deadline = deadlineOf(request, route)
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
@@ -151,6 +148,14 @@
 	x.run(ctx)
 }
 
+// deadlineOf is when the time of a request on a route is over.
+func deadlineOf(request *Request, route *site.Route) time.Time {
+	if request.Wait > 0 && request.Wait < route.Timeout {
+		return request.Arrived.Add(request.Wait)
+	}
+	return request.Arrived.Add(route.Timeout)
+}
+
 // firstDocumentWait is how long a request waits for the first document after the start
 // of a router, at most; firstDocumentShare is the part of its own time that it waits.
 const (
--- a/request/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -22,6 +22,9 @@
 	kind := kindName(x.route.Kind)
 	x.router.metrics.requests.WithLabelValues(kind, outcome).Inc()
 	x.router.metrics.waited.WithLabelValues(kind).Observe(x.waited.Seconds())
+	if !x.isStarted && x.attempts == 0 {
+		x.router.metrics.unserved.WithLabelValues(kind).Observe(time.Since(x.request.Arrived).Seconds())
+	}
 	if x.isStarted {
 		x.router.metrics.first.WithLabelValues(kind).Observe(x.begunAt.Sub(x.request.Arrived).Seconds())
 	}
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -55,12 +55,9 @@
 	return soon
 }
 
-// await waits for what becomes of a request. It reports false if nobody said in time.
-func (l *limits) await(ctx context.Context, waiter *limiter.Waiter, settled chan limiter.Verdict, objective time.Duration) (limiter.Verdict, bool) {
-	limit := noLimitWait
-	if objective > 0 {
-		limit = share(objective, limitWaitShare)
-	}
+// await waits for what becomes of a request, at most for limit. It reports false if nobody said
+// in time.
+func (l *limits) await(ctx context.Context, waiter *limiter.Waiter, settled chan limiter.Verdict, limit time.Duration) (limiter.Verdict, bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -17,6 +17,7 @@
 	attempts  *prometheus.CounterVec
 	first     *prometheus.HistogramVec
 	waited    *prometheus.HistogramVec
+	unserved  *prometheus.HistogramVec
 	late      *prometheus.CounterVec
 	inFlight  prometheus.Gauge
 	repeats   *prometheus.CounterVec
@@ -53,6 +54,7 @@
 		attempts:  counter("attempts_total", "Sendings to runners by outcome.", "outcome"),
 		first:     histogram("first_seconds", "Time until the head of the answer was sent.", "kind"),
 		waited:    histogram("waited_seconds", "Time that requests waited for runners.", "kind"),
+		unserved:  histogram("unserved_seconds", "Time that requests were held which no runner has run in the end.", "kind"),
 		late:      counter("late_total", "Answers after the route's objective or with too long a pause.", "kind"),
 		inFlight:  gauge("requests_in_progress", "Requests that have no answer yet."),
 		repeats:   counter("repeats_total", "Repeated sendings asked for, by whether the retry budget allowed them.", "allowed"),
@@ -67,7 +69,7 @@
 		viewAt: gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
-		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.late, made.inFlight,
+		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws)
 	}
 	return made
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -15,11 +15,10 @@
 	// unconfirmedReturn is when a caller is asked to come back to a router that cannot tell
 	// whether keys are still good: elections take about half a second.
 	unconfirmedReturn = 500 * time.Millisecond
-	// limitWaitShare is the part of its objective that a request waits for the leader's word
-	// on its tenant's limit; the rest is for the queue and the runner.
-	limitWaitShare = 0.5
-	// noLimitWait is that wait for a request without an objective.
-	noLimitWait = 500 * time.Millisecond
+	// limitWait is how long a request waits for the leader's word on its tenant's limit, at most:
+	// a word takes some milliseconds, another leader after a lost one 0.4 to 0.9 s. A request
+	// with little time waits for maxWaitShare of it.
+	limitWait = time.Second
 	// maxTenantLines is how many lines a second tell of requests that were refused for their
 	// key or limit.
 	maxTenantLines = 20
@@ -105,7 +104,7 @@
 
 // admit counts a request against its tenant's limit, or says why it is refused. It waits for the
 // leader's word if the router holds too little of the limit.
-func (r *Router) admit(ctx context.Context, tenant *site.Tenant, request *Request, objective time.Duration) (admission, *refusal) {
+func (r *Router) admit(ctx context.Context, tenant *site.Tenant, request *Request, deadline time.Time) (admission, *refusal) {
 	if tenant == nil || !tenant.Limit.IsLimited() {
 		return admission{}, nil
 	}
@@ -124,7 +123,7 @@
 	}
 	if !isDecided {
 		var isSettled bool
-		if verdict, isSettled = r.limits.await(ctx, waiter, settled, objective); !isSettled {
+		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(time.Until(deadline), maxWaitShare))); !isSettled {
 			return admission{}, &refusal{
 				status: http.StatusServiceUnavailable, retryAfter: unconfirmedReturn, outcome: "limit_unknown",
 				message: "no controller could tell whether the tenant's limit has room: try again soon",
