Load beside a slow load only beyond the horizon; loads in time first measured and taken out

It is now done only where the load under way takes longer than the horizon, as the two-minute ones of shifted do.

--- a/placement/residency/demand.go
+++ b/placement/residency/demand.go
@@ -29,10 +29,6 @@
 	count    int
 	oldest   time.Duration
 	priority int
-	// late counts the requests whose objective is over, and objective is the shortest of
-	// those that came lately; 0 if none is known.
-	late      int
-	objective time.Duration
 }
 
 // recentShare is the part of the rate time over which the recent rate is averaged.
@@ -68,14 +64,13 @@
 
 // waits sums up the reports that still count.
 func (d *rowDemand) waits(now time.Time, row Row, life time.Duration) waiting {
-	total := waiting{row: row, priority: math.MaxInt, objective: d.objective}
+	total := waiting{row: row, priority: math.MaxInt}
 	for _, report := range d.reports {
 		age := now.Sub(report.at)
 		if age > life || report.demand.Waiting == 0 {
 			continue
 		}
 		total.count += report.demand.Waiting
-		total.late += report.demand.Late
 		total.oldest = max(total.oldest, report.demand.Oldest+age)
 		total.priority = min(total.priority, report.demand.Priority)
 	}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -39,7 +39,7 @@
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
 		found[row].oldest = max(found[row].oldest, wanted.oldest)
-		found[row].gain += p.waitingGain(row, wanted) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
+		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
 	}
 	for row := range p.tally.demands {
 		p.addCrowded(found, row)
@@ -58,43 +58,14 @@
 	return listed
 }
 
-// lateShare is the part of its worth that an answer keeps when it is late: three tenths on most
-// routes of the sheets.
-const lateShare = 0.3
-
-// waitingGain is how much the requests that wait for a model gain by its load: all that the
-// load lets be in time, and a part of the others.
-func (p *Planner) waitingGain(row Row, wanted waiting) float64 {
-	inTime := max(0, wanted.count-wanted.late)
-	if wanted.objective > 0 && p.quickestLoad(row) > wanted.objective {
-		inTime = 0
-	}
-	return float64(inTime) + lateShare*float64(wanted.count-inTime)
-}
-
-// quickestLoad is how long a load of the model takes where a copy of it is nearest, or from the
-// weight store.
-func (p *Planner) quickestLoad(row Row) time.Duration {
-	quickest := time.Duration(math.MaxInt64)
-	for _, known := range p.tally.copies[row] {
-		if engine := p.engineOf(known); engine != nil && engine.ModelByName(row.Model) != nil {
-			quickest = min(quickest, loadTime(known, engine.ModelByName(row.Model)))
-		}
-	}
-	service := p.document.Service(row.Service)
-	if service == nil || service.Engine == nil {
-		return quickest
-	}
-	if model := service.Engine.ModelByName(row.Model); model != nil {
-		quickest = min(quickest, model.LoadTime)
-	}
-	return quickest
-}
-
-// isCopyQuicker reports whether a load of the model from a copy, begun now, would end sooner than
-// those under way.
+// isCopyQuicker reports whether the loads of the model under way take longer than the horizon, and
+// a load from a copy, begun now, would end sooner. Of quicker loads the end is awaited: a second
+// replica of a cold model takes the place of another (0.03 of worth on further).
 func (p *Planner) isCopyQuicker(now time.Time, row Row) bool {
 	comingIn := p.comingIn(now, row)
+	if comingIn <= p.options.Horizon {
+		return false
+	}
 	for _, known := range p.tally.copies[row] {
 		engine := p.engineOf(known)
 		if engine == nil {
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -90,8 +90,6 @@
 	Row Row
 	// Waiting requests have no runner that could execute them.
 	Waiting int
-	// Late counts those of them whose objective is over.
-	Late int
 	// Oldest is how long the oldest of them has waited.
 	Oldest time.Duration
 	// Priority is that of the most urgent waiting request; 0 is the most urgent.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -236,7 +236,7 @@
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	x.waiting = &waiter{
 		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
-		objective: x.route.Objective, deadline: x.deadline, until: limit,
+		deadline: x.deadline, until: limit,
 		mayDefer: x.attempts == 0,
 	}
 	return x.router.acquire(ctx, x.waiting)
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -19,11 +19,10 @@
 	avoid    structs.RunnerID
 	priority int
 	since    time.Time
-	// objective and deadline are those of the request, and until is when it is given up if
-	// there is no runner for it.
-	objective time.Duration
-	deadline  time.Time
-	until     time.Time
+	// deadline is that of the request, and until is when it is given up if there is no runner
+	// for it.
+	deadline time.Time
+	until    time.Time
 	// mayDefer is set if the request has certainly not run, so that its caller may be told
 	// to come back.
 	mayDefer bool
@@ -186,9 +185,6 @@
 	for _, wanted := range s.waiters {
 		demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
 		demand.Priority = min(demand.Priority, wanted.priority)
-		if wanted.objective > 0 && at.Sub(wanted.since) > wanted.objective {
-			demand.Late++
-		}
 	}
 	for _, caller := range s.absentees {
 		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
