--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -124,6 +124,9 @@
 	if !isDecided {
 		var isSettled bool
 		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(time.Until(deadline), maxWaitShare))); !isSettled {
+			if ctx.Err() != nil {
+				return admission{}, &refusal{status: http.StatusServiceUnavailable, outcome: "caller_left", message: "the caller has left"}
+			}
 			return admission{}, &refusal{
 				status: http.StatusServiceUnavailable, retryAfter: unconfirmedReturn, outcome: "limit_unknown",
 				message: "no controller could tell whether the tenant's limit has room: try again soon",
--- a/request/relay/tenancy_test.go
+++ b/request/relay/tenancy_test.go
@@ -219,3 +219,22 @@
 func held(router *Router) float64 {
 	return router.limits.limiter.Held(time.Now(), "limited")
 }
+
+func TestCallerThatLeavesBeforeTheLimitIsKnownCountsAsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTenantRouter(always(fine))
+		ctx, leave := context.WithCancel(t.Context())
+		answered := make(chan *refusal)
+		go func() {
+			tenant := &tenantDocument(2).Tenants[0]
+			_, refused := router.admit(ctx, tenant, &Request{Size: Size{Tokens: 100}}, time.Now().Add(5*time.Second))
+			answered <- refused
+		}()
+		synctest.Wait()
+		leave()
+		c.Assert((<-answered).outcome, qt.Equals, "caller_left")
+		now, _ := router.limits.limiter.IsAsking(time.Now())
+		c.Assert(now, qt.IsFalse)
+	})
+}
