--- a/examples/days/play.sh
+++ b/examples/days/play.sh
@@ -6,6 +6,7 @@
 pattern=${2:-.}
 second=${SECOND:-10}
 seed=${SEED:-1}
+read -ra flags <<<"${FLAGS:-}"
 here=$(cd "$(dirname "$0")" && pwd)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
@@ -41,7 +42,7 @@
 played=0
 while read -r name entry; do
   day "$name" "$entry" >"$folder/$name.toml"
-  output=$("$bench" run "$site" "$folder/$name.toml" --why "${WHY:-days of our own}: $name" 2>&1) || true
+  output=$("$bench" run "$site" "$folder/$name.toml" "${flags[@]}" --why "${WHY:-days of our own}: $name" 2>&1) || true
   line=$(grep -E "^$name +[0-9]+/[0-9]+ " <<<"$output" | head -1 | cut -c1-200)
   echo "${line:-$name: not played: $(tail -3 <<<"$output" | tr '\n' ' ')}"
   played=$((played + 1))
