--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -19,7 +19,6 @@
 	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/internal/pause"
-	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -475,34 +474,3 @@
 		d.c.Assert(len(holders) >= 3, qt.IsTrue)
 	})
 }
-
-// A member that does not answer holds up a new leader's orders at most, not what else it does.
-func TestNewLeaderServesRoutersBeforeItKnowsWhenItMayOrder(t *testing.T) {
-	inDomain(t, func(d *testDomain) {
-		d.fences = true
-		d.found(0, 1, 2)
-		d.put(3)
-		leader := d.awaitLeader()
-		d.kill(leader)
-		// Its address takes connections and says nothing.
-		listener, err := d.network.Listen(d.ctx, address(leader))
-		d.c.Assert(err, qt.IsNil)
-		defer listener.Close()
-		next := d.awaitLeader()
-		d.await("the group's lease", func() bool {
-			joined, err := d.nodes[next].current()
-			if err != nil {
-				return false
-			}
-			_, isValid := joined.group.LeaderLease()
-			return isValid
-		})
-		began := time.Now()
-		d.await("the leadership", func() bool {
-			var reply domainapi.WatchReply
-			_ = (&service{node: d.nodes[next].Node}).Watch(&domainapi.WatchArguments{Router: "router", Version: 3}, &reply)
-			return reply.Error == nil && reply.Confirmed == 3
-		})
-		d.c.Assert(time.Since(began) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
-	})
-}
--- /dev/null
+++ b/placement/domainnode/newleader_test.go
@@ -0,0 +1,41 @@
+package domainnode
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+)
+
+// A member that does not answer holds up a new leader's orders at most, not what else it does.
+func TestNewLeaderServesRoutersBeforeItKnowsWhenItMayOrder(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.fences = true
+		d.found(0, 1, 2)
+		d.put(3)
+		leader := d.awaitLeader()
+		d.kill(leader)
+		// Its address takes connections and says nothing.
+		listener, err := d.network.Listen(d.ctx, address(leader))
+		d.c.Assert(err, qt.IsNil)
+		defer listener.Close()
+		next := d.awaitLeader()
+		d.await("the group's lease", func() bool {
+			joined, err := d.nodes[next].current()
+			if err != nil {
+				return false
+			}
+			_, isValid := joined.group.LeaderLease()
+			return isValid
+		})
+		began := time.Now()
+		d.await("the leadership", func() bool {
+			var reply domainapi.WatchReply
+			_ = (&service{node: d.nodes[next].Node}).Watch(&domainapi.WatchArguments{Router: "router", Version: 3}, &reply)
+			return reply.Error == nil && reply.Confirmed == 3
+		})
+		d.c.Assert(time.Since(began) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	})
+}
