--- a/request/relay/tenancy_test.go
+++ b/request/relay/tenancy_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/internal/keys"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -99,9 +100,9 @@
 		c := qt.New(t)
 		router, backend := newTenantRouter(always(fine))
 		key := Credential{Key: "key-2"}
-		time.Sleep(testLife - time.Millisecond)
+		pause.For(t.Context(), testLife - time.Millisecond)
 		c.Assert(askAs(router, "/once/", key, Size{}).Code, qt.Equals, http.StatusOK)
-		time.Sleep(time.Millisecond)
+		pause.For(t.Context(), time.Millisecond)
 		refused := askAs(router, "/once/", key, Size{})
 		c.Assert(refused.Code, qt.Equals, http.StatusServiceUnavailable)
 		c.Assert(refused.Header().Get("Retry-After"), qt.Equals, "0.5")
@@ -131,12 +132,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				router, _ := newTenantRouter(always(fine))
-				time.Sleep(testLife)
+				pause.For(t.Context(), testLife)
 				asked := time.Now()
-				time.Sleep(time.Second)
+				pause.For(t.Context(), time.Second)
 				router.adopt(&test.reply, &domainapi.WatchArguments{Term: 5}, asked)
 				c.Assert(router.isConfirmed(time.Now()), qt.Equals, test.isConfirmed)
-				time.Sleep(testLife - time.Second)
+				pause.For(t.Context(), testLife - time.Second)
 				c.Assert(router.isConfirmed(time.Now()), qt.IsFalse)
 			})
 		})
