--- a/request/relay/tenancy_test.go
+++ b/request/relay/tenancy_test.go
@@ -100,7 +100,7 @@
 		c := qt.New(t)
 		router, backend := newTenantRouter(always(fine))
 		key := Credential{Key: "key-2"}
-		pause.For(t.Context(), testLife - time.Millisecond)
+		pause.For(t.Context(), testLife-time.Millisecond)
 		c.Assert(askAs(router, "/once/", key, Size{}).Code, qt.Equals, http.StatusOK)
 		pause.For(t.Context(), time.Millisecond)
 		refused := askAs(router, "/once/", key, Size{})
@@ -137,7 +137,7 @@
 				pause.For(t.Context(), time.Second)
 				router.adopt(&test.reply, &domainapi.WatchArguments{Term: 5}, asked)
 				c.Assert(router.isConfirmed(time.Now()), qt.Equals, test.isConfirmed)
-				pause.For(t.Context(), testLife - time.Second)
+				pause.For(t.Context(), testLife-time.Second)
 				c.Assert(router.isConfirmed(time.Now()), qt.IsFalse)
 			})
 		})
