--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -20,7 +20,7 @@
 		last.reason, last.err = reasonNoRunner, err
 	default:
 		x.count("caller_left")
-		x.router.log(x.request, x.version, "caller_left", err)
+		x.logUnserved("caller_left", err)
 		return
 	}
 	x.conclude(last)
@@ -29,7 +29,7 @@
 // conclude answers a request after the last attempt.
 func (x *exchange) conclude(ended result) {
 	if ended.answer != nil && !x.isStarted {
-		x.router.log(x.request, x.version, ended.reason, ended.err)
+		x.logUnserved(ended.reason, ended.err)
 		x.pass(ended.answer)
 		x.count(ended.reason)
 		return
@@ -41,7 +41,7 @@
 // not run; without that promise it is 502, or 504 when its time is over.
 func (x *exchange) fail(reason string, err error) {
 	x.count(reason)
-	x.router.log(x.request, x.version, reason, err)
+	x.logUnserved(reason, err)
 	switch {
 	case x.isStarted:
 		panic(http.ErrAbortHandler)
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/poison"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -76,6 +77,8 @@
 	arrivals int
 	prefixes []uint64
 	avoid    structs.RunnerID
+	// digest names what the request asks for, whoever brings it.
+	digest poison.Digest
 	// isStarted is set once the head of the answer has been sent.
 	isStarted bool
 	// lastEvent is the last event that the caller has.
@@ -128,6 +131,7 @@
 		row:       residency.Row{Service: route.Pick(r.point())},
 		lastEvent: request.ResumeAfter,
 	}
+	x.digest = request.digest(x.tenantName())
 	service := index.Service(x.row.Service)
 	if service.Engine != nil {
 		x.row.Model, x.row.Adapter = request.Model, request.Adapter
--- a/request/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -30,10 +30,16 @@
 	}
 }
 
-func (r *Router) log(request *Request, version uint64, outcome string, err error) {
-	level.Info(r.logger).Log("msg", "A request was answered without a runner's success.", "request", request.ID,
+// log tells of a request that no runner served, with more fields where there are.
+func (r *Router) log(request *Request, version uint64, outcome string, err error, more ...any) {
+	level.Info(r.logger).Log(append([]any{"msg", "A request was answered without a runner's success.", "request", request.ID,
 		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
-		"age", time.Since(request.Arrived), "outcome", outcome, "err", err)
+		"age", time.Since(request.Arrived), "outcome", outcome, "err", err}, more...)...)
+}
+
+// logUnserved tells of the exchange's request, which no runner served.
+func (x *exchange) logUnserved(outcome string, err error) {
+	x.router.log(x.request, x.version, outcome, err, "content", x.digest)
 }
 
 // logServed logs a request that was answered: always when the answer was late or took
@@ -48,7 +54,7 @@
 	if !isLate && x.sent == 1 && xxhash.Sum64String(x.request.ID)%servedLogSample != 0 {
 		return
 	}
-	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "route", x.route.Name,
+	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "content", x.digest, "route", x.route.Name,
 		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
 		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", time.Since(x.request.Arrived), "version", x.version, "outcome", ended.reason)
 }
@@ -57,7 +63,7 @@
 const servedLogSample = 16
 
 func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
-	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "runner", choice.Runner(),
+	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "content", x.digest, "runner", choice.Runner(),
 		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
 		"age", time.Since(x.request.Arrived), "version", x.version, "err", ended.err)
 }
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/lotusferry/lotusferry/request/poison"
 )
 
 // Request is a caller's request.
@@ -30,6 +32,13 @@
 	ResumeAfter int64
 }
 
+// digest names what the request asks for. The caller is the name of its tenant, or empty.
+func (r *Request) digest(caller string) poison.Digest {
+	return poison.Content{
+		Caller: caller, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URL.RequestURI(), Body: r.Body,
+	}.Digest()
+}
+
 // Credential is the key that a caller presented.
 type Credential struct {
 	// Key is empty if there is none, or none that can be read; then Problem tells the caller
