Failing test: a request that crashes runners is sent to runners without end

Reproduces the incident in virtual time on the real routers and controllers: four routers, three controllers, six stand-in runners that end under one content and come back after 3 s. The digest moves to placement/, as the leader needs it.

--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
-	"github.com/lotusferry/lotusferry/request/poison"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
--- /dev/null
+++ b/request/relay/fleet_test.go
@@ -0,0 +1,364 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	pkgerrors "github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/internal/network/networktest"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainnode"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/relay"
+)
+
+const (
+	testRouters     = 4
+	testRunners     = 6
+	testControllers = 3
+	// heartbeatPause separates the heartbeats of a runner, restartTime its end and the start
+	// of the next at its address.
+	heartbeatPause = time.Second
+	restartTime    = 3 * time.Second
+	// workTime is how long a request runs, and poisonTime after how long one that crashes
+	// its runner does.
+	workTime   = 250 * time.Millisecond
+	poisonTime = 80 * time.Millisecond
+	// cutText makes a runner break one answer off and live on.
+	cutText = "cut"
+)
+
+// testSite is a domain of controllers, routers and runners in virtual time. The runners are
+// stand-ins, all else is the product.
+type testSite struct {
+	c       *qt.C
+	ctx     context.Context
+	network *networktest.Memory
+	folder  string
+	random  *rand.Rand
+
+	mutex       sync.Mutex
+	controllers []*testController
+	routers     []*testRouter
+	runners     map[string]*testRunner
+	started     int
+	// poison is the text of bodies that crash what runs them.
+	poison map[string]bool
+	// sent is when each body arrived at a runner, crashed when it ended one.
+	sent    map[string][]time.Time
+	crashed map[string][]time.Time
+}
+
+type testController struct {
+	node *domainnode.Node
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+type testRouter struct {
+	*relay.Router
+	end context.CancelFunc
+}
+
+// testRunner is one life of a runner.
+type testRunner struct {
+	id, address string
+	// gone is closed when the runner ends.
+	gone  chan struct{}
+	ended sync.Once
+}
+
+func (r *testRunner) isGone() bool {
+	select {
+	case <-r.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// noEngines is for runners that load no models.
+type noEngines struct{}
+
+func (noEngines) Order(context.Context, domainnode.Holder, residency.Order) residency.Outcome {
+	return residency.OutcomeRefused
+}
+
+func (noEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, error) {
+	return residency.Report{}, nil
+}
+
+func decodeSite(source []byte) (*site.Document, error) {
+	document := &site.Document{}
+	return document, json.Unmarshal(source, document)
+}
+
+func siteSource() []byte {
+	source, _ := json.Marshal(&site.Document{
+		Version:  1,
+		Services: []site.Service{{Name: "plain"}},
+		Limits:   site.Limits{MaxBodyBytes: 1 << 20},
+		Routes: []site.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: site.KindRepeatable, Timeout: 10 * time.Second, Objective: time.Second,
+			Split: []site.Share{{Service: "plain", Weight: 1}}, MaxAttempts: 2,
+		}},
+	})
+	return source
+}
+
+func inSite(t *testing.T, test func(s *testSite)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &testSite{
+			c: c, ctx: ctx, network: networktest.NewMemory(0), folder: c.TempDir(), random: rand.New(rand.NewPCG(7, 1)),
+			controllers: make([]*testController, testControllers), routers: make([]*testRouter, testRouters),
+			runners: make(map[string]*testRunner), poison: make(map[string]bool),
+			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time),
+		}
+		c.Cleanup(func() {
+			cancel()
+			for index := range s.routers {
+				s.routers[index].end()
+			}
+			for index := range s.controllers {
+				s.stopController(index)
+			}
+			synctest.Wait()
+		})
+		for index := range s.controllers {
+			s.startController(index, true)
+		}
+		for index := range s.routers {
+			s.startRouter(index)
+		}
+		for index := range testRunners {
+			s.startRunner(fmt.Sprint("10.2.0.", index+1, ":80"))
+		}
+		s.await("the document", func() bool { return s.controllers[0].node.PutDocument(ctx, siteSource()) == nil })
+		pause.For(ctx, 10*time.Second)
+		test(s)
+	})
+}
+
+func (s *testSite) await(what string, holds func() bool) {
+	s.c.Helper()
+	for range 3000 {
+		if holds() {
+			return
+		}
+		pause.For(s.ctx, 10*time.Millisecond)
+	}
+	s.c.Fatalf("%s never came", what)
+}
+
+func controllerAt(index int) string { return fmt.Sprint("10.0.0.", index+1, ":7000") }
+
+func controllerAddresses() []string {
+	return []string{controllerAt(0), controllerAt(1), controllerAt(2)}
+}
+
+func (s *testSite) startController(index int, isFirst bool) {
+	node, err := domainnode.New(domainnode.Options{
+		Logger: log.NewNopLogger(), Name: fmt.Sprint("controller-", index), Address: controllerAt(index), Seeds: controllerAddresses,
+		Bootstrap: isFirst, DataFolder: filepath.Join(s.folder, fmt.Sprint(index)), Voters: testControllers,
+		OrderLease: 3 * time.Second, Decoder: decodeSite, Engines: noEngines{}, Network: s.network, Seed: uint64(index) + 1,
+	})
+	s.c.Assert(err, qt.IsNil)
+	ctx, end := context.WithCancel(context.Background())
+	started := &testController{node: node, end: end, done: make(chan struct{})}
+	go func() {
+		defer close(started.done)
+		_ = node.Run(ctx)
+	}()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.controllers[index] = started
+}
+
+// stopController ends a controller without handing anything over.
+func (s *testSite) stopController(index int) {
+	s.mutex.Lock()
+	stopped := s.controllers[index]
+	s.mutex.Unlock()
+	stopped.end()
+	<-stopped.done
+}
+
+// startRouter starts a router, in place of the one that was there.
+func (s *testSite) startRouter(index int) {
+	router := relay.New(relay.Options{
+		Logger: log.NewNopLogger(), Name: fmt.Sprint("router-", index), Seeds: controllerAddresses, Decoder: decodeSite, Backend: s,
+		Retry:    relay.RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		Patience: relay.Patience{Floor: 2 * time.Second, Objectives: 4, Pauses: 8}, Network: s.network, Seed: uint64(index) + 1,
+	})
+	ctx, end := context.WithCancel(context.Background())
+	go router.Run(ctx)
+	if former := s.routers[index]; former != nil {
+		former.end()
+	}
+	s.routers[index] = &testRouter{router, end}
+}
+
+// startRunner starts a runner, which sends heartbeats until it ends.
+func (s *testSite) startRunner(address string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.started++
+	started := &testRunner{id: fmt.Sprint("runner-", s.started), address: address, gone: make(chan struct{})}
+	s.runners[started.id] = started
+	go s.sendHeartbeats(started)
+}
+
+func (s *testSite) sendHeartbeats(of *testRunner) {
+	for sequence := uint64(1); s.ctx.Err() == nil && !of.isGone(); sequence++ {
+		heartbeat := fleet.Heartbeat{
+			Instance: of.id, Service: "plain", Address: of.address, Zone: "z", Slots: 16, Sequence: sequence,
+		}
+		for index := range testControllers {
+			s.mutex.Lock()
+			asked := s.controllers[index]
+			s.mutex.Unlock()
+			if asked.node.Heartbeat(s.ctx, heartbeat) == nil {
+				break
+			}
+		}
+		pause.For(s.ctx, heartbeatPause)
+	}
+}
+
+// crash ends a runner with all that it runs; another starts in its place later.
+func (s *testSite) crash(ended *testRunner) {
+	ended.ended.Do(func() {
+		close(ended.gone)
+		time.AfterFunc(restartTime, func() { s.startRunner(ended.address) })
+	})
+}
+
+// Send implements relay.Backend: it is what a runner does with a request.
+func (s *testSite) Send(ctx context.Context, attempt *relay.Attempt) (*relay.Answer, error) {
+	body := string(attempt.Request.Body)
+	s.mutex.Lock()
+	target, isPoison := s.runners[attempt.Instance], s.poison[body]
+	if target == nil || target.isGone() {
+		s.mutex.Unlock()
+		return nil, pkgerrors.Wrap(relay.ErrNotSent, "connection refused")
+	}
+	s.sent[body] = append(s.sent[body], time.Now())
+	s.mutex.Unlock()
+	work := workTime
+	if isPoison {
+		work = poisonTime
+	}
+	select {
+	case <-time.After(work):
+	case <-target.gone:
+		return nil, errors.New("connection reset")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if isPoison {
+		s.mutex.Lock()
+		s.crashed[body] = append(s.crashed[body], time.Now())
+		s.mutex.Unlock()
+		s.crash(target)
+		return nil, errors.New("connection reset")
+	}
+	if strings.HasPrefix(body, cutText) {
+		return nil, errors.New("connection reset")
+	}
+	return &relay.Answer{
+		Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("fine")), Length: 4, Signed: true,
+	}, nil
+}
+
+// ask sends a request by a router and returns the answer.
+func (s *testSite) ask(router int, body string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "http://h/x", nil).WithContext(s.ctx)
+	s.routers[router].Serve(recorder, &relay.Request{
+		HTTP: request, ID: "id", Arrived: time.Now(), Wait: 5 * time.Second, Body: []byte(body), ResumeAfter: relay.NoEvent,
+	})
+	return recorder
+}
+
+// sentAfter counts the arrivals of a body at runners later than a time.
+func (s *testSite) sentAfter(body string, at time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, each := range s.sent[body] {
+		if each.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// thirdCrash is when a body ended its third runner.
+func (s *testSite) thirdCrash(body string) (time.Time, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.crashed[body]) < 3 {
+		return time.Time{}, false
+	}
+	return s.crashed[body][2], true
+}
+
+// traffic is what callers send while a test runs.
+type traffic struct {
+	site     *testSite
+	mutex    sync.Mutex
+	harmless int
+	served   int
+	statuses map[int]int
+}
+
+// run sends harmless requests by all routers for a time, each with content of its own, and
+// asks again once for those that fail.
+func (f *traffic) run(during time.Duration) {
+	s := f.site
+	var callers sync.WaitGroup
+	for began := time.Now(); time.Since(began) < during; {
+		f.harmless++
+		body := fmt.Sprint("harmless ", f.harmless)
+		router, again := s.random.IntN(testRouters), s.random.IntN(testRouters)
+		callers.Go(func() {
+			status := s.ask(router, body).Code
+			if status != http.StatusOK {
+				pause.For(s.ctx, 300*time.Millisecond)
+				status = s.ask(again, body).Code
+			}
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.statuses[status]++
+			if status == http.StatusOK {
+				f.served++
+			}
+		})
+		pause.For(s.ctx, 30*time.Millisecond)
+	}
+	callers.Wait()
+}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/lotusferry/lotusferry/request/poison"
+	"github.com/lotusferry/lotusferry/placement/poison"
 )
 
 // Request is a caller's request.
