The leader adds up what crashes runners, and such requests run by leave, then not at all

Cause: parties that each decide alone repeat one request: a router's second attempt, the caller's return to another router, the planner's load elsewhere. Nothing remembered a request once it was answered. Ruled out: orders (all 202, none near a loss), overload (the first runner of a wave had 8 requests). Change: routers report what was under way when a runner's connections broke; the leader counts the losses of each content and puts those that matter in the log. From the third loss on a request runs with the leader's leave only, one run at a time and beside no other suspect. If it ends well it is free again; if its runner is lost it is refused for an hour, then four times as long each time. Runners that said that they leave, or whose heartbeats go on, count as no loss. Also mended: a Choice read its runner while the view changed it (data race, found by the new tests under -race).

--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 )
 
@@ -81,6 +82,8 @@
 	StoreLimits []StoreLimit
 	// Reserve is nil for nothing.
 	Reserve *Reservation
+	// Suspects lists what is new about requests that may crash runners.
+	Suspects []poison.Record
 }
 
 // Result is what Apply returns.
@@ -96,6 +99,7 @@
 	Registrations []Registration
 	StoreLimits   []StoreLimit
 	Reservations  []Reservation
+	Suspects      []poison.Record
 }
 
 // Machine is the state machine. Its methods must not run at the same time, as
@@ -113,6 +117,8 @@
 	storeLimits map[string]StoreLimit
 	// reservations is in the order of the log.
 	reservations []Reservation
+	// suspects is in the order of their last records.
+	suspects []poison.Record
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -158,6 +164,9 @@
 	if decoded.Reserve != nil {
 		m.reserve(*decoded.Reserve)
 	}
+	for _, record := range decoded.Suspects {
+		m.suspect(record)
+	}
 	return Result{Version: m.document.Version}
 }
 
@@ -216,6 +225,25 @@
 	}
 }
 
+// maxSuspects bounds the requests that are remembered as suspects; those of which nothing was
+// heard for longest go first.
+const maxSuspects = 1024
+
+// suspect notes what is new about a request that may crash runners.
+func (m *Machine) suspect(record poison.Record) {
+	m.suspects = slices.DeleteFunc(m.suspects, func(known poison.Record) bool { return known.Digest == record.Digest })
+	if record.IsCleared {
+		return
+	}
+	m.suspects = append(m.suspects, record)
+	if len(m.suspects) > maxSuspects {
+		m.suspects = slices.Delete(m.suspects, 0, 1)
+	}
+}
+
+// Suspects lists the requests that may crash runners, those that were heard of last at the end.
+func (m *Machine) Suspects() []poison.Record { return slices.Clone(m.suspects) }
+
 // Reservations lists the reservations that count for a leader that begins now, each with its
 // least age.
 func (m *Machine) Reservations() []quota.Reservation {
@@ -305,7 +333,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	data, err := msgpack.Marshal(&State{
 		Document: m.document, Departures: m.departures, Registrations: m.Registrations(), StoreLimits: m.StoreLimits(),
-		Reservations: m.reservations,
+		Reservations: m.reservations, Suspects: m.suspects,
 	})
 	return data, errors.Wrap(err, "encode state of the domain")
 }
@@ -319,6 +347,7 @@
 	m.document = state.Document
 	m.departures = state.Departures
 	m.reservations = state.Reservations
+	m.suspects = state.Suspects
 	m.reindex()
 	clear(m.registrations)
 	clear(m.addresses)
@@ -339,6 +368,7 @@
 		slices.Equal(m.document.Source, other.document.Source) &&
 		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index) &&
 		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits) &&
+		slices.Equal(m.suspects, other.suspects) &&
 		slices.EqualFunc(m.reservations, other.reservations, func(a, b Reservation) bool {
 			return a.Since == b.Since && a.Keep == b.Keep && slices.Equal(a.Parts, b.Parts)
 		})
--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
@@ -32,6 +33,7 @@
 	MethodWatch      = ServiceName + ".Watch"
 	MethodDemand     = ServiceName + ".Demand"
 	MethodDraw       = ServiceName + ".Draw"
+	MethodTry        = ServiceName + ".Try"
 )
 
 // Reply carries a typed error, because net/rpc itself carries only strings.
@@ -97,6 +99,8 @@
 	// Term and Revision name the view that the router knows.
 	Term     uint64
 	Revision uint64
+	// Suspects is the revision of the list of suspects that the router knows of the term.
+	Suspects uint64
 }
 
 // WatchReply comes when something has changed, or after WatchTime.
@@ -113,6 +117,8 @@
 	View *fleet.EncodedView
 	// Loads lists the runners with many requests, of all routers together.
 	Loads []fleet.Load
+	// Suspects lists the requests that may crash runners; nil if the router knows the list.
+	Suspects *poison.List
 	// Routers is how many routers share what the leader grants to all together.
 	Routers int
 	// Controllers are the addresses of the members of the group.
@@ -129,6 +135,10 @@
 	Unreachable []string
 	// Paces are those of streams that have ended.
 	Paces []residency.Pace
+	// Losses tell which requests were under way at runners whose connections broke.
+	Losses []poison.Report
+	// Endings tell how requests ended that were tried, or were under way at a loss before.
+	Endings []poison.Ending
 }
 
 // DemandReply tells what is known about the rows for which requests wait.
@@ -149,3 +159,18 @@
 	Reply
 	Grants []quota.Grant
 }
+
+// TryArguments ask whether a request that may crash runners may be sent to one.
+type TryArguments struct {
+	Router   string
+	Digest   poison.Digest
+	Instance string
+}
+
+// TryReply gives the leader's word.
+type TryReply struct {
+	Reply
+	Permission poison.Permission
+	// ComeBackIn is when another try may be allowed.
+	ComeBackIn time.Duration
+}
--- a/placement/domainnode/announcer.go
+++ b/placement/domainnode/announcer.go
@@ -9,9 +9,11 @@
 
 // news is what routers are told of.
 type news struct {
-	// revision is that of the view, document the version of the document.
+	// revision is that of the view, document the version of the document, suspects the
+	// revision of the list of requests that may crash runners.
 	revision uint64
 	document uint64
+	suspects uint64
 }
 
 // announcer decides when routers are told of a newer view or document. All of them learn of
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -21,9 +21,10 @@
 	defer cancel()
 	l.mutex.Lock()
 	l.registry.Depart(now(), departure.Instance, departure.Gone)
+	l.poison.Refute(now(), departure.Instance)
 	l.refresh(now())
 	revision := l.views.Revision()
-	l.announcer.announce(now(), news{revision: revision, document: l.document})
+	l.announcer.announce(now(), l.news())
 	l.mutex.Unlock()
 	for {
 		l.mutex.Lock()
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -65,6 +66,8 @@
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
+	// poison finds the requests that crash runners.
+	poison *poison.Tracker
 	// lost are the runners that are taken for lost.
 	lost map[string]bool
 	// loads are those of the last step.
@@ -75,8 +78,10 @@
 	stopping map[raft.NodeID]time.Time
 	ended    bool
 	// unrecorded are registrations that are to be put in the log.
-	unrecorded  map[string]domain.Registration
-	isRecording bool
+	unrecorded map[string]domain.Registration
+	// unrecordedSuspects are news of requests that may crash runners, for the same.
+	unrecordedSuspects []poison.Record
+	isRecording        bool
 	// summedUpAt is when the demand was last logged.
 	summedUpAt time.Time
 }
@@ -116,6 +121,7 @@
 		views:      fleet.NewPublisher(),
 		reserving:  newReserving(),
 		announcer:  newAnnouncer(),
+		poison:     poison.New(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		lost:       make(map[string]bool),
@@ -126,6 +132,7 @@
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
+		l.poison.Recall(at, joined.machine.Suspects())
 		l.limits = quota.New(at, n.options.Limits, joined.machine.Reservations())
 		for _, each := range joined.machine.StoreLimits() {
 			l.planner.RecallStore(at, each.Service, each.AtOnce, each.IsCrowded)
@@ -212,6 +219,7 @@
 	l.mutex.Lock()
 	at := now()
 	l.registry.Expire(at)
+	l.poison.Expire(at)
 	l.refresh(at)
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
@@ -222,7 +230,7 @@
 	next := l.tellRouters(at)
 	judged := l.planner.TakeJudgements()
 	ended := l.planner.TakeEndedLoads()
-	l.recordRegistrations()
+	l.recordNews()
 	l.sumUp(at)
 	l.mutex.Unlock()
 	l.noteEndedLoads(ended)
@@ -247,7 +255,7 @@
 		l.notify(router)
 	}
 	next := planInterval
-	if left := l.announcer.offer(at, news{l.views.Revision(), l.document}, len(l.routers)); left > 0 {
+	if left := l.announcer.offer(at, l.news(), len(l.routers)); left > 0 {
 		next = min(next, left)
 	}
 	if in, isKnown := l.planner.NextArrival(at); isKnown {
@@ -256,6 +264,11 @@
 	return next
 }
 
+// news is what routers should know. It runs under the mutex.
+func (l *leadership) news() news {
+	return news{revision: l.views.Revision(), document: l.document, suspects: l.poison.Revision()}
+}
+
 // notify lets a router know of the newest view at once, unless it does already. It runs under
 // the mutex.
 func (l *leadership) notify(router string) {
@@ -333,7 +346,7 @@
 // leaders to come; nobody waits for that.
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
-	l.registry.Hear(now(), heartbeat)
+	l.hear(now(), heartbeat)
 	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
 	registration := domain.Registration{
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -27,6 +27,9 @@
 	stepTime   prometheus.Histogram
 	earlyViews prometheus.Counter
 	lost       prometheus.Gauge
+	losses     prometheus.Counter
+	suspects   *prometheus.GaugeVec
+	trials     *prometheus.CounterVec
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -78,6 +81,9 @@
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
 		}),
 		lost:       gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
+		losses:     counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
+		suspects:   gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
+		trials:     vector("trials_total", "Questions for leave to run a suspected request, by answer.", "answer"),
 		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
 		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
@@ -85,7 +91,7 @@
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
 			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
-			made.stepTime, made.earlyViews, made.lost)
+			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials)
 	}
 	return made
 }
--- /dev/null
+++ b/placement/domainnode/poison.go
@@ -0,0 +1,79 @@
+package domainnode
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// hear takes a heartbeat, which may show that a runner was not lost. It runs under the mutex.
+func (l *leadership) hear(at time.Time, heartbeat fleet.Heartbeat) {
+	before := l.registry.Sequence(heartbeat.Instance)
+	if !l.registry.Hear(at, heartbeat) || heartbeat.Sequence <= before {
+		return
+	}
+	if l.poison.Heard(at, heartbeat.Instance) {
+		level.Info(l.logger).Log("msg", "A runner whose connections broke lives on: nothing that it ran is suspected for that.",
+			"runner", heartbeat.Instance)
+	}
+}
+
+// observeLosses takes what a router saw at runners that were lost. A runner that has said that it
+// leaves was not crashed by what it ran. It runs under the mutex.
+func (l *leadership) observeLosses(at time.Time, arguments *domainapi.DemandArguments) {
+	for _, ending := range arguments.Endings {
+		l.poison.Ended(at, ending)
+	}
+	for _, report := range arguments.Losses {
+		if l.registry.IsLeaving(report.Instance) {
+			continue
+		}
+		isNew := l.poison.Observe(at, report)
+		suspects, refused := l.poison.Counts(at)
+		l.node.metrics.suspects.WithLabelValues("suspected").Set(float64(suspects - refused))
+		l.node.metrics.suspects.WithLabelValues("refused").Set(float64(refused))
+		if isNew {
+			l.node.metrics.losses.Inc()
+		}
+		level.Info(l.logger).Log("msg", "Requests were under way at a runner when its connections broke.", "runner", report.Instance,
+			"router", arguments.Router, "requests", len(report.Digests), "first_report", isNew, "suspects", suspects, "refused", refused)
+	}
+}
+
+// Try says whether a request that may crash runners may be sent to one.
+func (s *service) Try(arguments *domainapi.TryArguments, reply *domainapi.TryReply) error {
+	_, current, err := s.leader()
+	if err != nil {
+		reply.Error = structs.AsTyped(err)
+		return nil
+	}
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	reply.Permission, reply.ComeBackIn = current.poison.Ask(now(), arguments.Digest, arguments.Instance)
+	current.node.metrics.trials.WithLabelValues(reply.Permission.String()).Inc()
+	if reply.Permission == poison.Trial {
+		level.Info(current.logger).Log("msg", "A suspected request is tried.", "content", arguments.Digest,
+			"runner", arguments.Instance, "router", arguments.Router)
+	}
+	return nil
+}
+
+// logSuspects tells of requests whose standing has changed.
+func (l *leadership) logSuspects(records []poison.Record) {
+	for _, record := range records {
+		message := "A request may crash runners: it is run with leave only."
+		switch {
+		case record.IsCleared:
+			message = "Nothing speaks against a request any more."
+		case record.RefusedFor > 0:
+			message = "A request is refused for a while, as its trial did not end well."
+		}
+		level.Info(l.logger).Log("msg", message, "content", record.Digest, "losses", record.Losses,
+			"refusals", record.Refusals, "refused_for", record.RefusedFor)
+	}
+}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -224,9 +224,9 @@
 		reply.Error = structs.AsTyped(err)
 		return nil
 	}
-	known := uint64(0)
+	known, knownSuspects := uint64(0), uint64(0)
 	if arguments.Term == uint64(current.term) {
-		known = arguments.Revision
+		known, knownSuspects = arguments.Revision, arguments.Suspects
 	}
 	reply.Routers = current.contact(arguments.Router, known)
 	timeout := time.NewTimer(WatchTime)
@@ -239,17 +239,17 @@
 		current.mutex.Unlock()
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
-		if told.revision > known || told.document > arguments.Version {
-			current.fill(reply, arguments, known, document)
+		if told.revision > known || told.document > arguments.Version || told.suspects > knownSuspects {
+			current.fill(reply, arguments, known, knownSuspects, document)
 			break
 		}
 		select {
 		case <-changed:
 			continue
 		case <-notified:
-			current.fill(reply, arguments, known, document)
+			current.fill(reply, arguments, known, knownSuspects, document)
 		case <-timeout.C:
-			current.fill(reply, arguments, known, document)
+			current.fill(reply, arguments, known, knownSuspects, document)
 		}
 		break
 	}
@@ -264,7 +264,7 @@
 }
 
 // fill gives a router the news since what it knows.
-func (l *leadership) fill(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known uint64, document domain.Document) {
+func (l *leadership) fill(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document) {
 	reply.Term = uint64(l.term)
 	reply.Confirmed = document.Version
 	if document.Version > arguments.Version {
@@ -274,6 +274,10 @@
 	defer l.mutex.Unlock()
 	reply.Revision = l.views.Revision()
 	reply.Loads = l.loads
+	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
+		listed := l.poison.List(now())
+		reply.Suspects = &listed
+	}
 	if reply.Revision != known {
 		view, err := l.views.EncodedSince(known)
 		if err != nil {
@@ -307,6 +311,7 @@
 		current.registry.Complain(instance, arguments.Router)
 	}
 	current.planner.ObservePace(now(), arguments.Paces)
+	current.observeLosses(now(), arguments)
 	planned := current.planned
 	current.mutex.Unlock()
 	current.wakePlan()
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -126,13 +126,17 @@
 // maxRecorded bounds the registrations in one command.
 const maxRecorded = 512
 
-// recordRegistrations puts what has gathered in the log, in one command at a time: many
-// runners register at once when a site starts. It runs under the mutex.
-func (l *leadership) recordRegistrations() {
-	if l.isRecording || len(l.unrecorded) == 0 {
+// recordNews puts what has gathered in the log, in one command at a time: many runners register
+// at once when a site starts. It runs under the mutex.
+func (l *leadership) recordNews() {
+	changed := l.poison.TakeRecords()
+	l.logSuspects(changed)
+	l.unrecordedSuspects = append(l.unrecordedSuspects, changed...)
+	if l.isRecording || len(l.unrecorded) == 0 && len(l.unrecordedSuspects) == 0 {
 		return
 	}
-	var command domain.Command
+	command := domain.Command{Suspects: l.unrecordedSuspects}
+	l.unrecordedSuspects = nil
 	for instance, registration := range l.unrecorded {
 		if len(command.Registrations) == maxRecorded {
 			break
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// Sequence is that of the newest heartbeat of an instance; 0 before the first.
+func (r *Registry) Sequence(instance string) uint64 {
+	if known := r.runners[instance]; known != nil {
+		return known.heartbeat.Sequence
+	}
+	return 0
+}
+
+// IsLeaving reports whether an instance has said that it is leaving, or gone.
+func (r *Registry) IsLeaving(instance string) bool {
+	known := r.runners[instance]
+	return known != nil && (known.leaving || known.gone)
+}
+
 // Expire forgets what ended long ago.
 func (r *Registry) Expire(now time.Time) {
 	for instance, known := range r.runners {
--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -24,7 +24,7 @@
 	case err != nil && ctx.Err() != nil:
 		return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
 	case err != nil:
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
 	case x.isStarted:
 		// A stream that goes on elsewhere must go on as a stream.
 		return result{outcome: routing.OutcomeRefused, reason: "not_resumed"}
@@ -54,7 +54,7 @@
 		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: err}
 	}
 	if _, err := io.Copy(x.writer, answer.Body); err != nil {
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
 	}
 	return result{outcome: routing.OutcomeSuccess, isDone: true}
 }
--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -42,18 +42,28 @@
 func (x *exchange) fail(reason string, err error) {
 	x.count(reason)
 	x.logUnserved(reason, err)
+	message := "the runner's answer was lost: " + reason
+	retryAfter := retryAfterNow
+	if x.attempts == 0 {
+		message = "no runner could take the request: " + reason
+		if reason == reasonNoRunner {
+			retryAfter = x.router.comeBackIn(x.waiting)
+		}
+	}
+	x.answerUnserved(retryAfter, message)
+}
+
+// answerUnserved answers a request that no runner answered, or breaks off an answer that has begun.
+// Only callers of requests that have not run are told when to come back.
+func (x *exchange) answerUnserved(retryAfter time.Duration, message string) {
 	switch {
 	case x.isStarted:
 		panic(http.ErrAbortHandler)
 	case x.attempts == 0:
-		retryAfter := retryAfterNow
-		if reason == reasonNoRunner {
-			retryAfter = x.router.comeBackIn(x.waiting)
-		}
-		refuse(x.writer, http.StatusServiceUnavailable, retryAfter, "no runner could take the request: "+reason)
+		refuse(x.writer, http.StatusServiceUnavailable, retryAfter, message)
 	case time.Until(x.deadline) <= 0:
 		refuse(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
 	default:
-		refuse(x.writer, http.StatusBadGateway, 0, "the runner's answer was lost: "+reason)
+		refuse(x.writer, http.StatusBadGateway, 0, message)
 	}
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -46,6 +46,8 @@
 	// reasonSendFailed that of one for which there was no connection, or which broke.
 	reasonSilent     = "silent"
 	reasonSendFailed = "send_failed"
+	// reasonCutShort is that of an answer that broke off.
+	reasonCutShort = "cut_short"
 )
 
 // errTimeout is the cause of ending a request whose time is over.
@@ -138,6 +140,11 @@
 		x.prefixes = prefixHashes(x.row, request.Parts)
 	}
 	x.deadline = deadlineOf(request, route)
+	if permission, refusedFor := r.standing(x.digest); permission == poison.Refused {
+		r.refund(counted)
+		x.refuseSuspect(leave{permission: permission, comeBackIn: refusedFor})
+		return
+	}
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
 	defer cancel()
@@ -204,7 +211,14 @@
 			x.conclude(last)
 			return
 		}
+		given := x.askLeave(ctx, choice.Runner())
+		if given.permission != poison.Free && given.permission != poison.Trial {
+			x.router.release(x.row, choice, routing.OutcomeNeutral)
+			x.refuseSuspect(given)
+			return
+		}
 		last = x.attempt(ctx, choice)
+		x.noteEnd(choice.Runner(), given.permission == poison.Trial, last)
 		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
 		x.router.release(x.row, choice, last.outcome)
 		if last.isUnreachable() {
@@ -217,7 +231,7 @@
 			return
 		}
 		x.avoid = choice.Runner()
-		if !x.mayTryAgain(ctx, last) {
+		if !x.mayTryAgain(ctx, last) || given.permission == poison.Trial && !last.isNotRun {
 			x.conclude(last)
 			return
 		}
@@ -265,6 +279,15 @@
 	return r.reason == reasonSilent || r.reason == reasonSendFailed && r.isNotRun
 }
 
+// isBroken reports whether the connection broke while the runner may have run the request: the
+// runner may have crashed.
+func (r result) isBroken() bool {
+	return (r.reason == reasonSendFailed || r.reason == reasonCutShort) && !r.isNotRun && !r.isDone
+}
+
+// isServed reports whether the caller has a whole answer of the runner.
+func (r result) isServed() bool { return r.isDone && r.reason == "" }
+
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
 	if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 	pkgerrors "github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/internal/pause"
@@ -53,6 +54,8 @@
 	network *networktest.Memory
 	folder  string
 	random  *rand.Rand
+	// registry has the metrics of all controllers.
+	registry *prometheus.Registry
 
 	mutex       sync.Mutex
 	controllers []*testController
@@ -64,6 +67,8 @@
 	// sent is when each body arrived at a runner, crashed when it ended one.
 	sent    map[string][]time.Time
 	crashed map[string][]time.Time
+	// lastRunner is where a body arrived last.
+	lastRunner map[string]string
 }
 
 type testController struct {
@@ -130,10 +135,10 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &testSite{
-			c: c, ctx: ctx, network: networktest.NewMemory(0), folder: c.TempDir(), random: rand.New(rand.NewPCG(7, 1)),
+			c: c, ctx: ctx, network: networktest.NewMemory(0), folder: c.TempDir(), random: rand.New(rand.NewPCG(7, 1)), registry: prometheus.NewRegistry(),
 			controllers: make([]*testController, testControllers), routers: make([]*testRouter, testRouters),
 			runners: make(map[string]*testRunner), poison: make(map[string]bool),
-			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time),
+			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time), lastRunner: make(map[string]string),
 		}
 		c.Cleanup(func() {
 			cancel()
@@ -178,10 +183,13 @@
 }
 
 func (s *testSite) startController(index int, isFirst bool) {
+	s.started++
+	labels := prometheus.Labels{"process": fmt.Sprint(s.started)}
 	node, err := domainnode.New(domainnode.Options{
 		Logger: log.NewNopLogger(), Name: fmt.Sprint("controller-", index), Address: controllerAt(index), Seeds: controllerAddresses,
 		Bootstrap: isFirst, DataFolder: filepath.Join(s.folder, fmt.Sprint(index)), Voters: testControllers,
 		OrderLease: 3 * time.Second, Decoder: decodeSite, Engines: noEngines{}, Network: s.network, Seed: uint64(index) + 1,
+		Metrics: prometheus.WrapRegistererWith(labels, s.registry),
 	})
 	s.c.Assert(err, qt.IsNil)
 	ctx, end := context.WithCancel(context.Background())
@@ -267,6 +275,7 @@
 		return nil, pkgerrors.Wrap(relay.ErrNotSent, "connection refused")
 	}
 	s.sent[body] = append(s.sent[body], time.Now())
+	s.lastRunner[body] = attempt.Instance
 	s.mutex.Unlock()
 	work := workTime
 	if isPoison {
@@ -304,6 +313,27 @@
 	return recorder
 }
 
+// anyRouter draws a router.
+func (s *testSite) anyRouter() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(testRouters)
+}
+
+// trials counts the runs that leaders gave leave for.
+func (s *testSite) trials() (count float64) {
+	families, err := s.registry.Gather()
+	s.c.Assert(err, qt.IsNil)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if family.GetName() == "lotusferry_controller_trials_total" && metric.GetLabel()[0].GetValue() == "trial" {
+				count += metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return count
+}
+
 // sentAfter counts the arrivals of a body at runners later than a time.
 func (s *testSite) sentAfter(body string, at time.Time) int {
 	s.mutex.Lock()
@@ -344,7 +374,7 @@
 	for began := time.Now(); time.Since(began) < during; {
 		f.harmless++
 		body := fmt.Sprint("harmless ", f.harmless)
-		router, again := s.random.IntN(testRouters), s.random.IntN(testRouters)
+		router, again := s.anyRouter(), s.anyRouter()
 		callers.Go(func() {
 			status := s.ask(router, body).Code
 			if status != http.StatusOK {
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -88,6 +88,7 @@
 		return
 	}
 	r.takeLoads(reply.Loads)
+	r.takeSuspects(reply, arguments)
 	arguments.Term = reply.Term
 	arguments.Revision = reply.Revision
 }
@@ -106,6 +107,22 @@
 	return true
 }
 
+// takeSuspects adopts the list of requests that may crash runners. A new leader is told of the losses
+// that the one before may have learned of too late.
+func (r *Router) takeSuspects(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if reply.Term != arguments.Term {
+		r.suspects.reportAnew(time.Now())
+		arguments.Suspects = 0
+	}
+	if reply.Suspects == nil {
+		return
+	}
+	r.suspects.adopt(time.Now(), reply.Suspects)
+	arguments.Suspects = reply.Suspects.Revision
+}
+
 // takeLoads adopts how many requests all routers together have at the runners.
 func (r *Router) takeLoads(loads []fleet.Load) {
 	r.mutex.Lock()
@@ -165,17 +182,24 @@
 	demands := r.takeDemands(time.Now())
 	doubted, unreachable := r.takeNames(r.doubted), r.takeNames(r.unreachable)
 	paces := r.takePaces()
-	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 {
+	r.mutex.Lock()
+	losses, endings := r.suspects.take()
+	r.mutex.Unlock()
+	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(losses) == 0 && len(endings) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{
 		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
+		Losses: losses, Endings: endings,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
 	if err != nil {
+		r.mutex.Lock()
+		r.suspects.giveBack(losses, endings)
+		r.mutex.Unlock()
 		if ctx.Err() == nil {
 			level.Debug(r.logger).Log("msg", "Demand was not reported.", "err", err)
 		}
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -38,7 +38,9 @@
 	limits    *limits
 	// refused bounds the log lines about requests refused for their keys or limits.
 	refused *asynclog.Limiter
-	stop    stops
+	// refusedSuspects does the same for requests that may crash runners.
+	refusedSuspects *asynclog.Limiter
+	stop            stops
 	// report asks the report loop for a report now.
 	report chan struct{}
 
@@ -56,6 +58,8 @@
 	heard map[structs.RunnerID]time.Time
 	// paces are those of streams that have ended since the last report.
 	paces []residency.Pace
+	// suspects are requests that may crash runners.
+	suspects suspects
 }
 
 const (
@@ -114,6 +118,9 @@
 
 		limits:  newLimits(),
 		refused: asynclog.NewLimiter(maxTenantLines),
+
+		suspects:        newSuspects(),
+		refusedSuspects: asynclog.NewLimiter(maxSuspectLines),
 	}
 }
 
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -41,7 +41,7 @@
 		case ctx.Err() != nil:
 			return x.ended(ctx, result{outcome: routing.OutcomeBroken, err: err})
 		}
-		return result{outcome: routing.OutcomeBroken, reason: "cut_short", err: err}
+		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
 	}
 }
 
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -59,7 +59,7 @@
 	if cached := b.cached(now, wanted, prefixes, avoid, score); cached != nil {
 		best = cached
 	}
-	return Choice{balancer: b, replica: best}, true
+	return Choice{balancer: b, replica: best, runner: best.runner.info}, true
 }
 
 // sample takes the best of a few replicas chosen at random.
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -11,16 +11,19 @@
 type Choice struct {
 	balancer *Balancer
 	replica  *replica
+	// runner is what was known of the runner when it was chosen. Unlike all else here it may be
+	// read while the Balancer changes.
+	runner structs.RunnerInfo
 }
 
 // Runner is the chosen runner.
-func (c Choice) Runner() structs.RunnerID { return c.replica.runner.info.ID }
+func (c Choice) Runner() structs.RunnerID { return c.runner.ID }
 
 // Address is where the chosen runner is reached.
-func (c Choice) Address() string { return c.replica.runner.info.Address }
+func (c Choice) Address() string { return c.runner.Address }
 
 // Incarnation is the life of the runner that was chosen.
-func (c Choice) Incarnation() structs.Incarnation { return c.replica.runner.info.Incarnation }
+func (c Choice) Incarnation() structs.Incarnation { return c.runner.Incarnation }
 
 // Usable reports whether the choice may still be sent: the runner is not leaving
 // and the replica is still placed there.
