Leases, confirmations, grants, reserves and deadlines go on while a machine is suspended

Cause: all of them were held against differences of time.Now, so against the steady clock, which stands still while a machine is suspended. A leader could answer and send orders, and a router serve with keys that were taken away, under leases that others had seen end. Change: internal/clock adds to the steady time what CLOCK_BOOTTIME has counted more; the group's lease, all times of the leader, and at routers the confirmation of a document, the grant and windows of the retry budget, parts of limits, forecasts and the deadlines of requests go by it. Contexts get what is left as a length. Ruled out: the time of day (it jumps); one cached reading a while (what is granted would be trusted for that while after a resume). A test's race on its own seeds is mended. Conclusion: timers still go off late by the suspension; what must not is compared with the clock besides.

--- a/agreement/group/group.go
+++ b/agreement/group/group.go
@@ -26,7 +26,7 @@
 	logger  log.Logger
 	options Options
 	service *raftService
-	// now reads the monotonic clock, as the time since the group was made.
+	// now is the time since the group was made, that of suspensions of the machine included.
 	now func() time.Duration
 
 	incoming chan StepArguments
@@ -77,11 +77,11 @@
 	if err != nil {
 		return nil, err
 	}
-	started := time.Now()
+	started := options.Now()
 	g := &Group{
 		logger:    log.With(logger, "component", "group", "group", options.Name),
 		options:   options,
-		now:       func() time.Duration { return time.Since(started) },
+		now:       func() time.Duration { return options.Now().Sub(started) },
 		incoming:  make(chan StepArguments, incomingBatches),
 		requests:  make(chan request, waitingRequests),
 		stopped:   make(chan struct{}),
--- a/agreement/group/options.go
+++ b/agreement/group/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/logstore"
 	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -85,9 +86,15 @@
 	SnapshotEntries uint64
 	// Seed makes the random election timeouts; members need different ones.
 	Seed uint64
+	// Now is the clock that leases are held against, which counts suspensions of the machine;
+	// nil means clock.Now.
+	Now func() time.Time
 }
 
 func (o Options) withDefaults() (Options, error) {
+	if o.Now == nil {
+		o.Now = clock.Now
+	}
 	if o.TickInterval <= 0 {
 		o.TickInterval = DefaultTickInterval
 	}
--- /dev/null
+++ b/internal/clock/read_linux.go
@@ -0,0 +1,19 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readClocks reads the clock that counts suspensions and then the steady clock.
+func readClocks() (counting, steady time.Duration, err error) {
+	var boot, monotonic unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
+		return 0, 0, err
+	}
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic); err != nil {
+		return 0, 0, err
+	}
+	return time.Duration(boot.Nano()), time.Duration(monotonic.Nano()), nil
+}
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -20,15 +20,15 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	l.mutex.Lock()
-	l.registry.Depart(now(), departure.Instance, departure.Gone)
-	l.poison.Refute(now(), departure.Instance)
-	l.refresh(now())
+	l.registry.Depart(l.now(), departure.Instance, departure.Gone)
+	l.poison.Refute(l.now(), departure.Instance)
+	l.refresh(l.now())
 	revision := l.views.Revision()
-	l.announcer.announce(now(), l.news())
+	l.announcer.announce(l.now(), l.news())
 	l.mutex.Unlock()
 	for {
 		l.mutex.Lock()
-		isTold, changed := l.areTold(now(), revision), l.announcer.changed
+		isTold, changed := l.areTold(l.now(), revision), l.announcer.changed
 		l.mutex.Unlock()
 		if isTold {
 			return
@@ -60,7 +60,7 @@
 func (l *leadership) contact(router string, revision uint64) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	at := now()
+	at := l.now()
 	l.routers[router] = routerContact{at: at, revision: revision}
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerLife {
--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,17 +31,23 @@
 	c       *qt.C
 	ctx     context.Context
 	network *networktest.Memory
-	seeds   []string
+	// seeds are read by the nodes while a test changes them.
+	seeds   atomic.Pointer[[]string]
 	nodes   map[int]*runningNode
 	base    string
 	folders map[int]string
 	engines *fakeEngines
 	// started is set once the domain has been founded.
 	founded bool
+	// suspended is for how many nanoseconds the machine of each node was suspended.
+	suspended [maxTestNodes]atomic.Int64
 	// fences says that runners refuse old fencing tokens.
 	fences bool
 }
 
+// maxTestNodes bounds the nodes of a test.
+const maxTestNodes = 8
+
 type runningNode struct {
 	*Node
 	end  context.CancelFunc
@@ -92,9 +99,10 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	d := &testDomain{
-		c: c, ctx: ctx, base: c.TempDir(), network: networktest.NewMemory(0), seeds: []string{address(0), address(1), address(2)},
+		c: c, ctx: ctx, base: c.TempDir(), network: networktest.NewMemory(0),
 		nodes: make(map[int]*runningNode), folders: make(map[int]string), engines: &fakeEngines{},
 	}
+	d.setSeeds([]string{address(0), address(1), address(2)})
 	c.Cleanup(func() {
 		for index := range d.nodes {
 			d.kill(index)
@@ -104,6 +112,8 @@
 	return d
 }
 
+func (d *testDomain) setSeeds(seeds []string) { d.seeds.Store(&seeds) }
+
 func (d *testDomain) start(indexes ...int) {
 	for _, index := range indexes {
 		if d.folders[index] == "" {
@@ -111,9 +121,10 @@
 		}
 		node, err := New(Options{
 			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
-			Seeds: func() []string { return d.seeds }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
+			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
 			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
 			FencesEnforced: d.fences,
+			Now:            func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
 		d.c.Assert(err, qt.IsNil)
 		ctx, end := context.WithCancel(context.Background())
@@ -363,7 +374,7 @@
 		for next := 3; next < 6; next++ {
 			d.kill(next - 3)
 			// A new machine is told of controllers that live.
-			d.seeds = []string{address(next - 2), address(next - 1)}
+			d.setSeeds([]string{address(next - 2), address(next - 1)})
 			d.start(next)
 			d.awaitVoters(next-2, next-1, next)
 		}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -107,7 +107,7 @@
 }
 
 func (n *Node) beginLeadership(ctx context.Context, joined *member, term structs.Epoch) {
-	at := now()
+	at := n.now()
 	l := &leadership{
 		node:       n,
 		logger:     log.With(n.logger, "term", term),
@@ -155,6 +155,9 @@
 	go l.reserveLoop(ctx)
 }
 
+// now is the time that decisions are made by.
+func (l *leadership) now() time.Time { return l.node.now() }
+
 func (m *member) leads() *leadership {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -200,11 +203,11 @@
 		if ended {
 			return
 		}
-		began, next := now(), planInterval
+		began, next := l.now(), planInterval
 		if l.isValid() {
 			next = l.step(ctx)
 		}
-		took := now().Sub(began)
+		took := l.now().Sub(began)
 		l.node.metrics.stepTime.Observe(took.Seconds())
 		rest := min(maxStepPause, max(minStepPause, stepRest*took))
 		pause.For(ctx, rest)
@@ -217,7 +220,7 @@
 func (l *leadership) step(ctx context.Context) time.Duration {
 	l.adoptDocument()
 	l.mutex.Lock()
-	at := now()
+	at := l.now()
 	l.registry.Expire(at)
 	l.poison.Expire(at)
 	l.refresh(at)
@@ -298,7 +301,7 @@
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
-	for _, tenant := range l.limits.SetTenants(now(), document.Tenants) {
+	for _, tenant := range l.limits.SetTenants(l.now(), document.Tenants) {
 		level.Info(l.logger).Log("msg", "A tenant's limit is in force.", "tenant", tenant.Name, "rate", tenant.Limit.Rate,
 			"burst", tenant.Limit.Burst, "version", current.Version)
 	}
@@ -339,14 +342,14 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	at, known := l.stopping[node]
-	return known && now().Sub(at) < stoppingLife
+	return known && l.now().Sub(at) < stoppingLife
 }
 
 // heard takes a heartbeat. A runner that is not registered is put in the log, for the
 // leaders to come; nobody waits for that.
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
-	l.hear(now(), heartbeat)
+	l.hear(l.now(), heartbeat)
 	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
 	registration := domain.Registration{
--- a/placement/domainnode/membership.go
+++ b/placement/domainnode/membership.go
@@ -37,7 +37,7 @@
 func (n *Node) membershipLoop(ctx context.Context, stop func(), joined *member) {
 	n.enter(ctx, joined)
 	keeper := newKeeper(n, joined)
-	leaderSeen := now()
+	leaderSeen := n.now()
 	for pause.For(ctx, membershipInterval) {
 		n.refreshAddresses()
 		status := joined.group.Status()
@@ -47,14 +47,14 @@
 			stop()
 			return
 		case status.IsLeader:
-			leaderSeen = now()
+			leaderSeen = n.now()
 			n.learnMembers(status)
 			keeper.keep(ctx, status)
 		case status.LeaderNode != raft.None:
-			leaderSeen = now()
+			leaderSeen = n.now()
 			n.learnMembers(status)
-		case now().Sub(leaderSeen) > lostAfter:
-			leaderSeen = now()
+		case n.now().Sub(leaderSeen) > lostAfter:
+			leaderSeen = n.now()
 			if n.wasRemoved(ctx, status) {
 				joined.removed = true
 				stop()
@@ -240,7 +240,7 @@
 		k.term = status.Term
 		clear(k.silentSince)
 	}
-	at := now()
+	at := k.node.now()
 	for _, id := range slices.Concat(status.Membership.Voters, status.Membership.Learners) {
 		if id == status.Node || status.Progress[id].Active {
 			delete(k.silentSince, id)
@@ -255,7 +255,7 @@
 	if !isSilent {
 		return 0
 	}
-	return now().Sub(since)
+	return k.node.now().Sub(since)
 }
 
 func (k *keeper) change(ctx context.Context, status group.Status) (string, error) {
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -164,6 +164,7 @@
 		HeartbeatTicks:  n.options.HeartbeatTicks,
 		SnapshotEntries: snapshotEntries,
 		Seed:            n.options.Seed,
+		Now:             n.options.Now,
 	})
 	m.group = joined
 	return m, err
@@ -267,6 +268,5 @@
 	n.refreshAddresses()
 }
 
-// now is the time that decisions are made by. It carries the monotonic clock, which
-// all differences are taken of.
-func now() time.Time { return time.Now() }
+// now is the time that decisions are made by. It goes on while the machine is suspended.
+func (n *Node) now() time.Time { return n.options.Now() }
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/placement/domain"
@@ -72,6 +73,9 @@
 	HeartbeatTicks int
 	// Seed makes the random election time-outs.
 	Seed uint64
+	// Now is the clock that leases are held against, which counts suspensions of the machine;
+	// nil means clock.Now.
+	Now func() time.Time
 }
 
 const (
@@ -90,6 +94,9 @@
 )
 
 func (o Options) withDefaults() Options {
+	if o.Now == nil {
+		o.Now = clock.Now
+	}
 	option.Positive(&o.TickInterval, defaultTickInterval)
 	option.Positive(&o.ElectionTicks, defaultElectionTicks)
 	option.Positive(&o.HeartbeatTicks, defaultHeartbeatTicks)
--- a/placement/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -22,7 +22,7 @@
 	from := at
 	for _, reply := range replies {
 		if reply.HasOrdered {
-			from = later(from, now().Add(n.options.OrderLease-reply.SinceOrder))
+			from = later(from, n.now().Add(n.options.OrderLease-reply.SinceOrder))
 		}
 	}
 	if from.After(latest) {
@@ -38,7 +38,7 @@
 	l.mutex.Lock()
 	l.planner.SetOrdersFrom(from)
 	l.mutex.Unlock()
-	level.Info(l.logger).Log("msg", "The time of the first order is known.", "orders_in", from.Sub(l.beganAt), "found_in", now().Sub(l.beganAt))
+	level.Info(l.logger).Log("msg", "The time of the first order is known.", "orders_in", from.Sub(l.beganAt), "found_in", l.now().Sub(l.beganAt))
 	l.wakePlan()
 }
 
@@ -53,7 +53,7 @@
 func (l *leadership) ask(ctx context.Context, status fleet.Status) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	askedAt := now()
+	askedAt := l.now()
 	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
 	instance := status.Heartbeat.Instance
 	l.node.metrics.reports.WithLabelValues(outcomeName(err)).Inc()
@@ -64,7 +64,7 @@
 	level.Debug(l.logger).Log("msg", "A runner reported.", "runner", instance, "taken", report.Taken,
 		"busy", report.Busy, "models", len(report.Models))
 	l.mutex.Lock()
-	l.planner.Reported(now(), askedAt, instance, report)
+	l.planner.Reported(l.now(), askedAt, instance, report)
 	l.mutex.Unlock()
 	l.wakePlan()
 }
@@ -74,18 +74,18 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	outcome := residency.OutcomeRefused
-	began := now()
+	began := l.now()
 	if l.isValid() && !l.node.stopping.Load() {
 		l.node.lastOrder.Store(&began)
 		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
 	}
 	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
-	l.node.metrics.orderTime.Observe(now().Sub(began).Seconds())
+	l.node.metrics.orderTime.Observe(l.now().Sub(began).Seconds())
 	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
 		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
-		"took", now().Sub(began))
+		"took", l.now().Sub(began))
 	l.mutex.Lock()
-	l.planner.Answered(now(), order, outcome)
+	l.planner.Answered(l.now(), order, outcome)
 	l.mutex.Unlock()
 	l.wakePlan()
 }
--- a/placement/domainnode/poison.go
+++ b/placement/domainnode/poison.go
@@ -54,7 +54,7 @@
 	}
 	current.mutex.Lock()
 	defer current.mutex.Unlock()
-	reply.Permission, reply.ComeBackIn = current.poison.Ask(now(), arguments.Digest, arguments.Instance)
+	reply.Permission, reply.ComeBackIn = current.poison.Ask(s.node.now(), arguments.Digest, arguments.Instance)
 	current.node.metrics.trials.WithLabelValues(reply.Permission.String()).Inc()
 	if reply.Permission == poison.Trial {
 		level.Info(current.logger).Log("msg", "A suspected request is tried.", "content", arguments.Digest,
--- a/placement/domainnode/reserving.go
+++ b/placement/domainnode/reserving.go
@@ -52,7 +52,7 @@
 		}
 		l.mutex.Lock()
 		ended := l.ended
-		decided := now()
+		decided := l.now()
 		parts := l.limits.Reserve(decided)
 		l.mutex.Unlock()
 		if ended {
@@ -104,8 +104,8 @@
 	current.adoptDocument()
 	current.awaitReservation(arguments.Router, arguments.Wants)
 	current.mutex.Lock()
-	reply.Grants = current.limits.Draw(now(), arguments.Router, arguments.Wants)
-	isReserving := current.limits.IsReserving(now())
+	reply.Grants = current.limits.Draw(s.node.now(), arguments.Router, arguments.Wants)
+	isReserving := current.limits.IsReserving(s.node.now())
 	current.mutex.Unlock()
 	if isReserving {
 		current.reserving.wakeUp()
@@ -124,7 +124,7 @@
 	defer timeout.Stop()
 	for {
 		l.mutex.Lock()
-		lacks, done := l.limits.Lacks(now(), router, wants), l.reserving.done
+		lacks, done := l.limits.Lacks(l.now(), router, wants), l.reserving.done
 		l.mutex.Unlock()
 		if !lacks {
 			return
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -43,7 +43,7 @@
 	reply.HasLeader = status.LeaderNode != raft.None
 	if ordered := s.node.lastOrder.Load(); ordered != nil && !s.node.stopping.Load() {
 		reply.HasOrdered = true
-		reply.SinceOrder = now().Sub(*ordered)
+		reply.SinceOrder = s.node.now().Sub(*ordered)
 	}
 	return nil
 }
@@ -115,7 +115,7 @@
 	_, current, err := s.leader()
 	if err == nil {
 		current.mutex.Lock()
-		current.stopping[arguments.Node] = now()
+		current.stopping[arguments.Node] = s.node.now()
 		current.mutex.Unlock()
 	}
 	reply.Error = structs.AsTyped(err)
@@ -275,7 +275,7 @@
 	reply.Revision = l.views.Revision()
 	reply.Loads = l.loads
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
-		listed := l.poison.List(now())
+		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
 	}
 	if reply.Revision != known {
@@ -301,17 +301,17 @@
 		return nil
 	}
 	current.mutex.Lock()
-	current.planner.Observe(now(), arguments.Router, arguments.Demands)
+	current.planner.Observe(s.node.now(), arguments.Router, arguments.Demands)
 	if current.planner.IsAnyHeld(arguments.Demands) {
 		// The router waits for what it does not know to be there.
 		current.notify(arguments.Router)
 	}
-	current.planner.Doubt(now(), arguments.Doubted)
+	current.planner.Doubt(s.node.now(), arguments.Doubted)
 	for _, instance := range arguments.Unreachable {
 		current.registry.Complain(instance, arguments.Router)
 	}
-	current.planner.ObservePace(now(), arguments.Paces)
-	current.observeLosses(now(), arguments)
+	current.planner.ObservePace(s.node.now(), arguments.Paces)
+	current.observeLosses(s.node.now(), arguments)
 	planned := current.planned
 	current.mutex.Unlock()
 	current.wakePlan()
@@ -328,6 +328,6 @@
 	}
 	current.mutex.Lock()
 	defer current.mutex.Unlock()
-	reply.Forecasts = current.planner.Forecasts(now(), arguments.Demands)
+	reply.Forecasts = current.planner.Forecasts(s.node.now(), arguments.Demands)
 	return nil
 }
--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -65,7 +65,7 @@
 		x.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.writer.WriteHeader(answer.Status)
-	x.isStarted, x.begunAt = true, time.Now()
+	x.isStarted, x.begunAt = true, x.router.now()
 }
 
 // pass sends a whole answer to the caller.
@@ -73,7 +73,7 @@
 	copyHeader(x.writer.Header(), whole.header)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
 	x.writer.WriteHeader(whole.status)
-	x.isStarted, x.begunAt = true, time.Now()
+	x.isStarted, x.begunAt = true, x.router.now()
 	_, _ = x.writer.Write(whole.body)
 }
 
--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -61,7 +61,7 @@
 		panic(http.ErrAbortHandler)
 	case x.attempts == 0:
 		refuse(x.writer, http.StatusServiceUnavailable, retryAfter, message)
-	case time.Until(x.deadline) <= 0:
+	case x.timeLeft() <= 0:
 		refuse(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
 	default:
 		refuse(x.writer, http.StatusBadGateway, 0, message)
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -57,7 +57,7 @@
 // deferNow tells whether a request that has just come should come back instead of waiting.
 // It runs under the mutex.
 func (r *Router) deferNow(state *rowState, wanted *waiter) (time.Duration, bool) {
-	now := time.Now()
+	now := r.now()
 	if state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return 0, false
 	}
@@ -80,7 +80,7 @@
 func (r *Router) adoptForecasts(forecasts []residency.Forecast) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Now()
+	now := r.now()
 	for _, each := range forecasts {
 		state := r.rows[each.Row]
 		if state == nil {
@@ -106,7 +106,7 @@
 func (r *Router) comeBackIn(wanted *waiter) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Now()
+	now := r.now()
 	state := r.rows[wanted.row]
 	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return retryAfterNow
@@ -119,6 +119,6 @@
 	x.count("come_back")
 	level.Info(x.router.logger).Log("msg", "A request was told to come back.", "request", x.request.ID,
 		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "after", after,
-		"age", time.Since(x.request.Arrived), "version", x.version)
+		"age", x.router.age(x.request), "version", x.version)
 	refuse(x.writer, http.StatusServiceUnavailable, after, "the model is being loaded")
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -146,7 +146,7 @@
 		return
 	}
 	r.countRequest(x.row, route.Objective)
-	ctx, cancel := context.WithDeadlineCause(request.HTTP.Context(), x.deadline, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(request.HTTP.Context(), x.timeLeft(), errTimeout)
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
@@ -205,6 +205,12 @@
 			x.giveUp(err, last)
 			return
 		}
+		if x.timeLeft() <= 0 {
+			// The machine was suspended meanwhile, so that the timer has not gone off.
+			x.router.release(x.row, choice, routing.OutcomeNeutral)
+			x.giveUp(errTimeout, last)
+			return
+		}
 		if x.arrivals > 0 && !x.router.mayRepeat(x.row.Service) {
 			x.router.release(x.row, choice, routing.OutcomeNeutral)
 			last.reason = "retry_budget"
@@ -247,7 +253,7 @@
 			limit = patience
 		}
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, limit, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, limit.Sub(x.router.now()), errTimeout)
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
@@ -290,7 +296,7 @@
 
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
-	if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
+	if ctx.Err() != nil || x.timeLeft() < minAttemptTime {
 		return false
 	}
 	if ended.isNotRun {
@@ -332,9 +338,12 @@
 	return x.tenant.Name
 }
 
+// timeLeft is how much of the time of the request is left.
+func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(x.router.now()) }
+
 // runnerTime is the time that a runner is given.
 func (x *exchange) runnerTime() time.Duration {
-	left := time.Until(x.deadline)
+	left := x.timeLeft()
 	return left - min(lastAnswerTime, left/lastAnswerShare)
 }
 
--- a/request/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
@@ -23,7 +21,7 @@
 	x.router.metrics.requests.WithLabelValues(kind, outcome).Inc()
 	x.router.metrics.waited.WithLabelValues(kind).Observe(x.waited.Seconds())
 	if !x.isStarted && x.attempts == 0 {
-		x.router.metrics.unserved.WithLabelValues(kind).Observe(time.Since(x.request.Arrived).Seconds())
+		x.router.metrics.unserved.WithLabelValues(kind).Observe(x.router.age(x.request).Seconds())
 	}
 	if x.isStarted {
 		x.router.metrics.first.WithLabelValues(kind).Observe(x.begunAt.Sub(x.request.Arrived).Seconds())
@@ -34,7 +32,7 @@
 func (r *Router) log(request *Request, version uint64, outcome string, err error, more ...any) {
 	level.Info(r.logger).Log(append([]any{"msg", "A request was answered without a runner's success.", "request", request.ID,
 		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
-		"age", time.Since(request.Arrived), "outcome", outcome, "err", err}, more...)...)
+		"age", r.age(request), "outcome", outcome, "err", err}, more...)...)
 }
 
 // logUnserved tells of the exchange's request, which no runner served.
@@ -56,7 +54,7 @@
 	}
 	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "content", x.digest, "route", x.route.Name,
 		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
-		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", time.Since(x.request.Arrived), "version", x.version, "outcome", ended.reason)
+		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", x.router.age(x.request), "version", x.version, "outcome", ended.reason)
 }
 
 // servedLogSample is how many ordinary answers one line stands for.
@@ -65,5 +63,5 @@
 func (x *exchange) logAttempt(choice routing.Choice, status int, ended result) {
 	level.Info(x.router.logger).Log("msg", "An attempt ended.", "request", x.request.ID, "content", x.digest, "runner", choice.Runner(),
 		"attempt", x.sent, "status", status, "outcome", ended.reason, "done", ended.isDone, "last_event", x.lastEvent,
-		"age", time.Since(x.request.Arrived), "version", x.version, "err", ended.err)
+		"age", x.router.age(x.request), "version", x.version, "err", ended.err)
 }
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -221,6 +221,8 @@
 	})
 	ctx, end := context.WithCancel(context.Background())
 	go router.Run(ctx)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if former := s.routers[index]; former != nil {
 		former.end()
 	}
@@ -307,7 +309,10 @@
 func (s *testSite) ask(router int, body string) *httptest.ResponseRecorder {
 	recorder := httptest.NewRecorder()
 	request := httptest.NewRequest(http.MethodPost, "http://h/x", nil).WithContext(s.ctx)
-	s.routers[router].Serve(recorder, &relay.Request{
+	s.mutex.Lock()
+	asked := s.routers[router]
+	s.mutex.Unlock()
+	asked.Serve(recorder, &relay.Request{
 		HTTP: request, ID: "id", Arrived: time.Now(), Wait: 5 * time.Second, Body: []byte(body), ResumeAfter: relay.NoEvent,
 	})
 	return recorder
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -40,7 +40,7 @@
 		caller.SetAddresses(addresses)
 		r.caller.SetAddresses(addresses)
 		arguments.Version = r.version()
-		asked := time.Now()
+		asked := r.now()
 		reply, err := r.watch(ctx, caller, arguments)
 		if err != nil {
 			if isConnected && ctx.Err() == nil {
@@ -75,7 +75,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.granted = grant{routers: reply.Routers, at: time.Now()}
+	r.granted = grant{routers: reply.Routers, at: r.now()}
 	r.mutex.Unlock()
 	r.metrics.heardLeader(reply.Term, time.Now())
 	if reply.Document != nil {
@@ -113,13 +113,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if reply.Term != arguments.Term {
-		r.suspects.reportAnew(time.Now())
+		r.suspects.reportAnew(r.now())
 		arguments.Suspects = 0
 	}
 	if reply.Suspects == nil {
 		return
 	}
-	r.suspects.adopt(time.Now(), reply.Suspects)
+	r.suspects.adopt(r.now(), reply.Suspects)
 	arguments.Suspects = reply.Suspects.Revision
 }
 
@@ -179,7 +179,7 @@
 }
 
 func (r *Router) reportDemand(ctx context.Context) {
-	demands := r.takeDemands(time.Now())
+	demands := r.takeDemands(r.now())
 	doubted, unreachable := r.takeNames(r.doubted), r.takeNames(r.unreachable)
 	paces := r.takePaces()
 	r.mutex.Lock()
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -92,7 +92,7 @@
 // drawOnce asks the leader once, if there is something to ask for. It reports whether requests
 // still wait.
 func (r *Router) drawOnce(ctx context.Context) bool {
-	asked := time.Now()
+	asked := r.now()
 	r.limits.mutex.Lock()
 	wants := r.limits.limiter.Wants(asked)
 	r.limits.refilledAt = asked
@@ -101,7 +101,7 @@
 		return false
 	}
 	grants, err := r.draw(ctx, wants)
-	at := time.Now()
+	at := r.now()
 	r.metrics.draws.Observe(at.Sub(asked).Seconds())
 	if err != nil && ctx.Err() == nil {
 		level.Debug(r.logger).Log("msg", "The leader could not be asked for parts of limits.", "tenants", len(wants), "err", err)
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -36,6 +36,9 @@
 	Metrics prometheus.Registerer
 	// Seed makes the random choices.
 	Seed uint64
+	// Now is the clock that deadlines and whatever the leader grants are held against, which
+	// counts suspensions of the machine; nil means clock.Now. Requests arrive by it.
+	Now func() time.Time
 }
 
 // Patience is the longest of its parts.
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/asynclog"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/placement/fleet"
@@ -87,6 +88,9 @@
 
 // New makes a router, which knows nothing until Run is called.
 func New(options Options) *Router {
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
 	transportOptions := transport.Options{DialTimeout: dialTimeout, CallTimeout: callTimeout, Network: options.Network}
 	if options.Network == nil {
 		transportOptions.Network = network.Prompt()
@@ -134,6 +138,13 @@
 	r.client.Close()
 }
 
+// now is the time that deadlines and grants are held against. What is measured within one answer
+// goes by the steady clock, which costs less.
+func (r *Router) now() time.Time { return r.options.Now() }
+
+// age is how long ago a request came.
+func (r *Router) age(request *Request) time.Duration { return r.now().Sub(request.Arrived) }
+
 // IsReady reports whether the router knows a document.
 func (r *Router) IsReady() bool { return r.index.Load() != nil }
 
@@ -186,7 +197,7 @@
 func (r *Router) countRequest(row residency.Row, objective time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.budget(row.Service).request(time.Now())
+	r.budget(row.Service).request(r.now())
 	state := r.rowState(row)
 	state.arrived++
 	if objective > 0 && (state.objective == 0 || objective < state.objective) {
@@ -198,7 +209,7 @@
 func (r *Router) mayRepeat(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	allowed := r.budget(service).withdraw(time.Now(), r.granted)
+	allowed := r.budget(service).withdraw(r.now(), r.granted)
 	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 	return allowed
 }
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -158,7 +158,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	until, isListed := r.suspects.refusedUntil[digest]
-	switch left := time.Until(until); {
+	switch left := until.Sub(r.now()); {
 	case !isListed:
 		return poison.Free, 0
 	case !until.IsZero() && left > 0:
@@ -201,7 +201,7 @@
 	ending := poison.Ending{Digest: x.digest, How: poison.EndedOpen}
 	switch {
 	case ended.isBroken():
-		r.suspects.lost(time.Now(), string(instance), x.digest)
+		r.suspects.lost(r.now(), string(instance), x.digest)
 		r.wakeReport()
 		return
 	case ended.isServed():
@@ -237,7 +237,7 @@
 	if suppressed, allowed := x.router.refusedSuspects.Allow(time.Now()); allowed {
 		level.Info(x.router.logger).Log("msg", "A request that may crash runners was not sent.", "request", x.request.ID,
 			"content", x.digest, "route", x.route.Name, "outcome", reason, "attempts", x.attempts, "come_back_in", why.comeBackIn,
-			"age", time.Since(x.request.Arrived), "not_logged", suppressed, "err", why.err)
+			"age", x.router.age(x.request), "not_logged", suppressed, "err", why.err)
 	}
 	x.answerUnserved(why.comeBackIn, message)
 }
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -50,7 +50,7 @@
 	if confirmed == nil {
 		return -1
 	}
-	return time.Since(*confirmed)
+	return r.now().Sub(*confirmed)
 }
 
 // confirm notes that the document in force was the newest at a time.
@@ -66,7 +66,7 @@
 	if !index.Document.RequiresKeys || route.Public && request.Credential.Key == "" {
 		return nil, nil
 	}
-	if !r.isConfirmed(time.Now()) {
+	if !r.isConfirmed(r.now()) {
 		return nil, &refusal{
 			status: http.StatusServiceUnavailable, retryAfter: unconfirmedReturn, outcome: "unconfirmed",
 			message: "this router cannot tell whether the key is still good, as it reaches no controller: try again soon",
@@ -115,15 +115,15 @@
 		Settle: func(verdict limiter.Verdict) { settled <- verdict },
 	}
 	r.limits.mutex.Lock()
-	verdict, isDecided := r.limits.limiter.Admit(time.Now(), waiter)
-	isAsking := !isDecided || r.limits.isLow(time.Now())
+	verdict, isDecided := r.limits.limiter.Admit(r.now(), waiter)
+	isAsking := !isDecided || r.limits.isLow(r.now())
 	r.limits.mutex.Unlock()
 	if isAsking {
 		r.limits.wakeUp()
 	}
 	if !isDecided {
 		var isSettled bool
-		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(time.Until(deadline), maxWaitShare))); !isSettled {
+		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(deadline.Sub(r.now()), maxWaitShare))); !isSettled {
 			if ctx.Err() != nil {
 				return admission{}, &refusal{status: http.StatusServiceUnavailable, outcome: "caller_left", message: "the caller has left"}
 			}
@@ -150,7 +150,7 @@
 	}
 	r.limits.mutex.Lock()
 	defer r.limits.mutex.Unlock()
-	r.limits.limiter.Refund(time.Now(), counted.tenant.Name, counted.cost)
+	r.limits.limiter.Refund(r.now(), counted.tenant.Name, counted.cost)
 }
 
 // refuseTenant answers a request that its key or its limit does not allow.
@@ -163,11 +163,11 @@
 	r.metrics.tenant(name, why.outcome)
 	if suppressed, allowed := r.refused.Allow(time.Now()); allowed {
 		r.limits.mutex.Lock()
-		held := r.limits.limiter.Held(time.Now(), name)
+		held := r.limits.limiter.Held(r.now(), name)
 		r.limits.mutex.Unlock()
 		level.Info(r.logger).Log("msg", "A request was refused for its key or limit.", "request", request.ID, "tenant", name,
 			"route", route.Name, "outcome", why.outcome, "status", why.status, "tokens", request.Size.Tokens, "held", held,
-			"confirmed_ago", r.confirmedAgo(), "come_back_in", why.retryAfter, "age", time.Since(request.Arrived), "version", version, "not_logged", suppressed)
+			"confirmed_ago", r.confirmedAgo(), "come_back_in", why.retryAfter, "age", r.age(request), "version", version, "not_logged", suppressed)
 	}
 	refuse(writer, why.status, why.retryAfter, why.message)
 }
