--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/placement/controller"
@@ -185,7 +186,7 @@
 	defer renewals.Wait()
 	for pause.For(ctx, probeInterval) {
 		for _, home := range k.homes {
-			if requests, due := home.startRenewal(time.Now()); due {
+			if requests, due := home.startRenewal(clock.Now()); due {
 				renewals.Go(func() { k.renew(ctx, home, requests) })
 			}
 		}
@@ -195,7 +196,7 @@
 func (k *claimKeeper) renew(ctx context.Context, home *claimHome, requests []structs.RequestID) {
 	ctx, cancel := context.WithTimeout(ctx, farClaimTimeout)
 	defer cancel()
-	startedAt := time.Now()
+	startedAt := clock.Now()
 	_, err := home.call(ctx, ClaimsArguments{Renew: requests})
 	home.endRenewal(startedAt, err)
 	if err != nil {
--- a/daemon/engines.go
+++ b/daemon/engines.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/controller"
 	"github.com/lotusferry/lotusferry/request/engineapi"
@@ -140,7 +141,7 @@
 	if !o.shares.LedIn(epoch) {
 		return nil, false
 	}
-	share := o.shares.Take(time.Now(), message, o.machines)
+	share := o.shares.Take(clock.Now(), message, o.machines)
 	for _, said := range message.Changed {
 		// What follows an order is decided on the leader's own readings.
 		if seen, read := o.reports[said.Runner]; read && o.digests[said.Runner] == said.Digest && !o.awaited[said.Runner] {
@@ -157,7 +158,7 @@
 
 func (o *engineObserver) readReports(ctx context.Context, choose func(*controller.ReportSchedule, []structs.Machine) []structs.Machine) {
 	o.mutex.Lock()
-	o.schedule.Relay(o.shares.Relayed(time.Now(), o.digests))
+	o.schedule.Relay(o.shares.Relayed(clock.Now(), o.digests))
 	due := choose(o.schedule, o.machines)
 	o.mutex.Unlock()
 	slots := make(chan struct{}, maxReportReads)
@@ -175,7 +176,7 @@
 func (o *engineObserver) readReport(ctx context.Context, machine structs.Machine) {
 	ctx, cancel := context.WithTimeout(ctx, o.timing.ReportInterval)
 	defer cancel()
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	report, err := o.engines.Report(ctx, machine.Address)
 	answered := err == nil && report.Runner == machine.Runner
 	o.mutex.Lock()
@@ -210,7 +211,7 @@
 func (o *engineObserver) observed() observation {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	relayed := o.shares.Relayed(time.Now(), o.digests)
+	relayed := o.shares.Relayed(clock.Now(), o.digests)
 	return observation{slices.Clone(o.machines), maps.Clone(o.reports), relayed}
 }
 
--- a/daemon/reportrelay.go
+++ b/daemon/reportrelay.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -40,7 +41,7 @@
 func (r *requestRouter) readShare(ctx context.Context) {
 	due := r.relay.Due()
 	reports := make([]*structs.EngineReport, len(due))
-	asked := time.Now()
+	asked := clock.Now()
 	var reads sync.WaitGroup
 	for i, runner := range due {
 		reads.Go(func() { reports[i] = r.readShared(ctx, runner) })
@@ -68,7 +69,7 @@
 // reports are known.
 func (r *requestRouter) tellReports(ctx context.Context) {
 	for range relayTries {
-		message := r.relay.Message(time.Now())
+		message := r.relay.Message(clock.Now())
 		share, err := r.sendRelay(ctx, message)
 		if err != nil {
 			level.Debug(r.logger).Log("msg", "The leader could not be told of engine reports.", "err", err)
--- a/daemon/zoneleader.go
+++ b/daemon/zoneleader.go
@@ -11,6 +11,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/config"
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/controller"
 	"github.com/lotusferry/lotusferry/placement/table"
@@ -112,7 +113,7 @@
 // decide is one round: decide on the applied state, send the orders that follow
 // from it, then propose the commands. It reports whether it reserved memory.
 func (l *zoneLeader) decide(ctx context.Context, epoch structs.Epoch) bool {
-	now := time.Now()
+	now := clock.Now()
 	for _, report := range l.node.demand.take() {
 		l.core.ObserveDemand(now, report)
 	}
--- a/daemon/zoneservice.go
+++ b/daemon/zoneservice.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/placement/zone"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -31,7 +31,7 @@
 		reply.Error = s.node.notLeader()
 		return nil
 	}
-	s.node.claims.renew(arguments.Renew, time.Now())
+	s.node.claims.renew(arguments.Renew, clock.Now())
 	if len(arguments.Command) == 0 {
 		return nil
 	}
