--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
-# Targets: test (what CI runs), tools, lint, unit, model-check, simulate, bench, build.
+# Targets: test (what CI runs), tools, lint, unit, soak, model-check, bench, build.
 
 GO ?= go
 # Tests listed in KNOWN-RED.txt (first word of each line) are passed over and printed.
 KNOWN_RED := $(shell [ -f KNOWN-RED.txt ] && awk 'NF {print $$1}' KNOWN-RED.txt | tr -d : | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: test tools lint unit model-check bench build known-red
+.PHONY: test tools lint unit soak model-check bench build known-red
 
-test: tools lint unit model-check known-red
+test: tools lint unit soak model-check known-red
 
 # tools says at once what is missing, and not after minutes of tests.
 tools:
@@ -23,6 +23,14 @@
 unit:
 	$(GO) test $(SKIP) ./...
 
+# soak runs the real programs under faults for a moment: some tens of seconds, on loopback only. The
+# program is built so that its clock can show suspensions of the machine.
+SOAK_SEED ?= 101
+soak:
+	$(GO) vet -tags suspendable ./internal/clock
+	$(GO) build -tags suspendable -o bin/suspendable/ ./cmd/lotusferry
+	$(GO) run ./cmd/lotusferrylab soak --binary bin/suspendable/lotusferry --seed $(SOAK_SEED) --for 15s --lane 40
+
 model-check:
 	./spec/check.sh
 
--- a/internal/clock/read_linux.go
+++ b/internal/clock/read_linux.go
@@ -15,5 +15,5 @@
 	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic); err != nil {
 		return 0, 0, err
 	}
-	return time.Duration(boot.Nano()), time.Duration(monotonic.Nano()), nil
+	return time.Duration(boot.Nano()) + extraSuspension(), time.Duration(monotonic.Nano()), nil
 }
--- a/kit/labcommand/soak.go
+++ b/kit/labcommand/soak.go
@@ -15,12 +15,14 @@
 type soakCommand struct {
 	session *session
 
-	Binary string        `long:"binary" value-name:"FILE" default:"bin/lotusferry" description:"the program under test"`
-	Seed   uint64        `long:"seed" default:"1" description:"seed of the faults"`
-	Seeds  int           `long:"seeds" default:"1" description:"how many seeds to run, one after the other"`
-	For    time.Duration `long:"for" default:"60s" description:"how long faults are injected with each seed"`
-	Again  bool          `long:"regressions" description:"run the seeds that ever failed instead"`
-	Folder string        `long:"folder" value-name:"DIR" description:"where settings, data and logs go; a new one by default"`
+	Binary  string        `long:"binary" value-name:"FILE" default:"bin/lotusferry" description:"the program under test"`
+	Seed    uint64        `long:"seed" default:"1" description:"seed of the faults"`
+	Seeds   int           `long:"seeds" default:"1" description:"how many seeds to run, one after the other"`
+	For     time.Duration `long:"for" default:"60s" description:"how long faults are injected with each seed"`
+	Again   bool          `long:"regressions" description:"run the seeds that ever failed instead"`
+	Lane    int           `long:"lane" default:"0" description:"second byte of the loopback addresses; soaks at the same time need different ones"`
+	Routers int           `long:"routers" default:"3" description:"how many routers to run"`
+	Folder  string        `long:"folder" value-name:"DIR" description:"where settings, data and logs go; a new one by default"`
 }
 
 // Execute implements flags.Commander.
@@ -32,7 +34,7 @@
 			return err
 		}
 		report, err := soak.Run(c.session.ctx, soak.Options{
-			Binary: c.Binary, Folder: folder, Seed: seed, For: c.For,
+			Binary: c.Binary, Folder: folder, Seed: seed, For: c.For, Lane: c.Lane, Routers: c.Routers,
 			Log: func(format string, arguments ...any) {
 				fmt.Fprintf(c.session.Errors, format+"\n", arguments...)
 			},
