--- a/placement/poison/tracker.go
+++ b/placement/poison/tracker.go
@@ -34,7 +34,7 @@
 	// time is refusalGrowth times as long, up to longestRefusal, so that three trials a day
 	// are the most.
 	firstRefusal   = time.Hour
-	refusalGrowth  = 4
+	refusalGrowth  = 6
 	longestRefusal = 24 * time.Hour
 	// openRefusal is how long a request is not tried again after a trial that showed nothing, as
 	// its caller left or its time was over; it doubles each time.
@@ -43,7 +43,9 @@
 
 // Tracker adds up losses. Make one with New.
 type Tracker struct {
-	losses   map[string]*loss
+	losses map[string]*loss
+	// counts is at how many of the losses each request was under way.
+	counts   map[Digest]int
 	suspects map[Digest]*suspect
 	trials   map[Digest]trial
 	revision uint64
@@ -85,7 +87,7 @@
 // New makes a tracker that knows nothing.
 func New() *Tracker {
 	return &Tracker{
-		losses: make(map[string]*loss), suspects: make(map[Digest]*suspect), trials: make(map[Digest]trial),
+		losses: make(map[string]*loss), counts: make(map[Digest]int), suspects: make(map[Digest]*suspect), trials: make(map[Digest]trial),
 	}
 }
 
@@ -119,6 +121,7 @@
 		}
 		known.digests[digest] = true
 		known.heartbeats = 0
+		t.counts[digest]++
 		t.judge(now, digest)
 		t.endTrial(now, digest, report.Instance)
 	}
@@ -136,17 +139,23 @@
 			oldest = instance
 		}
 	}
-	delete(t.losses, oldest)
+	t.forget(oldest)
 }
 
-// judge looks whether a request is a suspect now.
-func (t *Tracker) judge(now time.Time, digest Digest) {
-	count := 0
-	for _, each := range t.losses {
-		if each.digests[digest] {
-			count++
+// forget drops a loss.
+func (t *Tracker) forget(instance string) {
+	for digest := range t.losses[instance].digests {
+		t.counts[digest]--
+		if t.counts[digest] == 0 {
+			delete(t.counts, digest)
 		}
 	}
+	delete(t.losses, instance)
+}
+
+// judge looks whether a request is a suspect now.
+func (t *Tracker) judge(now time.Time, digest Digest) {
+	count := t.counts[digest]
 	known := t.suspects[digest]
 	switch {
 	case known != nil && count > 0:
@@ -204,7 +213,7 @@
 	if known == nil {
 		return
 	}
-	delete(t.losses, instance)
+	t.forget(instance)
 	for digest := range known.digests {
 		t.acquit(now, digest, instance)
 	}
@@ -221,13 +230,7 @@
 		found.refusals--
 		t.changed(digest)
 	}
-	count := 0
-	for _, each := range t.losses {
-		if each.digests[digest] {
-			count++
-		}
-	}
-	if count < enoughLosses && !found.isRecalled && !found.isRefused(now) {
+	if t.counts[digest] < enoughLosses && !found.isRecalled && !found.isRefused(now) {
 		t.drop(digest)
 	}
 }
@@ -249,6 +252,7 @@
 	for _, each := range t.losses {
 		delete(each.digests, digest)
 	}
+	delete(t.counts, digest)
 	delete(t.trials, digest)
 	if t.suspects[digest] != nil {
 		t.drop(digest)
@@ -307,16 +311,16 @@
 	}
 	for instance, each := range t.losses {
 		if now.Sub(each.at) > lossLife {
-			delete(t.losses, instance)
+			t.forget(instance)
 		}
 	}
 	for digest, each := range t.suspects {
 		switch {
 		case each.isRefused(now):
-		case now.Sub(each.since) > lossLife && now.Sub(each.until) > lossLife:
+		case each.until.IsZero() && now.Sub(each.since) > lossLife:
 			t.drop(digest)
 		case !each.until.IsZero():
-			each.until = time.Time{}
+			each.since, each.until = now, time.Time{}
 			t.changed(digest)
 		}
 	}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -142,7 +142,7 @@
 	x.deadline = deadlineOf(request, route)
 	if permission, refusedFor := r.standing(x.digest); permission == poison.Refused {
 		r.refund(counted)
-		x.refuseSuspect(leave{permission: permission, comeBackIn: refusedFor})
+		x.refuseSuspect(leave{permission: permission, comeBackIn: refusedFor}, result{})
 		return
 	}
 	r.countRequest(x.row, route.Objective)
@@ -220,7 +220,7 @@
 		given := x.askLeave(ctx, choice.Runner())
 		if given.permission != poison.Free && given.permission != poison.Trial {
 			x.router.release(x.row, choice, routing.OutcomeNeutral)
-			x.refuseSuspect(given)
+			x.refuseSuspect(given, last)
 			return
 		}
 		last = x.attempt(ctx, choice)
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -227,12 +227,16 @@
 )
 
 // refuseSuspect answers a request that may not be sent, clearly enough for its caller to see that
-// the trouble is the request.
-func (x *exchange) refuseSuspect(why leave) {
+// the trouble is the request. What a runner answered before is passed on.
+func (x *exchange) refuseSuspect(why leave, last result) {
 	reason, message := reasonCrashes, "runners that ran this request have crashed: change the request, or ask the operators of the site"
 	if why.permission == poison.Later {
 		reason, message = reasonTrial, "runners that ran this request have crashed: it is tried by itself, come back later"
 	}
+	if last.answer != nil && !x.isStarted {
+		x.conclude(last)
+		return
+	}
 	x.count(reason)
 	if suppressed, allowed := x.router.refusedSuspects.Allow(time.Now()); allowed {
 		level.Info(x.router.logger).Log("msg", "A request that may crash runners was not sent.", "request", x.request.ID,
