A suspected request waits for its turn at a trial as long as it would wait for a runner

Cause: a harmless request that shared three losses was told to come back in a second when another trial was under way, and callers come back once. Now it asks again, the next time perhaps for another runner.

--- /dev/null
+++ b/request/relay/acquire.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
+)
+
+const (
+	// maxWaitShare is the part of its time that a request may wait for a runner; after
+	// it, its caller may still be served elsewhere or a little later.
+	maxWaitShare = 0.45
+	// turnPause separates two questions whether a suspected request may run now: a part of what a
+	// short answer takes, and some tens of questions for a request at most.
+	turnPause = 150 * time.Millisecond
+)
+
+// acquireTurn waits for a runner, and then for leave to send the request there, as long as the
+// caller is likely to. The choice must be given back unless leave is not granted.
+func (x *exchange) acquireTurn(ctx context.Context) (routing.Choice, leave, error) {
+	began := time.Now()
+	defer func() { x.waited += time.Since(began) }()
+	for {
+		choice, err := x.acquire(ctx)
+		if err != nil {
+			return choice, leave{}, err
+		}
+		given := x.askLeave(ctx, choice.Runner())
+		if x.timeLeft() <= 0 {
+			// The machine may have been suspended, so that no timer has gone off.
+			x.giveTurnBack(choice, given)
+			return choice, given, errTimeout
+		}
+		if given.isGranted() {
+			return choice, given, nil
+		}
+		x.router.release(x.row, choice, routing.OutcomeNeutral)
+		mustEnd := given.permission == poison.Refused || x.router.now().Add(turnPause).After(x.waitLimit())
+		if mustEnd || !pause.For(ctx, turnPause) {
+			return choice, given, nil
+		}
+	}
+}
+
+// giveTurnBack gives up what acquireTurn returned.
+func (x *exchange) giveTurnBack(choice routing.Choice, given leave) {
+	x.router.release(x.row, choice, routing.OutcomeNeutral)
+	x.noteEnd(choice.Runner(), given.isTrial(), result{isNotRun: true})
+}
+
+// waitLimit is when a request that no runner was found for is given up.
+func (x *exchange) waitLimit() time.Time {
+	limit := x.request.Arrived.Add(share(x.deadline.Sub(x.request.Arrived), maxWaitShare))
+	if x.route.Kind != site.KindStream || x.isStarted {
+		return limit
+	}
+	patience := x.request.Arrived.Add(x.router.options.Patience.of(x.route) * 9 / 10)
+	if patience.Before(limit) {
+		return patience
+	}
+	return limit
+}
+
+// acquire waits for a runner.
+func (x *exchange) acquire(ctx context.Context) (routing.Choice, error) {
+	limit := x.waitLimit()
+	ctx, cancel := context.WithTimeoutCause(ctx, limit.Sub(x.router.now()), errTimeout)
+	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
+	x.waiting = &waiter{
+		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
+		deadline: x.deadline, until: limit,
+		mayDefer: x.attempts == 0,
+	}
+	return x.router.acquire(ctx, x.waiting)
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxWaitShare is the part of its time that a request may wait for a runner; after
-	// it, its caller may still be served elsewhere or a little later.
-	maxWaitShare = 0.45
 	// minAttemptTime is the least time with which an attempt is sent.
 	minAttemptTime = 20 * time.Millisecond
 	// lastAnswerTime is kept of the time that a runner is given, so that it says itself
@@ -198,33 +195,22 @@
 func (x *exchange) run(ctx context.Context) {
 	var last result
 	for {
-		began := time.Now()
-		choice, err := x.acquire(ctx)
-		x.waited += time.Since(began)
-		if err != nil {
+		choice, given, err := x.acquireTurn(ctx)
+		switch {
+		case err != nil:
 			x.giveUp(err, last)
 			return
-		}
-		if x.timeLeft() <= 0 {
-			// The machine was suspended meanwhile, so that the timer has not gone off.
-			x.router.release(x.row, choice, routing.OutcomeNeutral)
-			x.giveUp(errTimeout, last)
+		case !given.isGranted():
+			x.refuseSuspect(given, last)
 			return
-		}
-		if x.arrivals > 0 && !x.router.mayRepeat(x.row.Service) {
-			x.router.release(x.row, choice, routing.OutcomeNeutral)
+		case x.arrivals > 0 && !x.router.mayRepeat(x.row.Service):
+			x.giveTurnBack(choice, given)
 			last.reason = "retry_budget"
 			x.conclude(last)
 			return
 		}
-		given := x.askLeave(ctx, choice.Runner())
-		if given.permission != poison.Free && given.permission != poison.Trial {
-			x.router.release(x.row, choice, routing.OutcomeNeutral)
-			x.refuseSuspect(given, last)
-			return
-		}
 		last = x.attempt(ctx, choice)
-		x.noteEnd(choice.Runner(), given.permission == poison.Trial, last)
+		x.noteEnd(choice.Runner(), given.isTrial(), last)
 		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
 		x.router.release(x.row, choice, last.outcome)
 		if last.isUnreachable() {
@@ -237,35 +223,13 @@
 			return
 		}
 		x.avoid = choice.Runner()
-		if !x.mayTryAgain(ctx, last) || given.permission == poison.Trial && !last.isNotRun {
+		if !x.mayTryAgain(ctx, last) || given.isTrial() && !last.isNotRun {
 			x.conclude(last)
 			return
 		}
 	}
 }
 
-// acquire waits for a runner as long as the caller is likely to.
-func (x *exchange) acquire(ctx context.Context) (routing.Choice, error) {
-	limit := x.request.Arrived.Add(time.Duration(float64(x.deadline.Sub(x.request.Arrived)) * maxWaitShare))
-	if x.route.Kind == site.KindStream {
-		patience := x.request.Arrived.Add(x.router.options.Patience.of(x.route) * 9 / 10)
-		if !x.isStarted && patience.Before(limit) {
-			limit = patience
-		}
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, limit.Sub(x.router.now()), errTimeout)
-	defer cancel()
-	ctx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
-	x.waiting = &waiter{
-		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
-		deadline: x.deadline, until: limit,
-		mayDefer: x.attempts == 0,
-	}
-	return x.router.acquire(ctx, x.waiting)
-}
-
 // result is how an attempt ended.
 type result struct {
 	outcome routing.Outcome
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -175,6 +175,12 @@
 	err error
 }
 
+// isGranted reports whether the request may be sent.
+func (l leave) isGranted() bool { return l.permission == poison.Free || l.isTrial() }
+
+// isTrial reports whether the leader must be told how the run ends.
+func (l leave) isTrial() bool { return l.permission == poison.Trial }
+
 // askLeave says whether the request may be sent to the chosen runner. For a suspected one the
 // leader decides, as other routers may have the same at hand.
 func (x *exchange) askLeave(ctx context.Context, instance structs.RunnerID) leave {
