A trial that a runner turned away counts as one that showed nothing; the first such costs a second only

Cause: what reaches a runner is an arrival, also if it is shed, so that trials that were shed again and again were not bounded. Before: NotRun ended a trial without a trace. Now only what reached no runner does (NotSent).

--- a/placement/poison/tracker.go
+++ b/placement/poison/tracker.go
@@ -36,8 +36,9 @@
 	firstRefusal   = time.Hour
 	refusalGrowth  = 6
 	longestRefusal = 24 * time.Hour
-	// openRefusal is how long a request is not tried again after a trial that showed nothing, as
-	// its caller left or its time was over; it doubles each time.
+	// openRefusal is how long a request is not tried again after a second trial that showed nothing, as
+	// its caller left, its time was over or the runner was full; it doubles each time. After the first
+	// one laterPause will do.
 	openRefusal = 30 * time.Second
 )
 
@@ -242,7 +243,7 @@
 		t.clear(ending.Digest)
 	case EndedOpen:
 		t.leaveOpen(now, ending.Digest)
-	case NotRun:
+	case NotSent:
 		delete(t.trials, ending.Digest)
 	}
 }
@@ -294,11 +295,20 @@
 	}
 	delete(t.trials, digest)
 	known := t.suspects[digest]
-	known.until = now.Add(openRefusal << min(known.openTrials, maxDoublings))
+	known.until = now.Add(openRefusalTime(known.openTrials))
 	known.openTrials++
 	t.changed(digest)
 }
 
+// openRefusalTime is how long a request is not tried again after a trial that showed nothing, when
+// so many had shown nothing before.
+func openRefusalTime(before int) time.Duration {
+	if before == 0 {
+		return laterPause
+	}
+	return openRefusal << min(before-1, maxDoublings)
+}
+
 // maxDoublings bounds the growth of refusals after trials that showed nothing: to an hour.
 const maxDoublings = 7
 
--- a/placement/poison/types.go
+++ b/placement/poison/types.go
@@ -51,10 +51,10 @@
 const (
 	// EndedWell: the answer is whole, so that the request crashes nothing.
 	EndedWell How = iota + 1
-	// EndedOpen: it was sent, and ended before it had shown anything.
+	// EndedOpen: it was sent, and ended before it had shown anything, or the runner did not run it.
 	EndedOpen
-	// NotRun: no runner ran it.
-	NotRun
+	// NotSent: it reached no runner.
+	NotSent
 )
 
 // Permission is the leader's word on one sending of a request.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -43,6 +43,10 @@
 	// reasonSendFailed that of one for which there was no connection, or which broke.
 	reasonSilent     = "silent"
 	reasonSendFailed = "send_failed"
+	// reasonNotHeld is that of a runner that does not hold what the request needs, and reasonShed
+	// that of one that is full.
+	reasonNotHeld = "not_held"
+	reasonShed    = "shed"
 	// reasonCutShort is that of an answer that broke off.
 	reasonCutShort = "cut_short"
 )
@@ -353,10 +357,10 @@
 	case answer.NotHeld:
 		x.refusals++
 		x.router.doubt(choice.Runner(), x.row)
-		return result{outcome: routing.OutcomeRefused, isNotRun: true, reason: "not_held"}
+		return result{outcome: routing.OutcomeRefused, isNotRun: true, reason: reasonNotHeld}
 	case answer.NotRun:
 		x.refusals++
-		return result{outcome: routing.OutcomeNeutral, isNotRun: true, reason: "shed"}
+		return result{outcome: routing.OutcomeNeutral, isNotRun: true, reason: reasonShed}
 	}
 	x.attempts++
 	if answer.IsStream && answer.Status == http.StatusOK {
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -218,8 +218,8 @@
 		ending.How = poison.EndedWell
 	case !isTrial:
 		return
-	case ended.isNotRun:
-		ending.How = poison.NotRun
+	case ended.isNotRun && ended.reason != reasonNotHeld && ended.reason != reasonShed:
+		ending.How = poison.NotSent
 	}
 	r.suspects.endings = append(r.suspects.endings, ending)
 	r.wakeReport()
