--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -83,7 +83,7 @@
 		lost:       gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
 		losses:     counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
 		suspects:   gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
-		trials:     vector("trials_total", "Questions for leave to run a suspected request, by answer.", "answer"),
+		trials:     vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
 		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
 		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
--- a/placement/domainnode/poison.go
+++ b/placement/domainnode/poison.go
@@ -66,7 +66,7 @@
 // logSuspects tells of requests whose standing has changed.
 func (l *leadership) logSuspects(records []poison.Record) {
 	for _, record := range records {
-		message := "A request may crash runners: it is run with leave only."
+		message := "A request may crash runners: it is run by permission of the leader only."
 		switch {
 		case record.IsCleared:
 			message = "Nothing speaks against a request any more."
--- a/placement/poison/tracker.go
+++ b/placement/poison/tracker.go
@@ -242,7 +242,7 @@
 	case EndedWell:
 		t.clear(ending.Digest)
 	case EndedOpen:
-		t.leaveOpen(now, ending.Digest)
+		t.endOpen(now, ending.Digest)
 	case NotSent:
 		delete(t.trials, ending.Digest)
 	}
@@ -288,8 +288,8 @@
 	return Trial, 0
 }
 
-// leaveOpen notes that a trial has ended and showed nothing.
-func (t *Tracker) leaveOpen(now time.Time, digest Digest) {
+// endOpen notes that a trial has ended and showed nothing.
+func (t *Tracker) endOpen(now time.Time, digest Digest) {
 	if _, isTried := t.trials[digest]; !isTried {
 		return
 	}
@@ -316,7 +316,7 @@
 func (t *Tracker) Expire(now time.Time) {
 	for digest, each := range t.trials {
 		if now.Sub(each.at) > trialLife {
-			t.leaveOpen(now, digest)
+			t.endOpen(now, digest)
 		}
 	}
 	for instance, each := range t.losses {
--- a/placement/poison/types.go
+++ b/placement/poison/types.go
@@ -14,7 +14,7 @@
 type Entry struct {
 	Digest Digest
 	// RefusedFor is how long the request is not to be run at all; 0 for one that may run
-	// with the leader's leave only.
+	// by the leader's permission only.
 	RefusedFor time.Duration
 }
 
--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -19,17 +19,17 @@
 	turnPause = 150 * time.Millisecond
 )
 
-// acquireTurn waits for a runner, and then for leave to send the request there, as long as the
-// caller is likely to. The choice must be given back unless leave is not granted.
-func (x *exchange) acquireTurn(ctx context.Context) (routing.Choice, leave, error) {
-	began := time.Now()
-	defer func() { x.waited += time.Since(began) }()
+// acquireTurn waits for a runner, and then for permission to send the request there, as long as the
+// caller is likely to. The choice must be given back unless permission is denied.
+func (x *exchange) acquireTurn(ctx context.Context) (routing.Choice, permit, error) {
+	began := x.router.now()
+	defer func() { x.waited += x.router.now().Sub(began) }()
 	for {
 		choice, err := x.acquire(ctx)
 		if err != nil {
-			return choice, leave{}, err
+			return choice, permit{}, err
 		}
-		given := x.askLeave(ctx, choice.Runner())
+		given := x.askPermit(ctx, choice.Runner())
 		if x.timeLeft() <= 0 {
 			// The machine may have been suspended, so that no timer has gone off.
 			x.giveTurnBack(choice, given)
@@ -47,7 +47,7 @@
 }
 
 // giveTurnBack gives up what acquireTurn returned.
-func (x *exchange) giveTurnBack(choice routing.Choice, given leave) {
+func (x *exchange) giveTurnBack(choice routing.Choice, given permit) {
 	x.router.release(x.row, choice, routing.OutcomeNeutral)
 	x.noteEnd(choice.Runner(), given.isTrial(), result{isNotRun: true})
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -143,7 +143,7 @@
 	x.deadline = deadlineOf(request, route)
 	if permission, refusedFor := r.standing(x.digest); permission == poison.Refused {
 		r.refund(counted)
-		x.refuseSuspect(leave{permission: permission, comeBackIn: refusedFor}, result{})
+		x.refuseSuspect(permit{permission: permission, comeBackIn: refusedFor}, result{})
 		return
 	}
 	r.countRequest(x.row, route.Objective)
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -325,7 +325,7 @@
 	return s.random.IntN(testRouters)
 }
 
-// trials counts the runs that leaders gave leave for.
+// trials counts the runs that leaders permitted as trials.
 func (s *testSite) trials() (count float64) {
 	families, err := s.registry.Gather()
 	s.c.Assert(err, qt.IsNil)
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -20,18 +20,18 @@
 	// seenLife is how long a router remembers a loss for a new leader: some times as long as the
 	// group takes to elect one after the loss of all its processes.
 	seenLife = 2 * time.Minute
-	// leaveTimeout bounds the question whether a suspected request may be sent: an answer takes
+	// permitTimeout bounds the question whether a suspected request may be sent: an answer takes
 	// some milliseconds, another leader after a lost one 0.4 to 0.9 s.
-	leaveTimeout = time.Second
-	// unknownLeaveReturn is when a caller is asked to come back whose request may be sent with a
-	// leader's leave only, while there is no leader: elections take about half a second.
-	unknownLeaveReturn = 500 * time.Millisecond
+	permitTimeout = time.Second
+	// unknownPermitReturn is when a caller is asked to come back whose request may be sent by a
+	// leader's permission only, while there is no leader: elections take about half a second.
+	unknownPermitReturn = 500 * time.Millisecond
 )
 
 // suspects is what a router knows of requests that may crash runners. The router's mutex guards it.
 type suspects struct {
 	// refusedUntil has the requests that the leader listed, each with the end of its refusal; zero
-	// for one that may be sent with leave.
+	// for one that may be sent by the leader's permission.
 	refusedUntil map[poison.Digest]time.Time
 	// seen are the losses that this router saw, by instance.
 	seen map[string]*seenLoss
@@ -167,8 +167,8 @@
 	return poison.Trial, 0
 }
 
-// leave is whether an exchange's request may be sent now.
-type leave struct {
+// permit is whether an exchange's request may be sent now.
+type permit struct {
 	permission poison.Permission
 	comeBackIn time.Duration
 	// err is why the leader could not be asked.
@@ -176,27 +176,27 @@
 }
 
 // isGranted reports whether the request may be sent.
-func (l leave) isGranted() bool { return l.permission == poison.Free || l.isTrial() }
+func (p permit) isGranted() bool { return p.permission == poison.Free || p.isTrial() }
 
 // isTrial reports whether the leader must be told how the run ends.
-func (l leave) isTrial() bool { return l.permission == poison.Trial }
+func (p permit) isTrial() bool { return p.permission == poison.Trial }
 
-// askLeave says whether the request may be sent to the chosen runner. For a suspected one the
+// askPermit says whether the request may be sent to the chosen runner. For a suspected one the
 // leader decides, as other routers may have the same at hand.
-func (x *exchange) askLeave(ctx context.Context, instance structs.RunnerID) leave {
+func (x *exchange) askPermit(ctx context.Context, instance structs.RunnerID) permit {
 	permission, refusedFor := x.router.standing(x.digest)
 	if permission != poison.Trial {
-		return leave{permission: permission, comeBackIn: refusedFor}
+		return permit{permission: permission, comeBackIn: refusedFor}
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	arguments := domainapi.TryArguments{Router: x.router.options.Name, Digest: x.digest, Instance: string(instance)}
 	reply, err := leadercall.Call(ctx, x.router.caller, domainapi.MethodTry, arguments,
 		func() *domainapi.TryReply { return &domainapi.TryReply{} })
 	if err != nil {
-		return leave{permission: poison.Later, comeBackIn: unknownLeaveReturn, err: err}
+		return permit{permission: poison.Later, comeBackIn: unknownPermitReturn, err: err}
 	}
-	return leave{permission: reply.Permission, comeBackIn: reply.ComeBackIn}
+	return permit{permission: reply.Permission, comeBackIn: reply.ComeBackIn}
 }
 
 // noteEnd tells the leader what an attempt says about the request.
@@ -234,7 +234,7 @@
 
 // refuseSuspect answers a request that may not be sent, clearly enough for its caller to see that
 // the trouble is the request. What a runner answered before is passed on.
-func (x *exchange) refuseSuspect(why leave, last result) {
+func (x *exchange) refuseSuspect(why permit, last result) {
 	reason, message := reasonCrashes, "runners that ran this request have crashed: change the request, or ask the operators of the site"
 	if why.permission == poison.Later {
 		reason, message = reasonTrial, "runners that ran this request have crashed: it is tried by itself, come back later"
