--- a/placement/poison/tracker.go
+++ b/placement/poison/tracker.go
@@ -12,9 +12,11 @@
 	// suspect. Of the requests that shared runners with one that crashed them, 50 were under way
 	// at three losses and 3 at four; nearly all others at fewer.
 	enoughLosses = 3
-	// refutingHeartbeats is how many heartbeats of a runner after its loss was reported show that
-	// it lives: the first may have been on its way.
-	refutingHeartbeats = 2
+	// refutingTime is how long after the report of its loss a heartbeat shows that a runner lives:
+	// heartbeats come up to some seconds late, and those that live send one each second or so. With
+	// two heartbeats at any time instead, 5 of 60 simulated requests reached runners up to eight times
+	// after they were known, where heartbeats were up to 3 s late.
+	refutingTime = 4 * time.Second
 	// lossLife is how long a loss counts: some times as long as callers repeat a request that
 	// fails, and short enough that a week's unrelated losses do not add up.
 	lossLife = time.Hour
@@ -36,9 +38,9 @@
 	firstRefusal   = time.Hour
 	refusalGrowth  = 6
 	longestRefusal = 24 * time.Hour
-	// openRefusal is how long a request is not tried again after a second trial that showed nothing, as
-	// its caller left, its time was over or the runner was full; it doubles each time. After the first
-	// one laterPause will do.
+	// openRefusal is how long a request is not tried again after a trial that showed nothing, as its
+	// caller left or its time was over; it doubles each time. After the first trial that a full runner
+	// turned away laterPause will do.
 	openRefusal = 30 * time.Second
 )
 
@@ -57,8 +59,6 @@
 type loss struct {
 	at      time.Time
 	digests map[Digest]bool
-	// heartbeats counts those that came since.
-	heartbeats int
 }
 
 // suspect is a request that was under way at enough losses.
@@ -121,7 +121,6 @@
 			continue
 		}
 		known.digests[digest] = true
-		known.heartbeats = 0
 		t.counts[digest]++
 		t.judge(now, digest)
 		t.endTrial(now, digest, report.Instance)
@@ -197,11 +196,7 @@
 // its loss.
 func (t *Tracker) Heard(now time.Time, instance string) bool {
 	known := t.losses[instance]
-	if known == nil {
-		return false
-	}
-	known.heartbeats++
-	if known.heartbeats < refutingHeartbeats {
+	if known == nil || now.Sub(known.at) < refutingTime {
 		return false
 	}
 	t.Refute(now, instance)
@@ -227,7 +222,7 @@
 		return
 	}
 	if found.convicted == instance {
-		found.convicted, found.until = "", now
+		found.convicted, found.until = "", time.Time{}
 		found.refusals--
 		t.changed(digest)
 	}
@@ -242,7 +237,9 @@
 	case EndedWell:
 		t.clear(ending.Digest)
 	case EndedOpen:
-		t.endOpen(now, ending.Digest)
+		t.endOpen(now, ending.Digest, 1)
+	case TurnedAway:
+		t.endOpen(now, ending.Digest, 0)
 	case NotSent:
 		delete(t.trials, ending.Digest)
 	}
@@ -288,15 +285,17 @@
 	return Trial, 0
 }
 
-// endOpen notes that a trial has ended and showed nothing.
-func (t *Tracker) endOpen(now time.Time, digest Digest) {
+// endOpen notes that a trial has ended and showed nothing. The request is refused at least as long as
+// after the given number of such trials before.
+func (t *Tracker) endOpen(now time.Time, digest Digest, atLeast int) {
 	if _, isTried := t.trials[digest]; !isTried {
 		return
 	}
 	delete(t.trials, digest)
 	known := t.suspects[digest]
-	known.until = now.Add(openRefusalTime(known.openTrials))
-	known.openTrials++
+	before := max(known.openTrials, atLeast)
+	known.until = now.Add(openRefusalTime(before))
+	known.openTrials = before + 1
 	t.changed(digest)
 }
 
@@ -316,7 +315,7 @@
 func (t *Tracker) Expire(now time.Time) {
 	for digest, each := range t.trials {
 		if now.Sub(each.at) > trialLife {
-			t.endOpen(now, digest)
+			t.endOpen(now, digest, 1)
 		}
 	}
 	for instance, each := range t.losses {
--- a/placement/poison/types.go
+++ b/placement/poison/types.go
@@ -51,8 +51,10 @@
 const (
 	// EndedWell: the answer is whole, so that the request crashes nothing.
 	EndedWell How = iota + 1
-	// EndedOpen: it was sent, and ended before it had shown anything, or the runner did not run it.
+	// EndedOpen: it was sent, and ended before it had shown anything.
 	EndedOpen
+	// TurnedAway: the runner did not run it.
+	TurnedAway
 	// NotSent: it reached no runner.
 	NotSent
 )
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -218,7 +218,9 @@
 		ending.How = poison.EndedWell
 	case !isTrial:
 		return
-	case ended.isNotRun && ended.reason != reasonNotHeld && ended.reason != reasonShed:
+	case ended.reason == reasonNotHeld || ended.reason == reasonShed:
+		ending.How = poison.TurnedAway
+	case ended.isNotRun:
 		ending.How = poison.NotSent
 	}
 	r.suspects.endings = append(r.suspects.endings, ending)
