--- a/request/explain/account.go
+++ b/request/explain/account.go
@@ -99,9 +99,10 @@
 // leader, or the life of its routers.
 func (a *Account) addBeliefs(lines []Line) {
 	routers, runners := a.routers(), a.values("runner")
-	tenant := a.Events[len(a.Events)-1].Get("tenant")
+	last := a.Events[len(a.Events)-1]
+	tenant, content := last.Get("tenant"), last.Get("content")
 	for _, line := range lines {
-		if isAboutTenant(line, tenant, a.ended()) {
+		if isAboutTenant(line, tenant, a.ended()) || a.isAboutContent(line, content) {
 			a.Beliefs = append(a.Beliefs, line)
 			continue
 		}
@@ -135,6 +136,8 @@
 	messageStarts      = "The process starts."
 	messageRouterStops = "The router stops."
 	messageLimit       = "A tenant's limit is in force."
+	messageSuspect     = "A request may crash runners: it is run by permission of the leader only."
+	messageRefused     = "A request is refused for a while, as its trial did not end well."
 )
 
 func isAboutLeader(line Line) bool {
--- a/request/explain/explain_test.go
+++ b/request/explain/explain_test.go
@@ -55,6 +55,19 @@
 				"The leader changed: core-2 leads from +1.000 s, and sends orders after another 3s at the latest.",
 			},
 		},
+		{
+			"refused as it crashes runners",
+			written(-time.Minute, "router-2", `msg="An attempt ended." request=r0 content=c1 runner=i-1 status=200 outcome=cut_short`) +
+				written(-50*time.Second, "router-1", `msg="An attempt ended." request=r9 content=c1 runner=i-2 status=0 outcome=send_failed`) +
+				written(-45*time.Second, "router-1", `msg="An attempt ended." request=r7 content=c1 runner=i-4 status=0 outcome=send_failed err="dial: refused: the request was not sent"`) +
+				written(-50*time.Second, "router-1", `msg="An attempt ended." request=r8 content=c2 runner=i-3 status=0 outcome=send_failed`) +
+				written(-40*time.Second, "core-1", `msg="A request is refused for a while, as its trial did not end well." content=c1 losses=3 refused_for=1h0m0s`) +
+				written(0, "router-1", `msg="A request that may crash runners was not sent." request=r1 content=c1 outcome=crashes_runners age=0s`),
+			[]string{
+				"What it asks for was under way at 2 runners when their connections broke: [i-1 i-2].",
+				"It is refused since -40.000 s for 1h0m0s, as the runner of its trial was lost or the trial showed nothing.",
+			},
+		},
 		{
 			"refused without any load",
 			written(2*time.Second, "router-1", `msg="A request was answered without a runner's success." request=r1 model=m age=2s outcome=no_runner`),
--- a/request/explain/find.go
+++ b/request/explain/find.go
@@ -27,6 +27,7 @@
 		a.note("The stream paused for %v.", last.duration("pause"))
 	}
 	a.findTenant()
+	a.findContent()
 	a.findBreaks(lines)
 	a.findSlow()
 	a.findLost()
