A permission whose answer was lost is given again; the end of a leaving runner ends no trial badly

Cause: read in the diff. The leader permitted a run, the answer was lost, and the router, asking again, was told to wait for itself, for a minute. Askers are named now.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -162,8 +162,10 @@
 
 // TryArguments ask whether a request that may crash runners may be sent to one.
 type TryArguments struct {
-	Router   string
-	Digest   poison.Digest
+	Router string
+	Digest poison.Digest
+	// Asker names the request, so that it may ask again if the answer was lost.
+	Asker    string
 	Instance string
 }
 
--- a/placement/domainnode/poison.go
+++ b/placement/domainnode/poison.go
@@ -31,6 +31,7 @@
 	}
 	for _, report := range arguments.Losses {
 		if l.registry.IsLeaving(report.Instance) {
+			l.poison.Excuse(report)
 			continue
 		}
 		isNew := l.poison.Observe(at, report)
@@ -54,7 +55,7 @@
 	}
 	current.mutex.Lock()
 	defer current.mutex.Unlock()
-	reply.Permission, reply.ComeBackIn = current.poison.Ask(s.node.now(), arguments.Digest, arguments.Instance)
+	reply.Permission, reply.ComeBackIn = current.poison.Ask(s.node.now(), arguments.Digest, arguments.Asker, arguments.Instance)
 	current.node.metrics.trials.WithLabelValues(reply.Permission.String()).Inc()
 	if reply.Permission == poison.Trial {
 		level.Info(current.logger).Log("msg", "A suspected request is tried.", "content", arguments.Digest,
--- a/placement/poison/tracker.go
+++ b/placement/poison/tracker.go
@@ -81,6 +81,8 @@
 
 // trial is one run of a suspect.
 type trial struct {
+	// asker is who may run it.
+	asker    string
 	instance string
 	at       time.Time
 }
@@ -264,8 +266,18 @@
 	t.records = append(t.records, Record{Digest: digest, IsCleared: true})
 }
 
-// Ask says whether a request may be sent to a runner now, and if not, when it may come back.
-func (t *Tracker) Ask(now time.Time, digest Digest, instance string) (Permission, time.Duration) {
+// Excuse ends the trials of a report about a runner that had said that it leaves: its end says nothing.
+func (t *Tracker) Excuse(report Report) {
+	for _, digest := range report.Digests {
+		if t.trials[digest].instance == report.Instance {
+			delete(t.trials, digest)
+		}
+	}
+}
+
+// Ask says whether a request may be sent to a runner now, and if not, when it may come back. An asker
+// whose answer was lost asks again under the same name.
+func (t *Tracker) Ask(now time.Time, digest Digest, asker, instance string) (Permission, time.Duration) {
 	known := t.suspects[digest]
 	if known == nil {
 		return Free, 0
@@ -273,15 +285,15 @@
 	if known.isRefused(now) {
 		return Refused, known.until.Sub(now)
 	}
-	if _, isTried := t.trials[digest]; isTried {
+	if under, isTried := t.trials[digest]; isTried && under.asker != asker {
 		return Later, laterPause
 	}
-	for _, other := range t.trials {
-		if other.instance == instance {
+	for tried, other := range t.trials {
+		if other.instance == instance && tried != digest {
 			return Later, laterPause
 		}
 	}
-	t.trials[digest] = trial{instance: instance, at: now}
+	t.trials[digest] = trial{asker: asker, instance: instance, at: now}
 	return Trial, 0
 }
 
--- a/placement/poison/tracker_test.go
+++ b/placement/poison/tracker_test.go
@@ -28,11 +28,16 @@
 	return t
 }
 
+// permission is that for a request that nobody has asked for before.
 func permission(t *Tracker, at time.Time, digest Digest, instance string) Permission {
-	found, _ := t.Ask(at, digest, instance)
+	asked++
+	found, _ := t.Ask(at, digest, fmt.Sprint("asker ", asked), instance)
 	return found
 }
 
+// asked counts the askers.
+var asked int
+
 func TestRequestIsFreeUntilEnoughRunnersAreLost(t *testing.T) {
 	c := qt.New(t)
 	tracker := New()
@@ -75,6 +80,8 @@
 		"heartbeats came late":       {func(t *Tracker) { lose(t, start, "a", bad); t.Heard(start.Add(refutingTime-1), "a") }, Refused},
 		"its runner said it leaves":  {func(t *Tracker) { lose(t, start, "a", bad); t.Refute(start, "a") }, Trial},
 		"it is lost under no router": {func(*Tracker) {}, Later},
+		"its runner had said so":     {func(t *Tracker) { t.Excuse(Report{Instance: "a", Digests: []Digest{bad}}) }, Trial},
+		"another had said so":        {func(t *Tracker) { t.Excuse(Report{Instance: "b", Digests: []Digest{bad}}) }, Later},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -90,7 +97,7 @@
 func TestOpenTrialsGetRare(t *testing.T) {
 	c := qt.New(t)
 	tracker := suspected(bad)
-	tracker.Ask(start, bad, "a")
+	tracker.Ask(start, bad, "asker", "a")
 	tracker.Ended(start, Ending{bad, TurnedAway})
 	c.Assert(permission(tracker, start.Add(laterPause), bad, "a"), qt.Equals, Trial)
 	tracker.Ended(start.Add(laterPause), Ending{bad, TurnedAway})
@@ -107,6 +114,20 @@
 	c.Assert(trials, qt.DeepEquals, []time.Duration{0, 30 * time.Second, 90 * time.Second, 210 * time.Second})
 }
 
+// An asker that did not hear the answer has its turn still.
+func TestAskerMayAskAgain(t *testing.T) {
+	c := qt.New(t)
+	tracker := suspected(bad)
+	for _, instance := range []string{"a", "a", "b"} {
+		found, _ := tracker.Ask(start, bad, "first", instance)
+		c.Assert(found, qt.Equals, Trial)
+	}
+	found, _ := tracker.Ask(start, bad, "second", "c")
+	c.Assert(found, qt.Equals, Later)
+	lose(tracker, start, "b", bad)
+	c.Assert(permission(tracker, start, bad, "c"), qt.Equals, Refused)
+}
+
 // Losses that were none take the suspicion away.
 func TestRefutedLossesDoNotCount(t *testing.T) {
 	c := qt.New(t)
@@ -159,7 +180,7 @@
 	next.Expire(start.Add(firstRefusal + time.Second))
 	c.Assert(permission(next, start.Add(firstRefusal+time.Second), bad, "a"), qt.Equals, Trial)
 	lose(next, start.Add(firstRefusal+time.Second), "a", bad)
-	_, comeBackIn := next.Ask(start.Add(firstRefusal+time.Second), bad, "a")
+	_, comeBackIn := next.Ask(start.Add(firstRefusal+time.Second), bad, "asker", "a")
 	c.Assert(comeBackIn, qt.Equals, refusalGrowth*firstRefusal)
 }
 
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -82,6 +82,8 @@
 	avoid    structs.RunnerID
 	// digest names what the request asks for, whoever brings it.
 	digest poison.Digest
+	// asker names the request to the leader once it has asked for permission to run.
+	asker string
 	// isStarted is set once the head of the answer has been sent.
 	isStarted bool
 	// lastEvent is the last event that the caller has.
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -41,7 +41,9 @@
 	refused *asynclog.Limiter
 	// refusedSuspects does the same for requests that may crash runners.
 	refusedSuspects *asynclog.Limiter
-	stop            stops
+	// askers numbers the requests that ask the leader for permission to run.
+	askers atomic.Uint64
+	stop   stops
 	// report asks the report loop for a report now.
 	report chan struct{}
 
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -190,7 +191,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	arguments := domainapi.TryArguments{Router: x.router.options.Name, Digest: x.digest, Instance: string(instance)}
+	if x.asker == "" {
+		x.asker = fmt.Sprintf("%s/%d", x.router.options.Name, x.router.askers.Add(1))
+	}
+	arguments := domainapi.TryArguments{
+		Router: x.router.options.Name, Digest: x.digest, Asker: x.asker, Instance: string(instance),
+	}
 	reply, err := leadercall.Call(ctx, x.router.caller, domainapi.MethodTry, arguments,
 		func() *domainapi.TryReply { return &domainapi.TryReply{} })
 	if err != nil {
