Shared words of the four parts under load: what work takes at a runner, and a request's worth of waiting

Change: placement/pace (what work takes at a runner), request/waiting (a request's worth of waiting); Pace in the routers' view, Reading in the loads, Prompt in the counts of active requests. Nothing reads them yet. Ruled out: figures of the site file; a message of its own for paces.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -324,6 +324,7 @@
 			Slots:    heartbeat.Slots,
 			Leaving:  status.Leaving || status.Lost,
 			Slow:     l.planner.IsSlow(heartbeat.Instance),
+			Pace:     l.planner.Pace(heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lotusferry/lotusferry/placement/pace"
 )
 
 // Heartbeat is what a runner says of itself.
@@ -42,6 +44,9 @@
 	Leaving  bool
 	// Slow runners take longer than others for the same work.
 	Slow bool
+	// Pace is what work takes there, as far as the leader has learned; a leader of a version
+	// before does not say.
+	Pace pace.Runner
 	// Models are ready for requests.
 	Models []LoadedModel
 	// Unconfirmed is set by Merge at a router for what the present leader has not listed
@@ -49,16 +54,19 @@
 	Unconfirmed bool `msgpack:"-"`
 }
 
-// Load is how many requests are at a runner.
+// Load is the work at a runner, of all routers together.
 type Load struct {
 	Instance string
 	Requests int
+	// Reading is the share of its time that the runner has spent reading prompts lately, as far
+	// as its pace tells: 1 and above if it cannot keep up, 0 if nothing tells.
+	Reading float64
 }
 
 // Equal reports whether two views of a runner are the same.
 func (r Runner) Equal(other Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
-		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow &&
+		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		})
--- a/placement/residency/judge.go
+++ b/placement/residency/judge.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lotusferry/lotusferry/placement/pace"
 )
 
 // Judgement is what the planner believes of a runner's speed.
@@ -121,3 +123,6 @@
 
 // IsSlowPlace reports whether a runner is believed to be slower than others.
 func (p *Planner) IsSlowPlace(instance string) bool { return p.judgements[instance].IsSlow }
+
+// Pace is what work takes at a runner; nothing is known of those that are not listed.
+func (p *Planner) Pace(instance string) pace.Runner { return pace.Runner{} }
--- a/placement/residency/pace.go
+++ b/placement/residency/pace.go
@@ -25,8 +25,8 @@
 	harmOfRate  = 0.2
 )
 
-// pace is a runner's usual pace for one model.
-type pace struct {
+// streamPace is a runner's usual pace for one model.
+type streamPace struct {
 	gap     float64
 	streams int
 	// paused is the share of streams with too long a pause, and seen their number.
@@ -36,16 +36,16 @@
 }
 
 // paces holds the paces of the runners for each model; the rows name no adapter.
-type paces map[Row]map[string]*pace
+type paces map[Row]map[string]*streamPace
 
 func (p paces) add(now time.Time, seen Pace) {
 	row := Row{Service: seen.Service, Model: seen.Model}
 	if p[row] == nil {
-		p[row] = make(map[string]*pace)
+		p[row] = make(map[string]*streamPace)
 	}
 	known := p[row][seen.Instance]
 	if known == nil {
-		known = &pace{}
+		known = &streamPace{}
 		p[row][seen.Instance] = known
 	}
 	known.addPaused(now, seen.Paused)
@@ -63,7 +63,7 @@
 	known.streams++
 }
 
-func (p *pace) addPaused(now time.Time, isPaused bool) {
+func (p *streamPace) addPaused(now time.Time, isPaused bool) {
 	share := 0.0
 	if isPaused {
 		share = 1
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -107,6 +107,9 @@
 type ActiveCount struct {
 	Instance string
 	Count    int
+	// Prompt is how many prompt tokens, without those that the runner probably has in its
+	// cache, the router has sent there since its last report.
+	Prompt int64
 }
 
 // EndedLoad is a load of a model that has ended.
