--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -135,6 +135,8 @@
 	Unreachable []string
 	// Paces are those of streams that have ended.
 	Paces []residency.Pace
+	// Attempts tell how attempts at runners ended.
+	Attempts []fleet.Attempts
 	// Losses tell which requests were under way at runners whose connections broke.
 	Losses []poison.Report
 	// Endings tell how requests ended that were tried, or were under way at a loss before.
--- /dev/null
+++ b/placement/domainnode/failing.go
@@ -0,0 +1,32 @@
+package domainnode
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// observeAttempts takes how a router's attempts ended. Routers learn with the next view of a runner
+// that fails. It runs under the mutex.
+func (l *leadership) observeAttempts(at time.Time, arguments *domainapi.DemandArguments) {
+	for _, ended := range arguments.Attempts {
+		if !l.failing.Observe(at, arguments.Router, ended) {
+			continue
+		}
+		l.node.metrics.failing.Inc()
+		level.Warn(l.logger).Log("msg", "A runner fails what it is sent and rests.", "runner", ended.Instance,
+			"last_router", arguments.Router, "answered", ended.Answered, "failed", ended.Failed)
+	}
+}
+
+// forgetFailing drops what is known of runners that have ended. It runs under the mutex.
+func (l *leadership) forgetFailing(at time.Time, statuses []fleet.Status) {
+	listed := make(map[string]bool, len(statuses))
+	for _, status := range statuses {
+		listed[status.Heartbeat.Instance] = true
+	}
+	l.failing.Forget(at, func(instance string) bool { return listed[instance] })
+}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -68,6 +68,8 @@
 	announcer *announcer
 	// poison finds the requests that crash runners.
 	poison *poison.Tracker
+	// failing finds the runners that fail what they are sent.
+	failing *fleet.Failing
 	// lost are the runners that are taken for lost.
 	lost map[string]bool
 	// loads are those of the last step.
@@ -122,6 +124,7 @@
 		reserving:  newReserving(),
 		announcer:  newAnnouncer(),
 		poison:     poison.New(),
+		failing:    fleet.NewFailing(),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		lost:       make(map[string]bool),
@@ -312,6 +315,7 @@
 	statuses := l.registry.Runners(at)
 	l.planner.SetRunners(at, statuses)
 	l.noteLost(statuses)
+	l.forgetFailing(at, statuses)
 	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
 	view.Runners = make([]fleet.Runner, 0, len(statuses))
 	for _, status := range statuses {
@@ -325,6 +329,7 @@
 			Leaving:  status.Leaving || status.Lost,
 			Slow:     l.planner.IsSlow(heartbeat.Instance),
 			Pace:     l.planner.Pace(heartbeat.Instance),
+			Failing:  l.failing.IsFailing(at, heartbeat.Instance),
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -30,6 +30,7 @@
 	losses     prometheus.Counter
 	suspects   *prometheus.GaugeVec
 	trials     *prometheus.CounterVec
+	failing    prometheus.Counter
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -83,6 +84,7 @@
 		lost:       gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
 		losses:     counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
 		suspects:   gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
+		failing:    counter("runner_rests_total", "Times that a runner that fails what it is sent was let rest."),
 		trials:     vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
 		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
 		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
@@ -91,7 +93,7 @@
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
 			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
-			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials)
+			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials, made.failing)
 	}
 	return made
 }
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -310,6 +310,7 @@
 	for _, instance := range arguments.Unreachable {
 		current.registry.Complain(instance, arguments.Router)
 	}
+	current.observeAttempts(s.node.now(), arguments)
 	current.planner.ObservePace(s.node.now(), arguments.Paces)
 	current.observeLosses(s.node.now(), arguments)
 	planned := current.planned
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -47,6 +47,9 @@
 	// Pace is what work takes there, as far as the leader has learned; a leader of a version
 	// before does not say.
 	Pace pace.Runner
+	// Failing runners fail many of the requests that they are sent. They get some only where no
+	// other one can take them.
+	Failing bool
 	// Models are ready for requests.
 	Models []LoadedModel
 	// Unconfirmed is set by Merge at a router for what the present leader has not listed
@@ -66,7 +69,7 @@
 // Equal reports whether two views of a runner are the same.
 func (r Runner) Equal(other Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
-		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace &&
+		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		})
--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -29,14 +29,14 @@
 		// A stream that goes on elsewhere must go on as a stream.
 		return result{outcome: routing.OutcomeRefused, reason: "not_resumed"}
 	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
-		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
+		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	case len(body) > maxBuffered:
 		watchdog.stop()
 		return x.relayLarge(answer, body)
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
-		ended := result{outcome: routing.OutcomeRefused, reason: "runner_failed", answer: whole}
+		ended := result{outcome: routing.OutcomeRefused, reason: reasonRunnerFailed, answer: whole}
 		if answer.Status == http.StatusGatewayTimeout {
 			// The time was too short, which is not the runner's fault.
 			ended.outcome = routing.OutcomeNeutral
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -47,6 +47,10 @@
 	// that of one that is full.
 	reasonNotHeld = "not_held"
 	reasonShed    = "shed"
+	// reasonNotSigned is that of an answer without the runner's signature, and reasonRunnerFailed that
+	// of a failure that the runner itself told of.
+	reasonNotSigned    = "not_signed"
+	reasonRunnerFailed = "runner_failed"
 	// reasonCutShort is that of an answer that broke off.
 	reasonCutShort = "cut_short"
 )
@@ -219,6 +223,7 @@
 		x.noteEnd(choice.Runner(), given.isTrial(), last)
 		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
 		x.router.release(x.row, choice, last.outcome)
+		x.router.noteAttempt(choice.Runner(), last)
 		if last.isUnreachable() {
 			x.router.complain(choice.Runner())
 		}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -181,17 +181,17 @@
 func (r *Router) reportDemand(ctx context.Context) {
 	demands := r.takeDemands(r.now())
 	doubted, unreachable := r.takeNames(r.doubted), r.takeNames(r.unreachable)
-	paces := r.takePaces()
+	paces, attempts := r.takePaces(), r.takeAttempts()
 	r.mutex.Lock()
 	losses, endings := r.suspects.take()
 	r.mutex.Unlock()
-	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(losses) == 0 && len(endings) == 0 {
+	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(attempts) == 0 && len(losses) == 0 && len(endings) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{
-		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
+		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces, Attempts: attempts,
 		Losses: losses, Endings: endings,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -57,6 +57,8 @@
 	doubted  map[string]bool
 	// unreachable are runners that could not be reached since the last report.
 	unreachable map[string]bool
+	// ended counts how attempts ended since the last report.
+	ended map[structs.RunnerID]*fleet.Attempts
 	// heard is when each runner last sent something.
 	heard map[structs.RunnerID]time.Time
 	// paces are those of streams that have ended since the last report.
@@ -118,6 +120,7 @@
 		doubted: make(map[string]bool),
 
 		unreachable: make(map[string]bool),
+		ended:       make(map[structs.RunnerID]*fleet.Attempts),
 
 		heard: make(map[structs.RunnerID]time.Time),
 		known: make(chan struct{}),
@@ -164,6 +167,7 @@
 		}
 		r.balancer.SetPenalty(structs.RunnerID(runner.Instance), penalty)
 		r.balancer.SetBatch(structs.RunnerID(runner.Instance), runner.Slots)
+		r.balancer.SetFailing(structs.RunnerID(runner.Instance), runner.Failing)
 	}
 	r.forgetUnlisted()
 	r.serveWaiters()
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -16,7 +16,7 @@
 // relayStream passes on whole events, each as it comes.
 func (x *exchange) relayStream(ctx context.Context, answer *Answer, watchdog *watchdog) result {
 	if !answer.Signed {
-		return result{outcome: routing.OutcomeBroken, reason: "not_signed"}
+		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	}
 	controller := http.NewResponseController(x.writer)
 	var events eventSplitter
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -139,7 +139,7 @@
 
 // usable reports whether an attempt may be sent to the replica now.
 func (b *Balancer) usable(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
-	return !now.Before(candidate.ejectedUntil) && candidate.breaker.allows(now) && b.answers(now, candidate, avoid)
+	return !candidate.runner.failing && !now.Before(candidate.ejectedUntil) && candidate.breaker.allows(now) && b.answers(now, candidate, avoid)
 }
 
 // answers reports whether the replica's runner has room and is not known to leave
@@ -171,6 +171,13 @@
 	}
 }
 
+// SetFailing says whether a runner fails many of the requests that it is sent, as other routers saw.
+func (b *Balancer) SetFailing(id structs.RunnerID, isFailing bool) {
+	if target := b.runners[id]; target != nil {
+		target.failing = isFailing
+	}
+}
+
 // SetBatch says how many requests a runner runs at once; 0 leaves what is known.
 func (b *Balancer) SetBatch(id structs.RunnerID, slots int) {
 	if target := b.runners[id]; target != nil && slots > 0 {
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -17,6 +17,8 @@
 	// hash is that of daemon and runner, which ranks the runner in subsets.
 	hash    uint64
 	leaving bool
+	// failing runners are chosen only where no other one can be.
+	failing bool
 	// inFlight counts this router's attempts; others is the load of all other
 	// routers as of reportedAt.
 	inFlight   int
