Routers learn which zones they reach, and choose near runners first

Cause: when a zone was cut off, its routers went on choosing runners of all zones, and those outside went on choosing the lost ones, until the leader called each of them lost. Each connect hung for half a second and each open connection until the watchdog or TCP gave up. RunnerInfo.Zone was filled and read by nothing.

Ruled out: telling a lost zone from silence alone (a long prompt is silent as well), and waiting for the leader (a router inside the lost zone hears none).

Change: request/zonewatch, pure: a failed connect, or open requests of a zone with nothing heard from it for 0.2 s, raise a suspicion; three connects to other runners of the zone settle it. Zones out of reach get nothing, attempts there that may be repeated go elsewhere at once, all their runners are reported to the leader, and the zone is tried again by single connects with backoff, and with more confirmations when it flaps. Requests whose model nobody in reach holds are told to come back, if no leader is heard either. Connects to runners are given four times what they take at most as a rule in that zone, 80 ms at least (0.5 s before). A far runner costs the measured way and 10 ms, the first sample is a near one. Breakers opened by a lost zone close on its return, and a broken connection to it accuses no request of crashing the runner.

--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -58,6 +58,9 @@
 // It runs under the mutex.
 func (r *Router) deferNow(state *rowState, wanted *waiter) (time.Duration, bool) {
 	now := r.now()
+	if wanted.mayDefer && r.isHopeless(now, rowName(wanted.row)) {
+		return wanted.comeBackIn(now, wanted.deadline), true
+	}
 	if state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return 0, false
 	}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -281,6 +281,7 @@
 	defer cancel(nil)
 	watchdog := x.watch(choice, cancel)
 	defer watchdog.stop()
+	defer x.router.noteSent(choice, watchdog)()
 	x.sent++
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
@@ -322,6 +323,9 @@
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
 		x.refusals++
+		if ctx.Err() == nil {
+			x.router.connectFailed(choice.Runner())
+		}
 	} else {
 		x.attempts++
 		x.arrivals++
@@ -339,6 +343,8 @@
 	switch {
 	case errors.Is(cause, errSilent):
 		ended.reason = reasonSilent
+	case errors.Is(cause, errZoneLost):
+		ended.reason = reasonZoneLost
 	case errors.Is(cause, errTimeout):
 		ended.reason = "timeout"
 		ended.outcome = routing.OutcomeNeutral
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -27,6 +27,10 @@
 	viewAt    prometheus.Gauge
 	tenants   *prometheus.CounterVec
 	draws     prometheus.Histogram
+	// zonesLost counts zones out of reach now, zoneLosses how often one got out of reach.
+	zonesLost  prometheus.Gauge
+	zoneLosses prometheus.Counter
+	zoneProbes prometheus.Counter
 	// named are the tenants with series of their own.
 	named sync.Map
 	count atomic.Int32
@@ -66,11 +70,15 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "limit_draw_seconds",
 			Help: "Time of a question for parts of limits.", Buckets: latencyBuckets,
 		}),
-		viewAt: gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+		zonesLost:  gauge("zones_out_of_reach", "Zones of which no runner can be reached."),
+		zoneLosses: counter("zone_losses_total", "Times that a zone got out of reach.").WithLabelValues(),
+		zoneProbes: counter("zone_probes_total", "Connects made to learn whether a zone is reached.").WithLabelValues(),
+		viewAt:     gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
-			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws)
+			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws,
+			made.zonesLost, made.zoneLosses, made.zoneProbes)
 	}
 	return made
 }
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // ErrNotSent says that no byte of a request has been sent.
@@ -23,7 +24,12 @@
 	Seeds   func() []string
 	Decoder func(source []byte) (*site.Document, error)
 	Backend Backend
-	Retry   RetryRule
+	// Zone is the zone of the process; empty for a site without zones.
+	Zone structs.ZoneID
+	// Connects is what Backend dials runners with; nil if it does not, and then zones that are cut
+	// off are not noticed.
+	Connects *Connects
+	Retry    RetryRule
 	// Patience is how long callers of streams wait for the first event, or between
 	// two events, before they leave.
 	Patience Patience
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -63,6 +63,7 @@
 	paces []residency.Pace
 	// suspects are requests that may crash runners.
 	suspects suspects
+	zones    zones
 }
 
 const (
@@ -109,7 +110,7 @@
 		report:  make(chan struct{}, 1),
 		random:  random,
 		balancer: routing.New(routing.Options{
-			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: loadLife,
+			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, MaxBatch: defaultBatch, ReportLife: loadLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
 			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: affinityBound,
 		}, random),
@@ -126,6 +127,7 @@
 		refused: asynclog.NewLimiter(maxTenantLines),
 
 		suspects:        newSuspects(),
+		zones:           newZones(options.Seed),
 		refusedSuspects: asynclog.NewLimiter(maxSuspectLines),
 	}
 }
@@ -136,6 +138,7 @@
 	running.Go(func() { r.watchLoop(ctx) })
 	running.Go(func() { r.reportLoop(ctx) })
 	running.Go(func() { r.limitLoop(ctx) })
+	running.Go(func() { r.zoneLoop(ctx) })
 	running.Wait()
 	r.client.Close()
 }
@@ -156,7 +159,9 @@
 	defer r.mutex.Unlock()
 	r.view = fleet.Merge(r.view, view)
 	r.metrics.runners.Set(float64(len(r.view.Runners)))
-	r.balancer.SetPlacement(placement(r.view))
+	placed := placement(r.view)
+	r.balancer.SetPlacement(placed)
+	r.adoptZones(placed.Runners)
 	for _, runner := range r.view.Runners {
 		penalty := 0.0
 		if runner.Slow {
@@ -256,6 +261,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.heard[instance] = time.Now()
+	r.zones.watch.Heard(r.now(), instance)
 }
 
 // notePace notes the pace of a stream that has ended.
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -212,6 +212,11 @@
 	defer r.mutex.Unlock()
 	ending := poison.Ending{Digest: x.digest, How: poison.EndedOpen}
 	switch {
+	case ended.isBroken() && r.zones.watch.IsLost(r.zones.watch.ZoneOf(instance)):
+		// The connection broke with all others to the zone, not with the runner.
+		if !isTrial {
+			return
+		}
 	case ended.isBroken():
 		r.suspects.lost(r.now(), string(instance), x.digest)
 		r.wakeReport()
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -52,6 +52,13 @@
 	w.timer.Reset(max(time.Millisecond, limit-silent))
 }
 
+// leaveZone ends the attempt, if the request may be sent elsewhere: its zone is out of reach.
+func (w *watchdog) leaveZone() {
+	if w.timer != nil {
+		w.cancel(errZoneLost)
+	}
+}
+
 // heard notes that the attempt's runner sent something for it.
 func (w *watchdog) heard() {
 	w.exchange.router.heardFrom(w.runner)
--- /dev/null
+++ b/request/relay/zones.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/zonewatch"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// zonePause separates two looks at which zones are reached: a quarter of how long one may be
+	// silent.
+	zonePause = 50 * time.Millisecond
+	// wayPause separates two looks at how long the ways to the zones are, which change rarely.
+	wayPause = time.Second
+	// leaderSilence is after how long without a leader nobody is expected to load what no runner in
+	// reach holds: twice as long as a leader holds a watch.
+	leaderSilence = time.Second
+)
+
+// reasonZoneLost is that of an attempt at a runner of a zone that got out of reach.
+const reasonZoneLost = "zone_out_of_reach"
+
+// errZoneLost is the cause of ending such an attempt, if the request may be sent elsewhere.
+var errZoneLost = errors.New("the runner's zone is out of reach")
+
+// zones is what a router knows of the zones of its site. The router's mutex guards it.
+type zones struct {
+	watch *zonewatch.Watch
+	// attempts are those under way, by the zone of their runner.
+	attempts map[structs.ZoneID]map[*watchdog]struct{}
+	// addresses are those of the runners.
+	addresses map[structs.RunnerID]string
+}
+
+func newZones(seed uint64) zones {
+	return zones{
+		watch:    zonewatch.New(rand.New(rand.NewPCG(seed, 2))),
+		attempts: make(map[structs.ZoneID]map[*watchdog]struct{}),
+	}
+}
+
+// adoptZones takes where the runners are. It runs under the mutex.
+func (r *Router) adoptZones(runners []structs.RunnerInfo) {
+	r.zones.watch.SetRunners(runners)
+	r.zones.addresses = make(map[structs.RunnerID]string, len(runners))
+	byAddress := make(map[string]structs.ZoneID, len(runners))
+	for _, info := range runners {
+		r.zones.addresses[info.ID] = info.Address
+		byAddress[info.Address] = info.Zone
+	}
+	if r.options.Connects != nil {
+		r.options.Connects.setZones(byAddress)
+	}
+}
+
+// noteSent notes an attempt at a runner; what it returns ends the note.
+func (r *Router) noteSent(choice routing.Choice, w *watchdog) (ended func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	zone := r.zones.watch.ZoneOf(choice.Runner())
+	if zone == "" {
+		return func() {}
+	}
+	r.zones.watch.Sent(r.now(), zone)
+	if r.zones.attempts[zone] == nil {
+		r.zones.attempts[zone] = make(map[*watchdog]struct{})
+	}
+	r.zones.attempts[zone][w] = struct{}{}
+	return func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.zones.watch.Ended(zone)
+		delete(r.zones.attempts[zone], w)
+	}
+}
+
+// connectFailed notes that a runner could not be connected to.
+func (r *Router) connectFailed(id structs.RunnerID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.probe(r.zones.watch.ConnectFailed(r.now(), id))
+}
+
+// zoneLoop watches which zones are reached until ctx ends.
+func (r *Router) zoneLoop(ctx context.Context) {
+	if r.options.Connects == nil {
+		return
+	}
+	ticker := time.NewTicker(zonePause)
+	defer ticker.Stop()
+	var lookedAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := r.now()
+		r.mutex.Lock()
+		r.probe(r.zones.watch.Step(now))
+		if now.Sub(lookedAt) >= wayPause {
+			lookedAt = now
+			r.balancer.SetWays(r.options.Connects.ways(r.options.Zone))
+		}
+		r.turnAwayHopeless()
+		r.mutex.Unlock()
+	}
+}
+
+// turnAwayHopeless tells callers to come back whose requests wait for what nobody in reach holds. It
+// runs under the mutex.
+func (r *Router) turnAwayHopeless() {
+	if r.zones.watch.Lost() == 0 {
+		return
+	}
+	now := r.now()
+	for row, state := range r.rows {
+		if len(state.waiters) == 0 || !r.isHopeless(now, rowName(row)) {
+			continue
+		}
+		state.waiters = slices.DeleteFunc(state.waiters, func(wanted *waiter) bool {
+			if wanted.mayDefer {
+				wanted.deferred <- wanted.comeBackIn(now, wanted.deadline)
+			}
+			return wanted.mayDefer
+		})
+	}
+}
+
+// probe connects to runners to learn whether their zones are reached. It runs under the mutex and
+// does not wait.
+func (r *Router) probe(probes []zonewatch.Probe) {
+	if r.options.Connects == nil {
+		return
+	}
+	for _, each := range probes {
+		address := r.zones.addresses[each.Runner]
+		r.metrics.zoneProbes.Inc()
+		go func() {
+			outcome := r.options.Connects.probe(r.stop.cut, address)
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			changes, more := r.zones.watch.Probed(r.now(), each, outcome)
+			for _, change := range changes {
+				r.adoptChange(change)
+			}
+			r.probe(more)
+		}()
+	}
+}
+
+// adoptChange takes a zone out of the choice of runners, or in again. It runs under the mutex.
+func (r *Router) adoptChange(change zonewatch.Change) {
+	r.balancer.SetOutOfReach(change.Zone, change.IsLost)
+	r.metrics.zonesLost.Set(float64(r.zones.watch.Lost()))
+	sinceLeader := r.now().Sub(r.granted.at)
+	if !change.IsLost {
+		level.Info(r.logger).Log("msg", "A zone is reached again.", "zone", change.Zone, "answered", change.Runners,
+			"leader_heard_before", sinceLeader)
+		r.serveWaiters()
+		return
+	}
+	r.metrics.zoneLosses.Inc()
+	level.Warn(r.logger).Log("msg", "A zone is out of reach.", "zone", change.Zone, "cause", change.Cause, "after", change.After,
+		"runners_asked", change.Runners, "requests", change.Open, "leader_heard_before", sinceLeader)
+	for w := range r.zones.attempts[change.Zone] {
+		w.leaveZone()
+	}
+	for _, id := range r.zones.watch.RunnersOf(change.Zone) {
+		r.unreachable[string(id)] = true
+	}
+	r.wakeReport()
+	r.serveWaiters()
+}
+
+// isHopeless reports whether nobody in reach holds the row and nobody is heard who could order a load:
+// the router is in a part of the site that is cut off. It runs under the mutex.
+func (r *Router) isHopeless(now time.Time, row structs.RowName) bool {
+	return r.zones.watch.Lost() > 0 && now.Sub(r.granted.at) > leaderSilence && r.balancer.Reached(row) == 0
+}
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -16,6 +16,7 @@
 	// left holds the runners that Leave took out, with the life that left.
 	left  map[structs.RunnerID]structs.Incarnation
 	hints hints
+	zones zones
 	// lastNumber is the number that was given to a runner last.
 	lastNumber uint32
 	ejections  uint64
@@ -32,6 +33,7 @@
 		rows:    make(map[structs.RowName]*row),
 		left:    make(map[structs.RunnerID]structs.Incarnation),
 		hints:   newHints(options.HintLimit),
+		zones:   zones{outOfReach: make(map[structs.ZoneID]bool)},
 	}
 }
 
@@ -67,7 +69,7 @@
 	var best *replica
 	lowest := 0.0
 	size := len(wanted.subset)
-	first := b.random.IntN(size)
+	first := b.firstSample(wanted)
 	for choice := 0; choice < b.options.Choices && choice < size; choice++ {
 		index := first
 		if choice > 0 {
@@ -146,7 +148,7 @@
 // requests unanswered, though it may refuse those of the replica.
 func (b *Balancer) answers(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
 	target := candidate.runner
-	if target.leaving || (avoid != "" && target.info.ID == avoid) {
+	if target.leaving || b.zones.outOfReach[target.info.Zone] || (avoid != "" && target.info.ID == avoid) {
 		return false
 	}
 	return target.hasRoom(now, &b.options) && target.breaker.allows(now)
@@ -160,7 +162,7 @@
 	if now.Sub(candidate.runner.answeredAt) > b.options.WarmTime {
 		score += b.options.ColdRequests / float64(candidate.runner.maxBatch)
 	}
-	return score
+	return score + b.way(candidate.runner).Seconds()/requestTime.Seconds()/float64(candidate.runner.maxBatch)
 }
 
 // SetPenalty makes a request weigh more at a runner, by the factor 1 + penalty, so that it
--- a/request/routing/options.go
+++ b/request/routing/options.go
@@ -11,6 +11,8 @@
 type Options struct {
 	// Daemon decides, together with the runners' names, the subset.
 	Daemon structs.DaemonID
+	// Zone is that of this daemon; empty if there are no zones.
+	Zone structs.ZoneID
 	// Choices is how many replicas are sampled for a choice.
 	Choices int
 	// SubsetSize bounds the replicas of a row that this daemon uses.
--- a/request/routing/placement.go
+++ b/request/routing/placement.go
@@ -177,4 +177,5 @@
 		clear(current.subset[b.options.SubsetSize:])
 		current.subset = current.subset[:b.options.SubsetSize]
 	}
+	b.listNear(current)
 }
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -55,6 +55,8 @@
 	// replicas are all of the row, those on leaving runners too.
 	replicas []*replica
 	subset   []*replica
+	// near are the indexes in subset of those in the daemon's own zone.
+	near []int
 }
 
 // load returns the requests on the runner as far as this router knows.
--- /dev/null
+++ b/request/zonewatch/connect_test.go
@@ -0,0 +1,43 @@
+package zonewatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/request/zonewatch"
+)
+
+// A lost opening packet costs tens of milliseconds where connects are quick, and a far zone is given the
+// time that it takes.
+func TestConnectTimeoutFollowsTheWay(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		took        []time.Duration
+		least, most time.Duration
+	}{
+		{"nothing known", nil, zonewatch.MostConnectTimeout, zonewatch.MostConnectTimeout},
+		{"within a region", repeat(2*time.Millisecond, 20), zonewatch.LeastConnectTimeout, zonewatch.LeastConnectTimeout},
+		{"another continent", repeat(60*time.Millisecond, 40), 240 * time.Millisecond, 300 * time.Millisecond},
+		{"a busy router", append(repeat(2*time.Millisecond, 20), 40*time.Millisecond, 3*time.Millisecond, 50*time.Millisecond), 100 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var times zonewatch.ConnectTimes
+			for _, took := range test.took {
+				times.Observe("z", took)
+			}
+			timeout := times.Timeout("z")
+			c.Assert(timeout >= test.least && timeout <= test.most, qt.IsTrue, qt.Commentf("%s", timeout))
+		})
+	}
+}
+
+func repeat(took time.Duration, count int) []time.Duration {
+	var listed []time.Duration
+	for range count {
+		listed = append(listed, took)
+	}
+	return listed
+}
--- /dev/null
+++ b/request/zonewatch/watch.go
@@ -0,0 +1,420 @@
+package zonewatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	// silentAfter is how long nothing may be heard from a zone with open requests before it is
+	// suspected. Events of streams come every 40 ms or so, and a request that is the only one of
+	// its zone has its first event within 150 ms as a rule; a suspicion that proves wrong costs
+	// three connects.
+	silentAfter = 200 * time.Millisecond
+	// maxRefuted bounds how often silentAfter doubles: once with each suspicion that proved wrong, and
+	// back as soon as a zone is heard of in less than half of the time. Zones whose answers take long
+	// are not asked five times a second.
+	maxRefuted = 3
+	// witnesses is how many runners are asked when a zone is suspected. On a link that loses
+	// 2.5% of the packets a connect fails in 5 of 100 cases within a few times its usual time, and
+	// three together in 1 of 8,000.
+	witnesses = 3
+	// leastWitnesses is how many runners a zone must have to be told from a single dead one.
+	leastWitnesses = 2
+	// firstRetry is the time between two tries of a zone that is out of reach, at first, and
+	// lastRetry the longest, to which it doubles: a zone that is back is used within a second.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// confirmPause separates the answered connects that a zone needs to be used again, and
+	// leastConfirms is their number at first.
+	confirmPause  = 60 * time.Millisecond
+	leastConfirms = 2
+	// maxConfirms bounds that number, which doubles with each loss within calmTime after a
+	// return: a zone that comes and goes is left alone for half a second more at most.
+	maxConfirms = 8
+	calmTime    = 10 * time.Second
+)
+
+// Watch knows which zones a router reaches. Make one with New.
+type Watch struct {
+	random  *rand.Rand
+	zones   map[structs.ZoneID]*zone
+	runners map[structs.RunnerID]*runner
+	// lastNumber is that of the last suspicion or try.
+	lastNumber uint64
+}
+
+type runner struct {
+	zone    *zone
+	heardAt time.Time
+}
+
+// zone is what is known of one zone.
+type zone struct {
+	id structs.ZoneID
+	// ids lists its runners that are not leaving, sorted.
+	ids []structs.RunnerID
+	// open counts requests under way; quietSince is since when nothing was heard though there
+	// was one.
+	open       int
+	quietSince time.Time
+	// refuted counts suspicions that proved wrong, less those for which it was quick again.
+	refuted   int
+	refutedAt time.Time
+	// round is the suspicion being settled; nil for none.
+	round *round
+	// isLost is set while the zone is out of reach; the fields below count only then.
+	isLost     bool
+	returnedAt time.Time
+	retry      time.Duration
+	retryAt    time.Time
+	// trying is the number of the try under way; 0 for none.
+	trying    uint64
+	confirmed int
+	// confirms is how many answered connects in a row the zone needs to be used again.
+	confirms int
+}
+
+// round is one suspicion: how many of the runners that were asked have not said anything yet.
+type round struct {
+	number uint64
+	cause  Cause
+	began  time.Time
+	open   int
+}
+
+// Cause is why a zone was suspected.
+type Cause string
+
+// The causes.
+const (
+	CauseConnect Cause = "a connect failed"
+	CauseSilence Cause = "open requests are silent"
+	CauseOther   Cause = "another zone is out of reach"
+)
+
+// Probe asks the caller to connect to a runner and to pass the outcome to Probed.
+type Probe struct {
+	Zone   structs.ZoneID
+	Runner structs.RunnerID
+	// number is that of the suspicion, or of the try, which the probe is for.
+	number uint64
+}
+
+// Outcome is how a Probe ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeAnswered: the runner took the connection.
+	OutcomeAnswered Outcome = iota + 1
+	// OutcomeFailed: it refused the connection, or said nothing in time.
+	OutcomeFailed
+	// OutcomeUnknown: the router itself was late, so that nothing was learned.
+	OutcomeUnknown
+)
+
+// Change is a zone that got out of reach, or is reached again.
+type Change struct {
+	Zone   structs.ZoneID
+	IsLost bool
+	// Cause and After are those of the suspicion: how long ago it arose. Both are empty for a
+	// zone that is reached again.
+	Cause Cause
+	After time.Duration
+	// Runners counts those that were asked in vain, or that answered.
+	Runners int
+	// Open counts the requests under way there.
+	Open int
+}
+
+// New makes a Watch that knows no runner.
+func New(random *rand.Rand) *Watch {
+	return &Watch{
+		random:  random,
+		zones:   make(map[structs.ZoneID]*zone),
+		runners: make(map[structs.RunnerID]*runner),
+	}
+}
+
+// SetRunners adopts which runners there are. Requests under way at runners that are not listed any
+// more still count until they have Ended.
+func (w *Watch) SetRunners(listed []structs.RunnerInfo) {
+	for _, each := range w.zones {
+		each.ids = each.ids[:0]
+	}
+	kept := make(map[structs.RunnerID]*runner, len(listed))
+	for _, info := range listed {
+		if info.Zone == "" {
+			continue
+		}
+		known := w.runners[info.ID]
+		if known == nil {
+			known = &runner{zone: w.zone(info.Zone)}
+		}
+		kept[info.ID] = known
+		if !info.Leaving {
+			known.zone.ids = append(known.zone.ids, info.ID)
+		}
+	}
+	w.runners = kept
+	for _, each := range w.zones {
+		slices.Sort(each.ids)
+	}
+}
+
+func (w *Watch) zone(id structs.ZoneID) *zone {
+	known := w.zones[id]
+	if known == nil {
+		known = &zone{id: id, confirms: leastConfirms}
+		w.zones[id] = known
+	}
+	return known
+}
+
+// ZoneOf names the zone of a runner; empty if it is not known.
+func (w *Watch) ZoneOf(id structs.RunnerID) structs.ZoneID {
+	if known := w.runners[id]; known != nil {
+		return known.zone.id
+	}
+	return ""
+}
+
+// Sent notes that a request went to a runner of the zone, as ZoneOf named it.
+func (w *Watch) Sent(now time.Time, id structs.ZoneID) {
+	known := w.zones[id]
+	if known == nil {
+		return
+	}
+	if known.open == 0 {
+		known.quietSince = now
+	}
+	known.open++
+}
+
+// Ended notes that a request that was Sent is over, however it ended.
+func (w *Watch) Ended(id structs.ZoneID) {
+	if known := w.zones[id]; known != nil && known.open > 0 {
+		known.open--
+	}
+}
+
+// Heard notes that a runner sent something for a request.
+func (w *Watch) Heard(now time.Time, id structs.RunnerID) {
+	known := w.runners[id]
+	if known == nil {
+		return
+	}
+	known.heardAt = now
+	heard := known.zone
+	if heard.refuted > 0 && now.Sub(heard.quietSince) < heard.patience()/2 {
+		heard.refuted--
+	}
+	heard.quietSince = now
+	heard.round = nil
+}
+
+// ConnectFailed notes that a runner could not be connected to. It returns the runners to ask about
+// the zone.
+func (w *Watch) ConnectFailed(now time.Time, id structs.RunnerID) []Probe {
+	known := w.runners[id]
+	if known == nil {
+		return nil
+	}
+	return w.suspect(now, known.zone, CauseConnect, id)
+}
+
+// suspect begins a round, unless one is under way. The runner that raised the suspicion is not asked
+// if there are others enough.
+func (w *Watch) suspect(now time.Time, suspected *zone, cause Cause, raisedBy structs.RunnerID) []Probe {
+	if suspected.isLost || suspected.round != nil || len(suspected.ids) < leastWitnesses {
+		return nil
+	}
+	ids := slices.Clone(suspected.ids)
+	w.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	// Whoever was heard last is the most likely to be alive.
+	slices.SortStableFunc(ids, func(a, b structs.RunnerID) int {
+		return cmp.Or(cmp.Compare(order(a == raisedBy), order(b == raisedBy)), w.runners[b].heardAt.Compare(w.runners[a].heardAt))
+	})
+	ids = ids[:min(witnesses, len(ids))]
+	w.lastNumber++
+	suspected.round = &round{number: w.lastNumber, cause: cause, began: now, open: len(ids)}
+	probes := make([]Probe, 0, len(ids))
+	for _, each := range ids {
+		probes = append(probes, Probe{suspected.id, each, w.lastNumber})
+	}
+	return probes
+}
+
+func order(isLast bool) int {
+	if isLast {
+		return 1
+	}
+	return 0
+}
+
+// Probed takes the outcome of a Probe. It returns what has changed, and more runners to ask.
+func (w *Watch) Probed(now time.Time, probe Probe, outcome Outcome) (changes []Change, probes []Probe) {
+	asked := w.zones[probe.Zone]
+	switch {
+	case asked == nil:
+		return nil, nil
+	case asked.isLost:
+		return asked.retried(now, probe, outcome), nil
+	case asked.round == nil || asked.round.number != probe.number:
+		return nil, nil
+	case outcome != OutcomeFailed:
+		asked.refute(now)
+		return nil, nil
+	}
+	asked.round.open--
+	if asked.round.open > 0 || !w.isElsewhereReached(asked) {
+		return nil, nil
+	}
+	changes = []Change{asked.lose(now)}
+	for _, other := range w.sorted() {
+		if other != asked {
+			probes = append(probes, w.suspect(now, other, CauseOther, "")...)
+		}
+	}
+	return changes, probes
+}
+
+// isElsewhereReached reports whether another zone is not lost. A router that reaches nobody at all
+// goes on as it was: there is nothing that it could do better.
+func (w *Watch) isElsewhereReached(but *zone) bool {
+	for _, other := range w.zones {
+		if other != but && !other.isLost && len(other.ids) > 0 {
+			return true
+		}
+	}
+	but.round = nil
+	but.refuted = min(maxRefuted, but.refuted+1)
+	return false
+}
+
+// refute ends a suspicion that was wrong.
+func (z *zone) refute(now time.Time) {
+	z.round = nil
+	z.refuted = min(maxRefuted, z.refuted+1)
+	z.refutedAt = now
+}
+
+// lose takes the zone as out of reach.
+func (z *zone) lose(now time.Time) Change {
+	change := Change{
+		Zone: z.id, IsLost: true, Cause: z.round.cause, After: now.Sub(z.round.began),
+		Runners: min(witnesses, len(z.ids)), Open: z.open,
+	}
+	z.round = nil
+	z.isLost = true
+	z.retry, z.retryAt = firstRetry, now.Add(firstRetry)
+	z.trying, z.confirmed = 0, 0
+	if !z.returnedAt.IsZero() && now.Sub(z.returnedAt) < calmTime {
+		z.confirms = min(maxConfirms, 2*z.confirms)
+	} else {
+		z.confirms = leastConfirms
+	}
+	return change
+}
+
+// retried takes the outcome of a try of a zone that is out of reach.
+func (z *zone) retried(now time.Time, probe Probe, outcome Outcome) []Change {
+	if z.trying != probe.number {
+		return nil
+	}
+	z.trying = 0
+	if outcome != OutcomeAnswered {
+		z.confirmed = 0
+		z.retry = min(lastRetry, 2*z.retry)
+		z.retryAt = now.Add(z.retry)
+		return nil
+	}
+	z.confirmed++
+	if z.confirmed < z.confirms {
+		z.retryAt = now.Add(confirmPause)
+		return nil
+	}
+	z.isLost = false
+	z.returnedAt, z.quietSince = now, now
+	z.refuted = 0
+	return []Change{{Zone: z.id, Runners: z.confirmed, Open: z.open}}
+}
+
+// Step looks at the time: it returns the runners to ask now. It is to be called a few times in
+// silentAfter.
+func (w *Watch) Step(now time.Time) []Probe {
+	var probes []Probe
+	for _, each := range w.sorted() {
+		switch {
+		case each.isLost:
+			if probe, isDue := w.tryAgain(now, each); isDue {
+				probes = append(probes, probe)
+			}
+		case each.isSilent(now):
+			probes = append(probes, w.suspect(now, each, CauseSilence, "")...)
+		}
+	}
+	return probes
+}
+
+// tryAgain picks a runner of a zone that is out of reach, if it is time to. The time between two
+// tries is spread, so that routers do not try together.
+func (w *Watch) tryAgain(now time.Time, lost *zone) (Probe, bool) {
+	if lost.trying != 0 || now.Before(lost.retryAt) || len(lost.ids) == 0 {
+		return Probe{}, false
+	}
+	if spread := time.Duration(w.random.Int64N(int64(firstRetry))); lost.confirmed == 0 && now.Before(lost.retryAt.Add(spread)) {
+		return Probe{}, false
+	}
+	w.lastNumber++
+	lost.trying = w.lastNumber
+	return Probe{lost.id, lost.ids[w.random.IntN(len(lost.ids))], w.lastNumber}, true
+}
+
+// isSilent reports whether requests are under way and nothing has been heard for too long.
+func (z *zone) isSilent(now time.Time) bool {
+	patience := z.patience()
+	return z.open > 0 && now.Sub(z.quietSince) >= patience && now.Sub(z.refutedAt) >= patience
+}
+
+// patience is how long nothing may be heard from the zone.
+func (z *zone) patience() time.Duration { return silentAfter << z.refuted }
+
+// IsLost reports whether a zone is out of reach.
+func (w *Watch) IsLost(id structs.ZoneID) bool {
+	known := w.zones[id]
+	return known != nil && known.isLost
+}
+
+// Lost counts the zones that are out of reach.
+func (w *Watch) Lost() int {
+	count := 0
+	for _, each := range w.zones {
+		if each.isLost {
+			count++
+		}
+	}
+	return count
+}
+
+// RunnersOf lists the runners of a zone. The slice is shared and must not be changed.
+func (w *Watch) RunnersOf(id structs.ZoneID) []structs.RunnerID {
+	if known := w.zones[id]; known != nil {
+		return known.ids
+	}
+	return nil
+}
+
+func (w *Watch) sorted() []*zone {
+	listed := make([]*zone, 0, len(w.zones))
+	for _, each := range w.zones {
+		listed = append(listed, each)
+	}
+	slices.SortFunc(listed, func(a, b *zone) int { return cmp.Compare(a.id, b.id) })
+	return listed
+}
