The leader knows of a lost zone within half a second; a silent zone is asked of one runner first

Cause: a runner was taken for lost once its own heartbeat was overdue by half and two routers complained, 1.8 s and more after a cut; until then its models counted as loaded and nobody loaded them elsewhere.

Ruled out: believing complaints alone (a slow runner is complained of by many routers).

Change: a zone of three runners or more from which no heartbeat at all has come for five times the usual time between any two of its runners, 0.4 s at least, while others are heard, is silent; then two complaints are enough for each of its runners. A zone suspected for silence is asked of one runner first, and of two more if that one fails. A lost zone all of whose runners the leader calls leaving is still tried again.

--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -183,6 +183,7 @@
 // Runners lists the runners that are not gone and not silent, by instance.
 func (r *Registry) Runners(now time.Time) []Status {
 	listed := make([]Status, 0, len(r.runners))
+	silentZones := r.silentZones(now)
 	for _, known := range r.runners {
 		if known.gone || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
 			continue
@@ -193,7 +194,7 @@
 		silent := now.Sub(known.heardAt)
 		listed = append(listed, Status{
 			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt,
-			Recalled: known.recalled, Lost: known.suspicion.isLost(silent),
+			Recalled: known.recalled, Lost: known.suspicion.isLost(silent, silentZones[known.heartbeat.Zone]),
 			Complaints: len(known.suspicion.complaints), Silent: silent,
 		})
 	}
--- a/placement/fleet/suspicion.go
+++ b/placement/fleet/suspicion.go
@@ -46,9 +46,10 @@
 	s.complaints[router] = true
 }
 
-// isLost reports whether the runner is taken for lost, silent as long as given.
-func (s *suspicion) isLost(silent time.Duration) bool {
-	isOverdue := s.usualPause > 0 && silent > time.Duration(overdueFactor*float64(s.usualPause))
+// isLost reports whether the runner is taken for lost, silent as long as given. One of a zone that is
+// silent as a whole need not be overdue itself.
+func (s *suspicion) isLost(silent time.Duration, isZoneSilent bool) bool {
+	isOverdue := isZoneSilent || s.usualPause > 0 && silent > time.Duration(overdueFactor*float64(s.usualPause))
 	return isOverdue && len(s.complaints) >= enoughComplaints
 }
 
--- /dev/null
+++ b/placement/fleet/zonesilence_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A zone of 15 runners is cut off in full flow. Its routers cannot say so, those of the other zones can, long
+// before each runner is overdue: models that were only there are loaded elsewhere a second earlier.
+func TestZoneThatFallsSilentIsLost(t *testing.T) {
+	const (
+		pause   = 1200 * time.Millisecond
+		runners = 15
+	)
+	for _, test := range []struct {
+		name string
+		// routers complain; cut zones send no heartbeats.
+		routers int
+		cut     map[string]bool
+		// runners is how many there are in each zone, silent for how long the cut has lasted.
+		runners int
+		silent  time.Duration
+		isLost  bool
+	}{
+		{"silent, and two routers", 2, map[string]bool{"b": true}, runners, 500 * time.Millisecond, true},
+		{"silent, and one router", 1, map[string]bool{"b": true}, runners, 500 * time.Millisecond, false},
+		{"silent, and no router", 0, map[string]bool{"b": true}, runners, 500 * time.Millisecond, false},
+		{"heard, and many routers", 20, nil, runners, 500 * time.Millisecond, false},
+		{"too short to tell", 2, map[string]bool{"b": true}, runners, 300 * time.Millisecond, false},
+		{"the leader hears nobody", 20, map[string]bool{"a": true, "b": true}, runners, 500 * time.Millisecond, false},
+		{"a zone of two", 2, map[string]bool{"b": true}, 2, 500 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := NewRegistry(start)
+			sequences := make(map[string]uint64)
+			now := start
+			run := func(length time.Duration, cut map[string]bool) {
+				for end := now.Add(length); now.Before(end); now = now.Add(10 * time.Millisecond) {
+					for _, zone := range []string{"a", "b"} {
+						for number := range test.runners {
+							phase := pause / time.Duration(test.runners) * time.Duration(number) / (10 * time.Millisecond) * (10 * time.Millisecond)
+							if cut[zone] || now.Sub(start)%pause != phase {
+								continue
+							}
+							name := fmt.Sprint(zone, number)
+							sequences[name]++
+							heartbeat := beat(name, sequences[name])
+							heartbeat.Zone, heartbeat.Address = zone, name
+							r.Hear(now, heartbeat)
+						}
+					}
+				}
+			}
+			run(6*time.Second, nil)
+			for router := range test.routers {
+				for number := range test.runners {
+					r.Complain(fmt.Sprint("b", number), fmt.Sprint("router-", router))
+				}
+			}
+			run(test.silent, test.cut)
+			lost := 0
+			for _, status := range r.Runners(now) {
+				if status.Lost {
+					c.Assert(status.Heartbeat.Zone, qt.Equals, "b")
+					lost++
+				}
+			}
+			// Those whose heartbeat came after the complaints are not lost.
+			c.Assert(lost == test.runners, qt.Equals, test.isLost, qt.Commentf("%d lost", lost))
+			run(2*pause, nil)
+			for _, status := range r.Runners(now) {
+				c.Assert(status.Lost, qt.IsFalse)
+			}
+		})
+	}
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -27,6 +27,9 @@
 	retryAfterNow = 200 * time.Millisecond
 	// maxRefusals bounds the runners that may refuse one request.
 	maxRefusals = 3
+	// maxUnsent bounds the runners that one request finds nobody at. When a zone is lost, a request may
+	// meet several of its runners before the zone is found to be out of reach; each costs it a connect.
+	maxUnsent = 6
 	// silenceFactor times the objective is how long a runner may be silent before a
 	// request that may be repeated is sent elsewhere.
 	silenceFactor      = 3
@@ -74,6 +77,8 @@
 	// said that they did not.
 	attempts int
 	refusals int
+	// unsent counts the runners that could not be connected to.
+	unsent int
 	// sent counts all sendings, and arrivals those of which a runner may have got something:
 	// only what comes on top of these are repeated sendings.
 	sent     int
@@ -270,7 +275,7 @@
 		return false
 	}
 	if ended.isNotRun {
-		return x.refusals < maxRefusals
+		return x.refusals < maxRefusals && x.unsent < maxUnsent
 	}
 	return x.route.MayRepeat() && x.attempts < max(1, x.route.MaxAttempts)
 }
@@ -322,7 +327,7 @@
 	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
-		x.refusals++
+		x.unsent++
 		if ctx.Err() == nil {
 			x.router.connectFailed(choice.Runner())
 		}
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,6 +39,9 @@
 	attempts map[structs.ZoneID]map[*watchdog]struct{}
 	// addresses are those of the runners.
 	addresses map[structs.RunnerID]string
+	// probing is nil unless zoneLoop runs, and ends with it; probes are the connects under way.
+	probing context.Context
+	probes  sync.WaitGroup
 }
 
 func newZones(seed uint64) zones {
@@ -94,6 +98,10 @@
 	if r.options.Connects == nil {
 		return
 	}
+	r.mutex.Lock()
+	r.zones.probing = ctx
+	r.mutex.Unlock()
+	defer r.endProbing()
 	ticker := time.NewTicker(zonePause)
 	defer ticker.Stop()
 	var lookedAt time.Time
@@ -115,6 +123,14 @@
 	}
 }
 
+// endProbing waits for the connects under way.
+func (r *Router) endProbing() {
+	r.mutex.Lock()
+	r.zones.probing = nil
+	r.mutex.Unlock()
+	r.zones.probes.Wait()
+}
+
 // turnAwayHopeless tells callers to come back whose requests wait for what nobody in reach holds. It
 // runs under the mutex.
 func (r *Router) turnAwayHopeless() {
@@ -138,14 +154,15 @@
 // probe connects to runners to learn whether their zones are reached. It runs under the mutex and
 // does not wait.
 func (r *Router) probe(probes []zonewatch.Probe) {
-	if r.options.Connects == nil {
+	ctx := r.zones.probing
+	if ctx == nil {
 		return
 	}
 	for _, each := range probes {
 		address := r.zones.addresses[each.Runner]
 		r.metrics.zoneProbes.Inc()
-		go func() {
-			outcome := r.options.Connects.probe(r.stop.cut, address)
+		r.zones.probes.Go(func() {
+			outcome := r.options.Connects.probe(ctx, address)
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
 			changes, more := r.zones.watch.Probed(r.now(), each, outcome)
@@ -153,7 +170,7 @@
 				r.adoptChange(change)
 			}
 			r.probe(more)
-		}()
+		})
 	}
 }
 
--- a/request/zonewatch/watch.go
+++ b/request/zonewatch/watch.go
@@ -56,8 +56,10 @@
 // zone is what is known of one zone.
 type zone struct {
 	id structs.ZoneID
-	// ids lists its runners that are not leaving, sorted.
-	ids []structs.RunnerID
+	// ids lists its runners that are not leaving, sorted, and leaving the others: a leader calls all
+	// of a lost zone leaving.
+	ids     []structs.RunnerID
+	leaving []structs.RunnerID
 	// open counts requests under way; quietSince is since when nothing was heard though there
 	// was one.
 	open       int
@@ -79,12 +81,15 @@
 	confirms int
 }
 
-// round is one suspicion: how many of the runners that were asked have not said anything yet.
+// round is one suspicion being settled.
 type round struct {
 	number uint64
 	cause  Cause
 	began  time.Time
-	open   int
+	// open counts those asked that have not said anything yet, and waiting are those to be asked
+	// once they have all failed.
+	open    int
+	waiting []structs.RunnerID
 }
 
 // Cause is why a zone was suspected.
@@ -145,7 +150,7 @@
 // more still count until they have Ended.
 func (w *Watch) SetRunners(listed []structs.RunnerInfo) {
 	for _, each := range w.zones {
-		each.ids = each.ids[:0]
+		each.ids, each.leaving = each.ids[:0], each.leaving[:0]
 	}
 	kept := make(map[structs.RunnerID]*runner, len(listed))
 	for _, info := range listed {
@@ -157,13 +162,16 @@
 			known = &runner{zone: w.zone(info.Zone)}
 		}
 		kept[info.ID] = known
-		if !info.Leaving {
+		if info.Leaving {
+			known.zone.leaving = append(known.zone.leaving, info.ID)
+		} else {
 			known.zone.ids = append(known.zone.ids, info.ID)
 		}
 	}
 	w.runners = kept
 	for _, each := range w.zones {
 		slices.Sort(each.ids)
+		slices.Sort(each.leaving)
 	}
 }
 
@@ -242,11 +250,22 @@
 	})
 	ids = ids[:min(witnesses, len(ids))]
 	w.lastNumber++
-	suspected.round = &round{number: w.lastNumber, cause: cause, began: now, open: len(ids)}
-	probes := make([]Probe, 0, len(ids))
-	for _, each := range ids {
-		probes = append(probes, Probe{suspected.id, each, w.lastNumber})
+	suspected.round = &round{number: w.lastNumber, cause: cause, began: now, waiting: ids}
+	if cause == CauseSilence {
+		// Most silences have other causes: one runner that answers tells so at a third of the cost.
+		return suspected.ask(1)
 	}
+	return suspected.ask(len(ids))
+}
+
+// ask asks the next runners of the round.
+func (z *zone) ask(count int) []Probe {
+	probes := make([]Probe, 0, count)
+	for _, id := range z.round.waiting[:count] {
+		probes = append(probes, Probe{z.id, id, z.round.number})
+	}
+	z.round.waiting = z.round.waiting[count:]
+	z.round.open = count
 	return probes
 }
 
@@ -272,7 +291,13 @@
 		return nil, nil
 	}
 	asked.round.open--
-	if asked.round.open > 0 || !w.isElsewhereReached(asked) {
+	if asked.round.open > 0 {
+		return nil, nil
+	}
+	if left := len(asked.round.waiting); left > 0 {
+		return nil, asked.ask(left)
+	}
+	if !w.isElsewhereReached(asked) {
 		return nil, nil
 	}
 	changes = []Change{asked.lose(now)}
@@ -365,7 +390,11 @@
 // tryAgain picks a runner of a zone that is out of reach, if it is time to. The time between two
 // tries is spread, so that routers do not try together.
 func (w *Watch) tryAgain(now time.Time, lost *zone) (Probe, bool) {
-	if lost.trying != 0 || now.Before(lost.retryAt) || len(lost.ids) == 0 {
+	ids := lost.ids
+	if len(ids) == 0 {
+		ids = lost.leaving
+	}
+	if lost.trying != 0 || now.Before(lost.retryAt) || len(ids) == 0 {
 		return Probe{}, false
 	}
 	if spread := time.Duration(w.random.Int64N(int64(firstRetry))); lost.confirmed == 0 && now.Before(lost.retryAt.Add(spread)) {
@@ -373,7 +402,7 @@
 	}
 	w.lastNumber++
 	lost.trying = w.lastNumber
-	return Probe{lost.id, lost.ids[w.random.IntN(len(lost.ids))], w.lastNumber}, true
+	return Probe{lost.id, ids[w.random.IntN(len(ids))], w.lastNumber}, true
 }
 
 // isSilent reports whether requests are under way and nothing has been heard for too long.
