The planner spreads replicas of what is asked for over zones, and follows callers there

Cause: residency knew no zone.

Ruled out: loading from the weight store for the sake of zones. On a site whose store serves one load at a time such a load holds up everybody who waits for 13 s.

Routers report their zone; demand is averaged by zone as it is in all. The leader's line and a metric tell models in demand that are ready in one zone alone.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -127,7 +127,9 @@
 
 // DemandArguments report what a router saw since its last report.
 type DemandArguments struct {
-	Router  string
+	Router string
+	// Zone is that of the router; empty if it has none, or is of a version before.
+	Zone    string
 	Demands []residency.Demand
 	// Doubted are runners that refused what they were thought to hold.
 	Doubted []string
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -66,6 +66,7 @@
 		if at.Sub(known.at) > routerLife {
 			delete(l.routers, name)
 			l.announcer.forget(name)
+			l.planner.ForgetRouter(name)
 		}
 	}
 	return len(l.routers)
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -24,6 +24,7 @@
 	storeLoads *prometheus.GaugeVec
 	storeLimit *prometheus.GaugeVec
 	coverage   *prometheus.GaugeVec
+	zoneBound  *prometheus.GaugeVec
 	stepTime   prometheus.Histogram
 	earlyViews prometheus.Counter
 	lost       prometheus.Gauge
@@ -75,6 +76,7 @@
 		unmet:      gauges("unmet_models", "Models that should be loaded and are not, by obstacle.", "obstacle"),
 		storeLoads: gauges("store_loads", "Loads from the weight store under way, by service.", "service"),
 		storeLimit: gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
+		zoneBound:  gauges("zone_bound_models", "Models in demand that are ready in one zone alone, though their service has several.", "service"),
 		coverage:   gauges("models", "Models by service and where they are: loaded, coming, copied (on a machine's disk or in its memory only) or absent.", "service", "where"),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
@@ -90,7 +92,7 @@
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
-			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
+			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage, made.zoneBound,
 			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials)
 	}
 	return made
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -301,6 +301,7 @@
 		return nil
 	}
 	current.mutex.Lock()
+	current.planner.SetRouterZone(arguments.Router, arguments.Zone)
 	current.planner.Observe(s.node.now(), arguments.Router, arguments.Demands)
 	if current.planner.IsAnyHeld(arguments.Demands) {
 		// The router waits for what it does not know to be there.
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -98,8 +98,9 @@
 func (l *leadership) coverages() string {
 	var listed []string
 	for _, found := range l.planner.Coverages() {
-		listed = append(listed, fmt.Sprintf("%s:%d loaded,%d coming,%d copied,%d absent,%d replicas", found.Service,
-			found.Loaded, found.Coming, found.Copied, found.Absent, found.Replicas))
+		listed = append(listed, fmt.Sprintf("%s:%d loaded,%d coming,%d copied,%d absent,%d replicas,%d in one zone", found.Service,
+			found.Loaded, found.Coming, found.Copied, found.Absent, found.Replicas, found.ZoneBound))
+		l.node.metrics.zoneBound.WithLabelValues(found.Service).Set(float64(found.ZoneBound))
 		for where, count := range map[string]int{
 			"loaded": found.Loaded, "coming": found.Coming, "copied": found.Copied, "absent": found.Absent,
 		} {
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -113,7 +113,7 @@
 	rate := min(p.modelDemand(wanted.row).rate, most)
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
-	cost := seconds * loadWeight
+	cost := seconds*loadWeight + p.zoneCost(known, wanted.row)
 	cost += seconds * found.adapterHarm
 	if wanted.isWaitedFor {
 		cost += seconds * arrivalWeight * rate
@@ -195,7 +195,7 @@
 		return (demand.rate + p.tally.idleRates[row.Service]) * horizon * harm
 	}
 	excess := demand.rate - p.capacity(others)*p.rateOf(row.Service)
-	return max(0, excess)*horizon + demand.rate*spareValue
+	return max(0, excess)*horizon + demand.rate*spareValue + p.zoneValue(known, row)
 }
 
 // loadTime is how long a load of the model at the runner takes, from where its machine has
--- a/placement/residency/coverage.go
+++ b/placement/residency/coverage.go
@@ -19,6 +19,8 @@
 	Absent int
 	// Replicas counts the loaded replicas of all models.
 	Replicas int
+	// ZoneBound counts models in demand that are ready in one zone alone, of several.
+	ZoneBound int
 }
 
 // Coverages lists the coverage of each service with models, as of the last tally.
@@ -34,7 +36,11 @@
 		}
 		found := Coverage{Service: service.Name}
 		for _, model := range service.Engine.Models {
-			found.add(p.tally, Row{Service: service.Name, Model: model.Name})
+			row := Row{Service: service.Name, Model: model.Name}
+			found.add(p.tally, row)
+			if p.isZoneBound(row) {
+				found.ZoneBound++
+			}
 		}
 		listed = append(listed, found)
 	}
--- a/placement/residency/demand.go
+++ b/placement/residency/demand.go
@@ -12,6 +12,8 @@
 	rate    float64
 	recent  float64
 	ratedAt time.Time
+	// byZone is the rate by the zone of the routers.
+	byZone zoneRates
 	// objective is the shortest of the requests that came lately.
 	objective time.Duration
 	// reports holds the newest report of each router.
@@ -56,7 +58,9 @@
 
 func (d *rowDemand) decay(now time.Time, rateTime time.Duration) {
 	if passed := now.Sub(d.ratedAt); passed > 0 && !d.ratedAt.IsZero() {
-		d.rate *= math.Exp(-passed.Seconds() / rateTime.Seconds())
+		left := math.Exp(-passed.Seconds() / rateTime.Seconds())
+		d.rate *= left
+		d.byZone.decay(left)
 		d.recent *= math.Exp(-passed.Seconds() / (rateTime.Seconds() * recentShare))
 	}
 	d.ratedAt = now
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -18,8 +18,9 @@
 	priority    int
 	// oldest is how long the oldest request has waited.
 	oldest time.Duration
-	// isFromCopy is set if the model is being loaded from the weight store, which takes longer
-	// than a load from a copy.
+	// isFromCopy is set if only a load from a copy will do: the model is being loaded from the weight
+	// store already, or one replica more is wanted only against the loss of a zone, for which nobody
+	// who waits for the store is held up.
 	isFromCopy bool
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
@@ -100,8 +101,9 @@
 	if found[row] != nil {
 		return
 	}
-	if gain := p.crowding(row); gain > 0 {
-		found[row] = &need{row: row, gain: gain}
+	crowding, zoneGain := p.crowding(row), p.zoneGain(row)
+	if crowding+zoneGain > 0 {
+		found[row] = &need{row: row, gain: crowding + zoneGain, isFromCopy: crowding == 0}
 	}
 }
 
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -21,6 +21,8 @@
 	demands    map[Row]*rowDemand
 	// idleDemand are by service.
 	idleDemand map[string]*idleDemand
+	// routerZones are by router.
+	routerZones map[string]string
 	// observedFrom is when the first demand was reported.
 	observedFrom time.Time
 	// stores bound the loads from the weight store, by service.
@@ -59,7 +61,10 @@
 		runners:    make(map[string]*runner),
 		demands:    make(map[Row]*rowDemand),
 		idleDemand: make(map[string]*idleDemand),
-		stores:     make(map[string]*weightstore.Limiter),
+
+		routerZones: make(map[string]string),
+
+		stores: make(map[string]*weightstore.Limiter),
 
 		recalledStores: make(map[string]recalledStore),
 		awaitedCopies:  make(map[Row]time.Time),
@@ -129,6 +134,7 @@
 			p.demands[demand.Row] = known
 		}
 		known.add(now, router, demand, p.options.RateTime)
+		known.addZone(p.routerZones[router], demand.Arrived, p.options.RateTime)
 		if demand.Arrived > 0 {
 			p.idleDemandOf(demand.Row.Service).observe(now, demand.Row.Model)
 		}
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -32,6 +32,10 @@
 	reserved map[Row]*runner
 	// kept counts the places at the weight stores that are kept, by service.
 	kept map[string]int
+	// zones lists those in which each service has runners, sorted, and zoneRates is the demand for
+	// models by zone.
+	zones     map[string][]string
+	zoneRates map[Row]zoneRates
 	// makingRoom says for which models a runner makes room.
 	makingRoom map[Row]bool
 }
@@ -63,6 +67,7 @@
 		reserved:     make(map[Row]*runner),
 		kept:         make(map[string]int),
 		makingRoom:   make(map[Row]bool),
+		zoneRates:    make(map[Row]zoneRates),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -72,6 +77,7 @@
 		total := t.demands[model]
 		total.rate += demand.rate
 		recent[model] += demand.recent
+		t.addZoneRates(model, demand.byZone)
 		if row.Adapter != "" {
 			t.adapterRates[model] += demand.rate
 		}
@@ -93,6 +99,7 @@
 		t.demands[model] = total
 	}
 	p.addIdleRates(now, t)
+	t.listZones()
 	for _, known := range t.sorted {
 		known.weighed = nil
 		t.addHoldings(known)
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -191,7 +191,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{
-		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
+		Router: r.options.Name, Zone: string(r.options.Zone), Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
 		Losses: losses, Endings: endings,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
