A router whose timers are late lets a few connections go, so that callers find another

Cause: a fifth of the routers of one customer has three times the processor of the rest, and all get alike. Nothing told a router that its machine cannot bear its callers.

Ruled out: withdrawing readiness (the entry then takes the machine out as a whole, and what it carried falls on the others at once), and the share of processor time used (what a quota really allows is not to be had in every container, while late timers are what callers feel, whatever the cause).

Readiness stays as it is.

--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -31,6 +31,10 @@
 	zonesLost  prometheus.Gauge
 	zoneLosses prometheus.Counter
 	zoneProbes prometheus.Counter
+	// lateness is by how much the router's timers are late, pressed is 1 while it lets connections go.
+	lateness prometheus.Gauge
+	pressed  prometheus.Gauge
+	letGo    prometheus.Counter
 	// named are the tenants with series of their own.
 	named sync.Map
 	count atomic.Int32
@@ -73,12 +77,15 @@
 		zonesLost:  gauge("zones_out_of_reach", "Zones of which no runner can be reached."),
 		zoneLosses: counter("zone_losses_total", "Times that a zone got out of reach.").WithLabelValues(),
 		zoneProbes: counter("zone_probes_total", "Connects made to learn whether a zone is reached.").WithLabelValues(),
+		lateness:   gauge("timers_late_seconds", "By how much the timers of the process usually are late."),
+		pressed:    gauge("at_limit", "1 while the router lets connections go as its machine is too slow for them."),
+		letGo:      counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
 		viewAt:     gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws,
-			made.zonesLost, made.zoneLosses, made.zoneProbes)
+			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.pressed, made.letGo)
 	}
 	return made
 }
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -64,6 +64,8 @@
 	// suspects are requests that may crash runners.
 	suspects suspects
 	zones    zones
+
+	pressure ownPressure
 }
 
 const (
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/zonewatch"
 	"github.com/lotusferry/lotusferry/structs"
@@ -102,16 +103,10 @@
 	r.zones.probing = ctx
 	r.mutex.Unlock()
 	defer r.endProbing()
-	ticker := time.NewTicker(zonePause)
-	defer ticker.Stop()
 	var lookedAt time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for due := r.now().Add(zonePause); pause.For(ctx, zonePause); due = r.now().Add(zonePause) {
 		now := r.now()
+		r.observeLateness(now, now.Sub(due))
 		r.mutex.Lock()
 		r.probe(r.zones.watch.Step(now))
 		if now.Sub(lookedAt) >= wayPause {
