Near runners spill over to far ones, a silent leader makes a router look for zones, connects are measured early

Cause: tests of the balance with zones showed that two samples, the first a near one, drew two near ones in a third of the choices however full they were. With that mended, few requests of a router go far, so that one inside a lost zone learned of it from the first that did, after a second or more; and connects to zones with little traffic kept the half second that an unknown network is given.

Change: beside the usual samples a far one is looked at where there are both. When the leader has not been heard for 0.7 s, one runner of each zone is connected to, and two more if it fails. Zones to which fewer than three connects were measured are connected to once a second until they are.

--- a/request/relay/connects.go
+++ b/request/relay/connects.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// isUnmeasured reports whether too little is known of connects to a zone.
+func (c *Connects) isUnmeasured(zone structs.ZoneID) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.times.IsMeasured(zone)
+}
+
 // ways returns how much longer than to a runner of the own zone the way to one of each other zone is,
 // there and back, as connects show; zones of which too little is known are left out.
 func (c *Connects) ways(own structs.ZoneID) map[structs.ZoneID]time.Duration {
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -20,11 +20,16 @@
 	// zonePause separates two looks at which zones are reached: a quarter of how long one may be
 	// silent.
 	zonePause = 50 * time.Millisecond
-	// wayPause separates two looks at how long the ways to the zones are, which change rarely.
+	// wayPause separates two looks at how long the ways to the zones are, which change rarely. Zones to which
+	// too few connects were made are connected to at each look: three times after the start, so that the
+	// first lost connect is noticed as soon as later ones.
 	wayPause = time.Second
 	// leaderSilence is after how long without a leader nobody is expected to load what no runner in
 	// reach holds: twice as long as a leader holds a watch.
 	leaderSilence = time.Second
+	// leaderQuiet is after how long without a leader all zones are asked, once in leaderSilence: a little
+	// longer than a leader holds a watch and its answer takes.
+	leaderQuiet = 700 * time.Millisecond
 )
 
 // reasonZoneLost is that of an attempt at a runner of a zone that got out of reach.
@@ -103,15 +108,20 @@
 	r.zones.probing = ctx
 	r.mutex.Unlock()
 	defer r.endProbing()
-	var lookedAt time.Time
+	var lookedAt, askedAt time.Time
 	for due := r.now().Add(zonePause); pause.For(ctx, zonePause); due = r.now().Add(zonePause) {
 		now := r.now()
 		r.observeLateness(now, now.Sub(due))
 		r.mutex.Lock()
 		r.probe(r.zones.watch.Step(now))
+		if now.Sub(r.granted.at) >= leaderQuiet && now.Sub(askedAt) >= leaderSilence && r.IsReady() {
+			askedAt = now
+			r.probe(r.zones.watch.LeaderSilent(now))
+		}
 		if now.Sub(lookedAt) >= wayPause {
 			lookedAt = now
 			r.balancer.SetWays(r.options.Connects.ways(r.options.Zone))
+			r.probe(r.zones.watch.Sample(r.options.Connects.isUnmeasured))
 		}
 		r.turnAwayHopeless()
 		r.mutex.Unlock()
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -70,9 +70,13 @@
 	lowest := 0.0
 	size := len(wanted.subset)
 	first := b.firstSample(wanted)
-	for choice := 0; choice < b.options.Choices && choice < size; choice++ {
+	choices := b.options.Choices + b.farSamples(wanted)
+	for choice := 0; choice < choices && choice < size; choice++ {
 		index := first
-		if choice > 0 {
+		switch {
+		case choice >= b.options.Choices:
+			index = wanted.far[b.random.IntN(len(wanted.far))]
+		case choice > 0:
 			index = (first + 1 + b.random.IntN(size-1)) % size
 		}
 		candidate := wanted.subset[index]
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -55,8 +55,9 @@
 	// replicas are all of the row, those on leaving runners too.
 	replicas []*replica
 	subset   []*replica
-	// near are the indexes in subset of those in the daemon's own zone.
-	near []int
+	// near are the indexes in subset of those in the daemon's own zone, far those of the others; both
+	// are empty without zones.
+	near, far []int
 }
 
 // load returns the requests on the runner as far as this router knows.
--- a/request/routing/zone.go
+++ b/request/routing/zone.go
@@ -73,12 +73,26 @@
 	return b.random.IntN(len(wanted.subset))
 }
 
-// listNear lists the replicas of the row's subset in the own zone.
+// farSamples is how many replicas are looked at beside the usual ones: a far one where there are both, so
+// that many near ones which all have much to do spill over.
+func (b *Balancer) farSamples(wanted *row) int {
+	if len(wanted.near) > 0 && len(wanted.far) > 0 {
+		return 1
+	}
+	return 0
+}
+
+// listNear lists which replicas of the row's subset are in the own zone.
 func (b *Balancer) listNear(current *row) {
-	current.near = current.near[:0]
+	current.near, current.far = current.near[:0], current.far[:0]
+	if b.options.Zone == "" {
+		return
+	}
 	for index, candidate := range current.subset {
-		if b.options.Zone != "" && candidate.runner.info.Zone == b.options.Zone {
+		if candidate.runner.info.Zone == b.options.Zone {
 			current.near = append(current.near, index)
+		} else {
+			current.far = append(current.far, index)
 		}
 	}
 }
--- a/request/zonewatch/connect.go
+++ b/request/zonewatch/connect.go
@@ -58,19 +58,24 @@
 
 // Timeout is how long a connect to a runner of the zone is given.
 func (c *ConnectTimes) Timeout(zone structs.ZoneID) time.Duration {
-	known := c.zones[zone]
-	if known == nil || known.count < leastConnects {
+	if !c.IsMeasured(zone) {
 		return MostConnectTimeout
 	}
+	known := c.zones[zone]
 	usual := known.mean + deviations*known.deviation
 	return min(MostConnectTimeout, max(LeastConnectTimeout, connectFactor*usual))
 }
 
+// IsMeasured reports whether enough connects to the zone were measured.
+func (c *ConnectTimes) IsMeasured(zone structs.ZoneID) bool {
+	known := c.zones[zone]
+	return known != nil && known.count >= leastConnects
+}
+
 // Mean is how long a connect to a runner of the zone takes on average; 0 if too few were measured.
 func (c *ConnectTimes) Mean(zone structs.ZoneID) time.Duration {
-	known := c.zones[zone]
-	if known == nil || known.count < leastConnects {
+	if !c.IsMeasured(zone) {
 		return 0
 	}
-	return known.mean
+	return c.zones[zone].mean
 }
--- a/request/zonewatch/watch.go
+++ b/request/zonewatch/watch.go
@@ -65,6 +65,7 @@
 	CauseConnect Cause = "a connect failed"
 	CauseSilence Cause = "open requests are silent"
 	CauseOther   Cause = "another zone is out of reach"
+	CauseLeader  Cause = "the leader is silent"
 )
 
 // Probe asks the caller to connect to a runner and to pass the outcome to Probed.
@@ -203,6 +204,28 @@
 	return w.suspect(now, known.zone, CauseConnect, id)
 }
 
+// LeaderSilent notes that the leader has not been heard for longer than usual: this router may be in a part
+// of the site that is cut off, and send so little elsewhere that its requests do not tell. It returns the
+// runners to ask.
+func (w *Watch) LeaderSilent(now time.Time) []Probe {
+	var probes []Probe
+	for _, each := range w.sorted() {
+		probes = append(probes, w.suspect(now, each, CauseLeader, "")...)
+	}
+	return probes
+}
+
+// Sample picks a runner of each zone in reach for which it is wanted, to learn how long a connect takes.
+func (w *Watch) Sample(isWanted func(structs.ZoneID) bool) []Probe {
+	var probes []Probe
+	for _, each := range w.sorted() {
+		if !each.isLost && len(each.ids) > 0 && isWanted(each.id) {
+			probes = append(probes, Probe{Zone: each.id, Runner: each.ids[w.random.IntN(len(each.ids))]})
+		}
+	}
+	return probes
+}
+
 // suspect begins a round, unless one is under way. The runner that raised the suspicion is not asked
 // if there are others enough.
 func (w *Watch) suspect(now time.Time, suspected *zone, cause Cause, raisedBy structs.RunnerID) []Probe {
@@ -218,7 +241,7 @@
 	ids = ids[:min(refusedWitnesses, len(ids))]
 	w.lastNumber++
 	suspected.round = &round{number: w.lastNumber, cause: cause, began: now, waiting: ids, needed: witnesses}
-	if cause == CauseSilence {
+	if cause == CauseSilence || cause == CauseLeader {
 		// Most silences have other causes: one runner that answers tells so at a third of the cost.
 		return suspected.ask(1)
 	}
