--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -191,7 +191,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{
-		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces, Attempts: attempts,
+		Router: r.options.Name, Zone: string(r.options.Zone), Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
+		Attempts: attempts,
 		Losses: losses, Endings: endings,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
