Sizes of prompts and their parts

Cause: a router knows how many tokens a request may take in all, for limits, but not how many of its prompt a runner has to read, so nothing can weigh prompts by the time that they take. Ruled out: to parse the parts where they are hashed: only platform/ knows how they are written. Change: relay.Size tells tokens of prompt, of answer and of each part of the prompt; Size.Uncached counts those after the parts that a runner keeps in its cache. A part without readable tokens counts for none: it only helps to choose, so that nothing is refused for it.

--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -51,10 +51,29 @@
 type Size struct {
 	// Tokens are those of the prompt and the most of the answer; below 0 if it does not say.
 	Tokens int64
+	// Prompt and Answer are the two that Tokens sums up; 0 if it does not say.
+	Prompt int64
+	Answer int64
+	// Parts are the tokens of each part of the prompt, in the order of Request.Parts; 0 for a
+	// part that does not say.
+	Parts []int64
 	// Problem tells the caller what is wrong with the size; empty for nothing.
 	Problem string
 }
 
+// Uncached is how many tokens of the prompt a runner reads that keeps so many of its first
+// parts in its cache. Of a prompt without parts nothing is kept.
+func (s Size) Uncached(cachedParts int) int64 {
+	if len(s.Parts) == 0 {
+		return s.Prompt
+	}
+	tokens := int64(0)
+	for _, part := range s.Parts[min(max(0, cachedParts), len(s.Parts)):] {
+		tokens += part
+	}
+	return tokens
+}
+
 // NoSize is the Tokens of a request that does not tell its size.
 const NoSize = -1
 
