What runners bear is learned from the time that they take

Ruled out: a fixed higher rate: two to five a second are right where streams are long. Change: placement/pace learns how slow each runner is beside the usual one, from low quantiles of the gaps of its newest streams, fitted over sizes of models; how many prompt tokens a second are read, from the first events of short and long prompts; and from these which part of requests is late at which rate (prompts in a row that take longer than callers are patient). The planner places by that; late streams at busy runners correct it. slowCapacity, slowFactor, slowHarm, maxSlowHarm, harmOfRate, crowdHarm, firstRateShare and the stepwise rate are gone. Routers report first events, prompt tokens and events of streams, and the gaps of long streams while they go on. A model in demand at a slow runner got no second replica at another slow one; now it gets one if the first bears no more, and the quick one where there is one: the test says both.

--- /dev/null
+++ b/placement/residency/bearing.go
@@ -0,0 +1,223 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/pace"
+	"github.com/lotusferry/lotusferry/placement/site"
+)
+
+const (
+	// busyShare is the part of what a runner is believed to bear from which its streams tell
+	// whether it bears that: late streams at runners with less to do have other causes.
+	busyShare = 0.7
+	// bearingSample is how many such streams must have ended before the belief is changed.
+	bearingSample = 24
+	// tooManyLate is the share of late ones from which a runner bears less than was believed,
+	// and fewLate that below which it bears more: on either side of the one in twenty that
+	// callers put up with.
+	tooManyLate = 0.1
+	fewLate     = 0.025
+	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
+	lessBorne = 0.9
+	moreBorne = 1.03
+	// leastScale and mostScale bound what streams make of the forecast.
+	leastScale = 0.5
+	mostScale  = 2
+	// servedSmoothing is the weight of a second in a runner's rate of streams.
+	servedSmoothing = 0.3
+	// workChange is by how much a figure of the work must change for what runners bear to be
+	// worked out anew.
+	workChange = 1.1
+)
+
+// bearing is what the runners of a service bear.
+type bearing struct {
+	// work is what it is worked out from; unknown until the streams tell.
+	work pace.Work
+	// loads are by slowness, of which there are few different ones.
+	loads map[float64]*pace.Load
+	// scale corrects the forecast by the streams that were late at busy runners.
+	scale float64
+	// seen and late count streams at busy runners since scale was last changed.
+	seen, late int
+}
+
+func (p *Planner) bearing(service string) *bearing {
+	known := p.bearings[service]
+	if known == nil {
+		known = &bearing{scale: 1, loads: make(map[float64]*pace.Load)}
+		p.bearings[service] = known
+	}
+	return known
+}
+
+// observeBearing counts a stream that has ended.
+func (p *Planner) observeBearing(known *runner, seen Pace) {
+	known.served++
+	if known.servedRate < busyShare*known.borne || known.borne <= 0 {
+		return
+	}
+	of := p.bearing(seen.Service)
+	of.seen++
+	if seen.Paused || seen.IsLate {
+		of.late++
+	}
+}
+
+// countServed brings the runner's rate of streams up to date.
+func (r *runner) countServed(passed time.Duration) {
+	if seconds := passed.Seconds(); seconds > 0 {
+		r.servedRate += servedSmoothing * (float64(r.served)/seconds - r.servedRate)
+	}
+	r.served = 0
+}
+
+// judgeBearing takes what was learned of the work, and of late streams.
+func (p *Planner) judgeBearing() {
+	for name, known := range p.bearings {
+		work := p.workOf(name)
+		if work.IsKnown() && !isAlike(known.work, work) {
+			if !known.work.IsKnown() {
+				known.scale = 1
+			}
+			known.work = work
+			clear(known.loads)
+		}
+		known.adjust()
+	}
+}
+
+// adjust corrects the forecast by the streams that have ended at busy runners.
+func (b *bearing) adjust() {
+	if b.seen < bearingSample {
+		return
+	}
+	switch share := float64(b.late) / float64(b.seen); {
+	case share > tooManyLate:
+		b.scale = max(leastScale, b.scale*lessBorne)
+	case share < fewLate:
+		b.scale = min(mostScale, b.scale*moreBorne)
+	}
+	b.seen, b.late = 0, 0
+}
+
+// isAlike reports whether two works need no other table.
+func isAlike(a, b pace.Work) bool {
+	isNear := func(a, b time.Duration) bool {
+		return float64(a) < workChange*float64(b) && float64(b) < workChange*float64(a)
+	}
+	return isNear(a.Reading, b.Reading) && isNear(a.Hindrance, b.Hindrance) && isNear(a.Stream, b.Stream) &&
+		a.Patience == b.Patience && a.Slots == b.Slots
+}
+
+// workOf is what the requests of a service take, with the patience of its most urgent route.
+func (p *Planner) workOf(name string) pace.Work {
+	work := p.paces.Work(name)
+	if p.document == nil {
+		return pace.Work{}
+	}
+	service := p.document.Service(name)
+	if service == nil || service.Engine == nil {
+		return pace.Work{}
+	}
+	work.Slots = service.Engine.Slots
+	for i := range p.document.Document.Routes {
+		route := &p.document.Document.Routes[i]
+		leads := slices.ContainsFunc(route.Split, func(share site.Share) bool { return share.Service == name })
+		if route.Kind != site.KindStream || !leads {
+			continue
+		}
+		for _, limit := range []time.Duration{route.Objective, route.MaxPause} {
+			if limit > 0 && (work.Patience == 0 || limit < work.Patience) {
+				work.Patience = limit
+			}
+		}
+	}
+	return work
+}
+
+// slownessOf is how many times as long as the usual one a runner takes, as far as is known.
+func (p *Planner) slownessOf(known *runner) float64 {
+	if slowness := p.judgements[known.status.Heartbeat.Instance].Slowness; slowness > 0 {
+		return slowness
+	}
+	return 1
+}
+
+// loadAt is the table of what a runner of the slowness bears; nil while that is not known.
+func (b *bearing) loadAt(slowness float64) *pace.Load {
+	if !b.work.IsKnown() {
+		return nil
+	}
+	load := b.loads[slowness]
+	if load == nil {
+		load = b.work.At(slowness)
+		b.loads[slowness] = load
+	}
+	return load
+}
+
+// borneAt is how many requests a second a runner of a service bears.
+func (p *Planner) borneAt(service string, slowness float64) float64 {
+	of := p.bearing(service)
+	if load := of.loadAt(slowness); load != nil {
+		return load.Borne() * of.scale
+	}
+	return p.options.ReplicaRate * of.scale / slowness
+}
+
+// lateAt is the part of the requests that are late at a runner at a rate of requests a second.
+func (p *Planner) lateAt(known *runner, rate float64) float64 {
+	of := p.bearing(known.status.Heartbeat.Service)
+	if load := of.loadAt(p.slownessOf(known)); load != nil {
+		return load.Late(rate / of.scale)
+	}
+	if rate <= known.borne {
+		return 0
+	}
+	return 1 - known.borne/rate
+}
+
+// spreadDemand works out how many requests a second each runner should get: those for a model go
+// to its replicas, the coming ones included, by what their runners bear.
+func (p *Planner) spreadDemand() {
+	for _, known := range p.tally.sorted {
+		known.borne = p.borneAt(known.status.Heartbeat.Service, p.slownessOf(known))
+		known.load = 0
+	}
+	for row, demand := range p.tally.demands {
+		replicas := p.replicas(row)
+		total := totalBorne(replicas)
+		for _, known := range replicas {
+			known.load += demand.rate * known.borne / total
+		}
+	}
+}
+
+// replicas lists the runners that hold the model or load it.
+func (p *Planner) replicas(row Row) []*runner { return slices.Concat(p.holders(row), p.coming(row)) }
+
+func totalBorne(runners []*runner) float64 {
+	total := 0.0
+	for _, known := range runners {
+		total += known.borne
+	}
+	return total
+}
+
+// leastRoom is the part of what a runner bears that a model there may count on beside others:
+// those that have more replicas leave it room.
+const leastRoom = 0.5
+
+// capacity is how many requests a second for the model the runners bear beside what else they
+// do, of the demand for it that replicas with totalBorne share now.
+func (p *Planner) capacity(runners []*runner, demand, total float64) float64 {
+	sum := 0.0
+	for _, known := range runners {
+		others := known.load - demand*known.borne/total
+		sum += max(known.borne*leastRoom, known.borne-others)
+	}
+	return sum
+}
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -50,9 +50,6 @@
 	freeMB float64
 	// candidates may make way, the least valuable first.
 	candidates []candidate
-	// load is the demand in requests a second that the runner's replicas should get: all of
-	// them share its batch.
-	load float64
 	// adapterHarm is how many requests a second must wait for an adapter while the runner
 	// takes no order because it loads a model.
 	adapterHarm float64
@@ -74,9 +71,6 @@
 	unobserved := p.unobserved(now)
 	for name, held := range known.holdings {
 		row := known.rowOf(name)
-		if replicas := len(p.holders(row)) + len(p.coming(row)); replicas > 0 && held.phase != phaseUnloading {
-			found.load += p.modelDemand(row).rate / float64(replicas)
-		}
 		if replicas := len(p.holders(row)); replicas > 0 {
 			found.adapterHarm += p.tally.adapterRates[row] / float64(replicas) * adapterMiss
 		}
@@ -98,9 +92,6 @@
 	return found
 }
 
-// crowdHarm is the part of the requests above what a runner should get that are late.
-const crowdHarm = 0.2
-
 // adapterMiss is the part of the requests for adapters that need one which the runner
 // does not hold yet.
 const adapterMiss = 0.5
@@ -109,8 +100,7 @@
 // well the runner can serve the model beside what it holds.
 func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) float64 {
 	found := p.weigh(now, known, engine)
-	most := p.rateOf(wanted.row.Service)
-	rate := min(p.modelDemand(wanted.row).rate, most)
+	rate := min(p.modelDemand(wanted.row).rate, p.borneAt(wanted.row.Service, 1))
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
 	cost := seconds * loadWeight
@@ -119,14 +109,18 @@
 		cost += seconds * arrivalWeight * rate
 	}
 	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
-		cost += crowdHarm * max(0, found.load+rate-most) * horizon
-	}
-	if p.isSlow(known) {
-		cost += slowHarm(rate) * rate * horizon
+		cost += p.addedLate(known, rate) * horizon
 	}
 	return cost
 }
 
+// addedLate is how many requests a second are late at a runner that were not, if it gets so many
+// more: those for all of its models share its time.
+func (p *Planner) addedLate(known *runner, rate float64) float64 {
+	both := known.load + rate
+	return both*p.lateAt(known, both) - known.load*p.lateAt(known, known.load)
+}
+
 // isIdle reports whether no request uses the model at the runner, nor waits for it.
 func (p *Planner) isIdle(now time.Time, known *runner, name string, held *holding) bool {
 	if now.Sub(held.usedAt) < p.options.IdleTime {
@@ -144,7 +138,12 @@
 // go to the others.
 func (p *Planner) isSpare(known *runner, row Row) bool {
 	others := p.holdersBut(known, row)
-	return len(others) > 0 && p.modelDemand(row).rate <= spareShare*p.capacity(others)*p.rateOf(row.Service)
+	return len(others) > 0 && p.modelDemand(row).rate <= spareShare*p.capacityFor(row, others)
+}
+
+// capacityFor is what some of a model's replicas bear of the demand for it.
+func (p *Planner) capacityFor(row Row, runners []*runner) float64 {
+	return p.capacity(runners, p.modelDemand(row).rate, totalBorne(p.replicas(row)))
 }
 
 // holdersBut lists the runners but one on which requests may use the model.
@@ -194,8 +193,8 @@
 		}
 		return (demand.rate + p.tally.idleRates[row.Service]) * horizon * harm
 	}
-	excess := demand.rate - p.capacity(others)*p.rateOf(row.Service)
-	return max(0, excess)*horizon + demand.rate*spareValue
+	excess := demand.rate - p.capacityFor(row, others)
+	return min(max(0, excess), known.borne)*horizon + demand.rate*spareValue
 }
 
 // loadTime is how long a load of the model at the runner takes, from where its machine has
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -106,43 +106,40 @@
 }
 
 const (
-	// slowCapacity is what a slow runner's replica counts for.
-	slowCapacity = 0.3
 	// spareRate is the demand in requests a second from which a model should have a
 	// second replica, and spareGain the part of the requests that one is worth.
 	spareRate = 1
 	spareGain = 0.1
 )
 
-// capacity is how many quick replicas the runners count for.
-func (p *Planner) capacity(runners []*runner) float64 {
-	total := 0.0
-	for _, known := range runners {
-		if p.isSlow(known) {
-			total += slowCapacity
-		} else {
-			total++
-		}
-	}
-	return total
-}
-
 // crowding is how many requests of the horizon would be in time with one more replica
-// of the model. Too many for the replicas, those on their way included, are late, and
-// so are some of those that only slow runners can serve. A model in demand that has a
-// single replica would be lost with its runner, which counts a little.
+// of the model. Too many for what the replicas bear, those on their way included, are late,
+// and so are some of those at runners that do too much else or are slow; but another replica
+// serves no more than a usual runner bears. A model in demand that has a single replica would be
+// lost with its runner, which counts a little.
 func (p *Planner) crowding(row Row) float64 {
-	replicas := slices.Concat(p.holders(row), p.coming(row))
+	replicas := p.replicas(row)
 	rate := p.modelDemand(row).rate
 	if len(replicas) == 0 {
 		return 0
 	}
-	gain := max(0, rate-p.capacity(replicas)*p.rateOf(row.Service))
+	total := totalBorne(replicas)
+	gain := max(0, rate-p.capacity(replicas, rate, total))
+	for _, known := range replicas {
+		gain = max(gain, p.lateThere(known, rate*known.borne/total))
+	}
+	gain = min(gain, p.borneAt(row.Service, 1))
 	if len(replicas) == 1 && rate > spareRate {
 		gain = max(gain, rate*spareGain)
 	}
-	if !slices.ContainsFunc(replicas, func(known *runner) bool { return !p.isSlow(known) }) {
-		gain = max(gain, rate*slowHarm(rate))
-	}
 	return gain * p.options.Horizon.Seconds()
 }
+
+// lateThere is how many of the requests for a model that a runner gets are late, if they are
+// more than callers put up with.
+func (p *Planner) lateThere(known *runner, rate float64) float64 {
+	if known.load <= known.borne {
+		return 0
+	}
+	return rate * p.lateAt(known, known.load)
+}
--- a/placement/residency/options.go
+++ b/placement/residency/options.go
@@ -26,8 +26,8 @@
 	RateTime time.Duration
 	// DemandLife is how long a router's report counts.
 	DemandLife time.Duration
-	// ReplicaRate is how many requests a second one replica should get at most; less if
-	// its streams pause for too long.
+	// ReplicaRate is how many requests a second a usual runner is taken to bear until the
+	// streams tell.
 	ReplicaRate float64
 	// Horizon is how far ahead gains and losses are weighed.
 	Horizon time.Duration
@@ -46,7 +46,7 @@
 	option.Positive(&o.IdleTime, 350*time.Millisecond)
 	option.Positive(&o.RateTime, 8*time.Second)
 	option.Positive(&o.DemandLife, 2*time.Second)
-	option.Positive(&o.ReplicaRate, 5)
+	option.Positive(&o.ReplicaRate, 4)
 	option.Positive(&o.Horizon, 10*time.Second)
 	option.Positive(&o.StoreWindow, 5*time.Second)
 	option.Positive(&o.StoreShare, 0.9)
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/pace"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/placement/weightstore"
 )
@@ -29,14 +30,17 @@
 	recalledStores map[string]recalledStore
 	// awaitedCopies is since when a copy of a model has been waited for.
 	awaitedCopies map[Row]time.Time
-	paces         paces
-	// rates are by service.
-	rates map[string]*replicaRate
+	// paces learns what work takes at the runners.
+	paces  *pace.Learner
+	pauses pauses
+	// bearings are by service.
+	bearings map[string]*bearing
 	// judgements is by instance, as of judgedAt; judged are those that have changed.
 	judgements map[string]Judgement
 	judgedAt   time.Time
 	judged     []Judgement
-	slowPlaces map[place]bool
+	// slowness is what was last believed of the runner in each place.
+	slowness map[place]float64
 	// questions may be asked, as of questionsAt.
 	questions   float64
 	questionsAt time.Time
@@ -64,10 +68,11 @@
 		recalledStores: make(map[string]recalledStore),
 		awaitedCopies:  make(map[Row]time.Time),
 
-		paces:      make(paces),
-		rates:      make(map[string]*replicaRate),
+		paces:      pace.NewLearner(),
+		pauses:     make(pauses),
+		bearings:   make(map[string]*bearing),
 		judgements: make(map[string]Judgement),
-		slowPlaces: make(map[place]bool),
+		slowness:   make(map[place]float64),
 		arrived:    make(map[Row]bool),
 	}
 }
@@ -101,6 +106,7 @@
 		wasHeard := known.status.Heartbeat.Instance != "" && !known.status.Recalled
 		isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
 		known.status = status
+		p.paces.Expect(now, instance, p.slowness[known.place()])
 		if isNew {
 			known.isGone = false
 			known.noteCopies()
@@ -114,7 +120,9 @@
 			delete(p.runners, instance)
 		}
 	}
-	p.paces.forget(func(instance string) bool { return listed[instance] })
+	isListed := func(instance string) bool { return listed[instance] }
+	p.paces.Forget(isListed)
+	p.pauses.forget(isListed)
 }
 
 // Observe takes a router's report of demand.
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -99,6 +99,7 @@
 		t.addRunner(known, p.mayOrder(known))
 	}
 	p.tally = t
+	p.spreadDemand()
 }
 
 // addIdleRates works out the demand to expect for models that nobody asks for.
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -125,13 +125,27 @@
 	Expected time.Duration
 }
 
-// Pace is how quickly a runner made the events of a stream.
+// Pace is what a router saw of a stream at a runner that it was sent to first.
 type Pace struct {
 	Service  string
 	Model    string
 	Instance string
-	// Gap is the usual time between two events; 0 if there were too few to tell.
+	// Gap is the lower quartile of the times between two events; 0 if there were too few to
+	// tell, or if an earlier Pace of the stream told it.
 	Gap time.Duration
 	// Paused is set if one of them was longer than the route allows.
 	Paused bool
+	// IsUnderWay is set if the stream goes on: Paused, IsLate and Events say nothing yet. A
+	// leader of a version before takes it for one that did not pause.
+	IsUnderWay bool
+	// First is the time from sending the request to the first event; 0 for none.
+	First time.Duration
+	// IsLate is set if that is longer than the objective.
+	IsLate bool
+	// Prompt is how many tokens of the prompt the runner had to read as far as the router
+	// knows, and Own how many of them no other prompt has.
+	Prompt int64
+	Own    int64
+	// Events is how many events a stream had that came whole.
+	Events int
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -95,11 +95,8 @@
 	// its answer was sent.
 	waited  time.Duration
 	begunAt time.Time
-	// passedAt is when events were last passed on, and pause the longest time between.
-	passedAt time.Time
-	pause    time.Duration
-	// gaps are the first times between events that came one by one.
-	gaps []time.Duration
+	// seen is what was seen of the stream of the answer.
+	seen streamTiming
 }
 
 // Serve answers a request. It panics with http.ErrAbortHandler when an answer that
@@ -224,7 +221,7 @@
 		}
 		if last.isDone {
 			x.count(last.name())
-			x.notePace(choice)
+			x.notePace(last)
 			x.logServed(choice, last)
 			return
 		}
@@ -282,6 +279,7 @@
 	watchdog := x.watch(choice, cancel)
 	defer watchdog.stop()
 	x.sent++
+	x.seen.sent(choice.Runner())
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
 		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
--- a/request/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -45,7 +45,7 @@
 func (x *exchange) logServed(choice routing.Choice, ended result) {
 	first := x.begunAt.Sub(x.request.Arrived)
 	isLate := x.isStarted && x.route.Objective > 0 && first > x.route.Objective ||
-		x.route.MaxPause > 0 && x.pause > x.route.MaxPause
+		x.route.MaxPause > 0 && x.seen.pause > x.route.MaxPause
 	if isLate {
 		x.router.metrics.late.WithLabelValues(kindName(x.route.Kind)).Inc()
 	}
@@ -54,7 +54,7 @@
 	}
 	level.Info(x.router.logger).Log("msg", "A request was answered.", "request", x.request.ID, "content", x.digest, "route", x.route.Name,
 		"runner", choice.Runner(), "model", x.row.Model, "adapter", x.row.Adapter, "late", isLate, "first", first,
-		"waited", x.waited, "pause", x.pause, "sent", x.sent, "age", x.router.age(x.request), "version", x.version, "outcome", ended.reason)
+		"waited", x.waited, "pause", x.seen.pause, "sent", x.sent, "age", x.router.age(x.request), "version", x.version, "outcome", ended.reason)
 }
 
 // servedLogSample is how many ordinary answers one line stands for.
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -30,6 +30,8 @@
 	deferred chan time.Duration
 	// granted gets the choice; it has room for one.
 	granted chan routing.Choice
+	// cachedParts is how many parts of the prompt the chosen runner probably keeps.
+	cachedParts int
 }
 
 // rowState is what a router counts for a row between two reports.
@@ -106,6 +108,7 @@
 	if !found {
 		return choice, false
 	}
+	wanted.cachedParts = choice.Cached(wanted.prefixes)
 	choice.Sent(at, wanted.prefixes)
 	r.rowState(wanted.row).active[choice.Runner()]++
 	return choice, true
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -5,12 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
-	"github.com/lotusferry/lotusferry/placement/residency"
-	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // relayStream passes on whole events, each as it comes.
@@ -72,41 +70,15 @@
 	if written == 0 {
 		return nil
 	}
-	x.notePassed(written)
-	return controller.Flush()
-}
-
-const (
-	// maxGaps are the gaps kept of a stream, minGaps the least that tell its pace.
-	maxGaps = 48
-	minGaps = 8
-)
-
-// notePassed notes that events were passed on now.
-func (x *exchange) notePassed(events int) {
-	at := time.Now()
-	if !x.passedAt.IsZero() {
-		gap := at.Sub(x.passedAt)
-		x.pause = max(x.pause, gap)
-		if events == 1 && len(x.gaps) < maxGaps {
-			x.gaps = append(x.gaps, gap)
-		}
+	x.seen.passed(time.Now(), written)
+	if x.seen.tellsGap() {
+		x.noteGap()
 	}
-	x.passedAt = at
+	return controller.Flush()
 }
 
-// notePace tells the router the usual gap of a stream that one runner made.
-func (x *exchange) notePace(choice routing.Choice) {
-	if x.route.Kind != site.KindStream || x.attempts != 1 || x.row.Model == "" {
-		return
-	}
-	pace := residency.Pace{
-		Service: x.row.Service, Model: x.row.Model, Instance: string(choice.Runner()),
-		Paused: x.route.MaxPause > 0 && x.pause > x.route.MaxPause,
-	}
-	if len(x.gaps) >= minGaps {
-		slices.Sort(x.gaps)
-		pace.Gap = x.gaps[len(x.gaps)/4]
-	}
-	x.router.notePace(pace)
+// sent notes that the request is sent to a runner now.
+func (s *streamTiming) sent(runner structs.RunnerID) {
+	s.runner = runner
+	s.sentAt = time.Now()
 }
