--- a/placement/pace/learner.go
+++ b/placement/pace/learner.go
@@ -68,10 +68,7 @@
 	if known == nil {
 		return
 	}
-	slowness := 1.0
-	if known.slowness > 0 {
-		slowness = known.slowness
-	}
+	slowness := l.believed(seen.Instance)
 	of := l.service(seen.Class.Service)
 	of.prompts.add(seen, slowness)
 	if seen.Gap <= 0 {
@@ -105,7 +102,7 @@
 			gaps[instance] = found
 		}
 	}
-	found := newFitting(gaps)
+	found := newFitting(gaps, l.believed)
 	for class, usual := range found.usual {
 		l.usual[class] = usual
 	}
@@ -120,6 +117,14 @@
 	l.judgeServices(found)
 }
 
+// believed is the slowness of a runner, 1 if nothing tells.
+func (l *Learner) believed(instance string) float64 {
+	if known := l.runners[instance]; known != nil && known.slowness > 0 {
+		return known.slowness
+	}
+	return 1
+}
+
 // fading is the slowness that is believed of a runner that was last seen a while ago.
 func (s *speed) fading(now time.Time) float64 {
 	over := now.Sub(s.seenAt) - believedFor
--- a/placement/pace/speeds.go
+++ b/placement/pace/speeds.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,8 +20,9 @@
 	// that so many streams take. Noise stretches single events, and prompts in between never
 	// all of a stream.
 	turnedGaps   = 4
-	turnedFactor = 2.5
-	// fits is how often runners and classes are fitted to each other in turn.
+	turnedFactor = 3
+	// fits is how often runners and classes are fitted to each other in turn, beginning with
+	// what was believed: the next judgements go on.
 	fits = 6
 )
 
@@ -90,8 +92,9 @@
 	usual    map[Class]float64
 }
 
-// newFitting leaves out what cannot be compared: classes at a single runner.
-func newFitting(gaps map[string]map[Class]float64) *fitting {
+// newFitting begins with what was believed of the runners, and leaves out what cannot be
+// compared: classes at a single runner.
+func newFitting(gaps map[string]map[Class]float64, believed func(instance string) float64) *fitting {
 	f := &fitting{gaps: gaps, slowness: make(map[string]float64), usual: make(map[Class]float64)}
 	holders := make(map[Class]int)
 	for _, byClass := range gaps {
@@ -100,12 +103,9 @@
 		}
 	}
 	for instance, byClass := range gaps {
-		for class := range byClass {
-			if holders[class] > 1 {
-				f.slowness[instance] = 1
-			} else {
-				delete(byClass, class)
-			}
+		maps.DeleteFunc(byClass, func(class Class, _ float64) bool { return holders[class] < 2 })
+		if len(byClass) > 0 {
+			f.slowness[instance] = believed(instance)
 		}
 	}
 	for range fits {
@@ -116,49 +116,81 @@
 	return f
 }
 
+// fitUsual takes the geometric mean of a class's gaps, each by the slowness of its runner.
 func (f *fitting) fitUsual() {
-	byClass := make(map[Class][]float64)
+	sums, counts := make(map[Class]float64), make(map[Class]float64)
 	for instance, classes := range f.gaps {
 		for class, seconds := range classes {
-			byClass[class] = append(byClass[class], seconds/f.slowness[instance])
+			sums[class] += math.Log(seconds / f.slowness[instance])
+			counts[class]++
 		}
 	}
-	for class, each := range byClass {
-		f.usual[class] = median(each)
+	for class, sum := range sums {
+		f.usual[class] = math.Exp(sum / counts[class])
 	}
 }
 
+// fitSlowness takes the geometric mean of a runner's gaps, each by what is usual in its class.
 func (f *fitting) fitSlowness() {
 	for instance, classes := range f.gaps {
-		sum, count := 0.0, 0
+		sum := 0.0
 		for class, seconds := range classes {
 			sum += math.Log(seconds / f.usual[class])
-			count++
 		}
-		if count > 0 {
-			f.slowness[instance] = math.Exp(sum / float64(count))
+		if len(classes) > 0 {
+			f.slowness[instance] = math.Exp(sum / float64(len(classes)))
 		}
 	}
 }
 
-// center makes the middle runner of each service the usual one.
+// center makes the middle one of the runners that can be compared with each other the usual one.
 func (f *fitting) center() {
-	byService := make(map[string][]float64)
+	kin := f.kin()
+	alike := make(map[Class][]float64)
+	kinOf := make(map[string]Class)
 	for instance, classes := range f.gaps {
 		for class := range classes {
-			byService[class.Service] = append(byService[class.Service], f.slowness[instance])
+			kinOf[instance] = kin[class]
+			alike[kin[class]] = append(alike[kin[class]], f.slowness[instance])
 			break
 		}
 	}
 	for class := range f.usual {
-		f.usual[class] *= median(byService[class.Service])
+		f.usual[class] *= median(alike[kin[class]])
 	}
-	for instance, classes := range f.gaps {
+	for instance, class := range kinOf {
+		f.slowness[instance] /= median(alike[class])
+	}
+}
+
+// kin names for each class the one that stands for all classes which runners link with it: each
+// by a runner that holds both, or over others.
+func (f *fitting) kin() map[Class]Class {
+	parents := make(map[Class]Class)
+	root := func(class Class) Class {
+		for parents[class] != class {
+			class = parents[class]
+		}
+		return class
+	}
+	for _, classes := range f.gaps {
+		var first *Class
 		for class := range classes {
-			f.slowness[instance] /= median(byService[class.Service])
-			break
+			if _, isKnown := parents[class]; !isKnown {
+				parents[class] = class
+			}
+			if first == nil {
+				first = &class
+				continue
+			}
+			parents[root(class)] = root(*first)
 		}
 	}
+	found := make(map[Class]Class, len(parents))
+	for class := range parents {
+		found[class] = root(class)
+	}
+	return found
 }
 
 // median is the middle of the values, the lesser of the two of an even number: of two runners
