What is believed of runners' paces is served; messages and views that carry it

Cause: an operator saw which runners were judged slow, and nothing of why a model got replicas. Change: the leader's line about the demand, and five metrics, tell of each service what the usual runner reads and makes, what it bears, by how much late streams corrected that, how many runners are slow or unknown, and the error of the forecasts.

--- a/placement/domainapi/versions_test.go
+++ b/placement/domainapi/versions_test.go
@@ -6,11 +6,13 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -73,6 +75,41 @@
 	c.Assert(reply, qt.Equals, watchReplyBefore{Term: 3, Routers: 2})
 }
 
+// demandArgumentsBefore has the fields of paces that the version before knows.
+type demandArgumentsBefore struct {
+	Router string
+	Paces  []paceBefore
+}
+
+type paceBefore struct {
+	Service  string
+	Model    string
+	Instance string
+	Gap      time.Duration
+	Paused   bool
+}
+
+// A leader of the version before goes by gaps and pauses. Reports of its routers tell nothing of
+// prompts here.
+func TestPacesAreReadByTheVersionBeforeAndTheOtherWayRound(t *testing.T) {
+	c := qt.New(t)
+	told := residency.Pace{
+		Service: "s", Model: "m", Instance: "i", Gap: 21 * time.Millisecond, Paused: true,
+		First: 40 * time.Millisecond, IsLate: true, Prompt: 646, Own: 491, Events: 10,
+	}
+	before := paceBefore{Service: "s", Model: "m", Instance: "i", Gap: 21 * time.Millisecond, Paused: true}
+	var buf bytes.Buffer
+	c.Assert(gob.NewEncoder(&buf).Encode(&DemandArguments{Router: "r", Paces: []residency.Pace{told}}), qt.IsNil)
+	var read demandArgumentsBefore
+	c.Assert(gob.NewDecoder(&buf).Decode(&read), qt.IsNil)
+	c.Assert(read, qt.DeepEquals, demandArgumentsBefore{Router: "r", Paces: []paceBefore{before}})
+	buf.Reset()
+	c.Assert(gob.NewEncoder(&buf).Encode(&read), qt.IsNil)
+	var arguments DemandArguments
+	c.Assert(gob.NewDecoder(&buf).Decode(&arguments), qt.IsNil)
+	c.Assert(arguments.Paces, qt.DeepEquals, []residency.Pace{{Service: "s", Model: "m", Instance: "i", Gap: 21 * time.Millisecond, Paused: true}})
+}
+
 func TestReservationsOutliveASnapshot(t *testing.T) {
 	c := qt.New(t)
 	machine := domain.NewMachine()
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -30,6 +30,11 @@
 	losses     prometheus.Counter
 	suspects   *prometheus.GaugeVec
 	trials     *prometheus.CounterVec
+	promptRate *prometheus.GaugeVec
+	eventTime  *prometheus.GaugeVec
+	borne      *prometheus.GaugeVec
+	paceError  *prometheus.GaugeVec
+	speeds     *prometheus.GaugeVec
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -85,13 +90,19 @@
 		suspects:   gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
 		trials:     vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
 		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
+		promptRate: gauges("prompt_tokens_per_second", "Prompt tokens that the usual runner reads a second, as learned, by service; 0 until it is known.", "service"),
+		eventTime:  gauges("event_seconds", "Time between two events of a stream at the usual runner while it reads no prompt, as learned, by service.", "service"),
+		borne:      gauges("borne_requests_per_second", "Requests a second that a usual runner is believed to bear, by service.", "service"),
+		paceError:  gauges("pace_error_ratio", "Mean part by which forecasts of the time between two events were wrong, by service.", "service"),
+		speeds:     gauges("runner_speeds", "Runners by service and speed: slow, or unknown as nothing tells.", "service", "speed"),
 		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
 			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
-			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials)
+			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials,
+			made.promptRate, made.eventTime, made.borne, made.paceError, made.speeds)
 	}
 	return made
 }
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -48,7 +48,23 @@
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
 		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
-		"coverage", coverage, "limits", l.limitStates(at))
+		"coverage", coverage, "paces", l.paceStates(), "limits", l.limitStates(at))
+}
+
+// paceStates tells what is believed of the runners of each service. It runs under the mutex.
+func (l *leadership) paceStates() string {
+	var listed []string
+	for _, state := range l.planner.PaceStates() {
+		listed = append(listed, fmt.Sprintf("%s:%.0f tokens/s,%v,%.1f/s borne,scale %.2f,%d slow,%d unknown,error %.2f", state.Service,
+			state.Usual.PromptRate, state.Usual.Event, state.Borne, state.Scale, state.Slow, state.Unknown, state.Error))
+		l.node.metrics.promptRate.WithLabelValues(state.Service).Set(state.Usual.PromptRate)
+		l.node.metrics.eventTime.WithLabelValues(state.Service).Set(state.Usual.Event.Seconds())
+		l.node.metrics.borne.WithLabelValues(state.Service).Set(state.Borne)
+		l.node.metrics.paceError.WithLabelValues(state.Service).Set(state.Error)
+		l.node.metrics.speeds.WithLabelValues(state.Service, "slow").Set(float64(state.Slow))
+		l.node.metrics.speeds.WithLabelValues(state.Service, "unknown").Set(float64(state.Unknown))
+	}
+	return strings.Join(listed, " ")
 }
 
 // limitStates tells of the tenants that have used most of their limits: what was drawn a second,
--- a/placement/residency/judge.go
+++ b/placement/residency/judge.go
@@ -146,3 +146,50 @@
 	}
 	return p.paces.Runner(known.status.Heartbeat.Service, instance)
 }
+
+// PaceState is what is believed of the runners of a service together.
+type PaceState struct {
+	Service string
+	// Usual is what work takes at its usual runner.
+	Usual pace.Runner
+	// Error is the mean part by which forecasts of the time between two events were wrong.
+	Error float64
+	// Borne is how many requests a second a usual runner bears, and Scale by how much late
+	// streams have corrected that.
+	Borne float64
+	Scale float64
+	// Slow counts the runners that are slow, and Unknown those of which nothing tells.
+	Slow    int
+	Unknown int
+}
+
+// PaceStates lists what is believed of the services whose runners run models, by name.
+func (p *Planner) PaceStates() []PaceState {
+	states := make(map[string]*PaceState)
+	for instance, known := range p.runners {
+		name := known.status.Heartbeat.Service
+		if p.engineOf(known) == nil {
+			continue
+		}
+		state := states[name]
+		if state == nil {
+			state = &PaceState{
+				Service: name, Usual: p.paces.Runner(name, ""), Error: p.paces.Error(name),
+				Borne: p.borneAt(name, 1), Scale: p.bearing(name).scale,
+			}
+			states[name] = state
+		}
+		switch found := p.judgements[instance]; {
+		case found.IsSlow:
+			state.Slow++
+		case found.Slowness == 0:
+			state.Unknown++
+		}
+	}
+	listed := make([]PaceState, 0, len(states))
+	for _, state := range states {
+		listed = append(listed, *state)
+	}
+	slices.SortFunc(listed, func(a, b PaceState) int { return strings.Compare(a.Service, b.Service) })
+	return listed
+}
