--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -168,23 +168,43 @@
 	return p.options.ReplicaRate * of.scale / slowness
 }
 
-// lateAt is the part of the requests that are late at a runner at a rate of requests a second.
-func (p *Planner) lateAt(known *runner, rate float64) float64 {
-	of := p.bearing(known.status.Heartbeat.Service)
-	if load := of.loadAt(p.slownessOf(known)); load != nil {
-		return load.Late(rate / of.scale)
+// capability is what one runner bears, looked up once for each plan.
+type capability struct {
+	// borne is how many requests a second it bears, and usual how many a usual runner of its
+	// service does.
+	borne float64
+	usual float64
+	// table tells which part of requests is late at which rate, corrected by scale; nil while
+	// that is not known.
+	table *pace.Load
+	scale float64
+}
+
+func (p *Planner) capabilityOf(known *runner) capability {
+	service, slowness := known.status.Heartbeat.Service, p.slownessOf(known)
+	of := p.bearing(service)
+	return capability{
+		borne: p.borneAt(service, slowness), usual: p.borneAt(service, 1),
+		table: of.loadAt(slowness), scale: of.scale,
 	}
-	if rate <= known.borne {
+}
+
+// lateAt is the part of the requests that are late at a rate of requests a second.
+func (c *capability) lateAt(rate float64) float64 {
+	switch {
+	case c.table != nil:
+		return c.table.Late(rate / c.scale)
+	case rate <= c.borne:
 		return 0
 	}
-	return 1 - known.borne/rate
+	return 1 - c.borne/rate
 }
 
 // spreadDemand works out how many requests a second each runner should get: those for a model go
 // to its replicas, the coming ones included, by what their runners bear.
 func (p *Planner) spreadDemand() {
 	for _, known := range p.tally.sorted {
-		known.borne = p.borneAt(known.status.Heartbeat.Service, p.slownessOf(known))
+		known.capability = p.capabilityOf(known)
 		known.load = 0
 	}
 	for row, demand := range p.tally.demands {
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -100,7 +100,7 @@
 // well the runner can serve the model beside what it holds.
 func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) float64 {
 	found := p.weigh(now, known, engine)
-	rate := min(p.modelDemand(wanted.row).rate, p.borneAt(wanted.row.Service, 1))
+	rate := min(p.modelDemand(wanted.row).rate, known.usual)
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
 	cost := seconds * loadWeight
@@ -109,16 +109,16 @@
 		cost += seconds * arrivalWeight * rate
 	}
 	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
-		cost += p.addedLate(known, rate) * horizon
+		cost += known.addedLate(rate) * horizon
 	}
 	return cost
 }
 
 // addedLate is how many requests a second are late at a runner that were not, if it gets so many
 // more: those for all of its models share its time.
-func (p *Planner) addedLate(known *runner, rate float64) float64 {
-	both := known.load + rate
-	return both*p.lateAt(known, both) - known.load*p.lateAt(known, known.load)
+func (r *runner) addedLate(rate float64) float64 {
+	both := r.load + rate
+	return both*r.lateAt(both) - r.load*r.lateAt(r.load)
 }
 
 // isIdle reports whether no request uses the model at the runner, nor waits for it.
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -126,7 +126,7 @@
 	total := totalBorne(replicas)
 	gain := max(0, rate-p.capacity(replicas, rate, total))
 	for _, known := range replicas {
-		gain = max(gain, p.lateThere(known, rate*known.borne/total))
+		gain = max(gain, known.lateThere(rate*known.borne/total))
 	}
 	gain = min(gain, p.borneAt(row.Service, 1))
 	if len(replicas) == 1 && rate > spareRate {
@@ -135,11 +135,11 @@
 	return gain * p.options.Horizon.Seconds()
 }
 
-// lateThere is how many of the requests for a model that a runner gets are late, if they are
+// lateThere is how many of the requests for a model that the runner gets are late, if they are
 // more than callers put up with.
-func (p *Planner) lateThere(known *runner, rate float64) float64 {
-	if known.load <= known.borne {
+func (r *runner) lateThere(rate float64) float64 {
+	if r.load <= r.borne {
 		return 0
 	}
-	return rate * p.lateAt(known, known.load)
+	return rate * r.lateAt(r.load)
 }
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -53,10 +53,10 @@
 	// weighed is what a load at the runner is weighed by in the plan under way; nil before
 	// it is needed.
 	weighed *weighed
-	// borne is how many requests a second the runner bears, and load how many of the demand it
-	// should get, as of the last tally; see Planner.spreadDemand.
-	borne float64
-	load  float64
+	// capability is what the runner bears, and load how many requests a second of the demand
+	// it should get, as of the last tally; see Planner.spreadDemand.
+	capability
+	load float64
 	// served counts the streams that have ended there since the last judgement, and servedRate
 	// is their rate, in streams a second.
 	served     int
