The median of a stream's gaps tells its pace; late streams at calm runners are no load

Ruled out: a lower quartile with more gaps dropped: streams are too short. Change: the median of the gaps; sixteen samples of a length; late streams at busy runners count beyond those at calm ones.

--- a/placement/pace/prompts.go
+++ b/placement/pace/prompts.go
@@ -8,9 +8,9 @@
 
 const (
 	// keptFirsts is how many first events are kept for prompts of about one length, and
-	// minFirsts how many must be there to tell anything.
+	// minFirsts how many must be there to tell anything: the quickest tenth of fewer is chance.
 	keptFirsts = 64
-	minFirsts  = 8
+	minFirsts  = 16
 	// quietFirst is the share of prompts that find the runner with nothing else to read: what
 	// their first events take is the runner's own time.
 	quietFirst = 0.1
--- a/placement/pace/sample.go
+++ b/placement/pace/sample.go
@@ -14,7 +14,7 @@
 type Sample struct {
 	Instance string
 	Class    Class
-	// Gap is the lower quartile of the times between two events.
+	// Gap is the median of the times between two events.
 	Gap time.Duration
 	// First is the time from sending the request to its first event.
 	First time.Duration
--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -10,15 +10,19 @@
 
 const (
 	// busyShare is the part of what a runner is believed to bear from which its streams tell
-	// whether it bears that: late streams at runners with less to do have other causes.
+	// whether it bears that, and calmShare that below which late ones have other causes.
 	busyShare = 0.7
-	// bearingSample is how many such streams must have ended before the belief is changed.
+	calmShare = 0.35
+	// bearingSample is how many streams at busy runners must have ended before the belief is
+	// changed.
 	bearingSample = 24
-	// tooManyLate is the share of late ones from which a runner bears less than was believed,
-	// and fewLate that below which it bears more: on either side of the one in twenty that
-	// callers put up with.
+	// tooManyLate is the share of late ones, beyond that at calm runners, from which a runner
+	// bears less than was believed, and fewLate that below which it bears more: on either side
+	// of the one in twenty that callers put up with.
 	tooManyLate = 0.1
 	fewLate     = 0.025
+	// calmSmoothing is the weight of a stream in the share of late ones at calm runners.
+	calmSmoothing = 0.005
 	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
 	lessBorne = 0.9
 	moreBorne = 1.03
@@ -42,6 +46,8 @@
 	scale float64
 	// seen and late count streams at busy runners since scale was last changed.
 	seen, late int
+	// lateAnyway is the share of late streams at calm runners: noise, faults and links make them.
+	lateAnyway float64
 }
 
 func (p *Planner) bearing(service string) *bearing {
@@ -56,13 +62,21 @@
 // observeBearing counts a stream that has ended.
 func (p *Planner) observeBearing(known *runner, seen Pace) {
 	known.served++
-	if known.servedRate < busyShare*known.borne || known.borne <= 0 {
-		return
-	}
 	of := p.bearing(seen.Service)
-	of.seen++
-	if seen.Paused || seen.IsLate {
-		of.late++
+	isLate := seen.Paused || seen.IsLate
+	switch {
+	case known.borne <= 0:
+	case known.servedRate >= busyShare*known.borne:
+		of.seen++
+		if isLate {
+			of.late++
+		}
+	case known.servedRate < calmShare*known.borne:
+		share := 0.0
+		if isLate {
+			share = 1
+		}
+		of.lateAnyway += calmSmoothing * (share - of.lateAnyway)
 	}
 }
 
@@ -94,7 +108,7 @@
 	if b.seen < bearingSample {
 		return
 	}
-	switch share := float64(b.late) / float64(b.seen); {
+	switch share := float64(b.late)/float64(b.seen) - b.lateAnyway; {
 	case share > tooManyLate:
 		b.scale = max(leastScale, b.scale*lessBorne)
 	case share < fewLate:
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -130,7 +130,7 @@
 	Service  string
 	Model    string
 	Instance string
-	// Gap is the lower quartile of the times between two events; 0 if there were too few to
+	// Gap is the median of the times between two events; 0 if there were too few to
 	// tell, or if an earlier Pace of the stream told it.
 	Gap time.Duration
 	// Paused is set if one of them was longer than the route allows.
--- a/request/relay/streamtiming.go
+++ b/request/relay/streamtiming.go
@@ -67,9 +67,9 @@
 	return !s.isGapTold && len(s.gaps) >= toldGaps && s.passedAt.Sub(s.firstAt) >= toldAfter
 }
 
-// gap is the lower quartile of the gaps, or 0 if they were told or are too few. Prompts that
-// the runner reads stretch some gaps, and what holds the router up shortens one after each that
-// it stretches; those in between are the runner's.
+// gap is the median of the gaps, or 0 if they were told or are too few. Prompts that the runner
+// reads stretch some gaps; after what holds the router up, and where an event holds fewer tokens than
+// most, as the first and the last may, others are short.
 func (s *streamTiming) gap() time.Duration {
 	gaps := s.gaps
 	if s.isGapTold || len(gaps) < minGaps {
@@ -77,7 +77,7 @@
 	}
 	s.isGapTold = true
 	slices.Sort(gaps)
-	return gaps[len(gaps)/4]
+	return gaps[(len(gaps)-1)/2]
 }
 
 // dropLast drops the gap before the last event of a whole stream, which may hold fewer tokens.
--- a/request/relay/streamtiming_test.go
+++ b/request/relay/streamtiming_test.go
@@ -30,6 +30,7 @@
 		{"steady", []time.Duration{21, 21, 21, 21, 21, 21, 21, 21, 3}, 21},
 		{"prompts are read in between", []time.Duration{21, 60, 21, 38, 21, 95, 21, 55, 3}, 21},
 		{"the router is held up", []time.Duration{21, 35, 7, 21, 21, 30, 21, 21, 3}, 21},
+		{"the first and the last hold few tokens", []time.Duration{12, 21, 21, 21, 21, 9, 3}, 21},
 		{"too few", []time.Duration{21, 21, 21, 3}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
