--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -239,7 +240,8 @@
 	l.noteEndedLoads(ended)
 	for _, found := range judged {
 		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
-			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", found.Slowness)
+			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", fmt.Sprintf("%.2f", found.Slowness),
+			"tokens_per_s", found.Pace.PromptRate, "event", found.Pace.Event, "bears", fmt.Sprintf("%.1f", found.Borne))
 	}
 	for _, status := range questions {
 		go l.ask(ctx, status)
--- a/placement/residency/judge.go
+++ b/placement/residency/judge.go
@@ -19,6 +19,9 @@
 	IsSlow bool
 	// Pauses is set if too many of its streams paused for too long lately.
 	Pauses bool
+	// Pace is what work takes there, and Borne how many requests a second it bears.
+	Pace  pace.Runner
+	Borne float64
 }
 
 const (
@@ -79,6 +82,7 @@
 		}
 		former := p.judgements[instance]
 		found.IsSlow = found.Slowness >= slowFrom || former.IsSlow && found.Slowness > slowUntil
+		found.Pace, found.Borne = p.Pace(instance), known.borne
 		if former.IsSlow != found.IsSlow || former.Pauses != found.Pauses {
 			p.judged = append(p.judged, found)
 		}
--- a/placement/residency/pace_test.go
+++ b/placement/residency/pace_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/pace"
 )
 
 // seeGaps lets two streams end at each of the runners.
@@ -129,7 +130,7 @@
 	p.SetRunners(start, status(1))
 	p.judge(start)
 	c.Assert(p.IsSlow("r"), qt.IsTrue)
-	c.Assert(p.TakeJudgements(), qt.DeepEquals, []Judgement{{Instance: "r", Slowness: slowFrom, IsSlow: true}})
+	c.Assert(p.TakeJudgements(), qt.DeepEquals, []Judgement{{Instance: "r", Slowness: slowFrom, IsSlow: true, Pace: pace.Runner{Slowness: slowFrom}}})
 	c.Assert(p.TakeJudgements(), qt.HasLen, 0)
 	next := status(1)
 	next[0].Heartbeat.Instance = "next"
