--- a/placement/residency/zonecover.go
+++ b/placement/residency/zonecover.go
@@ -85,7 +85,7 @@
 	if len(zones) < 2 || rate <= spareRate {
 		return zoneCover{}
 	}
-	cover := zoneCover{zones: zones, rates: make([]float64, len(zones)), borne: make([]float64, len(zones)), one: p.rateOf(row.Service)}
+	cover := zoneCover{zones: zones, rates: make([]float64, len(zones)), borne: make([]float64, len(zones)), one: p.borneAt(row.Service, 1)}
 	known, sum := p.tally.zoneRates[row], 0.0
 	for _, zone := range zones {
 		sum += known[zone]
@@ -98,17 +98,12 @@
 	}
 	for _, each := range replicas {
 		if i, isListed := slices.BinarySearch(zones, each.status.Heartbeat.Zone); isListed {
-			cover.borne[i] += p.borneBy(row, each)
+			cover.borne[i] += each.borne
 		}
 	}
 	return cover
 }
 
-// borneBy is how many requests a second for the model a replica at the runner bears.
-func (p *Planner) borneBy(row Row, known *runner) float64 {
-	return p.capacity([]*runner{known}) * p.rateOf(row.Service)
-}
-
 // exposed is how many requests a second nobody could serve if a zone were cut off, on average over the
 // zones: those outside it, and those of its own clients inside.
 func (c *zoneCover) exposed() float64 {
