A limit gives its rate in every second, and decides which requests get the room

A tenant at several times its use spent all that its window allows in the first seconds, and was then refused whole, whatever the kind of request, until the window had passed; when to come back was one figure for all.

The leader keeps the rate free for each second of the window to come and spends the rest, the burst, at once. Below half of the burst the kinds of requests of the tenant get the same part of what they ask for; a refused caller that can make use of a later time is promised room at it, and known by a digest when it comes back. Routers ask for each request what becomes of it and no longer refuse on their own for a time. The bound is unchanged.

--- a/placement/quota/divider.go
+++ b/placement/quota/divider.go
@@ -38,6 +38,8 @@
 	// Waiting lists what each request that waits costs, in the order in which they are to be
 	// admitted. What the router holds counts towards them.
 	Waiting []float64
+	// Asks tells more of each of these. Routers of the version before send none.
+	Asks []Ask
 	// Reserve is how much the router would like to hold when these have been admitted.
 	Reserve float64
 }
@@ -45,9 +47,12 @@
 // Grant is what a router gets.
 type Grant struct {
 	Tenant string
-	// Amount is added to what the router holds. It covers the first of those that wait, as many
-	// as there is room for.
+	// Amount is added to what the router holds. It covers those that are admitted: as Answers
+	// tells, or else the first of those that wait, as many as there is room for.
 	Amount float64
+	// Answers tells what becomes of each of those that wait. It is empty for routers that did not
+	// tell more of them, and from leaders of the version before.
+	Answers []Answer
 	// Keep is the most that the router may hold when these have been admitted.
 	Keep float64
 	// RoomIn is when the next of those that wait should have room; 0 if there is room for
@@ -158,7 +163,7 @@
 			continue
 		}
 		known.age(at)
-		lacks = known.lacking(router, want) || lacks
+		lacks = known.lacking(at, router, want) || lacks
 	}
 	return lacks
 }
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -16,6 +16,13 @@
 	most   float64
 	// lendable is the most that routers may hold.
 	lendable float64
+	// floor may be granted in every second, and credit beyond that.
+	floor  float64
+	credit float64
+	// promises is the room that callers were told to come back for, and classes compares the
+	// kinds of requests.
+	promises promises
+	classes  classes
 	// granted lists what was granted, oldest first, in steps of grantStep. inherited lists what
 	// former leaders may have granted. used is the sum of both.
 	granted   []grantedStep
@@ -90,6 +97,7 @@
 	w.limit, w.length = limit, bound.Window
 	w.most = allowed + excess*grantedExcess
 	w.lendable = excess * (1 - grantedExcess)
+	w.setPace()
 }
 
 // inherit counts what former leaders may have granted until a time.
@@ -128,13 +136,16 @@
 
 // lacking notes what has to be reserved before the requests that wait at a router can be granted,
 // and reports whether there is something, or will be once what is proposed is in the log.
-func (w *window) lacking(router string, want Want) bool {
-	needed := -figure(want.Held)
+func (w *window) lacking(at time.Time, router string, want Want) bool {
+	held := figure(want.Held)
+	needed, level := -held, w.level(at)+held
 	for _, cost := range want.Waiting {
-		if needed+figure(cost) > w.available+w.proposed+w.free() {
+		cost = figure(cost)
+		if needed+cost > w.available+w.proposed+w.free() || !w.covers(level, cost) {
 			break
 		}
-		needed += figure(cost)
+		needed += cost
+		level -= cost
 	}
 	delete(w.short, router)
 	if missing := needed - w.available - w.proposed; missing > 0 {
@@ -209,22 +220,15 @@
 	if !isKnown && isYoung {
 		w.shown += held
 	}
-	grant := Grant{Tenant: want.Tenant}
-	admitted := 0.0
-	for _, cost := range want.Waiting {
-		lacking := admitted + figure(cost) - held - w.available
-		if lacking > 0 {
-			grant.RoomIn = w.roomIn(at, lacking)
-			break
-		}
-		admitted += figure(cost)
-	}
-	grant.Amount = max(0, admitted-held)
+	decided := w.newRound(at, held)
+	grant := Grant{Tenant: want.Tenant, Answers: decided.answerAll(want)}
+	grant.RoomIn = decided.roomIn
+	grant.Amount = max(0, decided.admitted-held)
 	w.grant(at, grant.Amount)
-	held = max(0, held-admitted)
+	held = max(0, held-decided.admitted)
 	w.total += held - known.amount
 	w.aimed += aim - known.aim
-	if grant.RoomIn == 0 {
+	if grant.RoomIn == 0 && decided.isEasy(0) {
 		lent := w.lend(held, aim, isYoung)
 		w.grant(at, lent)
 		w.total += lent
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -14,9 +14,12 @@
 	reserveTime = 3 * time.Second
 	// refillShare of what a router would like to hold is when it asks for more.
 	refillShare = 0.5
-	// maxExhausted is how long requests of a tenant are refused without another question, at
-	// most: the limit may have room again sooner than was thought.
+	// maxExhausted is how long nothing is asked for reserves of a limit that has no room: it may
+	// have again sooner than was thought.
 	maxExhausted = 100 * time.Millisecond
+	// exhaustedPause separates two questions for requests that wait for a limit that has no room.
+	// It bounds what a rush costs the leader; requests are told that much later.
+	exhaustedPause = 25 * time.Millisecond
 	// maxAsked bounds the waiting requests of a tenant in one question.
 	maxAsked = 64
 	// shortestReturn is the least time after which a refused caller is asked to come back: of
@@ -36,6 +39,10 @@
 type Waiter struct {
 	Tenant string
 	Cost   float64
+	// Ask is what decides whether the request goes before others of its tenant, as it was at
+	// a time.
+	Ask   quota.Ask
+	Asked time.Time
 	// Settle is called once, with what becomes of the request, unless it is cancelled before.
 	// It must return at once.
 	Settle func(Verdict)
@@ -56,8 +63,12 @@
 	until time.Time
 	// exhaustedUntil is when the limit may have room again.
 	exhaustedUntil time.Time
-	waiters        []*Waiter
-	use            useRate
+	// askedAt is when the leader was last asked for those that wait.
+	askedAt time.Time
+	waiters []*Waiter
+	// asked are those of the question under way, in its order.
+	asked []*Waiter
+	use   useRate
 }
 
 // New makes a limiter that holds nothing.
@@ -120,9 +131,6 @@
 		known.held -= waiter.Cost
 		return Verdict{IsAdmitted: true}, true
 	}
-	if at.Before(known.exhaustedUntil) {
-		return Verdict{ComeBackIn: max(shortestReturn, known.exhaustedUntil.Sub(at))}, true
-	}
 	known.waiters = append(known.waiters, waiter)
 	return Verdict{}, false
 }
@@ -178,18 +186,35 @@
 	var wants []quota.Want
 	for name, known := range l.accounts {
 		known.expire(at)
-		if len(known.waiters) == 0 && !known.isLow(at) {
+		known.asked = nil
+		if !known.mayAsk(at) && !known.isLow(at) {
 			continue
 		}
 		want := quota.Want{Tenant: name, Held: known.held, Reserve: known.reserve(at)}
-		for _, waiter := range known.waiters[:min(len(known.waiters), maxAsked)] {
+		known.askedAt = at
+		known.asked = slices.Clone(known.waiters[:min(len(known.waiters), maxAsked)])
+		for _, waiter := range known.asked {
 			want.Waiting = append(want.Waiting, waiter.Cost)
+			want.Asks = append(want.Asks, waiter.askAt(at))
 		}
 		wants = append(wants, want)
 	}
 	return wants
 }
 
+// mayAsk reports whether requests wait that the leader may be asked for.
+func (a *account) mayAsk(at time.Time) bool {
+	return len(a.waiters) > 0 && (!at.Before(a.exhaustedUntil) || at.Sub(a.askedAt) >= exhaustedPause)
+}
+
+// askAt is what the request has left of its times.
+func (w *Waiter) askAt(at time.Time) quota.Ask {
+	ask, passed := w.Ask, at.Sub(w.Asked)
+	ask.Due = max(0, ask.Due-passed)
+	ask.Away = max(0, ask.Away-passed)
+	return ask
+}
+
 // Adopt takes what the leader granted, in answer to a question that was asked at a time, and
 // settles those that waited.
 func (l *Limiter) Adopt(asked, at time.Time, grants []quota.Grant) {
@@ -208,19 +233,51 @@
 	if grant.RoomIn > 0 {
 		a.exhaustedUntil = at.Add(min(grant.RoomIn, maxExhausted))
 	}
+	if len(grant.Answers) > 0 {
+		a.settle(grant.Answers)
+	} else {
+		a.settleInOrder(grant.RoomIn)
+	}
+	a.keep = grant.Keep
+	a.held = min(a.held, a.keep)
+}
+
+// settle tells each request that was asked for what becomes of it. Those that are not decided wait
+// on, and so do those that came after the question.
+func (a *account) settle(answers []quota.Answer) {
+	for i, waiter := range a.asked[:min(len(a.asked), len(answers))] {
+		place := slices.Index(a.waiters, waiter)
+		answer := answers[i]
+		switch {
+		case place < 0:
+			// Its caller has left.
+			continue
+		case answer.IsAdmitted && a.held >= waiter.Cost:
+			a.held -= waiter.Cost
+			waiter.Settle(Verdict{IsAdmitted: true})
+		case !answer.IsAdmitted && answer.ComeBackIn > 0:
+			waiter.Settle(Verdict{ComeBackIn: answer.ComeBackIn})
+		default:
+			continue
+		}
+		a.waiters = slices.Delete(a.waiters, place, place+1)
+	}
+}
+
+// settleInOrder admits the first of those that wait, as far as what is held goes. A leader of the
+// version before refuses all others if it says when there is room.
+func (a *account) settleInOrder(roomIn time.Duration) {
 	for len(a.waiters) > 0 && a.held >= a.waiters[0].Cost {
 		a.held -= a.waiters[0].Cost
 		a.waiters[0].Settle(Verdict{IsAdmitted: true})
 		a.waiters = a.waiters[1:]
 	}
-	if grant.RoomIn > 0 {
+	if roomIn > 0 {
 		for _, waiter := range a.waiters {
-			waiter.Settle(Verdict{ComeBackIn: max(shortestReturn, grant.RoomIn)})
+			waiter.Settle(Verdict{ComeBackIn: max(shortestReturn, roomIn)})
 		}
 		a.waiters = nil
 	}
-	a.keep = grant.Keep
-	a.held = min(a.held, a.keep)
 }
 
 // expire drops what is held when its time is over.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/waiting"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -67,6 +68,7 @@
 	writer  http.ResponseWriter
 	// tenant is whose key the caller holds; nil for none. priority is its rank.
 	tenant   *site.Tenant
+	ticket   waiting.Ticket
 	priority int
 	// hidesKey is set if the document has tenants, so that keys go no further.
 	hidesKey bool
@@ -122,9 +124,11 @@
 		return
 	}
 	tenant, refused := r.identify(index, route, request)
+	ticket := ticketOf(request, route, tenant)
+	digest := request.digest(ticket.Tenant)
 	var counted admission
 	if refused == nil {
-		counted, refused = r.admit(request.HTTP.Context(), tenant, request, deadlineOf(request, route))
+		counted, refused = r.admit(request.HTTP.Context(), tenant, request, ticket, digest)
 	}
 	if refused != nil {
 		r.refuseTenant(writer, request, route, tenant, index.Document.Version, refused)
@@ -132,19 +136,21 @@
 	}
 	x := &exchange{
 		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
-		tenant: tenant, priority: priorityOf(tenant, route), hidesKey: index.Document.RequiresKeys,
+		tenant: tenant, ticket: ticket, priority: ticket.Rank, deadline: ticket.Deadline, digest: digest, hidesKey: index.Document.RequiresKeys,
 		row:       residency.Row{Service: route.Pick(r.point())},
 		lastEvent: request.ResumeAfter,
 	}
-	x.digest = request.digest(x.tenantName())
 	service := index.Service(x.row.Service)
 	if service.Engine != nil {
 		x.row.Model, x.row.Adapter = request.Model, request.Adapter
 		x.prefixes = prefixHashes(x.row, request.Parts)
 	}
-	x.deadline = deadlineOf(request, route)
+	defer func() {
+		if x.attempts == 0 {
+			r.refund(counted)
+		}
+	}()
 	if permission, refusedFor := r.standing(x.digest); permission == poison.Refused {
-		r.refund(counted)
 		x.refuseSuspect(permit{permission: permission, comeBackIn: refusedFor}, result{})
 		return
 	}
@@ -154,11 +160,6 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(r.stop.cut, func() { end(errStopped) })()
-	defer func() {
-		if x.attempts == 0 {
-			r.refund(counted)
-		}
-	}()
 	x.run(ctx)
 }
 
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -96,9 +96,10 @@
 	r.limits.mutex.Lock()
 	wants := r.limits.limiter.Wants(asked)
 	r.limits.refilledAt = asked
+	isWaiting, _ := r.limits.limiter.IsAsking(asked)
 	r.limits.mutex.Unlock()
 	if len(wants) == 0 || ctx.Err() != nil {
-		return false
+		return isWaiting && ctx.Err() == nil
 	}
 	grants, err := r.draw(ctx, wants)
 	at := r.now()
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -7,8 +7,11 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/limiter"
+	"github.com/lotusferry/lotusferry/request/waiting"
 )
 
 const (
@@ -104,16 +107,20 @@
 
 // admit counts a request against its tenant's limit, or says why it is refused. It waits for the
 // leader's word if the router holds too little of the limit.
-func (r *Router) admit(ctx context.Context, tenant *site.Tenant, request *Request, deadline time.Time) (admission, *refusal) {
+func (r *Router) admit(ctx context.Context, tenant *site.Tenant, request *Request, ticket waiting.Ticket, digest poison.Digest) (admission, *refusal) {
 	if tenant == nil || !tenant.Limit.IsLimited() {
 		return admission{}, nil
 	}
 	counted := admission{tenant: tenant, cost: tenant.Limit.Cost(request.Size.Tokens)}
 	settled := make(chan limiter.Verdict, 1)
 	waiter := &limiter.Waiter{
-		Tenant: tenant.Name, Cost: counted.cost,
+		Tenant: tenant.Name, Cost: counted.cost, Asked: r.now(),
 		Settle: func(verdict limiter.Verdict) { settled <- verdict },
 	}
+	waiter.Ask = quota.Ask{
+		Class: ticket.Class, Digest: request.returnDigest(digest), Due: ticket.Due.Sub(waiter.Asked),
+		Away: share(ticket.Deadline.Sub(waiter.Asked), returnShare) - returnSlack,
+	}
 	r.limits.mutex.Lock()
 	verdict, isDecided := r.limits.limiter.Admit(r.now(), waiter)
 	isAsking := !isDecided || r.limits.isLow(r.now())
@@ -123,7 +130,7 @@
 	}
 	if !isDecided {
 		var isSettled bool
-		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(deadline.Sub(r.now()), maxWaitShare))); !isSettled {
+		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, share(ticket.Deadline.Sub(r.now()), maxWaitShare))); !isSettled {
 			if ctx.Err() != nil {
 				return admission{}, &refusal{status: http.StatusServiceUnavailable, outcome: "caller_left", message: "the caller has left"}
 			}
