--- a/placement/quota/round.go
+++ b/placement/quota/round.go
@@ -123,8 +123,9 @@
 	}
 	in := max(w.levelIn(r.room(), cost), w.roomIn(r.at, r.admitted+cost-r.held-w.available), grantStep)
 	if ask.Away > 0 {
-		// Sooner there is none for it.
-		in = max(in, ask.Away)
+		// None is free that its caller can make use of, and nothing can be said of a rush beyond
+		// the window.
+		in = max(in, w.length)
 	}
 	r.noteRoom(in)
 	return in
