Requests wait in one order: rank, work done for the tenant, slack

Cause: waiters were sorted by priority and age. No tenant had a share, and nothing told a request with 0.4 s of patience from one with 6 s. Each release sorted and tried all waiters of all rows. Change: request/fairqueue, start-time fair queueing between tenants by tokens, least slack within a tenant; a row without room is tried once. The relay makes one ticket a request; a stream that has begun is due within its longest pause; work of an attempt that did not run is given back. A caller that leaves when it was just given a runner lets the next have it at once. Ruled out: shares by counts (a prompt of 9,000 tokens would weigh as one of 600), and a weight for each rank in place of strict ranks (the sites ask that a tenant's rank goes first).

--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -74,8 +74,7 @@
 	defer end(nil)
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	x.waiting = &waiter{
-		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
-		deadline: x.deadline, until: limit,
+		row: x.row, prefixes: x.prefixes, avoid: x.avoid, ticket: x.presentTicket(), until: limit,
 		mayDefer: x.attempts == 0,
 	}
 	return x.router.acquire(ctx, x.waiting)
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/fairqueue"
 )
 
 const (
@@ -49,7 +50,7 @@
 // comeBackIn is after how long a caller should come back for a model that should be ready at
 // readyAt: it keeps most of its time for the next try.
 func (w *waiter) comeBackIn(now, readyAt time.Time) time.Duration {
-	return max(0, min(readyAt.Sub(now)+returnSlack, share(w.deadline.Sub(now), returnShare)))
+	return max(0, min(readyAt.Sub(now)+returnSlack, share(w.ticket.Deadline.Sub(now), returnShare)))
 }
 
 func share(of time.Duration, part float64) time.Duration { return time.Duration(float64(of) * part) }
@@ -71,7 +72,7 @@
 // expect notes that a caller will come back.
 func (s *rowState) expect(now time.Time, wanted *waiter, after time.Duration) {
 	s.absentees = append(s.absentees, absentee{
-		since: wanted.since, until: now.Add(after + returnLife), priority: wanted.priority,
+		since: wanted.ticket.Arrived, until: now.Add(after + returnLife), priority: wanted.ticket.Rank,
 	})
 }
 
@@ -87,17 +88,25 @@
 			continue
 		}
 		state.forecast = forecast{readyAt: now.Add(each.In), heardAt: now}
-		var staying []*waiter
-		for _, wanted := range state.waiters {
-			after, isDeferred := wanted.deferral(now, state.forecast.readyAt)
-			if !isDeferred {
-				staying = append(staying, wanted)
-				continue
-			}
-			state.expect(now, wanted, after)
-			wanted.deferred <- after
+		r.deferWaiters(now, state)
+	}
+}
+
+// deferWaiters tells those callers of a row to come back for whom that is better than to wait. It
+// runs under the mutex.
+func (r *Router) deferWaiters(now time.Time, state *rowState) {
+	var leaving []*waiter
+	state.waiters.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+		if _, isDeferred := entry.Value.deferral(now, state.forecast.readyAt); isDeferred {
+			leaving = append(leaving, entry.Value)
 		}
-		state.waiters = staying
+		return true
+	})
+	for _, wanted := range leaving {
+		after, _ := wanted.deferral(now, state.forecast.readyAt)
+		r.queue.Remove(&wanted.entry)
+		state.expect(now, wanted, after)
+		wanted.deferred <- after
 	}
 }
 
--- a/request/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -14,6 +14,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/waiting"
 )
 
 func TestDeferral(t *testing.T) {
@@ -35,8 +36,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			wanted := &waiter{
-				since: arrived, deadline: arrived.Add(12 * time.Second),
-				until: arrived.Add(4 * time.Second), mayDefer: !test.hasRun,
+				ticket: waiting.Ticket{Arrived: arrived, Deadline: arrived.Add(12 * time.Second)},
+				until:  arrived.Add(4 * time.Second), mayDefer: !test.hasRun,
 			}
 			now := arrived.Add(test.waited)
 			after, isDeferred := wanted.deferral(now, now.Add(test.readyIn))
@@ -142,7 +143,7 @@
 				router.rowState(row)
 				router.adoptForecasts([]residency.Forecast{{Row: row, In: test.in}})
 				pause.For(t.Context(), test.age)
-				wanted := &waiter{row: row, deadline: time.Now().Add(12 * time.Second)}
+				wanted := &waiter{row: row, ticket: waiting.Ticket{Deadline: time.Now().Add(12 * time.Second)}}
 				c.Assert(router.comeBackIn(wanted), qt.Equals, test.want)
 			})
 		})
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -220,6 +220,9 @@
 		x.noteEnd(choice.Runner(), given.isTrial(), last)
 		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
 		x.router.release(x.row, choice, last.outcome)
+		if last.isNotRun {
+			x.router.notServed(x.ticket)
+		}
 		if last.isUnreachable() {
 			x.router.complain(choice.Runner())
 		}
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -1,14 +1,15 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/fairqueue"
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/waiting"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -17,12 +18,10 @@
 	row      residency.Row
 	prefixes []uint64
 	avoid    structs.RunnerID
-	priority int
-	since    time.Time
-	// deadline is that of the request, and until is when it is given up if there is no runner
-	// for it.
-	deadline time.Time
-	until    time.Time
+	// ticket decides its place among those that wait.
+	ticket waiting.Ticket
+	// until is when it is given up if there is no runner for it.
+	until time.Time
 	// mayDefer is set if the request has certainly not run, so that its caller may be told
 	// to come back.
 	mayDefer bool
@@ -30,6 +29,7 @@
 	deferred chan time.Duration
 	// granted gets the choice; it has room for one.
 	granted chan routing.Choice
+	entry   fairqueue.Entry[*waiter]
 }
 
 // rowState is what a router counts for a row between two reports.
@@ -37,7 +37,7 @@
 	arrived int
 	// objective is the shortest of those that arrived or wait; 0 for none.
 	objective time.Duration
-	waiters   []*waiter
+	waiters   fairqueue.Row[*waiter]
 	// absentees are callers that were told to come back.
 	absentees []absentee
 	forecast  forecast
@@ -65,6 +65,7 @@
 	r.mutex.Lock()
 	state := r.rowState(wanted.row)
 	if choice, found := r.pick(wanted); found {
+		r.queue.Charge(r.now(), wanted.ticket.Tenant, fairqueue.Work(wanted.ticket))
 		r.mutex.Unlock()
 		return choice, nil
 	}
@@ -75,10 +76,8 @@
 	}
 	wanted.granted = make(chan routing.Choice, 1)
 	wanted.deferred = make(chan time.Duration, 1)
-	state.waiters = append(state.waiters, wanted)
-	slices.SortStableFunc(state.waiters, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.since.Compare(b.since))
-	})
+	wanted.entry = fairqueue.Entry[*waiter]{Ticket: wanted.ticket, Value: wanted}
+	r.queue.Push(r.now(), &state.waiters, &wanted.entry)
 	r.mutex.Unlock()
 	r.wakeReport()
 	select {
@@ -90,10 +89,12 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	state.waiters = slices.DeleteFunc(state.waiters, func(other *waiter) bool { return other == wanted })
+	r.queue.Remove(&wanted.entry)
 	select {
 	case choice := <-wanted.granted:
 		r.giveBack(wanted.row, choice, routing.OutcomeNeutral)
+		r.queue.Charge(r.now(), wanted.ticket.Tenant, -fairqueue.Work(wanted.ticket))
+		r.serveWaiters()
 	default:
 	}
 	return routing.Choice{}, context.Cause(ctx)
@@ -128,25 +129,22 @@
 	}
 }
 
-// serveWaiters gives runners to those that wait, the most urgent first. It runs under
-// the mutex.
+// serveWaiters gives runners to those that wait, in their order. It runs under the mutex.
 func (r *Router) serveWaiters() {
-	var waiting []*waiter
-	for _, state := range r.rows {
-		waiting = append(waiting, state.waiters...)
-	}
-	slices.SortStableFunc(waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.since.Compare(b.since))
-	})
-	for _, wanted := range waiting {
-		choice, found := r.pick(wanted)
-		if !found {
-			continue
+	r.queue.Serve(r.now(), func(entry *fairqueue.Entry[*waiter]) bool {
+		choice, found := r.pick(entry.Value)
+		if found {
+			entry.Value.granted <- choice
 		}
-		state := r.rowState(wanted.row)
-		state.waiters = slices.DeleteFunc(state.waiters, func(other *waiter) bool { return other == wanted })
-		wanted.granted <- choice
-	}
+		return found
+	})
+}
+
+// notServed gives back the work that was counted for an attempt that no runner has run.
+func (r *Router) notServed(ticket waiting.Ticket) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.queue.Charge(r.now(), ticket.Tenant, -fairqueue.Work(ticket))
 }
 
 // takeDemands lists what is to be reported and begins anew.
@@ -180,12 +178,13 @@
 // countWaiting adds those that wait to the demand, callers that are to come back included.
 func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
 	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
-	demand.Waiting = len(s.waiters) + len(s.absentees)
+	demand.Waiting = s.waiters.Len() + len(s.absentees)
 	demand.Priority = math.MaxInt
-	for _, wanted := range s.waiters {
-		demand.Oldest = max(demand.Oldest, at.Sub(wanted.since))
-		demand.Priority = min(demand.Priority, wanted.priority)
-	}
+	s.waiters.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+		demand.Oldest = max(demand.Oldest, at.Sub(entry.Ticket.Arrived))
+		demand.Priority = min(demand.Priority, entry.Ticket.Rank)
+		return true
+	})
 	for _, caller := range s.absentees {
 		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
 		demand.Priority = min(demand.Priority, caller.priority)
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -18,6 +18,7 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/fairqueue"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -51,6 +52,7 @@
 	random   *rand.Rand
 	balancer *routing.Balancer
 	rows     map[residency.Row]*rowState
+	queue    *fairqueue.Queue[*waiter]
 	budgets  map[string]*budget
 	granted  grant
 	view     fleet.View
@@ -114,6 +116,7 @@
 			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: affinityBound,
 		}, random),
 		rows:    make(map[residency.Row]*rowState),
+		queue:   fairqueue.New[*waiter](),
 		budgets: make(map[string]*budget),
 		doubted: make(map[string]bool),
 
--- a/request/relay/ticket.go
+++ b/request/relay/ticket.go
@@ -23,6 +23,16 @@
 	return ticket
 }
 
+// presentTicket is the ticket of the request now. The next event of a stream that has begun is
+// due within the longest pause.
+func (x *exchange) presentTicket() waiting.Ticket {
+	ticket := x.ticket
+	if x.isStarted {
+		ticket.Due = x.router.now().Add(x.route.MaxPause)
+	}
+	return ticket
+}
+
 // returnDigest names the request to the leader, so that it is known when its caller comes back: by
 // what it asks for, the headers that choose a model and a prompt included. It is never 0.
 func (r *Request) returnDigest(content poison.Digest) uint64 {
