The leader adds up what is done for each tenant, and routers let those within their share go first

Cause: a router sees a few requests of a tenant; one long prompt is worth a minute of a small tenant's use there, so that its clocks held small tenants back for work that was within their share over the site. Change: placement/shares; routers report work let in and who waits with their demand, the leader's answer to Watch names the tenants above 1.5 times their share (rates of limits are the weights), at most 32. The word counts for 2 s, a new leader says nothing for 3 s; without it the clocks of each router decide alone. Ruled out: sending all shares to all routers (16 to 1,000 tenants twice a second), and the use of limits in the last window in place of work (it counts what was granted, not what was run).

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -13,6 +13,7 @@
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/shares"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -119,6 +120,8 @@
 	Loads []fleet.Load
 	// Suspects lists the requests that may crash runners; nil if the router knows the list.
 	Suspects *poison.List
+	// Shares names the tenants that are above their shares over all routers.
+	Shares shares.Word
 	// Routers is how many routers share what the leader grants to all together.
 	Routers int
 	// Controllers are the addresses of the members of the group.
@@ -139,6 +142,8 @@
 	Losses []poison.Report
 	// Endings tell how requests ended that were tried, or were under way at a loss before.
 	Endings []poison.Ending
+	// Works tell what was let in for each tenant, and who waits.
+	Works []shares.Work
 }
 
 // DemandReply tells what is known about the rows for which requests wait.
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -15,6 +15,7 @@
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/shares"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -63,6 +64,8 @@
 	// the log.
 	limits    *quota.Divider
 	reserving *reserving
+	// shares adds up what is done for each tenant.
+	shares *shares.Book
 	// document is the one that the planner works by.
 	document  uint64
 	announcer *announcer
@@ -120,6 +123,7 @@
 		planner:    residency.NewPlanner(n.options.Planner, at.Add(n.options.OrderLease)),
 		views:      fleet.NewPublisher(),
 		reserving:  newReserving(),
+		shares:     shares.New(at),
 		announcer:  newAnnouncer(),
 		poison:     poison.New(),
 		planned:    make(chan struct{}),
@@ -301,6 +305,7 @@
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
+	l.shares.SetTenants(document.Tenants)
 	for _, tenant := range l.limits.SetTenants(l.now(), document.Tenants) {
 		level.Info(l.logger).Log("msg", "A tenant's limit is in force.", "tenant", tenant.Name, "rate", tenant.Limit.Rate,
 			"burst", tenant.Limit.Burst, "version", current.Version)
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -274,6 +274,7 @@
 	defer l.mutex.Unlock()
 	reply.Revision = l.views.Revision()
 	reply.Loads = l.loads
+	reply.Shares = l.shares.Word(l.now())
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
 		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
@@ -312,6 +313,7 @@
 	}
 	current.planner.ObservePace(s.node.now(), arguments.Paces)
 	current.observeLosses(s.node.now(), arguments)
+	current.shares.Observe(s.node.now(), arguments.Router, arguments.Works)
 	planned := current.planned
 	current.mutex.Unlock()
 	current.wakePlan()
--- a/request/fairqueue/queue.go
+++ b/request/fairqueue/queue.go
@@ -33,6 +33,8 @@
 	tenants map[string]*tenant
 	// now is the virtual time: the clock of the tenant that was last let in.
 	now float64
+	// toldUntil is until when the word on shares counts.
+	toldUntil time.Time
 	// rows are those in which requests wait.
 	rows []*Row[V]
 	// open is kept to spare its allocation.
@@ -47,6 +49,10 @@
 	// waiting counts its requests that wait, and at is when the clock last faded.
 	waiting int
 	at      time.Time
+	// done is the work that was let in since it was last taken.
+	done float64
+	// isAbove is set while the tenant is said to be above its share.
+	isAbove bool
 }
 
 // Row holds the requests that wait for the same room.
@@ -92,6 +98,23 @@
 	}
 }
 
+// SetWeights sets the parts of all tenants, by name. Clocks go by their ratios alone, so that they
+// are made 1 on average.
+func (q *Queue[V]) SetWeights(weights map[string]float64) {
+	sum := 0.0
+	for _, weight := range weights {
+		sum += weight
+	}
+	for name, weight := range weights {
+		q.SetWeight(name, weight*float64(len(weights))/sum)
+	}
+	for name, known := range q.tenants {
+		if weights[name] == 0 && known.waiting == 0 {
+			delete(q.tenants, name)
+		}
+	}
+}
+
 func (q *Queue[V]) tenant(name string) *tenant {
 	known := q.tenants[name]
 	if known == nil {
@@ -106,6 +129,7 @@
 func (q *Queue[V]) Charge(at time.Time, name string, work float64) {
 	known := q.tenant(name)
 	q.fade(at, known)
+	known.done += work
 	known.clock = min(known.clock+work/known.weight, q.now+maxAhead)
 }
 
@@ -188,6 +212,7 @@
 	owner.clock = max(owner.clock, q.now-maxAhead)
 	q.now = max(q.now, owner.clock)
 	owner.clock += Work(entry.Ticket) / owner.weight
+	owner.done += Work(entry.Ticket)
 }
 
 // Len is how many requests wait in the row.
@@ -204,47 +229,3 @@
 		}
 	}
 }
-
-// Head is the request of the row that goes first now; nil if none waits.
-func (r *Row[V]) Head(now time.Time) *Entry[V] {
-	var first *flow[V]
-	for _, each := range r.flows {
-		if first == nil || each.before(first) {
-			first = each
-		}
-	}
-	if first == nil {
-		return nil
-	}
-	return first.head(now)
-}
-
-func (f *flow[V]) before(other *flow[V]) bool {
-	switch {
-	case f.rank != other.rank:
-		return f.rank < other.rank
-	case f.tenant == other.tenant:
-		return false
-	case f.tenant.clock != other.tenant.clock:
-		return f.tenant.clock < other.tenant.clock
-	}
-	return f.tenant.name < other.tenant.name
-}
-
-// head is the first that is not late yet if it is late soon, else the first of those that are
-// late, else the first.
-func (f *flow[V]) head(now time.Time) *Entry[V] {
-	low, high := 0, len(f.entries)
-	for low < high {
-		middle := (low + high) / 2
-		if f.entries[middle].Ticket.Due.After(now) {
-			high = middle
-		} else {
-			low = middle + 1
-		}
-	}
-	if low < len(f.entries) && f.entries[low].Ticket.Due.Sub(now) <= dueMargin {
-		return f.entries[low]
-	}
-	return f.entries[0]
-}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -76,6 +76,7 @@
 	}
 	r.mutex.Lock()
 	r.granted = grant{routers: reply.Routers, at: r.now()}
+	r.queue.SetShares(r.now(), reply.Shares)
 	r.mutex.Unlock()
 	r.metrics.heardLeader(reply.Term, time.Now())
 	if reply.Document != nil {
@@ -184,15 +185,17 @@
 	paces := r.takePaces()
 	r.mutex.Lock()
 	losses, endings := r.suspects.take()
+	works := r.queue.TakeWork()
 	r.mutex.Unlock()
-	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(losses) == 0 && len(endings) == 0 {
+	if len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(losses) == 0 &&
+		len(endings) == 0 && len(works) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	arguments := domainapi.DemandArguments{
 		Router: r.options.Name, Demands: demands, Doubted: doubted, Unreachable: unreachable, Paces: paces,
-		Losses: losses, Endings: endings,
+		Losses: losses, Endings: endings, Works: works,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -17,6 +17,7 @@
 	"github.com/lotusferry/lotusferry/internal/transport"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/shares"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/fairqueue"
 	"github.com/lotusferry/lotusferry/request/routing"
@@ -181,6 +182,9 @@
 	r.limits.mutex.Lock()
 	r.limits.limiter.SetTenants(document.Tenants)
 	r.limits.mutex.Unlock()
+	r.mutex.Lock()
+	r.queue.SetWeights(shares.Weights(document.Tenants))
+	r.mutex.Unlock()
 	r.index.Store(site.NewIndex(document))
 	r.metrics.version.Set(float64(document.Version))
 	if current == nil {
