A request that its row's pace cannot serve in the time it may wait is refused at once

Change: the pace of a row while some wait (let in a second, over 2 s) and those that go before a request tell when it would start; who would have to be given up by then, by a margin of 1.5, is told at once when to come back. Those above their share have the most before them. Reasons of their own in metrics, logs and messages: come_back, crowded. A newcomer no longer passes those that wait in its row.

--- a/request/fairqueue/queue.go
+++ b/request/fairqueue/queue.go
@@ -61,6 +61,7 @@
 	size  int
 	// place is that in the list of rows in which requests wait.
 	place int
+	meter meter
 }
 
 // flow lists the requests of one tenant and rank that wait in a row, the one that is late first
@@ -155,6 +156,7 @@
 	if row.size == 0 {
 		row.place = len(q.rows)
 		q.rows = append(q.rows, row)
+		row.meter.begin(at)
 	}
 	row.size++
 	entry.row = row
@@ -206,8 +208,9 @@
 }
 
 // LetIn takes a request out of those that wait and counts its work.
-func (q *Queue[V]) LetIn(entry *Entry[V]) {
+func (q *Queue[V]) LetIn(at time.Time, entry *Entry[V]) {
 	owner := entry.flow.tenant
+	entry.row.meter.add(at)
 	q.Remove(entry)
 	owner.clock = max(owner.clock, q.now-maxAhead)
 	q.now = max(q.now, owner.clock)
--- a/request/fairqueue/serve.go
+++ b/request/fairqueue/serve.go
@@ -20,7 +20,7 @@
 		chosen := open[0]
 		owner, isLetIn := chosen.head.flow.tenant, admit(chosen.head)
 		if isLetIn {
-			q.LetIn(chosen.head)
+			q.LetIn(now, chosen.head)
 		}
 		if !isLetIn || chosen.row.size == 0 {
 			last := len(open) - 1
@@ -66,3 +66,14 @@
 		i = first
 	}
 }
+
+// ServeRow does the same for one row.
+func (q *Queue[V]) ServeRow(now time.Time, row *Row[V], admit func(*Entry[V]) bool) {
+	for {
+		head := q.head(now, row)
+		if head == nil || !admit(head) {
+			return
+		}
+		q.LetIn(now, head)
+	}
+}
--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -12,7 +12,7 @@
 	var comeBack *comeBackError
 	switch {
 	case errors.As(err, &comeBack):
-		x.tellToComeBack(comeBack.after)
+		x.tellToComeBack(comeBack)
 		return
 	case errors.Is(err, errStopped):
 		last.reason, last.err = "router_stops", err
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -20,8 +20,29 @@
 	returnLife = 1500 * time.Millisecond
 	// forecastLife is how long a forecast is used for requests that come after it.
 	forecastLife = 700 * time.Millisecond
+	// crowdedMargin times the wait that is expected by the pace of a row must fit in the time that
+	// a request may wait, or else its caller is told at once: paces vary by about as much.
+	crowdedMargin = 1 / 1.5
 )
 
+// comeBackReason is why a caller should come back instead of waiting.
+type comeBackReason string
+
+const (
+	// reasonComeBack is that of a model that is being loaded, reasonCrowded that of a row in which
+	// too many wait.
+	reasonComeBack comeBackReason = "come_back"
+	reasonCrowded  comeBackReason = "crowded"
+)
+
+// message tells the caller the reason.
+func (r comeBackReason) message() string {
+	if r == reasonCrowded {
+		return "too many requests wait for the model"
+	}
+	return "the model is being loaded"
+}
+
 // forecast is when the model of a row should be ready, as the leader said at heardAt.
 type forecast struct {
 	readyAt time.Time
@@ -55,18 +76,36 @@
 
 func share(of time.Duration, part float64) time.Duration { return time.Duration(float64(of) * part) }
 
-// deferNow tells whether a request that has just come should come back instead of waiting.
-// It runs under the mutex.
-func (r *Router) deferNow(state *rowState, wanted *waiter) (time.Duration, bool) {
+// deferNow tells when a request that has just come should come back instead of waiting; nil for one
+// that waits. It runs under the mutex.
+func (r *Router) deferNow(state *rowState, wanted *waiter) *comeBackError {
 	now := r.now()
+	if comeBack := r.deferCrowded(now, wanted); comeBack != nil {
+		state.expect(now, wanted, comeBack.after)
+		return comeBack
+	}
 	if state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
-		return 0, false
+		return nil
 	}
 	after, isDeferred := wanted.deferral(now, state.forecast.readyAt)
-	if isDeferred {
-		state.expect(now, wanted, after)
+	if !isDeferred {
+		return nil
+	}
+	r.queue.Remove(&wanted.entry)
+	state.expect(now, wanted, after)
+	return &comeBackError{after: after, reason: reasonComeBack}
+}
+
+// deferCrowded gives a request up that, by the pace of its row and those that go before it, would
+// still wait when it must be given up. Who is above its share has the most before it, and is hit
+// first. It runs under the mutex.
+func (r *Router) deferCrowded(now time.Time, wanted *waiter) *comeBackError {
+	in, isKnown := r.queue.StartIn(now, &wanted.entry)
+	if !wanted.mayDefer || !isKnown || !now.Add(share(in, crowdedMargin)).After(wanted.until) {
+		return nil
 	}
-	return after, isDeferred
+	r.queue.Remove(&wanted.entry)
+	return &comeBackError{after: wanted.comeBackIn(now, now.Add(in)), reason: reasonCrowded}
 }
 
 // expect notes that a caller will come back.
@@ -106,7 +145,7 @@
 		after, _ := wanted.deferral(now, state.forecast.readyAt)
 		r.queue.Remove(&wanted.entry)
 		state.expect(now, wanted, after)
-		wanted.deferred <- after
+		wanted.deferred <- &comeBackError{after: after, reason: reasonComeBack}
 	}
 }
 
@@ -124,10 +163,10 @@
 }
 
 // tellToComeBack answers a request that has not been sent to any runner.
-func (x *exchange) tellToComeBack(after time.Duration) {
-	x.count("come_back")
+func (x *exchange) tellToComeBack(comeBack *comeBackError) {
+	x.count(string(comeBack.reason))
 	level.Info(x.router.logger).Log("msg", "A request was told to come back.", "request", x.request.ID,
-		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "after", after,
-		"age", x.router.age(x.request), "version", x.version)
-	refuse(x.writer, http.StatusServiceUnavailable, after, "the model is being loaded")
+		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "tenant", x.tenantName(), "reason", comeBack.reason,
+		"after", comeBack.after, "age", x.router.age(x.request), "version", x.version)
+	refuse(x.writer, http.StatusServiceUnavailable, comeBack.after, comeBack.reason.message())
 }
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -25,8 +25,8 @@
 	// mayDefer is set if the request has certainly not run, so that its caller may be told
 	// to come back.
 	mayDefer bool
-	// deferred gets after how long the caller should come back; it has room for one.
-	deferred chan time.Duration
+	// deferred gets when and why the caller should come back; it has room for one.
+	deferred chan *comeBackError
 	// granted gets the choice; it has room for one.
 	granted chan routing.Choice
 	entry   fairqueue.Entry[*waiter]
@@ -54,9 +54,14 @@
 }
 
 // comeBackError ends the wait of a request whose caller should come back.
-type comeBackError struct{ after time.Duration }
+type comeBackError struct {
+	after  time.Duration
+	reason comeBackReason
+}
 
-func (e *comeBackError) Error() string { return "the caller should come back in " + e.after.String() }
+func (e *comeBackError) Error() string {
+	return string(e.reason) + ": the caller should come back in " + e.after.String()
+}
 
 // acquire returns a runner that may be sent the request now, or waits for one until
 // ctx ends. The choice must be given back with release. The error is a comeBackError if
@@ -64,27 +69,22 @@
 func (r *Router) acquire(ctx context.Context, wanted *waiter) (routing.Choice, error) {
 	r.mutex.Lock()
 	state := r.rowState(wanted.row)
-	if choice, found := r.pick(wanted); found {
-		r.queue.Charge(r.now(), wanted.ticket.Tenant, fairqueue.Work(wanted.ticket))
+	if choice, found := r.pickFirst(state, wanted); found {
 		r.mutex.Unlock()
 		return choice, nil
 	}
-	if after, isDeferred := r.deferNow(state, wanted); isDeferred {
+	if comeBack := r.deferNow(state, wanted); comeBack != nil {
 		r.mutex.Unlock()
 		r.wakeReport()
-		return routing.Choice{}, &comeBackError{after}
+		return routing.Choice{}, comeBack
 	}
-	wanted.granted = make(chan routing.Choice, 1)
-	wanted.deferred = make(chan time.Duration, 1)
-	wanted.entry = fairqueue.Entry[*waiter]{Ticket: wanted.ticket, Value: wanted}
-	r.queue.Push(r.now(), &state.waiters, &wanted.entry)
 	r.mutex.Unlock()
 	r.wakeReport()
 	select {
 	case choice := <-wanted.granted:
 		return choice, nil
-	case after := <-wanted.deferred:
-		return routing.Choice{}, &comeBackError{after}
+	case comeBack := <-wanted.deferred:
+		return routing.Choice{}, comeBack
 	case <-ctx.Done():
 	}
 	r.mutex.Lock()
@@ -100,6 +100,30 @@
 	return routing.Choice{}, context.Cause(ctx)
 }
 
+// pickFirst chooses a runner for a request that has just come, unless others go before it. A
+// request without one is among those that wait then. It runs under the mutex.
+func (r *Router) pickFirst(state *rowState, wanted *waiter) (routing.Choice, bool) {
+	if state.waiters.Len() == 0 {
+		if choice, found := r.pick(wanted); found {
+			r.queue.Charge(r.now(), wanted.ticket.Tenant, fairqueue.Work(wanted.ticket))
+			return choice, true
+		}
+	}
+	wanted.granted = make(chan routing.Choice, 1)
+	wanted.deferred = make(chan *comeBackError, 1)
+	wanted.entry = fairqueue.Entry[*waiter]{Ticket: wanted.ticket, Value: wanted}
+	r.queue.Push(r.now(), &state.waiters, &wanted.entry)
+	if state.waiters.Len() > 1 {
+		r.queue.ServeRow(r.now(), &state.waiters, r.grant)
+	}
+	select {
+	case choice := <-wanted.granted:
+		return choice, true
+	default:
+		return routing.Choice{}, false
+	}
+}
+
 // pick chooses a runner and counts the attempt on it. It runs under the mutex.
 func (r *Router) pick(wanted *waiter) (routing.Choice, bool) {
 	at := time.Now()
@@ -131,13 +155,16 @@
 
 // serveWaiters gives runners to those that wait, in their order. It runs under the mutex.
 func (r *Router) serveWaiters() {
-	r.queue.Serve(r.now(), func(entry *fairqueue.Entry[*waiter]) bool {
-		choice, found := r.pick(entry.Value)
-		if found {
-			entry.Value.granted <- choice
-		}
-		return found
-	})
+	r.queue.Serve(r.now(), r.grant)
+}
+
+// grant gives a runner to a request that waits, if there is one.
+func (r *Router) grant(entry *fairqueue.Entry[*waiter]) bool {
+	choice, found := r.pick(entry.Value)
+	if found {
+		entry.Value.granted <- choice
+	}
+	return found
 }
 
 // notServed gives back the work that was counted for an attempt that no runner has run.
