--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -25,7 +25,7 @@
 
 // Execute reads the logs and prints what they tell of the request.
 func (c *explainCommand) Execute([]string) error {
-	lines, stats, err := c.read()
+	lines, stats, err := readLogs(c.invocation, c.Arguments.Files)
 	if err != nil {
 		return err
 	}
@@ -40,13 +40,14 @@
 	return nil
 }
 
-func (c *explainCommand) read() ([]explain.Line, explain.Stats, error) {
-	if len(c.Arguments.Files) == 0 {
-		return explain.Read(c.invocation.Input)
+// readLogs reads the lines of files, or of the input if none is named.
+func readLogs(shared *invocation, files []string) ([]explain.Line, explain.Stats, error) {
+	if len(files) == 0 {
+		return explain.Read(shared.Input)
 	}
 	var all []explain.Line
 	var stats explain.Stats
-	for _, path := range c.Arguments.Files {
+	for _, path := range files {
 		lines, read, err := readLog(path)
 		if err != nil {
 			return nil, stats, err
--- a/ctl/run.go
+++ b/ctl/run.go
@@ -51,6 +51,7 @@
 	Check    checkCommand     `command:"check" description:"Check the settings file of a daemon"`
 	Keys     keysCommands     `command:"keys" description:"Make the CA, certificates and API keys"`
 	Snapshot snapshotCommands `command:"snapshot" description:"Save, inspect and restore the state of a group"`
+	Tenants  tenantsCommand   `command:"tenants" description:"Tell from logs how tenants stand: limits, shares, who waits and who was refused"`
 	Explain  explainCommand   `command:"explain" description:"Tell from logs what became of a request"`
 }
 
@@ -64,6 +65,7 @@
 		Check:    checkCommand{invocation: shared},
 		Keys:     newKeysCommands(shared),
 		Snapshot: newSnapshotCommands(shared),
+		Tenants:  tenantsCommand{invocation: shared},
 		Explain:  explainCommand{invocation: shared},
 	}
 	shared.options = &line.Options
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -30,6 +30,10 @@
 	losses     prometheus.Counter
 	suspects   *prometheus.GaugeVec
 	trials     *prometheus.CounterVec
+	// tenantShare, tenantWaiting and tenantLimit tell of the tenants that stand out.
+	tenantShare   *prometheus.GaugeVec
+	tenantWaiting *prometheus.GaugeVec
+	tenantLimit   *prometheus.GaugeVec
 }
 
 // newMetrics makes the metrics and registers them, unless registerer is nil.
@@ -80,18 +84,21 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
 		}),
-		lost:       gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
-		losses:     counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
-		suspects:   gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
-		trials:     vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
-		earlyViews: counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
-		reopened:   counter("store_failures_total", "Times that the store failed and was opened again."),
+		lost:          gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
+		losses:        counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
+		suspects:      gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
+		trials:        vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
+		tenantShare:   gauges("tenant_share", "Work done for a tenant over its share of it, of the tenants that stand out.", "tenant"),
+		tenantWaiting: gauges("tenant_waiting_requests", "Requests of a tenant that wait at all routers, of the tenants that stand out.", "tenant"),
+		tenantLimit:   gauges("tenant_limit_used", "Part of its limit that a tenant was granted in the last window, of the tenants that stand out.", "tenant"),
+		earlyViews:    counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
+		reopened:      counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
 			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
-			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials)
+			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials, made.tenantShare, made.tenantWaiting, made.tenantLimit)
 	}
 	return made
 }
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -39,6 +39,8 @@
 				summary.Replicas, summary.Coming, summary.Waiting, summary.Active))
 		}
 	}
+	usages := l.limits.TakeUsages(at)
+	l.sumUpTenants(at, usages)
 	unmet := l.unmetNeeds()
 	stores := l.storeStates()
 	coverage := l.coverages()
@@ -48,13 +50,13 @@
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
 		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
-		"coverage", coverage, "limits", l.limitStates(at))
+		"coverage", coverage, "limits", limitStates(usages))
 }
 
 // limitStates tells of the tenants that have used most of their limits: what was drawn a second,
-// what was granted in the last window of how much, and what routers may hold. It runs under the mutex.
-func (l *leadership) limitStates(at time.Time) string {
-	usages := l.limits.TakeUsages(at)
+// what was granted in the last window of how much, and what routers may hold.
+func limitStates(usages []quota.Usage) string {
+	usages = slices.Clone(usages)
 	slices.SortStableFunc(usages, func(a, b quota.Usage) int { return cmp.Compare(b.Used/b.Most, a.Used/a.Most) })
 	var listed []string
 	for _, usage := range usages[:min(len(usages), summaryModels)] {
--- a/placement/quota/ask.go
+++ b/placement/quota/ask.go
@@ -27,9 +27,6 @@
 	ComeBackIn time.Duration
 }
 
-// isDecided reports whether the request need not ask again.
-func (a Answer) isDecided() bool { return a.IsAdmitted || a.ComeBackIn > 0 }
-
 // asks returns those of the requests that wait, and whether each may be answered by itself.
 // Routers of the version before send none: what they are granted serves their requests in the
 // order in which they wait.
--- a/placement/quota/divider.go
+++ b/placement/quota/divider.go
@@ -232,8 +232,13 @@
 	Used float64
 	Most float64
 	Lent float64
-	// Drawn is what was granted since the last look.
-	Drawn float64
+	// Drawn is what was granted since the last look, and Asked, Refused and Promised count the
+	// requests of the questions since then, those that were refused, and those of these that were promised
+	// room.
+	Drawn    float64
+	Asked    int
+	Refused  int
+	Promised int
 }
 
 // TakeUsages lists how far each limit is used, in the order of the tenants' names, and begins
@@ -246,8 +251,9 @@
 		}
 		known.age(at)
 		known.sweep(at)
-		usages = append(usages, Usage{Tenant: name, Used: known.used, Most: known.most, Lent: known.total, Drawn: known.drawn})
-		known.drawn = 0
+		usages = append(usages, Usage{Tenant: name, Used: known.used, Most: known.most, Lent: known.total, Drawn: known.drawn,
+			Asked: known.counts.asked, Refused: known.counts.refused, Promised: known.counts.promised})
+		known.drawn, known.counts = 0, counts{}
 	}
 	slices.SortFunc(usages, func(a, b Usage) int { return strings.Compare(a.Tenant, b.Tenant) })
 	return usages
--- a/placement/quota/round.go
+++ b/placement/quota/round.go
@@ -28,6 +28,7 @@
 	answers := make([]Answer, len(asks))
 	for _, i := range want.order() {
 		answers[i] = r.answer(asks[i], figure(want.Waiting[i]))
+		r.count(answers[i])
 		if !isEach && !answers[i].IsAdmitted {
 			return nil
 		}
@@ -38,6 +39,16 @@
 	return answers
 }
 
+func (r *round) count(answer Answer) {
+	counts := &r.window.counts
+	if answer.IsAdmitted || answer.ComeBackIn > 0 {
+		counts.asked++
+	}
+	if answer.ComeBackIn > 0 {
+		counts.refused++
+	}
+}
+
 // room is what is left for requests to which nothing was promised.
 func (r *round) room() float64 { return r.level - r.need }
 
@@ -117,6 +128,7 @@
 	if in := r.bookable(ask, cost); isKept && in > 0 {
 		w.promises.add(promise{digest: ask.Digest, cost: cost, at: r.at.Add(in), class: class})
 		w.classes.serve(class, cost)
+		w.counts.promised++
 		r.need = w.promises.need(r.at, w.floor)
 		r.noteRoom(in)
 		return in
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -44,8 +44,16 @@
 	// shown is what routers showed to hold when they first asked this leader.
 	shown   float64
 	sweptAt time.Time
-	// drawn is what was granted since the last look.
-	drawn float64
+	// drawn is what was granted since the last look, and counts what became of requests.
+	drawn  float64
+	counts counts
+}
+
+// counts are requests that were decided on.
+type counts struct {
+	asked    int
+	refused  int
+	promised int
 }
 
 // grantedStep is what was granted until a time; it counts until the window has passed.
--- a/request/explain/tenant.go
+++ b/request/explain/tenant.go
@@ -25,6 +25,27 @@
 		a.note("Tenant %s had used its limit: the request tells %s tokens, and room was expected in %s.",
 			tenant, last.Get("tokens"), last.Get("come_back_in"))
 		a.findLimit(tenant)
+		a.findStanding(tenant)
+	case "crowded":
+		a.note("More requests waited for %s than could be served in its time, by those that went before it; its caller was told to come back in %s.",
+			a.Model, last.Get("after"))
+		a.findStanding(tenant)
+	case "come_back":
+		a.note("%s was being loaded, and would not have been there in time; its caller was told to come back in %s.", a.Model, last.Get("after"))
+	case "no_runner":
+		a.findStanding(tenant)
+	}
+}
+
+// findStanding says how the tenant stood among the others when its request ended.
+func (a *Account) findStanding(tenant string) {
+	for _, line := range slices.Backward(a.Beliefs) {
+		if line.Message != messageTenant || line.Get("tenant") != tenant || line.Time.After(a.ended()) {
+			continue
+		}
+		a.note("At %s tenant %s had %s of its share of the work, %s of its requests waited, and %s of %s of its limit were granted in a window; %s of %s requests beyond it were promised room.",
+			a.since(line.Time), tenant, line.Get("share"), line.Get("waiting"), line.Get("used"), line.Get("most"), line.Get("promised"), line.Get("refused"))
+		return
 	}
 }
 
@@ -42,5 +63,6 @@
 // isAboutTenant reports whether the line is about the limit of a tenant, before the request ended.
 // Limits change seldom, so that lines from long before count.
 func isAboutTenant(line Line, tenant string, until time.Time) bool {
-	return tenant != "" && line.Message == messageLimit && line.Get("tenant") == tenant && !line.Time.After(until)
+	isStanding := line.Message == messageTenant && until.Sub(line.Time) <= before
+	return tenant != "" && (line.Message == messageLimit || isStanding) && line.Get("tenant") == tenant && !line.Time.After(until)
 }
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -166,7 +166,7 @@
 func (x *exchange) tellToComeBack(comeBack *comeBackError) {
 	x.count(string(comeBack.reason))
 	level.Info(x.router.logger).Log("msg", "A request was told to come back.", "request", x.request.ID,
-		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "tenant", x.tenantName(), "reason", comeBack.reason,
+		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "tenant", x.tenantName(), "outcome", string(comeBack.reason),
 		"after", comeBack.after, "age", x.router.age(x.request), "version", x.version)
 	refuse(x.writer, http.StatusServiceUnavailable, comeBack.after, comeBack.reason.message())
 }
