Callers that repeat before the time they were told have no chance at the expense of others

Change: the leader remembers refused callers by digest; each has one second chance after the time that it can stay away, and none before or after unless there is plenty. A caller that is still there when the rush is over is served, however often it came.

--- a/placement/quota/round.go
+++ b/placement/quota/round.go
@@ -18,6 +18,7 @@
 
 func (w *window) newRound(at time.Time, held float64) *round {
 	w.promises.expire(at)
+	w.notices.expire(at)
 	return &round{window: w, at: at, held: held, level: w.level(at) + held, need: w.promises.need(at, w.floor)}
 }
 
@@ -67,6 +68,10 @@
 	if place >= 0 {
 		return r.keep(place, class, cost)
 	}
+	if w.notices.isEarly(r.at, ask.Digest) && !r.isEasy(cost) {
+		r.noteRoom(w.length)
+		return Answer{ComeBackIn: w.length}
+	}
 	isTurn := r.isEasy(cost) || w.classes.isDue(class) && w.covers(r.room(), cost)
 	switch {
 	case isTurn && r.fits(cost):
@@ -138,6 +143,7 @@
 		// None is free that its caller can make use of, and nothing can be said of a rush beyond
 		// the window.
 		in = max(in, w.length)
+		w.notices.add(r.at, ask.Digest, ask.Away)
 	}
 	r.noteRoom(in)
 	return in
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -19,9 +19,10 @@
 	// floor may be granted in every second, and credit beyond that.
 	floor  float64
 	credit float64
-	// promises is the room that callers were told to come back for, and classes compares the
-	// kinds of requests.
+	// promises is the room that callers were told to come back for, notices remembers the other
+	// refused callers, and classes compares the kinds of requests.
 	promises promises
+	notices  notices
 	classes  classes
 	// granted lists what was granted, oldest first, in steps of grantStep. inherited lists what
 	// former leaders may have granted. used is the sum of both.
