--- /dev/null
+++ b/placement/quota/round_test.go
@@ -0,0 +1,123 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func urgent(digest uint64) Ask {
+	return Ask{Class: "urgent", Digest: digest, Due: 400 * time.Millisecond, Away: 1500 * time.Millisecond}
+}
+
+func patient(digest uint64) Ask {
+	return Ask{Class: "patient", Digest: digest, Due: 6 * time.Second, Away: 5 * time.Second}
+}
+
+func one(cost float64, ask Ask) Want { return Want{Waiting: []float64{cost}, Asks: []Ask{ask}} }
+
+func TestPromisedRoomIsThereWhenTheCallerComesBack(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	c.Assert(drawAt(d, origin, "a", one(230, urgent(1))).Answers[0].IsAdmitted, qt.IsTrue)
+	refused := drawAt(d, origin, "a", one(20, patient(2))).Answers[0]
+	c.Assert(refused.IsAdmitted, qt.IsFalse)
+	// It is in time then, and leaves the next moments to those that are not.
+	c.Assert(refused.ComeBackIn >= 3*time.Second && refused.ComeBackIn <= 5*time.Second, qt.IsTrue, qt.Commentf("%v", refused.ComeBackIn))
+	// Others ask for far more than the rate meanwhile.
+	at := origin
+	for digest := uint64(100); at.Before(origin.Add(refused.ComeBackIn)); digest++ {
+		at = at.Add(10 * time.Millisecond)
+		drawAt(d, at, "b", one(10, urgent(digest)))
+	}
+	// It comes back to another router.
+	kept := drawAt(d, origin.Add(refused.ComeBackIn), "c", one(20, patient(2)))
+	c.Assert(kept.Answers[0].IsAdmitted, qt.IsTrue)
+	c.Assert(kept.Amount, qt.Equals, 20.0)
+}
+
+func TestCallerThatComesTooEarlyIsToldTheRestOfItsTime(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	drawAt(d, origin, "a", one(230, urgent(1)))
+	in := drawAt(d, origin, "a", one(20, patient(2))).Answers[0].ComeBackIn
+	early := drawAt(d, origin.Add(time.Second), "a", one(20, patient(2))).Answers[0]
+	c.Assert(early, qt.Equals, Answer{ComeBackIn: in - time.Second})
+}
+
+func TestPromiseThatNobodyComesForIsGivenToOthers(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	drawAt(d, origin, "a", one(230, urgent(1)))
+	in := drawAt(d, origin, "a", one(20, patient(2))).Answers[0].ComeBackIn
+	late := origin.Add(in + promiseLife + time.Second)
+	drawAt(d, late, "a", one(1, urgent(3)))
+	c.Assert(d.windows["t"].promises.listed, qt.HasLen, 0)
+}
+
+// Kinds of requests that ask for more than there is get the same part of it, whatever their sizes.
+func TestKindsGetTheSamePartOfWhatTheyAskFor(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	asked, admitted := make(map[string]float64), make(map[string]float64)
+	classes := []struct {
+		name string
+		cost float64
+	}{{"small", 1}, {"small", 1}, {"small", 1}, {"small", 1}, {"long", 12}}
+	digest := uint64(0)
+	for step := range 6000 {
+		at := origin.Add(time.Duration(step) * 10 * time.Millisecond)
+		class := classes[step%len(classes)]
+		digest++
+		answer := drawAt(d, at, fmt.Sprint(step%7), one(class.cost, Ask{Class: class.name, Digest: digest})).Answers[0]
+		asked[class.name] += class.cost
+		if answer.IsAdmitted {
+			admitted[class.name] += class.cost
+		}
+	}
+	small, long := admitted["small"]/asked["small"], admitted["long"]/asked["long"]
+	c.Assert(small/long > 0.8 && small/long < 1.25, qt.IsTrue, qt.Commentf("small %.3f, long %.3f", small, long))
+}
+
+func TestOfOneQuestionTheMostUrgentGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	grant := drawAt(d, origin, "a", Want{Waiting: []float64{200, 200}, Asks: []Ask{patient(1), urgent(2)}})
+	c.Assert(grant.Answers[0].IsAdmitted, qt.IsFalse)
+	c.Assert(grant.Answers[1].IsAdmitted, qt.IsTrue)
+	c.Assert(grant.Amount, qt.Equals, 200.0)
+}
+
+func TestRouterOfTheVersionBeforeGetsTheFirstOfThoseThatWait(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	grant := drawAt(d, origin, "a", waiting(200, 100, 10))
+	c.Assert(grant.Answers, qt.HasLen, 0)
+	c.Assert(grant.Amount, qt.Equals, 200.0)
+	c.Assert(grant.RoomIn > 0, qt.IsTrue)
+}
+
+// What is not in the log yet is not decided.
+func TestRequestThatTheLogLacksIsNotDecided(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	want := one(10, urgent(1))
+	want.Tenant = "t"
+	c.Assert(d.Draw(origin, "a", []Want{want})[0].Answers, qt.DeepEquals, []Answer{{}})
+}
+
+func TestCallerIsGivenOneSecondChance(t *testing.T) {
+	c := qt.New(t)
+	var n notices
+	n.add(origin, 7, time.Second)
+	c.Assert(n.isEarly(origin.Add(900*time.Millisecond), 7), qt.IsTrue)
+	second := origin.Add(time.Second)
+	c.Assert(n.isEarly(second, 7), qt.IsFalse)
+	n.add(second, 7, 600*time.Millisecond)
+	c.Assert(n.isEarly(second.Add(time.Second), 7), qt.IsTrue)
+	n.expire(origin.Add(3*time.Second + promiseLife))
+	c.Assert(n.byDigest, qt.HasLen, 0)
+	c.Assert(n.listed, qt.HasLen, 0)
+}
