--- a/request/fairqueue/estimate.go
+++ b/request/fairqueue/estimate.go
@@ -55,9 +55,10 @@
 	if !isKnown {
 		return 0, false
 	}
-	ahead := 0
+	ahead, isListed := 0, false
 	entry.row.Each(func(other *Entry[V]) bool {
-		if other != entry && q.goesBefore(now, other, entry) {
+		isListed = isListed || other == entry
+		if q.goesBefore(now, other, entry) || !isListed && !q.goesBefore(now, entry, other) {
 			ahead++
 		}
 		return true
