What an idle model is expected to be asked for is divided by those idle then

Cause: the rate at which idle models are asked for was divided by the number of models idle now. In a rush at all models hardly one is left, so that each model's last replica counted for what all models together got, was worth more than any load gained, and nothing made way for what waited.

Ruled out: too few runners with copies; they took no order for want of room.

Change: each first request for an idle model counts by the models idle when it came.

--- a/placement/residency/idledemand_test.go
+++ b/placement/residency/idledemand_test.go
@@ -27,14 +27,25 @@
 			now := start
 			for second := range 100 {
 				now = start.Add(time.Duration(second) * time.Second)
-				n.observe(now, test.asked(second))
+				n.observe(now, test.asked(second), test.models)
 			}
-			got := n.ratePerModel(now, test.models)
+			got := n.ratePerModel(now)
 			c.Assert(math.Abs(got-test.each) < 0.05*test.each+0.0001, qt.IsTrue, qt.Commentf("%v", got))
 		})
 	}
 }
 
+// All models are asked for in turn until hardly one is idle. Each is worth what one of them is
+// asked for, not what all are: otherwise none would make way for another.
+func TestRushAtAllModelsLeavesNoneOfGreatWorth(t *testing.T) {
+	n := newIdleDemand()
+	for i := range 199 {
+		n.observe(start.Add(time.Duration(i)*10*time.Millisecond), fmt.Sprint("m", i), 200)
+	}
+	got := n.ratePerModel(start.Add(2 * time.Second))
+	qt.Assert(t, got < 0.5, qt.IsTrue, qt.Commentf("%v requests a second, where each was asked for once in two", got))
+}
+
 // Rare models are asked for one after the other. The only replica of one that nobody asked
 // for yet is worth more than one of many replicas of a model in little demand.
 func TestSpareReplicaMakesWayBeforeTheLastOne(t *testing.T) {
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -130,7 +130,7 @@
 		}
 		known.add(now, router, demand, p.options.RateTime)
 		if demand.Arrived > 0 {
-			p.idleDemandOf(demand.Row.Service).observe(now, demand.Row.Model)
+			p.idleDemandOf(demand.Row.Service).observe(now, demand.Row.Model, p.listedModels(demand.Row.Service))
 		}
 		for _, active := range demand.Active {
 			p.noteUse(now, active.Instance, demand.Row)
@@ -138,6 +138,14 @@
 	}
 }
 
+// listedModels counts the models that the document lists for a service.
+func (p *Planner) listedModels(service string) int {
+	if p.document == nil || p.document.Service(service) == nil || p.document.Service(service).Engine == nil {
+		return 0
+	}
+	return len(p.document.Service(service).Engine.Models)
+}
+
 func (p *Planner) idleDemandOf(service string) *idleDemand {
 	known := p.idleDemand[service]
 	if known == nil {
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -112,7 +112,7 @@
 			delete(p.idleDemand, name)
 			continue
 		}
-		t.idleRates[name] = known.ratePerModel(now, len(service.Engine.Models))
+		t.idleRates[name] = known.ratePerModel(now)
 	}
 }
 
