Places for rare models are shared by time: what is due takes its turn

Cause: with twice as many rare models wanted as there are places, a model made way only once nobody had used it for 0.35 s.

Change: a model whose requests become late unless it is loaded next is due, and one in use makes way for it after its stay of 0.5 s if nothing waits for it. A small store keeps places for models that nobody has; loads beyond its limit begin only where it is four or more, and where a load takes longer than callers wait one is tried first. A load is charged for the requests that depend on the other copies at its runner.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -29,6 +29,9 @@
 		return cost, "", true
 	}
 	for _, leaving := range found.candidates {
+		if leaving.isInUse && !wanted.isDue {
+			continue
+		}
 		if victim == "" {
 			victim = leaving.name
 		}
@@ -63,6 +66,8 @@
 	name   string
 	sizeMB float64
 	value  float64
+	// isInUse is set if requests use the model, and no other replica serves them.
+	isInUse bool
 }
 
 // weigh weighs a runner, once in a plan.
@@ -83,12 +88,14 @@
 		listed := engine.ModelByName(name)
 		switch {
 		case listed == nil:
-			found.candidates = append(found.candidates, candidate{name, engine.WeightsMB, 0})
+			found.candidates = append(found.candidates, candidate{name: name, sizeMB: engine.WeightsMB})
 		case held.phase != phaseReady:
 		case p.isIdle(now, known, name, held):
-			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed) * unobserved})
+			found.candidates = append(found.candidates, candidate{name: name, sizeMB: listed.SizeMB, value: p.value(known, listed) * unobserved})
 		case p.isSpare(known, row):
-			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed)*unobserved + drainCost})
+			found.candidates = append(found.candidates, candidate{name: name, sizeMB: listed.SizeMB, value: p.value(known, listed)*unobserved + drainCost})
+		case p.hadItsTurn(now, row, held):
+			found.candidates = append(found.candidates, candidate{name, listed.SizeMB, p.value(known, listed)*unobserved + drainCost, true})
 		}
 	}
 	slices.SortFunc(found.candidates, func(a, b candidate) int {
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -18,6 +18,8 @@
 	priority    int
 	// oldest is how long the oldest request has waited.
 	oldest time.Duration
+	// isDue is set if a request becomes late unless its model is loaded next.
+	isDue bool
 	// isFromCopy is set if the model is being loaded from the weight store, which takes longer
 	// than a load from a copy.
 	isFromCopy bool
@@ -35,6 +37,9 @@
 			continue
 		}
 		if found[row] == nil {
+			if p.tally.isAbsent(row) {
+				p.tally.absent[row.Service]++
+			}
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
@@ -49,6 +54,7 @@
 		if each.isWaitedFor {
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
 			each.gain *= urgency(each.priority)
+			each.isDue = p.isDue(each)
 		}
 		listed = append(listed, *each)
 	}
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -135,6 +135,7 @@
 	if !isPossible {
 		return loadPlace{obstacle: ObstacleRoom}
 	}
+	cost += p.claimCost(known, model)
 	if !wanted.isWaitedFor && cost >= wanted.gain {
 		return loadPlace{obstacle: ObstacleCost}
 	}
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -54,6 +54,10 @@
 	if longest > 0 && patience > 0 {
 		first = min(first, max(leastFirstLoads, int(patience/longest)))
 	}
+	if longest > patience && patience > 0 {
+		// Nobody waits for the end of a load: one after the other ends sooner on average.
+		first = 1
+	}
 	return first
 }
 
@@ -129,7 +133,11 @@
 // runner, so that the wait in all is bounded by what the load from the store would take.
 func (p *Planner) mayUseStore(now time.Time, wanted need) bool {
 	store := p.store(wanted.row.Service)
-	if store == nil || !hasPlace(now, store, wanted, p.tally.kept[wanted.row.Service]) {
+	if store == nil {
+		return false
+	}
+	kept := p.tally.kept[wanted.row.Service] + p.keptForAbsent(wanted, store.Limit())
+	if !hasPlace(now, store, wanted, kept) {
 		return false
 	}
 	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
--- a/placement/residency/store_test.go
+++ b/placement/residency/store_test.go
@@ -286,7 +286,7 @@
 		loadTime time.Duration
 		runners  int
 		first    int
-	}{{20 * time.Second, 140, 2}, {6 * time.Second, 9, 4}, {6 * time.Second, 140, 5}, {time.Second, 140, 7}, {0, 140, 7}} {
+	}{{40 * time.Second, 140, 1}, {20 * time.Second, 140, 2}, {6 * time.Second, 9, 4}, {6 * time.Second, 140, 5}, {time.Second, 140, 7}, {0, 140, 7}} {
 		t.Run(fmt.Sprint(test.loadTime, test.runners), func(t *testing.T) {
 			p := NewPlanner(Options{}, start)
 			p.SetDocument(site.NewIndex(&site.Document{
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -34,6 +34,10 @@
 	kept map[string]int
 	// makingRoom says for which models a runner makes room.
 	makingRoom map[Row]bool
+	// claims is how many requests a second depend on the copies at each runner.
+	claims map[*runner]float64
+	// absent counts the models that requests wait for and that nobody has or loads, by service.
+	absent map[string]int
 }
 
 type activeKey struct {
@@ -63,6 +67,7 @@
 		reserved:     make(map[Row]*runner),
 		kept:         make(map[string]int),
 		makingRoom:   make(map[Row]bool),
+		absent:       make(map[string]int),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -98,6 +103,7 @@
 		t.addHoldings(known)
 		t.addRunner(known, p.mayOrder(known))
 	}
+	t.addClaims()
 	p.tally = t
 }
 
@@ -189,6 +195,9 @@
 func (t *tally) noteOrder(known *runner, operation Operation, model string) {
 	row := Row{Service: known.status.Heartbeat.Service, Model: model}
 	if operation == Load {
+		if t.isAbsent(row) {
+			t.absent[row.Service]--
+		}
 		t.coming[row] = append(t.coming[row], known)
 		return
 	}
--- /dev/null
+++ b/placement/residency/turns.go
@@ -0,0 +1,102 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/site"
+)
+
+const (
+	// claimHarm is the part of the requests for models with copies at a runner that are late
+	// because it loads another one, if that takes no longer than their callers are patient, as
+	// arrivalWeight is of those for the model that is loaded. All are if it takes longer.
+	claimHarm = 0.3
+	// sharedModel is from how many replicas on a model does not depend on a copy: it is served
+	// while one of them makes way.
+	sharedModel = 2
+	// manyPlaces is from how many loads at once a weight store serves absent models and others
+	// side by side: see reservedShare.
+	manyPlaces = 4
+)
+
+// addClaims works out how many requests a second depend on the copies at each runner: those
+// for a model with few replicas go, in even parts, to the runners that can load it quickly.
+func (t *tally) addClaims() {
+	t.claims = make(map[*runner]float64, len(t.sorted))
+	for row, demand := range t.demands {
+		claim := t.claim(row, demand)
+		if claim == 0 {
+			continue
+		}
+		for _, known := range t.copies[row] {
+			t.claims[known] += claim
+		}
+	}
+}
+
+// claim is how many requests a second for a model depend on each of its copies.
+func (t *tally) claim(row Row, demand modelDemand) float64 {
+	copies := len(t.copies[row])
+	if copies == 0 || len(t.holders[row]) >= sharedModel {
+		return 0
+	}
+	return demand.rate / float64(copies)
+}
+
+// claimCost is how many requests will be late because the runner loads a model and takes no
+// order about those meanwhile of which it has a copy. So a runner that alone has a copy of a
+// model is left to it, and a long load from the weight store goes where few others wait.
+func (p *Planner) claimCost(known *runner, model *site.Model) float64 {
+	row := known.rowOf(model.Name)
+	claims := p.tally.claims[known]
+	if known.hasCopy(model.Name) {
+		claims -= p.tally.claim(row, p.modelDemand(row))
+	}
+	seconds := loadTime(known, model).Seconds()
+	harm := claimHarm
+	if !known.hasCopy(model.Name) {
+		harm = 1
+	}
+	return max(0, claims) * seconds * harm
+}
+
+// isAbsent reports whether nobody holds, loads or has a copy of a model.
+func (t *tally) isAbsent(row Row) bool {
+	return len(t.holders[row]) == 0 && len(t.coming[row]) == 0 && len(t.copies[row]) == 0
+}
+
+// keptForAbsent is how many places at a weight store with so many in all are kept from a need
+// for models that requests wait for and that nobody has: their callers are all refused until
+// one is loaded, while those of a model with a replica or a copy are served, if late. Half of
+// several places stay for others.
+func (p *Planner) keptForAbsent(wanted need, places int) int {
+	if places >= manyPlaces || p.tally.isAbsent(wanted.row) {
+		return 0
+	}
+	return min(p.tally.absent[wanted.row.Service], max(1, places/2))
+}
+
+const (
+	// turnMargin is how long before its requests become late a model is due: the time in which
+	// most models in use become unused once, so that nothing need be drained for it.
+	turnMargin = time.Second
+	// leastTurn is how long a model stays at least after a load while requests use it: those
+	// that were gathered for it have been sent by then.
+	leastTurn = 500 * time.Millisecond
+)
+
+// isDue reports whether requests for the model become late unless it is loaded next.
+func (p *Planner) isDue(wanted *need) bool {
+	objective := p.modelDemand(wanted.row).objective
+	if objective == 0 {
+		return false
+	}
+	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
+	return model != nil && wanted.oldest+model.DiskLoadTime+turnMargin >= objective
+}
+
+// hadItsTurn reports whether a model in use may make way for one that is due: what was gathered
+// for it has been sent, and nothing waits for it now.
+func (p *Planner) hadItsTurn(now time.Time, row Row, held *holding) bool {
+	return p.tally.waiting[row] == 0 && now.Sub(held.since) >= leastTurn && len(p.holders(row)) == 1
+}
--- /dev/null
+++ b/placement/residency/turns_test.go
@@ -0,0 +1,89 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// A store that serves one load at a time has a place. A model that nobody has goes first, though
+// a further replica of an overrun one would save more requests from being late.
+func TestAbsentModelGoesFirstAtASmallStore(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(3, func(i int, heartbeat *fleet.Heartbeat) {
+		if i == 0 {
+			heartbeat.Models = []fleet.LoadedModel{{Name: "m0"}}
+		}
+	})
+	p.RecallStore(start, "s", 1, true)
+	p.Observe(start, "router", []Demand{
+		{Row: Row{Service: "s", Model: "m0"}, Arrived: 500},
+		{Row: Row{Service: "s", Model: "m1"}, Arrived: 1, Waiting: 1, Priority: 1},
+	})
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Model, qt.Equals, "m1")
+	p.Answered(start, orders[0], OutcomeAccepted)
+	c.Assert(p.Plan(start.Add(time.Second)), qt.HasLen, 0, qt.Commentf("a second load at once would slow down the first"))
+}
+
+// A load from the weight store holds its runner up for long. It goes to one whose copies are
+// also elsewhere, though the others are as free.
+func TestStoreLoadLeavesTheOnlyCopiesReachable(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(4, func(i int, heartbeat *fleet.Heartbeat) {
+		heartbeat.OnDisk = []string{fmt.Sprint("m", 10+i)}
+		if i == 2 {
+			heartbeat.OnDisk = []string{"m10"}
+		}
+	})
+	demands := []Demand{{Row: Row{Service: "s", Model: "m1"}, Arrived: 1, Waiting: 1}}
+	for _, name := range []string{"m10", "m11", "m13"} {
+		demands = append(demands, Demand{Row: Row{Service: "s", Model: name}, Arrived: 4})
+	}
+	p.Observe(start, "router", demands)
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Model, qt.Equals, "m1")
+	c.Assert(orders[0].Instance == "r0" || orders[0].Instance == "r2", qt.IsTrue, qt.Commentf("%v", orders[0]))
+}
+
+// dueWorld is a planner of a runner with model m0 in use, and copies of it and of m1, for which a request
+// has waited for a time.
+func dueWorld(waited time.Duration) *Planner {
+	p := newStorePlanner(1, func(_ int, heartbeat *fleet.Heartbeat) {
+		heartbeat.Models = []fleet.LoadedModel{{Name: "m0"}}
+		heartbeat.OnDisk = []string{"m0", "m1"}
+	})
+	at := start.Add(leastTurn)
+	p.Observe(at, "router", []Demand{
+		{Row: Row{Service: "s", Model: "m0"}, Arrived: 1, Objective: 4 * time.Second, Active: []ActiveCount{{Instance: "r0", Count: 1}}},
+		{Row: Row{Service: "s", Model: "m1"}, Arrived: 1, Objective: 4 * time.Second, Waiting: 1, Oldest: waited},
+	})
+	return p
+}
+
+// A model in use keeps its place until another one is due, and then makes way: its requests end
+// first. The wait for a copy at a runner is bounded so however busy its models are.
+func TestModelInUseMakesWayForOneThatIsDue(t *testing.T) {
+	c := qt.New(t)
+	at := start.Add(leastTurn)
+	c.Assert(dueWorld(time.Second).Plan(at), qt.HasLen, 0)
+	orders := dueWorld(2500 * time.Millisecond).Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Unload)
+	c.Assert(orders[0].Model, qt.Equals, "m0")
+}
+
+// What is waited for stays until what was gathered has been sent.
+func TestModelWithGatheredRequestsStays(t *testing.T) {
+	c := qt.New(t)
+	p := dueWorld(2500 * time.Millisecond)
+	at := start.Add(leastTurn)
+	p.Observe(at, "other", []Demand{{Row: Row{Service: "s", Model: "m0"}, Waiting: 1, Objective: 4 * time.Second}})
+	c.Assert(p.Plan(at), qt.HasLen, 0)
+}
--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -41,6 +41,9 @@
 	// urgentFactor times the limit is how many loads at once there may be with urgent ones: each
 	// then takes half as long again, which is less than to wait for one of the others.
 	urgentFactor = 1.5
+	// leastUrgent is the limit from which on urgent loads may exceed it. Of fewer, one more slows
+	// each down so much that all would end later than one after the other.
+	leastUrgent = 4
 	// triedShare is how much of the limit must be proved before more is tried: the rest is
 	// under way as a rule, and tells within seconds whether the store bears it.
 	triedShare = 0.9
@@ -148,7 +151,15 @@
 // MayBeginUrgent reports whether an urgent load may begin although the store is in full use: all
 // loads take a little longer then, but this one need not wait for another to end.
 func (l *Limiter) MayBeginUrgent(now time.Time, kept int) bool {
-	return l.isWithinRate(now, kept) && float64(len(l.loads)+kept) < urgentFactor*l.limit
+	return l.isWithinRate(now, kept) && len(l.loads)+kept < l.urgentLimit()
+}
+
+// urgentLimit is how many loads at once there may be with urgent ones.
+func (l *Limiter) urgentLimit() int {
+	if l.Limit() < leastUrgent {
+		return l.Limit()
+	}
+	return int(math.Ceil(urgentFactor * l.limit))
 }
 
 // isWithinRate reports whether one more load may begin now by the rate of the store alone.
@@ -226,13 +237,22 @@
 		l.limit = max(1, min(l.limit, math.Round(most/quicker)))
 	case slowness > 1:
 	case l.crowdedAt.IsZero() && least >= triedShare*l.limit && isQuick(took, load.nominal):
-		l.limit = max(l.limit, math.Round(startFactor*least))
+		l.limit = max(l.limit, nextTried(least))
 	case !l.crowdedAt.IsZero() && least >= fullShare*l.limit && now.Sub(l.crowdedAt) > probePause && !load.since.Before(l.raisedAt):
 		l.limit++
 		l.raisedAt = now
 	}
 }
 
+// nextTried is how many loads at once to try after so many ended in time. One alone shows
+// little: two are tried next, as each of four may take four times as long.
+func nextTried(proved float64) float64 {
+	if proved < 2 {
+		return 2
+	}
+	return math.Round(startFactor * proved)
+}
+
 // average is how many loads were under way on average since a load began.
 func (l *Limiter) average(now time.Time, load progress) float64 {
 	return (l.used - load.used) / max(time.Millisecond, now.Sub(load.since)).Seconds()
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -315,3 +315,27 @@
 	c.Assert(l.Remaining(start.Add(nominal-time.Second), load.Key), qt.Equals, time.Second)
 	c.Assert(l.Remaining(start.Add(nominal+5*time.Second), load.Key), qt.Equals, 5*time.Second)
 }
+
+// One more load than a store serves at once makes all of few end later than one after the other.
+func TestUrgentLoadsExceedTheLimitOfALargeStoreOnly(t *testing.T) {
+	for _, test := range []struct{ limit, urgent int }{{1, 1}, {2, 2}, {3, 3}, {4, 6}, {10, 15}} {
+		t.Run(fmt.Sprint(test.limit), func(t *testing.T) {
+			limiter := New(5*time.Second, 100)
+			limiter.Recall(start, test.limit, true)
+			begun := 0
+			for ; limiter.MayBeginUrgent(start, 0); begun++ {
+				limiter.Begin(start, Load{Key{Model: fmt.Sprint(begun)}, nominal})
+			}
+			qt.Assert(t, begun, qt.Equals, test.urgent)
+		})
+	}
+}
+
+func TestOneLoadInTimeLetsTwoBeTried(t *testing.T) {
+	limiter := New(5*time.Second, 100)
+	limiter.Expect(1)
+	limiter.Update(start, nil, nil)
+	limiter.Begin(start, Load{Key{Model: "m"}, nominal})
+	limiter.Update(start.Add(nominal), nil, func(Key) bool { return true })
+	qt.Assert(t, limiter.Limit(), qt.Equals, 2)
+}
