--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -38,6 +38,10 @@
 	zoneRates map[Row]zoneRates
 	// makingRoom says for which models a runner makes room.
 	makingRoom map[Row]bool
+	// claims is how many requests a second depend on the copies at each runner.
+	claims map[*runner]float64
+	// absent counts the models that requests wait for and that nobody has or loads, by service.
+	absent map[string]int
 }
 
 type activeKey struct {
@@ -68,6 +72,7 @@
 		kept:         make(map[string]int),
 		makingRoom:   make(map[Row]bool),
 		zoneRates:    make(map[Row]zoneRates),
+		absent:       make(map[string]int),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -105,6 +110,7 @@
 		t.addHoldings(known)
 		t.addRunner(known, p.mayOrder(known))
 	}
+	t.addClaims()
 	p.tally = t
 	p.spreadDemand()
 }
@@ -120,7 +126,7 @@
 			delete(p.idleDemand, name)
 			continue
 		}
-		t.idleRates[name] = known.ratePerModel(now, len(service.Engine.Models))
+		t.idleRates[name] = known.ratePerModel(now)
 	}
 }
 
@@ -197,6 +203,9 @@
 func (t *tally) noteOrder(known *runner, operation Operation, model string) {
 	row := Row{Service: known.status.Heartbeat.Service, Model: model}
 	if operation == Load {
+		if t.isAbsent(row) {
+			t.absent[row.Service]--
+		}
 		t.coming[row] = append(t.coming[row], known)
 		return
 	}
--- a/request/relay/zones_test.go
+++ b/request/relay/zones_test.go
@@ -21,6 +21,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/waiting"
 )
 
 const (
