A silent leader raises a suspicion only of zones that were not heard of just now

Cause: at each election every router would connect to a runner of its own zone as well, from which it had an answer a moment before.

Test of both: the three far zones are asked, and left if none answers.

--- a/request/zonewatch/watch.go
+++ b/request/zonewatch/watch.go
@@ -187,6 +187,7 @@
 	}
 	known.heardAt = now
 	heard := known.zone
+	heard.heardAt = now
 	if heard.refuted > 0 && now.Sub(heard.quietSince) < heard.patience()/2 {
 		heard.refuted--
 	}
@@ -206,11 +207,13 @@
 
 // LeaderSilent notes that the leader has not been heard for longer than usual: this router may be in a part
 // of the site that is cut off, and send so little elsewhere that its requests do not tell. It returns the
-// runners to ask.
+// runners to ask, of zones that were not heard of just now.
 func (w *Watch) LeaderSilent(now time.Time) []Probe {
 	var probes []Probe
 	for _, each := range w.sorted() {
-		probes = append(probes, w.suspect(now, each, CauseLeader, "")...)
+		if now.Sub(each.heardAt) >= silentAfter {
+			probes = append(probes, w.suspect(now, each, CauseLeader, "")...)
+		}
 	}
 	return probes
 }
--- a/request/zonewatch/watch_test.go
+++ b/request/zonewatch/watch_test.go
@@ -264,6 +264,27 @@
 	}
 }
 
+// A router inside the lost zone has no request elsewhere: the leader's silence tells, at a connect for each
+// zone that was not heard of anyway.
+func TestSilentLeaderTellsOfTheCut(t *testing.T) {
+	for _, isCut := range []bool{false, true} {
+		t.Run(fmt.Sprint("cut ", isCut), func(t *testing.T) {
+			s := newSite(t)
+			for _, far := range []structs.ZoneID{"b", "c", "d"} {
+				s.isOff[far], s.cut[far] = true, isCut
+			}
+			s.run(3 * time.Second)
+			s.c.Assert(s.probes, qt.Equals, 0)
+			// The own zone has just been heard of.
+			s.watch.Heard(s.now, "a0")
+			s.ask(s.watch.LeaderSilent(s.now))
+			s.c.Assert(s.probes, qt.Equals, 3)
+			s.run(3 * connectTime)
+			s.c.Assert(s.watch.Lost(), qt.Equals, map[bool]int{false: 0, true: 3}[isCut])
+		})
+	}
+}
+
 // A zone that is back is used again within a second or so, without a request having to find out.
 func TestReturnedZoneIsUsedAgain(t *testing.T) {
 	s := newSite(t)
--- a/request/zonewatch/zone.go
+++ b/request/zonewatch/zone.go
@@ -17,6 +17,8 @@
 	// was one.
 	open       int
 	quietSince time.Time
+	// heardAt is when a request there last got something.
+	heardAt time.Time
 	// refuted counts suspicions that proved wrong, less those for which it was quick again.
 	refuted   int
 	refutedAt time.Time
