--- a/placement/quota/round.go
+++ b/placement/quota/round.go
@@ -64,6 +64,7 @@
 func (r *round) answer(ask Ask, cost float64) Answer {
 	w := r.window
 	class := w.classes.of(r.at, ask.Class)
+	class.isUrgent = ask.Due <= urgentTime
 	place := w.promises.find(ask.Digest)
 	if place >= 0 {
 		return r.keep(place, class, cost)
