--- a/request/relay/ticket.go
+++ b/request/relay/ticket.go
@@ -15,7 +15,10 @@
 	ticket := waiting.Ticket{
 		Class: route.Name, Rank: priorityOf(tenant, route), Arrived: request.Arrived,
 		Due: request.Arrived.Add(route.Objective), Deadline: deadlineOf(request, route),
-		Prompt: max(0, request.Size.Tokens),
+		Prompt: request.Size.Prompt, Answer: request.Size.Answer,
+	}
+	if ticket.Work() == 0 {
+		ticket.Prompt = max(0, request.Size.Tokens)
 	}
 	if tenant != nil {
 		ticket.Tenant = tenant.Name
