The prompt rate is the middle of what lengths tell; late streams correct a forecast by little

Change: the median over pairs of lengths; a correction of a quarter down and half up where there is a forecast, of three times either way where there is none.

--- a/placement/pace/prompts.go
+++ b/placement/pace/prompts.go
@@ -14,10 +14,11 @@
 	// quietFirst is the share of prompts that find the runner with nothing else to read: what
 	// their first events take is the runner's own time.
 	quietFirst = 0.1
-	// minSpread is by how much the mean lengths of two kinds of prompts must differ for the
-	// difference of their first events to tell the time of a token: a first event takes tens
-	// of milliseconds beside the prompt.
-	minSpread = 1.5
+	// minSpread and leastTokens are by how much the mean lengths of two kinds of prompts must
+	// differ for the difference of their first events to tell the time of a token: a first
+	// event takes some ten milliseconds beside the prompt, and varies by as much.
+	minSpread   = 1.5
+	leastTokens = 500
 	// maxOverhead is the part of the time to the first event that may be put down to other
 	// things than the prompt where all prompts are about equally long.
 	maxOverhead = 0.6
@@ -98,9 +99,10 @@
 	p.byLength[length].add(float64(seen.Own), seen.First.Seconds()/slowness)
 }
 
-// rate is how many prompt tokens the usual runner reads a second, from the difference between
-// short prompts and long ones; 0 if it is not known. Where all are about equally long, the
-// event that ends the reading is taken off.
+// rate is how many prompt tokens the usual runner reads a second; 0 if it is not known. It is
+// the middle of what each two lengths tell by the difference of their first events, so that one
+// length of which few were quick does not decide. Where all prompts are about equally long, the event
+// that ends the reading is taken off.
 func (p *prompts) rate(event time.Duration) float64 {
 	var tokens, seconds []float64
 	for length := range 64 {
@@ -109,16 +111,21 @@
 			tokens, seconds = append(tokens, x), append(seconds, y)
 		}
 	}
+	var rates []float64
+	for i := range tokens {
+		for j := range i {
+			isFar := tokens[i] >= minSpread*tokens[j] && tokens[i]-tokens[j] >= leastTokens
+			if isFar && seconds[i] > seconds[j] {
+				rates = append(rates, (tokens[i]-tokens[j])/(seconds[i]-seconds[j]))
+			}
+		}
+	}
+	if len(rates) > 0 {
+		return median(rates)
+	}
 	if len(tokens) == 0 {
 		return 0
 	}
 	last := len(tokens) - 1
-	took := max(seconds[last]-event.Seconds(), (1-maxOverhead)*seconds[last])
-	whole := tokens[last] / took
-	if tokens[last] < minSpread*tokens[0] || seconds[last] <= seconds[0] {
-		return whole
-	}
-	slope := (tokens[last] - tokens[0]) / (seconds[last] - seconds[0])
-	// The time to a first event holds at least the reading, and at most maxOverhead else.
-	return min(max(slope, tokens[last]/seconds[last]), tokens[last]/((1-maxOverhead)*seconds[last]))
+	return tokens[last] / max(seconds[last]-event.Seconds(), (1-maxOverhead)*seconds[last])
 }
--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -26,9 +26,12 @@
 	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
 	lessBorne = 0.9
 	moreBorne = 1.03
-	// leastScale and mostScale bound what streams make of the forecast.
-	leastScale = 0.5
-	mostScale  = 2
+	// leastScale and mostScale bound what streams make of the forecast: it is about as far
+	// off where pieces of prompts, or their mix, are others than is taken. unknownScale is the
+	// bound either way while there is no forecast.
+	leastScale   = 0.75
+	mostScale    = 1.5
+	unknownScale = 3
 	// servedSmoothing is the weight of a second in a runner's rate of streams.
 	servedSmoothing = 0.3
 	// workChange is by how much a figure of the work must change for what runners bear to be
@@ -108,11 +111,15 @@
 	if b.seen < bearingSample {
 		return
 	}
+	least, most := leastScale, mostScale
+	if !b.work.IsKnown() {
+		least, most = 1.0/unknownScale, unknownScale
+	}
 	switch share := float64(b.late)/float64(b.seen) - b.lateAnyway; {
 	case share > tooManyLate:
-		b.scale = max(leastScale, b.scale*lessBorne)
+		b.scale = max(least, b.scale*lessBorne)
 	case share < fewLate:
-		b.scale = min(mostScale, b.scale*moreBorne)
+		b.scale = min(most, b.scale*moreBorne)
 	}
 	b.seen, b.late = 0, 0
 }
