First events are compared in the middle, not at the quick end

The first streams to end are the short ones, besides. Ruled out: to leave out what other routers may have sent: no router knows. Change: lengths are compared by a quantile of 0.6, where what prompts wait for each other cancels out; means count from 48 requests.

--- a/placement/pace/learner_test.go
+++ b/placement/pace/learner_test.go
@@ -256,13 +256,17 @@
 	c.Assert(s.learner.Error("s") < 0.25, qt.IsTrue, qt.Commentf("%v", s.learner.Error("s")))
 }
 
-// Most prompts wait for others, and some of what was taken for unread is kept by the runner: the
-// quickest of each length tell how fast prompts are read.
+// Most prompts wait for others, and one in seven of those that were taken for unread is kept by the
+// runner, as another router sent them before.
 func TestRateOfPromptTokens(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		lengths []int64
-	}{{"short and long prompts", []int64{491, 2890}}, {"prompts of one length", []int64{1110}}} {
+		cached  float64
+	}{
+		{"short and long prompts", []int64{491, 2890}, 0}, {"some are in caches", []int64{491, 2890}, 0.15},
+		{"prompts of one length", []int64{1110}, 0},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			const perSecond = 38400
@@ -272,6 +276,9 @@
 				own := test.lengths[s.random.IntN(len(test.lengths))]
 				waits := 0.2 * max(0, s.random.Float64()-0.3)
 				first := 0.021 + float64(own)/perSecond + waits
+				if s.random.Float64() < test.cached {
+					first = 0.021 + waits
+				}
 				s.learner.Add(s.now, Sample{
 					Instance: "r0", Class: usualClass, First: time.Duration(first * float64(time.Second)),
 					Prompt: own + 155, Own: own, Events: 10,
--- a/placement/pace/prompts.go
+++ b/placement/pace/prompts.go
@@ -11,9 +11,12 @@
 	// minFirsts how many must be there to tell anything: the quickest tenth of fewer is chance.
 	keptFirsts = 64
 	minFirsts  = 16
-	// quietFirst is the share of prompts that find the runner with nothing else to read: what
-	// their first events take is the runner's own time.
-	quietFirst = 0.1
+	// middleFirst is the quantile of the first events of a length by which it is held against
+	// another length: what prompts wait for each other is the same for both and cancels out, and
+	// the quickest are often those that a cache holds without a router knowing. quietFirst is
+	// that for a length alone: its prompts found nothing else to read.
+	middleFirst = 0.6
+	quietFirst  = 0.15
 	// minSpread and leastTokens are by how much the mean lengths of two kinds of prompts must
 	// differ for the difference of their first events to tell the time of a token: a first
 	// event takes some ten milliseconds beside the prompt, and varies by as much.
@@ -25,8 +28,9 @@
 	// meanSmoothing is the weight of a new request in the means: a thousand requests make
 	// them, as the few long prompts must be among them in their share.
 	meanSmoothing = 0.002
-	// minMeans is how many requests must have been seen for the means to count.
-	minMeans = 16
+	// minMeans is how many requests must have been seen for the means to count: the first
+	// streams to end are the short ones.
+	minMeans = 48
 )
 
 // firsts are the times to the first event for prompts of about one length, newest last.
@@ -45,15 +49,20 @@
 	f.next = (f.next + 1) % keptFirsts
 }
 
-// quiet returns the mean length in tokens, and the time in seconds of those that had to wait
-// for no other prompt.
-func (f *firsts) quiet() (tokens, seconds float64) {
+// length is the mean length of the prompts in tokens.
+func (f *firsts) length() float64 {
+	sum := 0.0
 	for _, each := range f.own {
-		tokens += each
+		sum += each
 	}
+	return sum / float64(len(f.own))
+}
+
+// quantile is that of the times, in seconds.
+func (f *firsts) quantile(share float64) float64 {
 	sorted := slices.Clone(f.times)
 	slices.Sort(sorted)
-	return tokens / float64(len(f.own)), sorted[int(quietFirst*float64(len(sorted)))]
+	return sorted[int(share*float64(len(sorted)))]
 }
 
 // mean is an average of the newest values in which the first count evenly.
@@ -104,15 +113,31 @@
 // length of which few were quick does not decide. Where all prompts are about equally long, the event
 // that ends the reading is taken off.
 func (p *prompts) rate(event time.Duration) float64 {
-	var tokens, seconds []float64
+	var kept []*firsts
 	for length := range 64 {
-		if kept := p.byLength[length]; kept != nil && len(kept.times) >= minFirsts {
-			x, y := kept.quiet()
-			tokens, seconds = append(tokens, x), append(seconds, y)
+		if found := p.byLength[length]; found != nil && len(found.times) >= minFirsts {
+			kept = append(kept, found)
 		}
 	}
+	if len(kept) == 0 {
+		return 0
+	}
+	if rates := differences(kept); len(rates) > 0 {
+		return median(rates)
+	}
+	longest := kept[len(kept)-1]
+	took := longest.quantile(quietFirst)
+	return longest.length() / max(took-event.Seconds(), (1-maxOverhead)*took)
+}
+
+// differences are the rates that each two lengths tell, which are far enough from each other.
+func differences(kept []*firsts) []float64 {
+	tokens, seconds := make([]float64, len(kept)), make([]float64, len(kept))
+	for i, each := range kept {
+		tokens[i], seconds[i] = each.length(), each.quantile(middleFirst)
+	}
 	var rates []float64
-	for i := range tokens {
+	for i := range kept {
 		for j := range i {
 			isFar := tokens[i] >= minSpread*tokens[j] && tokens[i]-tokens[j] >= leastTokens
 			if isFar && seconds[i] > seconds[j] {
@@ -120,12 +145,5 @@
 			}
 		}
 	}
-	if len(rates) > 0 {
-		return median(rates)
-	}
-	if len(tokens) == 0 {
-		return 0
-	}
-	last := len(tokens) - 1
-	return tokens[last] / max(seconds[last]-event.Seconds(), (1-maxOverhead)*seconds[last])
+	return rates
 }
