--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -193,6 +193,9 @@
 // tellToComeBack answers a request that has not been sent to any runner.
 func (x *exchange) tellToComeBack(comeBack *comeBackError) {
 	x.count(string(comeBack.reason))
+	if x.tenant != nil {
+		x.router.metrics.tenant(x.tenantName(), string(comeBack.reason))
+	}
 	level.Info(x.router.logger).Log("msg", "A request was told to come back.", "request", x.request.ID,
 		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "tenant", x.tenantName(), "outcome", string(comeBack.reason),
 		"after", comeBack.after, "age", x.router.age(x.request), "version", x.version)
--- a/request/relay/order_test.go
+++ b/request/relay/order_test.go
@@ -62,6 +62,8 @@
 func fill(t *testing.T, router *Router, answered chan *httptest.ResponseRecorder) int {
 	for sent := 1; ; sent++ {
 		come(t, router, t.Context(), "/patient/filler", answered)
+		// The places are free one after the other.
+		pause.For(t.Context(), 5*time.Millisecond)
 		if waitingIn(router) > 0 {
 			return sent
 		}
