A limit without a burst bears a second of its rate at once; what is reserved ahead keeps to the pace

Found in review: with no burst and no slack a limit let one request in at a time, so that chance was refused; and many routers that lacked the same room reserved it once each, which the next leader would count as granted. Messages of the version before are read both ways (test).

--- a/placement/domainapi/versions_test.go
+++ b/placement/domainapi/versions_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -86,3 +87,46 @@
 	c.Assert(restored.Equal(machine), qt.IsTrue)
 	c.Assert(restored.Reservations(), qt.DeepEquals, []quota.Reservation{{Parts: []quota.Part{{Tenant: "t", Amount: 5}}}})
 }
+
+// Before limits were paced, questions and answers about them told less. Both ways, what is not known
+// is passed over.
+func TestDrawsOfTheVersionBeforeAreRead(t *testing.T) {
+	type want struct {
+		Tenant  string
+		Held    float64
+		Waiting []float64
+		Reserve float64
+	}
+	type grant struct {
+		Tenant string
+		Amount float64
+		Keep   float64
+		RoomIn time.Duration
+	}
+	type drawArguments struct {
+		Router string
+		Wants  []want
+	}
+	type drawReply struct{ Grants []grant }
+	c := qt.New(t)
+	pass := func(from, into any) {
+		c.Helper()
+		var sent bytes.Buffer
+		c.Assert(gob.NewEncoder(&sent).Encode(from), qt.IsNil)
+		c.Assert(gob.NewDecoder(&sent).Decode(into), qt.IsNil)
+	}
+	var asked DrawArguments
+	pass(drawArguments{Router: "r", Wants: []want{{"t", 1, []float64{2, 3}, 4}}}, &asked)
+	c.Assert(asked, qt.DeepEquals, DrawArguments{Router: "r", Wants: []quota.Want{{Tenant: "t", Held: 1, Waiting: []float64{2, 3}, Reserve: 4}}})
+	var askedBefore drawArguments
+	asked.Wants[0].Asks = []quota.Ask{{Class: "a", Digest: 7, Due: time.Second, Away: time.Second}, {}}
+	pass(asked, &askedBefore)
+	c.Assert(askedBefore.Wants[0].Waiting, qt.DeepEquals, []float64{2, 3})
+	var answered DrawReply
+	pass(drawReply{Grants: []grant{{"t", 5, 6, time.Second}}}, &answered)
+	c.Assert(answered.Grants, qt.DeepEquals, []quota.Grant{{Tenant: "t", Amount: 5, Keep: 6, RoomIn: time.Second}})
+	var answeredBefore drawReply
+	answered.Grants[0].Answers = []quota.Answer{{IsAdmitted: true}, {ComeBackIn: time.Second}}
+	pass(answered, &answeredBefore)
+	c.Assert(answeredBefore.Grants[0], qt.Equals, grant{"t", 5, 6, time.Second})
+}
--- a/placement/quota/pace.go
+++ b/placement/quota/pace.go
@@ -7,6 +7,9 @@
 	// window allows beyond that may be spent at once. With 1, a tenant that asks for any
 	// multiple of its limit gets its whole rate in every second, and the burst once in a window.
 	floorShare = 1.0
+	// minCreditTime of the rate may be spent at once whatever the burst: callers of a limit without a
+	// burst come by chance several at a time. The floor is as much lower.
+	minCreditTime = time.Second
 	// easyShare is the part of that credit down to which whoever comes is admitted. Below it the
 	// kinds of requests take turns, and nothing is lent to routers.
 	easyShare = 0.5
@@ -14,8 +17,8 @@
 
 // setPace adopts what a limit allows in a window: floor a second, and credit at once.
 func (w *window) setPace() {
-	w.floor = w.limit.Rate * floorShare
-	w.credit = max(0, w.most-w.floor*w.length.Seconds())
+	w.credit = min(w.most, max(w.most-w.limit.Rate*floorShare*w.length.Seconds(), w.limit.Rate*minCreditTime.Seconds()))
+	w.floor = (w.most - w.credit) / w.length.Seconds()
 }
 
 // level is what may be granted now so that floor can be granted in each second of the window to
--- a/placement/quota/promises.go
+++ b/placement/quota/promises.go
@@ -15,8 +15,8 @@
 	// for who comes first then: to promise all would make each caller of a rush come twice.
 	timelyShare = 0.5
 	lateShare   = 0.2
-	// maxPromises bounds the promises of a tenant.
-	maxPromises = 4096
+	// maxPromises bounds the promises of a tenant, which are looked through at each decision.
+	maxPromises = 2048
 )
 
 // promise is room that a caller was told to come back for.
--- a/placement/quota/round_test.go
+++ b/placement/quota/round_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 func urgent(digest uint64) Ask {
@@ -82,6 +84,21 @@
 	c.Assert(small/long > 0.95 && small/long < smallFavour*1.1, qt.IsTrue, qt.Commentf("small %.3f, long %.3f", small, long))
 }
 
+// A limit without a burst bears the requests of a second at once.
+func TestLimitWithoutABurstBearsChance(t *testing.T) {
+	c := qt.New(t)
+	d := New(origin, Bound{Window: 10 * time.Second}, nil)
+	d.SetTenants(origin, []site.Tenant{{Name: "t", Limit: site.RateLimit{Unit: site.UnitRequests, Rate: 10}}})
+	at := origin.Add(LeaseLife)
+	c.Assert(drawAt(d, at, "a", waiting(1, 1, 1, 1, 1, 1, 1, 1)).Amount, qt.Equals, 8.0)
+	granted := 8.0
+	for step := range 1000 {
+		granted += drawAt(d, at.Add(time.Duration(step)*10*time.Millisecond), "a", waiting(1)).Amount
+	}
+	c.Assert(granted <= 100, qt.IsTrue, qt.Commentf("%g", granted))
+	c.Assert(granted >= 97, qt.IsTrue, qt.Commentf("%g", granted))
+}
+
 func TestOfOneQuestionTheMostUrgentGoesFirst(t *testing.T) {
 	c := qt.New(t)
 	d := newDivider()
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -170,6 +170,10 @@
 	for _, missing := range w.short {
 		short += missing
 	}
+	if level := w.level(at); level < w.credit {
+		// More than the pace allows is not granted, however many routers lack it.
+		short = min(short, max(0, level))
+	}
 	if short <= 0 && w.available+w.proposed >= ahead/2 {
 		return 0
 	}
--- a/request/fairqueue/load_test.go
+++ b/request/fairqueue/load_test.go
@@ -95,12 +95,7 @@
 			}
 		}
 	}
-	book := shares.New(start.Add(-time.Minute))
-	var listed []site.Tenant
-	for tenant := range loadTenants {
-		listed = append(listed, site.Tenant{Name: fmt.Sprint(tenant), Limit: site.RateLimit{Rate: part(tenant)}})
-	}
-	book.SetTenants(listed)
+	book := newLoadBook()
 	for now := start; now.Before(start.Add(loadTime)); now = now.Add(time.Millisecond) {
 		isBurst := now.Sub(start)%(5*time.Second) < time.Second
 		for _, class := range loadClasses {
@@ -133,6 +128,17 @@
 	return tallies
 }
 
+// newLoadBook is that of a leader that has led for a minute.
+func newLoadBook() *shares.Book {
+	book := shares.New(start.Add(-time.Minute))
+	var listed []site.Tenant
+	for tenant := range loadTenants {
+		listed = append(listed, site.Tenant{Name: fmt.Sprint(tenant), Limit: site.RateLimit{Rate: part(tenant)}})
+	}
+	book.SetTenants(listed)
+	return book
+}
+
 func newLoadRequest(now time.Time, tenant int, class loadClass, tally *loadTally, isFair bool) *loadRequest {
 	tally.asked++
 	request := &loadRequest{tally: tally, until: now.Add(time.Duration(float64(class.wait) * loadPatience)), ticket: waiting.Ticket{
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -28,7 +28,7 @@
 	// minCrowd is the least that must wait in a row for it to be looked through, and maxReviewed
 	// bounds how many of them are at once.
 	minCrowd    = 2
-	maxReviewed = 100
+	maxReviewed = 64
 )
 
 // comeBackReason is why a caller should come back instead of waiting.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -136,9 +136,8 @@
 	}
 	x := &exchange{
 		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
-		tenant: tenant, ticket: ticket, priority: ticket.Rank, deadline: ticket.Deadline, digest: digest, hidesKey: index.Document.RequiresKeys,
-		row:       residency.Row{Service: route.Pick(r.point())},
-		lastEvent: request.ResumeAfter,
+		tenant: tenant, ticket: ticket, priority: ticket.Rank, deadline: ticket.Deadline, digest: digest,
+		hidesKey: index.Document.RequiresKeys, row: residency.Row{Service: route.Pick(r.point())}, lastEvent: request.ResumeAfter,
 	}
 	service := index.Service(x.row.Service)
 	if service.Engine != nil {
