--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -31,7 +31,7 @@
 	// minCrowd is the least that must wait in a row for it to be looked through, and maxReviewed
 	// bounds how many of them are at once.
 	minCrowd    = 2
-	maxReviewed = 100
+	maxReviewed = 64
 )
 
 // comeBackReason is why a caller should come back instead of waiting.
@@ -203,6 +203,9 @@
 // tellToComeBack answers a request that has not been sent to any runner.
 func (x *exchange) tellToComeBack(comeBack *comeBackError) {
 	x.count(string(comeBack.reason))
+	if x.tenant != nil {
+		x.router.metrics.tenant(x.tenantName(), string(comeBack.reason))
+	}
 	level.Info(x.router.logger).Log("msg", "A request was told to come back.", "request", x.request.ID,
 		"route", x.route.Name, "model", x.row.Model, "adapter", x.row.Adapter, "tenant", x.tenantName(), "outcome", string(comeBack.reason),
 		"after", comeBack.after, "age", x.router.age(x.request), "version", x.version)
