What is due is decided first; a model that nobody has is loaded ahead of need

Cause: needs were gone through by their gain alone, in which further replicas of models that are served stand far above a rare model whose request is about to be late. The weight store was idle until the first request for a model that nobody has, which then waited for a whole load.

Change: needs that are due come first, then by gain as before. While nothing is wanted of a service and its store is idle, one model that nobody has is loaded at a time, in the place of none that is out of reach then.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -29,7 +29,7 @@
 		return cost, "", true
 	}
 	for _, leaving := range found.candidates {
-		if leaving.isInUse && !wanted.isDue {
+		if leaving.isInUse && !wanted.isDue || wanted.isAhead && !p.isElsewhere(known, leaving.name) {
 			continue
 		}
 		if victim == "" {
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -23,11 +23,13 @@
 	// isFromCopy is set if the model is being loaded from the weight store, which takes longer
 	// than a load from a copy.
 	isFromCopy bool
+	// isAhead is set if nobody asks for the model yet.
+	isAhead bool
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
 }
 
-// needs lists the models that should be loaded, the one with the largest gain first.
+// needs lists the models that should be loaded, in the order of byTurn.
 func (p *Planner) needs(now time.Time) []need {
 	found := make(map[Row]*need)
 	for _, wanted := range p.waits(now) {
@@ -58,12 +60,22 @@
 		}
 		listed = append(listed, *each)
 	}
-	slices.SortFunc(listed, func(a, b need) int {
-		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
-	})
+	listed = append(listed, p.needsAhead(now, listed)...)
+	slices.SortFunc(listed, byTurn)
 	return listed
 }
 
+// byTurn orders needs: those that are due first, then those with the larger gain.
+func byTurn(a, b need) int {
+	if a.isDue != b.isDue {
+		if a.isDue {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+}
+
 // isCopyQuicker reports whether the loads of the model under way take longer than the horizon, and
 // a load from a copy, begun now, would end sooner. Of quicker loads the end is awaited: a second
 // replica of a cold model takes the place of another (0.05 of worth on a calm day of further).
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -71,6 +71,9 @@
 	known.reserved = ""
 	order := p.send(now, known, Load, model, "")
 	p.beginLoad(now, known, wanted.row, fromStore)
+	if wanted.isAhead {
+		p.aheadAt[wanted.row] = now
+	}
 	return order, true
 }
 
@@ -136,6 +139,9 @@
 		return loadPlace{obstacle: ObstacleRoom}
 	}
 	cost += p.claimCost(known, model)
+	if wanted.isAhead {
+		cost += p.onlyCopies(known) * aheadHarm
+	}
 	if !wanted.isWaitedFor && cost >= wanted.gain {
 		return loadPlace{obstacle: ObstacleCost}
 	}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -21,6 +21,10 @@
 	demands    map[Row]*rowDemand
 	// idleDemand are by service.
 	idleDemand map[string]*idleDemand
+	// runnersAt is when a runner was last added.
+	runnersAt time.Time
+	// aheadAt is when models were last loaded ahead of need.
+	aheadAt map[Row]time.Time
 	// observedFrom is when the first demand was reported.
 	observedFrom time.Time
 	// stores bound the loads from the weight store, by service.
@@ -63,6 +67,7 @@
 
 		recalledStores: make(map[string]recalledStore),
 		awaitedCopies:  make(map[Row]time.Time),
+		aheadAt:        make(map[Row]time.Time),
 
 		paces:      make(paces),
 		rates:      make(map[string]*replicaRate),
@@ -97,6 +102,7 @@
 		if known == nil {
 			known = &runner{holdings: make(map[string]*holding)}
 			p.runners[instance] = known
+			p.runnersAt = now
 		}
 		wasHeard := known.status.Heartbeat.Instance != "" && !known.status.Recalled
 		isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
--- a/placement/residency/turns.go
+++ b/placement/residency/turns.go
@@ -23,24 +23,21 @@
 // for a model with few replicas go, in even parts, to the runners that can load it quickly.
 func (t *tally) addClaims() {
 	t.claims = make(map[*runner]float64, len(t.sorted))
-	for row, demand := range t.demands {
-		claim := t.claim(row, demand)
-		if claim == 0 {
-			continue
-		}
-		for _, known := range t.copies[row] {
+	for row, copies := range t.copies {
+		claim := t.claim(row)
+		for _, known := range copies {
 			t.claims[known] += claim
 		}
 	}
 }
 
 // claim is how many requests a second for a model depend on each of its copies.
-func (t *tally) claim(row Row, demand modelDemand) float64 {
+func (t *tally) claim(row Row) float64 {
 	copies := len(t.copies[row])
 	if copies == 0 || len(t.holders[row]) >= sharedModel {
 		return 0
 	}
-	return demand.rate / float64(copies)
+	return t.demands[row].rate / float64(copies)
 }
 
 // claimCost is how many requests will be late because the runner loads a model and takes no
@@ -50,7 +47,7 @@
 	row := known.rowOf(model.Name)
 	claims := p.tally.claims[known]
 	if known.hasCopy(model.Name) {
-		claims -= p.tally.claim(row, p.modelDemand(row))
+		claims -= p.tally.claim(row)
 	}
 	seconds := loadTime(known, model).Seconds()
 	harm := claimHarm
