--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -105,6 +105,7 @@
 	}
 	t.addClaims()
 	p.tally = t
+	p.spreadDemand()
 }
 
 // addIdleRates works out the demand to expect for models that nobody asks for.
