--- a/placement/residency/rushworld_test.go
+++ b/placement/residency/rushworld_test.go
@@ -177,7 +177,7 @@
 }
 
 func (w *rushWorld) newLeader() {
-	w.planner = NewPlanner(Options{ReplicaRate: w.shape.replica / firstRateShare}, w.now)
+	w.planner = NewPlanner(Options{ReplicaRate: w.shape.replica}, w.now)
 	routes := []site.Route{{Timeout: w.shape.deadline, Split: []site.Share{{Service: "s"}}}}
 	w.planner.SetDocument(site.NewIndex(&site.Document{
 		Version: 1, Routes: routes, Services: []site.Service{{Name: "s", Engine: w.engine}},
