Routers choose a replica by expected time, take turns, and let one that turns requests away rest

Cause: a choice compared counts of requests, of which each of 68 routers has 0 or 1 at a runner, so that replicas at half of the speed got as many as the others, and prompts of 9,000 tokens as if they had 600. The leader told of crowded runners only. A runner that turned a request away got the same one three times within 6 ms, and its caller a refusal. Change: request/routing works out for each candidate what a request takes and what those that run there lose (expected.go), draws by that, sharper where the work of others is known, and gives runners that had a turn lately fewer (draw.go). What the leader said goes over into what is usual within half a second. Own sites still take the best of two samples, by the share of the batch. A replica that turns a request away rests 0.1 to 0.8 s (rest.go); the request waits with its place kept and comes to no runner a third time. The leader lists the 64 busiest runners, 1.5 KB each half second, with the share of their time that they read prompts, summed up from what routers report of prompts sent. Tests changed: the penalty is the slowness now, the preference of open connections a time; both tests hold as they were.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -229,7 +229,7 @@
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.refresh(at)
-	l.loads = l.planner.Loads()
+	l.loads = l.planner.Loads(at)
 	next := l.tellRouters(at)
 	judged := l.planner.TakeJudgements()
 	ended := l.planner.TakeEndedLoads()
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -141,7 +141,12 @@
 			p.idleDemandOf(demand.Row.Service).observe(now, demand.Row.Model)
 		}
 		for _, active := range demand.Active {
-			p.noteUse(now, active.Instance, demand.Row)
+			if active.Count > 0 {
+				p.noteUse(now, active.Instance, demand.Row)
+			}
+			if known := p.runners[active.Instance]; known != nil && active.Prompt > 0 {
+				known.read.add(now, active.Prompt)
+			}
 		}
 	}
 }
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -48,6 +48,8 @@
 type runner struct {
 	status   fleet.Status
 	holdings map[string]*holding
+	// read is what routers let it read.
+	read readTokens
 	// copies says of which models the runner's machine has a copy, and where.
 	copies map[string]copyPlace
 	// weighed is what a load at the runner is weighed by in the plan under way; nil before
--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -74,9 +74,22 @@
 	defer end(nil)
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	x.waiting = &waiter{
-		row: x.row, prefixes: x.prefixes, avoid: x.avoid, priority: x.priority, since: x.request.Arrived,
+		row: x.row, work: x.work(), priority: x.priority, since: x.request.Arrived,
 		deadline: x.deadline, until: limit,
 		mayDefer: x.attempts == 0,
 	}
 	return x.router.acquire(ctx, x.waiting)
 }
+
+// work is what the request asks of a runner, and which runners it should not get.
+func (x *exchange) work() routing.Work {
+	work := routing.Work{
+		Prefixes: x.prefixes, Prompt: x.request.Size.Uncached(0), Avoid: x.avoid, Barred: x.barred,
+	}
+	end := int64(0)
+	for _, part := range x.request.Size.Parts {
+		end += part
+		work.Lengths = append(work.Lengths, end)
+	}
+	return work
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/poison"
@@ -79,7 +80,12 @@
 	sent     int
 	arrivals int
 	prefixes []uint64
-	avoid    structs.RunnerID
+	// avoid is the runner that had the request last, barred one that has turned it away twice
+	// and gets it no more.
+	avoid  structs.RunnerID
+	barred structs.RunnerID
+	// turnedAway are the runners that have turned it away, maxRefusals at most.
+	turnedAway []structs.RunnerID
 	// digest names what the request asks for, whoever brings it.
 	digest poison.Digest
 	// asker names the request to the leader once it has asked for permission to run.
@@ -360,7 +366,8 @@
 		return result{outcome: routing.OutcomeRefused, isNotRun: true, reason: reasonNotHeld}
 	case answer.NotRun:
 		x.refusals++
-		return result{outcome: routing.OutcomeNeutral, isNotRun: true, reason: reasonShed}
+		x.noteTurnedAway(choice.Runner())
+		return result{outcome: routing.OutcomeTurnedAway, isNotRun: true, reason: reasonShed}
 	}
 	x.attempts++
 	if answer.IsStream && answer.Status == http.StatusOK {
@@ -368,3 +375,12 @@
 	}
 	return x.relayWhole(ctx, answer, watchdog)
 }
+
+// noteTurnedAway notes that a runner is full or unloads what the request needs. A runner that
+// does so again after its rest is not asked a third time.
+func (x *exchange) noteTurnedAway(runner structs.RunnerID) {
+	if slices.Contains(x.turnedAway, runner) {
+		x.barred = runner
+	}
+	x.turnedAway = append(x.turnedAway, runner)
+}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -26,6 +26,10 @@
 	// reportPause the shortest.
 	reportInterval = 250 * time.Millisecond
 	reportPause    = 10 * time.Millisecond
+	// wordAge is how old what the leader says of the loads of runners is on average when it
+	// comes: half of the pause between two reports of a router, half of that between two
+	// plans of the leader, which sum them up, and the ways.
+	wordAge = reportInterval/2 + 75*time.Millisecond
 )
 
 // watchLoop follows the leader's view.
@@ -123,19 +127,23 @@
 	arguments.Suspects = reply.Suspects.Revision
 }
 
-// takeLoads adopts how many requests all routers together have at the runners.
+// takeLoads adopts what all routers together have at the runners. Runners that are not listed have
+// less to do than those that are.
 func (r *Router) takeLoads(loads []fleet.Load) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	at := time.Now()
-	requests := make(map[string]int, len(loads))
+	at := time.Now().Add(-wordAge)
+	listed := make(map[string]fleet.Load, len(loads))
 	for _, load := range loads {
-		requests[load.Instance] = load.Requests
+		listed[load.Instance] = load
 	}
 	for _, runner := range r.view.Runners {
-		report := structs.LoadReport{Running: requests[runner.Instance], ObservedAt: at}
-		r.balancer.ObserveLoad(structs.RunnerID(runner.Instance), report)
+		load := listed[runner.Instance]
+		id := structs.RunnerID(runner.Instance)
+		r.balancer.ObserveLoad(id, structs.LoadReport{Running: load.Requests, ObservedAt: at})
+		r.balancer.ObserveReading(id, load.Reading)
 	}
+	r.metrics.heardLoads(at)
 }
 
 func (r *Router) takeDocument(packed domain.Document) {
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -25,6 +25,7 @@
 	runners   prometheus.Gauge
 	leaderSet prometheus.Gauge
 	viewAt    prometheus.Gauge
+	loadsAt   prometheus.Gauge
 	tenants   *prometheus.CounterVec
 	draws     prometheus.Histogram
 	// named are the tenants with series of their own.
@@ -66,11 +67,12 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "limit_draw_seconds",
 			Help: "Time of a question for parts of limits.", Buckets: latencyBuckets,
 		}),
-		viewAt: gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+		loadsAt: gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
+		viewAt:  gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
-			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.tenants, made.draws)
+			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.loadsAt, made.tenants, made.draws)
 	}
 	return made
 }
@@ -94,6 +96,9 @@
 	m.viewAt.Set(float64(at.UnixMilli()) / 1000)
 }
 
+// heardLoads notes as of when the work of other routers is known.
+func (m *metrics) heardLoads(at time.Time) { m.loadsAt.Set(float64(at.UnixMilli()) / 1000) }
+
 const (
 	// maxTenantSeries bounds the tenants with series of their own; those that come after them
 	// share the series of otherTenants.
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -14,9 +14,9 @@
 
 // waiter is a request that waits for a runner.
 type waiter struct {
-	row      residency.Row
-	prefixes []uint64
-	avoid    structs.RunnerID
+	row residency.Row
+	// work is what the request asks of a runner, and which runners it should not get.
+	work     routing.Work
 	priority int
 	since    time.Time
 	// deadline is that of the request, and until is when it is given up if there is no runner
@@ -44,12 +44,14 @@
 	absentees []absentee
 	forecast  forecast
 	active    map[structs.RunnerID]int
+	// prompts are the tokens of prompts to be read that were sent since the last report.
+	prompts map[structs.RunnerID]int64
 }
 
 func (r *Router) rowState(row residency.Row) *rowState {
 	state := r.rows[row]
 	if state == nil {
-		state = &rowState{active: make(map[structs.RunnerID]int)}
+		state = &rowState{active: make(map[structs.RunnerID]int), prompts: make(map[structs.RunnerID]int64)}
 		r.rows[row] = state
 	}
 	return state
@@ -104,13 +106,15 @@
 // pick chooses a runner and counts the attempt on it. It runs under the mutex.
 func (r *Router) pick(wanted *waiter) (routing.Choice, bool) {
 	at := time.Now()
-	choice, found := r.balancer.Pick(at, rowName(wanted.row), wanted.prefixes, wanted.avoid)
+	choice, found := r.balancer.PickFor(at, rowName(wanted.row), &wanted.work)
 	if !found {
 		return choice, false
 	}
-	wanted.cachedParts = choice.Cached(wanted.prefixes)
-	choice.Sent(at, wanted.prefixes)
-	r.rowState(wanted.row).active[choice.Runner()]++
+	wanted.cachedParts = choice.Cached(wanted.work.Prefixes)
+	choice.Sent(at, wanted.work.Prefixes)
+	state := r.rowState(wanted.row)
+	state.active[choice.Runner()]++
+	state.prompts[choice.Runner()] += choice.Unread()
 	return choice, true
 }
 
@@ -119,6 +123,17 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.giveBack(row, choice, outcome)
+	if outcome == routing.OutcomeTurnedAway {
+		// Nothing else may tell those that wait that the runner takes requests again.
+		time.AfterFunc(choice.Rest(time.Now()), r.serveRested)
+	}
+	r.serveWaiters()
+}
+
+// serveRested gives those that wait a runner that takes requests again.
+func (r *Router) serveRested() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	r.serveWaiters()
 }
 
@@ -164,9 +179,7 @@
 		}
 		demand := residency.Demand{Row: row, Arrived: state.arrived, Objective: state.objective}
 		state.countWaiting(at, &demand)
-		for runner, count := range state.active {
-			demand.Active = append(demand.Active, residency.ActiveCount{Instance: string(runner), Count: count})
-		}
+		demand.Active = state.takeActive()
 		state.arrived = 0
 		if demand.Waiting == 0 {
 			state.objective = 0
@@ -180,6 +193,22 @@
 	return demands
 }
 
+// takeActive lists the requests at runners, and the tokens that were sent there since the last
+// list.
+func (s *rowState) takeActive() []residency.ActiveCount {
+	var listed []residency.ActiveCount
+	for runner, count := range s.active {
+		listed = append(listed, residency.ActiveCount{Instance: string(runner), Count: count, Prompt: s.prompts[runner]})
+	}
+	for runner, tokens := range s.prompts {
+		if s.active[runner] == 0 {
+			listed = append(listed, residency.ActiveCount{Instance: string(runner), Prompt: tokens})
+		}
+	}
+	clear(s.prompts)
+	return listed
+}
+
 // countWaiting adds those that wait to the demand, callers that are to come back included.
 func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
 	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -71,18 +71,15 @@
 	tryTimeout  = 400 * time.Millisecond
 	// defaultBatch is the room of a runner that has not said its own.
 	defaultBatch = 16
-	// slowPenalty is by how much more a request weighs at a slow runner: twice, so that it
-	// gets half of the requests. Shutting it out instead drove all of them to one other.
-	slowPenalty = 1
-	// affinityBound is by how much of a batch a runner that has read the beginning of a
-	// prompt may be more loaded: two requests of 64. Sixteen drove all prompts with the
-	// same first part to one replica, whose streams paused (docs/design/further.md).
-	affinityBound = 0.03
-	// coldRequests keeps to runners to which a connection is open, as they stay for
-	// warmTime at least. A new connection is worth half a request; with 3.5 some replicas
-	// of models in demand got none.
-	coldRequests = 0.5
-	warmTime     = 8 * time.Second
+	// coldTime is what a new connection to a runner costs its request: the way there and back, some
+	// milliseconds within a region. One that answered within warmTime is still open.
+	coldTime = 4 * time.Millisecond
+	warmTime = 8 * time.Second
+	// drawSharpness is how much the expected time decides between replicas. With 68 routers and
+	// word that is 0.1 to 0.5 s old, 3 served most callers in time in the load test of package
+	// routing; with 1 slow and full replicas got too many, with 6 those that were best in the
+	// last word.
+	drawSharpness = 3
 	// loadLife is how long it counts what the leader says of the requests at a runner: about as
 	// long as a stream takes, and several times the pause between two replies to a watch.
 	loadLife = 2 * time.Second
@@ -111,7 +108,7 @@
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), MaxBatch: defaultBatch, ReportLife: loadLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
-			EjectionTime: 2 * time.Second, ColdRequests: coldRequests, WarmTime: warmTime, UseFailing: true, AffinityBound: affinityBound,
+			EjectionTime: 2 * time.Second, ColdTime: coldTime, WarmTime: warmTime, UseFailing: true, Sharpness: drawSharpness,
 		}, random),
 		rows:    make(map[residency.Row]*rowState),
 		budgets: make(map[string]*budget),
@@ -158,11 +155,7 @@
 	r.metrics.runners.Set(float64(len(r.view.Runners)))
 	r.balancer.SetPlacement(placement(r.view))
 	for _, runner := range r.view.Runners {
-		penalty := 0.0
-		if runner.Slow {
-			penalty = slowPenalty
-		}
-		r.balancer.SetPenalty(structs.RunnerID(runner.Instance), penalty)
+		r.balancer.SetPace(structs.RunnerID(runner.Instance), paceOf(runner))
 		r.balancer.SetBatch(structs.RunnerID(runner.Instance), runner.Slots)
 	}
 	r.forgetUnlisted()
--- a/request/relay/row.go
+++ b/request/relay/row.go
@@ -3,10 +3,12 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/pace"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -35,6 +37,33 @@
 	return placed
 }
 
+// The pace of a usual runner of models, taken for one of which nothing is known yet, so that
+// it can be compared with others. Accelerators read prompts at some tens of tokens a millisecond
+// and make events of a few tokens at some twenty a second.
+const (
+	usualPromptRate = 30000
+	usualEvent      = 40 * time.Millisecond
+)
+
+// paceOf is what work takes at a runner, with what is usual in place of what is not known. A
+// runner without models reads no prompts.
+func paceOf(runner fleet.Runner) pace.Runner {
+	known := runner.Pace
+	if known.Slowness <= 0 {
+		known.Slowness = 1
+	}
+	if len(runner.Models) == 0 {
+		return pace.Runner{Slowness: known.Slowness}
+	}
+	if known.PromptRate <= 0 {
+		known.PromptRate = usualPromptRate / known.Slowness
+	}
+	if known.Event <= 0 {
+		known.Event = time.Duration(float64(usualEvent) * known.Slowness)
+	}
+	return known
+}
+
 func rowsOf(runner fleet.Runner) []residency.Row {
 	rows := []residency.Row{{Service: runner.Service}}
 	for _, model := range runner.Models {
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -39,89 +39,45 @@
 // the prompt's PrefixHashes. The runner named avoid is chosen only if no other
 // one has room.
 func (b *Balancer) Pick(now time.Time, name structs.RowName, prefixes []uint64, avoid structs.RunnerID) (Choice, bool) {
+	return b.PickFor(now, name, &Work{Prefixes: prefixes, Avoid: avoid})
+}
+
+// PickFor chooses a replica of the row for the work, or reports false if none has room.
+func (b *Balancer) PickFor(now time.Time, name structs.RowName, work *Work) (Choice, bool) {
 	wanted := b.rows[name]
 	if wanted == nil || len(wanted.subset) == 0 {
 		return Choice{}, false
 	}
-	best, score := b.sample(now, wanted, avoid)
-	if best == nil {
-		best, score = b.scan(now, wanted, avoid, b.usable)
-	}
-	if best == nil && avoid != "" {
-		best, score = b.scan(now, wanted, "", b.usable)
-	}
-	if best == nil && b.options.UseFailing {
-		best, score = b.scan(now, wanted, avoid, b.answers)
+	found := b.lookUp(now, wanted, work)
+	best := b.pick(now, wanted, work, &found)
+	if best == nil && work.Avoid != "" {
+		// The one to avoid is better than none.
+		anywhere := *work
+		anywhere.Avoid = ""
+		best = b.scan(now, wanted, &anywhere, &found, b.options.UseFailing)
 	}
 	if best == nil {
 		return Choice{}, false
 	}
-	if cached := b.cached(now, wanted, prefixes, avoid, score); cached != nil {
-		best = cached
-	}
-	return Choice{balancer: b, replica: best, runner: best.runner.info}, true
+	unread := work.tokens() - found.cachedTokens(best.runner.number)
+	return Choice{balancer: b, replica: best, runner: best.runner.info, unread: unread}, true
 }
 
-// sample takes the best of a few replicas chosen at random.
-func (b *Balancer) sample(now time.Time, wanted *row, avoid structs.RunnerID) (*replica, float64) {
+// pick chooses among the replicas in the way that the options ask for.
+func (b *Balancer) pick(now time.Time, wanted *row, work *Work, found *lookup) *replica {
 	var best *replica
-	lowest := 0.0
-	size := len(wanted.subset)
-	first := b.random.IntN(size)
-	for choice := 0; choice < b.options.Choices && choice < size; choice++ {
-		index := first
-		if choice > 0 {
-			index = (first + 1 + b.random.IntN(size-1)) % size
-		}
-		candidate := wanted.subset[index]
-		if candidate == best || !b.usable(now, candidate, avoid) {
-			continue
-		}
-		if score := b.score(now, candidate); best == nil || score < lowest {
-			best, lowest = candidate, score
-		}
+	if b.options.Sharpness > 0 {
+		best = b.draw(now, wanted, work, found)
+	} else {
+		best = b.sample(now, wanted, work, found)
 	}
-	return best, lowest
-}
-
-// scan takes the best that may be used of the whole subset, from a random start.
-func (b *Balancer) scan(now time.Time, wanted *row, avoid structs.RunnerID,
-	mayUse func(now time.Time, candidate *replica, avoid structs.RunnerID) bool) (*replica, float64) {
-	var best *replica
-	lowest := 0.0
-	size := len(wanted.subset)
-	first := b.random.IntN(size)
-	for offset := range size {
-		candidate := wanted.subset[(first+offset)%size]
-		if !mayUse(now, candidate, avoid) {
-			continue
-		}
-		if score := b.score(now, candidate); best == nil || score < lowest {
-			best, lowest = candidate, score
-		}
+	if best == nil {
+		best = b.scan(now, wanted, work, found, false)
 	}
-	return best, lowest
-}
-
-// cached finds a runner that probably has the longest known prefix of the prompt
-// and is not much more loaded than score.
-func (b *Balancer) cached(now time.Time, wanted *row, prefixes []uint64, avoid structs.RunnerID, score float64) *replica {
-	for index := len(prefixes) - 1; index >= 0; index-- {
-		known, ok := b.hints.find(prefixes[index])
-		if !ok {
-			continue
-		}
-		for _, number := range known {
-			candidate := wanted.find(number)
-			if candidate == nil || !b.usable(now, candidate, avoid) {
-				continue
-			}
-			if b.score(now, candidate) <= score+b.options.AffinityBound {
-				return candidate
-			}
-		}
+	if best == nil && b.options.UseFailing {
+		best = b.scan(now, wanted, work, found, true)
 	}
-	return nil
+	return best
 }
 
 // find returns the replica of the subset on the runner with the number, or nil.
@@ -138,37 +94,21 @@
 }
 
 // usable reports whether an attempt may be sent to the replica now.
-func (b *Balancer) usable(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
-	return !now.Before(candidate.ejectedUntil) && candidate.breaker.allows(now) && b.answers(now, candidate, avoid)
+func (b *Balancer) usable(now time.Time, candidate *replica, work *Work) bool {
+	return !now.Before(candidate.ejectedUntil) && candidate.breaker.allows(now) && b.answers(now, candidate, work)
 }
 
 // answers reports whether the replica's runner has room and is not known to leave
-// requests unanswered, though it may refuse those of the replica.
-func (b *Balancer) answers(now time.Time, candidate *replica, avoid structs.RunnerID) bool {
+// requests unanswered, though it may fail those of the replica.
+func (b *Balancer) answers(now time.Time, candidate *replica, work *Work) bool {
 	target := candidate.runner
-	if target.leaving || (avoid != "" && target.info.ID == avoid) {
+	if target.leaving || candidate.rest.isOn(now) {
 		return false
 	}
-	return target.hasRoom(now, &b.options) && target.breaker.allows(now)
-}
-
-// score is the runner's load as a share of its batch with one request more, weighed by
-// its penalty.
-func (b *Balancer) score(now time.Time, candidate *replica) float64 {
-	load := candidate.runner.load(now, b.options.ReportLife)
-	score := float64(load+1) / float64(candidate.runner.maxBatch) * (1 + candidate.runner.penalty)
-	if now.Sub(candidate.runner.answeredAt) > b.options.WarmTime {
-		score += b.options.ColdRequests / float64(candidate.runner.maxBatch)
-	}
-	return score
-}
-
-// SetPenalty makes a request weigh more at a runner, by the factor 1 + penalty, so that it
-// is given fewer.
-func (b *Balancer) SetPenalty(id structs.RunnerID, penalty float64) {
-	if target := b.runners[id]; target != nil {
-		target.penalty = penalty
+	if id := target.info.ID; work.Avoid != "" && id == work.Avoid || work.Barred != "" && id == work.Barred {
+		return false
 	}
+	return target.hasRoom(now, &b.options) && target.breaker.allows(now)
 }
 
 // SetBatch says how many requests a runner runs at once; 0 leaves what is known.
--- a/request/routing/balancer_test.go
+++ b/request/routing/balancer_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/placement/pace"
 	"github.com/lotusferry/lotusferry/request/engineapi"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -213,7 +214,9 @@
 	for _, step := range steps {
 		step.change.Runner = "runner-5"
 		balancer.ObserveCache(step.change)
-		known := balancer.cached(start, balancer.rows["row"], prefixes, "", 0) != nil
+		work := &Work{Prefixes: prefixes}
+		found := balancer.lookUp(start, balancer.rows["row"], work)
+		known := balancer.cached(start, balancer.rows["row"], work, &found, 0) != nil
 		qt.Assert(t, known, qt.Equals, step.known, qt.Commentf(step.about))
 	}
 	qt.Assert(t, balancer.CacheGaps(), qt.Equals, uint64(1))
@@ -283,7 +286,7 @@
 func TestRunnerWithAnOpenConnectionIsPreferredUntilItIsBusier(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	b := New(Options{MaxBatch: 10, ColdRequests: 2.5, WarmTime: 8 * time.Second}, rand.New(rand.NewPCG(1, 1)))
+	b := New(Options{MaxBatch: 10, ColdTime: 250 * time.Millisecond, WarmTime: 8 * time.Second}, rand.New(rand.NewPCG(1, 1)))
 	b.SetPlacement(structs.Placement{
 		Runners: []structs.RunnerInfo{{ID: "a"}, {ID: "b"}},
 		Replicas: []structs.Replica{
@@ -305,9 +308,9 @@
 
 // While every replica fails, requests go on to the runners that answer, if that is
 // wanted, but never to those that leave requests unanswered.
-func TestPenaltyGivesARunnerFewerRequestsNotNone(t *testing.T) {
+func TestSlowRunnerGetsFewerRequestsNotNone(t *testing.T) {
 	balancer := newBalancer(2, Options{MaxBatch: 64, Choices: 4})
-	balancer.SetPenalty("runner-1", 1)
+	balancer.SetPace("runner-1", pace.Runner{Slowness: 2})
 	counts := fill(balancer, 30)
 	qt.Assert(t, counts, qt.DeepEquals, map[structs.RunnerID]int{"runner-0": 20, "runner-1": 10})
 }
--- a/request/routing/benchmark_test.go
+++ b/request/routing/benchmark_test.go
@@ -55,6 +55,25 @@
 	b.ReportMetric(float64(highest)/4, "spread")
 }
 
+// BenchmarkDraw measures the choice of a router that is one of many, among up to 60 replicas of
+// known pace and load, for a prompt of two parts.
+func BenchmarkDraw(b *testing.B) {
+	for _, runners := range []int{6, 16, 60} {
+		options := manyRouters()
+		options.SubsetSize = runners
+		balancer := newBalancer(runners, options)
+		for number := range runners {
+			id := runnerID(number)
+			balancer.SetBatch(id, 64)
+			balancer.SetPace(id, paceOf(&engine{slowness: 1 + float64(number%4)}))
+			balancer.ObserveLoad(id, structs.LoadReport{Running: number % 20, ObservedAt: start})
+		}
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			benchmarkBalancer(b, balancer, []uint64{1, 2})
+		})
+	}
+}
+
 func benchmarkPlain(b *testing.B, loads []int, pick func() int) {
 	inFlight := make([]int, 4*len(loads))
 	b.ReportAllocs()
--- a/request/routing/breaker.go
+++ b/request/routing/breaker.go
@@ -12,6 +12,9 @@
 	// OutcomeNeutral: the attempt was given up for a reason that says nothing
 	// about the replica.
 	OutcomeNeutral
+	// OutcomeTurnedAway: the runner is there and is full, or is about to unload what the request
+	// needs, and has not run it.
+	OutcomeTurnedAway
 	// OutcomeRefused: the runner is there but does not run the replica's requests.
 	OutcomeRefused
 	// OutcomeBroken: the runner could not be reached or the stream broke.
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -14,8 +14,13 @@
 	// runner is what was known of the runner when it was chosen. Unlike all else here it may be
 	// read while the Balancer changes.
 	runner structs.RunnerInfo
+	// unread is how many tokens of the prompt the runner probably has to read.
+	unread int64
 }
 
+// Unread is how many tokens of the prompt the chosen runner probably has to read.
+func (c Choice) Unread() int64 { return c.unread }
+
 // Runner is the chosen runner.
 func (c Choice) Runner() structs.RunnerID { return c.runner.ID }
 
@@ -32,6 +37,9 @@
 	return !target.leaving && target.replicas[c.replica.row.name] == c.replica
 }
 
+// Rest is how long the replica gets no request, as it has turned some away.
+func (c Choice) Rest(now time.Time) time.Duration { return max(0, c.replica.rest.until.Sub(now)) }
+
 // Cached counts how many of the prompt's prefixes, which are PrefixHashes, the
 // chosen runner has probably cached.
 func (c Choice) Cached(prefixes []uint64) int {
@@ -48,6 +56,8 @@
 func (c Choice) Sent(now time.Time, prefixes []uint64) {
 	target := c.replica.runner
 	target.change(now, 1)
+	target.addTurn(now)
+	target.addUnread(now, c.unread)
 	target.breaker.sent()
 	c.replica.breaker.sent()
 	for _, prefix := range prefixes {
@@ -60,15 +70,23 @@
 	target := c.replica.runner
 	options := &c.balancer.options
 	target.change(now, -1)
+	if target.inFlight == 0 {
+		target.unreadTokens = 0
+	}
 	switch outcome {
 	case OutcomeSuccess:
 		target.answeredAt = now
 		target.breaker.succeeded()
 		c.replica.breaker.succeeded()
+		c.replica.rest.end()
 		c.replica.rate.add(false)
 	case OutcomeNeutral:
 		target.breaker.abandoned()
 		c.replica.breaker.abandoned()
+	case OutcomeTurnedAway:
+		target.breaker.abandoned()
+		c.replica.breaker.abandoned()
+		c.replica.rest.begin(now)
 	case OutcomeRefused:
 		target.breaker.succeeded()
 		c.replica.breaker.failed(now, options)
--- a/request/routing/options.go
+++ b/request/routing/options.go
@@ -39,11 +39,14 @@
 	// UseFailing lets a replica that refuses requests be chosen when no other may be:
 	// where every replica fails part of its requests, one that answers is better than none.
 	UseFailing bool
-	// ColdRequests is by how many requests other runners must be more loaded before one
-	// is chosen that has answered nothing for WarmTime, so that a new connection to it
-	// would have to be opened. Zero means that this does not matter.
-	ColdRequests float64
-	WarmTime     time.Duration
+	// ColdTime is what a new connection costs, which is needed for a runner that has answered
+	// nothing for WarmTime. Zero means that this does not matter.
+	ColdTime time.Duration
+	WarmTime time.Duration
+	// Sharpness has replicas drawn at random, with weights that are the expected times to this
+	// power, inverted: for routers that each know little of the work of many others. Zero has the
+	// best of Choices taken.
+	Sharpness int
 }
 
 // Defaults of Options.
--- a/request/routing/placement.go
+++ b/request/routing/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lotusferry/lotusferry/placement/pace"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -105,6 +106,7 @@
 		number:   b.lastNumber,
 		hash:     xxhash.Sum64String(string(b.options.Daemon) + "\x00" + string(info.ID)),
 		maxBatch: b.options.MaxBatch,
+		pace:     orUsual(pace.Runner{}),
 		replicas: make(map[structs.RowName]*replica),
 	}
 }
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/pace"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -23,8 +24,17 @@
 	others     int
 	reportedAt time.Time
 	maxBatch   int
-	// penalty is added to the runner's score.
-	penalty float64
+	// reading is the share of its time that the runner has read prompts lately, as of reportedAt.
+	reading float64
+	// pace is what work takes there, with what is usual in place of what is not known.
+	pace pace.Runner
+	// unreadTokens are those that this router had sent at unreadAt and that were not read yet.
+	unreadTokens float64
+	unreadAt     time.Time
+	// lately counts the attempts that this router has sent, as of latelyAt; it fades over
+	// turnTime.
+	lately   float64
+	latelyAt time.Time
 	// answeredAt is when an attempt last ended with an answer.
 	answeredAt time.Time
 	breaker    breaker
@@ -41,6 +51,7 @@
 	row     *row
 	runner  *runner
 	breaker breaker
+	rest    rest
 	rate    failureRate
 	// placed is false once the zone no longer lists the replica.
 	placed       bool
