Requests wait for a replica that turned them away: tests; a choice sums up the word of others once

Cause: the choice worked out how old the same word was for each of 16 candidates, twice. Change: outlook holds what one choice knows of the work of others; the fading of turns is a fraction in place of an exponential.

--- /dev/null
+++ b/request/relay/rest_test.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// sendings notes when requests came to runners, each of which turns away so many at first.
+type sendings struct {
+	mutex sync.Mutex
+	began time.Time
+	at    []time.Duration
+	full  map[string]int
+}
+
+func (s *sendings) answer(_ context.Context, attempt *Attempt) (*Answer, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.at = append(s.at, time.Since(s.began))
+	if s.full[attempt.Instance] > 0 {
+		s.full[attempt.Instance]--
+		return shed()
+	}
+	return fine()
+}
+
+// holders is a view in which the named runners serve the plain service.
+func holders(names ...string) fleet.View {
+	view := fleet.View{Complete: true}
+	for _, name := range names {
+		view.Runners = append(view.Runners, fleet.Runner{Instance: name, Service: "plain", Address: name, Slots: 4})
+	}
+	return view
+}
+
+// A runner that is full for a moment, or is about to unload a model, turns requests away within
+// a millisecond: sent there again at once, a request uses its tries up and its caller is refused.
+func TestRequestWaitsForARunnerThatTurnedItAway(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		full map[string]int
+		// joins is a runner that comes after 200 ms.
+		joins    string
+		status   int
+		sendings int
+	}{
+		{"full for a moment", map[string]int{"p1": 1}, "", http.StatusOK, 2},
+		{"full for long", map[string]int{"p1": 100}, "", http.StatusServiceUnavailable, 2},
+		{"full until another one comes", map[string]int{"p1": 100}, "p2", http.StatusOK, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				seen := &sendings{began: time.Now(), full: test.full}
+				router, backend := newTestRouter(seen.answer)
+				router.adoptView(holders("p1"))
+				if test.joins != "" {
+					time.AfterFunc(200*time.Millisecond, func() { router.adoptView(holders("p1", test.joins)) })
+				}
+				recorder, _ := ask(router, t.Context(), "/once/x", "")
+				c.Assert(recorder.Code, qt.Equals, test.status)
+				c.Assert(backend.runners(), qt.HasLen, test.sendings)
+				c.Assert(seen.at[1]-seen.at[0] >= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", seen.at))
+			})
+		})
+	}
+}
+
+func TestRequestsThatWaitForARestingRunnerAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		seen := &sendings{began: time.Now(), full: map[string]int{"e1": 1}}
+		router, _ := newTestRouter(seen.answer)
+		view := testView()
+		view.Runners = view.Runners[2:3]
+		router.adoptView(view)
+		done := make(chan int)
+		go func() {
+			recorder, _ := ask(router, t.Context(), "/stream-once/x", "m")
+			done <- recorder.Code
+		}()
+		time.Sleep(50 * time.Millisecond)
+		demands := router.takeDemands(time.Now())
+		c.Assert(demands, qt.HasLen, 1)
+		c.Assert(demands[0].Waiting, qt.Equals, 1)
+		c.Assert(<-done, qt.Equals, http.StatusOK)
+	})
+}
--- a/request/routing/draw.go
+++ b/request/routing/draw.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// maxDrawn bounds the replicas among which one is drawn; a subset is smaller by default.
@@ -28,12 +25,11 @@
 	var weights [maxDrawn]float64
 	total := 0.0
 	size := min(len(wanted.subset), maxDrawn)
-	isBlind := b.isBlind(now, wanted)
 	for index, candidate := range wanted.subset[:size] {
 		if !b.usable(now, candidate, work) {
 			continue
 		}
-		cost := b.sharpen(b.costOf(now, candidate, work, found), isBlind)
+		cost := b.sharpen(b.costOf(now, candidate, work, found), candidate, found)
 		turns := min(maxTurns, candidate.runner.turns(now))
 		weights[index] = 1 / (cost * raise(1+turns, turnSharpness))
 		total += weights[index]
@@ -58,7 +54,9 @@
 	if r.lately == 0 {
 		return 0
 	}
-	return r.lately * math.Exp(-now.Sub(r.latelyAt).Seconds()/turnTime.Seconds()) * r.pace.Slowness
+	passed := now.Sub(r.latelyAt).Seconds() / turnTime.Seconds()
+	// Close to exp(-passed), and a tenth of the work.
+	return r.lately / (1 + passed + passed*passed/2) * r.pace.Slowness
 }
 
 func (r *runner) addTurn(now time.Time) {
@@ -66,21 +64,10 @@
 	r.latelyAt = now
 }
 
-// isBlind reports whether it matters what others do at the runners, and nothing is known of it.
-func (b *Balancer) isBlind(now time.Time, wanted *row) bool {
-	for _, candidate := range wanted.subset {
-		target := candidate.runner
-		if target.pace.PromptRate <= 0 || target.isReported(now, b.options.ReportLife) {
-			return false
-		}
-	}
-	return true
-}
-
 // sharpen makes differences of cost weigh more. A router that does not know what others do gives
 // each replica what its speed bears, as all routers together would fill up the quickest ones.
-func (b *Balancer) sharpen(cost float64, isBlind bool) float64 {
-	if isBlind {
+func (b *Balancer) sharpen(cost float64, candidate *replica, found *lookup) float64 {
+	if !found.outlook.isKnown && candidate.runner.pace.PromptRate > 0 {
 		return cost
 	}
 	return raise(cost, b.options.Sharpness)
--- a/request/routing/expected.go
+++ b/request/routing/expected.go
@@ -30,51 +30,71 @@
 // where the same word sent it, so that the differences between runners have shrunk as much.
 const relaxTime = 500 * time.Millisecond
 
-// common is what others do on average at the candidates for a choice.
-type common struct {
-	// busy is the requests of others as a share of what the runners bear, reading the share of
-	// their time that they read prompts.
+// outlook is what one choice knows of the work of others.
+type outlook struct {
+	now  time.Time
+	life time.Duration
+	// reportedAt is that of the last runner that was asked for, and fresh how fresh that is: one
+	// word of the leader tells of all runners.
+	reportedAt time.Time
+	fresh      float64
+	// isKnown is set if there is a report on any of the candidates. busy is the requests of others
+	// there as a share of what the runners bear, reading the share of their time that they
+	// read prompts, quick runners counting for more.
+	isKnown bool
 	busy    float64
 	reading float64
 }
 
-// commonOf averages over the row, quick runners counting for more.
-func (b *Balancer) commonOf(now time.Time, wanted *row) common {
-	var sum common
+// look sums up what is known of the candidates of a row.
+func (b *Balancer) look(now time.Time, wanted *row) outlook {
+	o := outlook{now: now, life: b.options.ReportLife}
 	bears := 0.0
 	for _, candidate := range wanted.subset {
 		target := candidate.runner
-		if target.leaving {
+		if target.leaving || target.pace.PromptRate <= 0 {
 			continue
 		}
 		bears += target.bears()
-		if target.isReported(now, b.options.ReportLife) {
-			sum.busy += float64(target.others)
-			sum.reading += target.reading * target.bears()
+		if o.freshness(target) > 0 {
+			o.isKnown = true
+			o.busy += float64(target.others)
+			o.reading += target.reading * target.bears()
 		}
 	}
-	if bears == 0 {
-		return common{}
+	if bears > 0 {
+		o.busy /= bears
+		o.reading /= bears
 	}
-	return common{busy: sum.busy / bears, reading: sum.reading / bears}
+	return o
 }
 
 // bears is how many requests of the usual kind the runner runs as easily as a usual one runs one.
 func (r *runner) bears() float64 { return float64(r.maxBatch) / r.pace.Slowness }
 
-func (r *runner) isReported(now time.Time, life time.Duration) bool {
-	return !r.reportedAt.IsZero() && now.Sub(r.reportedAt) < life
+// freshness is 1 for a report on the runner of just now, and less the older it is; 0 if there is none
+// that counts.
+func (o *outlook) freshness(target *runner) float64 {
+	if target.reportedAt.IsZero() {
+		return 0
+	}
+	if target.reportedAt != o.reportedAt {
+		o.reportedAt = target.reportedAt
+		age := o.now.Sub(target.reportedAt)
+		o.fresh = 0
+		if age < o.life {
+			o.fresh = math.Exp(-age.Seconds() / relaxTime.Seconds())
+		}
+	}
+	return o.fresh
 }
 
-// othersNow is what others probably do at the runner now: what was reported, nearer to what is
+// others is what others probably do at the runner now: what was reported, nearer to what is
 // common the older the report is.
-func (b *Balancer) othersNow(now time.Time, target *runner, usual common) (requests, reading float64) {
-	if !target.isReported(now, b.options.ReportLife) {
-		return usual.busy * target.bears(), usual.reading
-	}
-	fresh := math.Exp(-now.Sub(target.reportedAt).Seconds() / relaxTime.Seconds())
-	requests = fresh*float64(target.others) + (1-fresh)*usual.busy*target.bears()
-	reading = fresh*target.reading + (1-fresh)*usual.reading
+func (o *outlook) others(target *runner) (requests, reading float64) {
+	fresh := o.freshness(target)
+	requests = fresh*float64(target.others) + (1-fresh)*o.busy*target.bears()
+	reading = fresh*target.reading + (1-fresh)*o.reading
 	return requests, reading
 }
 
@@ -85,7 +105,7 @@
 //	stay   = (unread + own tokens) / rate + events x event, longer by what others have read meanwhile
 //	wait   = stay x crowding x the share of the batch in use
 //	others = requests under way x own tokens / rate
-func (b *Balancer) expected(now time.Time, candidate *replica, usual common, tokens int64) float64 {
+func (b *Balancer) expected(now time.Time, candidate *replica, o *outlook, tokens int64) float64 {
 	target := candidate.runner
 	batch := float64(target.maxBatch)
 	extra := way(candidate).Seconds()
@@ -96,7 +116,7 @@
 		load := float64(target.load(now, b.options.ReportLife))
 		return extra + usualStay*target.pace.Slowness*(load+1)/batch
 	}
-	others, reading := b.othersNow(now, target, usual)
+	others, reading := o.others(target)
 	load := float64(target.inFlight) + others
 	own := float64(tokens) / target.pace.PromptRate
 	free := 1 - min(reading, maxReading)
@@ -107,7 +127,7 @@
 
 // costOf is what the replica is expected to take for the work.
 func (b *Balancer) costOf(now time.Time, candidate *replica, work *Work, found *lookup) float64 {
-	return b.expected(now, candidate, found.usual, work.tokens()-found.cachedTokens(candidate.runner.number))
+	return b.expected(now, candidate, &found.outlook, work.tokens()-found.cachedTokens(candidate.runner.number))
 }
 
 // SetPace adopts what work takes at a runner. Of the replicas of a row, all or none should tell
--- a/request/routing/work.go
+++ b/request/routing/work.go
@@ -31,7 +31,8 @@
 	// saved is how many tokens need not be read where the prefix is cached.
 	saved [maxPrefixes]int64
 	count int
-	usual common
+	// outlook is what is known of the work of others.
+	outlook outlook
 }
 
 // lookUp finds who has cached which prefix of the prompt.
@@ -46,7 +47,7 @@
 			found.saved[index] = min(work.Lengths[index], prompt)
 		}
 	}
-	found.usual = b.commonOf(now, wanted)
+	found.outlook = b.look(now, wanted)
 	return found
 }
 
