--- a/placement/pace/learner.go
+++ b/placement/pace/learner.go
@@ -35,8 +35,10 @@
 	// the time between two events.
 	rate  float64
 	event time.Duration
-	// work are the means of requests as last told.
-	tokens, squares, events float64
+	// tokens, squares and events are the means of requests as last told; see prompts.
+	tokens  float64
+	squares float64
+	events  float64
 	// err is the mean part by which forecasts of gaps were wrong.
 	err float64
 }
@@ -110,8 +112,8 @@
 		if slowness := found.slowness[instance]; slowness > 0 {
 			known.slowness = slowness
 		}
-		if now := known.fading(now); hasChanged(known.told, now) {
-			known.told = now
+		if slowness := known.fading(now); hasChanged(known.told, slowness) {
+			known.told = slowness
 		}
 	}
 	l.judgeServices(found)
@@ -142,19 +144,28 @@
 	}
 	for name, known := range l.services {
 		if len(events[name]) > 0 {
-			event := median(events[name])
-			if hasChanged(known.event.Seconds(), event) {
-				known.event = time.Duration(event * float64(time.Second))
-			}
+			known.tellEvent(median(events[name]))
 		}
 		if rate := known.prompts.rate(known.event); hasChanged(known.rate, rate) {
 			known.rate = rate
 		}
-		if means := known.prompts; means.tokens.count >= minMeans && means.events.count >= minMeans {
-			if hasChanged(known.tokens, means.tokens.value) || hasChanged(known.squares, means.squares.value) || hasChanged(known.events, means.events.value) {
-				known.tokens, known.squares, known.events = means.tokens.value, means.squares.value, means.events.value
-			}
-		}
+		known.tellMeans()
+	}
+}
+
+func (s *service) tellEvent(seconds float64) {
+	if hasChanged(s.event.Seconds(), seconds) {
+		s.event = time.Duration(seconds * float64(time.Second))
+	}
+}
+
+func (s *service) tellMeans() {
+	tokens, squares, events := s.prompts.tokens, s.prompts.squares, s.prompts.events
+	if tokens.count < minMeans || events.count < minMeans {
+		return
+	}
+	if hasChanged(s.tokens, tokens.value) || hasChanged(s.squares, squares.value) || hasChanged(s.events, events.value) {
+		s.tokens, s.squares, s.events = tokens.value, squares.value, events.value
 	}
 }
 
