Prompts count with all that is read of them; a runner's bound is at 15 late requests in 100

Change: lengths are of unread tokens, compared at the 0.4 quantile over 256 each; a runner bears what leaves 15 in 100 late; the share of late streams at calm runners fades in half a minute.

--- a/placement/pace/prompts.go
+++ b/placement/pace/prompts.go
@@ -9,13 +9,13 @@
 const (
 	// keptFirsts is how many first events are kept for prompts of about one length, and
 	// minFirsts how many must be there to tell anything: the quickest tenth of fewer is chance.
-	keptFirsts = 64
+	keptFirsts = 256
 	minFirsts  = 16
 	// middleFirst is the quantile of the first events of a length by which it is held against
 	// another length: what prompts wait for each other is the same for both and cancels out, and
 	// the quickest are often those that a cache holds without a router knowing. quietFirst is
 	// that for a length alone: its prompts found nothing else to read.
-	middleFirst = 0.6
+	middleFirst = 0.4
 	quietFirst  = 0.15
 	// minSpread and leastTokens are by how much the mean lengths of two kinds of prompts must
 	// differ for the difference of their first events to tell the time of a token: a first
@@ -35,27 +35,27 @@
 
 // firsts are the times to the first event for prompts of about one length, newest last.
 type firsts struct {
-	own   []float64
-	times []float64
-	next  int
+	tokens []float64
+	times  []float64
+	next   int
 }
 
-func (f *firsts) add(own, seconds float64) {
+func (f *firsts) add(tokens, seconds float64) {
 	if len(f.times) < keptFirsts {
-		f.own, f.times = append(f.own, own), append(f.times, seconds)
+		f.tokens, f.times = append(f.tokens, tokens), append(f.times, seconds)
 		return
 	}
-	f.own[f.next], f.times[f.next] = own, seconds
+	f.tokens[f.next], f.times[f.next] = tokens, seconds
 	f.next = (f.next + 1) % keptFirsts
 }
 
 // length is the mean length of the prompts in tokens.
 func (f *firsts) length() float64 {
 	sum := 0.0
-	for _, each := range f.own {
+	for _, each := range f.tokens {
 		sum += each
 	}
-	return sum / float64(len(f.own))
+	return sum / float64(len(f.tokens))
 }
 
 // quantile is that of the times, in seconds.
@@ -79,7 +79,7 @@
 
 // prompts are what is known of the requests of a service.
 type prompts struct {
-	// byLength holds first events by the binary logarithm of the prompt's own tokens.
+	// byLength holds first events by the binary logarithm of the tokens that were read.
 	byLength map[int]*firsts
 	tokens   mean
 	// squares is the mean square of the tokens.
@@ -98,14 +98,14 @@
 	if seen.Events > 0 {
 		p.events.add(float64(seen.Events))
 	}
-	if seen.First <= 0 || seen.Own <= 0 {
+	if seen.First <= 0 || seen.Prompt <= 0 {
 		return
 	}
-	length := bits.Len64(uint64(seen.Own))
+	length := bits.Len64(uint64(seen.Prompt))
 	if p.byLength[length] == nil {
 		p.byLength[length] = &firsts{}
 	}
-	p.byLength[length].add(float64(seen.Own), seen.First.Seconds()/slowness)
+	p.byLength[length].add(float64(seen.Prompt), seen.First.Seconds()/slowness)
 }
 
 // rate is how many prompt tokens the usual runner reads a second; 0 if it is not known. It is
--- a/placement/pace/sample.go
+++ b/placement/pace/sample.go
@@ -18,10 +18,8 @@
 	Gap time.Duration
 	// First is the time from sending the request to its first event.
 	First time.Duration
-	// Prompt is how many tokens of the prompt the runner probably read, and Own how many it
-	// certainly did, as no other prompt has them.
+	// Prompt is how many tokens of the prompt the runner probably read.
 	Prompt int64
-	Own    int64
 	// Events is how many events a whole stream had.
 	Events int
 }
--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -18,11 +18,13 @@
 	bearingSample = 24
 	// tooManyLate is the share of late ones, beyond that at calm runners, from which a runner
 	// bears less than was believed, and fewLate that below which it bears more: on either side
-	// of the one in twenty that callers put up with.
-	tooManyLate = 0.1
-	fewLate     = 0.025
-	// calmSmoothing is the weight of a stream in the share of late ones at calm runners.
-	calmSmoothing = 0.005
+	// of what is expected of a runner between busyShare of what it bears and all of it.
+	tooManyLate = 0.2
+	fewLate     = 0.05
+	// calmSmoothing is the weight of a stream in the share of late ones at calm runners, and
+	// calmFade what is left of that share after a second: it counts for half a minute.
+	calmSmoothing = 0.02
+	calmFade      = 0.97
 	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
 	lessBorne = 0.9
 	moreBorne = 1.03
@@ -74,7 +76,7 @@
 		if isLate {
 			of.late++
 		}
-	case known.servedRate < calmShare*known.borne:
+	case max(known.servedRate, float64(known.served)/judgeInterval.Seconds()) < calmShare*known.borne:
 		share := 0.0
 		if isLate {
 			share = 1
@@ -103,6 +105,7 @@
 			clear(known.loads)
 		}
 		known.adjust()
+		known.lateAnyway *= calmFade
 	}
 }
 
--- a/placement/residency/judge.go
+++ b/placement/residency/judge.go
@@ -47,7 +47,7 @@
 		}
 		p.paces.Add(now, pace.Sample{
 			Instance: each.Instance, Class: p.paceClass(Row{Service: each.Service, Model: each.Model}), Gap: each.Gap,
-			First: each.First, Prompt: each.Prompt, Own: each.Own, Events: each.Events,
+			First: each.First, Prompt: each.Prompt, Events: each.Events,
 		})
 		if !each.IsUnderWay {
 			p.pauses.add(now, each)
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -143,9 +143,8 @@
 	// IsLate is set if that is longer than the objective.
 	IsLate bool
 	// Prompt is how many tokens of the prompt the runner had to read as far as the router
-	// knows, and Own how many of them no other prompt has.
+	// knows.
 	Prompt int64
-	Own    int64
 	// Events is how many events a stream had that came whole.
 	Events int
 }
--- a/request/relay/streamtiming.go
+++ b/request/relay/streamtiming.go
@@ -117,7 +117,6 @@
 	told.IsLate = x.route.Objective > 0 && told.First > x.route.Objective
 	if x.waiting != nil {
 		told.Prompt = x.request.Size.Uncached(x.waiting.cachedParts)
-		told.Own = min(told.Prompt, x.request.Size.Own())
 	}
 	if ended.isServed() {
 		told.Events = x.seen.events
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -74,14 +74,6 @@
 	return tokens
 }
 
-// Own is how many tokens of the prompt no other one shares: those of its last part.
-func (s Size) Own() int64 {
-	if len(s.Parts) == 0 {
-		return s.Prompt
-	}
-	return s.Parts[len(s.Parts)-1]
-}
-
 // NoSize is the Tokens of a request that does not tell its size.
 const NoSize = -1
 
