Requests behind a cut wait for it to end, and stay away for longer once they have waited in vain

Ruled out: a forecast of the cut's end from how long it has lasted (a caller on its return would be sent away for certain, where it has a chance if it waits).

Change: such requests wait as any other. One that has waited in vain is told to stay away for a third of what it has left, not for 0.2 s, if its router is cut off from the leader.

--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -12,9 +12,6 @@
 const (
 	// returnShare is the largest part of its time that a caller is asked to stay away.
 	returnShare = 1.0 / 3
-	// cutReturnShare is the part of its time that a caller is asked to stay away whose model is out of
-	// reach with its zone: that lasts for seconds, and the other half is enough to be served in.
-	cutReturnShare = 0.5
 	// returnSlack is added to the time of the forecast, for the way of the news.
 	returnSlack = 150 * time.Millisecond
 	// returnLife is how long after its time a caller that was told to come back is counted
@@ -61,9 +58,6 @@
 // It runs under the mutex.
 func (r *Router) deferNow(state *rowState, wanted *waiter) (time.Duration, bool) {
 	now := r.now()
-	if wanted.mayDefer && r.isHopeless(now, rowName(wanted.row)) {
-		return share(wanted.deadline.Sub(now), cutReturnShare), true
-	}
 	if state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return 0, false
 	}
@@ -113,6 +107,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
+	if r.isCutOff(now, rowName(wanted.row)) {
+		return max(retryAfterNow, share(wanted.deadline.Sub(now), returnShare))
+	}
 	state := r.rows[wanted.row]
 	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return retryAfterNow
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -123,7 +122,6 @@
 			r.balancer.SetWays(r.options.Connects.ways(r.options.Zone))
 			r.probe(r.zones.watch.Sample(r.options.Connects.isUnmeasured))
 		}
-		r.turnAwayHopeless()
 		r.mutex.Unlock()
 	}
 }
@@ -136,26 +134,6 @@
 	r.zones.probes.Wait()
 }
 
-// turnAwayHopeless tells callers to come back whose requests wait for what nobody in reach holds. It
-// runs under the mutex.
-func (r *Router) turnAwayHopeless() {
-	if r.zones.watch.Lost() == 0 {
-		return
-	}
-	now := r.now()
-	for row, state := range r.rows {
-		if len(state.waiters) == 0 || !r.isHopeless(now, rowName(row)) {
-			continue
-		}
-		state.waiters = slices.DeleteFunc(state.waiters, func(wanted *waiter) bool {
-			if wanted.mayDefer {
-				wanted.deferred <- share(wanted.deadline.Sub(now), cutReturnShare)
-			}
-			return wanted.mayDefer
-		})
-	}
-}
-
 // probe connects to runners to learn whether their zones are reached. It runs under the mutex and
 // does not wait.
 func (r *Router) probe(probes []zonewatch.Probe) {
@@ -203,8 +181,11 @@
 	r.serveWaiters()
 }
 
-// isHopeless reports whether nobody in reach holds the row and nobody is heard who could order a load:
-// the router is in a part of the site that is cut off. It runs under the mutex.
-func (r *Router) isHopeless(now time.Time, row structs.RowName) bool {
+// isCutOff reports whether nobody in reach holds the row and nobody is heard who could order a load: the
+// router is in a part of the site that is cut off. Requests for the row wait as for any other, since a cut
+// may end at any moment and whoever waits is served then; to tell their callers at once to come back later
+// was measured, and served fewer of them. One that has waited in vain is told to stay away for longer than
+// usual. It runs under the mutex.
+func (r *Router) isCutOff(now time.Time, row structs.RowName) bool {
 	return r.zones.watch.Lost() > 0 && now.Sub(r.granted.at) > leaderSilence && r.balancer.Reached(row) == 0
 }
