--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -13,9 +13,6 @@
 const (
 	// returnShare is the largest part of its time that a caller is asked to stay away.
 	returnShare = 1.0 / 3
-	// cutReturnShare is the part of its time that a caller is asked to stay away whose model is out of
-	// reach with its zone: that lasts for seconds, and the other half is enough to be served in.
-	cutReturnShare = 0.5
 	// returnSlack is added to the time of the forecast, for the way of the news.
 	returnSlack = 150 * time.Millisecond
 	// returnLife is how long after its time a caller that was told to come back is counted
@@ -39,19 +36,15 @@
 
 const (
 	// reasonComeBack is that of a model that is being loaded, reasonCrowded that of a row in which
-	// too many wait, and reasonOutOfReach that of a model that only zones out of reach hold.
-	reasonComeBack   comeBackReason = "come_back"
-	reasonCrowded    comeBackReason = "crowded"
-	reasonOutOfReach comeBackReason = "out_of_reach"
+	// too many wait.
+	reasonComeBack comeBackReason = "come_back"
+	reasonCrowded  comeBackReason = "crowded"
 )
 
 // message tells the caller the reason.
 func (r comeBackReason) message() string {
-	switch r {
-	case reasonCrowded:
+	if r == reasonCrowded {
 		return "too many requests wait for the model"
-	case reasonOutOfReach:
-		return "no runner with the model can be reached"
 	}
 	return "the model is being loaded"
 }
@@ -93,9 +86,6 @@
 // that waits. It runs under the mutex.
 func (r *Router) deferNow(state *rowState, wanted *waiter) *comeBackError {
 	now := r.now()
-	if wanted.mayDefer && r.isHopeless(now, rowName(wanted.row)) {
-		return r.turnAway(now, wanted)
-	}
 	if comeBack := r.deferCrowded(now, wanted); comeBack != nil {
 		state.expect(now, wanted, comeBack.after)
 		return comeBack
@@ -193,6 +183,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
+	if r.isCutOff(now, rowName(wanted.row)) {
+		return max(retryAfterNow, share(wanted.ticket.Deadline.Sub(now), returnShare))
+	}
 	state := r.rows[wanted.row]
 	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return retryAfterNow
