--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -178,7 +178,6 @@
 func (r *Router) takeDemands(at time.Time) []residency.Demand {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.reviewWaiters(at)
 	var demands []residency.Demand
 	for row, state := range r.rows {
 		if row.Model == "" {
