--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -17,9 +17,12 @@
 	// maxExhausted is how long nothing is asked for reserves of a limit that has no room: it may
 	// have again sooner than was thought.
 	maxExhausted = 100 * time.Millisecond
-	// exhaustedPause separates two questions for requests that wait for a limit that has no room.
-	// It bounds what a rush costs the leader; requests are told that much later.
+	// exhaustedPause separates two questions for requests that wait for a limit that has no room, at
+	// least, and exhaustedShare is the part of it for each router that asks: all of them together ask 2,000
+	// times a second for a tenant at most, which takes a leader about a tenth of a core. Requests are told
+	// that much later.
 	exhaustedPause = 25 * time.Millisecond
+	exhaustedShare = 500 * time.Microsecond
 	// maxAsked bounds the waiting requests of a tenant in one question.
 	maxAsked = 64
 	// shortestReturn is the least time after which a refused caller is asked to come back: of
@@ -33,6 +36,14 @@
 	IsAdmitted bool
 	// ComeBackIn is when a request that is not admitted should be tried again.
 	ComeBackIn time.Duration
+	// Fresh is the part of its cost that the leader granted for the request itself.
+	Fresh Fresh
+}
+
+// Fresh is an amount that the leader granted, in answer to a question that was asked at a time.
+type Fresh struct {
+	Amount float64
+	Asked  time.Time
 }
 
 // Waiter is a request that waits for room in its tenant's limit.
@@ -51,6 +62,8 @@
 // Limiter holds this router's parts of all limits. Its methods must not run at the same time.
 type Limiter struct {
 	accounts map[string]*account
+	// pause separates two questions for a limit that has no room.
+	pause time.Duration
 }
 
 // account is the router's part of one tenant's limit.
@@ -63,16 +76,23 @@
 	until time.Time
 	// exhaustedUntil is when the limit may have room again.
 	exhaustedUntil time.Time
-	// askedAt is when the leader was last asked for those that wait.
-	askedAt time.Time
-	waiters []*Waiter
+	// askAgainAt is when the leader may be asked again for those that wait.
+	askAgainAt time.Time
+	waiters    []*Waiter
 	// asked are those of the question under way, in its order.
 	asked []*Waiter
-	use   useRate
+	// returns are for the leader.
+	returns []Fresh
+	use     useRate
 }
 
 // New makes a limiter that holds nothing.
-func New() *Limiter { return &Limiter{accounts: make(map[string]*account)} }
+func New() *Limiter { return &Limiter{accounts: make(map[string]*account), pause: exhaustedPause} }
+
+// SetRouters says how many routers ask the leader.
+func (l *Limiter) SetRouters(count int) {
+	l.pause = max(exhaustedPause, time.Duration(count)*exhaustedShare)
+}
 
 // SetTenants adopts the limits of a document. What is held of a limit that was lowered is
 // dropped; requests of tenants that have no limit any more are admitted, and those of tenants
@@ -149,18 +169,34 @@
 	return true
 }
 
-// Refund gives back what was counted for a request that no runner has run.
-func (l *Limiter) Refund(at time.Time, tenant string, cost float64) {
+// Refund gives back what was counted for a request that no runner has run: what the leader granted for it
+// to the leader, with the next question, and the rest to what is held.
+func (l *Limiter) Refund(at time.Time, tenant string, cost float64, fresh Fresh) {
 	known := l.accounts[tenant]
 	if known == nil {
 		return
 	}
 	known.expire(at)
 	known.use.add(at, -cost)
+	if fresh.Amount > 0 && len(known.returns) < maxAsked {
+		known.returns = append(known.returns, fresh)
+		cost -= fresh.Amount
+	}
 	// No more than the leader takes the router to hold.
 	known.held = max(known.held, min(known.held+cost, known.keep))
 }
 
+// takeReturns lists what goes back to the leader. It is told once: whether a question whose answer is
+// lost was heard, nobody knows.
+func (a *account) takeReturns(at time.Time) []quota.Return {
+	var returns []quota.Return
+	for _, fresh := range a.returns {
+		returns = append(returns, quota.Return{Amount: fresh.Amount, Age: at.Sub(fresh.Asked)})
+	}
+	a.returns = nil
+	return returns
+}
+
 // Held is what the router holds of a tenant's limit.
 func (l *Limiter) Held(at time.Time, tenant string) float64 {
 	known := l.accounts[tenant]
@@ -176,7 +212,7 @@
 func (l *Limiter) IsAsking(at time.Time) (now, soon bool) {
 	for _, known := range l.accounts {
 		now = now || len(known.waiters) > 0
-		soon = soon || known.isLow(at)
+		soon = soon || known.isLow(at) || len(known.returns) > 0
 	}
 	return now, soon
 }
@@ -187,11 +223,10 @@
 	for name, known := range l.accounts {
 		known.expire(at)
 		known.asked = nil
-		if !known.mayAsk(at) && !known.isLow(at) {
+		if !known.mayAsk(at) && !known.isLow(at) && len(known.returns) == 0 {
 			continue
 		}
-		want := quota.Want{Tenant: name, Held: known.held, Reserve: known.reserve(at)}
-		known.askedAt = at
+		want := quota.Want{Tenant: name, Held: known.held, Reserve: known.reserve(at), Returned: known.takeReturns(at)}
 		known.asked = slices.Clone(known.waiters[:min(len(known.waiters), maxAsked)])
 		for _, waiter := range known.asked {
 			want.Waiting = append(want.Waiting, waiter.Cost)
@@ -203,9 +238,7 @@
 }
 
 // mayAsk reports whether requests wait that the leader may be asked for.
-func (a *account) mayAsk(at time.Time) bool {
-	return len(a.waiters) > 0 && (!at.Before(a.exhaustedUntil) || at.Sub(a.askedAt) >= exhaustedPause)
-}
+func (a *account) mayAsk(at time.Time) bool { return len(a.waiters) > 0 && !at.Before(a.askAgainAt) }
 
 // askAt is what the request has left of its times.
 func (w *Waiter) askAt(at time.Time) quota.Ask {
@@ -220,21 +253,22 @@
 func (l *Limiter) Adopt(asked, at time.Time, grants []quota.Grant) {
 	for _, grant := range grants {
 		if known := l.accounts[grant.Tenant]; known != nil {
-			known.adopt(asked, at, grant)
+			known.adopt(asked, at, grant, l.pause)
 		}
 	}
 }
 
-func (a *account) adopt(asked, at time.Time, grant quota.Grant) {
+func (a *account) adopt(asked, at time.Time, grant quota.Grant, pause time.Duration) {
 	a.expire(at)
 	a.held += grant.Amount
 	a.until = asked.Add(quota.LeaseLife)
-	a.exhaustedUntil = time.Time{}
+	a.exhaustedUntil, a.askAgainAt = time.Time{}, time.Time{}
 	if grant.RoomIn > 0 {
+		a.askAgainAt = at.Add(pause)
 		a.exhaustedUntil = at.Add(min(grant.RoomIn, maxExhausted))
 	}
 	if len(grant.Answers) > 0 {
-		a.settle(grant.Answers)
+		a.settle(grant.Answers, Fresh{Amount: grant.Amount, Asked: asked})
 	} else {
 		a.settleInOrder(grant.RoomIn)
 	}
@@ -244,7 +278,7 @@
 
 // settle tells each request that was asked for what becomes of it. Those that are not decided wait
 // on, and so do those that came after the question.
-func (a *account) settle(answers []quota.Answer) {
+func (a *account) settle(answers []quota.Answer, fresh Fresh) {
 	for i, waiter := range a.asked[:min(len(a.asked), len(answers))] {
 		place := slices.Index(a.waiters, waiter)
 		answer := answers[i]
@@ -254,7 +288,9 @@
 			continue
 		case answer.IsAdmitted && a.held >= waiter.Cost:
 			a.held -= waiter.Cost
-			waiter.Settle(Verdict{IsAdmitted: true})
+			part := Fresh{Amount: min(waiter.Cost, fresh.Amount), Asked: fresh.Asked}
+			fresh.Amount -= part.Amount
+			waiter.Settle(Verdict{IsAdmitted: true, Fresh: part})
 		case !answer.IsAdmitted && answer.ComeBackIn > 0:
 			waiter.Settle(Verdict{ComeBackIn: answer.ComeBackIn})
 		default:
