Turns under failure; models out of reach of their copies; time of copies learned

Cause, by the load test: a model whose only copy is at a runner that two hot models fill was waited for there until its callers left; a load from the weight store began for models with a copy at a runner whose answer to an order was on its way; and where a disk takes three times as long, loads were expected to take what is listed.

Change: a model whose requests are late and that has no room at any runner with a copy counts as one that nobody has; a runner with an order unanswered counts as one that is busy; each machine's loads from copies tell how long the next takes.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -203,15 +203,3 @@
 	excess := demand.rate - p.capacityFor(row, others)
 	return min(max(0, excess), known.borne)*horizon + demand.rate*spareValue
 }
-
-// loadTime is how long a load of the model at the runner takes, from where its machine has
-// a copy or from the weight store.
-func loadTime(known *runner, model *site.Model) time.Duration {
-	switch known.copies[model.Name] {
-	case copyInMemory:
-		return model.MemoryLoadTime
-	case copyOnDisk:
-		return model.DiskLoadTime
-	}
-	return model.LoadTime
-}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -20,6 +20,9 @@
 	oldest time.Duration
 	// isDue is set if a request becomes late unless its model is loaded next.
 	isDue bool
+	// isUnreachable is set if nobody has the model, or its requests are late and nothing can
+	// make way for it where it has copies.
+	isUnreachable bool
 	// isFromCopy is set if the model is being loaded from the weight store, which takes longer
 	// than a load from a copy.
 	isFromCopy bool
@@ -39,9 +42,6 @@
 			continue
 		}
 		if found[row] == nil {
-			if p.tally.isAbsent(row) {
-				p.tally.absent[row.Service]++
-			}
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
@@ -57,6 +57,10 @@
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
 			each.gain *= urgency(each.priority)
 			each.isDue = p.isDue(each)
+			each.isUnreachable = p.isUnreachable(now, each)
+			if each.isUnreachable {
+				p.tally.unreachable[each.row] = true
+			}
 		}
 		listed = append(listed, *each)
 	}
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -83,6 +83,9 @@
 	// ended are the loads that have ended since they were last taken; see
 	// Planner.TakeEndedLoads.
 	ended []EndedLoad
+	// copySlowness is how many times as long as listed a load from a copy takes at the machine,
+	// as its last loads show; 0 before the first.
+	copySlowness float64
 	// storeKeptUntil is until when a place at the weight store is kept for that model.
 	storeKeptUntil time.Time
 }
@@ -237,6 +240,9 @@
 	if held.expected <= 0 {
 		return
 	}
+	if !held.fromStore {
+		r.learnCopyTime(now.Sub(held.since).Seconds() / held.expected.Seconds())
+	}
 	r.ended = append(r.ended, EndedLoad{
 		Service: r.status.Heartbeat.Service, Instance: r.status.Heartbeat.Instance, Model: model,
 		FromStore: held.fromStore, Took: now.Sub(held.since), Expected: held.expected,
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -136,7 +136,7 @@
 	if store == nil {
 		return false
 	}
-	kept := p.tally.kept[wanted.row.Service] + p.keptForAbsent(wanted, store.Limit())
+	kept := p.tally.kept[wanted.row.Service] + p.keptForUnreachable(wanted, store.Limit())
 	if !hasPlace(now, store, wanted, kept) {
 		return false
 	}
@@ -193,10 +193,10 @@
 // isSoonThere reports whether a runner with a copy of the model should have loaded it within
 // a time, though it cannot begin to now.
 func (p *Planner) isSoonThere(now time.Time, known *runner, model *site.Model, wanted need, within time.Duration) bool {
-	if known.isOccupied() {
+	if known.isOccupied() || known.sent {
 		return p.occupiedFor(now, known)+loadTime(known, model) < within
 	}
-	return wanted.isWaitedFor && p.mayOrder(known) && roomTime+loadTime(known, model) < within
+	return wanted.isWaitedFor && !wanted.isUnreachable && !known.isGone && roomTime+loadTime(known, model) < within
 }
 
 // occupiedFor is how long a runner is still expected to execute its order.
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -36,8 +36,8 @@
 	makingRoom map[Row]bool
 	// claims is how many requests a second depend on the copies at each runner.
 	claims map[*runner]float64
-	// absent counts the models that requests wait for and that nobody has or loads, by service.
-	absent map[string]int
+	// unreachable are the models that requests wait for and no copy can be loaded of; see need.
+	unreachable map[Row]bool
 }
 
 type activeKey struct {
@@ -67,7 +67,7 @@
 		reserved:     make(map[Row]*runner),
 		kept:         make(map[string]int),
 		makingRoom:   make(map[Row]bool),
-		absent:       make(map[string]int),
+		unreachable:  make(map[Row]bool),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -196,9 +196,7 @@
 func (t *tally) noteOrder(known *runner, operation Operation, model string) {
 	row := Row{Service: known.status.Heartbeat.Service, Model: model}
 	if operation == Load {
-		if t.isAbsent(row) {
-			t.absent[row.Service]--
-		}
+		delete(t.unreachable, row)
 		t.coming[row] = append(t.coming[row], known)
 		return
 	}
--- a/placement/residency/turns.go
+++ b/placement/residency/turns.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -62,15 +63,40 @@
 	return len(t.holders[row]) == 0 && len(t.coming[row]) == 0 && len(t.copies[row]) == 0
 }
 
-// keptForAbsent is how many places at a weight store with so many in all are kept from a need
-// for models that requests wait for and that nobody has: their callers are all refused until
-// one is loaded, while those of a model with a replica or a copy are served, if late. Half of
-// several places stay for others.
-func (p *Planner) keptForAbsent(wanted need, places int) int {
-	if places >= manyPlaces || p.tally.isAbsent(wanted.row) {
+// keptForUnreachable is how many places at a weight store with so many in all are kept from a
+// need for models that requests wait for and that no copy can be loaded of: their callers are all
+// refused until one is loaded, while those of a model with a replica or a copy are served, if
+// late. Half of several places stay for others.
+func (p *Planner) keptForUnreachable(wanted need, places int) int {
+	if places >= manyPlaces || p.tally.unreachable[wanted.row] {
 		return 0
 	}
-	return min(p.tally.absent[wanted.row.Service], max(1, places/2))
+	waiting := 0
+	for row := range p.tally.unreachable {
+		if row.Service == wanted.row.Service {
+			waiting++
+		}
+	}
+	return min(waiting, max(1, places/2))
+}
+
+// isUnreachable reports whether a model that requests wait for must come from the weight store.
+func (p *Planner) isUnreachable(now time.Time, wanted *need) bool {
+	if p.tally.isAbsent(wanted.row) {
+		return true
+	}
+	objective := p.modelDemand(wanted.row).objective
+	if objective == 0 || wanted.oldest < objective {
+		return false
+	}
+	return !slices.ContainsFunc(p.tally.copies[wanted.row], func(known *runner) bool {
+		if !p.mayOrder(known) {
+			return p.occupiedFor(now, known) < p.options.Horizon
+		}
+		engine := p.engineOf(known)
+		_, _, isPossible := p.costOf(now, known, engine, engine.ModelByName(wanted.row.Model), *wanted)
+		return isPossible
+	})
 }
 
 const (
@@ -89,7 +115,16 @@
 		return false
 	}
 	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
-	return model != nil && wanted.oldest+model.DiskLoadTime+turnMargin >= objective
+	return model != nil && wanted.oldest+p.quickestLoad(wanted.row, model)+turnMargin >= objective
+}
+
+// quickestLoad is how long a load of the model takes at the runner where it is quickest.
+func (p *Planner) quickestLoad(row Row, model *site.Model) time.Duration {
+	quickest := model.LoadTime
+	for _, known := range p.tally.copies[row] {
+		quickest = min(quickest, loadTime(known, model))
+	}
+	return quickest
 }
 
 // hadItsTurn reports whether a model in use may make way for one that is due: what was gathered
