--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -24,6 +24,7 @@
 	storeLoads *prometheus.GaugeVec
 	storeLimit *prometheus.GaugeVec
 	coverage   *prometheus.GaugeVec
+	turns      *prometheus.GaugeVec
 	stepTime   prometheus.Histogram
 	earlyViews prometheus.Counter
 	lost       prometheus.Gauge
@@ -81,6 +82,7 @@
 		storeLoads: gauges("store_loads", "Loads from the weight store under way, by service.", "service"),
 		storeLimit: gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
 		coverage:   gauges("models", "Models by service and where they are: loaded, coming, copied (on a machine's disk or in its memory only) or absent.", "service", "where"),
+		turns:      gauges("waited_models", "Models that requests wait for and that no runner loads yet: gathering, due or unreachable.", "turn"),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
@@ -100,7 +102,7 @@
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
-			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage,
+			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage, made.turns,
 			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials,
 			made.promptRate, made.eventTime, made.borne, made.paceError, made.speeds)
 	}
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -48,7 +48,7 @@
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
 		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
-		"coverage", coverage, "paces", l.paceStates(), "limits", l.limitStates(at))
+		"coverage", coverage, "turns", l.turnStates(), "paces", l.paceStates(), "limits", l.limitStates(at))
 }
 
 // paceStates tells what is believed of the runners of each service. It runs under the mutex.
@@ -125,6 +125,19 @@
 	return strings.Join(listed, " ")
 }
 
+// turnStates tells how many models wait for their turn, and for how long at most. It runs under
+// the mutex.
+func (l *leadership) turnStates() string {
+	turns := l.planner.Turns()
+	for turn, count := range map[string]int{
+		"gathering": turns.Gathering, "due": turns.Due, "unreachable": turns.Unreachable,
+	} {
+		l.node.metrics.turns.WithLabelValues(turn).Set(float64(count))
+	}
+	return fmt.Sprintf("%d gathering,%d due,%d unreachable,oldest %v", turns.Gathering, turns.Due, turns.Unreachable,
+		turns.Oldest.Round(time.Millisecond))
+}
+
 // noteEndedLoads logs and counts loads that have ended.
 func (l *leadership) noteEndedLoads(ended []residency.EndedLoad) {
 	for _, load := range ended {
--- a/placement/residency/turns.go
+++ b/placement/residency/turns.go
@@ -132,3 +132,34 @@
 func (p *Planner) hadItsTurn(now time.Time, row Row, held *holding) bool {
 	return p.tally.waiting[row] == 0 && now.Sub(held.since) >= leastTurn && len(p.holders(row)) == 1
 }
+
+// Turns counts the models that requests wait for and that no runner loads yet. Each counts once.
+type Turns struct {
+	// Gathering models can wait, Due ones become late unless they are loaded next.
+	Gathering int
+	Due       int
+	// Unreachable ones must come from the weight store.
+	Unreachable int
+	// Oldest is how long the oldest of all these requests has waited.
+	Oldest time.Duration
+}
+
+// Turns tells how places were shared when the last plan was done.
+func (p *Planner) Turns() Turns {
+	var turns Turns
+	for _, wanted := range p.unmet {
+		if !wanted.isWaitedFor {
+			continue
+		}
+		turns.Oldest = max(turns.Oldest, wanted.oldest)
+		switch {
+		case wanted.isUnreachable:
+			turns.Unreachable++
+		case wanted.isDue:
+			turns.Due++
+		default:
+			turns.Gathering++
+		}
+	}
+	return turns
+}
--- a/placement/residency/turns_test.go
+++ b/placement/residency/turns_test.go
@@ -72,7 +72,9 @@
 func TestModelInUseMakesWayForOneThatIsDue(t *testing.T) {
 	c := qt.New(t)
 	at := start.Add(leastTurn)
-	c.Assert(dueWorld(time.Second).Plan(at), qt.HasLen, 0)
+	p := dueWorld(time.Second)
+	c.Assert(p.Plan(at), qt.HasLen, 0)
+	c.Assert(p.Turns(), qt.Equals, Turns{Gathering: 1, Oldest: time.Second})
 	orders := dueWorld(2500 * time.Millisecond).Plan(at)
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Operation, qt.Equals, Unload)
