--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -25,6 +25,7 @@
 	storeLimit *prometheus.GaugeVec
 	coverage   *prometheus.GaugeVec
 	zoneBound  *prometheus.GaugeVec
+	turns      *prometheus.GaugeVec
 	stepTime   prometheus.Histogram
 	earlyViews prometheus.Counter
 	lost       prometheus.Gauge
@@ -88,6 +89,7 @@
 		storeLimit: gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
 		zoneBound:  gauges("zone_bound_models", "Models in demand that are ready in one zone alone, though their service has several.", "service"),
 		coverage:   gauges("models", "Models by service and where they are: loaded, coming, copied (on a machine's disk or in its memory only) or absent.", "service", "where"),
+		turns:      gauges("waited_models", "Models that requests wait for and that no runner loads yet: gathering, due or unreachable.", "turn"),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
@@ -111,7 +113,7 @@
 	if registerer != nil {
 		registerer.MustRegister(made.leads, made.changes, made.heartbeats, made.puts, made.departures, made.orders, made.orderTime,
 			made.reports, made.membership, made.runners, made.routers, made.waiting, made.version, made.reopened,
-			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage, made.zoneBound,
+			made.loadTime, made.loadExcess, made.unmet, made.storeLoads, made.storeLimit, made.coverage, made.zoneBound, made.turns,
 			made.stepTime, made.earlyViews, made.lost, made.losses, made.suspects, made.trials, made.failing,
 			made.promptRate, made.eventTime, made.borne, made.paceError, made.speeds,
 			made.tenantShare, made.tenantWaiting, made.tenantLimit)
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -20,6 +20,9 @@
 	oldest time.Duration
 	// isDue is set if a request becomes late unless its model is loaded next.
 	isDue bool
+	// isUnreachable is set if nobody has the model, or its requests are late and nothing can
+	// make way for it where it has copies.
+	isUnreachable bool
 	// isFromCopy is set if only a load from a copy will do: the model is being loaded from the weight
 	// store already, or one replica more is wanted only against the loss of a zone, for which nobody
 	// who waits for the store is held up.
@@ -40,9 +43,6 @@
 			continue
 		}
 		if found[row] == nil {
-			if p.tally.isAbsent(row) {
-				p.tally.absent[row.Service]++
-			}
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
 		}
 		found[row].priority = min(found[row].priority, wanted.priority)
@@ -58,6 +58,10 @@
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
 			each.gain *= urgency(each.priority)
 			each.isDue = p.isDue(each)
+			each.isUnreachable = p.isUnreachable(now, each)
+			if each.isUnreachable {
+				p.tally.unreachable[each.row] = true
+			}
 		}
 		listed = append(listed, *each)
 	}
