A small store is tried by one load more after few ended in time

Ruled out: no trial at all (a store of four is then used at half its speed). Change: below four, one more; from four on as before. Test: TestSmallStoreIsTriedByOneMore.

--- a/placement/weightstore/limiter.go
+++ b/placement/weightstore/limiter.go
@@ -244,11 +244,12 @@
 	}
 }
 
-// nextTried is how many loads at once to try after so many ended in time. One alone shows
-// little: two are tried next, as each of four may take four times as long.
+// nextTried is how many loads at once to try after so many ended in time. A store that serves two
+// at once holds eight up for four times as long, in which a model in demand has no replica: few are
+// followed by one more.
 func nextTried(proved float64) float64 {
-	if proved < 2 {
-		return 2
+	if few := math.Round(proved); few < leastUrgent {
+		return few + 1
 	}
 	return math.Round(startFactor * proved)
 }
--- a/placement/weightstore/limiter_test.go
+++ b/placement/weightstore/limiter_test.go
@@ -339,3 +339,20 @@
 	limiter.Update(start.Add(nominal), nil, func(Key) bool { return true })
 	qt.Assert(t, limiter.Limit(), qt.Equals, 2)
 }
+
+// A store that serves two at once is not asked for eight after two ended in time: each of eight would
+// take four times as long, and so would all that wait for one of them.
+func TestSmallStoreIsTriedByOneMore(t *testing.T) {
+	for _, test := range []struct{ proved, tried int }{{1, 2}, {2, 3}, {3, 4}} {
+		t.Run(fmt.Sprint(test.proved), func(t *testing.T) {
+			limiter := New(5*time.Second, 100)
+			limiter.Expect(test.proved)
+			limiter.Update(start, nil, nil)
+			for i := range test.proved {
+				limiter.Begin(start, Load{Key{Model: fmt.Sprint(i)}, nominal})
+			}
+			limiter.Update(start.Add(nominal), nil, func(Key) bool { return true })
+			qt.Assert(t, limiter.Limit(), qt.Equals, test.tried)
+		})
+	}
+}
