--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -45,7 +46,7 @@
 type bearing struct {
 	// work is what it is worked out from; unknown until the streams tell.
 	work pace.Work
-	// loads are by slowness, of which there are few different ones.
+	// loads are by slowness, in steps of slownessGrain.
 	loads map[float64]*pace.Load
 	// scale corrects the forecast by the streams that were late at busy runners.
 	scale float64
@@ -162,10 +163,13 @@
 	return work
 }
 
+// slownessGrain is the least difference in slowness for which runners have tables of their own.
+const slownessGrain = 0.05
+
 // slownessOf is how many times as long as the usual one a runner takes, as far as is known.
 func (p *Planner) slownessOf(known *runner) float64 {
 	if slowness := p.judgements[known.status.Heartbeat.Instance].Slowness; slowness > 0 {
-		return slowness
+		return max(slownessGrain, math.Round(slowness/slownessGrain)*slownessGrain)
 	}
 	return 1
 }
