--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -156,7 +156,9 @@
 type DrawArguments struct {
 	Router string
 	Wants  []quota.Want
-	// Question numbers the questions of the router in their order, also over its restarts.
+	// Session names one life of the router's process, and Question numbers its questions in their
+	// order.
+	Session  uint64
 	Question uint64
 }
 
--- a/placement/domainnode/reserving.go
+++ b/placement/domainnode/reserving.go
@@ -103,7 +103,8 @@
 	}
 	current.adoptDocument()
 	current.mutex.Lock()
-	current.limits.TakeBack(s.node.now(), arguments.Router, arguments.Question, arguments.Wants)
+	asker := quota.Asker{Router: arguments.Router, Session: arguments.Session}
+	current.limits.TakeBack(s.node.now(), asker, arguments.Question, arguments.Wants)
 	current.mutex.Unlock()
 	current.awaitReservation(arguments.Router, arguments.Wants)
 	current.mutex.Lock()
--- a/placement/quota/divider.go
+++ b/placement/quota/divider.go
@@ -92,15 +92,15 @@
 	windows map[string]*window
 	// former are the reservations of former leaders.
 	former []Reservation
-	// questions is the number of the last question of each router that returned something.
-	questions map[string]uint64
+	// questions is the number of the last question of each life of a router that returned something.
+	questions map[Asker]uint64
 }
 
 // New makes a divider for a leadership that begins now, after leaders that reserved what is
 // listed.
 func New(at time.Time, bound Bound, former []Reservation) *Divider {
 	return &Divider{bound: bound.withDefaults(), began: at, windows: make(map[string]*window), former: former,
-		questions: make(map[string]uint64)}
+		questions: make(map[Asker]uint64)}
 }
 
 // SetTenants adopts the limits of a document, and lists the tenants whose limits are new or
@@ -175,9 +175,9 @@
 
 // TakeBack takes what a router returns with a question. Its questions are numbered in their order; one
 // that was sent again returns nothing more.
-func (d *Divider) TakeBack(at time.Time, router string, question uint64, wants []Want) {
+func (d *Divider) TakeBack(at time.Time, asker Asker, question uint64, wants []Want) {
 	isReturn := func(want Want) bool { return len(want.Returned) > 0 }
-	if !slices.ContainsFunc(wants, isReturn) || !d.isNews(router, question) {
+	if !slices.ContainsFunc(wants, isReturn) || !d.isNews(asker, question) {
 		return
 	}
 	for _, want := range wants {
--- a/placement/quota/returned.go
+++ b/placement/quota/returned.go
@@ -38,12 +38,21 @@
 	return amount
 }
 
-// isNews reports whether a question of a router is not one that was sent again: what it returns must
-// count once.
-func (d *Divider) isNews(router string, question uint64) bool {
-	if question <= d.questions[router] {
+// Asker is one life of a router's process.
+type Asker struct {
+	Router  string
+	Session uint64
+}
+
+// maxAskers bounds those that are remembered; more return nothing.
+const maxAskers = 1 << 16
+
+// isNews reports whether a question is not one that was sent again: what it returns must count once.
+func (d *Divider) isNews(asker Asker, question uint64) bool {
+	last, isKnown := d.questions[asker]
+	if question <= last || !isKnown && len(d.questions) >= maxAskers {
 		return false
 	}
-	d.questions[router] = question
+	d.questions[asker] = question
 	return true
 }
--- a/placement/quota/returned_test.go
+++ b/placement/quota/returned_test.go
@@ -18,15 +18,15 @@
 	at := origin.Add(500 * time.Millisecond)
 	drawAt(d, at, "a", waiting(130))
 	c.Assert(drawAt(d, at, "b", waiting(100)).Amount, qt.Equals, 0.0)
-	d.TakeBack(at, "a", 7, returning(100, 400*time.Millisecond))
+	d.TakeBack(at, Asker{Router: "a"}, 7, returning(100, 400*time.Millisecond))
 	c.Assert(drawAt(d, at, "b", waiting(100)).Amount, qt.Equals, 100.0)
 	// The same question again returns nothing more.
-	d.TakeBack(at, "a", 7, returning(100, 400*time.Millisecond))
+	d.TakeBack(at, Asker{Router: "a"}, 7, returning(100, 400*time.Millisecond))
 	c.Assert(d.TakeUsages(at)[0].Used, qt.Equals, 230.0)
 	// Nothing was granted so long ago, and absurd figures return nothing.
-	d.TakeBack(at, "a", 8, returning(100, 2*time.Second))
-	d.TakeBack(at, "a", 9, returning(-100, 0))
-	d.TakeBack(at, "a", 10, []Want{{Tenant: "nobody", Returned: []Return{{Amount: 5}}}})
+	d.TakeBack(at, Asker{Router: "a"}, 8, returning(100, 2*time.Second))
+	d.TakeBack(at, Asker{Router: "a"}, 9, returning(-100, 0))
+	d.TakeBack(at, Asker{Router: "a"}, 10, []Want{{Tenant: "nobody", Returned: []Return{{Amount: 5}}}})
 	c.Assert(d.TakeUsages(at)[0].Used, qt.Equals, 230.0)
 }
 
@@ -38,7 +38,7 @@
 	drawAt(d, origin.Add(time.Second), "a", waiting(60))
 	drawAt(d, origin.Add(2*time.Second), "a", waiting(70))
 	at := origin.Add(3 * time.Second)
-	d.TakeBack(at, "a", 1, returning(55, 1900*time.Millisecond))
+	d.TakeBack(at, Asker{Router: "a"}, 1, returning(55, 1900*time.Millisecond))
 	steps := d.windows["t"].granted
 	c.Assert([]float64{steps[0].amount, steps[1].amount, steps[2].amount}, qt.DeepEquals, []float64{50, 5, 70})
 }
--- a/request/limiter/bound_test.go
+++ b/request/limiter/bound_test.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if r.wants != nil {
-		s.divider.TakeBack(s.at, r.name, r.question, r.wants)
+		s.divider.TakeBack(s.at, quota.Asker{Router: r.name}, r.question, r.wants)
 		if s.divider.Lacks(s.at, r.name, r.wants) && s.at.Before(r.waitsUntil) {
 			return
 		}
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -33,12 +33,13 @@
 	limiter *limiter.Limiter
 	// refilledAt is when the leader was last asked.
 	refilledAt time.Time
-	// question numbers the questions, also over restarts: it begins with the time of day.
+	// session names the life of this process to the leader, and question numbers its questions.
+	session  uint64
 	question uint64
 }
 
-func newLimits() *limits {
-	return &limits{wake: make(chan struct{}, 1), limiter: limiter.New(), question: uint64(max(0, time.Now().UnixNano()))}
+func newLimits(session uint64) *limits {
+	return &limits{wake: make(chan struct{}, 1), limiter: limiter.New(), session: session}
 }
 
 func (l *limits) wakeUp() {
@@ -123,7 +124,7 @@
 func (r *Router) draw(ctx context.Context, question uint64, wants []quota.Want) ([]quota.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	arguments := domainapi.DrawArguments{Router: r.options.Name, Wants: wants, Question: question}
+	arguments := domainapi.DrawArguments{Router: r.options.Name, Wants: wants, Session: r.limits.session, Question: question}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDraw, arguments,
 		func() *domainapi.DrawReply { return &domainapi.DrawReply{} })
 	if err != nil {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -126,7 +126,7 @@
 		heard: make(map[structs.RunnerID]time.Time),
 		known: make(chan struct{}),
 
-		limits:  newLimits(),
+		limits:  newLimits(random.Uint64()),
 		refused: asynclog.NewLimiter(maxTenantLines),
 
 		suspects:        newSuspects(),
