A need that is due counts more; it does not go before all others

Cause: where a quarter of the runners crash and many models are due at once, further replicas of models in high demand waited behind all of them.

Change: in the order of needs one that is due counts for three times its gain.

--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -69,15 +69,9 @@
 	return listed
 }
 
-// byTurn orders needs: those that are due first, then those with the larger gain.
+// byTurn orders needs by their gain, of which that of needs that are due counts more.
 func byTurn(a, b need) int {
-	if a.isDue != b.isDue {
-		if a.isDue {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
 }
 
 // isCopyQuicker reports whether the loads of the model under way take longer than the horizon, and
--- a/placement/residency/turns.go
+++ b/placement/residency/turns.go
@@ -163,3 +163,17 @@
 	}
 	return turns
 }
+
+// dueWeight is how many times its gain a need that is due counts for in the order of needs: what it
+// saves is lost within a second, what others save over the horizon. It does not go before all
+// others: replicas of models in high demand, whose callers are more urgent as a rule, would wait
+// for as long as a rush at rare models lasts.
+const dueWeight = 3
+
+// rank is what needs are ordered by.
+func (n need) rank() float64 {
+	if n.isDue {
+		return dueWeight * n.gain
+	}
+	return n.gain
+}
