Forecasts count the turns of other models at the runner with the copy

Cause: routers were told the time of a load from the nearest copy, as if each of many models that wait for one runner were next there, so that callers whose turn could not come in time were held instead of told when to come back.

Change: each need that goes before another to a runner adds its swap to the forecast of that one. Tested with four models at one runner; no trial yet.

--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // unloadTime is what it takes until an unused model has made way: an order, its answer
@@ -23,7 +25,7 @@
 			p.readyAt[row] = now.Add(p.comingIn(now, row))
 		}
 	}
-	queued := make(map[string]int)
+	before := &queues{store: make(map[string]int), turns: make(map[*runner]time.Duration)}
 	free := p.storesFree(now)
 	for _, wanted := range needs {
 		if wanted.obstacle != ObstacleNone {
@@ -33,7 +35,7 @@
 		if isComing && !wanted.isFromCopy || !wanted.isWaitedFor {
 			continue
 		}
-		in, isKnown := p.readyIn(now, wanted, queued, free[wanted.row.Service])
+		in, isKnown := p.readyIn(now, wanted, before, free[wanted.row.Service])
 		if isKnown && (!isComing || now.Add(in).Before(comingAt)) {
 			p.readyAt[wanted.row] = now.Add(in)
 		}
@@ -53,10 +55,18 @@
 	return max(0, quickest)
 }
 
-// readyIn is how long it takes until a model is ready that is not being loaded yet.
-// queued counts the models of each service that wait for the weight store before it, and
-// free says how long the loads from that store under way still take.
-func (p *Planner) readyIn(now time.Time, wanted need, queued map[string]int, free []time.Duration) (time.Duration, bool) {
+// queues are the needs that were gone through before one.
+type queues struct {
+	// store counts the models of each service that wait for the weight store.
+	store map[string]int
+	// turns is how long the loads from copies take that each runner should begin before.
+	turns map[*runner]time.Duration
+}
+
+// readyIn is how long it takes until a model is ready that is not being loaded yet. free says
+// how long the loads from its weight store under way still take. The model is added to what
+// later ones wait for.
+func (p *Planner) readyIn(now time.Time, wanted need, before *queues, free []time.Duration) (time.Duration, bool) {
 	service := wanted.row.Service
 	store := p.store(service)
 	if store == nil {
@@ -66,12 +76,7 @@
 	if model == nil {
 		return 0, false
 	}
-	var fromCopy time.Duration = -1
-	for _, known := range p.tally.copies[wanted.row] {
-		if in := p.occupiedFor(now, known) + unloadTime + loadTime(known, model); fromCopy < 0 || in < fromCopy {
-			fromCopy = in
-		}
-	}
+	fromCopy := p.copyReadyIn(now, wanted, model, before)
 	orderedIn := max(0, p.ordersFrom.Sub(now))
 	if wanted.obstacle == ObstacleRoom {
 		orderedIn += roomTime
@@ -82,8 +87,8 @@
 	if wanted.obstacle == ObstacleNone {
 		return unloadTime + store.Expected(model.LoadTime), true
 	}
-	place := queued[service]
-	queued[service]++
+	place := before.store[service]
+	before.store[service]++
 	if len(free) == 0 {
 		rounds := time.Duration(place / store.Limit())
 		return orderedIn + unloadTime + rounds*model.LoadTime + store.Expected(model.LoadTime), true
@@ -92,6 +97,23 @@
 	return max(orderedIn, free[place%len(free)]) + rounds*model.LoadTime + unloadTime + model.LoadTime, true
 }
 
+// copyReadyIn is how long a load from a copy takes at the runner where it ends first, the turns
+// of others there included; negative if there is none.
+func (p *Planner) copyReadyIn(now time.Time, wanted need, model *site.Model, before *queues) time.Duration {
+	var first *runner
+	var readyIn time.Duration = -1
+	for _, known := range p.tally.copies[wanted.row] {
+		in := p.occupiedFor(now, known) + before.turns[known] + unloadTime + loadTime(known, model)
+		if first == nil || in < readyIn {
+			first, readyIn = known, in
+		}
+	}
+	if first != nil && wanted.obstacle != ObstacleNone {
+		before.turns[first] += unloadTime + loadTime(first, model)
+	}
+	return readyIn
+}
+
 // storesFree lists for each service how long the loads under way from its weight store still
 // take, the one that ends first at the beginning.
 func (p *Planner) storesFree(now time.Time) map[string][]time.Duration {
--- a/placement/residency/forecast_test.go
+++ b/placement/residency/forecast_test.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,3 +98,24 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Assert(orders[0].Model, qt.Equals, "m11")
 }
+
+// Four models wait for the runner that has the copies of all. Each is told of the turns before its
+// own.
+func TestForecastsCountTheTurnsBefore(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(1, func(_ int, heartbeat *fleet.Heartbeat) {
+		heartbeat.OnDisk = []string{"m0", "m1", "m2", "m3"}
+	})
+	waitForModels(p, start, 0, 4)
+	p.Plan(start)
+	var waits []Demand
+	for i := range 4 {
+		waits = append(waits, Demand{Row: Row{Service: "s", Model: fmt.Sprint("m", i)}, Waiting: 1})
+	}
+	found := p.Forecasts(start, waits)
+	slices.SortFunc(found, func(a, b Forecast) int { return cmp.Compare(a.In, b.In) })
+	c.Assert(found, qt.HasLen, 4)
+	for i, each := range found[1:] {
+		c.Assert(each.In-found[i].In >= time.Second, qt.IsTrue, qt.Commentf("%v", found))
+	}
+}
