Requests that a load makes late anyway are due once they have aged

Cause: where callers wait for less than a load takes, every request was due at once, and a model in use made way for one that nobody could be in time for. A document that no longer lists a service for which requests wait would have ended the planner in isDue.

Change: a model whose load takes longer than its callers' objective is due after the time that doubles the weight of a request, less the margin; what the document does not list never is. Tests of both, the second of which panicked before.

--- a/placement/residency/turns.go
+++ b/placement/residency/turns.go
@@ -85,16 +85,16 @@
 	if p.tally.isAbsent(wanted.row) {
 		return true
 	}
+	model := p.listedModel(wanted.row)
 	objective := p.modelDemand(wanted.row).objective
-	if objective == 0 || wanted.oldest < objective {
+	if model == nil || objective == 0 || wanted.oldest < objective {
 		return false
 	}
 	return !slices.ContainsFunc(p.tally.copies[wanted.row], func(known *runner) bool {
 		if !p.mayOrder(known) {
 			return p.occupiedFor(now, known) < p.options.Horizon
 		}
-		engine := p.engineOf(known)
-		_, _, isPossible := p.costOf(now, known, engine, engine.ModelByName(wanted.row.Model), *wanted)
+		_, _, isPossible := p.costOf(now, known, p.engineOf(known), model, *wanted)
 		return isPossible
 	})
 }
@@ -108,14 +108,28 @@
 	leastTurn = 500 * time.Millisecond
 )
 
-// isDue reports whether requests for the model become late unless it is loaded next.
+// isDue reports whether requests for the model become late unless it is loaded next. Those that a
+// load makes late in any case are due once they have aged.
 func (p *Planner) isDue(wanted *need) bool {
-	objective := p.modelDemand(wanted.row).objective
-	if objective == 0 {
+	model := p.listedModel(wanted.row)
+	patience := p.modelDemand(wanted.row).objective
+	if model == nil || patience == 0 {
 		return false
 	}
-	model := p.document.Service(wanted.row.Service).Engine.ModelByName(wanted.row.Model)
-	return model != nil && wanted.oldest+p.quickestLoad(wanted.row, model)+turnMargin >= objective
+	takes := p.quickestLoad(wanted.row, model)
+	if patience <= takes {
+		patience = takes + agingTime
+	}
+	return wanted.oldest+takes+turnMargin >= patience
+}
+
+// listedModel is what the document says of a model; nil if it lists none, or no longer.
+func (p *Planner) listedModel(row Row) *site.Model {
+	service := p.document.Service(row.Service)
+	if service == nil || service.Engine == nil {
+		return nil
+	}
+	return service.Engine.ModelByName(row.Model)
 }
 
 // quickestLoad is how long a load of the model takes at the runner where it is quickest.
--- a/placement/residency/turns_test.go
+++ b/placement/residency/turns_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // A store that serves one load at a time has a place. A model that nobody has goes first, though
@@ -89,3 +90,25 @@
 	p.Observe(at, "other", []Demand{{Row: Row{Service: "s", Model: "m0"}, Waiting: 1, Objective: 4 * time.Second}})
 	c.Assert(p.Plan(at), qt.HasLen, 0)
 }
+
+// A request that is late in any case takes no place of a model in use before it has aged.
+func TestHopelessRequestIsDueOnceItHasAged(t *testing.T) {
+	c := qt.New(t)
+	for waited, isDue := range map[time.Duration]bool{time.Second: false, agingTime: true} {
+		p := dueWorld(waited)
+		p.Plan(start.Add(leastTurn))
+		p.demands[Row{Service: "s", Model: "m1"}].objective = 400 * time.Millisecond
+		p.takeTally(start.Add(leastTurn))
+		wanted := need{row: Row{Service: "s", Model: "m1"}, oldest: waited}
+		c.Check(p.isDue(&wanted), qt.Equals, isDue, qt.Commentf("%v", waited))
+	}
+}
+
+// Requests may still wait for what a newer document no longer lists.
+func TestNothingIsDueOfAServiceThatIsGone(t *testing.T) {
+	c := qt.New(t)
+	p := dueWorld(10 * time.Second)
+	p.SetDocument(site.NewIndex(&site.Document{Version: 2}))
+	c.Assert(p.Plan(start.Add(leastTurn)), qt.HasLen, 0)
+	c.Assert(p.Turns().Due, qt.Equals, 0)
+}
