A further replica is weighed by what it takes off the others

Change: a further replica gets its share of the demand by what its runner bears; it costs what that harms others there, and what the runner lacks of what the model lacks. Of places alike the quicker one is taken.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -100,7 +100,7 @@
 // well the runner can serve the model beside what it holds.
 func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) float64 {
 	found := p.weigh(now, known, engine)
-	rate := min(p.modelDemand(wanted.row).rate, known.usual)
+	rate := wanted.shareOf(known, p.modelDemand(wanted.row).rate)
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
 	cost := seconds * loadWeight
@@ -108,10 +108,37 @@
 	if wanted.isWaitedFor {
 		cost += seconds * arrivalWeight * rate
 	}
-	if wanted.isWaitedFor || len(p.holders(wanted.row)) > 0 {
+	switch {
+	case wanted.borne > 0:
+		lacking := wanted.gain / horizon
+		cost += (known.harmToOthers(rate) + max(0, lacking-known.room())) * horizon
+	case wanted.isWaitedFor:
 		cost += known.addedLate(rate) * horizon
 	}
-	return cost
+	return cost + slowPlaceHarm*rate*horizon*(known.usual/known.borne-1)
+}
+
+// slowPlaceHarm is how much of a late request one is that is in time, but takes twice as long as
+// at a usual runner: little, so that it decides between places that are alike otherwise, and so that
+// models in demand go to the quick ones.
+const slowPlaceHarm = 0.01
+
+// room is how many more requests a second the runner bears.
+func (r *runner) room() float64 { return max(0, r.borne-r.load) }
+
+// harmToOthers is how many requests a second for what the runner has are late that were not, if it
+// gets so many more for a model whose other replicas get fewer.
+func (r *runner) harmToOthers(rate float64) float64 {
+	return r.load * (r.lateAt(r.load+rate) - r.lateAt(r.load))
+}
+
+// shareOf is how many requests a second of the demand for the model a new replica at a runner
+// gets beside those that there are: at first all that a usual runner bears.
+func (n *need) shareOf(known *runner, demand float64) float64 {
+	if n.borne <= 0 {
+		return min(demand, known.usual)
+	}
+	return demand * known.borne / (n.borne + known.borne)
 }
 
 // addedLate is how many requests a second are late at a runner that were not, if it gets so many
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -13,6 +13,8 @@
 	row Row
 	// gain is how many requests of the horizon the order would save from being late.
 	gain float64
+	// borne is how many requests a second the replicas that it has or gets bear together.
+	borne float64
 	// isWaitedFor is set if requests wait that nobody can serve.
 	isWaitedFor bool
 	priority    int
@@ -46,6 +48,7 @@
 	}
 	var listed []need
 	for _, each := range found {
+		each.borne = totalBorne(p.replicas(each.row))
 		if each.isWaitedFor {
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
 			each.gain *= urgency(each.priority)
