--- a/request/fairqueue/doc.go
+++ b/request/fairqueue/doc.go
@@ -13,6 +13,9 @@
 // while has no claim to that time, and one that was served much when nobody else wanted to is
 // held back for at most maxAhead of work.
 //
+// The leader adds up all routers, and its word on who is above its share goes before the clocks while
+// it is fresh: tenants that are not go first, and among them slack alone decides.
+//
 // Within a tenant a request that is late soon goes first; then those that are late already, in
 // the order in which they came; then those that can wait and still be in time. So one with six
 // seconds of patience lets one with 0.4 s pass, but only until it is within dueMargin of being
