--- a/request/routing/expected.go
+++ b/request/routing/expected.go
@@ -109,7 +109,7 @@
 	target := candidate.runner
 	batch := float64(target.maxBatch)
 	extra := way(candidate).Seconds()
-	if now.Sub(target.answeredAt) > b.options.WarmTime {
+	if b.options.ColdTime > 0 && !target.isWarm(now, b.options.WarmTime) {
 		extra += b.options.ColdTime.Seconds()
 	}
 	if target.pace.PromptRate <= 0 {
@@ -147,8 +147,16 @@
 	return learned
 }
 
+// isWarm reports whether there is a connection to the runner, as it has answered lately.
+func (r *runner) isWarm(now time.Time, life time.Duration) bool {
+	return !r.answeredAt.IsZero() && now.Sub(r.answeredAt) <= life
+}
+
 // unread is how many tokens this router has sent that the runner has probably not read yet.
 func (r *runner) unread(now time.Time) float64 {
+	if r.unreadTokens == 0 {
+		return 0
+	}
 	return max(0, r.unreadTokens-now.Sub(r.unreadAt).Seconds()*r.pace.PromptRate)
 }
 
--- a/request/routing/load_test.go
+++ b/request/routing/load_test.go
@@ -436,8 +436,9 @@
 	return &Work{Prefixes: []uint64{hash}, Lengths: []int64{size.shared}, Prompt: size.shared + size.own}
 }
 
-func (p *balanced) choose(now float64, s *stream) int {
-	work := workOf(s)
+func (p *balanced) choose(now float64, s *stream) int { return p.chooseFor(now, s, workOf(s)) }
+
+func (p *balanced) chooseFor(now float64, s *stream, work *Work) int {
 	choice, found := p.balancers[s.router].PickFor(at(now), rowName(s.model), work)
 	if !found {
 		return -1
