--- a/placement/pace/sample.go
+++ b/placement/pace/sample.go
@@ -14,14 +14,12 @@
 type Sample struct {
 	Instance string
 	Class    Class
-	// Gap is the lower quartile of the times between two events.
+	// Gap is the median of the times between two events.
 	Gap time.Duration
 	// First is the time from sending the request to its first event.
 	First time.Duration
-	// Prompt is how many tokens of the prompt the runner probably read, and Own how many it
-	// certainly did, as no other prompt has them.
+	// Prompt is how many tokens of the prompt the runner probably read.
 	Prompt int64
-	Own    int64
 	// Events is how many events a whole stream had.
 	Events int
 }
--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,21 +11,30 @@
 
 const (
 	// busyShare is the part of what a runner is believed to bear from which its streams tell
-	// whether it bears that: late streams at runners with less to do have other causes.
+	// whether it bears that, and calmShare that below which late ones have other causes.
 	busyShare = 0.7
-	// bearingSample is how many such streams must have ended before the belief is changed.
+	calmShare = 0.35
+	// bearingSample is how many streams at busy runners must have ended before the belief is
+	// changed.
 	bearingSample = 24
-	// tooManyLate is the share of late ones from which a runner bears less than was believed,
-	// and fewLate that below which it bears more: on either side of the one in twenty that
-	// callers put up with.
-	tooManyLate = 0.1
-	fewLate     = 0.025
+	// tooManyLate is the share of late ones, beyond that at calm runners, from which a runner
+	// bears less than was believed, and fewLate that below which it bears more: on either side
+	// of what is expected of a runner between busyShare of what it bears and all of it.
+	tooManyLate = 0.2
+	fewLate     = 0.05
+	// calmSmoothing is the weight of a stream in the share of late ones at calm runners, and
+	// calmFade what is left of that share after a second: it counts for half a minute.
+	calmSmoothing = 0.02
+	calmFade      = 0.97
 	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
 	lessBorne = 0.9
 	moreBorne = 1.03
-	// leastScale and mostScale bound what streams make of the forecast.
-	leastScale = 0.5
-	mostScale  = 2
+	// leastScale and mostScale bound what streams make of the forecast: it is about as far
+	// off where pieces of prompts, or their mix, are others than is taken. unknownScale is the
+	// bound either way while there is no forecast.
+	leastScale   = 0.75
+	mostScale    = 1.5
+	unknownScale = 3
 	// servedSmoothing is the weight of a second in a runner's rate of streams.
 	servedSmoothing = 0.3
 	// workChange is by how much a figure of the work must change for what runners bear to be
@@ -36,12 +46,14 @@
 type bearing struct {
 	// work is what it is worked out from; unknown until the streams tell.
 	work pace.Work
-	// loads are by slowness, of which there are few different ones.
+	// loads are by slowness, in steps of slownessGrain.
 	loads map[float64]*pace.Load
 	// scale corrects the forecast by the streams that were late at busy runners.
 	scale float64
 	// seen and late count streams at busy runners since scale was last changed.
 	seen, late int
+	// lateAnyway is the share of late streams at calm runners: noise, faults and links make them.
+	lateAnyway float64
 }
 
 func (p *Planner) bearing(service string) *bearing {
@@ -56,13 +68,21 @@
 // observeBearing counts a stream that has ended.
 func (p *Planner) observeBearing(known *runner, seen Pace) {
 	known.served++
-	if known.servedRate < busyShare*known.borne || known.borne <= 0 {
-		return
-	}
 	of := p.bearing(seen.Service)
-	of.seen++
-	if seen.Paused || seen.IsLate {
-		of.late++
+	isLate := seen.Paused || seen.IsLate
+	switch {
+	case known.borne <= 0:
+	case known.servedRate >= busyShare*known.borne:
+		of.seen++
+		if isLate {
+			of.late++
+		}
+	case max(known.servedRate, float64(known.served)/judgeInterval.Seconds()) < calmShare*known.borne:
+		share := 0.0
+		if isLate {
+			share = 1
+		}
+		of.lateAnyway += calmSmoothing * (share - of.lateAnyway)
 	}
 }
 
@@ -86,6 +106,7 @@
 			clear(known.loads)
 		}
 		known.adjust()
+		known.lateAnyway *= calmFade
 	}
 }
 
@@ -94,11 +115,15 @@
 	if b.seen < bearingSample {
 		return
 	}
-	switch share := float64(b.late) / float64(b.seen); {
+	least, most := leastScale, mostScale
+	if !b.work.IsKnown() {
+		least, most = 1.0/unknownScale, unknownScale
+	}
+	switch share := float64(b.late)/float64(b.seen) - b.lateAnyway; {
 	case share > tooManyLate:
-		b.scale = max(leastScale, b.scale*lessBorne)
+		b.scale = max(least, b.scale*lessBorne)
 	case share < fewLate:
-		b.scale = min(mostScale, b.scale*moreBorne)
+		b.scale = min(most, b.scale*moreBorne)
 	}
 	b.seen, b.late = 0, 0
 }
@@ -138,10 +163,13 @@
 	return work
 }
 
+// slownessGrain is the least difference in slowness for which runners have tables of their own.
+const slownessGrain = 0.05
+
 // slownessOf is how many times as long as the usual one a runner takes, as far as is known.
 func (p *Planner) slownessOf(known *runner) float64 {
 	if slowness := p.judgements[known.status.Heartbeat.Instance].Slowness; slowness > 0 {
-		return slowness
+		return max(slownessGrain, math.Round(slowness/slownessGrain)*slownessGrain)
 	}
 	return 1
 }
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -130,7 +130,7 @@
 	Service  string
 	Model    string
 	Instance string
-	// Gap is the lower quartile of the times between two events; 0 if there were too few to
+	// Gap is the median of the times between two events; 0 if there were too few to
 	// tell, or if an earlier Pace of the stream told it.
 	Gap time.Duration
 	// Paused is set if one of them was longer than the route allows.
@@ -143,9 +143,8 @@
 	// IsLate is set if that is longer than the objective.
 	IsLate bool
 	// Prompt is how many tokens of the prompt the runner had to read as far as the router
-	// knows, and Own how many of them no other prompt has.
+	// knows.
 	Prompt int64
-	Own    int64
 	// Events is how many events a stream had that came whole.
 	Events int
 }
