--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -60,7 +60,8 @@
 		return Choice{}, false
 	}
 	unread := work.tokens() - found.cachedTokens(best.runner.number)
-	return Choice{balancer: b, replica: best, runner: best.runner.info, unread: unread}, true
+	expected := b.costOf(now, best, work, &found)
+	return Choice{balancer: b, replica: best, runner: best.runner.info, unread: unread, expected: expected}, true
 }
 
 // pick chooses among the replicas in the way that the options ask for.
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -16,6 +16,14 @@
 	runner structs.RunnerInfo
 	// unread is how many tokens of the prompt the runner probably has to read.
 	unread int64
+	// expected is what the request was expected to take, and cost others, in seconds.
+	expected float64
+}
+
+// Expected is what the request was expected to take at the chosen replica, with what others
+// lose by it.
+func (c Choice) Expected() time.Duration {
+	return time.Duration(c.expected * float64(time.Second))
 }
 
 // Unread is how many tokens of the prompt the chosen runner probably has to read.
