--- a/placement/quota/round_test.go
+++ b/placement/quota/round_test.go
@@ -59,6 +59,18 @@
 	c.Assert(d.windows["t"].promises.listed, qt.HasLen, 0)
 }
 
+func TestPromisesOfALimitThatIsLoweredAreDropped(t *testing.T) {
+	c := qt.New(t)
+	d := newDivider()
+	drawAt(d, origin, "a", one(230, urgent(1)))
+	drawAt(d, origin, "a", one(20, patient(2)))
+	c.Assert(d.windows["t"].promises.listed, qt.HasLen, 1)
+	lower := testLimit
+	lower.Rate /= 10
+	d.SetTenants(origin, tenants(lower))
+	c.Assert(d.windows["t"].promises.listed, qt.HasLen, 0)
+}
+
 // Kinds of requests that ask for more than there is get the same part of it, but for the favour of
 // the small.
 func TestKindsGetTheirPartsOfWhatTheyAskFor(t *testing.T) {
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -103,6 +103,10 @@
 func (w *window) setLimit(limit site.RateLimit, bound Bound) {
 	allowed := limit.Rate*bound.Window.Seconds() + limit.Burst
 	excess := bound.Overshoot*allowed + bound.Slack
+	if limit.Rate < w.limit.Rate || limit.Burst < w.limit.Burst {
+		// What was promised of the former limit would take all room of this one.
+		w.promises = promises{}
+	}
 	w.limit, w.length = limit, bound.Window
 	w.most = allowed + excess*grantedExcess
 	w.lendable = excess * (1 - grantedExcess)
