A runner to avoid comes before one that fails, as it did

Cause: the choice for work tried failing replicas before the runner to avoid, in the other order than before. Change: the order of before.

--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -54,7 +54,10 @@
 		// The one to avoid is better than none.
 		anywhere := *work
 		anywhere.Avoid = ""
-		best = b.scan(now, wanted, &anywhere, &found, b.options.UseFailing)
+		best = b.scan(now, wanted, &anywhere, &found, false)
+	}
+	if best == nil && b.options.UseFailing {
+		best = b.scan(now, wanted, work, &found, true)
 	}
 	if best == nil {
 		return Choice{}, false
@@ -64,21 +67,12 @@
 	return Choice{balancer: b, replica: best, runner: best.runner.info, unread: unread, expected: expected}, true
 }
 
-// pick chooses among the replicas in the way that the options ask for.
+// pick chooses among the replicas that may be used, in the way that the options ask for.
 func (b *Balancer) pick(now time.Time, wanted *row, work *Work, found *lookup) *replica {
-	var best *replica
 	if b.options.Sharpness > 0 {
-		best = b.draw(now, wanted, work, found)
-	} else {
-		best = b.sample(now, wanted, work, found)
-	}
-	if best == nil {
-		best = b.scan(now, wanted, work, found, false)
-	}
-	if best == nil && b.options.UseFailing {
-		best = b.scan(now, wanted, work, found, true)
+		return b.draw(now, wanted, work, found)
 	}
-	return best
+	return b.sample(now, wanted, work, found)
 }
 
 // find returns the replica of the subset on the runner with the number, or nil.
