--- a/placement/pace/work.go
+++ b/placement/pace/work.go
@@ -28,10 +28,8 @@
 
 const (
 	// borneLate is the part of requests that may be late for a runner to count as bearing its
-	// load. Callers are promised that 95 in 100 get their tokens in time. Late ones grow with
-	// the square of the load and more, so that over runners whose loads lie anywhere below the
-	// bound, a third of what is late at it is late.
-	borneLate = 0.15
+	// load: callers are promised that 95 in 100 get their tokens in time.
+	borneLate = 0.05
 	// maxPrompts bounds the prompts that are counted in a row. Rows that are longer than this
 	// and still in time are those of prompts that are short beside the patience; then the
 	// share of time spent reading is what binds.
--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -20,8 +20,8 @@
 	// tooManyLate is the share of late ones, beyond that at calm runners, from which a runner
 	// bears less than was believed, and fewLate that below which it bears more: on either side
 	// of what is expected of a runner between busyShare of what it bears and all of it.
-	tooManyLate = 0.2
-	fewLate     = 0.05
+	tooManyLate = 0.1
+	fewLate     = 0.025
 	// calmSmoothing is the weight of a stream in the share of late ones at calm runners, and
 	// calmFade what is left of that share after a second: it counts for half a minute.
 	calmSmoothing = 0.02
