Late streams at busy runners may lower what is borne to a fifth of the forecast

Change: the least correction is a fifth; what a further replica is worth is still bounded by what it serves, so that a model overrun comes before rare ones.

--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -29,10 +29,11 @@
 	// lessBorne and moreBorne are the steps of the belief: down in a few seconds, up slowly.
 	lessBorne = 0.9
 	moreBorne = 1.03
-	// leastScale and mostScale bound what streams make of the forecast: it is about as far
-	// off where pieces of prompts, or their mix, are others than is taken. unknownScale is the
-	// bound either way while there is no forecast.
-	leastScale   = 0.75
+	// leastScale and mostScale bound what streams make of the forecast. Requests come in clumps and
+	// in waves, which the forecast does not know: on a site with waves of half of the demand, late
+	// streams at busy runners ask for a fifth to a half of it. unknownScale is the bound either way
+	// while there is no forecast.
+	leastScale   = 0.2
 	mostScale    = 1.5
 	unknownScale = 3
 	// servedSmoothing is the weight of a second in a runner's rate of streams.
@@ -196,12 +197,19 @@
 	return p.options.ReplicaRate * of.scale / slowness
 }
 
+// mostAt is how many requests a second a runner of a service serves if they may be late: what late
+// streams make of the forecast leaves it as it is.
+func (p *Planner) mostAt(service string, slowness float64) float64 {
+	return p.borneAt(service, slowness) / min(1, p.bearing(service).scale)
+}
+
 // capability is what one runner bears, looked up once for each plan.
 type capability struct {
 	// borne is how many requests a second it bears, and usual how many a usual runner of its
-	// service does.
+	// service does; most is how many it serves if they may be late.
 	borne float64
 	usual float64
+	most  float64
 	// table tells which part of requests is late at which rate, corrected by scale; nil while
 	// that is not known.
 	table *pace.Load
@@ -212,7 +220,7 @@
 	service, slowness := known.status.Heartbeat.Service, p.slownessOf(known)
 	of := p.bearing(service)
 	return capability{
-		borne: p.borneAt(service, slowness), usual: p.borneAt(service, 1),
+		borne: p.borneAt(service, slowness), usual: p.borneAt(service, 1), most: p.mostAt(service, slowness),
 		table: of.loadAt(slowness), scale: of.scale,
 	}
 }
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -228,5 +228,5 @@
 		return (demand.rate + p.tally.idleRates[row.Service]) * horizon * harm
 	}
 	excess := demand.rate - p.capacityFor(row, others)
-	return min(max(0, excess), known.borne)*horizon + demand.rate*spareValue + p.zoneValue(known, row)
+	return min(max(0, excess), known.most)*horizon + demand.rate*spareValue + p.zoneValue(known, row)
 }
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -149,7 +149,7 @@
 	for _, known := range replicas {
 		gain = max(gain, known.lateThere(rate*known.borne/total))
 	}
-	gain = min(gain, p.borneAt(row.Service, 1))
+	gain = min(gain, p.mostAt(row.Service, 1))
 	if len(replicas) == 1 && rate > spareRate {
 		gain = max(gain, rate*spareGain)
 	}
