How a suspicion of a zone is settled stands in a file of its own

Cause: zonewatch/watch.go held two subjects: what is noted of zones, and how a suspicion is raised and settled by connects. Change: the second is suspicion.go, and the figures of a zone that is out of reach stand beside their use in zone.go. Moved lines only; nothing else changes. The tests of the package pass as they are.

--- a/request/zonewatch/zone.go
+++ b/request/zonewatch/zone.go
@@ -6,6 +6,21 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+const (
+	// firstRetry is the time between two tries of a zone that is out of reach, at first, and
+	// lastRetry the longest, to which it doubles: a zone that is back is used within a second.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// confirmPause separates the answered connects that a zone needs to be used again, and
+	// leastConfirms is their number at first.
+	confirmPause  = 60 * time.Millisecond
+	leastConfirms = 2
+	// maxConfirms bounds that number, which doubles with each loss within calmTime after a
+	// return: a zone that comes and goes is left alone for half a second more at most.
+	maxConfirms = 8
+	calmTime    = 10 * time.Second
+)
+
 // zone is what is known of one zone.
 type zone struct {
 	id structs.ZoneID
