Requests pass one that its runner has turned away twice

Cause: after no room was found for the first request of a row, the others were not tried. One that a runner has turned away twice may not go there again, so that it waited in front for another runner, and all behind it waited with it though their runner had room; most models have one runner only. Change: such requests wait in a row of their own, in the same order against all others. They still count in what is reported as waiting, and are told to come back. Test: TestRequestsPassOneThatNeedsAnotherRunner, which failed before (the second request was answered 503) and passes now.

--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -138,11 +138,10 @@
 // runs under the mutex.
 func (r *Router) deferWaiters(now time.Time, state *rowState) {
 	var leaving []*waiter
-	state.waiters.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+	state.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
 		if _, isDeferred := entry.Value.deferral(now, state.forecast.readyAt); isDeferred {
 			leaving = append(leaving, entry.Value)
 		}
-		return true
 	})
 	for _, wanted := range leaving {
 		after, _ := wanted.deferral(now, state.forecast.readyAt)
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -40,6 +40,9 @@
 	// objective is the shortest of those that arrived or wait; 0 for none.
 	objective time.Duration
 	waiters   fairqueue.Row[*waiter]
+	// barred holds the waiters that may not have the room of one of the runners, as it has turned them away:
+	// whoever waits behind one of them may be served there all the same.
+	barred fairqueue.Row[*waiter]
 	// absentees are callers that were told to come back.
 	absentees []absentee
 	forecast  forecast
@@ -57,6 +60,24 @@
 	return state
 }
 
+// queueOf is where a request waits.
+func (s *rowState) queueOf(wanted *waiter) *fairqueue.Row[*waiter] {
+	if wanted.work.Barred != "" {
+		return &s.barred
+	}
+	return &s.waiters
+}
+
+// eachWaiter calls visit for all requests that wait. None must be removed meanwhile.
+func (s *rowState) eachWaiter(visit func(*fairqueue.Entry[*waiter])) {
+	for _, queue := range []*fairqueue.Row[*waiter]{&s.waiters, &s.barred} {
+		queue.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+			visit(entry)
+			return true
+		})
+	}
+}
+
 // comeBackError ends the wait of a request whose caller should come back.
 type comeBackError struct {
 	after  time.Duration
@@ -107,7 +128,8 @@
 // pickFirst chooses a runner for a request that has just come, unless others go before it. A
 // request without one is among those that wait then. It runs under the mutex.
 func (r *Router) pickFirst(state *rowState, wanted *waiter) (routing.Choice, bool) {
-	if state.waiters.Len() == 0 {
+	queue := state.queueOf(wanted)
+	if queue.Len() == 0 {
 		if choice, found := r.pick(wanted); found {
 			r.queue.Charge(r.now(), wanted.ticket.Tenant, fairqueue.Work(wanted.ticket))
 			return choice, true
@@ -116,9 +138,9 @@
 	wanted.granted = make(chan routing.Choice, 1)
 	wanted.deferred = make(chan *comeBackError, 1)
 	wanted.entry = fairqueue.Entry[*waiter]{Ticket: wanted.ticket, Value: wanted}
-	r.queue.Push(r.now(), &state.waiters, &wanted.entry)
-	if state.waiters.Len() > 1 {
-		r.queue.ServeRow(r.now(), &state.waiters, r.grant)
+	r.queue.Push(r.now(), queue, &wanted.entry)
+	if queue.Len() > 1 {
+		r.queue.ServeRow(r.now(), queue, r.grant)
 	}
 	select {
 	case choice := <-wanted.granted:
@@ -237,12 +259,11 @@
 // countWaiting adds those that wait to the demand, callers that are to come back included.
 func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
 	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
-	demand.Waiting = s.waiters.Len() + len(s.absentees)
+	demand.Waiting = s.waiters.Len() + s.barred.Len() + len(s.absentees)
 	demand.Priority = math.MaxInt
-	s.waiters.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+	s.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
 		demand.Oldest = max(demand.Oldest, at.Sub(entry.Ticket.Arrived))
 		demand.Priority = min(demand.Priority, entry.Ticket.Rank)
-		return true
 	})
 	for _, caller := range s.absentees {
 		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
--- a/request/relay/rest_test.go
+++ b/request/relay/rest_test.go
@@ -94,3 +94,34 @@
 		c.Assert(<-done, qt.Equals, http.StatusOK)
 	})
 }
+
+// A request that was turned away twice needs another runner than those that came after it, which its
+// runner serves again: they must not wait behind it.
+func TestRequestsPassOneThatNeedsAnotherRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		seen := &sendings{began: time.Now(), full: map[string]int{"p1": 2}}
+		router, _ := newTestRouter(seen.answer)
+		document := testDocument()
+		document.Version = 2
+		for i := range document.Routes {
+			// None of them is late, so that the first to come goes first.
+			document.Routes[i].Objective = 6 * time.Second
+		}
+		router.adoptDocument(document)
+		router.adoptView(holders("p1"))
+		barred := make(chan int, 1)
+		go func() {
+			recorder, _ := ask(router, t.Context(), "/once/x", "")
+			barred <- recorder.Code
+		}()
+		// By then it was turned away twice, and the second rest is over.
+		time.Sleep(400 * time.Millisecond)
+		c.Assert(seen.at, qt.HasLen, 2)
+		began := time.Now()
+		recorder, _ := ask(router, t.Context(), "/once/y", "")
+		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		c.Assert(<-barred, qt.Equals, http.StatusServiceUnavailable)
+	})
+}
