A lost zone is judged by its own tries alone, and only by those that tell something

Cause: connects that measure the way have no number, and a zone that is out of reach without a try under way has none either, so that one begun before the loss counted as a try when it ended. And a try that ended late because the router itself was held up counted as failed: it doubled the pause and dropped the answers before it, so that a busy router stayed away from a zone that was back. Change: a connect without a number is no try; an unknown outcome leaves the answers and the pause as they were, and the zone is tried again after it. Tests: TestMeasuringConnectIsNoTryOfALostZone and TestLateRouterLearnsNothingOfALostZone failed before and pass now.

--- a/request/zonewatch/watch_test.go
+++ b/request/zonewatch/watch_test.go
@@ -358,3 +358,37 @@
 	s.run(5 * time.Second)
 	s.c.Assert(s.changes, qt.HasLen, 0)
 }
+
+// A connect that was to measure the way, begun before its zone got out of reach, says nothing of a return.
+func TestMeasuringConnectIsNoTryOfALostZone(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	sampled := s.watch.Sample(func(zone structs.ZoneID) bool { return zone == "d" })
+	c.Assert(sampled, qt.HasLen, 1)
+	for _, each := range s.watch.ConnectFailed(s.now, "d0") {
+		s.watch.Probed(s.now, each, zonewatch.OutcomeFailed)
+	}
+	c.Assert(s.watch.IsLost("d"), qt.IsTrue)
+	for range 3 {
+		changes, _ := s.watch.Probed(s.now, sampled[0], zonewatch.OutcomeAnswered)
+		c.Assert(changes, qt.HasLen, 0)
+	}
+}
+
+// A try of a lost zone that ended late because the router was held up has found nothing: it takes nothing
+// from those that were answered before.
+func TestLateRouterLearnsNothingOfALostZone(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t)
+	for _, each := range s.watch.ConnectFailed(s.now, "d0") {
+		s.watch.Probed(s.now, each, zonewatch.OutcomeFailed)
+	}
+	c.Assert(s.watch.IsLost("d"), qt.IsTrue)
+	for _, outcome := range []zonewatch.Outcome{zonewatch.OutcomeAnswered, zonewatch.OutcomeUnknown, zonewatch.OutcomeAnswered} {
+		s.now = s.now.Add(time.Second)
+		tries := s.watch.Step(s.now)
+		c.Assert(tries, qt.HasLen, 1)
+		s.watch.Probed(s.now, tries[0], outcome)
+	}
+	c.Assert(s.watch.IsLost("d"), qt.IsFalse)
+}
--- a/request/zonewatch/zone.go
+++ b/request/zonewatch/zone.go
@@ -105,11 +105,16 @@
 
 // retried takes the outcome of a try of a zone that is out of reach.
 func (z *zone) retried(now time.Time, probe Probe, outcome Outcome) []Change {
-	if z.trying != probe.number {
+	if z.trying == 0 || z.trying != probe.number {
 		return nil
 	}
 	z.trying = 0
-	if outcome != OutcomeAnswered {
+	switch outcome {
+	case OutcomeAnswered:
+	case OutcomeUnknown:
+		z.retryAt = now.Add(z.retry)
+		return nil
+	default:
 		z.confirmed = 0
 		z.retry = min(lastRetry, 2*z.retry)
 		z.retryAt = now.Add(z.retry)
