A way that turns slow is still learned

Cause: a connect to a zone is given a few times what connects there took, 80 ms at least, and only those that succeed are learned from. Once a way is slower than that, as on a link that narrows, every connect fails, nothing is learned, and the zone stays out of reach, or its runners without new connections, for as long as the way is slow. Change: of each eight connects in a row that took too long, the last is given the longest time, 500 ms; if it succeeds the way is known. Giving all of them more after each failure, as TCP does, would be simpler, and would let a zone that is back wait half a second more each time. Test: TestConnectsFollowAWayThatTurnsSlow failed before (no connect succeeded any more) and passes now.

--- a/request/relay/connects.go
+++ b/request/relay/connects.go
@@ -36,17 +36,24 @@
 }
 
 // DialContext implements network.Network. It gives up after the timeout of the address.
-func (c *Connects) DialContext(ctx context.Context, protocol, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout(address))
+func (c *Connects) DialContext(parent context.Context, protocol, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(parent, c.timeout(address))
 	defer cancel()
 	began := clock.Now()
 	conn, err := c.network.DialContext(ctx, protocol, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		c.observe(address, clock.Now().Sub(began))
+	case parent.Err() == nil && isTimeout(err):
+		c.observeTimeout(address)
 	}
 	return conn, err
 }
 
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // lateFactor times its timeout is after how long a connect that failed tells nothing of the runner:
 // the process itself was held up, and the timeout went off before the answer was looked at.
 const lateFactor = 1.5
@@ -62,7 +69,7 @@
 		return zonewatch.OutcomeAnswered
 	case ctx.Err() != nil || clock.Now().Sub(began) > limit:
 		return zonewatch.OutcomeUnknown
-	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
+	case isTimeout(err):
 		return zonewatch.OutcomeFailed
 	}
 	return zonewatch.OutcomeRefused
@@ -89,6 +96,14 @@
 	}
 }
 
+func (c *Connects) observeTimeout(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if zone := c.zones[address]; zone != "" {
+		c.times.ObserveTimeout(zone)
+	}
+}
+
 // isUnmeasured reports whether too little is known of connects to a zone.
 func (c *Connects) isUnmeasured(zone structs.ZoneID) bool {
 	c.mutex.Lock()
--- a/request/zonewatch/connect.go
+++ b/request/zonewatch/connect.go
@@ -24,6 +24,11 @@
 	deviations      = 4
 	// leastConnects is how many connects must have been measured.
 	leastConnects = 3
+	// patientEvery is after how many connects that took too long in a row, less one, the next is given
+	// MostConnectTimeout: the way may have become slower than any connect that was measured, and only one
+	// that succeeds shows it. A zone that is cut off is found out with half as many, and one that is back
+	// is noticed some 0.4 s later in one of so many cases.
+	patientEvery = 8
 )
 
 // ConnectTimes learns from connects how long one to a runner of a zone may take. The zero value is
@@ -35,6 +40,8 @@
 type connectTime struct {
 	count           int
 	mean, deviation time.Duration
+	// timeouts counts the connects that took too long since the last one that succeeded.
+	timeouts int
 }
 
 // Observe takes how long a connect that succeeded took.
@@ -48,6 +55,7 @@
 		c.zones[zone] = known
 	}
 	known.count++
+	known.timeouts = 0
 	if known.count == 1 {
 		known.mean, known.deviation = took, took/2
 		return
@@ -56,12 +64,22 @@
 	known.mean += time.Duration(meanWeight * float64(took-known.mean))
 }
 
+// ObserveTimeout takes that a connect took longer than Timeout.
+func (c *ConnectTimes) ObserveTimeout(zone structs.ZoneID) {
+	if known := c.zones[zone]; known != nil {
+		known.timeouts++
+	}
+}
+
 // Timeout is how long a connect to a runner of the zone is given.
 func (c *ConnectTimes) Timeout(zone structs.ZoneID) time.Duration {
 	if !c.IsMeasured(zone) {
 		return MostConnectTimeout
 	}
 	known := c.zones[zone]
+	if known.timeouts%patientEvery == patientEvery-1 {
+		return MostConnectTimeout
+	}
 	usual := known.mean + deviations*known.deviation
 	return min(MostConnectTimeout, max(LeastConnectTimeout, connectFactor*usual))
 }
