A turn that is given back is not charged to its tenant

Cause: a request is charged to its tenant when a runner is chosen for it. Where it was not sent after all (the retry budget was used up, the leader allowed a suspected request no trial, its time was over) the charge stayed. A suspected request asks every 150 ms, so that its tenant seemed to use many times its work and fell behind the others. Change: what gives up a chosen runner unused gives the charge back as well.

--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -38,7 +38,7 @@
 		if given.isGranted() {
 			return choice, given, nil
 		}
-		x.router.release(x.row, choice, routing.OutcomeNeutral)
+		x.giveChoiceBack(choice)
 		mustEnd := given.permission == poison.Refused || x.router.now().Add(turnPause).After(x.waitLimit())
 		if mustEnd || !pause.For(ctx, turnPause) {
 			return choice, given, nil
@@ -48,10 +48,16 @@
 
 // giveTurnBack gives up what acquireTurn returned.
 func (x *exchange) giveTurnBack(choice routing.Choice, given permit) {
-	x.router.release(x.row, choice, routing.OutcomeNeutral)
+	x.giveChoiceBack(choice)
 	x.noteEnd(choice.Runner(), given.isTrial(), result{isNotRun: true})
 }
 
+// giveChoiceBack gives up a runner that the request is not sent to, and the work that was counted for it.
+func (x *exchange) giveChoiceBack(choice routing.Choice) {
+	x.router.notServed(x.ticket)
+	x.router.release(x.row, choice, routing.OutcomeNeutral)
+}
+
 // waitLimit is when a request that no runner was found for is given up.
 func (x *exchange) waitLimit() time.Time {
 	limit := x.request.Arrived.Add(share(x.deadline.Sub(x.request.Arrived), maxWaitShare))
