A request that is sent as its zone is given up leaves it too

Cause: when a zone gets out of reach, the attempts under way there end if their requests may be sent elsewhere. One whose runner was chosen just before, and that was noted just after, was passed over: it waited at a silent runner for 1.2 s or more. Change: an attempt that begins in a zone that is out of reach ends at once, by the same rule. Test: TestRequestThatIsSentAsItsZoneIsLostLeavesIt failed before and passes now.

--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -83,6 +83,10 @@
 		r.zones.attempts[zone] = make(map[*watchdog]struct{})
 	}
 	r.zones.attempts[zone][w] = struct{}{}
+	if r.zones.watch.IsLost(zone) {
+		// The runner was chosen before the zone was given up.
+		w.leaveZone()
+	}
 	return func() {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
--- a/request/relay/zones_test.go
+++ b/request/relay/zones_test.go
@@ -22,6 +22,7 @@
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
 const (
@@ -329,3 +330,25 @@
 		})
 	}
 }
+
+// A request that got its runner just before the zone was found to be out of reach, and is sent just after
+// it, goes elsewhere like those that were under way.
+func TestRequestThatIsSentAsItsZoneIsLostLeavesIt(t *testing.T) {
+	inZones(t, func(s *zoneSite) {
+		s.run("/stream/x", "far", time.Second, 100*time.Millisecond)
+		s.router.mutex.Lock()
+		wanted := &waiter{row: residency.Row{Service: "engine", Model: "far"}}
+		choice, found := s.router.pick(wanted)
+		s.router.mutex.Unlock()
+		s.c.Assert(found, qt.IsTrue)
+		s.network.set("c", true, false)
+		s.run("/stream/x", "m", 2*time.Second, 50*time.Millisecond)
+		s.c.Assert(s.router.zones.watch.IsLost("c"), qt.IsTrue)
+		ctx, cancel := context.WithCancelCause(context.Background())
+		defer cancel(nil)
+		attempt := &watchdog{runner: choice.Runner(), cancel: cancel, timer: time.NewTimer(time.Hour)}
+		defer attempt.stop()
+		defer s.router.noteSent(choice, attempt)()
+		s.c.Assert(errors.Is(context.Cause(ctx), errZoneLost), qt.IsTrue)
+	})
+}
