What is counted of services without models is dropped with each report

Cause: callers that are told to come back as too many wait are noted, for the leader, in their row, and so are the tokens of prompts sent to each runner. Rows of services without models are not reported, and what was noted of them was never dropped: a router under a lasting overload of such a service grew by an entry for each refusal. Change: both are dropped where the report passes such rows over. Test: TestNothingPilesUpForAServiceWithoutModels failed before and passes now.

--- a/request/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -149,3 +149,23 @@
 		})
 	}
 }
+
+// Nobody loads anything for a service without models, and nothing is reported of it: what is counted for
+// reports must not pile up.
+func TestNothingPilesUpForAServiceWithoutModels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(nil)
+		router.adoptView(holders("p1"))
+		row := residency.Row{Service: "plain"}
+		wanted := &waiter{row: row}
+		_, found := router.pick(wanted)
+		c.Assert(found, qt.IsTrue)
+		state := router.rowState(row)
+		state.expect(router.now(), wanted, time.Second)
+		time.Sleep(time.Second + 2*returnLife)
+		c.Assert(router.takeDemands(router.now()), qt.HasLen, 0)
+		c.Assert(state.absentees, qt.HasLen, 0)
+		c.Assert(state.prompts, qt.HasLen, 0)
+	})
+}
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -221,7 +221,9 @@
 	var demands []residency.Demand
 	for row, state := range r.rows {
 		if row.Model == "" {
-			state.arrived = 0
+			// Nobody loads anything for it, so that nothing is told.
+			state.arrived, state.absentees = 0, nil
+			clear(state.prompts)
 			continue
 		}
 		demand := residency.Demand{Row: row, Arrived: state.arrived, Objective: state.objective}
