Requests pass one that waits for another runner than the one that failed it

A request that was broken off at the only runner of its row, which the leader calls failing, is not sent there again as long as it rests. It waited in front, and those that came later, which would be sent there as it is better than nothing, waited behind it and were refused. Change: all requests that should not go to one of the runners wait in the row of their own. Test: TestRequestsPassOneThatFailedAtAFailingRunner failed before (503) and passes now.

--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -40,9 +40,9 @@
 	// objective is the shortest of those that arrived or wait; 0 for none.
 	objective time.Duration
 	waiters   fairqueue.Row[*waiter]
-	// barred holds the waiters that may not have the room of one of the runners, as it has turned them away:
-	// whoever waits behind one of them may be served there all the same.
-	barred fairqueue.Row[*waiter]
+	// restricted holds the waiters that should not have the room of one of the runners, as it has failed them
+	// or turned them away: others of the row may be served there all the same.
+	restricted fairqueue.Row[*waiter]
 	// absentees are callers that were told to come back.
 	absentees []absentee
 	forecast  forecast
@@ -62,15 +62,15 @@
 
 // queueOf is where a request waits.
 func (s *rowState) queueOf(wanted *waiter) *fairqueue.Row[*waiter] {
-	if wanted.work.Barred != "" {
-		return &s.barred
+	if wanted.work.Avoid != "" || wanted.work.Barred != "" {
+		return &s.restricted
 	}
 	return &s.waiters
 }
 
 // eachWaiter calls visit for all requests that wait. None must be removed meanwhile.
 func (s *rowState) eachWaiter(visit func(*fairqueue.Entry[*waiter])) {
-	for _, queue := range []*fairqueue.Row[*waiter]{&s.waiters, &s.barred} {
+	for _, queue := range []*fairqueue.Row[*waiter]{&s.waiters, &s.restricted} {
 		queue.Each(func(entry *fairqueue.Entry[*waiter]) bool {
 			visit(entry)
 			return true
@@ -261,7 +261,7 @@
 // countWaiting adds those that wait to the demand, callers that are to come back included.
 func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
 	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
-	demand.Waiting = s.waiters.Len() + s.barred.Len() + len(s.absentees)
+	demand.Waiting = s.waiters.Len() + s.restricted.Len() + len(s.absentees)
 	demand.Priority = math.MaxInt
 	s.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
 		demand.Oldest = max(demand.Oldest, at.Sub(entry.Ticket.Arrived))
--- a/request/relay/rest_test.go
+++ b/request/relay/rest_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // sendings notes when requests came to runners, each of which turns away so many at first.
@@ -102,13 +103,7 @@
 		c := qt.New(t)
 		seen := &sendings{began: time.Now(), full: map[string]int{"p1": 2}}
 		router, _ := newTestRouter(seen.answer)
-		document := testDocument()
-		document.Version = 2
-		for i := range document.Routes {
-			// None of them is late, so that the first to come goes first.
-			document.Routes[i].Objective = 6 * time.Second
-		}
-		router.adoptDocument(document)
+		router.adoptDocument(patientDocument())
 		router.adoptView(holders("p1"))
 		barred := make(chan int, 1)
 		go func() {
@@ -125,3 +120,38 @@
 		c.Assert(<-barred, qt.Equals, http.StatusServiceUnavailable)
 	})
 }
+
+// A request that failed at the only runner of its row, which fails many, waits for another one. Those that
+// came after it are still sent there, as that is better than nothing.
+func TestRequestsPassOneThatFailedAtAFailingRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(firstThen(broken, fine))
+		router.adoptDocument(patientDocument())
+		view := holders("p1")
+		view.Runners[0].Failing = true
+		router.adoptView(view)
+		done := make(chan int, 1)
+		go func() {
+			recorder, _ := ask(router, t.Context(), "/again/x", "")
+			done <- recorder.Code
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(backend.runners(), qt.HasLen, 1)
+		began := time.Now()
+		recorder, _ := ask(router, t.Context(), "/again/y", "")
+		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		<-done
+	})
+}
+
+// patientDocument has routes on which nothing is late for long, so that the first to come goes first.
+func patientDocument() *site.Document {
+	document := testDocument()
+	document.Version = 2
+	for i := range document.Routes {
+		document.Routes[i].Objective = 6 * time.Second
+	}
+	return document
+}
