A test reads what its stand-in noted under the stand-in's lock

Cause: TestRequestsPassOneThatNeedsAnotherRunner read the times of sendings beside the goroutine that noted them; the race detector said so. Change: it asks the stand-in, which locks, how many were sent.

--- a/request/relay/rest_test.go
+++ b/request/relay/rest_test.go
@@ -102,7 +102,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		seen := &sendings{began: time.Now(), full: map[string]int{"p1": 2}}
-		router, _ := newTestRouter(seen.answer)
+		router, backend := newTestRouter(seen.answer)
 		router.adoptDocument(patientDocument())
 		router.adoptView(holders("p1"))
 		barred := make(chan int, 1)
@@ -112,7 +112,7 @@
 		}()
 		// By then it was turned away twice, and the second rest is over.
 		time.Sleep(400 * time.Millisecond)
-		c.Assert(seen.at, qt.HasLen, 2)
+		c.Assert(backend.runners(), qt.HasLen, 2)
 		began := time.Now()
 		recorder, _ := ask(router, t.Context(), "/once/y", "")
 		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
