A probe is judged by the timeout that it was given; a question changes nothing

Cause: Connects.probe read the timeout of a zone once to judge whether the router was late and again to connect, and it may change between the two. And Watch.isElsewhereReached, by its name a question, ended the suspicion as well. Change: the timeout is read once; the suspicion is ended where it is decided on. The second is a move without a change of behaviour, and the first has no test: it needs two connects that end at the same moment. The tests of both packages pass.

--- a/request/relay/connects.go
+++ b/request/relay/connects.go
@@ -36,8 +36,12 @@
 }
 
 // DialContext implements network.Network. It gives up after the timeout of the address.
-func (c *Connects) DialContext(parent context.Context, protocol, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(parent, c.timeout(address))
+func (c *Connects) DialContext(ctx context.Context, protocol, address string) (net.Conn, error) {
+	return c.dialWithin(ctx, protocol, address, c.timeout(address))
+}
+
+func (c *Connects) dialWithin(parent context.Context, protocol, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	began := clock.Now()
 	conn, err := c.network.DialContext(ctx, protocol, address)
@@ -61,13 +65,13 @@
 // probe connects to a runner and hangs up at once.
 func (c *Connects) probe(ctx context.Context, address string) zonewatch.Outcome {
 	began := clock.Now()
-	limit := share(c.timeout(address), lateFactor)
-	conn, err := c.DialContext(ctx, "tcp", address)
+	timeout := c.timeout(address)
+	conn, err := c.dialWithin(ctx, "tcp", address, timeout)
 	switch {
 	case err == nil:
 		_ = conn.Close()
 		return zonewatch.OutcomeAnswered
-	case ctx.Err() != nil || clock.Now().Sub(began) > limit:
+	case ctx.Err() != nil || clock.Now().Sub(began) > share(timeout, lateFactor):
 		return zonewatch.OutcomeUnknown
 	case isTimeout(err):
 		return zonewatch.OutcomeFailed
--- a/request/zonewatch/suspicion.go
+++ b/request/zonewatch/suspicion.go
@@ -154,6 +154,9 @@
 		return nil, asked.ask(more)
 	}
 	if !w.isElsewhereReached(asked) {
+		// A router that reaches nobody at all goes on as it was: there is nothing that it could do better.
+		asked.round = nil
+		asked.refuted = min(maxRefuted, asked.refuted+1)
 		return nil, nil
 	}
 	changes = []Change{asked.lose(now)}
@@ -165,16 +168,13 @@
 	return changes, probes
 }
 
-// isElsewhereReached reports whether another zone is not lost. A router that reaches nobody at all
-// goes on as it was: there is nothing that it could do better.
+// isElsewhereReached reports whether another zone is not lost.
 func (w *Watch) isElsewhereReached(but *zone) bool {
 	for _, other := range w.zones {
 		if other != but && !other.isLost && len(other.ids) > 0 {
 			return true
 		}
 	}
-	but.round = nil
-	but.refuted = min(maxRefuted, but.refuted+1)
 	return false
 }
 
