--- a/request/zonewatch/zone.go
+++ b/request/zonewatch/zone.go
@@ -6,6 +6,21 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
+const (
+	// firstRetry is the time between two tries of a zone that is out of reach, at first, and
+	// lastRetry the longest, to which it doubles: a zone that is back is used within a second.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// confirmPause separates the answered connects that a zone needs to be used again, and
+	// leastConfirms is their number at first.
+	confirmPause  = 60 * time.Millisecond
+	leastConfirms = 2
+	// maxConfirms bounds that number, which doubles with each loss within calmTime after a
+	// return: a zone that comes and goes is left alone for half a second more at most.
+	maxConfirms = 8
+	calmTime    = 10 * time.Second
+)
+
 // zone is what is known of one zone.
 type zone struct {
 	id structs.ZoneID
@@ -90,11 +105,16 @@
 
 // retried takes the outcome of a try of a zone that is out of reach.
 func (z *zone) retried(now time.Time, probe Probe, outcome Outcome) []Change {
-	if z.trying != probe.number {
+	if z.trying == 0 || z.trying != probe.number {
 		return nil
 	}
 	z.trying = 0
-	if outcome != OutcomeAnswered {
+	switch outcome {
+	case OutcomeAnswered:
+	case OutcomeUnknown:
+		z.retryAt = now.Add(z.retry)
+		return nil
+	default:
 		z.confirmed = 0
 		z.retry = min(lastRetry, 2*z.retry)
 		z.retryAt = now.Add(z.retry)
