A return that is under way for long is taken off nothing newer

A router tells how long before its question the leader was asked for what it returns, and the leader counted that from when it heard the question. A question that a slow link, or the search for a leader, held up so was taken off grants made after the one that it returns. When that one had left the window, the others counted less than was used of them, and as much could be granted beyond the limit. The router now adds the longest time that a question may take to the ages.

--- a/placement/quota/returned.go
+++ b/placement/quota/returned.go
@@ -5,7 +5,8 @@
 // Return is a part of a limit that a router was granted for a request that no runner has run.
 type Return struct {
 	Amount float64
-	// Age is how long ago the leader was asked for it, at least. It was granted after that.
+	// Age is how long ago the leader was asked for it, at most, the time included that the return is
+	// under way. It was granted after that.
 	Age time.Duration
 }
 
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -124,6 +124,7 @@
 func (r *Router) draw(ctx context.Context, question uint64, wants []quota.Want) ([]quota.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
+	ageReturns(wants)
 	arguments := domainapi.DrawArguments{Router: r.options.Name, Wants: wants, Session: r.limits.session, Question: question}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDraw, arguments,
 		func() *domainapi.DrawReply { return &domainapi.DrawReply{} })
@@ -132,3 +133,14 @@
 	}
 	return reply.Grants, nil
 }
+
+// ageReturns adds to the ages of returns how long a question may be under way, and the search for
+// a leader take: the leader counts ages from when it hears them, and must take nothing off that was
+// granted after the return itself.
+func ageReturns(wants []quota.Want) {
+	for _, want := range wants {
+		for i := range want.Returned {
+			want.Returned[i].Age += drawTimeout
+		}
+	}
+}
