Times that a router tells of a request are bounded at the leader

A time below zero, or one without end, in a question about a limit made the leader allocate a table of so many steps, or of fewer than none, and panic; absurd amounts were harmless already. Times are now bounded as amounts are: 0 at least, 10 minutes at most.

--- a/placement/quota/divider_test.go
+++ b/placement/quota/divider_test.go
@@ -187,3 +187,16 @@
 	}
 	c.Assert(d.TakeUsages(origin)[0].Used <= 1100, qt.IsTrue)
 }
+
+func TestAbsurdTimesOfARouterAreBounded(t *testing.T) {
+	c := qt.New(t)
+	for _, span := range []time.Duration{math.MinInt64, -time.Hour, math.MaxInt64} {
+		d := newDivider()
+		drawAt(d, origin, "a", waiting(230))
+		ask := Ask{Class: "c", Digest: 1, Due: span, Away: span}
+		answers := drawAt(d, origin, "a", one(20, ask)).Answers
+		c.Assert(answers[0].IsAdmitted, qt.IsFalse, qt.Commentf("%v", span))
+		c.Assert(answers[0].ComeBackIn > 0, qt.IsTrue, qt.Commentf("%v", span))
+		c.Assert(cap(d.windows["t"].promises.slots) <= int(maxSpan/promiseSlot), qt.IsTrue, qt.Commentf("%v", span))
+	}
+}
--- a/placement/quota/round.go
+++ b/placement/quota/round.go
@@ -63,6 +63,7 @@
 // time to come back at, if there is any that its caller can make use of.
 func (r *round) answer(ask Ask, cost float64) Answer {
 	w := r.window
+	ask.Due, ask.Away = span(ask.Due), span(ask.Away)
 	class := w.classes.of(r.at, ask.Class)
 	class.isUrgent = ask.Due <= urgentTime
 	place := w.promises.find(ask.Digest)
--- a/placement/quota/window.go
+++ b/placement/quota/window.go
@@ -318,3 +318,9 @@
 
 // maxFigure is more than any limit allows.
 const maxFigure = 1e13
+
+// span makes a router's time one to reckon with.
+func span(value time.Duration) time.Duration { return min(max(0, value), maxSpan) }
+
+// maxSpan is more than the time of any request.
+const maxSpan = 10 * time.Minute
