A model that room is made for keeps one place at the weight store, not two

While a runner makes room for a model that nobody has, a place at the store is kept by the runner's reservation. The same model also counted among those out of reach, for which keptForUnreachable keeps places: at a store of two nobody else could load until the room was made. A kept place now takes the model off that count.

--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -64,7 +64,7 @@
 		known.roomBy = now.Add(p.roomTakes(known, place.victim))
 		if fromStore {
 			known.storeKeptUntil = now.Add(storeKeptTime)
-			p.tally.kept[wanted.row.Service]++
+			p.tally.keepPlace(wanted.row)
 		}
 		return p.send(now, known, Unload, place.victim, ""), true
 	}
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -167,16 +167,24 @@
 		if known.reserved == "" {
 			continue
 		}
-		t.reserved[known.rowOf(known.reserved)] = known
+		row := known.rowOf(known.reserved)
+		t.reserved[row] = known
 		if now.Before(known.storeKeptUntil) {
-			t.kept[known.status.Heartbeat.Service]++
+			t.keepPlace(row)
 		}
 		if now.Before(known.roomBy) && !known.status.Leaving && known.isOccupied() {
-			t.makingRoom[known.rowOf(known.reserved)] = true
+			t.makingRoom[row] = true
 		}
 	}
 }
 
+// keepPlace counts a place at the weight store that is kept for a model while room is made for
+// it. No other one need be kept because it is out of reach.
+func (t *tally) keepPlace(row Row) {
+	t.kept[row.Service]++
+	delete(t.unreachable, row)
+}
+
 // withoutStore lists the runners that take orders and may load the model although the
 // weight store takes no further load.
 func (t *tally) withoutStore(row Row) []*runner {
--- a/placement/residency/turns_test.go
+++ b/placement/residency/turns_test.go
@@ -124,3 +124,28 @@
 	c.Assert(p.Plan(start.Add(leastTurn)), qt.HasLen, 0)
 	c.Assert(p.Turns().Due, qt.Equals, 0)
 }
+
+// The place at a store of two for a model that nobody has is kept once while room is made for it: a
+// further replica of a model in demand takes the other.
+func TestAbsentModelThatRoomIsMadeForKeepsOnePlace(t *testing.T) {
+	c := qt.New(t)
+	p := newStorePlanner(3, func(i int, heartbeat *fleet.Heartbeat) {
+		heartbeat.Models = []fleet.LoadedModel{{Name: fmt.Sprint("m", i)}}
+	})
+	p.RecallStore(start, "s", 2, true)
+	at := start.Add(2 * time.Second)
+	p.Observe(at, "router", []Demand{
+		{Row: Row{Service: "s", Model: "m0"}, Arrived: 16, Active: []ActiveCount{{Instance: "r0", Count: 1}}},
+		{Row: Row{Service: "s", Model: "m10"}, Arrived: 1, Waiting: 1},
+	})
+	orders := p.Plan(at)
+	c.Assert(orders, qt.HasLen, 2)
+	c.Assert(p.tally.kept["s"], qt.Equals, 2)
+	// Nor is it kept twice by the plans that follow, while the runners unload.
+	for _, order := range orders {
+		c.Assert(order.Operation, qt.Equals, Unload)
+		p.Answered(at, order, OutcomeAccepted)
+	}
+	p.Plan(at.Add(100 * time.Millisecond))
+	c.Assert(p.tally.unreachable, qt.HasLen, 0)
+}
