What was learned of slow loads from a machine's copies fades without news

A machine whose loads from its copies took up to ten times as long, as its disk was slow for a while or it was frozen, was believed to be so until it loaded from a copy again. Placement leaves it out where others have copies, so that it might never do. After a minute without such a load the belief now fades, as that of slow runners does.

--- a/placement/residency/judge.go
+++ b/placement/residency/judge.go
@@ -88,6 +88,7 @@
 		}
 		p.judgements[instance] = found
 		known.countServed(passed)
+		known.fadeCopyTime(now, passed)
 	}
 	p.judgeBearing()
 	for instance := range p.judgements {
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -86,8 +86,9 @@
 	// Planner.TakeEndedLoads.
 	ended []EndedLoad
 	// copySlowness is how many times as long as listed a load from a copy takes at the machine,
-	// as its last loads show; 0 before the first.
+	// as its last loads show; 0 before the first. copySeenAt is when the last of them ended.
 	copySlowness float64
+	copySeenAt   time.Time
 	// storeKeptUntil is until when a place at the weight store is kept for that model.
 	storeKeptUntil time.Time
 }
@@ -243,7 +244,7 @@
 		return
 	}
 	if !held.fromStore {
-		r.learnCopyTime(now.Sub(held.since).Seconds() / held.expected.Seconds())
+		r.learnCopyTime(now, now.Sub(held.since).Seconds()/held.expected.Seconds())
 	}
 	r.ended = append(r.ended, EndedLoad{
 		Service: r.status.Heartbeat.Service, Instance: r.status.Heartbeat.Instance, Model: model,
