Needs are ordered by all that is late for want of replicas, not by what one more serves

With a fifth of the forecast allowed all seemed overrun alike. Ruled out: a tie broken by the waiting requests alone (the place then chosen is still bounded). Change: the bound on the gain of a further replica is out; half of the forecast is the least again.

--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -31,9 +31,9 @@
 	moreBorne = 1.03
 	// leastScale and mostScale bound what streams make of the forecast. Requests come in clumps and
 	// in waves, which the forecast does not know: on a site with waves of half of the demand, late
-	// streams at busy runners ask for a fifth to a half of it. unknownScale is the bound either way
-	// while there is no forecast.
-	leastScale   = 0.2
+	// streams at busy runners ask for half of it and less. Less than half is not believed: all models
+	// in demand then seem overrun alike. unknownScale is the bound either way while there is no forecast.
+	leastScale   = 0.5
 	mostScale    = 1.5
 	unknownScale = 3
 	// servedSmoothing is the weight of a second in a runner's rate of streams.
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -133,11 +133,12 @@
 	spareGain = 0.1
 )
 
-// crowding is how many requests of the horizon would be in time with one more replica
-// of the model. Too many for what the replicas bear, those on their way included, are late,
-// and so are some of those at runners that do too much else or are slow; but another replica
-// serves no more than a usual runner bears. A model in demand that has a single replica would be
-// lost with its runner, which counts a little.
+// crowding is how many requests of the horizon are late for want of replicas of the model: too
+// many for what the replicas bear, those on their way included, and some of those at runners that
+// do too much else or are slow. One replica more serves a part of them; the whole is what needs are
+// ordered by, so that a model with one replica for 130 requests a second comes before
+// one with two for 30. A model in demand that has a single replica would be lost with its runner,
+// which counts a little.
 func (p *Planner) crowding(row Row) float64 {
 	replicas := p.replicas(row)
 	rate := p.modelDemand(row).rate
@@ -149,7 +150,6 @@
 	for _, known := range replicas {
 		gain = max(gain, known.lateThere(rate*known.borne/total))
 	}
-	gain = min(gain, p.mostAt(row.Service, 1))
 	if len(replicas) == 1 && rate > spareRate {
 		gain = max(gain, rate*spareGain)
 	}
