--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -80,7 +80,7 @@
 
 // isCopyQuicker reports whether the loads of the model under way take longer than the horizon, and
 // a load from a copy, begun now, would end sooner. Of quicker loads the end is awaited: a second
-// replica of a cold model takes the place of another (0.05 of worth on a calm day of further).
+// replica of a cold model takes the place of another.
 func (p *Planner) isCopyQuicker(now time.Time, row Row) bool {
 	comingIn := p.comingIn(now, row)
 	if comingIn <= p.options.Horizon {
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -29,8 +29,8 @@
 const runnersPerLoad = 20
 
 const (
-	// usualFirstLoads are tried at once on a small site, and leastFirstLoads where loads take
-	// long: one alone would tell nothing of a second.
+	// usualFirstLoads are tried at once on a small site, and leastFirstLoads where loads take long
+	// but callers wait for them: one alone would tell nothing of a second.
 	leastFirstLoads = 2
 	usualFirstLoads = 4
 )
