The replicas of a model are listed in one place; who reads Slow is said

Cause: the cover of zones wrote out what Planner.replicas lists, as the parts were joined; routers go by Pace now, so that the field Slow seemed unused. Change: two calls, one comment; behaviour as before.

--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -42,7 +42,8 @@
 	Zone     string
 	Slots    int
 	Leaving  bool
-	// Slow runners take longer than others for the same work.
+	// Slow runners take longer than others for the same work. Routers of the version before go by it;
+	// others go by Pace.
 	Slow bool
 	// Pace is what work takes there, as far as the leader has learned; a leader of a version
 	// before does not say.
--- a/placement/residency/zonecover.go
+++ b/placement/residency/zonecover.go
@@ -141,7 +141,7 @@
 // zoneGain is how many requests of the horizon one replica more of the model is worth as it makes the
 // loss of a zone lighter.
 func (p *Planner) zoneGain(row Row) float64 {
-	replicas := slices.Concat(p.holders(row), p.coming(row))
+	replicas := p.replicas(row)
 	if len(replicas) == 0 {
 		return 0
 	}
@@ -152,7 +152,7 @@
 // zoneCost is how much less than elsewhere a replica at the runner is worth for the loss of a zone.
 func (p *Planner) zoneCost(known *runner, row Row) float64 {
 	cost := 0.0
-	cover := p.coverOf(row, slices.Concat(p.holders(row), p.coming(row)))
+	cover := p.coverOf(row, p.replicas(row))
 	if i, isListed := slices.BinarySearch(cover.zones, known.status.Heartbeat.Zone); isListed {
 		cost += zoneWeight * (cover.bestRelief() - cover.relief(i)) * p.options.Horizon.Seconds()
 	}
