Operators can drain a zone: its runners get no new requests until the order is withdrawn

Cause: an order to drain a zone was answered 404, and nothing knew of it. Change: the order goes into the replicated log, the last one holds; in the view of routers the zone's runners leave, and the planner loads elsewhere what only they held. For 2.5 s they serve what nobody else holds. Acknowledged once it is durable and the routers in contact know, or after 0.6 s, as departures are. Unknown zones are refused with the zones that exist; GET lists what is drained. Ruled out: a flag of its own in the view, which routers of the version before would not know. Not covered: members of a version before drop the order from their state. Tests in virtual time: leader lost after the order, all restarted, three operators at once, minority, unknown zone.

--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -84,6 +84,8 @@
 	Reserve *Reservation
 	// Suspects lists what is new about requests that may crash runners.
 	Suspects []poison.Record
+	// Drain is an operator's order about a zone; nil for none.
+	Drain *ZoneDrain
 }
 
 // Result is what Apply returns.
@@ -100,6 +102,8 @@
 	StoreLimits   []StoreLimit
 	Reservations  []Reservation
 	Suspects      []poison.Record
+	// Drained lists the zones whose runners get no new requests.
+	Drained []string
 }
 
 // Machine is the state machine. Its methods must not run at the same time, as
@@ -119,6 +123,8 @@
 	reservations []Reservation
 	// suspects is in the order of their last records.
 	suspects []poison.Record
+	// drained holds the zones whose runners get no new requests.
+	drained map[string]struct{}
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -130,6 +136,7 @@
 		registrations: make(map[string]Registration),
 		addresses:     make(map[string]string),
 		storeLimits:   make(map[string]StoreLimit),
+		drained:       make(map[string]struct{}),
 	}
 }
 
@@ -151,6 +158,8 @@
 		m.put(*decoded.Put)
 	case decoded.Depart != nil:
 		m.depart(*decoded.Depart)
+	case decoded.Drain != nil:
+		m.drain(*decoded.Drain)
 	}
 	for _, registration := range decoded.Registrations {
 		m.register(registration)
@@ -333,7 +342,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	data, err := msgpack.Marshal(&State{
 		Document: m.document, Departures: m.departures, Registrations: m.Registrations(), StoreLimits: m.StoreLimits(),
-		Reservations: m.reservations, Suspects: m.suspects,
+		Reservations: m.reservations, Suspects: m.suspects, Drained: m.Drained(),
 	})
 	return data, errors.Wrap(err, "encode state of the domain")
 }
@@ -348,6 +357,7 @@
 	m.departures = state.Departures
 	m.reservations = state.Reservations
 	m.suspects = state.Suspects
+	m.restoreDrained(state.Drained)
 	m.reindex()
 	clear(m.registrations)
 	clear(m.addresses)
@@ -368,7 +378,7 @@
 		slices.Equal(m.document.Source, other.document.Source) &&
 		slices.Equal(m.departures, other.departures) && maps.Equal(m.index, other.index) &&
 		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits) &&
-		slices.Equal(m.suspects, other.suspects) &&
+		slices.Equal(m.suspects, other.suspects) && maps.Equal(m.drained, other.drained) &&
 		slices.EqualFunc(m.reservations, other.reservations, func(a, b Reservation) bool {
 			return a.Since == b.Since && a.Keep == b.Keep && slices.Equal(a.Parts, b.Parts)
 		})
--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -35,6 +35,8 @@
 	MethodDemand     = ServiceName + ".Demand"
 	MethodDraw       = ServiceName + ".Draw"
 	MethodTry        = ServiceName + ".Try"
+	MethodDrain      = ServiceName + ".Drain"
+	MethodDrained    = ServiceName + ".Drained"
 )
 
 // Reply carries a typed error, because net/rpc itself carries only strings.
@@ -83,6 +85,15 @@
 // PutArguments pass on a valid document.
 type PutArguments struct{ Document domain.Document }
 
+// DrainArguments pass on an operator's order about a zone.
+type DrainArguments struct{ Drain domain.ZoneDrain }
+
+// DrainedReply lists the drained zones, sorted.
+type DrainedReply struct {
+	Reply
+	Zones []string
+}
+
 // ReadArguments ask for the document in force.
 type ReadArguments struct{}
 
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -17,8 +17,6 @@
 // departed takes a committed departure and waits until the routers that are in
 // contact have asked for more after they were told.
 func (l *leadership) departed(ctx context.Context, departure domain.Departure) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
 	l.mutex.Lock()
 	l.registry.Depart(l.now(), departure.Instance, departure.Gone)
 	l.poison.Refute(l.now(), departure.Instance)
@@ -26,6 +24,14 @@
 	revision := l.views.Revision()
 	l.announcer.announce(l.now(), l.news())
 	l.mutex.Unlock()
+	l.awaitTold(ctx, revision)
+}
+
+// awaitTold waits until the routers that are in contact have asked for more after they were told of a
+// revision, at most for tellTimeout.
+func (l *leadership) awaitTold(ctx context.Context, revision uint64) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
 	for {
 		l.mutex.Lock()
 		isTold, changed := l.areTold(l.now(), revision), l.announcer.changed
--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -123,7 +123,7 @@
 			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
 			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
 			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
-			FencesEnforced: d.fences,
+			FencesEnforced: d.fences, Zones: []string{"zone-0", "zone-1"},
 			Now:            func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
 		d.c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/placement/domainnode/drains_test.go
@@ -0,0 +1,175 @@
+package domainnode
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// drainDocument has a service with two models.
+const drainDocument = `{"Version":3,"Services":[{"Name":"s","Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
+	`"Models":[{"Name":"both","SizeMB":1},{"Name":"sole","SizeMB":1}]}}]}`
+
+// drainRunnersOf are two runners, of which only the one in zone-0 holds the model "sole".
+func drainRunnersOf(sequence uint64) []fleet.Heartbeat {
+	return []fleet.Heartbeat{
+		{Instance: "r0", Service: "s", Address: "10.9.9.1:1", Zone: "zone-0", Slots: 4, Sequence: sequence,
+			Models: []fleet.LoadedModel{{Name: "both"}, {Name: "sole"}}},
+		{Instance: "r1", Service: "s", Address: "10.9.9.2:1", Zone: "zone-1", Slots: 4, Sequence: sequence,
+			Models: []fleet.LoadedModel{{Name: "both"}}},
+	}
+}
+
+// beat has the runners of drainRunnersOf send heartbeats until the domain ends.
+func (d *testDomain) beat() {
+	go func() {
+		for sequence := uint64(1); pause.For(d.ctx, 300*time.Millisecond); sequence++ {
+			leader := d.leader()
+			if leader < 0 {
+				continue
+			}
+			joined, err := d.nodes[leader].current()
+			if err != nil {
+				continue
+			}
+			if current := joined.leads(); current != nil {
+				for _, heartbeat := range drainRunnersOf(sequence) {
+					current.heard(heartbeat)
+				}
+				current.wakePlan()
+			}
+		}
+	}()
+}
+
+// runner returns what routers are told of a runner now; nil if it is not listed.
+func (d *testDomain) runner(instance string) *fleet.Runner {
+	leader := d.leader()
+	if leader < 0 {
+		return nil
+	}
+	joined, err := d.nodes[leader].current()
+	if err != nil || joined.leads() == nil {
+		return nil
+	}
+	current := joined.leads()
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	for _, listed := range current.views.Since(0).Runners {
+		if listed.Instance == instance {
+			return &listed
+		}
+	}
+	return nil
+}
+
+func (d *testDomain) isLeaving(instance string) bool {
+	found := d.runner(instance)
+	return found != nil && found.Leaving
+}
+
+// drain gives an order about zone-0 to a node until it is acknowledged.
+func (d *testDomain) drain(index int, isDrained bool) {
+	d.await("the acknowledgement of an order about a zone", func() bool {
+		return d.nodes[index].DrainZone(d.ctx, domain.ZoneDrain{Zone: "zone-0", IsDrained: isDrained}) == nil
+	})
+}
+
+func (d *testDomain) foundWithRunners() {
+	d.found(0, 1, 2)
+	d.await("the document", func() bool { return d.nodes[0].PutDocument(d.ctx, []byte(drainDocument)) == nil })
+	d.beat()
+	d.await("both runners", func() bool {
+		found := d.runner("r0")
+		return found != nil && len(found.Models) == 2 && d.runner("r1") != nil
+	})
+}
+
+func TestDrainedZoneServesWhatNobodyElseHoldsForAWhile(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		d.drain(1, true)
+		found := d.runner("r0")
+		d.c.Assert(found.Leaving, qt.IsFalse)
+		d.c.Assert(found.Models, qt.DeepEquals, []fleet.LoadedModel{{Name: "sole"}})
+		d.c.Assert(d.isLeaving("r1"), qt.IsFalse)
+		pause.For(d.ctx, soleReplicaGrace+planInterval)
+		d.c.Assert(d.isLeaving("r0"), qt.IsTrue)
+		d.drain(2, false)
+		d.c.Assert(d.runner("r0").Leaving, qt.IsFalse)
+		d.c.Assert(d.runner("r0").Models, qt.HasLen, 2)
+	})
+}
+
+func TestDrainOutlivesItsLeaderAndARestartOfAll(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		leader := d.awaitLeader()
+		d.drain(leader, true)
+		d.kill(leader)
+		d.await("a drained runner at the next leader", func() bool { return d.isLeaving("r0") })
+		for index := range 3 {
+			if d.nodes[index] != nil {
+				d.kill(index)
+			}
+		}
+		d.start(0, 1, 2)
+		d.await("a drained runner after the restart", func() bool { return d.isLeaving("r0") })
+		zones, err := d.nodes[0].DrainedZones(d.ctx)
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(zones, qt.DeepEquals, []string{"zone-0"})
+	})
+}
+
+// The answer to the first order is lost, and it is given again elsewhere; then another operator gives it too.
+func TestRepeatedOrdersAboutAZoneChangeNothing(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		var both sync.WaitGroup
+		for index := range 3 {
+			both.Go(func() { d.drain(index, true) })
+		}
+		both.Wait()
+		for index := range 3 {
+			zones, err := d.nodes[index].DrainedZones(d.ctx)
+			d.c.Assert(err, qt.IsNil)
+			d.c.Assert(zones, qt.DeepEquals, []string{"zone-0"})
+		}
+		d.drain(0, false)
+		d.drain(1, false)
+		zones, err := d.nodes[2].DrainedZones(d.ctx)
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(zones, qt.HasLen, 0)
+	})
+}
+
+func TestOrderAboutAnUnknownZoneIsRefused(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		err := d.nodes[0].DrainZone(d.ctx, domain.ZoneDrain{Zone: "elsewhere", IsDrained: true})
+		d.c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorNotFound)
+		d.c.Assert(fmt.Sprint(err), qt.Contains, "zone-0")
+	})
+}
+
+// Orders that a minority takes are not acknowledged.
+func TestOrderAboutAZoneNeedsAQuorum(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		d.kill(1)
+		d.kill(2)
+		pause.For(d.ctx, 5*time.Second)
+		c := d.c
+		c.Assert(d.nodes[0].DrainZone(d.ctx, domain.ZoneDrain{Zone: "zone-0", IsDrained: true}), qt.IsNotNil)
+		_, err := d.nodes[0].DrainedZones(d.ctx)
+		c.Assert(err, qt.IsNotNil)
+	})
+}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -82,7 +82,9 @@
 	planned  chan struct{}
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
-	ended    bool
+	// drains are the zones whose runners get no new requests.
+	drains drains
+	ended  bool
 	// unrecorded are registrations that are to be put in the log.
 	unrecorded map[string]domain.Registration
 	// unrecordedSuspects are news of requests that may crash runners, for the same.
@@ -140,6 +142,7 @@
 		for instance, isGone := range joined.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
+		l.drains = newDrains(joined.machine.Drained())
 		l.poison.Recall(at, joined.machine.Suspects())
 		l.limits = quota.New(at, n.options.Limits, joined.machine.Reservations())
 		for _, each := range joined.machine.StoreLimits() {
@@ -231,6 +234,7 @@
 	at := l.now()
 	l.registry.Expire(at)
 	l.poison.Expire(at)
+	l.adoptDrains()
 	l.refresh(at)
 	questions := l.planner.Questions(at)
 	orders := l.planner.Plan(at)
@@ -320,6 +324,7 @@
 // refresh makes the view anew. It runs under the mutex.
 func (l *leadership) refresh(at time.Time) {
 	statuses := l.registry.Runners(at)
+	l.drainStatuses(statuses)
 	l.planner.SetRunners(at, statuses)
 	l.noteLost(statuses)
 	l.forgetFailing(at, statuses)
@@ -340,6 +345,7 @@
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
+	l.drainRunners(at, view.Runners)
 	l.views.Publish(view)
 }
 
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -45,6 +45,8 @@
 	Address string
 	// Seeds are addresses of controllers, as they are known now.
 	Seeds func() []string
+	// Zones are those of the site, of which an operator may drain some.
+	Zones []string
 	// Bootstrap allows the seeds to found the group. It may be set only at the first
 	// start of the whole domain.
 	Bootstrap bool
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -169,6 +169,8 @@
 type Status struct {
 	Heartbeat Heartbeat
 	Leaving   bool
+	// Drained runners are in a zone that an operator has drained. They stay, and may take requests again.
+	Drained bool
 	// EndsAt is when a runner that is leaving at short notice ends; zero if unknown.
 	EndsAt time.Time
 	// Recalled runners have not been heard since the leader began.
@@ -180,6 +182,9 @@
 	Silent     time.Duration
 }
 
+// MayServe reports whether the runner may get new requests and orders.
+func (s *Status) MayServe() bool { return !s.Leaving && !s.Lost && !s.Drained }
+
 // Runners lists the runners that are not gone and not silent, by instance.
 func (r *Registry) Runners(now time.Time) []Status {
 	listed := make([]Status, 0, len(r.runners))
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -97,7 +97,7 @@
 
 // mayOrder reports whether the runner can be given an order about a model.
 func (p *Planner) mayOrder(known *runner) bool {
-	return !known.status.Leaving && !known.status.Lost && !known.isGone && known.isTakenKnown && !known.sent && !known.isOccupied()
+	return known.status.MayServe() && !known.isGone && known.isTakenKnown && !known.sent && !known.isOccupied()
 }
 
 // send notes an order as sent: what it loads is counted from now on, and what it
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -207,7 +207,7 @@
 		if isEarly && (!known.status.Recalled || len(known.holdings) > 0) {
 			continue
 		}
-		if p.engineOf(known) == nil || known.status.Leaving || known.status.Lost || known.isGone || known.sent || known.isTakenKnown {
+		if p.engineOf(known) == nil || !known.status.MayServe() || known.isGone || known.sent || known.isTakenKnown {
 			continue
 		}
 		if now.Sub(known.changedAt) < p.options.ReportLag || now.Sub(known.askedAt) < p.options.AskAgain {
--- a/placement/residency/tally.go
+++ b/placement/residency/tally.go
@@ -131,7 +131,7 @@
 }
 
 func (t *tally) addHoldings(known *runner) {
-	if known.status.Leaving || known.status.Lost {
+	if !known.status.MayServe() {
 		return
 	}
 	for name, held := range known.holdings {
@@ -152,7 +152,7 @@
 		t.available[service] = append(t.available[service], known)
 		t.isAvailable[known] = true
 	}
-	if known.status.Leaving || known.status.Lost {
+	if !known.status.MayServe() {
 		return
 	}
 	for name := range known.copies {
@@ -172,7 +172,7 @@
 		if now.Before(known.storeKeptUntil) {
 			t.keepPlace(row)
 		}
-		if now.Before(known.roomBy) && !known.status.Leaving && known.isOccupied() {
+		if now.Before(known.roomBy) && !known.status.Leaving && !known.status.Drained && known.isOccupied() {
 			t.makingRoom[row] = true
 		}
 	}
--- a/placement/residency/zonecover.go
+++ b/placement/residency/zonecover.go
@@ -40,7 +40,7 @@
 	found := make(map[string]map[string]bool)
 	for _, known := range t.sorted {
 		heartbeat := &known.status.Heartbeat
-		if heartbeat.Zone == "" || known.status.Leaving || known.status.Lost {
+		if heartbeat.Zone == "" || !known.status.MayServe() {
 			continue
 		}
 		if found[heartbeat.Service] == nil {
