A runner that starts again under its ID is another one; what is no runner's word names none

Cause: the registry dropped every heartbeat of a runner that had started again under its ID, as its count begins anew, and all of one that had departed: it was lost for a minute. Change: what is kept of a runner is kept of one life of it, ID#BORN; the later start holds, in whichever order words come, also over a change of leader and at one address. Ruled out: the ID as key with a reset of all state; every late word would need a check. Old and new versions side by side: words travel under the ID with the start beside it.

--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusferry/lotusferry/agreement/group"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 )
@@ -117,6 +118,8 @@
 	registrations map[string]Registration
 	// addresses names the instance that is registered at each address.
 	addresses map[string]string
+	// lives names the instance that is registered under each ID.
+	lives map[string]string
 	// storeLimits is by service.
 	storeLimits map[string]StoreLimit
 	// reservations is in the order of the log.
@@ -135,6 +138,7 @@
 		index:         make(map[string]int),
 		registrations: make(map[string]Registration),
 		addresses:     make(map[string]string),
+		lives:         make(map[string]string),
 		storeLimits:   make(map[string]StoreLimit),
 		drained:       make(map[string]struct{}),
 	}
@@ -188,16 +192,25 @@
 	m.document = document
 }
 
-// register notes a runner. An address has one runner: who was registered there before
-// has ended.
+// register notes a runner. An address has one runner, and a runner one life: who was registered there before, or
+// under the same ID, has ended.
 func (m *Machine) register(registration Registration) {
 	if departure, known := m.Departure(registration.Instance); known && departure.Gone {
 		return
 	}
+	id, born := fleet.SplitIncarnation(registration.Instance)
+	if _, registeredBorn := fleet.SplitIncarnation(m.lives[id]); registeredBorn > born {
+		return
+	}
 	m.forget(m.addresses[registration.Address])
-	m.forget(registration.Instance)
+	m.forget(m.lives[id])
+	m.add(registration)
+}
+
+func (m *Machine) add(registration Registration) {
 	m.registrations[registration.Instance] = registration
 	m.addresses[registration.Address] = registration.Instance
+	m.lives[fleet.IDOf(registration.Instance)] = registration.Instance
 }
 
 func (m *Machine) forget(instance string) {
@@ -207,6 +220,7 @@
 	}
 	delete(m.registrations, instance)
 	delete(m.addresses, known.Address)
+	delete(m.lives, fleet.IDOf(instance))
 }
 
 // limitStore notes what was learned of a weight store, the least of which is lost.
@@ -338,6 +352,9 @@
 	return registration, known
 }
 
+// IsRegistered reports whether a life of the runner with the ID is registered.
+func (m *Machine) IsRegistered(id string) bool { return m.lives[id] != "" }
+
 // Snapshot implements group.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	data, err := msgpack.Marshal(&State{
@@ -361,9 +378,9 @@
 	m.reindex()
 	clear(m.registrations)
 	clear(m.addresses)
+	clear(m.lives)
 	for _, registration := range state.Registrations {
-		m.registrations[registration.Instance] = registration
-		m.addresses[registration.Address] = registration.Instance
+		m.add(registration)
 	}
 	clear(m.storeLimits)
 	for _, limit := range state.StoreLimits {
--- a/placement/domain/machine_test.go
+++ b/placement/domain/machine_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
 func apply(c *qt.C, m *Machine, command Command) Result {
@@ -102,3 +104,25 @@
 	apply(c, m, Command{Silent: []string{"third"}})
 	c.Assert(m.Registrations(), qt.HasLen, 0)
 }
+
+func TestLaterLifeOfARunnerIsRegisteredAlone(t *testing.T) {
+	c := qt.New(t)
+	m := NewMachine()
+	at := func(born int64, address string) Registration {
+		return Registration{Instance: fleet.Incarnation("r", born), Address: address}
+	}
+	apply(c, m, Command{Registrations: []Registration{at(100, "10.0.0.1:1")}})
+	apply(c, m, Command{Registrations: []Registration{at(200, "10.0.0.2:1")}})
+	apply(c, m, Command{Registrations: []Registration{at(100, "10.0.0.1:1")}})
+	c.Assert(m.Registrations(), qt.DeepEquals, []Registration{at(200, "10.0.0.2:1")})
+	c.Assert(m.IsRegistered("r"), qt.IsTrue)
+	apply(c, m, Command{Depart: &Departure{Instance: "r#100", Gone: true}})
+	c.Assert(m.Registrations(), qt.HasLen, 1)
+	data, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored := NewMachine()
+	c.Assert(restored.Restore(data), qt.IsNil)
+	c.Assert(restored.IsRegistered("r"), qt.IsTrue)
+	apply(c, restored, Command{Depart: &Departure{Instance: "r#200", Gone: true}})
+	c.Assert(restored.IsRegistered("r"), qt.IsFalse)
+}
--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -80,7 +80,12 @@
 type HeartbeatsArguments struct{ Heartbeats []fleet.Heartbeat }
 
 // DepartArguments pass on that a runner is leaving or gone.
-type DepartArguments struct{ Departure domain.Departure }
+type DepartArguments struct {
+	// Departure names the runner by its ID.
+	Departure domain.Departure
+	// Born tells which life of the runner departs, in Unix milliseconds; 0 for the latest that is known.
+	Born int64
+}
 
 // PutArguments pass on a valid document.
 type PutArguments struct{ Document domain.Document }
--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -124,7 +124,7 @@
 			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.founded, DataFolder: d.folders[index], Voters: 3,
 			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
 			FencesEnforced: d.fences, Zones: []string{"zone-0", "zone-1"},
-			Now:            func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
+			Now: func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
 		d.c.Assert(err, qt.IsNil)
 		ctx, end := context.WithCancel(context.Background())
@@ -288,7 +288,7 @@
 		d.c.Assert(structs.KindOf(err), qt.Equals, structs.ErrorUnavailable)
 		d.c.Assert(d.nodes[0].PutDocument(d.ctx, source(2)), qt.IsNotNil)
 		d.c.Assert(d.nodes[0].Heartbeat(d.ctx, fleet.Heartbeat{Instance: "r", Leaving: true}), qt.IsNotNil)
-		d.c.Assert(d.nodes[0].Depart(d.ctx, "r"), qt.IsNotNil)
+		d.c.Assert(d.nodes[0].Depart(d.ctx, "r", 0), qt.IsNotNil)
 	})
 }
 
@@ -405,7 +405,7 @@
 	inDomain(t, func(d *testDomain) {
 		d.found(0, 1, 2)
 		leader := d.awaitLeader()
-		d.await("the departure", func() bool { return d.nodes[leader].Depart(d.ctx, "r") == nil })
+		d.await("the departure", func() bool { return d.nodes[leader].Depart(d.ctx, "r", 0) == nil })
 		d.kill(leader)
 		next := d.awaitLeader()
 		d.await("a heartbeat that was late", func() bool {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -368,9 +368,13 @@
 // leaders to come; nobody waits for that.
 func (l *leadership) heard(heartbeat fleet.Heartbeat) {
 	l.mutex.Lock()
-	l.hear(l.now(), heartbeat)
+	heartbeat = l.registry.Resolve(heartbeat)
+	isTaken := l.hear(l.now(), heartbeat)
 	isSlow := l.planner.IsSlowPlace(heartbeat.Instance)
 	l.mutex.Unlock()
+	if !isTaken {
+		return
+	}
 	registration := domain.Registration{
 		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
 		Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: isSlow,
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -39,6 +39,7 @@
 	// caller reaches the leader, which may be this node.
 	caller     *leadercall.Caller
 	heartbeats *forwarder
+	services   services
 	// lastOrder is when this process last sent an order; nil for never.
 	lastOrder atomic.Pointer[time.Time]
 	// stopping is set once a planned stop has begun: the process sends no more orders.
--- a/placement/domainnode/operator.go
+++ b/placement/domainnode/operator.go
@@ -68,21 +68,25 @@
 	}
 	n.metrics.heartbeats.WithLabelValues(outcomeName(err)).Inc()
 	if err == nil && heartbeat.Leaving {
-		err = n.depart(ctx, domain.Departure{Instance: heartbeat.Instance})
+		err = n.depart(ctx, domainapi.DepartArguments{
+			Departure: domain.Departure{Instance: heartbeat.Instance}, Born: heartbeat.Born,
+		})
 	}
 	return err
 }
 
-// Depart takes a runner's word that it ends.
-func (n *Node) Depart(ctx context.Context, instance string) error {
+// Depart takes a runner's word that it ends. Born is when it was started, in Unix milliseconds; 0 if it does
+// not say.
+func (n *Node) Depart(ctx context.Context, id string, born int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	return n.depart(ctx, domain.Departure{Instance: instance, Gone: true})
+	return n.depart(ctx, domainapi.DepartArguments{Departure: domain.Departure{Instance: id, Gone: true}, Born: born})
 }
 
-func (n *Node) depart(ctx context.Context, departure domain.Departure) error {
-	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodDepart, domainapi.DepartArguments{Departure: departure}, newReply)
+func (n *Node) depart(ctx context.Context, arguments domainapi.DepartArguments) error {
+	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodDepart, arguments, newReply)
 	n.metrics.departures.WithLabelValues(outcomeName(err)).Inc()
-	level.Info(n.logger).Log("msg", "A runner is leaving.", "runner", departure.Instance, "gone", departure.Gone, "err", err)
+	level.Info(n.logger).Log("msg", "A runner is leaving.", "runner", arguments.Departure.Instance, "born", arguments.Born,
+		"gone", arguments.Departure.Gone, "err", err)
 	return err
 }
--- a/placement/domainnode/poison.go
+++ b/placement/domainnode/poison.go
@@ -11,16 +11,25 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// hear takes a heartbeat, which may show that a runner was not lost. It runs under the mutex.
-func (l *leadership) hear(at time.Time, heartbeat fleet.Heartbeat) {
+// hear takes a heartbeat, which may show that a runner was not lost. It reports false for one that comes too
+// late to tell anything. It runs under the mutex.
+func (l *leadership) hear(at time.Time, heartbeat fleet.Heartbeat) bool {
 	before := l.registry.Sequence(heartbeat.Instance)
-	if !l.registry.Hear(at, heartbeat) || heartbeat.Sequence <= before {
-		return
+	former := l.registry.Latest(fleet.IDOf(heartbeat.Instance))
+	if !l.registry.Hear(at, heartbeat) {
+		return false
+	}
+	if former != heartbeat.Instance && former != fleet.IDOf(heartbeat.Instance) {
+		level.Info(l.logger).Log("msg", "A runner has started again under its ID.", "runner", heartbeat.Instance, "before", former)
+	}
+	if heartbeat.Sequence <= before {
+		return true
 	}
 	if l.poison.Heard(at, heartbeat.Instance) {
 		level.Info(l.logger).Log("msg", "A runner whose connections broke lives on: nothing that it ran is suspected for that.",
 			"runner", heartbeat.Instance)
 	}
+	return true
 }
 
 // observeLosses takes what a router saw at runners that were lost. A runner that has said that it
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -11,6 +11,7 @@
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -142,12 +143,24 @@
 func (s *service) Depart(arguments *domainapi.DepartArguments, reply *domainapi.Reply) error {
 	joined, current, err := s.leader()
 	if err == nil {
-		err = depart(joined, current, arguments.Departure)
+		departure := arguments.Departure
+		departure.Instance = current.departing(departure.Instance, arguments.Born)
+		err = depart(joined, current, departure)
 	}
 	reply.Error = structs.AsTyped(err)
 	return nil
 }
 
+// departing names the life of a runner that departs.
+func (l *leadership) departing(id string, born int64) string {
+	if born > 0 {
+		return fleet.Incarnation(id, born)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.registry.Latest(id)
+}
+
 func depart(joined *member, current *leadership, departure domain.Departure) error {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
--- a/placement/fleet/codec.go
+++ b/placement/fleet/codec.go
@@ -22,6 +22,7 @@
 
 // Encode returns the view as bytes, packed if it is large.
 func (v View) Encode() (EncodedView, error) {
+	v.Runners = split(v.Runners)
 	encoded, err := msgpack.Marshal(&v)
 	if err != nil || len(encoded) < packedFrom {
 		return EncodedView{Bytes: encoded}, errors.Wrap(err, "encode view")
@@ -41,5 +42,9 @@
 		}
 		encoded = unpacked
 	}
-	return view, errors.Wrap(msgpack.Unmarshal(encoded, &view), "decode view")
+	if err := msgpack.Unmarshal(encoded, &view); err != nil {
+		return view, errors.Wrap(err, "decode view")
+	}
+	name(view.Runners)
+	return view, nil
 }
--- /dev/null
+++ b/placement/fleet/lives_test.go
@@ -0,0 +1,243 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// word is something that the leader hears about one of two lives of the runner "i".
+type word struct {
+	name string
+	born int64
+	tell func(r *Registry, now time.Time)
+}
+
+func lifeBeat(born int64, sequence uint64, leaving bool) Heartbeat {
+	return Heartbeat{Instance: "i", Born: born, Service: "s", Address: "10.0.0.1:1", Slots: int(born), Sequence: sequence, Leaving: leaving}
+}
+
+// wordsOf are the words about a life, in the order in which the runner says them.
+func wordsOf(born int64, departs bool) []word {
+	hear := func(sequence uint64, leaving bool) func(*Registry, time.Time) {
+		return func(r *Registry, now time.Time) { r.Hear(now, r.Resolve(lifeBeat(born, sequence, leaving))) }
+	}
+	words := []word{
+		{fmt.Sprint("first of ", born), born, hear(1, false)},
+		{fmt.Sprint("second of ", born), born, hear(2, false)},
+	}
+	if !departs {
+		return words
+	}
+	return append(words,
+		word{fmt.Sprint("leaving of ", born), born, hear(3, true)},
+		word{fmt.Sprint("end of ", born), born, func(r *Registry, now time.Time) { r.Depart(now, Incarnation("i", born), true) }},
+	)
+}
+
+// permutations calls visit with each order of the words, in which late words may come at any time.
+func permutations(words []word, visit func([]word)) {
+	var extend func(done, left []word)
+	extend = func(done, left []word) {
+		if len(left) == 0 {
+			visit(done)
+			return
+		}
+		for i := range left {
+			rest := append(append([]word{}, left[:i]...), left[i+1:]...)
+			extend(append(done[:len(done):len(done)], left[i]), rest)
+		}
+	}
+	extend(nil, words)
+}
+
+// Whatever comes late of a runner's former life, in whichever order, changes nothing of its present one.
+func TestFormerLifeChangesNothingOfThePresentOne(t *testing.T) {
+	for _, departs := range []bool{false, true} {
+		permutations(append(wordsOf(100, departs), wordsOf(200, false)...), func(order []word) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			r := NewRegistry(now)
+			said := ""
+			isHeard := false
+			for _, each := range order {
+				now = now.Add(10 * time.Millisecond)
+				each.tell(r, now)
+				said += each.name + ", "
+				isHeard = isHeard || each.born == 200
+				listed := r.Runners(now)
+				for _, status := range listed {
+					if isHeard {
+						c.Assert(status.Heartbeat.Instance, qt.Equals, "i#200", qt.Commentf("%s", said))
+					}
+				}
+				if isHeard {
+					c.Assert(listed, qt.HasLen, 1, qt.Commentf("%s", said))
+					c.Assert(listed[0].Leaving, qt.IsFalse, qt.Commentf("%s", said))
+					c.Assert(r.Gone(), qt.Not(qt.Contains), "i#200", qt.Commentf("%s", said))
+					c.Assert(r.Gone(), qt.Not(qt.Contains), "i", qt.Commentf("%s", said))
+				}
+			}
+			c.Assert(r.Sequence("i#200"), qt.Equals, uint64(2))
+			c.Assert(r.Latest("i"), qt.Equals, "i#200")
+		})
+	}
+}
+
+// A new leader recalls the registrations of the log, in any order, beside words of both lives.
+func TestRecalledLivesGiveWayToLaterOnes(t *testing.T) {
+	recall := func(born int64) word {
+		return word{fmt.Sprint("recall of ", born), born, func(r *Registry, now time.Time) {
+			r.Recall(now, Heartbeat{Instance: Incarnation("i", born), Service: "s", Address: "10.0.0.1:1"})
+		}}
+	}
+	words := append(wordsOf(100, true), recall(100), recall(200))
+	permutations(append(words, wordsOf(200, false)[0]), func(order []word) {
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		r := NewRegistry(now)
+		said := ""
+		for _, each := range order {
+			now = now.Add(10 * time.Millisecond)
+			each.tell(r, now)
+			said += each.name + ", "
+		}
+		listed := r.Runners(now)
+		c.Assert(listed, qt.HasLen, 1, qt.Commentf("%s", said))
+		c.Assert(listed[0].Heartbeat.Instance, qt.Equals, "i#200", qt.Commentf("%s", said))
+		c.Assert(listed[0].Leaving, qt.IsFalse, qt.Commentf("%s", said))
+	})
+}
+
+// A word that does not say when its runner was started counts for the life that it agrees with, and else for
+// nobody: it was passed on by a controller of the version before, or is not the runner's.
+func TestWordsWithoutAStartCountOnlyIfTheyAgree(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRegistry(now)
+	c.Assert(r.Hear(now, r.Resolve(lifeBeat(200, 4, false))), qt.IsTrue)
+	passedOn := lifeBeat(0, 5, false)
+	c.Assert(r.Resolve(passedOn).Instance, qt.Equals, "i#200")
+	c.Assert(r.Hear(now, r.Resolve(passedOn)), qt.IsTrue)
+	for name, change := range map[string]func(*Heartbeat){
+		"another address": func(h *Heartbeat) { h.Address = "10.0.0.2:1" },
+		"another service": func(h *Heartbeat) { h.Service = "t" },
+		"an older count":  func(h *Heartbeat) { h.Sequence = 1 },
+	} {
+		foreign := lifeBeat(0, 9, true)
+		change(&foreign)
+		c.Assert(r.Hear(now, r.Resolve(foreign)), qt.IsFalse, qt.Commentf("%s", name))
+	}
+	listed := r.Runners(now)
+	c.Assert(listed, qt.HasLen, 1)
+	c.Assert(listed[0].Leaving, qt.IsFalse)
+}
+
+// What the version before knew under the ID alone holds for the life that goes on.
+func TestDepartureUnderTheIDAloneHoldsForTheLifeThatGoesOn(t *testing.T) {
+	for name, prepare := range map[string]func(r *Registry, now time.Time){
+		"known by the log alone": func(r *Registry, now time.Time) { r.Depart(now, "i", true) },
+		"heard before": func(r *Registry, now time.Time) {
+			r.Hear(now, lifeBeat(0, 4, false))
+			r.Depart(now, "i", true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			r := NewRegistry(now)
+			prepare(r, now)
+			c.Assert(r.Hear(now, r.Resolve(lifeBeat(200, 5, false))), qt.IsFalse)
+			c.Assert(r.Runners(now), qt.HasLen, 0)
+			c.Assert(r.Hear(now, r.Resolve(lifeBeat(200, 6, false))), qt.IsFalse)
+		})
+	}
+}
+
+// A heartbeat that a cut held up comes after another runner was started at the address.
+func TestLateHeartbeatTakesNoAddressBack(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRegistry(now)
+	former := Heartbeat{Instance: "former", Born: 100, Address: "10.0.0.1:1", Sequence: 3}
+	present := Heartbeat{Instance: "present", Born: 200, Address: "10.0.0.1:1", Sequence: 1}
+	r.Hear(now, r.Resolve(former))
+	r.Hear(now, r.Resolve(present))
+	former.Sequence++
+	r.Hear(now, r.Resolve(former))
+	listed := r.Runners(now)
+	c.Assert(listed, qt.HasLen, 1)
+	c.Assert(listed[0].Heartbeat.Instance, qt.Equals, "present#200")
+}
+
+// Routers of the version before know IDs alone.
+func TestEncodedViewsNameRunnersByTheirIDs(t *testing.T) {
+	c := qt.New(t)
+	view := View{Complete: true, Runners: []Runner{{Instance: "i#200"}, {Instance: "plain"}}, Gone: []string{"i#100"}}
+	encoded, err := view.Encode()
+	c.Assert(err, qt.IsNil)
+	var asBefore struct {
+		Runners []struct{ Instance string }
+	}
+	c.Assert(msgpack.Unmarshal(encoded.Bytes, &asBefore), qt.IsNil)
+	c.Assert(asBefore.Runners[0].Instance, qt.Equals, "i")
+	c.Assert(asBefore.Runners[1].Instance, qt.Equals, "plain")
+	decoded, err := encoded.Decode()
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded, qt.DeepEquals, view)
+	c.Assert(view.Runners[0].Instance, qt.Equals, "i#200")
+}
+
+func TestRoutersOfTheVersionBeforeLearnOfEnds(t *testing.T) {
+	c := qt.New(t)
+	p := NewPublisher()
+	p.Publish(View{Complete: true, Runners: []Runner{{Instance: "a#1"}, {Instance: "b#1"}}})
+	p.Publish(View{Complete: true, Runners: []Runner{{Instance: "a#2"}}})
+	c.Assert(p.Since(1).Removed, qt.ContentEquals, []string{"a#1", "b#1", "b"})
+	now := time.Unix(1000, 0)
+	r := NewRegistry(now)
+	r.Hear(now, r.Resolve(lifeBeat(100, 1, false)))
+	r.Depart(now, "i#100", true)
+	c.Assert(r.Gone(), qt.DeepEquals, []string{"i", "i#100"})
+	r.Hear(now, r.Resolve(lifeBeat(200, 1, false)))
+	c.Assert(r.Gone(), qt.DeepEquals, []string{"i#100"})
+}
+
+// A router that knows the former life learns of the present one, also of a new leader that knows few.
+func TestLaterLifeTakesTheFormerOnesPlaceAtARouter(t *testing.T) {
+	for name, learned := range map[string]View{
+		"incomplete": {Runners: []Runner{{Instance: "i#200", Address: "10.0.0.2:1"}}},
+		"partial":    {Partial: true, Runners: []Runner{{Instance: "i#200", Address: "10.0.0.2:1"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			known := View{Runners: []Runner{{Instance: "i#100", Address: "10.0.0.1:1"}, {Instance: "j#50", Address: "10.0.0.3:1"}}}
+			merged := Merge(known, learned)
+			c.Assert(merged.Runners, qt.HasLen, 2)
+			c.Assert(merged.Runners[0].Instance, qt.Equals, "i#200")
+			c.Assert(merged.Runners[1].Instance, qt.Equals, "j#50")
+		})
+	}
+}
+
+func TestNamesOfIncarnations(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		id   string
+		born int64
+		name string
+	}{{"i", 0, "i"}, {"i", 7, "i#7"}, {"i-7f", 1733195000000, "i-7f#1733195000000"}} {
+		c.Assert(Incarnation(test.id, test.born), qt.Equals, test.name)
+		id, born := SplitIncarnation(test.name)
+		c.Assert(id, qt.Equals, test.id)
+		c.Assert(born, qt.Equals, test.born)
+	}
+	c.Assert(IsID("a#1"), qt.IsFalse)
+	c.Assert(IsID(""), qt.IsFalse)
+	id, born := SplitIncarnation("a#b")
+	c.Assert(id, qt.Equals, "a#b")
+	c.Assert(born, qt.Equals, int64(0))
+}
--- a/placement/fleet/merge.go
+++ b/placement/fleet/merge.go
@@ -13,11 +13,9 @@
 		return learned
 	}
 	merged := View{Runners: slices.Clone(learned.Runners), Gone: learned.Gone}
+	replaced := replacedBy(learned.Runners, learned.Gone)
 	for _, runner := range known.Runners {
-		isListed := slices.ContainsFunc(learned.Runners, func(other Runner) bool {
-			return other.Instance == runner.Instance || other.Address == runner.Address
-		})
-		if !isListed && !slices.Contains(learned.Gone, runner.Instance) {
+		if !replaced.contains(&runner) {
 			runner.Unconfirmed = true
 			merged.Runners = append(merged.Runners, runner)
 		}
@@ -25,22 +23,57 @@
 	return merged
 }
 
+// replaced are the runners of an earlier view that a later one tells otherwise of.
+type replaced struct {
+	instances map[string]bool
+	addresses map[string]bool
+	// born is, by ID, when the life that the later view lists was started.
+	born map[string]int64
+}
+
+// replacedBy are the runners in the place of which others are listed, or that have ended.
+func replacedBy(runners []Runner, ended ...[]string) replaced {
+	r := replaced{
+		instances: make(map[string]bool, len(runners)),
+		addresses: make(map[string]bool, len(runners)),
+		born:      make(map[string]int64),
+	}
+	for i := range runners {
+		r.instances[runners[i].Instance] = true
+		r.addresses[runners[i].Address] = true
+		if id, born := SplitIncarnation(runners[i].Instance); born > 0 {
+			r.born[id] = born
+		}
+	}
+	for _, names := range ended {
+		for _, instance := range names {
+			r.instances[instance] = true
+		}
+	}
+	delete(r.addresses, "")
+	return r
+}
+
+// contains reports whether the later view tells of the runner's instance, of another one at its address, or of a
+// later life of it.
+func (r *replaced) contains(runner *Runner) bool {
+	if r.instances[runner.Instance] || r.addresses[runner.Address] {
+		return true
+	}
+	if len(r.born) == 0 {
+		return false
+	}
+	id, born := SplitIncarnation(runner.Instance)
+	return r.born[id] > born
+}
+
 // mergePartial adds changes to what is known. Once a view is complete, what its leader
 // never listed is gone.
 func mergePartial(known, changes View) View {
 	merged := View{Complete: changes.Complete, Gone: changes.Gone, Runners: slices.Clone(changes.Runners)}
-	isChanged := make(map[string]bool, len(changes.Runners)+len(changes.Removed)+len(changes.Gone))
-	addresses := make(map[string]bool, len(changes.Runners))
-	for _, runner := range changes.Runners {
-		isChanged[runner.Instance] = true
-		addresses[runner.Address] = true
-	}
-	for _, instance := range slices.Concat(changes.Removed, changes.Gone) {
-		isChanged[instance] = true
-	}
+	replaced := replacedBy(changes.Runners, changes.Removed, changes.Gone)
 	for _, runner := range known.Runners {
-		isDisplaced := runner.Address != "" && addresses[runner.Address]
-		if isChanged[runner.Instance] || isDisplaced || changes.Complete && runner.Unconfirmed {
+		if replaced.contains(&runner) || changes.Complete && runner.Unconfirmed {
 			continue
 		}
 		merged.Runners = append(merged.Runners, runner)
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -83,9 +83,15 @@
 			partial.Removed = append(partial.Removed, each.instance)
 		}
 	}
+	partial.Removed = withIDs(partial.Removed, p.isListed)
 	return partial
 }
 
+// isListed reports whether a life of the runner with the ID is in the view.
+func (p *Publisher) isListed(id string) bool {
+	return slices.ContainsFunc(p.view.Runners, func(runner Runner) bool { return IDOf(runner.Instance) == id })
+}
+
 // EncodedSince is Since as bytes, which are made once for all who know the revision.
 func (p *Publisher) EncodedSince(known uint64) (EncodedView, error) {
 	if encoded, isMade := p.encoded[known]; isMade {
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -22,6 +22,8 @@
 type Registry struct {
 	began   time.Time
 	runners map[string]*record
+	// newest is, by ID, the instance of the latest life of which anything was heard.
+	newest map[string]string
 	// addresses holds the records of each address.
 	addresses map[string][]*record
 }
@@ -31,6 +33,8 @@
 	heardAt   time.Time
 	leaving   bool
 	gone      bool
+	// isReplaced is set once a later life of the runner was heard of.
+	isReplaced bool
 	// displaced is set while another instance is at the address.
 	displaced bool
 	// recalled is set until the first heartbeat of a runner that was recalled.
@@ -41,7 +45,9 @@
 
 // NewRegistry makes a registry of a leadership that begins now.
 func NewRegistry(now time.Time) *Registry {
-	return &Registry{began: now, runners: make(map[string]*record), addresses: make(map[string][]*record)}
+	return &Registry{
+		began: now, runners: make(map[string]*record), newest: make(map[string]string), addresses: make(map[string][]*record),
+	}
 }
 
 // Hear takes a heartbeat. It reports false for one that is older than another that
@@ -49,9 +55,10 @@
 func (r *Registry) Hear(now time.Time, heartbeat Heartbeat) bool {
 	known := r.runners[heartbeat.Instance]
 	if known == nil {
-		known = &record{}
-		r.runners[heartbeat.Instance] = known
-	} else if known.gone || heartbeat.Sequence < known.heartbeat.Sequence {
+		if known = r.begin(now, heartbeat); known == nil {
+			return false
+		}
+	} else if known.gone || known.isReplaced || heartbeat.Sequence < known.heartbeat.Sequence {
 		return false
 	}
 	r.move(known, heartbeat.Address)
@@ -71,7 +78,7 @@
 // Recall takes a runner that the leader before knew. Until its first heartbeat it is
 // listed without models.
 func (r *Registry) Recall(now time.Time, heartbeat Heartbeat) {
-	if r.runners[heartbeat.Instance] != nil {
+	if r.runners[heartbeat.Instance] != nil || !r.replace(now, heartbeat.Instance) {
 		return
 	}
 	recalled := &record{heardAt: now, recalled: true}
@@ -112,11 +119,20 @@
 	return silent
 }
 
-// takeAddress notes that an instance is at its address, and so no other one. Should
-// the heartbeat have been late, the other's next one takes the address back.
+// takeAddress notes that an instance is at its address, and so no other one, unless another one there
+// was started later: then the heartbeat was late. Where that is not known, the other's next one
+// takes the address back.
 func (r *Registry) takeAddress(known *record) {
+	holder := known
+	_, latest := SplitIncarnation(known.heartbeat.Instance)
+	for _, other := range r.addresses[known.heartbeat.Address] {
+		_, born := SplitIncarnation(other.heartbeat.Instance)
+		if latest > 0 && born > latest && !other.hasEnded() {
+			holder, latest = other, born
+		}
+	}
 	for _, other := range r.addresses[known.heartbeat.Address] {
-		other.displaced = other != known
+		other.displaced = other != holder
 	}
 }
 
@@ -132,6 +148,7 @@
 	known := r.runners[instance]
 	if known == nil {
 		known = &record{heartbeat: Heartbeat{Instance: instance}, heardAt: now}
+		known.isReplaced = !r.replace(now, instance)
 		r.runners[instance] = known
 	}
 	known.leave(now, 0)
@@ -161,6 +178,9 @@
 		if now.Sub(known.heardAt) > forgottenAfter {
 			delete(r.runners, instance)
 			r.leaveAddress(known)
+			if id := IDOf(instance); r.newest[id] == instance {
+				delete(r.newest, id)
+			}
 		}
 	}
 }
@@ -190,7 +210,7 @@
 	listed := make([]Status, 0, len(r.runners))
 	silentZones := r.silentZones(now)
 	for _, known := range r.runners {
-		if known.gone || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
+		if known.hasEnded() || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
 			continue
 		}
 		if !known.endsAt.IsZero() && now.After(known.endsAt.Add(time.Second)) {
@@ -212,10 +232,14 @@
 func (r *Registry) Gone() []string {
 	var gone []string
 	for instance, known := range r.runners {
-		if known.gone || known.leaving && known.heartbeat.Address == "" {
+		if known.hasEnded() || known.leaving && known.heartbeat.Address == "" {
 			gone = append(gone, instance)
 		}
 	}
+	gone = withIDs(gone, func(id string) bool {
+		known := r.runners[r.newest[id]]
+		return known != nil && !known.hasEnded()
+	})
 	slices.Sort(gone)
 	return gone
 }
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -9,9 +9,12 @@
 
 // Heartbeat is what a runner says of itself.
 type Heartbeat struct {
-	// Instance names one life of the runner and is never used again.
+	// Instance names one life of the runner and is never used again; see Incarnation. On its way to the
+	// leader it is the runner's ID, which may have had another life, and Born tells which one this is.
 	Instance string
-	Service  string
+	// Born is when the runner was started, in Unix milliseconds; 0 if it does not say.
+	Born    int64
+	Service string
 	// Address is IP:port. After a runner has ended, another may get its address.
 	Address string
 	Zone    string
@@ -20,6 +23,8 @@
 	// Leaving runners take no new requests. They end in EndsIn, if that is not 0.
 	Leaving bool
 	EndsIn  time.Duration
+	// ColdFor is how much longer the runner says that it is cold.
+	ColdFor time.Duration
 	// Sequence rises with each heartbeat of an instance.
 	Sequence uint64
 	Models   []LoadedModel
@@ -36,7 +41,10 @@
 
 // Runner is a runner as routers see it.
 type Runner struct {
+	// Instance names one life of the runner. Encoded views hold its ID there, and when it was started in
+	// Born, which is 0 everywhere else.
 	Instance string
+	Born     int64
 	Service  string
 	Address  string
 	Zone     string
