Cold runners get only requests for which the leader lent a token

Cause: nothing knew that a runner is cold. After its start, or when its zone comes back, it bears 17 requests a second and falls over beyond; 77 routers that each see a few requests a second can't keep to that alone. Change: the leader lends tokens, good for 0.4 s from when a router asked, as many as the runner bears; routers ask when requests wait that no warm runner can take. A new leader waits for 0.4 s and needs to know nothing of the one before. Runners of a zone that is drained no more count as cold until they are heard. Ruled out: parts reserved in the log as for tenants' limits (an entry of the log for each question, for a window of 1 s); a fixed part a router (0.2 requests a second each).

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -14,6 +14,7 @@
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
+	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -37,6 +38,7 @@
 	MethodTry        = ServiceName + ".Try"
 	MethodDrain      = ServiceName + ".Drain"
 	MethodDrained    = ServiceName + ".Drained"
+	MethodWarmUp     = ServiceName + ".WarmUp"
 )
 
 // Reply carries a typed error, because net/rpc itself carries only strings.
@@ -189,6 +191,18 @@
 	Grants []quota.Grant
 }
 
+// WarmUpArguments ask for requests that may be sent to cold runners.
+type WarmUpArguments struct {
+	Router string
+	Wants  []warmup.Want
+}
+
+// WarmUpReply grants some of them, each to be sent within warmup.TokenLife of the question.
+type WarmUpReply struct {
+	Reply
+	Grants []warmup.Grant
+}
+
 // TryArguments ask whether a request that may crash runners may be sent to one.
 type TryArguments struct {
 	Router string
--- a/placement/domainnode/drains_test.go
+++ b/placement/domainnode/drains_test.go
@@ -15,7 +15,7 @@
 )
 
 // drainDocument has a service with two models.
-const drainDocument = `{"Version":3,"Services":[{"Name":"s","Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
+const drainDocument = `{"Version":3,"Services":[{"Name":"s","ColdRate":4,"Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
 	`"Models":[{"Name":"both","SizeMB":1},{"Name":"sole","SizeMB":1}]}}]}`
 
 // drainRunnersOf are two runners, of which only the one in zone-0 holds the model "sole".
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -18,6 +18,7 @@
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -82,6 +83,9 @@
 	planned  chan struct{}
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
+	// warmups lends requests to cold runners, which bear coldRates of each service a second.
+	warmups   *warmup.Pacer
+	coldRates map[string]float64
 	// drains are the zones whose runners get no new requests.
 	drains drains
 	ended  bool
@@ -132,6 +136,7 @@
 		announcer:  newAnnouncer(),
 		poison:     poison.New(),
 		failing:    fleet.NewFailing(),
+		warmups:    warmup.New(at),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		lost:       make(map[string]bool),
@@ -314,6 +319,7 @@
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
+	l.setColdRates(document.Services)
 	l.shares.SetTenants(document.Tenants)
 	for _, tenant := range l.limits.SetTenants(l.now(), document.Tenants) {
 		level.Info(l.logger).Log("msg", "A tenant's limit is in force.", "tenant", tenant.Name, "rate", tenant.Limit.Rate,
@@ -325,6 +331,7 @@
 func (l *leadership) refresh(at time.Time) {
 	statuses := l.registry.Runners(at)
 	l.drainStatuses(statuses)
+	l.coolStatuses(at, statuses)
 	l.planner.SetRunners(at, statuses)
 	l.noteLost(statuses)
 	l.forgetFailing(at, statuses)
@@ -342,6 +349,8 @@
 			Slow:     l.planner.IsSlow(heartbeat.Instance),
 			Pace:     l.planner.Pace(heartbeat.Instance),
 			Failing:  l.failing.IsFailing(at, heartbeat.Instance),
+			Cold:     status.Cold,
+			Recalled: status.Recalled,
 			Models:   l.planner.Loaded(heartbeat.Instance),
 		})
 	}
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -271,3 +271,9 @@
 
 // now is the time that decisions are made by. It goes on while the machine is suspended.
 func (n *Node) now() time.Time { return n.options.Now() }
+
+// Leads reports whether this controller leads, as far as it knows.
+func (n *Node) Leads() bool {
+	joined, err := n.current()
+	return err == nil && joined.leads() != nil
+}
--- /dev/null
+++ b/placement/domainnode/warmups.go
@@ -0,0 +1,78 @@
+package domainnode
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/placement/warmup"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// setColdRates takes what cold runners of each service bear. It runs under the mutex.
+func (l *leadership) setColdRates(services []site.Service) {
+	l.coldRates = make(map[string]float64)
+	for i := range services {
+		if rate := services[i].ColdRate; rate > 0 {
+			l.coldRates[services[i].Name] = rate
+		}
+	}
+}
+
+// coolStatuses decides which runners are cold: those of services whose cold runners bear less than others, if
+// they said so, or if their zone is drained no more and they have not been heard since. They may have cooled
+// down meanwhile. It runs under the mutex.
+func (l *leadership) coolStatuses(at time.Time, statuses []fleet.Status) {
+	cold := 0
+	for i := range statuses {
+		status := &statuses[i]
+		if l.coldRates[status.Heartbeat.Service] <= 0 {
+			status.Cold = false
+			continue
+		}
+		heardAt := at.Add(-status.Silent)
+		if endedAt, wasDrained := l.drains.endedAt[status.Heartbeat.Zone]; wasDrained && heardAt.Before(endedAt) {
+			status.Cold = true
+		}
+		if status.Cold {
+			cold++
+		}
+	}
+	l.node.metrics.cold.Set(float64(cold))
+}
+
+// WarmUp lends requests that may be sent to cold runners.
+func (s *service) WarmUp(arguments *domainapi.WarmUpArguments, reply *domainapi.WarmUpReply) error {
+	joined, current, err := s.leader()
+	if err != nil {
+		reply.Error = structs.AsTyped(err)
+		return nil
+	}
+	reply.Grants = current.lend(s.node.now(), arguments.Wants)
+	if !current.isValid() {
+		// Another leader may have begun to lend the same.
+		*reply = domainapi.WarmUpReply{}
+		reply.Error = structs.AsTyped(notLeaderError(joined))
+	}
+	return nil
+}
+
+func (l *leadership) lend(at time.Time, wants []warmup.Want) []warmup.Grant {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	grants := make([]warmup.Grant, 0, len(wants))
+	for _, want := range wants {
+		rate := l.coldRates[l.registry.Service(want.Instance)]
+		if rate <= 0 {
+			// Its runners are cold no more, or it has ended; the next view tells the router.
+			grants = append(grants, warmup.Grant{Instance: want.Instance, MoreIn: warmup.TokenLife})
+			continue
+		}
+		grant := l.warmups.Lend(at, want, rate)
+		l.node.metrics.warmups.WithLabelValues("granted").Add(float64(grant.Requests))
+		l.node.metrics.warmups.WithLabelValues("later").Add(float64(max(0, want.Requests-grant.Requests)))
+		grants = append(grants, grant)
+	}
+	return grants
+}
--- /dev/null
+++ b/placement/domainnode/warmups_test.go
@@ -0,0 +1,58 @@
+package domainnode
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/warmup"
+)
+
+// warmUp asks the leader for requests to r0.
+func (d *testDomain) warmUp(requests int) warmup.Grant {
+	var reply domainapi.WarmUpReply
+	d.await("an answer of the leader", func() bool {
+		leader := d.awaitLeader()
+		reply = domainapi.WarmUpReply{}
+		arguments := &domainapi.WarmUpArguments{Router: "router", Wants: []warmup.Want{{Instance: "r0", Requests: requests}}}
+		_ = (&service{node: d.nodes[leader].Node}).WarmUp(arguments, &reply)
+		return reply.Error == nil
+	})
+	return reply.Grants[0]
+}
+
+func (d *testDomain) isCold(instance string) bool {
+	found := d.runner(instance)
+	return found != nil && found.Cold
+}
+
+// Runners may cool down while they get no requests: when their zone is drained no more they count as cold until
+// they say otherwise.
+func TestRunnersOfAZoneThatWasDrainedAreColdUntilTheyAreHeard(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		d.drain(0, true)
+		pause.For(d.ctx, 3*time.Second)
+		d.drain(0, false)
+		d.c.Assert(d.isCold("r0"), qt.IsTrue)
+		d.c.Assert(d.isCold("r1"), qt.IsFalse)
+		d.await("the next heartbeat", func() bool { return !d.isCold("r0") })
+	})
+}
+
+func TestLeaderLendsWhatColdRunnersBear(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.foundWithRunners()
+		pause.For(d.ctx, time.Second)
+		first := d.warmUp(5)
+		d.c.Assert(first.Requests, qt.Equals, warmup.Burst)
+		d.c.Assert(first.MoreIn > 0, qt.IsTrue)
+		d.kill(d.awaitLeader())
+		next := d.warmUp(1)
+		d.c.Assert(next.Requests, qt.Equals, 0)
+		d.await("tokens of the next leader", func() bool { return d.warmUp(1).Requests == 1 })
+	})
+}
--- a/placement/fleet/fleet_test.go
+++ b/placement/fleet/fleet_test.go
@@ -125,3 +125,31 @@
 		r.Hear(start, *beat)
 	}
 }
+
+func TestRunnerIsColdForAsLongAsItSays(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(start)
+	cold := beat("a", 1)
+	cold.ColdFor = 3 * time.Second
+	r.Hear(start, cold)
+	c.Assert(r.Runners(start.Add(2 * time.Second))[0].Cold, qt.IsTrue)
+	c.Assert(r.Runners(start.Add(3 * time.Second))[0].Cold, qt.IsFalse)
+	r.Hear(start.Add(time.Second), beat("a", 2))
+	c.Assert(r.Runners(start.Add(time.Second))[0].Cold, qt.IsFalse)
+}
+
+// A new leader does not know whether a runner that it has not heard is cold; its routers do.
+func TestRecalledRunnerStaysColdAtARouter(t *testing.T) {
+	for name, learned := range map[string]View{
+		"incomplete": {Runners: []Runner{{Instance: "a", Recalled: true}, {Instance: "b"}}},
+		"partial":    {Partial: true, Runners: []Runner{{Instance: "a", Recalled: true}, {Instance: "b"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			known := View{Runners: []Runner{{Instance: "a", Cold: true}, {Instance: "b", Cold: true}}}
+			merged := Merge(known, learned)
+			c.Assert(merged.Runners[0].Cold, qt.IsTrue)
+			c.Assert(merged.Runners[1].Cold, qt.IsFalse)
+		})
+	}
+}
--- a/placement/fleet/merge.go
+++ b/placement/fleet/merge.go
@@ -12,6 +12,7 @@
 	if learned.Complete {
 		return learned
 	}
+	keepCold(known.Runners, learned.Runners)
 	merged := View{Runners: slices.Clone(learned.Runners), Gone: learned.Gone}
 	replaced := replacedBy(learned.Runners, learned.Gone)
 	for _, runner := range known.Runners {
@@ -71,6 +72,7 @@
 // never listed is gone.
 func mergePartial(known, changes View) View {
 	merged := View{Complete: changes.Complete, Gone: changes.Gone, Runners: slices.Clone(changes.Runners)}
+	keepCold(known.Runners, merged.Runners)
 	replaced := replacedBy(changes.Runners, changes.Removed, changes.Gone)
 	for _, runner := range known.Runners {
 		if replaced.contains(&runner) || changes.Complete && runner.Unconfirmed {
@@ -80,3 +82,24 @@
 	}
 	return merged
 }
+
+// keepCold has runners that the leader has not heard yet stay cold if they were.
+func keepCold(known, learned []Runner) {
+	var recalled map[string]*Runner
+	for i := range learned {
+		if learned[i].Recalled {
+			if recalled == nil {
+				recalled = make(map[string]*Runner)
+			}
+			recalled[learned[i].Instance] = &learned[i]
+		}
+	}
+	if recalled == nil {
+		return
+	}
+	for i := range known {
+		if runner := recalled[known[i].Instance]; runner != nil && known[i].Cold {
+			runner.Cold = true
+		}
+	}
+}
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -38,8 +38,10 @@
 	// displaced is set while another instance is at the address.
 	displaced bool
 	// recalled is set until the first heartbeat of a runner that was recalled.
-	recalled  bool
-	endsAt    time.Time
+	recalled bool
+	endsAt   time.Time
+	// coldUntil is until when the runner is cold, as its last heartbeat said.
+	coldUntil time.Time
 	suspicion suspicion
 }
 
@@ -68,6 +70,7 @@
 	known.heartbeat = heartbeat
 	known.heardAt = now
 	known.recalled = false
+	known.coldUntil = now.Add(heartbeat.ColdFor)
 	r.takeAddress(known)
 	if heartbeat.Leaving {
 		known.leave(now, heartbeat.EndsIn)
@@ -166,6 +169,14 @@
 	return 0
 }
 
+// Service is that of an instance; empty if it is not known.
+func (r *Registry) Service(instance string) string {
+	if known := r.runners[instance]; known != nil {
+		return known.heartbeat.Service
+	}
+	return ""
+}
+
 // IsLeaving reports whether an instance has said that it is leaving, or gone.
 func (r *Registry) IsLeaving(instance string) bool {
 	known := r.runners[instance]
@@ -191,6 +202,8 @@
 	Leaving   bool
 	// Drained runners are in a zone that an operator has drained. They stay, and may take requests again.
 	Drained bool
+	// Cold runners bear few requests a second.
+	Cold bool
 	// EndsAt is when a runner that is leaving at short notice ends; zero if unknown.
 	EndsAt time.Time
 	// Recalled runners have not been heard since the leader began.
@@ -218,7 +231,7 @@
 		}
 		silent := now.Sub(known.heardAt)
 		listed = append(listed, Status{
-			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt,
+			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, Cold: now.Before(known.coldUntil),
 			Recalled: known.recalled, Lost: known.suspicion.isLost(silent, silentZones[known.heartbeat.Zone]),
 			Complaints: len(known.suspicion.complaints), Silent: silent,
 		})
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -59,6 +59,10 @@
 	// Failing runners fail many of the requests that they are sent. They get some only where no
 	// other one can take them.
 	Failing bool
+	// Cold runners get only requests for which the leader lent a token; see package warmup.
+	Cold bool
+	// Recalled runners have not been heard by the present leader, which does not know whether they are cold.
+	Recalled bool
 	// Models are ready for requests.
 	Models []LoadedModel
 	// Unconfirmed is set by Merge at a router for what the present leader has not listed
@@ -79,6 +83,7 @@
 func (r Runner) Equal(other Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
 		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
+		r.Cold == other.Cold && r.Recalled == other.Recalled &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		})
--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -73,6 +73,8 @@
 	HealthPath string
 	// MaxConnections is the most connections that one runner takes.
 	MaxConnections int
+	// ColdRate is how many requests a second a cold runner bears; 0 if cold runners bear as many as others.
+	ColdRate float64
 	// Engine is nil for services whose runners load no models.
 	Engine *Engine
 }
--- a/placement/site/validate.go
+++ b/placement/site/validate.go
@@ -22,6 +22,10 @@
 			return invalid(fmt.Sprintf("the service name %q is empty or stands twice", name), "Give each service a name of its own.")
 		}
 		services[name] = true
+		if rate := d.Services[i].ColdRate; !(rate >= 0 && rate <= maxLimit) {
+			return invalid(fmt.Sprintf("the cold runners of service %q bear %g requests a second", name, rate),
+				fmt.Sprintf("Give a number from 0 to %g; 0 means that they bear as many as others.", maxLimit))
+		}
 	}
 	places := make(map[place]bool, len(d.Routes))
 	for i := range d.Routes {
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -42,6 +42,8 @@
 	// its runner does.
 	workTime   = 250 * time.Millisecond
 	poisonTime = 80 * time.Millisecond
+	// testColdRate is how many requests a second a cold runner bears.
+	testColdRate = 17
 	// cutText makes a runner break one answer off and live on.
 	cutText = "cut"
 )
@@ -75,6 +77,9 @@
 	crashed map[string][]time.Time
 	// lastRunner is where a body arrived last.
 	lastRunner map[string]string
+	// coldUntil is until when the runners at each address are cold, arrivals when requests came to each runner.
+	coldUntil map[string]time.Time
+	arrivals  map[string][]time.Time
 }
 
 type testController struct {
@@ -124,7 +129,7 @@
 func siteSource() []byte {
 	source, _ := json.Marshal(&site.Document{
 		Version:  1,
-		Services: []site.Service{{Name: "plain"}},
+		Services: []site.Service{{Name: "plain", ColdRate: testColdRate}},
 		Limits:   site.Limits{MaxBodyBytes: 1 << 20},
 		Routes: []site.Route{{
 			Name: "r", Host: "h", PathPrefix: "/", Kind: site.KindRepeatable, Timeout: 10 * time.Second, Objective: time.Second,
@@ -145,6 +150,7 @@
 			controllers: make([]*testController, testControllers), routers: make([]*testRouter, testRouters),
 			runners: make(map[string]*testRunner), poison: make(map[string]bool),
 			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time), lastRunner: make(map[string]string),
+			coldUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time),
 		}
 		c.Cleanup(func() {
 			cancel()
@@ -252,6 +258,7 @@
 	for sequence := uint64(1); s.ctx.Err() == nil && !of.isGone(); sequence++ {
 		heartbeat := fleet.Heartbeat{
 			Instance: of.id, Service: "plain", Address: of.address, Zone: "z", Slots: 16, Sequence: sequence,
+			ColdFor: s.coldFor(of.address),
 		}
 		late := s.draw(s.latest)
 		go func() {
@@ -302,6 +309,7 @@
 		return nil, pkgerrors.Wrap(relay.ErrNotSent, "connection refused")
 	}
 	s.sent[body] = append(s.sent[body], time.Now())
+	s.arrivals[attempt.Instance] = append(s.arrivals[attempt.Instance], time.Now())
 	s.lastRunner[body] = attempt.Instance
 	s.mutex.Unlock()
 	if isPoison {
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -103,6 +103,9 @@
 		r.wakeReport()
 		return routing.Choice{}, comeBack
 	}
+	if len(r.coldRunners(wanted.row)) > 0 {
+		r.wakeWarmUp()
+	}
 	r.mutex.Unlock()
 	r.wakeReport()
 	select {
@@ -152,6 +155,7 @@
 
 // pick chooses a runner and counts the attempt on it. It runs under the mutex.
 func (r *Router) pick(wanted *waiter) (routing.Choice, bool) {
+	r.expireTokens()
 	at := time.Now()
 	choice, found := r.balancer.PickFor(at, rowName(wanted.row), &wanted.work)
 	if !found {
@@ -165,6 +169,11 @@
 	return choice, true
 }
 
+// coldRunners lists the cold runners that requests of the row could get with tokens. It runs under the mutex.
+func (r *Router) coldRunners(row residency.Row) []structs.RunnerID {
+	return r.balancer.Cold(time.Now(), rowName(row))
+}
+
 // release ends the attempt and lets those that wait have the room.
 func (r *Router) release(row residency.Row, choice routing.Choice, outcome routing.Outcome) {
 	r.mutex.Lock()
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -46,8 +46,9 @@
 	// askers numbers the requests that ask the leader for permission to run.
 	askers atomic.Uint64
 	stop   stops
-	// report asks the report loop for a report now.
+	// report asks the report loop for a report now, and warmUp the warm-up loop for a question.
 	report chan struct{}
+	warmUp chan struct{}
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -60,6 +61,8 @@
 	doubted  map[string]bool
 	// unreachable are runners that could not be reached since the last report.
 	unreachable map[string]bool
+	// tokensUntil is until when the tokens for requests to cold runners may be used; zero if there are none.
+	tokensUntil time.Time
 	// ended counts how attempts ended since the last report.
 	ended map[structs.RunnerID]*fleet.Attempts
 	// heard is when each runner last sent something.
@@ -112,6 +115,7 @@
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 		stop:    newStops(),
 		report:  make(chan struct{}, 1),
+		warmUp:  make(chan struct{}, 1),
 		random:  random,
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, MaxBatch: defaultBatch, ReportLife: loadLife,
@@ -145,6 +149,7 @@
 	running.Go(func() { r.reportLoop(ctx) })
 	running.Go(func() { r.limitLoop(ctx) })
 	running.Go(func() { r.zoneLoop(ctx) })
+	running.Go(func() { r.warmUpLoop(ctx) })
 	running.Wait()
 	r.client.Close()
 }
@@ -168,13 +173,19 @@
 	placed := placement(r.view)
 	r.balancer.SetPlacement(placed)
 	r.adoptZones(placed.Runners)
+	hasCold := false
 	for _, runner := range r.view.Runners {
+		hasCold = hasCold || runner.Cold
 		r.balancer.SetPace(structs.RunnerID(runner.Instance), paceOf(runner))
 		r.balancer.SetBatch(structs.RunnerID(runner.Instance), runner.Slots)
 		r.balancer.SetFailing(structs.RunnerID(runner.Instance), runner.Failing)
+		r.balancer.SetCold(structs.RunnerID(runner.Instance), runner.Cold)
 	}
 	r.forgetUnlisted()
 	r.serveWaiters()
+	if hasCold {
+		r.wakeWarmUp()
+	}
 }
 
 // adoptDocument adopts a document that is newer than the one in force.
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -63,6 +63,7 @@
 // Sent counts the attempt on the runner and learns that it will cache the prompt.
 func (c Choice) Sent(now time.Time, prefixes []uint64) {
 	target := c.replica.runner
+	target.useToken()
 	target.change(now, 1)
 	target.addTurn(now)
 	target.addUnread(now, c.unread)
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -18,6 +18,9 @@
 	// hash is that of daemon and runner, which ranks the runner in subsets.
 	hash    uint64
 	leaving bool
+	// cold runners get a request for each token that the leader lent.
+	cold   bool
+	tokens int
 	// failing runners are chosen only where no other one can be.
 	failing bool
 	// inFlight counts this router's attempts; others is the load of all other
