Requests with homes reach runners of their regions alone, and are refused at once where none is left

Cause: nothing knew the regions that a route or tenant allows; a request could reach any. Change: the zones of the regions that route and tenant both allow bind each choice of a runner; such requests wait in a queue of their regions; a report tells the leader where their models are wanted, and the planner loads them there. Without any runner there the caller is told at once, as not run. Not covered: copies kept ahead for homes; several homes of one model are served in turn.

--- a/placement/residency/adapters.go
+++ b/placement/residency/adapters.go
@@ -2,15 +2,21 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 // serveAdapter finds the order that loads a waited-for adapter where its model is.
-func (p *Planner) serveAdapter(now time.Time, row Row) (Order, bool) {
+func (p *Planner) serveAdapter(now time.Time, wanted waiting) (Order, bool) {
+	row := wanted.row
 	if row.Adapter == "" {
 		return Order{}, false
 	}
 	holders := p.holders(row)
+	if wanted.zones != nil {
+		isElsewhere := func(known *runner) bool { return !known.isIn(wanted.zones) }
+		holders = slices.DeleteFunc(slices.Clone(holders), isElsewhere)
+	}
 	for _, known := range holders {
 		if known.holdings[row.Model].adapters[row.Adapter] != nil {
 			return Order{}, false
--- a/placement/residency/arrivals.go
+++ b/placement/residency/arrivals.go
@@ -60,16 +60,19 @@
 // IsAnyHeld reports whether some runner holds what requests of the report wait for.
 func (p *Planner) IsAnyHeld(demands []Demand) bool {
 	return slices.ContainsFunc(demands, func(demand Demand) bool {
-		return demand.Waiting > 0 && p.isHeld(demand.Row)
+		return demand.Waiting > 0 && p.isHeld(demand.Row, demand.Zones)
 	})
 }
 
-// isHeld reports whether requests for the row may be sent to some runner.
-func (p *Planner) isHeld(row Row) bool {
+// isHeld reports whether requests for the row may be sent to some runner of the zones; nil stands for all zones.
+func (p *Planner) isHeld(row Row, zones []string) bool {
 	if p.tally == nil {
 		return false
 	}
 	return slices.ContainsFunc(p.holders(row), func(known *runner) bool {
+		if !known.isIn(zones) {
+			return false
+		}
 		held := known.holdings[row.Model]
 		if held == nil || held.phase != phaseReady || row.Adapter == "" {
 			return held != nil && held.phase == phaseReady
--- a/placement/residency/demand.go
+++ b/placement/residency/demand.go
@@ -31,6 +31,8 @@
 	count    int
 	oldest   time.Duration
 	priority int
+	// zones are those of the runners that some of them may have; nil for any.
+	zones []string
 }
 
 // recentShare is the part of the rate time over which the recent rate is averaged.
@@ -77,6 +79,9 @@
 		total.count += report.demand.Waiting
 		total.oldest = max(total.oldest, report.demand.Oldest+age)
 		total.priority = min(total.priority, report.demand.Priority)
+		if report.demand.Zones != nil {
+			total.zones = report.demand.Zones
+		}
 	}
 	return total
 }
--- /dev/null
+++ b/placement/residency/homes_test.go
@@ -0,0 +1,59 @@
+package residency
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// newTwoZonesPlanner has a runner in each of two zones; the one in the north holds model a.
+func newTwoZonesPlanner() *Planner {
+	p := NewPlanner(Options{}, start)
+	p.SetDocument(twoModels())
+	north := fleet.Heartbeat{Instance: "north", Service: "s", Address: "n:1", Zone: "n", Sequence: 1, Models: []fleet.LoadedModel{{Name: "a"}}}
+	south := fleet.Heartbeat{Instance: "south", Service: "s", Address: "s:1", Zone: "s", Sequence: 1}
+	p.SetRunners(start, []fleet.Status{{Heartbeat: north}, {Heartbeat: south}})
+	p.Reported(start, start, "north", Report{Models: north.Models})
+	p.Reported(start, start, "south", Report{})
+	return p
+}
+
+func waitIn(p *Planner, at time.Time, row Row, zones []string) {
+	row.Service = "s"
+	p.Observe(at, "router", []Demand{{Row: row, Waiting: 1, Arrived: 1, Zones: zones}})
+}
+
+// Requests that may be served in the south alone get their model there, though a runner of the north holds it.
+func TestModelIsLoadedWhereItsRequestsMayBeServed(t *testing.T) {
+	c := qt.New(t)
+	p := newTwoZonesPlanner()
+	waitIn(p, start, Row{Model: "a"}, []string{"s"})
+	orders := p.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Instance, qt.Equals, "south")
+	c.Assert(orders[0].Operation, qt.Equals, Load)
+	demands := []Demand{{Row: Row{Service: "s", Model: "a"}, Waiting: 1, Zones: []string{"s"}}}
+	c.Assert(p.IsAnyHeld(demands), qt.IsFalse)
+	demands[0].Zones = []string{"n"}
+	c.Assert(p.IsAnyHeld(demands), qt.IsTrue)
+}
+
+func TestModelIsLoadedNowhereElseForThem(t *testing.T) {
+	for name, test := range map[string]struct {
+		row   Row
+		zones []string
+	}{
+		"held where it may be":            {Row{Model: "a"}, []string{"n"}},
+		"no runner where it may be":       {Row{Model: "b"}, []string{"x"}},
+		"adapter, its model is elsewhere": {Row{Model: "a", Adapter: "a1"}, []string{"x"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoZonesPlanner()
+			waitIn(p, start, test.row, test.zones)
+			qt.Assert(t, p.Plan(start), qt.HasLen, 0)
+		})
+	}
+}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -31,6 +31,8 @@
 	isFromCopy bool
 	// isAhead is set if nobody asks for the model yet.
 	isAhead bool
+	// zones are those in which the model is to be loaded; nil for any.
+	zones []string
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
 }
@@ -40,13 +42,16 @@
 	found := make(map[Row]*need)
 	for _, wanted := range p.waits(now) {
 		row := modelOf(wanted.row)
-		isComing := len(p.coming(row)) > 0
-		if len(p.holders(row)) > 0 || isComing && !p.isCopyQuicker(now, row) {
+		isComing := isAnyIn(p.coming(row), wanted.zones)
+		if isAnyIn(p.holders(row), wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
 			continue
 		}
 		if found[row] == nil {
 			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
 		}
+		if wanted.zones != nil {
+			found[row].zones = wanted.zones
+		}
 		found[row].priority = min(found[row].priority, wanted.priority)
 		found[row].oldest = max(found[row].oldest, wanted.oldest)
 		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
@@ -73,6 +78,16 @@
 	return listed
 }
 
+// isAnyIn reports whether one of the runners is in one of the zones; nil stands for all zones.
+func isAnyIn(runners []*runner, zones []string) bool {
+	return slices.ContainsFunc(runners, func(known *runner) bool { return known.isIn(zones) })
+}
+
+// isIn reports whether the runner is in one of the zones; nil stands for all zones.
+func (r *runner) isIn(zones []string) bool {
+	return zones == nil || slices.Contains(zones, r.status.Heartbeat.Zone)
+}
+
 // byTurn orders needs by their gain, of which that of needs that are due counts more.
 func byTurn(a, b need) int {
 	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -120,7 +120,7 @@
 		return loadPlace{}
 	}
 	model := engine.ModelByName(row.Model)
-	if model == nil || known.holdings[row.Model] != nil {
+	if model == nil || known.holdings[row.Model] != nil || !known.isIn(wanted.zones) {
 		return loadPlace{}
 	}
 	if known.status.Recalled {
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -37,7 +37,7 @@
 	p.judge(now)
 	var orders []Order
 	for _, wanted := range p.waits(now) {
-		if order, found := p.serveAdapter(now, wanted.row); found {
+		if order, found := p.serveAdapter(now, wanted); found {
 			orders = append(orders, order)
 		}
 	}
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -94,6 +94,8 @@
 	Oldest time.Duration
 	// Priority is that of the most urgent waiting request; 0 is the most urgent.
 	Priority int
+	// Zones are those of the runners that one of the waiting requests may have; nil if all may have any.
+	Zones []string
 	// Objective is the shortest time to the first event that one of the requests that
 	// came or wait should see; 0 if none did.
 	Objective time.Duration
--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -53,6 +53,8 @@
 	Sticky bool
 	// Public routes need no key.
 	Public bool
+	// Regions are those in which requests may be served and kept; empty for all.
+	Regions []string
 }
 
 // Share is a service's part of the requests of a route.
--- a/placement/site/tenant.go
+++ b/placement/site/tenant.go
@@ -15,6 +15,9 @@
 	// Priority ranks the tenant's requests in place of the route's priority; nil leaves that.
 	Priority *int
 	Limit    RateLimit
+	// Regions are those in which the tenant's requests may be served and kept; empty for all. Those of a
+	// route bind as well.
+	Regions []string
 }
 
 // Unit is what a RateLimit counts.
--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -81,7 +81,7 @@
 	defer context.AfterFunc(x.router.stop.waiting, func() { end(errStopped) })()
 	x.waiting = &waiter{
 		row: x.row, work: x.work(), ticket: x.presentTicket(), until: limit,
-		mayDefer: x.attempts == 0,
+		mayDefer: x.attempts == 0, home: x.home,
 	}
 	return x.router.acquire(ctx, x.waiting)
 }
@@ -91,6 +91,9 @@
 	work := routing.Work{
 		Prefixes: x.prefixes, Prompt: x.request.Size.Uncached(0), Avoid: x.avoid, Barred: x.barred,
 	}
+	if x.home != nil {
+		work.Zones = x.home.zones
+	}
 	end := int64(0)
 	for _, part := range x.request.Size.Parts {
 		end += part
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -78,6 +78,8 @@
 	tenant   *site.Tenant
 	ticket   waiting.Ticket
 	priority int
+	// home is where the request may be served; nil for anywhere.
+	home *home
 	// hidesKey is set if the document has tenants, so that keys go no further.
 	hidesKey bool
 	// attempts counts the runners that may have run the request, refusals those that
@@ -150,6 +152,7 @@
 		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
 		tenant: tenant, ticket: ticket, priority: ticket.Rank, deadline: ticket.Deadline, digest: digest,
 		hidesKey: index.Document.RequiresKeys, row: residency.Row{Service: route.Pick(r.point())}, lastEvent: request.ResumeAfter,
+		home: homeOf(route, tenant, r.options.Regions),
 	}
 	service := index.Service(x.row.Service)
 	if service.Engine != nil {
@@ -165,6 +168,10 @@
 		x.refuseSuspect(permit{permission: permission, comeBackIn: refusedFor}, result{})
 		return
 	}
+	if !x.hasRunners() {
+		x.refuseHomeless()
+		return
+	}
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithTimeoutCause(request.HTTP.Context(), x.timeLeft(), errTimeout)
 	defer cancel()
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -26,6 +26,8 @@
 	Backend Backend
 	// Zone is the zone of the process; empty for a site without zones.
 	Zone structs.ZoneID
+	// Regions names the region of each zone.
+	Regions map[structs.ZoneID]string
 	// Connects is what Backend dials runners with; nil if it does not, and then zones that are cut
 	// off are not noticed.
 	Connects *Connects
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,6 +21,8 @@
 	work routing.Work
 	// ticket decides its place among those that wait.
 	ticket waiting.Ticket
+	// home is where the request may be served; nil for anywhere.
+	home *home
 	// until is when it is given up if there is no runner for it.
 	until time.Time
 	// mayDefer is set if the request has certainly not run, so that its caller may be told
@@ -43,6 +46,8 @@
 	// restricted holds the waiters that should not have the room of one of the runners, as it has failed them
 	// or turned them away: others of the row may be served there all the same.
 	restricted fairqueue.Row[*waiter]
+	// homes holds the waiters that may be served in some regions alone, by these.
+	homes map[string]*fairqueue.Row[*waiter]
 	// absentees are callers that were told to come back.
 	absentees []absentee
 	forecast  forecast
@@ -62,15 +67,47 @@
 
 // queueOf is where a request waits.
 func (s *rowState) queueOf(wanted *waiter) *fairqueue.Row[*waiter] {
-	if wanted.work.Avoid != "" || wanted.work.Barred != "" {
+	switch {
+	case wanted.home != nil:
+		return s.queueAt(wanted.home)
+	case wanted.work.Avoid != "" || wanted.work.Barred != "":
 		return &s.restricted
 	}
 	return &s.waiters
 }
 
+// queueAt is where requests wait that may be served in some regions alone.
+func (s *rowState) queueAt(at *home) *fairqueue.Row[*waiter] {
+	if s.homes == nil {
+		s.homes = make(map[string]*fairqueue.Row[*waiter])
+	}
+	if s.homes[at.name] == nil {
+		s.homes[at.name] = &fairqueue.Row[*waiter]{}
+	}
+	return s.homes[at.name]
+}
+
+// queues lists where requests wait.
+func (s *rowState) queues() []*fairqueue.Row[*waiter] {
+	listed := []*fairqueue.Row[*waiter]{&s.waiters, &s.restricted}
+	for _, name := range slices.Sorted(maps.Keys(s.homes)) {
+		listed = append(listed, s.homes[name])
+	}
+	return listed
+}
+
+// waiting counts the requests that wait.
+func (s *rowState) waiting() int {
+	count := 0
+	for _, queue := range s.queues() {
+		count += queue.Len()
+	}
+	return count
+}
+
 // eachWaiter calls visit for all requests that wait. None must be removed meanwhile.
 func (s *rowState) eachWaiter(visit func(*fairqueue.Entry[*waiter])) {
-	for _, queue := range []*fairqueue.Row[*waiter]{&s.waiters, &s.restricted} {
+	for _, queue := range s.queues() {
 		queue.Each(func(entry *fairqueue.Entry[*waiter]) bool {
 			visit(entry)
 			return true
@@ -270,11 +307,14 @@
 // countWaiting adds those that wait to the demand, callers that are to come back included.
 func (s *rowState) countWaiting(at time.Time, demand *residency.Demand) {
 	s.absentees = slices.DeleteFunc(s.absentees, func(caller absentee) bool { return at.After(caller.until) })
-	demand.Waiting = s.waiters.Len() + s.restricted.Len() + len(s.absentees)
+	demand.Waiting = s.waiting() + len(s.absentees)
 	demand.Priority = math.MaxInt
 	s.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
 		demand.Oldest = max(demand.Oldest, at.Sub(entry.Ticket.Arrived))
 		demand.Priority = min(demand.Priority, entry.Ticket.Rank)
+		if at := entry.Value.home; at != nil && demand.Zones == nil {
+			demand.Zones = at.listZones()
+		}
 	})
 	for _, caller := range s.absentees {
 		demand.Oldest = max(demand.Oldest, at.Sub(caller.since))
--- a/request/relay/warmups.go
+++ b/request/relay/warmups.go
@@ -76,7 +76,7 @@
 	r.expireTokens()
 	counts := make(map[structs.RunnerID]int)
 	for row, state := range r.rows {
-		waiting := state.waiters.Len() + state.restricted.Len()
+		waiting := state.waiting()
 		if waiting == 0 {
 			continue
 		}
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -104,6 +104,9 @@
 	if target.leaving || candidate.rest.isOn(now) || b.zones.outOfReach[target.info.Zone] {
 		return false
 	}
+	if work.Zones != nil && !work.Zones[target.info.Zone] {
+		return false
+	}
 	if id := target.info.ID; work.Avoid != "" && id == work.Avoid || work.Barred != "" && id == work.Barred {
 		return false
 	}
--- a/request/routing/work.go
+++ b/request/routing/work.go
@@ -20,6 +20,8 @@
 	// chosen at all.
 	Avoid  structs.RunnerID
 	Barred structs.RunnerID
+	// Zones are those of the runners that may be chosen; nil for all.
+	Zones map[structs.ZoneID]bool
 }
 
 // maxPrefixes bounds the prefixes of a prompt that are looked up for one choice.
