A router's work at a change of the fleet goes with the change, and with what it is asked for

Cause: each view of a few changed runners was merged into a new list of all runners, and the balancer, the zone watch and the table of addresses were made anew from it: 6 ms and 6.8 MB of garbage at 10,000 runners for three that changed, under the lock of requests; the first view of a new leader compared each runner with each, 0.76 s of a whole core. Change: fleet.Directory is kept by change, with an index by model; the balancer and the zone watch learn of changed runners alone. Beyond 1,024 runners the balancer holds those of models that the router was asked for in the last minute, and a runner's history of attempts (0.8 KB) is made with its first one. Ruled out: a sharded view; a subset by hash, which would have to be measured for balance.

--- a/request/relay/connects.go
+++ b/request/relay/connects.go
@@ -79,11 +79,21 @@
 	return zonewatch.OutcomeRefused
 }
 
-// setZones adopts in which zone each address is.
-func (c *Connects) setZones(zones map[string]structs.ZoneID) {
+// setZone adopts in which zone an address is.
+func (c *Connects) setZone(address string, zone structs.ZoneID) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.zones = zones
+	if c.zones == nil {
+		c.zones = make(map[string]structs.ZoneID)
+	}
+	c.zones[address] = zone
+}
+
+// forget drops the zone of an address at which there is no runner any more.
+func (c *Connects) forget(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.zones, address)
 }
 
 func (c *Connects) timeout(address string) time.Duration {
--- a/request/relay/connects_test.go
+++ b/request/relay/connects_test.go
@@ -10,7 +10,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/internal/pause"
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 // slowNetwork is a network on which a connect takes so long.
@@ -34,7 +33,7 @@
 		c := qt.New(t)
 		network := &slowNetwork{takes: 2 * time.Millisecond}
 		connects := NewConnects(network)
-		connects.setZones(map[string]structs.ZoneID{"b0": "b"})
+		connects.setZone("b0", "b")
 		dial := func() bool {
 			conn, err := connects.DialContext(t.Context(), "tcp", "b0")
 			if err == nil {
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -139,11 +139,13 @@
 	at := time.Now().Add(-wordAge)
 	listed := make(map[string]fleet.Load, len(loads))
 	for _, load := range loads {
-		listed[load.Instance] = load
+		if _, isPlaced := r.placed.runners[load.Instance]; isPlaced {
+			listed[load.Instance] = load
+		}
 	}
-	for _, runner := range r.view.Runners {
-		load := listed[runner.Instance]
-		id := structs.RunnerID(runner.Instance)
+	for instance := range r.placed.runners {
+		load := listed[instance]
+		id := structs.RunnerID(instance)
 		r.balancer.ObserveLoad(id, structs.LoadReport{Running: load.Requests, ObservedAt: at})
 		r.balancer.ObserveReading(id, load.Reading)
 	}
--- a/request/relay/homes.go
+++ b/request/relay/homes.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -69,18 +70,13 @@
 	}
 	x.router.mutex.Lock()
 	defer x.router.mutex.Unlock()
-	isListed := false
-	for i := range x.router.view.Runners {
-		runner := &x.router.view.Runners[i]
-		if runner.Service != x.row.Service {
-			continue
-		}
+	isListed, isHome := false, false
+	x.router.fleet.Each(fleet.ModelKey{Service: x.row.Service}, func(runner *fleet.Runner) bool {
 		isListed = true
-		if x.home.zones[structs.ZoneID(runner.Zone)] && !runner.Leaving {
-			return true
-		}
-	}
-	return !isListed && len(x.home.zones) > 0
+		isHome = x.home.zones[structs.ZoneID(runner.Zone)] && !runner.Leaving
+		return !isHome
+	})
+	return isHome || !isListed && len(x.home.zones) > 0
 }
 
 // refuseHomeless answers a request that no runner may get.
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -130,6 +130,7 @@
 // waiting is of no use.
 func (r *Router) acquire(ctx context.Context, wanted *waiter) (routing.Choice, error) {
 	r.mutex.Lock()
+	r.track(wanted.row)
 	state := r.rowState(wanted.row)
 	if choice, found := r.pickFirst(state, wanted); found {
 		r.mutex.Unlock()
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -57,8 +57,10 @@
 	queue    *fairqueue.Queue[*waiter]
 	budgets  map[string]*budget
 	granted  grant
-	view     fleet.View
-	doubted  map[string]bool
+	// fleet is what is known of the runners, and placed those of them that may be chosen.
+	fleet   *fleet.Directory
+	placed  placed
+	doubted map[string]bool
 	// unreachable are runners that could not be reached since the last report.
 	unreachable map[string]bool
 	// tokensUntil is until when the tokens for requests to cold runners may be used; zero if there are none.
@@ -117,6 +119,8 @@
 		report:  make(chan struct{}, 1),
 		warmUp:  make(chan struct{}, 1),
 		random:  random,
+		fleet:   fleet.NewDirectory(),
+		placed:  newPlaced(),
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, MaxBatch: defaultBatch, ReportLife: loadLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
@@ -168,22 +172,12 @@
 func (r *Router) adoptView(view fleet.View) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.view = fleet.Merge(r.view, view)
-	r.metrics.runners.Set(float64(len(r.view.Runners)))
-	placed := placement(r.view)
-	r.balancer.SetPlacement(placed)
-	r.adoptZones(placed.Runners)
-	hasCold := false
-	for _, runner := range r.view.Runners {
-		hasCold = hasCold || runner.Cold
-		r.balancer.SetPace(structs.RunnerID(runner.Instance), paceOf(runner))
-		r.balancer.SetBatch(structs.RunnerID(runner.Instance), runner.Slots)
-		r.balancer.SetFailing(structs.RunnerID(runner.Instance), runner.Failing)
-		r.balancer.SetCold(structs.RunnerID(runner.Instance), runner.Cold)
-	}
-	r.forgetUnlisted()
+	r.placed.hasCold = false
+	r.adoptChanges(r.fleet.Learn(view))
+	r.metrics.runners.Set(float64(r.fleet.Len()))
+	r.forgetUnasked(r.now())
 	r.serveWaiters()
-	if hasCold {
+	if r.placed.hasCold {
 		r.wakeWarmUp()
 	}
 }
@@ -259,8 +253,12 @@
 func (r *Router) doubt(instance structs.RunnerID, row residency.Row) {
 	r.mutex.Lock()
 	r.doubted[string(instance)] = true
-	r.view = without(r.view, string(instance), row)
-	r.balancer.SetPlacement(placement(r.view))
+	r.fleet.Update(string(instance), without(row))
+	if r.fleet.Runner(string(instance)) == nil {
+		r.displace([]string{string(instance)})
+	} else {
+		r.place([]string{string(instance)})
+	}
 	r.mutex.Unlock()
 	r.wakeReport()
 }
@@ -309,17 +307,3 @@
 	defer r.mutex.Unlock()
 	return r.heard[instance].After(since) || r.balancer.IsCrowded(time.Now(), instance)
 }
-
-// forgetUnlisted drops what is kept for runners that are listed no more. It runs
-// under the mutex.
-func (r *Router) forgetUnlisted() {
-	listed := make(map[structs.RunnerID]bool, len(r.view.Runners))
-	for _, runner := range r.view.Runners {
-		listed[structs.RunnerID(runner.Instance)] = true
-	}
-	for instance := range r.heard {
-		if !listed[instance] {
-			delete(r.heard, instance)
-		}
-	}
-}
--- a/request/relay/row.go
+++ b/request/relay/row.go
@@ -21,20 +21,16 @@
 	return structs.RowName(row.Service + rowSeparator + row.Model + rowSeparator + row.Adapter)
 }
 
-// placement translates a view into what the balancer works by: a runner without
+// addPlacement translates a runner into what the balancer works by: one without
 // models serves one row, another one for each model and adapter that it holds.
-func placement(view fleet.View) structs.Placement {
-	var placed structs.Placement
-	for _, runner := range view.Runners {
-		id := structs.RunnerID(runner.Instance)
-		placed.Runners = append(placed.Runners, structs.RunnerInfo{
-			ID: id, Zone: structs.ZoneID(runner.Zone), Address: runner.Address, Leaving: runner.Leaving,
-		})
-		for _, row := range rowsOf(runner) {
-			placed.Replicas = append(placed.Replicas, structs.Replica{Row: rowName(row), Runner: id, State: structs.ReplicaReady})
-		}
+func addPlacement(placed *structs.Placement, runner *fleet.Runner) {
+	id := structs.RunnerID(runner.Instance)
+	placed.Runners = append(placed.Runners, structs.RunnerInfo{
+		ID: id, Zone: structs.ZoneID(runner.Zone), Address: runner.Address, Leaving: runner.Leaving,
+	})
+	for _, row := range rowsOf(*runner) {
+		placed.Replicas = append(placed.Replicas, structs.Replica{Row: rowName(row), Runner: id, State: structs.ReplicaReady})
 	}
-	return placed
 }
 
 // The pace of a usual runner of models, taken for one of which nothing is known yet, so that
@@ -92,23 +88,15 @@
 	return hashes
 }
 
-// without returns the view without a row at one runner.
-func without(view fleet.View, instance string, row residency.Row) fleet.View {
-	changed := view
-	changed.Runners = slices.Clone(view.Runners)
-	for i := range changed.Runners {
-		runner := &changed.Runners[i]
-		if runner.Instance != instance {
-			continue
-		}
+// without returns how to take a row from a runner, which is gone if it holds nothing else.
+func without(row residency.Row) func(*fleet.Runner) bool {
+	return func(runner *fleet.Runner) bool {
 		if row.Model == "" {
-			changed.Runners = slices.Delete(changed.Runners, i, i+1)
-			return changed
+			return false
 		}
 		runner.Models = modelsWithout(runner.Models, row)
-		return changed
+		return true
 	}
-	return changed
 }
 
 func modelsWithout(models []fleet.LoadedModel, row residency.Row) []fleet.LoadedModel {
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -42,8 +42,6 @@
 	watch *zonewatch.Watch
 	// attempts are those under way, by the zone of their runner.
 	attempts map[structs.ZoneID]map[*watchdog]struct{}
-	// addresses are those of the runners.
-	addresses map[structs.RunnerID]string
 	// probing is nil unless zoneLoop runs, and ends with it; probes are the connects under way.
 	probing context.Context
 	probes  sync.WaitGroup
@@ -56,20 +54,6 @@
 	}
 }
 
-// adoptZones takes where the runners are. It runs under the mutex.
-func (r *Router) adoptZones(runners []structs.RunnerInfo) {
-	r.zones.watch.SetRunners(runners)
-	r.zones.addresses = make(map[structs.RunnerID]string, len(runners))
-	byAddress := make(map[string]structs.ZoneID, len(runners))
-	for _, info := range runners {
-		r.zones.addresses[info.ID] = info.Address
-		byAddress[info.Address] = info.Zone
-	}
-	if r.options.Connects != nil {
-		r.options.Connects.setZones(byAddress)
-	}
-}
-
 // noteSent notes an attempt at a runner; what it returns ends the note.
 func (r *Router) noteSent(choice routing.Choice, w *watchdog) (ended func()) {
 	r.mutex.Lock()
@@ -146,7 +130,11 @@
 		return
 	}
 	for _, each := range probes {
-		address := r.zones.addresses[each.Runner]
+		runner := r.fleet.Runner(string(each.Runner))
+		if runner == nil {
+			continue
+		}
+		address := runner.Address
 		r.metrics.zoneProbes.Inc()
 		r.zones.probes.Go(func() {
 			outcome := r.options.Connects.probe(ctx, address)
--- a/request/routing/placement.go
+++ b/request/routing/placement.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Drop takes a runner out of every choice, as if a whole placement no longer listed it.
+func (b *Balancer) Drop(id structs.RunnerID) {
+	delete(b.left, id)
+	target := b.runners[id]
+	if target == nil {
+		return
+	}
+	changed := make(changedRows)
+	b.retire(target, changed)
+	for current := range changed {
+		b.rebuild(current)
+	}
+}
+
 // retire ends one life of a runner; attempts under way still refer to it.
 func (b *Balancer) retire(target *runner, changed changedRows) {
 	target.unplaceAll(changed)
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -43,7 +43,8 @@
 	// answeredAt is when an attempt last ended with an answer.
 	answeredAt time.Time
 	breaker    breaker
-	history    history
+	// history is nil until the first attempt: with a thousand routers most runners never get one of this one.
+	history *history
 	// sequence is the highest of the cache events seen.
 	sequence uint64
 	// rows names the placed replicas, sorted.
@@ -103,13 +104,19 @@
 	if report.MaxBatch > 0 {
 		r.maxBatch = report.MaxBatch
 	}
-	own := r.history.at(report.ObservedAt)
+	own := 0
+	if r.history != nil {
+		own = r.history.at(report.ObservedAt)
+	}
 	r.others = max(0, report.Running+report.Queued-own)
 }
 
 // change counts an attempt in or out.
 func (r *runner) change(now time.Time, difference int) {
 	r.inFlight += difference
+	if r.history == nil {
+		r.history = &history{}
+	}
 	r.history.add(now, r.inFlight)
 }
 
--- a/request/zonewatch/watch.go
+++ b/request/zonewatch/watch.go
@@ -19,8 +19,9 @@
 }
 
 type runner struct {
-	zone    *zone
-	heardAt time.Time
+	zone      *zone
+	heardAt   time.Time
+	isLeaving bool
 }
 
 // New makes a Watch that knows no runner.
@@ -32,33 +33,46 @@
 	}
 }
 
-// SetRunners adopts which runners there are. Requests under way at runners that are not listed any
-// more still count until they have Ended.
-func (w *Watch) SetRunners(listed []structs.RunnerInfo) {
-	for _, each := range w.zones {
-		each.ids, each.leaving = each.ids[:0], each.leaving[:0]
+// Add adopts a runner, or what is new of it.
+func (w *Watch) Add(info structs.RunnerInfo) {
+	known := w.runners[info.ID]
+	if known != nil && known.zone.id == info.Zone && known.isLeaving == info.Leaving {
+		return
 	}
-	kept := make(map[structs.RunnerID]*runner, len(listed))
-	for _, info := range listed {
-		if info.Zone == "" {
-			continue
-		}
-		known := w.runners[info.ID]
-		if known == nil {
-			known = &runner{zone: w.zone(info.Zone)}
-		}
-		kept[info.ID] = known
-		if info.Leaving {
-			known.zone.leaving = append(known.zone.leaving, info.ID)
-		} else {
-			known.zone.ids = append(known.zone.ids, info.ID)
-		}
+	heardAt := time.Time{}
+	if known != nil {
+		heardAt = known.heardAt
+		w.Remove(info.ID)
 	}
-	w.runners = kept
-	for _, each := range w.zones {
-		slices.Sort(each.ids)
-		slices.Sort(each.leaving)
+	if info.Zone == "" {
+		return
+	}
+	added := &runner{zone: w.zone(info.Zone), heardAt: heardAt, isLeaving: info.Leaving}
+	w.runners[info.ID] = added
+	ids := added.list()
+	at, _ := slices.BinarySearch(*ids, info.ID)
+	*ids = slices.Insert(*ids, at, info.ID)
+}
+
+// Remove forgets a runner.
+func (w *Watch) Remove(id structs.RunnerID) {
+	known := w.runners[id]
+	if known == nil {
+		return
+	}
+	delete(w.runners, id)
+	ids := known.list()
+	if at, isListed := slices.BinarySearch(*ids, id); isListed {
+		*ids = slices.Delete(*ids, at, at+1)
+	}
+}
+
+// list is where the runner is listed in its zone.
+func (r *runner) list() *[]structs.RunnerID {
+	if r.isLeaving {
+		return &r.zone.leaving
 	}
+	return &r.zone.ids
 }
 
 func (w *Watch) zone(id structs.ZoneID) *zone {
--- a/request/zonewatch/watch_test.go
+++ b/request/zonewatch/watch_test.go
@@ -71,16 +71,19 @@
 
 // setRunners gives each zone as many runners.
 func (s *site) setRunners(each int) {
-	var listed []structs.RunnerInfo
+	for _, ids := range s.zones {
+		for _, id := range ids {
+			s.watch.Remove(id)
+		}
+	}
 	for _, zone := range []structs.ZoneID{"a", "b", "c", "d"} {
 		s.zones[zone] = nil
 		for number := range each {
 			id := structs.RunnerID(fmt.Sprint(zone, number))
 			s.zones[zone] = append(s.zones[zone], id)
-			listed = append(listed, structs.RunnerInfo{ID: id, Zone: zone})
+			s.watch.Add(structs.RunnerInfo{ID: id, Zone: zone})
 		}
 	}
-	s.watch.SetRunners(listed)
 }
 
 func (s *site) after(delay time.Duration, do func()) {
