When silence tells something follows from the pause between heartbeats

Cause: 8 s of silence, 6 s of learning and 20 s until a runner is forgotten held for runners that send heartbeats each 1.2 s; the settings of the whole fleet say 5 s, which nobody read: one late heartbeat there was silence, and a new leader counted itself as complete when a heartbeat of each runner was due, so that routers dropped runners that were well. Change: fleet.Timing derives the three from the pause in the settings; for 1.2 s they are what they were.

--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -47,6 +47,8 @@
 	Seeds func() []string
 	// Zones are those of the site, of which an operator may drain some.
 	Zones []string
+	// Heartbeat is the pause between two heartbeats of a runner; 0 means fleet.DefaultHeartbeat.
+	Heartbeat time.Duration
 	// Bootstrap allows the seeds to found the group. It may be set only at the first
 	// start of the whole domain.
 	Bootstrap bool
@@ -99,6 +101,7 @@
 	if o.Now == nil {
 		o.Now = clock.Now
 	}
+	option.Positive(&o.Heartbeat, fleet.DefaultHeartbeat)
 	option.Positive(&o.TickInterval, defaultTickInterval)
 	option.Positive(&o.ElectionTicks, defaultElectionTicks)
 	option.Positive(&o.HeartbeatTicks, defaultHeartbeatTicks)
@@ -106,6 +109,8 @@
 	return o
 }
 
+func (o Options) timing() fleet.Timing { return fleet.Timing{Heartbeat: o.Heartbeat} }
+
 // documentOf decodes the text of a replicated document.
 func (o Options) documentOf(document domain.Document) (*site.Document, error) {
 	source, err := domain.Expand(document.Source)
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -202,7 +202,7 @@
 func (l *leadership) recordBeliefs(at time.Time) {
 	var command domain.Command
 	stores := l.planner.Stores()
-	silent := l.registry.Silent(at, forgetRunnerAfter)
+	silent := l.registry.Silent(at, l.options.timing().Unrecorded())
 	l.member.group.View(func() {
 		for _, instance := range silent {
 			if _, isRegistered := l.member.machine.Registered(instance); isRegistered {
@@ -221,7 +221,3 @@
 		go l.record(command)
 	}
 }
-
-// forgetRunnerAfter is how long a runner must be silent before it is no longer
-// recalled by the leaders to come.
-const forgetRunnerAfter = 20 * time.Second
--- a/placement/fleet/fleet_test.go
+++ b/placement/fleet/fleet_test.go
@@ -10,6 +10,8 @@
 
 var start = time.Unix(1000, 0)
 
+var testTiming = Timing{Heartbeat: DefaultHeartbeat}
+
 func beat(instance string, sequence uint64) Heartbeat {
 	return Heartbeat{Instance: instance, Service: "answers", Address: "10.0.0.1:80", Sequence: sequence}
 }
@@ -24,7 +26,7 @@
 
 func TestLateHeartbeatDoesNotBringBackWhatLeft(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	c.Assert(r.Hear(start, beat("a", 5)), qt.IsTrue)
 	c.Assert(r.Hear(start, beat("a", 4)), qt.IsFalse)
 	r.Depart(start, "a", false)
@@ -38,17 +40,17 @@
 
 func TestDepartureHeardBeforeTheFirstHeartbeatHolds(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	r.Depart(start, "a", true)
 	c.Assert(r.Hear(start, beat("a", 1)), qt.IsFalse)
 }
 
 func TestSilentRunnerIsDroppedAndReturns(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	r.Hear(start, beat("a", 1))
-	c.Assert(instances(r.Runners(start.Add(silentAfter))), qt.DeepEquals, []string{"a"})
-	late := start.Add(silentAfter + time.Millisecond)
+	c.Assert(instances(r.Runners(start.Add(testTiming.Silence()))), qt.DeepEquals, []string{"a"})
+	late := start.Add(testTiming.Silence() + time.Millisecond)
 	c.Assert(r.Runners(late), qt.HasLen, 0)
 	r.Hear(late, beat("a", 2))
 	c.Assert(r.Runners(late), qt.HasLen, 1)
@@ -56,7 +58,7 @@
 
 func TestShortNoticeEndsARunner(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	notice := beat("a", 1)
 	notice.Leaving, notice.EndsIn = true, 2*time.Second
 	r.Hear(start, notice)
@@ -75,7 +77,7 @@
 
 func TestAnAddressHasOneInstance(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	r.Hear(start, beat("old", 9))
 	r.Hear(start, beat("new", 1))
 	c.Assert(instances(r.Runners(start)), qt.DeepEquals, []string{"new"})
@@ -87,7 +89,7 @@
 
 func TestRecalledRunnerIsListedUntilItsHeartbeat(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	r.Depart(start, "gone", true)
 	r.Recall(start, beat("gone", 0))
 	r.Recall(start, beat("a", 0))
@@ -100,7 +102,7 @@
 
 func TestInstanceThatMovesLeavesItsAddress(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	r.Recall(start, beat("a", 0))
 	r.Hear(start, beat("b", 1))
 	moved := beat("b", 2)
@@ -114,7 +116,7 @@
 
 // BenchmarkHear measures a heartbeat among 3,000 runners.
 func BenchmarkHear(b *testing.B) {
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	beats := make([]Heartbeat, 3000)
 	for i := range beats {
 		beats[i] = Heartbeat{Instance: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.1:", i)}
@@ -128,7 +130,7 @@
 
 func TestRunnerIsColdForAsLongAsItSays(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	cold := beat("a", 1)
 	cold.ColdFor = 3 * time.Second
 	r.Hear(start, cold)
--- a/placement/fleet/lives_test.go
+++ b/placement/fleet/lives_test.go
@@ -60,7 +60,7 @@
 		permutations(append(wordsOf(100, departs), wordsOf(200, false)...), func(order []word) {
 			c := qt.New(t)
 			now := time.Unix(1000, 0)
-			r := NewRegistry(now)
+			r := NewRegistry(now, testTiming)
 			said := ""
 			isHeard := false
 			for _, each := range order {
@@ -98,7 +98,7 @@
 	permutations(append(words, wordsOf(200, false)[0]), func(order []word) {
 		c := qt.New(t)
 		now := time.Unix(1000, 0)
-		r := NewRegistry(now)
+		r := NewRegistry(now, testTiming)
 		said := ""
 		for _, each := range order {
 			now = now.Add(10 * time.Millisecond)
@@ -117,7 +117,7 @@
 func TestWordsWithoutAStartCountOnlyIfTheyAgree(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	r := NewRegistry(now)
+	r := NewRegistry(now, testTiming)
 	c.Assert(r.Hear(now, r.Resolve(lifeBeat(200, 4, false))), qt.IsTrue)
 	passedOn := lifeBeat(0, 5, false)
 	c.Assert(r.Resolve(passedOn).Instance, qt.Equals, "i#200")
@@ -148,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			now := time.Unix(1000, 0)
-			r := NewRegistry(now)
+			r := NewRegistry(now, testTiming)
 			prepare(r, now)
 			c.Assert(r.Hear(now, r.Resolve(lifeBeat(200, 5, false))), qt.IsFalse)
 			c.Assert(r.Runners(now), qt.HasLen, 0)
@@ -161,7 +161,7 @@
 func TestLateHeartbeatTakesNoAddressBack(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	r := NewRegistry(now)
+	r := NewRegistry(now, testTiming)
 	former := Heartbeat{Instance: "former", Born: 100, Address: "10.0.0.1:1", Sequence: 3}
 	present := Heartbeat{Instance: "present", Born: 200, Address: "10.0.0.1:1", Sequence: 1}
 	r.Hear(now, r.Resolve(former))
@@ -198,7 +198,7 @@
 	p.Publish(View{Complete: true, Runners: []Runner{{Instance: "a#2"}}})
 	c.Assert(p.Since(1).Removed, qt.ContentEquals, []string{"a#1", "b#1", "b"})
 	now := time.Unix(1000, 0)
-	r := NewRegistry(now)
+	r := NewRegistry(now, testTiming)
 	r.Hear(now, r.Resolve(lifeBeat(100, 1, false)))
 	r.Depart(now, "i#100", true)
 	c.Assert(r.Gone(), qt.DeepEquals, []string{"i", "i#100"})
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -6,20 +6,9 @@
 	"time"
 )
 
-const (
-	// silentAfter is how long after its last heartbeat a runner is taken to be lost.
-	// Heartbeats may come seconds late.
-	silentAfter = 8 * time.Second
-	// forgottenAfter is how long a runner that has ended is remembered, against
-	// heartbeats that were on their way.
-	forgottenAfter = 60 * time.Second
-	// learningTime is how long a new leader hears heartbeats before it takes the
-	// absence of one for news.
-	learningTime = 6 * time.Second
-)
-
 // Registry follows the runners. Make one with NewRegistry when leadership begins.
 type Registry struct {
+	timing  Timing
 	began   time.Time
 	runners map[string]*record
 	// newest is, by ID, the instance of the latest life of which anything was heard.
@@ -46,9 +35,9 @@
 }
 
 // NewRegistry makes a registry of a leadership that begins now.
-func NewRegistry(now time.Time) *Registry {
+func NewRegistry(now time.Time, timing Timing) *Registry {
 	return &Registry{
-		began: now, runners: make(map[string]*record), newest: make(map[string]string), addresses: make(map[string][]*record),
+		timing: timing, began: now, runners: make(map[string]*record), newest: make(map[string]string), addresses: make(map[string][]*record),
 	}
 }
 
@@ -223,7 +212,7 @@
 	listed := make([]Status, 0, len(r.runners))
 	silentZones := r.silentZones(now)
 	for _, known := range r.runners {
-		if known.hasEnded() || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > silentAfter {
+		if known.hasEnded() || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > r.timing.Silence() {
 			continue
 		}
 		if !known.endsAt.IsZero() && now.After(known.endsAt.Add(time.Second)) {
@@ -258,4 +247,4 @@
 }
 
 // Complete reports whether every runner that lives has had the time to be heard.
-func (r *Registry) Complete(now time.Time) bool { return now.Sub(r.began) > learningTime }
+func (r *Registry) Complete(now time.Time) bool { return now.Sub(r.began) > r.timing.Learning() }
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -33,12 +33,25 @@
 	OnDisk   []string
 }
 
+// IsRepeatedBy reports whether a later heartbeat tells nothing but that the runner lives.
+func (h Heartbeat) IsRepeatedBy(later Heartbeat) bool {
+	return h.Instance == later.Instance && h.Born == later.Born && h.Service == later.Service && h.Address == later.Address &&
+		h.Zone == later.Zone && h.Slots == later.Slots && h.Leaving == later.Leaving && h.EndsIn == later.EndsIn &&
+		(h.ColdFor > 0) == (later.ColdFor > 0) && slices.Equal(h.InMemory, later.InMemory) && slices.Equal(h.OnDisk, later.OnDisk) &&
+		slices.EqualFunc(h.Models, later.Models, LoadedModel.Equal)
+}
+
 // LoadedModel is a model that a runner holds, with its adapters.
 type LoadedModel struct {
 	Name     string
 	Adapters []string
 }
 
+// Equal reports whether the two are the same model with the same adapters.
+func (m LoadedModel) Equal(other LoadedModel) bool {
+	return m.Name == other.Name && slices.Equal(m.Adapters, other.Adapters)
+}
+
 // Runner is a runner as routers see it.
 type Runner struct {
 	// Instance names one life of the runner. Encoded views hold its ID there, and when it was started in
@@ -84,9 +97,7 @@
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
 		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
 		r.Cold == other.Cold && r.Recalled == other.Recalled &&
-		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
-			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
-		})
+		slices.EqualFunc(r.Models, other.Models, LoadedModel.Equal)
 }
 
 // View is what routers know of the runners.
--- a/placement/fleet/suspicion_test.go
+++ b/placement/fleet/suspicion_test.go
@@ -11,7 +11,7 @@
 // A runner whose loads end sends more heartbeats than the regular ones.
 func TestHeartbeatsBetweenTheRegularOnesMakeNoneOverdue(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(start)
+	r := NewRegistry(start, testTiming)
 	at := start
 	for sequence := range uint64(20) {
 		r.Hear(at, beat("a", 2*sequence+1))
@@ -39,7 +39,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := NewRegistry(start)
+			r := NewRegistry(start, testTiming)
 			at := start
 			for sequence := range uint64(5) {
 				at = start.Add(time.Duration(sequence) * pause)
--- a/placement/fleet/zonesilence_test.go
+++ b/placement/fleet/zonesilence_test.go
@@ -35,7 +35,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := NewRegistry(start)
+			r := NewRegistry(start, testTiming)
 			sequences := make(map[string]uint64)
 			now := start
 			run := func(length time.Duration, cut map[string]bool) {
