Routers at rest wake seldom; watches of many are held longer; departures share looks

Change: a router looks at its zones each 0.5 s, and reports nothing, while it has no request; the first one wakes both. A leader holds watches for a millisecond a router, 0.5 to 1 s, as far as the router says that it waits. Departures that come together share a look, with a rest of three times what it took, 150 ms at most, and one word to all; a step makes one look in place of two. Ruled out: to hold watches longer than 1 s, as a lost leader is noticed some time after.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -120,13 +120,25 @@
 	Revision uint64
 	// Suspects is the revision of the list of suspects that the router knows of the term.
 	Suspects uint64
+	// MaxHold is the longest that the router waits for a reply; 0 for one of the version before, which waits
+	// for LeastHold.
+	MaxHold time.Duration
 }
 
-// WatchReply comes when something has changed, or after WatchTime.
+const (
+	// LeastHold is the shortest time that a leader holds a watch without news. MostHold is the longest: the loss
+	// of a leader is noticed some time after it.
+	LeastHold = 500 * time.Millisecond
+	MostHold  = time.Second
+)
+
+// WatchReply comes when something has changed, or after Hold.
 type WatchReply struct {
 	Reply
 	Term     uint64
 	Revision uint64
+	// Hold is how long the leader holds the next watch without news; 0 from one of the version before.
+	Hold time.Duration
 	// Document is nil if the router's is in force.
 	Document *domain.Document
 	// Confirmed is the version of the document that was the newest at some time after the
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 )
 
 // routerContact is what the leader knows of a router.
@@ -12,6 +13,19 @@
 	at time.Time
 	// revision of the view that the router had when it last asked.
 	revision uint64
+	// hold is how long its watch is held at most.
+	hold time.Duration
+}
+
+// holdPerRouter times the number of routers is how long each of their watches is held without news, so that
+// thousands of answers a second that tell nothing don't take a leader's time: an answer takes a fifth of a
+// millisecond of its share of a core.
+const holdPerRouter = time.Millisecond
+
+// holdTime is how long a watch is held without news, of a router that waits for so long at most.
+func holdTime(routers int, most time.Duration) time.Duration {
+	hold := max(domainapi.LeastHold, time.Duration(routers)*holdPerRouter)
+	return min(hold, domainapi.MostHold, max(domainapi.LeastHold, most))
 }
 
 // departed takes a committed departure and waits until the routers that are in
@@ -20,11 +34,9 @@
 	l.mutex.Lock()
 	l.registry.Depart(l.now(), departure.Instance, departure.Gone)
 	l.poison.Refute(l.now(), departure.Instance)
-	l.refresh(l.now())
-	revision := l.views.Revision()
-	l.announcer.announce(l.now(), l.news())
+	changed := l.now()
 	l.mutex.Unlock()
-	l.awaitTold(ctx, revision)
+	l.awaitTold(ctx, l.refreshAfter(ctx, changed))
 }
 
 // awaitTold waits until the routers that are in contact have asked for more after they were told of a
@@ -55,19 +67,20 @@
 // the mutex.
 func (l *leadership) areTold(at time.Time, revision uint64) bool {
 	for _, contact := range l.routers {
-		if at.Sub(contact.at) < contactLife && contact.revision < revision {
+		if at.Sub(contact.at) < contact.hold+contactMargin && contact.revision < revision {
 			return false
 		}
 	}
 	return true
 }
 
-// contact notes a call of a router and returns how many routers there are.
-func (l *leadership) contact(router string, revision uint64) int {
+// contact notes a watch of a router, which is held for a time at most, and returns how many routers there are.
+func (l *leadership) contact(router string, revision uint64, most time.Duration) (routers int, hold time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	at := l.now()
-	l.routers[router] = routerContact{at: at, revision: revision}
+	hold = holdTime(len(l.routers), most)
+	l.routers[router] = routerContact{at: at, revision: revision, hold: hold}
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerLife {
 			delete(l.routers, name)
@@ -75,5 +88,5 @@
 			l.planner.ForgetRouter(name)
 		}
 	}
-	return len(l.routers)
+	return len(l.routers), hold
 }
--- a/placement/domainnode/drains.go
+++ b/placement/domainnode/drains.go
@@ -17,7 +17,7 @@
 
 // soleReplicaGrace is how long after the order a drained zone's runners still take requests for models
 // that no runner elsewhere holds, while these are loaded elsewhere. It is half of the shortest time that
-// operators give a drain, 5 s; routers learn of its end within WatchTime.
+// operators give a drain, 5 s; routers learn of its end within domainapi.MostHold.
 const soleReplicaGrace = 2500 * time.Millisecond
 
 // DrainZone takes an operator's order that the runners of a zone get no new requests, or its withdrawal. It
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -35,8 +35,8 @@
 	// routerLife is how long a router that has gone silent keeps its part of what is
 	// granted to all.
 	routerLife = 25 * time.Second
-	// contactLife is how long after its last call a router counts as in contact.
-	contactLife = 1500 * time.Millisecond
+	// contactMargin is how long after its watch should have ended a router still counts as in contact.
+	contactMargin = time.Second
 	// tellTimeout bounds the wait until routers know of a departure.
 	tellTimeout = 600 * time.Millisecond
 	// orderTimeout bounds one order or question to a runner.
@@ -60,8 +60,12 @@
 	mutex    sync.Mutex
 	registry *fleet.Registry
 	planner  *residency.Planner
-	// views numbers the views for routers.
-	views *fleet.Publisher
+	// views numbers the views for routers, of the runners as they stood at the last look.
+	views    *fleet.Publisher
+	statuses []fleet.Status
+	// refreshedAt is when the last look ended, and refreshTook how long it took.
+	refreshedAt time.Time
+	refreshTook time.Duration
 	// limits divides the limits of tenants over routers; reserving puts what it may grant in
 	// the log.
 	limits    *quota.Divider
@@ -128,7 +132,7 @@
 		term:       term,
 		beganAt:    at,
 		wake:       make(chan struct{}, 1),
-		registry:   fleet.NewRegistry(at),
+		registry:   fleet.NewRegistry(at, n.options.timing()),
 		planner:    residency.NewPlanner(n.options.Planner, at.Add(n.options.OrderLease)),
 		views:      fleet.NewPublisher(),
 		reserving:  newReserving(),
@@ -245,7 +249,7 @@
 	orders := l.planner.Plan(at)
 	close(l.planned)
 	l.planned = make(chan struct{})
-	l.refresh(at)
+	l.publish(at)
 	l.loads = l.planner.Loads(at)
 	next := l.tellRouters(at)
 	judged := l.planner.TakeJudgements()
@@ -327,37 +331,6 @@
 	}
 }
 
-// refresh makes the view anew. It runs under the mutex.
-func (l *leadership) refresh(at time.Time) {
-	statuses := l.registry.Runners(at)
-	l.drainStatuses(statuses)
-	l.coolStatuses(at, statuses)
-	l.planner.SetRunners(at, statuses)
-	l.noteLost(statuses)
-	l.forgetFailing(at, statuses)
-	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
-	view.Runners = make([]fleet.Runner, 0, len(statuses))
-	for _, status := range statuses {
-		heartbeat := status.Heartbeat
-		view.Runners = append(view.Runners, fleet.Runner{
-			Instance: heartbeat.Instance,
-			Service:  heartbeat.Service,
-			Address:  heartbeat.Address,
-			Zone:     heartbeat.Zone,
-			Slots:    heartbeat.Slots,
-			Leaving:  status.Leaving || status.Lost,
-			Slow:     l.planner.IsSlow(heartbeat.Instance),
-			Pace:     l.planner.Pace(heartbeat.Instance),
-			Failing:  l.failing.IsFailing(at, heartbeat.Instance),
-			Cold:     status.Cold,
-			Recalled: status.Recalled,
-			Models:   l.planner.Loaded(heartbeat.Instance),
-		})
-	}
-	l.drainRunners(at, view.Runners)
-	l.views.Publish(view)
-}
-
 // wakePlan asks for a look at what to load now.
 func (l *leadership) wakePlan() {
 	select {
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// WatchTime is the longest that a watch is held.
-	WatchTime = 500 * time.Millisecond
 	// commitTimeout bounds a change or read of the replicated state.
 	commitTimeout = 900 * time.Millisecond
 	// maxControllers bounds the list of controllers in a reply.
@@ -241,8 +239,8 @@
 	if arguments.Term == uint64(current.term) {
 		known, knownSuspects = arguments.Revision, arguments.Suspects
 	}
-	reply.Routers = current.contact(arguments.Router, known)
-	timeout := time.NewTimer(WatchTime)
+	reply.Routers, reply.Hold = current.contact(arguments.Router, known, arguments.MaxHold)
+	timeout := time.NewTimer(reply.Hold)
 	defer timeout.Stop()
 	for {
 		// Get the channel before looking, so that no change is missed.
--- /dev/null
+++ b/placement/domainnode/views.go
@@ -0,0 +1,78 @@
+package domainnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+const (
+	// refreshRest times what a look at all runners took is the shortest pause before the next one for departures
+	// alone: where hundreds of runners leave together they share a few looks, which take a quarter of the leader's
+	// time at most.
+	refreshRest = 3
+	// maxRefreshRest bounds it: a departure is acknowledged within some hundreds of milliseconds.
+	maxRefreshRest = 150 * time.Millisecond
+)
+
+// refresh looks at all runners and makes the view anew. It runs under the mutex.
+func (l *leadership) refresh(at time.Time) {
+	l.statuses = l.registry.Runners(at)
+	l.drainStatuses(l.statuses)
+	l.coolStatuses(at, l.statuses)
+	l.planner.SetRunners(at, l.statuses)
+	l.noteLost(l.statuses)
+	l.forgetFailing(at, l.statuses)
+	l.publish(at)
+	l.refreshedAt = l.now()
+	l.refreshTook = l.refreshedAt.Sub(at)
+}
+
+// publish makes the view of the runners as they stood at the last look. It runs under the mutex.
+func (l *leadership) publish(at time.Time) {
+	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
+	view.Runners = make([]fleet.Runner, 0, len(l.statuses))
+	for i := range l.statuses {
+		status := &l.statuses[i]
+		heartbeat := &status.Heartbeat
+		view.Runners = append(view.Runners, fleet.Runner{
+			Instance: heartbeat.Instance,
+			Service:  heartbeat.Service,
+			Address:  heartbeat.Address,
+			Zone:     heartbeat.Zone,
+			Slots:    heartbeat.Slots,
+			Leaving:  status.Leaving || status.Lost,
+			Slow:     l.planner.IsSlow(heartbeat.Instance),
+			Pace:     l.planner.Pace(heartbeat.Instance),
+			Failing:  l.failing.IsFailing(at, heartbeat.Instance),
+			Cold:     status.Cold,
+			Recalled: status.Recalled,
+			Models:   l.planner.Loaded(heartbeat.Instance),
+		})
+	}
+	l.drainRunners(at, view.Runners)
+	l.views.Publish(view)
+}
+
+// refreshAfter makes a view that tells of what was changed at a time, unless there is one already, has all routers
+// told of it, and returns its revision. Changes that come together share a look.
+func (l *leadership) refreshAfter(ctx context.Context, changed time.Time) uint64 {
+	for {
+		l.mutex.Lock()
+		at := l.now()
+		rest := min(maxRefreshRest, refreshRest*l.refreshTook) - at.Sub(l.refreshedAt)
+		if rest <= 0 && !l.refreshedAt.After(changed) {
+			l.refresh(at)
+		}
+		isTold, revision := l.refreshedAt.After(changed), l.views.Revision()
+		if isTold && l.announcer.told.revision < revision {
+			l.announcer.announce(l.now(), l.news())
+		}
+		l.mutex.Unlock()
+		if isTold || !pause.For(ctx, max(tellPause, rest)) {
+			return revision
+		}
+	}
+}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -20,8 +20,8 @@
 	// followTimeout bounds the search for a leader; then the addresses are looked up
 	// again.
 	followTimeout = 2500 * time.Millisecond
-	// watchTimeout bounds one watch, which a leader holds for half a second.
-	watchTimeout = 1100 * time.Millisecond
+	// watchMargin is how much longer than the leader holds it a watch may take.
+	watchMargin = 600 * time.Millisecond
 	// reportInterval is the pause between two reports without a reason to hurry, and
 	// reportPause the shortest.
 	reportInterval = 250 * time.Millisecond
@@ -34,8 +34,9 @@
 
 // watchLoop follows the leader's view.
 func (r *Router) watchLoop(ctx context.Context) {
-	caller := leadercall.New(r.client, nil).WithTryTimeout(watchTimeout)
-	arguments := domainapi.WatchArguments{Router: r.options.Name}
+	hold := domainapi.LeastHold
+	caller := leadercall.New(r.client, nil).WithTryTimeout(hold + watchMargin)
+	arguments := domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MostHold}
 	var controllers []string
 	isConnected := false
 	for ctx.Err() == nil {
@@ -62,9 +63,18 @@
 			controllers = reply.Controllers
 		}
 		r.adopt(reply, &arguments, asked)
+		if held := holdOf(reply); held != hold {
+			hold = held
+			caller = leadercall.New(r.client, addresses).WithTryTimeout(hold + watchMargin)
+		}
 	}
 }
 
+// holdOf is how long the leader holds the next watch.
+func holdOf(reply *domainapi.WatchReply) time.Duration {
+	return min(max(reply.Hold, domainapi.LeastHold), domainapi.MostHold)
+}
+
 func (r *Router) watch(ctx context.Context, caller *leadercall.Caller, arguments domainapi.WatchArguments) (*domainapi.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
@@ -80,6 +90,7 @@
 	}
 	r.mutex.Lock()
 	r.granted = grant{routers: reply.Routers, at: r.now()}
+	r.leaderHold = holdOf(reply)
 	r.queue.SetShares(r.now(), reply.Shares)
 	r.mutex.Unlock()
 	r.limits.mutex.Lock()
@@ -176,23 +187,48 @@
 	}
 }
 
-// reportLoop reports demand to the leader.
+// noteWork ends the rest of a report loop that has nothing to report.
+func (r *Router) noteWork() {
+	select {
+	case r.hasWork <- struct{}{}:
+	default:
+	}
+}
+
+// reportLoop reports demand to the leader, every reportInterval while there is any.
 func (r *Router) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	isIdle := false
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-r.report:
-			pause.For(ctx, reportPause)
+		if isIdle {
+			ticker.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.hasWork:
+				ticker.Reset(reportInterval)
+				isIdle = false
+				continue
+			case <-r.report:
+				ticker.Reset(reportInterval)
+				pause.For(ctx, reportPause)
+			}
+		} else {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			case <-r.report:
+				pause.For(ctx, reportPause)
+			}
 		}
-		r.reportDemand(ctx)
+		isIdle = !r.reportDemand(ctx)
 	}
 }
 
-func (r *Router) reportDemand(ctx context.Context) {
+// reportDemand reports what there is, and returns false if there is nothing.
+func (r *Router) reportDemand(ctx context.Context) bool {
 	demands := r.takeDemands(r.now())
 	doubted, unreachable := r.takeNames(r.doubted), r.takeNames(r.unreachable)
 	paces, attempts := r.takePaces(), r.takeAttempts()
@@ -203,7 +239,7 @@
 	isIdle := len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(attempts) == 0 &&
 		len(losses) == 0 && len(endings) == 0 && len(works) == 0
 	if isIdle {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -220,9 +256,10 @@
 		if ctx.Err() == nil {
 			level.Debug(r.logger).Log("msg", "Demand was not reported.", "err", err)
 		}
-		return
+		return true
 	}
 	r.adoptForecasts(reply.Forecasts)
+	return true
 }
 
 // takeNames hands out the names of a set and empties it.
--- a/request/relay/pressure.go
+++ b/request/relay/pressure.go
@@ -34,6 +34,13 @@
 	level.Info(r.logger).Log("msg", "This router is no longer at its limit.", "timers_late", usual)
 }
 
+// isPressed reports whether the router is at its limit, so that it has to find out when it is no longer.
+func (r *Router) isPressed() bool {
+	r.pressure.mutex.Lock()
+	defer r.pressure.mutex.Unlock()
+	return r.pressure.gauge.IsUnder()
+}
+
 // LetsGo reports whether the connection that an answer goes out on should be closed after it, as the router
 // is at its limit. Its caller then finds another one.
 func (r *Router) LetsGo() bool {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -49,6 +49,8 @@
 	// report asks the report loop for a report now, and warmUp the warm-up loop for a question.
 	report chan struct{}
 	warmUp chan struct{}
+	// hasWork ends the rest of a report loop that has nothing to report.
+	hasWork chan struct{}
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -57,6 +59,8 @@
 	queue    *fairqueue.Queue[*waiter]
 	budgets  map[string]*budget
 	granted  grant
+	// leaderHold is how long the leader holds a watch at most.
+	leaderHold time.Duration
 	// fleet is what is known of the runners, and placed those of them that may be chosen.
 	fleet   *fleet.Directory
 	placed  placed
@@ -118,6 +122,7 @@
 		stop:    newStops(),
 		report:  make(chan struct{}, 1),
 		warmUp:  make(chan struct{}, 1),
+		hasWork: make(chan struct{}, 1),
 		random:  random,
 		fleet:   fleet.NewDirectory(),
 		placed:  newPlaced(),
@@ -215,6 +220,7 @@
 func (r *Router) countRequest(row residency.Row, objective time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	defer r.noteWork()
 	r.budget(row.Service).request(r.now())
 	state := r.rowState(row)
 	state.arrived++
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/zonewatch"
 	"github.com/lotusferry/lotusferry/structs"
@@ -19,16 +19,15 @@
 	// zonePause separates two looks at which zones are reached: a quarter of how long one may be
 	// silent.
 	zonePause = 50 * time.Millisecond
+	// quietPause is the same while nothing is expected of any zone. With a thousand routers each has no request
+	// most of the time, and twenty looks a second would be most of what its machine does.
+	quietPause = 500 * time.Millisecond
 	// wayPause separates two looks at how long the ways to the zones are, which change rarely. Zones to which
 	// too few connects were made are connected to at each look: three times after the start, so that the
 	// first lost connect is noticed as soon as later ones.
 	wayPause = time.Second
-	// leaderSilence is after how long without a leader nobody is expected to load what no runner in
-	// reach holds: twice as long as a leader holds a watch.
-	leaderSilence = time.Second
-	// leaderQuiet is after how long without a leader all zones are asked, once in leaderSilence: a little
-	// longer than a leader holds a watch and its answer takes.
-	leaderQuiet = 700 * time.Millisecond
+	// leaderAnswer is what an answer of the leader takes at most, with what comes between two watches.
+	leaderAnswer = 200 * time.Millisecond
 )
 
 // reasonZoneLost is that of an attempt at a runner of a zone that got out of reach.
@@ -44,13 +43,16 @@
 	attempts map[structs.ZoneID]map[*watchdog]struct{}
 	// probing is nil unless zoneLoop runs, and ends with it; probes are the connects under way.
 	probing context.Context
-	probes  sync.WaitGroup
+	// wake has room for one.
+	wake   chan struct{}
+	probes sync.WaitGroup
 }
 
 func newZones(seed uint64) zones {
 	return zones{
 		watch:    zonewatch.New(rand.New(rand.NewPCG(seed, 2))),
 		attempts: make(map[structs.ZoneID]map[*watchdog]struct{}),
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -62,6 +64,9 @@
 	if zone == "" {
 		return func() {}
 	}
+	if r.zones.watch.IsQuiet() {
+		r.zones.wakeUp()
+	}
 	r.zones.watch.Sent(r.now(), zone)
 	if r.zones.attempts[zone] == nil {
 		r.zones.attempts[zone] = make(map[*watchdog]struct{})
@@ -96,12 +101,11 @@
 	r.mutex.Unlock()
 	defer r.endProbing()
 	var lookedAt, askedAt time.Time
-	for due := r.now().Add(zonePause); pause.For(ctx, zonePause); due = r.now().Add(zonePause) {
+	for r.awaitLook(ctx) {
 		now := r.now()
-		r.observeLateness(now, now.Sub(due))
 		r.mutex.Lock()
 		r.probe(r.zones.watch.Step(now))
-		if now.Sub(r.granted.at) >= leaderQuiet && now.Sub(askedAt) >= leaderSilence && r.IsReady() {
+		if now.Sub(r.granted.at) >= r.leaderQuiet() && now.Sub(askedAt) >= r.leaderSilence() && r.IsReady() {
 			askedAt = now
 			r.probe(r.zones.watch.LeaderSilent(now))
 		}
@@ -114,6 +118,47 @@
 	}
 }
 
+// leaderSilence is after how long without a leader nobody is expected to load what no runner in reach holds: twice
+// as long as a leader holds a watch. It runs under the mutex.
+func (r *Router) leaderSilence() time.Duration { return 2 * max(r.leaderHold, domainapi.LeastHold) }
+
+// leaderQuiet is after how long without a leader all zones are asked, once in leaderSilence: a little longer than a
+// leader holds a watch and its answer takes. It runs under the mutex.
+func (r *Router) leaderQuiet() time.Duration {
+	return max(r.leaderHold, domainapi.LeastHold) + leaderAnswer
+}
+
+// awaitLook waits until it is time for the next look at the zones, or ctx ends; then it returns false.
+func (r *Router) awaitLook(ctx context.Context) bool {
+	wait := zonePause
+	r.mutex.Lock()
+	if r.zones.watch.IsQuiet() && !r.isPressed() {
+		untilQuiet := r.leaderQuiet() - r.now().Sub(r.granted.at)
+		wait = min(quietPause, max(zonePause, untilQuiet))
+	}
+	r.mutex.Unlock()
+	due := r.now().Add(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.zones.wake:
+	case <-timer.C:
+		now := r.now()
+		r.observeLateness(now, now.Sub(due))
+	}
+	return true
+}
+
+// wakeUp ends the pause of a router that expects nothing of any zone.
+func (z *zones) wakeUp() {
+	select {
+	case z.wake <- struct{}{}:
+	default:
+	}
+}
+
 // endProbing waits for the connects under way.
 func (r *Router) endProbing() {
 	r.mutex.Lock()
@@ -179,5 +224,5 @@
 // was measured, and served fewer of them. One that has waited in vain is told to stay away for longer than
 // usual. It runs under the mutex.
 func (r *Router) isCutOff(now time.Time, row structs.RowName) bool {
-	return r.zones.watch.Lost() > 0 && now.Sub(r.granted.at) > leaderSilence && r.balancer.Reached(row) == 0
+	return r.zones.watch.Lost() > 0 && now.Sub(r.granted.at) > r.leaderSilence() && r.balancer.Reached(row) == 0
 }
--- a/request/zonewatch/watch.go
+++ b/request/zonewatch/watch.go
@@ -144,6 +144,17 @@
 	return known != nil && known.isLost
 }
 
+// IsQuiet reports whether nothing is expected of any zone: no request is under way, and none is out of reach or
+// asked.
+func (w *Watch) IsQuiet() bool {
+	for _, each := range w.zones {
+		if each.open > 0 || each.isLost || each.round != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Lost counts the zones that are out of reach.
 func (w *Watch) Lost() int {
 	count := 0
