--- a/placement/domainnode/heartbeats_test.go
+++ b/placement/domainnode/heartbeats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
@@ -95,3 +97,44 @@
 		}
 	})
 }
+
+// liveBeats are heartbeats of many runners that tell nothing new but their count.
+func liveBeats(f *forwarder, sequence uint64, count int) {
+	for i := range count {
+		go func() {
+			heartbeat := fleet.Heartbeat{Instance: fmt.Sprint("r", i), Sequence: sequence, Models: []fleet.LoadedModel{{Name: "m"}}}
+			_ = f.forward(context.Background(), heartbeat)
+		}()
+	}
+}
+
+// Hundreds of runners a second that only live on share a few calls; one that tells of a load that has ended is
+// passed on as soon as ever.
+func TestHeartbeatsThatTellNothingNewWaitForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		leader := &recordedCalls{took: time.Millisecond}
+		f := runForwarder(t, leader)
+		liveBeats(f, 1, 100)
+		pause.For(t.Context(), time.Second)
+		calls := func() int {
+			leader.mutex.Lock()
+			defer leader.mutex.Unlock()
+			return len(leader.sizes)
+		}
+		before := calls()
+		for step := range uint64(100) {
+			liveBeats(f, 2+step, 10)
+			pause.For(t.Context(), 10*time.Millisecond)
+		}
+		c.Assert(calls()-before <= 6, qt.IsTrue, qt.Commentf("%d calls", calls()-before))
+		for range 5 {
+			liveBeats(f, 200, 10)
+			pause.For(t.Context(), 70*time.Millisecond)
+			began := time.Now()
+			c.Assert(f.forward(t.Context(), fleet.Heartbeat{Instance: "r1", Sequence: 300, Models: []fleet.LoadedModel{{Name: "other"}}}), qt.IsNil)
+			c.Assert(time.Since(began) <= gatherPause+2*leader.took, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			c.Assert(f.forward(t.Context(), fleet.Heartbeat{Instance: "r1", Sequence: 301, Models: []fleet.LoadedModel{{Name: "m"}}}), qt.IsNil)
+		}
+	})
+}
