--- a/request/relay/zones_test.go
+++ b/request/relay/zones_test.go
@@ -21,8 +21,8 @@
 
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/pause"
-	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
