A leader's look at the fleet sorts nothing and lists anew only what has changed

Change: the registry keeps its order and its list; the publisher walks the former and the new view side by side; what a runner holds is listed again when it has changed, checked after each plan of the load tests; removals are remembered up to a quarter of the runners. Tests changed: one view is given in the order of its instances, as a leader's is.

--- a/placement/fleet/benchmark_test.go
+++ b/placement/fleet/benchmark_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -118,3 +120,48 @@
 	runtime.KeepAlive(directory)
 	runtime.KeepAlive(encoded)
 }
+
+// heardFleet is a registry that has heard so many runners.
+func heardFleet(size int) (*Registry, []Heartbeat) {
+	registry := NewRegistry(start, testTiming)
+	var heartbeats []Heartbeat
+	for i, runner := range fleetOf(size).Runners {
+		heartbeat := Heartbeat{
+			Instance: runner.Instance, Service: runner.Service, Address: runner.Address, Zone: runner.Zone, Slots: runner.Slots,
+			Sequence: 1, Models: runner.Models,
+		}
+		registry.Hear(start.Add(time.Duration(i)*time.Microsecond), heartbeat)
+		heartbeats = append(heartbeats, heartbeat)
+	}
+	return registry, heartbeats
+}
+
+func BenchmarkRegistryRunners(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			registry, _ := heardFleet(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				registry.Runners(start.Add(time.Second))
+			}
+		})
+	}
+}
+
+func BenchmarkPublishOfOneChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			view := fleetOf(size)
+			view.Runners = sortedByInstance(view.Runners)
+			publisher := NewPublisher()
+			publisher.Publish(view)
+			b.ReportAllocs()
+			for round := 0; b.Loop(); round++ {
+				next := view
+				next.Runners = slices.Clone(view.Runners)
+				next.Runners[round%size].Slots++
+				publisher.Publish(next)
+			}
+		})
+	}
+}
--- a/placement/fleet/lives.go
+++ b/placement/fleet/lives.go
@@ -38,7 +38,7 @@
 		return nil
 	}
 	begun := &record{}
-	r.runners[heartbeat.Instance] = begun
+	r.add(heartbeat.Instance, begun)
 	if born > 0 && former != nil && former.isUnnamed() && former.isSameLife(heartbeat) {
 		begun.leaving, begun.gone, begun.endsAt = former.leaving, former.gone, former.endsAt
 		if begun.gone {
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -1,9 +1,16 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
-// maxRemovals bounds the removals that are remembered for partial views.
-const maxRemovals = 512
+// Of removals at least minRemovals are remembered for partial views, and a removalsShare of the runners: a removal
+// is some 40 bytes where a whole view has 20 for each runner.
+const (
+	minRemovals   = 512
+	removalsShare = 4
+)
 
 // Publisher numbers the changes of a view, so that who knows an earlier one is told
 // only what has changed.
@@ -31,35 +38,67 @@
 
 // Publish takes the newest view and reports whether it differs from the one before.
 func (p *Publisher) Publish(view View) bool {
-	if p.revision > 0 && view.Equal(p.view) {
-		return false
-	}
-	p.revision++
-	former := make(map[string]Runner, len(p.view.Runners))
-	for _, runner := range p.view.Runners {
-		former[runner.Instance] = runner
-	}
-	for _, runner := range view.Runners {
-		known, isKnown := former[runner.Instance]
-		if !isKnown || !known.Equal(runner) {
-			p.changedAt[runner.Instance] = p.revision
+	view.Runners = sortedByInstance(view.Runners)
+	next := p.revision + 1
+	isChanged := p.revision == 0 || view.Complete != p.view.Complete || !slices.Equal(view.Gone, p.view.Gone)
+	former := p.view.Runners
+	for i := range view.Runners {
+		runner := &view.Runners[i]
+		for len(former) > 0 && former[0].Instance < runner.Instance {
+			p.remove(former[0].Instance, next)
+			isChanged = true
+			former = former[1:]
+		}
+		isKnown := len(former) > 0 && former[0].Instance == runner.Instance
+		if !isKnown || !former[0].Equal(*runner) {
+			p.changedAt[runner.Instance] = next
+			isChanged = true
+		}
+		if isKnown {
+			former = former[1:]
 		}
-		delete(former, runner.Instance)
 	}
-	for instance := range former {
-		delete(p.changedAt, instance)
-		p.removals = append(p.removals, removal{instance, p.revision})
+	for i := range former {
+		p.remove(former[i].Instance, next)
+		isChanged = true
 	}
-	if len(p.removals) > maxRemovals {
-		dropped := len(p.removals) - maxRemovals
-		p.partialFrom = p.removals[dropped-1].revision
-		p.removals = slices.Delete(p.removals, 0, dropped)
+	if !isChanged {
+		return false
 	}
+	p.revision = next
+	p.forgetRemovals()
 	p.view = view
 	clear(p.encoded)
 	return true
 }
 
+// sortedByInstance returns the runners in the order of their instances, which a leader lists them in.
+func sortedByInstance(runners []Runner) []Runner {
+	order := func(a, b Runner) int { return strings.Compare(a.Instance, b.Instance) }
+	if slices.IsSortedFunc(runners, order) {
+		return runners
+	}
+	return slices.SortedStableFunc(slices.Values(runners), order)
+}
+
+// remove notes that a runner is listed no more from a revision on.
+func (p *Publisher) remove(instance string, revision uint64) {
+	delete(p.changedAt, instance)
+	p.removals = append(p.removals, removal{instance, revision})
+}
+
+// forgetRemovals bounds the removals that are remembered, by the size of the view: a release of a tenth of a fleet
+// must not have everybody get a whole view.
+func (p *Publisher) forgetRemovals() {
+	most := max(minRemovals, len(p.view.Runners)/removalsShare)
+	if len(p.removals) <= most {
+		return
+	}
+	dropped := len(p.removals) - most
+	p.partialFrom = p.removals[dropped-1].revision
+	p.removals = slices.Delete(p.removals, 0, dropped)
+}
+
 // Revision is that of the newest view.
 func (p *Publisher) Revision() uint64 { return p.revision }
 
--- a/placement/fleet/publisher_test.go
+++ b/placement/fleet/publisher_test.go
@@ -94,7 +94,7 @@
 	publisher := NewPublisher()
 	view := View{Complete: true}
 	for i := range 500 {
-		view.Runners = append(view.Runners, Runner{Instance: fmt.Sprint("r", i), Models: []LoadedModel{{Name: "m"}}})
+		view.Runners = append(view.Runners, Runner{Instance: fmt.Sprintf("r%03d", i), Models: []LoadedModel{{Name: "m"}}})
 	}
 	publisher.Publish(view)
 	first, err := publisher.EncodedSince(0)
@@ -114,7 +114,7 @@
 	c.Assert(changes.IsPacked, qt.IsFalse)
 	decoded, err = changes.Decode()
 	c.Assert(err, qt.IsNil)
-	c.Assert(decoded.Removed, qt.DeepEquals, []string{"r0"})
+	c.Assert(decoded.Removed, qt.DeepEquals, []string{"r000"})
 	_, err = EncodedView{IsPacked: true, Bytes: []byte("torn")}.Decode()
 	c.Assert(err, qt.IsNotNil)
 }
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -11,6 +11,11 @@
 	timing  Timing
 	began   time.Time
 	runners map[string]*record
+	// sorted are the records by instance, but for those that were added since they were last sorted; listed is
+	// what Runners returned last.
+	sorted   []*record
+	isSorted bool
+	listed   []Status
 	// newest is, by ID, the instance of the latest life of which anything was heard.
 	newest map[string]string
 	// addresses holds the records of each address.
@@ -18,6 +23,7 @@
 }
 
 type record struct {
+	instance  string
 	heartbeat Heartbeat
 	heardAt   time.Time
 	leaving   bool
@@ -74,11 +80,28 @@
 		return
 	}
 	recalled := &record{heardAt: now, recalled: true}
-	r.runners[heartbeat.Instance] = recalled
+	r.add(heartbeat.Instance, recalled)
 	r.move(recalled, heartbeat.Address)
 	recalled.heartbeat = heartbeat
 }
 
+// add lists a record under an instance.
+func (r *Registry) add(instance string, added *record) {
+	added.instance = instance
+	r.runners[instance] = added
+	r.sorted = append(r.sorted, added)
+	r.isSorted = false
+}
+
+// sort puts the records in the order of their instances.
+func (r *Registry) sort() {
+	if r.isSorted {
+		return
+	}
+	slices.SortFunc(r.sorted, func(a, b *record) int { return strings.Compare(a.instance, b.instance) })
+	r.isSorted = true
+}
+
 // move lists the record under its new address, and no longer under the one that its
 // last heartbeat named.
 func (r *Registry) move(known *record, address string) {
@@ -141,7 +164,7 @@
 	if known == nil {
 		known = &record{heartbeat: Heartbeat{Instance: instance}, heardAt: now}
 		known.isReplaced = !r.replace(now, instance)
-		r.runners[instance] = known
+		r.add(instance, known)
 	}
 	known.leave(now, 0)
 	if gone && !known.gone {
@@ -174,15 +197,17 @@
 
 // Expire forgets what ended long ago.
 func (r *Registry) Expire(now time.Time) {
-	for instance, known := range r.runners {
-		if now.Sub(known.heardAt) > forgottenAfter {
-			delete(r.runners, instance)
-			r.leaveAddress(known)
-			if id := IDOf(instance); r.newest[id] == instance {
-				delete(r.newest, id)
-			}
+	r.sorted = slices.DeleteFunc(r.sorted, func(known *record) bool {
+		if now.Sub(known.heardAt) <= forgottenAfter {
+			return false
 		}
-	}
+		delete(r.runners, known.instance)
+		r.leaveAddress(known)
+		if id := IDOf(known.instance); r.newest[id] == known.instance {
+			delete(r.newest, id)
+		}
+		return true
+	})
 }
 
 // Status is what the registry knows of one runner.
@@ -207,11 +232,12 @@
 // MayServe reports whether the runner may get new requests and orders.
 func (s *Status) MayServe() bool { return !s.Leaving && !s.Lost && !s.Drained }
 
-// Runners lists the runners that are not gone and not silent, by instance.
+// Runners lists the runners that are not gone and not silent, by instance. The list holds until the next call.
 func (r *Registry) Runners(now time.Time) []Status {
-	listed := make([]Status, 0, len(r.runners))
+	r.sort()
+	r.listed = r.listed[:0]
 	silentZones := r.silentZones(now)
-	for _, known := range r.runners {
+	for _, known := range r.sorted {
 		if known.hasEnded() || known.displaced || known.heartbeat.Address == "" || now.Sub(known.heardAt) > r.timing.Silence() {
 			continue
 		}
@@ -219,14 +245,13 @@
 			continue
 		}
 		silent := now.Sub(known.heardAt)
-		listed = append(listed, Status{
+		r.listed = append(r.listed, Status{
 			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, Cold: now.Before(known.coldUntil),
 			Recalled: known.recalled, Lost: known.suspicion.isLost(silent, silentZones[known.heartbeat.Zone]),
 			Complaints: len(known.suspicion.complaints), Silent: silent,
 		})
 	}
-	slices.SortFunc(listed, func(a, b Status) int { return strings.Compare(a.Heartbeat.Instance, b.Heartbeat.Instance) })
-	return listed
+	return r.listed
 }
 
 // Gone lists the instances that have ended, and those that are leaving of which no
--- a/placement/residency/answers.go
+++ b/placement/residency/answers.go
@@ -87,6 +87,7 @@
 			for name, adapter := range held.adapters {
 				if adapter.phase == phaseLoading && now.Sub(adapter.since) >= p.options.AdapterTime {
 					adapter.phase = phaseReady
+					known.isListed = false
 					p.noteArrival(known.rowOfAdapter(model, name))
 				}
 			}
--- a/placement/residency/arrivals.go
+++ b/placement/residency/arrivals.go
@@ -9,6 +9,7 @@
 
 // noteChange notes what has become ready at a runner.
 func (p *Planner) noteChange(before []fleet.LoadedModel, known *runner) {
+	known.isListed = false
 	after := known.loaded()
 	for _, model := range after {
 		former := slices.IndexFunc(before, func(other fleet.LoadedModel) bool { return other.Name == model.Name })
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -48,6 +48,10 @@
 type runner struct {
 	status   fleet.Status
 	holdings map[string]*holding
+	// listed is what loaded returns, as long as isListed is set: at ten thousand runners nearly all hold what
+	// they held at the step before.
+	listed   []fleet.LoadedModel
+	isListed bool
 	// read is what routers let it read.
 	read readTokens
 	// copies says of which models the runner's machine has a copy, and where.
@@ -183,8 +187,15 @@
 	return count
 }
 
-// loaded lists what requests may use, sorted.
+// loaded lists what requests may use, sorted. The list must not be changed.
 func (r *runner) loaded() []fleet.LoadedModel {
+	if !r.isListed {
+		r.listed, r.isListed = r.listLoaded(), true
+	}
+	return r.listed
+}
+
+func (r *runner) listLoaded() []fleet.LoadedModel {
 	var models []fleet.LoadedModel
 	for name, held := range r.holdings {
 		if held.phase != phaseReady {
--- a/placement/residency/rushworld_test.go
+++ b/placement/residency/rushworld_test.go
@@ -225,6 +225,7 @@
 		}
 	}
 	w.orders = append(w.orders, w.planner.Plan(w.now)...)
+	w.planner.checkLists()
 	w.takeView()
 }
 
--- a/placement/residency/simulated_test.go
+++ b/placement/residency/simulated_test.go
@@ -161,7 +161,9 @@
 	for _, status := range w.planner.Questions(w.now) {
 		w.answerQuestion(status.Heartbeat.Instance)
 	}
-	for _, order := range w.planner.Plan(w.now) {
+	orders := w.planner.Plan(w.now)
+	w.planner.checkLists()
+	for _, order := range orders {
 		w.orders++
 		w.sendOrder(order)
 	}
