--- a/spec/views.pml
+++ b/spec/views.pml
@@ -1,6 +1,6 @@
 /*
  * What a router knows of the runners, across a change of the leader. Written after
- * fleet/registry.go, fleet/publisher.go, fleet/merge.go and domainnode/contact.go.
+ * fleet/registry.go, fleet/publisher.go, fleet/directory.go and domainnode/contact.go.
  *
  * A leader lists the runners that it has heard, and those that the log registered for the
  * leaders before. Departures are in the log before anyone hears of them. A leader answers a
