A leader spreads its answers, and one that is new leaves routers what they know

A new leader told 985 routers its first view at once: 0.2 GB, 1.6 s of its link of 1 Gbit/s, behind which the group's heartbeats waited for longer than its lease of 0.3 s; the next leader did the same. Its views listed runners that it had not heard yet without models, so that no request had a runner until each had sent a heartbeat, 5 s there; each partial view named all that are gone; it asked 200 runners a second how many orders they had taken, for 50 s. Change: answers have turns: half of the link, a quarter of a millisecond each; who has to wait for longer than its watch asks again. A router keeps what it knew of a runner that the new leader has not heard. Partial views name those that are gone since. Beyond 512 runners of a service that could be given orders only those are asked that hold what is waited for. Ruled out: a longer election (callers would wait for it at each loss of a leader).

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -66,6 +66,8 @@
 	// refreshedAt is when the last look ended, and refreshTook how long it took.
 	refreshedAt time.Time
 	refreshTook time.Duration
+	// answers spreads the answers to watches.
+	answers *pacer
 	// limits divides the limits of tenants over routers; reserving puts what it may grant in
 	// the log.
 	limits    *quota.Divider
@@ -141,6 +143,7 @@
 		poison:     poison.New(),
 		failing:    fleet.NewFailing(),
 		warmups:    warmup.New(at),
+		answers:    newPacer(n.options.LinkBytes),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		lost:       make(map[string]bool),
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -47,6 +47,8 @@
 	Seeds func() []string
 	// Zones are those of the site, of which an operator may drain some.
 	Zones []string
+	// LinkBytes is how many bytes a second the machine's link carries; 0 if that is not known.
+	LinkBytes float64
 	// Heartbeat is the pause between two heartbeats of a runner; 0 means fleet.DefaultHeartbeat.
 	Heartbeat time.Duration
 	// Bootstrap allows the seeds to found the group. It may be set only at the first
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/group"
 	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
@@ -240,6 +241,7 @@
 		known, knownSuspects = arguments.Revision, arguments.Suspects
 	}
 	reply.Routers, reply.Hold = current.contact(arguments.Router, known, arguments.MaxHold)
+	heldUntil := s.node.now().Add(reply.Hold)
 	timeout := time.NewTimer(reply.Hold)
 	defer timeout.Stop()
 	for {
@@ -250,17 +252,19 @@
 		current.mutex.Unlock()
 		var document domain.Document
 		joined.group.View(func() { document = joined.machine.Document() })
-		if told.revision > known || told.document > arguments.Version || told.suspects > knownSuspects {
-			current.fill(reply, arguments, known, knownSuspects, document)
+		isNews := told.revision > known || told.document > arguments.Version || told.suspects > knownSuspects
+		if isNews && current.awaitTurn(known, document, arguments, heldUntil) {
+			current.fill(reply, arguments, known, knownSuspects, document, true)
 			break
 		}
 		select {
 		case <-changed:
 			continue
 		case <-notified:
-			current.fill(reply, arguments, known, knownSuspects, document)
+			current.fill(reply, arguments, known, knownSuspects, document, true)
 		case <-timeout.C:
-			current.fill(reply, arguments, known, knownSuspects, document)
+			// The views of others come first: this router asks again at once.
+			current.fill(reply, arguments, known, knownSuspects, document, !isNews)
 		}
 		break
 	}
@@ -274,8 +278,30 @@
 	return nil
 }
 
-// fill gives a router the news since what it knows.
-func (l *leadership) fill(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document) {
+// awaitTurn waits until a router may be sent the view since what it knows, and the document if it lacks it. It
+// returns false, at once, if that is later than a time.
+func (l *leadership) awaitTurn(known uint64, document domain.Document, arguments *domainapi.WatchArguments, until time.Time) bool {
+	l.mutex.Lock()
+	bytes := 0
+	if l.views.Revision() != known {
+		if view, err := l.views.EncodedSince(known); err == nil {
+			bytes = len(view.Bytes)
+		}
+	}
+	l.mutex.Unlock()
+	if document.Version > arguments.Version {
+		bytes += len(document.Source)
+	}
+	now := l.now()
+	wait, isTaken := l.answers.reserve(now, bytes, until.Sub(now))
+	if isTaken {
+		pause.For(context.Background(), wait)
+	}
+	return isTaken
+}
+
+// fill gives a router the news since what it knows; without the view where hasView is not set.
+func (l *leadership) fill(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasView bool) {
 	reply.Term = uint64(l.term)
 	reply.Confirmed = document.Version
 	if document.Version > arguments.Version {
@@ -283,20 +309,20 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	reply.Revision = l.views.Revision()
+	reply.Revision = known
 	reply.Loads = l.loads
 	reply.Shares = l.shares.Word(l.now())
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
 		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
 	}
-	if reply.Revision != known {
+	if revision := l.views.Revision(); hasView && revision != known {
 		view, err := l.views.EncodedSince(known)
 		if err != nil {
 			level.Error(l.logger).Log("msg", "A view cannot be encoded.", "err", err)
 			return
 		}
-		reply.View = &view
+		reply.View, reply.Revision = &view, revision
 	}
 }
 
--- a/placement/fleet/directory.go
+++ b/placement/fleet/directory.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/lotusferry/lotusferry/placement/pace"
+)
 
 // ModelKey names a model of a service. Without a model it names the service itself.
 type ModelKey struct{ Service, Model string }
@@ -58,11 +62,9 @@
 			d.remove(instance, &changes)
 		}
 	}
-	cold := d.recalledCold(view.Runners)
+	recalled := d.recalled(view.Runners)
 	for i := range view.Runners {
-		told := view.Runners[i]
-		told.Cold = told.Cold || cold[told.Instance]
-		d.learn(told, &changes)
+		d.learn(recalled.of(view.Runners[i]), &changes)
 	}
 	if view.Complete && d.unconfirmed > 0 {
 		for instance, known := range d.runners {
@@ -74,22 +76,44 @@
 	return changes
 }
 
-// recalledCold are the cold runners that a leader lists which has not heard them yet: it does not know that they
-// are cold.
-func (d *Directory) recalledCold(runners []Runner) map[string]bool {
-	var cold map[string]bool
+// recalled are runners that a leader lists which has not heard them yet, as they were known.
+type recalled map[string]Runner
+
+// recalled looks up those of the runners that are known. It does so before any of them is adopted, as they may have
+// changed places.
+func (d *Directory) recalled(runners []Runner) recalled {
+	var found recalled
 	for i := range runners {
 		if !runners[i].Recalled {
 			continue
 		}
-		if known := d.runners[runners[i].Instance]; known != nil && known.Cold {
-			if cold == nil {
-				cold = make(map[string]bool)
+		if known := d.runners[runners[i].Instance]; known != nil {
+			if found == nil {
+				found = make(recalled)
 			}
-			cold[known.Instance] = true
+			found[known.Instance] = known.Runner
 		}
 	}
-	return cold
+	return found
+}
+
+// of completes what a leader tells of a runner that it has not heard: it does not know what the runner holds, how
+// quick it is, or whether it is cold, and says nothing of that. What the leader before said is most often still
+// so: without it requests had no runners until each has sent its next heartbeat, and what is so no more a runner
+// itself refuses.
+func (r recalled) of(told Runner) Runner {
+	known, isKnown := r[told.Instance]
+	if !isKnown {
+		return told
+	}
+	told.Cold = told.Cold || known.Cold
+	if len(told.Models) == 0 {
+		told.Models = known.Models
+	}
+	if told.Pace == (pace.Runner{}) {
+		told.Pace, told.Slow = known.Pace, known.Slow
+	}
+	return told
 }
 
 // unconfirm prepares for a whole view: a complete one takes away what it does not list, another leaves that
--- a/placement/fleet/merge_test.go
+++ b/placement/fleet/merge_test.go
@@ -19,7 +19,7 @@
 		return mergePartial(known, learned)
 	}
 	learned.Runners = slices.Clone(learned.Runners)
-	keepCold(known.Runners, learned.Runners)
+	keepRecalled(known.Runners, learned.Runners)
 	if learned.Complete {
 		return learned
 	}
@@ -76,7 +76,7 @@
 // never listed is gone.
 func mergePartial(known, changes View) View {
 	merged := View{Complete: changes.Complete, Gone: changes.Gone, Runners: slices.Clone(changes.Runners)}
-	keepCold(known.Runners, merged.Runners)
+	keepRecalled(known.Runners, merged.Runners)
 	replaced := replacedBy(changes.Runners, changes.Removed, changes.Gone)
 	for _, runner := range known.Runners {
 		if replaced.contains(&runner) || changes.Complete && runner.Unconfirmed {
@@ -87,23 +87,17 @@
 	return merged
 }
 
-// keepCold has runners that the leader has not heard yet stay cold if they were.
-func keepCold(known, learned []Runner) {
-	var recalled map[string]*Runner
+// keepRecalled has runners that the leader has not heard yet stay as they were.
+func keepRecalled(known, learned []Runner) {
 	for i := range learned {
-		if learned[i].Recalled {
-			if recalled == nil {
-				recalled = make(map[string]*Runner)
+		for _, former := range known {
+			if !learned[i].Recalled || former.Instance != learned[i].Instance {
+				continue
+			}
+			learned[i].Cold = learned[i].Cold || former.Cold
+			if len(learned[i].Models) == 0 {
+				learned[i].Models = former.Models
 			}
-			recalled[learned[i].Instance] = &learned[i]
-		}
-	}
-	if recalled == nil {
-		return
-	}
-	for i := range known {
-		if runner := recalled[known[i].Instance]; runner != nil && known[i].Cold {
-			runner.Cold = true
 		}
 	}
 }
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -20,6 +20,8 @@
 	// changedAt is the revision in which each runner last changed.
 	changedAt map[string]uint64
 	removals  []removal
+	// goneAt is the revision in which each instance was first listed as gone.
+	goneAt map[string]uint64
 	// encoded holds the views since each revision that somebody asked for, as of now.
 	encoded map[uint64]EncodedView
 	// partialFrom is the least revision from which changes are known.
@@ -33,7 +35,9 @@
 
 // NewPublisher makes a publisher at revision 0, which nobody knows.
 func NewPublisher() *Publisher {
-	return &Publisher{changedAt: make(map[string]uint64), encoded: make(map[uint64]EncodedView)}
+	return &Publisher{
+		changedAt: make(map[string]uint64), goneAt: make(map[string]uint64), encoded: make(map[uint64]EncodedView),
+	}
 }
 
 // Publish takes the newest view and reports whether it differs from the one before.
@@ -66,6 +70,7 @@
 		return false
 	}
 	p.revision = next
+	p.noteGone(view.Gone)
 	p.forgetRemovals()
 	p.view = view
 	clear(p.encoded)
@@ -87,6 +92,19 @@
 	p.removals = append(p.removals, removal{instance, revision})
 }
 
+// noteGone notes in which revision instances were first listed as gone: who knows it need not be told again, and
+// thousands are gone while a fleet is released anew.
+func (p *Publisher) noteGone(gone []string) {
+	former := p.goneAt
+	p.goneAt = make(map[string]uint64, len(gone))
+	for _, instance := range gone {
+		p.goneAt[instance] = p.revision
+		if at, isKnown := former[instance]; isKnown {
+			p.goneAt[instance] = at
+		}
+	}
+}
+
 // forgetRemovals bounds the removals that are remembered, by the size of the view: a release of a tenth of a fleet
 // must not have everybody get a whole view.
 func (p *Publisher) forgetRemovals() {
@@ -111,7 +129,12 @@
 	if known == 0 || known < p.partialFrom || known > p.revision {
 		return p.view
 	}
-	partial := View{Partial: true, Complete: p.view.Complete, Gone: p.view.Gone}
+	partial := View{Partial: true, Complete: p.view.Complete}
+	for _, instance := range p.view.Gone {
+		if p.goneAt[instance] > known {
+			partial.Gone = append(partial.Gone, instance)
+		}
+	}
 	for _, runner := range p.view.Runners {
 		if p.changedAt[runner.Instance] > known {
 			partial.Runners = append(partial.Runners, runner)
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -199,27 +199,72 @@
 	isEarly := now.Before(p.ordersFrom.Add(-p.options.AskAgain))
 	candidates := p.sorted()
 	slices.SortStableFunc(candidates, func(a, b *runner) int { return a.askedAt.Compare(b.askedAt) })
+	known := p.knownRunners(candidates)
 	var asked []fleet.Status
-	for _, known := range candidates {
+	for _, each := range candidates {
 		if p.questions < 1 {
 			break
 		}
-		if isEarly && (!known.status.Recalled || len(known.holdings) > 0) {
+		if isEarly && (!each.status.Recalled || len(each.holdings) > 0) {
 			continue
 		}
-		if p.engineOf(known) == nil || !known.status.MayServe() || known.isGone || known.sent || known.isTakenKnown {
+		if p.engineOf(each) == nil || !each.status.MayServe() || each.isGone || each.sent || each.isTakenKnown {
 			continue
 		}
-		if now.Sub(known.changedAt) < p.options.ReportLag || now.Sub(known.askedAt) < p.options.AskAgain {
+		if now.Sub(each.changedAt) < p.options.ReportLag || now.Sub(each.askedAt) < p.options.AskAgain {
 			continue
 		}
-		known.askedAt = now
+		if known.areEnough(each) && !p.isWaitedFor(each) {
+			continue
+		}
+		each.askedAt = now
 		p.questions--
-		asked = append(asked, known.status)
+		asked = append(asked, each.status)
 	}
 	return asked
 }
 
+// enoughKnown is of how many runners of a service it must be known how many orders they have taken, besides those
+// that hold what requests wait for: more than any plan orders at once. To ask ten thousand takes a leader a
+// minute, a fifth of its time and a question to each.
+const enoughKnown = 512
+
+// knownRunners counts, by service, the runners that could be given an order.
+type knownRunners map[string]int
+
+func (p *Planner) knownRunners(candidates []*runner) knownRunners {
+	known := make(knownRunners)
+	for _, each := range candidates {
+		if each.isTakenKnown && each.status.MayServe() {
+			known[each.status.Heartbeat.Service]++
+		}
+	}
+	return known
+}
+
+// areEnough reports whether a runner need not be asked only so that there are some to order loads from.
+func (k knownRunners) areEnough(asked *runner) bool {
+	return k[asked.status.Heartbeat.Service] >= enoughKnown
+}
+
+// isWaitedFor reports whether requests wait for a model that the runner holds or has a copy of.
+func (p *Planner) isWaitedFor(known *runner) bool {
+	if p.tally == nil {
+		return false
+	}
+	for model := range known.holdings {
+		if p.tally.waiting[known.rowOf(model)] > 0 {
+			return true
+		}
+	}
+	for model := range known.copies {
+		if p.tally.waiting[known.rowOf(model)] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // refillQuestions allows what the time since the last call allows: a new leader of a
 // large site must not ask thousands of runners at once.
 func (p *Planner) refillQuestions(now time.Time) {
