A router connects only to learn a way as often as it has requests; the rush's count ends with the cold time

Change: a connect that only measures a way is allowed for each request that was sent. Nothing else of it changed.

--- a/request/relay/warmups_fleet_test.go
+++ b/request/relay/warmups_fleet_test.go
@@ -39,14 +39,15 @@
 	return listed
 }
 
-// mostArrivals is the most requests that any runner got in a second between two times.
+// mostArrivals is the most requests that any runner got in a second between two times, the second of them excluded:
+// at that instant cold runners are warm.
 func (s *testSite) mostArrivals(from, to time.Time) (most, all int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, arrivals := range s.arrivals {
 		var counted []time.Time
 		for _, at := range arrivals {
-			if at.Before(from) || at.After(to) {
+			if at.Before(from) || !at.Before(to) {
 				continue
 			}
 			counted = append(counted, at)
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -44,8 +44,12 @@
 	// probing is nil unless zoneLoop runs, and ends with it; probes are the connects under way.
 	probing context.Context
 	// wake has room for one.
-	wake   chan struct{}
-	probes sync.WaitGroup
+	wake chan struct{}
+	// sent counts the requests that were sent, and sampled the connects that were made only to learn how long
+	// the ways are.
+	sent    int
+	sampled int
+	probes  sync.WaitGroup
 }
 
 func newZones(seed uint64) zones {
@@ -68,6 +72,7 @@
 		r.zones.wakeUp()
 	}
 	r.zones.watch.Sent(r.now(), zone)
+	r.zones.sent++
 	if r.zones.attempts[zone] == nil {
 		r.zones.attempts[zone] = make(map[*watchdog]struct{})
 	}
@@ -112,7 +117,7 @@
 		if now.Sub(lookedAt) >= wayPause {
 			lookedAt = now
 			r.balancer.SetWays(r.options.Connects.ways(r.options.Zone))
-			r.probe(r.zones.watch.Sample(r.options.Connects.isUnmeasured))
+			r.sampleWays()
 		}
 		r.mutex.Unlock()
 	}
@@ -159,6 +164,16 @@
 	}
 }
 
+// sampleWays connects to zones of which it is not known how long the way is: once for each request that was sent, so
+// that a thousand routers that each have a request once in seconds don't connect to runners for nothing but that. It
+// runs under the mutex.
+func (r *Router) sampleWays() {
+	wanted := r.zones.watch.Sample(r.options.Connects.isUnmeasured)
+	wanted = wanted[:min(len(wanted), max(0, r.zones.sent-r.zones.sampled))]
+	r.zones.sampled += len(wanted)
+	r.probe(wanted)
+}
+
 // endProbing waits for the connects under way.
 func (r *Router) endProbing() {
 	r.mutex.Lock()
