Routers of a large fleet get a new leader's whole view in their turn, and what is new at once

Change: a router that followed the leader before is told what is new (departures, changes other than being heard for the first time), some hundred bytes, and gets the whole view in its turn, at a sixteenth of the link, or at once if its requests wait. The whole view of a large fleet is encoded once in 2 s. Below some 800 runners (16 KB) all is as before. Tests in virtual time: 2,000 runners, a leader lost, a departure known at once in under 1 KB, the same knowledge in the end as a router that starts anew.

--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -15,6 +15,11 @@
 	revision uint64
 	// hold is how long its watch is held at most.
 	hold time.Duration
+	// isBehind is set while the router has not got the whole view of this leader: it knows that of the one before,
+	// and what is new since.
+	isBehind bool
+	// wantsWhole is set if its requests wait for what may be in the whole view alone.
+	wantsWhole bool
 }
 
 // holdPerRouter times the number of routers is how long each of their watches is held without news, so that
@@ -80,7 +85,9 @@
 	defer l.mutex.Unlock()
 	at := l.now()
 	hold = holdTime(len(l.routers), most)
-	l.routers[router] = routerContact{at: at, revision: revision, hold: hold}
+	known := l.routers[router]
+	known.at, known.revision, known.hold = at, revision, hold
+	l.routers[router] = known
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerLife {
 			delete(l.routers, name)
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -68,6 +68,8 @@
 	refreshTook time.Duration
 	// answers spreads the answers to watches.
 	answers *pacer
+	// wholeViews gives turns to routers of a large fleet that know the view of the leader before.
+	wholeViews *pacer
 	// limits divides the limits of tenants over routers; reserving puts what it may grant in
 	// the log.
 	limits    *quota.Divider
@@ -143,7 +145,8 @@
 		poison:     poison.New(),
 		failing:    fleet.NewFailing(),
 		warmups:    warmup.New(at),
-		answers:    newPacer(n.options.LinkBytes),
+		answers:    newPacer(n.options.LinkBytes * linkShare),
+		wholeViews: newPacer(n.options.LinkBytes * wholeViewShare),
 		planned:    make(chan struct{}),
 		routers:    make(map[string]routerContact),
 		lost:       make(map[string]bool),
@@ -300,7 +303,12 @@
 // notify lets a router know of the newest view at once, unless it does already. It runs under
 // the mutex.
 func (l *leadership) notify(router string) {
-	if l.routers[router].revision < l.views.Revision() {
+	known := l.routers[router]
+	if known.isBehind {
+		known.wantsWhole = true
+		l.routers[router] = known
+	}
+	if known.wantsWhole || known.revision < l.views.Revision() {
 		l.node.metrics.earlyViews.Inc()
 		l.announcer.notify(router)
 	}
--- a/placement/domainnode/pacing.go
+++ b/placement/domainnode/pacing.go
@@ -13,6 +13,9 @@
 	// linkShare is the part of the machine's link that answers take: the rest is for the group's own messages, which
 	// must pass within its lease whatever views are under way.
 	linkShare = 0.5
+	// wholeViewShare is the part that whole views take for routers that know nearly all that is in them: at ten
+	// thousand runners and a thousand routers they take half a minute.
+	wholeViewShare = 1.0 / 16
 )
 
 // pacer spreads the answers to watches in time. A thousand first views of a new leader are 0.2 GB, 1.6 s of a link
@@ -27,7 +30,7 @@
 	free time.Time
 }
 
-func newPacer(linkBytes float64) *pacer { return &pacer{bytesPerSecond: linkBytes * linkShare} }
+func newPacer(bytesPerSecond float64) *pacer { return &pacer{bytesPerSecond: bytesPerSecond} }
 
 // reserve takes the next place for an answer of so many bytes and returns how long it must wait for it. If that is
 // longer than a limit, it takes none and returns false.
--- a/placement/domainnode/pacing_test.go
+++ b/placement/domainnode/pacing_test.go
@@ -17,7 +17,7 @@
 	)
 	c := qt.New(t)
 	start := time.Unix(1000, 0)
-	p := newPacer(link)
+	p := newPacer(link * linkShare)
 	var sent []time.Duration
 	// Routers ask again each time they are told to wait.
 	for at := time.Duration(0); len(sent) < routers; at += 10 * time.Millisecond {
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -241,6 +241,10 @@
 		known, knownSuspects = arguments.Revision, arguments.Suspects
 	}
 	reply.Routers, reply.Hold = current.contact(arguments.Router, known, arguments.MaxHold)
+	current.greet(arguments)
+	if current.takesWholeView(arguments) {
+		known = 0
+	}
 	heldUntil := s.node.now().Add(reply.Hold)
 	timeout := time.NewTimer(reply.Hold)
 	defer timeout.Stop()
@@ -284,7 +288,7 @@
 	l.mutex.Lock()
 	bytes := 0
 	if l.views.Revision() != known {
-		if view, err := l.views.EncodedSince(known); err == nil {
+		if view, _, err := l.viewFor(arguments.Router, known); err == nil {
 			bytes = len(view.Bytes)
 		}
 	}
@@ -316,8 +320,11 @@
 		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
 	}
-	if revision := l.views.Revision(); hasView && revision != known {
-		view, err := l.views.EncodedSince(known)
+	if l.takeWanted(arguments.Router) {
+		known = 0
+	}
+	if hasView && l.views.Revision() != known {
+		view, revision, err := l.viewFor(arguments.Router, known)
 		if err != nil {
 			level.Error(l.logger).Log("msg", "A view cannot be encoded.", "err", err)
 			return
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 )
 
@@ -76,3 +77,62 @@
 		}
 	}
 }
+
+// greet notes a router that followed the leader before. Of a large fleet it knows all that leader told it, so that it
+// is told only what is new until its turn for the whole view comes.
+func (l *leadership) greet(arguments *domainapi.WatchArguments) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if arguments.Term == uint64(l.term) {
+		return
+	}
+	isNew := arguments.Term == 0 || arguments.Revision == 0
+	known := l.routers[arguments.Router]
+	known.isBehind = !isNew && l.views.IsLarge(l.now())
+	known.wantsWhole = false
+	l.routers[arguments.Router] = known
+}
+
+// takesWholeView reports whether the router's turn for the whole view has come. Until then it is told what is new.
+func (l *leadership) takesWholeView(arguments *domainapi.WatchArguments) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.routers[arguments.Router]
+	if !known.isBehind || arguments.Term != uint64(l.term) {
+		return false
+	}
+	whole, _, err := l.views.Whole(l.now())
+	if err != nil {
+		return false
+	}
+	if _, isTaken := l.wholeViews.reserve(l.now(), len(whole.Bytes), 0); !isTaken {
+		return false
+	}
+	known.isBehind = false
+	l.routers[arguments.Router] = known
+	return true
+}
+
+// takeWanted reports whether a router is to get the whole view now, as its requests wait. It runs under the mutex.
+func (l *leadership) takeWanted(router string) bool {
+	known := l.routers[router]
+	if !known.wantsWhole {
+		return false
+	}
+	known.isBehind, known.wantsWhole = false, false
+	l.routers[router] = known
+	return true
+}
+
+// viewFor is the view that a router is sent that knows a revision, and what it knows then. It runs under the mutex.
+func (l *leadership) viewFor(router string, known uint64) (view fleet.EncodedView, revision uint64, err error) {
+	switch {
+	case l.routers[router].isBehind:
+		view, err = l.views.EncodedNewsSince(known)
+	case known == 0:
+		return l.views.Whole(l.now())
+	default:
+		view, err = l.views.EncodedSince(known)
+	}
+	return view, l.views.Revision(), err
+}
--- a/placement/domainnode/views_test.go
+++ b/placement/domainnode/views_test.go
@@ -88,3 +88,120 @@
 		watching.Wait()
 	})
 }
+
+// largeFleet has the leader hear so many runners, and says which of them a call is about.
+func (d *testDomain) largeFleet(leading *runningNode, runners int, sequence uint64) {
+	joined, err := leading.current()
+	d.c.Assert(err, qt.IsNil)
+	for index := range runners {
+		joined.leads().heard(largeRunner(index, sequence))
+	}
+	joined.leads().wakePlan()
+}
+
+func largeRunner(index int, sequence uint64) fleet.Heartbeat {
+	return fleet.Heartbeat{
+		Instance: fmt.Sprintf("i-%08x", uint32(index)*2654435761), Service: "s", Address: fmt.Sprintf("10.%d.%d.%d:8080", index>>16, index>>8&255, index&255),
+		Zone: fmt.Sprint("zone-", index%2), Slots: 12, Sequence: sequence, Models: []fleet.LoadedModel{{Name: fmt.Sprint("m", index%100)}},
+	}
+}
+
+// testFollower is what a router does with the replies to its watches.
+type testFollower struct {
+	d         *testDomain
+	arguments domainapi.WatchArguments
+	known     *fleet.Directory
+	// bytes are those of the last view, whole is set if it was one.
+	bytes   int
+	isWhole bool
+}
+
+func (d *testDomain) newFollower(name string) *testFollower {
+	return &testFollower{d: d, known: fleet.NewDirectory(), arguments: domainapi.WatchArguments{Router: name, MaxHold: domainapi.MostHold, Version: 1}}
+}
+
+// watch asks the leader once.
+func (f *testFollower) watch() {
+	var reply domainapi.WatchReply
+	f.d.await("an answer to a watch", func() bool {
+		reply = domainapi.WatchReply{}
+		_ = (&service{node: f.d.nodes[f.d.awaitLeader()].Node}).Watch(&f.arguments, &reply)
+		return reply.Error == nil
+	})
+	f.bytes, f.isWhole = 0, false
+	if reply.View != nil {
+		view, err := reply.View.Decode()
+		f.d.c.Assert(err, qt.IsNil)
+		f.bytes, f.isWhole = len(reply.View.Bytes), !view.Partial
+		f.known.Learn(view)
+	}
+	f.arguments.Term, f.arguments.Revision = reply.Term, reply.Revision
+}
+
+// A new leader of a large fleet tells routers that followed the one before what is new, at once and shortly, and the
+// whole view in their turn. Meanwhile they know what they knew; one that knows nothing gets all at once.
+func TestRoutersOfALargeFleetKeepWhatTheyKnowAtANewLeader(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		const runners = 2000
+		document := []byte(`{"Version":1,"Services":[{"Name":"s","Engine":{"WeightsMB":1000,"MaxAdapters":8,"LoadsPerSecond":9,` +
+			`"Models":[{"Name":"m1","SizeMB":1}]}}]}`)
+		d.found(0, 1, 2)
+		d.await("the document", func() bool { return d.nodes[0].PutDocument(d.ctx, document) == nil })
+		d.largeFleet(d.nodes[d.awaitLeader()], runners, 1)
+		pause.For(d.ctx, 3*time.Second)
+		router := d.newFollower("router")
+		router.watch()
+		d.c.Assert(router.isWhole, qt.IsTrue)
+		d.c.Assert(router.known.Len(), qt.Equals, runners)
+		d.kill(d.awaitLeader())
+		next := d.nodes[d.awaitLeader()]
+		gone := largeRunner(7, 0).Instance
+		d.await("a departure", func() bool { return next.Depart(d.ctx, gone, 0) == nil })
+		router.watch()
+		d.c.Assert(router.isWhole, qt.IsFalse)
+		d.c.Assert(router.bytes < 1000, qt.IsTrue, qt.Commentf("%d bytes", router.bytes))
+		d.c.Assert(router.known.Len(), qt.Equals, runners-1)
+		d.c.Assert(router.known.Runner(gone), qt.IsNil)
+		d.c.Assert(router.known.Runner(largeRunner(8, 0).Instance).Models, qt.HasLen, 1)
+		fresh := d.newFollower("fresh")
+		fresh.watch()
+		d.c.Assert(fresh.isWhole, qt.IsTrue)
+		d.largeFleet(next, runners, 2)
+		for range 10 {
+			router.watch()
+			fresh.watch()
+		}
+		for index := range runners {
+			instance := largeRunner(index, 0).Instance
+			d.c.Assert(router.known.Runner(instance), qt.DeepEquals, fresh.known.Runner(instance), qt.Commentf("%s", instance))
+		}
+	})
+}
+
+// A router whose requests wait for a model that it was not told of gets the whole view at once.
+func TestWaitingRouterGetsTheWholeViewAtOnce(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.found(0, 1, 2)
+		d.put(1)
+		leading := d.nodes[d.awaitLeader()]
+		d.largeFleet(leading, 2000, 1)
+		pause.For(d.ctx, 2*time.Second)
+		joined, err := leading.current()
+		d.c.Assert(err, qt.IsNil)
+		current := joined.leads()
+		router := d.newFollower("router")
+		router.watch()
+		current.mutex.Lock()
+		known := current.routers["router"]
+		known.isBehind = true
+		current.routers["router"] = known
+		// All turns are taken for long.
+		current.wholeViews.free = current.now().Add(time.Hour)
+		current.notify("router")
+		current.mutex.Unlock()
+		began := time.Now()
+		router.watch()
+		d.c.Assert(router.isWhole, qt.IsTrue)
+		d.c.Assert(time.Since(began) < 50*time.Millisecond, qt.IsTrue)
+	})
+}
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // Of removals at least minRemovals are remembered for partial views, and a removalsShare of the runners: a removal
@@ -24,6 +25,13 @@
 	goneAt map[string]uint64
 	// encoded holds the views since each revision that somebody asked for, as of now.
 	encoded map[uint64]EncodedView
+	// encodedNews holds the same of NewsSince, and heardAt the revision in which each runner was first heard.
+	encodedNews map[uint64]EncodedView
+	// whole is the newest view as bytes, as of wholeRevision and wholeAt.
+	whole         EncodedView
+	wholeRevision uint64
+	wholeAt       time.Time
+	heardAt       map[string]uint64
 	// partialFrom is the least revision from which changes are known.
 	partialFrom uint64
 }
@@ -37,6 +45,7 @@
 func NewPublisher() *Publisher {
 	return &Publisher{
 		changedAt: make(map[string]uint64), goneAt: make(map[string]uint64), encoded: make(map[uint64]EncodedView),
+		encodedNews: make(map[uint64]EncodedView), heardAt: make(map[string]uint64),
 	}
 }
 
@@ -57,6 +66,9 @@
 		if !isKnown || !former[0].Equal(*runner) {
 			p.changedAt[runner.Instance] = next
 			isChanged = true
+			if isKnown {
+				p.noteHeard(&former[0], runner)
+			}
 		}
 		if isKnown {
 			former = former[1:]
@@ -74,6 +86,7 @@
 	p.forgetRemovals()
 	p.view = view
 	clear(p.encoded)
+	clear(p.encodedNews)
 	return true
 }
 
@@ -89,6 +102,7 @@
 // remove notes that a runner is listed no more from a revision on.
 func (p *Publisher) remove(instance string, revision uint64) {
 	delete(p.changedAt, instance)
+	delete(p.heardAt, instance)
 	p.removals = append(p.removals, removal{instance, revision})
 }
 
@@ -129,24 +143,36 @@
 	if known == 0 || known < p.partialFrom || known > p.revision {
 		return p.view
 	}
-	partial := View{Partial: true, Complete: p.view.Complete}
-	for _, instance := range p.view.Gone {
-		if p.goneAt[instance] > known {
-			partial.Gone = append(partial.Gone, instance)
-		}
-	}
+	partial := View{Partial: true, Complete: p.view.Complete, Gone: p.goneSince(known)}
 	for _, runner := range p.view.Runners {
 		if p.changedAt[runner.Instance] > known {
 			partial.Runners = append(partial.Runners, runner)
 		}
 	}
+	partial.Removed = p.removedSince(known)
+	return partial
+}
+
+// goneSince lists the instances that were first listed as gone after a revision.
+func (p *Publisher) goneSince(known uint64) []string {
+	var gone []string
+	for _, instance := range p.view.Gone {
+		if p.goneAt[instance] > known {
+			gone = append(gone, instance)
+		}
+	}
+	return gone
+}
+
+// removedSince lists the runners that have not been listed since some time after a revision.
+func (p *Publisher) removedSince(known uint64) []string {
+	var removed []string
 	for _, each := range p.removals {
 		if each.revision > known && p.changedAt[each.instance] == 0 {
-			partial.Removed = append(partial.Removed, each.instance)
+			removed = append(removed, each.instance)
 		}
 	}
-	partial.Removed = withIDs(partial.Removed, p.isListed)
-	return partial
+	return withIDs(removed, p.isListed)
 }
 
 // isListed reports whether a life of the runner with the ID is in the view.
@@ -154,14 +180,34 @@
 	return slices.ContainsFunc(p.view.Runners, func(runner Runner) bool { return IDOf(runner.Instance) == id })
 }
 
-// EncodedSince is Since as bytes, which are made once for all who know the revision.
-func (p *Publisher) EncodedSince(known uint64) (EncodedView, error) {
-	if encoded, isMade := p.encoded[known]; isMade {
-		return encoded, nil
+const (
+	// largeView is the size in bytes from which a whole view is worth keeping, and wholeLife how long: to encode
+	// one of ten thousand runners takes some tens of milliseconds, and who gets it asks for the rest at once.
+	largeView = 16 << 10
+	wholeLife = 2 * time.Second
+)
+
+// Whole returns a whole view as bytes, and its revision: the newest, or a large one of just before.
+func (p *Publisher) Whole(now time.Time) (view EncodedView, revision uint64, err error) {
+	isYoung := len(p.whole.Bytes) >= largeView && now.Sub(p.wholeAt) < wholeLife && p.wholeRevision >= p.partialFrom
+	if p.wholeRevision > 0 && (isYoung || p.wholeRevision == p.revision) {
+		return p.whole, p.wholeRevision, nil
 	}
-	encoded, err := p.Since(known).Encode()
-	if err == nil {
-		p.encoded[known] = encoded
+	encoded, err := p.view.Encode()
+	if err != nil {
+		return encoded, 0, err
 	}
-	return encoded, err
+	p.whole, p.wholeRevision, p.wholeAt = encoded, p.revision, now
+	return encoded, p.revision, nil
+}
+
+// IsLarge reports whether a whole view is so large that a leader must not send it to all routers at once.
+func (p *Publisher) IsLarge(now time.Time) bool {
+	whole, _, err := p.Whole(now)
+	return err == nil && len(whole.Bytes) >= largeView
+}
+
+// EncodedSince is Since as bytes, which are made once for all who know the revision.
+func (p *Publisher) EncodedSince(known uint64) (EncodedView, error) {
+	return p.encodeOnce(p.encoded, known, p.Since)
 }
