--- a/placement/domainnode/announcer.go
+++ b/placement/domainnode/announcer.go
@@ -1,6 +1,10 @@
 package domainnode
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/internal/wake"
+)
 
 // announcePausePerRouter times the number of routers is the shortest pause between two
 // announcements to all routers: an answer to one router takes the leader a fifth of a
@@ -56,10 +60,7 @@
 
 // notify tells one router at once.
 func (a *announcer) notify(router string) {
-	select {
-	case a.notification(router) <- struct{}{}:
-	default:
-	}
+	wake.Up(a.notification(router))
 }
 
 // notification is the channel that tells a router to ask for the newest view at once.
--- a/placement/domainnode/heartbeats.go
+++ b/placement/domainnode/heartbeats.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 )
@@ -61,9 +62,9 @@
 	f.waiting = append(f.waiting, waitingHeartbeat{heartbeat, done})
 	said, isKnown := f.said[heartbeat.Instance]
 	f.mutex.Unlock()
-	signal(f.wake)
+	wake.Up(f.wake)
 	if !isKnown || !said.IsRepeatedBy(heartbeat) {
-		signal(f.hasNews)
+		wake.Up(f.hasNews)
 	}
 	select {
 	case err := <-done:
@@ -102,14 +103,6 @@
 	}
 }
 
-// signal leaves a word in a channel that has room for one.
-func signal(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
-
 func (f *forwarder) sendBatch(ctx context.Context, batch []waitingHeartbeat) {
 	heartbeats := make([]fleet.Heartbeat, len(batch))
 	for i, each := range batch {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -11,6 +11,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
@@ -344,10 +345,7 @@
 
 // wakePlan asks for a look at what to load now.
 func (l *leadership) wakePlan() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	wake.Up(l.wake)
 }
 
 func (l *leadership) isStopping(node raft.NodeID) bool {
--- a/placement/domainnode/reserving.go
+++ b/placement/domainnode/reserving.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/quota"
@@ -35,10 +36,7 @@
 }
 
 func (r *reserving) wakeUp() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	wake.Up(r.wake)
 }
 
 // reserveLoop puts in the log what may be granted in the next moments, until the leadership ends.
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
@@ -181,18 +182,12 @@
 
 // wakeReport asks for a report soon.
 func (r *Router) wakeReport() {
-	select {
-	case r.report <- struct{}{}:
-	default:
-	}
+	wake.Up(r.report)
 }
 
 // noteWork ends the rest of a report loop that has nothing to report.
 func (r *Router) noteWork() {
-	select {
-	case r.hasWork <- struct{}{}:
-	default:
-	}
+	wake.Up(r.hasWork)
 }
 
 // reportLoop reports demand to the leader, every reportInterval while there is any.
--- a/request/relay/limits.go
+++ b/request/relay/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/request/limiter"
@@ -43,10 +44,7 @@
 }
 
 func (l *limits) wakeUp() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	wake.Up(l.wake)
 }
 
 // isLow reports whether it is time to ask for reserves. It runs under the mutex.
--- a/request/relay/warmups.go
+++ b/request/relay/warmups.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
@@ -44,10 +45,7 @@
 
 // wakeWarmUp has the leader be asked if requests wait that only cold runners can take.
 func (r *Router) wakeWarmUp() {
-	select {
-	case r.warmUp <- struct{}{}:
-	default:
-	}
+	wake.Up(r.warmUp)
 }
 
 // askWarmUp asks once, if requests wait that only cold runners can take. It returns after how long it should be
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/zonewatch"
@@ -158,10 +159,7 @@
 
 // wakeUp ends the pause of a router that expects nothing of any zone.
 func (z *zones) wakeUp() {
-	select {
-	case z.wake <- struct{}{}:
-	default:
-	}
+	wake.Up(z.wake)
 }
 
 // sampleWays connects to zones of which it is not known how long the way is: once for each request that was sent, so
