--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -19,7 +19,10 @@
 	ordersFrom time.Time
 	document   *site.Index
 	runners    map[string]*runner
-	demands    map[Row]*rowDemand
+	// order is that of the runners by instance, as long as isOrdered is set: they come and go seldom.
+	order     []*runner
+	isOrdered bool
+	demands   map[Row]*rowDemand
 	// idleDemand are by service.
 	idleDemand map[string]*idleDemand
 	// routerZones are by router.
@@ -113,6 +116,7 @@
 			known = &runner{holdings: make(map[string]*holding)}
 			p.runners[instance] = known
 			p.runnersAt = now
+			p.isOrdered = false
 		}
 		wasHeard := known.status.Heartbeat.Instance != "" && !known.status.Recalled
 		isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
@@ -129,6 +133,7 @@
 	for instance := range p.runners {
 		if !listed[instance] {
 			delete(p.runners, instance)
+			p.isOrdered = false
 		}
 	}
 	isListed := func(instance string) bool { return listed[instance] }
@@ -197,7 +202,7 @@
 func (p *Planner) Questions(now time.Time) []fleet.Status {
 	p.refillQuestions(now)
 	isEarly := now.Before(p.ordersFrom.Add(-p.options.AskAgain))
-	candidates := p.sorted()
+	candidates := slices.Clone(p.sorted())
 	slices.SortStableFunc(candidates, func(a, b *runner) int { return a.askedAt.Compare(b.askedAt) })
 	known := p.knownRunners(candidates)
 	var asked []fleet.Status
@@ -299,15 +304,20 @@
 	return service.Engine
 }
 
+// sorted lists the runners by instance. The list must not be changed.
 func (p *Planner) sorted() []*runner {
-	listed := make([]*runner, 0, len(p.runners))
+	if p.isOrdered {
+		return p.order
+	}
+	p.order = make([]*runner, 0, len(p.runners))
 	for _, known := range p.runners {
-		listed = append(listed, known)
+		p.order = append(p.order, known)
 	}
-	slices.SortFunc(listed, func(a, b *runner) int {
+	slices.SortFunc(p.order, func(a, b *runner) int {
 		return strings.Compare(a.status.Heartbeat.Instance, b.status.Heartbeat.Instance)
 	})
-	return listed
+	p.isOrdered = true
+	return p.order
 }
 
 // waits lists the rows that wait, the most urgent first.
