--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -78,7 +78,7 @@
 	Recalled bool
 	// Models are ready for requests.
 	Models []LoadedModel
-	// Unconfirmed is set by Merge at a router for what the present leader has not listed
+	// Unconfirmed is set by a Directory for what the present leader has not listed
 	// yet; nobody sends it.
 	Unconfirmed bool `msgpack:"-"`
 }
