No router is given a whole view that is older than what it knows; lives are found by search

Cause, found by reading the change again: on a large fleet a whole view is kept for 2 s, and a router whose turn came could get one of before a departure that it had been told of: the runner was listed again until the next answer. And each removal in a partial view looked through all runners for another life of it: removals times runners, under the leader's mutex. Change: the kept view counts only if it is no older than the reader's revision, and a turn waits for one that is not; another life is found by binary search in the sorted view.

--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -101,8 +101,9 @@
 	if !known.isBehind || arguments.Term != uint64(l.term) {
 		return false
 	}
-	whole, _, err := l.views.Whole(l.now())
-	if err != nil {
+	whole, revision, err := l.views.Whole(l.now(), 0)
+	if err != nil || revision < arguments.Revision {
+		// It would tell the router less than it knows; the next one that is encoded does not.
 		return false
 	}
 	if _, isTaken := l.wholeViews.reserve(l.now(), len(whole.Bytes), 0); !isTaken {
@@ -130,7 +131,7 @@
 	case l.routers[router].isBehind:
 		view, err = l.views.EncodedNewsSince(known)
 	case known == 0:
-		return l.views.Whole(l.now())
+		return l.views.Whole(l.now(), l.routers[router].revision)
 	default:
 		view, err = l.views.EncodedSince(known)
 	}
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -177,7 +177,13 @@
 
 // isListed reports whether a life of the runner with the ID is in the view.
 func (p *Publisher) isListed(id string) bool {
-	return slices.ContainsFunc(p.view.Runners, func(runner Runner) bool { return IDOf(runner.Instance) == id })
+	order := func(runner Runner, name string) int { return strings.Compare(runner.Instance, name) }
+	if _, isListed := slices.BinarySearchFunc(p.view.Runners, id, order); isListed {
+		return true
+	}
+	lives := id + bornSeparator
+	at, _ := slices.BinarySearchFunc(p.view.Runners, lives, order)
+	return at < len(p.view.Runners) && strings.HasPrefix(p.view.Runners[at].Instance, lives)
 }
 
 const (
@@ -187,9 +193,10 @@
 	wholeLife = 2 * time.Second
 )
 
-// Whole returns a whole view as bytes, and its revision: the newest, or a large one of just before.
-func (p *Publisher) Whole(now time.Time) (view EncodedView, revision uint64, err error) {
-	isYoung := len(p.whole.Bytes) >= largeView && now.Sub(p.wholeAt) < wholeLife && p.wholeRevision >= p.partialFrom
+// Whole returns a whole view as bytes, and its revision: the newest, or a large one of just before that is no older
+// than a revision which its reader knows, as nobody may be told again of a runner that has left.
+func (p *Publisher) Whole(now time.Time, known uint64) (view EncodedView, revision uint64, err error) {
+	isYoung := len(p.whole.Bytes) >= largeView && p.wholeRevision >= known && now.Sub(p.wholeAt) < wholeLife && p.wholeRevision >= p.partialFrom
 	if p.wholeRevision > 0 && (isYoung || p.wholeRevision == p.revision) {
 		return p.whole, p.wholeRevision, nil
 	}
@@ -203,7 +210,7 @@
 
 // IsLarge reports whether a whole view is so large that a leader must not send it to all routers at once.
 func (p *Publisher) IsLarge(now time.Time) bool {
-	whole, _, err := p.Whole(now)
+	whole, _, err := p.Whole(now, 0)
 	return err == nil && len(whole.Bytes) >= largeView
 }
 
--- a/placement/fleet/publisher_test.go
+++ b/placement/fleet/publisher_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -118,3 +119,31 @@
 	_, err = EncodedView{IsPacked: true, Bytes: []byte("torn")}.Decode()
 	c.Assert(err, qt.IsNotNil)
 }
+
+// A whole view is kept for a while, but nobody is given one that is older than what he knows: it would list again what
+// has left.
+func TestWholeViewIsNoOlderThanWhatItsReaderKnows(t *testing.T) {
+	c := qt.New(t)
+	publisher := NewPublisher()
+	view := fleetOf(2000)
+	publisher.Publish(view)
+	_, first, err := publisher.Whole(start, 0)
+	c.Assert(err, qt.IsNil)
+	view.Runners = slices.Clone(view.Runners[1:])
+	publisher.Publish(view)
+	_, kept, err := publisher.Whole(start.Add(time.Second), first)
+	c.Assert(err, qt.IsNil)
+	c.Assert(kept, qt.Equals, first)
+	_, fresh, err := publisher.Whole(start.Add(time.Second), publisher.Revision())
+	c.Assert(err, qt.IsNil)
+	c.Assert(fresh, qt.Equals, publisher.Revision())
+}
+
+func TestListedLivesAreFoundByTheirIDs(t *testing.T) {
+	c := qt.New(t)
+	publisher := NewPublisher()
+	publisher.Publish(View{Runners: []Runner{{Instance: "a"}, {Instance: "a!b"}, {Instance: "b#7"}, {Instance: "bc#1"}, {Instance: "d0"}}})
+	for id, want := range map[string]bool{"a": true, "a!b": true, "b": true, "bc": true, "d0": true, "": false, "c": false, "d": false, "a!": false, "z": false} {
+		c.Assert(publisher.isListed(id), qt.Equals, want, qt.Commentf("%q", id))
+	}
+}
