--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -278,6 +278,7 @@
 	defer watchdog.stop()
 	defer x.router.noteSent(choice, watchdog)()
 	x.sent++
+	x.router.noteSentToLimited(choice.Runner(), x.sent > 1)
 	x.seen.sent(choice.Runner())
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
@@ -288,6 +289,10 @@
 		return x.sendFailed(ctx, choice, err)
 	}
 	x.arrivals++
+	if !answer.NotHeld {
+		// What answers that may be another runner at the address of the one that was meant.
+		x.router.noteLimit(choice.Runner(), answer.Limit)
+	}
 	watchdog.heard()
 	defer answer.Body.Close()
 	ended := x.receive(ctx, choice, answer, watchdog)
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -38,6 +38,10 @@
 	letGo    prometheus.Counter
 	// coldRequests counts the requests to cold runners that the leader granted.
 	coldRequests prometheus.Counter
+	// limitedRunners counts the runners that name a rate limit, as this router knows, and limitedSent the
+	// requests that were sent to them, first and repeated ones.
+	limitedRunners prometheus.Gauge
+	limitedSent    *prometheus.CounterVec
 	// named are the tenants with series of their own.
 	named sync.Map
 	count atomic.Int32
@@ -77,20 +81,23 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "limit_draw_seconds",
 			Help: "Time of a question for parts of limits.", Buckets: latencyBuckets,
 		}),
-		zonesLost:    gauge("zones_out_of_reach", "Zones of which no runner can be reached."),
-		zoneLosses:   counter("zone_losses_total", "Times that a zone got out of reach.").WithLabelValues(),
-		zoneProbes:   counter("zone_probes_total", "Connects made to learn whether a zone is reached.").WithLabelValues(),
-		lateness:     gauge("timers_late_seconds", "By how much the timers of the process usually are late."),
-		pressed:      gauge("at_limit", "1 while the router lets connections go as its machine is too slow for them."),
-		coldRequests: counter("cold_requests_granted_total", "Requests to cold runners that the leader granted to this router.").WithLabelValues(),
-		letGo:        counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
-		loadsAt:      gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
-		viewAt:       gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+		zonesLost:      gauge("zones_out_of_reach", "Zones of which no runner can be reached."),
+		zoneLosses:     counter("zone_losses_total", "Times that a zone got out of reach.").WithLabelValues(),
+		zoneProbes:     counter("zone_probes_total", "Connects made to learn whether a zone is reached.").WithLabelValues(),
+		lateness:       gauge("timers_late_seconds", "By how much the timers of the process usually are late."),
+		pressed:        gauge("at_limit", "1 while the router lets connections go as its machine is too slow for them."),
+		coldRequests:   counter("cold_requests_granted_total", "Requests to cold runners that the leader granted to this router.").WithLabelValues(),
+		limitedRunners: gauge("limited_runners", "Runners that name a rate limit, as this router knows."),
+		limitedSent:    counter("limited_sendings_total", "Sendings to runners that name a rate limit, by whether the request was sent before.", "repeated"),
+		letGo:          counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
+		loadsAt:        gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
+		viewAt:         gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.loadsAt, made.tenants, made.draws,
-			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.pressed, made.letGo, made.coldRequests)
+			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.pressed, made.letGo, made.coldRequests,
+			made.limitedRunners, made.limitedSent)
 	}
 	return made
 }
--- a/request/relay/placed.go
+++ b/request/relay/placed.go
@@ -123,6 +123,7 @@
 		r.leaveAddress(r.placed.runners[instance])
 		delete(r.placed.runners, instance)
 		delete(r.heard, id)
+		r.forgetLimit(id)
 	}
 }
 
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -69,6 +69,8 @@
 	unreachable map[string]bool
 	// tokensUntil is until when the tokens for requests to cold runners may be used; zero if there are none.
 	tokensUntil time.Time
+	// runnerLimits are the rate limits that runners name.
+	runnerLimits runnerLimits
 	// ended counts how attempts ended since the last report.
 	ended map[structs.RunnerID]*fleet.Attempts
 	// heard is when each runner last sent something.
@@ -145,6 +147,7 @@
 		limits:  newLimits(random.Uint64()),
 		refused: asynclog.NewLimiter(maxTenantLines),
 
+		runnerLimits:    newRunnerLimits(),
 		suspects:        newSuspects(),
 		zones:           newZones(options.Seed),
 		refusedSuspects: asynclog.NewLimiter(maxSuspectLines),
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/placement/ratelimit"
 )
 
 // Request is a caller's request.
@@ -116,6 +117,8 @@
 	Signed bool
 	// IsStream is set if the body is a stream of events.
 	IsStream bool
+	// Limit is what the answer tells of the runner's rate limit.
+	Limit ratelimit.Notice
 }
 
 // Backend sends attempts to runners. The error is ErrNotSent, wrapped, if no byte of
