Failing test: a runner that names a limit gets its part of the traffic all the same

What callers and runners saw: a runner in need says in its answers how many requests a second it takes from all routers; routers hand the answer on and go on as before.

--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -80,6 +80,8 @@
 	// coldUntil is until when the runners at each address are cold, arrivals when requests came to each runner.
 	coldUntil map[string]time.Time
 	arrivals  map[string][]time.Time
+	// limits are the rate limits that the runners at each address name, in requests a second.
+	limits map[string]float64
 }
 
 type testController struct {
@@ -150,7 +152,7 @@
 			controllers: make([]*testController, testControllers), routers: make([]*testRouter, testRouters),
 			runners: make(map[string]*testRunner), poison: make(map[string]bool),
 			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time), lastRunner: make(map[string]string),
-			coldUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time),
+			coldUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time), limits: make(map[string]float64),
 		}
 		c.Cleanup(func() {
 			cancel()
@@ -327,6 +329,7 @@
 	}
 	return &relay.Answer{
 		Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("fine")), Length: 4, Signed: true,
+		Limit: s.limitAt(target.address),
 	}, nil
 }
 
