Runners that bear few requests a second: names that say so, not warm-up alone

No change of behaviour. What is lent for cold runners serves any runner that bears few requests a second: package ratelimit (was warmup), token loop (was warm-up loop), paced runners (were cold ones) in the choice. The method of the controllers keeps its name, for processes of versions before.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -12,9 +12,9 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
-	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -203,16 +203,17 @@
 	Grants []quota.Grant
 }
 
-// WarmUpArguments ask for requests that may be sent to cold runners.
+// WarmUpArguments ask for requests that may be sent to runners that bear few a second; only cold ones did when the
+// method got its name.
 type WarmUpArguments struct {
 	Router string
-	Wants  []warmup.Want
+	Wants  []ratelimit.Want
 }
 
-// WarmUpReply grants some of them, each to be sent within warmup.TokenLife of the question.
+// WarmUpReply grants some of them, each to be sent within ratelimit.TokenLife of the question.
 type WarmUpReply struct {
 	Reply
-	Grants []warmup.Grant
+	Grants []ratelimit.Grant
 }
 
 // TryArguments ask whether a request that may crash runners may be sent to one.
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -16,10 +16,10 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
 	"github.com/lotusferry/lotusferry/placement/site"
-	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -92,8 +92,8 @@
 	planned  chan struct{}
 	routers  map[string]routerContact
 	stopping map[raft.NodeID]time.Time
-	// warmups lends requests to cold runners, which bear coldRates of each service a second.
-	warmups   *warmup.Pacer
+	// tokens lends requests to runners that bear few a second; cold runners of each service bear coldRates.
+	tokens    *ratelimit.Pacer
 	coldRates map[string]float64
 	// drains are the zones whose runners get no new requests.
 	drains drains
@@ -145,7 +145,7 @@
 		announcer:  newAnnouncer(),
 		poison:     poison.New(),
 		failing:    fleet.NewFailing(),
-		warmups:    warmup.New(at),
+		tokens:     ratelimit.New(at),
 		answers:    newPacer(n.options.LinkBytes * linkShare),
 		wholeViews: newPacer(n.options.LinkBytes * wholeViewShare),
 		planned:    make(chan struct{}),
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -30,7 +30,7 @@
 	}
 	l.summedUpAt = at
 	l.recordBeliefs(at)
-	l.warmups.Forget(func(instance string) bool { return l.registry.Service(instance) != "" })
+	l.tokens.Forget(func(instance string) bool { return l.registry.Service(instance) != "" })
 	var models []string
 	waiting := 0
 	for _, summary := range l.planner.Summary(at) {
--- a/placement/domainnode/warmups.go
+++ b/placement/domainnode/tokens.go
@@ -5,8 +5,8 @@
 
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/site"
-	"github.com/lotusferry/lotusferry/placement/warmup"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -58,18 +58,18 @@
 	return nil
 }
 
-func (l *leadership) lend(at time.Time, wants []warmup.Want) []warmup.Grant {
+func (l *leadership) lend(at time.Time, wants []ratelimit.Want) []ratelimit.Grant {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	grants := make([]warmup.Grant, 0, len(wants))
+	grants := make([]ratelimit.Grant, 0, len(wants))
 	for _, want := range wants {
 		rate := l.coldRates[l.registry.Service(want.Instance)]
 		if rate <= 0 {
 			// Its runners are cold no more, or it has ended; the next view tells the router.
-			grants = append(grants, warmup.Grant{Instance: want.Instance, MoreIn: warmup.TokenLife})
+			grants = append(grants, ratelimit.Grant{Instance: want.Instance, MoreIn: ratelimit.TokenLife})
 			continue
 		}
-		grant := l.warmups.Lend(at, want, rate)
+		grant := l.tokens.Lend(at, want, rate)
 		l.node.metrics.warmups.WithLabelValues("granted").Add(float64(grant.Requests))
 		l.node.metrics.warmups.WithLabelValues("later").Add(float64(max(0, want.Requests-grant.Requests)))
 		grants = append(grants, grant)
--- a/placement/domainnode/warmups_test.go
+++ b/placement/domainnode/tokens_test.go
@@ -8,16 +8,16 @@
 
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
-	"github.com/lotusferry/lotusferry/placement/warmup"
+	"github.com/lotusferry/lotusferry/placement/ratelimit"
 )
 
 // warmUp asks the leader for requests to r0.
-func (d *testDomain) warmUp(requests int) warmup.Grant {
+func (d *testDomain) warmUp(requests int) ratelimit.Grant {
 	var reply domainapi.WarmUpReply
 	d.await("an answer of the leader", func() bool {
 		leader := d.awaitLeader()
 		reply = domainapi.WarmUpReply{}
-		arguments := &domainapi.WarmUpArguments{Router: "router", Wants: []warmup.Want{{Instance: "r0", Requests: requests}}}
+		arguments := &domainapi.WarmUpArguments{Router: "router", Wants: []ratelimit.Want{{Instance: "r0", Requests: requests}}}
 		_ = (&service{node: d.nodes[leader].Node}).WarmUp(arguments, &reply)
 		return reply.Error == nil
 	})
@@ -49,7 +49,7 @@
 		d.foundWithRunners()
 		pause.For(d.ctx, time.Second)
 		first := d.warmUp(5)
-		d.c.Assert(first.Requests, qt.Equals, warmup.Burst)
+		d.c.Assert(first.Requests, qt.Equals, ratelimit.Burst)
 		d.c.Assert(first.MoreIn > 0, qt.IsTrue)
 		d.kill(d.awaitLeader())
 		next := d.warmUp(1)
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -72,7 +72,7 @@
 	// Failing runners fail many of the requests that they are sent. They get some only where no
 	// other one can take them.
 	Failing bool
-	// Cold runners get only requests for which the leader lent a token; see package warmup.
+	// Cold runners get only requests for which the leader lent a token; see package ratelimit.
 	Cold bool
 	// Recalled runners have not been heard by the present leader, which does not know whether they are cold.
 	Recalled bool
--- a/placement/warmup/pacer.go
+++ b/placement/ratelimit/pacer.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelimit
 
 import (
 	"math"
@@ -7,7 +7,7 @@
 
 const (
 	// TokenLife is how long a token may be used after its router asked for it: some times what the question
-	// takes, and short beside the second in which the requests of a cold runner are counted.
+	// takes, and short beside the second or more in which the requests of such a runner are counted.
 	TokenLife = 400 * time.Millisecond
 	// Burst is how many tokens of one runner may be lent at once: two requests that come together are served
 	// together.
@@ -30,7 +30,7 @@
 	MoreIn time.Duration
 }
 
-// Pacer lends the tokens of cold runners. It belongs to one leader. Its methods must not run at the same time.
+// Pacer lends the tokens of runners that bear few requests a second. It belongs to one leader. Its methods must not run at the same time.
 type Pacer struct {
 	began   time.Time
 	buckets map[string]*bucket
--- a/placement/warmup/pacer_test.go
+++ b/placement/ratelimit/pacer_test.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelimit
 
 import (
 	"math/rand/v2"
--- a/request/relay/placed.go
+++ b/request/relay/placed.go
@@ -30,8 +30,8 @@
 	sweptAt time.Time
 	// isOfAll is set while all listed runners are in the balancer.
 	isOfAll bool
-	// hasCold is set if one of those that were placed last is cold.
-	hasCold bool
+	// hasPaced is set if one of those that were placed last is paced.
+	hasPaced bool
 }
 
 func newPlaced() placed {
@@ -152,8 +152,8 @@
 		r.balancer.SetPace(id, paceOf(*runner))
 		r.balancer.SetBatch(id, runner.Slots)
 		r.balancer.SetFailing(id, runner.Failing)
-		r.balancer.SetCold(id, runner.Cold)
-		r.placed.hasCold = r.placed.hasCold || runner.Cold
+		r.balancer.SetPaced(id, runner.Cold)
+		r.placed.hasPaced = r.placed.hasPaced || runner.Cold
 		r.zones.watch.Add(update.Runners[i])
 		if r.options.Connects != nil {
 			r.options.Connects.setZone(runner.Address, structs.ZoneID(runner.Zone))
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -141,8 +141,8 @@
 		r.wakeReport()
 		return routing.Choice{}, comeBack
 	}
-	if len(r.coldRunners(wanted.row)) > 0 {
-		r.wakeWarmUp()
+	if len(r.pacedRunners(wanted.row)) > 0 {
+		r.wakeTokens()
 	}
 	r.mutex.Unlock()
 	r.wakeReport()
@@ -207,9 +207,9 @@
 	return choice, true
 }
 
-// coldRunners lists the cold runners that requests of the row could get with tokens. It runs under the mutex.
-func (r *Router) coldRunners(row residency.Row) []structs.RunnerID {
-	return r.balancer.Cold(time.Now(), rowName(row))
+// pacedRunners lists the paced runners that requests of the row could get with tokens. It runs under the mutex.
+func (r *Router) pacedRunners(row residency.Row) []structs.RunnerID {
+	return r.balancer.Paced(time.Now(), rowName(row))
 }
 
 // release ends the attempt and lets those that wait have the room.
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -46,9 +46,9 @@
 	// askers numbers the requests that ask the leader for permission to run.
 	askers atomic.Uint64
 	stop   stops
-	// report asks the report loop for a report now, and warmUp the warm-up loop for a question.
-	report chan struct{}
-	warmUp chan struct{}
+	// report asks the report loop for a report now, and wantsTokens the token loop for a question.
+	report      chan struct{}
+	wantsTokens chan struct{}
 	// hasWork ends the rest of a report loop that has nothing to report.
 	hasWork chan struct{}
 
@@ -67,7 +67,7 @@
 	doubted map[string]bool
 	// unreachable are runners that could not be reached since the last report.
 	unreachable map[string]bool
-	// tokensUntil is until when the tokens for requests to cold runners may be used; zero if there are none.
+	// tokensUntil is until when the tokens for requests to paced runners may be used; zero if there are none.
 	tokensUntil time.Time
 	// runnerLimits are the rate limits that runners name.
 	runnerLimits runnerLimits
@@ -116,18 +116,18 @@
 	client := transport.NewClient(options.Logger, transportOptions)
 	random := rand.New(rand.NewPCG(options.Seed, 1))
 	return &Router{
-		options: options,
-		logger:  log.With(options.Logger, "component", "router"),
-		metrics: newMetrics(options.Metrics),
-		client:  client,
-		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
-		stop:    newStops(),
-		report:  make(chan struct{}, 1),
-		warmUp:  make(chan struct{}, 1),
-		hasWork: make(chan struct{}, 1),
-		random:  random,
-		fleet:   fleet.NewDirectory(),
-		placed:  newPlaced(),
+		options:     options,
+		logger:      log.With(options.Logger, "component", "router"),
+		metrics:     newMetrics(options.Metrics),
+		client:      client,
+		caller:      leadercall.New(client, nil).WithTryTimeout(tryTimeout),
+		stop:        newStops(),
+		report:      make(chan struct{}, 1),
+		wantsTokens: make(chan struct{}, 1),
+		hasWork:     make(chan struct{}, 1),
+		random:      random,
+		fleet:       fleet.NewDirectory(),
+		placed:      newPlaced(),
 		balancer: routing.New(routing.Options{
 			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, MaxBatch: defaultBatch, ReportLife: loadLife,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
@@ -161,7 +161,7 @@
 	running.Go(func() { r.reportLoop(ctx) })
 	running.Go(func() { r.limitLoop(ctx) })
 	running.Go(func() { r.zoneLoop(ctx) })
-	running.Go(func() { r.warmUpLoop(ctx) })
+	running.Go(func() { r.tokenLoop(ctx) })
 	running.Wait()
 	r.client.Close()
 }
@@ -180,13 +180,13 @@
 func (r *Router) adoptView(view fleet.View) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.placed.hasCold = false
+	r.placed.hasPaced = false
 	r.adoptChanges(r.fleet.Learn(view))
 	r.metrics.runners.Set(float64(r.fleet.Len()))
 	r.forgetUnasked(r.now())
 	r.serveWaiters()
-	if r.placed.hasCold {
-		r.wakeWarmUp()
+	if r.placed.hasPaced {
+		r.wakeTokens()
 	}
 }
 
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -17,8 +17,8 @@
 	left  map[structs.RunnerID]structs.Incarnation
 	hints hints
 	zones zones
-	// warmed are the runners for which there may be tokens.
-	warmed []*runner
+	// withTokens are the runners for which there may be tokens.
+	withTokens []*runner
 	// lastNumber is the number that was given to a runner last.
 	lastNumber uint32
 	ejections  uint64
@@ -110,7 +110,7 @@
 	if id := target.info.ID; work.Avoid != "" && id == work.Avoid || work.Barred != "" && id == work.Barred {
 		return false
 	}
-	return target.mayWarm() && target.hasRoom(now, &b.options) && target.breaker.allows(now)
+	return target.mayTake() && target.hasRoom(now, &b.options) && target.breaker.allows(now)
 }
 
 // SetFailing says whether a runner fails many of the requests that it is sent, as other routers saw.
--- a/request/routing/cold_test.go
+++ b/request/routing/paced_test.go
@@ -18,7 +18,7 @@
 		Runners:  []structs.RunnerInfo{{ID: "cold"}, {ID: "warm"}},
 		Replicas: []structs.Replica{{Row: "m", Runner: "cold", State: structs.ReplicaReady}, {Row: "m", Runner: "warm", State: structs.ReplicaReady}},
 	})
-	b.SetCold("cold", true)
+	b.SetPaced("cold", true)
 	for range 20 {
 		choice, found := b.Pick(now, "m", nil, "")
 		c.Assert(found, qt.IsTrue)
@@ -27,9 +27,9 @@
 	b.Leave("warm")
 	_, found := b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsFalse)
-	c.Assert(b.Cold(now, "m"), qt.DeepEquals, []structs.RunnerID{"cold"})
-	b.Warm("cold", 2)
-	c.Assert(b.Cold(now, "m"), qt.HasLen, 0)
+	c.Assert(b.Paced(now, "m"), qt.DeepEquals, []structs.RunnerID{"cold"})
+	b.GiveTokens("cold", 2)
+	c.Assert(b.Paced(now, "m"), qt.HasLen, 0)
 	for range 2 {
 		choice, found := b.Pick(now, "m", nil, "")
 		c.Assert(found, qt.IsTrue)
@@ -37,12 +37,12 @@
 	}
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsFalse)
-	b.Warm("cold", 1)
+	b.GiveTokens("cold", 1)
 	b.DropTokens()
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsFalse)
-	b.SetCold("cold", false)
+	b.SetPaced("cold", false)
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsTrue)
-	c.Assert(b.Cold(now, "m"), qt.HasLen, 0)
+	c.Assert(b.Paced(now, "m"), qt.HasLen, 0)
 }
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -18,8 +18,8 @@
 	// hash is that of daemon and runner, which ranks the runner in subsets.
 	hash    uint64
 	leaving bool
-	// cold runners get a request for each token that the leader lent.
-	cold   bool
+	// paced runners get a request for each token that the leader lent.
+	paced  bool
 	tokens int
 	// failing runners are chosen only where no other one can be.
 	failing bool
