The planner counts a runner that names a limit for what it takes

What callers would see: the only replica of a model is at a runner that takes a request in some seconds; the planner goes by its slots, sees room, and loads nothing elsewhere, so that all others are refused for as long as the limit lasts.

Change: such a runner bears at most its limit, and requests beyond it count as late; its streams say nothing of what other runners bear. Loads go to others, as a place there is worth as little.

Before: no load for a model asked for every two seconds whose only runner takes one in ten.

--- a/placement/residency/bearing.go
+++ b/placement/residency/bearing.go
@@ -72,7 +72,8 @@
 	of := p.bearing(seen.Service)
 	isLate := seen.Paused || seen.IsLate
 	switch {
-	case known.borne <= 0:
+	case known.borne <= 0 || known.limit > 0:
+		// How busy a runner is that names a limit says nothing of what others bear.
 	case known.servedRate >= busyShare*known.borne:
 		of.seen++
 		if isLate {
@@ -214,20 +215,30 @@
 	// that is not known.
 	table *pace.Load
 	scale float64
+	// limit is the rate limit that the runner names, in requests a second; 0 for none.
+	limit float64
 }
 
 func (p *Planner) capabilityOf(known *runner) capability {
 	service, slowness := known.status.Heartbeat.Service, p.slownessOf(known)
 	of := p.bearing(service)
-	return capability{
+	found := capability{
 		borne: p.borneAt(service, slowness), usual: p.borneAt(service, 1), most: p.mostAt(service, slowness),
-		table: of.loadAt(slowness), scale: of.scale,
+		table: of.loadAt(slowness), scale: of.scale, limit: known.status.Limit,
 	}
+	if found.limit > 0 {
+		// What routers don't send there counts for nothing, so that a model whose only replica is there gets
+		// another one.
+		found.borne, found.most = min(found.borne, found.limit), min(found.most, found.limit)
+	}
+	return found
 }
 
 // lateAt is the part of the requests that are late at a rate of requests a second.
 func (c *capability) lateAt(rate float64) float64 {
 	switch {
+	case c.limit > 0 && rate > c.limit:
+		return 1 - c.limit/rate
 	case c.table != nil:
 		return c.table.Late(rate / c.scale)
 	case rate <= c.borne:
