Who can't be served within the limits of all runners is told at once when to come back

What callers saw: with all runners of a service at a limit and three times as many requests as they take together, half of the callers waited 2.25 s, as long as a request may wait, and were refused then, with 0.2 s to come back.

Cause: what waits is refused early by the pace that a router sees, with a margin for paces that fell with runners that were lost; and a pace of few requests in some seconds is not known at all. Limits are known, and come back with nobody.

Change: where all runners of a model name limits, there is no margin, and who would have to wait too long even if nobody else asked is refused at once; who waited in vain is told to come back when those that wait could be through.

--- a/request/fairqueue/estimate.go
+++ b/request/fairqueue/estimate.go
@@ -55,6 +55,14 @@
 	if !isKnown {
 		return 0, false
 	}
+	return time.Duration(float64(q.Ahead(now, entry)+1) / pace * float64(time.Second)), true
+}
+
+// Ahead counts the requests of its row that go before one that waits.
+func (q *Queue[V]) Ahead(now time.Time, entry *Entry[V]) int {
+	if entry.row == nil {
+		return 0
+	}
 	ahead, isListed := 0, false
 	entry.row.Each(func(other *Entry[V]) bool {
 		isListed = isListed || other == entry
@@ -63,5 +71,5 @@
 		}
 		return true
 	})
-	return time.Duration(float64(ahead+1) / pace * float64(time.Second)), true
+	return ahead
 }
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -25,7 +25,7 @@
 	// others. It is looked at when a request comes, and not again: to tell those that wait, when their
 	// chances had become worse, refused up to 3 in 100 that would be served in a play of runners that
 	// crash, and left them too little time for another try.
-	crowdedMargin = 1 / 1.5
+	crowdedMargin float64 = 1 / 1.5
 )
 
 // comeBackReason is why a caller should come back instead of waiting.
@@ -104,7 +104,12 @@
 // first. It runs under the mutex.
 func (r *Router) deferCrowded(now time.Time, wanted *waiter) *comeBackError {
 	in, isKnown := r.queue.StartIn(now, &wanted.entry)
-	if !wanted.mayDefer || !isKnown || !now.Add(share(in, crowdedMargin)).After(wanted.until) {
+	margin := crowdedMargin
+	if limits := r.limitsOf(wanted.row); limits.isAll() {
+		// This pace fell with nobody's loss, and does not come back with others.
+		in, isKnown, margin = max(in, limits.leastWait(r.queue.Ahead(now, &wanted.entry))), true, 1
+	}
+	if !wanted.mayDefer || !isKnown || !now.Add(share(in, margin)).After(wanted.until) {
 		return nil
 	}
 	r.queue.Remove(&wanted.entry)
@@ -161,6 +166,9 @@
 		return max(retryAfterNow, share(wanted.ticket.Deadline.Sub(now), returnShare))
 	}
 	state := r.rows[wanted.row]
+	if limits := r.limitsOf(wanted.row); state != nil && limits.isAll() {
+		return max(retryAfterNow, wanted.comeBackIn(now, now.Add(limits.timeFor(state.waiting()+1))))
+	}
 	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
 		return retryAfterNow
 	}
--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/internal/asynclog"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/structs"
@@ -112,6 +113,50 @@
 	delete(l.askedAt, id)
 }
 
+// limitedRow is what the runners that hold a row's model take if all of them name a limit.
+type limitedRow struct {
+	// pace is how many requests a second they take together, and runners how many they are; 0 if one of them names
+	// no limit, or there is none.
+	pace    float64
+	runners int
+}
+
+// limitsOf looks up what the runners of a row take. It runs under the mutex.
+func (r *Router) limitsOf(row residency.Row) limitedRow {
+	var found limitedRow
+	if r.runnerLimits.belief.IsEmpty() {
+		return found
+	}
+	r.fleet.Each(modelKey(row), func(runner *fleet.Runner) bool {
+		if runner.Leaving {
+			return true
+		}
+		perSecond, isNamed := r.runnerLimits.belief.Of(runner.Instance)
+		if !isNamed {
+			found = limitedRow{}
+			return false
+		}
+		found.pace += max(ratelimit.LeastRate, perSecond)
+		found.runners++
+		return true
+	})
+	return found
+}
+
+// isAll reports whether all runners of the row name a limit.
+func (l limitedRow) isAll() bool { return l.pace > 0 }
+
+// timeFor is how long the runners need for so many requests.
+func (l limitedRow) timeFor(requests int) time.Duration {
+	return time.Duration(float64(requests) / l.pace * float64(time.Second))
+}
+
+// leastWait is how long a request has at least to wait that so many of this router go before, if other routers sent
+// nothing and all tokens that may have gathered were there.
+func (l limitedRow) leastWait(ahead int) time.Duration {
+	return l.timeFor(max(0, ahead+1-l.runners*ratelimit.Burst))
+}
+
 // noteSentToLimited counts a request that is sent to a runner that names a rate limit.
 func (r *Router) noteSentToLimited(runner structs.RunnerID, isRepeated bool) {
 	r.mutex.Lock()
--- a/request/relay/runnerlimits_fleet_test.go
+++ b/request/relay/runnerlimits_fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -162,3 +165,30 @@
 		s.c.Assert(got >= 40, qt.IsTrue, qt.Commentf("%d arrivals in 7 s without a limit", got))
 	})
 }
+
+// All runners name a limit, far below what is asked for: who can't be served by the runners even if nobody else asks is
+// told at once when to come back.
+func TestWhoCannotBeServedWithinTheLimitsIsToldAtOnce(t *testing.T) {
+	inSite(t, func(s *testSite) {
+		const perSecond, callers = 0.1, 40
+		s.nameLimit(perSecond, s.allRunners()...)
+		// All runners have said so, and what gathered for them is used up.
+		s.rush(60, 2*time.Second)
+		answers := make(chan *httptest.ResponseRecorder, callers)
+		for range callers {
+			go func() { answers <- s.ask(0, "rush") }()
+		}
+		pause.For(s.ctx, 100*time.Millisecond)
+		// The router can't know that others have used what gathered, two for each of six runners; one more comes in 1.7 s,
+		// within the time that a request waits at most, 2.25 s.
+		c := s.c
+		c.Assert(len(answers) >= callers-6*2-2, qt.IsTrue, qt.Commentf("%d answers", len(answers)))
+		for range len(answers) {
+			answer := <-answers
+			c.Assert(answer.Code, qt.Equals, http.StatusServiceUnavailable)
+			comeBack, err := strconv.ParseFloat(answer.Header().Get("Retry-After"), 64)
+			c.Assert(err, qt.IsNil)
+			c.Assert(comeBack >= 1, qt.IsTrue, qt.Commentf("%v s", comeBack))
+		}
+	})
+}
