Tokens ahead hold up nobody who waits

A router that had asked for a token ahead and got none waited up to 0.1 s before it asked anything again: a request that began to wait for a paced runner meanwhile waited as long. Nobody waits for tokens ahead, so that the loop ends with their question. The gauge of limited runners falls with a runner that ends.

--- a/request/relay/placed.go
+++ b/request/relay/placed.go
@@ -125,6 +125,7 @@
 		delete(r.heard, id)
 		r.runnerLimits.forget(id)
 	}
+	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
 
 // leaveAddress forgets the zone of an address at which no runner is listed any more. It runs under the mutex.
--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -68,14 +68,11 @@
 // pace has a listed runner get only requests for which there are tokens while it is cold or names a limit. It runs
 // under the mutex.
 func (r *Router) pace(instance string) {
-	perSecond, isNamed := r.runnerLimits.belief.Of(instance)
+	_, isNamed := r.runnerLimits.belief.Of(instance)
 	isPaced := isNamed || r.fleet.Runner(instance).Cold
 	r.balancer.SetPaced(structs.RunnerID(instance), isPaced)
 	r.placed.hasPaced = r.placed.hasPaced || isPaced
 	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
-	if isNamed {
-		level.Debug(r.logger).Log("msg", "A runner is paced by its rate limit.", "runner", instance, "per_second", perSecond)
-	}
 }
 
 // wantAhead asks for tokens for the runners that name a limit and could have taken a request of the row that another
--- a/request/relay/tokens.go
+++ b/request/relay/tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -48,8 +49,8 @@
 	wake.Up(r.wantsTokens)
 }
 
-// askTokens asks once, if requests wait that only paced runners can take. It returns after how long it should be
-// asked again; 0 for not at all.
+// askTokens asks once, if requests wait that only paced runners can take, or tokens are wanted ahead. It returns after
+// how long to ask again for requests that wait; 0 for not at all.
 func (r *Router) askTokens(ctx context.Context) time.Duration {
 	wants := r.tokenWants()
 	if len(wants) == 0 || ctx.Err() != nil {
@@ -64,9 +65,17 @@
 		level.Debug(r.logger).Log("msg", "The leader could not be asked for requests to paced runners.", "runners", len(wants), "err", err)
 		return tokenRetry
 	}
-	return r.takeTokens(reply.Grants, asked.Add(ratelimit.TokenLife-tokenReserve))
+	again := r.takeTokens(reply.Grants, asked.Add(ratelimit.TokenLife-tokenReserve))
+	if !slices.ContainsFunc(wants, isWaitedFor) {
+		// Requests that begin to wait meanwhile ask at once.
+		return 0
+	}
+	return again
 }
 
+// isWaitedFor reports whether requests wait for the tokens.
+func isWaitedFor(want ratelimit.Want) bool { return !want.IsAhead }
+
 // tokenWants spreads the requests that wait over the paced runners that hold what they need, and adds those that are
 // to be asked for ahead.
 func (r *Router) tokenWants() []ratelimit.Want {
