A look at runners of which few changed goes with these in the planner

What binds the whole fleet is the leader's core, and the planner listed all runners anew twice in each step: a map of 10,000 names, three look-ups each, and two passes over what is learned of them to find that nobody had left. Change: listings are numbered; what is learned of runners is looked through only when one has left. Behaviour as before: the tests of the package hold unchanged.

--- a/placement/residency/benchmark_test.go
+++ b/placement/residency/benchmark_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// BenchmarkSetRunners measures what a look at runners costs of which one has sent a heartbeat since the last.
+func BenchmarkSetRunners(b *testing.B) {
+	for _, runners := range []int{300, 1000, 3000, 10000, 20000} {
+		b.Run(fmt.Sprint(runners), func(b *testing.B) {
+			p := NewPlanner(Options{}, start)
+			statuses := make([]fleet.Status, runners)
+			for i := range statuses {
+				name := fmt.Sprintf("i-%08x", i)
+				statuses[i].Heartbeat = fleet.Heartbeat{
+					Instance: name, Service: "s", Address: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), Zone: "z", Sequence: 1,
+					Models: []fleet.LoadedModel{{Name: fmt.Sprint("m", i%574)}},
+				}
+			}
+			p.SetRunners(start, statuses)
+			b.ReportAllocs()
+			for round := 0; b.Loop(); round++ {
+				statuses[round%runners].Heartbeat.Sequence++
+				p.SetRunners(start, statuses)
+			}
+		})
+	}
+}
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -57,6 +57,8 @@
 	tally *tally
 	// unmet are the needs that the last plan could not bring about.
 	unmet []need
+	// listing numbers the calls of SetRunners.
+	listing uint64
 	// readyAt is when models that requests wait for should be ready.
 	readyAt map[Row]time.Time
 	// arrived are the rows that have become ready since they were last taken.
@@ -104,39 +106,51 @@
 	return nil
 }
 
-// SetRunners adopts the runners that live. heard names those of which a heartbeat
-// has come since the last call.
+// SetRunners adopts the runners that live, each listed once.
 func (p *Planner) SetRunners(now time.Time, statuses []fleet.Status) {
-	listed := make(map[string]bool, len(statuses))
-	for _, status := range statuses {
-		instance := status.Heartbeat.Instance
-		listed[instance] = true
-		known := p.runners[instance]
-		if known == nil {
-			known = &runner{holdings: make(map[string]*holding)}
-			p.runners[instance] = known
-			p.runnersAt = now
-			p.isOrdered = false
-		}
-		wasHeard := known.status.Heartbeat.Instance != "" && !known.status.Recalled
-		isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
-		known.status = status
+	p.listing++
+	for i := range statuses {
+		p.setRunner(now, &statuses[i])
+	}
+	if len(p.runners) > len(statuses) {
+		p.forgetUnlisted()
+	}
+}
+
+func (p *Planner) setRunner(now time.Time, status *fleet.Status) {
+	instance := status.Heartbeat.Instance
+	known := p.runners[instance]
+	isAdded := known == nil
+	if isAdded {
+		known = &runner{holdings: make(map[string]*holding)}
+		p.runners[instance] = known
+		p.runnersAt = now
+		p.isOrdered = false
+	}
+	wasHeard := !isAdded && !known.status.Recalled
+	isNew := !status.Recalled && (!wasHeard || status.Heartbeat.Sequence > known.status.Heartbeat.Sequence)
+	known.status, known.listing = *status, p.listing
+	if isAdded {
 		p.paces.Expect(now, instance, p.slowness[known.place()])
-		if isNew {
-			known.isGone = false
-			known.noteCopies()
-			before := known.loaded()
-			known.hear(now, status.Heartbeat.Models, p.options.ReportLag)
-			p.noteChange(before, known)
-		}
 	}
-	for instance := range p.runners {
-		if !listed[instance] {
+	if isNew {
+		known.isGone = false
+		known.noteCopies()
+		before := known.loaded()
+		known.hear(now, status.Heartbeat.Models, p.options.ReportLag)
+		p.noteChange(before, known)
+	}
+}
+
+// forgetUnlisted drops the runners that the last listing lacks.
+func (p *Planner) forgetUnlisted() {
+	for instance, known := range p.runners {
+		if known.listing != p.listing {
 			delete(p.runners, instance)
-			p.isOrdered = false
 		}
 	}
-	isListed := func(instance string) bool { return listed[instance] }
+	p.isOrdered = false
+	isListed := func(instance string) bool { return p.runners[instance] != nil }
 	p.paces.Forget(isListed)
 	p.pauses.forget(isListed)
 }
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -46,7 +46,9 @@
 
 // runner is one life of a runner as the planner sees it.
 type runner struct {
-	status   fleet.Status
+	status fleet.Status
+	// listing is the number of the last call of Planner.SetRunners that listed the runner.
+	listing  uint64
 	holdings map[string]*holding
 	// listed is what loaded returns, as long as isListed is set: at ten thousand runners nearly all hold what
 	// they held at the step before.
