--- a/placement/domainnode/failing.go
+++ b/placement/domainnode/failing.go
@@ -24,9 +24,12 @@
 
 // forgetFailing drops what is known of runners that have ended. It runs under the mutex.
 func (l *leadership) forgetFailing(at time.Time, statuses []fleet.Status) {
+	if l.failing.IsEmpty() {
+		return
+	}
 	listed := make(map[string]bool, len(statuses))
-	for _, status := range statuses {
-		listed[status.Heartbeat.Instance] = true
+	for i := range statuses {
+		listed[statuses[i].Heartbeat.Instance] = true
 	}
 	l.failing.Forget(at, func(instance string) bool { return listed[instance] })
 }
--- a/placement/domainnode/lost.go
+++ b/placement/domainnode/lost.go
@@ -10,11 +10,12 @@
 // more. It runs under the mutex.
 func (l *leadership) noteLost(statuses []fleet.Status) {
 	lost := make(map[string]bool)
-	for _, status := range statuses {
-		instance := status.Heartbeat.Instance
+	for i := range statuses {
+		status := &statuses[i]
 		if !status.Lost {
 			continue
 		}
+		instance := status.Heartbeat.Instance
 		lost[instance] = true
 		if !l.lost[instance] {
 			level.Info(l.logger).Log("msg", "A runner is taken for lost, as routers could not reach it.", "runner", instance,
--- a/placement/fleet/failing.go
+++ b/placement/fleet/failing.go
@@ -77,6 +77,9 @@
 	return known != nil && now.Before(known.restsUntil)
 }
 
+// IsEmpty reports whether no runner has failed anything lately.
+func (f *Failing) IsEmpty() bool { return len(f.runners) == 0 }
+
 // Forget drops the runners that are listed no more, and what no longer tells anything.
 func (f *Failing) Forget(now time.Time, isListed func(instance string) bool) {
 	for instance, known := range f.runners {
