--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -32,11 +32,13 @@
 	ctx     context.Context
 	network *networktest.Memory
 	// seeds are read by the nodes while a test changes them.
-	seeds   atomic.Pointer[[]string]
-	nodes   map[int]*runningNode
-	base    string
-	folders map[int]string
-	engines *fakeEngines
+	seeds atomic.Pointer[[]string]
+	// nodesMutex guards nodes while the test, which alone changes them, and its runners use them.
+	nodesMutex sync.RWMutex
+	nodes      map[int]*runningNode
+	base       string
+	folders    map[int]string
+	engines    *fakeEngines
 	// started is set once the domain has been founded.
 	founded bool
 	// suspended is for how many nanoseconds the machine of each node was suspended.
@@ -133,14 +135,25 @@
 			defer close(running.done)
 			_ = node.Run(ctx)
 		}()
+		d.nodesMutex.Lock()
 		d.nodes[index] = running
+		d.nodesMutex.Unlock()
 	}
 }
 
+// node is a node that runs; nil if it does not.
+func (d *testDomain) node(index int) *runningNode {
+	d.nodesMutex.RLock()
+	defer d.nodesMutex.RUnlock()
+	return d.nodes[index]
+}
+
 // kill ends a node without handing anything over.
 func (d *testDomain) kill(index int) {
+	d.nodesMutex.Lock()
 	running := d.nodes[index]
 	delete(d.nodes, index)
+	d.nodesMutex.Unlock()
 	running.end()
 	<-running.done
 }
@@ -162,7 +175,7 @@
 }
 
 func (d *testDomain) status(index int) (group.Status, bool) {
-	running := d.nodes[index]
+	running := d.node(index)
 	if running == nil {
 		return group.Status{}, false
 	}
@@ -175,7 +188,7 @@
 
 // leader returns the index of the node that leads with a valid lease, or -1.
 func (d *testDomain) leader() int {
-	for index := range d.nodes {
+	for index := range maxTestNodes {
 		if status, known := d.status(index); known && status.IsLeader && status.LeaseValid {
 			return index
 		}
--- a/placement/domainnode/drains_test.go
+++ b/placement/domainnode/drains_test.go
@@ -32,11 +32,11 @@
 func (d *testDomain) beat() {
 	go func() {
 		for sequence := uint64(1); pause.For(d.ctx, 300*time.Millisecond); sequence++ {
-			leader := d.leader()
-			if leader < 0 {
+			running := d.node(d.leader())
+			if running == nil {
 				continue
 			}
-			joined, err := d.nodes[leader].current()
+			joined, err := running.current()
 			if err != nil {
 				continue
 			}
