How a model is spread over zones is worked out once for a place, not for each runner

What binds at size is the leader's plan: for each runner that may get a model it added up anew how the model's replicas, demand and copies lie in the zones, with a list and a map for each runner. Change: worked out when the first runner is weighed, and kept while a place for the model is looked for.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -21,7 +21,7 @@
 // costOf weighs a load of the model on the runner: the requests that will be late
 // because of what must make way, and the time of the load. victim is the first model
 // to unload, or "". It is not possible if more is lost than gained.
-func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) (cost float64, victim string, isPossible bool) {
+func (p *Planner) costOf(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted *need) (cost float64, victim string, isPossible bool) {
 	cost = p.placeCost(now, known, engine, model, wanted)
 	found := p.weigh(now, known, engine)
 	free := found.freeMB - float64(min(keptAdapters, engine.MaxAdapters))*model.AdapterMB
@@ -105,12 +105,13 @@
 
 // placeCost weighs a load of the model on the runner by the time that it takes and by how
 // well the runner can serve the model beside what it holds.
-func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted need) float64 {
+func (p *Planner) placeCost(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted *need) float64 {
 	found := p.weigh(now, known, engine)
-	rate := wanted.shareOf(known, p.modelDemand(wanted.row).rate)
+	spread := p.spreadOf(wanted)
+	rate := wanted.shareOf(known, spread.rate)
 	seconds := loadTime(known, model).Seconds()
 	horizon := p.options.Horizon.Seconds()
-	cost := seconds*loadWeight + p.zoneCost(known, wanted.row)
+	cost := seconds*loadWeight + spread.zoneCost(known, wanted.row.Model)
 	cost += seconds * found.adapterHarm
 	if wanted.isWaitedFor {
 		cost += seconds * arrivalWeight * rate
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -35,6 +35,8 @@
 	zones []string
 	// obstacle is why the plan did not bring it about.
 	obstacle Obstacle
+	// spread is worked out when a place is looked for; nil before.
+	spread *spread
 }
 
 // needs lists the models that should be loaded, in the order of byTurn.
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -52,7 +52,7 @@
 // unload that makes room for it. Nothing is unloaded whose loss costs more than the
 // load gains.
 func (p *Planner) loadModel(now time.Time, wanted *need) (Order, bool) {
-	place := p.findPlace(now, *wanted)
+	place := p.findPlace(now, wanted)
 	wanted.obstacle = place.obstacle
 	if place.runner == nil {
 		return Order{}, false
@@ -86,12 +86,13 @@
 }
 
 // findPlace finds the runner on which a load of the model costs least.
-func (p *Planner) findPlace(now time.Time, wanted need) loadPlace {
+func (p *Planner) findPlace(now time.Time, wanted *need) loadPlace {
 	best := loadPlace{cost: math.Inf(1), obstacle: ObstacleBusy}
 	if p.tally.makingRoom[wanted.row] || len(p.tally.available[wanted.row.Service]) == 0 {
 		return best
 	}
-	mayUseStore := !wanted.isFromCopy && p.mayUseStore(now, wanted)
+	wanted.spread = nil
+	mayUseStore := !wanted.isFromCopy && p.mayUseStore(now, *wanted)
 	candidates := p.tally.available[wanted.row.Service]
 	if !mayUseStore {
 		// Only a copy, or a place at the store that is kept, allows a load.
@@ -113,7 +114,7 @@
 }
 
 // placeAt weighs a load of the model at a runner that takes orders.
-func (p *Planner) placeAt(now time.Time, known *runner, wanted need, mayUseStore bool) loadPlace {
+func (p *Planner) placeAt(now time.Time, known *runner, wanted *need, mayUseStore bool) loadPlace {
 	row := wanted.row
 	engine := p.engineOf(known)
 	if engine == nil {
--- a/placement/residency/reach.go
+++ b/placement/residency/reach.go
@@ -51,7 +51,7 @@
 		if !p.mayOrder(known) {
 			return p.occupiedFor(now, known) < p.options.Horizon
 		}
-		_, _, isPossible := p.costOf(now, known, p.engineOf(known), model, *wanted)
+		_, _, isPossible := p.costOf(now, known, p.engineOf(known), model, wanted)
 		return isPossible
 	})
 }
--- a/placement/residency/zonecover.go
+++ b/placement/residency/zonecover.go
@@ -149,26 +149,61 @@
 	return zoneWeight * cover.bestRelief() * p.options.Horizon.Seconds()
 }
 
-// zoneCost is how much less than elsewhere a replica at the runner is worth for the loss of a zone.
-func (p *Planner) zoneCost(known *runner, row Row) float64 {
-	cost := 0.0
+// spread is how a model's demand, replicas and copies are spread, by which all runners are weighed that may get a
+// replica. It is worked out once for a need, as long as the tally stands.
+type spread struct {
+	// rate is the demand for the model, in requests a second.
+	rate float64
+	// zones are those of the service, sorted, and costs how much less than in the best of them a replica is worth in
+	// each for the loss of a zone; nil if that does not matter.
+	zones []string
+	costs []float64
+	// copyZones are those in which a machine has a copy; hasAllZones is set if these are all.
+	copyZones   []string
+	hasAllZones bool
+}
+
+// spreadOf works out how the model of a need is spread, unless that is known.
+func (p *Planner) spreadOf(wanted *need) *spread {
+	if wanted.spread == nil {
+		wanted.spread = p.newSpread(wanted.row)
+	}
+	return wanted.spread
+}
+
+func (p *Planner) newSpread(row Row) *spread {
+	found := &spread{rate: p.modelDemand(row).rate}
+	zones := p.tally.zones[row.Service]
+	if len(zones) < 2 {
+		return found
+	}
 	cover := p.coverOf(row, p.replicas(row))
-	if i, isListed := slices.BinarySearch(cover.zones, known.status.Heartbeat.Zone); isListed {
-		cost += zoneWeight * (cover.bestRelief() - cover.relief(i)) * p.options.Horizon.Seconds()
+	if found.zones = cover.zones; len(cover.zones) > 0 {
+		best := cover.bestRelief()
+		for i := range cover.zones {
+			found.costs = append(found.costs, zoneWeight*(best-cover.relief(i))*p.options.Horizon.Seconds())
+		}
 	}
-	if !known.hasCopy(row.Model) && p.isCopySpreadBetter(known, row) {
-		cost += copySpread
+	for _, each := range p.tally.copies[row] {
+		if zone := each.status.Heartbeat.Zone; !slices.Contains(found.copyZones, zone) {
+			found.copyZones = append(found.copyZones, zone)
+		}
 	}
-	return cost
+	found.hasAllZones = len(found.copyZones) >= len(zones)
+	return found
 }
 
-// isCopySpreadBetter reports whether the runner's zone has a copy of the model and another zone has none.
-func (p *Planner) isCopySpreadBetter(known *runner, row Row) bool {
-	zones := make(map[string]bool)
-	for _, each := range p.tally.copies[row] {
-		zones[each.status.Heartbeat.Zone] = true
+// zoneCost is how much less than elsewhere a replica at the runner is worth for the loss of a zone: of replicas, and of
+// copies, where a machine of its zone has one and another zone has none.
+func (s *spread) zoneCost(known *runner, model string) float64 {
+	zone, cost := known.status.Heartbeat.Zone, 0.0
+	if i, isListed := slices.BinarySearch(s.zones, zone); isListed {
+		cost += s.costs[i]
+	}
+	if !s.hasAllZones && slices.Contains(s.copyZones, zone) && !known.hasCopy(model) {
+		cost += copySpread
 	}
-	return zones[known.status.Heartbeat.Zone] && len(zones) < len(p.tally.zones[row.Service])
+	return cost
 }
 
 // zoneValue is how many requests of the horizon the runner's replica of the model is worth for the loss
