--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // Obstacle is why a model that should be loaded is not.
@@ -99,8 +101,13 @@
 		best.obstacle = ObstacleStore
 		candidates = p.tally.withoutStore(wanted.row)
 	}
+	model := p.listedModel(wanted.row)
+	if model == nil {
+		return best
+	}
+	engine := p.document.Service(wanted.row.Service).Engine
 	for _, known := range candidates {
-		found := p.placeAt(now, known, wanted, mayUseStore)
+		found := p.placeAt(now, known, engine, model, wanted, mayUseStore)
 		if found.runner == nil {
 			best.obstacle = max(best.obstacle, found.obstacle)
 		} else if found.cost < best.cost {
@@ -114,14 +121,9 @@
 }
 
 // placeAt weighs a load of the model at a runner that takes orders.
-func (p *Planner) placeAt(now time.Time, known *runner, wanted *need, mayUseStore bool) loadPlace {
+func (p *Planner) placeAt(now time.Time, known *runner, engine *site.Engine, model *site.Model, wanted *need, mayUseStore bool) loadPlace {
 	row := wanted.row
-	engine := p.engineOf(known)
-	if engine == nil {
-		return loadPlace{}
-	}
-	model := engine.ModelByName(row.Model)
-	if model == nil || known.holdings[row.Model] != nil || !known.isIn(wanted.zones) {
+	if known.holdings[row.Model] != nil || !known.isIn(wanted.zones) {
 		return loadPlace{}
 	}
 	if known.status.Recalled {
