What a runner gets that begins to name a limit gathers from then; lines about limits are bounded

A runner that names a limit has got until then what its slots bear, and two tokens that had gathered came on top, which is more than a runner bears that takes a request in some seconds. Its tokens gather from the first report of the limit. The leader's line about a limit is bounded to 20 a second, as a limit may change with each answer. A limit that is named again holds from its first moment (TestLimitThatIsNamedAgainHoldsAtOnce).

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/agreement/raft"
+	"github.com/lotusferry/lotusferry/internal/asynclog"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domain"
@@ -98,6 +99,8 @@
 	coldRates    map[string]float64
 	cold         map[string]bool
 	runnerLimits *ratelimit.Limits
+	// loggedLimits bounds the log lines about them.
+	loggedLimits *asynclog.Limiter
 	// drains are the zones whose runners get no new requests.
 	drains drains
 	ended  bool
@@ -152,6 +155,7 @@
 		cold:      make(map[string]bool),
 
 		runnerLimits: ratelimit.NewLimits(),
+		loggedLimits: asynclog.NewLimiter(maxLimitLines),
 		answers:      newPacer(n.options.LinkBytes * linkShare),
 		wholeViews:   newPacer(n.options.LinkBytes * wholeViewShare),
 		planned:      make(chan struct{}),
--- a/placement/domainnode/tokens.go
+++ b/placement/domainnode/tokens.go
@@ -54,15 +54,25 @@
 	l.node.metrics.limited.Set(float64(l.runnerLimits.Len()))
 }
 
+// maxLimitLines is how many lines a second tell of the rate limits of runners.
+const maxLimitLines = 20
+
 // observeLimits takes what a router heard of the rate limits of runners. Only the router that was answered hears it,
 // and the limit is for all together, so that all are told, with the next view. It runs under the mutex.
-func (l *leadership) observeLimits(arguments *domainapi.DemandArguments) {
+func (l *leadership) observeLimits(at time.Time, arguments *domainapi.DemandArguments) {
 	for _, heard := range arguments.Limits {
+		before := l.runnerLimits.Of(heard.Instance)
 		if l.registry.Service(heard.Instance) == "" || !l.runnerLimits.Observe(heard) {
 			continue
 		}
-		level.Info(l.logger).Log("msg", "A runner's rate limit changes.", "runner", heard.Instance, "router", arguments.Router,
-			"per_second", l.runnerLimits.Of(heard.Instance), "named", heard.PerSecond, "ended", heard.IsEnded)
+		now := l.runnerLimits.Of(heard.Instance)
+		if before == 0 {
+			l.tokens.Begin(at, heard.Instance)
+		}
+		if suppressed, allowed := l.loggedLimits.Allow(at); allowed {
+			level.Info(l.logger).Log("msg", "A runner's rate limit changes.", "runner", heard.Instance, "router", arguments.Router,
+				"per_second", now, "before", before, "named", heard.PerSecond, "ended", heard.IsEnded, "not_logged", suppressed)
+		}
 	}
 }
 
--- a/placement/domainnode/tokens_test.go
+++ b/placement/domainnode/tokens_test.go
@@ -80,14 +80,15 @@
 func TestLimitThatOneRouterHeardIsToldToAllAndLent(t *testing.T) {
 	inDomain(t, func(d *testDomain) {
 		d.foundWithRunners()
-		// At 0.5 a second a new leader has two to lend after four seconds.
 		pause.For(d.ctx, 5*time.Second)
 		d.hearLimit(ratelimit.Report{Instance: "r0", PerSecond: 0.5})
 		d.await("the limit in the view", func() bool { return d.limitOf("r0") == 0.5 })
 		d.c.Assert(d.limitOf("r1"), qt.Equals, 0.0)
-		d.c.Assert(d.warmUp(5).Requests, qt.Equals, ratelimit.Burst)
+		d.c.Assert(d.warmUp(5).Requests, qt.Equals, 0)
 		pause.For(d.ctx, 2*time.Second)
 		d.c.Assert(d.warmUp(5).Requests, qt.Equals, 1)
+		pause.For(d.ctx, 10*time.Second)
+		d.c.Assert(d.warmUp(5).Requests, qt.Equals, ratelimit.Burst)
 		// A new leader knows nothing until a router tells it again.
 		d.kill(d.awaitLeader())
 		d.hearLimit(ratelimit.Report{Instance: "r0", PerSecond: 0.5})
--- a/placement/ratelimit/pacer.go
+++ b/placement/ratelimit/pacer.go
@@ -79,6 +79,11 @@
 	return grant
 }
 
+// Begin has the tokens of a runner gather from now: until now it got what it was sent without.
+func (p *Pacer) Begin(now time.Time, instance string) {
+	p.buckets[instance] = &bucket{at: now}
+}
+
 // Forget drops the runners that are listed no more.
 func (p *Pacer) Forget(isListed func(instance string) bool) {
 	for instance := range p.buckets {
--- a/placement/ratelimit/pacer_test.go
+++ b/placement/ratelimit/pacer_test.go
@@ -113,6 +113,15 @@
 	c.Assert(pacer.Lend(start.Add(TokenLife+60*time.Millisecond), Want{Instance: "r", Requests: 2}, 17).Requests, qt.Equals, 1)
 }
 
+func TestTokensOfARunnerThatBeginsToNeedThemGatherFromThen(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	pacer := New(start.Add(-time.Minute))
+	pacer.Begin(start, "r")
+	c.Assert(pacer.Lend(start, Want{Instance: "r", Requests: 2}, 1).Requests, qt.Equals, 0)
+	c.Assert(pacer.Lend(start.Add(time.Second), Want{Instance: "r", Requests: 2}, 1).Requests, qt.Equals, 1)
+}
+
 // A token ahead leaves one for a router whose requests have no other runner.
 func TestTokenAheadIsLentIfOneIsLeft(t *testing.T) {
 	c := qt.New(t)
--- a/request/relay/runnerlimits_fleet_test.go
+++ b/request/relay/runnerlimits_fleet_test.go
@@ -166,6 +166,25 @@
 	})
 }
 
+// A runner names a limit again that it had named before and then did not: what it allows holds from then on, as the
+// routers know such runners.
+func TestLimitThatIsNamedAgainHoldsAtOnce(t *testing.T) {
+	inSite(t, func(s *testSite) {
+		const perSecond, step = 1, 8 * time.Second
+		limited := s.allRunners()[0]
+		began := time.Now()
+		go func() {
+			s.nameLimit(perSecond, limited)
+			pause.For(s.ctx, step)
+			s.nameNoLimit(limited)
+			pause.For(s.ctx, step)
+			s.nameLimit(perSecond, limited)
+		}()
+		s.rush(60, 3*step)
+		s.assertWithinLimit(limited, perSecond, began.Add(2*step), began.Add(3*step))
+	})
+}
+
 // All runners name a limit, far below what is asked for: who can't be served by the runners even if nobody else asks is
 // told at once when to come back.
 func TestWhoCannotBeServedWithinTheLimitsIsToldAtOnce(t *testing.T) {
