Only what a runner served tells that its limit has ended

Read in the diff: an answer without a limit ended it, whichever answer it was. Rejections, failures and answers without the runner's signature are made in other places than its answers, and need not name a limit that holds; each would have let all routers go back to the runner until its next good answer. Now the end is believed of signed successes alone; a limit is believed of every answer of the runner that was meant.

--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -290,8 +290,7 @@
 		return x.sendFailed(ctx, choice, err)
 	}
 	x.arrivals++
-	if !answer.NotHeld {
-		// What answers that may be another runner at the address of the one that was meant.
+	if answer.tellsLimit() {
 		x.router.noteLimit(choice.Runner(), sent, answer.Limit)
 	}
 	watchdog.heard()
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -82,6 +82,8 @@
 	arrivals  map[string][]time.Time
 	// limits are the rate limits that the runners at each address name, in requests a second.
 	limits map[string]float64
+	// fails are the answers of which the runners at each address give one in place of every second answer.
+	fails map[string][]relay.Answer
 }
 
 type testController struct {
@@ -153,6 +155,7 @@
 			runners: make(map[string]*testRunner), poison: make(map[string]bool),
 			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time), lastRunner: make(map[string]string),
 			coldUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time), limits: make(map[string]float64),
+			fails: make(map[string][]relay.Answer),
 		}
 		c.Cleanup(func() {
 			cancel()
@@ -327,12 +330,28 @@
 	if strings.HasPrefix(body, cutText) {
 		return nil, errors.New("connection reset")
 	}
+	if failure := s.drawFailure(target.address); failure != nil {
+		return failure, nil
+	}
 	return &relay.Answer{
 		Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("fine")), Length: 4, Signed: true,
 		Limit: s.limitAt(target.address),
 	}, nil
 }
 
+// drawFailure draws an answer that the runner at the address gives in place of a good one; nil for half of them.
+func (s *testSite) drawFailure(address string) *relay.Answer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	listed := s.fails[address]
+	if len(listed) == 0 || s.random.IntN(2) == 0 {
+		return nil
+	}
+	drawn := listed[s.random.IntN(len(listed))]
+	drawn.Header, drawn.Body = make(http.Header), io.NopCloser(strings.NewReader(""))
+	return &drawn
+}
+
 // runPoison runs a request until it crashes its runner.
 func (s *testSite) runPoison(ctx context.Context, target *testRunner, body string) error {
 	work := poisonTime
--- a/request/relay/runnerlimits_fleet_test.go
+++ b/request/relay/runnerlimits_fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
+	"github.com/lotusferry/lotusferry/request/relay"
 )
 
 // A runner in need said in its answers that it takes one request a second from all routers together. Nine routers
@@ -185,6 +186,23 @@
 	})
 }
 
+// A runner in need rejects and fails some of what it gets, and such answers don't name its limit: it goes on to hold.
+func TestRejectionsAndFailuresEndNoLimit(t *testing.T) {
+	inSite(t, func(s *testSite) {
+		const perSecond, during = 2, 16 * time.Second
+		limited := s.allRunners()[0]
+		s.nameLimit(perSecond, limited)
+		s.mutex.Lock()
+		s.fails[limited.address] = []relay.Answer{
+			{Status: http.StatusServiceUnavailable, NotRun: true}, {Status: http.StatusInternalServerError, Signed: true}, {Status: http.StatusOK},
+		}
+		s.mutex.Unlock()
+		named := time.Now()
+		s.rush(60, during)
+		s.assertWithinLimit(limited, perSecond, named.Add(limitLearnTime), named.Add(during))
+	})
+}
+
 // All runners name a limit, far below what is asked for: who can't be served by the runners even if nobody else asks is
 // told at once when to come back.
 func TestWhoCannotBeServedWithinTheLimitsIsToldAtOnce(t *testing.T) {
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -121,6 +121,18 @@
 	Limit ratelimit.Notice
 }
 
+// tellsLimit reports whether the answer tells of the runner's rate limit. What does not hold what is needed may be
+// another runner at the address of the one that was meant. That a runner names no limit counts of whole answers to what
+// it ran: rejections and failures are made in other places, and taking one for the end of a need brings all routers
+// down on a runner that asked for less.
+func (a *Answer) tellsLimit() bool {
+	if a.NotHeld {
+		return false
+	}
+	isServed := a.Signed && !a.NotRun && a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+	return isServed || a.Limit.IsNamed || a.Limit.Problem != ""
+}
+
 // Backend sends attempts to runners. The error is ErrNotSent, wrapped, if no byte of
 // the request has left.
 type Backend interface {
