--- a/placement/ratelimit/pacer.go
+++ b/placement/ratelimit/pacer.go
@@ -33,7 +33,8 @@
 	MoreIn time.Duration
 }
 
-// Pacer lends the tokens of runners that bear few requests a second. It belongs to one leader. Its methods must not run at the same time.
+// Pacer lends the tokens of runners that bear few requests a second. It belongs to one leader. Its methods must not
+// run at the same time.
 type Pacer struct {
 	began   time.Time
 	buckets map[string]*bucket
