Only runners that name a limit are asked to tell of themselves; cold ones stay the last to be chosen

Cold runners say themselves how long they are cold, so that nobody has to ask. Before: 200 of 200 such requests took the token (TestTokenOfAColdRunnerIsLeftToThoseThatHaveNoOther); now it is left to the draw.

--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -69,9 +69,9 @@
 // under the mutex.
 func (r *Router) pace(instance string) {
 	_, isNamed := r.runnerLimits.belief.Of(instance)
-	isPaced := isNamed || r.fleet.Runner(instance).Cold
-	r.balancer.SetPaced(structs.RunnerID(instance), isPaced)
-	r.placed.hasPaced = r.placed.hasPaced || isPaced
+	isCold := r.fleet.Runner(instance).Cold
+	r.balancer.SetPaced(structs.RunnerID(instance), isCold, isNamed)
+	r.placed.hasPaced = r.placed.hasPaced || isCold || isNamed
 	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
 
--- a/request/routing/paced.go
+++ b/request/routing/paced.go
@@ -8,9 +8,9 @@
 
 // SetPaced says whether a runner is paced, as it is cold or names a rate limit. It is chosen only with a token then:
 // what many routers would send to it by its slots is more than it bears.
-func (b *Balancer) SetPaced(id structs.RunnerID, isPaced bool) {
+func (b *Balancer) SetPaced(id structs.RunnerID, isCold, isLimited bool) {
 	if target := b.runners[id]; target != nil {
-		target.paced = isPaced
+		target.paced, target.limited = isCold || isLimited, isLimited
 	}
 }
 
@@ -51,20 +51,21 @@
 	return listed
 }
 
-// unheardTime is after how long without an answer of a paced runner a token for it is used by the next request,
-// whatever others are expected to take: answers tell whether its limit is over, and a runner that others can stand in
-// for would be asked by chance only. It costs one request in so long at most what another runner saves it.
+// unheardTime is after how long without an answer of a runner that names a limit a token for it is used by the next
+// request, whatever others are expected to take: answers tell whether its limit is over, and a runner that others can
+// stand in for would be asked by chance only. It costs one request in so long at most what another runner saves it. Cold
+// runners tell themselves when they are warm, and stay the last to be chosen.
 const unheardTime = 2 * time.Second
 
-// unheard returns a replica at a paced runner that has not answered for unheardTime and for which there is a token; nil
-// for none.
+// unheard returns a replica at a runner that names a limit, has not answered for unheardTime, and for which there is a
+// token; nil for none.
 func (b *Balancer) unheard(now time.Time, wanted *row, work *Work) *replica {
 	if len(b.withTokens) == 0 {
 		return nil
 	}
 	for _, candidate := range wanted.subset {
 		target := candidate.runner
-		if target.paced && target.tokens > 0 && now.Sub(target.answeredAt) >= unheardTime && b.usable(now, candidate, work) {
+		if target.limited && target.tokens > 0 && now.Sub(target.answeredAt) >= unheardTime && b.usable(now, candidate, work) {
 			return candidate
 		}
 	}
--- a/request/routing/paced_test.go
+++ b/request/routing/paced_test.go
@@ -18,7 +18,7 @@
 		Runners:  []structs.RunnerInfo{{ID: "cold"}, {ID: "warm"}},
 		Replicas: []structs.Replica{{Row: "m", Runner: "cold", State: structs.ReplicaReady}, {Row: "m", Runner: "warm", State: structs.ReplicaReady}},
 	})
-	b.SetPaced("cold", true)
+	b.SetPaced("cold", true, false)
 	for range 20 {
 		choice, found := b.Pick(now, "m", nil, "")
 		c.Assert(found, qt.IsTrue)
@@ -41,7 +41,7 @@
 	b.DropTokens()
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsFalse)
-	b.SetPaced("cold", false)
+	b.SetPaced("cold", false, false)
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsTrue)
 	c.Assert(b.Paced(now, "m"), qt.HasLen, 0)
@@ -57,7 +57,7 @@
 		Runners:  []structs.RunnerInfo{{ID: "paced"}, {ID: "free"}},
 		Replicas: []structs.Replica{{Row: "m", Runner: "paced", State: structs.ReplicaReady}, {Row: "m", Runner: "free", State: structs.ReplicaReady}},
 	})
-	b.SetPaced("paced", true)
+	b.SetPaced("paced", false, true)
 	for range 5 {
 		b.GiveTokens("paced", 1)
 		choice, found := b.Pick(now, "m", nil, "")
@@ -71,3 +71,25 @@
 	choice, _ := b.Pick(now, "m", nil, "paced")
 	c.Assert(choice.Runner(), qt.Equals, structs.RunnerID("free"))
 }
+
+// A token for a cold runner was lent for requests that have no other: those that have one don't take it.
+func TestTokenOfAColdRunnerIsLeftToThoseThatHaveNoOther(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := New(Options{Daemon: "d", Zone: "near", Sharpness: 3}, rand.New(rand.NewPCG(1, 1)))
+	b.SetPlacement(structs.Placement{
+		Runners:  []structs.RunnerInfo{{ID: "cold", Zone: "far"}, {ID: "warm", Zone: "near"}},
+		Replicas: []structs.Replica{{Row: "m", Runner: "cold", State: structs.ReplicaReady}, {Row: "m", Runner: "warm", State: structs.ReplicaReady}},
+	})
+	b.SetPaced("cold", true, false)
+	taken := 0
+	for range 200 {
+		b.GiveTokens("cold", 1)
+		choice, found := b.Pick(now, "m", nil, "")
+		c.Assert(found, qt.IsTrue)
+		if choice.Runner() == "cold" {
+			taken++
+		}
+	}
+	c.Assert(taken < 200, qt.IsTrue, qt.Commentf("%d", taken))
+}
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -21,6 +21,8 @@
 	// paced runners get a request for each token that the leader lent.
 	paced  bool
 	tokens int
+	// limited runners are paced as they name a rate limit.
+	limited bool
 	// failing runners are chosen only where no other one can be.
 	failing bool
 	// inFlight counts this router's attempts; others is the load of all other
