--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -279,7 +279,6 @@
 	defer x.router.noteSent(choice, watchdog)()
 	x.sent++
 	sent := x.router.now()
-	x.router.noteSentToLimited(choice.Runner(), x.sent > 1)
 	x.seen.sent(choice.Runner())
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
@@ -290,10 +289,8 @@
 		return x.sendFailed(ctx, choice, err)
 	}
 	x.arrivals++
-	if answer.tellsLimit() {
-		x.router.noteLimit(choice.Runner(), sent, answer.Limit)
-	}
-	watchdog.heard()
+	x.router.hear(choice.Runner(), sent, answer)
+	watchdog.heardNow()
 	defer answer.Body.Close()
 	ended := x.receive(ctx, choice, answer, watchdog)
 	if ended.reason != "" || x.sent > 1 {
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainnode"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/relay"
@@ -335,7 +336,7 @@
 	}
 	return &relay.Answer{
 		Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("fine")), Length: 4, Signed: true,
-		Limit: s.limitAt(target.address),
+		Notice: notice.Notice{Limit: s.limitAt(target.address)},
 	}, nil
 }
 
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -42,6 +42,11 @@
 	// requests that were sent to them, first and repeated ones.
 	limitedRunners prometheus.Gauge
 	limitedSent    *prometheus.CounterVec
+	// restingRunners counts the runners that want no requests of this router now, restsAsked how often one said so, and
+	// unwantedSent the requests that were sent all the same to runners that rest or are leaving, first and repeated ones.
+	restingRunners prometheus.Gauge
+	restsAsked     prometheus.Counter
+	unwantedSent   *prometheus.CounterVec
 	// named are the tenants with series of their own.
 	named sync.Map
 	count atomic.Int32
@@ -89,15 +94,19 @@
 		coldRequests:   counter("cold_requests_granted_total", "Requests to cold runners that the leader granted to this router.").WithLabelValues(),
 		limitedRunners: gauge("limited_runners", "Runners that name a rate limit, as this router knows."),
 		limitedSent:    counter("limited_sendings_total", "Sendings to runners that name a rate limit, by whether the request was sent before.", "repeated"),
-		letGo:          counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
-		loadsAt:        gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
-		viewAt:         gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
+		restingRunners: gauge("resting_runners", "Runners that asked this router for rest that is not over."),
+		restsAsked:     counter("rests_asked_total", "Times that a runner asked this router for rest, or for a longer one.").WithLabelValues(),
+		unwantedSent: counter("unwanted_sendings_total",
+			"Sendings to runners that had asked for rest, or said in an answer that they are leaving.", "runner", "repeated"),
+		letGo:   counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
+		loadsAt: gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
+		viewAt:  gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderSet, made.viewAt, made.loadsAt, made.tenants, made.draws,
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.pressed, made.letGo, made.coldRequests,
-			made.limitedRunners, made.limitedSent)
+			made.limitedRunners, made.limitedSent, made.restingRunners, made.restsAsked, made.unwantedSent)
 	}
 	return made
 }
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -71,6 +71,7 @@
 	tokensUntil time.Time
 	// runnerLimits are the rate limits that runners name.
 	runnerLimits runnerLimits
+	notices      notices
 	// ended counts how attempts ended since the last report.
 	ended map[structs.RunnerID]*fleet.Attempts
 	// heard is when each runner last sent something.
@@ -148,6 +149,7 @@
 		refused: asynclog.NewLimiter(maxTenantLines),
 
 		runnerLimits:    newRunnerLimits(),
+		notices:         newNotices(),
 		suspects:        newSuspects(),
 		zones:           newZones(options.Seed),
 		refusedSuspects: asynclog.NewLimiter(maxSuspectLines),
@@ -284,6 +286,11 @@
 func (r *Router) heardFrom(instance structs.RunnerID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.noteHeard(instance)
+}
+
+// noteHeard notes the same under the mutex.
+func (r *Router) noteHeard(instance structs.RunnerID) {
 	r.heard[instance] = time.Now()
 	r.zones.watch.Heard(r.now(), instance)
 }
--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -3,12 +3,8 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/go-kit/log/level"
-
-	"github.com/lotusferry/lotusferry/internal/asynclog"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
@@ -19,9 +15,6 @@
 // request of a busy row comes.
 const aheadPause = ratelimit.TokenLife / 2
 
-// maxLimitLines is how many lines a second tell of runners' rate limits.
-const maxLimitLines = 20
-
 // runnerLimits are the rate limits that runners name. The router's mutex guards them.
 type runnerLimits struct {
 	belief *ratelimit.Belief
@@ -29,34 +22,31 @@
 	// there was the last such question for a runner.
 	ahead   map[structs.RunnerID]bool
 	askedAt map[structs.RunnerID]time.Time
-	// logged bounds the log lines about them.
-	logged *asynclog.Limiter
 }
 
 func newRunnerLimits() runnerLimits {
 	return runnerLimits{
-		belief: ratelimit.NewBelief(), logged: asynclog.NewLimiter(maxLimitLines),
-		ahead: make(map[structs.RunnerID]bool), askedAt: make(map[structs.RunnerID]time.Time),
+		belief: ratelimit.NewBelief(),
+		ahead:  make(map[structs.RunnerID]bool), askedAt: make(map[structs.RunnerID]time.Time),
 	}
 }
 
 // noteLimit takes what a runner's answer to a request that was sent at a time tells of its rate limit. The limit is
 // that of all routers together, of which only this one knows: from now on it sends what the leader lends it, and
 // tells the leader at once, for the others to do the same.
+// It runs under the mutex.
 func (r *Router) noteLimit(runner structs.RunnerID, sent time.Time, notice ratelimit.Notice) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	if notice.Problem != "" {
-		r.logLimit("A runner's rate limit cannot be read.", runner, "err", notice.Problem)
+		r.logNotice("A runner's rate limit cannot be read.", runner, "err", notice.Problem)
 	}
 	// What was listed no more when the answer came has no limit to keep.
 	if r.fleet.Runner(string(runner)) == nil || !r.runnerLimits.belief.Hear(r.now(), sent, string(runner), notice) {
 		return
 	}
 	if notice.IsNamed {
-		r.logLimit("A runner names a rate limit.", runner, "per_second", notice.PerSecond)
+		r.logNotice("A runner names a rate limit.", runner, "per_second", notice.PerSecond)
 	} else {
-		r.logLimit("A runner names no rate limit any more.", runner)
+		r.logNotice("A runner names no rate limit any more.", runner)
 	}
 	r.pace(string(runner))
 	if !notice.IsNamed {
@@ -153,22 +143,3 @@
 func (l limitedRow) leastWait(ahead int) time.Duration {
 	return l.timeFor(max(0, ahead+1-l.runners*ratelimit.Burst))
 }
-
-// noteSentToLimited counts a request that is sent to a runner that names a rate limit.
-func (r *Router) noteSentToLimited(runner structs.RunnerID, isRepeated bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if _, isNamed := r.runnerLimits.belief.Of(string(runner)); isNamed {
-		r.metrics.limitedSent.WithLabelValues(strconv.FormatBool(isRepeated)).Inc()
-	}
-}
-
-// logLimit tells of a runner's rate limit. It runs under the mutex.
-func (r *Router) logLimit(text string, runner structs.RunnerID, rest ...any) {
-	suppressed, allowed := r.runnerLimits.logged.Allow(r.now())
-	if !allowed {
-		return
-	}
-	fields := append([]any{"msg", text, "runner", string(runner)}, rest...)
-	level.Info(r.logger).Log(append(fields, "not_logged", suppressed)...)
-}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/poison"
-	"github.com/lotusferry/lotusferry/placement/ratelimit"
 )
 
 // Request is a caller's request.
@@ -117,8 +117,8 @@
 	Signed bool
 	// IsStream is set if the body is a stream of events.
 	IsStream bool
-	// Limit is what the answer tells of the runner's rate limit.
-	Limit ratelimit.Notice
+	// Notice is what the answer tells of the runner.
+	Notice notice.Notice
 }
 
 // tellsLimit reports whether the answer tells of the runner's rate limit. What does not hold what is needed may be
@@ -130,7 +130,7 @@
 		return false
 	}
 	isServed := a.Signed && !a.NotRun && a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
-	return isServed || a.Limit.IsNamed || a.Limit.Problem != ""
+	return isServed || a.Notice.Limit.IsNamed || a.Notice.Limit.Problem != ""
 }
 
 // Backend sends attempts to runners. The error is ErrNotSent, wrapped, if no byte of
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -22,13 +22,15 @@
 	runner   structs.RunnerID
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
+	// isRepeated is set if the request was sent before.
+	isRepeated bool
 
 	mutex sync.Mutex
 	since time.Time
 }
 
 func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, since: time.Now()}
+	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, isRepeated: x.sent > 0, since: time.Now()}
 	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
 		w.timer = time.AfterFunc(x.silence(), w.look)
 	}
@@ -62,6 +64,11 @@
 // heard notes that the attempt's runner sent something for it.
 func (w *watchdog) heard() {
 	w.exchange.router.heardFrom(w.runner)
+	w.heardNow()
+}
+
+// heardNow notes the same where the router knows it already.
+func (w *watchdog) heardNow() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.since = time.Now()
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -64,6 +64,7 @@
 func (r *Router) noteSent(choice routing.Choice, w *watchdog) (ended func()) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.noteSending(r.now(), w)
 	zone := r.zones.watch.ZoneOf(choice.Runner())
 	if zone == "" {
 		return func() {}
