--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -85,6 +85,13 @@
 	limits map[string]float64
 	// fails are the answers of which the runners at each address give one in place of every second answer.
 	fails map[string][]relay.Answer
+	// turnsAway has the answers with which the runners at each address turn everything away, and sayingLeaving the
+	// addresses whose runners say in their answers that they are leaving.
+	turnsAway     map[string]relay.Answer
+	sayingLeaving map[string]bool
+	// visits are what each runner got from each router, and routerStarted is when each router last started.
+	visits        map[string]*visits
+	routerStarted [testRouters]time.Time
 }
 
 type testController struct {
@@ -156,7 +163,8 @@
 			runners: make(map[string]*testRunner), poison: make(map[string]bool),
 			sent: make(map[string][]time.Time), crashed: make(map[string][]time.Time), lastRunner: make(map[string]string),
 			coldUntil: make(map[string]time.Time), arrivals: make(map[string][]time.Time), limits: make(map[string]float64),
-			fails: make(map[string][]relay.Answer),
+			fails: make(map[string][]relay.Answer), turnsAway: make(map[string]relay.Answer), sayingLeaving: make(map[string]bool),
+			visits: make(map[string]*visits),
 		}
 		c.Cleanup(func() {
 			cancel()
@@ -233,7 +241,8 @@
 // startRouter starts a router, in place of the one that was there.
 func (s *testSite) startRouter(index int) {
 	router := relay.New(relay.Options{
-		Logger: log.NewNopLogger(), Name: fmt.Sprint("router-", index), Seeds: controllerAddresses, Decoder: decodeSite, Backend: s,
+		Logger: log.NewNopLogger(), Name: fmt.Sprint("router-", index), Seeds: controllerAddresses, Decoder: decodeSite,
+		Backend:  routerBackend{s, index},
 		Retry:    relay.RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Patience: relay.Patience{Floor: 2 * time.Second, Objectives: 4, Pauses: 8}, Network: s.network, Seed: uint64(index) + 1,
 	})
@@ -245,6 +254,7 @@
 		former.end()
 	}
 	s.routers[index] = &testRouter{router, end}
+	s.routerStarted[index] = time.Now()
 }
 
 // startRunner starts a runner, which sends heartbeats until it ends.
@@ -305,7 +315,7 @@
 	})
 }
 
-// Send implements relay.Backend: it is what a runner does with a request.
+// Send is what a runner does with a request.
 func (s *testSite) Send(ctx context.Context, attempt *relay.Attempt) (*relay.Answer, error) {
 	body := string(attempt.Request.Body)
 	s.mutex.Lock()
@@ -317,7 +327,12 @@
 	s.sent[body] = append(s.sent[body], time.Now())
 	s.arrivals[attempt.Instance] = append(s.arrivals[attempt.Instance], time.Now())
 	s.lastRunner[body] = attempt.Instance
+	rejection, turnsAway := s.turnsAway[target.address]
 	s.mutex.Unlock()
+	if turnsAway {
+		rejection.Header, rejection.Body = make(http.Header), io.NopCloser(strings.NewReader(""))
+		return &rejection, nil
+	}
 	if isPoison {
 		return nil, s.runPoison(ctx, target, body)
 	}
@@ -336,10 +351,17 @@
 	}
 	return &relay.Answer{
 		Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(strings.NewReader("fine")), Length: 4, Signed: true,
-		Notice: notice.Notice{Limit: s.limitAt(target.address)},
+		Notice: notice.Notice{Limit: s.limitAt(target.address), IsLeaving: s.isLeavingAt(target.address)},
 	}, nil
 }
 
+// isLeavingAt reports whether the runner at the address says that it is leaving.
+func (s *testSite) isLeavingAt(address string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sayingLeaving[address]
+}
+
 // drawFailure draws an answer that the runner at the address gives in place of a good one; nil for half of them.
 func (s *testSite) drawFailure(address string) *relay.Answer {
 	s.mutex.Lock()
--- a/request/relay/order_test.go
+++ b/request/relay/order_test.go
@@ -43,10 +43,10 @@
 }
 
 // come sends a request in the background and counts it as waiting for its answer.
-func come(t *testing.T, router *Router, ctx context.Context, path string, answered chan<- *httptest.ResponseRecorder) {
+func come(t *testing.T, router *Router, ctx context.Context, path, model string, answered chan<- *httptest.ResponseRecorder) {
 	t.Helper()
 	go func() {
-		recorder, _ := ask(router, ctx, path, "m")
+		recorder, _ := ask(router, ctx, path, model)
 		answered <- recorder
 	}()
 	synctest.Wait()
@@ -61,7 +61,7 @@
 // fill sends requests until one waits, and returns how many were sent.
 func fill(t *testing.T, router *Router, answered chan *httptest.ResponseRecorder) int {
 	for sent := 1; ; sent++ {
-		come(t, router, t.Context(), "/patient/filler", answered)
+		come(t, router, t.Context(), "/patient/filler", "m", answered)
 		// The places are free one after the other.
 		pause.For(t.Context(), 5*time.Millisecond)
 		if waitingIn(router) > 0 {
@@ -76,8 +76,8 @@
 		router, backend := newCrowdedRouter()
 		answered := make(chan *httptest.ResponseRecorder, 20)
 		sent := fill(t, router, answered)
-		come(t, router, t.Context(), "/patient/second", answered)
-		come(t, router, t.Context(), "/stream/urgent", answered)
+		come(t, router, t.Context(), "/patient/second", "m", answered)
+		come(t, router, t.Context(), "/stream/urgent", "m", answered)
 		for range sent + 2 {
 			c.Assert((<-answered).Code, qt.Equals, http.StatusOK)
 		}
@@ -93,7 +93,7 @@
 		answered := make(chan *httptest.ResponseRecorder, 20)
 		fill(t, router, answered)
 		ctx, leave := context.WithCancel(t.Context())
-		come(t, router, ctx, "/patient/leaves", answered)
+		come(t, router, ctx, "/patient/leaves", "m", answered)
 		c.Assert(waitingIn(router), qt.Equals, 2)
 		leave()
 		synctest.Wait()
@@ -109,9 +109,9 @@
 		c := qt.New(t)
 		router, _ := newCrowdedRouter()
 		answered := make(chan *httptest.ResponseRecorder, 100)
-		come(t, router, t.Context(), "/patient/first", answered)
+		come(t, router, t.Context(), "/patient/first", "m", answered)
 		for range 60 {
-			come(t, router, t.Context(), "/stream/x", answered)
+			come(t, router, t.Context(), "/stream/x", "m", answered)
 		}
 		// Too little is known of the pace at first, and nobody is refused.
 		c.Assert(answered, qt.HasLen, 0)
--- a/request/relay/rest_test.go
+++ b/request/relay/rest_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/site"
 )
@@ -155,3 +158,61 @@
 	}
 	return document
 }
+
+// askForRest is the answer of a runner that turns a request away and wants none for a time.
+func askForRest(rest time.Duration) (*Answer, error) {
+	answer, err := shed()
+	answer.Notice.Rest = rest
+	return answer, err
+}
+
+// twoModels is a view of one runner that holds two models.
+func twoModels() fleet.View {
+	return fleet.View{Complete: true, Runners: []fleet.Runner{{
+		Instance: "e1", Service: "engine", Address: "e1", Slots: 8, Models: []fleet.LoadedModel{{Name: "m"}, {Name: "n"}},
+	}}}
+}
+
+// What a runner asks for is for all that it serves, and nothing but its time ends it: requests for another of its models, the
+// answer to one that was sent before, a view that lists it anew.
+func TestRestOfARunnerIsForAllThatItServes(t *testing.T) {
+	const rest = 3 * time.Second
+	for name, meanwhile := range map[string]func(router *Router, t *testing.T){
+		"another model": func(*Router, *testing.T) {},
+		"an answer to what was sent before": func(_ *Router, t *testing.T) {
+			pause.For(t.Context(), servedTime)
+		},
+		"a view that lists it anew": func(router *Router, _ *testing.T) {
+			router.adoptView(fleet.View{Complete: true})
+			router.adoptView(twoModels())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				asked := 0
+				router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+					if asked++; asked == 1 {
+						pause.For(ctx, servedTime)
+						return stream(events(1, 1), io.EOF)
+					}
+					return askForRest(rest)
+				})
+				router.adoptView(twoModels())
+				answered := make(chan *httptest.ResponseRecorder, 10)
+				come(t, router, t.Context(), "/stream/before", "m", answered)
+				come(t, router, t.Context(), "/stream/turned-away", "m", answered)
+				c.Assert(backend.runners(), qt.HasLen, 2)
+				began := time.Now()
+				meanwhile(router, t)
+				for _, model := range []string{"n", "m", "n"} {
+					come(t, router, t.Context(), "/stream/after", model, answered)
+					pause.For(t.Context(), 300*time.Millisecond)
+				}
+				pause.For(t.Context(), rest-time.Since(began)-time.Millisecond)
+				c.Assert(backend.runners(), qt.HasLen, 2)
+				pause.For(t.Context(), 10*time.Second)
+			})
+		})
+	}
+}
