A runner that asks for rest or says that it is leaving gets no more: what answers say is kept by the life of the runner

What callers saw: a runner that turned a request away and asked its router for 3 s of rest got 8 and 4 more requests of that router (play; 2 are allowed), as first, second and third attempts; callers were refused after them and told to come back in 0.2 s. A runner that says in its answers that it is leaving got requests on and on.

Cause: nothing read either. The router's own rest (100 to 800 ms) stood for the one asked for, and could not have kept it: it is that of one model of the runner, the success of any older request ends it, a word during it is dropped, and a view that lists the runner anew forgets it.

Change: the Book's word goes to the choice. A runner's rest and leaving are kept with its life (ID#BORN), applied whenever a view places it, and ended by time alone. No way to a runner passes by: the choice for first and second attempts, those that wait, tokens, resumed streams (all through Balancer.answers); a choice made before the answer came is looked at again as it is sent; an attempt that still waits for a connection is taken back, and the backend asks once more as the connection is there, before the first byte. After a rest one request at a time tries the runner until it has taken one. Where all runners of a row rest for longer than a request may wait, its caller is told at once when the first takes requests again; those that are refused after their tries get that time too.

Ruled out: a longer own rest (still by model, still ended by older answers); telling the other routers of rests (they are each router's own). Tests of the routing alone, of a connection that comes late, kept and new, and of trials after a rest. Decides nothing for runners that say nothing.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
@@ -180,6 +181,8 @@
 	Works []shares.Work
 	// Limits tell what was heard of the rate limits of runners.
 	Limits []ratelimit.Report
+	// Notices tell which runners asked the router for rest, or say that they are leaving.
+	Notices []notice.Report
 }
 
 // DemandReply tells what is known about the rows for which requests wait.
--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -11,9 +11,11 @@
 func (x *exchange) giveUp(err error, last result) {
 	var comeBack *comeBackError
 	switch {
-	case errors.As(err, &comeBack):
+	case errors.As(err, &comeBack) && x.attempts == 0:
 		x.tellToComeBack(comeBack)
 		return
+	case errors.As(err, &comeBack):
+		last.reason, last.err = reasonNoRunner, err
 	case errors.Is(err, errStopped):
 		last.reason, last.err = "router_stops", err
 	case errors.Is(err, errTimeout):
@@ -46,7 +48,7 @@
 	retryAfter := retryAfterNow
 	if x.attempts == 0 {
 		message = "no runner could take the request: " + reason
-		if reason == reasonNoRunner {
+		if reason == reasonNoRunner || reason == reasonShed || reason == reasonBudget {
 			retryAfter = x.router.comeBackIn(x.waiting)
 		}
 	}
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -33,15 +33,19 @@
 
 const (
 	// reasonComeBack is that of a model that is being loaded, reasonCrowded that of a row in which
-	// too many wait.
+	// too many wait, reasonResting that of one whose runners all asked for rest.
 	reasonComeBack comeBackReason = "come_back"
 	reasonCrowded  comeBackReason = "crowded"
+	reasonResting  comeBackReason = "resting"
 )
 
 // message tells the caller the reason.
 func (r comeBackReason) message() string {
-	if r == reasonCrowded {
+	switch r {
+	case reasonCrowded:
 		return "too many requests wait for the model"
+	case reasonResting:
+		return "all runners that could take the request have asked for rest"
 	}
 	return "the model is being loaded"
 }
@@ -52,6 +56,11 @@
 	heardAt time.Time
 }
 
+// at is when the model should be ready, and false if nothing was said lately.
+func (f *forecast) at(now time.Time) (readyAt time.Time, isKnown bool) {
+	return f.readyAt, !f.heardAt.IsZero() && now.Sub(f.heardAt) <= forecastLife
+}
+
 // absentee is a caller that was told to come back.
 type absentee struct {
 	since time.Time
@@ -87,16 +96,41 @@
 		state.expect(now, wanted, comeBack.after)
 		return comeBack
 	}
-	if state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
+	comeBack := r.deferral(now, state, wanted)
+	if comeBack == nil {
 		return nil
 	}
-	after, isDeferred := wanted.deferral(now, state.forecast.readyAt)
-	if !isDeferred {
+	r.queue.Remove(&wanted.entry)
+	state.expect(now, wanted, comeBack.after)
+	return comeBack
+}
+
+// deferral is when a caller should come back whose request cannot be served in the time that it may wait; nil if it
+// can, or may, as far as is known. It runs under the mutex.
+func (r *Router) deferral(now time.Time, state *rowState, wanted *waiter) *comeBackError {
+	readyAt, reason, isKnown := r.readyAt(now, state, wanted)
+	if !isKnown {
 		return nil
 	}
-	r.queue.Remove(&wanted.entry)
-	state.expect(now, wanted, after)
-	return &comeBackError{after: after, reason: reasonComeBack}
+	after, isDeferred := wanted.deferral(now, readyAt)
+	// One that may have run is not told to come back, and does not wait in vain either.
+	isInVain := reason == reasonResting && readyAt.After(wanted.until)
+	if !isDeferred && !isInVain {
+		return nil
+	}
+	return &comeBackError{after: after, reason: reason}
+}
+
+// readyAt is when there should be a runner for a request that has none, by the leader's forecast and by the rests that
+// runners asked for; false if that is not known. It runs under the mutex.
+func (r *Router) readyAt(now time.Time, state *rowState, wanted *waiter) (at time.Time, reason comeBackReason, isKnown bool) {
+	if state != nil {
+		at, isKnown = state.forecast.at(now)
+	}
+	if until, isResting := r.restsUntil(wanted); isResting && (!isKnown || until.Before(at)) {
+		return until, reasonResting, true
+	}
+	return at, reasonComeBack, isKnown
 }
 
 // deferCrowded gives a request up that, by the pace of its row and those that go before it, would
@@ -116,8 +150,11 @@
 	return &comeBackError{after: wanted.comeBackIn(now, now.Add(in)), reason: reasonCrowded}
 }
 
-// expect notes that a caller will come back.
+// expect notes that a caller will come back, if it is told to.
 func (s *rowState) expect(now time.Time, wanted *waiter, after time.Duration) {
+	if !wanted.mayDefer {
+		return
+	}
 	s.absentees = append(s.absentees, absentee{
 		since: wanted.ticket.Arrived, until: now.Add(after + returnLife), priority: wanted.ticket.Rank,
 	})
@@ -142,17 +179,28 @@
 // deferWaiters tells those callers of a row to come back for whom that is better than to wait. It
 // runs under the mutex.
 func (r *Router) deferWaiters(now time.Time, state *rowState) {
-	var leaving []*waiter
+	leaving := make(map[*waiter]*comeBackError)
+	var order []*waiter
 	state.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
-		if _, isDeferred := entry.Value.deferral(now, state.forecast.readyAt); isDeferred {
-			leaving = append(leaving, entry.Value)
+		if comeBack := r.deferral(now, state, entry.Value); comeBack != nil {
+			leaving[entry.Value] = comeBack
+			order = append(order, entry.Value)
 		}
 	})
-	for _, wanted := range leaving {
-		after, _ := wanted.deferral(now, state.forecast.readyAt)
+	for _, wanted := range order {
 		r.queue.Remove(&wanted.entry)
-		state.expect(now, wanted, after)
-		wanted.deferred <- &comeBackError{after: after, reason: reasonComeBack}
+		state.expect(now, wanted, leaving[wanted].after)
+		wanted.deferred <- leaving[wanted]
+	}
+}
+
+// deferAll does the same for the callers of all rows. It runs under the mutex.
+func (r *Router) deferAll() {
+	now := r.now()
+	for _, state := range r.rows {
+		if state.waiting() > 0 {
+			r.deferWaiters(now, state)
+		}
 	}
 }
 
@@ -169,10 +217,11 @@
 	if limits := r.limitsOf(wanted.row); state != nil && limits.isAll() {
 		return max(retryAfterNow, wanted.comeBackIn(now, now.Add(limits.timeFor(state.waiting()+1))))
 	}
-	if state == nil || state.forecast.heardAt.IsZero() || now.Sub(state.forecast.heardAt) > forecastLife {
+	readyAt, _, isKnown := r.readyAt(now, state, wanted)
+	if !isKnown {
 		return retryAfterNow
 	}
-	return max(retryAfterNow, wanted.comeBackIn(now, state.forecast.readyAt))
+	return max(retryAfterNow, wanted.comeBackIn(now, readyAt))
 }
 
 // tellToComeBack answers a request that has not been sent to any runner.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -52,6 +52,8 @@
 	// that of one that is full.
 	reasonNotHeld = "not_held"
 	reasonShed    = "shed"
+	// reasonBudget is that of a request for which the retry budget had no second sending.
+	reasonBudget = "retry_budget"
 	// reasonNotSigned is that of an answer without the runner's signature, and reasonRunnerFailed that
 	// of a failure that the runner itself told of.
 	reasonNotSigned    = "not_signed"
@@ -230,7 +232,7 @@
 			return
 		case x.arrivals > 0 && !x.router.mayRepeat(x.row.Service):
 			x.giveTurnBack(choice, given)
-			last.reason = "retry_budget"
+			last.reason = reasonBudget
 			x.conclude(last)
 			return
 		}
@@ -277,19 +279,22 @@
 	watchdog := x.watch(choice, cancel)
 	defer watchdog.stop()
 	defer x.router.noteSent(choice, watchdog)()
+	if errors.Is(context.Cause(ctx), errUnwanted) {
+		return x.sendFailed(ctx, choice, ErrNotSent)
+	}
 	x.sent++
 	sent := x.router.now()
 	x.seen.sent(choice.Runner())
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
 		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
-		Tenant: x.tenantName(), HidesKey: x.hidesKey,
+		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
 	})
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
 	}
 	x.arrivals++
-	x.router.hear(choice.Runner(), sent, answer)
+	x.router.hear(choice, sent, answer)
 	watchdog.heardNow()
 	defer answer.Body.Close()
 	ended := x.receive(ctx, choice, answer, watchdog)
@@ -320,7 +325,9 @@
 	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
-		x.unsent++
+		if !errors.Is(context.Cause(ctx), errUnwanted) {
+			x.unsent++
+		}
 		if ctx.Err() == nil {
 			x.router.connectFailed(choice.Runner())
 		}
@@ -343,6 +350,9 @@
 		ended.reason = reasonSilent
 	case errors.Is(cause, errZoneLost):
 		ended.reason = reasonZoneLost
+	case errors.Is(cause, errUnwanted):
+		ended.reason = reasonUnwanted
+		ended.outcome = routing.OutcomeNeutral
 	case errors.Is(cause, errTimeout):
 		ended.reason = "timeout"
 		ended.outcome = routing.OutcomeNeutral
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -96,6 +96,7 @@
 	if reply.Term != arguments.Term {
 		// Before its view, which may know of no limit yet.
 		r.runnerLimits.belief.TellAnew()
+		r.notices.book.TellAnew()
 		r.wakeReport()
 	}
 	r.mutex.Unlock()
@@ -235,10 +236,10 @@
 	r.mutex.Lock()
 	losses, endings := r.suspects.take()
 	works := r.queue.TakeWork()
-	limits := r.runnerLimits.belief.News()
+	limits, said := r.runnerLimits.belief.News(), r.notices.book.News(r.now())
 	r.mutex.Unlock()
 	isIdle := len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(attempts) == 0 &&
-		len(losses) == 0 && len(endings) == 0 && len(works) == 0 && len(limits.Reports) == 0
+		len(losses) == 0 && len(endings) == 0 && len(works) == 0 && len(limits.Reports) == 0 && len(said.Reports) == 0
 	if isIdle {
 		return false
 	}
@@ -246,7 +247,7 @@
 	defer cancel()
 	arguments := domainapi.DemandArguments{
 		Router: r.options.Name, Zone: string(r.options.Zone), Demands: demands, Doubted: doubted, Unreachable: unreachable,
-		Paces: paces, Attempts: attempts, Losses: losses, Endings: endings, Works: works, Limits: limits.Reports,
+		Paces: paces, Attempts: attempts, Losses: losses, Endings: endings, Works: works, Limits: limits.Reports, Notices: said.Reports,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
@@ -261,6 +262,7 @@
 	}
 	r.mutex.Lock()
 	r.runnerLimits.belief.Told(limits)
+	r.notices.book.Told(said)
 	r.mutex.Unlock()
 	r.adoptForecasts(reply.Forecasts)
 	return true
--- a/request/relay/placed.go
+++ b/request/relay/placed.go
@@ -155,6 +155,7 @@
 		r.balancer.SetFailing(id, runner.Failing)
 		r.runnerLimits.belief.Learn(r.now(), instance, runner.Limit)
 		r.pace(instance)
+		r.heed(instance)
 		r.zones.watch.Add(update.Runners[i])
 		if r.options.Connects != nil {
 			r.options.Connects.setZone(runner.Address, structs.ZoneID(runner.Zone))
@@ -169,6 +170,7 @@
 		return
 	}
 	r.placed.sweptAt = now
+	r.notices.book.Sweep(now, func(instance string) bool { return r.fleet.Runner(instance) != nil })
 	var unasked []fleet.ModelKey
 	for key, asked := range r.placed.lastAsked {
 		if now.Sub(asked) > trackedLife && r.isUnused(key) {
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -201,6 +201,9 @@
 	}
 	wanted.cachedParts = choice.Cached(wanted.work.Prefixes)
 	choice.Sent(at, wanted.work.Prefixes)
+	if again := choice.NextTry(at); again > 0 {
+		time.AfterFunc(again, r.serveRested)
+	}
 	state := r.rowState(wanted.row)
 	state.active[choice.Runner()]++
 	state.prompts[choice.Runner()] += choice.Unread()
@@ -208,6 +211,27 @@
 	return choice, true
 }
 
+// rest takes a runner out of the choice for a time, if that is not over. It runs under the mutex.
+func (r *Router) rest(instance string, left time.Duration) {
+	if left > 0 {
+		r.balancer.Rest(structs.RunnerID(instance), time.Now().Add(left))
+	}
+}
+
+// isWanted reports whether the chosen runner still wants requests. It runs under the mutex.
+func (r *Router) isWanted(choice routing.Choice) bool { return choice.IsWanted(time.Now()) }
+
+// restsUntil is when the first of the runners that may have a request takes some again, if all of them rest. It runs under
+// the mutex.
+func (r *Router) restsUntil(wanted *waiter) (time.Time, bool) {
+	if r.notices.book.IsEmpty() {
+		return time.Time{}, false
+	}
+	at := time.Now()
+	until, isResting := r.balancer.RestsUntil(at, rowName(wanted.row), &wanted.work)
+	return r.now().Add(until.Sub(at)), isResting
+}
+
 // pacedRunners lists the paced runners that requests of the row could get with tokens. It runs under the mutex.
 func (r *Router) pacedRunners(row residency.Row) []structs.RunnerID {
 	return r.balancer.Paced(time.Now(), rowName(row))
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -31,6 +31,9 @@
 }
 
 func (b *scriptedBackend) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
+	if !attempt.MaySend() {
+		return notSent()
+	}
 	b.mutex.Lock()
 	b.attempts = append(b.attempts, *attempt)
 	b.mutex.Unlock()
--- a/request/relay/runnerrests_fleet_test.go
+++ b/request/relay/runnerrests_fleet_test.go
@@ -64,6 +64,9 @@
 
 // Send implements relay.Backend.
 func (b routerBackend) Send(ctx context.Context, attempt *relay.Attempt) (*relay.Answer, error) {
+	if !attempt.MaySend() {
+		return nil, relay.ErrNotSent
+	}
 	seen := b.site.visitsOf(attempt.Instance)
 	b.site.mutex.Lock()
 	seen.arrivals = append(seen.arrivals, routerArrival{b.index, time.Now(), attempt.Request.Arrived})
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -98,8 +98,14 @@
 	HidesKey bool
 	// ResumeAfter is the last event that the caller has; NoEvent for none.
 	ResumeAfter int64
+	// Begin reports whether the request may still be sent: its runner wanted requests when it was chosen, and may want
+	// none any more. Once it has returned true it goes on to. Nil stands for always.
+	Begin func() bool
 }
 
+// MaySend reports whether the request may still be sent.
+func (a *Attempt) MaySend() bool { return a.Begin == nil || a.Begin() }
+
 // Answer is a runner's answer, of which the head has come.
 type Answer struct {
 	Status int
@@ -121,6 +127,9 @@
 	Notice notice.Notice
 }
 
+// isTaken reports whether the runner took the request, whatever became of it.
+func (a *Answer) isTaken() bool { return !a.NotHeld && !a.NotRun && a.Notice.Rest == 0 }
+
 // tellsLimit reports whether the answer tells of the runner's rate limit. What does not hold what is needed may be
 // another runner at the address of the one that was meant. That a runner names no limit counts of whole answers to what
 // it ran: rejections and failures are made in other places, and taking one for the end of a need brings all routers
@@ -134,7 +143,7 @@
 }
 
 // Backend sends attempts to runners. The error is ErrNotSent, wrapped, if no byte of
-// the request has left.
+// the request has left. Right before the first one leaves Send asks MaySend, and sends nothing if that denies it.
 type Backend interface {
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -24,11 +25,32 @@
 	timer    *time.Timer
 	// isRepeated is set if the request was sent before.
 	isRepeated bool
+	// progress is how far the sending is.
+	progress atomic.Int32
 
 	mutex sync.Mutex
 	since time.Time
 }
 
+// How far the sending of an attempt is.
+const (
+	sendingNot int32 = iota
+	sendingBegun
+	sendingRecalled
+)
+
+// begin reports whether the request may be sent, and has it not be recalled from then on.
+func (w *watchdog) begin() bool {
+	return w.progress.CompareAndSwap(sendingNot, sendingBegun) || w.progress.Load() == sendingBegun
+}
+
+// recall ends the attempt if nothing has been sent yet: it may wait for a connection for seconds.
+func (w *watchdog) recall() {
+	if w.progress.CompareAndSwap(sendingNot, sendingRecalled) {
+		w.cancel(errUnwanted)
+	}
+}
+
 func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, isRepeated: x.sent > 0, since: time.Now()}
 	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -40,7 +40,7 @@
 // zones is what a router knows of the zones of its site. The router's mutex guards it.
 type zones struct {
 	watch *zonewatch.Watch
-	// attempts are those under way, by the zone of their runner.
+	// attempts are those under way, by the zone of their runner, which is empty if it is not known.
 	attempts map[structs.ZoneID]map[*watchdog]struct{}
 	// probing is nil unless zoneLoop runs, and ends with it; probes are the connects under way.
 	probing context.Context
@@ -64,29 +64,39 @@
 func (r *Router) noteSent(choice routing.Choice, w *watchdog) (ended func()) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if !r.isWanted(choice) {
+		// Its runner said so since it was chosen.
+		w.recall()
+		return func() {}
+	}
 	r.noteSending(r.now(), w)
 	zone := r.zones.watch.ZoneOf(choice.Runner())
+	if r.zones.attempts[zone] == nil {
+		r.zones.attempts[zone] = make(map[*watchdog]struct{})
+	}
+	r.zones.attempts[zone][w] = struct{}{}
 	if zone == "" {
-		return func() {}
+		return func() { r.noteEnded(zone, w) }
 	}
 	if r.zones.watch.IsQuiet() {
 		r.zones.wakeUp()
 	}
 	r.zones.watch.Sent(r.now(), zone)
 	r.zones.sent++
-	if r.zones.attempts[zone] == nil {
-		r.zones.attempts[zone] = make(map[*watchdog]struct{})
-	}
-	r.zones.attempts[zone][w] = struct{}{}
 	if r.zones.watch.IsLost(zone) {
 		// The runner was chosen before the zone was given up.
 		w.leaveZone()
 	}
-	return func() {
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
+	return func() { r.noteEnded(zone, w) }
+}
+
+// noteEnded notes the end of an attempt at a runner of a zone; empty if that is not known.
+func (r *Router) noteEnded(zone structs.ZoneID, w *watchdog) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.zones.attempts[zone], w)
+	if zone != "" {
 		r.zones.watch.Ended(zone)
-		delete(r.zones.attempts[zone], w)
 	}
 }
 
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -71,7 +71,7 @@
 	}
 	unread := work.tokens() - found.cachedTokens(best.runner.number)
 	expected := b.costOf(now, best, work, &found)
-	return Choice{balancer: b, replica: best, runner: best.runner.info, unread: unread, expected: expected}, true
+	return Choice{balancer: b, replica: best, runner: best.runner.info, chosenAt: now, unread: unread, expected: expected}, true
 }
 
 // pick chooses among the replicas that may be used, in the way that the options ask for.
@@ -107,10 +107,7 @@
 	if target.leaving || candidate.rest.isOn(now) || b.zones.outOfReach[target.info.Zone] {
 		return false
 	}
-	if work.Zones != nil && !work.Zones[target.info.Zone] {
-		return false
-	}
-	if id := target.info.ID; work.Avoid != "" && id == work.Avoid || work.Barred != "" && id == work.Barred {
+	if !target.asked.allows(now) || !work.allows(target) || work.Avoid != "" && target.info.ID == work.Avoid {
 		return false
 	}
 	return target.mayTake() && target.hasRoom(now, &b.options) && target.breaker.allows(now)
@@ -146,7 +143,7 @@
 	}
 	for _, candidate := range wanted.subset {
 		target := candidate.runner
-		if target.leaving || now.Before(candidate.ejectedUntil) || target.breaker.open() || candidate.breaker.open() {
+		if target.leaving || target.asked.isOn(now) || now.Before(candidate.ejectedUntil) || target.breaker.open() || candidate.breaker.open() {
 			continue
 		}
 		limit := target.maxBatch + b.options.QueueSlack
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -13,7 +13,8 @@
 	replica  *replica
 	// runner is what was known of the runner when it was chosen. Unlike all else here it may be
 	// read while the Balancer changes.
-	runner structs.RunnerInfo
+	runner   structs.RunnerInfo
+	chosenAt time.Time
 	// unread is how many tokens of the prompt the runner probably has to read.
 	unread int64
 	// expected is what the request was expected to take, and cost others, in seconds.
@@ -45,9 +46,36 @@
 	return !target.leaving && target.replicas[c.replica.row.name] == c.replica
 }
 
+// IsWanted reports whether the runner still wants requests: it is not leaving, and has not asked for rest.
+func (c Choice) IsWanted(now time.Time) bool {
+	target := c.replica.runner
+	return !target.leaving && !target.asked.isOn(now)
+}
+
 // Rest is how long the replica gets no request, as it has turned some away.
 func (c Choice) Rest(now time.Time) time.Duration { return max(0, c.replica.rest.until.Sub(now)) }
 
+// Took notes that the runner has taken the request. It returns true if that is the first one after a rest: the runner gets
+// as many requests as any other from now on. What was chosen before the end of the rest says nothing.
+func (c Choice) Took() bool {
+	asked := &c.replica.runner.asked
+	if !asked.isTried || c.chosenAt.Before(asked.until) {
+		return false
+	}
+	*asked = askedRest{}
+	return true
+}
+
+// NextTry is after how long another request may be sent to a runner that has been asked for one at the end of its rest and
+// has not taken it yet; 0 for any other.
+func (c Choice) NextTry(now time.Time) time.Duration {
+	asked := &c.replica.runner.asked
+	if !asked.isTried {
+		return 0
+	}
+	return max(0, asked.triedAt.Add(trialPause).Sub(now))
+}
+
 // Cached counts how many of the prompt's prefixes, which are PrefixHashes, the
 // chosen runner has probably cached.
 func (c Choice) Cached(prefixes []uint64) int {
@@ -64,6 +92,7 @@
 func (c Choice) Sent(now time.Time, prefixes []uint64) {
 	target := c.replica.runner
 	target.useToken()
+	target.asked.sent(now)
 	target.change(now, 1)
 	target.addTurn(now)
 	target.addUnread(now, c.unread)
--- a/request/routing/paced.go
+++ b/request/routing/paced.go
@@ -43,7 +43,7 @@
 		if !target.paced || target.leaving || target.failing || target.mayTake() || b.zones.outOfReach[target.info.Zone] {
 			continue
 		}
-		if candidate.rest.isOn(now) || !target.hasRoom(now, &b.options) || !target.breaker.allows(now) || !candidate.breaker.allows(now) {
+		if candidate.rest.isOn(now) || !target.asked.allows(now) || !target.hasRoom(now, &b.options) || !target.breaker.allows(now) || !candidate.breaker.allows(now) {
 			continue
 		}
 		listed = append(listed, target.info.ID)
--- a/request/routing/rest.go
+++ b/request/routing/rest.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 const (
 	// firstRest is how long a replica that turned a request away gets no other one: three events of
@@ -14,7 +18,7 @@
 )
 
 // rest keeps requests from a replica that has turned one away, as its runner is full or is about
-// to unload the model. A view that lists the replica anew begins without one.
+// to unload the model, and did not say for how long. A view that lists the replica anew begins without one.
 type rest struct {
 	length time.Duration
 	until  time.Time
@@ -34,3 +38,67 @@
 
 // end notes that the replica serves requests.
 func (r *rest) end() { *r = rest{} }
+
+// trialPause separates two requests to a runner whose rest is over until it has taken one: it had too much a moment ago, and
+// all those that waited for the end would come at once. It is what the first event of a stream takes at most times.
+const trialPause = 250 * time.Millisecond
+
+// askedRest is the time for which a runner wants no requests of this router, of whichever row. Unlike a rest that
+// the router gives it by itself, nothing ends it early.
+type askedRest struct {
+	until time.Time
+	// isTried is set from the first one on until the runner has taken a request after it, and triedAt is when the last
+	// was sent that may be the one.
+	isTried bool
+	triedAt time.Time
+}
+
+func (r *askedRest) isOn(now time.Time) bool { return now.Before(r.until) }
+
+// allows reports whether a request may be sent: none before the end, and then one at a time until one is taken.
+func (r *askedRest) allows(now time.Time) bool {
+	return !r.isOn(now) && (!r.isTried || now.Sub(r.triedAt) >= trialPause)
+}
+
+// begin notes until when the runner wants no requests. A shorter time than was known changes nothing.
+func (r *askedRest) begin(until time.Time) {
+	if until.After(r.until) {
+		r.until, r.isTried, r.triedAt = until, true, time.Time{}
+	}
+}
+
+func (r *askedRest) sent(now time.Time) {
+	if r.isTried {
+		r.triedAt = now
+	}
+}
+
+// Rest takes a runner out of every choice until a time, whatever it answers to what it has begun already.
+func (b *Balancer) Rest(id structs.RunnerID, until time.Time) {
+	if target := b.runners[id]; target != nil {
+		target.asked.begin(until)
+	}
+}
+
+// RestsUntil is when the first of the row's runners that may have the work takes requests again, if all of them want none
+// now; false otherwise, and if there is none.
+func (b *Balancer) RestsUntil(now time.Time, name structs.RowName, work *Work) (time.Time, bool) {
+	wanted := b.rows[name]
+	if wanted == nil {
+		return time.Time{}, false
+	}
+	var first time.Time
+	for _, candidate := range wanted.subset {
+		target := candidate.runner
+		if target.leaving || !work.allows(target) {
+			continue
+		}
+		if !target.asked.isOn(now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || target.asked.until.Before(first) {
+			first = target.asked.until
+		}
+	}
+	return first, !first.IsZero()
+}
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -23,6 +23,8 @@
 	tokens int
 	// limited runners are paced as they name a rate limit.
 	limited bool
+	// asked is the rest that the runner asked this router for.
+	asked askedRest
 	// failing runners are chosen only where no other one can be.
 	failing bool
 	// inFlight counts this router's attempts; others is the load of all other
--- a/request/routing/work.go
+++ b/request/routing/work.go
@@ -24,6 +24,14 @@
 	Zones map[structs.ZoneID]bool
 }
 
+// allows reports whether the runner may get the work at all, however busy it is.
+func (w *Work) allows(target *runner) bool {
+	if w.Barred != "" && target.info.ID == w.Barred {
+		return false
+	}
+	return w.Zones == nil || w.Zones[target.info.Zone]
+}
+
 // maxPrefixes bounds the prefixes of a prompt that are looked up for one choice.
 const maxPrefixes = PrefixHashLimit
 
