A model whose runners rest for longer than a load takes is loaded elsewhere, and nothing at runners that rest

What callers saw: two runners with the model in most demand turned all away for 8.5 s; the leader knew that requests waited (w3, w4 in its line on the demand) and ordered nothing, as the model was held by two.

Cause: a model that is held counted as served. Change: the planner takes which runners rest and for how long more (as long as they said, or as it has gone on for); requests that wait at a model all of whose holders rest longer than a load elsewhere takes are a need like any other, and a runner that rests is no place for a load. Evidence: TestModelWhoseRunnerRestsForLongIsLoadedElsewhere; without isServed in needs it fails (no order).

--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -21,7 +21,7 @@
 	p.readyAt = make(map[Row]time.Time)
 	p.unmet = p.unmet[:0]
 	for row := range p.tally.coming {
-		if len(p.holders(row)) == 0 {
+		if !p.isServed(now, row, nil) {
 			p.readyAt[row] = now.Add(p.comingIn(now, row))
 		}
 	}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -45,7 +45,7 @@
 	for _, wanted := range p.waits(now) {
 		row := modelOf(wanted.row)
 		isComing := isAnyIn(p.coming(row), wanted.zones)
-		if isAnyIn(p.holders(row), wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
+		if p.isServed(now, row, wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
 			continue
 		}
 		if found[row] == nil {
--- a/placement/residency/place.go
+++ b/placement/residency/place.go
@@ -126,8 +126,8 @@
 	if known.holdings[row.Model] != nil || !known.isIn(wanted.zones) {
 		return loadPlace{}
 	}
-	if known.status.Recalled {
-		// Its first heartbeat tells which copies its machine has.
+	if known.status.Recalled || known.isResting(now) {
+		// Its first heartbeat tells which copies its machine has; and one that takes no requests serves nobody.
 		return loadPlace{obstacle: ObstacleBusy}
 	}
 	isReserved := known.reserved != "" && now.Before(known.reservedUntil)
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -230,7 +230,7 @@
 		if p.engineOf(each) == nil || !each.status.MayServe() || each.isGone || each.sent || each.isTakenKnown {
 			continue
 		}
-		if now.Sub(each.changedAt) < p.options.ReportLag || now.Sub(each.askedAt) < p.options.AskAgain {
+		if now.Before(each.pausedUntil) || now.Sub(each.changedAt) < p.options.ReportLag || now.Sub(each.askedAt) < p.options.AskAgain {
 			continue
 		}
 		if known.areEnough(each) && !p.isWaitedFor(each) {
--- a/placement/residency/runner.go
+++ b/placement/residency/runner.go
@@ -56,6 +56,10 @@
 	isListed bool
 	// read is what routers let it read.
 	read readTokens
+	// restsUntil is until when the runner probably takes no requests, as it asked a router for rest.
+	restsUntil time.Time
+	// pausedUntil is until when the runner wants no orders or questions.
+	pausedUntil time.Time
 	// copies says of which models the runner's machine has a copy, and where.
 	copies map[string]copyPlace
 	// weighed is what a load at the runner is weighed by in the plan under way; nil before
