What one router hears of a runner that is leaving the leader tells to all; controllers hear it in answers too

What callers saw: a runner that says in its answers that it is leaving got new requests of every router that had not been answered by it yet, and orders for loads; their streams end with it.

Cause: the word of an answer stayed with the process that got it, as that of rate limits did. Change: routers report it with their demand, and again to a new leader; the leader takes the runner as departing (not in its log: all that heard it keep to it, and the runner says so in its heartbeats). Answers to orders and questions of controllers are read for the same words; a rest that one of them asks for holds up the questions to that runner, and so its orders. Evidence: TestRunnerThatToldOneRouterThatItIsLeavingLeavesForAll and TestLeaderHearsInAnswersOfRunnersThatTheyAreLeaving fail without observeNotices and hearRunner. Ruled out: making it durable at once, for each answer that a router passes on a proposal of the log.

--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -21,6 +21,7 @@
 	"github.com/lotusferry/lotusferry/internal/network/networktest"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
@@ -61,6 +62,8 @@
 	mutex  sync.Mutex
 	orders []sentOrder
 	report residency.Report
+	// says is what the answers of a runner tell of it.
+	says map[string]notice.Notice
 }
 
 type sentOrder struct {
@@ -68,15 +71,17 @@
 	at     time.Time
 }
 
-func (e *fakeEngines) Order(_ context.Context, holder Holder, _ residency.Order) residency.Outcome {
+func (e *fakeEngines) Order(_ context.Context, holder Holder, order residency.Order) (residency.Outcome, notice.Notice) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.orders = append(e.orders, sentOrder{holder, time.Now()})
-	return residency.OutcomeAccepted
+	return residency.OutcomeAccepted, e.says[order.Instance]
 }
 
-func (e *fakeEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, error) {
-	return e.report, nil
+func (e *fakeEngines) Report(_ context.Context, runner fleet.Heartbeat) (residency.Report, notice.Notice, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.report, e.says[runner.Instance], nil
 }
 
 func (e *fakeEngines) sent() []sentOrder {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -101,6 +101,8 @@
 	runnerLimits *ratelimit.Limits
 	// loggedLimits bounds the log lines about them.
 	loggedLimits *asynclog.Limiter
+	// loggedNotices bounds those about what runners said to routers.
+	loggedNotices *asynclog.Limiter
 	// drains are the zones whose runners get no new requests.
 	drains drains
 	ended  bool
@@ -156,13 +158,15 @@
 
 		runnerLimits: ratelimit.NewLimits(),
 		loggedLimits: asynclog.NewLimiter(maxLimitLines),
-		answers:      newPacer(n.options.LinkBytes * linkShare),
-		wholeViews:   newPacer(n.options.LinkBytes * wholeViewShare),
-		planned:      make(chan struct{}),
-		routers:      make(map[string]routerContact),
-		lost:         make(map[string]bool),
-		unrecorded:   make(map[string]domain.Registration),
-		stopping:     make(map[raft.NodeID]time.Time),
+
+		loggedNotices: asynclog.NewLimiter(maxNoticeLines),
+		answers:       newPacer(n.options.LinkBytes * linkShare),
+		wholeViews:    newPacer(n.options.LinkBytes * wholeViewShare),
+		planned:       make(chan struct{}),
+		routers:       make(map[string]routerContact),
+		lost:          make(map[string]bool),
+		unrecorded:    make(map[string]domain.Registration),
+		stopping:      make(map[raft.NodeID]time.Time),
 	}
 	joined.group.View(func() {
 		for instance, isGone := range joined.machine.Departures() {
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -12,6 +12,7 @@
 	"github.com/lotusferry/lotusferry/internal/option"
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -30,10 +31,10 @@
 
 // Engines sends orders and questions to runners.
 type Engines interface {
-	// Order sends an order and returns how it was answered.
-	Order(ctx context.Context, holder Holder, order residency.Order) residency.Outcome
-	// Report asks a runner what it holds.
-	Report(ctx context.Context, runner fleet.Heartbeat) (residency.Report, error)
+	// Order sends an order and returns how it was answered, and what the answer tells of the runner.
+	Order(ctx context.Context, holder Holder, order residency.Order) (residency.Outcome, notice.Notice)
+	// Report asks a runner what it holds. What the answer tells of the runner holds also with an error.
+	Report(ctx context.Context, runner fleet.Heartbeat) (residency.Report, notice.Notice, error)
 }
 
 // Options configure a Node.
--- a/placement/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
@@ -54,8 +55,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	askedAt := l.now()
-	report, err := l.options.Engines.Report(ctx, status.Heartbeat)
+	report, heard, err := l.options.Engines.Report(ctx, status.Heartbeat)
 	instance := status.Heartbeat.Instance
+	l.hearRunner(instance, heard)
 	l.node.metrics.reports.WithLabelValues(outcomeName(err)).Inc()
 	if err != nil {
 		level.Warn(l.logger).Log("msg", "A runner gave no report.", "runner", instance, "err", err)
@@ -77,7 +79,9 @@
 	began := l.now()
 	if l.isValid() && !l.node.stopping.Load() {
 		l.node.lastOrder.Store(&began)
-		outcome = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
+		var heard notice.Notice
+		outcome, heard = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
+		l.hearRunner(order.Instance, heard)
 	}
 	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
 	l.node.metrics.orderTime.Observe(l.now().Sub(began).Seconds())
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -358,6 +358,7 @@
 	}
 	current.observeAttempts(s.node.now(), arguments)
 	current.observeLimits(s.node.now(), arguments)
+	current.observeNotices(s.node.now(), arguments)
 	current.planner.ObservePace(s.node.now(), arguments.Paces)
 	current.observeLosses(s.node.now(), arguments)
 	current.shares.Observe(s.node.now(), arguments.Router, arguments.Works)
--- a/placement/domainnode/tokens_test.go
+++ b/placement/domainnode/tokens_test.go
@@ -60,10 +60,15 @@
 
 // hearLimit has a router report what it heard of the limit of a runner.
 func (d *testDomain) hearLimit(report ratelimit.Report) {
+	d.report(&domainapi.DemandArguments{Limits: []ratelimit.Report{report}})
+}
+
+// report has a router report to the leader.
+func (d *testDomain) report(arguments *domainapi.DemandArguments) {
+	arguments.Router = "router"
 	d.await("a report", func() bool {
 		var reply domainapi.DemandReply
 		leader := d.awaitLeader()
-		arguments := &domainapi.DemandArguments{Router: "router", Limits: []ratelimit.Report{report}}
 		return (&service{node: d.nodes[leader].Node}).Demand(arguments, &reply) == nil && reply.Error == nil
 	})
 }
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -125,12 +125,12 @@
 // noEngines is for runners that load no models.
 type noEngines struct{}
 
-func (noEngines) Order(context.Context, domainnode.Holder, residency.Order) residency.Outcome {
-	return residency.OutcomeRefused
+func (noEngines) Order(context.Context, domainnode.Holder, residency.Order) (residency.Outcome, notice.Notice) {
+	return residency.OutcomeRefused, notice.Notice{}
 }
 
-func (noEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, error) {
-	return residency.Report{}, nil
+func (noEngines) Report(context.Context, fleet.Heartbeat) (residency.Report, notice.Notice, error) {
+	return residency.Report{}, notice.Notice{}, nil
 }
 
 func decodeSite(source []byte) (*site.Document, error) {
