Elsewhere: an engine of the own interface that is full gets nothing before the time that it gave

Now it rests for so long, for all rows, and is tried by one request first. Evidence: TestEngineThatIsFullGetsNoRequestBeforeTheTimeThatItGave fails without the change.

--- a/request/router/attempt.go
+++ b/request/router/attempt.go
@@ -8,7 +8,15 @@
 // attemptStarted notes that the engine took the attempt.
 func (c *Core) attemptStarted(id AttemptID) {
 	if held := c.attempts[id]; held != nil {
-		held.accepted = true
+		held.accept()
+	}
+}
+
+// accept notes that the engine took the current attempt.
+func (r *request) accept() {
+	if !r.accepted {
+		r.accepted = true
+		r.choice.Took()
 	}
 }
 
@@ -20,7 +28,7 @@
 		c.stats.StrayTokens++
 		return
 	}
-	held.accepted = true
+	held.accept()
 	if token.Index < held.delivered && c.mutation != mutationKeepDuplicates {
 		c.stats.DuplicateTokens++
 		return
@@ -82,6 +90,9 @@
 	outcome := routing.OutcomeBroken
 	if event.Stage == RefusedByEngine {
 		outcome = routing.OutcomeRefused
+		if event.Error != nil && event.Error.RetryAfter > 0 {
+			c.balancer.Rest(held.choice.Runner(), c.now.Add(event.Error.RetryAfter))
+		}
 	}
 	c.endAttempt(held, outcome)
 	c.retry(held, "no engine took the request")
--- a/request/router/core_test.go
+++ b/request/router/core_test.go
@@ -283,6 +283,34 @@
 	s.c.Check(refusal.Error.RetryAfter >= MinimumRetryAfter, qt.IsTrue)
 }
 
+// An engine that is full says when to come back: until then it gets no request of any row, and then one at a time until it
+// has taken one.
+func TestEngineThatIsFullGetsNoRequestBeforeTheTimeThatItGave(t *testing.T) {
+	s := newScript(t, nil)
+	s.do(ViewChanged{View: testView(1, "row")})
+	full := structs.NewError(structs.ErrorOverloaded, "the engine's queue is full", "Come back later.")
+	full.RetryAfter = 2 * time.Second
+	s.arrive(nil)
+	began := s.now
+	s.do(AttemptFailed{Attempt: only[SendAttempt](s).Attempt, Stage: RefusedByEngine, Error: full})
+	s.arrive(func(r *structs.Request) { r.ID = "other" })
+	var sent []SendAttempt
+	for s.now.Sub(began) < full.RetryAfter+50*time.Millisecond {
+		s.c.Assert(sent == nil || s.now.Sub(began) >= full.RetryAfter, qt.IsTrue)
+		s.now = s.now.Add(10 * time.Millisecond)
+		for _, effect := range s.do(Tick{}) {
+			if attempt, isSent := effect.(SendAttempt); isSent {
+				sent = append(sent, attempt)
+			}
+		}
+	}
+	s.c.Assert(sent, qt.HasLen, 1)
+	s.do(AttemptStarted{Attempt: sent[0].Attempt})
+	s.now = s.now.Add(pollInterval)
+	s.do(Tick{})
+	only[SendAttempt](s)
+}
+
 func TestOverloadShedsBatchBeforeLive(t *testing.T) {
 	tests := []struct {
 		about  string
