--- a/request/explain/tenant.go
+++ b/request/explain/tenant.go
@@ -32,6 +32,8 @@
 		a.findStanding(tenant)
 	case "come_back":
 		a.note("%s was being loaded, and would not have been there in time; its caller was told to come back in %s.", a.Model, last.Get("after"))
+	case "resting":
+		a.note("All runners that could serve %s had asked the router for rest; its caller was told to come back in %s.", a.Model, last.Get("after"))
 	case "no_runner":
 		a.findStanding(tenant)
 	}
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -179,18 +179,17 @@
 // deferWaiters tells those callers of a row to come back for whom that is better than to wait. It
 // runs under the mutex.
 func (r *Router) deferWaiters(now time.Time, state *rowState) {
-	leaving := make(map[*waiter]*comeBackError)
-	var order []*waiter
+	var leaving []*waiter
+	var comeBacks []*comeBackError
 	state.eachWaiter(func(entry *fairqueue.Entry[*waiter]) {
 		if comeBack := r.deferral(now, state, entry.Value); comeBack != nil {
-			leaving[entry.Value] = comeBack
-			order = append(order, entry.Value)
+			leaving, comeBacks = append(leaving, entry.Value), append(comeBacks, comeBack)
 		}
 	})
-	for _, wanted := range order {
+	for i, wanted := range leaving {
 		r.queue.Remove(&wanted.entry)
-		state.expect(now, wanted, leaving[wanted].after)
-		wanted.deferred <- leaving[wanted]
+		state.expect(now, wanted, comeBacks[i].after)
+		wanted.deferred <- comeBacks[i]
 	}
 }
 
--- a/request/relay/placed.go
+++ b/request/relay/placed.go
@@ -161,6 +161,7 @@
 			r.options.Connects.setZone(runner.Address, structs.ZoneID(runner.Zone))
 		}
 	}
+	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
 
 // forgetUnasked gives up the choice among the runners of models that have not been asked for lately. It runs under
--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -49,6 +49,7 @@
 		r.logNotice("A runner names no rate limit any more.", runner)
 	}
 	r.pace(string(runner))
+	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 	if !notice.IsNamed {
 		r.serveWaiters()
 	}
@@ -62,7 +63,6 @@
 	isCold := r.fleet.Runner(instance).Cold
 	r.balancer.SetPaced(structs.RunnerID(instance), isCold, isNamed)
 	r.placed.hasPaced = r.placed.hasPaced || isCold || isNamed
-	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
 
 // wantAhead asks for tokens for the runners that name a limit and could have taken a request of the row that another
@@ -115,7 +115,7 @@
 		return found
 	}
 	r.fleet.Each(modelKey(row), func(runner *fleet.Runner) bool {
-		if runner.Leaving {
+		if runner.Leaving || r.notices.book.IsLeaving(runner.Instance) {
 			return true
 		}
 		perSecond, isNamed := r.runnerLimits.belief.Of(runner.Instance)
