Of a row with more replicas than a router uses, others take the places of those that rest or leave

What callers would see: a router uses sixteen replicas of a model; if these all asked for rest, or said in answers that they are leaving, its callers were refused though others would serve. A leaving runner gave its place up with the next view alone.

Change: the subset is chosen anew as a runner rests or leaves; those that asked for rest and have taken nothing since come last. Rows with fewer replicas are as before. Evidence: TestOthersTakeThePlacesOfRunnersThatRestOrLeave (3 of 8) fails without it.

--- a/request/routing/askedrest_test.go
+++ b/request/routing/askedrest_test.go
@@ -108,3 +108,37 @@
 	_, isResting := b.RestsUntil(now, "unknown", &Work{})
 	c.Assert(isResting, qt.IsFalse)
 }
+
+// Of a row with more replicas than a daemon uses, all of its subset rest or leave: others take their places.
+func TestOthersTakeThePlacesOfRunnersThatRestOrLeave(t *testing.T) {
+	for name, lose := range map[string]func(b *Balancer, id structs.RunnerID, until time.Time){
+		"rest":  func(b *Balancer, id structs.RunnerID, until time.Time) { b.Rest(id, until) },
+		"leave": func(b *Balancer, id structs.RunnerID, _ time.Time) { b.Leave(id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			const size, runners = 3, 8
+			b := New(Options{Daemon: "d", SubsetSize: size}, rand.New(rand.NewPCG(1, 1)))
+			var placement structs.Placement
+			for i := range runners {
+				id := structs.RunnerID(rune('a' + i))
+				placement.Runners = append(placement.Runners, structs.RunnerInfo{ID: id})
+				placement.Replicas = append(placement.Replicas, structs.Replica{Row: "m", Runner: id, State: structs.ReplicaReady})
+			}
+			b.SetPlacement(placement)
+			lost := make(map[structs.RunnerID]bool)
+			for len(lost) < runners {
+				choice, found := b.Pick(now, "m", nil, "")
+				c.Assert(found, qt.IsTrue)
+				c.Assert(lost[choice.Runner()], qt.IsFalse)
+				lost[choice.Runner()] = true
+				lose(b, choice.Runner(), now.Add(time.Hour))
+			}
+			_, found := b.Pick(now, "m", nil, "")
+			c.Assert(found, qt.IsFalse)
+			_, isResting := b.RestsUntil(now, "m", &Work{})
+			c.Assert(isResting, qt.Equals, name == "rest")
+		})
+	}
+}
--- a/request/routing/placement.go
+++ b/request/routing/placement.go
@@ -44,10 +44,14 @@
 	}
 	b.left[id] = target.info.Incarnation
 	target.leaving = true
+	b.replaceIn(target)
+}
+
+// replaceIn chooses the subsets anew of the rows on a runner that is of no use to them, now or ever.
+func (b *Balancer) replaceIn(target *runner) {
 	for _, name := range target.rows {
-		current := b.rows[name]
-		if current != nil && target.replicas[name] != nil {
-			current.ready--
+		if current := b.rows[name]; current != nil {
+			b.rebuild(current)
 		}
 	}
 }
@@ -172,7 +176,8 @@
 
 // rebuild lists the placed replicas of the row again and chooses its subset: the
 // replicas on the runners with the highest hash of daemon and runner (rendezvous
-// hashing), so that at most one member changes when a runner comes or goes.
+// hashing), so that at most one member changes when a runner comes or goes. Those that
+// asked for rest, and have taken no request since, are the last.
 func (b *Balancer) rebuild(current *row) {
 	current.replicas = slices.DeleteFunc(current.replicas, func(known *replica) bool { return !known.placed })
 	if len(current.replicas) == 0 {
@@ -187,7 +192,8 @@
 	}
 	current.ready = len(current.subset)
 	slices.SortFunc(current.subset, func(left, right *replica) int {
-		return cmp.Or(cmp.Compare(right.runner.hash, left.runner.hash), cmp.Compare(left.runner.number, right.runner.number))
+		return cmp.Or(left.runner.asked.compare(&right.runner.asked), cmp.Compare(right.runner.hash, left.runner.hash),
+			cmp.Compare(left.runner.number, right.runner.number))
 	})
 	if len(current.subset) > b.options.SubsetSize {
 		clear(current.subset[b.options.SubsetSize:])
--- a/request/routing/rest.go
+++ b/request/routing/rest.go
@@ -73,10 +73,28 @@
 	}
 }
 
-// Rest takes a runner out of every choice until a time, whatever it answers to what it has begun already.
+// compare orders runners that take requests before those that asked for rest.
+func (r *askedRest) compare(other *askedRest) int {
+	switch {
+	case r.isTried == other.isTried:
+		return 0
+	case r.isTried:
+		return 1
+	}
+	return -1
+}
+
+// Rest takes a runner out of every choice until a time, whatever it answers to what it has begun already. Of rows with more
+// replicas than this daemon uses, another one takes its place.
 func (b *Balancer) Rest(id structs.RunnerID, until time.Time) {
-	if target := b.runners[id]; target != nil {
-		target.asked.begin(until)
+	target := b.runners[id]
+	if target == nil {
+		return
+	}
+	wasTried := target.asked.isTried
+	target.asked.begin(until)
+	if !wasTried {
+		b.replaceIn(target)
 	}
 }
 
