--- a/request/relay/notices_test.go
+++ b/request/relay/notices_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,11 +57,15 @@
 		c := qt.New(t)
 		const rest = time.Second
 		answered := make(chan *httptest.ResponseRecorder, 10)
+		var mutex sync.Mutex
 		var at []time.Duration
 		began := time.Now()
 		router, _ := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+			mutex.Lock()
 			at = append(at, time.Since(began))
-			if len(at) == 1 {
+			isFirst := len(at) == 1
+			mutex.Unlock()
+			if isFirst {
 				return askForRest(rest)
 			}
 			pause.For(ctx, 100*time.Millisecond)
