Packed load reports, and controllers only when they differ

Missing: a watch reply without a view has 1,387 bytes with 35 busy runners and six controllers. Each router gets eight a second, and all of them carry the loads of all runners with whole names and the list of controllers, though a router uses loads for 2 s and the list hardly ever changes.

Change: a router says with its watch that it takes packed loads, how old its loads are, and a hash of its list of controllers. The leader then sends loads at most every 250 ms (MinLoadsInterval), packed by fleet.PackLoads: names without their shared prefix, hexadecimal digits two a byte, start times as differences, and the reading share in hundredths as one byte. In between it sets KeepsLoads, which means that the loads still hold; the router applies them to runners that became candidates since. The leader keeps no state for this. Loads are always sent after a change of the leader. A router of the previous release gets today's form with each reply, and one of this release takes it from a leader of the previous release.

Decisions of routers change only by the rounding. A known share is not rounded to 0, which means unknown; shares above 2.55 saturate.

Shown by: TestWatchReplySize (449 bytes with loads, 52 without, where it was 1,387; the request grows from 62 to 80 bytes; the fixed part of a reply is 50 bytes), TestRouterGetsLoadsAndControllersOnlyWhenDue, TestRouterOfPreviousReleaseGetsLoadsWithEachReply, TestWatchesAreCompatibleWithPreviousRelease, TestLoadsAreAdoptedInBothForms, TestKeptLoadsHoldForNewRunnersToo.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -124,6 +124,12 @@
 	// MaxHold is the longest time that the router waits for a reply. The previous release
 	// sends 0 and waits for MinHold.
 	MaxHold time.Duration
+	// TakesPackedLoads is set if the router understands WatchReply.PackedLoads and KeepsLoads.
+	TakesPackedLoads bool
+	// LoadsAge is the time since the router received loads of the leader of Term; 0 if it has none.
+	LoadsAge time.Duration
+	// Controllers is the HashAddresses of the router's list of controllers; 0 if it has none.
+	Controllers uint64
 }
 
 const (
@@ -150,13 +156,18 @@
 	View *fleet.EncodedView
 	// Loads lists the runners with many requests, summed over all routers.
 	Loads []fleet.Load
+	// PackedLoads holds the loads packed by fleet.PackLoads, in place of Loads; empty if KeepsLoads
+	// is set and for routers that do not take it.
+	PackedLoads []byte
+	// KeepsLoads is set if the loads that the router has still hold. Then neither form is sent.
+	KeepsLoads bool
 	// Suspects lists the requests that may crash runners; nil if the router's list is current.
 	Suspects *poison.List
 	// Shares lists the tenants above their shares, over all routers.
 	Shares shares.Overuse
 	// Routers is the number of routers that share the leader's grants.
 	Routers int
-	// Controllers are the addresses of the group's members.
+	// Controllers are the addresses of the group's members; empty if the router has them.
 	Controllers []string
 }
 
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -85,8 +85,9 @@
 	failing *fleet.OutlierDetector
 	// lost is the set of unreachable runners.
 	lost map[string]bool
-	// loads are the loads of the last step.
-	loads []fleet.Load
+	// loads are the loads of the last step, packedLoads the same in packed form.
+	loads       []fleet.Load
+	packedLoads []byte
 	// planned is closed and replaced after each plan.
 	planned  chan struct{}
 	routers  map[string]routerContact
@@ -267,7 +268,7 @@
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.publish(at)
-	l.loads = l.planner.Loads(at)
+	l.setLoads(l.planner.Loads(at))
 	next := l.notifyRouters(at)
 	judged := l.planner.TakeJudgements()
 	ended := l.planner.TakeEndedLoads()
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -240,12 +240,13 @@
 	if arguments.Term == uint64(current.term) {
 		known, knownSuspects = arguments.Revision, arguments.Suspects
 	}
+	asked := s.node.now()
 	reply.Routers, reply.Hold = current.recordContact(arguments.Router, known, arguments.MaxHold)
 	current.noteTermChange(arguments)
 	if current.takeFullViewTurn(arguments) {
 		known = 0
 	}
-	heldUntil := s.node.now().Add(reply.Hold)
+	heldUntil := asked.Add(reply.Hold)
 	timeout := time.NewTimer(reply.Hold)
 	defer timeout.Stop()
 	for {
@@ -277,8 +278,8 @@
 		reply.Error = structs.AsTyped(notLeaderError(m))
 		return nil
 	}
-	controllers := memberAddresses(m.group.Status())
-	reply.Controllers = controllers[:min(len(controllers), maxControllers)]
+	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
+	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
 	return nil
 }
 
@@ -314,7 +315,6 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	reply.Revision = known
-	reply.Loads = l.loads
 	reply.Shares = l.shares.Overuse(l.now())
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
 		listed := l.poison.List(l.now())
--- a/request/relay/candidates.go
+++ b/request/relay/candidates.go
@@ -123,6 +123,7 @@
 		r.zones.watch.Remove(id)
 		r.forgetAddress(r.candidates.runners[instance])
 		delete(r.candidates.runners, instance)
+		delete(r.loads.known, instance)
 		delete(r.lastDataAt, id)
 		r.runnerLimits.forget(id)
 	}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -12,7 +12,6 @@
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 const (
@@ -26,16 +25,13 @@
 	// triggered ones.
 	reportInterval    = 250 * time.Millisecond
 	minReportInterval = 10 * time.Millisecond
-	// loadAge is the average age of the leader's load reports on arrival: half a report interval,
-	// half an interval of the leader's aggregation, and network latency.
-	loadAge = reportInterval/2 + 75*time.Millisecond
 )
 
 // watchLoop keeps a watch on the leader's view until ctx ends.
 func (r *Router) watchLoop(ctx context.Context) {
 	hold := domainapi.MinHold
 	caller := leadercall.New(r.client, nil).WithTryTimeout(hold + watchMargin)
-	arguments := domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold}
+	arguments := domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold, TakesPackedLoads: true}
 	var controllers []string
 	isConnected := false
 	for ctx.Err() == nil {
@@ -44,7 +40,9 @@
 		caller.SetAddresses(addresses)
 		r.caller.SetAddresses(addresses)
 		arguments.Version = r.version()
+		arguments.Controllers = domainapi.HashAddresses(controllers)
 		asked := r.now()
+		arguments.LoadsAge = r.loadsAge(asked)
 		reply, err := r.watch(ctx, caller, arguments)
 		if err != nil {
 			if isConnected && ctx.Err() == nil {
@@ -111,7 +109,7 @@
 	if reply.View != nil && !r.takeView(reply) {
 		return
 	}
-	r.takeLoads(reply.Loads)
+	r.adoptLoads(reply)
 	r.takeSuspects(reply, arguments)
 	arguments.Term = reply.Term
 	arguments.Revision = reply.Revision
@@ -147,26 +145,9 @@
 	arguments.Suspects = reply.Suspects.Revision
 }
 
-// takeLoads applies the load of all routers at the runners. Runners that are not listed have less
-// load than those that are.
-func (r *Router) takeLoads(loads []fleet.Load) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	at := time.Now().Add(-loadAge)
-	listed := make(map[string]fleet.Load, len(loads))
-	for _, load := range loads {
-		if _, isCandidate := r.candidates.runners[load.Instance]; isCandidate {
-			listed[load.Instance] = load
-		}
-	}
-	for instance := range r.candidates.runners {
-		load := listed[instance]
-		id := structs.RunnerID(instance)
-		r.balancer.ObserveLoad(id, structs.LoadReport{Running: load.Requests, ObservedAt: at})
-		r.balancer.ObservePrefillShare(id, load.Reading)
-	}
-	r.metrics.heardLoads(at)
-}
+// takeLoads applies loads that have just arrived. Their age matters only for load balancing, which
+// uses the monotonic clock.
+func (r *Router) takeLoads(loads []fleet.Load) { r.setLoads(loads, time.Now().Add(-loadAge)) }
 
 func (r *Router) takeDocument(packed domain.Document) {
 	source, err := domain.Expand(packed.Source)
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -64,6 +64,7 @@
 	// fleet holds all known runners, candidates those that may be selected.
 	fleet      *fleet.Directory
 	candidates candidates
+	loads      loadReports
 	notHeld    map[string]bool
 	// unreachable are the runners that could not be reached since the last report.
 	unreachable map[string]bool
