Compress views of a few changed runners

Seen: a view that lists the changes of a few runners makes up a third of the bytes of watch replies. Such views were not compressed below 2 KB, though the names of the fields repeat with each runner: compressing took 220 µs and 828 KB, which is too much for so small a message.

Change: views from 400 bytes on are compressed by a compressor without state (deflate.PackSmall: 6 µs, no memory but the result), from 16 KB on as before. Views are marked as compressed one by one, so routers of the previous release read them. Decompressors are used again (each takes 40 KB).

Shown by: TestFewChangesTakeFewBytes, which failed before for 2, 3 and 6 runners. Still open: a runner whose pace alone changed is sent with all its models; sending less needs another form of the view.

--- a/internal/deflate/deflate_test.go
+++ b/internal/deflate/deflate_test.go
@@ -23,3 +23,23 @@
 	_, err = Unpack(packed[:len(packed)/2], 1<<20)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Both forms must decompress alike, one after the other and after a damaged one: decompressors are
+// used again.
+func TestSmallMessagesRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	for length := range 600 {
+		source := bytes.Repeat([]byte("runner 17;"), length/10+1)[:length]
+		packed, err := PackSmall(source)
+		c.Assert(err, qt.IsNil)
+		large, err := Pack(source)
+		c.Assert(err, qt.IsNil)
+		for _, each := range [][]byte{packed, large} {
+			unpacked, err := Unpack(each, 1000)
+			c.Assert(err, qt.IsNil)
+			c.Assert(bytes.Equal(unpacked, source), qt.IsTrue)
+		}
+		_, err = Unpack(packed[:len(packed)/2], 1000)
+		c.Assert(err, qt.IsNotNil)
+	}
+}
--- a/placement/fleet/codec.go
+++ b/placement/fleet/codec.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// compressFrom is the encoded size in bytes from which a view is compressed.
-	compressFrom = 2 << 10
+	// compressFrom is the encoded size in bytes from which a view is compressed. The names of the
+	// fields repeat with each runner, so a second runner halves the size.
+	compressFrom = 400
+	// largeFrom is the size from which the better compression is worth its memory.
+	largeFrom = 16 << 10
 	// maxViewBytes bounds the size of a decompressed view.
 	maxViewBytes = 64 << 20
 )
@@ -27,7 +30,11 @@
 	if err != nil || len(encoded) < compressFrom {
 		return EncodedView{Bytes: encoded}, errors.Wrap(err, "encode view")
 	}
-	packed, err := deflate.Pack(encoded)
+	pack := deflate.PackSmall
+	if len(encoded) >= largeFrom {
+		pack = deflate.Pack
+	}
+	packed, err := pack(encoded)
 	return EncodedView{IsPacked: true, Bytes: packed}, err
 }
 
--- a/placement/fleet/encodedsize_test.go
+++ b/placement/fleet/encodedsize_test.go
@@ -49,3 +49,31 @@
 	c.Assert(added < 25, qt.IsTrue, qt.Commentf("%.1f bytes per runner on top of %d", added, len(without.Bytes)/runners))
 	t.Logf("%.1f bytes per runner on top of %d", added, len(without.Bytes)/runners)
 }
+
+// Most views list a few changed runners, and each router gets several a second.
+func TestFewChangesTakeFewBytes(t *testing.T) {
+	for _, test := range []struct{ runners, bytes int }{{1, 320}, {2, 380}, {3, 420}, {6, 600}, {60, 4000}} {
+		t.Run(fmt.Sprint(test.runners), func(t *testing.T) {
+			c := qt.New(t)
+			view := pacedView(test.runners, true)
+			view.Partial = true
+			encoded, err := view.Encode()
+			c.Assert(err, qt.IsNil)
+			t.Logf("%d bytes", len(encoded.Bytes))
+			c.Assert(len(encoded.Bytes) <= test.bytes, qt.IsTrue, qt.Commentf("%d bytes", len(encoded.Bytes)))
+			decoded, err := encoded.Decode()
+			c.Assert(err, qt.IsNil)
+			c.Assert(decoded, qt.DeepEquals, view)
+		})
+	}
+}
+
+func BenchmarkEncodeFewChanges(b *testing.B) {
+	view := pacedView(3, true)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := view.Encode(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
