Traffic by message, direction and nearness

Missing: nothing tells which messages cause the bytes between zones and regions, of which those between regions cost several times as much.

Change: lotusferry_router_traffic_bytes_total and lotusferry_controller_traffic_bytes_total, with the labels message, direction and nearness (same_zone, same_region, beyond, unknown). The calling side counts: package transport reports each request that it sent and each reply that it received to a hook in its options (OnMessage), and a RunnerDialer counts the bytes of its connections. Package traffic holds the counter and the rule of nearness. Runners' zones are those of their addresses in the view; controllers' come from the option ControllerZone of routers and controllers, which is not set yet, so that their nearness is unknown.

Shown by: TestEachMessageIsReported (the bytes of all messages are those on the wire, also with calls that fail or overlap), TestNearness, TestTrafficIsCountedByNearness, TestMetricsPageListsAllMetrics.

--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -95,6 +95,9 @@
 	decoder *gob.Decoder
 	buffer  bytes.Buffer
 	encoder *gob.Encoder
+	// written and wasRead are the sizes in bytes of the last message written and of the last value read.
+	written int
+	wasRead int
 	// overrun is set after a message that was too large. The rest of it is still unread,
 	// so no further message can be decoded.
 	overrun bool
@@ -114,6 +117,7 @@
 	}
 	c.reader.remaining = c.limit
 	err := c.decoder.Decode(value)
+	c.wasRead = c.limit - c.reader.remaining
 	c.overrun = errors.Is(err, errMessageTooLarge)
 	return err
 }
@@ -139,7 +143,8 @@
 	if err := c.encoder.Encode(body); err != nil {
 		return errors.Wrap(err, "encode body")
 	}
-	if c.buffer.Len() > c.limit {
+	c.written = c.buffer.Len()
+	if c.written > c.limit {
 		return errMessageTooLarge
 	}
 	return nil
@@ -160,31 +165,46 @@
 const maxKeptBufferBytes = 1 << 20
 
 // clientCodec implements rpc.ClientCodec. It calls onReadError after a read error, so
-// that no further calls use the connection.
+// that no further calls use the connection, and onMessage for each message.
 type clientCodec struct {
 	*messageCodec
 	onReadError func(error)
+	onMessage   func(method string, sent, received int)
+	// replying and headerBytes are the method of the reply being read and the size of its header.
+	replying    string
+	headerBytes int
 }
 
 // WriteRequest implements rpc.ClientCodec.
-func (c clientCodec) WriteRequest(request *rpc.Request, body any) error {
-	return c.write(request, body)
+func (c *clientCodec) WriteRequest(request *rpc.Request, body any) error {
+	err := c.write(request, body)
+	if err == nil {
+		c.onMessage(request.ServiceMethod, c.written, 0)
+	}
+	return err
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
-func (c clientCodec) ReadResponseHeader(response *rpc.Response) error {
+func (c *clientCodec) ReadResponseHeader(response *rpc.Response) error {
 	err := c.read(response)
 	if err != nil {
 		c.onReadError(err)
 	}
+	c.replying, c.headerBytes = response.ServiceMethod, c.wasRead
 	return err
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c clientCodec) ReadResponseBody(body any) error { return c.read(body) }
+func (c *clientCodec) ReadResponseBody(body any) error {
+	err := c.read(body)
+	if err == nil {
+		c.onMessage(c.replying, 0, c.headerBytes+c.wasRead)
+	}
+	return err
+}
 
 // Close implements rpc.ClientCodec.
-func (c clientCodec) Close() error { return c.conn.Close() }
+func (c *clientCodec) Close() error { return c.conn.Close() }
 
 // serverCodec implements rpc.ServerCodec. It stops reading while the connection has the
 // maximum number of calls in progress.
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -42,6 +42,9 @@
 	// Random is the source of the jitter of dial backoffs; nil means the global source. It
 	// must be safe for concurrent use.
 	Random func() uint64
+	// OnMessage, if set, is called by the client for each request sent and each reply received, with
+	// the bytes of the messages before TLS. It must be safe for concurrent use and must not block.
+	OnMessage func(address, method string, sent, received int)
 	// Faults, if set, injects faults into the calls of the client.
 	Faults *Faults
 }
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -127,14 +127,21 @@
 		conn = secured
 	}
 	opened := &connection{counted: counted}
-	codec := clientCodec{
+	codec := &clientCodec{
 		messageCodec: newMessageCodec(conn, p.client.options),
 		onReadError:  func(err error) { p.removeConnection(opened, err) },
+		onMessage:    p.countMessage,
 	}
 	opened.rpc = rpc.NewClientWithCodec(codec)
 	return opened, nil
 }
 
+func (p *peer) countMessage(method string, sent, received int) {
+	if p.client.options.OnMessage != nil {
+		p.client.options.OnMessage(p.address, method, sent, received)
+	}
+}
+
 // tlsConfig returns the TLS configuration, with the dialled host as ServerName unless the
 // configuration sets another or skips the verification.
 func (p *peer) tlsConfig() *tls.Config {
--- a/placement/domainnode/benchmark_test.go
+++ b/placement/domainnode/benchmark_test.go
@@ -14,7 +14,7 @@
 func benchmarkLeadership(runners int, at time.Time) (*leadership, []fleet.Heartbeat) {
 	options := Options{Heartbeat: 5 * time.Second, Now: func() time.Time { return at }}
 	l := &leadership{
-		node: &Node{options: options, metrics: newMetrics(nil)}, options: options,
+		node: &Node{options: options, metrics: newMetrics(Options{})}, options: options,
 		registry: fleet.NewRegistry(at, options.timing()), planner: residency.NewPlanner(residency.Options{}, at),
 		views: fleet.NewPublisher(), failing: fleet.NewOutlierDetector(), tokens: ratelimit.New(at), cold: make(map[string]bool),
 		runnerLimits: ratelimit.NewLimits(), lost: make(map[string]bool),
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -1,6 +1,10 @@
 package domainnode
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lotusferry/lotusferry/internal/traffic"
+)
 
 // metrics holds the Prometheus metrics of a controller.
 type metrics struct {
@@ -47,10 +51,13 @@
 	tenantShare   *prometheus.GaugeVec
 	tenantWaiting *prometheus.GaugeVec
 	tenantLimit   *prometheus.GaugeVec
+	// traffic counts the bytes of calls to other controllers.
+	traffic        *traffic.Counter
+	controllerZone func(address string) string
 }
 
-// newMetrics returns the metrics, registered with registerer unless it is nil.
-func newMetrics(registerer prometheus.Registerer) *metrics {
+// newMetrics returns the metrics, registered with options.Metrics unless it is nil.
+func newMetrics(options Options) *metrics {
 	const namespace, subsystem = "lotusferry", "controller"
 	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
@@ -120,8 +127,9 @@
 		speeds:        gauges("runner_speeds", "Runners by service and speed: slow, or unknown as nothing tells.", "service", "speed"),
 		reopened:      counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.leads, m.leaderships, m.heartbeats, m.puts, m.departures, m.orders, m.orderTime,
+	m.traffic, m.controllerZone = traffic.NewCounter(subsystem, options.Zone, options.Regions), options.ControllerZone
+	if registerer := options.Metrics; registerer != nil {
+		registerer.MustRegister(m.traffic, m.leads, m.leaderships, m.heartbeats, m.puts, m.departures, m.orders, m.orderTime,
 			m.reports, m.membership, m.runners, m.routers, m.waiting, m.version, m.reopened,
 			m.loadTime, m.loadExcess, m.unmet, m.storeLoads, m.storeLimit, m.coverage, m.zoneBound, m.waitedModels,
 			m.stepTime, m.earlyViews, m.lost, m.losses, m.suspects, m.trials, m.failing, m.drains, m.drained, m.cold, m.limited, m.warmups,
@@ -138,3 +146,12 @@
 	}
 	return "refused"
 }
+
+// countMessage counts a message to or from the controller at an address.
+func (m *metrics) countMessage(address, method string, sent, received int) {
+	zone := ""
+	if m.controllerZone != nil {
+		zone = m.controllerZone(address)
+	}
+	m.traffic.Add(method, zone, sent, received)
+}
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -79,11 +79,13 @@
 	if err != nil {
 		return nil, err
 	}
+	made := newMetrics(options)
+	transportOptions.OnMessage = made.countMessage
 	client := transport.NewClient(options.Logger, transportOptions)
 	n := &Node{
 		options: options,
 		logger:  log.With(options.Logger, "component", "controller"),
-		metrics: newMetrics(options.Metrics),
+		metrics: made,
 		server:  server,
 		client:  client,
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -45,6 +45,12 @@
 	Address string
 	// Seeds returns the currently known addresses of controllers.
 	Seeds func() []string
+	// Zone is the zone of the process; empty if it has none. Regions maps zones to regions.
+	Zone    string
+	Regions map[string]string
+	// ControllerZone returns the zone of the controller at an address, or an empty one if it is
+	// unknown. It is used for metrics only; nil means that no zone is known.
+	ControllerZone func(address string) string
 	// Zones are the zones of the site, which operators may drain.
 	Zones []string
 	// LinkBytes is the bandwidth of the machine's network link in bytes per second; 0 if unknown.
--- a/request/relay/dialer.go
+++ b/request/relay/dialer.go
@@ -10,6 +10,7 @@
 
 	"github.com/lotusferry/lotusferry/internal/clock"
 	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/traffic"
 	"github.com/lotusferry/lotusferry/request/zonewatch"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -23,6 +24,8 @@
 	mutex sync.Mutex
 	zones map[string]structs.ZoneID
 	times zonewatch.ConnectTimes
+	// traffic counts the bytes of connections; nil before a router uses the dialer.
+	traffic *traffic.Counter
 }
 
 var _ network.Network = (*RunnerDialer)(nil)
@@ -48,6 +51,7 @@
 	switch {
 	case err == nil:
 		c.observeConnect(address, clock.Now().Sub(began))
+		return c.counted(conn, address), nil
 	case parent.Err() == nil && isTimeout(err):
 		c.observeTimeout(address)
 	}
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -7,7 +7,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lotusferry/lotusferry/internal/traffic"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // metrics are the router's metrics. The number of series does not depend on the number of routes or
@@ -49,6 +51,10 @@
 	coolingRunners     prometheus.Gauge
 	cooldownsRequested prometheus.Counter
 	unwantedSent       *prometheus.CounterVec
+	// traffic counts the bytes exchanged with controllers and runners. controllerZone returns the
+	// zone of a controller.
+	traffic        *traffic.Counter
+	controllerZone func(address string) structs.ZoneID
 	// named are the tenants with their own series.
 	named sync.Map
 	count atomic.Int32
@@ -57,8 +63,8 @@
 // latencyBuckets are in seconds.
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1, 1.5, 2.5, 4, 6, 10, 20}
 
-// newMetrics creates the metrics and registers them, unless registerer is nil.
-func newMetrics(registerer prometheus.Registerer) *metrics {
+// newMetrics creates the metrics and registers them, unless options.Metrics is nil.
+func newMetrics(options Options) *metrics {
 	const namespace, subsystem = "lotusferry", "router"
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
@@ -104,8 +110,9 @@
 		loadsAt:           gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
 		leaderHeardAt:     gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
-	if registerer != nil {
-		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
+	made.traffic, made.controllerZone = newTraffic(options), options.ControllerZone
+	if registerer := options.Metrics; registerer != nil {
+		registerer.MustRegister(made.traffic, made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.tenants, made.draws,
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.overloaded, made.connectionsClosed, made.coldRequests,
 			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent)
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -28,6 +28,9 @@
 	Zone structs.ZoneID
 	// Regions maps zones to regions.
 	Regions map[structs.ZoneID]string
+	// ControllerZone returns the zone of the controller at an address, or an empty one if it is
+	// unknown. It is used for metrics only; nil means that no zone is known.
+	ControllerZone func(address string) structs.ZoneID
 	// Dialer is the dialer of Backend. If it is nil, unreachable zones are not detected.
 	Dialer *RunnerDialer
 	Retry  RetryRule
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -113,12 +113,17 @@
 	if options.Network == nil {
 		transportOptions.Network = network.Prompt()
 	}
+	made := newMetrics(options)
+	transportOptions.OnMessage = made.countMessage
+	if options.Dialer != nil {
+		options.Dialer.setTraffic(made.traffic)
+	}
 	client := transport.NewClient(options.Logger, transportOptions)
 	random := rand.New(rand.NewPCG(options.Seed, 1))
 	return &Router{
 		options:     options,
 		logger:      log.With(options.Logger, "component", "router"),
-		metrics:     newMetrics(options.Metrics),
+		metrics:     made,
 		client:      client,
 		caller:      leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 		stop:        newStops(),
