--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -64,6 +64,7 @@
 	// fleet holds all known runners, candidates those that may be selected.
 	fleet      *fleet.Directory
 	candidates candidates
+	loads      loadReports
 	notHeld    map[string]bool
 	// unreachable are the runners that could not be reached since the last report.
 	unreachable map[string]bool
@@ -112,12 +113,17 @@
 	if options.Network == nil {
 		transportOptions.Network = network.Prompt()
 	}
+	made := newMetrics(options)
+	transportOptions.OnMessage = made.countMessage
+	if options.Dialer != nil {
+		options.Dialer.setTraffic(made.traffic)
+	}
 	client := transport.NewClient(options.Logger, transportOptions)
 	random := rand.New(rand.NewPCG(options.Seed, 1))
 	return &Router{
 		options:     options,
 		logger:      log.With(options.Logger, "component", "router"),
-		metrics:     newMetrics(options.Metrics),
+		metrics:     made,
 		client:      client,
 		caller:      leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 		stop:        newStops(),
