Add the messages and the pure core of relays

Missing: a copy of the leader's state at other controllers, from which they may answer the watches of routers near them. Change: Domain.Mirror with its messages, new fields of Domain.Watch that older processes skip, and package mirror: the state by term and revision, whether it is current, what a router gets, and when the leader must be told of routers. A router is answered only once the leader counts it as active and the mirror has what was announced by then; otherwise a departure could be acknowledged that the router never got.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -22,7 +22,8 @@
 const ServiceName = "Domain"
 
 // Methods of the service. Only the leader serves methods other than Describe and Found;
-// other controllers return ErrorNotLeader with the leader's address, if known.
+// other controllers return ErrorNotLeader with the leader's address, if known. Watch is also
+// served by relays, to routers that allow it.
 const (
 	MethodDescribe   = ServiceName + ".Describe"
 	MethodFound      = ServiceName + ".Found"
@@ -39,6 +40,7 @@
 	MethodDrain      = ServiceName + ".Drain"
 	MethodDrained    = ServiceName + ".Drained"
 	MethodWarmUp     = ServiceName + ".WarmUp"
+	MethodMirror     = ServiceName + ".Mirror"
 )
 
 // Reply carries a typed error, because net/rpc transmits errors as strings.
@@ -124,6 +126,11 @@
 	// MaxHold is the longest time that the router waits for a reply. The previous release
 	// sends 0 and waits for MinHold.
 	MaxHold time.Duration
+	// AllowsRelay is set if a relay may answer.
+	AllowsRelay bool
+	// Relays is the version of the router's list of relays, NoRelays if it has none; 0 from a
+	// router that uses no relays.
+	Relays uint64
 }
 
 const (
@@ -158,6 +165,13 @@
 	Routers int
 	// Controllers are the addresses of the group's members.
 	Controllers []string
+	// Relays lists the leader and the relays; nil if the router uses none or its list is current.
+	Relays *RelayList
+	// ConfirmedBefore is how long before it received the router's question a relay had asked the
+	// leader for Confirmed; 0 if it asked later or the leader answers itself.
+	ConfirmedBefore time.Duration
+	// Age is the time since a relay received the state from the leader; 0 from the leader itself.
+	Age time.Duration
 }
 
 // DemandArguments report what a router observed since its last report.
--- /dev/null
+++ b/placement/domainapi/mirror.go
@@ -0,0 +1,74 @@
+package domainapi
+
+import "time"
+
+// NoRelays is the version of a router's list of relays before it has one.
+const NoRelays = 1
+
+// RelayHold is how long the leader holds a relay's question without changes. It is well below
+// MirrorTTL, so that one lost or late answer does not stop a relay.
+const RelayHold = 300 * time.Millisecond
+
+// MirrorTTL is how long after it asked for it a relay may pass on the leader's state.
+const MirrorTTL = time.Second
+
+// ContactMargin is how long after the end of its watch a router still counts as active.
+const ContactMargin = time.Second
+
+// RelayList lists the controllers that answer watches.
+type RelayList struct {
+	// Version identifies the content; it is greater than NoRelays.
+	Version uint64
+	// Leader is the leader itself.
+	Leader Relay
+	// Relays are sorted by address.
+	Relays []Relay
+}
+
+// Relay is a controller that answers watches.
+type Relay struct{ Address, Zone string }
+
+// RelayedRouter is a relay's contact with a router.
+type RelayedRouter struct {
+	Router string
+	// Revision is the revision of the router's view in the term of the message when it last
+	// asked; 0 if it had none.
+	Revision uint64
+	// Age is the time since it asked.
+	Age time.Duration
+	// Hold is how long its watches are held.
+	Hold time.Duration
+}
+
+// MirrorArguments are a relay's question for what it passes on to routers.
+type MirrorArguments struct {
+	// Relay is the name of the controller, Address and Zone are where routers find it.
+	Relay, Address, Zone string
+	// Term and Revision identify the relay's view, Version its document.
+	Term, Revision, Version uint64
+	// Announced is the latest revision that it knows to be announced to all routers.
+	Announced uint64
+	// Suspects is the revision, within Term, of its list of suspects.
+	Suspects uint64
+	// Routers are its contacts since the last acknowledged message.
+	Routers []RelayedRouter
+	// IsReport is set if the message only carries Routers and is answered immediately, without
+	// a view.
+	IsReport bool
+}
+
+// MirrorReply is sent when something has changed, after RelayHold, or at once to a report.
+type MirrorReply struct {
+	Reply
+	// State is what the relay passes on to routers. A report's answer has only the term.
+	State WatchReply
+	// Announced is the latest revision that was announced to all routers.
+	Announced uint64
+	// Awaited is the revision that all active routers must have before the leader acknowledges a
+	// departure or drain; 0 if it waits for none.
+	Awaited uint64
+	// Notify names the routers whose watches must be answered immediately.
+	Notify []string
+	// RelayList lists the leader and its relays.
+	RelayList RelayList
+}
--- /dev/null
+++ b/placement/mirror/contact.go
@@ -0,0 +1,126 @@
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+)
+
+// contact is the relay's state of a router.
+type contact struct {
+	// at is when the router last asked, hold how long its watch is held from then.
+	at   time.Time
+	hold time.Duration
+	// term and revision identify the router's view when it last asked.
+	term, revision uint64
+	// acknowledgedAt is the latest contact of which the leader has said in this term that it
+	// knows it; zero if none. acknowledgedHold is the hold time of that contact.
+	acknowledgedAt   time.Time
+	acknowledgedHold time.Duration
+	// atLeast is the lowest revision that the router may get: the one announced when the leader
+	// began to count it. Departures acknowledged before did not wait for the router.
+	atLeast uint64
+	// isNotified is set if its watch must be answered immediately.
+	isNotified bool
+}
+
+// isCounted reports whether the leader counts the router as active, so that it waits for the
+// router before it acknowledges a departure.
+func (c *contact) isCounted(now time.Time) bool {
+	return !c.acknowledgedAt.IsZero() && now.Before(c.acknowledgedAt.Add(c.acknowledgedHold+domainapi.ContactMargin))
+}
+
+// forget records that the leader does not count the router.
+func (c *contact) forget() { c.acknowledgedAt, c.atLeast = time.Time{}, 0 }
+
+// isActive reports whether the router may still wait for an answer or use the last one.
+func (c *contact) isActive(now time.Time) bool {
+	return now.Before(c.at.Add(c.hold + domainapi.ContactMargin))
+}
+
+// Observe records a router's watch, which is held for the given time.
+func (m *Mirror) Observe(now time.Time, arguments *domainapi.WatchArguments, hold time.Duration) {
+	known := m.contacts[arguments.Router]
+	if known == nil {
+		known = &contact{}
+		m.contacts[arguments.Router] = known
+	}
+	if !known.isCounted(now) {
+		known.forget()
+	}
+	known.at, known.hold, known.term, known.revision = now, hold, arguments.Term, arguments.Revision
+}
+
+// Routers returns the number of routers in contact, and forgets the others.
+func (m *Mirror) Routers(now time.Time) int {
+	maps.DeleteFunc(m.contacts, func(_ string, known *contact) bool { return !known.isActive(now) })
+	return len(m.contacts)
+}
+
+// newContacts returns the contacts that the leader does not know, sorted by name.
+func (m *Mirror) newContacts(now time.Time) []domainapi.RelayedRouter {
+	var listed []domainapi.RelayedRouter
+	for _, router := range slices.Sorted(maps.Keys(m.contacts)) {
+		known := m.contacts[router]
+		if !known.isActive(now) || known.at.Equal(known.acknowledgedAt) {
+			continue
+		}
+		listed = append(listed, domainapi.RelayedRouter{
+			Router: router, Revision: m.knownRevision(known), Age: now.Sub(known.at), Hold: known.hold,
+		})
+	}
+	return listed
+}
+
+// knownRevision returns the router's revision in the mirror's term; 0 if it has none.
+func (m *Mirror) knownRevision(known *contact) uint64 {
+	if known.term != m.term {
+		return 0
+	}
+	return known.revision
+}
+
+// acknowledge records that the leader knows the contacts of a message made at the given time.
+func (m *Mirror) acknowledge(made time.Time, message *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+	for _, each := range message.Routers {
+		known := m.contacts[each.Router]
+		if known == nil {
+			continue
+		}
+		if known.acknowledgedAt.IsZero() {
+			known.atLeast = reply.Announced
+		}
+		if at := made.Add(-each.Age); at.After(known.acknowledgedAt) {
+			known.acknowledgedAt, known.acknowledgedHold = at, each.Hold
+		}
+	}
+}
+
+// Report returns a message for the leader if it must be told before the next question: of routers
+// that wait until it counts them, or that all routers have the revision that it waits for.
+func (m *Mirror) Report(now time.Time) (report domainapi.MirrorArguments, isDue bool) {
+	if !m.IsCurrent(now) {
+		return report, false
+	}
+	hasAll := m.awaited > m.toldOf
+	for _, known := range m.contacts {
+		if !known.isActive(now) {
+			continue
+		}
+		isDue = isDue || !known.isCounted(now)
+		hasAll = hasAll && m.knownRevision(known) >= m.awaited
+	}
+	if !isDue && !hasAll {
+		return report, false
+	}
+	if hasAll {
+		m.toldOf = m.awaited
+	}
+	report = domainapi.MirrorArguments{Term: m.term, IsReport: true, Routers: m.newContacts(now)}
+	return report, len(report.Routers) > 0
+}
+
+// FailReport records that the leader may not have received a report.
+func (m *Mirror) FailReport() { m.toldOf = 0 }
--- /dev/null
+++ b/placement/mirror/mirror.go
@@ -0,0 +1,143 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/fleet"
+)
+
+// Mirror is a relay's copy of the leader's published state. Create one with New. Its methods are
+// not safe for concurrent use.
+type Mirror struct {
+	// term is the leader's term; 0 before the first answer.
+	term  uint64
+	views *fleet.Publisher
+	// announced is the latest revision that was announced to all routers and that views has.
+	announced uint64
+	// awaited is the revision that the leader waits for, toldOf the one that it was last told of.
+	awaited, toldOf uint64
+	// state is the leader's last answer except View and Document.
+	state     domainapi.WatchReply
+	relayList domainapi.RelayList
+	// document survives a change of the leader, since it is replicated.
+	document domain.Document
+	// askedAt is when the last answered question was asked, heardAt when the answer arrived.
+	askedAt, heardAt time.Time
+	contacts         map[string]*contact
+}
+
+// New returns a mirror without content, which is not current.
+func New() *Mirror {
+	return &Mirror{views: fleet.NewPublisher(), contacts: make(map[string]*contact)}
+}
+
+// ErrUnusable means that an answer does not continue the mirror's content.
+var ErrUnusable = errors.New("the leader's answer does not continue the mirror")
+
+// Question returns the question for what has changed, with the contacts that the leader does not
+// know.
+func (m *Mirror) Question(now time.Time) domainapi.MirrorArguments {
+	arguments := domainapi.MirrorArguments{
+		Term: m.term, Revision: m.views.Revision(), Version: m.document.Version, Announced: m.announced,
+		Routers: m.newContacts(now),
+	}
+	if m.state.Suspects != nil {
+		arguments.Suspects = m.state.Suspects.Revision
+	}
+	return arguments
+}
+
+// Adopt takes over the answer to a question made at the given time and asked at a later one, if it
+// was asked repeatedly. After an error the mirror is unchanged, or empty if the answer does not
+// continue its view.
+func (m *Mirror) Adopt(now, made, asked time.Time, question *domainapi.MirrorArguments, reply *domainapi.MirrorReply) error {
+	state := &reply.State
+	if state.Term < m.term {
+		return errors.Wrap(ErrUnusable, "former leader")
+	}
+	var view *fleet.View
+	if state.View != nil {
+		decoded, err := state.View.Decode()
+		if err != nil {
+			return err
+		}
+		view = &decoded
+	}
+	if state.Term > m.term {
+		m.begin(state.Term)
+	}
+	if view != nil && !m.views.Adopt(*view, state.Revision) {
+		m.begin(state.Term)
+		return errors.Wrap(ErrUnusable, "partial view")
+	}
+	m.adoptState(reply)
+	m.askedAt, m.heardAt = asked, now
+	m.acknowledge(made, question, reply)
+	for _, router := range reply.Notify {
+		if known := m.contacts[router]; known != nil {
+			known.isNotified = true
+		}
+	}
+	return nil
+}
+
+// begin drops everything of the former leader except the document.
+func (m *Mirror) begin(term uint64) {
+	m.term, m.views, m.announced, m.awaited, m.toldOf = term, fleet.NewPublisher(), 0, 0, 0
+	m.state = domainapi.WatchReply{}
+	m.askedAt, m.heardAt = time.Time{}, time.Time{}
+	for _, known := range m.contacts {
+		known.forget()
+		known.isNotified = false
+	}
+}
+
+func (m *Mirror) adoptState(reply *domainapi.MirrorReply) {
+	suspects := m.state.Suspects
+	m.state = reply.State
+	if m.state.Suspects == nil {
+		m.state.Suspects = suspects
+	}
+	if reply.State.Document != nil {
+		m.document = *reply.State.Document
+	}
+	m.state.View, m.state.Document = nil, nil
+	m.announced = min(reply.Announced, m.views.Revision())
+	m.awaited = reply.Awaited
+	m.relayList = reply.RelayList
+}
+
+// AdoptReport takes over the answer to a report made at the given time.
+func (m *Mirror) AdoptReport(made time.Time, report *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+	if reply.State.Term != m.term {
+		return
+	}
+	m.awaited = max(m.awaited, reply.Awaited)
+	m.acknowledge(made, report, reply)
+}
+
+// CurrentUntil returns when the mirror stops being current unless the leader answers.
+func (m *Mirror) CurrentUntil() time.Time { return m.askedAt.Add(domainapi.MirrorTTL) }
+
+// IsCurrent reports whether the mirror may answer routers.
+func (m *Mirror) IsCurrent(now time.Time) bool {
+	return m.term != 0 && m.views.Revision() != 0 && now.Before(m.CurrentUntil())
+}
+
+// Term returns the leader's term; 0 if the mirror has no content.
+func (m *Mirror) Term() uint64 { return m.term }
+
+// Revision returns the revision of the mirror's view.
+func (m *Mirror) Revision() uint64 { return m.views.Revision() }
+
+// Age returns the time since the last answered question was asked; 0 if there was none.
+func (m *Mirror) Age(now time.Time) time.Duration {
+	if m.askedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(m.askedAt)
+}
