Let routers watch a relay in their zone or region

Missing: a router watches only the leader, so every reply to a router of another region crosses the border. Change: at sites with more than one region a router states the version of its list of relays, takes the list from replies, and watches a relay in its zone, else one in its region, else the leader. Confirmations of documents and load reports count from the time at which the relay had asked for them. Without a list, which no controller sends yet, and with one region or none, the router asks as before. Shown by tests of the choice.

--- /dev/null
+++ b/request/relay/controllers_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+var relayTestRegions = map[structs.ZoneID]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
+
+func TestRouterPrefersItsZoneThenItsRegionThenTheLeader(t *testing.T) {
+	relays := []domainapi.Relay{{Address: "1", Zone: "a1"}, {Address: "2", Zone: "a2"}, {Address: "4", Zone: "b1"}}
+	leader := domainapi.Relay{Address: "5", Zone: "b2"}
+	for name, test := range map[string]struct {
+		zone   structs.ZoneID
+		leader domainapi.Relay
+		failed []string
+		want   string
+		near   nearness
+	}{
+		"a relay in its zone":                 {zone: "a1", leader: leader, want: "1", near: nearZone},
+		"a failed relay in its zone":          {zone: "a1", leader: leader, failed: []string{"1"}, want: "2", near: nearRegion},
+		"no relay left in its region":         {zone: "a1", leader: leader, failed: []string{"1", "2"}, near: nearLeader},
+		"the leader in its zone":              {zone: "b2", leader: leader, near: nearLeader},
+		"a relay in the leader's region":      {zone: "b1", leader: leader, want: "4", near: nearZone},
+		"the leader in another of its zones":  {zone: "a1", leader: domainapi.Relay{Address: "3", Zone: "a3"}, want: "1", near: nearZone},
+		"a zone that the settings don't know": {zone: "c1", leader: leader, near: nearLeader},
+		"no zone":                             {leader: domainapi.Relay{Address: "5"}, near: nearLeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			choice := newControllerChoice("router", test.zone, relayTestRegions)
+			choice.adopt(&domainapi.RelayList{Version: 7, Leader: test.leader, Relays: relays}, true)
+			at := time.Unix(1000, 0)
+			for _, address := range test.failed {
+				choice.fail(at, address)
+			}
+			address, near := choice.next(at)
+			qt.Assert(t, address, qt.Equals, test.want)
+			qt.Assert(t, near, qt.Equals, test.near)
+		})
+	}
+}
+
+func TestFailedRelayIsLeftAloneForAWhile(t *testing.T) {
+	c := qt.New(t)
+	choice := newControllerChoice("router", "a1", relayTestRegions)
+	choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{{Address: "1", Zone: "a1"}}}, true)
+	at := time.Unix(1000, 0)
+	choice.fail(at, "1")
+	for _, test := range []struct {
+		after time.Duration
+		want  string
+	}{{0, ""}, {failedRelayPause - 1, ""}, {failedRelayPause, "1"}} {
+		address, _ := choice.next(at.Add(test.after))
+		c.Assert(address, qt.Equals, test.want, qt.Commentf("after %v", test.after))
+	}
+}
+
+func TestRoutersAreSpreadOverRelays(t *testing.T) {
+	c := qt.New(t)
+	counts := make(map[string]int)
+	for i := range 300 {
+		choice := newControllerChoice(fmt.Sprint("router-", i), "a1", relayTestRegions)
+		choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{
+			{Address: "10.0.0.1:7000", Zone: "a2"}, {Address: "10.0.0.2:7000", Zone: "a2"}, {Address: "10.0.0.3:7000", Zone: "a3"},
+		}}, true)
+		address, _ := choice.next(time.Unix(1000, 0))
+		counts[address]++
+	}
+	c.Assert(counts, qt.HasLen, 3)
+	for address, count := range counts {
+		c.Assert(count > 60, qt.IsTrue, qt.Commentf("%s: %d", address, count))
+	}
+}
+
+// Where the settings name one region or none, routers must not even say that they know relays.
+func TestRouterOfOneRegionUsesNoRelays(t *testing.T) {
+	for name, regions := range map[string]map[structs.ZoneID]string{
+		"none": nil, "one": {"a1": "a", "a2": "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			choice := newControllerChoice("router", "a1", regions)
+			qt.Assert(t, choice.version(), qt.Equals, uint64(0))
+			choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{{Address: "1", Zone: "a1"}}}, true)
+			address, _ := choice.next(time.Unix(1000, 0))
+			qt.Assert(t, address, qt.Equals, "")
+			qt.Assert(t, choice.version(), qt.Equals, uint64(0))
+		})
+	}
+}
+
+func TestListOfRelaysBelongsToATerm(t *testing.T) {
+	c := qt.New(t)
+	choice := newControllerChoice("router", "a1", relayTestRegions)
+	c.Assert(choice.version(), qt.Equals, uint64(domainapi.NoRelays))
+	choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{{Address: "1", Zone: "a1"}}}, true)
+	choice.adopt(nil, false)
+	c.Assert(choice.version(), qt.Equals, uint64(7), qt.Commentf("unchanged"))
+	choice.adopt(nil, true)
+	c.Assert(choice.version(), qt.Equals, uint64(domainapi.NoRelays), qt.Commentf("a leader of a previous release names no relays"))
+}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -31,56 +31,6 @@
 	loadAge = reportInterval/2 + 75*time.Millisecond
 )
 
-// watchLoop keeps a watch on the leader's view until ctx ends.
-func (r *Router) watchLoop(ctx context.Context) {
-	hold := domainapi.MinHold
-	caller := leadercall.New(r.client, nil).WithTryTimeout(hold + watchMargin)
-	arguments := domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold}
-	var controllers []string
-	isConnected := false
-	for ctx.Err() == nil {
-		// Members of the group are tried before seeds.
-		addresses := leadercall.Unique(controllers, r.options.Seeds())
-		caller.SetAddresses(addresses)
-		r.caller.SetAddresses(addresses)
-		arguments.Version = r.version()
-		asked := r.now()
-		reply, err := r.watch(ctx, caller, arguments)
-		if err != nil {
-			if isConnected && ctx.Err() == nil {
-				level.Warn(r.logger).Log("msg", "The leader of the controllers is lost.", "term", arguments.Term, "err", err)
-			}
-			isConnected = false
-			pause.For(ctx, watchRetryDelay)
-			continue
-		}
-		if !isConnected || reply.Term != arguments.Term {
-			level.Info(r.logger).Log("msg", "Following a leader of the controllers.", "term", reply.Term, "routers", reply.Routers)
-		}
-		isConnected = true
-		if len(reply.Controllers) > 0 {
-			controllers = reply.Controllers
-		}
-		r.adopt(reply, &arguments, asked)
-		if held := holdOf(reply); held != hold {
-			hold = held
-			caller = leadercall.New(r.client, addresses).WithTryTimeout(hold + watchMargin)
-		}
-	}
-}
-
-// holdOf returns how long the leader holds the next watch.
-func holdOf(reply *domainapi.WatchReply) time.Duration {
-	return min(max(reply.Hold, domainapi.MinHold), domainapi.MaxHold)
-}
-
-func (r *Router) watch(ctx context.Context, caller *leadercall.Caller, arguments domainapi.WatchArguments) (*domainapi.WatchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	return leadercall.Call(ctx, caller, domainapi.MethodWatch, arguments,
-		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
-}
-
 // adopt applies a reply to the watch sent at asked. A reply of an earlier term comes from a deposed
 // leader and is ignored.
 func (r *Router) adopt(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, asked time.Time) {
@@ -106,12 +56,12 @@
 		r.takeDocument(*reply.Document)
 	}
 	if reply.Confirmed != 0 && reply.Confirmed == r.version() {
-		r.confirm(asked)
+		r.confirm(asked.Add(-reply.ConfirmedBefore))
 	}
 	if reply.View != nil && !r.takeView(reply) {
 		return
 	}
-	r.takeLoads(reply.Loads)
+	r.takeLoads(reply.Loads, reply.Age)
 	r.takeSuspects(reply, arguments)
 	arguments.Term = reply.Term
 	arguments.Revision = reply.Revision
@@ -147,12 +97,12 @@
 	arguments.Suspects = reply.Suspects.Revision
 }
 
-// takeLoads applies the load of all routers at the runners. Runners that are not listed have less
-// load than those that are.
-func (r *Router) takeLoads(loads []fleet.Load) {
+// takeLoads applies the load of all routers at the runners, which a relay has had for the given
+// time. Runners that are not listed have less load than those that are.
+func (r *Router) takeLoads(loads []fleet.Load, relayedFor time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	at := time.Now().Add(-loadAge)
+	at := time.Now().Add(-loadAge - relayedFor)
 	listed := make(map[string]fleet.Load, len(loads))
 	for _, load := range loads {
 		if _, isCandidate := r.candidates.runners[load.Instance]; isCandidate {
--- a/request/relay/load_test.go
+++ b/request/relay/load_test.go
@@ -32,7 +32,7 @@
 				{Instance: "a", Service: "s", Address: "10.0.0.1:1", Slots: 12, Models: models},
 				{Instance: "b", Service: "s", Address: "10.0.0.2:1", Slots: 12, Models: models},
 			}})
-			r.takeLoads(test.loads)
+			r.takeLoads(test.loads, 0)
 			c.Assert(r.isBusy("a", time.Now()), qt.Equals, test.isBusy)
 			crowded := 0
 			for range 50 {
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -26,8 +26,12 @@
 	leaderTerm    prometheus.Gauge
 	leaderHeardAt prometheus.Gauge
 	loadsAt       prometheus.Gauge
-	tenants       *prometheus.CounterVec
-	draws         prometheus.Histogram
+	// followsRelay is 1 while the router watches a relay, controllerChanges counts the changes to
+	// another controller by what is watched then.
+	followsRelay      prometheus.Gauge
+	controllerChanges *prometheus.CounterVec
+	tenants           *prometheus.CounterVec
+	draws             prometheus.Histogram
 	// zonesLost is the number of zones currently unreachable, zoneLosses the number of transitions
 	// to that state.
 	zonesLost  prometheus.Gauge
@@ -102,11 +106,13 @@
 			"Sendings to runners that had asked for rest, or said in an answer that they are leaving.", "runner", "repeated"),
 		connectionsClosed: counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
 		loadsAt:           gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
+		followsRelay:      gauge("follows_relay", "1 while the router watches a relay and not the leader."),
+		controllerChanges: counter("controller_changes_total", "Times that the router began to watch another controller, by which: zone, region or leader.", "to"),
 		leaderHeardAt:     gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
-			made.repeats, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.tenants, made.draws,
+			made.repeats, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.followsRelay, made.controllerChanges, made.tenants, made.draws,
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.overloaded, made.connectionsClosed, made.coldRequests,
 			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent)
 	}
--- /dev/null
+++ b/request/relay/watch.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/agreement/leadercall"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// follower is the state of the watch loop.
+type follower struct {
+	router    *Router
+	arguments domainapi.WatchArguments
+	// hold and relayHold are how long the leader and a relay hold the next watch.
+	hold, relayHold time.Duration
+	// caller finds the leader.
+	caller      *leadercall.Caller
+	controllers []string
+	isConnected bool
+	choice      *controllerChoice
+	// followed is the relay that answered last; empty for the leader.
+	followed string
+}
+
+// watchLoop keeps a watch on the leader's view, directly or through a relay, until ctx ends.
+func (r *Router) watchLoop(ctx context.Context) {
+	f := &follower{
+		router: r, hold: domainapi.MinHold, relayHold: domainapi.MinHold,
+		arguments: domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold},
+		caller:    leadercall.New(r.client, nil).WithTryTimeout(domainapi.MinHold + watchMargin),
+		choice:    newControllerChoice(r.options.Name, r.options.Zone, r.options.Regions),
+	}
+	for ctx.Err() == nil {
+		// Members of the group are tried before seeds.
+		addresses := leadercall.Unique(f.controllers, r.options.Seeds())
+		f.caller.SetAddresses(addresses)
+		r.caller.SetAddresses(addresses)
+		f.arguments.Version = r.version()
+		f.arguments.Relays = f.choice.version()
+		if address, near := f.choice.next(r.now()); address != "" {
+			f.watchRelay(ctx, address, near)
+		} else {
+			f.watchLeader(ctx, addresses)
+		}
+	}
+}
+
+// watchLeader finds the leader and sends it a watch.
+func (f *follower) watchLeader(ctx context.Context, addresses []string) {
+	r := f.router
+	asked := r.now()
+	reply, err := f.callLeader(ctx)
+	if err != nil {
+		if f.isConnected && ctx.Err() == nil {
+			level.Warn(r.logger).Log("msg", "The leader of the controllers is lost.", "term", f.arguments.Term, "err", err)
+		}
+		f.isConnected = false
+		pause.For(ctx, watchRetryDelay)
+		return
+	}
+	f.adopt(reply, asked, "", nearLeader)
+	if held := holdOf(reply); held != f.hold {
+		f.hold = held
+		f.caller = leadercall.New(r.client, addresses).WithTryTimeout(held + watchMargin)
+	}
+}
+
+func (f *follower) callLeader(ctx context.Context) (*domainapi.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return leadercall.Call(ctx, f.caller, domainapi.MethodWatch, f.arguments,
+		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
+}
+
+// errBehind means that a relay answered with an older state than the router's.
+var errBehind = errors.New("the relay has an older state than this router")
+
+// watchRelay sends a watch to a relay. After a failure another controller is asked immediately.
+func (f *follower) watchRelay(ctx context.Context, address string, near nearness) {
+	r := f.router
+	asked := r.now()
+	reply, err := f.callRelay(ctx, address)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.choice.fail(r.now(), address)
+			level.Info(r.logger).Log("msg", "A relay did not answer; another controller is asked.", "relay", address,
+				"near", near, "term", f.arguments.Term, "took", r.now().Sub(asked), "err", err)
+		}
+		return
+	}
+	f.adopt(reply, asked, address, near)
+	f.relayHold = holdOf(reply)
+}
+
+func (f *follower) callRelay(ctx context.Context, address string) (*domainapi.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.relayHold+watchMargin)
+	defer cancel()
+	arguments, reply := f.arguments, &domainapi.WatchReply{}
+	arguments.AllowsRelay = true
+	err := f.router.client.Call(ctx, address, domainapi.MethodWatch, arguments, reply)
+	if err == nil {
+		err = structs.AsError(reply.Failure())
+	}
+	if err == nil && (reply.Term < arguments.Term || reply.Term == arguments.Term && reply.Revision < arguments.Revision) {
+		err = errBehind
+	}
+	return reply, err
+}
+
+// adopt applies the reply of a controller.
+func (f *follower) adopt(reply *domainapi.WatchReply, asked time.Time, address string, near nearness) {
+	r := f.router
+	isNewTerm := reply.Term != f.arguments.Term
+	if !f.isConnected || isNewTerm {
+		level.Info(r.logger).Log("msg", "Following a leader of the controllers.", "term", reply.Term, "routers", reply.Routers)
+	}
+	if f.choice.isUsed && (f.followed != address || !f.isConnected) {
+		level.Info(r.logger).Log("msg", "Watching another controller.", "relay", address, "near", near, "before", f.followed)
+		r.metrics.controllerChanges.WithLabelValues(near.String()).Inc()
+		r.metrics.followsRelay.Set(map[bool]float64{true: 1}[address != ""])
+	}
+	f.isConnected, f.followed = true, address
+	if len(reply.Controllers) > 0 {
+		f.controllers = reply.Controllers
+	}
+	if reply.Term >= f.arguments.Term {
+		f.choice.adopt(reply.Relays, isNewTerm)
+	}
+	r.adopt(reply, &f.arguments, asked)
+}
+
+// holdOf returns how long the leader holds the next watch.
+func holdOf(reply *domainapi.WatchReply) time.Duration {
+	return min(max(reply.Hold, domainapi.MinHold), domainapi.MaxHold)
+}
