Relay the leader's state at controllers that do not lead

Missing: a controller that does not lead answers watches with the leader's address only. Change: at sites with more than one region such a controller keeps a mirror of the leader's state by a long poll, Domain.Mirror, and answers routers that allow it. It passes changes on to held watches as they arrive, tells the leader at once of new routers and when its routers have the revision that the leader waits for, and redirects its routers when it stops, leads, or has no recent answer. The leader counts relayed routers like its own, each once, and notifies them through their relay. A change of the raft term ends a question, since a lost leader would hold it.

--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -21,6 +21,8 @@
 	// wantsFullView is set if its requests wait for a model that may be listed only in the
 	// full view.
 	wantsFullView bool
+	// relay is the name of the relay that answers its watches; empty if it asks the leader.
+	relay string
 }
 
 // holdPerRouter times the number of routers is how long watches are held without changes.
@@ -89,8 +91,14 @@
 	at := l.now()
 	hold = holdDuration(len(l.routers), most)
 	known := l.routers[router]
-	known.at, known.revision, known.hold = at, revision, hold
+	known.at, known.revision, known.hold, known.relay = at, revision, hold, ""
 	l.routers[router] = known
+	l.expireContacts(at)
+	return len(l.routers), hold
+}
+
+// expireContacts drops expired routers. The caller holds the mutex.
+func (l *leadership) expireContacts(at time.Time) {
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerExpiry {
 			delete(l.routers, name)
@@ -98,5 +106,4 @@
 			l.planner.ForgetRouter(name)
 		}
 	}
-	return len(l.routers), hold
 }
--- a/placement/domainnode/drains.go
+++ b/placement/domainnode/drains.go
@@ -76,6 +76,7 @@
 	current.updateDrains()
 	current.refresh(current.now())
 	revision := current.views.Revision()
+	current.relays.await(current.now(), revision)
 	current.announcer.announce(current.now(), current.currentVersions())
 	current.mutex.Unlock()
 	current.wakePlan()
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -14,6 +14,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
@@ -37,7 +38,7 @@
 	// routerExpiry is how long a silent router keeps its share of the grants.
 	routerExpiry = 25 * time.Second
 	// contactMargin is how long after the end of its watch a router still counts as active.
-	contactMargin = time.Second
+	contactMargin = domainapi.ContactMargin
 	// routerAckTimeout bounds the wait until routers have received a change.
 	routerAckTimeout = 600 * time.Millisecond
 	// orderTimeout bounds an order or report request to a runner.
@@ -90,6 +91,7 @@
 	// planned is closed and replaced after each plan.
 	planned  chan struct{}
 	routers  map[string]routerContact
+	relays   relays
 	stopping map[raft.NodeID]time.Time
 	// tokens grants requests to rate-limited runners: cold ones, limited to the coldRates of
 	// their service, and those that announce a limit.
@@ -161,6 +163,7 @@
 		fullViewPacer:        newPacer(n.options.LinkBytes * fullViewLinkShare),
 		planned:              make(chan struct{}),
 		routers:              make(map[string]routerContact),
+		relays:               newRelays(),
 		lost:                 make(map[string]bool),
 		pendingRegistrations: make(map[string]domain.Registration),
 		stopping:             make(map[raft.NodeID]time.Time),
@@ -320,7 +323,9 @@
 	}
 	if known.wantsFullView || known.revision < l.views.Revision() {
 		l.node.metrics.earlyViews.Inc()
-		l.announcer.notify(router)
+		if !l.relays.notify(known.relay, router) {
+			l.announcer.notify(router)
+		}
 	}
 }
 
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -4,45 +4,51 @@
 
 // metrics holds the Prometheus metrics of a controller.
 type metrics struct {
-	leads        prometheus.Gauge
-	leaderships  prometheus.Counter
-	heartbeats   *prometheus.CounterVec
-	puts         *prometheus.CounterVec
-	departures   *prometheus.CounterVec
-	drains       *prometheus.CounterVec
-	drained      prometheus.Gauge
-	cold         prometheus.Gauge
-	limited      prometheus.Gauge
-	warmups      *prometheus.CounterVec
-	orders       *prometheus.CounterVec
-	orderTime    prometheus.Histogram
-	reports      *prometheus.CounterVec
-	membership   *prometheus.CounterVec
-	runners      prometheus.Gauge
-	routers      prometheus.Gauge
-	waiting      prometheus.Gauge
-	version      prometheus.Gauge
-	reopened     prometheus.Counter
-	loadTime     *prometheus.HistogramVec
-	loadExcess   *prometheus.HistogramVec
-	unmet        *prometheus.GaugeVec
-	storeLoads   *prometheus.GaugeVec
-	storeLimit   *prometheus.GaugeVec
-	coverage     *prometheus.GaugeVec
-	zoneBound    *prometheus.GaugeVec
-	waitedModels *prometheus.GaugeVec
-	stepTime     prometheus.Histogram
-	earlyViews   prometheus.Counter
-	lost         prometheus.Gauge
-	losses       prometheus.Counter
-	suspects     *prometheus.GaugeVec
-	trials       *prometheus.CounterVec
-	failing      prometheus.Counter
-	promptRate   *prometheus.GaugeVec
-	eventTime    *prometheus.GaugeVec
-	capacity     *prometheus.GaugeVec
-	paceError    *prometheus.GaugeVec
-	speeds       *prometheus.GaugeVec
+	leads       prometheus.Gauge
+	leaderships prometheus.Counter
+	heartbeats  *prometheus.CounterVec
+	puts        *prometheus.CounterVec
+	departures  *prometheus.CounterVec
+	drains      *prometheus.CounterVec
+	drained     prometheus.Gauge
+	cold        prometheus.Gauge
+	limited     prometheus.Gauge
+	warmups     *prometheus.CounterVec
+	orders      *prometheus.CounterVec
+	orderTime   prometheus.Histogram
+	reports     *prometheus.CounterVec
+	membership  *prometheus.CounterVec
+	runners     prometheus.Gauge
+	routers     prometheus.Gauge
+	waiting     prometheus.Gauge
+	version     prometheus.Gauge
+	reopened    prometheus.Counter
+	// mirrorAge, relayedWatches and relayedRouters describe this controller as a relay; relays
+	// is the number of relays of this leader.
+	mirrorAge      prometheus.Gauge
+	relayedWatches *prometheus.CounterVec
+	relayedRouters prometheus.Gauge
+	relays         prometheus.Gauge
+	loadTime       *prometheus.HistogramVec
+	loadExcess     *prometheus.HistogramVec
+	unmet          *prometheus.GaugeVec
+	storeLoads     *prometheus.GaugeVec
+	storeLimit     *prometheus.GaugeVec
+	coverage       *prometheus.GaugeVec
+	zoneBound      *prometheus.GaugeVec
+	waitedModels   *prometheus.GaugeVec
+	stepTime       prometheus.Histogram
+	earlyViews     prometheus.Counter
+	lost           prometheus.Gauge
+	losses         prometheus.Counter
+	suspects       *prometheus.GaugeVec
+	trials         *prometheus.CounterVec
+	failing        prometheus.Counter
+	promptRate     *prometheus.GaugeVec
+	eventTime      *prometheus.GaugeVec
+	capacity       *prometheus.GaugeVec
+	paceError      *prometheus.GaugeVec
+	speeds         *prometheus.GaugeVec
 	// tenantShare, tenantWaiting and tenantLimit cover the tenants listed in the summary.
 	tenantShare   *prometheus.GaugeVec
 	tenantWaiting *prometheus.GaugeVec
@@ -104,21 +110,25 @@
 			Namespace: namespace, Subsystem: subsystem, Name: "step_seconds", Help: "Time that one step of the leader took: beliefs, plan and view.",
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
 		}),
-		lost:          gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
-		losses:        counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
-		suspects:      gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
-		failing:       counter("runner_rests_total", "Times that a runner that fails what it is sent was let rest."),
-		trials:        vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
-		tenantShare:   gauges("tenant_share", "Work done for a tenant over its share of it, of the tenants that stand out.", "tenant"),
-		tenantWaiting: gauges("tenant_waiting_requests", "Requests of a tenant that wait at all routers, of the tenants that stand out.", "tenant"),
-		tenantLimit:   gauges("tenant_limit_used", "Part of its limit that a tenant was granted in the last window, of the tenants that stand out.", "tenant"),
-		earlyViews:    counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
-		promptRate:    gauges("prompt_tokens_per_second", "Prompt tokens that the usual runner reads a second, as learned, by service; 0 until it is known.", "service"),
-		eventTime:     gauges("event_seconds", "Time between two events of a stream at the usual runner while it reads no prompt, as learned, by service.", "service"),
-		capacity:      gauges("borne_requests_per_second", "Requests a second that a usual runner is believed to bear, by service.", "service"),
-		paceError:     gauges("pace_error_ratio", "Mean part by which forecasts of the time between two events were wrong, by service.", "service"),
-		speeds:        gauges("runner_speeds", "Runners by service and speed: slow, or unknown as nothing tells.", "service", "speed"),
-		reopened:      counter("store_failures_total", "Times that the store failed and was opened again."),
+		lost:           gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
+		losses:         counter("runner_losses_total", "Runners whose connections broke while requests were under way there."),
+		suspects:       gauges("suspected_requests", "Requests that may crash runners, by state: suspected or refused.", "state"),
+		failing:        counter("runner_rests_total", "Times that a runner that fails what it is sent was let rest."),
+		trials:         vector("trials_total", "Questions whether to run a suspected request, by answer.", "answer"),
+		tenantShare:    gauges("tenant_share", "Work done for a tenant over its share of it, of the tenants that stand out.", "tenant"),
+		tenantWaiting:  gauges("tenant_waiting_requests", "Requests of a tenant that wait at all routers, of the tenants that stand out.", "tenant"),
+		tenantLimit:    gauges("tenant_limit_used", "Part of its limit that a tenant was granted in the last window, of the tenants that stand out.", "tenant"),
+		earlyViews:     counter("early_views_total", "Views that a router was told of at once, since its requests wait for what is new in them."),
+		promptRate:     gauges("prompt_tokens_per_second", "Prompt tokens that the usual runner reads a second, as learned, by service; 0 until it is known.", "service"),
+		eventTime:      gauges("event_seconds", "Time between two events of a stream at the usual runner while it reads no prompt, as learned, by service.", "service"),
+		capacity:       gauges("borne_requests_per_second", "Requests a second that a usual runner is believed to bear, by service.", "service"),
+		paceError:      gauges("pace_error_ratio", "Mean part by which forecasts of the time between two events were wrong, by service.", "service"),
+		speeds:         gauges("runner_speeds", "Runners by service and speed: slow, or unknown as nothing tells.", "service", "speed"),
+		mirrorAge:      gauge("mirror_age_seconds", "Time since this controller, as a relay, asked for the leader's state that it has, as of the last answer or failure."),
+		relayedWatches: vector("relayed_watches_total", "Watches of routers that came to this controller as a relay, by outcome: changed, unchanged or redirected.", "outcome"),
+		relayedRouters: gauge("relayed_routers", "Routers that watch this controller as a relay."),
+		relays:         gauge("relays", "Controllers that pass the state of this leader on to routers."),
+		reopened:       counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	if registerer != nil {
 		registerer.MustRegister(m.leads, m.leaderships, m.heartbeats, m.puts, m.departures, m.orders, m.orderTime,
@@ -126,6 +136,7 @@
 			m.loadTime, m.loadExcess, m.unmet, m.storeLoads, m.storeLimit, m.coverage, m.zoneBound, m.waitedModels,
 			m.stepTime, m.earlyViews, m.lost, m.losses, m.suspects, m.trials, m.failing, m.drains, m.drained, m.cold, m.limited, m.warmups,
 			m.promptRate, m.eventTime, m.capacity, m.paceError, m.speeds,
+			m.mirrorAge, m.relayedWatches, m.relayedRouters, m.relays,
 			m.tenantShare, m.tenantWaiting, m.tenantLimit)
 	}
 	return m
--- /dev/null
+++ b/placement/domainnode/mirror.go
@@ -0,0 +1,115 @@
+package domainnode
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// Mirror waits for changes to what a relay passes on to routers and returns them. A report is
+// answered immediately.
+func (s *service) Mirror(arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) error {
+	m, current, err := s.leader()
+	if err != nil {
+		reply.Error = structs.AsTyped(err)
+		return nil
+	}
+	from := current.recordMirror(arguments)
+	if arguments.IsReport {
+		current.fillReport(reply)
+	} else {
+		current.awaitMirrorNews(from, arguments)
+		current.fillMirror(from, arguments, reply)
+	}
+	if !current.isValid() {
+		*reply = domainapi.MirrorReply{}
+		reply.Error = structs.AsTyped(notLeaderError(m))
+		return nil
+	}
+	controllers := memberAddresses(m.group.Status())
+	reply.State.Controllers = controllers[:min(len(controllers), maxControllers)]
+	return nil
+}
+
+// recordMirror records a relay's question or report with its routers.
+func (l *leadership) recordMirror(arguments *domainapi.MirrorArguments) *relayContact {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := l.now()
+	known := l.relays.byName[arguments.Relay]
+	if known == nil || known.address != arguments.Address {
+		level.Info(l.logger).Log("msg", "A controller relays to routers.", "relay", arguments.Relay,
+			"address", arguments.Address, "zone", arguments.Zone)
+	}
+	from := l.relays.observe(at, arguments, arguments.Term == uint64(l.term))
+	for _, relayed := range arguments.Routers {
+		l.recordRelayed(at, arguments, relayed)
+	}
+	l.expireContacts(at)
+	return from
+}
+
+// awaitMirrorNews waits until there is something to tell a relay, at most for the hold time.
+func (l *leadership) awaitMirrorNews(from *relayContact, arguments *domainapi.MirrorArguments) {
+	timeout := time.NewTimer(domainapi.RelayHold)
+	defer timeout.Stop()
+	for {
+		l.mutex.Lock()
+		changed, hasNews := l.announcer.changed, l.hasMirrorNews(from, arguments)
+		l.mutex.Unlock()
+		if hasNews {
+			return
+		}
+		select {
+		case <-changed:
+		case <-from.wake:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// hasMirrorNews reports whether a relay must be told something. The caller holds the mutex.
+func (l *leadership) hasMirrorNews(from *relayContact, arguments *domainapi.MirrorArguments) bool {
+	announced, suspects := arguments.Announced, arguments.Suspects
+	if arguments.Term != uint64(l.term) {
+		announced, suspects = 0, 0
+	}
+	newest := l.announcer.announced
+	return l.ended || newest.view > announced || newest.document > arguments.Version || newest.suspects > suspects ||
+		len(from.notify) > 0 || l.relays.awaitedAt(l.now()) > from.toldOf
+}
+
+// fillMirror sets what has changed since the relay's state.
+func (l *leadership) fillMirror(from *relayContact, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+	var document domain.Document
+	l.member.group.View(func() { document = l.member.machine.Document() })
+	known := domainapi.WatchArguments{Version: arguments.Version, Term: arguments.Term}
+	revision, suspects := uint64(0), uint64(0)
+	if arguments.Term == uint64(l.term) {
+		revision, suspects = arguments.Revision, arguments.Suspects
+	}
+	l.mutex.Lock()
+	reply.Notify = from.takeNotified()
+	reply.Awaited = l.relays.awaitedAt(l.now())
+	from.toldOf = max(from.toldOf, reply.Awaited)
+	reply.Announced = l.announcer.announced.view
+	reply.RelayList = l.relayList()
+	reply.State.Routers = len(l.routers)
+	l.mutex.Unlock()
+	// The view comes after Announced and Notify, so that it is no older.
+	l.fillReply(&reply.State, &known, revision, suspects, document, true)
+}
+
+// fillReport answers a report.
+func (l *leadership) fillReport(reply *domainapi.MirrorReply) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	reply.State.Term = uint64(l.term)
+	reply.Announced = l.announcer.announced.view
+	reply.Awaited = l.relays.awaitedAt(l.now())
+}
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -40,6 +40,8 @@
 	caller     *leadercall.Caller
 	heartbeats *forwarder
 	services   services
+	// relay is nil if the site has fewer than two regions.
+	relay *relay
 	// lastOrder is when this process last sent an order; nil if it has sent none.
 	lastOrder atomic.Pointer[time.Time]
 	// stopping is set once a planned stop has begun; no orders are sent afterwards.
@@ -89,6 +91,7 @@
 		caller:  leadercall.New(client, nil).WithTryTimeout(tryTimeout),
 	}
 	n.heartbeats = newForwarder(n.sendHeartbeats)
+	n.relay = newRelay(n)
 	if err := server.Register(domainapi.ServiceName, &service{node: n}); err != nil {
 		return nil, err
 	}
@@ -181,6 +184,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { n.membershipLoop(ctx, cancel, m) })
 	loops.Go(func() { n.leadershipLoop(ctx, m) })
+	loops.Go(func() { n.relay.run(ctx, m) })
 	err := m.group.Run(ctx)
 	cancel()
 	n.mutex.Lock()
@@ -195,6 +199,7 @@
 // leader. ctx bounds it.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
+	n.relay.close()
 	m, err := n.current()
 	if err != nil {
 		return
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -47,6 +47,11 @@
 	Seeds func() []string
 	// Zones are the zones of the site, which operators may drain.
 	Zones []string
+	// Zone is the zone of the process; empty for a site without zones.
+	Zone string
+	// Regions maps zones to regions. If it names more than one region, the node is a relay while
+	// it does not lead.
+	Regions map[string]string
 	// LinkBytes is the bandwidth of the machine's network link in bytes per second; 0 if unknown.
 	LinkBytes float64
 	// Heartbeat is the interval of runners' heartbeats; 0 means fleet.DefaultHeartbeat.
--- /dev/null
+++ b/placement/domainnode/relays.go
@@ -0,0 +1,161 @@
+package domainnode
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/internal/wake"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+)
+
+// relayExpiry is how long after its last question a relay is listed.
+const relayExpiry = domainapi.MirrorTTL
+
+// relays is the leader's state of the controllers that pass its state on to routers.
+type relays struct {
+	byName map[string]*relayContact
+	// awaited is the latest revision of which an acknowledgement depends, awaitedUntil when the
+	// leader stops waiting for it.
+	awaited      uint64
+	awaitedUntil time.Time
+}
+
+// relayContact is the leader's state of a relay.
+type relayContact struct {
+	address, zone string
+	at            time.Time
+	// isReady is set once it has a view of this term.
+	isReady bool
+	// notify holds the routers whose watches it must answer immediately.
+	notify map[string]bool
+	// toldOf is the awaited revision that it was last told of.
+	toldOf uint64
+	// wake has a capacity of one.
+	wake chan struct{}
+}
+
+func newRelays() relays { return relays{byName: make(map[string]*relayContact)} }
+
+// observe records a question or report of a relay.
+func (r *relays) observe(at time.Time, arguments *domainapi.MirrorArguments, isReady bool) *relayContact {
+	known := r.byName[arguments.Relay]
+	if known == nil {
+		known = &relayContact{notify: make(map[string]bool), wake: make(chan struct{}, 1)}
+		r.byName[arguments.Relay] = known
+	}
+	known.at, known.isReady = at, isReady
+	known.address, known.zone = arguments.Address, arguments.Zone
+	return known
+}
+
+// await records that an acknowledgement depends on a revision, and wakes the relays to be told.
+func (r *relays) await(at time.Time, revision uint64) {
+	r.awaitedUntil = at.Add(routerAckTimeout)
+	if revision <= r.awaited {
+		return
+	}
+	r.awaited = revision
+	for _, known := range r.byName {
+		wake.Up(known.wake)
+	}
+}
+
+// awaitedAt returns the revision that the leader waits for; 0 if none.
+func (r *relays) awaitedAt(at time.Time) uint64 {
+	if !at.Before(r.awaitedUntil) {
+		return 0
+	}
+	return r.awaited
+}
+
+// notify asks a relay to answer a router's watch immediately. It returns false if there is no such
+// relay.
+func (r *relays) notify(relay, router string) bool {
+	known := r.byName[relay]
+	if known == nil {
+		return false
+	}
+	known.notify[router] = true
+	wake.Up(known.wake)
+	return true
+}
+
+// takeNotified returns the routers to be notified, sorted.
+func (c *relayContact) takeNotified() []string {
+	if len(c.notify) == 0 {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(c.notify))
+	clear(c.notify)
+	return names
+}
+
+// list returns the leader and the relays that have a view and were heard recently.
+func (r *relays) list(at time.Time, leader domainapi.Relay) domainapi.RelayList {
+	list := domainapi.RelayList{Leader: leader}
+	for _, known := range r.byName {
+		if known.isReady && at.Sub(known.at) < relayExpiry {
+			list.Relays = append(list.Relays, domainapi.Relay{Address: known.address, Zone: known.zone})
+		}
+	}
+	slices.SortFunc(list.Relays, func(a, b domainapi.Relay) int { return cmp.Compare(a.Address, b.Address) })
+	list.Version = relaysVersion(list)
+	return list
+}
+
+// relaysVersion returns a hash of the list's content above domainapi.NoRelays.
+func relaysVersion(list domainapi.RelayList) uint64 {
+	hash := fnv.New64a()
+	for _, each := range append([]domainapi.Relay{list.Leader}, list.Relays...) {
+		for _, text := range []string{each.Address, each.Zone} {
+			var length [8]byte
+			binary.BigEndian.PutUint64(length[:], uint64(len(text)))
+			_, _ = hash.Write(length[:])
+			_, _ = hash.Write([]byte(text))
+		}
+	}
+	return max(domainapi.NoRelays+1, hash.Sum64())
+}
+
+// relayList returns the leader and its relays. The caller holds the mutex.
+func (l *leadership) relayList() domainapi.RelayList {
+	return l.relays.list(l.now(), domainapi.Relay{Address: l.options.Address, Zone: l.options.Zone})
+}
+
+// relaysFor returns the list of relays for a router, or nil if it uses none or its list is current.
+// A router that still lacks the full view gets none: relays know its revision, but not that it has
+// only a part of that view.
+func (l *leadership) relaysFor(arguments *domainapi.WatchArguments) *domainapi.RelayList {
+	if arguments.Relays == 0 {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.routers[arguments.Router].lacksFullView {
+		return nil
+	}
+	list := l.relayList()
+	if arguments.Term == uint64(l.term) && arguments.Relays == list.Version {
+		return nil
+	}
+	return &list
+}
+
+// recordRelayed records a relay's contact with a router, unless a later one is known. The caller
+// holds the mutex.
+func (l *leadership) recordRelayed(at time.Time, arguments *domainapi.MirrorArguments, relayed domainapi.RelayedRouter) {
+	contactAt := at.Add(-max(0, relayed.Age))
+	known, isKnown := l.routers[relayed.Router]
+	if isKnown && contactAt.Before(known.at) {
+		return
+	}
+	known = routerContact{at: contactAt, hold: min(max(0, relayed.Hold), domainapi.MaxHold), relay: arguments.Relay}
+	if arguments.Term == uint64(l.term) {
+		known.revision = relayed.Revision
+	}
+	l.routers[relayed.Router] = known
+}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -233,7 +233,9 @@
 func (s *service) Watch(arguments *domainapi.WatchArguments, reply *domainapi.WatchReply) error {
 	m, current, err := s.leader()
 	if err != nil {
-		reply.Error = structs.AsTyped(err)
+		if !s.node.relay.watch(arguments, reply) {
+			reply.Error = structs.AsTyped(err)
+		}
 		return nil
 	}
 	known, knownSuspects := uint64(0), uint64(0)
@@ -279,6 +281,7 @@
 	}
 	controllers := memberAddresses(m.group.Status())
 	reply.Controllers = controllers[:min(len(controllers), maxControllers)]
+	reply.Relays = current.relaysFor(arguments)
 	return nil
 }
 
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -50,6 +50,7 @@
 	l.node.metrics.waiting.Set(float64(waiting))
 	l.node.metrics.runners.Set(float64(l.views.Runners()))
 	l.node.metrics.routers.Set(float64(len(l.routers)))
+	l.node.metrics.relays.Set(float64(len(l.relayList().Relays)))
 	l.node.metrics.version.Set(float64(l.document))
 	level.Info(l.logger).Log("msg", "The demand is met so.", "waiting", waiting, "runners", l.views.Runners(),
 		"models", strings.Join(models, " "), "unmet", unmet, "stores", stores,
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -71,6 +71,9 @@
 			l.refresh(at)
 		}
 		isPublished, revision := l.refreshedAt.After(changed), l.views.Revision()
+		if isPublished {
+			l.relays.await(l.now(), revision)
+		}
 		if isPublished && l.announcer.announced.view < revision {
 			l.announcer.announce(l.now(), l.currentVersions())
 		}
