State relayed contacts rarely and lists of members once

Seen: with 84 routers a relay's questions stated each router's contact several times a second, which was most of the relays' traffic between regions, and each answer listed all controllers and relays. Change: a question states a contact once the one that the leader knows is 0.5 s old, or while the leader waits for a revision. Lists are sent when their hash differs. Ages and hold times are whole milliseconds, rounded up. Statements of one relay that overtake each other take no revision back; a router without a view has started anew and is counted again.

--- a/placement/domainapi/mirror.go
+++ b/placement/domainapi/mirror.go
@@ -34,12 +34,22 @@
 	// Revision is the revision of the router's view in the term of the message when it last
 	// asked; 0 if it had none.
 	Revision uint64
-	// Age is the time since it asked.
-	Age time.Duration
-	// Hold is how long its watches are held.
-	Hold time.Duration
+	// AgeMS is the time since it asked and HoldMS how long its watches are held, in milliseconds
+	// rounded up, which take fewer bytes than a time.Duration.
+	AgeMS, HoldMS uint32
 }
 
+// MillisecondsUp returns a duration in milliseconds, rounded up.
+func MillisecondsUp(duration time.Duration) uint32 {
+	return uint32(max(0, duration+time.Millisecond-1) / time.Millisecond)
+}
+
+// Age returns the time since the router asked.
+func (r RelayedRouter) Age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
+
+// Hold returns how long the router's watches are held.
+func (r RelayedRouter) Hold() time.Duration { return time.Duration(r.HoldMS) * time.Millisecond }
+
 // MirrorArguments are a relay's question for what it passes on to routers.
 type MirrorArguments struct {
 	// Relay is the name of the controller, Address and Zone are where routers find it.
@@ -50,7 +60,9 @@
 	Announced uint64
 	// Suspects is the revision, within Term, of its list of suspects.
 	Suspects uint64
-	// Routers are its contacts since the last acknowledged message.
+	// Members is the version of its lists of relays and controllers; 0 if it has none.
+	Members uint64
+	// Routers are the contacts of which the leader must be told.
 	Routers []RelayedRouter
 	// IsReport is set if the message only carries Routers and is answered immediately, without
 	// a view.
@@ -69,6 +81,8 @@
 	Awaited uint64
 	// Notify names the routers whose watches must be answered immediately.
 	Notify []string
-	// RelayList lists the leader and its relays.
+	// Members is the version of RelayList and State.Controllers, which are empty if it is the
+	// relay's.
+	Members   uint64
 	RelayList RelayList
 }
--- a/placement/domainnode/mirror.go
+++ b/placement/domainnode/mirror.go
@@ -30,11 +30,24 @@
 		reply.Error = structs.AsTyped(notLeaderError(m))
 		return nil
 	}
-	controllers := memberAddresses(m.group.Status())
-	reply.State.Controllers = controllers[:min(len(controllers), maxControllers)]
+	if !arguments.IsReport {
+		controllers := memberAddresses(m.group.Status())
+		current.fillMembers(controllers[:min(len(controllers), maxControllers)], arguments, reply)
+	}
 	return nil
 }
 
+// fillMembers sets the lists of relays and controllers unless the relay has them.
+func (l *leadership) fillMembers(controllers []string, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+	l.mutex.Lock()
+	list := l.relayList()
+	l.mutex.Unlock()
+	reply.Members = membersVersion(&list, controllers)
+	if arguments.Term != uint64(l.term) || arguments.Members != reply.Members {
+		reply.RelayList, reply.State.Controllers = list, controllers
+	}
+}
+
 // recordMirror records a relay's question or report with its routers.
 func (l *leadership) recordMirror(arguments *domainapi.MirrorArguments) *relayContact {
 	l.mutex.Lock()
@@ -98,7 +111,6 @@
 	reply.Awaited = l.relays.awaitedAt(l.now())
 	from.toldOf = max(from.toldOf, reply.Awaited)
 	reply.Announced = l.announcer.announced.view
-	reply.RelayList = l.relayList()
 	reply.State.Routers = len(l.routers)
 	l.mutex.Unlock()
 	// The view comes after Announced and Notify, so that it is no older.
--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -178,7 +178,8 @@
 		return err
 	}
 	if hasNewTerm {
-		level.Info(r.logger).Log("msg", "Relaying a leader's state to routers.", "term", reply.State.Term, "leader", reply.RelayList.Leader.Address)
+		level.Info(r.logger).Log("msg", "Relaying a leader's state to routers.", "term", reply.State.Term, "leader", reply.RelayList.Leader.Address,
+			"routers", routers)
 	}
 	r.noteCurrency()
 	r.wakeAll()
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -145,17 +145,45 @@
 	return &list
 }
 
-// recordRelayed records a relay's contact with a router, unless a later one is known. The caller
-// holds the mutex.
+// recordRelayed records a relay's contact with a router, unless a later one with another controller
+// is known. The caller holds the mutex.
 func (l *leadership) recordRelayed(at time.Time, arguments *domainapi.MirrorArguments, relayed domainapi.RelayedRouter) {
-	contactAt := at.Add(-max(0, relayed.Age))
+	contactAt, revision := at.Add(-relayed.Age()), uint64(0)
+	if arguments.Term == uint64(l.term) {
+		revision = relayed.Revision
+	}
 	known, isKnown := l.routers[relayed.Router]
-	if isKnown && contactAt.Before(known.at) {
+	switch {
+	case isKnown && known.relay == arguments.Relay:
+		// Two messages of a relay may overtake each other. Only a router that has started anew,
+		// which has no revision, goes back.
+		contactAt = later(contactAt, known.at)
+		if revision > 0 {
+			revision = max(revision, known.revision)
+		}
+	case isKnown && contactAt.Before(known.at):
 		return
 	}
-	known = routerContact{at: contactAt, hold: min(max(0, relayed.Hold), domainapi.MaxHold), relay: arguments.Relay}
-	if arguments.Term == uint64(l.term) {
-		known.revision = relayed.Revision
+	l.routers[relayed.Router] = routerContact{
+		at: contactAt, revision: revision, hold: min(relayed.Hold(), domainapi.MaxHold), relay: arguments.Relay,
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// membersVersion returns a hash of the lists of relays and controllers; never 0.
+func membersVersion(list *domainapi.RelayList, controllers []string) uint64 {
+	hash := fnv.New64a()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], list.Version)
+	_, _ = hash.Write(number[:])
+	for _, address := range controllers {
+		_, _ = hash.Write([]byte(address + "\n"))
 	}
-	l.routers[relayed.Router] = known
+	return max(1, hash.Sum64())
 }
--- a/placement/mirror/contact.go
+++ b/placement/mirror/contact.go
@@ -16,9 +16,10 @@
 	// term and revision identify the router's view when it last asked.
 	term, revision uint64
 	// acknowledgedAt is the latest contact of which the leader has said in this term that it
-	// knows it; zero if none. acknowledgedHold is the hold time of that contact.
-	acknowledgedAt   time.Time
-	acknowledgedHold time.Duration
+	// knows it; zero if none. acknowledgedHold and acknowledgedRevision are those of that contact.
+	acknowledgedAt       time.Time
+	acknowledgedHold     time.Duration
+	acknowledgedRevision uint64
 	// atLeast is the lowest revision that the router may get: the one announced when the leader
 	// began to count it. Departures acknowledged before did not wait for the router.
 	atLeast uint64
@@ -47,7 +48,8 @@
 		known = &contact{}
 		m.contacts[arguments.Router] = known
 	}
-	if !known.isCounted(now) {
+	// A router without a view has started anew: it has lost what the leader knows it to have.
+	if !known.isCounted(now) || arguments.Term == 0 || arguments.Revision == 0 {
 		known.forget()
 	}
 	known.at, known.hold, known.term, known.revision = now, hold, arguments.Term, arguments.Revision
@@ -59,21 +61,47 @@
 	return len(m.contacts)
 }
 
-// newContacts returns the contacts that the leader does not know, sorted by name.
+// refreshTime is the age of the contact known to the leader from which a question states a later
+// one. It leaves the time of two questions before the leader counts the router no more; a question
+// that states all contacts takes about as many bytes for them as for everything else.
+const refreshTime = 500 * time.Millisecond
+
+// dueContacts returns the contacts to be stated in a question: those of which the leader knows no
+// recent one, and all new ones while it waits for a revision.
+func (m *Mirror) dueContacts(now time.Time) []domainapi.RelayedRouter {
+	return m.contactsIf(now, func(known *contact) bool {
+		return m.awaited > m.toldOf || now.Sub(known.acknowledgedAt) >= refreshTime
+	})
+}
+
+// newContacts returns the contacts that the leader does not know.
 func (m *Mirror) newContacts(now time.Time) []domainapi.RelayedRouter {
+	return m.contactsIf(now, func(*contact) bool { return true })
+}
+
+// contactsIf returns the contacts that the leader does not know and that are selected, sorted by
+// name.
+func (m *Mirror) contactsIf(now time.Time, isSelected func(*contact) bool) []domainapi.RelayedRouter {
 	var listed []domainapi.RelayedRouter
 	for _, router := range slices.Sorted(maps.Keys(m.contacts)) {
 		known := m.contacts[router]
-		if !known.isActive(now) || known.at.Equal(known.acknowledgedAt) {
+		if !known.isActive(now) || m.isAcknowledged(known) || !isSelected(known) {
 			continue
 		}
 		listed = append(listed, domainapi.RelayedRouter{
-			Router: router, Revision: m.knownRevision(known), Age: now.Sub(known.at), Hold: known.hold,
+			Router: router, Revision: m.knownRevision(known),
+			AgeMS: domainapi.MillisecondsUp(now.Sub(known.at)), HoldMS: domainapi.MillisecondsUp(known.hold),
 		})
 	}
 	return listed
 }
 
+// isAcknowledged reports whether the leader knows the last contact. Messages state times in whole
+// milliseconds.
+func (m *Mirror) isAcknowledged(known *contact) bool {
+	return known.at.Sub(known.acknowledgedAt) <= time.Millisecond && m.knownRevision(known) == known.acknowledgedRevision
+}
+
 // knownRevision returns the router's revision in the mirror's term; 0 if it has none.
 func (m *Mirror) knownRevision(known *contact) uint64 {
 	if known.term != m.term {
@@ -92,8 +120,8 @@
 		if known.acknowledgedAt.IsZero() {
 			known.atLeast = reply.Announced
 		}
-		if at := made.Add(-each.Age); at.After(known.acknowledgedAt) {
-			known.acknowledgedAt, known.acknowledgedHold = at, each.Hold
+		if at := made.Add(-each.Age()); !at.Before(known.acknowledgedAt) {
+			known.acknowledgedAt, known.acknowledgedHold, known.acknowledgedRevision = at, each.Hold(), each.Revision
 		}
 	}
 }
--- a/placement/mirror/mirror.go
+++ b/placement/mirror/mirror.go
@@ -23,6 +23,8 @@
 	// state is the leader's last answer except View and Document.
 	state     domainapi.WatchReply
 	relayList domainapi.RelayList
+	// members is the version of relayList and the list of controllers.
+	members uint64
 	// document survives a change of the leader, since it is replicated.
 	document domain.Document
 	// askedAt is when the last answered question was asked, heardAt when the answer arrived.
@@ -43,7 +45,7 @@
 func (m *Mirror) Question(now time.Time) domainapi.MirrorArguments {
 	arguments := domainapi.MirrorArguments{
 		Term: m.term, Revision: m.views.Revision(), Version: m.document.Version, Announced: m.announced,
-		Routers: m.newContacts(now),
+		Members: m.members, Routers: m.dueContacts(now),
 	}
 	if m.state.Suspects != nil {
 		arguments.Suspects = m.state.Suspects.Revision
@@ -88,7 +90,7 @@
 // begin drops everything of the former leader except the document.
 func (m *Mirror) begin(term uint64) {
 	m.term, m.views, m.announced, m.awaited, m.toldOf = term, fleet.NewPublisher(), 0, 0, 0
-	m.state = domainapi.WatchReply{}
+	m.state, m.relayList, m.members = domainapi.WatchReply{}, domainapi.RelayList{}, 0
 	m.askedAt, m.heardAt = time.Time{}, time.Time{}
 	for _, known := range m.contacts {
 		known.forget()
@@ -97,8 +99,13 @@
 }
 
 func (m *Mirror) adoptState(reply *domainapi.MirrorReply) {
-	suspects := m.state.Suspects
+	suspects, controllers := m.state.Suspects, m.state.Controllers
 	m.state = reply.State
+	if reply.Members == m.members {
+		m.state.Controllers = controllers
+	} else {
+		m.members, m.relayList = reply.Members, reply.RelayList
+	}
 	if m.state.Suspects == nil {
 		m.state.Suspects = suspects
 	}
@@ -108,7 +115,6 @@
 	m.state.View, m.state.Document = nil, nil
 	m.announced = min(reply.Announced, m.views.Revision())
 	m.awaited = reply.Awaited
-	m.relayList = reply.RelayList
 }
 
 // AdoptReport takes over the answer to a report made at the given time.
--- a/placement/mirror/mirror_test.go
+++ b/placement/mirror/mirror_test.go
@@ -12,7 +12,10 @@
 	"github.com/lotusferry/lotusferry/placement/poison"
 )
 
-const testHold = domainapi.MinHold
+const (
+	testHold   = domainapi.MinHold
+	testHoldMS = 500
+)
 
 // testLeader is a leader's publisher and a mirror of it.
 type testLeader struct {
@@ -45,7 +48,10 @@
 	l.c.Helper()
 	reply := &domainapi.MirrorReply{Announced: l.views.Revision(), Awaited: l.awaits}
 	reply.State = domainapi.WatchReply{Term: l.term, Revision: l.views.Revision(), Confirmed: 5, Routers: 7}
-	reply.RelayList = domainapi.RelayList{Version: 9}
+	reply.Members = 8
+	if question.Members != 8 {
+		reply.RelayList = domainapi.RelayList{Version: 9}
+	}
 	if question.Version < 5 {
 		reply.State.Document = &domain.Document{Version: 5}
 	}
@@ -80,6 +86,11 @@
 // next returns what the mirror does with a router's question that arrives now.
 func (l *testLeader) next(arguments domainapi.WatchArguments) Action {
 	l.mirror.Observe(l.at, &arguments, testHold)
+	return l.held(arguments)
+}
+
+// held returns what the mirror does with a router's question that it holds.
+func (l *testLeader) held(arguments domainapi.WatchArguments) Action {
 	action, _ := l.mirror.Next(l.at, &arguments, l.at, l.at.Add(testHold))
 	return action
 }
@@ -106,11 +117,11 @@
 	router := domainapi.WatchArguments{Router: "r"}
 	l.c.Assert(l.next(router), qt.Equals, Redirect, qt.Commentf("no answer yet"))
 	l.sync()
-	l.c.Assert(l.next(router), qt.Equals, Answer)
+	l.c.Assert(l.held(router), qt.Equals, Answer)
 	l.pass(domainapi.MirrorTTL)
 	l.c.Assert(l.next(router), qt.Equals, Redirect)
 	l.sync()
-	l.c.Assert(l.next(router), qt.Equals, Answer)
+	l.c.Assert(l.held(router), qt.Equals, Answer)
 }
 
 // Guards against currency counted from the arrival of an answer that was long under way.
@@ -134,9 +145,9 @@
 	l.c.Assert(l.next(router), qt.Equals, Wait)
 	l.publish("a")
 	l.sendReport()
-	l.c.Assert(l.next(router), qt.Equals, Wait, qt.Commentf("a departure may have been acknowledged before the leader counted the router"))
+	l.c.Assert(l.held(router), qt.Equals, Wait, qt.Commentf("a departure may have been acknowledged before the leader counted the router"))
 	l.sync()
-	l.c.Assert(l.next(router), qt.Equals, Answer)
+	l.c.Assert(l.held(router), qt.Equals, Answer)
 	l.c.Assert(viewOf(l.c, l.answer(router, l.at)).Runners, qt.HasLen, 1)
 	l.pass(testHold + domainapi.ContactMargin)
 	l.sync()
@@ -259,7 +270,7 @@
 	report, isDue := l.mirror.Report(l.at)
 	l.c.Assert(isDue, qt.IsTrue)
 	l.c.Assert(report.Routers, qt.DeepEquals, []domainapi.RelayedRouter{
-		{Router: "r", Revision: 2, Hold: testHold}, {Router: "s", Revision: 2, Hold: testHold},
+		{Router: "r", Revision: 2, HoldMS: testHoldMS}, {Router: "s", Revision: 2, HoldMS: testHoldMS},
 	})
 	_, isDue = l.mirror.Report(l.at)
 	l.c.Assert(isDue, qt.IsFalse)
@@ -273,7 +284,7 @@
 	l := newTestLeader(t)
 	l.sync()
 	l.next(domainapi.WatchArguments{Router: "r", Term: 2, Revision: 40})
-	l.c.Assert(l.mirror.Question(l.at).Routers, qt.DeepEquals, []domainapi.RelayedRouter{{Router: "r", Hold: testHold}})
+	l.c.Assert(l.mirror.Question(l.at).Routers, qt.DeepEquals, []domainapi.RelayedRouter{{Router: "r", HoldMS: testHoldMS}})
 }
 
 func TestSilentRoutersAreForgotten(t *testing.T) {
@@ -284,3 +295,36 @@
 	l.pass(testHold + domainapi.ContactMargin)
 	l.c.Assert(l.mirror.Routers(l.at), qt.Equals, 0)
 }
+
+// A question states a contact again only when the leader's becomes old: contacts are the largest
+// part of questions.
+func TestQuestionsStateContactsRarely(t *testing.T) {
+	l := newTestLeader(t)
+	l.sync()
+	router := domainapi.WatchArguments{Router: "r", Term: 3, Revision: 1, Version: 5, Suspects: 1}
+	stated := 0
+	for range 100 {
+		l.next(router)
+		question := l.mirror.Question(l.at)
+		stated += len(question.Routers)
+		l.c.Assert(l.mirror.Adopt(l.at, l.at, l.at, &question, l.reply(question)), qt.IsNil)
+		l.c.Assert(l.mirror.MayAnswer(l.at, &router), qt.IsTrue)
+		l.pass(100 * time.Millisecond)
+	}
+	l.c.Assert(stated, qt.Equals, 20)
+}
+
+// Guards against a router that started anew and keeps what its predecessor was counted for.
+func TestRestartedRouterIsCountedAnew(t *testing.T) {
+	l := newTestLeader(t)
+	l.sync()
+	l.next(domainapi.WatchArguments{Router: "r", Term: 3, Revision: 1, Version: 5, Suspects: 1})
+	l.sendReport()
+	restarted := domainapi.WatchArguments{Router: "r"}
+	l.c.Assert(l.next(restarted), qt.Equals, Wait)
+	l.publish("a")
+	l.sendReport()
+	l.c.Assert(l.held(restarted), qt.Equals, Wait, qt.Commentf("it needs what was announced when it was counted"))
+	l.sync()
+	l.c.Assert(l.mirror.MayAnswer(l.at, &restarted), qt.IsTrue)
+}
