--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -46,6 +46,8 @@
 	suspended [maxTestNodes]atomic.Int64
 	// fences enables FencesEnforced.
 	fences bool
+	// regions maps zones to regions; nodes relay if there are several.
+	regions map[string]string
 }
 
 // maxTestNodes bounds the nodes of a test.
@@ -130,7 +132,7 @@
 			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
 			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.isBootstrapped, DataFolder: d.folders[index], Voters: 3,
 			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
-			FencesEnforced: d.fences, Zones: []string{"zone-0", "zone-1"},
+			FencesEnforced: d.fences, Zones: []string{"zone-0", "zone-1"}, Zone: "zone-0", Regions: d.regions,
 			Now: func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
 		d.c.Assert(err, qt.IsNil)
