--- a/request/relay/regionalnetwork_test.go
+++ b/request/relay/regionalnetwork_test.go
@@ -30,14 +30,14 @@
 	cuts     map[[2]string]bool
 	// changed is closed and replaced when a link is cut or healed.
 	changed chan struct{}
-	// beyond and near count the bytes between regions and within them.
-	beyond, near int
+	// beyond counts the bytes between regions, by whether a router or two controllers exchange them.
+	beyond map[bool]int
 }
 
 func newRegionalNetwork(zones, regions map[string]string) *regionalNetwork {
 	return &regionalNetwork{
 		memory: networktest.NewMemory(0), zones: zones, regions: regions,
-		isolated: make(map[string]bool), cuts: make(map[[2]string]bool), changed: make(chan struct{}),
+		isolated: make(map[string]bool), beyond: make(map[bool]int), cuts: make(map[[2]string]bool), changed: make(chan struct{}),
 	}
 }
 
@@ -90,17 +90,16 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.isBeyond(a, b) {
-		n.beyond += bytes
-	} else {
-		n.near += bytes
+		n.beyond[isRouterIP(a) || isRouterIP(b)] += bytes
 	}
 }
 
-// bytesBeyond returns the bytes that crossed a region border.
-func (n *regionalNetwork) bytesBeyond() int {
+// bytesBeyond returns the bytes that crossed a region border to or from routers, and between
+// controllers.
+func (n *regionalNetwork) bytesBeyond() (ofRouters, ofControllers int) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.beyond
+	return n.beyond[true], n.beyond[false]
 }
 
 // from returns the network as seen from an IP.
--- a/request/relay/regionalsite_test.go
+++ b/request/relay/regionalsite_test.go
@@ -174,12 +174,15 @@
 			<-controller.done
 		}
 	}
+	// The bytes under way and the ends of connections take their latency.
+	pause.For(context.Background(), time.Second)
 	synctest.Wait()
 }
 
 func controllerIP(index int) string    { return fmt.Sprint("10.0.0.", index+1) }
 func regionalAddress(index int) string { return controllerIP(index) + ":7000" }
 func routerIP(zone, index int) string  { return fmt.Sprint("10.1.", zone, ".", index+1) }
+func isRouterIP(ip string) bool        { return strings.HasPrefix(ip, "10.1.") }
 func runnerInstance(index int) string  { return fmt.Sprint(regionalRunner, "-", index) }
 func regionalSeeds() (addresses []string) {
 	for index := range regionalZones {
@@ -357,3 +360,60 @@
 	s.c.Fatal("no relay")
 	return -1
 }
+
+// silence is the longest time without an answer of a controller at each of some routers.
+type silence struct {
+	site    *regionalSite
+	longest map[*regionalRouter]time.Duration
+	end     chan struct{}
+	ended   chan struct{}
+}
+
+// watchSilence starts to measure.
+func (s *regionalSite) watchSilence() *silence {
+	made := &silence{site: s, longest: make(map[*regionalRouter]time.Duration), end: make(chan struct{}), ended: make(chan struct{})}
+	go func() {
+		defer close(made.ended)
+		for {
+			for _, router := range s.routers {
+				router.Router.mutex.Lock()
+				since := time.Since(router.routerCount.at)
+				router.Router.mutex.Unlock()
+				made.longest[router] = max(made.longest[router], since)
+			}
+			select {
+			case <-made.end:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return made
+}
+
+// max ends the measurement and returns the longest silence of the routers of a zone, or of all if
+// it is empty.
+func (m *silence) max(zone string) (longest time.Duration) {
+	close(m.end)
+	<-m.ended
+	for router, each := range m.longest {
+		if zone == "" || router.zone == zone {
+			longest = max(longest, each)
+		}
+	}
+	return longest
+}
+
+// timeUntilKnown returns the time from the report of a departure until the last router knows it.
+func (s *regionalSite) timeUntilKnown(instance string) time.Duration {
+	s.c.Helper()
+	s.await("a runner", func() bool { return s.allTake(instance, true) })
+	began := time.Now()
+	go s.depart(instance)
+	for !s.allTake(instance, false) {
+		if time.Since(began) > 5*time.Second || !pause.For(s.ctx, 500*time.Microsecond) {
+			s.c.Fatal("a departure did not become known")
+		}
+	}
+	return time.Since(began)
+}
