--- a/placement/domainnode/mirror.go
+++ b/placement/domainnode/mirror.go
@@ -23,7 +23,9 @@
 		current.fillReport(reply)
 	} else {
 		current.awaitMirrorNews(from, arguments)
-		current.fillMirror(from, arguments, reply)
+		var document domain.Document
+		m.group.View(func() { document = m.machine.Document() })
+		current.fillMirror(from, arguments, document, reply)
 	}
 	if !current.isValid() {
 		*reply = domainapi.MirrorReply{}
@@ -98,9 +100,7 @@
 }
 
 // fillMirror sets what has changed since the relay's state.
-func (l *leadership) fillMirror(from *relayContact, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
-	var document domain.Document
-	l.member.group.View(func() { document = l.member.machine.Document() })
+func (l *leadership) fillMirror(from *relayContact, arguments *domainapi.MirrorArguments, document domain.Document, reply *domainapi.MirrorReply) {
 	known := domainapi.WatchArguments{Version: arguments.Version, Term: arguments.Term}
 	revision, suspects := uint64(0), uint64(0)
 	if arguments.Term == uint64(l.term) {
