Date back what a relay tells of the leader

Missing: a test that a confirmation counts from the relay's question, and a zone that is cut off together with its relay took the relay's answers for contact with the leader, so that it was noticed a second late. Change: the time at which the leader was last heard is that of a relay's answer less its age beyond the usual hold time.

--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -38,7 +38,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.routerCount = routerCount{routers: reply.Routers, at: r.now()}
+	r.routerCount = routerCount{routers: reply.Routers, at: r.now().Add(-leaderSilenceOf(reply))}
 	r.leaderHold = holdOf(reply)
 	r.queue.SetShares(r.now(), reply.Shares)
 	if reply.Term != arguments.Term {
@@ -67,6 +67,12 @@
 	arguments.Revision = reply.Revision
 }
 
+// leaderSilenceOf returns for how long a relay has not heard of the leader beyond what is usual, so
+// that a zone that is cut off together with its relay is noticed.
+func leaderSilenceOf(reply *domainapi.WatchReply) time.Duration {
+	return max(0, reply.Age-domainapi.RelayHold)
+}
+
 // takeView applies the view of a reply. It returns false if the view cannot be decoded; it is then
 // requested again.
 func (r *Router) takeView(reply *domainapi.WatchReply) bool {
