--- a/internal/traffic/counter.go
+++ b/internal/traffic/counter.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Nearness is the distance to a peer in terms of zones and regions.
 type Nearness string
@@ -24,6 +28,8 @@
 	*prometheus.CounterVec
 	zone    string
 	regions map[string]string
+	// peerZones maps the addresses of peers to their zones; nil before SetPeerZones.
+	peerZones atomic.Pointer[map[string]string]
 }
 
 // NewCounter returns the counter lotusferry_SUBSYSTEM_traffic_bytes_total of a process in the zone,
@@ -67,3 +73,17 @@
 		c.WithLabelValues(message, received, nearness).Add(float64(bytesReceived))
 	}
 }
+
+// SetPeerZones sets the zones of the peers that AddMessage counts, by address. The map must not be
+// modified afterwards.
+func (c *Counter) SetPeerZones(zones map[string]string) { c.peerZones.Store(&zones) }
+
+// AddMessage counts a message to or from the peer at an address. It can be used as
+// transport.Options.OnMessage.
+func (c *Counter) AddMessage(address, message string, bytesSent, bytesReceived int) {
+	zone := ""
+	if zones := c.peerZones.Load(); zones != nil {
+		zone = (*zones)[address]
+	}
+	c.Add(message, zone, bytesSent, bytesReceived)
+}
--- /dev/null
+++ b/placement/domainapi/mirror.go
@@ -0,0 +1,105 @@
+package domainapi
+
+import "time"
+
+// NoRelays is the version of a router's list of relays before it has one.
+const NoRelays = 1
+
+// RelayHold is how long the leader holds a relay's question without changes. It is well below
+// MirrorTTL, so that one lost or late answer does not stop a relay.
+const RelayHold = 300 * time.Millisecond
+
+// MirrorTTL is how long after it asked for it a relay may pass on the leader's state.
+const MirrorTTL = time.Second
+
+// ContactMargin is how long after the end of its watch a router still counts as active.
+const ContactMargin = time.Second
+
+// RelayList lists the controllers that answer watches.
+type RelayList struct {
+	// Version identifies the content; it is greater than NoRelays.
+	Version uint64
+	// Leader is the leader itself.
+	Leader Relay
+	// Relays are sorted by address.
+	Relays []Relay
+}
+
+// Zones returns the zones of the leader and the relays by address.
+func (l *RelayList) Zones() map[string]string {
+	zones := map[string]string{l.Leader.Address: l.Leader.Zone}
+	for _, relay := range l.Relays {
+		zones[relay.Address] = relay.Zone
+	}
+	return zones
+}
+
+// Relay is a controller that answers watches.
+type Relay struct{ Address, Zone string }
+
+// RelayedRouter is a relay's contact with a router.
+type RelayedRouter struct {
+	Router string
+	// Revision is the revision of the router's view in the term of the message when it last
+	// asked; 0 if it had none.
+	Revision uint64
+	// AgeMS is the time since it asked and HoldMS how long its watches are held, in milliseconds
+	// rounded up, which take fewer bytes than a time.Duration.
+	AgeMS, HoldMS uint32
+}
+
+// MillisecondsUp returns a duration in milliseconds, rounded up.
+func MillisecondsUp(duration time.Duration) uint32 {
+	return uint32(max(0, duration+time.Millisecond-1) / time.Millisecond)
+}
+
+// Age returns the time since the router asked.
+func (r RelayedRouter) Age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
+
+// Hold returns how long the router's watches are held.
+func (r RelayedRouter) Hold() time.Duration { return time.Duration(r.HoldMS) * time.Millisecond }
+
+// MirrorArguments are a relay's question for what it passes on to routers.
+type MirrorArguments struct {
+	// Relay is the name of the controller, Address and Zone are where routers find it.
+	Relay, Address, Zone string
+	// Term and Revision identify the relay's view, Version its document.
+	Term, Revision, Version uint64
+	// Announced is the latest revision that it knows to be announced to all routers.
+	Announced uint64
+	// Suspects is the revision, within Term, of its list of suspects.
+	Suspects uint64
+	// Members is the version of its lists of relays and controllers; 0 if it has none.
+	Members uint64
+	// LoadsAge is the time since it received loads of the leader of Term; 0 if it has none.
+	LoadsAge time.Duration
+	// Routers are the contacts of which the leader must be told.
+	Routers []RelayedRouter
+	// IsReport is set if the message only carries Routers and is answered immediately, without
+	// a view.
+	IsReport bool
+}
+
+// MirrorReply is sent when something has changed, after RelayHold, or at once to a report.
+type MirrorReply struct {
+	Reply
+	// State is what the relay passes on to routers, with the loads packed or kept. A report's answer
+	// has only the term.
+	State WatchReply
+	// Announced is the latest revision that was announced to all routers.
+	Announced uint64
+	// Awaited is the revision that all active routers must have before the leader acknowledges a
+	// departure or drain; 0 if it waits for none.
+	Awaited uint64
+	// Notify names the routers whose watches must be answered immediately.
+	Notify []string
+	// Members is the version of RelayList and State.Controllers, which are empty if it is the
+	// relay's.
+	Members   uint64
+	RelayList RelayList
+}
+
+// Watch returns the watch of a router that has the relay's state.
+func (a *MirrorArguments) Watch() *WatchArguments {
+	return &WatchArguments{Version: a.Version, Term: a.Term, TakesPackedLoads: true, LoadsAge: a.LoadsAge}
+}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -233,7 +233,9 @@
 func (s *service) Watch(arguments *domainapi.WatchArguments, reply *domainapi.WatchReply) error {
 	m, current, err := s.leader()
 	if err != nil {
-		reply.Error = structs.AsTyped(err)
+		if !s.node.relay.watch(arguments, reply) {
+			reply.Error = structs.AsTyped(err)
+		}
 		return nil
 	}
 	known, knownSuspects := uint64(0), uint64(0)
@@ -280,6 +282,7 @@
 	}
 	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
 	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
+	reply.Relays = current.relaysFor(arguments)
 	return nil
 }
 
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -27,58 +27,6 @@
 	minReportInterval = 10 * time.Millisecond
 )
 
-// watchLoop keeps a watch on the leader's view until ctx ends.
-func (r *Router) watchLoop(ctx context.Context) {
-	hold := domainapi.MinHold
-	caller := leadercall.New(r.client, nil).WithTryTimeout(hold + watchMargin)
-	arguments := domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold, TakesPackedLoads: true}
-	var controllers []string
-	isConnected := false
-	for ctx.Err() == nil {
-		// Members of the group are tried before seeds.
-		addresses := leadercall.Unique(controllers, r.options.Seeds())
-		caller.SetAddresses(addresses)
-		r.caller.SetAddresses(addresses)
-		arguments.Version = r.version()
-		arguments.Controllers = domainapi.HashAddresses(controllers)
-		asked := r.now()
-		arguments.LoadsAge = r.loadsAge(asked)
-		reply, err := r.watch(ctx, caller, arguments)
-		if err != nil {
-			if isConnected && ctx.Err() == nil {
-				level.Warn(r.logger).Log("msg", "The leader of the controllers is lost.", "term", arguments.Term, "err", err)
-			}
-			isConnected = false
-			pause.For(ctx, watchRetryDelay)
-			continue
-		}
-		if !isConnected || reply.Term != arguments.Term {
-			level.Info(r.logger).Log("msg", "Following a leader of the controllers.", "term", reply.Term, "routers", reply.Routers)
-		}
-		isConnected = true
-		if len(reply.Controllers) > 0 {
-			controllers = reply.Controllers
-		}
-		r.adopt(reply, &arguments, asked)
-		if held := holdOf(reply); held != hold {
-			hold = held
-			caller = leadercall.New(r.client, addresses).WithTryTimeout(hold + watchMargin)
-		}
-	}
-}
-
-// holdOf returns how long the leader holds the next watch.
-func holdOf(reply *domainapi.WatchReply) time.Duration {
-	return min(max(reply.Hold, domainapi.MinHold), domainapi.MaxHold)
-}
-
-func (r *Router) watch(ctx context.Context, caller *leadercall.Caller, arguments domainapi.WatchArguments) (*domainapi.WatchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	return leadercall.Call(ctx, caller, domainapi.MethodWatch, arguments,
-		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
-}
-
 // adopt applies a reply to the watch sent at asked. A reply of an earlier term comes from a deposed
 // leader and is ignored.
 func (r *Router) adopt(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, asked time.Time) {
@@ -86,7 +34,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.routerCount = routerCount{routers: reply.Routers, at: r.now()}
+	r.routerCount = routerCount{routers: reply.Routers, at: r.now().Add(-leaderSilenceOf(reply))}
 	r.leaderHold = holdOf(reply)
 	r.queue.SetShares(r.now(), reply.Shares)
 	if reply.Term != arguments.Term {
@@ -104,7 +52,7 @@
 		r.takeDocument(*reply.Document)
 	}
 	if reply.Confirmed != 0 && reply.Confirmed == r.version() {
-		r.confirm(asked)
+		r.confirm(asked.Add(-reply.ConfirmedBefore))
 	}
 	if reply.View != nil && !r.takeView(reply) {
 		return
@@ -115,6 +63,12 @@
 	arguments.Revision = reply.Revision
 }
 
+// leaderSilenceOf returns for how long a relay has not heard of the leader beyond what is usual, so
+// that a zone that is cut off together with its relay is noticed.
+func leaderSilenceOf(reply *domainapi.WatchReply) time.Duration {
+	return max(0, reply.Age-domainapi.RelayHold)
+}
+
 // takeView applies the view of a reply. It returns false if the view cannot be decoded; it is then
 // requested again.
 func (r *Router) takeView(reply *domainapi.WatchReply) bool {
@@ -145,9 +99,11 @@
 	arguments.Suspects = reply.Suspects.Revision
 }
 
-// takeLoads applies loads that have just arrived. Their age matters only for load balancing, which
-// uses the monotonic clock.
-func (r *Router) takeLoads(loads []fleet.Load) { r.setLoads(loads, time.Now().Add(-loadAge)) }
+// takeLoads applies loads that have just arrived and that a relay has had for the given time. Their
+// age matters only for load balancing, which uses the monotonic clock.
+func (r *Router) takeLoads(loads []fleet.Load, relayedFor time.Duration) {
+	r.setLoads(loads, time.Now().Add(-loadAge-relayedFor))
+}
 
 func (r *Router) takeDocument(packed domain.Document) {
 	source, err := domain.Expand(packed.Source)
--- a/request/relay/loads.go
+++ b/request/relay/loads.go
@@ -47,9 +47,9 @@
 			level.Error(r.logger).Log("msg", "The loads of the runners could not be decoded.", "term", reply.Term, "err", err)
 			return
 		}
-		r.takeLoads(loads)
+		r.takeLoads(loads, reply.LoadsAge)
 	default:
-		r.takeLoads(reply.Loads)
+		r.takeLoads(reply.Loads, reply.LoadsAge)
 	}
 }
 
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -114,7 +114,7 @@
 		transportOptions.Network = network.Prompt()
 	}
 	made := newMetrics(options)
-	transportOptions.OnMessage = made.countMessage
+	transportOptions.OnMessage = made.traffic.AddMessage
 	if options.Dialer != nil {
 		options.Dialer.setTraffic(made.traffic)
 	}
--- a/request/relay/traffic.go
+++ b/request/relay/traffic.go
@@ -4,7 +4,6 @@
 	"net"
 
 	"github.com/lotusferry/lotusferry/internal/traffic"
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 // runnerMessage is the label of the traffic with runners: requests, answers and probes.
@@ -18,15 +17,6 @@
 	return traffic.NewCounter("router", string(options.Zone), regions)
 }
 
-// countMessage counts a message to or from the controller at an address.
-func (m *metrics) countMessage(address, method string, sent, received int) {
-	var zone structs.ZoneID
-	if m.controllerZone != nil {
-		zone = m.controllerZone(address)
-	}
-	m.traffic.Add(method, string(zone), sent, received)
-}
-
 // setTraffic has the dialer count the bytes of its connections. A dialer counts for one router.
 func (c *RunnerDialer) setTraffic(counter *traffic.Counter) {
 	c.mutex.Lock()
--- a/request/relay/traffic_test.go
+++ b/request/relay/traffic_test.go
@@ -67,10 +67,8 @@
 		r := New(Options{
 			Logger: log.NewNopLogger(), Name: "router", Zone: "a1", Dialer: dialer, Metrics: registry,
 			Regions: map[structs.ZoneID]string{"a1": "a", "a2": "a", "b1": "b"},
-			ControllerZone: func(address string) structs.ZoneID {
-				return map[string]structs.ZoneID{"10.0.0.1:1": "b1"}[address]
-			},
 		})
+		r.metrics.traffic.SetPeerZones(map[string]string{"10.0.0.1:1": "b1"})
 		dialer.setZone("10.0.1.1:1", "b1")
 		dialer.setZone("10.0.1.2:1", "a2")
 		for address, size := range map[string]int{"10.0.1.1:1": 10, "10.0.1.2:1": 20, "10.0.1.3:1": 30} {
@@ -83,8 +81,8 @@
 			c.Assert(err, qt.IsNil)
 			c.Assert(conn.Close(), qt.IsNil)
 		}
-		r.metrics.countMessage("10.0.0.1:1", "Domain.Watch", 5, 0)
-		r.metrics.countMessage("10.0.0.2:1", "Domain.Watch", 0, 7)
+		r.metrics.traffic.AddMessage("10.0.0.1:1", "Domain.Watch", 5, 0)
+		r.metrics.traffic.AddMessage("10.0.0.2:1", "Domain.Watch", 0, 7)
 		c.Assert(trafficBytes(c, registry), qt.DeepEquals, map[[3]string]float64{
 			{"runner", "sent", "beyond"}: 10, {"runner", "received", "beyond"}: 1,
 			{"runner", "sent", "same_region"}: 20, {"runner", "received", "same_region"}: 1,
