Test network: machines that are cut off or switched off

The in-memory network of tests could not lose a link: a connect to an address without a listener was refused at once, and what was written always arrived. Faults that need a silent peer were out of reach of tests in virtual time.

Memory.Cut and Memory.Restore cut off a machine by its IP address. What is sent is held at the sender and arrives after the cut, also from a connection that was closed, unless SetLinger(0) has Close reset it. PromptWithin sets the TCP_USER_TIMEOUT of connections.

--- a/internal/network/failfast.go
+++ b/internal/network/failfast.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// userTimeout is the time that sent data or keep-alive probes may remain
+	// defaultUserTimeout is the time that sent data or keep-alive probes may remain
 	// unacknowledged before a connection breaks (TCP_USER_TIMEOUT).
-	userTimeout       = 1500 * time.Millisecond
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveProbes   = 2
+	defaultUserTimeout = 1500 * time.Millisecond
+	keepAliveIdle      = time.Second
+	keepAliveInterval  = 500 * time.Millisecond
+	keepAliveProbes    = 2
 )
 
 // failFastTCP is TCP with fast detection of unreachable peers.
@@ -25,7 +25,13 @@
 
 // Prompt returns TCP whose connections break within seconds after the peer's machine
 // becomes unreachable: by keep-alive probes when idle, and by TCP_USER_TIMEOUT otherwise.
-func Prompt() Network { return failFastTCP{control: setUserTimeout} }
+func Prompt() Network { return PromptWithin(defaultUserTimeout) }
+
+// PromptWithin returns Prompt with another TCP_USER_TIMEOUT. The system applies it also while
+// the process is stopped: afterwards no unacknowledged data is sent again.
+func PromptWithin(userTimeout time.Duration) Network {
+	return failFastTCP{control: func(_, _ string, conn syscall.RawConn) error { return setUserTimeout(conn, userTimeout) }}
+}
 
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
@@ -45,7 +51,7 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT. Errors are ignored, so systems without the option
 // use their default.
-func setUserTimeout(_, _ string, conn syscall.RawConn) error {
+func setUserTimeout(conn syscall.RawConn, userTimeout time.Duration) error {
 	return conn.Control(func(descriptor uintptr) {
 		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
--- a/internal/network/networktest/conn.go
+++ b/internal/network/networktest/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -10,12 +11,14 @@
 type conn struct {
 	local, remote      *net.TCPAddr
 	incoming, outgoing *stream
+	// resets is set if closing resets the connection.
+	resets atomic.Bool
 }
 
 // newConnPair returns the dialling and the accepting end of a connection.
-func newConnPair(local, remote *net.TCPAddr, bufferBytes int) (*conn, *conn) {
-	forward := newStream(bufferBytes)
-	backward := newStream(bufferBytes)
+func newConnPair(local, remote *net.TCPAddr, bufferBytes int, ends []*machine) (*conn, *conn) {
+	forward := newStream(bufferBytes, ends)
+	backward := newStream(bufferBytes, ends)
 	dialled := &conn{local: local, remote: remote, incoming: backward, outgoing: forward}
 	accepted := &conn{local: remote, remote: local, incoming: forward, outgoing: backward}
 	return dialled, accepted
@@ -40,13 +43,23 @@
 	if err != nil {
 		return c.wrap("close", err)
 	}
-	if unread {
+	if c.resets.Load() {
+		c.outgoing.discard()
+	}
+	if unread || c.resets.Load() {
 		c.outgoing.reset()
 	}
 	c.outgoing.closeWriter()
 	return nil
 }
 
+// SetLinger sets whether Close resets the connection and discards what has not arrived (0), as
+// net.TCPConn does. Other values have Close deliver it.
+func (c *conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
 // CloseWrite closes the sending direction, as net.TCPConn does.
 func (c *conn) CloseWrite() error {
 	c.outgoing.closeWriter()
--- a/internal/network/networktest/memory.go
+++ b/internal/network/networktest/memory.go
@@ -28,6 +28,7 @@
 	bufferBytes int
 	listeners   map[netip.AddrPort]*listener
 	nextPort    uint16
+	machines    map[netip.Addr]*machine
 }
 
 var _ network.Network = (*Memory)(nil)
@@ -38,7 +39,10 @@
 	if bufferBytes == 0 {
 		bufferBytes = DefaultBufferBytes
 	}
-	return &Memory{bufferBytes: bufferBytes, listeners: map[netip.AddrPort]*listener{}, nextPort: firstFreePort}
+	return &Memory{
+		bufferBytes: bufferBytes, listeners: map[netip.AddrPort]*listener{}, nextPort: firstFreePort,
+		machines: map[netip.Addr]*machine{},
+	}
 }
 
 // Listen implements network.Network.
@@ -63,6 +67,11 @@
 
 // DialContext implements network.Network. It returns before the connection is accepted.
 func (m *Memory) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	return m.dial(ctx, clientIP, address)
+}
+
+// dial connects from a machine to an address.
+func (m *Memory) dial(ctx context.Context, from netip.Addr, address string) (net.Conn, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
@@ -71,11 +80,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: remote, Err: err}
 	}
+	ends := []*machine{m.machine(from), m.machine(parsed.Addr())}
+	if err := awaitConnect(ctx, ends); err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: remote, Err: err}
+	}
 	m.mutex.Lock()
 	target := m.listeners[parsed]
-	local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(clientIP, m.freePort()))
+	local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, m.freePort()))
 	m.mutex.Unlock()
-	dialled, accepted := newConnPair(local, remote, m.bufferBytes)
+	dialled, accepted := newConnPair(local, remote, m.bufferBytes, ends)
 	if target == nil || !target.enqueue(accepted) {
 		cause := os.NewSyscallError("connect", syscall.ECONNREFUSED)
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: remote, Err: cause}
--- a/internal/network/networktest/stream.go
+++ b/internal/network/networktest/stream.go
@@ -16,17 +16,24 @@
 
 	mutex sync.Mutex
 	cond  *sync.Cond
-	// buffered holds the data written but not yet read, at most limit bytes.
+	// ends are the machines between which the stream runs.
+	ends []*machine
+	// buffered holds the data written but not yet read, at most limit bytes. Its last held bytes
+	// were written while a machine was cut off and have not arrived.
 	buffered bytes.Buffer
+	held     int
 	// writerClosed and readerClosed are set when that end is closed, and isReset when the
 	// connection is reset.
 	writerClosed, readerClosed, isReset bool
 	readDeadline, writeDeadline         deadline
 }
 
-func newStream(limit int) *stream {
-	s := &stream{limit: limit}
+func newStream(limit int, ends []*machine) *stream {
+	s := &stream{limit: limit, ends: ends}
 	s.cond = sync.NewCond(&s.mutex)
+	for _, end := range ends {
+		end.add(s)
+	}
 	return s
 }
 
@@ -34,14 +41,17 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for {
+		isCut := isCutOff(s.ends)
+		arrived := s.buffered.Len() - s.held
 		switch {
 		case s.readerClosed:
 			return 0, net.ErrClosed
 		case s.readDeadline.expired():
 			return 0, os.ErrDeadlineExceeded
-		case s.buffered.Len() > 0:
+		case arrived > 0:
 			s.cond.Broadcast()
-			return s.buffered.Read(buffer)
+			return s.buffered.Read(buffer[:min(len(buffer), arrived)])
+		case isCut:
 		case s.isReset:
 			return 0, os.NewSyscallError("read", syscall.ECONNRESET)
 		case s.writerClosed:
@@ -69,6 +79,9 @@
 			// bytes.Buffer.Write never returns an error.
 			_, _ = s.buffered.Write(buffer[written : written+part])
 			written += part
+			if isCutOff(s.ends) {
+				s.held += part
+			}
 			s.cond.Broadcast()
 		}
 		if written == len(buffer) {
@@ -87,6 +100,16 @@
 	s.cond.Broadcast()
 }
 
+// discard drops the data that has not arrived.
+func (s *stream) discard() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if isCutOff(s.ends) {
+		s.buffered.Truncate(s.buffered.Len() - s.held)
+		s.held = 0
+	}
+}
+
 // closeReader closes the reading end and reports whether unread data was discarded.
 func (s *stream) closeReader() (bool, error) {
 	s.mutex.Lock()
@@ -97,6 +120,9 @@
 	s.readerClosed = true
 	s.readDeadline.stop()
 	s.cond.Broadcast()
+	for _, end := range s.ends {
+		end.remove(s)
+	}
 	return s.buffered.Len() > 0, nil
 }
 
@@ -128,10 +154,14 @@
 	return nil
 }
 
-// wake unblocks waiting readers and writers, which check their state again.
+// wake unblocks waiting readers and writers, which check their state again. What was held has
+// arrived if no machine is cut off any more.
 func (s *stream) wake() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !isCutOff(s.ends) {
+		s.held = 0
+	}
 	s.cond.Broadcast()
 }
 
