--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -71,7 +71,10 @@
 	at     time.Time
 }
 
-func (e *fakeEngines) Order(_ context.Context, holder Holder, order residency.Order) (residency.Outcome, notice.Notice) {
+func (e *fakeEngines) Order(_ context.Context, holder Holder, order residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice) {
+	if !mayBegin() {
+		return residency.OutcomeNotSent, notice.Notice{}
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.orders = append(e.orders, sentOrder{holder, time.Now()})
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -40,8 +40,6 @@
 	contactMargin = time.Second
 	// routerAckTimeout bounds the wait until routers have received a change.
 	routerAckTimeout = 600 * time.Millisecond
-	// orderTimeout bounds an order or report request to a runner.
-	orderTimeout = time.Second
 	// stopNoticeExpiry is how long an announced stop is taken into account.
 	stopNoticeExpiry = 15 * time.Second
 )
@@ -54,6 +52,9 @@
 	member    *member
 	term      structs.Epoch
 	startedAt time.Time
+	// context ends with the leadership, and with it the orders in progress.
+	context context.Context
+	end     context.CancelFunc
 	// wake triggers a step.
 	wake chan struct{}
 
@@ -182,6 +183,9 @@
 			})
 		}
 	})
+	// A leadership of an earlier term may still be there if this member was elected again at once.
+	m.endLeadership()
+	l.context, l.end = context.WithCancel(ctx)
 	m.mutex.Lock()
 	m.leadership = l
 	m.mutex.Unlock()
@@ -201,6 +205,7 @@
 	return m.leadership
 }
 
+// endLeadership ends the leadership, if there is one, and cancels its orders in progress.
 func (m *member) endLeadership() {
 	m.mutex.Lock()
 	ending := m.leadership
@@ -209,6 +214,7 @@
 	if ending == nil {
 		return
 	}
+	ending.end()
 	ending.node.metrics.leads.Set(0)
 	ending.mutex.Lock()
 	defer ending.mutex.Unlock()
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -30,8 +30,11 @@
 
 // Engines sends orders and report requests to runners.
 type Engines interface {
-	// Order sends an order and returns its outcome and the notice in the runner's response.
-	Order(ctx context.Context, holder Holder, order residency.Order) (residency.Outcome, notice.Notice)
+	// Order sends an order and returns its outcome and the notice in the runner's response. It
+	// must call mayBegin right before the first byte, and send nothing if that returns false; the
+	// outcome is then residency.OutcomeNotSent. Once it has returned without an answer, or ctx has
+	// ended, no byte of the order may leave the machine any more.
+	Order(ctx context.Context, holder Holder, order residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice)
 	// Report asks a runner for its loaded models. The notice is valid even if the error is not nil.
 	Report(ctx context.Context, runner fleet.Heartbeat) (residency.Report, notice.Notice, error)
 }
--- a/placement/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -6,11 +6,20 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
+const (
+	// orderTimeout bounds an order or report request to a runner.
+	orderTimeout = time.Second
+	// orderClockInterval is the interval at which an order in progress compares its age with
+	// orderTimeout by the clock that includes suspensions.
+	orderClockInterval = 20 * time.Millisecond
+)
+
 // firstOrderTime returns when a leader that begins at the given time may send its first
 // order: one lease after the last order of any other. Without enforced fences it waits a
 // full lease, as an unreachable member may have just sent an order.
@@ -71,25 +80,63 @@
 	l.wakePlan()
 }
 
-// sendOrder sends an order unless the leadership's lease has ended.
+// sendOrder sends an order unless the leadership's lease has ended. The lease is checked before
+// the connection is made, and again right before the first byte.
 func (l *leadership) sendOrder(ctx context.Context, order residency.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	outcome := residency.OutcomeRejected
 	began := l.now()
-	if l.isValid() && !l.node.stopping.Load() {
-		l.node.lastOrder.Store(&began)
+	ctx, cancel := l.orderContext(ctx, began)
+	defer cancel()
+	outcome := residency.OutcomeNotSent
+	if l.mayOrder() {
 		var received notice.Notice
-		outcome, received = l.options.Engines.Order(ctx, Holder{Name: l.options.Name, Token: uint64(l.term)}, order)
+		holder := Holder{Name: l.options.Name, Token: uint64(l.term)}
+		outcome, received = l.options.Engines.Order(ctx, holder, order, l.mayOrder)
 		l.observeNotice(order.Instance, received)
 	}
-	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
-	l.node.metrics.orderTime.Observe(l.now().Sub(began).Seconds())
-	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
-		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome,
-		"took", l.now().Sub(began))
+	l.recordOrder(order, outcome, l.now().Sub(began))
 	l.mutex.Lock()
 	l.planner.Answered(l.now(), order, outcome)
 	l.mutex.Unlock()
 	l.wakePlan()
 }
+
+// mayOrder reports whether the first byte of an order may be sent now. If so, it records the
+// time, from which the next leader counts its wait.
+func (l *leadership) mayOrder() bool {
+	if l.node.stopping.Load() || l.context.Err() != nil || !l.isValid() {
+		return false
+	}
+	at := l.now()
+	l.node.lastOrder.Store(&at)
+	return true
+}
+
+// orderContext returns the context of an order that began at the given time. It ends with the
+// leadership, and after orderTimeout by the clock that includes suspensions: the timer of a
+// context stands still while the machine is suspended.
+func (l *leadership) orderContext(ctx context.Context, began time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	stop := context.AfterFunc(l.context, cancel)
+	go func() {
+		defer stop()
+		for l.now().Sub(began) < orderTimeout {
+			if !pause.For(ctx, orderClockInterval) {
+				return
+			}
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
+
+func (l *leadership) recordOrder(order residency.Order, outcome residency.Outcome, took time.Duration) {
+	l.node.metrics.orders.WithLabelValues(order.Operation.String(), outcome.String()).Inc()
+	if outcome == residency.OutcomeNotSent {
+		level.Warn(l.logger).Log("msg", "An order was not sent because the lease had ended.", "runner", order.Instance,
+			"operation", order.Operation, "model", order.Model, "adapter", order.Adapter, "after", took)
+		return
+	}
+	l.node.metrics.orderTime.Observe(took.Seconds())
+	level.Info(l.logger).Log("msg", "An order was answered.", "runner", order.Instance, "operation", order.Operation,
+		"model", order.Model, "adapter", order.Adapter, "expected", order.Expected, "outcome", outcome, "took", took)
+}
--- a/placement/residency/answers.go
+++ b/placement/residency/answers.go
@@ -20,7 +20,7 @@
 		p.recordDone(now, r, order)
 		r.isTakenKnown = order.Operation == Unload && order.Adapter != ""
 		r.taken = order.Expected + 1
-	case OutcomeConflict, OutcomeRejected, OutcomeGone:
+	case OutcomeConflict, OutcomeRejected, OutcomeGone, OutcomeNotSent:
 		r.isTakenKnown = false
 		r.isGone = outcome == OutcomeGone
 		p.rollBack(r, order)
--- a/placement/residency/types.go
+++ b/placement/residency/types.go
@@ -51,11 +51,13 @@
 	OutcomeGone
 	// OutcomeUnknown: no answer arrived; the order may still be executed.
 	OutcomeUnknown
+	// OutcomeNotSent: the leadership had ended, so that no byte of the order was sent.
+	OutcomeNotSent
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	names := [...]string{"", "accepted", "held", "conflict", "refused", "gone", "unknown"}
+	names := [...]string{"", "accepted", "held", "conflict", "refused", "gone", "unknown", "not_sent"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -127,7 +127,7 @@
 // noEngines stands in for the engines of runners without models.
 type noEngines struct{}
 
-func (noEngines) Order(context.Context, domainnode.Holder, residency.Order) (residency.Outcome, notice.Notice) {
+func (noEngines) Order(context.Context, domainnode.Holder, residency.Order, func() bool) (residency.Outcome, notice.Notice) {
 	return residency.OutcomeRejected, notice.Notice{}
 }
 
