Transport: repeat a connect that gets no answer

After a power loss of all machines, controllers dialled others whose machines were still off. The system repeats a lost first packet only after 1 s, which is more than the dial timeout of 0.8 s, so that the peer stayed unreachable for 0.8 s although its machine was up after 0.3 s. Messages of raft waited behind that dial, pre-votes and votes among them.

--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -112,7 +112,7 @@
 }
 
 func (p *peer) open(ctx context.Context) (*connection, error) {
-	raw, err := p.client.options.Network.DialContext(ctx, "tcp", p.address)
+	raw, err := p.client.connectRepeatedly(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
