Routers and members wait out no backoff towards a peer that was just heard from

After controllers had been down for seconds, a router's backoff towards each of them was up to 2 s. A controller that was reached named the leader, and the router waited out its backoff towards the leader: up to 0.36 s in virtual time where processes listen 0.7 s after their machines are up. Where machines were off for 8 s, unanswered connects cost 1.4 s, which the repeated connects have ended.

A redirect to a leader, and a batch of raft messages from a member that was silent, bound the backoff towards it by 0.1 s after the last failed dial, so that a peer which refuses still gets at most ten dials a second.

--- a/agreement/group/lease.go
+++ b/agreement/group/lease.go
@@ -56,6 +56,9 @@
 	if g.loop.held {
 		return
 	}
+	if address := g.addressOf(batch.From); address != "" && g.isSilent(batch.From) {
+		g.options.Client.NoteReachable(address)
+	}
 	g.loop.lastHeard[batch.From] = g.now()
 	fromLeader := false
 	for _, message := range batch.Messages {
--- a/agreement/leadercall/caller.go
+++ b/agreement/leadercall/caller.go
@@ -143,6 +143,9 @@
 	switch typed.Kind {
 	case structs.ErrorNotLeader:
 		c.leader = typed.Leader
+		if c.leader != "" {
+			c.client.NoteReachable(c.leader)
+		}
 		return true
 	case structs.ErrorUnavailable, structs.ErrorDeadline:
 		if c.leader == address {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -148,6 +148,10 @@
 	return found
 }
 
+// NoteReachable tells the client that something was just heard from a peer, or of it from another,
+// so that it does not wait out a backoff from when the peer was down.
+func (c *Client) NoteReachable(address string) { c.peer(address).limitBackoff() }
+
 // Stats returns the traffic counters.
 func (c *Client) Stats() Stats { return c.counters.stats() }
 
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -20,6 +20,9 @@
 	// failure up to maxBackoff. Jitter selects a delay from its upper half.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// knownPeerBackoff bounds the backoff towards a peer from which something was just heard. It
+	// keeps the dials of a peer that is overloaded and refuses them below ten a second.
+	knownPeerBackoff = 100 * time.Millisecond
 )
 
 // peer is the client's state for one address.
@@ -33,6 +36,7 @@
 	// dialing is closed when the dial in progress ends; nil if there is none.
 	dialing  chan struct{}
 	failures int
+	failedAt time.Time
 	retryAt  time.Time
 	lastErr  error
 }
@@ -160,7 +164,17 @@
 	pause = pause/2 + time.Duration(p.client.options.Random()%uint64(pause/2))
 	p.failures++
 	p.lastErr = err
-	p.retryAt = time.Now().Add(pause)
+	p.failedAt = time.Now()
+	p.retryAt = p.failedAt.Add(pause)
+}
+
+// limitBackoff bounds the backoff in progress by knownPeerBackoff.
+func (p *peer) limitBackoff() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if limit := p.failedAt.Add(knownPeerBackoff); p.retryAt.After(limit) {
+		p.retryAt = limit
+	}
 }
 
 // removeConnection removes a failed connection; a later call redials.
