Test of the first leader: machines that refuse connects before the process listens

The test let each process listen as soon as its machine was up, so that a dial that is refused, and the backoff after it, did not occur.

Each machine is now up for 0, 0.2 or 0.4 s before its process listens.

--- a/placement/domainnode/startup_test.go
+++ b/placement/domainnode/startup_test.go
@@ -15,21 +15,22 @@
 // maxTimeToLeader is how long after a quorum is up and connected a leader must have begun.
 const maxTimeToLeader = 600 * time.Millisecond
 
-// startAfterPowerLoss starts the nodes in the given order. The first three machines are up
-// within 60 ms, the others 0.23 to 0.33 s after the first. Runners send heartbeats from the start,
+// startAfterPowerLoss starts the nodes in the given order. The first three processes listen
+// within 60 ms, the others 0.23 to 0.33 s after the first. Each machine is up for bootTime before
+// its process listens, and refuses connects for that time. Runners send heartbeats from the start,
 // which the controllers try to pass on to all others.
-func (d *testDomain) startAfterPowerLoss(order []int) {
+func (d *testDomain) startAfterPowerLoss(order []int, bootTime time.Duration) {
 	for _, index := range order {
 		d.network.Cut(machineIP(index))
 	}
-	begun := time.Now()
+	begun := time.Now().Add(bootTime)
 	for place, index := range order {
-		at := time.Duration(place) * 30 * time.Millisecond
-		if place >= 3 {
-			at = 230*time.Millisecond + time.Duration(place-3)*50*time.Millisecond
-		}
+		at := startOf(place)
+		time.AfterFunc(time.Until(begun.Add(at-bootTime)), func() { d.network.Restore(machineIP(index)) })
+	}
+	for place, index := range order {
+		at := startOf(place)
 		pause.For(d.ctx, time.Until(begun.Add(at)))
-		d.network.Restore(machineIP(index))
 		d.start(index)
 		started := d.node(index)
 		go func() { _, _ = started.describeOthers(d.ctx) }()
@@ -43,6 +44,14 @@
 	}
 }
 
+// startOf returns when the process at a place of the order listens.
+func startOf(place int) time.Duration {
+	if place < 3 {
+		return time.Duration(place) * 30 * time.Millisecond
+	}
+	return 230*time.Millisecond + time.Duration(place-3)*50*time.Millisecond
+}
+
 // leads reports whether a controller leads and answers.
 func (d *testDomain) leads() bool {
 	for index := range maxTestNodes {
@@ -80,7 +89,7 @@
 				}
 				order := rand.New(rand.NewPCG(seed, 1)).Perm(controllers)
 				began := time.Now()
-				go d.startAfterPowerLoss(order)
+				go d.startAfterPowerLoss(order, time.Duration(seed%3)*200*time.Millisecond)
 				d.await("a quorum", func() bool {
 					up := 0
 					for index := range controllers {
