Tests of orders replace the engines without a data race

go test -race reported that the tests of orders in progress set the options of a leadership that ran. The fake engines now hold the slow ones under their mutex. go test -race ./placement/domainnode passes.

--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -66,6 +66,8 @@
 	report residency.Report
 	// notices maps a runner to the notice in its responses.
 	notices map[string]notice.Notice
+	// slow takes the orders instead, unless it is nil.
+	slow *slowEngines
 }
 
 type sentOrder struct {
@@ -73,7 +75,13 @@
 	at     time.Time
 }
 
-func (e *fakeEngines) Order(_ context.Context, holder Holder, order residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice) {
+func (e *fakeEngines) Order(ctx context.Context, holder Holder, order residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice) {
+	e.mutex.Lock()
+	slow := e.slow
+	e.mutex.Unlock()
+	if slow != nil {
+		return slow.order(ctx, mayBegin), notice.Notice{}
+	}
 	if !mayBegin() {
 		return residency.OutcomeNotSent, notice.Notice{}
 	}
--- a/placement/domainnode/orders_test.go
+++ b/placement/domainnode/orders_test.go
@@ -10,30 +10,28 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/internal/pause"
-	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
 )
 
 // slowEngines takes a time to connect, and then never answers.
 type slowEngines struct {
-	*fakeEngines
 	connectTime time.Duration
 	// begun receives whether an order was begun, and ended how long its context lasted.
 	begun chan bool
 	ended chan time.Duration
 }
 
-func (e *slowEngines) Order(ctx context.Context, _ Holder, _ residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice) {
+func (e *slowEngines) order(ctx context.Context, mayBegin func() bool) residency.Outcome {
 	began := time.Now()
 	pause.For(ctx, e.connectTime)
 	isBegun := mayBegin()
 	e.begun <- isBegun
 	if !isBegun {
-		return residency.OutcomeNotSent, notice.Notice{}
+		return residency.OutcomeNotSent
 	}
 	<-ctx.Done()
 	e.ended <- time.Since(began)
-	return residency.OutcomeUnknown, notice.Notice{}
+	return residency.OutcomeUnknown
 }
 
 // orderSlowly has the leader of a domain send an order by slow engines.
@@ -44,12 +42,11 @@
 	m, err := d.nodes[leader].current()
 	d.c.Assert(err, qt.IsNil)
 	d.await("the leadership", func() bool { return m.currentLeadership() != nil })
-	engines := &slowEngines{
-		fakeEngines: d.engines, connectTime: connectTime, begun: make(chan bool, 1), ended: make(chan time.Duration, 1),
-	}
-	current := m.currentLeadership()
-	current.options.Engines = engines
-	go current.sendOrder(d.ctx, residency.Order{Instance: "r", Address: "10.9.9.9:1", Operation: residency.Load, Model: "m"})
+	engines := &slowEngines{connectTime: connectTime, begun: make(chan bool, 1), ended: make(chan time.Duration, 1)}
+	d.engines.mutex.Lock()
+	d.engines.slow = engines
+	d.engines.mutex.Unlock()
+	go m.currentLeadership().sendOrder(d.ctx, residency.Order{Instance: "r", Address: "10.9.9.9:1", Operation: residency.Load, Model: "m"})
 	synctest.Wait()
 	return engines, leader
 }
