--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -48,6 +48,8 @@
 	fences bool
 	// regions maps zones to regions; nodes relay if there are several.
 	regions map[string]string
+	// voters is the number of voters.
+	voters int
 }
 
 // maxTestNodes bounds the nodes of a test.
@@ -66,6 +68,8 @@
 	report residency.Report
 	// notices maps a runner to the notice in its responses.
 	notices map[string]notice.Notice
+	// slow takes the orders instead, unless it is nil.
+	slow *slowEngines
 }
 
 type sentOrder struct {
@@ -73,7 +77,16 @@
 	at     time.Time
 }
 
-func (e *fakeEngines) Order(_ context.Context, holder Holder, order residency.Order) (residency.Outcome, notice.Notice) {
+func (e *fakeEngines) Order(ctx context.Context, holder Holder, order residency.Order, mayBegin func() bool) (residency.Outcome, notice.Notice) {
+	e.mutex.Lock()
+	slow := e.slow
+	e.mutex.Unlock()
+	if slow != nil {
+		return slow.order(ctx, mayBegin), notice.Notice{}
+	}
+	if !mayBegin() {
+		return residency.OutcomeNotSent, notice.Notice{}
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.orders = append(e.orders, sentOrder{holder, time.Now()})
@@ -100,16 +113,16 @@
 	return document, nil
 }
 
-func address(index int) string {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index + 1)}), 7000).String()
-}
+func machineIP(index int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(index + 1)}) }
+
+func address(index int) string { return netip.AddrPortFrom(machineIP(index), 7000).String() }
 
 func newTestDomain(t *testing.T) *testDomain {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	d := &testDomain{
 		c: c, ctx: ctx, base: c.TempDir(), network: networktest.NewMemory(0),
-		nodes: make(map[int]*runningNode), folders: make(map[int]string), engines: &fakeEngines{},
+		nodes: make(map[int]*runningNode), folders: make(map[int]string), engines: &fakeEngines{}, voters: 3,
 	}
 	d.setSeeds([]string{address(0), address(1), address(2)})
 	c.Cleanup(func() {
@@ -130,8 +143,8 @@
 		}
 		node, err := New(Options{
 			Logger: log.NewNopLogger(), Name: fmt.Sprint("node-", index), Address: address(index),
-			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.isBootstrapped, DataFolder: d.folders[index], Voters: 3,
-			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network, Seed: uint64(index) + 1,
+			Seeds: func() []string { return *d.seeds.Load() }, Bootstrap: !d.isBootstrapped, DataFolder: d.folders[index], Voters: d.voters,
+			OrderLease: 3 * time.Second, Decoder: decodeTestDocument, Engines: d.engines, Network: d.network.From(machineIP(index)), Seed: uint64(index) + 1,
 			FencesEnforced: d.fences, Zones: []string{"zone-0", "zone-1"}, Zone: "zone-0", Regions: d.regions,
 			Now: func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
