--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -18,7 +18,7 @@
 // relays is the leader's state of the controllers that pass its state on to routers.
 type relays struct {
 	byName map[string]*relayContact
-	// awaited is the latest revision of which an acknowledgement depends, awaitedUntil when the
+	// awaited is the latest revision on which an acknowledgement depends, awaitedUntil when the
 	// leader stops waiting for it.
 	awaited      uint64
 	awaitedUntil time.Time
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -123,7 +123,10 @@
 	if f.choice.isUsed && (f.followed != address || !f.isConnected) {
 		level.Info(r.logger).Log("msg", "Watching another controller.", "relay", address, "near", near, "before", f.followed)
 		r.metrics.controllerChanges.WithLabelValues(near.String()).Inc()
-		r.metrics.followsRelay.Set(map[bool]float64{true: 1}[address != ""])
+		r.metrics.followsRelay.Set(0)
+		if address != "" {
+			r.metrics.followsRelay.Set(1)
+		}
 	}
 	f.isConnected, f.followed = true, address
 	if len(reply.Controllers) > 0 {
