Stop asking the leader when a relay stops

Seen: a controller whose planned stop had begun went on asking the leader, was named to routers as a relay, and redirected them. Shown by a test that failed before: two relays were listed instead of one.

--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// run keeps the mirror up to date while the member does not lead, until ctx ends.
+// run keeps the mirror up to date while the member neither leads nor stops, until ctx ends.
 func (r *relay) run(ctx context.Context, m *member) {
 	if r == nil {
 		return
@@ -85,7 +85,7 @@
 	defer r.close()
 	for ctx.Err() == nil {
 		changed := m.group.Changed()
-		if m.currentLeadership() != nil || m.group.Status().IsLeader {
+		if m.currentLeadership() != nil || m.group.Status().IsLeader || r.node.stopping.Load() {
 			r.close()
 			select {
 			case <-changed:
--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -269,6 +269,26 @@
 	})
 }
 
+// Guards against a stopping controller that goes on asking the leader and is named to routers, which
+// it redirects.
+func TestStoppingRelayIsListedNoMore(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.regions = map[string]string{"zone-0": "a", "zone-1": "b"}
+		d.bootstrapWithRunners()
+		pause.For(d.ctx, 2*time.Second)
+		current, _ := d.leadership()
+		listed := func() int {
+			current.mutex.Lock()
+			defer current.mutex.Unlock()
+			return len(current.relayList().Relays)
+		}
+		d.c.Assert(listed(), qt.Equals, 2)
+		d.nodes[(d.awaitLeader()+1)%3].Stop(d.ctx)
+		pause.For(d.ctx, relayExpiry+domainapi.RelayHold)
+		d.c.Assert(listed(), qt.Equals, 1)
+	})
+}
+
 func TestListOfRelaysHasAVersionOfItsContent(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
