--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -149,7 +149,7 @@
 			isActive bool
 		}{{0, true}, {1499 * time.Millisecond, true}, {1500 * time.Millisecond, false}} {
 			current.mutex.Lock()
-			d.c.Assert(!current.haveRoutersSeen(report0(current).Add(test.after), 1000), qt.Equals, test.isActive, qt.Commentf("%v", test.after))
+			d.c.Assert(!current.haveRoutersSeen(contactTime(current).Add(test.after), 1000), qt.Equals, test.isActive, qt.Commentf("%v", test.after))
 			current.mutex.Unlock()
 		}
 		pause.For(d.ctx, routerExpiry+time.Millisecond)
@@ -160,8 +160,8 @@
 	})
 }
 
-// report0 returns the time of the contact with router r.
-func report0(l *leadership) time.Time { return l.routers["r"].at }
+// contactTime returns the time of the contact with router r.
+func contactTime(l *leadership) time.Time { return l.routers["r"].at }
 
 // Guards against a router whose requests wait for a model and that learns of it only with the next
 // announcement, since it watches a relay.
@@ -269,6 +269,26 @@
 	})
 }
 
+// Guards against a stopping controller that goes on asking the leader and is named to routers, which
+// it redirects.
+func TestStoppingRelayIsListedNoMore(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.regions = map[string]string{"zone-0": "a", "zone-1": "b"}
+		d.bootstrapWithRunners()
+		pause.For(d.ctx, 2*time.Second)
+		current, _ := d.leadership()
+		listed := func() int {
+			current.mutex.Lock()
+			defer current.mutex.Unlock()
+			return len(current.relayList().Relays)
+		}
+		d.c.Assert(listed(), qt.Equals, 2)
+		d.nodes[(d.awaitLeader()+1)%3].Stop(d.ctx)
+		pause.For(d.ctx, relayExpiry+domainapi.RelayHold)
+		d.c.Assert(listed(), qt.Equals, 1)
+	})
+}
+
 func TestListOfRelaysHasAVersionOfItsContent(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
