--- a/request/relay/regionalsite_test.go
+++ b/request/relay/regionalsite_test.go
@@ -109,7 +109,7 @@
 
 type silentEngines struct{}
 
-func (silentEngines) Order(context.Context, domainnode.Holder, residency.Order, _ func() bool) (residency.Outcome, notice.Notice) {
+func (silentEngines) Order(context.Context, domainnode.Holder, residency.Order, func() bool) (residency.Outcome, notice.Notice) {
 	return residency.OutcomeRejected, notice.Notice{}
 }
 
