--- a/request/routing/options.go
+++ b/request/routing/options.go
@@ -13,6 +13,8 @@
 	Daemon structs.DaemonID
 	// Zone is the zone of this daemon; empty if there are no zones.
 	Zone structs.ZoneID
+	// Regions maps zones to regions; nil if there is one region only.
+	Regions map[structs.ZoneID]string
 	// Choices is the number of replicas sampled for a choice.
 	Choices int
 	// SubsetSize bounds the replicas of a row that this daemon uses.
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -33,6 +33,9 @@
 	others     int
 	reportedAt time.Time
 	maxBatch   int
+	// copies counts the copies of streams that this router has at the runner. They take memory there,
+	// but no slot, so they count only for the choice of a standby.
+	copies int
 	// prefillShare is the share of its time that the runner spent on prompts, as of reportedAt.
 	prefillShare float64
 	// pace is the measured pace of the runner, with defaults where unknown.
--- /dev/null
+++ b/request/routing/standby.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// copyShare is the inverse of the largest share of a standby's slots that the copies of one router may
+// take.
+const copyShare = 4
+
+// StandbyWork describes the runner that a stream's memory is to be copied to.
+type StandbyWork struct {
+	// Primary runs the stream.
+	Primary structs.RunnerID
+	// Former lists other runners that are not chosen.
+	Former []structs.RunnerID
+	// Zones are the zones whose runners may be chosen; nil allows all.
+	Zones map[structs.ZoneID]bool
+	// MayTake reports whether the link of a runner may take another copy; nil means always.
+	MayTake func(id structs.RunnerID) bool
+}
+
+// StandbyResult is the result of a search for a standby.
+type StandbyResult uint8
+
+const (
+	// StandbyNone means that no runner can be the standby.
+	StandbyNone StandbyResult = iota
+	// StandbyAtLimit means that all that could have as many copies as they may.
+	StandbyAtLimit
+	// StandbyFound means that there is a standby.
+	StandbyFound
+)
+
+// PickStandby chooses another replica of the row to which the memory of a stream at the primary is
+// copied: in another zone of the same region if there is one, otherwise in the same zone. Copies never
+// cross regions, as the links between regions are slow and expensive. Of these replicas, those with the
+// fewest copies of this router are drawn by expected cost, as routers with the same load report would
+// otherwise all choose the same one.
+func (b *Balancer) PickStandby(now time.Time, name structs.RowName, wanted *StandbyWork) (Choice, StandbyResult) {
+	current, primary := b.rows[name], b.runners[wanted.Primary]
+	if current == nil || primary == nil {
+		return Choice{}, StandbyNone
+	}
+	work := Work{Zones: wanted.Zones, Excluded: wanted.Primary}
+	result := StandbyNone
+	var best []*replica
+	for _, candidate := range current.subset {
+		target := candidate.runner
+		if slices.Contains(wanted.Former, target.info.ID) || !b.isStandby(now, candidate, &work) || !b.isSameRegion(primary, target) {
+			continue
+		}
+		if (target.copies+1)*copyShare > target.maxBatch || wanted.MayTake != nil && !wanted.MayTake(target.info.ID) {
+			result = max(result, StandbyAtLimit)
+			continue
+		}
+		result = StandbyFound
+		if len(best) > 0 {
+			order := b.compareStandby(primary, target, best[0].runner)
+			if order > 0 {
+				continue
+			}
+			if order < 0 {
+				best = best[:0]
+			}
+		}
+		best = append(best, candidate)
+	}
+	if result != StandbyFound {
+		return Choice{}, result
+	}
+	return b.choiceOf(now, b.drawStandby(now, current, best)), StandbyFound
+}
+
+// isStandby reports whether the replica's runner is healthy, warm and not limited, and has a free slot
+// beside the copies of this router.
+func (b *Balancer) isStandby(now time.Time, candidate *replica, work *Work) bool {
+	target := candidate.runner
+	if target.paced || target.requested.isProbing || target.breaker.open() || candidate.breaker.open() {
+		return false
+	}
+	return b.isUsable(now, candidate, work) && target.load(now, b.options.ReportTTL)+target.copies < target.maxBatch
+}
+
+// isSameRegion reports whether both runners are in one region. Zones without a known region form one
+// region.
+func (b *Balancer) isSameRegion(one, other *runner) bool {
+	return b.options.Regions[one.info.Zone] == b.options.Regions[other.info.Zone]
+}
+
+// compareStandby is negative if the first runner is the better standby of the primary.
+func (b *Balancer) compareStandby(primary, first, second *runner) int {
+	isFirstNear, isSecondNear := first.info.Zone == primary.info.Zone, second.info.Zone == primary.info.Zone
+	switch {
+	case isFirstNear && !isSecondNear:
+		return 1
+	case !isFirstNear && isSecondNear:
+		return -1
+	}
+	return first.copies - second.copies
+}
+
+// drawStandby draws one of the replicas, weighted by the inverse of their expected cost.
+func (b *Balancer) drawStandby(now time.Time, current *row, among []*replica) *replica {
+	found := lookup{peers: b.peerLoad(now, current)}
+	weights := make([]float64, len(among))
+	total := 0.0
+	for index, candidate := range among {
+		weights[index] = 1 / b.weightedCost(b.expected(now, candidate, &found.peers, 0), candidate, &found)
+		total += weights[index]
+	}
+	point := b.random.Float64() * total
+	for index, candidate := range among {
+		if point -= weights[index]; point < 0 {
+			return candidate
+		}
+	}
+	return among[len(among)-1]
+}
+
+// At returns the replica of the row at a runner, for a continuation whose memory is there already. It
+// reports false if the runner no longer holds the row, or may not get a request, whatever its load.
+func (b *Balancer) At(now time.Time, name structs.RowName, id structs.RunnerID) (Choice, bool) {
+	target := b.runners[id]
+	if target == nil || target.leaving || !target.mayReceive() || target.requested.isActive(now) || b.zones.unreachable[target.info.Zone] {
+		return Choice{}, false
+	}
+	held := target.replicas[name]
+	if held == nil {
+		return Choice{}, false
+	}
+	return b.choiceOf(now, held), true
+}
+
+// choiceOf returns a choice of a replica that reads no prompt.
+func (b *Balancer) choiceOf(now time.Time, chosen *replica) Choice {
+	return Choice{balancer: b, replica: chosen, runner: chosen.runner.info, chosenAt: now}
+}
+
+// CopyBegan records that a stream's memory is copied to the runner. Call CopyEnded once when the copy
+// no longer takes memory there.
+func (c Choice) CopyBegan() { c.replica.runner.copies++ }
+
+// CopyEnded undoes CopyBegan.
+func (c Choice) CopyEnded() { c.replica.runner.copies-- }
