--- /dev/null
+++ b/request/relay/attempt.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// attempt sends the request to a runner and forwards its response.
+func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	watchdog := x.watch(choice, cancel)
+	defer watchdog.stop()
+	defer x.router.beginAttempt(choice, watchdog)()
+	if errors.Is(context.Cause(ctx), errUnwanted) {
+		return x.sendFailed(ctx, choice, ErrNotSent)
+	}
+	x.sent++
+	sent := x.router.now()
+	x.timing.noteSent(choice.Runner())
+	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
+		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
+		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
+		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
+	})
+	if err != nil {
+		return x.sendFailed(ctx, choice, err)
+	}
+	x.arrivals++
+	x.router.observeAnswer(choice, sent, answer)
+	watchdog.resetSilence()
+	defer answer.Body.Close()
+	ended := x.receive(ctx, choice, answer, watchdog)
+	if ended.reason != "" || x.sent > 1 {
+		x.logAttempt(choice, answer.Status, ended)
+	}
+	return ended
+}
+
+// tenantName returns the tenant's name, or "".
+func (x *exchange) tenantName() string {
+	if x.tenant == nil {
+		return ""
+	}
+	return x.tenant.Name
+}
+
+// timeLeft returns the time until the deadline.
+func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(x.router.now()) }
+
+// runnerTime returns the time given to a runner.
+func (x *exchange) runnerTime() time.Duration {
+	left := x.timeLeft()
+	return left - min(lastAnswerTime, left/lastAnswerShare)
+}
+
+func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
+	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
+	if errors.Is(err, ErrNotSent) {
+		ended.isNotRun = true
+		if !errors.Is(context.Cause(ctx), errUnwanted) {
+			x.unsent++
+		}
+		if ctx.Err() == nil {
+			x.router.connectFailed(choice.Runner())
+		}
+	} else {
+		x.attempts++
+		x.arrivals++
+	}
+	if ctx.Err() != nil {
+		ended = x.contextResult(ctx, ended)
+	}
+	x.logAttempt(choice, 0, ended)
+	return ended
+}
+
+// contextResult adds to a result the reason why the attempt's context ended.
+func (x *exchange) contextResult(ctx context.Context, ended result) result {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		ended.reason = reasonSilent
+	case errors.Is(cause, errZoneLost):
+		ended.reason = reasonZoneLost
+	case errors.Is(cause, errUnwanted):
+		ended.reason = reasonUnwanted
+		ended.outcome = routing.OutcomeNeutral
+	case errors.Is(cause, errTimeout):
+		ended.reason = "timeout"
+		ended.outcome = routing.OutcomeNeutral
+	case errors.Is(cause, errStopped):
+		ended.reason = "router_stops"
+		ended.outcome = routing.OutcomeNeutral
+	default:
+		ended.reason = "caller_left"
+		ended.outcome = routing.OutcomeNeutral
+		ended.isDone = true
+	}
+	return ended
+}
+
+// receive reads a response and forwards it if it is final.
+func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *watchdog) result {
+	switch {
+	case answer.NotHeld:
+		x.runnerRejections++
+		x.router.noteNotHeld(choice.Runner(), x.row)
+		return result{outcome: routing.OutcomeUnavailable, isNotRun: true, reason: reasonNotHeld}
+	case answer.NotRun:
+		x.runnerRejections++
+		x.noteRejection(choice.Runner())
+		return result{outcome: routing.OutcomeRejected, isNotRun: true, reason: reasonShed}
+	}
+	x.attempts++
+	if answer.IsStream && answer.Status == http.StatusOK {
+		return x.relayStream(ctx, answer, watchdog)
+	}
+	return x.relayBuffered(ctx, answer, watchdog)
+}
+
+// noteRejection records that a runner rejected the request. A runner that rejects it a second time
+// is excluded.
+func (x *exchange) noteRejection(runner structs.RunnerID) {
+	if slices.Contains(x.rejectedBy, runner) {
+		x.excluded = runner
+	}
+	x.rejectedBy = append(x.rejectedBy, runner)
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
-	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/waiting"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -40,27 +38,6 @@
 	streamSilencePauses = 4
 )
 
-const (
-	// reasonNoRunner means that no runner was found in time.
-	reasonNoRunner = "no_runner"
-	// reasonSilent means that the runner sent nothing for too long, reasonSendFailed that
-	// connecting failed or the connection broke.
-	reasonSilent     = "silent"
-	reasonSendFailed = "send_failed"
-	// reasonNotHeld means that the runner does not hold the model, reasonShed that it is at
-	// capacity.
-	reasonNotHeld = "not_held"
-	reasonShed    = "shed"
-	// reasonBudget means that the retry budget was exhausted.
-	reasonBudget = "retry_budget"
-	// reasonNotSigned means that the response lacks the runner's signature, reasonRunnerFailed that
-	// the runner itself reported a failure.
-	reasonNotSigned    = "not_signed"
-	reasonRunnerFailed = "runner_failed"
-	// reasonCutShort means that the response was truncated.
-	reasonCutShort = "cut_short"
-)
-
 // errTimeout is the cancellation cause after a request's deadline.
 var errTimeout = errors.New("request deadline exceeded")
 
@@ -190,33 +167,6 @@
 	return request.Arrived.Add(route.Timeout)
 }
 
-// firstDocumentWait bounds how long a request waits for the first document after the router starts,
-// firstDocumentShare the fraction of its own time.
-const (
-	firstDocumentWait  = 2 * time.Second
-	firstDocumentShare = 0.6
-)
-
-// awaitIndex returns the index of the current document. It waits for the first document for a
-// limited time and may return nil.
-func (r *Router) awaitIndex(request *Request) *site.Index {
-	if index := r.index.Load(); index != nil {
-		return index
-	}
-	wait := firstDocumentWait
-	if request.Wait > 0 {
-		wait = min(wait, time.Duration(float64(request.Wait)*firstDocumentShare))
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-r.known:
-	case <-timer.C:
-	case <-request.HTTP.Context().Done():
-	}
-	return r.index.Load()
-}
-
 // run tries runners until one has answered or no further attempt is allowed.
 func (x *exchange) run(ctx context.Context) {
 	var last result
@@ -270,126 +220,3 @@
 	}
 	return x.route.MayRepeat() && x.attempts < max(1, x.route.MaxAttempts)
 }
-
-// attempt sends the request to a runner and forwards its response.
-func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
-	ctx, cancel := context.WithCancelCause(parent)
-	defer cancel(nil)
-	watchdog := x.watch(choice, cancel)
-	defer watchdog.stop()
-	defer x.router.beginAttempt(choice, watchdog)()
-	if errors.Is(context.Cause(ctx), errUnwanted) {
-		return x.sendFailed(ctx, choice, ErrNotSent)
-	}
-	x.sent++
-	sent := x.router.now()
-	x.timing.noteSent(choice.Runner())
-	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
-		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
-		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
-		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
-	})
-	if err != nil {
-		return x.sendFailed(ctx, choice, err)
-	}
-	x.arrivals++
-	x.router.observeAnswer(choice, sent, answer)
-	watchdog.resetSilence()
-	defer answer.Body.Close()
-	ended := x.receive(ctx, choice, answer, watchdog)
-	if ended.reason != "" || x.sent > 1 {
-		x.logAttempt(choice, answer.Status, ended)
-	}
-	return ended
-}
-
-// tenantName returns the tenant's name, or "".
-func (x *exchange) tenantName() string {
-	if x.tenant == nil {
-		return ""
-	}
-	return x.tenant.Name
-}
-
-// timeLeft returns the time until the deadline.
-func (x *exchange) timeLeft() time.Duration { return x.deadline.Sub(x.router.now()) }
-
-// runnerTime returns the time given to a runner.
-func (x *exchange) runnerTime() time.Duration {
-	left := x.timeLeft()
-	return left - min(lastAnswerTime, left/lastAnswerShare)
-}
-
-func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, err error) result {
-	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
-	if errors.Is(err, ErrNotSent) {
-		ended.isNotRun = true
-		if !errors.Is(context.Cause(ctx), errUnwanted) {
-			x.unsent++
-		}
-		if ctx.Err() == nil {
-			x.router.connectFailed(choice.Runner())
-		}
-	} else {
-		x.attempts++
-		x.arrivals++
-	}
-	if ctx.Err() != nil {
-		ended = x.contextResult(ctx, ended)
-	}
-	x.logAttempt(choice, 0, ended)
-	return ended
-}
-
-// contextResult adds to a result the reason why the attempt's context ended.
-func (x *exchange) contextResult(ctx context.Context, ended result) result {
-	cause := context.Cause(ctx)
-	switch {
-	case errors.Is(cause, errSilent):
-		ended.reason = reasonSilent
-	case errors.Is(cause, errZoneLost):
-		ended.reason = reasonZoneLost
-	case errors.Is(cause, errUnwanted):
-		ended.reason = reasonUnwanted
-		ended.outcome = routing.OutcomeNeutral
-	case errors.Is(cause, errTimeout):
-		ended.reason = "timeout"
-		ended.outcome = routing.OutcomeNeutral
-	case errors.Is(cause, errStopped):
-		ended.reason = "router_stops"
-		ended.outcome = routing.OutcomeNeutral
-	default:
-		ended.reason = "caller_left"
-		ended.outcome = routing.OutcomeNeutral
-		ended.isDone = true
-	}
-	return ended
-}
-
-// receive reads a response and forwards it if it is final.
-func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *watchdog) result {
-	switch {
-	case answer.NotHeld:
-		x.runnerRejections++
-		x.router.noteNotHeld(choice.Runner(), x.row)
-		return result{outcome: routing.OutcomeUnavailable, isNotRun: true, reason: reasonNotHeld}
-	case answer.NotRun:
-		x.runnerRejections++
-		x.noteRejection(choice.Runner())
-		return result{outcome: routing.OutcomeRejected, isNotRun: true, reason: reasonShed}
-	}
-	x.attempts++
-	if answer.IsStream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, answer, watchdog)
-	}
-	return x.relayBuffered(ctx, answer, watchdog)
-}
-
-// noteRejection records that a runner rejected the request. A runner that rejects it a second time
-// is excluded.
-func (x *exchange) noteRejection(runner structs.RunnerID) {
-	if slices.Contains(x.rejectedBy, runner) {
-		x.excluded = runner
-	}
-	x.rejectedBy = append(x.rejectedBy, runner)
-}
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -2,6 +2,27 @@
 
 import "github.com/lotusferry/lotusferry/request/routing"
 
+const (
+	// reasonNoRunner means that no runner was found in time.
+	reasonNoRunner = "no_runner"
+	// reasonSilent means that the runner sent nothing for too long, reasonSendFailed that
+	// connecting failed or the connection broke.
+	reasonSilent     = "silent"
+	reasonSendFailed = "send_failed"
+	// reasonNotHeld means that the runner does not hold the model, reasonShed that it is at
+	// capacity.
+	reasonNotHeld = "not_held"
+	reasonShed    = "shed"
+	// reasonBudget means that the retry budget was exhausted.
+	reasonBudget = "retry_budget"
+	// reasonNotSigned means that the response lacks the runner's signature, reasonRunnerFailed that
+	// the runner itself reported a failure.
+	reasonNotSigned    = "not_signed"
+	reasonRunnerFailed = "runner_failed"
+	// reasonCutShort means that the response was truncated.
+	reasonCutShort = "cut_short"
+)
+
 // result is the outcome of an attempt.
 type result struct {
 	outcome routing.Outcome
