--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -93,7 +93,15 @@
 	MaxAdapters int
 	// LoadsPerSecond is the rate limit of the weight store over all runners.
 	LoadsPerSecond float64
-	Models         []Model
+	// Backups is set if the runners copy the memory of running streams to each other on request.
+	// TokenBytes is the memory of one token, LinkMbps the bandwidth of a runner in Mbit/s, and
+	// HandleTTL how long a copy is kept after its last part. Without TokenBytes or LinkMbps no stream
+	// is copied.
+	Backups    bool
+	TokenBytes int64
+	LinkMbps   float64
+	HandleTTL  time.Duration
+	Models     []Model
 	// modelsByName is set by NewIndex.
 	modelsByName map[string]*Model
 }
--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -27,7 +27,7 @@
 		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
 	case x.isStarted:
 		// A stream that has started can only be continued by another stream.
-		return result{outcome: routing.OutcomeUnavailable, reason: "not_resumed"}
+		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
 	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	case len(body) > maxBuffered:
--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -13,6 +13,7 @@
 
 // attempt sends the request to a runner and forwards its response.
 func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
+	x.copied = nil
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	watchdog := x.watch(choice, cancel)
@@ -21,6 +22,7 @@
 	if errors.Is(context.Cause(ctx), errUnwanted) {
 		return x.sendFailed(ctx, choice, ErrNotSent)
 	}
+	x.beginCopy(choice)
 	x.sent++
 	sent := x.router.now()
 	x.timing.noteSent(choice.Runner())
@@ -28,6 +30,7 @@
 		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(), Service: x.row.Service,
 		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
 		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
+		CopyTo: x.copied.address(), IsContinuation: x.isContinuing,
 	})
 	if err != nil {
 		return x.sendFailed(ctx, choice, err)
@@ -64,14 +67,14 @@
 	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
-		if !errors.Is(context.Cause(ctx), errUnwanted) {
+		if !errors.Is(context.Cause(ctx), errUnwanted) && !x.isContinuing {
 			x.unsent++
 		}
 		if ctx.Err() == nil {
 			x.router.connectFailed(choice.Runner())
 		}
 	} else {
-		x.attempts++
+		x.countRun()
 		x.arrivals++
 	}
 	if ctx.Err() != nil {
@@ -109,22 +112,44 @@
 // receive reads a response and forwards it if it is final.
 func (x *exchange) receive(ctx context.Context, choice routing.Choice, answer *Answer, watchdog *watchdog) result {
 	switch {
+	case x.isContinuing && answer.NotRun:
+		return result{outcome: routing.OutcomeNeutral, isNotRun: true, reason: reasonNoCopy}
 	case answer.NotHeld:
-		x.runnerRejections++
+		x.countRejection()
 		x.router.noteNotHeld(choice.Runner(), x.row)
 		return result{outcome: routing.OutcomeUnavailable, isNotRun: true, reason: reasonNotHeld}
 	case answer.NotRun:
-		x.runnerRejections++
+		x.countRejection()
 		x.noteRejection(choice.Runner())
 		return result{outcome: routing.OutcomeRejected, isNotRun: true, reason: reasonShed}
 	}
-	x.attempts++
+	x.countRun()
 	if answer.IsStream && answer.Status == http.StatusOK {
 		return x.relayStream(ctx, answer, watchdog)
 	}
+	if x.isContinuing {
+		// The former run may have done part of the work, so that an error of the standby is not the
+		// answer.
+		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
+	}
 	return x.relayBuffered(ctx, answer, watchdog)
 }
 
+// countRun counts a runner that may have run the request. A continuation is the same run.
+func (x *exchange) countRun() {
+	if !x.isContinuing {
+		x.attempts++
+	}
+}
+
+// countRejection counts a runner that rejected the request. A rejected continuation costs no more than
+// its own try.
+func (x *exchange) countRejection() {
+	if !x.isContinuing {
+		x.runnerRejections++
+	}
+}
+
 // noteRejection records that a runner rejected the request. A runner that rejects it a second time
 // is excluded.
 func (x *exchange) noteRejection(runner structs.RunnerID) {
--- a/request/relay/candidates.go
+++ b/request/relay/candidates.go
@@ -125,6 +125,8 @@
 		delete(r.candidates.runners, instance)
 		delete(r.lastDataAt, id)
 		r.runnerLimits.forget(id)
+		r.copies.traffic.Forget(id)
+		delete(r.copies.brokenAt, id)
 	}
 	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
--- /dev/null
+++ b/request/relay/continuity_failures_test.go
@@ -0,0 +1,399 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/poison"
+)
+
+// inContinuity runs a test of a router over runners that copy streams in virtual time, and checks that
+// nothing is left of the requests once the copies have expired.
+func inContinuity(t *testing.T, test func(t *testing.T, c *qt.C, r *continuityRouter)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newContinuityRouter(c)
+		test(t, c, r)
+		<-time.After(handleTTL + time.Second)
+		r.checkIdle()
+	})
+}
+
+// The loss of a runner must not cost the caller the stream, although the request may run only once.
+func TestStreamOutlivesItsRunner(t *testing.T) {
+	for _, path := range []string{copiedPath, resumablePath} {
+		t.Run(path, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.cut = cutAt(1, 4)
+				recorder, aborted := r.ask(t.Context(), path)
+				r.checkWhole(recorder, aborted, 1)
+				c.Assert(r.runners.starts, qt.Equals, 1)
+				c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+				former, next := r.runners.attempts[0], r.runners.attempts[1]
+				c.Assert(next.IsContinuation, qt.IsTrue)
+				c.Assert(next.Address, qt.Equals, former.CopyTo)
+				c.Assert(next.ResumeAfter, qt.Equals, int64(3))
+				// A continuation may be lost, too, so it is copied to the third runner.
+				c.Assert(next.CopyTo, qt.Not(qt.Equals), "")
+				c.Assert(next.CopyTo, qt.Not(qt.Equals), former.Address)
+				c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"served": 1})
+				c.Assert(r.counted("repeats_total"), qt.DeepEquals, map[string]float64{"true": 1})
+			})
+		})
+	}
+}
+
+// A stream without an event has no head yet: the one of the continuation is the head of the answer.
+func TestStreamWithoutEventIsContinued(t *testing.T) {
+	ownFailure := func(context.Context, int, *Attempt) (*Answer, error) { return failed() }
+	reset := func(context.Context, int, *Attempt) (*Answer, error) { return nil, errReset }
+	for name, answer := range map[string]func(context.Context, int, *Attempt) (*Answer, error){
+		"reset before the head": reset, "the runner's own 500": ownFailure,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.answer = func(ctx context.Context, number int, attempt *Attempt) (*Answer, error) {
+					if number > 1 {
+						return nil, nil
+					}
+					r.runners.copies[attempt.CopyTo] = attempt.Request.ID
+					return answer(ctx, number, attempt)
+				}
+				recorder, aborted := r.ask(t.Context(), copiedPath)
+				r.checkWhole(recorder, aborted, 2)
+				c.Assert(r.runners.attempts[1].ResumeAfter, qt.Equals, int64(NoEvent))
+				c.Assert(r.runners.starts, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// Without a copy a continuation must not run, and what follows is the same as without copies.
+func TestContinuationWithoutCopyCostsOneTry(t *testing.T) {
+	for name, test := range map[string]struct {
+		path     string
+		event    int
+		isServed bool
+		attempts int
+	}{
+		"once only":           {copiedPath, 4, false, 2},
+		"once only, no event": {copiedPath, 1, false, 2},
+		"resumable":           {resumablePath, 4, true, 3},
+		"resumable, no event": {resumablePath, 1, true, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.losesCopies = true
+				r.runners.cut = cutAt(1, test.event)
+				recorder, aborted := r.ask(t.Context(), test.path)
+				c.Assert(len(r.runners.attempts), qt.Equals, test.attempts, qt.Commentf("%s", r.runners.describe()))
+				c.Assert(r.runners.attempts[1].IsContinuation, qt.IsTrue)
+				c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"no_copy": 1})
+				switch {
+				case test.isServed:
+					c.Assert(recorder.Body.String(), qt.Equals, events(1, copiedEvents))
+					c.Assert(r.runners.attempts[2].IsContinuation, qt.IsFalse)
+				case test.event == 1:
+					c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+				default:
+					c.Assert(aborted, qt.IsTrue)
+				}
+				if !test.isServed {
+					c.Assert(r.runners.starts, qt.Equals, 1)
+				}
+			})
+		})
+	}
+}
+
+// The loss of the standby must not disturb the stream, and a continuation that cannot be sent costs no
+// more than its try.
+func TestLostStandby(t *testing.T) {
+	t.Run("while the runner goes on", func(t *testing.T) {
+		inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+			r.runners.losesCopies = true
+			recorder, aborted := r.ask(t.Context(), copiedPath)
+			r.checkWhole(recorder, aborted, 1)
+			c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		})
+	})
+	for name, refuse := range map[string]func() (*Answer, error){
+		"unreachable": notSent,
+		// Another incarnation at the address, or a runner with other weights, does not hold the copy.
+		"another incarnation or other weights": func() (*Answer, error) {
+			answer, err := newAnswer(http.StatusMisdirectedRequest, "")
+			answer.NotHeld = true
+			return answer, err
+		},
+		"fails by itself":        failed,
+		"rejects without reason": func() (*Answer, error) { return newAnswer(http.StatusServiceUnavailable, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.cut = cutAt(1, 1)
+				r.runners.answer = func(_ context.Context, number int, _ *Attempt) (*Answer, error) {
+					if number == 2 {
+						return refuse()
+					}
+					return nil, nil
+				}
+				recorder, _ := r.ask(t.Context(), copiedPath)
+				// Not 503 or 500: the request has run, and the answer of the standby is not its own.
+				c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+				c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+				c.Assert(r.runners.starts, qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// A standby that is no longer listed with the model is not asked, as it has no copy.
+func TestStandbyWithoutTheModelIsNotAsked(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(_ context.Context, number, event int) error {
+			if number != 1 || event != 4 {
+				return nil
+			}
+			view := continuityView("n1", "n2", "n3")
+			for i := range view.Runners {
+				if view.Runners[i].Address == r.runners.attempts[0].CopyTo {
+					view.Runners[i].Models = nil
+				}
+			}
+			r.adoptView(view)
+			return errReset
+		}
+		_, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"no_copy": 1})
+	})
+}
+
+// If the standby is lost with the stream, its content may have crashed both, and is not carried to a third
+// runner; losses that say nothing about the request are continued once more.
+func TestRunnerAndStandbyAreLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		first    func() (*Answer, error)
+		outcomes map[string]float64
+	}{
+		"both reset":                         {func() (*Answer, error) { return nil, errReset }, map[string]float64{"failed": 1, "suspected": 1}},
+		"the first only answered with a 500": {failed, map[string]float64{"failed": 1, "served": 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.answer = func(_ context.Context, number int, attempt *Attempt) (*Answer, error) {
+					if number > 1 {
+						return nil, nil
+					}
+					r.runners.copies[attempt.CopyTo] = attempt.Request.ID
+					return test.first()
+				}
+				r.runners.cut = cutAt(2, 4)
+				recorder, aborted := r.ask(t.Context(), copiedPath)
+				c.Assert(r.counted("continuations_total"), qt.DeepEquals, test.outcomes)
+				if test.outcomes["served"] == 1 {
+					r.checkWhole(recorder, aborted, 2)
+					c.Assert(len(r.runners.attempts), qt.Equals, 3, qt.Commentf("%s", r.runners.describe()))
+					c.Assert(r.runners.attempts[2].CopyTo, qt.Equals, "")
+					return
+				}
+				c.Assert(aborted, qt.IsTrue)
+				c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+			})
+		})
+	}
+}
+
+// A request that the leader suspects may not be sent again without its permission.
+func TestSuspectedRequestIsNotContinued(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(_ context.Context, number, event int) error {
+			if number != 1 || event != 4 {
+				return nil
+			}
+			request := r.runners.attempts[0].Request
+			r.mutex.Lock()
+			r.suspects.adopt(r.now(), &poison.List{Entries: []poison.Entry{{Digest: request.digest("")}}})
+			r.mutex.Unlock()
+			return errReset
+		}
+		_, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"suspected": 1})
+	})
+}
+
+// A router that stops ends its streams; nothing is sent on behalf of a request that it gave up.
+func TestStoppingRouterDoesNotContinue(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(ctx context.Context, number, event int) error {
+			if number == 1 && event == 4 {
+				r.CancelAll()
+				<-ctx.Done()
+				return errReset
+			}
+			return nil
+		}
+		_, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+	})
+}
+
+// A copy whose later parts were lost on the link is shorter than what the caller has: the standby goes on
+// from the caller's last event.
+func TestLinkFailsWhileTheCopyIsOnItsWay(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(_ context.Context, number, event int) error {
+			if number == 1 && event == 2 {
+				r.runners.mutex.Lock()
+				r.runners.losesCopies = true
+				r.runners.mutex.Unlock()
+			}
+			return cutAt(1, 7)(nil, number, event)
+		}
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		r.checkWhole(recorder, aborted, 1)
+		c.Assert(r.runners.attempts[1].ResumeAfter, qt.Equals, int64(6))
+	})
+}
+
+// A standby has dropped a copy whose last part is older than the document says.
+func TestLateLossIsNotContinued(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		document := continuityDocument(2)
+		document.Services[1].Engine.HandleTTL = 500 * time.Millisecond
+		r.adoptDocument(document)
+		r.runners.cut = func(ctx context.Context, number, event int) error {
+			if number == 1 && event == 4 {
+				<-time.After(600 * time.Millisecond)
+				return errReset
+			}
+			return nil
+		}
+		_, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"late": 1})
+	})
+}
+
+func TestContinuationTakesARetryFromTheBudget(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.options.Retry = RetryRule{Ratio: 0.2, Window: 10 * time.Second}
+		r.runners.cut = cutAt(1, 4)
+		_, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		c.Assert(r.counted("continuations_total"), qt.DeepEquals, map[string]float64{"no_budget": 1})
+	})
+}
+
+// A caller that leaves during the continuation ends it, and the request is sent nowhere else.
+func TestCallerLeavesDuringContinuation(t *testing.T) {
+	for _, path := range []string{copiedPath, resumablePath} {
+		t.Run(path, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				r.runners.cut = func(_ context.Context, number, event int) error {
+					if number == 2 && event == 6 {
+						leave()
+					}
+					return cutAt(1, 4)(nil, number, event)
+				}
+				r.ask(ctx, path)
+				c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+				c.Assert(r.runners.active, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// An answer with a gap or with repeated events must not look complete.
+func TestContinuationWithOtherEventsIsAborted(t *testing.T) {
+	for name, first := range map[string]func(next int) int{
+		"an event is missing":  func(next int) int { return next + 1 },
+		"an event is repeated": func(next int) int { return next - 1 },
+		"from the beginning":   func(int) int { return 1 },
+	} {
+		for _, path := range []string{copiedPath, resumablePath} {
+			t.Run(name+path, func(t *testing.T) {
+				inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+					r.runners.first = first
+					r.runners.cut = cutAt(1, 4)
+					recorder, aborted := r.ask(t.Context(), path)
+					c.Assert(aborted, qt.IsTrue)
+					c.Assert(recorder.Body.String(), qt.Equals, events(1, 3))
+					c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+				})
+			})
+		}
+	}
+}
+
+// A runner that goes silent in the middle of a stream loses it to its standby even if the request may run
+// only once, but a runner that has sent no event yet is not given up.
+func TestSilentRunnerLosesCopiedStream(t *testing.T) {
+	for event, isServed := range map[int]bool{4: true, 1: false} {
+		inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+			r.runners.cut = func(ctx context.Context, number, next int) error {
+				if number == 1 && next == event {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				return nil
+			}
+			began := time.Now()
+			recorder, aborted := r.ask(t.Context(), copiedPath)
+			if isServed {
+				r.checkWhole(recorder, aborted, 1)
+				c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+				return
+			}
+			c.Assert(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+			c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+		})
+	}
+}
+
+// A refused connection is no loss: nothing was sent, so that there is nothing to continue.
+func TestUnsentStreamIsNotContinued(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.answer = func(_ context.Context, number int, _ *Attempt) (*Answer, error) {
+			if number == 1 {
+				return notSent()
+			}
+			return nil, nil
+		}
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		r.checkWhole(recorder, aborted, 2)
+		c.Assert(r.runners.attempts[1].IsContinuation, qt.IsFalse)
+		c.Assert(r.counted("continuations_total"), qt.HasLen, 0)
+	})
+}
+
+// A continuation is the same run, so that it does not use up one of the route's two attempts.
+func TestContinuationIsNoFurtherAttempt(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(_ context.Context, number, event int) error {
+			if number == 1 && event == 4 || number == 2 && event == 6 {
+				return errReset
+			}
+			return nil
+		}
+		recorder, aborted := r.ask(t.Context(), resumablePath)
+		r.checkWhole(recorder, aborted, 1)
+		c.Assert(len(r.runners.attempts), qt.Equals, 3, qt.Commentf("%s", r.runners.describe()))
+		c.Assert(r.runners.attempts[2].IsContinuation, qt.IsFalse)
+		c.Assert(r.runners.attempts[2].ResumeAfter, qt.Equals, int64(5))
+	})
+}
--- /dev/null
+++ b/request/relay/continuity_test.go
@@ -0,0 +1,263 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+const (
+	copiedEvents  = 10
+	copiedGap     = 20 * time.Millisecond
+	handleTTL     = 5 * time.Second
+	copiedPath    = "/stream-once/x"
+	resumablePath = "/stream/x"
+)
+
+var errReset = errors.New("connection reset")
+
+// copyingRunners is a Backend of runners that copy the memory of streams to each other. The attempts are
+// counted from 1. It fails the test if a request runs at two runners at once.
+type copyingRunners struct {
+	c *qt.C
+	// answer replaces the answer to an attempt unless it returns neither an answer nor an error.
+	answer func(ctx context.Context, number int, attempt *Attempt) (*Answer, error)
+	// cut returns the error with which the stream of an attempt ends in place of an event, if any.
+	cut func(ctx context.Context, number, event int) error
+	// first returns the first event of a continuation in place of the one after the caller's last.
+	first func(next int) int
+
+	mutex    sync.Mutex
+	attempts []Attempt
+	// starts counts the runs that began without a copy.
+	starts int
+	// active is the number of runs in progress.
+	active int
+	// copies maps standbys to the request IDs of which they have a copy.
+	copies map[string]string
+	// losesCopies is set if copies do not arrive, isConcurrent if several requests run at once.
+	losesCopies, isConcurrent bool
+}
+
+func (f *copyingRunners) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
+	if !attempt.MaySend() {
+		return notSent()
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.c.Check(f.active == 0 || f.isConcurrent, qt.IsTrue, qt.Commentf("a run goes on while %s gets the request", attempt.Instance))
+	f.attempts = append(f.attempts, *attempt)
+	number := len(f.attempts)
+	if f.answer != nil {
+		if answer, err := f.answer(ctx, number, attempt); answer != nil || err != nil {
+			return answer, err
+		}
+	}
+	next := int(attempt.ResumeAfter) + 1
+	if attempt.ResumeAfter == NoEvent {
+		next = 1
+	}
+	if attempt.IsContinuation {
+		if f.copies[attempt.Address] != attempt.Request.ID {
+			return shed()
+		}
+		if f.first != nil {
+			next = f.first(next)
+		}
+	} else {
+		f.starts++
+	}
+	f.active++
+	answer, _ := stream("", nil)
+	answer.Header.Set("Seal", attempt.Instance)
+	answer.Body = &copiedRun{fleet: f, ctx: ctx, number: number, next: next, copyTo: attempt.CopyTo, id: attempt.Request.ID}
+	return answer, nil
+}
+
+// copiedRun is the body of a run. Its memory is at the standby from its first event on.
+type copiedRun struct {
+	fleet        *copyingRunners
+	ctx          context.Context
+	number, next int
+	copyTo, id   string
+	isClosed     bool
+}
+
+func (b *copiedRun) Read(buffer []byte) (int, error) {
+	select {
+	case <-time.After(copiedGap):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	if b.fleet.cut != nil {
+		if err := b.fleet.cut(b.ctx, b.number, b.next); err != nil {
+			return 0, err
+		}
+	}
+	if b.next > copiedEvents {
+		return 0, io.EOF
+	}
+	b.fleet.mutex.Lock()
+	defer b.fleet.mutex.Unlock()
+	if b.copyTo != "" && !b.fleet.losesCopies {
+		b.fleet.copies[b.copyTo] = b.id
+	}
+	b.next++
+	return copy(buffer, events(b.next-1, b.next-1)), nil
+}
+
+func (b *copiedRun) Close() error {
+	b.fleet.mutex.Lock()
+	defer b.fleet.mutex.Unlock()
+	if !b.isClosed {
+		b.isClosed = true
+		b.fleet.active--
+	}
+	return nil
+}
+
+// cutAt ends the stream of an attempt before an event.
+func cutAt(number, event int) func(context.Context, int, int) error {
+	return func(_ context.Context, at, next int) error {
+		if at == number && next == event {
+			return errReset
+		}
+		return nil
+	}
+}
+
+// continuityRouter is a router whose engine runners copy streams, with the metrics that it counts.
+type continuityRouter struct {
+	*Router
+	runners  *copyingRunners
+	registry *prometheus.Registry
+}
+
+func continuityDocument(version uint64) *site.Document {
+	document := testDocument()
+	document.Version = version
+	engine := document.Services[1].Engine
+	engine.Backups, engine.TokenBytes, engine.LinkMbps, engine.HandleTTL = true, 163840, 100_000, handleTTL
+	return document
+}
+
+// continuityView lists one runner of the engine service in each zone.
+func continuityView(zones ...string) fleet.View {
+	view := fleet.View{Complete: true}
+	for _, zone := range zones {
+		view.Runners = append(view.Runners, fleet.Runner{
+			Instance: "e-" + zone, Service: "engine", Address: "at-" + zone, Zone: zone, Slots: 8, Models: []fleet.LoadedModel{{Name: "m"}},
+		})
+	}
+	return view
+}
+
+// newContinuityRouter returns a router over runners in the zones n1, n2 and n3 of one region.
+func newContinuityRouter(c *qt.C) *continuityRouter {
+	c.Helper()
+	runners := &copyingRunners{c: c, copies: make(map[string]string)}
+	registry := prometheus.NewRegistry()
+	router := New(Options{
+		Logger: log.NewNopLogger(), Name: "router", Seeds: func() []string { return nil }, Backend: runners, Metrics: registry,
+		Retry:   RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
+		Regions: map[structs.ZoneID]string{"n1": "north", "n2": "north", "n3": "north", "s1": "south"},
+	})
+	router.routerCount = routerCount{routers: 1, at: time.Now()}
+	router.adoptDocument(continuityDocument(1))
+	router.adoptView(continuityView("n1", "n2", "n3"))
+	return &continuityRouter{Router: router, runners: runners, registry: registry}
+}
+
+// askSized sends a request of the given size.
+func (r *continuityRouter) askSized(ctx context.Context, path string, size Size) (recorder *httptest.ResponseRecorder, aborted bool) {
+	return r.askRequest(ctx, path, "id", size)
+}
+
+// askNamed sends a short request with the given ID.
+func (r *continuityRouter) askNamed(ctx context.Context, id string) {
+	r.askRequest(ctx, copiedPath, id, Size{Tokens: 200, Prompt: 100, Answer: 100})
+}
+
+func (r *continuityRouter) askRequest(ctx context.Context, path, id string, size Size) (recorder *httptest.ResponseRecorder, aborted bool) {
+	recorder = httptest.NewRecorder()
+	defer func() {
+		if problem := recover(); problem != nil {
+			if problem != http.ErrAbortHandler {
+				panic(problem)
+			}
+			aborted = true
+		}
+	}()
+	r.Serve(recorder, &Request{
+		HTTP: httptest.NewRequest(http.MethodPost, "http://h"+path, nil).WithContext(ctx), ID: id, Arrived: time.Now(),
+		Wait: 9 * time.Second, Model: "m", ResumeAfter: NoEvent, Size: size,
+	})
+	return recorder, false
+}
+
+// ask sends a short request that is copied on a calm day.
+func (r *continuityRouter) ask(ctx context.Context, path string) (recorder *httptest.ResponseRecorder, aborted bool) {
+	return r.askSized(ctx, path, Size{Tokens: 200, Prompt: 100, Answer: 100})
+}
+
+// counted returns the counts of a metric by the value of its only label.
+func (r *continuityRouter) counted(name string) map[string]float64 {
+	found := make(map[string]float64)
+	families, err := r.registry.Gather()
+	r.runners.c.Assert(err, qt.IsNil)
+	for _, family := range families {
+		if family.GetName() != "lotusferry_router_"+name {
+			continue
+		}
+		for _, each := range family.GetMetric() {
+			found[each.GetLabel()[0].GetValue()] = each.GetCounter().GetValue()
+		}
+	}
+	return found
+}
+
+// checkWhole checks that the answer is complete, with the head of the runner that sent it.
+func (r *continuityRouter) checkWhole(recorder *httptest.ResponseRecorder, aborted bool, headOf int) {
+	c := r.runners.c
+	c.Helper()
+	c.Assert(aborted, qt.IsFalse)
+	c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+	c.Assert(recorder.Body.String(), qt.Equals, events(1, copiedEvents))
+	c.Assert(recorder.Header().Get("Seal"), qt.Equals, r.runners.attempts[headOf-1].Instance)
+}
+
+// checkIdle checks that no run goes on and that all attempts and copies were released.
+func (r *continuityRouter) checkIdle() {
+	c := r.runners.c
+	c.Helper()
+	c.Assert(r.runners.active, qt.Equals, 0)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for row, state := range r.rows {
+		c.Check(state.active, qt.HasLen, 0, qt.Commentf("%v", row))
+	}
+	c.Check(r.copies.owners, qt.HasLen, 0)
+}
+
+// describe lists the attempts for messages of failed checks.
+func (f *copyingRunners) describe() string {
+	text := ""
+	for _, each := range f.attempts {
+		text += fmt.Sprintf("%s copy=%s continued=%t after=%d; ", each.Instance, each.CopyTo, each.IsContinuation, each.ResumeAfter)
+	}
+	return text
+}
--- /dev/null
+++ b/request/relay/copies.go
@@ -0,0 +1,214 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/standby"
+	"github.com/lotusferry/lotusferry/structs"
+)
+
+// defaultHandleTTL is how long a standby is assumed to keep the copy of a lost stream if the document
+// does not say so.
+const defaultHandleTTL = 5 * time.Second
+
+// copies is the state of the copies of streams at their standbys. It is guarded by Router.mutex.
+type copies struct {
+	traffic *standby.Traffic
+	// losses are the recent losses of streams by service.
+	losses map[string]*standby.Losses
+	// brokenAt is when a connection to a runner broke last.
+	brokenAt map[structs.RunnerID]time.Time
+	// owners are the requests with a copy by their IDs. Runners identify copies by these IDs, which
+	// callers choose, so another request with the same ID is not copied.
+	owners map[string]copyOwner
+}
+
+// copyOwner is a request and the number of its copies.
+type copyOwner struct {
+	request *Request
+	copies  int
+}
+
+// mayOwn reports whether a copy of the request would be the only one with its ID.
+func (c *copies) mayOwn(request *Request) bool {
+	owner, isKnown := c.owners[request.ID]
+	return request.ID != "" && (!isKnown || owner.request == request)
+}
+
+// addOwned adds a number to the copies of the request.
+func (c *copies) addOwned(request *Request, number int) {
+	owner := copyOwner{request: request, copies: c.owners[request.ID].copies + number}
+	if owner.copies > 0 {
+		c.owners[request.ID] = owner
+	} else {
+		delete(c.owners, request.ID)
+	}
+}
+
+func newCopies() copies {
+	return copies{
+		traffic: standby.NewTraffic(), losses: make(map[string]*standby.Losses),
+		brokenAt: make(map[structs.RunnerID]time.Time), owners: make(map[string]copyOwner),
+	}
+}
+
+// lossesOf returns the losses of a service.
+func (c *copies) lossesOf(service string) *standby.Losses {
+	known := c.losses[service]
+	if known == nil {
+		known = &standby.Losses{}
+		c.losses[service] = known
+	}
+	return known
+}
+
+// streamCopy is the copy of a stream's memory at its standby. isEnded is guarded by Router.mutex.
+type streamCopy struct {
+	standby routing.Choice
+	request *Request
+	isEnded bool
+}
+
+// address returns the address of the standby; empty for no copy.
+func (c *streamCopy) address() string {
+	if c == nil {
+		return ""
+	}
+	return c.standby.Address()
+}
+
+// Decisions on copies, for metrics.
+const (
+	copyMade      = "copied"
+	copyTooDear   = "too_dear"
+	copyNoStandby = "no_standby"
+	copyAtLimit   = "at_limit"
+	copyOff       = "off"
+)
+
+// beginCopy decides whether the memory of the stream is copied while it runs at the chosen runner, and
+// records that the stream is sent.
+func (x *exchange) beginCopy(choice routing.Choice) {
+	if x.route.Kind != site.KindStream || x.row.Model == "" {
+		x.handover.End()
+		return
+	}
+	r := x.router
+	r.mutex.Lock()
+	now := r.now()
+	r.copies.lossesOf(x.row.Service).Sent(now)
+	made, decision := r.newCopy(now, x, choice.Runner())
+	x.copied = made
+	r.mutex.Unlock()
+	r.metrics.copies.WithLabelValues(decision).Inc()
+	var next *standby.Copy
+	if made != nil {
+		r.metrics.copiedBytes.Add(x.copyBytes())
+		next = &standby.Copy{Runner: made.standby.Runner(), TTL: x.engine.HandleTTL}
+	}
+	if x.isContinuing {
+		x.handover.Continued(next)
+		return
+	}
+	x.handover.Sent(next)
+}
+
+// newCopy begins a copy, or returns nil and the reason why there is none. The caller must hold
+// r.mutex.
+func (r *Router) newCopy(now time.Time, x *exchange, runner structs.RunnerID) (*streamCopy, string) {
+	size := standby.Size{Prompt: x.request.Size.Prompt, Answer: x.request.Size.Answer}
+	isOn := x.engine != nil && x.engine.Backups && x.engine.TokenBytes > 0 && x.engine.LinkMbps > 0
+	if !isOn || !size.IsKnown() || !r.copies.mayOwn(x.request) || !x.mayCopyAgain() {
+		return nil, copyOff
+	}
+	risk := standby.Risk(r.signsOf(now, runner), r.copies.lossesOf(x.row.Service).Rate(now))
+	if !standby.IsWorthCopying(risk, size, x.route.Resumable) {
+		return nil, copyTooDear
+	}
+	share := standby.Share(x.engine.LinkMbps, r.routerCount.routers)
+	wanted := routing.StandbyWork{Primary: runner, Former: x.lostAt, MayTake: func(id structs.RunnerID) bool {
+		return r.copies.traffic.MayBegin(now, id, share)
+	}}
+	if x.regions != nil {
+		wanted.Zones = x.regions.zones
+	}
+	chosen, found := r.pickStandby(x.row, &wanted)
+	switch found {
+	case routing.StandbyNone:
+		return nil, copyNoStandby
+	case routing.StandbyAtLimit:
+		return nil, copyAtLimit
+	}
+	r.copies.traffic.Begin(now, chosen.Runner(), share, x.copyBytes())
+	chosen.CopyBegan()
+	r.copies.addOwned(x.request, 1)
+	return &streamCopy{standby: chosen, request: x.request}, copyMade
+}
+
+// mayCopyAgain reports whether a copy of the run that begins could be continued: a continuation has used
+// up one of those allowed.
+func (x *exchange) mayCopyAgain() bool {
+	return x.handover.MayCopy() && !(x.isContinuing && x.handover.IsContinued())
+}
+
+// copyBytes estimates the bytes of a complete copy of the stream.
+func (x *exchange) copyBytes() float64 {
+	return float64(x.request.Size.Prompt+x.request.Size.Answer) * float64(x.engine.TokenBytes)
+}
+
+// signsOf returns what makes a runner doubtful. The caller must hold r.mutex.
+func (r *Router) signsOf(now time.Time, id structs.RunnerID) standby.Signs {
+	signs := standby.Signs{IsLeaving: r.notices.book.IsLeaving(string(id))}
+	if at, isKnown := r.copies.brokenAt[id]; isKnown {
+		signs.IsBroken = now.Sub(at) < standby.BrokenTTL
+	}
+	if runner := r.fleet.Runner(string(id)); runner != nil {
+		signs.IsFailing, signs.IsCold = runner.Failing, runner.Cold
+		signs.IsLeaving = signs.IsLeaving || runner.Leaving
+	}
+	return signs
+}
+
+// noteStreamEnd records what the end of an attempt says about the risk of losses, and ends the copy: at
+// once if the run has ended well or has not begun, otherwise when the standby drops it.
+func (x *exchange) noteStreamEnd(runner structs.RunnerID, ended result) {
+	r := x.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if ended.isLoss() {
+		if _, isCandidate := r.candidates.runners[string(runner)]; isCandidate && ended.reason != reasonRunnerFailed {
+			r.copies.brokenAt[runner] = r.now()
+		}
+		if x.route.Kind == site.KindStream && x.row.Model != "" {
+			r.copies.lossesOf(x.row.Service).Lost(r.now())
+		}
+	}
+	copied := x.copied
+	switch {
+	case copied == nil:
+	case ended.isServed() || ended.isNotRun:
+		r.endCopy(copied)
+	default:
+		keep := x.engine.HandleTTL
+		if keep <= 0 {
+			keep = defaultHandleTTL
+		}
+		time.AfterFunc(keep, func() {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			r.endCopy(copied)
+		})
+	}
+}
+
+// endCopy records that a copy no longer takes memory at its standby. The caller must hold r.mutex.
+func (r *Router) endCopy(copied *streamCopy) {
+	if copied.isEnded {
+		return
+	}
+	copied.isEnded = true
+	copied.standby.CopyEnded()
+	r.copies.addOwned(copied.request, -1)
+}
--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -45,3 +45,13 @@
 	}
 	return 0, false
 }
+
+// isComment reports whether all lines of an event are comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if text := bytes.TrimSpace(line); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -9,6 +9,8 @@
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/standby"
 	"github.com/lotusferry/lotusferry/request/waiting"
 	"github.com/lotusferry/lotusferry/structs"
 )
@@ -94,6 +96,15 @@
 	startedAt time.Time
 	// timing records the timing of a streamed response.
 	timing streamTiming
+	// engine describes the runners of the service; nil if they load no models.
+	engine *site.Engine
+	// handover is the state of a stream whose memory is copied, copied the copy of the run in progress;
+	// nil for none. isContinuing is set during a continuation. lostAt lists the runners with which runs
+	// of the stream were lost.
+	handover     standby.Handover
+	copied       *streamCopy
+	isContinuing bool
+	lostAt       []structs.RunnerID
 }
 
 // Serve handles a request. It panics with http.ErrAbortHandler if a response that has started
@@ -134,6 +145,7 @@
 	}
 	service := index.Service(x.row.Service)
 	if service.Engine != nil {
+		x.engine = service.Engine
 		x.row.Model, x.row.Adapter = request.Model, request.Adapter
 		x.prefixes = prefixHashes(x.row, request.Parts)
 	}
@@ -186,23 +198,17 @@
 			return
 		}
 		last = x.attempt(ctx, choice)
-		x.reportEnd(choice.Runner(), given.isTrial(), last)
-		x.router.metrics.attempts.WithLabelValues(last.name()).Inc()
-		x.router.release(x.row, choice, last.outcome)
-		x.router.countAttempt(choice.Runner(), last)
+		x.endAttempt(choice, given, last)
 		if last.isNotRun {
 			x.router.refundWork(x.ticket)
 		}
-		if last.isUnreachable() {
-			x.router.noteUnreachable(choice.Runner())
+		x.avoid = choice.Runner()
+		if !given.isTrial() {
+			last = x.continueStream(ctx, choice.Runner(), last)
 		}
 		if last.isDone {
-			x.count(last.name())
-			x.reportPace(last)
-			x.logServed(choice, last)
 			return
 		}
-		x.avoid = choice.Runner()
 		if !x.mayTryAgain(ctx, last) || given.isTrial() && !last.isNotRun {
 			x.conclude(last)
 			return
@@ -210,11 +216,31 @@
 	}
 }
 
+// endAttempt records the result of an attempt, and ends the request if it is done.
+func (x *exchange) endAttempt(choice routing.Choice, given permit, ended result) {
+	x.reportEnd(choice.Runner(), given.isTrial(), ended)
+	x.router.metrics.attempts.WithLabelValues(ended.name()).Inc()
+	x.router.release(x.row, choice, ended.outcome)
+	x.router.countAttempt(choice.Runner(), ended)
+	x.noteStreamEnd(choice.Runner(), ended)
+	if ended.isUnreachable() {
+		x.router.noteUnreachable(choice.Runner())
+	}
+	if ended.isDone {
+		x.count(ended.name())
+		x.reportPace(ended)
+		x.logServed(choice, ended)
+	}
+}
+
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
 	if ctx.Err() != nil || x.timeLeft() < minAttemptTime {
 		return false
 	}
+	if ended.reason == reasonNotContinuous {
+		return false
+	}
 	if ended.isNotRun {
 		return x.runnerRejections < maxRejections && x.unsent < maxUnsent
 	}
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -49,6 +49,11 @@
 	coolingRunners     prometheus.Gauge
 	cooldownsRequested prometheus.Counter
 	unwantedSent       *prometheus.CounterVec
+	// copies counts the decisions on copies of streams, copiedBytes estimates the bytes that they may
+	// have moved. continuations counts the lost streams that had a copy.
+	copies        *prometheus.CounterVec
+	copiedBytes   prometheus.Counter
+	continuations *prometheus.CounterVec
 	// named are the tenants with their own series.
 	named sync.Map
 	count atomic.Int32
@@ -100,6 +105,9 @@
 		cooldownsRequested: counter("rests_asked_total", "Times that a runner asked this router for rest, or for a longer one.").WithLabelValues(),
 		unwantedSent: counter("unwanted_sendings_total",
 			"Sendings to runners that had asked for rest, or said in an answer that they are leaving.", "runner", "repeated"),
+		copies:            counter("stream_copies_total", "Decisions on copying a stream to a standby.", "decision"),
+		copiedBytes:       counter("stream_copied_bytes_total", "Bytes that copies of streams may have moved.").WithLabelValues(),
+		continuations:     counter("continuations_total", "Lost streams that had a copy, by what followed.", "outcome"),
 		connectionsClosed: counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
 		loadsAt:           gauge("loads_timestamp_seconds", "As of when the work of other routers at the runners is known, in Unix time."),
 		leaderHeardAt:     gauge("leader_heard_timestamp_seconds", "When the leader was last heard, in Unix time."),
@@ -108,7 +116,8 @@
 		registerer.MustRegister(made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
 			made.repeats, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.tenants, made.draws,
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.lateness, made.overloaded, made.connectionsClosed, made.coldRequests,
-			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent)
+			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent,
+			made.copies, made.copiedBytes, made.continuations)
 	}
 	return made
 }
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -210,6 +210,28 @@
 	return choice, true
 }
 
+// pickStandby chooses the runner to which a stream is copied. The caller must hold r.mutex.
+func (r *Router) pickStandby(row residency.Row, wanted *routing.StandbyWork) (routing.Choice, routing.StandbyResult) {
+	return r.balancer.PickStandby(time.Now(), rowName(row), wanted)
+}
+
+// standbyAt returns the choice of the runner that holds a copy, and false if it may not be asked.
+func (r *Router) standbyAt(row residency.Row, runner structs.RunnerID) (routing.Choice, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.balancer.At(time.Now(), rowName(row), runner)
+}
+
+// countContinuation counts a continuation at its standby, where the copy becomes the memory of the
+// request.
+func (r *Router) countContinuation(row residency.Row, choice routing.Choice, copied *streamCopy) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.endCopy(copied)
+	choice.Sent(time.Now(), nil)
+	r.rowState(row).active[choice.Runner()]++
+}
+
 // setCooldown excludes a runner from selection for the time left of its cooldown, if any. The caller
 // must hold r.mutex.
 func (r *Router) setCooldown(instance string, left time.Duration) {
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -1,6 +1,10 @@
 package relay
 
-import "github.com/lotusferry/lotusferry/request/routing"
+import (
+	"net/http"
+
+	"github.com/lotusferry/lotusferry/request/routing"
+)
 
 const (
 	// reasonNoRunner means that no runner was found in time.
@@ -21,6 +25,12 @@
 	reasonRunnerFailed = "runner_failed"
 	// reasonCutShort means that the response was truncated.
 	reasonCutShort = "cut_short"
+	// reasonNoCopy means that the runner has no copy from which the stream could be continued,
+	// reasonNotResumed that the answer is not the rest of a stream, and reasonNotContinuous that its
+	// events do not follow the last one that the caller has.
+	reasonNoCopy        = "no_copy"
+	reasonNotResumed    = "not_resumed"
+	reasonNotContinuous = "not_continuous"
 )
 
 // result is the outcome of an attempt.
@@ -48,5 +58,20 @@
 	return (r.reason == reasonSendFailed || r.reason == reasonCutShort) && !r.isNotRun && !r.isDone
 }
 
+// isLoss reports whether the request was sent and its answer was lost with the runner or the
+// connection: by a reset, an early end, silence, or the runner's own failure before any event.
+func (r result) isLoss() bool {
+	if r.isDone || r.isNotRun {
+		return false
+	}
+	switch r.reason {
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonZoneLost:
+		return true
+	case reasonRunnerFailed:
+		return r.answer != nil && r.answer.status == http.StatusInternalServerError
+	}
+	return false
+}
+
 // isServed reports whether the caller received the complete response of a runner.
 func (r result) isServed() bool { return r.isDone && r.reason == "" }
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -43,6 +43,8 @@
 	rejectionLog *asynclog.Limiter
 	// suspectLog limits those about requests that may crash runners.
 	suspectLog *asynclog.Limiter
+	// continuationLog limits those about continuations.
+	continuationLog *asynclog.Limiter
 	// trialIDs numbers the requests that ask the leader for permission to run.
 	trialIDs atomic.Uint64
 	stop     stops
@@ -81,6 +83,8 @@
 	// suspects are the requests that may crash runners.
 	suspects suspects
 	zones    zones
+	// copies are the copies of streams at their standbys.
+	copies copies
 
 	overload overload
 }
@@ -128,7 +132,7 @@
 		fleet:       fleet.NewDirectory(),
 		candidates:  newCandidates(),
 		balancer: routing.New(routing.Options{
-			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, MaxBatch: defaultBatch, ReportTTL: loadTTL,
+			Daemon: structs.DaemonID(options.Name), Zone: options.Zone, Regions: options.Regions, MaxBatch: defaultBatch, ReportTTL: loadTTL,
 			BreakerFailures: 2, BreakerDelay: 500 * time.Millisecond, BreakerDelayLimit: 4 * time.Second,
 			EjectionTime: 2 * time.Second, ColdTime: newConnTime, WarmTime: idleConnTime, UseFailing: true, CostExponent: selectionCostExponent,
 		}, random),
@@ -150,7 +154,10 @@
 		notices:      newNotices(),
 		suspects:     newSuspects(),
 		zones:        newZones(options.Seed),
+		copies:       newCopies(),
 		suspectLog:   asynclog.NewLimiter(maxSuspectLogRate),
+
+		continuationLog: asynclog.NewLimiter(maxContinuationLogRate),
 	}
 }
 
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/standby"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -23,10 +24,18 @@
 		count, err := answer.Body.Read(buffer)
 		if count > 0 {
 			watchdog.noteActivity()
+			lastEvent := x.lastEvent
 			events.add(buffer[:count])
-			if failure := x.passEvents(answer, &events, controller); failure != nil {
+			failure := x.passEvents(answer, &events, controller)
+			if errors.Is(failure, errNotContinuous) {
+				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
+			}
+			if failure != nil {
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: failure}
 			}
+			if x.lastEvent != lastEvent {
+				watchdog.noteEvents()
+			}
 		}
 		switch {
 		case err == nil:
@@ -51,7 +60,11 @@
 func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
 	written := 0
 	for event := events.next(); event != nil; event = events.next() {
-		if number, found := eventID(event); found {
+		number, found := eventID(event)
+		if x.isContinuing && !x.follows(number, found, event) {
+			return errors.Join(errNotContinuous, x.flushEvents(written, controller))
+		}
+		if found {
 			if number <= x.lastEvent {
 				continue
 			}
@@ -67,9 +80,28 @@
 		}
 		written++
 	}
+	return x.flushEvents(written, controller)
+}
+
+// errNotContinuous means that the events of a continuation do not follow the last one that the caller
+// has.
+var errNotContinuous = errors.New("the events of the continuation do not follow those before")
+
+// follows reports whether an event of a continuation is the next one for the caller. Comments, which
+// keep a connection open, are no events.
+func (x *exchange) follows(number int64, hasID bool, event []byte) bool {
+	if !hasID {
+		return isComment(event)
+	}
+	return standby.Follows(x.lastEvent, number)
+}
+
+// flushEvents sends the events written so far to the caller.
+func (x *exchange) flushEvents(written int, controller *http.ResponseController) error {
 	if written == 0 {
 		return nil
 	}
+	x.handover.Passed(x.router.now())
 	x.timing.notePassed(time.Now(), written)
 	if x.timing.shouldReportGap() {
 		x.reportGap()
--- a/request/relay/streamtiming.go
+++ b/request/relay/streamtiming.go
@@ -90,7 +90,7 @@
 // newPace returns the report of the stream of an exchange that only one runner has run, and false
 // for others.
 func (x *exchange) newPace() (residency.Pace, bool) {
-	if x.route.Kind != site.KindStream || x.attempts != 1 || x.row.Model == "" {
+	if x.route.Kind != site.KindStream || x.attempts != 1 || x.handover.IsContinued() || x.row.Model == "" {
 		return residency.Pace{}, false
 	}
 	return residency.Pace{Service: x.row.Service, Model: x.row.Model, Instance: string(x.timing.runner)}, true
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -119,6 +119,17 @@
 	return false
 }
 
+// lossesOf returns the number of lost runners at which a request was in progress.
+func (s *suspects) lossesOf(digest poison.Digest) int {
+	count := 0
+	for _, each := range s.losses {
+		if each.digests[digest] {
+			count++
+		}
+	}
+	return count
+}
+
 // clear forgets the losses of a request that has completed.
 func (s *suspects) clear(digest poison.Digest) {
 	for instance, each := range s.losses {
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -97,6 +97,12 @@
 	HidesKey bool
 	// ResumeAfter is the ID of the last event that the caller has; NoEvent for none.
 	ResumeAfter int64
+	// CopyTo is the address of the runner to which the memory of the stream is copied while it runs;
+	// empty for none.
+	CopyTo string
+	// IsContinuation is set if the stream goes on from the copy of its memory at this runner, which
+	// must not run the request without that copy.
+	IsContinuation bool
 	// Begin reports whether the request may still be sent, as the runner may have requested a cooldown
 	// period or announced that it is leaving since it was chosen. After returning true once it
 	// always does. Nil means always.
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -15,13 +15,12 @@
 // errSilent is the cancellation cause of an attempt at a silent runner.
 var errSilent = errors.New("the runner sent nothing for too long")
 
-// watchdog cancels an attempt of a repeatable request whose runner is silent for too long. A runner
+// watchdog cancels an attempt of a repeatable or copied request whose runner is silent for too long. A runner
 // that sends data for other requests or has no free slot is considered busy and gets more time.
 type watchdog struct {
 	exchange *exchange
 	runner   structs.RunnerID
 	cancel   context.CancelCauseFunc
-	timer    *time.Timer
 	// isRepeated is set if the request was sent before.
 	isRepeated bool
 	// progress is one of sendPending, sendStarted and sendRecalled.
@@ -29,6 +28,10 @@
 
 	mutex sync.Mutex
 	since time.Time
+	// timer is nil while the attempt may not be cancelled.
+	timer *time.Timer
+	// isStopped is set after the attempt.
+	isStopped bool
 }
 
 // States of sending an attempt.
@@ -53,12 +56,40 @@
 
 func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, isRepeated: x.sent > 0, since: time.Now()}
-	if x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts {
-		w.timer = time.AfterFunc(x.silenceLimit(), w.check)
+	if x.mayLeaveRunner() {
+		w.start()
 	}
 	return w
 }
 
+// mayLeaveRunner reports whether another runner may be tried while the attempt that begins is in
+// progress.
+func (x *exchange) mayLeaveRunner() bool {
+	runs := x.attempts
+	if !x.isContinuing {
+		runs++
+	}
+	return x.route.MayRepeat() && runs < x.route.MaxAttempts
+}
+
+// start starts to watch for silence, unless it has begun or the attempt is over.
+func (w *watchdog) start() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.timer == nil && !w.isStopped {
+		w.timer = time.AfterFunc(w.exchange.silenceLimit(), w.check)
+	}
+}
+
+// noteEvents records that events were forwarded. From the first event on, a stream that is copied may be
+// continued elsewhere, so that it does not wait for a silent runner even if it runs only once. Before
+// that, its copy may not be complete, and the runner may need long for the prompt.
+func (w *watchdog) noteEvents() {
+	if w.exchange.handover.HasCopy() {
+		w.start()
+	}
+}
+
 // check cancels the attempt or schedules the next check.
 func (w *watchdog) check() {
 	w.mutex.Lock()
@@ -73,12 +104,19 @@
 		w.cancel(errSilent)
 		return
 	}
-	w.timer.Reset(max(time.Millisecond, limit-silent))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.isStopped {
+		w.timer.Reset(max(time.Millisecond, limit-silent))
+	}
 }
 
-// cancelZoneLost cancels a repeatable attempt because its zone is unreachable.
+// cancelZoneLost cancels an attempt that may go on elsewhere because its zone is unreachable.
 func (w *watchdog) cancelZoneLost() {
-	if w.timer != nil {
+	w.mutex.Lock()
+	mayCancel := w.timer != nil
+	w.mutex.Unlock()
+	if mayCancel {
 		w.cancel(errZoneLost)
 	}
 }
@@ -97,6 +135,9 @@
 }
 
 func (w *watchdog) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.isStopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/request/standby/handover.go
+++ b/request/standby/handover.go
@@ -28,8 +28,8 @@
 type phase uint8
 
 const (
-	// phaseUnsent: no run is in progress.
-	phaseUnsent phase = iota
+	// The zero value is a stream that has not been sent.
+	_ phase = iota
 	// phaseRunning: one run is in progress, the first or a continuation.
 	phaseRunning
 	// phaseLost: the former run's connection is closed, and the copy may be taken up once.
