fleet, domainnode, relay: the rate of lost streams over all routers

Missing: the risk with which a stream is copied knew only the losses that the router itself had seen. One router of 80 sees one in 80 of them.

Change: where an engine has backups, routers report streams sent and lost by service, at most once a second unless one was lost. A router uses the higher of both rates, the leader's for 10 s. The decaying rate moves from request/standby to placement/fleet, which both use. Processes of the version before send neither field.

Shown by: tests of the rates, of a leader's reply to another router in virtual time, and of a long prompt that is copied for the leader's rate alone.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -154,6 +154,9 @@
 	Suspects *poison.List
 	// Shares lists the tenants above their shares, over all routers.
 	Shares shares.Overuse
+	// StreamLosses are the shares of streams lost with their runners, over all routers, of the services
+	// that lose many; nil from the previous version.
+	StreamLosses map[string]float64 `msgpack:",omitempty"`
 	// Routers is the number of routers that share the leader's grants.
 	Routers int
 	// Controllers are the addresses of the group's members.
@@ -174,6 +177,8 @@
 	Paces []residency.Pace
 	// Attempts counts the outcomes of attempts at runners.
 	Attempts []fleet.Attempts
+	// Streams counts the streams sent and lost of services whose runners copy streams.
+	Streams []fleet.StreamCount `msgpack:",omitempty"`
 	// Losses lists requests in flight at runners whose connections broke.
 	Losses []poison.Report
 	// Endings lists the outcomes of trials and of requests in flight at an earlier loss.
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -83,6 +83,8 @@
 	poison *poison.Tracker
 	// failing tracks runners that fail requests.
 	failing *fleet.OutlierDetector
+	// streams are the losses of streams as routers report them.
+	streams *fleet.LossTracker
 	// lost is the set of unreachable runners.
 	lost map[string]bool
 	// loads are the loads of the last step.
@@ -150,6 +152,7 @@
 		announcer:   newAnnouncer(),
 		poison:      poison.New(),
 		failing:     fleet.NewOutlierDetector(),
+		streams:     fleet.NewLossTracker(),
 		tokens:      ratelimit.New(at),
 		cold:        make(map[string]bool),
 
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -316,6 +316,7 @@
 	reply.Revision = known
 	reply.Loads = l.loads
 	reply.Shares = l.shares.Overuse(l.now())
+	reply.StreamLosses = l.streams.Rates(l.now())
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
 		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
@@ -357,6 +358,7 @@
 		current.registry.ReportUnreachable(instance, arguments.Router)
 	}
 	current.observeAttempts(s.node.now(), arguments)
+	current.streams.Observe(s.node.now(), arguments.Streams)
 	current.observeLimits(s.node.now(), arguments)
 	current.observeNotices(s.node.now(), arguments)
 	current.planner.ObservePace(s.node.now(), arguments.Paces)
--- a/request/relay/copies.go
+++ b/request/relay/copies.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/standby"
@@ -13,11 +16,25 @@
 // does not say so.
 const defaultHandleTTL = 5 * time.Second
 
+// countInterval is the interval between reports of streams while none is lost. It keeps the reports of many
+// routers small.
+const countInterval = time.Second
+
+// leaderRateTTL is how long the leader's rates of lost streams are used: as long as losses take to be
+// forgotten.
+const leaderRateTTL = 10 * time.Second
+
 // copies is the state of the copies of streams at their standbys. It is guarded by Router.mutex.
 type copies struct {
 	traffic *standby.Traffic
-	// losses are the recent losses of streams by service.
-	losses map[string]*standby.Losses
+	// losses are the recent losses of streams by service, counts those to be reported to the leader.
+	losses map[string]*fleet.StreamLosses
+	counts map[string]*fleet.StreamCount
+	// takenAt is when counts were reported last.
+	takenAt time.Time
+	// leaderRates are the rates of lost streams over all routers as of leaderRatesAt, by service.
+	leaderRates   map[string]float64
+	leaderRatesAt time.Time
 	// brokenAt is when a connection to a runner broke last.
 	brokenAt map[structs.RunnerID]time.Time
 	// owners are the requests with a copy by their IDs. Runners identify copies by these IDs, which
@@ -49,19 +66,55 @@
 
 func newCopies() copies {
 	return copies{
-		traffic: standby.NewTraffic(), losses: make(map[string]*standby.Losses),
+		traffic: standby.NewTraffic(), losses: make(map[string]*fleet.StreamLosses),
+		counts:   make(map[string]*fleet.StreamCount),
 		brokenAt: make(map[structs.RunnerID]time.Time), owners: make(map[string]copyOwner),
 	}
 }
 
-// lossesOf returns the losses of a service.
-func (c *copies) lossesOf(service string) *standby.Losses {
-	known := c.losses[service]
-	if known == nil {
-		known = &standby.Losses{}
-		c.losses[service] = known
+// countStreams records streams of a service that were sent, or lost with their runner.
+func (c *copies) countStreams(now time.Time, service string, sent, lost int) {
+	if c.losses[service] == nil {
+		c.losses[service] = &fleet.StreamLosses{}
+	}
+	c.losses[service].Add(now, sent, lost)
+	if c.counts[service] == nil {
+		c.counts[service] = &fleet.StreamCount{Service: service}
+	}
+	c.counts[service].Sent += sent
+	c.counts[service].Lost += lost
+}
+
+// takeCounts returns the streams to be reported, sorted by service: at most once per countInterval, unless
+// one was lost.
+func (c *copies) takeCounts(now time.Time) []fleet.StreamCount {
+	isLost := false
+	for _, each := range c.counts {
+		isLost = isLost || each.Lost > 0
+	}
+	if !isLost && now.Sub(c.takenAt) < countInterval {
+		return nil
+	}
+	c.takenAt = now
+	var taken []fleet.StreamCount
+	for _, service := range slices.Sorted(maps.Keys(c.counts)) {
+		taken = append(taken, *c.counts[service])
 	}
-	return known
+	clear(c.counts)
+	return taken
+}
+
+// lossRate returns the rate of lost streams of a service: the router's own or, if it is known and higher,
+// that over all routers.
+func (c *copies) lossRate(now time.Time, service string) float64 {
+	rate := 0.0
+	if known := c.losses[service]; known != nil {
+		rate = known.Rate(now)
+	}
+	if now.Sub(c.leaderRatesAt) < leaderRateTTL {
+		rate = max(rate, c.leaderRates[service])
+	}
+	return rate
 }
 
 // streamCopy is the copy of a stream's memory at its standby. isEnded is guarded by Router.mutex.
@@ -98,7 +151,9 @@
 	r := x.router
 	r.mutex.Lock()
 	now := r.now()
-	r.copies.lossesOf(x.row.Service).Sent(now)
+	if x.countsStreams() {
+		r.copies.countStreams(now, x.row.Service, 1, 0)
+	}
 	made, decision := r.newCopy(now, x, choice.Runner())
 	x.copied = made
 	r.mutex.Unlock()
@@ -123,7 +178,7 @@
 	if !isOn || !size.IsKnown() || !r.copies.mayOwn(x.request) || !x.mayCopyAgain() {
 		return nil, copyOff
 	}
-	risk := standby.Risk(r.signsOf(now, runner), r.copies.lossesOf(x.row.Service).Rate(now))
+	risk := standby.Risk(r.signsOf(now, runner), r.copies.lossRate(now, x.row.Service))
 	if !standby.IsWorthCopying(risk, size, x.route.Resumable) {
 		return nil, copyTooDear
 	}
@@ -147,6 +202,11 @@
 	return &streamCopy{standby: chosen, request: x.request}, copyMade
 }
 
+// countsStreams reports whether losses of the request matter for copies.
+func (x *exchange) countsStreams() bool {
+	return x.route.Kind == site.KindStream && x.row.Model != "" && x.engine != nil && x.engine.Backups
+}
+
 // mayCopyAgain reports whether a copy of the run that begins could be continued: a continuation has used
 // up one of those allowed.
 func (x *exchange) mayCopyAgain() bool {
@@ -181,8 +241,8 @@
 		if _, isCandidate := r.candidates.runners[string(runner)]; isCandidate && ended.reason != reasonRunnerFailed {
 			r.copies.brokenAt[runner] = r.now()
 		}
-		if x.route.Kind == site.KindStream && x.row.Model != "" {
-			r.copies.lossesOf(x.row.Service).Lost(r.now())
+		if x.countsStreams() {
+			r.copies.countStreams(r.now(), x.row.Service, 0, 1)
 		}
 	}
 	copied := x.copied
--- a/request/relay/copies_test.go
+++ b/request/relay/copies_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
@@ -193,3 +194,19 @@
 		})
 	}
 }
+
+// The losses that all routers see must count at a router that has seen none, and its own must reach the
+// leader.
+func TestLossesOfOtherRoutersRaiseTheRisk(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.adopt(&domainapi.WatchReply{Term: 1, Routers: 1, StreamLosses: map[string]float64{"engine": 0.05}}, &domainapi.WatchArguments{}, r.now())
+		r.runners.cut = cutAt(1, 4)
+		r.askSized(t.Context(), copiedPath, longSize)
+		c.Assert(r.counted("stream_copies_total"), qt.DeepEquals, map[string]float64{copyMade: 2})
+		counts := r.copies.takeCounts(r.now())
+		c.Assert(counts, qt.DeepEquals, []fleet.StreamCount{{Service: "engine", Sent: 2, Lost: 1}})
+		c.Assert(r.copies.takeCounts(r.now()), qt.HasLen, 0)
+		<-time.After(leaderRateTTL)
+		c.Assert(r.copies.lossRate(r.now(), "engine") < 0.05, qt.IsTrue)
+	})
+}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -90,6 +90,7 @@
 	r.mutex.Lock()
 	r.routerCount = routerCount{routers: reply.Routers, at: r.now()}
 	r.leaderHold = holdOf(reply)
+	r.copies.leaderRates, r.copies.leaderRatesAt = reply.StreamLosses, r.now()
 	r.queue.SetShares(r.now(), reply.Shares)
 	if reply.Term != arguments.Term {
 		// A new leader may know none of the limits and notices yet, so all are sent again.
@@ -233,11 +234,11 @@
 	paces, attempts := r.takePaces(), r.takeAttempts()
 	r.mutex.Lock()
 	losses, endings := r.suspects.take()
-	works := r.queue.TakeWork()
+	works, streams := r.queue.TakeWork(), r.copies.takeCounts(r.now())
 	limits, said := r.runnerLimits.belief.Pending(), r.notices.book.Pending(r.now())
 	r.mutex.Unlock()
 	isIdle := len(demands) == 0 && len(doubted) == 0 && len(unreachable) == 0 && len(paces) == 0 && len(attempts) == 0 &&
-		len(losses) == 0 && len(endings) == 0 && len(works) == 0 && len(limits.Reports) == 0 && len(said.Reports) == 0
+		len(losses) == 0 && len(endings) == 0 && len(works) == 0 && len(streams) == 0 && len(limits.Reports) == 0 && len(said.Reports) == 0
 	if isIdle {
 		return false
 	}
@@ -245,7 +246,7 @@
 	defer cancel()
 	arguments := domainapi.DemandArguments{
 		Router: r.options.Name, Zone: string(r.options.Zone), Demands: demands, Doubted: doubted, Unreachable: unreachable,
-		Paces: paces, Attempts: attempts, Losses: losses, Endings: endings, Works: works, Limits: limits.Reports, Notices: said.Reports,
+		Paces: paces, Attempts: attempts, Losses: losses, Endings: endings, Works: works, Streams: streams, Limits: limits.Reports, Notices: said.Reports,
 	}
 	reply, err := leadercall.Call(ctx, r.caller, domainapi.MethodDemand, arguments,
 		func() *domainapi.DemandReply { return &domainapi.DemandReply{} })
--- a/request/standby/risk.go
+++ b/request/standby/risk.go
@@ -1,5 +1,10 @@
 package standby
 
+import "time"
+
+// BrokenTTL is how long a runner counts as doubtful after a connection to it broke.
+const BrokenTTL = 10 * time.Second
+
 const (
 	// minRisk is the assumed probability that a stream is lost with a runner of which nothing bad is
 	// known.
--- a/request/standby/standby_test.go
+++ b/request/standby/standby_test.go
@@ -73,23 +73,6 @@
 	c.Assert(share < 0.7 && share > 0.6, qt.IsTrue, qt.Commentf("%g", share))
 }
 
-func TestLossRateDecays(t *testing.T) {
-	c := qt.New(t)
-	var losses Losses
-	now := time.Unix(1000, 0)
-	c.Assert(losses.Rate(now), qt.Equals, 0.0)
-	for range 90 {
-		losses.Sent(now)
-	}
-	losses.Lost(now)
-	losses.Lost(now)
-	c.Assert(losses.Rate(now), qt.Equals, 0.02)
-	later := losses.Rate(now.Add(5 * lossWindow))
-	c.Assert(later < minRisk && later > 0, qt.IsTrue, qt.Commentf("%g", later))
-	// A clock that goes back must not raise the rate.
-	c.Assert(losses.Rate(now) <= 0.02, qt.IsTrue)
-}
-
 // A copy is much larger than a router's share of a second, so that large copies must be possible and
 // the mean must still hold.
 func TestTrafficKeepsShareOnAverage(t *testing.T) {
