routing, relay: spread the copies of one runner's streams

Seen: in some of 2,000 runs of a new test (28 streams of one router over five runners), all 3 or 4 copies of one runner's streams were at one standby.

Cause: the standby with the fewest copies of the router was chosen, whatever runner the streams of those copies were at.

Change: the copies of the same runner's streams count first, then all copies of the router. Also, the test of the bound for each standby took the split of six streams over two runners for granted, and failed in some runs; it now counts by runner.

Shown by: a test of PickStandby, and the test of the lost runner: 0 of at most 8 copied streams broken, at two standbys at least.

--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -62,7 +62,7 @@
 					if number > 1 {
 						return nil, nil
 					}
-					r.runners.copies[attempt.CopyTo] = attempt.Request.ID
+					r.runners.copies[attempt.CopyTo+"/"+attempt.Request.ID] = true
 					return answer(ctx, number, attempt)
 				}
 				recorder, aborted := r.ask(t.Context(), copiedPath)
@@ -192,7 +192,7 @@
 					if number > 1 {
 						return nil, nil
 					}
-					r.runners.copies[attempt.CopyTo] = attempt.Request.ID
+					r.runners.copies[attempt.CopyTo+"/"+attempt.Request.ID] = true
 					return test.first()
 				}
 				r.runners.cut = cutAt(2, 4)
--- a/request/relay/continuity_test.go
+++ b/request/relay/continuity_test.go
@@ -46,8 +46,8 @@
 	starts int
 	// active is the number of runs in progress.
 	active int
-	// copies maps standbys to the request IDs of which they have a copy.
-	copies map[string]string
+	// copies are the copies at standbys, as ADDRESS/ID.
+	copies map[string]bool
 	// losesCopies is set if copies do not arrive, isConcurrent if several requests run at once.
 	losesCopies, isConcurrent bool
 }
@@ -71,7 +71,7 @@
 		next = 1
 	}
 	if attempt.IsContinuation {
-		if f.copies[attempt.Address] != attempt.Request.ID {
+		if !f.copies[attempt.Address+"/"+attempt.Request.ID] {
 			return shed()
 		}
 		if f.first != nil {
@@ -113,7 +113,7 @@
 	b.fleet.mutex.Lock()
 	defer b.fleet.mutex.Unlock()
 	if b.copyTo != "" && !b.fleet.losesCopies {
-		b.fleet.copies[b.copyTo] = b.id
+		b.fleet.copies[b.copyTo+"/"+b.id] = true
 	}
 	b.next++
 	return copy(buffer, events(b.next-1, b.next-1)), nil
@@ -168,7 +168,7 @@
 // newContinuityRouter returns a router over runners in the zones n1, n2 and n3 of one region.
 func newContinuityRouter(c *qt.C) *continuityRouter {
 	c.Helper()
-	runners := &copyingRunners{c: c, copies: make(map[string]string)}
+	runners := &copyingRunners{c: c, copies: make(map[string]bool)}
 	registry := prometheus.NewRegistry()
 	router := New(Options{
 		Logger: log.NewNopLogger(), Name: "router", Seeds: func() []string { return nil }, Backend: runners, Metrics: registry,
@@ -188,8 +188,8 @@
 }
 
 // askNamed sends a short request with the given ID.
-func (r *continuityRouter) askNamed(ctx context.Context, id string) {
-	r.askRequest(ctx, copiedPath, id, Size{Tokens: 200, Prompt: 100, Answer: 100})
+func (r *continuityRouter) askNamed(ctx context.Context, id string) (recorder *httptest.ResponseRecorder, aborted bool) {
+	return r.askRequest(ctx, copiedPath, id, Size{Tokens: 200, Prompt: 100, Answer: 100})
 }
 
 func (r *continuityRouter) askRequest(ctx context.Context, path, id string, size Size) (recorder *httptest.ResponseRecorder, aborted bool) {
--- a/request/relay/copies.go
+++ b/request/relay/copies.go
@@ -120,6 +120,7 @@
 // streamCopy is the copy of a stream's memory at its standby. isEnded is guarded by Router.mutex.
 type streamCopy struct {
 	standby routing.Choice
+	primary structs.RunnerID
 	request *Request
 	isEnded bool
 }
@@ -197,9 +198,9 @@
 		return nil, copyAtLimit
 	}
 	r.copies.traffic.Begin(now, chosen.Runner(), share, x.copyBytes())
-	chosen.CopyBegan()
+	chosen.CopyBegan(runner)
 	r.copies.addOwned(x.request, 1)
-	return &streamCopy{standby: chosen, request: x.request}, copyMade
+	return &streamCopy{standby: chosen, primary: runner, request: x.request}, copyMade
 }
 
 // countsStreams reports whether losses of the request matter for copies.
@@ -269,6 +270,6 @@
 		return
 	}
 	copied.isEnded = true
-	copied.standby.CopyEnded()
+	copied.standby.CopyEnded(copied.primary)
 	r.copies.addOwned(copied.request, -1)
 }
--- a/request/relay/copies_test.go
+++ b/request/relay/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -157,7 +158,16 @@
 		for range streams {
 			<-done
 		}
-		c.Assert(r.counted("stream_copies_total"), qt.DeepEquals, map[string]float64{copyMade: 4, copyAtLimit: 2})
+		primaries, copied := make(map[string]int), make(map[string]int)
+		for _, attempt := range r.runners.attempts {
+			primaries[attempt.Instance]++
+			if attempt.CopyTo != "" {
+				copied[attempt.Instance]++
+			}
+		}
+		for instance, count := range primaries {
+			c.Check(copied[instance], qt.Equals, min(count, 2), qt.Commentf("%s of %v", instance, primaries))
+		}
 	})
 }
 
@@ -210,3 +220,56 @@
 		c.Assert(r.copies.lossRate(r.now(), "engine") < 0.05, qt.IsTrue)
 	})
 }
+
+// The goal of copies: of the streams that had begun to be copied, at most one in ten is lost with their
+// runner, and those of one runner go on at several.
+func TestLostRunnerLosesFewCopiedStreams(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		const lost, streams = "e-n1", 28
+		r.runners.isConcurrent = true
+		view := continuityView("n1", "n2", "n3")
+		for i := range view.Runners {
+			view.Runners[i].Slots = 24
+		}
+		for _, each := range continuityView("n2", "n3").Runners {
+			each.Instance, each.Address, each.Slots = each.Instance+"-b", each.Address+"-b", 24
+			view.Runners = append(view.Runners, each)
+		}
+		r.adoptView(view)
+		r.runners.cut = func(_ context.Context, number, event int) error {
+			r.runners.mutex.Lock()
+			defer r.runners.mutex.Unlock()
+			if r.runners.attempts[number-1].Instance == lost && event == 5 {
+				return errReset
+			}
+			return nil
+		}
+		whole := make(chan bool)
+		for number := range streams {
+			go func() {
+				recorder, aborted := r.askNamed(t.Context(), fmt.Sprint("stream-", number))
+				whole <- !aborted && recorder.Body.String() == events(1, copiedEvents)
+			}()
+		}
+		broken := 0
+		for range streams {
+			if !<-whole {
+				broken++
+			}
+		}
+		copied, standbys := 0, make(map[string]int)
+		for _, attempt := range r.runners.attempts {
+			if attempt.IsContinuation {
+				standbys[attempt.Instance]++
+			}
+			if attempt.Instance == lost && attempt.CopyTo != "" {
+				copied++
+			}
+		}
+		c.Assert(copied >= 2, qt.IsTrue, qt.Commentf("%d copied", copied))
+		uncopied := int(r.counted("stream_copies_total")[copyAtLimit])
+		c.Assert(broken <= uncopied+copied/10, qt.IsTrue, qt.Commentf("%d broken, %d copied, %d not", broken, copied, uncopied))
+		c.Assert(copied < 3 || len(standbys) >= 2, qt.IsTrue, qt.Commentf("%v", standbys))
+		t.Logf("%d streams copied at the lost runner, %d broken, continued at %v", copied, broken, standbys)
+	})
+}
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -34,8 +34,10 @@
 	reportedAt time.Time
 	maxBatch   int
 	// copies counts the copies of streams that this router has at the runner. They take memory there,
-	// but no slot, so they count only for the choice of a standby.
-	copies int
+	// but no slot, so they count only for the choice of a standby. copiesOf counts them by the runner of
+	// their streams; nil if there was none.
+	copies   int
+	copiesOf map[structs.RunnerID]int
 	// prefillShare is the share of its time that the runner spent on prompts, as of reportedAt.
 	prefillShare float64
 	// pace is the measured pace of the runner, with defaults where unknown.
--- a/request/routing/standby.go
+++ b/request/routing/standby.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -38,8 +39,9 @@
 // PickStandby chooses another replica of the row to which the memory of a stream at the primary is
 // copied: in another zone of the same region if there is one, otherwise in the same zone. Copies never
 // cross regions, as the links between regions are slow and expensive. Of these replicas, those with the
-// fewest copies of this router are drawn by expected cost, as routers with the same load report would
-// otherwise all choose the same one.
+// fewest copies of the primary's streams count, so that its loss does not send them all to one runner, and of
+// these those with the fewest copies of this router. One is drawn by expected cost, as routers with the same
+// load report would otherwise all choose the same one.
 func (b *Balancer) PickStandby(now time.Time, name structs.RowName, wanted *StandbyWork) (Choice, StandbyResult) {
 	current, primary := b.rows[name], b.runners[wanted.Primary]
 	if current == nil || primary == nil {
@@ -100,7 +102,7 @@
 	case !isFirstNear && isSecondNear:
 		return -1
 	}
-	return first.copies - second.copies
+	return cmp.Or(first.copiesOf[primary.info.ID]-second.copiesOf[primary.info.ID], first.copies-second.copies)
 }
 
 // drawStandby draws one of the replicas, weighted by the inverse of their expected cost.
@@ -140,9 +142,22 @@
 	return Choice{balancer: b, replica: chosen, runner: chosen.runner.info, chosenAt: now}
 }
 
-// CopyBegan records that a stream's memory is copied to the runner. Call CopyEnded once when the copy
-// no longer takes memory there.
-func (c Choice) CopyBegan() { c.replica.runner.copies++ }
+// CopyBegan records that the memory of a stream at the primary is copied to the runner. Call CopyEnded
+// once when the copy no longer takes memory there.
+func (c Choice) CopyBegan(primary structs.RunnerID) {
+	target := c.replica.runner
+	if target.copiesOf == nil {
+		target.copiesOf = make(map[structs.RunnerID]int)
+	}
+	target.copies++
+	target.copiesOf[primary]++
+}
 
 // CopyEnded undoes CopyBegan.
-func (c Choice) CopyEnded() { c.replica.runner.copies-- }
+func (c Choice) CopyEnded(primary structs.RunnerID) {
+	target := c.replica.runner
+	target.copies--
+	if target.copiesOf[primary]--; target.copiesOf[primary] <= 0 {
+		delete(target.copiesOf, primary)
+	}
+}
--- a/request/routing/standby_test.go
+++ b/request/routing/standby_test.go
@@ -75,7 +75,7 @@
 		"full with copies": func(b *Balancer) {
 			b.ObserveLoad("n2-b", structs.LoadReport{Running: 7, ObservedAt: now.Add(-time.Millisecond)})
 			choice, _ := b.At(now, "m", "n2-b")
-			choice.CopyBegan()
+			choice.CopyBegan("n1-a")
 		},
 		"broken": func(b *Balancer) {
 			choice, _ := b.At(now, "m", "n2-b")
@@ -120,14 +120,14 @@
 	for range 8 {
 		choice, result := b.PickStandby(now, "m", &StandbyWork{Primary: "n1-a"})
 		c.Assert(result, qt.Equals, StandbyFound)
-		choice.CopyBegan()
+		choice.CopyBegan("n1-a")
 		copies[choice.Runner()]++
 		last = choice
 	}
 	c.Assert(copies, qt.DeepEquals, map[structs.RunnerID]int{"n2-0": 2, "n2-1": 2, "n2-2": 2, "n2-3": 2})
 	_, result := pickStandby(b, now)
 	c.Assert(result, qt.Equals, StandbyAtLimit)
-	last.CopyEnded()
+	last.CopyEnded("n1-a")
 	found, result := pickStandby(b, now)
 	c.Assert(result, qt.Equals, StandbyFound)
 	c.Assert(found, qt.Equals, last.Runner())
@@ -135,6 +135,25 @@
 	c.Assert(result, qt.Equals, StandbyAtLimit)
 }
 
+// Copies of other runners' streams must not lead all streams of one runner to the same standby.
+func TestStreamsOfOneRunnerHaveSeveralStandbys(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newStandbyBalancer("n1-a", "n1-b", "n2-c", "n2-d")
+	b.SetBatch("n2-c", 16)
+	choice, _ := b.At(now, "m", "n2-c")
+	choice.CopyBegan("n1-b")
+	choice.CopyBegan("n1-b")
+	first, _ := pickStandby(b, now)
+	c.Assert(first, qt.Equals, structs.RunnerID("n2-d"))
+	choice, _ = b.At(now, "m", "n2-d")
+	choice.CopyBegan("n1-a")
+	for range 20 {
+		second, _ := pickStandby(b, now)
+		c.Assert(second, qt.Equals, structs.RunnerID("n2-c"))
+	}
+}
+
 // Of equal candidates, routers with the same load report must not all choose the same one, but a slow one
 // is chosen less often.
 func TestStandbyIsDrawnByExpectedCost(t *testing.T) {
