--- a/request/relay/candidates.go
+++ b/request/relay/candidates.go
@@ -126,6 +126,8 @@
 		delete(r.loads.known, instance)
 		delete(r.lastDataAt, id)
 		r.runnerLimits.forget(id)
+		r.copies.traffic.Forget(id)
+		delete(r.copies.brokenAt, id)
 	}
 	r.metrics.limitedRunners.Set(float64(r.runnerLimits.belief.Len()))
 }
