Plan with the capacity of cold runners over time

Seen: a cold runner takes the cold rate of its service, 17 requests a second for some seconds, but the planner counted it like a warm one. A model whose replicas were all cold got no further replica, and routers got no forecast for the requests that waited for it.

Cause: fleet.Status said that a runner is cold and not for how long, and the planner did not read it.

Change: Status has the rest of the cold time. The type capability holds the cold period beside the warm capacity; its capacity is the mean over the horizon. A further replica that is only needed until the replicas are warm is loaded at warm runners alone, and only if the load ends sooner. Forecasts for models at cold runners alone say when the requests that wait have been taken.

--- a/placement/domainnode/tokens.go
+++ b/placement/domainnode/tokens.go
@@ -30,7 +30,7 @@
 	for i := range statuses {
 		status := &statuses[i]
 		if l.coldRates[status.Heartbeat.Service] <= 0 {
-			status.Cold = false
+			status.Cold, status.ColdFor = false, 0
 			continue
 		}
 		heardAt := at.Add(-status.Silent)
--- a/placement/fleet/fleet_test.go
+++ b/placement/fleet/fleet_test.go
@@ -137,6 +137,9 @@
 	r.ObserveHeartbeat(start, cold)
 	c.Assert(r.Runners(start.Add(2 * time.Second))[0].Cold, qt.IsTrue)
 	c.Assert(r.Runners(start.Add(3 * time.Second))[0].Cold, qt.IsFalse)
+	for passed, left := range map[time.Duration]time.Duration{0: 3 * time.Second, time.Second: 2 * time.Second, 4 * time.Second: 0} {
+		c.Check(r.Runners(start.Add(passed))[0].ColdFor, qt.Equals, left)
+	}
 	r.ObserveHeartbeat(start.Add(time.Second), beat("a", 2))
 	c.Assert(r.Runners(start.Add(time.Second))[0].Cold, qt.IsFalse)
 }
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -216,8 +216,9 @@
 	// Drained runners are in a zone that an operator has drained. They keep running and may get
 	// requests again.
 	Drained bool
-	// Cold runners can take only few requests a second.
-	Cold bool
+	// Cold runners can take only few requests a second, for the time ColdFor; 0 if it is unknown.
+	Cold    bool
+	ColdFor time.Duration
 	// Limit is the rate limit that the runner sets, in requests per second over all routers; 0 for
 	// none.
 	Limit float64
@@ -251,6 +252,7 @@
 		silent := now.Sub(known.heardAt)
 		r.listed = append(r.listed, Status{
 			Heartbeat: known.heartbeat, Leaving: known.leaving, EndsAt: known.endsAt, Cold: now.Before(known.coldUntil),
+			ColdFor:  max(0, known.coldUntil.Sub(now)),
 			Recalled: known.recalled, Lost: known.suspicion.isLost(silent, silentZones[known.heartbeat.Zone]),
 			UnreachableReports: len(known.suspicion.reporters), Silent: silent,
 		})
--- a/placement/residency/burstworld_test.go
+++ b/placement/residency/burstworld_test.go
@@ -108,6 +108,8 @@
 	longest time.Duration
 	// diskFactor scales diskTime.
 	diskFactor float64
+	// isCold is set if all runners report to be cold.
+	isCold bool
 	// silent is the share of orders whose answer is lost; half of these are executed after
 	// silenceTime.
 	silent float64
@@ -274,7 +276,11 @@
 			continue
 		}
 		r.heartbeat.Models = r.report().Models
-		listed = append(listed, fleet.Status{Heartbeat: r.heartbeat})
+		status := fleet.Status{Heartbeat: r.heartbeat}
+		if w.isCold {
+			status.Cold, status.ColdFor = true, 5*time.Second
+		}
+		listed = append(listed, status)
 	}
 	return listed
 }
--- a/placement/residency/capacity.go
+++ b/placement/residency/capacity.go
@@ -73,8 +73,9 @@
 	model := p.capacityModel(seen.Service)
 	isLate := seen.Paused || seen.IsLate
 	switch {
-	case r.capacity <= 0 || r.limit > 0:
-		// The utilization of a runner with a rate limit says nothing about the capacity of others.
+	case r.capacity <= 0 || r.limit > 0 || r.isCold():
+		// The utilization of a runner with a rate limit, or of a cold one, says nothing about the
+		// capacity of others.
 	case r.servedRate >= busyUtilization*r.capacity:
 		model.seen++
 		if isLate {
@@ -206,14 +207,17 @@
 	return p.capacityAt(service, slowness) / min(1, p.capacityModel(service).scale)
 }
 
-// capability holds the rates that one runner serves, computed once for each plan.
+// capability holds the rates that one runner serves over time, computed once for each plan.
 type capability struct {
-	// capacity is the rate that the runner serves in time, in requests per second, and
-	// typicalCapacity that of a typical runner of its service; maxRate is the rate it serves if
-	// requests may be late.
+	// capacity is the mean rate that the runner serves in time within the horizon, in requests per
+	// second, and typicalCapacity that of a typical runner of its service; maxRate is the rate it
+	// serves if requests may be late.
 	capacity        float64
 	typicalCapacity float64
 	maxRate         float64
+	// warmCapacity is the capacity after the cold period, and capacity if there is none.
+	warmCapacity float64
+	cold         coldPeriod
 	// table gives the share of late requests by rate, corrected by scale; nil while it is unknown.
 	table *pace.Load
 	scale float64
@@ -233,20 +237,33 @@
 		// gets another one.
 		found.capacity, found.maxRate = min(found.capacity, found.limit), min(found.maxRate, found.limit)
 	}
+	found.warmCapacity = found.capacity
+	if cold := p.coldPeriodOf(r); cold.left > 0 {
+		found.applyCold(cold)
+	}
 	return found
 }
 
-// lateShare returns the share of late requests at a rate in requests per second.
+// lateShare returns the share of late requests at a rate in requests per second, over the horizon.
 func (c *capability) lateShare(rate float64) float64 {
+	late := c.warmLateShare(rate)
+	if c.isCold() && rate > c.cold.rate {
+		return c.cold.share*max(late, 1-c.cold.rate/rate) + (1-c.cold.share)*late
+	}
+	return late
+}
+
+// warmLateShare returns the share of late requests after the cold period.
+func (c *capability) warmLateShare(rate float64) float64 {
 	switch {
 	case c.limit > 0 && rate > c.limit:
 		return 1 - c.limit/rate
 	case c.table != nil:
 		return c.table.Late(rate / c.scale)
-	case rate <= c.capacity:
+	case rate <= c.warmCapacity:
 		return 0
 	}
-	return 1 - c.capacity/rate
+	return 1 - c.warmCapacity/rate
 }
 
 // assignDemand computes the expected rate of requests at each runner: the demand for a model is
@@ -255,6 +272,7 @@
 	for _, r := range p.snapshot.sorted {
 		r.capability = p.capabilityOf(r)
 		r.load = 0
+		p.snapshot.hasCold = p.snapshot.hasCold || r.isCold()
 	}
 	for row, demand := range p.snapshot.demands {
 		replicas := p.replicas(row)
@@ -268,10 +286,17 @@
 // replicas returns the runners that hold or load the model.
 func (p *Planner) replicas(row Row) []*runner { return slices.Concat(p.holders(row), p.coming(row)) }
 
-func totalCapacity(runners []*runner) float64 {
+func totalCapacity(runners []*runner) float64 { return sumOf(runners, capacityOf) }
+
+// capacityOf and warmCapacityOf return the mean capacity of a runner over the horizon, and that after
+// its cold period.
+func capacityOf(r *runner) float64     { return r.capacity }
+func warmCapacityOf(r *runner) float64 { return r.warmCapacity }
+
+func sumOf(runners []*runner, capacity func(*runner) float64) float64 {
 	total := 0.0
 	for _, r := range runners {
-		total += r.capacity
+		total += capacity(r)
 	}
 	return total
 }
@@ -284,10 +309,15 @@
 // their other load. demand is the rate of the model, shared by replicas with the given total
 // capacity.
 func (p *Planner) availableCapacity(runners []*runner, demand, total float64) float64 {
+	return availableWith(runners, demand, total, capacityOf)
+}
+
+// availableWith is availableCapacity for the given capacity of each runner.
+func availableWith(runners []*runner, demand, total float64, capacity func(*runner) float64) float64 {
 	sum := 0.0
 	for _, r := range runners {
 		others := r.load - demand*r.capacity/total
-		sum += max(r.capacity*minCapacityShare, r.capacity-others)
+		sum += max(capacity(r)*minCapacityShare, capacity(r)-others)
 	}
 	return sum
 }
--- /dev/null
+++ b/placement/residency/cold.go
@@ -0,0 +1,144 @@
+package residency
+
+import (
+	"slices"
+	"time"
+)
+
+// unknownColdTime is the assumed rest of the cold time of a runner that has not reported it: after
+// the drain of its zone has ended, until its next heartbeat.
+const unknownColdTime = 5 * time.Second
+
+// coldPeriod is the time in which a runner takes few requests; the zero value for a runner that is
+// not cold.
+type coldPeriod struct {
+	// rate is what the runner takes until it is warm, in requests per second.
+	rate float64
+	// left is the time until the runner is warm, and share its share of the horizon.
+	left  time.Duration
+	share float64
+}
+
+// isCold reports whether the runner takes few requests now.
+func (c *capability) isCold() bool { return c.cold.left > 0 }
+
+// coldPeriodOf returns the cold period of a runner; the zero value if its service has no cold rate.
+func (p *Planner) coldPeriodOf(r *runner) coldPeriod {
+	if !r.status.Cold || p.document == nil {
+		return coldPeriod{}
+	}
+	service := p.document.Service(r.status.Heartbeat.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return coldPeriod{}
+	}
+	left := r.status.ColdFor
+	if left <= 0 {
+		left = unknownColdTime
+	}
+	return coldPeriod{rate: service.ColdRate, left: left, share: min(1, left.Seconds()/p.options.Horizon.Seconds())}
+}
+
+// applyCold lowers the capacity to the mean over the horizon: the cold rate at first, and the warm
+// capacity after it.
+func (c *capability) applyCold(cold coldPeriod) {
+	cold.rate = min(cold.rate, c.warmCapacity)
+	c.cold = cold
+	c.capacity = cold.share*cold.rate + (1-cold.share)*c.warmCapacity
+	c.maxRate = cold.share*min(cold.rate, c.maxRate) + (1-cold.share)*c.maxRate
+}
+
+// rateIn returns the rate that the runner takes in time after a while, in requests per second.
+func (c *capability) rateIn(in time.Duration) float64 {
+	if in < c.cold.left {
+		return c.cold.rate
+	}
+	return c.warmCapacity
+}
+
+// coldLeft returns the time until the first of the cold runners is warm; 0 if none is cold.
+func coldLeft(runners []*runner) time.Duration {
+	var least time.Duration
+	for _, r := range runners {
+		if r.isCold() && (least == 0 || r.cold.left < least) {
+			least = r.cold.left
+		}
+	}
+	return least
+}
+
+// withoutCold returns the runners that are not cold. The given list must not be used any more.
+func withoutCold(runners []*runner) []*runner {
+	return slices.DeleteFunc(runners, func(r *runner) bool { return r.isCold() })
+}
+
+// limitToCold records which part of the overload of a model only lasts until its replicas are warm.
+func (p *Planner) limitToCold(wanted *need, overload float64) {
+	if !p.snapshot.hasCold || overload <= 0 {
+		return
+	}
+	replicas := p.replicas(wanted.row)
+	left := coldLeft(replicas)
+	if left == 0 {
+		return
+	}
+	if warm := p.overloadWith(wanted.row, replicas, warmCapacityOf); warm < overload {
+		wanted.coldLeft, wanted.warmGain = left, wanted.gain-overload+warm
+	}
+}
+
+// at returns the need as a load at the runner that takes the given time meets it. A load that ends
+// after the replicas are warm, or at a runner that is cold itself, gains only what a further
+// replica gains then. A replica for the loss of a zone and a prewarm gain nothing at a cold runner,
+// so that a zone that was given back isn't filled before its runners are warm.
+func (n *need) at(r *runner, takes time.Duration) *need {
+	if r.isCold() && !n.isWaitedFor && (n.isFromCopy || n.isPrewarm) {
+		met := *n
+		met.gain = 0
+		return &met
+	}
+	if n.coldLeft == 0 || takes < n.coldLeft && !r.isCold() {
+		return n
+	}
+	met := *n
+	met.gain = n.warmGain
+	return &met
+}
+
+// isColdBound reports whether a model in demand is held by cold runners alone.
+func (p *Planner) isColdBound(row Row) bool {
+	holders := p.holders(row)
+	isWarm := func(r *runner) bool { return !r.isCold() }
+	return len(holders) > 0 && p.modelDemand(row).rate > redundantRate && !slices.ContainsFunc(holders, isWarm)
+}
+
+// coldReadyIn returns the time until the holders of a model have taken the requests that wait for
+// it; false if one of them is not cold. A cold runner takes them at its cold rate, though the model
+// is loaded.
+func (p *Planner) coldReadyIn(row Row) (time.Duration, bool) {
+	holders := p.holders(row)
+	first := coldLeft(holders)
+	if first == 0 || slices.ContainsFunc(holders, func(r *runner) bool { return !r.isCold() }) {
+		return 0, false
+	}
+	demand, replicas := p.modelDemand(row).rate, p.replicas(row)
+	waiting, cold, warm := float64(p.snapshot.waiting[row]), 0.0, 0.0
+	for _, r := range holders {
+		cold += r.rateIn(0) * r.shareOf(demand, replicas)
+		warm += r.rateIn(first) * r.shareOf(demand, replicas)
+	}
+	if waiting <= cold*first.Seconds() {
+		return secondsOf(waiting / cold), true
+	}
+	return first + secondsOf((waiting-cold*first.Seconds())/warm), true
+}
+
+// shareOf returns the share of the runner's requests that are for a model with the given demand, at
+// least minCapacityShare.
+func (r *runner) shareOf(demand float64, replicas []*runner) float64 {
+	if r.load <= 0 {
+		return 1
+	}
+	return max(minCapacityShare, demand*r.capacity/totalCapacity(replicas)/r.load)
+}
+
+func secondsOf(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/placement/residency/coverage.go
+++ b/placement/residency/coverage.go
@@ -21,6 +21,8 @@
 	Replicas int
 	// ZoneBound is the number of models in demand that are ready in only one of several zones.
 	ZoneBound int
+	// ColdBound is the number of models in demand that are ready at cold runners alone.
+	ColdBound int
 }
 
 // Coverages returns the coverage of each service with models, as of the last snapshot.
@@ -41,6 +43,9 @@
 			if p.isZoneBound(row) {
 				found.ZoneBound++
 			}
+			if p.isColdBound(row) {
+				found.ColdBound++
+			}
 		}
 		listed = append(listed, found)
 	}
--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -25,6 +25,7 @@
 			p.readyAt[row] = now.Add(p.loadingLeft(now, row))
 		}
 	}
+	p.forecastCold(now)
 	before := &backlog{store: make(map[string]int), copies: make(map[*runner]time.Duration)}
 	free := p.storesFree(now)
 	for _, wanted := range needs {
@@ -42,6 +43,27 @@
 	}
 }
 
+// forecastCold forecasts when the requests that wait for models at cold runners alone are served, if
+// that takes longer than a load in progress elsewhere.
+func (p *Planner) forecastCold(now time.Time) {
+	if !p.snapshot.hasCold {
+		return
+	}
+	for row, waiting := range p.snapshot.waiting {
+		if waiting == 0 {
+			continue
+		}
+		in, isKnown := p.coldReadyIn(row)
+		if !isKnown {
+			continue
+		}
+		if len(p.coming(row)) > 0 {
+			in = min(in, p.loadingLeft(now, row))
+		}
+		p.readyAt[row] = now.Add(in)
+	}
+}
+
 // loadingLeft returns the remaining time of the load of the model that ends first.
 func (p *Planner) loadingLeft(now time.Time, row Row) time.Duration {
 	var quickest time.Duration = -1
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -36,6 +36,10 @@
 	zones []string
 	// obstacle is the reason why the plan did not load the model.
 	obstacle Obstacle
+	// coldLeft is the time until a cold replica is warm, from which the gain is only warmGain; 0 if
+	// it doesn't depend on cold replicas.
+	coldLeft time.Duration
+	warmGain float64
 	// spread is computed when a placement is searched; nil before.
 	spread *spread
 }
@@ -139,6 +143,7 @@
 	overload, zoneGain := p.overload(row), p.zoneGain(row)
 	if overload+zoneGain > 0 {
 		found[row] = &need{row: row, gain: overload + zoneGain, isFromCopy: overload == 0}
+		p.limitToCold(found[row], overload)
 	}
 }
 
@@ -155,15 +160,19 @@
 // for 130 requests per second comes before one with two for 30. A model in demand with a single
 // replica gets a small value, since it would be lost with its runner.
 func (p *Planner) overload(row Row) float64 {
-	replicas := p.replicas(row)
+	return p.overloadWith(row, p.replicas(row), capacityOf)
+}
+
+// overloadWith is overload for the given capacity of each replica.
+func (p *Planner) overloadWith(row Row, replicas []*runner, capacity func(*runner) float64) float64 {
 	rate := p.modelDemand(row).rate
 	if len(replicas) == 0 {
 		return 0
 	}
 	total := totalCapacity(replicas)
-	gain := max(0, rate-p.availableCapacity(replicas, rate, total))
+	gain := max(0, rate-availableWith(replicas, rate, total, capacity))
 	for _, r := range replicas {
-		gain = max(gain, r.lateRate(rate*r.capacity/total))
+		gain = max(gain, r.lateRate(rate*r.capacity/total, capacity(r)))
 	}
 	if len(replicas) == 1 && rate > redundantRate {
 		gain = max(gain, rate*redundantGain)
@@ -172,9 +181,9 @@
 }
 
 // lateRate returns the late requests per second among those for a model at an overloaded runner; 0
-// if the runner is not overloaded.
-func (r *runner) lateRate(rate float64) float64 {
-	if r.load <= r.capacity {
+// if its load doesn't exceed the capacity.
+func (r *runner) lateRate(rate, capacity float64) float64 {
+	if r.load <= capacity {
 		return 0
 	}
 	return rate * r.lateShare(r.load)
--- a/placement/residency/placement.go
+++ b/placement/residency/placement.go
@@ -137,6 +137,8 @@
 	if !mayUseStore && !r.hasCopy(row.Model) && !p.hasStoreSlot(now, r, row.Model) {
 		return placement{obstacle: ObstacleStore}
 	}
+	p.spreadOf(wanted)
+	wanted = wanted.at(r, loadTime(r, model))
 	cost, victim, isPossible := p.costOf(now, r, engine, model, wanted)
 	if !isPossible {
 		return placement{obstacle: ObstacleRoom}
--- a/placement/residency/snapshot.go
+++ b/placement/residency/snapshot.go
@@ -39,6 +39,8 @@
 	makingRoom map[Row]bool
 	// copyDemand is the number of requests per second that depend on the copies at each runner.
 	copyDemand map[*runner]float64
+	// hasCold is set if a runner is cold; see coldPeriod.
+	hasCold bool
 	// unreachable holds the gain of unreachable models; see need.isUnreachable.
 	unreachable map[Row]float64
 }
