Load the models of a drained zone elsewhere from the first plan

Seen: the models that only a drained zone held were loaded elsewhere from 2.5 s after the drain order on, when its runners took no requests any more and callers waited. When the zone was given back, its cold runners made the replicas elsewhere superfluous at once, and got replicas that only provide for the loss of a zone.

Cause: a model without a replica had no need until requests waited for it, and while its runners are drained none do. Holders were counted without regard to whether they are cold.

Change: a model in demand that only runners of drained zones hold or load is a need from the plan right after the order, with the value that its last replica has. Several loads from copies fit in the time of one from the weight store, so that such models rank higher, up to threefold. The demand log line and the metric evacuated_models count what is left to load.

The tests for a zone without a drain, or without a cold rate, show that plans stay the same.

--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -31,6 +31,7 @@
 	coverage     *prometheus.GaugeVec
 	zoneBound    *prometheus.GaugeVec
 	coldBound    *prometheus.GaugeVec
+	evacuated    *prometheus.GaugeVec
 	waitedModels *prometheus.GaugeVec
 	stepTime     prometheus.Histogram
 	earlyViews   prometheus.Counter
@@ -100,6 +101,7 @@
 		storeLimit:   gauges("store_limit", "Loads at once that the weight store is believed to serve at full speed, by service.", "service"),
 		zoneBound:    gauges("zone_bound_models", "Models in demand that are ready in one zone alone, though their service has several.", "service"),
 		coldBound:    gauges("cold_bound_models", "Models in demand that are ready at cold runners alone.", "service"),
+		evacuated:    gauges("evacuated_models", "Models in demand that only runners of drained zones hold, and that are not being loaded elsewhere.", "service"),
 		coverage:     gauges("models", "Models by service and where they are: loaded, coming, copied (on a machine's disk or in its memory only) or absent.", "service", "where"),
 		waitedModels: gauges("waited_models", "Models that requests wait for and that no runner loads yet: gathering, due or unreachable.", "turn"),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -125,7 +127,7 @@
 	if registerer != nil {
 		registerer.MustRegister(m.leads, m.leaderships, m.heartbeats, m.puts, m.departures, m.orders, m.orderTime,
 			m.reports, m.membership, m.runners, m.routers, m.waiting, m.version, m.reopened,
-			m.loadTime, m.loadExcess, m.unmet, m.storeLoads, m.storeLimit, m.coverage, m.zoneBound, m.coldBound, m.waitedModels,
+			m.loadTime, m.loadExcess, m.unmet, m.storeLoads, m.storeLimit, m.coverage, m.zoneBound, m.coldBound, m.evacuated, m.waitedModels,
 			m.stepTime, m.earlyViews, m.lost, m.losses, m.suspects, m.trials, m.failing, m.drains, m.drained, m.cold, m.limited, m.warmups,
 			m.promptRate, m.eventTime, m.capacity, m.paceError, m.speeds,
 			m.tenantShare, m.tenantWaiting, m.tenantLimit)
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -120,10 +120,11 @@
 func (l *leadership) coverages() string {
 	var listed []string
 	for _, found := range l.planner.Coverages() {
-		listed = append(listed, fmt.Sprintf("%s:%d loaded,%d coming,%d copied,%d absent,%d replicas,%d in one zone,%d at cold runners", found.Service,
-			found.Loaded, found.Coming, found.Copied, found.Absent, found.Replicas, found.ZoneBound, found.ColdBound))
+		listed = append(listed, fmt.Sprintf("%s:%d loaded,%d coming,%d copied,%d absent,%d replicas,%d in one zone,%d at cold runners,%d in drained zones", found.Service,
+			found.Loaded, found.Coming, found.Copied, found.Absent, found.Replicas, found.ZoneBound, found.ColdBound, found.Evacuated))
 		l.node.metrics.zoneBound.WithLabelValues(found.Service).Set(float64(found.ZoneBound))
 		l.node.metrics.coldBound.WithLabelValues(found.Service).Set(float64(found.ColdBound))
+		l.node.metrics.evacuated.WithLabelValues(found.Service).Set(float64(found.Evacuated))
 		for where, count := range map[string]int{
 			"loaded": found.Loaded, "coming": found.Coming, "copied": found.Copied, "absent": found.Absent,
 		} {
--- a/placement/residency/burstworld_test.go
+++ b/placement/residency/burstworld_test.go
@@ -110,6 +110,8 @@
 	diskFactor float64
 	// isCold is set if all runners report to be cold.
 	isCold bool
+	// drain is the drain of a zone; nil for none.
+	drain *burstDrain
 	// silent is the share of orders whose answer is lost; half of these are executed after
 	// silenceTime.
 	silent float64
@@ -241,6 +243,9 @@
 			w.nextView[model.Name] = append(w.nextView[model.Name], r)
 		}
 	}
+	if w.drain != nil {
+		w.drain.hide(w.now, w.nextView)
+	}
 }
 
 func (r *burstRunner) report() Report {
@@ -280,6 +285,9 @@
 		if w.isCold {
 			status.Cold, status.ColdFor = true, 5*time.Second
 		}
+		if w.drain != nil {
+			w.drain.mark(w.now, r, &status)
+		}
 		listed = append(listed, status)
 	}
 	return listed
@@ -445,6 +453,9 @@
 
 func (w *burstWorld) send(name string) bool {
 	holders := w.view[name]
+	if w.drain != nil {
+		holders = w.drain.withToken(w.now, holders)
+	}
 	if len(holders) == 0 {
 		return false
 	}
@@ -457,6 +468,9 @@
 	if len(ends) >= w.shape.slots {
 		return false
 	}
+	if w.drain != nil {
+		w.drain.takeToken(w.now, least)
+	}
 	least.models[name] = append(ends, w.now.Add(streamTime))
 	return true
 }
--- a/placement/residency/coverage.go
+++ b/placement/residency/coverage.go
@@ -23,8 +23,14 @@
 	ZoneBound int
 	// ColdBound is the number of models in demand that are ready at cold runners alone.
 	ColdBound int
+	// Evacuated is the number of models in demand that only runners of drained zones hold.
+	Evacuated int
 }
 
+// minEvacuatedRate is the demand in requests per second from which a model counts as evacuated: a
+// request in the last half minute.
+const minEvacuatedRate = 0.002
+
 // Coverages returns the coverage of each service with models, as of the last snapshot.
 func (p *Planner) Coverages() []Coverage {
 	if p.document == nil || p.snapshot == nil {
@@ -46,6 +52,9 @@
 			if p.isColdBound(row) {
 				found.ColdBound++
 			}
+			if p.isEvacuated(row) && p.modelDemand(row).rate >= minEvacuatedRate {
+				found.Evacuated++
+			}
 		}
 		listed = append(listed, found)
 	}
--- a/placement/residency/due.go
+++ b/placement/residency/due.go
@@ -62,9 +62,9 @@
 // rank returns the sort key of needs.
 func (n need) rank() float64 {
 	if n.isDue {
-		return dueWeight * n.gain
+		return dueWeight * n.weight * n.gain
 	}
-	return n.gain
+	return n.weight * n.gain
 }
 
 // WaitingModels counts the models with waiting requests that no runner loads yet. Each counts once.
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -30,6 +30,8 @@
 	// from the weight store, or the replica only protects against the loss of a zone and must not
 	// delay requests that wait for the store.
 	isFromCopy bool
+	// weight is the weight of the gain for the rank; see evacuationWeight.
+	weight float64
 	// isPrewarm is set if there is no demand for the model yet.
 	isPrewarm bool
 	// zones lists the zones in which the model is to be loaded; nil for any.
@@ -78,6 +80,7 @@
 				p.snapshot.unreachable[each.row] = each.gain
 			}
 		}
+		each.weight = p.evacuationWeight(each.row)
 		listed = append(listed, *each)
 	}
 	listed = append(listed, p.prewarmNeeds(now, listed)...)
@@ -140,6 +143,10 @@
 	if found[row] != nil {
 		return
 	}
+	if gain := p.evacuationGain(row); gain > 0 {
+		found[row] = &need{row: row, gain: gain}
+		return
+	}
 	overload, zoneGain := p.overload(row), p.zoneGain(row)
 	if overload+zoneGain > 0 {
 		found[row] = &need{row: row, gain: overload + zoneGain, isFromCopy: overload == 0}
--- a/placement/residency/prewarm.go
+++ b/placement/residency/prewarm.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		if row, found := p.nextPrewarm(now, service); found {
-			prewarms = append(prewarms, need{row: row, gain: prewarmGain, isPrewarm: true})
+			prewarms = append(prewarms, need{row: row, gain: prewarmGain, weight: 1, isPrewarm: true})
 		}
 	}
 	return prewarms
--- a/placement/residency/snapshot.go
+++ b/placement/residency/snapshot.go
@@ -39,6 +39,8 @@
 	makingRoom map[Row]bool
 	// copyDemand is the number of requests per second that depend on the copies at each runner.
 	copyDemand map[*runner]float64
+	// drained is the set of the models that runners of drained zones hold or load.
+	drained map[Row]bool
 	// hasCold is set if a runner is cold; see coldPeriod.
 	hasCold bool
 	// unreachable holds the gain of unreachable models; see need.isUnreachable.
@@ -74,6 +76,7 @@
 		makingRoom:    make(map[Row]bool),
 		zoneRates:     make(map[Row]zoneRates),
 		unreachable:   make(map[Row]float64),
+		drained:       make(map[Row]bool),
 	}
 	recent := make(map[Row]float64)
 	for row, demand := range p.demands {
@@ -109,6 +112,7 @@
 	for _, r := range t.sorted {
 		r.evictions = nil
 		t.addHoldings(r)
+		t.addDrained(r)
 		t.addRunner(r, p.mayOrder(r))
 	}
 	t.addCopyDemand()
