Serve waiting requests with different allowed zones at the same time

Seen: when callers of one region and callers of another waited for the same model, it was loaded in one region first and in the other only once that load had ended, in an order that depended on the iteration of a map.

Cause: the reports of all routers for a row were merged into one need, and the zones of the last report that had any replaced those of the others. A runner that made room for the model held up loads in other zones.

Change: reports are grouped by their zones. A group that a load for another one serves is merged into that one; others are needs of their own. Room that is being made, and copies that are awaited, count only in the zones that the need may use.

Open: a router still reports only the zones of its first waiting request for a row, and a forecast is made for each row, not for each zone.

--- a/placement/residency/allowedzones_test.go
+++ b/placement/residency/allowedzones_test.go
@@ -1,6 +1,8 @@
 package residency
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +61,47 @@
 		})
 	}
 }
+
+// Requests that wait for a model in different zones are served at the same time. Guards against
+// serving the zones of one group of callers after those of another, or twice what one load serves.
+func TestWaitingRequestsInDifferentZones(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		zones  [][]string
+		loaded []string
+	}{
+		{"different zones", [][]string{{"n"}, {"s"}}, []string{"north", "south"}},
+		{"the same zone", [][]string{{"s"}, {"s"}}, []string{"south"}},
+		{"one may use any zone", [][]string{nil, {"s"}, nil}, []string{"south"}},
+		{"one may use both zones", [][]string{{"n", "s"}, {"s"}}, []string{"south"}},
+		{"one may use both of different zones", [][]string{{"n", "s"}, {"s"}, {"n"}}, []string{"north", "south"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTwoZonesPlanner()
+			p.runners["north"].holdings = make(map[string]*holding)
+			for i, zones := range test.zones {
+				demand := Demand{Row: Row{Service: "s", Model: "b"}, Waiting: 1, Arrived: 1, Zones: zones}
+				p.Observe(start, fmt.Sprint("router", i), []Demand{demand})
+			}
+			loaded := loads(p.Plan(start), "b")
+			slices.Sort(loaded)
+			qt.Assert(t, loaded, qt.DeepEquals, test.loaded)
+			qt.Assert(t, loads(p.Plan(start), "b"), qt.HasLen, 0)
+		})
+	}
+}
+
+// While a runner of one zone makes room for a model, one of another zone loads it for callers who may
+// not use the first.
+func TestRoomIsMadeInOneZoneWhileAnotherLoads(t *testing.T) {
+	c := qt.New(t)
+	p := newTwoZonesPlanner()
+	at := start.Add(2 * time.Second)
+	waitIn(p, at, Row{Model: "b"}, []string{"n"})
+	orders := p.Plan(at)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Assert(orders[0].Operation, qt.Equals, Unload)
+	p.Answered(at, orders[0], OutcomeAccepted)
+	p.Observe(at, "other", []Demand{{Row: Row{Service: "s", Model: "b"}, Waiting: 1, Arrived: 1, Zones: []string{"s"}}})
+	c.Assert(loads(p.Plan(at), "b"), qt.DeepEquals, []string{"south"})
+}
--- a/placement/residency/demand.go
+++ b/placement/residency/demand.go
@@ -66,22 +66,20 @@
 	d.ratedAt = now
 }
 
-// waits summarizes the reports that are not older than ttl.
-func (d *rowDemand) waits(now time.Time, row Row, ttl time.Duration) waiting {
-	total := waiting{row: row, priority: math.MaxInt}
+// waits summarizes the reports that are not older than ttl, by the zones that the requests may use.
+func (d *rowDemand) waits(now time.Time, row Row, ttl time.Duration) []waiting {
+	var groups []waiting
 	for _, report := range d.reports {
 		age := now.Sub(report.at)
 		if age > ttl || report.demand.Waiting == 0 {
 			continue
 		}
-		total.count += report.demand.Waiting
-		total.oldest = max(total.oldest, report.demand.Oldest+age)
-		total.priority = min(total.priority, report.demand.Priority)
-		if report.demand.Zones != nil {
-			total.zones = report.demand.Zones
-		}
+		groups = addWaiting(groups, waiting{
+			row: row, count: report.demand.Waiting, oldest: report.demand.Oldest + age,
+			priority: report.demand.Priority, zones: report.demand.Zones,
+		})
 	}
-	return total
+	return mergeCovered(groups)
 }
 
 // prune deletes reports older than ttl.
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -48,28 +48,15 @@
 
 // needs returns the models that should be loaded, sorted by byRank.
 func (p *Planner) needs(now time.Time) []need {
-	found := make(map[Row]*need)
-	for _, wanted := range p.waits(now) {
-		row := modelOf(wanted.row)
-		isComing := isAnyIn(p.coming(row), wanted.zones)
-		if p.isServed(now, row, wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
-			continue
-		}
-		if found[row] == nil {
-			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
-		}
-		if wanted.zones != nil {
-			found[row].zones = wanted.zones
-		}
-		found[row].priority = min(found[row].priority, wanted.priority)
-		found[row].oldest = max(found[row].oldest, wanted.oldest)
-		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
-	}
+	found, others := p.waitingNeeds(now)
 	for row := range p.snapshot.demands {
 		p.addReplicaNeed(found, row)
 	}
 	var listed []need
 	for _, each := range found {
+		others = append(others, each)
+	}
+	for _, each := range others {
 		each.capacity = totalCapacity(p.replicas(each.row))
 		if each.isWaitedFor {
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
@@ -77,7 +64,7 @@
 			each.isDue = p.isDue(each)
 			each.isUnreachable = p.isUnreachable(now, each)
 			if each.isUnreachable {
-				p.snapshot.unreachable[each.row] = each.gain
+				p.snapshot.unreachable[each.row] = max(each.gain, p.snapshot.unreachable[each.row])
 			}
 		}
 		each.weight = p.evacuationWeight(each.row)
@@ -88,6 +75,33 @@
 	return listed
 }
 
+// waitingNeeds returns the needs of waiting requests: one for each model, and further ones for requests
+// for the same model that a load in the zones of the first doesn't serve.
+func (p *Planner) waitingNeeds(now time.Time) (found map[Row]*need, others []*need) {
+	found = make(map[Row]*need)
+	for _, wanted := range p.waits(now) {
+		row := modelOf(wanted.row)
+		isComing := isAnyIn(p.coming(row), wanted.zones)
+		if p.isServed(now, row, wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
+			continue
+		}
+		each := found[row]
+		if each != nil && !isWithin(each.zones, wanted.zones) && !isWithin(wanted.zones, each.zones) {
+			each = needOf(others, row, wanted.zones)
+		}
+		if each == nil {
+			each = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
+			if found[row] == nil {
+				found[row] = each
+			} else {
+				others = append(others, each)
+			}
+		}
+		each.add(wanted)
+	}
+	return found, others
+}
+
 // isAnyIn reports whether one of the runners is in one of the zones; nil stands for all zones.
 func isAnyIn(runners []*runner, zones []string) bool {
 	return slices.ContainsFunc(runners, func(r *runner) bool { return r.isIn(zones) })
@@ -100,7 +114,7 @@
 
 // byRank sorts needs by descending rank, then by priority and name.
 func byRank(a, b need) int {
-	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model), slices.Compare(a.zones, b.zones))
 }
 
 // isCopyQuicker reports whether the loads of the model in progress take longer than the horizon, and
--- a/placement/residency/placement.go
+++ b/placement/residency/placement.go
@@ -89,7 +89,7 @@
 // findPlacement returns the runner at which a load of the model has the lowest cost.
 func (p *Planner) findPlacement(now time.Time, wanted *need) placement {
 	best := placement{cost: math.Inf(1), obstacle: ObstacleBusy}
-	if p.snapshot.makingRoom[wanted.row] || len(p.snapshot.available[wanted.row.Service]) == 0 {
+	if isAnyIn(p.snapshot.makingRoom[wanted.row], wanted.zones) || len(p.snapshot.available[wanted.row.Service]) == 0 {
 		return best
 	}
 	wanted.spread = nil
--- a/placement/residency/planner.go
+++ b/placement/residency/planner.go
@@ -338,15 +338,15 @@
 	var rows []waiting
 	for row, demand := range p.demands {
 		demand.decay(now, p.options.RateTime)
-		if found := demand.waits(now, row, p.options.DemandTTL); found.count > 0 {
-			rows = append(rows, found)
+		if found := demand.waits(now, row, p.options.DemandTTL); len(found) > 0 {
+			rows = append(rows, found...)
 		} else if demand.rate < 1e-4 {
 			delete(p.demands, row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b waiting) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(b.oldest, a.oldest),
-			strings.Compare(a.row.Model, b.row.Model), strings.Compare(a.row.Adapter, b.row.Adapter))
+			strings.Compare(a.row.Model, b.row.Model), strings.Compare(a.row.Adapter, b.row.Adapter), slices.Compare(a.zones, b.zones))
 	})
 	return rows
 }
--- a/placement/residency/snapshot.go
+++ b/placement/residency/snapshot.go
@@ -27,16 +27,16 @@
 	copies    map[Row][]*runner
 	// isAvailable is the set of the runners in available.
 	isAvailable map[*runner]bool
-	// reserved is the runner that reserves memory for a model.
-	reserved map[Row]*runner
+	// reserved lists the runners that reserve memory for a model.
+	reserved map[Row][]*runner
 	// reservedSlots is the number of reserved slots of the weight stores, by service.
 	reservedSlots map[string]int
 	// zones lists the zones in which each service has runners, sorted, and zoneRates is the demand
 	// for models by zone.
 	zones     map[string][]string
 	zoneRates map[Row]zoneRates
-	// makingRoom is the set of models for which a runner unloads others.
-	makingRoom map[Row]bool
+	// makingRoom lists the runners that unload others for a model.
+	makingRoom map[Row][]*runner
 	// copyDemand is the number of requests per second that depend on the copies at each runner.
 	copyDemand map[*runner]float64
 	// drained is the set of the models that runners of drained zones hold or load.
@@ -71,9 +71,9 @@
 		available:     make(map[string][]*runner),
 		copies:        make(map[Row][]*runner),
 		isAvailable:   make(map[*runner]bool),
-		reserved:      make(map[Row]*runner),
+		reserved:      make(map[Row][]*runner),
 		reservedSlots: make(map[string]int),
-		makingRoom:    make(map[Row]bool),
+		makingRoom:    make(map[Row][]*runner),
 		zoneRates:     make(map[Row]zoneRates),
 		unreachable:   make(map[Row]float64),
 		drained:       make(map[Row]bool),
@@ -173,12 +173,12 @@
 			continue
 		}
 		row := r.rowOf(r.reserved)
-		t.reserved[row] = r
+		t.reserved[row] = append(t.reserved[row], r)
 		if now.Before(r.storeSlotUntil) {
 			t.reserveSlot(row)
 		}
 		if now.Before(r.unloadBy) && !r.status.Leaving && !r.status.Drained && r.isOccupied() {
-			t.makingRoom[row] = true
+			t.makingRoom[row] = append(t.makingRoom[row], r)
 		}
 	}
 }
@@ -199,8 +199,10 @@
 			listed = append(listed, r)
 		}
 	}
-	if r := t.reserved[row]; r != nil && t.isAvailable[r] && !r.hasCopy(row.Model) {
-		listed = append(listed, r)
+	for _, r := range t.reserved[row] {
+		if t.isAvailable[r] && !r.hasCopy(row.Model) {
+			listed = append(listed, r)
+		}
 	}
 	return listed
 }
--- a/placement/residency/store.go
+++ b/placement/residency/store.go
@@ -145,7 +145,7 @@
 	}
 	left := store.Expected(model.LoadTime) - p.awaitedFor(now, wanted.row)
 	for _, r := range p.snapshot.copies[wanted.row] {
-		if p.loadsWithin(now, r, model, wanted, left) {
+		if r.isIn(wanted.zones) && p.loadsWithin(now, r, model, wanted, left) {
 			p.noteAwaited(now, wanted.row)
 			return false
 		}
