Keep replicas of models in demand in each region

Missing: the planner weighed zones and did not know regions. A model with replicas in two zones of one region got none in the other region, unless a runner there had a copy, though callers there sent 4 requests a second between regions and would lose them with the link.

It is loaded from a copy, or from the weight store while no other load uses it. Regions count in the choice of the runner and in the value of a replica. A load for which no runner is cold makes no further copies of lists of holders.

--- a/placement/residency/cold.go
+++ b/placement/residency/cold.go
@@ -66,9 +66,14 @@
 	return least
 }
 
-// withoutCold returns the runners that are not cold. The given list must not be used any more.
-func withoutCold(runners []*runner) []*runner {
-	return slices.DeleteFunc(runners, func(r *runner) bool { return r.isCold() })
+// warmHoldersExcept returns the other runners on which requests may use the model, except for cold
+// ones.
+func (p *Planner) warmHoldersExcept(r *runner, row Row) []*runner {
+	others := p.holdersExcept(r, row)
+	if !p.snapshot.hasCold {
+		return others
+	}
+	return slices.DeleteFunc(others, func(other *runner) bool { return other.isCold() })
 }
 
 // limitToCold records which part of the overload of a model only lasts until its replicas are warm.
--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -171,7 +171,7 @@
 // Cold replicas don't count, so that replicas that served for a drained zone stay until its runners
 // are warm.
 func (p *Planner) isRedundant(r *runner, row Row) bool {
-	others := withoutCold(p.holdersExcept(r, row))
+	others := p.warmHoldersExcept(r, row)
 	return len(others) > 0 && p.modelDemand(row).rate <= redundantUtilization*p.replicaCapacity(row, others)
 }
 
@@ -218,7 +218,7 @@
 	row := r.rowOf(model.Name)
 	demand := p.modelDemand(row)
 	horizon := p.options.Horizon.Seconds()
-	others := withoutCold(p.holdersExcept(r, row))
+	others := p.warmHoldersExcept(r, row)
 	if len(others) == 0 {
 		weight := 1.0
 		if demand.objective > loadTime(r, model) {
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -161,9 +161,11 @@
 		found[row] = &need{row: row, gain: gain}
 		return
 	}
-	overload, zoneGain := p.overload(row), p.zoneGain(row)
-	if overload+zoneGain > 0 {
-		found[row] = &need{row: row, gain: overload + zoneGain, isFromCopy: overload == 0}
+	overload, zoneGain, regionGain := p.overload(row), p.zoneGain(row), p.regionGain(row)
+	if gain := overload + zoneGain + regionGain; gain > 0 {
+		// A replica for a region may come from the weight store while nothing else does.
+		mayUseStore := overload > 0 || regionGain > 0 && p.isStoreIdle(row.Service)
+		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore}
 		p.limitToCold(found[row], overload)
 	}
 }
--- a/placement/residency/snapshot.go
+++ b/placement/residency/snapshot.go
@@ -35,6 +35,9 @@
 	// for models by zone.
 	zones     map[string][]string
 	zoneRates map[Row]zoneRates
+	// regions lists the regions in which each service has runners, sorted; none for a service in one
+	// region.
+	regions map[string][]string
 	// makingRoom lists the runners that unload others for a model.
 	makingRoom map[Row][]*runner
 	// copyDemand is the number of requests per second that depend on the copies at each runner.
@@ -109,6 +112,7 @@
 	}
 	p.addIdleRates(now, t)
 	t.listZones()
+	p.listRegions(t)
 	for _, r := range t.sorted {
 		r.evictions = nil
 		t.addHoldings(r)
--- a/placement/residency/zonecover.go
+++ b/placement/residency/zonecover.go
@@ -183,6 +183,7 @@
 		for i := range cover.zones {
 			found.costs = append(found.costs, zoneWeight*(best-cover.relief(i))*p.options.Horizon.Seconds())
 		}
+		p.regionCosts(row, cover, found.costs)
 	}
 	for _, each := range p.snapshot.copies[row] {
 		if zone := each.status.Heartbeat.Zone; !slices.Contains(found.copyZones, zone) {
@@ -212,7 +213,12 @@
 func (p *Planner) zoneValue(r *runner, row Row) float64 {
 	with := p.coverOf(row, p.holders(row))
 	without := p.coverOf(row, p.holdersExcept(r, row))
-	return zoneWeight * max(0, without.unserved()-with.unserved()) * p.options.Horizon.Seconds()
+	value := zoneWeight * max(0, without.unserved()-with.unserved())
+	if len(p.snapshot.regions[row.Service]) > 0 {
+		withRegions, withoutRegions := p.regionCoverOf(row, with), p.regionCoverOf(row, without)
+		value += regionWeight * max(0, withoutRegions.unserved()-withRegions.unserved())
+	}
+	return value * p.options.Horizon.Seconds()
 }
 
 // isZoneBound reports whether a model in demand is held in only one of several zones.
