--- a/placement/residency/cold.go
+++ b/placement/residency/cold.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lotusferry/lotusferry/placement/site"
 )
 
 // unknownColdTime is the assumed rest of the cold time of a runner that has not reported it: after
@@ -91,17 +93,17 @@
 	}
 }
 
-// at returns the need as a load at the runner that takes the given time meets it. A load that ends
+// at returns the need as a load of the model at the runner meets it. A load that ends
 // after the replicas are warm, or at a runner that is cold itself, gains only what a further
 // replica gains then. A replica for the loss of a zone and a prewarm gain nothing at a cold runner,
 // so that a zone that was given back isn't filled before its runners are warm.
-func (n *need) at(r *runner, takes time.Duration) *need {
+func (n *need) at(r *runner, model *site.Model) *need {
 	if r.isCold() && !n.isWaitedFor && (n.isFromCopy || n.isPrewarm) {
 		met := *n
 		met.gain = 0
 		return &met
 	}
-	if n.coldLeft == 0 || takes < n.coldLeft && !r.isCold() {
+	if n.coldLeft == 0 || !r.isCold() && loadTime(r, model) < n.coldLeft {
 		return n
 	}
 	met := *n
--- a/placement/residency/placement.go
+++ b/placement/residency/placement.go
@@ -138,7 +138,7 @@
 		return placement{obstacle: ObstacleStore}
 	}
 	p.spreadOf(wanted)
-	wanted = wanted.at(r, loadTime(r, model))
+	wanted = wanted.at(r, model)
 	cost, victim, isPossible := p.costOf(now, r, engine, model, wanted)
 	if !isPossible {
 		return placement{obstacle: ObstacleRoom}
