--- a/placement/residency/coverage.go
+++ b/placement/residency/coverage.go
@@ -21,8 +21,16 @@
 	Replicas int
 	// ZoneBound is the number of models in demand that are ready in only one of several zones.
 	ZoneBound int
+	// ColdBound is the number of models in demand that are ready at cold runners alone.
+	ColdBound int
+	// Evacuated is the number of models in demand that only runners of drained zones hold.
+	Evacuated int
 }
 
+// minEvacuatedRate is the demand in requests per second from which a model counts as evacuated: a
+// request in the last half minute.
+const minEvacuatedRate = 0.002
+
 // Coverages returns the coverage of each service with models, as of the last snapshot.
 func (p *Planner) Coverages() []Coverage {
 	if p.document == nil || p.snapshot == nil {
@@ -41,6 +49,12 @@
 			if p.isZoneBound(row) {
 				found.ZoneBound++
 			}
+			if p.isColdBound(row) {
+				found.ColdBound++
+			}
+			if p.isEvacuated(row) && p.modelDemand(row).rate >= minEvacuatedRate {
+				found.Evacuated++
+			}
 		}
 		listed = append(listed, found)
 	}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -30,40 +30,33 @@
 	// from the weight store, or the replica only protects against the loss of a zone and must not
 	// delay requests that wait for the store.
 	isFromCopy bool
+	// weight is the weight of the gain for the rank; see evacuationWeight.
+	weight float64
 	// isPrewarm is set if there is no demand for the model yet.
 	isPrewarm bool
 	// zones lists the zones in which the model is to be loaded; nil for any.
 	zones []string
 	// obstacle is the reason why the plan did not load the model.
 	obstacle Obstacle
+	// coldLeft is the time until a cold replica is warm, from which the gain is only warmGain; 0 if
+	// it doesn't depend on cold replicas.
+	coldLeft time.Duration
+	warmGain float64
 	// spread is computed when a placement is searched; nil before.
 	spread *spread
 }
 
 // needs returns the models that should be loaded, sorted by byRank.
 func (p *Planner) needs(now time.Time) []need {
-	found := make(map[Row]*need)
-	for _, wanted := range p.waits(now) {
-		row := modelOf(wanted.row)
-		isComing := isAnyIn(p.coming(row), wanted.zones)
-		if p.isServed(now, row, wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
-			continue
-		}
-		if found[row] == nil {
-			found[row] = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
-		}
-		if wanted.zones != nil {
-			found[row].zones = wanted.zones
-		}
-		found[row].priority = min(found[row].priority, wanted.priority)
-		found[row].oldest = max(found[row].oldest, wanted.oldest)
-		found[row].gain += float64(wanted.count) * (1 + wanted.oldest.Seconds()/agingTime.Seconds())
-	}
+	found, others := p.waitingNeeds(now)
 	for row := range p.snapshot.demands {
 		p.addReplicaNeed(found, row)
 	}
 	var listed []need
 	for _, each := range found {
+		others = append(others, each)
+	}
+	for _, each := range others {
 		each.capacity = totalCapacity(p.replicas(each.row))
 		if each.isWaitedFor {
 			each.gain += p.modelDemand(each.row).rate * p.options.Horizon.Seconds()
@@ -71,9 +64,10 @@
 			each.isDue = p.isDue(each)
 			each.isUnreachable = p.isUnreachable(now, each)
 			if each.isUnreachable {
-				p.snapshot.unreachable[each.row] = each.gain
+				p.snapshot.unreachable[each.row] = max(each.gain, p.snapshot.unreachable[each.row])
 			}
 		}
+		each.weight = p.evacuationWeight(each.row)
 		listed = append(listed, *each)
 	}
 	listed = append(listed, p.prewarmNeeds(now, listed)...)
@@ -81,6 +75,33 @@
 	return listed
 }
 
+// waitingNeeds returns the needs of waiting requests: one for each model, and further ones for requests
+// for the same model that a load in the zones of the first doesn't serve.
+func (p *Planner) waitingNeeds(now time.Time) (found map[Row]*need, others []*need) {
+	found = make(map[Row]*need)
+	for _, wanted := range p.waits(now) {
+		row := modelOf(wanted.row)
+		isComing := isAnyIn(p.coming(row), wanted.zones)
+		if p.isServed(now, row, wanted.zones) || isComing && !p.isCopyQuicker(now, row) {
+			continue
+		}
+		each := found[row]
+		if each != nil && !isWithin(each.zones, wanted.zones) && !isWithin(wanted.zones, each.zones) {
+			each = needOf(others, row, wanted.zones)
+		}
+		if each == nil {
+			each = &need{row: row, isWaitedFor: true, priority: wanted.priority, isFromCopy: isComing}
+			if found[row] == nil {
+				found[row] = each
+			} else {
+				others = append(others, each)
+			}
+		}
+		each.add(wanted)
+	}
+	return found, others
+}
+
 // isAnyIn reports whether one of the runners is in one of the zones; nil stands for all zones.
 func isAnyIn(runners []*runner, zones []string) bool {
 	return slices.ContainsFunc(runners, func(r *runner) bool { return r.isIn(zones) })
@@ -93,7 +114,7 @@
 
 // byRank sorts needs by descending rank, then by priority and name.
 func byRank(a, b need) int {
-	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model))
+	return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(a.priority, b.priority), strings.Compare(a.row.Model, b.row.Model), slices.Compare(a.zones, b.zones))
 }
 
 // isCopyQuicker reports whether the loads of the model in progress take longer than the horizon, and
@@ -136,9 +157,16 @@
 	if found[row] != nil {
 		return
 	}
-	overload, zoneGain := p.overload(row), p.zoneGain(row)
-	if overload+zoneGain > 0 {
-		found[row] = &need{row: row, gain: overload + zoneGain, isFromCopy: overload == 0}
+	if gain := p.evacuationGain(row); gain > 0 {
+		found[row] = &need{row: row, gain: gain}
+		return
+	}
+	overload, zoneGain, regionGain := p.overload(row), p.zoneGain(row), p.regionGain(row)
+	if gain := overload + zoneGain + regionGain; gain > 0 {
+		// A replica for a region may come from the weight store while nothing else does.
+		mayUseStore := overload > 0 || regionGain > 0 && p.isStoreIdle(row.Service)
+		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore}
+		p.limitToCold(found[row], overload)
 	}
 }
 
@@ -155,15 +183,19 @@
 // for 130 requests per second comes before one with two for 30. A model in demand with a single
 // replica gets a small value, since it would be lost with its runner.
 func (p *Planner) overload(row Row) float64 {
-	replicas := p.replicas(row)
+	return p.overloadWith(row, p.replicas(row), capacityOf)
+}
+
+// overloadWith is overload for the given capacity of each replica.
+func (p *Planner) overloadWith(row Row, replicas []*runner, capacity func(*runner) float64) float64 {
 	rate := p.modelDemand(row).rate
 	if len(replicas) == 0 {
 		return 0
 	}
 	total := totalCapacity(replicas)
-	gain := max(0, rate-p.availableCapacity(replicas, rate, total))
+	gain := max(0, rate-availableWith(replicas, rate, total, capacity))
 	for _, r := range replicas {
-		gain = max(gain, r.lateRate(rate*r.capacity/total))
+		gain = max(gain, r.lateRate(rate*r.capacity/total, capacity(r)))
 	}
 	if len(replicas) == 1 && rate > redundantRate {
 		gain = max(gain, rate*redundantGain)
@@ -172,9 +204,9 @@
 }
 
 // lateRate returns the late requests per second among those for a model at an overloaded runner; 0
-// if the runner is not overloaded.
-func (r *runner) lateRate(rate float64) float64 {
-	if r.load <= r.capacity {
+// if its load doesn't exceed the capacity.
+func (r *runner) lateRate(rate, capacity float64) float64 {
+	if r.load <= capacity {
 		return 0
 	}
 	return rate * r.lateShare(r.load)
--- a/placement/residency/placement.go
+++ b/placement/residency/placement.go
@@ -89,7 +89,7 @@
 // findPlacement returns the runner at which a load of the model has the lowest cost.
 func (p *Planner) findPlacement(now time.Time, wanted *need) placement {
 	best := placement{cost: math.Inf(1), obstacle: ObstacleBusy}
-	if p.snapshot.makingRoom[wanted.row] || len(p.snapshot.available[wanted.row.Service]) == 0 {
+	if isAnyIn(p.snapshot.makingRoom[wanted.row], wanted.zones) || len(p.snapshot.available[wanted.row.Service]) == 0 {
 		return best
 	}
 	wanted.spread = nil
@@ -137,6 +137,8 @@
 	if !mayUseStore && !r.hasCopy(row.Model) && !p.hasStoreSlot(now, r, row.Model) {
 		return placement{obstacle: ObstacleStore}
 	}
+	p.spreadOf(wanted)
+	wanted = wanted.at(r, model)
 	cost, victim, isPossible := p.costOf(now, r, engine, model, wanted)
 	if !isPossible {
 		return placement{obstacle: ObstacleRoom}
