Relayed contacts keep that a router lacks the full view

Cause: recordRelayed replaced the leader's whole contact. A relay's message that is late, or repeated during the search for a new leader, states a contact from before the router came to this leader, and its age counts from when the message was made. It cleared lacksFullView and wantsFullView, so that a router with only the changes of a takeover never got the full view, and got a list of relays.

Change: a relayed contact clears both only if it has a revision of this term, which relays give with full views only.

Shown by: TestLateRelayedContactKeepsThatFullViewIsLacking, which failed before the change.

--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -164,9 +164,13 @@
 	case isKnown && contactAt.Before(known.at):
 		return
 	}
-	l.routers[relayed.Router] = routerContact{
-		at: contactAt, revision: revision, hold: min(relayed.Hold(), domainapi.MaxHold), relay: arguments.Relay,
+	if revision > 0 {
+		// Relays give full views only. Without a revision of this term, the contact may be from before
+		// the router came to this leader.
+		known.lacksFullView, known.wantsFullView = false, false
 	}
+	known.at, known.revision, known.hold, known.relay = contactAt, revision, min(relayed.Hold(), domainapi.MaxHold), arguments.Relay
+	l.routers[relayed.Router] = known
 }
 
 func later(a, b time.Time) time.Time {
--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -96,6 +96,33 @@
 	})
 }
 
+// Guards against a contact from before a router came to a new leader, stated late by its former
+// relay, after which the leader takes the changes that the router got for the full view.
+func TestLateRelayedContactKeepsThatFullViewIsLacking(t *testing.T) {
+	inDomainWithRelay(t, func(d *testDomain, current *leadership, calls *service, question *domainapi.MirrorArguments) {
+		known := routerContact{at: current.now(), revision: 1, hold: domainapi.MaxHold, lacksFullView: true, wantsFullView: true}
+		current.mutex.Lock()
+		current.routers["router"] = known
+		current.mutex.Unlock()
+		pause.For(d.ctx, 20*time.Millisecond)
+		report := *question
+		report.IsReport = true
+		for _, test := range []struct {
+			revision uint64
+			lacks    bool
+		}{{0, true}, {1, false}} {
+			report.Routers = []domainapi.RelayedRouter{{Router: "router", Revision: test.revision, HoldMS: 500}}
+			d.c.Assert(calls.Mirror(&report, &domainapi.MirrorReply{}), qt.IsNil)
+			current.mutex.Lock()
+			known = current.routers["router"]
+			current.mutex.Unlock()
+			d.c.Assert(known.relay, qt.Equals, "relay")
+			d.c.Assert(known.lacksFullView, qt.Equals, test.lacks, qt.Commentf("revision %d", test.revision))
+			d.c.Assert(known.wantsFullView, qt.Equals, test.lacks, qt.Commentf("revision %d", test.revision))
+		}
+	})
+}
+
 func TestRelayedRoutersAreCountedOnce(t *testing.T) {
 	inDomainWithRelay(t, func(d *testDomain, current *leadership, calls *service, question *domainapi.MirrorArguments) {
 		current.recordContact("direct", 1, domainapi.MaxHold)
