Relays pause before they repeat a report to a leader of another term

Cause: a report that was answered by a leader of another term than the mirror's was taken for delivered, and the wake of the report loop after it sent the same report again at once. While a router waited to be counted, a relay and the leader exchanged reports as fast as the round trip allows, until the mirror had changed terms or was no longer current, and each woke all held watches.

Shown by: TestReportToALeaderOfAnotherTermIsRepeatedAfterAPause, which failed before the change.

--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -259,14 +259,13 @@
 	defer cancel()
 	reply, err := leadercall.Call(ctx, r.reports, domainapi.MethodMirror, message, newMirrorReply)
 	r.mutex.Lock()
-	if err == nil {
-		r.mirror.AdoptReport(asked, &message, reply)
-	} else {
+	isAdopted := err == nil && r.mirror.AdoptReport(asked, &message, reply)
+	if !isAdopted {
 		r.mirror.FailReport()
 	}
 	r.mutex.Unlock()
 	r.wakeAll()
-	return err != nil
+	return !isAdopted
 }
 
 // redirect returns the error for a router that the relay cannot answer.
--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/mirror"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -316,6 +317,32 @@
 	})
 }
 
+// Guards against a relay that repeats a report without a pause while the leader that answers it is of
+// another term than its mirror, as at a change of leaders.
+func TestReportToALeaderOfAnotherTermIsRepeatedAfterAPause(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.regions = map[string]string{"zone-0": "a", "zone-1": "b"}
+		d.bootstrapWithRunners()
+		pause.For(d.ctx, 2*time.Second)
+		current, _ := d.leadership()
+		views := fleet.NewPublisher()
+		views.Publish(fleet.View{Runners: []fleet.Runner{{Instance: "r1"}}})
+		view, err := views.EncodedSince(0)
+		d.c.Assert(err, qt.IsNil)
+		r := d.nodes[(d.awaitLeader()+1)%3].relay
+		r.mutex.Lock()
+		now := r.node.now()
+		other := mirror.New()
+		reply := &domainapi.MirrorReply{State: domainapi.WatchReply{Term: uint64(current.term) + 1, Revision: 1, View: &view}}
+		err = other.Adopt(now, now, now, &domainapi.MirrorArguments{}, reply)
+		other.Observe(now, &domainapi.WatchArguments{Router: "r"}, domainapi.MinHold)
+		r.mirror = other
+		r.mutex.Unlock()
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(r.report(d.ctx), qt.IsTrue)
+	})
+}
+
 func TestListOfRelaysHasAVersionOfItsContent(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
--- a/placement/mirror/mirror.go
+++ b/placement/mirror/mirror.go
@@ -146,13 +146,15 @@
 	return max(1, now.Sub(m.loadsAt))
 }
 
-// AdoptReport takes over the answer to a report made at the given time.
-func (m *Mirror) AdoptReport(made time.Time, report *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+// AdoptReport takes over the answer to a report made at the given time. It returns false, without a
+// change, if the leader that answered is of another term.
+func (m *Mirror) AdoptReport(made time.Time, report *domainapi.MirrorArguments, reply *domainapi.MirrorReply) bool {
 	if reply.State.Term != m.term {
-		return
+		return false
 	}
 	m.awaited = max(m.awaited, reply.Awaited)
 	m.acknowledge(made, report, reply)
+	return true
 }
 
 // CurrentUntil returns when the mirror stops being current unless the leader answers.
