--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/mirror"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -96,6 +97,33 @@
 	})
 }
 
+// Guards against a contact from before a router came to a new leader, stated late by its former
+// relay, after which the leader takes the changes that the router got for the full view.
+func TestLateRelayedContactKeepsThatFullViewIsLacking(t *testing.T) {
+	inDomainWithRelay(t, func(d *testDomain, current *leadership, calls *service, question *domainapi.MirrorArguments) {
+		known := routerContact{at: current.now(), revision: 1, hold: domainapi.MaxHold, lacksFullView: true, wantsFullView: true}
+		current.mutex.Lock()
+		current.routers["router"] = known
+		current.mutex.Unlock()
+		pause.For(d.ctx, 20*time.Millisecond)
+		report := *question
+		report.IsReport = true
+		for _, test := range []struct {
+			revision uint64
+			lacks    bool
+		}{{0, true}, {1, false}} {
+			report.Routers = []domainapi.RelayedRouter{{Router: "router", Revision: test.revision, HoldMS: 500}}
+			d.c.Assert(calls.Mirror(&report, &domainapi.MirrorReply{}), qt.IsNil)
+			current.mutex.Lock()
+			known = current.routers["router"]
+			current.mutex.Unlock()
+			d.c.Assert(known.relay, qt.Equals, "relay")
+			d.c.Assert(known.lacksFullView, qt.Equals, test.lacks, qt.Commentf("revision %d", test.revision))
+			d.c.Assert(known.wantsFullView, qt.Equals, test.lacks, qt.Commentf("revision %d", test.revision))
+		}
+	})
+}
+
 func TestRelayedRoutersAreCountedOnce(t *testing.T) {
 	inDomainWithRelay(t, func(d *testDomain, current *leadership, calls *service, question *domainapi.MirrorArguments) {
 		current.recordContact("direct", 1, domainapi.MaxHold)
@@ -289,6 +317,32 @@
 	})
 }
 
+// Guards against a relay that repeats a report without a pause while the leader that answers it is of
+// another term than its mirror, as at a change of leaders.
+func TestReportToALeaderOfAnotherTermIsRepeatedAfterAPause(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.regions = map[string]string{"zone-0": "a", "zone-1": "b"}
+		d.bootstrapWithRunners()
+		pause.For(d.ctx, 2*time.Second)
+		current, _ := d.leadership()
+		views := fleet.NewPublisher()
+		views.Publish(fleet.View{Runners: []fleet.Runner{{Instance: "r1"}}})
+		view, err := views.EncodedSince(0)
+		d.c.Assert(err, qt.IsNil)
+		r := d.nodes[(d.awaitLeader()+1)%3].relay
+		r.mutex.Lock()
+		now := r.node.now()
+		other := mirror.New()
+		reply := &domainapi.MirrorReply{State: domainapi.WatchReply{Term: uint64(current.term) + 1, Revision: 1, View: &view}}
+		err = other.Adopt(now, now, now, &domainapi.MirrorArguments{}, reply)
+		other.Observe(now, &domainapi.WatchArguments{Router: "r"}, domainapi.MinHold)
+		r.mirror = other
+		r.mutex.Unlock()
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(r.report(d.ctx), qt.IsTrue)
+	})
+}
+
 func TestListOfRelaysHasAVersionOfItsContent(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
