relay: count a caller that leaves before its continuation is sent once

Cause: if the caller left while the connection to the standby was made, the attempt ended the request as caller_left and as not run. continueStream then returned the lost run's result, so that the request was concluded a second time: counted and logged as lost, and answered 502 or aborted.

Change: such a result is returned as it is, since the request is done.

Shown by TestCallerLeavesBeforeContinuationIsSent, which failed before (the answer was aborted after it had been counted).

--- a/request/relay/continuation.go
+++ b/request/relay/continuation.go
@@ -51,7 +51,8 @@
 		x.logContinuation(from, to.Runner, lost, next, outcome, lastEvent, x.router.now().Sub(began))
 		switch outcome {
 		case continuationServed, continuationFailed:
-			if next.isNotRun {
+			// A caller that left before the continuation was sent has been counted already.
+			if next.isNotRun && !next.isDone {
 				return lost
 			}
 			from, lost = to.Runner, next
--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -397,3 +397,24 @@
 		c.Assert(r.runners.attempts[2].ResumeAfter, qt.Equals, int64(5))
 	})
 }
+
+// A request whose caller leaves while the connection for its continuation is made is counted once, as one
+// whose caller left. Concluding it as lost as well would count it twice.
+func TestCallerLeavesBeforeContinuationIsSent(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		r.runners.cut = cutAt(1, 4)
+		r.runners.answer = func(ctx context.Context, _ int, attempt *Attempt) (*Answer, error) {
+			if !attempt.IsContinuation {
+				return nil, nil
+			}
+			leave()
+			<-ctx.Done()
+			return notSent()
+		}
+		_, aborted := r.ask(ctx, copiedPath)
+		c.Assert(aborted, qt.IsFalse)
+		c.Assert(r.countedRequests(), qt.DeepEquals, map[string]float64{"caller_left": 1})
+	})
+}
--- a/request/relay/continuity_test.go
+++ b/request/relay/continuity_test.go
@@ -230,6 +230,26 @@
 	return found
 }
 
+// countedRequests returns the requests counted by outcome.
+func (r *continuityRouter) countedRequests() map[string]float64 {
+	found := make(map[string]float64)
+	families, err := r.registry.Gather()
+	r.runners.c.Assert(err, qt.IsNil)
+	for _, family := range families {
+		if family.GetName() != "lotusferry_router_requests_total" {
+			continue
+		}
+		for _, each := range family.GetMetric() {
+			for _, label := range each.GetLabel() {
+				if label.GetName() == "outcome" {
+					found[label.GetValue()] += each.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return found
+}
+
 // checkWhole checks that the answer is complete, with the head of the runner that sent it.
 func (r *continuityRouter) checkWhole(recorder *httptest.ResponseRecorder, aborted bool, headOf int) {
 	c := r.runners.c
