relay: an empty continuation is no complete answer

Cause: a continuation that ended without any event was taken as complete. A caller without an event got 200 with an empty body.

Change: it ends like one whose events do not follow, with 502 or an aborted answer. A caller that has events may still have all of them, so nothing changes there.

Shown by TestEmptyContinuationIsNotComplete, which failed before (200 in place of 502).

--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -418,3 +419,18 @@
 		c.Assert(r.countedRequests(), qt.DeepEquals, map[string]float64{"caller_left": 1})
 	})
 }
+
+// A continuation without any event must not look like a complete answer to a caller that has no event.
+func TestEmptyContinuationIsNotComplete(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.answer = func(_ context.Context, number int, _ *Attempt) (*Answer, error) {
+			if number == 1 {
+				return nil, errReset
+			}
+			return stream("", io.EOF)
+		}
+		recorder, _ := r.ask(t.Context(), copiedPath)
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+		c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+	})
+}
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -40,6 +40,9 @@
 		switch {
 		case err == nil:
 			continue
+		case errors.Is(err, io.EOF) && events.isEmpty() && x.isContinuing && x.lastEvent == NoEvent:
+			// Nothing shows that this is the caller's stream, and an empty answer would look complete.
+			return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: errNotContinuous}
 		case errors.Is(err, io.EOF) && events.isEmpty():
 			if !x.isStarted {
 				x.sendHeader(answer)
