relay: do not continue an answer that is no stream

Cause: an answer on a stream route that is no event stream is forwarded as it arrives once it exceeds 1 MB. If it was cut short, or the caller left, it counted as a lost stream. If the stream had a copy, the events of a continuation then followed in the same body, which looked complete.

Change: the handover ends before such an answer begins.

Shown by TestCutAnswerWithoutEventsIsNotContinued, which failed before (the answer was not aborted).

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -49,6 +49,8 @@
 
 // relayLarge forwards a response that exceeds maxBuffered. begun holds the bytes read so far.
 func (x *exchange) relayLarge(answer *Answer, begun []byte) result {
+	// The events of a continuation cannot follow a body that is no stream.
+	x.handover.End()
 	x.sendHeader(answer)
 	if _, err := x.writer.Write(begun); err != nil {
 		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: err}
--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -434,3 +435,24 @@
 		c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
 	})
 }
+
+// A large answer that is no stream has begun when it is cut short. The events of a continuation must not
+// follow it in the same body.
+func TestCutAnswerWithoutEventsIsNotContinued(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		text := strings.Repeat("x", maxBuffered+10)
+		r.runners.answer = func(_ context.Context, number int, attempt *Attempt) (*Answer, error) {
+			if number > 1 {
+				return nil, nil
+			}
+			r.runners.copies[attempt.CopyTo+"/"+attempt.Request.ID] = true
+			answer, err := newAnswer(http.StatusOK, "")
+			answer.Body, answer.Length = &truncatedBody{strings.NewReader(text), errReset}, -1
+			return answer, err
+		}
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(recorder.Body.String() == text, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+	})
+}
