relay: a slow caller does not make its runner silent

Cause: the watchdog counted the time in which data is written to the caller as silence of the runner. Copied streams are now watched even if they may run only once, so that a caller who did not read for 1.2 s had its healthy runner reported as unreachable and its stream continued with a retry of the budget.

Change: the time of writing is no silence. The same holds for repeatable requests, which had the fault before.

Shown by TestSlowCallerKeepsItsRunner, which failed before (two attempts in place of one).

--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -456,3 +457,33 @@
 		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
 	})
 }
+
+// slowCaller is a caller that takes its fourth event late.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (s *slowCaller) Write(event []byte) (int, error) {
+	if s.events++; s.events == 4 {
+		time.Sleep(2 * time.Second)
+	}
+	return s.ResponseRecorder.Write(event)
+}
+
+// A caller that reads slowly must not have its runner taken for silent: the runner would be reported as
+// unreachable, and a retry of the budget used up for a continuation.
+func TestSlowCallerKeepsItsRunner(t *testing.T) {
+	for _, path := range []string{copiedPath, resumablePath} {
+		inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+			caller := &slowCaller{ResponseRecorder: httptest.NewRecorder()}
+			r.Serve(caller, &Request{
+				HTTP: httptest.NewRequest(http.MethodPost, "http://h"+path, nil), ID: "id", Arrived: time.Now(),
+				Wait: 9 * time.Second, Model: "m", ResumeAfter: NoEvent, Size: Size{Tokens: 200, Prompt: 100, Answer: 100},
+			})
+			r.checkWhole(caller.ResponseRecorder, false, 1)
+			c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+			c.Assert(r.unreachable, qt.HasLen, 0)
+		})
+	}
+}
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -26,7 +26,9 @@
 			watchdog.noteActivity()
 			lastEvent := x.lastEvent
 			events.add(buffer[:count])
+			watchdog.setForwarding(true)
 			failure := x.passEvents(answer, &events, controller)
+			watchdog.setForwarding(false)
 			if errors.Is(failure, errNotContinuous) {
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
 			}
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -30,6 +30,8 @@
 	since time.Time
 	// timer is nil while the attempt may not be cancelled.
 	timer *time.Timer
+	// isForwarding is set while data is written to the caller, who may be slow.
+	isForwarding bool
 	// isStopped is set after the attempt.
 	isStopped bool
 }
@@ -93,6 +95,10 @@
 // check cancels the attempt or schedules the next check.
 func (w *watchdog) check() {
 	w.mutex.Lock()
+	if w.isForwarding {
+		// Nothing is read from the runner meanwhile.
+		w.since = time.Now()
+	}
 	since := w.since
 	w.mutex.Unlock()
 	silent := time.Since(since)
@@ -134,6 +140,13 @@
 	w.since = time.Now()
 }
 
+// setForwarding records that data of the runner begins or ends to be written to the caller.
+func (w *watchdog) setForwarding(isForwarding bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.isForwarding, w.since = isForwarding, time.Now()
+}
+
 func (w *watchdog) stop() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
