--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -397,3 +400,90 @@
 		c.Assert(r.runners.attempts[2].ResumeAfter, qt.Equals, int64(5))
 	})
 }
+
+// A request whose caller leaves while the connection for its continuation is made is counted once, as one
+// whose caller left. Concluding it as lost as well would count it twice.
+func TestCallerLeavesBeforeContinuationIsSent(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		r.runners.cut = cutAt(1, 4)
+		r.runners.answer = func(ctx context.Context, _ int, attempt *Attempt) (*Answer, error) {
+			if !attempt.IsContinuation {
+				return nil, nil
+			}
+			leave()
+			<-ctx.Done()
+			return notSent()
+		}
+		_, aborted := r.ask(ctx, copiedPath)
+		c.Assert(aborted, qt.IsFalse)
+		c.Assert(r.countedRequests(), qt.DeepEquals, map[string]float64{"caller_left": 1})
+	})
+}
+
+// A continuation without any event must not look like a complete answer to a caller that has no event.
+func TestEmptyContinuationIsNotComplete(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.answer = func(_ context.Context, number int, _ *Attempt) (*Answer, error) {
+			if number == 1 {
+				return nil, errReset
+			}
+			return stream("", io.EOF)
+		}
+		recorder, _ := r.ask(t.Context(), copiedPath)
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+		c.Assert(len(r.runners.attempts), qt.Equals, 2, qt.Commentf("%s", r.runners.describe()))
+	})
+}
+
+// A large answer that is no stream has begun when it is cut short. The events of a continuation must not
+// follow it in the same body.
+func TestCutAnswerWithoutEventsIsNotContinued(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		text := strings.Repeat("x", maxBuffered+10)
+		r.runners.answer = func(_ context.Context, number int, attempt *Attempt) (*Answer, error) {
+			if number > 1 {
+				return nil, nil
+			}
+			r.runners.copies[attempt.CopyTo+"/"+attempt.Request.ID] = true
+			answer, err := newAnswer(http.StatusOK, "")
+			answer.Body, answer.Length = &truncatedBody{strings.NewReader(text), errReset}, -1
+			return answer, err
+		}
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(recorder.Body.String() == text, qt.IsTrue)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+	})
+}
+
+// slowCaller is a caller that takes its fourth event late.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (s *slowCaller) Write(event []byte) (int, error) {
+	if s.events++; s.events == 4 {
+		time.Sleep(2 * time.Second)
+	}
+	return s.ResponseRecorder.Write(event)
+}
+
+// A caller that reads slowly must not have its runner taken for silent: the runner would be reported as
+// unreachable, and a retry of the budget used up for a continuation.
+func TestSlowCallerKeepsItsRunner(t *testing.T) {
+	for _, path := range []string{copiedPath, resumablePath} {
+		inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+			caller := &slowCaller{ResponseRecorder: httptest.NewRecorder()}
+			r.Serve(caller, &Request{
+				HTTP: httptest.NewRequest(http.MethodPost, "http://h"+path, nil), ID: "id", Arrived: time.Now(),
+				Wait: 9 * time.Second, Model: "m", ResumeAfter: NoEvent, Size: Size{Tokens: 200, Prompt: 100, Answer: 100},
+			})
+			r.checkWhole(caller.ResponseRecorder, false, 1)
+			c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+			c.Assert(r.unreachable, qt.HasLen, 0)
+		})
+	}
+}
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -26,7 +26,9 @@
 			watchdog.noteActivity()
 			lastEvent := x.lastEvent
 			events.add(buffer[:count])
+			watchdog.setForwarding(true)
 			failure := x.passEvents(answer, &events, controller)
+			watchdog.setForwarding(false)
 			if errors.Is(failure, errNotContinuous) {
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
 			}
@@ -40,6 +42,9 @@
 		switch {
 		case err == nil:
 			continue
+		case errors.Is(err, io.EOF) && events.isEmpty() && x.isContinuing && x.lastEvent == NoEvent:
+			// Nothing shows that this is the caller's stream, and an empty answer would look complete.
+			return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: errNotContinuous}
 		case errors.Is(err, io.EOF) && events.isEmpty():
 			if !x.isStarted {
 				x.sendHeader(answer)
