A stream that may run only once stays with its runner if its standby is not usable

Without a copy such a stream was never left for silence.

Cause: from the first forwarded event on, silence ended a copied stream whether or not it could be continued; a zone out of reach did as well.

Change: a stream that may run only once is left for silence only while its standby can take it, and not at all because its zone is out of reach: its connection ends by itself within seconds, and the stream is continued then.

Shown: TestPausedRunnerKeepsStreamWithoutUsableStandby failed before.

--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // inContinuity runs a test of a router over runners that copy streams in virtual time, and checks that
@@ -368,6 +369,31 @@
 	}
 }
 
+// A stream that may run only once must not be taken from a runner that pauses if its standby is no longer
+// usable: the runner may go on, and nothing else can.
+func TestPausedRunnerKeepsStreamWithoutUsableStandby(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		r.runners.cut = func(ctx context.Context, number, next int) error {
+			if number == 1 && next == 4 {
+				standby := r.runners.attempts[0].CopyTo
+				r.mutex.Lock()
+				for instance, address := range r.candidates.runners {
+					if address == standby {
+						r.balancer.Leave(structs.RunnerID(instance))
+					}
+				}
+				r.mutex.Unlock()
+				time.Sleep(3 * time.Second)
+				return ctx.Err()
+			}
+			return nil
+		}
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		r.checkWhole(recorder, aborted, 1)
+		c.Assert(len(r.runners.attempts), qt.Equals, 1, qt.Commentf("%s", r.runners.describe()))
+	})
+}
+
 // A refused connection is no loss: nothing was sent, so that there is nothing to continue.
 func TestUnsentStreamIsNotContinued(t *testing.T) {
 	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -32,6 +32,9 @@
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
 	isForwarding bool
+	// standby has the copy of a stream that may run only once; empty for other attempts and before the
+	// first event.
+	standby structs.RunnerID
 	// isStopped is set after the attempt.
 	isStopped bool
 }
@@ -87,9 +90,29 @@
 // continued elsewhere, so that it does not wait for a silent runner even if it runs only once. Before
 // that, its copy may not be complete, and the runner may need long for the prompt.
 func (w *watchdog) noteEvents() {
-	if w.exchange.handover.HasCopy() {
-		w.start()
+	x := w.exchange
+	if !x.handover.HasCopy() {
+		return
+	}
+	if !x.route.MayRepeat() {
+		w.mutex.Lock()
+		w.standby = x.copied.standby.Runner()
+		w.mutex.Unlock()
 	}
+	w.start()
+}
+
+// mayLeave reports whether the attempt may be canceled while its connection is intact. A stream that may
+// run only once waits for its runner unless its standby can take it.
+func (w *watchdog) mayLeave() bool {
+	w.mutex.Lock()
+	standby := w.standby
+	w.mutex.Unlock()
+	if standby == "" {
+		return true
+	}
+	_, isUsable := w.exchange.router.standbyAt(w.exchange.row, standby)
+	return isUsable
 }
 
 // check cancels the attempt or schedules the next check.
@@ -107,8 +130,11 @@
 		limit = w.exchange.busySilenceLimit()
 	}
 	if silent >= limit {
-		w.cancel(errSilent)
-		return
+		if w.mayLeave() {
+			w.cancel(errSilent)
+			return
+		}
+		silent = 0
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -117,10 +143,10 @@
 	}
 }
 
-// cancelZoneLost cancels an attempt that may go on elsewhere because its zone is unreachable.
+// cancelZoneLost cancels a repeatable attempt because its zone is unreachable.
 func (w *watchdog) cancelZoneLost() {
 	w.mutex.Lock()
-	mayCancel := w.timer != nil
+	mayCancel := w.timer != nil && w.standby == ""
 	w.mutex.Unlock()
 	if mayCancel {
 		w.cancel(errZoneLost)
