No replica for the loss of a region at cold runners

Cause: such a replica may come from the weight store while that is idle. The need was then not marked isFromCopy, by which need.at recognized replicas that only provide for a loss, so that a region that was given back was filled while its runners were cold.

Change: need.isOnlyForLoss marks these replicas, whatever they load from.

Shown by TestGivenBackRegionIsFilledOnceWarm, which failed before with a load at the cold runner.

--- a/placement/residency/cold.go
+++ b/placement/residency/cold.go
@@ -98,7 +98,7 @@
 // replica gains then. A replica for the loss of a zone and a prewarm gain nothing at a cold runner,
 // so that a zone that was given back isn't filled before its runners are warm.
 func (n *need) at(r *runner, model *site.Model) *need {
-	if r.isCold() && !n.isWaitedFor && (n.isFromCopy || n.isPrewarm) {
+	if r.isCold() && (n.isOnlyForLoss || n.isPrewarm) {
 		met := *n
 		met.gain = 0
 		return &met
--- a/placement/residency/evacuation_test.go
+++ b/placement/residency/evacuation_test.go
@@ -147,3 +147,18 @@
 		})
 	}
 }
+
+// A replica that only provides for the loss of a region goes to no cold runner, also where the idle
+// weight store could load it.
+func TestGivenBackRegionIsFilledOnceWarm(t *testing.T) {
+	for coldFor, loaded := range map[time.Duration][]string{4 * time.Second: nil, 0: {"r2"}} {
+		t.Run(coldFor.String(), func(t *testing.T) {
+			held := []string{"m0"}
+			runners := []zoneRunner{{"b", held, nil}, {"c", held, nil}, {"a", nil, nil}}
+			p := newEvacuationPlanner(zoneState{coldFor: coldFor}, runners...)
+			p.options.ReplicaRate, p.options.Regions = 20, map[string]string{"a": "A", "b": "B", "c": "B"}
+			at := ask(p, start, 10, "m0", map[string]int{"a": 4, "b": 4})
+			qt.Assert(t, loads(p.Plan(at), "m0"), qt.DeepEquals, loaded)
+		})
+	}
+}
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -30,6 +30,8 @@
 	// from the weight store, or the replica only protects against the loss of a zone and must not
 	// delay requests that wait for the store.
 	isFromCopy bool
+	// isOnlyForLoss is set if the replica only provides for the loss of a zone or region.
+	isOnlyForLoss bool
 	// weight is the weight of the gain for the rank; see evacuationWeight.
 	weight float64
 	// isPrewarm is set if there is no demand for the model yet.
@@ -165,7 +167,7 @@
 	if gain := overload + zoneGain + regionGain; gain > 0 {
 		// A replica for a region may come from the weight store while nothing else does.
 		mayUseStore := overload > 0 || regionGain > 0 && p.isStoreIdle(row.Service)
-		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore}
+		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore, isOnlyForLoss: overload == 0}
 		p.limitToCold(found[row], overload)
 	}
 }
