Evacuated models are loaded where runners have capacity

Cause: placementCost added the late requests at the target only for needs with other replicas and for those with waiting requests. A model lost with a drained zone has neither, so that a runner whose models use all of its capacity cost as much as an idle one.

Change: the late requests count for all needs except prewarms. Other needs without waiting requests have replicas, so that plans without a drained zone stay the same.

Shown by TestEvacuationAvoidsBusyRunners, which failed before (loaded at the busy runner), and TestDrainedZoneIsServedElsewhere, which still passes.

--- a/placement/residency/cost.go
+++ b/placement/residency/cost.go
@@ -119,7 +119,8 @@
 	case wanted.capacity > 0:
 		lacking := wanted.gain / horizon
 		cost += (r.addedLateOthers(rate) + max(0, lacking-r.spareCapacity())) * horizon
-	case wanted.isWaitedFor:
+	case !wanted.isPrewarm:
+		// Requests wait for the model, or will once the drained zone that holds it is gone.
 		cost += r.addedLate(rate) * horizon
 	}
 	return cost + slowRunnerWeight*rate*horizon*(r.typicalCapacity/r.capacity-1)
--- a/placement/residency/evacuation_test.go
+++ b/placement/residency/evacuation_test.go
@@ -162,3 +162,15 @@
 		})
 	}
 }
+
+// A model lost with a drained zone is loaded at an idle runner rather than at one whose models
+// already use its capacity.
+func TestEvacuationAvoidsBusyRunners(t *testing.T) {
+	disk := []string{"m0"}
+	runners := []zoneRunner{{"a", disk, nil}, {"b", []string{"m1"}, disk}, {"b", nil, disk}}
+	p := newEvacuationPlanner(zoneState{isDrained: true}, runners...)
+	p.document.Service("s").Engine.WeightsMB *= 3
+	p.options.ReplicaRate = 20
+	askFor(p, start, map[string]int{"m0": 5, "m1": 20})
+	qt.Assert(t, loads(p.Plan(start), "m0"), qt.DeepEquals, []string{"r2"})
+}
