Comments of capacity over time, relays and transport are plainer

Cause: some comments of the change were figurative or hard to parse without knowing the code. Change: wording only; names, logs and behaviour stay. Shown by gofmt, go vet and go test of the packages touched.

--- a/internal/network/networktest/cut.go
+++ b/internal/network/networktest/cut.go
@@ -23,7 +23,7 @@
 	streams map[*stream]bool
 }
 
-// Cut cuts off the machine with an IP address, or has it be switched off: connects from and to it
+// Cut disconnects the machine with an IP address, as if switched off: connects from and to it
 // get no answer, and what is sent from and to it is held at the sender. A sender that closes its
 // connection still delivers what is held once the machine is restored, unless it resets the
 // connection (SetLinger(0) before Close).
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -148,7 +148,7 @@
 	return found
 }
 
-// NoteReachable tells the client that something was just heard from a peer, or of it from another,
+// NoteReachable tells the client that a message from or about a peer was just received,
 // so that it does not wait out a backoff from when the peer was down.
 func (c *Client) NoteReachable(address string) { c.peer(address).limitBackoff() }
 
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -20,7 +20,7 @@
 	// failure up to maxBackoff. Jitter selects a delay from its upper half.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
-	// knownPeerBackoff bounds the backoff towards a peer from which something was just heard. It
+	// knownPeerBackoff bounds the backoff towards a peer that NoteReachable reported. It
 	// keeps the dials of a peer that is overloaded and refuses them below ten a second.
 	knownPeerBackoff = 100 * time.Millisecond
 )
--- a/placement/domainapi/watch.go
+++ b/placement/domainapi/watch.go
@@ -7,7 +7,8 @@
 )
 
 // MinLoadsInterval is the minimum interval between two load reports to a router. It is shorter than
-// the usual interval between replies: routers that place long prompts by older loads meet each other.
+// the usual interval between replies: with older loads, several routers choose the same runner for
+// long prompts.
 const MinLoadsInterval = 50 * time.Millisecond
 
 // WantsLoads reports whether a reply that is sent the given time after the router asked has to
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -32,7 +32,7 @@
 	isReady bool
 	// notify holds the routers whose watches it must answer immediately.
 	notify map[string]bool
-	// toldOf is the awaited revision that it was last told of.
+	// toldOf is the last awaited revision sent to the relay.
 	toldOf uint64
 	// wake has a capacity of one.
 	wake chan struct{}
@@ -94,7 +94,7 @@
 	return names
 }
 
-// list returns the leader and the relays that have a view and were heard recently.
+// list returns the leader and the relays that have a view and have asked within relayExpiry.
 func (r *relays) list(at time.Time, leader domainapi.Relay) domainapi.RelayList {
 	list := domainapi.RelayList{Leader: leader}
 	for _, known := range r.byName {
--- a/placement/residency/cold.go
+++ b/placement/residency/cold.go
@@ -21,7 +21,7 @@
 	share float64
 }
 
-// isCold reports whether the runner takes few requests now.
+// isCold reports whether the runner is in its cold period.
 func (c *capability) isCold() bool { return c.cold.left > 0 }
 
 // coldPeriodOf returns the cold period of a runner; the zero value if its service has no cold rate.
@@ -49,7 +49,7 @@
 	c.maxRate = cold.share*min(cold.rate, c.maxRate) + (1-cold.share)*c.maxRate
 }
 
-// rateIn returns the rate that the runner takes in time after a while, in requests per second.
+// rateIn returns the rate that the runner will serve in time after a delay, in requests per second.
 func (c *capability) rateIn(in time.Duration) float64 {
 	if in < c.cold.left {
 		return c.cold.rate
@@ -78,7 +78,8 @@
 	return slices.DeleteFunc(others, func(other *runner) bool { return other.isCold() })
 }
 
-// limitToCold records which part of the overload of a model only lasts until its replicas are warm.
+// limitToCold records for a need how long its replicas are cold and the gain after that, if the
+// overload is less by then.
 func (p *Planner) limitToCold(wanted *need, overload float64) {
 	if !p.snapshot.hasCold || overload <= 0 {
 		return
@@ -93,10 +94,10 @@
 	}
 }
 
-// at returns the need as a load of the model at the runner meets it. A load that ends
+// at returns the need with the gain of a load of the model at the runner. A load that ends
 // after the replicas are warm, or at a runner that is cold itself, gains only what a further
-// replica gains then. A replica for the loss of a zone and a prewarm gain nothing at a cold runner,
-// so that a zone that was given back isn't filled before its runners are warm.
+// replica gains then. A replica for the loss of a zone or region and a prewarm gain nothing at a
+// cold runner, so that a zone that was given back isn't filled before its runners are warm.
 func (n *need) at(r *runner, model *site.Model) *need {
 	if r.isCold() && (n.isOnlyForLoss || n.isPrewarm) {
 		met := *n
@@ -119,8 +120,8 @@
 }
 
 // coldReadyIn returns the time until the holders of a model have taken the requests that wait for
-// it; false if one of them is not cold. A cold runner takes them at its cold rate, though the model
-// is loaded.
+// it; false if one of them is not cold. Until the first of them is warm, they take requests at the
+// cold rate.
 func (p *Planner) coldReadyIn(row Row) (time.Duration, bool) {
 	holders := p.holders(row)
 	first := coldLeft(holders)
--- a/placement/residency/coverage.go
+++ b/placement/residency/coverage.go
@@ -27,8 +27,8 @@
 	Evacuated int
 }
 
-// minEvacuatedRate is the demand in requests per second from which a model counts as evacuated: a
-// request in the last half minute.
+// minEvacuatedRate is the demand in requests per second from which a model counts as evacuated: about
+// one request in the last half minute.
 const minEvacuatedRate = 0.002
 
 // Coverages returns the coverage of each service with models, as of the last snapshot.
--- a/placement/residency/evacuation.go
+++ b/placement/residency/evacuation.go
@@ -23,7 +23,7 @@
 // evacuationGain returns the number of requests within the horizon that are late unless a model that
 // is lost with a drained zone is loaded elsewhere; 0 for other models. Requests don't wait for it
 // yet, since the zone's runners still take them for a while. It is weighted like the value of a
-// model's last replica, so that no replica makes way for a model that is worth less.
+// model's last replica, so that no replica is evicted for a model of less value.
 func (p *Planner) evacuationGain(row Row) float64 {
 	if !p.isEvacuated(row) {
 		return 0
@@ -41,7 +41,8 @@
 
 // evacuationWeight returns the weight of the gain of a model that is lost with a drained zone: the
 // number of loads from its quickest copy in the time of one from the weight store, at most
-// dueWeight. Models with copies elsewhere precede others, as several are saved in the time of one.
+// dueWeight. Models with copies elsewhere precede others, as several of them load in the time of one
+// load from the store.
 func (p *Planner) evacuationWeight(row Row) float64 {
 	if !p.isEvacuated(row) {
 		return 1
--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -32,7 +32,7 @@
 	isFromCopy bool
 	// isOnlyForLoss is set if the replica only provides for the loss of a zone or region.
 	isOnlyForLoss bool
-	// weight is the weight of the gain for the rank; see evacuationWeight.
+	// weight multiplies the gain in the rank; see evacuationWeight.
 	weight float64
 	// isPrewarm is set if there is no demand for the model yet.
 	isPrewarm bool
@@ -165,7 +165,7 @@
 	}
 	overload, zoneGain, regionGain := p.overload(row), p.zoneGain(row), p.regionGain(row)
 	if gain := overload + zoneGain + regionGain; gain > 0 {
-		// A replica for a region may come from the weight store while nothing else does.
+		// A replica for a region may come from the weight store while no other load uses it.
 		mayUseStore := overload > 0 || regionGain > 0 && p.isStoreIdle(row.Service)
 		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore, isOnlyForLoss: overload == 0}
 		p.limitToCold(found[row], overload)
--- a/placement/residency/waiting.go
+++ b/placement/residency/waiting.go
@@ -13,7 +13,7 @@
 	return append(groups, added)
 }
 
-// merge adds the requests of another group, which a load for this group serves too.
+// merge adds the requests of another group that a load for this group also serves.
 func (w *waiting) merge(other waiting) {
 	w.count += other.count
 	w.oldest = max(w.oldest, other.oldest)
@@ -21,7 +21,7 @@
 }
 
 // mergeCovered merges each group of a row into the first one, by the number of zones, whose zones it
-// may all use: a load for that one serves both. Requests that may use any runner are covered by all.
+// may all use: a load for that one serves both. Requests without allowed zones may use any.
 func mergeCovered(groups []waiting) []waiting {
 	if len(groups) < 2 {
 		return groups
@@ -64,7 +64,7 @@
 	return needs[i]
 }
 
-// add adds waiting requests that a load for the need serves. The need keeps the fewer zones.
+// add adds waiting requests that a load for the need serves. The need keeps the narrower set of zones.
 func (n *need) add(wanted waiting) {
 	if n.zones == nil || wanted.zones != nil && isWithin(wanted.zones, n.zones) {
 		n.zones = wanted.zones
