--- a/request/relay/loads_test.go
+++ b/request/relay/loads_test.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// Leaders of both releases must lead a router to the same beliefs.
+// A router must get the same loads from leaders of both releases.
 func TestLoadsAreAdoptedInBothForms(t *testing.T) {
 	loads := []fleet.Load{{Instance: "a#5", Requests: 12, Reading: 0.5}, {Instance: "unlisted#5", Requests: 12}}
 	for _, test := range []struct {
