A waiting model counts once, whatever zones its callers may use

Cause: needs of callers with different allowed zones are separate, so that the unmet needs may list a model several times. WaitingModels counted each of them, though its doc comment and the metric say that each model counts once.

Change: the need with the highest rank counts. Shown by TestWaitingModelCountsOnceForAllZones, which failed before with 2.

--- a/placement/residency/allowedzones_test.go
+++ b/placement/residency/allowedzones_test.go
@@ -105,3 +105,14 @@
 	p.Observe(at, "other", []Demand{{Row: Row{Service: "s", Model: "b"}, Waiting: 1, Arrived: 1, Zones: []string{"s"}}})
 	c.Assert(loads(p.Plan(at), "b"), qt.DeepEquals, []string{"south"})
 }
+
+// Guards against a model that counts once for each group of callers with other zones.
+func TestWaitingModelCountsOnceForAllZones(t *testing.T) {
+	p := newZonePlanner(zoneRunner{"a", nil, nil}, zoneRunner{"c", nil, nil})
+	p.ordersFrom = start.Add(time.Minute)
+	for _, zone := range []string{"a", "c"} {
+		p.Observe(start, "router-"+zone, []Demand{{Row: Row{Service: "s", Model: "m0"}, Waiting: 1, Zones: []string{zone}}})
+	}
+	p.Plan(start)
+	qt.Assert(t, p.WaitingModels(), qt.Equals, WaitingModels{Unreachable: 1})
+}
--- a/placement/residency/due.go
+++ b/placement/residency/due.go
@@ -81,11 +81,17 @@
 // WaitingModels returns the counts as of the last plan.
 func (p *Planner) WaitingModels() WaitingModels {
 	var turns WaitingModels
+	counted := make(map[Row]bool, len(p.unmet))
 	for _, wanted := range p.unmet {
 		if !wanted.isWaitedFor {
 			continue
 		}
 		turns.Oldest = max(turns.Oldest, wanted.oldest)
+		if counted[wanted.row] {
+			// The model also has a need of a higher rank in other zones.
+			continue
+		}
+		counted[wanted.row] = true
 		switch {
 		case wanted.isUnreachable:
 			turns.Unreachable++
