No forecast by the cold rate of runners in a cooldown

Cause: forecastCold forecast the requests for a model by the cold rate of its holders, also if these have requested a cooldown and take no requests. It also replaced the forecast of the load elsewhere, so that routers held requests that were served seconds later.

Change: models that count as not served have the forecast of their load.

--- a/placement/residency/cold_test.go
+++ b/placement/residency/cold_test.go
@@ -152,6 +152,21 @@
 	}
 }
 
+// Guards against a forecast by the cold rate of a runner that takes no requests, as it has requested
+// a cooldown: the model is loaded elsewhere, which takes longer.
+func TestForecastOfColdRunnerInCooldown(t *testing.T) {
+	c := qt.New(t)
+	p := newColdPlanner(5, coldRunner{models: []string{"m0"}, isCold: true, coldFor: 4 * time.Second}, coldRunner{})
+	loadTime := p.document.Service("s").Engine.ModelByName("m0").LoadTime
+	p.ObserveCooldown(start, "r0", 2*loadTime)
+	demands := []Demand{{Row: Row{Service: "s", Model: "m0"}, Waiting: 1}}
+	p.Observe(start, "router", demands)
+	c.Assert(loads(p.Plan(start), "m0"), qt.DeepEquals, []string{"r1"})
+	forecasts := p.Forecasts(start, demands)
+	c.Assert(forecasts, qt.HasLen, 1)
+	c.Assert(forecasts[0].In >= loadTime, qt.IsTrue, qt.Commentf("%v", forecasts[0].In))
+}
+
 // Models in demand that are ready at cold runners alone are counted for operators.
 func TestCoverageCountsColdBoundModels(t *testing.T) {
 	c := qt.New(t)
--- a/placement/residency/forecast.go
+++ b/placement/residency/forecast.go
@@ -43,14 +43,14 @@
 	}
 }
 
-// forecastCold forecasts when the requests that wait for models at cold runners alone are served, if
-// that takes longer than a load in progress elsewhere.
+// forecastCold forecasts when the requests that wait for models at cold runners alone are served: by
+// these runners, or by a load in progress elsewhere if that ends sooner.
 func (p *Planner) forecastCold(now time.Time) {
 	if !p.snapshot.hasCold {
 		return
 	}
 	for row, waiting := range p.snapshot.waiting {
-		if waiting == 0 {
+		if waiting == 0 || !p.isServed(now, row, nil) {
 			continue
 		}
 		in, isKnown := p.coldReadyIn(row)
