One load for callers whose allowed zones overlap

Cause: each set of zones that no other set covers is a need of its own, and a plan met all of them, also if the load for the first was at a runner in the zones of the next. The second load served nobody and could evict a model.

Change: a need is skipped if the same plan already orders its model at a runner in its zones. Plans with one need for each model stay the same. Shown by TestOneLoadServesOverlappingZones, which failed before with a load at both runners.

--- a/placement/residency/allowedzones_test.go
+++ b/placement/residency/allowedzones_test.go
@@ -116,3 +116,17 @@
 	p.Plan(start)
 	qt.Assert(t, p.WaitingModels(), qt.Equals, WaitingModels{Unreachable: 1})
 }
+
+// Guards against a second load of a model for callers whose zones overlap with those of others, where
+// the first load serves both.
+func TestOneLoadServesOverlappingZones(t *testing.T) {
+	p := newZonePlanner(zoneRunner{"a", []string{"m1"}, nil}, zoneRunner{"b", nil, nil}, zoneRunner{"c", nil, nil})
+	at := start.Add(2 * time.Second)
+	for i, zones := range [][]string{{"a", "b"}, {"b", "c"}} {
+		p.Observe(at, fmt.Sprint("router", i), []Demand{
+			{Row: Row{Service: "s", Model: "m0"}, Waiting: 1, Arrived: 1, Zones: zones},
+			{Row: Row{Service: "s", Model: "m1"}, Arrived: 1, Active: []ActiveCount{{Instance: "r0", Count: 1}}},
+		})
+	}
+	qt.Assert(t, loads(p.Plan(at), "m0"), qt.DeepEquals, []string{"r1"})
+}
--- a/placement/residency/plan.go
+++ b/placement/residency/plan.go
@@ -44,9 +44,16 @@
 	needs := p.needs(now)
 	p.dropUnneeded(needs)
 	p.snapshot.addReservations(now)
+	ordered := make(map[Row][]*runner)
 	for i := range needs {
+		row := needs[i].row
+		if isAnyIn(ordered[row], needs[i].zones) {
+			// The load for callers with other zones serves these as well.
+			continue
+		}
 		if order, found := p.loadModel(now, &needs[i]); found {
 			orders = append(orders, order)
+			ordered[row] = append(ordered[row], p.runners[order.Instance])
 		}
 	}
 	p.forecast(now, needs)
