Plans consider regions only where the settings name several

Cause: a zone that the settings do not list has the region "". Where the settings name one region, such a zone counted as a second one, so that a deployment without several regions got further replicas, also from the weight store.

Change: services have regions only if the settings name more than one, as for relays. Shown by the case "one region and a zone without one" of TestModelInDemandHasReplicaInEachRegion, which failed before.

--- a/placement/residency/options.go
+++ b/placement/residency/options.go
@@ -30,7 +30,7 @@
 	ReplicaRate float64
 	// Horizon is the time over which gains and costs are computed.
 	Horizon time.Duration
-	// Regions maps each zone to its region; nil if all are in one.
+	// Regions maps zones to regions. Plans consider regions only if it names more than one.
 	Regions map[string]string
 	// StoreWindow and StoreShare bound loads from the weight store: in each window, to the share of
 	// what the store allows.
--- a/placement/residency/regioncover.go
+++ b/placement/residency/regioncover.go
@@ -17,7 +17,7 @@
 // listRegions computes the regions in which each service has runners, sorted; none for a service in
 // one region.
 func (p *Planner) listRegions(t *snapshot) {
-	if len(p.options.Regions) == 0 {
+	if !namesSeveral(p.options.Regions) {
 		return
 	}
 	t.regions = make(map[string][]string)
@@ -35,6 +35,18 @@
 	}
 }
 
+// namesSeveral reports whether zones are mapped to more than one region.
+func namesSeveral(regions map[string]string) bool {
+	first, hasFirst := "", false
+	for _, region := range regions {
+		if hasFirst && region != first {
+			return true
+		}
+		first, hasFirst = region, true
+	}
+	return false
+}
+
 // regionCoverOf returns the distribution over the regions of a service from that over its zones; empty
 // for a service in one region. Demand below minRegionRate may be served by other regions.
 func (p *Planner) regionCoverOf(row Row, zones zoneCover) zoneCover {
--- a/placement/residency/regioncover_test.go
+++ b/placement/residency/regioncover_test.go
@@ -22,6 +22,7 @@
 		{"from the idle store", twoRegions, map[string]int{"a1": 4, "b1": 4}, nil, []string{"r2"}},
 		{"low demand in the other region", twoRegions, map[string]int{"a1": 4, "b1": 1}, nil, nil},
 		{"one region", map[string]string{"a1": "A", "a2": "A", "b1": "A"}, map[string]int{"a1": 4, "b1": 4}, nil, nil},
+		{"one region and a zone without one", map[string]string{"a1": "A", "a2": "A"}, map[string]int{"a1": 4, "b1": 4}, nil, nil},
 		{"no regions", nil, map[string]int{"a1": 4, "b1": 4}, nil, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
