--- a/placement/residency/needs.go
+++ b/placement/residency/needs.go
@@ -30,7 +30,9 @@
 	// from the weight store, or the replica only protects against the loss of a zone and must not
 	// delay requests that wait for the store.
 	isFromCopy bool
-	// weight is the weight of the gain for the rank; see evacuationWeight.
+	// isOnlyForLoss is set if the replica only provides for the loss of a zone or region.
+	isOnlyForLoss bool
+	// weight multiplies the gain in the rank; see evacuationWeight.
 	weight float64
 	// isPrewarm is set if there is no demand for the model yet.
 	isPrewarm bool
@@ -163,9 +165,9 @@
 	}
 	overload, zoneGain, regionGain := p.overload(row), p.zoneGain(row), p.regionGain(row)
 	if gain := overload + zoneGain + regionGain; gain > 0 {
-		// A replica for a region may come from the weight store while nothing else does.
+		// A replica for a region may come from the weight store while no other load uses it.
 		mayUseStore := overload > 0 || regionGain > 0 && p.isStoreIdle(row.Service)
-		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore}
+		found[row] = &need{row: row, gain: gain, isFromCopy: !mayUseStore, isOnlyForLoss: overload == 0}
 		p.limitToCold(found[row], overload)
 	}
 }
