Copies of streams: large prompts only while streams are lost

Resets before the first event had all streams of a service copied, though there was no copy yet that could have saved them.

Change: while the risk is at its floor, prompts of at most 128 MB are copied. Losses before the first event no longer raise the risk of the service or of the runner.

Shown: cases of TestStreamsWorthCopying; TestOnlyLossesThatCopiesAvertRaiseTheRisk fails with the former count.

--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -394,6 +394,21 @@
 	})
 }
 
+// Resets before the first event must not have all streams of a service copied: no copy would have saved
+// what was lost, and copies are dear.
+func TestOnlyLossesThatCopiesAvertRaiseTheRisk(t *testing.T) {
+	for event, isSign := range map[int]bool{1: false, 4: true} {
+		inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+			r.runners.cut = cutAt(1, event)
+			r.ask(t.Context(), copiedPath)
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			c.Assert(len(r.copies.brokenAt) > 0, qt.Equals, isSign, qt.Commentf("event %d", event))
+			c.Assert(r.copies.lossRate(r.now(), "engine") > 0, qt.Equals, isSign, qt.Commentf("event %d", event))
+		})
+	}
+}
+
 // A refused connection is no loss: nothing was sent, so that there is nothing to continue.
 func TestUnsentStreamIsNotContinued(t *testing.T) {
 	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
--- a/request/relay/copies.go
+++ b/request/relay/copies.go
@@ -180,7 +180,7 @@
 		return nil, copyOff
 	}
 	risk := standby.Risk(r.signsOf(now, runner), r.copies.lossRate(now, x.row.Service))
-	if !standby.IsWorthCopying(risk, size, x.route.Resumable) {
+	if !standby.IsWorthCopying(risk, size, float64(x.engine.TokenBytes), x.route.Resumable) {
 		return nil, copyTooDear
 	}
 	share := standby.Share(x.engine.LinkMbps, r.routerCount.routers)
@@ -233,12 +233,13 @@
 }
 
 // noteStreamEnd records what the end of an attempt says about the risk of losses, and ends the copy: at
-// once if the run has ended well or has not begun, otherwise when the standby drops it.
+// once if the run has ended well or has not begun, otherwise when the standby drops it. A stream that was
+// lost before its first event says nothing, since no copy would have saved it.
 func (x *exchange) noteStreamEnd(runner structs.RunnerID, ended result) {
 	r := x.router
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if ended.isLoss() {
+	if ended.isLoss() && x.lastEvent > x.request.ResumeAfter {
 		if _, isCandidate := r.candidates.runners[string(runner)]; isCandidate && ended.reason != reasonRunnerFailed {
 			r.copies.brokenAt[runner] = r.now()
 		}
--- a/request/standby/risk.go
+++ b/request/standby/risk.go
@@ -14,6 +14,12 @@
 	answerWeight = 10
 	// resumableWeight is the same for streams that another runner may resume. They lose time only.
 	resumableWeight = answerWeight / 2
+	// calmRisk is the highest risk at which nothing is wrong: losses about as rare as assumed for any
+	// runner.
+	calmRisk = 1.5 * minRisk
+	// maxCalmPromptBytes is the largest memory of a prompt that is copied while nothing is wrong. Larger
+	// copies cost more than the rare loss that they avert.
+	maxCalmPromptBytes = 128e6
 	// transferCost is the cost of a transferred token, in prompt tokens read.
 	transferCost = 0.01
 )
@@ -64,8 +70,12 @@
 	return 1 - kept
 }
 
-// IsWorthCopying reports whether the expected loss of the stream exceeds the cost of its copy.
-func IsWorthCopying(risk float64, size Size, isResumable bool) bool {
+// IsWorthCopying reports whether the expected loss of the stream exceeds the cost of its copy. tokenBytes
+// is the memory of a token.
+func IsWorthCopying(risk float64, size Size, tokenBytes float64, isResumable bool) bool {
+	if risk <= calmRisk && float64(size.Prompt)*tokenBytes > maxCalmPromptBytes {
+		return false
+	}
 	weight := float64(answerWeight)
 	if isResumable {
 		weight = resumableWeight
--- a/request/standby/standby_test.go
+++ b/request/standby/standby_test.go
@@ -35,13 +35,16 @@
 		"long prompt at a cold runner":             {signs: Signs{IsCold: true}, size: Size{9000, 70}, isWorth: true},
 		"long prompt at a runner that ends":        {signs: Signs{IsLeaving: true}, size: Size{9000, 70}, isWorth: true},
 		"long prompt while streams are lost":       {lossRate: 0.02, size: Size{9000, 70}, isWorth: true},
+		"prompt of 239 MB on a calm day":           {size: Size{1460, 172}, isWorth: false},
+		"prompt of 239 MB, rare losses":            {lossRate: 0.008, size: Size{1460, 172}, isWorth: false},
+		"prompt of 239 MB while streams are lost":  {lossRate: 0.02, size: Size{1460, 172}, isWorth: true},
 		"prompt only":                              {size: Size{100, 0}, isWorth: false},
 		"long prompt, resumable, doubtful runner":  {signs: broken, size: Size{9000, 70}, isResumable: true, isWorth: true},
 		"long prompt with few losses in the fleet": {lossRate: 0.007, size: Size{9000, 70}, isWorth: false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			c.Assert(IsWorthCopying(Risk(test.signs, test.lossRate), test.size, test.isResumable), qt.Equals, test.isWorth)
+			c.Assert(IsWorthCopying(Risk(test.signs, test.lossRate), test.size, tokenBytes, test.isResumable), qt.Equals, test.isWorth)
 		})
 	}
 }
@@ -65,7 +68,7 @@
 			size = Size{Prompt: 9000, Answer: 70}
 		}
 		all += size.Tokens() * tokenBytes
-		if IsWorthCopying(Risk(Signs{}, 0), size, false) {
+		if IsWorthCopying(Risk(Signs{}, 0), size, tokenBytes, false) {
 			copied += size.Tokens() * tokenBytes
 		}
 	}
