A failure that a runner reports is not continued elsewhere

Cause: the runner's own 500 counted as a loss, and a continuation was not counted as an attempt. A failing standby answers 500 also without the copy.

Change: a reported failure is an answer and is handled as before. A continuation needs no attempt to be left, but takes one.

Tests: TestFailureOfTheRunnerIsNotContinued failed before.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -135,12 +135,9 @@
 	return x.relayBuffered(ctx, answer, watchdog)
 }
 
-// countRun counts a runner that may have run the request. A continuation is the same run.
-func (x *exchange) countRun() {
-	if !x.isContinuing {
-		x.attempts++
-	}
-}
+// countRun counts a runner that may have run the request. A continuation needs no attempt to be left, as it
+// is the same run, but takes one: its standby may have begun a run of its own.
+func (x *exchange) countRun() { x.attempts++ }
 
 // countRejection counts a runner that rejected the request. A rejected continuation costs no more than
 // its own try.
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"net/http"
-
 	"github.com/lotusferry/lotusferry/request/routing"
 )
 
@@ -59,7 +57,7 @@
 }
 
 // isLoss reports whether the request was sent and its answer was lost with the runner or the
-// connection: by a reset, an early end, silence, or the runner's own failure before any event.
+// connection: by a reset, an early end or silence. A failure that the runner itself reports is an answer.
 func (r result) isLoss() bool {
 	if r.isDone || r.isNotRun {
 		return false
@@ -67,8 +65,6 @@
 	switch r.reason {
 	case reasonSendFailed, reasonSilent, reasonCutShort, reasonZoneLost:
 		return true
-	case reasonRunnerFailed:
-		return r.answer != nil && r.answer.status == http.StatusInternalServerError
 	}
 	return false
 }
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -70,11 +70,7 @@
 // mayLeaveRunner reports whether another runner may be tried while the attempt that begins is in
 // progress.
 func (x *exchange) mayLeaveRunner() bool {
-	runs := x.attempts
-	if !x.isContinuing {
-		runs++
-	}
-	return x.route.MayRepeat() && runs < x.route.MaxAttempts
+	return x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts
 }
 
 // start starts to watch for silence, unless it has begun or the attempt is over.
