A stream is continued only if its standby can have a copy

Cause: a continuation relied on the standby to reject the request without a copy. Runners send the memory a few times a second, so that no copy can be there right after the start.

Change: a run must have lasted 0.3 s since its first event before it is continued. A continuation that ends without any event is no whole answer, also after events of the former run.

Tests: TestStreamWithoutCopyYetIsNotContinued failed before; cases that continued a stream without events asserted the fault and now assert that it is not sent on. TestEmptyContinuationIsNotComplete covers answers with events.

--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -42,7 +42,7 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, io.EOF) && events.isEmpty() && x.isContinuing && x.lastEvent == NoEvent:
+		case errors.Is(err, io.EOF) && events.isEmpty() && x.isContinuing && !x.handover.HasPassed():
 			// Nothing shows that this is the caller's stream, and an empty answer would look complete.
 			return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: errNotContinuous}
 		case errors.Is(err, io.EOF) && events.isEmpty():
--- a/request/standby/handover.go
+++ b/request/standby/handover.go
@@ -9,6 +9,10 @@
 const (
 	// maxContinuations bounds how often one stream is continued.
 	maxContinuations = 2
+	// minCopyAge is how long after its first event a stream must have run before it is continued.
+	// Runners send the memory of a stream a few times a second, so that earlier there may be no copy.
+	// A standby that loses its answers may then run the request although it has no copy.
+	minCopyAge = 300 * time.Millisecond
 	// minTime is the minimum time left with which a stream is continued.
 	minTime = 20 * time.Millisecond
 	// maxLosses is how many runners may be lost under one content before its streams are no longer
@@ -45,9 +49,11 @@
 	phase phase
 	// copy is the copy of the run in progress, or of the lost run; nil for none.
 	copy *Copy
-	// passedAt is when the latest event of the run was forwarded; zero if there was none.
-	passedAt  time.Time
-	continued int
+	// firstPassedAt and passedAt are when the first and the latest event of the run were forwarded; zero if
+	// there was none.
+	firstPassedAt time.Time
+	passedAt      time.Time
+	continued     int
 }
 
 // Sent records that the stream is sent to a runner, with its copy if there is one.
@@ -55,11 +61,19 @@
 	if h.phase == phaseEnded {
 		return
 	}
-	h.phase, h.copy, h.passedAt = phaseRunning, copied, time.Time{}
+	h.phase, h.copy, h.firstPassedAt, h.passedAt = phaseRunning, copied, time.Time{}, time.Time{}
 }
 
 // Passed records that events of the run were forwarded.
-func (h *Handover) Passed(now time.Time) { h.passedAt = now }
+func (h *Handover) Passed(now time.Time) {
+	if h.firstPassedAt.IsZero() {
+		h.firstPassedAt = now
+	}
+	h.passedAt = now
+}
+
+// HasPassed reports whether an event of the run in progress was forwarded.
+func (h *Handover) HasPassed() bool { return !h.firstPassedAt.IsZero() }
 
 // HasCopy reports whether the run in progress is copied.
 func (h *Handover) HasCopy() bool { return h.phase == phaseRunning && h.copy != nil }
@@ -107,7 +121,7 @@
 		h.phase = phaseLost
 	}
 	switch {
-	case !isRunning || copied == nil || h.continued >= maxContinuations:
+	case !isRunning || copied == nil || h.continued >= maxContinuations || !h.isCopied(now):
 		return Copy{}, VerdictNoCopy
 	case loss.TimeLeft < minTime || h.isExpired(now, copied):
 		return *copied, VerdictLate
@@ -128,6 +142,11 @@
 	return true
 }
 
+// isCopied reports whether the run lasted long enough for its standby to have a copy.
+func (h *Handover) isCopied(now time.Time) bool {
+	return !h.firstPassedAt.IsZero() && now.Sub(h.firstPassedAt) >= minCopyAge
+}
+
 // isExpired reports whether the standby has dropped the copy. Without an event it is unknown when the
 // latest part was sent, as parts of the prompt are copied while it is read.
 func (h *Handover) isExpired(now time.Time, copied *Copy) bool {
