Copies of streams: large prompts from doubtful runners only

Change: losses of the service alone, up to 4 in 100, no longer have large prompts copied; signs of doubt about the runner itself do.

--- a/request/standby/risk.go
+++ b/request/standby/risk.go
@@ -14,11 +14,11 @@
 	answerWeight = 10
 	// resumableWeight is the same for streams that another runner may resume. They lose time only.
 	resumableWeight = answerWeight / 2
-	// calmRisk is the highest risk at which nothing is wrong: losses about as rare as assumed for any
-	// runner.
-	calmRisk = 1.5 * minRisk
-	// maxCalmPromptBytes is the largest memory of a prompt that is copied while nothing is wrong. Larger
-	// copies cost more than the rare loss that they avert.
+	// calmRisk is the highest risk at a runner that shows no sign of doubt, each of which adds 0.05 or
+	// more, while few streams are lost.
+	calmRisk = 0.04
+	// maxCalmPromptBytes is the largest memory of a prompt that is copied up to calmRisk. Larger copies
+	// take memory from the requests of their hosts, which costs more than the rare loss that they avert.
 	maxCalmPromptBytes = 128e6
 	// transferCost is the cost of a transferred token, in prompt tokens read.
 	transferCost = 0.01
