transport: a call's time starts once it has a connection

Callers saw: calls on a half-open connection timed out one after the other, after a dial that was slow.

Cause: a connection counts as half-open after nine tenths of CallTimeout without a byte, counted from when the first call had it. The calls' own time began before the dial, so that after a dial of more than a tenth of CallTimeout they all ended before the limit, and nothing looked at the connection again before a later call had timed out too.

Why it works: both limits count from the same moment. CallTimeout bounds a call once it has a connection, DialTimeout the wait for one, and the caller's context both.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -39,8 +39,9 @@
 }
 
 // Call calls a method ("Service.Method") at address and stores the result in reply, a
-// pointer. It returns within CallTimeout and by the deadline of ctx. The arguments must
-// not be modified afterwards, even after an error, because they may still be in use.
+// pointer. It returns by the deadline of ctx, within DialTimeout while it waits for a
+// connection, and within CallTimeout once it has one. The arguments must not be modified
+// afterwards, even after an error, because they may still be in use.
 //
 // The error kinds are ErrorUnavailable if the peer is unreachable or the connection
 // broke, ErrorDeadline after a timeout, ErrorOverloaded if too many calls to the peer are
@@ -57,10 +58,8 @@
 }
 
 func (c *Client) call(ctx context.Context, address, method string, arguments, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
-	if err := c.options.Faults.wait(ctx, address); err != nil {
-		return deadlineError(ctx, address)
+	if err := c.awaitFaults(ctx, address); err != nil {
+		return err
 	}
 	if c.options.Faults.isCut(address) {
 		return unreachableError(address, errCut, 0)
@@ -83,9 +82,24 @@
 	return err
 }
 
+// awaitFaults waits out the injected delay of calls to an address.
+func (c *Client) awaitFaults(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if c.options.Faults.wait(ctx, address) != nil {
+		return deadlineError(ctx, address)
+	}
+	return nil
+}
+
 // exchange sends the request and waits for the reply. The reply is decoded into a
 // separate value, so that a late reply does not modify the caller's.
+//
+// CallTimeout starts here and not before the dial: a connection that a slow dial opened
+// late must still exceed unresponsiveLimit when its calls time out.
 func (c *Client) exchange(ctx context.Context, target *peer, conn *connection, method string, arguments, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
 	received := reflect.New(reflect.TypeOf(reply).Elem())
 	done := make(chan *rpc.Call, 1)
 	// Go blocks while the request cannot be written to the connection.
@@ -115,7 +129,7 @@
 
 // unresponsiveLimit returns how long a connection with calls in progress may receive
 // nothing before it counts as half-open. It is slightly less than CallTimeout, so that a
-// call that times out exceeds it.
+// call that times out exceeds it. Both count from when the call has a connection.
 func (c *Client) unresponsiveLimit() time.Duration { return c.options.CallTimeout * 9 / 10 }
 
 func (c *Client) callError(target *peer, conn *connection, err error) error {
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -31,7 +31,8 @@
 	PeerTLS func(address string) *tls.Config
 	// DialTimeout bounds connecting, including the TLS handshake.
 	DialTimeout time.Duration
-	// CallTimeout bounds each call and each write to a connection.
+	// CallTimeout bounds each call, from when it has a connection, and each write to a
+	// connection.
 	CallTimeout time.Duration
 	// MaxMessageBytes bounds the size of each message, sent or received.
 	MaxMessageBytes int
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -232,6 +232,8 @@
 	}
 }
 
+// Guards against a half-open connection that stays in use after all its calls have timed out, so that
+// further calls time out on it.
 func TestUnresponsiveConnectionIsDropped(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
