group: a slow write to the store no longer ends leaderships

Callers saw: with slow disks under all controllers, 503 (unconfirmed) for requests with a key, from 5 s after the last confirmation on, although their models were ready.

Cause: a member's loop waited for each synced write and neither sent nor answered heartbeats meanwhile. A write of more than an election timeout (0.36 s) ended the leadership; a candidate asked anew before its vote and a voter's, a write each, were stored. No log line told of it.

Ruled out by tests that passed before too: a leader that cannot write and keeps others from leading; a group that stays without a leader after a stall.

Change: the loop takes messages during a write, sends and answers heartbeats, and a leader keeps time; heartbeats confirm the term alone, which must be durable. After three election timeouts a leader's heartbeats stop, so that others lead if its disk failed. Elections wait for twice the last write time. Slow writes are logged while they last; store_write_seconds counts all writes. The raft simulation sends such heartbeats and checks that no term precedes its storage.

--- a/agreement/group/cluster_test.go
+++ b/agreement/group/cluster_test.go
@@ -78,12 +78,18 @@
 	ctx     context.Context
 	network network.Network
 	members []*member
+	// wrapStore, if set, returns the store that a member uses.
+	wrapStore func(store Store) Store
 }
 
 func newCluster(c *qt.C, size int, options Options) *cluster {
+	return newClusterWithStores(c, size, options, nil)
+}
+
+func newClusterWithStores(c *qt.C, size int, options Options, wrapStore func(store Store) Store) *cluster {
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	c.Cleanup(cancel)
-	made := &cluster{c: c, ctx: ctx}
+	made := &cluster{c: c, ctx: ctx, wrapStore: wrapStore}
 	if _, isTest := c.TB.(*testing.T); isTest {
 		made.network = networktest.NewMemory(0)
 	}
@@ -158,6 +164,9 @@
 	m.state = &commandLog{}
 	options := m.options
 	options.Store, options.Client, options.Server, options.StateMachine = m.store, m.client, m.server, m.state
+	if m.cluster.wrapStore != nil {
+		options.Store = m.cluster.wrapStore(m.store)
+	}
 	options.Members = nil
 	for _, each := range m.cluster.members {
 		if each == m || !m.knowsNoPeers {
--- a/agreement/group/found.go
+++ b/agreement/group/found.go
@@ -50,7 +50,7 @@
 			"this member of group "+g.options.Name+" already belongs to a group",
 			"Add members to the running group with `lotusferryctl member add`.")
 	}
-	if err := g.options.Store.Save(nil, nil, &snapshot); err != nil {
+	if err := g.write("membership", func() error { return g.options.Store.Save(nil, nil, &snapshot) }); err != nil {
 		return err
 	}
 	restored.Snapshot = snapshot
--- a/agreement/group/group.go
+++ b/agreement/group/group.go
@@ -50,7 +50,10 @@
 
 // loop is the state owned by the goroutine of Run.
 type loop struct {
-	node        *raft.Node
+	node  *raft.Node
+	ticks <-chan time.Time
+	// writeTime is how long a write to the store takes at present.
+	writeTime   time.Duration
 	applied     uint64
 	appliedTerm uint64
 	proposals   map[uint64]*proposal
@@ -177,6 +180,7 @@
 func (g *Group) serve(ctx, sending context.Context, senders *sync.WaitGroup) error {
 	ticker := time.NewTicker(g.options.TickInterval)
 	defer ticker.Stop()
+	g.loop.ticks = ticker.C
 	for {
 		if err := g.process(sending, senders); err != nil {
 			level.Error(g.logger).Log("msg", "Stopping the group after a processing error.", "err", err)
@@ -228,7 +232,7 @@
 		}
 		g.loop.node.Advance()
 	}
-	if err := g.compact(); err != nil {
+	if err := g.compact(sending, senders); err != nil {
 		return err
 	}
 	g.updateLeadership()
@@ -244,7 +248,7 @@
 		}
 	}
 	// Messages acknowledge what save makes durable.
-	if err := g.save(ready); err != nil {
+	if err := g.save(ready, sending, senders); err != nil {
 		return err
 	}
 	// A message may transfer leadership, so the lease must end before it is sent.
@@ -267,16 +271,18 @@
 
 // save persists a Ready. A changed commit index alone is deferred to the next sync,
 // because a lost one is recovered from the other members.
-func (g *Group) save(ready raft.Ready) error {
+func (g *Group) save(ready raft.Ready, sending context.Context, senders *sync.WaitGroup) error {
 	if ready.HardState != nil {
 		g.loop.unsavedHardState = ready.HardState
 	}
 	if !ready.MustSync {
 		return nil
 	}
-	err := g.options.Store.Save(g.loop.unsavedHardState, ready.Entries, ready.Snapshot)
+	hardState := g.loop.unsavedHardState
 	g.loop.unsavedHardState = nil
-	return err
+	return g.awaitWrite(sending, senders, "log", func() error {
+		return g.options.Store.Save(hardState, ready.Entries, ready.Snapshot)
+	})
 }
 
 // stop fails all pending requests. No request is added afterwards, because callers
--- a/agreement/group/options.go
+++ b/agreement/group/options.go
@@ -45,6 +45,15 @@
 	Restore(data []byte) error
 }
 
+// Store is the durable state of a member; see logstore.Store.
+type Store interface {
+	Load() (raft.Restored, error)
+	Save(hardState *raft.HardState, entries []raft.Entry, snapshot *raft.Snapshot) error
+	Compact(snapshot raft.Snapshot) error
+}
+
+var _ Store = (*logstore.Store)(nil)
+
 // Member is a node, the address (host:port) of its transport server, and the name of
 // its process, which is kept when a disk is replaced.
 type Member struct {
@@ -72,8 +81,9 @@
 	// Standbys names the processes whose nodes vote and store the log but lead only while
 	// no other voter can. It should be the same on all members.
 	Standbys []string
-	// Store is opened and closed by the caller.
-	Store        *logstore.Store
+	// Store is opened and closed by the caller. Tests replace the *logstore.Store by one whose
+	// writes are slow.
+	Store        Store
 	Client       *transport.Client
 	Server       *transport.Server
 	StateMachine StateMachine
@@ -86,6 +96,9 @@
 	SnapshotEntries uint64
 	// Seed seeds the random election timeouts, together with Node.
 	Seed uint64
+	// OnWrite, if set, is called with the duration of each synced write to the store. It must not
+	// block.
+	OnWrite func(took time.Duration)
 	// Now is the clock for leases, which must include machine suspensions; nil means
 	// clock.Now.
 	Now func() time.Time
--- a/agreement/group/snapshot.go
+++ b/agreement/group/snapshot.go
@@ -1,6 +1,9 @@
 package group
 
 import (
+	"context"
+	"sync"
+
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -51,7 +54,7 @@
 
 // compact takes a snapshot once SnapshotEntries entries have been applied since the last
 // one, and compacts the log to it after the entries to retain have been applied.
-func (g *Group) compact() error {
+func (g *Group) compact(sending context.Context, senders *sync.WaitGroup) error {
 	state := &g.loop.snapshots
 	interval := g.options.SnapshotEntries
 	if state.pending == nil && g.loop.applied >= state.last+interval {
@@ -67,10 +70,11 @@
 	}
 	snapshot := *state.pending
 	state.pending = nil
-	if err := g.options.Store.Compact(snapshot); err != nil {
-		return err
+	// The node goes on during the write, and may take a later snapshot from a leader.
+	if err := g.loop.node.Compact(snapshot); err != nil {
+		return errors.Wrap(err, "compact raft log")
 	}
-	return errors.Wrap(g.loop.node.Compact(snapshot), "compact raft log")
+	return g.awaitWrite(sending, senders, "snapshot", func() error { return g.options.Store.Compact(snapshot) })
 }
 
 func (g *Group) takeSnapshot() (raft.Snapshot, error) {
--- a/agreement/raft/cluster_test.go
+++ b/agreement/raft/cluster_test.go
@@ -68,6 +68,8 @@
 
 	loss, duplicate, crash float64
 	delay, diskDelay       int
+	// diskIsUniform makes each write last diskDelay, and not up to it.
+	diskIsUniform bool
 	// filter, if set, receives every message and drops it by returning false.
 	filter func(m Message) bool
 	// mutate, if set, injects a fault into a node after each step; losesVotes makes a
@@ -171,6 +173,14 @@
 	c.history.recordCommits(m.node.Term(), &m.node.log)
 }
 
+// writeSteps returns how many steps a write lasts.
+func (c *cluster) writeSteps() int {
+	if c.diskIsUniform {
+		return c.diskDelay
+	}
+	return c.random.IntN(c.diskDelay)
+}
+
 // processReady processes a member's Readys, each once its disk write is done. The member
 // may crash at each step with probability crash.
 func (c *cluster) processReady(m *member) {
@@ -179,9 +189,13 @@
 			c.observe(m)
 			ready := m.node.Ready()
 			c.record(m, ready)
-			m.ready, m.readyAt = &ready, c.now+c.random.IntN(c.diskDelay)
+			m.ready, m.readyAt = &ready, c.now+c.writeSteps()
 		}
 		if c.now < m.readyAt {
+			for _, message := range m.node.TakeHeartbeats() {
+				c.history.checkHeartbeat(message, m.disk.hardState.Term)
+				c.send(message)
+			}
 			return
 		}
 		ready := *m.ready
--- a/agreement/raft/election.go
+++ b/agreement/raft/election.go
@@ -39,7 +39,7 @@
 	n.term++
 	n.vote = n.id
 	n.votes = map[NodeID]bool{n.id: true}
-	n.resetElectionTimer()
+	n.awaitVotes()
 	if n.tallyVotes() {
 		return
 	}
@@ -72,6 +72,9 @@
 	} else if granted {
 		n.vote = m.From
 		n.electionElapsed = 0
+		if n.writeTicks > 0 {
+			n.awaitVotes()
+		}
 	}
 	n.send(reply)
 	if m.Kind == MessagePreVote && granted && n.yieldsTo(m) {
--- a/agreement/raft/history_test.go
+++ b/agreement/raft/history_test.go
@@ -19,6 +19,7 @@
 	commitWithinLog     = "commit within log"
 	committedNeverLost  = "committed never lost"
 	progressAfterHealed = "progress after healing"
+	heartbeatTermStored = "heartbeat term stored"
 )
 
 type position struct{ index, term uint64 }
@@ -83,6 +84,12 @@
 	}
 }
 
+// checkHeartbeat checks a heartbeat, or a reply to one, that is sent while a Ready is written.
+func (h *history) checkHeartbeat(message Message, stored uint64) {
+	isHeartbeat := message.Kind == MessageHeartbeat || message.Kind == MessageHeartbeatReply
+	h.check(isHeartbeat && message.Term == stored, heartbeatTermStored, "%v of term %d, stored is %d", message.Kind, message.Term, stored)
+}
+
 // recordLeader records the leader of a term with its current log, unless it is known.
 func (h *history) recordLeader(id NodeID, term uint64, log *memoryLog) {
 	if earlier, known := h.leaders[term]; known {
--- a/agreement/raft/node.go
+++ b/agreement/raft/node.go
@@ -29,6 +29,8 @@
 	// ticksSinceLeader counts the ticks since the last message of a leader, up to
 	// ElectionTicks.
 	ticksSinceLeader int
+	// writeTicks is how long a write to the store takes; see SetWriteTicks.
+	writeTicks int
 	// votes holds the replies of the current election, by voter.
 	votes map[NodeID]bool
 
@@ -109,7 +111,7 @@
 	}
 	n.log.commit = max(snapshot.Index, restored.HardState.Commit)
 	n.log.applied = snapshot.Index
-	n.pending.hardState = restored.HardState
+	n.pending.hardState, n.pending.durableTerm = restored.HardState, restored.HardState.Term
 	return nil
 }
 
@@ -156,6 +158,23 @@
 	n.electionTimeout = n.config.ElectionTicks + n.config.Random.IntN(n.config.ElectionTicks)
 }
 
+// maxWriteTimeouts bounds, in election timeouts, the write time for which an election waits, so that a
+// write that hung once does not delay the next leader for long.
+const maxWriteTimeouts = 3
+
+// SetWriteTicks sets how long a write to the store takes at present, in ticks. An election waits that
+// much longer for votes, since candidate and voter each write before they go on: with disks that need
+// an election timeout for a write, no election would end otherwise.
+func (n *Node) SetWriteTicks(ticks int) {
+	n.writeTicks = min(ticks, maxWriteTimeouts*n.config.ElectionTicks)
+}
+
+// awaitVotes resets the election timer for the time of an election.
+func (n *Node) awaitVotes() {
+	n.resetElectionTimer()
+	n.electionTimeout += 2 * n.writeTicks
+}
+
 const (
 	// staggerTicks is the delay between the first election timeouts of successive voters,
 	// long enough for an election to end before the next voter campaigns.
--- a/agreement/raft/ready.go
+++ b/agreement/raft/ready.go
@@ -7,8 +7,10 @@
 	messages    []Message
 	readStates  []ReadState
 	snapshot    *Snapshot
-	// hardState is the last one returned by Ready.
-	hardState HardState
+	// hardState is the last one returned by Ready, and durableTerm the term of the last one confirmed
+	// by Advance.
+	hardState   HardState
+	durableTerm uint64
 	// entriesTo and appliedTo are the indexes that Advance marks stable and applied.
 	entriesTo uint64
 	appliedTo uint64
@@ -65,6 +67,7 @@
 	*p = pendingReady{
 		outstanding: true,
 		hardState:   p.hardState,
+		durableTerm: p.durableTerm,
 		entriesTo:   n.log.last(),
 		appliedTo:   n.log.commit,
 	}
@@ -79,6 +82,7 @@
 		return
 	}
 	p.outstanding = false
+	p.durableTerm = p.hardState.Term
 	n.log.stable = max(n.log.stable, p.entriesTo)
 	n.log.applied = max(n.log.applied, p.appliedTo)
 	if n.role == Leader {
@@ -86,6 +90,28 @@
 	}
 }
 
+// TakeHeartbeats removes and returns the heartbeats and replies to heartbeats that were queued since
+// the last Ready, while it is outstanding. They may be sent before it is durable, so that a slow disk
+// does not end a leadership: they confirm the term alone, and there are none before the term is
+// durable.
+func (n *Node) TakeHeartbeats() []Message {
+	p := &n.pending
+	if !p.outstanding || p.durableTerm != n.term {
+		return nil
+	}
+	var heartbeats, others []Message
+	for _, message := range p.messages {
+		isHeartbeat := message.Kind == MessageHeartbeat || message.Kind == MessageHeartbeatReply
+		if isHeartbeat && message.Term == n.term {
+			heartbeats = append(heartbeats, message)
+		} else {
+			others = append(others, message)
+		}
+	}
+	p.messages = others
+	return heartbeats
+}
+
 // Compact discards the log up to a durable snapshot. The snapshot's Index must be
 // applied, and its Term and Membership must match the log at that index (see
 // MembershipAt). The node retains the snapshot for members that lag behind. The error
--- a/agreement/raft/safety_test.go
+++ b/agreement/raft/safety_test.go
@@ -70,10 +70,15 @@
 // runWithFaults runs a cluster with seeded faults, heals it and checks that it makes
 // progress.
 func runWithFaults(seed uint64, mutate func(*Node), losesVotes bool) *history {
+	return runWithDisks(seed, 1+int(seed%5)*2, mutate, losesVotes)
+}
+
+// runWithDisks is runWithFaults with disks that take up to the given number of steps for a write.
+func runWithDisks(seed uint64, diskDelay int, mutate func(*Node), losesVotes bool) *history {
 	c := newCluster(seed, 3+2*int(seed%2), 2)
 	c.mutate, c.losesVotes = mutate, losesVotes
 	c.loss, c.duplicate, c.crash = 0.05, 0.05, 0.001
-	c.delay, c.diskDelay = 1+int(seed%12), 1+int(seed%5)*2
+	c.delay, c.diskDelay = 1+int(seed%12), diskDelay
 	for range faultSteps {
 		c.step()
 		if c.chance(0.3) {
@@ -115,6 +120,39 @@
 	qt.Assert(t, reads > 2*seededRuns, qt.IsTrue)
 }
 
+// Disks whose writes last up to twice the election timeout must not break a check.
+func TestSlowDisksKeepEveryCheck(t *testing.T) {
+	committed := 0
+	for seed := range uint64(seededRuns) {
+		h := runWithDisks(seed, 1+int(seed%80), nil, false)
+		qt.Assert(t, h.violated, qt.Equals, "", qt.Commentf("seed %d: %s", seed, h.detail))
+		committed += len(h.committed)
+	}
+	t.Logf("%d runs: %d entries committed", seededRuns, committed)
+}
+
+// Guards against leaders that change with each write, if all disks need longer for it than an election
+// timeout.
+func TestSlowDisksKeepTheLeader(t *testing.T) {
+	const writeTicks = 12 // The election timeout is 10.
+	c := newCluster(3, 3, 0)
+	c.ticks(40)
+	leader, term := c.leader(), c.leader().node.Term()
+	c.diskDelay = writeTicks * stepsPerTick
+	c.diskIsUniform = true
+	before := len(c.history.committed)
+	for range 40 {
+		_, _, err := leader.node.Propose([]byte("x"))
+		qt.Assert(t, err, qt.IsNil)
+		c.ticks(writeTicks)
+		qt.Assert(t, leader.node.LeaseValid(), qt.IsTrue)
+	}
+	qt.Assert(t, leader.node.Role(), qt.Equals, Leader)
+	qt.Assert(t, leader.node.Term(), qt.Equals, term)
+	qt.Assert(t, len(c.history.committed)-before >= 30, qt.IsTrue, qt.Commentf("%d", len(c.history.committed)-before))
+	qt.Assert(t, c.history.violated, qt.Equals, "", qt.Commentf(c.history.detail))
+}
+
 // TestChecksDetectFaultyNodes injects one protocol violation at a time, which a run
 // must detect.
 func TestChecksDetectFaultyNodes(t *testing.T) {
@@ -139,6 +177,7 @@
 			n.leading.reads = nil
 		}, breaks: []string{readLinearizable}},
 		{name: "never elects", mutate: func(n *Node) { n.electionElapsed = 0 }, breaks: []string{progressAfterHealed}},
+		{name: "heartbeats before the term is stored", mutate: func(n *Node) { n.pending.durableTerm = n.term }, breaks: []string{heartbeatTermStored}},
 		{name: "lease outlives the quorum", mutate: func(n *Node) {
 			for _, p := range n.leading.progress {
 				p.activeUntil = n.now + 100
@@ -190,6 +229,8 @@
 		{snapshotFaithful, func(h *history) { h.recordRestore(1, 1, 8) }},
 		{readLinearizable, func(h *history) { h.checkRead(1, 0) }},
 		{leaseExclusive, func(h *history) { h.checkLeases(2) }},
+		{heartbeatTermStored, func(h *history) { h.checkHeartbeat(Message{Kind: MessageHeartbeat, Term: 3}, 2) }},
+		{heartbeatTermStored, func(h *history) { h.checkHeartbeat(Message{Kind: MessageAppendReply, Term: 2}, 2) }},
 		{commitWithinLog, func(h *history) { h.checkStatus(Status{Commit: 2, LastIndex: 1}) }},
 		{committedNeverLost, func(h *history) { h.checkConverged(3, 0) }},
 	}
--- a/agreement/raft/types.go
+++ b/agreement/raft/types.go
@@ -122,6 +122,9 @@
 //  4. serve ReadStates once their Index is applied;
 //  5. call Advance.
 //
+// Between Ready and Advance the driver may go on with Tick and Step, and send what TakeHeartbeats
+// returns.
+//
 // A Snapshot replaces the whole stored log. Entries replace everything stored at and
 // after the index of the first of them. The slices are shared with the node and must
 // not be modified.
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -170,6 +170,7 @@
 		HeartbeatTicks:  n.options.HeartbeatTicks,
 		SnapshotEntries: snapshotEntries,
 		Seed:            n.options.Seed,
+		OnWrite:         func(took time.Duration) { n.metrics.storeWriteTime.Observe(took.Seconds()) },
 		Now:             n.options.Now,
 	})
 	m.group = raftGroup
