relay: a redirected router returns soon, and gets the document from its relay

Change: a relay that redirects is asked again after 0.5 s, doubled with each further redirection up to 5 s; one that does not answer after 5 s, as before. Relays pass a document on as soon as it is replicated to them, also to a router that they redirect.

Ruled out: lost relays; heartbeats of runners that are repeated at once (7 batches in 2 s at each controller, in the slow state too).

--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -13,6 +13,7 @@
 	"github.com/lotusferry/lotusferry/agreement/raft"
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/internal/wake"
+	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/mirror"
 	"github.com/lotusferry/lotusferry/structs"
@@ -79,9 +80,10 @@
 	if r == nil {
 		return
 	}
-	var reporting sync.WaitGroup
-	reporting.Go(func() { r.reportLoop(ctx) })
-	defer reporting.Wait()
+	var loops sync.WaitGroup
+	loops.Go(func() { r.reportLoop(ctx) })
+	loops.Go(func() { r.documentLoop(ctx, m) })
+	defer loops.Wait()
 	defer r.close()
 	for ctx.Err() == nil {
 		changed := m.group.Changed()
@@ -229,6 +231,26 @@
 	}
 }
 
+// documentLoop passes each document on as soon as it is replicated to this controller, so that routers
+// get it also while the leader is slow to answer, until ctx ends.
+func (r *relay) documentLoop(ctx context.Context, m *member) {
+	for ctx.Err() == nil {
+		changed := m.group.Changed()
+		var document domain.Document
+		m.group.View(func() { document = m.machine.Document() })
+		r.mutex.Lock()
+		isNewer := r.isOpen && r.mirror.AdoptDocument(document)
+		r.mutex.Unlock()
+		if isNewer {
+			r.wakeAll()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // reportLoop tells the leader of routers that must not wait for the next question, until ctx ends.
 func (r *relay) reportLoop(ctx context.Context) {
 	for {
--- a/placement/domainnode/relaywatch.go
+++ b/placement/domainnode/relaywatch.go
@@ -10,7 +10,6 @@
 	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/mirror"
-	"github.com/lotusferry/lotusferry/structs"
 )
 
 // watch answers a router's watch from the mirror, or redirects it. It returns false if the node
@@ -21,7 +20,7 @@
 	}
 	asked, heldUntil, isOpen := r.begin(arguments)
 	if !isOpen {
-		reply.Error = r.redirect()
+		r.redirectWatch(arguments, reply)
 		return true
 	}
 	wake.Up(r.tell)
@@ -33,12 +32,11 @@
 		r.mutex.Unlock()
 		switch {
 		case !isOpen || action == mirror.Redirect:
-			reply.Error = r.redirect()
+			r.redirectWatch(arguments, reply)
 			return true
 		case action == mirror.Answer:
-			if err := r.answer(arguments, asked, reply); err != nil {
-				*reply = domainapi.WatchReply{}
-				reply.Error = err
+			if !r.answer(arguments, asked, reply) {
+				r.redirectWatch(arguments, reply)
 			}
 			return true
 		}
@@ -51,6 +49,15 @@
 	}
 }
 
+// redirectWatch redirects a router. It still gets the document if it lacks it.
+func (r *relay) redirectWatch(arguments *domainapi.WatchArguments, reply *domainapi.WatchReply) {
+	*reply = domainapi.WatchReply{}
+	reply.Error = r.redirect()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	reply.Document = r.mirror.NewerDocument(arguments.Version)
+}
+
 // begin records a router's watch.
 func (r *relay) begin(arguments *domainapi.WatchArguments) (asked, heldUntil time.Time, isOpen bool) {
 	r.mutex.Lock()
@@ -63,14 +70,14 @@
 	return asked, asked.Add(hold), r.isOpen
 }
 
-// answer fills a reply from the mirror in its turn.
-func (r *relay) answer(arguments *domainapi.WatchArguments, asked time.Time, reply *domainapi.WatchReply) *structs.Error {
+// answer fills a reply from the mirror in its turn. It returns false if the router must be redirected.
+func (r *relay) answer(arguments *domainapi.WatchArguments, asked time.Time, reply *domainapi.WatchReply) bool {
 	r.mutex.Lock()
 	now := r.node.now()
 	wait, isTaken := r.replyPacer.reserve(now, r.mirror.ReplyBytes(now, arguments), r.mirror.CurrentUntil().Sub(now))
 	r.mutex.Unlock()
 	if !isTaken {
-		return r.redirect()
+		return false
 	}
 	if wait > 0 {
 		pause.For(context.Background(), wait)
@@ -87,12 +94,12 @@
 		level.Error(r.logger).Log("msg", "A view cannot be encoded.", "err", err)
 	}
 	if err != nil || !isCurrent {
-		return r.redirect()
+		return false
 	}
 	outcome := "unchanged"
 	if reply.View != nil || reply.Document != nil {
 		outcome = "changed"
 	}
 	r.node.metrics.relayedWatches.WithLabelValues(outcome).Inc()
-	return nil
+	return true
 }
--- a/placement/mirror/answer.go
+++ b/placement/mirror/answer.go
@@ -88,10 +88,7 @@
 	if arguments.Term == m.term && m.state.Suspects != nil && m.state.Suspects.Revision == arguments.Suspects {
 		reply.Suspects = nil
 	}
-	if m.document.Version > arguments.Version {
-		document := m.document
-		reply.Document = &document
-	}
+	reply.Document = m.NewerDocument(arguments.Version)
 	if arguments.Relays != 0 && (arguments.Term != m.term || arguments.Relays != m.relayList.Version) {
 		list := m.relayList
 		reply.Relays = &list
--- a/placement/mirror/mirror.go
+++ b/placement/mirror/mirror.go
@@ -99,6 +99,25 @@
 	return nil
 }
 
+// AdoptDocument takes over a document that was replicated to the relay, and reports whether it is newer
+// than the mirror's. It needs no answer of the leader.
+func (m *Mirror) AdoptDocument(document domain.Document) bool {
+	if document.Version <= m.document.Version {
+		return false
+	}
+	m.document = document
+	return true
+}
+
+// NewerDocument returns the document if a router that has the given version lacks it, or nil.
+func (m *Mirror) NewerDocument(version uint64) *domain.Document {
+	if m.document.Version <= version {
+		return nil
+	}
+	document := m.document
+	return &document
+}
+
 // begin drops everything of the former leader except the document.
 func (m *Mirror) begin(term uint64) {
 	m.term, m.views, m.announced, m.awaited, m.toldOf = term, fleet.NewPublisher(), 0, 0, 0
@@ -123,7 +142,7 @@
 		m.state.Suspects = suspects
 	}
 	if reply.State.Document != nil {
-		m.document = *reply.State.Document
+		m.AdoptDocument(*reply.State.Document)
 	}
 	m.state.View, m.state.Document, m.state.Loads, m.state.PackedLoads = nil, nil, nil, nil
 	m.announced = min(reply.Announced, m.views.Revision())
--- a/request/relay/controllers.go
+++ b/request/relay/controllers.go
@@ -8,8 +8,14 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// failedRelayPause is how long a router does not ask a relay that failed or redirected it.
-const failedRelayPause = 5 * time.Second
+const (
+	// failedRelayPause is how long a router does not ask a relay that failed.
+	failedRelayPause = 5 * time.Second
+	// redirectPause is how long it does not ask one that redirected it, doubled with each further
+	// redirection up to failedRelayPause. A relay redirects when the leader is slow to answer it. If
+	// its routers asked the leader for long, that would make the leader slower still.
+	redirectPause = 500 * time.Millisecond
+)
 
 // nearness tells which controller a router watches.
 type nearness int
@@ -36,12 +42,18 @@
 	// isUsed is set if there is more than one region.
 	isUsed bool
 	list   domainapi.RelayList
-	// failedAt is when each relay failed last.
-	failedAt map[string]time.Time
+	// failed has the relays that are not to be asked for some time.
+	failed map[string]failedRelay
+}
+
+// failedRelay is the last failure of a relay and how long it is not asked from then.
+type failedRelay struct {
+	at    time.Time
+	pause time.Duration
 }
 
 func newControllerChoice(name string, zone structs.ZoneID, regions map[structs.ZoneID]string) *controllerChoice {
-	c := &controllerChoice{name: name, zone: zone, regions: regions, failedAt: make(map[string]time.Time)}
+	c := &controllerChoice{name: name, zone: zone, regions: regions, failed: make(map[string]failedRelay)}
 	names := make(map[string]bool)
 	for _, region := range regions {
 		names[region] = true
@@ -72,16 +84,20 @@
 	}
 }
 
-// fail records that a relay failed or redirected the router.
+// fail records that a relay failed.
 func (c *controllerChoice) fail(at time.Time, address string) {
-	for each, failedAt := range c.failedAt {
-		if at.Sub(failedAt) >= failedRelayPause {
-			delete(c.failedAt, each)
-		}
-	}
-	c.failedAt[address] = at
+	c.failed[address] = failedRelay{at: at, pause: failedRelayPause}
+}
+
+// redirect records that a relay is up but cannot answer now.
+func (c *controllerChoice) redirect(at time.Time, address string) {
+	pause := max(redirectPause, 2*c.failed[address].pause)
+	c.failed[address] = failedRelay{at: at, pause: min(pause, failedRelayPause)}
 }
 
+// succeed records that a relay answered.
+func (c *controllerChoice) succeed(address string) { delete(c.failed, address) }
+
 // next returns the address of the relay to watch, or nearLeader and no address for the leader.
 func (c *controllerChoice) next(at time.Time) (address string, near nearness) {
 	near = nearLeader
@@ -90,9 +106,9 @@
 	}
 	best := uint64(0)
 	for _, relay := range c.list.Relays {
-		failedAt, hasFailed := c.failedAt[relay.Address]
+		failure, hasFailed := c.failed[relay.Address]
 		distance := c.distance(relay)
-		if distance == nearLeader || distance > near || hasFailed && at.Sub(failedAt) < failedRelayPause {
+		if distance == nearLeader || distance > near || hasFailed && at.Sub(failure.at) < failure.pause {
 			continue
 		}
 		if rank := c.rank(relay.Address); distance < near || rank > best {
--- a/request/relay/controllers_test.go
+++ b/request/relay/controllers_test.go
@@ -61,6 +61,65 @@
 	}
 }
 
+// Guards against routers that stay with the leader for long after their relay has redirected them,
+// although the relay is up: they all do so at once when the leader is slow.
+func TestRelayThatRedirectsIsAskedAgainSoon(t *testing.T) {
+	c := qt.New(t)
+	choice := newControllerChoice("router", "a1", relayTestRegions)
+	choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{{Address: "1", Zone: "a1"}}}, true)
+	at := time.Unix(1000, 0)
+	assertPause := func(pause time.Duration) {
+		c.Helper()
+		address, _ := choice.next(at.Add(pause - 1))
+		c.Assert(address, qt.Equals, "", qt.Commentf("%v", pause))
+		at = at.Add(pause)
+		address, _ = choice.next(at)
+		c.Assert(address, qt.Equals, "1", qt.Commentf("%v", pause))
+	}
+	for _, pause := range []time.Duration{redirectPause, 2 * redirectPause, 4 * redirectPause, 8 * redirectPause, failedRelayPause, failedRelayPause} {
+		choice.redirect(at, "1")
+		assertPause(pause)
+	}
+	choice.succeed("1")
+	choice.redirect(at, "1")
+	assertPause(redirectPause)
+	choice.fail(at, "1")
+	assertPause(failedRelayPause)
+}
+
+// Guards against a leader that is slow for a moment and stays so, since all routers watch it for seconds
+// afterwards.
+func TestLeaderThatWasSlowIsLeftSoon(t *testing.T) {
+	const (
+		routers     = 300
+		hold        = domainapi.MinHold
+		slowFor     = 1500 * time.Millisecond
+		observed    = 10 * time.Second
+		mostWatches = 3
+	)
+	watches := 0
+	for router := range routers {
+		choice := newControllerChoice(fmt.Sprint("router-", router), "a1", relayTestRegions)
+		choice.adopt(&domainapi.RelayList{Version: 7, Relays: []domainapi.Relay{{Address: "1", Zone: "a1"}, {Address: "2", Zone: "a2"}}}, true)
+		began := time.Unix(1000, 0)
+		for at := began; at.Before(began.Add(observed)); {
+			address, _ := choice.next(at)
+			switch {
+			case address == "":
+				watches++
+				at = at.Add(hold)
+			case at.Before(began.Add(slowFor)):
+				choice.redirect(at, address)
+			default:
+				choice.succeed(address)
+				at = at.Add(hold)
+			}
+		}
+	}
+	t.Log("watches of a router at the leader", float64(watches)/routers)
+	qt.Assert(t, watches <= mostWatches*routers, qt.IsTrue, qt.Commentf("%d watches of %d routers", watches, routers))
+}
+
 func TestRoutersAreSpreadOverRelays(t *testing.T) {
 	c := qt.New(t)
 	counts := make(map[string]int)
--- a/request/relay/regionalnetwork_test.go
+++ b/request/relay/regionalnetwork_test.go
@@ -28,6 +28,8 @@
 	// isolated are IPs cut off from all others, cuts pairs of IPs cut off from each other.
 	isolated map[string]bool
 	cuts     map[[2]string]bool
+	// muted are pairs of IPs: connections that the first has opened to the second get no answers.
+	muted map[[2]string]bool
 	// changed is closed and replaced when a link is cut or healed.
 	changed chan struct{}
 	// beyond counts the bytes between regions, by whether a router or two controllers exchange them.
@@ -37,7 +39,7 @@
 func newRegionalNetwork(zones, regions map[string]string) *regionalNetwork {
 	return &regionalNetwork{
 		memory: networktest.NewMemory(0), zones: zones, regions: regions,
-		isolated: make(map[string]bool), beyond: make(map[bool]int), cuts: make(map[[2]string]bool), changed: make(chan struct{}),
+		isolated: make(map[string]bool), beyond: make(map[bool]int), cuts: make(map[[2]string]bool), muted: make(map[[2]string]bool), changed: make(chan struct{}),
 	}
 }
 
@@ -58,11 +60,26 @@
 	n.set(func() { n.cuts[[2]string{a, b}], n.cuts[[2]string{b, a}] = isCut, isCut })
 }
 
+// mute holds back the answers on connections that one IP has opened to another.
+func (n *regionalNetwork) mute(dialer, listener string, isMuted bool) {
+	n.set(func() { n.muted[[2]string{dialer, listener}] = isMuted })
+}
+
 // awaitLink waits until the link between two IPs is open. It returns false if done is closed first.
 func (n *regionalNetwork) awaitLink(a, b string, done <-chan struct{}) bool {
+	return n.await(func() bool { return !n.isolated[a] && !n.isolated[b] && !n.cuts[[2]string{a, b}] }, done)
+}
+
+// awaitAnswers waits until answers pass on a connection. It returns false if done is closed first.
+func (n *regionalNetwork) awaitAnswers(dialer, listener string, done <-chan struct{}) bool {
+	return n.await(func() bool { return !n.muted[[2]string{dialer, listener}] }, done)
+}
+
+// await waits until a condition on the links holds. It returns false if done is closed first.
+func (n *regionalNetwork) await(holds func() bool, done <-chan struct{}) bool {
 	for {
 		n.mutex.Lock()
-		isOpen, changed := !n.isolated[a] && !n.isolated[b] && !n.cuts[[2]string{a, b}], n.changed
+		isOpen, changed := holds(), n.changed
 		n.mutex.Unlock()
 		if isOpen {
 			return true
@@ -136,7 +153,7 @@
 		return nil, err
 	}
 	own, near := net.Pipe()
-	joined := &joinedConns{network: a.regional, near: near, far: far, done: make(chan struct{})}
+	joined := &joinedConns{network: a.regional, dialer: a.ip, near: near, far: far, done: make(chan struct{})}
 	go joined.pass(near, far, a.ip, ip)
 	go joined.pass(far, near, ip, a.ip)
 	return own, nil
@@ -144,7 +161,9 @@
 
 // joinedConns passes bytes between two connections with latency.
 type joinedConns struct {
-	network   *regionalNetwork
+	network *regionalNetwork
+	// dialer is the IP that has opened the connection.
+	dialer    string
 	near, far net.Conn
 	once      sync.Once
 	done      chan struct{}
@@ -189,7 +208,7 @@
 			timer.Stop()
 			return
 		}
-		if !j.network.awaitLink(from, to, j.done) {
+		if !j.network.awaitLink(from, to, j.done) || to == j.dialer && !j.network.awaitAnswers(to, from, j.done) {
 			return
 		}
 		if _, err := target.Write(each.bytes); err != nil {
--- a/request/relay/regionalsite_relay_test.go
+++ b/request/relay/regionalsite_relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -301,6 +302,45 @@
 	qt.Assert(t, 5*(ofControllers[true]-ofControllers[false]) <= ofRouters[false], qt.IsTrue)
 }
 
+// Guards against routers that answer by a former document for as long as the leader does not answer
+// their relays: the relays have the next one, as it is replicated to them.
+func TestDocumentReachesRoutersWithoutAnswersOfTheLeader(t *testing.T) {
+	t.Parallel()
+	inRegions(t, true, 2, func(s *regionalSite) {
+		leader := s.leader()
+		// Two relays, so that the leader keeps a quorum. Their routers reach no other controller.
+		muted := s.relaysBeyond(leader)[:2]
+		var waiting []*regionalRouter
+		for _, relay := range muted {
+			s.network.mute(controllerIP(relay), controllerIP(leader), true)
+			for i := range 2 {
+				for other := range regionalZones {
+					s.network.cut(routerIP(relay, i), controllerIP(other), !slices.Contains(muted, other))
+				}
+				waiting = append(waiting, s.routers[2*relay+i])
+			}
+		}
+		pause.For(s.ctx, 3*time.Second)
+		s.c.Assert(s.leader(), qt.Equals, leader)
+		ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+		defer cancel()
+		s.c.Assert(s.leading().PutDocument(ctx, regionalDocument(2)), qt.IsNil)
+		pause.For(s.ctx, documentWithin)
+		for _, router := range waiting {
+			s.c.Assert(router.version(), qt.Equals, uint64(2), qt.Commentf(router.options.Name))
+		}
+		s.network.set(func() {
+			clear(s.network.muted)
+			clear(s.network.cuts)
+		})
+		s.awaitSettled()
+	})
+}
+
+// documentWithin bounds the time until a router has a document that its relay has and that the leader
+// does not answer for: the users allow 3 s.
+const documentWithin = 3 * time.Second
+
 // A controller without relays, as one of a previous release, beside those with them: its routers
 // ask the leader, and nothing else changes.
 func TestControllersWithoutRelaysBesideOthers(t *testing.T) {
--- a/request/relay/regionalsite_test.go
+++ b/request/relay/regionalsite_test.go
@@ -167,6 +167,7 @@
 	s.network.set(func() {
 		clear(s.network.isolated)
 		clear(s.network.cuts)
+		clear(s.network.muted)
 	})
 	for _, router := range s.routers {
 		router.end()
@@ -363,6 +364,16 @@
 	}
 }
 
+// relaysBeyond returns the indexes of the controllers in the region in which a controller is not.
+func (s *regionalSite) relaysBeyond(controller int) (relays []int) {
+	for index, zone := range regionalZones {
+		if regionOfZone[zone] != regionOfZone[regionalZones[controller]] {
+			relays = append(relays, index)
+		}
+	}
+	return relays
+}
+
 // relayOf returns the index of a relay in a region that serves routers.
 func (s *regionalSite) relayIn(region string) int {
 	for index, zone := range regionalZones {
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -90,16 +90,29 @@
 	reply, err := f.callRelay(ctx, address)
 	if err != nil {
 		if ctx.Err() == nil {
-			f.choice.fail(r.now(), address)
+			f.leaveRelay(address, err)
 			level.Info(r.logger).Log("msg", "A relay did not answer; another controller is asked.", "relay", address,
 				"near", near, "term", f.arguments.Term, "took", r.now().Sub(asked), "err", err)
 		}
+		if reply.Document != nil {
+			r.takeDocument(*reply.Document)
+		}
 		return
 	}
+	f.choice.succeed(address)
 	f.adopt(reply, asked, address, near)
 	f.relayHold = holdOf(reply)
 }
 
+// leaveRelay has another controller asked, for a short time only if the relay is up.
+func (f *follower) leaveRelay(address string, err error) {
+	if errors.Is(err, errBehind) || structs.KindOf(err) == structs.ErrorNotLeader {
+		f.choice.redirect(f.router.now(), address)
+		return
+	}
+	f.choice.fail(f.router.now(), address)
+}
+
 func (f *follower) callRelay(ctx context.Context, address string) (*domainapi.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.relayHold+watchMargin)
 	defer cancel()
