--- a/agreement/group/stalledstore_test.go
+++ b/agreement/group/stalledstore_test.go
@@ -41,7 +41,9 @@
 	s.mutex.Lock()
 	length := max(0, time.Until(s.until)) + s.write
 	s.mutex.Unlock()
-	pause.For(context.Background(), length)
+	if length > 0 {
+		pause.For(context.Background(), length)
+	}
 }
 
 // Save implements Store.
