relay: a slow leader holds the questions of its relays for less

Cause: what a relay has is current for 1 s from its question. The leader held each question for 0.3 s, so that two answers which took 0.2 s more each, one after the other, ended that: the relay redirected all its routers, although the leader answered each question.

Change: the leader says for how long it held a question, the relay learns from that how late answers are, and states for how long the next may be held, so that two fit into its second. The mutex is taken once for an answer. A relay or leader of a previous release does as before.

--- a/placement/domainapi/mirror.go
+++ b/placement/domainapi/mirror.go
@@ -73,6 +73,8 @@
 	Members uint64
 	// LoadsAge is the time since it received loads of the leader of Term; 0 if it has none.
 	LoadsAge time.Duration
+	// HoldMS bounds how long the question is held without changes, in milliseconds; 0 means RelayHold.
+	HoldMS uint32
 	// Routers are the contacts of which the leader must be told.
 	Routers []RelayedRouter
 	// IsReport is set if the message only carries Routers and is answered immediately, without
@@ -88,6 +90,8 @@
 	State WatchReply
 	// Announced is the latest revision that was announced to all routers.
 	Announced uint64
+	// HeldMS is how long the question was held, in milliseconds rounded up.
+	HeldMS uint32
 	// Awaited is the revision that all active routers must have before the leader acknowledges a
 	// departure or drain; 0 if it waits for none.
 	Awaited uint64
@@ -99,6 +103,14 @@
 	RelayList RelayList
 }
 
+// Hold returns how long the question may be held without changes.
+func (a *MirrorArguments) Hold() time.Duration {
+	if a.HoldMS == 0 {
+		return RelayHold
+	}
+	return min(RelayHold, time.Duration(a.HoldMS)*time.Millisecond)
+}
+
 // Watch returns the watch of a router that has the relay's state.
 func (a *MirrorArguments) Watch() *WatchArguments {
 	return &WatchArguments{Version: a.Version, Term: a.Term, TakesPackedLoads: true, LoadsAge: a.LoadsAge}
--- a/placement/domainnode/mirror.go
+++ b/placement/domainnode/mirror.go
@@ -23,29 +23,29 @@
 	if arguments.IsReport {
 		current.fillReport(reply)
 	} else {
-		current.awaitMirrorNews(from, arguments)
+		reply.HeldMS = domainapi.MillisecondsUp(current.awaitMirrorNews(from, arguments))
 		var document domain.Document
 		m.group.View(func() { document = m.machine.Document() })
+		controllers := memberAddresses(m.group.Status())
+		controllers = controllers[:min(len(controllers), maxControllers)]
+		// A step may hold the mutex for long in a large fleet, so that it is taken once for the answer.
+		current.mutex.Lock()
 		current.fillMirror(from, arguments, document, reply)
-		current.fillLoads(&reply.State, arguments.Watch(), s.node.now().Sub(asked))
+		current.fillLoadsLocked(&reply.State, arguments.Watch(), s.node.now().Sub(asked))
+		current.fillMembers(controllers, arguments, reply)
+		current.mutex.Unlock()
 	}
 	if !current.isValid() {
 		*reply = domainapi.MirrorReply{}
 		reply.Error = structs.AsTyped(notLeaderError(m))
-		return nil
-	}
-	if !arguments.IsReport {
-		controllers := memberAddresses(m.group.Status())
-		current.fillMembers(controllers[:min(len(controllers), maxControllers)], arguments, reply)
 	}
 	return nil
 }
 
-// fillMembers sets the lists of relays and controllers unless the relay has them.
+// fillMembers sets the lists of relays and controllers unless the relay has them. The caller holds the
+// mutex.
 func (l *leadership) fillMembers(controllers []string, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
-	l.mutex.Lock()
 	list := l.relayList()
-	l.mutex.Unlock()
 	reply.Members = membersVersion(&list, controllers)
 	if arguments.Term != uint64(l.term) || arguments.Members != reply.Members {
 		reply.RelayList, reply.State.Controllers = list, controllers
@@ -70,23 +70,26 @@
 	return from
 }
 
-// awaitMirrorNews waits until there is something to tell a relay, at most for the hold time.
-func (l *leadership) awaitMirrorNews(from *relayContact, arguments *domainapi.MirrorArguments) {
-	timeout := time.NewTimer(domainapi.RelayHold)
+// awaitMirrorNews waits until there is something to tell a relay, at most for the hold time. It returns
+// how long it waited for that, without the time that it waited for the mutex.
+func (l *leadership) awaitMirrorNews(from *relayContact, arguments *domainapi.MirrorArguments) (held time.Duration) {
+	timeout := time.NewTimer(arguments.Hold())
 	defer timeout.Stop()
 	for {
 		l.mutex.Lock()
 		changed, hasNews := l.announcer.changed, l.hasMirrorNews(from, arguments)
 		l.mutex.Unlock()
 		if hasNews {
-			return
+			return held
 		}
+		began := l.now()
 		select {
 		case <-changed:
 		case <-from.wake:
 		case <-timeout.C:
-			return
+			return held + l.now().Sub(began)
 		}
+		held += l.now().Sub(began)
 	}
 }
 
@@ -101,21 +104,18 @@
 		len(from.notify) > 0 || l.relays.awaitedAt(l.now()) > from.toldOf
 }
 
-// fillMirror sets what has changed since the relay's state.
+// fillMirror sets what has changed since the relay's state. The caller holds the mutex.
 func (l *leadership) fillMirror(from *relayContact, arguments *domainapi.MirrorArguments, document domain.Document, reply *domainapi.MirrorReply) {
 	revision, suspects := uint64(0), uint64(0)
 	if arguments.Term == uint64(l.term) {
 		revision, suspects = arguments.Revision, arguments.Suspects
 	}
-	l.mutex.Lock()
 	reply.Notify = from.takeNotified()
 	reply.Awaited = l.relays.awaitedAt(l.now())
 	from.toldOf = max(from.toldOf, reply.Awaited)
 	reply.Announced = l.announcer.announced.view
 	reply.State.Routers = len(l.routers)
-	l.mutex.Unlock()
-	// The view comes after Announced and Notify, so that it is no older.
-	l.fillReply(&reply.State, arguments.Watch(), revision, suspects, document, true)
+	l.fillReplyLocked(&reply.State, arguments.Watch(), revision, suspects, document, true)
 }
 
 // fillReport answers a report.
--- a/placement/domainnode/relays_benchmark_test.go
+++ b/placement/domainnode/relays_benchmark_test.go
@@ -99,7 +99,9 @@
 			question := &questions[i]
 			var reply domainapi.MirrorReply
 			from := a.recordMirror(question)
+			a.mutex.Lock()
 			a.fillMirror(from, question, domain.Document{Version: 1}, &reply)
+			a.mutex.Unlock()
 			question.Revision, question.Announced = reply.State.Revision, reply.Announced
 			_ = encoders[i].Encode(&reply)
 		}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -310,13 +310,18 @@
 
 // fillReply sets the changes since the router's state; the view only if hasView is set.
 func (l *leadership) fillReply(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasView bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.fillReplyLocked(reply, arguments, known, knownSuspects, document, hasView)
+}
+
+// fillReplyLocked is fillReply for a caller that holds the mutex.
+func (l *leadership) fillReplyLocked(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasView bool) {
 	reply.Term = uint64(l.term)
 	reply.Confirmed = document.Version
 	if document.Version > arguments.Version {
 		reply.Document = &document
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	reply.Revision = known
 	reply.Shares = l.shares.Overuse(l.now())
 	reply.StreamLosses = l.streams.Rates(l.now())
--- a/placement/domainnode/watchreply.go
+++ b/placement/domainnode/watchreply.go
@@ -17,6 +17,11 @@
 func (l *leadership) fillLoads(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, held time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.fillLoadsLocked(reply, arguments, held)
+}
+
+// fillLoadsLocked is fillLoads for a caller that holds the mutex.
+func (l *leadership) fillLoadsLocked(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, held time.Duration) {
 	switch {
 	case !arguments.TakesPackedLoads:
 		reply.Loads = l.loads
--- a/placement/mirror/mirror.go
+++ b/placement/mirror/mirror.go
@@ -32,6 +32,9 @@
 	loads       []fleet.Load
 	packedLoads []byte
 	loadsAt     time.Time
+	// lag is how long answers of the leader take at present beyond the time for which it holds the
+	// questions.
+	lag time.Duration
 	// askedAt is when the last answered question was asked, heardAt when the answer arrived.
 	askedAt, heardAt time.Time
 	contacts         map[string]*contact
@@ -50,7 +53,7 @@
 func (m *Mirror) Question(now time.Time) domainapi.MirrorArguments {
 	arguments := domainapi.MirrorArguments{
 		Term: m.term, Revision: m.views.Revision(), Version: m.document.Version, Announced: m.announced,
-		Members: m.members, LoadsAge: m.loadsAge(now), Routers: m.dueContacts(now),
+		Members: m.members, LoadsAge: m.loadsAge(now), Routers: m.dueContacts(now), HoldMS: domainapi.MillisecondsUp(m.hold()),
 	}
 	if m.state.Suspects != nil {
 		arguments.Suspects = m.state.Suspects.Revision
@@ -90,6 +93,7 @@
 		m.loads, m.packedLoads, m.loadsAt = loads, state.PackedLoads, now
 	}
 	m.askedAt, m.heardAt = asked, now
+	m.observeLag(now.Sub(asked) - time.Duration(reply.HeldMS)*time.Millisecond)
 	m.acknowledge(made, question, reply)
 	for _, router := range reply.Notify {
 		if known := m.contacts[router]; known != nil {
@@ -118,6 +122,20 @@
 	return &document
 }
 
+// holdMargin is what remains of the time for which an answer is current after two questions.
+const holdMargin = 100 * time.Millisecond
+
+// hold returns how long the leader may hold the next question: as long that the answer to the question
+// after it arrives while the mirror is still current. A leader that is slow holds less, so that its
+// relays do not send their routers to it.
+func (m *Mirror) hold() time.Duration {
+	hold := (domainapi.MirrorTTL-holdMargin)/2 - m.lag
+	return min(max(hold, time.Millisecond), domainapi.RelayHold)
+}
+
+// observeLag records how long an answer took beyond the time for which the question was held.
+func (m *Mirror) observeLag(lag time.Duration) { m.lag = max(lag, m.lag/2) }
+
 // begin drops everything of the former leader except the document.
 func (m *Mirror) begin(term uint64) {
 	m.term, m.views, m.announced, m.awaited, m.toldOf = term, fleet.NewPublisher(), 0, 0, 0
