raft: heartbeats sent during a write do not confirm later reads

Found when the change was read: TakeHeartbeats, new with heartbeats during writes, left the mark that a round is queued, so that a read requested after the write joined a round that had been sent before it. Replies from before the request could then confirm a read at a leader that had since been deposed.

Change: taking the heartbeats ends the round for reads; they are taken with or without a Ready. TestReadAfterEarlyHeartbeatsStartsARound failed before.

--- a/agreement/raft/election.go
+++ b/agreement/raft/election.go
@@ -73,6 +73,7 @@
 		n.vote = m.From
 		n.electionElapsed = 0
 		if n.writeTicks > 0 {
+			// The candidate needs the time until the vote is stored here, too.
 			n.awaitVotes()
 		}
 	}
--- a/agreement/raft/ready.go
+++ b/agreement/raft/ready.go
@@ -91,14 +91,15 @@
 }
 
 // TakeHeartbeats removes and returns the heartbeats and replies to heartbeats that were queued since
-// the last Ready, while it is outstanding. They may be sent before it is durable, so that a slow disk
-// does not end a leadership: they confirm the term alone, and there are none before the term is
-// durable.
+// the last Ready. They may be sent before it is durable, so that a slow disk does not end a leadership:
+// they confirm the term alone, and there are none before the term is durable.
 func (n *Node) TakeHeartbeats() []Message {
 	p := &n.pending
-	if !p.outstanding || p.durableTerm != n.term {
+	if p.durableTerm != n.term {
 		return nil
 	}
+	// A later read needs a round that is sent after it was requested.
+	n.leading.roundQueued = false
 	var heartbeats, others []Message
 	for _, message := range p.messages {
 		isHeartbeat := message.Kind == MessageHeartbeat || message.Kind == MessageHeartbeatReply
@@ -112,10 +113,11 @@
 	return heartbeats
 }
 
-// Compact discards the log up to a durable snapshot. The snapshot's Index must be
-// applied, and its Term and Membership must match the log at that index (see
-// MembershipAt). The node retains the snapshot for members that lag behind. The error
-// is a *structs.Error of kind invalid; compacting again at the same index is a no-op.
+// Compact discards the log up to a snapshot, which must be durable before the next Ready is
+// handled. The snapshot's Index must be applied, and its Term and Membership must match
+// the log at that index (see MembershipAt). The node retains the snapshot for members that
+// lag behind. The error is a *structs.Error of kind invalid; compacting again at the same
+// index is a no-op.
 func (n *Node) Compact(snapshot Snapshot) error {
 	if snapshot.Index == n.log.base {
 		return nil
--- a/agreement/raft/step_test.go
+++ b/agreement/raft/step_test.go
@@ -172,6 +172,40 @@
 	qt.Assert(t, [][]Entry{handed, ready.Entries}, qt.DeepEquals, [][]Entry{old, renewed}, qt.Commentf("entries of an earlier Ready changed"))
 }
 
+// Guards against a read that is confirmed by replies to heartbeats from before it was requested.
+func TestReadAfterEarlyHeartbeatsStartsARound(t *testing.T) {
+	n := newVoter(t)
+	n.startPreVote()
+	qt.Assert(t, n.Step(Message{Kind: MessagePreVoteReply, From: 2, To: 1, Term: 6}), qt.IsNil)
+	qt.Assert(t, n.Step(Message{Kind: MessageVoteReply, From: 2, To: 1, Term: 6}), qt.IsNil)
+	qt.Assert(t, n.Role(), qt.Equals, Leader)
+	n.Ready()
+	n.Advance()
+	_, _, err := n.Propose([]byte("written slowly"))
+	qt.Assert(t, err, qt.IsNil)
+	n.Ready()
+	for range n.config.HeartbeatTicks {
+		n.Tick()
+	}
+	early := n.TakeHeartbeats()
+	qt.Assert(t, early, qt.HasLen, 2)
+	qt.Assert(t, n.TakeHeartbeats(), qt.HasLen, 0)
+	round := early[0].Context
+	qt.Assert(t, n.Step(Message{Kind: MessageHeartbeatReply, From: 2, To: 1, Term: 6, Context: round}), qt.IsNil)
+	n.Advance()
+	qt.Assert(t, n.ReadIndex(7), qt.IsNil)
+	ready := n.Ready()
+	qt.Assert(t, ready.ReadStates, qt.HasLen, 0)
+	rounds := 0
+	for _, message := range ready.Messages {
+		if message.Kind == MessageHeartbeat {
+			qt.Assert(t, message.Context > round, qt.IsTrue)
+			rounds++
+		}
+	}
+	qt.Assert(t, rounds, qt.Equals, 2)
+}
+
 // TestUncommittedRemovalKeepsVote checks that a node votes until its removal is
 // committed, because the removal may be truncated.
 func TestUncommittedRemovalKeepsVote(t *testing.T) {
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -123,7 +123,7 @@
 			Buckets: []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1},
 		}),
 		storeWriteTime: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: namespace, Subsystem: subsystem, Name: "store_write_seconds", Help: "Time of a synced write to the store, during which this controller takes no part in its group.",
+			Namespace: namespace, Subsystem: subsystem, Name: "store_write_seconds", Help: "Time of a synced write to the store, during which this controller commits nothing.",
 			Buckets: []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10},
 		}),
 		lost:           gauge("lost_runners", "Runners taken for lost, as several routers could not reach them."),
