--- a/agreement/group/stalledstore_test.go
+++ b/agreement/group/stalledstore_test.go
@@ -146,6 +146,23 @@
 	return -1
 }
 
+// withStallCluster plays a test on a cluster of three that has committed for a second and goes on doing
+// so.
+func withStallCluster(t *testing.T, play func(ctx context.Context, s *stallCluster)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newStallCluster(qt.New(t), 3)
+		ctx, cancel := context.WithCancel(s.ctx)
+		var committing sync.WaitGroup
+		committing.Go(func() { s.commitAll(ctx) })
+		defer committing.Wait()
+		defer cancel()
+		pause.For(ctx, time.Second)
+		play(ctx, s)
+	})
+}
+
 // Guards against a leader whose disk stalls and that keeps others from leading, and against a stall of
 // a quorum after which the group does not go on soon.
 func TestStalledWritesDelayCommitsOnlyWhileAQuorumStalls(t *testing.T) {
@@ -163,14 +180,7 @@
 	} {
 		for _, length := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
 			t.Run(fmt.Sprintf("%s for %v", test.name, length), func(t *testing.T) {
-				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					c := qt.New(t)
-					s := newStallCluster(c, 3)
-					ctx, cancel := context.WithCancel(s.ctx)
-					var committing sync.WaitGroup
-					committing.Go(func() { s.commitAll(ctx) })
-					pause.For(ctx, time.Second)
+				withStallCluster(t, func(ctx context.Context, s *stallCluster) {
 					first := s.leaderIndex()
 					began := time.Now()
 					for _, offset := range test.stalled {
@@ -182,9 +192,7 @@
 					}
 					pause.For(ctx, length+leaderHolds+leaderWithin)
 					took := s.firstCommit(from, time.Minute)
-					cancel()
-					committing.Wait()
-					c.Assert(took <= leaderWithin, qt.IsTrue, qt.Commentf("%v after %v", took, length))
+					s.c.Assert(took <= leaderWithin, qt.IsTrue, qt.Commentf("%v after %v", took, length))
 				})
 			})
 		}
@@ -201,15 +209,8 @@
 	)
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
+			withStallCluster(t, func(ctx context.Context, s *stallCluster) {
 				random := rand.New(rand.NewPCG(seed, 7))
-				s := newStallCluster(c, 3)
-				ctx, cancel := context.WithCancel(s.ctx)
-				var committing sync.WaitGroup
-				committing.Go(func() { s.commitAll(ctx) })
-				pause.For(ctx, time.Second)
 				ends := time.Now()
 				for range stalls {
 					pause.For(ctx, time.Duration(random.Int64N(int64(maxInterval))))
@@ -221,9 +222,7 @@
 				}
 				pause.For(ctx, time.Until(ends)+2*leaderWithin)
 				took := s.firstCommit(ends, time.Minute)
-				cancel()
-				committing.Wait()
-				c.Assert(took <= leaderWithin, qt.IsTrue, qt.Commentf("%v", took))
+				s.c.Assert(took <= leaderWithin, qt.IsTrue, qt.Commentf("%v", took))
 			})
 		})
 	}
@@ -240,14 +239,7 @@
 	)
 	for _, write := range []time.Duration{electionMax / 2, electionMax, 2 * electionMax, maxLeaderWrite*electionMax - stallTick} {
 		t.Run(fmt.Sprint("writes of ", write), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				s := newStallCluster(c, 3)
-				ctx, cancel := context.WithCancel(s.ctx)
-				var committing sync.WaitGroup
-				committing.Go(func() { s.commitAll(ctx) })
-				pause.For(ctx, time.Second)
+			withStallCluster(t, func(ctx context.Context, s *stallCluster) {
 				term := s.leader(s.members...).Status().Term
 				for _, store := range s.stores {
 					store.slow(write)
@@ -256,10 +248,8 @@
 				pause.For(ctx, length)
 				commits := s.commitsSince(began)
 				last := s.leader(s.members...).Status().Term
-				cancel()
-				committing.Wait()
-				c.Assert(commits >= minCommits, qt.IsTrue, qt.Commentf("%d commits", commits))
-				c.Assert(last, qt.Equals, term, qt.Commentf("the leader changed"))
+				s.c.Assert(commits >= minCommits, qt.IsTrue, qt.Commentf("%d commits", commits))
+				s.c.Assert(last, qt.Equals, term, qt.Commentf("the leader changed"))
 			})
 		})
 	}
@@ -272,14 +262,8 @@
 	for _, write := range []time.Duration{electionMax, 2 * electionMax, maxLeaderWrite*electionMax - stallTick} {
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprintf("writes of %v, seed %d", write, seed), func(t *testing.T) {
-				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					c := qt.New(t)
-					s := newStallCluster(c, 3)
-					ctx, cancel := context.WithCancel(s.ctx)
-					var committing sync.WaitGroup
-					committing.Go(func() { s.commitAll(ctx) })
-					pause.For(ctx, time.Second+time.Duration(seed)*71*time.Millisecond)
+				withStallCluster(t, func(ctx context.Context, s *stallCluster) {
+					pause.For(ctx, time.Duration(seed)*71*time.Millisecond)
 					for _, store := range s.stores {
 						store.slow(write)
 					}
@@ -292,9 +276,7 @@
 					within := 2*electionMax + 8*write
 					pause.For(ctx, within+5*write)
 					took := s.firstCommit(lost.Add(maxLeaderWrite*electionMax), time.Minute)
-					cancel()
-					committing.Wait()
-					c.Assert(took <= within, qt.IsTrue, qt.Commentf("%v", took))
+					s.c.Assert(took <= within, qt.IsTrue, qt.Commentf("%v", took))
 				})
 			})
 		}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -21,7 +21,6 @@
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
-	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -339,34 +338,6 @@
 	}
 }
 
-// applyDocument passes the current document to the planner if it has changed.
-func (l *leadership) applyDocument() {
-	var current domain.Document
-	l.member.group.View(func() { current = l.member.machine.Document() })
-	l.mutex.Lock()
-	isKnown := l.document == current.Version
-	l.mutex.Unlock()
-	if isKnown {
-		return
-	}
-	document, err := l.options.documentOf(current)
-	if err != nil {
-		level.Error(l.logger).Log("msg", "The current document cannot be decoded.", "version", current.Version, "err", err)
-		return
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.document = current.Version
-	l.planner.SetDocument(site.NewIndex(document))
-	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
-	l.setColdRates(document.Services)
-	l.shares.SetTenants(document.Tenants)
-	for _, tenant := range l.limits.SetTenants(l.now(), document.Tenants) {
-		level.Info(l.logger).Log("msg", "A tenant's limit is in force.", "tenant", tenant.Name, "rate", tenant.Limit.Rate,
-			"burst", tenant.Limit.Burst, "version", current.Version)
-	}
-}
-
 // wakePlan triggers a step.
 func (l *leadership) wakePlan() {
 	wake.Up(l.wake)
