transport: idle connections keep no large write buffers

What operators saw: a controller of the whole fleet ended because its memory was over its limit of 536 MB. A full view of 10,000 runners has 200 KB, and the write buffer of the connection on which it was sent stayed, up to 1 MB each. 985 routers that have had one keep 210 MB at the leader.

Evidence: TestIdleConnectionKeepsNoLargeBuffer failed before with a buffer of 212,992 bytes after the reply. That this was what ended the controller is likely and not proved by a profile.

Change: buffers of more than 64 KB are released after the write.

--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -161,8 +161,9 @@
 	return err
 }
 
-// maxKeptBufferBytes bounds the write buffer of an idle connection.
-const maxKeptBufferBytes = 1 << 20
+// maxKeptBufferBytes bounds the write buffer of an idle connection. A server may have a thousand
+// connections, each of which has had one large reply.
+const maxKeptBufferBytes = 64 << 10
 
 // clientCodec implements rpc.ClientCodec. It calls onReadError after a read error, so
 // that no further calls use the connection, and onMessage for each message.
