Relays at sites of one region with many routers

What callers saw: 404 for routes that the acknowledged configuration has, from routers that had not heard of it for more than 4 s, because the leader of the whole fleet was lost every few seconds.

Cause: the leader alone answered the watches of 985 routers. One answer takes about 0.2 ms, an announcement to all of them 0.2 s of a whole core, and its machine has 0.8. Departures are announced at once. Relays, which pass the leader's state on, existed only at sites of several regions.

Change: a leader of 200 routers or more has the other controllers relay, whatever their regions, and names them to all routers, those of its own zone included. A new leader keeps the relays of its predecessor, which stay in the list of their own routers, and hands routers that lack the full view over to relays. Routers ask three relays before the leader. A watch that is held when the leader changes waits for the new one. A document without a slot for its bytes is not sent. Departures that wait share the look at all routers.

--- a/placement/domainapi/mirror.go
+++ b/placement/domainapi/mirror.go
@@ -23,6 +23,9 @@
 	Leader Relay
 	// Relays are sorted by address.
 	Relays []Relay
+	// SparesLeader is set if routers in the leader's zone watch relays too, and those in other zones
+	// rather a relay anywhere than the leader.
+	SparesLeader bool
 }
 
 // Zones returns the zones of the leader and the relays by address.
@@ -85,6 +88,8 @@
 // MirrorReply is sent when something has changed, after RelayHold, or at once to a report.
 type MirrorReply struct {
 	Reply
+	// IsUnwanted is set if the leader has too few routers for relays. The reply has nothing else then.
+	IsUnwanted bool
 	// State is what the relay passes on to routers, with the loads packed or kept. A report's answer
 	// has only the term.
 	State WatchReply
--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
@@ -55,7 +56,7 @@
 	defer cancel()
 	for {
 		l.mutex.Lock()
-		isReceived, changed := l.haveRoutersSeen(l.now(), revision), l.announcer.changed
+		isReceived, changed := l.seenRevisionLately(l.now()) >= revision, l.announcer.changed
 		l.mutex.Unlock()
 		if isReceived {
 			return
@@ -72,15 +73,29 @@
 // routerPollInterval is the interval between checks of the routers' revisions.
 const routerPollInterval = 10 * time.Millisecond
 
-// haveRoutersSeen reports whether every active router has the revision. The caller holds
-// the mutex.
+// haveRoutersSeen reports whether every active router has the revision. The caller holds the mutex.
 func (l *leadership) haveRoutersSeen(at time.Time, revision uint64) bool {
+	return l.lowestRevision(at) >= revision
+}
+
+// seenRevisionLately returns the revision that every active router had at most routerPollInterval ago.
+// Many departures wait at the same time, and share the look at all routers. The caller holds the mutex.
+func (l *leadership) seenRevisionLately(at time.Time) uint64 {
+	if l.seenAt.IsZero() || at.Sub(l.seenAt) >= routerPollInterval {
+		l.seenAt, l.seenRevision = at, l.lowestRevision(at)
+	}
+	return l.seenRevision
+}
+
+// lowestRevision returns the highest revision that every active router has. The caller holds the mutex.
+func (l *leadership) lowestRevision(at time.Time) uint64 {
+	lowest := uint64(math.MaxUint64)
 	for _, contact := range l.routers {
-		if at.Sub(contact.at) < contact.hold+contactMargin && contact.revision < revision {
-			return false
+		if at.Sub(contact.at) < contact.hold+contactMargin {
+			lowest = min(lowest, contact.revision)
 		}
 	}
-	return true
+	return lowest
 }
 
 // recordContact records a watch of a router, drops expired routers and returns the number
--- a/placement/domainnode/domain_test.go
+++ b/placement/domainnode/domain_test.go
@@ -48,6 +48,8 @@
 	fences bool
 	// regions maps zones to regions; nodes relay if there are several.
 	regions map[string]string
+	// hasNoRelays keeps nodes from relaying.
+	hasNoRelays bool
 	// voters is the number of voters.
 	voters int
 }
@@ -149,6 +151,9 @@
 			Now: func() time.Time { return time.Now().Add(time.Duration(d.suspended[index].Load())) },
 		})
 		d.c.Assert(err, qt.IsNil)
+		if d.hasNoRelays {
+			node.relay = nil
+		}
 		ctx, end := context.WithCancel(context.Background())
 		running := &runningNode{Node: node, end: end, done: make(chan struct{})}
 		go func() {
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -92,10 +92,13 @@
 	loads       []fleet.Load
 	packedLoads []byte
 	// planned is closed and replaced after each plan.
-	planned  chan struct{}
-	routers  map[string]routerContact
-	relays   relays
-	stopping map[raft.NodeID]time.Time
+	planned chan struct{}
+	routers map[string]routerContact
+	// seenRevision is the revision that every active router had at seenAt.
+	seenAt       time.Time
+	seenRevision uint64
+	relays       relays
+	stopping     map[raft.NodeID]time.Time
 	// tokens grants requests to rate-limited runners: cold ones, limited to the coldRates of
 	// their service, and those that announce a limit.
 	tokens       *ratelimit.Pacer
--- a/placement/domainnode/mirror.go
+++ b/placement/domainnode/mirror.go
@@ -18,6 +18,10 @@
 		reply.Error = structs.AsTyped(err)
 		return nil
 	}
+	if !current.wantsRelays(arguments.Term) {
+		reply.IsUnwanted = true
+		return nil
+	}
 	asked := s.node.now()
 	from := current.recordMirror(arguments)
 	if arguments.IsReport {
@@ -34,7 +38,7 @@
 		current.lock()
 		current.fillMirror(from, arguments, document, reply)
 		current.fillLoadsLocked(&reply.State, arguments.Watch(), s.node.now().Sub(asked))
-		current.fillMembers(controllers, arguments, reply)
+		current.fillMembers(from, controllers, arguments, reply)
 		current.mutex.Unlock()
 		s.node.workload.addReply(&reply.State)
 	}
@@ -47,8 +51,8 @@
 
 // fillMembers sets the lists of relays and controllers unless the relay has them. The caller holds the
 // mutex.
-func (l *leadership) fillMembers(controllers []string, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
-	list := l.relayList()
+func (l *leadership) fillMembers(from *relayContact, controllers []string, arguments *domainapi.MirrorArguments, reply *domainapi.MirrorReply) {
+	list := l.relayListFor(from)
 	reply.Members = membersVersion(&list, controllers)
 	if arguments.Term != uint64(l.term) || arguments.Members != reply.Members {
 		reply.RelayList, reply.State.Controllers = list, controllers
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -41,7 +41,7 @@
 	heartbeats *forwarder
 	services   services
 	workload   workload
-	// relay is nil if the site has fewer than two regions.
+	// relay is nil if the settings name no regions.
 	relay *relay
 	// lastOrder is when this process last sent an order; nil if it has sent none.
 	lastOrder atomic.Pointer[time.Time]
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -52,8 +52,8 @@
 	Zones []string
 	// Zone is the zone of the process; empty for a site without zones.
 	Zone string
-	// Regions maps zones to regions. If it names more than one region, the node is a relay while
-	// it does not lead.
+	// Regions maps zones to regions. While it does not lead, the node is a relay if there are several
+	// regions or many routers.
 	Regions map[string]string
 	// LinkBytes is the bandwidth of the machine's network link in bytes per second; 0 if unknown.
 	LinkBytes float64
@@ -119,6 +119,18 @@
 	return o
 }
 
+// hasSeveralRegions reports whether the zones of the site are in several regions.
+func (o Options) hasSeveralRegions() bool {
+	first := ""
+	for _, region := range o.Regions {
+		if first != "" && region != first {
+			return true
+		}
+		first = region
+	}
+	return false
+}
+
 func (o Options) timing() fleet.Timing { return fleet.Timing{Heartbeat: o.Heartbeat} }
 
 // documentOf decodes a replicated document.
--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/agreement/raft"
@@ -29,6 +30,8 @@
 	// a question to a leader of a previous release, which fails them all.
 	mirrorRetryDelay   = 50 * time.Millisecond
 	unknownMethodDelay = time.Second
+	// unwantedDelay is the delay after an answer of a leader that has no use for relays.
+	unwantedDelay = 2 * time.Second
 	// reportTimeout bounds a report. Routers that wait for it are redirected earlier.
 	reportTimeout = 400 * time.Millisecond
 )
@@ -54,13 +57,9 @@
 	changed chan struct{}
 }
 
-// newRelay returns the relay of a node, or nil if the site has fewer than two regions.
+// newRelay returns the relay of a node, or nil if the settings name no regions.
 func newRelay(n *Node) *relay {
-	regions := make(map[string]bool)
-	for _, region := range n.options.Regions {
-		regions[region] = true
-	}
-	if len(regions) < 2 {
+	if len(n.options.Regions) == 0 {
 		return nil
 	}
 	return &relay{
@@ -100,14 +99,24 @@
 			continue
 		}
 		r.noteCurrency()
-		delay := mirrorRetryDelay
-		if structs.KindOf(err) == structs.ErrorInternal {
-			delay = unknownMethodDelay
-		}
-		pause.For(ctx, delay)
+		pause.For(ctx, retryDelayAfter(err))
 	}
 }
 
+// retryDelayAfter returns the delay after a question that failed with the error.
+func retryDelayAfter(err error) time.Duration {
+	switch {
+	case errors.Is(err, errUnwanted):
+		return unwantedDelay
+	case structs.KindOf(err) == structs.ErrorInternal:
+		return unknownMethodDelay
+	}
+	return mirrorRetryDelay
+}
+
+// errUnwanted means that the leader has too few routers for relays.
+var errUnwanted = errors.New("the leader answers its routers itself")
+
 // ask asks the leader for changes. A change of the member's term ends the question, since a deposed
 // leader may not answer it.
 func (r *relay) ask(ctx context.Context, m *member) error {
@@ -131,6 +140,10 @@
 	if err != nil {
 		return err
 	}
+	if reply.IsUnwanted {
+		r.close()
+		return errUnwanted
+	}
 	return r.adopt(made, asked, &question, reply)
 }
 
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -12,8 +12,19 @@
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 )
 
-// relayExpiry is how long after its last question a relay is listed.
-const relayExpiry = domainapi.MirrorTTL
+const (
+	// relayExpiry is how long after its last question a relay is listed.
+	relayExpiry = domainapi.MirrorTTL
+	// minRelayedRouters is the number of routers from which relays answer them, whatever their regions.
+	// An answer takes the leader about 0.2 ms of CPU time, so that one to each of them takes 40 ms.
+	minRelayedRouters = 200
+	// routersPerRelay is the number of routers for each of which a relay must be ready before routers
+	// are sent to the relays.
+	routersPerRelay = 128
+	// takeoverTime is how long a new leader keeps the relays of its predecessor before it judges by its
+	// own routers, and how long it waits for as many relays as its routers need.
+	takeoverTime = 5 * time.Second
+)
 
 // relays is the leader's state of the controllers that pass its state on to routers.
 type relays struct {
@@ -22,6 +33,8 @@
 	// leader stops waiting for it.
 	awaited      uint64
 	awaitedUntil time.Time
+	// isWanted is set while the leader has enough routers for relays; see wantsRelays.
+	isWanted bool
 }
 
 // relayContact is the leader's state of a relay.
@@ -102,14 +115,21 @@
 			list.Relays = append(list.Relays, domainapi.Relay{Address: known.address, Zone: known.zone})
 		}
 	}
-	slices.SortFunc(list.Relays, func(a, b domainapi.Relay) int { return cmp.Compare(a.Address, b.Address) })
+	sortRelays(list.Relays)
 	list.Version = relaysVersion(list)
 	return list
 }
 
+func sortRelays(relays []domainapi.Relay) {
+	slices.SortFunc(relays, func(a, b domainapi.Relay) int { return cmp.Compare(a.Address, b.Address) })
+}
+
 // relaysVersion returns a hash of the list's content above domainapi.NoRelays.
 func relaysVersion(list domainapi.RelayList) uint64 {
 	hash := fnv.New64a()
+	if list.SparesLeader {
+		_, _ = hash.Write([]byte{1})
+	}
 	for _, each := range append([]domainapi.Relay{list.Leader}, list.Relays...) {
 		for _, text := range []string{each.Address, each.Zone} {
 			var length [8]byte
@@ -121,30 +141,102 @@
 	return max(domainapi.NoRelays+1, hash.Sum64())
 }
 
-// relayList returns the leader and its relays. The caller holds the mutex.
+// wantsRelays reports whether a relay that knows the leader of the given term, or 0, is to pass the
+// state on: at sites of several regions always, at others while there are many routers.
+func (l *leadership) wantsRelays(term uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.options.hasSeveralRegions() {
+		return true
+	}
+	enough := minRelayedRouters
+	if l.relays.isWanted {
+		enough /= 2
+	}
+	l.relays.isWanted = len(l.routers) >= enough
+	return l.relays.isWanted || term != 0 && l.now().Sub(l.startedAt) < takeoverTime
+}
+
+// asRelay returns the leader's own entry in the list of relays.
+func (l *leadership) asRelay() domainapi.Relay {
+	return domainapi.Relay{Address: l.options.Address, Zone: l.options.Zone}
+}
+
+// relayList returns the leader and the relays that routers are to use. The caller holds the mutex.
 func (l *leadership) relayList() domainapi.RelayList {
-	return l.relays.list(l.now(), domainapi.Relay{Address: l.options.Address, Zone: l.options.Zone})
+	list := l.relays.list(l.now(), l.asRelay())
+	if !l.options.hasSeveralRegions() {
+		if len(list.Relays) >= l.relaysNeeded() {
+			list.SparesLeader = true
+		} else {
+			list.Relays = nil
+		}
+	}
+	list.Version = relaysVersion(list)
+	return list
+}
+
+// relayListFor returns the list that a relay passes on to its routers. At a site of one region it has
+// that relay from the first answer on, so that its routers stay there when the leader changes. The
+// caller holds the mutex.
+func (l *leadership) relayListFor(relay *relayContact) domainapi.RelayList {
+	list := l.relays.list(l.now(), l.asRelay())
+	if !l.options.hasSeveralRegions() {
+		list.SparesLeader = true
+		if !relay.isReady {
+			list.Relays = append(list.Relays, domainapi.Relay{Address: relay.address, Zone: relay.zone})
+			sortRelays(list.Relays)
+		}
+	}
+	list.Version = relaysVersion(list)
+	return list
+}
+
+// relaysNeeded returns the number of relays from which routers are sent to them, so that the first
+// ones are not asked by all routers. The caller holds the mutex.
+func (l *leadership) relaysNeeded() int {
+	if l.now().Sub(l.startedAt) >= takeoverTime {
+		return 1
+	}
+	others := len(l.member.group.Status().Progress)
+	return max(1, min(others, (len(l.routers)+routersPerRelay-1)/routersPerRelay))
 }
 
 // relaysFor returns the list of relays for a router, or nil if it uses none or its list is current.
-// A router that still lacks the full view gets none: relays know its revision, but not that it has
-// only a part of that view.
+// Relays know the revision of a router, but not that it has only a part of that view. A router that
+// still lacks the full view gets no relays, unless they spare the leader: see handOver.
 func (l *leadership) relaysFor(arguments *domainapi.WatchArguments) *domainapi.RelayList {
 	if arguments.Relays == 0 {
 		return nil
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	list := l.relayList()
 	if l.routers[arguments.Router].lacksFullView {
-		return nil
+		if !list.SparesLeader || len(list.Relays) == 0 {
+			return nil
+		}
+		return &list
 	}
-	list := l.relayList()
 	if arguments.Term == uint64(l.term) && arguments.Relays == list.Version {
 		return nil
 	}
 	return &list
 }
 
+// handOver has a router that lacks the full view ask its relay for it.
+func (l *leadership) handOver(router string, reply *domainapi.WatchReply) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.routers[router]
+	if !known.lacksFullView {
+		return
+	}
+	known.lacksFullView, known.wantsFullView = false, false
+	l.routers[router] = known
+	reply.View, reply.Revision = nil, 0
+}
+
 // recordRelayed records a relay's contact with a router, unless a later one with another controller
 // is known. The caller holds the mutex.
 func (l *leadership) recordRelayed(at time.Time, arguments *domainapi.MirrorArguments, relayed domainapi.RelayedRouter) {
--- a/placement/domainnode/relaywatch.go
+++ b/placement/domainnode/relaywatch.go
@@ -12,8 +12,8 @@
 	"github.com/lotusferry/lotusferry/placement/mirror"
 )
 
-// watch answers a router's watch from the mirror, or redirects it. It returns false if the node
-// never relays or the router asks for the leader.
+// watch answers a router's watch from the mirror, or redirects it. It returns false if the router asks
+// for the leader.
 func (r *relay) watch(arguments *domainapi.WatchArguments, reply *domainapi.WatchReply) bool {
 	if r == nil || !arguments.AllowsRelay {
 		return false
@@ -63,7 +63,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	asked = r.node.now()
-	hold := holdDuration(r.mirror.Routers(asked), arguments.MaxHold)
+	hold := holdDuration(max(r.mirror.Routers(asked), r.mirror.SiteRouters()), arguments.MaxHold)
 	if r.isOpen {
 		r.mirror.Observe(asked, arguments, hold)
 	}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -271,7 +271,7 @@
 		case <-notified:
 			current.fillReply(reply, arguments, known, knownSuspects, document, true)
 		case <-timeout.C:
-			// If the view is due but has no reply slot, send none: the router asks again immediately.
+			// If changes are due but have no reply slot, send none: the router asks again immediately.
 			current.fillReply(reply, arguments, known, knownSuspects, document, !hasChanges)
 		}
 		break
@@ -285,6 +285,9 @@
 	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
 	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
 	reply.Relays = current.relaysFor(arguments)
+	if reply.Relays != nil {
+		current.handOver(arguments.Router, reply)
+	}
 	return nil
 }
 
@@ -310,18 +313,19 @@
 	return isTaken
 }
 
-// fillReply sets the changes since the router's state; the view only if hasView is set.
-func (l *leadership) fillReply(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasView bool) {
+// fillReply sets the changes since the router's state; the view and the document only if hasContent
+// is set.
+func (l *leadership) fillReply(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasContent bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.fillReplyLocked(reply, arguments, known, knownSuspects, document, hasView)
+	l.fillReplyLocked(reply, arguments, known, knownSuspects, document, hasContent)
 }
 
 // fillReplyLocked is fillReply for a caller that holds the mutex.
-func (l *leadership) fillReplyLocked(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasView bool) {
+func (l *leadership) fillReplyLocked(reply *domainapi.WatchReply, arguments *domainapi.WatchArguments, known, knownSuspects uint64, document domain.Document, hasContent bool) {
 	reply.Term = uint64(l.term)
 	reply.Confirmed = document.Version
-	if document.Version > arguments.Version {
+	if hasContent && document.Version > arguments.Version {
 		reply.Document = &document
 	}
 	reply.Revision = known
@@ -334,7 +338,7 @@
 	if l.takeWantedFullView(arguments.Router) {
 		known = 0
 	}
-	if hasView && l.views.Revision() != known {
+	if hasContent && l.views.Revision() != known {
 		view, revision, err := l.viewFor(arguments.Router, known)
 		if err != nil {
 			level.Error(l.logger).Log("msg", "A view cannot be encoded.", "err", err)
@@ -356,7 +360,8 @@
 	if err != nil {
 		return nil
 	}
-	current.mutex.Lock()
+	s.node.workload.demands.Add(1)
+	current.lock()
 	current.planner.SetRouterZone(arguments.Router, arguments.Zone)
 	current.planner.Observe(s.node.now(), arguments.Router, arguments.Demands)
 	if current.planner.IsAnyHeld(arguments.Demands) {
--- a/placement/domainnode/workload.go
+++ b/placement/domainnode/workload.go
@@ -16,6 +16,7 @@
 // safe for concurrent use.
 type workload struct {
 	watches     atomic.Int64
+	demands     atomic.Int64
 	questions   atomic.Int64
 	reports     atomic.Int64
 	heartbeats  atomic.Int64
@@ -89,7 +90,7 @@
 	w := &l.node.workload
 	for pause.For(ctx, summaryInterval) {
 		level.Info(l.logger).Log("msg", "The work of this leader.",
-			"watches", w.watches.Swap(0), "relays", w.questions.Swap(0), "reports", w.reports.Swap(0), "heartbeats", w.heartbeats.Swap(0),
+			"watches", w.watches.Swap(0), "demands", w.demands.Swap(0), "relays", w.questions.Swap(0), "reports", w.reports.Swap(0), "heartbeats", w.heartbeats.Swap(0),
 			"reply_bytes", w.replyBytes.Swap(0), "announcements", l.announcer.count.Swap(0),
 			"steps", w.steps.Swap(0), "step_time", time.Duration(w.stepTime.Swap(0)),
 			"refreshes", w.refreshes.Swap(0), "refresh_time", time.Duration(w.refreshTime.Swap(0)),
--- a/placement/mirror/answer.go
+++ b/placement/mirror/answer.go
@@ -7,7 +7,7 @@
 )
 
 // catchUpTime is how long a router's question waits until the mirror has what the router has and
-// the leader counts the router. It is longer than two round trips between regions and shorter
+// the leader counts the router. A question that is held when the leader changes waits from then on. It is longer than two round trips between regions and shorter
 // than the usual hold time, so that the router loses less by a relay that is behind than by a lost
 // one.
 const catchUpTime = 300 * time.Millisecond
@@ -33,7 +33,7 @@
 		return Redirect, now
 	}
 	if !m.maySee(now, arguments) {
-		until = earlier(until, asked.Add(catchUpTime))
+		until = earlier(until, later(asked, m.beganAt).Add(catchUpTime))
 		if !now.Before(until) {
 			return Redirect, now
 		}
@@ -140,6 +140,13 @@
 	return bytes
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/placement/mirror/contact.go
+++ b/placement/mirror/contact.go
@@ -61,6 +61,9 @@
 	return len(m.contacts)
 }
 
+// SiteRouters returns the number of routers of the leader and all its relays, as of its last answer.
+func (m *Mirror) SiteRouters() int { return m.state.Routers }
+
 // refreshTime is the age of the contact known to the leader from which a question states a later
 // one. It leaves the time of two questions before the leader counts the router no more; a question
 // that states all contacts takes about as many bytes for them as for everything else.
--- a/placement/mirror/mirror.go
+++ b/placement/mirror/mirror.go
@@ -14,8 +14,10 @@
 // not safe for concurrent use.
 type Mirror struct {
 	// term is the leader's term; 0 before the first answer.
-	term  uint64
-	views *fleet.Publisher
+	term uint64
+	// beganAt is when the first answer of the term arrived.
+	beganAt time.Time
+	views   *fleet.Publisher
 	// announced is the latest revision that was announced to all routers and that views has.
 	announced uint64
 	// awaited is the revision that the leader waits for, toldOf the one that it was last told of.
@@ -83,6 +85,7 @@
 	}
 	if state.Term > m.term {
 		m.begin(state.Term)
+		m.beganAt = now
 	}
 	if view != nil && !m.views.Adopt(*view, state.Revision) {
 		m.begin(state.Term)
--- a/request/relay/controllers.go
+++ b/request/relay/controllers.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/placement/domainapi"
@@ -15,6 +17,9 @@
 	// redirection up to failedRelayPause. A relay redirects when the leader is slow to answer it. If
 	// its routers asked the leader for long, that would make the leader slower still.
 	redirectPause = 500 * time.Millisecond
+	// maxRelayChoices bounds the relays that a router asks, one after the other, before it asks the leader
+	// of a site with many routers. Otherwise all routers ask all controllers when the leader is lost.
+	maxRelayChoices = 3
 )
 
 // nearness tells which controller a router watches.
@@ -33,15 +38,18 @@
 }
 
 // controllerChoice decides which controller a router watches: a relay in its zone, else one in its
-// region, else the leader. A leader in the router's zone is asked directly. It does no I/O.
+// region, else the leader. A leader in the router's zone is asked directly unless it is to be spared.
+// It does no I/O.
 type controllerChoice struct {
 	// name is the router's name; it spreads the routers over the relays.
 	name    string
 	zone    structs.ZoneID
 	regions map[structs.ZoneID]string
-	// isUsed is set if there is more than one region.
+	// isUsed is set if the router's region is known.
 	isUsed bool
 	list   domainapi.RelayList
+	// choices are the relays of the list that the router may ask, in its order of preference.
+	choices []domainapi.Relay
 	// failed has the relays that are not to be asked for some time.
 	failed map[string]failedRelay
 }
@@ -53,13 +61,9 @@
 }
 
 func newControllerChoice(name string, zone structs.ZoneID, regions map[structs.ZoneID]string) *controllerChoice {
-	c := &controllerChoice{name: name, zone: zone, regions: regions, failed: make(map[string]failedRelay)}
-	names := make(map[string]bool)
-	for _, region := range regions {
-		names[region] = true
+	return &controllerChoice{
+		name: name, zone: zone, regions: regions, isUsed: regions[zone] != "", failed: make(map[string]failedRelay),
 	}
-	c.isUsed = len(names) > 1 && regions[zone] != ""
-	return c
 }
 
 // version returns the version of the list of relays to be stated in watches.
@@ -82,6 +86,9 @@
 	if list != nil {
 		c.list = *list
 	}
+	if isNewTerm || list != nil {
+		c.choices = c.order()
+	}
 }
 
 // fail records that a relay failed.
@@ -100,22 +107,30 @@
 
 // next returns the address of the relay to watch, or nearLeader and no address for the leader.
 func (c *controllerChoice) next(at time.Time) (address string, near nearness) {
-	near = nearLeader
-	if !c.isUsed || c.isInZone(c.list.Leader) {
+	if !c.isUsed || !c.list.SparesLeader && c.isInZone(c.list.Leader) {
 		return "", nearLeader
 	}
-	best := uint64(0)
-	for _, relay := range c.list.Relays {
-		failure, hasFailed := c.failed[relay.Address]
-		distance := c.distance(relay)
-		if distance == nearLeader || distance > near || hasFailed && at.Sub(failure.at) < failure.pause {
-			continue
-		}
-		if rank := c.rank(relay.Address); distance < near || rank > best {
-			address, near, best = relay.Address, distance, rank
+	for _, relay := range c.choices {
+		if failure, hasFailed := c.failed[relay.Address]; !hasFailed || at.Sub(failure.at) >= failure.pause {
+			return relay.Address, c.distance(relay)
 		}
 	}
-	return address, near
+	return "", nearLeader
+}
+
+// order returns the relays of the list that the router may ask, in its order of preference: those in its
+// zone first, then those in its region, each ranked differently for each router.
+func (c *controllerChoice) order() []domainapi.Relay {
+	choices := slices.DeleteFunc(slices.Clone(c.list.Relays), func(relay domainapi.Relay) bool {
+		return c.distance(relay) == nearLeader
+	})
+	slices.SortFunc(choices, func(a, b domainapi.Relay) int {
+		return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(c.rank(b.Address), c.rank(a.Address)))
+	})
+	if c.list.SparesLeader {
+		choices = choices[:min(len(choices), maxRelayChoices)]
+	}
+	return choices
 }
 
 func (c *controllerChoice) isInZone(relay domainapi.Relay) bool {
