Leader: one wait for the mutex for a batch of heartbeats, and for a relay's question

What operators saw: two fifths of the runners' calls to the controllers fail while the leader is loaded, and its relays redirect their routers.

Cause: each heartbeat of a batch and each part of a relay's question waited for the mutex on its own.

Change: a batch is applied under one lock. A question is checked, recorded and its routers stated under one. Expired routers are looked for once a second, not with each watch. BenchmarkLeaderAnswers runs again; it had panicked since stream losses were added to replies.

--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -31,6 +31,9 @@
 // about 0.2 ms.
 const holdPerRouter = time.Millisecond
 
+// expiryInterval is the interval between two looks for expired routers, as each goes through all.
+const expiryInterval = time.Second
+
 // holdDuration returns how long to hold a watch of a router that waits at most the given
 // time.
 func holdDuration(routers int, most time.Duration) time.Duration {
@@ -112,8 +115,13 @@
 	return len(l.routers), hold
 }
 
-// expireContacts drops expired routers. The caller holds the mutex.
+// expireContacts drops expired routers, and looks for them once an expiryInterval. The caller holds the
+// mutex.
 func (l *leadership) expireContacts(at time.Time) {
+	if at.Sub(l.expiredAt) < expiryInterval {
+		return
+	}
+	l.expiredAt = at
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerExpiry {
 			delete(l.routers, name)
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -94,6 +94,8 @@
 	// planned is closed and replaced after each plan.
 	planned chan struct{}
 	routers map[string]routerContact
+	// expiredAt is when expired routers were last looked for.
+	expiredAt time.Time
 	// seenRevision is the revision that every active router had at seenAt.
 	seenAt       time.Time
 	seenRevision uint64
@@ -362,27 +364,40 @@
 	return known && l.now().Sub(at) < stopNoticeExpiry
 }
 
-// receiveHeartbeat applies a heartbeat. A new or changed registration is queued for the log
-// without waiting for its commit.
+// receiveHeartbeat applies a heartbeat.
 func (l *leadership) receiveHeartbeat(heartbeat fleet.Heartbeat) {
-	l.node.workload.heartbeats.Add(1)
+	l.receiveHeartbeats([]fleet.Heartbeat{heartbeat})
+}
+
+// receiveHeartbeats applies a batch of heartbeats. The mutex is taken once for all of them, since in a
+// large fleet each wait for it may take as long as a step. New and changed registrations are queued
+// for the log without waiting for their commit.
+func (l *leadership) receiveHeartbeats(heartbeats []fleet.Heartbeat) {
+	l.node.workload.heartbeats.Add(int64(len(heartbeats)))
 	l.lock()
-	heartbeat = l.registry.Resolve(heartbeat)
-	isTaken := l.applyHeartbeat(l.now(), heartbeat)
-	isSlow := l.planner.IsSlowMachine(heartbeat.Instance)
-	l.mutex.Unlock()
-	if !isTaken {
-		return
-	}
-	registration := domain.Registration{
-		Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
-		Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: isSlow,
-	}
-	var known domain.Registration
-	l.member.group.View(func() { known, _ = l.member.machine.Registered(heartbeat.Instance) })
-	if known != registration {
-		l.mutex.Lock()
-		l.pendingRegistrations[heartbeat.Instance] = registration
-		l.mutex.Unlock()
+	defer l.mutex.Unlock()
+	now := l.now()
+	registrations := make([]domain.Registration, 0, len(heartbeats))
+	for _, heartbeat := range heartbeats {
+		heartbeat = l.registry.Resolve(heartbeat)
+		if !l.applyHeartbeat(now, heartbeat) {
+			continue
+		}
+		registrations = append(registrations, domain.Registration{
+			Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
+			Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: l.planner.IsSlowMachine(heartbeat.Instance),
+		})
 	}
+	l.queueRegistrations(registrations)
+}
+
+// queueRegistrations queues those registrations that the log does not have. The caller holds the mutex.
+func (l *leadership) queueRegistrations(registrations []domain.Registration) {
+	l.member.group.View(func() {
+		for _, registration := range registrations {
+			if known, _ := l.member.machine.Registered(registration.Instance); known != registration {
+				l.pendingRegistrations[registration.Instance] = registration
+			}
+		}
+	})
 }
--- a/placement/domainnode/mirror.go
+++ b/placement/domainnode/mirror.go
@@ -18,12 +18,12 @@
 		reply.Error = structs.AsTyped(err)
 		return nil
 	}
-	if !current.wantsRelays(arguments.Term) {
+	asked := s.node.now()
+	from := current.recordMirror(arguments)
+	if from == nil {
 		reply.IsUnwanted = true
 		return nil
 	}
-	asked := s.node.now()
-	from := current.recordMirror(arguments)
 	if arguments.IsReport {
 		current.fillReport(reply)
 		s.node.workload.reports.Add(1)
@@ -59,10 +59,14 @@
 	}
 }
 
-// recordMirror records a relay's question or report with its routers.
+// recordMirror records a relay's question or report with its routers. It returns nil if the leader wants
+// no relays.
 func (l *leadership) recordMirror(arguments *domainapi.MirrorArguments) *relayContact {
-	l.mutex.Lock()
+	l.lock()
 	defer l.mutex.Unlock()
+	if !l.wantsRelays(arguments.Term) {
+		return nil
+	}
 	at := l.now()
 	known := l.relays.byName[arguments.Relay]
 	if known == nil || known.address != arguments.Address {
--- a/placement/domainnode/orders.go
+++ b/placement/domainnode/orders.go
@@ -32,7 +32,7 @@
 	from := at
 	for _, reply := range replies {
 		if reply.HasOrdered {
-			from = laterOf(from, n.now().Add(n.options.OrderLease-reply.SinceOrder))
+			from = later(from, n.now().Add(n.options.OrderLease-reply.SinceOrder))
 		}
 	}
 	if from.After(latest) {
@@ -52,13 +52,6 @@
 	l.wakePlan()
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // requestReport asks a runner for its loaded models.
 func (l *leadership) requestReport(ctx context.Context, status fleet.Status) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -142,10 +142,9 @@
 }
 
 // wantsRelays reports whether a relay that knows the leader of the given term, or 0, is to pass the
-// state on: at sites of several regions always, at others while there are many routers.
+// state on: at sites of several regions always, at others while there are many routers. The caller holds
+// the mutex.
 func (l *leadership) wantsRelays(term uint64) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	if l.options.hasSeveralRegions() {
 		return true
 	}
--- a/placement/domainnode/relays_benchmark_test.go
+++ b/placement/domainnode/relays_benchmark_test.go
@@ -31,7 +31,8 @@
 func newBenchmarkAnnouncer() *benchmarkAnnouncer {
 	at := time.Unix(1000, 0)
 	l, heartbeats := benchmarkLeadership(benchmarkRunners, at)
-	l.term, l.logger = 3, log.NewNopLogger()
+	l.term, l.logger, l.streams = 3, log.NewNopLogger(), fleet.NewLossTracker()
+	l.options.Regions = map[string]string{"zone-0": "a", "zone-1": "b"}
 	l.poison, l.shares, l.announcer = poison.New(), shares.New(at), newAnnouncer()
 	l.routers, l.relays = make(map[string]routerContact), newRelays()
 	for i := range 35 {
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -126,9 +126,7 @@
 func (s *service) Heartbeats(arguments *domainapi.HeartbeatsArguments, reply *domainapi.Reply) error {
 	_, current, err := s.leader()
 	if err == nil {
-		for _, heartbeat := range arguments.Heartbeats {
-			current.receiveHeartbeat(heartbeat)
-		}
+		current.receiveHeartbeats(arguments.Heartbeats)
 		current.wakePlan()
 		if !current.isValid() {
 			err = notLeaderError(current.member)
