The delays of retries in a package of their own

The search for a leader is about to use the jitter of dial backoffs, which stood in internal/transport. No behaviour changes: the same formula from the same random source.

--- /dev/null
+++ b/internal/backoff/doc.go
@@ -0,0 +1,2 @@
+// Package backoff computes the delays of retries.
+package backoff
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/lotusferry/lotusferry/internal/backoff"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -167,8 +168,7 @@
 
 // recordFailure sets the backoff before the next dial. The caller holds the mutex.
 func (p *peer) recordFailure(err error) {
-	pause := min(minBackoff<<min(p.failures, 10), maxBackoff)
-	pause = pause/2 + time.Duration(p.client.options.Random()%uint64(pause/2))
+	pause := backoff.Delay(p.client.options.Random, minBackoff, maxBackoff, p.failures)
 	p.failures++
 	p.lastErr = err
 	p.failedAt = time.Now()
