--- a/placement/domainnode/relay.go
+++ b/placement/domainnode/relay.go
@@ -37,7 +37,7 @@
 type relay struct {
 	node   *Node
 	logger log.Logger
-	// mirrors and reports call the leader.
+	// mirrors and reports call the leader. They share the search for it.
 	mirrors, reports *leadercall.Caller
 	// replyPacer paces the replies to watches.
 	replyPacer *pacer
@@ -63,11 +63,12 @@
 	if len(regions) < 2 {
 		return nil
 	}
+	caller := leadercall.New(n.client, nil)
 	return &relay{
 		node:       n,
 		logger:     n.logger,
-		mirrors:    leadercall.New(n.client, nil).WithTryTimeout(mirrorTryTimeout),
-		reports:    leadercall.New(n.client, nil).WithTryTimeout(reportTimeout),
+		mirrors:    caller.WithTryTimeout(mirrorTryTimeout),
+		reports:    caller.WithTryTimeout(reportTimeout),
 		replyPacer: newPacer(n.options.LinkBytes * replyLinkShare),
 		tell:       make(chan struct{}, 1),
 		mirror:     mirror.New(),
@@ -114,9 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
 	go cancelOnTermChange(ctx, cancel, m)
-	addresses := r.leaderAddresses(m)
-	r.mirrors.SetAddresses(addresses)
-	r.reports.SetAddresses(addresses)
+	r.setAddresses(m)
 	r.mutex.Lock()
 	r.isOpen = !r.node.stopping.Load()
 	made := r.node.now()
@@ -134,11 +133,15 @@
 	return r.adopt(made, asked, &question, reply)
 }
 
-// leaderAddresses returns the addresses of the other controllers, the leader's first if the member
-// knows it.
-func (r *relay) leaderAddresses(m *member) []string {
-	addresses := leadercall.Unique([]string{m.group.Status().LeaderAddress}, r.node.caller.Addresses())
-	return slices.DeleteFunc(addresses, func(address string) bool { return address == "" || address == r.node.options.Address })
+// setAddresses has the leader that the member knows, if any, and then the other controllers asked.
+func (r *relay) setAddresses(m *member) {
+	own, leader := r.node.options.Address, m.group.Status().LeaderAddress
+	addresses := leadercall.Unique([]string{leader}, r.node.caller.Addresses())
+	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == "" || address == own })
+	r.mirrors.SetAddresses(addresses)
+	if leader != own {
+		r.mirrors.SuggestLeader(leader)
+	}
 }
 
 // cancelOnTermChange cancels a question once the member's term has changed and a leader is known.
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -19,7 +19,7 @@
 	arguments domainapi.WatchArguments
 	// hold and relayHold are how long the leader and a relay hold the next watch.
 	hold, relayHold time.Duration
-	// caller finds the leader.
+	// caller calls the leader with the timeout of a watch. It shares the router's search for it.
 	caller      *leadercall.Caller
 	controllers []string
 	isConnected bool
@@ -33,14 +33,12 @@
 	f := &follower{
 		router: r, hold: domainapi.MinHold, relayHold: domainapi.MinHold,
 		arguments: domainapi.WatchArguments{Router: r.options.Name, MaxHold: domainapi.MaxHold, TakesPackedLoads: true},
-		caller:    leadercall.New(r.client, nil).WithTryTimeout(domainapi.MinHold + watchMargin),
+		caller:    r.caller.WithTryTimeout(domainapi.MinHold + watchMargin),
 		choice:    newControllerChoice(r.options.Name, r.options.Zone, r.options.Regions),
 	}
 	for ctx.Err() == nil {
-		// Members of the group are tried before seeds.
-		addresses := leadercall.Unique(f.controllers, r.options.Seeds())
-		f.caller.SetAddresses(addresses)
-		r.caller.SetAddresses(addresses)
+		// Members of the group are listed before seeds.
+		r.caller.SetAddresses(leadercall.Unique(f.controllers, r.options.Seeds()))
 		f.arguments.Version = r.version()
 		f.arguments.Relays = f.choice.version()
 		f.arguments.Controllers = domainapi.HashAddresses(f.controllers)
@@ -48,13 +46,13 @@
 		if address, near := f.choice.next(r.now()); address != "" {
 			f.watchRelay(ctx, address, near)
 		} else {
-			f.watchLeader(ctx, addresses)
+			f.watchLeader(ctx)
 		}
 	}
 }
 
 // watchLeader finds the leader and sends it a watch.
-func (f *follower) watchLeader(ctx context.Context, addresses []string) {
+func (f *follower) watchLeader(ctx context.Context) {
 	r := f.router
 	asked := r.now()
 	reply, err := f.callLeader(ctx)
@@ -69,7 +67,7 @@
 	f.adopt(reply, asked, "", nearLeader)
 	if held := holdOf(reply); held != f.hold {
 		f.hold = held
-		f.caller = leadercall.New(r.client, addresses).WithTryTimeout(held + watchMargin)
+		f.caller = r.caller.WithTryTimeout(held + watchMargin)
 	}
 }
 
