--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -137,8 +137,9 @@
 	}
 }
 
-func (n *Node) beginLeadership(ctx context.Context, m *member, term structs.Epoch) {
-	at := n.now()
+// newLeadership returns the leadership of a term that begins at the given time, with what the
+// replicated state tells of the ones before.
+func newLeadership(n *Node, m *member, term structs.Epoch, at time.Time) *leadership {
 	l := &leadership{
 		node:        n,
 		logger:      log.With(n.logger, "term", term),
@@ -189,6 +190,11 @@
 			})
 		}
 	})
+	return l
+}
+
+func (n *Node) beginLeadership(ctx context.Context, m *member, term structs.Epoch) {
+	l := newLeadership(n, m, term, n.now())
 	// A leadership of an earlier term may still be there if this member was elected again at once.
 	m.endLeadership()
 	l.context, l.end = context.WithCancel(ctx)
@@ -269,36 +275,52 @@
 func (l *leadership) step(ctx context.Context) time.Duration {
 	l.applyDocument()
 	l.mutex.Lock()
-	at := l.now()
+	done := l.advance(l.now())
+	l.mutex.Unlock()
+	l.recordEndedLoads(done.ended)
+	for _, found := range done.judged {
+		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
+			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", fmt.Sprintf("%.2f", found.Slowness),
+			"tokens_per_s", found.Pace.PromptRate, "event", found.Pace.Event, "bears", fmt.Sprintf("%.1f", found.Capacity))
+	}
+	for _, status := range done.questions {
+		go l.requestReport(ctx, status)
+	}
+	for _, order := range done.orders {
+		go l.sendOrder(ctx, order)
+	}
+	return done.next
+}
+
+// stepResult is what a step leaves to do without the mutex.
+type stepResult struct {
+	// questions are the runners to ask for reports, and orders the orders to send.
+	questions []fleet.Status
+	orders    []residency.Order
+	// judged and ended are to be logged.
+	judged []residency.Judgement
+	ended  []residency.EndedLoad
+	// next is the time until the next step is due.
+	next time.Duration
+}
+
+// advance updates the runners, plans loads and publishes the view. The caller holds the mutex.
+func (l *leadership) advance(at time.Time) stepResult {
 	l.registry.Expire(at)
 	l.poison.Expire(at)
 	l.updateDrains()
 	l.refresh(at)
-	questions := l.planner.RunnersToPoll(at)
-	orders := l.planner.Plan(at)
+	done := stepResult{questions: l.planner.RunnersToPoll(at), orders: l.planner.Plan(at)}
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.publish(at)
 	l.setLoads(l.planner.Loads(at))
-	next := l.notifyRouters(at)
-	judged := l.planner.TakeJudgements()
-	ended := l.planner.TakeEndedLoads()
+	done.next = l.notifyRouters(at)
+	done.judged = l.planner.TakeJudgements()
+	done.ended = l.planner.TakeEndedLoads()
 	l.proposePending()
 	l.logSummary(at)
-	l.mutex.Unlock()
-	l.recordEndedLoads(ended)
-	for _, found := range judged {
-		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
-			"slow", found.IsSlow, "pauses", found.Pauses, "slowness", fmt.Sprintf("%.2f", found.Slowness),
-			"tokens_per_s", found.Pace.PromptRate, "event", found.Pace.Event, "bears", fmt.Sprintf("%.1f", found.Capacity))
-	}
-	for _, status := range questions {
-		go l.requestReport(ctx, status)
-	}
-	for _, order := range orders {
-		go l.sendOrder(ctx, order)
-	}
-	return next
+	return done
 }
 
 // notifyRouters announces the latest view: immediately to routers with requests waiting for
