Learner: judge by lists in place of maps, and only runners with samples

The leader estimates once a second, under its mutex, how slow its runners are. The fit went through maps by instance and class in each of its rounds, sorted the members of a component again for each runner (quadratic), and looked at every runner, although most of ten thousand have no sample.

Runners and classes of a fit have indexes now, the median of a component is found once, and runners without samples or slowness are left out.

--- a/placement/pace/learner.go
+++ b/placement/pace/learner.go
@@ -21,7 +21,9 @@
 
 // Learner learns the speed of runners from streams. It is not safe for concurrent use.
 type Learner struct {
-	runners     map[string]*speed
+	runners map[string]*speed
+	// observed holds those of the runners that have a slowness or gaps.
+	observed    map[string]*speed
 	services    map[string]*service
 	typicalGaps map[Class]float64
 }
@@ -46,13 +48,17 @@
 
 // NewLearner returns a learner without samples.
 func NewLearner() *Learner {
-	return &Learner{runners: make(map[string]*speed), services: make(map[string]*service), typicalGaps: make(map[Class]float64)}
+	return &Learner{runners: make(map[string]*speed), observed: make(map[string]*speed), services: make(map[string]*service), typicalGaps: make(map[Class]float64)}
 }
 
 // Expect adds a runner. slowness is that of the previous runner at its endpoint, or 0.
 func (l *Learner) Expect(now time.Time, instance string, slowness float64) {
-	if l.runners[instance] == nil {
-		l.runners[instance] = &speed{slowness: slowness, published: slowness, seenAt: now}
+	if l.runners[instance] != nil {
+		return
+	}
+	l.runners[instance] = &speed{slowness: slowness, published: slowness, seenAt: now}
+	if slowness != 0 {
+		l.observed[instance] = l.runners[instance]
 	}
 }
 
@@ -61,6 +67,7 @@
 	for instance := range l.runners {
 		if !isListed(instance) {
 			delete(l.runners, instance)
+			delete(l.observed, instance)
 		}
 	}
 }
@@ -83,6 +90,7 @@
 		service.err += errorSmoothing * (wrong - service.err)
 	}
 	runner.add(now, gap{seen.Class, seen.Gap.Seconds()}, typical)
+	l.observed[seen.Instance] = runner
 }
 
 func (l *Learner) service(name string) *service {
@@ -96,23 +104,27 @@
 
 // Judge estimates the slowness of the runners from the samples.
 func (l *Learner) Judge(now time.Time) {
-	gaps := make(map[string]map[Class]float64, len(l.runners))
-	for instance, runner := range l.runners {
+	found := newFitting()
+	for _, runner := range l.observed {
 		if now.Sub(runner.seenAt) > slownessRetention {
 			runner.gaps = nil
 		}
-		if found := runner.unloadedGaps(); len(found) > 0 {
-			gaps[instance] = found
+		if gaps := runner.unloadedGaps(); len(gaps) > 0 {
+			found.add(runner, gaps)
 		}
 	}
-	found := newFitting(gaps, l.slownessOf)
-	for class, typical := range found.typicalGaps {
-		l.typicalGaps[class] = typical
+	found.fit()
+	for _, each := range found.classes {
+		if each.runners >= 2 {
+			l.typicalGaps[each.class] = each.typicalGap
+		}
 	}
-	for instance, runner := range l.runners {
-		if slowness := found.slowness[instance]; slowness > 0 {
-			runner.slowness = slowness
+	for _, each := range found.runners {
+		if each.slowness > 0 {
+			each.speed.slowness = each.slowness
 		}
+	}
+	for _, runner := range l.observed {
 		if slowness := runner.decayed(now); hasChanged(runner.published, slowness) {
 			runner.published = slowness
 		}
@@ -140,8 +152,10 @@
 // updateServices publishes the figures of the services that have changed by publishFactor.
 func (l *Learner) updateServices(found *fitting) {
 	events := make(map[string][]float64)
-	for class, typical := range found.typicalGaps {
-		events[class.Service] = append(events[class.Service], typical)
+	for _, each := range found.classes {
+		if each.runners >= 2 {
+			events[each.class.Service] = append(events[each.class.Service], each.typicalGap)
+		}
 	}
 	for name, service := range l.services {
 		if len(events[name]) > 0 {
--- a/placement/pace/learner_test.go
+++ b/placement/pace/learner_test.go
@@ -300,7 +300,7 @@
 }
 
 func BenchmarkJudge(b *testing.B) {
-	for _, runners := range []int{90, 300, 1000} {
+	for _, runners := range []int{90, 300, 1000, 3000} {
 		b.Run(fmt.Sprint(runners, "-runners"), func(b *testing.B) {
 			slowness := make([]float64, runners)
 			for i := range slowness {
--- a/placement/pace/speeds.go
+++ b/placement/pace/speeds.go
@@ -1,7 +1,6 @@
 package pace
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -65,17 +64,29 @@
 	return true
 }
 
+// unloadedGap is the estimated gap of a class at a runner without load.
+type unloadedGap struct {
+	class   Class
+	seconds float64
+}
+
 // unloadedGaps returns the estimated gap without load for each class with enough gaps.
-func (s *speed) unloadedGaps() map[Class]float64 {
-	byClass := make(map[Class][]float64)
-	for _, each := range s.gaps {
-		byClass[each.class] = append(byClass[each.class], each.seconds)
-	}
-	found := make(map[Class]float64, len(byClass))
-	for class, seconds := range byClass {
-		if len(seconds) >= minGaps {
-			slices.Sort(seconds)
-			found[class] = seconds[len(seconds)/quantileDivisor]
+func (s *speed) unloadedGaps() []unloadedGap {
+	var found []unloadedGap
+	for i := range s.gaps {
+		class := s.gaps[i].class
+		if slices.ContainsFunc(s.gaps[:i], func(other gap) bool { return other.class == class }) {
+			continue
+		}
+		buf := make([]float64, 0, maxGaps)
+		for _, each := range s.gaps[i:] {
+			if each.class == class {
+				buf = append(buf, each.seconds)
+			}
+		}
+		if len(buf) >= minGaps {
+			slices.Sort(buf)
+			found = append(found, unloadedGap{class, buf[len(buf)/quantileDivisor]})
 		}
 	}
 	return found
@@ -85,112 +96,136 @@
 // gaps by runner and class. Runners without a common class are compared through runners that hold
 // several classes.
 type fitting struct {
-	gaps        map[string]map[Class]float64
-	slowness    map[string]float64
-	typicalGaps map[Class]float64
-}
-
-// newFitting starts from the initial slowness of the runners and ignores classes seen at a single
-// runner, which can't be compared.
-func newFitting(gaps map[string]map[Class]float64, initial func(instance string) float64) *fitting {
-	f := &fitting{gaps: gaps, slowness: make(map[string]float64), typicalGaps: make(map[Class]float64)}
-	holders := make(map[Class]int)
-	for _, byClass := range gaps {
-		for class := range byClass {
-			holders[class]++
-		}
-	}
-	for instance, byClass := range gaps {
-		maps.DeleteFunc(byClass, func(class Class, _ float64) bool { return holders[class] < 2 })
-		if len(byClass) > 0 {
-			f.slowness[instance] = initial(instance)
+	runners []fittedRunner
+	classes []fittedClass
+	// indexes maps the classes to their positions in classes.
+	indexes map[Class]int
+}
+
+type fittedRunner struct {
+	speed    *speed
+	slowness float64
+	gaps     []classGap
+}
+
+// classGap is the gap of a class, given by its index.
+type classGap struct {
+	class   int
+	seconds float64
+}
+
+type fittedClass struct {
+	class      Class
+	typicalGap float64
+	// runners is the number of runners with gaps of the class.
+	runners int
+	// component is the index of a class that represents all comparable ones.
+	component int
+}
+
+func newFitting() *fitting { return &fitting{indexes: make(map[Class]int)} }
+
+// add adds a runner with its unloaded gaps. The fit starts from its last slowness.
+func (f *fitting) add(runner *speed, gaps []unloadedGap) {
+	added := fittedRunner{speed: runner, slowness: runner.slowness, gaps: make([]classGap, 0, len(gaps))}
+	if added.slowness <= 0 {
+		added.slowness = 1
+	}
+	for _, each := range gaps {
+		i, isKnown := f.indexes[each.class]
+		if !isKnown {
+			i = len(f.classes)
+			f.indexes[each.class] = i
+			f.classes = append(f.classes, fittedClass{class: each.class, component: i})
 		}
+		f.classes[i].runners++
+		added.gaps = append(added.gaps, classGap{i, each.seconds})
 	}
+	f.runners = append(f.runners, added)
+}
+
+// fit estimates the slowness and typical gaps. Classes seen at a single runner, which can't be
+// compared, are ignored.
+func (f *fitting) fit() {
+	for i := range f.runners {
+		runner := &f.runners[i]
+		runner.gaps = slices.DeleteFunc(runner.gaps, func(each classGap) bool { return f.classes[each.class].runners < 2 })
+	}
+	f.runners = slices.DeleteFunc(f.runners, func(runner fittedRunner) bool { return len(runner.gaps) == 0 })
 	for range fitRounds {
 		f.fitTypicalGaps()
 		f.fitSlowness()
 	}
 	f.normalize()
-	return f
 }
 
 // fitTypicalGaps sets the typical gap of each class to the geometric mean of its gaps, divided by
 // the slowness of their runners.
 func (f *fitting) fitTypicalGaps() {
-	sums, counts := make(map[Class]float64), make(map[Class]float64)
-	for instance, classes := range f.gaps {
-		for class, seconds := range classes {
-			sums[class] += math.Log(seconds / f.slowness[instance])
-			counts[class]++
+	sums := make([]float64, len(f.classes))
+	for i := range f.runners {
+		runner := &f.runners[i]
+		for _, each := range runner.gaps {
+			sums[each.class] += math.Log(each.seconds / runner.slowness)
 		}
 	}
-	for class, sum := range sums {
-		f.typicalGaps[class] = math.Exp(sum / counts[class])
+	for i, sum := range sums {
+		if class := &f.classes[i]; class.runners >= 2 {
+			class.typicalGap = math.Exp(sum / float64(class.runners))
+		}
 	}
 }
 
 // fitSlowness sets the slowness of each runner to the geometric mean of its gaps, divided by the
 // typical gaps of their classes.
 func (f *fitting) fitSlowness() {
-	for instance, classes := range f.gaps {
-		sum := 0.0
-		for class, seconds := range classes {
-			sum += math.Log(seconds / f.typicalGaps[class])
-		}
-		if len(classes) > 0 {
-			f.slowness[instance] = math.Exp(sum / float64(len(classes)))
+	for i := range f.runners {
+		runner, sum := &f.runners[i], 0.0
+		for _, each := range runner.gaps {
+			sum += math.Log(each.seconds / f.classes[each.class].typicalGap)
 		}
+		runner.slowness = math.Exp(sum / float64(len(runner.gaps)))
 	}
 }
 
 // normalize scales each set of comparable runners so that its median runner has slowness 1.
 func (f *fitting) normalize() {
-	components := f.components()
-	members := make(map[Class][]float64)
-	componentOf := make(map[string]Class)
-	for instance, classes := range f.gaps {
-		for class := range classes {
-			componentOf[instance] = components[class]
-			members[components[class]] = append(members[components[class]], f.slowness[instance])
-			break
+	f.joinComponents()
+	members := make([][]float64, len(f.classes))
+	for i := range f.runners {
+		component := f.root(f.runners[i].gaps[0].class)
+		members[component] = append(members[component], f.runners[i].slowness)
+	}
+	medians := make([]float64, len(f.classes))
+	for i, slowness := range members {
+		if len(slowness) > 0 {
+			medians[i] = median(slowness)
 		}
 	}
-	for class := range f.typicalGaps {
-		f.typicalGaps[class] *= median(members[components[class]])
+	for i := range f.classes {
+		f.classes[i].typicalGap *= medians[f.root(i)]
 	}
-	for instance, class := range componentOf {
-		f.slowness[instance] /= median(members[class])
+	for i := range f.runners {
+		f.runners[i].slowness /= medians[f.root(f.runners[i].gaps[0].class)]
 	}
 }
 
-// components returns a representative class for each class. Classes have the same representative if
-// runners that hold several classes connect them.
-func (f *fitting) components() map[Class]Class {
-	parents := make(map[Class]Class)
-	root := func(class Class) Class {
-		for parents[class] != class {
-			class = parents[class]
+// joinComponents gives classes the same root if runners that hold several classes connect them.
+func (f *fitting) joinComponents() {
+	for i := range f.runners {
+		first := f.runners[i].gaps[0].class
+		for _, each := range f.runners[i].gaps[1:] {
+			f.classes[f.root(each.class)].component = f.root(first)
 		}
-		return class
 	}
-	for _, classes := range f.gaps {
-		var first *Class
-		for class := range classes {
-			if _, isKnown := parents[class]; !isKnown {
-				parents[class] = class
-			}
-			if first == nil {
-				first = &class
-				continue
-			}
-			parents[root(class)] = root(*first)
-		}
-	}
-	found := make(map[Class]Class, len(parents))
-	for class := range parents {
-		found[class] = root(class)
+}
+
+// root returns the class that represents all that are comparable with the given one.
+func (f *fitting) root(class int) int {
+	for f.classes[class].component != class {
+		class = f.classes[class].component
 	}
-	return found
+	return class
 }
 
 // median sorts the values and returns the middle one, or the lower of the two middle ones: of two
