Leader: look for expired routers once one may have expired

Each watch of a router went through the contacts of all routers, under the leader's mutex, to find those silent for routerExpiry. At 985 routers that was nearly all of what a reply costs without its encoding: some 30 µs of each of up to 4,000 replies a second.

The leader keeps a lower bound of the earliest expiry and looks only after it. Contacts that relays report with their age lower it.

--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -93,17 +93,32 @@
 	known := l.routers[router]
 	known.at, known.revision, known.hold, known.relay = at, revision, hold, ""
 	l.routers[router] = known
+	l.noteContactExpiry(known)
 	l.expireContacts(at)
 	return len(l.routers), hold
 }
 
-// expireContacts drops expired routers. The caller holds the mutex.
+// expireContacts drops expired routers. It goes through them only once one may have expired. The
+// caller holds the mutex.
 func (l *leadership) expireContacts(at time.Time) {
+	if !at.After(l.contactsValidUntil) {
+		return
+	}
+	l.contactsValidUntil = at.Add(routerExpiry)
 	for name, known := range l.routers {
 		if at.Sub(known.at) > routerExpiry {
 			delete(l.routers, name)
 			l.announcer.forget(name)
 			l.planner.ForgetRouter(name)
+			continue
 		}
+		l.noteContactExpiry(known)
+	}
+}
+
+// noteContactExpiry records when a router expires unless it asks again. The caller holds the mutex.
+func (l *leadership) noteContactExpiry(contact routerContact) {
+	if until := contact.at.Add(routerExpiry); until.Before(l.contactsValidUntil) {
+		l.contactsValidUntil = until
 	}
 }
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -92,10 +92,12 @@
 	loads       []fleet.Load
 	packedLoads []byte
 	// planned is closed and replaced after each plan.
-	planned  chan struct{}
-	routers  map[string]routerContact
-	relays   relays
-	stopping map[raft.NodeID]time.Time
+	planned chan struct{}
+	routers map[string]routerContact
+	// contactsValidUntil is the earliest time at which one of the routers may expire.
+	contactsValidUntil time.Time
+	relays             relays
+	stopping           map[raft.NodeID]time.Time
 	// tokens grants requests to rate-limited runners: cold ones, limited to the coldRates of
 	// their service, and those that announce a limit.
 	tokens       *ratelimit.Pacer
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -171,6 +171,7 @@
 	}
 	known.at, known.revision, known.hold, known.relay = contactAt, revision, min(relayed.Hold(), domainapi.MaxHold), arguments.Relay
 	l.routers[relayed.Router] = known
+	l.noteContactExpiry(known)
 }
 
 func later(a, b time.Time) time.Time {
