Publisher, registry: changes and records in order in place of looks at all runners

The changes since a revision were found by asking for each of ten thousand runners in which revision it last changed, once for each revision that some router has. The publisher now keeps the changes in the order of their revisions, and drops outdated ones once they outnumber the runners. Runners whose models share their memory are compared without their models, and the revisions of gone instances are recorded again only if the list differs.

The registry sorted all records after each new runner and found gone, silent and silent-zone runners by its map. New records are merged into the sorted ones, and all lists are made from these.

--- a/placement/fleet/adopt.go
+++ b/placement/fleet/adopt.go
@@ -28,11 +28,11 @@
 func (p *Publisher) adoptWhole(view View) {
 	view.Runners, view.Removed = sortedByInstance(view.Runners), nil
 	p.view, p.spare = view, nil
-	p.partialFrom, p.removals = p.revision, nil
+	p.partialFrom, p.removals, p.changes = p.revision, nil, nil
 	clear(p.changedAt)
 	clear(p.firstHeardAt)
 	for i := range view.Runners {
-		p.changedAt[view.Runners[i].Instance] = p.revision
+		p.noteChange(view.Runners[i].Instance, p.revision)
 	}
 	clear(p.goneAt)
 	for _, instance := range view.Gone {
@@ -62,11 +62,12 @@
 	}
 	runners = append(runners, changes.Runners...)
 	for i := range changes.Runners {
-		p.changedAt[changes.Runners[i].Instance] = p.revision
+		p.noteChange(changes.Runners[i].Instance, p.revision)
 	}
 	gone := p.adoptGone(changes.Gone)
 	p.view = View{Runners: sortedByInstance(runners), Complete: changes.Complete, Gone: gone}
 	p.trimRemovals()
+	p.trimChanges(len(runners))
 }
 
 // derivedIDs returns the IDs that are listed beside their incarnations. They are added again when a
--- a/placement/fleet/news.go
+++ b/placement/fleet/news.go
@@ -24,7 +24,7 @@
 // view later.
 func (p *Publisher) TakeoverChangesSince(known uint64) View {
 	delta := View{Partial: true, Gone: p.goneSince(known)}
-	for i := range p.view.Runners {
+	for _, i := range p.changedSince(known) {
 		if p.isTakeoverChange(&p.view.Runners[i], known) {
 			delta.Runners = append(delta.Runners, p.view.Runners[i])
 		}
--- a/placement/fleet/publisher.go
+++ b/placement/fleet/publisher.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 )
@@ -11,6 +13,8 @@
 const (
 	minRemovals     = 512
 	removalsDivisor = 4
+	// minChanges is the number of changes from which outdated ones are dropped.
+	minChanges = 512
 )
 
 // Publisher assigns revisions to the changes of a view, so that routers that know an earlier
@@ -18,9 +22,11 @@
 type Publisher struct {
 	view     View
 	revision uint64
-	// changedAt maps each runner to the revision in which it last changed.
+	// changedAt maps each runner to the revision in which it last changed. changes lists all changes in
+	// the order of their revisions, some of them outdated.
 	changedAt map[string]uint64
-	removals  []removal
+	changes   []change
+	removals  []change
 	// goneAt maps each instance to the revision in which it was first listed as gone.
 	goneAt map[string]uint64
 	// encoded caches the encoded results of Since for the current revision, by known revision.
@@ -39,7 +45,8 @@
 	spare []Runner
 }
 
-type removal struct {
+// change is a change of a runner, or its removal.
+type change struct {
 	instance string
 	revision uint64
 }
@@ -78,8 +85,8 @@
 			former = former[1:]
 		}
 		isKnown := len(former) > 0 && former[0].Instance == runner.Instance
-		if !isKnown || !former[0].Equal(*runner) {
-			p.changedAt[runner.Instance] = next
+		if !isKnown || !former[0].equals(runner) {
+			p.noteChange(runner.Instance, next)
 			isChanged = true
 			if isKnown {
 				p.recordFirstHeard(&former[0], runner)
@@ -98,8 +105,11 @@
 		return false
 	}
 	p.revision = next
-	p.recordGone(view.Gone)
+	if !slices.Equal(view.Gone, p.view.Gone) {
+		p.recordGone(view.Gone)
+	}
 	p.trimRemovals()
+	p.trimChanges(len(view.Runners))
 	p.spare, p.view = p.view.Runners, view
 	clear(p.encoded)
 	clear(p.encodedTakeoverChanges)
@@ -115,11 +125,24 @@
 	return slices.SortedStableFunc(slices.Values(runners), order)
 }
 
+// noteChange records that a runner changes in the revision.
+func (p *Publisher) noteChange(instance string, revision uint64) {
+	p.changedAt[instance] = revision
+	p.changes = append(p.changes, change{instance, revision})
+}
+
+// trimChanges drops the outdated changes if they outnumber the runners.
+func (p *Publisher) trimChanges(runners int) {
+	if len(p.changes) > minChanges+2*runners {
+		p.changes = slices.DeleteFunc(p.changes, func(each change) bool { return p.changedAt[each.instance] != each.revision })
+	}
+}
+
 // remove records that a runner is no longer listed from the revision on.
 func (p *Publisher) remove(instance string, revision uint64) {
 	delete(p.changedAt, instance)
 	delete(p.firstHeardAt, instance)
-	p.removals = append(p.removals, removal{instance, revision})
+	p.removals = append(p.removals, change{instance, revision})
 }
 
 // recordGone records in which revision instances were first listed as gone. Routers are told of
@@ -160,15 +183,36 @@
 		return p.view
 	}
 	partial := View{Partial: true, Complete: p.view.Complete, Gone: p.goneSince(known)}
-	for _, runner := range p.view.Runners {
-		if p.changedAt[runner.Instance] > known {
-			partial.Runners = append(partial.Runners, runner)
-		}
+	for _, i := range p.changedSince(known) {
+		partial.Runners = append(partial.Runners, p.view.Runners[i])
 	}
 	partial.Removed = p.removedSince(known)
 	return partial
 }
 
+// changedSince returns the indexes of the runners that have changed after the revision, in ascending
+// order.
+func (p *Publisher) changedSince(known uint64) []int {
+	var indexes []int
+	for _, each := range p.changes[firstAfter(p.changes, known):] {
+		if p.changedAt[each.instance] != each.revision {
+			continue
+		}
+		if i, isListed := p.find(each.instance); isListed {
+			indexes = append(indexes, i)
+		}
+	}
+	slices.Sort(indexes)
+	// A view adopted twice lists its changes twice.
+	return slices.Compact(indexes)
+}
+
+// firstAfter returns the index of the first change after the revision.
+func firstAfter(changes []change, revision uint64) int {
+	i, _ := slices.BinarySearchFunc(changes, revision+1, func(each change, target uint64) int { return cmp.Compare(each.revision, target) })
+	return i
+}
+
 // goneSince returns the instances that were first listed as gone after the revision.
 func (p *Publisher) goneSince(known uint64) []string {
 	var gone []string
@@ -183,8 +227,8 @@
 // removedSince returns the runners that were removed after the revision and are not listed again.
 func (p *Publisher) removedSince(known uint64) []string {
 	var removed []string
-	for _, each := range p.removals {
-		if each.revision > known && p.changedAt[each.instance] == 0 {
+	for _, each := range p.removals[firstAfter(p.removals, known):] {
+		if p.changedAt[each.instance] == 0 {
 			removed = append(removed, each.instance)
 		}
 	}
@@ -193,15 +237,20 @@
 
 // isListed reports whether an incarnation of the runner with the ID is in the view.
 func (p *Publisher) isListed(id string) bool {
-	order := func(runner Runner, name string) int { return strings.Compare(runner.Instance, name) }
-	if _, isListed := slices.BinarySearchFunc(p.view.Runners, id, order); isListed {
+	if _, isListed := p.find(id); isListed {
 		return true
 	}
 	prefix := id + incarnationSeparator
-	at, _ := slices.BinarySearchFunc(p.view.Runners, prefix, order)
+	at, _ := p.find(prefix)
 	return at < len(p.view.Runners) && strings.HasPrefix(p.view.Runners[at].Instance, prefix)
 }
 
+// find returns the index of an instance in the view, or where it would be listed.
+func (p *Publisher) find(instance string) (index int, isListed bool) {
+	index = sort.Search(len(p.view.Runners), func(i int) bool { return p.view.Runners[i].Instance >= instance })
+	return index, index < len(p.view.Runners) && p.view.Runners[index].Instance == instance
+}
+
 const (
 	// largeViewBytes is the size from which an encoded full view is reused for wholeViewTTL:
 	// encoding ten thousand runners takes some tens of milliseconds, and routers fetch the later
--- a/placement/fleet/registry.go
+++ b/placement/fleet/registry.go
@@ -12,11 +12,11 @@
 	timing    Timing
 	startedAt time.Time
 	runners   map[string]*record
-	// sorted holds the records by instance if isSorted is set. listed is the buffer that Runners
-	// returns.
-	sorted   []*record
-	isSorted bool
-	listed   []Status
+	// sorted holds the records by instance, except for those added since the last call of sort. listed
+	// is the buffer that Runners returns.
+	sorted []*record
+	added  []*record
+	listed []Status
 	// latest maps a runner ID to its latest known incarnation.
 	latest map[string]string
 	// addresses maps an address to the records there.
@@ -89,17 +89,29 @@
 func (r *Registry) add(instance string, added *record) {
 	added.instance = instance
 	r.runners[instance] = added
-	r.sorted = append(r.sorted, added)
-	r.isSorted = false
+	r.added = append(r.added, added)
 }
 
-// sort sorts the records by instance.
+// sort merges the added records into the sorted ones.
 func (r *Registry) sort() {
-	if r.isSorted {
+	if len(r.added) == 0 {
 		return
 	}
-	slices.SortFunc(r.sorted, func(a, b *record) int { return strings.Compare(a.instance, b.instance) })
-	r.isSorted = true
+	slices.SortFunc(r.added, func(a, b *record) int { return strings.Compare(a.instance, b.instance) })
+	// The merge goes backwards, so that no record is overwritten before it has moved.
+	from, to := len(r.sorted)-1, len(r.sorted)+len(r.added)-1
+	r.sorted = append(r.sorted, r.added...)
+	for i := len(r.added) - 1; i >= 0; to-- {
+		if from >= 0 && r.sorted[from].instance > r.added[i].instance {
+			r.sorted[to] = r.sorted[from]
+			from--
+			continue
+		}
+		r.sorted[to] = r.added[i]
+		i--
+	}
+	clear(r.added)
+	r.added = r.added[:0]
 }
 
 // setAddress moves the record from the address of its last heartbeat to the new one.
@@ -124,12 +136,12 @@
 // Silent returns the sorted instances that have been silent for longer than limit.
 func (r *Registry) Silent(now time.Time, limit time.Duration) []string {
 	var silent []string
-	for instance, known := range r.runners {
+	r.sort()
+	for _, known := range r.sorted {
 		if now.Sub(known.heardAt) > limit {
-			silent = append(silent, instance)
+			silent = append(silent, known.instance)
 		}
 	}
-	slices.Sort(silent)
 	return silent
 }
 
@@ -196,6 +208,7 @@
 
 // Expire deletes records without any message for longer than tombstoneTTL.
 func (r *Registry) Expire(now time.Time) {
+	r.sort()
 	r.sorted = slices.DeleteFunc(r.sorted, func(known *record) bool {
 		if now.Sub(known.heardAt) <= tombstoneTTL {
 			return false
@@ -263,9 +276,10 @@
 // Gone returns the sorted instances that have ended, and leaving ones without a known address.
 func (r *Registry) Gone() []string {
 	var gone []string
-	for instance, known := range r.runners {
+	r.sort()
+	for _, known := range r.sorted {
 		if known.hasEnded() || known.leaving && known.heartbeat.Address == "" {
-			gone = append(gone, instance)
+			gone = append(gone, known.instance)
 		}
 	}
 	gone = appendIDs(gone, func(id string) bool {
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -97,11 +97,22 @@
 }
 
 // Equal reports whether both describe the same state.
-func (r Runner) Equal(other Runner) bool {
+func (r Runner) Equal(other Runner) bool { return r.equals(&other) }
+
+// equals is Equal without copies.
+func (r *Runner) equals(other *Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
 		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
-		r.Cold == other.Cold && r.Limit == other.Limit && r.Recalled == other.Recalled &&
-		slices.EqualFunc(r.Models, other.Models, LoadedModel.Equal)
+		r.Cold == other.Cold && r.Limit == other.Limit && r.Recalled == other.Recalled && areModelsEqual(r.Models, other.Models)
+}
+
+// areModelsEqual reports whether both lists are the same. It compares no models of lists that share
+// their memory.
+func areModelsEqual(models, others []LoadedModel) bool {
+	if len(models) == len(others) && (len(models) == 0 || &models[0] == &others[0]) {
+		return true
+	}
+	return slices.EqualFunc(models, others, LoadedModel.Equal)
 }
 
 // View is the set of runners that a leader sends to routers.
--- a/placement/fleet/zonesilence.go
+++ b/placement/fleet/zonesilence.go
@@ -32,15 +32,17 @@
 // intervals.
 func (r *Registry) silentZones(now time.Time) map[string]bool {
 	zones := make(map[string]*zoneActivity)
-	for _, known := range r.runners {
+	r.sort()
+	for _, known := range r.sorted {
 		zone := known.heartbeat.Zone
 		if zone == "" || known.hasEnded() || known.displaced || known.suspicion.meanInterval == 0 || now.Sub(known.heardAt) > r.timing.SilenceLimit() {
 			continue
 		}
-		if zones[zone] == nil {
-			zones[zone] = &zoneActivity{}
-		}
 		activity := zones[zone]
+		if activity == nil {
+			activity = &zoneActivity{}
+			zones[zone] = activity
+		}
 		activity.runners++
 		activity.intervalSum += known.suspicion.meanInterval
 		if known.heardAt.After(activity.heardAt) {
