--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 )
 
@@ -38,17 +37,6 @@
 	return min(hold, domainapi.MaxHold, max(domainapi.MinHold, most))
 }
 
-// applyDeparture applies a committed departure and waits until the active routers have
-// received it.
-func (l *leadership) applyDeparture(ctx context.Context, departure domain.Departure) {
-	l.mutex.Lock()
-	l.registry.Depart(l.now(), departure.Instance, departure.Gone)
-	l.poison.Refute(l.now(), departure.Instance)
-	changed := l.now()
-	l.mutex.Unlock()
-	l.awaitRouters(ctx, l.refreshAfter(ctx, changed))
-}
-
 // awaitRouters waits until all active routers have received a revision, at most for
 // routerAckTimeout. A router acknowledges a revision with its next watch.
 func (l *leadership) awaitRouters(ctx context.Context, revision uint64) {
--- a/placement/domainnode/operator.go
+++ b/placement/domainnode/operator.go
@@ -16,6 +16,11 @@
 // a second.
 const callerTimeout = 900 * time.Millisecond
 
+// departTimeout bounds an attempt to tell the leader of a departure. The leader answers once the routers
+// know of it, or after routerAckTimeout. After a shorter time-out, all calls of this controller would
+// search for another leader.
+const departTimeout = routerAckTimeout + 200*time.Millisecond
+
 // PutDocument submits a document. It returns once this document, or one with a higher
 // version, is durable. An error of kind ErrorInvalid means that the document was rejected;
 // after other errors the outcome is unknown.
@@ -84,7 +89,7 @@
 }
 
 func (n *Node) depart(ctx context.Context, arguments domainapi.DepartArguments) error {
-	_, err := leadercall.Call(ctx, n.caller, domainapi.MethodDepart, arguments, newReply)
+	_, err := leadercall.Call(ctx, n.caller.WithTryTimeout(departTimeout), domainapi.MethodDepart, arguments, newReply)
 	n.metrics.departures.WithLabelValues(outcomeName(err)).Inc()
 	level.Info(n.logger).Log("msg", "A runner is leaving.", "runner", arguments.Departure.Instance, "born", arguments.Born,
 		"gone", arguments.Departure.Gone, "err", err)
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -61,17 +61,17 @@
 	l.views.Publish(view)
 }
 
-// refreshAfter ensures that a view newer than the given time is announced to all routers and
-// returns its revision. Concurrent calls share a refresh.
-func (l *leadership) refreshAfter(ctx context.Context, changed time.Time) uint64 {
+// refreshAfter ensures that a view newer than the given time is announced to all routers, unless ctx ends
+// first, and returns its revision. Concurrent calls share a refresh.
+func (l *leadership) refreshAfter(ctx context.Context, changed time.Time) (revision uint64, isPublished bool) {
 	for {
-		l.mutex.Lock()
+		l.lock()
 		at := l.now()
 		rest := min(maxRefreshPause, refreshPauseFactor*l.refreshDuration) - at.Sub(l.refreshedAt)
 		if rest <= 0 && !l.refreshedAt.After(changed) {
 			l.refresh(at)
 		}
-		isPublished, revision := l.refreshedAt.After(changed), l.views.Revision()
+		isPublished, revision = l.refreshedAt.After(changed), l.views.Revision()
 		if isPublished {
 			l.relays.await(l.now(), revision)
 		}
@@ -80,7 +80,7 @@
 		}
 		l.mutex.Unlock()
 		if isPublished || !pause.For(ctx, max(routerPollInterval, rest)) {
-			return revision
+			return revision, isPublished
 		}
 	}
 }
