--- a/placement/domainnode/fleet_benchmark_test.go
+++ b/placement/domainnode/fleet_benchmark_test.go
@@ -286,9 +286,7 @@
 // step executes a step and settles it.
 func (f *benchmarkFleet) step() {
 	f.applyDocument()
-	f.mutex.Lock()
-	done := f.advance(f.at)
-	f.mutex.Unlock()
+	done := f.advance()
 	f.settle(done)
 }
 
@@ -327,9 +325,7 @@
 		prepare(f)
 		b.StartTimer()
 		f.applyDocument()
-		f.mutex.Lock()
-		done := f.advance(f.at)
-		f.mutex.Unlock()
+		done := f.advance()
 		b.StopTimer()
 		orders += len(done.orders)
 		f.settle(done)
@@ -461,7 +457,7 @@
 	for b.Loop() {
 		l := newLeadership(f.node, f.member, 4, f.at)
 		l.applyDocument()
-		l.advance(f.at)
+		l.advance()
 	}
 }
 
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -291,9 +291,7 @@
 // next step is due.
 func (l *leadership) step(ctx context.Context) time.Duration {
 	l.applyDocument()
-	l.mutex.Lock()
-	done := l.advance(l.now())
-	l.mutex.Unlock()
+	done := l.advance()
 	l.recordEndedLoads(done.ended)
 	for _, found := range done.judged {
 		level.Info(l.logger).Log("msg", "A runner's speed was judged.", "runner", found.Instance,
@@ -321,13 +319,36 @@
 	next time.Duration
 }
 
-// advance updates the runners, plans loads and publishes the view. The caller holds the mutex.
-func (l *leadership) advance(at time.Time) stepResult {
+// advance updates the runners, plans loads and publishes the view. It releases the mutex in between, so
+// that answers to routers, relays and runners wait for one of the parts and not for all of them.
+func (l *leadership) advance() stepResult {
+	l.updateRunners()
+	done := l.planLoads()
+	l.publishPlan(&done)
+	return done
+}
+
+func (l *leadership) updateRunners() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := l.now()
 	l.registry.Expire(at)
 	l.poison.Expire(at)
 	l.updateDrains()
 	l.refresh(at)
-	done := stepResult{questions: l.planner.RunnersToPoll(at), orders: l.planner.Plan(at)}
+}
+
+func (l *leadership) planLoads() stepResult {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := l.now()
+	return stepResult{questions: l.planner.RunnersToPoll(at), orders: l.planner.Plan(at)}
+}
+
+func (l *leadership) publishPlan(done *stepResult) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	at := l.now()
 	close(l.planned)
 	l.planned = make(chan struct{})
 	l.publish(at)
@@ -337,7 +358,6 @@
 	done.ended = l.planner.TakeEndedLoads()
 	l.proposePending()
 	l.logSummary(at)
-	return done
 }
 
 // notifyRouters announces the latest view: immediately to routers with requests waiting for
