A repeated departure does not wait anew for routers that are gone

What callers saw: runners that leave get no acknowledgement for as long as routers are stopped one after the other.

Cause: a call waits for the routers to know of the departure, up to 0.6 s. A stopped router counts as active for two seconds, and with 58 of 985 stopped in turn one always does. The attempt of the forwarding controller ended after 0.4 s, the call of the runner after 0.9 s, and its next call began to wait anew.

Change: the wait ends 0.6 s after the departure was published, whichever call it is. A departure that could not be published is not acknowledged.

--- a/placement/domainnode/contact.go
+++ b/placement/domainnode/contact.go
@@ -37,10 +37,10 @@
 	return min(hold, domainapi.MaxHold, max(domainapi.MinHold, most))
 }
 
-// awaitRouters waits until all active routers have received a revision, at most for
-// routerAckTimeout. A router acknowledges a revision with its next watch.
-func (l *leadership) awaitRouters(ctx context.Context, revision uint64) {
-	ctx, cancel := context.WithTimeout(ctx, routerAckTimeout)
+// awaitRouters waits until all active routers have received a revision, at most until the given time. A
+// router acknowledges a revision with its next watch.
+func (l *leadership) awaitRouters(ctx context.Context, revision uint64, until time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(l.now()))
 	defer cancel()
 	for {
 		l.mutex.Lock()
--- a/placement/domainnode/departures.go
+++ b/placement/domainnode/departures.go
@@ -2,51 +2,66 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lotusferry/lotusferry/placement/domain"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
-// maxKnownDepartures bounds the departures whose revision is remembered.
-const maxKnownDepartures = 4096
+// maxPublishedDepartures bounds the departures that are remembered.
+const maxPublishedDepartures = 4096
 
-// applyDeparture applies a committed departure and waits until the active routers have received it.
-// A runner that got no answer repeats its call: that waits for the same revision, without another
-// look at all runners and another announcement to all routers.
-func (l *leadership) applyDeparture(ctx context.Context, departure domain.Departure) {
-	revision, isKnown := l.knownDeparture(departure)
-	if !isKnown {
-		revision = l.publishDeparture(ctx, departure)
+// publishedDeparture is a departure of which views tell.
+type publishedDeparture struct {
+	// revision is the first revision known to tell of it, published at the time at.
+	revision uint64
+	at       time.Time
+}
+
+// applyDeparture applies a committed departure and waits until the active routers have received it, at
+// most for routerAckTimeout from when it was published. A runner that got no answer repeats its call:
+// that causes no further look at all runners and no further announcement to all routers, and does not
+// wait anew for routers that may be gone. It fails if ctx ends before the departure is published.
+func (l *leadership) applyDeparture(ctx context.Context, departure domain.Departure) error {
+	published, isPublished := l.publishedDeparture(departure)
+	if !isPublished {
+		published, isPublished = l.publishDeparture(ctx, departure)
+	}
+	if !isPublished {
+		return structs.NewError(structs.ErrorDeadline, "the departure is stored, but no router knows of it yet", "Repeat the call.")
 	}
-	l.awaitRouters(ctx, revision)
+	l.awaitRouters(ctx, published.revision, published.at.Add(routerAckTimeout))
+	return nil
 }
 
-// knownDeparture returns the revision from which views tell of a departure, if it has been published.
-func (l *leadership) knownDeparture(departure domain.Departure) (revision uint64, isKnown bool) {
-	l.mutex.Lock()
+// publishedDeparture returns a departure that has been published.
+func (l *leadership) publishedDeparture(departure domain.Departure) (published publishedDeparture, isPublished bool) {
+	l.lock()
 	defer l.mutex.Unlock()
-	revision, isKnown = l.departures[departure]
-	if isKnown {
-		l.relays.await(l.now(), revision)
+	published, isPublished = l.departures[departure]
+	if isPublished {
+		l.relays.await(l.now(), published.revision)
 	}
-	return revision, isKnown
+	return published, isPublished
 }
 
-// publishDeparture applies a departure and returns the revision of a view that tells of it.
-func (l *leadership) publishDeparture(ctx context.Context, departure domain.Departure) uint64 {
-	l.mutex.Lock()
+// publishDeparture applies a departure and publishes a view that tells of it, unless ctx ends first.
+func (l *leadership) publishDeparture(ctx context.Context, departure domain.Departure) (published publishedDeparture, isPublished bool) {
+	l.lock()
 	l.registry.Depart(l.now(), departure.Instance, departure.Gone)
 	l.poison.Refute(l.now(), departure.Instance)
 	changed := l.now()
 	l.mutex.Unlock()
-	revision, isPublished := l.refreshAfter(ctx, changed)
+	published.revision, isPublished = l.refreshAfter(ctx, changed)
 	if !isPublished {
-		return revision
+		return published, false
 	}
-	l.mutex.Lock()
+	l.lock()
 	defer l.mutex.Unlock()
-	if len(l.departures) >= maxKnownDepartures {
+	if len(l.departures) >= maxPublishedDepartures {
 		clear(l.departures)
 	}
-	l.departures[departure] = revision
-	return revision
+	published.at = l.now()
+	l.departures[departure] = published
+	return published, true
 }
--- a/placement/domainnode/drains.go
+++ b/placement/domainnode/drains.go
@@ -80,7 +80,7 @@
 	current.announcer.announce(current.now(), current.currentVersions())
 	current.mutex.Unlock()
 	current.wakePlan()
-	current.awaitRouters(ctx, revision)
+	current.awaitRouters(ctx, revision, current.now().Add(routerAckTimeout))
 	if !current.isValid() {
 		return notLeaderError(m)
 	}
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -94,8 +94,8 @@
 	// planned is closed and replaced after each plan.
 	planned chan struct{}
 	routers map[string]routerContact
-	// departures maps the applied departures to the revision from which views tell of them.
-	departures map[domain.Departure]uint64
+	// departures are those of which views tell.
+	departures map[domain.Departure]publishedDeparture
 	// seenRevision is the revision that every active router had at seenAt.
 	seenAt       time.Time
 	seenRevision uint64
@@ -175,7 +175,7 @@
 		fullViewPacer:        newPacer(n.options.LinkBytes * fullViewLinkShare),
 		planned:              make(chan struct{}),
 		routers:              make(map[string]routerContact),
-		departures:           make(map[domain.Departure]uint64),
+		departures:           make(map[domain.Departure]publishedDeparture),
 		relays:               newRelays(),
 		lost:                 make(map[string]bool),
 		pendingRegistrations: make(map[string]domain.Registration),
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -176,7 +176,9 @@
 	} else if err := m.group.Read(ctx); err != nil {
 		return err
 	}
-	current.applyDeparture(ctx, departure)
+	if err := current.applyDeparture(ctx, departure); err != nil {
+		return err
+	}
 	if !current.isValid() {
 		return notLeaderError(m)
 	}
