leadercall: a call that is cut short does not lose the leader

Found by review: the last attempt of a call may have a tenth of its time-out left. When it ended, all calls of the process forgot the leader, which they share since the search has a backoff, and searched for it. An attempt that the call's own end cut to less than half of its time-out tells nothing about the member now.

--- a/agreement/leadercall/caller.go
+++ b/agreement/leadercall/caller.go
@@ -60,12 +60,13 @@
 	var last error
 	search := newSearch(c.group)
 	for address := search.next(ctx); address != ""; address = search.next(ctx) {
-		reply := newReply()
+		reply, began := newReply(), time.Now()
 		err := c.try(ctx, address, method, arguments, reply)
 		if err == nil {
 			err = structs.AsError(reply.Failure())
 		}
-		leader, isOver := search.record(address, err)
+		isCutShort := ctx.Err() != nil && time.Since(began) < c.tryTimeout/2
+		leader, isOver := search.record(address, err, isCutShort)
 		if isOver {
 			return reply, err
 		}
--- a/agreement/leadercall/search.go
+++ b/agreement/leadercall/search.go
@@ -145,8 +145,9 @@
 }
 
 // record records the result of an attempt. It returns the leader that the member has named, if any,
-// and whether the call is over.
-func (s *search) record(address string, err error) (leader string, isOver bool) {
+// and whether the call is over. isCutShort is set if the call has ended before the member had much time to
+// answer, which tells nothing about the member.
+func (s *search) record(address string, err error, isCutShort bool) (leader string, isOver bool) {
 	g := s.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -167,7 +168,7 @@
 		if !transport.NotSent(err) {
 			s.sent++
 		}
-		if g.leader == address {
+		if g.leader == address && !isCutShort {
 			g.leader = ""
 		}
 		return "", false
