Relays: routers without the full view keep what they have; choices and waits

It now keeps what has changed since the takeover, knows that it lacks the full view, and asks its relay as one without a view.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -342,15 +342,16 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	at := l.now()
-	return stepResult{questions: l.planner.RunnersToPoll(at), orders: l.planner.Plan(at)}
+	done := stepResult{questions: l.planner.RunnersToPoll(at), orders: l.planner.Plan(at)}
+	close(l.planned)
+	l.planned = make(chan struct{})
+	return done
 }
 
 func (l *leadership) publishPlan(done *stepResult) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	at := l.now()
-	close(l.planned)
-	l.planned = make(chan struct{})
 	l.publish(at)
 	l.setLoads(l.planner.Loads(at))
 	done.next = l.notifyRouters(at)
--- a/placement/domainnode/operator.go
+++ b/placement/domainnode/operator.go
@@ -16,10 +16,14 @@
 // a second.
 const callerTimeout = 900 * time.Millisecond
 
-// departTimeout bounds an attempt to tell the leader of a departure. The leader answers once the routers
-// know of it, or after routerAckTimeout. After a shorter time-out, all calls of this controller would
-// search for another leader.
-const departTimeout = routerAckTimeout + 200*time.Millisecond
+const (
+	// departReplyTime is the longest time until the leader answers a departure, with its commit and its
+	// wait for routers.
+	departReplyTime = 650 * time.Millisecond
+	// departTimeout bounds an attempt to tell the leader of a departure. After a shorter time-out than the
+	// leader's, all calls of this controller would search for another leader.
+	departTimeout = departReplyTime + 150*time.Millisecond
+)
 
 // PutDocument submits a document. It returns once this document, or one with a higher
 // version, is durable. An error of kind ErrorInvalid means that the document was rejected;
--- a/placement/domainnode/options.go
+++ b/placement/domainnode/options.go
@@ -123,10 +123,10 @@
 func (o Options) hasSeveralRegions() bool {
 	first := ""
 	for _, region := range o.Regions {
-		if first != "" && region != first {
+		if first != "" && region != "" && region != first {
 			return true
 		}
-		first = region
+		first = max(first, region)
 	}
 	return false
 }
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -22,7 +22,7 @@
 	// are sent to the relays.
 	routersPerRelay = 128
 	// takeoverTime is how long a new leader keeps the relays of its predecessor before it judges by its
-	// own routers, and how long it waits for as many relays as its routers need.
+	// own routers.
 	takeoverTime = 5 * time.Second
 )
 
@@ -192,18 +192,21 @@
 }
 
 // relaysNeeded returns the number of relays from which routers are sent to them, so that the first
-// ones are not asked by all routers. The caller holds the mutex.
+// ones are not asked by all routers. Members that do not answer are not waited for. The caller holds the
+// mutex.
 func (l *leadership) relaysNeeded() int {
-	if l.now().Sub(l.startedAt) >= takeoverTime {
-		return 1
+	others := 0
+	for _, progress := range l.member.group.Status().Progress {
+		if progress.Active {
+			others++
+		}
 	}
-	others := len(l.member.group.Status().Progress)
 	return max(1, min(others, (len(l.routers)+routersPerRelay-1)/routersPerRelay))
 }
 
-// relaysFor returns the list of relays for a router, or nil if it uses none or its list is current.
-// Relays know the revision of a router, but not that it has only a part of that view. A router that
-// still lacks the full view gets no relays, unless they spare the leader: see handOver.
+// relaysFor returns the list of relays for a router, or nil if it uses none or its list is current. A
+// router that still lacks the full view gets no relays, unless they spare the leader. It then gets that
+// view from its relay.
 func (l *leadership) relaysFor(arguments *domainapi.WatchArguments) *domainapi.RelayList {
 	if arguments.Relays == 0 {
 		return nil
@@ -211,11 +214,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	list := l.relayList()
-	if l.routers[arguments.Router].lacksFullView {
-		if !list.SparesLeader || len(list.Relays) == 0 {
-			return nil
-		}
-		return &list
+	if l.routers[arguments.Router].lacksFullView && (!list.SparesLeader || len(list.Relays) == 0) {
+		return nil
 	}
 	if arguments.Term == uint64(l.term) && arguments.Relays == list.Version {
 		return nil
@@ -223,19 +223,6 @@
 	return &list
 }
 
-// handOver has a router that lacks the full view ask its relay for it.
-func (l *leadership) handOver(router string, reply *domainapi.WatchReply) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	known := l.routers[router]
-	if !known.lacksFullView {
-		return
-	}
-	known.lacksFullView, known.wantsFullView = false, false
-	l.routers[router] = known
-	reply.View, reply.Revision = nil, 0
-}
-
 // recordRelayed records a relay's contact with a router, unless a later one with another controller
 // is known. The caller holds the mutex.
 func (l *leadership) recordRelayed(at time.Time, arguments *domainapi.MirrorArguments, relayed domainapi.RelayedRouter) {
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -160,7 +160,7 @@
 }
 
 func proposeDeparture(m *member, current *leadership, departure domain.Departure) error {
-	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), departReplyTime)
 	defer cancel()
 	var known domain.Departure
 	var isKnown bool
@@ -285,9 +285,6 @@
 	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
 	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
 	reply.Relays = current.relaysFor(arguments)
-	if reply.Relays != nil {
-		current.handOver(arguments.Router, reply)
-	}
 	return nil
 }
 
@@ -338,6 +335,7 @@
 	if l.takeWantedFullView(arguments.Router) {
 		known = 0
 	}
+	reply.LacksFullView = l.routers[arguments.Router].lacksFullView
 	if hasContent && l.views.Revision() != known {
 		view, revision, err := l.viewFor(arguments.Router, known)
 		if err != nil {
