Group: the delay of ticks by the clock of leases

The delay is now the time since the tick before beyond the interval, which also shows a process that was stopped as a whole; the time of the ticker did not.

--- a/agreement/group/group.go
+++ b/agreement/group/group.go
@@ -52,6 +52,8 @@
 type loop struct {
 	node  *raft.Node
 	ticks <-chan time.Time
+	// tickedAt is when the last tick was handled.
+	tickedAt time.Duration
 	// writeTime is how long a write to the store takes at present.
 	writeTime   time.Duration
 	applied     uint64
@@ -180,7 +182,7 @@
 func (g *Group) serve(ctx, sending context.Context, senders *sync.WaitGroup) error {
 	ticker := time.NewTicker(g.options.TickInterval)
 	defer ticker.Stop()
-	g.loop.ticks = ticker.C
+	g.loop.ticks, g.loop.tickedAt = ticker.C, g.now()
 	for {
 		if err := g.process(sending, senders); err != nil {
 			level.Error(g.logger).Log("msg", "Stopping the group after a processing error.", "err", err)
@@ -189,8 +191,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case due := <-ticker.C:
-			g.noteTick(due)
+		case <-ticker.C:
+			g.noteTick()
 			g.tick()
 		case batch := <-g.incoming:
 			g.step(batch)
@@ -209,10 +211,13 @@
 	}
 }
 
-// noteTick reports how late a tick is handled.
-func (g *Group) noteTick(due time.Time) {
+// noteTick reports how late a tick is handled, by the time since the one before.
+func (g *Group) noteTick() {
+	now := g.now()
+	late := max(0, now-g.loop.tickedAt-g.options.TickInterval)
+	g.loop.tickedAt = now
 	if g.options.OnTick != nil {
-		g.options.OnTick(time.Since(due))
+		g.options.OnTick(late)
 	}
 }
 
--- a/agreement/group/options.go
+++ b/agreement/group/options.go
@@ -100,7 +100,7 @@
 	// block.
 	OnWrite func(took time.Duration)
 	// OnTick, if set, is called with how late each tick of the member was handled: the time for which
-	// its goroutine waited for the processor or was busy. It must not block.
+	// its goroutine waited for the processor, was busy or was suspended. It must not block.
 	OnTick func(late time.Duration)
 	// OnRoundTrip, if set, is called with the time of each answered batch of messages. It must be safe
 	// for concurrent use and must not block.
--- a/agreement/group/storewrite.go
+++ b/agreement/group/storewrite.go
@@ -30,8 +30,8 @@
 		case err := <-done:
 			g.noteWrite(g.now() - began)
 			return err
-		case due := <-g.loop.ticks:
-			g.noteTick(due)
+		case <-g.loop.ticks:
+			g.noteTick()
 			g.tickDuringWrite()
 		case batch := <-g.incoming:
 			g.step(batch)
