--- a/placement/mirror/answer.go
+++ b/placement/mirror/answer.go
@@ -7,9 +7,9 @@
 )
 
 // catchUpTime is how long a router's question waits until the mirror has what the router has and
-// the leader counts the router. A question that is held when the leader changes waits from then on. It is longer than two round trips between regions and shorter
-// than the usual hold time, so that the router loses less by a relay that is behind than by a lost
-// one.
+// the leader counts the router, from when it is asked or, if it is held then, from the first answer of a
+// new leader. It is longer than two round trips between regions and shorter than the usual hold time, so
+// that the router loses less by a relay that is behind than by a lost one.
 const catchUpTime = 300 * time.Millisecond
 
 // Action is what to do with a router's question.
