Relays: a leader that has had enough of them goes on naming those that it hears

Cause, likely: since the leader named relays only while eight or more had asked within a second. A leader that is slow to answer them then names none, all routers come to it, and it becomes slower still. Its relays asked 25 times a second where 90 are usual, and it answered 800 watches a second.

Change: once there have been enough relays in a term, all that are heard are named.

--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -35,6 +35,8 @@
 	awaitedUntil time.Time
 	// isWanted is set while the leader has enough routers for relays; see wantsRelays.
 	isWanted bool
+	// areEnough is set once there have been as many relays as the routers need; see relaysNeeded.
+	areEnough bool
 }
 
 // relayContact is the leader's state of a relay.
@@ -142,8 +144,8 @@
 }
 
 // wantsRelays reports whether a relay that knows the leader of the given term, or 0, is to pass the
-// state on: at sites of several regions always, at others while there are many routers. The caller holds
-// the mutex.
+// state on: at sites of several regions always, at others while there are many routers. It also records
+// whether there are. The caller holds the mutex.
 func (l *leadership) wantsRelays(term uint64) bool {
 	if l.options.hasSeveralRegions() {
 		return true
@@ -161,11 +163,14 @@
 	return domainapi.Relay{Address: l.options.Address, Zone: l.options.Zone}
 }
 
-// relayList returns the leader and the relays that routers are to use. The caller holds the mutex.
+// relayList returns the leader and the relays that routers are to use. Once there have been enough of
+// them, the leader names all that it hears: if it did not while it is slow to answer them, all routers
+// would come to it. The caller holds the mutex.
 func (l *leadership) relayList() domainapi.RelayList {
 	list := l.relays.list(l.now(), l.asRelay())
 	if !l.options.hasSeveralRegions() {
-		if len(list.Relays) >= l.relaysNeeded() {
+		l.relays.areEnough = l.relays.areEnough || len(list.Relays) >= l.relaysNeeded()
+		if l.relays.areEnough {
 			list.SparesLeader = true
 		} else {
 			list.Relays = nil
--- a/placement/domainnode/workload.go
+++ b/placement/domainnode/workload.go
@@ -15,16 +15,15 @@
 // slow: bytes that fill its link, work that takes its processor, or writes to its disk. Its methods are
 // safe for concurrent use.
 type workload struct {
-	watches     atomic.Int64
-	demands     atomic.Int64
-	questions   atomic.Int64
-	reports     atomic.Int64
-	heartbeats  atomic.Int64
-	replyBytes  atomic.Int64
-	refreshes   atomic.Int64
-	refreshTime atomic.Int64
-	steps       atomic.Int64
-	stepTime    atomic.Int64
+	// watches and demands are calls of routers, questions and reports calls of relays.
+	watches, demands, questions, reports atomic.Int64
+	// heartbeats are those of runners, not the calls that carry them.
+	heartbeats atomic.Int64
+	// replyBytes are the bytes of views and documents in replies.
+	replyBytes atomic.Int64
+	// refreshTime and stepTime are in nanoseconds.
+	refreshes, refreshTime atomic.Int64
+	steps, stepTime        atomic.Int64
 	// The longest times: until a tick of the group was handled, of a round trip to another member, of
 	// a write to the store, and until the mutex of the leadership was free.
 	tickDelay, roundTrip, write, mutexWait longest
