--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -161,9 +161,6 @@
 	Confirmed uint64
 	// View is nil if the router's view is current.
 	View *fleet.EncodedView
-	// LacksFullView is set if the router has only what changed at a takeover. Relays know the revision of a
-	// router, but not that: it asks them as one without a view.
-	LacksFullView bool
 	// Loads lists the runners with many requests, summed over all routers.
 	Loads []fleet.Load
 	// PackedLoads holds the loads packed by fleet.PackLoads, in place of Loads; empty if KeepsLoads
--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -22,7 +22,7 @@
 	// are sent to the relays.
 	routersPerRelay = 128
 	// takeoverTime is how long a new leader keeps the relays of its predecessor before it judges by its
-	// own routers.
+	// own routers, and how long it waits for as many relays as its routers need.
 	takeoverTime = 5 * time.Second
 )
 
@@ -35,8 +35,6 @@
 	awaitedUntil time.Time
 	// isWanted is set while the leader has enough routers for relays; see wantsRelays.
 	isWanted bool
-	// areEnough is set once there have been as many relays as the routers need; see relaysNeeded.
-	areEnough bool
 }
 
 // relayContact is the leader's state of a relay.
@@ -163,14 +161,11 @@
 	return domainapi.Relay{Address: l.options.Address, Zone: l.options.Zone}
 }
 
-// relayList returns the leader and the relays that routers are to use. Once there have been enough of
-// them, the leader names all that it hears: if it did not while it is slow to answer them, all routers
-// would come to it. The caller holds the mutex.
+// relayList returns the leader and the relays that routers are to use. The caller holds the mutex.
 func (l *leadership) relayList() domainapi.RelayList {
 	list := l.relays.list(l.now(), l.asRelay())
 	if !l.options.hasSeveralRegions() {
-		l.relays.areEnough = l.relays.areEnough || len(list.Relays) >= l.relaysNeeded()
-		if l.relays.areEnough {
+		if len(list.Relays) >= l.relaysNeeded() {
 			list.SparesLeader = true
 		} else {
 			list.Relays = nil
@@ -197,21 +192,18 @@
 }
 
 // relaysNeeded returns the number of relays from which routers are sent to them, so that the first
-// ones are not asked by all routers. Members that do not answer are not waited for. The caller holds the
-// mutex.
+// ones are not asked by all routers. The caller holds the mutex.
 func (l *leadership) relaysNeeded() int {
-	others := 0
-	for _, progress := range l.member.group.Status().Progress {
-		if progress.Active {
-			others++
-		}
+	if l.now().Sub(l.startedAt) >= takeoverTime {
+		return 1
 	}
+	others := len(l.member.group.Status().Progress)
 	return max(1, min(others, (len(l.routers)+routersPerRelay-1)/routersPerRelay))
 }
 
-// relaysFor returns the list of relays for a router, or nil if it uses none or its list is current. A
-// router that still lacks the full view gets no relays, unless they spare the leader. It then gets that
-// view from its relay.
+// relaysFor returns the list of relays for a router, or nil if it uses none or its list is current.
+// Relays know the revision of a router, but not that it has only a part of that view. A router that
+// still lacks the full view gets no relays, unless they spare the leader: see handOver.
 func (l *leadership) relaysFor(arguments *domainapi.WatchArguments) *domainapi.RelayList {
 	if arguments.Relays == 0 {
 		return nil
@@ -219,8 +211,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	list := l.relayList()
-	if l.routers[arguments.Router].lacksFullView && (!list.SparesLeader || len(list.Relays) == 0) {
-		return nil
+	if l.routers[arguments.Router].lacksFullView {
+		if !list.SparesLeader || len(list.Relays) == 0 {
+			return nil
+		}
+		return &list
 	}
 	if arguments.Term == uint64(l.term) && arguments.Relays == list.Version {
 		return nil
@@ -228,6 +223,19 @@
 	return &list
 }
 
+// handOver has a router that lacks the full view ask its relay for it.
+func (l *leadership) handOver(router string, reply *domainapi.WatchReply) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.routers[router]
+	if !known.lacksFullView {
+		return
+	}
+	known.lacksFullView, known.wantsFullView = false, false
+	l.routers[router] = known
+	reply.View, reply.Revision = nil, 0
+}
+
 // recordRelayed records a relay's contact with a router, unless a later one with another controller
 // is known. The caller holds the mutex.
 func (l *leadership) recordRelayed(at time.Time, arguments *domainapi.MirrorArguments, relayed domainapi.RelayedRouter) {
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -285,6 +285,9 @@
 	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
 	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
 	reply.Relays = current.relaysFor(arguments)
+	if reply.Relays != nil {
+		current.handOver(arguments.Router, reply)
+	}
 	return nil
 }
 
@@ -335,7 +338,6 @@
 	if l.takeWantedFullView(arguments.Router) {
 		known = 0
 	}
-	reply.LacksFullView = l.routers[arguments.Router].lacksFullView
 	if hasContent && l.views.Revision() != known {
 		view, revision, err := l.viewFor(arguments.Router, known)
 		if err != nil {
--- a/request/relay/controllers.go
+++ b/request/relay/controllers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
@@ -59,8 +58,6 @@
 type failedRelay struct {
 	at    time.Time
 	pause time.Duration
-	// isRedirect is set if the relay is up.
-	isRedirect bool
 }
 
 func newControllerChoice(name string, zone structs.ZoneID, regions map[structs.ZoneID]string) *controllerChoice {
@@ -85,8 +82,6 @@
 func (c *controllerChoice) adopt(list *domainapi.RelayList, isNewTerm bool) {
 	if isNewTerm {
 		c.list = domainapi.RelayList{}
-		// They redirected because they had no state of this leader yet.
-		maps.DeleteFunc(c.failed, func(_ string, failure failedRelay) bool { return failure.isRedirect })
 	}
 	if list != nil {
 		c.list = *list
@@ -104,7 +99,7 @@
 // redirect records that a relay is up but cannot answer now.
 func (c *controllerChoice) redirect(at time.Time, address string) {
 	pause := max(redirectPause, 2*c.failed[address].pause)
-	c.failed[address] = failedRelay{at: at, pause: min(pause, failedRelayPause), isRedirect: true}
+	c.failed[address] = failedRelay{at: at, pause: min(pause, failedRelayPause)}
 }
 
 // succeed records that a relay answered.
@@ -124,8 +119,7 @@
 }
 
 // order returns the relays of the list that the router may ask, in its order of preference: those in its
-// zone first, then those in its region, each ranked differently for each router. If there are few choices,
-// the last is in another zone, since all controllers of a zone may be lost at once.
+// zone first, then those in its region, each ranked differently for each router.
 func (c *controllerChoice) order() []domainapi.Relay {
 	choices := slices.DeleteFunc(slices.Clone(c.list.Relays), func(relay domainapi.Relay) bool {
 		return c.distance(relay) == nearLeader
@@ -133,12 +127,10 @@
 	slices.SortFunc(choices, func(a, b domainapi.Relay) int {
 		return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(c.rank(b.Address), c.rank(a.Address)))
 	})
-	if !c.list.SparesLeader || len(choices) <= maxRelayChoices {
-		return choices
+	if c.list.SparesLeader {
+		choices = choices[:min(len(choices), maxRelayChoices)]
 	}
-	last := slices.IndexFunc(choices, func(relay domainapi.Relay) bool { return c.distance(relay) != nearZone })
-	last = max(last, maxRelayChoices-1)
-	return append(choices[:maxRelayChoices-1:maxRelayChoices-1], choices[last])
+	return choices
 }
 
 func (c *controllerChoice) isInZone(relay domainapi.Relay) bool {
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -24,8 +24,6 @@
 	controllers []string
 	isConnected bool
 	choice      *controllerChoice
-	// lacksFullView is set while the router has only what changed at a takeover.
-	lacksFullView bool
 	// followed is the relay that answered last; empty for the leader.
 	followed string
 }
@@ -113,20 +111,11 @@
 	f.choice.fail(f.router.now(), address)
 }
 
-// relayArguments returns the arguments of a watch for a relay.
-func (f *follower) relayArguments() domainapi.WatchArguments {
-	arguments := f.arguments
-	arguments.AllowsRelay = true
-	if f.lacksFullView {
-		arguments.Revision = 0
-	}
-	return arguments
-}
-
 func (f *follower) callRelay(ctx context.Context, address string) (*domainapi.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.relayHold+watchMargin)
 	defer cancel()
-	arguments, reply := f.relayArguments(), &domainapi.WatchReply{}
+	arguments, reply := f.arguments, &domainapi.WatchReply{}
+	arguments.AllowsRelay = true
 	err := f.router.client.Call(ctx, address, domainapi.MethodWatch, arguments, reply)
 	if err == nil {
 		err = structs.AsError(reply.Failure())
@@ -152,7 +141,7 @@
 			r.metrics.followsRelay.Set(1)
 		}
 	}
-	f.isConnected, f.followed, f.lacksFullView = true, address, reply.LacksFullView
+	f.isConnected, f.followed = true, address
 	if len(reply.Controllers) > 0 {
 		f.controllers = reply.Controllers
 	}
