Routers tell their share of the retry budget

Cause: nothing that a router logs or counts tells what it may use of the part of the retry budget that does not come from its own requests, nor by how many routers that is divided, so that a share that is too large after a restart could not be told from a number of routers that is too small at a new leader. Change: a log line when the number of routers changes, and lotusferry_router_retry_extra.

--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -34,7 +34,7 @@
 		return
 	}
 	r.mutex.Lock()
-	r.routerCount = routerCount{routers: reply.Routers, at: r.now().Add(-leaderSilenceOf(reply))}
+	r.setRouterCount(routerCount{routers: reply.Routers, at: r.now().Add(-leaderSilenceOf(reply))})
 	r.leaderHold = holdOf(reply)
 	r.copies.leaderRates, r.copies.leaderRatesAt = reply.StreamLosses, r.now()
 	r.queue.SetShares(r.now(), reply.Shares)
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -22,6 +22,7 @@
 	late          *prometheus.CounterVec
 	inFlight      prometheus.Gauge
 	repeats       *prometheus.CounterVec
+	retryExtra    prometheus.Gauge
 	version       prometheus.Gauge
 	runners       prometheus.Gauge
 	leaderTerm    prometheus.Gauge
@@ -102,6 +103,7 @@
 		late:       counter("late_total", "Answers after the route's objective or with too long a pause.", "kind"),
 		inFlight:   gauge("requests_in_progress", "Requests that have no answer yet."),
 		repeats:    counter("repeats_total", "Repeated sendings asked for, by whether the retry budget allowed them.", "allowed"),
+		retryExtra: gauge("retry_extra", "Repeated sendings in each window that the router may use beyond its share of its own requests."),
 		version:    gauge("document_version", "Version of the document in force."),
 		runners:    gauge("runners", "Runners in the view."),
 		leaderTerm: gauge("leader_term", "Term of the leader that is followed."),
@@ -140,7 +142,7 @@
 	made.traffic = newTraffic(options)
 	if registerer := options.Metrics; registerer != nil {
 		registerer.MustRegister(made.traffic, made.requests, made.attempts, made.first, made.waited, made.unserved, made.late, made.inFlight,
-			made.repeats, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.followsRelay, made.controllerChanges, made.tenants, made.draws,
+			made.repeats, made.retryExtra, made.version, made.runners, made.leaderTerm, made.leaderHeardAt, made.loadsAt, made.followsRelay, made.controllerChanges, made.tenants, made.draws,
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.brittleRejections, made.peersKnown, made.cutOff, made.peerSent, made.peerProbes, made.tunnels,
 			made.lateness, made.overloaded, made.connectionsClosed, made.coldRequests,
 			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent,
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/agreement/leadercall"
 	"github.com/lotusferry/lotusferry/internal/asynclog"
@@ -260,6 +261,16 @@
 	return allowed
 }
 
+// setRouterCount sets the number of routers, by which the retry budget is divided. The caller must hold r.mutex.
+func (r *Router) setRouterCount(count routerCount) {
+	if count.routers != r.routerCount.routers {
+		extra := count.share(count.at, r.options.Retry.Extra)
+		r.metrics.retryExtra.Set(extra)
+		level.Info(r.logger).Log("msg", "The router's share of the retry budget changes.", "routers", count.routers, "before", r.routerCount.routers, "extra", extra)
+	}
+	r.routerCount = count
+}
+
 func (r *Router) budget(service string) *budget {
 	known := r.budgets[service]
 	if known == nil {
