--- a/request/relay/budget_test.go
+++ b/request/relay/budget_test.go
@@ -71,3 +71,25 @@
 	c.Assert(own.tryRepeat(now, granted), qt.IsTrue)
 	c.Assert(own.tryRepeat(now, granted), qt.IsFalse)
 }
+
+// Guards against larger shares of Extra after the loss of the leader, as the next one knows few routers at first.
+func TestNewLeaderThatKnowsFewRoutersRaisesNoShare(t *testing.T) {
+	c := qt.New(t)
+	const routers = 10
+	rule := RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	budgets, counts := make([]budget, routers), make([]routerCount, routers)
+	now := time.Unix(1000, 0)
+	for i := range budgets {
+		budgets[i].rule = rule
+		counts[i] = routerCount{routers: routers, at: now}
+	}
+	now = now.Add(time.Second)
+	repeats := 0
+	for i := range budgets {
+		counts[i] = routerCount{routers: i + 1, at: now}
+		for budgets[i].tryRepeat(now, counts[i]) {
+			repeats++
+		}
+	}
+	c.Assert(float64(repeats) <= rule.Extra, qt.IsTrue, qt.Commentf("%d repeats", repeats))
+}
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -49,6 +49,9 @@
 	abortText = "cut"
 )
 
+// testRetry bounds the retries of all routers.
+var testRetry = relay.RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+
 // testSite is a domain of real controllers and routers and simulated runners in virtual time.
 type testSite struct {
 	c       *qt.C
@@ -247,7 +250,7 @@
 	router := relay.New(relay.Options{
 		Logger: log.NewNopLogger(), Name: fmt.Sprint("router-", index), Seeds: controllerAddresses, Decoder: decodeSite,
 		Backend: routerBackend{s, index},
-		Retry:   relay.RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		Retry:   testRetry,
 		MaxWait: relay.MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8}, Network: s.network, Seed: uint64(index) + 1,
 	})
 	ctx, end := context.WithCancel(context.Background())
