Retry budget: a router that starts has no share of Extra for a window

Callers saw: nothing; runners got up to 1.4 times the repeats that the site allows while routers restarted. Change: a process uses none of Extra until the repeats of the one that it replaces have left the window; a fifth of its own requests is allowed at once, as that needs nothing from before. Ruled out: parts handed on at a planned stop (kills hand on nothing), parts lent by the leader (weighed in docs/design/retry-budget.md). Routers of unit tests start a window before the test, as they stand for running ones.

--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -22,9 +22,11 @@
 )
 
 // budget is one router's share of a RetryRule for one service. The leader reports the number of
-// routers and counts each for longer than routerCountTTL.
+// routers and counts each for longer than routerCountTTL. Create one with newBudget.
 type budget struct {
 	rule RetryRule
+	// extraFrom is when the router may begin to use its share of Extra.
+	extraFrom time.Time
 	// origin is the time of the first call. Slots are counted from it by the monotonic clock, as
 	// the wall clock may jump.
 	origin  time.Time
@@ -51,6 +53,20 @@
 	return extra * extraShare / float64(g.routers)
 }
 
+// newBudget returns the budget of a router that started at the given time. The process that it replaces may have used
+// the same share of Extra until then, so this one uses none until the retries of the other have left the window.
+func newBudget(rule RetryRule, startedAt time.Time) *budget {
+	return &budget{rule: rule, extraFrom: startedAt.Add(rule.Window)}
+}
+
+// extra returns the retries in a window that the router may use beyond Ratio of its own requests.
+func (b *budget) extra(now time.Time, count routerCount) float64 {
+	if now.Before(b.extraFrom) {
+		return 0
+	}
+	return count.share(now, b.rule.Extra)
+}
+
 func (b *budget) addRequest(now time.Time) { b.currentSlot(now).requests++ }
 
 // tryRepeat counts a retry and returns true if the budget allows one.
@@ -61,7 +77,7 @@
 		requests += each.requests
 		repeats += each.repeats
 	}
-	if float64(repeats+1) > b.rule.Ratio*float64(requests)+count.share(now, b.rule.Extra) {
+	if float64(repeats+1) > b.rule.Ratio*float64(requests)+b.extra(now, count) {
 		return false
 	}
 	slot.repeats++
--- a/request/relay/budget_test.go
+++ b/request/relay/budget_test.go
@@ -93,3 +93,18 @@
 	}
 	c.Assert(float64(repeats) <= rule.Extra, qt.IsTrue, qt.Commentf("%d repeats", repeats))
 }
+
+// Guards against a restarted router that uses the share of Extra that its predecessor has just used.
+func TestStartedRouterHasNoExtraForAWindow(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	rule := RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	own, count := newBudget(rule, now), routerCount{routers: 2, at: now.Add(9 * time.Second)}
+	for range 10 {
+		own.addRequest(now)
+	}
+	c.Assert(own.tryRepeat(now, count), qt.IsTrue)
+	c.Assert(own.tryRepeat(now, count), qt.IsTrue)
+	c.Assert(own.tryRepeat(now.Add(rule.Window-time.Millisecond), count), qt.IsFalse)
+	c.Assert(own.tryRepeat(now.Add(rule.Window), count), qt.IsTrue)
+}
--- a/request/relay/continuity_test.go
+++ b/request/relay/continuity_test.go
@@ -170,7 +170,7 @@
 	c.Helper()
 	runners := &copyingRunners{c: c, copies: make(map[string]bool)}
 	registry := prometheus.NewRegistry()
-	router := New(Options{
+	router := newRunningRouter(Options{
 		Logger: log.NewNopLogger(), Name: "router", Seeds: func() []string { return nil }, Backend: runners, Metrics: registry,
 		Retry:   RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -129,9 +129,16 @@
 	return view
 }
 
+// newRunningRouter returns a router that started so long ago that it has its whole share of the retry budget.
+func newRunningRouter(options Options) *Router {
+	router := New(options)
+	router.startedAt = router.startedAt.Add(-options.Retry.Window)
+	return router
+}
+
 func newTestRouter(answer func(ctx context.Context, attempt *Attempt) (*Answer, error)) (*Router, *scriptedBackend) {
 	backend := &scriptedBackend{answer: answer}
-	router := New(Options{
+	router := newRunningRouter(Options{
 		Logger: log.NewNopLogger(), Name: "router", Seeds: func() []string { return nil }, Backend: backend,
 		Retry:   RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -63,6 +63,9 @@
 	queue       *fairqueue.Queue[*waiter]
 	budgets     map[string]*budget
 	routerCount routerCount
+	// startedAt is when the process started, and retryExtra its share of RetryRule.Extra.
+	startedAt  time.Time
+	retryExtra float64
 	// leaderHold is the longest time for which the leader holds a watch.
 	leaderHold time.Duration
 	// fleet holds all known runners, candidates those that may be selected.
@@ -140,6 +143,7 @@
 		wantsTokens: make(chan struct{}, 1),
 		hasWork:     make(chan struct{}, 1),
 		random:      random,
+		startedAt:   options.Now(),
 		fleet:       fleet.NewDirectory(),
 		candidates:  newCandidates(),
 		balancer: routing.New(routing.Options{
@@ -263,18 +267,19 @@
 
 // setRouterCount sets the number of routers, by which the retry budget is divided. The caller must hold r.mutex.
 func (r *Router) setRouterCount(count routerCount) {
-	if count.routers != r.routerCount.routers {
-		extra := count.share(count.at, r.options.Retry.Extra)
+	r.routerCount = count
+	extra := newBudget(r.options.Retry, r.startedAt).extra(r.now(), count)
+	if extra != r.retryExtra {
+		level.Info(r.logger).Log("msg", "The router's share of the retry budget changes.", "routers", count.routers, "extra", extra, "before", r.retryExtra)
 		r.metrics.retryExtra.Set(extra)
-		level.Info(r.logger).Log("msg", "The router's share of the retry budget changes.", "routers", count.routers, "before", r.routerCount.routers, "extra", extra)
+		r.retryExtra = extra
 	}
-	r.routerCount = count
 }
 
 func (r *Router) budget(service string) *budget {
 	known := r.budgets[service]
 	if known == nil {
-		known = &budget{rule: r.options.Retry}
+		known = newBudget(r.options.Retry, r.startedAt)
 		r.budgets[service] = known
 	}
 	return known
--- a/request/relay/zones_test.go
+++ b/request/relay/zones_test.go
@@ -101,7 +101,7 @@
 		s.backend = &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt) (*Answer, error) {
 			return s.answer(ctx, connects, attempt)
 		}}
-		s.router = New(Options{
+		s.router = newRunningRouter(Options{
 			Logger: log.NewNopLogger(), Name: "router", Zone: "a", Dialer: connects, Backend: s.backend,
 			Retry:   RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 			MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
