Routers: the number of routers by which shared bounds are divided falls late

Callers saw: nothing; after a change of the leader, routers may use larger shares of the retry budget, of the links for copies of streams and of tenants' limits for as long as a watch lasts. Cause: a new leader counts the routers that have watched it so far: the first gets 1, and with it the share of all. The same after a router is lost whose repeats are still in the window. Change: routerCount keeps the largest number of the last 20 s (as long as a lost router may use its share, and a window) and is not used before leaders were heard for 3 s without a gap. Brittle services had a delay of their own for that (5 s), which goes. Evidence: TestNewLeaderThatKnowsFewRoutersRaisesNoShare failed with 115 repeats (50 allowed) and passes.

--- a/request/relay/brittle.go
+++ b/request/relay/brittle.go
@@ -13,8 +13,6 @@
 	// crowdedTime is how long after its last rejection a brittle runner gets less from all routers: rejections count
 	// within a second.
 	crowdedTime = time.Second
-	// routersFallDelay is how long fewer routers must be known until the shares grow.
-	routersFallDelay = 5 * time.Second
 	// crowdedShare is the part of the rejections that a brittle runner bears that may be risked, as requests a
 	// second over all routers, while it is crowded.
 	crowdedShare = 0.25
@@ -26,10 +24,8 @@
 	perSecond float64
 	// heardAt is when a runner said so last.
 	heardAt time.Time
-	// routers is the number of routers for which the shares were computed, confirmedAt when that many or more were
-	// known last.
-	routers     int
-	confirmedAt time.Time
+	// routers is the number of routers for which the shares were computed.
+	routers int
 }
 
 // brittle holds the brittle services. It is guarded by Router.mutex.
@@ -72,28 +68,15 @@
 		known = &brittleService{}
 		r.brittle.services[service] = known
 	}
-	isNew := known.perSecond != said.PerSecond
-	known.perSecond, known.heardAt = said.PerSecond, r.now()
-	if known.setRouters(known.heardAt, r.routerCount.routers) || isNew {
+	isNew := known.perSecond != said.PerSecond || known.routers != r.routerCount.routers
+	known.perSecond, known.heardAt, known.routers = said.PerSecond, r.now(), r.routerCount.routers
+	if isNew {
 		r.logNotice("The runners of a service say that they are brittle.", id, "service", service, "rejections_per_second", said.PerSecond,
 			"routers", known.routers)
 		r.applyBrittleService(service)
 	}
 }
 
-// setRouters sets the number of routers that share the runners, and reports whether it changed. It falls only after
-// routersFallDelay, as a new leader knows few routers at first.
-func (s *brittleService) setRouters(now time.Time, routers int) bool {
-	if routers >= s.routers {
-		s.confirmedAt = now
-	}
-	if routers == s.routers || routers < s.routers && now.Sub(s.confirmedAt) < routersFallDelay {
-		return false
-	}
-	s.routers, s.confirmedAt = routers, now
-	return true
-}
-
 // noteCrowded bounds what all routers send to a brittle runner that has rejected a request for want of room. The
 // caller must hold r.mutex.
 func (r *Router) noteCrowded(id structs.RunnerID, sent time.Time, known *brittleService) {
--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -13,16 +13,12 @@
 const (
 	// budgetSlots is the number of slots of the window.
 	budgetSlots = 20
-	// extraShare is the fraction of Extra that is distributed. The rest covers routers that the
-	// leader did not count yet.
+	// extraShare is the fraction of Extra that is distributed. The rest covers routers that have
+	// just started, of which the others do not know yet.
 	extraShare = 0.8
-	// routerCountTTL is how long a router may use its share of Extra without an update of the
-	// number of routers.
-	routerCountTTL = 10 * time.Second
 )
 
-// budget is one router's share of a RetryRule for one service. The leader reports the number of
-// routers and counts each for longer than routerCountTTL. Create one with newBudget.
+// budget is one router's share of a RetryRule for one service. Create one with newBudget.
 type budget struct {
 	rule RetryRule
 	// extraFrom is when the router may begin to use its share of Extra.
@@ -39,19 +35,8 @@
 	repeats  int
 }
 
-// routerCount is the number of routers as last reported by the leader.
-type routerCount struct {
-	routers int
-	at      time.Time
-}
-
-// share returns the router's share of extra, or 0 if the count has expired.
-func (g routerCount) share(now time.Time, extra float64) float64 {
-	if g.routers <= 0 || now.Sub(g.at) > routerCountTTL {
-		return 0
-	}
-	return extra * extraShare / float64(g.routers)
-}
+// countHold is how long a number of routers is kept after a report of fewer.
+func (r RetryRule) countHold() time.Duration { return routerCountTTL + r.Window }
 
 // newBudget returns the budget of a router that started at the given time. The process that it replaces may have used
 // the same share of Extra until then, so this one uses none until the retries of the other have left the window.
@@ -60,7 +45,7 @@
 }
 
 // extra returns the retries in a window that the router may use beyond Ratio of its own requests.
-func (b *budget) extra(now time.Time, count routerCount) float64 {
+func (b *budget) extra(now time.Time, count *routerCount) float64 {
 	if now.Before(b.extraFrom) {
 		return 0
 	}
@@ -70,7 +55,7 @@
 func (b *budget) addRequest(now time.Time) { b.currentSlot(now).requests++ }
 
 // tryRepeat counts a retry and returns true if the budget allows one.
-func (b *budget) tryRepeat(now time.Time, count routerCount) bool {
+func (b *budget) tryRepeat(now time.Time, count *routerCount) bool {
 	slot := b.currentSlot(now)
 	requests, repeats := 0, 0
 	for _, each := range b.slots {
--- a/request/relay/budget_test.go
+++ b/request/relay/budget_test.go
@@ -8,6 +8,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// settledCount returns a complete number of routers as of the given time.
+func settledCount(routers int, at time.Time) *routerCount {
+	return &routerCount{routers: routers, at: at, contactSince: at, settledUntil: at.Add(time.Hour)}
+}
+
 // The retries of all routers must keep to the rule in each sliding window.
 func TestBudgetsOfAllRoutersKeepTheRule(t *testing.T) {
 	const routers = 6
@@ -26,7 +31,7 @@
 			own.addRequest(now)
 			requests = append(requests, now)
 		}
-		if own.tryRepeat(now, routerCount{routers: routers, at: now}) {
+		if own.tryRepeat(now, settledCount(routers, now)) {
 			repeats = append(repeats, now)
 		}
 	}
@@ -51,10 +56,10 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	own := budget{rule: RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}}
-	granted := routerCount{routers: 2, at: now}
+	granted := settledCount(2, now)
 	c.Assert(own.tryRepeat(now.Add(routerCountTTL), granted), qt.IsTrue)
 	c.Assert(own.tryRepeat(now.Add(routerCountTTL+time.Millisecond), granted), qt.IsFalse)
-	c.Assert(own.tryRepeat(now, routerCount{}), qt.IsFalse)
+	c.Assert(own.tryRepeat(now, &routerCount{}), qt.IsFalse)
 }
 
 // With many routers, a router's share of Extra is less than one retry and must add up with its
@@ -63,7 +68,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	own := budget{rule: RetryRule{Ratio: 0.2, Extra: 52, Window: 10 * time.Second}}
-	granted := routerCount{routers: 99, at: now}
+	granted := settledCount(99, now)
 	own.addRequest(now)
 	c.Assert(own.tryRepeat(now, granted), qt.IsFalse)
 	own.addRequest(now)
@@ -81,13 +86,14 @@
 	now := time.Unix(1000, 0)
 	for i := range budgets {
 		budgets[i].rule = rule
-		counts[i] = routerCount{routers: routers, at: now}
+		counts[i] = *settledCount(routers, now)
+		counts[i].observe(now, routers, rule.countHold())
 	}
 	now = now.Add(time.Second)
 	repeats := 0
 	for i := range budgets {
-		counts[i] = routerCount{routers: i + 1, at: now}
-		for budgets[i].tryRepeat(now, counts[i]) {
+		counts[i].observe(now, i+1, rule.countHold())
+		for budgets[i].tryRepeat(now, &counts[i]) {
 			repeats++
 		}
 	}
@@ -99,7 +105,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	rule := RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
-	own, count := newBudget(rule, now), routerCount{routers: 2, at: now.Add(9 * time.Second)}
+	own, count := newBudget(rule, now), settledCount(2, now.Add(9*time.Second))
 	for range 10 {
 		own.addRequest(now)
 	}
@@ -108,3 +114,45 @@
 	c.Assert(own.tryRepeat(now.Add(rule.Window-time.Millisecond), count), qt.IsFalse)
 	c.Assert(own.tryRepeat(now.Add(rule.Window), count), qt.IsTrue)
 }
+
+// Guards against a share by the number that a new leader tells first, also if that one is lost soon.
+func TestRouterHasNoExtraUntilContactHasSettled(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	const hold, watch = 20 * time.Second, time.Second
+	var count routerCount
+	hear := func(routers, times int) {
+		for range times {
+			count.observe(now, routers, hold)
+			now = now.Add(watch)
+		}
+	}
+	hear(1, 3)
+	c.Assert(count.share(now, 50), qt.Equals, 0.0)
+	now = now.Add(5 * time.Second)
+	hear(2, 3)
+	c.Assert(count.share(now, 50), qt.Equals, 0.0)
+	hear(8, 1)
+	c.Assert(count.share(now, 50), qt.Equals, 5.0)
+	now = now.Add(5 * time.Second)
+	hear(1, 1)
+	c.Assert(count.share(now, 50), qt.Equals, 5.0, qt.Commentf("a new leader"))
+	now = now.Add(20 * time.Second)
+	hear(1, 1)
+	c.Assert(count.share(now, 50), qt.Equals, 0.0, qt.Commentf("a new leader after a long time without one"))
+}
+
+func TestNumberOfRoutersFallsLate(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	const hold = 20 * time.Second
+	var count routerCount
+	for _, each := range []struct {
+		after         time.Duration
+		told, counted int
+	}{{0, 6, 6}, {time.Second, 2, 6}, {time.Second, 9, 9}, {time.Second, 4, 9}, {time.Second, 3, 9}, {18 * time.Second, 3, 9}, {1, 3, 4}, {time.Second, 3, 3}} {
+		now = now.Add(each.after)
+		count.observe(now, each.told, hold)
+		c.Assert(count.routers, qt.Equals, each.counted, qt.Commentf("%v", each))
+	}
+}
--- a/request/relay/continuity_test.go
+++ b/request/relay/continuity_test.go
@@ -176,7 +176,7 @@
 		MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
 		Regions: map[structs.ZoneID]string{"n1": "north", "n2": "north", "n3": "north", "s1": "south"},
 	})
-	router.routerCount = routerCount{routers: 1, at: time.Now()}
+	router.routerCount = *settledCount(1, time.Now())
 	router.adoptDocument(continuityDocument(1))
 	router.adoptView(continuityView("n1", "n2", "n3"))
 	return &continuityRouter{Router: router, runners: runners, registry: registry}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -34,7 +34,8 @@
 		return
 	}
 	r.mutex.Lock()
-	r.setRouterCount(routerCount{routers: reply.Routers, at: r.now().Add(-leaderSilenceOf(reply))})
+	r.observeRouterCount(r.now().Add(-leaderSilenceOf(reply)), reply.Routers)
+	routers := r.routerCount.routers
 	r.leaderHold = holdOf(reply)
 	r.copies.leaderRates, r.copies.leaderRatesAt = reply.StreamLosses, r.now()
 	r.queue.SetShares(r.now(), reply.Shares)
@@ -47,7 +48,7 @@
 	}
 	r.mutex.Unlock()
 	r.limits.mutex.Lock()
-	r.limits.limiter.SetRouters(reply.Routers)
+	r.limits.limiter.SetRouters(routers)
 	r.limits.mutex.Unlock()
 	r.metrics.heardLeader(reply.Term, time.Now())
 	if reply.Document != nil {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -260,20 +260,23 @@
 func (r *Router) mayRepeat(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	allowed := r.budget(service).tryRepeat(r.now(), r.routerCount)
+	allowed := r.budget(service).tryRepeat(r.now(), &r.routerCount)
 	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 	return allowed
 }
 
-// setRouterCount sets the number of routers, by which the retry budget is divided. The caller must hold r.mutex.
-func (r *Router) setRouterCount(count routerCount) {
-	r.routerCount = count
-	extra := newBudget(r.options.Retry, r.startedAt).extra(r.now(), count)
-	if extra != r.retryExtra {
-		level.Info(r.logger).Log("msg", "The router's share of the retry budget changes.", "routers", count.routers, "extra", extra, "before", r.retryExtra)
-		r.metrics.retryExtra.Set(extra)
-		r.retryExtra = extra
+// observeRouterCount records the number of routers as of the time at, by which bounds over all routers are divided. The
+// caller must hold r.mutex.
+func (r *Router) observeRouterCount(at time.Time, routers int) {
+	r.routerCount.observe(at, routers, r.options.Retry.countHold())
+	extra := newBudget(r.options.Retry, r.startedAt).extra(r.now(), &r.routerCount)
+	if extra == r.retryExtra {
+		return
 	}
+	level.Info(r.logger).Log("msg", "The router's share of the retry budget changes.", "routers", r.routerCount.routers, "told", routers,
+		"extra", extra, "before", r.retryExtra)
+	r.metrics.retryExtra.Set(extra)
+	r.retryExtra = extra
 }
 
 func (r *Router) budget(service string) *budget {
--- a/request/relay/zones_test.go
+++ b/request/relay/zones_test.go
@@ -145,7 +145,7 @@
 func (s *zoneSite) hearLeader() {
 	s.router.mutex.Lock()
 	defer s.router.mutex.Unlock()
-	s.router.routerCount = routerCount{routers: 1, at: s.router.now()}
+	s.router.routerCount = *settledCount(1, s.router.now())
 }
 
 // answer simulates the runners. Requests that reach a disconnected zone are not answered.
