Retry budget: requests before the window do not count

Callers saw: nothing; sites with many requests a second may repeat more than the rule allows. Cause: requests and repeats were summed over 21 slots of half a second, up to half a second more than the window. That is right for repeats, and wrong for the requests that allow them: a fifth of half a second's requests is more than the reserve of Extra from some 200 requests a second on. Change: requests of the oldest slot do not count, and slots are a tenth of a second, so that little is lost by it. Evidence: TestBudgetOfABusyRouterKeepsTheRule fails before with 4,240 repeats where 4,050 are allowed, and passes.

--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -12,7 +12,7 @@
 
 const (
 	// budgetSlots is the number of slots of the window.
-	budgetSlots = 20
+	budgetSlots = 100
 	// extraShare is the fraction of Extra that is distributed. The rest covers routers that have
 	// just started, of which the others do not know yet.
 	extraShare = 0.8
@@ -62,6 +62,8 @@
 		requests += each.requests
 		repeats += each.repeats
 	}
+	// All slots together are longer than the window, in which these requests may not have arrived.
+	requests -= b.oldestSlot().requests
 	if float64(repeats+1) > b.rule.Ratio*float64(requests)+b.extra(now, count) {
 		return false
 	}
@@ -69,6 +71,9 @@
 	return true
 }
 
+// oldestSlot returns the slot before those of the current window.
+func (b *budget) oldestSlot() *budgetSlot { return &b.slots[(b.current+1)%int64(len(b.slots))] }
+
 // currentSlot returns the slot of now after clearing those that have left the window.
 func (b *budget) currentSlot(now time.Time) *budgetSlot {
 	width := b.rule.Window / budgetSlots
--- a/request/relay/budget_test.go
+++ b/request/relay/budget_test.go
@@ -156,3 +156,25 @@
 		c.Assert(count.routers, qt.Equals, each.counted, qt.Commentf("%v", each))
 	}
 }
+
+// Guards against requests that count although they arrived before the window, which a busy site pays with more repeats than
+// it allows.
+func TestBudgetOfABusyRouterKeepsTheRule(t *testing.T) {
+	const perSecond = 2000
+	rule := RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	own := newBudget(rule, start.Add(-rule.Window))
+	repeats := 0
+	for now := start; now.Before(start.Add(3 * rule.Window)); now = now.Add(time.Second / perSecond) {
+		own.addRequest(now)
+		if now.Before(start.Add(2*rule.Window + 240*time.Millisecond)) {
+			continue
+		}
+		for own.tryRepeat(now, settledCount(1, now)) {
+			repeats++
+		}
+	}
+	allowed := rule.Ratio*perSecond*rule.Window.Seconds() + rule.Extra
+	qt.Assert(t, float64(repeats) <= allowed, qt.IsTrue, qt.Commentf("%d repeats, %v allowed", repeats, allowed))
+	qt.Assert(t, float64(repeats) > 0.98*allowed, qt.IsTrue, qt.Commentf("%d repeats, %v allowed", repeats, allowed))
+}
