Peers' tunnels: what runners say of themselves holds for the peer's machine

Callers saw: nothing; runners that had asked a machine for a cooldown, or told it that they leave, got more of it. Cause: a runner sees requests through a tunnel come from the peer. What it answers is read by the router at the other end alone, and what it has told the peer is not known to that router; only leaving reached others, through the leader. Change: the router tells the peer what it read (POST /notice); the peer's status lists what is in force at its machine, and is sent at once when it changes; it opens no tunnel to such a runner. Routers use other peers for that runner, or none of its requests if there is no other way. Weighed: to close the tunnels, which cuts what is under way; to have the cooldown hold for the whole router at the other end, which gives up peers that were not asked.

--- a/placement/fleet/directory.go
+++ b/placement/fleet/directory.go
@@ -238,6 +238,9 @@
 	return nil
 }
 
+// InstanceAt returns the instance that is listed at the address, or "".
+func (d *Directory) InstanceAt(address string) string { return d.addresses[address] }
+
 // IsTaken reports whether a runner is listed at the address.
 func (d *Directory) IsTaken(address string) bool { return d.addresses[address] != "" }
 
--- a/placement/notice/tracker.go
+++ b/placement/notice/tracker.go
@@ -103,6 +103,15 @@
 	return time.Time{}
 }
 
+// Unwilling calls visit for each runner that wants no requests now, with the rest of its cooldown; 0 if it is just leaving.
+func (b *Tracker) Unwilling(now time.Time, visit func(instance string, cooldown time.Duration, isLeaving bool)) {
+	for instance, known := range b.runners {
+		if cooldown := max(0, known.cooldownUntil.Sub(now)); cooldown > 0 || known.isLeaving {
+			visit(instance, cooldown, known.isLeaving)
+		}
+	}
+}
+
 // IsLeaving reports whether a runner has announced that it is leaving.
 func (b *Tracker) IsLeaving(instance string) bool {
 	known := b.runners[instance]
--- a/request/paths/peer.go
+++ b/request/paths/peer.go
@@ -163,6 +163,11 @@
 	return nil
 }
 
+// HasPeerFor reports whether any peer may reach a runner.
+func (p *Paths) HasPeerFor(now time.Time, runner structs.RunnerID, zone structs.ZoneID) bool {
+	return p.choosePeer(now, runner, zone, Wish{}) != nil
+}
+
 // ranks is the number of ranks of peers.
 const ranks = 4
 
--- a/request/relay/notices.go
+++ b/request/relay/notices.go
@@ -61,6 +61,7 @@
 		}
 	}
 	r.noteNotice(runner, answer.Notice)
+	r.tellPeer(path, runner, answer.Notice)
 }
 
 // noteNotice records that a runner requests a cooldown or is leaving. A cooldown applies to
@@ -82,6 +83,9 @@
 		r.logNotice("A runner says in an answer that it is leaving.", runner)
 	}
 	r.applyNotices(string(runner))
+	if r.peers.server != nil {
+		r.peers.server.Announce()
+	}
 	for attempt := range r.zones.attempts[r.zones.watch.ZoneOf(runner)] {
 		if attempt.runner == runner {
 			attempt.recall()
--- a/request/relay/peers.go
+++ b/request/relay/peers.go
@@ -48,6 +48,8 @@
 	// isCutOff is set while no runner of some service is reached directly, as of reachCheckedAt.
 	isCutOff       bool
 	reachCheckedAt time.Time
+	// leavingTold are the peers that were told that runners are leaving.
+	leavingTold map[leavingTold]bool
 	// server accepts the tunnels of others; nil for none.
 	server *tunnel.Server
 	// logLimiter limits the log lines about single runners.
@@ -59,13 +61,15 @@
 		paths:      paths.New(rand.New(rand.NewPCG(options.Seed, 4)), watch),
 		watches:    make(map[string]context.CancelFunc),
 		logLimiter: asynclog.NewLimiter(maxPathLogRate),
+
+		leavingTold: make(map[leavingTold]bool),
 	}
 }
 
 // NewTunnelServer returns the server through which peers reach runners. It must be called before Run, at most once.
 func (r *Router) NewTunnelServer() *tunnel.Server {
 	r.peers.server = tunnel.NewServer(tunnel.Options{
-		Logger: r.logger, Status: r.peerStatus,
+		Logger: r.logger, Status: r.peerStatus, IsUnwilling: r.isUnwilling, TakeNotice: r.takeNotice,
 		// A failure raises no doubts here: routers that ask for a runner that has ended would make each other look for it.
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return r.options.Dialer.DialContext(ctx, "tcp", address)
@@ -86,7 +90,7 @@
 	defer r.mutex.Unlock()
 	lost := r.zones.watch.LostZones()
 	slices.Sort(lost)
-	return tunnel.Status{IsBusy: r.isOverloaded(), Lost: lost}
+	return tunnel.Status{IsBusy: r.isOverloaded(), Lost: lost, Notices: r.toldNotices()}
 }
 
 // initialPeers returns the version of the list of peers before the first; 0 if the router uses none.
@@ -337,7 +341,8 @@
 func (r *Router) watchPeer(ctx context.Context, address string) {
 	err := tunnel.Watch(ctx, r.options.Dialer.network, address, func(status tunnel.Status) {
 		r.mutex.Lock()
-		r.peers.paths.ObserveStatus(address, paths.Status(status))
+		r.peers.paths.ObserveStatus(address, paths.Status{IsStopping: status.IsStopping, IsBusy: status.IsBusy, Lost: status.Lost})
+		r.observePeerNotices(address, status.Notices)
 		r.mutex.Unlock()
 		if status.IsStopping && r.options.CloseIdle != nil {
 			r.options.CloseIdle(address)
--- a/request/tunnel/client.go
+++ b/request/tunnel/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -84,6 +85,35 @@
 	return c.reader.Read(buffer)
 }
 
+// Tell sends a notice of a runner to the peer through which it was heard.
+func Tell(ctx context.Context, over network.Network, peer string, told Notice) error {
+	conn, err := dialPeer(ctx, over, peer)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(noticeTimeout))
+	body, err := json.Marshal(told)
+	if err != nil {
+		return errors.Wrap(err, "encode a notice")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+noticePath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "send a notice to "+peer)
+	}
+	if err := request.Write(conn); err != nil {
+		return &Error{peer, CausePeer, err}
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return &Error{peer, CausePeer, err}
+	}
+	if answer.StatusCode != http.StatusNoContent {
+		return &Error{peer, CauseRejected, errors.New(answer.Status)}
+	}
+	return nil
+}
+
 // Watch calls observe with each Status of a peer until ctx ends or the peer is lost, and returns why.
 func Watch(ctx context.Context, over network.Network, peer string, observe func(Status)) error {
 	conn, err := dialPeer(ctx, over, peer)
--- a/request/tunnel/protocol.go
+++ b/request/tunnel/protocol.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// statusPath is the path of a peer's Status.
+	// statusPath is the path of a peer's Status, noticePath the one to which a Notice is sent.
 	statusPath = "/status"
+	noticePath = "/notice"
 	// statusInterval is the interval between the lines of a Status, and statusTimeout the time without one
 	// after which the peer counts as lost.
 	statusInterval = 250 * time.Millisecond
@@ -18,8 +19,21 @@
 	// wait for its own connect to the runner.
 	peerTimeout   = 300 * time.Millisecond
 	targetTimeout = 700 * time.Millisecond
+	// noticeTimeout bounds the sending of a Notice.
+	noticeTimeout = time.Second
 )
 
+// Notice is what a runner said of itself in an answer to a request that the peer's machine sent, its own or one through
+// a tunnel: the runner cannot tell them apart.
+type Notice struct {
+	// Runner is the address of the runner.
+	Runner string
+	// Cooldown is for how much longer the runner wants no requests of that machine; 0 for no cooldown.
+	Cooldown time.Duration
+	// IsLeaving is set if the runner takes no requests any more.
+	IsLeaving bool
+}
+
 // Status is what a peer says of itself.
 type Status struct {
 	// IsStopping is set while the peer shuts down, IsBusy while it has no room for more tunnels.
@@ -27,6 +41,8 @@
 	IsBusy     bool
 	// Lost are the zones of which the peer reaches no runner.
 	Lost []structs.ZoneID
+	// Notices are those that are in force at the peer's machine. Peers of the version before send none.
+	Notices []Notice
 }
 
 // Cause says why there is no tunnel.
--- a/request/tunnel/server.go
+++ b/request/tunnel/server.go
@@ -18,6 +18,8 @@
 	maxTunnels = 1024
 	// readHeaderTimeout bounds the time in which a router sends its question.
 	readHeaderTimeout = 2 * time.Second
+	// maxNoticeBytes bounds the body of a Notice.
+	maxNoticeBytes = 1 << 10
 )
 
 // Options configures a Server.
@@ -27,6 +29,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// IsRunner reports whether a runner is known at the address.
 	IsRunner func(address string) bool
+	// IsUnwilling reports whether the runner at the address wants no requests of this machine; nil for never.
+	IsUnwilling func(address string) bool
+	// TakeNotice is called with what a runner said in an answer that went through a tunnel; nil for none.
+	TakeNotice func(told Notice)
 	// Status returns the state of the process; IsStopping is set by the Server itself.
 	Status func() Status
 	// Observe is called with the outcome of each question for a tunnel; nil for none.
@@ -39,6 +45,8 @@
 	outcomeUnknown  = "runner_unknown"
 	outcomeStopping = "stopping"
 	outcomeBusy     = "busy"
+	// outcomeUnwilling means that the runner has asked this machine for a cooldown, or is leaving.
+	outcomeUnwilling = "runner_unwilling"
 )
 
 // Server accepts tunnels of peers. Create one with NewServer.
@@ -58,6 +66,12 @@
 
 // NewServer returns a Server. Serve starts it.
 func NewServer(options Options) *Server {
+	if options.IsUnwilling == nil {
+		options.IsUnwilling = func(string) bool { return false }
+	}
+	if options.TakeNotice == nil {
+		options.TakeNotice = func(Notice) {}
+	}
 	if options.Observe == nil {
 		options.Observe = func(string) {}
 	}
@@ -118,6 +132,8 @@
 		s.connect(writer, request)
 	case request.Method == http.MethodGet && request.URL.Path == statusPath:
 		s.streamStatus(writer, request)
+	case request.Method == http.MethodPost && request.URL.Path == noticePath:
+		s.takeNotice(writer, request)
 	default:
 		http.NotFound(writer, request)
 	}
@@ -173,6 +189,8 @@
 		return outcomeBusy, http.StatusServiceUnavailable
 	case !s.options.IsRunner(address):
 		return outcomeUnknown, http.StatusForbidden
+	case s.options.IsUnwilling(address):
+		return outcomeUnwilling, http.StatusForbidden
 	}
 	return "", 0
 }
@@ -194,6 +212,17 @@
 	delete(s.open, closed)
 }
 
+// takeNotice passes on what a runner said in an answer that went through a tunnel.
+func (s *Server) takeNotice(writer http.ResponseWriter, request *http.Request) {
+	var told Notice
+	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxNoticeBytes)).Decode(&told); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.options.TakeNotice(told)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
 // streamStatus sends the status at each statusInterval and when it has changed, until the router leaves.
 func (s *Server) streamStatus(writer http.ResponseWriter, request *http.Request) {
 	control, encoder := http.NewResponseController(writer), json.NewEncoder(writer)
--- a/request/tunnel/tunnel_test.go
+++ b/request/tunnel/tunnel_test.go
@@ -43,9 +43,12 @@
 	// accepted receives the connections at the runner.
 	accepted chan net.Conn
 
-	mutex    sync.Mutex
-	status   Status
-	outcomes map[string]int
+	mutex  sync.Mutex
+	status Status
+	// isUnwilling is set while the runner wants no requests of the peer; told are the notices that the peer got.
+	isUnwilling bool
+	told        []Notice
+	outcomes    map[string]int
 }
 
 func inBench(t *testing.T, test func(b *bench)) {
@@ -62,8 +65,10 @@
 				defer cancel()
 				return peer.DialContext(ctx, "tcp", address)
 			},
-			Status:  b.currentStatus,
-			Observe: b.observe,
+			Status:      b.currentStatus,
+			Observe:     b.observe,
+			IsUnwilling: func(string) bool { return b.isUnwilling },
+			TakeNotice:  func(told Notice) { b.told = append(b.told, told) },
 		})
 		listener, err := peer.Listen(t.Context(), peerAddress)
 		c.Assert(err, qt.IsNil)
@@ -185,6 +190,7 @@
 		within  time.Duration
 	}{
 		{"runner unknown to the peer", func(*bench) {}, "10.2.0.9:8080", CauseRunner, outcomeUnknown, 0},
+		{"runner wants nothing of the peer", func(b *bench) { b.isUnwilling = true }, runnerAddress, CauseRunner, outcomeUnwilling, 0},
 		{"runner not reached by the peer", func(b *bench) { b.memory.Cut(runnerIP) }, runnerAddress, CauseRunner, CauseRunner.String(), 100 * time.Millisecond},
 		{"peer has no room", func(b *bench) { b.setStatus(Status{IsBusy: true}) }, runnerAddress, CauseRejected, outcomeBusy, 0},
 		{"peer stops", func(b *bench) { b.server.StopAccepting() }, runnerAddress, CauseRejected, outcomeStopping, 0},
@@ -308,3 +314,15 @@
 		}
 	}
 }
+
+// What a runner says in an answer that goes through a tunnel must reach the peer, whose machine the runner means.
+func TestNoticeReachesPeer(t *testing.T) {
+	inBench(t, func(b *bench) {
+		told := Notice{Runner: runnerAddress, Cooldown: 3 * time.Second, IsLeaving: true}
+		b.c.Assert(Tell(b.c.Context(), b.router, peerAddress, told), qt.IsNil)
+		b.c.Assert(b.told, qt.DeepEquals, []Notice{told})
+		b.memory.Cut(peerIP)
+		b.c.Assert(Tell(b.c.Context(), b.router, peerAddress, told), qt.IsNotNil)
+		b.memory.Restore(peerIP)
+	})
+}
