Controllers know the software versions of runners and of streams

Callers saw: streams that held events of two software versions (docs/incidents/order.md). Cause, the half of it at the controllers: the version in a runner's heartbeat ended in the leader's registry. Change: views and registrations carry it; the log keeps the versions that runners of a service had, until a leader has seen none of one for as long as a stream may be taken up; the leader tells routers which services are mixed. Any controller holds records of which version began which stream (NoteStreams, FindStream), in memory, until they expire. placement/versions has the decisions, without a network. Nothing uses them yet.

--- a/placement/domain/command.go
+++ b/placement/domain/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/versions"
 )
 
 // Document is a site document as submitted by an operator.
@@ -35,6 +36,8 @@
 	Slots    int
 	// IsSlow is set if the runner is slower than its peers.
 	IsSlow bool
+	// Version is that of the runner's software; empty if unknown.
+	Version string `msgpack:",omitempty"`
 }
 
 // StoreLimit is the load concurrency learned for the weight store of a service.
@@ -68,6 +71,8 @@
 	Reserve     *Reservation
 	// Suspects lists updates on requests that may crash runners.
 	Suspects []poison.Record
+	// Retired lists software versions to forget, as no runner has had them for long.
+	Retired []versions.Key `msgpack:",omitempty"`
 	// Drain starts or ends the drain of a zone.
 	Drain *ZoneDrain
 }
@@ -88,6 +93,8 @@
 	Suspects      []poison.Record
 	// Drained lists the zones whose runners get no new requests.
 	Drained []string
+	// Versions are the software versions that runners of each service had lately.
+	Versions []versions.Key `msgpack:",omitempty"`
 }
 
 // Encode returns the msgpack encoding of the command.
--- a/placement/domain/machine.go
+++ b/placement/domain/machine.go
@@ -13,6 +13,7 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 	"github.com/lotusferry/lotusferry/placement/quota"
+	"github.com/lotusferry/lotusferry/placement/versions"
 )
 
 // maxDepartures bounds the departures retained; the oldest are evicted first.
@@ -47,6 +48,8 @@
 	suspects []poison.Record
 	// drained is the set of drained zones.
 	drained map[string]struct{}
+	// versions are sorted.
+	versions []versions.Key
 }
 
 var _ group.StateMachine = (*Machine)(nil)
@@ -93,6 +96,9 @@
 	for _, record := range decoded.Suspects {
 		m.updateSuspect(record)
 	}
+	for _, retired := range decoded.Retired {
+		m.retireVersion(retired)
+	}
 	return Result{Version: m.document.Version}
 }
 
@@ -118,6 +124,7 @@
 	m.unregister(m.instanceByAddress[registration.Address])
 	m.unregister(m.instanceByID[id])
 	m.add(registration)
+	m.addVersion(versions.Key{Service: registration.Service, Version: registration.Version})
 }
 
 func (m *Machine) add(registration Registration) {
@@ -272,6 +279,7 @@
 	data, err := msgpack.Marshal(&State{
 		Document: m.document, Departures: m.departures, Registrations: m.Registrations(), StoreLimits: m.StoreLimits(),
 		Reservations: m.reservations, Suspects: m.suspects, Drained: m.Drained(),
+		Versions: m.versions,
 	})
 	return data, errors.Wrap(err, "encode domain state")
 }
@@ -286,6 +294,7 @@
 	m.departures = state.Departures
 	m.reservations = state.Reservations
 	m.suspects = state.Suspects
+	m.versions = state.Versions
 	m.restoreDrained(state.Drained)
 	m.reindex()
 	clear(m.registrations)
@@ -307,7 +316,7 @@
 		slices.Equal(m.document.Source, other.document.Source) &&
 		slices.Equal(m.departures, other.departures) && maps.Equal(m.departureIndex, other.departureIndex) &&
 		maps.Equal(m.registrations, other.registrations) && maps.Equal(m.storeLimits, other.storeLimits) &&
-		slices.Equal(m.suspects, other.suspects) && maps.Equal(m.drained, other.drained) &&
+		slices.Equal(m.suspects, other.suspects) && slices.Equal(m.versions, other.versions) && maps.Equal(m.drained, other.drained) &&
 		slices.EqualFunc(m.reservations, other.reservations, func(a, b Reservation) bool {
 			return a.Since == b.Since && a.Keep == b.Keep && slices.Equal(a.Parts, b.Parts)
 		})
--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -179,6 +179,9 @@
 	// StreamLosses are the shares of streams lost with their runners, over all routers, of the services
 	// that lose many; nil from the previous version.
 	StreamLosses map[string]float64 `msgpack:",omitempty"`
+	// MixedVersions are the services whose runners had several software versions lately, sorted; nil for none and from the
+	// previous version.
+	MixedVersions []string `msgpack:",omitempty"`
 	// Routers is the number of routers that share the leader's grants.
 	Routers int
 	// Controllers are the addresses of the group's members; empty if the router has them.
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -20,6 +20,7 @@
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/shares"
+	"github.com/lotusferry/lotusferry/placement/versions"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -107,6 +108,10 @@
 	loggedNotices *asynclog.Limiter
 	drains        drains
 	ended         bool
+	// versions are the software versions of runners, and longestTimeout is that of the routes: for so long a stream may be
+	// taken up.
+	versions       *versions.Tracker
+	longestTimeout time.Duration
 	// pendingRegistrations are registrations to be proposed, keyed by instance.
 	pendingRegistrations map[string]domain.Registration
 	// pendingSuspects are updates on suspected requests to be proposed.
@@ -173,8 +178,12 @@
 		lost:                 make(map[string]bool),
 		pendingRegistrations: make(map[string]domain.Registration),
 		stopping:             make(map[raft.NodeID]time.Time),
+		versions:             versions.NewTracker(),
 	}
 	m.group.View(func() {
+		for _, key := range m.machine.Versions() {
+			l.versions.Observe(at, key)
+		}
 		for instance, isGone := range m.machine.Departures() {
 			l.registry.Depart(at, instance, isGone)
 		}
@@ -188,7 +197,9 @@
 			l.planner.RecallSpeed(each.Service, each.Address, each.IsSlow)
 			l.registry.Recall(at, fleet.Heartbeat{
 				Instance: each.Instance, Service: each.Service, Address: each.Address, Zone: each.Zone, Slots: each.Slots,
+				Version: each.Version,
 			})
+			l.versions.Observe(at, versions.Key{Service: each.Service, Version: each.Version})
 		}
 	})
 	return l
@@ -298,8 +309,9 @@
 		}
 		registrations = append(registrations, domain.Registration{
 			Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
-			Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: l.planner.IsSlowMachine(heartbeat.Instance),
+			Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: l.planner.IsSlowMachine(heartbeat.Instance), Version: heartbeat.Version,
 		})
+		l.versions.Observe(now, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version})
 	}
 	l.queueRegistrations(registrations)
 }
--- a/placement/domainnode/metrics.go
+++ b/placement/domainnode/metrics.go
@@ -38,30 +38,33 @@
 	relayedWatches *prometheus.CounterVec
 	relayedRouters prometheus.Gauge
 	// peerRouters is the number of routers through which others may reach runners, as the leader knows.
-	peerRouters  prometheus.Gauge
-	relays       prometheus.Gauge
-	loadTime     *prometheus.HistogramVec
-	loadExcess   *prometheus.HistogramVec
-	unmet        *prometheus.GaugeVec
-	storeLoads   *prometheus.GaugeVec
-	storeLimit   *prometheus.GaugeVec
-	coverage     *prometheus.GaugeVec
-	zoneBound    *prometheus.GaugeVec
-	coldBound    *prometheus.GaugeVec
-	evacuated    *prometheus.GaugeVec
-	waitedModels *prometheus.GaugeVec
-	stepTime     prometheus.Histogram
-	earlyViews   prometheus.Counter
-	lost         prometheus.Gauge
-	losses       prometheus.Counter
-	suspects     *prometheus.GaugeVec
-	trials       *prometheus.CounterVec
-	failing      prometheus.Counter
-	promptRate   *prometheus.GaugeVec
-	eventTime    *prometheus.GaugeVec
-	capacity     *prometheus.GaugeVec
-	paceError    *prometheus.GaugeVec
-	speeds       *prometheus.GaugeVec
+	peerRouters prometheus.Gauge
+	// streamRecords is the number of streams of which this controller knows the version, and streamNotes counts them.
+	streamRecords prometheus.Gauge
+	streamNotes   prometheus.Counter
+	relays        prometheus.Gauge
+	loadTime      *prometheus.HistogramVec
+	loadExcess    *prometheus.HistogramVec
+	unmet         *prometheus.GaugeVec
+	storeLoads    *prometheus.GaugeVec
+	storeLimit    *prometheus.GaugeVec
+	coverage      *prometheus.GaugeVec
+	zoneBound     *prometheus.GaugeVec
+	coldBound     *prometheus.GaugeVec
+	evacuated     *prometheus.GaugeVec
+	waitedModels  *prometheus.GaugeVec
+	stepTime      prometheus.Histogram
+	earlyViews    prometheus.Counter
+	lost          prometheus.Gauge
+	losses        prometheus.Counter
+	suspects      *prometheus.GaugeVec
+	trials        *prometheus.CounterVec
+	failing       prometheus.Counter
+	promptRate    *prometheus.GaugeVec
+	eventTime     *prometheus.GaugeVec
+	capacity      *prometheus.GaugeVec
+	paceError     *prometheus.GaugeVec
+	speeds        *prometheus.GaugeVec
 	// tenantShare, tenantWaiting and tenantLimit cover the tenants listed in the summary.
 	tenantShare   *prometheus.GaugeVec
 	tenantWaiting *prometheus.GaugeVec
@@ -158,6 +161,8 @@
 		relayedRouters: gauge("relayed_routers", "Routers that watch this controller as a relay."),
 		peerRouters:    gauge("peer_routers", "Routers that accept tunnels of their peers, as the leader knows."),
 		relays:         gauge("relays", "Controllers that pass the state of this leader on to routers."),
+		streamRecords:  gauge("stream_records", "Streams of which this controller knows the software version that began them."),
+		streamNotes:    counter("stream_notes_total", "Records of streams that routers sent here."),
 		reopened:       counter("store_failures_total", "Times that the store failed and was opened again."),
 	}
 	m.traffic = traffic.NewCounter(subsystem, options.Zone, options.Regions)
@@ -167,7 +172,7 @@
 			m.loadTime, m.loadExcess, m.unmet, m.storeLoads, m.storeLimit, m.coverage, m.zoneBound, m.coldBound, m.evacuated, m.waitedModels,
 			m.stepTime, m.storeWriteTime, m.tickDelay, m.roundTripTime, m.earlyViews, m.lost, m.losses, m.suspects, m.trials, m.failing, m.drains, m.drained, m.cold, m.limited, m.warmups,
 			m.promptRate, m.eventTime, m.capacity, m.paceError, m.speeds,
-			m.mirrorAge, m.relayedWatches, m.relayedRouters, m.peerRouters, m.relays,
+			m.mirrorAge, m.relayedWatches, m.relayedRouters, m.peerRouters, m.relays, m.streamRecords, m.streamNotes,
 			m.tenantShare, m.tenantWaiting, m.tenantLimit)
 	}
 	return m
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -43,6 +43,8 @@
 	workload   workload
 	// relay is nil if the settings name no regions.
 	relay *relay
+	// streams are the versions of streams, whether this controller leads or not.
+	streams *streamRegister
 	// lastOrder is when this process last sent an order; nil if it has sent none.
 	lastOrder atomic.Pointer[time.Time]
 	// stopping is set once a planned stop has begun; no orders are sent afterwards.
@@ -95,6 +97,7 @@
 	}
 	n.heartbeats = newForwarder(n.sendHeartbeats)
 	n.relay = newRelay(n)
+	n.streams = newStreamRegister(options.Seed)
 	if err := server.Register(domainapi.ServiceName, &service{node: n}); err != nil {
 		return nil, err
 	}
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -203,7 +203,8 @@
 	l.isProposing = false
 }
 
-// proposeLearned proposes to unregister silent runners and to record changed store limits.
+// proposeLearned proposes to unregister silent runners, to record changed store limits and to forget software versions that
+// are gone.
 // The caller holds the mutex.
 func (l *leadership) proposeLearned(at time.Time) {
 	var command domain.Command
@@ -221,8 +222,13 @@
 				command.StoreLimits = append(command.StoreLimits, learned)
 			}
 		}
+		for _, key := range l.member.machine.Versions() {
+			if !l.versions.Has(key) {
+				command.Retired = append(command.Retired, key)
+			}
+		}
 	})
-	if len(command.Silent)+len(command.StoreLimits) > 0 && !l.isProposing {
+	if len(command.Silent)+len(command.StoreLimits)+len(command.Retired) > 0 && !l.isProposing {
 		l.isProposing = true
 		go l.propose(command)
 	}
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -47,6 +47,7 @@
 			Service:  heartbeat.Service,
 			Address:  heartbeat.Address,
 			Zone:     heartbeat.Zone,
+			Version:  heartbeat.Version,
 			Slots:    heartbeat.Slots,
 			Leaving:  status.Leaving || status.Lost,
 			Slow:     published.IsSlow,
--- a/placement/fleet/runner.go
+++ b/placement/fleet/runner.go
@@ -18,6 +18,7 @@
 	// Address is IP:port. It may be reused by another runner after this one has ended.
 	Address string
 	Zone    string
+	// Version is that of the runner's software, not of its models; empty if unknown.
 	Version string
 	Slots   int
 	// Leaving runners take no new requests. They end after EndsIn, if that is not 0.
@@ -36,7 +37,7 @@
 // IsRepeatedBy reports whether a later heartbeat carries no new state.
 func (h Heartbeat) IsRepeatedBy(later Heartbeat) bool {
 	return h.Instance == later.Instance && h.Born == later.Born && h.Service == later.Service && h.Address == later.Address &&
-		h.Zone == later.Zone && h.Slots == later.Slots && h.Leaving == later.Leaving && h.EndsIn == later.EndsIn &&
+		h.Zone == later.Zone && h.Version == later.Version && h.Slots == later.Slots && h.Leaving == later.Leaving && h.EndsIn == later.EndsIn &&
 		(h.ColdFor > 0) == (later.ColdFor > 0) && slices.Equal(h.InMemory, later.InMemory) && slices.Equal(h.OnDisk, later.OnDisk) &&
 		slices.EqualFunc(h.Models, later.Models, LoadedModel.Equal)
 }
@@ -61,8 +62,10 @@
 	Service  string
 	Address  string
 	Zone     string
-	Slots    int
-	Leaving  bool
+	// Version is that of the runner's software; empty if unknown or sent by a leader of the previous version.
+	Version string `msgpack:",omitempty"`
+	Slots   int
+	Leaving bool
 	// Slow runners take longer than others for the same work. Only routers of the previous version
 	// use it; others use Pace.
 	Slow bool
@@ -104,7 +107,7 @@
 // equals is Equal without copies.
 func (r *Runner) equals(other *Runner) bool {
 	return r.Instance == other.Instance && r.Service == other.Service && r.Address == other.Address &&
-		r.Zone == other.Zone && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
+		r.Zone == other.Zone && r.Version == other.Version && r.Slots == other.Slots && r.Leaving == other.Leaving && r.Slow == other.Slow && r.Pace == other.Pace && r.Failing == other.Failing &&
 		r.Cold == other.Cold && r.Limit == other.Limit && r.LimitIsForRoom == other.LimitIsForRoom && r.Recalled == other.Recalled && areModelsEqual(r.Models, other.Models)
 }
 
--- a/placement/site/document.go
+++ b/placement/site/document.go
@@ -1,6 +1,9 @@
 package site
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RouteKind is how a request may be handled if its outcome is unknown.
 type RouteKind uint8
@@ -63,6 +66,11 @@
 	Weight  float64
 }
 
+// LeadsTo reports whether the route leads to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service })
+}
+
 // MayRepeat reports whether a request may run more than once.
 func (r *Route) MayRepeat() bool {
 	return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resumable
@@ -151,3 +159,11 @@
 		}
 	}
 }
+
+// LongestTimeout returns the longest timeout of the routes.
+func (d *Document) LongestTimeout() (longest time.Duration) {
+	for i := range d.Routes {
+		longest = max(longest, d.Routes[i].Timeout)
+	}
+	return longest
+}
--- /dev/null
+++ b/placement/versions/decide.go
@@ -0,0 +1,54 @@
+package versions
+
+// Facts are what is known of a stream that a client takes up.
+type Facts struct {
+	// IsNamed is set if the client names the attempt that brought the first event.
+	IsNamed bool
+	// IsCertain is set if the router knows that runners of one version alone were there while the stream can have begun.
+	IsCertain bool
+	// IsFound is set if a record of the stream is known, which says that Version began it.
+	IsFound bool
+	Version string
+	// IsAsked is set if the registrars were asked for a record.
+	IsAsked bool
+	// IsServed is set if a runner of Version may get the request.
+	IsServed bool
+}
+
+// Verdict is how a stream goes on.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictAny means that any runner may take the stream, as there is one version alone.
+	VerdictAny Verdict = iota + 1
+	// VerdictVersion means that runners of the version that began it may.
+	VerdictVersion
+	// VerdictAsk means that the registrars must be asked.
+	VerdictAsk
+	// VerdictUnknown means that the stream cannot go on, as nobody knows its version.
+	VerdictUnknown
+	// VerdictGone means that it cannot go on, as no runner of its version is left for it.
+	VerdictGone
+)
+
+// String returns the verdict as shown in logs and metrics.
+func (v Verdict) String() string {
+	return [...]string{"none", "any", "version", "ask", "unknown", "gone"}[v]
+}
+
+// Decide decides how a stream goes on. A guess is never made: events of two versions are worth less than none, as
+// the client can begin anew.
+func Decide(facts Facts) Verdict {
+	switch {
+	case facts.IsFound && facts.IsServed:
+		return VerdictVersion
+	case facts.IsFound:
+		return VerdictGone
+	case facts.IsCertain:
+		return VerdictAny
+	case facts.IsNamed && !facts.IsAsked:
+		return VerdictAsk
+	}
+	return VerdictUnknown
+}
