Streams go on at the software version that began them

Cause: nothing read the versions of runners. A client that takes a stream up names the attempt that brought its first event, which no router looked at, and which the one that served it may have taken with it; repeats within an answer and copies took any runner. Change: from its first event on an answer keeps to its version, in repeats, copies and continuations. While runners of several versions serve, or the leader was not heard for 3 s, routers send records of the streams that they began to two controllers each; a router at which a stream is taken up looks at its own, then asks all controllers, and binds the request to the version. What nobody knows, or whose version is gone, is rejected at once without a time to come back. While one version serves, nothing is sent and any runner takes the stream. Evidence: TestStreamsGoOnAtTheirVersion, TestRouterOutOfTouchKeepsVersions, TestRepeatsWithinAnAnswerKeepTheVersion and TestCallerIsToldThatItsVersionIsGone failed and pass; TestStreamsOfTheOnlyVersionGoOn passes as before.

--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -90,6 +90,7 @@
 func (x *exchange) work() routing.Work {
 	work := routing.Work{
 		Prefixes: x.prefixes, Prompt: x.request.Size.Uncached(0), Avoid: x.avoid, Excluded: x.excluded,
+		Version: x.boundVersion,
 	}
 	if x.regions != nil {
 		work.Zones = x.regions.zones
--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -26,6 +26,7 @@
 	x.beginCopy(choice)
 	x.sent++
 	x.path = watchdog.path
+	x.runnerVersion = choice.Version()
 	sent := x.router.now()
 	x.timing.noteSent(choice.Runner())
 	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -37,6 +37,8 @@
 	reasonLoading     retryReason = "come_back"
 	reasonCrowded     retryReason = "crowded"
 	reasonCoolingDown retryReason = "resting"
+	// reasonNoVersion means that no runner of the software version that began the stream holds the row any more.
+	reasonNoVersion retryReason = reasonVersionGone
 )
 
 // message returns the text for the caller.
@@ -44,6 +46,8 @@
 	switch r {
 	case reasonCrowded:
 		return "too many requests wait for the model"
+	case reasonNoVersion:
+		return "no runner of the software version that began the stream is left"
 	case reasonCoolingDown:
 		return "all runners that could take the request have asked for rest"
 	}
@@ -107,6 +111,9 @@
 // deferral returns when a request that cannot be served before its wait limit should be retried, or
 // nil if it may be served. The caller must hold r.mutex.
 func (r *Router) deferral(now time.Time, state *rowState, wanted *waiter) *retryLaterError {
+	if version := wanted.work.Version; version != "" && !r.balancer.HasVersion(rowName(wanted.row), version) {
+		return &retryLaterError{reason: reasonNoVersion}
+	}
 	readyAt, reason, isKnown := r.readyAt(now, state, wanted)
 	if !isKnown {
 		return nil
@@ -151,7 +158,7 @@
 
 // addDeferred records a caller that is expected to retry, if the request may be deferred.
 func (s *rowState) addDeferred(now time.Time, wanted *waiter, after time.Duration) {
-	if !wanted.mayDefer {
+	if !wanted.mayDefer || after <= 0 {
 		return
 	}
 	s.deferredCallers = append(s.deferredCallers, deferredCaller{
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -51,6 +51,7 @@
 type exchange struct {
 	router  *Router
 	request *Request
+	index   *site.Index
 	route   *site.Route
 	row     residency.Row
 	version uint64
@@ -88,8 +89,13 @@
 	digest poison.Digest
 	// trialID identifies the request to the leader once it has asked for permission to run.
 	trialID string
-	// isStarted is set once the response header has been sent.
+	// isStarted is set once the response header has been sent, isWhole once the whole response has.
 	isStarted bool
+	isWhole   bool
+	// runnerVersion is the software version of the runner of the last attempt, and boundVersion the one at which the stream
+	// must go on; empty if it may go on at any.
+	runnerVersion string
+	boundVersion  string
 	// lastEvent is the ID of the last event that the caller received.
 	lastEvent int64
 	deadline  time.Time
@@ -145,15 +151,10 @@
 	x := &exchange{
 		router: r, request: request, route: route, version: index.Document.Version, writer: writer,
 		tenant: tenant, ticket: ticket, priority: ticket.Rank, deadline: ticket.Deadline, digest: digest,
-		hidesKey: index.Document.RequiresKeys, row: residency.Row{Service: route.Pick(r.randomFraction())}, lastEvent: request.ResumeAfter,
+		hidesKey: index.Document.RequiresKeys, index: index, lastEvent: request.ResumeAfter,
 		regions: regionLimitOf(route, tenant, r.options.Regions),
 	}
-	service := index.Service(x.row.Service)
-	if service.Engine != nil {
-		x.engine = service.Engine
-		x.row.Model, x.row.Adapter = request.Model, request.Adapter
-		x.prefixes = prefixHashes(x.row, request.Parts)
-	}
+	x.setService(route.Pick(r.randomFraction()))
 	defer func() {
 		if x.attempts == 0 {
 			r.refund(counted)
@@ -167,6 +168,10 @@
 		x.rejectNoRegion()
 		return
 	}
+	if !x.bindVersion(request.HTTP.Context()) {
+		return
+	}
+	defer x.noteEnded()
 	r.countRequest(x.row, route.Objective)
 	ctx, cancel := context.WithTimeoutCause(request.HTTP.Context(), x.timeLeft(), errTimeout)
 	defer cancel()
@@ -176,6 +181,18 @@
 	x.run(ctx)
 }
 
+// setService sets the service that serves the request.
+func (x *exchange) setService(name string) {
+	x.row, x.engine, x.prefixes = residency.Row{Service: name}, nil, nil
+	service := x.index.Service(name)
+	if service.Engine == nil {
+		return
+	}
+	x.engine = service.Engine
+	x.row.Model, x.row.Adapter = x.request.Model, x.request.Adapter
+	x.prefixes = prefixHashes(x.row, x.request.Parts)
+}
+
 // deadlineOf returns the deadline of a request on a route.
 func deadlineOf(request *Request, route *site.Route) time.Time {
 	if request.Wait > 0 && request.Wait < route.Timeout {
@@ -233,6 +250,7 @@
 	if ended.isUnreachable() {
 		x.router.noteUnreachable(choice.Runner())
 	}
+	x.isWhole = ended.isServed()
 	if ended.isDone {
 		x.count(ended.name())
 		x.reportPace(ended)
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -69,6 +69,11 @@
 	traffic *traffic.Counter
 	// copies counts the decisions on copies of streams, copiedBytes estimates the bytes that they may
 	// have moved. continuations counts the lost streams that had a copy.
+	// mixedServices is the number of services with runners of several software versions. takeUps counts the streams that
+	// clients take up, streamNotes the records of streams for registrars.
+	mixedServices prometheus.Gauge
+	takeUps       *prometheus.CounterVec
+	streamNotes   *prometheus.CounterVec
 	copies        *prometheus.CounterVec
 	copiedBytes   prometheus.Counter
 	continuations *prometheus.CounterVec
@@ -130,6 +135,9 @@
 		unwantedSent: counter("unwanted_sendings_total",
 			"Sendings to runners that had asked for rest, or said in an answer that they are leaving.", "runner", "repeated"),
 		brittleRejections: counter("brittle_rejections_total", "Requests of this router that brittle runners rejected for want of room.").WithLabelValues(),
+		mixedServices:     gauge("mixed_services", "Services with runners of several software versions, now or as long ago as a stream may last."),
+		takeUps:           counter("takeups_total", "Streams that clients took up, by what followed.", "verdict"),
+		streamNotes:       counter("stream_notes_total", "Records of streams for controllers, by outcome: sent or failed.", "outcome"),
 		copies:            counter("stream_copies_total", "Decisions on copying a stream to a standby.", "decision"),
 		copiedBytes:       counter("stream_copied_bytes_total", "Bytes that copies of streams may have moved.").WithLabelValues(),
 		continuations:     counter("continuations_total", "Lost streams that had a copy, by what followed.", "outcome"),
@@ -146,7 +154,7 @@
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.brittleRejections, made.peersKnown, made.cutOff, made.peerSent, made.peerProbes, made.tunnels,
 			made.lateness, made.overloaded, made.connectionsClosed, made.coldRequests,
 			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent,
-			made.copies, made.copiedBytes, made.continuations)
+			made.mixedServices, made.takeUps, made.streamNotes, made.copies, made.copiedBytes, made.continuations)
 	}
 	return made
 }
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -46,8 +47,8 @@
 	// restricted holds waiters that must avoid a runner that failed or rejected them. They are kept
 	// apart so that they do not block other requests of the row.
 	restricted fairqueue.Row[*waiter]
-	// byRegions holds waiters that are limited to certain regions, by the names of these.
-	byRegions map[string]*fairqueue.Row[*waiter]
+	// limited holds waiters that are limited to certain regions or a software version.
+	limited map[queueKey]*fairqueue.Row[*waiter]
 	// deferredCallers are the callers that were told to retry later.
 	deferredCallers []deferredCaller
 	forecast        forecast
@@ -65,33 +66,46 @@
 	return state
 }
 
+// queueKey names a queue of waiters that only some runners may serve. The fields are empty for no limit.
+type queueKey struct {
+	regions string
+	version string
+}
+
 // queueOf returns the queue for a request.
 func (s *rowState) queueOf(wanted *waiter) *fairqueue.Row[*waiter] {
 	switch {
-	case wanted.regions != nil:
-		return s.regionQueue(wanted.regions)
+	case wanted.regions != nil || wanted.work.Version != "":
+		return s.limitedQueue(wanted)
 	case wanted.work.Avoid != "" || wanted.work.Excluded != "":
 		return &s.restricted
 	}
 	return &s.waiters
 }
 
-// regionQueue returns the queue of the requests limited to the given regions.
-func (s *rowState) regionQueue(at *regionLimit) *fairqueue.Row[*waiter] {
-	if s.byRegions == nil {
-		s.byRegions = make(map[string]*fairqueue.Row[*waiter])
+// limitedQueue returns the queue of the requests with the same limits.
+func (s *rowState) limitedQueue(wanted *waiter) *fairqueue.Row[*waiter] {
+	key := queueKey{version: wanted.work.Version}
+	if wanted.regions != nil {
+		key.regions = wanted.regions.name
 	}
-	if s.byRegions[at.name] == nil {
-		s.byRegions[at.name] = &fairqueue.Row[*waiter]{}
+	if s.limited == nil {
+		s.limited = make(map[queueKey]*fairqueue.Row[*waiter])
 	}
-	return s.byRegions[at.name]
+	if s.limited[key] == nil {
+		s.limited[key] = &fairqueue.Row[*waiter]{}
+	}
+	return s.limited[key]
 }
 
 // queues returns all queues of the row.
 func (s *rowState) queues() []*fairqueue.Row[*waiter] {
 	listed := []*fairqueue.Row[*waiter]{&s.waiters, &s.restricted}
-	for _, name := range slices.Sorted(maps.Keys(s.byRegions)) {
-		listed = append(listed, s.byRegions[name])
+	byKey := func(a, b queueKey) int {
+		return cmp.Or(cmp.Compare(a.regions, b.regions), cmp.Compare(a.version, b.version))
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(s.limited), byKey) {
+		listed = append(listed, s.limited[key])
 	}
 	return listed
 }
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -91,6 +91,8 @@
 	zones    zones
 	peers    peering
 	brittle  brittle
+	// streams are the software versions that began streams.
+	streams streamVersions
 	// copies are the copies of streams at their standbys.
 	copies copies
 
@@ -171,6 +173,7 @@
 		zones:        newZones(options.Seed),
 		copies:       newCopies(),
 		brittle:      newBrittle(),
+		streams:      newStreamVersions(options.Name),
 		suspectLog:   asynclog.NewLimiter(maxSuspectLogRate),
 
 		continuationLog: asynclog.NewLimiter(maxContinuationLogRate),
@@ -187,6 +190,7 @@
 	running.Go(func() { r.limitLoop(ctx) })
 	running.Go(func() { r.zoneLoop(ctx) })
 	running.Go(func() { r.tokenLoop(ctx) })
+	running.Go(func() { r.noteLoop(ctx) })
 	running.Wait()
 	r.client.Close()
 }
@@ -210,6 +214,10 @@
 	r.metrics.runners.Set(float64(r.fleet.Len()))
 	r.dropIdleModels(r.now())
 	r.serveWaiters()
+	if len(r.streams.mixed) > 0 {
+		// Those that wait for a version that is gone are told so.
+		r.deferAll()
+	}
 	if r.candidates.hasPaced {
 		r.wakeTokens()
 	}
--- a/request/relay/row.go
+++ b/request/relay/row.go
@@ -26,7 +26,7 @@
 func addPlacement(placed *structs.Placement, runner *fleet.Runner) {
 	id := structs.RunnerID(runner.Instance)
 	placed.Runners = append(placed.Runners, structs.RunnerInfo{
-		ID: id, Zone: structs.ZoneID(runner.Zone), Address: runner.Address, Leaving: runner.Leaving,
+		ID: id, Zone: structs.ZoneID(runner.Zone), Address: runner.Address, Leaving: runner.Leaving, Version: runner.Version,
 	})
 	for _, row := range rowsOf(*runner) {
 		placed.Replicas = append(placed.Replicas, structs.Replica{Row: rowName(row), Runner: id, State: structs.ReplicaReady})
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -78,6 +78,7 @@
 		if !x.isStarted {
 			// A resumed stream has another length than any single response.
 			answer.Length = -1
+			x.noteBegun()
 			x.sendHeader(answer)
 		}
 		if _, err := x.writer.Write(event); err != nil {
--- /dev/null
+++ b/request/relay/streamversions.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/internal/asynclog"
+	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/internal/wake"
+	"github.com/lotusferry/lotusferry/placement/domainapi"
+	"github.com/lotusferry/lotusferry/placement/versions"
+)
+
+const (
+	// maxVersionsAge is how long after the leader was heard its word that runners of one version alone serve is believed. A
+	// runner of another version that came since serves no stream yet: it must be loaded first.
+	maxVersionsAge = 3 * time.Second
+	// minNoteInterval and noteIntervalPerRouter bound the messages about streams that all routers send to registrars.
+	minNoteInterval       = 20 * time.Millisecond
+	noteIntervalPerRouter = 250 * time.Microsecond
+	// noteTimeout bounds a message to a registrar, and findTimeout a question to all of them.
+	noteTimeout = 400 * time.Millisecond
+	findTimeout = 250 * time.Millisecond
+	// takeUpMargin is how much longer a stream may be taken up than its caller said to wait.
+	takeUpMargin = 2 * time.Second
+	// maxTakeUpLogRate bounds the log lines per second about streams that are taken up.
+	maxTakeUpLogRate = 20
+)
+
+// streamVersions is what the router knows of the software versions that began streams. It is guarded by Router.mutex,
+// except for wake.
+type streamVersions struct {
+	// mixed are the services with runners of several versions, as the leader said last.
+	mixed []string
+	// outbox holds the streams that this router began, running those that are in progress.
+	outbox  *versions.Outbox
+	running map[*exchange]versions.Record
+	// registrars are the addresses of the controllers.
+	registrars []string
+	// stale fires when the leader was last heard maxVersionsAge ago; nil before the first view.
+	stale *time.Timer
+	// wake triggers a message to the registrars.
+	wake       chan struct{}
+	logLimiter *asynclog.Limiter
+}
+
+func newStreamVersions(name string) streamVersions {
+	return streamVersions{
+		outbox: versions.NewOutbox(name), running: make(map[*exchange]versions.Record), wake: make(chan struct{}, 1),
+		logLimiter: asynclog.NewLimiter(maxTakeUpLogRate),
+	}
+}
+
+// setRegistrars sets the addresses of the controllers.
+func (r *Router) setRegistrars(addresses []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.streams.registrars = slices.Clone(addresses)
+}
+
+// isVersionCertain reports whether runners of one software version alone serve the service, and did while a stream that is still
+// in progress can have begun. The caller must hold r.mutex.
+func (r *Router) isVersionCertain(service string) bool {
+	return !r.isLeaderStale() && !slices.Contains(r.streams.mixed, service)
+}
+
+// isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
+func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
+
+// adoptMixedVersions takes over which services have runners of several versions. The caller must hold r.mutex.
+func (r *Router) adoptMixedVersions(mixed []string) {
+	if !slices.Equal(mixed, r.streams.mixed) {
+		level.Info(r.logger).Log("msg", "The services with runners of several software versions change.", "services", len(mixed), "before", len(r.streams.mixed))
+		r.metrics.mixedServices.Set(float64(len(mixed)))
+	}
+	r.streams.mixed = mixed
+	if r.streams.stale == nil {
+		r.streams.stale = time.AfterFunc(maxVersionsAge, r.noteStaleLeader)
+	} else {
+		r.streams.stale.Reset(maxVersionsAge)
+	}
+	r.noteRunningStreams()
+}
+
+// noteStaleLeader has the streams in progress noted, as runners of other versions may come unheard.
+func (r *Router) noteStaleLeader() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.noteRunningStreams()
+}
+
+// noteRunningStreams adds the streams in progress whose version is not certain any more to the outbox. The caller must hold
+// r.mutex.
+func (r *Router) noteRunningStreams() {
+	if len(r.streams.mixed) == 0 && !r.isLeaderStale() {
+		return
+	}
+	for _, record := range r.streams.running {
+		if !r.isVersionCertain(record.Service) {
+			r.noteStream(record)
+		}
+	}
+}
+
+// noteStream has the registrars told of a stream. The caller must hold r.mutex.
+func (r *Router) noteStream(record versions.Record) {
+	r.streams.outbox.Add(r.now(), record)
+	wake.Up(r.streams.wake)
+}
+
+// noteLoop tells registrars of the streams that this router began, while their versions are not certain, until ctx ends.
+func (r *Router) noteLoop(ctx context.Context) {
+	for {
+		select {
+		case <-r.streams.wake:
+		case <-ctx.Done():
+			return
+		}
+		for again := r.sendNotes(ctx); again > 0; again = r.sendNotes(ctx) {
+			if !pause.For(ctx, again) {
+				return
+			}
+		}
+	}
+}
+
+// sendNotes sends what the registrars lack. It returns the time until the next message; 0 if they lacked nothing.
+func (r *Router) sendNotes(ctx context.Context) time.Duration {
+	r.mutex.Lock()
+	isCertain := len(r.streams.mixed) == 0 && !r.isLeaderStale()
+	interval := max(minNoteInterval, time.Duration(r.routerCount.routers)*noteIntervalPerRouter)
+	var batches []versions.Batch
+	if !isCertain {
+		batches = r.streams.outbox.Due(r.now(), r.streams.registrars)
+	}
+	r.mutex.Unlock()
+	if len(batches) == 0 {
+		return 0
+	}
+	var sending sync.WaitGroup
+	for _, batch := range batches {
+		sending.Go(func() { r.sendBatch(ctx, batch) })
+	}
+	sending.Wait()
+	return interval
+}
+
+func (r *Router) sendBatch(ctx context.Context, batch versions.Batch) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	arguments := domainapi.NoteStreamsArguments{Router: r.options.Name, Records: batch.Records}
+	var reply domainapi.NoteStreamsReply
+	err := r.client.Call(ctx, batch.Address, domainapi.MethodNoteStreams, arguments, &reply)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if err != nil {
+		r.metrics.streamNotes.WithLabelValues("failed").Add(float64(len(batch.Records)))
+		r.streams.outbox.Failed(r.now(), batch)
+		return
+	}
+	r.metrics.streamNotes.WithLabelValues("sent").Add(float64(len(batch.Records)))
+	r.streams.outbox.Acknowledge(batch, reply.Epoch)
+}
+
+// findStream asks all registrars for the record of a stream, at most for findTimeout.
+func (r *Router) findStream(ctx context.Context, id string) (versions.Record, bool) {
+	r.mutex.Lock()
+	registrars := r.streams.registrars
+	r.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	replies := make(chan domainapi.FindStreamReply, len(registrars))
+	for _, address := range registrars {
+		go func() {
+			var reply domainapi.FindStreamReply
+			if err := r.client.Call(ctx, address, domainapi.MethodFindStream, domainapi.FindStreamArguments{ID: id}, &reply); err != nil {
+				reply = domainapi.FindStreamReply{}
+			}
+			replies <- reply
+		}()
+	}
+	for range registrars {
+		if reply := <-replies; reply.IsFound {
+			return reply.Record, true
+		}
+	}
+	return versions.Record{}, false
+}
--- /dev/null
+++ b/request/relay/takeup.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/placement/site"
+	"github.com/lotusferry/lotusferry/placement/versions"
+)
+
+const (
+	// reasonVersionUnknown means that nobody knows which software version began the stream, reasonVersionGone that no runner
+	// of that version holds its model any more.
+	reasonVersionUnknown = "version_unknown"
+	reasonVersionGone    = "version_gone"
+)
+
+// isTakenUp reports whether the client has events of the stream from an earlier attempt.
+func (r *Request) isTakenUp() bool { return r.Resumes != "" || r.ResumeAfter != NoEvent }
+
+// bindVersion decides at which software version a stream goes on that its client takes up. It answers the request and returns
+// false if that cannot be known, or no runner of the version is left.
+func (x *exchange) bindVersion(ctx context.Context) bool {
+	if x.route.Kind != site.KindStream || !x.request.isTakenUp() {
+		return true
+	}
+	facts := x.localFacts()
+	verdict := versions.Decide(facts)
+	if verdict == versions.VerdictAsk {
+		facts.IsAsked = true
+		var record versions.Record
+		if record, facts.IsFound = x.router.findStream(ctx, x.request.Resumes); facts.IsFound {
+			x.adoptRecord(record, &facts)
+		}
+		verdict = versions.Decide(facts)
+	}
+	x.logTakeUp(facts, verdict)
+	switch verdict {
+	case versions.VerdictUnknown:
+		x.rejectTakeUp(reasonVersionUnknown, "nobody knows which software version began the stream")
+		return false
+	case versions.VerdictGone:
+		x.rejectTakeUp(reasonVersionGone, "no runner of the software version that began the stream is left")
+		return false
+	case versions.VerdictVersion:
+		x.boundVersion = facts.Version
+	}
+	return true
+}
+
+// localFacts returns what the router itself knows of the stream.
+func (x *exchange) localFacts() versions.Facts {
+	r := x.router
+	r.mutex.Lock()
+	facts := versions.Facts{IsNamed: x.request.Resumes != "", IsCertain: r.isVersionCertain(x.row.Service)}
+	record, isFound := r.streams.outbox.Find(r.now(), x.request.Resumes)
+	r.mutex.Unlock()
+	if isFound {
+		facts.IsFound = true
+		x.adoptRecord(record, &facts)
+	}
+	return facts
+}
+
+// adoptRecord adds a record of the stream to the facts. The stream goes on at the service that began it, if the route still
+// leads there.
+func (x *exchange) adoptRecord(record versions.Record, facts *versions.Facts) {
+	facts.Version = record.Version
+	if record.Service != x.row.Service && x.route.LeadsTo(record.Service) {
+		x.setService(record.Service)
+	}
+	r := x.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.trackModel(x.row)
+	facts.IsServed = r.balancer.HasVersion(rowName(x.row), record.Version)
+}
+
+// rejectTakeUp tells the caller that the stream cannot go on, without a time to come back: it must begin anew.
+func (x *exchange) rejectTakeUp(reason, message string) {
+	x.count(reason)
+	x.logUnserved(reason, nil)
+	reject(x.writer, http.StatusServiceUnavailable, 0, message)
+}
+
+func (x *exchange) logTakeUp(facts versions.Facts, verdict versions.Verdict) {
+	x.router.metrics.takeUps.WithLabelValues(verdict.String()).Inc()
+	suppressed, isAllowed := x.router.streams.logLimiter.Allow(x.router.now())
+	if !isAllowed {
+		return
+	}
+	level.Info(x.router.logger).Log("msg", "A stream is taken up.", "request", x.request.ID, "resumes", x.request.Resumes, "service", x.row.Service,
+		"model", x.row.Model, "last_event", x.request.ResumeAfter, "verdict", verdict, "began_at", facts.Version, "asked", facts.IsAsked,
+		"one_version", facts.IsCertain, "age", x.router.age(x.request), "not_logged", suppressed)
+}
+
+// noteBegun records that the caller gets the first event of this answer: from now on the stream goes on at the version of the
+// runner that wrote it.
+func (x *exchange) noteBegun() {
+	x.boundVersion = x.runnerVersion
+	if x.boundVersion == "" || !x.route.Resumable {
+		return
+	}
+	r := x.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	record := x.streamRecord()
+	r.streams.running[x] = record
+	if !r.isVersionCertain(x.row.Service) {
+		r.noteStream(record)
+	}
+}
+
+// noteEnded records the end of the answer. A stream that broke may be taken up.
+func (x *exchange) noteEnded() {
+	r := x.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	record, isRunning := r.streams.running[x]
+	if !isRunning {
+		return
+	}
+	delete(r.streams.running, x)
+	if !x.isWhole {
+		record.TTL = x.takeUpTime()
+		r.noteStream(record)
+	}
+}
+
+// streamRecord returns the record of the stream for routers at which it is taken up.
+func (x *exchange) streamRecord() versions.Record {
+	id := x.request.Resumes
+	if id == "" {
+		id = x.request.ID
+	}
+	return versions.Record{ID: id, Service: x.row.Service, Version: x.boundVersion, TTL: x.takeUpTime()}
+}
+
+// takeUpTime returns for how much longer the stream may be taken up.
+func (x *exchange) takeUpTime() time.Duration {
+	until := x.request.Arrived.Add(max(x.request.Wait, x.route.Timeout) + takeUpMargin)
+	return until.Sub(x.router.now())
+}
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -39,6 +39,7 @@
 	for ctx.Err() == nil {
 		// Members of the group are listed before seeds.
 		r.caller.SetAddresses(leadercall.Unique(f.controllers, r.options.Seeds()))
+		r.setRegistrars(leadercall.Unique(f.controllers, r.options.Seeds()))
 		f.arguments.Version = r.version()
 		f.arguments.Relays = f.choice.version()
 		f.arguments.Controllers = domainapi.HashAddresses(f.controllers)
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -48,7 +48,7 @@
 
 // PickFor chooses a replica of the row for the work and reports whether one has capacity.
 func (b *Balancer) PickFor(now time.Time, name structs.RowName, work *Work) (Choice, bool) {
-	wanted := b.rows[name]
+	wanted := b.rows[name].ofVersion(b.options.SubsetSize, work.Version)
 	if wanted == nil || len(wanted.subset) == 0 {
 		return Choice{}, false
 	}
--- a/request/routing/choice.go
+++ b/request/routing/choice.go
@@ -36,6 +36,9 @@
 // Address returns the network address of the chosen runner.
 func (c Choice) Address() string { return c.runner.Address }
 
+// Version returns the version of the software of the chosen runner; empty if unknown.
+func (c Choice) Version() string { return c.runner.Version }
+
 // Incarnation returns the incarnation of the chosen runner.
 func (c Choice) Incarnation() structs.Incarnation { return c.runner.Incarnation }
 
--- a/request/routing/cooldown.go
+++ b/request/routing/cooldown.go
@@ -99,7 +99,7 @@
 // CooldownEnd returns the earliest end of the requested cooldowns of the row's runners that may get the work. It reports
 // false if any of them accepts requests now, or if there is none.
 func (b *Balancer) CooldownEnd(now time.Time, name structs.RowName, work *Work) (time.Time, bool) {
-	wanted := b.rows[name]
+	wanted := b.rows[name].ofVersion(b.options.SubsetSize, work.Version)
 	if wanted == nil {
 		return time.Time{}, false
 	}
--- a/request/routing/placement.go
+++ b/request/routing/placement.go
@@ -191,12 +191,17 @@
 		}
 	}
 	current.ready = len(current.subset)
-	slices.SortFunc(current.subset, func(left, right *replica) int {
+	current.limitSubset(b.options.SubsetSize)
+}
+
+// limitSubset keeps the first replicas of the subset, at most size.
+func (r *row) limitSubset(size int) {
+	slices.SortFunc(r.subset, func(left, right *replica) int {
 		return cmp.Or(left.runner.requested.compare(&right.runner.requested), cmp.Compare(right.runner.hash, left.runner.hash),
 			cmp.Compare(left.runner.number, right.runner.number))
 	})
-	if len(current.subset) > b.options.SubsetSize {
-		clear(current.subset[b.options.SubsetSize:])
-		current.subset = current.subset[:b.options.SubsetSize]
+	if len(r.subset) > size {
+		clear(r.subset[size:])
+		r.subset = r.subset[:size]
 	}
 }
--- a/request/routing/standby.go
+++ b/request/routing/standby.go
@@ -37,17 +37,18 @@
 )
 
 // PickStandby chooses another replica of the row to which the memory of a stream at the primary is
-// copied: in another zone of the same region if there is one, otherwise in the same zone. Copies never
+// copied, at a runner of the same software version: in another zone of the same region if there is one, otherwise in the same zone. Copies never
 // cross regions, as the links between regions are slow and expensive. Of these replicas, those with the
 // fewest copies of the primary's streams count, so that its loss does not send them all to one runner, and of
 // these those with the fewest copies of this router. One is drawn by expected cost, as routers with the same
 // load report would otherwise all choose the same one.
 func (b *Balancer) PickStandby(now time.Time, name structs.RowName, wanted *StandbyWork) (Choice, StandbyResult) {
-	current, primary := b.rows[name], b.runners[wanted.Primary]
-	if current == nil || primary == nil {
+	primary := b.runners[wanted.Primary]
+	if primary == nil || b.rows[name] == nil {
 		return Choice{}, StandbyNone
 	}
-	work := Work{Zones: wanted.Zones, Excluded: wanted.Primary}
+	current := b.rows[name].ofVersion(b.options.SubsetSize, primary.info.Version)
+	work := Work{Zones: wanted.Zones, Excluded: wanted.Primary, Version: primary.info.Version}
 	result := StandbyNone
 	var best []*replica
 	for _, candidate := range current.subset {
--- a/request/routing/work.go
+++ b/request/routing/work.go
@@ -21,6 +21,8 @@
 	Excluded structs.RunnerID
 	// Zones are the zones whose runners may be chosen; nil allows all.
 	Zones map[structs.ZoneID]bool
+	// Version is the software version that a runner must have; empty allows all.
+	Version string
 }
 
 // allows reports whether the runner may get the work, regardless of its load.
@@ -28,6 +30,9 @@
 	if w.Excluded != "" && target.info.ID == w.Excluded {
 		return false
 	}
+	if w.Version != "" && target.info.Version != w.Version {
+		return false
+	}
 	return w.Zones == nil || w.Zones[target.info.Zone]
 }
 
--- a/structs/runner.go
+++ b/structs/runner.go
@@ -9,6 +9,8 @@
 	Address     string      `json:"address"`
 	Role        RunnerRole  `json:"role"`
 	Incarnation Incarnation `json:"incarnation"`
+	// Version is that of the runner's software; empty if unknown.
+	Version string `json:"version,omitempty"`
 	// MemoryBytes is the total memory of the accelerators of the runner.
 	MemoryBytes  int64 `json:"memory_bytes"`
 	Accelerators int   `json:"accelerators"`
