--- a/placement/domainnode/benchmark_test.go
+++ b/placement/domainnode/benchmark_test.go
@@ -8,6 +8,7 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/versions"
 )
 
 // benchmarkLeadership returns a leadership with the given number of runners and their heartbeats.
@@ -18,6 +19,7 @@
 		registry: fleet.NewRegistry(at, options.timing()), planner: residency.NewPlanner(residency.Options{}, at),
 		views: fleet.NewPublisher(), failing: fleet.NewOutlierDetector(), tokens: ratelimit.New(at), cold: make(map[string]bool),
 		runnerLimits: ratelimit.NewLimits(), lost: make(map[string]bool),
+		versions: versions.NewTracker(),
 	}
 	heartbeats := make([]fleet.Heartbeat, runners)
 	for i := range heartbeats {
--- a/placement/fleet/encodedsize_test.go
+++ b/placement/fleet/encodedsize_test.go
@@ -50,6 +50,23 @@
 	t.Logf("%.1f bytes per runner on top of %d", added, len(without.Bytes)/runners)
 }
 
+// Guards against software versions that make views larger than they are worth: there are few of them at a time.
+func TestVersionsAddFewBytesToView(t *testing.T) {
+	c := qt.New(t)
+	const runners = 10_000
+	view := pacedView(runners, true)
+	without, err := view.Encode()
+	c.Assert(err, qt.IsNil)
+	for i := range view.Runners {
+		view.Runners[i].Version = []string{"v1", "v1.1"}[i%3/2]
+	}
+	with, err := view.Encode()
+	c.Assert(err, qt.IsNil)
+	added := float64(len(with.Bytes)-len(without.Bytes)) / runners
+	c.Assert(added < 2, qt.IsTrue, qt.Commentf("%.2f bytes per runner", added))
+	t.Logf("%.2f bytes per runner on top of %d", added, len(without.Bytes)/runners)
+}
+
 // Most views list a few changed runners, and each router gets several a second.
 func TestFewChangesTakeFewBytes(t *testing.T) {
 	for _, test := range []struct{ runners, bytes int }{{1, 320}, {2, 380}, {3, 420}, {6, 600}, {60, 4000}} {
