Controllers: a member that was removed while it was down notices it also if it catches up at once

Cause: a membership without the member counts as its removal only after one that listed it was seen, and the loop looks each membershipInterval. A member that starts again and is sent the removal before the first look never saw itself listed. Change: the membership in the log as the store is opened counts, too; a later and applied one without the member is its removal.

--- a/placement/domainnode/membership.go
+++ b/placement/domainnode/membership.go
@@ -75,7 +75,9 @@
 		m.wasMember = true
 		return false
 	}
-	return m.wasMember
+	// A member that was removed while it was down may have caught up before this first looked.
+	isLaterOne := status.MembershipIndex > m.listedAt && status.AppliedIndex >= status.MembershipIndex
+	return m.wasMember || m.wasListed && isLaterOne
 }
 
 // enterGroup retries until the member has entered the group. It logs the reason for waiting
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -69,6 +69,9 @@
 	// it. Both belong to the membership loop while it runs.
 	wasMember bool
 	removed   bool
+	// wasListed is set if the log listed the member when the store was opened, in a membership at the index listedAt.
+	wasListed bool
+	listedAt  uint64
 }
 
 // New returns a node that listens on its address. It participates once Run is called.
@@ -180,6 +183,10 @@
 		Now:             n.options.Now,
 	})
 	m.group = raftGroup
+	if err == nil {
+		status := raftGroup.Status()
+		m.wasListed, m.listedAt = status.Membership.Has(node), status.MembershipIndex
+	}
 	return m, err
 }
 
