--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -96,7 +96,7 @@
 func (r *Router) deferNow(state *rowState, wanted *waiter) *retryLaterError {
 	now := r.now()
 	if retry := r.deferCrowded(now, wanted); retry != nil {
-		state.addDeferred(now, wanted, retry.after)
+		state.addDeferred(now, wanted, retry)
 		return retry
 	}
 	retry := r.deferral(now, state, wanted)
@@ -104,7 +104,7 @@
 		return nil
 	}
 	r.queue.Remove(&wanted.entry)
-	state.addDeferred(now, wanted, retry.after)
+	state.addDeferred(now, wanted, retry)
 	return retry
 }
 
@@ -156,13 +156,14 @@
 	return &retryLaterError{after: wanted.retryAfter(now, now.Add(in)), reason: reasonCrowded}
 }
 
-// addDeferred records a caller that is expected to retry, if the request may be deferred.
-func (s *rowState) addDeferred(now time.Time, wanted *waiter, after time.Duration) {
-	if !wanted.mayDefer || after <= 0 {
+// addDeferred records a caller that is expected to retry, if the request may be deferred. One whose version is gone does not
+// come back with the same stream.
+func (s *rowState) addDeferred(now time.Time, wanted *waiter, retry *retryLaterError) {
+	if !wanted.mayDefer || retry.reason == reasonNoVersion {
 		return
 	}
 	s.deferredCallers = append(s.deferredCallers, deferredCaller{
-		since: wanted.ticket.Arrived, until: now.Add(after + retryGrace), priority: wanted.ticket.Rank,
+		since: wanted.ticket.Arrived, until: now.Add(retry.after + retryGrace), priority: wanted.ticket.Rank,
 	})
 }
 
@@ -194,7 +195,7 @@
 	})
 	for i, wanted := range leaving {
 		r.queue.Remove(&wanted.entry)
-		state.addDeferred(now, wanted, retries[i].after)
+		state.addDeferred(now, wanted, retries[i])
 		wanted.deferred <- retries[i]
 	}
 }
--- a/request/relay/deferral_test.go
+++ b/request/relay/deferral_test.go
@@ -159,7 +159,7 @@
 		_, found := router.pick(wanted)
 		c.Assert(found, qt.IsTrue)
 		state := router.rowState(row)
-		state.addDeferred(router.now(), wanted, time.Second)
+		state.addDeferred(router.now(), wanted, &retryLaterError{after: time.Second})
 		time.Sleep(time.Second + 2*retryGrace)
 		c.Assert(router.takeDemands(router.now()), qt.HasLen, 0)
 		c.Assert(state.deferredCallers, qt.HasLen, 0)
