Peers: a notice of a runner names its incarnation

Cause: a router that is told by a peer that the runner at an address is leaving took that for whichever runner it lists there, for good. Another may have the address by then. Change: notices carry the instance, and count only if it is listed at the address.

--- a/request/relay/peernotices.go
+++ b/request/relay/peernotices.go
@@ -43,7 +43,7 @@
 	var told []tunnel.Notice
 	r.notices.book.Unwilling(r.now(), func(instance string, cooldown time.Duration, isLeaving bool) {
 		if runner := r.fleet.Runner(instance); runner != nil {
-			told = append(told, tunnel.Notice{Runner: runner.Address, Cooldown: cooldown, IsLeaving: isLeaving})
+			told = append(told, tunnel.Notice{Runner: runner.Address, Instance: instance, Cooldown: cooldown, IsLeaving: isLeaving})
 		}
 	})
 	slices.SortFunc(told, func(a, b tunnel.Notice) int { return cmp.Compare(a.Runner, b.Runner) })
@@ -55,18 +55,23 @@
 func (r *Router) takeNotice(told tunnel.Notice) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if instance := r.fleet.InstanceAt(told.Runner); instance != "" {
-		r.noteNotice(structs.RunnerID(instance), notice.Notice{Cooldown: told.Cooldown, IsLeaving: told.IsLeaving})
+	if r.isListedAt(told) {
+		r.noteNotice(structs.RunnerID(told.Instance), notice.Notice{Cooldown: told.Cooldown, IsLeaving: told.IsLeaving})
 	}
 }
 
+// isListedAt reports whether the runner of a notice is listed at its address. The caller must hold r.mutex.
+func (r *Router) isListedAt(told tunnel.Notice) bool {
+	return told.Instance != "" && r.fleet.InstanceAt(told.Runner) == told.Instance
+}
+
 // tellPeer tells the peer through which an answer came what the runner said in it. The caller must hold r.mutex.
 func (r *Router) tellPeer(path paths.Path, runner structs.RunnerID, heard notice.Notice) {
 	listed := r.fleet.Runner(string(runner))
 	if path.IsDirect() || listed == nil || heard.Cooldown <= 0 && !r.isLeavingNews(path.Peer, runner, heard) {
 		return
 	}
-	told := tunnel.Notice{Runner: listed.Address, Cooldown: heard.Cooldown, IsLeaving: heard.IsLeaving}
+	told := tunnel.Notice{Runner: listed.Address, Instance: string(runner), Cooldown: heard.Cooldown, IsLeaving: heard.IsLeaving}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 		defer cancel()
@@ -93,10 +98,10 @@
 // for all, a cooldown for requests through that peer. The caller must hold r.mutex.
 func (r *Router) observePeerNotices(peer string, told []tunnel.Notice) {
 	for _, each := range told {
-		runner := structs.RunnerID(r.fleet.InstanceAt(each.Runner))
-		if runner == "" {
+		if !r.isListedAt(each) {
 			continue
 		}
+		runner := structs.RunnerID(each.Instance)
 		if each.IsLeaving {
 			r.noteNotice(runner, notice.Notice{IsLeaving: true})
 		}
--- a/request/tunnel/protocol.go
+++ b/request/tunnel/protocol.go
@@ -26,8 +26,9 @@
 // Notice is what a runner said of itself in an answer to a request that the peer's machine sent, its own or one through
 // a tunnel: the runner cannot tell them apart.
 type Notice struct {
-	// Runner is the address of the runner.
-	Runner string
+	// Runner is the address of the runner, and Instance its incarnation: another may have the address by now.
+	Runner   string
+	Instance string
 	// Cooldown is for how much longer the runner wants no requests of that machine; 0 for no cooldown.
 	Cooldown time.Duration
 	// IsLeaving is set if the runner takes no requests any more.
--- a/request/tunnel/tunnel_test.go
+++ b/request/tunnel/tunnel_test.go
@@ -318,7 +318,7 @@
 // What a runner says in an answer that goes through a tunnel must reach the peer, whose machine the runner means.
 func TestNoticeReachesPeer(t *testing.T) {
 	inBench(t, func(b *bench) {
-		told := Notice{Runner: runnerAddress, Cooldown: 3 * time.Second, IsLeaving: true}
+		told := Notice{Runner: runnerAddress, Instance: "i-1", Cooldown: 3 * time.Second, IsLeaving: true}
 		b.c.Assert(Tell(b.c.Context(), b.router, peerAddress, told), qt.IsNil)
 		b.c.Assert(b.told, qt.DeepEquals, []Notice{told})
 		b.memory.Cut(peerIP)
