Versions and retry budget, read once more: one question each, own names

- Whether all versions are certain is asked in one place; IsTaken asks InstanceAt.
- A request's field has the code's own name (FirstAttemptID) and not that of the header; a bound of one package is not exported; a comment says what Decide does.
No change of behaviour: tests and bounds are as they were.

--- a/placement/fleet/directory.go
+++ b/placement/fleet/directory.go
@@ -242,7 +242,7 @@
 func (d *Directory) InstanceAt(address string) string { return d.addresses[address] }
 
 // IsTaken reports whether a runner is listed at the address.
-func (d *Directory) IsTaken(address string) bool { return d.addresses[address] != "" }
+func (d *Directory) IsTaken(address string) bool { return d.InstanceAt(address) != "" }
 
 // Each calls visit for each runner that holds the model, or each runner of the service if key has
 // no model, until visit returns false. visit must not modify the runner.
--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -37,8 +37,7 @@
 	return [...]string{"none", "any", "version", "ask", "unknown", "gone"}[v]
 }
 
-// Decide decides how a stream goes on. A guess is never made: events of two versions are worth less than none, as
-// the client can begin anew.
+// Decide decides how a stream goes on. It never guesses a version: the client can begin the stream anew.
 func Decide(facts Facts) Verdict {
 	switch {
 	case facts.IsFound && facts.IsServed:
--- a/placement/versions/outbox.go
+++ b/placement/versions/outbox.go
@@ -13,8 +13,8 @@
 	replicas = 2
 	// failurePause is how long another registrar is used in place of one that failed.
 	failurePause = 5 * time.Second
-	// MaxBatch bounds the records of one message.
-	MaxBatch = 512
+	// maxBatch bounds the records of one message.
+	maxBatch = 512
 	// maxOwn bounds the records of a router; the oldest go first.
 	maxOwn = 50_000
 )
@@ -101,7 +101,7 @@
 // batch returns the records that a registrar lacks.
 func (o *Outbox) batch(now time.Time, address string, known *registrar) Batch {
 	batch := Batch{Address: address, next: max(known.sent, o.first)}
-	for batch.next < o.first+uint64(len(o.numbered)) && len(batch.Records) < MaxBatch {
+	for batch.next < o.first+uint64(len(o.numbered)) && len(batch.Records) < maxBatch {
 		next := o.numbered[batch.next-o.first]
 		batch.next++
 		if left := next.expiresAt.Sub(now); left > 0 {
--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -21,8 +21,8 @@
 // budget is one router's share of a RetryRule for one service. Create one with newBudget.
 type budget struct {
 	rule RetryRule
-	// extraFrom is when the router may begin to use its share of Extra.
-	extraFrom time.Time
+	// startedAt is when the router started.
+	startedAt time.Time
 	// origin is the time of the first call. Slots are counted from it by the monotonic clock, as
 	// the wall clock may jump.
 	origin  time.Time
@@ -38,18 +38,19 @@
 // countHold is how long a number of routers is kept after a report of fewer.
 func (r RetryRule) countHold() time.Duration { return routerCountTTL + r.Window }
 
-// newBudget returns the budget of a router that started at the given time. The process that it replaces may have used
-// the same share of Extra until then, so this one uses none until the retries of the other have left the window.
-func newBudget(rule RetryRule, startedAt time.Time) *budget {
-	return &budget{rule: rule, extraFrom: startedAt.Add(rule.Window)}
-}
-
-// extra returns the retries in a window that the router may use beyond Ratio of its own requests.
-func (b *budget) extra(now time.Time, count *routerCount) float64 {
-	if now.Before(b.extraFrom) {
+// share returns the retries in a window that a router that started at the given time may use beyond Ratio of its own
+// requests. The process that it replaces may have used the same share until then, so this one has none until the retries of
+// the other have left the window.
+func (r RetryRule) share(startedAt, now time.Time, count *routerCount) float64 {
+	if now.Before(startedAt.Add(r.Window)) {
 		return 0
 	}
-	return count.share(now, b.rule.Extra)
+	return count.share(now, r.Extra)
+}
+
+// newBudget returns the budget of a router that started at the given time.
+func newBudget(rule RetryRule, startedAt time.Time) *budget {
+	return &budget{rule: rule, startedAt: startedAt}
 }
 
 func (b *budget) addRequest(now time.Time) { b.currentSlot(now).requests++ }
@@ -64,7 +65,7 @@
 	}
 	// All slots together are longer than the window, in which these requests may not have arrived.
 	requests -= b.oldestSlot().requests
-	if float64(repeats+1) > b.rule.Ratio*float64(requests)+b.extra(now, count) {
+	if float64(repeats+1) > b.rule.Ratio*float64(requests)+b.rule.share(b.startedAt, now, count) {
 		return false
 	}
 	slot.repeats++
--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -35,7 +35,7 @@
 // caller must hold r.mutex.
 func (r *Router) observeRouterCount(at time.Time, routers int) {
 	r.routerCount.observe(at, routers, r.options.Retry.countHold())
-	extra := newBudget(r.options.Retry, r.startedAt).extra(r.now(), &r.routerCount)
+	extra := r.options.Retry.share(r.startedAt, r.now(), &r.routerCount)
 	if extra == r.retryExtra {
 		return
 	}
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -68,6 +68,9 @@
 	return !r.isLeaderStale() && !slices.Contains(r.streams.mixed, service)
 }
 
+// areVersionsCertain reports whether isVersionCertain holds for all services. The caller must hold r.mutex.
+func (r *Router) areVersionsCertain() bool { return !r.isLeaderStale() && len(r.streams.mixed) == 0 }
+
 // isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
 func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
 
@@ -96,7 +99,7 @@
 // noteRunningStreams adds the streams in progress whose version is not certain any more to the outbox. The caller must hold
 // r.mutex.
 func (r *Router) noteRunningStreams() {
-	if len(r.streams.mixed) == 0 && !r.isLeaderStale() {
+	if r.areVersionsCertain() {
 		return
 	}
 	for _, record := range r.streams.running {
@@ -131,10 +134,9 @@
 // sendNotes sends what the registrars lack. It returns the time until the next message; 0 if they lacked nothing.
 func (r *Router) sendNotes(ctx context.Context) time.Duration {
 	r.mutex.Lock()
-	isCertain := len(r.streams.mixed) == 0 && !r.isLeaderStale()
 	interval := max(minNoteInterval, time.Duration(r.routerCount.routers)*noteIntervalPerRouter)
 	var batches []versions.Batch
-	if !isCertain {
+	if !r.areVersionsCertain() {
 		batches = r.streams.outbox.Due(r.now(), r.streams.registrars)
 	}
 	r.mutex.Unlock()
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -19,7 +19,7 @@
 )
 
 // isTakenUp reports whether the client has events of the stream from an earlier attempt.
-func (r *Request) isTakenUp() bool { return r.Resumes != "" || r.ResumeAfter != NoEvent }
+func (r *Request) isTakenUp() bool { return r.FirstAttemptID != "" || r.ResumeAfter != NoEvent }
 
 // bindVersion decides at which software version a stream goes on that its client takes up. It answers the request and returns
 // false if that cannot be known, or no runner of the version is left.
@@ -32,7 +32,7 @@
 	if verdict == versions.VerdictAsk {
 		facts.IsAsked = true
 		var record versions.Record
-		if record, facts.IsFound = x.router.findStream(ctx, x.request.Resumes); facts.IsFound {
+		if record, facts.IsFound = x.router.findStream(ctx, x.request.FirstAttemptID); facts.IsFound {
 			x.adoptRecord(record, &facts)
 		}
 		verdict = versions.Decide(facts)
@@ -55,8 +55,8 @@
 func (x *exchange) localFacts() versions.Facts {
 	r := x.router
 	r.mutex.Lock()
-	facts := versions.Facts{IsNamed: x.request.Resumes != "", IsCertain: r.isVersionCertain(x.row.Service)}
-	record, isFound := r.streams.outbox.Find(r.now(), x.request.Resumes)
+	facts := versions.Facts{IsNamed: x.request.FirstAttemptID != "", IsCertain: r.isVersionCertain(x.row.Service)}
+	record, isFound := r.streams.outbox.Find(r.now(), x.request.FirstAttemptID)
 	r.mutex.Unlock()
 	if isFound {
 		facts.IsFound = true
@@ -92,7 +92,7 @@
 	if !isAllowed {
 		return
 	}
-	level.Info(x.router.logger).Log("msg", "A stream is taken up.", "request", x.request.ID, "resumes", x.request.Resumes, "service", x.row.Service,
+	level.Info(x.router.logger).Log("msg", "A stream is taken up.", "request", x.request.ID, "resumes", x.request.FirstAttemptID, "service", x.row.Service,
 		"model", x.row.Model, "last_event", x.request.ResumeAfter, "verdict", verdict, "began_at", facts.Version, "asked", facts.IsAsked,
 		"one_version", facts.IsCertain, "age", x.router.age(x.request), "not_logged", suppressed)
 }
@@ -132,7 +132,7 @@
 
 // streamRecord returns the record of the stream for routers at which it is taken up.
 func (x *exchange) streamRecord() versions.Record {
-	id := x.request.Resumes
+	id := x.request.FirstAttemptID
 	if id == "" {
 		id = x.request.ID
 	}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -31,8 +31,8 @@
 	Size Size
 	// ResumeAfter is the ID of the event after which a stream is resumed; NoEvent for none.
 	ResumeAfter int64
-	// Resumes is the ID of the caller's attempt that brought the first event of a stream that it takes up; empty for none.
-	Resumes string
+	// FirstAttemptID is the ID of the caller's attempt that brought the first event of a stream that it takes up; empty for none.
+	FirstAttemptID string
 }
 
 // digest identifies the content of the request. caller is the name of the tenant, or empty.
