Review case 1: a request without a body is sent twice by the transport (TWICE)

Tried: review/1/run.sh, POST without a body and with an Idempotency-Key of the client's on a non_idempotent route; one of two runners loses 1 in 20 of its answers for 4 s and resets.

--- /dev/null
+++ b/review/.standins/fleet/cases.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+var cases = map[string]func(*site, bool) (broken int, err error){
+	"replay": replay,
+	"extra":  extra,
+}
+
+const (
+	host     = "ficu95.example"
+	plain    = "xano55b"
+	oncePath = "/lohu930/"
+)
+
+// configuration has one route that is not idempotent, as the site's audio-fetch.
+func configuration(timeout time.Duration) map[string]any {
+	return map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{
+			"name": "r-2b9wu3f", "host": host, "path_prefix": oncePath, "route_kind": "non_idempotent", "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": 300, "priority": 2, "service": plain, "max_attempts": 1, "sticky": false, "resumable": false,
+		}},
+		"services": []any{map[string]any{"name": plain, "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+// begin starts the deployment and waits until it serves.
+func begin(s *site, routers, runners, slots, queue int, work, timeout time.Duration) error {
+	if err := s.start(3, routers); err != nil {
+		return err
+	}
+	for index := range runners {
+		if _, err := s.startRunner(21+index, plain, slots, queue, work); err != nil {
+			return err
+		}
+	}
+	if err := s.configure(configuration(timeout), 20*time.Second); err != nil {
+		return err
+	}
+	if err := s.awaitReady(20 * time.Second); err != nil {
+		return err
+	}
+	// Requests are served once the routers know the runners.
+	until := time.Now().Add(20 * time.Second)
+	for _, m := range s.routers {
+		c := &client{site: s, router: m}
+		for c.send("POST", host, oncePath+"warm", "", "warm", time.Second).status != 200 {
+			if time.Now().After(until) {
+				return fmt.Errorf("%s does not serve", m.name)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.close()
+	}
+	return nil
+}
+
+// every returns a function that is true each n-th time while isOn is set.
+func every(n int64, isOn *atomic.Bool) func() bool {
+	var count atomic.Int64
+	return func() bool { return isOn.Load() && count.Add(1)%n == 0 }
+}
+
+// judgeOnce counts the attempts that ran more than once, and those that were refused with a promise and ran.
+func judgeOnce(s *site, all []answered) (broken int) {
+	served, lost, twice, refused := 0, 0, 0, 0
+	for _, each := range all {
+		runs := s.record.runsOf(each.attempt)
+		switch {
+		case each.status == 200:
+			served++
+		case each.status != 503:
+			lost++
+		}
+		if len(runs) > 1 {
+			twice++
+			s.record.write("TWICE: %s ran at %v; the client got %d", each.attempt, runs, each.status)
+		}
+		switch each.status {
+		case 429, 503, 408, 421:
+			if len(runs) > 0 {
+				refused++
+				s.record.write("REFUSED: %s ran at %v; the client got %d", each.attempt, runs, each.status)
+			}
+		}
+	}
+	s.record.write("%d requests: %d served, %d without an answer or with another failure, %d run more than once, %d refused though run",
+		len(all), served, lost, twice, refused)
+	fmt.Printf("%d requests: %d served, %d without an answer or with another failure, %d run more than once, %d refused though run\n",
+		len(all), served, lost, twice, refused)
+	return twice + refused
+}
+
+// load has clients at each router send requests one after the other for a time. The requests of all clients begin at the
+// same moments, a beat apart.
+func load(s *site, perRouter int, length, beat, wait time.Duration, hasKey bool, body string) []answered {
+	var mutex sync.Mutex
+	var all []answered
+	var sending sync.WaitGroup
+	until := time.Now().Add(length)
+	for _, m := range s.routers {
+		for range perRouter {
+			sending.Go(func() {
+				c := &client{site: s, router: m}
+				defer c.close()
+				for time.Now().Before(until) {
+					got := c.send("POST", host, oncePath+"2f", keyHeader(hasKey), body, wait)
+					mutex.Lock()
+					all = append(all, got)
+					mutex.Unlock()
+					time.Sleep(time.Until(time.Now().Truncate(beat).Add(beat)))
+				}
+			})
+		}
+	}
+	sending.Wait()
+	time.Sleep(2 * time.Second)
+	return all
+}
+
+// keyHeader returns a header with a key of the client's own, or nothing.
+func keyHeader(hasKey bool) string {
+	if !hasKey {
+		return ""
+	}
+	return "Idempotency-Key: " + newAttempt() + "\r\n"
+}
+
+// replay: requests without a body whose client sends an Idempotency-Key, on a route that is not idempotent. For 4 s one
+// of two runners loses 1 in 20 of the answers to what it ran, and resets the connection.
+func replay(s *site, hasTrouble bool) (int, error) {
+	if err := begin(s, 3, 2, 6, 24, 20*time.Millisecond, 800*time.Millisecond); err != nil {
+		return 0, err
+	}
+	var isOn atomic.Bool
+	s.runners[0].loses = every(20, &isOn)
+	if hasTrouble {
+		time.AfterFunc(2*time.Second, func() { isOn.Store(true) })
+		time.AfterFunc(6*time.Second, func() { isOn.Store(false) })
+	}
+	all := load(s, 2, 9*time.Second, 80*time.Millisecond, 1500*time.Millisecond, true, "")
+	return judgeOnce(s, all), nil
+}
+
+// extra: for 5 s runners send 3 in 100 of their answers a second time, where the next answer is due.
+func extra(s *site, hasTrouble bool) (int, error) {
+	if err := begin(s, 3, 2, 3, 2, 25*time.Millisecond, 800*time.Millisecond); err != nil {
+		return 0, err
+	}
+	r := s.runners[0]
+	r.repeated = 0.03
+	if hasTrouble {
+		time.AfterFunc(2*time.Second, func() { r.repeats.Store(true) })
+		time.AfterFunc(7*time.Second, func() { r.repeats.Store(false) })
+	}
+	all := load(s, 8, 9*time.Second, 120*time.Millisecond, 1500*time.Millisecond, false, "body")
+	return judgeOnce(s, all), nil
+}
