Review case 3: an answer cut by the end of a tunnel's peer looks complete (MIXED)

Tried: review/3/run.sh, one of five runners loses the path to one of four routers, which reaches it by tunnels; a router through which they pass is killed once while answers without a length are in progress.

--- a/review/.standins/fleet/cases.go
+++ b/review/.standins/fleet/cases.go
@@ -2,19 +2,23 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 var cases = map[string]func(*site, bool) (broken int, err error){
 	"replay": replay,
 	"extra":  extra,
+	"tunnel": cutTunnel,
 }
 
 const (
 	host     = "ficu95.example"
 	plain    = "xano55b"
+	other    = "dele69a"
 	oncePath = "/lohu930/"
 )
 
@@ -44,6 +48,11 @@
 	if err := s.configure(configuration(timeout), 20*time.Second); err != nil {
 		return err
 	}
+	return s.awaitServing()
+}
+
+// awaitServing waits until each router serves.
+func (s *site) awaitServing() error {
 	if err := s.awaitReady(20 * time.Second); err != nil {
 		return err
 	}
@@ -163,3 +172,106 @@
 	all := load(s, 8, 9*time.Second, 120*time.Millisecond, 1500*time.Millisecond, false, "body")
 	return judgeOnce(s, all), nil
 }
+
+// cutTunnel: one of five runners, the only one of its service, loses the path to one of four routers, which reaches it
+// through the others. One of those is killed while answers without a length pass through it.
+func cutTunnel(s *site, hasTrouble bool) (int, error) {
+	if err := s.start(3, 4); err != nil {
+		return 0, err
+	}
+	for index := range 5 {
+		service := plain
+		if index > 0 {
+			service = other
+		}
+		if _, err := s.startRunner(21+index, service, 12, 24, 20*time.Millisecond); err != nil {
+			return 0, err
+		}
+	}
+	made := configuration(3 * time.Second)
+	made["services"] = append(made["services"].([]any), map[string]any{"name": other, "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false})
+	if err := s.configure(made, 20*time.Second); err != nil {
+		return 0, err
+	}
+	if err := s.awaitServing(); err != nil {
+		return 0, err
+	}
+	r, behind := s.runners[0], s.routers[0]
+	r.pause = 300 * time.Millisecond
+	// through counts the connections of each process at the runner.
+	var mutex sync.Mutex
+	through := make(map[*machine]int)
+	r.setRefuses(func(conn net.Conn) bool {
+		from := s.ownerOf(conn)
+		if from == nil {
+			return false
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		if from == behind {
+			return true
+		}
+		through[from]++
+		return false
+	})
+	s.record.write("the path between %s and %s is cut", behind.name, r.id)
+	kill := func() {
+		mutex.Lock()
+		var peer *machine
+		for _, m := range s.routers {
+			if through[m] > through[peer] {
+				peer = m
+			}
+		}
+		mutex.Unlock()
+		if peer == nil {
+			s.record.write("no router passes requests on")
+			return
+		}
+		s.record.write("%s is killed", peer.name)
+		peer.signal(syscall.SIGKILL)
+		<-peer.ended
+		time.Sleep(500 * time.Millisecond)
+		_ = s.startMachine(peer)
+	}
+	if hasTrouble {
+		time.AfterFunc(6*time.Second, kill)
+	}
+	var all []answered
+	var sending sync.WaitGroup
+	until := time.Now().Add(10 * time.Second)
+	for range 8 {
+		sending.Go(func() {
+			c := &client{site: s, router: behind}
+			defer c.close()
+			for time.Now().Before(until) {
+				got := c.send("POST", host, oncePath+"2f", "", "body", 3*time.Second)
+				mutex.Lock()
+				all = append(all, got)
+				mutex.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	sending.Wait()
+	return judgeWhole(s, all), nil
+}
+
+// judgeWhole counts the successes whose body is not the runner's whole body.
+func judgeWhole(s *site, all []answered) (broken int) {
+	served := 0
+	for _, each := range all {
+		if each.status/100 != 2 {
+			continue
+		}
+		served++
+		if whole := s.runners[0].body(each.attempt); each.body != whole {
+			broken++
+			s.record.write("MIXED: %s got %d with the signature %q and %d of the %d bytes of the body", each.attempt, each.status,
+				each.header.Get("X-Server-Seal"), len(each.body), len(whole))
+		}
+	}
+	s.record.write("%d requests: %d served, %d of them with a part of the body", len(all), served, broken)
+	fmt.Printf("%d requests: %d served, %d of them with a part of the body\n", len(all), served, broken)
+	return broken
+}
--- a/review/.standins/fleet/runner.go
+++ b/review/.standins/fleet/runner.go
@@ -36,6 +36,12 @@
 	// due is how many copies may still be sent.
 	due float64
 
+	// refuses decides whether a connection is cut off and reset. Nil means never.
+	refuses atomic.Pointer[func(net.Conn) bool]
+	// pause, if it is not 0, has answers come in two parts, that far apart, without a length: they end with their
+	// connection.
+	pause time.Duration
+
 	mutex   sync.Mutex
 	conns   map[net.Conn]bool
 	taken   int
@@ -68,6 +74,19 @@
 	}
 }
 
+// setRefuses cuts off those connections, open and new ones, for which refuses returns true.
+func (r *runner) setRefuses(refuses func(net.Conn) bool) {
+	r.refuses.Store(&refuses)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for conn := range r.conns {
+		if refuses(conn) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}
+}
+
 // beat registers the runner about every heartbeat_ms.
 func (r *runner) beat() {
 	for {
@@ -99,6 +118,11 @@
 		if err != nil {
 			return
 		}
+		if refuses := r.refuses.Load(); refuses != nil && (*refuses)(conn) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			continue
+		}
 		r.mutex.Lock()
 		r.conns[conn] = true
 		r.mutex.Unlock()
@@ -138,6 +162,10 @@
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
 		}
+		if r.pause > 0 && bytes.HasPrefix(answer, []byte("HTTP/1.1 200")) && request.Header.Get("X-Attempt-Id") != "" {
+			r.writeUnframed(conn, request, answer)
+			return
+		}
 		if _, err := conn.Write(answer); err != nil {
 			return
 		}
@@ -148,6 +176,24 @@
 	}
 }
 
+// writeUnframed writes an answer without a length in two parts, and ends it with the connection.
+func (r *runner) writeUnframed(conn net.Conn, request *http.Request, answer []byte) {
+	head, body, _ := bytes.Cut(answer, []byte("\r\n\r\n"))
+	head = head[:bytes.LastIndex(head, []byte("Content-Length"))]
+	attempt := request.Header.Get("X-Attempt-Id")
+	half := len(body) / 2
+	first := append(append(head, "Connection: close\r\n\r\n"...), body[:half]...)
+	if _, err := conn.Write(first); err != nil {
+		return
+	}
+	time.Sleep(r.pause)
+	if _, err := conn.Write(body[half:]); err != nil {
+		r.site.record.write("runner %s cannot write the rest of its answer to %s: %v", r.id, attempt, err)
+		return
+	}
+	r.site.record.write("runner %s has written its whole answer to %s", r.id, attempt)
+}
+
 // takesCopy reports whether a second copy of the last answer is sent before the next request is taken.
 func (r *runner) takesCopy() bool {
 	r.mutex.Lock()
@@ -194,13 +240,16 @@
 	if r.loses != nil && r.loses() {
 		return nil, true
 	}
-	body := "answer of " + r.id + " to " + attempt + "\n"
+	body := r.body(attempt)
 	if request.Method == http.MethodHead {
 		body = ""
 	}
 	return respond(200, attempt, "X-Server-Seal: seal."+r.id+"."+attempt+"\r\n", body), false
 }
 
+// body returns the body of the answer to an attempt.
+func (r *runner) body(attempt string) string { return "answer of " + r.id + " to " + attempt + "\n" }
+
 func respond(status int, attempt, more, body string) []byte {
 	if attempt != "" {
 		more = "X-Attempt-Id: " + attempt + "\r\n" + more
