--- a/review/.standins/fleet/record.go
+++ b/review/.standins/fleet/record.go
@@ -33,8 +33,8 @@
 }
 
 // ran records that a runner began work on a request.
-func (r *record) ran(attempt, runner string) {
-	r.write("runner %s runs %s", runner, attempt)
+func (r *record) ran(attempt, runner, line string) {
+	r.write("runner %s runs %s (%s)", runner, attempt, line)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.runs[attempt] = append(r.runs[attempt], runner)
--- a/review/.standins/fleet/runner.go
+++ b/review/.standins/fleet/runner.go
@@ -231,7 +231,7 @@
 		return respond(503, attempt, "X-Not-Executed: 1\r\n", ""), false
 	}
 	r.working <- struct{}{}
-	r.site.record.ran(attempt, r.id)
+	r.site.record.ran(attempt, r.id, request.Method+" "+request.RequestURI)
 	time.Sleep(r.work)
 	<-r.working
 	r.mutex.Lock()
