Review case 3: six routers as on the site, and the processes always ended

Tried: one of five runners loses the path to one of six routers; the router with the most open connections to the runner is killed once.

--- a/review/.standins/fleet/cases.go
+++ b/review/.standins/fleet/cases.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -174,10 +174,10 @@
 	return judgeOnce(s, all), nil
 }
 
-// cutTunnel: one of five runners, the only one of its service, loses the path to one of four routers, which reaches it
+// cutTunnel: one of five runners, the only one of its service, loses the path to one of six routers, which reaches it
 // through the others. One of those is killed while answers without a length pass through it, unless TROUBLE=cut.
 func cutTunnel(s *site, hasTrouble bool) (int, error) {
-	if err := s.start(3, 4); err != nil {
+	if err := s.start(3, 6); err != nil {
 		return 0, err
 	}
 	for index := range 5 {
@@ -199,48 +199,26 @@
 	}
 	r, behind := s.runners[0], s.routers[0]
 	r.pause = 300 * time.Millisecond
-	// through counts the connections of each process at the runner.
-	var mutex sync.Mutex
-	through := make(map[*machine]int)
-	cut := func(conn net.Conn) bool {
-		from := s.ownerOf(conn)
-		if from == nil {
-			return false
-		}
-		mutex.Lock()
-		defer mutex.Unlock()
-		if from == behind {
-			return true
-		}
-		through[from]++
-		return false
-	}
+	cut := func(conn net.Conn) bool { return s.ownerOf(conn) == behind }
 	if hasTrouble {
 		r.setRefuses(cut)
 		s.record.write("the path between %s and %s is cut", behind.name, r.id)
 	}
 	kill := func() {
-		mutex.Lock()
-		var peer *machine
-		for _, m := range s.routers {
-			if through[m] > through[peer] {
-				peer = m
-			}
-		}
-		mutex.Unlock()
+		peer := r.busiestPeer()
 		if peer == nil {
 			s.record.write("no router passes requests on")
 			return
 		}
 		s.record.write("%s is killed", peer.name)
-		peer.signal(syscall.SIGKILL)
-		<-peer.ended
+		peer.end()
 		time.Sleep(500 * time.Millisecond)
 		_ = s.startMachine(peer)
 	}
 	if hasTrouble && os.Getenv("TROUBLE") != "cut" {
 		time.AfterFunc(6*time.Second, kill)
 	}
+	var mutex sync.Mutex
 	var all []answered
 	var sending sync.WaitGroup
 	until := time.Now().Add(10 * time.Second)
@@ -253,7 +231,7 @@
 				mutex.Lock()
 				all = append(all, got)
 				mutex.Unlock()
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(rand.N(200 * time.Millisecond))
 			}
 		})
 	}
--- a/review/.standins/fleet/runner.go
+++ b/review/.standins/fleet/runner.go
@@ -87,6 +87,22 @@
 	}
 }
 
+// busiestPeer returns the machine that has the most open connections to the runner; nil if there is none.
+func (r *runner) busiestPeer() (peer *machine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	open := make(map[*machine]int)
+	for conn := range r.conns {
+		if from := r.site.ownerOf(conn); from != nil {
+			open[from]++
+			if open[from] > open[peer] {
+				peer = from
+			}
+		}
+	}
+	return peer
+}
+
 // beat registers the runner about every heartbeat_ms.
 func (r *runner) beat() {
 	for {
@@ -118,16 +134,21 @@
 		if err != nil {
 			return
 		}
-		if refuses := r.refuses.Load(); refuses != nil && (*refuses)(conn) {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-			continue
-		}
-		r.mutex.Lock()
-		r.conns[conn] = true
-		r.mutex.Unlock()
-		go r.serve(conn)
+		go r.admit(conn)
+	}
+}
+
+// admit serves a connection, or resets it if it is cut off.
+func (r *runner) admit(conn net.Conn) {
+	if refuses := r.refuses.Load(); refuses != nil && (*refuses)(conn) {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+		return
 	}
+	r.mutex.Lock()
+	r.conns[conn] = true
+	r.mutex.Unlock()
+	r.serve(conn)
 }
 
 // serve serves one request at a time on a connection.
--- a/review/.standins/fleet/site.go
+++ b/review/.standins/fleet/site.go
@@ -60,8 +60,18 @@
 // machine is a process of the system.
 type machine struct {
 	name, role, ip, zone, settings string
-	command                        *exec.Cmd
-	ended                          chan struct{}
+
+	mutex sync.Mutex
+	// process is that of the last start, nil before the first; ended is closed when it has ended.
+	process *os.Process
+	ended   chan struct{}
+}
+
+// current returns the process of the last start, which may have ended.
+func (m *machine) current() (process *os.Process, ended chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.process, m.ended
 }
 
 // site is a small deployment: controllers, routers, runners, an operator.
@@ -188,51 +198,51 @@
 		return err
 	}
 	defer log.Close()
-	m.command = exec.Command(s.binary, m.role)
-	m.command.Env = append(os.Environ(), "LOTUSFERRY_SETTINGS="+m.settings)
-	m.command.Stdout, m.command.Stderr = log, log
-	if err := m.command.Start(); err != nil {
+	command := exec.Command(s.binary, m.role)
+	command.Env = append(os.Environ(), "LOTUSFERRY_SETTINGS="+m.settings)
+	command.Stdout, command.Stderr = log, log
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := command.Start(); err != nil {
 		return err
 	}
-	m.ended = make(chan struct{})
-	go func(command *exec.Cmd, ended chan struct{}) {
+	ended := make(chan struct{})
+	m.process, m.ended = command.Process, ended
+	s.notePID(command.Process.Pid)
+	go func() {
 		err := command.Wait()
 		s.record.write("process %s ended: %v", m.name, err)
 		close(ended)
-	}(m.command, m.ended)
+	}()
 	s.record.write("process %s started", m.name)
 	return nil
 }
 
-func (m *machine) signal(signal syscall.Signal) {
-	select {
-	case <-m.ended:
-	default:
-		_ = m.command.Process.Signal(signal)
+// notePID adds a process to the file from which run.sh ends what this program has left behind.
+func (s *site) notePID(pid int) {
+	file, err := os.OpenFile(filepath.Join(s.folder, "pids"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
 	}
+	defer file.Close()
+	_, _ = fmt.Fprintln(file, pid)
 }
 
-func (m *machine) isRunning() bool {
-	select {
-	case <-m.ended:
-		return false
-	default:
-		return true
+// end sends SIGKILL to the machine's process and waits until it has ended.
+func (m *machine) end() {
+	process, ended := m.current()
+	if process == nil {
+		return
 	}
+	_ = process.Signal(syscall.SIGKILL)
+	<-ended
 }
 
 // close ends all processes and runners.
 func (s *site) close() {
 	var ending sync.WaitGroup
 	for _, m := range append(append([]*machine{}, s.controllers...), s.routers...) {
-		if m.command == nil || m.command.Process == nil {
-			continue
-		}
-		ending.Go(func() {
-			m.signal(syscall.SIGCONT)
-			m.signal(syscall.SIGKILL)
-			<-m.ended
-		})
+		ending.Go(m.end)
 	}
 	for _, r := range s.runners {
 		r.close()
