--- a/review/.standins/fleet/cases.go
+++ b/review/.standins/fleet/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -79,7 +80,7 @@
 }
 
 // judgeOnce counts the attempts that ran more than once, and those that were refused with a promise and ran.
-func judgeOnce(s *site, all []answered) (broken int) {
+func judgeOnce(s *site, all []answered) (broken int, err error) {
 	served, lost, twice, refused := 0, 0, 0, 0
 	for _, each := range all {
 		runs := s.record.runsOf(each.attempt)
@@ -105,7 +106,17 @@
 		len(all), served, lost, twice, refused)
 	fmt.Printf("%d requests: %d served, %d without an answer or with another failure, %d run more than once, %d refused though run\n",
 		len(all), served, lost, twice, refused)
-	return twice + refused
+	return twice + refused, checkServed(served)
+}
+
+// errNotServed means that nothing can be told, as no request was served.
+var errNotServed = errors.New("no request was served")
+
+func checkServed(served int) error {
+	if served == 0 {
+		return errNotServed
+	}
+	return nil
 }
 
 // load has clients at each router send requests one after the other for a time. The requests of all clients begin at the
@@ -156,7 +167,7 @@
 		time.AfterFunc(6*time.Second, func() { isOn.Store(false) })
 	}
 	all := load(s, 2, 9*time.Second, 80*time.Millisecond, 1500*time.Millisecond, true, "")
-	return judgeOnce(s, all), nil
+	return judgeOnce(s, all)
 }
 
 // extra: for 5 s runners send 3 in 100 of their answers a second time, where the next answer is due.
@@ -171,7 +182,7 @@
 		time.AfterFunc(7*time.Second, func() { r.repeats.Store(false) })
 	}
 	all := load(s, 8, 9*time.Second, 120*time.Millisecond, 1500*time.Millisecond, false, "body")
-	return judgeOnce(s, all), nil
+	return judgeOnce(s, all)
 }
 
 // cutTunnel: one of five runners, the only one of its service, loses the path to one of six routers, which reaches it
@@ -236,11 +247,11 @@
 		})
 	}
 	sending.Wait()
-	return judgeWhole(s, all), nil
+	return judgeWhole(s, all)
 }
 
 // judgeWhole counts the successes whose body is not the runner's whole body.
-func judgeWhole(s *site, all []answered) (broken int) {
+func judgeWhole(s *site, all []answered) (broken int, err error) {
 	served := 0
 	for _, each := range all {
 		if each.status/100 != 2 {
@@ -255,5 +266,5 @@
 	}
 	s.record.write("%d requests: %d served, %d of them with a part of the body", len(all), served, broken)
 	fmt.Printf("%d requests: %d served, %d of them with a part of the body\n", len(all), served, broken)
-	return broken
+	return broken, checkServed(served)
 }
