--- a/review/.standins/fleet/client.go
+++ b/review/.standins/fleet/client.go
@@ -12,7 +12,7 @@
 
 // answered is what a client got for an attempt.
 type answered struct {
-	attempt string
+	attempt, method string
 	// status is 0 if the connection ended without an answer.
 	status int
 	header http.Header
@@ -50,7 +50,7 @@
 
 // send sends one attempt and reads its answer. headers ends with \r\n unless it is empty.
 func (c *client) send(method, host, path, headers, body string, wait time.Duration) answered {
-	got := answered{attempt: newAttempt()}
+	got := answered{attempt: newAttempt(), method: method}
 	if err := c.connect(); err != nil {
 		c.site.record.write("client: %s does not accept a connection: %v", c.router.name, err)
 		return got
