Tunnels: the end of a killed peer is no longer the end of an answer

Cause: an answer without a length ends with its connection. A router that is cut off from the runner reads it through a peer's tunnel, and the system ends the connections of a killed process with a FIN, which the router cannot tell from the runner's end.

Change: what a runner sends comes through the tunnel in frames, and the runner's end is a frame too. The router asks for frames in its question and the peer says so in its answer. A router of the version before gets plain bytes; a peer of the version before is asked, at the end, whether it still runs.

Weighed: resetting the connections from the start (SetLinger(0)), docs/design/peer-tunnels.md.

--- a/request/tunnel/client.go
+++ b/request/tunnel/client.go
@@ -25,7 +25,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
 	_ = conn.SetDeadline(time.Now().Add(targetTimeout))
-	tunneled, err := ask(conn, peer, runner)
+	tunneled, err := ask(conn, over, peer, runner)
 	if err == nil && !stop() {
 		// The deadline of an ended ctx may still be set.
 		err = context.Cause(ctx)
@@ -48,8 +48,9 @@
 }
 
 // ask sends the question for a tunnel and reads the answer.
-func ask(conn net.Conn, peer, runner string) (net.Conn, error) {
-	question := &http.Request{Method: http.MethodConnect, Host: runner, URL: &url.URL{Opaque: runner}, Header: http.Header{}}
+func ask(conn net.Conn, over network.Network, peer, runner string) (net.Conn, error) {
+	header := http.Header{framingHeader: {framingVersion}}
+	question := &http.Request{Method: http.MethodConnect, Host: runner, URL: &url.URL{Opaque: runner}, Header: header}
 	if err := question.Write(conn); err != nil {
 		return nil, &Error{peer, CausePeer, err}
 	}
@@ -60,31 +61,16 @@
 	}
 	switch answer.StatusCode {
 	case http.StatusOK:
-		return &bufferedConn{Conn: conn, reader: reader}, nil
+		if answer.Header.Get(framingHeader) == framingVersion {
+			return &framedConn{Conn: conn, reader: reader}, nil
+		}
+		return &unframedConn{Conn: conn, reader: reader, network: over, peer: peer}, nil
 	case http.StatusBadGateway, http.StatusForbidden:
 		return nil, &Error{peer, CauseRunner, errors.New(answer.Status)}
 	}
 	return nil, &Error{peer, CauseRejected, errors.New(answer.Status)}
 }
 
-// bufferedConn is a connection of which a reader has read ahead.
-type bufferedConn struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
-// Read implements net.Conn.
-func (c *bufferedConn) Read(buffer []byte) (int, error) {
-	if c.reader == nil {
-		return c.Conn.Read(buffer)
-	}
-	if c.reader.Buffered() == 0 {
-		c.reader = nil
-		return c.Conn.Read(buffer)
-	}
-	return c.reader.Read(buffer)
-}
-
 // Tell sends a notice of a runner to the peer through which it was heard.
 func Tell(ctx context.Context, over network.Network, peer string, told Notice) error {
 	conn, err := dialPeer(ctx, over, peer)
--- a/request/tunnel/copy.go
+++ b/request/tunnel/copy.go
@@ -15,10 +15,22 @@
 func (l *link) copyBothWays(fromRouter io.Reader) {
 	var copying sync.WaitGroup
 	copying.Go(func() { l.end(copyUntilEnd(l.runner, fromRouter)) })
-	copying.Go(func() { l.end(copyUntilEnd(l.router, l.runner)) })
+	copying.Go(func() { l.end(l.copyFromRunner()) })
 	copying.Wait()
 }
 
+// copyFromRunner copies what the runner sends. A router that reads frames is told if the runner ended the connection.
+func (l *link) copyFromRunner() error {
+	if !l.isFramed {
+		return copyUntilEnd(l.router, l.runner)
+	}
+	frames := &frameWriter{to: l.router}
+	if err := copyUntilEnd(frames, l.runner); err != nil {
+		return err
+	}
+	return frames.writeEnd()
+}
+
 // end closes both connections. The first call decides how.
 func (l *link) end(err error) {
 	if err != nil {
--- a/request/tunnel/server.go
+++ b/request/tunnel/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -62,7 +63,11 @@
 }
 
 // link is the two connections of a tunnel.
-type link struct{ router, runner net.Conn }
+type link struct {
+	router, runner net.Conn
+	// isFramed is set if the router reads frames.
+	isFramed bool
+}
 
 // NewServer returns a Server. Serve starts it.
 func NewServer(options Options) *Server {
@@ -159,7 +164,7 @@
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	opened := &link{router: router, runner: runner}
+	opened := &link{router: router, runner: runner, isFramed: request.Header.Get(framingHeader) == framingVersion}
 	if !s.add(opened) {
 		reset(router)
 		reset(runner)
@@ -167,7 +172,7 @@
 	}
 	defer s.remove(opened)
 	s.options.Observe(outcomeOpened)
-	if _, err := router.Write([]byte("HTTP/1.1 200 Connected\r\n\r\n")); err != nil {
+	if _, err := io.WriteString(router, opened.acceptance()); err != nil {
 		reset(router)
 		reset(runner)
 		return
@@ -176,6 +181,14 @@
 	opened.copyBothWays(buffered.Reader)
 }
 
+// acceptance returns the answer to the question for a tunnel.
+func (l *link) acceptance() string {
+	if l.isFramed {
+		return "HTTP/1.1 200 Connected\r\n" + framingHeader + ": " + framingVersion + "\r\n\r\n"
+	}
+	return "HTTP/1.1 200 Connected\r\n\r\n"
+}
+
 // rejection returns why a tunnel is rejected, with the status of the answer; an empty outcome accepts it.
 func (s *Server) rejection(address string) (outcome string, status int) {
 	own := s.options.Status()
