A runner is not blamed for answers that are lost with a peer

What operators saw: an attempt whose peer was killed ended as cut_short, a failure of the runner: its breaker counted it, and the content of the request was suspected of crashing runners.

Cause: whether the peer or the runner was lost could not be told. With frames it can: the tunnel's end without the runner's is the peer's.

Change: such an attempt ends as peer_lost, which is neutral for the runner. Repeats and continuations are as before: both are losses.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -43,7 +43,7 @@
 	x.router.observeAnswer(choice, watchdog.path, sent, answer)
 	watchdog.resetSilence()
 	defer answer.Body.Close()
-	ended := x.receive(ctx, choice, answer, watchdog)
+	ended := x.receive(ctx, choice, answer, watchdog).withPeerLoss()
 	x.noteLostPeer(watchdog.path, ended)
 	if ended.reason != "" || x.sent > 1 {
 		x.logAttempt(choice, answer.Status, ended)
@@ -91,6 +91,7 @@
 	if ctx.Err() != nil {
 		ended = x.contextResult(ctx, ended)
 	}
+	ended = ended.withPeerLoss()
 	x.noteLostPeer(path, ended)
 	x.logAttempt(choice, 0, ended)
 	return ended
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"errors"
+
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/tunnel"
 )
 
 const (
@@ -74,5 +77,13 @@
 	return false
 }
 
+// withPeerLoss returns the result of an attempt at whose loss the peer, and not the runner, ended the connection.
+func (r result) withPeerLoss() result {
+	if r.isLoss() && errors.Is(r.err, tunnel.ErrPeerEnded) {
+		r.reason, r.outcome = reasonPeerLost, routing.OutcomeNeutral
+	}
+	return r
+}
+
 // isServed reports whether the caller received the complete response of a runner.
 func (r result) isServed() bool { return r.isDone && r.reason == "" }
