Callers that have left get no success

Cause: net/http ends a request's context at the end of the caller's input. Requests that end for it returned from the handler without an answer (giveUp, contextResult, writes that fail), and net/http completes what a handler leaves open: with 200, or with the last chunk.

Change: such a request aborts the connection, as an answer that is cut does. Nothing else ends for it: a caller that closes its sending side still counts as one that has left, since nothing tells the two apart before the next write, and runners must not work on for callers who left.

Ruled out for the same cause: rejections while a tenant's limit is asked for (503, and the request has not run), requests that are not read whole (aborted before), the own API (request/api answers an error, and its streams end with [DONE] alone; request/engineapi asks for a finish reason).

TestCallerLeavesBeforeContinuationIsSent asked that the begun stream of a caller that left be ended in good order; it asks for the abort now, and counts as before.

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -53,7 +53,7 @@
 	x.handover.End()
 	x.sendHeader(answer)
 	if _, err := x.writer.Write(begun); err != nil {
-		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: err}
+		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: err}
 	}
 	if _, err := io.Copy(x.writer, answer.Body); err != nil {
 		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -125,7 +125,7 @@
 		ended.reason = "router_stops"
 		ended.outcome = routing.OutcomeNeutral
 	default:
-		ended.reason = "caller_left"
+		ended.reason = reasonCallerLeft
 		ended.outcome = routing.OutcomeNeutral
 		ended.isDone = true
 	}
--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -21,13 +21,17 @@
 	case errors.Is(err, errTimeout):
 		last.reason, last.err = reasonNoRunner, err
 	default:
-		x.count("caller_left")
-		x.logUnserved("caller_left", err)
-		return
+		x.count(reasonCallerLeft)
+		x.logUnserved(reasonCallerLeft, err)
+		x.abort()
 	}
 	x.conclude(last)
 }
 
+// abort closes the caller's connection without the answer, or without the rest of it. A caller that has left may have closed its
+// sending side alone, and net/http would send it an empty success, or the end of a stream.
+func (x *exchange) abort() { panic(http.ErrAbortHandler) }
+
 // conclude answers a request after its last attempt.
 func (x *exchange) conclude(ended result) {
 	if ended.answer != nil && !x.isStarted {
@@ -60,7 +64,7 @@
 func (x *exchange) answerUnserved(retryAfter time.Duration, message string) {
 	switch {
 	case x.isStarted:
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case x.attempts == 0:
 		reject(x.writer, http.StatusServiceUnavailable, retryAfter, message)
 	case x.timeLeft() <= 0:
--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -454,7 +454,7 @@
 }
 
 // A request whose caller leaves while the connection for its continuation is made is counted once, as one
-// whose caller left. Concluding it as lost as well would count it twice.
+// whose caller left. Concluding it as lost as well would count it twice. Its answer has begun and must not look complete.
 func TestCallerLeavesBeforeContinuationIsSent(t *testing.T) {
 	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
 		ctx, leave := context.WithCancel(t.Context())
@@ -469,7 +469,7 @@
 			return notSent()
 		}
 		_, aborted := r.ask(ctx, copiedPath)
-		c.Assert(aborted, qt.IsFalse)
+		c.Assert(aborted, qt.IsTrue)
 		c.Assert(r.countedRequests(), qt.DeepEquals, map[string]float64{"caller_left": 1})
 	})
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -119,7 +119,8 @@
 }
 
 // Serve handles a request. It panics with http.ErrAbortHandler if a response that has started
-// cannot be completed, so that it is not mistaken for a complete one.
+// cannot be completed, or if the caller has left, so that what the caller reads is not mistaken for a
+// complete response.
 func (r *Router) Serve(writer http.ResponseWriter, request *Request) {
 	r.metrics.inFlight.Inc()
 	defer r.metrics.inFlight.Dec()
@@ -228,6 +229,9 @@
 		if !given.isTrial() {
 			last = x.continueStream(ctx, choice.Runner(), last)
 		}
+		if last.isDone && !last.isServed() {
+			x.abort()
+		}
 		if last.isDone {
 			return
 		}
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -31,6 +31,8 @@
 	reasonRunnerFailed = "runner_failed"
 	// reasonCutShort means that the response was truncated.
 	reasonCutShort = "cut_short"
+	// reasonCallerLeft means that the caller closed its connection, or the sending side of it, or did not take the response.
+	reasonCallerLeft = "caller_left"
 	// reasonNoCopy means that the runner has no copy from which the stream could be continued,
 	// reasonNotResumed that the answer is not the rest of a stream, and reasonNotContinuous that its
 	// events do not follow the last one that the caller has.
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -33,7 +33,7 @@
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
 			}
 			if failure != nil {
-				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: "caller_left", err: failure}
+				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: failure}
 			}
 			if x.lastEvent != lastEvent {
 				watchdog.noteEvents()
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -132,7 +132,7 @@
 		var isSettled bool
 		if verdict, isSettled = r.limits.await(ctx, waiter, settled, min(limitWait, fraction(ticket.Deadline.Sub(r.now()), maxWaitShare))); !isSettled {
 			if ctx.Err() != nil {
-				return admission{}, &tenantRejection{status: http.StatusServiceUnavailable, outcome: "caller_left", message: "the caller has left"}
+				return admission{}, &tenantRejection{status: http.StatusServiceUnavailable, outcome: reasonCallerLeft, message: "the caller has left"}
 			}
 			return admission{}, &tenantRejection{
 				status: http.StatusServiceUnavailable, retryAfter: unconfirmedRetryAfter, outcome: "limit_unknown",
