A caller that leaves amid a large answer is not a loss of its runner

What operators saw: an attempt whose caller left amid an answer of more than 1 MiB ended as cut_short, so that the runner's breaker counted a failure and the content of the request was suspected of crashing runners.

Cause: relayLarge took every error of the copy for the runner's, also that of the caller's connection or of the request's end.

Change: an error after the request's end is the end's, as for smaller answers and streams.

Evidence: TestCallerLeavesAmidLargeAnswer failed before (counted cut_short).

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -32,7 +32,7 @@
 		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	case len(body) > maxBuffered:
 		watchdog.stop()
-		return x.relayLarge(answer, body)
+		return x.relayLarge(ctx, answer, body)
 	}
 	whole := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
@@ -48,14 +48,18 @@
 }
 
 // relayLarge forwards a response that exceeds maxBuffered. begun holds the bytes read so far.
-func (x *exchange) relayLarge(answer *Answer, begun []byte) result {
+func (x *exchange) relayLarge(ctx context.Context, answer *Answer, begun []byte) result {
 	// The events of a continuation cannot follow a body that is no stream.
 	x.handover.End()
 	x.sendHeader(answer)
 	if _, err := x.writer.Write(begun); err != nil {
 		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: err}
 	}
-	if _, err := io.Copy(x.writer, answer.Body); err != nil {
+	_, err := io.Copy(x.writer, answer.Body)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
+	case err != nil:
 		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
 	}
 	return result{outcome: routing.OutcomeSuccess, isDone: true}
--- a/request/relay/continuity_failures_test.go
+++ b/request/relay/continuity_failures_test.go
@@ -512,6 +512,25 @@
 	})
 }
 
+// Guards against a runner that is blamed for a caller that leaves amid a large answer: the request would be suspected of crashing
+// runners.
+func TestCallerLeavesAmidLargeAnswer(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		r.runners.answer = func(ctx context.Context, _ int, _ *Attempt) (*Answer, error) {
+			answer, err := newAnswer(http.StatusOK, "")
+			begun := strings.NewReader(strings.Repeat("x", maxBuffered+10))
+			answer.Body, answer.Length = io.NopCloser(io.MultiReader(begun, silentBody{ctx})), -1
+			return answer, err
+		}
+		time.AfterFunc(time.Second, leave)
+		_, aborted := r.ask(ctx, copiedPath)
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(r.countedRequests(), qt.DeepEquals, map[string]float64{reasonCallerLeft: 1})
+	})
+}
+
 // slowCaller is a caller that takes its fourth event late.
 type slowCaller struct {
 	*httptest.ResponseRecorder
