A request is sent over a connection only once

Cause: a request that a runner rejected is sent to it again, over the connection on which it was rejected if that is the one that http.Transport kept last. A late copy of the rejection comes where the answer to the second send is due, bears the right ID, and is believed while the runner runs the request.

Weighed: closing each connection on which a runner rejected something (rejections come in masses under load, and new connections are priced); a pool of its own for repeats (another set of connections to each runner, and no certainty for a third send).

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -34,7 +34,7 @@
 		Peer: watchdog.path.Peer, Service: x.row.Service,
 		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
 		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
-		CopyTo: x.copied.address(), IsContinuation: x.isContinuing,
+		CopyTo: x.copied.address(), IsContinuation: x.isContinuing, Used: &x.used,
 	})
 	if err != nil {
 		return x.sendFailed(ctx, choice, watchdog.path, err)
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -74,6 +74,8 @@
 	// sends after the first arrival are retries.
 	sent     int
 	arrivals int
+	// used are the connections over which the request was sent.
+	used     Connections
 	prefixes []uint64
 	// avoid is the runner of the last attempt, excluded one that rejected the request twice and is
 	// not tried again.
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -123,6 +123,8 @@
 	// IsContinuation is set if the stream goes on from the copy of its memory at this runner, which
 	// must not run the request without that copy.
 	IsContinuation bool
+	// Used are the connections over which the request was sent before. Send must use another one, and adds it.
+	Used *Connections
 	// Begin reports whether the request may still be sent, as the runner may have requested a cooldown
 	// period or announced that it is leaving since it was chosen. After returning true once it
 	// always does. Nil means always.
