A foreign answer is no crash of the runner and no doubt of the way to it

What operators saw: an attempt that got an answer to another request ended as send_failed: the content of the request was suspected of crashing runners, and the way to the runner doubted and probed, directly and through peers.

Cause: the error of a foreign answer was one as any other after the request was sent.

Change: the backend's error is ErrForeignAnswer, and such an attempt ends as foreign_answer, in logs and metrics. It is a loss as before: it may have run, what may be repeated is, streams go on from copies, and the breaker of the runner counts it.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -70,8 +70,12 @@
 
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, path paths.Path, err error) result {
 	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
-	if isPeerFailure(err) {
+	isForeign := errors.Is(err, ErrForeignAnswer)
+	switch {
+	case isPeerFailure(err):
 		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
+	case isForeign:
+		ended.reason = reasonForeignAnswer
 	}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
@@ -84,7 +88,7 @@
 	} else {
 		x.countRun()
 		x.arrivals++
-		if ctx.Err() == nil && path.IsDirect() {
+		if ctx.Err() == nil && path.IsDirect() && !isForeign {
 			x.router.connectionBroke(choice.Runner())
 		}
 	}
--- a/request/relay/failure_test.go
+++ b/request/relay/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -85,3 +86,23 @@
 		})
 	}
 }
+
+// Guards against a request that is suspected of crashing runners, and a path that is doubted, because a runner sent an answer to
+// another request: neither the runner nor the connection was lost. The request may have run.
+func TestForeignAnswerIsNoCrash(t *testing.T) {
+	for path, sends := range map[string]int{"/once/x": 1, "/again/x": 2} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			router, backend := newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+				return nil, fmt.Errorf("runner p1: %w", ErrForeignAnswer)
+			})
+			recorder, aborted := ask(router, t.Context(), path, "")
+			c.Assert(aborted, qt.IsFalse)
+			c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+			c.Assert(backend.attempts, qt.HasLen, sends)
+			losses, _ := router.suspects.take()
+			c.Assert(losses, qt.HasLen, 0)
+			c.Assert(router.peers.paths.IsIdle(), qt.IsTrue)
+		})
+	}
+}
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -15,6 +15,9 @@
 // ErrNotSent means that no byte of a request was sent.
 var ErrNotSent = errors.New("the request was not sent")
 
+// ErrForeignAnswer means that a runner sent an answer to another request where that to this one was due. The request may have run.
+var ErrForeignAnswer = errors.New("the answer belongs to another request")
+
 // notSentError is an ErrNotSent with its cause.
 type notSentError struct{ cause error }
 
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -14,6 +14,8 @@
 	// connecting failed or the connection broke.
 	reasonSilent     = "silent"
 	reasonSendFailed = "send_failed"
+	// reasonForeignAnswer means that the runner sent an answer to another request.
+	reasonForeignAnswer = "foreign_answer"
 	// reasonPeerFailed means that the peer through which the runner is reached was not reached or accepted
 	// nothing. The request was not sent.
 	reasonPeerFailed = "peer_failed"
@@ -67,13 +69,13 @@
 }
 
 // isLoss reports whether the request was sent and its answer was lost with the runner or the
-// connection: by a reset, an early end or silence. A failure that the runner itself reports is an answer.
+// connection: by a reset, an early end, an answer to another request or silence. A failure that the runner itself reports is an answer.
 func (r result) isLoss() bool {
 	if r.isDone || r.isNotRun {
 		return false
 	}
 	switch r.reason {
-	case reasonSendFailed, reasonSilent, reasonCutShort, reasonZoneLost, reasonPeerLost:
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonForeignAnswer, reasonZoneLost, reasonPeerLost:
 		return true
 	}
 	return false
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -171,7 +171,7 @@
 }
 
 // Backend sends attempts to runners. The error wraps ErrNotSent if no byte of the request was sent, and then a
-// *tunnel.Error if a peer was the reason.
+// *tunnel.Error if a peer was the reason, or ErrForeignAnswer.
 // Send must call MaySend right before the first byte, and send nothing if it returns false.
 type Backend interface {
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
