A runner's status is no promise unless its header makes it one

What callers may see: 503, 429 or 408 of a runner that may have run the request, passed on as it came.

Cause: only an answer with X-Not-Executed says that the request did not run, and was taken so by the router; the same status without the header was passed on like any failure.

Change: a request that may run only once then gets 502, without the runner's signature, and the line tells why. What may run again is answered as the runner did.

Evidence: TestStatusWithoutRejectionIsNoPromise, four rows failed before.

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,6 +31,8 @@
 		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
 	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
+	case x.isFalsePromise(answer):
+		return result{outcome: routing.OutcomeUnavailable, reason: reasonRunnerFailed, err: errNoPromise}
 	case len(body) > maxBuffered:
 		watchdog.stop()
 		return x.relayLarge(ctx, answer, body)
@@ -47,6 +50,19 @@
 	return result{outcome: routing.OutcomeSuccess, isDone: true}
 }
 
+// errNoPromise means that a runner answered with a status that promises that the request has not run, and did not say so.
+var errNoPromise = errors.New("the runner's status promises that the request has not run, and its header does not")
+
+// isFalsePromise reports whether the caller would take the runner's answer for a promise that the request has not run and may be
+// sent again, although the runner did not make it and the request may run only once.
+func (x *exchange) isFalsePromise(answer *Answer) bool {
+	switch answer.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !x.route.MayRepeat()
+	}
+	return false
+}
+
 // relayLarge forwards a response that exceeds maxBuffered. begun holds the bytes read so far.
 func (x *exchange) relayLarge(ctx context.Context, answer *Answer, begun []byte) result {
 	// The events of a continuation cannot follow a body that is no stream.
--- a/request/relay/failure_test.go
+++ b/request/relay/failure_test.go
@@ -106,3 +106,33 @@
 		})
 	}
 }
+
+// Guards against a status of a runner that its caller takes for a promise that the request has not run, and sends it again, although
+// only the header of a rejection makes that promise (REFUSED). What may run again is answered as the runner did.
+func TestStatusWithoutRejectionIsNoPromise(t *testing.T) {
+	const refused, limited, late, failed = http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusInternalServerError
+	for _, test := range []struct {
+		path         string
+		status, want int
+	}{
+		{"/once/x", refused, http.StatusBadGateway}, {"/once/x", limited, http.StatusBadGateway}, {"/once/x", late, http.StatusBadGateway},
+		{"/stream-once/x", refused, http.StatusBadGateway},
+		{"/once/x", failed, failed}, {"/once/x", http.StatusNotFound, http.StatusNotFound},
+		{"/again/x", refused, refused}, {"/again/x", limited, limited},
+	} {
+		t.Run(fmt.Sprint(test.path, test.status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+					answer, err := newAnswer(test.status, "text")
+					answer.Header.Set("Seal", "sealed")
+					return answer, err
+				})
+				recorder, aborted := ask(router, t.Context(), test.path, "m")
+				c.Assert(aborted, qt.IsFalse)
+				c.Assert(recorder.Code, qt.Equals, test.want)
+				c.Assert(recorder.Header().Get("Seal") != "", qt.Equals, test.want == test.status)
+			})
+		})
+	}
+}
