--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -28,7 +28,7 @@
 	x.conclude(last)
 }
 
-// abort closes the caller's connection without the answer, or without the rest of it. A caller that has left may have closed its
+// abort closes the caller's connection without the answer, or without the rest of it, and does not return. A caller that has left may have closed its
 // sending side alone, and net/http would send it an empty success, or the end of a stream.
 func (x *exchange) abort() { panic(http.ErrAbortHandler) }
 
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -231,10 +231,10 @@
 		if !given.isTrial() {
 			last = x.continueStream(ctx, choice.Runner(), last)
 		}
-		if last.isDone && !last.isServed() {
-			x.abort()
-		}
 		if last.isDone {
+			if !last.isServed() {
+				x.abort()
+			}
 			return
 		}
 		if !x.mayTryAgain(ctx, last) || given.isTrial() && !last.isNotRun {
--- a/request/tunnel/server.go
+++ b/request/tunnel/server.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxTunnels bounds the open tunnels of a peer. Each takes some 34 kB and two descriptors.
+	// maxTunnels bounds the open tunnels of a peer. Each takes some 36 kB and two descriptors.
 	maxTunnels = 1024
 	// readHeaderTimeout bounds the time in which a router sends its question.
 	readHeaderTimeout = 2 * time.Second
