Logs tell what the caller of an unserved request got, and whether it may have run

The line of an unserved request had neither the status of its answer nor the number of runners that may have run it: a runner's own 503 that was passed on, a rejection that was believed and a promise made too early looked alike. It has both now (answered, runs); that of a request that may crash runners too, whose field attempts is now called runs.

--- a/request/relay/conclude.go
+++ b/request/relay/conclude.go
@@ -22,7 +22,7 @@
 		last.reason, last.err = reasonNoRunner, err
 	default:
 		x.count(reasonCallerLeft)
-		x.logUnserved(reasonCallerLeft, err)
+		x.logUnserved(reasonCallerLeft, statusAborted, err)
 		x.abort()
 	}
 	x.conclude(last)
@@ -35,7 +35,7 @@
 // conclude answers a request after its last attempt.
 func (x *exchange) conclude(ended result) {
 	if ended.answer != nil && !x.isStarted {
-		x.logUnserved(ended.reason, ended.err)
+		x.logUnserved(ended.reason, ended.answer.status, ended.err)
 		x.sendBuffered(ended.answer)
 		x.count(ended.reason)
 		return
@@ -47,7 +47,8 @@
 // otherwise the status is 502, or 504 after the deadline.
 func (x *exchange) fail(reason string, err error) {
 	x.count(reason)
-	x.logUnserved(reason, err)
+	status := x.unservedStatus()
+	x.logUnserved(reason, status, err)
 	message := "the runner's answer was lost: " + reason
 	retryAfter := minRetryAfter
 	if x.attempts == 0 {
@@ -56,20 +57,33 @@
 			retryAfter = x.router.retryAfter(x.waiter)
 		}
 	}
-	x.answerUnserved(retryAfter, message)
+	x.answerUnserved(status, retryAfter, message)
 }
 
-// answerUnserved answers a request that no runner answered, or aborts a response that has started.
-// Only callers of requests that have not run get a Retry-After.
-func (x *exchange) answerUnserved(retryAfter time.Duration, message string) {
+// unservedStatus returns the status with which a request that no runner answered is answered.
+func (x *exchange) unservedStatus() int {
 	switch {
 	case x.isStarted:
-		x.abort()
+		return statusAborted
 	case x.attempts == 0:
-		reject(x.writer, http.StatusServiceUnavailable, retryAfter, message)
+		return http.StatusServiceUnavailable
 	case x.timeLeft() <= 0:
-		reject(x.writer, http.StatusGatewayTimeout, 0, "the request took too long")
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// answerUnserved answers a request that no runner answered, with its unservedStatus, or aborts a response that has started.
+// Only callers of requests that have not run get a Retry-After.
+func (x *exchange) answerUnserved(status int, retryAfter time.Duration, message string) {
+	switch status {
+	case statusAborted:
+		x.abort()
+	case http.StatusServiceUnavailable:
+		reject(x.writer, status, retryAfter, message)
+	case http.StatusGatewayTimeout:
+		reject(x.writer, status, 0, "the request took too long")
 	default:
-		reject(x.writer, http.StatusBadGateway, 0, message)
+		reject(x.writer, status, 0, message)
 	}
 }
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -129,14 +129,14 @@
 	index := r.awaitIndex(request)
 	if index == nil {
 		r.metrics.requests.WithLabelValues(kindName(0), "no_document").Inc()
-		r.log(request, 0, "no_document", nil)
+		r.log(request, 0, "no_document", http.StatusServiceUnavailable, nil)
 		reject(writer, http.StatusServiceUnavailable, minRetryAfter, "no document is known yet")
 		return
 	}
 	route := index.Route(request.HTTP.Host, request.HTTP.URL.EscapedPath())
 	if route == nil {
 		r.metrics.requests.WithLabelValues(kindName(0), "no_route").Inc()
-		r.log(request, index.Document.Version, "no_route", nil)
+		r.log(request, index.Document.Version, "no_route", http.StatusNotFound, nil)
 		reject(writer, http.StatusNotFound, 0, "no route leads there")
 		return
 	}
--- a/request/relay/exchangelog.go
+++ b/request/relay/exchangelog.go
@@ -28,16 +28,19 @@
 	}
 }
 
-// log logs a request that no runner served, with additional fields.
-func (r *Router) log(request *Request, version uint64, outcome string, err error, more ...any) {
+// statusAborted stands for the status of an answer whose connection is closed without it, or without the rest of it.
+const statusAborted = 0
+
+// log logs a request that no runner served, with the status that its caller gets and additional fields.
+func (r *Router) log(request *Request, version uint64, outcome string, status int, err error, more ...any) {
 	level.Info(r.logger).Log(append([]any{"msg", "A request was answered without a runner's success.", "request", request.ID,
 		"host", request.HTTP.Host, "path", request.HTTP.URL.Path, "model", request.Model, "adapter", request.Adapter, "version", version,
-		"age", r.age(request), "outcome", outcome, "err", err}, more...)...)
+		"age", r.age(request), "outcome", outcome, "answered", status, "err", err}, more...)...)
 }
 
-// logUnserved logs that no runner served the request.
-func (x *exchange) logUnserved(outcome string, err error) {
-	x.router.log(x.request, x.version, outcome, err, "content", x.keys.content)
+// logUnserved logs that no runner served the request, the status that its caller gets, and how many runners may have run it.
+func (x *exchange) logUnserved(outcome string, status int, err error) {
+	x.router.log(x.request, x.version, outcome, status, err, "runs", x.attempts, "content", x.keys.content)
 }
 
 // logServed logs an answered request: always if the response was late or took more than one send,
--- a/request/relay/suspects.go
+++ b/request/relay/suspects.go
@@ -379,12 +379,13 @@
 		return
 	}
 	x.count(reason)
+	status := x.unservedStatus()
 	if suppressed, allowed := x.router.suspectLog.Allow(time.Now()); allowed {
 		level.Info(x.router.logger).Log("msg", "A request that may crash runners was not sent.", "request", x.request.ID,
-			"content", x.keys.content, "suspect", why.subject, "route", x.route.Name, "outcome", reason, "attempts", x.attempts, "come_back_in", why.retryAfter,
+			"content", x.keys.content, "suspect", why.subject, "route", x.route.Name, "outcome", reason, "answered", status, "runs", x.attempts, "come_back_in", why.retryAfter,
 			"age", x.router.age(x.request), "not_logged", suppressed, "err", why.err)
 	}
-	x.answerUnserved(why.retryAfter, message)
+	x.answerUnserved(status, why.retryAfter, message)
 }
 
 // maxSuspectLogRate bounds the log lines per second about requests that may crash runners.
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -82,7 +82,7 @@
 // rejectTakeUp tells the caller that the stream cannot go on, without a time to come back: it must begin anew.
 func (x *exchange) rejectTakeUp(reason, message string) {
 	x.count(reason)
-	x.logUnserved(reason, nil)
+	x.logUnserved(reason, http.StatusServiceUnavailable, nil)
 	reject(x.writer, http.StatusServiceUnavailable, 0, message)
 }
 
