A request with a key that may have run is not reported as not sent

What callers saw: `not_run` for a forwarded request with a key that the router of the other zone may have run.

Cause: http.Transport sends a request with an Idempotency-Key again by itself when a kept connection is lost before the answer. When the other router has been killed, the connect for the second send fails, and api.Client took any failed connect for a request that was never sent. The daemon then tried the next router of the zone, and ended the request as `not_run` if there was none.

The client now notes whether there was a connection at all, as engineapi.Client does; after one the request may have run, whatever the last error is. Requests without a key are not sent again by http.Transport, and failed connects without a connection before them are told as they were.

--- a/request/api/client.go
+++ b/request/api/client.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,7 +51,9 @@
 // otherwise. forwardedFrom is the forwarding zone, or empty if the request is not
 // forwarded. apiKey may be empty.
 func (c *Client) Call(ctx context.Context, baseURL, apiKey string, forwardedFrom structs.ZoneID, request structs.Request) (Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	var isConnected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
 	httpRequest, err := c.newRequest(ctx, baseURL, apiKey, forwardedFrom, request)
 	if err != nil {
 		cancel()
@@ -58,7 +62,7 @@
 	response, err := c.http.Do(httpRequest)
 	if err != nil {
 		cancel()
-		return nil, classifySendError(err)
+		return nil, classifySendError(err, isConnected.Load())
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
@@ -137,10 +141,11 @@
 	}}
 }
 
-// classifySendError converts an error of http.Client.Do. Only after a failed dial
-// is it certain that the request did not reach the router.
-func classifySendError(err error) *RefusedError {
-	if isDialError(err) {
+// classifySendError converts an error of http.Client.Do. It is certain that the request
+// did not reach the router only after a failed dial, if there was no connection before it:
+// http.Transport sends a request with a key again by itself when a kept connection is lost.
+func classifySendError(err error, isConnected bool) *RefusedError {
+	if isDialError(err) && !isConnected {
 		failure := newRefusedError(structs.ErrorUnavailable, structs.ExecutionNotRun,
 			"the router cannot be reached", "try another router of the site")
 		failure.transfer = ErrNotSent
