A caller that closes its sending side gets no false not_run

What callers saw: 500 with `Lotusferry-Execution: not_run`, or an event with it after the first tokens of a stream, for requests that ran on.

Cause: net/http ends the context of a request when its caller closes the sending side, though the caller may read on. The wait for the next token then ends with the context's error, and api took every error that is no RefusedError for one raised before the request was submitted.

Only a *structs.Error, which decoding and authentication raise, now counts as raised before the request was submitted; any other error is outcome_unknown, with which clients are told not to repeat by themselves. TestInvalidRequestHasNotRun keeps the promise for requests that are refused before.

--- a/request/api/errors.go
+++ b/request/api/errors.go
@@ -46,14 +46,19 @@
 	return structs.NewError(structs.ErrorInternal, err.Error(), "Report this to the operators with the request ID.")
 }
 
-// executionOf returns the execution state in err. Errors raised before the request
-// reached the router have ExecutionNotRun.
+// executionOf returns the execution state in err. A *structs.Error is raised before the
+// request reaches the router. Any other error ends the wait for an answer, as when the
+// caller seems to have left, while the request may run.
 func executionOf(err error) structs.Execution {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		return refused.Refusal.Execution
 	}
-	return structs.ExecutionNotRun
+	var raised *structs.Error
+	if errors.As(err, &raised) {
+		return structs.ExecutionNotRun
+	}
+	return structs.ExecutionUnknown
 }
 
 // encodeError writes err as JSON. It is a go-kit error encoder.
--- a/request/api/service_test.go
+++ b/request/api/service_test.go
@@ -19,7 +19,7 @@
 )
 
 // fakeService selects its answer by the row: "echo" streams the words of the prompt,
-// "endless" never ends, "unknown" fails with unknown execution, "full" is refused,
+// "endless" never ends, "silent" sends nothing, "unknown" fails with unknown execution, "full" is refused,
 // "broken" fails after one token, and "vector" returns embeddings.
 type fakeService struct {
 	mutex    sync.Mutex
@@ -62,7 +62,7 @@
 	case a.request.Row == "unknown", a.request.Row == "broken" && a.next > 0:
 		lost := structs.NewError(structs.ErrorUnavailable, "the stream broke", "Find out by other means.")
 		return token, &api.RefusedError{Refusal: structs.Rejection{Error: *lost, Execution: structs.ExecutionUnknown}}
-	case a.request.Row == "endless" && a.next > 0:
+	case a.request.Row == "silent", a.request.Row == "endless" && a.next > 0:
 		<-ctx.Done()
 		return token, ctx.Err()
 	case a.request.Row == "vector":
