A stop that is cut sends no request that it has refused

What callers saw: `not_run` for requests that were sent to an engine a moment later.

Cause: when the time of a planned stop is over, the daemon refused all requests, those that wait as not run, and told the core of each one afterwards, one by one. Each running request that the core dropped freed a place, which it gave to a waiting one that was refused already; a claim that was granted in between had the same effect. Its own turn then canceled it, if it had not been sent yet.

Evidence: TestStopThatIsCutSendsNoRequestThatItRefused stops a daemon with 10 requests at a silent engine and 50 that wait.

The daemon now refuses the requests and has the core drop them under one lock and in one step, after which none is left to be dispatched. 30 of 30 runs pass.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -116,16 +116,13 @@
 	level.Warn(r.logger).Log("msg", "The planned stop is cut short.", "cause", cause, "waiting_refused", left.waiting,
 		"running_cut", left.running, "unrecorded", left.unrecorded)
 	r.mutex.Lock()
-	var ids []structs.RequestID
+	defer r.mutex.Unlock()
+	count := len(r.calls)
 	for id, open := range r.calls {
-		ids = append(ids, id)
 		r.end(id, abortRefusal(open))
 	}
-	r.mutex.Unlock()
-	for _, id := range ids {
-		r.step(router.CallerGone{ID: id})
-	}
-	return len(ids)
+	r.stepLocked(router.DrainCut{})
+	return count
 }
 
 // abortRefusal returns the refusal of a request aborted at shutdown. Only a request
--- a/request/router/core.go
+++ b/request/router/core.go
@@ -166,6 +166,8 @@
 		}
 	case DrainStarted:
 		c.draining = true
+	case DrainCut:
+		c.drainCut()
 	case Tick:
 		c.tick()
 	}
--- a/request/router/event.go
+++ b/request/router/event.go
@@ -148,6 +148,10 @@
 // finishes the current ones.
 type DrainStarted struct{}
 
+// DrainCut reports that the driver has refused all requests, because the time to finish
+// them is over. None of them is sent from then on.
+type DrainCut struct{}
+
 // Tick advances the time. The driver sends it at NextDeadline at the latest.
 type Tick struct{}
 
@@ -167,4 +171,5 @@
 func (CacheEvent) event()     {}
 func (RunnerLeaving) event()  {}
 func (DrainStarted) event()   {}
+func (DrainCut) event()       {}
 func (Tick) event()           {}
--- a/request/router/finish.go
+++ b/request/router/finish.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/request/routing"
@@ -132,6 +134,14 @@
 	c.untrack(req)
 }
 
+// drainCut drops all requests as if their callers were gone, in one step: the place that one of
+// them leaves must not go to another that was refused as not run.
+func (c *Core) drainCut() {
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		c.callerGone(id)
+	}
+}
+
 // endAttempt frees the slot of the current attempt, if there is one.
 func (c *Core) endAttempt(req *request, outcome routing.Outcome) {
 	if req.phase != phaseRunning && req.phase != phaseBinding {
