An event without end ends its attempt at once

What callers saw: 504 after the whole deadline for a stream whose runner sends an event that never ends, while the router held all of it in memory: 24 MB, then 212 MB with three such answers, 36 to 40 MB read of each.

Cause: eventSplitter had no bound, and at each read searched all that it held for the end of the event, twice.

Evidence: TestEventWithoutEndEndsTheAttempt failed before in all six cases, for example with "took 5s", status 504 in place of 502, and "8388608 bytes were read" (all that the test's runner sends); the case of many short lines took 7.5 s of processor time.

Now an event has at most 1 MiB, as much as clients of the own sites (package api) read and as much as the router buffers of answers that are no streams. A longer one ends the attempt as answer_too_long: a loss like others, which is sent again or continued from a copy where that is allowed, and otherwise 502, or a closed connection if the caller has got events. The runner's connection did not break, so that the request is not suspected of crashing runners. The search goes over each byte once.

--- /dev/null
+++ b/request/relay/endless_test.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// endlessBytes is how much of a body without end a runner of a test sends before it falls silent, so that a router that reads all
+// of it ends the test by its deadline.
+const endlessBytes = 8 << 20
+
+// endlessBody yields a beginning and then the same part over and over, until endlessBytes have been read. It then waits for the end
+// of the attempt.
+type endlessBody struct {
+	ctx   context.Context
+	begun io.Reader
+	part  string
+	// read counts the bytes of all bodies of a test.
+	read *atomic.Int64
+	left int
+}
+
+func (b *endlessBody) Read(buffer []byte) (int, error) {
+	count, err := b.begun.Read(buffer)
+	if err != io.EOF {
+		b.read.Add(int64(count))
+		return count, err
+	}
+	if b.left <= 0 {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	for count < len(buffer) && b.left > 0 {
+		added := copy(buffer[count:], b.part)
+		count, b.left = count+added, b.left-added
+	}
+	b.read.Add(int64(count))
+	return count, nil
+}
+
+func (b *endlessBody) Close() error { return nil }
+
+// endlessCase is an answer without end and what its caller gets.
+type endlessCase struct {
+	name, path string
+	status     int
+	isStream   bool
+	// isUnsigned is set if the answer lacks the runner's signature.
+	isUnsigned bool
+	// length is the declared length; 0 for none.
+	length int64
+	// begun is the text before the part that comes without end.
+	begun, part string
+	// isOnce is set if only the first runner answers without end. The next one sends all that is missing.
+	isOnce bool
+	// wantStatus is the status that the caller gets, or 0 for a connection that is closed inside the answer; reason is the outcome
+	// of the attempt.
+	wantStatus, wantSends int
+	reason                string
+	// mostRead are the most bytes that may be read of each runner.
+	mostRead int64
+}
+
+func (e *endlessCase) send(ctx context.Context, read *atomic.Int64) *Answer {
+	answer := &Answer{
+		Status: e.status, Header: http.Header{"Content-Type": {"text/plain"}}, Length: -1, Signed: !e.isUnsigned, IsStream: e.isStream,
+		Body: &endlessBody{ctx: ctx, begun: strings.NewReader(e.begun), part: e.part, read: read, left: endlessBytes},
+	}
+	if e.length > 0 {
+		answer.Length = e.length
+	}
+	return answer
+}
+
+// testEndless checks that an answer without end is at an end at once, and is no sign that its request crashes runners.
+func testEndless(t *testing.T, test endlessCase) {
+	t.Helper()
+	t.Run(test.name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			var read atomic.Int64
+			sends := 0
+			router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+				sends++
+				switch {
+				case sends == 1 || !test.isOnce:
+					return test.send(ctx, &read), nil
+				case test.isStream:
+					return stream(events(1, 4), io.EOF)
+				}
+				return fine()
+			})
+			began := time.Now()
+			recorder, aborted := ask(router, t.Context(), test.path, "m")
+			c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+			c.Check(aborted, qt.Equals, test.wantStatus == 0)
+			if !aborted {
+				c.Check(recorder.Code, qt.Equals, test.wantStatus)
+			}
+			c.Check(backend.attempts, qt.HasLen, test.wantSends)
+			c.Check(read.Load() <= test.mostRead*int64(test.wantSends), qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+			losses, _ := router.suspects.take()
+			c.Check(losses, qt.HasLen, 0)
+			c.Check(attemptsBy(c, router)[test.reason] > 0, qt.IsTrue)
+		})
+	})
+}
+
+// attemptsBy returns the attempts of a router by their outcomes.
+func attemptsBy(c *qt.C, router *Router) map[string]float64 {
+	c.Helper()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(router.metrics.attempts)
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	counts := make(map[string]float64)
+	for _, family := range families {
+		for _, each := range family.GetMetric() {
+			counts[each.GetLabel()[0].GetValue()] = each.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
+
+// Guards against an event without end that is held in memory, and looked through again at each read, until the deadline.
+func TestEventWithoutEndEndsTheAttempt(t *testing.T) {
+	const most = maxEventBytes + 2*streamBuffer
+	for _, test := range []endlessCase{
+		{name: "first event", path: "/stream-once/x", part: "data: x", wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "lines of the first event", path: "/stream-once/x", part: "data: x\n", wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "later event", path: "/stream-once/x", begun: events(1, 2), part: "x", wantSends: 1},
+		{name: "first event, may be sent again", path: "/stream/x", part: "x", isOnce: true, wantStatus: http.StatusOK, wantSends: 2},
+		{name: "later event, may be continued", path: "/stream/x", begun: events(1, 2), part: "x", isOnce: true, wantStatus: http.StatusOK, wantSends: 2},
+		{name: "at all runners", path: "/stream/x", part: "x", wantStatus: http.StatusBadGateway, wantSends: 2},
+	} {
+		test.status, test.isStream, test.reason, test.mostRead = http.StatusOK, true, reasonTooLong, most
+		testEndless(t, test)
+	}
+}
--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -5,33 +5,70 @@
 	"strconv"
 )
 
-// eventSplitter splits a byte stream into server-sent events.
-type eventSplitter struct{ rest []byte }
+// maxEventBytes bounds an event. Clients of the own sites (package api) read as much; a router holds one incomplete event for
+// each stream.
+const maxEventBytes = 1 << 20
 
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+// keptEventBuffer is the largest buffer in bytes that a stream keeps after a long event.
+const keptEventBuffer = 8 * streamBuffer
+
+// eventSplitter splits a byte stream into server-sent events.
+type eventSplitter struct {
+	buffer []byte
+	// start is where the first event begins that was not returned, and searched is where the search for its end goes on.
+	start, searched int
+	// isTooLong is set once an event exceeds maxEventBytes. No more events are returned then.
+	isTooLong bool
+}
 
 // add appends bytes of the stream.
-func (s *eventSplitter) add(more []byte) { s.rest = append(s.rest, more...) }
+func (s *eventSplitter) add(more []byte) {
+	if s.start > 0 {
+		left := copy(s.buffer, s.buffer[s.start:])
+		s.buffer, s.searched, s.start = s.buffer[:left], s.searched-s.start, 0
+	}
+	if len(s.buffer) == 0 && cap(s.buffer) > keptEventBuffer {
+		s.buffer = nil
+	}
+	s.buffer = append(s.buffer, more...)
+}
 
 // next returns the next complete event with its terminator, or nil. The slice is valid until the
 // next call of add.
 func (s *eventSplitter) next() []byte {
-	end := -1
-	for _, mark := range eventEnds {
-		if at := bytes.Index(s.rest, mark); at >= 0 && (end < 0 || at+len(mark) < end) {
-			end = at + len(mark)
-		}
-	}
-	if end < 0 {
+	isComplete := s.findEnd()
+	s.isTooLong = s.isTooLong || s.searched-s.start > maxEventBytes
+	if !isComplete || s.isTooLong {
 		return nil
 	}
-	event := s.rest[:end]
-	s.rest = s.rest[end:]
+	event := s.buffer[s.start:s.searched]
+	s.start = s.searched
 	return event
 }
 
+// findEnd moves searched behind the end of the event that begins at start, or to the end of the buffer if it is incomplete.
+func (s *eventSplitter) findEnd() (isComplete bool) {
+	for s.searched < len(s.buffer) {
+		newline := bytes.IndexByte(s.buffer[s.searched:], '\n')
+		if newline < 0 {
+			s.searched = len(s.buffer)
+			return false
+		}
+		s.searched += newline + 1
+		if endsEvent(s.buffer[s.start:s.searched]) {
+			return true
+		}
+	}
+	return false
+}
+
+// endsEvent reports whether a text that ends with a newline ends with a blank line.
+func endsEvent(text []byte) bool {
+	return bytes.HasSuffix(text, []byte("\n\n")) || bytes.HasSuffix(text, []byte("\r\n\r\n"))
+}
+
 // isEmpty reports whether no incomplete event is left.
-func (s *eventSplitter) isEmpty() bool { return len(bytes.TrimSpace(s.rest)) == 0 }
+func (s *eventSplitter) isEmpty() bool { return len(bytes.TrimSpace(s.buffer[s.start:])) == 0 }
 
 // eventID returns the ID of an event, and false if it has no valid one.
 func eventID(event []byte) (int64, bool) {
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -31,8 +31,9 @@
 	// the runner itself reported a failure.
 	reasonNotSigned    = "not_signed"
 	reasonRunnerFailed = "runner_failed"
-	// reasonCutShort means that the response was truncated.
+	// reasonCutShort means that the response was truncated, reasonTooLong that it, or an event of it, exceeds its bound.
 	reasonCutShort = "cut_short"
+	reasonTooLong  = "answer_too_long"
 	// reasonCallerLeft means that the caller closed its connection, or the sending side of it, or did not take the response.
 	reasonCallerLeft = "caller_left"
 	// reasonNoCopy means that the runner has no copy from which the stream could be continued,
@@ -69,13 +70,14 @@
 }
 
 // isLoss reports whether the request was sent and its answer was lost with the runner or the
-// connection: by a reset, an early end, an answer to another request or silence. A failure that the runner itself reports is an answer.
+// connection: by a reset, an early end, an answer to another request, one that is too long, or silence. A failure that the runner itself
+// reports is an answer.
 func (r result) isLoss() bool {
 	if r.isDone || r.isNotRun {
 		return false
 	}
 	switch r.reason {
-	case reasonSendFailed, reasonSilent, reasonCutShort, reasonForeignAnswer, reasonZoneLost, reasonPeerLost:
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonTooLong, reasonForeignAnswer, reasonZoneLost, reasonPeerLost:
 		return true
 	}
 	return false
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -29,10 +29,12 @@
 			watchdog.setForwarding(true)
 			failure := x.passEvents(answer, &events, controller)
 			watchdog.setForwarding(false)
-			if errors.Is(failure, errNotContinuous) {
+			switch {
+			case errors.Is(failure, errNotContinuous):
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
-			}
-			if failure != nil {
+			case errors.Is(failure, errTooLong):
+				return result{outcome: routing.OutcomeBroken, reason: reasonTooLong, err: failure}
+			case failure != nil:
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: failure}
 			}
 			if x.lastEvent != lastEvent {
@@ -86,9 +88,15 @@
 		}
 		written++
 	}
+	if events.isTooLong {
+		return errors.Join(errTooLong, x.flushEvents(written, controller))
+	}
 	return x.flushEvents(written, controller)
 }
 
+// errTooLong means that an answer, or an event of it, exceeds its bound.
+var errTooLong = errors.New("the answer, or an event of it, is too long")
+
 // errNotContinuous means that the events of a continuation do not follow the last one that the caller
 // has.
 var errNotContinuous = errors.New("the events of the continuation do not follow those before")
