A failure's body without end ends its attempt at once

What callers got: a failure (500, 404, 302) whose body never ends was passed on until the deadline and then cut, 2 to 5 GB each; the requests of others took 0.5 s (p99; 21 ms before) beside three of them.

Cause: relayBuffered took any body of more than 1 MiB for a large success, which is passed on as it comes, without the watchdog.

Evidence: TestFailureWithoutEndEndsTheAttempt failed before in seven of eight cases, with "took 5s" and "8388608 bytes were read" (all that the test's runner sends); the one that passed is a 503 that promises nothing, which was not passed on before either.

Now a failure with a body of more than 1 MiB is a lost answer, answer_too_long: the request is sent again where that is allowed, and gets 502 otherwise. If its declared length says so, nothing is read. A success without the runner's signature, and what cannot continue a stream that has begun, are no longer read either, as they are never passed on.

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -20,19 +20,23 @@
 // relayBuffered reads the whole response before sending any of it, so that a truncated response can
 // be retried.
 func (x *exchange) relayBuffered(ctx context.Context, answer *Answer, watchdog *watchdog) result {
+	switch {
+	case x.isStarted:
+		// A stream that has started can only be continued by another stream.
+		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
+	case !answer.isFailure() && !answer.Signed:
+		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 	case err != nil:
 		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
-	case x.isStarted:
-		// A stream that has started can only be continued by another stream.
-		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
-	case answer.Status < http.StatusMultipleChoices && !answer.Signed:
-		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	case x.isFalsePromise(answer):
 		return result{outcome: routing.OutcomeUnavailable, reason: reasonRunnerFailed, err: errNoPromise}
+	case len(body) > maxBuffered && answer.isFailure():
+		return tooLong()
 	case len(body) > maxBuffered:
 		watchdog.stop()
 		return x.relayLarge(ctx, answer, body)
@@ -63,7 +67,7 @@
 	return false
 }
 
-// relayLarge forwards a response that exceeds maxBuffered. begun holds the bytes read so far.
+// relayLarge forwards a successful response that exceeds maxBuffered. begun holds the bytes read so far.
 func (x *exchange) relayLarge(ctx context.Context, answer *Answer, begun []byte) result {
 	// The events of a continuation cannot follow a body that is no stream.
 	x.handover.End()
--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -151,6 +151,9 @@
 		return result{outcome: routing.OutcomeRejected, isNotRun: true, reason: reasonShed}
 	}
 	x.countRun()
+	if answer.Length > answer.maxBytes() && x.request.HTTP.Method != http.MethodHead {
+		return tooLong()
+	}
 	if answer.IsStream && answer.Status == http.StatusOK {
 		return x.relayStream(ctx, answer, watchdog)
 	}
--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -146,3 +146,22 @@
 		testEndless(t, test)
 	}
 }
+
+// Guards against a failure's body without end that is passed on until the deadline, and against reading one that is not passed on.
+func TestFailureWithoutEndEndsTheAttempt(t *testing.T) {
+	const refused, failed, notFound, found = http.StatusServiceUnavailable, http.StatusInternalServerError, http.StatusNotFound, http.StatusFound
+	const most = maxBuffered + 1
+	for _, test := range []endlessCase{
+		{name: "500", path: "/once/x", status: failed, reason: reasonTooLong, mostRead: most, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "404", path: "/once/x", status: notFound, reason: reasonTooLong, mostRead: most, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "302 without a signature", path: "/once/x", status: found, isUnsigned: true, reason: reasonTooLong, mostRead: most, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "500 to a stream", path: "/stream-once/x", status: failed, reason: reasonTooLong, mostRead: most, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "503 that promises nothing", path: "/once/x", status: refused, reason: reasonRunnerFailed, mostRead: most, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "500, may be sent again", path: "/again/x", status: failed, isOnce: true, reason: reasonTooLong, mostRead: most, wantStatus: http.StatusOK, wantSends: 2},
+		{name: "500 of a declared length", path: "/once/x", status: failed, length: maxBuffered + 1, reason: reasonTooLong, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "success without a signature", path: "/once/x", status: http.StatusOK, isUnsigned: true, reason: reasonNotSigned, wantStatus: http.StatusBadGateway, wantSends: 1},
+	} {
+		test.part = "failed "
+		testEndless(t, test)
+	}
+}
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -57,6 +57,14 @@
 	err    error
 }
 
+// errTooLong means that an answer, or an event of it, exceeds its bound.
+var errTooLong = errors.New("the answer, or an event of it, is too long")
+
+// tooLong returns the result of an attempt whose answer, or an event of it, exceeds its bound.
+func tooLong() result {
+	return result{outcome: routing.OutcomeBroken, reason: reasonTooLong, err: errTooLong}
+}
+
 // isUnreachable reports whether the runner could not be reached or sent nothing for too long. A
 // connection that broke later may have other causes.
 func (r result) isUnreachable() bool {
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -33,7 +33,7 @@
 			case errors.Is(failure, errNotContinuous):
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
 			case errors.Is(failure, errTooLong):
-				return result{outcome: routing.OutcomeBroken, reason: reasonTooLong, err: failure}
+				return tooLong()
 			case failure != nil:
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: failure}
 			}
@@ -94,9 +94,6 @@
 	return x.flushEvents(written, controller)
 }
 
-// errTooLong means that an answer, or an event of it, exceeds its bound.
-var errTooLong = errors.New("the answer, or an event of it, is too long")
-
 // errNotContinuous means that the events of a continuation do not follow the last one that the caller
 // has.
 var errNotContinuous = errors.New("the events of the continuation do not follow those before")
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -155,6 +156,17 @@
 	Notice notice.Notice
 }
 
+// isFailure reports whether the answer is no success.
+func (a *Answer) isFailure() bool { return a.Status >= http.StatusMultipleChoices }
+
+// maxBytes returns the most bytes of the body that are read.
+func (a *Answer) maxBytes() int64 {
+	if a.isFailure() {
+		return maxBuffered
+	}
+	return math.MaxInt64
+}
+
 // isTaken reports whether the runner accepted the request, whatever its outcome.
 func (a *Answer) isTaken() bool { return !a.NotHeld && !a.NotRun && a.Notice.Cooldown == 0 }
 
