A success without end ends its attempt

What callers got: a body without end was passed on until the deadline and then cut, 2 to 5 GB each, and so were events, comments and blank lines without end. A repeatable request whose large answer broke off was run a second time, although nothing could complete what its caller had.

Cause: neither relayLarge nor relayStream had a bound on the whole answer, and mayTryAgain did not know of a part that no stream can complete.

Evidence: TestSuccessWithoutEndEndsTheAttempt failed before in all nine cases: eight with "took 5s" and all read that the test's runner sends (8 or 128 MiB), that of a stream of a declared length with 1 MiB read in place of nothing. The second run was found by reading; the case "body, may be sent again" has one send now.

Now an answer has at most 64 MiB: at 300 bytes an event, 220,000 events. The caller's connection is closed inside a longer answer. If its declared length says so, nothing of it is read or passed on: the request is sent again where that is allowed, and gets 502 otherwise. Comments and blank lines are bounded by 1 MiB between two events, as they tell nothing. The length that an answer to HEAD declares is not that of a body.

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -71,12 +71,16 @@
 func (x *exchange) relayLarge(ctx context.Context, answer *Answer, begun []byte) result {
 	// The events of a continuation cannot follow a body that is no stream.
 	x.handover.End()
+	x.isUnresumable = true
 	x.sendHeader(answer)
 	if _, err := x.writer.Write(begun); err != nil {
 		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: err}
 	}
-	_, err := io.Copy(x.writer, answer.Body)
+	left := maxAnswerBytes - int64(len(begun))
+	copied, err := io.Copy(x.writer, io.LimitReader(answer.Body, left+1))
 	switch {
+	case copied > left:
+		return tooLong()
 	case err != nil && ctx.Err() != nil:
 		return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 	case err != nil:
--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,7 +19,7 @@
 // of it ends the test by its deadline.
 const endlessBytes = 8 << 20
 
-// endlessBody yields a beginning and then the same part over and over, until endlessBytes have been read. It then waits for the end
+// endlessBody yields a beginning and then the same part over and over, until so many bytes have been read. It then waits for the end
 // of the attempt.
 type endlessBody struct {
 	ctx   context.Context
@@ -68,12 +69,14 @@
 	reason                string
 	// mostRead are the most bytes that may be read of each runner.
 	mostRead int64
+	// sent is how much the runner sends before it falls silent; 0 for endlessBytes.
+	sent int
 }
 
 func (e *endlessCase) send(ctx context.Context, read *atomic.Int64) *Answer {
 	answer := &Answer{
 		Status: e.status, Header: http.Header{"Content-Type": {"text/plain"}}, Length: -1, Signed: !e.isUnsigned, IsStream: e.isStream,
-		Body: &endlessBody{ctx: ctx, begun: strings.NewReader(e.begun), part: e.part, read: read, left: endlessBytes},
+		Body: &endlessBody{ctx: ctx, begun: strings.NewReader(e.begun), part: e.part, read: read, left: max(e.sent, endlessBytes)},
 	}
 	if e.length > 0 {
 		answer.Length = e.length
@@ -165,3 +168,40 @@
 		testEndless(t, test)
 	}
 }
+
+// Guards against a success without end that is passed on until the deadline, and one that is run again although part of it has been
+// sent.
+func TestSuccessWithoutEndEndsTheAttempt(t *testing.T) {
+	const most, sent = maxAnswerBytes + streamBuffer, 2 * maxAnswerBytes
+	for _, test := range []endlessCase{
+		{name: "body", path: "/once/x", part: "text", mostRead: most, sent: sent, wantSends: 1},
+		{name: "body, may be sent again", path: "/again/x", part: "text", mostRead: most, sent: sent, wantSends: 1},
+		{name: "body of a declared length", path: "/once/x", part: "text", length: maxAnswerBytes + 1, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "declared length, may be sent again", path: "/again/x", part: "text", length: maxAnswerBytes + 1, isOnce: true, wantStatus: http.StatusOK, wantSends: 2},
+		{name: "stream of a declared length", path: "/stream-once/x", part: "text", isStream: true, length: maxAnswerBytes + 1, wantStatus: http.StatusBadGateway, wantSends: 1},
+		{name: "events", path: "/stream-once/x", part: "data: text\n\n", isStream: true, mostRead: most, sent: sent, wantSends: 1},
+		{name: "events that the caller has", path: "/stream-once/x", part: "id: 0\n\n", isStream: true, mostRead: most, sent: sent, wantSends: 1},
+		{name: "comments", path: "/stream-once/x", part: ": comment\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
+		{name: "blank lines", path: "/stream-once/x", begun: events(1, 2), part: "\n", isStream: true, mostRead: maxEventBytes + 2*streamBuffer, wantSends: 1},
+	} {
+		test.status, test.reason = http.StatusOK, reasonTooLong
+		testEndless(t, test)
+	}
+}
+
+// An answer to HEAD declares the length of a body that does not come.
+func TestAnswerToHeadMayDeclareAnyLength(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+			answer, err := newAnswer(http.StatusOK, "")
+			answer.Length = 2 * maxAnswerBytes
+			return answer, err
+		})
+		recorder := httptest.NewRecorder()
+		router.Serve(recorder, &Request{
+			HTTP: httptest.NewRequest(http.MethodHead, "http://h/again/x", nil), ID: "id", Arrived: time.Now(), Wait: time.Second, ResumeAfter: NoEvent,
+		})
+		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+	})
+}
--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -5,7 +5,7 @@
 	"strconv"
 )
 
-// maxEventBytes bounds an event. Clients of the own sites (package api) read as much; a router holds one incomplete event for
+// maxEventBytes bounds an event, and the comments between two events. Clients of the own sites (package api) read as much; a router holds one incomplete event for
 // each stream.
 const maxEventBytes = 1 << 20
 
@@ -17,7 +17,9 @@
 	buffer []byte
 	// start is where the first event begins that was not returned, and searched is where the search for its end goes on.
 	start, searched int
-	// isTooLong is set once an event exceeds maxEventBytes. No more events are returned then.
+	// comments is the size of the comments since the last event.
+	comments int
+	// isTooLong is set once an event, or the comments between two, exceed maxEventBytes. No more events are returned then.
 	isTooLong bool
 }
 
@@ -33,19 +35,31 @@
 	s.buffer = append(s.buffer, more...)
 }
 
-// next returns the next complete event with its terminator, or nil. The slice is valid until the
+// next returns the next complete event or comment with its terminator, or nil. The slice is valid until the
 // next call of add.
 func (s *eventSplitter) next() []byte {
 	isComplete := s.findEnd()
-	s.isTooLong = s.isTooLong || s.searched-s.start > maxEventBytes
+	event := s.buffer[s.start:s.searched]
+	if isComplete {
+		s.countComments(event)
+	}
+	s.isTooLong = s.isTooLong || len(event) > maxEventBytes || s.comments > maxEventBytes
 	if !isComplete || s.isTooLong {
 		return nil
 	}
-	event := s.buffer[s.start:s.searched]
 	s.start = s.searched
 	return event
 }
 
+// countComments adds a comment to the size of those since the last event.
+func (s *eventSplitter) countComments(event []byte) {
+	if isComment(event) {
+		s.comments += len(event)
+		return
+	}
+	s.comments = 0
+}
+
 // findEnd moves searched behind the end of the event that begins at start, or to the end of the buffer if it is incomplete.
 func (s *eventSplitter) findEnd() (isComplete bool) {
 	for s.searched < len(s.buffer) {
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -25,6 +25,8 @@
 	lastAnswerShare = 10
 	// maxBuffered bounds the bytes of a response that are read before its header is sent.
 	maxBuffered = 1 << 20
+	// maxAnswerBytes bounds a successful answer. A long stream of large events takes some tens of MB.
+	maxAnswerBytes = 64 << 20
 	// minRetryAfter is the minimum Retry-After given to a caller.
 	minRetryAfter = 200 * time.Millisecond
 	// maxRejections bounds the runners that may reject one request.
@@ -94,6 +96,8 @@
 	// isStarted is set once the response header has been sent, isWhole once the whole response has.
 	isStarted bool
 	isWhole   bool
+	// isUnresumable is set once a part of an answer that is no stream has been sent, as no other answer can complete it.
+	isUnresumable bool
 	// runnerVersion is the software version of the runner of the last attempt, and boundVersion the one at which the stream
 	// must go on; empty if it may go on at any.
 	runnerVersion string
@@ -269,7 +273,7 @@
 	if ctx.Err() != nil || x.timeLeft() < minAttemptTime {
 		return false
 	}
-	if ended.reason == reasonNotContinuous {
+	if ended.reason == reasonNotContinuous || x.isUnresumable {
 		return false
 	}
 	if ended.isNotRun {
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -20,8 +20,12 @@
 	controller := http.NewResponseController(x.writer)
 	var events eventSplitter
 	buffer := make([]byte, streamBuffer)
+	received := int64(0)
 	for {
 		count, err := answer.Body.Read(buffer)
+		if received += int64(count); received > answer.maxBytes() {
+			return tooLong()
+		}
 		if count > 0 {
 			watchdog.noteActivity()
 			lastEvent := x.lastEvent
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -164,7 +163,7 @@
 	if a.isFailure() {
 		return maxBuffered
 	}
-	return math.MaxInt64
+	return maxAnswerBytes
 }
 
 // isTaken reports whether the runner accepted the request, whatever its outcome.
