A peer's answer without end ends at 16 kB, its status at 4 MB

What callers saw: nothing yet. A router that asked for a tunnel, told a notice or watched a status read a head or a status without end into its memory until the deadline of 700, 1000 or 800 ms, which each further status extends.

Cause: http.ReadResponse and json.NewDecoder on a plain reader.

A limited reader bounds the head, and each status interval of what follows. The error is an *Error with CausePeer like any other answer that is none, so that logs and metrics show it as peer_unreachable, with the text of errTooLong.

--- a/request/tunnel/client.go
+++ b/request/tunnel/client.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -54,11 +53,11 @@
 	if err := question.Write(conn); err != nil {
 		return nil, &Error{peer, CausePeer, err}
 	}
-	reader := bufio.NewReader(conn)
-	answer, err := http.ReadResponse(reader, question)
+	answer, reader, limit, err := readHead(conn, question)
 	if err != nil {
 		return nil, &Error{peer, CausePeer, err}
 	}
+	limit.unlimit()
 	switch answer.StatusCode {
 	case http.StatusOK:
 		if answer.Header.Get(framingHeader) == framingVersion {
@@ -90,7 +89,7 @@
 	if err := request.Write(conn); err != nil {
 		return &Error{peer, CausePeer, err}
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), request)
+	answer, _, _, err := readHead(conn, request)
 	if err != nil {
 		return &Error{peer, CausePeer, err}
 	}
@@ -112,10 +111,11 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", statusPath, peer); err != nil {
 		return &Error{peer, CausePeer, err}
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	answer, _, limit, err := readHead(conn, nil)
 	if err != nil {
 		return &Error{peer, CausePeer, err}
 	}
+	limit.limit(maxStatusBytes)
 	lines := json.NewDecoder(answer.Body)
 	for {
 		var status Status
@@ -126,6 +126,9 @@
 			return ctx.Err()
 		}
 		_ = conn.SetDeadline(time.Now().Add(statusTimeout))
+		if time.Since(limit.limitedAt) >= statusInterval {
+			limit.limit(maxStatusBytes)
+		}
 		observe(status)
 	}
 }
--- /dev/null
+++ b/request/tunnel/limit.go
@@ -0,0 +1,58 @@
+package tunnel
+
+import (
+	"bufio"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxHeadBytes bounds the head of a question and of a peer's answer to it.
+	maxHeadBytes = 16 << 10
+	// maxStatusBytes bounds what is read of a peer's Status in a statusInterval. A Notice takes up to 400 bytes.
+	maxStatusBytes = 4 << 20
+)
+
+// errTooLong is the error of reading beyond a limit.
+var errTooLong = errors.New("the peer sent more than its answer may have")
+
+// limitedReader reads from a connection and fails with errTooLong once the bytes that remain have been read.
+type limitedReader struct {
+	conn      net.Conn
+	remaining int64
+	// limitedAt is the time of the last call of limit.
+	limitedAt time.Time
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(buffer []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errTooLong
+	}
+	count, err := r.conn.Read(buffer[:min(int64(len(buffer)), r.remaining)])
+	r.remaining -= int64(count)
+	return count, err
+}
+
+// limit sets the bytes that remain.
+func (r *limitedReader) limit(bytes int64) { r.remaining, r.limitedAt = bytes, time.Now() }
+
+// unlimit removes the limit.
+func (r *limitedReader) unlimit() { r.remaining = math.MaxInt64 }
+
+// readHead reads the head of the answer to a question, which may be nil for a GET. What follows is read through the
+// returned readers: limit bounds what reader takes from the connection.
+func readHead(conn net.Conn, question *http.Request) (answer *http.Response, reader *bufio.Reader, limit *limitedReader, err error) {
+	limit = &limitedReader{conn: conn}
+	limit.limit(maxHeadBytes)
+	reader = bufio.NewReader(limit)
+	answer, err = http.ReadResponse(reader, question)
+	if err != nil && limit.remaining <= 0 {
+		// http.ReadResponse reports the end of its input in place of its error.
+		err = errTooLong
+	}
+	return answer, reader, limit, err
+}
