A peer's server for tunnels bounds heads, and ends questions that come slowly

What callers saw: nothing yet. A connection to a peer's server could hold a head of 1 MB, or stay open without end: with a notice of which a byte comes now and then, or with nothing after a notice. Each takes a descriptor that tunnels need.

Cause: the server had neither MaxHeaderBytes nor IdleTimeout, and a notice's body no deadline.

Evidence: TestEndlessQuestionsEnd failed before: 1.3 MB of a head were read, and the connections were still open after a minute. Heads end at 16 kB now, a notice after 1 s and a connection without a question after 2 s.

--- a/request/tunnel/endless_test.go
+++ b/request/tunnel/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,53 @@
 		_ = runner.Close()
 	})
 }
+
+// Guards against questions of routers that take a peer's memory or keep a connection without end.
+func TestEndlessQuestionsEnd(t *testing.T) {
+	const (
+		connect = "CONNECT " + runnerAddress + " HTTP/1.1\r\n"
+		notice  = "POST " + noticePath + " HTTP/1.1\r\nHost: peer\r\n"
+		// passedOver is what the connection holds and what net/http reads and discards of a body after its answer.
+		passedOver = 2*networktest.DefaultBufferBytes + 256<<10 + 16<<10
+	)
+	for name, test := range map[string]struct {
+		start, piece string
+		// interval is the time between two pieces; 0 sends them at once.
+		interval, within time.Duration
+	}{
+		"headers":                {connect, "A: b\r\n", 0, time.Second},
+		"a notice":               {notice + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat(" ", 0x1000) + "\r\n", 0, time.Second},
+		"headers, slowly":        {connect, "A: b\r\n", 100 * time.Millisecond, readHeaderTimeout + time.Second},
+		"a notice, slowly":       {notice + "Content-Length: 1000\r\n\r\n", " ", 100 * time.Millisecond, noticeTimeout + time.Second},
+		"nothing after a notice": {notice + "Content-Length: 2\r\n\r\n{}", "", 100 * time.Millisecond, readHeaderTimeout + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBench(t, func(b *bench) {
+				conn, err := b.router.DialContext(b.c.Context(), "tcp", peerAddress)
+				b.c.Assert(err, qt.IsNil)
+				var sending sync.WaitGroup
+				sent := 0
+				sending.Go(func() {
+					if test.interval == 0 {
+						sent = sendEndless(conn, test.start, test.piece)
+						return
+					}
+					_, err := io.WriteString(conn, test.start)
+					for began := time.Now(); err == nil && time.Since(began) < time.Minute; {
+						time.Sleep(test.interval)
+						_, err = io.WriteString(conn, test.piece)
+					}
+				})
+				began := time.Now()
+				_ = conn.SetReadDeadline(began.Add(time.Minute))
+				_, err = io.Copy(io.Discard, conn)
+				b.c.Check(time.Since(began) <= test.within, qt.IsTrue, qt.Commentf("after %s: %v", time.Since(began), err))
+				_ = conn.Close()
+				sending.Wait()
+				// net/http waits before it closes a connection whose request it has not read whole.
+				time.Sleep(time.Second)
+				b.c.Check(sent <= maxHeadBytes+passedOver, qt.IsTrue, qt.Commentf("%d bytes", sent))
+			})
+		})
+	}
+}
--- a/request/tunnel/server.go
+++ b/request/tunnel/server.go
@@ -17,7 +17,7 @@
 const (
 	// maxTunnels bounds the open tunnels of a peer. Each takes some 36 kB and two descriptors.
 	maxTunnels = 1024
-	// readHeaderTimeout bounds the time in which a router sends its question.
+	// readHeaderTimeout bounds the time in which a router sends its question, and the time until its next one.
 	readHeaderTimeout = 2 * time.Second
 	// maxNoticeBytes bounds the body of a Notice.
 	maxNoticeBytes = 1 << 10
@@ -81,7 +81,9 @@
 		options.Observe = func(string) {}
 	}
 	s := &Server{options: options, open: make(map[*link]bool), changed: make(chan struct{})}
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{
+		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
 	return s
 }
 
@@ -228,6 +230,7 @@
 // takeNotice passes on what a runner said in an answer that went through a tunnel.
 func (s *Server) takeNotice(writer http.ResponseWriter, request *http.Request) {
 	var told Notice
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(noticeTimeout))
 	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxNoticeBytes)).Decode(&told); err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
