Bytes that are no answer are no crash of the runner

What callers saw: a request whose runner sent bytes that are no answer (no HTTP, a malformed header, a head without end, a malformed chunk) counted as one that may crash runners; after some of them it was tried alone or refused, and so were others with the same content or parts of its prompt. The direct way to the runner was doubted and probed.

Cause: every error of http.Transport after the request was sent counted as a lost connection.

Evidence: TestInvalidAnswerIsNoCrash failed before in all eight cases in which the connection is kept, with a loss reported for the request; the crashes passed.

TestForeignAnswerIsNoCrash is now a case of the first test.

--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -32,7 +32,7 @@
 	case err != nil && ctx.Err() != nil:
 		return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 	case err != nil:
-		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
+		return cutShort(err)
 	case x.isFalsePromise(answer):
 		return result{outcome: routing.OutcomeUnavailable, reason: reasonRunnerFailed, err: errNoPromise}
 	case len(body) > maxBuffered && answer.isFailure():
@@ -84,7 +84,7 @@
 	case err != nil && ctx.Err() != nil:
 		return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 	case err != nil:
-		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
+		return cutShort(err)
 	}
 	return result{outcome: routing.OutcomeSuccess, isDone: true}
 }
--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -69,13 +69,9 @@
 }
 
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, path paths.Path, err error) result {
-	ended := result{outcome: routing.OutcomeBroken, reason: reasonSendFailed, err: err}
-	isForeign := errors.Is(err, ErrForeignAnswer)
-	switch {
-	case isPeerFailure(err):
+	ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(err), err: err}
+	if isPeerFailure(err) {
 		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
-	case isForeign:
-		ended.reason = reasonForeignAnswer
 	}
 	if errors.Is(err, ErrNotSent) {
 		ended.isNotRun = true
@@ -88,7 +84,7 @@
 	} else {
 		x.countRun()
 		x.arrivals++
-		if ctx.Err() == nil && path.IsDirect() && !isForeign {
+		if ctx.Err() == nil && path.IsDirect() && ended.reason == reasonSendFailed {
 			x.router.connectionBroke(choice.Runner())
 		}
 	}
--- a/request/relay/attempts.go
+++ b/request/relay/attempts.go
@@ -36,7 +36,7 @@
 // isRunnerFailure reports whether the runner or the connection to it failed the attempt.
 func (r result) isRunnerFailure() bool {
 	switch r.reason {
-	case reasonSendFailed, reasonSilent, reasonCutShort, reasonTooLong, reasonNotSigned:
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonMalformed, reasonTooLong, reasonNotSigned:
 		return true
 	case reasonRunnerFailed:
 		return r.outcome == routing.OutcomeUnavailable
--- a/request/relay/failure_test.go
+++ b/request/relay/failure_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,23 +89,55 @@
 	}
 }
 
-// Guards against a request that is suspected of crashing runners, and a path that is doubted, because a runner sent an answer to
-// another request: neither the runner nor the connection was lost. The request may have run.
-func TestForeignAnswerIsNoCrash(t *testing.T) {
-	for path, sends := range map[string]int{"/once/x": 1, "/again/x": 2} {
-		synctest.Test(t, func(t *testing.T) {
-			c := qt.New(t)
-			router, backend := newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
-				return nil, fmt.Errorf("runner p1: %w", ErrForeignAnswer)
+// Guards against a request that is suspected of crashing runners, and a path that is doubted, because a runner sent something else
+// than an answer to it: neither the runner nor the connection was lost. The request may have run.
+func TestInvalidAnswerIsNoCrash(t *testing.T) {
+	fails := func(err error) func() (*Answer, error) {
+		return func() (*Answer, error) { return nil, fmt.Errorf("runner p1: %w", err) }
+	}
+	breaksOff := func(err error) func() (*Answer, error) {
+		return func() (*Answer, error) {
+			answer, _ := newAnswer(http.StatusOK, "")
+			answer.Length, answer.Body = -1, &truncatedBody{strings.NewReader("begun"), fmt.Errorf("chunk: %w", err)}
+			return answer, nil
+		}
+	}
+	streams := func(text string, err error) func() (*Answer, error) {
+		return func() (*Answer, error) { return stream(text, err) }
+	}
+	for name, test := range map[string]struct {
+		answer func() (*Answer, error)
+		reason string
+		// isCrash is set if the runner may have crashed.
+		isCrash bool
+	}{
+		"foreign":              {fails(ErrForeignAnswer), reasonForeignAnswer, false},
+		"malformed":            {fails(ErrMalformedAnswer), reasonMalformed, false},
+		"head too long":        {fails(ErrAnswerTooLong), reasonTooLong, false},
+		"malformed body":       {breaksOff(ErrMalformedAnswer), reasonMalformed, false},
+		"malformed stream":     {streams("data: ", ErrMalformedAnswer), reasonMalformed, false},
+		"lost":                 {broken, reasonSendFailed, true},
+		"lost inside its body": {breaksOff(io.ErrUnexpectedEOF), reasonCutShort, true},
+		"lost stream":          {streams("data: ", io.ErrUnexpectedEOF), reasonCutShort, true},
+	} {
+		for path, sends := range map[string]int{"/once/x": 1, "/again/x": 2} {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					router, backend := newTestRouter(func(context.Context, *Attempt) (*Answer, error) { return test.answer() })
+					recorder, aborted := ask(router, t.Context(), path, "")
+					c.Assert(aborted, qt.IsFalse)
+					c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+					c.Assert(backend.attempts, qt.HasLen, sends)
+					c.Assert(attemptsBy(c, router)[test.reason], qt.Equals, float64(sends))
+					losses, _ := router.suspects.take()
+					c.Assert(len(losses) > 0, qt.Equals, test.isCrash)
+					if !test.isCrash {
+						c.Assert(router.peers.paths.IsIdle(), qt.IsTrue)
+					}
+				})
 			})
-			recorder, aborted := ask(router, t.Context(), path, "")
-			c.Assert(aborted, qt.IsFalse)
-			c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
-			c.Assert(backend.attempts, qt.HasLen, sends)
-			losses, _ := router.suspects.take()
-			c.Assert(losses, qt.HasLen, 0)
-			c.Assert(router.peers.paths.IsIdle(), qt.IsTrue)
-		})
+		}
 	}
 }
 
--- a/request/relay/options.go
+++ b/request/relay/options.go
@@ -18,6 +18,13 @@
 // ErrForeignAnswer means that a runner sent an answer to another request where that to this one was due. The request may have run.
 var ErrForeignAnswer = errors.New("the answer belongs to another request")
 
+// ErrMalformedAnswer means that a runner sent bytes that are no answer where one was due, and kept the connection. The request may have
+// run.
+var ErrMalformedAnswer = errors.New("the runner sent no valid answer")
+
+// ErrAnswerTooLong means that the head, the body or an event of a runner's answer exceeds its bound. The request may have run.
+var ErrAnswerTooLong = errors.New("the answer is too long")
+
 // notSentError is an ErrNotSent with its cause.
 type notSentError struct{ cause error }
 
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -14,8 +14,11 @@
 	// connecting failed or the connection broke.
 	reasonSilent     = "silent"
 	reasonSendFailed = "send_failed"
-	// reasonForeignAnswer means that the runner sent an answer to another request.
+	// reasonForeignAnswer means that the runner sent an answer to another request, reasonMalformed that it sent bytes that are no
+	// answer, and reasonTooLong that its answer, or an event of it, exceeds its bound.
 	reasonForeignAnswer = "foreign_answer"
+	reasonMalformed     = "malformed_answer"
+	reasonTooLong       = "answer_too_long"
 	// reasonPeerFailed means that the peer through which the runner is reached was not reached or accepted
 	// nothing. The request was not sent.
 	reasonPeerFailed = "peer_failed"
@@ -31,9 +34,8 @@
 	// the runner itself reported a failure.
 	reasonNotSigned    = "not_signed"
 	reasonRunnerFailed = "runner_failed"
-	// reasonCutShort means that the response was truncated, reasonTooLong that it, or an event of it, exceeds its bound.
+	// reasonCutShort means that the response was truncated.
 	reasonCutShort = "cut_short"
-	reasonTooLong  = "answer_too_long"
 	// reasonCallerLeft means that the caller closed its connection, or the sending side of it, or did not take the response.
 	reasonCallerLeft = "caller_left"
 	// reasonNoCopy means that the runner has no copy from which the stream could be continued,
@@ -57,12 +59,31 @@
 	err    error
 }
 
-// errTooLong means that an answer, or an event of it, exceeds its bound.
-var errTooLong = errors.New("the answer, or an event of it, is too long")
-
 // tooLong returns the result of an attempt whose answer, or an event of it, exceeds its bound.
 func tooLong() result {
-	return result{outcome: routing.OutcomeBroken, reason: reasonTooLong, err: errTooLong}
+	return result{outcome: routing.OutcomeBroken, reason: reasonTooLong, err: ErrAnswerTooLong}
+}
+
+// cutShort returns the result of an attempt whose answer could not be read to its end.
+func cutShort(err error) result {
+	ended := result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
+	if errors.Is(err, ErrMalformedAnswer) {
+		ended.reason = reasonMalformed
+	}
+	return ended
+}
+
+// sendFailureReason returns the reason why no answer to a request was received.
+func sendFailureReason(err error) string {
+	switch {
+	case errors.Is(err, ErrForeignAnswer):
+		return reasonForeignAnswer
+	case errors.Is(err, ErrMalformedAnswer):
+		return reasonMalformed
+	case errors.Is(err, ErrAnswerTooLong):
+		return reasonTooLong
+	}
+	return reasonSendFailed
 }
 
 // isUnreachable reports whether the runner could not be reached or sent nothing for too long. A
@@ -72,20 +93,20 @@
 }
 
 // isBroken reports whether the connection broke while the runner may have been running the request,
-// which indicates a crash.
+// which indicates a crash. A runner that sends something else than an answer still runs.
 func (r result) isBroken() bool {
 	return (r.reason == reasonSendFailed || r.reason == reasonCutShort) && !r.isNotRun && !r.isDone
 }
 
 // isLoss reports whether the request was sent and its answer was lost with the runner or the
-// connection: by a reset, an early end, an answer to another request, one that is too long, or silence. A failure that the runner itself
-// reports is an answer.
+// connection: by a reset, an early end, silence, or something else that was sent in its place. A failure that the runner itself reports is an
+// answer.
 func (r result) isLoss() bool {
 	if r.isDone || r.isNotRun {
 		return false
 	}
 	switch r.reason {
-	case reasonSendFailed, reasonSilent, reasonCutShort, reasonTooLong, reasonForeignAnswer, reasonZoneLost, reasonPeerLost:
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonForeignAnswer, reasonMalformed, reasonTooLong, reasonZoneLost, reasonPeerLost:
 		return true
 	}
 	return false
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -36,7 +36,7 @@
 			switch {
 			case errors.Is(failure, errNotContinuous):
 				return result{outcome: routing.OutcomeUnavailable, reason: reasonNotContinuous, err: failure}
-			case errors.Is(failure, errTooLong):
+			case errors.Is(failure, ErrAnswerTooLong):
 				return tooLong()
 			case failure != nil:
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: failure}
@@ -59,7 +59,7 @@
 		case ctx.Err() != nil:
 			return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 		}
-		return result{outcome: routing.OutcomeBroken, reason: reasonCutShort, err: err}
+		return cutShort(err)
 	}
 }
 
@@ -93,7 +93,7 @@
 		written++
 	}
 	if events.isTooLong {
-		return errors.Join(errTooLong, x.flushEvents(written, controller))
+		return errors.Join(ErrAnswerTooLong, x.flushEvents(written, controller))
 	}
 	return x.flushEvents(written, controller)
 }
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -138,7 +138,7 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Body must be closed. Reading fails if the response is truncated.
+	// Body must be closed. Reading fails if the response is truncated, with ErrMalformedAnswer if the connection is not the reason.
 	Body io.ReadCloser
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
@@ -182,7 +182,8 @@
 }
 
 // Backend sends attempts to runners. The error wraps ErrNotSent if no byte of the request was sent, and then a
-// *tunnel.Error if a peer was the reason, or ErrForeignAnswer.
+// *tunnel.Error if a peer was the reason. It wraps ErrForeignAnswer, ErrMalformedAnswer or ErrAnswerTooLong if the runner sent something
+// else than an answer to the request.
 // Send must call MaySend right before the first byte, and send nothing if it returns false.
 type Backend interface {
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
