Bytes that complete no event are silence of a stream's runner

What callers saw: a stream that may be sent again, whose runner sends 200 bytes a second of an event that never ends, got 504 after its whole deadline, as each byte ended the silence after which another runner is tried. So did one whose runner sends comments, or events that its caller has, without end.

Cause: relayStream told the watchdog of each read, and the watchdog's clock began anew with each.

Now only events that are passed on end the silence. Comments, and events that the caller has, show that the runner is busy, as events for other requests do, so that it gets the time of a busy runner: three quarters of what callers wait between two events. Part of an event shows that the way to the runner holds, and nothing else. What may run only once waits for its deadline as before.

--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -13,6 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lotusferry/lotusferry/internal/pause"
 )
 
 // endlessBytes is how much of a body without end a runner of a test sends before it falls silent, so that a router that reads all
@@ -50,6 +52,29 @@
 
 func (b *endlessBody) Close() error { return nil }
 
+// tricklingBody yields the same part again and again, with pauses, and then the rest. It ends with the attempt.
+type tricklingBody struct {
+	ctx   context.Context
+	part  string
+	pause time.Duration
+	// times is how often the part comes.
+	times int
+	rest  io.Reader
+}
+
+func (b *tricklingBody) Read(buffer []byte) (int, error) {
+	if b.times <= 0 {
+		return b.rest.Read(buffer)
+	}
+	b.times--
+	if !pause.For(b.ctx, b.pause) {
+		return 0, b.ctx.Err()
+	}
+	return copy(buffer, b.part), nil
+}
+
+func (b *tricklingBody) Close() error { return nil }
+
 // endlessCase is an answer without end and what its caller gets.
 type endlessCase struct {
 	name, path string
@@ -205,3 +230,51 @@
 		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
 	})
 }
+
+// Guards against a request that may be sent again but waits until its deadline for a runner that sends some bytes again and again,
+// which complete no event. What may run only once waits, and so does what may be sent again while comments show that its runner is
+// busy, for as long as a caller would.
+func TestBytesWithoutEventsAreSilence(t *testing.T) {
+	const interval, forever = 5 * time.Millisecond, 1 << 20
+	busyFor := func(limit time.Duration) int { return int(limit / interval) }
+	for name, test := range map[string]struct {
+		path, part string
+		times      int
+		status     int
+		sends      int
+		// atLeast and atMost bound the time until the end of the answer.
+		atLeast, atMost time.Duration
+	}{
+		"part of an event":                {"/stream/x", "x", forever, http.StatusOK, 2, 0, streamSilenceFloor + 100*time.Millisecond},
+		"part of an event, runs once":     {"/stream-once/x", "x", forever, http.StatusGatewayTimeout, 1, 5 * time.Second, 5 * time.Second},
+		"comments":                        {"/stream/x", ":\n\n", forever, http.StatusOK, 2, 0, 2 * time.Second},
+		"comments, then events":           {"/stream/x", ":\n\n", busyFor(1500 * time.Millisecond), http.StatusOK, 1, 0, 1600 * time.Millisecond},
+		"events that the caller has":      {"/stream/x", "id: 0\n\n", forever, http.StatusOK, 2, 0, 2 * time.Second},
+		"events that the caller has, few": {"/stream/x", "id: 0\n\n", busyFor(1500 * time.Millisecond), http.StatusOK, 1, 0, 1600 * time.Millisecond},
+		"comments, runs once":             {"/stream-once/x", ":\n\n", busyFor(4 * time.Second), http.StatusOK, 1, 4 * time.Second, 4100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				sends := 0
+				router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+					answer, err := stream(events(1, 4), io.EOF)
+					if sends++; sends == 1 {
+						answer.Body = &tricklingBody{ctx: ctx, part: test.part, pause: interval, times: test.times, rest: strings.NewReader(events(1, 4))}
+					}
+					return answer, err
+				})
+				began := time.Now()
+				recorder, aborted := ask(router, t.Context(), test.path, "m")
+				took := time.Since(began)
+				c.Check(aborted, qt.IsFalse)
+				c.Check(recorder.Code, qt.Equals, test.status)
+				c.Check(backend.attempts, qt.HasLen, test.sends)
+				c.Check(took >= test.atLeast && took <= test.atMost, qt.IsTrue, qt.Commentf("took %s", took))
+				if test.status == http.StatusOK {
+					c.Check(strings.HasSuffix(recorder.Body.String(), events(1, 4)), qt.IsTrue)
+				}
+			})
+		})
+	}
+}
--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -60,6 +60,9 @@
 	s.comments = 0
 }
 
+// isInComments reports whether what next returned last is a comment.
+func (s *eventSplitter) isInComments() bool { return s.comments > 0 }
+
 // findEnd moves searched behind the end of the event that begins at start, or to the end of the buffer if it is incomplete.
 func (s *eventSplitter) findEnd() (isComplete bool) {
 	for s.searched < len(s.buffer) {
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -82,8 +82,10 @@
 	notices      notices
 	// attemptCounts counts the outcomes of attempts since the last report.
 	attemptCounts map[structs.RunnerID]*fleet.Attempts
-	// lastDataAt is the time of the last data from each runner.
-	lastDataAt map[structs.RunnerID]time.Time
+	// lastDataAt is the time of the last data from each runner, and lastEventAt that of the last head of an answer, event or comment:
+	// part of an event does not show that a runner is at work.
+	lastDataAt  map[structs.RunnerID]time.Time
+	lastEventAt map[structs.RunnerID]time.Time
 	// paces are the stream timings to be reported.
 	paces []residency.Pace
 	// suspects are the requests that may crash runners.
@@ -162,7 +164,7 @@
 		unreachable:   make(map[string]bool),
 		attemptCounts: make(map[structs.RunnerID]*fleet.Attempts),
 
-		lastDataAt: make(map[structs.RunnerID]time.Time),
+		lastDataAt: make(map[structs.RunnerID]time.Time), lastEventAt: make(map[structs.RunnerID]time.Time),
 		known:      make(chan struct{}),
 
 		limits:       newLimits(random.Uint64()),
@@ -285,7 +287,14 @@
 	r.wakeReport()
 }
 
-// observeData records that a runner sent data over a path.
+// observeBytes records that a runner sent something over a path, if only part of an event.
+func (r *Router) observeBytes(instance structs.RunnerID, path paths.Path) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.recordBytes(instance, path)
+}
+
+// observeData records that a runner sent an event or a comment over a path.
 func (r *Router) observeData(instance structs.RunnerID, path paths.Path) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -294,6 +303,12 @@
 
 // recordData is observeData for callers that hold r.mutex.
 func (r *Router) recordData(instance structs.RunnerID, path paths.Path) {
+	r.lastEventAt[instance] = time.Now()
+	r.recordBytes(instance, path)
+}
+
+// recordBytes is observeBytes for callers that hold r.mutex.
+func (r *Router) recordBytes(instance structs.RunnerID, path paths.Path) {
 	r.lastDataAt[instance] = time.Now()
 	if path.IsDirect() {
 		r.zones.watch.ObserveData(r.now(), instance)
@@ -327,9 +342,9 @@
 const maxPaces = 64
 
 // isBusy reports whether a runner that has sent nothing for a request since the given time is
-// occupied: it has sent data for another request, or all its slots are taken.
+// occupied: it has sent events for another request, or comments for this one, or all its slots are taken.
 func (r *Router) isBusy(instance structs.RunnerID, since time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.lastDataAt[instance].After(since) || r.balancer.IsCrowded(time.Now(), instance)
+	return r.lastEventAt[instance].After(since) || r.balancer.IsCrowded(time.Now(), instance)
 }
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -27,11 +27,11 @@
 			return tooLong()
 		}
 		if count > 0 {
-			watchdog.noteActivity()
+			watchdog.noteBytes()
 			lastEvent := x.lastEvent
 			events.add(buffer[:count])
 			watchdog.setForwarding(true)
-			failure := x.passEvents(answer, &events, controller)
+			failure := x.passEvents(answer, &events, controller, watchdog)
 			watchdog.setForwarding(false)
 			switch {
 			case errors.Is(failure, errNotContinuous):
@@ -42,7 +42,7 @@
 				return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: failure}
 			}
 			if x.lastEvent != lastEvent {
-				watchdog.noteEvents()
+				watchdog.noteProgress()
 			}
 		}
 		switch {
@@ -68,9 +68,15 @@
 
 // passEvents forwards the complete events received so far, except those that the caller already
 // has.
-func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController) error {
-	written := 0
+func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController, watchdog *watchdog) error {
+	written, isComplete, hasPassed := 0, false, false
+	defer func() {
+		if isComplete {
+			watchdog.noteEvents(hasPassed)
+		}
+	}()
 	for event := events.next(); event != nil; event = events.next() {
+		isComplete = true
 		number, found := eventID(event)
 		if x.isContinuing && !x.follows(number, found, event) {
 			return errors.Join(errNotContinuous, x.flushEvents(written, controller))
@@ -91,6 +97,7 @@
 			return err
 		}
 		written++
+		hasPassed = hasPassed || !events.isInComments()
 	}
 	if events.isTooLong {
 		return errors.Join(ErrAnswerTooLong, x.flushEvents(written, controller))
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -17,7 +17,7 @@
 var errSilent = errors.New("the runner sent nothing for too long")
 
 // watchdog cancels an attempt of a repeatable or copied request whose runner is silent for too long. A runner
-// that sends data for other requests or has no free slot is considered busy and gets more time.
+// that sends comments, or events for other requests, or has no free slot is considered busy and gets more time.
 type watchdog struct {
 	exchange *exchange
 	runner   structs.RunnerID
@@ -85,10 +85,10 @@
 	}
 }
 
-// noteEvents records that events were forwarded. From the first event on, a stream that is copied may be
+// noteProgress records that the caller has got further events. From the first event on, a stream that is copied may be
 // continued elsewhere, so that it does not wait for a silent runner even if it runs only once. Before
 // that, its copy may not be complete, and the runner may need long for the prompt.
-func (w *watchdog) noteEvents() {
+func (w *watchdog) noteProgress() {
 	x := w.exchange
 	if !x.handover.HasCopy() {
 		return
@@ -152,10 +152,17 @@
 	}
 }
 
-// noteActivity records that the runner sent data for the attempt.
-func (w *watchdog) noteActivity() {
+// noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
+// without end.
+func (w *watchdog) noteBytes() { w.exchange.router.observeBytes(w.runner, w.path) }
+
+// noteEvents records that the runner sent events or comments for the attempt. Only events that were passed on end its silence;
+// comments, and events that the caller has, show that it is busy.
+func (w *watchdog) noteEvents(hasPassed bool) {
 	w.exchange.router.observeData(w.runner, w.path)
-	w.resetSilence()
+	if hasPassed {
+		w.resetSilence()
+	}
 }
 
 // resetSilence restarts the silence timeout.
@@ -169,7 +176,7 @@
 func (w *watchdog) setForwarding(isForwarding bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.isForwarding, w.since = isForwarding, time.Now()
+	w.isForwarding = isForwarding
 }
 
 func (w *watchdog) stop() {
@@ -189,7 +196,7 @@
 	return max(minSilence, silenceFactor*x.route.Objective)
 }
 
-// busySilenceLimit returns how long a runner that sends data for other requests may be silent.
+// busySilenceLimit returns how long a busy runner may be silent.
 func (x *exchange) busySilenceLimit() time.Duration {
 	if x.route.Kind == site.KindStream {
 		return x.router.options.MaxWait.of(x.route) * 3 / 4
