Tests: streams with copies whose runners send events without end

TestStreamWithoutEndIsContinuedFromItsCopy: the stream goes on at its standby at once, or after the silence limit if the bytes trickle, and a continuation that does not end is treated like a run.

--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -278,3 +279,84 @@
 		})
 	}
 }
+
+// divertedBackend has its runners go on with something else where their streams are cut.
+type divertedBackend struct {
+	Backend
+	divert func(ctx context.Context) io.Reader
+}
+
+func (b *divertedBackend) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
+	answer, err := b.Backend.Send(ctx, attempt)
+	if err == nil {
+		answer.Body = &divertedBody{ReadCloser: answer.Body, next: b.divert(ctx)}
+	}
+	return answer, err
+}
+
+// divertedBody goes on with another text where it would fail with errReset.
+type divertedBody struct {
+	io.ReadCloser
+	next       io.Reader
+	isDiverted bool
+}
+
+func (b *divertedBody) Read(buffer []byte) (int, error) {
+	if !b.isDiverted {
+		count, err := b.ReadCloser.Read(buffer)
+		if !errors.Is(err, errReset) {
+			return count, err
+		}
+		b.isDiverted = true
+	}
+	return b.next.Read(buffer)
+}
+
+// Guards against a stream with a copy that is not continued from it when its runner sends an event without end, at once or slowly, and
+// against a continuation that is read until the deadline.
+func TestStreamWithoutEndIsContinuedFromItsCopy(t *testing.T) {
+	for name, test := range map[string]struct {
+		// bad is the number of runs that send an event without end, after three events each.
+		bad int
+		// isSlow is set if they send it byte by byte.
+		isSlow bool
+		// sends is the number of attempts, and isWhole set if the caller gets the whole stream.
+		sends   int
+		isWhole bool
+	}{
+		"run":                  {1, false, 2, true},
+		"run that trickles":    {1, true, 2, true},
+		"run and continuation": {2, false, 3, true},
+		"both trickle":         {2, true, 3, true},
+		"all":                  {3, false, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				var read atomic.Int64
+				r.runners.cut = func(_ context.Context, number, event int) error {
+					if number <= test.bad && event > 3*number {
+						return errReset
+					}
+					return nil
+				}
+				r.options.Backend = &divertedBackend{Backend: r.runners, divert: func(ctx context.Context) io.Reader {
+					if test.isSlow {
+						return &tricklingBody{ctx: ctx, part: "x", pause: 5 * time.Millisecond, times: 1 << 20}
+					}
+					return &endlessBody{ctx: ctx, begun: strings.NewReader(""), part: "x", read: &read, left: endlessBytes}
+				}}
+				began := time.Now()
+				recorder, aborted := r.ask(t.Context(), copiedPath)
+				if test.isWhole {
+					r.checkWhole(recorder, aborted, 1)
+				}
+				c.Check(aborted, qt.Equals, !test.isWhole)
+				most := time.Duration(test.bad)*streamSilenceFloor + (copiedEvents+2)*copiedGap
+				c.Check(time.Since(began) <= most, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+				c.Check(len(r.runners.attempts), qt.Equals, test.sends, qt.Commentf("%s", r.runners.describe()))
+				mostRead := int64(test.bad) * (maxEventBytes + 2*streamBuffer)
+				c.Check(read.Load() <= mostRead, qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+			})
+		})
+	}
+}
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -165,7 +165,7 @@
 		attemptCounts: make(map[structs.RunnerID]*fleet.Attempts),
 
 		lastDataAt: make(map[structs.RunnerID]time.Time), lastEventAt: make(map[structs.RunnerID]time.Time),
-		known:      make(chan struct{}),
+		known: make(chan struct{}),
 
 		limits:       newLimits(random.Uint64()),
 		rejectionLog: asynclog.NewLimiter(maxTenantLogRate),
