--- a/kit/labcommand/soak.go
+++ b/kit/labcommand/soak.go
@@ -29,7 +29,7 @@
 func (c *soakCommand) Execute([]string) error {
 	violated := false
 	for _, seed := range c.seeds() {
-		folder, err := c.makeFolder()
+		folder, err := makeSoakFolder(c.Folder)
 		if err != nil {
 			return err
 		}
@@ -71,9 +71,10 @@
 	return seeds
 }
 
-func (c *soakCommand) makeFolder() (string, error) {
-	if c.Folder != "" {
-		return c.Folder, errors.Wrap(os.MkdirAll(c.Folder, 0o700), "create folder")
+// makeSoakFolder creates the folder of a run, a temporary one if none is given.
+func makeSoakFolder(chosen string) (string, error) {
+	if chosen != "" {
+		return chosen, errors.Wrap(os.MkdirAll(chosen, 0o700), "create folder")
 	}
 	folder, err := os.MkdirTemp("", "lotusferry-soak-")
 	return folder, errors.Wrap(err, "create folder")
