lotusferrylab crowd: crowded runners, with each disruption by its own switch

Callers of another run were refused with 503 though their requests ran, and one request ran twice; the soak has too few rejections to show it. The crowded run has 12 routers before 4 runners with few slots and 72 callers that send at the same moments, by default, and disruptions that can be chosen one by one: late extra answers, lost answers, failures without the header that says that the request did not run, frozen and restarted routers, callers that leave, cut routers, streams that break off, models with copies. It counts REFUSED, TWICE and MIXED from what runners and callers saw, and prints what each attempt of a broken case did.

--- /dev/null
+++ b/kit/labcommand/crowd.go
@@ -0,0 +1,89 @@
+package labcommand
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lotusferry/lotusferry/platform/soak"
+)
+
+// errRuleBroken is returned by a crowded run that broke a rule, after printing its report.
+var errRuleBroken = errors.New("a rule was broken")
+
+// crowdCommand runs routers before crowded runners as processes, and checks that no request that was refused runs and
+// that none runs twice.
+type crowdCommand struct {
+	session *session
+
+	Binary      string        `long:"binary" value-name:"FILE" default:"bin/lotusferry" description:"the program under test"`
+	Seed        uint64        `long:"seed" default:"1" description:"seed of the disruptions"`
+	For         time.Duration `long:"for" default:"15s" description:"duration of the run"`
+	Lane        int           `long:"lane" default:"0" description:"second byte of the loopback addresses; must differ between concurrent runs"`
+	Folder      string        `long:"folder" value-name:"DIR" description:"folder for settings, data and logs; a new temporary folder by default"`
+	Controllers int           `long:"controllers" default:"3" description:"number of controllers, 3 or more"`
+	Routers     int           `long:"routers" default:"12" description:"number of routers"`
+	Runners     int           `long:"runners" default:"4" description:"number of runners"`
+	Slots       int           `long:"slots" default:"4" description:"requests that a runner works on at a time"`
+	Queue       int           `long:"queue" default:"2" description:"requests that wait at a runner"`
+	Callers     int           `long:"callers" default:"72" description:"number of callers"`
+	Work        time.Duration `long:"work" default:"40ms" description:"mean time that a runner works on a request"`
+	Beat        time.Duration `long:"beat" default:"150ms" description:"interval at which callers send"`
+	Busy        int           `long:"busy" default:"0" description:"number of processes beside that keep processors busy"`
+
+	All      bool `long:"all" description:"all disruptions"`
+	Extra    bool `long:"extra" description:"runners send answers once more where the next one is due"`
+	Lost     bool `long:"lost" description:"runners reset connections after a run"`
+	Unmarked bool `long:"unmarked" description:"runners fail requests that ran with 503 or 429"`
+	Freeze   bool `long:"freeze" description:"routers and runners stand still for a short time"`
+	Restart  bool `long:"restart" description:"routers are stopped, killed and started again"`
+	Leave    bool `long:"leave" description:"callers close connections, or their sending side, early"`
+	Cut      bool `long:"cut" description:"some routers are cut off from some runners"`
+	Streams  bool `long:"streams" description:"answers are streams of events, some of which break off"`
+	Models   bool `long:"models" description:"runners are engines with models, and runs of streams are copied"`
+
+	Spin bool `long:"spin" hidden:"true" description:"keep a processor busy until the standard input ends"`
+}
+
+// Execute implements go-flags.Commander.
+func (c *crowdCommand) Execute([]string) error {
+	if c.Spin {
+		soak.Spin(os.Stdin)
+		return nil
+	}
+	executable, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find the own program")
+	}
+	folder, err := makeSoakFolder(c.Folder)
+	if err != nil {
+		return err
+	}
+	report, err := soak.RunCrowd(c.session.ctx, soak.CrowdOptions{
+		Binary: c.Binary, Folder: folder, Seed: c.Seed, Duration: c.For, Lane: c.Lane, Controllers: max(3, c.Controllers), Routers: c.Routers,
+		Runners: c.Runners, Callers: c.Callers, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Beat: c.Beat,
+		BusyProcesses: c.Busy, BusyCommand: []string{executable, "crowd", "--spin"}, Disruptions: c.disruptions(),
+		Log: func(format string, arguments ...any) { fmt.Fprintf(c.session.Errors, format+"\n", arguments...) },
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(c.session.Errors, "logs:", folder)
+	if err := report.WriteTable(c.session.Output); err != nil {
+		return errors.Wrap(err, "print report")
+	}
+	if report.IsBroken() {
+		return errRuleBroken
+	}
+	return nil
+}
+
+// disruptions returns the chosen disruptions.
+func (c *crowdCommand) disruptions() soak.CrowdDisruptions {
+	return soak.CrowdDisruptions{
+		Extra: c.Extra || c.All, Lost: c.Lost || c.All, Unmarked: c.Unmarked || c.All, Freeze: c.Freeze || c.All,
+		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All,
+	}
+}
--- a/kit/labcommand/run.go
+++ b/kit/labcommand/run.go
@@ -53,6 +53,7 @@
 	Simulate   simulateCommand   `command:"simulate" description:"Run whole sites in one process and in virtual time, from seeds, with faults"`
 	Scenarios  scenariosCommand  `command:"scenarios" description:"List failures, and the commands that reproduce them"`
 	Capacity   capacityCommand   `command:"capacity" description:"Measure the resource costs of each role, as slopes over several sizes"`
+	Crowd      crowdCommand      `command:"crowd" description:"Run routers before crowded runners as processes, and check that nothing refused runs and nothing runs twice"`
 	Soak       soakCommand       `command:"soak" description:"Run the roles of the users' platform as processes on loopback addresses under injected faults, and check them"`
 }
 
@@ -70,6 +71,7 @@
 		Simulate:   simulateCommand{session: shared},
 		Scenarios:  scenariosCommand{session: shared},
 		Capacity:   capacityCommand{session: shared},
+		Crowd:      crowdCommand{session: shared},
 		Soak:       soakCommand{session: shared},
 	}
 	parser := flags.NewNamedParser("lotusferrylab", flags.HelpFlag|flags.PassDoubleDash)
