--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -31,6 +31,7 @@
 	Callers     int           `long:"callers" default:"72" description:"number of callers"`
 	Work        time.Duration `long:"work" default:"40ms" description:"mean time that a runner works on a request"`
 	Beat        time.Duration `long:"beat" default:"150ms" description:"interval at which callers send"`
+	RetryRatio  float64       `long:"retry-ratio" default:"0.05" description:"share of the requests that routers may send again"`
 	Busy        int           `long:"busy" default:"0" description:"number of processes beside that keep processors busy"`
 
 	All      bool `long:"all" description:"all disruptions"`
@@ -63,7 +64,7 @@
 	}
 	report, err := soak.RunCrowd(c.session.ctx, soak.CrowdOptions{
 		Binary: c.Binary, Folder: folder, Seed: c.Seed, Duration: c.For, Lane: c.Lane, Controllers: max(3, c.Controllers), Routers: c.Routers,
-		Runners: c.Runners, Callers: c.Callers, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Beat: c.Beat,
+		Runners: c.Runners, Callers: c.Callers, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Beat: c.Beat, RetryRatio: c.RetryRatio,
 		BusyProcesses: c.Busy, BusyCommand: []string{executable, "crowd", "--spin"}, Disruptions: c.disruptions(),
 		Log: func(format string, arguments ...any) { fmt.Fprintf(c.session.Errors, format+"\n", arguments...) },
 	})
