lotusferrylab crowd: two regions

Processes and runners are in turn in two zones, each in a region of its own; the settings of the soak itself do not change.

--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -44,6 +44,7 @@
 	Cut      bool `long:"cut" description:"some routers are cut off from some runners"`
 	Streams  bool `long:"streams" description:"answers are streams of events, some of which break off"`
 	Models   bool `long:"models" description:"runners are engines with models, and runs of streams are copied"`
+	Regions  bool `long:"regions" description:"processes and runners are in two regions"`
 
 	Spin bool `long:"spin" hidden:"true" description:"keep a processor busy until the standard input ends"`
 }
@@ -85,6 +86,6 @@
 func (c *crowdCommand) disruptions() soak.CrowdDisruptions {
 	return soak.CrowdDisruptions{
 		Extra: c.Extra || c.All, Lost: c.Lost || c.All, Unmarked: c.Unmarked || c.All, Freeze: c.Freeze || c.All,
-		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All,
+		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All, Regions: c.Regions || c.All,
 	}
 }
