--- a/kit/labcommand/soak.go
+++ b/kit/labcommand/soak.go
@@ -22,6 +22,7 @@
 	Again   bool          `long:"regressions" description:"run the seeds of earlier failures instead"`
 	Lane    int           `long:"lane" default:"0" description:"second byte of the loopback addresses; must differ between concurrent soaks"`
 	Routers int           `long:"routers" default:"3" description:"number of routers"`
+	Phase   string        `long:"phase" value-name:"NAME" description:"the only check after the faults besides that of the recovery; all by default"`
 	Folder  string        `long:"folder" value-name:"DIR" description:"folder for settings, data and logs; a new temporary folder by default"`
 }
 
@@ -34,7 +35,7 @@
 			return err
 		}
 		report, err := soak.Run(c.session.ctx, soak.Options{
-			Binary: c.Binary, Folder: folder, Seed: seed, Duration: c.For, Lane: c.Lane, Routers: c.Routers,
+			Binary: c.Binary, Folder: folder, Seed: seed, Duration: c.For, Lane: c.Lane, Routers: c.Routers, Phase: c.Phase,
 			Log: func(format string, arguments ...any) {
 				fmt.Fprintf(c.session.Errors, format+"\n", arguments...)
 			},
