Heads without end end at their bound, in forwarded answers and in answers to operators

What callers saw: nothing yet. A router of another zone, or a daemon, that sends a head without end took 10 MB of its reader, the default of net/http.

Cause: no MaxResponseHeaderBytes at two of the clients; the others have it.

Evidence: TestEndlessHeadsOfRoutersEnd and TestEndlessHeadsOfDaemonsEnd failed before (more than 1 MB was read); the heads end at 32 and 64 kB now, at once.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -37,10 +37,11 @@
 // answers are streams.
 func newPeerRouters(dialled network.Network, reloader *keys.Reloader, faults *transport.Faults) peerRouters {
 	base := &http.Transport{
-		DialContext:         network.DialWithin(network.OrTCP(dialled), peerDialTimeout),
-		TLSHandshakeTimeout: peerDialTimeout,
-		MaxIdleConnsPerHost: peerConnections,
-		IdleConnTimeout:     peerIdleTimeout,
+		DialContext:            network.DialWithin(network.OrTCP(dialled), peerDialTimeout),
+		TLSHandshakeTimeout:    peerDialTimeout,
+		MaxIdleConnsPerHost:    peerConnections,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	scheme := "http://"
 	if reloader != nil {
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -23,6 +23,8 @@
 	defaultAttemptTimeout  = 10 * time.Second
 	maximumLeaderRedirects = 3
 	maximumResponseBytes   = 1 << 30
+	// maximumHeadBytes bounds the head of a response.
+	maximumHeadBytes = 64 << 10
 )
 
 // ClientOptions configures a Client.
@@ -58,9 +60,10 @@
 		options.AttemptTimeout = defaultAttemptTimeout
 	}
 	transport := &http.Transport{
-		DialContext:       network.OrTCP(options.Network).DialContext,
-		TLSClientConfig:   options.TLS,
-		ForceAttemptHTTP2: true,
+		DialContext:            network.OrTCP(options.Network).DialContext,
+		TLSClientConfig:        options.TLS,
+		ForceAttemptHTTP2:      true,
+		MaxResponseHeaderBytes: maximumHeadBytes,
 	}
 	return &Client{
 		options:   options,
