--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -5,8 +5,8 @@
 	"strconv"
 )
 
-// maxEventBytes bounds an event, and the comments between two events. Clients of the own sites (package api) read as much; a router holds one incomplete event for
-// each stream.
+// maxEventBytes bounds an event, and the comments between two events. The client in package api has the same bound. A router holds
+// one incomplete event for each stream.
 const maxEventBytes = 1 << 20
 
 // keptEventBuffer is the largest buffer in bytes that a stream keeps after a long event.
