Events that bring a stream no further end it after 1 MiB

What callers saw: a stream of small events without an ID, or with one that does not rise, was passed on to the bound of the whole answer.

Cause: only comments counted as bytes between two events. By the published protocol a stream is events with rising IDs, so that the others are no part of one.

Evidence: TestSuccessWithoutEndEndsTheAttempt, events without an ID and events whose IDs do not rise, failed before ("took 5s", all 8 MiB that the test's runner sends were read). The case of events up to the bound of the whole answer has rising IDs now, as the others cannot come so far any more.

--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -195,6 +196,17 @@
 	}
 }
 
+// longEvents returns events with rising IDs of so many bytes at least.
+func longEvents(bytes int) string {
+	const perEvent = maxEventBytes / 2
+	data := strings.Repeat("x", perEvent)
+	var text strings.Builder
+	for number := 0; text.Len() < bytes; number++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, data)
+	}
+	return text.String()
+}
+
 // Guards against a success without end that is passed on until the deadline, and one that is run again although part of it has been
 // sent.
 func TestSuccessWithoutEndEndsTheAttempt(t *testing.T) {
@@ -205,8 +217,9 @@
 		{name: "body of a declared length", path: "/once/x", part: "text", length: maxAnswerBytes + 1, wantStatus: http.StatusBadGateway, wantSends: 1},
 		{name: "declared length, may be sent again", path: "/again/x", part: "text", length: maxAnswerBytes + 1, isOnce: true, wantStatus: http.StatusOK, wantSends: 2},
 		{name: "stream of a declared length", path: "/stream-once/x", part: "text", isStream: true, length: maxAnswerBytes + 1, wantStatus: http.StatusBadGateway, wantSends: 1},
-		{name: "events", path: "/stream-once/x", part: "data: text\n\n", isStream: true, mostRead: most, sent: sent, wantSends: 1},
-		{name: "events that the caller has", path: "/stream-once/x", part: "id: 0\n\n", isStream: true, mostRead: most, sent: sent, wantSends: 1},
+		{name: "events", path: "/stream-once/x", begun: longEvents(sent), part: "x", isStream: true, mostRead: most, wantSends: 1},
+		{name: "events without an ID", path: "/stream-once/x", part: "data: text\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
+		{name: "events whose IDs do not rise", path: "/stream-once/x", part: "id: 0\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
 		{name: "comments", path: "/stream-once/x", part: ": comment\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
 		{name: "blank lines", path: "/stream-once/x", begun: events(1, 2), part: "\n", isStream: true, mostRead: maxEventBytes + 2*streamBuffer, wantSends: 1},
 	} {
--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -5,8 +5,8 @@
 	"strconv"
 )
 
-// maxEventBytes bounds an event, and the comments between two events. The client in package api has the same bound. A router holds
-// one incomplete event for each stream.
+// maxEventBytes bounds an event, and what comes between two events with rising IDs. The client in package api has the same bound. A
+// router holds one incomplete event for each stream.
 const maxEventBytes = 1 << 20
 
 // keptEventBuffer is the largest buffer in bytes that a stream keeps after a long event.
@@ -17,9 +17,13 @@
 	buffer []byte
 	// start is where the first event begins that was not returned, and searched is where the search for its end goes on.
 	start, searched int
-	// comments is the size of the comments since the last event.
-	comments int
-	// isTooLong is set once an event, or the comments between two, exceed maxEventBytes. No more events are returned then.
+	// id is that of the event that next returned last, if hasID is set.
+	id    int64
+	hasID bool
+	// nextID follows the highest ID so far, and sinceID is the size of what came after the event with that ID.
+	nextID  int64
+	sinceID int
+	// isTooLong is set once maxEventBytes are exceeded. No more events are returned then.
 	isTooLong bool
 }
 
@@ -41,9 +45,9 @@
 	isComplete := s.findEnd()
 	event := s.buffer[s.start:s.searched]
 	if isComplete {
-		s.countComments(event)
+		s.noteID(event)
 	}
-	s.isTooLong = s.isTooLong || len(event) > maxEventBytes || s.comments > maxEventBytes
+	s.isTooLong = s.isTooLong || len(event) > maxEventBytes || s.sinceID > maxEventBytes
 	if !isComplete || s.isTooLong {
 		return nil
 	}
@@ -51,18 +55,16 @@
 	return event
 }
 
-// countComments adds a comment to the size of those since the last event.
-func (s *eventSplitter) countComments(event []byte) {
-	if isComment(event) {
-		s.comments += len(event)
+// noteID records the ID of an event. Events without one, with one that does not rise, and comments bring a stream no further.
+func (s *eventSplitter) noteID(event []byte) {
+	s.id, s.hasID = eventID(event)
+	if s.hasID && s.id >= s.nextID {
+		s.nextID, s.sinceID = s.id+1, 0
 		return
 	}
-	s.comments = 0
+	s.sinceID += len(event)
 }
 
-// isInComments reports whether what next returned last is a comment.
-func (s *eventSplitter) isInComments() bool { return s.comments > 0 }
-
 // findEnd moves searched behind the end of the event that begins at start, or to the end of the buffer if it is incomplete.
 func (s *eventSplitter) findEnd() (isComplete bool) {
 	for s.searched < len(s.buffer) {
--- a/request/relay/event_test.go
+++ b/request/relay/event_test.go
@@ -51,9 +51,11 @@
 			b.SetBytes(int64(len(read)))
 			b.ReportAllocs()
 			for b.Loop() {
+				// The events of each read are new.
+				splitter.nextID = 0
 				splitter.add(read)
 				for event := splitter.next(); event != nil; event = splitter.next() {
-					if _, found := eventID(event); !found {
+					if !splitter.hasID {
 						b.Fatal("no ID")
 					}
 				}
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -77,7 +77,7 @@
 	}()
 	for event := events.next(); event != nil; event = events.next() {
 		isComplete = true
-		number, found := eventID(event)
+		number, found := events.id, events.hasID
 		if x.isContinuing && !x.follows(number, found, event) {
 			return errors.Join(errNotContinuous, x.flushEvents(written, controller))
 		}
@@ -97,7 +97,7 @@
 			return err
 		}
 		written++
-		hasPassed = hasPassed || !events.isInComments()
+		hasPassed = hasPassed || found || !isComment(event)
 	}
 	if events.isTooLong {
 		return errors.Join(ErrAnswerTooLong, x.flushEvents(written, controller))
