--- a/request/tunnel/client.go
+++ b/request/tunnel/client.go
@@ -53,11 +53,11 @@
 	if err := question.Write(conn); err != nil {
 		return nil, &Error{peer, CausePeer, err}
 	}
-	answer, reader, limit, err := readHead(conn, question)
+	answer, reader, limited, err := readHead(conn, question)
 	if err != nil {
 		return nil, &Error{peer, CausePeer, err}
 	}
-	limit.unlimit()
+	limited.allowAll()
 	switch answer.StatusCode {
 	case http.StatusOK:
 		if answer.Header.Get(framingHeader) == framingVersion {
@@ -111,11 +111,11 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", statusPath, peer); err != nil {
 		return &Error{peer, CausePeer, err}
 	}
-	answer, _, limit, err := readHead(conn, nil)
+	answer, _, limited, err := readHead(conn, nil)
 	if err != nil {
 		return &Error{peer, CausePeer, err}
 	}
-	limit.limit(maxStatusBytes)
+	limited.allow(maxStatusBytes)
 	lines := json.NewDecoder(answer.Body)
 	for {
 		var status Status
@@ -126,8 +126,8 @@
 			return ctx.Err()
 		}
 		_ = conn.SetDeadline(time.Now().Add(statusTimeout))
-		if time.Since(limit.limitedAt) >= statusInterval {
-			limit.limit(maxStatusBytes)
+		if time.Since(limited.allowedAt) >= statusInterval {
+			limited.allow(maxStatusBytes)
 		}
 		observe(status)
 	}
--- a/request/tunnel/limit.go
+++ b/request/tunnel/limit.go
@@ -23,8 +23,8 @@
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
-	// limitedAt is the time of the last call of limit.
-	limitedAt time.Time
+	// allowedAt is the time of the last call of allow.
+	allowedAt time.Time
 }
 
 // Read implements io.Reader.
@@ -37,22 +37,22 @@
 	return count, err
 }
 
-// limit sets the bytes that remain.
-func (r *limitedReader) limit(bytes int64) { r.remaining, r.limitedAt = bytes, time.Now() }
+// allow sets the bytes that remain.
+func (r *limitedReader) allow(bytes int64) { r.remaining, r.allowedAt = bytes, time.Now() }
 
-// unlimit removes the limit.
-func (r *limitedReader) unlimit() { r.remaining = math.MaxInt64 }
+// allowAll removes the limit.
+func (r *limitedReader) allowAll() { r.remaining = math.MaxInt64 }
 
 // readHead reads the head of the answer to a question, which may be nil for a GET. What follows is read through the
-// returned readers: limit bounds what reader takes from the connection.
-func readHead(conn net.Conn, question *http.Request) (answer *http.Response, reader *bufio.Reader, limit *limitedReader, err error) {
-	limit = &limitedReader{conn: conn}
-	limit.limit(maxHeadBytes)
-	reader = bufio.NewReader(limit)
+// returned readers: limited bounds what reader takes from the connection.
+func readHead(conn net.Conn, question *http.Request) (answer *http.Response, reader *bufio.Reader, limited *limitedReader, err error) {
+	limited = &limitedReader{conn: conn}
+	limited.allow(maxHeadBytes)
+	reader = bufio.NewReader(limited)
 	answer, err = http.ReadResponse(reader, question)
-	if err != nil && limit.remaining <= 0 {
+	if err != nil && limited.remaining <= 0 {
 		// http.ReadResponse reports the end of its input in place of its error.
 		err = errTooLong
 	}
-	return answer, reader, limit, err
+	return answer, reader, limited, err
 }
