A stream is not sent again after an event without an ID

Cause: a repeatable stream that is lost is sent again after the last event ID that the caller has; an event without an ID was passed on and not remembered.

Evidence: TestStreamWithEventWithoutIDIsNotSentAgain failed before, and so did the case of TestSuccessWithoutEndEndsTheAttempt that may be sent again.

Once an event without an ID has been passed on, nothing else can complete the stream: a loss closes the caller's connection. By the published protocol events have IDs, so that sound streams go on as before; comments do not count.

--- a/request/relay/endless_test.go
+++ b/request/relay/endless_test.go
@@ -219,6 +219,7 @@
 		{name: "stream of a declared length", path: "/stream-once/x", part: "text", isStream: true, length: maxAnswerBytes + 1, wantStatus: http.StatusBadGateway, wantSends: 1},
 		{name: "events", path: "/stream-once/x", begun: longEvents(sent), part: "x", isStream: true, mostRead: most, wantSends: 1},
 		{name: "events without an ID", path: "/stream-once/x", part: "data: text\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
+		{name: "events without an ID, may be sent again", path: "/stream/x", part: "data: text\n\n", isStream: true, isOnce: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
 		{name: "events whose IDs do not rise", path: "/stream-once/x", part: "id: 0\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
 		{name: "comments", path: "/stream-once/x", part: ": comment\n\n", isStream: true, mostRead: maxEventBytes + streamBuffer, wantSends: 1},
 		{name: "blank lines", path: "/stream-once/x", begun: events(1, 2), part: "\n", isStream: true, mostRead: maxEventBytes + 2*streamBuffer, wantSends: 1},
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -96,7 +96,8 @@
 	// isStarted is set once the response header has been sent, isWhole once the whole response has.
 	isStarted bool
 	isWhole   bool
-	// isUnresumable is set once a part of an answer that is no stream has been sent, as no other answer can complete it.
+	// isUnresumable is set once a part of an answer that is no stream, or an event without an ID, has been sent, as no other answer can
+	// complete it.
 	isUnresumable bool
 	// runnerVersion is the software version of the runner of the last attempt, and boundVersion the one at which the stream
 	// must go on; empty if it may go on at any.
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -249,6 +249,20 @@
 	})
 }
 
+// Guards against a stream of which parts of two runs are joined: an event without an ID may be one that another run sends again.
+func TestStreamWithEventWithoutIDIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(firstThen(
+			func() (*Answer, error) { return stream("data: a\n\n", errors.New("reset")) },
+			func() (*Answer, error) { return stream(events(1, 3), io.EOF) },
+		))
+		_, aborted := ask(router, t.Context(), "/stream/x", "m")
+		c.Assert(aborted, qt.IsTrue)
+		c.Assert(backend.attempts, qt.HasLen, 1)
+	})
+}
+
 func TestNonResumableStreamIsAborted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -97,7 +97,13 @@
 			return err
 		}
 		written++
-		hasPassed = hasPassed || found || !isComment(event)
+		isPart := found || !isComment(event)
+		hasPassed = hasPassed || isPart
+		if isPart && !found {
+			// Another run would send it again, or something else in its place.
+			x.handover.End()
+			x.isUnresumable = true
+		}
 	}
 	if events.isTooLong {
 		return errors.Join(ErrAnswerTooLong, x.flushEvents(written, controller))
