--- a/request/relay/answer.go
+++ b/request/relay/answer.go
@@ -70,8 +70,7 @@
 // relayLarge forwards a successful response that exceeds maxBuffered. begun holds the bytes read so far.
 func (x *exchange) relayLarge(ctx context.Context, answer *Answer, begun []byte) result {
 	// The events of a continuation cannot follow a body that is no stream.
-	x.handover.End()
-	x.isUnresumable = true
+	x.endResumption()
 	x.sendHeader(answer)
 	if _, err := x.writer.Write(begun); err != nil {
 		return result{outcome: routing.OutcomeNeutral, isDone: true, reason: reasonCallerLeft, err: err}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -269,6 +269,12 @@
 	}
 }
 
+// endResumption records that no other answer can complete what the caller has.
+func (x *exchange) endResumption() {
+	x.handover.End()
+	x.isUnresumable = true
+}
+
 // mayTryAgain reports whether another runner may be tried after the result.
 func (x *exchange) mayTryAgain(ctx context.Context, ended result) bool {
 	if ctx.Err() != nil || x.timeLeft() < minAttemptTime {
--- a/request/relay/notices.go
+++ b/request/relay/notices.go
@@ -48,7 +48,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	runner := choice.Runner()
-	r.recordData(runner, path)
+	r.recordBytes(runner, path)
+	r.recordEvent(runner)
 	r.peers.paths.Sent(r.now(), path, runner, r.zones.watch.ZoneOf(runner), paths.OutcomeReached)
 	if answer.tellsLimit() {
 		r.noteLimit(runner, sent, answer.Notice.Limit)
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -20,7 +20,6 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/site"
-	"github.com/lotusferry/lotusferry/request/paths"
 )
 
 // scriptedBackend is a Backend that records its attempts.
@@ -342,8 +341,8 @@
 		})
 		go func() {
 			time.Sleep(time.Second)
-			router.observeData("e1", paths.Path{})
-			router.observeData("e2", paths.Path{})
+			router.observeEvent("e1")
+			router.observeEvent("e2")
 		}()
 		began := time.Now()
 		recorder, _ := ask(router, t.Context(), "/stream/x", "m")
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -294,18 +294,15 @@
 	r.recordBytes(instance, path)
 }
 
-// observeData records that a runner sent an event or a comment over a path.
-func (r *Router) observeData(instance structs.RunnerID, path paths.Path) {
+// observeEvent records that what a runner sent has completed an event or a comment.
+func (r *Router) observeEvent(instance structs.RunnerID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.recordData(instance, path)
+	r.recordEvent(instance)
 }
 
-// recordData is observeData for callers that hold r.mutex.
-func (r *Router) recordData(instance structs.RunnerID, path paths.Path) {
-	r.lastEventAt[instance] = time.Now()
-	r.recordBytes(instance, path)
-}
+// recordEvent is observeEvent for callers that hold r.mutex.
+func (r *Router) recordEvent(instance structs.RunnerID) { r.lastEventAt[instance] = time.Now() }
 
 // recordBytes is observeBytes for callers that hold r.mutex.
 func (r *Router) recordBytes(instance structs.RunnerID, path paths.Path) {
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -101,8 +101,7 @@
 		hasPassed = hasPassed || isPart
 		if isPart && !found {
 			// Another run would send it again, or something else in its place.
-			x.handover.End()
-			x.isUnresumable = true
+			x.endResumption()
 		}
 	}
 	if events.isTooLong {
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -159,7 +159,7 @@
 // noteEvents records that the runner sent events or comments for the attempt. Only events that were passed on end its silence;
 // comments, and events that the caller has, show that it is busy.
 func (w *watchdog) noteEvents(hasPassed bool) {
-	w.exchange.router.observeData(w.runner, w.path)
+	w.exchange.router.observeEvent(w.runner)
 	if hasPassed {
 		w.resetSilence()
 	}
