Tests: one stand-in sends bytes without end

Three tests and networktest each wrote the loop that sends a piece again and again until the reader closes. networktest.SendWithoutEnd serves all. Bounds and assertions are as they were; what is sent before the piece counts in all of them now, which makes two of the bounds a few bytes stricter.

--- a/internal/network/networktest/endless.go
+++ b/internal/network/networktest/endless.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
-	"net"
+	"io"
 	"strings"
 	"testing"
 )
 
 const (
-	// endlessPiece is the size in bytes of the pieces that ServeWithoutEnd sends, and maxEndless the most that it sends in all.
+	// endlessPiece is the least size in bytes of what SendWithoutEnd writes at a time.
 	endlessPiece = 4 << 10
-	maxEndless   = 32 << 20
+	// maxEndless is the most that ServeWithoutEnd sends, in bytes.
+	maxEndless = 32 << 20
 )
 
-// ServeWithoutEnd answers one connection of a network with the start and then the byte x until it is closed. It returns the
+// ServeWithoutEnd answers one connection of a network with the start, and then the byte x until it is closed. It returns the
 // address, and a channel with the number of bytes sent.
 func (m *Memory) ServeWithoutEnd(tb testing.TB, start string) (address string, sent <-chan int) {
 	tb.Helper()
@@ -29,21 +30,21 @@
 			return
 		}
 		defer conn.Close()
-		counted <- sendWithoutEnd(conn, start)
+		_, _ = conn.Read(make([]byte, endlessPiece))
+		counted <- SendWithoutEnd(conn, start, "x", maxEndless)
 	}()
 	return listener.Addr().String(), counted
 }
 
-func sendWithoutEnd(conn net.Conn, start string) (sent int) {
-	_, _ = conn.Read(make([]byte, endlessPiece))
-	piece := []byte(start)
-	for sent < maxEndless {
-		count, err := conn.Write(piece)
+// SendWithoutEnd writes the start, and then the piece again and again until an error or until so many bytes were written. It
+// returns how many were.
+func SendWithoutEnd(to io.Writer, start, piece string, most int) (sent int) {
+	sent, err := io.WriteString(to, start)
+	piece = strings.Repeat(piece, 1+endlessPiece/len(piece))
+	for err == nil && sent < most {
+		var count int
+		count, err = io.WriteString(to, piece)
 		sent += count
-		if err != nil {
-			break
-		}
-		piece = []byte(strings.Repeat("x", endlessPiece))
 	}
 	return sent
 }
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/binary"
-	"io"
 	"runtime"
-	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -39,14 +37,7 @@
 				c.Assert(err, qt.IsNil)
 				var before, after runtime.MemStats
 				runtime.ReadMemStats(&before)
-				piece := strings.Repeat(test.piece, 1+1024/len(test.piece))
-				sent := 0
-				_, err = io.WriteString(conn, test.start)
-				for err == nil && sent < sentMost {
-					var count int
-					count, err = io.WriteString(conn, piece)
-					sent += count
-				}
+				sent := networktest.SendWithoutEnd(conn, test.start, test.piece, sentMost)
 				runtime.ReadMemStats(&after)
 				c.Check(sent <= limit+2*networktest.DefaultBufferBytes, qt.IsTrue, qt.Commentf("%d bytes", sent))
 				c.Check(after.TotalAlloc-before.TotalAlloc < gobBytes+64*limit, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
--- a/request/engineapi/endless_test.go
+++ b/request/engineapi/endless_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,7 +49,9 @@
 						if err != nil {
 							return
 						}
-						sent <- sendUntilClosed(conn, test.start, test.piece, endless)
+						_, _ = conn.Read(make([]byte, 4096))
+						sent <- networktest.SendWithoutEnd(conn, test.start, test.piece, endless)
+						_ = conn.Close()
 					}
 				}()
 				client := engineapi.NewClient(engineapi.ClientOptions{MaxLine: 2048, MaxBody: 4096, Network: memory})
@@ -79,18 +78,3 @@
 		})
 	}
 }
-
-// sendUntilClosed reads a request, writes the start and then the piece until an error or the number of bytes, and returns
-// how many were sent.
-func sendUntilClosed(conn net.Conn, start, piece string, most int) (sent int) {
-	defer conn.Close()
-	_, _ = conn.Read(make([]byte, 4096))
-	piece = strings.Repeat(piece, 1+1024/len(piece))
-	_, err := io.WriteString(conn, start)
-	for err == nil && sent < most {
-		var count int
-		count, err = io.WriteString(conn, piece)
-		sent += count
-	}
-	return sent
-}
--- a/request/tunnel/endless_test.go
+++ b/request/tunnel/endless_test.go
@@ -18,18 +18,6 @@
 // endlessBytes is how much a test sends in place of bytes without end.
 const endlessBytes = 32 << 20
 
-// sendEndless writes the start, and then the piece until endlessBytes or an error, and returns the number of bytes.
-func sendEndless(to io.Writer, start, piece string) (sent int) {
-	piece = strings.Repeat(piece, 1+4096/len(piece))
-	_, err := io.WriteString(to, start)
-	for sent = len(start); err == nil && sent < endlessBytes; {
-		var count int
-		count, err = io.WriteString(to, piece)
-		sent += count
-	}
-	return sent
-}
-
 // Guards against a peer's answers without end that a router reads into its memory until a deadline.
 func TestEndlessAnswersOfPeerEndAtOnce(t *testing.T) {
 	ask := func(ctx context.Context, over network.Network) error {
@@ -73,7 +61,7 @@
 					conn, err := listener.Accept()
 					c.Check(err, qt.IsNil)
 					_, _ = conn.Read(make([]byte, 4096))
-					sent <- sendEndless(conn, test.start, test.piece)
+					sent <- networktest.SendWithoutEnd(conn, test.start, test.piece, endlessBytes)
 					_ = conn.Close()
 				}()
 				began := time.Now()
@@ -113,7 +101,7 @@
 	inBench(t, func(b *bench) {
 		router, runner := b.open()
 		sent := make(chan int, 1)
-		go func() { sent <- sendEndless(runner, "", "x") }()
+		go func() { sent <- networktest.SendWithoutEnd(runner, "", "x", endlessBytes) }()
 		_, err := io.CopyN(io.Discard, router, 1<<20)
 		b.c.Assert(err, qt.IsNil)
 		synctest.Wait()
@@ -154,7 +142,7 @@
 				sent := 0
 				sending.Go(func() {
 					if test.interval == 0 {
-						sent = sendEndless(conn, test.start, test.piece)
+						sent = networktest.SendWithoutEnd(conn, test.start, test.piece, endlessBytes)
 						return
 					}
 					_, err := io.WriteString(conn, test.start)
