A silent runner keeps its request until another one has begun to answer

Callers saw: streams cut and requests answered 502, each right after their runner had been silent for 1.2 s (0.4 s on short requests), although the runner went on some hundred milliseconds later.

Cause: the watchdog withdrew an attempt that may be repeated for its runner's silence, or because its zone or peer was believed lost, and only then asked whether another send is possible. Without a retry in the budget, a free runner, or one of the stream's software version, nothing took the answer's place. Class: what works is given up on a belief before what replaces it is certain.

Now another runner is sought while the first attempt stays: the request waits in the queue for it, takes a retry from the budget and is sent; the first attempt is withdrawn only when the other runner has begun to answer. What comes first is forwarded; if the silent runner goes on, the other one is withdrawn. A runner that is silent as well is not chosen, so that a silence of all costs no retries. A stream that may run only once is handed to its standby with a retry taken before. An attempt on trial, and a stream with events without IDs, stay. What was not sent yet is withdrawn at once, as nothing can be lost.

TestOnlyRepeatableRequestsLeaveSilentRunner and TestBusyRunnerGetsMoreTime hold as before; their counters are atomic, as two sends may be in progress now.

Why it works: a runner that goes on is never given up, whatever the budget and the other runners are; one that is silent for good loses its requests as soon as before, if another runner answers.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -12,41 +12,65 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// attempt sends the request to a runner and forwards its response.
+// attempt sends the request to a runner and forwards its response. A successor whose answer takes the place of this one is left in
+// x.successor.
 func (x *exchange) attempt(parent context.Context, choice routing.Choice) result {
 	x.copied = nil
-	ctx, cancel := context.WithCancelCause(parent)
-	defer cancel(nil)
-	watchdog := x.watch(choice, cancel)
-	defer watchdog.stop()
-	defer x.router.beginAttempt(choice, watchdog)()
-	if errors.Is(context.Cause(ctx), errUnwanted) {
-		return x.sendFailed(ctx, choice, watchdog.path, ErrNotSent)
+	d := x.newDispatch(parent, choice, &watchdog{isRepeated: x.sent > 0, wish: x.peerWish()})
+	defer d.close()
+	d.watchdog.observe(x)
+	if x.mayLeaveRunner() {
+		d.watchdog.start()
+	}
+	if !d.register() {
+		return x.sendFailed(d.ctx, choice, d.watchdog.path, ErrNotSent)
 	}
 	x.beginCopy(choice)
+	x.noteSending(d)
+	d.send(&Attempt{ResumeAfter: x.lastEvent, CopyTo: x.copied.address(), IsContinuation: x.isContinuing})
+	return x.finish(d)
+}
+
+// noteSending records that the request is sent to a runner whose answer may be forwarded.
+func (x *exchange) noteSending(d *dispatch) {
 	x.sent++
-	x.path = watchdog.path
-	x.runnerVersion = choice.Version()
-	sent := x.router.now()
-	x.timing.noteSent(choice.Runner())
-	answer, err := x.router.options.Backend.Send(ctx, &Attempt{
-		Request: x.request, Instance: string(choice.Runner()), Address: choice.Address(),
-		Peer: watchdog.path.Peer, Service: x.row.Service,
-		Wait: x.runnerTime(), Priority: x.priority, ResumeAfter: x.lastEvent,
-		Tenant: x.tenantName(), HidesKey: x.hidesKey, Begin: watchdog.begin,
-		CopyTo: x.copied.address(), IsContinuation: x.isContinuing, Used: &x.used,
-	})
-	if err != nil {
-		return x.sendFailed(ctx, choice, watchdog.path, err)
+	x.path = d.watchdog.path
+	x.runnerVersion = d.choice.Version()
+	x.timing.noteSent(d.choice.Runner())
+}
+
+// finish forwards the response, and returns the result of the attempt.
+func (x *exchange) finish(d *dispatch) result {
+	ended := x.forward(d)
+	x.successor = d.watchdog.end(ended)
+	x.countSuccessors(d.watchdog)
+	return ended
+}
+
+// countSuccessors counts the successors that may have run the request and whose answers are not used.
+func (x *exchange) countSuccessors(w *watchdog) {
+	x.sent += w.successorRuns
+	x.attempts += w.successorRuns
+	x.arrivals += w.successorRuns
+	if w.hasReserved {
+		x.hasReserved = true
+	}
+}
+
+// forward forwards the response, if there is one.
+func (x *exchange) forward(d *dispatch) result {
+	choice, path := d.choice, d.watchdog.path
+	if d.err != nil {
+		return x.sendFailed(d.ctx, choice, path, d.err)
 	}
 	x.arrivals++
-	x.router.observeAnswer(choice, watchdog.path, sent, answer)
-	watchdog.resetSilence()
-	defer answer.Body.Close()
-	ended := x.receive(ctx, choice, answer, watchdog).withPeerLoss()
-	x.noteLostPeer(watchdog.path, ended)
+	if d.begins() {
+		d.watchdog.resetSilence()
+	}
+	ended := x.receive(d.ctx, choice, d.answer, d.watchdog).withPeerLoss()
+	x.noteLostPeer(path, ended)
 	if ended.reason != "" || x.sent > 1 {
-		x.logAttempt(choice, answer.Status, ended)
+		x.logAttempt(choice, d.answer.Status, ended)
 	}
 	return ended
 }
--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -57,7 +57,16 @@
 
 // tryRepeat counts a retry and returns true if the budget allows one.
 func (b *budget) tryRepeat(now time.Time, count *routerCount) bool {
-	slot := b.currentSlot(now)
+	if !b.allowsRepeat(now, count) {
+		return false
+	}
+	b.currentSlot(now).repeats++
+	return true
+}
+
+// allowsRepeat reports whether the budget allows a retry now.
+func (b *budget) allowsRepeat(now time.Time, count *routerCount) bool {
+	b.currentSlot(now)
 	requests, repeats := 0, 0
 	for _, each := range b.slots {
 		requests += each.requests
@@ -65,11 +74,7 @@
 	}
 	// All slots together are longer than the window, in which these requests may not have arrived.
 	requests -= b.oldestSlot().requests
-	if float64(repeats+1) > b.rule.Ratio*float64(requests)+b.rule.share(b.startedAt, now, count) {
-		return false
-	}
-	slot.repeats++
-	return true
+	return float64(repeats+1) <= b.rule.Ratio*float64(requests)+b.rule.share(b.startedAt, now, count)
 }
 
 // oldestSlot returns the slot before those of the current window.
--- a/request/relay/continuation.go
+++ b/request/relay/continuation.go
@@ -84,6 +84,7 @@
 	ended := x.attempt(ctx, choice)
 	x.isContinuing = false
 	x.endAttempt(choice, permit{permission: poison.Free}, ended)
+	ended = x.followSuccessors(ended)
 	switch {
 	case ended.reason == reasonNoCopy || ended.reason == reasonNotHeld:
 		return ended, continuationNoCopy
@@ -100,13 +101,20 @@
 	switch {
 	case !found:
 		return choice, continuationNoCopy
-	case !x.router.mayRepeat(x.row.Service):
+	case !x.takeReserved() && !x.router.mayRepeat(x.row.Service):
 		return choice, continuationNoBudget
 	}
 	x.router.countContinuation(x.row, choice, copied)
 	return choice, ""
 }
 
+// takeReserved takes the retry that was reserved for a continuation, if there is one.
+func (x *exchange) takeReserved() bool {
+	isReserved := x.hasReserved
+	x.hasReserved = false
+	return isReserved
+}
+
 // logContinuation logs what followed the loss of a stream that had a copy.
 func (x *exchange) logContinuation(from, to structs.RunnerID, lost, next result, outcome string, lastEvent int64, took time.Duration) {
 	suppressed, allowed := x.router.continuationLog.Allow(x.router.now())
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -123,6 +123,12 @@
 	copied       *streamCopy
 	isContinuing bool
 	lostAt       []structs.RunnerID
+	// isTrial is set if the leader permitted the attempt in progress as a trial.
+	isTrial bool
+	// successor has the answer that takes the place of that of the last attempt; nil for none. hasReserved is set if a retry was
+	// taken from the budget for the continuation of the stream.
+	successor   *successorSearch
+	hasReserved bool
 }
 
 // Serve handles a request. It panics with http.ErrAbortHandler if a response that has started
@@ -227,15 +233,7 @@
 			x.conclude(last)
 			return
 		}
-		last = x.attempt(ctx, choice)
-		x.endAttempt(choice, given, last)
-		if last.isNotRun {
-			x.router.refundWork(x.ticket)
-		}
-		x.avoid = choice.Runner()
-		if !given.isTrial() {
-			last = x.continueStream(ctx, choice.Runner(), last)
-		}
+		last = x.try(ctx, choice, given)
 		if last.isDone {
 			if !last.isServed() {
 				x.abort()
@@ -249,6 +247,24 @@
 	}
 }
 
+// try sends the request to a runner. If the runner is lost, the answer is that of a successor or of a continuation, if there is one.
+func (x *exchange) try(ctx context.Context, choice routing.Choice, given permit) result {
+	x.isTrial = given.isTrial()
+	last := x.attempt(ctx, choice)
+	x.endAttempt(choice, given, last)
+	if last.isNotRun {
+		x.router.refundWork(x.ticket)
+	}
+	x.avoid = choice.Runner()
+	if x.successor != nil {
+		return x.followSuccessors(last)
+	}
+	if given.isTrial() {
+		return last
+	}
+	return x.continueStream(ctx, choice.Runner(), last)
+}
+
 // endAttempt records the result of an attempt, and ends the request if it is done.
 func (x *exchange) endAttempt(choice routing.Choice, given permit, ended result) {
 	x.reportEnd(choice.Runner(), given, ended)
--- a/request/relay/metrics.go
+++ b/request/relay/metrics.go
@@ -82,6 +82,8 @@
 	copies        *prometheus.CounterVec
 	copiedBytes   prometheus.Counter
 	continuations *prometheus.CounterVec
+	// successors counts the searches for another runner in place of a silent one, by what followed.
+	successors *prometheus.CounterVec
 	// named are the tenants with their own series.
 	named sync.Map
 	count atomic.Int32
@@ -147,6 +149,7 @@
 		copies:             counter("stream_copies_total", "Decisions on copying a stream to a standby.", "decision"),
 		copiedBytes:        counter("stream_copied_bytes_total", "Bytes that copies of streams may have moved.").WithLabelValues(),
 		continuations:      counter("continuations_total", "Lost streams that had a copy, by what followed.", "outcome"),
+		successors:         counter("successors_total", "Times that another runner was sought in place of a silent one, by what followed.", "outcome"),
 		connectionsClosed:  counter("connections_let_go_total", "Connections of callers closed after an answer for that.").WithLabelValues(),
 		admissionLimit:     gauge("admitted_connections_per_second", "New connections of callers per second that the router reads while its timers are late; 0 while it reads all."),
 		connectionsRefused: counter("connections_refused_total", "New connections of callers closed unread, by reason: late (timers of the process) or full.", "reason"),
@@ -162,7 +165,7 @@
 			made.zonesLost, made.zoneLosses, made.zoneProbes, made.brittleRejections, made.slotClaims, made.peersKnown, made.cutOff, made.peerSent, made.peerProbes, made.tunnels,
 			made.lateness, made.overloaded, made.connectionsClosed, made.admissionLimit, made.connectionsRefused, made.coldRequests,
 			made.limitedRunners, made.limitedSent, made.coolingRunners, made.cooldownsRequested, made.unwantedSent,
-			made.mixedServices, made.takeUps, made.streamNotes, made.copies, made.copiedBytes, made.continuations)
+			made.mixedServices, made.takeUps, made.streamNotes, made.copies, made.copiedBytes, made.continuations, made.successors)
 	}
 	return made
 }
--- a/request/relay/peers.go
+++ b/request/relay/peers.go
@@ -188,9 +188,6 @@
 
 // peerWish returns which peers may pass the request on.
 func (x *exchange) peerWish() paths.Wish {
-	if x == nil {
-		return paths.Wish{}
-	}
 	wish := paths.Wish{Avoid: x.lostPeer}
 	if x.regions != nil {
 		wish.Zones = x.regions.zones
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -303,9 +304,9 @@
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				calls := 0
+				var calls atomic.Int32
 				router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
-					if calls++; calls == 1 {
+					if calls.Add(1) == 1 {
 						<-ctx.Done()
 						return nil, ctx.Err()
 					}
@@ -330,9 +331,9 @@
 func TestBusyRunnerGetsMoreTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		calls := 0
+		var calls atomic.Int32
 		router, _ := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
-			if calls++; calls == 1 {
+			if calls.Add(1) == 1 {
 				answer, _ := stream("", io.EOF)
 				answer.Body = silentBody{ctx}
 				return answer, nil
--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -31,6 +31,13 @@
 	return allowed
 }
 
+// allowsRepeat reports whether the budget of the service allows a retry, without taking it.
+func (r *Router) allowsRepeat(service string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.budget(service).allowsRepeat(r.now(), &r.routerCount)
+}
+
 // observeRouterCount records the number of routers as of the time at, by which bounds over all routers are divided. The
 // caller must hold r.mutex.
 func (r *Router) observeRouterCount(at time.Time, routers int) {
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -102,6 +102,7 @@
 		if isPart && !found {
 			// Another run would send it again, or something else in its place.
 			x.endResumption()
+			watchdog.stop()
 		}
 	}
 	if events.isTooLong {
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -10,19 +10,24 @@
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/paths"
 	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/request/standby"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
 // errSilent is the cancellation cause of an attempt at a silent runner.
 var errSilent = errors.New("the runner sent nothing for too long")
 
-// watchdog cancels an attempt of a repeatable or copied request whose runner is silent for too long. A runner
-// that sends comments, or events for other requests, or has no free slot is considered busy and gets more time.
+// watchdog watches an attempt whose request another runner may take over, because it may be repeated or is copied. If the runner is
+// silent for too long, another one is sought; the attempt is cancelled once that is certain. A runner that sends comments, or events
+// for other requests, or has no free slot is considered busy and gets more time.
 type watchdog struct {
 	exchange *exchange
 	runner   structs.RunnerID
-	// path is the way to the runner, set before the request is sent.
-	path   paths.Path
+	// path is the way to the runner, set before the request is sent, and wish which peers may be on it.
+	path paths.Path
+	wish paths.Wish
+	// parent is the context of the request, and cancel ends the attempt.
+	parent context.Context
 	cancel context.CancelCauseFunc
 	// isRepeated is set if the request was sent before.
 	isRepeated bool
@@ -36,10 +41,23 @@
 	// isForwarding is set while data is written to the caller, who may be slow.
 	isForwarding bool
 	// standby has the copy of a stream that may run only once; empty for other attempts and before the
-	// first event.
-	standby structs.RunnerID
+	// first event. handover is the state of the stream at its last event.
+	standby  structs.RunnerID
+	handover standby.Handover
 	// isStopped is set after the attempt.
 	isStopped bool
+	// waiter is the queue entry with which the runner was found, and formerAttempts the number of attempts before this one.
+	waiter         *waiter
+	formerAttempts int
+	// lastEvent is the ID of the last event that the caller has, and version the software version that wrote it.
+	lastEvent int64
+	version   string
+	// search looks for a successor; nil for none. successorRuns is the number of successors that may have run the request and
+	// whose answers are not used.
+	search        *successorSearch
+	successorRuns int
+	// hasReserved is set if a retry was taken from the budget for the continuation at the standby.
+	hasReserved bool
 }
 
 // States of sending an attempt.
@@ -62,18 +80,10 @@
 	}
 }
 
-func (x *exchange) watch(choice routing.Choice, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{exchange: x, runner: choice.Runner(), cancel: cancel, isRepeated: x.sent > 0, since: time.Now()}
-	if x.mayLeaveRunner() {
-		w.start()
-	}
-	return w
-}
-
 // mayLeaveRunner reports whether another runner may be tried while the attempt that begins is in
-// progress.
+// progress. A trial is the only run of its request.
 func (x *exchange) mayLeaveRunner() bool {
-	return x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts
+	return x.route.MayRepeat() && x.attempts+1 < x.route.MaxAttempts && !x.isTrial
 }
 
 // start starts to watch for silence, unless it has begun or the attempt is over.
@@ -85,36 +95,32 @@
 	}
 }
 
+// observe takes over what a successor has to know of the request.
+func (w *watchdog) observe(x *exchange) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.waiter, w.formerAttempts = x.waiter, x.attempts
+	w.lastEvent, w.version = x.lastEvent, x.boundVersion
+}
+
 // noteProgress records that the caller has got further events. From the first event on, a stream that is copied may be
 // continued elsewhere, so that it does not wait for a silent runner even if it runs only once. Before
 // that, its copy may not be complete, and the runner may need long for the prompt.
 func (w *watchdog) noteProgress() {
 	x := w.exchange
-	if !x.handover.HasCopy() {
-		return
-	}
-	if !x.route.MayRepeat() {
-		w.mutex.Lock()
-		w.standby = x.copied.standby.Runner()
-		w.mutex.Unlock()
-	}
-	w.start()
-}
-
-// mayLeave reports whether the attempt may be canceled while its connection is intact. A stream that may
-// run only once waits for its runner unless its standby can take it.
-func (w *watchdog) mayLeave() bool {
+	isCopied := x.handover.HasCopy() && !x.route.MayRepeat()
 	w.mutex.Lock()
-	standby := w.standby
+	w.lastEvent, w.version = x.lastEvent, x.boundVersion
+	if isCopied {
+		w.standby, w.handover = x.copied.standby.Runner(), x.handover
+	}
 	w.mutex.Unlock()
-	if standby == "" {
-		return true
+	if isCopied {
+		w.start()
 	}
-	_, isUsable := w.exchange.router.standbyAt(w.exchange.row, standby)
-	return isUsable
 }
 
-// check cancels the attempt or schedules the next check.
+// check looks for silence and schedules the next check.
 func (w *watchdog) check() {
 	w.mutex.Lock()
 	if w.isForwarding {
@@ -128,28 +134,74 @@
 	if w.exchange.router.isBusy(w.runner, since) {
 		limit = w.exchange.busySilenceLimit()
 	}
-	if silent >= limit {
-		if w.mayLeave() {
-			w.cancel(errSilent)
-			return
-		}
-		silent = 0
+	again := limit - silent
+	if again <= 0 {
+		w.leave(errSilent)
+		again = successorRetryDelay
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if !w.isStopped {
-		w.timer.Reset(max(time.Millisecond, limit-silent))
+		w.timer.Reset(max(time.Millisecond, again))
 	}
 }
 
-// cancelLost cancels a repeatable attempt because the way to its runner is lost.
-func (w *watchdog) cancelLost(cause error) {
+// leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
+func (w *watchdog) leave(cause error) {
 	w.mutex.Lock()
-	mayCancel := w.timer != nil && w.standby == ""
+	isCopied := w.standby != ""
+	if !isCopied && !w.cancelUnsent(cause) {
+		w.seek(cause)
+	}
 	w.mutex.Unlock()
-	if mayCancel {
+	if isCopied {
+		w.leaveForStandby(cause)
+	}
+}
+
+// cancelUnsent cancels the attempt if nothing was sent yet, so that nothing can be lost, and reports whether it is cancelled.
+func (w *watchdog) cancelUnsent(cause error) bool {
+	if w.progress.CompareAndSwap(sendPending, sendRecalled) {
 		w.cancel(cause)
 	}
+	return w.progress.Load() == sendRecalled
+}
+
+// leaveForStandby cancels the attempt if its standby may continue it, with a retry that is taken from the budget before.
+func (w *watchdog) leaveForStandby(cause error) {
+	if !w.mayContinue() || !w.exchange.router.mayRepeat(w.exchange.row.Service) {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.hasReserved = true
+	w.cancel(cause)
+}
+
+// mayContinue reports whether the standby would be asked to continue the stream if its runner were lost now.
+func (w *watchdog) mayContinue() bool {
+	x := w.exchange
+	loss := x.newLoss()
+	w.mutex.Lock()
+	state, holder := w.handover, w.standby
+	w.mutex.Unlock()
+	if _, verdict := state.Lost(x.router.now(), loss); verdict != standby.VerdictContinue {
+		return false
+	}
+	_, isUsable := x.router.standbyAt(x.row, holder)
+	return isUsable
+}
+
+// cancelLost has a repeatable attempt taken over by another runner because the way to its runner seems lost.
+func (w *watchdog) cancelLost(cause error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.timer == nil || w.standby != "" {
+		return
+	}
+	if !w.cancelUnsent(cause) {
+		w.seek(cause)
+	}
 }
 
 // noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
@@ -165,11 +217,14 @@
 	}
 }
 
-// resetSilence restarts the silence timeout.
+// resetSilence restarts the silence timeout: the runner goes on, and no successor is needed.
 func (w *watchdog) resetSilence() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.since = time.Now()
+	if w.search != nil && !w.search.isNeeded() {
+		w.dropSearch()
+	}
 }
 
 // setForwarding records that data of the runner begins or ends to be written to the caller.
@@ -179,6 +234,7 @@
 	w.isForwarding = isForwarding
 }
 
+// stop ends the watch. A search whose successor is needed goes on.
 func (w *watchdog) stop() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -186,6 +242,30 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if w.search != nil && !w.search.isNeeded() {
+		w.dropSearch()
+	}
+}
+
+// end ends the watch of an attempt that has ended, and returns the search whose successor takes its place; nil for none.
+func (w *watchdog) end(ended result) *successorSearch {
+	defer w.stop()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	s := w.search
+	if s == nil || s.successor == nil {
+		return nil
+	}
+	if !ended.isDone {
+		s.isClaimed = true
+		return s
+	}
+	if s.hasBegun {
+		w.search = nil
+		w.successorRuns++
+		go s.successor.discard(routing.OutcomeNeutral)
+	}
+	return nil
 }
 
 // silenceLimit returns how long a runner that sends nothing at all may be silent.
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -72,7 +72,7 @@
 	now := r.now()
 	r.countSending(now, w)
 	zone := r.zones.watch.ZoneOf(choice.Runner())
-	w.path = r.peers.paths.Choose(now, choice.Runner(), zone, w.exchange.peerWish())
+	w.path = r.peers.paths.Choose(now, choice.Runner(), zone, w.wish)
 	if r.zones.attempts[zone] == nil {
 		r.zones.attempts[zone] = make(map[*watchdog]struct{})
 	}
