A lost way withdraws a request only with a retry taken, and a silent one may be left for another way

Cause: cancelLost withdrew attempts before the retry that follows was certain; and the search for a successor passed over the runner itself, which may be reached through a peer.

Now the retry is taken from the budget first; without one the attempt goes on, and is withdrawn as soon as there is one, unless the runner answers before. A successor may be the same runner on another way.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -47,8 +47,11 @@
 	return ended
 }
 
-// countSuccessors counts the successors that may have run the request and whose answers are not used.
+// countSuccessors takes over from an attempt how many successors may have run the request without their answers being used, and
+// whether a retry is reserved.
 func (x *exchange) countSuccessors(w *watchdog) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	x.sent += w.successorRuns
 	x.attempts += w.successorRuns
 	x.arrivals += w.successorRuns
--- a/request/relay/continuation.go
+++ b/request/relay/continuation.go
@@ -108,7 +108,7 @@
 	return choice, ""
 }
 
-// takeReserved takes the retry that was reserved for a continuation, if there is one.
+// takeReserved takes the retry that was reserved before an attempt was withdrawn, if there is one.
 func (x *exchange) takeReserved() bool {
 	isReserved := x.hasReserved
 	x.hasReserved = false
--- a/request/relay/dispatch.go
+++ b/request/relay/dispatch.go
@@ -29,7 +29,8 @@
 // newDispatch returns a dispatch of the request within the parent context. It must be closed.
 func (x *exchange) newDispatch(parent context.Context, choice routing.Choice, w *watchdog) *dispatch {
 	ctx, cancel := context.WithCancelCause(parent)
-	w.exchange, w.runner, w.parent, w.cancel, w.since = x, choice.Runner(), parent, cancel, time.Now()
+	w.exchange, w.runner, w.parent, w.cancel = x, choice.Runner(), parent, cancel
+	w.resetSilence()
 	return &dispatch{exchange: x, choice: choice, watchdog: w, ctx: ctx, cancel: cancel}
 }
 
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -126,7 +126,7 @@
 	// isTrial is set if the leader permitted the attempt in progress as a trial.
 	isTrial bool
 	// successor has the answer that takes the place of that of the last attempt; nil for none. hasReserved is set if a retry was
-	// taken from the budget for the continuation of the stream.
+	// taken from the budget for what follows.
 	successor   *successorSearch
 	hasReserved bool
 }
@@ -227,7 +227,7 @@
 		case !given.isGranted():
 			x.refuseSuspect(given, last)
 			return
-		case x.arrivals > 0 && !x.router.mayRepeat(x.row.Service):
+		case x.arrivals > 0 && !x.takeReserved() && !x.router.mayRepeat(x.row.Service):
 			x.releaseRunner(choice, given)
 			last.reason = reasonBudget
 			x.conclude(last)
--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -26,6 +26,11 @@
 func (r *Router) mayRepeat(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return r.takeRepeat(service)
+}
+
+// takeRepeat is mayRepeat for callers that hold r.mutex.
+func (r *Router) takeRepeat(service string) bool {
 	allowed := r.budget(service).tryRepeat(r.now(), &r.routerCount)
 	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 	return allowed
--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -25,7 +25,7 @@
 	successorBegan     = "began"
 	successorOvertaken = "overtaken"
 	// successorNoBudget means that the retry budget was exhausted, successorNoRunner that no other runner was found while the
-	// attempt lasted, and successorSilent that the other runner was silent as well.
+	// attempt lasted, and successorSilent that the only one found was silent as well.
 	successorNoBudget = "no_budget"
 	successorNoRunner = "no_runner"
 	successorSilent   = "silent_too"
@@ -116,14 +116,13 @@
 	if !x.router.allowsRepeat(service) {
 		return successorNoBudget
 	}
-	since, wanted := s.watchdog.successorWaiter()
-	choice, err := x.router.acquire(ctx, wanted)
+	choice, err := x.router.acquire(ctx, s.watchdog.successorWaiter())
 	if err != nil {
 		return successorNoRunner
 	}
 	outcome := ""
 	switch {
-	case x.router.isSilentSince(choice.Runner(), since):
+	case !s.watchdog.isBetter(choice.Runner()):
 		outcome = successorSilent
 	case !x.router.mayRepeat(service):
 		outcome = successorNoBudget
@@ -135,17 +134,33 @@
 	return s.send(choice)
 }
 
-// successorWaiter returns since when the runner is silent, and the queue entry of a request for another one.
-func (w *watchdog) successorWaiter() (since time.Time, wanted *waiter) {
+// successorWaiter returns the queue entry of a request for another runner.
+func (w *watchdog) successorWaiter() *waiter {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	work := w.waiter.work
-	work.Avoid, work.Excluded, work.Version = work.Excluded, w.runner, w.version
-	return w.since, &waiter{
+	work.Avoid, work.Version = w.runner, w.version
+	return &waiter{
 		row: w.waiter.row, work: work, ticket: w.waiter.ticket, until: w.exchange.deadline, regions: w.waiter.regions,
 	}
 }
 
+// isBetter reports whether a runner that was just chosen may answer although the runner of the attempt is silent: it is reached on
+// another way, or it is another one that is not silent as well.
+func (w *watchdog) isBetter(id structs.RunnerID) bool {
+	w.mutex.Lock()
+	since := w.since
+	w.mutex.Unlock()
+	r := w.exchange.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	path := r.peers.paths.Choose(r.now(), id, r.zones.watch.ZoneOf(id), w.wish)
+	if !path.IsDirect() && path != w.path {
+		return true
+	}
+	return id != w.runner && !r.isSilentSince(id, since)
+}
+
 // send sends the request to the chosen runner and returns the outcome.
 func (s *successorSearch) send(choice routing.Choice) string {
 	w := s.watchdog
@@ -271,10 +286,8 @@
 }
 
 // isSilentSince reports whether a runner that was just chosen has other requests of this router, and has sent nothing since the
-// given time: a silence that runners share says nothing about one of them.
+// given time: a silence that runners share says nothing about one of them. The caller must hold r.mutex.
 func (r *Router) isSilentSince(id structs.RunnerID, since time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	return r.balancer.InFlight(id) > 1 && !r.lastDataAt[id].After(since)
 }
 
@@ -321,7 +334,7 @@
 	w := s.watchdog
 	x := w.exchange
 	w.mutex.Lock()
-	silent, lastEvent, to := time.Since(w.since), w.lastEvent, structs.RunnerID("")
+	silent, lastEvent, to := w.silentFor(), w.lastEvent, structs.RunnerID("")
 	if s.successor != nil {
 		to = s.successor.choice.Runner()
 	}
--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -279,6 +279,63 @@
 	}
 }
 
+// loseWays has the ways to all runners believed lost.
+func loseWays(router *Router) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	for _, attempts := range router.zones.attempts {
+		for w := range attempts {
+			w.cancelLost(errZoneLost)
+		}
+	}
+}
+
+// Guards against an answer that is lost because the way to its runner was believed lost although the connection lived on, and nothing
+// could take its place. With a retry left, the request is sent again at once.
+func TestLostWayKeepsRequestWithoutRetry(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*Router)
+		sends   int
+		served  time.Duration
+	}{
+		"no retry left": {noRepeats, 1, silentTime},
+		"a retry left":  {func(*Router) {}, 2, 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newTestRouter(firstPauses("/again/x", func(context.Context, *Attempt) (*Answer, error) { return fine() }))
+				test.prepare(router)
+				time.AfterFunc(100*time.Millisecond, func() { loseWays(router) })
+				began := time.Now()
+				assertServedWhole(c, router, "/again/x")
+				c.Assert(time.Since(began), qt.Equals, test.served)
+				c.Assert(backend.runners(), qt.HasLen, test.sends)
+				assertIdle(c, router)
+			})
+		})
+	}
+}
+
+// Guards against a request that waits for a lost way for good: it is sent again once the budget allows it.
+func TestLostWayIsLeftOnceThereIsARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(firstPauses("/again/x", func(context.Context, *Attempt) (*Answer, error) { return fine() }))
+		noRepeats(router)
+		time.AfterFunc(100*time.Millisecond, func() { loseWays(router) })
+		time.AfterFunc(time.Second, func() {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.routerCount = *settledCount(1, time.Now())
+		})
+		began := time.Now()
+		assertServedWhole(c, router, "/again/x")
+		c.Assert(time.Since(began) <= time.Second+successorRetryDelay, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		c.Assert(backend.runners(), qt.HasLen, 2)
+	})
+}
+
 // Guards against a successor that goes on working after the caller has left.
 func TestSuccessorEndsWithItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -56,7 +56,9 @@
 	// whose answers are not used.
 	search        *successorSearch
 	successorRuns int
-	// hasReserved is set if a retry was taken from the budget for the continuation at the standby.
+	// lost is why the way to the runner is believed lost; nil while it is not.
+	lost error
+	// hasReserved is set if a retry was taken from the budget for what follows the attempt.
 	hasReserved bool
 }
 
@@ -149,35 +151,45 @@
 // leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
 func (w *watchdog) leave(cause error) {
 	w.mutex.Lock()
-	isCopied := w.standby != ""
-	if !isCopied && !w.cancelUnsent(cause) {
+	lost, isCopied := w.lost, w.standby != ""
+	if lost == nil && !isCopied && !w.cancelUnsent(cause) {
 		w.seek(cause)
 	}
 	w.mutex.Unlock()
-	if isCopied {
-		w.leaveForStandby(cause)
+	switch {
+	case isCopied && w.mayContinue():
+		w.leaveReserved(cause)
+	case lost != nil && !isCopied:
+		w.leaveReserved(lost)
 	}
 }
 
-// cancelUnsent cancels the attempt if nothing was sent yet, so that nothing can be lost, and reports whether it is cancelled.
-func (w *watchdog) cancelUnsent(cause error) bool {
-	if w.progress.CompareAndSwap(sendPending, sendRecalled) {
-		w.cancel(cause)
+// leaveReserved cancels the attempt if the budget allows the retry that follows, which it takes.
+func (w *watchdog) leaveReserved(cause error) {
+	if w.exchange.router.mayRepeat(w.exchange.row.Service) {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.cancelReserved(cause)
 	}
-	return w.progress.Load() == sendRecalled
 }
 
-// leaveForStandby cancels the attempt if its standby may continue it, with a retry that is taken from the budget before.
-func (w *watchdog) leaveForStandby(cause error) {
-	if !w.mayContinue() || !w.exchange.router.mayRepeat(w.exchange.row.Service) {
+// cancelReserved cancels the attempt after a retry was taken from the budget. The caller must hold w.mutex.
+func (w *watchdog) cancelReserved(cause error) {
+	if w.isStopped {
 		return
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	w.hasReserved = true
 	w.cancel(cause)
 }
 
+// cancelUnsent cancels the attempt if nothing was sent yet, so that nothing can be lost, and reports whether it is cancelled.
+func (w *watchdog) cancelUnsent(cause error) bool {
+	if w.progress.CompareAndSwap(sendPending, sendRecalled) {
+		w.cancel(cause)
+	}
+	return w.progress.Load() == sendRecalled
+}
+
 // mayContinue reports whether the standby would be asked to continue the stream if its runner were lost now.
 func (w *watchdog) mayContinue() bool {
 	x := w.exchange
@@ -192,15 +204,24 @@
 	return isUsable
 }
 
-// cancelLost has a repeatable attempt taken over by another runner because the way to its runner seems lost.
+// cancelLost cancels a repeatable attempt because the way to its runner is lost, if the budget allows the retry that follows: open
+// connections may live on. Otherwise the attempt goes on, and is cancelled once there is one. A successor that was sent is left to
+// answer. The caller must hold the router's mutex.
 func (w *watchdog) cancelLost(cause error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.timer == nil || w.standby != "" {
+	if w.timer == nil || w.standby != "" || w.isStopped || w.cancelUnsent(cause) {
 		return
 	}
-	if !w.cancelUnsent(cause) {
-		w.seek(cause)
+	w.lost = cause
+	if w.search != nil {
+		if w.search.successor != nil {
+			return
+		}
+		w.dropSearch()
+	}
+	if w.exchange.router.takeRepeat(w.exchange.row.Service) {
+		w.cancelReserved(cause)
 	}
 }
 
@@ -221,12 +242,15 @@
 func (w *watchdog) resetSilence() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.since = time.Now()
+	w.since, w.lost = time.Now(), nil
 	if w.search != nil && !w.search.isNeeded() {
 		w.dropSearch()
 	}
 }
 
+// silentFor returns for how long the runner has been silent. The caller must hold w.mutex.
+func (w *watchdog) silentFor() time.Duration { return time.Since(w.since) }
+
 // setForwarding records that data of the runner begins or ends to be written to the caller.
 func (w *watchdog) setForwarding(isForwarding bool) {
 	w.mutex.Lock()
