--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -26,11 +26,23 @@
 func (r *Router) mayRepeat(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return r.takeRepeat(service)
+}
+
+// takeRepeat is mayRepeat for callers that hold r.mutex.
+func (r *Router) takeRepeat(service string) bool {
 	allowed := r.budget(service).tryRepeat(r.now(), &r.routerCount)
 	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 	return allowed
 }
 
+// allowsRepeat reports whether the budget of the service allows a retry, without taking it.
+func (r *Router) allowsRepeat(service string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.budget(service).allowsRepeat(r.now(), &r.routerCount)
+}
+
 // observeRouterCount records the number of routers as of the time at, by which bounds over all routers are divided. The
 // caller must hold r.mutex.
 func (r *Router) observeRouterCount(at time.Time, routers int) {
