A successor that is silent, breaks or may not be sent does not take the place of a runner that goes on

Found by a review of the search for successors; callers would have seen, after a silence: requests that wait until their deadline for a second dead runner although a third is free; an answer lost because its successor broke off inside a short answer; a request sent without the leader's permission because it became a suspect while its successor waited; 504 in place of a runner's 400; answers cut because the zone of their runner was believed lost and no other runner, or no attempt, was left; and other requests that wait for the tokens of a paced runner that searches had used up.

Now a silent successor is searched past in turn, as many as the route's attempts allow, and the first one that begins wins; short answers are read whole before an attempt is withdrawn; permission is asked again after the wait; a whole answer that is no stream counts where the caller has nothing yet; an attempt over a lost way is withdrawn only if a runner that may take it is reachable and an attempt is left; and a runner that is silent as well is refused before its token is taken. The leader is told of the silent runner when the search begins, as before the search was there.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -43,7 +43,9 @@
 func (x *exchange) finish(d *dispatch) result {
 	ended := x.forward(d)
 	x.successor = d.watchdog.end(ended)
-	x.countSuccessors(d.watchdog)
+	if x.successor == nil {
+		x.countSuccessors(d.watchdog)
+	}
 	return ended
 }
 
@@ -67,7 +69,7 @@
 		return x.sendFailed(d.ctx, choice, path, d.err)
 	}
 	x.arrivals++
-	if d.begins() {
+	if d.begins(x.isStarted) {
 		d.watchdog.resetSilence()
 	}
 	ended := x.receive(d.ctx, choice, d.answer, d.watchdog).withPeerLoss()
--- a/request/relay/dispatch.go
+++ b/request/relay/dispatch.go
@@ -1,12 +1,13 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
-	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/routing"
 )
 
@@ -54,16 +55,38 @@
 	}
 }
 
-// begins reports whether the runner has begun to answer the request itself: neither with a rejection nor with a failure, and with a
-// stream where one is due.
-func (d *dispatch) begins() bool {
-	if d.err != nil || d.answer.NotRun || d.answer.NotHeld {
+// begins reports whether the runner has begun to answer the request itself: neither with a rejection nor with a failure of its own,
+// and with a stream if the caller has a part of one.
+func (d *dispatch) begins(isStarted bool) bool {
+	switch {
+	case d.err != nil || d.answer.NotRun || d.answer.NotHeld:
 		return false
-	}
-	if d.exchange.route.Kind == site.KindStream {
+	case d.answer.isFailure():
+		return !isStarted && d.answer.Status < http.StatusInternalServerError
+	case isStarted:
 		return d.answer.Signed && d.answer.IsStream && d.answer.Status == http.StatusOK
 	}
-	return d.answer.isFailure() && d.answer.Status < http.StatusInternalServerError || d.answer.Signed && !d.answer.isFailure()
+	return d.answer.Signed
+}
+
+// readAhead reads an answer that is no stream before another attempt is withdrawn for it: it may break off. Of one larger than
+// maxBuffered the beginning is read.
+func (d *dispatch) readAhead() {
+	if d.err != nil || d.answer.IsStream {
+		return
+	}
+	begun, err := io.ReadAll(io.LimitReader(d.answer.Body, maxBuffered))
+	if err != nil {
+		d.err = err
+		return
+	}
+	d.answer.Body = &resumedBody{io.MultiReader(bytes.NewReader(begun), d.answer.Body), d.answer.Body}
+}
+
+// resumedBody is a body whose beginning was read before.
+type resumedBody struct {
+	io.Reader
+	io.Closer
 }
 
 // close ends the dispatch.
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -29,6 +29,8 @@
 	// mayDefer is set if the request has certainly not run, so that its caller may be told to
 	// retry.
 	mayDefer bool
+	// accepts reports whether a runner may be chosen; nil for any. It is called with the router's mutex held.
+	accepts func(structs.RunnerID) bool
 	// deferred receives the advice to retry later; it has capacity 1.
 	deferred chan *retryLaterError
 	// granted receives the choice; it has capacity 1.
@@ -213,7 +215,7 @@
 	r.expireLeases()
 	at := time.Now()
 	choice, found := r.balancer.PickFor(at, rowName(wanted.row), &wanted.work)
-	if !found {
+	if !found || wanted.accepts != nil && !wanted.accepts(choice.Runner()) {
 		return choice, false
 	}
 	wanted.cachedParts = choice.Cached(wanted.work.Prefixes)
--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -13,19 +16,23 @@
 	"github.com/lotusferry/lotusferry/structs"
 )
 
-// successorRetryDelay is the interval between attempts to find a successor.
-const successorRetryDelay = 100 * time.Millisecond
+const (
+	// successorRetryDelay is the interval between attempts to find a successor.
+	successorRetryDelay = 100 * time.Millisecond
+	// successorWait is how long a search waits in the queue before it looks again at what is known of the runners.
+	successorWait = 250 * time.Millisecond
+)
 
-// errOvertaken is the cancellation cause of a successor that is not needed: the silent runner went on.
-var errOvertaken = errors.New("the runner that was silent went on")
+// errOvertaken is the cancellation cause of a successor that is not needed: another runner, or the silent one, went on.
+var errOvertaken = errors.New("another runner has answered before")
 
 // Outcomes of looking for a successor, for metrics and logs.
 const (
 	// successorBegan means that another runner has begun to answer, successorOvertaken that the silent one went on before.
 	successorBegan     = "began"
 	successorOvertaken = "overtaken"
-	// successorNoBudget means that the retry budget was exhausted, successorNoRunner that no other runner was found while the
-	// attempt lasted, and successorSilent that the only one found was silent as well.
+	// successorNoBudget means that the retry budget was exhausted, successorNoRunner that no other runner was free, and
+	// successorSilent that the only one found, or the successor itself, was silent as well.
 	successorNoBudget = "no_budget"
 	successorNoRunner = "no_runner"
 	successorSilent   = "silent_too"
@@ -35,30 +42,32 @@
 )
 
 // successorSearch looks for another runner for a repeatable request whose runner is silent or believed lost, and sends the request
-// there as well. The attempt at the first runner is withdrawn only once the other one has begun to answer: until then it may go on,
-// and its caller gets what comes first.
+// there as well. The attempt at the first runner is withdrawn only once another one has begun to answer: until then it may go on,
+// and its caller gets what comes first. A successor that is silent itself is treated in the same way.
 type successorSearch struct {
 	watchdog *watchdog
 	cancel   context.CancelFunc
 	// cause is why the first attempt is withdrawn.
 	cause error
-	// rejections counts the runners that did not run the request.
-	rejections int
-	// done is closed when the successor's runner has answered or failed.
+	// done is closed when a runner has begun to answer, or when a claimed search has ended without one.
 	done chan struct{}
 
 	// The following fields are guarded by watchdog.mutex.
 
-	// successor is the send to another runner; nil before.
-	successor *dispatch
-	// hasBegun is set once the successor's runner has begun to answer, isClaimed once the exchange waits for the successor because
-	// the first attempt has ended.
-	hasBegun  bool
+	// isSeeking is set while further runners are sought. sent are the sends that are in progress, and rejections counts those that
+	// were not run.
+	isSeeking  bool
+	sent       []*dispatch
+	rejections int
+	// winner is the send whose runner has begun to answer; nil before. failure is the result of the last one that failed.
+	winner  *dispatch
+	failure result
+	// isClaimed is set once the exchange waits for the search because the first attempt has ended.
 	isClaimed bool
 }
 
-// isNeeded reports whether the successor's answer is used. The caller must hold watchdog.mutex.
-func (s *successorSearch) isNeeded() bool { return s.hasBegun || s.isClaimed }
+// isNeeded reports whether the result of the search is used. The caller must hold watchdog.mutex.
+func (s *successorSearch) isNeeded() bool { return s.winner != nil || s.isClaimed }
 
 // seek begins to look for a successor unless that is going on. The caller must hold w.mutex.
 func (w *watchdog) seek(cause error) {
@@ -66,7 +75,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(w.parent)
-	w.search = &successorSearch{watchdog: w, cancel: cancel, cause: cause, done: make(chan struct{})}
+	w.search = &successorSearch{watchdog: w, cancel: cancel, cause: cause, done: make(chan struct{}), isSeeking: true}
 	go w.search.run(ctx)
 }
 
@@ -74,18 +83,26 @@
 func (w *watchdog) dropSearch() {
 	s := w.search
 	w.search = nil
+	s.withdraw()
+}
+
+// withdraw ends the search and the sends in progress. The caller must hold watchdog.mutex.
+func (s *successorSearch) withdraw() {
 	s.cancel()
-	if s.successor != nil {
-		w.successorRuns++
-		s.successor.cancel(errOvertaken)
+	for _, each := range s.sent {
+		s.watchdog.successorRuns++
+		each.cancel(errOvertaken)
 	}
+	s.sent = nil
 }
 
-// run looks for a successor until one has begun to answer, ctx ends, or no further attempt is allowed.
+// run looks for successors until one has begun to answer, ctx ends, or no further attempt is allowed.
 func (s *successorSearch) run(ctx context.Context) {
+	defer s.endSeeking()
 	x := s.watchdog.exchange
+	x.router.noteUnreachable(s.watchdog.runner)
 	last := ""
-	for s.watchdog.mayReplace() && s.rejections < maxRejections {
+	for s.mayTry() {
 		outcome := s.try(ctx)
 		x.router.metrics.successors.WithLabelValues(outcome).Inc()
 		if outcome != last {
@@ -98,40 +115,60 @@
 	}
 }
 
-// mayReplace reports whether the request may be sent to another runner while the attempt is in progress.
-func (w *watchdog) mayReplace() bool {
+// endSeeking records that no further runners are sought.
+func (s *successorSearch) endSeeking() {
+	s.watchdog.mutex.Lock()
+	defer s.watchdog.mutex.Unlock()
+	s.isSeeking = false
+	s.endIfOver()
+}
+
+// endIfOver tells a waiting exchange that nothing is left that could answer. The caller must hold watchdog.mutex.
+func (s *successorSearch) endIfOver() {
+	if s.isClaimed && s.winner == nil && !s.isSeeking && len(s.sent) == 0 {
+		close(s.done)
+	}
+}
+
+// mayTry reports whether the request may be sent to one more runner while the others are in progress.
+func (s *successorSearch) mayTry() bool {
+	w := s.watchdog
 	w.mutex.Lock()
-	attempts := w.formerAttempts + 1 + w.successorRuns
+	isAllowed := w.search == s && w.hasAttempt() && s.rejections < maxRejections
 	w.mutex.Unlock()
 	x := w.exchange
 	isFree := x.router.localPermission(x.keys).Permission == poison.Free
-	return isFree && attempts < x.route.MaxAttempts && x.timeLeft() >= minAttemptTime
+	return isAllowed && isFree && x.timeLeft() >= minAttemptTime
 }
 
-// try sends the request to another runner if the retry budget and its room allow it, and waits until that has begun to answer or
-// has failed. It returns the outcome.
+// try sends the request to another runner if the retry budget and its room allow it, and waits until that has begun to answer, has
+// failed, or is silent as well. It returns the outcome.
 func (s *successorSearch) try(ctx context.Context) string {
-	x := s.watchdog.exchange
+	w := s.watchdog
+	x := w.exchange
 	service := x.row.Service
 	if !x.router.allowsRepeat(service) {
 		return successorNoBudget
 	}
-	choice, err := x.router.acquire(ctx, s.watchdog.successorWaiter())
-	if err != nil {
-		return successorNoRunner
+	waiting, cancel := context.WithTimeout(ctx, successorWait)
+	defer cancel()
+	isSilent := false
+	wanted := w.successorWaiter()
+	wanted.accepts = func(id structs.RunnerID) bool {
+		isSilent = !w.isBetter(id)
+		return !isSilent
 	}
-	outcome := ""
+	choice, err := x.router.acquire(waiting, wanted)
 	switch {
-	case !s.watchdog.isBetter(choice.Runner()):
-		outcome = successorSilent
-	case !x.router.mayRepeat(service):
-		outcome = successorNoBudget
-	}
-	if outcome != "" {
+	case err != nil && isSilent:
+		return successorSilent
+	case err != nil:
+		return successorNoRunner
+	case !s.mayTry() || !x.router.mayRepeat(service):
 		x.releaseChoice(choice)
-		return outcome
+		return successorNoBudget
 	}
-	return s.send(choice)
+	return s.send(ctx, choice)
 }
 
 // successorWaiter returns the queue entry of a request for another runner.
@@ -145,24 +182,25 @@
 	}
 }
 
-// isBetter reports whether a runner that was just chosen may answer although the runner of the attempt is silent: it is reached on
-// another way, or it is another one that is not silent as well.
+// isBetter reports whether a runner may answer although the runner of the attempt is silent: it is reached on another way, or it is
+// another one that is not silent as well. The caller must hold the router's mutex.
 func (w *watchdog) isBetter(id structs.RunnerID) bool {
-	w.mutex.Lock()
-	since := w.since
-	w.mutex.Unlock()
 	r := w.exchange.router
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	path := r.peers.paths.Choose(r.now(), id, r.zones.watch.ZoneOf(id), w.wish)
 	if !path.IsDirect() && path != w.path {
 		return true
 	}
-	return id != w.runner && !r.isSilentSince(id, since)
+	return id != w.runner && !r.isSilentSince(id, w.silentSince())
+}
+
+// isSilentSince reports whether a runner has requests of this router, and has sent nothing since the given time: a silence that
+// runners share says nothing about one of them. The caller must hold r.mutex.
+func (r *Router) isSilentSince(id structs.RunnerID, since time.Time) bool {
+	return r.balancer.InFlight(id) > 0 && !r.lastDataAt[id].After(since)
 }
 
 // send sends the request to the chosen runner and returns the outcome.
-func (s *successorSearch) send(choice routing.Choice) string {
+func (s *successorSearch) send(ctx context.Context, choice routing.Choice) string {
 	w := s.watchdog
 	x := w.exchange
 	next := x.newDispatch(w.parent, choice, &watchdog{isRepeated: true, wish: w.wish})
@@ -172,55 +210,97 @@
 		x.releaseChoice(choice)
 		return successorOvertaken
 	}
-	if next.register() {
-		next.send(attempt)
-	} else {
-		next.err = ErrNotSent
+	settled := make(chan string, 1)
+	go func() {
+		if next.register() {
+			next.send(attempt)
+			next.readAhead()
+		} else {
+			next.err = ErrNotSent
+		}
+		settled <- s.settle(next)
+	}()
+	silent := time.NewTimer(x.silenceLimit())
+	defer silent.Stop()
+	select {
+	case outcome := <-settled:
+		return outcome
+	case <-silent.C:
+		return successorSilent
+	case <-ctx.Done():
+		return successorOvertaken
 	}
-	return s.settle(next)
 }
 
-// begin records that the request is sent to the successor, unless the search was dropped.
+// begin records that the request is sent to a successor, unless the search was dropped or is over.
 func (s *successorSearch) begin(next *dispatch) (*Attempt, bool) {
 	w := s.watchdog
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.search != s {
+	if w.search != s || s.winner != nil {
 		return nil, false
 	}
-	s.successor = next
+	s.sent = append(s.sent, next)
 	return &Attempt{ResumeAfter: w.lastEvent}, true
 }
 
-// settle withdraws the first attempt if the successor's runner has begun to answer. It returns the outcome.
+// settle withdraws all other attempts if the runner of this one has begun to answer. It returns the outcome.
 func (s *successorSearch) settle(next *dispatch) string {
 	w := s.watchdog
-	hasBegun := next.begins()
 	w.mutex.Lock()
-	isDropped := w.search != s && !s.isClaimed
-	isTaken := s.isClaimed || !isDropped && hasBegun
-	switch {
-	case isTaken:
-		s.hasBegun = true
-		if !s.isClaimed {
-			w.cancel(s.cause)
-		}
-		close(s.done)
-	case !isDropped:
-		s.successor = nil
-		if next.mayHaveRun() {
-			w.successorRuns++
-		}
+	place := slices.Index(s.sent, next)
+	hasBegun := place >= 0 && next.begins(w.isStarted)
+	if place >= 0 {
+		s.sent = slices.Delete(s.sent, place, place+1)
+	}
+	if hasBegun {
+		s.win(next)
 	}
 	w.mutex.Unlock()
 	switch {
-	case isTaken:
+	case hasBegun:
 		return successorBegan
-	case isDropped:
+	case place < 0:
 		next.discard(routing.OutcomeNeutral)
 		return successorOvertaken
 	}
-	return s.endFailed(next)
+	ended := next.failure()
+	s.endFailed(next, ended)
+	if ended.isNotRun {
+		return successorRejected
+	}
+	return successorFailed
+}
+
+// win records that the runner of a successor has begun to answer. The caller must hold watchdog.mutex.
+func (s *successorSearch) win(next *dispatch) {
+	s.winner = next
+	s.withdraw()
+	if !s.isClaimed {
+		s.watchdog.cancel(s.cause)
+	}
+	close(s.done)
+}
+
+// endFailed ends a successor whose runner did not begin to answer.
+func (s *successorSearch) endFailed(next *dispatch, ended result) {
+	x := next.exchange
+	x.reportEnd(next.choice.Runner(), permit{permission: poison.Free}, ended)
+	x.router.metrics.attempts.WithLabelValues(ended.name()).Inc()
+	if !x.router.isDoubtfulFailure(ended) {
+		x.router.countAttempt(next.choice.Runner(), ended)
+	}
+	next.discard(ended.outcome)
+	w := s.watchdog
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	s.failure = ended
+	if ended.isNotRun {
+		s.rejections++
+	} else {
+		w.successorRuns++
+	}
+	s.endIfOver()
 }
 
 // mayHaveRun reports whether the runner may have run the request.
@@ -241,39 +321,12 @@
 	x.router.release(x.row, d.choice, outcome)
 }
 
-// endFailed ends a successor whose runner did not begin to answer, and returns the outcome.
-func (s *successorSearch) endFailed(next *dispatch) string {
-	ended := next.failure()
-	x := next.exchange
-	x.reportEnd(next.choice.Runner(), permit{permission: poison.Free}, ended)
-	x.router.metrics.attempts.WithLabelValues(ended.name()).Inc()
-	if !x.router.isDoubtfulFailure(ended) {
-		x.router.countAttempt(next.choice.Runner(), ended)
-	}
-	next.discard(ended.outcome)
-	if ended.isNotRun {
-		s.rejections++
-		return successorRejected
-	}
-	return successorFailed
-}
-
 // failure returns the result of a dispatch whose runner did not begin to answer.
 func (d *dispatch) failure() result {
 	x := d.exchange
 	switch {
 	case d.err != nil:
-		ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(d.err), err: d.err, isNotRun: errors.Is(d.err, ErrNotSent)}
-		if isPeerFailure(d.err) {
-			ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
-		}
-		if ended.isNotRun && d.ctx.Err() == nil {
-			x.router.noteNotReached(d.choice.Runner(), d.watchdog.path, d.err)
-		}
-		if d.ctx.Err() != nil {
-			ended = x.contextResult(d.ctx, ended)
-		}
-		return ended.withPeerLoss()
+		return d.sendFailure()
 	case d.answer.NotHeld:
 		x.router.noteNotHeld(d.choice.Runner(), x.row)
 		return result{outcome: routing.OutcomeUnavailable, isNotRun: true, reason: reasonNotHeld}
@@ -281,14 +334,27 @@
 		return result{outcome: routing.OutcomeRejected, isNotRun: true, reason: reasonShed}
 	case !d.answer.isFailure() && !d.answer.Signed:
 		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
+	case d.answer.Status < http.StatusInternalServerError:
+		return result{outcome: routing.OutcomeUnavailable, reason: reasonNotResumed}
 	}
-	return result{outcome: routing.OutcomeUnavailable, reason: reasonRunnerFailed}
+	body, _ := io.ReadAll(io.LimitReader(d.answer.Body, maxBuffered))
+	whole := &bufferedAnswer{status: d.answer.Status, header: d.answer.Header, body: body}
+	return result{outcome: routing.OutcomeUnavailable, reason: reasonRunnerFailed, answer: whole}
 }
 
-// isSilentSince reports whether a runner that was just chosen has other requests of this router, and has sent nothing since the
-// given time: a silence that runners share says nothing about one of them. The caller must hold r.mutex.
-func (r *Router) isSilentSince(id structs.RunnerID, since time.Time) bool {
-	return r.balancer.InFlight(id) > 1 && !r.lastDataAt[id].After(since)
+// sendFailure returns the result of a dispatch without an answer.
+func (d *dispatch) sendFailure() result {
+	ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(d.err), err: d.err, isNotRun: errors.Is(d.err, ErrNotSent)}
+	if isPeerFailure(d.err) {
+		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
+	}
+	if d.ctx.Err() != nil {
+		return d.exchange.contextResult(d.ctx, ended).withPeerLoss()
+	}
+	if ended.isNotRun {
+		d.exchange.router.noteNotReached(d.choice.Runner(), d.watchdog.path, d.err)
+	}
+	return ended.withPeerLoss()
 }
 
 // followSuccessors forwards the answers of successors whose runners have answered in place of a former attempt, or will, and returns
@@ -298,8 +364,12 @@
 		search := x.successor
 		x.successor = nil
 		<-search.done
-		next := search.successor
-		if x.isUnresumable || x.boundVersion != "" && next.choice.Version() != x.boundVersion {
+		x.countSuccessors(search.watchdog)
+		next := search.winner
+		switch {
+		case next == nil:
+			return search.failure
+		case x.isUnresumable || x.boundVersion != "" && next.choice.Version() != x.boundVersion:
 			// The first attempt has brought events since the successor was chosen.
 			next.discard(routing.OutcomeNeutral)
 			x.attempts++
@@ -335,8 +405,8 @@
 	x := w.exchange
 	w.mutex.Lock()
 	silent, lastEvent, to := w.silentFor(), w.lastEvent, structs.RunnerID("")
-	if s.successor != nil {
-		to = s.successor.choice.Runner()
+	if s.winner != nil {
+		to = s.winner.choice.Runner()
 	}
 	w.mutex.Unlock()
 	level.Info(x.router.logger).Log("msg", "Another runner is sought for a request.", "request", x.request.ID, "content", x.keys.content,
--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -213,8 +213,9 @@
 		for range callers {
 			asking.Go(func() { assertServedWhole(c, router, "/stream/x") })
 		}
-		asking.Wait()
+		time.Sleep(silentTime - 10*time.Millisecond)
 		c.Assert(backend.runners(), qt.HasLen, callers)
+		asking.Wait()
 	})
 }
 
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -50,8 +50,10 @@
 	waiter         *waiter
 	formerAttempts int
 	// lastEvent is the ID of the last event that the caller has, and version the software version that wrote it.
+	// isStarted is set once it has any.
 	lastEvent int64
 	version   string
+	isStarted bool
 	// search looks for a successor; nil for none. successorRuns is the number of successors that may have run the request and
 	// whose answers are not used.
 	search        *successorSearch
@@ -102,7 +104,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.waiter, w.formerAttempts = x.waiter, x.attempts
-	w.lastEvent, w.version = x.lastEvent, x.boundVersion
+	w.lastEvent, w.version, w.isStarted = x.lastEvent, x.boundVersion, x.isStarted
 }
 
 // noteProgress records that the caller has got further events. From the first event on, a stream that is copied may be
@@ -129,7 +131,7 @@
 		// Nothing is read from the runner meanwhile.
 		w.since = time.Now()
 	}
-	since := w.since
+	since, isLost := w.since, w.lost != nil
 	w.mutex.Unlock()
 	silent := time.Since(since)
 	limit := w.exchange.silenceLimit()
@@ -137,7 +139,7 @@
 		limit = w.exchange.busySilenceLimit()
 	}
 	again := limit - silent
-	if again <= 0 {
+	if again <= 0 || isLost {
 		w.leave(errSilent)
 		again = successorRetryDelay
 	}
@@ -157,22 +159,53 @@
 	}
 	w.mutex.Unlock()
 	switch {
-	case isCopied && w.mayContinue():
-		w.leaveReserved(cause)
-	case lost != nil && !isCopied:
-		w.leaveReserved(lost)
+	case isCopied:
+		w.leaveForStandby(cause)
+	case lost != nil:
+		w.leaveLost(lost)
 	}
 }
 
-// leaveReserved cancels the attempt if the budget allows the retry that follows, which it takes.
-func (w *watchdog) leaveReserved(cause error) {
-	if w.exchange.router.mayRepeat(w.exchange.row.Service) {
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
+// leaveForStandby cancels the attempt if its standby may continue it, with a retry that is taken from the budget before.
+func (w *watchdog) leaveForStandby(cause error) {
+	if !w.mayContinue() || !w.exchange.router.mayRepeat(w.exchange.row.Service) {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.cancelReserved(cause)
+}
+
+// leaveLost cancels the attempt, the way to whose runner seems lost, if another one may take the request over.
+func (w *watchdog) leaveLost(cause error) {
+	r := w.exchange.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.tryLeaveLost(cause)
+}
+
+// tryLeaveLost cancels the attempt if another one is left, a runner is reachable, and the budget allows the retry, which it takes.
+// The caller must hold the router's mutex and w.mutex.
+func (w *watchdog) tryLeaveLost(cause error) {
+	x := w.exchange
+	work := w.waiter.work
+	work.Version = w.version
+	if w.hasAttempt() && x.router.balancer.IsReachable(rowName(x.row), &work) && x.router.takeRepeat(x.row.Service) {
 		w.cancelReserved(cause)
 	}
 }
 
+// hasAttempt reports whether another attempt is left. The caller must hold w.mutex.
+func (w *watchdog) hasAttempt() bool {
+	attempts := w.formerAttempts + 1 + w.successorRuns
+	if w.search != nil {
+		attempts += len(w.search.sent)
+	}
+	return attempts < w.exchange.route.MaxAttempts
+}
+
 // cancelReserved cancels the attempt after a retry was taken from the budget. The caller must hold w.mutex.
 func (w *watchdog) cancelReserved(cause error) {
 	if w.isStopped {
@@ -204,9 +237,9 @@
 	return isUsable
 }
 
-// cancelLost cancels a repeatable attempt because the way to its runner is lost, if the budget allows the retry that follows: open
-// connections may live on. Otherwise the attempt goes on, and is cancelled once there is one. A successor that was sent is left to
-// answer. The caller must hold the router's mutex.
+// cancelLost cancels a repeatable attempt because the way to its runner is lost, if another one may take the request over: open
+// connections may live on. Otherwise the attempt goes on until one may. A successor that was sent is left to answer. The caller must
+// hold the router's mutex.
 func (w *watchdog) cancelLost(cause error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -215,14 +248,13 @@
 	}
 	w.lost = cause
 	if w.search != nil {
-		if w.search.successor != nil {
+		if w.search.winner != nil || len(w.search.sent) > 0 {
 			return
 		}
 		w.dropSearch()
 	}
-	if w.exchange.router.takeRepeat(w.exchange.row.Service) {
-		w.cancelReserved(cause)
-	}
+	w.tryLeaveLost(cause)
+	w.timer.Reset(successorRetryDelay)
 }
 
 // noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
@@ -233,6 +265,9 @@
 // comments, and events that the caller has, show that it is busy.
 func (w *watchdog) noteEvents(hasPassed bool) {
 	w.exchange.router.observeEvent(w.runner)
+	w.mutex.Lock()
+	w.isStarted = true
+	w.mutex.Unlock()
 	if hasPassed {
 		w.resetSilence()
 	}
@@ -248,6 +283,13 @@
 	}
 }
 
+// silentSince returns since when the runner has been silent.
+func (w *watchdog) silentSince() time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.since
+}
+
 // silentFor returns for how long the runner has been silent. The caller must hold w.mutex.
 func (w *watchdog) silentFor() time.Duration { return time.Since(w.since) }
 
@@ -277,17 +319,15 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	s := w.search
-	if s == nil || s.successor == nil {
-		return nil
-	}
-	if !ended.isDone {
+	switch {
+	case s == nil:
+	case !ended.isDone && (s.winner != nil || len(s.sent) > 0):
 		s.isClaimed = true
 		return s
-	}
-	if s.hasBegun {
+	case s.winner != nil:
 		w.search = nil
 		w.successorRuns++
-		go s.successor.discard(routing.OutcomeNeutral)
+		go s.winner.discard(routing.OutcomeNeutral)
 	}
 	return nil
 }
--- a/request/routing/zone.go
+++ b/request/routing/zone.go
@@ -116,3 +116,18 @@
 	}
 	return count
 }
+
+// IsReachable reports whether a runner that may get the work is reachable and not leaving, whatever its load.
+func (b *Balancer) IsReachable(name structs.RowName, work *Work) bool {
+	wanted := b.rows[name]
+	if wanted == nil {
+		return false
+	}
+	for _, known := range wanted.replicas {
+		target := known.runner
+		if !target.leaving && !b.zones.unreachable[target.info.Zone] && work.allows(target) {
+			return true
+		}
+	}
+	return false
+}
