Relay, router: what a silent runner or its successor still loses (failing)

Tests that fail on the fix of silent runners. In package relay: a silent successor is not replaced, before and after the first attempt is lost; a request that became a suspect while its successor waited is sent; a whole answer that is no stream counts as a failure of the successor's runner; a successor whose answer breaks has ended a sound attempt; a withdrawn successor takes the last attempt; searches use up tokens of paced runners; the silence of a sole runner is not reported; a stream that may run only once is cut when its standby rejects.

--- /dev/null
+++ b/request/relay/successor_faults_test.go
@@ -0,0 +1,274 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/poison"
+)
+
+// untilEnd is a runner that takes a request and sends nothing.
+func untilEnd(ctx context.Context, _ *Attempt) (*Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// allowAttempts sets the most runners of each route.
+func allowAttempts(router *Router, most int) {
+	document := testDocument()
+	document.Version = 2
+	for i := range document.Routes {
+		document.Routes[i].MaxAttempts = most
+	}
+	router.adoptDocument(document)
+}
+
+// listRunners lists runners of the plain service with the given slots, and as many of the engine.
+func listRunners(router *Router, slots int, names ...string) {
+	view := fleet.View{Complete: true}
+	for _, name := range names {
+		view.Runners = append(view.Runners,
+			fleet.Runner{Instance: "p" + name, Service: "plain", Address: "p" + name, Slots: slots},
+			fleet.Runner{Instance: "e" + name, Service: "engine", Address: "e" + name, Slots: slots, Models: []fleet.LoadedModel{{Name: "m"}}})
+	}
+	router.adoptView(view)
+}
+
+// numbered gives each send its number, from 1.
+func numbered(answer func(ctx context.Context, number int32, attempt *Attempt) (*Answer, error)) func(context.Context, *Attempt) (*Answer, error) {
+	var calls atomic.Int32
+	return func(ctx context.Context, attempt *Attempt) (*Answer, error) {
+		return answer(ctx, calls.Add(1), attempt)
+	}
+}
+
+// Guards against a request that stays with two dead runners until its deadline although a third is free and may be tried.
+func TestSilentSuccessorIsReplaced(t *testing.T) {
+	for path, model := range map[string]string{"/again/x": "", "/stream/x": "m"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newTestRouter(numbered(func(ctx context.Context, number int32, attempt *Attempt) (*Answer, error) {
+					switch {
+					case number < 3:
+						return untilEnd(ctx, attempt)
+					case model != "":
+						return stream(events(1, wholeEvents), io.EOF)
+					}
+					return fine()
+				}))
+				allowAttempts(router, 3)
+				listRunners(router, 4, "1", "2", "3")
+				recorder, _ := ask(router, t.Context(), path, model)
+				c.Check(recorder.Code, qt.Equals, http.StatusOK)
+				c.Check(backend.runners(), qt.HasLen, 3)
+			})
+		})
+	}
+}
+
+// Guards against a request that waits until its deadline for a silent successor after its first runner broke, although a third is free.
+func TestSuccessorSilentAfterLossIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(numbered(func(ctx context.Context, number int32, attempt *Attempt) (*Answer, error) {
+			switch number {
+			case 1:
+				_ = sleepIn(ctx, time.Second)
+				return broken()
+			case 2:
+				return untilEnd(ctx, attempt)
+			}
+			return fine()
+		}))
+		allowAttempts(router, 3)
+		listRunners(router, 4, "1", "2", "3")
+		recorder, _ := ask(router, t.Context(), "/again/x", "")
+		c.Check(recorder.Code, qt.Equals, http.StatusOK)
+		c.Check(backend.runners(), qt.HasLen, 3)
+	})
+}
+
+// Guards against a request that is sent to a second runner without the leader's permission, because it became a suspect while its
+// successor waited for a runner.
+func TestSuspectedWhileSuccessorIsSoughtIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) { return pausingAnswer(ctx) })
+		listRunners(router, 4, "1")
+		time.AfterFunc(time.Second, func() {
+			backend.mutex.Lock()
+			digest := backend.attempts[0].Request.digest("")
+			backend.mutex.Unlock()
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.suspects.adopt(router.now(), &poison.List{Entries: []poison.Entry{{Digest: digest}}})
+		})
+		time.AfterFunc(1500*time.Millisecond, func() { listRunners(router, 4, "1", "2") })
+		assertServedWhole(c, router, "/again/x")
+		c.Check(backend.runners(), qt.HasLen, 1)
+	})
+}
+
+// Guards against a sound runner that is taken for a failing one because it answered a request of a stream route without a stream, and
+// against a caller that does not get such an answer.
+func TestSuccessorMayAnswerWithoutStream(t *testing.T) {
+	for name, answer := range map[string]func() (*Answer, error){
+		"refusal of the request": func() (*Answer, error) { return newAnswer(http.StatusBadRequest, "no such option") },
+		"whole answer":           fine,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newTestRouter(numbered(func(ctx context.Context, number int32, attempt *Attempt) (*Answer, error) {
+					if number == 1 {
+						return untilEnd(ctx, attempt)
+					}
+					return answer()
+				}))
+				recorder, _ := ask(router, t.Context(), "/stream/x", "m")
+				c.Check(recorder.Code < http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d", recorder.Code))
+				for _, each := range router.takeAttempts() {
+					if each.Instance == backend.runners()[1] {
+						c.Check(each.Failed, qt.Equals, 0)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a lost sole runner of which the leader is not told while its requests wait.
+func TestSilenceOfSoleRunnerIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(untilEnd)
+		listRunners(router, 4, "1")
+		time.AfterFunc(2*time.Second, func() {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			c.Check(router.unreachable["p1"], qt.IsTrue)
+		})
+		ask(router, t.Context(), "/again/x", "")
+	})
+}
+
+// Guards against a stream that may run only once and is cut at a silence of its runner because its standby rejects the continuation.
+func TestPausedRunnerKeepsStreamWhoseStandbyRejects(t *testing.T) {
+	for name, answer := range map[string]func() (*Answer, error){"full": shed, "unreachable": notSent, "broken": broken, "failing": failed} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				r.runners.answer = func(_ context.Context, _ int, attempt *Attempt) (*Answer, error) {
+					if !attempt.IsContinuation {
+						return nil, nil
+					}
+					return answer()
+				}
+				r.runners.cut = func(ctx context.Context, number, next int) error {
+					if number == 1 && next == 4 {
+						return sleepIn(ctx, 1500*time.Millisecond)
+					}
+					return nil
+				}
+				recorder, aborted := r.ask(t.Context(), copiedPath)
+				c.Check(aborted, qt.IsFalse)
+				c.Check(recorder.Body.String(), qt.Equals, events(1, copiedEvents))
+			})
+		})
+	}
+}
+
+// Guards against an answer that is lost because its successor was preferred at the head of its answer and broke before the end.
+func TestSuccessorThatBreaksKeepsSilentRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(firstPauses("/again/x", func(context.Context, *Attempt) (*Answer, error) {
+			answer, err := newAnswer(http.StatusOK, "fi")
+			answer.Body = &truncatedBody{answer.Body, errors.New("reset")}
+			return answer, err
+		}))
+		assertServedWhole(c, router, "/again/x")
+	})
+}
+
+// Guards against a stream that is cut at the loss of its runner because a successor that was withdrawn before, as the runner had gone on,
+// took its last attempt.
+func TestWithdrawnSuccessorTakesNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(numbered(func(ctx context.Context, number int32, attempt *Attempt) (*Answer, error) {
+			answer, err := stream(events(silentAfter+1, wholeEvents), io.EOF)
+			switch number {
+			case 1:
+				// The runner goes on after a silence, and breaks off later.
+				body := &pausingBody{ctx: ctx, texts: []string{events(1, 2), events(3, silentAfter), "id: 4"}, pause: 1500 * time.Millisecond}
+				answer.Body = &truncatedBody{body, errors.New("reset")}
+			case 2:
+				return untilEnd(ctx, attempt)
+			}
+			return answer, err
+		}))
+		listRunners(router, 4, "1", "2", "3")
+		assertServedWhole(c, router, "/stream/x")
+		c.Check(backend.runners(), qt.HasLen, 3)
+	})
+}
+
+// Guards against tokens of a paced runner that searches for successors use up without a request: requests that wait for them get none.
+func TestSearchForSuccessorUsesNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const tokens = 3
+		router, backend := newTestRouter(untilEnd)
+		view := fleet.View{Complete: true}
+		for _, name := range []string{"e1", "e2"} {
+			view.Runners = append(view.Runners, fleet.Runner{
+				Instance: name, Service: "engine", Address: name, Slots: 8, Cold: name == "e2", Models: []fleet.LoadedModel{{Name: "m"}},
+			})
+		}
+		router.adoptView(view)
+		give := func(count int) {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.tokensUntil = router.now().Add(time.Minute)
+			router.balancer.GiveTokens("e2", count)
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		var asking sync.WaitGroup
+		for range 6 {
+			give(1)
+			asking.Go(func() { ask(router, ctx, "/stream/x", "m") })
+			synctest.Wait()
+		}
+		sent := len(backend.runners())
+		c.Assert(backend.runners(), qt.Contains, "e2")
+		router.mutex.Lock()
+		router.balancer.DropTokens()
+		router.mutex.Unlock()
+		give(tokens)
+		// All runners are silent, so that no successor is sent.
+		time.Sleep(streamSilenceFloor + 10*successorRetryDelay)
+		c.Assert(backend.runners(), qt.HasLen, sent)
+		router.mutex.Lock()
+		x := &exchange{router: router, request: &Request{}}
+		x.row.Service, x.row.Model = "engine", "m"
+		work := x.work()
+		work.Excluded = "e1"
+		_, isFound := router.pick(&waiter{row: x.row, work: work})
+		router.mutex.Unlock()
+		c.Check(isFound, qt.IsTrue)
+		leave()
+		asking.Wait()
+	})
+}
