Relay: what a zone that is believed lost still loses (failing)

An attempt whose way is believed lost is withdrawn with a retry taken from the budget, but without a look at runners, versions and attempts left, so that a sound answer on a connection that lives on is cut. The test of a suspect has its runner leave, as a sole runner is chosen again now and no longer waited for.

--- a/request/relay/successor_faults_test.go
+++ b/request/relay/successor_faults_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/request/zonewatch"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // untilEnd is a runner that takes a request and sends nothing.
@@ -106,6 +108,12 @@
 		c := qt.New(t)
 		router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) { return pausingAnswer(ctx) })
 		listRunners(router, 4, "1")
+		// The runner takes no further requests.
+		time.AfterFunc(100*time.Millisecond, func() {
+			router.mutex.Lock()
+			defer router.mutex.Unlock()
+			router.balancer.Leave("p1")
+		})
 		time.AfterFunc(time.Second, func() {
 			backend.mutex.Lock()
 			digest := backend.attempts[0].Request.digest("")
@@ -272,3 +280,67 @@
 		asking.Wait()
 	})
 }
+
+// loseZoneOf has the zone of a runner lost, so that it is not chosen, and the ways to it.
+func loseZoneOf(router *Router, zone structs.ZoneID) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.applyZoneChange(zonewatch.Change{Zone: zone, IsLost: true})
+	router.cancelSilent(zone)
+}
+
+// Guards against an answer that is lost because the zone of its runner was believed lost for a moment although the connection lived on,
+// and no other runner could take its place, with a retry left or not.
+func TestLostZoneKeepsRequestWithoutOtherRunner(t *testing.T) {
+	for name, names := range map[string][]string{"no other runner": {"1"}, "none of the version": {"1", "2"}} {
+		for path := range map[string]bool{"/stream/x": true, "/again/x": true} {
+			if len(names) > 1 && path == "/again/x" {
+				continue
+			}
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					router, backend := newTestRouter(func(ctx context.Context, attempt *Attempt) (*Answer, error) {
+						if path == "/again/x" {
+							return pausingAnswer(ctx)
+						}
+						return pausingStream(ctx)
+					})
+					view := fleet.View{Complete: true}
+					for _, each := range names {
+						for _, service := range []string{"plain", "engine"} {
+							view.Runners = append(view.Runners, fleet.Runner{
+								Instance: service + each, Service: service, Address: service + each, Slots: 4, Zone: "z" + each, Version: "v" + each,
+								Models: []fleet.LoadedModel{{Name: "m"}},
+							})
+						}
+					}
+					router.adoptView(view)
+					time.AfterFunc(500*time.Millisecond, func() {
+						backend.mutex.Lock()
+						first := backend.attempts[0].Instance
+						backend.mutex.Unlock()
+						loseZoneOf(router, structs.ZoneID("z"+first[len(first)-1:]))
+					})
+					assertServedWhole(c, router, path)
+					c.Check(backend.runners(), qt.HasLen, 1)
+				})
+			})
+		}
+	}
+}
+
+// Guards against an answer that is lost because the way to its runner was believed lost after a successor had taken the last attempt.
+func TestLostWayKeepsRequestWithoutAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(numbered(func(ctx context.Context, number int32, _ *Attempt) (*Answer, error) {
+			if number > 1 {
+				return broken()
+			}
+			return pausingAnswer(ctx)
+		}))
+		time.AfterFunc(time.Second, func() { loseWays(router) })
+		assertServedWhole(c, router, "/again/x")
+	})
+}
