--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -49,6 +49,8 @@
 	cancel   context.CancelFunc
 	// cause is why the first attempt is withdrawn.
 	cause error
+	// tried is the runner tried last; empty for none. It belongs to run.
+	tried structs.RunnerID
 	// done is closed when a runner has begun to answer, or when a claimed search has ended without one.
 	done chan struct{}
 
@@ -103,6 +105,7 @@
 	x.router.noteUnreachable(s.watchdog.runner)
 	last := ""
 	for s.mayTry() {
+		s.tried = ""
 		outcome := s.try(ctx)
 		x.router.metrics.successors.WithLabelValues(outcome).Inc()
 		if outcome != last {
@@ -210,6 +213,7 @@
 		x.releaseChoice(choice)
 		return successorOvertaken
 	}
+	s.tried = choice.Runner()
 	settled := make(chan string, 1)
 	go func() {
 		if next.register() {
@@ -250,10 +254,8 @@
 	w.mutex.Lock()
 	place := slices.Index(s.sent, next)
 	hasBegun := place >= 0 && next.begins(w.isStarted)
-	if place >= 0 {
-		s.sent = slices.Delete(s.sent, place, place+1)
-	}
 	if hasBegun {
+		s.sent = slices.Delete(s.sent, place, place+1)
 		s.win(next)
 	}
 	w.mutex.Unlock()
@@ -294,6 +296,12 @@
 	w := s.watchdog
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	place := slices.Index(s.sent, next)
+	if place < 0 {
+		// It was withdrawn, and counted, in the meantime.
+		return
+	}
+	s.sent = slices.Delete(s.sent, place, place+1)
 	s.failure = ended
 	if ended.isNotRun {
 		s.rejections++
@@ -404,12 +412,9 @@
 	w := s.watchdog
 	x := w.exchange
 	w.mutex.Lock()
-	silent, lastEvent, to := w.silentFor(), w.lastEvent, structs.RunnerID("")
-	if s.winner != nil {
-		to = s.winner.choice.Runner()
-	}
+	silent, lastEvent := w.silentFor(), w.lastEvent
 	w.mutex.Unlock()
 	level.Info(x.router.logger).Log("msg", "Another runner is sought for a request.", "request", x.request.ID, "content", x.keys.content,
-		"runner", w.runner, "cause", s.cause, "silent", silent, "last_event", lastEvent, "successor", to, "outcome", outcome,
+		"runner", w.runner, "cause", s.cause, "silent", silent, "last_event", lastEvent, "successor", s.tried, "outcome", outcome,
 		"age", x.router.age(x.request))
 }
