A peer that reads nothing for a while does not break its connection

What callers saw: a request with a long body got a 502 although its runner had only paused for two seconds while it read the body. The same held for answers that pass through a peer and whose reader pauses.

Cause: Linux applies TCP_USER_TIMEOUT (1.5 s) also while the window of a reachable peer is closed. Once a peer that reads nothing has accepted some 128 KB, the system ends the connection after 1.5 s, although the peer's system acknowledges each window probe.

Change: connections of network.Prompt extend the timeout to 10 s from the moment at which more than 16 KB were sent without an answer, and restore it once the peer has answered and its system has acknowledged everything. Small messages and idle connections keep the short timeout, so that an unreachable peer is noticed as before. Connections for orders keep a fixed timeout, since nothing may be sent late there.

Accepted connections have no user timeout here, as package net listens with Multipath TCP, whose accepted sockets do not inherit the option. Where they inherit it, the same rule applies to them.

--- a/internal/network/failfast.go
+++ b/internal/network/failfast.go
@@ -20,18 +20,20 @@
 
 // failFastTCP is TCP with fast detection of unreachable peers.
 type failFastTCP struct {
-	control func(network, address string, conn syscall.RawConn) error
+	userTimeout time.Duration
+	// bearsClosedWindow is set if a peer that is slow to read does not break connections.
+	bearsClosedWindow bool
 }
 
 // Prompt returns TCP whose connections break within seconds after the peer's machine
 // becomes unreachable: by keep-alive probes when idle, and by TCP_USER_TIMEOUT otherwise.
-func Prompt() Network { return PromptWithin(defaultUserTimeout) }
+// A reachable peer may stop reading for longer.
+func Prompt() Network { return failFastTCP{userTimeout: defaultUserTimeout, bearsClosedWindow: true} }
 
-// PromptWithin returns Prompt with another TCP_USER_TIMEOUT. The system applies it also while
-// the process is stopped: afterwards no unacknowledged data is sent again.
-func PromptWithin(userTimeout time.Duration) Network {
-	return failFastTCP{control: func(_, _ string, conn syscall.RawConn) error { return setUserTimeout(conn, userTimeout) }}
-}
+// PromptWithin returns TCP like Prompt with another TCP_USER_TIMEOUT, which also bounds how long
+// the peer may stop reading. The system applies it also while the process is stopped: afterwards
+// no unacknowledged data is sent again.
+func PromptWithin(userTimeout time.Duration) Network { return failFastTCP{userTimeout: userTimeout} }
 
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
@@ -40,13 +42,26 @@
 // Listen implements Network.
 func (p failFastTCP) Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: p.control}
-	return config.Listen(ctx, "tcp", address)
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil || !p.bearsClosedWindow {
+		return listener, err
+	}
+	return &promptListener{listener}, nil
 }
 
 // DialContext implements Network.
 func (p failFastTCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig(), Control: p.control}
-	return dialer.DialContext(ctx, network, address)
+	conn, err := dialer.DialContext(ctx, network, address)
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP && err == nil && p.bearsClosedWindow {
+		return newPromptConn(tcp), nil
+	}
+	return conn, err
+}
+
+// control sets the options of a new socket.
+func (p failFastTCP) control(_, _ string, conn syscall.RawConn) error {
+	return setUserTimeout(conn, p.userTimeout)
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT. Errors are ignored, so systems without the option
