Connections between daemons keep the short user timeout

Only connections of callers and runners bear a peer that stops reading.

TestControlConnectionsKeepShortUserTimeout fails without the change.

--- a/internal/network/failfast.go
+++ b/internal/network/failfast.go
@@ -35,6 +35,17 @@
 // no unacknowledged data is sent again.
 func PromptWithin(userTimeout time.Duration) Network { return failFastTCP{userTimeout: userTimeout} }
 
+// ForControl returns the network for messages between daemons. Connections of Prompt then break also if the peer stops reading for the
+// TCP_USER_TIMEOUT, so that messages soon go over a new one; any other network is returned as it is.
+func ForControl(over Network) Network {
+	prompt, isPrompt := over.(failFastTCP)
+	if !isPrompt {
+		return over
+	}
+	prompt.bearsClosedWindow = false
+	return prompt
+}
+
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 }
--- a/internal/network/promptconn_test.go
+++ b/internal/network/promptconn_test.go
@@ -104,3 +104,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(<-written, qt.IsNil)
 }
+
+// Guards against control messages that wait for seconds on a connection to a machine that is gone: large ones would extend its timeout.
+func TestControlConnectionsKeepShortUserTimeout(t *testing.T) {
+	c := qt.New(t)
+	listener, err := ForControl(Prompt()).Listen(c.Context(), "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	dialled, err := ForControl(Prompt()).DialContext(c.Context(), "tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer dialled.Close()
+	_, err = dialled.Write(make([]byte, 2*unreadBytes))
+	c.Assert(err, qt.IsNil)
+	c.Assert(userTimeout(dialled.(*net.TCPConn)), qt.Equals, defaultUserTimeout)
+}
--- a/placement/domainnode/node.go
+++ b/placement/domainnode/node.go
@@ -83,6 +83,7 @@
 	if options.Network == nil {
 		transportOptions.Network = network.Prompt()
 	}
+	transportOptions.Network = network.ForControl(transportOptions.Network)
 	server, err := transport.NewServer(options.Logger, transportOptions)
 	if err != nil {
 		return nil, err
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -130,6 +130,7 @@
 	if options.Network == nil {
 		transportOptions.Network = network.Prompt()
 	}
+	transportOptions.Network = network.ForControl(transportOptions.Network)
 	made := newMetrics(options)
 	transportOptions.OnMessage = made.traffic.AddMessage
 	if options.Dialer != nil {
