A lost way is left like a silent runner, and at once only if no runner has room

Cause: the retry was taken and the runner was reachable, but neither had accepted anything when the attempt was withdrawn.

Now a successor is sought at once for an attempt whose way is lost. It is withdrawn without one only if none has room: all places of a rare model's runner may be held by attempts like this one, as in TestCallersOfPartitionedRoutersAreServed.

--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -112,6 +112,9 @@
 			s.log(outcome)
 		}
 		last = outcome
+		if outcome == successorNoRunner && s.watchdog.leaveLost() {
+			return
+		}
 		if outcome == successorBegan || !pause.For(ctx, successorRetryDelay) {
 			return
 		}
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -131,7 +131,7 @@
 		// Nothing is read from the runner meanwhile.
 		w.since = time.Now()
 	}
-	since, isLost := w.since, w.lost != nil
+	since := w.since
 	w.mutex.Unlock()
 	silent := time.Since(since)
 	limit := w.exchange.silenceLimit()
@@ -139,7 +139,7 @@
 		limit = w.exchange.busySilenceLimit()
 	}
 	again := limit - silent
-	if again <= 0 || isLost {
+	if again <= 0 {
 		w.leave(errSilent)
 		again = successorRetryDelay
 	}
@@ -153,16 +153,13 @@
 // leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
 func (w *watchdog) leave(cause error) {
 	w.mutex.Lock()
-	lost, isCopied := w.lost, w.standby != ""
-	if lost == nil && !isCopied && !w.cancelUnsent(cause) {
+	isCopied := w.standby != ""
+	if !isCopied && !w.cancelUnsent(cause) {
 		w.seek(cause)
 	}
 	w.mutex.Unlock()
-	switch {
-	case isCopied:
+	if isCopied {
 		w.leaveForStandby(cause)
-	case lost != nil:
-		w.leaveLost(lost)
 	}
 }
 
@@ -176,25 +173,25 @@
 	w.cancelReserved(cause)
 }
 
-// leaveLost cancels the attempt, the way to whose runner seems lost, if another one may take the request over.
-func (w *watchdog) leaveLost(cause error) {
-	r := w.exchange.router
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+// leaveLost cancels the attempt if the way to its runner seems lost and another one may take the request over: an attempt is left, a
+// runner is reachable, and the budget allows the retry, which it takes. All its places may be held by attempts like this one. It reports
+// whether the attempt is cancelled.
+func (w *watchdog) leaveLost() bool {
+	x := w.exchange
+	x.router.mutex.Lock()
+	defer x.router.mutex.Unlock()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.tryLeaveLost(cause)
-}
-
-// tryLeaveLost cancels the attempt if another one is left, a runner is reachable, and the budget allows the retry, which it takes.
-// The caller must hold the router's mutex and w.mutex.
-func (w *watchdog) tryLeaveLost(cause error) {
-	x := w.exchange
+	if w.lost == nil || !w.hasAttempt() {
+		return false
+	}
 	work := w.waiter.work
 	work.Version = w.version
-	if w.hasAttempt() && x.router.balancer.IsReachable(rowName(x.row), &work) && x.router.takeRepeat(x.row.Service) {
-		w.cancelReserved(cause)
+	if !x.router.balancer.IsReachable(rowName(x.row), &work) || !x.router.takeRepeat(x.row.Service) {
+		return false
 	}
+	w.cancelReserved(w.lost)
+	return true
 }
 
 // hasAttempt reports whether another attempt is left. The caller must hold w.mutex.
@@ -237,9 +234,8 @@
 	return isUsable
 }
 
-// cancelLost cancels a repeatable attempt because the way to its runner is lost, if another one may take the request over: open
-// connections may live on. Otherwise the attempt goes on until one may. A successor that was sent is left to answer. The caller must
-// hold the router's mutex.
+// cancelLost has a repeatable attempt taken over by another runner because the way to its runner seems lost: open connections may live on,
+// so that it is cancelled once that one has begun to answer, or none has room. The caller must hold the router's mutex.
 func (w *watchdog) cancelLost(cause error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -247,14 +243,7 @@
 		return
 	}
 	w.lost = cause
-	if w.search != nil {
-		if w.search.winner != nil || len(w.search.sent) > 0 {
-			return
-		}
-		w.dropSearch()
-	}
-	w.tryLeaveLost(cause)
-	w.timer.Reset(successorRetryDelay)
+	w.seek(cause)
 }
 
 // noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
