Tests: a sound runner keeps its request, whatever is learned meanwhile

Zones and peers that are believed lost, runners that leave, rest, are dropped from a view, are listed again or replaced, fail, name limits or are suspected, each at three times of a request, with and without a silence of the runner, and with other runners that are free, absent, rejecting or failing. The connection to the runner lives on in all of them, so that the answer must be whole.

--- a/request/relay/configchange_test.go
+++ b/request/relay/configchange_test.go
@@ -37,6 +37,10 @@
 	pause func(attempt *Attempt, number, event int) time.Duration
 	// breaks reports whether the connection of an attempt breaks in place of an event; nil for never.
 	breaks func(number, event int) bool
+	// instead returns the answer of an attempt in place of the usual one, or neither an answer nor an error; nil for never.
+	instead func(number int, attempt *Attempt) (*Answer, error)
+	// losesCopies is set if copies do not arrive.
+	losesCopies bool
 
 	mutex    sync.Mutex
 	attempts []Attempt
@@ -55,6 +59,11 @@
 	if err := b.await(ctx, attempt, number, 0, steadyHead); err != nil {
 		return nil, err
 	}
+	if b.instead != nil {
+		if answer, err := b.instead(number, attempt); answer != nil || err != nil {
+			return answer, err
+		}
+	}
 	if attempt.Request.Model == "" {
 		return fine()
 	}
@@ -122,7 +131,7 @@
 	if err := r.runners.await(r.ctx, r.attempt, r.number, r.next, steadyGap); err != nil {
 		return 0, err
 	}
-	if r.attempt.CopyTo != "" {
+	if r.attempt.CopyTo != "" && !r.runners.losesCopies {
 		r.runners.mutex.Lock()
 		r.runners.copies[r.attempt.CopyTo+"/"+r.attempt.Request.ID] = true
 		r.runners.mutex.Unlock()
--- a/request/relay/configseries_test.go
+++ b/request/relay/configseries_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/internal/pause"
+	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/site"
 )
@@ -44,7 +45,7 @@
 
 	mutex  sync.Mutex
 	random *rand.Rand
-	// silentUntil is until when each runner sends nothing.
+	// silentUntil is until when each runner sends nothing, by its ID.
 	silentUntil map[string]time.Time
 	// counts are the requests by how they ended.
 	counts map[string]int
@@ -76,7 +77,7 @@
 func (s *configSeries) pause(attempt *Attempt, _, _ int) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return max(0, time.Until(s.silentUntil[attempt.Instance]))
+	return max(0, time.Until(s.silentUntil[fleet.IDOf(attempt.Instance)]))
 }
 
 // silence has random runners fall silent until ctx ends.
