--- a/request/relay/configchange_test.go
+++ b/request/relay/configchange_test.go
@@ -33,6 +33,8 @@
 // steadyRunners is a Backend of runners that answer every request, and copy the memory of streams to each other. The attempts are
 // counted from 1. The head of an answer counts as event 0.
 type steadyRunners struct {
+	// connecting is the time before the first byte of a request is sent.
+	connecting time.Duration
 	// pause returns for how long an attempt's runner is silent before an event; nil for never.
 	pause func(attempt *Attempt, number, event int) time.Duration
 	// breaks reports whether the connection of an attempt breaks in place of an event; nil for never.
@@ -48,7 +50,7 @@
 }
 
 func (b *steadyRunners) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
-	if !attempt.MaySend() {
+	if err := waitIn(ctx, b.connecting); err != nil || !attempt.MaySend() {
 		return notSent()
 	}
 	b.mutex.Lock()
