Crowded run: silent runners, changes of the configuration, repeatable requests

The crowded run sent only requests that may run once, under one configuration, and its runners stood still only together with frozen routers. The watchdog of a router, which acts on repeatable requests alone, was never met by a runner that falls silent and goes on.

--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -29,11 +29,25 @@
 	Slots       int           `long:"slots" default:"4" description:"requests that a runner works on at a time"`
 	Queue       int           `long:"queue" default:"2" description:"requests that wait at a runner"`
 	Callers     int           `long:"callers" default:"72" description:"number of callers"`
+	Resumable   int           `long:"resumable" default:"0" description:"callers among these with resumable streams"`
+	Idempotent  int           `long:"idempotent" default:"0" description:"callers among these with short idempotent requests"`
+	Services    int           `long:"services" default:"1" description:"services that the runners are divided among"`
 	Work        time.Duration `long:"work" default:"40ms" description:"mean time that a runner works on a request"`
+	StreamTime  time.Duration `long:"stream-length" description:"length of a stream; that of the work by default"`
+	Deadline    time.Duration `long:"deadline" default:"4s" description:"deadline of a request"`
+	BreakShare  int           `long:"break-share" default:"5" description:"streams in 100 that break off midway"`
 	Beat        time.Duration `long:"beat" default:"150ms" description:"interval at which callers send"`
 	RetryRatio  float64       `long:"retry-ratio" default:"0.05" description:"share of the requests that routers may send again"`
+	RetryExtra  int           `long:"retry-extra" default:"20" description:"number of requests beyond that which routers may send again in 10 s"`
 	Busy        int           `long:"busy" default:"0" description:"number of processes beside that keep processors busy"`
 
+	SilenceShare    float64       `long:"silence-share" default:"1" description:"share of the runners that fall silent"`
+	SilenceMin      time.Duration `long:"silence-min" default:"500ms" description:"shortest silence"`
+	SilenceMax      time.Duration `long:"silence-max" default:"2250ms" description:"longest silence"`
+	SilencePauseMin time.Duration `long:"silence-pause-min" default:"1s" description:"shortest time between two silences"`
+	SilencePauseMax time.Duration `long:"silence-pause-max" default:"3500ms" description:"longest time between two silences"`
+	SilenceCommon   bool          `long:"silence-common" description:"runners fall silent at the same moments"`
+
 	All      bool `long:"all" description:"all disruptions"`
 	Extra    bool `long:"extra" description:"runners send answers once more where the next one is due"`
 	Lost     bool `long:"lost" description:"runners reset connections after a run"`
@@ -42,7 +56,9 @@
 	Restart  bool `long:"restart" description:"routers are stopped, killed and started again"`
 	Leave    bool `long:"leave" description:"callers close connections, or their sending side, early"`
 	Cut      bool `long:"cut" description:"some routers are cut off from some runners"`
-	Streams  bool `long:"streams" description:"answers are streams of events, some of which break off"`
+	Silence  bool `long:"silence" description:"runners send nothing for a time and go on"`
+	Changes  bool `long:"changes" description:"the configuration changes each second"`
+	Streams  bool `long:"streams" description:"answers to requests that may run once are streams of events, some of which break off"`
 	Models   bool `long:"models" description:"runners are engines with models, and runs of streams are copied"`
 	Regions  bool `long:"regions" description:"processes and runners are in two regions"`
 
@@ -66,6 +82,8 @@
 	report, err := soak.RunCrowd(c.session.ctx, soak.CrowdOptions{
 		Binary: c.Binary, Folder: folder, Seed: c.Seed, Duration: c.For, Lane: c.Lane, Controllers: max(3, c.Controllers), Routers: c.Routers,
 		Runners: c.Runners, Callers: c.Callers, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Beat: c.Beat, RetryRatio: c.RetryRatio,
+		Resumable: c.Resumable, Idempotent: c.Idempotent, Services: c.Services, StreamLength: c.StreamTime, Deadline: c.Deadline,
+		BreakShare: c.BreakShare, RetryExtra: c.RetryExtra, Silence: c.silence(),
 		BusyProcesses: c.Busy, BusyCommand: []string{executable, "crowd", "--spin"}, Disruptions: c.disruptions(),
 		Log: func(format string, arguments ...any) { fmt.Fprintf(c.session.Errors, format+"\n", arguments...) },
 	})
@@ -82,10 +100,21 @@
 	return nil
 }
 
+// silence returns the options of silent runners.
+func (c *crowdCommand) silence() soak.SilenceOptions {
+	if !c.Silence && !c.All {
+		return soak.SilenceOptions{}
+	}
+	return soak.SilenceOptions{
+		Share: c.SilenceShare, MinLength: c.SilenceMin, MaxLength: c.SilenceMax, MinPause: c.SilencePauseMin, MaxPause: c.SilencePauseMax,
+		IsCommon: c.SilenceCommon,
+	}
+}
+
 // disruptions returns the chosen disruptions.
 func (c *crowdCommand) disruptions() soak.CrowdDisruptions {
 	return soak.CrowdDisruptions{
 		Extra: c.Extra || c.All, Lost: c.Lost || c.All, Unmarked: c.Unmarked || c.All, Freeze: c.Freeze || c.All,
-		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All, Regions: c.Regions || c.All,
+		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Changes: c.Changes || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All, Regions: c.Regions || c.All,
 	}
 }
