Crowded run: judge requests that end without an answer (LOST)

The crowded run judged REFUSED, TWICE and MIXED; a request whose connection was closed without an answer was only counted among other failures, so that routers that cut the answers of sound runners passed.

--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -13,8 +13,8 @@
 // errRuleBroken is returned by a crowded run that broke a rule, after printing its report.
 var errRuleBroken = errors.New("a rule was broken")
 
-// crowdCommand runs routers before crowded runners as processes, and checks that no request that was refused runs and
-// that none runs twice.
+// crowdCommand runs routers before crowded runners as processes, and checks that no request that was refused runs,
+// that none runs twice and that none is lost.
 type crowdCommand struct {
 	session *session
 
--- a/kit/labcommand/run.go
+++ b/kit/labcommand/run.go
@@ -53,7 +53,7 @@
 	Simulate   simulateCommand   `command:"simulate" description:"Run whole sites in one process and in virtual time, from seeds, with faults"`
 	Scenarios  scenariosCommand  `command:"scenarios" description:"List failures, and the commands that reproduce them"`
 	Capacity   capacityCommand   `command:"capacity" description:"Measure the resource costs of each role, as slopes over several sizes"`
-	Crowd      crowdCommand      `command:"crowd" description:"Run routers before crowded runners as processes, and check that nothing refused runs and nothing runs twice"`
+	Crowd      crowdCommand      `command:"crowd" description:"Run routers before crowded runners as processes, and check that nothing refused runs, nothing runs twice and nothing is lost"`
 	Soak       soakCommand       `command:"soak" description:"Run the roles of the users' platform as processes on loopback addresses under injected faults, and check them"`
 }
 
