--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -54,6 +54,7 @@
 	Unmarked bool `long:"unmarked" description:"runners fail requests that ran with 503 or 429"`
 	Freeze   bool `long:"freeze" description:"routers and runners stand still for a short time"`
 	Restart  bool `long:"restart" description:"routers are stopped, killed and started again"`
+	Stop     bool `long:"stop" description:"routers are stopped with SIGTERM and started again"`
 	Leave    bool `long:"leave" description:"callers close connections, or their sending side, early"`
 	Cut      bool `long:"cut" description:"some routers are cut off from some runners"`
 	Silence  bool `long:"silence" description:"runners send nothing for a time and go on"`
@@ -115,6 +116,6 @@
 func (c *crowdCommand) disruptions() soak.CrowdDisruptions {
 	return soak.CrowdDisruptions{
 		Extra: c.Extra || c.All, Lost: c.Lost || c.All, Unmarked: c.Unmarked || c.All, Freeze: c.Freeze || c.All,
-		Restart: c.Restart || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Changes: c.Changes || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All, Regions: c.Regions || c.All,
+		Restart: c.Restart || c.All, Stop: c.Stop || c.All, Leave: c.Leave || c.All, Cut: c.Cut || c.All, Changes: c.Changes || c.All, Streams: c.Streams || c.All, Models: c.Models || c.All, Regions: c.Regions || c.All,
 	}
 }
