A repeatable request stays at a silent engine that still has it unless another one is free

Callers of repeatable requests saw their stream cut, or started again at the same engine, when their sole engine was silent for little more than the learned limit (1 s on a fast row) and then went on.

Cause: the stall check cancelled the attempt as soon as a retry was allowed, without asking whether another engine could take the request. Without retries the engine was asked, and given up unless it reported new tokens, although it reported the request as running.

The attempt is now cancelled for another engine only if a retry is allowed, time is left for its delay, and another engine has capacity (HasUsable, which reserves nothing). Otherwise the engine is asked, and asked again at the interval of the stall timeout, while it reports the request as queued or running in the same incarnation, until the silence reaches the upper limit of the stall timeout. An engine that does not answer, was restarted, does not hold the request, or whose reported tokens do not arrive is given up as before.

Requests with a key are unchanged.

--- a/request/router/stall.go
+++ b/request/router/stall.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lotusferry/lotusferry/request/admission"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -12,13 +13,17 @@
 // (admission.TimeoutEstimator).
 //
 // A stalled attempt of a repeatable request is cancelled and resumed on another
-// engine, if attempts and budget allow. Otherwise, and for a request with a key, the
-// engine is asked for the status without cancelling, and awaited while it reports
-// progress. Without progress, a repeatable request is rejected unless the budget now
-// allows a retry. A request with a key that has started is rejected as
-// outcome_unknown; one that has not is cancelled and the status requested again. Once
-// the engine confirms that it certainly did not run, it is retried under the same
-// claim, or rejected.
+// engine, if attempts and budget allow and another engine has capacity. Otherwise, and
+// for a request with a key, the engine is asked for the status without cancelling, and
+// awaited while it reports progress. A sound engine may be silent for a while, so a
+// repeatable request that it still reports as queued or running remains there, and the
+// engine is asked again at intervals, until the request can be resumed elsewhere or the
+// silence reaches silenceLimit. An engine that does not answer, was restarted or does not
+// hold the request is given up: the request is retried, or rejected if no retry is
+// allowed. A request with a key that has started and makes no progress is rejected as
+// outcome_unknown; one that has not is cancelled and the status requested again. Once the
+// engine confirms that it certainly did not run, it is retried under the same claim, or
+// rejected.
 
 // stallPerPromptByte is added to the stall timeout of the first token for each byte of
 // the prompt.
@@ -62,16 +67,33 @@
 	return &r.row.tokenGap
 }
 
-// stallTimeout returns how long the current attempt may go without a token. Before the
-// first token it includes an allowance for queueing at the engine; otherwise bursts would
-// look like stalls.
+// stallTimeout returns how long the current attempt may go without a token before it
+// counts as stalled.
 func (c *Core) stallTimeout(req *request) time.Duration {
+	return c.queueAllowance(req) + req.timeoutEstimator().Timeout(c.options.StallFloor, c.stallCeiling(req))
+}
+
+// silenceLimit returns how long the current attempt may go without a token while its
+// engine reports it as queued or running. It does not depend on earlier waits.
+func (c *Core) silenceLimit(req *request) time.Duration {
+	return c.queueAllowance(req) + c.stallCeiling(req)
+}
+
+// queueAllowance returns the allowance for queueing at the engine before the first token;
+// without it, bursts would look like stalls.
+func (c *Core) queueAllowance(req *request) time.Duration {
 	if !req.awaitsFirstToken() {
-		return req.row.tokenGap.Timeout(c.options.StallFloor, c.options.StallCeiling)
+		return 0
 	}
-	waiting := min(req.row.estimator.Service(req.MaxTokens), req.DeadlineAt.Sub(req.sentAt)/stallQueueDivisor)
-	ceiling := c.options.StallCeiling + time.Duration(len(req.Prompt))*stallPerPromptByte
-	return waiting + req.row.firstToken.Timeout(c.options.StallFloor, ceiling)
+	return min(req.row.estimator.Service(req.MaxTokens), req.DeadlineAt.Sub(req.sentAt)/stallQueueDivisor)
+}
+
+// stallCeiling returns the upper limit of the learned part of stallTimeout.
+func (c *Core) stallCeiling(req *request) time.Duration {
+	if !req.awaitsFirstToken() {
+		return c.options.StallCeiling
+	}
+	return c.options.StallCeiling + time.Duration(len(req.Prompt))*stallPerPromptByte
 }
 
 // scheduleStallCheck schedules the next stall check of the attempt.
@@ -104,7 +126,7 @@
 		c.scheduleStallCheck(req)
 		return
 	}
-	if req.peeking || req.Repeatable() && c.mayRetry(req) {
+	if req.peeking || c.mayResumeElsewhere(req) {
 		c.abandonStalled(req)
 		return
 	}
@@ -123,9 +145,16 @@
 	c.attemptBroke(req)
 }
 
-// mayRetry reports whether another attempt is allowed now.
-func (c *Core) mayRetry(req *request) bool {
-	return req.attempts < c.options.AttemptLimit && req.row.budget.Covers()
+// mayResumeElsewhere reports whether a repeatable request may be sent to another engine
+// now, and before its deadline after any delay.
+func (c *Core) mayResumeElsewhere(req *request) bool {
+	if !req.Repeatable() || req.attempts >= c.options.AttemptLimit || !req.row.budget.Covers() {
+		return false
+	}
+	if !c.now.Add(c.options.BackoffLimit).Before(req.DeadlineAt) {
+		return false
+	}
+	return c.balancer.HasUsable(c.now, req.row.Name, &routing.Work{Avoid: req.choice.Runner()})
 }
 
 // peek asks the engine for the status of a stalled attempt without cancelling it.
@@ -140,22 +169,54 @@
 	})
 }
 
-// peekReplied keeps waiting for a stalled attempt that makes progress at its engine, and
-// abandons any other.
+// peekReplied keeps waiting for a stalled attempt that may still continue at its engine,
+// and abandons any other.
 func (c *Core) peekReplied(event StatusReplied) {
 	req := c.attempts[event.Attempt]
 	if req == nil || !req.peeking {
 		return
 	}
 	req.peeking = false
-	status := event.Status
-	if event.answered() && status.Incarnation == req.choice.Incarnation() {
-		req.started = status.Started || status.Tokens > 0
-		if status.State == structs.RunRunning && status.Tokens > max(req.delivered, req.peekedTokens) {
-			req.peekedTokens = status.Tokens
+	if event.answered() && event.Status.Incarnation == req.choice.Incarnation() {
+		req.started = event.Status.Started || event.Status.Tokens > 0
+		if req.recordPeek(event.Status) {
 			c.scheduleWake(req, c.now.Add(c.stallTimeout(req)))
 			return
 		}
+		if c.mayContinue(req, event.Status) {
+			c.schedulePeek(req)
+			return
+		}
 	}
 	c.abandonStalled(req)
 }
+
+// recordPeek reports whether the engine has made tokens that are not known yet.
+func (r *request) recordPeek(status *structs.RequestStatus) bool {
+	if status.State != structs.RunRunning || status.Tokens <= max(r.delivered, r.peekedTokens) {
+		return false
+	}
+	r.peekedTokens = status.Tokens
+	return true
+}
+
+// mayContinue reports whether a repeatable request that makes no progress remains at its
+// engine, which still holds it. It does not if tokens that the engine reported before have
+// not arrived since: then they, or the stream, are lost.
+func (c *Core) mayContinue(req *request, status *structs.RequestStatus) bool {
+	if !req.Repeatable() || status.State != structs.RunQueued && status.State != structs.RunRunning {
+		return false
+	}
+	isSilentTooLong := c.now.Sub(req.lastProgressAt) >= c.silenceLimit(req)
+	return !isSilentTooLong && status.Tokens <= req.delivered && !c.mayResumeElsewhere(req)
+}
+
+// schedulePeek schedules the next status request about a silent attempt, at the latest
+// when the silence reaches its limit.
+func (c *Core) schedulePeek(req *request) {
+	next := c.now.Add(c.stallTimeout(req))
+	if limit := req.lastProgressAt.Add(c.silenceLimit(req)); limit.Before(next) {
+		next = limit
+	}
+	c.scheduleWake(req, next)
+}
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/structs"
@@ -133,6 +134,15 @@
 	}
 }
 
+// HasUsable reports whether an attempt for the work may be sent now to a replica of the row that is not on the runner to avoid.
+func (b *Balancer) HasUsable(now time.Time, name structs.RowName, work *Work) bool {
+	wanted := b.rows[name].ofVersion(b.options.SubsetSize, work.Version)
+	if wanted == nil {
+		return false
+	}
+	return slices.ContainsFunc(wanted.subset, func(candidate *replica) bool { return b.isUsable(now, candidate, work) })
+}
+
 // IsCrowded reports whether the known load of a runner fills its batch, in which case
 // it may not respond for a while.
 func (b *Balancer) IsCrowded(now time.Time, id structs.RunnerID) bool {
--- a/request/routing/balancer_test.go
+++ b/request/routing/balancer_test.go
@@ -340,3 +340,30 @@
 		})
 	}
 }
+
+// TestHasUsableExcludesRunnerToAvoid guards against a request that is withdrawn from its
+// runner although Pick would find no other one, and against a check that reserves capacity.
+func TestHasUsableExcludesRunnerToAvoid(t *testing.T) {
+	tests := []struct {
+		about   string
+		runners int
+		change  func(*Balancer)
+		want    bool
+	}{
+		{"idle", 2, func(*Balancer) {}, true},
+		{"no other runner", 1, func(*Balancer) {}, false},
+		{"unknown row", 0, func(*Balancer) {}, false},
+		{"full", 2, func(b *Balancer) { fill(b, 100) }, false},
+		{"leaving", 2, func(b *Balancer) { b.Leave("runner-1") }, false},
+		{"cooling down", 2, func(b *Balancer) { b.CoolDown("runner-1", start.Add(time.Second)) }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.about, func(t *testing.T) {
+			balancer := newBalancer(test.runners, Options{MaxBatch: 4, QueueSlack: 1})
+			test.change(balancer)
+			for range 20 {
+				qt.Check(t, balancer.HasUsable(start, "row", &Work{Avoid: "runner-0"}), qt.Equals, test.want)
+			}
+		})
+	}
+}
