--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -191,12 +191,7 @@
 // isBetter reports whether a runner may answer although the runner of the attempt is silent: it is reached on another way, or it is
 // another one that is not silent as well. The caller must hold the router's mutex.
 func (w *watchdog) isBetter(id structs.RunnerID) bool {
-	r := w.exchange.router
-	path := r.peers.paths.Choose(r.now(), id, r.zones.watch.ZoneOf(id), w.wish)
-	if !path.IsDirect() && path != w.path {
-		return true
-	}
-	return id != w.runner && !r.isSilentSince(id, w.silentSince())
+	return w.hasOtherPath(id) || id != w.runner && !w.exchange.router.isSilentSince(id, w.silentSince())
 }
 
 // isSilentSince reports whether a runner has requests of this router, and has sent nothing since the given time: a silence that
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -173,27 +173,30 @@
 	w.cancelReserved(cause)
 }
 
-// leaveLost cancels the attempt if the way to its runner seems lost and another one may take the request over: an attempt is left, a
-// runner is reachable, and the budget allows the retry, which it takes. All its places may be held by attempts like this one. It reports
-// whether the attempt is cancelled.
+// leaveLost cancels the attempt if the way to its runner seems lost, the runner is reached on another way, another attempt is left, and the
+// budget allows the retry, which it takes: all places of the runner may be held by attempts like this one. It reports whether the
+// attempt is cancelled.
 func (w *watchdog) leaveLost() bool {
-	x := w.exchange
-	x.router.mutex.Lock()
-	defer x.router.mutex.Unlock()
+	r := w.exchange.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.lost == nil || !w.hasAttempt() {
-		return false
-	}
-	work := w.waiter.work
-	work.Version = w.version
-	if !x.router.balancer.IsReachable(rowName(x.row), &work) || !x.router.takeRepeat(x.row.Service) {
+	if w.lost == nil || !w.hasAttempt() || !w.hasOtherPath(w.runner) || !r.takeRepeat(w.exchange.row.Service) {
 		return false
 	}
 	w.cancelReserved(w.lost)
 	return true
 }
 
+// hasOtherPath reports whether a runner is reached through a peer, and not on the way of the attempt. The caller must hold the router's
+// mutex.
+func (w *watchdog) hasOtherPath(id structs.RunnerID) bool {
+	r := w.exchange.router
+	path := r.peers.paths.Choose(r.now(), id, r.zones.watch.ZoneOf(id), w.wish)
+	return !path.IsDirect() && path != w.path
+}
+
 // hasAttempt reports whether another attempt is left. The caller must hold w.mutex.
 func (w *watchdog) hasAttempt() bool {
 	attempts := w.formerAttempts + 1 + w.successorRuns
