A runner that sends an event without end is left; one is silent too if it was silent for the limit

A runner that goes on sending parts of an event is not silent and will not go on: after the limit, and one look for a successor, its attempt ends as before the search was there. Another runner is silent too only if it has been silent towards a request of this router for the limit.

--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -191,13 +191,21 @@
 // isBetter reports whether a runner may answer although the runner of the attempt is silent: it is reached on another way, or it is
 // another one that is not silent as well. The caller must hold the router's mutex.
 func (w *watchdog) isBetter(id structs.RunnerID) bool {
-	return w.hasOtherPath(id) || id != w.runner && !w.exchange.router.isSilentSince(id, w.silentSince())
+	return w.hasOtherPath(id) || id != w.runner && !w.exchange.router.isSilentSince(id, w.silentSince(), w.exchange.silenceLimit())
 }
 
-// isSilentSince reports whether a runner has requests of this router, and has sent nothing since the given time: a silence that
-// runners share says nothing about one of them. The caller must hold r.mutex.
-func (r *Router) isSilentSince(id structs.RunnerID, since time.Time) bool {
-	return r.balancer.InFlight(id) > 0 && !r.lastDataAt[id].After(since)
+// isSilentSince reports whether a runner has been silent towards another request of this router for the limit or longer, and has sent
+// nothing since the given time: a silence that runners share says nothing about one of them. The caller must hold r.mutex.
+func (r *Router) isSilentSince(id structs.RunnerID, since time.Time, limit time.Duration) bool {
+	if r.lastDataAt[id].After(since) {
+		return false
+	}
+	for attempt := range r.zones.attempts[r.zones.watch.ZoneOf(id)] {
+		if attempt.runner == id && attempt.silentFor() >= limit {
+			return true
+		}
+	}
+	return false
 }
 
 // send sends the request to the chosen runner and returns the outcome.
@@ -409,10 +417,11 @@
 func (s *successorSearch) log(outcome string) {
 	w := s.watchdog
 	x := w.exchange
+	silent := w.silentFor()
 	w.mutex.Lock()
-	silent, lastEvent := w.silentFor(), w.lastEvent
+	lastEvent, cause := w.lastEvent, s.cause
 	w.mutex.Unlock()
 	level.Info(x.router.logger).Log("msg", "Another runner is sought for a request.", "request", x.request.ID, "content", x.keys.content,
-		"runner", w.runner, "cause", s.cause, "silent", silent, "last_event", lastEvent, "successor", s.tried, "outcome", outcome,
+		"runner", w.runner, "cause", cause, "silent", silent, "last_event", lastEvent, "successor", s.tried, "outcome", outcome,
 		"age", x.router.age(x.request))
 }
--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -404,3 +404,33 @@
 		c.Check(attempts, qt.HasLen, 0, qt.Commentf("%s", zone))
 	}
 }
+
+// tricklingBody yields part of an event again and again until its context ends.
+type tricklingBody struct{ ctx context.Context }
+
+func (b tricklingBody) Read(buffer []byte) (int, error) {
+	if err := sleepIn(b.ctx, 100*time.Millisecond); err != nil {
+		return 0, err
+	}
+	return copy(buffer, "x"), nil
+}
+
+func (b tricklingBody) Close() error { return nil }
+
+// Guards against a request that stays until its deadline at a runner that sends an event without end: it is not silent, and will not go on.
+func TestTricklingRunnerIsLeftWithoutSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+			answer, err := stream("", io.EOF)
+			answer.Body = tricklingBody{ctx}
+			return answer, err
+		})
+		noRepeats(router)
+		began := time.Now()
+		recorder, _ := ask(router, t.Context(), "/stream/x", "m")
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+		c.Assert(time.Since(began) <= streamSilenceFloor+2*successorRetryDelay, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		c.Assert(backend.runners(), qt.HasLen, 1)
+	})
+}
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -36,6 +36,8 @@
 
 	mutex sync.Mutex
 	since time.Time
+	// bytesAt is when the runner sent something last, if only part of an event.
+	bytesAt time.Time
 	// timer is nil while the attempt may not be cancelled.
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
@@ -140,6 +142,7 @@
 	}
 	again := limit - silent
 	if again <= 0 {
+		w.endTrickle(limit)
 		w.leave(errSilent)
 		again = successorRetryDelay
 	}
@@ -150,6 +153,18 @@
 	}
 }
 
+// endTrickle cancels a repeatable attempt whose runner has sent parts of an event for so long that it will not end, unless a successor
+// was sent. A runner that sends nothing at all may go on.
+func (w *watchdog) endTrickle(limit time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	isTrickling := w.bytesAt.Sub(w.since) >= limit/2
+	hasSearched := w.search != nil && w.search.winner == nil && len(w.search.sent) == 0
+	if isTrickling && hasSearched && w.standby == "" && !w.isStopped {
+		w.cancel(errSilent)
+	}
+}
+
 // leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
 func (w *watchdog) leave(cause error) {
 	w.mutex.Lock()
@@ -251,7 +266,12 @@
 
 // noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
 // without end.
-func (w *watchdog) noteBytes() { w.exchange.router.observeBytes(w.runner, w.path) }
+func (w *watchdog) noteBytes() {
+	w.mutex.Lock()
+	w.bytesAt = time.Now()
+	w.mutex.Unlock()
+	w.exchange.router.observeBytes(w.runner, w.path)
+}
 
 // noteEvents records that the runner sent events or comments for the attempt. Only events that were passed on end its silence;
 // comments, and events that the caller has, show that it is busy.
@@ -282,8 +302,8 @@
 	return w.since
 }
 
-// silentFor returns for how long the runner has been silent. The caller must hold w.mutex.
-func (w *watchdog) silentFor() time.Duration { return time.Since(w.since) }
+// silentFor returns for how long the runner has been silent.
+func (w *watchdog) silentFor() time.Duration { return time.Since(w.silentSince()) }
 
 // setForwarding records that data of the runner begins or ends to be written to the caller.
 func (w *watchdog) setForwarding(isForwarding bool) {
