Tests: a trickling runner is left without a successor

TestTricklingRunnerIsLeftWithoutSuccessor was committed in a form that did not compile, as a type of that name stands in endless_test.go already; it uses that one now.

--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -405,25 +405,13 @@
 	}
 }
 
-// tricklingBody yields part of an event again and again until its context ends.
-type tricklingBody struct{ ctx context.Context }
-
-func (b tricklingBody) Read(buffer []byte) (int, error) {
-	if err := sleepIn(b.ctx, 100*time.Millisecond); err != nil {
-		return 0, err
-	}
-	return copy(buffer, "x"), nil
-}
-
-func (b tricklingBody) Close() error { return nil }
-
 // Guards against a request that stays until its deadline at a runner that sends an event without end: it is not silent, and will not go on.
 func TestTricklingRunnerIsLeftWithoutSuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
 			answer, err := stream("", io.EOF)
-			answer.Body = tricklingBody{ctx}
+			answer.Body = &tricklingBody{ctx: ctx, part: "x", pause: 100 * time.Millisecond, times: 1000}
 			return answer, err
 		})
 		noRepeats(router)
