A runner that sends comments does not trickle

Callers would have seen streams cut after 1.8 s whose runner has no room for them yet and says so with comments: they counted as parts of an event without end since. A trickle now counts from the last complete event or comment.

TestRunnerThatSendsCommentsKeepsItsStream fails without the change.

--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -422,3 +423,21 @@
 		c.Assert(backend.runners(), qt.HasLen, 1)
 	})
 }
+
+// Guards against a stream that is cut because its runner, which has no room for it yet, sends comments meanwhile.
+func TestRunnerThatSendsCommentsKeepsItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, backend := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
+			answer, err := stream("", io.EOF)
+			rest := strings.NewReader(events(1, wholeEvents))
+			answer.Body = &tricklingBody{ctx: ctx, part: ": waiting\n\n", pause: 100 * time.Millisecond, times: 30, rest: rest}
+			return answer, err
+		})
+		noRepeats(router)
+		recorder, aborted := ask(router, t.Context(), "/stream/x", "m")
+		c.Assert(aborted, qt.IsFalse)
+		c.Assert(strings.HasSuffix(recorder.Body.String(), events(1, wholeEvents)), qt.IsTrue)
+		c.Assert(backend.runners(), qt.HasLen, 1)
+	})
+}
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -36,8 +36,10 @@
 
 	mutex sync.Mutex
 	since time.Time
-	// bytesAt is when the runner sent something last, if only part of an event.
-	bytesAt time.Time
+	// bytesAt is when the runner sent something last, if only part of an event, and completeAt when that completed an event or a
+	// comment.
+	bytesAt    time.Time
+	completeAt time.Time
 	// timer is nil while the attempt may not be cancelled.
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
@@ -158,7 +160,11 @@
 func (w *watchdog) endTrickle(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	isTrickling := w.bytesAt.Sub(w.since) >= limit/2
+	began := w.since
+	if w.completeAt.After(began) {
+		began = w.completeAt
+	}
+	isTrickling := w.bytesAt.Sub(began) >= limit/2
 	hasSearched := w.search != nil && w.search.winner == nil && len(w.search.sent) == 0
 	if isTrickling && hasSearched && w.standby == "" && !w.isStopped {
 		w.cancel(errSilent)
@@ -278,7 +284,7 @@
 func (w *watchdog) noteEvents(hasPassed bool) {
 	w.exchange.router.observeEvent(w.runner)
 	w.mutex.Lock()
-	w.isStarted = true
+	w.isStarted, w.completeAt = true, time.Now()
 	w.mutex.Unlock()
 	if hasPassed {
 		w.resetSilence()
