A runner whose answer's head has no end is left

A repeatable request stays at a runner that seems silent, and the router did not see the bytes before a head.

The backend now tells how many bytes have come over the connection. If they still grow at four checks after the limit, the attempt ends as it did before the search was there, also if a successor is in progress, which then takes its place.

TestRunnerThatTricklesItsHeadIsLeft fails without the change.

--- a/request/relay/dispatch.go
+++ b/request/relay/dispatch.go
@@ -48,8 +48,9 @@
 	attempt.Request, attempt.Service = x.request, x.row.Service
 	attempt.Instance, attempt.Address, attempt.Peer = string(d.choice.Runner()), d.choice.Address(), d.watchdog.path.Peer
 	attempt.Wait, attempt.Priority, attempt.Tenant, attempt.HidesKey = x.runnerTime(), x.priority, x.tenantName(), x.hidesKey
-	attempt.Begin, attempt.Used = d.watchdog.begin, &x.used
+	attempt.Begin, attempt.Used, attempt.Connected = d.watchdog.begin, &x.used, d.watchdog.watchHead
 	d.answer, d.err = x.router.options.Backend.Send(d.ctx, attempt)
+	d.watchdog.watchHead(nil)
 	if d.err == nil {
 		x.router.observeAnswer(d.choice, d.watchdog.path, d.sentAt, d.answer)
 	}
--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -441,3 +441,20 @@
 		c.Assert(backend.runners(), qt.HasLen, 1)
 	})
 }
+
+// Guards against a request that stays until its deadline at a runner whose answer's head has no end.
+func TestRunnerThatTricklesItsHeadIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		began := time.Now()
+		router, backend := newTestRouter(func(ctx context.Context, attempt *Attempt) (*Answer, error) {
+			attempt.Connected(func() int64 { return int64(time.Since(began) / (50 * time.Millisecond)) })
+			return untilEnd(ctx, attempt)
+		})
+		noRepeats(router)
+		recorder, _ := ask(router, t.Context(), "/again/x", "")
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+		c.Assert(time.Since(began) <= time.Second+(maxHeadGrowths+2)*successorRetryDelay, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		c.Assert(backend.runners(), qt.HasLen, 1)
+	})
+}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -125,6 +125,9 @@
 	IsContinuation bool
 	// Used are the connections over which the request was sent before. Send must use another one, and adds it.
 	Used *Connections
+	// Connected is called when the request is given to a connection, with a function that returns the bytes received over it since.
+	// Nil means never.
+	Connected func(received func() int64)
 	// Begin reports whether the request may still be sent, as the runner may have requested a cooldown
 	// period or announced that it is leaving since it was chosen. After returning true once it
 	// always does. Nil means always.
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -40,6 +40,11 @@
 	// comment.
 	bytesAt    time.Time
 	completeAt time.Time
+	// received returns the bytes of the head that is being read; nil for none. headBytes is their number at the last check, and
+	// headGrowths the number of checks at which it had grown.
+	received    func() int64
+	headBytes   int64
+	headGrowths int
 	// timer is nil while the attempt may not be cancelled.
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
@@ -155,20 +160,48 @@
 	}
 }
 
-// endTrickle cancels a repeatable attempt whose runner has sent parts of an event for so long that it will not end, unless a successor
-// was sent. A runner that sends nothing at all may go on.
+// maxHeadGrowths is the number of checks after the silence limit at which the head of an answer may still have grown.
+const maxHeadGrowths = 3
+
+// endTrickle cancels a repeatable attempt whose runner has sent parts of a head, or of an event, for so long that it will not end. A
+// runner that sends nothing at all may go on.
 func (w *watchdog) endTrickle(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	isTrickling := w.tricklesHead() || w.tricklesEvent(limit)
+	hasSearched := w.search != nil && w.search.winner == nil
+	if isTrickling && hasSearched && w.standby == "" && !w.isStopped {
+		w.cancel(errSilent)
+	}
+}
+
+// tricklesEvent reports whether parts of an event came for half of the limit or longer, and no event or comment has ended. The caller
+// must hold w.mutex.
+func (w *watchdog) tricklesEvent(limit time.Duration) bool {
 	began := w.since
 	if w.completeAt.After(began) {
 		began = w.completeAt
 	}
-	isTrickling := w.bytesAt.Sub(began) >= limit/2
-	hasSearched := w.search != nil && w.search.winner == nil && len(w.search.sent) == 0
-	if isTrickling && hasSearched && w.standby == "" && !w.isStopped {
-		w.cancel(errSilent)
+	return w.bytesAt.Sub(began) >= limit/2
+}
+
+// tricklesHead reports whether the head of the answer goes on growing. The caller must hold w.mutex.
+func (w *watchdog) tricklesHead() bool {
+	if w.received == nil {
+		return false
+	}
+	if count := w.received(); count > w.headBytes {
+		w.headBytes = count
+		w.headGrowths++
 	}
+	return w.headGrowths > maxHeadGrowths
+}
+
+// watchHead sets how many bytes of the answer's head have been received; nil once it is read.
+func (w *watchdog) watchHead(received func() int64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.received, w.headBytes, w.headGrowths = received, 0, 0
 }
 
 // leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
