Relay: sends without an answer, ends of attempts and goings-on have one place each

No change of behaviour. The result of a send without an answer was built in sendFailed and again for successors: sendFailure serves both. The end of an attempt after which its runner is avoided stood in try and in follow: leaveRunner. noteEvents took the watchdog's mutex twice for each read of a stream. In tests waitIn was sleepIn again, which now uses pause.For, and assertNothingInProgress repeated assertIdle.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -98,12 +98,8 @@
 }
 
 func (x *exchange) sendFailed(ctx context.Context, choice routing.Choice, path paths.Path, err error) result {
-	ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(err), err: err}
-	if isPeerFailure(err) {
-		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
-	}
-	if errors.Is(err, ErrNotSent) {
-		ended.isNotRun = true
+	ended := sendFailure(err)
+	if ended.isNotRun {
 		if !errors.Is(context.Cause(ctx), errUnwanted) && !x.isContinuing {
 			x.unsent++
 		}
--- a/request/relay/configchange_test.go
+++ b/request/relay/configchange_test.go
@@ -50,7 +50,7 @@
 }
 
 func (b *steadyRunners) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
-	if err := waitIn(ctx, b.connecting); err != nil || !attempt.MaySend() {
+	if err := sleepIn(ctx, b.connecting); err != nil || !attempt.MaySend() {
 		return notSent()
 	}
 	b.mutex.Lock()
@@ -82,7 +82,7 @@
 	if b.pause != nil {
 		usual += b.pause(attempt, number, event)
 	}
-	if err := waitIn(ctx, usual); err != nil {
+	if err := sleepIn(ctx, usual); err != nil {
 		return err
 	}
 	if b.breaks != nil && b.breaks(number, event) {
@@ -91,16 +91,6 @@
 	return nil
 }
 
-// waitIn waits, and returns the error of the context if that ends first.
-func waitIn(ctx context.Context, length time.Duration) error {
-	select {
-	case <-time.After(length):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // runsOf returns the number of sends of a request, and of those among them that are no continuation.
 func (b *steadyRunners) runsOf(id string) (runs, starts int) {
 	b.mutex.Lock()
@@ -455,15 +445,9 @@
 // assertNothingInProgress checks that no attempt is counted, no request waits and no copy is owned.
 func assertNothingInProgress(c *qt.C, router *Router) {
 	c.Helper()
+	assertIdle(c, router)
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	for row, state := range router.rows {
-		c.Check(state.active, qt.HasLen, 0, qt.Commentf("%v", row))
-		c.Check(state.waiting(), qt.Equals, 0, qt.Commentf("%v", row))
-	}
-	for zone, attempts := range router.zones.attempts {
-		c.Check(attempts, qt.HasLen, 0, qt.Commentf("%s", zone))
-	}
 	c.Check(router.copies.owners, qt.HasLen, 0)
 }
 
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -251,11 +251,7 @@
 func (x *exchange) try(ctx context.Context, choice routing.Choice, given permit) result {
 	x.isTrial = given.isTrial()
 	last := x.attempt(ctx, choice)
-	x.endAttempt(choice, given, last)
-	if last.isNotRun {
-		x.router.refundWork(x.ticket)
-	}
-	x.avoid = choice.Runner()
+	x.leaveRunner(choice, given, last)
 	if x.successor != nil {
 		return x.followSuccessors(last)
 	}
@@ -265,6 +261,15 @@
 	return x.continueStream(ctx, choice.Runner(), last)
 }
 
+// leaveRunner records the result of an attempt at a runner that later ones avoid.
+func (x *exchange) leaveRunner(choice routing.Choice, given permit, ended result) {
+	x.endAttempt(choice, given, ended)
+	if ended.isNotRun {
+		x.router.refundWork(x.ticket)
+	}
+	x.avoid = choice.Runner()
+}
+
 // endAttempt records the result of an attempt, and ends the request if it is done.
 func (x *exchange) endAttempt(choice routing.Choice, given permit, ended result) {
 	x.reportEnd(choice.Runner(), given, ended)
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -73,6 +73,15 @@
 	return ended
 }
 
+// sendFailure returns the result of a send without an answer.
+func sendFailure(err error) result {
+	ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(err), err: err, isNotRun: errors.Is(err, ErrNotSent)}
+	if isPeerFailure(err) {
+		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
+	}
+	return ended
+}
+
 // sendFailureReason returns the reason why no answer to a request was received.
 func sendFailureReason(err error) string {
 	switch {
--- a/request/relay/soundsearch_test.go
+++ b/request/relay/soundsearch_test.go
@@ -40,12 +40,12 @@
 		var sends atomic.Int32
 		router, _ := newTestRouter(func(ctx context.Context, _ *Attempt) (*Answer, error) {
 			if sends.Add(1) == 1 {
-				if err := waitIn(ctx, firstBreaks); err != nil {
+				if err := sleepIn(ctx, firstBreaks); err != nil {
 					return nil, err
 				}
 				return broken()
 			}
-			if err := waitIn(ctx, successorFails); err != nil {
+			if err := sleepIn(ctx, successorFails); err != nil {
 				return nil, err
 			}
 			answer, err := failed()
--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -358,10 +358,7 @@
 
 // sendFailure returns the result of a dispatch without an answer.
 func (d *dispatch) sendFailure() result {
-	ended := result{outcome: routing.OutcomeBroken, reason: sendFailureReason(d.err), err: d.err, isNotRun: errors.Is(d.err, ErrNotSent)}
-	if isPeerFailure(d.err) {
-		ended.outcome, ended.reason = routing.OutcomeNeutral, reasonPeerFailed
-	}
+	ended := sendFailure(d.err)
 	if d.ctx.Err() != nil {
 		return d.exchange.contextResult(d.ctx, ended).withPeerLoss()
 	}
@@ -405,11 +402,7 @@
 		next.watchdog.start()
 	}
 	ended := x.finish(next)
-	x.endAttempt(next.choice, permit{permission: poison.Free}, ended)
-	if ended.isNotRun {
-		x.router.refundWork(x.ticket)
-	}
-	x.avoid = next.choice.Runner()
+	x.leaveRunner(next.choice, permit{permission: poison.Free}, ended)
 	return ended
 }
 
--- a/request/relay/successor_test.go
+++ b/request/relay/successor_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/poison"
 )
@@ -50,12 +51,10 @@
 
 // sleepIn waits, and returns the error of the context if that ends first.
 func sleepIn(ctx context.Context, length time.Duration) error {
-	select {
-	case <-time.After(length):
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, length) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // pausingStream answers with a stream whose runner is silent before one event.
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -317,10 +317,10 @@
 func (w *watchdog) noteEvents(hasPassed bool) {
 	w.exchange.router.observeEvent(w.runner)
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.isStarted, w.completeAt = true, time.Now()
-	w.mutex.Unlock()
 	if hasPassed {
-		w.resetSilence()
+		w.goOn()
 	}
 }
 
@@ -328,6 +328,11 @@
 func (w *watchdog) resetSilence() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.goOn()
+}
+
+// goOn is resetSilence for callers that hold w.mutex.
+func (w *watchdog) goOn() {
 	w.since, w.lost = time.Now(), nil
 	if w.search != nil && !w.search.isNeeded() {
 		w.dropSearch()
