Streams that are taken up stay at the only version, though another comes while they wait

Callers got streams joined from two software versions: the first part from the one whose runners were being replaced, the rest from the new one, as a complete 200 (ORDER), where a stream was taken up while one version was known.

Cause: the verdict `any` was decided once and used later. It bound the exchange to nothing, so that a request which then waited for a runner, or was repeated, went to a version that came meanwhile. The leader's list of mixed services names no version, so that the router could not bind it.

Ruled out: that a bound request gets another version where all replicas have that one.

Change: each watch carries the only version of the services that are not mixed, from the same tracker. `only` binds the request to it. The controllers are asked first, as other routers may use runners of a version that this one has not heard of for up to 3 s; they have noted their streams there. A request that was not sent may wait for its row to be loaded while the version is still the only one; otherwise it is told as before.

--- a/placement/domainapi/messages.go
+++ b/placement/domainapi/messages.go
@@ -184,6 +184,9 @@
 	// MixedVersions are the services whose runners had several software versions lately, sorted; nil for none and from the
 	// previous version.
 	MixedVersions []string `msgpack:",omitempty"`
+	// OnlyVersions are the software versions of the services whose runners had one alone lately; nil for none and from the
+	// previous version.
+	OnlyVersions map[string]string `msgpack:",omitempty"`
 	// Routers is the number of routers that share the leader's grants.
 	Routers int
 	// Controllers are the addresses of the group's members; empty if the router has them.
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -330,7 +330,7 @@
 	reply.Revision = known
 	reply.Shares = l.shares.Overuse(l.now())
 	reply.StreamLosses = l.streams.Rates(l.now())
-	reply.MixedVersions = l.versions.Mixed()
+	reply.MixedVersions, reply.OnlyVersions = l.versions.Mixed(), l.versions.Only()
 	if arguments.Term != uint64(l.term) || l.poison.Revision() != knownSuspects {
 		listed := l.poison.List(l.now())
 		reply.Suspects = &listed
--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -5,7 +5,9 @@
 	// IsNamed is set if the client names the attempt that brought the first event.
 	IsNamed bool
 	// IsCertain is set if the router knows that runners of one version alone were there while the stream can have begun.
-	IsCertain bool
+	// OnlyVersion is that version; empty if the runners tell none.
+	IsCertain   bool
+	OnlyVersion string
 	// IsFound is set if a record of the stream is known, which says that Version began it.
 	IsFound bool
 	Version string
@@ -20,8 +22,10 @@
 
 // Verdicts.
 const (
-	// VerdictAny means that any runner may take the stream, as there is one version alone.
+	// VerdictAny means that any runner may take the stream, as none tells a version.
 	VerdictAny Verdict = iota + 1
+	// VerdictOnly means that runners of the only version there is may. Others that come before one is found may not.
+	VerdictOnly
 	// VerdictVersion means that runners of the version that began it may.
 	VerdictVersion
 	// VerdictAsk means that the registrars must be asked.
@@ -34,7 +38,7 @@
 
 // String returns the verdict as shown in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"none", "any", "version", "ask", "unknown", "gone"}[v]
+	return [...]string{"none", "any", "only", "version", "ask", "unknown", "gone"}[v]
 }
 
 // Decide decides how a stream goes on. It never guesses a version: the client can begin the stream anew.
@@ -44,10 +48,12 @@
 		return VerdictVersion
 	case facts.IsFound:
 		return VerdictGone
-	case facts.IsCertain:
-		return VerdictAny
 	case facts.IsNamed && !facts.IsAsked:
 		return VerdictAsk
+	case facts.IsCertain && facts.OnlyVersion != "":
+		return VerdictOnly
+	case facts.IsCertain:
+		return VerdictAny
 	}
 	return VerdictUnknown
 }
--- a/placement/versions/tracker.go
+++ b/placement/versions/tracker.go
@@ -60,6 +60,23 @@
 	return services
 }
 
+// Only returns the version of each service that had one alone lately; nil for none.
+func (t *Tracker) Only() map[string]string {
+	var only map[string]string
+	for service, known := range t.services {
+		for version := range known {
+			if len(known) > 1 {
+				break
+			}
+			if only == nil {
+				only = make(map[string]string)
+			}
+			only[service] = version
+		}
+	}
+	return only
+}
+
 // Has reports whether the version is known.
 func (t *Tracker) Has(key Key) bool {
 	_, isKnown := t.services[key.Service][key.Version]
--- a/placement/versions/versions_test.go
+++ b/placement/versions/versions_test.go
@@ -193,8 +193,12 @@
 		facts Facts
 		want  Verdict
 	}{
-		{"one version alone", Facts{IsNamed: true, IsCertain: true}, VerdictAny},
-		{"one version alone, no attempt named", Facts{IsCertain: true}, VerdictAny},
+		{"one version alone", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1", IsAsked: true}, VerdictOnly},
+		{"one version alone, no attempt named", Facts{IsCertain: true, OnlyVersion: "v1"}, VerdictOnly},
+		{"one version alone here, another may have come since", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1"}, VerdictAsk},
+		{"one version alone here, another has begun it", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1", IsAsked: true, IsFound: true, Version: "v2", IsServed: true}, VerdictVersion},
+		{"no version is told", Facts{IsNamed: true, IsCertain: true, IsAsked: true}, VerdictAny},
+		{"no version is told, no attempt named", Facts{IsCertain: true}, VerdictAny},
 		{"the version is known", Facts{IsNamed: true, IsFound: true, Version: "v1", IsServed: true}, VerdictVersion},
 		{"known, and one version alone is left, another", Facts{IsNamed: true, IsCertain: true, IsFound: true, Version: "v1"}, VerdictGone},
 		{"known, and no runner of it is left", Facts{IsNamed: true, IsFound: true, Version: "v1"}, VerdictGone},
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -111,7 +111,7 @@
 // deferral returns when a request that cannot be served before its wait limit should be retried, or
 // nil if it may be served. The caller must hold r.mutex.
 func (r *Router) deferral(now time.Time, state *rowState, wanted *waiter) *retryLaterError {
-	if version := wanted.work.Version; version != "" && !r.balancer.HasVersion(rowName(wanted.row), version) {
+	if r.isVersionGone(wanted) {
 		return &retryLaterError{reason: reasonNoVersion}
 	}
 	readyAt, reason, isKnown := r.readyAt(now, state, wanted)
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -36,7 +36,7 @@
 	r.mutex.Lock()
 	r.observeRouterCount(r.now().Add(-leaderSilenceOf(reply)), reply.Routers)
 	routers := r.routerCount.routers
-	r.adoptMixedVersions(reply.MixedVersions)
+	r.adoptVersions(reply.MixedVersions, reply.OnlyVersions)
 	r.leaderHold = holdOf(reply)
 	r.copies.leaderRates, r.copies.leaderRatesAt = reply.StreamLosses, r.now()
 	r.queue.SetShares(r.now(), reply.Shares)
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -36,6 +36,8 @@
 type streamVersions struct {
 	// mixed are the services with runners of several versions, as the leader said last.
 	mixed []string
+	// only are the versions of the services with runners of one version alone, as the leader said last.
+	only map[string]string
 	// outbox holds the streams that this router began, running those that are in progress.
 	outbox  *versions.Outbox
 	running map[*exchange]versions.Record
@@ -74,13 +76,38 @@
 // isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
 func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
 
-// adoptMixedVersions takes over which services have runners of several versions. The caller must hold r.mutex.
-func (r *Router) adoptMixedVersions(mixed []string) {
+// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. While
+// runners of that version alone serve, a request that was not sent may wait for the row to be loaded. The caller must hold r.mutex.
+func (r *Router) isVersionGone(wanted *waiter) bool {
+	version := wanted.work.Version
+	if version == "" || r.balancer.HasVersion(rowName(wanted.row), version) {
+		return false
+	}
+	service := wanted.row.Service
+	mayBeLoaded := r.isVersionCertain(service) && r.streams.only[service] == version
+	return !(wanted.mayDefer && mayBeLoaded)
+}
+
+// hasBoundWaiters reports whether requests that are bound to a software version wait for a runner. The caller must hold r.mutex.
+func (r *Router) hasBoundWaiters() bool {
+	for _, state := range r.rows {
+		for key, queue := range state.limited {
+			if key.version != "" && queue.Len() > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// adoptVersions takes over which services have runners of several versions, and the only versions of the others. The caller must
+// hold r.mutex.
+func (r *Router) adoptVersions(mixed []string, only map[string]string) {
 	if !slices.Equal(mixed, r.streams.mixed) {
 		level.Info(r.logger).Log("msg", "The services with runners of several software versions change.", "services", len(mixed), "before", len(r.streams.mixed))
 		r.metrics.mixedServices.Set(float64(len(mixed)))
 	}
-	r.streams.mixed = mixed
+	r.streams.mixed, r.streams.only = mixed, only
 	if r.streams.stale == nil {
 		r.streams.stale = time.AfterFunc(maxVersionsAge, r.noteStaleLeader)
 	} else {
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -47,6 +47,8 @@
 		return false
 	case versions.VerdictVersion:
 		x.boundVersion = facts.Version
+	case versions.VerdictOnly:
+		x.boundVersion = facts.OnlyVersion
 	}
 	return true
 }
@@ -55,7 +57,9 @@
 func (x *exchange) localFacts() versions.Facts {
 	r := x.router
 	r.mutex.Lock()
-	facts := versions.Facts{IsNamed: x.request.FirstAttemptID != "", IsCertain: r.isVersionCertain(x.row.Service)}
+	facts := versions.Facts{
+		IsNamed: x.request.FirstAttemptID != "", IsCertain: r.isVersionCertain(x.row.Service), OnlyVersion: r.streams.only[x.row.Service],
+	}
 	record, isFound := r.streams.outbox.Find(r.now(), x.request.FirstAttemptID)
 	r.mutex.Unlock()
 	if isFound {
--- a/request/routing/version_test.go
+++ b/request/routing/version_test.go
@@ -47,6 +47,23 @@
 	c.Assert(found, qt.IsTrue)
 }
 
+// Guards against a bound request that goes to another version once no replica of its own is left.
+func TestBoundRequestWaitsWhereAllReplicasHaveAnotherVersion(t *testing.T) {
+	c := qt.New(t)
+	b := New(Options{Daemon: "d", MaxBatch: 4}, rand.New(rand.NewPCG(1, 1)))
+	b.SetPlacement(versionedPlacement(map[string]int{"v2": 3}))
+	now := time.Unix(1000, 0)
+	_, found := b.PickFor(now, "row", &Work{Version: "v1"})
+	c.Assert(found, qt.IsFalse)
+	c.Assert(b.LeaseTargets(now, "row", []*Work{{Version: "v1"}}), qt.HasLen, 0)
+	_, found = b.PickFor(now, "row", &Work{Version: "v2"})
+	c.Assert(found, qt.IsTrue)
+	b.SetPlacement(versionedPlacement(map[string]int{"v1": 1, "v2": 3}))
+	choice, found := b.PickFor(now, "row", &Work{Version: "v1"})
+	c.Assert(found, qt.IsTrue)
+	c.Assert(choice.Version(), qt.Equals, "v1")
+}
+
 // A stream must be copied to a runner of its version, so that it goes on there.
 func TestStandbyHasTheVersionOfItsPrimary(t *testing.T) {
 	c := qt.New(t)
