A router doesn't call a software version gone before it can know all runners

Callers whose streams broke when the leader was lost and all routers were killed at once were answered 503 `version_gone` without a time to come back, although the runners of their streams ran on: 0 of 24 went on.

Cause: a router that has just started has no view of the runners, and one of a leader that has just begun lists runners without what they hold until their next heartbeat. "Not in the view" was taken for "gone". The same for `version_unknown`: the leader not heard and controllers that did not answer were taken for "nobody knows".

Evidence: TestTakeUpsGoOnAfterLeaderAndAllRoutersAreLost failed on with two versions (0 of 24 whole, all `gone`); with the change 24 of 24 with two versions and with one.

Ruled out: that the records are lost. The runners' version was found (`asked true`).

Change: the view says whether its leader had heard of all runners (it was told already); while it does not, a bound request waits within the time in which requests may wait. It is told that its version is gone as soon as a complete view shows that. What cannot be known is `later`, with a Retry-After. What was known before the controllers were asked is read again after it. Rows of TestDecide say now that the leader was heard and that the view is complete where they expect `gone` or `unknown`.

--- a/placement/fleet/directory.go
+++ b/placement/fleet/directory.go
@@ -23,7 +23,9 @@
 	holders map[ModelKey][]*entry
 	// unconfirmed counts the runners that the current leader has not listed yet.
 	unconfirmed int
-	names       interner
+	// isComplete is set if the leader had heard of every live runner when it made the last view.
+	isComplete bool
+	names      interner
 }
 
 type entry struct {
@@ -55,6 +57,7 @@
 // routers' directories. A complete view also removes every runner that its leader never listed.
 func (d *Directory) ApplyView(view View) Changes {
 	var changes Changes
+	d.isComplete = view.Complete
 	if !view.Partial {
 		d.markUnconfirmed(&view, &changes)
 	}
@@ -226,6 +229,10 @@
 	d.holders[key] = holders
 }
 
+// IsComplete reports whether every live runner was listed when the last view was made. It is false before the first view, and while
+// a new leader may not have heard from all runners.
+func (d *Directory) IsComplete() bool { return d.isComplete }
+
 // Len returns the number of runners.
 func (d *Directory) Len() int { return len(d.runners) }
 
--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -11,10 +11,15 @@
 	// IsFound is set if a record of the stream is known, which says that Version began it.
 	IsFound bool
 	Version string
-	// IsAsked is set if the registrars were asked for a record.
+	// IsAsked is set if the registrars were asked for a record, and Silent how many of them did not answer.
 	IsAsked bool
+	Silent  int
 	// IsServed is set if a runner of Version may get the request.
 	IsServed bool
+	// HasLeader is set if the router has heard the leader lately, and IsComplete if the leader had heard of all runners when it told of
+	// them last. Without both a runner that the router does not know may be there.
+	HasLeader  bool
+	IsComplete bool
 }
 
 // Verdict is how a stream goes on.
@@ -34,18 +39,23 @@
 	VerdictUnknown
 	// VerdictGone means that it cannot go on, as no runner of its version is left for it.
 	VerdictGone
+	// VerdictLater means that the router cannot know yet whether it can go on.
+	VerdictLater
 )
 
 // String returns the verdict as shown in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"none", "any", "only", "version", "ask", "unknown", "gone"}[v]
+	return [...]string{"none", "any", "only", "version", "ask", "unknown", "gone", "later"}[v]
 }
 
-// Decide decides how a stream goes on. It never guesses a version: the client can begin the stream anew.
+// Decide decides how a stream goes on. It never guesses a version: the client can begin the stream anew. Nor does it take what the
+// router does not know yet for what is not there.
 func Decide(facts Facts) Verdict {
 	switch {
-	case facts.IsFound && facts.IsServed:
+	case facts.IsFound && (facts.IsServed || facts.HasLeader && !facts.IsComplete):
 		return VerdictVersion
+	case facts.IsFound && !facts.HasLeader:
+		return VerdictLater
 	case facts.IsFound:
 		return VerdictGone
 	case facts.IsNamed && !facts.IsAsked:
@@ -54,6 +64,8 @@
 		return VerdictOnly
 	case facts.IsCertain:
 		return VerdictAny
+	case !facts.HasLeader || facts.Silent >= replicas:
+		return VerdictLater
 	}
 	return VerdictUnknown
 }
--- a/placement/versions/versions_test.go
+++ b/placement/versions/versions_test.go
@@ -200,11 +200,16 @@
 		{"no version is told", Facts{IsNamed: true, IsCertain: true, IsAsked: true}, VerdictAny},
 		{"no version is told, no attempt named", Facts{IsCertain: true}, VerdictAny},
 		{"the version is known", Facts{IsNamed: true, IsFound: true, Version: "v1", IsServed: true}, VerdictVersion},
-		{"known, and one version alone is left, another", Facts{IsNamed: true, IsCertain: true, IsFound: true, Version: "v1"}, VerdictGone},
-		{"known, and no runner of it is left", Facts{IsNamed: true, IsFound: true, Version: "v1"}, VerdictGone},
+		{"known, and one version alone is left, another", Facts{IsNamed: true, IsCertain: true, IsFound: true, Version: "v1", HasLeader: true, IsComplete: true}, VerdictGone},
+		{"known, and no runner of it is left", Facts{IsNamed: true, IsFound: true, Version: "v1", HasLeader: true, IsComplete: true}, VerdictGone},
+		{"known, and the leader does not know all runners yet", Facts{IsNamed: true, IsFound: true, Version: "v1", HasLeader: true}, VerdictVersion},
+		{"known, and the leader was not heard", Facts{IsNamed: true, IsFound: true, Version: "v1", IsComplete: true}, VerdictLater},
 		{"not known here", Facts{IsNamed: true}, VerdictAsk},
-		{"not known to anybody", Facts{IsNamed: true, IsAsked: true}, VerdictUnknown},
-		{"no attempt named", Facts{}, VerdictUnknown},
+		{"not known to anybody", Facts{IsNamed: true, IsAsked: true, HasLeader: true, IsComplete: true}, VerdictUnknown},
+		{"not known to those that answer, all but one", Facts{IsNamed: true, IsAsked: true, Silent: 1, HasLeader: true}, VerdictUnknown},
+		{"not known to those that answer", Facts{IsNamed: true, IsAsked: true, Silent: 2, HasLeader: true, IsComplete: true}, VerdictLater},
+		{"not known, and the leader was not heard", Facts{IsNamed: true, IsAsked: true}, VerdictLater},
+		{"no attempt named", Facts{HasLeader: true, IsComplete: true}, VerdictUnknown},
 	} {
 		t.Run(test.name, func(t *testing.T) { qt.Assert(t, Decide(test.facts), qt.Equals, test.want) })
 	}
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -76,11 +76,12 @@
 // isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
 func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
 
-// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. While
-// runners of that version alone serve, a request that was not sent may wait for the row to be loaded. The caller must hold r.mutex.
+// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. What a view
+// lacks that is not complete is not gone. While runners of that version alone serve, a request that was not sent may wait for the row
+// to be loaded. The caller must hold r.mutex.
 func (r *Router) isVersionGone(wanted *waiter) bool {
 	version := wanted.work.Version
-	if version == "" || r.balancer.HasVersion(rowName(wanted.row), version) {
+	if version == "" || !r.fleet.IsComplete() || r.balancer.HasVersion(rowName(wanted.row), version) {
 		return false
 	}
 	service := wanted.row.Service
@@ -195,27 +196,30 @@
 	r.streams.outbox.Acknowledge(batch, reply.Epoch)
 }
 
-// findStream asks all registrars for the record of a stream, at most for findTimeout.
-func (r *Router) findStream(ctx context.Context, id string) (versions.Record, bool) {
+// findStream asks all registrars for the record of a stream, at most for findTimeout. It returns how many did not answer.
+func (r *Router) findStream(ctx context.Context, id string) (record versions.Record, isFound bool, silent int) {
 	r.mutex.Lock()
 	registrars := r.streams.registrars
 	r.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	replies := make(chan domainapi.FindStreamReply, len(registrars))
+	replies := make(chan *domainapi.FindStreamReply, len(registrars))
 	for _, address := range registrars {
 		go func() {
-			var reply domainapi.FindStreamReply
-			if err := r.client.Call(ctx, address, domainapi.MethodFindStream, domainapi.FindStreamArguments{ID: id}, &reply); err != nil {
-				reply = domainapi.FindStreamReply{}
+			reply := &domainapi.FindStreamReply{}
+			if err := r.client.Call(ctx, address, domainapi.MethodFindStream, domainapi.FindStreamArguments{ID: id}, reply); err != nil {
+				reply = nil
 			}
 			replies <- reply
 		}()
 	}
 	for range registrars {
-		if reply := <-replies; reply.IsFound {
-			return reply.Record, true
+		switch reply := <-replies; {
+		case reply == nil:
+			silent++
+		case reply.IsFound:
+			return reply.Record, true, silent
 		}
 	}
-	return versions.Record{}, false
+	return versions.Record{}, false, silent
 }
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -13,9 +13,10 @@
 
 const (
 	// reasonVersionUnknown means that nobody knows which software version began the stream, reasonVersionGone that no runner
-	// of that version holds its model any more.
+	// of that version holds its model any more, reasonVersionLater that the router cannot know that yet.
 	reasonVersionUnknown = "version_unknown"
 	reasonVersionGone    = "version_gone"
+	reasonVersionLater   = "version_later"
 )
 
 // isTakenUp reports whether the client has events of the stream from an earlier attempt.
@@ -32,7 +33,9 @@
 	if verdict == versions.VerdictAsk {
 		facts.IsAsked = true
 		var record versions.Record
-		if record, facts.IsFound = x.router.findStream(ctx, x.request.FirstAttemptID); facts.IsFound {
+		record, facts.IsFound, facts.Silent = x.router.findStream(ctx, x.request.FirstAttemptID)
+		x.refreshFacts(&facts)
+		if facts.IsFound {
 			x.adoptRecord(record, &facts)
 		}
 		verdict = versions.Decide(facts)
@@ -40,10 +43,13 @@
 	x.logTakeUp(facts, verdict)
 	switch verdict {
 	case versions.VerdictUnknown:
-		x.rejectTakeUp(reasonVersionUnknown, "nobody knows which software version began the stream")
+		x.rejectTakeUp(reasonVersionUnknown, 0, "nobody knows which software version began the stream")
 		return false
 	case versions.VerdictGone:
-		x.rejectTakeUp(reasonVersionGone, "no runner of the software version that began the stream is left")
+		x.rejectTakeUp(reasonVersionGone, 0, "no runner of the software version that began the stream is left")
+		return false
+	case versions.VerdictLater:
+		x.rejectTakeUp(reasonVersionLater, minRetryAfter, "the software version that began the stream is not known here yet")
 		return false
 	case versions.VerdictVersion:
 		x.boundVersion = facts.Version
@@ -57,9 +63,8 @@
 func (x *exchange) localFacts() versions.Facts {
 	r := x.router
 	r.mutex.Lock()
-	facts := versions.Facts{
-		IsNamed: x.request.FirstAttemptID != "", IsCertain: r.isVersionCertain(x.row.Service), OnlyVersion: r.streams.only[x.row.Service],
-	}
+	facts := versions.Facts{IsNamed: x.request.FirstAttemptID != ""}
+	r.setVersionFacts(x.row.Service, &facts)
 	record, isFound := r.streams.outbox.Find(r.now(), x.request.FirstAttemptID)
 	r.mutex.Unlock()
 	if isFound {
@@ -69,6 +74,20 @@
 	return facts
 }
 
+// refreshFacts replaces what may have changed while the registrars were asked.
+func (x *exchange) refreshFacts(facts *versions.Facts) {
+	r := x.router
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.setVersionFacts(x.row.Service, facts)
+}
+
+// setVersionFacts sets what the router knows of the versions of a service. The caller must hold r.mutex.
+func (r *Router) setVersionFacts(service string, facts *versions.Facts) {
+	facts.HasLeader, facts.IsComplete = !r.isLeaderStale(), r.fleet.IsComplete()
+	facts.IsCertain, facts.OnlyVersion = r.isVersionCertain(service), r.streams.only[service]
+}
+
 // adoptRecord adds a record of the stream to the facts. The stream goes on at the service that began it, if the route still
 // leads there.
 func (x *exchange) adoptRecord(record versions.Record, facts *versions.Facts) {
@@ -83,11 +102,11 @@
 	facts.IsServed = r.balancer.HasVersion(rowName(x.row), record.Version)
 }
 
-// rejectTakeUp tells the caller that the stream cannot go on, without a time to come back: it must begin anew.
-func (x *exchange) rejectTakeUp(reason, message string) {
+// rejectTakeUp tells the caller that the stream cannot go on here. Without a time to come back it must begin anew.
+func (x *exchange) rejectTakeUp(reason string, after time.Duration, message string) {
 	x.count(reason)
 	x.logUnserved(reason, http.StatusServiceUnavailable, nil)
-	reject(x.writer, http.StatusServiceUnavailable, 0, message)
+	reject(x.writer, http.StatusServiceUnavailable, after, message)
 }
 
 func (x *exchange) logTakeUp(facts versions.Facts, verdict versions.Verdict) {
@@ -97,7 +116,7 @@
 		return
 	}
 	level.Info(x.router.logger).Log("msg", "A stream is taken up.", "request", x.request.ID, "resumes", x.request.FirstAttemptID, "service", x.row.Service,
-		"model", x.row.Model, "last_event", x.request.ResumeAfter, "verdict", verdict, "began_at", facts.Version, "asked", facts.IsAsked,
+		"model", x.row.Model, "last_event", x.request.ResumeAfter, "verdict", verdict, "began_at", facts.Version, "asked", facts.IsAsked, "silent", facts.Silent, "complete", facts.IsComplete,
 		"one_version", facts.IsCertain, "age", x.router.age(x.request), "not_logged", suppressed)
 }
 
