Leader: a runner is listed once its software version is in the log

What callers could see: a stream begun at a version that the next leader does not know, taken up while that leader tells of the former version as the only one, and joined from both (ORDER).

Cause: the leader listed a runner of a new version with its first heartbeat, and proposed its registration beside it. A leader that was cut off listed it as long as its lease held, with nothing stored; the log of the next one has the former version alone.

Evidence: TestVersionIsStoredBeforeItsRunnersAreListed failed before (v1 and v2 listed by a leader without a quorum) and passes.

A registration that the log has, but whose version it has forgotten, is proposed again, so that its runner does not stay hidden. The check goes by the versions, not by the runners.

--- a/placement/domain/versions.go
+++ b/placement/domain/versions.go
@@ -25,5 +25,11 @@
 	}
 }
 
+// StoresVersion reports whether a new leader will know of a software version, or cannot as too many are stored.
+func (m *Machine) StoresVersion(key versions.Key) bool {
+	_, isKnown := slices.BinarySearchFunc(m.versions, key, versions.CompareKeys)
+	return isKnown || key.Version == "" || len(m.versions) >= maxVersions
+}
+
 // Versions returns the software versions that runners of each service had lately, for a new leader.
 func (m *Machine) Versions() []versions.Key { return slices.Clone(m.versions) }
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -322,11 +322,14 @@
 	l.queueRegistrations(registrations)
 }
 
-// queueRegistrations queues those registrations that the log does not have. The caller holds the mutex.
+// queueRegistrations queues those registrations that the log does not have, or whose software version it has forgotten. The caller
+// holds the mutex.
 func (l *leadership) queueRegistrations(registrations []domain.Registration) {
 	l.member.group.View(func() {
 		for _, registration := range registrations {
-			if known, _ := l.member.machine.Registered(registration.Instance); known != registration {
+			known, _ := l.member.machine.Registered(registration.Instance)
+			isStored := l.member.machine.StoresVersion(versions.Key{Service: registration.Service, Version: registration.Version})
+			if known != registration || !isStored {
 				l.pendingRegistrations[registration.Instance] = registration
 			}
 		}
--- a/placement/domainnode/versions.go
+++ b/placement/domainnode/versions.go
@@ -1,6 +1,10 @@
 package domainnode
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusferry/lotusferry/placement/versions"
+)
 
 const (
 	// minVersionRetention is the least time for which a software version is remembered after its last runner, and
@@ -14,3 +18,15 @@
 func (l *leadership) versionRetention() time.Duration {
 	return max(minVersionRetention, l.longestTimeout+versionMargin)
 }
+
+// unstoredVersions returns the software versions of runners that are not in the log yet. The caller holds the mutex.
+func (l *leadership) unstoredVersions() (unstored []versions.Key) {
+	l.member.group.View(func() {
+		for _, key := range l.versions.Keys() {
+			if !l.member.machine.StoresVersion(key) {
+				unstored = append(unstored, key)
+			}
+		}
+	})
+	return unstored
+}
--- a/placement/domainnode/versions_test.go
+++ b/placement/domainnode/versions_test.go
@@ -1,6 +1,7 @@
 package domainnode
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,47 @@
 		}
 	})
 }
+
+// Guards against streams that begin at a software version which the next leader does not know, as this one could not store it any
+// more: they would go on at another version.
+func TestVersionIsStoredBeforeItsRunnersAreListed(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.bootstrap(0, 1, 2)
+		d.beat("1", "v1", 1)
+		pause.For(d.ctx, time.Second)
+		former := d.awaitLeader()
+		leader, err := d.nodes[former].current()
+		d.c.Assert(err, qt.IsNil)
+		current := leader.currentLeadership()
+		d.c.Assert(current.listedVersions(d.c), qt.DeepEquals, []string{"v1"})
+		d.network.Cut(machineIP(former))
+		current.receiveHeartbeat(fleet.Heartbeat{Instance: "2", Service: "s", Address: "10.9.0.1:2", Version: "v2", Sequence: 1})
+		looks := 0
+		for ; current.isValid(); looks++ {
+			d.c.Assert(current.listedVersions(d.c), qt.DeepEquals, []string{"v1"})
+			pause.For(d.ctx, 10*time.Millisecond)
+		}
+		d.c.Assert(looks > 10, qt.IsTrue, qt.Commentf("%d looks", looks))
+		d.network.Restore(machineIP(former))
+		d.beat("2", "v2", 2)
+		d.await("the new version", func() bool {
+			leader, err := d.nodes[d.awaitLeader()].current()
+			return err == nil && slices.Equal(leader.currentLeadership().listedVersions(d.c), []string{"v1", "v2"})
+		})
+	})
+}
+
+// listedVersions returns the software versions of the runners that routers are told of.
+func (l *leadership) listedVersions(c *qt.C) (listed []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	encoded, _, err := l.views.Whole(l.now(), 0)
+	c.Assert(err, qt.IsNil)
+	view, err := encoded.Decode()
+	c.Assert(err, qt.IsNil)
+	for _, each := range view.Runners {
+		listed = append(listed, each.Version)
+	}
+	slices.Sort(listed)
+	return listed
+}
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lotusferry/lotusferry/internal/pause"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/versions"
 )
 
 const (
@@ -39,9 +41,14 @@
 func (l *leadership) publish(at time.Time) {
 	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
 	view.Runners = l.views.Spare()
+	unstored := l.unstoredVersions()
 	for i := range l.statuses {
 		status := &l.statuses[i]
 		heartbeat := &status.Heartbeat
+		if len(unstored) > 0 && slices.Contains(unstored, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version}) {
+			// A leader that does not know the version would let its streams go on at another one.
+			continue
+		}
 		published := l.planner.Published(heartbeat.Instance, i)
 		view.Runners = append(view.Runners, fleet.Runner{
 			Instance: heartbeat.Instance,
