Relay: streams that are taken up don't come back for loads that a new leader forecasts

Cause: a leader that has not heard from all runners forecasts the load of a model that one of those holds, and routers believed it.

Change: a request that is bound to a version, whose stream a runner wrote a moment ago, waits while the view is incomplete, instead of following the forecast.

--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -115,7 +115,7 @@
 		return &retryLaterError{reason: reasonNoVersion}
 	}
 	readyAt, reason, isKnown := r.readyAt(now, state, wanted)
-	if !isKnown {
+	if !isKnown || r.isForecastDoubtful(wanted, reason) {
 		return nil
 	}
 	after, isDeferred := wanted.deferral(now, readyAt)
@@ -127,6 +127,13 @@
 	return &retryLaterError{after: after, reason: reason}
 }
 
+// isForecastDoubtful reports whether a request should wait though its model is said to be loading: it goes on with a stream, so that a
+// runner held its model a moment ago, and a leader that has not heard from all runners forecasts loads of what they hold. The caller
+// must hold r.mutex.
+func (r *Router) isForecastDoubtful(wanted *waiter, reason retryReason) bool {
+	return reason == reasonLoading && wanted.work.Version != "" && !r.fleet.IsComplete()
+}
+
 // readyAt returns when a runner should be available for a request, from the leader's forecast and
 // the cooldowns of runners, and false if that is not known. The caller must hold r.mutex.
 func (r *Router) readyAt(now time.Time, state *rowState, wanted *waiter) (at time.Time, reason retryReason, isKnown bool) {
