Relay: requests that wait for a gone software version are told at once

Callers whose streams cannot go on, as the last runner of their version left while they waited, were held to the end of the wait limit (2 s of 5 in the test) and then told to come back after 0.2 s, with the same stream, which cannot go on.

Cause: whether a runner of the version is left is asked when the wait begins, and again when a view is adopted only while the leader says that some service has runners of several versions. The view that removes the last runner of the old version usually comes together with the word that one version alone is left.

Ruled out: to look at all waiting requests at each view, as before while versions are mixed: it concerns those bound to a version alone, and their rows are known by the keys of their queues.

Why it works: the question is asked again at each view for as long as a request waits that depends on the answer.

--- /dev/null
+++ b/request/relay/decidedonce_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lotusferry/lotusferry/placement/fleet"
+	"github.com/lotusferry/lotusferry/placement/notice"
+	"github.com/lotusferry/lotusferry/placement/versions"
+)
+
+// versionedView lists a runner of the service "engine" for each of the versions: e0, e1 and so on.
+func versionedView(versions ...string) fleet.View {
+	view := fleet.View{Complete: true}
+	for number, version := range versions {
+		name := fmt.Sprint("e", number)
+		view.Runners = append(view.Runners, fleet.Runner{
+			Instance: name, Service: "engine", Address: name, Zone: "n1", Slots: 8, Version: version, Models: []fleet.LoadedModel{{Name: "m"}},
+		})
+	}
+	return view
+}
+
+// takeUp has a caller take up a stream after its second event, of which the router has the record. It returns the answer and how long that
+// took.
+func takeUp(router *Router, record versions.Record) (recorder *httptest.ResponseRecorder, took time.Duration) {
+	record.ID, record.TTL = "first", time.Minute
+	router.mutex.Lock()
+	router.streams.outbox.Add(router.now(), record)
+	router.mutex.Unlock()
+	request := &Request{
+		ID: "second", Arrived: time.Now(), Wait: 5 * time.Second, Model: "m", ResumeAfter: 2, FirstAttemptID: record.ID,
+		HTTP: httptest.NewRequest(http.MethodPost, "http://h/stream/x", nil),
+	}
+	recorder = httptest.NewRecorder()
+	began := time.Now()
+	router.Serve(recorder, request)
+	return recorder, time.Since(began)
+}
+
+// Guards against a caller that waits for a runner of the software version of its stream although the last one is gone: the version was
+// known to be served when the wait began.
+func TestWaitingTakeUpIsToldThatItsVersionIsGone(t *testing.T) {
+	const goneAfter = 100 * time.Millisecond
+	for name, after := range map[string]struct {
+		view  fleet.View
+		mixed []string
+	}{
+		"another version is left":       {versionedView("", "v2"), nil},
+		"two other versions are left":   {versionedView("", "v2", "v3"), []string{"engine"}},
+		"no runner is left":             {versionedView(), nil},
+		"the runners of it are leaving": {versionedView("v1", "v2"), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newTestRouter(always(fine))
+				router.adoptView(versionedView("v1", "v2"))
+				router.mutex.Lock()
+				// The runner of the stream's version takes no request for now.
+				router.noteNotice("e0", notice.Notice{Cooldown: time.Second})
+				router.mutex.Unlock()
+				time.AfterFunc(goneAfter, func() {
+					router.mutex.Lock()
+					router.adoptMixedVersions(after.mixed)
+					router.mutex.Unlock()
+					view := after.view
+					for i := range view.Runners {
+						view.Runners[i].Leaving = view.Runners[i].Version == "v1"
+					}
+					router.adoptView(view)
+				})
+				recorder, took := takeUp(router, versions.Record{Service: "engine", Version: "v1"})
+				c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+				c.Assert(recorder.Header().Get("Retry-After"), qt.Equals, "")
+				c.Assert(took, qt.Equals, goneAfter)
+				c.Assert(backend.runners(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -221,10 +221,7 @@
 	r.metrics.runners.Set(float64(r.fleet.Len()))
 	r.dropIdleModels(r.now())
 	r.serveWaiters()
-	if len(r.streams.mixed) > 0 {
-		// Those that wait for a version that is gone are told so.
-		r.deferAll()
-	}
+	r.deferBound()
 	if r.candidates.hasPaced {
 		r.wakeTokens()
 	}
