Relay: the region is checked for the service at which a stream goes on

Callers that took a stream up on a route that is split over two services and limited to a region got 503 (no_home) at about every second try although their stream's service had runners there; or, the other way round, waited for 2.16 s of 5 for a service that had none.

Cause: a service is drawn for each request, and hasRunners was asked of that one. A record of the stream replaces it afterwards.

Evidence: TestRegionIsCheckedForTheServiceOfTheStream, both cases failed before.

Ruled out: asking twice; nothing between the two depends on the service drawn.

Why it works: hasRunners is asked after the last change of the service.

--- a/request/relay/decidedonce_test.go
+++ b/request/relay/decidedonce_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -85,3 +87,60 @@
 		})
 	}
 }
+
+// newSplitRouter returns a router whose route of streams is split over two services and limited to the south.
+func newSplitRouter(runners ...fleet.Runner) (*Router, *scriptedBackend) {
+	router, backend := newTestRouter(func(context.Context, *Attempt) (*Answer, error) { return stream(events(3, 4), io.EOF) })
+	router.options.Regions = testRegions
+	document := changingDocument(2)
+	for i := range document.Routes {
+		if route := &document.Routes[i]; route.PathPrefix == "/stream/" {
+			splitRoute(1, 1)(route)
+			route.Regions = []string{"south"}
+		}
+	}
+	router.adoptDocument(document)
+	router.adoptView(fleet.View{Complete: true, Runners: runners})
+	return router, backend
+}
+
+// engineAt returns a runner of a service in a zone.
+func engineAt(service, zone string) fleet.Runner {
+	name := service + "@" + zone
+	return fleet.Runner{Instance: name, Service: service, Address: name, Zone: zone, Slots: 8, Version: "v1", Models: []fleet.LoadedModel{{Name: "m"}}}
+}
+
+// Guards against a stream that is refused, or held, for want of runners in its region because those of another service than its own were
+// looked at: the service that is drawn for a request is replaced by the one that began its stream.
+func TestRegionIsCheckedForTheServiceOfTheStream(t *testing.T) {
+	const tries = 12
+	other := "engine" + otherService
+	for name, test := range map[string]struct {
+		record string
+		status int
+		answer string
+	}{
+		"its service has runners":    {other, http.StatusOK, events(3, 4)},
+		"its service has none there": {"engine", http.StatusServiceUnavailable, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, backend := newSplitRouter(engineAt("engine", "n1"), engineAt(other, "s1"))
+				for range tries {
+					recorder, took := takeUp(router, versions.Record{Service: test.record, Version: "v1"})
+					c.Assert(recorder.Code, qt.Equals, test.status)
+					c.Assert(took, qt.Equals, time.Duration(0))
+					if test.answer != "" {
+						c.Assert(recorder.Body.String(), qt.Equals, test.answer)
+					} else {
+						c.Assert(retryAfter(c, recorder), qt.Equals, noRegionRetryAfter)
+					}
+				}
+				for _, runner := range backend.runners() {
+					c.Assert(runner, qt.Equals, other+"@s1")
+				}
+			})
+		})
+	}
+}
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -178,11 +178,12 @@
 		x.refuseSuspect(permit{permission: known.Permission, retryAfter: known.RetryAfter, subject: known.Subject}, result{})
 		return
 	}
-	if !x.hasRunners() {
-		x.rejectNoRegion()
+	// A stream that is taken up may go on at another service than the one drawn for it.
+	if !x.bindVersion(request.HTTP.Context()) {
 		return
 	}
-	if !x.bindVersion(request.HTTP.Context()) {
+	if !x.hasRunners() {
+		x.rejectNoRegion()
 		return
 	}
 	defer x.noteEnded()
