Limiter: a change of a limit's unit drops what was counted in the former one

What callers see: after an edit that limits a tenant by requests in place of tokens, requests that were admitted before and do not run give their tokens back as requests. In the test 20 tokens of one request go to the leader as 20 requests (it may admit so many more), and a grant in flight of 30 tokens lets 30 requests in; a waiting request of 20 tokens asks for 20 requests. The other way round a request of many tokens is admitted for the cost of one.

Cause: the cost is decided on arrival, and used later without its unit: by requests that wait for the limit, by the refund of a request that no runner has run, by amounts that wait to be returned, and by the answer of a call in flight. Only the held share was dropped.

Evidence: TestChangedUnitDropsWhatWasCountedInTheFormer: its cases of refunds and of the grant failed on the code before; that of requests that wait and come needs the new fields and fails without the conversion.

Ruled out: to reject those that wait (first try): TestWaitForLimitOutlivesItsConfiguration rightly wants them served. Test literals that count tokens now say so; no check changed.

Why it works: a cost carries its unit and is converted when it is compared with a limit in another one; what cannot be converted is dropped, which counts too much at most.

Open: the leader's window of a tenant keeps its use in the former unit for a window (placement/quota); a tenant that is removed and comes back in another unit within one call may get its grant.

--- a/request/limiter/bound_test.go
+++ b/request/limiter/bound_test.go
@@ -153,7 +153,7 @@
 		}
 		s.refused++
 	}
-	waiter := &Waiter{Tenant: simulatedTenant, Cost: cost, Settle: settle}
+	waiter := &Waiter{Tenant: simulatedTenant, Cost: cost, Unit: site.UnitTokens, Settle: settle}
 	if verdict, isDecided := r.limiter.Admit(at, waiter); isDecided {
 		settle(verdict)
 	}
@@ -180,7 +180,7 @@
 		case each.at.After(s.at):
 			kept = append(kept, each)
 		case each.router.limiter == each.limiter:
-			each.limiter.Refund(s.at, simulatedTenant, each.cost, each.fresh)
+			each.limiter.Refund(s.at, simulatedTenant, site.UnitTokens, each.cost, each.fresh)
 		}
 	}
 	s.refunds = kept
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -48,7 +48,11 @@
 // Waiter is a request that waits for room in its tenant's limit.
 type Waiter struct {
 	Tenant string
+	// Cost is in Unit until Settle is called; another unit of the limit changes both. Tokens is the
+	// size of the request, negative if unknown.
 	Cost   float64
+	Unit   site.Unit
+	Tokens int64
 	// Ask holds what orders the request among those of its tenant, as of Asked.
 	Ask   quota.Ask
 	Asked time.Time
@@ -81,6 +85,9 @@
 	// returns are the amounts to give back to the leader.
 	returns []LeaderGrant
 	use     useRate
+	// isAsked is set if the leader was asked for the account since the last grant, ignoresGrant if that was about a limit
+	// in another unit.
+	isAsked, ignoresGrant bool
 }
 
 // New returns a Limiter that holds nothing.
@@ -95,7 +102,7 @@
 
 // SetTenants adopts the limits of the configured tenants. A share of a lowered limit is
 // dropped. Waiters of tenants without a limit are admitted, and those of removed tenants
-// are rejected.
+// are rejected. If the unit of a limit changes, nothing counted in the former one is used.
 func (l *Limiter) SetTenants(tenants []site.Tenant) {
 	listed := make(map[string]bool, len(tenants))
 	for i := range tenants {
@@ -107,6 +114,8 @@
 			l.close(tenant.Name, Verdict{IsAdmitted: true})
 		case known == nil:
 			l.accounts[tenant.Name] = &account{limit: tenant.Limit}
+		case known.limit.Unit != tenant.Limit.Unit:
+			known.changeUnit(tenant.Limit)
 		default:
 			known.setLimit(tenant.Limit)
 		}
@@ -118,8 +127,25 @@
 	}
 }
 
+// changeUnit adopts a limit in another unit.
+func (a *account) changeUnit(limit site.RateLimit) {
+	waiters := a.waiters
+	*a = account{limit: limit, waiters: waiters, ignoresGrant: a.isAsked || a.ignoresGrant}
+	for _, waiter := range waiters {
+		waiter.convert(limit)
+	}
+}
+
+// convert counts the cost in the unit of the limit.
+func (w *Waiter) convert(limit site.RateLimit) {
+	if w.Unit != limit.Unit {
+		w.Unit, w.Cost = limit.Unit, limit.Cost(w.Tokens)
+	}
+}
+
+// setLimit adopts a limit in the same unit.
 func (a *account) setLimit(limit site.RateLimit) {
-	if limit.Unit != a.limit.Unit || limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst {
+	if limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst {
 		a.held, a.maxHeld = 0, 0
 	}
 	a.limit = limit
@@ -144,6 +170,7 @@
 	if known == nil {
 		return Verdict{IsAdmitted: true}, true
 	}
+	waiter.convert(known.limit)
 	known.expire(at)
 	known.use.add(at, waiter.Cost)
 	if len(known.waiters) == 0 && known.held >= waiter.Cost {
@@ -169,10 +196,11 @@
 }
 
 // Refund gives back the cost of a request that no runner has run: the part that the leader granted for it
-// to the leader with the next call, and the rest to the held share.
-func (l *Limiter) Refund(at time.Time, tenant string, cost float64, fresh LeaderGrant) {
+// to the leader with the next call, and the rest to the held share. A cost in another unit than that of the
+// limit is not given back.
+func (l *Limiter) Refund(at time.Time, tenant string, unit site.Unit, cost float64, fresh LeaderGrant) {
 	known := l.accounts[tenant]
-	if known == nil {
+	if known == nil || known.limit.Unit != unit {
 		return
 	}
 	known.expire(at)
@@ -221,11 +249,12 @@
 	var wants []quota.Want
 	for name, known := range l.accounts {
 		known.expire(at)
-		known.askedWaiters = nil
+		known.askedWaiters, known.isAsked, known.ignoresGrant = nil, false, false
 		if !known.mayAsk(at) && !known.isLow(at) && len(known.returns) == 0 {
 			continue
 		}
 		want := quota.Want{Tenant: name, Held: known.held, Reserve: known.reserve(at), Returned: known.takeReturns(at)}
+		known.isAsked = true
 		known.askedWaiters = slices.Clone(known.waiters[:min(len(known.waiters), maxAsked)])
 		for _, waiter := range known.askedWaiters {
 			want.Waiting = append(want.Waiting, waiter.Cost)
@@ -251,9 +280,14 @@
 // settles the waiters.
 func (l *Limiter) Adopt(asked, at time.Time, grants []quota.Grant) {
 	for _, grant := range grants {
-		if known := l.accounts[grant.Tenant]; known != nil {
+		known := l.accounts[grant.Tenant]
+		if known == nil {
+			continue
+		}
+		if !known.ignoresGrant {
 			known.adopt(asked, at, grant, l.askInterval)
 		}
+		known.isAsked, known.ignoresGrant = false, false
 	}
 }
 
--- a/request/limiter/limiter_test.go
+++ b/request/limiter/limiter_test.go
@@ -22,7 +22,7 @@
 // newWaiter returns a waiter and the list of its verdicts.
 func newWaiter(cost float64) (*Waiter, *[]Verdict) {
 	var verdicts []Verdict
-	return &Waiter{Tenant: "t", Cost: cost, Settle: func(verdict Verdict) { verdicts = append(verdicts, verdict) }}, &verdicts
+	return &Waiter{Tenant: "t", Cost: cost, Unit: site.UnitTokens, Tokens: int64(cost), Settle: func(verdict Verdict) { verdicts = append(verdicts, verdict) }}, &verdicts
 }
 
 func TestAdoptSettlesEachWaiter(t *testing.T) {
@@ -89,7 +89,7 @@
 	l.Wants(start)
 	l.Adopt(start, start, []quota.Grant{{Tenant: "t", Amount: 6, Keep: 4, Answers: []quota.Answer{{IsAdmitted: true}}}})
 	c.Assert((*verdicts)[0].Granted, qt.Equals, LeaderGrant{Amount: 6, Asked: start})
-	l.Refund(start.Add(time.Second), "t", 10, (*verdicts)[0].Granted)
+	l.Refund(start.Add(time.Second), "t", site.UnitTokens, 10, (*verdicts)[0].Granted)
 	c.Assert(l.Held(start.Add(time.Second), "t"), qt.Equals, 4.0)
 	returned := l.Wants(start.Add(2 * time.Second))[0].Returned
 	c.Assert(returned, qt.DeepEquals, []quota.Return{{Amount: 6, Age: 2 * time.Second}})
@@ -97,3 +97,68 @@
 		c.Assert(want.Returned, qt.HasLen, 0)
 	}
 }
+
+// Guards against tokens that are counted as requests after the unit of a limit has changed: those of requests that did not run, of a
+// grant in flight, and of requests that wait.
+func TestChangedUnitDropsWhatWasCountedInTheFormer(t *testing.T) {
+	requests := []site.Tenant{{Name: "t", Limit: site.RateLimit{Unit: site.UnitRequests, Rate: 100, Burst: 100}}}
+	grant := []quota.Grant{{Tenant: "t", Amount: 30, Keep: 30, Answers: []quota.Answer{{IsAdmitted: true}}}}
+	// admitted returns a Limiter that has admitted a request of 20 tokens, and its verdict.
+	admitted := func(c *qt.C) (*Limiter, Verdict) {
+		l := newTestLimiter()
+		waiter, verdicts := newWaiter(20)
+		l.Admit(start, waiter)
+		l.Wants(start)
+		l.Adopt(start, start, grant)
+		c.Assert(*verdicts, qt.HasLen, 1)
+		return l, (*verdicts)[0]
+	}
+	t.Run("a refund", func(t *testing.T) {
+		c := qt.New(t)
+		l, verdict := admitted(c)
+		l.SetTenants(requests)
+		l.Wants(start)
+		l.Adopt(start, start, []quota.Grant{{Tenant: "t", Amount: 1, Keep: 100}})
+		l.Refund(start, "t", site.UnitTokens, 20, verdict.Granted)
+		c.Assert(l.Held(start, "t"), qt.Equals, 1.0)
+		for _, want := range l.Wants(start.Add(time.Second)) {
+			c.Assert(want.Returned, qt.HasLen, 0)
+		}
+	})
+	t.Run("a refund that waits for a call", func(t *testing.T) {
+		c := qt.New(t)
+		l, verdict := admitted(c)
+		l.Refund(start, "t", site.UnitTokens, 20, verdict.Granted)
+		l.SetTenants(requests)
+		for _, want := range l.Wants(start.Add(time.Second)) {
+			c.Assert(want.Returned, qt.HasLen, 0)
+		}
+	})
+	t.Run("a grant in flight", func(t *testing.T) {
+		c := qt.New(t)
+		l := newTestLimiter()
+		waiter, verdicts := newWaiter(20)
+		l.Admit(start, waiter)
+		l.Wants(start)
+		l.SetTenants(requests)
+		l.Adopt(start, start, grant)
+		c.Assert(l.Held(start, "t"), qt.Equals, 0.0)
+		c.Assert(*verdicts, qt.HasLen, 0)
+		// The next call is about requests.
+		l.Wants(start)
+		l.Adopt(start, start, grant)
+		c.Assert(l.Held(start, "t"), qt.Equals, 29.0)
+		c.Assert(*verdicts, qt.HasLen, 1)
+	})
+	t.Run("requests that wait and come", func(t *testing.T) {
+		c := qt.New(t)
+		l := newTestLimiter()
+		waiting, _ := newWaiter(20)
+		l.Admit(start, waiting)
+		l.SetTenants(requests)
+		// The router of this one has read the limit before it changed.
+		late, _ := newWaiter(30)
+		l.Admit(start, late)
+		c.Assert(l.Wants(start)[0].Waiting, qt.DeepEquals, []float64{1, 1})
+	})
+}
--- a/request/limiter/overload_test.go
+++ b/request/limiter/overload_test.go
@@ -82,7 +82,7 @@
 	}
 	deadline := arrived.Add(class.wait)
 	third := deadline.Sub(asked) / 3
-	waiter := &Waiter{Tenant: simulatedTenant, Cost: class.cost, Asked: asked}
+	waiter := &Waiter{Tenant: simulatedTenant, Cost: class.cost, Unit: site.UnitTokens, Asked: asked}
 	waiter.Ask = quota.Ask{Class: class.name, Digest: digest, Due: arrived.Add(class.objective).Sub(asked), Away: third - 150*time.Millisecond}
 	settle := func(verdict Verdict) {
 		if verdict.IsAdmitted {
--- a/request/relay/tenancy.go
+++ b/request/relay/tenancy.go
@@ -101,8 +101,10 @@
 // admission is what was charged to a tenant's limit for a request.
 type admission struct {
 	tenant *site.Tenant
-	cost   float64
-	fresh  limiter.LeaderGrant
+	// cost is in unit.
+	cost  float64
+	unit  site.Unit
+	fresh limiter.LeaderGrant
 }
 
 // admit charges a request to its tenant's limit, or returns a rejection. It waits for the leader's
@@ -111,10 +113,9 @@
 	if tenant == nil || !tenant.Limit.IsLimited() {
 		return admission{}, nil
 	}
-	counted := admission{tenant: tenant, cost: tenant.Limit.Cost(request.Size.Tokens)}
 	settled := make(chan limiter.Verdict, 1)
 	waiter := &limiter.Waiter{
-		Tenant: tenant.Name, Cost: counted.cost, Asked: r.now(),
+		Tenant: tenant.Name, Cost: tenant.Limit.Cost(request.Size.Tokens), Unit: tenant.Limit.Unit, Tokens: request.Size.Tokens, Asked: r.now(),
 		Settle: func(verdict limiter.Verdict) { settled <- verdict },
 	}
 	waiter.Ask = quota.Ask{
@@ -146,9 +147,8 @@
 			message: "the tenant's limit is used up: send less, or ask the operators of the site to raise it",
 		}
 	}
-	counted.fresh = verdict.Granted
 	r.metrics.tenant(tenant.Name, "admitted")
-	return counted, nil
+	return admission{tenant: tenant, cost: waiter.Cost, unit: waiter.Unit, fresh: verdict.Granted}, nil
 }
 
 // refund returns the charge of a request that no runner has run.
@@ -157,7 +157,7 @@
 		return
 	}
 	r.limits.mutex.Lock()
-	r.limits.limiter.Refund(r.now(), counted.tenant.Name, counted.cost, counted.fresh)
+	r.limits.limiter.Refund(r.now(), counted.tenant.Name, counted.unit, counted.cost, counted.fresh)
 	isAsking := r.limits.isLow(r.now())
 	r.limits.mutex.Unlock()
 	if isAsking {
