Relay: a retry reserved for later counts when it is sent

What callers see: nothing at once; the rule on retries can be broken. An attempt is withdrawn from a lost way, or for its standby, with a retry taken from the budget before. The request may then wait for a runner for up to 45% of its time (11 s of 25), longer than the window of 10 s: its retry has left the books when it is sent, beside others of that moment. When a zone is lost, all its attempts do so together.

Cause: the budget is asked when the attempt is withdrawn, and its answer used when a runner is found.

Ruled out: to ask the budget anew in any case: the attempt was withdrawn because a retry is certain, and would be cut without one.

Why it works: a reserved retry moves to the moment at which it is sent, which does not change the number in the window; it is always allowed while it counts. One that has left the window is taken anew, and may be refused. Retries are taken and dated under one lock, so that the move finds them.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -57,8 +57,8 @@
 	x.sent += w.successorRuns
 	x.attempts += w.successorRuns
 	x.arrivals += w.successorRuns
-	if w.hasReserved {
-		x.hasReserved = true
+	if !w.reservedAt.IsZero() {
+		x.reservedAt = w.reservedAt
 	}
 }
 
--- a/request/relay/budget.go
+++ b/request/relay/budget.go
@@ -77,19 +77,45 @@
 	return float64(repeats+1) <= b.rule.Ratio*float64(requests)+b.rule.share(b.startedAt, now, count)
 }
 
+// useReserved counts a retry that was taken from the budget at the given time as one that is sent now. If it has left the window
+// meanwhile, another one is taken; it returns false if the budget does not allow that.
+func (b *budget) useReserved(takenAt, now time.Time, count *routerCount) bool {
+	current := b.currentSlot(now)
+	taken := b.slotAt(takenAt)
+	if taken == nil || taken.repeats == 0 {
+		return b.tryRepeat(now, count)
+	}
+	taken.repeats--
+	current.repeats++
+	return true
+}
+
+// slotAt returns the slot of an earlier time, or nil if it has left the window.
+func (b *budget) slotAt(at time.Time) *budgetSlot {
+	number := int64(at.Sub(b.origin) / b.slotWidth())
+	if number < 0 || number <= b.current-int64(len(b.slots)) {
+		return nil
+	}
+	return &b.slots[number%int64(len(b.slots))]
+}
+
 // oldestSlot returns the slot before those of the current window.
 func (b *budget) oldestSlot() *budgetSlot { return &b.slots[(b.current+1)%int64(len(b.slots))] }
 
+// slotWidth returns the length of a slot.
+func (b *budget) slotWidth() time.Duration {
+	if width := b.rule.Window / budgetSlots; width > 0 {
+		return width
+	}
+	return time.Second
+}
+
 // currentSlot returns the slot of now after clearing those that have left the window.
 func (b *budget) currentSlot(now time.Time) *budgetSlot {
-	width := b.rule.Window / budgetSlots
-	if width <= 0 {
-		width = time.Second
-	}
 	if b.origin.IsZero() {
 		b.origin = now
 	}
-	number := int64(now.Sub(b.origin) / width)
+	number := int64(now.Sub(b.origin) / b.slotWidth())
 	for passed := min(number-b.current, int64(len(b.slots))); passed > 0; passed-- {
 		b.slots[(number-passed+1)%int64(len(b.slots))] = budgetSlot{}
 	}
--- a/request/relay/budget_test.go
+++ b/request/relay/budget_test.go
@@ -178,3 +178,73 @@
 	qt.Assert(t, float64(repeats) <= allowed, qt.IsTrue, qt.Commentf("%d repeats, %v allowed", repeats, allowed))
 	qt.Assert(t, float64(repeats) > 0.98*allowed, qt.IsTrue, qt.Commentf("%d repeats, %v allowed", repeats, allowed))
 }
+
+// Guards against retries that are taken from the budget when attempts are withdrawn, and sent together with later ones after a wait, as
+// when runners are reached again.
+func TestReservedRetriesKeepTheRuleWhenTheyAreSent(t *testing.T) {
+	const maxLoss = 25 * time.Second
+	rule := RetryRule{Ratio: 0.2, Extra: 20, Window: 10 * time.Second}
+	count := func(times []time.Time, after, until time.Time) (found float64) {
+		for _, at := range times {
+			if at.After(after) && !at.After(until) {
+				found++
+			}
+		}
+		return found
+	}
+	for seed := range uint64(4) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		now := time.Unix(1000, 0)
+		own := newBudget(rule, now.Add(-rule.Window))
+		lostUntil := now
+		var requests, sent, reserved []time.Time
+		for range 20_000 {
+			now = now.Add(time.Duration(random.IntN(8)) * time.Millisecond)
+			if random.IntN(3) == 0 {
+				own.addRequest(now)
+				requests = append(requests, now)
+			}
+			if own.tryRepeat(now, settledCount(1, now)) {
+				reserved = append(reserved, now)
+			}
+			if now.Before(lostUntil) {
+				continue
+			}
+			if random.IntN(4000) == 0 {
+				lostUntil = now.Add(time.Duration(random.Int64N(int64(maxLoss))))
+			}
+			for _, takenAt := range reserved {
+				if own.useReserved(takenAt, now, settledCount(1, now)) {
+					sent = append(sent, now)
+				}
+			}
+			reserved = nil
+		}
+		for _, at := range sent {
+			begin := at.Add(-rule.Window)
+			most := max(count(requests, begin, at), count(requests, begin.Add(-rule.Window), begin))
+			qt.Assert(t, count(sent, begin, at) <= rule.Ratio*most+rule.Extra, qt.IsTrue, qt.Commentf("seed %d, window until %v", seed, at))
+		}
+		qt.Assert(t, len(sent) > 100, qt.IsTrue, qt.Commentf("seed %d: %d retries", seed, len(sent)))
+	}
+}
+
+// Guards against a retry that is refused although it was taken from the budget before, as long as it counts.
+func TestReservedRetryIsAllowedWhileItCounts(t *testing.T) {
+	c := qt.New(t)
+	rule := RetryRule{Extra: 10, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	own := newBudget(rule, start.Add(-rule.Window))
+	taken := 0
+	for own.tryRepeat(start, settledCount(1, start)) {
+		taken++
+	}
+	c.Assert(taken > 0, qt.IsTrue)
+	late := start.Add(rule.Window - time.Millisecond)
+	for range taken {
+		c.Assert(own.useReserved(start, late, settledCount(1, late)), qt.IsTrue)
+	}
+	after := start.Add(rule.Window + rule.Window/2)
+	c.Assert(own.tryRepeat(after, settledCount(1, after)), qt.IsFalse)
+	c.Assert(own.useReserved(start, after, settledCount(1, after)), qt.IsFalse)
+}
--- a/request/relay/continuation.go
+++ b/request/relay/continuation.go
@@ -101,18 +101,22 @@
 	switch {
 	case !found:
 		return choice, continuationNoCopy
-	case !x.takeReserved() && !x.router.mayRepeat(x.row.Service):
+	case !x.mayRepeat():
 		return choice, continuationNoBudget
 	}
 	x.router.countContinuation(x.row, choice, copied)
 	return choice, ""
 }
 
-// takeReserved takes the retry that was reserved before an attempt was withdrawn, if there is one.
-func (x *exchange) takeReserved() bool {
-	isReserved := x.hasReserved
-	x.hasReserved = false
-	return isReserved
+// mayRepeat takes the retry that was reserved before an attempt was withdrawn, or one from the budget. The reserved one may have waited
+// for long, and counts from now on.
+func (x *exchange) mayRepeat() bool {
+	takenAt := x.reservedAt
+	if takenAt.IsZero() {
+		return x.router.mayRepeat(x.row.Service)
+	}
+	x.reservedAt = time.Time{}
+	return x.router.mayUseReserved(x.row.Service, takenAt)
 }
 
 // logContinuation logs what followed the loss of a stream that had a copy.
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -125,10 +125,10 @@
 	lostAt       []structs.RunnerID
 	// isTrial is set if the leader permitted the attempt in progress as a trial.
 	isTrial bool
-	// successor has the answer that takes the place of that of the last attempt; nil for none. hasReserved is set if a retry was
-	// taken from the budget for what follows.
-	successor   *successorSearch
-	hasReserved bool
+	// successor has the answer that takes the place of that of the last attempt; nil for none. reservedAt is when a retry was
+	// taken from the budget for what follows; zero for none.
+	successor  *successorSearch
+	reservedAt time.Time
 }
 
 // Serve handles a request. It panics with http.ErrAbortHandler if a response that has started
@@ -228,7 +228,7 @@
 		case !given.isGranted():
 			x.refuseSuspect(given, last)
 			return
-		case x.arrivals > 0 && !x.takeReserved() && !x.router.mayRepeat(x.row.Service):
+		case x.arrivals > 0 && !x.mayRepeat():
 			x.releaseRunner(choice, given)
 			last.reason = reasonBudget
 			x.conclude(last)
--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -24,16 +24,30 @@
 
 // mayRepeat takes one retry from the budget of the service.
 func (r *Router) mayRepeat(service string) bool {
+	_, isTaken := r.reserveRepeat(service)
+	return isTaken
+}
+
+// reserveRepeat takes one retry from the budget of the service, to be used with mayUseReserved, and returns when.
+func (r *Router) reserveRepeat(service string) (takenAt time.Time, isTaken bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.takeRepeat(service)
 }
 
-// takeRepeat is mayRepeat for callers that hold r.mutex.
-func (r *Router) takeRepeat(service string) bool {
-	allowed := r.budget(service).tryRepeat(r.now(), &r.routerCount)
-	r.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
-	return allowed
+// takeRepeat is reserveRepeat for callers that hold r.mutex.
+func (r *Router) takeRepeat(service string) (takenAt time.Time, isTaken bool) {
+	now := r.now()
+	isTaken = r.budget(service).tryRepeat(now, &r.routerCount)
+	r.metrics.repeats.WithLabelValues(strconv.FormatBool(isTaken)).Inc()
+	return now, isTaken
+}
+
+// mayUseReserved reports whether a retry that was taken from the budget of the service at the given time may be sent now.
+func (r *Router) mayUseReserved(service string, takenAt time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.budget(service).useReserved(takenAt, r.now(), &r.routerCount)
 }
 
 // allowsRepeat reports whether the budget of the service allows a retry, without taking it.
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -69,8 +69,8 @@
 	successorRuns int
 	// lost is why the way to the runner is believed lost; nil while it is not.
 	lost error
-	// hasReserved is set if a retry was taken from the budget for what follows the attempt.
-	hasReserved bool
+	// reservedAt is when a retry was taken from the budget for what follows the attempt; zero for none.
+	reservedAt time.Time
 }
 
 // States of sending an attempt.
@@ -219,12 +219,16 @@
 
 // leaveForStandby cancels the attempt if its standby may continue it, with a retry that is taken from the budget before.
 func (w *watchdog) leaveForStandby(cause error) {
-	if !w.mayContinue() || !w.exchange.router.mayRepeat(w.exchange.row.Service) {
+	if !w.mayContinue() {
+		return
+	}
+	takenAt, isTaken := w.exchange.router.reserveRepeat(w.exchange.row.Service)
+	if !isTaken {
 		return
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.cancelReserved(cause)
+	w.cancelReserved(cause, takenAt)
 }
 
 // leaveLost cancels the attempt if the way to its runner seems lost, the runner is reached on another way, another attempt is left, and the
@@ -236,10 +240,14 @@
 	defer r.mutex.Unlock()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.lost == nil || !w.hasAttempt() || !w.hasOtherPath(w.runner) || !r.takeRepeat(w.exchange.row.Service) {
+	if w.lost == nil || !w.hasAttempt() || !w.hasOtherPath(w.runner) {
+		return false
+	}
+	takenAt, isTaken := r.takeRepeat(w.exchange.row.Service)
+	if !isTaken {
 		return false
 	}
-	w.cancelReserved(w.lost)
+	w.cancelReserved(w.lost, takenAt)
 	return true
 }
 
@@ -260,12 +268,12 @@
 	return attempts < w.exchange.route.MaxAttempts
 }
 
-// cancelReserved cancels the attempt after a retry was taken from the budget. The caller must hold w.mutex.
-func (w *watchdog) cancelReserved(cause error) {
+// cancelReserved cancels the attempt after a retry was taken from the budget at the given time. The caller must hold w.mutex.
+func (w *watchdog) cancelReserved(cause error, takenAt time.Time) {
 	if w.isStopped {
 		return
 	}
-	w.hasReserved = true
+	w.reservedAt = takenAt
 	w.cancel(cause)
 }
 
