--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -89,18 +89,6 @@
 	return !(wanted.mayDefer && mayBeLoaded)
 }
 
-// hasBoundWaiters reports whether requests that are bound to a software version wait for a runner. The caller must hold r.mutex.
-func (r *Router) hasBoundWaiters() bool {
-	for _, state := range r.rows {
-		for key, queue := range state.limited {
-			if key.version != "" && queue.Len() > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // adoptVersions takes over which services have runners of several versions, and the only versions of the others. The caller must
 // hold r.mutex.
 func (r *Router) adoptVersions(mixed []string, only map[string]string) {
