A version that only runners of other regions have is gone for a request

A take-up that may be served in one region waited for 2.16 s of 5 and was told to come back after 0.2 s, when the runners of its stream's version that are left stand in other regions: it can't go on there.

Cause: `Balancer.HasVersion` looked at all runners, while the choice looks at those of the allowed zones.

--- a/request/relay/decidedonce_test.go
+++ b/request/relay/decidedonce_test.go
@@ -70,7 +70,7 @@
 				router.mutex.Unlock()
 				time.AfterFunc(goneAfter, func() {
 					router.mutex.Lock()
-					router.adoptMixedVersions(after.mixed)
+					router.adoptVersions(after.mixed, nil)
 					router.mutex.Unlock()
 					view := after.view
 					for i := range view.Runners {
--- a/request/relay/regions.go
+++ b/request/relay/regions.go
@@ -23,6 +23,14 @@
 	zones map[structs.ZoneID]bool
 }
 
+// allowedZones returns the zones that may serve the request; nil for all.
+func (l *regionLimit) allowedZones() map[structs.ZoneID]bool {
+	if l == nil {
+		return nil
+	}
+	return l.zones
+}
+
 // reasonNoRegion means that no runner is available in the allowed regions.
 const reasonNoRegion = "no_home"
 
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -81,7 +81,7 @@
 // to be loaded. The caller must hold r.mutex.
 func (r *Router) isVersionGone(wanted *waiter) bool {
 	version := wanted.work.Version
-	if version == "" || !r.fleet.IsComplete() || r.balancer.HasVersion(rowName(wanted.row), version) {
+	if version == "" || !r.fleet.IsComplete() || r.balancer.HasVersion(rowName(wanted.row), version, wanted.work.Zones) {
 		return false
 	}
 	service := wanted.row.Service
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -99,7 +99,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.trackModel(x.row)
-	facts.IsServed = r.balancer.HasVersion(rowName(x.row), record.Version)
+	facts.IsServed = r.balancer.HasVersion(rowName(x.row), record.Version, x.regions.allowedZones())
 }
 
 // rejectTakeUp tells the caller that the stream cannot go on here. Without a time to come back it must begin anew.
--- a/request/routing/version.go
+++ b/request/routing/version.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/lotusferry/lotusferry/structs"
+import (
+	"slices"
+
+	"github.com/lotusferry/lotusferry/structs"
+)
 
 // ofVersion returns the row with a subset of the replicas on runners of a software version, at most size; the row itself if the
 // version is empty or all of its replicas have it.
@@ -29,16 +33,15 @@
 	return false
 }
 
-// HasVersion reports whether a runner of a software version that is not leaving holds the row, whatever its load.
-func (b *Balancer) HasVersion(name structs.RowName, version string) bool {
+// HasVersion reports whether a runner of a software version that is not leaving holds the row in one of the zones, whatever its load.
+// Without zones all count.
+func (b *Balancer) HasVersion(name structs.RowName, version string, zones map[structs.ZoneID]bool) bool {
 	wanted := b.rows[name]
 	if wanted == nil {
 		return false
 	}
-	for _, known := range wanted.replicas {
-		if !known.runner.leaving && known.runner.info.Version == version {
-			return true
-		}
-	}
-	return false
+	allowed := Work{Version: version, Zones: zones}
+	return slices.ContainsFunc(wanted.replicas, func(known *replica) bool {
+		return !known.runner.leaving && allowed.allows(known.runner)
+	})
 }
