A stream doesn't go on at a service that didn't begin it

Callers of a streaming route that was moved to another service got the first part of their stream from the former and the rest from the new one, where a runner there told a version of the same name.

Cause: the record of a stream whose service the route does not lead to any more was compared with the versions of the service that was drawn for the take-up.

Change: such a stream is gone. Where the service of the record has no runner in the allowed regions, the caller is told to come back, as other callers there: TestRegionIsCheckedForTheServiceOfTheStream.

--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -14,6 +14,8 @@
 	// IsAsked is set if the registrars were asked for a record, and Silent how many of them did not answer.
 	IsAsked bool
 	Silent  int
+	// IsForeign is set if the request may not be served by the service that began the stream any more.
+	IsForeign bool
 	// IsServed is set if a runner of Version may get the request.
 	IsServed bool
 	// HasLeader is set if the router has heard the leader lately, and IsComplete if the leader had heard of all runners when it told of
@@ -52,6 +54,8 @@
 // router does not know yet for what is not there.
 func Decide(facts Facts) Verdict {
 	switch {
+	case facts.IsFound && facts.IsForeign:
+		return VerdictGone
 	case facts.IsFound && (facts.IsServed || facts.HasLeader && !facts.IsComplete):
 		return VerdictVersion
 	case facts.IsFound && !facts.HasLeader:
--- a/placement/versions/versions_test.go
+++ b/placement/versions/versions_test.go
@@ -203,6 +203,7 @@
 		{"known, and one version alone is left, another", Facts{IsNamed: true, IsCertain: true, IsFound: true, Version: "v1", HasLeader: true, IsComplete: true}, VerdictGone},
 		{"known, and no runner of it is left", Facts{IsNamed: true, IsFound: true, Version: "v1", HasLeader: true, IsComplete: true}, VerdictGone},
 		{"known, and the leader does not know all runners yet", Facts{IsNamed: true, IsFound: true, Version: "v1", HasLeader: true}, VerdictVersion},
+		{"known, and of a service that the route does not lead to any more", Facts{IsNamed: true, IsFound: true, Version: "v1", IsServed: true, IsForeign: true, HasLeader: true}, VerdictGone},
 		{"known, and the leader was not heard", Facts{IsNamed: true, IsFound: true, Version: "v1", IsComplete: true}, VerdictLater},
 		{"not known here", Facts{IsNamed: true}, VerdictAsk},
 		{"not known to anybody", Facts{IsNamed: true, IsAsked: true, HasLeader: true, IsComplete: true}, VerdictUnknown},
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -46,6 +46,10 @@
 		x.rejectTakeUp(reasonVersionUnknown, 0, "nobody knows which software version began the stream")
 		return false
 	case versions.VerdictGone:
+		if !facts.IsForeign && !x.hasRunners() {
+			x.rejectNoRegion()
+			return false
+		}
 		x.rejectTakeUp(reasonVersionGone, 0, "no runner of the software version that began the stream is left")
 		return false
 	case versions.VerdictLater:
@@ -88,11 +92,14 @@
 	facts.IsCertain, facts.OnlyVersion = r.isVersionCertain(service), r.streams.only[service]
 }
 
-// adoptRecord adds a record of the stream to the facts. The stream goes on at the service that began it, if the route still
-// leads there.
+// adoptRecord adds a record of the stream to the facts. The stream goes on at the service that began it, and cannot if the route does
+// not lead there any more: versions of two services have nothing in common but the name.
 func (x *exchange) adoptRecord(record versions.Record, facts *versions.Facts) {
-	facts.Version = record.Version
-	if record.Service != x.row.Service && x.route.LeadsTo(record.Service) {
+	facts.Version, facts.IsForeign = record.Version, !x.route.LeadsTo(record.Service)
+	if facts.IsForeign {
+		return
+	}
+	if record.Service != x.row.Service {
 		x.setService(record.Service)
 	}
 	r := x.router
