Versions are remembered for the timeouts under which streams began

A stream that began under a longest timeout of 60 s may be taken up for that long.

Cause: the retention was computed from the document in force, though it holds for streams that began under the one before.

Open: a leader that begins after the change knows the document in force alone; it remembers all stored versions from its own beginning for 30 s at least.

--- a/placement/domainnode/documents.go
+++ b/placement/domainnode/documents.go
@@ -26,7 +26,7 @@
 	defer l.mutex.Unlock()
 	l.document = current.Version
 	l.planner.SetDocument(site.NewIndex(document))
-	l.longestTimeout = document.LongestTimeout()
+	l.versionRetention.SetLongestTimeout(l.now(), document.LongestTimeout())
 	level.Info(l.logger).Log("msg", "A document is in force.", "version", current.Version)
 	l.setColdRates(document.Services)
 	l.shares.SetTenants(document.Tenants)
--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -112,10 +112,9 @@
 	loggedNotices *asynclog.Limiter
 	drains        drains
 	ended         bool
-	// versions are the software versions of runners, and longestTimeout is that of the routes: for so long a stream may be
-	// taken up.
-	versions       *versions.Tracker
-	longestTimeout time.Duration
+	// versions are the software versions that runners had lately, and versionRetention is for how long they are remembered.
+	versions         *versions.Tracker
+	versionRetention versions.Retention
 	// pendingRegistrations are registrations to be proposed, keyed by instance.
 	pendingRegistrations map[string]domain.Registration
 	// pendingSuspects are updates on suspected requests to be proposed.
--- a/placement/domainnode/step.go
+++ b/placement/domainnode/step.go
@@ -100,7 +100,7 @@
 	defer l.mutex.Unlock()
 	at := l.now()
 	l.registry.Expire(at)
-	l.versions.Expire(at, l.versionRetention())
+	l.versions.Expire(at, l.versionRetention.After(at))
 	l.poison.Expire(at)
 	l.updateDrains()
 	l.refresh(at)
