Relay: a silent runner keeps a copied stream until its standby has answered

What callers saw: a stream that may run only once and has a copy was cut although its runner was sound and went on: the runner had sent nothing for 1.2 s, the attempt was withdrawn, and the standby then rejected the continuation, had no copy, failed or was not reached.

Cause: the watchdog withdrew the attempt as soon as a retry was taken and the standby looked usable; whether that would go on with the stream was only asked after that.

Now the continuation is sent while the run goes on, and what the runner sends is held back until it is decided which of both has the stream. Two runners may work on one request for 400 ms together. A continuation that is not sent yet is recalled if the runner goes on. A standby that is silent towards other requests is not asked, as for successors. The former run ends as early as before if it is dead.

The stand-in copyingRunners demanded that no run goes on when a continuation is sent, which the published rule does not: 400 ms are allowed. It now checks that rule, as the soak does: only a continuation may be sent while one run goes on, and that must have ended 400 ms after the continuation began.

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -46,6 +46,10 @@
 	if x.successor == nil {
 		x.countSuccessors(d.watchdog)
 	}
+	x.handoff = d.watchdog.handoff
+	if ended.isDone {
+		x.dropHandoff()
+	}
 	return ended
 }
 
--- a/request/relay/continuation.go
+++ b/request/relay/continuation.go
@@ -29,20 +29,25 @@
 // returns the result of the last run: that of the lost one if the continuation did not run. The former
 // attempt's connection must be closed.
 func (x *exchange) continueStream(ctx context.Context, from structs.RunnerID, lost result) result {
+	defer x.dropHandoff()
 	for lost.isLoss() && ctx.Err() == nil {
 		x.lostAt = append(x.lostAt, from)
 		copied := x.copied
 		to, verdict := x.handover.Lost(x.router.now(), x.newLoss())
-		if verdict == standby.VerdictNoCopy {
+		taken := x.takeHandoff()
+		if taken == nil && verdict == standby.VerdictNoCopy {
 			return lost
 		}
 		began := x.router.now()
 		lastEvent := x.lastEvent
 		next, outcome := result{}, ""
-		switch verdict {
-		case standby.VerdictLate:
+		switch {
+		case taken != nil:
+			to.Runner = taken.next.choice.Runner()
+			next, outcome = x.followStandby(taken)
+		case verdict == standby.VerdictLate:
 			outcome = continuationLate
-		case standby.VerdictSuspected:
+		case verdict == standby.VerdictSuspected:
 			outcome = continuationSuspected
 		default:
 			next, outcome = x.continueAt(ctx, to.Runner, copied)
@@ -85,13 +90,18 @@
 	x.isContinuing = false
 	x.endAttempt(choice, permit{permission: poison.Free}, ended)
 	ended = x.followSuccessors(ended)
+	return ended, continuationOutcome(ended)
+}
+
+// continuationOutcome returns the outcome of a continuation that was sent.
+func continuationOutcome(ended result) string {
 	switch {
 	case ended.reason == reasonNoCopy || ended.reason == reasonNotHeld:
-		return ended, continuationNoCopy
+		return continuationNoCopy
 	case ended.isServed():
-		return ended, continuationServed
+		return continuationServed
 	}
-	return ended, continuationFailed
+	return continuationFailed
 }
 
 // acquireStandby takes one retry from the budget and counts the continuation at the standby. It returns
--- a/request/relay/continuity_test.go
+++ b/request/relay/continuity_test.go
@@ -25,16 +25,21 @@
 	handleTTL     = 5 * time.Second
 	copiedPath    = "/stream-once/x"
 	resumablePath = "/stream/x"
+	// formerRunGrace is how long a run may go on after its request goes on at another runner.
+	formerRunGrace = 400 * time.Millisecond
 )
 
 var errReset = errors.New("connection reset")
 
 // copyingRunners is a Backend of runners that copy the memory of streams to each other. The attempts are
-// counted from 1. It fails the test if a request runs at two runners at once.
+// counted from 1. It fails the test if a request is sent to a runner while another one runs it, unless it goes on from a copy, and if
+// the former run has not ended formerRunGrace after that.
 type copyingRunners struct {
 	c *qt.C
 	// answer replaces the answer to an attempt unless it returns neither an answer nor an error.
 	answer func(ctx context.Context, number int, attempt *Attempt) (*Answer, error)
+	// connects and begins return how long it takes until an attempt is sent, and until its runner begins with it; nil for no time.
+	connects, begins func(attempt *Attempt) time.Duration
 	// cut returns the error with which the stream of an attempt ends in place of an event, if any.
 	cut func(ctx context.Context, number, event int) error
 	// first returns the first event of a continuation in place of the one after the caller's last.
@@ -44,8 +49,9 @@
 	attempts []Attempt
 	// starts counts the runs that began without a copy.
 	starts int
-	// active is the number of runs in progress.
-	active int
+	// active is the number of runs in progress, and running are their numbers.
+	active  int
+	running map[int]bool
 	// copies are the copies at standbys, as ADDRESS/ID.
 	copies map[string]bool
 	// losesCopies is set if copies do not arrive, isConcurrent if several requests run at once.
@@ -53,12 +59,15 @@
 }
 
 func (f *copyingRunners) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
-	if !attempt.MaySend() {
+	if err := waitFor(ctx, f.connects, attempt); err != nil || !attempt.MaySend() {
 		return notSent()
 	}
+	if err := waitFor(ctx, f.begins, attempt); err != nil {
+		return nil, err
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.c.Check(f.active == 0 || f.isConcurrent, qt.IsTrue, qt.Commentf("a run goes on while %s gets the request", attempt.Instance))
+	f.checkAlone(attempt)
 	f.attempts = append(f.attempts, *attempt)
 	number := len(f.attempts)
 	if f.answer != nil {
@@ -80,13 +89,50 @@
 	} else {
 		f.starts++
 	}
-	f.active++
+	f.noteRun(number)
 	answer, _ := stream("", nil)
 	answer.Header.Set("Seal", attempt.Instance)
 	answer.Body = &copiedRun{fleet: f, ctx: ctx, number: number, next: next, copyTo: attempt.CopyTo, id: attempt.Request.ID}
 	return answer, nil
 }
 
+// waitFor waits for the time of an attempt; nil for none.
+func waitFor(ctx context.Context, length func(*Attempt) time.Duration, attempt *Attempt) error {
+	if length == nil {
+		return nil
+	}
+	return sleepIn(ctx, length(attempt))
+}
+
+// checkAlone checks that no run goes on while a runner gets the request, unless it goes on from a copy of the only one. The caller must
+// hold f.mutex.
+func (f *copyingRunners) checkAlone(attempt *Attempt) {
+	most := 0
+	if attempt.IsContinuation {
+		most = 1
+	}
+	f.c.Check(f.active <= most || f.isConcurrent, qt.IsTrue, qt.Commentf("%d runs go on while %s gets the request", f.active, attempt.Instance))
+}
+
+// noteRun records a run, and checks that the former one ends within formerRunGrace. The caller must hold f.mutex.
+func (f *copyingRunners) noteRun(number int) {
+	if f.running == nil {
+		f.running = make(map[int]bool)
+	}
+	for former := range f.running {
+		if f.isConcurrent {
+			break
+		}
+		time.AfterFunc(formerRunGrace, func() {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.c.Check(f.running[former], qt.IsFalse, qt.Commentf("run %d goes on %v after run %d began", former, formerRunGrace, number))
+		})
+	}
+	f.active++
+	f.running[number] = true
+}
+
 // copiedRun is the body of a run. Its memory is at the standby from its first event on.
 type copiedRun struct {
 	fleet        *copyingRunners
@@ -125,6 +171,7 @@
 	if !b.isClosed {
 		b.isClosed = true
 		b.fleet.active--
+		delete(b.fleet.running, b.number)
 	}
 	return nil
 }
--- a/request/relay/copies.go
+++ b/request/relay/copies.go
@@ -149,6 +149,16 @@
 		x.handover.End()
 		return
 	}
+	x.copied = x.makeCopy(choice)
+	if x.isContinuing {
+		x.handover.Continued(x.handoverCopy(x.copied))
+		return
+	}
+	x.handover.Sent(x.handoverCopy(x.copied))
+}
+
+// makeCopy begins a copy of the stream that is sent to the chosen runner, or returns nil.
+func (x *exchange) makeCopy(choice routing.Choice) *streamCopy {
 	r := x.router
 	r.mutex.Lock()
 	now := r.now()
@@ -156,19 +166,20 @@
 		r.copies.countStreams(now, x.row.Service, 1, 0)
 	}
 	made, decision := r.newCopy(now, x, choice.Runner())
-	x.copied = made
 	r.mutex.Unlock()
 	r.metrics.copies.WithLabelValues(decision).Inc()
-	var next *standby.Copy
 	if made != nil {
 		r.metrics.copiedBytes.Add(x.copyBytes())
-		next = &standby.Copy{Runner: made.standby.Runner(), TTL: x.engine.HandleTTL}
 	}
-	if x.isContinuing {
-		x.handover.Continued(next)
-		return
+	return made
+}
+
+// handoverCopy describes a copy of the stream to its handover; nil for none.
+func (x *exchange) handoverCopy(made *streamCopy) *standby.Copy {
+	if made == nil {
+		return nil
 	}
-	x.handover.Sent(next)
+	return &standby.Copy{Runner: made.standby.Runner(), TTL: x.engine.HandleTTL}
 }
 
 // newCopy begins a copy, or returns nil and the reason why there is none. The caller must hold
@@ -265,6 +276,16 @@
 	}
 }
 
+// dropCopy is endCopy for callers that do not hold r.mutex and may have no copy.
+func (r *Router) dropCopy(copied *streamCopy) {
+	if copied == nil {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.endCopy(copied)
+}
+
 // endCopy records that a copy no longer takes memory at its standby. The caller must hold r.mutex.
 func (r *Router) endCopy(copied *streamCopy) {
 	if copied.isEnded {
--- a/request/relay/exchange.go
+++ b/request/relay/exchange.go
@@ -129,6 +129,8 @@
 	// taken from the budget for what follows.
 	successor   *successorSearch
 	hasReserved bool
+	// handoff is the continuation to which the stream of the last attempt was handed; nil for none.
+	handoff *handoff
 }
 
 // Serve handles a request. It panics with http.ErrAbortHandler if a response that has started
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -245,9 +245,14 @@
 // countContinuation counts a continuation at its standby, where the copy becomes the memory of the
 // request.
 func (r *Router) countContinuation(row residency.Row, choice routing.Choice, copied *streamCopy) {
+	r.dropCopy(copied)
+	r.countSend(row, choice)
+}
+
+// countSend counts a request at a runner that was not chosen from the queue.
+func (r *Router) countSend(row residency.Row, choice routing.Choice) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.endCopy(copied)
 	choice.Sent(time.Now(), nil)
 	r.rowState(row).active[choice.Runner()]++
 }
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -22,7 +22,12 @@
 	buffer := make([]byte, streamBuffer)
 	received := int64(0)
 	for {
+		watchdog.beginRead()
 		count, err := answer.Body.Read(buffer)
+		isWhole := count == 0 && errors.Is(err, io.EOF) && events.isEmpty()
+		if watchdog.endRead(count > 0) && !isWhole {
+			return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
+		}
 		if received += int64(count); received > answer.maxBytes() {
 			return tooLong()
 		}
--- a/request/relay/successor.go
+++ b/request/relay/successor.go
@@ -292,12 +292,7 @@
 
 // endFailed ends a successor whose runner did not begin to answer.
 func (s *successorSearch) endFailed(next *dispatch, ended result) {
-	x := next.exchange
-	x.reportEnd(next.choice.Runner(), permit{permission: poison.Free}, ended)
-	x.router.metrics.attempts.WithLabelValues(ended.name()).Inc()
-	if !x.router.isDoubtfulFailure(ended) {
-		x.router.countAttempt(next.choice.Runner(), ended)
-	}
+	next.reportFailure(ended)
 	next.discard(ended.outcome)
 	w := s.watchdog
 	w.mutex.Lock()
@@ -317,6 +312,16 @@
 	s.endIfOver()
 }
 
+// reportFailure records that the runner did not begin to answer.
+func (d *dispatch) reportFailure(ended result) {
+	x := d.exchange
+	x.reportEnd(d.choice.Runner(), permit{permission: poison.Free}, ended)
+	x.router.metrics.attempts.WithLabelValues(ended.name()).Inc()
+	if !x.router.isDoubtfulFailure(ended) {
+		x.router.countAttempt(d.choice.Runner(), ended)
+	}
+}
+
 // mayHaveRun reports whether the runner may have run the request.
 func (d *dispatch) mayHaveRun() bool {
 	if d.err != nil {
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -10,7 +10,6 @@
 	"github.com/lotusferry/lotusferry/placement/site"
 	"github.com/lotusferry/lotusferry/request/paths"
 	"github.com/lotusferry/lotusferry/request/routing"
-	"github.com/lotusferry/lotusferry/request/standby"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -49,10 +48,19 @@
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
 	isForwarding bool
-	// standby has the copy of a stream that may run only once; empty for other attempts and before the
-	// first event. handover is the state of the stream at its last event.
-	standby  structs.RunnerID
-	handover standby.Handover
+	// isCopied is set from the first event on if the stream may run only once and has a copy, and hasLostStandby once the standby was
+	// asked and did not go on with it.
+	isCopied       bool
+	hasLostStandby bool
+	// isReading is set while the exchange waits for the runner to send something. deciding is open while it is decided whether the
+	// standby takes the stream over; nil otherwise. asked watches the continuation meanwhile, and handoff is that which is used; nil
+	// for none.
+	isReading bool
+	deciding  chan struct{}
+	asked     *watchdog
+	handoff   *handoff
+	// begun is closed once the request may have been sent; nil for attempts that nothing waits for.
+	begun chan struct{}
 	// isStopped is set after the attempt.
 	isStopped bool
 	// waiter is the queue entry with which the runner was found, and formerAttempts the number of attempts before this one.
@@ -83,7 +91,11 @@
 // begin reports whether the request may be sent. Once it returns true the attempt cannot be
 // recalled.
 func (w *watchdog) begin() bool {
-	return w.progress.CompareAndSwap(sendPending, sendStarted) || w.progress.Load() == sendStarted
+	hasBegun := w.progress.CompareAndSwap(sendPending, sendStarted)
+	if hasBegun && w.begun != nil {
+		close(w.begun)
+	}
+	return hasBegun || w.progress.Load() == sendStarted
 }
 
 // recall cancels the attempt if nothing has been sent yet, as it may wait long for a connection.
@@ -124,9 +136,7 @@
 	isCopied := x.handover.HasCopy() && !x.route.MayRepeat()
 	w.mutex.Lock()
 	w.lastEvent, w.version = x.lastEvent, x.boundVersion
-	if isCopied {
-		w.standby, w.handover = x.copied.standby.Runner(), x.handover
-	}
+	w.isCopied = w.isCopied || isCopied
 	w.mutex.Unlock()
 	if isCopied {
 		w.start()
@@ -140,7 +150,7 @@
 		// Nothing is read from the runner meanwhile.
 		w.since = time.Now()
 	}
-	since := w.since
+	since, isCopied := w.since, w.isCopied
 	w.mutex.Unlock()
 	silent := time.Since(since)
 	limit := w.exchange.silenceLimit()
@@ -150,7 +160,11 @@
 	again := limit - silent
 	if again <= 0 {
 		w.endTrickle(limit)
-		w.leave(errSilent)
+		if isCopied {
+			w.leaveForStandby(since)
+		} else {
+			w.leave(errSilent)
+		}
 		again = successorRetryDelay
 	}
 	w.mutex.Lock()
@@ -163,14 +177,14 @@
 // maxHeadGrowths is the number of checks after the silence limit at which the head of an answer may still have grown.
 const maxHeadGrowths = 3
 
-// endTrickle cancels a repeatable attempt whose runner has sent parts of a head, or of an event, for so long that it will not end. A
-// runner that sends nothing at all may go on.
+// endTrickle cancels an attempt whose runner has sent parts of a head, or of an event, for so long that it will not end, once another
+// one was looked for. A runner that sends nothing at all may go on.
 func (w *watchdog) endTrickle(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	isTrickling := w.tricklesHead() || w.tricklesEvent(limit)
-	hasSearched := w.search != nil && w.search.winner == nil
-	if isTrickling && hasSearched && w.standby == "" && !w.isStopped {
+	hasSearched := w.hasLostStandby || !w.isCopied && w.search != nil && w.search.winner == nil
+	if isTrickling && hasSearched && !w.isStopped {
 		w.cancel(errSilent)
 	}
 }
@@ -204,27 +218,13 @@
 	w.received, w.headBytes, w.headGrowths = received, 0, 0
 }
 
-// leave has the request taken over by another runner: by the standby of a stream that may run only once, by a successor otherwise.
+// leave has a repeatable request taken over by a successor.
 func (w *watchdog) leave(cause error) {
 	w.mutex.Lock()
-	isCopied := w.standby != ""
-	if !isCopied && !w.cancelUnsent(cause) {
+	defer w.mutex.Unlock()
+	if !w.cancelUnsent(cause) {
 		w.seek(cause)
 	}
-	w.mutex.Unlock()
-	if isCopied {
-		w.leaveForStandby(cause)
-	}
-}
-
-// leaveForStandby cancels the attempt if its standby may continue it, with a retry that is taken from the budget before.
-func (w *watchdog) leaveForStandby(cause error) {
-	if !w.mayContinue() || !w.exchange.router.mayRepeat(w.exchange.row.Service) {
-		return
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.cancelReserved(cause)
 }
 
 // leaveLost cancels the attempt if the way to its runner seems lost, the runner is reached on another way, another attempt is left, and the
@@ -277,26 +277,12 @@
 	return w.progress.Load() == sendRecalled
 }
 
-// mayContinue reports whether the standby would be asked to continue the stream if its runner were lost now.
-func (w *watchdog) mayContinue() bool {
-	x := w.exchange
-	loss := x.newLoss()
-	w.mutex.Lock()
-	state, holder := w.handover, w.standby
-	w.mutex.Unlock()
-	if _, verdict := state.Lost(x.router.now(), loss); verdict != standby.VerdictContinue {
-		return false
-	}
-	_, isUsable := x.router.standbyAt(x.row, holder)
-	return isUsable
-}
-
 // cancelLost has a repeatable attempt taken over by another runner because the way to its runner seems lost: open connections may live on,
 // so that it is cancelled once that one has begun to answer, or none has room. The caller must hold the router's mutex.
 func (w *watchdog) cancelLost(cause error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.timer == nil || w.standby != "" || w.isStopped || w.cancelUnsent(cause) {
+	if w.timer == nil || w.isCopied || w.isStopped || w.cancelUnsent(cause) {
 		return
 	}
 	w.lost = cause
--- a/request/standby/handover.go
+++ b/request/standby/handover.go
@@ -42,8 +42,8 @@
 	phaseEnded
 )
 
-// Handover is the state of one stream. At most one run is in progress at any time: a continuation
-// can begin only after Lost, which must be called after the former run's connection was closed, and
+// Handover is the state of one stream. It has one run at most at any time: a continuation can be
+// recorded only after Lost, which must be called after the former run's connection was closed, and
 // it uses up the copy. The zero value is a stream that has not been sent.
 type Handover struct {
 	phase phase
@@ -81,6 +81,9 @@
 // MayCopy reports whether a copy of the next run could be continued.
 func (h *Handover) MayCopy() bool { return h.phase != phaseEnded && h.continued < maxContinuations }
 
+// UseUpCopy records that the standby was asked to continue the stream and did not, while the run goes on.
+func (h *Handover) UseUpCopy() { h.copy = nil }
+
 // IsContinued reports whether the stream was continued.
 func (h *Handover) IsContinued() bool { return h.continued > 0 }
 
