Soak: releases while all routers are killed at once

What callers saw, by the users' report: two software versions in service, or the old one just gone, all routers killed at once and back; streams that callers took up were answered 200 with text of two versions. The soak replaced runners one by one at random and killed single routers, so that it neither changed the version of a whole service nor lost all routers' knowledge at once.

`lotusferrylab release` replaces the runners of streams by those of a new version, in series or overlapping, by crash or drained, wholly or so that both versions stay. In it all routers are killed (one in five: SIGTERM) and come back within a second, at times twice in a row and at times with the leader; the configuration changes each second. Callers keep their connections until the process is gone, and take their streams up at any router with the ID of the attempt that brought the first event.

--- a/kit/labcommand/run.go
+++ b/kit/labcommand/run.go
@@ -54,6 +54,7 @@
 	Scenarios  scenariosCommand  `command:"scenarios" description:"List failures, and the commands that reproduce them"`
 	Capacity   capacityCommand   `command:"capacity" description:"Measure the resource costs of each role, as slopes over several sizes"`
 	Crowd      crowdCommand      `command:"crowd" description:"Run routers before crowded runners as processes, and check that nothing refused runs, nothing runs twice and nothing is lost"`
+	Release    releaseCommand    `command:"release" description:"Replace runners by those of new software versions while all routers are killed at once, and check that streams keep to their version"`
 	Soak       soakCommand       `command:"soak" description:"Run the roles of the users' platform as processes on loopback addresses under injected faults, and check them"`
 }
 
@@ -72,6 +73,7 @@
 		Scenarios:  scenariosCommand{session: shared},
 		Capacity:   capacityCommand{session: shared},
 		Crowd:      crowdCommand{session: shared},
+		Release:    releaseCommand{session: shared},
 		Soak:       soakCommand{session: shared},
 	}
 	parser := flags.NewNamedParser("lotusferrylab", flags.HelpFlag|flags.PassDoubleDash)
