--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -111,11 +111,11 @@
 // deferral returns when a request that cannot be served before its wait limit should be retried, or
 // nil if it may be served. The caller must hold r.mutex.
 func (r *Router) deferral(now time.Time, state *rowState, wanted *waiter) *retryLaterError {
-	if version := wanted.work.Version; version != "" && !r.balancer.HasVersion(rowName(wanted.row), version) {
+	if r.isVersionGone(wanted) {
 		return &retryLaterError{reason: reasonNoVersion}
 	}
 	readyAt, reason, isKnown := r.readyAt(now, state, wanted)
-	if !isKnown {
+	if !isKnown || r.isForecastDoubtful(wanted, reason) {
 		return nil
 	}
 	after, isDeferred := wanted.deferral(now, readyAt)
@@ -127,6 +127,13 @@
 	return &retryLaterError{after: after, reason: reason}
 }
 
+// isForecastDoubtful reports whether a request should wait though its model is said to be loading: it goes on with a stream, so that a
+// runner held its model a moment ago, and a leader that has not heard from all runners forecasts loads of what they hold. The caller
+// must hold r.mutex.
+func (r *Router) isForecastDoubtful(wanted *waiter, reason retryReason) bool {
+	return reason == reasonLoading && wanted.work.Version != "" && !r.fleet.IsComplete()
+}
+
 // readyAt returns when a runner should be available for a request, from the leader's forecast and
 // the cooldowns of runners, and false if that is not known. The caller must hold r.mutex.
 func (r *Router) readyAt(now time.Time, state *rowState, wanted *waiter) (at time.Time, reason retryReason, isKnown bool) {
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -36,6 +36,8 @@
 type streamVersions struct {
 	// mixed are the services with runners of several versions, as the leader said last.
 	mixed []string
+	// only are the versions of the services with runners of one version alone, as the leader said last.
+	only map[string]string
 	// outbox holds the streams that this router began, running those that are in progress.
 	outbox  *versions.Outbox
 	running map[*exchange]versions.Record
@@ -74,13 +76,27 @@
 // isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
 func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
 
-// adoptMixedVersions takes over which services have runners of several versions. The caller must hold r.mutex.
-func (r *Router) adoptMixedVersions(mixed []string) {
+// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. What a view
+// lacks that is not complete is not gone. While runners of that version alone serve, a request that was not sent may wait for the row
+// to be loaded. The caller must hold r.mutex.
+func (r *Router) isVersionGone(wanted *waiter) bool {
+	version := wanted.work.Version
+	if version == "" || !r.fleet.IsComplete() || r.balancer.HasVersion(rowName(wanted.row), version) {
+		return false
+	}
+	service := wanted.row.Service
+	mayBeLoaded := r.isVersionCertain(service) && r.streams.only[service] == version
+	return !(wanted.mayDefer && mayBeLoaded)
+}
+
+// adoptVersions takes over which services have runners of several versions, and the only versions of the others. The caller must
+// hold r.mutex.
+func (r *Router) adoptVersions(mixed []string, only map[string]string) {
 	if !slices.Equal(mixed, r.streams.mixed) {
 		level.Info(r.logger).Log("msg", "The services with runners of several software versions change.", "services", len(mixed), "before", len(r.streams.mixed))
 		r.metrics.mixedServices.Set(float64(len(mixed)))
 	}
-	r.streams.mixed = mixed
+	r.streams.mixed, r.streams.only = mixed, only
 	if r.streams.stale == nil {
 		r.streams.stale = time.AfterFunc(maxVersionsAge, r.noteStaleLeader)
 	} else {
@@ -168,27 +184,30 @@
 	r.streams.outbox.Acknowledge(batch, reply.Epoch)
 }
 
-// findStream asks all registrars for the record of a stream, at most for findTimeout.
-func (r *Router) findStream(ctx context.Context, id string) (versions.Record, bool) {
+// findStream asks all registrars for the record of a stream, at most for findTimeout. It returns how many did not answer.
+func (r *Router) findStream(ctx context.Context, id string) (record versions.Record, isFound bool, silent int) {
 	r.mutex.Lock()
 	registrars := r.streams.registrars
 	r.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	replies := make(chan domainapi.FindStreamReply, len(registrars))
+	replies := make(chan *domainapi.FindStreamReply, len(registrars))
 	for _, address := range registrars {
 		go func() {
-			var reply domainapi.FindStreamReply
-			if err := r.client.Call(ctx, address, domainapi.MethodFindStream, domainapi.FindStreamArguments{ID: id}, &reply); err != nil {
-				reply = domainapi.FindStreamReply{}
+			reply := &domainapi.FindStreamReply{}
+			if err := r.client.Call(ctx, address, domainapi.MethodFindStream, domainapi.FindStreamArguments{ID: id}, reply); err != nil {
+				reply = nil
 			}
 			replies <- reply
 		}()
 	}
 	for range registrars {
-		if reply := <-replies; reply.IsFound {
-			return reply.Record, true
+		switch reply := <-replies; {
+		case reply == nil:
+			silent++
+		case reply.IsFound:
+			return reply.Record, true, silent
 		}
 	}
-	return versions.Record{}, false
+	return versions.Record{}, false, silent
 }
