Leader: routers that start get their first view and document from a relay

Routers that keep an older configuration meanwhile refuse routes that it lacks.

Cause: a router that starts has no list of relays and asks the leader, which answered with the list of relays and, in the same reply, with the full view and the document. That is one full view (200 KB at 10,000 runners) for each router that starts, at up to half of the link, and the leader's work grew with the number of routers that start together. A router of the term before that lacks the full view was left to the relays already; one without any view was not.

Why it works: while relays spare the leader, a router without a list of relays gets the list and nothing else. Its relay has the view and the document. A router that has the list has asked its relays in vain, and is answered as before, so that none is left without.

TestRouterThatStartsGetsFirstViewFromARelayThatSparesTheLeader failed before (the reply had the view).

--- a/placement/domainnode/relays.go
+++ b/placement/domainnode/relays.go
@@ -223,6 +223,19 @@
 	return &list
 }
 
+// isLeftToRelays reports whether a router that has nothing yet is to get its first view and document from a
+// relay: if many routers start together, these would occupy the leader's link and processor for longer
+// than its lease. A router that has a list of relays has asked them in vain, and is answered.
+func (l *leadership) isLeftToRelays(arguments *domainapi.WatchArguments) bool {
+	if arguments.Relays != domainapi.NoRelays || arguments.Revision != 0 {
+		return false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	list := l.relayList()
+	return list.SparesLeader && len(list.Relays) > 0
+}
+
 // handOver has a router that lacks the full view ask its relay for it.
 func (l *leadership) handOver(router string, reply *domainapi.WatchReply) {
 	l.mutex.Lock()
--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -490,3 +490,43 @@
 	c.Assert(versions[domainapi.NoRelays], qt.IsFalse)
 	c.Assert(r.list(at, leader), qt.DeepEquals, r.list(at, leader))
 }
+
+// watchAsNew answers the watch of a router that has started and has a list of relays of the given version.
+func (d *testDomain) watchAsNew(calls *service, relays uint64) domainapi.WatchReply {
+	d.c.Helper()
+	var reply domainapi.WatchReply
+	watch := &domainapi.WatchArguments{Router: "started", MaxHold: domainapi.MaxHold, Relays: relays}
+	d.c.Assert(calls.Watch(watch, &reply), qt.IsNil)
+	d.c.Assert(structs.AsError(reply.Error), qt.IsNil)
+	return reply
+}
+
+// Guards against a leader that sends the full view and the document to each router that starts, while
+// the relays have them: its link and processor are busy with a herd of routers for longer than its lease.
+func TestRouterThatStartsGetsFirstViewFromARelayThatSparesTheLeader(t *testing.T) {
+	inDomain(t, func(d *testDomain) {
+		d.hasNoRelays = true
+		d.bootstrapWithRunners()
+		current, calls := d.leadership()
+		d.c.Assert(d.watchAsNew(calls, domainapi.NoRelays).View, qt.IsNotNil, qt.Commentf("no relay has a view yet"))
+		current.addRouters(minRelayedRouters)
+		question := &domainapi.MirrorArguments{Relay: "relay", Address: "10.5.5.5:1"}
+		d.poll(calls, question)
+		question.HoldMS = 1
+		d.poll(calls, question)
+		current.mutex.Lock()
+		current.startedAt = current.startedAt.Add(-takeoverTime)
+		current.mutex.Unlock()
+
+		reply := d.watchAsNew(calls, domainapi.NoRelays)
+		d.c.Assert(reply.Relays.Relays, qt.HasLen, 1)
+		d.c.Assert(reply.Term, qt.Equals, uint64(current.term))
+		d.c.Assert(reply.View, qt.IsNil)
+		d.c.Assert(reply.Document, qt.IsNil)
+		d.c.Assert(reply.Revision, qt.Equals, uint64(0))
+
+		reply = d.watchAsNew(calls, reply.Relays.Version)
+		d.c.Assert(reply.View, qt.IsNotNil, qt.Commentf("its relays did not answer it"))
+		d.c.Assert(reply.Document, qt.IsNotNil)
+	})
+}
--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -244,6 +244,7 @@
 	asked := s.node.now()
 	reply.Routers, reply.Hold = current.recordContact(arguments.Router, known, arguments.MaxHold)
 	current.noteTermChange(arguments)
+	isRelayed := current.isLeftToRelays(arguments)
 	if current.takeFullViewTurn(arguments) {
 		known = 0
 	}
@@ -258,6 +259,10 @@
 		current.mutex.Unlock()
 		var document domain.Document
 		m.group.View(func() { document = m.machine.Document() })
+		if isRelayed {
+			current.fillReply(reply, arguments, known, knownSuspects, document, false)
+			break
+		}
 		hasChanges := announced.view > known || announced.document > arguments.Version || announced.suspects > knownSuspects
 		if hasChanges && current.awaitReplySlot(known, document, arguments, heldUntil) {
 			current.fillReply(reply, arguments, known, knownSuspects, document, true)
