Relay: tokens are asked for runners that the waiting requests may use

What callers see: a cold runner bears few requests a second, and the leader divides them among the routers as tokens. While requests wait at a router for another version (a release: the old runners are full, the new ones cold) or another region, it asks for tokens of cold runners that they may not use, again and again; callers of other routers wait for these.

Cause: Balancer.Paced and tokenWants looked at the row alone, not at what limits the requests that wait.

Evidence: TestTokensAreAskedForRunnersThatMayServe, the cases of another version and another region failed before.

Ruled out: to ask for each waiting request by itself; those of one queue have the same version and regions, and requests that avoid a runner may be given to it if no other has room.

Why it works: the same Work.allows decides where a request may go and for which runners tokens are asked.

--- a/request/relay/decidedonce_test.go
+++ b/request/relay/decidedonce_test.go
@@ -14,7 +14,10 @@
 
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/notice"
+	"github.com/lotusferry/lotusferry/placement/residency"
 	"github.com/lotusferry/lotusferry/placement/versions"
+	"github.com/lotusferry/lotusferry/request/routing"
+	"github.com/lotusferry/lotusferry/structs"
 )
 
 // versionedView lists a runner of the service "engine" for each of the versions: e0, e1 and so on.
@@ -144,3 +147,49 @@
 		})
 	}
 }
+
+// Guards against tokens of cold runners that a router asks for in vain, as its waiting requests may go neither to their version nor to their
+// region: other routers do without them.
+func TestTokensAreAskedForRunnersThatMayServe(t *testing.T) {
+	cold := engineAt("engine", "n1")
+	cold.Cold, cold.Version = true, "v2"
+	for name, test := range map[string]struct {
+		waiting  *waiter
+		runners  []structs.RunnerID
+		requests int
+	}{
+		"any version":      {&waiter{}, []structs.RunnerID{"engine@n1"}, 1},
+		"its version":      {&waiter{work: routing.Work{Version: "v2"}}, []structs.RunnerID{"engine@n1"}, 1},
+		"another version":  {&waiter{work: routing.Work{Version: "v1"}}, nil, 0},
+		"its region":       {&waiter{regions: &regionLimit{name: "north", zones: map[structs.ZoneID]bool{"n1": true}}}, []structs.RunnerID{"engine@n1"}, 1},
+		"another region":   {&waiter{regions: &regionLimit{name: "south", zones: map[structs.ZoneID]bool{"s1": true}}}, nil, 0},
+		"after an attempt": {&waiter{work: routing.Work{Avoid: "other"}}, []structs.RunnerID{"engine@n1"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTestRouter(always(fine))
+				resting := engineAt("engine", "s1")
+				router.adoptView(fleet.View{Complete: true, Runners: []fleet.Runner{cold, resting}})
+				router.mutex.Lock()
+				router.noteNotice(structs.RunnerID(resting.Instance), notice.Notice{Cooldown: time.Second})
+				router.mutex.Unlock()
+				test.waiting.until = time.Now().Add(2 * time.Second)
+				test.waiting.row = residency.Row{Service: "engine", Model: "m"}
+				if test.waiting.regions != nil {
+					test.waiting.work.Zones = test.waiting.regions.zones
+				}
+				ctx, giveUp := context.WithCancel(t.Context())
+				defer giveUp()
+				go func() { _, _ = router.acquire(ctx, test.waiting) }()
+				synctest.Wait()
+				var asked []structs.RunnerID
+				for _, want := range router.tokenWants() {
+					asked = append(asked, structs.RunnerID(want.Instance))
+					c.Check(want.Requests, qt.Equals, test.requests)
+				}
+				c.Assert(asked, qt.DeepEquals, test.runners)
+			})
+		})
+	}
+}
--- a/request/relay/queue.go
+++ b/request/relay/queue.go
@@ -156,7 +156,7 @@
 		r.wakeReport()
 		return routing.Choice{}, retry
 	}
-	if len(r.pacedRunners(wanted.row)) > 0 {
+	if len(r.pacedRunners(wanted.row, &wanted.work)) > 0 {
 		r.wakeTokens()
 	}
 	if r.isBrittle(wanted.row.Service) {
@@ -274,10 +274,9 @@
 	return r.now().Add(until.Sub(at)), isCoolingDown
 }
 
-// pacedRunners returns the runners of the row that accept requests only for tokens. The caller must
-// hold r.mutex.
-func (r *Router) pacedRunners(row residency.Row) []structs.RunnerID {
-	return r.balancer.Paced(time.Now(), rowName(row))
+// pacedRunners returns the runners that accept the work only for tokens. The caller must hold r.mutex.
+func (r *Router) pacedRunners(row residency.Row, work *routing.Work) []structs.RunnerID {
+	return r.balancer.Paced(time.Now(), rowName(row), work)
 }
 
 // leaseTargets returns the runners whose slots should be claimed for requests of the row. The caller must hold r.mutex.
--- a/request/relay/runnerlimits.go
+++ b/request/relay/runnerlimits.go
@@ -8,6 +8,7 @@
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -73,7 +74,7 @@
 		return
 	}
 	now := r.now()
-	for _, id := range r.pacedRunners(row) {
+	for _, id := range r.pacedRunners(row, &routing.Work{}) {
 		if _, isNamed := limits.belief.Of(string(id)); isNamed && now.Sub(limits.requestedAt[id]) >= prefetchInterval {
 			limits.prefetch[id], limits.requestedAt[id] = true, now
 			r.wakeTokens()
--- a/request/relay/tokens.go
+++ b/request/relay/tokens.go
@@ -12,6 +12,9 @@
 	"github.com/lotusferry/lotusferry/internal/wake"
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/ratelimit"
+	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/request/fairqueue"
+	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -85,13 +88,8 @@
 	r.expireTokens()
 	counts := make(map[structs.RunnerID]int)
 	for row, state := range r.rows {
-		waiting := state.waiting()
-		if waiting == 0 {
-			continue
-		}
-		paced := r.pacedRunners(row)
-		for i, first := 0, r.random.IntN(max(1, len(paced))); i < waiting && len(paced) > 0; i++ {
-			counts[paced[(first+i)%len(paced)]]++
+		for _, queue := range state.queues() {
+			r.addTokenWants(counts, row, queue)
 		}
 	}
 	wants := make([]ratelimit.Want, 0, len(counts))
@@ -106,6 +104,28 @@
 	return wants
 }
 
+// addTokenWants distributes the requests of a queue over the paced runners that may serve them. The caller must hold r.mutex.
+func (r *Router) addTokenWants(counts map[structs.RunnerID]int, row residency.Row, queue *fairqueue.Row[*waiter]) {
+	waiting := queue.Len()
+	if waiting == 0 {
+		return
+	}
+	var work routing.Work
+	queue.Each(func(entry *fairqueue.Entry[*waiter]) bool {
+		// All requests of a queue have the same limits.
+		work.Version, work.Zones = entry.Value.work.Version, entry.Value.work.Zones
+		return false
+	})
+	paced := r.pacedRunners(row, &work)
+	if len(paced) == 0 {
+		return
+	}
+	first := r.random.IntN(len(paced))
+	for i := range waiting {
+		counts[paced[(first+i)%len(paced)]]++
+	}
+}
+
 // takeTokens applies tokens that are valid until the given time and serves the queue. It returns
 // the delay before the next token request.
 func (r *Router) takeTokens(grants []ratelimit.Grant, until time.Time) time.Duration {
--- a/request/routing/paced.go
+++ b/request/routing/paced.go
@@ -31,16 +31,16 @@
 	b.tokenHolders = b.tokenHolders[:0]
 }
 
-// Paced returns the paced runners without tokens that could otherwise get a request of the row.
-func (b *Balancer) Paced(now time.Time, name structs.RowName) []structs.RunnerID {
-	wanted := b.rows[name]
+// Paced returns the paced runners without tokens that could otherwise get the work.
+func (b *Balancer) Paced(now time.Time, name structs.RowName, work *Work) []structs.RunnerID {
+	wanted := b.rows[name].ofVersion(b.options.SubsetSize, work.Version)
 	if wanted == nil {
 		return nil
 	}
 	var listed []structs.RunnerID
 	for _, candidate := range wanted.subset {
 		target := candidate.runner
-		if !target.paced || target.leaving || target.failing || target.mayReceive() || b.zones.unreachable[target.info.Zone] {
+		if !work.allows(target) || !target.paced || target.leaving || target.failing || target.mayReceive() || b.zones.unreachable[target.info.Zone] {
 			continue
 		}
 		if candidate.cooldown.isActive(now) || !target.requested.allows(now) || !target.hasCapacity(now, &b.options) || !target.breaker.allows(now) || !candidate.breaker.allows(now) {
--- a/request/routing/paced_test.go
+++ b/request/routing/paced_test.go
@@ -27,9 +27,9 @@
 	b.Leave("warm")
 	_, found := b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsFalse)
-	c.Assert(b.Paced(now, "m"), qt.DeepEquals, []structs.RunnerID{"cold"})
+	c.Assert(b.Paced(now, "m", &Work{}), qt.DeepEquals, []structs.RunnerID{"cold"})
 	b.GiveTokens("cold", 2)
-	c.Assert(b.Paced(now, "m"), qt.HasLen, 0)
+	c.Assert(b.Paced(now, "m", &Work{}), qt.HasLen, 0)
 	for range 2 {
 		choice, found := b.Pick(now, "m", nil, "")
 		c.Assert(found, qt.IsTrue)
@@ -44,7 +44,7 @@
 	b.SetPaced("cold", false, false)
 	_, found = b.Pick(now, "m", nil, "")
 	c.Assert(found, qt.IsTrue)
-	c.Assert(b.Paced(now, "m"), qt.HasLen, 0)
+	c.Assert(b.Paced(now, "m", &Work{}), qt.HasLen, 0)
 }
 
 // A rate-limited runner that has not answered for limitedProbeInterval gets the next request if it has a token.
