Relay: a runner that goes on with a part of an event is no trickle

What callers saw: a stream was cut in the moment in which its silent runner went on.

Cause: parts of an event count as a trickle if the last one came half of the silence limit after the silence began, so that the first bytes after a silence of 0.6 s or more were a trickle until the event was complete and passed on. If the watchdog looked in between, and another runner had been looked for, the attempt was withdrawn.

Ruled out: a loss of the event (the log has last_event=4), the standby and the budget (the retry was refused only after the attempt had been withdrawn).

A trickle is now measured from the first part of the event that is not complete, and bytes that complete an event are no part.

--- a/request/relay/event.go
+++ b/request/relay/event.go
@@ -20,6 +20,8 @@
 	// id is that of the event that next returned last, if hasID is set.
 	id    int64
 	hasID bool
+	// isEnded is set if the event between start and searched is complete.
+	isEnded bool
 	// nextID follows the highest ID so far, and sinceID is the size of what came after the event with that ID.
 	nextID  int64
 	sinceID int
@@ -39,10 +41,19 @@
 	s.buffer = append(s.buffer, more...)
 }
 
+// hasNext reports whether next returns an event or a comment.
+func (s *eventSplitter) hasNext() bool {
+	if !s.isEnded {
+		s.isEnded = s.findEnd()
+	}
+	return s.isEnded
+}
+
 // next returns the next complete event or comment with its terminator, or nil. The slice is valid until the
 // next call of add.
 func (s *eventSplitter) next() []byte {
-	isComplete := s.findEnd()
+	isComplete := s.hasNext()
+	s.isEnded = false
 	event := s.buffer[s.start:s.searched]
 	if isComplete {
 		s.noteID(event)
@@ -86,6 +97,9 @@
 	return bytes.HasSuffix(text, []byte("\n\n")) || bytes.HasSuffix(text, []byte("\r\n\r\n"))
 }
 
+// isFull reports whether the event that is not complete is too long.
+func (s *eventSplitter) isFull() bool { return len(s.buffer)-s.start > maxEventBytes }
+
 // isEmpty reports whether no incomplete event is left.
 func (s *eventSplitter) isEmpty() bool { return len(bytes.TrimSpace(s.buffer[s.start:])) == 0 }
 
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -18,25 +18,22 @@
 		return result{outcome: routing.OutcomeBroken, reason: reasonNotSigned}
 	}
 	controller := http.NewResponseController(x.writer)
-	var events eventSplitter
-	buffer := make([]byte, streamBuffer)
-	received := int64(0)
+	reader := eventReader{answer: answer, watchdog: watchdog, buffer: make([]byte, streamBuffer)}
+	events := &reader.events
 	for {
 		watchdog.beginRead()
-		count, err := answer.Body.Read(buffer)
-		isWhole := count == 0 && errors.Is(err, io.EOF) && events.isEmpty()
-		if watchdog.endRead(count > 0) && !isWhole {
+		err := reader.read()
+		isWhole := errors.Is(err, io.EOF) && events.isEmpty()
+		switch {
+		case watchdog.endRead(events.hasNext()) && !isWhole:
 			return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
-		}
-		if received += int64(count); received > answer.maxBytes() {
+		case errors.Is(err, ErrAnswerTooLong):
 			return tooLong()
 		}
-		if count > 0 {
-			watchdog.noteBytes()
+		if events.hasNext() || events.isFull() {
 			lastEvent := x.lastEvent
-			events.add(buffer[:count])
 			watchdog.setForwarding(true)
-			failure := x.passEvents(answer, &events, controller, watchdog)
+			failure := x.passEvents(answer, events, controller, watchdog)
 			watchdog.setForwarding(false)
 			switch {
 			case errors.Is(failure, errNotContinuous):
@@ -71,6 +68,33 @@
 // streamBuffer is the size of the read buffer in bytes.
 const streamBuffer = 8 << 10
 
+// eventReader reads the events of an answer.
+type eventReader struct {
+	answer   *Answer
+	watchdog *watchdog
+	buffer   []byte
+	events   eventSplitter
+	// received is the number of bytes so far.
+	received int64
+}
+
+// read reads until an event or a comment is complete, or too long, or until the answer ends or is too long.
+func (e *eventReader) read() error {
+	for {
+		count, err := e.answer.Body.Read(e.buffer)
+		if e.received += int64(count); e.received > e.answer.maxBytes() {
+			return ErrAnswerTooLong
+		}
+		if count > 0 {
+			e.events.add(e.buffer[:count])
+			e.watchdog.noteBytes(!e.events.hasNext())
+		}
+		if err != nil || e.events.hasNext() || e.events.isFull() {
+			return err
+		}
+	}
+}
+
 // passEvents forwards the complete events received so far, except those that the caller already
 // has.
 func (x *exchange) passEvents(answer *Answer, events *eventSplitter, controller *http.ResponseController, watchdog *watchdog) error {
--- a/request/relay/successor_faults_test.go
+++ b/request/relay/successor_faults_test.go
@@ -344,3 +344,23 @@
 		assertServedWhole(c, router, "/again/x")
 	})
 }
+
+// Guards against a sound runner that goes on after a silence and is taken for one that sends an event without end, because a part of its next
+// event comes first.
+func TestRunnerThatGoesOnWithPartOfEventKeepsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rest := events(silentAfter+1, wholeEvents)
+		router, _ := newTestRouter(numbered(func(ctx context.Context, number int32, _ *Attempt) (*Answer, error) {
+			if number > 1 {
+				return shed()
+			}
+			answer, err := stream("", io.EOF)
+			part := &pausingBody{ctx: ctx, texts: []string{events(1, silentAfter), rest[:2]}, pause: 1500 * time.Millisecond}
+			whole := &pausingBody{ctx: ctx, texts: []string{"", rest[2:]}, pause: 300 * time.Millisecond}
+			answer.Body = io.NopCloser(io.MultiReader(part, whole))
+			return answer, err
+		}))
+		assertServedWhole(c, router, "/stream/x")
+	})
+}
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -35,10 +35,10 @@
 
 	mutex sync.Mutex
 	since time.Time
-	// bytesAt is when the runner sent something last, if only part of an event, and completeAt when that completed an event or a
-	// comment.
-	bytesAt    time.Time
-	completeAt time.Time
+	// partAt is when the first part of an event came that is not complete yet, and bytesAt when the last one came; partAt is zero if
+	// there is none.
+	partAt  time.Time
+	bytesAt time.Time
 	// received returns the bytes of the head that is being read; nil for none. headBytes is their number at the last check, and
 	// headGrowths the number of checks at which it had grown.
 	received    func() int64
@@ -48,15 +48,16 @@
 	timer *time.Timer
 	// isForwarding is set while data is written to the caller, who may be slow.
 	isForwarding bool
-	// isCopied is set from the first event on if the stream may run only once and has a copy, and hasLostStandby once the standby was
-	// asked and did not go on with it.
+	// isCopied is set from the first event on if the stream may run only once and has a copy, and hasLostStandby while the standby is
+	// not asked (again) in this silence, as it did not go on with the stream or failed a probe.
 	isCopied       bool
 	hasLostStandby bool
 	// isReading is set while the exchange waits for the runner to send something. deciding is open while it is decided whether the
-	// standby takes the stream over; nil otherwise. asked watches the continuation meanwhile, and handoff is that which is used; nil
-	// for none.
+	// standby takes the stream over; nil otherwise. Meanwhile, endProbe ends the probe of the standby and asked watches the
+	// continuation; nil before. handoff is the continuation that is used; nil for none.
 	isReading bool
 	deciding  chan struct{}
+	endProbe  context.CancelFunc
 	asked     *watchdog
 	handoff   *handoff
 	// begun is closed once the request may have been sent; nil for attempts that nothing waits for.
@@ -136,7 +137,9 @@
 	isCopied := x.handover.HasCopy() && !x.route.MayRepeat()
 	w.mutex.Lock()
 	w.lastEvent, w.version = x.lastEvent, x.boundVersion
-	w.isCopied = w.isCopied || isCopied
+	if isCopied {
+		w.isCopied, w.hasLostStandby = true, false
+	}
 	w.mutex.Unlock()
 	if isCopied {
 		w.start()
@@ -177,28 +180,18 @@
 // maxHeadGrowths is the number of checks after the silence limit at which the head of an answer may still have grown.
 const maxHeadGrowths = 3
 
-// endTrickle cancels an attempt whose runner has sent parts of a head, or of an event, for so long that it will not end, once another
+// endTrickle cancels an attempt whose runner has sent parts of a head, or of an event for half of the limit, for so long that it will not end, once another
 // one was looked for. A runner that sends nothing at all may go on.
 func (w *watchdog) endTrickle(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	isTrickling := w.tricklesHead() || w.tricklesEvent(limit)
+	isTrickling := w.tricklesHead() || !w.partAt.IsZero() && w.bytesAt.Sub(w.partAt) >= limit/2
 	hasSearched := w.hasLostStandby || !w.isCopied && w.search != nil && w.search.winner == nil
 	if isTrickling && hasSearched && !w.isStopped {
 		w.cancel(errSilent)
 	}
 }
 
-// tricklesEvent reports whether parts of an event came for half of the limit or longer, and no event or comment has ended. The caller
-// must hold w.mutex.
-func (w *watchdog) tricklesEvent(limit time.Duration) bool {
-	began := w.since
-	if w.completeAt.After(began) {
-		began = w.completeAt
-	}
-	return w.bytesAt.Sub(began) >= limit/2
-}
-
 // tricklesHead reports whether the head of the answer goes on growing. The caller must hold w.mutex.
 func (w *watchdog) tricklesHead() bool {
 	if w.received == nil {
@@ -289,11 +282,18 @@
 	w.seek(cause)
 }
 
-// noteBytes records that the runner sent something for the attempt. Part of an event does not end its silence, as it may go on
-// without end.
-func (w *watchdog) noteBytes() {
+// noteBytes records that the runner sent something for the attempt. isPart is set if it did not complete an event, which does not end
+// the silence of the runner, as the event may go on without end.
+func (w *watchdog) noteBytes(isPart bool) {
 	w.mutex.Lock()
-	w.bytesAt = time.Now()
+	if isPart {
+		w.bytesAt = time.Now()
+		if w.partAt.IsZero() {
+			w.partAt = w.bytesAt
+		}
+	} else {
+		w.partAt = time.Time{}
+	}
 	w.mutex.Unlock()
 	w.exchange.router.observeBytes(w.runner, w.path)
 }
@@ -304,7 +304,7 @@
 	w.exchange.router.observeEvent(w.runner)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.isStarted, w.completeAt = true, time.Now()
+	w.isStarted = true
 	if hasPassed {
 		w.goOn()
 	}
