Relay: a standby that is silent itself is not handed a stream

What callers saw: a copied stream that may run only once was cut although its runner went on, where the standby was silent at the same time.

Cause: that the standby answers was known only from other requests of the same router, of which it often has none.

Ruled out: withdrawing the continuation in place of the attempt (a silent standby may have begun with it, and the former run would go on beside it for longer than 400 ms), a longer overlap, and recent data from the standby alone (routers with few requests have none).

The standby is probed first: a report of its load, over a connection of its own, as an extra answer to a probe must not arrive where that to a request is due. The run goes on meanwhile, and the probe ends as soon as it does, so that nothing is held back for it. A standby that fails a probe is not asked again in the same silence; its copy can still be used if the runner is lost.

TestSilentStandbyIsNotAsked has a case each for a silent standby with and without the copy, which fail without the probe, and for a dead runner, whose stream still goes on at the standby.

--- a/request/relay/handoff.go
+++ b/request/relay/handoff.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/lotusferry/lotusferry/placement/poison"
+	"github.com/lotusferry/lotusferry/request/paths"
 	"github.com/lotusferry/lotusferry/request/routing"
 	"github.com/lotusferry/lotusferry/request/standby"
 	"github.com/lotusferry/lotusferry/structs"
@@ -35,11 +36,14 @@
 }
 
 // endRead waits until it is decided which runner keeps the stream, and reports whether the standby has it. goesOn is set if the runner
-// has sent something: a continuation that was not sent yet is not needed then.
+// has sent something: a continuation that was not sent yet is not needed then. A probe of the standby is not waited for.
 func (w *watchdog) endRead(goesOn bool) (isHandedOff bool) {
 	w.mutex.Lock()
 	w.isReading = false
 	deciding, asked := w.deciding, w.asked
+	if deciding != nil && w.endProbe != nil {
+		w.endProbe()
+	}
 	w.mutex.Unlock()
 	if deciding != nil {
 		if goesOn && asked != nil {
@@ -66,14 +70,14 @@
 		w.cancel(errSilent)
 	}
 	close(w.deciding)
-	w.deciding, w.asked = nil, nil
+	w.deciding, w.endProbe, w.asked = nil, nil, nil
 }
 
 // beginDeciding reports whether the runner is still silent and the exchange waits for it.
 func (w *watchdog) beginDeciding(since time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.isStopped || !w.isReading || w.handoff != nil || !w.since.Equal(since) {
+	if w.isStopped || !w.isReading || w.hasLostStandby || w.handoff != nil || !w.since.Equal(since) {
 		return false
 	}
 	w.deciding = make(chan struct{})
@@ -85,6 +89,11 @@
 func (w *watchdog) handOff() *handoff {
 	x := w.exchange
 	choice, isUsable := w.usableStandby()
+	if !isUsable || !x.router.allowsRepeat(x.row.Service) || !w.probe(choice) {
+		return nil
+	}
+	// The probe may have taken long.
+	choice, isUsable = w.usableStandby()
 	if !isUsable || !x.router.mayRepeat(x.row.Service) {
 		return nil
 	}
@@ -110,6 +119,49 @@
 	return choice, isUsable && w.mayAnswer(copied.Runner)
 }
 
+// probe reports whether the standby has answered a probe before the runner went on: one that is silent as well would get the stream, as it
+// does not answer in time, and might reject it later.
+func (w *watchdog) probe(choice routing.Choice) bool {
+	x := w.exchange
+	prober, isProber := x.router.options.Backend.(Prober)
+	if !isProber {
+		return true
+	}
+	ctx, end := context.WithCancel(w.parent)
+	defer end()
+	if !w.beginProbe(end) {
+		return false
+	}
+	err := prober.Probe(ctx, string(choice.Runner()), choice.Address(), x.router.peerTo(choice.Runner(), x.peerWish()))
+	if ctx.Err() != nil {
+		return false
+	}
+	w.setLostStandby(err != nil)
+	return err == nil
+}
+
+// setLostStandby records whether the standby was found unable to go on with the stream.
+func (w *watchdog) setLostStandby(isLost bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.hasLostStandby = isLost
+}
+
+// beginProbe sets what ends the probe of the standby, and returns false if the runner has gone on.
+func (w *watchdog) beginProbe(end context.CancelFunc) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.endProbe = end
+	return w.isReading
+}
+
+// peerTo returns the address of the peer through which a runner is reached; empty for the direct way.
+func (r *Router) peerTo(id structs.RunnerID, wish paths.Wish) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.peers.paths.Choose(r.now(), id, r.zones.watch.ZoneOf(id), wish).Peer
+}
+
 // mayAnswer is isBetter for callers that do not hold the router's mutex.
 func (w *watchdog) mayAnswer(id structs.RunnerID) bool {
 	r := w.exchange.router
@@ -123,9 +175,7 @@
 	x := w.exchange
 	asked := &watchdog{isRepeated: true, wish: x.peerWish(), begun: make(chan struct{})}
 	h := &handoff{next: x.newDispatch(w.parent, choice, asked), answered: make(chan struct{})}
-	w.mutex.Lock()
-	w.asked = asked
-	w.mutex.Unlock()
+	w.setAsked(asked)
 	x.router.countSend(x.row, choice)
 	if !h.next.register() {
 		h.next.err = ErrNotSent
@@ -141,6 +191,17 @@
 	return h
 }
 
+// setAsked sets what watches the continuation, and recalls that if the exchange no longer waits for the runner.
+func (w *watchdog) setAsked(asked *watchdog) {
+	w.mutex.Lock()
+	w.asked = asked
+	isReading := w.isReading
+	w.mutex.Unlock()
+	if !isReading {
+		asked.recall()
+	}
+}
+
 // copyContinuation decides whether the memory of the continuation of a stream is copied while it runs at the chosen runner. from is the
 // runner that the stream leaves.
 func (x *exchange) copyContinuation(choice routing.Choice, from structs.RunnerID) *streamCopy {
--- a/request/relay/handoff_test.go
+++ b/request/relay/handoff_test.go
@@ -168,3 +168,59 @@
 		})
 	}
 }
+
+// probedRunners are copyingRunners that can be probed.
+type probedRunners struct {
+	*copyingRunners
+	// silent is how long runners do not answer probes, and err what they answer.
+	silent time.Duration
+	err    error
+	probes int
+}
+
+// Probe implements Prober.
+func (p *probedRunners) Probe(ctx context.Context, _, _, _ string) error {
+	p.probes++
+	if err := sleepIn(ctx, p.silent); err != nil {
+		return err
+	}
+	return p.err
+}
+
+// Guards against a stream that is cut because it was handed to a standby that is silent as well and rejects it once it goes on, and against
+// one that a dead runner keeps although its standby answers.
+func TestSilentStandbyIsNotAsked(t *testing.T) {
+	const never = time.Hour
+	for name, test := range map[string]struct {
+		silent      time.Duration
+		err         error
+		losesCopies bool
+		cut         func(context.Context, int, int) error
+		isContinued bool
+	}{
+		"both silent, no copy":                        {never, nil, true, silentUntil(4, 300*time.Millisecond, nil), false},
+		"both silent, copy":                           {never, nil, false, silentUntil(4, 300*time.Millisecond, nil), false},
+		"runner silent for good":                      {20 * time.Millisecond, nil, false, silentUntil(4, never, nil), true},
+		"runner silent for good, standby for a while": {time.Second, nil, false, silentUntil(4, never, nil), true},
+		"runner breaks while the standby is silent":   {never, nil, false, silentUntil(4, 300*time.Millisecond, errReset), true},
+		"another instance at the address":             {0, errReset, true, silentUntil(4, 300*time.Millisecond, nil), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+				runners := &probedRunners{copyingRunners: r.runners, silent: test.silent, err: test.err}
+				r.options.Backend = runners
+				// A standby that does not answer probes answers nothing else.
+				r.runners.begins = ofContinuation(min(test.silent, time.Second))
+				r.runners.losesCopies, r.runners.cut = test.losesCopies, test.cut
+				recorder, aborted := r.ask(t.Context(), copiedPath)
+				continuations := 0
+				if test.isContinued {
+					continuations = 1
+				}
+				r.checkContinued(recorder.Body.String(), aborted, continuations)
+				c.Check(runners.probes > 0, qt.IsTrue)
+				c.Check(test.err == nil || runners.probes == 1, qt.IsTrue, qt.Commentf("%d probes", runners.probes))
+			})
+		})
+	}
+}
--- a/request/relay/types.go
+++ b/request/relay/types.go
@@ -191,3 +191,10 @@
 type Backend interface {
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
+
+// Prober is a Backend that can check whether a runner is silent, apart from any request.
+type Prober interface {
+	// Probe returns nil once the instance at the address, reached through the peer if that is not empty, has answered something that
+	// takes no slot.
+	Probe(ctx context.Context, instance, address, peer string) error
+}
