Relay: attempts leave a runner that only a peer reaches

What callers saw: streams at a runner whose connections to this router hang stayed with them for 1.8 s, or until their deadline where the runner was the only replica, although the router had found within 0.5 s that a peer reaches the runner.

Cause: the direct way is lost for a whole zone, or for single runners while others of the zone are reached or were not tried. Only the first had the open attempts taken over (cancelSilent); for the second, only the choice of the way for new requests changed. Besides, "silent" was measured by all data of the runner, also through peers, so that the second look after 0.25 s found none silent once new requests ran through a peer.

Fix: when a single runner is reached through peers, its direct attempts that have been silent for 0.25 s seek a successor, as those of a lost zone do; they stay unless one begins to answer, or none has room and a retry is taken. Silence is that of the direct way.

Ruled out: the retry budget (58 a window here, not used up), the peers (proven within 0.1 s).

--- a/request/relay/attempt.go
+++ b/request/relay/attempt.go
@@ -138,6 +138,8 @@
 		ended.reason = reasonSilent
 	case errors.Is(cause, errZoneLost):
 		ended.reason = reasonZoneLost
+	case errors.Is(cause, errPathLost):
+		ended.reason = reasonPathLost
 	case errors.Is(cause, errPeerLost):
 		ended.reason, ended.outcome = reasonPeerLost, routing.OutcomeNeutral
 	case errors.Is(cause, errUnwanted):
--- a/request/relay/candidates.go
+++ b/request/relay/candidates.go
@@ -127,6 +127,7 @@
 		delete(r.candidates.runners, instance)
 		delete(r.loads.known, instance)
 		delete(r.lastDataAt, id)
+		delete(r.lastDirectDataAt, id)
 		delete(r.lastEventAt, id)
 		r.runnerLimits.forget(id)
 		r.copies.traffic.Forget(id)
--- a/request/relay/peers.go
+++ b/request/relay/peers.go
@@ -298,7 +298,10 @@
 		level.Info(r.logger).Log("msg", text, "zone", change.Zone, "peer", change.Peer, "after", change.After)
 	default:
 		r.balancer.ClearFailures(change.Runner)
-		if !change.IsThroughPeers {
+		if change.IsThroughPeers {
+			r.cancelSilentAt(change.Runner)
+			time.AfterFunc(liveConnectionTime, func() { r.cancelIfStillThroughPeers(change.Runner) })
+		} else {
 			text = "A runner is reached directly again."
 		}
 		if suppressed, isAllowed := r.peers.logLimiter.Allow(r.now()); isAllowed {
--- a/request/relay/result.go
+++ b/request/relay/result.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	switch r.reason {
-	case reasonSendFailed, reasonSilent, reasonCutShort, reasonForeignAnswer, reasonMalformed, reasonTooLong, reasonZoneLost, reasonPeerLost:
+	case reasonSendFailed, reasonSilent, reasonCutShort, reasonForeignAnswer, reasonMalformed, reasonTooLong, reasonZoneLost, reasonPathLost, reasonPeerLost:
 		return true
 	}
 	return false
--- a/request/relay/router.go
+++ b/request/relay/router.go
@@ -83,9 +83,11 @@
 	// attemptCounts counts the outcomes of attempts since the last report.
 	attemptCounts map[structs.RunnerID]*fleet.Attempts
 	// lastDataAt is the time of the last data from each runner, and lastEventAt that of the last head of an answer, event or comment:
-	// part of an event does not show that a runner is at work.
-	lastDataAt  map[structs.RunnerID]time.Time
-	lastEventAt map[structs.RunnerID]time.Time
+	// part of an event does not show that a runner is at work. lastDirectDataAt is that of the last data that did not come through a
+	// peer.
+	lastDataAt       map[structs.RunnerID]time.Time
+	lastDirectDataAt map[structs.RunnerID]time.Time
+	lastEventAt      map[structs.RunnerID]time.Time
 	// paces are the stream timings to be reported.
 	paces []residency.Pace
 	// suspects are the requests that may crash runners.
@@ -165,8 +167,9 @@
 		unreachable:   make(map[string]bool),
 		attemptCounts: make(map[structs.RunnerID]*fleet.Attempts),
 
-		lastDataAt: make(map[structs.RunnerID]time.Time), lastEventAt: make(map[structs.RunnerID]time.Time),
-		known: make(chan struct{}),
+		lastDataAt: make(map[structs.RunnerID]time.Time), lastDirectDataAt: make(map[structs.RunnerID]time.Time),
+		lastEventAt: make(map[structs.RunnerID]time.Time),
+		known:       make(chan struct{}),
 
 		limits:       newLimits(random.Uint64()),
 		rejectionLog: asynclog.NewLimiter(maxTenantLogRate),
@@ -309,13 +312,14 @@
 func (r *Router) recordBytes(instance structs.RunnerID, path paths.Path) {
 	r.lastDataAt[instance] = time.Now()
 	if path.IsDirect() {
+		r.lastDirectDataAt[instance] = r.lastDataAt[instance]
 		r.zones.watch.ObserveData(r.now(), instance)
 	}
 }
 
-// silentFor returns the time since a runner sent data. The caller must hold r.mutex.
+// silentFor returns the time since a runner sent data on the direct way. The caller must hold r.mutex.
 func (r *Router) silentFor(instance structs.RunnerID) time.Duration {
-	return time.Since(r.lastDataAt[instance])
+	return time.Since(r.lastDirectDataAt[instance])
 }
 
 // addPace queues the timing of a stream for the next report.
--- a/request/relay/zones.go
+++ b/request/relay/zones.go
@@ -33,8 +33,14 @@
 // reasonZoneLost means that the runner's zone became unreachable.
 const reasonZoneLost = "zone_out_of_reach"
 
-// errZoneLost is the cancellation cause of such an attempt if it is repeatable.
-var errZoneLost = errors.New("the runner's zone is unreachable")
+// reasonPathLost means that the runner, but not all of its zone, became unreachable on the direct way and is reached through peers.
+const reasonPathLost = "path_lost"
+
+// errZoneLost and errPathLost are the cancellation causes of such attempts if they are repeatable.
+var (
+	errZoneLost = errors.New("the runner's zone is unreachable")
+	errPathLost = errors.New("the runner is reached through peers only")
+)
 
 // zones tracks the reachability of the site's zones. It is guarded by Router.mutex.
 type zones struct {
@@ -300,6 +306,27 @@
 	}
 }
 
+// cancelSilentAt is cancelSilent for a single runner that is reached through peers. The caller must hold r.mutex.
+func (r *Router) cancelSilentAt(runner structs.RunnerID) {
+	if r.silentFor(runner) < liveConnectionTime {
+		return
+	}
+	for w := range r.zones.attempts[r.zones.watch.ZoneOf(runner)] {
+		if w.path.IsDirect() && w.runner == runner {
+			w.cancelLost(errPathLost)
+		}
+	}
+}
+
+// cancelIfStillThroughPeers is cancelSilentAt for a runner of which the direct way was lost a moment ago.
+func (r *Router) cancelIfStillThroughPeers(runner structs.RunnerID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.peers.paths.IsLost(runner, r.zones.watch.ZoneOf(runner)) {
+		r.cancelSilentAt(runner)
+	}
+}
+
 // cancelIfStillLost is cancelSilent for a zone that was lost a moment ago.
 func (r *Router) cancelIfStillLost(zone structs.ZoneID) {
 	r.mutex.Lock()
