Routing: a router may hold its equal share of a full runner

The runner got up to twice as many requests at a time as it has slots.

Cause: all routers get the load of all at the same time, each half second and 0.2 s old. If it shows that others fill the runner, each router sends nothing (one at most) until the next one; that shows an empty runner, and each router takes all of its free slots. Any disturbance starts the cycle, and nothing ends it. Here, requests stuck in the partition fill the runner. The class: a bound that all share is enforced by each on the same stale report. Load of the machine only shifts the phase between the partition and the reports, in virtual time as well.

Fix: a router with less than its equal share of the slots may send to a runner that looks full, as one without any request there could before. All shares together are what the runner holds, so that this adds nothing where demand is above the room. With more routers than slots nothing changes.

Ruled out: an ejection (the leader lets i-4 rest, but a runner that fails is still chosen where it is the only one), breakers, a lost wake-up (waiters are served with each release and report).

--- a/request/relay/retries.go
+++ b/request/relay/retries.go
@@ -47,6 +47,7 @@
 // caller must hold r.mutex.
 func (r *Router) observeRouterCount(at time.Time, routers int) {
 	r.routerCount.observe(at, routers, r.options.Retry.countHold())
+	r.balancer.SetRouters(r.routerCount.routers)
 	extra := r.options.Retry.share(r.startedAt, r.now(), &r.routerCount)
 	if extra == r.retryExtra {
 		return
--- a/request/routing/balancer.go
+++ b/request/routing/balancer.go
@@ -12,6 +12,8 @@
 type Balancer struct {
 	options Options
 	random  *rand.Rand
+	// routers is the number of routers that share the runners; 0 if unknown.
+	routers int
 	runners map[structs.RunnerID]*runner
 	rows    map[structs.RowName]*row
 	// departed maps the runners passed to Leave to their incarnation at that time.
@@ -117,9 +119,12 @@
 	if work.forLease {
 		return target.mayClaim(now)
 	}
-	return target.mayReceive() && target.hasCapacity(now, &b.options)
+	return target.mayReceive() && target.hasCapacity(now, &b.options, b.routers)
 }
 
+// SetRouters sets the number of routers that share the runners; 0 means that it is unknown.
+func (b *Balancer) SetRouters(routers int) { b.routers = routers }
+
 // SetFailing sets whether other routers see the runner fail many of its requests.
 func (b *Balancer) SetFailing(id structs.RunnerID, isFailing bool) {
 	if target := b.runners[id]; target != nil {
@@ -165,7 +170,7 @@
 		limit := target.maxBatch + b.options.QueueSlack
 		load := target.load(now, b.options.ReportTTL)
 		slots += max(1, limit-(load-target.inFlight))
-		if target.hasCapacity(now, &b.options) {
+		if target.hasCapacity(now, &b.options, b.routers) {
 			free += max(1, limit-load)
 		}
 	}
--- a/request/routing/paced.go
+++ b/request/routing/paced.go
@@ -43,7 +43,7 @@
 		if !target.paced || target.leaving || target.failing || target.mayReceive() || b.zones.unreachable[target.info.Zone] {
 			continue
 		}
-		if candidate.cooldown.isActive(now) || !target.requested.allows(now) || !target.hasCapacity(now, &b.options) || !target.breaker.allows(now) || !candidate.breaker.allows(now) {
+		if candidate.cooldown.isActive(now) || !target.requested.allows(now) || !target.hasCapacity(now, &b.options, b.routers) || !target.breaker.allows(now) || !candidate.breaker.allows(now) {
 			continue
 		}
 		listed = append(listed, target.info.ID)
--- a/request/routing/runner.go
+++ b/request/routing/runner.go
@@ -94,10 +94,11 @@
 	return r.inFlight
 }
 
-// hasCapacity reports whether the runner may get one more attempt. A router without any
-// attempt on a full runner may send one, so that other routers cannot starve it; the
-// engine queues the excess.
-func (r *runner) hasCapacity(now time.Time, options *Options) bool {
+// hasCapacity reports whether the runner may get one more attempt of one of the given number of routers. A router
+// with less than its equal share of a full runner, and at least one without any attempt, may send one, so that
+// other routers cannot starve it and routers do not all wait for the same load report; the engine queues the
+// excess.
+func (r *runner) hasCapacity(now time.Time, options *Options, routers int) bool {
 	if r.lease.isRequired {
 		return r.inFlight < r.lease.slots
 	}
@@ -106,7 +107,11 @@
 	if load < limit {
 		return true
 	}
-	return r.inFlight == 0 && load < 2*limit
+	share := 1
+	if routers > 0 {
+		share = max(1, limit/routers)
+	}
+	return r.inFlight < share && load < 2*limit
 }
 
 // observe records a load report. This router's own attempts at the time of the report
