--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,12 @@
 # soak runs the real programs under faults for a moment: some tens of seconds, on loopback only. The
 # program is built so that its clock can show suspensions of the machine.
 SOAK_SEED ?= 101
+RELEASE_SEED ?= 4
 soak:
 	$(GO) vet -tags suspendable ./internal/clock
 	$(GO) build -tags suspendable -o bin/suspendable/ ./cmd/lotusferry
 	$(GO) run ./cmd/lotusferrylab soak --binary bin/suspendable/lotusferry --seed $(SOAK_SEED) --for 15s --lane 40
+	$(GO) run ./cmd/lotusferrylab release --binary bin/suspendable/lotusferry --seed $(RELEASE_SEED) --seeds 2 --for 12s --lane 40
 
 model-check:
 	./spec/check.sh
