--- a/request/relay/handoff.go
+++ b/request/relay/handoff.go
@@ -140,6 +140,13 @@
 	return err == nil
 }
 
+// countSuccessorRun counts another runner that may have run the request and whose answer is not used.
+func (w *watchdog) countSuccessorRun() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.successorRuns++
+}
+
 // setLostStandby records whether the standby was found unable to go on with the stream.
 func (w *watchdog) setLostStandby(isLost bool) {
 	w.mutex.Lock()
@@ -240,15 +247,14 @@
 	isRecalled := ended.isNotRun && errors.Is(context.Cause(h.next.ctx), errUnwanted)
 	h.next.reportFailure(ended)
 	h.release(x, ended.outcome)
-	if !isRecalled {
-		x.handover.UseUpCopy()
+	if isRecalled {
+		return
 	}
-	w.mutex.Lock()
-	w.hasLostStandby = !isRecalled
+	x.handover.UseUpCopy()
+	w.setLostStandby(true)
 	if !ended.isNotRun {
-		w.successorRuns++
+		w.countSuccessorRun()
 	}
-	w.mutex.Unlock()
 	x.router.metrics.continuations.WithLabelValues(continuationOutcome(ended)).Inc()
 	h.logFailure(w, ended)
 }
--- a/request/relay/watchdog.go
+++ b/request/relay/watchdog.go
@@ -180,8 +180,8 @@
 // maxHeadGrowths is the number of checks after the silence limit at which the head of an answer may still have grown.
 const maxHeadGrowths = 3
 
-// endTrickle cancels an attempt whose runner has sent parts of a head, or of an event for half of the limit, for so long that it will not end, once another
-// one was looked for. A runner that sends nothing at all may go on.
+// endTrickle cancels an attempt whose runner has sent parts of a head, or of an event for half of the limit, for so long that it will
+// not end, once another one was looked for. A runner that sends nothing at all may go on.
 func (w *watchdog) endTrickle(limit time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
