Relay: a router that the leader may have forgotten announces itself again

What callers saw: a router that had just started and that reached no runner refused all requests (503 no_runner), although eight others reached them all: it knew no peer.

Cause: the leader forgets a router that it has not heard for 25 s, and with it where the router accepts tunnels. A router tells that to each new leader, and from then on only beside other reports. One without requests makes none, so that the same leader never heard it again, though it watched.

Fix: a router whose leader is heard again after 10 s or more (the interval at which routers with requests announce themselves) announces itself as to a new leader, within 2 s. The gap is that between the times as of which the leader was heard, so that a relay that is itself cut off causes no announcements.

--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -34,6 +34,7 @@
 		return
 	}
 	r.mutex.Lock()
+	heardBefore := r.routerCount.at
 	r.observeRouterCount(r.now().Add(-leaderSilenceOf(reply)), reply.Routers)
 	routers := r.routerCount.routers
 	r.adoptMixedVersions(reply.MixedVersions)
@@ -48,6 +49,9 @@
 		r.notices.book.ResendAll()
 		r.announceAgain()
 		r.wakeReport()
+	} else if r.routerCount.at.Sub(heardBefore) >= announceInterval {
+		// The leader may have forgotten this router meanwhile.
+		r.announceAgain()
 	}
 	r.mutex.Unlock()
 	r.limits.mutex.Lock()
--- a/request/relay/peers.go
+++ b/request/relay/peers.go
@@ -122,7 +122,7 @@
 	isUrgent bool
 }
 
-// announceAgain has a new leader told of this router as a peer, with the next report or within announceSpread. The caller
+// announceAgain has a leader that may not know this router told of it as a peer, with the next report or within announceSpread. The caller
 // must hold r.mutex.
 func (r *Router) announceAgain() {
 	delay := time.Duration(r.random.Int64N(int64(announceSpread)))
