Test: a leader of 985 routers holds after the one before was killed

In virtual time: 985 routers, 25 controllers, runners that are replaced, a new document, demand reports of some 200 requests a second, the time of each message and of its bytes at controllers, the links of routers. The leader is killed and, at the same time or two seconds later, a third of the routers, which start again 1.1 s later. Views and documents have a tenth of their size behind links of a tenth of the bandwidth, since 985 routers with 10,000 runners each would not fit a test.

The next leader has to hold, the routers have to be complete within the 4 s of a document, and the leader may send no more full views to routers than there are controllers.

The existing tests of large sites use the same network as before; it has bandwidths as options.

--- a/request/relay/busynetwork_test.go
+++ b/request/relay/busynetwork_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,41 +25,88 @@
 
 // busyNetwork is an in-memory network with a latency and with machines that send one message after
 // the other, over all their connections: each message waits for those that the machine was given
-// before. Other machines send at once.
+// before. Other machines send at once. The link of a machine that receives
+// limits what comes from each sender.
 type busyNetwork struct {
 	memory  *networktest.Memory
 	latency time.Duration
+	// linkBytes is the bandwidth of the links of machines that send one message after the other, and
+	// receiverLinkBytes that of the links of all others, in bytes per second.
+	linkBytes, receiverLinkBytes float64
 
 	mutex sync.Mutex
 	// freeAt is, by IP, when each machine that sends one message after the other has sent all so far.
 	freeAt map[string]time.Time
+	// receivedAt is when the other machines have received all that each machine has sent to them so far.
+	receivedAt map[ipPair]time.Time
+	// largeBytes is the size from which messages are counted.
+	largeBytes int
+	// sentLarge counts, by IP, the large messages of machines that send one message after the other to other ones.
+	sentLarge map[string]int
 }
 
+// ipPair is a sender and a receiver of messages.
+type ipPair struct{ from, to string }
+
 // newBusyNetwork returns a network in which the machines with the given IPs send one message after
 // the other.
 func newBusyNetwork(latency time.Duration, busyIPs []string) *busyNetwork {
-	n := &busyNetwork{memory: networktest.NewMemory(busyBufferBytes), latency: latency, freeAt: make(map[string]time.Time)}
+	n := &busyNetwork{
+		memory: networktest.NewMemory(busyBufferBytes), latency: latency, linkBytes: controllerLinkBytes, receiverLinkBytes: math.Inf(1),
+		freeAt: make(map[string]time.Time), receivedAt: make(map[ipPair]time.Time), largeBytes: math.MaxInt, sentLarge: make(map[string]int),
+	}
 	for _, ip := range busyIPs {
 		n.freeAt[ip] = time.Time{}
 	}
 	return n
 }
 
-// send returns when a message that a machine sends now arrives.
-func (n *busyNetwork) send(ip string, bytes int) time.Time {
+// send returns when a message that a machine sends to another one now arrives.
+func (n *busyNetwork) send(from, to string, bytes int) time.Time {
 	now := time.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	freeAt, isBusy := n.freeAt[ip]
-	if !isBusy {
-		return now.Add(n.latency)
+	sentAt := now
+	if freeAt, isBusy := n.freeAt[from]; isBusy {
+		sentAt = later(freeAt, now).Add(messageTime + transferTime(bytes, n.linkBytes))
+		n.freeAt[from] = sentAt
+	}
+	arrivedAt := sentAt.Add(n.latency)
+	if _, isBusy := n.freeAt[to]; isBusy {
+		return arrivedAt
+	}
+	if bytes >= n.largeBytes {
+		n.sentLarge[from]++
 	}
-	if freeAt.Before(now) {
-		freeAt = now
+	pair := ipPair{from, to}
+	arrivedAt = later(n.receivedAt[pair], arrivedAt).Add(transferTime(bytes, n.receiverLinkBytes))
+	n.receivedAt[pair] = arrivedAt
+	return arrivedAt
+}
+
+// largeMessages returns how many large messages a machine that sends one message after the other has sent to other ones.
+func (n *busyNetwork) largeMessages(ip string) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.sentLarge[ip]
+}
+
+// transferTime returns how long a link with a bandwidth in bytes per second is busy with a message.
+func transferTime(bytes int, bandwidth float64) time.Duration {
+	return time.Duration(float64(bytes) / bandwidth * float64(time.Second))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	freeAt = freeAt.Add(messageTime + time.Duration(float64(bytes)/controllerLinkBytes*float64(time.Second)))
-	n.freeAt[ip] = freeAt
-	return freeAt.Add(n.latency)
+	return b
+}
+
+// ipOf returns the IP of an address with a port.
+func ipOf(address net.Addr) string {
+	ip, _, _ := net.SplitHostPort(address.String())
+	return ip
 }
 
 // from returns the network as the machine with an IP uses it.
@@ -125,7 +173,7 @@
 func (c *busyConn) Write(message []byte) (int, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	arrival := c.at.busy.send(c.at.ip, len(message))
+	arrival := c.at.busy.send(c.at.ip, ipOf(c.RemoteAddr()), len(message))
 	c.underWay = append(c.underWay, bytes.Clone(message))
 	time.AfterFunc(time.Until(arrival), c.deliver)
 	return len(message), nil
--- a/request/relay/largesite_test.go
+++ b/request/relay/largesite_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -54,12 +57,15 @@
 	c       *qt.C
 	ctx     context.Context
 	network *busyNetwork
+	options largeSiteOptions
+	decoder domainnode.Decoder
 	// regions maps zones to regions.
 	regions     map[string]string
 	controllers []*largeSiteController
 	routers     []*Router
-	ends        []context.CancelFunc
-	startedAt   time.Time
+	// ends has the end of each router.
+	ends      []context.CancelFunc
+	startedAt time.Time
 
 	mutex sync.Mutex
 	// leaderships are the leaderships that controllers began.
@@ -74,6 +80,25 @@
 	acknowledgedAt time.Time
 }
 
+// largeSiteOptions are the size of a large site and of the links of its machines.
+type largeSiteOptions struct {
+	regions int
+	runners int
+	// nameDigits is the number of random digits in the name of each runner. Names take most of the bytes of a view.
+	nameDigits int
+	// services is the number of services over which the runners are spread. The fewer runners a service has, the less
+	// a router has to do when one of them changes.
+	services int
+	// viewBytes is about the size of a full view, or 0 if messages of that size are not to be counted.
+	viewBytes int
+	// documentBytes is the least size of a document's text.
+	documentBytes int
+	// controllerLink and routerLink are the bandwidths of links in bytes per second. Those of routers limit only what they receive.
+	controllerLink, routerLink float64
+	// seed selects the random choices of all processes.
+	seed uint64
+}
+
 type largeSiteController struct {
 	*domainnode.Node
 	end  context.CancelFunc
@@ -84,6 +109,8 @@
 	controller int
 	term       any
 	at         time.Duration
+	// largeMessages is how many large messages the controller had sent to routers before.
+	largeMessages int
 }
 
 // String says who led and since when.
@@ -112,13 +139,15 @@
 	if isStart {
 		l.site.mutex.Lock()
 		defer l.site.mutex.Unlock()
-		l.site.leaderships = append(l.site.leaderships, startedLeadership{l.controller, term, time.Since(l.site.startedAt)})
+		l.site.leaderships = append(l.site.leaderships, startedLeadership{
+			l.controller, term, time.Since(l.site.startedAt), l.site.network.largeMessages(largeSiteControllerIP(l.controller)),
+		})
 	}
 	return nil
 }
 
 // largeSiteDocument returns the text of a document with all models.
-func largeSiteDocument(version uint64) []byte {
+func (s *largeSite) document(version uint64) []byte {
 	random := rand.New(rand.NewPCG(version, 1))
 	engine := &site.Engine{Slots: 12, CacheTokens: 58_095, WeightsMB: 200_000, MaxAdapters: 8, LoadsPerSecond: 2}
 	for index := range largeSiteModels {
@@ -133,7 +162,7 @@
 	}
 	for index := 0; ; index++ {
 		source, _ := json.Marshal(document)
-		if len(source) >= largeSiteDocumentBytes {
+		if len(source) >= s.options.documentBytes {
 			return source
 		}
 		document.Routes = append(document.Routes, site.Route{
@@ -172,6 +201,13 @@
 	}
 }
 
+// setRouter replaces a router that was started again.
+func (s *largeSite) setRouter(index int, router *Router) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.routers[index] = router
+}
+
 func largeSiteZone(index int) string { return fmt.Sprint("zone-", index%largeSiteZones) }
 
 func largeSiteControllerIP(index int) string { return fmt.Sprint("10.0.0.", index+1) }
@@ -180,7 +216,15 @@
 
 func largeSiteRouterIP(index int) string { return fmt.Sprintf("10.1.%d.%d", index/250, index%250+1) }
 
-func largeSiteRunner(index int) string { return fmt.Sprint("runner-", index) }
+// runner returns the instance of a runner.
+func (s *largeSite) runner(index int) string {
+	name := fmt.Sprint("runner-", index)
+	if s.options.nameDigits == 0 {
+		return name
+	}
+	hash := sha256.Sum256([]byte(name))
+	return name + "-" + hex.EncodeToString(hash[:])[:s.options.nameDigits]
+}
 
 func largeSiteSeedAddresses() (addresses []string) {
 	for index := range largeSiteSeeds {
@@ -192,6 +236,15 @@
 // onLargeSite runs a test on a site with the given number of regions that has settled under its first
 // leader.
 func onLargeSite(t *testing.T, regions int, test func(s *largeSite)) {
+	t.Helper()
+	onLargeSiteOf(t, largeSiteOptions{
+		regions: regions, runners: largeSiteRunners, services: 1, documentBytes: largeSiteDocumentBytes,
+		controllerLink: controllerLinkBytes, routerLink: math.Inf(1),
+	}, test)
+}
+
+// onLargeSiteOf is onLargeSite for a site with other options.
+func onLargeSiteOf(t *testing.T, options largeSiteOptions, test func(s *largeSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -202,10 +255,15 @@
 		}
 		s := &largeSite{
 			c: c, ctx: ctx, network: newBusyNetwork(zoneLatency, controllerIPs), regions: make(map[string]string),
+			options: options, decoder: decodeOnce(),
 			departed: make(map[string]time.Time), startedAt: time.Now(),
 		}
 		for index := range largeSiteZones {
-			s.regions[largeSiteZone(index)] = fmt.Sprint("region-", index%regions)
+			s.regions[largeSiteZone(index)] = fmt.Sprint("region-", index%options.regions)
+		}
+		s.network.linkBytes, s.network.receiverLinkBytes = options.controllerLink, options.routerLink
+		if options.viewBytes > 0 {
+			s.network.largeBytes = options.viewBytes / 2
 		}
 		c.Cleanup(s.stop)
 		c.Cleanup(cancel)
@@ -217,27 +275,26 @@
 // start starts all processes and waits until the site has settled.
 func (s *largeSite) start() {
 	s.c.Helper()
-	decoder := decodeOnce()
 	for index := range largeSiteControllers {
-		s.startController(index, decoder)
+		s.startController(index)
 	}
 	s.await("the first document", func() bool { return s.put(0, 1) == nil })
-	for index := range largeSiteRunners {
+	for index := range s.options.runners {
 		go func() {
-			pause.For(s.ctx, firstHeartbeats*time.Duration(index)/largeSiteRunners)
+			pause.For(s.ctx, firstHeartbeats*time.Duration(index)/time.Duration(s.options.runners))
 			s.sendHeartbeats(index)
 		}()
 	}
 	pause.For(s.ctx, settlingTime)
 	for index := range largeSiteRouters {
-		s.startRouter(index, decoder)
+		s.routers = append(s.routers, s.startRouter(index))
 		pause.For(s.ctx, routerStartInterval)
 	}
 	s.await("the first document and all runners at all routers", func() bool {
 		return !slices.ContainsFunc(s.routers, func(router *Router) bool {
 			router.mutex.Lock()
 			defer router.mutex.Unlock()
-			return router.version() != 1 || router.fleet.Len() != largeSiteRunners
+			return router.version() != 1 || router.fleet.Len() != s.options.runners
 		})
 	})
 	go s.sendRequests()
@@ -271,12 +328,12 @@
 	s.c.Fatalf("%s did not happen in time", what)
 }
 
-func (s *largeSite) startController(index int, decoder domainnode.Decoder) {
+func (s *largeSite) startController(index int) {
 	node, err := domainnode.New(domainnode.Options{
 		Logger: leadershipLog{s, index}, Name: fmt.Sprint("controller-", index), Address: largeSiteAddress(index),
 		Seeds: largeSiteSeedAddresses, Bootstrap: true, DataFolder: filepath.Join(s.c.TempDir(), "data"), Voters: largeSiteVoters,
-		OrderLease: 3 * time.Second, Decoder: decoder, Engines: silentEngines{}, Network: s.network.from(largeSiteControllerIP(index)),
-		Seed: uint64(index) + 1, Zone: largeSiteZone(index), Zones: largeSiteZoneNames(), Regions: s.regions, LinkBytes: controllerLinkBytes,
+		OrderLease: 3 * time.Second, Decoder: s.decoder, Engines: silentEngines{}, Network: s.network.from(largeSiteControllerIP(index)),
+		Seed: s.options.seed<<32 + uint64(index) + 1, Zone: largeSiteZone(index), Zones: largeSiteZoneNames(), Regions: s.regions, LinkBytes: s.options.controllerLink,
 		Heartbeat: largeSiteHeartbeat,
 	})
 	s.c.Assert(err, qt.IsNil)
@@ -296,23 +353,24 @@
 	return names
 }
 
-func (s *largeSite) startRouter(index int, decoder domainnode.Decoder) {
+func (s *largeSite) startRouter(index int) *Router {
 	regions := make(map[structs.ZoneID]string)
 	for zone, region := range s.regions {
 		regions[structs.ZoneID(zone)] = region
 	}
 	router := New(Options{
 		Logger: log.NewNopLogger(), Name: fmt.Sprint("router-", index), Zone: structs.ZoneID(largeSiteZone(index)), Regions: regions,
-		Seeds: largeSiteSeedAddresses, Decoder: decoder, Network: s.network.from(largeSiteRouterIP(index)), Seed: uint64(index) + 1,
+		Seeds: largeSiteSeedAddresses, Decoder: s.decoder, Network: s.network.from(largeSiteRouterIP(index)), Seed: s.options.seed<<32 + uint64(index) + 1,
 	})
 	ctx, end := context.WithCancel(context.Background())
 	go router.Run(ctx)
-	s.routers, s.ends = append(s.routers, router), append(s.ends, end)
+	s.ends = append(s.ends, end)
+	return router
 }
 
 // sendHeartbeats sends a runner's heartbeats until it departs.
 func (s *largeSite) sendHeartbeats(index int) {
-	instance := largeSiteRunner(index)
+	instance := s.runner(index)
 	for sequence := uint64(1); s.ctx.Err() == nil; sequence++ {
 		s.mutex.Lock()
 		_, isDeparted := s.departed[instance]
@@ -320,7 +378,7 @@
 		if isDeparted {
 			return
 		}
-		heartbeat := largeSiteHeartbeatOf(index, sequence)
+		heartbeat := s.heartbeatOf(index, sequence)
 		s.callUntilAcknowledged(index, func(ctx context.Context, controller *domainnode.Node) error {
 			return controller.Heartbeat(ctx, heartbeat)
 		})
@@ -328,9 +386,17 @@
 	}
 }
 
-func largeSiteHeartbeatOf(index int, sequence uint64) fleet.Heartbeat {
+// service returns the service of a runner.
+func (s *largeSite) service(index int) string {
+	if index%s.options.services == 0 {
+		return "s"
+	}
+	return fmt.Sprint("s-", index%s.options.services)
+}
+
+func (s *largeSite) heartbeatOf(index int, sequence uint64) fleet.Heartbeat {
 	return fleet.Heartbeat{
-		Instance: largeSiteRunner(index), Service: "s", Address: fmt.Sprintf("10.2.%d.%d:80", index/250, index%250+1),
+		Instance: s.runner(index), Service: s.service(index), Address: fmt.Sprintf("10.2.%d.%d:80", index/250, index%250+1),
 		Zone: largeSiteZone(index), Slots: 12, Sequence: sequence,
 	}
 }
@@ -338,5 +404,5 @@
 func (s *largeSite) put(controller int, version uint64) error {
 	ctx, cancel := context.WithTimeout(s.ctx, runnerCallTimeout)
 	defer cancel()
-	return s.controllers[controller].PutDocument(ctx, largeSiteDocument(version))
+	return s.controllers[controller].PutDocument(ctx, s.document(version))
 }
--- a/request/relay/leaderload_test.go
+++ b/request/relay/leaderload_test.go
@@ -67,7 +67,9 @@
 func (s *largeSite) sendRequests() {
 	random := rand.New(rand.NewPCG(3, 1))
 	for pause.For(s.ctx, time.Second/requestRate) {
+		s.mutex.Lock()
 		router := s.routers[random.IntN(len(s.routers))]
+		s.mutex.Unlock()
 		row := residency.Row{Service: "engine", Model: fmt.Sprint("model-", random.IntN(largeSiteModels))}
 		go func() {
 			for began := time.Now(); time.Since(began) < requestTime && s.ctx.Err() == nil; pause.For(s.ctx, requestStep) {
@@ -80,13 +82,13 @@
 // replace has a runner announce that it is leaving, finish its requests and report its end, while
 // another one starts.
 func (s *largeSite) replace(index int, finishing time.Duration) {
-	instance := largeSiteRunner(index)
+	instance := s.runner(index)
 	s.callForDeparture(index, instance, func(ctx context.Context, controller *domainnode.Node) error {
-		heartbeat := largeSiteHeartbeatOf(index, math.MaxUint64)
+		heartbeat := s.heartbeatOf(index, math.MaxUint64)
 		heartbeat.Leaving = true
 		return controller.Heartbeat(ctx, heartbeat)
 	})
-	go s.sendHeartbeats(largeSiteRunners + index)
+	go s.sendHeartbeats(s.options.runners + index)
 	pause.For(s.ctx, finishing)
 	s.callForDeparture(index, instance, func(ctx context.Context, controller *domainnode.Node) error {
 		return controller.Depart(ctx, instance, 0)
@@ -123,7 +125,7 @@
 
 // putDocument puts the second document until that is acknowledged.
 func (s *largeSite) putDocument() {
-	source := largeSiteDocument(2)
+	source := s.document(2)
 	s.callUntilAcknowledged(7, func(ctx context.Context, controller *domainnode.Node) error {
 		return controller.PutDocument(ctx, source)
 	})
