--- a/placement/domainnode/relays_test.go
+++ b/placement/domainnode/relays_test.go
@@ -332,6 +332,14 @@
 	})
 }
 
+// askAsRelay has a relay get its view of the term from the leader.
+func (d *testDomain) askAsRelay(calls *service) {
+	question := &domainapi.MirrorArguments{Relay: "relay", Address: "10.5.5.5:1"}
+	d.poll(calls, question)
+	question.HoldMS = 1
+	d.poll(calls, question)
+}
+
 // Guards against routers that come to a new leader and stay there until it has sent each of them the
 // full view, while the relays would have it.
 func TestRouterWithoutFullViewGetsItFromARelayThatSparesTheLeader(t *testing.T) {
@@ -340,10 +348,7 @@
 		d.bootstrapWithRunners()
 		current, calls := d.leadership()
 		current.addRouters(minRelayedRouters)
-		question := &domainapi.MirrorArguments{Relay: "relay", Address: "10.5.5.5:1"}
-		d.poll(calls, question)
-		question.HoldMS = 1
-		d.poll(calls, question)
+		d.askAsRelay(calls)
 		current.mutex.Lock()
 		current.routers["r"] = routerContact{at: current.now(), lacksFullView: true}
 		current.startedAt = current.startedAt.Add(-takeoverTime)
@@ -510,10 +515,7 @@
 		current, calls := d.leadership()
 		d.c.Assert(d.watchAsNew(calls, domainapi.NoRelays).View, qt.IsNotNil, qt.Commentf("no relay has a view yet"))
 		current.addRouters(minRelayedRouters)
-		question := &domainapi.MirrorArguments{Relay: "relay", Address: "10.5.5.5:1"}
-		d.poll(calls, question)
-		question.HoldMS = 1
-		d.poll(calls, question)
+		d.askAsRelay(calls)
 		current.mutex.Lock()
 		current.startedAt = current.startedAt.Add(-takeoverTime)
 		current.mutex.Unlock()
