--- a/placement/domainnode/service.go
+++ b/placement/domainnode/service.go
@@ -244,6 +244,7 @@
 	asked := s.node.now()
 	reply.Routers, reply.Hold = current.recordContact(arguments.Router, known, arguments.MaxHold)
 	current.noteTermChange(arguments)
+	isRelayed := current.isLeftToRelays(arguments)
 	if current.takeFullViewTurn(arguments) {
 		known = 0
 	}
@@ -258,6 +259,11 @@
 		current.mutex.Unlock()
 		var document domain.Document
 		m.group.View(func() { document = m.machine.Document() })
+		if isRelayed {
+			s.node.workload.handOvers.Add(1)
+			current.fillReply(reply, arguments, known, knownSuspects, document, false)
+			break
+		}
 		hasChanges := announced.view > known || announced.document > arguments.Version || announced.suspects > knownSuspects
 		if hasChanges && current.awaitReplySlot(known, document, arguments, heldUntil) {
 			current.fillReply(reply, arguments, known, knownSuspects, document, true)
@@ -279,7 +285,6 @@
 		reply.Error = structs.AsTyped(notLeaderError(m))
 		return nil
 	}
-	s.node.workload.addReply(reply)
 	current.fillLoads(reply, arguments, s.node.now().Sub(asked))
 	fillControllers(reply, arguments, memberAddresses(m.group.Status()))
 	reply.Relays = current.relaysFor(arguments)
@@ -287,6 +292,7 @@
 	if reply.Relays != nil {
 		current.handOver(arguments.Router, reply)
 	}
+	s.node.workload.addReply(reply)
 	return nil
 }
 
@@ -337,6 +343,7 @@
 	}
 	if l.takeWantedFullView(arguments.Router) {
 		known = 0
+		l.node.workload.wantedViews.Add(1)
 	}
 	if hasContent && l.views.Revision() != known {
 		view, revision, err := l.viewFor(arguments.Router, known)
@@ -345,5 +352,8 @@
 			return
 		}
 		reply.View, reply.Revision = &view, revision
+		if known == 0 && !l.routers[arguments.Router].lacksFullView {
+			l.node.workload.fullViews.Add(1)
+		}
 	}
 }
--- a/request/relay/peers.go
+++ b/request/relay/peers.go
@@ -122,7 +122,7 @@
 	isUrgent bool
 }
 
-// announceAgain has a new leader told of this router as a peer, with the next report or within announceSpread. The caller
+// announceAgain has a leader that may not know this router told of it as a peer, with the next report or within announceSpread. The caller
 // must hold r.mutex.
 func (r *Router) announceAgain() {
 	delay := time.Duration(r.random.Int64N(int64(announceSpread)))
@@ -298,7 +298,10 @@
 		level.Info(r.logger).Log("msg", text, "zone", change.Zone, "peer", change.Peer, "after", change.After)
 	default:
 		r.balancer.ClearFailures(change.Runner)
-		if !change.IsThroughPeers {
+		if change.IsThroughPeers {
+			r.cancelSilentAt(change.Runner)
+			time.AfterFunc(liveConnectionTime, func() { r.cancelIfStillThroughPeers(change.Runner) })
+		} else {
 			text = "A runner is reached directly again."
 		}
 		if suppressed, isAllowed := r.peers.logLimiter.Allow(r.now()); isAllowed {
