A standby that may have begun with a stream ends the former run, whatever it answered

What callers could see: a request that may run only once at two runners for seconds (TWICE), where the standby got the continuation and its answer was lost or a failure; and the end of a whole answer held for up to 3 s, until a continuation that nobody needed had a connection.

Cause: a stream stayed at its silent runner unless the standby's answer began one. A reset or a failure after the send doesn't say that the standby has not run it. The end of an answer did not recall a continuation that was not sent yet.

Found in the review of the hand-over.

Cost: a copied stream whose standby fails or breaks off is cut, as before the hand-over.

--- a/request/relay/handoff.go
+++ b/request/relay/handoff.go
@@ -220,18 +220,18 @@
 }
 
 // mayHaveBegun waits for the answer of the standby, for maxOverlap at most after the request was sent, and reports whether the standby
-// goes on with the stream or may do so: a continuation that was sent and has no answer cannot be taken back for certain.
+// goes on with the stream or may have begun with it: two runners must not go on with one request, whatever became of the answer.
 func (h *handoff) mayHaveBegun() bool {
 	select {
 	case <-h.answered:
-		return h.next.begins(true)
+		return h.next.mayHaveRun()
 	case <-h.next.watchdog.begun:
 	}
 	overlap := time.NewTimer(maxOverlap)
 	defer overlap.Stop()
 	select {
 	case <-h.answered:
-		return h.next.begins(true)
+		return h.next.mayHaveRun()
 	case <-overlap.C:
 		return true
 	}
--- a/request/relay/handoff_test.go
+++ b/request/relay/handoff_test.go
@@ -224,3 +224,48 @@
 		})
 	}
 }
+
+// Guards against two runners that work on one request, as the standby began with it and its answer was lost.
+func TestStandbyWhoseAnswerIsLostEndsFormerRun(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		var sentAt, endedAt time.Time
+		r.runners.cut = func(ctx context.Context, number, next int) error {
+			if number != 1 || next != 4 {
+				return nil
+			}
+			err := sleepIn(ctx, streamSilenceFloor+3*time.Second)
+			endedAt = time.Now()
+			return err
+		}
+		r.runners.answer = func(_ context.Context, _ int, attempt *Attempt) (*Answer, error) {
+			if attempt.IsContinuation {
+				sentAt = time.Now()
+				return nil, errReset
+			}
+			return nil, nil
+		}
+		r.ask(t.Context(), copiedPath)
+		c.Assert(sentAt.IsZero(), qt.IsFalse)
+		c.Check(endedAt.Sub(sentAt) < formerRunGrace, qt.IsTrue, qt.Commentf("%v later", endedAt.Sub(sentAt)))
+	})
+}
+
+// Guards against the end of a whole answer that waits for the connect of a continuation that is not needed any more.
+func TestEndOfStreamDoesNotWaitForStandby(t *testing.T) {
+	inContinuity(t, func(t *testing.T, c *qt.C, r *continuityRouter) {
+		var endedAt time.Time
+		silent := silentUntil(copiedEvents+1, 50*time.Millisecond, io.EOF)
+		r.runners.cut = func(ctx context.Context, number, next int) error {
+			err := silent(ctx, number, next)
+			if err != nil {
+				endedAt = time.Now()
+			}
+			return err
+		}
+		r.runners.connects = ofContinuation(3 * time.Second)
+		recorder, aborted := r.ask(t.Context(), copiedPath)
+		c.Check(aborted, qt.IsFalse)
+		c.Check(recorder.Body.String(), qt.Equals, events(1, copiedEvents))
+		c.Check(time.Since(endedAt) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v later", time.Since(endedAt)))
+	})
+}
--- a/request/relay/stream.go
+++ b/request/relay/stream.go
@@ -25,7 +25,7 @@
 		err := reader.read()
 		isWhole := errors.Is(err, io.EOF) && events.isEmpty()
 		switch {
-		case watchdog.endRead(events.hasNext()) && !isWhole:
+		case watchdog.endRead(events.hasNext() || isWhole) && !isWhole:
 			return x.contextResult(ctx, result{outcome: routing.OutcomeBroken, err: err})
 		case errors.Is(err, ErrAnswerTooLong):
 			return tooLong()
