What a stale router or silent controllers don't know is not gone, nor certain

What callers could see: a stream at a router that had not heard the leader for a minute told `version_gone`, without a time to come back, where its runner said that it does not hold the model any more; a stream without a record taken for one of the only version where no controller had answered.

Cause: a waiting request looked at the view alone, which stays complete while the leader is silent, and the verdict `only` came before the count of silent controllers. A view that leaves a runner out, as its version is not stored, still said to be complete.

Evidence: TestVersionIsNotGoneWithoutLeader and the new row of TestDecide failed before.

--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -47,6 +47,7 @@
 		heartbeat := &status.Heartbeat
 		if len(unstored) > 0 && slices.Contains(unstored, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version}) {
 			// A leader that does not know the version would let its streams go on at another one.
+			view.Complete = false
 			continue
 		}
 		published := l.planner.Published(heartbeat.Instance, i)
--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -64,11 +64,13 @@
 		return VerdictGone
 	case facts.IsNamed && !facts.IsAsked:
 		return VerdictAsk
+	case facts.Silent >= replicas:
+		return VerdictLater
 	case facts.IsCertain && facts.OnlyVersion != "":
 		return VerdictOnly
 	case facts.IsCertain:
 		return VerdictAny
-	case !facts.HasLeader || facts.Silent >= replicas:
+	case !facts.HasLeader:
 		return VerdictLater
 	}
 	return VerdictUnknown
--- a/placement/versions/versions_test.go
+++ b/placement/versions/versions_test.go
@@ -197,6 +197,7 @@
 		{"one version alone, no attempt named", Facts{IsCertain: true, OnlyVersion: "v1"}, VerdictOnly},
 		{"one version alone here, another may have come since", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1"}, VerdictAsk},
 		{"one version alone here, another has begun it", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1", IsAsked: true, IsFound: true, Version: "v2", IsServed: true}, VerdictVersion},
+		{"one version alone here, and no registrar answers", Facts{IsNamed: true, IsCertain: true, OnlyVersion: "v1", IsAsked: true, Silent: 3, HasLeader: true, IsComplete: true}, VerdictLater},
 		{"no version is told", Facts{IsNamed: true, IsCertain: true, IsAsked: true}, VerdictAny},
 		{"no version is told, no attempt named", Facts{IsCertain: true}, VerdictAny},
 		{"the version is known", Facts{IsNamed: true, IsFound: true, Version: "v1", IsServed: true}, VerdictVersion},
--- a/request/relay/decidedonce_test.go
+++ b/request/relay/decidedonce_test.go
@@ -193,3 +193,18 @@
 		})
 	}
 }
+
+// Guards against a router that has not heard the leader for long and calls the version of a waiting request gone.
+func TestVersionIsNotGoneWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router, _ := newTestRouter(func(context.Context, *Attempt) (*Answer, error) {
+			return &Answer{Status: http.StatusMisdirectedRequest, NotHeld: true, Header: http.Header{}, Body: http.NoBody}, nil
+		})
+		router.adoptView(versionedView("v1", "v2"))
+		time.Sleep(time.Minute)
+		recorder, _ := takeUp(router, versions.Record{Service: "engine", Version: "v1"})
+		c.Assert(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+	})
+}
--- a/request/relay/deferral.go
+++ b/request/relay/deferral.go
@@ -131,7 +131,7 @@
 // runner held its model a moment ago, and a leader that has not heard from all runners forecasts loads of what they hold. The caller
 // must hold r.mutex.
 func (r *Router) isForecastDoubtful(wanted *waiter, reason retryReason) bool {
-	return reason == reasonLoading && wanted.work.Version != "" && !r.fleet.IsComplete()
+	return reason == reasonLoading && wanted.work.Version != "" && !r.knowsAllRunners()
 }
 
 // readyAt returns when a runner should be available for a request, from the leader's forecast and
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -76,12 +76,16 @@
 // isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
 func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
 
-// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. What a view
-// lacks that is not complete is not gone. While runners of that version alone serve, a request that was not sent may wait for the row
+// knowsAllRunners reports whether a runner that the router does not know is not there: the leader was heard lately, and had heard of
+// all runners. The caller must hold r.mutex.
+func (r *Router) knowsAllRunners() bool { return !r.isLeaderStale() && r.fleet.IsComplete() }
+
+// isVersionGone reports whether a waiting request is bound to a software version that no runner of its row has any more. What the
+// router cannot know is not gone. While runners of that version alone serve, a request that was not sent may wait for the row
 // to be loaded. The caller must hold r.mutex.
 func (r *Router) isVersionGone(wanted *waiter) bool {
 	version := wanted.work.Version
-	if version == "" || !r.fleet.IsComplete() || r.balancer.HasVersion(rowName(wanted.row), version, wanted.work.Zones) {
+	if version == "" || !r.knowsAllRunners() || r.balancer.HasVersion(rowName(wanted.row), version, wanted.work.Zones) {
 		return false
 	}
 	service := wanted.row.Service
