Revert "Relays: redirections end with the term"

Suspected, not shown: a redirection leaves a relay alone for 0.5 s, which is the only backoff while no relay has the new leader's state; without it each router asks its three relays and the leader once more in the first half second.

--- a/request/relay/controllers.go
+++ b/request/relay/controllers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
@@ -59,8 +58,6 @@
 type failedRelay struct {
 	at    time.Time
 	pause time.Duration
-	// isRedirect is set if the relay is up.
-	isRedirect bool
 }
 
 func newControllerChoice(name string, zone structs.ZoneID, regions map[structs.ZoneID]string) *controllerChoice {
@@ -85,8 +82,6 @@
 func (c *controllerChoice) adopt(list *domainapi.RelayList, isNewTerm bool) {
 	if isNewTerm {
 		c.list = domainapi.RelayList{}
-		// Relays redirect while they do not know the next leader yet. It is known now.
-		maps.DeleteFunc(c.failed, func(_ string, failure failedRelay) bool { return failure.isRedirect })
 	}
 	if list != nil {
 		c.list = *list
@@ -104,7 +99,7 @@
 // redirect records that a relay is up but cannot answer now.
 func (c *controllerChoice) redirect(at time.Time, address string) {
 	pause := max(redirectPause, 2*c.failed[address].pause)
-	c.failed[address] = failedRelay{at: at, pause: min(pause, failedRelayPause), isRedirect: true}
+	c.failed[address] = failedRelay{at: at, pause: min(pause, failedRelayPause)}
 }
 
 // succeed records that a relay answered.
--- a/request/relay/controllers_test.go
+++ b/request/relay/controllers_test.go
@@ -207,27 +207,6 @@
 	c.Assert(address, qt.Not(qt.Equals), "")
 }
 
-// Guards against routers that get the full view from a new leader because their relays, which follow it by now, did not know it
-// when they asked them: nearly all routers ask between two leaders.
-func TestRedirectionsEndWithTheTerm(t *testing.T) {
-	c := qt.New(t)
-	relays := []domainapi.Relay{{Address: "up", Zone: "a1"}, {Address: "down", Zone: "a1"}}
-	choice := newControllerChoice("router", "a1", relayTestRegions)
-	choice.adopt(&domainapi.RelayList{Version: 7, Relays: relays, SparesLeader: true}, true)
-	at := time.Unix(1000, 0)
-	choice.redirect(at, "up")
-	choice.fail(at, "down")
-	address, _ := choice.next(at)
-	c.Assert(address, qt.Equals, "")
-	choice.adopt(nil, true)
-	choice.adopt(&domainapi.RelayList{Version: 8, Relays: relays, SparesLeader: true}, false)
-	address, _ = choice.next(at)
-	c.Assert(address, qt.Equals, "up")
-	choice.redirect(at, "up")
-	address, _ = choice.next(at)
-	c.Assert(address, qt.Equals, "", qt.Commentf("the other one does not answer, whoever leads"))
-}
-
 func TestListOfRelaysBelongsToATerm(t *testing.T) {
 	c := qt.New(t)
 	choice := newControllerChoice("router", "a1", relayTestRegions)
