Take-ups of the only version ask no controllers, as before

Suspected, not shown: since the verdict `only`, each take-up asked all controllers for a record, also while one version serves.

What it was for: a version that other routers have used for less than 3 s. The bound version, complete views, stored versions and retention stay.

--- a/placement/versions/decide.go
+++ b/placement/versions/decide.go
@@ -11,10 +11,9 @@
 	// IsFound is set if a record of the stream is known, which says that Version began it.
 	IsFound bool
 	Version string
-	// IsAsked is set if the registrars were asked for a record, Silent is how many of them did not answer, and IsAnswered is set if one did.
-	IsAsked    bool
-	Silent     int
-	IsAnswered bool
+	// IsAsked is set if the registrars were asked for a record, and Silent is how many of them did not answer.
+	IsAsked bool
+	Silent  int
 	// IsForeign is set if the request may not be served by the service that began the stream any more.
 	IsForeign bool
 	// IsServed is set if a runner of Version may get the request.
@@ -63,14 +62,12 @@
 		return VerdictLater
 	case facts.IsFound:
 		return VerdictGone
-	case facts.IsNamed && !facts.IsAsked:
-		return VerdictAsk
-	case facts.IsAsked && !facts.IsAnswered:
-		return VerdictLater
 	case facts.IsCertain && facts.OnlyVersion != "":
 		return VerdictOnly
 	case facts.IsCertain:
 		return VerdictAny
+	case facts.IsNamed && !facts.IsAsked:
+		return VerdictAsk
 	case !facts.HasLeader || facts.Silent >= replicas:
 		return VerdictLater
 	}
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -188,9 +188,8 @@
 	r.streams.outbox.Acknowledge(batch, reply.Epoch)
 }
 
-// findStream asks all registrars for the record of a stream, at most for findTimeout. It returns whether one has answered, and how many
-// did not.
-func (r *Router) findStream(ctx context.Context, id string) (record versions.Record, isFound, isAnswered bool, silent int) {
+// findStream asks all registrars for the record of a stream, at most for findTimeout. It returns how many did not answer.
+func (r *Router) findStream(ctx context.Context, id string) (record versions.Record, isFound bool, silent int) {
 	r.mutex.Lock()
 	registrars := r.streams.registrars
 	r.mutex.Unlock()
@@ -211,8 +210,8 @@
 		case reply == nil:
 			silent++
 		case reply.IsFound:
-			return reply.Record, true, true, silent
+			return reply.Record, true, silent
 		}
 	}
-	return versions.Record{}, false, silent < len(registrars), silent
+	return versions.Record{}, false, silent
 }
--- a/request/relay/takeup.go
+++ b/request/relay/takeup.go
@@ -33,7 +33,7 @@
 	if verdict == versions.VerdictAsk {
 		facts.IsAsked = true
 		var record versions.Record
-		record, facts.IsFound, facts.IsAnswered, facts.Silent = x.router.findStream(ctx, x.request.FirstAttemptID)
+		record, facts.IsFound, facts.Silent = x.router.findStream(ctx, x.request.FirstAttemptID)
 		x.refreshFacts(&facts)
 		if facts.IsFound {
 			x.adoptRecord(record, &facts)
