Tunnels: a reset while a request is written never ends an answer

Callers whose request went through a peer got a part of an answer as the whole one (MIXED), as on a direct connection: the runner reset the connection while a long upload was being written to it.

Cause: the peer's copy towards the runner takes the reset, its copy from the runner reads the end of the file and writes the frame that marks the runner's end. Beside it the failed copy reset the connection to the router, which discards what the runner had sent before.

Change: the peer's connection to the runner is a network.ResetAwareConn. A failed write no longer ends the tunnel: the rest of the request is discarded, what the runner sent is delivered, and a frame of its own marks the failure. The tunnel outlives the runner's side by 1 s, so that closing it does not reset what the router has not read.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -56,3 +56,17 @@
 		return network.DialContext(ctx, protocol, address)
 	}
 }
+
+// As returns the first connection of type T among the given one and those that it wraps, as their method NetConn tells.
+func As[T any](conn net.Conn) (found T, isFound bool) {
+	for {
+		if found, isFound = conn.(T); isFound {
+			return found, true
+		}
+		wrapper, isWrapper := conn.(interface{ NetConn() net.Conn })
+		if !isWrapper {
+			return found, false
+		}
+		conn = wrapper.NetConn()
+	}
+}
--- a/internal/network/resetawareconn.go
+++ b/internal/network/resetawareconn.go
@@ -71,6 +71,9 @@
 	return count, err
 }
 
+// NetConn returns the underlying connection.
+func (c *ResetAwareConn) NetConn() net.Conn { return c.Conn }
+
 // WriteFailure returns the error of the first write that failed, or nil. A write in progress is interrupted for it, as it may have
 // failed already, and goes on afterwards. Closing the connection is no failure.
 func (c *ResetAwareConn) WriteFailure() error {
--- a/request/tunnel/copy.go
+++ b/request/tunnel/copy.go
@@ -5,33 +5,71 @@
 	"io"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/lotusferry/lotusferry/internal/network"
 )
 
-// copyBytes is the size of the buffer of each direction.
-const copyBytes = 4 << 10
+const (
+	// copyBytes is the size of the buffer of each direction.
+	copyBytes = 4 << 10
+	// lingerTime is how long a tunnel outlives the runner's side of it, so that the router reads all that the runner has sent: closing a
+	// connection on which data has not been read resets it.
+	lingerTime = time.Second
+)
 
-// copyBothWays copies until one side ends, and then ends the other: with a reset after an error, so that what
-// was cut short does not look complete.
+// copyBothWays copies until both sides have ended.
 func (l *link) copyBothWays(fromRouter io.Reader) {
+	frames := &frameWriter{to: l.router}
 	var copying sync.WaitGroup
-	copying.Go(func() { l.end(copyUntilEnd(l.runner, fromRouter)) })
-	copying.Go(func() { l.end(l.copyFromRunner()) })
+	copying.Go(func() { l.copyFromRouter(fromRouter, frames) })
+	copying.Go(func() { l.copyFromRunner(frames) })
 	copying.Wait()
 }
 
-// copyFromRunner copies what the runner sends. A router that reads frames is told if the runner ended the connection.
-func (l *link) copyFromRunner() error {
+// copyFromRouter copies what the router sends until it ends its side, and then ends the runner's. What the runner no longer takes is
+// discarded: it may have answered before.
+func (l *link) copyFromRouter(from io.Reader, frames *frameWriter) {
+	err := copyUntilEnd(&runnerWriter{l.runner, frames}, from)
+	var failed *writeError
+	if errors.As(err, &failed) {
+		_, err = io.Copy(io.Discard, from)
+	}
+	l.end(err)
+}
+
+// copyFromRunner copies what the runner sends until it ends its side, and tells the router how it did.
+func (l *link) copyFromRunner(frames *frameWriter) {
 	if !l.isFramed {
-		return copyUntilEnd(l.router, l.runner)
+		l.end(copyUntilEnd(l.router, l.runner))
+		return
 	}
-	frames := &frameWriter{to: l.router}
-	if err := copyUntilEnd(frames, l.runner); err != nil {
-		return err
+	err := copyUntilEnd(frames, l.runner)
+	var failed *writeError
+	if !errors.As(err, &failed) {
+		err = frames.writeEnd(err != nil)
 	}
-	return frames.writeEnd()
+	if err != nil {
+		l.end(err)
+		return
+	}
+	time.AfterFunc(lingerTime, func() { l.end(nil) })
+}
+
+// runnerWriter writes to the runner and notes how much it takes.
+type runnerWriter struct {
+	runner net.Conn
+	frames *frameWriter
 }
 
-// end closes both connections. The first call decides how.
+// Write implements io.Writer.
+func (w *runnerWriter) Write(part []byte) (int, error) {
+	count, err := w.runner.Write(part)
+	w.frames.noteTaken(count, err)
+	return count, err
+}
+
+// end closes both connections: with a reset after an error, so that what was cut short does not look complete. The first call decides.
 func (l *link) end(err error) {
 	if err != nil {
 		reset(l.router)
@@ -42,6 +80,12 @@
 	_ = l.runner.Close()
 }
 
+// writeError is an error of copyUntilEnd that is one of writing.
+type writeError struct{ error }
+
+// Unwrap returns the underlying error.
+func (e *writeError) Unwrap() error { return e.error }
+
 // copyUntilEnd returns nil at the end of the input. It uses plain reads and writes, as each event of a stream has
 // to be passed on at once.
 func copyUntilEnd(to io.Writer, from io.Reader) error {
@@ -49,8 +93,8 @@
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 {
-			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
-				return writeErr
+			if _, err := to.Write(buffer[:count]); err != nil {
+				return &writeError{err}
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -64,7 +108,7 @@
 
 // reset closes a connection so that its peer sees an error.
 func reset(conn net.Conn) {
-	if lingering, isTCP := conn.(interface{ SetLinger(seconds int) error }); isTCP {
+	if lingering, isTCP := network.As[interface{ SetLinger(seconds int) error }](conn); isTCP {
 		_ = lingering.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/request/tunnel/server.go
+++ b/request/tunnel/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/lotusferry/lotusferry/internal/network"
 )
 
 const (
@@ -64,7 +66,9 @@
 
 // link is the two connections of a tunnel.
 type link struct {
-	router, runner net.Conn
+	router net.Conn
+	// runner tells a reset that a write has seen from an end.
+	runner *network.ResetAwareConn
 	// isFramed is set if the router reads frames.
 	isFramed bool
 }
@@ -166,7 +170,7 @@
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	opened := &link{router: router, runner: runner, isFramed: request.Header.Get(framingHeader) == framingVersion}
+	opened := &link{router: router, runner: network.NewResetAwareConn(runner), isFramed: request.Header.Get(framingHeader) == framingVersion}
 	if !s.add(opened) {
 		reset(router)
 		reset(runner)
