Responses that RFC 9110 and 9112 don't allow are no answers, wherever they are read

Callers got answers whose head had a blank in the name of a field, with that line dropped, or with a body that was not the runner's (MIXED): after "Content-Length : 4" all bytes to the end of the connection, after "Transfer-Encoding : chunked" the lines of the chunks. A rejection with such a head was believed (REFUSED), as was a status of 600 to 999.

Cause: net/http takes a blank in a name on purpose and reads no such field, reads any three digits as a status, and drops what contradicts: a length beside an encoding, an encoding in HTTP/1.0. It reads trailers and interim responses in the same way.

Held before, and kept as cases: a status of 000, also interim and with X-Not-Executed; control bytes in names and values.

Change: package internal/wellformed. A Transport checks status, version, names and trailers of what net/http has parsed; connections of its Dial check the bytes of heads as they arrive, interim ones included. Used by the routers' and controllers' clients of runners, by the product's client of engines, stores and lists; without the check of bytes, as with TLS, by those of other zones' routers and of daemons; answers of peers are checked where they are read. At a runner such an answer is ErrMalformedAnswer: not believed, no crash, and its connection is not used again. A failed check stays: bufio's ReadLine forgets an error after a part of a line.

What is allowed is read: bare LF, continued lines, any text in values, several blanks in a status line, 204 with a length of 0.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -10,6 +10,7 @@
 	"github.com/lotusferry/lotusferry/internal/keys"
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/transport"
+	"github.com/lotusferry/lotusferry/internal/wellformed"
 	"github.com/lotusferry/lotusferry/request/api"
 	"github.com/lotusferry/lotusferry/request/router"
 	"github.com/lotusferry/lotusferry/structs"
@@ -48,7 +49,7 @@
 		scheme = "https://"
 		base.TLSClientConfig = reloader.ClientConfig("")
 	}
-	return peerRouters{client: api.NewClient(&http.Client{Transport: faults.HTTP(base)}), scheme: scheme}
+	return peerRouters{client: api.NewClient(&http.Client{Transport: faults.HTTP(wellformed.Transport{Base: base})}), scheme: scheme}
 }
 
 // forwardedByDaemon returns a function that reports whether a request may be marked as
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lotusferry/lotusferry/internal/network"
+	"github.com/lotusferry/lotusferry/internal/wellformed"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -69,7 +70,7 @@
 		options:   options,
 		transport: transport,
 		client: &http.Client{
-			Transport: transport,
+			Transport: wellformed.Transport{Base: transport},
 			// An HTTP redirect could send the key to another host.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/request/engineapi/client.go
+++ b/request/engineapi/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/lotusferry/lotusferry/internal/network"
 	"github.com/lotusferry/lotusferry/internal/option"
+	"github.com/lotusferry/lotusferry/internal/wellformed"
 	"github.com/lotusferry/lotusferry/structs"
 )
 
@@ -104,7 +105,7 @@
 
 func newTransport(options ClientOptions, maxConnsPerHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:            network.DialWithin(options.Network, options.DialTimeout),
+		DialContext:            wellformed.Dial(network.DialWithin(options.Network, options.DialTimeout)),
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxConnsPerHost,
 		MaxConnsPerHost:        maxConnsPerHost,
@@ -116,7 +117,7 @@
 
 func newHTTPClient(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: transport,
+		Transport: wellformed.Transport{Base: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/request/tunnel/limit.go
+++ b/request/tunnel/limit.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/lotusferry/lotusferry/internal/wellformed"
 )
 
 const (
@@ -54,5 +56,8 @@
 		// http.ReadResponse reports the end of its input in place of its error.
 		err = errTooLong
 	}
+	if err == nil {
+		err = wellformed.Check(answer)
+	}
 	return answer, reader, limited, err
 }
