Relay: a stopping router begins no request whose body came late

Callers lost streams in a planned stop (LOST): their head came in the first 3 s of the grace and their body later. The router passed them on, and cut them at the end of the grace.

Cause: the gate that rejects requests after 3 s looks at them when their head has come. Behind it, only requests that wait for a runner are rejected, by a function that runs beside: one that gets a runner at once is not.

Change: a request that was not sent yet is rejected (503, not run) once the router rejects those that wait. Retries go on.

--- a/request/relay/acquire.go
+++ b/request/relay/acquire.go
@@ -38,6 +38,10 @@
 			x.releaseRunner(choice, given)
 			return choice, given, context.Cause(ctx)
 		}
+		if x.isTooLateToBegin() {
+			x.releaseRunner(choice, given)
+			return choice, given, errStopped
+		}
 		if given.isGranted() {
 			return choice, given, nil
 		}
@@ -49,6 +53,10 @@
 	}
 }
 
+// isTooLateToBegin reports whether the router rejects requests that wait, and this one was not sent yet: there may be too little time left
+// for its answer. Its body may have come late.
+func (x *exchange) isTooLateToBegin() bool { return x.sent == 0 && x.router.stop.waiting.Err() != nil }
+
 // releaseRunner undoes acquireRunner for a request that is not sent.
 func (x *exchange) releaseRunner(choice routing.Choice, given permit) {
 	x.releaseChoice(choice)
