Leader: a new software version is held back until no router can miss it

Callers got streams joined from two versions (ORDER): in a release, one router was cut off from the others, or stood still, while runners of a new version joined. Streams that began there through other routers broke and were taken up at that router, which took the former version for the only one.

Cause: what the leader said was believed for 3 s from when it was read, however long it had been under way, and others used runners of the new version at once. Both are needed: a right to decide that ends, and no use of the new version before.

Ruled out: records that are lost (the router did not ask).

Change: the leader tells routers at once that the service is mixed, and neither stores nor lists runners of the new version before each router that may decide has a later view, or 3.3 s have passed (versions.Introductions). Routers count the 3 s from when they, or their relay, asked. A new leader waits for 3.3 s from its start, as routers may believe the former one.

In calm the wait is a round of watches.

TestNewLeaderKnowsVersionsThatAreGone waits until the new version is listed, before the former one goes: before that, no stream can have begun at it, and the next leader need not know it. What it checks of the next leader is the same.

--- a/placement/domainnode/leadership.go
+++ b/placement/domainnode/leadership.go
@@ -113,7 +113,9 @@
 	drains        drains
 	ended         bool
 	// versions are the software versions that runners had lately, and versionRetention is for how long they are remembered.
-	versions         *versions.Tracker
+	versions *versions.Tracker
+	// introductions hold new versions back until routers know of them.
+	introductions    *versions.Introductions
 	versionRetention versions.Retention
 	// pendingRegistrations are registrations to be proposed, keyed by instance.
 	pendingRegistrations map[string]domain.Registration
@@ -184,6 +186,7 @@
 		pendingRegistrations: make(map[string]domain.Registration),
 		stopping:             make(map[raft.NodeID]time.Time),
 		versions:             versions.NewTracker(),
+		introductions:        versions.NewIntroductions(at),
 	}
 	m.group.View(func() {
 		for _, key := range m.machine.Versions() {
@@ -316,7 +319,7 @@
 			Instance: heartbeat.Instance, Service: heartbeat.Service, Address: heartbeat.Address,
 			Zone: heartbeat.Zone, Slots: heartbeat.Slots, IsSlow: l.planner.IsSlowMachine(heartbeat.Instance), Version: heartbeat.Version,
 		})
-		l.versions.Observe(now, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version})
+		l.observeVersion(now, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version})
 	}
 	l.queueRegistrations(registrations)
 }
--- a/placement/domainnode/step.go
+++ b/placement/domainnode/step.go
@@ -101,6 +101,7 @@
 	at := l.now()
 	l.registry.Expire(at)
 	l.versions.Expire(at, l.versionRetention.After(at))
+	l.endIntroductions(at)
 	l.poison.Expire(at)
 	l.updateDrains()
 	l.refresh(at)
--- a/placement/domainnode/summary.go
+++ b/placement/domainnode/summary.go
@@ -13,6 +13,7 @@
 	"github.com/lotusferry/lotusferry/placement/domain"
 	"github.com/lotusferry/lotusferry/placement/quota"
 	"github.com/lotusferry/lotusferry/placement/residency"
+	"github.com/lotusferry/lotusferry/placement/versions"
 )
 
 const (
@@ -181,9 +182,16 @@
 		if len(command.Registrations) == maxProposedRegistrations {
 			break
 		}
+		if l.introductions.IsPending(versions.Key{Service: registration.Service, Version: registration.Version}) {
+			// The next leader lists runners of the versions in the log at once.
+			continue
+		}
 		command.Registrations = append(command.Registrations, registration)
 		delete(l.pendingRegistrations, instance)
 	}
+	if len(command.Suspects)+len(command.Registrations) == 0 {
+		return
+	}
 	l.isProposing = true
 	go l.propose(command)
 }
--- a/placement/domainnode/versions_test.go
+++ b/placement/domainnode/versions_test.go
@@ -39,7 +39,11 @@
 		c.Assert(d.mixedVersions(), qt.HasLen, 0)
 		d.beat("2", "v2", 1)
 		c.Assert(d.mixedVersions(), qt.DeepEquals, []string{"s"})
-		pause.For(d.ctx, time.Second)
+		// No stream begins at the new version before.
+		d.await("runners of both versions to be listed", func() bool {
+			leader, err := d.nodes[d.awaitLeader()].current()
+			return err == nil && len(leader.currentLeadership().listedVersions(c)) == 2
+		})
 		d.await("its departure", func() bool { return d.nodes[d.awaitLeader()].Depart(d.ctx, "1", 0) == nil })
 		former := d.awaitLeader()
 		d.kill(former)
--- a/placement/domainnode/views.go
+++ b/placement/domainnode/views.go
@@ -41,12 +41,12 @@
 func (l *leadership) publish(at time.Time) {
 	view := fleet.View{Complete: l.registry.Complete(at), Gone: l.registry.Gone()}
 	view.Runners = l.views.Spare()
-	unstored := l.unstoredVersions()
+	unlisted := l.unlistedVersions()
 	for i := range l.statuses {
 		status := &l.statuses[i]
 		heartbeat := &status.Heartbeat
-		if len(unstored) > 0 && slices.Contains(unstored, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version}) {
-			// A leader that does not know the version would let its streams go on at another one.
+		if len(unlisted) > 0 && slices.Contains(unlisted, versions.Key{Service: heartbeat.Service, Version: heartbeat.Version}) {
+			// A router or a leader that does not know the version would let its streams go on at another one.
 			view.Complete = false
 			continue
 		}
--- a/request/relay/decidedonce_random_test.go
+++ b/request/relay/decidedonce_random_test.go
@@ -140,7 +140,7 @@
 		known[runner.Service] = runner.Version
 	}
 	s.router.mutex.Lock()
-	s.router.adoptVersions(mixed, nil)
+	s.router.adoptVersions(s.router.now(), mixed, nil)
 	s.router.mutex.Unlock()
 	s.router.adoptView(view)
 	s.mutex.Lock()
--- a/request/relay/decidedonce_test.go
+++ b/request/relay/decidedonce_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/fleet"
 	"github.com/lotusferry/lotusferry/placement/notice"
 	"github.com/lotusferry/lotusferry/placement/residency"
@@ -73,7 +74,7 @@
 				router.mutex.Unlock()
 				time.AfterFunc(goneAfter, func() {
 					router.mutex.Lock()
-					router.adoptVersions(after.mixed, nil)
+					router.adoptVersions(router.now(), after.mixed, nil)
 					router.mutex.Unlock()
 					view := after.view
 					for i := range view.Runners {
@@ -208,3 +209,36 @@
 		c.Assert(recorder.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
 	})
 }
+
+// Guards against a word of the leader on versions that is believed for too long, as it was read late or a relay had it for a while:
+// streams would go on at a version that is no longer the only one.
+func TestOnlyVersionIsBelievedFromWhenItWasSaid(t *testing.T) {
+	for name, test := range map[string]struct {
+		readAfter, relayHad, then time.Duration
+		isCertain                 bool
+	}{
+		"read at once":                {0, 0, versions.CertainTime, true},
+		"read at once, long ago":      {0, 0, versions.CertainTime + 1, false},
+		"read late":                   {2 * time.Second, 0, versions.CertainTime - 2*time.Second, true},
+		"read late, long ago":         {2 * time.Second, 0, versions.CertainTime - 2*time.Second + 1, false},
+		"read too late":               {versions.CertainTime + 1, 0, 0, false},
+		"a relay had it":              {0, time.Second, versions.CertainTime - time.Second, true},
+		"a relay had it, long ago":    {0, time.Second, versions.CertainTime - time.Second + 1, false},
+		"a relay had it and it waits": {time.Second, time.Second, versions.CertainTime - time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				router, _ := newTestRouter(nil)
+				asked := time.Now()
+				time.Sleep(test.readAfter)
+				reply := &domainapi.WatchReply{Term: 1, Routers: 1, OnlyVersions: map[string]string{"engine": "v1"}, ConfirmedBefore: test.relayHad}
+				router.adopt(reply, &domainapi.WatchArguments{}, asked)
+				time.Sleep(test.then)
+				router.mutex.Lock()
+				defer router.mutex.Unlock()
+				c.Assert(router.isVersionCertain("engine"), qt.Equals, test.isCertain)
+			})
+		})
+	}
+}
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -37,7 +37,8 @@
 	heardBefore := r.routerCount.at
 	r.observeRouterCount(r.now().Add(-leaderSilenceOf(reply)), reply.Routers)
 	routers := r.routerCount.routers
-	r.adoptVersions(reply.MixedVersions, reply.OnlyVersions)
+	// A relay may answer with what it had asked before the router did.
+	r.adoptVersions(asked.Add(-reply.ConfirmedBefore), reply.MixedVersions, reply.OnlyVersions)
 	r.leaderHold = holdOf(reply)
 	r.copies.leaderRates, r.copies.leaderRatesAt = reply.StreamLosses, r.now()
 	r.queue.SetShares(r.now(), reply.Shares)
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -143,7 +143,7 @@
 		Retry:   RetryRule{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		MaxWait: MaxWait{Floor: 2 * time.Second, Objectives: 4, Pauses: 8},
 	})
-	router.routerCount = *settledCount(1, time.Now())
+	router.routerCount, router.streams.saidAt = *settledCount(1, time.Now()), time.Now()
 	router.adoptDocument(testDocument())
 	router.adoptView(testView())
 	return router, backend
--- a/request/relay/streamversions.go
+++ b/request/relay/streamversions.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// maxVersionsAge is how long after the leader was heard its word that runners of one version alone serve is believed. A
-	// runner of another version that came since serves no stream yet: it must be loaded first.
-	maxVersionsAge = 3 * time.Second
 	// minNoteInterval and noteIntervalPerRouter bound the messages about streams that all routers send to registrars.
 	minNoteInterval       = 20 * time.Millisecond
 	noteIntervalPerRouter = 250 * time.Microsecond
@@ -38,12 +35,14 @@
 	mixed []string
 	// only are the versions of the services with runners of one version alone, as the leader said last.
 	only map[string]string
+	// saidAt is a time before the leader said so.
+	saidAt time.Time
 	// outbox holds the streams that this router began, running those that are in progress.
 	outbox  *versions.Outbox
 	running map[*exchange]versions.Record
 	// registrars are the addresses of the controllers.
 	registrars []string
-	// stale fires when the leader was last heard maxVersionsAge ago; nil before the first view.
+	// stale fires once isLeaderStale holds; nil before the first view.
 	stale *time.Timer
 	// wake triggers a message to the registrars.
 	wake       chan struct{}
@@ -73,8 +72,8 @@
 // areVersionsCertain reports whether isVersionCertain holds for all services. The caller must hold r.mutex.
 func (r *Router) areVersionsCertain() bool { return !r.isLeaderStale() && len(r.streams.mixed) == 0 }
 
-// isLeaderStale reports whether the leader was not heard for too long to know of all versions. The caller must hold r.mutex.
-func (r *Router) isLeaderStale() bool { return r.now().Sub(r.routerCount.at) > maxVersionsAge }
+// isLeaderStale reports whether what the leader said last was said too long ago to know of all versions. The caller must hold r.mutex.
+func (r *Router) isLeaderStale() bool { return r.now().Sub(r.streams.saidAt) > versions.CertainTime }
 
 // knowsAllRunners reports whether a runner that the router does not know is not there: the leader was heard lately, and had heard of
 // all runners. The caller must hold r.mutex.
@@ -93,18 +92,19 @@
 	return !(wanted.mayDefer && mayBeLoaded)
 }
 
-// adoptVersions takes over which services have runners of several versions, and the only versions of the others. The caller must
-// hold r.mutex.
-func (r *Router) adoptVersions(mixed []string, only map[string]string) {
+// adoptVersions takes over which services have runners of several versions, and the only versions of the others, as the leader said at
+// the given time or later: what the router reads may have been under way for long. The caller must hold r.mutex.
+func (r *Router) adoptVersions(saidAt time.Time, mixed []string, only map[string]string) {
 	if !slices.Equal(mixed, r.streams.mixed) {
 		level.Info(r.logger).Log("msg", "The services with runners of several software versions change.", "services", len(mixed), "before", len(r.streams.mixed))
 		r.metrics.mixedServices.Set(float64(len(mixed)))
 	}
-	r.streams.mixed, r.streams.only = mixed, only
+	r.streams.mixed, r.streams.only, r.streams.saidAt = mixed, only, saidAt
+	untilStale := saidAt.Add(versions.CertainTime).Sub(r.now())
 	if r.streams.stale == nil {
-		r.streams.stale = time.AfterFunc(maxVersionsAge, r.noteStaleLeader)
+		r.streams.stale = time.AfterFunc(untilStale, r.noteStaleLeader)
 	} else {
-		r.streams.stale.Reset(maxVersionsAge)
+		r.streams.stale.Reset(untilStale)
 	}
 	r.noteRunningStreams()
 }
--- a/request/relay/watch.go
+++ b/request/relay/watch.go
@@ -55,8 +55,7 @@
 // watchLeader finds the leader and sends it a watch.
 func (f *follower) watchLeader(ctx context.Context) {
 	r := f.router
-	asked := r.now()
-	reply, err := f.callLeader(ctx)
+	reply, asked, err := f.callLeader(ctx)
 	if err != nil {
 		if f.isConnected && ctx.Err() == nil {
 			level.Warn(r.logger).Log("msg", "The leader of the controllers is lost.", "term", f.arguments.Term, "err", err)
@@ -72,11 +71,15 @@
 	}
 }
 
-func (f *follower) callLeader(ctx context.Context) (*domainapi.WatchReply, error) {
+// callLeader returns the leader's reply and when it was asked, after the search for it.
+func (f *follower) callLeader(ctx context.Context) (reply *domainapi.WatchReply, asked time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	return leadercall.Call(ctx, f.caller, domainapi.MethodWatch, f.arguments,
-		func() *domainapi.WatchReply { return &domainapi.WatchReply{} })
+	reply, err = leadercall.Call(ctx, f.caller, domainapi.MethodWatch, f.arguments, func() *domainapi.WatchReply {
+		asked = f.router.now()
+		return &domainapi.WatchReply{}
+	})
+	return reply, asked, err
 }
 
 // errBehind means that a relay answered with an older state than the router's.
