--- a/request/tunnel/copy.go
+++ b/request/tunnel/copy.go
@@ -46,13 +46,19 @@
 	}
 	err := copyUntilEnd(frames, l.runner)
 	var failed *writeError
-	if !errors.As(err, &failed) {
-		err = frames.writeEnd(err != nil)
+	if errors.As(err, &failed) {
+		l.end(err)
+		return
 	}
-	if err != nil {
+	hasFailed := err != nil
+	if err = frames.writeEnd(hasFailed); err != nil {
 		l.end(err)
 		return
 	}
+	if half, isHalf := network.As[interface{ CloseWrite() error }](l.router); isHalf && hasFailed {
+		// Routers that do not know the frame of a failure wait for the end of the connection.
+		_ = half.CloseWrite()
+	}
 	time.AfterFunc(lingerTime, func() { l.end(nil) })
 }
 
