Leader: two log lines tell when a new software version is held back and released

On call, a release whose new runners get nothing for seconds could not be told from other causes. A line at each end, with the time and whether all routers knew the version; at most one pair for each new version.

--- a/placement/domainnode/versions.go
+++ b/placement/domainnode/versions.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/lotusferry/lotusferry/placement/domainapi"
 	"github.com/lotusferry/lotusferry/placement/versions"
 )
@@ -20,6 +22,7 @@
 	if isNew && l.versions.IsMixed(key.Service) {
 		// Replies with a later revision than the current one tell of it.
 		l.introductions.Begin(now, key, l.views.Revision()+1)
+		level.Info(l.logger).Log("msg", "A new software version is held back until routers know of it.", "service", key.Service, "version", key.Version)
 	}
 }
 
@@ -35,7 +38,10 @@
 			known = min(known, contact.revision)
 		}
 	}
-	l.introductions.End(at, known)
+	for _, each := range l.introductions.End(at, known) {
+		level.Info(l.logger).Log("msg", "A new software version may be used.", "service", each.Key.Service, "version", each.Key.Version,
+			"held_for", each.HeldFor, "known_to_all", each.IsKnownToAll)
+	}
 	if l.introductions.Awaited() > 0 {
 		l.relays.await(at, awaited)
 	}
--- a/placement/versions/introductions.go
+++ b/placement/versions/introductions.go
@@ -1,6 +1,9 @@
 package versions
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// CertainTime is how long after the leader said so a router believes that runners of one version alone serve.
@@ -37,14 +40,27 @@
 	}
 }
 
-// End releases the versions whose time has come. known is the lowest revision of the routers that may believe what they were told.
-func (i *Introductions) End(now time.Time, known uint64) {
+// Released is a version that was held back.
+type Released struct {
+	Key Key
+	// HeldFor is for how long it was, and IsKnownToAll is set if all routers know it.
+	HeldFor      time.Duration
+	IsKnownToAll bool
+}
+
+// End releases the versions whose time has come, and returns them sorted. known is the lowest revision of the routers that may believe
+// what they were told.
+func (i *Introductions) End(now time.Time, known uint64) (released []Released) {
 	for key, begun := range i.pending {
-		isHeardByAll := now.Sub(i.startedAt) >= CertainTime+certainMargin && known >= begun.revision
-		if isHeardByAll || now.Sub(begun.at) >= CertainTime+certainMargin {
+		ended := Released{key, now.Sub(begun.at), known >= begun.revision}
+		hasForgottenFormer := now.Sub(i.startedAt) >= CertainTime+certainMargin
+		if ended.IsKnownToAll && hasForgottenFormer || ended.HeldFor >= CertainTime+certainMargin {
+			released = append(released, ended)
 			delete(i.pending, key)
 		}
 	}
+	slices.SortFunc(released, func(a, b Released) int { return CompareKeys(a.Key, b.Key) })
+	return released
 }
 
 // IsPending reports whether a version is held back.
