Lab: one loop for the commands that run seeds

soak and release had the same loop over seeds, folders and reports, and crowd the same function for its progress. No behaviour changes; the command line, the reports and the exit codes are as before.

--- a/kit/labcommand/crowd.go
+++ b/kit/labcommand/crowd.go
@@ -86,7 +86,7 @@
 		Resumable: c.Resumable, Idempotent: c.Idempotent, Services: c.Services, StreamLength: c.StreamTime, Deadline: c.Deadline,
 		BreakShare: c.BreakShare, RetryExtra: c.RetryExtra, Silence: c.silence(),
 		BusyProcesses: c.Busy, BusyCommand: []string{executable, "crowd", "--spin"}, Disruptions: c.disruptions(),
-		Log: func(format string, arguments ...any) { fmt.Fprintf(c.session.Errors, format+"\n", arguments...) },
+		Log: c.session.logf,
 	})
 	if err != nil {
 		return err
--- a/kit/labcommand/release.go
+++ b/kit/labcommand/release.go
@@ -1,12 +1,8 @@
 package labcommand
 
 import (
-	"encoding/json"
-	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/lotusferry/lotusferry/platform/soak"
 )
 
@@ -27,29 +23,13 @@
 
 // Execute implements go-flags.Commander.
 func (c *releaseCommand) Execute([]string) error {
-	violated := false
-	for offset := range c.Seeds {
-		folder, err := makeSoakFolder(c.Folder)
-		if err != nil {
-			return err
-		}
+	return c.session.runSeeds(consecutiveSeeds(c.Seed, c.Seeds), c.Folder, func(seed uint64, folder string) (any, int, error) {
 		report, err := soak.RunReleases(c.session.ctx, soak.ReleaseOptions{
-			Binary: c.Binary, Folder: folder, Seed: c.Seed + uint64(offset), Duration: c.For, Lane: c.Lane, Routers: c.Routers, Callers: c.Callers,
-			Log: func(format string, arguments ...any) { fmt.Fprintf(c.session.Errors, format+"\n", arguments...) },
+			Binary: c.Binary, Folder: folder, Seed: seed, Duration: c.For, Lane: c.Lane, Routers: c.Routers, Callers: c.Callers, Log: c.session.logf,
 		})
 		if err != nil {
-			return err
-		}
-		encoder := json.NewEncoder(c.session.Output)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(report); err != nil {
-			return errors.Wrap(err, "print report")
+			return nil, 0, err
 		}
-		fmt.Fprintln(c.session.Errors, "logs:", folder)
-		violated = violated || report.ViolationCount > 0
-	}
-	if violated {
-		return errViolation
-	}
-	return nil
+		return report, report.ViolationCount, nil
+	})
 }
--- a/kit/labcommand/soak.go
+++ b/kit/labcommand/soak.go
@@ -1,13 +1,8 @@
 package labcommand
 
 import (
-	"encoding/json"
-	"fmt"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/lotusferry/lotusferry/platform/soak"
 )
 
@@ -28,33 +23,15 @@
 
 // Execute implements go-flags.Commander.
 func (c *soakCommand) Execute([]string) error {
-	violated := false
-	for _, seed := range c.seeds() {
-		folder, err := makeSoakFolder(c.Folder)
-		if err != nil {
-			return err
-		}
+	return c.session.runSeeds(c.seeds(), c.Folder, func(seed uint64, folder string) (any, int, error) {
 		report, err := soak.Run(c.session.ctx, soak.Options{
-			Binary: c.Binary, Folder: folder, Seed: seed, Duration: c.For, Lane: c.Lane, Routers: c.Routers, Phase: c.Phase,
-			Log: func(format string, arguments ...any) {
-				fmt.Fprintf(c.session.Errors, format+"\n", arguments...)
-			},
+			Binary: c.Binary, Folder: folder, Seed: seed, Duration: c.For, Lane: c.Lane, Routers: c.Routers, Phase: c.Phase, Log: c.session.logf,
 		})
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
-		encoder := json.NewEncoder(c.session.Output)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(report); err != nil {
-			return errors.Wrap(err, "print report")
-		}
-		fmt.Fprintln(c.session.Errors, "logs:", folder)
-		violated = violated || report.ViolationCount > 0
-	}
-	if violated {
-		return errViolation
-	}
-	return nil
+		return report, report.ViolationCount, nil
+	})
 }
 
 // seeds returns the seeds to run.
@@ -66,17 +43,5 @@
 		}
 		return seeds
 	}
-	for offset := range c.Seeds {
-		seeds = append(seeds, c.Seed+uint64(offset))
-	}
-	return seeds
-}
-
-// makeSoakFolder creates the folder of a run, a temporary one if none is given.
-func makeSoakFolder(chosen string) (string, error) {
-	if chosen != "" {
-		return chosen, errors.Wrap(os.MkdirAll(chosen, 0o700), "create folder")
-	}
-	folder, err := os.MkdirTemp("", "lotusferry-soak-")
-	return folder, errors.Wrap(err, "create folder")
+	return consecutiveSeeds(c.Seed, c.Seeds)
 }
